Freeze the workspace, the messages, the ports and the shared tables

Cause: parts of the system are to be written side by side, so what they meet in must stand first. Change: the crates and their dependencies, wire messages with committed generated code and a test that they are current, the closed list of error kinds, ports of platform and engine, links and datagrams with a policy port, shared tables with lock ranks, settings, and the four core protocol decisions (chunks, once, fence, configuration). Conclusion: the interfaces are ready to build against.

--- /dev/null
+++ b/crates/batch/src/lib.rs
@@ -0,0 +1,1 @@
+//! The batch path of a node: jobs, chunks, runners.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the operators' interface.
--- /dev/null
+++ b/crates/dappleyard/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of dappleyard.
+
+fn main() {}
--- /dev/null
+++ b/crates/decide/src/admission.rs
@@ -0,0 +1,1 @@
+//! Tenant limits and early refusals.
--- /dev/null
+++ b/crates/decide/src/disruption.rs
@@ -0,0 +1,1 @@
+//! Disruption budgets.
--- /dev/null
+++ b/crates/decide/src/fairness.rs
@@ -0,0 +1,1 @@
+//! Order of batch work: earliest deadline with slack, weighted over tenants.
--- /dev/null
+++ b/crates/decide/src/membership.rs
@@ -0,0 +1,1 @@
+//! Probing, suspicion and incarnations of nodes.
--- /dev/null
+++ b/crates/decide/src/ownership.rs
@@ -0,0 +1,1 @@
+//! Cells and rendezvous ownership of servers.
--- /dev/null
+++ b/crates/decide/src/placement.rs
@@ -0,0 +1,1 @@
+//! Choice of an owner node and of a server.
--- /dev/null
+++ b/crates/decide/src/plans.rs
@@ -0,0 +1,1 @@
+//! Plans of operators' intents and their confirmation.
--- /dev/null
+++ b/crates/decide/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry and hedge budgets.
--- /dev/null
+++ b/crates/decide/src/rollout.rs
@@ -0,0 +1,1 @@
+//! Steps of a version rollout with canary and health gate.
--- /dev/null
+++ b/crates/decide/src/width.rs
@@ -0,0 +1,1 @@
+//! Batch width of a server beside its online load.
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,11 @@
+//! Port and HTTP client of the model engines.
+//!
+//! [`Engine`] is what the node depends on. `client` implements it with `awc` against the HTTP
+//! interface of the engines: newline-delimited JSON events in a chunked answer.
+
+pub mod port;
+
+pub use port::{
+    CacheEvent, Engine, EngineError, EngineEvent, EngineOrder, EngineReport, EventStream,
+    GenerateCall, LoadedModel, OrderKind, Priority,
+};
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, ownership and configuration spread.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments: load, faults, invariants, capacity, replay.
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the experiment tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Composition root of a node process.
--- /dev/null
+++ b/crates/operate/src/lib.rs
@@ -0,0 +1,1 @@
+//! Plans, controllers, drains, rollouts and explanations.
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Reports and comparisons of experiment runs.
--- /dev/null
+++ b/crates/settings/src/operate.rs
@@ -0,0 +1,34 @@
+//! Settings of controllers, plans and explanations.
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of controllers, plans and explanations.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct OperateSettings {
+    /// Time between two looks of a controller at its service, milliseconds.
+    pub reconcile_interval_ms: u64,
+    /// Servers of a service that load a model at the same time.
+    pub load_concurrency: usize,
+    /// How long a canary is watched before the rollout goes on, milliseconds.
+    pub canary_watch_ms: u64,
+    /// Share of failed requests on the canary that rolls the rollout back, percent.
+    pub canary_error_percent: u32,
+    /// Age of the freshness row above which a region counts as cut off, milliseconds.
+    pub region_fresh_ms: u64,
+    /// Time between writes of decision records to the object store, milliseconds.
+    pub journal_interval_ms: u64,
+}
+
+impl Default for OperateSettings {
+    fn default() -> Self {
+        Self {
+            reconcile_interval_ms: 1_000,
+            load_concurrency: 2,
+            canary_watch_ms: 10_000,
+            canary_error_percent: 5,
+            region_fresh_ms: 15_000,
+            journal_interval_ms: 5_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process beside each caller: accept, stamp, choose, forward, reassemble, answer.
--- /dev/null
+++ b/crates/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Protocol specifications that the model checker explores.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins of the platform and of the model engines.
--- /dev/null
+++ b/crates/tables/src/rank.rs
@@ -0,0 +1,106 @@
+//! Lock ranks: the one statement of the order in which a thread may take the tables' locks.
+
+use std::cell::RefCell;
+use std::ops::{Deref, DerefMut};
+
+use parking_lot::{Mutex, MutexGuard};
+
+/// Rank of a table's lock. A thread takes locks in increasing order only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// Members of the fleet.
+    Members = 1,
+    /// Servers of the fleet and their owners.
+    Directory = 2,
+    /// Configuration.
+    Configuration = 3,
+    /// Owned servers.
+    Servers = 4,
+    /// Load summaries.
+    Loads = 5,
+    /// Admission state of tenants.
+    Tenants = 6,
+    /// Running batch work.
+    Batch = 7,
+    /// Cancelled jobs.
+    CancelledJobs = 8,
+    /// Store gate.
+    Gate = 9,
+    /// Decision records.
+    Decisions = 10,
+}
+
+thread_local! {
+    static HELD: RefCell<Vec<Rank>> = const { RefCell::new(Vec::new()) };
+}
+
+/// A mutex with a rank.
+#[derive(Debug)]
+pub struct Ranked<T> {
+    rank: Rank,
+    inner: Mutex<T>,
+}
+
+impl<T> Ranked<T> {
+    /// A mutex of this rank.
+    pub const fn new(rank: Rank, value: T) -> Self {
+        Self {
+            rank,
+            inner: Mutex::new(value),
+        }
+    }
+
+    /// Takes the lock. A debug build panics when this thread holds a lock of the same or a higher
+    /// rank.
+    pub fn lock(&self) -> RankedGuard<'_, T> {
+        if cfg!(debug_assertions) {
+            HELD.with_borrow_mut(|held| {
+                if let Some(highest) = held.iter().max() {
+                    assert!(
+                        self.rank > *highest,
+                        "{:?} taken while holding {highest:?}",
+                        self.rank
+                    );
+                }
+                held.push(self.rank);
+            });
+        }
+        RankedGuard {
+            rank: self.rank,
+            inner: self.inner.lock(),
+        }
+    }
+}
+
+/// The lock while it is held.
+#[derive(Debug)]
+pub struct RankedGuard<'a, T> {
+    rank: Rank,
+    inner: MutexGuard<'a, T>,
+}
+
+impl<T> Deref for RankedGuard<'_, T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.inner
+    }
+}
+
+impl<T> DerefMut for RankedGuard<'_, T> {
+    fn deref_mut(&mut self) -> &mut T {
+        &mut self.inner
+    }
+}
+
+impl<T> Drop for RankedGuard<'_, T> {
+    fn drop(&mut self) {
+        if cfg!(debug_assertions) {
+            HELD.with_borrow_mut(|held| {
+                if let Some(position) = held.iter().rposition(|rank| *rank == self.rank) {
+                    held.remove(position);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,216 @@
+//! The one closed list of error kinds, and the table from kind to answer.
+//!
+//! Every refusal in the system is a [`Failure`]: a kind, what is known of whether the request ran,
+//! when to come back, and a sentence. [`ErrorKind::answer`] is the only place that maps a kind to an
+//! HTTP status, to an OpenAI error type, and to who must act.
+
+use derive_more::{Display, Error};
+
+use crate::messages::{Ran, Refused};
+
+/// Who must act before the same request can succeed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Actor {
+    /// The caller must change the request.
+    Caller,
+    /// The caller may send the same request again later.
+    CallerLater,
+    /// The operator must act.
+    Operator,
+    /// Nobody: the system repairs itself.
+    Nobody,
+}
+
+/// What a kind means to a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// Stable name of the kind, the `code` of OpenAI's error object.
+    pub code: &'static str,
+    /// HTTP status.
+    pub status: u16,
+    /// The `type` of OpenAI's error object.
+    pub error_type: &'static str,
+    /// Whether the system itself may try another node or server, provided that nothing ran.
+    pub retryable: bool,
+    /// Who must act.
+    pub actor: Actor,
+}
+
+macro_rules! error_kinds {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $code:literal, $status:literal,
+        $error_type:literal, $retryable:literal, $actor:ident;)*) => {
+        /// The closed list of error kinds.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        #[repr(u32)]
+        pub enum ErrorKind { $($(#[$doc])* $name = $number,)* }
+
+        impl ErrorKind {
+            /// All kinds, in order of their numbers.
+            pub const ALL: &'static [ErrorKind] = &[$(ErrorKind::$name,)*];
+
+            /// The table from kind to answer.
+            pub const fn answer(self) -> Answer {
+                match self {
+                    $(ErrorKind::$name => Answer {
+                        code: $code,
+                        status: $status,
+                        error_type: $error_type,
+                        retryable: $retryable,
+                        actor: Actor::$actor,
+                    },)*
+                }
+            }
+
+            /// The kind of a number received from another process; unknown numbers are
+            /// [`ErrorKind::Internal`].
+            pub const fn from_number(number: u32) -> ErrorKind {
+                match number {
+                    $($number => ErrorKind::$name,)*
+                    _ => ErrorKind::Internal,
+                }
+            }
+        }
+    };
+}
+
+error_kinds! {
+    /// The request is malformed.
+    InvalidRequest = 1, "invalid_request", 400, "invalid_request_error", false, Caller;
+    /// No such file, job, plan or record.
+    NotFound = 2, "not_found", 404, "invalid_request_error", false, Caller;
+    /// No service of this name.
+    UnknownModel = 3, "model_not_found", 404, "invalid_request_error", false, Caller;
+    /// The body or prompt is larger than a limit.
+    TooLarge = 4, "too_large", 413, "invalid_request_error", false, Caller;
+    /// The body did not arrive in time.
+    SlowSender = 5, "request_timeout", 408, "invalid_request_error", false, Caller;
+    /// The tenant's rate limit is used up.
+    TenantRate = 6, "rate_limit_exceeded", 429, "rate_limit_error", false, CallerLater;
+    /// The tenant's concurrent token limit is used up.
+    TenantConcurrency = 7, "concurrency_limit_exceeded", 429, "rate_limit_error", false, CallerLater;
+    /// The fleet cannot meet the deadline, or its queues are full.
+    Overloaded = 8, "overloaded", 503, "server_error", true, CallerLater;
+    /// The deadline passed.
+    DeadlineExceeded = 9, "deadline_exceeded", 504, "server_error", false, CallerLater;
+    /// No server carries the service at present.
+    NoServer = 10, "no_server", 503, "server_error", true, Operator;
+    /// The owner does not own, or will not use, the server any more: place again.
+    Bounced = 11, "bounced", 503, "server_error", true, Nobody;
+    /// The node is stopping or cannot vouch for its configuration.
+    NotReady = 12, "not_ready", 503, "server_error", true, Nobody;
+    /// The link or node was lost.
+    NodeLost = 13, "node_lost", 502, "server_error", true, Nobody;
+    /// The engine failed or was lost.
+    EngineLost = 14, "engine_lost", 502, "server_error", true, Nobody;
+    /// The store is unreachable and the request needs it.
+    StoreUnavailable = 15, "store_unavailable", 503, "server_error", false, CallerLater;
+    /// A must-not-repeat request may have run and its outcome is lost.
+    OutcomeUnknown = 16, "outcome_unknown", 409, "server_error", false, Caller;
+    /// A must-not-repeat request with this key is still running.
+    InProgress = 17, "in_progress", 409, "server_error", false, CallerLater;
+    /// The idempotency or client key was used for another request.
+    KeyReused = 18, "key_reused", 422, "invalid_request_error", false, Caller;
+    /// The plan or row has changed under the caller.
+    Conflict = 19, "conflict", 409, "invalid_request_error", false, Caller;
+    /// The work was cancelled.
+    Cancelled = 20, "cancelled", 499, "invalid_request_error", false, Caller;
+    /// A change cannot be in force everywhere, since a region is cut off.
+    RegionUnreachable = 21, "region_unreachable", 409, "server_error", false, Operator;
+    /// The model version that began the answer is gone.
+    VersionGone = 22, "version_gone", 503, "server_error", false, CallerLater;
+    /// A fault of the system itself.
+    Internal = 23, "internal", 500, "server_error", false, Operator;
+    /// The order or write was made under an old epoch.
+    Fenced = 24, "fenced", 409, "server_error", false, Nobody;
+    /// A disruption budget does not allow the step now.
+    BudgetExhausted = 25, "budget_exhausted", 409, "server_error", false, CallerLater;
+}
+
+/// A refusal, with the truth about execution.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("{}: {message}", kind.answer().code)]
+pub struct Failure {
+    /// Kind of the failure.
+    pub kind: ErrorKind,
+    /// What is known of whether any attempt ran.
+    pub ran: Ran,
+    /// When the caller may come back, milliseconds; 0 for no advice.
+    pub retry_after_ms: u32,
+    /// One sentence for a person, saying what to do next where there is something to do.
+    pub message: String,
+}
+
+impl Failure {
+    /// A failure before anything ran.
+    pub fn not_run(kind: ErrorKind, message: impl Into<String>) -> Failure {
+        Failure {
+            kind,
+            ran: Ran::No,
+            retry_after_ms: 0,
+            message: message.into(),
+        }
+    }
+
+    /// A failure after which it is not known whether the request ran.
+    pub fn maybe_ran(kind: ErrorKind, message: impl Into<String>) -> Failure {
+        Failure {
+            kind,
+            ran: Ran::Maybe,
+            retry_after_ms: 0,
+            message: message.into(),
+        }
+    }
+
+    /// The same failure with advice when to come back, milliseconds.
+    #[must_use]
+    pub fn retry_after(mut self, milliseconds: u32) -> Failure {
+        self.retry_after_ms = milliseconds;
+        self
+    }
+
+    /// The same failure with what other attempts did: execution truth only grows.
+    #[must_use]
+    pub fn after(mut self, earlier: Ran) -> Failure {
+        self.ran = join_ran(self.ran, earlier);
+        self
+    }
+
+    /// The message form.
+    pub fn to_refused(&self) -> Refused {
+        Refused {
+            kind: self.kind as u32,
+            ran: self.ran as i32,
+            retry_after_ms: self.retry_after_ms,
+            message: self.message.clone(),
+            load: None,
+        }
+    }
+
+    /// Reads the message form. An unknown `ran` is taken as `maybe`.
+    pub fn from_refused(refused: &Refused) -> Failure {
+        Failure {
+            kind: ErrorKind::from_number(refused.kind),
+            ran: Ran::try_from(refused.ran).unwrap_or(Ran::Maybe),
+            retry_after_ms: refused.retry_after_ms,
+            message: refused.message.clone(),
+        }
+    }
+}
+
+/// Joins what two attempts are known to have done. `No` is the neutral element; nothing goes back.
+pub fn join_ran(left: Ran, right: Ran) -> Ran {
+    if left as i32 >= right as i32 {
+        left
+    } else {
+        right
+    }
+}
+
+/// The name of an execution fact in headers and JSON: `no`, `maybe` or `yes`.
+pub const fn ran_name(ran: Ran) -> &'static str {
+    match ran {
+        Ran::No => "no",
+        Ran::Maybe => "maybe",
+        Ran::Yes => "yes",
+    }
+}
--- /dev/null
+++ b/crates/wire/src/hash.rs
@@ -0,0 +1,13 @@
+//! The one hash used for placement: XXH3 with 64 bits, stable across processes and builds.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Hash of some bytes.
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
+    xxh3_64(bytes)
+}
+
+/// Rendezvous weight of `candidate` for `key`: the candidate with the greatest weight wins.
+pub fn rendezvous_weight(key: u64, candidate: &str) -> u64 {
+    xxh3_64_with_seed(candidate.as_bytes(), key)
+}
--- /dev/null
+++ b/crates/wire/src/keys.rs
@@ -0,0 +1,85 @@
+//! Keys of rows in the table service and names of objects, in one place.
+
+use crate::ids::{JobId, PlanId, RegionId, TenantId};
+
+/// Prefix of all configuration rows; the change feed of this prefix is what nodes apply.
+pub const CONFIGURATION_PREFIX: &str = "config/";
+/// Row that chains configuration changes: its value is the last configuration revision.
+pub const CONFIGURATION_HEAD: &str = "config-head";
+/// Prefix of job rows.
+pub const JOB_PREFIX: &str = "job/";
+/// Prefix of chunk rows.
+pub const CHUNK_PREFIX: &str = "chunk/";
+/// Prefix of chunks that wait for a holder: `open-chunk/{deadline}/{job}/{index}`.
+pub const OPEN_CHUNK_PREFIX: &str = "open-chunk/";
+/// Prefix of plan rows.
+pub const PLAN_PREFIX: &str = "plan/";
+/// Prefix of region freshness rows.
+pub const REGION_PREFIX: &str = "region/";
+/// Prefix of epoch rows.
+pub const EPOCH_PREFIX: &str = "epoch/";
+
+/// Row of a job.
+pub fn job(tenant: &TenantId, job: &JobId) -> String {
+    format!("{JOB_PREFIX}{tenant}/{job}")
+}
+
+/// Row that binds a client's key to a job.
+pub fn client_key(tenant: &TenantId, key: &str) -> String {
+    format!("client-key/{tenant}/{key}")
+}
+
+/// Row of a chunk.
+pub fn chunk(job: &JobId, index: u32) -> String {
+    format!("{CHUNK_PREFIX}{job}/{index:06}")
+}
+
+/// Row of a must-not-repeat request.
+pub fn once(tenant: &str, idempotency_key: &str) -> String {
+    format!("once/{tenant}/{idempotency_key}")
+}
+
+/// Row of a plan.
+pub fn plan(plan: &PlanId) -> String {
+    format!("{PLAN_PREFIX}{plan}")
+}
+
+/// Freshness row of a region.
+pub fn region(region: &RegionId) -> String {
+    format!("{REGION_PREFIX}{region}")
+}
+
+/// Epoch row of a controlled resource.
+pub fn epoch(resource: &str) -> String {
+    format!("{EPOCH_PREFIX}{resource}")
+}
+
+/// Configuration row of a service.
+pub fn service(name: &str) -> String {
+    format!("{CONFIGURATION_PREFIX}service/{name}")
+}
+
+/// Configuration row of a tenant.
+pub fn tenant(name: &str) -> String {
+    format!("{CONFIGURATION_PREFIX}tenant/{name}")
+}
+
+/// Configuration row of a drain; `kind` is `server`, `node`, `hall` or `zone`.
+pub fn drain(kind: &str, name: &str) -> String {
+    format!("{CONFIGURATION_PREFIX}drain/{kind}/{name}")
+}
+
+/// Configuration row of a demand window.
+pub fn window(name: &str) -> String {
+    format!("{CONFIGURATION_PREFIX}window/{name}")
+}
+
+/// Object that holds an uploaded file; parts are `{object}/{offset}`.
+pub fn file_object(tenant: &str, file: &str) -> String {
+    format!("files/{tenant}/{file}")
+}
+
+/// Object that holds the result of a chunk as committed under an epoch.
+pub fn result_object(job: &JobId, index: u32, epoch: u64) -> String {
+    format!("results/{job}/{index:06}-{epoch}")
+}
