--- /dev/null
+++ b/crates/lab/src/commands.rs
@@ -0,0 +1,55 @@
+//! The command line: one line in [`SUBCOMMANDS`] for each subcommand.
+
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+
+/// A subcommand: its arguments and what it does.
+struct Subcommand {
+    command: fn() -> Command,
+    run: fn(&ArgMatches) -> ExitCode,
+}
+
+/// All subcommands, in the order in which `--help` shows them.
+const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        command: crate::run::command,
+        run: crate::run::run,
+    },
+    Subcommand {
+        command: crate::compare::command,
+        run: crate::compare::run,
+    },
+    Subcommand {
+        command: crate::standins::command,
+        run: crate::standins::run,
+    },
+];
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("dappleyard-lab")
+        .version(clap::crate_version!())
+        .about("Experiments with dappleyard: load, faults, invariants, capacity, replay")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands(SUBCOMMANDS.iter().map(|subcommand| (subcommand.command)()))
+}
+
+/// Parses the arguments of the process and runs the subcommand named there.
+pub fn main() -> ExitCode {
+    tracing_subscriber::fmt()
+        .with_env_filter(
+            tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "warn".into()),
+        )
+        .with_writer(std::io::stderr)
+        .init();
+    let matches = command().get_matches();
+    let Some((name, arguments)) = matches.subcommand() else {
+        return ExitCode::from(2);
+    };
+    SUBCOMMANDS
+        .iter()
+        .find(|subcommand| (subcommand.command)().get_name() == name)
+        .map_or(ExitCode::from(2), |subcommand| (subcommand.run)(arguments))
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,11 @@
 //! Experiments: load, faults, invariants, capacity, replay.
+//!
+//! An experiment holds the platform, the engines, the nodes and the sidecars in one process; they
+//! speak real TCP and UDP on loopback. [`commands`] is the command line, with one module for each
+//! subcommand.
+
+pub mod commands;
+pub mod compare;
+pub mod error;
+pub mod run;
+pub mod standins;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,3 +1,7 @@
 //! Command line of the experiment tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    dappleyard_lab::commands::main()
+}
