--- /dev/null
+++ b/crates/lab/src/faults/mod.rs
@@ -0,0 +1,164 @@
+//! Faults: a typed list of (at, for, what, where), read from a TOML file.
+
+use std::path::Path;
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::error::LabError;
+
+/// What happens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultKind {
+    /// A node stops at once; a new one with the same id and a new incarnation comes after `for_s`.
+    #[display("node kill")]
+    NodeKill,
+    /// All threads of a node stand still for `for_s`.
+    #[display("node pause")]
+    NodePause,
+    /// An engine dies with its work; an empty one comes after `for_s`.
+    #[display("engine kill")]
+    EngineKill,
+    /// The table service refuses every call.
+    #[display("store down")]
+    StoreDown,
+    /// Calls to the table service take `amount` milliseconds longer.
+    #[display("store slow")]
+    StoreSlow,
+    /// `amount` percent of the table service's answers are lost after the change took effect.
+    #[display("store answer lost")]
+    StoreAnswerLost,
+    /// The object store refuses every call.
+    #[display("object store down")]
+    ObjectStoreDown,
+    /// `amount` percent of datagrams are lost.
+    #[display("UDP loss")]
+    UdpLoss,
+    /// A zone is cut off from the others.
+    #[display("zone cut")]
+    ZoneCut,
+    /// A region is cut off from the others.
+    #[display("region cut")]
+    RegionCut,
+    /// The machine list lags `amount` milliseconds behind.
+    #[display("machine list lag")]
+    MachineListLag,
+    /// Engine reports come `amount` milliseconds later.
+    #[display("engine report lag")]
+    EngineReportLag,
+    /// `amount` percent of cache events are lost.
+    #[display("cache events dropped")]
+    CacheEventsDropped,
+    /// Clients send every must-not-repeat request and every job twice.
+    #[display("client resend")]
+    ClientResend,
+    /// Two operators plan and confirm conflicting intents at the same time.
+    #[display("racing intents")]
+    RacingIntents,
+    /// A node is stopped as planned and started again.
+    #[display("planned node stop")]
+    NodeStop,
+    /// All nodes are stopped as planned and started again, one after another.
+    #[display("rolling restart")]
+    RollingRestart,
+    /// A server is drained, and taken back after `for_s`.
+    #[display("server drain")]
+    ServerDrain,
+    /// Jobs that are being finished are cancelled.
+    #[display("cancel while committing")]
+    CancelCommitting,
+    /// A configuration row is changed.
+    #[display("configuration change")]
+    ConfigurationChange,
+}
+
+impl FaultKind {
+    /// Whether requests in progress may be cut by it, so that a planned stop at the same time is
+    /// not judged by them.
+    pub fn is_abrupt(self) -> bool {
+        matches!(
+            self,
+            FaultKind::NodeKill
+                | FaultKind::NodePause
+                | FaultKind::EngineKill
+                | FaultKind::ZoneCut
+                | FaultKind::RegionCut
+        )
+    }
+}
+
+/// Where it happens; indexes count from 0 in the order of the scenario file.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Target {
+    /// A node.
+    Node(usize),
+    /// A server.
+    Server(usize),
+    /// A zone.
+    Zone(usize),
+}
+
+/// One fault.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// Start, seconds after the load's.
+    pub at_s: f64,
+    /// Length, seconds.
+    #[serde(default)]
+    pub for_s: f64,
+    /// What happens.
+    pub what: FaultKind,
+    /// Where; drawn from the seed when absent.
+    #[serde(default, rename = "where")]
+    pub target: Option<Target>,
+    /// Strength, in the unit that the kind says.
+    #[serde(default)]
+    pub amount: f64,
+}
+
+impl Fault {
+    /// Start after the load's.
+    pub fn start(&self) -> Duration {
+        Duration::from_secs_f64(self.at_s)
+    }
+
+    /// Length.
+    pub fn length(&self) -> Duration {
+        Duration::from_secs_f64(self.for_s)
+    }
+}
+
+/// A fault file.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FaultFile {
+    /// Faults in any order.
+    pub fault: Vec<Fault>,
+}
+
+impl FaultFile {
+    /// Reads and checks a fault file.
+    pub fn load(path: &Path) -> Result<FaultFile, LabError> {
+        let place = path.display();
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| LabError::usage(format!("{place}: {error}")))?;
+        FaultFile::parse(&text).map_err(|problem| LabError::usage(format!("{place}: {problem}")))
+    }
+
+    /// Reads and checks the text of a fault file.
+    pub fn parse(text: &str) -> Result<FaultFile, String> {
+        let file: FaultFile = toml::from_str(text).map_err(|error| error.to_string())?;
+        for (index, fault) in file.fault.iter().enumerate() {
+            for (key, value) in [("at_s", fault.at_s), ("for_s", fault.for_s), ("amount", fault.amount)] {
+                if !(value.is_finite() && value >= 0.0) {
+                    return Err(format!("fault[{index}].{key}: must be 0 or more"));
+                }
+            }
+        }
+        Ok(file)
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,5 +7,9 @@
 pub mod commands;
 pub mod compare;
 pub mod error;
+pub mod faults;
+pub mod load;
+pub mod network;
 pub mod run;
+pub mod scenario;
 pub mod standins;
--- /dev/null
+++ b/crates/lab/src/load/plan.rs
@@ -0,0 +1,316 @@
+//! Seeded arrivals: when each request and each job is sent, by whom, and what it asks.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp, LogNormal};
+
+use super::words;
+use crate::scenario::{BatchScenario, Lengths, OnlineScenario, Scenario};
+
+/// Streams of the generator, one for each kind of arrival, so that one does not move another.
+#[derive(Clone, Copy)]
+enum Draw {
+    Bursts = 1,
+    Online = 2,
+    Once = 3,
+    Refused = 4,
+    Batch = 5,
+}
+
+/// Tenant of must-not-repeat requests.
+pub const ONCE_TENANT: &str = "orders";
+
+/// One online request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OnlineArrival {
+    /// Time after the start of the load.
+    pub at: Duration,
+    /// Name, unique in the run; also the start of the user's message, so that prompts differ.
+    pub name: String,
+    /// Index of the sidecar that it goes to.
+    pub sidecar: usize,
+    /// Tenant.
+    pub tenant: String,
+    /// Key of the conversation.
+    pub session: String,
+    /// System message, shared by the conversations of a topic.
+    pub system: String,
+    /// User message.
+    pub user: String,
+    /// Most tokens of the answer.
+    pub max_tokens: u32,
+    /// Deadline, milliseconds.
+    pub deadline_ms: u32,
+    /// For a request that must not be repeated, its key and resends.
+    pub once: Option<OnceArrival>,
+}
+
+/// What is special about a request that must not be repeated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OnceArrival {
+    /// Idempotency key.
+    pub key: String,
+    /// The client sends it again this long after the first time, whether it was answered or not.
+    pub resend_after: Option<Duration>,
+}
+
+/// One batch job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobArrival {
+    /// Time after the start of the load.
+    pub at: Duration,
+    /// Name, unique in the run; also the client's key.
+    pub name: String,
+    /// Index of the sidecar that it goes to.
+    pub sidecar: usize,
+    /// Tenant.
+    pub tenant: String,
+    /// Number of items.
+    pub items: u32,
+    /// Cancelled this long after its acceptance.
+    pub cancel_after: Option<Duration>,
+    /// Submitted a second time with the same key.
+    pub resend: bool,
+    seed: u64,
+}
+
+/// One item of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ItemPlan {
+    /// The caller's id of the item.
+    pub custom_id: String,
+    /// System message, shared by the items of the job.
+    pub system: String,
+    /// User message.
+    pub user: String,
+    /// Most tokens of the answer.
+    pub max_tokens: u32,
+}
+
+/// All arrivals of a run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LoadPlan {
+    /// Online requests in order of time.
+    pub online: Vec<OnlineArrival>,
+    /// Jobs in order of time.
+    pub jobs: Vec<JobArrival>,
+    /// Bursts of online load: start and end.
+    pub bursts: Vec<(Duration, Duration)>,
+}
+
+impl LoadPlan {
+    /// Draws the arrivals of a scenario for a seed and a length of the load.
+    pub fn draw(scenario: &Scenario, seed: u64, length: Duration) -> LoadPlan {
+        let bursts = draw_bursts(&scenario.online, seed, length);
+        let mut online = draw_online(scenario, seed, length, &bursts);
+        online.extend(draw_once(scenario, seed, length));
+        online.extend(draw_refused(scenario, seed, length));
+        online.sort_by_key(|arrival| arrival.at);
+        LoadPlan {
+            online,
+            jobs: draw_jobs(scenario, seed, length),
+            bursts,
+        }
+    }
+}
+
+impl JobArrival {
+    /// The items of the job.
+    pub fn items(&self, batch: &BatchScenario) -> Vec<ItemPlan> {
+        let mut generator = ChaCha8Rng::seed_from_u64(self.seed);
+        let system = words::text(self.seed, batch.shared_prefix);
+        (0..self.items)
+            .map(|index| {
+                let prompt = draw_length(&batch.prompt, &mut generator);
+                let own_words = prompt.saturating_sub(batch.shared_prefix).max(1);
+                let custom_id = format!("{}-item-{index}", self.name);
+                ItemPlan {
+                    user: format!("{custom_id} {}", words::text(generator.random(), own_words)),
+                    custom_id,
+                    system: system.clone(),
+                    max_tokens: draw_length(&batch.output, &mut generator),
+                }
+            })
+            .collect()
+    }
+}
+
+fn generator(seed: u64, draw: Draw) -> ChaCha8Rng {
+    let mut generator = ChaCha8Rng::seed_from_u64(seed);
+    generator.set_stream(draw as u64);
+    generator
+}
+
+/// A time between two events that come `per_s` times a second.
+fn draw_gap(per_s: f64, generator: &mut ChaCha8Rng) -> Duration {
+    let seconds = Exp::new(per_s).map_or(f64::INFINITY, |gap| gap.sample(generator));
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
+
+fn draw_length(lengths: &Lengths, generator: &mut ChaCha8Rng) -> u32 {
+    let drawn = LogNormal::new(lengths.median.ln(), lengths.sigma)
+        .map_or(lengths.median, |spread| spread.sample(generator));
+    (drawn as u32).clamp(lengths.least, lengths.most)
+}
+
+/// Arrivals of a Poisson process of one rate within a span.
+fn poisson(per_s: f64, from: Duration, to: Duration, generator: &mut ChaCha8Rng) -> Vec<Duration> {
+    let mut times = Vec::new();
+    let mut at = from;
+    loop {
+        at = at.saturating_add(draw_gap(per_s, generator));
+        if at >= to {
+            return times;
+        }
+        times.push(at);
+    }
+}
+
+/// Bursts last between half and one and a half times the mean, and so do the gaps.
+fn draw_bursts(online: &OnlineScenario, seed: u64, length: Duration) -> Vec<(Duration, Duration)> {
+    let mut generator = generator(seed, Draw::Bursts);
+    let mut bursts = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < length {
+        let start = at + around(online.quiet_s, &mut generator);
+        let end = start + around(online.busy_s, &mut generator);
+        if start < length {
+            bursts.push((start, end.min(length)));
+        }
+        at = end;
+    }
+    bursts
+}
+
+fn around(seconds: f64, generator: &mut ChaCha8Rng) -> Duration {
+    Duration::from_secs_f64(seconds * generator.random_range(0.5..1.5))
+}
+
+fn draw_online(
+    scenario: &Scenario,
+    seed: u64,
+    length: Duration,
+    bursts: &[(Duration, Duration)],
+) -> Vec<OnlineArrival> {
+    let online = &scenario.online;
+    let mut generator = generator(seed, Draw::Online);
+    let mut times = poisson(online.quiet_per_s, Duration::ZERO, length, &mut generator);
+    let added = (online.busy_per_s - online.quiet_per_s).max(0.0);
+    for (start, end) in bursts {
+        times.extend(poisson(added, *start, *end, &mut generator));
+    }
+    times.sort();
+    times
+        .into_iter()
+        .enumerate()
+        .map(|(index, at)| {
+            let name = format!("online-{index}");
+            draw_request(scenario, seed, at, name, &mut generator)
+        })
+        .collect()
+}
+
+fn draw_once(scenario: &Scenario, seed: u64, length: Duration) -> Vec<OnlineArrival> {
+    let once = &scenario.once;
+    let mut generator = generator(seed, Draw::Once);
+    poisson(once.per_s, Duration::ZERO, length, &mut generator)
+        .into_iter()
+        .enumerate()
+        .map(|(index, at)| {
+            let name = format!("once-{index}");
+            let mut request = draw_request(scenario, seed, at, name, &mut generator);
+            let resend = generator.random_range(0..100) < once.resend_percent;
+            let wait = generator.random_range(0..=once.resend_within_ms);
+            request.tenant = ONCE_TENANT.to_owned();
+            request.once = Some(OnceArrival {
+                key: format!("order-{seed}-{index}"),
+                resend_after: resend.then_some(Duration::from_millis(wait)),
+            });
+            request
+        })
+        .collect()
+}
+
+fn draw_refused(scenario: &Scenario, seed: u64, length: Duration) -> Vec<OnlineArrival> {
+    let mut generator = generator(seed, Draw::Refused);
+    poisson(scenario.refused.per_s, Duration::ZERO, length, &mut generator)
+        .into_iter()
+        .enumerate()
+        .map(|(index, at)| {
+            let name = format!("limited-{index}");
+            let mut request = draw_request(scenario, seed, at, name, &mut generator);
+            request.tenant.clone_from(&scenario.refused.tenant);
+            request
+        })
+        .collect()
+}
+
+fn draw_request(
+    scenario: &Scenario,
+    seed: u64,
+    at: Duration,
+    name: String,
+    generator: &mut ChaCha8Rng,
+) -> OnlineArrival {
+    let online = &scenario.online;
+    let session = generator.random_range(0..online.sessions);
+    let topic = u64::from(session % online.topics);
+    let prompt = draw_length(&online.prompt, generator);
+    let own_words = prompt.saturating_sub(online.shared_prefix).max(1);
+    OnlineArrival {
+        at,
+        sidecar: session as usize % scenario.sidecar_count(),
+        tenant: online.tenant.clone(),
+        session: format!("session-{session}"),
+        system: words::text(seed ^ topic, online.shared_prefix),
+        user: format!("{name} {}", words::text(generator.random(), own_words)),
+        max_tokens: draw_length(&online.output, generator),
+        deadline_ms: online.deadline_ms,
+        once: None,
+        name,
+    }
+}
+
+fn draw_jobs(scenario: &Scenario, seed: u64, length: Duration) -> Vec<JobArrival> {
+    let batch = &scenario.batch;
+    let mut generator = generator(seed, Draw::Batch);
+    let last = length.mul_f64(f64::from(batch.until_percent) / 100.0);
+    let mut jobs = Vec::new();
+    let mut heap_at = Duration::from_secs_f64(batch.first_s);
+    while heap_at < last {
+        for _ in 0..batch.jobs {
+            let number = jobs.len() as u32 + 1;
+            let at = heap_at + Duration::from_millis(generator.random_range(0..300));
+            jobs.push(draw_job(scenario, seed, at, number, &mut generator));
+        }
+        heap_at += around(batch.every_s, &mut generator)
+            .clamp(Duration::from_secs_f64(batch.every_s * 0.9), Duration::from_secs_f64(batch.every_s * 1.1));
+    }
+    jobs.sort_by_key(|job| job.at);
+    jobs
+}
+
+fn draw_job(
+    scenario: &Scenario,
+    seed: u64,
+    at: Duration,
+    number: u32,
+    generator: &mut ChaCha8Rng,
+) -> JobArrival {
+    let batch = &scenario.batch;
+    let one_in = |every: u32| every > 0 && number.is_multiple_of(every);
+    let tenant = generator.random_range(0..batch.tenants.len());
+    let cancel_after = Duration::from_millis(generator.random_range(300..2_500));
+    JobArrival {
+        at,
+        name: format!("job-{seed}-{number}"),
+        sidecar: generator.random_range(0..scenario.sidecar_count()),
+        tenant: batch.tenants[tenant].clone(),
+        items: generator.random_range(batch.items / 2..=batch.items + batch.items / 2),
+        cancel_after: one_in(batch.cancel_every).then_some(cancel_after),
+        resend: one_in(batch.resend_every),
+        seed: generator.random(),
+    }
+}
