--- /dev/null
+++ b/crates/engine/src/client/mod.rs
@@ -0,0 +1,199 @@
+//! The HTTP client of the engines.
+
+mod lines;
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use awc::error::SendRequestError;
+use awc::{Client, Connector};
+use futures::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::port::{
+    CacheEvent, Engine, EngineError, EngineEvent, EngineOrder, EngineReport, EventStream,
+    GenerateCall,
+};
+use lines::Lines;
+
+/// Largest body of a unary answer, bytes.
+const MAXIMUM_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Characters of an engine's refusal that are kept.
+const MAXIMUM_REASON_CHARACTERS: usize = 300;
+
+/// [`Engine`] over HTTP/1.1 by `awc`. One for each worker thread; connections are kept and reused.
+pub struct HttpEngine {
+    client: Client,
+    idle_timeout: Duration,
+}
+
+impl HttpEngine {
+    /// A client that gives up on a connection after `connect_timeout`, and on an engine that says
+    /// nothing for `idle_timeout`.
+    pub fn new(connect_timeout: Duration, idle_timeout: Duration) -> HttpEngine {
+        let connector = Connector::new().timeout(connect_timeout).limit(0);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .finish();
+        HttpEngine {
+            client,
+            idle_timeout,
+        }
+    }
+
+    async fn get<T: DeserializeOwned>(&self, url: String) -> Result<T, EngineError> {
+        let sent = self.client.get(url).send();
+        let mut response = self.in_time(sent).await?.map_err(send_error)?;
+        if !response.status().is_success() {
+            return Err(refusal(&mut response, self.idle_timeout).await);
+        }
+        let body = response.body().limit(MAXIMUM_ANSWER_BYTES);
+        let bytes = self.in_time(body).await?.map_err(lost)?;
+        serde_json::from_slice(&bytes).map_err(lost)
+    }
+
+    async fn post(&self, url: String, body: &impl Serialize) -> Result<(), EngineError> {
+        let sent = self.client.post(url).send_json(body);
+        let mut response = self.in_time(sent).await?.map_err(send_error)?;
+        if response.status().is_success() {
+            return Ok(());
+        }
+        Err(refusal(&mut response, self.idle_timeout).await)
+    }
+
+    async fn in_time<F: Future>(&self, call: F) -> Result<F::Output, EngineError> {
+        tokio::time::timeout(self.idle_timeout, call)
+            .await
+            .map_err(|_| lost("the engine did not answer in time"))
+    }
+}
+
+#[async_trait(?Send)]
+impl Engine for HttpEngine {
+    async fn generate(&self, base: &str, call: GenerateCall) -> Result<EventStream, EngineError> {
+        let sent = self
+            .client
+            .post(format!("{base}/v1/generate"))
+            .send_json(&call);
+        let mut response = self.in_time(sent).await?.map_err(send_error)?;
+        if !response.status().is_success() {
+            return Err(refusal(&mut response, self.idle_timeout).await);
+        }
+        Ok(Box::pin(events(response, self.idle_timeout)))
+    }
+
+    async fn cancel(&self, base: &str, stream: &str) -> Result<(), EngineError> {
+        let url = format!("{base}/v1/streams/{stream}/cancel");
+        match self.post(url, &()).await {
+            Err(EngineError::Refused { status: 404, .. }) => Ok(()),
+            other => other,
+        }
+    }
+
+    async fn report(&self, base: &str) -> Result<EngineReport, EngineError> {
+        self.get(format!("{base}/v1/report")).await
+    }
+
+    async fn status(&self, base: &str) -> Result<EngineReport, EngineError> {
+        self.get(format!("{base}/v1/status")).await
+    }
+
+    async fn cache_events(&self, base: &str, after: u64) -> Result<Vec<CacheEvent>, EngineError> {
+        self.get(format!("{base}/v1/cache-events?after={after}"))
+            .await
+    }
+
+    async fn order(&self, base: &str, order: EngineOrder) -> Result<(), EngineError> {
+        self.post(format!("{base}/v1/orders"), &order).await
+    }
+}
+
+/// Events of a chunked answer. Ends after [`EngineEvent::Finished`]; an answer that ends earlier,
+/// or falls silent, gives one error.
+fn events<S>(
+    response: awc::ClientResponse<S>,
+    idle_timeout: Duration,
+) -> impl futures::Stream<Item = Result<EngineEvent, EngineError>>
+where
+    S: futures::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin + 'static,
+{
+    let state = Reading {
+        response,
+        lines: Lines::default(),
+        ended: false,
+    };
+    futures::stream::unfold(state, move |mut state| async move {
+        if state.ended {
+            return None;
+        }
+        let next = state.next_event(idle_timeout).await;
+        state.ended = matches!(next, Err(_) | Ok(EngineEvent::Finished { .. }));
+        Some((next, state))
+    })
+}
+
+struct Reading<S> {
+    response: awc::ClientResponse<S>,
+    lines: Lines,
+    ended: bool,
+}
+
+impl<S> Reading<S>
+where
+    S: futures::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    async fn next_event(&mut self, idle_timeout: Duration) -> Result<EngineEvent, EngineError> {
+        loop {
+            if let Some(line) = self.lines.next_line() {
+                return serde_json::from_slice(&line).map_err(lost);
+            }
+            let read = tokio::time::timeout(idle_timeout, self.response.next()).await;
+            match read {
+                Err(_) => return Err(lost("the engine fell silent")),
+                Ok(None) => return Err(lost("the answer ended before its last event")),
+                Ok(Some(Err(error))) => return Err(lost(error)),
+                Ok(Some(Ok(bytes))) => self.lines.push(&bytes).map_err(lost)?,
+            }
+        }
+    }
+}
+
+async fn refusal<S>(response: &mut awc::ClientResponse<S>, timeout: Duration) -> EngineError
+where
+    S: futures::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>>,
+{
+    let status = response.status().as_u16();
+    let body = tokio::time::timeout(timeout, response.body()).await;
+    let reason = match body {
+        Ok(Ok(bytes)) => String::from_utf8_lossy(&bytes)
+            .chars()
+            .take(MAXIMUM_REASON_CHARACTERS)
+            .collect(),
+        _ => String::new(),
+    };
+    // A server error that is not the engine's own refusal says nothing about what ran.
+    match status {
+        500 | 502 | 504 => EngineError::Lost { reason },
+        _ => EngineError::Refused { status, reason },
+    }
+}
+
+fn send_error(error: SendRequestError) -> EngineError {
+    match error {
+        SendRequestError::Connect(cause) => EngineError::Unreachable {
+            reason: cause.to_string(),
+        },
+        SendRequestError::Url(cause) => EngineError::Unreachable {
+            reason: cause.to_string(),
+        },
+        other => lost(other),
+    }
+}
+
+fn lost(reason: impl ToString) -> EngineError {
+    EngineError::Lost {
+        reason: reason.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/client/http.rs
@@ -0,0 +1,169 @@
+//! One call to a service of the platform, with its failures told apart.
+
+use std::time::Duration;
+
+use awc::error::SendRequestError;
+use awc::http::{Method, StatusCode};
+use awc::{Client, Connector};
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::protocol::{ConflictBody, OBJECT_SIZE_HEADER, RateLimitedBody};
+use crate::tables::StoreError;
+
+/// Largest body of an answer, bytes.
+const MAXIMUM_ANSWER_BYTES: usize = 256 * 1024 * 1024;
+/// Advice when a rate-limited answer gives none that can be read, milliseconds.
+const DEFAULT_RETRY_AFTER_MS: u32 = 100;
+
+/// Whether a call may change something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Effect {
+    /// It only reads.
+    Read,
+    /// It may change something.
+    Write,
+}
+
+/// A successful answer.
+pub(super) struct Answer {
+    /// Body.
+    pub(super) bytes: Bytes,
+    /// Size of the whole object, where the service gave it.
+    pub(super) object_size: Option<u64>,
+}
+
+/// The client of one worker thread.
+pub(super) struct Http {
+    client: Client,
+    timeout: Duration,
+}
+
+/// One call.
+pub(super) struct Call<'a, Q> {
+    pub(super) method: Method,
+    pub(super) url: &'a str,
+    pub(super) query: &'a Q,
+    pub(super) body: Bytes,
+    pub(super) effect: Effect,
+    /// Time allowed beyond the usual, for a call that waits by design.
+    pub(super) extra: Duration,
+}
+
+impl Http {
+    pub(super) fn new(timeout: Duration) -> Http {
+        let connector = Connector::new().timeout(timeout).limit(0);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .finish();
+        Http { client, timeout }
+    }
+
+    /// Reads JSON.
+    pub(super) async fn read<T: DeserializeOwned>(
+        &self,
+        url: &str,
+        query: &impl Serialize,
+        extra: Duration,
+    ) -> Result<T, StoreError> {
+        let answer = self
+            .call(Call {
+                method: Method::GET,
+                url,
+                query,
+                body: Bytes::new(),
+                effect: Effect::Read,
+                extra,
+            })
+            .await?;
+        parse(&answer.bytes, Effect::Read)
+    }
+
+    /// Sends one call and reads its whole answer.
+    pub(super) async fn call<Q: Serialize>(&self, call: Call<'_, Q>) -> Result<Answer, StoreError> {
+        let effect = call.effect;
+        let allowed = self.timeout + call.extra;
+        match tokio::time::timeout(allowed, self.send(call)).await {
+            Ok(result) => result,
+            Err(_) => Err(lost(effect, "no answer in time")),
+        }
+    }
+
+    async fn send<Q: Serialize>(&self, call: Call<'_, Q>) -> Result<Answer, StoreError> {
+        let effect = call.effect;
+        let request = self
+            .client
+            .request(call.method, call.url)
+            .query(call.query)
+            .map_err(invalid)?;
+        let mut response = request
+            .send_body(call.body)
+            .await
+            .map_err(|error| send_error(effect, &error))?;
+        let object_size = response
+            .headers()
+            .get(OBJECT_SIZE_HEADER)
+            .and_then(|value| value.to_str().ok()?.parse().ok());
+        let status = response.status();
+        let body = response.body().limit(MAXIMUM_ANSWER_BYTES).await;
+        match (status.is_success(), body) {
+            (true, Ok(bytes)) => Ok(Answer { bytes, object_size }),
+            (true, Err(error)) => Err(lost(effect, error)),
+            (false, body) => Err(refusal(effect, status, &body.unwrap_or_default())),
+        }
+    }
+}
+
+/// Reads the JSON of a successful answer. A write whose answer cannot be read has taken effect or
+/// not: nobody knows.
+pub(super) fn parse<T: DeserializeOwned>(bytes: &[u8], effect: Effect) -> Result<T, StoreError> {
+    serde_json::from_slice(bytes).map_err(|error| lost(effect, error))
+}
+
+fn refusal(effect: Effect, status: StatusCode, body: &[u8]) -> StoreError {
+    let reason = || format!("{status}: {}", String::from_utf8_lossy(body));
+    match status {
+        StatusCode::CONFLICT => match serde_json::from_slice::<ConflictBody>(body) {
+            Ok(conflict) => StoreError::Conflict {
+                key: conflict.key,
+                actual: conflict.actual,
+            },
+            Err(_) => lost(effect, reason()),
+        },
+        StatusCode::TOO_MANY_REQUESTS => {
+            let advice = serde_json::from_slice::<RateLimitedBody>(body);
+            StoreError::RateLimited {
+                retry_after_ms: advice.map_or(DEFAULT_RETRY_AFTER_MS, |body| body.retry_after_ms),
+            }
+        }
+        StatusCode::SERVICE_UNAVAILABLE => StoreError::Unavailable { reason: reason() },
+        status if status.is_client_error() => StoreError::Invalid { reason: reason() },
+        _ => lost(effect, reason()),
+    }
+}
+
+fn send_error(effect: Effect, error: &SendRequestError) -> StoreError {
+    match error {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => StoreError::Unavailable {
+            reason: error.to_string(),
+        },
+        _ => lost(effect, error),
+    }
+}
+
+fn lost(effect: Effect, reason: impl ToString) -> StoreError {
+    let reason = reason.to_string();
+    match effect {
+        Effect::Read => StoreError::Unavailable { reason },
+        Effect::Write => StoreError::Ambiguous { reason },
+    }
+}
+
+/// A call that could not be put together: it was never sent.
+pub(super) fn invalid(reason: impl ToString) -> StoreError {
+    StoreError::Invalid {
+        reason: reason.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/client/objects.rs
@@ -0,0 +1,107 @@
+//! HTTP client of the object store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use awc::http::Method;
+use bytes::Bytes;
+use serde::Serialize;
+
+use super::http::{Answer, Call, Effect, Http};
+use super::protocol::{ObjectBody, ObjectPartQuery, ObjectQuery, RangeQuery};
+use crate::objects::{ObjectData, ObjectStore};
+use crate::tables::StoreError;
+
+/// [`ObjectStore`] over HTTP.
+pub(super) struct HttpObjectStore {
+    http: Rc<Http>,
+    base: String,
+}
+
+impl HttpObjectStore {
+    pub(super) fn new(http: Rc<Http>, base: &str) -> HttpObjectStore {
+        HttpObjectStore {
+            http,
+            base: base.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    async fn call<Q: Serialize>(
+        &self,
+        method: Method,
+        query: &Q,
+        body: Bytes,
+        effect: Effect,
+    ) -> Result<Answer, StoreError> {
+        let call = Call {
+            method,
+            url: &format!("{}/object", self.base),
+            query,
+            body,
+            effect,
+            extra: Duration::ZERO,
+        };
+        self.http.call(call).await
+    }
+}
+
+fn named(name: &str) -> ObjectQuery {
+    ObjectQuery {
+        name: name.to_owned(),
+    }
+}
+
+#[async_trait(?Send)]
+impl ObjectStore for HttpObjectStore {
+    async fn create(&self, name: &str, bytes: Bytes) -> Result<(), StoreError> {
+        self.call(Method::PUT, &named(name), bytes, Effect::Write)
+            .await
+            .map(drop)
+    }
+
+    async fn read(
+        &self,
+        name: &str,
+        offset: u64,
+        limit: u64,
+    ) -> Result<Option<ObjectData>, StoreError> {
+        let query = ObjectPartQuery {
+            name: name.to_owned(),
+            offset,
+            limit,
+        };
+        let answer = self
+            .call(Method::GET, &query, Bytes::new(), Effect::Read)
+            .await?;
+        Ok(answer.object_size.map(|size| ObjectData {
+            bytes: answer.bytes,
+            size,
+        }))
+    }
+
+    async fn delete(&self, name: &str) -> Result<(), StoreError> {
+        self.call(Method::DELETE, &named(name), Bytes::new(), Effect::Write)
+            .await
+            .map(drop)
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<(String, u64)>, StoreError> {
+        let query = RangeQuery {
+            prefix: prefix.to_owned(),
+            after: after.to_owned(),
+            limit,
+        };
+        let url = format!("{}/list", self.base);
+        let objects: Vec<ObjectBody> = self.http.read(&url, &query, Duration::ZERO).await?;
+        Ok(objects
+            .into_iter()
+            .map(|object| (object.name, object.size))
+            .collect())
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! and `gate` wraps the table and object stores with the one place for rate limits, classes of
 //! call, retries and the breaker. Futures are not `Send`: each worker thread has its own client.
 
+pub mod client;
 pub mod machines;
 pub mod objects;
 pub mod tables;
