Rows and keys of active jobs, splits and files; the canonical prompt in one place

Jobs need an index that is small enough to be mirrored by every node (active-job), a resumable split step (split-job) and a row for each sealed file. The canonical prompt is computed by sidecars and by batch runners, so it stands in the wire crate. Settings name the batch policies.

--- a/crates/settings/src/batch.rs
+++ b/crates/settings/src/batch.rs
@@ -2,6 +2,21 @@
 
 use serde::{Deserialize, Serialize};
 
+/// How batch work shares servers with online work.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum BatchPolicy {
+    /// Batch fills idle capacity and is paused when online work comes.
+    #[default]
+    Preempt,
+    /// Baseline: batch is sent at online priority, as fast as it fits.
+    SharedQueue,
+    /// Baseline: a fixed share of the servers runs batch only, the others online only.
+    StaticSplit,
+    /// Baseline: batch never runs.
+    OnlineOnly,
+}
+
 /// Settings of the batch path.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -26,6 +41,15 @@
     pub retention_s: u64,
     /// Wait after a holder is believed gone before its chunk is taken over, milliseconds, jittered.
     pub takeover_delay_ms: u64,
+    /// How batch work shares servers with online work.
+    pub policy: BatchPolicy,
+    /// Share of the servers that runs batch only under the policy `static-split`, percent.
+    pub static_split_percent: u32,
+    /// Jobs up to this many items need no confirmation when the tenant has no standing approval of
+    /// its own.
+    pub standing_items: u32,
+    /// Slowdown of online steps allowed where the service's configuration names none, percent.
+    pub online_slowdown_percent: u32,
 }
 
 impl Default for BatchSettings {
@@ -41,6 +65,10 @@
             memory_bytes: 33_554_432,
             retention_s: 2_592_000,
             takeover_delay_ms: 1_000,
+            policy: BatchPolicy::Preempt,
+            static_split_percent: 30,
+            standing_items: 400_000,
+            online_slowdown_percent: 10,
         }
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod platform;
 pub mod sidecar;
 
-pub use batch::BatchSettings;
+pub use batch::{BatchPolicy, BatchSettings};
 pub use fleet::FleetSettings;
 pub use load::{SettingsError, load_node, load_sidecar};
 pub use node::{LinkBounds, NodeSettings, Place};
--- a/crates/wire/src/keys.rs
+++ b/crates/wire/src/keys.rs
@@ -10,7 +10,8 @@
 pub const JOB_PREFIX: &str = "job/";
 /// Prefix of chunk rows.
 pub const CHUNK_PREFIX: &str = "chunk/";
-/// Prefix of chunks that wait for a holder: `open-chunk/{deadline}/{job}/{index}`.
+/// Prefix of chunks that wait for a holder: `open-chunk/{job}/{index}`. The value is the chunk row,
+/// written by the same transaction, so that both have the same revision.
 pub const OPEN_CHUNK_PREFIX: &str = "open-chunk/";
 /// Prefix of plan rows.
 pub const PLAN_PREFIX: &str = "plan/";
@@ -34,6 +35,40 @@
     format!("{CHUNK_PREFIX}{job}/{index:06}")
 }
 
+/// Row of a chunk that waits for a holder.
+pub fn open_chunk(job: &JobId, index: u32) -> String {
+    format!("{OPEN_CHUNK_PREFIX}{job}/{index:06}")
+}
+
+/// Prefix of the chunks that a node holds: `held-chunk/{node}/{job}/{index}`.
+pub const HELD_CHUNK_PREFIX: &str = "held-chunk/";
+
+/// Row that lists a chunk under its holder.
+pub fn held_chunk(node: &str, job: &JobId, index: u32) -> String {
+    format!("{HELD_CHUNK_PREFIX}{node}/{job}/{index:06}")
+}
+
+/// Prefix of jobs that are not finished; their change feed wakes every node.
+pub const ACTIVE_JOB_PREFIX: &str = "active-job/";
+
+/// Row of a job that is not finished.
+pub fn active_job(job: &JobId) -> String {
+    format!("{ACTIVE_JOB_PREFIX}{job}")
+}
+
+/// Prefix of jobs whose chunk rows are still to be written.
+pub const SPLIT_JOB_PREFIX: &str = "split-job/";
+
+/// Row of a job whose chunk rows are still to be written.
+pub fn split_job(job: &JobId) -> String {
+    format!("{SPLIT_JOB_PREFIX}{job}")
+}
+
+/// Row of a sealed file.
+pub fn file(tenant: &str, file: &str) -> String {
+    format!("file/{tenant}/{file}")
+}
+
 /// Row of a must-not-repeat request.
 pub fn once(tenant: &str, idempotency_key: &str) -> String {
     format!("once/{tenant}/{idempotency_key}")
@@ -79,6 +114,16 @@
     format!("files/{tenant}/{file}")
 }
 
+/// Object that holds the part of an uploaded file that starts at `offset`, bytes.
+pub fn file_part(tenant: &str, file: &str, offset: u64) -> String {
+    format!("{}/{offset:012}", file_object(tenant, file))
+}
+
+/// Object that holds what a holder had finished of a chunk when it handed it back.
+pub fn partial_object(job: &JobId, index: u32, epoch: u64) -> String {
+    format!("partial/{job}/{index:06}-{epoch}")
+}
+
 /// Object that holds the result of a chunk as committed under an epoch.
 pub fn result_object(job: &JobId, index: u32, epoch: u64) -> String {
     format!("results/{job}/{index:06}-{epoch}")
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod hash;
 pub mod ids;
 pub mod keys;
+pub mod prompt;
 
 /// Generated message types. See the `.proto` files for the meaning of each field.
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
