Settings: every error at once, with line, key and bound

Cause: a settings file with several faults showed only the first, without the bounds that a value must keep. Change: the serialized defaults are the schema for unknown keys and types; a table of rules holds bounds; flags are checked again by the same table. Result: 7 tests; a file with five faults lists five lines.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,11 +10,15 @@
 pub mod online;
 pub mod operate;
 pub mod platform;
+pub mod rules;
 pub mod sidecar;
 
 pub use batch::BatchSettings;
 pub use fleet::FleetSettings;
-pub use load::{SettingsError, load_node, load_sidecar};
+pub use load::{
+    SettingsError, load_node, load_sidecar, parse_node, parse_sidecar, recheck_node,
+    recheck_sidecar,
+};
 pub use node::{LinkBounds, NodeSettings, Place};
 pub use online::OnlineSettings;
 pub use operate::OperateSettings;
--- /dev/null
+++ b/crates/settings/tests/load.rs
@@ -0,0 +1,76 @@
+//! Settings files: defaults, every error at once with its place, bounds, and flags checked again.
+
+use dappleyard_settings::{NodeSettings, parse_node, parse_sidecar, recheck_node};
+use googletest::prelude::*;
+
+#[gtest]
+fn an_empty_file_gives_the_defaults() {
+    expect_that!(parse_node("n.toml", ""), ok(eq(&NodeSettings::default())));
+}
+
+#[gtest]
+fn the_defaults_pass_their_own_bounds() {
+    expect_that!(recheck_node(&NodeSettings::default()), ok(anything()));
+}
+
+#[gtest]
+fn every_problem_is_named_with_line_and_key() {
+    let text = "id = \"n1\"\nwrokers = 3\nworkers = \"two\"\n\n[online]\nbogus = 1\n\
+                report_interval_ms = -5\n\n[fleet]\nseeds = [1]\n";
+    let problems = parse_node("n.toml", text).unwrap_err().problems;
+    expect_that!(
+        problems,
+        unordered_elements_are![
+            starts_with("n.toml:2: wrokers: unknown key"),
+            starts_with("n.toml:3: workers: expected integer, found string"),
+            starts_with("n.toml:6: online.bogus: unknown key"),
+            starts_with("n.toml:7: online.report_interval_ms: must not be negative"),
+            starts_with("n.toml:10: fleet.seeds: each item must be a string"),
+        ]
+    );
+}
+
+#[gtest]
+fn values_outside_their_bounds_are_named() {
+    let text = "link_listen = \"localhost:1\"\n[online]\nleaving_bound_ms = 9000\n";
+    let problems = parse_node("n.toml", text).unwrap_err().problems;
+    expect_that!(
+        problems,
+        unordered_elements_are![
+            starts_with("n.toml:1: link_listen: must be an IP address"),
+            starts_with("n.toml:3: online.leaving_bound_ms: must be from 1 to 3000"),
+        ]
+    );
+}
+
+#[gtest]
+fn a_sidecar_listens_on_loopback_only() {
+    let problems = parse_sidecar("s.toml", "listen = \"0.0.0.0:80\"")
+        .unwrap_err()
+        .problems;
+    expect_that!(
+        problems,
+        elements_are![contains_substring("must be a loopback address")]
+    );
+}
+
+#[gtest]
+fn broken_syntax_names_its_line() {
+    let problems = parse_node("n.toml", "id = \"a\"\nworkers = = 3\n")
+        .unwrap_err()
+        .problems;
+    expect_that!(problems, each(starts_with("n.toml:2:")));
+}
+
+#[gtest]
+fn a_flag_with_a_bad_value_is_caught() {
+    let settings = NodeSettings {
+        workers: 0,
+        ..NodeSettings::default()
+    };
+    let problems = recheck_node(&settings).unwrap_err().problems;
+    expect_that!(
+        problems,
+        elements_are![starts_with("workers: must be from 1 to 64")]
+    );
+}
