Add an in-memory platform for tests and hollow fleets

The parts each need a table service and object store that keep the contract of the ports and can lose answers before or after the effect; one shared implementation saves writing it several times.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,10 +5,12 @@
 //! call, retries and the breaker. Futures are not `Send`: each worker thread has its own client.
 
 pub mod machines;
+pub mod memory;
 pub mod objects;
 pub mod tables;
 
 pub use machines::{Machine, MachineList, MachineRole};
+pub use memory::{Fault, MemoryPlatform};
 pub use objects::{ObjectData, ObjectStore};
 pub use tables::{Changes, Expect, Row, StoreError, TableStore, Transaction, Write};
 
