--- a/crates/wire/src/prompt.rs
+++ b/crates/wire/src/prompt.rs
@@ -32,5 +32,5 @@
         .map_or(prompt.len(), |word| {
             word.as_ptr() as usize - prompt.as_ptr() as usize
         });
-    hash_bytes(prompt[..end].as_bytes())
+    hash_bytes(&prompt.as_bytes()[..end])
 }
