--- a/crates/decide/src/configuration.rs
+++ b/crates/decide/src/configuration.rs
@@ -22,6 +22,8 @@
     pub revision: u64,
     /// Last change of each key, deletions included.
     pub entries: BTreeMap<String, ConfigurationEntry>,
+    /// Deletions up to this revision are no longer among the entries.
+    pub deletions_forgotten_to: u64,
 }
 
 impl ConfigurationState {
@@ -41,6 +43,7 @@
             self.entries.insert(entry.key.clone(), entry.clone());
         }
         self.revision = first.revision;
+        self.forget_deletions();
         Applied::Yes
     }
 
@@ -52,4 +55,140 @@
         *self = snapshot;
         Applied::Yes
     }
+
+    /// Entries last changed after a revision, in order of revision, deletions included; `None` when
+    /// the state no longer remembers all deletions since then, so that only a snapshot will do.
+    pub fn entries_after(&self, revision: u64) -> Option<Vec<ConfigurationEntry>> {
+        if revision < self.deletions_forgotten_to {
+            return None;
+        }
+        let mut entries: Vec<ConfigurationEntry> = self
+            .entries
+            .values()
+            .filter(|entry| entry.revision > revision)
+            .cloned()
+            .collect();
+        entries.sort_by_key(|entry| (entry.revision, entry.part));
+        Some(entries)
+    }
+
+    /// Takes all entries last changed after revision `after`, up to `up_to`, at once. The chain
+    /// between the two is skipped: each key goes straight to its value at `up_to`.
+    pub fn merge(&mut self, after: u64, entries: &[ConfigurationEntry], up_to: u64) -> Applied {
+        if up_to <= self.revision {
+            return Applied::Old;
+        }
+        if after > self.revision {
+            return Applied::Gap;
+        }
+        for entry in entries {
+            let known = self.entries.get(&entry.key);
+            if known.is_none_or(|known| known.revision < entry.revision) {
+                self.entries.insert(entry.key.clone(), entry.clone());
+            }
+        }
+        self.revision = up_to;
+        self.forget_deletions();
+        Applied::Yes
+    }
+
+    /// Forgets the oldest deletions beyond [`MAXIMUM_DELETIONS`].
+    fn forget_deletions(&mut self) {
+        let mut deletions: Vec<u64> = self
+            .entries
+            .values()
+            .filter(|entry| entry.deleted)
+            .map(|entry| entry.revision)
+            .collect();
+        if deletions.len() <= MAXIMUM_DELETIONS {
+            return;
+        }
+        deletions.sort_unstable();
+        let forgotten_to = deletions[deletions.len() - MAXIMUM_DELETIONS / 2 - 1];
+        self.entries
+            .retain(|_, entry| !entry.deleted || entry.revision > forgotten_to);
+        self.deletions_forgotten_to = self.deletions_forgotten_to.max(forgotten_to);
+    }
+}
+
+/// Most deletions remembered for peers that lag.
+pub const MAXIMUM_DELETIONS: usize = 1024;
+
+/// One row of the change feed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FeedRow {
+    /// Key of the row.
+    pub key: String,
+    /// Revision of the store at which it changed.
+    pub revision: u64,
+    /// New value; `None` when the row was deleted.
+    pub value: Option<Vec<u8>>,
+}
+
+/// Turns rows of the change feed, in order of their revisions, into changes of the chain. `previous`
+/// is the revision of the configuration change before the first row.
+pub fn changes_of_feed(rows: &[FeedRow], previous: u64) -> Vec<Vec<ConfigurationEntry>> {
+    let mut previous = previous;
+    let mut changes = Vec::new();
+    for group in rows.chunk_by(|left, right| left.revision == right.revision) {
+        changes.push(change_of_rows(group, previous));
+        previous = group[0].revision;
+    }
+    changes
+}
+
+fn change_of_rows(rows: &[FeedRow], previous: u64) -> Vec<ConfigurationEntry> {
+    let parts = u32::try_from(rows.len()).unwrap_or(u32::MAX);
+    (0_u32..)
+        .zip(rows)
+        .map(|(part, row)| ConfigurationEntry {
+            revision: row.revision,
+            previous,
+            key: row.key.clone(),
+            value: row.value.clone().unwrap_or_default(),
+            deleted: row.value.is_none(),
+            part,
+            parts,
+        })
+        .collect()
+}
+
+/// Most changes held back while one before them is missing.
+const MAXIMUM_PENDING: usize = 128;
+
+/// Changes that arrived in parts or out of order.
+#[derive(Debug, Clone, Default)]
+pub struct PendingChanges {
+    changes: BTreeMap<u64, BTreeMap<u32, ConfigurationEntry>>,
+}
+
+impl PendingChanges {
+    /// Takes one entry. When too many changes are held back the latest one is dropped: digests will
+    /// bring it again.
+    pub fn offer(&mut self, entry: ConfigurationEntry) {
+        self.changes
+            .entry(entry.revision)
+            .or_default()
+            .insert(entry.part, entry);
+        if self.changes.len() > MAXIMUM_PENDING {
+            self.changes.pop_last();
+        }
+    }
+
+    /// Takes out the whole change that follows `revision`, if it is here, and forgets older ones.
+    pub fn take_next(&mut self, revision: u64) -> Option<Vec<ConfigurationEntry>> {
+        self.changes = self.changes.split_off(&(revision + 1));
+        let (&next, parts) = self.changes.first_key_value()?;
+        let first = parts.values().next()?;
+        if first.previous != revision || parts.len() < first.parts.max(1) as usize {
+            return None;
+        }
+        let parts = self.changes.remove(&next)?;
+        Some(parts.into_values().collect())
+    }
+
+    /// Highest revision held back.
+    pub fn highest(&self) -> Option<u64> {
+        self.changes.keys().next_back().copied()
+    }
 }
--- a/crates/tables/src/configuration.rs
+++ b/crates/tables/src/configuration.rs
@@ -115,6 +115,18 @@
         self.update(|state| state.replace(snapshot))
     }
 
+    /// Takes all entries changed after a revision, up to a later one, at once.
+    pub fn merge(&self, after: u64, entries: &[ConfigurationEntry], up_to: u64) -> Applied {
+        self.update(|state| state.merge(after, entries, up_to))
+    }
+
+    /// Revision in force and the entries last changed after a revision; `None` when deletions since
+    /// then have been forgotten.
+    pub fn entries_after(&self, revision: u64) -> (u64, Option<Vec<ConfigurationEntry>>) {
+        let state = self.state.lock();
+        (state.revision, state.entries_after(revision))
+    }
+
     /// The entries in force, deletions included, for a peer that starts.
     pub fn snapshot(&self) -> ConfigurationState {
         self.state.lock().clone()
--- a/crates/tables/src/members.rs
+++ b/crates/tables/src/members.rs
@@ -32,6 +32,13 @@
         self.changed.send_modify(|version| *version += 1);
     }
 
+    /// Notes the configuration revision that a member has applied. Subscribers are not woken.
+    pub fn note_revision(&self, node: &NodeId, revision: u64) {
+        if let Some(member) = self.members.lock().get_mut(node) {
+            member.configuration_revision = member.configuration_revision.max(revision);
+        }
+    }
+
     /// Forgets a member.
     pub fn remove(&self, node: &NodeId) {
         self.members.lock().remove(node);
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -177,7 +177,11 @@
         };
         actix_rt::spawn(async move {
             let incoming = |received: Frame| shared.receive(received);
-            run_link(wired, queue, &settings, &policy, &address, incoming).await;
+            let mut closed = shared.lost.subscribe();
+            tokio::select! {
+                () = run_link(wired, queue, &settings, &policy, &address, incoming) => {}
+                _ = closed.wait_for(|closed| *closed) => {}
+            }
             shared.streams.borrow_mut().clear();
             shared.lost.send_replace(true);
         });
@@ -209,6 +213,11 @@
         self.shared.load.borrow().clone()
     }
 
+    /// Closes the link; all of its streams end.
+    pub fn close(&self) {
+        self.shared.lost.send_replace(true);
+    }
+
     /// Resolves when the link is lost.
     pub async fn wait_lost(&self) {
         let mut lost = self.shared.lost.subscribe();
