--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -1,1 +1,110 @@
 //! Tenant limits and early refusals.
+
+use crate::time::Millis;
+
+/// Smallest share of a fleet-wide request rate that a node grants a tenant, requests per second.
+pub const FLOOR_REQUESTS_PER_S: f64 = 1.0;
+
+/// Shortest advice when to come back, milliseconds.
+pub const SHORTEST_RETRY_AFTER_MS: u32 = 50;
+
+/// Longest advice when to come back, milliseconds.
+pub const LONGEST_RETRY_AFTER_MS: u32 = 10_000;
+
+/// A tenant's limits as they apply to one node.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct NodeLimits {
+    /// Requests per second; `None` for no limit.
+    pub requests_per_s: Option<f64>,
+    /// Requests that may come at once.
+    pub burst: f64,
+    /// Tokens of requests in progress; `None` for no limit.
+    pub concurrent_tokens: Option<u64>,
+}
+
+/// The share of fleet-wide limits that falls to one of `nodes` nodes. The shares of all nodes add up
+/// to the limit, except that none is below a floor: one request per second, one request at once.
+pub fn node_share(
+    requests_per_s: f64,
+    requests_burst: f64,
+    concurrent_tokens: u64,
+    nodes: usize,
+) -> NodeLimits {
+    let nodes_f = nodes.max(1) as f64;
+    let limited = requests_per_s > 0.0;
+    let rate = (requests_per_s / nodes_f).max(requests_per_s.min(FLOOR_REQUESTS_PER_S));
+    let burst = if requests_burst > 0.0 {
+        requests_burst
+    } else {
+        requests_per_s
+    };
+    NodeLimits {
+        requests_per_s: limited.then_some(rate),
+        burst: (burst / nodes_f).max(1.0),
+        concurrent_tokens: (concurrent_tokens > 0)
+            .then(|| concurrent_tokens.div_ceil(nodes.max(1) as u64)),
+    }
+}
+
+/// A token bucket; starts full.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TokenBucket {
+    tokens: f64,
+    updated: Millis,
+}
+
+impl TokenBucket {
+    /// A full bucket.
+    pub fn full(burst: f64, now: Millis) -> TokenBucket {
+        TokenBucket {
+            tokens: burst,
+            updated: now,
+        }
+    }
+
+    /// Takes one token, or says in how many milliseconds there will be one.
+    pub fn take(&mut self, rate: f64, burst: f64, now: Millis) -> Result<(), u32> {
+        let refilled = now.since(self.updated) as f64 / 1_000.0 * rate;
+        self.tokens = (self.tokens + refilled).min(burst);
+        self.updated = self.updated.max(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let wait_s = (1.0 - self.tokens) / rate.max(f64::MIN_POSITIVE);
+        Err(retry_after(wait_s * 1_000.0))
+    }
+}
+
+/// Why a request is refused early.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Infeasible {
+    /// The expected wait is longer than the time left.
+    Deadline,
+    /// The expected wait is longer than the longest queue allowed.
+    Queue,
+}
+
+/// Whether a request that would wait `wait_ms` can be served; else why not and when to come back.
+pub fn feasible(
+    wait_ms: u32,
+    budget_ms: u32,
+    maximum_queue_ms: u32,
+) -> Result<(), (Infeasible, u32)> {
+    if wait_ms > maximum_queue_ms {
+        let excess = f64::from(wait_ms - maximum_queue_ms);
+        return Err((Infeasible::Queue, retry_after(excess)));
+    }
+    if wait_ms >= budget_ms {
+        return Err((Infeasible::Deadline, retry_after(f64::from(wait_ms))));
+    }
+    Ok(())
+}
+
+/// Advice when to come back, inside its bounds, milliseconds.
+pub fn retry_after(milliseconds: f64) -> u32 {
+    milliseconds.ceil().clamp(
+        f64::from(SHORTEST_RETRY_AFTER_MS),
+        f64::from(LONGEST_RETRY_AFTER_MS),
+    ) as u32
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A link is one TCP connection that carries length-delimited [`Frame`]s of many streams. The
 //! connecting end opens streams; stream 0 belongs to the link itself. [`link`] dials and serves
-//! links, [`datagram`] sends and receives UDP messages, and [`policy`] is the port through which an
+//! links, [`pool`] keeps links to other nodes, [`datagram`] sends and receives UDP messages, and [`policy`] is the port through which an
 //! experiment adds delay, loss and cuts; the product uses [`policy::DirectPolicy`].
 //!
 //! [`Frame`]: dappleyard_wire::messages::Frame
@@ -10,7 +10,9 @@
 pub mod datagram;
 pub mod link;
 pub mod policy;
+pub mod pool;
 
 pub use datagram::DatagramSocket;
 pub use link::{Link, LinkError, LinkServer, LinkSettings, ServerStream, StreamReceiver};
 pub use policy::{DirectPolicy, LinkPolicy, LinkState};
+pub use pool::{CallError, LinkPool};
