--- a/crates/settings/src/operate.rs
+++ b/crates/settings/src/operate.rs
@@ -18,6 +18,16 @@
     pub region_fresh_ms: u64,
     /// Time between writes of decision records to the object store, milliseconds.
     pub journal_interval_ms: u64,
+    /// Step time of the canary, relative to the other servers, that rolls the rollout back, percent.
+    pub canary_step_percent: u32,
+    /// Expected time for a server to load a model, milliseconds; used until loads were measured.
+    pub expected_load_ms: u64,
+    /// Time after which a disruption that no view shows is forgotten, milliseconds.
+    pub disruption_timeout_ms: u64,
+    /// Longest wait for another node's answer to a status or explain query, milliseconds.
+    pub peer_timeout_ms: u64,
+    /// Journal objects kept for each node.
+    pub journal_objects: usize,
 }
 
 impl Default for OperateSettings {
@@ -29,6 +39,11 @@
             canary_error_percent: 5,
             region_fresh_ms: 15_000,
             journal_interval_ms: 5_000,
+            canary_step_percent: 200,
+            expected_load_ms: 5_000,
+            disruption_timeout_ms: 30_000,
+            peer_timeout_ms: 1_000,
+            journal_objects: 64,
         }
     }
 }
--- a/crates/wire/src/keys.rs
+++ b/crates/wire/src/keys.rs
@@ -19,6 +19,31 @@
 /// Prefix of epoch rows.
 pub const EPOCH_PREFIX: &str = "epoch/";
 
+/// Prefix of the index of running plans.
+pub const ACTIVE_PLAN_PREFIX: &str = "active-plan/";
+/// Prefix of journal objects: decision records of nodes.
+pub const JOURNAL_PREFIX: &str = "journal/";
+
+/// Index row of a running plan.
+pub fn active_plan(plan: &PlanId) -> String {
+    format!("{ACTIVE_PLAN_PREFIX}{plan}")
+}
+
+/// Row that orders the plans which take capacity from a service.
+pub fn plan_guard(service: &str) -> String {
+    format!("plan-guard/{service}")
+}
+
+/// Row of the disruptions in flight of a service.
+pub fn disruption(service: &str) -> String {
+    format!("disruption/{service}")
+}
+
+/// Object with the `number`-th batch of a node's decision records.
+pub fn journal_object(node: &str, incarnation: u64, number: u64) -> String {
+    format!("{JOURNAL_PREFIX}{node}/{incarnation:020}-{number:08}")
+}
+
 /// Row of a job.
 pub fn job(tenant: &TenantId, job: &JobId) -> String {
     format!("{JOB_PREFIX}{tenant}/{job}")
