--- a/crates/decide/src/reassembly.rs
+++ b/crates/decide/src/reassembly.rs
@@ -142,7 +142,10 @@
 
     /// The sender announced the length of the whole answer.
     pub fn finish(&mut self, total: u32) -> Result<(), AssemblyError> {
-        let held = self.behind_gap.last_key_value().map_or(self.offset(), |(last, _)| last + 1);
+        let held = self
+            .behind_gap
+            .last_key_value()
+            .map_or(self.offset(), |(last, _)| last + 1);
         if held > total {
             let offset = held - 1;
             return Err(AssemblyError::BehindEnd { offset, total });
--- a/crates/decide/tests/reassembly.rs
+++ b/crates/decide/tests/reassembly.rs
@@ -78,12 +78,11 @@
 
 /// Frames of one attempt: each a range of offsets, in any order, some twice, some lost.
 fn frames(total: u32) -> impl Strategy<Value = Vec<(u32, u32)>> {
-    proptest::collection::vec((0..total, 1..6_u32), 0..120)
-        .prop_map(move |list| {
-            list.into_iter()
-                .map(|(from, length)| (from, (from + length).min(total)))
-                .collect()
-        })
+    proptest::collection::vec((0..total, 1..6_u32), 0..120).prop_map(move |list| {
+        list.into_iter()
+            .map(|(from, length)| (from, (from + length).min(total)))
+            .collect()
+    })
 }
 
 proptest! {
