--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod client;
 pub mod machines;
+pub mod memory;
 pub mod objects;
 pub mod tables;
 
 pub use machines::{Machine, MachineList, MachineRole};
+pub use memory::{Fault, MemoryPlatform};
 pub use objects::{ObjectData, ObjectStore};
 pub use tables::{Changes, Expect, Row, StoreError, TableStore, Transaction, Write};
 
