--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -153,7 +153,11 @@
     pub fn parse(text: &str) -> Result<FaultFile, String> {
         let file: FaultFile = toml::from_str(text).map_err(|error| error.to_string())?;
         for (index, fault) in file.fault.iter().enumerate() {
-            for (key, value) in [("at_s", fault.at_s), ("for_s", fault.for_s), ("amount", fault.amount)] {
+            for (key, value) in [
+                ("at_s", fault.at_s),
+                ("for_s", fault.for_s),
+                ("amount", fault.amount),
+            ] {
                 if !(value.is_finite() && value >= 0.0) {
                     return Err(format!("fault[{index}].{key}: must be 0 or more"));
                 }
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -235,16 +235,21 @@
 
 fn draw_refused(scenario: &Scenario, seed: u64, length: Duration) -> Vec<OnlineArrival> {
     let mut generator = generator(seed, Draw::Refused);
-    poisson(scenario.refused.per_s, Duration::ZERO, length, &mut generator)
-        .into_iter()
-        .enumerate()
-        .map(|(index, at)| {
-            let name = format!("limited-{index}");
-            let mut request = draw_request(scenario, seed, at, name, &mut generator);
-            request.tenant.clone_from(&scenario.refused.tenant);
-            request
-        })
-        .collect()
+    poisson(
+        scenario.refused.per_s,
+        Duration::ZERO,
+        length,
+        &mut generator,
+    )
+    .into_iter()
+    .enumerate()
+    .map(|(index, at)| {
+        let name = format!("limited-{index}");
+        let mut request = draw_request(scenario, seed, at, name, &mut generator);
+        request.tenant.clone_from(&scenario.refused.tenant);
+        request
+    })
+    .collect()
 }
 
 fn draw_request(
@@ -285,8 +290,10 @@
             let at = heap_at + Duration::from_millis(generator.random_range(0..300));
             jobs.push(draw_job(scenario, seed, at, number, &mut generator));
         }
-        heap_at += around(batch.every_s, &mut generator)
-            .clamp(Duration::from_secs_f64(batch.every_s * 0.9), Duration::from_secs_f64(batch.every_s * 1.1));
+        heap_at += around(batch.every_s, &mut generator).clamp(
+            Duration::from_secs_f64(batch.every_s * 0.9),
+            Duration::from_secs_f64(batch.every_s * 1.1),
+        );
     }
     jobs.sort_by_key(|job| job.at);
     jobs
--- a/crates/lab/src/network.rs
+++ b/crates/lab/src/network.rs
@@ -98,7 +98,10 @@
         let faults = self.faults.read();
         LinkState {
             delay: self.delay(one, other),
-            cut: faults.cuts.iter().any(|cut| cut.holds(one) != cut.holds(other)),
+            cut: faults
+                .cuts
+                .iter()
+                .any(|cut| cut.holds(one) != cut.holds(other)),
             loss: faults.loss,
         }
     }
--- a/crates/lab/src/scenario/check.rs
+++ b/crates/lab/src/scenario/check.rs
@@ -32,7 +32,11 @@
     }
 
     fn zones(&mut self, scenario: &Scenario) {
-        self.require(!scenario.zones.is_empty(), "zones", "must name one at least");
+        self.require(
+            !scenario.zones.is_empty(),
+            "zones",
+            "must name one at least",
+        );
         let mut names = BTreeSet::new();
         for (index, zone) in scenario.zones.iter().enumerate() {
             let key = |field: &str| format!("zones[{index}].{field}");
@@ -48,8 +52,14 @@
         let positive = [
             ("engine.base_step_ms", engine.base_step_ms),
             ("engine.slow_step_factor", engine.slow_step_factor),
-            ("engine.maximum_sequences", f64::from(engine.maximum_sequences)),
-            ("engine.maximum_prefill_tokens", f64::from(engine.maximum_prefill_tokens)),
+            (
+                "engine.maximum_sequences",
+                f64::from(engine.maximum_sequences),
+            ),
+            (
+                "engine.maximum_prefill_tokens",
+                f64::from(engine.maximum_prefill_tokens),
+            ),
             ("engine.memory_tokens", f64::from(engine.memory_tokens)),
             ("engine.block_tokens", f64::from(engine.block_tokens)),
         ];
@@ -68,14 +78,42 @@
 
     fn load(&mut self, scenario: &Scenario) {
         let (online, batch) = (&scenario.online, &scenario.batch);
-        self.require(online.busy_per_s > 0.0, "online.busy_per_s", "must be greater than 0");
-        self.require(online.quiet_per_s > 0.0, "online.quiet_per_s", "must be greater than 0");
-        self.require(online.busy_s > 0.0, "online.busy_s", "must be greater than 0");
-        self.require(online.quiet_s > 0.0, "online.quiet_s", "must be greater than 0");
-        self.require(online.sessions > 0, "online.sessions", "must be greater than 0");
+        self.require(
+            online.busy_per_s > 0.0,
+            "online.busy_per_s",
+            "must be greater than 0",
+        );
+        self.require(
+            online.quiet_per_s > 0.0,
+            "online.quiet_per_s",
+            "must be greater than 0",
+        );
+        self.require(
+            online.busy_s > 0.0,
+            "online.busy_s",
+            "must be greater than 0",
+        );
+        self.require(
+            online.quiet_s > 0.0,
+            "online.quiet_s",
+            "must be greater than 0",
+        );
+        self.require(
+            online.sessions > 0,
+            "online.sessions",
+            "must be greater than 0",
+        );
         self.require(online.topics > 0, "online.topics", "must be greater than 0");
-        self.require(batch.every_s > 0.0, "batch.every_s", "must be greater than 0");
-        self.require(!batch.tenants.is_empty(), "batch.tenants", "must name one at least");
+        self.require(
+            batch.every_s > 0.0,
+            "batch.every_s",
+            "must be greater than 0",
+        );
+        self.require(
+            !batch.tenants.is_empty(),
+            "batch.tenants",
+            "must name one at least",
+        );
         self.require(batch.items > 1, "batch.items", "must be greater than 1");
         self.lengths("online.prompt", &online.prompt);
         self.lengths("online.output", &online.output);
@@ -87,6 +125,10 @@
         self.require(lengths.median > 0.0, key, "median must be greater than 0");
         self.require(lengths.sigma >= 0.0, key, "sigma must not be negative");
         self.require(lengths.least > 0, key, "least must be greater than 0");
-        self.require(lengths.least <= lengths.most, key, "least must not exceed most");
+        self.require(
+            lengths.least <= lengths.most,
+            key,
+            "least must not exceed most",
+        );
     }
 }
--- a/crates/lab/tests/scenario.rs
+++ b/crates/lab/tests/scenario.rs
@@ -36,7 +36,10 @@
     let text = small_text().replace("[online]", "[online]\nunheard_of = 1");
     expect_that!(
         Scenario::parse(&text),
-        err(all![contains_substring("unheard_of"), contains_substring("line")])
+        err(all![
+            contains_substring("unheard_of"),
+            contains_substring("line")
+        ])
     );
 }
 
@@ -61,7 +64,10 @@
     let first = LoadPlan::draw(&scenario, 7, length);
     expect_that!(LoadPlan::draw(&scenario, 7, length), eq(&first));
     expect_that!(LoadPlan::draw(&scenario, 8, length), not(eq(&first)));
-    expect_that!(first.jobs.iter().any(|job| job.cancel_after.is_some()), eq(true));
+    expect_that!(
+        first.jobs.iter().any(|job| job.cancel_after.is_some()),
+        eq(true)
+    );
     let items = first.jobs[0].items(&scenario.batch);
     expect_that!(items.len() as u32, eq(first.jobs[0].items));
     expect_that!(first.jobs[0].items(&scenario.batch), eq(&items));
