--- /dev/null
+++ b/crates/batch/src/input/item.rs
@@ -0,0 +1,167 @@
+//! One line of an input file: OpenAI's batch request, checked field by field.
+
+use dappleyard_wire::prompt;
+use serde::Deserialize;
+
+/// Output tokens of an item that names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// Endpoint of chat items.
+pub const CHAT_ENDPOINT: &str = "/v1/chat/completions";
+/// Endpoint of completion items.
+pub const COMPLETIONS_ENDPOINT: &str = "/v1/completions";
+
+/// One item of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// Caller's name of the item.
+    pub custom_id: String,
+    /// Model service.
+    pub service: String,
+    /// Adapter; empty for none.
+    pub adapter: String,
+    /// Canonical prompt.
+    pub prompt: String,
+    /// Length of the prompt, tokens.
+    pub prompt_tokens: u32,
+    /// Most output tokens.
+    pub max_tokens: u32,
+    /// Whether the answer has the shape of a chat completion.
+    pub chat: bool,
+}
+
+/// What is wrong with a line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LineError {
+    /// Field, as a path; empty for the line as a whole.
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub message: String,
+}
+
+impl LineError {
+    fn new(field: &'static str, message: impl Into<String>) -> LineError {
+        LineError {
+            field,
+            message: message.into(),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct RequestLine {
+    custom_id: Option<String>,
+    method: Option<String>,
+    url: Option<String>,
+    body: Option<Body>,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    model: Option<String>,
+    messages: Option<Vec<ChatMessage>>,
+    prompt: Option<String>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    role: String,
+    content: Content,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<ContentPart>),
+}
+
+#[derive(Deserialize)]
+struct ContentPart {
+    text: String,
+}
+
+impl Content {
+    fn text(self) -> String {
+        match self {
+            Content::Text(text) => text,
+            Content::Parts(parts) => parts.into_iter().map(|part| part.text).collect(),
+        }
+    }
+}
+
+/// Reads one line of a job for an endpoint.
+///
+/// # Errors
+/// The first field that is wrong, and what is wrong with it.
+pub fn parse(line: &[u8], endpoint: &str) -> Result<Item, LineError> {
+    let request: RequestLine = serde_json::from_slice(line)
+        .map_err(|error| LineError::new("", format!("not a batch request: {error}")))?;
+    let custom_id = required(request.custom_id, "custom_id")?;
+    if request.method.as_deref() != Some("POST") {
+        return Err(LineError::new("method", "must be \"POST\""));
+    }
+    if request.url.as_deref() != Some(endpoint) {
+        let message = format!("must be the job's endpoint {endpoint:?}");
+        return Err(LineError::new("url", message));
+    }
+    let body = request
+        .body
+        .ok_or_else(|| LineError::new("body", "is missing"))?;
+    parse_body(custom_id, body, endpoint == CHAT_ENDPOINT)
+}
+
+fn parse_body(custom_id: String, body: Body, chat: bool) -> Result<Item, LineError> {
+    let model = required(body.model, "body.model")?;
+    let prompt = match chat {
+        true => chat_prompt(body.messages)?,
+        false => required(body.prompt, "body.prompt")?,
+    };
+    let limit = body.max_completion_tokens.or(body.max_tokens);
+    let max_tokens = limit.unwrap_or(DEFAULT_MAX_TOKENS);
+    if max_tokens == 0 {
+        return Err(LineError::new("body.max_tokens", "must be at least 1"));
+    }
+    let (service, adapter) = split_model(&model);
+    Ok(Item {
+        custom_id,
+        service,
+        adapter,
+        prompt_tokens: prompt::count_tokens(&prompt),
+        prompt,
+        max_tokens,
+        chat,
+    })
+}
+
+fn chat_prompt(messages: Option<Vec<ChatMessage>>) -> Result<String, LineError> {
+    let messages = messages.unwrap_or_default();
+    if messages.is_empty() {
+        return Err(LineError::new("body.messages", "must not be empty"));
+    }
+    let texts: Vec<(String, String)> = messages
+        .into_iter()
+        .map(|message| (message.role, message.content.text()))
+        .collect();
+    let pairs = texts
+        .iter()
+        .map(|(role, text)| (role.as_str(), text.as_str()));
+    Ok(prompt::canonical_chat(pairs))
+}
+
+/// A model is named `service` or `service:adapter`.
+fn split_model(model: &str) -> (String, String) {
+    match model.split_once(':') {
+        Some((service, adapter)) => (service.to_owned(), adapter.to_owned()),
+        None => (model.to_owned(), String::new()),
+    }
+}
+
+fn required(value: Option<String>, field: &'static str) -> Result<String, LineError> {
+    match value {
+        Some(text) if !text.is_empty() => Ok(text),
+        _ => Err(LineError::new(field, "is missing or empty")),
+    }
+}
--- /dev/null
+++ b/crates/batch/src/input/lines.rs
@@ -0,0 +1,116 @@
+//! Lines of an input file, read through a bounded buffer.
+
+use bytes::{Buf, Bytes, BytesMut};
+use dappleyard_platform::{ObjectStore, StoreError};
+
+use crate::input::parts::PartIndex;
+
+/// Bytes asked of the object store at once.
+const READ_BYTES: u64 = 256 * 1024;
+
+/// One line that is not blank.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Line {
+    /// Number in the file, from 1; blank lines count.
+    pub number: u32,
+    /// Offset of its first byte.
+    pub start: u64,
+    /// Offset after its line feed.
+    pub end: u64,
+    /// Content without the line feed; `None` when the line is longer than allowed.
+    pub content: Option<Bytes>,
+}
+
+/// Reads lines one after the other. Holds at most one read and one line of the file.
+pub struct LineReader<'a> {
+    objects: &'a dyn ObjectStore,
+    parts: &'a PartIndex,
+    maximum_line_bytes: usize,
+    buffer: BytesMut,
+    /// Offset of the first byte of `buffer`.
+    offset: u64,
+    line: u32,
+    /// The present line was found too long: its bytes are dropped up to its end.
+    skipping_from: Option<u64>,
+}
+
+impl<'a> LineReader<'a> {
+    /// A reader from an offset at the start of a line on.
+    pub fn new(
+        objects: &'a dyn ObjectStore,
+        parts: &'a PartIndex,
+        offset: u64,
+        maximum_line_bytes: usize,
+    ) -> LineReader<'a> {
+        LineReader {
+            objects,
+            parts,
+            maximum_line_bytes,
+            buffer: BytesMut::new(),
+            offset,
+            line: 0,
+            skipping_from: None,
+        }
+    }
+
+    /// The next line that is not blank; `None` at the end of the file.
+    pub async fn next(&mut self) -> Result<Option<Line>, StoreError> {
+        loop {
+            if let Some(line) = self.take_line() {
+                if !is_blank(&line) {
+                    return Ok(Some(line));
+                }
+                continue;
+            }
+            if !self.fill().await? {
+                return Ok(self.take_rest().filter(|line| !is_blank(line)));
+            }
+        }
+    }
+
+    async fn fill(&mut self) -> Result<bool, StoreError> {
+        if self.buffer.len() > self.maximum_line_bytes {
+            self.skipping_from.get_or_insert(self.offset);
+            self.offset += self.buffer.len() as u64;
+            self.buffer.clear();
+        }
+        let from = self.offset + self.buffer.len() as u64;
+        let bytes = self.parts.read(self.objects, from, READ_BYTES).await?;
+        self.buffer.extend_from_slice(&bytes);
+        Ok(!bytes.is_empty())
+    }
+
+    fn take_line(&mut self) -> Option<Line> {
+        let length = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        let content = self.buffer.split_to(length).freeze();
+        self.buffer.advance(1);
+        Some(self.line_of(content, 1))
+    }
+
+    fn take_rest(&mut self) -> Option<Line> {
+        if self.buffer.is_empty() && self.skipping_from.is_none() {
+            return None;
+        }
+        let content = self.buffer.split().freeze();
+        Some(self.line_of(content, 0))
+    }
+
+    fn line_of(&mut self, content: Bytes, feed: u64) -> Line {
+        let skipped = self.skipping_from.take();
+        let start = skipped.unwrap_or(self.offset);
+        self.offset += content.len() as u64 + feed;
+        self.line += 1;
+        let fits = skipped.is_none() && content.len() <= self.maximum_line_bytes;
+        Line {
+            number: self.line,
+            start,
+            end: self.offset,
+            content: fits.then_some(content),
+        }
+    }
+}
+
+fn is_blank(line: &Line) -> bool {
+    let content = line.content.as_ref();
+    content.is_some_and(|content| content.iter().all(u8::is_ascii_whitespace))
+}
--- /dev/null
+++ b/crates/batch/src/input/mod.rs
@@ -0,0 +1,9 @@
+//! Input files: parts in the object store, lines, and the items they describe.
+
+pub mod item;
+pub mod lines;
+pub mod parts;
+
+pub use item::{Item, LineError, parse};
+pub use lines::{Line, LineReader};
+pub use parts::{Part, PartIndex};
--- /dev/null
+++ b/crates/batch/src/jobs/approval.rs
@@ -0,0 +1,104 @@
+//! Plans and confirmation of jobs that no standing approval covers.
+
+use dappleyard_platform::Transaction;
+use dappleyard_platform::tables::Expect;
+use dappleyard_wire::messages::{ActiveJobRow, JobPhase, JobRow, JobState, SplitRow};
+use dappleyard_wire::{ErrorKind, Failure, keys};
+use prost::Message;
+use serde::{Deserialize, Serialize};
+
+use super::JobsApi;
+use crate::store::{self, Applied};
+
+/// What a job takes from whom.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantEffect {
+    /// Tenant whose jobs wait longer.
+    pub tenant: String,
+    /// Its jobs that are active.
+    pub active_jobs: u32,
+    /// Its share of batch work now and with the job, percent.
+    pub share_before_percent: u32,
+    /// Share with the job, percent.
+    pub share_after_percent: u32,
+}
+
+/// What confirming a job does.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobPlan {
+    /// Job.
+    pub job_id: String,
+    /// Items of the job.
+    pub items: u32,
+    /// Expected finish, seconds since 1970; 0 when unknown.
+    pub expected_unix_s: u64,
+    /// Deadline, seconds since 1970.
+    pub deadline_unix_s: u64,
+    /// Whether the deadline is at risk.
+    pub deadline_at_risk: bool,
+    /// Other tenants that get less.
+    pub effects: Vec<TenantEffect>,
+}
+
+impl JobsApi {
+    /// The plan of a job that waits for confirmation.
+    pub async fn plan(&self, tenant: &str, job: &str) -> Result<JobPlan, Failure> {
+        let state = self.state_of(tenant, job).await?;
+        Ok(JobPlan {
+            job_id: state.job_id.clone(),
+            items: state.items_total,
+            expected_unix_s: state.expected_unix_s,
+            deadline_unix_s: state.deadline_unix_s,
+            deadline_at_risk: state.deadline_at_risk,
+            effects: Vec::new(),
+        })
+    }
+
+    /// Confirms a planned job; a job that runs already answers its state.
+    pub async fn confirm(&self, tenant: &str, job: &str) -> Result<JobState, Failure> {
+        let state = self.state_of(tenant, job).await?;
+        if state.phase() != JobPhase::JobPlanned {
+            return Ok(state);
+        }
+        self.start_planned(tenant, job).await
+    }
+
+    /// Puts a planned job back to its split, now approved.
+    async fn start_planned(&self, tenant: &str, job: &str) -> Result<JobState, Failure> {
+        let read = self.job_row(tenant, job).await?;
+        let mut row = read.row;
+        let mut state = row.state.take().unwrap_or_default();
+        state.set_phase(JobPhase::JobValidating);
+        row.approved = true;
+        row.state = Some(state.clone());
+        let job = job.into();
+        let key = keys::job(&tenant.into(), &job);
+        let split = SplitRow {
+            job_id: state.job_id.clone(),
+            tenant: state.tenant.clone(),
+            ..SplitRow::default()
+        };
+        let active = ActiveJobRow {
+            job_id: state.job_id.clone(),
+            tenant: state.tenant.clone(),
+            deadline_unix_s: state.deadline_unix_s,
+            repeat: row.repeat,
+            ..ActiveJobRow::default()
+        };
+        let transaction = Transaction::default()
+            .expect(key.as_str(), Expect::Revision(read.revision))
+            .put(key.as_str(), row.encode_to_vec())
+            .put(keys::split_job(&job), split.encode_to_vec())
+            .put(keys::active_job(&job), active.encode_to_vec());
+        let applied = store::apply(&*self.platform.tables, &transaction, &key, |value| {
+            JobRow::decode(value.clone()).is_ok_and(|written| written == row)
+        });
+        match applied.await.map_err(|error| store::failure(&error))? {
+            Applied::Yes { .. } => Ok(state),
+            Applied::Conflict => Err(Failure::not_run(
+                ErrorKind::Conflict,
+                "the job changed meanwhile; look at it and confirm it again",
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/crates/batch/src/jobs/files.rs
@@ -0,0 +1,229 @@
+//! Uploaded files: parts go to the object store as they come; a row is written when the file is
+//! sealed.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use dappleyard_platform::tables::Expect;
+use dappleyard_platform::{StoreError, Transaction};
+use dappleyard_wire::messages::{
+    FileAppend, FileCreate, FileData, FileRead, FileRow, FileSeal, FileStat, FileState,
+};
+use dappleyard_wire::{ErrorKind, Failure, keys};
+use prost::Message;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::{JobsApi, check_name};
+use crate::input::PartIndex;
+use crate::store::{self, Applied};
+
+/// Prefix of file ids.
+const FILE_PREFIX: &str = "file-";
+/// Bytes read at once when a file is hashed again.
+const HASH_READ_BYTES: u64 = 1024 * 1024;
+/// Uploads whose running hash is kept.
+const MAXIMUM_UPLOADS: usize = 64;
+
+/// Running hashes of files whose parts came to this worker in order.
+#[derive(Default)]
+pub struct Uploads {
+    open: RefCell<VecDeque<Upload>>,
+}
+
+struct Upload {
+    file: String,
+    filename: String,
+    purpose: String,
+    size: u64,
+    hash: Xxh3,
+}
+
+impl Uploads {
+    fn begin(&self, file: &str, filename: String, purpose: String) {
+        let mut open = self.open.borrow_mut();
+        if open.len() == MAXIMUM_UPLOADS {
+            open.pop_front();
+        }
+        open.push_back(Upload {
+            file: file.to_owned(),
+            filename,
+            purpose,
+            size: 0,
+            hash: Xxh3::new(),
+        });
+    }
+
+    fn extend(&self, file: &str, offset: u64, bytes: &[u8]) {
+        let mut open = self.open.borrow_mut();
+        let upload = open.iter_mut().find(|upload| upload.file == file);
+        if let Some(upload) = upload.filter(|upload| upload.size == offset) {
+            upload.hash.update(bytes);
+            upload.size += bytes.len() as u64;
+        }
+    }
+
+    fn take(&self, file: &str) -> Option<Upload> {
+        let mut open = self.open.borrow_mut();
+        let index = open.iter().position(|upload| upload.file == file)?;
+        open.remove(index)
+    }
+}
+
+impl JobsApi {
+    pub(super) fn create_file(&self, call: FileCreate) -> Result<FileState, Failure> {
+        check_name("the tenant", &call.tenant)?;
+        let file_id = format!("{FILE_PREFIX}{}", uuid::Uuid::now_v7().simple());
+        self.uploads
+            .begin(&file_id, call.filename.clone(), call.purpose.clone());
+        Ok(FileState {
+            file_id,
+            filename: call.filename,
+            purpose: call.purpose,
+            created_unix_s: self.now_unix_s(),
+            ..FileState::default()
+        })
+    }
+
+    pub(super) async fn append_file(&self, call: FileAppend) -> Result<FileState, Failure> {
+        check_name("the tenant", &call.tenant)?;
+        check_name("the file", &call.file_id)?;
+        if call.data.len() > self.maximum_part_bytes {
+            let message = format!("a part has at most {} bytes", self.maximum_part_bytes);
+            return Err(Failure::not_run(ErrorKind::TooLarge, message));
+        }
+        let name = keys::file_part(&call.tenant, &call.file_id, call.offset);
+        let bytes = Bytes::from(call.data);
+        self.create_part(&name, bytes.clone()).await?;
+        self.uploads.extend(&call.file_id, call.offset, &bytes);
+        Ok(FileState {
+            file_id: call.file_id,
+            size: call.offset + bytes.len() as u64,
+            ..FileState::default()
+        })
+    }
+
+    /// Creates a part. A part that exists already with the same content came from an earlier attempt.
+    async fn create_part(&self, name: &str, bytes: Bytes) -> Result<(), Failure> {
+        let objects = &self.platform.objects;
+        match objects.create(name, bytes.clone()).await {
+            Ok(()) => Ok(()),
+            Err(StoreError::Conflict { .. } | StoreError::Ambiguous { .. }) => {
+                let stored = objects.read(name, 0, bytes.len() as u64 + 1).await;
+                match stored.map_err(|error| store::failure(&error))? {
+                    Some(data) if data.bytes == bytes => Ok(()),
+                    Some(_) => Err(Failure::not_run(
+                        ErrorKind::Conflict,
+                        format!("part {name} exists with other content"),
+                    )),
+                    None => Err(store::failure(&StoreError::Unavailable {
+                        reason: format!("part {name} was not stored"),
+                    })),
+                }
+            }
+            Err(error) => Err(store::failure(&error)),
+        }
+    }
+
+    pub(super) async fn seal_file(&self, call: FileSeal) -> Result<FileState, Failure> {
+        check_name("the tenant", &call.tenant)?;
+        check_name("the file", &call.file_id)?;
+        let parts = PartIndex::list(&*self.platform.objects, &call.tenant, &call.file_id).await;
+        let parts = parts.map_err(|error| store::failure(&error))?;
+        if parts.size() != call.size {
+            return Err(Failure::not_run(
+                ErrorKind::InvalidRequest,
+                format!("{} of {} bytes are stored", parts.size(), call.size),
+            ));
+        }
+        let upload = self.uploads.take(&call.file_id);
+        let known = upload.as_ref().filter(|upload| upload.size == call.size);
+        let content_hash = match known {
+            Some(upload) => upload.hash.digest(),
+            None => self.hash_content(&parts).await?,
+        };
+        let (filename, purpose) = upload
+            .map(|upload| (upload.filename, upload.purpose))
+            .unwrap_or_default();
+        let row = FileRow {
+            state: Some(FileState {
+                file_id: call.file_id,
+                filename,
+                purpose,
+                size: call.size,
+                created_unix_s: self.now_unix_s(),
+                sealed: true,
+            }),
+            tenant: call.tenant,
+            content_hash,
+        };
+        self.write_file_row(row).await
+    }
+
+    async fn hash_content(&self, parts: &PartIndex) -> Result<u64, Failure> {
+        let mut hash = Xxh3::new();
+        let mut offset = 0;
+        while offset < parts.size() {
+            let bytes = parts
+                .read(&*self.platform.objects, offset, HASH_READ_BYTES)
+                .await
+                .map_err(|error| store::failure(&error))?;
+            hash.update(&bytes);
+            offset += bytes.len() as u64;
+        }
+        Ok(hash.digest())
+    }
+
+    /// A file that is sealed already keeps its row: sealing again answers the same.
+    async fn write_file_row(&self, row: FileRow) -> Result<FileState, Failure> {
+        let state = row.state.clone().unwrap_or_default();
+        let key = keys::file(&row.tenant, &state.file_id);
+        let transaction = Transaction::default()
+            .expect(key.as_str(), Expect::Absent)
+            .put(key.as_str(), row.encode_to_vec());
+        let applied = store::apply(&*self.platform.tables, &transaction, &key, |_| true).await;
+        match applied.map_err(|error| store::failure(&error))? {
+            Applied::Yes { .. } => Ok(state),
+            Applied::Conflict => {
+                let known = self.file_row(&row.tenant, &state.file_id).await?;
+                Ok(known.state.unwrap_or_default())
+            }
+        }
+    }
+
+    pub(super) async fn file_row(&self, tenant: &str, file: &str) -> Result<FileRow, Failure> {
+        let key = keys::file(tenant, file);
+        let row = store::read_row::<FileRow>(&*self.platform.tables, &key).await;
+        let row = row.map_err(|error| store::failure(&error))?;
+        row.map(|read| read.row)
+            .ok_or_else(|| Failure::not_run(ErrorKind::NotFound, format!("no file {file}")))
+    }
+
+    pub(super) async fn stat_file(&self, call: FileStat) -> Result<FileState, Failure> {
+        if let Some(result) = self.stat_result(&call).await? {
+            return Ok(result);
+        }
+        let row = self.file_row(&call.tenant, &call.file_id).await?;
+        Ok(row.state.unwrap_or_default())
+    }
+
+    pub(super) async fn read_file(&self, call: FileRead) -> Result<FileData, Failure> {
+        if let Some(data) = self.read_result(&call).await? {
+            return Ok(data);
+        }
+        let row = self.file_row(&call.tenant, &call.file_id).await?;
+        let size = row.state.map_or(0, |state| state.size);
+        let objects = &*self.platform.objects;
+        let parts = PartIndex::list(objects, &call.tenant, &call.file_id).await;
+        let parts = parts.map_err(|error| store::failure(&error))?;
+        let bytes = parts
+            .read(objects, call.offset, u64::from(call.limit))
+            .await;
+        let bytes = bytes.map_err(|error| store::failure(&error))?;
+        Ok(FileData {
+            offset: call.offset,
+            end: call.offset + bytes.len() as u64 >= size,
+            data: bytes.to_vec(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/batch/src/jobs/progress.rs
@@ -0,0 +1,217 @@
+//! Progress of a job, counted from its chunk rows.
+//!
+//! No counter row is written by commits, so that they do not contend. Committed chunks never change:
+//! the count of those at the front of the job is remembered and only the rest is read again.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+
+use dappleyard_platform::tables::Expect;
+use dappleyard_platform::{Platform, StoreError, Transaction};
+use dappleyard_wire::keys;
+use dappleyard_wire::messages::{ChunkPhase, ChunkRow, JobPhase, JobRow, JobState};
+use prost::Message;
+
+use crate::store::{self, Applied, Versioned};
+
+/// Rows read at once.
+const PAGE: usize = 256;
+/// Jobs whose count is remembered by each worker.
+const MAXIMUM_CACHED: usize = 256;
+
+/// Counts of a job's committed chunks.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Committed chunks.
+    pub done_chunks: u32,
+    /// Items that completed.
+    pub completed: u32,
+    /// Items that failed.
+    pub failed: u32,
+}
+
+impl Progress {
+    fn add(&mut self, row: &ChunkRow) {
+        self.done_chunks += 1;
+        self.completed += row.completed;
+        self.failed += row.failed;
+    }
+
+    /// When the job should be finished if it goes on as fast as so far, seconds since 1970; 0 when
+    /// nothing is known yet.
+    pub fn expected_unix_s(&self, state: &JobState, now_unix_s: u64) -> u64 {
+        let done = u64::from(self.completed + self.failed);
+        if done == 0 {
+            return 0;
+        }
+        let left = u64::from(state.items_total).saturating_sub(done);
+        let elapsed = now_unix_s.saturating_sub(state.created_unix_s).max(1);
+        now_unix_s + (left * elapsed).div_ceil(done)
+    }
+}
+
+/// Count of the committed chunks at the front of one job.
+#[derive(Debug, Clone)]
+struct Front {
+    job: String,
+    progress: Progress,
+}
+
+/// Remembered counts.
+#[derive(Default)]
+pub struct ProgressCache {
+    fronts: RefCell<VecDeque<Front>>,
+}
+
+impl ProgressCache {
+    /// Counts the committed chunks of a job.
+    pub async fn count(&self, platform: &Platform, row: &JobRow) -> Result<Progress, StoreError> {
+        let job = row.state.as_ref().map_or("", |state| &state.job_id);
+        let (front, whole) = count(platform, job, self.front(job)).await?;
+        self.remember(job, front);
+        Ok(whole)
+    }
+
+    fn front(&self, job: &str) -> Progress {
+        let fronts = self.fronts.borrow();
+        let known = fronts.iter().find(|front| front.job == job);
+        known
+            .map(|front| front.progress.clone())
+            .unwrap_or_default()
+    }
+
+    fn remember(&self, job: &str, progress: Progress) {
+        let mut fronts = self.fronts.borrow_mut();
+        fronts.retain(|front| front.job != job);
+        if fronts.len() == MAXIMUM_CACHED {
+            fronts.pop_front();
+        }
+        fronts.push_back(Front {
+            job: job.to_owned(),
+            progress,
+        });
+    }
+}
+
+/// Counts from a known front on; returns the new front and the whole count.
+async fn count(
+    platform: &Platform,
+    job: &str,
+    mut front: Progress,
+) -> Result<(Progress, Progress), StoreError> {
+    let mut whole = front.clone();
+    let mut at_front = true;
+    let prefix = format!("{}{job}/", keys::CHUNK_PREFIX);
+    let mut after = match front.done_chunks.checked_sub(1) {
+        Some(last) => keys::chunk(&job.into(), last),
+        None => String::new(),
+    };
+    loop {
+        let rows = platform.tables.range(&prefix, &after, PAGE).await?;
+        let full = rows.len() == PAGE;
+        for read in rows {
+            let chunk = store::decode::<ChunkRow>(&read.key, &read.value, read.revision)?.row;
+            let done = chunk.phase() == ChunkPhase::ChunkDone;
+            at_front &= done;
+            if done {
+                whole.add(&chunk);
+            }
+            if at_front {
+                front.add(&chunk);
+            }
+            after = read.key;
+        }
+        if !full {
+            return Ok((front, whole));
+        }
+    }
+}
+
+/// Whether all chunks from `front` on are done, reading no further than the first that is not.
+/// `front` is the count of those known to be done and is moved on.
+async fn all_done(
+    platform: &Platform,
+    job: &JobRow,
+    front: &mut Progress,
+) -> Result<bool, StoreError> {
+    let id = job.state.as_ref().map_or("", |state| &state.job_id);
+    let prefix = format!("{}{id}/", keys::CHUNK_PREFIX);
+    while front.done_chunks < job.chunks {
+        let after = match front.done_chunks.checked_sub(1) {
+            Some(last) => keys::chunk(&id.into(), last),
+            None => String::new(),
+        };
+        let rows = platform.tables.range(&prefix, &after, FINISH_PAGE).await?;
+        if rows.is_empty() {
+            return Ok(false);
+        }
+        for read in rows {
+            let chunk = store::decode::<ChunkRow>(&read.key, &read.value, read.revision)?.row;
+            if chunk.phase() != ChunkPhase::ChunkDone {
+                return Ok(false);
+            }
+            front.add(&chunk);
+        }
+    }
+    Ok(true)
+}
+
+/// Rows read at once when a job's end is looked for.
+const FINISH_PAGE: usize = 32;
+
+/// Completes a job whose chunks are all committed. `front` is what the caller knows to be committed
+/// at the front of the job; it is moved on. Returns whether the job is finished.
+pub async fn finish_when_done(
+    platform: &Platform,
+    tenant: &str,
+    job: &str,
+    front: &mut Progress,
+    now_unix_s: u64,
+) -> Result<bool, StoreError> {
+    let key = keys::job(&tenant.into(), &job.into());
+    let Some(read) = store::read_row::<JobRow>(&*platform.tables, &key).await? else {
+        return Ok(true);
+    };
+    let phase = read.row.state.as_ref().map(JobState::phase);
+    if phase != Some(JobPhase::JobInProgress) {
+        return Ok(is_final(phase));
+    }
+    if !all_done(platform, &read.row, front).await? {
+        return Ok(false);
+    }
+    complete(platform, &key, read, front, now_unix_s).await
+}
+
+fn is_final(phase: Option<JobPhase>) -> bool {
+    matches!(
+        phase,
+        None | Some(JobPhase::JobCompleted | JobPhase::JobFailed | JobPhase::JobCancelled)
+    )
+}
+
+async fn complete(
+    platform: &Platform,
+    key: &str,
+    read: Versioned<JobRow>,
+    progress: &Progress,
+    now_unix_s: u64,
+) -> Result<bool, StoreError> {
+    let mut row = read.row;
+    let mut state = row.state.take().unwrap_or_default();
+    let active = keys::active_job(&state.job_id.as_str().into());
+    state.set_phase(JobPhase::JobCompleted);
+    state.items_completed = progress.completed;
+    state.items_failed = progress.failed;
+    state.finished_unix_s = now_unix_s;
+    row.chunks_done = progress.done_chunks;
+    row.state = Some(state);
+    let transaction = Transaction::default()
+        .expect(key, Expect::Revision(read.revision))
+        .put(key, row.encode_to_vec())
+        .delete(active);
+    let applied = store::apply(&*platform.tables, &transaction, key, |value| {
+        JobRow::decode(value.clone())
+            .is_ok_and(|row| is_final(row.state.as_ref().map(JobState::phase)))
+    });
+    Ok(matches!(applied.await?, Applied::Yes { .. }))
+}
--- /dev/null
+++ b/crates/batch/src/jobs/results.rs
@@ -0,0 +1,169 @@
+//! Output and error files of a job: its committed chunk objects in order.
+
+use dappleyard_wire::messages::{
+    ChunkPhase, ChunkRow, FileData, FileRead, FileStat, FileState, JobPhase, JobRow,
+};
+use dappleyard_wire::{Failure, keys};
+
+use super::{ERRORS_SUFFIX, JobsApi, OUTPUT_SUFFIX, check_name};
+use crate::store;
+
+/// Chunk rows read at once.
+const PAGE: usize = 256;
+
+/// Which lines of the chunks a file holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Half {
+    Output,
+    Errors,
+}
+
+/// Place of a part of a result file.
+struct Segment {
+    object: String,
+    /// Offset of the segment in its object and length, bytes.
+    within: u64,
+    length: u64,
+}
+
+fn parse(file_id: &str) -> Option<(&str, Half)> {
+    let output = file_id.strip_suffix(OUTPUT_SUFFIX);
+    let errors = file_id.strip_suffix(ERRORS_SUFFIX);
+    output
+        .map(|job| (job, Half::Output))
+        .or(errors.map(|job| (job, Half::Errors)))
+}
+
+fn segment(row: &ChunkRow, half: Half) -> Segment {
+    let (within, length) = match half {
+        Half::Output => (0, row.output_bytes),
+        Half::Errors => (row.output_bytes, row.error_bytes),
+    };
+    Segment {
+        object: row.result_object.clone(),
+        within,
+        length,
+    }
+}
+
+impl JobsApi {
+    /// State of a result file; `None` when the id does not name one.
+    pub(super) async fn stat_result(&self, call: &FileStat) -> Result<Option<FileState>, Failure> {
+        let Some((job, half)) = parse(&call.file_id) else {
+            return Ok(None);
+        };
+        let row = self.result_job(&call.tenant, job).await?;
+        let mut size = 0;
+        self.walk(job, |chunk| {
+            size += segment(chunk, half).length;
+            true
+        })
+        .await?;
+        let state = row.state.clone().unwrap_or_default();
+        Ok(Some(FileState {
+            file_id: call.file_id.clone(),
+            filename: format!("{}.jsonl", call.file_id),
+            purpose: "batch_output".to_owned(),
+            size,
+            created_unix_s: state.created_unix_s,
+            sealed: is_ended(&row),
+        }))
+    }
+
+    /// Reads from a result file; `None` when the id does not name one. While the job runs, the file
+    /// ends before the first chunk that is not committed, so that offsets never change.
+    pub(super) async fn read_result(&self, call: &FileRead) -> Result<Option<FileData>, Failure> {
+        let Some((job, half)) = parse(&call.file_id) else {
+            return Ok(None);
+        };
+        self.result_job(&call.tenant, job).await?;
+        let mut offset = 0;
+        let mut found = None;
+        let mut more = false;
+        self.walk(job, |chunk| {
+            let segment = segment(chunk, half);
+            let start = offset;
+            offset += segment.length;
+            if found.is_some() {
+                more |= segment.length > 0;
+            } else if call.offset < offset {
+                found = Some((segment, call.offset - start));
+            }
+            !more
+        })
+        .await?;
+        let Some((segment, skipped)) = found else {
+            return Ok(Some(FileData {
+                offset: call.offset,
+                data: Vec::new(),
+                end: true,
+            }));
+        };
+        let length = (segment.length - skipped).min(u64::from(call.limit));
+        let data = self.read_segment(&segment, skipped, length).await?;
+        let whole = skipped + data.len() as u64 >= segment.length;
+        Ok(Some(FileData {
+            offset: call.offset,
+            end: whole && !more,
+            data,
+        }))
+    }
+
+    async fn read_segment(
+        &self,
+        segment: &Segment,
+        skipped: u64,
+        length: u64,
+    ) -> Result<Vec<u8>, Failure> {
+        let from = segment.within + skipped;
+        let read = self.platform.objects.read(&segment.object, from, length);
+        let data = read.await.map_err(|error| store::failure(&error))?;
+        match data {
+            Some(data) => Ok(data.bytes.to_vec()),
+            None => Err(Failure::not_run(
+                dappleyard_wire::ErrorKind::Internal,
+                format!("result object {} is missing", segment.object),
+            )),
+        }
+    }
+
+    async fn result_job(&self, tenant: &str, job: &str) -> Result<JobRow, Failure> {
+        check_name("the tenant", tenant)?;
+        check_name("the file", job)?;
+        Ok(self.job_row(tenant, job).await?.row)
+    }
+
+    /// Visits the committed chunks at the front of a job in order until the visitor returns `false`.
+    async fn walk(
+        &self,
+        job: &str,
+        mut visit: impl FnMut(&ChunkRow) -> bool,
+    ) -> Result<(), Failure> {
+        let prefix = format!("{}{job}/", keys::CHUNK_PREFIX);
+        let mut after = String::new();
+        loop {
+            let rows = self.platform.tables.range(&prefix, &after, PAGE).await;
+            let rows = rows.map_err(|error| store::failure(&error))?;
+            let full = rows.len() == PAGE;
+            for read in rows {
+                let chunk = store::decode::<ChunkRow>(&read.key, &read.value, read.revision);
+                let chunk = chunk.map_err(|error| store::failure(&error))?.row;
+                if chunk.phase() != ChunkPhase::ChunkDone || !visit(&chunk) {
+                    return Ok(());
+                }
+                after = read.key;
+            }
+            if !full {
+                return Ok(());
+            }
+        }
+    }
+}
+
+fn is_ended(row: &JobRow) -> bool {
+    let phase = row.state.as_ref().map(|state| state.phase());
+    matches!(
+        phase,
+        Some(JobPhase::JobCompleted | JobPhase::JobCancelled | JobPhase::JobFailed)
+    )
+}
--- /dev/null
+++ b/crates/batch/src/metrics.rs
@@ -0,0 +1,86 @@
+//! Counters and gauges of the batch path.
+
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Metrics of one node's batch runner.
+#[derive(Clone)]
+pub struct Metrics {
+    /// Items by how they ended: `answered`, `failed`.
+    pub items: IntCounterVec,
+    /// Chunks by what became of them: `claimed`, `committed`, `fenced`, `cancelled`, `handed_back`,
+    /// `taken_over`.
+    pub chunks: IntCounterVec,
+    /// Streams paused for online work.
+    pub pauses: IntCounter,
+    /// Streams that went on from an offset.
+    pub resumes: IntCounter,
+    /// Items started again from their first token after they had been started.
+    pub repeated: IntCounter,
+    /// Bytes of inputs and results held.
+    pub held_bytes: IntGauge,
+    /// Items that wait on this node.
+    pub waiting: IntGauge,
+    /// Items that run on this node's servers.
+    pub running: IntGauge,
+}
+
+impl Metrics {
+    /// Registers the metrics. A registry that has them already keeps its own; these then count for
+    /// nobody.
+    pub fn register(registry: &Registry) -> Metrics {
+        let metrics = Metrics {
+            items: counters("items", "Batch items by how they ended.", "outcome"),
+            chunks: counters("chunks", "Chunks by what became of them.", "event"),
+            pauses: counter("pauses", "Batch streams paused for online work."),
+            resumes: counter("resumes", "Batch streams that went on from an offset."),
+            repeated: counter(
+                "repeated_items",
+                "Batch items started again from the first token.",
+            ),
+            held_bytes: gauge("held_bytes", "Bytes of batch inputs and results held."),
+            waiting: gauge("waiting_items", "Batch items that wait on this node."),
+            running: gauge(
+                "running_items",
+                "Batch items that run on this node's servers.",
+            ),
+        };
+        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
+            Box::new(metrics.items.clone()),
+            Box::new(metrics.chunks.clone()),
+            Box::new(metrics.pauses.clone()),
+            Box::new(metrics.resumes.clone()),
+            Box::new(metrics.repeated.clone()),
+            Box::new(metrics.held_bytes.clone()),
+            Box::new(metrics.waiting.clone()),
+            Box::new(metrics.running.clone()),
+        ];
+        for collector in collectors {
+            if let Err(error) = registry.register(collector) {
+                tracing::debug!(%error, "a batch metric is registered already");
+            }
+        }
+        metrics
+    }
+
+    /// Counts a chunk event.
+    pub fn chunk(&self, event: &str) {
+        self.chunks.with_label_values(&[event]).inc();
+    }
+}
+
+fn name(suffix: &str) -> String {
+    format!("dappleyard_batch_{suffix}")
+}
+
+fn counter(suffix: &str, help: &str) -> IntCounter {
+    IntCounter::new(name(suffix), help).expect("the name is a constant and valid")
+}
+
+fn gauge(suffix: &str, help: &str) -> IntGauge {
+    IntGauge::new(name(suffix), help).expect("the name is a constant and valid")
+}
+
+fn counters(suffix: &str, help: &str, label: &str) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name(suffix), help), &[label])
+        .expect("the name is a constant and valid")
+}
--- /dev/null
+++ b/crates/batch/src/output.rs
@@ -0,0 +1,93 @@
+//! Lines of output and error files, in OpenAI's batch format.
+
+use dappleyard_wire::ErrorKind;
+use serde_json::json;
+
+use crate::input::Item;
+
+/// A whole answer of an item.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ItemAnswer {
+    /// Answer, one piece a token.
+    pub pieces: Vec<String>,
+    /// "stop" or "length".
+    pub reason: String,
+    /// Version of the model that answered.
+    pub version: String,
+}
+
+/// How an item ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ItemOutcome {
+    /// With an answer.
+    Answered(ItemAnswer),
+    /// With an error.
+    Failed {
+        /// Kind of the error.
+        kind: ErrorKind,
+        /// What happened.
+        message: String,
+    },
+}
+
+/// One line, with its line feed.
+pub fn line(item: &Item, request_id: &str, created_unix_s: u64, outcome: &ItemOutcome) -> Vec<u8> {
+    let (response, error) = match outcome {
+        ItemOutcome::Answered(answer) => (
+            json!({
+                "status_code": 200,
+                "request_id": request_id,
+                "body": body(item, request_id, created_unix_s, answer),
+            }),
+            serde_json::Value::Null,
+        ),
+        ItemOutcome::Failed { kind, message } => (
+            serde_json::Value::Null,
+            json!({ "code": kind.answer().code, "message": message }),
+        ),
+    };
+    let value = json!({
+        "id": format!("batch_req_{request_id}"),
+        "custom_id": item.custom_id,
+        "response": response,
+        "error": error,
+    });
+    let mut bytes = value.to_string().into_bytes();
+    bytes.push(b'\n');
+    bytes
+}
+
+fn body(
+    item: &Item,
+    request_id: &str,
+    created_unix_s: u64,
+    answer: &ItemAnswer,
+) -> serde_json::Value {
+    let text = answer.pieces.concat();
+    let choice = match item.chat {
+        true => json!({
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": answer.reason,
+        }),
+        false => json!({ "index": 0, "text": text, "finish_reason": answer.reason }),
+    };
+    let (prefix, object) = match item.chat {
+        true => ("chatcmpl", "chat.completion"),
+        false => ("cmpl", "text_completion"),
+    };
+    let completion_tokens = answer.pieces.len();
+    json!({
+        "id": format!("{prefix}-{request_id}"),
+        "object": object,
+        "created": created_unix_s,
+        "model": item.service,
+        "system_fingerprint": answer.version,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": item.prompt_tokens,
+            "completion_tokens": completion_tokens,
+            "total_tokens": item.prompt_tokens as usize + completion_tokens,
+        },
+    })
+}
--- /dev/null
+++ b/crates/batch/src/runner/commit.rs
@@ -0,0 +1,167 @@
+//! The commit of a chunk's result: the object first, then one transaction that compares the epoch
+//! of the chunk and the state of its job, and points to the object.
+
+use std::rc::Rc;
+
+use dappleyard_decide::chunks::{self, ChunkResult, CommitDecision};
+use dappleyard_platform::tables::Expect;
+use dappleyard_platform::{StoreError, Transaction};
+use dappleyard_tables::decisions::DecisionKind;
+use dappleyard_wire::keys;
+use dappleyard_wire::messages::{ChunkPhase, ChunkRow, JobRow};
+use prost::Message;
+
+use super::Runner;
+use super::work::{HeldChunk, StopReason};
+use crate::jobs::{Progress, finish_when_done};
+use crate::store::{self, Applied, wait_jittered};
+
+/// Wait between two attempts while the store does not answer, milliseconds, jittered.
+const STORE_WAIT_MS: u64 = 500;
+
+/// How the commit of a chunk ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Committed {
+    Yes,
+    Fenced,
+    Cancelled,
+}
+
+/// Commits a chunk whose items are all settled.
+pub async fn run(runner: Rc<Runner>, chunk: Rc<HeldChunk>) {
+    let object = keys::result_object(&chunk.job, chunk.index, chunk.epoch);
+    match commit_until_known(&runner, &chunk, &object).await {
+        Committed::Yes => {
+            runner.metrics.chunk("committed");
+            runner.forget(&chunk.place());
+            finish_job(&runner, &chunk).await;
+        }
+        Committed::Fenced => {
+            runner.metrics.chunk("fenced");
+            let outcome = format!("the result of chunk {} was dropped", chunk.index);
+            runner.decide(
+                DecisionKind::Fenced,
+                chunk.job.as_str(),
+                "old epoch",
+                outcome,
+            );
+            give_up(&runner, &chunk, StopReason::Fenced, &object).await;
+        }
+        Committed::Cancelled => {
+            runner.metrics.chunk("cancelled");
+            give_up(&runner, &chunk, StopReason::Cancelled, &object).await;
+        }
+    }
+}
+
+async fn give_up(runner: &Runner, chunk: &HeldChunk, reason: StopReason, object: &str) {
+    chunk.stop(reason);
+    runner.forget(&chunk.place());
+    if let Err(error) = runner.platform.objects.delete(object).await {
+        tracing::debug!(%error, object, "an unused object was not removed");
+    }
+}
+
+async fn commit_until_known(runner: &Runner, chunk: &HeldChunk, object: &str) -> Committed {
+    loop {
+        match commit_once(runner, chunk, object).await {
+            Ok(Some(committed)) => return committed,
+            Ok(None) => {}
+            Err(error) => {
+                tracing::debug!(%error, job = %chunk.job, "a result waits for the store");
+                wait_jittered(STORE_WAIT_MS).await;
+            }
+        }
+    }
+}
+
+/// One attempt. `None` when a row changed in between.
+async fn commit_once(
+    runner: &Runner,
+    chunk: &HeldChunk,
+    object: &str,
+) -> Result<Option<Committed>, StoreError> {
+    let (output, errors) = halves(chunk);
+    let sizes = (output.len() as u64, errors.len() as u64);
+    create_object(runner, object, [output, errors].concat()).await?;
+    let tables = &*runner.platform.tables;
+    let chunk_key = keys::chunk(&chunk.job, chunk.index);
+    let job_key = keys::job(&chunk.tenant.as_str().into(), &chunk.job);
+    let read = store::read_row::<ChunkRow>(tables, &chunk_key).await?;
+    let job = store::read_row::<JobRow>(tables, &job_key).await?;
+    let (Some(read), Some(job)) = (read, job) else {
+        return Ok(Some(Committed::Cancelled));
+    };
+    let result = result_of(chunk, object);
+    let mut row = match chunks::commit(&read.row, &job.row, chunk.epoch, &result) {
+        CommitDecision::Write(row) => row,
+        CommitDecision::AlreadyCommitted => return Ok(Some(Committed::Yes)),
+        CommitDecision::Fenced => return Ok(Some(Committed::Fenced)),
+        CommitDecision::Cancelled => return Ok(Some(Committed::Cancelled)),
+    };
+    (row.output_bytes, row.error_bytes) = sizes;
+    let held = keys::held_chunk(&row.holder, &chunk.job, row.index);
+    let transaction = Transaction::default()
+        .expect(chunk_key.as_str(), Expect::Revision(read.revision))
+        .expect(job_key, Expect::Revision(job.revision))
+        .put(chunk_key.as_str(), row.encode_to_vec())
+        .delete(held);
+    let applied = store::apply(tables, &transaction, &chunk_key, |value| {
+        is_result(value, object)
+    });
+    Ok(match applied.await? {
+        Applied::Yes { .. } => Some(Committed::Yes),
+        Applied::Conflict => None,
+    })
+}
+
+fn is_result(value: &bytes::Bytes, object: &str) -> bool {
+    ChunkRow::decode(value.clone())
+        .is_ok_and(|row| row.phase() == ChunkPhase::ChunkDone && row.result_object == object)
+}
+
+/// Output lines and error lines.
+fn halves(chunk: &HeldChunk) -> (Vec<u8>, Vec<u8>) {
+    let lines = chunk.lines.borrow();
+    let of = |failed: bool| -> Vec<u8> {
+        let chosen = lines.iter().flatten().filter(|line| line.failed == failed);
+        chosen.flat_map(|line| line.bytes.iter().copied()).collect()
+    };
+    (of(false), of(true))
+}
+
+fn result_of(chunk: &HeldChunk, object: &str) -> ChunkResult {
+    let lines = chunk.lines.borrow();
+    let failed = lines.iter().flatten().filter(|line| line.failed).count();
+    let failed = u32::try_from(failed).unwrap_or(u32::MAX);
+    let total = u32::try_from(lines.len()).unwrap_or(u32::MAX);
+    ChunkResult {
+        object: object.to_owned(),
+        completed: total - failed,
+        failed,
+    }
+}
+
+/// Creates an object whose name belongs to this holder's epoch alone: one that exists is its own.
+async fn create_object(runner: &Runner, name: &str, bytes: Vec<u8>) -> Result<(), StoreError> {
+    match runner.platform.objects.create(name, bytes.into()).await {
+        Ok(()) | Err(StoreError::Conflict { .. }) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+/// Completes the job when this was its last chunk. A failure here is mended by the janitor.
+async fn finish_job(runner: &Runner, chunk: &HeldChunk) {
+    let job = chunk.job.as_str();
+    let mut front = Progress::default();
+    let now = runner.now_unix_s();
+    let finished = finish_when_done(&runner.platform, &chunk.tenant, job, &mut front, now).await;
+    match finished {
+        Ok(true) => {
+            let cause = "all chunks are committed";
+            runner.decide(DecisionKind::JobChanged, job, cause, "completed".to_owned());
+        }
+        Ok(false) => {}
+        Err(error) => tracing::debug!(%error, job, "the end of a job was not looked for"),
+    }
+}
--- /dev/null
+++ b/crates/batch/src/runner/feed.rs
@@ -0,0 +1,158 @@
+//! Mirror of the jobs that are not finished, kept by the change feed of their rows. New jobs,
+//! cancels and ends reach every node this way; gossip carries cancels besides.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_decide::time::Millis;
+use dappleyard_platform::StoreError;
+use dappleyard_wire::keys::ACTIVE_JOB_PREFIX;
+use dappleyard_wire::messages::ActiveJobRow;
+use prost::Message;
+
+use super::Runner;
+use super::state::ActiveJob;
+use super::work::StopReason;
+use crate::store::wait_jittered;
+
+/// Rows read at once.
+const PAGE: usize = 512;
+/// Longest wait of the feed for a change while this node holds work, milliseconds: bounds how long
+/// a cancel can go unseen.
+const BUSY_WAIT_MS: u32 = 1_000;
+/// Longest wait while it holds none, milliseconds.
+const IDLE_WAIT_MS: u32 = 10_000;
+/// Time between looks at the cancels that gossip brought, milliseconds.
+const GOSSIP_LOOK_MS: u64 = 100;
+
+/// Follows feed and gossip for ever.
+pub async fn run(runner: Rc<Runner>) {
+    tokio::join!(follow_feed(&runner), follow_gossip(&runner));
+}
+
+async fn follow_feed(runner: &Runner) {
+    let mut position = None;
+    loop {
+        let step = match position {
+            None => read_all(runner).await,
+            Some(after) => read_changes(runner, after).await,
+        };
+        match step {
+            Ok(next) => position = next,
+            Err(error) => {
+                tracing::debug!(%error, "the feed of active jobs was not read");
+                wait_jittered(runner.settings.poll_interval_ms).await;
+            }
+        }
+    }
+}
+
+/// Reads all rows. The feed goes on from a revision that was asked for before, so that no change in
+/// between is missed.
+async fn read_all(runner: &Runner) -> Result<Option<u64>, StoreError> {
+    let tables = &runner.platform.tables;
+    let start = tables.changes(ACTIVE_JOB_PREFIX, 0, 0).await?;
+    let mut after = String::new();
+    let mut seen = Vec::new();
+    loop {
+        let rows = tables.range(ACTIVE_JOB_PREFIX, &after, PAGE).await?;
+        let full = rows.len() == PAGE;
+        for row in rows {
+            after = row.key;
+            seen.extend(ActiveJobRow::decode(row.value));
+        }
+        if !full {
+            break;
+        }
+    }
+    forget_others(runner, &seen);
+    for active in seen {
+        put(runner, active);
+    }
+    mark_read(runner);
+    Ok(Some(start.up_to))
+}
+
+fn forget_others(runner: &Runner, seen: &[ActiveJobRow]) {
+    let ids = seen.iter().map(|active| active.job_id.as_str());
+    let ids: BTreeSet<&str> = ids.collect();
+    let mut state = runner.state.borrow_mut();
+    state.jobs.retain(|job, _| ids.contains(job.as_str()));
+}
+
+async fn read_changes(runner: &Runner, after: u64) -> Result<Option<u64>, StoreError> {
+    let busy = !runner.state.borrow().held.is_empty();
+    let wait_ms = if busy { BUSY_WAIT_MS } else { IDLE_WAIT_MS };
+    let tables = &runner.platform.tables;
+    let changes = tables.changes(ACTIVE_JOB_PREFIX, after, wait_ms).await?;
+    if changes.compacted {
+        return Ok(None);
+    }
+    for (key, _, value) in changes.rows {
+        match value.map(ActiveJobRow::decode) {
+            Some(Ok(active)) => put(runner, active),
+            Some(Err(_)) => {}
+            None => remove(runner, key.trim_start_matches(ACTIVE_JOB_PREFIX)),
+        }
+    }
+    mark_read(runner);
+    Ok(Some(changes.up_to.max(after)))
+}
+
+fn put(runner: &Runner, row: ActiveJobRow) {
+    if row.cancelled {
+        cancel(runner, &row.job_id);
+    }
+    if row.chunks == 0 {
+        runner.split_wake.notify_one();
+    }
+    let id = row.job_id.clone();
+    let job = ActiveJob {
+        row,
+        exhausted_until: Millis(0),
+    };
+    runner.state.borrow_mut().jobs.insert(id, job);
+    runner.claim_wake.notify_one();
+}
+
+fn remove(runner: &Runner, job: &str) {
+    runner.state.borrow_mut().jobs.remove(job);
+}
+
+fn mark_read(runner: &Runner) {
+    runner.state.borrow_mut().feed_read_at = Some(runner.tables.clock.now());
+}
+
+async fn follow_gossip(runner: &Runner) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(GOSSIP_LOOK_MS)).await;
+        let held: BTreeSet<String> = {
+            let state = runner.state.borrow();
+            state.held.keys().map(|(job, _)| job.clone()).collect()
+        };
+        let cancelled: Vec<String> = {
+            let known = runner.tables.cancelled_jobs.lock();
+            held.into_iter().filter(|job| known.contains(job)).collect()
+        };
+        for job in cancelled {
+            cancel(runner, &job);
+        }
+    }
+}
+
+/// Stops all that this node does for a job, and lets gossip carry the news.
+fn cancel(runner: &Runner, job: &str) {
+    runner.tables.cancelled_jobs.lock().insert(job.to_owned());
+    let mut stopped = Vec::new();
+    for (place, chunk) in &runner.state.borrow().held {
+        if place.0 == job && !chunk.is_stopped() {
+            chunk.stop(StopReason::Cancelled);
+            stopped.push(place.clone());
+        }
+    }
+    for place in stopped {
+        runner.metrics.chunk("cancelled");
+        runner.forget(&place);
+    }
+}
--- /dev/null
+++ b/crates/batch/src/runner/run_item.rs
@@ -0,0 +1,267 @@
+//! One item on one engine: from the call to the end of its stream.
+
+use std::rc::Rc;
+
+use dappleyard_engine::{EngineError, EngineEvent, GenerateCall, Priority};
+use dappleyard_settings::BatchPolicy;
+use dappleyard_tables::directory::ServerEntry;
+use dappleyard_tables::servers::InFlight;
+use dappleyard_wire::ids::RequestId;
+use dappleyard_wire::{ErrorKind, prompt};
+use futures::StreamExt;
+
+use super::Runner;
+use super::state::RunningItem;
+use super::work::WorkItem;
+use crate::output::{ItemAnswer, ItemOutcome};
+
+/// How long nothing is started on a server whose engine refused or was not reached, milliseconds.
+const AVOID_MS: u64 = 500;
+
+/// How an attempt ended.
+enum Ended {
+    /// With the whole answer.
+    Answered { reason: String },
+    /// It was paused, or told to stop: the tokens so far are kept.
+    Paused,
+    /// Nothing ran.
+    NotRun(String),
+    /// The model version that made the tokens so far is gone from the server.
+    VersionGone,
+    /// The engine was lost: it may have run.
+    Lost(String),
+    /// The engine will never take the item.
+    Rejected(String),
+}
+
+/// Starts an item on a server and follows it in a task of its own.
+pub fn start(runner: &Rc<Runner>, entry: ServerEntry, mut item: WorkItem) {
+    let attempt = item.next_attempt();
+    let request = item.chunk.request_id(item.index);
+    let flight = InFlight {
+        tokens: item.kv_tokens(),
+        prefill_tokens: item.item().prompt_tokens,
+        since: runner.tables.clock.now(),
+        started: false,
+    };
+    runner
+        .tables
+        .servers
+        .begin_batch(&entry.server, &request, flight);
+    let running = RunningItem {
+        request: request.clone(),
+        attempt,
+        chunk: item.chunk.clone(),
+        stream: None,
+        stopping: false,
+    };
+    let mut state = runner.state.borrow_mut();
+    let server = state.servers.entry(entry.server.clone()).or_default();
+    server.running.push(running);
+    drop(state);
+    actix_rt::spawn(follow(runner.clone(), entry, item, request, attempt));
+}
+
+async fn follow(
+    runner: Rc<Runner>,
+    entry: ServerEntry,
+    mut item: WorkItem,
+    request: RequestId,
+    attempt: u32,
+) {
+    let ended = match item.chunk.once {
+        true if !runner.mark_started(&item.chunk, item.index).await => Ended::Paused,
+        _ => run(&runner, &entry, &mut item, &request, attempt).await,
+    };
+    runner.tables.servers.end_batch(&entry.server, &request);
+    remove_running(&runner, &entry, &request, attempt);
+    item.last_server = Some(entry.server.clone());
+    finish(&runner, &entry, item, ended);
+    runner.dispatch_wake.notify_one();
+    runner.claim_wake.notify_one();
+}
+
+fn remove_running(runner: &Runner, entry: &ServerEntry, request: &RequestId, attempt: u32) {
+    let mut state = runner.state.borrow_mut();
+    if let Some(server) = state.servers.get_mut(&entry.server) {
+        let running = &mut server.running;
+        running.retain(|running| running.request != *request || running.attempt != attempt);
+    }
+}
+
+fn finish(runner: &Rc<Runner>, entry: &ServerEntry, mut item: WorkItem, ended: Ended) {
+    match ended {
+        Ended::Answered { reason } => {
+            let answer = ItemAnswer {
+                pieces: std::mem::take(&mut item.pieces),
+                reason,
+                version: item.version.clone(),
+            };
+            runner.settle(&item.chunk, item.index, &ItemOutcome::Answered(answer));
+        }
+        Ended::Rejected(message) => {
+            let kind = ErrorKind::InvalidRequest;
+            runner.settle(
+                &item.chunk,
+                item.index,
+                &ItemOutcome::Failed { kind, message },
+            );
+        }
+        // The engine gave up an item that must not repeat by itself: it may have run.
+        Ended::Paused if item.chunk.once && !item.version.is_empty() => {
+            runner.settle_unknown(&item.chunk, item.index);
+        }
+        Ended::Lost(_) if item.chunk.once => runner.settle_unknown(&item.chunk, item.index),
+        Ended::VersionGone => {
+            runner.metrics.repeated.inc();
+            item.pieces.clear();
+            item.version.clear();
+            runner.state.borrow_mut().put_back(item);
+        }
+        Ended::Lost(reason) | Ended::NotRun(reason) => {
+            tracing::debug!(reason, server = %entry.server, "a batch item is tried again");
+            avoid(runner, entry);
+            runner.state.borrow_mut().put_back(item);
+        }
+        Ended::Paused => runner.state.borrow_mut().put_back(item),
+    }
+}
+
+fn avoid(runner: &Runner, entry: &ServerEntry) {
+    let until = runner.tables.clock.now().plus(AVOID_MS);
+    let mut state = runner.state.borrow_mut();
+    let server = state.servers.entry(entry.server.clone()).or_default();
+    server.avoid_until = until;
+}
+
+async fn run(
+    runner: &Runner,
+    entry: &ServerEntry,
+    item: &mut WorkItem,
+    request: &RequestId,
+    attempt: u32,
+) -> Ended {
+    if item.chunk.is_stopped() {
+        return Ended::Paused;
+    }
+    if !item.pieces.is_empty() {
+        runner.metrics.resumes.inc();
+    }
+    let call = generate_call(runner, item, request, attempt);
+    let mut events = match runner.engine.generate(&entry.base_url, call).await {
+        Ok(events) => events,
+        Err(error) => return refused(error, item),
+    };
+    while let Some(event) = events.next().await {
+        match event {
+            Ok(EngineEvent::Accepted { stream, version }) => {
+                item.version = version;
+                accepted(runner, entry, request, attempt, stream).await;
+            }
+            Ok(EngineEvent::Tokens { offset, pieces }) => take_tokens(item, offset, pieces),
+            Ok(EngineEvent::Finished {
+                reason,
+                total_tokens,
+                ..
+            }) => {
+                return finished(item, reason, total_tokens);
+            }
+            Err(error) => return refused(error, item),
+        }
+    }
+    Ended::Lost("the stream ended without its end".to_owned())
+}
+
+fn generate_call(
+    runner: &Runner,
+    item: &WorkItem,
+    request: &RequestId,
+    attempt: u32,
+) -> GenerateCall {
+    let input = item.item();
+    let priority = match runner.settings.policy {
+        BatchPolicy::SharedQueue => Priority::ONLINE,
+        _ => Priority::BATCH,
+    };
+    GenerateCall {
+        request_id: request.to_string(),
+        attempt,
+        service: input.service.clone(),
+        version: item.version.clone(),
+        adapter: input.adapter.clone(),
+        prompt: input.prompt.clone(),
+        prompt_tokens: input.prompt_tokens,
+        prefix_hash: prompt::prefix_hash(&input.prompt),
+        prefix_tokens: 0,
+        max_tokens: input.max_tokens,
+        priority,
+        resume_offset: u32::try_from(item.pieces.len()).unwrap_or(u32::MAX),
+        attach_stream: String::new(),
+        attach_only: false,
+        stream: false,
+    }
+}
+
+/// Notes the stream; one that was told to stop in the meantime is cancelled now.
+async fn accepted(
+    runner: &Runner,
+    entry: &ServerEntry,
+    request: &RequestId,
+    attempt: u32,
+    stream: String,
+) {
+    let stopping = {
+        let mut state = runner.state.borrow_mut();
+        let server = state.servers.entry(entry.server.clone()).or_default();
+        let running = server
+            .running
+            .iter_mut()
+            .find(|running| running.request == *request && running.attempt == attempt);
+        running.is_some_and(|running| {
+            running.stream = Some(stream.clone());
+            running.stopping
+        })
+    };
+    if stopping {
+        cancel_stream(runner, &entry.base_url, &stream).await;
+    }
+}
+
+/// Tells an engine to stop a stream. A failure is harmless: the engine keeps running an item whose
+/// result is dropped, or its loss is seen on the stream itself.
+pub async fn cancel_stream(runner: &Runner, base: &str, stream: &str) {
+    if let Err(error) = runner.engine.cancel(base, stream).await {
+        tracing::debug!(%error, stream, "a stream was not cancelled");
+    }
+}
+
+/// Appends tokens; those that are known already are skipped, and tokens after a gap are dropped.
+fn take_tokens(item: &mut WorkItem, offset: u32, pieces: Vec<String>) {
+    let known = item.pieces.len();
+    let offset = offset as usize;
+    if offset <= known {
+        item.pieces.extend(pieces.into_iter().skip(known - offset));
+    }
+}
+
+fn finished(item: &WorkItem, reason: String, total_tokens: u32) -> Ended {
+    if reason == "cancelled" {
+        return Ended::Paused;
+    }
+    match item.pieces.len() == total_tokens as usize {
+        true => Ended::Answered { reason },
+        false => Ended::Lost("tokens of the answer are missing".to_owned()),
+    }
+}
+
+fn refused(error: EngineError, item: &WorkItem) -> Ended {
+    match error {
+        EngineError::Lost { reason } => Ended::Lost(reason),
+        EngineError::Unreachable { reason } => Ended::NotRun(reason),
+        EngineError::Refused { status: 404, .. } if !item.version.is_empty() => Ended::VersionGone,
+        EngineError::Refused { status, reason } => match status {
+            400 | 413 | 422 => Ended::Rejected(reason),
+            _ => Ended::NotRun(reason),
+        },
+    }
+}
--- /dev/null
+++ b/crates/batch/src/runner/settle.rs
@@ -0,0 +1,49 @@
+//! Settling of items: the result line of each is kept until its chunk is whole.
+
+use std::rc::Rc;
+
+use dappleyard_wire::ErrorKind;
+
+use super::work::{HeldChunk, ItemLine};
+use super::{Runner, commit};
+use crate::output::{ItemOutcome, line};
+
+impl Runner {
+    /// Records how an item ended; the last one of a chunk starts its commit.
+    pub(super) fn settle(
+        self: &Rc<Self>,
+        chunk: &Rc<HeldChunk>,
+        index: u32,
+        outcome: &ItemOutcome,
+    ) {
+        if chunk.is_stopped() {
+            return;
+        }
+        let item = &chunk.items[index as usize];
+        let request = chunk.request_id(index);
+        let failed = matches!(outcome, ItemOutcome::Failed { .. });
+        let written = ItemLine {
+            bytes: line(item, request.as_str(), self.now_unix_s(), outcome),
+            failed,
+        };
+        let name = if failed { "failed" } else { "answered" };
+        self.metrics.items.with_label_values(&[name]).inc();
+        let previous = chunk.lines.borrow_mut()[index as usize].replace(written);
+        if previous.is_none() {
+            chunk.remaining.set(chunk.remaining.get() - 1);
+        }
+        if previous.is_none() && chunk.remaining.get() == 0 {
+            actix_rt::spawn(commit::run(self.clone(), chunk.clone()));
+        }
+    }
+
+    /// Settles an item that must not repeat and may have run under an earlier epoch.
+    pub(super) fn settle_unknown(self: &Rc<Self>, chunk: &Rc<HeldChunk>, index: u32) {
+        let outcome = ItemOutcome::Failed {
+            kind: ErrorKind::OutcomeUnknown,
+            message: "the item may have run and its outcome is lost; it is not run again"
+                .to_owned(),
+        };
+        self.settle(chunk, index, &outcome);
+    }
+}
--- /dev/null
+++ b/crates/batch/src/runner/split.rs
@@ -0,0 +1,448 @@
+//! Cutting of accepted jobs into chunk rows.
+//!
+//! A split runs under an epoch in the job's split row. It reads the whole input once, checks every
+//! line and only then writes chunk rows, a few to a transaction, each of which moves the cursor of
+//! the split row. A node that takes the split over goes on at the cursor.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_decide::chunks::{self, ChunkSizing};
+use dappleyard_platform::tables::Expect;
+use dappleyard_platform::{StoreError, Transaction};
+use dappleyard_tables::decisions::DecisionKind;
+use dappleyard_wire::hash::hash_bytes;
+use dappleyard_wire::ids::JobId;
+use dappleyard_wire::keys::{self, SPLIT_JOB_PREFIX};
+use dappleyard_wire::messages::{
+    ActiveJobRow, ChunkRow, JobError, JobPhase, JobRow, JobState, Repeat, SplitRow,
+};
+use prost::Message;
+
+use super::Runner;
+use crate::input::{Item, Line, LineReader, PartIndex, parse};
+use crate::store::{self, Applied, Versioned, wait_jittered};
+
+/// Splits looked at in one reading.
+const PAGE: usize = 16;
+/// Chunk rows written by one transaction.
+const CHUNKS_PER_TRANSACTION: usize = 32;
+/// Errors reported for one job.
+const MAXIMUM_ERRORS: usize = 20;
+/// Time between looks for splits that nobody works on, milliseconds, for each live member.
+const SWEEP_MS_PER_MEMBER: u64 = 1_000;
+
+/// Splits accepted jobs for ever.
+pub async fn run(runner: Rc<Runner>) {
+    loop {
+        let members = runner.tables.members.all().len().max(1) as u64;
+        let sweep = Duration::from_millis(SWEEP_MS_PER_MEMBER * members);
+        let _ = tokio::time::timeout(sweep, runner.split_wake.notified()).await;
+        if let Err(error) = split_all(&runner).await {
+            tracing::debug!(%error, "a split was not finished");
+            wait_jittered(runner.settings.poll_interval_ms).await;
+            runner.split_wake.notify_one();
+        }
+    }
+}
+
+async fn split_all(runner: &Runner) -> Result<(), StoreError> {
+    let tables = &runner.platform.tables;
+    let mut after = String::new();
+    loop {
+        let rows = tables.range(SPLIT_JOB_PREFIX, &after, PAGE).await?;
+        let full = rows.len() == PAGE;
+        for row in rows {
+            let read = store::decode::<SplitRow>(&row.key, &row.value, row.revision)?;
+            after = row.key;
+            if !runner.takes_new_work() {
+                return Ok(());
+            }
+            if let Some(owned) = own(runner, read).await? {
+                split_one(runner, owned).await?;
+            }
+        }
+        if !full {
+            return Ok(());
+        }
+    }
+}
+
+/// Raises the epoch of a split that nobody alive works on.
+async fn own(
+    runner: &Runner,
+    read: Versioned<SplitRow>,
+) -> Result<Option<Versioned<SplitRow>>, StoreError> {
+    let claimant = runner.claimant();
+    let mine =
+        read.row.holder == claimant.node && read.row.holder_incarnation == claimant.incarnation;
+    if mine {
+        return Ok(Some(read));
+    }
+    let held = !read.row.holder.is_empty();
+    if held && !runner.is_gone(&read.row.holder, read.row.holder_incarnation) {
+        return Ok(None);
+    }
+    let mut row = read.row;
+    row.epoch += 1;
+    row.holder = claimant.node;
+    row.holder_incarnation = claimant.incarnation;
+    let key = keys::split_job(&row.job_id.as_str().into());
+    let transaction = Transaction::default()
+        .expect(key.as_str(), Expect::Revision(read.revision))
+        .put(key.as_str(), row.encode_to_vec());
+    write(runner, &transaction, &key, row).await
+}
+
+async fn write(
+    runner: &Runner,
+    transaction: &Transaction,
+    key: &str,
+    row: SplitRow,
+) -> Result<Option<Versioned<SplitRow>>, StoreError> {
+    let applied = store::apply(&*runner.platform.tables, transaction, key, |value| {
+        SplitRow::decode(value.clone()).is_ok_and(|written| written == row)
+    });
+    Ok(match applied.await? {
+        Applied::Yes { revision } => Some(Versioned { row, revision }),
+        Applied::Conflict => None,
+    })
+}
+
+async fn split_one(runner: &Runner, split: Versioned<SplitRow>) -> Result<(), StoreError> {
+    let job = JobId::from(&split.row.job_id);
+    let key = keys::job(&split.row.tenant.as_str().into(), &job);
+    let read = store::read_row::<JobRow>(&*runner.platform.tables, &key).await?;
+    let Some(read) = read.filter(|read| is_unsplit(&read.row)) else {
+        return drop_split(runner, &split).await;
+    };
+    let state = read.row.state.clone().unwrap_or_default();
+    let objects = &*runner.platform.objects;
+    let parts = PartIndex::list(objects, &state.tenant, &state.input_file_id).await?;
+    let checked = check(runner, &parts, &state, read.row.repeat()).await?;
+    if !checked.errors.is_empty() {
+        return fail(runner, &split, read, checked.errors).await;
+    }
+    if !is_approved(runner, &read.row, checked.items) {
+        return park(runner, &split, read, &checked).await;
+    }
+    let Some(split) = write_chunks(runner, split, &state, &read.row, &checked).await? else {
+        return Ok(());
+    };
+    begin(runner, &split, read, &checked).await
+}
+
+fn is_unsplit(row: &JobRow) -> bool {
+    let phase = row.state.as_ref().map(JobState::phase);
+    !row.cancelled && phase == Some(JobPhase::JobValidating)
+}
+
+/// What the reading of a job's input gave.
+struct Checked {
+    errors: Vec<JobError>,
+    items: u32,
+    service: String,
+    /// Chunks by (first byte, byte after the last, first item, items).
+    chunks: Vec<Span>,
+}
+
+/// Place of a chunk in the input.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Span {
+    start: u64,
+    end: u64,
+    first_item: u32,
+    items: u32,
+}
+
+/// Reads and checks the whole input. Holds one line, the hashes of the items' names and the places
+/// of the chunks.
+async fn check(
+    runner: &Runner,
+    parts: &PartIndex,
+    state: &JobState,
+    repeat: Repeat,
+) -> Result<Checked, StoreError> {
+    let objects = &*runner.platform.objects;
+    let longest = runner.settings.maximum_line_bytes;
+    let mut reader = LineReader::new(objects, parts, 0, longest);
+    let mut checked = Checked {
+        errors: Vec::new(),
+        items: 0,
+        service: String::new(),
+        chunks: Vec::new(),
+    };
+    let mut names = HashSet::new();
+    let mut lines = Vec::new();
+    while let Some(line) = reader.next().await? {
+        if checked.errors.len() >= MAXIMUM_ERRORS {
+            break;
+        }
+        checked.items += 1;
+        if checked.items > runner.settings.maximum_job_items {
+            let message = format!(
+                "a job has at most {} items",
+                runner.settings.maximum_job_items
+            );
+            checked.errors.push(error(line.number, "", message));
+            break;
+        }
+        match check_line(&line, state, longest, &mut checked.service, &mut names) {
+            Ok(()) => lines.push((line.start, line.end)),
+            Err(problem) => checked.errors.push(problem),
+        }
+    }
+    if checked.items == 0 {
+        checked
+            .errors
+            .push(error(0, "", "the file has no items".to_owned()));
+    }
+    checked.chunks = spans(runner, &lines, repeat);
+    Ok(checked)
+}
+
+fn check_line(
+    line: &Line,
+    state: &JobState,
+    longest: usize,
+    service: &mut String,
+    names: &mut HashSet<u64>,
+) -> Result<(), JobError> {
+    let Some(content) = &line.content else {
+        let message = format!("the line is longer than {longest} bytes");
+        return Err(error(line.number, "", message));
+    };
+    let item: Item = parse(content, &state.endpoint)
+        .map_err(|problem| error(line.number, problem.field, problem.message))?;
+    if service.is_empty() {
+        service.clone_from(&item.service);
+    }
+    if *service != item.service {
+        let message = format!("all items of a job name one model; the first names {service:?}");
+        return Err(error(line.number, "body.model", message));
+    }
+    if !names.insert(hash_bytes(item.custom_id.as_bytes())) {
+        let message = format!("{:?} names an earlier item too", item.custom_id);
+        return Err(error(line.number, "custom_id", message));
+    }
+    Ok(())
+}
+
+fn error(line: u32, field: &str, message: String) -> JobError {
+    JobError {
+        line,
+        field: field.to_owned(),
+        message,
+    }
+}
+
+/// Cuts lines into chunks.
+fn spans(runner: &Runner, lines: &[(u64, u64)], repeat: Repeat) -> Vec<Span> {
+    let settings = &runner.settings;
+    let items = u32::try_from(lines.len()).unwrap_or(u32::MAX);
+    let maximum = match repeat {
+        Repeat::Never => settings.once_chunk_items.min(chunks::MAXIMUM_ONCE_ITEMS),
+        Repeat::Allowed => settings.chunk_maximum_items,
+    };
+    let size = chunks::chunk_items(&ChunkSizing {
+        items,
+        nodes: u32::try_from(runner.tables.members.all().len()).unwrap_or(u32::MAX),
+        item_us: 0,
+        target_ms: settings.chunk_target_ms,
+        minimum: settings.chunk_minimum_items,
+        maximum,
+    });
+    let most_bytes = (settings.memory_bytes / CHUNKS_IN_MEMORY) as u64;
+    let mut spans: Vec<Span> = Vec::new();
+    for (index, (start, end)) in lines.iter().copied().enumerate() {
+        match spans.last_mut() {
+            Some(span) if span.items < size && end - span.start <= most_bytes => {
+                span.end = end;
+                span.items += 1;
+            }
+            _ => spans.push(Span {
+                start,
+                end,
+                first_item: u32::try_from(index).unwrap_or(u32::MAX),
+                items: 1,
+            }),
+        }
+    }
+    spans
+}
+
+/// Inputs of chunks that fit into a node's memory together.
+const CHUNKS_IN_MEMORY: usize = 8;
+
+fn is_approved(runner: &Runner, row: &JobRow, items: u32) -> bool {
+    let tenant = row.state.as_ref().map_or("", |state| &state.tenant);
+    let configuration = runner.tables.configuration.current();
+    let standing = configuration
+        .tenants
+        .get(tenant)
+        .map_or(runner.settings.standing_items, |row| {
+            row.standing_batch_items
+        });
+    row.approved || items <= standing
+}
+
+/// Writes the chunk rows from the cursor on. `None` when another node took the split over.
+async fn write_chunks(
+    runner: &Runner,
+    mut split: Versioned<SplitRow>,
+    state: &JobState,
+    job: &JobRow,
+    checked: &Checked,
+) -> Result<Option<Versioned<SplitRow>>, StoreError> {
+    let id = JobId::from(&state.job_id);
+    let key = keys::split_job(&id);
+    let first = split.row.next_chunk as usize;
+    for (batch_index, batch) in checked.chunks[first.min(checked.chunks.len())..]
+        .chunks(CHUNKS_PER_TRANSACTION)
+        .enumerate()
+    {
+        let from = first + batch_index * CHUNKS_PER_TRANSACTION;
+        let mut transaction =
+            Transaction::default().expect(key.as_str(), Expect::Revision(split.revision));
+        for (offset, span) in batch.iter().enumerate() {
+            let index = u32::try_from(from + offset).unwrap_or(u32::MAX);
+            let row = chunk_row(state, job, &checked.service, index, span).encode_to_vec();
+            transaction = transaction
+                .put(keys::chunk(&id, index), row.clone())
+                .put(keys::open_chunk(&id, index), row);
+        }
+        let mut next = split.row.clone();
+        next.next_chunk = u32::try_from(from + batch.len()).unwrap_or(u32::MAX);
+        let last = batch.last().copied();
+        next.next_offset = last.map_or(0, |span| span.end);
+        next.next_item = last.map_or(0, |span| span.first_item + span.items);
+        transaction = transaction.put(key.as_str(), next.encode_to_vec());
+        match write(runner, &transaction, &key, next).await? {
+            Some(written) => split = written,
+            None => return Ok(None),
+        }
+    }
+    Ok(Some(split))
+}
+
+fn chunk_row(state: &JobState, job: &JobRow, service: &str, index: u32, span: &Span) -> ChunkRow {
+    ChunkRow {
+        job_id: state.job_id.clone(),
+        tenant: state.tenant.clone(),
+        index,
+        input_start: span.start,
+        input_end: span.end,
+        first_item: span.first_item,
+        items: span.items,
+        repeat: job.repeat,
+        service: service.to_owned(),
+        deadline_unix_s: state.deadline_unix_s,
+        ..ChunkRow::default()
+    }
+}
+
+/// All chunk rows are written: the job is in progress.
+async fn begin(
+    runner: &Runner,
+    split: &Versioned<SplitRow>,
+    read: Versioned<JobRow>,
+    checked: &Checked,
+) -> Result<(), StoreError> {
+    let mut row = read.row;
+    let mut state = row.state.take().unwrap_or_default();
+    state.set_phase(JobPhase::JobInProgress);
+    state.items_total = checked.items;
+    row.chunks = u32::try_from(checked.chunks.len()).unwrap_or(u32::MAX);
+    row.services = vec![checked.service.clone()];
+    let active = ActiveJobRow {
+        job_id: state.job_id.clone(),
+        tenant: state.tenant.clone(),
+        service: checked.service.clone(),
+        deadline_unix_s: state.deadline_unix_s,
+        repeat: row.repeat,
+        cancelled: false,
+        items: checked.items,
+        chunks: row.chunks,
+    };
+    row.state = Some(state);
+    finish_split(runner, split, (row, read.revision), Some(active)).await
+}
+
+/// The input is wrong: the job fails with the errors found.
+async fn fail(
+    runner: &Runner,
+    split: &Versioned<SplitRow>,
+    read: Versioned<JobRow>,
+    errors: Vec<JobError>,
+) -> Result<(), StoreError> {
+    let mut row = read.row;
+    let mut state = row.state.take().unwrap_or_default();
+    state.set_phase(JobPhase::JobFailed);
+    state.finished_unix_s = runner.now_unix_s();
+    state.errors = errors;
+    let job = state.job_id.clone();
+    row.state = Some(state);
+    finish_split(runner, split, (row, read.revision), None).await?;
+    let cause = "the input file has errors";
+    runner.decide(DecisionKind::JobChanged, &job, cause, "failed".to_owned());
+    Ok(())
+}
+
+/// No approval covers the job: it waits for a confirmation.
+async fn park(
+    runner: &Runner,
+    split: &Versioned<SplitRow>,
+    read: Versioned<JobRow>,
+    checked: &Checked,
+) -> Result<(), StoreError> {
+    let mut row = read.row;
+    let mut state = row.state.take().unwrap_or_default();
+    state.set_phase(JobPhase::JobPlanned);
+    state.items_total = checked.items;
+    row.services = vec![checked.service.clone()];
+    let job = state.job_id.clone();
+    row.state = Some(state);
+    finish_split(runner, split, (row, read.revision), None).await?;
+    let cause = "no standing approval covers its items";
+    runner.decide(DecisionKind::JobChanged, &job, cause, "planned".to_owned());
+    Ok(())
+}
+
+/// Writes the job's new row and removes the split row. Without an `active` row the job's feed row is
+/// removed too.
+async fn finish_split(
+    runner: &Runner,
+    split: &Versioned<SplitRow>,
+    (row, revision): (JobRow, u64),
+    active: Option<ActiveJobRow>,
+) -> Result<(), StoreError> {
+    let job = JobId::from(&split.row.job_id);
+    let key = keys::job(&split.row.tenant.as_str().into(), &job);
+    let split_key = keys::split_job(&job);
+    let active_key = keys::active_job(&job);
+    let transaction = Transaction::default()
+        .expect(split_key.as_str(), Expect::Revision(split.revision))
+        .expect(key.as_str(), Expect::Revision(revision))
+        .put(key.as_str(), row.encode_to_vec())
+        .delete(split_key);
+    let transaction = match active {
+        Some(active) => transaction.put(active_key, active.encode_to_vec()),
+        None => transaction.delete(active_key),
+    };
+    store::apply(&*runner.platform.tables, &transaction, &key, |value| {
+        JobRow::decode(value.clone()).is_ok_and(|written| written == row)
+    })
+    .await?;
+    Ok(())
+}
+
+/// Removes the split row of a job that needs no split any more.
+async fn drop_split(runner: &Runner, split: &Versioned<SplitRow>) -> Result<(), StoreError> {
+    let key = keys::split_job(&split.row.job_id.as_str().into());
+    let transaction = Transaction::default()
+        .expect(key.as_str(), Expect::Revision(split.revision))
+        .delete(key.as_str());
+    store::apply(&*runner.platform.tables, &transaction, &key, |_| false).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/batch/src/runner/state.rs
@@ -0,0 +1,152 @@
+//! What the runner's tasks share: active jobs, held chunks, waiting and running items.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+use dappleyard_decide::fairness::TenantShares;
+use dappleyard_decide::time::Millis;
+use dappleyard_decide::width::StepModel;
+use dappleyard_wire::ids::{RequestId, ServerId};
+use dappleyard_wire::messages::ActiveJobRow;
+
+use super::work::{HeldChunk, WorkItem};
+
+/// Place of a chunk: job id and index.
+pub type ChunkPlace = (String, u32);
+
+/// An active job as the feed shows it.
+pub struct ActiveJob {
+    /// The row.
+    pub row: ActiveJobRow,
+    /// No open chunk was found: do not look again before this time.
+    pub exhausted_until: Millis,
+}
+
+/// A batch stream on a server.
+pub struct RunningItem {
+    /// Request id.
+    pub request: RequestId,
+    /// Attempt, which tells two streams of the same item apart.
+    pub attempt: u32,
+    /// Its chunk.
+    pub chunk: Rc<HeldChunk>,
+    /// Engine stream, once it is known.
+    pub stream: Option<String>,
+    /// It was told to stop.
+    pub stopping: bool,
+}
+
+/// What is known of a server besides the shared table.
+#[derive(Default)]
+pub struct ServerState {
+    /// Streams, oldest first.
+    pub running: Vec<RunningItem>,
+    /// Learnt cost of a step.
+    pub steps: StepModel,
+    /// Number of the last report taken into `steps`.
+    pub report_seen: u64,
+    /// Start nothing before this time, since the engine refused or failed.
+    pub avoid_until: Millis,
+}
+
+/// State of the runner.
+#[derive(Default)]
+pub struct State {
+    /// Jobs that are not finished.
+    pub jobs: BTreeMap<String, ActiveJob>,
+    /// When the feed was last read with success.
+    pub feed_read_at: Option<Millis>,
+    /// Chunks held, input loaded.
+    pub held: BTreeMap<ChunkPlace, Rc<HeldChunk>>,
+    /// Items never started, by service.
+    pub fresh: BTreeMap<String, VecDeque<WorkItem>>,
+    /// Items that were paused or have to be tried again, by service.
+    pub paused: BTreeMap<String, Vec<WorkItem>>,
+    /// Servers that run or ran items.
+    pub servers: BTreeMap<ServerId, ServerState>,
+    /// Batch work given to tenants.
+    pub shares: TenantShares,
+    /// Bytes that held chunks account for.
+    pub held_bytes: usize,
+}
+
+impl State {
+    /// Items of a service that wait.
+    pub fn waiting(&self, service: &str) -> usize {
+        let fresh = self.fresh.get(service).map_or(0, VecDeque::len);
+        let paused = self.paused.get(service).map_or(0, Vec::len);
+        fresh + paused
+    }
+
+    /// All items that wait.
+    pub fn waiting_total(&self) -> usize {
+        let fresh: usize = self.fresh.values().map(VecDeque::len).sum();
+        let paused: usize = self.paused.values().map(Vec::len).sum();
+        fresh + paused
+    }
+
+    /// All streams.
+    pub fn running_total(&self) -> usize {
+        let servers = self.servers.values();
+        servers.map(|server| server.running.len()).sum()
+    }
+
+    /// Takes the next item for a server: one that ran there before, then a fresh one, then one that
+    /// ran elsewhere. Items of chunks that were given up are dropped.
+    pub fn take_item(&mut self, service: &str, server: &ServerId) -> Option<WorkItem> {
+        self.take_paused(service, |item| item.last_server.as_ref() == Some(server))
+            .or_else(|| self.take_fresh(service))
+            .or_else(|| self.take_paused(service, |_| true))
+    }
+
+    fn take_paused(
+        &mut self,
+        service: &str,
+        wanted: impl Fn(&WorkItem) -> bool,
+    ) -> Option<WorkItem> {
+        let paused = self.paused.get_mut(service)?;
+        paused.retain(|item| !item.chunk.is_stopped());
+        let index = paused.iter().position(wanted)?;
+        Some(paused.remove(index))
+    }
+
+    fn take_fresh(&mut self, service: &str) -> Option<WorkItem> {
+        let fresh = self.fresh.get_mut(service)?;
+        while let Some(item) = fresh.pop_front() {
+            if !item.chunk.is_stopped() {
+                return Some(item);
+            }
+        }
+        None
+    }
+
+    /// Puts an item back that was paused or has to be tried again.
+    pub fn put_back(&mut self, item: WorkItem) {
+        if !item.chunk.is_stopped() {
+            let service = item.chunk.service.clone();
+            self.paused.entry(service).or_default().push(item);
+        }
+    }
+
+    /// Holds a chunk and queues the items that are chosen.
+    pub fn hold(&mut self, chunk: &Rc<HeldChunk>, queued: impl Iterator<Item = u32>) {
+        self.held_bytes += chunk.bytes;
+        self.held.insert(chunk.place(), chunk.clone());
+        let fresh = self.fresh.entry(chunk.service.clone()).or_default();
+        fresh.extend(queued.map(|index| WorkItem::fresh(chunk, index)));
+    }
+
+    /// Drops a chunk and its waiting items.
+    pub fn forget(&mut self, place: &ChunkPlace) {
+        let Some(chunk) = self.held.remove(place) else {
+            return;
+        };
+        self.held_bytes = self.held_bytes.saturating_sub(chunk.bytes);
+        if let Some(fresh) = self.fresh.get_mut(&chunk.service) {
+            fresh.retain(|item| !Rc::ptr_eq(&item.chunk, &chunk));
+        }
+        if let Some(paused) = self.paused.get_mut(&chunk.service) {
+            paused.retain(|item| !Rc::ptr_eq(&item.chunk, &chunk));
+        }
+    }
+}
--- /dev/null
+++ b/crates/batch/src/runner/takeover.rs
@@ -0,0 +1,147 @@
+//! Opening of chunks whose holder is gone.
+//!
+//! Each claimed chunk is listed under its holder. When membership says that a node is gone, the few
+//! nodes that the hash prefers look at its list, one after the other; a slow sweep over all lists
+//! catches what they miss. Opening raises the epoch, so a holder that was only paused is fenced.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_decide::chunks;
+use dappleyard_platform::tables::Expect;
+use dappleyard_platform::{StoreError, Transaction};
+use dappleyard_tables::decisions::DecisionKind;
+use dappleyard_wire::ids::JobId;
+use dappleyard_wire::keys::{self, HELD_CHUNK_PREFIX};
+use dappleyard_wire::messages::{ChunkRow, EpochRow};
+use prost::Message;
+use rand::Rng;
+
+use super::Runner;
+use crate::store::{self, Applied, Versioned};
+
+/// Rows read at once.
+const PAGE: usize = 256;
+/// Time between two sweeps, milliseconds, for each member: the store sees about one sweep of the
+/// fleet in this time.
+const SWEEP_MS_PER_MEMBER: u64 = 3_000;
+
+/// Looks for chunks of nodes that are gone for ever.
+pub async fn run(runner: Rc<Runner>) {
+    let mut members = runner.tables.members.subscribe();
+    loop {
+        let sweep = runner.sweep_wait(SWEEP_MS_PER_MEMBER);
+        tokio::select! {
+            _ = members.changed() => {
+                let delay = jitter(runner.settings.takeover_delay_ms);
+                tokio::time::sleep(delay).await;
+                members.borrow_and_update();
+            }
+            () = tokio::time::sleep(sweep) => {}
+        }
+        if !runner.takes_new_work() {
+            continue;
+        }
+        if let Err(error) = sweep_held(&runner).await {
+            tracing::debug!(%error, "the lists of held chunks were not read");
+        }
+    }
+}
+
+fn jitter(milliseconds: u64) -> Duration {
+    let jittered = rand::rng().random_range(milliseconds / 2..=milliseconds * 3 / 2);
+    Duration::from_millis(jittered)
+}
+
+async fn sweep_held(runner: &Runner) -> Result<(), StoreError> {
+    let tables = &runner.platform.tables;
+    let mut after = String::new();
+    loop {
+        let rows = tables.range(HELD_CHUNK_PREFIX, &after, PAGE).await?;
+        let full = rows.len() == PAGE;
+        for row in rows {
+            let held = store::decode::<EpochRow>(&row.key, &row.value, row.revision)?.row;
+            if runner.is_gone(&held.holder, held.holder_incarnation) {
+                open_again(runner, &row.key, &held).await?;
+            }
+            after = row.key;
+        }
+        if !full {
+            return Ok(());
+        }
+    }
+}
+
+/// Opens one chunk of a holder that is gone.
+async fn open_again(runner: &Runner, held_key: &str, held: &EpochRow) -> Result<(), StoreError> {
+    let Some((job, index)) = place(held_key, &held.holder) else {
+        return Ok(());
+    };
+    let key = keys::chunk(&job, index);
+    let Some(read) = store::read_row::<ChunkRow>(&*runner.platform.tables, &key).await? else {
+        return remove_list_entry(runner, held_key).await;
+    };
+    let row = &read.row;
+    if row.epoch != held.epoch || row.holder != held.holder {
+        return remove_list_entry(runner, held_key).await;
+    }
+    if !runner.reopen(&job, read, true).await? {
+        return Ok(());
+    }
+    runner.metrics.chunk("taken_over");
+    let outcome = format!("chunk {index} was opened again");
+    let cause = format!("node {} is gone", held.holder);
+    runner.decide(DecisionKind::TakenOver, job.as_str(), &cause, outcome);
+    Ok(())
+}
+
+fn place(held_key: &str, holder: &str) -> Option<(JobId, u32)> {
+    let path = held_key.strip_prefix(HELD_CHUNK_PREFIX)?;
+    let (job, index) = path
+        .strip_prefix(holder)?
+        .strip_prefix('/')?
+        .split_once('/')?;
+    Some((JobId::from(job), index.parse().ok()?))
+}
+
+/// Removes an entry that its chunk row does not bear out.
+async fn remove_list_entry(runner: &Runner, key: &str) -> Result<(), StoreError> {
+    let transaction = Transaction::default().delete(key);
+    runner.platform.tables.transact(transaction).await?;
+    Ok(())
+}
+
+impl Runner {
+    /// Opens a claimed chunk of this node, or of one that is gone. Returns whether it did.
+    pub(super) async fn reopen(
+        &self,
+        job: &JobId,
+        read: Versioned<ChunkRow>,
+        holder_gone: bool,
+    ) -> Result<bool, StoreError> {
+        let holder = read.row.holder.clone();
+        let Some(row) = chunks::reopen(&read.row, &self.claimant(), holder_gone) else {
+            return Ok(false);
+        };
+        let key = keys::chunk(job, row.index);
+        let transaction = Transaction::default()
+            .expect(key.as_str(), Expect::Revision(read.revision))
+            .put(key.as_str(), row.encode_to_vec())
+            .put(keys::open_chunk(job, row.index), row.encode_to_vec())
+            .delete(keys::held_chunk(&holder, job, row.index));
+        let applied = store::apply(&*self.platform.tables, &transaction, &key, |value| {
+            ChunkRow::decode(value.clone()).is_ok_and(|written| written == row)
+        });
+        let opened = matches!(applied.await?, Applied::Yes { .. });
+        if opened && let Some(job) = self.state.borrow_mut().jobs.get_mut(job.as_str()) {
+            job.exhausted_until = dappleyard_decide::time::Millis(0);
+        }
+        Ok(opened)
+    }
+
+    /// Time until a sweep that all members share, milliseconds for each member, jittered.
+    pub(super) fn sweep_wait(&self, milliseconds_per_member: u64) -> Duration {
+        let members = self.tables.members.all().len().max(1) as u64;
+        jitter(milliseconds_per_member * members)
+    }
+}
--- /dev/null
+++ b/crates/batch/tests/jobs.rs
@@ -0,0 +1,104 @@
+//! Jobs from upload to result files, on nodes that share a store.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use dappleyard_settings::BatchSettings;
+use dappleyard_wire::ErrorKind;
+use dappleyard_wire::messages::JobPhase;
+use googletest::prelude::*;
+use support::{Fleet, lines, submit, upload};
+use tokio::task::LocalSet;
+
+fn custom_ids(text: &str) -> Vec<String> {
+    let line_id = |line: &str| {
+        let value: serde_json::Value = serde_json::from_str(line).expect("a JSON line");
+        value["custom_id"].as_str().expect("a name").to_owned()
+    };
+    text.lines().map(line_id).collect()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_job_completes_with_one_result_for_each_item() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = Fleet::start(3, BatchSettings::default());
+            let file = upload(&fleet.nodes[0], &lines(100, 20)).await;
+            let job = fleet.nodes[0]
+                .submit(submit(&file, "key"))
+                .await
+                .expect("accepted");
+            let ended = fleet.nodes[1].ended(&job.job_id).await;
+            expect_that!(ended.phase(), eq(JobPhase::JobCompleted));
+            expect_that!(ended.items_total, eq(100));
+            expect_that!(ended.items_completed, eq(100));
+            expect_that!(ended.items_failed, eq(0));
+            let output = fleet.nodes[2].read_file(&ended.output_file_id).await;
+            let names = custom_ids(&output);
+            expect_that!(names.len(), eq(100));
+            expect_that!(names.iter().collect::<BTreeSet<_>>().len(), eq(100));
+            expect_that!(fleet.nodes[2].read_file(&ended.error_file_id).await, eq(""));
+        })
+        .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_resent_job_is_the_same_job_even_after_a_second_upload() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = Fleet::start(2, BatchSettings::default());
+            let text = lines(10, 5);
+            let first = upload(&fleet.nodes[0], &text).await;
+            let again = upload(&fleet.nodes[1], &text).await;
+            let job = fleet.nodes[0]
+                .submit(submit(&first, "key"))
+                .await
+                .expect("accepted");
+            let same = fleet.nodes[1]
+                .submit(submit(&first, "key"))
+                .await
+                .expect("the same");
+            let resent = fleet.nodes[1]
+                .submit(submit(&again, "key"))
+                .await
+                .expect("the same");
+            expect_that!(same.job_id, eq(&job.job_id));
+            expect_that!(resent.job_id, eq(&job.job_id));
+            let other = upload(&fleet.nodes[0], &lines(11, 5)).await;
+            let refused = fleet.nodes[0].submit(submit(&other, "key")).await;
+            expect_that!(
+                refused.map_err(|failure| failure.kind),
+                err(eq(&ErrorKind::KeyReused))
+            );
+        })
+        .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn bad_lines_are_named_with_line_and_field() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = Fleet::start(1, BatchSettings::default());
+            let good = lines(2, 5);
+            let text = format!("{good}\n{{\"custom_id\":\"x\"}}\nnonsense\n{}", lines(1, 0));
+            let file = upload(&fleet.nodes[0], &text).await;
+            let job = fleet.nodes[0]
+                .submit(submit(&file, ""))
+                .await
+                .expect("accepted");
+            let ended = fleet.nodes[0].ended(&job.job_id).await;
+            expect_that!(ended.phase(), eq(JobPhase::JobFailed));
+            let places: Vec<(u32, &str)> = ended
+                .errors
+                .iter()
+                .map(|error| (error.line, error.field.as_str()))
+                .collect();
+            let expected = vec![(4, "method"), (5, ""), (6, "body.max_tokens")];
+            expect_that!(places, eq(&expected));
+        })
+        .await;
+}
--- /dev/null
+++ b/crates/batch/tests/support/engine.rs
@@ -0,0 +1,185 @@
+//! An engine that makes one token a step for each stream, and keeps a record of what it ran.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dappleyard_engine::{
+    CacheEvent, Engine, EngineError, EngineEvent, EngineOrder, EngineReport, EventStream,
+    GenerateCall, LoadedModel,
+};
+
+/// Time of one step.
+pub const STEP: Duration = Duration::from_millis(4);
+
+/// One run as the engine recorded it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    pub base: String,
+    pub request_id: String,
+    pub attempt: u32,
+    pub resume_offset: u32,
+}
+
+#[derive(Default)]
+pub struct FakeEngine {
+    pub runs: RefCell<Vec<Run>>,
+    pub running: RefCell<BTreeMap<String, u32>>,
+    pub widest: RefCell<BTreeMap<String, u32>>,
+    pub cancelled: RefCell<BTreeSet<String>>,
+    /// Engines that lose their streams.
+    pub dead: RefCell<BTreeSet<String>>,
+    next: Cell<u64>,
+}
+
+impl FakeEngine {
+    pub fn new() -> Rc<FakeEngine> {
+        Rc::default()
+    }
+
+    pub fn running_on(&self, base: &str) -> u32 {
+        self.running.borrow().get(base).copied().unwrap_or(0)
+    }
+
+    pub fn runs_of(&self, request_id: &str) -> usize {
+        let runs = self.runs.borrow();
+        runs.iter()
+            .filter(|run| run.request_id == request_id)
+            .count()
+    }
+
+    fn begin(&self, base: &str) {
+        let mut running = self.running.borrow_mut();
+        let count = running.entry(base.to_owned()).or_insert(0);
+        *count += 1;
+        let mut widest = self.widest.borrow_mut();
+        let most = widest.entry(base.to_owned()).or_insert(0);
+        *most = (*most).max(*count);
+    }
+
+    fn end(&self, base: &str) {
+        if let Some(count) = self.running.borrow_mut().get_mut(base) {
+            *count -= 1;
+        }
+    }
+
+    pub fn report(server: &str) -> EngineReport {
+        EngineReport {
+            server: server.to_owned(),
+            sequence: 1,
+            age_ms: 0,
+            model: Some(LoadedModel {
+                service: "llm".to_owned(),
+                version: "v1".to_owned(),
+                adapters: Vec::new(),
+            }),
+            loading: String::new(),
+            running_online: 0,
+            running_batch: 0,
+            waiting_online: 0,
+            waiting_batch: 0,
+            free_blocks: 3_750,
+            total_blocks: 3_750,
+            block_tokens: 16,
+            maximum_sequences: 128,
+            step_ms: 4.0,
+            accepting: true,
+            order_epoch: 0,
+            order_sequence: 0,
+            load_failure: String::new(),
+        }
+    }
+}
+
+/// Piece of the answer to a prompt at an offset.
+pub fn piece(prompt: &str, offset: u32) -> String {
+    format!(" {}.{offset}", prompt.len())
+}
+
+pub struct EngineClient(pub Rc<FakeEngine>);
+
+#[async_trait(?Send)]
+impl Engine for EngineClient {
+    async fn generate(&self, base: &str, call: GenerateCall) -> Result<EventStream, EngineError> {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let engine = self.0.clone();
+        if engine.dead.borrow().contains(base) {
+            return Err(EngineError::Unreachable {
+                reason: "dead".to_owned(),
+            });
+        }
+        let base = base.to_owned();
+        let stream = format!("stream-{}", engine.next.get());
+        engine.next.set(engine.next.get() + 1);
+        engine.runs.borrow_mut().push(Run {
+            base: base.clone(),
+            request_id: call.request_id.clone(),
+            attempt: call.attempt,
+            resume_offset: call.resume_offset,
+        });
+        engine.begin(&base);
+        Ok(Box::pin(async_stream::stream! {
+            let _running = Running { engine: engine.clone(), base: base.clone() };
+            yield Ok(EngineEvent::Accepted { stream: stream.clone(), version: "v1".to_owned() });
+            let mut total = call.resume_offset;
+            let mut reason = "length";
+            while total < call.max_tokens {
+                tokio::time::sleep(STEP).await;
+                if engine.dead.borrow().contains(&base) {
+                    yield Err(EngineError::Lost { reason: "dead".to_owned() });
+                    return;
+                }
+                total += 1;
+                if engine.cancelled.borrow().contains(&stream) {
+                    reason = "cancelled";
+                    break;
+                }
+            }
+            let pieces = (call.resume_offset..total)
+                .map(|offset| piece(&call.prompt, offset))
+                .collect();
+            yield Ok(EngineEvent::Tokens { offset: call.resume_offset, pieces });
+            yield Ok(EngineEvent::Finished {
+                reason: reason.to_owned(),
+                total_tokens: total,
+                cached_tokens: 0,
+                ran: true,
+            });
+        }))
+    }
+
+    async fn cancel(&self, _base: &str, stream: &str) -> Result<(), EngineError> {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        self.0.cancelled.borrow_mut().insert(stream.to_owned());
+        Ok(())
+    }
+
+    async fn report(&self, base: &str) -> Result<EngineReport, EngineError> {
+        Ok(FakeEngine::report(base))
+    }
+
+    async fn status(&self, base: &str) -> Result<EngineReport, EngineError> {
+        Ok(FakeEngine::report(base))
+    }
+
+    async fn cache_events(&self, _base: &str, _after: u64) -> Result<Vec<CacheEvent>, EngineError> {
+        Ok(Vec::new())
+    }
+
+    async fn order(&self, _base: &str, _order: EngineOrder) -> Result<(), EngineError> {
+        Ok(())
+    }
+}
+
+struct Running {
+    engine: Rc<FakeEngine>,
+    base: String,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.engine.end(&self.base);
+    }
+}
--- a/crates/decide/src/chunks.rs
+++ b/crates/decide/src/chunks.rs
@@ -93,3 +93,76 @@
 pub fn may_start_items(row: &ChunkRow) -> bool {
     !(row.maybe_started && row.repeat() == Repeat::Never)
 }
+
+/// The row of a chunk that is opened again: handed back by its holder, or taken from one that is
+/// gone. The epoch grows, so that whatever the former holder still does is fenced. `None` when the
+/// chunk is not claimed, or when its holder is neither the claimant nor gone.
+pub fn reopen(row: &ChunkRow, claimant: &Claimant, holder_gone: bool) -> Option<ChunkRow> {
+    let own = row.holder == claimant.node && row.holder_incarnation == claimant.incarnation;
+    if row.phase() != ChunkPhase::ChunkClaimed || !(own || holder_gone) {
+        return None;
+    }
+    let mut next = row.clone();
+    next.epoch += 1;
+    let marked = !own || row.started_items != 0;
+    next.maybe_started |= marked && row.repeat() == Repeat::Never;
+    next.holder.clear();
+    next.holder_incarnation = 0;
+    next.set_phase(ChunkPhase::ChunkOpen);
+    Some(next)
+}
+
+/// Whether one item of a claimed chunk may be started by a holder that has not started it itself.
+/// An item that must not repeat and was marked as started under an earlier epoch may not.
+pub fn may_start_item(row: &ChunkRow, index_in_chunk: u32) -> bool {
+    may_start_items(row) || row.started_items & item_bit(index_in_chunk) == 0
+}
+
+/// The row with an item marked as started; written and durable before the item is started.
+#[must_use]
+pub fn mark_started(row: &ChunkRow, index_in_chunk: u32) -> ChunkRow {
+    let mut next = row.clone();
+    next.started_items |= item_bit(index_in_chunk);
+    next
+}
+
+/// Most items of a chunk whose items must not repeat: the bits of the mark.
+pub const MAXIMUM_ONCE_ITEMS: u32 = 64;
+
+fn item_bit(index_in_chunk: u32) -> u64 {
+    1_u64.checked_shl(index_in_chunk).unwrap_or(u64::MAX)
+}
+
+/// What the size of a job's chunks rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ChunkSizing {
+    /// Items of the job.
+    pub items: u32,
+    /// Nodes that can work on it.
+    pub nodes: u32,
+    /// Time that one node needs for one item at full width, microseconds; 0 when not known yet.
+    pub item_us: u64,
+    /// Work that one chunk should hold, milliseconds.
+    pub target_ms: u64,
+    /// Fewest items.
+    pub minimum: u32,
+    /// Most items.
+    pub maximum: u32,
+}
+
+/// Chunks that each node should get of a job, so that it ends everywhere at about the same time.
+pub const CHUNKS_PER_NODE: u32 = 4;
+
+/// Items of one chunk: no more than the target's work, and few enough to spread over the nodes.
+pub fn chunk_items(sizing: &ChunkSizing) -> u32 {
+    let by_work = match sizing.item_us {
+        0 => sizing.maximum,
+        item_us => u32::try_from(sizing.target_ms * 1_000 / item_us).unwrap_or(u32::MAX),
+    };
+    let shares = sizing.nodes.max(1).saturating_mul(CHUNKS_PER_NODE);
+    let by_spread = sizing.items.div_ceil(shares);
+    let maximum = sizing.maximum.max(1);
+    by_work
+        .min(by_spread)
+        .clamp(sizing.minimum.clamp(1, maximum), maximum)
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! call, retries and the breaker. Futures are not `Send`: each worker thread has its own client.
 
 pub mod client;
+pub mod gate;
 pub mod machines;
 pub mod memory;
 pub mod objects;
--- a/crates/tables/src/clock.rs
+++ b/crates/tables/src/clock.rs
@@ -1,8 +1,10 @@
 //! The node's clocks, the only place where the tables read time.
+//! The monotonic one is tokio's, so that tests run in virtual time.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use dappleyard_decide::time::Millis;
+use tokio::time::Instant;
 
 /// A monotonic clock that started with the process part it belongs to.
 #[derive(Debug, Clone, Copy)]
--- a/crates/tables/src/servers.rs
+++ b/crates/tables/src/servers.rs
@@ -40,6 +40,8 @@
     pub batch: BTreeMap<RequestId, InFlight>,
     /// Most batch sequences at present, as the width control decided.
     pub batch_width: u32,
+    /// Online work is kept off the server: it is in the batch share of the policy `static-split`.
+    pub batch_only: bool,
     /// Time between two tokens that online streams of this server see, smoothed, milliseconds.
     pub online_step_ms: f64,
     /// Why the server takes no new work, with the time since when; `None` while it does.
@@ -171,6 +173,7 @@
         online: BTreeMap::new(),
         batch: BTreeMap::new(),
         batch_width: 0,
+        batch_only: false,
         online_step_ms: 0.0,
         withdrawn: None,
         failures: 0,
