--- /dev/null
+++ b/crates/ctl/src/watch.rs
@@ -0,0 +1,68 @@
+//! Following the fleet or a plan.
+
+use std::time::Duration;
+
+use dappleyard_operate::plans::PlanDocument;
+use dappleyard_operate::status::FleetStatus;
+
+use crate::client::{Client, CtlError};
+use crate::run::{Output, print_json};
+use crate::tables;
+
+/// Time between two looks at a plan that is followed, milliseconds.
+const FOLLOW_INTERVAL_MS: u64 = 500;
+
+/// Whether a plan of this phase still moves.
+fn moves(phase: &str) -> bool {
+    matches!(phase, "confirmed" | "running")
+}
+
+/// Follows a plan until it is over, and says so line by line.
+pub async fn follow(client: &Client, id: &str, output: Output) -> Result<(), CtlError> {
+    let mut last = String::new();
+    loop {
+        let plan: PlanDocument = client.get(&format!("/admin/v1/plans/{id}")).await?;
+        let line = tables::progress(&plan);
+        if line != last {
+            match output {
+                Output::Table => println!("{line}"),
+                Output::Json => print_json(&plan),
+            }
+            last = line;
+        }
+        if plan.phase == "done" || plan.phase == "proposed" {
+            return Ok(());
+        }
+        if !moves(&plan.phase) {
+            return Err(CtlError::PlanNotDone {
+                plan: plan.id,
+                phase: plan.phase,
+                message: plan.message,
+            });
+        }
+        tokio::time::sleep(Duration::from_millis(FOLLOW_INTERVAL_MS)).await;
+    }
+}
+
+/// Looks at the fleet again and again; `count` of 0 has no end.
+pub async fn fleet(
+    client: &Client,
+    interval_ms: u64,
+    count: u64,
+    output: Output,
+) -> Result<(), CtlError> {
+    const CLEAR_SCREEN: &str = "\x1b[2J\x1b[H";
+    let mut looks = 0;
+    loop {
+        let status: FleetStatus = client.get("/admin/v1/status").await?;
+        match output {
+            Output::Table => println!("{CLEAR_SCREEN}{}", tables::status(&status)),
+            Output::Json => print_json(&status),
+        }
+        looks += 1;
+        if looks == count {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/command.rs
@@ -0,0 +1,47 @@
+//! The command line: it is well formed, and arguments become the intents that they name.
+
+use dappleyard_ctl::{command, intent, run};
+use dappleyard_operate::intent::{DrainKind, Intent};
+use googletest::prelude::*;
+
+fn parsed(arguments: &str) -> Intent {
+    let words = std::iter::once("ctl").chain(arguments.split(' '));
+    let matches = command().try_get_matches_from(words).expect("it parses");
+    let (_, plan) = matches.subcommand().expect("a command");
+    let (kind, rest) = plan.subcommand().expect("an intent");
+    intent(kind, rest).expect("an intent")
+}
+
+#[gtest]
+fn the_command_line_is_well_formed() {
+    command().debug_assert();
+}
+
+#[gtest]
+fn arguments_become_intents() {
+    let Intent::Rollout(rollout) = parsed("plan rollout fittings-llm v8 --canary-percent 20")
+    else {
+        panic!("a rollout");
+    };
+    expect_that!(rollout.canary_percent, eq(20));
+    let Intent::Drain(drain) = parsed("plan drain hall howrah-hall") else {
+        panic!("a drain");
+    };
+    expect_that!(drain.kind, eq(DrainKind::Hall));
+    let window =
+        "plan window dispatch --service yard-assist --start 17:30 --end 20:00 --days mon,sun";
+    let Intent::Window(window) = parsed(window) else {
+        panic!("a window");
+    };
+    expect_that!(window.start_s, eq(63_000));
+    expect_that!(window.days, eq(0b100_0001));
+}
+
+#[gtest]
+fn a_fleet_that_does_not_answer_is_a_failure_and_wrong_words_are_wrong_usage() {
+    // Port 1 on loopback refuses connections.
+    let words = ["ctl", "--admin", "127.0.0.1:1", "status"];
+    expect_that!(run(&command().get_matches_from(words)), eq(1));
+    let words = ["ctl", "plan", "json", "{}"];
+    expect_that!(run(&command().get_matches_from(words)), eq(2));
+}
--- /dev/null
+++ b/crates/operate/src/api/answers.rs
@@ -0,0 +1,141 @@
+//! Bodies of the operators' interface, shared with its client.
+
+use actix_web::http::StatusCode;
+use actix_web::{HttpResponse, ResponseError};
+use dappleyard_wire::error::ran_name;
+use dappleyard_wire::messages::{DrainRow, ServiceRow, TenantRow, WindowRow};
+use dappleyard_wire::{ErrorKind, Failure};
+use serde::{Deserialize, Serialize};
+
+use crate::describe::row_words;
+use crate::intent::Intent;
+use crate::plans::confirm::{Changed, Refusal};
+
+/// Body of `POST /admin/v1/plans`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProposeBody {
+    /// What the operator wants.
+    pub intent: Intent,
+    /// Who asks.
+    #[serde(default)]
+    pub operator: String,
+}
+
+/// Body of `POST /admin/v1/plans/{id}/confirm`; may be left out.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfirmBody {
+    /// Chosen by the client: a repeat with the same token gets the same answer.
+    #[serde(default)]
+    pub token: String,
+}
+
+/// Body of every refusal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// What is wrong.
+    pub error: ErrorDetail,
+}
+
+/// What is wrong with a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorDetail {
+    /// Stable name of the error kind.
+    pub code: String,
+    /// One sentence, with what to do next.
+    pub message: String,
+    /// Whether the change took effect: `no`, `maybe` or `yes`.
+    pub ran: String,
+    /// When to come back, milliseconds; 0 for no advice.
+    pub retry_after_ms: u32,
+    /// Rows that changed under a plan.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changed: Vec<Changed>,
+}
+
+/// A refusal as an answer.
+#[derive(Debug, Clone, derive_more::Display)]
+#[display("{}", _0.failure)]
+pub struct Refused(pub Refusal);
+
+impl From<Failure> for Refused {
+    fn from(failure: Failure) -> Self {
+        Refused(failure.into())
+    }
+}
+
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        Refused(refusal)
+    }
+}
+
+impl ResponseError for Refused {
+    fn status_code(&self) -> StatusCode {
+        let status = self.0.failure.kind.answer().status;
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+    }
+
+    fn error_response(&self) -> HttpResponse {
+        let failure = &self.0.failure;
+        HttpResponse::build(self.status_code()).json(ErrorBody {
+            error: ErrorDetail {
+                code: failure.kind.answer().code.to_owned(),
+                message: failure.message.clone(),
+                ran: ran_name(failure.ran).to_owned(),
+                retry_after_ms: failure.retry_after_ms,
+                changed: self.0.changed.clone(),
+            },
+        })
+    }
+}
+
+/// A malformed call.
+pub fn invalid(message: impl Into<String>) -> Refused {
+    Failure::not_run(ErrorKind::InvalidRequest, message).into()
+}
+
+/// One configuration row, in words.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationLine {
+    /// Key of the row.
+    pub key: String,
+    /// What it says.
+    pub words: String,
+}
+
+/// Configuration in force on the node that answers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationAnswer {
+    /// Revision in force.
+    pub revision: u64,
+    /// Rows.
+    pub rows: Vec<ConfigurationLine>,
+}
+
+/// Configuration rows in words.
+pub fn configuration_lines(
+    configuration: &dappleyard_tables::configuration::Configuration,
+) -> Vec<ConfigurationLine> {
+    use dappleyard_wire::keys;
+    use prost::Message;
+    let line = |key: String, value: Vec<u8>| ConfigurationLine {
+        words: row_words(&key, Some(&value)),
+        key,
+    };
+    let services = configuration.services.values();
+    let tenants = configuration.tenants.values();
+    let drains = configuration.drains.values();
+    let windows = configuration.windows.values();
+    let mut lines: Vec<ConfigurationLine> = Vec::new();
+    lines.extend(
+        services.map(|row: &ServiceRow| line(keys::service(&row.name), row.encode_to_vec())),
+    );
+    lines.extend(tenants.map(|row: &TenantRow| line(keys::tenant(&row.name), row.encode_to_vec())));
+    lines.extend(
+        drains.map(|row: &DrainRow| line(keys::drain(&row.kind, &row.name), row.encode_to_vec())),
+    );
+    lines.extend(windows.map(|row: &WindowRow| line(keys::window(&row.name), row.encode_to_vec())));
+    lines
+}
--- /dev/null
+++ b/crates/operate/src/api/explain.rs
@@ -0,0 +1,52 @@
+//! Routes of explanations and decision records.
+
+use actix_web::web::{Data, Json, Path, Query};
+use dappleyard_tables::decisions::Decision;
+use serde::Deserialize;
+
+use crate::api::OperateApi;
+use crate::api::answers::{Refused, invalid};
+use crate::explain::{Explanation, Question};
+
+/// Query of `GET /admin/v1/decisions`.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Limit {
+    #[serde(default = "default_limit")]
+    limit: usize,
+}
+
+fn default_limit() -> usize {
+    100
+}
+
+/// `GET /admin/v1/decisions?limit=N`: the node's latest records.
+pub async fn recent(api: Data<OperateApi>, limit: Query<Limit>) -> Json<Vec<Decision>> {
+    Json(api.tables.decisions.recent(limit.limit))
+}
+
+/// `GET /admin/v1/decisions/{kind}/{id}`: what this node alone knows of a subject.
+pub async fn local(
+    api: Data<OperateApi>,
+    path: Path<(String, String)>,
+) -> Result<Json<Vec<Decision>>, Refused> {
+    let question = question(path.into_inner())?;
+    Ok(Json(api.tables.decisions.about(&question.subject())))
+}
+
+/// `GET /admin/v1/explain/{kind}/{id}`: what the fleet knows of a subject, in plain words.
+pub async fn explain(
+    api: Data<OperateApi>,
+    path: Path<(String, String)>,
+) -> Result<Json<Explanation>, Refused> {
+    let question = question(path.into_inner())?;
+    let explanation = crate::explain::explain(&api.tables, &api.platform, &api.peers, &question);
+    Ok(Json(explanation.await))
+}
+
+fn question((kind, id): (String, String)) -> Result<Question, Refused> {
+    Question::parse(&kind, &id).ok_or_else(|| {
+        invalid(format!(
+            "{kind} cannot be explained; ask for a request, job, server, service, node or plan"
+        ))
+    })
+}
--- /dev/null
+++ b/crates/operate/src/api/mod.rs
@@ -0,0 +1,69 @@
+//! The operators' interface: JSON routes under `/admin/v1/` on a node's admin server.
+
+pub mod answers;
+mod explain;
+mod plans;
+mod views;
+
+use std::sync::Arc;
+
+use actix_web::web;
+use dappleyard_platform::Platform;
+use dappleyard_settings::OperateSettings;
+use dappleyard_tables::NodeTables;
+
+use crate::peers::Peers;
+use crate::status::{self, FleetStatus};
+
+/// What the routes need; built once for each worker thread of the admin server.
+#[derive(Clone)]
+pub struct OperateApi {
+    tables: Arc<NodeTables>,
+    settings: OperateSettings,
+    platform: Platform,
+    peers: Peers,
+}
+
+impl OperateApi {
+    /// Builds the interface for the calling worker thread.
+    pub fn new(
+        tables: Arc<NodeTables>,
+        settings: OperateSettings,
+        platform: Platform,
+    ) -> OperateApi {
+        let peers = Peers::new(tables.clone(), settings.peer_timeout_ms);
+        OperateApi {
+            tables,
+            settings,
+            platform,
+            peers,
+        }
+    }
+
+    /// The fleet as gathered from this node and its peers.
+    pub async fn status(&self) -> FleetStatus {
+        status::gather(&self.tables, &self.platform, &self.peers).await
+    }
+}
+
+/// Mounts the routes.
+pub fn configure(service: &mut web::ServiceConfig, api: OperateApi) {
+    service.app_data(web::Data::new(api)).service(
+        web::scope("/admin/v1")
+            .route("/status", web::get().to(views::status))
+            .route("/local", web::get().to(views::local))
+            .route("/members", web::get().to(views::members))
+            .route("/servers", web::get().to(views::servers))
+            .route("/configuration", web::get().to(views::configuration))
+            .route("/jobs", web::get().to(views::jobs))
+            .route("/decisions", web::get().to(explain::recent))
+            .route("/decisions/{kind}/{id}", web::get().to(explain::local))
+            .route("/explain/{kind}/{id}", web::get().to(explain::explain))
+            .route("/plans", web::get().to(plans::list))
+            .route("/plans", web::post().to(plans::propose))
+            .route("/plans/{id}", web::get().to(plans::get))
+            .route("/plans/{id}/confirm", web::post().to(plans::confirm))
+            .route("/plans/{id}/abort", web::post().to(plans::abort))
+            .default_service(web::to(views::unknown_route)),
+    );
+}
--- /dev/null
+++ b/crates/operate/src/api/plans.rs
@@ -0,0 +1,105 @@
+//! Routes of plans.
+
+use std::collections::BTreeSet;
+
+use actix_web::web::{Bytes, Data, Json, Path};
+use serde::de::DeserializeOwned;
+
+use crate::api::OperateApi;
+use crate::api::answers::{ConfirmBody, ProposeBody, Refused, invalid};
+use crate::plans::abort::abort as abort_plan;
+use crate::plans::body::PlanDocument;
+use crate::plans::confirm::{Confirmation, confirm as confirm_plan, has_steps};
+use crate::plans::propose::{Request, propose as propose_plan};
+use crate::plans::runner::{RunView, advance};
+use crate::plans::store::{PlanLine, StoredPlan, list_plans, read_plan};
+
+/// Plans in one answer.
+const MOST_PLANS: usize = 200;
+
+/// `GET /admin/v1/plans`
+pub async fn list(api: Data<OperateApi>) -> Result<Json<Vec<PlanLine>>, Refused> {
+    Ok(Json(list_plans(&*api.platform.tables, MOST_PLANS).await?))
+}
+
+/// `GET /admin/v1/plans/{id}`
+pub async fn get(api: Data<OperateApi>, id: Path<String>) -> Result<Json<PlanDocument>, Refused> {
+    let plan = read_plan(&*api.platform.tables, &id).await?;
+    Ok(Json(plan.document()?))
+}
+
+/// `POST /admin/v1/plans`: makes a plan, and changes nothing else.
+pub async fn propose(api: Data<OperateApi>, body: Bytes) -> Result<Json<PlanDocument>, Refused> {
+    let body: ProposeBody = parse(&body)?;
+    let status = api.status().await;
+    let request = Request {
+        operator: body.operator,
+        unix_ms: api.tables.clock.unix_ms(),
+    };
+    let plan = propose_plan(
+        &*api.platform.tables,
+        &api.settings,
+        &status,
+        &body.intent,
+        &request,
+    )
+    .await?;
+    Ok(Json(plan.document()?))
+}
+
+/// `POST /admin/v1/plans/{id}/confirm`
+pub async fn confirm(
+    api: Data<OperateApi>,
+    id: Path<String>,
+    body: Bytes,
+) -> Result<Json<PlanDocument>, Refused> {
+    let body: ConfirmBody = if body.is_empty() {
+        ConfirmBody::default()
+    } else {
+        parse(&body)?
+    };
+    let token = match body.token.as_str() {
+        "" => uuid::Uuid::new_v4().simple().to_string(),
+        token => token.to_owned(),
+    };
+    let confirmation = Confirmation {
+        plan: id.into_inner(),
+        token,
+        unix_ms: api.tables.clock.unix_ms(),
+        region_fresh_ms: api.settings.region_fresh_ms,
+    };
+    let plan = confirm_plan(&*api.platform.tables, &confirmation).await?;
+    Ok(Json(first_step(&api, plan).await?.document()?))
+}
+
+/// Takes the first step at once. What fails here is taken up by the plan runner.
+async fn first_step(api: &OperateApi, plan: StoredPlan) -> Result<StoredPlan, Refused> {
+    if !has_steps(&plan.intent()?) {
+        return Ok(plan);
+    }
+    let status = api.status().await;
+    let view = RunView {
+        status: &status,
+        idle: &BTreeSet::new(),
+        settings: &api.settings,
+        unix_ms: api.tables.clock.unix_ms(),
+    };
+    let tables = &*api.platform.tables;
+    let _ = advance(tables, &plan.row.id, &view).await;
+    Ok(read_plan(tables, &plan.row.id).await.unwrap_or(plan))
+}
+
+/// `POST /admin/v1/plans/{id}/abort`
+pub async fn abort(api: Data<OperateApi>, id: Path<String>) -> Result<Json<PlanDocument>, Refused> {
+    let now = api.tables.clock.unix_ms();
+    let plan = abort_plan(&*api.platform.tables, &id, now).await?;
+    Ok(Json(plan.document()?))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refused> {
+    serde_json::from_slice(body).map_err(|error| {
+        invalid(format!(
+            "the body is not as expected: {error}; see docs/operate/plans.md for the intents"
+        ))
+    })
+}
--- /dev/null
+++ b/crates/operate/src/api/views.rs
@@ -0,0 +1,98 @@
+//! Routes that only look.
+
+use actix_web::web::{Data, Json};
+use dappleyard_wire::messages::Member;
+use serde::{Deserialize, Serialize};
+
+use crate::api::OperateApi;
+use crate::api::answers::{ConfigurationAnswer, Refused, configuration_lines, invalid};
+use crate::jobs::{JobLine, list_jobs};
+use crate::local::{LocalReport, local_report};
+use crate::status::{FleetStatus, ServerStatus, member_name};
+
+/// A member as this node believes it to be.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberLine {
+    /// Node id.
+    pub node: String,
+    /// Zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+    /// `alive`, `suspect`, `dead` or `left`.
+    pub state: String,
+    /// Incarnation.
+    pub incarnation: u64,
+    /// It takes no new work.
+    pub draining: bool,
+    /// Configuration revision in force on it.
+    pub configuration_revision: u64,
+    /// Address of its links.
+    pub link_address: String,
+    /// Address of its operators' interface.
+    pub admin_address: String,
+}
+
+/// `GET /admin/v1/status`
+pub async fn status(api: Data<OperateApi>) -> Json<FleetStatus> {
+    Json(api.status().await)
+}
+
+/// `GET /admin/v1/local`
+pub async fn local(api: Data<OperateApi>) -> Json<LocalReport> {
+    Json(local_report(&api.tables))
+}
+
+/// `GET /admin/v1/members`
+pub async fn members(api: Data<OperateApi>) -> Json<Vec<MemberLine>> {
+    Json(
+        api.tables
+            .members
+            .all()
+            .into_iter()
+            .map(member_line)
+            .collect(),
+    )
+}
+
+fn member_line(member: Member) -> MemberLine {
+    MemberLine {
+        state: member_name(member.state()).to_owned(),
+        node: member.node,
+        zone: member.zone,
+        region: member.region,
+        incarnation: member.incarnation,
+        draining: member.draining,
+        configuration_revision: member.configuration_revision,
+        link_address: member.link_address,
+        admin_address: member.admin_address,
+    }
+}
+
+/// `GET /admin/v1/servers`
+pub async fn servers(api: Data<OperateApi>) -> Json<Vec<ServerStatus>> {
+    Json(api.status().await.servers)
+}
+
+/// `GET /admin/v1/configuration`
+pub async fn configuration(api: Data<OperateApi>) -> Json<ConfigurationAnswer> {
+    let current = api.tables.configuration.current();
+    Json(ConfigurationAnswer {
+        revision: current.revision,
+        rows: configuration_lines(&current),
+    })
+}
+
+/// `GET /admin/v1/jobs`
+pub async fn jobs(api: Data<OperateApi>) -> Result<Json<Vec<JobLine>>, Refused> {
+    Ok(Json(list_jobs(&*api.platform.tables).await?))
+}
+
+/// Any other path.
+pub async fn unknown_route(request: actix_web::HttpRequest) -> Result<Json<()>, Refused> {
+    Err(invalid(format!(
+        "there is no {} {}; see docs/operate/plans.md for the routes",
+        request.method(),
+        request.path()
+    )))
+}
--- /dev/null
+++ b/crates/operate/src/head.rs
@@ -0,0 +1,38 @@
+//! The head row of configuration: every transaction that changes configuration writes it, so that
+//! all changes form one chain.
+
+use dappleyard_platform::{Expect, Row, StoreError, TableStore, Transaction};
+use dappleyard_wire::keys::CONFIGURATION_HEAD;
+
+/// The head row as read.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigurationHead {
+    row: Option<Row>,
+}
+
+impl ConfigurationHead {
+    /// Reads the head row.
+    pub async fn read(tables: &dyn TableStore) -> Result<ConfigurationHead, StoreError> {
+        Ok(ConfigurationHead {
+            row: tables.get(CONFIGURATION_HEAD).await?,
+        })
+    }
+
+    /// Revision of the last configuration change; 0 before the first.
+    pub fn revision(&self) -> u64 {
+        self.row.as_ref().map_or(0, |row| row.revision)
+    }
+
+    /// Chains a transaction that changes configuration: it takes effect only when this head is still
+    /// the last change. The head's value names the change before.
+    #[must_use]
+    pub fn chain(&self, transaction: Transaction) -> Transaction {
+        let expect = match &self.row {
+            Some(row) => Expect::Revision(row.revision),
+            None => Expect::Absent,
+        };
+        transaction
+            .expect(CONFIGURATION_HEAD, expect)
+            .put(CONFIGURATION_HEAD, self.revision().to_string())
+    }
+}
--- /dev/null
+++ b/crates/operate/src/peers.rs
@@ -0,0 +1,95 @@
+//! Questions to the other nodes' operators' interface: all at once, bounded, each with a timeout.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_tables::NodeTables;
+use dappleyard_wire::messages::MemberState;
+use futures::StreamExt;
+use serde::de::DeserializeOwned;
+
+/// Questions that are open at once.
+const CONCURRENCY: usize = 32;
+/// Largest answer read from a peer, bytes.
+const LARGEST_ANSWER: usize = 4 * 1024 * 1024;
+
+/// The other nodes, as questions are put to them.
+#[derive(Clone)]
+pub struct Peers {
+    tables: Arc<NodeTables>,
+    client: awc::Client,
+}
+
+/// Answers of the peers that answered, and the names of those that did not, with the cause.
+#[derive(Debug, Clone)]
+pub struct PeerAnswers<T> {
+    /// Answers.
+    pub answers: Vec<T>,
+    /// Node and cause.
+    pub silent: Vec<(String, String)>,
+}
+
+impl Peers {
+    /// Peers of this node. Each question may take `timeout_ms`.
+    pub fn new(tables: Arc<NodeTables>, timeout_ms: u64) -> Peers {
+        let timeout = Duration::from_millis(timeout_ms.max(1));
+        Peers {
+            tables,
+            client: awc::Client::builder().timeout(timeout).finish(),
+        }
+    }
+
+    /// Asks every live peer for `path`, a path of the operators' interface.
+    pub async fn ask<T: DeserializeOwned>(&self, path: &str) -> PeerAnswers<T> {
+        let questions = self
+            .addresses()
+            .into_iter()
+            .map(|(node, address)| async move {
+                let answer = self.ask_one::<T>(&format!("http://{address}{path}")).await;
+                (node, answer)
+            });
+        let mut results = futures::stream::iter(questions).buffer_unordered(CONCURRENCY);
+        let mut collected = PeerAnswers {
+            answers: Vec::new(),
+            silent: Vec::new(),
+        };
+        while let Some((node, answer)) = results.next().await {
+            match answer {
+                Ok(answer) => collected.answers.push(answer),
+                Err(cause) => collected.silent.push((node, cause)),
+            }
+        }
+        collected.silent.sort();
+        collected
+    }
+
+    async fn ask_one<T: DeserializeOwned>(&self, url: &str) -> Result<T, String> {
+        let mut response = self
+            .client
+            .get(url)
+            .send()
+            .await
+            .map_err(|error| error.to_string())?;
+        if !response.status().is_success() {
+            return Err(format!("answered {}", response.status()));
+        }
+        let answer = response.json().limit(LARGEST_ANSWER).await;
+        answer.map_err(|error| error.to_string())
+    }
+
+    fn addresses(&self) -> Vec<(String, String)> {
+        let me = self.tables.identity.node.as_str();
+        let members = self.tables.members.all();
+        members
+            .into_iter()
+            .filter(|member| member.node != me && !member.admin_address.is_empty())
+            .filter(|member| {
+                matches!(
+                    member.state(),
+                    MemberState::MemberAlive | MemberState::MemberSuspect
+                )
+            })
+            .map(|member| (member.node, member.admin_address))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/operate/src/plans/confirm.rs
@@ -0,0 +1,321 @@
+//! Confirmation: one transaction that compares every row that the plan rests on.
+//!
+//! Of two plans that conflict exactly one is accepted, and the other is told which row changed, from
+//! what to what. An answer that is lost is resolved by reading back the plan row, which carries the
+//! token of the confirmation that was accepted.
+
+use std::time::Duration;
+
+use dappleyard_platform::{Expect, StoreError, TableStore, Transaction};
+use dappleyard_wire::ids::PlanId;
+use dappleyard_wire::keys::{self, CONFIGURATION_HEAD, CONFIGURATION_PREFIX};
+use dappleyard_wire::messages::{ActivePlanRow, PlanGuardRow, PlanPhase, PlanRow};
+use dappleyard_wire::{ErrorKind, Failure};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::describe::{key_words, phase_name, row_words};
+use crate::head::ConfigurationHead;
+use crate::intent::Intent;
+use crate::plans::body::PlanBody;
+use crate::plans::store::{StoredPlan, encoded, read_plan};
+use crate::regions;
+use crate::snapshot::store_failure;
+
+/// Attempts at one confirmation, since other configuration changes may come in between.
+const ATTEMPTS: u32 = 20;
+/// Longest pause between two attempts, milliseconds; the pause is random.
+const LONGEST_PAUSE_MS: u64 = 60;
+
+/// A row that is not as the plan found it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Changed {
+    /// Key of the row.
+    pub key: String,
+    /// What it names, in words.
+    pub what: String,
+    /// What it said when the plan was made.
+    pub before: String,
+    /// What it says now.
+    pub now: String,
+}
+
+/// A refused confirmation: the failure, and what changed when that is the cause.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// The failure.
+    pub failure: Failure,
+    /// Rows that changed under the plan.
+    pub changed: Vec<Changed>,
+}
+
+impl From<Failure> for Refusal {
+    fn from(failure: Failure) -> Self {
+        Refusal {
+            failure,
+            changed: Vec::new(),
+        }
+    }
+}
+
+/// A wish to confirm a plan.
+#[derive(Debug, Clone)]
+pub struct Confirmation {
+    /// Plan id.
+    pub plan: String,
+    /// Token of this confirmation; a repeat with the same token gets the same answer.
+    pub token: String,
+    /// Wall-clock time, milliseconds since 1970.
+    pub unix_ms: u64,
+    /// Age above which a region counts as cut off, milliseconds.
+    pub region_fresh_ms: u64,
+}
+
+/// What one attempt came to.
+enum Attempt {
+    Accepted(StoredPlan),
+    Again(Failure),
+    Refused(Refusal),
+}
+
+/// Confirms a plan.
+pub async fn confirm(
+    tables: &dyn TableStore,
+    confirmation: &Confirmation,
+) -> Result<StoredPlan, Refusal> {
+    let mut last = Failure::not_run(
+        ErrorKind::Conflict,
+        "configuration keeps changing; try again",
+    );
+    for _ in 0..ATTEMPTS {
+        match attempt(tables, confirmation).await {
+            Attempt::Accepted(plan) => return Ok(plan),
+            Attempt::Refused(refusal) => {
+                return Err(Refusal {
+                    failure: refusal.failure.after(last.ran),
+                    ..refusal
+                });
+            }
+            Attempt::Again(failure) => last = failure.after(last.ran),
+        }
+        pause().await;
+    }
+    Err(last.into())
+}
+
+/// Waits a moment so that racing writers do not meet again at once.
+pub async fn pause() {
+    let pause_ms = rand::rng().random_range(1..=LONGEST_PAUSE_MS);
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+}
+
+async fn attempt(tables: &dyn TableStore, confirmation: &Confirmation) -> Attempt {
+    match prepare(tables, confirmation).await {
+        Ok(Prepared::Already(plan)) => Attempt::Accepted(plan),
+        Ok(Prepared::Transaction(plan, next, transaction)) => {
+            let answer = tables.transact(transaction).await;
+            judge(tables, &plan, next, answer).await
+        }
+        Err(refusal) => Attempt::Refused(refusal),
+    }
+}
+
+enum Prepared {
+    Already(StoredPlan),
+    Transaction(StoredPlan, PlanRow, Transaction),
+}
+
+async fn prepare(
+    tables: &dyn TableStore,
+    confirmation: &Confirmation,
+) -> Result<Prepared, Refusal> {
+    let plan = read_plan(tables, &confirmation.plan).await?;
+    if !confirmation.token.is_empty() && plan.row.confirmation == confirmation.token {
+        return Ok(Prepared::Already(plan));
+    }
+    if plan.row.phase() != PlanPhase::PlanProposed {
+        return Err(not_proposed(&plan).into());
+    }
+    let body = plan.body()?;
+    regions::check_fresh(
+        tables,
+        &body.regions,
+        confirmation.unix_ms,
+        confirmation.region_fresh_ms,
+    )
+    .await?;
+    let intent = plan.intent()?;
+    let next = confirmed_row(&plan, &intent, confirmation);
+    let transaction = transaction(tables, &plan, &intent, &body, &next).await?;
+    Ok(Prepared::Transaction(plan, next, transaction))
+}
+
+fn not_proposed(plan: &StoredPlan) -> Failure {
+    Failure::not_run(
+        ErrorKind::Conflict,
+        format!(
+            "plan {} is {} ({}) and can no longer be confirmed; ask for a new plan",
+            plan.row.id,
+            phase_name(plan.row.phase()),
+            plan.row.message
+        ),
+    )
+}
+
+/// Whether steps follow the confirmation.
+pub fn has_steps(intent: &Intent) -> bool {
+    matches!(intent, Intent::Rollout(_) | Intent::Drain(_))
+}
+
+fn confirmed_row(plan: &StoredPlan, intent: &Intent, confirmation: &Confirmation) -> PlanRow {
+    let (phase, message) = if has_steps(intent) {
+        (PlanPhase::PlanRunning, "confirmed; its steps begin")
+    } else {
+        (PlanPhase::PlanDone, "confirmed and written")
+    };
+    let mut row = plan.with_phase(phase, message, confirmation.unix_ms);
+    row.confirmation.clone_from(&confirmation.token);
+    row
+}
+
+async fn transaction(
+    tables: &dyn TableStore,
+    plan: &StoredPlan,
+    intent: &Intent,
+    body: &PlanBody,
+    next: &PlanRow,
+) -> Result<Transaction, Failure> {
+    let id = PlanId::from(&plan.row.id);
+    let mut transaction = Transaction::default()
+        .expect(keys::plan(&id), Expect::Revision(plan.revision))
+        .put(keys::plan(&id), encoded(next));
+    for basis in &plan.row.basis {
+        let expect = match basis.revision {
+            0 => Expect::Absent,
+            revision => Expect::Revision(revision),
+        };
+        transaction = transaction.expect(basis.key.clone(), expect);
+    }
+    let guard = encoded(&PlanGuardRow {
+        plan_id: plan.row.id.clone(),
+        summary: body.summary.clone(),
+        confirmed_unix_ms: next.changed_unix_ms,
+    });
+    for basis in plan.row.basis.iter().filter(|basis| is_guard(&basis.key)) {
+        transaction = transaction.put(basis.key.clone(), guard.clone());
+    }
+    for write in &body.writes {
+        transaction = write.add_to(transaction)?;
+    }
+    if has_steps(intent) {
+        let index = ActivePlanRow {
+            plan_id: plan.row.id.clone(),
+        };
+        transaction = transaction.put(keys::active_plan(&id), encoded(&index));
+    }
+    let configures = body
+        .writes
+        .iter()
+        .any(|write| write.key.starts_with(CONFIGURATION_PREFIX));
+    if configures {
+        let head = ConfigurationHead::read(tables)
+            .await
+            .map_err(|error| store_failure(&error))?;
+        transaction = head.chain(transaction);
+    }
+    Ok(transaction)
+}
+
+fn is_guard(key: &str) -> bool {
+    key.starts_with("plan-guard/")
+}
+
+async fn judge(
+    tables: &dyn TableStore,
+    plan: &StoredPlan,
+    next: PlanRow,
+    answer: Result<u64, StoreError>,
+) -> Attempt {
+    let plan_key = keys::plan(&PlanId::from(&plan.row.id));
+    match answer {
+        Ok(revision) => Attempt::Accepted(StoredPlan {
+            row: next,
+            revision,
+        }),
+        Err(StoreError::Conflict { key, .. }) if key == CONFIGURATION_HEAD || key == plan_key => {
+            Attempt::Again(Failure::not_run(
+                ErrorKind::Conflict,
+                "other configuration changes keep coming first; confirm again",
+            ))
+        }
+        Err(StoreError::Conflict { .. }) => overtaken(tables, plan, next.changed_unix_ms).await,
+        // The next attempt reads the plan row back: it carries the token when the change took effect.
+        Err(error @ (StoreError::Ambiguous { .. } | StoreError::RateLimited { .. })) => {
+            Attempt::Again(store_failure(&error))
+        }
+        Err(error) => Attempt::Refused(store_failure(&error).into()),
+    }
+}
+
+/// The plan rests on rows that have changed: says which, and closes the plan.
+async fn overtaken(tables: &dyn TableStore, plan: &StoredPlan, unix_ms: u64) -> Attempt {
+    let changed = match changed_rows(tables, plan).await {
+        Ok(changed) => changed,
+        Err(failure) => return Attempt::Refused(failure.into()),
+    };
+    if changed.is_empty() {
+        return Attempt::Again(Failure::not_run(
+            ErrorKind::Conflict,
+            "a row changed and changed back; confirm again",
+        ));
+    }
+    let words: Vec<String> = changed
+        .iter()
+        .map(|row| {
+            format!(
+                "{} was \"{}\" and is now \"{}\"",
+                row.what, row.before, row.now
+            )
+        })
+        .collect();
+    let message = format!("overtaken: {}", words.join("; "));
+    let next = plan.with_phase(PlanPhase::PlanOvertaken, &message, unix_ms);
+    let key = keys::plan(&PlanId::from(&plan.row.id));
+    let close = Transaction::default()
+        .expect(key.clone(), Expect::Revision(plan.revision))
+        .put(key, encoded(&next));
+    // The plan can never be confirmed any more, whether or not this note of it is written.
+    let _ = tables.transact(close).await;
+    let failure = Failure::not_run(
+        ErrorKind::Conflict,
+        format!("plan {} was {message}; ask for a new plan", plan.row.id),
+    );
+    Attempt::Refused(Refusal { failure, changed })
+}
+
+async fn changed_rows(tables: &dyn TableStore, plan: &StoredPlan) -> Result<Vec<Changed>, Failure> {
+    let body = plan.body()?;
+    let mut changed = Vec::new();
+    for basis in &plan.row.basis {
+        let row = tables
+            .get(&basis.key)
+            .await
+            .map_err(|error| store_failure(&error))?;
+        if row.as_ref().map_or(0, |row| row.revision) == basis.revision {
+            continue;
+        }
+        let what = key_words(&basis.key);
+        let known = body.basis.iter().find(|words| words.key == basis.key);
+        let before = known.map_or_else(String::new, |words| words.words.clone());
+        changed.push(Changed {
+            key: basis.key.clone(),
+            before: before
+                .strip_prefix(&format!("{what}: "))
+                .unwrap_or(&before)
+                .to_owned(),
+            now: row_words(&basis.key, row.as_ref().map(|row| row.value.as_ref())),
+            what,
+        });
+    }
+    Ok(changed)
+}
--- /dev/null
+++ b/crates/operate/src/plans/drain.rs
@@ -0,0 +1,362 @@
+//! One step of a confirmed drain: put out what the disruption budgets allow, follow what is on its
+//! way, and close the plan when nothing runs there any more.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dappleyard_decide::disruption::{
+    Budget, Replica, ReplicaState, Situation, Verdict, may_disrupt,
+};
+use dappleyard_platform::{Expect, StoreError, TableStore, Transaction};
+use dappleyard_settings::OperateSettings;
+use dappleyard_wire::Failure;
+use dappleyard_wire::ids::PlanId;
+use dappleyard_wire::keys;
+use dappleyard_wire::messages::{DrainRow, PlanPhase, PlanRow, ServiceRow};
+
+use crate::head::ConfigurationHead;
+use crate::intent::{DrainKind, DrainTarget};
+use crate::plans::body::Progress;
+use crate::plans::changes::{drain_row, drained_servers};
+use crate::plans::ledger::Ledger;
+use crate::plans::store::{StoredPlan, encoded};
+use crate::snapshot::{decode, store_failure};
+use crate::status::{FleetStatus, ServerStatus};
+
+/// Prefix of the drain rows of servers.
+const SERVER_DRAINS: &str = "config/drain/server/";
+/// Rows read in one call.
+const PAGE: usize = 1_000;
+/// Time after which a drain counts as in force everywhere, milliseconds.
+const IN_FORCE_MS: u64 = 3_000;
+
+/// What a step of a drain is decided from.
+pub struct DrainView<'a> {
+    /// The fleet as gathered.
+    pub status: &'a FleetStatus,
+    /// Servers on which the engine says that nothing runs.
+    pub idle: &'a BTreeSet<String>,
+    /// Settings.
+    pub settings: &'a OperateSettings,
+    /// Wall-clock time, milliseconds since 1970.
+    pub unix_ms: u64,
+}
+
+/// Drain rows of servers, by server.
+pub async fn server_drains(tables: &dyn TableStore) -> Result<BTreeMap<String, DrainRow>, Failure> {
+    let mut drains = BTreeMap::new();
+    let mut after = String::new();
+    loop {
+        let page = tables
+            .range(SERVER_DRAINS, &after, PAGE)
+            .await
+            .map_err(|error| store_failure(&error))?;
+        for row in &page {
+            let drain: DrainRow = decode(&row.key, &row.value)?;
+            drains.insert(drain.name.clone(), drain);
+        }
+        match page.last() {
+            Some(last) if page.len() == PAGE => after.clone_from(&last.key),
+            _ => return Ok(drains),
+        }
+    }
+}
+
+/// What a step came to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Stepped {
+    /// The plan moved: its row is now this one.
+    Moved(PlanRow),
+    /// Nothing to write.
+    Unchanged,
+    /// Somebody else wrote first; look again.
+    Overtaken,
+}
+
+/// Takes one step of a drain of servers.
+pub async fn step(
+    tables: &dyn TableStore,
+    plan: &StoredPlan,
+    target: &DrainTarget,
+    view: &DrainView<'_>,
+) -> Result<Stepped, Failure> {
+    let drains = server_drains(tables).await?;
+    let mut move_ = Move::new(target, view, &drains);
+    let services = move_.services();
+    let mut ledgers = Vec::new();
+    for service in services {
+        let mut ledger = Ledger::read(tables, &service).await?;
+        let budget = budget(tables, &service).await?;
+        ledger.forget(
+            &move_.done,
+            view.settings.disruption_timeout_ms,
+            view.unix_ms,
+        );
+        move_.put_out(&service, budget, &mut ledger, &plan.row.id);
+        ledgers.push(ledger);
+    }
+    write(tables, plan, &move_, &ledgers).await
+}
+
+async fn budget(tables: &dyn TableStore, service: &str) -> Result<Budget, Failure> {
+    let key = keys::service(service);
+    let row = tables
+        .get(&key)
+        .await
+        .map_err(|error| store_failure(&error))?;
+    let row: ServiceRow = match row {
+        Some(row) => decode(&key, &row.value)?,
+        None => ServiceRow::default(),
+    };
+    Ok(Budget::of_row(
+        row.max_unavailable_zone,
+        row.max_unavailable_total,
+    ))
+}
+
+/// Where the servers of a drain stand, and which go out now.
+struct Move<'a> {
+    target: &'a DrainTarget,
+    view: &'a DrainView<'a>,
+    drains: &'a BTreeMap<String, DrainRow>,
+    servers: Vec<&'a ServerStatus>,
+    done: BTreeSet<String>,
+    going: Vec<String>,
+    held: String,
+}
+
+impl<'a> Move<'a> {
+    fn new(
+        target: &'a DrainTarget,
+        view: &'a DrainView<'a>,
+        drains: &'a BTreeMap<String, DrainRow>,
+    ) -> Move<'a> {
+        let servers: Vec<&ServerStatus> = drained_servers(target, view.status).collect();
+        let mut next = Move {
+            target,
+            view,
+            drains,
+            servers,
+            done: BTreeSet::new(),
+            going: Vec::new(),
+            held: String::new(),
+        };
+        next.done = next
+            .view
+            .status
+            .servers
+            .iter()
+            .filter(|server| next.is_done(server))
+            .map(|server| server.server.clone())
+            .collect();
+        next
+    }
+
+    /// A drained server is done when the drain is in force and its engine runs nothing.
+    fn is_done(&self, server: &ServerStatus) -> bool {
+        let Some(drain) = self.drains.get(&server.server) else {
+            return false;
+        };
+        let age_ms = self.view.unix_ms.saturating_sub(drain.since_unix_ms);
+        age_ms >= IN_FORCE_MS && self.view.idle.contains(&server.server)
+    }
+
+    fn services(&self) -> BTreeSet<String> {
+        let servers = self.servers.iter();
+        servers.map(|server| server.service.clone()).collect()
+    }
+
+    fn waiting(&self, service: &str) -> Vec<&'a ServerStatus> {
+        let servers = self.servers.iter().copied();
+        servers
+            .filter(|server| server.service == service)
+            .filter(|server| !self.drains.contains_key(&server.server))
+            .collect()
+    }
+
+    fn replica(&self, server: &ServerStatus) -> Replica {
+        let out = self.drains.contains_key(&server.server) || server.is_drained();
+        let state = if self.done.contains(&server.server) {
+            ReplicaState::Removed
+        } else if out && !self.is_of_plan(server) {
+            // Drained by another plan, or as part of a hall or zone: no longer expected to serve.
+            ReplicaState::Removed
+        } else if server.serves() && !out {
+            ReplicaState::Healthy
+        } else {
+            ReplicaState::Unhealthy
+        };
+        Replica {
+            server: server.server.clone(),
+            zone: server.zone.clone(),
+            state,
+        }
+    }
+
+    fn is_of_plan(&self, server: &ServerStatus) -> bool {
+        self.servers.iter().any(|own| own.server == server.server)
+    }
+
+    fn put_out(&mut self, service: &str, budget: Budget, ledger: &mut Ledger, plan: &str) {
+        let all = self.view.status.servers.iter();
+        let replicas: Vec<Replica> = all
+            .filter(|server| server.service == service)
+            .map(|server| self.replica(server))
+            .collect();
+        for server in self.waiting(service) {
+            let in_flight = ledger.in_flight();
+            let situation = Situation {
+                replicas: &replicas,
+                in_flight: &in_flight,
+                timeout_ms: self.view.settings.disruption_timeout_ms,
+                now_ms: self.view.unix_ms,
+            };
+            match may_disrupt(&self.replica(server), situation, budget) {
+                Verdict::Allowed | Verdict::AllowedUnhealthy => {
+                    ledger.add(&server.server, &server.zone, plan, self.view.unix_ms);
+                    self.going.push(server.server.clone());
+                }
+                Verdict::AlreadyInFlight => {
+                    self.held = format!("server {} is being changed already", server.server);
+                }
+                Verdict::Held(shortage) => self.held = shortage.words(),
+            }
+        }
+    }
+
+    fn is_finished(&self) -> bool {
+        let mut servers = self.servers.iter();
+        servers.all(|server| self.done.contains(&server.server))
+    }
+
+    fn progress(&self) -> Progress {
+        let on_their_way: Vec<&ServerStatus> = self
+            .servers
+            .iter()
+            .copied()
+            .filter(|server| !self.done.contains(&server.server))
+            .filter(|server| {
+                self.drains.contains_key(&server.server) || self.going.contains(&server.server)
+            })
+            .collect();
+        let live = on_their_way
+            .iter()
+            .filter_map(|server| server.live.as_ref());
+        let (online, batch) = live.fold((0, 0), |(online, batch), live| {
+            (online + live.online, batch + live.batch)
+        });
+        let own = |server: &&&ServerStatus| self.done.contains(&server.server);
+        Progress {
+            servers: self.servers.len(),
+            done: self
+                .servers
+                .iter()
+                .filter(own)
+                .map(|server| server.server.clone())
+                .collect(),
+            in_progress: on_their_way
+                .iter()
+                .map(|server| server.server.clone())
+                .collect(),
+            online,
+            batch,
+            waiting_for: if self.going.is_empty() {
+                self.held.clone()
+            } else {
+                String::new()
+            },
+        }
+    }
+
+    /// A finished hall or zone gets one row, so that machines which come later are drained too.
+    fn closing(&self, mut transaction: Transaction, plan: &str) -> Transaction {
+        if self.target.kind == DrainKind::Server {
+            return transaction;
+        }
+        let row = drain_row(
+            self.target.kind.name(),
+            &self.target.name,
+            plan,
+            self.view.unix_ms,
+        );
+        transaction = transaction.put(
+            keys::drain(self.target.kind.name(), &self.target.name),
+            encoded(&row),
+        );
+        let own = self
+            .servers
+            .iter()
+            .filter_map(|server| self.drains.get(&server.server));
+        own.filter(|drain| drain.plan_id == plan)
+            .fold(transaction, |transaction, drain| {
+                transaction.delete(keys::drain("server", &drain.name))
+            })
+    }
+}
+
+async fn write(
+    tables: &dyn TableStore,
+    plan: &StoredPlan,
+    next: &Move<'_>,
+    ledgers: &[Ledger],
+) -> Result<Stepped, Failure> {
+    let finished = next.is_finished();
+    let row = next_row(plan, next, finished);
+    let unchanged = next.going.is_empty()
+        && !finished
+        && row.progress_json == plan.row.progress_json
+        && !ledgers.iter().any(Ledger::is_changed);
+    if unchanged {
+        return Ok(Stepped::Unchanged);
+    }
+    let id = PlanId::from(&plan.row.id);
+    let mut transaction = Transaction::default()
+        .expect(keys::plan(&id), Expect::Revision(plan.revision))
+        .put(keys::plan(&id), encoded(&row));
+    for ledger in ledgers.iter().filter(|ledger| ledger.is_changed()) {
+        transaction = ledger.write(transaction);
+    }
+    for server in &next.going {
+        let drain = drain_row("server", server, &plan.row.id, next.view.unix_ms);
+        transaction = transaction.put(keys::drain("server", server), encoded(&drain));
+    }
+    if finished {
+        transaction = next.closing(transaction.delete(keys::active_plan(&id)), &plan.row.id);
+    }
+    let configures = !next.going.is_empty() || finished && next.target.kind != DrainKind::Server;
+    if configures {
+        let head = ConfigurationHead::read(tables)
+            .await
+            .map_err(|error| store_failure(&error))?;
+        transaction = head.chain(transaction);
+    }
+    match tables.transact(transaction).await {
+        Ok(_) => Ok(Stepped::Moved(row)),
+        // An ambiguous answer is resolved by the next look, which reads the rows again.
+        Err(StoreError::Conflict { .. } | StoreError::Ambiguous { .. }) => Ok(Stepped::Overtaken),
+        Err(error) => Err(store_failure(&error)),
+    }
+}
+
+fn next_row(plan: &StoredPlan, next: &Move<'_>, finished: bool) -> PlanRow {
+    let progress = next.progress();
+    let (phase, message) = if finished {
+        (
+            PlanPhase::PlanDone,
+            "nothing runs there any more".to_owned(),
+        )
+    } else if progress.waiting_for.is_empty() {
+        let message = format!(
+            "{} of {} servers are out",
+            progress.done.len(),
+            progress.servers
+        );
+        (PlanPhase::PlanRunning, message)
+    } else {
+        let message = format!("held back: {}", progress.waiting_for);
+        (PlanPhase::PlanRunning, message)
+    };
+    let mut row = plan.with_phase(phase, &message, next.view.unix_ms);
+    row.progress_json = serde_json::to_string(&progress).unwrap_or_default();
+    row.step = u32::try_from(progress.done.len()).unwrap_or(u32::MAX);
+    row
+}
--- /dev/null
+++ b/crates/operate/src/plans/effects.rs
@@ -0,0 +1,281 @@
+//! What a plan does to capacity, requests in progress and deadlines, as far as it can be foreseen.
+
+use std::collections::BTreeMap;
+
+use dappleyard_decide::disruption::Budget;
+use dappleyard_decide::plans::{AfterWave, PlannedServer, Wave, WaveBounds, waves};
+use dappleyard_decide::rollout::canary_count;
+use dappleyard_settings::OperateSettings;
+
+use crate::intent::{DrainKind, DrainTarget, Intent, Rollout};
+use crate::jobs::{JobAtRisk, JobLine, is_unfinished, risk};
+use crate::plans::body::{CapacityLeft, RequestsAffected, Step};
+use crate::plans::changes::drained_servers;
+use crate::status::{FleetStatus, ServerStatus};
+
+/// Expected time for the requests of a drained server to end, milliseconds.
+const DRAIN_EXPECTED_MS: u64 = 15_000;
+/// Expected time for a configuration change to be in force everywhere, milliseconds.
+const IN_FORCE_EXPECTED_MS: u64 = 3_000;
+
+/// What planning knows besides the intent.
+pub struct Outlook<'a> {
+    /// The fleet.
+    pub status: &'a FleetStatus,
+    /// Budget of each service that the plan touches.
+    pub budgets: BTreeMap<String, Budget>,
+    /// Jobs.
+    pub jobs: &'a [JobLine],
+    /// Settings.
+    pub settings: &'a OperateSettings,
+    /// Wall-clock time, seconds since 1970.
+    pub now_unix_s: u64,
+}
+
+/// Foreseen effects of a plan.
+#[derive(Debug, Clone, Default)]
+pub struct Effects {
+    /// Steps in order.
+    pub steps: Vec<Step>,
+    /// Requests in progress on servers that it touches.
+    pub requests: RequestsAffected,
+    /// Deadlines that it puts at risk.
+    pub deadlines: Vec<JobAtRisk>,
+    /// Expected duration, milliseconds.
+    pub expected_ms: u64,
+    /// What the operator should know.
+    pub warnings: Vec<String>,
+}
+
+/// Foresees the effects of an intent.
+pub fn foresee(intent: &Intent, outlook: &Outlook<'_>) -> Effects {
+    let mut effects = match intent {
+        Intent::Rollout(rollout) => rollout_effects(rollout, outlook),
+        Intent::Drain(target) => drain_effects(target, outlook),
+        _ => single_step(intent),
+    };
+    effects.expected_ms = effects.steps.iter().map(|step| step.expected_ms).sum();
+    effects.deadlines = deadlines(intent, &effects, outlook);
+    effects.warnings.extend(warnings(intent, outlook));
+    effects
+}
+
+fn single_step(intent: &Intent) -> Effects {
+    Effects {
+        steps: vec![Step {
+            what: format!("{}; in force on every node", intent.summary()),
+            expected_ms: IN_FORCE_EXPECTED_MS,
+            ..Step::default()
+        }],
+        ..Effects::default()
+    }
+}
+
+fn planned(server: &ServerStatus) -> PlannedServer {
+    PlannedServer {
+        server: server.server.clone(),
+        service: server.service.clone(),
+        zone: server.zone.clone(),
+        serving: server.serves(),
+    }
+}
+
+fn all_servers(outlook: &Outlook<'_>) -> Vec<PlannedServer> {
+    outlook.status.servers.iter().map(planned).collect()
+}
+
+fn bounds(outlook: &Outlook<'_>, concurrency: usize) -> WaveBounds {
+    WaveBounds {
+        budgets: outlook.budgets.clone(),
+        concurrency,
+    }
+}
+
+fn drain_effects(target: &DrainTarget, outlook: &Outlook<'_>) -> Effects {
+    if target.kind == DrainKind::Node {
+        return node_drain_effects(target);
+    }
+    let touched: Vec<&ServerStatus> = drained_servers(target, outlook.status).collect();
+    let targets: Vec<PlannedServer> = touched.iter().map(|server| planned(server)).collect();
+    let bounds = bounds(outlook, usize::MAX);
+    let waves = waves(&targets, &all_servers(outlook), &bounds, AfterWave::StayOut);
+    let steps = waves
+        .iter()
+        .map(|wave| {
+            step_of(
+                wave,
+                "take out and wait until nothing runs there",
+                DRAIN_EXPECTED_MS,
+            )
+        })
+        .collect();
+    Effects {
+        steps,
+        requests: requests(&touched),
+        ..Effects::default()
+    }
+}
+
+fn node_drain_effects(target: &DrainTarget) -> Effects {
+    Effects {
+        steps: vec![Step {
+            what: format!(
+                "node {} takes nothing new, finishes what it has; its servers pass to other nodes",
+                target.name
+            ),
+            expected_ms: DRAIN_EXPECTED_MS,
+            ..Step::default()
+        }],
+        ..Effects::default()
+    }
+}
+
+fn rollout_effects(rollout: &Rollout, outlook: &Outlook<'_>) -> Effects {
+    let carriers: Vec<&ServerStatus> = outlook
+        .status
+        .servers
+        .iter()
+        .filter(|server| server.service == rollout.service)
+        .filter(|server| !matches!(server.state.as_str(), "drained" | "leaving"))
+        .collect();
+    let targets: Vec<PlannedServer> = carriers.iter().map(|server| planned(server)).collect();
+    let canaries = canary_count(targets.len(), rollout.canary_percent);
+    let all = all_servers(outlook);
+    let bounds = bounds(outlook, outlook.settings.load_concurrency);
+    let load_ms = outlook.settings.expected_load_ms;
+    let (first, rest) = targets.split_at(canaries.min(targets.len()));
+    let mut steps = load_steps(first, &all, &bounds, "canary: load", rollout, load_ms);
+    steps.push(Step {
+        what: format!(
+            "watch the canaries; roll back on a failed load, on more than {} % failures or on steps above {} % of the others'",
+            outlook.settings.canary_error_percent, outlook.settings.canary_step_percent
+        ),
+        expected_ms: outlook.settings.canary_watch_ms,
+        ..Step::default()
+    });
+    steps.extend(load_steps(rest, &all, &bounds, "load", rollout, load_ms));
+    Effects {
+        steps,
+        requests: requests(&carriers),
+        ..Effects::default()
+    }
+}
+
+fn load_steps(
+    targets: &[PlannedServer],
+    all: &[PlannedServer],
+    bounds: &WaveBounds,
+    verb: &str,
+    rollout: &Rollout,
+    load_ms: u64,
+) -> Vec<Step> {
+    let what = format!("{verb} {}", rollout.version);
+    waves(targets, all, bounds, AfterWave::Return)
+        .iter()
+        .map(|wave| step_of(wave, &what, load_ms))
+        .collect()
+}
+
+fn step_of(wave: &Wave, what: &str, expected_ms: u64) -> Step {
+    Step {
+        what: what.to_owned(),
+        servers: wave.servers.clone(),
+        capacity: wave
+            .capacity
+            .iter()
+            .map(|left| CapacityLeft {
+                service: left.service.clone(),
+                zone: left.zone.clone(),
+                serving: left.serving,
+                before: left.before,
+            })
+            .collect(),
+        expected_ms,
+    }
+}
+
+fn requests(servers: &[&ServerStatus]) -> RequestsAffected {
+    let live = servers.iter().filter_map(|server| server.live.as_ref());
+    live.fold(RequestsAffected::default(), |sum, server| {
+        RequestsAffected {
+            online: sum.online + server.online,
+            batch: sum.batch + server.batch,
+        }
+    })
+}
+
+/// A plan that leaves a share of the serving capacity makes remaining batch work longer by that
+/// share, for as long as the capacity is away.
+fn deadlines(intent: &Intent, effects: &Effects, outlook: &Outlook<'_>) -> Vec<JobAtRisk> {
+    let slowdown = slowdown(intent, effects, outlook);
+    if slowdown <= 1.0 {
+        return Vec::new();
+    }
+    let unfinished = outlook.jobs.iter().filter(|job| is_unfinished(&job.phase));
+    let mut at_risk: Vec<JobAtRisk> = unfinished
+        .filter_map(|job| risk(job, outlook.now_unix_s, slowdown))
+        .collect();
+    at_risk.sort_by_key(|job| job.deadline_unix_s);
+    at_risk
+}
+
+/// How much longer batch work takes at the narrowest step.
+fn slowdown(intent: &Intent, effects: &Effects, outlook: &Outlook<'_>) -> f64 {
+    if !matches!(intent, Intent::Rollout(_) | Intent::Drain(_)) {
+        return 1.0;
+    }
+    let all = outlook
+        .status
+        .servers
+        .iter()
+        .filter(|server| server.serves());
+    let all = all.count();
+    let most_out = effects
+        .steps
+        .iter()
+        .map(|step| {
+            let out = step
+                .capacity
+                .iter()
+                .map(|left| left.before.saturating_sub(left.serving));
+            out.sum::<u32>() as usize
+        })
+        .max()
+        .unwrap_or(0);
+    match all.saturating_sub(most_out) {
+        0 if most_out > 0 => f64::INFINITY,
+        0 => 1.0,
+        left => all as f64 / left as f64,
+    }
+}
+
+fn warnings(intent: &Intent, outlook: &Outlook<'_>) -> Vec<String> {
+    let mut warnings = outlook.status.unknown.clone();
+    if let Intent::Drain(target) = intent {
+        warnings.extend(emptied_services(target, outlook.status));
+    }
+    warnings
+}
+
+/// Services that have no server left after the drain.
+fn emptied_services(target: &DrainTarget, status: &FleetStatus) -> Vec<String> {
+    let drained: Vec<&str> = drained_servers(target, status)
+        .map(|server| server.server.as_str())
+        .collect();
+    let mut services: Vec<&str> = drained_servers(target, status)
+        .map(|server| server.service.as_str())
+        .collect();
+    services.sort_unstable();
+    services.dedup();
+    services
+        .into_iter()
+        .filter(|service| {
+            let mut serving = status
+                .servers
+                .iter()
+                .filter(|server| server.service == *service && server.serves());
+            !serving.any(|server| !drained.contains(&server.server.as_str()))
+        })
+        .map(|service| format!("no other server of {service} serves: its requests will be refused"))
+        .collect()
+}
--- /dev/null
+++ b/crates/operate/src/plans/ledger.rs
@@ -0,0 +1,95 @@
+//! The row of a service's disruptions in flight: read, extended and cleaned in the same transaction
+//! as the disruption itself, so that two controllers never spend the same budget.
+
+use std::collections::BTreeSet;
+
+use dappleyard_decide::disruption::{InFlight, remembered};
+use dappleyard_platform::{Expect, TableStore, Transaction};
+use dappleyard_wire::Failure;
+use dappleyard_wire::keys;
+use dappleyard_wire::messages::{Disruption, DisruptionRow};
+
+use crate::plans::store::encoded;
+use crate::snapshot::{decode, store_failure};
+
+/// A service's disruptions in flight, as read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ledger {
+    service: String,
+    row: DisruptionRow,
+    revision: Option<u64>,
+    changed: bool,
+}
+
+impl Ledger {
+    /// Reads the row of a service.
+    pub async fn read(tables: &dyn TableStore, service: &str) -> Result<Ledger, Failure> {
+        let key = keys::disruption(service);
+        let row = tables
+            .get(&key)
+            .await
+            .map_err(|error| store_failure(&error))?;
+        Ok(Ledger {
+            service: service.to_owned(),
+            revision: row.as_ref().map(|row| row.revision),
+            row: match row {
+                Some(row) => decode(&key, &row.value)?,
+                None => DisruptionRow::default(),
+            },
+            changed: false,
+        })
+    }
+
+    /// Disruptions in flight, for the budget.
+    pub fn in_flight(&self) -> Vec<InFlight> {
+        self.row.disruptions.iter().map(in_flight).collect()
+    }
+
+    /// Forgets disruptions that were observed as done, or that timed out.
+    pub fn forget(&mut self, observed: &BTreeSet<String>, timeout_ms: u64, now_unix_ms: u64) {
+        let flights = self.in_flight();
+        let kept: BTreeSet<&str> = remembered(&flights, observed, timeout_ms, now_unix_ms)
+            .into_iter()
+            .map(|flight| flight.server.as_str())
+            .collect();
+        let before = self.row.disruptions.len();
+        self.row
+            .disruptions
+            .retain(|disruption| kept.contains(disruption.server.as_str()));
+        self.changed |= self.row.disruptions.len() != before;
+    }
+
+    /// Adds a disruption.
+    pub fn add(&mut self, server: &str, zone: &str, cause: &str, now_unix_ms: u64) {
+        self.row.disruptions.push(Disruption {
+            server: server.to_owned(),
+            zone: zone.to_owned(),
+            cause: cause.to_owned(),
+            since_unix_ms: now_unix_ms,
+        });
+        self.changed = true;
+    }
+
+    /// Whether there is something to write.
+    pub fn is_changed(&self) -> bool {
+        self.changed
+    }
+
+    /// Adds the row to a transaction that takes effect only when nobody else has changed it.
+    #[must_use]
+    pub fn write(&self, transaction: Transaction) -> Transaction {
+        let key = keys::disruption(&self.service);
+        let expect = self.revision.map_or(Expect::Absent, Expect::Revision);
+        transaction
+            .expect(key.clone(), expect)
+            .put(key, encoded(&self.row))
+    }
+}
+
+fn in_flight(disruption: &Disruption) -> InFlight {
+    InFlight {
+        server: disruption.server.clone(),
+        zone: disruption.zone.clone(),
+        since_ms: disruption.since_unix_ms,
+    }
+}
--- /dev/null
+++ b/crates/operate/src/plans/runner.rs
@@ -0,0 +1,231 @@
+//! Carries out the steps of confirmed plans. One node of the fleet does it at a time; that two do it
+//! for a moment is harmless, since every step is one transaction that compares the plan's row.
+
+use std::collections::BTreeSet;
+
+use dappleyard_platform::{Expect, StoreError, TableStore, Transaction};
+use dappleyard_settings::OperateSettings;
+use dappleyard_wire::Failure;
+use dappleyard_wire::ids::PlanId;
+use dappleyard_wire::keys;
+use dappleyard_wire::messages::{PlanPhase, PlanRow, ServiceRow};
+
+use crate::head::ConfigurationHead;
+use crate::intent::{DrainKind, DrainTarget, Intent, Rollout};
+use crate::plans::body::Progress;
+use crate::plans::changes::drain_row;
+use crate::plans::drain::{DrainView, Stepped, step};
+use crate::plans::store::{StoredPlan, encoded, read_plan};
+use crate::snapshot::{decode, store_failure};
+use crate::status::FleetStatus;
+
+/// What a look at a plan is decided from.
+pub struct RunView<'a> {
+    /// The fleet as gathered.
+    pub status: &'a FleetStatus,
+    /// Servers on which the engine says that nothing runs.
+    pub idle: &'a BTreeSet<String>,
+    /// Settings.
+    pub settings: &'a OperateSettings,
+    /// Wall-clock time, milliseconds since 1970.
+    pub unix_ms: u64,
+}
+
+/// Looks at a running plan and takes its next step.
+pub async fn advance(
+    tables: &dyn TableStore,
+    id: &str,
+    view: &RunView<'_>,
+) -> Result<Stepped, Failure> {
+    let plan = read_plan(tables, id).await?;
+    if plan.row.phase() != PlanPhase::PlanRunning {
+        return forget(tables, &plan).await;
+    }
+    match plan.intent()? {
+        Intent::Drain(target) if target.kind == DrainKind::Node => {
+            drain_node(tables, &plan, &target, view).await
+        }
+        Intent::Drain(target) => {
+            let drain_view = DrainView {
+                status: view.status,
+                idle: view.idle,
+                settings: view.settings,
+                unix_ms: view.unix_ms,
+            };
+            step(tables, &plan, &target, &drain_view).await
+        }
+        Intent::Rollout(rollout) => follow_rollout(tables, &plan, &rollout, view).await,
+        _ => {
+            write(
+                tables,
+                &plan,
+                done(&plan, "confirmed and written", view),
+                Transaction::default(),
+            )
+            .await
+        }
+    }
+}
+
+/// Takes a plan that is over out of the index of running plans.
+async fn forget(tables: &dyn TableStore, plan: &StoredPlan) -> Result<Stepped, Failure> {
+    let key = keys::active_plan(&PlanId::from(&plan.row.id));
+    let transaction = Transaction::default().delete(key);
+    match tables.transact(transaction).await {
+        Ok(_) => Ok(Stepped::Unchanged),
+        Err(error) => Err(store_failure(&error)),
+    }
+}
+
+/// A node's drain is one row; it is done when the node runs nothing or is gone.
+async fn drain_node(
+    tables: &dyn TableStore,
+    plan: &StoredPlan,
+    target: &DrainTarget,
+    view: &RunView<'_>,
+) -> Result<Stepped, Failure> {
+    let key = keys::drain("node", &target.name);
+    let known = tables
+        .get(&key)
+        .await
+        .map_err(|error| store_failure(&error))?;
+    if known.is_none() {
+        let head = ConfigurationHead::read(tables)
+            .await
+            .map_err(|error| store_failure(&error))?;
+        let row = drain_row("node", &target.name, &plan.row.id, view.unix_ms);
+        let transaction = head.chain(
+            Transaction::default()
+                .expect(key.clone(), Expect::Absent)
+                .put(key, encoded(&row)),
+        );
+        let next = plan.with_phase(PlanPhase::PlanRunning, "the node is told", view.unix_ms);
+        return write(tables, plan, next, transaction).await;
+    }
+    let node = view
+        .status
+        .nodes
+        .iter()
+        .find(|node| node.node == target.name);
+    let gone = node.is_none_or(|node| matches!(node.member.as_str(), "dead" | "left"));
+    let empty = node.is_some_and(|node| node.lifecycle == "draining" && node.busy == 0);
+    if gone || empty {
+        let next = done(plan, "the node runs nothing any more", view);
+        return write(tables, plan, next, Transaction::default()).await;
+    }
+    let busy = node.map_or(0, |node| node.busy);
+    let progress = Progress {
+        in_progress: vec![target.name.clone()],
+        waiting_for: format!("{busy} sequences still run from the node"),
+        ..Progress::default()
+    };
+    write_progress(tables, plan, progress, view).await
+}
+
+/// The service's controller places versions and judges canaries; this follows and closes the plan.
+async fn follow_rollout(
+    tables: &dyn TableStore,
+    plan: &StoredPlan,
+    rollout: &Rollout,
+    view: &RunView<'_>,
+) -> Result<Stepped, Failure> {
+    let key = keys::service(&rollout.service);
+    let row = tables
+        .get(&key)
+        .await
+        .map_err(|error| store_failure(&error))?;
+    let row: ServiceRow = match row {
+        Some(row) => decode(&key, &row.value)?,
+        None => ServiceRow::default(),
+    };
+    let at_canaries = row.canary == rollout.version;
+    if !at_canaries && row.version != rollout.version {
+        let message = format!(
+            "taken back: {} has version {}",
+            rollout.service, row.version
+        );
+        let next = plan.with_phase(PlanPhase::PlanFailed, &message, view.unix_ms);
+        return write(tables, plan, next, Transaction::default()).await;
+    }
+    let progress = rollout_progress(rollout, at_canaries, view.status);
+    let finished = !at_canaries && progress.done.len() == progress.servers;
+    if finished {
+        let message = format!("all {} servers carry {}", progress.servers, rollout.version);
+        let next = done(plan, &message, view);
+        return write(tables, plan, next, Transaction::default()).await;
+    }
+    write_progress(tables, plan, progress, view).await
+}
+
+fn rollout_progress(rollout: &Rollout, at_canaries: bool, status: &FleetStatus) -> Progress {
+    let carriers: Vec<_> = status
+        .servers
+        .iter()
+        .filter(|server| server.service == rollout.service)
+        .filter(|server| !matches!(server.state.as_str(), "drained" | "leaving" | "unknown"))
+        .collect();
+    let done = carriers
+        .iter()
+        .filter(|server| server.version() == rollout.version);
+    let loading = carriers.iter().filter(|server| server.state == "loading");
+    Progress {
+        servers: carriers.len(),
+        done: done.map(|server| server.server.clone()).collect(),
+        in_progress: loading.map(|server| server.server.clone()).collect(),
+        waiting_for: if at_canaries {
+            "the canaries' health gate".to_owned()
+        } else {
+            String::new()
+        },
+        ..Progress::default()
+    }
+}
+
+fn done(plan: &StoredPlan, message: &str, view: &RunView<'_>) -> PlanRow {
+    plan.with_phase(PlanPhase::PlanDone, message, view.unix_ms)
+}
+
+async fn write_progress(
+    tables: &dyn TableStore,
+    plan: &StoredPlan,
+    progress: Progress,
+    view: &RunView<'_>,
+) -> Result<Stepped, Failure> {
+    let json = serde_json::to_string(&progress).unwrap_or_default();
+    if json == plan.row.progress_json {
+        return Ok(Stepped::Unchanged);
+    }
+    let message = if progress.waiting_for.is_empty() {
+        format!(
+            "{} of {} servers are done",
+            progress.done.len(),
+            progress.servers
+        )
+    } else {
+        format!("waits for {}", progress.waiting_for)
+    };
+    let mut row = plan.with_phase(PlanPhase::PlanRunning, &message, view.unix_ms);
+    row.progress_json = json;
+    write(tables, plan, row, Transaction::default()).await
+}
+
+/// Writes the plan's row, together with what the step changes.
+async fn write(
+    tables: &dyn TableStore,
+    plan: &StoredPlan,
+    row: PlanRow,
+    step: Transaction,
+) -> Result<Stepped, Failure> {
+    let id = PlanId::from(&plan.row.id);
+    let mut transaction = step
+        .expect(keys::plan(&id), Expect::Revision(plan.revision))
+        .put(keys::plan(&id), encoded(&row));
+    if row.phase() != PlanPhase::PlanRunning {
+        transaction = transaction.delete(keys::active_plan(&id));
+    }
+    match tables.transact(transaction).await {
+        Ok(_) => Ok(Stepped::Moved(row)),
+        Err(StoreError::Conflict { .. } | StoreError::Ambiguous { .. }) => Ok(Stepped::Overtaken),
+        Err(error) => Err(store_failure(&error)),
+    }
+}
--- /dev/null
+++ b/crates/operate/src/regions.rs
@@ -0,0 +1,69 @@
+//! Whether a change can be in force everywhere: regions tell in a freshness row that they follow.
+
+use dappleyard_platform::TableStore;
+use dappleyard_wire::keys::REGION_PREFIX;
+use dappleyard_wire::messages::RegionRow;
+use dappleyard_wire::{ErrorKind, Failure};
+
+use crate::intent::{DrainKind, Intent};
+use crate::snapshot::{decode, store_failure};
+use crate::status::FleetStatus;
+
+/// Most regions read.
+const MOST_REGIONS: usize = 100;
+
+/// Regions that an intent touches. Services, tenants and windows are in force in every region.
+pub fn touched(intent: &Intent, status: &FleetStatus) -> Vec<String> {
+    let mut regions: Vec<String> = match intent {
+        Intent::Drain(target) | Intent::Undrain(target) if target.kind == DrainKind::Node => status
+            .nodes
+            .iter()
+            .filter(|node| node.node == target.name)
+            .map(|node| node.region.clone())
+            .collect(),
+        Intent::Drain(target) | Intent::Undrain(target) => {
+            crate::plans::changes::drained_servers(target, status)
+                .map(|server| server.region.clone())
+                .collect()
+        }
+        Intent::BatchJob(_) => Vec::new(),
+        _ => status
+            .nodes
+            .iter()
+            .filter(|node| node.member != "left")
+            .map(|node| node.region.clone())
+            .collect(),
+    };
+    regions.sort();
+    regions.dedup();
+    regions
+}
+
+/// Refuses a change that touches a region whose freshness row is too old.
+pub async fn check_fresh(
+    tables: &dyn TableStore,
+    regions: &[String],
+    now_unix_ms: u64,
+    fresh_ms: u64,
+) -> Result<(), Failure> {
+    let rows = tables
+        .range(REGION_PREFIX, "", MOST_REGIONS)
+        .await
+        .map_err(|error| store_failure(&error))?;
+    for row in rows {
+        let region: RegionRow = decode(&row.key, &row.value)?;
+        let age_ms = now_unix_ms.saturating_sub(region.refreshed_unix_ms);
+        if regions.contains(&region.region) && age_ms > fresh_ms {
+            return Err(Failure::not_run(
+                ErrorKind::RegionUnreachable,
+                format!(
+                    "region {} has not confirmed configuration for {:.0} s, so the change cannot be in force there; \
+                     wait until it is back, or plan a change that does not touch it",
+                    region.region,
+                    age_ms as f64 / 1000.0
+                ),
+            ));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/operate/src/status.rs
@@ -0,0 +1,279 @@
+//! The fleet at a glance: nodes, servers, load, the revision in force, running plans, jobs at risk.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dappleyard_platform::Platform;
+use dappleyard_tables::NodeTables;
+use dappleyard_wire::messages::{Member, MemberState};
+use serde::{Deserialize, Serialize};
+
+use crate::jobs::{JobAtRisk, jobs_at_risk};
+use crate::local::{LocalReport, LocalServer, local_report};
+use crate::peers::Peers;
+use crate::plans::store::{PlanLine, running_plans};
+
+/// The fleet as one node gathered it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetStatus {
+    /// Node that gathered it.
+    pub observed_by: String,
+    /// When, milliseconds since 1970.
+    pub unix_ms: u64,
+    /// Nodes.
+    pub nodes: Vec<NodeStatus>,
+    /// Servers.
+    pub servers: Vec<ServerStatus>,
+    /// Configuration in force.
+    pub revision: RevisionInForce,
+    /// Plans that run.
+    pub plans: Vec<PlanLine>,
+    /// Jobs whose deadline is at risk.
+    pub jobs_at_risk: Vec<JobAtRisk>,
+    /// What could not be learnt, in words.
+    pub unknown: Vec<String>,
+}
+
+/// A node.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// Node id.
+    pub node: String,
+    /// Zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+    /// `alive`, `suspect`, `dead` or `left`, as membership has it.
+    pub member: String,
+    /// Life cycle by its own word; empty when it did not answer.
+    pub lifecycle: String,
+    /// Configuration revision in force on it.
+    pub revision: u64,
+    /// Servers that it owns.
+    pub servers: usize,
+    /// Sequences in flight from it.
+    pub busy: usize,
+    /// Address of its operators' interface.
+    pub admin_address: String,
+}
+
+/// A server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServerStatus {
+    /// Server id.
+    pub server: String,
+    /// Service.
+    pub service: String,
+    /// Region.
+    pub region: String,
+    /// Zone.
+    pub zone: String,
+    /// Hall.
+    pub hall: String,
+    /// Node that owns it; empty for none.
+    pub owner: String,
+    /// `serving`, `loading`, `empty`, `withdrawn`, `drained`, `leaving` or `unknown`.
+    pub state: String,
+    /// Why it is in this state, where there is something to say.
+    pub reason: String,
+    /// What its owner reports; `None` when the owner did not answer.
+    pub live: Option<LocalServer>,
+}
+
+impl ServerStatus {
+    /// Whether it takes new work, as far as is known.
+    pub fn serves(&self) -> bool {
+        self.state == "serving"
+    }
+
+    /// Whether a drain names it, its hall or its zone.
+    pub fn is_drained(&self) -> bool {
+        self.state == "drained"
+    }
+
+    /// Version loaded; empty when none is known.
+    pub fn version(&self) -> &str {
+        self.live.as_ref().map_or("", |live| live.version.as_str())
+    }
+}
+
+/// How far the last configuration revision has come.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisionInForce {
+    /// Greatest revision seen on a node.
+    pub revision: u64,
+    /// Live nodes that have it in force.
+    pub in_force: usize,
+    /// Live nodes.
+    pub nodes: usize,
+    /// Live nodes that are behind.
+    pub lagging: Vec<String>,
+}
+
+/// Gathers the status. Peers that do not answer are named in `unknown`.
+pub async fn gather(tables: &Arc<NodeTables>, platform: &Platform, peers: &Peers) -> FleetStatus {
+    let answers = peers.ask::<LocalReport>("/admin/v1/local").await;
+    let mut reports: BTreeMap<String, LocalReport> = answers
+        .answers
+        .into_iter()
+        .map(|report| (report.node.clone(), report))
+        .collect();
+    reports.insert(tables.identity.node.to_string(), local_report(tables));
+    let mut unknown: Vec<String> = answers
+        .silent
+        .into_iter()
+        .map(|(node, cause)| format!("node {node} did not answer: {cause}"))
+        .collect();
+    let plans = running_plans(&*platform.tables)
+        .await
+        .unwrap_or_else(|failure| {
+            unknown.push(format!("running plans: {failure}"));
+            Vec::new()
+        });
+    let jobs = jobs_at_risk(&*platform.tables, tables.clock.unix_ms() / 1000)
+        .await
+        .unwrap_or_else(|failure| {
+            unknown.push(format!("jobs: {failure}"));
+            Vec::new()
+        });
+    let nodes = node_statuses(tables, &reports);
+    FleetStatus {
+        observed_by: tables.identity.node.to_string(),
+        unix_ms: tables.clock.unix_ms(),
+        revision: revision_in_force(&nodes),
+        servers: server_statuses(tables, &reports),
+        nodes,
+        plans,
+        jobs_at_risk: jobs,
+        unknown,
+    }
+}
+
+/// Name of a member's state in answers.
+pub const fn member_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::MemberAlive => "alive",
+        MemberState::MemberSuspect => "suspect",
+        MemberState::MemberDead => "dead",
+        MemberState::MemberLeft => "left",
+    }
+}
+
+fn node_statuses(tables: &NodeTables, reports: &BTreeMap<String, LocalReport>) -> Vec<NodeStatus> {
+    let members = tables.members.all();
+    let mut nodes: Vec<NodeStatus> = members
+        .iter()
+        .map(|member| node_status(member, reports.get(&member.node)))
+        .collect();
+    let me = tables.identity.node.as_str();
+    if let Some(report) = reports.get(me)
+        && !nodes.iter().any(|node| node.node == me)
+    {
+        let member = Member {
+            node: report.node.clone(),
+            zone: report.zone.clone(),
+            region: report.region.clone(),
+            configuration_revision: report.configuration_revision,
+            ..Member::default()
+        };
+        nodes.push(node_status(&member, Some(report)));
+    }
+    nodes.sort_by(|left, right| (&left.zone, &left.node).cmp(&(&right.zone, &right.node)));
+    nodes
+}
+
+fn node_status(member: &Member, report: Option<&LocalReport>) -> NodeStatus {
+    NodeStatus {
+        node: member.node.clone(),
+        zone: member.zone.clone(),
+        region: member.region.clone(),
+        member: member_name(member.state()).to_owned(),
+        lifecycle: report.map_or_else(String::new, |report| report.lifecycle.clone()),
+        revision: report.map_or(member.configuration_revision, |report| {
+            report.configuration_revision
+        }),
+        servers: report.map_or(0, |report| report.servers.len()),
+        busy: report.map_or(0, LocalReport::busy),
+        admin_address: member.admin_address.clone(),
+    }
+}
+
+fn revision_in_force(nodes: &[NodeStatus]) -> RevisionInForce {
+    let live: Vec<&NodeStatus> = nodes
+        .iter()
+        .filter(|node| matches!(node.member.as_str(), "alive" | "suspect"))
+        .collect();
+    let revision = live.iter().map(|node| node.revision).max().unwrap_or(0);
+    let lagging: Vec<String> = live
+        .iter()
+        .filter(|node| node.revision < revision)
+        .map(|node| node.node.clone())
+        .collect();
+    RevisionInForce {
+        revision,
+        in_force: live.len() - lagging.len(),
+        nodes: live.len(),
+        lagging,
+    }
+}
+
+fn server_statuses(
+    tables: &NodeTables,
+    reports: &BTreeMap<String, LocalReport>,
+) -> Vec<ServerStatus> {
+    let live: BTreeMap<&str, &LocalServer> = reports
+        .values()
+        .flat_map(|report| &report.servers)
+        .map(|server| (server.server.as_str(), server))
+        .collect();
+    let configuration = tables.configuration.current();
+    let entries = tables.directory.all();
+    entries
+        .into_iter()
+        .map(|entry| {
+            let live = live.get(entry.server.as_str()).copied().cloned();
+            let drained =
+                configuration.is_draining(entry.server.as_str(), &entry.hall, entry.zone.as_str());
+            let (state, reason) = server_state(entry.leaving, drained, live.as_ref());
+            ServerStatus {
+                server: entry.server.to_string(),
+                service: entry.service.to_string(),
+                region: entry.region.to_string(),
+                zone: entry.zone.to_string(),
+                hall: entry.hall,
+                owner: entry
+                    .owner
+                    .map_or_else(String::new, |owner| owner.to_string()),
+                state: state.to_owned(),
+                reason,
+                live,
+            }
+        })
+        .collect()
+}
+
+fn server_state(
+    leaving: bool,
+    drained: bool,
+    live: Option<&LocalServer>,
+) -> (&'static str, String) {
+    if drained {
+        return ("drained", "a drain is in force".to_owned());
+    }
+    if leaving {
+        return ("leaving", "the machine list says so".to_owned());
+    }
+    let Some(live) = live else {
+        return ("unknown", "its owner did not report it".to_owned());
+    };
+    if let Some(reason) = &live.withdrawn {
+        return ("withdrawn", reason.clone());
+    }
+    if !live.loading.is_empty() {
+        return ("loading", format!("loads {}", live.loading));
+    }
+    if live.version.is_empty() {
+        return ("empty", live.load_failure.clone());
+    }
+    ("serving", String::new())
+}
--- /dev/null
+++ b/crates/operate/tests/confirm.rs
@@ -0,0 +1,237 @@
+//! Plans and their confirmation: conflicts, lost answers, chains of configuration, regions.
+
+mod support;
+
+use dappleyard_operate::intent::{DrainKind, DrainTarget, Intent, TenantLimits};
+use dappleyard_operate::plans::abort::abort;
+use dappleyard_operate::plans::confirm::{Confirmation, Refusal, confirm};
+use dappleyard_operate::plans::store::{StoredPlan, read_plan};
+use dappleyard_platform::{Fault, MemoryPlatform};
+use dappleyard_wire::keys::{self, CONFIGURATION_HEAD};
+use dappleyard_wire::messages::{PlanPhase, RegionRow, ServiceRow, TenantRow};
+use dappleyard_wire::{ErrorKind, Ran};
+use googletest::prelude::*;
+use support::{NOW_MS, SERVICE, drain, platform, proposed, put, rollout, row, status};
+
+async fn confirmed(
+    store: &MemoryPlatform,
+    plan: &StoredPlan,
+    token: &str,
+) -> std::result::Result<StoredPlan, Refusal> {
+    let confirmation = Confirmation {
+        plan: plan.row.id.clone(),
+        token: token.to_owned(),
+        unix_ms: NOW_MS,
+        region_fresh_ms: 15_000,
+    };
+    confirm(store, &confirmation).await
+}
+
+fn tenant(limit: f64) -> Intent {
+    Intent::Tenant(TenantLimits {
+        tenant: "yard".to_owned(),
+        requests_per_s: Some(limit),
+        ..TenantLimits::default()
+    })
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_proposed_plan_changes_nothing_but_its_own_row() -> Result<()> {
+    let store = platform().await;
+    let plan = proposed(&store, &status(4), &rollout("v2"))
+        .await
+        .or_fail()?;
+    let service: ServiceRow = row(&store, &keys::service(SERVICE)).or_fail()?;
+    expect_that!(service.canary, eq(""));
+    expect_that!(store.row(CONFIGURATION_HEAD), none());
+    expect_that!(plan.row.phase(), eq(PlanPhase::PlanProposed));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn of_two_conflicting_plans_one_is_accepted_and_the_other_is_told_what_changed() -> Result<()>
+{
+    let store = platform().await;
+    let first = proposed(&store, &status(4), &rollout("v2"))
+        .await
+        .or_fail()?;
+    let second = proposed(&store, &status(4), &rollout("v3"))
+        .await
+        .or_fail()?;
+    confirmed(&store, &first, "a")
+        .await
+        .expect("the first is accepted");
+    let refusal = confirmed(&store, &second, "b")
+        .await
+        .expect_err("the second is refused");
+    expect_that!(refusal.failure.kind, eq(ErrorKind::Conflict));
+    expect_that!(refusal.failure.ran, eq(Ran::No));
+    let service = refusal
+        .changed
+        .iter()
+        .find(|row| row.key == keys::service(SERVICE));
+    let service = service.or_fail()?;
+    expect_that!(service.before, contains_substring("version v1"));
+    expect_that!(service.now, contains_substring("canary v2 on 25 %"));
+    let overtaken = read_plan(&store, &second.row.id).await.or_fail()?;
+    expect_that!(overtaken.row.phase(), eq(PlanPhase::PlanOvertaken));
+    let row: ServiceRow = row(&store, &keys::service(SERVICE)).or_fail()?;
+    expect_that!(row.canary, eq("v2"));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn two_drains_of_one_service_made_from_the_same_view_conflict() -> Result<()> {
+    let store = platform().await;
+    let fleet = status(4);
+    let zone = proposed(&store, &fleet, &drain(DrainKind::Zone, "howrah"))
+        .await
+        .or_fail()?;
+    let other = proposed(&store, &fleet, &drain(DrainKind::Zone, "haldia"))
+        .await
+        .or_fail()?;
+    confirmed(&store, &zone, "a")
+        .await
+        .expect("the first is accepted");
+    let refusal = confirmed(&store, &other, "b")
+        .await
+        .expect_err("the second is refused");
+    expect_that!(
+        refusal.failure.message,
+        contains_substring("plans that take capacity from fittings-llm")
+    );
+    expect_that!(
+        refusal.failure.message,
+        contains_substring("drain zone howrah")
+    );
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn plans_that_touch_different_rows_are_both_accepted_in_one_chain() -> Result<()> {
+    let store = platform().await;
+    let limits = proposed(&store, &status(4), &tenant(5.0)).await.or_fail()?;
+    let version = proposed(&store, &status(4), &rollout("v2"))
+        .await
+        .or_fail()?;
+    let first = confirmed(&store, &limits, "a").await.expect("accepted");
+    let head = store.row(CONFIGURATION_HEAD).or_fail()?;
+    expect_that!(head.revision, eq(first.revision));
+    let second = confirmed(&store, &version, "b").await.expect("accepted");
+    let next = store.row(CONFIGURATION_HEAD).or_fail()?;
+    expect_that!(next.revision, eq(second.revision));
+    expect_that!(next.value, eq(&head.revision.to_string().into_bytes()));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_lost_answer_is_resolved_by_reading_back() -> Result<()> {
+    for fault in [Fault::LostBeforeEffect, Fault::LostAfterEffect] {
+        let store = platform().await;
+        let plan = proposed(&store, &status(4), &tenant(5.0)).await.or_fail()?;
+        store.fail_transactions([Some(fault)]);
+        let accepted = confirmed(&store, &plan, "a").await.expect("accepted");
+        expect_that!(accepted.row.phase(), eq(PlanPhase::PlanDone));
+        let tenant: TenantRow = row(&store, &keys::tenant("yard")).or_fail()?;
+        expect_that!(tenant.requests_per_s, eq(5.0));
+        // Platform row, plan row, and one confirmation: it was not applied twice.
+        expect_that!(store.transactions(), eq(3));
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_store_that_goes_down_after_a_lost_answer_leaves_a_maybe() -> Result<()> {
+    let store = platform().await;
+    let plan = proposed(&store, &status(4), &tenant(5.0)).await.or_fail()?;
+    store.fail_transactions([Some(Fault::LostBeforeEffect), Some(Fault::Unavailable)]);
+    let refusal = confirmed(&store, &plan, "a").await.expect_err("refused");
+    expect_that!(refusal.failure.kind, eq(ErrorKind::StoreUnavailable));
+    expect_that!(refusal.failure.ran, eq(Ran::Maybe));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_same_token_gets_the_same_answer_and_another_one_a_conflict() -> Result<()> {
+    let store = platform().await;
+    let plan = proposed(&store, &status(4), &tenant(5.0)).await.or_fail()?;
+    confirmed(&store, &plan, "a").await.expect("accepted");
+    expect_that!(confirmed(&store, &plan, "a").await, ok(anything()));
+    let refusal = confirmed(&store, &plan, "b").await.expect_err("refused");
+    expect_that!(
+        refusal.failure.message,
+        contains_substring("can no longer be confirmed")
+    );
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_change_that_touches_a_cut_off_region_is_refused_with_the_reason() -> Result<()> {
+    let store = platform().await;
+    let mut fleet = status(4);
+    fleet.servers[0].region = "delta".to_owned();
+    for (region, age_ms) in [("bengal", 1_000), ("delta", 60_000)] {
+        let freshness = RegionRow {
+            region: region.to_owned(),
+            refreshed_unix_ms: NOW_MS - age_ms,
+            ..RegionRow::default()
+        };
+        put(&store, keys::region(&region.into()), &freshness).await;
+    }
+    let cut_off = proposed(&store, &fleet, &drain(DrainKind::Server, "s0")).await;
+    let failure = cut_off.expect_err("refused");
+    expect_that!(failure.kind, eq(ErrorKind::RegionUnreachable));
+    expect_that!(failure.message, contains_substring("region delta"));
+    expect_that!(failure.message, contains_substring("60 s"));
+    let reachable = proposed(&store, &fleet, &drain(DrainKind::Server, "s1")).await;
+    expect_that!(reachable, ok(anything()));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_aborted_rollout_takes_its_canary_back() -> Result<()> {
+    let store = platform().await;
+    let plan = proposed(&store, &status(4), &rollout("v2"))
+        .await
+        .or_fail()?;
+    confirmed(&store, &plan, "a").await.expect("accepted");
+    abort(&store, &plan.row.id, NOW_MS).await.or_fail()?;
+    let service: ServiceRow = row(&store, &keys::service(SERVICE)).or_fail()?;
+    expect_that!(service.canary, eq(""));
+    expect_that!(service.version, eq("v1"));
+    expect_that!(store.rows("active-plan/"), is_empty());
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_intent_that_makes_no_sense_is_refused_with_what_to_do() -> Result<()> {
+    let store = platform().await;
+    let fleet = status(4);
+    let undrain = Intent::Undrain(DrainTarget {
+        kind: DrainKind::Server,
+        name: "s1".to_owned(),
+    });
+    let cases = [
+        (rollout("v1"), ErrorKind::Conflict),
+        (drain(DrainKind::Server, "s99"), ErrorKind::NotFound),
+        (undrain, ErrorKind::Conflict),
+        (tenant(-1.0), ErrorKind::InvalidRequest),
+    ];
+    for (intent, kind) in cases {
+        let failure = proposed(&store, &fleet, &intent)
+            .await
+            .expect_err("refused");
+        expect_that!(failure.kind, eq(kind), "{intent:?}");
+    }
+    Ok(())
+}
