--- /dev/null
+++ b/crates/online/src/caller.rs
@@ -0,0 +1,71 @@
+//! The end of a stream towards whoever submitted the request.
+
+use dappleyard_transport::link::ServerStreamSender;
+use dappleyard_transport::{ServerStream, StreamReceiver};
+use dappleyard_wire::messages::frame;
+use tokio::sync::mpsc;
+
+/// How the submitter went away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Gone {
+    /// It said that it does not want the answer any more.
+    Cancelled,
+    /// Its link was lost: it may come back through another node.
+    LinkLost,
+}
+
+enum FrameSink {
+    Link(ServerStreamSender),
+    Local(mpsc::UnboundedSender<frame::Body>),
+}
+
+/// The submitter of a request: another process, or the ingress stage of this worker.
+pub(crate) struct Caller {
+    sink: FrameSink,
+    receiver: StreamReceiver,
+    gone: Option<Gone>,
+}
+
+impl Caller {
+    /// The submitter behind a link.
+    pub fn from_stream(stream: ServerStream) -> Caller {
+        Caller {
+            sink: FrameSink::Link(stream.sender()),
+            receiver: stream.receiver,
+            gone: None,
+        }
+    }
+
+    /// The ingress stage of the same worker.
+    pub fn local(sink: mpsc::UnboundedSender<frame::Body>, receiver: StreamReceiver) -> Caller {
+        Caller {
+            sink: FrameSink::Local(sink),
+            receiver,
+            gone: None,
+        }
+    }
+
+    /// Sends a frame. A lost link shows in [`Caller::gone`], so a failure to send is no error.
+    pub fn send(&self, body: frame::Body) {
+        match &self.sink {
+            FrameSink::Link(sender) => drop(sender.send(body)),
+            FrameSink::Local(sender) => drop(sender.send(body)),
+        }
+    }
+
+    /// Resolves once, when the submitter goes away; afterwards never.
+    pub async fn gone(&mut self) -> Gone {
+        if self.gone.is_some() {
+            return std::future::pending().await;
+        }
+        let gone = loop {
+            match self.receiver.recv().await {
+                Some(frame::Body::Cancel(_)) => break Gone::Cancelled,
+                Some(_) => {}
+                None => break Gone::LinkLost,
+            }
+        };
+        self.gone = Some(gone);
+        gone
+    }
+}
--- /dev/null
+++ b/crates/online/src/dispatch.rs
@@ -0,0 +1,201 @@
+//! The dispatch filter of the owner stage: chooses a server and makes the call to its engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_decide::placement::{Candidate, expected_wait_ms, rank};
+use dappleyard_engine::{GenerateCall, Priority};
+use dappleyard_tables::NodeTables;
+use dappleyard_tables::servers::{InFlight, OwnedServer};
+use dappleyard_wire::hash::rendezvous_weight;
+use dappleyard_wire::ids::{RequestId, ServerId};
+use dappleyard_wire::{ErrorKind, Failure};
+
+use crate::admit;
+use crate::load;
+use crate::place::{affinity, affinity_key};
+use crate::receive::{EarlierRun, Incoming};
+use crate::reports;
+use crate::worker::OnlineWorker;
+
+/// A server to call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Chosen {
+    /// The server.
+    pub server: ServerId,
+    /// Base URL of its engine.
+    pub base_url: String,
+    /// Version that it is believed to carry; empty when not known.
+    pub version: String,
+}
+
+/// Chooses among the owned servers that take new work.
+pub(crate) fn choose(
+    worker: &OnlineWorker,
+    incoming: &Incoming,
+    version: &str,
+    excluded: &[ServerId],
+) -> Result<Chosen, Failure> {
+    let (key, has_key) = affinity_key(&incoming.request);
+    let configuration = worker.tables.configuration.current();
+    let mut servers = Vec::new();
+    let mut candidates = Vec::new();
+    worker.tables.servers.read(|owned| {
+        for state in owned.values() {
+            let entry = &state.entry;
+            let hall = entry.hall.as_str();
+            if excluded.contains(&entry.server)
+                || !suits(state, incoming, version)
+                || configuration.is_draining(entry.server.as_str(), hall, entry.zone.as_str())
+            {
+                continue;
+            }
+            let room = load::room(state);
+            candidates.push(Candidate {
+                weight: rendezvous_weight(key, entry.server.as_str()),
+                servers: 1,
+                sequences: room.online,
+                wait_ms: expected_wait_ms(&room, incoming.tokens()),
+            });
+            servers.push(Chosen {
+                server: entry.server.clone(),
+                base_url: entry.base_url.clone(),
+                version: state.version().unwrap_or_default().to_owned(),
+            });
+        }
+    });
+    let bound_percent = worker.settings.affinity_bound_percent;
+    let mut best = [0];
+    if rank(&candidates, affinity(has_key, bound_percent), &mut best) == 0 {
+        return Err(Failure::not_run(
+            ErrorKind::Bounced,
+            "this node owns no server that takes the request",
+        ));
+    }
+    admit::check_wait(worker, incoming, candidates[best[0]].wait_ms)?;
+    Ok(servers.swap_remove(best[0]))
+}
+
+fn suits(state: &OwnedServer, incoming: &Incoming, version: &str) -> bool {
+    let request = &incoming.request;
+    let has_version = version.is_empty() || state.version() == Some(version);
+    state.takes_new_work()
+        && load::service_of(state) == request.service
+        && has_version
+        && has_adapter(state, &request.adapter)
+}
+
+fn has_adapter(state: &OwnedServer, adapter: &str) -> bool {
+    let report = state.report.as_ref();
+    let model = report.and_then(|(report, _)| report.model.as_ref());
+    adapter.is_empty()
+        || model.is_some_and(|model| model.adapters.iter().any(|loaded| loaded == adapter))
+}
+
+/// Whether the engine takes new work, asking it when its last word is too old.
+pub(crate) async fn still_accepts(worker: &OnlineWorker, chosen: &Chosen) -> bool {
+    let now = worker.tables.clock.now();
+    let bound = worker.settings.leaving_bound_ms;
+    let known = worker.tables.servers.with(&chosen.server, |state| {
+        now.since(state.accepting_known_at) <= bound
+    });
+    if known == Some(true) {
+        return true;
+    }
+    worker.shared.metrics.status_asked.inc();
+    let patience = Duration::from_millis(worker.settings.engine_connect_timeout_ms);
+    let asking = worker.engine.status(&chosen.base_url);
+    match tokio::time::timeout(patience, asking).await {
+        Ok(Ok(report)) => {
+            let takes = report.accepting && report.model.is_some();
+            reports::apply_report(&worker.tables, &chosen.server, report);
+            takes
+        }
+        Ok(Err(error)) => {
+            reports::note_failure(&worker.tables, &chosen.server, &error.to_string());
+            false
+        }
+        Err(_) => {
+            reports::note_failure(&worker.tables, &chosen.server, "no status in time");
+            false
+        }
+    }
+}
+
+/// The call to the engine. A call that attaches never starts anything.
+pub(crate) fn engine_call(
+    incoming: &Incoming,
+    attempt: u32,
+    offset: u32,
+    earlier: &EarlierRun,
+    attach: bool,
+) -> GenerateCall {
+    let request = &incoming.request;
+    let attach_stream = if attach {
+        earlier.engine_stream.clone()
+    } else {
+        String::new()
+    };
+    GenerateCall {
+        request_id: request.request_id.clone(),
+        attempt,
+        service: request.service.clone(),
+        version: earlier.version.clone(),
+        adapter: request.adapter.clone(),
+        prompt: request.prompt.clone(),
+        prompt_tokens: request.prompt_tokens,
+        prefix_hash: request.prefix_hash,
+        prefix_tokens: request.prompt_tokens,
+        max_tokens: request.max_tokens,
+        priority: Priority::ONLINE,
+        resume_offset: offset,
+        attach_stream,
+        attach_only: attach,
+        stream: true,
+    }
+}
+
+/// A sequence counted as in flight on a server; dropping it ends the count.
+pub(crate) struct FlightGuard {
+    tables: Arc<NodeTables>,
+    server: ServerId,
+    flight: RequestId,
+}
+
+impl FlightGuard {
+    /// Counts attempt `attempt` as sent to the server.
+    pub fn begin(
+        tables: &Arc<NodeTables>,
+        server: &ServerId,
+        incoming: &Incoming,
+        attempt: u32,
+        offset: u32,
+    ) -> FlightGuard {
+        let flight = RequestId::from(format!("{}#{attempt}", incoming.id));
+        let in_flight = InFlight {
+            tokens: incoming.tokens(),
+            prefill_tokens: incoming.request.prompt_tokens.saturating_add(offset),
+            since: tables.clock.now(),
+            started: false,
+        };
+        tables.servers.begin_online(server, &flight, in_flight);
+        FlightGuard {
+            tables: tables.clone(),
+            server: server.clone(),
+            flight,
+        }
+    }
+
+    /// The first token came back.
+    pub fn started(&self) {
+        self.tables
+            .servers
+            .started_online(&self.server, &self.flight);
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.tables.servers.end_online(&self.server, &self.flight);
+    }
+}
--- /dev/null
+++ b/crates/online/src/load.rs
@@ -0,0 +1,118 @@
+//! Load summary of this node, from the live state of the servers that it owns.
+
+use std::collections::BTreeMap;
+
+use dappleyard_decide::placement::{ServerRoom, expected_wait_ms};
+use dappleyard_tables::servers::OwnedServer;
+use dappleyard_tables::{Lifecycle, NodeTables};
+use dappleyard_wire::messages::{NodeLoad, ServiceLoad};
+
+/// Step time assumed before anything was measured, milliseconds.
+const DEFAULT_STEP_MS: f64 = 4.0;
+
+/// Tokens of a request of usual size, for the expected wait in a summary.
+const USUAL_TOKENS: u32 = 512;
+
+/// Load of this node at this moment.
+pub fn summary(tables: &NodeTables) -> NodeLoad {
+    let configuration = tables.configuration.current();
+    let services = tables.servers.read(|servers| {
+        let mut services: BTreeMap<&str, ServiceSummary> = BTreeMap::new();
+        for state in servers.values() {
+            let entry = &state.entry;
+            let draining =
+                configuration.is_draining(entry.server.as_str(), &entry.hall, entry.zone.as_str());
+            if draining || !state.takes_new_work() {
+                continue;
+            }
+            services.entry(service_of(state)).or_default().add(state);
+        }
+        services
+            .into_iter()
+            .map(|(service, sums)| sums.finish(service))
+            .collect()
+    });
+    NodeLoad {
+        node: tables.identity.node.to_string(),
+        sequence: tables.clock.unix_ms(),
+        services,
+        draining: *tables.lifecycle.borrow() != Lifecycle::Ready,
+    }
+}
+
+/// Service whose model the server has loaded, else the one it is meant for.
+pub(crate) fn service_of(state: &OwnedServer) -> &str {
+    let loaded = state
+        .report
+        .as_ref()
+        .and_then(|(report, _)| report.model.as_ref());
+    loaded.map_or(state.entry.service.as_str(), |model| &model.service)
+}
+
+/// Room of a server for one more online sequence: this owner's own count corrects the lagged report.
+pub(crate) fn room(state: &OwnedServer) -> ServerRoom {
+    let report = state.report.as_ref().map(|(report, _)| report);
+    let unstarted = state.online.values().filter(|flight| !flight.started);
+    let (mut waiting, mut prefill_tokens) = (0, 0);
+    for flight in unstarted {
+        waiting += 1;
+        prefill_tokens += flight.prefill_tokens;
+    }
+    let own = u32::try_from(state.online.len()).unwrap_or(u32::MAX);
+    ServerRoom {
+        online: own + state.foreign_online,
+        unstarted: waiting,
+        prefill_tokens,
+        online_tokens: state.online.values().map(|flight| flight.tokens).sum(),
+        total_tokens: report.map_or(0, |report| report.total_blocks * report.block_tokens),
+        maximum_sequences: report.map_or(0, |report| report.maximum_sequences),
+        step_ms: step_ms(state),
+    }
+}
+
+/// Step time of a server as its online streams see it, else as it reports it, milliseconds.
+pub(crate) fn step_ms(state: &OwnedServer) -> f64 {
+    if state.online_step_ms > 0.0 {
+        return state.online_step_ms;
+    }
+    match &state.report {
+        Some((report, _)) if report.step_ms > 0.0 => report.step_ms,
+        _ => DEFAULT_STEP_MS,
+    }
+}
+
+#[derive(Default)]
+struct ServiceSummary {
+    servers: u32,
+    online: u32,
+    free: u32,
+    shortest_wait_ms: Option<u32>,
+    versions: BTreeMap<String, u32>,
+}
+
+impl ServiceSummary {
+    fn add(&mut self, state: &OwnedServer) {
+        let room = room(state);
+        let wait_ms = expected_wait_ms(&room, USUAL_TOKENS);
+        self.servers += 1;
+        self.online += room.online;
+        self.free += room.maximum_sequences.saturating_sub(room.online);
+        self.shortest_wait_ms = Some(self.shortest_wait_ms.map_or(wait_ms, |w| w.min(wait_ms)));
+        if let Some(version) = state.version() {
+            *self.versions.entry(version.to_owned()).or_default() += 1;
+        }
+    }
+
+    fn finish(self, service: &str) -> ServiceLoad {
+        let mut versions: Vec<(String, u32)> = self.versions.into_iter().collect();
+        versions.sort_by_key(|(_, servers)| std::cmp::Reverse(*servers));
+        ServiceLoad {
+            service: service.to_owned(),
+            servers: self.servers,
+            online_sequences: self.online,
+            free_sequences: self.free,
+            wait_ms: self.shortest_wait_ms.unwrap_or(0),
+            versions: versions.into_iter().map(|(version, _)| version).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/online/src/metrics.rs
@@ -0,0 +1,104 @@
+//! Counters and histograms of the online path.
+
+use dappleyard_wire::{ErrorKind, Failure, error::ran_name};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Bucket bounds of times, seconds.
+const TIME_BUCKETS: &[f64] = &[
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
+];
+
+/// Metrics of the online path of one node.
+pub(crate) struct OnlineMetrics {
+    /// Submissions by stage.
+    pub requests: IntCounterVec,
+    /// Refusals by kind and execution truth.
+    pub refused: IntCounterVec,
+    /// Placements by where the request went: home, other, cell, resumed.
+    pub placed: IntCounterVec,
+    /// Requests placed again, by cause.
+    pub placed_again: IntCounterVec,
+    /// Retries that the budget did not allow.
+    pub budget_refused: IntCounter,
+    /// Answers that ended whole.
+    pub finished: IntCounter,
+    /// Streams that were cancelled at an engine, by cause.
+    pub cancelled: IntCounterVec,
+    /// Streams in progress.
+    pub streams: IntGauge,
+    /// Time from receipt to the first token at this node.
+    pub first_token: Histogram,
+    /// Time from receipt to a refusal before anything ran.
+    pub refusal_time: Histogram,
+    /// Engines asked whether they still take work, since the last word was too old.
+    pub status_asked: IntCounter,
+    /// Writes of at-most-once records, by result.
+    pub record_writes: IntCounterVec,
+    /// Transactions that carried them.
+    pub record_transactions: IntCounter,
+    /// Answers replayed from a record.
+    pub replayed: IntCounter,
+}
+
+impl OnlineMetrics {
+    /// Creates the metrics and registers them.
+    pub fn new(registry: &Registry) -> OnlineMetrics {
+        OnlineMetrics {
+            requests: family(registry, "requests_total", "Submissions.", &["stage"]),
+            refused: family(registry, "refused_total", "Refusals.", &["kind", "ran"]),
+            placed: family(registry, "placed_total", "Placements.", &["where"]),
+            placed_again: family(registry, "placed_again_total", "Placed again.", &["cause"]),
+            budget_refused: counter(registry, "retry_budget_refused_total", "Retries refused."),
+            finished: counter(registry, "finished_total", "Whole answers."),
+            cancelled: family(registry, "cancelled_total", "Engine cancels.", &["cause"]),
+            streams: gauge(registry, "streams", "Streams in progress."),
+            first_token: histogram(registry, "first_token_seconds", "Time to first token."),
+            refusal_time: histogram(registry, "refusal_seconds", "Time to a refusal."),
+            status_asked: counter(registry, "status_asked_total", "Engines asked for status."),
+            record_writes: family(registry, "record_writes_total", "Records.", &["result"]),
+            record_transactions: counter(registry, "record_transactions_total", "Transactions."),
+            replayed: counter(registry, "replayed_total", "Recorded answers replayed."),
+        }
+    }
+
+    /// Counts a refusal.
+    pub fn count_refusal(&self, failure: &Failure) {
+        let kind: ErrorKind = failure.kind;
+        self.refused
+            .with_label_values(&[kind.answer().code, ran_name(failure.ran)])
+            .inc();
+    }
+}
+
+fn name(rest: &str) -> String {
+    format!("dappleyard_online_{rest}")
+}
+
+fn family(registry: &Registry, rest: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let family = IntCounterVec::new(Opts::new(name(rest), help), labels);
+    register(registry, family.expect("a valid name and labels"))
+}
+
+fn counter(registry: &Registry, rest: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name(rest), help);
+    register(registry, counter.expect("a valid name"))
+}
+
+fn gauge(registry: &Registry, rest: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name(rest), help);
+    register(registry, gauge.expect("a valid name"))
+}
+
+fn histogram(registry: &Registry, rest: &str, help: &str) -> Histogram {
+    let options = HistogramOpts::new(name(rest), help).buckets(TIME_BUCKETS.to_vec());
+    register(
+        registry,
+        Histogram::with_opts(options).expect("valid buckets"),
+    )
+}
+
+/// Registers a metric; a second one of the same name stays unregistered, which only tests do.
+fn register<M: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: M) -> M {
+    let _ = registry.register(Box::new(metric.clone()));
+    metric
+}
--- /dev/null
+++ b/crates/online/src/once.rs
@@ -0,0 +1,271 @@
+//! The ingress node's side of at-most-once records: takes a key before dispatch, settles it after.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_transport::CallError;
+use dappleyard_wire::hash::{hash_bytes, rendezvous_weight};
+use dappleyard_wire::messages::{
+    Call, OnceOutcome, OncePhase, OnceRow, RecordBegin, RecordSettle, RecordState, call, reply,
+};
+use dappleyard_wire::{ErrorKind, Failure, keys};
+
+use crate::receive::Incoming;
+use crate::settle::{outcome_unknown, recorded_failure};
+use crate::view::NodeAddress;
+use crate::worker::OnlineWorker;
+
+/// How long the recorder of the cell is waited for before the record is written directly.
+const RECORDER_PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// Advice while the request with this key still runs, milliseconds.
+const IN_PROGRESS_RETRY_AFTER_MS: u32 = 250;
+
+/// Advice when the store is unavailable, milliseconds.
+const STORE_RETRY_AFTER_MS: u32 = 500;
+
+/// Pauses between attempts to settle a record while the store is away.
+const FIRST_SETTLE_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_SETTLE_PAUSE: Duration = Duration::from_secs(2);
+
+/// What a request that must not be repeated may do.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Begun {
+    /// It holds the key: it may run, once.
+    Fresh(Holder),
+    /// An earlier attempt of the same request holds the key: its stream may be attached to.
+    Attach(Holder),
+    /// The recorded answer.
+    Replay(OnceOutcome),
+}
+
+/// The hold of a request on its record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Holder {
+    tenant: String,
+    key: String,
+    request_id: String,
+    /// Token of the attempt that created the record; empty for one that only attaches.
+    writer: String,
+}
+
+/// Takes the record of a request.
+pub(crate) async fn begin(
+    worker: &Rc<OnlineWorker>,
+    incoming: &Incoming,
+) -> Result<Begun, Failure> {
+    let holder = Holder::new(worker, incoming);
+    let begin = RecordBegin {
+        tenant: holder.tenant.clone(),
+        idempotency_key: holder.key.clone(),
+        request_id: holder.request_id.clone(),
+        fingerprint: fingerprint(incoming),
+        writer: holder.writer.clone(),
+    };
+    let asked = ask(worker, begin.clone());
+    match tokio::time::timeout_at(incoming.deadline, asked).await {
+        Ok(Ok(state)) if state.fresh => Ok(Begun::Fresh(holder)),
+        Ok(Ok(state)) => judge(worker, incoming, holder, state.row.unwrap_or_default()),
+        Ok(Err(failure)) if failure.kind == ErrorKind::OutcomeUnknown => {
+            give_up(worker, begin);
+            Err(store_unavailable(&failure.message))
+        }
+        Ok(Err(failure)) => Err(failure),
+        Err(_) => {
+            give_up(worker, begin);
+            Err(store_unavailable(
+                "the record could not be written before the deadline",
+            ))
+        }
+    }
+}
+
+fn store_unavailable(message: &str) -> Failure {
+    Failure::not_run(ErrorKind::StoreUnavailable, message).retry_after(STORE_RETRY_AFTER_MS)
+}
+
+/// Judges a record that another attempt holds.
+fn judge(
+    worker: &Rc<OnlineWorker>,
+    incoming: &Incoming,
+    holder: Holder,
+    row: OnceRow,
+) -> Result<Begun, Failure> {
+    if row.fingerprint != fingerprint(incoming) {
+        return Err(Failure::not_run(
+            ErrorKind::KeyReused,
+            "the idempotency key was used for another request",
+        ));
+    }
+    if row.phase() == OncePhase::OnceSettled {
+        let outcome = row.outcome.unwrap_or_default();
+        return if outcome.kind == 0 {
+            Ok(Begun::Replay(outcome))
+        } else {
+            Err(recorded_failure(&outcome))
+        };
+    }
+    if row.request_id == holder.request_id && incoming.earlier.has_stream() {
+        let writer = String::new();
+        return Ok(Begun::Attach(Holder { writer, ..holder }));
+    }
+    if writer_is_gone(worker, &row.writer) {
+        settle_unknown(worker, &holder, &row);
+        return Err(outcome_unknown());
+    }
+    let failure = Failure::maybe_ran(
+        ErrorKind::InProgress,
+        "a request with this idempotency key is running; ask again for its answer",
+    );
+    Err(failure.retry_after(IN_PROGRESS_RETRY_AFTER_MS))
+}
+
+/// The node that ran the request is gone: its outcome is unknown for good, and the key stays used.
+fn settle_unknown(worker: &Rc<OnlineWorker>, holder: &Holder, row: &OnceRow) {
+    let lost = Holder {
+        request_id: row.request_id.clone(),
+        writer: row.writer.clone(),
+        ..holder.clone()
+    };
+    lost.settle(worker, dappleyard_decide::once::unknown_outcome());
+}
+
+/// Whether the node that created a record is dead, left or restarted. A token that does not read
+/// counts as gone.
+fn writer_is_gone(worker: &OnlineWorker, writer: &str) -> bool {
+    let mut parts = writer.split('|');
+    let (Some(node), Some(Ok(incarnation))) = (parts.next(), parts.next().map(str::parse::<u64>))
+    else {
+        return true;
+    };
+    let identity = &worker.tables.identity;
+    if node == identity.node.as_str() {
+        return incarnation != identity.incarnation;
+    }
+    worker.tables.members.is_gone(node, incarnation)
+}
+
+impl Holder {
+    fn new(worker: &OnlineWorker, incoming: &Incoming) -> Holder {
+        let identity = &worker.tables.identity;
+        let unique = uuid::Uuid::new_v4().simple();
+        Holder {
+            tenant: incoming.request.tenant.clone(),
+            key: incoming.request.idempotency_key.clone(),
+            request_id: incoming.request.request_id.clone(),
+            writer: format!("{}|{}|{unique}", identity.node, identity.incarnation),
+        }
+    }
+
+    fn settlement(&self, outcome: OnceOutcome) -> RecordSettle {
+        RecordSettle {
+            tenant: self.tenant.clone(),
+            idempotency_key: self.key.clone(),
+            request_id: self.request_id.clone(),
+            outcome: Some(outcome),
+            writer: self.writer.clone(),
+        }
+    }
+
+    /// Records the outcome, in a task that goes on until the store has it. A planned stop waits.
+    pub fn settle(&self, worker: &Rc<OnlineWorker>, outcome: OnceOutcome) {
+        let (worker, settlement) = (worker.clone(), self.settlement(outcome));
+        let slot = worker.shared.count_stream();
+        actix_rt::spawn(async move {
+            let _slot = slot;
+            let mut pause = FIRST_SETTLE_PAUSE;
+            while send_settlement(&worker, &settlement).await.is_err() {
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_SETTLE_PAUSE);
+            }
+        });
+    }
+}
+
+/// Makes sure that a create which was not confirmed holds the key no more.
+fn give_up(worker: &Rc<OnlineWorker>, begin: RecordBegin) {
+    let worker = worker.clone();
+    actix_rt::spawn(async move {
+        let mut pause = FIRST_SETTLE_PAUSE;
+        while worker.recorder.give_up(begin.clone()).await.is_err() {
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_SETTLE_PAUSE);
+        }
+    });
+}
+
+/// Asks the recorder of the cell; when it is lost, writes the record directly.
+async fn ask(worker: &Rc<OnlineWorker>, begin: RecordBegin) -> Result<RecordState, Failure> {
+    let recorder = recorder_node(worker, &begin.tenant, &begin.idempotency_key);
+    if let Some(address) = recorder {
+        let call = call_of(call::Method::RecordBegin(begin.clone()));
+        let sent = worker
+            .links
+            .call(&address.link_address, call, RECORDER_PATIENCE)
+            .await;
+        match sent {
+            Ok(reply) => {
+                if let Some(reply::Result::Record(state)) = reply.result {
+                    return Ok(state);
+                }
+            }
+            Err(CallError::Refused(refused)) => {
+                let failure = Failure::from_refused(&refused);
+                if matches!(
+                    failure.kind,
+                    ErrorKind::StoreUnavailable | ErrorKind::OutcomeUnknown
+                ) {
+                    return Err(failure);
+                }
+            }
+            Err(CallError::NotSent(_) | CallError::NoReply { .. }) => {}
+        }
+    }
+    worker.recorder.begin(begin).await
+}
+
+async fn send_settlement(
+    worker: &Rc<OnlineWorker>,
+    settlement: &RecordSettle,
+) -> Result<(), Failure> {
+    let recorder = recorder_node(worker, &settlement.tenant, &settlement.idempotency_key);
+    if let Some(address) = recorder {
+        let call = call_of(call::Method::RecordSettle(settlement.clone()));
+        let sent = worker
+            .links
+            .call(&address.link_address, call, RECORDER_PATIENCE)
+            .await;
+        if sent.is_ok() {
+            return Ok(());
+        }
+    }
+    worker.recorder.settle(settlement.clone()).await
+}
+
+/// The node of this cell that records the key; `None` when it is this one.
+fn recorder_node(worker: &OnlineWorker, tenant: &str, key: &str) -> Option<NodeAddress> {
+    let hash = hash_bytes(keys::once(tenant, key).as_bytes());
+    let view = worker.view();
+    let preferred = view
+        .owners
+        .iter()
+        .max_by_key(|owner| rendezvous_weight(hash, &owner.address.node))?;
+    (!preferred.is_self).then(|| preferred.address.clone())
+}
+
+/// Fingerprint of what is asked: two requests under one key must be the same.
+fn fingerprint(incoming: &Incoming) -> u64 {
+    let request = &incoming.request;
+    let text = format!(
+        "{}\u{0}{}\u{0}{}\u{0}{}",
+        request.service, request.adapter, request.max_tokens, request.prompt
+    );
+    hash_bytes(text.as_bytes())
+}
+
+fn call_of(method: call::Method) -> Call {
+    Call {
+        budget_ms: 0,
+        method: Some(method),
+    }
+}
--- /dev/null
+++ b/crates/online/src/owner.rs
@@ -0,0 +1,384 @@
+//! The owner stage: dispatches to one of this node's servers, and decides what follows a loss.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_decide::retry::may_follow;
+use dappleyard_engine::{Engine, EngineError, EngineEvent, EventStream};
+use dappleyard_wire::error::join_ran;
+use dappleyard_wire::ids::ServerId;
+use dappleyard_wire::messages::{Chunk, Finish, frame};
+use dappleyard_wire::{ErrorKind, Failure, Ran};
+use futures::{Future, StreamExt};
+use tokio::time::Instant;
+
+use crate::caller::{Caller, Gone};
+use crate::dispatch::{self, Chosen, FlightGuard};
+use crate::load;
+use crate::receive::{ATTEMPTS_A_STAGE, EarlierRun, Incoming};
+use crate::relay::{self, RelayEnd};
+use crate::reports;
+use crate::settle;
+use crate::shared::ReaderSlot;
+use crate::worker::OnlineWorker;
+
+/// Most calls to engines for one submission.
+const MAXIMUM_DISPATCHES: u32 = 4;
+
+/// Pause before a stream whose connection was lost is attached to again.
+const ATTACH_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long an engine is waited for to name a stream that is not wanted any more.
+const CANCEL_PATIENCE: Duration = Duration::from_secs(5);
+
+type Generating = Pin<Box<dyn Future<Output = Result<EventStream, EngineError>>>>;
+
+/// One submission at the owner stage.
+pub(crate) struct OwnerRun {
+    pub worker: Rc<OnlineWorker>,
+    pub caller: Caller,
+    incoming: Incoming,
+    /// Next token wanted.
+    pub next: u32,
+    /// What is known of whether it ran.
+    pub ran: Ran,
+    /// A token came in this submission.
+    pub has_token: bool,
+    /// Where it ran last.
+    pub earlier: EarlierRun,
+    reader: Option<ReaderSlot>,
+    excluded: Vec<ServerId>,
+    dispatches: u32,
+    /// When a stream whose caller was lost is given up.
+    detached_until: Option<Instant>,
+}
+
+/// How a submission ended.
+enum End {
+    Finished(Finish),
+    Refused(Failure),
+}
+
+/// What follows a call to an engine.
+enum Next {
+    End(End),
+    Again,
+}
+
+impl OwnerRun {
+    /// A run that has not begun.
+    pub fn new(worker: Rc<OnlineWorker>, incoming: Incoming, caller: Caller) -> OwnerRun {
+        OwnerRun {
+            worker,
+            caller,
+            next: u32::try_from(incoming.pieces.len()).unwrap_or(u32::MAX),
+            ran: incoming.ran_before,
+            has_token: false,
+            earlier: incoming.earlier.clone(),
+            incoming,
+            reader: None,
+            excluded: Vec::new(),
+            dispatches: 0,
+            detached_until: None,
+        }
+    }
+
+    /// Serves the submission and sends its final frame.
+    pub async fn run(mut self) {
+        let end = self.serve().await;
+        match end {
+            End::Finished(finish) => self.caller.send(frame::Body::Finish(finish)),
+            End::Refused(failure) => {
+                let mut refused = failure.after(self.ran).to_refused();
+                refused.load = Some(load::summary(&self.worker.tables));
+                self.caller.send(frame::Body::Refused(refused));
+            }
+        }
+    }
+
+    async fn serve(&mut self) -> End {
+        loop {
+            if self.deadline_passed() {
+                return End::Refused(settle::deadline(self.ran));
+            }
+            let attaching = self.earlier.has_stream();
+            let chosen = match self.next_server(attaching).await {
+                Ok(chosen) => chosen,
+                Err(failure) => return End::Refused(failure),
+            };
+            match self.call(&chosen, attaching).await {
+                Next::End(end) => return end,
+                Next::Again => {}
+            }
+        }
+    }
+
+    /// The server that holds the stream, else the best that still takes work.
+    async fn next_server(&mut self, attaching: bool) -> Result<Chosen, Failure> {
+        if attaching {
+            if let Some(chosen) = self.holder() {
+                return Ok(chosen);
+            }
+            self.earlier.engine_stream.clear();
+        }
+        if self.attach_only() {
+            return Err(settle::outcome_unknown());
+        }
+        loop {
+            let version = &self.earlier.version;
+            let chosen = dispatch::choose(&self.worker, &self.incoming, version, &self.excluded)?;
+            if dispatch::still_accepts(&self.worker, &chosen).await {
+                return Ok(chosen);
+            }
+            self.excluded.push(chosen.server);
+        }
+    }
+
+    /// The server of the earlier run. It need not be owned by this node: any node may call it.
+    fn holder(&self) -> Option<Chosen> {
+        let server = ServerId::from(&self.earlier.server);
+        let entry = self.worker.tables.directory.get(&server)?;
+        Some(Chosen {
+            server,
+            base_url: entry.base_url,
+            version: self.earlier.version.clone(),
+        })
+    }
+
+    /// A request that must not be repeated and may have run is never started again.
+    fn attach_only(&self) -> bool {
+        self.incoming.never_repeats() && self.ran != Ran::No
+    }
+
+    async fn call(&mut self, chosen: &Chosen, attach: bool) -> Next {
+        self.dispatches += 1;
+        self.reader = None;
+        let attempt = self
+            .incoming
+            .attempt
+            .saturating_mul(ATTEMPTS_A_STAGE)
+            .saturating_add(self.dispatches);
+        let call = dispatch::engine_call(&self.incoming, attempt, self.next, &self.earlier, attach);
+        let tables = &self.worker.tables;
+        let flight = FlightGuard::begin(tables, &chosen.server, &self.incoming, attempt, self.next);
+        let engine = self.worker.engine.clone();
+        let base = chosen.base_url.clone();
+        let generating: Generating = Box::pin(async move { engine.generate(&base, call).await });
+        let mut events = match self.open(generating, chosen).await {
+            Ok(events) => events,
+            Err(next) => return next,
+        };
+        let end = relay::relay(self, &mut events, chosen, &flight).await;
+        self.after_relay(end, events, chosen)
+    }
+
+    /// Waits for the engine to take the call.
+    async fn open(
+        &mut self,
+        mut generating: Generating,
+        chosen: &Chosen,
+    ) -> Result<EventStream, Next> {
+        loop {
+            let until = self.waits_until();
+            tokio::select! {
+                biased;
+                gone = self.caller.gone() => match self.caller_gone(gone) {
+                    Gone::Cancelled => {
+                        self.cancel_later(generating, chosen, "caller");
+                        return Err(Next::End(End::Refused(settle::cancelled(Ran::Maybe))));
+                    }
+                    Gone::LinkLost => {}
+                },
+                () = tokio::time::sleep_until(until) => {
+                    self.cancel_later(generating, chosen, "deadline");
+                    return Err(Next::End(self.out_of_time(Ran::Maybe)));
+                }
+                result = &mut generating => {
+                    return result.map_err(|error| self.engine_failed(error, chosen));
+                }
+            }
+        }
+    }
+
+    fn after_relay(&mut self, end: RelayEnd, events: EventStream, chosen: &Chosen) -> Next {
+        match end {
+            RelayEnd::Finished {
+                reason,
+                cached_tokens,
+            } => Next::End(End::Finished(Finish {
+                total_tokens: self.next,
+                prompt_tokens: self.incoming.request.prompt_tokens,
+                cached_tokens,
+                reason,
+                version: self.earlier.version.clone(),
+                server: chosen.server.to_string(),
+                replayed: false,
+            })),
+            RelayEnd::Engine(error) => self.engine_failed(error, chosen),
+            RelayEnd::CallerGone => {
+                self.cancel(events, chosen, "caller");
+                Next::End(End::Refused(settle::cancelled(self.ran)))
+            }
+            RelayEnd::Deadline => {
+                self.cancel(events, chosen, "deadline");
+                Next::End(self.out_of_time(self.ran))
+            }
+        }
+    }
+
+    fn out_of_time(&self, ran: Ran) -> End {
+        if self.deadline_passed() {
+            End::Refused(settle::deadline(ran))
+        } else {
+            End::Refused(settle::cancelled(ran))
+        }
+    }
+
+    /// Takes a failure of the engine into account and says whether another call may follow.
+    fn engine_failed(&mut self, error: EngineError, chosen: &Chosen) -> Next {
+        if self.is_superseded() {
+            return Next::End(End::Refused(self.superseded()));
+        }
+        let lost = matches!(error, EngineError::Lost { .. });
+        if lost {
+            self.ran = join_ran(self.ran, Ran::Maybe);
+        }
+        if !matches!(error, EngineError::Refused { .. }) {
+            reports::note_failure(&self.worker.tables, &chosen.server, &error.to_string());
+        }
+        self.set_aside(lost, chosen);
+        if !may_follow(self.ran, self.incoming.request.repeat()) && !self.earlier.has_stream() {
+            return Next::End(End::Refused(settle::outcome_unknown()));
+        }
+        let again =
+            self.dispatches < MAXIMUM_DISPATCHES && (!lost || self.worker.shared.take_retry());
+        if again {
+            return Next::Again;
+        }
+        let message = format!("server {}: {error}", chosen.server);
+        let failure = Failure::not_run(ErrorKind::EngineLost, message);
+        Next::End(End::Refused(failure.after(self.ran)))
+    }
+
+    /// A stream whose connection was lost is attached to again; a server that failed otherwise is not
+    /// asked again by this submission.
+    fn set_aside(&mut self, lost: bool, chosen: &Chosen) {
+        let holds_stream =
+            self.earlier.has_stream() && self.earlier.server == chosen.server.as_str();
+        if lost && holds_stream && self.dispatches < MAXIMUM_DISPATCHES - 1 {
+            return;
+        }
+        if holds_stream {
+            self.earlier.engine_stream.clear();
+        }
+        self.excluded.push(chosen.server.clone());
+    }
+
+    /// Notes that the caller went away, and says whether the stream is kept for it.
+    pub fn caller_gone(&mut self, gone: Gone) -> Gone {
+        if gone == Gone::LinkLost {
+            let grace = Duration::from_millis(self.worker.settings.detach_grace_ms);
+            let until = Instant::now() + grace;
+            let keeps_on = self.incoming.never_repeats();
+            self.detached_until = (!keeps_on).then_some(until);
+        }
+        gone
+    }
+
+    /// When this run stops waiting: at the deadline, or when nobody came back for it.
+    pub fn waits_until(&self) -> Instant {
+        let deadline = self.incoming.deadline;
+        self.detached_until
+            .map_or(deadline, |until| until.min(deadline))
+    }
+
+    /// Whether the caller's deadline has passed.
+    pub fn deadline_passed(&self) -> bool {
+        Instant::now() >= self.incoming.deadline
+    }
+
+    /// Becomes the reader of an engine stream.
+    pub fn reads(&mut self, server: &ServerId, stream: &str) {
+        let shared = &self.worker.shared;
+        self.reader = Some(shared.read_stream(server.as_str(), stream));
+    }
+
+    /// Relays tokens and moves the offset.
+    pub fn send_chunk(&mut self, chunk: Chunk) {
+        let count = u32::try_from(chunk.pieces.len()).unwrap_or(u32::MAX);
+        self.next = self.next.saturating_add(count);
+        self.caller.send(frame::Body::Chunk(chunk));
+    }
+
+    /// A later attempt goes on with the stream; what comes of it is not known here.
+    fn superseded(&self) -> Failure {
+        if self.incoming.never_repeats() {
+            settle::outcome_unknown()
+        } else {
+            settle::cancelled(self.ran)
+        }
+    }
+
+    fn is_superseded(&self) -> bool {
+        self.reader.as_ref().is_some_and(ReaderSlot::is_superseded)
+    }
+
+    /// Cancels the stream at the engine, unless a later run reads it.
+    fn cancel(&mut self, events: EventStream, chosen: &Chosen, cause: &str) {
+        if self.is_superseded() {
+            return;
+        }
+        let known = self.reader.is_some();
+        let stream = known.then(|| self.earlier.engine_stream.clone());
+        self.count_cancel(cause);
+        let (engine, base) = (self.worker.engine.clone(), chosen.base_url.clone());
+        actix_rt::spawn(cancel_stream(engine, base, events, stream));
+    }
+
+    fn cancel_later(&self, generating: Generating, chosen: &Chosen, cause: &str) {
+        self.count_cancel(cause);
+        let (engine, base) = (self.worker.engine.clone(), chosen.base_url.clone());
+        actix_rt::spawn(async move {
+            let opened = tokio::time::timeout(CANCEL_PATIENCE, generating).await;
+            if let Ok(Ok(events)) = opened {
+                cancel_stream(engine, base, events, None).await;
+            }
+        });
+    }
+
+    fn count_cancel(&self, cause: &str) {
+        let cancelled = &self.worker.shared.metrics.cancelled;
+        cancelled.with_label_values(&[cause]).inc();
+    }
+}
+
+/// Cancels a stream. Its id is read from the events when it is not known yet.
+async fn cancel_stream(
+    engine: Rc<dyn Engine>,
+    base: String,
+    mut events: EventStream,
+    known: Option<String>,
+) {
+    let accepted = async {
+        while let Some(Ok(event)) = events.next().await {
+            if let EngineEvent::Accepted { stream, .. } = event {
+                return Some(stream);
+            }
+        }
+        None
+    };
+    let stream = match known {
+        Some(stream) => Some(stream),
+        None => tokio::time::timeout(CANCEL_PATIENCE, accepted)
+            .await
+            .ok()
+            .flatten(),
+    };
+    if let Some(stream) = stream
+        && engine.cancel(&base, &stream).await.is_err()
+    {
+        tokio::time::sleep(ATTACH_PAUSE).await;
+        let _ = engine.cancel(&base, &stream).await;
+    }
+}
--- /dev/null
+++ b/crates/online/src/recorder.rs
@@ -0,0 +1,372 @@
+//! The recorder of at-most-once records: many keys in one transaction, ambiguous writes read back.
+//!
+//! Safety lies in the compare-and-swap on each row, not in who writes: any node may write a record
+//! when the recorder of its cell is lost.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_decide::once::{self, OnceAttempt, OnceDecision};
+use dappleyard_platform::{Expect, Row, StoreError, TableStore, Transaction};
+use dappleyard_wire::messages::{
+    OnceOutcome, OncePhase, OnceRow, Ran, RecordBegin, RecordSettle, RecordState,
+};
+use dappleyard_wire::{ErrorKind, Failure, keys};
+use prost::Message;
+use tokio::sync::oneshot;
+
+use crate::shared::OnlineShared;
+
+/// Most keys in one transaction.
+const MAXIMUM_GROUP: usize = 64;
+
+/// Times that a record is read again after a conflict or an ambiguous answer.
+const MAXIMUM_READS: u32 = 6;
+
+/// Pause before a record is read back again.
+const READ_BACK_PAUSE: Duration = Duration::from_millis(30);
+
+/// Advice when the store is unavailable, milliseconds.
+const STORE_RETRY_AFTER_MS: u32 = 500;
+
+/// What became of one write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Written {
+    Done,
+    /// The row was not as expected, or the answer was lost: read it.
+    ReadBack,
+    /// Nothing was written.
+    Unavailable(StoreError),
+}
+
+struct PendingWrite {
+    key: String,
+    expect: Expect,
+    row: OnceRow,
+    done: oneshot::Sender<Written>,
+}
+
+/// A record as read: its row and revision.
+type Read = Option<(OnceRow, u64)>;
+
+/// The recorder of one worker thread.
+pub(crate) struct Recorder {
+    writer: Rc<GroupWriter>,
+}
+
+impl Recorder {
+    /// A recorder over a table service.
+    pub fn new(tables: Rc<dyn TableStore>, shared: Arc<OnlineShared>) -> Recorder {
+        Recorder {
+            writer: Rc::new(GroupWriter {
+                tables,
+                shared,
+                queue: RefCell::default(),
+                writing: Cell::new(false),
+            }),
+        }
+    }
+
+    /// Reserves a key: `fresh` when the caller's attempt holds it now and may run. Fails with
+    /// `StoreUnavailable` when nothing was written, and with `OutcomeUnknown` when a create was sent
+    /// whose fate could not be read back: the caller must then give the key up.
+    pub async fn begin(&self, begin: RecordBegin) -> Result<RecordState, Failure> {
+        let key = keys::once(&begin.tenant, &begin.idempotency_key);
+        let attempt = OnceAttempt {
+            request_id: begin.request_id,
+            fingerprint: begin.fingerprint,
+            writer: begin.writer,
+            now_unix_ms: unix_ms(),
+        };
+        let mut read: Read = None;
+        for _ in 0..MAXIMUM_READS {
+            let row = read.as_ref().map(|(row, _)| row);
+            match once::decide(row, &attempt, true) {
+                OnceDecision::Create(next) => {
+                    let expect = expectation(&read);
+                    match self.writer.write(key.clone(), expect, next.clone()).await {
+                        Written::Done => return Ok(fresh(next)),
+                        Written::ReadBack => {
+                            read = self.read_back(&key).await.map_err(|_| unresolved())?;
+                        }
+                        Written::Unavailable(error) => return Err(unavailable(&error)),
+                    }
+                }
+                OnceDecision::Run => return Ok(fresh(row.cloned().unwrap_or_default())),
+                OnceDecision::Replay(_) | OnceDecision::InProgress | OnceDecision::KeyReused => {
+                    return Ok(RecordState {
+                        fresh: false,
+                        row: row.cloned(),
+                    });
+                }
+            }
+        }
+        Err(unresolved())
+    }
+
+    /// Stores the outcome under a key. Settling twice is no error; a whole answer replaces an
+    /// outcome that is none.
+    pub async fn settle(&self, settle: RecordSettle) -> Result<(), Failure> {
+        let key = keys::once(&settle.tenant, &settle.idempotency_key);
+        let outcome = settle.outcome.unwrap_or_else(once::unknown_outcome);
+        let (id, writer) = (settle.request_id, settle.writer);
+        for _ in 0..MAXIMUM_READS {
+            let read = self.read_back(&key).await?;
+            let Some((row, revision)) = read else {
+                return Ok(());
+            };
+            if !may_settle(&row, &id, &writer, &outcome) {
+                return Ok(());
+            }
+            let next = once::settle(&row, outcome.clone());
+            let written = self
+                .writer
+                .write(key.clone(), Expect::Revision(revision), next)
+                .await;
+            match written {
+                Written::Done => return Ok(()),
+                Written::ReadBack => {}
+                Written::Unavailable(error) => return Err(unavailable(&error)),
+            }
+        }
+        Err(undecided())
+    }
+
+    /// Makes sure that an attempt which was told that it may not run holds the key no more, even if
+    /// its create takes effect later: an absent record is written as released.
+    pub async fn give_up(&self, begin: RecordBegin) -> Result<(), Failure> {
+        let key = keys::once(&begin.tenant, &begin.idempotency_key);
+        let released = released_row(&begin);
+        for _ in 0..MAXIMUM_READS {
+            let read = self.read_back(&key).await?;
+            let mine = match &read {
+                None => true,
+                Some((row, _)) => {
+                    row.writer == begin.writer && row.phase() == OncePhase::OnceStarted
+                }
+            };
+            if !mine {
+                return Ok(());
+            }
+            let expect = expectation(&read);
+            match self
+                .writer
+                .write(key.clone(), expect, released.clone())
+                .await
+            {
+                Written::Done => return Ok(()),
+                Written::ReadBack => {}
+                Written::Unavailable(error) => return Err(unavailable(&error)),
+            }
+        }
+        Err(undecided())
+    }
+
+    async fn read_back(&self, key: &str) -> Result<Read, Failure> {
+        let mut last = StoreError::Unavailable {
+            reason: "not asked yet".to_owned(),
+        };
+        for _ in 0..MAXIMUM_READS {
+            match self.writer.tables.get(key).await {
+                Ok(row) => return decode(row),
+                Err(error) => last = error,
+            }
+            tokio::time::sleep(READ_BACK_PAUSE).await;
+        }
+        Err(unavailable(&last))
+    }
+}
+
+/// Whether an outcome may be written over the row. Only the attempt that created a record may
+/// release it.
+fn may_settle(row: &OnceRow, request_id: &str, writer: &str, outcome: &OnceOutcome) -> bool {
+    let is_answer = outcome.kind == 0;
+    let releases = !is_answer && outcome.ran() == Ran::No;
+    let is_writer = !writer.is_empty() && row.writer == writer;
+    if !is_writer && (row.request_id != request_id || releases) {
+        return false;
+    }
+    match row.phase() {
+        OncePhase::OnceStarted => true,
+        OncePhase::OnceSettled => is_answer && !recorded_answer(row),
+        OncePhase::OnceReleased => false,
+    }
+}
+
+fn recorded_unknown(row: &OnceRow) -> bool {
+    let unknown = ErrorKind::OutcomeUnknown as u32;
+    row.outcome
+        .as_ref()
+        .is_none_or(|outcome| outcome.kind == unknown)
+}
+
+fn released_row(begin: &RecordBegin) -> OnceRow {
+    let mut row = OnceRow {
+        request_id: begin.request_id.clone(),
+        fingerprint: begin.fingerprint,
+        writer: begin.writer.clone(),
+        created_unix_ms: unix_ms(),
+        ..OnceRow::default()
+    };
+    row.set_phase(OncePhase::OnceReleased);
+    row
+}
+
+fn expectation(read: &Read) -> Expect {
+    match read {
+        None => Expect::Absent,
+        Some((_, revision)) => Expect::Revision(*revision),
+    }
+}
+
+fn fresh(row: OnceRow) -> RecordState {
+    RecordState {
+        fresh: true,
+        row: Some(row),
+    }
+}
+
+fn decode(row: Option<Row>) -> Result<Read, Failure> {
+    row.map(|row| {
+        let decoded = OnceRow::decode(row.value);
+        decoded
+            .map(|decoded| (decoded, row.revision))
+            .map_err(|error| {
+                Failure::not_run(
+                    ErrorKind::Internal,
+                    format!("a record does not decode: {error}"),
+                )
+            })
+    })
+    .transpose()
+}
+
+fn unavailable(error: &StoreError) -> Failure {
+    let wait_ms = match error {
+        StoreError::RateLimited { retry_after_ms } => *retry_after_ms,
+        _ => STORE_RETRY_AFTER_MS,
+    };
+    Failure::not_run(ErrorKind::StoreUnavailable, error.to_string()).retry_after(wait_ms)
+}
+
+fn undecided() -> Failure {
+    Failure::not_run(
+        ErrorKind::StoreUnavailable,
+        "the record changed under each attempt to write it",
+    )
+    .retry_after(STORE_RETRY_AFTER_MS)
+}
+
+fn unresolved() -> Failure {
+    Failure::not_run(
+        ErrorKind::OutcomeUnknown,
+        "the fate of the record's create could not be read back",
+    )
+}
+
+/// Wall-clock time for rows, milliseconds since 1970.
+pub(crate) fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now();
+    let since = now
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Writes rows of many keys in one transaction: while one is under way, others gather for the next.
+struct GroupWriter {
+    tables: Rc<dyn TableStore>,
+    shared: Arc<OnlineShared>,
+    queue: RefCell<Vec<PendingWrite>>,
+    writing: Cell<bool>,
+}
+
+impl GroupWriter {
+    async fn write(self: &Rc<Self>, key: String, expect: Expect, row: OnceRow) -> Written {
+        let (done, result) = oneshot::channel();
+        self.queue.borrow_mut().push(PendingWrite {
+            key,
+            expect,
+            row,
+            done,
+        });
+        if !self.writing.replace(true) {
+            let writer = self.clone();
+            actix_rt::spawn(async move { writer.write_all().await });
+        }
+        result.await.unwrap_or(Written::ReadBack)
+    }
+
+    async fn write_all(&self) {
+        loop {
+            let group = self.next_group();
+            if group.is_empty() {
+                self.writing.set(false);
+                return;
+            }
+            self.write_group(group).await;
+        }
+    }
+
+    /// Writes that wait, each key once: a second write of a key waits for the next group.
+    fn next_group(&self) -> Vec<PendingWrite> {
+        let mut queue = self.queue.borrow_mut();
+        let mut group: Vec<PendingWrite> = Vec::new();
+        let mut rest = Vec::new();
+        for write in queue.drain(..) {
+            let taken = group.iter().any(|other| other.key == write.key);
+            if taken || group.len() == MAXIMUM_GROUP {
+                rest.push(write);
+            } else {
+                group.push(write);
+            }
+        }
+        *queue = rest;
+        group
+    }
+
+    /// Writes a group; a row that is not as expected is taken out and the others are tried again.
+    async fn write_group(&self, mut group: Vec<PendingWrite>) {
+        while !group.is_empty() {
+            self.shared.metrics.record_transactions.inc();
+            match self.tables.transact(transaction(&group)).await {
+                Ok(_) => return self.answer(group, &Written::Done),
+                Err(StoreError::Conflict { key, .. }) => {
+                    let conflicting = group.iter().position(|write| write.key == key);
+                    let Some(position) = conflicting else {
+                        return self.answer(group, &Written::ReadBack);
+                    };
+                    let write = group.swap_remove(position);
+                    self.answer(vec![write], &Written::ReadBack);
+                }
+                Err(StoreError::Ambiguous { .. }) => return self.answer(group, &Written::ReadBack),
+                Err(error) => return self.answer(group, &Written::Unavailable(error)),
+            }
+        }
+    }
+
+    fn answer(&self, group: Vec<PendingWrite>, written: &Written) {
+        let label = match written {
+            Written::Done => "written",
+            Written::ReadBack => "read_back",
+            Written::Unavailable(_) => "unavailable",
+        };
+        let writes = &self.shared.metrics.record_writes;
+        writes
+            .with_label_values(&[label])
+            .inc_by(group.len() as u64);
+        for write in group {
+            let _ = write.done.send(written.clone());
+        }
+    }
+}
+
+fn transaction(group: &[PendingWrite]) -> Transaction {
+    group.iter().fold(Transaction::default(), |built, write| {
+        built
+            .expect(write.key.clone(), write.expect)
+            .put(write.key.clone(), write.row.encode_to_vec())
+    })
+}
--- /dev/null
+++ b/crates/online/src/relay.rs
@@ -0,0 +1,186 @@
+//! The relay filter of the owner stage: engine events become frames.
+
+use std::time::Duration;
+
+use dappleyard_engine::{EngineError, EngineEvent, EventStream};
+use dappleyard_tables::NodeTables;
+use dappleyard_wire::Ran;
+use dappleyard_wire::error::join_ran;
+use dappleyard_wire::ids::ServerId;
+use dappleyard_wire::messages::{Accepted, Chunk, frame};
+use futures::StreamExt;
+use tokio::time::Instant;
+
+use crate::caller::Gone;
+use crate::dispatch::{Chosen, FlightGuard};
+use crate::owner::OwnerRun;
+
+/// Tokens over which one step time is taken.
+const STEP_SAMPLE_TOKENS: u32 = 4;
+
+/// Weight of a new sample in the smoothed step time.
+const STEP_SAMPLE_WEIGHT: f64 = 0.1;
+
+/// How reading a stream ended.
+#[derive(Debug, PartialEq)]
+pub(crate) enum RelayEnd {
+    /// The whole answer was relayed.
+    Finished {
+        /// Why it ended.
+        reason: String,
+        /// Prompt tokens from the cache.
+        cached_tokens: u32,
+    },
+    /// The engine failed or was lost.
+    Engine(EngineError),
+    /// The caller went away and nobody came back for the stream.
+    CallerGone,
+    /// The deadline passed.
+    Deadline,
+}
+
+/// Relays events until the stream ends, the caller is gone for good or the deadline passes.
+pub(crate) async fn relay(
+    run: &mut OwnerRun,
+    events: &mut EventStream,
+    chosen: &Chosen,
+    flight: &FlightGuard,
+) -> RelayEnd {
+    let mut meter = StepMeter::default();
+    loop {
+        let until = run.waits_until();
+        tokio::select! {
+            biased;
+            gone = run.caller.gone() => match run.caller_gone(gone) {
+                Gone::Cancelled => return RelayEnd::CallerGone,
+                Gone::LinkLost => {}
+            },
+            () = tokio::time::sleep_until(until) => {
+                return if run.deadline_passed() { RelayEnd::Deadline } else { RelayEnd::CallerGone };
+            }
+            event = events.next() => match event {
+                Some(Ok(event)) => {
+                    if let Some(end) = absorb(run, event, chosen, flight, &mut meter) {
+                        return end;
+                    }
+                }
+                Some(Err(error)) => return RelayEnd::Engine(error),
+                None => return RelayEnd::Engine(lost("the stream ended in the middle")),
+            },
+        }
+    }
+}
+
+fn absorb(
+    run: &mut OwnerRun,
+    event: EngineEvent,
+    chosen: &Chosen,
+    flight: &FlightGuard,
+    meter: &mut StepMeter,
+) -> Option<RelayEnd> {
+    match event {
+        EngineEvent::Accepted { stream, version } => {
+            accepted(run, stream, version, chosen);
+            None
+        }
+        EngineEvent::Tokens { offset, pieces } => {
+            let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
+            if offset > run.next {
+                return Some(RelayEnd::Engine(lost("tokens are missing in the stream")));
+            }
+            run.ran = join_ran(run.ran, Ran::Yes);
+            let known = run.next - offset;
+            if count > known {
+                if !run.has_token {
+                    run.has_token = true;
+                    flight.started();
+                }
+                run.send_chunk(Chunk {
+                    offset: run.next,
+                    pieces: pieces.into_iter().skip(known as usize).collect(),
+                });
+                meter.count(&run.worker.tables, &chosen.server, count - known);
+            }
+            None
+        }
+        EngineEvent::Finished {
+            reason,
+            total_tokens,
+            cached_tokens,
+            ran,
+        } => {
+            if ran {
+                run.ran = join_ran(run.ran, Ran::Yes);
+            }
+            Some(finished(run, reason, total_tokens, cached_tokens))
+        }
+    }
+}
+
+fn accepted(run: &mut OwnerRun, stream: String, version: String, chosen: &Chosen) {
+    run.ran = join_ran(run.ran, Ran::Maybe);
+    run.reads(&chosen.server, &stream);
+    run.earlier.version.clone_from(&version);
+    run.earlier.engine_stream.clone_from(&stream);
+    run.earlier.server = chosen.server.to_string();
+    run.caller.send(frame::Body::Accepted(Accepted {
+        server: chosen.server.to_string(),
+        version,
+        engine_stream: stream,
+        node: run.worker.tables.identity.node.to_string(),
+    }));
+}
+
+fn finished(run: &OwnerRun, reason: String, total_tokens: u32, cached_tokens: u32) -> RelayEnd {
+    if reason == "cancelled" {
+        return RelayEnd::Engine(lost("the engine cancelled the stream by itself"));
+    }
+    if total_tokens != run.next {
+        return RelayEnd::Engine(lost("the stream ended before all its tokens came"));
+    }
+    RelayEnd::Finished {
+        reason,
+        cached_tokens,
+    }
+}
+
+fn lost(reason: &str) -> EngineError {
+    EngineError::Lost {
+        reason: reason.to_owned(),
+    }
+}
+
+/// Measures the time between tokens and keeps the server's smoothed step time.
+#[derive(Default)]
+struct StepMeter {
+    since: Option<Instant>,
+    tokens: u32,
+}
+
+impl StepMeter {
+    fn count(&mut self, tables: &NodeTables, server: &ServerId, tokens: u32) {
+        let now = Instant::now();
+        let Some(since) = self.since else {
+            self.since = Some(now);
+            return;
+        };
+        self.tokens += tokens;
+        if self.tokens < STEP_SAMPLE_TOKENS {
+            return;
+        }
+        let sample = milliseconds(now - since) / f64::from(self.tokens);
+        tables.servers.with(server, |state| {
+            state.online_step_ms = if state.online_step_ms > 0.0 {
+                state.online_step_ms + STEP_SAMPLE_WEIGHT * (sample - state.online_step_ms)
+            } else {
+                sample
+            };
+        });
+        self.since = Some(now);
+        self.tokens = 0;
+    }
+}
+
+fn milliseconds(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/crates/online/src/reports.rs
@@ -0,0 +1,193 @@
+//! Polls the reports of owned servers, spots engines that leave or fail, and publishes this node's
+//! load summary.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_decide::time::Millis;
+use dappleyard_engine::{Engine, EngineReport};
+use dappleyard_settings::OnlineSettings;
+use dappleyard_tables::NodeTables;
+use dappleyard_tables::decisions::{Decision, DecisionKind, Subject};
+use dappleyard_tables::servers::OwnedServer;
+use dappleyard_wire::ids::ServerId;
+use tokio::time::MissedTickBehavior;
+
+use crate::load;
+
+/// Calls that must fail in a row before a server is withdrawn.
+const FAILURES_TO_WITHDRAW: u32 = 2;
+
+/// Own sequence counts kept for each server, one for each poll: as long as reports lag.
+const OWN_COUNTS: usize = 10;
+
+/// Polls the engines of the servers that this node owns and publishes the node's load, for ever, on
+/// this arbiter.
+pub fn start_reports(tables: Arc<NodeTables>, settings: OnlineSettings, engine: Rc<dyn Engine>) {
+    let poller = Rc::new(Poller {
+        tables,
+        engine,
+        patience: Duration::from_millis(settings.engine_connect_timeout_ms),
+        asked: RefCell::default(),
+        own_counts: RefCell::default(),
+    });
+    actix_rt::spawn(async move {
+        let period = Duration::from_millis(settings.report_interval_ms.max(1));
+        let mut ticks = tokio::time::interval(period);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            poller.poll_all();
+            let now = poller.tables.clock.now();
+            poller
+                .tables
+                .loads
+                .put_node(load::summary(&poller.tables), now);
+        }
+    });
+}
+
+struct Poller {
+    tables: Arc<NodeTables>,
+    engine: Rc<dyn Engine>,
+    patience: Duration,
+    /// Servers with a call in progress.
+    asked: RefCell<BTreeSet<ServerId>>,
+    /// This node's own sequences at the last polls.
+    own_counts: RefCell<BTreeMap<ServerId, VecDeque<u32>>>,
+}
+
+impl Poller {
+    fn poll_all(self: &Rc<Self>) {
+        let targets = self.tables.servers.read(|servers| {
+            servers
+                .iter()
+                .map(|(id, state)| {
+                    let url = state.entry.base_url.clone();
+                    (id.clone(), url, state.report.is_none(), state.online.len())
+                })
+                .collect::<Vec<_>>()
+        });
+        self.own_counts
+            .borrow_mut()
+            .retain(|id, _| targets.iter().any(|(target, ..)| target == id));
+        for (server, base, first, own) in targets {
+            self.count_own(&server, own);
+            if !self.asked.borrow_mut().insert(server.clone()) {
+                continue;
+            }
+            let poller = self.clone();
+            actix_rt::spawn(async move {
+                poller.poll(&server, &base, first).await;
+                poller.asked.borrow_mut().remove(&server);
+            });
+        }
+    }
+
+    fn count_own(&self, server: &ServerId, own: usize) {
+        let mut counts = self.own_counts.borrow_mut();
+        let counts = counts.entry(server.clone()).or_default();
+        if counts.len() == OWN_COUNTS {
+            counts.pop_front();
+        }
+        counts.push_back(u32::try_from(own).unwrap_or(u32::MAX));
+    }
+
+    /// A server seen for the first time is asked for its state at once, others for their report.
+    async fn poll(&self, server: &ServerId, base: &str, first: bool) {
+        let asking = async {
+            if first {
+                self.engine.status(base).await
+            } else {
+                self.engine.report(base).await
+            }
+        };
+        match tokio::time::timeout(self.patience, asking).await {
+            Ok(Ok(report)) => {
+                let own = self
+                    .own_counts
+                    .borrow()
+                    .get(server)
+                    .and_then(|c| c.iter().max().copied());
+                let online = report.running_online + report.waiting_online;
+                let foreign = online.saturating_sub(own.unwrap_or(0));
+                apply_report(&self.tables, server, report);
+                self.tables
+                    .servers
+                    .with(server, |state| state.foreign_online = foreign);
+            }
+            Ok(Err(error)) => note_failure(&self.tables, server, &error.to_string()),
+            Err(_) => note_failure(&self.tables, server, "no report in time"),
+        }
+    }
+}
+
+/// Takes a report or status into the table. An older word never replaces a newer one.
+pub(crate) fn apply_report(tables: &NodeTables, server: &ServerId, report: EngineReport) {
+    let now = tables.clock.now();
+    let said_at = Millis(now.0.saturating_sub(u64::from(report.age_ms)));
+    let change = tables.servers.with(server, |state| {
+        state.failures = 0;
+        if said_at < state.accepting_known_at {
+            return None;
+        }
+        let change = accepting_change(state, report.accepting, said_at, now);
+        state.accepting_known_at = said_at;
+        state.report = Some((report, now));
+        change
+    });
+    if let Some(Some(cause)) = change {
+        explain(tables, server, cause, "as the engine says");
+    }
+}
+
+fn accepting_change(
+    state: &mut OwnedServer,
+    accepting: bool,
+    said_at: Millis,
+    now: Millis,
+) -> Option<&'static str> {
+    match (&state.withdrawn, accepting) {
+        (None, false) => {
+            state.withdrawn = Some(("the engine takes no new work".to_owned(), now));
+            Some("takes no new work")
+        }
+        (Some((_, since)), true) if *since <= said_at => {
+            state.withdrawn = None;
+            Some("takes new work again")
+        }
+        _ => None,
+    }
+}
+
+/// Counts a failed call. Several in a row withdraw the server until the engine answers again.
+pub(crate) fn note_failure(tables: &NodeTables, server: &ServerId, reason: &str) {
+    let now = tables.clock.now();
+    let withdrawn = tables.servers.with(server, |state| {
+        state.failures += 1;
+        let newly = state.failures >= FAILURES_TO_WITHDRAW && state.withdrawn.is_none();
+        if newly {
+            state.withdrawn = Some((format!("the engine does not answer: {reason}"), now));
+        }
+        newly
+    });
+    if withdrawn == Some(true) {
+        explain(tables, server, "does not answer", reason);
+    }
+}
+
+fn explain(tables: &NodeTables, server: &ServerId, cause: &str, input: &str) {
+    tracing::info!(%server, cause, input, "a server changed");
+    tables.decisions.record(Decision {
+        unix_ms: tables.clock.unix_ms(),
+        node: tables.identity.node.to_string(),
+        kind: DecisionKind::Withdrawn,
+        subjects: vec![Subject::Server(server.to_string())],
+        cause: cause.to_owned(),
+        inputs: vec![("engine".to_owned(), input.to_owned())],
+        outcome: "new work goes accordingly".to_owned(),
+    });
+}
--- /dev/null
+++ b/crates/online/src/settle.rs
@@ -0,0 +1,127 @@
+//! The last filter: what a submission's end means for the caller, the record and the operators.
+
+use dappleyard_decide::once::unknown_outcome;
+use dappleyard_tables::NodeTables;
+use dappleyard_tables::decisions::{Decision, DecisionKind, Subject};
+use dappleyard_wire::error::ran_name;
+use dappleyard_wire::messages::OnceOutcome;
+use dappleyard_wire::{ErrorKind, Failure, Ran};
+
+use crate::receive::Incoming;
+
+/// Advice after a passed deadline, milliseconds.
+const DEADLINE_RETRY_AFTER_MS: u32 = 100;
+
+/// Advice to use another node, milliseconds.
+const OTHER_NODE_RETRY_AFTER_MS: u32 = 50;
+
+/// The node takes nothing new.
+pub(crate) fn not_ready() -> Failure {
+    Failure::not_run(
+        ErrorKind::NotReady,
+        "the node takes no new work at present; use another node",
+    )
+    .retry_after(OTHER_NODE_RETRY_AFTER_MS)
+}
+
+/// The deadline passed.
+pub(crate) fn deadline(ran: Ran) -> Failure {
+    let failure = Failure::not_run(ErrorKind::DeadlineExceeded, "the deadline passed");
+    failure.retry_after(DEADLINE_RETRY_AFTER_MS).after(ran)
+}
+
+/// The caller went away.
+pub(crate) fn cancelled(ran: Ran) -> Failure {
+    Failure::not_run(ErrorKind::Cancelled, "the caller went away").after(ran)
+}
+
+/// A request that must not be repeated may have run, and its outcome is lost.
+pub(crate) fn outcome_unknown() -> Failure {
+    Failure::maybe_ran(
+        ErrorKind::OutcomeUnknown,
+        "the request may have run and its outcome is lost; it is not run again",
+    )
+}
+
+/// The outcome to record for a failure.
+pub(crate) fn failed_outcome(failure: &Failure) -> OnceOutcome {
+    if failure.kind == ErrorKind::OutcomeUnknown {
+        return unknown_outcome();
+    }
+    OnceOutcome {
+        kind: failure.kind as u32,
+        ran: failure.ran as i32,
+        ..OnceOutcome::default()
+    }
+}
+
+/// The failure that a recorded outcome stands for.
+pub(crate) fn recorded_failure(outcome: &OnceOutcome) -> Failure {
+    let kind = ErrorKind::from_number(outcome.kind);
+    Failure {
+        kind,
+        ran: Ran::try_from(outcome.ran).unwrap_or(Ran::Maybe),
+        retry_after_ms: 0,
+        message: format!("recorded for this key: {}", kind.answer().code),
+    }
+}
+
+/// Records a refusal for operators. Causes of a rate limit are counted only: they come in masses.
+pub(crate) fn explain_refusal(tables: &NodeTables, incoming: &Incoming, failure: &Failure) {
+    if matches!(
+        failure.kind,
+        ErrorKind::TenantRate | ErrorKind::TenantConcurrency
+    ) {
+        return;
+    }
+    let inputs = vec![
+        ("ran".to_owned(), ran_name(failure.ran).to_owned()),
+        ("attempt".to_owned(), incoming.attempt.to_string()),
+        ("left_ms".to_owned(), incoming.left_ms().to_string()),
+    ];
+    let outcome = failure.kind.answer().code.to_owned();
+    record(
+        tables,
+        incoming,
+        DecisionKind::Refused,
+        &failure.message,
+        inputs,
+        outcome,
+    );
+}
+
+/// Records that a request was placed again.
+pub(crate) fn explain_again(tables: &NodeTables, incoming: &Incoming, cause: &str, ran: Ran) {
+    let inputs = vec![("ran".to_owned(), ran_name(ran).to_owned())];
+    let outcome = "placed again".to_owned();
+    record(
+        tables,
+        incoming,
+        DecisionKind::PlacedAgain,
+        cause,
+        inputs,
+        outcome,
+    );
+}
+
+fn record(
+    tables: &NodeTables,
+    incoming: &Incoming,
+    kind: DecisionKind,
+    cause: &str,
+    inputs: Vec<(String, String)>,
+    outcome: String,
+) {
+    tables.decisions.record(Decision {
+        unix_ms: tables.clock.unix_ms(),
+        node: tables.identity.node.to_string(),
+        kind,
+        subjects: vec![
+            Subject::Request(incoming.id.to_string()),
+            Subject::Service(incoming.request.service.clone()),
+        ],
+        cause: cause.to_owned(),
+        inputs,
+        outcome,
+    });
+}
--- /dev/null
+++ b/crates/online/src/shared.rs
@@ -0,0 +1,214 @@
+//! State of the online path that all worker threads of a node share.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use dappleyard_decide::admission::{NodeLimits, TokenBucket};
+use dappleyard_decide::retry::RetryBudget;
+use dappleyard_decide::time::Millis;
+use dappleyard_settings::OnlineSettings;
+use dappleyard_tables::NodeTables;
+use dappleyard_tables::rank::{Rank, Ranked};
+use dappleyard_wire::{ErrorKind, Failure};
+
+use crate::metrics::OnlineMetrics;
+
+/// Advice when a concurrency limit is used up, milliseconds: about the length of a short answer.
+const CONCURRENCY_RETRY_AFTER_MS: u32 = 250;
+
+/// Admission state, retry budget and stream counts of a node.
+pub struct OnlineShared {
+    state: Ranked<SharedState>,
+    streams: AtomicUsize,
+    maximum_streams: usize,
+    pub(crate) metrics: OnlineMetrics,
+}
+
+struct SharedState {
+    tenants: BTreeMap<String, TenantState>,
+    budget: RetryBudget,
+    /// Number of the run that reads each engine stream: a later one supersedes an earlier one.
+    readers: BTreeMap<String, u64>,
+    next_reader: u64,
+}
+
+struct TenantState {
+    bucket: TokenBucket,
+    tokens: u64,
+}
+
+impl OnlineShared {
+    /// Empty state; its metrics are registered in the node's registry.
+    pub fn new(settings: &OnlineSettings, tables: &Arc<NodeTables>) -> Arc<OnlineShared> {
+        let state = SharedState {
+            tenants: BTreeMap::new(),
+            budget: RetryBudget::new(settings.retry_budget_percent),
+            readers: BTreeMap::new(),
+            next_reader: 1,
+        };
+        Arc::new(OnlineShared {
+            state: Ranked::new(Rank::Tenants, state),
+            streams: AtomicUsize::new(0),
+            maximum_streams: settings.maximum_streams,
+            metrics: OnlineMetrics::new(&tables.metrics),
+        })
+    }
+
+    /// Streams in progress, and records that still have to be settled. A planned stop waits for 0.
+    pub fn active_streams(&self) -> usize {
+        self.streams.load(Ordering::Acquire)
+    }
+
+    /// Counts a stream; `None` when the node has as many as it may have.
+    pub(crate) fn open_stream(self: &Arc<Self>) -> Option<StreamSlot> {
+        if self.active_streams() >= self.maximum_streams {
+            return None;
+        }
+        Some(self.count_stream())
+    }
+
+    /// Counts a stream whatever the bound says.
+    pub(crate) fn count_stream(self: &Arc<Self>) -> StreamSlot {
+        let streams = self.streams.fetch_add(1, Ordering::AcqRel) + 1;
+        self.metrics.streams.set(as_gauge(streams));
+        StreamSlot {
+            shared: self.clone(),
+        }
+    }
+
+    /// Takes one request of `tokens` tokens from the tenant's limits.
+    pub(crate) fn take_tenant(
+        self: &Arc<Self>,
+        tenant: &str,
+        limits: NodeLimits,
+        tokens: u64,
+        now: Millis,
+    ) -> Result<TenantSlot, Failure> {
+        let mut state = self.state.lock();
+        let tenant_state = state
+            .tenants
+            .entry(tenant.to_owned())
+            .or_insert_with(|| TenantState {
+                bucket: TokenBucket::full(limits.burst, now),
+                tokens: 0,
+            });
+        if let Some(maximum) = limits.concurrent_tokens
+            && tenant_state.tokens > 0
+            && tenant_state.tokens + tokens > maximum
+        {
+            return Err(concurrency_refusal(tenant, maximum));
+        }
+        if let Some(rate) = limits.requests_per_s {
+            let taken = tenant_state.bucket.take(rate, limits.burst, now);
+            taken.map_err(|wait_ms| rate_refusal(tenant, rate, wait_ms))?;
+        }
+        tenant_state.tokens += tokens;
+        Ok(TenantSlot {
+            shared: self.clone(),
+            tenant: tenant.to_owned(),
+            tokens,
+        })
+    }
+
+    /// Counts a first attempt for the retry budget.
+    pub(crate) fn first_attempt(&self) {
+        self.state.lock().budget.first_attempt();
+    }
+
+    /// Takes a retry from the budget.
+    pub(crate) fn take_retry(&self) -> bool {
+        let taken = self.state.lock().budget.take();
+        if !taken {
+            self.metrics.budget_refused.inc();
+        }
+        taken
+    }
+
+    /// Becomes the reader of an engine stream. An earlier reader is superseded: it ends without
+    /// cancelling the stream.
+    pub(crate) fn read_stream(self: &Arc<Self>, server: &str, stream: &str) -> ReaderSlot {
+        let key = format!("{server}/{stream}");
+        let mut state = self.state.lock();
+        let number = state.next_reader;
+        state.next_reader += 1;
+        state.readers.insert(key.clone(), number);
+        ReaderSlot {
+            shared: self.clone(),
+            key,
+            number,
+        }
+    }
+}
+
+fn concurrency_refusal(tenant: &str, maximum: u64) -> Failure {
+    Failure::not_run(
+        ErrorKind::TenantConcurrency,
+        format!("tenant {tenant} has its {maximum} tokens at this node in progress; wait for one"),
+    )
+    .retry_after(CONCURRENCY_RETRY_AFTER_MS)
+}
+
+fn rate_refusal(tenant: &str, rate: f64, wait_ms: u32) -> Failure {
+    Failure::not_run(
+        ErrorKind::TenantRate,
+        format!("tenant {tenant} has used its {rate:.1} requests per second at this node"),
+    )
+    .retry_after(wait_ms)
+}
+
+fn as_gauge(streams: usize) -> i64 {
+    i64::try_from(streams).unwrap_or(i64::MAX)
+}
+
+/// A counted stream; dropping it ends the count.
+pub(crate) struct StreamSlot {
+    shared: Arc<OnlineShared>,
+}
+
+impl Drop for StreamSlot {
+    fn drop(&mut self) {
+        let streams = self.shared.streams.fetch_sub(1, Ordering::AcqRel) - 1;
+        self.shared.metrics.streams.set(as_gauge(streams));
+    }
+}
+
+/// A request counted against a tenant's concurrent tokens; dropping it gives them back.
+pub(crate) struct TenantSlot {
+    shared: Arc<OnlineShared>,
+    tenant: String,
+    tokens: u64,
+}
+
+impl Drop for TenantSlot {
+    fn drop(&mut self) {
+        let mut state = self.shared.state.lock();
+        if let Some(tenant) = state.tenants.get_mut(&self.tenant) {
+            tenant.tokens = tenant.tokens.saturating_sub(self.tokens);
+        }
+    }
+}
+
+/// The right to read, and to cancel, an engine stream.
+pub(crate) struct ReaderSlot {
+    shared: Arc<OnlineShared>,
+    key: String,
+    number: u64,
+}
+
+impl ReaderSlot {
+    /// Whether a later run of this node reads the stream now.
+    pub fn is_superseded(&self) -> bool {
+        let state = self.shared.state.lock();
+        state.readers.get(&self.key) != Some(&self.number)
+    }
+}
+
+impl Drop for ReaderSlot {
+    fn drop(&mut self) {
+        let mut state = self.shared.state.lock();
+        if state.readers.get(&self.key) == Some(&self.number) {
+            state.readers.remove(&self.key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/online/src/worker.rs
@@ -0,0 +1,147 @@
+//! The online path on one worker thread.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use dappleyard_engine::Engine;
+use dappleyard_platform::Platform;
+use dappleyard_settings::OnlineSettings;
+use dappleyard_tables::NodeTables;
+use dappleyard_transport::{LinkPool, ServerStream};
+use dappleyard_wire::messages::{Call, RecordState, Reply, Stage, Submit, call, frame, reply};
+use dappleyard_wire::{ErrorKind, Failure};
+
+use crate::caller::Caller;
+use crate::ingress::IngressRun;
+use crate::owner::OwnerRun;
+use crate::receive::Incoming;
+use crate::recorder::Recorder;
+use crate::settle;
+use crate::shared::{OnlineShared, StreamSlot};
+use crate::view::{PlacementView, ViewCache};
+
+/// Advice to a caller that meets a full or stopping node, milliseconds.
+const FULL_RETRY_AFTER_MS: u32 = 200;
+
+/// What a worker is given.
+pub struct OnlineContext {
+    /// Shared tables of the node.
+    pub tables: Arc<NodeTables>,
+    /// Settings.
+    pub settings: OnlineSettings,
+    /// Platform clients of this thread.
+    pub platform: Platform,
+    /// Engine client of this thread.
+    pub engine: Rc<dyn Engine>,
+    /// Links to other nodes.
+    pub links: Rc<LinkPool>,
+    /// State shared by the node's workers.
+    pub shared: Arc<OnlineShared>,
+}
+
+/// The online path of one worker thread.
+pub struct OnlineWorker {
+    pub(crate) tables: Arc<NodeTables>,
+    pub(crate) settings: OnlineSettings,
+    pub(crate) engine: Rc<dyn Engine>,
+    pub(crate) links: Rc<LinkPool>,
+    pub(crate) shared: Arc<OnlineShared>,
+    pub(crate) recorder: Recorder,
+    views: RefCell<ViewCache>,
+}
+
+impl OnlineWorker {
+    /// A worker. Must be called on the arbiter that it is to run on.
+    pub fn new(context: OnlineContext) -> Rc<OnlineWorker> {
+        Rc::new(OnlineWorker {
+            recorder: Recorder::new(context.platform.tables, context.shared.clone()),
+            tables: context.tables,
+            settings: context.settings,
+            engine: context.engine,
+            links: context.links,
+            shared: context.shared,
+            views: RefCell::default(),
+        })
+    }
+
+    /// Serves one submission in a task of its own. The stream gets exactly one final frame.
+    pub fn handle(self: &Rc<Self>, submit: Submit, stream: ServerStream) {
+        let caller = Caller::from_stream(stream);
+        match self.receive(submit) {
+            Ok((incoming, slot)) => {
+                let worker = self.clone();
+                actix_rt::spawn(async move { worker.serve(incoming, caller, slot).await });
+            }
+            Err(failure) => {
+                self.shared.metrics.count_refusal(&failure);
+                caller.send(frame::Body::Refused(failure.to_refused()));
+            }
+        }
+    }
+
+    /// Answers `RecordBegin` and `RecordSettle`: this node is the recorder of the key's cell.
+    pub async fn record_call(&self, call: Call) -> Result<Reply, Failure> {
+        let state = match call.method {
+            Some(call::Method::RecordBegin(begin)) => self.recorder.begin(begin).await?,
+            Some(call::Method::RecordSettle(settle)) => {
+                self.recorder.settle(settle).await?;
+                RecordState::default()
+            }
+            _ => {
+                return Err(Failure::not_run(
+                    ErrorKind::InvalidRequest,
+                    "the call is none of a recorder's",
+                ));
+            }
+        };
+        Ok(Reply {
+            result: Some(reply::Result::Record(state)),
+        })
+    }
+
+    /// The current view of where requests can go.
+    pub(crate) fn view(&self) -> Rc<PlacementView> {
+        self.views.borrow_mut().get(&self.tables)
+    }
+
+    /// Makes the next placement see the tables afresh.
+    pub(crate) fn refresh_view(&self) {
+        self.views.borrow_mut().invalidate();
+    }
+
+    fn receive(&self, submit: Submit) -> Result<(Incoming, StreamSlot), Failure> {
+        let incoming = Incoming::read(submit)?;
+        let ran_before = incoming.ran_before;
+        if !self.tables.takes_new_work() {
+            return Err(settle::not_ready().after(ran_before));
+        }
+        let slot = self.shared.open_stream().ok_or_else(|| {
+            Failure::not_run(
+                ErrorKind::Overloaded,
+                "the node has as many streams as it may have",
+            )
+            .retry_after(FULL_RETRY_AFTER_MS)
+            .after(ran_before)
+        })?;
+        Ok((incoming, slot))
+    }
+
+    async fn serve(self: Rc<Self>, incoming: Incoming, caller: Caller, _slot: StreamSlot) {
+        let stage = incoming.stage;
+        let requests = &self.shared.metrics.requests;
+        requests.with_label_values(&[stage_name(stage)]).inc();
+        match stage {
+            Stage::Owner => OwnerRun::new(self, incoming, caller).run().await,
+            Stage::Ingress | Stage::Cell => IngressRun::new(self, incoming, caller).run().await,
+        }
+    }
+}
+
+fn stage_name(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Ingress => "ingress",
+        Stage::Cell => "cell",
+        Stage::Owner => "owner",
+    }
+}
--- a/crates/tables/src/servers.rs
+++ b/crates/tables/src/servers.rs
@@ -36,6 +36,8 @@
     pub report: Option<(EngineReport, Millis)>,
     /// Online sequences in flight from this node.
     pub online: BTreeMap<RequestId, InFlight>,
+    /// Online sequences that other nodes have there, as far as reports show them.
+    pub foreign_online: u32,
     /// Batch sequences in flight from this node.
     pub batch: BTreeMap<RequestId, InFlight>,
     /// Most batch sequences at present, as the width control decided.
@@ -169,6 +171,7 @@
         entry,
         report: None,
         online: BTreeMap::new(),
+        foreign_online: 0,
         batch: BTreeMap::new(),
         batch_width: 0,
         online_step_ms: 0.0,
