--- /dev/null
+++ b/crates/lab/src/invariants/configuration.rs
@@ -0,0 +1,131 @@
+//! Configuration: in force everywhere within the bound, and never back.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{Evidence, Verdict, at, overlap};
+use crate::ledger::{ConfigurationAccepted, Event, RevisionSample};
+
+/// Time that a node which was away gets to catch up after it is back, besides the bound.
+const CATCH_UP: Duration = Duration::from_millis(500);
+
+/// Each accepted change is in force on each node that serves, within the bound. A node that was
+/// away, cut off or standing still in that time is judged once it has been back for as long.
+pub fn config_convergence(evidence: &Evidence) -> Verdict {
+    let mut verdict = Verdict::default();
+    let bound = Duration::from_millis(evidence.bounds.configuration_ms);
+    for change in accepted(evidence) {
+        for (node, samples) in by_node(evidence) {
+            let due = due_on(evidence, node, change.accepted, bound);
+            let judged = samples
+                .iter()
+                .find(|sample| sample.at >= due && sample.ready);
+            let Some(sample) = judged else { continue };
+            verdict.case(sample.revision >= change.revision, || {
+                format!(
+                    "revision {} ({}) accepted {}, but {node} has {} at {}",
+                    change.revision,
+                    change.key,
+                    at(change.accepted),
+                    sample.revision,
+                    at(sample.at)
+                )
+            });
+        }
+    }
+    verdict
+}
+
+/// When a node has had the whole bound without being away.
+fn due_on(evidence: &Evidence, node: &str, accepted: Duration, bound: Duration) -> Duration {
+    let mut due = accepted + bound;
+    let mut spans: Vec<_> = evidence
+        .unavailable()
+        .filter(|away| away.node == node)
+        .collect();
+    spans.sort_by_key(|away| away.from);
+    for away in spans {
+        if overlap((away.from, away.to), (accepted, due)) {
+            due = due.max(away.to + bound + CATCH_UP);
+        }
+    }
+    due
+}
+
+/// The revision in force on a node never falls while it runs, and a node that takes new work after
+/// a start is not behind what was in force on every node before.
+pub fn config_monotonic(evidence: &Evidence) -> Verdict {
+    let mut verdict = Verdict::default();
+    for (node, samples) in by_node(evidence) {
+        for pair in samples.windows(2) {
+            let [before, after] = pair else { continue };
+            if before.start != after.start {
+                continue;
+            }
+            verdict.case(after.revision >= before.revision, || {
+                format!(
+                    "{node} had revision {} at {} and {} at {}",
+                    before.revision,
+                    at(before.at),
+                    after.revision,
+                    at(after.at)
+                )
+            });
+        }
+    }
+    judge_starts(evidence, &mut verdict);
+    verdict
+}
+
+fn judge_starts(evidence: &Evidence, verdict: &mut Verdict) {
+    let nodes = by_node(evidence);
+    for (node, samples) in &nodes {
+        for pair in samples.windows(2) {
+            let [before, after] = pair else { continue };
+            let served = samples
+                .iter()
+                .find(|sample| sample.start == after.start && sample.ready);
+            if before.start == after.start {
+                continue;
+            }
+            let Some(served) = served else { continue };
+            let floor = in_force_everywhere(&nodes, before.at);
+            verdict.case(served.revision >= floor, || {
+                format!(
+                    "{node} serves again at {} with revision {}, but {floor} was in force everywhere",
+                    at(served.at),
+                    served.revision
+                )
+            });
+        }
+    }
+}
+
+/// The greatest revision that every node had in force at a time.
+fn in_force_everywhere(nodes: &BTreeMap<&str, Vec<&RevisionSample>>, time: Duration) -> u64 {
+    nodes
+        .values()
+        .filter_map(|samples| samples.iter().rev().find(|sample| sample.at <= time))
+        .map(|sample| sample.revision)
+        .min()
+        .unwrap_or(0)
+}
+
+fn accepted(evidence: &Evidence) -> impl Iterator<Item = &ConfigurationAccepted> {
+    evidence
+        .observations
+        .events
+        .iter()
+        .filter_map(|event| match event {
+            Event::Configuration(change) => Some(change),
+            _ => None,
+        })
+}
+
+fn by_node(evidence: &Evidence) -> BTreeMap<&str, Vec<&RevisionSample>> {
+    let mut nodes: BTreeMap<&str, Vec<&RevisionSample>> = BTreeMap::new();
+    for sample in &evidence.observations.revisions {
+        nodes.entry(&sample.node).or_default().push(sample);
+    }
+    nodes
+}
--- /dev/null
+++ b/crates/lab/src/invariants/jobs.rs
@@ -0,0 +1,125 @@
+//! Batch: each accepted item once, results that stay readable, cancels that hold.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::{EngineRun, Evidence, Verdict, at};
+use crate::ledger::{ItemFinding, JobRecord};
+
+/// Each item of each accepted job has exactly one right result; of a cancelled job, at most one.
+/// A job that was submitted several times with one key is one job.
+pub fn exactly_once(evidence: &Evidence) -> Verdict {
+    let mut verdict = Verdict::default();
+    for job in &evidence.observations.jobs {
+        let Some(id) = job.id() else { continue };
+        let one_job = job.ids.iter().all(|other| other == id);
+        verdict.case(one_job, || {
+            format!("{}: one key, several jobs {:?}", job.name, job.ids)
+        });
+        judge_items(&mut verdict, job, id);
+    }
+    verdict
+}
+
+fn judge_items(verdict: &mut Verdict, job: &JobRecord, id: &str) {
+    let Some(results) = &job.results else {
+        let items = u64::from(job.items);
+        let unread = job.unread.as_deref().unwrap_or("it has not ended");
+        verdict.checked += items;
+        verdict.violated += items;
+        let accepted = at(job.accepted.unwrap_or_default());
+        verdict.examples.push(format!(
+            "{} ({id}, accepted {accepted}): status {}, {items} items without result: {unread}",
+            job.name, job.status
+        ));
+        return;
+    };
+    verdict.checked += u64::from(results.right);
+    let cancelled = job.status == "cancelled";
+    for finding in &results.findings {
+        let holds =
+            cancelled && matches!(finding, ItemFinding::Missing(_) | ItemFinding::Failed(_));
+        verdict.case(holds, || format!("{} ({id}): {finding:?}", job.name));
+    }
+}
+
+/// Results read at the end of a job are read again later, through another sidecar, unchanged.
+pub fn results_readable(evidence: &Evidence) -> Verdict {
+    let mut verdict = Verdict::default();
+    for job in evidence
+        .observations
+        .jobs
+        .iter()
+        .filter(|job| job.ended.is_some())
+    {
+        let (Some(first), again) = (&job.results, &job.results_again) else {
+            let reason = job.unread.as_deref().unwrap_or_default();
+            verdict.case(false, || format!("{}: not read: {reason}", job.name));
+            continue;
+        };
+        let same = again.as_ref().is_some_and(|again| {
+            again.right == first.right && again.fingerprint == first.fingerprint
+        });
+        verdict.case(same, || {
+            format!(
+                "{} ({:?}): {} right results at first, {:?} later",
+                job.name,
+                job.id(),
+                first.right,
+                again.as_ref().map(|again| again.right)
+            )
+        });
+    }
+    verdict
+}
+
+/// After the answer to a cancel, and a bound, no engine begins an item of the job, and nothing is
+/// added to its results.
+pub fn cancellation_effective(evidence: &Evidence) -> Verdict {
+    let mut verdict = Verdict::default();
+    let bound = Duration::from_millis(evidence.bounds.cancel_ms);
+    let runs = runs_by_job(evidence);
+    for job in &evidence.observations.jobs {
+        let (Some(cancel), Some(id)) = (&job.cancel, job.id()) else {
+            continue;
+        };
+        let late = runs.get(id).into_iter().flatten().find(|run| {
+            run.started
+                .is_some_and(|started| started > cancel.answered + bound)
+        });
+        verdict.case(late.is_none(), || {
+            format!(
+                "{} ({id}) cancelled at {}: {late:?}",
+                job.name,
+                at(cancel.answered)
+            )
+        });
+        verdict.case(matches!(job.status.as_str(), "cancelled"), || {
+            format!(
+                "{} ({id}) cancelled at {}, but its status is {}",
+                job.name,
+                at(cancel.answered),
+                job.status
+            )
+        });
+    }
+    verdict
+}
+
+/// Batch attempts by the job that their request id names.
+fn runs_by_job(evidence: &Evidence) -> HashMap<&str, Vec<&EngineRun>> {
+    let ids: Vec<&str> = evidence
+        .observations
+        .jobs
+        .iter()
+        .filter(|job| job.cancel.is_some())
+        .filter_map(JobRecord::id)
+        .collect();
+    let mut runs: HashMap<&str, Vec<&EngineRun>> = HashMap::new();
+    for run in evidence.runs.iter().filter(|run| !run.online) {
+        if let Some(id) = ids.iter().find(|id| run.request_id.contains(**id)) {
+            runs.entry(id).or_default().push(run);
+        }
+    }
+    runs
+}
--- /dev/null
+++ b/crates/lab/src/invariants/leaving.rs
@@ -0,0 +1,105 @@
+//! Leaving: servers that get no new work, planned stops that cut nothing.
+
+use std::time::Duration;
+
+use super::{Evidence, Verdict, at, overlap};
+use crate::ledger::{OnlineEnd, OnlineRecord, PlannedStop};
+
+/// Time before a planned stop within which an abrupt fault's after-effects may still end requests.
+const ABRUPT_SHADOW: Duration = Duration::from_secs(4);
+
+/// A server that was told to leave receives nothing new after the bound, whichever source said so.
+pub fn drain_no_new_work(evidence: &Evidence) -> Verdict {
+    let mut verdict = Verdict::default();
+    let bound = Duration::from_millis(evidence.bounds.drain_ms);
+    for event in &evidence.observations.events {
+        let crate::ledger::Event::Drain(drain) = event else {
+            continue;
+        };
+        let closed_from = drain.told + bound;
+        if closed_from >= drain.taken_back {
+            continue;
+        }
+        let late = evidence.runs.iter().find(|run| {
+            run.server == drain.server
+                && run.arrived > closed_from
+                && run.arrived < drain.taken_back
+        });
+        verdict.case(late.is_none(), || {
+            format!(
+                "{} told to leave at {}: {late:?}",
+                drain.server,
+                at(drain.told)
+            )
+        });
+    }
+    verdict
+}
+
+/// Requests in progress while a node stops as planned all end whole or in a refusal that has a
+/// cause of its own, and the node stops within its bound.
+pub fn graceful_shutdown(evidence: &Evidence) -> Verdict {
+    let mut verdict = Verdict::default();
+    for stop in evidence.stops() {
+        let bound = Duration::from_millis(stop.bound_ms);
+        verdict.case(stop.stopped - stop.told <= bound, || {
+            format!(
+                "{} told at {} stopped only at {}",
+                stop.node,
+                at(stop.told),
+                at(stop.stopped)
+            )
+        });
+        if hidden_by_abrupt_fault(evidence, stop) {
+            continue;
+        }
+        for record in &evidence.observations.online {
+            if overlap((record.sent, record.ended), (stop.told, stop.stopped)) {
+                verdict.case(!was_cut(record), || {
+                    format!(
+                        "{} ({}) sent {}, ended {} while {} stopped {}..{}: {:?}",
+                        record.name,
+                        record.request_id,
+                        at(record.sent),
+                        at(record.ended),
+                        stop.node,
+                        at(stop.told),
+                        at(stop.stopped),
+                        record.end
+                    )
+                });
+            }
+        }
+    }
+    verdict
+}
+
+fn hidden_by_abrupt_fault(evidence: &Evidence, stop: &PlannedStop) -> bool {
+    evidence
+        .faults()
+        .filter(|fault| fault.kind.is_abrupt())
+        .any(|fault| {
+            overlap(
+                (fault.from, fault.to + ABRUPT_SHADOW),
+                (stop.told, stop.stopped),
+            )
+        })
+}
+
+/// Kinds of refusal that a node's stop must not cause at a caller.
+const CAUSED_BY_STOP: [&str; 6] = [
+    "node_lost",
+    "not_ready",
+    "engine_lost",
+    "bounced",
+    "outcome_unknown",
+    "internal",
+];
+
+fn was_cut(record: &OnlineRecord) -> bool {
+    match &record.end {
+        OnlineEnd::Whole => false,
+        OnlineEnd::Broken(_) => true,
+        OnlineEnd::Refused(refusal) => CAUSED_BY_STOP.contains(&refusal.kind.as_str()),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/invariants/requests.rs
@@ -0,0 +1,159 @@
+//! Online: priority over batch, whole answers, true refusals, at most one run.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+use super::{EngineRun, Evidence, Verdict, at};
+use crate::ledger::{OnlineEnd, OnlineRecord};
+
+/// No batch sequence enters an engine while an online one waits there, and an online one does not
+/// wait longer than the bound while batch work runs there.
+pub fn online_priority(evidence: &Evidence) -> Verdict {
+    let mut verdict = Verdict::default();
+    let bound = Duration::from_millis(evidence.bounds.online_wait_ms);
+    let batch = batch_by_server(evidence);
+    let none = Vec::new();
+    for run in evidence.runs.iter().filter(|run| run.online) {
+        let batch = batch.get(run.server.as_str()).unwrap_or(&none);
+        let begun = run.started.or(run.ended).unwrap_or(evidence.end);
+        let overtaken = batch_started_between(batch, run.arrived, begun);
+        let waited = begun.saturating_sub(run.arrived);
+        let held_up = waited > bound
+            && batch
+                .iter()
+                .any(|other| holds_through(other, run.arrived, begun));
+        verdict.case(overtaken.is_none() && !held_up, || {
+            format!(
+                "{} on {} arrived {}, begun {} ({} ms later), overtaken by {:?}",
+                run.request_id,
+                run.server,
+                at(run.arrived),
+                at(begun),
+                waited.as_millis(),
+                overtaken.map(|other| (&other.request_id, other.started.map(at)))
+            )
+        });
+    }
+    verdict
+}
+
+/// Batch attempts that ran, by server, in order of their start.
+fn batch_by_server(evidence: &Evidence) -> HashMap<&str, Vec<&EngineRun>> {
+    let mut by_server: HashMap<&str, Vec<&EngineRun>> = HashMap::new();
+    let ran = |run: &&EngineRun| !run.online && run.started.is_some();
+    for run in evidence.runs.iter().filter(ran) {
+        by_server.entry(&run.server).or_default().push(run);
+    }
+    for runs in by_server.values_mut() {
+        runs.sort_by_key(|run| run.started);
+    }
+    by_server
+}
+
+fn batch_started_between<'a>(
+    batch: &[&'a EngineRun],
+    after: Duration,
+    before: Duration,
+) -> Option<&'a EngineRun> {
+    let first = batch.partition_point(|run| run.started <= Some(after));
+    batch
+        .get(first)
+        .copied()
+        .filter(|run| run.started < Some(before))
+}
+
+fn holds_through(batch: &EngineRun, from: Duration, to: Duration) -> bool {
+    batch.started.is_some_and(|started| started <= from)
+        && batch.ended.is_none_or(|ended| ended >= to)
+}
+
+/// A whole answer is the engine's text byte for byte; an interrupted one is the start of it, and is
+/// never passed off as whole. A connection that ends without an answer or an error is a violation:
+/// the sidecar stands beside the caller and outlives every fault.
+pub fn stream_integrity(evidence: &Evidence) -> Verdict {
+    let mut verdict = Verdict::default();
+    for record in &evidence.observations.online {
+        let broken = matches!(record.end, OnlineEnd::Broken(_));
+        if record.text_bytes == 0 && record.refusal().is_some() {
+            continue;
+        }
+        verdict.case(record.wrong_text.is_none() && !broken, || {
+            format!(
+                "{} ({}) sent {}, ended {} {:?}: {}",
+                record.name,
+                record.request_id,
+                at(record.sent),
+                at(record.ended),
+                record.end,
+                record.wrong_text.as_deref().unwrap_or_default()
+            )
+        });
+    }
+    verdict
+}
+
+/// A request refused with "not run" was run by no engine, under any attempt.
+pub fn truthful_rejection(evidence: &Evidence) -> Verdict {
+    let mut verdict = Verdict::default();
+    let ran: HashMap<&str, &EngineRun> = evidence
+        .runs
+        .iter()
+        .filter(|run| run.online && run.started.is_some())
+        .map(|run| (run.request_id.as_str(), run))
+        .collect();
+    for record in &evidence.observations.online {
+        let Some(refusal) = record.refusal().filter(|refusal| refusal.ran == "no") else {
+            continue;
+        };
+        let run = ran.get(record.request_id.as_str());
+        verdict.case(run.is_none(), || {
+            format!(
+                "{} ({}) refused at {} as {} with ran=no, but {run:?}",
+                record.name,
+                record.request_id,
+                at(record.ended),
+                refusal.kind
+            )
+        });
+    }
+    verdict
+}
+
+/// Of all sendings with one idempotency key at most one is run by an engine. That all whole answers
+/// are the same follows from `stream_integrity`.
+pub fn at_most_once(evidence: &Evidence) -> Verdict {
+    let mut verdict = Verdict::default();
+    let mut by_key: BTreeMap<&str, Vec<&OnlineRecord>> = BTreeMap::new();
+    for record in &evidence.observations.online {
+        if let Some(key) = &record.once_key {
+            by_key.entry(key).or_default().push(record);
+        }
+    }
+    let mut runs_by_request: HashMap<&str, Vec<&EngineRun>> = HashMap::new();
+    for run in evidence
+        .runs
+        .iter()
+        .filter(|run| run.online && run.started.is_some())
+    {
+        runs_by_request
+            .entry(&run.request_id)
+            .or_default()
+            .push(run);
+    }
+    for (key, records) in by_key {
+        let ids: HashSet<&str> = records
+            .iter()
+            .map(|record| record.request_id.as_str())
+            .collect();
+        let runs: Vec<&EngineRun> = ids
+            .iter()
+            .filter_map(|id| runs_by_request.get(id))
+            .flatten()
+            .copied()
+            .collect();
+        verdict.case(runs.len() <= 1, || {
+            format!("key {key} was run {} times: {runs:?}", runs.len())
+        });
+    }
+    verdict
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod compare;
 pub mod error;
 pub mod faults;
+pub mod invariants;
+pub mod ledger;
 pub mod load;
 pub mod network;
 pub mod run;
--- /dev/null
+++ b/crates/lab/src/load/batch.rs
@@ -0,0 +1,378 @@
+//! Batch callers: upload, submit, poll, cancel, read and check the results.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::Client;
+use dappleyard_wire::hash::hash_bytes;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::client::{CallError, Caller};
+use super::expected::{Expected, canonical};
+use super::plan::{ItemPlan, JobArrival};
+use crate::ledger::{CancelRecord, ItemFinding, JobRecord, JobResults, Ledger, Refusal};
+use crate::scenario::BatchScenario;
+
+/// Wait before a failed call is made again.
+const RETRY_WAIT: Duration = Duration::from_millis(400);
+/// Most refusals kept of one job.
+const REFUSALS_KEPT: usize = 20;
+
+/// What batch callers of one thread share.
+pub struct BatchCallers {
+    /// HTTP client of this thread.
+    pub http: Client,
+    /// Where observations go.
+    pub ledger: Ledger,
+    /// Base URLs of the sidecars.
+    pub sidecars: Rc<Vec<String>>,
+    /// Model service.
+    pub service: String,
+    /// All versions that may be loaded in the run.
+    pub versions: Vec<String>,
+    /// Shape of the jobs.
+    pub batch: BatchScenario,
+    /// When callers give up, after the start of the run.
+    pub give_up: Duration,
+    /// When results are read a second time, after the start of the run.
+    pub read_again: Duration,
+    /// Whether every job is sent twice at present.
+    pub always_resend: Rc<dyn Fn() -> bool>,
+    /// Whether jobs are to be cancelled while they commit at present.
+    pub cancel_committing: Rc<dyn Fn() -> bool>,
+}
+
+/// Parts of a batch object that callers use.
+#[derive(Debug, Clone, Deserialize)]
+struct BatchObject {
+    id: String,
+    status: String,
+    #[serde(default)]
+    output_file_id: Option<String>,
+    #[serde(default)]
+    error_file_id: Option<String>,
+    #[serde(default)]
+    request_counts: Option<RequestCounts>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct RequestCounts {
+    completed: u32,
+}
+
+impl BatchObject {
+    fn has_ended(&self) -> bool {
+        matches!(
+            self.status.as_str(),
+            "completed" | "failed" | "cancelled" | "expired"
+        )
+    }
+}
+
+impl BatchCallers {
+    /// Carries out a job from upload to its results.
+    pub async fn run(&self, arrival: &JobArrival) {
+        let items = arrival.items(&self.batch);
+        let mut record = JobRecord {
+            name: arrival.name.clone(),
+            tenant: arrival.tenant.clone(),
+            items: arrival.items,
+            submitted: self.ledger.clock.now(),
+            status: "not accepted".to_owned(),
+            ..JobRecord::default()
+        };
+        let caller = self.caller(arrival, 0);
+        if let Some(last) = self.follow(&caller, arrival, &items, &mut record).await {
+            record.status.clone_from(&last.status);
+            if last.has_ended() {
+                record.ended = Some(self.ledger.clock.now());
+                let read = self.read_results(&caller, &last, &items).await;
+                match read {
+                    Ok(results) => record.results = Some(results),
+                    Err(error) => record.unread = Some(format!("{error:?}")),
+                }
+                let other = self.caller(arrival, 1);
+                record.results_again = self.read_at_end(&other, &last, &items).await;
+            }
+        }
+        self.ledger.add_job(record);
+    }
+
+    fn caller(&self, arrival: &JobArrival, offset: usize) -> Caller {
+        Caller {
+            http: self.http.clone(),
+            base: self.sidecars[(arrival.sidecar + offset) % self.sidecars.len()].clone(),
+            tenant: arrival.tenant.clone(),
+        }
+    }
+
+    fn may_go_on(&self) -> bool {
+        self.ledger.clock.now() < self.give_up
+    }
+
+    /// Submits the job and looks at it until it has ended or the caller gives up.
+    async fn follow(
+        &self,
+        caller: &Caller,
+        arrival: &JobArrival,
+        items: &[ItemPlan],
+        record: &mut JobRecord,
+    ) -> Option<BatchObject> {
+        let file = self.upload(caller, arrival, items, record).await?;
+        let mut last = self.submit(caller, arrival, &file, record).await?;
+        if arrival.resend || (self.always_resend)() {
+            self.resend(arrival, &file, record).await;
+        }
+        let accepted = record.accepted.unwrap_or_default();
+        let cancelling = Cell::new(arrival.cancel_after.map(|wait| accepted + wait));
+        while !last.has_ended() && self.may_go_on() {
+            tokio::time::sleep(self.poll_wait(&cancelling)).await;
+            let due = cancelling
+                .get()
+                .is_some_and(|at| self.ledger.clock.now() >= at);
+            if due && record.cancel.is_none() {
+                self.cancel(caller, record).await;
+            }
+            let looked: Result<BatchObject, _> =
+                caller.get(&format!("/v1/batches/{}", last.id)).await;
+            match looked {
+                Ok(seen) => last = seen,
+                Err(error) => note(record, error.into_refusal()),
+            }
+            if (self.cancel_committing)() && nearly_done(&last, arrival.items) {
+                cancelling.set(Some(Duration::ZERO));
+            }
+        }
+        Some(last)
+    }
+
+    fn poll_wait(&self, cancelling: &Cell<Option<Duration>>) -> Duration {
+        let poll = Duration::from_millis(self.batch.poll_ms);
+        let now = self.ledger.clock.now();
+        match cancelling.get() {
+            Some(at) if at > now => poll.min(at - now),
+            _ => poll,
+        }
+    }
+
+    async fn upload(
+        &self,
+        caller: &Caller,
+        arrival: &JobArrival,
+        items: &[ItemPlan],
+        record: &mut JobRecord,
+    ) -> Option<String> {
+        let content = self.input_file(items);
+        while self.may_go_on() {
+            match caller
+                .upload(&format!("{}.jsonl", arrival.name), &content)
+                .await
+            {
+                Ok(id) => return Some(id),
+                Err(error) => note(record, error.into_refusal()),
+            }
+            tokio::time::sleep(RETRY_WAIT).await;
+        }
+        None
+    }
+
+    fn input_file(&self, items: &[ItemPlan]) -> Vec<u8> {
+        let mut content = Vec::new();
+        for item in items {
+            let line = json!({
+                "custom_id": item.custom_id,
+                "method": "POST",
+                "url": "/v1/chat/completions",
+                "body": {
+                    "model": self.service,
+                    "max_tokens": item.max_tokens,
+                    "messages": [
+                        {"role": "system", "content": item.system},
+                        {"role": "user", "content": item.user},
+                    ],
+                },
+            });
+            content.extend_from_slice(line.to_string().as_bytes());
+            content.push(b'\n');
+        }
+        content
+    }
+
+    async fn submit(
+        &self,
+        caller: &Caller,
+        arrival: &JobArrival,
+        file: &str,
+        record: &mut JobRecord,
+    ) -> Option<BatchObject> {
+        while self.may_go_on() {
+            match submit_once(caller, arrival, file).await {
+                Ok(batch) => {
+                    record.accepted = Some(self.ledger.clock.now());
+                    record.ids.push(batch.id.clone());
+                    return Some(batch);
+                }
+                Err(error) => note(record, error.into_refusal()),
+            }
+            tokio::time::sleep(RETRY_WAIT).await;
+        }
+        None
+    }
+
+    /// The client submits the same job again, through another sidecar.
+    async fn resend(&self, arrival: &JobArrival, file: &str, record: &mut JobRecord) {
+        match submit_once(&self.caller(arrival, 1), arrival, file).await {
+            Ok(batch) => record.ids.push(batch.id),
+            Err(error) => note(record, error.into_refusal()),
+        }
+    }
+
+    async fn cancel(&self, caller: &Caller, record: &mut JobRecord) {
+        let Some(id) = record.id().map(str::to_owned) else {
+            return;
+        };
+        let answer: Result<BatchObject, _> = caller
+            .post(&format!("/v1/batches/{id}/cancel"), None, &json!({}))
+            .await;
+        match answer {
+            Ok(batch) if matches!(batch.status.as_str(), "cancelling" | "cancelled") => {
+                record.cancel = Some(CancelRecord {
+                    answered: self.ledger.clock.now(),
+                });
+            }
+            Ok(_) => {}
+            Err(error) => note(record, error.into_refusal()),
+        }
+    }
+
+    /// Reads the results a second time, later in the run.
+    async fn read_at_end(
+        &self,
+        caller: &Caller,
+        last: &BatchObject,
+        items: &[ItemPlan],
+    ) -> Option<JobResults> {
+        let due = self.ledger.clock.instant(self.read_again);
+        tokio::time::sleep_until(due.into()).await;
+        loop {
+            if let Ok(results) = self.read_results(caller, last, items).await {
+                return Some(results);
+            }
+            if !self.may_go_on() {
+                return None;
+            }
+            tokio::time::sleep(RETRY_WAIT).await;
+        }
+    }
+
+    async fn read_results(
+        &self,
+        caller: &Caller,
+        batch: &BatchObject,
+        items: &[ItemPlan],
+    ) -> Result<JobResults, CallError> {
+        let mut lines = Vec::new();
+        for file in [&batch.output_file_id, &batch.error_file_id]
+            .into_iter()
+            .flatten()
+        {
+            if !file.is_empty() {
+                lines.extend_from_slice(&self.read_file(caller, file).await?);
+                lines.push(b'\n');
+            }
+        }
+        Ok(self.judge(&lines, items))
+    }
+
+    /// Reads a file, again while the system says that it cannot now.
+    async fn read_file(&self, caller: &Caller, file: &str) -> Result<bytes::Bytes, CallError> {
+        loop {
+            match caller.get_bytes(&format!("/v1/files/{file}/content")).await {
+                Err(CallError::Refused(refusal)) if refusal.status < 500 => {
+                    return Err(CallError::Refused(refusal));
+                }
+                Err(_) if self.may_go_on() => tokio::time::sleep(RETRY_WAIT).await,
+                other => return other,
+            }
+        }
+    }
+
+    fn judge(&self, lines: &[u8], items: &[ItemPlan]) -> JobResults {
+        let mut found: HashMap<String, Vec<Value>> = HashMap::new();
+        for line in lines
+            .split(|byte| *byte == b'\n')
+            .filter(|line| !line.is_empty())
+        {
+            let value: Value = serde_json::from_slice(line).unwrap_or_default();
+            let custom_id = value["custom_id"].as_str().unwrap_or_default().to_owned();
+            found.entry(custom_id).or_default().push(value);
+        }
+        let mut results = JobResults::default();
+        for item in items {
+            let values = found.remove(&item.custom_id).unwrap_or_default();
+            match self.judge_item(item, &values) {
+                None => {
+                    results.right += 1;
+                    let text = values[0].to_string();
+                    results.fingerprint ^= hash_bytes(text.as_bytes());
+                }
+                Some(finding) => results.findings.push(finding),
+            }
+        }
+        let foreign = found.into_keys().map(ItemFinding::Foreign);
+        results.findings.extend(foreign);
+        results
+    }
+
+    fn judge_item(&self, item: &ItemPlan, values: &[Value]) -> Option<ItemFinding> {
+        let custom_id = item.custom_id.clone();
+        let value = match values {
+            [] => return Some(ItemFinding::Missing(custom_id)),
+            [value] => value,
+            _ => return Some(ItemFinding::Doubled(custom_id)),
+        };
+        let body = &value["response"]["body"];
+        let Some(text) = body["choices"][0]["message"]["content"].as_str() else {
+            let shown: String = value.to_string().chars().take(300).collect();
+            return Some(ItemFinding::Failed(shown));
+        };
+        let expected = Expected {
+            versions: self.versions.clone(),
+            prompt: canonical(&item.system, &item.user),
+            max_tokens: item.max_tokens,
+        };
+        let wrong = expected.judge_whole(text)?;
+        Some(ItemFinding::Wrong(format!("{custom_id}: {wrong}")))
+    }
+}
+
+async fn submit_once(
+    caller: &Caller,
+    arrival: &JobArrival,
+    file: &str,
+) -> Result<BatchObject, CallError> {
+    let body = json!({
+        "input_file_id": file,
+        "endpoint": "/v1/chat/completions",
+        "completion_window": "24h",
+        "metadata": {"name": arrival.name},
+    });
+    caller.post("/v1/batches", Some(&arrival.name), &body).await
+}
+
+fn nearly_done(batch: &BatchObject, items: u32) -> bool {
+    let completed = batch
+        .request_counts
+        .as_ref()
+        .map_or(0, |counts| counts.completed);
+    batch.status == "finalizing" || completed * 2 >= items
+}
+
+fn note(record: &mut JobRecord, refusal: Refusal) {
+    if record.refused.len() < REFUSALS_KEPT {
+        record.refused.push(refusal);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/load/drive.rs
@@ -0,0 +1,165 @@
+//! Callers on their own threads, each with the arrivals of some sidecars.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use actix_rt::Arbiter;
+use futures::future::join_all;
+use tokio::sync::oneshot;
+
+use super::batch::BatchCallers;
+use super::client::client;
+use super::online::OnlineCallers;
+use super::plan::LoadPlan;
+use crate::ledger::Ledger;
+use crate::scenario::BatchScenario;
+
+/// Threads of callers.
+const CALLER_THREADS: usize = 2;
+
+/// Moods of clients that faults switch.
+#[derive(Debug, Default)]
+pub struct ClientMoods {
+    /// Clients send must-not-repeat requests and jobs twice.
+    pub resend: AtomicBool,
+    /// Clients cancel jobs that are nearly done.
+    pub cancel_committing: AtomicBool,
+}
+
+/// What the callers need.
+#[derive(Clone)]
+pub struct LoadContext {
+    /// All arrivals.
+    pub plan: Arc<LoadPlan>,
+    /// Where observations go.
+    pub ledger: Ledger,
+    /// Start of the load on the ledger's clock.
+    pub start: Duration,
+    /// When batch callers give up.
+    pub give_up: Duration,
+    /// When results are read a second time.
+    pub read_again: Duration,
+    /// Base URLs of the sidecars.
+    pub sidecars: Vec<String>,
+    /// Model service.
+    pub service: String,
+    /// All versions that may be loaded.
+    pub versions: Vec<String>,
+    /// Shape of the jobs.
+    pub batch: BatchScenario,
+    /// Moods of clients.
+    pub moods: Arc<ClientMoods>,
+    /// Seed.
+    pub seed: u64,
+}
+
+/// Callers that are at work.
+pub struct Callers {
+    arbiters: Vec<Arbiter>,
+    finished: Vec<oneshot::Receiver<()>>,
+}
+
+impl Callers {
+    /// Starts all callers.
+    pub fn start(context: &LoadContext) -> Callers {
+        let mut callers = Callers {
+            arbiters: Vec::new(),
+            finished: Vec::new(),
+        };
+        for thread in 0..CALLER_THREADS {
+            let arbiter = Arbiter::new();
+            for part in [Part::Online, Part::Batch] {
+                let (done, finished) = oneshot::channel();
+                let context = context.clone();
+                arbiter.spawn_fn(move || {
+                    actix_rt::spawn(async move {
+                        match part {
+                            Part::Online => drive_online(context, thread).await,
+                            Part::Batch => drive_batch(context, thread).await,
+                        }
+                        let _ = done.send(());
+                    });
+                });
+                callers.finished.push(finished);
+            }
+            callers.arbiters.push(arbiter);
+        }
+        callers
+    }
+
+    /// Waits until every request and job has ended, and stops the threads.
+    pub async fn finish(self) {
+        for finished in self.finished {
+            let _ = finished.await;
+        }
+        for arbiter in self.arbiters {
+            arbiter.stop();
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Part {
+    Online,
+    Batch,
+}
+
+async fn sleep_until(context: &LoadContext, at: Duration) {
+    let due = context.ledger.clock.instant(context.start + at);
+    tokio::time::sleep_until(due.into()).await;
+}
+
+async fn drive_online(context: LoadContext, thread: usize) {
+    let callers = Rc::new(OnlineCallers {
+        http: client(),
+        ledger: context.ledger.clone(),
+        sidecars: Rc::new(context.sidecars.clone()),
+        service: context.service.clone(),
+        versions: context.versions.clone(),
+        seed: context.seed,
+    });
+    let mut calls = Vec::new();
+    let own = |index: usize| index % CALLER_THREADS == thread;
+    for (index, arrival) in context.plan.online.iter().enumerate() {
+        if !own(index) {
+            continue;
+        }
+        sleep_until(&context, arrival.at).await;
+        let (callers, plan) = (callers.clone(), context.plan.clone());
+        let always_resend = context.moods.resend.load(Ordering::Relaxed);
+        calls.push(actix_rt::spawn(async move {
+            callers.call(&plan.online[index], always_resend).await;
+        }));
+    }
+    join_all(calls).await;
+}
+
+async fn drive_batch(context: LoadContext, thread: usize) {
+    let (resending, cancelling) = (context.moods.clone(), context.moods.clone());
+    let callers = Rc::new(BatchCallers {
+        http: client(),
+        ledger: context.ledger.clone(),
+        sidecars: Rc::new(context.sidecars.clone()),
+        service: context.service.clone(),
+        versions: context.versions.clone(),
+        batch: context.batch.clone(),
+        give_up: context.give_up,
+        read_again: context.read_again,
+        always_resend: Rc::new(move || resending.resend.load(Ordering::Relaxed)),
+        cancel_committing: Rc::new(move || cancelling.cancel_committing.load(Ordering::Relaxed)),
+    });
+    let mut jobs = Vec::new();
+    for (index, arrival) in context.plan.jobs.iter().enumerate() {
+        if index % CALLER_THREADS != thread {
+            continue;
+        }
+        sleep_until(&context, arrival.at).await;
+        let (callers, plan) = (callers.clone(), context.plan.clone());
+        jobs.push(actix_rt::spawn(async move {
+            callers.run(&plan.jobs[index]).await;
+        }));
+    }
+    join_all(jobs).await;
+}
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -1,7 +1,15 @@
 //! What callers do: seeded arrivals, and the HTTP callers that carry them out.
 //!
-//! [`plan`] draws all arrivals from the seed before the run, so that each policy sees the same ones.
-//! [`words`] makes their texts.
+//! [`plan`] draws all arrivals from the seed before the run, so that each policy sees the same ones;
+//! [`online`] and [`batch`] carry them out against the sidecars and note what came back in the
+//! ledger; [`drive`] spreads them over threads. Texts of prompts come from [`words`], and answers
+//! are judged by [`expected`].
 
+pub mod batch;
+pub mod client;
+pub mod drive;
+pub mod expected;
+pub mod online;
 pub mod plan;
+pub mod sse;
 pub mod words;
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -165,8 +165,9 @@
     /// Time within which a configuration change is in force on each node that can be reached,
     /// milliseconds.
     pub configuration_ms: u64,
-    /// Engine steps that an online request may wait while batch work runs on the same engine.
-    pub batch_steps: u32,
+    /// Time that an online request may wait in an engine while batch work runs there, milliseconds:
+    /// two slow steps.
+    pub online_wait_ms: u64,
     /// Time after the load within which all accepted work is finished, milliseconds.
     pub settle_ms: u64,
 }
@@ -177,7 +178,7 @@
             cancel_ms: 2_000,
             drain_ms: 3_000,
             configuration_ms: 8_000,
-            batch_steps: 2,
+            online_wait_ms: 40,
             settle_ms: 45_000,
         }
     }
