--- a/crates/lab/src/invariants/jobs.rs
+++ b/crates/lab/src/invariants/jobs.rs
@@ -25,16 +25,16 @@
     let Some(results) = &job.results else {
         let items = u64::from(job.items);
         let unread = job.unread.as_deref().unwrap_or("it has not ended");
-        verdict.checked += items;
-        verdict.violated += items;
         let accepted = at(job.accepted.unwrap_or_default());
-        verdict.examples.push(format!(
-            "{} ({id}, accepted {accepted}): status {}, {items} items without result: {unread}",
-            job.name, job.status
-        ));
+        verdict.cases(items, false, || {
+            format!(
+                "{} ({id}, accepted {accepted}): status {}, {items} items without result: {unread}",
+                job.name, job.status
+            )
+        });
         return;
     };
-    verdict.checked += u64::from(results.right);
+    verdict.cases(u64::from(results.right), true, String::new);
     let cancelled = job.status == "cancelled";
     for finding in &results.findings {
         let holds =
--- a/crates/lab/src/invariants/mod.rs
+++ b/crates/lab/src/invariants/mod.rs
@@ -8,17 +8,14 @@
 mod leaving;
 mod requests;
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use dappleyard_report::summary::{Verdict, Verdicts};
+use serde::Serialize;
 
 use crate::ledger::{Event, FaultRecord, Observations, PlannedStop, Unavailable};
 use crate::scenario::Bounds;
 
-/// Most examples kept of one invariant's violations.
-const EXAMPLES_KEPT: usize = 10;
-
 /// Names of all invariants, as in summary.json.
 pub const NAMES: [&str; 11] = [
     "exactly_once",
@@ -34,33 +31,6 @@
     "config_monotonic",
 ];
 
-/// What became of one invariant in a run.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Verdict {
-    /// Cases looked at.
-    pub checked: u64,
-    /// Cases in which it did not hold.
-    pub violated: u64,
-    /// Some of those, with ids and times.
-    pub examples: Vec<String>,
-}
-
-impl Verdict {
-    /// Counts a case; the example is made only when the case is a violation.
-    pub fn case(&mut self, holds: bool, example: impl FnOnce() -> String) {
-        self.checked += 1;
-        if !holds {
-            self.violated += 1;
-            if self.examples.len() < EXAMPLES_KEPT {
-                self.examples.push(example());
-            }
-        }
-    }
-}
-
-/// Verdicts by name.
-pub type Verdicts = BTreeMap<String, Verdict>;
-
 /// One attempt as an engine recorded it; times are offsets from the start of the run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct EngineRun {
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -1,1 +1,3 @@
 //! Reports and comparisons of experiment runs.
+
+pub mod summary;
