--- a/crates/online/src/recorder.rs
+++ b/crates/online/src/recorder.rs
@@ -195,11 +195,10 @@
     }
 }
 
-fn recorded_unknown(row: &OnceRow) -> bool {
-    let unknown = ErrorKind::OutcomeUnknown as u32;
+fn recorded_answer(row: &OnceRow) -> bool {
     row.outcome
         .as_ref()
-        .is_none_or(|outcome| outcome.kind == unknown)
+        .is_some_and(|outcome| outcome.kind == 0)
 }
 
 fn released_row(begin: &RecordBegin) -> OnceRow {
