--- /dev/null
+++ b/crates/sidecar/src/accept.rs
@@ -0,0 +1,80 @@
+//! Reads bodies within bounds of size and time, and parses them; an error names the field.
+
+use std::time::Duration;
+
+use actix_web::web::{Bytes, BytesMut, Payload};
+use dappleyard_settings::SidecarSettings;
+use dappleyard_wire::{ErrorKind, Failure};
+use futures::StreamExt;
+use serde::de::DeserializeOwned;
+
+use crate::error::ApiError;
+
+/// Reads a whole body. The time bound is for the whole body, so a sender that trickles is refused.
+pub async fn read_body(
+    payload: Payload,
+    settings: &SidecarSettings,
+) -> Result<Bytes, ApiError> {
+    let bound = Duration::from_millis(settings.body_timeout_ms);
+    let reading = collect(payload, settings.maximum_body_bytes);
+    tokio::time::timeout(bound, reading)
+        .await
+        .unwrap_or_else(|_| Err(slow_sender(settings.body_timeout_ms)))
+}
+
+/// The refusal of a sender that took longer than a bound.
+pub fn slow_sender(bound_ms: u64) -> ApiError {
+    let message = format!("the body did not arrive within {bound_ms} ms; send it faster");
+    Failure::not_run(ErrorKind::SlowSender, message).into()
+}
+
+/// The refusal of a body larger than a bound.
+pub fn too_large(bound: u64) -> ApiError {
+    let message = format!("the body is larger than {bound} bytes; send less");
+    Failure::not_run(ErrorKind::TooLarge, message).into()
+}
+
+async fn collect(mut payload: Payload, bound: usize) -> Result<Bytes, ApiError> {
+    let mut body = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|error| {
+            ApiError::invalid("", format!("the body could not be read: {error}"))
+        })?;
+        if body.len() + part.len() > bound {
+            return Err(too_large(bound as u64));
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body.freeze())
+}
+
+/// Parses a JSON body. The error names the path of the field at fault.
+pub fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, ApiError> {
+    let mut reader = serde_json::Deserializer::from_slice(body);
+    let parsed: T = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        let path = error.path().to_string();
+        let cause = error.inner().to_string();
+        let field = missing_field(&cause).map_or(path.clone(), |name| join(&path, name));
+        ApiError::invalid(
+            if field == "." { "" } else { &field },
+            format!("the body is not valid at {field}: {cause}"),
+        )
+    })?;
+    reader
+        .end()
+        .map_err(|error| ApiError::invalid("", format!("the body has a second value: {error}")))?;
+    Ok(parsed)
+}
+
+/// The field that a message of serde says is missing.
+fn missing_field(cause: &str) -> Option<&str> {
+    cause.strip_prefix("missing field `")?.split('`').next()
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path == "." {
+        name.to_owned()
+    } else {
+        format!("{path}.{name}")
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/headers.rs
@@ -0,0 +1,146 @@
+//! The headers by which a caller says how a request is to be treated.
+
+use actix_web::http::header::{HeaderMap, HeaderName};
+use dappleyard_settings::SidecarSettings;
+use dappleyard_wire::ids::RequestId;
+use dappleyard_wire::{Class, Repeat};
+
+use crate::error::ApiError;
+
+/// Service class: `online` (default) or `batch`.
+pub const CLASS: HeaderName = HeaderName::from_static("dappleyard-class");
+/// Tenant.
+pub const TENANT: HeaderName = HeaderName::from_static("dappleyard-tenant");
+/// Key of the caller's conversation.
+pub const SESSION: HeaderName = HeaderName::from_static("dappleyard-session");
+/// Longest time until the whole answer, milliseconds.
+pub const DEADLINE: HeaderName = HeaderName::from_static("dappleyard-deadline-ms");
+/// Whether the request may run more than once: `allowed` (default) or `never`.
+pub const REPEAT: HeaderName = HeaderName::from_static("dappleyard-repeat");
+/// Caller's key of a request that must not repeat, or of a batch job.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Request id: 32 lower-case hexadecimal digits.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("dappleyard-request-id");
+
+/// Longest tenant, session or key, bytes.
+pub const MAXIMUM_NAME_BYTES: usize = 128;
+/// Digits of a request id.
+const REQUEST_ID_DIGITS: usize = 32;
+/// Longest deadline, milliseconds: one day.
+const MAXIMUM_DEADLINE_MS: u32 = 86_400_000;
+
+/// What the headers of a request say, with defaults filled in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerHeaders {
+    /// Request id, given by the caller or new.
+    pub request_id: String,
+    /// Service class.
+    pub class: Class,
+    /// Tenant.
+    pub tenant: String,
+    /// Session; empty for none.
+    pub session: String,
+    /// Time until the deadline, milliseconds.
+    pub deadline_ms: u32,
+    /// Repeat rule.
+    pub repeat: Repeat,
+    /// Idempotency key; empty for none.
+    pub idempotency_key: String,
+}
+
+impl CallerHeaders {
+    /// Reads and checks the headers.
+    pub fn read(
+        headers: &HeaderMap,
+        settings: &SidecarSettings,
+    ) -> Result<CallerHeaders, ApiError> {
+        let read = CallerHeaders {
+            request_id: request_id(headers)?,
+            class: match text(headers, &CLASS)? {
+                None | Some("online") => Class::Online,
+                Some("batch") => Class::Batch,
+                Some(other) => return Err(bad(&CLASS, other, "online or batch")),
+            },
+            tenant: name(headers, &TENANT)?.unwrap_or_else(|| settings.default_tenant.clone()),
+            session: name(headers, &SESSION)?.unwrap_or_default(),
+            deadline_ms: deadline(headers, settings)?,
+            repeat: match text(headers, &REPEAT)? {
+                None | Some("allowed") => Repeat::Allowed,
+                Some("never") => Repeat::Never,
+                Some(other) => return Err(bad(&REPEAT, other, "allowed or never")),
+            },
+            idempotency_key: name(headers, &IDEMPOTENCY_KEY)?.unwrap_or_default(),
+        };
+        Ok(read)
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, header: &HeaderName) -> Result<Option<&'a str>, ApiError> {
+    let mut values = headers.get_all(header);
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(ApiError::invalid(
+            header.as_str(),
+            format!("the header {header} is given more than once"),
+        ));
+    }
+    match value.to_str() {
+        Ok(value) => Ok(Some(value.trim())),
+        Err(_) => Err(ApiError::invalid(
+            header.as_str(),
+            format!("the header {header} is not plain text"),
+        )),
+    }
+}
+
+fn name(headers: &HeaderMap, header: &HeaderName) -> Result<Option<String>, ApiError> {
+    let Some(value) = text(headers, header)? else {
+        return Ok(None);
+    };
+    let fits = !value.is_empty() && value.len() <= MAXIMUM_NAME_BYTES;
+    if fits && value.chars().all(is_name_character) {
+        return Ok(Some(value.to_owned()));
+    }
+    Err(bad(
+        header,
+        value,
+        "1 to 128 letters, digits or any of - _ . : @ +",
+    ))
+}
+
+/// Whether a character may stand in a tenant, session or key; `/` may not, since it separates the
+/// parts of a row's name.
+fn is_name_character(character: char) -> bool {
+    character.is_ascii_alphanumeric() || "-_.:@+".contains(character)
+}
+
+fn request_id(headers: &HeaderMap) -> Result<String, ApiError> {
+    let Some(value) = text(headers, &REQUEST_ID)? else {
+        return Ok(RequestId::random().to_string());
+    };
+    let is_digit = |digit: char| digit.is_ascii_digit() || ('a'..='f').contains(&digit);
+    if value.len() == REQUEST_ID_DIGITS && value.chars().all(is_digit) {
+        return Ok(value.to_owned());
+    }
+    Err(bad(&REQUEST_ID, value, "32 lower-case hexadecimal digits"))
+}
+
+fn deadline(headers: &HeaderMap, settings: &SidecarSettings) -> Result<u32, ApiError> {
+    let Some(value) = text(headers, &DEADLINE)? else {
+        return Ok(settings.default_deadline_ms);
+    };
+    match value.parse::<u32>() {
+        Ok(milliseconds @ 1..=MAXIMUM_DEADLINE_MS) => Ok(milliseconds),
+        _ => Err(bad(&DEADLINE, value, "1 to 86400000 milliseconds")),
+    }
+}
+
+fn bad(header: &HeaderName, value: &str, wanted: &str) -> ApiError {
+    let shown: String = value.chars().take(64).collect();
+    ApiError::invalid(
+        header.as_str(),
+        format!("the header {header} is {shown:?}, but must be {wanted}"),
+    )
+}
--- /dev/null
+++ b/crates/sidecar/src/metrics.rs
@@ -0,0 +1,106 @@
+//! Counters and histograms of a sidecar.
+
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+/// Buckets of latencies, seconds.
+const SECONDS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0,
+];
+
+/// Metrics of one sidecar, shared by its workers.
+pub struct Metrics {
+    /// Registry that `/metrics` prints.
+    pub registry: Registry,
+    /// Answers, by route and code (`ok` or the error kind).
+    pub answers: IntCounterVec,
+    /// Time from acceptance to the end of the answer, by route, seconds.
+    pub seconds: HistogramVec,
+    /// Time from acceptance to the first piece, seconds.
+    pub first_piece_seconds: Histogram,
+    /// Requests being served.
+    pub open: IntGauge,
+    /// Attempts, by why they were made (`first`, `retry`, `resume`, `restart`, `hedge`).
+    pub attempts: IntCounterVec,
+    /// Attempts that ended without an answer, by error kind.
+    pub failed_attempts: IntCounterVec,
+    /// Retries that the budget did not allow.
+    pub budget_denied: IntCounter,
+    /// Pieces passed on.
+    pub pieces: IntCounter,
+    /// Frames that did not fit into the answer, by cause.
+    pub bad_frames: IntCounterVec,
+    /// Requests whose caller went away.
+    pub callers_gone: IntCounter,
+    /// Links that are up.
+    pub links: IntGauge,
+    /// Links lost, or not made.
+    pub link_failures: IntCounterVec,
+}
+
+impl Metrics {
+    /// New metrics in a registry of their own.
+    pub fn new() -> Result<Metrics, prometheus::Error> {
+        let registry = Registry::new();
+        let built = Metrics {
+            answers: counters("answers_total", "Answers", &["route", "code"])?,
+            seconds: HistogramVec::new(
+                HistogramOpts::new("dappleyard_sidecar_seconds", "Time to the end of an answer")
+                    .buckets(SECONDS.to_vec()),
+                &["route"],
+            )?,
+            first_piece_seconds: Histogram::with_opts(
+                HistogramOpts::new(
+                    "dappleyard_sidecar_first_piece_seconds",
+                    "Time to the first piece of an answer",
+                )
+                .buckets(SECONDS.to_vec()),
+            )?,
+            open: IntGauge::new("dappleyard_sidecar_open_requests", "Requests being served")?,
+            attempts: counters("attempts_total", "Attempts", &["reason"])?,
+            failed_attempts: counters("failed_attempts_total", "Failed attempts", &["kind"])?,
+            budget_denied: counter("budget_denied_total", "Retries that the budget refused")?,
+            pieces: counter("pieces_total", "Pieces passed on")?,
+            bad_frames: counters("bad_frames_total", "Frames that did not fit", &["cause"])?,
+            callers_gone: counter("callers_gone_total", "Callers that went away")?,
+            links: IntGauge::new("dappleyard_sidecar_links", "Links that are up")?,
+            link_failures: counters("link_failures_total", "Links lost or not made", &["cause"])?,
+            registry,
+        };
+        built.register()?;
+        Ok(built)
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
+            Box::new(self.answers.clone()),
+            Box::new(self.seconds.clone()),
+            Box::new(self.first_piece_seconds.clone()),
+            Box::new(self.open.clone()),
+            Box::new(self.attempts.clone()),
+            Box::new(self.failed_attempts.clone()),
+            Box::new(self.budget_denied.clone()),
+            Box::new(self.pieces.clone()),
+            Box::new(self.bad_frames.clone()),
+            Box::new(self.callers_gone.clone()),
+            Box::new(self.links.clone()),
+            Box::new(self.link_failures.clone()),
+        ];
+        for collector in collectors {
+            self.registry.register(collector)?;
+        }
+        Ok(())
+    }
+}
+
+fn counter(name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+    IntCounter::new(format!("dappleyard_sidecar_{name}"), help)
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(
+        Opts::new(format!("dappleyard_sidecar_{name}"), help),
+        labels,
+    )
+}
--- /dev/null
+++ b/crates/sidecar/src/prompt.rs
@@ -0,0 +1,119 @@
+//! The canonical prompt: how the messages of a chat become the text that an engine reads.
+//!
+//! Each message becomes `<|ROLE|>`, a line feed, its text and a line feed; the prompt ends with
+//! `<|assistant|>` and a line feed, after which the answer begins. The prompt of a completion is
+//! taken as it is. Tokens are estimated as words between white space; engines count their own.
+//!
+//! The *shared prefix* is what other requests are likely to repeat, so that an engine that has it in
+//! its cache is worth finding:
+//!
+//! - with a session: the prefix is all but the last message, and its hash is taken over the leading
+//!   system messages and the session key, so that it stays the same while the conversation grows;
+//! - without one: the prefix is the leading system messages;
+//! - with neither: the first [`UNSHARED_PREFIX_WORDS`] words of the prompt.
+
+use dappleyard_wire::hash::hash_bytes;
+
+/// Words that stand for the prefix of a prompt without a system message or a session.
+pub const UNSHARED_PREFIX_WORDS: usize = 32;
+
+/// Role whose leading messages form the shared prefix.
+const SYSTEM_ROLES: [&str; 2] = ["system", "developer"];
+
+/// One message of a chat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptMessage {
+    /// Role, for example `system` or `user`.
+    pub role: String,
+    /// Text.
+    pub text: String,
+}
+
+/// A prompt as engines read it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CanonicalPrompt {
+    /// Text.
+    pub text: String,
+    /// Estimated length, tokens; at least 1.
+    pub tokens: u32,
+    /// Hash of the shared prefix.
+    pub prefix_hash: u64,
+    /// Estimated length of the shared prefix, tokens.
+    pub prefix_tokens: u32,
+}
+
+/// The canonical prompt of a chat. `session` is empty for none.
+pub fn canonical(messages: &[PromptMessage], session: &str) -> CanonicalPrompt {
+    let mut text = String::new();
+    for message in messages {
+        push_message(&mut text, message);
+    }
+    text.push_str("<|assistant|>\n");
+    let system_messages = messages
+        .iter()
+        .take_while(|message| SYSTEM_ROLES.contains(&message.role.as_str()))
+        .count();
+    let system = join(&messages[..system_messages]);
+    if !session.is_empty() {
+        let history = join(&messages[..messages.len().saturating_sub(1)]);
+        return build(text, session_hash(&system, session), words(&history));
+    }
+    if !system.is_empty() {
+        let (hash, tokens) = (hash_bytes(system.as_bytes()), words(&system));
+        return build(text, hash, tokens);
+    }
+    build_without_prefix(text)
+}
+
+/// The canonical prompt of a completion: the text as it is.
+pub fn canonical_completion(prompt: &str, session: &str) -> CanonicalPrompt {
+    let text = prompt.to_owned();
+    if session.is_empty() {
+        return build_without_prefix(text);
+    }
+    let tokens = words(&text);
+    build(text, session_hash("", session), tokens)
+}
+
+fn push_message(text: &mut String, message: &PromptMessage) {
+    text.push_str("<|");
+    text.push_str(&message.role);
+    text.push_str("|>\n");
+    text.push_str(&message.text);
+    text.push('\n');
+}
+
+fn join(messages: &[PromptMessage]) -> String {
+    let mut text = String::new();
+    for message in messages {
+        push_message(&mut text, message);
+    }
+    text
+}
+
+fn session_hash(system: &str, session: &str) -> u64 {
+    hash_bytes(format!("{system}\u{0}{session}").as_bytes())
+}
+
+fn words(text: &str) -> u32 {
+    u32::try_from(text.split_whitespace().count()).unwrap_or(u32::MAX)
+}
+
+fn build_without_prefix(text: String) -> CanonicalPrompt {
+    let prefix: Vec<&str> = text
+        .split_whitespace()
+        .take(UNSHARED_PREFIX_WORDS)
+        .collect();
+    let tokens = u32::try_from(prefix.len()).unwrap_or(u32::MAX);
+    let hash = hash_bytes(prefix.join(" ").as_bytes());
+    build(text, hash, tokens)
+}
+
+fn build(text: String, prefix_hash: u64, prefix_tokens: u32) -> CanonicalPrompt {
+    CanonicalPrompt {
+        tokens: words(&text).max(1),
+        text,
+        prefix_hash,
+        prefix_tokens,
+    }
+}
