Test the online path on virtual time; say maybe when an owner was not heard

Cause: when the deadline passed while the owner had not answered yet, the ingress stage said that nothing ran, and released the key of a request that must not be repeated.

--- a/crates/online/src/dispatch.rs
+++ b/crates/online/src/dispatch.rs
@@ -145,7 +145,7 @@
         prompt: request.prompt.clone(),
         prompt_tokens: request.prompt_tokens,
         prefix_hash: request.prefix_hash,
-        prefix_tokens: request.prompt_tokens,
+        prefix_tokens: request.prefix_tokens,
         max_tokens: request.max_tokens,
         priority: Priority::ONLINE,
         resume_offset: offset,
--- a/crates/online/src/ingress.rs
+++ b/crates/online/src/ingress.rs
@@ -266,12 +266,12 @@
                 biased;
                 gone = self.caller.gone() => {
                     if !self.keeps_on(gone) {
-                        link.send(cancel("the caller went away"));
+                        self.give_up(&link, "the caller went away");
                         return Tried::CallerGone;
                     }
                 }
                 () = tokio::time::sleep_until(until) => {
-                    link.send(cancel("nobody waits any more"));
+                    self.give_up(&link, "nobody waits any more");
                     let passed = self.deadline_passed();
                     return if passed { Tried::Deadline } else { Tried::CallerGone };
                 }
@@ -285,6 +285,12 @@
         }
     }
 
+    /// Cancels at the owner. It may have dispatched without our knowing.
+    fn give_up(&mut self, link: &OwnerLink, reason: &str) {
+        link.send(cancel(reason));
+        self.ran = join_ran(self.ran, Ran::Maybe);
+    }
+
     fn lost(&mut self) -> Tried {
         self.worker.refresh_view();
         Tried::Lost
--- a/crates/online/src/lib.rs
+++ b/crates/online/src/lib.rs
@@ -32,4 +32,4 @@
 pub use load::summary;
 pub use reports::start_reports;
 pub use shared::OnlineShared;
-pub use worker::{OnlineContext, OnlineWorker};
+pub use worker::{LocalStream, OnlineContext, OnlineWorker};
--- a/crates/online/src/worker.rs
+++ b/crates/online/src/worker.rs
@@ -8,9 +8,10 @@
 use dappleyard_platform::Platform;
 use dappleyard_settings::OnlineSettings;
 use dappleyard_tables::NodeTables;
-use dappleyard_transport::{LinkPool, ServerStream};
+use dappleyard_transport::{LinkPool, ServerStream, StreamReceiver};
 use dappleyard_wire::messages::{Call, RecordState, Reply, Stage, Submit, call, frame, reply};
 use dappleyard_wire::{ErrorKind, Failure};
+use tokio::sync::mpsc;
 
 use crate::caller::Caller;
 use crate::ingress::IngressRun;
@@ -40,6 +41,14 @@
     pub shared: Arc<OnlineShared>,
 }
 
+/// The submitter's end of a submission inside this process.
+pub struct LocalStream {
+    /// Frames to the worker: only `Cancel` has a meaning.
+    pub to_worker: mpsc::UnboundedSender<frame::Body>,
+    /// Frames from the worker, the last one `Finish` or `Refused`.
+    pub from_worker: StreamReceiver,
+}
+
 /// The online path of one worker thread.
 pub struct OnlineWorker {
     pub(crate) tables: Arc<NodeTables>,
@@ -67,7 +76,22 @@
 
     /// Serves one submission in a task of its own. The stream gets exactly one final frame.
     pub fn handle(self: &Rc<Self>, submit: Submit, stream: ServerStream) {
-        let caller = Caller::from_stream(stream);
+        self.begin(submit, Caller::from_stream(stream));
+    }
+
+    /// Serves one submission of this process, without a link. Dropping `to_worker` counts as a lost
+    /// link.
+    pub fn handle_local(self: &Rc<Self>, submit: Submit) -> LocalStream {
+        let (to_worker, receiver) = mpsc::unbounded_channel();
+        let (sink, from_worker) = mpsc::unbounded_channel();
+        self.begin(submit, Caller::local(sink, receiver));
+        LocalStream {
+            to_worker,
+            from_worker,
+        }
+    }
+
+    fn begin(self: &Rc<Self>, submit: Submit, caller: Caller) {
         match self.receive(submit) {
             Ok((incoming, slot)) => {
                 let worker = self.clone();
--- /dev/null
+++ b/crates/online/tests/once.rs
@@ -0,0 +1,286 @@
+//! Requests that must not be repeated run at most once, whatever is lost.
+
+mod support;
+
+use std::time::Duration;
+
+use dappleyard_platform::{Fault, MemoryPlatform, TableStore, Transaction};
+use dappleyard_settings::OnlineSettings;
+use dappleyard_wire::messages::{OncePhase, OnceRow, frame};
+use dappleyard_wire::{ErrorKind, Ran, keys};
+use googletest::prelude::*;
+use prost::Message;
+use support::*;
+
+#[gtest]
+fn a_resend_gets_the_recorded_answer_and_nothing_runs_twice() {
+    run(async {
+        let node = Node::new(1);
+        let first = node.submit(once_request("r1", "key-1")).whole().await;
+        expect_that!(first.text(), eq(&whole_text()));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let second = node.submit(once_request("r2", "key-1")).whole().await;
+        expect_that!(second.text(), eq(&whole_text()));
+        expect_that!(second.finish.expect("a finish").replayed, is_true());
+        expect_that!(node.engine.calls.borrow().len(), eq(1));
+    });
+}
+
+#[gtest]
+fn a_resend_while_it_runs_is_told_to_come_back() {
+    run(async {
+        let node = Node::new(1);
+        let slow = vec![Step::Accept, Step::Tokens(2), Step::Hang];
+        node.engine.script("s0", [Script::Steps(slow)]);
+        let mut first = node.submit(once_request("r1", "key-1"));
+        first.read_tokens(2).await;
+        let refused = node
+            .submit(once_request("r2", "key-1"))
+            .whole()
+            .await
+            .refused;
+        let refused = refused.expect("a refusal");
+        expect_that!(refused.kind, eq(ErrorKind::InProgress as u32));
+        expect_that!(refused.ran(), eq(Ran::Maybe));
+        expect_that!(refused.retry_after_ms, gt(0));
+        expect_that!(node.engine.calls.borrow().len(), eq(1));
+    });
+}
+
+#[gtest]
+fn a_key_used_for_another_request_is_refused() {
+    run(async {
+        let node = Node::new(1);
+        node.submit(once_request("r1", "key-1")).whole().await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let mut other = once_request("r2", "key-1");
+        other.request.as_mut().expect("a request").prompt = "another prompt".to_owned();
+        let refused = node.submit(other).whole().await.refused.expect("a refusal");
+        expect_that!(refused.kind, eq(ErrorKind::KeyReused as u32));
+        expect_that!(refused.ran(), eq(Ran::No));
+    });
+}
+
+#[gtest]
+fn an_engine_lost_after_it_accepted_is_attached_to_but_never_run_again() {
+    run(async {
+        let node = Node::new(3);
+        let cut = || Script::Steps(vec![Step::Accept, Step::Tokens(1), Step::Lose]);
+        for server in ["s0", "s1", "s2"] {
+            node.engine.script(server, [cut(), Script::Unreachable]);
+        }
+        let refused = node
+            .submit(once_request("r1", "key-1"))
+            .whole()
+            .await
+            .refused;
+        let refused = refused.expect("a refusal");
+        expect_that!(refused.kind, eq(ErrorKind::OutcomeUnknown as u32));
+        expect_that!(refused.ran(), eq(Ran::Yes));
+        let calls = node.engine.calls.borrow().clone();
+        expect_that!(
+            calls.iter().filter(|(_, call)| !call.attach_only).count(),
+            eq(1)
+        );
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let again = node
+            .submit(once_request("r2", "key-1"))
+            .whole()
+            .await
+            .refused;
+        expect_that!(
+            again.expect("a refusal").kind,
+            eq(ErrorKind::OutcomeUnknown as u32)
+        );
+        expect_that!(node.engine.calls.borrow().len(), eq(calls.len()));
+    });
+}
+
+#[gtest]
+fn a_call_lost_before_it_was_answered_is_never_sent_again() {
+    run(async {
+        let node = Node::new(2);
+        for server in ["s0", "s1"] {
+            node.engine.script(server, [Script::LostAtCall]);
+        }
+        let refused = node
+            .submit(once_request("r1", "key-1"))
+            .whole()
+            .await
+            .refused;
+        let refused = refused.expect("a refusal");
+        expect_that!(refused.kind, eq(ErrorKind::OutcomeUnknown as u32));
+        expect_that!(refused.ran(), eq(Ran::Maybe));
+        expect_that!(node.engine.calls.borrow().len(), eq(1));
+    });
+}
+
+#[gtest]
+fn a_key_is_released_when_nothing_ran() {
+    run(async {
+        let node = Node::new(1);
+        node.engine.script("s0", [Script::Refuse(429)]);
+        let refused = node
+            .submit(once_request("r1", "key-1"))
+            .whole()
+            .await
+            .refused;
+        expect_that!(refused.expect("a refusal").ran(), eq(Ran::No));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let record = node.record("key-1").expect("a record");
+        expect_that!(record.phase(), eq(OncePhase::OnceReleased));
+        let answer = node.submit(once_request("r2", "key-1")).whole().await;
+        expect_that!(answer.text(), eq(&whole_text()));
+    });
+}
+
+#[gtest]
+fn a_lost_answer_of_the_store_is_read_back() {
+    for fault in [Fault::LostAfterEffect, Fault::LostBeforeEffect] {
+        run(async move {
+            let node = Node::new(1);
+            node.platform.fail_transactions([Some(fault)]);
+            let answer = node.submit(once_request("r1", "key-1")).whole().await;
+            expect_that!(answer.text(), eq(&whole_text()), "after {fault:?}");
+            expect_that!(node.engine.calls.borrow().len(), eq(1));
+        });
+    }
+}
+
+#[gtest]
+fn a_store_that_is_away_refuses_before_anything_ran() {
+    run(async {
+        let node = Node::new(1);
+        node.platform.set_down(true);
+        let refused = node
+            .submit(once_request("r1", "key-1"))
+            .whole()
+            .await
+            .refused;
+        let refused = refused.expect("a refusal");
+        expect_that!(refused.kind, eq(ErrorKind::StoreUnavailable as u32));
+        expect_that!(refused.ran(), eq(Ran::No));
+        expect_that!(*node.engine.calls.borrow(), is_empty());
+        node.platform.set_down(false);
+        let answer = node.submit(once_request("r1", "key-1")).whole().await;
+        expect_that!(answer.text(), eq(&whole_text()));
+    });
+}
+
+#[gtest]
+fn a_create_whose_fate_cannot_be_read_back_is_given_up_and_the_key_freed() {
+    run(async {
+        let node = Node::new(1);
+        node.platform
+            .fail_transactions([Some(Fault::LostAfterEffect)]);
+        let platform = node.platform.clone();
+        tokio::task::spawn_local(async move {
+            tokio::task::yield_now().await;
+            platform.set_down(true);
+            tokio::time::sleep(Duration::from_secs(3)).await;
+            platform.set_down(false);
+        });
+        let refused = node
+            .submit(once_request("r1", "key-1"))
+            .whole()
+            .await
+            .refused;
+        if let Some(refused) = refused {
+            expect_that!(refused.kind, eq(ErrorKind::StoreUnavailable as u32));
+            expect_that!(refused.ran(), eq(Ran::No));
+            expect_that!(*node.engine.calls.borrow(), is_empty());
+        }
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        let runs_before = node.engine.calls.borrow().len();
+        let answer = node.submit(once_request("r2", "key-1")).whole().await;
+        expect_that!(answer.text(), eq(&whole_text()));
+        expect_that!(
+            node.engine.calls.borrow().len() + runs_before,
+            le(1 + 2 * runs_before)
+        );
+    });
+}
+
+#[gtest]
+fn a_settlement_waits_for_the_store_and_a_stop_waits_for_it() {
+    run(async {
+        let node = Node::new(1);
+        let slow = vec![Step::Accept, Step::Tokens(TOKENS), Step::Finish];
+        node.engine.script("s0", [Script::Steps(slow)]);
+        let mut client = node.submit(once_request("r1", "key-1"));
+        client.read_tokens(2).await;
+        node.platform.set_down(true);
+        let answer = client.whole().await;
+        expect_that!(answer.finish.is_some(), is_true());
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        expect_that!(node.shared.active_streams(), eq(1));
+        node.platform.set_down(false);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        expect_that!(node.shared.active_streams(), eq(0));
+        let record = node.record("key-1").expect("a record");
+        expect_that!(record.phase(), eq(OncePhase::OnceSettled));
+    });
+}
+
+#[gtest]
+fn a_record_of_a_node_that_is_gone_settles_as_unknown_and_never_runs() {
+    run(async {
+        let platform = MemoryPlatform::default();
+        let node = Node::with(1, OnlineSettings::default(), platform.clone());
+        let answer = node.submit(once_request("r0", "key-0")).whole().await;
+        expect_that!(answer.finish.is_some(), is_true());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let mut lost: OnceRow = node.record("key-0").expect("a record");
+        lost.set_phase(OncePhase::OnceStarted);
+        lost.outcome = None;
+        lost.writer = "n9|65536|token".to_owned();
+        let key = keys::once("tenant-a", "key-1");
+        let write = Transaction::default().put(key, lost.encode_to_vec());
+        platform.transact(write).await.expect("a write");
+        for _ in 0..2 {
+            let refused = node
+                .submit(once_request("r2", "key-1"))
+                .whole()
+                .await
+                .refused;
+            let refused = refused.expect("a refusal");
+            expect_that!(refused.kind, eq(ErrorKind::OutcomeUnknown as u32));
+            expect_that!(refused.ran(), eq(Ran::Maybe));
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let record = node.record("key-1").expect("a record");
+        expect_that!(record.phase(), eq(OncePhase::OnceSettled));
+        expect_that!(node.engine.calls.borrow().len(), eq(1));
+    });
+}
+
+#[gtest]
+fn a_request_whose_caller_goes_away_runs_to_its_end_and_is_recorded() {
+    run(async {
+        let node = Node::new(1);
+        let mut client = node.submit(once_request("r1", "key-1"));
+        client.read_tokens(1).await;
+        client.send(frame::Body::Cancel(Default::default()));
+        drop(client);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let answer = node.submit(once_request("r2", "key-1")).whole().await;
+        expect_that!(answer.text(), eq(&whole_text()));
+        expect_that!(node.engine.calls.borrow().len(), eq(1));
+    });
+}
+
+#[gtest]
+fn many_keys_share_transactions() {
+    run(async {
+        let node = Node::new(4);
+        let mut clients: Vec<Client> = (0..40)
+            .map(|index| node.submit(once_request(&format!("r{index}"), &format!("key-{index}"))))
+            .collect();
+        for client in &mut clients {
+            expect_that!(client.whole().await.text(), eq(&whole_text()));
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        expect_that!(node.platform.rows("once/").len(), eq(40));
+        expect_that!(node.platform.transactions(), lt(20));
+    });
+}
--- /dev/null
+++ b/crates/online/tests/support/engine.rs
@@ -0,0 +1,236 @@
+//! An engine that does what its script says. Streams whose connection was lost live on.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dappleyard_engine::{
+    CacheEvent, Engine, EngineError, EngineEvent, EngineOrder, EngineReport, EventStream,
+    GenerateCall, LoadedModel,
+};
+use futures::stream;
+
+use super::{SERVICE, TOKENS, VERSION};
+
+/// Time of one token.
+pub const TOKEN_TIME: Duration = Duration::from_millis(4);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    Accept,
+    /// Tokens, one event each.
+    Tokens(u32),
+    Finish,
+    /// The connection is lost.
+    Lose,
+    /// Nothing more comes.
+    Hang,
+}
+
+/// What becomes of one call.
+#[derive(Debug, Clone)]
+pub enum Script {
+    Steps(Vec<Step>),
+    Unreachable,
+    Refuse(u16),
+    /// Lost before an answer to the call came.
+    LostAtCall,
+    /// No answer to the call, ever.
+    SilentAtCall,
+}
+
+impl Script {
+    pub fn whole() -> Script {
+        Script::Steps(vec![Step::Accept, Step::Tokens(TOKENS), Step::Finish])
+    }
+}
+
+/// Text of the token at an offset, whichever server makes it.
+pub fn piece(offset: u32) -> String {
+    format!(" t{offset}")
+}
+
+pub fn report(server: &str, version: &str) -> EngineReport {
+    EngineReport {
+        server: server.to_owned(),
+        sequence: 1,
+        age_ms: 0,
+        model: Some(LoadedModel {
+            service: SERVICE.to_owned(),
+            version: version.to_owned(),
+            adapters: Vec::new(),
+        }),
+        loading: String::new(),
+        running_online: 0,
+        running_batch: 0,
+        waiting_online: 0,
+        waiting_batch: 0,
+        free_blocks: 3_750,
+        total_blocks: 3_750,
+        block_tokens: 16,
+        maximum_sequences: 128,
+        step_ms: 4.0,
+        accepting: true,
+        order_epoch: 0,
+        order_sequence: 0,
+        load_failure: String::new(),
+    }
+}
+
+#[derive(Default)]
+pub struct FakeEngine {
+    scripts: RefCell<BTreeMap<String, VecDeque<Script>>>,
+    /// Calls to generate, with the base URL of each.
+    pub calls: RefCell<Vec<(String, GenerateCall)>>,
+    /// Streams cancelled.
+    pub cancels: RefCell<Vec<String>>,
+    /// Servers whose status says that they take no new work.
+    pub leaving: RefCell<Vec<String>>,
+    /// Statuses asked for.
+    pub statuses: Cell<u32>,
+    next_stream: Cell<u32>,
+    /// Streams that can be attached to.
+    pub living: RefCell<Vec<String>>,
+}
+
+impl FakeEngine {
+    /// What becomes of the next calls to a server; later ones give whole answers.
+    pub fn script(&self, server: &str, scripts: impl IntoIterator<Item = Script>) {
+        let mut all = self.scripts.borrow_mut();
+        let queue = all.entry(format!("http://{server}")).or_default();
+        queue.extend(scripts);
+    }
+
+    pub fn servers_called(&self) -> Vec<String> {
+        let calls = self.calls.borrow();
+        calls
+            .iter()
+            .map(|(base, _)| base.replace("http://", ""))
+            .collect()
+    }
+
+    fn next_script(&self, base: &str) -> Script {
+        let mut scripts = self.scripts.borrow_mut();
+        let queue = scripts.get_mut(base);
+        queue
+            .and_then(VecDeque::pop_front)
+            .unwrap_or_else(Script::whole)
+    }
+
+    fn open(&self, call: &GenerateCall, steps: Vec<Step>) -> EventStream {
+        let attached = !call.attach_stream.is_empty();
+        let id = if attached {
+            call.attach_stream.clone()
+        } else {
+            self.next_stream.set(self.next_stream.get() + 1);
+            format!("e{}", self.next_stream.get())
+        };
+        self.living.borrow_mut().push(id.clone());
+        Box::pin(events(id, call.resume_offset, steps))
+    }
+}
+
+fn events(
+    id: String,
+    offset: u32,
+    steps: Vec<Step>,
+) -> impl futures::Stream<Item = Result<EngineEvent, EngineError>> {
+    let single = steps.into_iter().flat_map(|step| match step {
+        Step::Tokens(count) => vec![Step::Tokens(1); count as usize],
+        other => vec![other],
+    });
+    let queue: VecDeque<Step> = single.collect();
+    stream::unfold((queue, offset, id), |(mut queue, offset, id)| async move {
+        let event = match queue.pop_front()? {
+            Step::Accept => Ok(EngineEvent::Accepted {
+                stream: id.clone(),
+                version: VERSION.to_owned(),
+            }),
+            Step::Tokens(_) if offset >= TOKENS => return Some((finished(), (queue, offset, id))),
+            Step::Tokens(_) => {
+                tokio::time::sleep(TOKEN_TIME).await;
+                let event = EngineEvent::Tokens {
+                    offset,
+                    pieces: vec![piece(offset)],
+                };
+                return Some((Ok(event), (queue, offset + 1, id)));
+            }
+            Step::Finish => finished(),
+            Step::Lose => Err(EngineError::Lost {
+                reason: "connection reset".to_owned(),
+            }),
+            Step::Hang => std::future::pending().await,
+        };
+        Some((event, (queue, offset, id)))
+    })
+}
+
+fn finished() -> Result<EngineEvent, EngineError> {
+    Ok(EngineEvent::Finished {
+        reason: "length".to_owned(),
+        total_tokens: TOKENS,
+        cached_tokens: 0,
+        ran: true,
+    })
+}
+
+#[async_trait(?Send)]
+impl Engine for FakeEngine {
+    async fn generate(&self, base: &str, call: GenerateCall) -> Result<EventStream, EngineError> {
+        self.calls
+            .borrow_mut()
+            .push((base.to_owned(), call.clone()));
+        let script = self.next_script(base);
+        let lives = self.living.borrow().contains(&call.attach_stream);
+        if call.attach_only && !lives {
+            return Err(EngineError::Refused {
+                status: 404,
+                reason: "no such stream".to_owned(),
+            });
+        }
+        match script {
+            Script::Steps(steps) => Ok(self.open(&call, steps)),
+            Script::Unreachable => Err(EngineError::Unreachable {
+                reason: "connection refused".to_owned(),
+            }),
+            Script::Refuse(status) => Err(EngineError::Refused {
+                status,
+                reason: "as scripted".to_owned(),
+            }),
+            Script::LostAtCall => Err(EngineError::Lost {
+                reason: "connection reset".to_owned(),
+            }),
+            Script::SilentAtCall => std::future::pending().await,
+        }
+    }
+
+    async fn cancel(&self, _base: &str, stream: &str) -> Result<(), EngineError> {
+        self.cancels.borrow_mut().push(stream.to_owned());
+        Ok(())
+    }
+
+    async fn report(&self, base: &str) -> Result<EngineReport, EngineError> {
+        self.status(base).await
+    }
+
+    async fn status(&self, base: &str) -> Result<EngineReport, EngineError> {
+        self.statuses.set(self.statuses.get() + 1);
+        let server = base.replace("http://", "");
+        let mut report = report(&server, VERSION);
+        report.accepting = !self.leaving.borrow().contains(&server);
+        Ok(report)
+    }
+
+    async fn cache_events(&self, _: &str, _: u64) -> Result<Vec<CacheEvent>, EngineError> {
+        Ok(Vec::new())
+    }
+
+    async fn order(&self, _base: &str, _order: EngineOrder) -> Result<(), EngineError> {
+        Ok(())
+    }
+}
+
+/// Shared between the tests and the worker.
+pub type SharedEngine = Rc<FakeEngine>;
