Find a claim again that outlives its sender

Cause: a node that gave up waiting for a claim, read the row back unchanged and went on, left a call under way. When it took effect, the row named a live holder that knew nothing of the chunk: every claim was answered Held, for good. Conclusion: callers must not claim chunks of a cancelled job, or they would start its items again.

--- a/crates/decide/src/chunks.rs
+++ b/crates/decide/src/chunks.rs
@@ -23,15 +23,24 @@
     Write(ChunkRow),
     /// Another live holder has it.
     Held,
+    /// The claimant has it already under `row.epoch`: an earlier claim took effect after its answer
+    /// was given up. A claimant that does not run the chunk holds it from now on, with no item
+    /// started; one that runs it changes nothing. Without this a late claim would leave the chunk
+    /// with a live holder that does not know of it.
+    Own,
     /// Its result is committed already.
     Done,
 }
 
 /// Decides whether `claimant` may take the chunk. `holder_gone` says that membership believes the
 /// present holder dead, left, or restarted under another incarnation.
+///
+/// The caller reads the job row too, and claims nothing of a cancelled job: a claimant that gave a
+/// chunk up on a cancel would else be told that the chunk is its own, and start its items again.
 pub fn claim(row: &ChunkRow, claimant: &Claimant, holder_gone: bool) -> ClaimDecision {
     match row.phase() {
         ChunkPhase::ChunkDone => return ClaimDecision::Done,
+        ChunkPhase::ChunkClaimed if is_holder(row, claimant) => return ClaimDecision::Own,
         ChunkPhase::ChunkClaimed if !holder_gone => return ClaimDecision::Held,
         _ => {}
     }
@@ -45,6 +54,10 @@
     ClaimDecision::Write(next)
 }
 
+fn is_holder(row: &ChunkRow, claimant: &Claimant) -> bool {
+    row.holder == claimant.node && row.holder_incarnation == claimant.incarnation
+}
+
 /// Result of the items of a chunk, ready to be committed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ChunkResult {
@@ -90,6 +103,10 @@
 
 /// Whether an item of a claimed chunk may be started at all. Items that must not repeat and may have
 /// been started under an earlier epoch settle as `outcome_unknown` instead.
+///
+/// `row` is the claim as the store confirmed it, by an answer or by reading it back, never a claim
+/// that is still on its way. A holder starts such an item at most once; after an engine's answer was
+/// lost it settles the item as `outcome_unknown`.
 pub fn may_start_items(row: &ChunkRow) -> bool {
     !(row.maybe_started && row.repeat() == Repeat::Never)
 }
--- /dev/null
+++ b/crates/spec/src/configuration.rs
@@ -0,0 +1,1 @@
+//! configuration
