Add membership, cells, ownership and the spread of configuration

Cause: nodes must find each other, own servers and hold the same configuration without any node set aside for control.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,10 +5,11 @@
 //!
 //! - request path: [`admission`], [`placement`], [`retry`], [`reassembly`], [`once`]
 //! - batch: [`chunks`], [`width`], [`fairness`]
-//! - fleet: [`membership`], [`ownership`], [`configuration`], [`fence`]
+//! - fleet: [`broadcast`], [`membership`], [`ownership`], [`configuration`], [`fence`]
 //! - operators: [`plans`], [`rollout`], [`disruption`]
 
 pub mod admission;
+pub mod broadcast;
 pub mod chunks;
 pub mod configuration;
 pub mod disruption;
--- /dev/null
+++ b/crates/fleet/src/actor.rs
@@ -0,0 +1,348 @@
+//! The actor that owns the fleet part's timers, its socket and its state machines.
+
+mod calls;
+mod changes;
+mod outgoing;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, StreamHandler};
+use actix::{ActorContext, ResponseActFuture, WrapFuture};
+use dappleyard_decide::membership::{Membership, MembershipSettings};
+use dappleyard_decide::ownership::preferred;
+use dappleyard_decide::time::Millis;
+use dappleyard_platform::Platform;
+use dappleyard_settings::FleetSettings;
+use dappleyard_tables::{Lifecycle, NodeTables};
+use dappleyard_transport::DatagramSocket;
+use dappleyard_transport::datagram::Received;
+use dappleyard_wire::messages::datagram::Body;
+use dappleyard_wire::messages::{Datagram, Member, MemberState, SyncDigest};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::cancelled::CancelledJobs;
+use crate::directory::Directory;
+use crate::lifecycle::{Inputs, LifecycleGuard};
+use crate::loads::Loads;
+use crate::metrics::Metrics;
+use crate::spread::Spread;
+use crate::sync::Dialler;
+use crate::{lifecycle, loads};
+
+/// Time between two ticks, milliseconds.
+const TICK_MS: u64 = 100;
+/// Time after which dead and left members are forgotten, milliseconds.
+const FORGET_MS: u64 = 60_000;
+/// Times that a leaving node says so, and the pause between, milliseconds.
+const LEAVE_REPEATS: u32 = 3;
+const LEAVE_PAUSE_MS: u64 = 30;
+
+/// Timers besides probing.
+#[derive(Debug, Default)]
+struct Due {
+    load: Millis,
+    aggregate: Millis,
+    digest: Millis,
+    watch: Millis,
+    machines: Millis,
+    region: Millis,
+    sync: Millis,
+}
+
+/// Calls that are under way.
+#[derive(Debug, Default)]
+struct Running {
+    watch: bool,
+    machines: bool,
+    region: bool,
+    sync: bool,
+}
+
+/// The fleet part of a node.
+pub struct FleetActor {
+    tables: Arc<NodeTables>,
+    settings: FleetSettings,
+    platform: Platform,
+    socket: Rc<DatagramSocket>,
+    dialler: Dialler,
+    random: ChaCha8Rng,
+    metrics: Metrics,
+    membership: Membership,
+    spread: Spread,
+    directory: Directory,
+    loads: Loads,
+    cancelled: CancelledJobs,
+    guard: LifecycleGuard,
+    due: Due,
+    running: Running,
+    started: Millis,
+    /// Members or machines have changed since the directory was written.
+    dirty: bool,
+    machines_changed: bool,
+    /// A peer that has more than fits a datagram.
+    snapshot_from: Option<String>,
+    synced: bool,
+    sync_attempts: u32,
+    feed_from: u64,
+    highest_heard: u64,
+    /// A member that has shown a greater revision, to be asked for what is missing.
+    ahead: Option<SocketAddr>,
+    lost_zones: std::collections::BTreeSet<String>,
+    seeds: Vec<SocketAddr>,
+}
+
+impl FleetActor {
+    /// The actor, not started yet.
+    pub fn new(
+        tables: Arc<NodeTables>,
+        settings: FleetSettings,
+        platform: Platform,
+        socket: Rc<DatagramSocket>,
+        link_address: String,
+        admin_address: String,
+        dialler: Dialler,
+    ) -> FleetActor {
+        let now = tables.clock.now();
+        let gossip_address = socket.local_address();
+        let own = Member {
+            node: tables.identity.node.to_string(),
+            zone: tables.identity.zone.to_string(),
+            region: tables.identity.region.to_string(),
+            gossip_address: gossip_address.map_or_else(|_| String::new(), |a| a.to_string()),
+            link_address,
+            admin_address,
+            incarnation: tables.identity.incarnation,
+            state: MemberState::MemberAlive as i32,
+            // Takes no work until it is ready.
+            draining: true,
+            configuration_revision: 0,
+        };
+        let membership = Membership::new(own, membership_settings(&settings), now);
+        let seeds = settings
+            .seeds
+            .iter()
+            .filter_map(|seed| seed.parse().ok())
+            .collect();
+        FleetActor {
+            metrics: Metrics::new(&tables.metrics),
+            spread: Spread::new(tables.clone()),
+            random: ChaCha8Rng::from_os_rng(),
+            directory: Directory::default(),
+            loads: Loads::default(),
+            cancelled: CancelledJobs::default(),
+            guard: LifecycleGuard::default(),
+            due: Due::default(),
+            running: Running::default(),
+            started: now,
+            dirty: true,
+            machines_changed: false,
+            snapshot_from: None,
+            synced: false,
+            sync_attempts: 0,
+            feed_from: 0,
+            highest_heard: 0,
+            ahead: None,
+            lost_zones: std::collections::BTreeSet::new(),
+            membership,
+            seeds,
+            tables,
+            settings,
+            platform,
+            socket,
+            dialler,
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.tables.clock.now()
+    }
+
+    fn tick(&mut self, context: &mut Context<Self>) {
+        let now = self.now();
+        self.membership
+            .set_revision(self.tables.configuration.revision());
+        let actions = self.membership.tick(now, &mut self.random);
+        self.perform(actions);
+        self.update_lifecycle(now);
+        self.cancelled.collect(&self.tables, now);
+        self.publish();
+        self.push_fresh();
+        self.ask_for_missing();
+        if now >= self.due.load {
+            self.due.load = now.plus(self.settings.load_interval_ms);
+            self.send_load();
+        }
+        if now >= self.due.aggregate {
+            self.due.aggregate = self.later(self.settings.aggregate_interval_ms);
+            self.send_aggregate(now);
+        }
+        if now >= self.due.digest {
+            self.due.digest = self.later(self.settings.digest_interval_ms);
+            self.send_digest();
+        }
+        self.start_calls(now, context);
+    }
+
+    /// The time of the next round of a jittered timer.
+    fn later(&mut self, interval_ms: u64) -> Millis {
+        use rand::Rng;
+        let jitter = self.random.random_range(0..=interval_ms / 4);
+        self.now().plus(interval_ms - interval_ms / 8 + jitter)
+    }
+
+    fn update_lifecycle(&mut self, now: Millis) {
+        let inputs = Inputs {
+            synced: self.synced,
+            standing: self.membership.standing(now),
+            highest_heard: self.highest_heard,
+            revision: self.tables.configuration.revision(),
+        };
+        let (next, cause) = self.guard.decide(inputs, self.settings.vouch_ms, now);
+        if lifecycle::enter(&self.tables, next, cause) && next == Lifecycle::Withdrawn {
+            self.metrics.withdrawals.inc();
+        }
+        let ready = self.tables.takes_new_work();
+        if self.membership.own().draining == ready {
+            self.membership.set_draining(!ready);
+            self.dirty = true;
+        }
+    }
+
+    /// Whether this node is among the `count` that a hash prefers for a task within a group.
+    fn is_preferred(&self, task: &str, count: usize, group: impl Fn(&Member) -> bool) -> bool {
+        let own = self.membership.own();
+        let others = self.membership.members().map(|entry| &entry.member);
+        let candidates = others
+            .filter(|member| member.state() == MemberState::MemberAlive && group(member))
+            .chain(std::iter::once(own))
+            .map(|member| member.node.as_str());
+        preferred(task, candidates, count).contains(&own.node.as_str())
+    }
+
+    fn receive(&mut self, from: SocketAddr, datagram: Datagram, bytes: usize) {
+        let now = self.now();
+        self.metrics
+            .count_datagram("in", datagram.body.as_ref(), bytes);
+        let actions = self.membership.receive(now, from, &datagram);
+        self.perform(actions);
+        if datagram.from == self.membership.own().node {
+            return;
+        }
+        if !datagram.configuration.is_empty() {
+            self.take_configuration(&datagram);
+        }
+        self.cancelled
+            .learn(&datagram.cancelled_jobs, &self.tables, now);
+        match datagram.body {
+            Some(Body::Ack(ack)) => self.hear_revision(from, ack.configuration_revision),
+            Some(Body::Load(report)) => {
+                self.hear_revision(from, report.configuration_revision);
+                loads::take_report(&self.tables, &datagram.from, report, now);
+            }
+            Some(Body::Digest(digest)) => self.answer_digest(from, &digest),
+            Some(Body::Entries(answer)) => self.take_entries(&datagram.from, &answer),
+            Some(Body::Aggregate(aggregate)) => self.take_aggregate(&datagram.from, aggregate, now),
+            _ => {}
+        }
+    }
+
+    fn take_configuration(&mut self, datagram: &Datagram) {
+        if self.synced {
+            let source = crate::spread::Source::Gossip;
+            self.spread
+                .offer(&datagram.configuration, source, &self.metrics);
+        }
+    }
+
+    fn hear_revision(&mut self, from: SocketAddr, revision: u64) {
+        self.highest_heard = self.highest_heard.max(revision);
+        if revision > self.tables.configuration.revision() {
+            self.ahead = Some(from);
+        }
+    }
+
+    fn digest(&self, want_entries: bool) -> Body {
+        Body::Digest(SyncDigest {
+            configuration_revision: self.tables.configuration.revision(),
+            members_hash: self.membership.members_hash(),
+            want_entries,
+        })
+    }
+}
+
+fn membership_settings(settings: &FleetSettings) -> MembershipSettings {
+    MembershipSettings {
+        probe_interval_ms: settings.probe_interval_ms,
+        probe_timeout_ms: settings.probe_timeout_ms,
+        indirect_probes: settings.indirect_probes,
+        suspicion_ms: settings.suspicion_ms,
+        vouch_ms: settings.vouch_ms,
+        forget_ms: FORGET_MS,
+    }
+}
+
+impl Actor for FleetActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        let socket = self.socket.clone();
+        let datagrams = futures::stream::unfold(socket, |socket| async move {
+            let received = socket.receive().await;
+            Some((received, socket))
+        });
+        context.add_stream(datagrams);
+        context.run_interval(Duration::from_millis(TICK_MS), |actor, context| {
+            actor.tick(context);
+        });
+    }
+}
+
+impl StreamHandler<std::io::Result<Received>> for FleetActor {
+    fn handle(&mut self, received: std::io::Result<Received>, _: &mut Self::Context) {
+        match received {
+            Ok(Received::Message {
+                from,
+                datagram,
+                bytes,
+            }) => self.receive(from, *datagram, bytes),
+            Ok(Received::Malformed { .. }) => self.metrics.malformed.inc(),
+            Err(error) => tracing::debug!(%error, "gossip socket"),
+        }
+    }
+}
+
+/// Asks the actor to announce that the node has left, and to stop.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Leave;
+
+impl Handler<Leave> for FleetActor {
+    type Result = ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, _: Leave, _: &mut Self::Context) -> Self::Result {
+        Box::pin(
+            async {}
+                .into_actor(self)
+                .then(|(), actor, _| actor.say_left(LEAVE_REPEATS))
+                .map(|(), _, context: &mut Context<Self>| context.stop()),
+        )
+    }
+}
+
+impl FleetActor {
+    /// Says that the node has left, several times.
+    fn say_left(&mut self, repeats: u32) -> ResponseActFuture<Self, ()> {
+        let actions = self.membership.leave(&mut self.random);
+        self.perform(actions);
+        let pause = tokio::time::sleep(Duration::from_millis(LEAVE_PAUSE_MS));
+        let paused = pause.into_actor(self);
+        if repeats <= 1 {
+            return Box::pin(paused);
+        }
+        Box::pin(paused.then(move |(), actor: &mut Self, _| actor.say_left(repeats - 1)))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/actor/calls.rs
@@ -0,0 +1,219 @@
+//! Calls that the actor makes: the change feed, the machine list, the region's row, and the snapshot
+//! of a starting node.
+
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use dappleyard_decide::time::Millis;
+use dappleyard_platform::{Machine, StoreError};
+use dappleyard_tables::Lifecycle;
+use dappleyard_wire::messages::{CellSyncAnswer, MemberState};
+use rand::seq::IteratorRandom;
+
+use super::FleetActor;
+use crate::spread::Source;
+use crate::watcher::{self, FeedRead, Snapshot};
+use crate::{regions, sync};
+
+/// Pause between two attempts to learn the snapshot, milliseconds.
+const SYNC_RETRY_MS: u64 = 300;
+/// Peers asked in vain before the store is read.
+const PEERS_ASKED: u32 = 3;
+
+impl FleetActor {
+    /// Starts the calls that are due.
+    pub(super) fn start_calls(&mut self, now: Millis, context: &mut Context<Self>) {
+        if !self.running.machines && now >= self.due.machines {
+            self.read_machines(context);
+        }
+        if !self.running.sync && now >= self.due.sync {
+            self.start_sync(now, context);
+        }
+        if !self.synced {
+            return;
+        }
+        if !self.running.watch && now >= self.due.watch {
+            self.due.watch = self.later(self.settings.watch_interval_ms);
+            if self.is_watcher() {
+                self.watch(now, context);
+            }
+        }
+        if !self.running.region && now >= self.due.region {
+            self.due.region = self.later(regions::REFRESH_MS);
+            self.refresh_region(context);
+        }
+    }
+
+    fn is_watcher(&self) -> bool {
+        let zone = &self.membership.own().zone;
+        let task = format!("watch/{zone}");
+        self.is_preferred(&task, self.settings.watchers_per_zone, |member| {
+            member.zone == *zone && !member.draining
+        })
+    }
+
+    fn watch(&mut self, now: Millis, context: &mut Context<Self>) {
+        self.running.watch = true;
+        let applied = self.tables.configuration.revision();
+        let store = self.platform.tables.clone();
+        let reading = watcher::read_feed(store, applied, self.feed_from);
+        let done = reading.into_actor(self).map(move |read, actor, _| {
+            actor.running.watch = false;
+            actor.take_feed(read, now);
+        });
+        context.spawn(done);
+    }
+
+    fn take_feed(&mut self, read: Result<FeedRead, StoreError>, sent: Millis) {
+        self.metrics.count_call("changes", &read);
+        match read {
+            Ok(FeedRead::Changes(changes)) => {
+                self.membership.note_store(sent);
+                for change in changes {
+                    self.spread.offer(&change, Source::Feed, &self.metrics);
+                }
+            }
+            Ok(FeedRead::Snapshot(snapshot)) => {
+                self.membership.note_store(sent);
+                self.take_snapshot(snapshot);
+            }
+            Err(error) => tracing::debug!(%error, "the change feed cannot be read"),
+        }
+    }
+
+    fn take_snapshot(&mut self, snapshot: Snapshot) {
+        self.feed_from = self.feed_from.max(snapshot.feed_from);
+        self.spread.replace(snapshot.state, &self.metrics);
+    }
+
+    fn read_machines(&mut self, context: &mut Context<Self>) {
+        self.running.machines = true;
+        self.due.machines = self.later(self.settings.machine_list_interval_ms);
+        let list = self.platform.machines.clone();
+        let reading = async move { list.machines().await };
+        let done = reading.into_actor(self).map(|read, actor, _| {
+            actor.running.machines = false;
+            actor.take_machines(read);
+        });
+        context.spawn(done);
+    }
+
+    fn take_machines(&mut self, read: Result<Vec<Machine>, StoreError>) {
+        self.metrics.count_call("machines", &read);
+        let changed = match read {
+            Ok(machines) => self.directory.set_machines(machines),
+            Err(error) => {
+                tracing::debug!(%error, "the machine list cannot be read");
+                false
+            }
+        };
+        if changed {
+            self.dirty = true;
+            self.machines_changed = true;
+        }
+        let mut contacts = self.seeds.clone();
+        contacts.extend(self.directory.node_addresses());
+        self.membership.set_contacts(contacts);
+    }
+
+    fn refresh_region(&mut self, context: &mut Context<Self>) {
+        let region = self.membership.own().region.clone();
+        let task = format!("region/{region}");
+        let ready = *self.tables.lifecycle.borrow() == Lifecycle::Ready;
+        let mine = ready && self.is_preferred(&task, 1, |m| m.region == region && !m.draining);
+        if !mine {
+            return;
+        }
+        self.running.region = true;
+        let revision = self.tables.configuration.revision();
+        let holder = self.membership.own().node.clone();
+        let unix_ms = self.tables.clock.unix_ms();
+        let writing = regions::refresh(region, holder, revision, unix_ms, self.platform.clone());
+        let done = writing.into_actor(self).map(|written, actor, _| {
+            actor.running.region = false;
+            actor.metrics.count_call("region", &written);
+        });
+        context.spawn(done);
+    }
+
+    /// Learns the snapshot on start, or when a repair did not fit a datagram: from a peer, or from
+    /// the store when no peer answers.
+    fn start_sync(&mut self, now: Millis, context: &mut Context<Self>) {
+        let wanted = self.snapshot_from.take();
+        if self.synced && wanted.is_none() {
+            return;
+        }
+        let peer = wanted.or_else(|| self.random_peer());
+        let joining = now.since(self.started) < self.settings.probe_interval_ms;
+        match peer {
+            Some(node) if self.synced || self.sync_attempts < PEERS_ASKED => {
+                self.sync_from_peer(&node, context);
+            }
+            None if joining => {}
+            _ => self.sync_from_store(now, context),
+        }
+    }
+
+    fn random_peer(&mut self) -> Option<String> {
+        let alive = self.membership.members().filter(|entry| {
+            entry.member.state() == MemberState::MemberAlive && !entry.member.draining
+        });
+        let chosen = alive.choose(&mut self.random)?;
+        Some(chosen.member.node.clone())
+    }
+
+    fn sync_from_peer(&mut self, node: &str, context: &mut Context<Self>) {
+        let Some(entry) = self.membership.member(node) else {
+            return;
+        };
+        let address = entry.member.link_address.clone();
+        let identity = self.tables.identity.clone();
+        let dialler = self.dialler.clone();
+        self.running.sync = true;
+        self.sync_attempts += 1;
+        let asking = async move { dialler.cell_sync(&identity, &address).await };
+        let done = asking.into_actor(self).map(|answer, actor, _| {
+            actor.running.sync = false;
+            actor.due.sync = actor.later(SYNC_RETRY_MS);
+            actor.take_peer_snapshot(answer);
+        });
+        context.spawn(done);
+    }
+
+    fn take_peer_snapshot(&mut self, answer: Option<CellSyncAnswer>) {
+        self.metrics
+            .count_call("cell_sync", &answer.as_ref().ok_or(()));
+        let Some(answer) = answer else { return };
+        let vouched = answer.ready;
+        let (state, members) = sync::parts(answer);
+        let now = self.now();
+        let actions = self.membership.learn_all(&members, now);
+        self.perform(actions);
+        if vouched {
+            self.spread.replace(state, &self.metrics);
+            self.finish_sync();
+        }
+    }
+
+    fn sync_from_store(&mut self, now: Millis, context: &mut Context<Self>) {
+        self.running.sync = true;
+        let reading = watcher::read_whole(self.platform.tables.clone());
+        let done = reading.into_actor(self).map(move |read, actor, _| {
+            actor.running.sync = false;
+            actor.due.sync = actor.later(SYNC_RETRY_MS);
+            actor.metrics.count_call("snapshot", &read);
+            match read {
+                Ok(snapshot) => {
+                    actor.membership.note_store(now);
+                    actor.take_snapshot(snapshot);
+                    actor.finish_sync();
+                }
+                Err(_) => actor.sync_attempts = 0,
+            }
+        });
+        context.spawn(done);
+    }
+
+    fn finish_sync(&mut self) {
+        self.synced = true;
+        self.sync_attempts = 0;
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/regions.rs
@@ -0,0 +1,97 @@
+//! Freshness of regions: one node of each region keeps a row fresh in the store, so that a change
+//! that could not be in force everywhere is refused.
+
+use std::collections::BTreeSet;
+
+use dappleyard_platform::{Platform, StoreError, Transaction};
+use dappleyard_tables::NodeTables;
+use dappleyard_wire::keys;
+use dappleyard_wire::messages::{MemberState, RegionRow};
+use prost::Message;
+
+/// Time between two writes of a region's row, milliseconds.
+pub const REFRESH_MS: u64 = 3_000;
+/// Age at which a region counts as cut off, milliseconds.
+pub const STALE_MS: u64 = 10_000;
+/// Most regions read.
+const MAXIMUM_REGIONS: usize = 64;
+
+/// A region that has not shown life for too long.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StaleRegion {
+    /// Region.
+    pub region: String,
+    /// Time since its row was refreshed, milliseconds; `None` when it has no row.
+    pub age_ms: Option<u64>,
+}
+
+/// Regions that are cut off from the store, of all those that have a row or a server or member in
+/// this node's tables. A configuration change must be refused while there is one.
+pub async fn regions_fresh(
+    tables: &NodeTables,
+    platform: &Platform,
+) -> Result<Vec<StaleRegion>, StoreError> {
+    let rows = platform
+        .tables
+        .range(keys::REGION_PREFIX, "", MAXIMUM_REGIONS)
+        .await?;
+    let rows: Vec<RegionRow> = rows
+        .iter()
+        .filter_map(|row| RegionRow::decode(row.value.as_ref()).ok())
+        .collect();
+    Ok(stale_regions(
+        &rows,
+        &known_regions(tables),
+        tables.clock.unix_ms(),
+    ))
+}
+
+/// Which of the known regions, and of those with a row, are stale at this wall-clock time.
+pub fn stale_regions(
+    rows: &[RegionRow],
+    known: &BTreeSet<String>,
+    now_unix_ms: u64,
+) -> Vec<StaleRegion> {
+    let with_row = rows.iter().map(|row| row.region.clone());
+    let all: BTreeSet<String> = known.iter().cloned().chain(with_row).collect();
+    let age = |region: &String| {
+        let row = rows.iter().find(|row| row.region == *region)?;
+        Some(now_unix_ms.saturating_sub(row.refreshed_unix_ms))
+    };
+    all.into_iter()
+        .map(|region| StaleRegion {
+            age_ms: age(&region),
+            region,
+        })
+        .filter(|region| region.age_ms.is_none_or(|age| age > STALE_MS))
+        .collect()
+}
+
+/// Regions in which there are members that have not left.
+fn known_regions(tables: &NodeTables) -> BTreeSet<String> {
+    let members = tables.members.all();
+    members
+        .into_iter()
+        .filter(|member| member.state() != MemberState::MemberLeft)
+        .map(|member| member.region)
+        .collect()
+}
+
+/// Writes the row of this node's region.
+pub async fn refresh(
+    region: String,
+    holder: String,
+    lowest_revision: u64,
+    unix_ms: u64,
+    platform: Platform,
+) -> Result<u64, StoreError> {
+    let key = keys::region(&region.as_str().into());
+    let row = RegionRow {
+        region,
+        refreshed_unix_ms: unix_ms,
+        lowest_revision,
+        holder,
+    };
+    let transaction = Transaction::default().put(key, row.encode_to_vec());
+    platform.tables.transact(transaction).await
+}
--- /dev/null
+++ b/crates/fleet/src/status.rs
@@ -0,0 +1,134 @@
+//! Where the configuration is in force, answered by any node from its own tables.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dappleyard_decide::membership::is_present;
+use dappleyard_decide::time::Millis;
+use dappleyard_tables::NodeTables;
+use dappleyard_wire::messages::{CellAggregate, Member};
+
+/// Aggregates older than this say nothing of a cell any more, milliseconds.
+const STALE_AGGREGATE_MS: u64 = 60_000;
+/// Lagging nodes named.
+const MAXIMUM_LAGGARDS: usize = 32;
+
+/// "Revision R is in force on N of M nodes".
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct InForce {
+    /// Highest revision known to be in force anywhere.
+    pub revision: u64,
+    /// Nodes believed alive.
+    pub nodes: usize,
+    /// Nodes known to have applied `revision`.
+    pub nodes_in_force: usize,
+    /// Nodes known to lag, a few of them.
+    pub laggards: Vec<String>,
+    /// Regions of which no member answers.
+    pub cut_off_regions: Vec<String>,
+}
+
+/// Where the configuration is in force as this node knows it. Other cells are seen by their
+/// aggregates, so the answer lags by some seconds.
+pub fn in_force(tables: &NodeTables) -> InForce {
+    let now = tables.clock.now();
+    let members = tables.members.all();
+    let aggregates = fresh_aggregates(tables, now);
+    let alive: Vec<&Member> = members
+        .iter()
+        .filter(|m| m.state() == dappleyard_wire::messages::MemberState::MemberAlive)
+        .collect();
+    let own = tables.configuration.revision();
+    let shown = aggregates
+        .values()
+        .map(|aggregate| aggregate.highest_revision);
+    let by_members = alive.iter().map(|member| member.configuration_revision);
+    let revision = shown.chain(by_members).chain([own]).max().unwrap_or(own);
+    let mut answer = InForce {
+        revision,
+        nodes: alive.len(),
+        cut_off_regions: cut_off_regions(&members, tables),
+        ..InForce::default()
+    };
+    for member in alive {
+        if applied(member, tables, &aggregates, own) >= revision {
+            answer.nodes_in_force += 1;
+        } else if answer.laggards.len() < MAXIMUM_LAGGARDS {
+            answer.laggards.push(member.node.clone());
+        }
+    }
+    answer
+}
+
+/// Revision that a member is known to have applied.
+fn applied(
+    member: &Member,
+    tables: &NodeTables,
+    aggregates: &BTreeMap<String, CellAggregate>,
+    own: u64,
+) -> u64 {
+    if member.node == tables.identity.node.as_str() {
+        return own;
+    }
+    // Which cell a member of another zone is in is not known here; the lowest of its zone holds.
+    let of_zone: Vec<&CellAggregate> = aggregates
+        .values()
+        .filter(|aggregate| aggregate.zone == member.zone)
+        .collect();
+    let named = of_zone
+        .iter()
+        .any(|aggregate| aggregate.lagging_nodes.contains(&member.node));
+    let by_cells = if named {
+        of_zone
+            .iter()
+            .map(|aggregate| aggregate.lowest_revision)
+            .min()
+    } else {
+        of_zone
+            .iter()
+            .map(|aggregate| {
+                match aggregate.nodes_lagging as usize == aggregate.lagging_nodes.len() {
+                    true => aggregate.highest_revision,
+                    false => aggregate.lowest_revision,
+                }
+            })
+            .min()
+    };
+    member
+        .configuration_revision
+        .max(by_cells.unwrap_or_default())
+}
+
+fn fresh_aggregates(tables: &NodeTables, now: Millis) -> BTreeMap<String, CellAggregate> {
+    let cells = tables.loads.cells().into_iter();
+    cells
+        .filter(|cell| now.since(cell.at) <= STALE_AGGREGATE_MS)
+        .map(|cell| (cell.value.cell.clone(), cell.value))
+        .collect()
+}
+
+/// Regions other than this node's of which no member is believed alive, while there are some that
+/// have not left.
+fn cut_off_regions(members: &[Member], tables: &NodeTables) -> Vec<String> {
+    let mut known = BTreeSet::new();
+    let mut answering = BTreeSet::new();
+    for member in members {
+        match member.state() {
+            dappleyard_wire::messages::MemberState::MemberAlive => {
+                answering.insert(member.region.as_str());
+            }
+            _ if is_present(member) => {
+                known.insert(member.region.as_str());
+            }
+            dappleyard_wire::messages::MemberState::MemberDead => {
+                known.insert(member.region.as_str());
+            }
+            _ => {}
+        }
+    }
+    let own = tables.identity.region.as_str();
+    known
+        .into_iter()
+        .filter(|region| *region != own && !answering.contains(region))
+        .map(str::to_owned)
+        .collect()
+}
