--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,5 +7,11 @@
 pub mod commands;
 pub mod compare;
 pub mod error;
+pub mod faults;
+pub mod invariants;
+pub mod ledger;
+pub mod load;
+pub mod network;
 pub mod run;
+pub mod scenario;
 pub mod standins;
