--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,17 @@
 //! Experiments: load, faults, invariants, capacity, replay.
+//!
+//! An experiment holds the platform, the engines, the nodes and the sidecars in one process; they
+//! speak real TCP and UDP on loopback. [`commands`] is the command line, with one module for each
+//! subcommand.
+
+pub mod commands;
+pub mod compare;
+pub mod error;
+pub mod faults;
+pub mod invariants;
+pub mod ledger;
+pub mod load;
+pub mod network;
+pub mod run;
+pub mod scenario;
+pub mod standins;
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -177,7 +177,11 @@
         };
         actix_rt::spawn(async move {
             let incoming = |received: Frame| shared.receive(received);
-            run_link(wired, queue, &settings, &policy, &address, incoming).await;
+            let mut closed = shared.lost.subscribe();
+            tokio::select! {
+                () = run_link(wired, queue, &settings, &policy, &address, incoming) => {}
+                _ = closed.wait_for(|closed| *closed) => {}
+            }
             shared.streams.borrow_mut().clear();
             shared.lost.send_replace(true);
         });
@@ -209,6 +213,21 @@
         self.shared.load.borrow().clone()
     }
 
+    /// Closes the link; all of its streams end.
+    pub fn close(&self) {
+        self.shared.lost.send_replace(true);
+    }
+
+    /// Reads the last load that the peer has told of, without copying it.
+    pub fn read_load<R>(&self, reader: impl FnOnce(Option<&NodeLoad>) -> R) -> R {
+        reader(self.shared.load.borrow().as_ref())
+    }
+
+    /// Number of streams that are open on this link.
+    pub fn open_streams(&self) -> usize {
+        self.shared.streams.borrow().len()
+    }
+
     /// Resolves when the link is lost.
     pub async fn wait_lost(&self) {
         let mut lost = self.shared.lost.subscribe();
