--- a/crates/spec/src/chunks.rs
+++ b/crates/spec/src/chunks.rs
@@ -299,9 +299,7 @@
             }
             return apply_commit(state, call, item);
         }
-        state
-            .row
-            .compare_and_swap(call.revision, call.next.clone())
+        state.row.compare_and_swap(call.revision, call.next.clone())
     }
 
     /// Whether the chunk is settled once every call is answered and nothing fails any more.
@@ -391,8 +389,7 @@
         if self.claim(&mut next, node, restarted) {
             let suspects = false;
             steps.push((Action::Claim { node, suspects }, next));
-        } else if state.suspicions < self.limits.suspicions
-            && state.row.value.holder != name(node)
+        } else if state.suspicions < self.limits.suspicions && state.row.value.holder != name(node)
         {
             let mut next = state.clone();
             next.suspicions += 1;
@@ -484,9 +481,9 @@
 
     fn situations(&self, state: &State) -> Vec<&'static str> {
         let row = &state.row.value;
-        let stale = state.nodes.iter().any(|node| {
-            matches!(&node.work, Work::Holding { row: held, .. } if held.epoch < row.epoch)
-        });
+        let stale = state.nodes.iter().any(
+            |node| matches!(&node.work, Work::Holding { row: held, .. } if held.epoch < row.epoch),
+        );
         let seen = [
             ("done", row.phase() == ChunkPhase::ChunkDone),
             ("cancelled", state.job.value),
@@ -524,10 +521,7 @@
 
 fn apply_commit(state: &mut State, call: &Call, item: Item) -> bool {
     let was_done = state.row.value.phase() == ChunkPhase::ChunkDone;
-    if !state
-        .row
-        .compare_and_swap(call.revision, call.next.clone())
-    {
+    if !state.row.compare_and_swap(call.revision, call.next.clone()) {
         return false;
     }
     let object = call.next.result_object.parse().unwrap_or_default();
