--- a/crates/spec/src/chunks.rs
+++ b/crates/spec/src/chunks.rs
@@ -329,7 +329,10 @@
             Work::Holding { row, item } if self.may_start(&row, item) => {
                 self.start(state, node, Run::Completes);
             }
-            Work::Holding { row, item } if item == Item::NotStarted => {
+            Work::Holding {
+                row,
+                item: Item::NotStarted,
+            } => {
                 settle_unknown(state, node, row);
             }
             Work::Holding { .. } => self.commit(state, node),
@@ -359,7 +362,10 @@
                     }
                 }
             }
-            Work::Holding { row, item } if *item == Item::NotStarted => {
+            Work::Holding {
+                row,
+                item: Item::NotStarted,
+            } => {
                 let mut next = state.clone();
                 settle_unknown(&mut next, node, row.clone());
                 steps.push((Action::SettleUnknown { node }, next));
