Add hollow engines and the platform's stand-in, and mend a client that called lost calls not run

Cause: experiments need engines that cost what real ones cost, and a platform that can fail. Change: standin::engine (step model, KV memory with prefix cache, priorities, preemption, resume, attach, fenced orders, late reports, records, idle capacity and yield probe) behind one HTTP server; standin::platform (tables, objects, machine list, weights; rate-limited, faultable). awc reports a connection that broke after the call was sent as a connect error; both clients took that for 'nothing changed'.

--- a/crates/engine/src/client/mod.rs
+++ b/crates/engine/src/client/mod.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, Connector};
 use futures::StreamExt;
 use serde::Serialize;
@@ -182,6 +182,8 @@
 
 fn send_error(error: SendRequestError) -> EngineError {
     match error {
+        // This is what `awc` says when a connection breaks after the call was sent on it.
+        SendRequestError::Connect(ConnectError::Disconnected) => lost(error),
         SendRequestError::Connect(cause) => EngineError::Unreachable {
             reason: cause.to_string(),
         },
--- a/crates/platform/src/client/http.rs
+++ b/crates/platform/src/client/http.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::{Method, StatusCode};
 use awc::{Client, Connector};
 use bytes::Bytes;
@@ -146,6 +146,8 @@
 
 fn send_error(effect: Effect, error: &SendRequestError) -> StoreError {
     match error {
+        // This is what `awc` says when a connection breaks after the call was sent on it.
+        SendRequestError::Connect(ConnectError::Disconnected) => lost(effect, error),
         SendRequestError::Connect(_) | SendRequestError::Url(_) => StoreError::Unavailable {
             reason: error.to_string(),
         },
--- /dev/null
+++ b/crates/standin/src/engine/host.rs
@@ -0,0 +1,323 @@
+//! Many engines in one process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use actix_web::{App, HttpServer, web};
+use dappleyard_engine::{EngineOrder, EngineReport};
+use parking_lot::Mutex;
+use serde::Serialize;
+
+use super::driver::{self, Slots, Wakeups};
+use super::http::{self, SlotsByName};
+use super::meter::{Meter, Sample, YieldProbe};
+use super::record::RunRecord;
+use super::settings::EngineSpec;
+use super::slot::Slot;
+use crate::server::{self, RunningServer};
+
+/// Where engines read weights from.
+pub trait WeightSource: Send + Sync {
+    /// Begins to read a version and says how long that takes; or why it cannot be read.
+    fn load(&self, service: &str, version: &str) -> Result<Duration, String>;
+}
+
+/// How a host runs.
+#[derive(Clone)]
+pub struct HostOptions {
+    /// Listening address; port 0 takes one from the operating system.
+    pub listen: String,
+    /// Worker threads of the HTTP server.
+    pub workers: usize,
+    /// Threads that advance engines.
+    pub drivers: usize,
+    /// Where weights are read from; `None` takes the time of the engine's settings.
+    pub weights: Option<Arc<dyn WeightSource>>,
+}
+
+impl Default for HostOptions {
+    fn default() -> Self {
+        Self {
+            listen: "127.0.0.1:0".to_owned(),
+            workers: 2,
+            drivers: 1,
+            weights: None,
+        }
+    }
+}
+
+/// An order as an engine received it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct OrderRecord {
+    /// Server id.
+    pub server: String,
+    /// Microseconds since the host started.
+    pub at_us: u64,
+    /// The order.
+    pub order: EngineOrder,
+    /// Whether it was applied; `false` when it was fenced off or refused.
+    pub applied: bool,
+}
+
+/// What the meters of one engine show, over all its lives.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct MeterSummary {
+    /// Batch tokens that could have been made beside the online work.
+    pub idle_tokens: f64,
+    /// Batch tokens made.
+    pub batch_tokens: u64,
+    /// Online tokens made.
+    pub online_tokens: u64,
+    /// Steps made.
+    pub steps: u64,
+    /// Time by which the machine was too late for its steps, microseconds.
+    pub stalled_us: u64,
+    /// How soon batch yielded to online bursts.
+    pub probe: YieldProbe,
+}
+
+/// Starts hosts of engines.
+pub struct EngineHost;
+
+impl EngineHost {
+    /// Starts engines on an address of the operating system's choice.
+    pub fn start(specs: Vec<EngineSpec>) -> std::io::Result<EngineHandle> {
+        Self::start_with(specs, HostOptions::default())
+    }
+
+    /// Starts engines. Threads of its own run them; no runtime is needed where this is called.
+    pub fn start_with(
+        specs: Vec<EngineSpec>,
+        options: HostOptions,
+    ) -> std::io::Result<EngineHandle> {
+        let started = Instant::now();
+        let slots = Slots::default();
+        let by_name = SlotsByName::default();
+        let mut drivers = Vec::new();
+        for number in 0..options.drivers.max(1) {
+            let wakeups = Arc::new(Wakeups::default());
+            let name = format!("engines-{number}");
+            let thread = driver::start(name, wakeups.clone(), slots.clone(), started)?;
+            drivers.push((wakeups, thread));
+        }
+        let server = serve(&options, by_name.clone())?;
+        let handle = EngineHandle {
+            started,
+            slots,
+            by_name,
+            drivers: Mutex::new(drivers),
+            server,
+            weights: options.weights,
+        };
+        for spec in specs {
+            handle.add(spec);
+        }
+        Ok(handle)
+    }
+}
+
+fn serve(options: &HostOptions, by_name: SlotsByName) -> std::io::Result<RunningServer> {
+    let (listen, workers) = (options.listen.clone(), options.workers.max(1));
+    server::start("engines-http", move || {
+        let data = web::Data::new(by_name.clone());
+        HttpServer::new(move || App::new().app_data(data.clone()).configure(http::configure))
+            .workers(workers)
+            .keep_alive(server::KEEP_ALIVE)
+            .disable_signals()
+            .bind(listen.as_str())
+            .map(|server| (server.addrs(), server.run()))
+    })
+}
+
+/// A running host: faults, and direct access to what the engines did.
+pub struct EngineHandle {
+    started: Instant,
+    slots: Slots,
+    by_name: SlotsByName,
+    drivers: Mutex<Vec<(Arc<Wakeups>, JoinHandle<()>)>>,
+    server: RunningServer,
+    weights: Option<Arc<dyn WeightSource>>,
+}
+
+impl EngineHandle {
+    /// Address of the HTTP server.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// When the host started: the zero of all times in records.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Microseconds since the host started.
+    pub fn now_us(&self) -> u64 {
+        self.started.elapsed().as_micros() as u64
+    }
+
+    /// Base URL of an engine.
+    pub fn base(&self, server: &str) -> String {
+        format!("http://{}/engines/{server}", self.address())
+    }
+
+    /// Adds an engine, or leaves the one of this name as it is.
+    pub fn add(&self, spec: EngineSpec) {
+        let mut by_name = self.by_name.write();
+        if by_name.contains_key(&spec.server) {
+            return;
+        }
+        let mut slots = self.slots.write();
+        let index = slots.len();
+        let drivers = self.drivers.lock();
+        let Some((wakeups, _)) = drivers.get(index % drivers.len().max(1)) else {
+            return;
+        };
+        let name = spec.server.clone();
+        let weights = self.weights.clone();
+        let slot = Arc::new(Slot::new(
+            index,
+            spec,
+            self.started,
+            wakeups.clone(),
+            weights,
+        ));
+        slots.push(slot.clone());
+        by_name.insert(name, slot);
+    }
+
+    /// Ids of all engines, in the order they were added.
+    pub fn servers(&self) -> Vec<String> {
+        let slots = self.slots.read();
+        slots.iter().map(|slot| slot.server().to_owned()).collect()
+    }
+
+    /// Kills an engine: open streams break, nothing is answered, its state is gone.
+    pub fn kill(&self, server: &str) {
+        self.with(server, Slot::kill);
+    }
+
+    /// Starts an engine anew in the place of a killed one.
+    pub fn revive(&self, server: &str) {
+        self.with(server, Slot::revive);
+    }
+
+    /// Whether an engine lives.
+    pub fn is_alive(&self, server: &str) -> bool {
+        self.with(server, Slot::is_alive).unwrap_or(false)
+    }
+
+    /// Makes an engine's reports and cache events later, and may drop all its cache events.
+    pub fn set_publication_faults(&self, server: &str, extra_delay: Duration, drop_events: bool) {
+        let extra_us = extra_delay.as_micros() as u64;
+        self.with(server, |slot| {
+            slot.set_publication_faults(extra_us, drop_events)
+        });
+    }
+
+    /// The engine's state at this moment; `None` when it is dead.
+    pub fn status(&self, server: &str) -> Option<EngineReport> {
+        self.with(server, |slot| slot.status().ok()).flatten()
+    }
+
+    /// Records of all engines.
+    pub fn records(&self) -> Vec<RunRecord> {
+        let slots = self.slots.read().clone();
+        slots.iter().flat_map(|slot| slot.records()).collect()
+    }
+
+    /// Records of one engine.
+    pub fn records_of(&self, server: &str) -> Vec<RunRecord> {
+        self.with(server, Slot::records).unwrap_or_default()
+    }
+
+    /// Records that were dropped at their bound; a checker that sees one must say so.
+    pub fn records_dropped(&self) -> u64 {
+        let slots = self.slots.read().clone();
+        slots.iter().map(|slot| slot.records_dropped()).sum()
+    }
+
+    /// Orders that the engines received.
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        let slots = self.slots.read().clone();
+        slots.iter().flat_map(|slot| slot.orders()).collect()
+    }
+
+    /// Sums of one engine's meters.
+    pub fn meter(&self, server: &str) -> MeterSummary {
+        let summed = self.with(server, |slot| slot.with_meters(sum));
+        summed.unwrap_or_default()
+    }
+
+    /// Sums of all engines' meters.
+    pub fn meters(&self) -> MeterSummary {
+        let slots = self.slots.read().clone();
+        let mut total = MeterSummary::default();
+        for slot in &slots {
+            total.merge(&slot.with_meters(sum));
+        }
+        total
+    }
+
+    /// Samples of one engine's widths, from its first life on.
+    pub fn samples(&self, server: &str) -> Vec<Sample> {
+        let all = |meters: &[&Meter]| {
+            let samples = meters.iter().flat_map(|meter| meter.samples());
+            samples.copied().collect()
+        };
+        let samples = self.with(server, |slot| slot.with_meters(all));
+        samples.unwrap_or_default()
+    }
+
+    /// Stops the HTTP server and the threads.
+    pub fn stop(&self) {
+        self.server.stop();
+        let drivers = std::mem::take(&mut *self.drivers.lock());
+        for (wakeups, _) in &drivers {
+            wakeups.stop();
+        }
+        for (_, thread) in drivers {
+            // A thread that panicked has ended too.
+            let _ = thread.join();
+        }
+    }
+
+    fn with<R>(&self, server: &str, read: impl FnOnce(&Slot) -> R) -> Option<R> {
+        let slot = self.by_name.read().get(server).cloned();
+        slot.map(|slot| read(&slot))
+    }
+}
+
+impl Drop for EngineHandle {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl MeterSummary {
+    /// Adds another summary.
+    pub fn merge(&mut self, other: &MeterSummary) {
+        self.idle_tokens += other.idle_tokens;
+        self.batch_tokens += other.batch_tokens;
+        self.online_tokens += other.online_tokens;
+        self.steps += other.steps;
+        self.stalled_us += other.stalled_us;
+        self.probe.merge(&other.probe);
+    }
+}
+
+fn sum(meters: &[&Meter]) -> MeterSummary {
+    let mut total = MeterSummary::default();
+    for meter in meters {
+        total.merge(&MeterSummary {
+            idle_tokens: meter.idle_tokens(),
+            batch_tokens: meter.batch_tokens(),
+            online_tokens: meter.online_tokens(),
+            steps: meter.steps(),
+            stalled_us: meter.stalled_us(),
+            probe: meter.probe().clone(),
+        });
+    }
+    total
+}
--- /dev/null
+++ b/crates/standin/src/engine/http.rs
@@ -0,0 +1,187 @@
+//! HTTP interface of the engines: `/engines/{server}/v1/...` on one server for all of them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::http::StatusCode;
+use actix_web::{HttpResponse, web};
+use bytes::Bytes;
+use dappleyard_engine::{EngineEvent, EngineOrder, GenerateCall};
+use derive_more::{Display, Error};
+use parking_lot::RwLock;
+use serde::Deserialize;
+
+use super::model::{Output, stream_name};
+use super::slot::{CallError, Delivery, Reader, Slot};
+
+/// Largest body of a call, bytes.
+pub(super) const MAXIMUM_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// A blank line is sent after this long without an event, so that a silent stream is told apart
+/// from a lost engine.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+/// Engines by server id.
+pub(super) type SlotsByName = Arc<RwLock<HashMap<String, Arc<Slot>>>>;
+
+/// The engine was lost: ends the connection without a whole answer.
+#[derive(Debug, Display, Error)]
+#[display("the engine is lost")]
+struct EngineLost;
+
+#[derive(Deserialize)]
+struct After {
+    #[serde(default)]
+    after: u64,
+}
+
+/// Mounts the routes.
+pub(super) fn configure(config: &mut web::ServiceConfig) {
+    let json = web::JsonConfig::default()
+        .limit(MAXIMUM_BODY_BYTES)
+        .content_type_required(false);
+    config.service(
+        web::scope("/engines/{server}/v1")
+            .app_data(json)
+            .route("/generate", web::post().to(generate))
+            .route("/streams/{stream}/cancel", web::post().to(cancel))
+            .route("/report", web::get().to(report))
+            .route("/status", web::get().to(status))
+            .route("/cache-events", web::get().to(cache_events))
+            .route("/orders", web::post().to(order)),
+    );
+}
+
+fn find(slots: &SlotsByName, server: &str) -> Result<Arc<Slot>, CallError> {
+    let found = slots.read().get(server).cloned();
+    found.ok_or(CallError::NoSuchEngine)
+}
+
+async fn generate(
+    slots: web::Data<SlotsByName>,
+    server: web::Path<String>,
+    call: web::Json<GenerateCall>,
+) -> HttpResponse {
+    match find(&slots, &server).and_then(|slot| slot.generate(&call)) {
+        Ok(reader) => HttpResponse::Ok()
+            .content_type("application/x-ndjson")
+            .streaming(lines(reader)),
+        Err(error) => failed(error),
+    }
+}
+
+async fn cancel(slots: web::Data<SlotsByName>, path: web::Path<(String, String)>) -> HttpResponse {
+    let (server, stream) = path.into_inner();
+    match find(&slots, &server).and_then(|slot| slot.cancel(&stream)) {
+        Ok(true) => HttpResponse::Ok().finish(),
+        Ok(false) => HttpResponse::NotFound().body("no such stream"),
+        Err(error) => failed(error),
+    }
+}
+
+async fn report(slots: web::Data<SlotsByName>, server: web::Path<String>) -> HttpResponse {
+    answer(&slots, &server, Slot::report)
+}
+
+async fn status(slots: web::Data<SlotsByName>, server: web::Path<String>) -> HttpResponse {
+    answer(&slots, &server, Slot::status)
+}
+
+async fn cache_events(
+    slots: web::Data<SlotsByName>,
+    server: web::Path<String>,
+    query: web::Query<After>,
+) -> HttpResponse {
+    answer(&slots, &server, |slot| slot.cache_events(query.after))
+}
+
+async fn order(
+    slots: web::Data<SlotsByName>,
+    server: web::Path<String>,
+    order: web::Json<EngineOrder>,
+) -> HttpResponse {
+    answer(&slots, &server, |slot| slot.order(&order))
+}
+
+fn answer<T: serde::Serialize>(
+    slots: &SlotsByName,
+    server: &str,
+    call: impl FnOnce(&Slot) -> Result<T, CallError>,
+) -> HttpResponse {
+    match find(slots, server).and_then(|slot| call(&slot)) {
+        Ok(body) => HttpResponse::Ok().json(body),
+        Err(error) => failed(error),
+    }
+}
+
+fn failed(error: CallError) -> HttpResponse {
+    match error {
+        CallError::NoSuchEngine => HttpResponse::NotFound().body("no such engine"),
+        CallError::Refused(refusal) => {
+            let status = StatusCode::from_u16(refusal.status);
+            HttpResponse::build(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE))
+                .body(refusal.reason)
+        }
+        // The body breaks before its first byte: the connection is closed without an answer.
+        CallError::Dead => {
+            HttpResponse::Ok().streaming(futures::stream::iter([Err::<Bytes, EngineLost>(
+                EngineLost,
+            )]))
+        }
+    }
+}
+
+/// The lines of a stream's answer.
+fn lines(reader: Reader) -> impl futures::Stream<Item = Result<Bytes, EngineLost>> {
+    async_stream::stream! {
+        let mut reader = reader;
+        yield Ok(line(&EngineEvent::Accepted {
+            stream: stream_name(reader.started.stream),
+            version: reader.started.version.to_string(),
+        }));
+        loop {
+            let next = tokio::time::timeout(KEEP_ALIVE, reader.deliveries.recv()).await;
+            match next {
+                Err(_) => yield Ok(Bytes::from_static(b"\n")),
+                Ok(Some(Delivery::Output(output))) => {
+                    let ends = matches!(output, Output::Finished { .. });
+                    yield Ok(line(&event(&reader, output)));
+                    if ends {
+                        return;
+                    }
+                }
+                Ok(Some(Delivery::EngineLost) | None) => {
+                    yield Err(EngineLost);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn event(reader: &Reader, output: Output) -> EngineEvent {
+    match output {
+        Output::Tokens { from, to } => EngineEvent::Tokens {
+            offset: from,
+            pieces: reader.started.text.pieces(from, to),
+        },
+        Output::Finished {
+            reason,
+            total,
+            cached,
+            ran,
+        } => EngineEvent::Finished {
+            reason: reason.to_owned(),
+            total_tokens: total,
+            cached_tokens: cached,
+            ran,
+        },
+    }
+}
+
+fn line(event: &EngineEvent) -> Bytes {
+    // An event is made of strings and numbers, which always have a JSON form.
+    let mut line = serde_json::to_vec(event).unwrap_or_default();
+    line.push(b'\n');
+    Bytes::from(line)
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,24 @@
+//! Hollow model engines: they cost time and memory as real ones do, and answer known text.
+//!
+//! - [`model`]: the state machine of one engine, in virtual time, without threads or sockets
+//! - [`memory`], [`meter`], [`record`], [`reports`]: its parts
+//! - [`host`]: many engines in one process, driven in real time and served over HTTP
+
+pub mod host;
+pub mod memory;
+pub mod meter;
+pub mod model;
+pub mod record;
+pub mod reports;
+pub mod sequence;
+pub mod settings;
+
+mod driver;
+mod http;
+mod slot;
+
+pub use host::{EngineHandle, EngineHost};
+pub use meter::{Meter, Sample, YieldProbe};
+pub use model::{Effect, EngineModel, Output, Refusal, Started};
+pub use record::RunRecord;
+pub use settings::{EngineModelSettings, EngineSpec};
--- /dev/null
+++ b/crates/standin/src/engine/slot.rs
@@ -0,0 +1,340 @@
+//! One engine of a host: its state machine, the readers of its streams, and its past lives.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use dappleyard_engine::{CacheEvent, EngineOrder, EngineReport, GenerateCall};
+use parking_lot::Mutex;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+use super::driver::Wakeups;
+use super::host::{OrderRecord, WeightSource};
+use super::meter::Meter;
+use super::model::{Effect, EngineModel, Output, Refusal, Started, parse_stream};
+use super::record::RunRecord;
+use super::sequence::StreamNumber;
+use super::settings::EngineSpec;
+
+/// Most orders kept for the checker.
+const MAXIMUM_ORDERS: usize = 10_000;
+
+/// What a reader of a stream is given.
+#[derive(Debug)]
+pub(super) enum Delivery {
+    /// Output of the stream.
+    Output(Output),
+    /// The engine was lost: the connection breaks.
+    EngineLost,
+}
+
+/// Why a call got no answer.
+#[derive(Debug)]
+pub(super) enum CallError {
+    /// The host has no such engine.
+    NoSuchEngine,
+    /// The engine is dead: the connection breaks.
+    Dead,
+    /// The engine refused.
+    Refused(Refusal),
+}
+
+struct Sink {
+    sender: UnboundedSender<Delivery>,
+    reader: u64,
+}
+
+struct Life {
+    model: Option<EngineModel>,
+    past: Vec<EngineModel>,
+    sinks: HashMap<StreamNumber, Sink>,
+    next_reader: u64,
+    due_us: Option<u64>,
+    effects: Vec<Effect>,
+    orders: Vec<OrderRecord>,
+    next_stream: StreamNumber,
+}
+
+/// One engine of a host.
+pub(super) struct Slot {
+    index: usize,
+    spec: EngineSpec,
+    started: Instant,
+    wakeups: Arc<Wakeups>,
+    weights: Option<Arc<dyn WeightSource>>,
+    life: Mutex<Life>,
+}
+
+/// The reader of a stream. Dropped before the stream's end, it leaves the stream detached.
+pub(super) struct Reader {
+    pub(super) started: Started,
+    pub(super) deliveries: UnboundedReceiver<Delivery>,
+    slot: Arc<Slot>,
+    reader: u64,
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.slot.detach(self.started.stream, self.reader);
+    }
+}
+
+impl Slot {
+    pub(super) fn new(
+        index: usize,
+        spec: EngineSpec,
+        started: Instant,
+        wakeups: Arc<Wakeups>,
+        weights: Option<Arc<dyn WeightSource>>,
+    ) -> Slot {
+        let now_us = started.elapsed().as_micros() as u64;
+        let life = Life {
+            model: Some(EngineModel::new(&spec, now_us, 1)),
+            past: Vec::new(),
+            sinks: HashMap::new(),
+            next_reader: 1,
+            due_us: None,
+            effects: Vec::new(),
+            orders: Vec::new(),
+            next_stream: 1,
+        };
+        Slot {
+            index,
+            spec,
+            started,
+            wakeups,
+            weights,
+            life: Mutex::new(life),
+        }
+    }
+
+    fn now_us(&self) -> u64 {
+        self.started.elapsed().as_micros() as u64
+    }
+
+    pub(super) fn server(&self) -> &str {
+        &self.spec.server
+    }
+
+    /// Takes a call in and gives the reader of its stream.
+    pub(super) fn generate(self: &Arc<Self>, call: &GenerateCall) -> Result<Reader, CallError> {
+        let mut life = self.life.lock();
+        let now_us = self.now_us();
+        let mut effects = std::mem::take(&mut life.effects);
+        let model = life.model.as_mut().ok_or(CallError::Dead)?;
+        let started = model
+            .generate(now_us, call, &mut effects)
+            .map_err(CallError::Refused)?;
+        let (sender, deliveries) = unbounded_channel();
+        let reader = life.next_reader;
+        life.next_reader += 1;
+        life.sinks.insert(started.stream, Sink { sender, reader });
+        life.effects = effects;
+        life.deliver();
+        self.pump_if_unscheduled(&mut life, now_us);
+        Ok(Reader {
+            started,
+            deliveries,
+            slot: self.clone(),
+            reader,
+        })
+    }
+
+    fn detach(&self, stream: StreamNumber, reader: u64) {
+        let mut life = self.life.lock();
+        let is_current = life
+            .sinks
+            .get(&stream)
+            .is_some_and(|sink| sink.reader == reader);
+        if !is_current {
+            return;
+        }
+        life.sinks.remove(&stream);
+        let now_us = self.now_us();
+        if let Some(model) = &mut life.model {
+            model.detach(now_us, stream);
+        }
+    }
+
+    /// Cancels a stream; `Ok(false)` when it does not live.
+    pub(super) fn cancel(&self, name: &str) -> Result<bool, CallError> {
+        let mut life = self.life.lock();
+        let now_us = self.now_us();
+        let mut effects = std::mem::take(&mut life.effects);
+        let model = life.model.as_mut().ok_or(CallError::Dead)?;
+        let stream = parse_stream(name);
+        let found = stream.is_some_and(|stream| model.cancel(now_us, stream, &mut effects));
+        life.effects = effects;
+        life.deliver();
+        Ok(found)
+    }
+
+    pub(super) fn report(&self) -> Result<EngineReport, CallError> {
+        self.with_model(|model, now_us| model.report(now_us))
+    }
+
+    pub(super) fn status(&self) -> Result<EngineReport, CallError> {
+        self.with_model(|model, now_us| model.status(now_us))
+    }
+
+    pub(super) fn cache_events(&self, after: u64) -> Result<Vec<CacheEvent>, CallError> {
+        self.with_model(|model, now_us| model.cache_events(now_us, after))
+    }
+
+    pub(super) fn set_publication_faults(&self, extra_delay_us: u64, events_dropped: bool) {
+        let set = |model: &mut EngineModel, _| {
+            model.set_publication_faults(extra_delay_us, events_dropped);
+        };
+        // A dead engine publishes nothing anyway.
+        let _ = self.with_model(set);
+    }
+
+    fn with_model<R>(&self, read: impl FnOnce(&mut EngineModel, u64) -> R) -> Result<R, CallError> {
+        let mut life = self.life.lock();
+        let now_us = self.now_us();
+        let model = life.model.as_mut().ok_or(CallError::Dead)?;
+        Ok(read(model, now_us))
+    }
+
+    pub(super) fn order(&self, order: &EngineOrder) -> Result<(), CallError> {
+        let mut life = self.life.lock();
+        let now_us = self.now_us();
+        let model = life.model.as_mut().ok_or(CallError::Dead)?;
+        let result = model.order(now_us, order);
+        if life.orders.len() < MAXIMUM_ORDERS {
+            life.orders.push(OrderRecord {
+                server: self.spec.server.clone(),
+                at_us: now_us,
+                order: order.clone(),
+                applied: result.is_ok(),
+            });
+        }
+        self.pump_if_unscheduled(&mut life, now_us);
+        result.map_err(CallError::Refused)
+    }
+
+    /// The engine dies: its readers lose their connections, its state is gone.
+    pub(super) fn kill(&self) {
+        let mut life = self.life.lock();
+        let now_us = self.now_us();
+        let Some(mut model) = life.model.take() else {
+            return;
+        };
+        model.lose(now_us);
+        life.next_stream = model.next_stream();
+        life.past.push(model);
+        life.due_us = None;
+        for (_, sink) in life.sinks.drain() {
+            // A reader that has gone needs no word.
+            let _ = sink.sender.send(Delivery::EngineLost);
+        }
+    }
+
+    /// A new engine starts in the place of a dead one.
+    pub(super) fn revive(&self) {
+        let mut life = self.life.lock();
+        if life.model.is_none() {
+            let now_us = self.now_us();
+            life.model = Some(EngineModel::new(&self.spec, now_us, life.next_stream));
+        }
+    }
+
+    pub(super) fn is_alive(&self) -> bool {
+        self.life.lock().model.is_some()
+    }
+
+    pub(super) fn records(&self) -> Vec<RunRecord> {
+        let life = self.life.lock();
+        let lives = life.past.iter().chain(life.model.iter());
+        lives.flat_map(|model| model.records().all()).collect()
+    }
+
+    pub(super) fn records_dropped(&self) -> u64 {
+        let life = self.life.lock();
+        let lives = life.past.iter().chain(life.model.iter());
+        lives.map(|model| model.records().dropped()).sum()
+    }
+
+    pub(super) fn orders(&self) -> Vec<OrderRecord> {
+        self.life.lock().orders.clone()
+    }
+
+    /// Reads the meters of all lives of the engine, oldest first.
+    pub(super) fn with_meters<R>(&self, read: impl FnOnce(&[&Meter]) -> R) -> R {
+        let mut life = self.life.lock();
+        let now_us = self.now_us();
+        if let Some(model) = &mut life.model {
+            model.meter(now_us);
+        }
+        let lives = life.past.iter().chain(life.model.iter());
+        let meters: Vec<&Meter> = lives.map(EngineModel::meter_as_it_stands).collect();
+        read(&meters)
+    }
+
+    /// Called by the driver when `due_us` has come. Returns the next time.
+    pub(super) fn advance(&self, due_us: u64) -> Option<u64> {
+        let mut life = self.life.lock();
+        if life.due_us != Some(due_us) {
+            return None;
+        }
+        let now_us = self.now_us();
+        self.pump(&mut life, now_us);
+        life.due_us
+    }
+
+    fn pump_if_unscheduled(&self, life: &mut Life, now_us: u64) {
+        if life.due_us.is_some() {
+            return;
+        }
+        self.pump(life, now_us);
+        if let Some(due_us) = life.due_us {
+            self.wakeups.add(due_us, self.index);
+        }
+    }
+
+    fn pump(&self, life: &mut Life, now_us: u64) {
+        let mut effects = std::mem::take(&mut life.effects);
+        life.due_us = None;
+        if let Some(model) = &mut life.model {
+            life.due_us = model.advance(now_us, &mut effects);
+            if let Some((service, version)) = model.wanted_load() {
+                let (load_us, outcome) = self.ask_weights(service, version);
+                model.set_load(now_us + load_us, outcome);
+                life.due_us = Some(now_us + load_us);
+            }
+        }
+        life.effects = effects;
+        life.deliver();
+    }
+
+    /// How long a load takes, microseconds, and how it ends.
+    fn ask_weights(&self, service: &str, version: &str) -> (u64, Result<(), String>) {
+        let usual_us = self.spec.model.load_ms.saturating_mul(1_000);
+        if self.spec.model.broken_versions.contains(version) {
+            return (usual_us, Err(format!("{version} is broken")));
+        }
+        let Some(weights) = &self.weights else {
+            return (usual_us, Ok(()));
+        };
+        match weights.load(service, version) {
+            Ok(time) => (time.as_micros() as u64, Ok(())),
+            Err(failure) => (usual_us, Err(failure)),
+        }
+    }
+}
+
+impl Life {
+    fn deliver(&mut self) {
+        for effect in self.effects.drain(..) {
+            let ends = matches!(effect.output, Output::Finished { .. });
+            let Some(sink) = self.sinks.get(&effect.stream) else {
+                continue;
+            };
+            // A reader that has gone detaches the stream when it is dropped.
+            let _ = sink.sender.send(Delivery::Output(effect.output));
+            if ends {
+                self.sinks.remove(&effect.stream);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/host.rs
@@ -0,0 +1,314 @@
+//! The platform's services in one process, and the handle for experiments.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_web::{App, HttpServer, web};
+use bytes::Bytes;
+use dappleyard_platform::{Changes, Machine, Row, StoreError, Transaction};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use super::faults::{Fault, Faults, Service};
+use super::http;
+use super::limiter::Limiter;
+use super::machines::MachineState;
+use super::objects::ObjectState;
+use super::settings::PlatformStandInSettings;
+use super::tables::{CallCounts, RevisionRecord, TableState};
+use super::weights::WeightState;
+use crate::engine::host::WeightSource;
+use crate::server::{self, RunningServer};
+
+/// State of all services. Each lock is taken alone.
+pub(super) struct State {
+    started: Instant,
+    settings: PlatformStandInSettings,
+    pub(super) faults: Faults,
+    pub(super) tables: Mutex<TableState>,
+    pub(super) objects: Mutex<ObjectState>,
+    machines: Mutex<MachineState>,
+    weights: Mutex<WeightState>,
+    table_limit: Mutex<Limiter>,
+    object_limit: Mutex<Limiter>,
+    revision: watch::Sender<u64>,
+}
+
+impl State {
+    fn new(settings: PlatformStandInSettings) -> State {
+        let weights = WeightState::new(
+            settings.weight_megabytes,
+            settings.weight_megabytes_per_s,
+            &settings.broken_versions,
+        );
+        let tables = Limiter::new(settings.table_calls_per_s, settings.table_calls_burst);
+        let objects = Limiter::new(settings.object_calls_per_s, settings.object_calls_burst);
+        State {
+            started: Instant::now(),
+            faults: Faults::new(settings.seed),
+            tables: Mutex::new(TableState::new(&settings)),
+            objects: Mutex::new(ObjectState::new(settings.maximum_object_bytes)),
+            machines: Mutex::new(MachineState::new(settings.machine_list_lag_ms * 1_000)),
+            weights: Mutex::new(weights),
+            table_limit: Mutex::new(tables),
+            object_limit: Mutex::new(objects),
+            revision: watch::Sender::new(0),
+            settings,
+        }
+    }
+
+    fn now_us(&self) -> u64 {
+        self.started.elapsed().as_micros() as u64
+    }
+
+    /// Usual time of a call.
+    pub(super) fn latency(&self, service: Service) -> Duration {
+        let milliseconds = match service {
+            Service::Tables => self.settings.table_latency_ms,
+            Service::Objects => self.settings.object_latency_ms,
+            Service::Machines => 0,
+        };
+        Duration::from_millis(milliseconds)
+    }
+
+    /// Whether the service's rate allows a call now; else when to come back, milliseconds.
+    pub(super) fn admit(&self, service: Service) -> Result<(), u32> {
+        let now_us = self.now_us();
+        match service {
+            Service::Tables => self.table_limit.lock().take(now_us),
+            Service::Objects => self.object_limit.lock().take(now_us),
+            Service::Machines => Ok(()),
+        }
+    }
+
+    /// Applies a transaction and wakes the readers of the feed.
+    pub(super) fn transact(&self, transaction: Transaction) -> Result<u64, StoreError> {
+        let revision = self.tables.lock().transact(transaction)?;
+        self.revision.send_replace(revision);
+        Ok(revision)
+    }
+
+    /// Changes after a revision; waits for one.
+    pub(super) async fn changes(&self, prefix: &str, after: u64, wait: Duration) -> Changes {
+        let mut revision = self.revision.subscribe();
+        let deadline = tokio::time::Instant::now() + wait;
+        self.tables.lock().count_read(prefix);
+        loop {
+            revision.mark_unchanged();
+            let changes = self.tables.lock().changes(prefix, after);
+            if !changes.rows.is_empty() || changes.compacted {
+                return changes;
+            }
+            let changed = tokio::time::timeout_at(deadline, revision.changed()).await;
+            if !matches!(changed, Ok(Ok(()))) {
+                return changes;
+            }
+        }
+    }
+
+    /// The machine list as readers see it.
+    pub(super) fn machines_seen(&self) -> Vec<Machine> {
+        let now_us = self.now_us();
+        self.machines.lock().seen(now_us)
+    }
+}
+
+/// Starts the platform's stand-in.
+pub struct PlatformStandIn;
+
+impl PlatformStandIn {
+    /// Starts the services on threads of their own; no runtime is needed where this is called.
+    pub fn start(settings: PlatformStandInSettings) -> std::io::Result<PlatformHandle> {
+        let listen = settings.listen.clone();
+        let workers = settings.workers.max(1);
+        let maximum_object = settings.maximum_object_bytes;
+        let state = Arc::new(State::new(settings));
+        let shared = state.clone();
+        let server = server::start("platform-http", move || {
+            let data = web::Data::new(shared);
+            HttpServer::new(move || {
+                App::new()
+                    .app_data(data.clone())
+                    .configure(|config| http::configure(config, maximum_object))
+            })
+            .workers(workers)
+            .keep_alive(server::KEEP_ALIVE)
+            .disable_signals()
+            .bind(listen.as_str())
+            .map(|server| (server.addrs(), server.run()))
+        })?;
+        Ok(PlatformHandle {
+            state,
+            server: Arc::new(server),
+        })
+    }
+}
+
+/// A running stand-in: faults, and direct access to rows, objects and counts. Clones share it.
+#[derive(Clone)]
+pub struct PlatformHandle {
+    state: Arc<State>,
+    server: Arc<RunningServer>,
+}
+
+impl PlatformHandle {
+    /// Address of the HTTP server.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Base URL of the table service.
+    pub fn tables_url(&self) -> String {
+        format!("http://{}/tables", self.address())
+    }
+
+    /// Base URL of the object store.
+    pub fn objects_url(&self) -> String {
+        format!("http://{}/objects", self.address())
+    }
+
+    /// URL of the machine list.
+    pub fn machines_url(&self) -> String {
+        format!("http://{}/machines", self.address())
+    }
+
+    /// Makes a service fail as told, from now on; `Fault::default()` mends it.
+    pub fn set_fault(&self, service: Service, fault: Fault) {
+        self.state.faults.set(service, fault);
+    }
+
+    /// Changes the rate of the table service, calls a second.
+    pub fn set_table_rate(&self, per_s: f64, burst: f64) {
+        self.state.table_limit.lock().set(per_s, burst);
+    }
+
+    /// Changes the rate of the object store, calls a second.
+    pub fn set_object_rate(&self, per_s: f64, burst: f64) {
+        self.state.object_limit.lock().set(per_s, burst);
+    }
+
+    /// Applies a transaction directly, past all faults.
+    pub fn transact(&self, transaction: Transaction) -> Result<u64, StoreError> {
+        self.state.transact(transaction)
+    }
+
+    /// Reads a row directly.
+    pub fn row(&self, key: &str) -> Option<Row> {
+        self.state.tables.lock().peek(key)
+    }
+
+    /// Reads all rows under a prefix directly.
+    pub fn rows(&self, prefix: &str) -> Vec<Row> {
+        let tables = self.state.tables.lock();
+        tables.peek_range(prefix, "", usize::MAX)
+    }
+
+    /// Revision of the table service.
+    pub fn revision(&self) -> u64 {
+        self.state.tables.lock().revision()
+    }
+
+    /// Makes the feed forget all changes up to a revision.
+    pub fn compact_to(&self, revision: u64) {
+        self.state.tables.lock().compact_to(revision);
+    }
+
+    /// Calls of the table service by class of key.
+    pub fn table_counts(&self) -> BTreeMap<String, CallCounts> {
+        self.state.tables.lock().counts()
+    }
+
+    /// Changes of configuration that were applied, oldest first.
+    pub fn configuration_log(&self) -> Vec<RevisionRecord> {
+        self.state.tables.lock().configuration()
+    }
+
+    /// Reads a whole object directly.
+    pub fn object(&self, name: &str) -> Option<Bytes> {
+        self.state.objects.lock().peek(name)
+    }
+
+    /// Names and sizes of objects under a prefix.
+    pub fn objects(&self, prefix: &str) -> Vec<(String, u64)> {
+        self.state.objects.lock().list(prefix, "", usize::MAX)
+    }
+
+    /// Objects created and parts read so far.
+    pub fn object_counts(&self) -> (u64, u64) {
+        self.state.objects.lock().counts()
+    }
+
+    /// Sets the machine list as true from the start: readers see it without lag.
+    pub fn begin_with_machines(&self, machines: Vec<Machine>) {
+        self.state.machines.lock().begin_with(machines);
+    }
+
+    /// Adds or replaces a machine; readers see it after the lag.
+    pub fn put_machine(&self, machine: Machine) {
+        let now_us = self.state.now_us();
+        self.state.machines.lock().change(now_us, |list| {
+            list.insert(machine.name.clone(), machine);
+        });
+    }
+
+    /// Removes a machine; readers see it after the lag.
+    pub fn remove_machine(&self, name: &str) {
+        let now_us = self.state.now_us();
+        self.state.machines.lock().change(now_us, |list| {
+            list.remove(name);
+        });
+    }
+
+    /// Marks a machine as leaving, or as staying; readers see it after the lag.
+    pub fn set_leaving(&self, name: &str, leaving: bool) {
+        let now_us = self.state.now_us();
+        self.state.machines.lock().change(now_us, |list| {
+            if let Some(machine) = list.get_mut(name) {
+                machine.leaving = leaving;
+            }
+        });
+    }
+
+    /// Changes the lag of the machine list.
+    pub fn set_machine_lag(&self, lag: Duration) {
+        let lag_us = lag.as_micros() as u64;
+        self.state.machines.lock().set_lag(lag_us);
+    }
+
+    /// The machine list as it truly is.
+    pub fn machines(&self) -> Vec<Machine> {
+        self.state.machines.lock().truth().into_values().collect()
+    }
+
+    /// Marks a version's weights as broken, or as whole.
+    pub fn set_broken_version(&self, version: &str, broken: bool) {
+        self.state.weights.lock().set_broken(version, broken);
+    }
+
+    /// Loads that engines began.
+    pub fn weight_loads(&self) -> u64 {
+        self.state.weights.lock().loads()
+    }
+
+    /// The weight store, for [`crate::engine::host::HostOptions`].
+    pub fn weights(&self) -> Arc<dyn WeightSource> {
+        Arc::new(Weights(self.state.clone()))
+    }
+
+    /// Stops the HTTP server; open connections break.
+    pub fn stop(&self) {
+        self.server.stop();
+    }
+}
+
+struct Weights(Arc<State>);
+
+impl WeightSource for Weights {
+    fn load(&self, _service: &str, version: &str) -> Result<Duration, String> {
+        let now_us = self.0.now_us();
+        let time_us = self.0.weights.lock().load(now_us, version)?;
+        Ok(Duration::from_micros(time_us))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/limiter.rs
@@ -0,0 +1,42 @@
+//! A token bucket in virtual time.
+
+/// A token bucket; time is an argument, in microseconds.
+#[derive(Debug, Clone)]
+pub(super) struct Limiter {
+    per_s: f64,
+    burst: f64,
+    tokens: f64,
+    at_us: u64,
+}
+
+impl Limiter {
+    /// A full bucket.
+    pub(super) fn new(per_s: f64, burst: f64) -> Limiter {
+        Limiter {
+            per_s,
+            burst: burst.max(1.0),
+            tokens: burst.max(1.0),
+            at_us: 0,
+        }
+    }
+
+    /// Changes the rate.
+    pub(super) fn set(&mut self, per_s: f64, burst: f64) {
+        self.per_s = per_s;
+        self.burst = burst.max(1.0);
+        self.tokens = self.tokens.min(self.burst);
+    }
+
+    /// Takes a token, or says when to come back, milliseconds.
+    pub(super) fn take(&mut self, now_us: u64) -> Result<(), u32> {
+        let passed_s = now_us.saturating_sub(self.at_us) as f64 / 1e6;
+        self.at_us = self.at_us.max(now_us);
+        self.tokens = (self.tokens + passed_s * self.per_s).min(self.burst);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let wait_ms = (1.0 - self.tokens) / self.per_s.max(f64::EPSILON) * 1_000.0;
+        Err((wait_ms.ceil() as u32).max(1))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/machines.rs
@@ -0,0 +1,70 @@
+//! State of the machine list: what readers see lags behind the truth.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use dappleyard_platform::Machine;
+
+type List = Arc<BTreeMap<String, Machine>>;
+
+/// State of the machine list. Times are microseconds.
+#[derive(Debug)]
+pub struct MachineState {
+    lag_us: u64,
+    /// Versions of the list with the time from which each was true, oldest first.
+    versions: VecDeque<(u64, List)>,
+}
+
+impl MachineState {
+    /// An empty list that lags.
+    pub fn new(lag_us: u64) -> MachineState {
+        MachineState {
+            lag_us,
+            versions: VecDeque::from([(0, List::default())]),
+        }
+    }
+
+    /// Changes the lag.
+    pub fn set_lag(&mut self, lag_us: u64) {
+        self.lag_us = lag_us;
+    }
+
+    /// Sets the list that was true from the very start: readers see it at once.
+    pub fn begin_with(&mut self, machines: Vec<Machine>) {
+        self.versions = VecDeque::from([(0, by_name(machines))]);
+    }
+
+    /// Changes the list; readers see it after the lag.
+    pub fn change(&mut self, now_us: u64, change: impl FnOnce(&mut BTreeMap<String, Machine>)) {
+        let mut next = self.truth();
+        change(&mut next);
+        self.versions.push_back((now_us, Arc::new(next)));
+    }
+
+    /// The list as it truly is.
+    pub fn truth(&self) -> BTreeMap<String, Machine> {
+        let newest = self.versions.back();
+        newest.map(|(_, list)| (**list).clone()).unwrap_or_default()
+    }
+
+    /// The list as readers see it now.
+    pub fn seen(&mut self, now_us: u64) -> Vec<Machine> {
+        let seen_at = now_us.saturating_sub(self.lag_us);
+        while self.versions.len() > 1 && self.versions[1].0 <= seen_at {
+            self.versions.pop_front();
+        }
+        let oldest = self.versions.front();
+        oldest
+            .map(|(_, list)| list.values().cloned().collect())
+            .unwrap_or_default()
+    }
+}
+
+fn by_name(machines: Vec<Machine>) -> List {
+    let named = machines.into_iter();
+    Arc::new(
+        named
+            .map(|machine| (machine.name.clone(), machine))
+            .collect(),
+    )
+}
--- /dev/null
+++ b/crates/standin/src/platform/weights.rs
@@ -0,0 +1,49 @@
+//! State of the weight store: one rate for all readers, so that a stampede takes long.
+
+use std::collections::BTreeSet;
+
+/// State of the weight store. Times are microseconds.
+#[derive(Debug)]
+pub struct WeightState {
+    bytes_time_us: u64,
+    free_at_us: u64,
+    broken: BTreeSet<String>,
+    loads: u64,
+}
+
+impl WeightState {
+    /// A store that gives versions of a size at a rate.
+    pub fn new(megabytes: f64, megabytes_per_s: f64, broken: &[String]) -> WeightState {
+        let seconds = megabytes / megabytes_per_s.max(f64::EPSILON);
+        WeightState {
+            bytes_time_us: (seconds * 1e6) as u64,
+            free_at_us: 0,
+            broken: broken.iter().cloned().collect(),
+            loads: 0,
+        }
+    }
+
+    /// Begins to read a version; returns how long it takes, in turn after the reads before it.
+    pub fn load(&mut self, now_us: u64, version: &str) -> Result<u64, String> {
+        self.loads += 1;
+        if self.broken.contains(version) {
+            return Err(format!("the weights of {version} are broken"));
+        }
+        self.free_at_us = self.free_at_us.max(now_us) + self.bytes_time_us;
+        Ok(self.free_at_us - now_us)
+    }
+
+    /// Marks a version as broken, or as whole again.
+    pub fn set_broken(&mut self, version: &str, broken: bool) {
+        if broken {
+            self.broken.insert(version.to_owned());
+        } else {
+            self.broken.remove(version);
+        }
+    }
+
+    /// Loads that were begun.
+    pub fn loads(&self) -> u64 {
+        self.loads
+    }
+}
