--- a/crates/batch/tests/jobs.rs
+++ b/crates/batch/tests/batch/jobs.rs
@@ -1,14 +1,13 @@
 //! Jobs from upload to result files, on nodes that share a store.
 
-mod support;
-
 use std::collections::BTreeSet;
 
 use dappleyard_settings::BatchSettings;
 use dappleyard_wire::ErrorKind;
 use dappleyard_wire::messages::JobPhase;
 use googletest::prelude::*;
-use support::{Fleet, lines, submit, upload};
+
+use crate::support::harness::{Fleet, lines, submit, upload};
 use tokio::task::LocalSet;
 
 fn custom_ids(text: &str) -> Vec<String> {
--- /dev/null
+++ b/crates/batch/tests/batch/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the batch path on nodes that share an in-memory store, in virtual time.
+
+mod jobs;
+mod support;
--- /dev/null
+++ b/crates/batch/tests/batch/support/mod.rs
@@ -0,0 +1,6 @@
+//! In-memory platform and engine, with faults that a test switches on.
+#![allow(dead_code)]
+
+pub mod engine;
+pub mod harness;
+pub mod platform;
