Membership: judge many losses as one event, after a survey; repair member lists by digest

Cause: in a simulated network of 30 nodes, the 10 nodes of a cut zone declared up to 26 members dead before they had noticed that they were the small side; and updates sent six times each did not reach all of 40 nodes. Change: many suspicions at once wait until none has come for the suspicion time, while a survey probes members believed alive; a death needs an acknowledgement since the suspicion and three own failed probes; digests carry a hash of the members and repair lists; no updates are spent on suspects.

--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -12,8 +12,9 @@
 //!   suspicions the length of the gap, and is not [`Standing::Vouched`] until a member has
 //!   acknowledged a probe sent after the gap;
 //! - a node that hears of its own death refutes it and must be acknowledged anew as well;
-//! - only a node that sees at least half of the fleet or of its zone, or the store, declares deaths
-//!   ([`Membership::may_judge`]): the small side of a cut does not declare the world dead;
+//! - only a node that sees at least half of the fleet or of its zone, or the store, declares deaths:
+//!   the small side of a cut does not declare the world dead;
+//! - many suspicions at once are one event, judged when it has stopped growing;
 //! - nobody is declared dead by a node whose own probes since the suspicion did not fail too.
 
 mod entry;
@@ -106,6 +107,7 @@
     sequence: u64,
     last_tick: Option<Millis>,
     next_probe: Millis,
+    next_survey: Millis,
     rounds: u64,
     standing: standing::Evidence,
 }
@@ -125,6 +127,7 @@
             sequence: 0,
             last_tick: None,
             next_probe: now,
+            next_survey: now,
             rounds: 0,
             standing: standing::Evidence::new(now),
         };
@@ -183,7 +186,7 @@
             return actions;
         }
         self.expire_probes(now, rng, &mut actions);
-        self.judge_suspects(now, &mut actions);
+        self.judge_suspects(now, rng, &mut actions);
         if now >= self.next_probe {
             self.next_probe = now.plus(self.settings.probe_interval_ms);
             self.rounds += 1;
--- a/crates/decide/src/membership/gossip.rs
+++ b/crates/decide/src/membership/gossip.rs
@@ -4,7 +4,7 @@
 
 use dappleyard_wire::MAXIMUM_DATAGRAM_BYTES;
 use dappleyard_wire::messages::datagram::Body;
-use dappleyard_wire::messages::{Datagram, Member, MemberState};
+use dappleyard_wire::messages::{Datagram, Member, MemberState, SyncDigest};
 use prost::Message;
 use rand::Rng;
 
@@ -18,11 +18,17 @@
 /// Bytes that the tag and length of one piggybacked update take.
 const UPDATE_OVERHEAD_BYTES: usize = 3;
 /// Members sent to one whose member list differs.
-pub const REPAIR_MEMBERS: usize = 8;
+const REPAIR_MEMBERS: usize = 8;
 
 impl Membership {
     /// Takes a datagram. Bodies other than probes and acknowledgements are the caller's.
-    pub fn receive(&mut self, now: Millis, from: SocketAddr, datagram: &Datagram) -> Vec<Action> {
+    pub fn receive<R: Rng>(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        datagram: &Datagram,
+        rng: &mut R,
+    ) -> Vec<Action> {
         let mut actions = Vec::new();
         if self.own.state() == MemberState::MemberLeft {
             return actions;
@@ -44,11 +50,54 @@
             Some(Body::IndirectProbe(request)) => {
                 self.probe_for_other(from, request, now, &mut actions);
             }
+            Some(Body::Digest(digest)) => self.compare_digest(from, digest, rng, &mut actions),
             _ => {}
         }
         actions
     }
 
+    /// Sends a digest of what this node knows to a random member, which answers with what differs.
+    pub fn send_digest<R: Rng>(&mut self, rng: &mut R) -> Vec<Action> {
+        let digest = self.digest(false);
+        let targets = self.random_present(1, "", rng);
+        targets
+            .into_iter()
+            .map(|to| {
+                let mut datagram = self.header();
+                datagram.body = Some(digest.clone());
+                Action::Send { to, datagram }
+            })
+            .collect()
+    }
+
+    /// A digest of what this node knows. `answering` says that it answers one already.
+    pub fn digest(&self, answering: bool) -> Body {
+        Body::Digest(SyncDigest {
+            configuration_revision: self.own.configuration_revision,
+            members_hash: self.members_hash(),
+            want_entries: answering,
+        })
+    }
+
+    /// Sends some statements about members when the sender's list differs, and asks for its own.
+    fn compare_digest<R: Rng>(
+        &mut self,
+        from: SocketAddr,
+        digest: &SyncDigest,
+        rng: &mut R,
+        actions: &mut Vec<Action>,
+    ) {
+        if digest.members_hash == self.members_hash() {
+            return;
+        }
+        let mut datagram = self.header();
+        datagram.members = self.repair_members(rng);
+        if !digest.want_entries {
+            datagram.body = Some(self.digest(true));
+        }
+        actions.push(Action::Send { to: from, datagram });
+    }
+
     /// Takes statements about members that came over another way than a datagram.
     pub fn learn_all(&mut self, members: &[Member], now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -156,8 +205,8 @@
         datagram
     }
 
-    /// A hash over all statements that this node holds, equal on nodes that agree.
-    pub fn members_hash(&self) -> u64 {
+    /// A hash over all present members, equal on nodes that agree.
+    fn members_hash(&self) -> u64 {
         let others = self.members.values().map(|entry| &entry.member);
         let present = others
             .chain(std::iter::once(&self.own))
@@ -169,7 +218,7 @@
     }
 
     /// Statements for a member whose list differs: the latest changes and a random few.
-    pub fn repair_members<R: Rng>(&self, rng: &mut R) -> Vec<Member> {
+    fn repair_members<R: Rng>(&self, rng: &mut R) -> Vec<Member> {
         let mut entries: Vec<&Entry> = self.members.values().collect();
         entries.sort_by_key(|entry| std::cmp::Reverse(entry.changed));
         let latest = entries.len().min(REPAIR_MEMBERS / 2);
--- a/crates/decide/src/membership/probing.rs
+++ b/crates/decide/src/membership/probing.rs
@@ -5,7 +5,7 @@
 use dappleyard_wire::messages::datagram::Body;
 use dappleyard_wire::messages::{Ack, Datagram, IndirectProbe, Member, MemberState, Probe};
 use rand::Rng;
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
 
 use super::entry::Suspicion;
 use super::{Action, Membership, PendingProbe};
@@ -15,8 +15,10 @@
 const CONTACTS_WHILE_ALONE: usize = 3;
 /// Rounds between probes of a contact, or of a member believed dead, while members are known.
 const ROUNDS_BETWEEN_CONTACTS: u64 = 5;
+/// Members probed in each interval beside the usual one while many losses are seen.
+const SURVEY_PROBES: usize = 4;
 /// Own probes that must fail after a suspicion before a member is declared dead.
-const FAILED_PROBES_FOR_DEATH: u32 = 2;
+const FAILED_PROBES_FOR_DEATH: u32 = 3;
 /// Longest time between the extra probes of a suspect that may not be judged, milliseconds.
 const LONGEST_SUSPECT_PAUSE_MS: u64 = 60_000;
 /// Suspicions that this node has not raised itself end this many times later.
@@ -112,8 +114,20 @@
         self.probes.insert(self.nonce, probe);
         let nonce = self.nonce;
         let mut first = vec![self.own.clone()];
-        first.extend(self.accusation_of(&target));
-        let datagram = self.compose(Body::Probe(Probe { nonce, target }), first);
+        let accusation = self.accusation_of(&target);
+        let body = Body::Probe(Probe { nonce, target });
+        let datagram = match accusation {
+            None => self.compose(body, first),
+            // Updates are not spent on a member that will hardly hear them.
+            Some(accusation) => {
+                first.push(accusation);
+                Datagram {
+                    body: Some(body),
+                    members: first,
+                    ..self.header()
+                }
+            }
+        };
         actions.push(Action::Send { to, datagram });
     }
 
@@ -217,7 +231,16 @@
 
     /// Probes suspects again, and declares dead those whose time is up and whom own probes did not
     /// reach either.
-    pub(super) fn judge_suspects(&mut self, now: Millis, actions: &mut Vec<Action>) {
+    pub(super) fn judge_suspects<R: Rng>(
+        &mut self,
+        now: Millis,
+        rng: &mut R,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.many_losses().is_some() && now >= self.next_survey {
+            self.next_survey = now.plus(self.settings.probe_interval_ms);
+            self.survey(now, rng, actions);
+        }
         let suspects: Vec<(String, Suspicion)> = self
             .members
             .iter()
@@ -226,13 +249,28 @@
         for (node, suspicion) in suspects {
             let due = now >= suspicion.deadline;
             let proven = suspicion.failed_probes >= FAILED_PROBES_FOR_DEATH;
-            if due && proven && self.declare_dead(&node, suspicion, now, actions) {
+            let settled = self.losses_settled(&suspicion, now);
+            if due && proven && settled && self.declare_dead(&node, suspicion, now, actions) {
                 continue;
             }
             self.probe_suspect(&node, suspicion, now, actions);
         }
     }
 
+    /// Probes some members that are believed alive, to learn how far a loss reaches.
+    fn survey<R: Rng>(&mut self, now: Millis, rng: &mut R, actions: &mut Vec<Action>) {
+        let alive = self
+            .members
+            .iter()
+            .filter(|(_, entry)| entry.member.state() == MemberState::MemberAlive);
+        let chosen = alive
+            .map(|(node, _)| node.clone())
+            .choose_multiple(rng, SURVEY_PROBES);
+        for node in chosen {
+            self.probe_member(&node, now, actions);
+        }
+    }
+
     /// Only those that raised the suspicion probe again before its end, so that a death costs a
     /// bounded number of probes; the others do so when its end comes.
     fn probe_suspect(
@@ -273,7 +311,7 @@
         let Some(entry) = self.members.get(node) else {
             return true;
         };
-        if !self.may_judge_zone(&entry.member.zone, now) {
+        if !self.may_judge(&entry.member.zone, suspicion.since, now) {
             return false;
         }
         let mut member = entry.member.clone();
--- a/crates/decide/src/membership/standing.rs
+++ b/crates/decide/src/membership/standing.rs
@@ -2,9 +2,15 @@
 
 use dappleyard_wire::messages::MemberState;
 
-use super::{Entry, Membership};
+use super::{Entry, Membership, Suspicion};
 use crate::time::Millis;
 
+/// Suspicions at once that count as one event: this many, or one in so many members.
+const CORRELATED_MINIMUM: usize = 3;
+const CORRELATED_SHARE: usize = 20;
+/// Longest wait for losses to settle, in suspicion times.
+const LONGEST_SETTLING: u64 = 4;
+
 /// Whether a node can vouch for what it knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -74,19 +80,40 @@
         Standing::Vouched
     }
 
-    /// Whether this node sees enough to declare others dead: at least half of the fleet, or the
-    /// store.
-    pub fn may_judge(&self, now: Millis) -> bool {
-        let store_answers = self
-            .standing
+    /// Whether this node sees enough to declare a member of this zone dead, which it has suspected
+    /// since some time: somebody has answered since; and at least half of the fleet, or of the zone
+    /// if it is its own, is alive, or the store answers.
+    pub(super) fn may_judge(&self, zone: &str, suspected: Millis, now: Millis) -> bool {
+        let evidence = &self.standing;
+        let store_answers = evidence
             .store
             .is_some_and(|sent| now.since(sent) <= self.settings.vouch_ms);
-        store_answers || self.sees_half(|_| true)
+        let member_answers = evidence.acknowledged.is_some_and(|sent| sent >= suspected);
+        let last_one = self.present() <= 1;
+        let own_zone = zone == self.own.zone;
+        let sees_half =
+            self.sees_half(|_| true) || own_zone && self.sees_half(|of| of == self.own.zone);
+        store_answers || (member_answers || last_one) && sees_half
+    }
+
+    /// Whether the losses that this node sees have stopped growing. Many suspicions at once are one
+    /// event, such as the loss of a zone or of this node's own network: they are judged together
+    /// when none has come for the suspicion time, in which a survey looks for more.
+    pub(super) fn losses_settled(&self, suspicion: &Suspicion, now: Millis) -> bool {
+        let longest = self.settings.suspicion_ms * LONGEST_SETTLING;
+        self.many_losses().is_none_or(|latest| {
+            now.since(latest) >= self.settings.suspicion_ms || now.since(suspicion.since) >= longest
+        })
     }
 
-    /// Whether this node sees enough to declare a member of this zone dead.
-    pub(super) fn may_judge_zone(&self, zone: &str, now: Millis) -> bool {
-        self.may_judge(now) || (zone == self.own.zone && self.sees_half(|of| of == zone))
+    /// When the latest of many suspicions at once was raised; `None` while there are few.
+    pub(super) fn many_losses(&self) -> Option<Millis> {
+        let suspicions = self.members.values().filter_map(|entry| entry.suspicion);
+        let (count, latest) = suspicions.fold((0, Millis(0)), |(count, latest), suspicion| {
+            (count + 1, latest.max(suspicion.since))
+        });
+        let many = (self.members.len() / CORRELATED_SHARE).max(CORRELATED_MINIMUM);
+        (count >= many).then_some(latest)
     }
 
     /// Whether at least half of the remembered members of the zones, with this node, are alive. Left
--- a/crates/fleet/src/actor.rs
+++ b/crates/fleet/src/actor.rs
@@ -20,7 +20,7 @@
 use dappleyard_transport::DatagramSocket;
 use dappleyard_transport::datagram::Received;
 use dappleyard_wire::messages::datagram::Body;
-use dappleyard_wire::messages::{Datagram, Member, MemberState, SyncDigest};
+use dappleyard_wire::messages::{Datagram, Member, MemberState};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -182,7 +182,8 @@
         }
         if now >= self.due.digest {
             self.due.digest = self.later(self.settings.digest_interval_ms);
-            self.send_digest();
+            let actions = self.membership.send_digest(&mut self.random);
+            self.perform(actions);
         }
         self.start_calls(now, context);
     }
@@ -227,7 +228,9 @@
         let now = self.now();
         self.metrics
             .count_datagram("in", datagram.body.as_ref(), bytes);
-        let actions = self.membership.receive(now, from, &datagram);
+        let actions = self
+            .membership
+            .receive(now, from, &datagram, &mut self.random);
         self.perform(actions);
         if datagram.from == self.membership.own().node {
             return;
@@ -264,14 +267,6 @@
             self.ahead = Some(from);
         }
     }
-
-    fn digest(&self, want_entries: bool) -> Body {
-        Body::Digest(SyncDigest {
-            configuration_revision: self.tables.configuration.revision(),
-            members_hash: self.membership.members_hash(),
-            want_entries,
-        })
-    }
 }
 
 fn membership_settings(settings: &FleetSettings) -> MembershipSettings {
--- a/crates/fleet/src/actor/outgoing.rs
+++ b/crates/fleet/src/actor/outgoing.rs
@@ -70,18 +70,11 @@
             && lags
             && self.synced
         {
-            let digest = self.digest(true);
+            let digest = self.membership.digest(true);
             self.send_body(to, digest);
         }
     }
 
-    pub(super) fn send_digest(&mut self) {
-        let digest = self.digest(false);
-        for to in self.membership.random_present(1, "", &mut self.random) {
-            self.send_body(to, digest.clone());
-        }
-    }
-
     /// Answers a digest with what the sender lacks; asks back when this node lacks something.
     pub(super) fn answer_digest(&mut self, from: SocketAddr, digest: &SyncDigest) {
         if self.synced
@@ -90,14 +83,6 @@
             self.send_body(from, Body::Entries(answer));
         }
         self.hear_revision(from, digest.configuration_revision);
-        if digest.members_hash != self.membership.members_hash() {
-            let mut datagram = self.membership.header();
-            datagram.members = self.membership.repair_members(&mut self.random);
-            if !digest.want_entries {
-                datagram.body = Some(self.digest(true));
-            }
-            self.send(from, &datagram);
-        }
     }
 
     /// Takes the answer to a digest; fetches the snapshot when it did not fit a datagram.
