Transport: bound what waits on a link, end what does not read, count all of it

Cause: queues of a link were without a bound, a cut was looked at only for the first of several queued frames, a dropped link stayed open, streams beyond the bound were dropped without an answer, and every announcement was sent whole. Change: the link is split into modules for settings, queue, streams, session, the two ends and announcements; waiting bytes are counted and bounded; a peer that does not read loses its link, a stream that is not read ends alone; only what changed is announced; links are counted by how they ended.

--- a/crates/online/src/owner_link.rs
+++ b/crates/online/src/owner_link.rs
@@ -56,12 +56,12 @@
         let incoming = Incoming::read(submit).map_err(|failure| NotSent(failure.message))?;
         let (to_owner, receiver) = mpsc::unbounded_channel();
         let (sink, from_owner) = mpsc::unbounded_channel();
-        let caller = Caller::local(sink, receiver);
+        let caller = Caller::local(sink, receiver.into());
         let run = OwnerRun::new(worker.clone(), incoming, caller);
         actix_rt::spawn(run.run());
         Ok(OwnerLink::Local {
             to_owner,
-            from_owner,
+            from_owner: from_owner.into(),
         })
     }
 
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -39,6 +39,10 @@
     pub idle_timeout_ms: u64,
     /// Largest frame, bytes.
     pub maximum_frame_bytes: usize,
+    /// Most bytes that wait to be sent on one link; a peer that reads more slowly loses it.
+    pub maximum_queued_bytes: usize,
+    /// Most bytes that wait to be read on one stream; a stream read more slowly is ended.
+    pub maximum_stream_bytes: usize,
     /// Most links accepted at once.
     pub maximum_links: usize,
     /// Most streams on one accepted link.
@@ -52,6 +56,8 @@
             ping_interval_ms: 250,
             idle_timeout_ms: 1_000,
             maximum_frame_bytes: 4_194_304,
+            maximum_queued_bytes: 16_777_216,
+            maximum_stream_bytes: 8_388_608,
             maximum_links: 4_000,
             maximum_streams: 20_000,
         }
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -217,8 +217,8 @@
             let dialled =
                 Link::connect(&address, hello, &links.settings, links.policy.clone()).await;
             links.note_dialled(&address, dialled.as_ref().ok());
-            if let Ok(link) = dialled {
-                link.wait_lost().await;
+            if let Ok(loss) = dialled.map(|link| link.loss_signal()) {
+                loss.wait().await;
                 links.changed.notify_waiters();
             }
         });
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! Scripted nodes and a sidecar on free ports.
-#![allow(dead_code)]
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod pool;
 
 pub use datagram::DatagramSocket;
-pub use link::{Link, LinkError, LinkServer, LinkSettings, ServerStream, StreamReceiver};
+pub use link::{
+    Link, LinkError, LinkMetrics, LinkServer, LinkSettings, ServerStream, StreamReceiver,
+};
 pub use policy::{DirectPolicy, LinkPolicy, LinkState};
 pub use pool::{CallError, LinkPool};
--- /dev/null
+++ b/crates/transport/src/link/server.rs
@@ -0,0 +1,241 @@
+//! The accepting end of links.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use dappleyard_wire::messages::{Frame, Hello, Ping, Pong, frame};
+use dappleyard_wire::{ErrorKind, Failure, PROTOCOL_VERSION};
+use futures::StreamExt;
+use prost::Message;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio_util::codec::Framed;
+
+use super::LinkError;
+use super::announce::{Announcement, announce};
+use super::outgoing::Outgoing;
+use super::session::{Session, Wired, send_now};
+use super::settings::LinkSettings;
+use super::stream::{Delivery, StreamReceiver, StreamTable};
+use crate::policy::SharedPolicy;
+
+/// Advice to a peer whose stream was refused, milliseconds.
+const REFUSED_RETRY_AFTER_MS: u32 = 200;
+
+/// The accepting end of links.
+pub struct LinkServer {
+    /// Hello sent on each link.
+    pub hello: Hello,
+    /// Bounds and timers.
+    pub settings: LinkSettings,
+    /// Shaping.
+    pub policy: SharedPolicy,
+    /// What is announced; a change is sent on every link.
+    pub announcement: watch::Receiver<Announcement>,
+}
+
+/// One stream opened by a peer.
+pub struct ServerStream {
+    /// Hello of the peer that opened it.
+    pub peer: Rc<Hello>,
+    /// First frame: a Submit or a Call.
+    pub first: frame::Body,
+    /// Frames after the first, and `None` when the peer's link is lost.
+    pub receiver: StreamReceiver,
+    id: u64,
+    outgoing: Rc<Outgoing>,
+}
+
+impl ServerStream {
+    /// Sends a frame on this stream; an error once the link is lost.
+    pub fn send(&self, body: frame::Body) -> Result<(), LinkError> {
+        self.sender().send(body)
+    }
+
+    /// A handle that can send on this stream while it is being received from.
+    pub fn sender(&self) -> ServerStreamSender {
+        ServerStreamSender {
+            id: self.id,
+            outgoing: self.outgoing.clone(),
+        }
+    }
+}
+
+/// Sending half of a [`ServerStream`].
+#[derive(Clone)]
+pub struct ServerStreamSender {
+    id: u64,
+    outgoing: Rc<Outgoing>,
+}
+
+impl ServerStreamSender {
+    /// Sends a frame on this stream; an error once the link is lost. In place of a frame larger than
+    /// a link carries the peer is told that the answer failed, so that it does not wait for it.
+    pub fn send(&self, body: frame::Body) -> Result<(), LinkError> {
+        let sent = self.outgoing.send(self.id, body);
+        if let Err(LinkError::TooLarge { bytes }) = &sent {
+            let message =
+                format!("the answer has a frame of {bytes} bytes, more than a link carries");
+            let failure = Failure::maybe_ran(ErrorKind::Internal, message);
+            let _ = self
+                .outgoing
+                .send(self.id, frame::Body::Refused(failure.to_refused()));
+        }
+        sent
+    }
+}
+
+impl LinkServer {
+    /// Accepts links for ever and hands each stream to `handler`, on this arbiter. Dropping the
+    /// future ends all links.
+    pub async fn serve(
+        self: Rc<Self>,
+        listener: TcpListener,
+        handler: Rc<dyn Fn(ServerStream)>,
+    ) -> std::io::Result<()> {
+        let mut links = JoinSet::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                Some(_) = links.join_next() => continue,
+            };
+            match accepted {
+                Ok(_) if links.len() >= self.settings.maximum_links => {
+                    self.settings.metrics.count_rejected("too_many");
+                }
+                Ok((socket, from)) => {
+                    let (server, handler) = (self.clone(), handler.clone());
+                    links.spawn_local(server.serve_link(socket, from, handler));
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "a link could not be accepted");
+                    tokio::time::sleep(self.settings.ping_interval).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_link(
+        self: Rc<Self>,
+        socket: TcpStream,
+        from: SocketAddr,
+        handler: Rc<dyn Fn(ServerStream)>,
+    ) {
+        let _ = socket.set_nodelay(true);
+        let mut wired = Framed::new(socket, self.settings.codec());
+        let peer = match self.shake_hands(&mut wired).await {
+            Ok(peer) => Rc::new(peer),
+            Err(reason) => {
+                self.settings.metrics.count_rejected(reason);
+                tracing::debug!(%from, reason, "a link was not taken up");
+                return;
+            }
+        };
+        let (outgoing, queue) = Outgoing::new(&peer.id, &self.settings, self.policy.clone());
+        let announcing = actix_rt::spawn(announce(self.announcement.clone(), outgoing.clone()));
+        let accepted = AcceptedLink {
+            server: &self,
+            peer: peer.clone(),
+            streams: StreamTable::new(self.settings.maximum_stream_bytes),
+            outgoing,
+            last_opened: Cell::new(0),
+            handler,
+        };
+        let session = Session {
+            settings: &self.settings,
+            policy: &self.policy,
+            peer: &peer.id,
+        };
+        let incoming = |received: Frame, size: usize| accepted.receive(received, size);
+        session.run(wired, queue, incoming).await;
+        announcing.abort();
+        accepted.streams.clear();
+    }
+
+    async fn shake_hands(&self, wired: &mut Wired) -> Result<Hello, &'static str> {
+        let first = tokio::time::timeout(self.settings.connect_timeout, wired.next()).await;
+        let bytes = match first {
+            Err(_) => return Err("no_hello_in_time"),
+            Ok(None) => return Err("closed"),
+            Ok(Some(Err(_))) => return Err("garbage"),
+            Ok(Some(Ok(bytes))) => bytes,
+        };
+        let Ok(Frame {
+            body: Some(frame::Body::Hello(peer)),
+            ..
+        }) = Frame::decode(bytes)
+        else {
+            return Err("garbage");
+        };
+        tokio::time::sleep(self.policy.path(&peer.id).delay).await;
+        let hello = frame::Body::Hello(self.hello.clone());
+        send_now(wired, hello).await.map_err(|_| "closed")?;
+        if peer.protocol != PROTOCOL_VERSION {
+            return Err("protocol");
+        }
+        Ok(peer)
+    }
+}
+
+/// One accepted link.
+struct AcceptedLink<'a> {
+    server: &'a LinkServer,
+    peer: Rc<Hello>,
+    streams: Rc<StreamTable>,
+    outgoing: Rc<Outgoing>,
+    last_opened: Cell<u64>,
+    handler: Rc<dyn Fn(ServerStream)>,
+}
+
+impl AcceptedLink<'_> {
+    fn receive(&self, received: Frame, size: usize) {
+        let Some(body) = received.body else { return };
+        if received.stream == 0 {
+            return self.receive_on_link(&body);
+        }
+        let opens = matches!(body, frame::Body::Submit(_) | frame::Body::Call(_));
+        if opens && received.stream > self.last_opened.get() {
+            self.last_opened.set(received.stream);
+            return self.open(received.stream, body);
+        }
+        let metrics = &self.server.settings.metrics;
+        match self.streams.deliver(received.stream, body, size) {
+            Delivery::Delivered => {}
+            Delivery::Unknown => metrics.count_dropped("no_stream"),
+            Delivery::Overflow => metrics.count_dropped("stream_not_read"),
+        }
+    }
+
+    fn receive_on_link(&self, body: &frame::Body) {
+        if let frame::Body::Ping(Ping { nonce }) = body {
+            let ready = self.server.announcement.borrow().ready;
+            let pong = Pong {
+                nonce: *nonce,
+                ready,
+            };
+            let _ = self.outgoing.send(0, frame::Body::Pong(pong));
+        }
+    }
+
+    fn open(&self, id: u64, first: frame::Body) {
+        if self.streams.len() >= self.server.settings.maximum_streams {
+            self.server.settings.metrics.streams_refused.inc();
+            let message = "too many streams are open on this link";
+            let failure = Failure::not_run(ErrorKind::Overloaded, message)
+                .retry_after(REFUSED_RETRY_AFTER_MS);
+            let _ = self
+                .outgoing
+                .send(id, frame::Body::Refused(failure.to_refused()));
+            return;
+        }
+        (self.handler)(ServerStream {
+            peer: self.peer.clone(),
+            first,
+            receiver: self.streams.insert(id),
+            id,
+            outgoing: self.outgoing.clone(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/transport/tests/link.rs
@@ -0,0 +1,253 @@
+//! Links between two ends: streams, announcements, loss, shaping.
+
+mod support;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_transport::LinkError;
+use dappleyard_transport::link::{Announcement, ServerStream};
+use dappleyard_wire::ErrorKind;
+use dappleyard_wire::messages::{NodeLoad, PeerNode, Peers, frame};
+use googletest::prelude::*;
+use support::{SwitchedPolicy, chunk, echo_server, serve, settings, submit, until};
+use tokio::time::Instant;
+
+#[gtest]
+#[actix_rt::test]
+async fn streams_of_one_link_do_not_mix() {
+    let server = echo_server(settings()).await;
+    let link = server.dial().await.unwrap();
+    let mut first = link.open(submit()).unwrap();
+    let mut second = link.open(submit()).unwrap();
+    expect_that!(first.receive().await, ok(eq(&chunk(1))));
+    expect_that!(second.receive().await, ok(eq(&chunk(1))));
+    second.send(chunk(2)).unwrap();
+    first.send(chunk(3)).unwrap();
+    expect_that!(first.receive().await, ok(eq(&chunk(3))));
+    expect_that!(second.receive().await, ok(eq(&chunk(2))));
+    expect_that!(link.open_streams(), eq(2));
+    drop((first, second));
+    expect_that!(link.open_streams(), eq(0));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn announcements_reach_each_link_and_their_changes_too() {
+    let server = echo_server(settings()).await;
+    let link = server.dial().await.unwrap();
+    expect_that!(link.takes_new_work(), eq(true));
+    let load = NodeLoad {
+        node: "server".to_owned(),
+        sequence: 7,
+        ..NodeLoad::default()
+    };
+    server.announcement.send_modify(|now| {
+        now.peers.nodes.push(PeerNode::default());
+        now.load = Some(load.clone());
+    });
+    until(|| link.load().is_some()).await;
+    expect_that!(link.peers().nodes.len(), eq(1));
+    server.announcement.send_modify(|now| now.ready = false);
+    until(|| !link.takes_new_work()).await;
+    server.announcement.send_modify(|now| now.ready = true);
+    until(|| link.takes_new_work()).await;
+    server
+        .announcement
+        .send_modify(|now| now.go_away_ms = Some(1_000));
+    until(|| !link.takes_new_work()).await;
+    expect_that!(link.is_up(), eq(true));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_link_that_comes_late_is_told_everything() {
+    let server = echo_server(settings()).await;
+    server.announcement.send_replace(Announcement {
+        ready: false,
+        go_away_ms: None,
+        peers: Peers {
+            nodes: vec![PeerNode::default()],
+        },
+        load: None,
+    });
+    let link = server.dial().await.unwrap();
+    until(|| !link.takes_new_work()).await;
+    expect_that!(link.peers().nodes.len(), eq(1));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn streams_end_when_the_server_is_gone() {
+    let server = echo_server(settings()).await;
+    let link = server.dial().await.unwrap();
+    let mut stream = link.open(submit()).unwrap();
+    stream.receive().await.unwrap();
+    server.serving.abort();
+    expect_that!(
+        stream.receive().await,
+        err(matches_pattern!(LinkError::Lost { .. }))
+    );
+    expect_that!(link.is_up(), eq(false));
+    expect_that!(
+        link.open(submit()).err(),
+        some(matches_pattern!(LinkError::Connect { .. }))
+    );
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_link_is_closed_when_its_last_user_is_gone() {
+    let server = echo_server(settings()).await;
+    let link = server.dial().await.unwrap();
+    let clone = link.clone();
+    drop(link);
+    expect_that!(server.closed("peer_end"), eq(0));
+    drop(clone);
+    until(|| server.closed("peer_end") == 1).await;
+    expect_that!(server.settings.metrics.open.get(), eq(0));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_path_that_is_cut_is_noticed_by_silence_at_both_ends() {
+    let server = echo_server(settings()).await;
+    let link = server.dial().await.unwrap();
+    tokio::time::pause();
+    let cut_at = Instant::now();
+    server.policy.set(|path| path.cut = true);
+    link.wait_lost().await;
+    expect_that!(cut_at.elapsed(), ge(settings().idle_timeout));
+    until(|| server.closed("peer_end") + server.closed("idle") == 1).await;
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn frames_wait_while_the_path_is_cut_and_pass_in_order_after_it() {
+    let server = echo_server(settings()).await;
+    let policy = SwitchedPolicy::direct();
+    let link = server.dial_through(policy.clone()).await.unwrap();
+    let mut stream = link.open(submit()).unwrap();
+    stream.receive().await.unwrap();
+    policy.set(|path| path.cut = true);
+    stream.send(chunk(2)).unwrap();
+    stream.send(chunk(3)).unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    policy.set(|path| path.cut = false);
+    expect_that!(stream.receive().await, ok(eq(&chunk(2))));
+    expect_that!(stream.receive().await, ok(eq(&chunk(3))));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_cut_that_begins_between_two_queued_frames_holds_the_second() {
+    let server = echo_server(settings()).await;
+    let policy = SwitchedPolicy::direct();
+    let link = server.dial_through(policy.clone()).await.unwrap();
+    let mut stream = link.open(submit()).unwrap();
+    stream.receive().await.unwrap();
+    policy.set(|path| path.delay = Duration::from_millis(20));
+    stream.send(chunk(2)).unwrap();
+    policy.set(|path| path.delay = Duration::from_millis(60));
+    stream.send(chunk(3)).unwrap();
+    expect_that!(stream.receive().await, ok(eq(&chunk(2))));
+    policy.set(|path| path.cut = true);
+    let held = tokio::time::timeout(Duration::from_millis(150), stream.receive()).await;
+    expect_that!(held.is_err(), eq(true));
+    policy.set(|path| path.cut = false);
+    expect_that!(stream.receive().await, ok(eq(&chunk(3))));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_delay_is_added_to_each_frame_but_not_summed_over_frames() {
+    let server = echo_server(settings()).await;
+    let policy = SwitchedPolicy::direct();
+    let link = server.dial_through(policy.clone()).await.unwrap();
+    let mut stream = link.open(submit()).unwrap();
+    stream.receive().await.unwrap();
+    tokio::time::pause();
+    let delay = Duration::from_millis(40);
+    policy.set(|path| path.delay = delay);
+    let sent_at = Instant::now();
+    for _ in 0..20 {
+        stream.send(chunk(2)).unwrap();
+    }
+    for _ in 0..20 {
+        stream.receive().await.unwrap();
+    }
+    expect_that!(sent_at.elapsed(), ge(delay));
+    expect_that!(sent_at.elapsed(), lt(delay * 10));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn streams_beyond_the_bound_are_refused_at_once() {
+    let mut bounds = settings();
+    bounds.maximum_streams = 1;
+    let server = echo_server(bounds).await;
+    let link = server.dial().await.unwrap();
+    let mut first = link.open(submit()).unwrap();
+    first.receive().await.unwrap();
+    let mut second = link.open(submit()).unwrap();
+    let Ok(frame::Body::Refused(refused)) = second.receive().await else {
+        panic!("the stream was not refused");
+    };
+    expect_that!(refused.kind, eq(ErrorKind::Overloaded as u32));
+    expect_that!(refused.ran, eq(0));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_frame_larger_than_the_bound_is_not_sent_and_harms_no_one() {
+    let server = echo_server(settings()).await;
+    let link = server.dial().await.unwrap();
+    let mut stream = link.open(submit()).unwrap();
+    stream.receive().await.unwrap();
+    expect_that!(
+        stream.send(chunk(20_000)),
+        err(matches_pattern!(LinkError::TooLarge { .. }))
+    );
+    stream.send(chunk(2)).unwrap();
+    expect_that!(stream.receive().await, ok(eq(&chunk(2))));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn an_answer_larger_than_a_frame_is_told_as_a_failure() {
+    let handler = Rc::new(|stream: ServerStream| drop(stream.send(chunk(20_000))));
+    let server = serve(settings(), handler).await;
+    let link = server.dial().await.unwrap();
+    let mut stream = link.open(submit()).unwrap();
+    let received = stream.receive().await;
+    expect_that!(
+        received,
+        ok(matches_pattern!(frame::Body::Refused(anything())))
+    );
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_stream_that_is_not_read_ends_alone() {
+    let mut bounds = settings();
+    bounds.maximum_stream_bytes = 10_000;
+    let handler = Rc::new(|stream: ServerStream| {
+        actix_rt::spawn(async move {
+            let _open = stream;
+            std::future::pending::<()>().await;
+        });
+    });
+    let server = serve(bounds, handler).await;
+    let link = server.dial().await.unwrap();
+    let flooded = link.open(submit()).unwrap();
+    for _ in 0..10 {
+        flooded.send(chunk(200)).unwrap();
+    }
+    let dropped = server
+        .settings
+        .metrics
+        .frames_dropped
+        .with_label_values(&["stream_not_read"]);
+    until(|| dropped.get() == 1).await;
+    expect_that!(link.is_up(), eq(true));
+}
--- /dev/null
+++ b/crates/transport/tests/support/mod.rs
@@ -0,0 +1,146 @@
+//! A link server on a free port, and a policy that tests can change.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use dappleyard_transport::link::{Announcement, LinkServer, LinkSettings, ServerStream};
+use dappleyard_transport::policy::{LinkPolicy, LinkState};
+use dappleyard_transport::{Link, LinkError};
+use dappleyard_wire::PROTOCOL_VERSION;
+use dappleyard_wire::messages::{Call, Chunk, Hello, ListModels, call, frame};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// One state for all paths, changed by the test.
+#[derive(Debug)]
+pub struct SwitchedPolicy(Mutex<LinkState>);
+
+impl SwitchedPolicy {
+    pub fn direct() -> Arc<Self> {
+        Arc::new(Self(Mutex::new(LinkState::DIRECT)))
+    }
+
+    pub fn set(&self, change: impl FnOnce(&mut LinkState)) {
+        change(&mut self.0.lock().unwrap());
+    }
+}
+
+impl LinkPolicy for SwitchedPolicy {
+    fn path(&self, _peer: &str) -> LinkState {
+        *self.0.lock().unwrap()
+    }
+}
+
+pub struct TestServer {
+    pub address: SocketAddr,
+    pub announcement: watch::Sender<Announcement>,
+    pub settings: LinkSettings,
+    pub policy: Arc<SwitchedPolicy>,
+    pub serving: actix_rt::task::JoinHandle<()>,
+}
+
+pub fn settings() -> LinkSettings {
+    LinkSettings {
+        maximum_frame_bytes: 64 * 1024,
+        ..LinkSettings::default()
+    }
+}
+
+pub fn hello(id: &str) -> Hello {
+    Hello {
+        protocol: PROTOCOL_VERSION,
+        id: id.to_owned(),
+        ..Hello::default()
+    }
+}
+
+pub async fn serve(settings: LinkSettings, handler: Rc<dyn Fn(ServerStream)>) -> TestServer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (announcement, receiver) = watch::channel(Announcement {
+        ready: true,
+        ..Announcement::default()
+    });
+    let policy = SwitchedPolicy::direct();
+    let server = Rc::new(LinkServer {
+        hello: hello("server"),
+        settings: settings.clone(),
+        policy: policy.clone(),
+        announcement: receiver,
+    });
+    let serving = actix_rt::spawn(async move {
+        let _ = server.serve(listener, handler).await;
+    });
+    TestServer {
+        address,
+        announcement,
+        settings,
+        policy,
+        serving,
+    }
+}
+
+/// A server that answers each stream with one chunk and keeps it open.
+pub async fn echo_server(settings: LinkSettings) -> TestServer {
+    let handler = Rc::new(|mut stream: ServerStream| {
+        actix_rt::spawn(async move {
+            let _ = stream.send(chunk(1));
+            while let Some(body) = stream.receiver.recv().await {
+                let _ = stream.send(body);
+            }
+        });
+    });
+    serve(settings, handler).await
+}
+
+impl TestServer {
+    pub async fn dial(&self) -> Result<Link, LinkError> {
+        self.dial_through(SwitchedPolicy::direct()).await
+    }
+
+    pub async fn dial_through(&self, policy: Arc<SwitchedPolicy>) -> Result<Link, LinkError> {
+        let address = self.address.to_string();
+        Link::connect(&address, hello("client"), &settings(), policy).await
+    }
+
+    pub fn closed(&self, reason: &str) -> u64 {
+        self.settings
+            .metrics
+            .closed
+            .with_label_values(&[reason])
+            .get()
+    }
+
+    pub fn rejected(&self, reason: &str) -> u64 {
+        self.settings
+            .metrics
+            .rejected
+            .with_label_values(&[reason])
+            .get()
+    }
+}
+
+pub fn chunk(pieces: usize) -> frame::Body {
+    frame::Body::Chunk(Chunk {
+        offset: 0,
+        pieces: vec!["piece".to_owned(); pieces],
+    })
+}
+
+pub fn submit() -> frame::Body {
+    frame::Body::Call(Call {
+        budget_ms: 1_000,
+        method: Some(call::Method::ListModels(ListModels::default())),
+    })
+}
+
+/// Waits until something holds; the test runner bounds the whole test.
+pub async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
