--- a/crates/online/src/worker.rs
+++ b/crates/online/src/worker.rs
@@ -84,10 +84,10 @@
     pub fn handle_local(self: &Rc<Self>, submit: Submit) -> LocalStream {
         let (to_worker, receiver) = mpsc::unbounded_channel();
         let (sink, from_worker) = mpsc::unbounded_channel();
-        self.begin(submit, Caller::local(sink, receiver));
+        self.begin(submit, Caller::local(sink, receiver.into()));
         LocalStream {
             to_worker,
-            from_worker,
+            from_worker: from_worker.into(),
         }
     }
 
