--- a/crates/batch/src/jobs/mod.rs
+++ b/crates/batch/src/jobs/mod.rs
@@ -19,7 +19,7 @@
 use dappleyard_wire::{ErrorKind, Failure};
 
 pub use approval::{JobPlan, TenantEffect};
-pub use progress::{Progress, finish_when_done};
+pub use progress::{End, Progress, finish_when_done};
 
 use crate::store::{self, Versioned};
 
--- a/crates/batch/src/jobs/progress.rs
+++ b/crates/batch/src/jobs/progress.rs
@@ -127,13 +127,13 @@
     }
 }
 
-/// Whether all chunks from `front` on are done, reading no further than the first that is not.
-/// `front` is the count of those known to be done and is moved on.
-async fn all_done(
+/// The first chunk from `front` on that is not done; `None` when all are. `front` is the count of
+/// those known to be done and is moved on. A chunk row that is missing counts as done by nobody.
+async fn first_undone(
     platform: &Platform,
     job: &JobRow,
     front: &mut Progress,
-) -> Result<bool, StoreError> {
+) -> Result<Option<Undone>, StoreError> {
     let id = job.state.as_ref().map_or("", |state| &state.job_id);
     let prefix = format!("{}{id}/", keys::CHUNK_PREFIX);
     while front.done_chunks < job.chunks {
@@ -143,43 +143,66 @@
         };
         let rows = platform.tables.range(&prefix, &after, FINISH_PAGE).await?;
         if rows.is_empty() {
-            return Ok(false);
+            return Ok(Some(Undone::Missing));
         }
         for read in rows {
             let chunk = store::decode::<ChunkRow>(&read.key, &read.value, read.revision)?.row;
             if chunk.phase() != ChunkPhase::ChunkDone {
-                return Ok(false);
+                return Ok(Some(Undone::Chunk(Versioned {
+                    row: chunk,
+                    revision: read.revision,
+                })));
             }
             front.add(&chunk);
         }
     }
-    Ok(true)
+    Ok(None)
+}
+
+/// What stands in the way of a job's end.
+#[derive(Debug, Clone, PartialEq)]
+enum Undone {
+    Chunk(Versioned<ChunkRow>),
+    Missing,
+}
+
+/// What was found when the end of a job was looked for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum End {
+    /// The job is finished, now or before.
+    Finished,
+    /// It goes on; the first chunk that is not committed, when there is one.
+    Running(Option<Versioned<ChunkRow>>),
 }
 
 /// Rows read at once when a job's end is looked for.
 const FINISH_PAGE: usize = 32;
 
 /// Completes a job whose chunks are all committed. `front` is what the caller knows to be committed
-/// at the front of the job; it is moved on. Returns whether the job is finished.
+/// at the front of the job; it is moved on.
 pub async fn finish_when_done(
     platform: &Platform,
     tenant: &str,
     job: &str,
     front: &mut Progress,
     now_unix_s: u64,
-) -> Result<bool, StoreError> {
+) -> Result<End, StoreError> {
     let key = keys::job(&tenant.into(), &job.into());
     let Some(read) = store::read_row::<JobRow>(&*platform.tables, &key).await? else {
-        return Ok(true);
+        return Ok(End::Finished);
     };
     let phase = read.row.state.as_ref().map(JobState::phase);
+    if is_final(phase) {
+        return Ok(End::Finished);
+    }
     if phase != Some(JobPhase::JobInProgress) {
-        return Ok(is_final(phase));
+        return Ok(End::Running(None));
     }
-    if !all_done(platform, &read.row, front).await? {
-        return Ok(false);
+    match first_undone(platform, &read.row, front).await? {
+        Some(Undone::Chunk(chunk)) => Ok(End::Running(Some(chunk))),
+        Some(Undone::Missing) => Ok(End::Running(None)),
+        None => complete(platform, &key, read, front, now_unix_s).await,
     }
-    complete(platform, &key, read, front, now_unix_s).await
 }
 
 fn is_final(phase: Option<JobPhase>) -> bool {
@@ -195,7 +218,7 @@
     read: Versioned<JobRow>,
     progress: &Progress,
     now_unix_s: u64,
-) -> Result<bool, StoreError> {
+) -> Result<End, StoreError> {
     let mut row = read.row;
     let mut state = row.state.take().unwrap_or_default();
     let active = keys::active_job(&state.job_id.as_str().into());
@@ -213,5 +236,8 @@
         JobRow::decode(value.clone())
             .is_ok_and(|row| is_final(row.state.as_ref().map(JobState::phase)))
     });
-    Ok(matches!(applied.await?, Applied::Yes { .. }))
+    Ok(match applied.await? {
+        Applied::Yes { .. } => End::Finished,
+        Applied::Conflict => End::Running(None),
+    })
 }
--- a/crates/batch/src/runner/claim.rs
+++ b/crates/batch/src/runner/claim.rs
@@ -48,7 +48,9 @@
         let Some((row, job)) = claim_one(runner, service).await? else {
             return Ok(());
         };
+        let place = (job.to_string(), row.row.index);
         load::hold(runner, job, row).await;
+        runner.state.borrow_mut().claiming.remove(&place);
     }
     Ok(())
 }
@@ -114,10 +116,17 @@
         let chosen = rand::rng().random_range(0..rows.len());
         let open = rows.swap_remove(chosen);
         let read = store::decode::<ChunkRow>(&open.key, &open.value, open.revision)?;
-        if let Some(claimed) = write_claim(runner, job, read).await? {
+        let place = (job.to_string(), read.row.index);
+        runner.state.borrow_mut().claiming.insert(place.clone());
+        let claimed = write_claim(runner, job, read).await;
+        if let Ok(Some(claimed)) = claimed {
             runner.metrics.chunk("claimed");
             return Ok(Some(claimed));
         }
+        // A claim whose fate is unknown may still take effect: the sweep of this node's own list
+        // finds it then.
+        runner.state.borrow_mut().claiming.remove(&place);
+        claimed?;
     }
     Ok(None)
 }
--- a/crates/batch/src/runner/commit.rs
+++ b/crates/batch/src/runner/commit.rs
@@ -13,7 +13,7 @@
 
 use super::Runner;
 use super::work::{HeldChunk, StopReason};
-use crate::jobs::{Progress, finish_when_done};
+use crate::jobs::{End, Progress, finish_when_done};
 use crate::store::{self, Applied, wait_jittered};
 
 /// Wait between two attempts while the store does not answer, milliseconds, jittered.
@@ -157,11 +157,11 @@
     let now = runner.now_unix_s();
     let finished = finish_when_done(&runner.platform, &chunk.tenant, job, &mut front, now).await;
     match finished {
-        Ok(true) => {
+        Ok(End::Finished) => {
             let cause = "all chunks are committed";
             runner.decide(DecisionKind::JobChanged, job, cause, "completed".to_owned());
         }
-        Ok(false) => {}
+        Ok(End::Running(_)) => {}
         Err(error) => tracing::debug!(%error, job, "the end of a job was not looked for"),
     }
 }
--- a/crates/batch/src/runner/dispatch.rs
+++ b/crates/batch/src/runner/dispatch.rs
@@ -155,9 +155,9 @@
 
 fn cancel(runner: &Rc<Runner>, server: &OwnedServer, streams: Vec<String>) {
     for stream in streams {
-        let runner = runner.clone();
         let base = server.entry.base_url.clone();
-        actix_rt::spawn(async move { run_item::cancel_stream(&runner, &base, &stream).await });
+        let canceller = runner.clone();
+        runner.spawn(async move { run_item::cancel_stream(&canceller, &base, &stream).await });
     }
 }
 
--- a/crates/batch/src/runner/janitor.rs
+++ b/crates/batch/src/runner/janitor.rs
@@ -3,13 +3,16 @@
 
 use std::rc::Rc;
 
+use dappleyard_platform::tables::Expect;
 use dappleyard_platform::{StoreError, Transaction};
 use dappleyard_wire::ids::JobId;
 use dappleyard_wire::keys::{self, OPEN_CHUNK_PREFIX};
-use dappleyard_wire::messages::ActiveJobRow;
+use dappleyard_wire::messages::{ActiveJobRow, ChunkPhase, ChunkRow};
+use prost::Message;
 
 use super::Runner;
-use crate::jobs::{Progress, finish_when_done};
+use crate::jobs::{End, Progress, finish_when_done};
+use crate::store::{self, Versioned};
 
 /// Time between two looks, milliseconds, for each member.
 const SWEEP_MS_PER_MEMBER: u64 = 1_000;
@@ -41,7 +44,49 @@
     }
     let now = runner.now_unix_s();
     let mut front = Progress::default();
-    finish_when_done(&runner.platform, &job.tenant, &job.job_id, &mut front, now).await?;
+    let end = finish_when_done(&runner.platform, &job.tenant, &job.job_id, &mut front, now).await?;
+    match end {
+        End::Running(Some(first)) => mend(runner, first).await,
+        End::Running(None) | End::Finished => Ok(()),
+    }
+}
+
+/// Mends the first chunk of a job that is not committed, if no list leads to it any more: whatever
+/// was lost, the front of a job moves on.
+async fn mend(runner: &Runner, chunk: Versioned<ChunkRow>) -> Result<(), StoreError> {
+    let job = JobId::from(&chunk.row.job_id);
+    let tables = &*runner.platform.tables;
+    match chunk.row.phase() {
+        ChunkPhase::ChunkClaimed => {
+            if runner.is_gone(&chunk.row.holder, chunk.row.holder_incarnation) {
+                runner.reopen(&job, chunk, true).await?;
+            }
+        }
+        ChunkPhase::ChunkOpen => {
+            let open = keys::open_chunk(&job, chunk.row.index);
+            let listed = tables.get(&open).await?;
+            if listed.is_none_or(|listed| listed.revision != chunk.revision) {
+                list_again(runner, &job, chunk).await?;
+            }
+        }
+        ChunkPhase::ChunkDone => {}
+    }
+    Ok(())
+}
+
+/// Writes an open chunk and its list entry anew, at one revision.
+async fn list_again(
+    runner: &Runner,
+    job: &JobId,
+    chunk: Versioned<ChunkRow>,
+) -> Result<(), StoreError> {
+    let key = keys::chunk(job, chunk.row.index);
+    let row = chunk.row.encode_to_vec();
+    let transaction = Transaction::default()
+        .expect(key.as_str(), Expect::Revision(chunk.revision))
+        .put(key.as_str(), row.clone())
+        .put(keys::open_chunk(job, chunk.row.index), row);
+    store::apply(&*runner.platform.tables, &transaction, &key, |_| false).await?;
     Ok(())
 }
 
--- a/crates/batch/src/runner/load.rs
+++ b/crates/batch/src/runner/load.rs
@@ -14,11 +14,12 @@
 use crate::store::{self, Versioned, wait_jittered};
 
 /// Loads the input of a claimed chunk and queues its items. While the store does not answer it is
-/// tried again. A chunk whose job or input is gone is dropped.
+/// tried again. A chunk whose job is cancelled or gone is dropped; the janitor removes its rows.
 pub async fn hold(runner: &Rc<Runner>, job: JobId, row: Versioned<ChunkRow>) {
     let items = loop {
         match load(runner, &job, &row.row).await {
-            Ok(items) => break items,
+            Ok(Some(items)) => break items,
+            Ok(None) => return,
             Err(error @ StoreError::Invalid { .. }) => {
                 tracing::warn!(%error, %job, "a chunk was not loaded");
                 return;
@@ -33,11 +34,18 @@
     queue(runner, &chunk);
 }
 
-async fn load(runner: &Runner, job: &JobId, row: &ChunkRow) -> Result<Vec<Item>, StoreError> {
+/// Reads a chunk's items; `None` when its job is cancelled or gone.
+async fn load(
+    runner: &Runner,
+    job: &JobId,
+    row: &ChunkRow,
+) -> Result<Option<Vec<Item>>, StoreError> {
     let key = keys::job(&row.tenant.as_str().into(), job);
     let read = store::read_row::<JobRow>(&*runner.platform.tables, &key).await?;
-    let state = read.and_then(|read| read.row.state);
-    let state = state.ok_or_else(|| invalid("the job is gone"))?;
+    let Some(job_row) = read.map(|read| read.row).filter(|row| !row.cancelled) else {
+        return Ok(None);
+    };
+    let state = job_row.state.unwrap_or_default();
     let objects = &*runner.platform.objects;
     let parts = PartIndex::list(objects, &row.tenant, &state.input_file_id).await?;
     let bytes = parts
@@ -49,7 +57,7 @@
         .filter_map(|line| parse(line, &state.endpoint).ok())
         .collect();
     match items.len() == row.items as usize {
-        true => Ok(items),
+        true => Ok(Some(items)),
         false => Err(invalid("the input does not hold the chunk's items")),
     }
 }
--- a/crates/batch/src/runner/mod.rs
+++ b/crates/batch/src/runner/mod.rs
@@ -35,7 +35,7 @@
 use dappleyard_tables::NodeTables;
 use dappleyard_tables::decisions::{Decision, DecisionKind, Subject};
 use tokio::sync::Notify;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 use crate::metrics::Metrics;
 use state::{ChunkPlace, State};
@@ -67,6 +67,8 @@
     /// Wakes the splitter.
     split_wake: Notify,
     draining: Cell<bool>,
+    /// Items under way and commits; they end with the runner.
+    children: RefCell<JoinSet<()>>,
 }
 
 /// A running batch runner.
@@ -89,6 +91,7 @@
         claim_wake: Notify::new(),
         split_wake: Notify::new(),
         draining: Cell::new(false),
+        children: RefCell::new(JoinSet::new()),
     });
     let tasks = vec![
         actix_rt::spawn(feed::run(runner.clone())),
@@ -116,10 +119,18 @@
         for task in &self.tasks {
             task.abort();
         }
+        self.runner.children.borrow_mut().abort_all();
     }
 }
 
 impl Runner {
+    /// Runs a task that ends with the runner.
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        let mut children = self.children.borrow_mut();
+        while children.try_join_next().is_some() {}
+        children.spawn_local(task);
+    }
+
     fn claimant(&self) -> Claimant {
         Claimant {
             node: self.tables.identity.node.as_str().to_owned(),
--- a/crates/batch/src/runner/run_item.rs
+++ b/crates/batch/src/runner/run_item.rs
@@ -59,7 +59,7 @@
     let server = state.servers.entry(entry.server.clone()).or_default();
     server.running.push(running);
     drop(state);
-    actix_rt::spawn(follow(runner.clone(), entry, item, request, attempt));
+    runner.spawn(follow(runner.clone(), entry, item, request, attempt));
 }
 
 async fn follow(
--- a/crates/batch/src/runner/settle.rs
+++ b/crates/batch/src/runner/settle.rs
@@ -33,7 +33,7 @@
             chunk.remaining.set(chunk.remaining.get() - 1);
         }
         if previous.is_none() && chunk.remaining.get() == 0 {
-            actix_rt::spawn(commit::run(self.clone(), chunk.clone()));
+            self.spawn(commit::run(self.clone(), chunk.clone()));
         }
     }
 
--- a/crates/batch/src/runner/state.rs
+++ b/crates/batch/src/runner/state.rs
@@ -1,6 +1,6 @@
 //! What the runner's tasks share: active jobs, held chunks, waiting and running items.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 use dappleyard_decide::fairness::TenantShares;
@@ -56,6 +56,8 @@
     pub jobs: BTreeMap<String, ActiveJob>,
     /// When the feed was last read with success.
     pub feed_read_at: Option<Millis>,
+    /// Chunks that are being claimed or loaded.
+    pub claiming: BTreeSet<ChunkPlace>,
     /// Chunks held, input loaded.
     pub held: BTreeMap<ChunkPlace, Rc<HeldChunk>>,
     /// Items never started, by service.
@@ -71,6 +73,11 @@
 }
 
 impl State {
+    /// Whether this node works on a chunk.
+    pub fn knows(&self, place: &ChunkPlace) -> bool {
+        self.held.contains_key(place) || self.claiming.contains(place)
+    }
+
     /// Items of a service that wait.
     pub fn waiting(&self, service: &str) -> usize {
         let fresh = self.fresh.get(service).map_or(0, VecDeque::len);
--- a/crates/batch/src/runner/takeover.rs
+++ b/crates/batch/src/runner/takeover.rs
@@ -13,7 +13,7 @@
 use dappleyard_tables::decisions::DecisionKind;
 use dappleyard_wire::ids::JobId;
 use dappleyard_wire::keys::{self, HELD_CHUNK_PREFIX};
-use dappleyard_wire::messages::{ChunkRow, EpochRow};
+use dappleyard_wire::messages::{ChunkRow, EpochRow, JobRow};
 use prost::Message;
 use rand::Rng;
 
@@ -60,10 +60,8 @@
         let rows = tables.range(HELD_CHUNK_PREFIX, &after, PAGE).await?;
         let full = rows.len() == PAGE;
         for row in rows {
-            let held = store::decode::<EpochRow>(&row.key, &row.value, row.revision)?.row;
-            if runner.is_gone(&held.holder, held.holder_incarnation) {
-                open_again(runner, &row.key, &held).await?;
-            }
+            let held = store::decode::<EpochRow>(&row.key, &row.value, row.revision)?;
+            look_at(runner, &row.key, &held).await?;
             after = row.key;
         }
         if !full {
@@ -72,25 +70,47 @@
     }
 }
 
-/// Opens one chunk of a holder that is gone.
-async fn open_again(runner: &Runner, held_key: &str, held: &EpochRow) -> Result<(), StoreError> {
-    let Some((job, index)) = place(held_key, &held.holder) else {
+/// Opens a chunk whose holder is gone, or that is this node's without its knowing: a claim took
+/// effect after this node had given up waiting for its answer.
+async fn look_at(
+    runner: &Runner,
+    held_key: &str,
+    held: &Versioned<EpochRow>,
+) -> Result<(), StoreError> {
+    let Some((job, index)) = place(held_key, &held.row.holder) else {
         return Ok(());
     };
-    let key = keys::chunk(&job, index);
+    let claimant = runner.claimant();
+    let (holder, incarnation) = (&held.row.holder, held.row.holder_incarnation);
+    let own = *holder == claimant.node && incarnation == claimant.incarnation;
+    let unknown = own && !runner.state.borrow().knows(&(job.to_string(), index));
+    if unknown || runner.is_gone(holder, incarnation) {
+        open_again(runner, held_key, held, &job, index).await?;
+    }
+    Ok(())
+}
+
+async fn open_again(
+    runner: &Runner,
+    held_key: &str,
+    held: &Versioned<EpochRow>,
+    job: &JobId,
+    index: u32,
+) -> Result<(), StoreError> {
+    let key = keys::chunk(job, index);
     let Some(read) = store::read_row::<ChunkRow>(&*runner.platform.tables, &key).await? else {
-        return remove_list_entry(runner, held_key).await;
+        return remove_list_entry(runner, held_key, held.revision).await;
     };
-    let row = &read.row;
-    if row.epoch != held.epoch || row.holder != held.holder {
-        return remove_list_entry(runner, held_key).await;
+    let stale = read.row.epoch != held.row.epoch || read.row.holder != held.row.holder;
+    if stale || !is_live_job(runner, &read.row.tenant, job).await? {
+        return remove_list_entry(runner, held_key, held.revision).await;
     }
-    if !runner.reopen(&job, read, true).await? {
+    if !runner.reopen(job, read, true).await? {
         return Ok(());
     }
     runner.metrics.chunk("taken_over");
     let outcome = format!("chunk {index} was opened again");
-    let cause = format!("node {} is gone", held.holder);
+    let cause = format!("node {} does not work on it any more", held.row.holder);
     runner.decide(DecisionKind::TakenOver, job.as_str(), &cause, outcome);
     Ok(())
 }
@@ -104,10 +124,18 @@
     Some((JobId::from(job), index.parse().ok()?))
 }
 
-/// Removes an entry that its chunk row does not bear out.
-async fn remove_list_entry(runner: &Runner, key: &str) -> Result<(), StoreError> {
-    let transaction = Transaction::default().delete(key);
-    runner.platform.tables.transact(transaction).await?;
+async fn is_live_job(runner: &Runner, tenant: &str, job: &JobId) -> Result<bool, StoreError> {
+    let key = keys::job(&tenant.into(), job);
+    let read = store::read_row::<JobRow>(&*runner.platform.tables, &key).await?;
+    Ok(read.is_some_and(|read| !read.row.cancelled))
+}
+
+/// Removes an entry that its chunk row does not bear out, unless it was written anew meanwhile.
+async fn remove_list_entry(runner: &Runner, key: &str, revision: u64) -> Result<(), StoreError> {
+    let transaction = Transaction::default()
+        .expect(key, Expect::Revision(revision))
+        .delete(key);
+    store::apply(&*runner.platform.tables, &transaction, key, |_| false).await?;
     Ok(())
 }
 
--- /dev/null
+++ b/crates/batch/tests/batch/faults.rs
@@ -0,0 +1,309 @@
+//! Faults: lost answers, lost and paused nodes, outages, cancels that race with commits.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dappleyard_platform::Transaction;
+use dappleyard_platform::tables::Write;
+use dappleyard_settings::BatchSettings;
+use dappleyard_wire::messages::{ChunkPhase, ChunkRow, JobPhase, JobState};
+use googletest::prelude::*;
+use prost::Message;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::task::LocalSet;
+
+use crate::support::harness::{Fleet, lines, once_submit, submit, upload};
+use crate::support::platform::Fault;
+
+const ITEMS: usize = 60;
+
+fn settings() -> BatchSettings {
+    BatchSettings {
+        chunk_minimum_items: 4,
+        once_chunk_items: 4,
+        ..BatchSettings::default()
+    }
+}
+
+/// Result lines by the names of their items.
+async fn results(fleet: &Fleet, node: usize, job: &JobState) -> BTreeMap<String, Vec<String>> {
+    let mut found: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for file in [&job.output_file_id, &job.error_file_id] {
+        for line in fleet.nodes[node].read_file(file).await.lines() {
+            let value: serde_json::Value = serde_json::from_str(line).expect("a JSON line");
+            let name = value["custom_id"].as_str().expect("a name").to_owned();
+            let code = value["error"]["code"].as_str().unwrap_or("ok").to_owned();
+            found.entry(name).or_default().push(code);
+        }
+    }
+    found
+}
+
+fn expect_once_each(found: &BTreeMap<String, Vec<String>>, items: usize) {
+    expect_that!(found.len(), eq(items));
+    expect_that!(
+        found.values().filter(|lines| lines.len() != 1).count(),
+        eq(0)
+    );
+}
+
+fn writes_done_chunk(transaction: &Transaction) -> bool {
+    transaction.writes.iter().any(|write| match write {
+        Write::Put { key, value } if key.starts_with("chunk/") => {
+            ChunkRow::decode(value.clone()).is_ok_and(|row| row.phase() == ChunkPhase::ChunkDone)
+        }
+        _ => false,
+    })
+}
+
+fn done_chunks(fleet: &Fleet, job: &str) -> usize {
+    let keys = fleet.platform.keys(&format!("chunk/{job}/"));
+    let rows = keys
+        .iter()
+        .filter_map(|key| fleet.platform.row::<ChunkRow>(key));
+    rows.filter(|row| row.phase() == ChunkPhase::ChunkDone)
+        .count()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn lost_answers_neither_lose_nor_double_a_result() {
+    for seed in 0..8 {
+        LocalSet::new()
+            .run_until(async move {
+                let fleet = Fleet::start(3, settings());
+                let file = upload(&fleet.nodes[0], &lines(ITEMS, 10)).await;
+                let mut random = StdRng::seed_from_u64(seed);
+                fleet
+                    .platform
+                    .on_transact(move |_| match random.random_range(0..10) {
+                        0 | 1 => Some(Fault::LostAfterEffect),
+                        2 => Some(Fault::LostBeforeEffect),
+                        3 => Some(Fault::Down),
+                        _ => None,
+                    });
+                let job = loop {
+                    if let Ok(job) = fleet.nodes[0].submit(submit(&file, "key")).await {
+                        break job;
+                    }
+                };
+                let ended = fleet.nodes[1].ended(&job.job_id).await;
+                expect_that!(ended.phase(), eq(JobPhase::JobCompleted));
+                expect_once_each(&results(&fleet, 1, &ended).await, ITEMS);
+                expect_that!(fleet.platform.keys("job/").len(), eq(1));
+            })
+            .await;
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_job_survives_the_loss_of_the_node_that_accepted_it() {
+    LocalSet::new()
+        .run_until(async {
+            let mut fleet = Fleet::start(3, settings());
+            let file = upload(&fleet.nodes[0], &lines(ITEMS, 10)).await;
+            let job = fleet.nodes[0]
+                .submit(submit(&file, "key"))
+                .await
+                .expect("accepted");
+            fleet.kill(0);
+            fleet.declare_dead(0);
+            let resent = fleet.nodes[1]
+                .submit(submit(&file, "key"))
+                .await
+                .expect("the same");
+            expect_that!(resent.job_id, eq(&job.job_id));
+            let ended = fleet.nodes[2].ended(&job.job_id).await;
+            expect_once_each(&results(&fleet, 1, &ended).await, ITEMS);
+        })
+        .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn chunks_of_a_lost_node_are_run_by_others() {
+    for after_ms in [5, 20, 40, 60, 80, 120] {
+        LocalSet::new()
+            .run_until(async move {
+                let mut fleet = Fleet::start(3, settings());
+                let file = upload(&fleet.nodes[0], &lines(ITEMS, 10)).await;
+                let job = fleet.nodes[0]
+                    .submit(submit(&file, "key"))
+                    .await
+                    .expect("accepted");
+                tokio::time::sleep(Duration::from_millis(after_ms)).await;
+                fleet.kill(0);
+                fleet.declare_dead(0);
+                let ended = fleet.nodes[2].ended(&job.job_id).await;
+                expect_once_each(&results(&fleet, 1, &ended).await, ITEMS);
+            })
+            .await;
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_was_believed_dead_is_fenced() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = Fleet::start(3, settings());
+            let file = upload(&fleet.nodes[0], &lines(ITEMS, 800)).await;
+            let job = fleet.nodes[0]
+                .submit(submit(&file, "key"))
+                .await
+                .expect("accepted");
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            fleet.declare_dead(0);
+            let ended = fleet.nodes[2].ended(&job.job_id).await;
+            expect_once_each(&results(&fleet, 1, &ended).await, ITEMS);
+            tokio::time::sleep(Duration::from_secs(30)).await;
+            // The results that lost were removed: as many objects as chunks are left.
+            let chunks = fleet.platform.keys("chunk/").len();
+            expect_that!(fleet.platform.object_names("results/").len(), eq(chunks));
+            expect_that!(fleet.platform.keys("held-chunk/").len(), eq(0));
+        })
+        .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn nothing_is_committed_or_started_after_a_cancel() {
+    for after_ms in [0, 10, 30, 50, 70, 100, 150, 300] {
+        LocalSet::new()
+            .run_until(async move {
+                let fleet = Fleet::start(3, settings());
+                let file = upload(&fleet.nodes[0], &lines(2_000, 40)).await;
+                let job = fleet.nodes[0]
+                    .submit(submit(&file, "key"))
+                    .await
+                    .expect("accepted");
+                tokio::time::sleep(Duration::from_millis(after_ms)).await;
+                let cancelled = fleet.nodes[2].cancel(&job.job_id).await.expect("cancelled");
+                expect_that!(cancelled.phase(), eq(JobPhase::JobCancelled));
+                let done = done_chunks(&fleet, &job.job_id);
+                tokio::time::sleep(Duration::from_secs(2)).await;
+                let started = fleet.engine.runs.borrow().len();
+                tokio::time::sleep(Duration::from_secs(60)).await;
+                expect_that!(fleet.engine.runs.borrow().len(), eq(started));
+                expect_that!(done_chunks(&fleet, &job.job_id), eq(done));
+                expect_that!(fleet.platform.keys("open-chunk/").len(), eq(0));
+                expect_that!(fleet.platform.keys("held-chunk/").len(), eq(0));
+                expect_that!(fleet.platform.keys("active-job/").len(), eq(0));
+                let readable = results(&fleet, 1, &cancelled).await;
+                expect_that!(readable.len() as u32, eq(cancelled.items_completed));
+            })
+            .await;
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_cancel_whose_commit_race_is_lost_by_the_answer_still_holds() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = Fleet::start(2, settings());
+            let file = upload(&fleet.nodes[0], &lines(200, 40)).await;
+            let job = fleet.nodes[0]
+                .submit(submit(&file, "key"))
+                .await
+                .expect("accepted");
+            // Every commit's answer is lost, with and without effect in turn.
+            let turn = Cell::new(0);
+            fleet.platform.on_transact(move |transaction| {
+                turn.set(turn.get() + 1);
+                let lost = match turn.get() % 2 {
+                    0 => Fault::LostAfterEffect,
+                    _ => Fault::LostBeforeEffect,
+                };
+                writes_done_chunk(transaction).then_some(lost)
+            });
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            fleet.nodes[1].cancel(&job.job_id).await.expect("cancelled");
+            let done = done_chunks(&fleet, &job.job_id);
+            tokio::time::sleep(Duration::from_secs(30)).await;
+            expect_that!(done_chunks(&fleet, &job.job_id), eq(done));
+        })
+        .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn batch_goes_on_after_the_store_was_down_for_minutes() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = Fleet::start(3, settings());
+            let file = upload(&fleet.nodes[0], &lines(ITEMS, 40)).await;
+            let job = fleet.nodes[0]
+                .submit(submit(&file, "key"))
+                .await
+                .expect("accepted");
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            fleet.platform.set_down(true);
+            let refused = fleet.nodes[1].submit(submit(&file, "other")).await;
+            expect_that!(refused.is_err(), eq(true));
+            tokio::time::sleep(Duration::from_secs(120)).await;
+            fleet.platform.set_down(false);
+            let ended = fleet.nodes[2].ended(&job.job_id).await;
+            expect_that!(ended.phase(), eq(JobPhase::JobCompleted));
+            expect_once_each(&results(&fleet, 1, &ended).await, ITEMS);
+            expect_that!(fleet.platform.keys("job/").len(), eq(1));
+        })
+        .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn items_that_must_not_repeat_run_at_most_once_when_a_node_is_lost() {
+    for after_ms in [20, 40, 60, 80, 100, 150] {
+        for killed in [true, false] {
+            LocalSet::new()
+                .run_until(async move {
+                    let mut fleet = Fleet::start(3, settings());
+                    let file = upload(&fleet.nodes[0], &lines(ITEMS, 40)).await;
+                    let call = once_submit(&file, "key");
+                    let job = fleet.nodes[0].submit(call).await.expect("accepted");
+                    tokio::time::sleep(Duration::from_millis(after_ms)).await;
+                    if killed {
+                        fleet.kill(0);
+                    }
+                    fleet.declare_dead(0);
+                    let ended = fleet.nodes[2].ended(&job.job_id).await;
+                    tokio::time::sleep(Duration::from_secs(10)).await;
+                    expect_once_each(&results(&fleet, 1, &ended).await, ITEMS);
+                    let runs = fleet.engine.runs.borrow();
+                    let mut counts = BTreeMap::new();
+                    for run in runs.iter() {
+                        *counts.entry(run.request_id.clone()).or_insert(0) += 1;
+                    }
+                    let repeated = counts.values().filter(|count| **count > 1).count();
+                    expect_that!(repeated, eq(0));
+                })
+                .await;
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_planned_stop_hands_chunks_back() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = Fleet::start(2, settings());
+            let file = upload(&fleet.nodes[0], &lines(ITEMS, 100)).await;
+            let job = fleet.nodes[0]
+                .submit(submit(&file, "key"))
+                .await
+                .expect("accepted");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let handle = fleet.nodes[0].handle.as_ref().expect("runs");
+            handle.drain().await;
+            let held = fleet.platform.keys("held-chunk/node-0/");
+            expect_that!(held.len(), eq(0));
+            let ended = fleet.nodes[1].ended(&job.job_id).await;
+            expect_once_each(&results(&fleet, 1, &ended).await, ITEMS);
+        })
+        .await;
+}
--- a/crates/batch/tests/batch/main.rs
+++ b/crates/batch/tests/batch/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the batch path on nodes that share an in-memory store, in virtual time.
 
+mod faults;
 mod jobs;
 mod support;
