--- a/crates/batch/tests/batch/faults.rs
+++ b/crates/batch/tests/batch/faults.rs
@@ -7,6 +7,7 @@
 use dappleyard_platform::Transaction;
 use dappleyard_platform::tables::Write;
 use dappleyard_settings::BatchSettings;
+use dappleyard_wire::keys;
 use dappleyard_wire::messages::{ChunkPhase, ChunkRow, JobPhase, JobState};
 use googletest::prelude::*;
 use prost::Message;
@@ -29,6 +30,7 @@
 
 /// Result lines by the names of their items.
 async fn results(fleet: &Fleet, node: usize, job: &JobState) -> BTreeMap<String, Vec<String>> {
+    expect_results_under_their_epochs(fleet, &job.job_id);
     let mut found: BTreeMap<String, Vec<String>> = BTreeMap::new();
     for file in [&job.output_file_id, &job.error_file_id] {
         for line in fleet.nodes[node].read_file(file).await.lines() {
@@ -41,6 +43,17 @@
     found
 }
 
+/// Each committed chunk points to the object that was made under the epoch in its row.
+fn expect_results_under_their_epochs(fleet: &Fleet, job: &str) {
+    for key in fleet.platform.keys(&format!("chunk/{job}/")) {
+        let row: ChunkRow = fleet.platform.row(&key).expect("a chunk row");
+        if row.phase() == ChunkPhase::ChunkDone {
+            let own = keys::result_object(&job.into(), row.index, row.epoch);
+            expect_that!(row.result_object, eq(&own));
+        }
+    }
+}
+
 fn expect_once_each(found: &BTreeMap<String, Vec<String>>, items: usize) {
     expect_that!(found.len(), eq(items));
     expect_that!(
