--- /dev/null
+++ b/crates/dappleyard/src/command.rs
@@ -0,0 +1,78 @@
+//! The command line.
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, crate_version, value_parser};
+use clap_complete::Shell;
+
+use crate::{flags, logging};
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("dappleyard")
+        .version(crate_version!())
+        .about("Online and batch inference on one shared fleet")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(node())
+        .subcommand(sidecar())
+        .subcommand(check())
+        .subcommand(dappleyard_ctl::command())
+        .subcommand(completions())
+}
+
+fn node() -> Command {
+    Command::new("node")
+        .about("Runs a node: everything between sidecars and engines")
+        .args(logging::arguments())
+        .args(flags::node_arguments())
+        .after_help("Example:\n  dappleyard node --config node.toml --id node-3 --zone zone-2")
+}
+
+fn sidecar() -> Command {
+    Command::new("sidecar")
+        .about("Runs the process beside a caller: an OpenAI-compatible interface on loopback")
+        .args(logging::arguments())
+        .args(flags::sidecar_arguments())
+        .after_help("Example:\n  dappleyard sidecar --listen 127.0.0.1:8080 --node 10.0.0.7:7700")
+}
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Reads a settings file and prints the effective settings, or every error in it")
+        .arg(
+            Arg::new("file")
+                .required(true)
+                .value_name("FILE")
+                .help("Settings file"),
+        )
+        .arg(
+            Arg::new("kind")
+                .long("kind")
+                .value_parser(["node", "sidecar"])
+                .default_value("node")
+                .help("Program that the settings are for"),
+        )
+        .after_help(
+            "Example:\n  dappleyard check node.toml\n  dappleyard check --kind sidecar s.toml",
+        )
+}
+
+fn completions() -> Command {
+    Command::new("completions")
+        .about("Prints a shell's completion script")
+        .arg(
+            Arg::new("shell")
+                .required(true)
+                .value_parser(value_parser!(Shell)),
+        )
+        .after_help("Example:\n  dappleyard completions bash > /etc/bash_completion.d/dappleyard")
+}
+
+/// Prints the completion script of the shell asked for.
+pub fn print_completions(arguments: &ArgMatches) -> ExitCode {
+    if let Some(shell) = arguments.get_one::<Shell>("shell") {
+        clap_complete::generate(*shell, &mut command(), "dappleyard", &mut std::io::stdout());
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/dappleyard/src/flags.rs
@@ -0,0 +1,120 @@
+//! Flags that override settings.
+
+use std::path::Path;
+
+use clap::{Arg, ArgAction, ArgMatches};
+use dappleyard_settings::{
+    NodeSettings, SettingsError, SidecarSettings, load_node, load_sidecar, recheck_node,
+    recheck_sidecar,
+};
+
+fn text(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).help(help)
+}
+
+fn config() -> Arg {
+    text(
+        "config",
+        "FILE",
+        "Settings file in TOML; without one the defaults hold",
+    )
+}
+
+/// Flags of `dappleyard node`.
+pub fn node_arguments() -> Vec<Arg> {
+    vec![
+        config(),
+        text("id", "NAME", "Node id, unique in the fleet"),
+        text("zone", "NAME", "Zone"),
+        text("region", "NAME", "Region"),
+        text("link", "HOST:PORT", "TCP address of links"),
+        text("gossip", "HOST:PORT", "UDP address of gossip"),
+        text(
+            "admin",
+            "HOST:PORT",
+            "HTTP address of metrics, health and operators",
+        ),
+        text(
+            "platform",
+            "URL",
+            "Base URL of the platform: tables, objects and machines below it",
+        ),
+        text(
+            "seed",
+            "HOST:PORT",
+            "Gossip address of another node; may be repeated",
+        )
+        .action(ArgAction::Append),
+    ]
+}
+
+/// Flags of `dappleyard sidecar`.
+pub fn sidecar_arguments() -> Vec<Arg> {
+    vec![
+        config(),
+        text("id", "NAME", "Name of this process"),
+        text("zone", "NAME", "Zone"),
+        text("region", "NAME", "Region"),
+        text(
+            "listen",
+            "HOST:PORT",
+            "Loopback address of the callers' interface",
+        ),
+        text(
+            "node",
+            "HOST:PORT",
+            "Link address of a node; may be repeated",
+        )
+        .action(ArgAction::Append),
+    ]
+}
+
+/// Settings of a node from the file and the flags.
+pub fn node_settings(arguments: &ArgMatches) -> Result<NodeSettings, SettingsError> {
+    let mut settings = match arguments.get_one::<String>("config") {
+        Some(file) => load_node(Path::new(file))?,
+        None => NodeSettings::default(),
+    };
+    set(arguments, "id", &mut settings.id);
+    set(arguments, "zone", &mut settings.place.zone);
+    set(arguments, "region", &mut settings.place.region);
+    set(arguments, "link", &mut settings.link_listen);
+    set(arguments, "gossip", &mut settings.gossip_listen);
+    set(arguments, "admin", &mut settings.admin_listen);
+    set_all(arguments, "seed", &mut settings.fleet.seeds);
+    if let Some(base) = arguments.get_one::<String>("platform") {
+        let base = base.trim_end_matches('/');
+        settings.platform.tables_url = format!("{base}/tables");
+        settings.platform.objects_url = format!("{base}/objects");
+        settings.platform.machines_url = format!("{base}/machines");
+    }
+    recheck_node(&settings)?;
+    Ok(settings)
+}
+
+/// Settings of a sidecar from the file and the flags.
+pub fn sidecar_settings(arguments: &ArgMatches) -> Result<SidecarSettings, SettingsError> {
+    let mut settings = match arguments.get_one::<String>("config") {
+        Some(file) => load_sidecar(Path::new(file))?,
+        None => SidecarSettings::default(),
+    };
+    set(arguments, "id", &mut settings.id);
+    set(arguments, "zone", &mut settings.place.zone);
+    set(arguments, "region", &mut settings.place.region);
+    set(arguments, "listen", &mut settings.listen);
+    set_all(arguments, "node", &mut settings.nodes);
+    recheck_sidecar(&settings)?;
+    Ok(settings)
+}
+
+fn set(arguments: &ArgMatches, name: &str, setting: &mut String) {
+    if let Some(value) = arguments.get_one::<String>(name) {
+        setting.clone_from(value);
+    }
+}
+
+fn set_all(arguments: &ArgMatches, name: &str, setting: &mut Vec<String>) {
+    if let Some(values) = arguments.get_many::<String>(name) {
+        *setting = values.cloned().collect();
+    }
+}
--- /dev/null
+++ b/crates/dappleyard/src/node.rs
@@ -0,0 +1,27 @@
+//! `dappleyard node`: runs a node until it is asked to stop.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::ArgMatches;
+use dappleyard_transport::DirectPolicy;
+
+use crate::failure::Failure;
+use crate::{flags, logging, signals};
+
+/// Runs a node.
+pub fn run(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
+    let settings = flags::node_settings(arguments)?;
+    logging::start(arguments)?;
+    actix_rt::System::new().block_on(async move {
+        let node = dappleyard_node::start(settings, Arc::new(DirectPolicy)).await?;
+        signals::stop_requested().await?;
+        let finished = node.stop().await;
+        tracing::info!(finished, "planned stop ended");
+        Ok(if finished {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
+        })
+    })
+}
--- /dev/null
+++ b/crates/dappleyard/src/sidecar.rs
@@ -0,0 +1,22 @@
+//! `dappleyard sidecar`: runs a sidecar until it is asked to stop.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::ArgMatches;
+use dappleyard_transport::DirectPolicy;
+
+use crate::failure::Failure;
+use crate::{flags, logging, signals};
+
+/// Runs a sidecar.
+pub fn run(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
+    let settings = flags::sidecar_settings(arguments)?;
+    logging::start(arguments)?;
+    actix_rt::System::new().block_on(async move {
+        let sidecar = dappleyard_sidecar::start(settings, Arc::new(DirectPolicy)).await?;
+        signals::stop_requested().await?;
+        sidecar.stop().await;
+        Ok(ExitCode::SUCCESS)
+    })
+}
--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,66 @@
+//! The admin HTTP server: metrics, health, and the operators' interface.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use actix_web::dev::ServerHandle;
+use actix_web::{App, HttpResponse, HttpServer, web};
+use dappleyard_operate::OperateApi;
+use dappleyard_platform::PlatformFactory;
+use dappleyard_settings::OperateSettings;
+use dappleyard_tables::{Lifecycle, NodeTables};
+use prometheus::TextEncoder;
+
+/// Largest body that the admin interface accepts, bytes.
+const MAXIMUM_BODY_BYTES: usize = 1_048_576;
+
+/// Starts the server on its own worker thread.
+pub fn start(
+    listener: TcpListener,
+    tables: Arc<NodeTables>,
+    settings: OperateSettings,
+    platform: PlatformFactory,
+) -> std::io::Result<ServerHandle> {
+    let server = HttpServer::new(move || {
+        let api = OperateApi::new(tables.clone(), settings.clone(), platform());
+        App::new()
+            .app_data(web::Data::from(tables.clone()))
+            .app_data(web::PayloadConfig::new(MAXIMUM_BODY_BYTES))
+            .route("/metrics", web::get().to(metrics))
+            .route("/healthz", web::get().to(healthz))
+            .route("/readyz", web::get().to(readyz))
+            .configure(|config| dappleyard_operate::configure(config, api))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+async fn metrics(tables: web::Data<NodeTables>) -> HttpResponse {
+    match TextEncoder::new().encode_to_string(&tables.metrics.gather()) {
+        Ok(text) => HttpResponse::Ok()
+            .content_type(prometheus::TEXT_FORMAT)
+            .body(text),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
+
+/// The process runs.
+async fn healthz() -> &'static str {
+    "ok\n"
+}
+
+/// The node takes new work.
+async fn readyz(tables: web::Data<NodeTables>) -> HttpResponse {
+    let lifecycle = *tables.lifecycle.borrow();
+    let text = format!("{lifecycle:?}\n").to_lowercase();
+    if lifecycle == Lifecycle::Ready {
+        HttpResponse::Ok().body(text)
+    } else {
+        HttpResponse::ServiceUnavailable().body(text)
+    }
+}
--- /dev/null
+++ b/crates/node/src/calls.rs
@@ -0,0 +1,101 @@
+//! Unary calls on links: each method goes to the part that answers it.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use dappleyard_batch::JobsApi;
+use dappleyard_online::OnlineWorker;
+use dappleyard_tables::{Lifecycle, NodeTables};
+use dappleyard_transport::ServerStream;
+use dappleyard_wire::messages::{
+    Call, MemberState, ModelEntry, ModelList, Reply, call, frame, reply,
+};
+use dappleyard_wire::{ErrorKind, Failure};
+
+/// Answers calls on one worker thread.
+pub struct CallHandler {
+    /// Shared tables.
+    pub tables: Arc<NodeTables>,
+    /// Jobs and files.
+    pub jobs: JobsApi,
+    /// At-most-once records.
+    pub online: Rc<OnlineWorker>,
+}
+
+impl CallHandler {
+    /// Answers one call on its stream; nothing is sent once the caller's link is lost.
+    pub async fn answer(&self, call: Call, stream: ServerStream) {
+        let body = match self.dispatch(call).await {
+            Ok(reply) => frame::Body::Reply(reply),
+            Err(failure) => frame::Body::Refused(failure.to_refused()),
+        };
+        let _ = stream.send(body);
+    }
+
+    async fn dispatch(&self, call: Call) -> Result<Reply, Failure> {
+        use call::Method;
+        match &call.method {
+            Some(Method::CellSync(_)) => {
+                let answer = dappleyard_fleet::cell_sync(&self.tables);
+                Ok(Reply {
+                    result: Some(reply::Result::CellSync(answer)),
+                })
+            }
+            Some(Method::ListModels(_)) => Ok(self.models()),
+            Some(Method::RecordBegin(_) | Method::RecordSettle(_)) => {
+                self.online.record_call(call).await
+            }
+            Some(_) if self.refuses_calls() => Err(Failure::not_run(
+                ErrorKind::NotReady,
+                "the node does not take new calls at present; use another node",
+            )),
+            Some(_) => self.jobs.call(call).await,
+            None => Err(Failure::not_run(
+                ErrorKind::InvalidRequest,
+                "the call names no method",
+            )),
+        }
+    }
+
+    fn refuses_calls(&self) -> bool {
+        *self.tables.lifecycle.borrow() != Lifecycle::Ready
+    }
+
+    /// Services of the configuration, and those that servers of the directory are meant for.
+    fn models(&self) -> Reply {
+        let configuration = self.tables.configuration.current();
+        let mut models: BTreeMap<String, ModelEntry> = BTreeMap::new();
+        for entry in self.tables.directory.all() {
+            let service = entry.service.to_string();
+            models.entry(service.clone()).or_insert(ModelEntry {
+                service,
+                ..Default::default()
+            });
+        }
+        for row in configuration.services.values() {
+            let entry = ModelEntry {
+                service: row.name.clone(),
+                version: row.version.clone(),
+                adapters: row.adapters.clone(),
+            };
+            models.insert(row.name.clone(), entry);
+        }
+        let list = ModelList {
+            models: models.into_values().collect(),
+        };
+        Reply {
+            result: Some(reply::Result::Models(list)),
+        }
+    }
+}
+
+/// Whether any other member is believed alive.
+pub fn has_live_peer(tables: &NodeTables) -> bool {
+    let own = tables.identity.node.as_str();
+    tables
+        .members
+        .all()
+        .iter()
+        .any(|member| member.node != own && member.state() == MemberState::MemberAlive)
+}
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,103 @@
+//! The control thread: membership, configuration, engine reports, controllers, announcements.
+
+use std::net::UdpSocket as StdUdpSocket;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use dappleyard_engine::{Engine, HttpEngine};
+use dappleyard_fleet::{FleetContext, FleetHandle};
+use dappleyard_operate::{OperateContext, OperateHandle};
+use dappleyard_platform::PlatformFactory;
+use dappleyard_settings::NodeSettings;
+use dappleyard_tables::NodeTables;
+use dappleyard_transport::DatagramSocket;
+use dappleyard_transport::link::Announcement;
+use dappleyard_transport::policy::SharedPolicy;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::announce;
+
+/// What the control thread is given.
+pub struct ControlContext {
+    /// Settings of the node.
+    pub settings: NodeSettings,
+    /// Shared tables.
+    pub tables: Arc<NodeTables>,
+    /// Makes this thread's platform clients.
+    pub platform: PlatformFactory,
+    /// Shaping of datagrams and links.
+    pub policy: SharedPolicy,
+    /// Bound gossip socket.
+    pub socket: StdUdpSocket,
+    /// Address of the node's links.
+    pub link_address: String,
+    /// Address of the node's admin interface.
+    pub admin_address: String,
+    /// What is announced on links.
+    pub announcement: Arc<watch::Sender<Announcement>>,
+}
+
+/// Asks the control thread to announce that the node leaves; answered once that is sent.
+pub type LeaveRequest = oneshot::Sender<()>;
+
+struct ControlParts {
+    fleet: FleetHandle,
+    _operate: OperateHandle,
+}
+
+/// Starts the parts on this thread.
+pub async fn start(
+    context: ControlContext,
+) -> std::io::Result<mpsc::UnboundedSender<LeaveRequest>> {
+    let parts = start_parts(context).await?;
+    let (sender, mut requests) = mpsc::unbounded_channel::<LeaveRequest>();
+    actix_rt::spawn(async move {
+        while let Some(request) = requests.recv().await {
+            parts.fleet.leave().await;
+            let _ = request.send(());
+        }
+    });
+    Ok(sender)
+}
+
+async fn start_parts(context: ControlContext) -> std::io::Result<ControlParts> {
+    let ControlContext {
+        settings,
+        tables,
+        platform,
+        policy,
+        socket,
+        ..
+    } = context;
+    socket.set_nonblocking(true)?;
+    let socket = DatagramSocket::from_socket(UdpSocket::from_std(socket)?, policy.clone());
+    let engine: Rc<dyn Engine> = Rc::new(HttpEngine::new(
+        settings.online.engine_connect_timeout_ms,
+        settings.online.engine_idle_timeout_ms,
+    ));
+    let platform = platform();
+    let fleet = dappleyard_fleet::start(FleetContext {
+        tables: tables.clone(),
+        settings: settings.fleet.clone(),
+        platform: platform.clone(),
+        socket,
+        link_address: context.link_address,
+        admin_address: context.admin_address,
+        policy,
+        link_settings: (&settings.link).into(),
+    });
+    dappleyard_online::start_reports(tables.clone(), settings.online.clone(), engine.clone());
+    let operate = dappleyard_operate::start(OperateContext {
+        tables: tables.clone(),
+        settings: settings.operate.clone(),
+        platform,
+        engine,
+    });
+    let bound = u32::try_from(settings.stop_bound_ms).unwrap_or(u32::MAX);
+    actix_rt::spawn(announce::run(tables, context.announcement, bound));
+    Ok(ControlParts {
+        fleet,
+        _operate: operate,
+    })
+}
--- /dev/null
+++ b/crates/node/src/request.rs
@@ -0,0 +1,98 @@
+//! A request worker: accepts links and hands each stream to the online path or to a call handler.
+
+use std::net::TcpListener as StdTcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use dappleyard_batch::JobsApi;
+use dappleyard_engine::HttpEngine;
+use dappleyard_online::{OnlineContext, OnlineShared, OnlineWorker};
+use dappleyard_platform::PlatformFactory;
+use dappleyard_settings::NodeSettings;
+use dappleyard_tables::NodeTables;
+use dappleyard_transport::link::Announcement;
+use dappleyard_transport::policy::SharedPolicy;
+use dappleyard_transport::{LinkPool, LinkServer, ServerStream};
+use dappleyard_wire::messages::{Hello, frame};
+use dappleyard_wire::{ErrorKind, Failure};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::calls::CallHandler;
+
+/// What each request worker is given.
+#[derive(Clone)]
+pub struct RequestContext {
+    /// Settings of the node.
+    pub settings: NodeSettings,
+    /// Shared tables.
+    pub tables: Arc<NodeTables>,
+    /// State shared by the workers of the online path.
+    pub shared: Arc<OnlineShared>,
+    /// Makes this worker's platform clients.
+    pub platform: PlatformFactory,
+    /// Shaping of links.
+    pub policy: SharedPolicy,
+    /// What is announced on links.
+    pub announcement: watch::Receiver<Announcement>,
+    /// Hello of this node.
+    pub hello: Hello,
+}
+
+/// Runs a worker on this thread until the thread ends.
+pub async fn run(context: RequestContext, listener: StdTcpListener) -> std::io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = TcpListener::from_std(listener)?;
+    let handler = stream_handler(&context);
+    let server = Rc::new(LinkServer {
+        hello: context.hello,
+        settings: (&context.settings.link).into(),
+        policy: context.policy,
+        announcement: context.announcement,
+    });
+    server.serve(listener, handler).await
+}
+
+fn stream_handler(context: &RequestContext) -> Rc<dyn Fn(ServerStream)> {
+    let platform = (context.platform)();
+    let engine = Rc::new(HttpEngine::new(
+        context.settings.online.engine_connect_timeout_ms,
+        context.settings.online.engine_idle_timeout_ms,
+    ));
+    let links = Rc::new(LinkPool::new(
+        context.hello.clone(),
+        (&context.settings.link).into(),
+        context.policy.clone(),
+    ));
+    let online = OnlineWorker::new(OnlineContext {
+        tables: context.tables.clone(),
+        settings: context.settings.online.clone(),
+        platform: platform.clone(),
+        engine,
+        links,
+        shared: context.shared.clone(),
+    });
+    let calls = Rc::new(CallHandler {
+        tables: context.tables.clone(),
+        jobs: JobsApi::new(
+            context.tables.clone(),
+            context.settings.batch.clone(),
+            platform,
+        ),
+        online: online.clone(),
+    });
+    Rc::new(move |stream: ServerStream| match stream.first.clone() {
+        frame::Body::Submit(submit) => online.handle(submit, stream),
+        frame::Body::Call(call) => {
+            let calls = calls.clone();
+            actix_rt::spawn(async move { calls.answer(call, stream).await });
+        }
+        _ => {
+            let failure = Failure::not_run(
+                ErrorKind::InvalidRequest,
+                "a stream begins with a submission or a call",
+            );
+            let _ = stream.send(frame::Body::Refused(failure.to_refused()));
+        }
+    })
+}
--- /dev/null
+++ b/crates/node/src/start.rs
@@ -0,0 +1,210 @@
+//! Start of a node: bind, make the tables, start the threads.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::Arc;
+
+use dappleyard_batch::BatchContext;
+use dappleyard_engine::HttpEngine;
+use dappleyard_online::OnlineShared;
+use dappleyard_platform::PlatformFactory;
+use dappleyard_settings::NodeSettings;
+use dappleyard_tables::members::REFUTATION_BITS;
+use dappleyard_tables::{Identity, NodeTables};
+use dappleyard_transport::link::Announcement;
+use dappleyard_transport::policy::SharedPolicy;
+use dappleyard_wire::PROTOCOL_VERSION;
+use dappleyard_wire::messages::Hello;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::admin;
+use crate::control::{self, ControlContext};
+use crate::error::NodeError;
+use crate::handle::{NodeHandle, NodeParts};
+use crate::request::{self, RequestContext};
+use crate::threads::Threads;
+
+/// Asks the batch thread to hand back or finish its chunks; answered once that is done.
+pub type DrainRequest = oneshot::Sender<()>;
+
+/// Starts a node. Must be called inside a running actix system; returns once its sockets are bound
+/// and its threads run. The node takes work once it has learnt members and configuration.
+pub async fn start(settings: NodeSettings, policy: SharedPolicy) -> Result<NodeHandle, NodeError> {
+    let sockets = Sockets::bind(&settings)?;
+    let tables = NodeTables::new(identity(&settings));
+    let platform = platform_factory(&settings, &tables);
+    let announcement = Arc::new(watch::Sender::new(Announcement::default()));
+    let mut threads = Threads::default();
+
+    let control = ControlContext {
+        settings: settings.clone(),
+        tables: tables.clone(),
+        platform: platform.clone(),
+        policy: policy.clone(),
+        socket: sockets.gossip,
+        link_address: sockets.link_address.clone(),
+        admin_address: sockets.admin_address.clone(),
+        announcement: announcement.clone(),
+    };
+    let leave = threads
+        .spawn("control", move || control::start(control))
+        .await?
+        .map_err(|cause| sockets_failed("gossip_listen", &sockets.gossip_address, cause))?;
+    let drain = start_batch(&mut threads, &settings, &tables, &platform).await?;
+
+    let request = RequestContext {
+        hello: hello(&tables),
+        shared: OnlineShared::new(&settings.online, &tables),
+        settings: settings.clone(),
+        tables: tables.clone(),
+        platform: platform.clone(),
+        policy,
+        announcement: announcement.subscribe(),
+    };
+    for _ in 0..settings.workers {
+        let context = request.clone();
+        let listener = sockets
+            .link
+            .try_clone()
+            .map_err(|cause| sockets_failed("link_listen", &sockets.link_address, cause))?;
+        threads
+            .spawn("request", move || async move {
+                actix_rt::spawn(async move {
+                    if let Err(error) = request::run(context, listener).await {
+                        tracing::error!(%error, "a request worker ended");
+                    }
+                });
+            })
+            .await?;
+    }
+    let admin = admin::start(
+        sockets.admin,
+        tables.clone(),
+        settings.operate.clone(),
+        platform,
+    )
+    .map_err(|cause| sockets_failed("admin_listen", &sockets.admin_address, cause))?;
+    tracing::info!(node = %settings.id, link = sockets.link_address, "node started");
+    Ok(NodeHandle::new(NodeParts {
+        tables,
+        shared: request.shared,
+        stop_bound_ms: settings.stop_bound_ms,
+        link_address: sockets.link_address,
+        gossip_address: sockets.gossip_address,
+        admin_address: sockets.admin_address,
+        threads,
+        admin,
+        leave,
+        drain,
+    }))
+}
+
+async fn start_batch(
+    threads: &mut Threads,
+    settings: &NodeSettings,
+    tables: &Arc<NodeTables>,
+    platform: &PlatformFactory,
+) -> Result<mpsc::UnboundedSender<DrainRequest>, NodeError> {
+    let (settings, tables, platform) = (settings.clone(), tables.clone(), platform.clone());
+    threads
+        .spawn("batch", move || async move {
+            let handle = dappleyard_batch::start(BatchContext {
+                tables,
+                settings: settings.batch.clone(),
+                platform: platform(),
+                engine: std::rc::Rc::new(HttpEngine::new(
+                    settings.online.engine_connect_timeout_ms,
+                    settings.online.engine_idle_timeout_ms,
+                )),
+            });
+            let (sender, mut requests) = mpsc::unbounded_channel::<DrainRequest>();
+            actix_rt::spawn(async move {
+                while let Some(request) = requests.recv().await {
+                    handle.drain().await;
+                    let _ = request.send(());
+                }
+            });
+            sender
+        })
+        .await
+}
+
+/// The platform clients behind one store gate for the whole node.
+fn platform_factory(settings: &NodeSettings, tables: &NodeTables) -> PlatformFactory {
+    let direct = dappleyard_platform::client::factory(&settings.platform);
+    let gate = dappleyard_platform::gate::StoreGate::new(&settings.platform, &tables.metrics);
+    gate.wrap(direct)
+}
+
+/// Identity of this start: the wall clock numbers the starts of a node id.
+fn identity(settings: &NodeSettings) -> Identity {
+    let start = dappleyard_tables::clock::Clock::start().unix_ms();
+    Identity {
+        node: settings.id.as_str().into(),
+        zone: settings.place.zone.as_str().into(),
+        region: settings.place.region.as_str().into(),
+        incarnation: start << REFUTATION_BITS,
+    }
+}
+
+fn hello(tables: &NodeTables) -> Hello {
+    Hello {
+        protocol: PROTOCOL_VERSION,
+        id: tables.identity.node.to_string(),
+        zone: tables.identity.zone.to_string(),
+        region: tables.identity.region.to_string(),
+        incarnation: tables.identity.incarnation,
+        sidecar: false,
+    }
+}
+
+/// Bound sockets of a node and their addresses as others reach them.
+struct Sockets {
+    link: TcpListener,
+    link_address: String,
+    admin: TcpListener,
+    admin_address: String,
+    gossip: UdpSocket,
+    gossip_address: String,
+}
+
+impl Sockets {
+    fn bind(settings: &NodeSettings) -> Result<Sockets, NodeError> {
+        let (link, link_address) = bind_tcp("link_listen", &settings.link_listen)?;
+        let (admin, admin_address) = bind_tcp("admin_listen", &settings.admin_listen)?;
+        let key = "gossip_listen";
+        let failed = |cause| sockets_failed(key, &settings.gossip_listen, cause);
+        let gossip = UdpSocket::bind(parse(key, &settings.gossip_listen)?).map_err(failed)?;
+        let gossip_address = gossip.local_addr().map_err(failed)?.to_string();
+        Ok(Sockets {
+            link,
+            link_address,
+            admin,
+            admin_address,
+            gossip,
+            gossip_address,
+        })
+    }
+}
+
+fn bind_tcp(key: &'static str, address: &str) -> Result<(TcpListener, String), NodeError> {
+    let failed = |cause| sockets_failed(key, address, cause);
+    let listener = TcpListener::bind(parse(key, address)?).map_err(failed)?;
+    listener.set_nonblocking(true).map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?.to_string();
+    Ok((listener, bound))
+}
+
+fn parse(key: &'static str, address: &str) -> Result<SocketAddr, NodeError> {
+    address.parse().map_err(|_| NodeError::Setting {
+        key,
+        cause: format!("{address:?} is not an IP address and port"),
+    })
+}
+
+fn sockets_failed(key: &'static str, address: &str, cause: std::io::Error) -> NodeError {
+    NodeError::Bind {
+        key,
+        address: address.to_owned(),
+        cause,
+    }
+}
--- /dev/null
+++ b/crates/node/src/threads.rs
@@ -0,0 +1,57 @@
+//! Threads of a node, each one an actix arbiter.
+
+use std::future::Future;
+use std::time::Duration;
+
+use actix_rt::{Arbiter, ArbiterHandle};
+use tokio::sync::oneshot;
+
+use crate::error::NodeError;
+
+/// The arbiters of one node.
+#[derive(Default)]
+pub struct Threads {
+    arbiters: Vec<Arbiter>,
+}
+
+impl Threads {
+    /// Starts a thread and runs `start` on it; returns what `start` gave.
+    pub async fn spawn<T, F>(
+        &mut self,
+        name: &'static str,
+        start: impl FnOnce() -> F + Send + 'static,
+    ) -> Result<T, NodeError>
+    where
+        T: Send + 'static,
+        F: Future<Output = T> + 'static,
+    {
+        let arbiter = Arbiter::new();
+        let (sender, receiver) = oneshot::channel();
+        arbiter.spawn_fn(move || {
+            actix_rt::spawn(async move {
+                let _ = sender.send(start().await);
+            });
+        });
+        self.arbiters.push(arbiter);
+        receiver.await.map_err(|_| NodeError::Thread { name })
+    }
+
+    /// Handles of all threads.
+    pub fn handles(&self) -> Vec<ArbiterHandle> {
+        self.arbiters.iter().map(Arbiter::handle).collect()
+    }
+}
+
+/// Ends all threads at once: what runs on them is dropped where it stands.
+pub fn kill(threads: &[ArbiterHandle]) {
+    for thread in threads {
+        thread.stop();
+    }
+}
+
+/// Blocks all threads for a time, as if the process had been stopped and continued.
+pub fn pause(threads: &[ArbiterHandle], duration: Duration) {
+    for thread in threads {
+        thread.spawn_fn(move || std::thread::sleep(duration));
+    }
+}
