--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod rules;
 pub mod sidecar;
 
-pub use batch::BatchSettings;
+pub use batch::{BatchPolicy, BatchSettings};
 pub use fleet::FleetSettings;
 pub use load::{
     SettingsError, load_node, load_sidecar, parse_node, parse_sidecar, recheck_node,
