--- a/crates/dappleyard/src/main.rs
+++ b/crates/dappleyard/src/main.rs
@@ -1,3 +1,40 @@
-//! Command line of dappleyard.
+//! `dappleyard`: the sidecar, the node, the operators' command line, and the settings check.
 
-fn main() {}
+mod check;
+mod command;
+mod failure;
+mod flags;
+mod logging;
+mod node;
+mod sidecar;
+mod signals;
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+
+use crate::failure::Failure;
+
+fn main() -> ExitCode {
+    let matches = command::command().get_matches();
+    match dispatch(&matches) {
+        Ok(code) => code,
+        Err(failure) => {
+            eprintln!("error: {failure}");
+            failure.exit_code()
+        }
+    }
+}
+
+fn dispatch(matches: &ArgMatches) -> Result<ExitCode, Failure> {
+    match matches.subcommand() {
+        Some(("node", arguments)) => node::run(arguments),
+        Some(("sidecar", arguments)) => sidecar::run(arguments),
+        Some(("check", arguments)) => check::run(arguments),
+        Some(("ctl", arguments)) => Ok(ExitCode::from(dappleyard_ctl::run(arguments))),
+        Some(("completions", arguments)) => Ok(command::print_completions(arguments)),
+        _ => Err(Failure::Usage {
+            cause: "no subcommand; see --help".to_owned(),
+        }),
+    }
+}
--- a/crates/dappleyard/src/sidecar.rs
+++ b/crates/dappleyard/src/sidecar.rs
@@ -14,7 +14,7 @@
     let settings = flags::sidecar_settings(arguments)?;
     logging::start(arguments)?;
     actix_rt::System::new().block_on(async move {
-        let sidecar = dappleyard_sidecar::start(settings, Arc::new(DirectPolicy)).await?;
+        let sidecar = dappleyard_sidecar::start(settings, Arc::new(DirectPolicy))?;
         signals::stop_requested().await?;
         sidecar.stop().await;
         Ok(ExitCode::SUCCESS)
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -8,9 +8,7 @@
 use dappleyard_online::OnlineWorker;
 use dappleyard_tables::{Lifecycle, NodeTables};
 use dappleyard_transport::ServerStream;
-use dappleyard_wire::messages::{
-    Call, MemberState, ModelEntry, ModelList, Reply, call, frame, reply,
-};
+use dappleyard_wire::messages::{Call, ModelEntry, ModelList, Reply, call, frame, reply};
 use dappleyard_wire::{ErrorKind, Failure};
 
 /// Answers calls on one worker thread.
@@ -18,7 +16,7 @@
     /// Shared tables.
     pub tables: Arc<NodeTables>,
     /// Jobs and files.
-    pub jobs: JobsApi,
+    pub jobs: Rc<JobsApi>,
     /// At-most-once records.
     pub online: Rc<OnlineWorker>,
 }
@@ -89,13 +87,3 @@
         }
     }
 }
-
-/// Whether any other member is believed alive.
-pub fn has_live_peer(tables: &NodeTables) -> bool {
-    let own = tables.identity.node.as_str();
-    tables
-        .members
-        .all()
-        .iter()
-        .any(|member| member.node != own && member.state() == MemberState::MemberAlive)
-}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,10 +1,8 @@
 //! The control thread: membership, configuration, engine reports, controllers, announcements.
 
 use std::net::UdpSocket as StdUdpSocket;
-use std::rc::Rc;
 use std::sync::Arc;
 
-use dappleyard_engine::{Engine, HttpEngine};
 use dappleyard_fleet::{FleetContext, FleetHandle};
 use dappleyard_operate::{OperateContext, OperateHandle};
 use dappleyard_platform::PlatformFactory;
@@ -16,7 +14,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::announce;
+use crate::{announce, engine};
 
 /// What the control thread is given.
 pub struct ControlContext {
@@ -43,7 +41,7 @@
 
 struct ControlParts {
     fleet: FleetHandle,
-    _operate: OperateHandle,
+    operate: OperateHandle,
 }
 
 /// Starts the parts on this thread.
@@ -53,7 +51,8 @@
     let parts = start_parts(context).await?;
     let (sender, mut requests) = mpsc::unbounded_channel::<LeaveRequest>();
     actix_rt::spawn(async move {
-        while let Some(request) = requests.recv().await {
+        if let Some(request) = requests.recv().await {
+            parts.operate.stop().await;
             parts.fleet.leave().await;
             let _ = request.send(());
         }
@@ -72,10 +71,7 @@
     } = context;
     socket.set_nonblocking(true)?;
     let socket = DatagramSocket::from_socket(UdpSocket::from_std(socket)?, policy.clone());
-    let engine: Rc<dyn Engine> = Rc::new(HttpEngine::new(
-        settings.online.engine_connect_timeout_ms,
-        settings.online.engine_idle_timeout_ms,
-    ));
+    let engine = engine::client(&settings.online);
     let platform = platform();
     let fleet = dappleyard_fleet::start(FleetContext {
         tables: tables.clone(),
@@ -96,8 +92,5 @@
     });
     let bound = u32::try_from(settings.stop_bound_ms).unwrap_or(u32::MAX);
     actix_rt::spawn(announce::run(tables, context.announcement, bound));
-    Ok(ControlParts {
-        fleet,
-        _operate: operate,
-    })
+    Ok(ControlParts { fleet, operate })
 }
--- /dev/null
+++ b/crates/node/src/engine.rs
@@ -0,0 +1,15 @@
+//! The engine client of one thread.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_engine::{Engine, HttpEngine};
+use dappleyard_settings::OnlineSettings;
+
+/// A client with the bounds of the settings. Must be called on the thread that is to use it.
+pub fn client(settings: &OnlineSettings) -> Rc<dyn Engine> {
+    Rc::new(HttpEngine::new(
+        Duration::from_millis(settings.engine_connect_timeout_ms),
+        Duration::from_millis(settings.engine_idle_timeout_ms),
+    ))
+}
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use dappleyard_batch::JobsApi;
-use dappleyard_engine::HttpEngine;
 use dappleyard_online::{OnlineContext, OnlineShared, OnlineWorker};
 use dappleyard_platform::PlatformFactory;
 use dappleyard_settings::NodeSettings;
@@ -19,6 +18,7 @@
 use tokio::sync::watch;
 
 use crate::calls::CallHandler;
+use crate::engine;
 
 /// What each request worker is given.
 #[derive(Clone)]
@@ -55,10 +55,7 @@
 
 fn stream_handler(context: &RequestContext) -> Rc<dyn Fn(ServerStream)> {
     let platform = (context.platform)();
-    let engine = Rc::new(HttpEngine::new(
-        context.settings.online.engine_connect_timeout_ms,
-        context.settings.online.engine_idle_timeout_ms,
-    ));
+    let engine = engine::client(&context.settings.online);
     let links = Rc::new(LinkPool::new(
         context.hello.clone(),
         (&context.settings.link).into(),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use dappleyard_batch::BatchContext;
-use dappleyard_engine::HttpEngine;
 use dappleyard_online::OnlineShared;
 use dappleyard_platform::PlatformFactory;
 use dappleyard_settings::NodeSettings;
@@ -16,12 +15,12 @@
 use dappleyard_wire::messages::Hello;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::admin;
 use crate::control::{self, ControlContext};
 use crate::error::NodeError;
 use crate::handle::{NodeHandle, NodeParts};
 use crate::request::{self, RequestContext};
 use crate::threads::Threads;
+use crate::{admin, engine};
 
 /// Asks the batch thread to hand back or finish its chunks; answered once that is done.
 pub type DrainRequest = oneshot::Sender<()>;
@@ -111,10 +110,7 @@
                 tables,
                 settings: settings.batch.clone(),
                 platform: platform(),
-                engine: std::rc::Rc::new(HttpEngine::new(
-                    settings.online.engine_connect_timeout_ms,
-                    settings.online.engine_idle_timeout_ms,
-                )),
+                engine: engine::client(&settings.online),
             });
             let (sender, mut requests) = mpsc::unbounded_channel::<DrainRequest>();
             actix_rt::spawn(async move {
