Let an experiment's engines ignore priorities

Cause: the shared-queue policy is to be compared on the same calls, and the priority of a call also tells online from batch work. Change: EngineModelSettings::ignore_priority serves in order of arrival; records and meters still tell the classes apart.

--- a/crates/standin/src/engine/model.rs
+++ b/crates/standin/src/engine/model.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use dappleyard_decide::fence::OrderPosition;
-use dappleyard_engine::{CacheEvent, EngineReport, GenerateCall, LoadedModel};
+use dappleyard_engine::{CacheEvent, EngineReport, GenerateCall, LoadedModel, Priority};
 use derive_more::{Display, Error};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -224,7 +224,7 @@
         let stream = self.next_stream;
         self.next_stream += 1;
         let request_id: Arc<str> = Arc::from(call.request_id.as_str());
-        let online = call.priority > dappleyard_engine::Priority::BATCH;
+        let online = call.priority > Priority::BATCH;
         if online {
             let others = self.online_count();
             self.meter.online_arrived(now_us, others);
@@ -253,7 +253,8 @@
         let sequence = Sequence {
             stream,
             request_id,
-            priority: call.priority,
+            priority: self.served_priority(call.priority),
+            online,
             text,
             prompt_tokens,
             prefix_key: call.prefix_hash,
@@ -282,6 +283,14 @@
         }
     }
 
+    fn served_priority(&self, priority: Priority) -> Priority {
+        if self.settings.ignore_priority {
+            Priority::BATCH
+        } else {
+            priority
+        }
+    }
+
     /// Attaches a call to its stream while that lives, or to its end while that is remembered.
     fn attach(
         &mut self,
@@ -395,7 +404,7 @@
             record.ended_us = Some(now_us);
             record.end = Some(end);
         });
-        if sequence.is_online() && self.online_count() == 0 {
+        if sequence.online && self.online_count() == 0 {
             self.meter.online_gone(now_us);
         }
         if end == RunEnd::Finished {
@@ -499,12 +508,12 @@
 
     fn online_count(&self) -> usize {
         let all = self.running.iter().chain(self.waiting.iter());
-        all.filter(|sequence| sequence.is_online()).count()
+        all.filter(|sequence| sequence.online).count()
     }
 
     fn snapshot(&self) -> EngineReport {
         let count = |list: &[Sequence], online: bool| {
-            let matching = list.iter().filter(|other| other.is_online() == online);
+            let matching = list.iter().filter(|other| other.online == online);
             matching.count() as u32
         };
         EngineReport {
--- a/crates/standin/src/engine/model/step.rs
+++ b/crates/standin/src/engine/model/step.rs
@@ -97,7 +97,7 @@
             batch_blocks: 0,
         };
         for sequence in &self.running {
-            if sequence.is_online() {
+            if sequence.online {
                 shape.online += 1;
                 shape.online_prefill += sequence.prefill_now;
                 shape.online_blocks += sequence.blocks();
@@ -129,7 +129,7 @@
             if !self.compute(now_us, index, effects) {
                 continue;
             }
-            if self.running[index].is_online() {
+            if self.running[index].online {
                 online_tokens += 1;
             } else {
                 batch_tokens += 1;
@@ -229,9 +229,9 @@
         let online = self
             .running
             .iter()
-            .filter(|other| other.is_online())
+            .filter(|other| other.online)
             .count();
-        let waiting = self.waiting.iter().filter(|other| !other.is_online());
+        let waiting = self.waiting.iter().filter(|other| !other.online);
         let batch_waiting = waiting.count() as u32;
         let batch = self.running.len() - online;
         self.meter
--- a/crates/standin/src/engine/sequence.rs
+++ b/crates/standin/src/engine/sequence.rs
@@ -17,8 +17,10 @@
     pub stream: StreamNumber,
     /// Request id.
     pub request_id: Arc<str>,
-    /// Priority.
+    /// Priority that it is served with.
     pub priority: Priority,
+    /// Whether it is online work.
+    pub online: bool,
     /// Text of the answer.
     pub text: TextSource,
     /// Prompt length, tokens.
@@ -65,11 +67,6 @@
         (Reverse(self.priority), self.stream)
     }
 
-    /// Whether it is online work.
-    pub fn is_online(&self) -> bool {
-        self.priority > Priority::BATCH
-    }
-
     /// Prompt and answer so far, tokens.
     pub fn context(&self) -> u32 {
         self.prompt_tokens + self.produced
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -53,6 +53,9 @@
     pub probe_quiet_ms: u64,
     /// Most records kept for each engine; older ones are dropped and counted.
     pub maximum_records: usize,
+    /// All sequences are served in order of arrival: for experiments that compare with an engine
+    /// without priorities. Which work is online is still told by the priority of the call.
+    pub ignore_priority: bool,
     /// Time to load a version when the weight store gives no time, milliseconds.
     pub load_ms: u64,
     /// Versions whose load fails.
@@ -84,6 +87,7 @@
             sample_interval_ms: 100,
             probe_quiet_ms: 300,
             maximum_records: 200_000,
+            ignore_priority: false,
             load_ms: 3_000,
             broken_versions: BTreeSet::new(),
         }
--- a/crates/standin/tests/engine_model.rs
+++ b/crates/standin/tests/engine_model.rs
@@ -198,6 +198,27 @@
     );
 }
 
+#[gtest]
+fn engine_without_priorities_serves_in_order_of_arrival() {
+    let mut bench = bench(EngineModelSettings {
+        maximum_sequences: 2,
+        ignore_priority: true,
+        ..settings()
+    });
+    for number in 0..3 {
+        bench.start(&call(&format!("batch {number}"), 10, 50, Priority::BATCH));
+    }
+    bench.start(&call("online", 10, 5, Priority::ONLINE));
+    bench.steps(3);
+    let status = bench.engine.status(bench.now_us);
+    expect_that!((status.running_batch, status.waiting_online), eq((2, 1)));
+    bench.run_out();
+    let records = bench.engine.records().all();
+    expect_true!(records.iter().all(|record| record.preempted == 0));
+    expect_that!(records[3].started_us, gt(records[2].started_us));
+    expect_true!(records[3].online);
+}
+
 #[gtest]
 fn online_takes_memory_of_batch_and_batch_resumes_by_itself() {
     let mut bench = bench(EngineModelSettings {
