Run the stand-ins as one process with a control interface, and let an engine hang

Cause: real processes need the same stand-ins, and a machine that stands still differs from a dead one.

--- a/crates/standin/src/engine/host.rs
+++ b/crates/standin/src/engine/host.rs
@@ -203,6 +203,11 @@
         self.with(server, Slot::revive);
     }
 
+    /// Makes an engine stand still, with its connections open and silent, or lets it go on.
+    pub fn set_hung(&self, server: &str, hung: bool) {
+        self.with(server, |slot| slot.set_hung(hung));
+    }
+
     /// Whether an engine lives.
     pub fn is_alive(&self, server: &str) -> bool {
         self.with(server, Slot::is_alive).unwrap_or(false)
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -66,7 +66,7 @@
         Ok(reader) => HttpResponse::Ok()
             .content_type("application/x-ndjson")
             .streaming(lines(reader)),
-        Err(error) => failed(error),
+        Err(error) => failed(error).await,
     }
 }
 
@@ -75,16 +75,16 @@
     match find(&slots, &server).and_then(|slot| slot.cancel(&stream)) {
         Ok(true) => HttpResponse::Ok().finish(),
         Ok(false) => HttpResponse::NotFound().body("no such stream"),
-        Err(error) => failed(error),
+        Err(error) => failed(error).await,
     }
 }
 
 async fn report(slots: web::Data<SlotsByName>, server: web::Path<String>) -> HttpResponse {
-    answer(&slots, &server, Slot::report)
+    answer(&slots, &server, Slot::report).await
 }
 
 async fn status(slots: web::Data<SlotsByName>, server: web::Path<String>) -> HttpResponse {
-    answer(&slots, &server, Slot::status)
+    answer(&slots, &server, Slot::status).await
 }
 
 async fn cache_events(
@@ -92,7 +92,7 @@
     server: web::Path<String>,
     query: web::Query<After>,
 ) -> HttpResponse {
-    answer(&slots, &server, |slot| slot.cache_events(query.after))
+    answer(&slots, &server, |slot| slot.cache_events(query.after)).await
 }
 
 async fn order(
@@ -100,21 +100,21 @@
     server: web::Path<String>,
     order: web::Json<EngineOrder>,
 ) -> HttpResponse {
-    answer(&slots, &server, |slot| slot.order(&order))
+    answer(&slots, &server, |slot| slot.order(&order)).await
 }
 
-fn answer<T: serde::Serialize>(
+async fn answer<T: serde::Serialize>(
     slots: &SlotsByName,
     server: &str,
     call: impl FnOnce(&Slot) -> Result<T, CallError>,
 ) -> HttpResponse {
     match find(slots, server).and_then(|slot| call(&slot)) {
         Ok(body) => HttpResponse::Ok().json(body),
-        Err(error) => failed(error),
+        Err(error) => failed(error).await,
     }
 }
 
-fn failed(error: CallError) -> HttpResponse {
+async fn failed(error: CallError) -> HttpResponse {
     match error {
         CallError::NoSuchEngine => HttpResponse::NotFound().body("no such engine"),
         CallError::Refused(refusal) => {
@@ -122,6 +122,7 @@
             HttpResponse::build(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE))
                 .body(refusal.reason)
         }
+        CallError::Hung => futures::future::pending().await,
         // The body breaks before its first byte: the connection is closed without an answer.
         CallError::Dead => {
             HttpResponse::Ok().streaming(futures::stream::iter([Err::<Bytes, EngineLost>(
@@ -142,6 +143,7 @@
         loop {
             let next = tokio::time::timeout(KEEP_ALIVE, reader.deliveries.recv()).await;
             match next {
+                Err(_) if reader.slot.is_hung() => {}
                 Err(_) => yield Ok(Bytes::from_static(b"\n")),
                 Ok(Some(Delivery::Output(output))) => {
                     let ends = matches!(output, Output::Finished { .. });
--- a/crates/standin/src/engine/model/step.rs
+++ b/crates/standin/src/engine/model/step.rs
@@ -42,6 +42,15 @@
         }
     }
 
+    /// The engine stood still until now: the step at hand ends now, and the time counts neither as
+    /// idle nor as lateness of the machine.
+    pub fn resume_after_hang(&mut self, now_us: u64) {
+        self.idle_since_us = now_us;
+        if let Some(step) = &mut self.step {
+            step.due_us = step.due_us.max(now_us);
+        }
+    }
+
     fn begin_step(&mut self, now_us: u64, effects: &mut Vec<Effect>) {
         self.abandon_unread(now_us, effects);
         self.advance_load(now_us);
@@ -226,11 +235,7 @@
     }
 
     fn take_sample(&mut self, at_us: u64) {
-        let online = self
-            .running
-            .iter()
-            .filter(|other| other.online)
-            .count();
+        let online = self.running.iter().filter(|other| other.online).count();
         let waiting = self.waiting.iter().filter(|other| !other.online);
         let batch_waiting = waiting.count() as u32;
         let batch = self.running.len() - online;
--- a/crates/standin/src/engine/slot.rs
+++ b/crates/standin/src/engine/slot.rs
@@ -35,6 +35,8 @@
     NoSuchEngine,
     /// The engine is dead: the connection breaks.
     Dead,
+    /// The engine hangs: the call is never answered.
+    Hung,
     /// The engine refused.
     Refused(Refusal),
 }
@@ -46,6 +48,7 @@
 
 struct Life {
     model: Option<EngineModel>,
+    hung: bool,
     past: Vec<EngineModel>,
     sinks: HashMap<StreamNumber, Sink>,
     next_reader: u64,
@@ -69,7 +72,7 @@
 pub(super) struct Reader {
     pub(super) started: Started,
     pub(super) deliveries: UnboundedReceiver<Delivery>,
-    slot: Arc<Slot>,
+    pub(super) slot: Arc<Slot>,
     reader: u64,
 }
 
@@ -90,6 +93,7 @@
         let now_us = started.elapsed().as_micros() as u64;
         let life = Life {
             model: Some(EngineModel::new(&spec, now_us, 1)),
+            hung: false,
             past: Vec::new(),
             sinks: HashMap::new(),
             next_reader: 1,
@@ -121,7 +125,7 @@
         let mut life = self.life.lock();
         let now_us = self.now_us();
         let mut effects = std::mem::take(&mut life.effects);
-        let model = life.model.as_mut().ok_or(CallError::Dead)?;
+        let model = life.answering()?;
         let started = model
             .generate(now_us, call, &mut effects)
             .map_err(CallError::Refused)?;
@@ -161,7 +165,7 @@
         let mut life = self.life.lock();
         let now_us = self.now_us();
         let mut effects = std::mem::take(&mut life.effects);
-        let model = life.model.as_mut().ok_or(CallError::Dead)?;
+        let model = life.answering()?;
         let stream = parse_stream(name);
         let found = stream.is_some_and(|stream| model.cancel(now_us, stream, &mut effects));
         life.effects = effects;
@@ -192,14 +196,14 @@
     fn with_model<R>(&self, read: impl FnOnce(&mut EngineModel, u64) -> R) -> Result<R, CallError> {
         let mut life = self.life.lock();
         let now_us = self.now_us();
-        let model = life.model.as_mut().ok_or(CallError::Dead)?;
+        let model = life.answering()?;
         Ok(read(model, now_us))
     }
 
     pub(super) fn order(&self, order: &EngineOrder) -> Result<(), CallError> {
         let mut life = self.life.lock();
         let now_us = self.now_us();
-        let model = life.model.as_mut().ok_or(CallError::Dead)?;
+        let model = life.answering()?;
         let result = model.order(now_us, order);
         if life.orders.len() < MAXIMUM_ORDERS {
             life.orders.push(OrderRecord {
@@ -223,6 +227,7 @@
         model.lose(now_us);
         life.next_stream = model.next_stream();
         life.past.push(model);
+        life.hung = false;
         life.due_us = None;
         for (_, sink) in life.sinks.drain() {
             // A reader that has gone needs no word.
@@ -239,6 +244,24 @@
         }
     }
 
+    /// The engine stands still and answers nothing, or goes on where it stood.
+    pub(super) fn set_hung(&self, hung: bool) {
+        let mut life = self.life.lock();
+        let was_hung = life.hung;
+        life.hung = hung && life.model.is_some();
+        if was_hung && !hung {
+            let now_us = self.now_us();
+            if let Some(model) = &mut life.model {
+                model.resume_after_hang(now_us);
+            }
+            self.pump_if_unscheduled(&mut life, now_us);
+        }
+    }
+
+    pub(super) fn is_hung(&self) -> bool {
+        self.life.lock().hung
+    }
+
     pub(super) fn is_alive(&self) -> bool {
         self.life.lock().model.is_some()
     }
@@ -263,7 +286,7 @@
     pub(super) fn with_meters<R>(&self, read: impl FnOnce(&[&Meter]) -> R) -> R {
         let mut life = self.life.lock();
         let now_us = self.now_us();
-        if let Some(model) = &mut life.model {
+        if let Ok(model) = life.answering() {
             model.meter(now_us);
         }
         let lives = life.past.iter().chain(life.model.iter());
@@ -295,7 +318,9 @@
     fn pump(&self, life: &mut Life, now_us: u64) {
         let mut effects = std::mem::take(&mut life.effects);
         life.due_us = None;
-        if let Some(model) = &mut life.model {
+        if let Some(model) = &mut life.model
+            && !life.hung
+        {
             life.due_us = model.advance(now_us, &mut effects);
             if let Some((service, version)) = model.wanted_load() {
                 let (load_us, outcome) = self.ask_weights(service, version);
@@ -324,6 +349,15 @@
 }
 
 impl Life {
+    /// The engine, if it answers calls.
+    fn answering(&mut self) -> Result<&mut EngineModel, CallError> {
+        match &mut self.model {
+            None => Err(CallError::Dead),
+            Some(_) if self.hung => Err(CallError::Hung),
+            Some(model) => Ok(model),
+        }
+    }
+
     fn deliver(&mut self) {
         for effect in self.effects.drain(..) {
             let ends = matches!(effect.output, Output::Finished { .. });
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod engine;
 pub mod platform;
+pub mod process;
 pub mod text;
 
 mod server;
--- /dev/null
+++ b/crates/standin/src/process/control.rs
@@ -0,0 +1,115 @@
+//! Control interface over HTTP: faults in, records out. For experiments only.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use dappleyard_platform::Machine;
+use serde::Deserialize;
+
+use crate::engine::EngineHandle;
+use crate::platform::{Fault, PlatformHandle, Service};
+use crate::server::{self, RunningServer};
+
+struct Handles {
+    engines: Arc<EngineHandle>,
+    platform: PlatformHandle,
+}
+
+type Shared = web::Data<Handles>;
+
+/// Body of `PUT /control/faults/{service}`; an empty object mends the service.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct FaultBody {
+    refusing: bool,
+    unreachable: bool,
+    delay_ms: u64,
+    answer_lost: f64,
+}
+
+/// Starts the control interface.
+pub(super) fn start(
+    listen: &str,
+    engines: Arc<EngineHandle>,
+    platform: PlatformHandle,
+) -> std::io::Result<RunningServer> {
+    let listen = listen.to_owned();
+    server::start("stand-ins-control", move || {
+        let handles = web::Data::new(Handles { engines, platform });
+        HttpServer::new(move || App::new().app_data(handles.clone()).configure(configure))
+            .workers(1)
+            .disable_signals()
+            .bind(listen.as_str())
+            .map(|server| (server.addrs(), server.run()))
+    })
+}
+
+fn configure(config: &mut web::ServiceConfig) {
+    config.service(
+        web::scope("/control")
+            .route("/engines/{server}/{action}", web::post().to(engine))
+            .route("/faults/{service}", web::put().to(fault))
+            .route("/machines", web::put().to(put_machine))
+            .route("/machines/{name}", web::delete().to(remove_machine))
+            .route("/records", web::get().to(records))
+            .route("/meters", web::get().to(meters))
+            .route("/table-counts", web::get().to(table_counts)),
+    );
+}
+
+async fn engine(handles: Shared, path: web::Path<(String, String)>) -> HttpResponse {
+    let (server, action) = path.into_inner();
+    let engines = &handles.engines;
+    match action.as_str() {
+        "kill" => engines.kill(&server),
+        "revive" => engines.revive(&server),
+        "hang" => engines.set_hung(&server, true),
+        "go-on" => engines.set_hung(&server, false),
+        _ => return HttpResponse::NotFound().body("kill, revive, hang or go-on"),
+    }
+    HttpResponse::Ok().finish()
+}
+
+async fn fault(
+    handles: Shared,
+    service: web::Path<String>,
+    body: web::Json<FaultBody>,
+) -> HttpResponse {
+    let service = match service.as_str() {
+        "tables" => Service::Tables,
+        "objects" => Service::Objects,
+        "machines" => Service::Machines,
+        _ => return HttpResponse::NotFound().body("tables, objects or machines"),
+    };
+    let fault = Fault {
+        refusing: body.refusing,
+        unreachable: body.unreachable,
+        delay: Duration::from_millis(body.delay_ms),
+        answer_lost: body.answer_lost,
+    };
+    handles.platform.set_fault(service, fault);
+    HttpResponse::Ok().finish()
+}
+
+async fn put_machine(handles: Shared, machine: web::Json<Machine>) -> HttpResponse {
+    handles.platform.put_machine(machine.into_inner());
+    HttpResponse::Ok().finish()
+}
+
+async fn remove_machine(handles: Shared, name: web::Path<String>) -> HttpResponse {
+    handles.platform.remove_machine(&name);
+    HttpResponse::Ok().finish()
+}
+
+async fn records(handles: Shared) -> HttpResponse {
+    HttpResponse::Ok().json(handles.engines.records())
+}
+
+async fn meters(handles: Shared) -> HttpResponse {
+    HttpResponse::Ok().json(handles.engines.meters())
+}
+
+async fn table_counts(handles: Shared) -> HttpResponse {
+    HttpResponse::Ok().json(handles.platform.table_counts())
+}
--- a/crates/standin/tests/over_http.rs
+++ b/crates/standin/tests/over_http.rs
@@ -135,6 +135,30 @@
     });
 }
 
+#[gtest]
+fn hung_engine_is_silent_and_goes_on_where_it_stood() {
+    run(async {
+        let host = host();
+        let base = host.base(SERVER);
+        let impatient = HttpEngine::new(Duration::from_secs(1), Duration::from_millis(1_500));
+        let mut held = client()
+            .generate(&base, call("held", 40, true))
+            .await
+            .expect("a stream");
+        host.set_hung(SERVER, true);
+        let status = impatient.status(&base).await;
+        expect_that!(status, err(matches_pattern!(EngineError::Lost { .. })));
+        host.set_hung(SERVER, false);
+        let mut text = String::new();
+        while let Some(event) = held.next().await {
+            if let EngineEvent::Tokens { pieces, .. } = event.expect("an event") {
+                text.push_str(&pieces.concat());
+            }
+        }
+        expect_that!(text, eq(&text::expected("v1", "held", 40).text));
+    });
+}
+
 #[gtest]
 fn cancelled_batch_call_gives_what_was_made() {
     run(async {
