Move KV state between engines, and refuse garbage with 4xx

Cause: engines export and import KV state, and hostile input had not been tried. Change: POST /v1/kv/export and /v1/kv/import with a cost for each token, Engine::export_kv and import_kv (default: not offered); tests with truncated and garbage bodies, extreme numbers, and a reader that goes away.

--- a/crates/engine/src/client/mod.rs
+++ b/crates/engine/src/client/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::port::{
     CacheEvent, Engine, EngineError, EngineEvent, EngineOrder, EngineReport, EventStream,
-    GenerateCall,
+    GenerateCall, KvQuery, KvState,
 };
 use lines::Lines;
 
@@ -45,22 +45,38 @@
 
     async fn get<T: DeserializeOwned>(&self, url: String) -> Result<T, EngineError> {
         let sent = self.client.get(url).send();
-        let mut response = self.in_time(sent).await?.map_err(send_error)?;
+        let response = self.in_time(sent).await?.map_err(send_error)?;
+        self.read(response).await
+    }
+
+    async fn post<T: DeserializeOwned>(
+        &self,
+        url: String,
+        body: &impl Serialize,
+    ) -> Result<T, EngineError> {
+        let sent = self.client.post(url).send_json(body);
+        let response = self.in_time(sent).await?.map_err(send_error)?;
+        self.read(response).await
+    }
+
+    /// Reads the whole answer to a unary call.
+    async fn read<S, T>(&self, mut response: awc::ClientResponse<S>) -> Result<T, EngineError>
+    where
+        S: futures::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>>,
+        T: DeserializeOwned,
+    {
         if !response.status().is_success() {
             return Err(refusal(&mut response, self.idle_timeout).await);
         }
         let body = response.body().limit(MAXIMUM_ANSWER_BYTES);
         let bytes = self.in_time(body).await?.map_err(lost)?;
-        serde_json::from_slice(&bytes).map_err(lost)
-    }
-
-    async fn post(&self, url: String, body: &impl Serialize) -> Result<(), EngineError> {
-        let sent = self.client.post(url).send_json(body);
-        let mut response = self.in_time(sent).await?.map_err(send_error)?;
-        if response.status().is_success() {
-            return Ok(());
-        }
-        Err(refusal(&mut response, self.idle_timeout).await)
+        // An answer without a body says as much as `null`.
+        let json = if bytes.is_empty() {
+            b"null"
+        } else {
+            &bytes[..]
+        };
+        serde_json::from_slice(json).map_err(lost)
     }
 
     async fn in_time<F: Future>(&self, call: F) -> Result<F::Output, EngineError> {
@@ -108,6 +124,14 @@
     async fn order(&self, base: &str, order: EngineOrder) -> Result<(), EngineError> {
         self.post(format!("{base}/v1/orders"), &order).await
     }
+
+    async fn export_kv(&self, base: &str, query: KvQuery) -> Result<KvState, EngineError> {
+        self.post(format!("{base}/v1/kv/export"), &query).await
+    }
+
+    async fn import_kv(&self, base: &str, state: KvState) -> Result<(), EngineError> {
+        self.post(format!("{base}/v1/kv/import"), &state).await
+    }
 }
 
 /// Events of a chunked answer. Ends after [`EngineEvent::Finished`]; an answer that ends earlier,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,5 +9,5 @@
 pub use client::HttpEngine;
 pub use port::{
     CacheEvent, Engine, EngineError, EngineEvent, EngineOrder, EngineReport, EventStream,
-    GenerateCall, LoadedModel, OrderKind, Priority,
+    GenerateCall, KvQuery, KvState, LoadedModel, OrderKind, Priority,
 };
--- a/crates/engine/src/port.rs
+++ b/crates/engine/src/port.rs
@@ -183,6 +183,31 @@
     pub tokens: u32,
 }
 
+/// Body of `POST {base}/v1/kv/export`: which state is wanted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvQuery {
+    /// Canonical prompt text of the sequence, running or ended.
+    pub prompt: String,
+    /// Hash of its shared prefix.
+    pub prefix_hash: u64,
+}
+
+/// Answer of an export and body of `POST {base}/v1/kv/import`: state of one sequence. Imported, it
+/// spares its tokens the prefill, like state that the engine computed itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvState {
+    /// Version whose state it is; another version refuses it.
+    pub version: String,
+    /// Engine's key of the sequence.
+    pub key: u64,
+    /// Hash of the shared prefix.
+    pub prefix_hash: u64,
+    /// Tokens of the shared prefix, whole blocks.
+    pub prefix_tokens: u32,
+    /// Tokens after the shared prefix, whole blocks.
+    pub tokens: u32,
+}
+
 /// Why a call to an engine failed.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum EngineError {
@@ -231,4 +256,21 @@
 
     /// Gives a fenced order.
     async fn order(&self, base: &str, order: EngineOrder) -> Result<(), EngineError>;
+
+    /// Exports the KV state of a sequence. An engine without this answers 501.
+    async fn export_kv(&self, _base: &str, _query: KvQuery) -> Result<KvState, EngineError> {
+        Err(not_offered())
+    }
+
+    /// Imports KV state. An engine without this answers 501.
+    async fn import_kv(&self, _base: &str, _state: KvState) -> Result<(), EngineError> {
+        Err(not_offered())
+    }
+}
+
+fn not_offered() -> EngineError {
+    EngineError::Refused {
+        status: 501,
+        reason: "the engine does not move KV state".to_owned(),
+    }
 }
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -7,7 +7,7 @@
 use actix_web::http::StatusCode;
 use actix_web::{HttpResponse, web};
 use bytes::Bytes;
-use dappleyard_engine::{EngineEvent, EngineOrder, GenerateCall};
+use dappleyard_engine::{EngineEvent, EngineOrder, GenerateCall, KvQuery, KvState};
 use derive_more::{Display, Error};
 use parking_lot::RwLock;
 use serde::Deserialize;
@@ -17,6 +17,8 @@
 
 /// Largest body of a call, bytes.
 pub(super) const MAXIMUM_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Tokens of moved KV state up to which the transfer takes time.
+const MAXIMUM_MOVED_TOKENS: u32 = 1_000_000;
 /// A blank line is sent after this long without an event, so that a silent stream is told apart
 /// from a lost engine.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
@@ -48,7 +50,9 @@
             .route("/report", web::get().to(report))
             .route("/status", web::get().to(status))
             .route("/cache-events", web::get().to(cache_events))
-            .route("/orders", web::post().to(order)),
+            .route("/orders", web::post().to(order))
+            .route("/kv/export", web::post().to(export_kv))
+            .route("/kv/import", web::post().to(import_kv)),
     );
 }
 
@@ -103,6 +107,33 @@
     answer(&slots, &server, |slot| slot.order(&order)).await
 }
 
+async fn export_kv(
+    slots: web::Data<SlotsByName>,
+    server: web::Path<String>,
+    query: web::Json<KvQuery>,
+) -> HttpResponse {
+    match find(&slots, &server).and_then(|slot| slot.export_kv(&query).map(|state| (slot, state))) {
+        Ok((slot, state)) => {
+            let tokens = state.prefix_tokens.saturating_add(state.tokens);
+            tokio::time::sleep(slot.transfer_time(tokens)).await;
+            HttpResponse::Ok().json(state)
+        }
+        Err(error) => failed(error).await,
+    }
+}
+
+async fn import_kv(
+    slots: web::Data<SlotsByName>,
+    server: web::Path<String>,
+    state: web::Json<KvState>,
+) -> HttpResponse {
+    if let Ok(slot) = find(&slots, &server) {
+        let tokens = state.prefix_tokens.saturating_add(state.tokens);
+        tokio::time::sleep(slot.transfer_time(tokens.min(MAXIMUM_MOVED_TOKENS))).await;
+    }
+    answer(&slots, &server, |slot| slot.import_kv(&state)).await
+}
+
 async fn answer<T: serde::Serialize>(
     slots: &SlotsByName,
     server: &str,
--- a/crates/standin/src/engine/memory.rs
+++ b/crates/standin/src/engine/memory.rs
@@ -145,6 +145,22 @@
         blocks
     }
 
+    /// Adds blocks that came from elsewhere as cache under a key; what is there already stays.
+    /// `false` and nothing changed when there is no room.
+    pub fn import(&mut self, key: u64, blocks: u32) -> bool {
+        let missing = blocks.saturating_sub(self.cached(key) + self.pinned(key));
+        if missing == 0 || self.pinned(key) > 0 {
+            return true;
+        }
+        let had = self.take_cached(key);
+        if !self.take(missing) {
+            self.retain(key, had);
+            return false;
+        }
+        self.retain(key, had + missing);
+        true
+    }
+
     /// Keys whose last block was evicted since the last call.
     pub fn drain_evicted(&mut self) -> Vec<u64> {
         std::mem::take(&mut self.evicted)
--- a/crates/standin/src/engine/model.rs
+++ b/crates/standin/src/engine/model.rs
@@ -1,8 +1,10 @@
 //! The state machine of one engine, in virtual time: calls and [`EngineModel::advance`] take the
 //! time in microseconds and add [`Effect`]s for the shell to deliver.
 //!
-//! Entry, preemption and memory are in `schedule`, steps in `step`, orders in `orders`.
+//! Entry, preemption and memory are in `schedule`, steps in `step`, orders in `orders`, movement of
+//! KV state in `kv`.
 
+mod kv;
 mod orders;
 mod schedule;
 mod step;
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -53,6 +53,8 @@
     pub probe_quiet_ms: u64,
     /// Most records kept for each engine; older ones are dropped and counted.
     pub maximum_records: usize,
+    /// Time to move a token's KV state out of or into an engine, microseconds.
+    pub kv_transfer_us_per_token: u64,
     /// All sequences are served in order of arrival: for experiments that compare with an engine
     /// without priorities. Which work is online is still told by the priority of the call.
     pub ignore_priority: bool,
@@ -87,6 +89,7 @@
             sample_interval_ms: 100,
             probe_quiet_ms: 300,
             maximum_records: 200_000,
+            kv_transfer_us_per_token: 20,
             ignore_priority: false,
             load_ms: 3_000,
             broken_versions: BTreeSet::new(),
--- a/crates/standin/src/engine/slot.rs
+++ b/crates/standin/src/engine/slot.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use dappleyard_engine::{CacheEvent, EngineOrder, EngineReport, GenerateCall};
+use dappleyard_engine::{CacheEvent, EngineOrder, EngineReport, GenerateCall, KvQuery, KvState};
 use parking_lot::Mutex;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
@@ -185,6 +185,22 @@
         self.with_model(|model, now_us| model.cache_events(now_us, after))
     }
 
+    pub(super) fn export_kv(&self, query: &KvQuery) -> Result<KvState, CallError> {
+        let exported = self.with_model(|model, now_us| model.export_kv(now_us, query))?;
+        exported.map_err(CallError::Refused)
+    }
+
+    pub(super) fn import_kv(&self, state: &KvState) -> Result<(), CallError> {
+        let imported = self.with_model(|model, now_us| model.import_kv(now_us, state))?;
+        imported.map_err(CallError::Refused)
+    }
+
+    /// How long it takes to move KV state of some tokens.
+    pub(super) fn transfer_time(&self, tokens: u32) -> Duration {
+        let each_us = self.spec.model.kv_transfer_us_per_token;
+        Duration::from_micros(each_us.saturating_mul(tokens.into()))
+    }
+
     pub(super) fn set_publication_faults(&self, extra_delay_us: u64, events_dropped: bool) {
         let set = |model: &mut EngineModel, _| {
             model.set_publication_faults(extra_delay_us, events_dropped);
--- a/crates/standin/tests/engine_model.rs
+++ b/crates/standin/tests/engine_model.rs
@@ -1,6 +1,6 @@
 //! The engine's state machine in virtual time.
 
-use dappleyard_engine::{EngineOrder, GenerateCall, OrderKind, Priority};
+use dappleyard_engine::{EngineOrder, GenerateCall, KvQuery, OrderKind, Priority};
 use dappleyard_standin::engine::record::RunEnd;
 use dappleyard_standin::engine::{
     Effect, EngineModel, EngineModelSettings, EngineSpec, Output, Started,
@@ -330,6 +330,35 @@
     );
 }
 
+#[gtest]
+fn moved_state_spares_the_prefill_elsewhere() {
+    let mut from = bench(settings());
+    let mut to = bench(settings());
+    let mut moved = with_prefix(call("batch", 800, 300, Priority::BATCH), 9, 320);
+    let stream = from.start(&moved).stream;
+    from.steps(100);
+    let query = KvQuery {
+        prompt: moved.prompt.clone(),
+        prefix_hash: 9,
+    };
+    let state = from.engine.export_kv(from.now_us, &query).expect("state");
+    expect_that!(state.prefix_tokens, eq(320));
+    from.engine.cancel(from.now_us, stream, &mut from.effects);
+
+    let mut other_version = state.clone();
+    other_version.version = "v0".to_owned();
+    let refused = to.engine.import_kv(to.now_us, &other_version);
+    expect_that!(refused.map_err(|refusal| refusal.status), err(eq(409)));
+    expect_true!(to.engine.import_kv(to.now_us, &state).is_ok());
+    expect_true!(to.engine.memory_is_consistent());
+    moved.resume_offset = 98;
+    to.start(&moved);
+    let prefilled_us = to.due_us.expect("a step") - 3_210;
+    expect_that!(prefilled_us, le(16 * 4), "at most a block");
+    to.run_out();
+    expect_true!(from.engine.memory_is_consistent());
+}
+
 #[gtest]
 fn lost_reader_may_attach_within_the_grace() {
     let mut bench = bench(settings());
--- a/crates/standin/tests/over_http.rs
+++ b/crates/standin/tests/over_http.rs
@@ -23,12 +23,16 @@
 }
 
 fn host() -> EngineHandle {
+    host_with(EngineModelSettings::default())
+}
+
+fn host_with(model: EngineModelSettings) -> EngineHandle {
     let spec = EngineSpec {
         server: SERVER.to_owned(),
         service: "fittings-llm".to_owned(),
         version: "v1".to_owned(),
         adapters: Vec::new(),
-        model: EngineModelSettings::default(),
+        model,
         seed: 1,
     };
     EngineHost::start(vec![spec]).expect("a port of the operating system")
@@ -159,6 +163,28 @@
     });
 }
 
+#[gtest]
+fn sequence_of_a_reader_that_went_is_abandoned() {
+    run(async {
+        let host = host_with(EngineModelSettings {
+            detach_grace_ms: 50,
+            ..EngineModelSettings::default()
+        });
+        let (engine, base) = (client(), host.base(SERVER));
+        for (number, streaming) in [true, false].into_iter().enumerate() {
+            let call = call(&format!("left {streaming}"), 20_000, streaming);
+            let mut stream = engine.generate(&base, call).await.expect("a stream");
+            let accepted = stream.next().await.expect("an event");
+            expect_that!(accepted, ok(matches_pattern!(EngineEvent::Accepted { .. })));
+            drop(stream);
+            while host.records()[number].end.is_none() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            expect_that!(host.records()[number].end, some(eq(RunEnd::Abandoned)));
+        }
+    });
+}
+
 #[gtest]
 fn cancelled_batch_call_gives_what_was_made() {
     run(async {
@@ -201,12 +227,106 @@
                 ..
             }))
         );
-        let garbage = awc::Client::default()
-            .post(format!("{base}/v1/generate"))
-            .send_body("{\"request_id\": 7")
-            .await
-            .expect("an answer");
-        expect_that!(garbage.status().as_u16(), eq(400));
+        let http = awc::Client::default();
+        for path in ["generate", "orders", "kv/export", "kv/import"] {
+            for garbage in ["", "{\"request_id\": 7", "[]", "null", "\u{0}\u{1}"] {
+                let url = format!("{base}/v1/{path}");
+                let sent = http.post(url).send_body(garbage).await;
+                expect_that!(sent.expect("an answer").status().as_u16(), eq(400));
+            }
+        }
+        for path in [
+            "streams/s99/cancel",
+            "streams/%00/cancel",
+            "streams/-1/cancel",
+        ] {
+            let url = format!("{base}/v1/{path}");
+            let sent = http.post(url).send().await;
+            expect_that!(sent.expect("an answer").status().as_u16(), eq(404));
+        }
+        let other = http.get(format!("{base}/v1/cache-events?after=x"));
+        expect_that!(
+            other.send().await.expect("an answer").status().as_u16(),
+            eq(400)
+        );
+    });
+}
+
+#[gtest]
+fn extreme_numbers_in_calls_do_no_harm() {
+    run(async {
+        let host = host();
+        let (engine, base) = (client(), host.base(SERVER));
+        let change = |change: fn(&mut GenerateCall)| {
+            let mut call = call("extreme", 4, true);
+            change(&mut call);
+            call
+        };
+        let refused = [
+            change(|call| call.prompt_tokens = u32::MAX),
+            change(|call| call.max_tokens = u32::MAX),
+            change(|call| call.resume_offset = u32::MAX),
+        ];
+        for call in refused {
+            let result = collect(&engine, &base, call).await;
+            expect_that!(
+                result,
+                err(matches_pattern!(EngineError::Refused {
+                    status: eq(&400),
+                    ..
+                }))
+            );
+        }
+        let answered = [
+            change(|call| call.prompt_tokens = 0),
+            change(|call| call.max_tokens = 0),
+            change(|call| call.prefix_tokens = u32::MAX),
+            change(|call| call.resume_offset = 4),
+            change(|call| call.attach_stream = "s18446744073709551615".to_owned()),
+            change(|call| call.prompt.clear()),
+        ];
+        for call in answered {
+            let result = collect(&engine, &base, call).await;
+            expect_that!(result, ok(anything()));
+        }
+    });
+}
+
+#[gtest]
+fn garbage_to_the_platform_is_refused() {
+    run(async {
+        let (handle, platform) = platform();
+        let http = awc::Client::default();
+        let transact = format!("{}/transact", handle.tables_url());
+        let bodies = [
+            "",
+            "{",
+            "[1]",
+            r#"{"compare": [], "writes": [{"key": "a", "value": "not base64!"}]}"#,
+            r#"{"compare": [{"key": "a", "expect": "maybe"}], "writes": []}"#,
+            r#"{"compare": [], "writes": [{"key": "", "value": ""}]}"#,
+        ];
+        for body in bodies {
+            let sent = http.post(&transact).send_body(body).await;
+            expect_that!(sent.expect("an answer").status().as_u16(), eq(400));
+        }
+        for path in [
+            "tables/row",
+            "tables/range?prefix=a",
+            "objects/object?name=a",
+        ] {
+            let url = format!("http://{}/{path}", handle.address());
+            let sent = http.get(url).send().await;
+            expect_that!(sent.expect("an answer").status().as_u16(), eq(400));
+        }
+        expect_that!(handle.revision(), eq(0));
+        let too_many = (0..200).fold(Transaction::default(), |transaction, number| {
+            transaction.put(format!("a/{number}"), "x")
+        });
+        let refused = platform.tables.transact(too_many).await;
+        expect_that!(refused, err(matches_pattern!(StoreError::Invalid { .. })));
+        let odd = platform.objects.read("none", u64::MAX, u64::MAX).await;
+        expect_that!(odd, ok(none()));
     });
 }
 
