--- a/crates/online/src/dispatch.rs
+++ b/crates/online/src/dispatch.rs
@@ -6,6 +6,8 @@
 use dappleyard_decide::placement::{Candidate, expected_wait_ms, rank};
 use dappleyard_engine::{GenerateCall, Priority};
 use dappleyard_tables::NodeTables;
+use dappleyard_tables::configuration::Configuration;
+use dappleyard_tables::directory::ServerEntry;
 use dappleyard_tables::servers::{InFlight, OwnedServer};
 use dappleyard_wire::hash::rendezvous_weight;
 use dappleyard_wire::ids::{RequestId, ServerId};
@@ -36,44 +38,60 @@
     version: &str,
     excluded: &[ServerId],
 ) -> Result<Chosen, Failure> {
-    let (key, has_key) = affinity_key(&incoming.request);
     let configuration = worker.tables.configuration.current();
-    let mut servers = Vec::new();
-    let mut candidates = Vec::new();
-    worker.tables.servers.read(|owned| {
-        for state in owned.values() {
-            let entry = &state.entry;
-            let hall = entry.hall.as_str();
-            if excluded.contains(&entry.server)
-                || !suits(state, incoming, version)
-                || configuration.is_draining(entry.server.as_str(), hall, entry.zone.as_str())
-            {
-                continue;
-            }
-            let room = load::room(state);
-            candidates.push(Candidate {
-                weight: rendezvous_weight(key, entry.server.as_str()),
-                servers: 1,
-                sequences: room.online,
-                wait_ms: expected_wait_ms(&room, incoming.tokens()),
-            });
-            servers.push(Chosen {
-                server: entry.server.clone(),
-                base_url: entry.base_url.clone(),
-                version: state.version().unwrap_or_default().to_owned(),
-            });
-        }
+    let best = worker.tables.servers.read(|owned| {
+        let suitable = |state: &&OwnedServer| {
+            !excluded.contains(&state.entry.server)
+                && suits(state, incoming, version)
+                && !is_draining(&configuration, &state.entry)
+        };
+        let servers: Vec<&OwnedServer> = owned.values().filter(suitable).collect();
+        best_of(&servers, incoming, worker.settings.affinity_bound_percent)
     });
-    let bound_percent = worker.settings.affinity_bound_percent;
-    let mut best = [0];
-    if rank(&candidates, affinity(has_key, bound_percent), &mut best) == 0 {
+    let Some((chosen, wait_ms)) = best else {
         return Err(Failure::not_run(
             ErrorKind::Bounced,
             "this node owns no server that takes the request",
         ));
+    };
+    admit::check_wait(worker, incoming, wait_ms)?;
+    Ok(chosen)
+}
+
+/// The best server and its expected wait, milliseconds.
+fn best_of(
+    servers: &[&OwnedServer],
+    incoming: &Incoming,
+    bound_percent: u32,
+) -> Option<(Chosen, u32)> {
+    let (key, has_key) = affinity_key(&incoming.request);
+    let candidate = |state: &&OwnedServer| {
+        let room = load::room(state);
+        Candidate {
+            weight: rendezvous_weight(key, state.entry.server.as_str()),
+            servers: 1,
+            sequences: room.online,
+            wait_ms: expected_wait_ms(&room, incoming.tokens()),
+        }
+    };
+    let candidates: Vec<Candidate> = servers.iter().map(candidate).collect();
+    let mut best = [0];
+    if rank(&candidates, affinity(has_key, bound_percent), &mut best) == 0 {
+        return None;
     }
-    admit::check_wait(worker, incoming, candidates[best[0]].wait_ms)?;
-    Ok(servers.swap_remove(best[0]))
+    let state = servers[best[0]];
+    let chosen = Chosen {
+        server: state.entry.server.clone(),
+        base_url: state.entry.base_url.clone(),
+        version: state.version().unwrap_or_default().to_owned(),
+    };
+    Some((chosen, candidates[best[0]].wait_ms))
+}
+
+/// Whether a drain names the server, its hall or its zone.
+pub(crate) fn is_draining(configuration: &Configuration, entry: &ServerEntry) -> bool {
+    !configuration.drains.is_empty()
+        && configuration.is_draining(entry.server.as_str(), &entry.hall, entry.zone.as_str())
 }
 
 fn suits(state: &OwnedServer, incoming: &Incoming, version: &str) -> bool {
--- a/crates/online/src/load.rs
+++ b/crates/online/src/load.rs
@@ -7,6 +7,8 @@
 use dappleyard_tables::{Lifecycle, NodeTables};
 use dappleyard_wire::messages::{NodeLoad, ServiceLoad};
 
+use crate::dispatch;
+
 /// Step time assumed before anything was measured, milliseconds.
 const DEFAULT_STEP_MS: f64 = 4.0;
 
@@ -19,9 +21,7 @@
     let services = tables.servers.read(|servers| {
         let mut services: BTreeMap<&str, ServiceSummary> = BTreeMap::new();
         for state in servers.values() {
-            let entry = &state.entry;
-            let draining =
-                configuration.is_draining(entry.server.as_str(), &entry.hall, entry.zone.as_str());
+            let draining = dispatch::is_draining(&configuration, &state.entry);
             if draining || !state.takes_new_work() {
                 continue;
             }
--- a/crates/online/src/place.rs
+++ b/crates/online/src/place.rs
@@ -2,7 +2,7 @@
 
 use dappleyard_decide::placement::{Affinity, Candidate, rank};
 use dappleyard_wire::hash::{hash_bytes, rendezvous_weight};
-use dappleyard_wire::messages::{GenerateRequest, ServiceLoad, Stage};
+use dappleyard_wire::messages::{GenerateRequest, Stage};
 
 use crate::view::{CellView, NodeAddress, PlacementView};
 
@@ -15,15 +15,16 @@
     Node(NodeAddress, Stage),
 }
 
-/// Key by which requests meet the same prefix cache, and whether it is one at all: without a session
-/// or prefix the request's own id spreads requests evenly.
+/// Key by which requests meet the same prefix cache, and whether it is one at all: without a prefix
+/// or session the request's own id spreads requests evenly. The sidecar chooses the ingress node by
+/// the same key, so that this is often the home owner.
 pub(crate) fn affinity_key(request: &GenerateRequest) -> (u64, bool) {
-    if !request.session.is_empty() {
-        return (hash_bytes(request.session.as_bytes()), true);
-    }
     if request.prefix_hash != 0 {
         return (request.prefix_hash, true);
     }
+    if !request.session.is_empty() {
+        return (hash_bytes(request.session.as_bytes()), true);
+    }
     (hash_bytes(request.request_id.as_bytes()), false)
 }
 
@@ -66,14 +67,14 @@
         let Some(load) = owner.service(&wanted.request.service) else {
             continue;
         };
-        if wanted.tried.contains(node) || !serves(&load, wanted.version) {
+        if wanted.tried.contains(node) || !serves(load.servers, load.versions, wanted.version) {
             continue;
         }
         owners.push(owner);
         candidates.push(Candidate {
             weight: rendezvous_weight(key, node),
             servers: load.servers,
-            sequences: load.online_sequences,
+            sequences: load.sequences,
             wait_ms: load.wait_ms,
         });
     }
@@ -102,7 +103,7 @@
         let services = cell.services.iter();
         let found = services.filter(|load| load.service == wanted.request.service);
         found
-            .filter(|load| serves(load, wanted.version))
+            .filter(|load| serves(load.servers, &load.versions, wanted.version))
             .map(|load| load.wait_ms)
             .min()
     };
@@ -120,6 +121,6 @@
         .map(|(_, _, entry)| Target::Node(entry, Stage::Cell))
 }
 
-fn serves(load: &ServiceLoad, version: &str) -> bool {
-    load.servers > 0 && (version.is_empty() || load.versions.iter().any(|one| one == version))
+fn serves(servers: u32, versions: &[String], version: &str) -> bool {
+    servers > 0 && (version.is_empty() || versions.iter().any(|one| one == version))
 }
--- a/crates/online/src/view.rs
+++ b/crates/online/src/view.rs
@@ -41,20 +41,31 @@
     sent: Cell<u32>,
 }
 
+/// Load of one service on one owner, as placement counts it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OwnerLoad<'a> {
+    /// Servers that take new work.
+    pub servers: u32,
+    /// Online sequences running and waiting.
+    pub sequences: u32,
+    /// Expected wait, milliseconds.
+    pub wait_ms: u32,
+    /// Versions loaded.
+    pub versions: &'a [String],
+}
+
 impl OwnerView {
     /// Load of a service, with what this worker has sent since it was reported.
-    pub fn service(&self, service: &str) -> Option<ServiceLoad> {
-        let found = self
-            .load
-            .services
-            .iter()
-            .find(|one| one.service == service)?;
-        let mut load = found.clone();
-        load.online_sequences += self.sent.get();
-        if self.suspect {
-            load.wait_ms = load.wait_ms.saturating_add(SUSPECT_WAIT_MS);
-        }
-        Some(load)
+    pub fn service(&self, service: &str) -> Option<OwnerLoad<'_>> {
+        let services = self.load.services.iter();
+        let load = services.into_iter().find(|one| one.service == service)?;
+        let added_wait_ms = if self.suspect { SUSPECT_WAIT_MS } else { 0 };
+        Some(OwnerLoad {
+            servers: load.servers,
+            sequences: load.online_sequences.saturating_add(self.sent.get()),
+            wait_ms: load.wait_ms.saturating_add(added_wait_ms),
+            versions: &load.versions,
+        })
     }
 
     /// Counts a request as sent there.
@@ -103,12 +114,12 @@
             .owners
             .iter()
             .filter_map(|owner| owner.service(service));
-        let far = self.cells.iter().flat_map(|cell| &cell.services);
-        let far = far.filter(|load| load.service == service).cloned();
-        near.chain(far)
+        let near = near
             .filter(|load| load.servers > 0)
-            .map(|load| load.wait_ms)
-            .min()
+            .map(|load| load.wait_ms);
+        let far = self.cells.iter().flat_map(|cell| &cell.services);
+        let far = far.filter(|load| load.servers > 0 && load.service == service);
+        near.chain(far.map(|load| load.wait_ms)).min()
     }
 }
 
