Controllers under epochs, canary gate with roll back, disruption budgets, drains at the engine

Cause: versions and drains must be brought to the engines by exactly one controller, also when one was paused beyond its takeover. Change: one reconciler for each service on the preferred node, under an epoch row; loads within the disruption budget with disruptions in flight kept in the service's row; canaries judged by load failures, failing looks and step time; drained servers closed at the engine and opened again only when the system had closed them.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,7 +6,7 @@
 //! - request path: [`admission`], [`placement`], [`retry`], [`reassembly`], [`once`]
 //! - batch: [`chunks`], [`width`], [`fairness`]
 //! - fleet: [`broadcast`], [`membership`], [`ownership`], [`configuration`], [`fence`]
-//! - operators: [`plans`], [`rollout`], [`disruption`]
+//! - operators: [`plans`], [`rollout`], [`disruption`], [`windows`]
 
 pub mod admission;
 pub mod broadcast;
@@ -25,3 +25,4 @@
 pub mod rollout;
 pub mod time;
 pub mod width;
+pub mod windows;
--- a/crates/decide/src/rollout.rs
+++ b/crates/decide/src/rollout.rs
@@ -139,8 +139,8 @@
     pub timeout_ms: u64,
     /// Now, on the clock of the disruptions.
     pub now_ms: u64,
-    /// No serving server may be put out now: a demand window is open or near.
-    pub frozen: bool,
+    /// Why no serving server may be put out now; `None` when one may.
+    pub frozen: Option<&'a str>,
 }
 
 /// Loads to order now and those held back, with the reason.
@@ -159,8 +159,11 @@
     servers: &[ServerView],
     bounds: LoadBounds<'_>,
 ) -> LoadPlan {
-    let replicas: Vec<Replica> = servers.iter().map(ServerView::replica).collect();
     let mut in_flight = bounds.in_flight.to_vec();
+    let replicas: Vec<Replica> = servers
+        .iter()
+        .map(|view| counted(view, &in_flight))
+        .collect();
     let loading = servers.iter().filter(|view| !view.loading.is_empty());
     let mut room = bounds.concurrency.saturating_sub(loading.count());
     let mut plan = LoadPlan::default();
@@ -191,6 +194,16 @@
     plan
 }
 
+/// A server whose drain is still under way is unavailable; once that is over it is removed.
+fn counted(view: &ServerView, in_flight: &[InFlight]) -> Replica {
+    let mut replica = view.replica();
+    let under_way = in_flight.iter().any(|flight| flight.server == view.server);
+    if replica.state == ReplicaState::Removed && under_way {
+        replica.state = ReplicaState::Unhealthy;
+    }
+    replica
+}
+
 /// Assignments whose server neither carries nor loads the wanted version, empty servers first.
 fn pending<'a>(
     assignments: &'a [Assignment],
@@ -220,8 +233,8 @@
     if !view.serves() {
         return None;
     }
-    if bounds.frozen {
-        return Some("a demand window is open or near".to_owned());
+    if let Some(reason) = bounds.frozen {
+        return Some(reason.to_owned());
     }
     match may_disrupt(&view.replica(), situation, bounds.budget) {
         Verdict::Allowed | Verdict::AllowedUnhealthy => None,
--- /dev/null
+++ b/crates/operate/src/controller/mod.rs
@@ -0,0 +1,180 @@
+//! Controllers: one reconciler for each service, on the node that the rendezvous hash prefers, under
+//! an epoch row.
+//!
+//! A reconciler looks at its servers ([`observe`]), closes and opens drained ones ([`closing`]),
+//! judges canaries ([`rollout`]) and orders loads within the disruption budget ([`loads`]). All orders
+//! carry (epoch, sequence) and all writes compare the epoch row ([`authority`]), so that a controller
+//! which was paused beyond its takeover does no harm when it wakes.
+
+pub mod authority;
+pub mod closing;
+pub mod loads;
+pub mod observe;
+pub mod rollout;
+pub mod service;
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_decide::time::Millis;
+use dappleyard_engine::Engine;
+use dappleyard_platform::TableStore;
+use dappleyard_settings::OperateSettings;
+use dappleyard_tables::NodeTables;
+use dappleyard_tables::decisions::{DecisionKind, Subject};
+use dappleyard_wire::{ErrorKind, Failure};
+use rand::Rng;
+
+use crate::controller::authority::Authority;
+use crate::controller::service::{Outcome, ServiceController};
+use crate::metrics::Metrics;
+use crate::record::record;
+use crate::start::is_preferred;
+
+/// Pause before a service is claimed again after its epoch was lost, milliseconds.
+const RECLAIM_PAUSE_MS: u64 = 5_000;
+
+/// What reconcilers work with.
+#[derive(Clone, Copy)]
+pub struct Tools<'a> {
+    /// The node's tables.
+    pub tables: &'a NodeTables,
+    /// The table service.
+    pub store: &'a dyn TableStore,
+    /// Engines.
+    pub engine: &'a dyn Engine,
+    /// Settings.
+    pub settings: &'a OperateSettings,
+    /// Metrics.
+    pub metrics: &'a Metrics,
+}
+
+/// The reconcilers of this node.
+#[derive(Default)]
+pub struct Controllers {
+    services: BTreeMap<String, ServiceController>,
+    paused_until: BTreeMap<String, Millis>,
+}
+
+impl Controllers {
+    /// One round: claims the services that are this node's to control, gives up the others, and
+    /// reconciles each.
+    pub async fn round(&mut self, tools: Tools<'_>) {
+        let configuration = tools.tables.configuration.current();
+        let mine = |service: &str| is_preferred(tools.tables, &format!("service/{service}"));
+        self.services
+            .retain(|service, _| configuration.services.contains_key(service) && mine(service));
+        for service in configuration
+            .services
+            .keys()
+            .filter(|service| mine(service))
+        {
+            self.ensure(service, tools).await;
+        }
+        let rounds = self
+            .services
+            .iter_mut()
+            .map(|(service, controller)| async move { (service, controller.round(tools).await) });
+        let outcomes: Vec<(String, Outcome)> = futures::future::join_all(rounds)
+            .await
+            .into_iter()
+            .map(|(service, outcome)| (service.clone(), outcome))
+            .collect();
+        for (service, outcome) in outcomes {
+            if outcome == Outcome::Lost {
+                self.give_up(&service, tools);
+            }
+        }
+        tools.metrics.services.set(self.services.len() as i64);
+    }
+
+    async fn ensure(&mut self, service: &str, tools: Tools<'_>) {
+        let now = tools.tables.clock.now();
+        let paused = self
+            .paused_until
+            .get(service)
+            .is_some_and(|until| *until > now);
+        if paused || self.services.contains_key(service) {
+            return;
+        }
+        match Authority::claim(tools.store, service, &tools.tables.identity).await {
+            Ok(authority) => {
+                tools.metrics.epochs.with_label_values(&["claimed"]).inc();
+                note_takeover(service, &authority, tools);
+                let controller = ServiceController::new(service, authority);
+                self.services.insert(service.to_owned(), controller);
+            }
+            Err(failure) => self.pause(service, &failure, tools),
+        }
+    }
+
+    fn pause(&mut self, service: &str, failure: &Failure, tools: Tools<'_>) {
+        let outcome = if failure.kind == ErrorKind::Fenced {
+            "held_by_another"
+        } else {
+            "failed"
+        };
+        tools.metrics.epochs.with_label_values(&[outcome]).inc();
+        let pause_ms = rand::rng().random_range(RECLAIM_PAUSE_MS / 10..=RECLAIM_PAUSE_MS);
+        let until = tools.tables.clock.now().plus(pause_ms);
+        self.paused_until.insert(service.to_owned(), until);
+    }
+
+    fn give_up(&mut self, service: &str, tools: Tools<'_>) {
+        self.services.remove(service);
+        tools.metrics.epochs.with_label_values(&["lost"]).inc();
+        let until = tools.tables.clock.now().plus(RECLAIM_PAUSE_MS);
+        self.paused_until.insert(service.to_owned(), until);
+        record(
+            tools.tables,
+            DecisionKind::Fenced,
+            "another controller raised the service's epoch",
+        )
+        .about(Subject::Service(service.to_owned()))
+        .outcome("this controller gave the service up; its orders and writes were refused");
+    }
+}
+
+fn note_takeover(service: &str, authority: &Authority, tools: Tools<'_>) {
+    let predecessor = match authority.predecessor.as_str() {
+        "" => "nobody",
+        node => node,
+    };
+    record(
+        tools.tables,
+        DecisionKind::TakenOver,
+        "the rendezvous hash prefers this node among the live members",
+    )
+    .about(Subject::Service(service.to_owned()))
+    .input("epoch", authority.epoch())
+    .input("held before by", predecessor)
+    .outcome("this node controls the service");
+    tracing::info!(
+        service,
+        epoch = authority.epoch(),
+        predecessor,
+        "service taken over"
+    );
+}
+
+/// Runs the reconcilers for ever on the calling arbiter.
+pub(crate) async fn run(context: Rc<crate::start::OperateContext>, metrics: Metrics) {
+    let interval = Duration::from_millis(context.settings.reconcile_interval_ms.max(10));
+    let mut controllers = Controllers::default();
+    loop {
+        tokio::time::sleep(interval).await;
+        if !context.tables.takes_new_work() {
+            controllers = Controllers::default();
+            continue;
+        }
+        let tools = Tools {
+            tables: &context.tables,
+            store: &*context.platform.tables,
+            engine: &*context.engine,
+            settings: &context.settings,
+            metrics: &metrics,
+        };
+        controllers.round(tools).await;
+    }
+}
--- a/crates/operate/src/journal.rs
+++ b/crates/operate/src/journal.rs
@@ -44,21 +44,21 @@
         }
     }
 
-    /// Writes the records that wait when it is time.
+    /// Writes the records that wait when it is time. Says whether it wrote.
     pub async fn run(
         &mut self,
         objects: &dyn ObjectStore,
         interval_ms: u64,
-    ) -> Result<(), StoreError> {
+    ) -> Result<bool, StoreError> {
         self.take();
         let nodes = self.tables.members.all().len() as u64;
         let interval_ms = interval_ms * nodes.div_ceil(NODES_AT_FULL_RATE).max(1);
         let waited_ms = self.tables.clock.now().0.saturating_sub(self.last_ms);
         let due = waited_ms >= interval_ms || self.pending.len() >= ENOUGH_RECORDS;
         if self.pending.is_empty() || !due {
-            return Ok(());
+            return Ok(false);
         }
-        self.write(objects).await
+        self.write(objects).await.map(|()| true)
     }
 
     /// Writes the records that wait now, as at a planned stop.
--- a/crates/operate/src/lib.rs
+++ b/crates/operate/src/lib.rs
@@ -1,11 +1,12 @@
 //! Plans, controllers, drains, rollouts and explanations.
 //!
 //! Operators state intents; the system answers with plans ([`plans`]) and acts only on confirmed
-//! ones. Controllers (`controller`) bring each service's servers to what the configuration says,
+//! ones. Controllers ([`controller`]) bring each service's servers to what the configuration says,
 //! under an epoch row that fences a controller which was paused. Every decision leaves a record
 //! ([`journal`]), from which [`explain`] answers in plain words. [`api`] is the operators' interface.
 
 pub mod api;
+pub mod controller;
 pub mod describe;
 pub mod explain;
 pub mod head;
@@ -13,8 +14,10 @@
 pub mod jobs;
 pub mod journal;
 pub mod local;
+pub mod metrics;
 pub mod peers;
 pub mod plans;
+mod record;
 pub mod regions;
 pub mod snapshot;
 mod start;
--- a/crates/operate/src/plans/drain.rs
+++ b/crates/operate/src/plans/drain.rs
@@ -173,14 +173,14 @@
             .collect()
     }
 
+    /// A server that is out counts as unavailable until nothing runs there; then it is no longer
+    /// expected to serve.
     fn replica(&self, server: &ServerStatus) -> Replica {
-        let out = self.drains.contains_key(&server.server) || server.is_drained();
-        let state = if self.done.contains(&server.server) {
+        let has_own_row = self.drains.contains_key(&server.server);
+        let out_with_its_place = server.is_drained() && !has_own_row;
+        let state = if self.done.contains(&server.server) || out_with_its_place {
             ReplicaState::Removed
-        } else if out && !self.is_of_plan(server) {
-            // Drained by another plan, or as part of a hall or zone: no longer expected to serve.
-            ReplicaState::Removed
-        } else if server.serves() && !out {
+        } else if server.serves() && !has_own_row {
             ReplicaState::Healthy
         } else {
             ReplicaState::Unhealthy
@@ -192,10 +192,6 @@
         }
     }
 
-    fn is_of_plan(&self, server: &ServerStatus) -> bool {
-        self.servers.iter().any(|own| own.server == server.server)
-    }
-
     fn put_out(&mut self, service: &str, budget: Budget, ledger: &mut Ledger, plan: &str) {
         let all = self.view.status.servers.iter();
         let replicas: Vec<Replica> = all
--- a/crates/operate/src/plans/ledger.rs
+++ b/crates/operate/src/plans/ledger.rs
@@ -12,6 +12,9 @@
 use crate::plans::store::encoded;
 use crate::snapshot::{decode, store_failure};
 
+/// Cause of a disruption by a controller's order to load.
+pub const LOAD: &str = "load";
+
 /// A service's disruptions in flight, as read.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ledger {
@@ -70,6 +73,26 @@
         self.changed = true;
     }
 
+    /// Servers that were ordered to take no new work.
+    pub fn closed(&self) -> BTreeSet<String> {
+        self.row.closed.iter().cloned().collect()
+    }
+
+    /// Replaces the servers that were ordered to take no new work.
+    pub fn set_closed(&mut self, closed: &BTreeSet<String>) {
+        let next: Vec<String> = closed.iter().cloned().collect();
+        self.changed |= next != self.row.closed;
+        self.row.closed = next;
+    }
+
+    /// Servers put out by a controller's own loads, each with the time, milliseconds since 1970.
+    pub fn loads(&self) -> Vec<(String, u64)> {
+        let loads = self.row.disruptions.iter().filter(|one| one.cause == LOAD);
+        loads
+            .map(|one| (one.server.clone(), one.since_unix_ms))
+            .collect()
+    }
+
     /// Whether there is something to write.
     pub fn is_changed(&self) -> bool {
         self.changed
--- a/crates/operate/src/regions.rs
+++ b/crates/operate/src/regions.rs
@@ -1,5 +1,7 @@
 //! Whether a change can be in force everywhere: regions tell in a freshness row that they follow.
 
+use std::collections::BTreeMap;
+
 use dappleyard_platform::TableStore;
 use dappleyard_wire::keys::REGION_PREFIX;
 use dappleyard_wire::messages::RegionRow;
@@ -50,20 +52,34 @@
         .range(REGION_PREFIX, "", MOST_REGIONS)
         .await
         .map_err(|error| store_failure(&error))?;
+    let mut ages = BTreeMap::new();
     for row in rows {
         let region: RegionRow = decode(&row.key, &row.value)?;
         let age_ms = now_unix_ms.saturating_sub(region.refreshed_unix_ms);
-        if regions.contains(&region.region) && age_ms > fresh_ms {
-            return Err(Failure::not_run(
-                ErrorKind::RegionUnreachable,
-                format!(
-                    "region {} has not confirmed configuration for {:.0} s, so the change cannot be in force there; \
-                     wait until it is back, or plan a change that does not touch it",
-                    region.region,
-                    age_ms as f64 / 1000.0
-                ),
-            ));
+        ages.insert(region.region, age_ms);
+    }
+    // Before the first region has written its row, nobody can tell.
+    let some_are_followed = !ages.is_empty();
+    for region in regions {
+        match ages.get(region) {
+            Some(age_ms) if *age_ms <= fresh_ms => {}
+            Some(age_ms) => {
+                let seconds = *age_ms as f64 / 1000.0;
+                return Err(unreachable(region, &format!("for {seconds:.0} s")));
+            }
+            None if some_are_followed => return Err(unreachable(region, "yet")),
+            None => {}
         }
     }
     Ok(())
 }
+
+fn unreachable(region: &str, since: &str) -> Failure {
+    Failure::not_run(
+        ErrorKind::RegionUnreachable,
+        format!(
+            "region {region} has not confirmed configuration {since}, so the change cannot be in force there; \
+             wait until it is back, or plan a change that does not touch it"
+        ),
+    )
+}
--- a/crates/operate/src/start.rs
+++ b/crates/operate/src/start.rs
@@ -9,15 +9,23 @@
 use dappleyard_engine::Engine;
 use dappleyard_platform::Platform;
 use dappleyard_settings::OperateSettings;
+use dappleyard_tables::decisions::{DecisionKind, Subject};
 use dappleyard_tables::{Lifecycle, NodeTables};
+use dappleyard_wire::Failure;
 use dappleyard_wire::hash::{hash_bytes, rendezvous_weight};
 use dappleyard_wire::messages::MemberState;
 use tokio::task::JoinHandle;
 
+use crate::controller;
+use crate::describe::phase_name;
 use crate::journal::Journal;
+use crate::local::lifecycle_name;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::plans::drain::Stepped;
 use crate::plans::runner::{RunView, advance};
 use crate::plans::store::running_ids;
+use crate::record::record;
 use crate::status::{FleetStatus, gather};
 
 /// What the controllers, the plan runner and the journal need.
@@ -57,10 +65,20 @@
     let context = Rc::new(context);
     let stopping = Rc::new(Cell::new(false));
     let wake = Rc::new(tokio::sync::Notify::new());
-    let runner = actix_rt::spawn(run_plans(context.clone()));
-    let journal = actix_rt::spawn(run_journal(context, stopping.clone(), wake.clone()));
+    let metrics = Metrics::register(&context.tables);
+    let tasks = vec![
+        actix_rt::spawn(run_plans(context.clone(), metrics.clone())),
+        actix_rt::spawn(controller::run(context.clone(), metrics.clone())),
+        actix_rt::spawn(follow_own_drain(context.tables.clone())),
+    ];
+    let journal = actix_rt::spawn(run_journal(
+        context,
+        metrics,
+        stopping.clone(),
+        wake.clone(),
+    ));
     OperateHandle {
-        tasks: vec![runner],
+        tasks,
         journal,
         stopping,
         wake,
@@ -87,13 +105,57 @@
     preferred_node(tables, resource).is_some_and(|node| node == tables.identity.node.as_str())
 }
 
-async fn run_plans(context: Rc<OperateContext>) {
+/// Makes this node drain while configuration says so, and lets it serve again afterwards.
+async fn follow_own_drain(tables: Arc<NodeTables>) {
+    let mut configurations = tables.configuration.subscribe();
+    let key = ("node".to_owned(), tables.identity.node.to_string());
+    let mut drained = false;
+    loop {
+        let wanted = configurations.borrow_and_update().drains.contains_key(&key);
+        if wanted != drained {
+            drained = wanted;
+            // Membership lifts a withdrawn node to ready once it vouches for its configuration.
+            let next = if wanted {
+                Lifecycle::Draining
+            } else {
+                Lifecycle::Withdrawn
+            };
+            enter(&tables, next);
+        }
+        if configurations.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn enter(tables: &NodeTables, next: Lifecycle) {
+    let changed = tables.lifecycle.send_if_modified(|current| {
+        let moves = *current != Lifecycle::Stopped && *current != next;
+        if moves {
+            *current = next;
+        }
+        moves
+    });
+    if changed {
+        let node = tables.identity.node.to_string();
+        record(
+            tables,
+            DecisionKind::Withdrawn,
+            "configuration drains the node, or no longer does",
+        )
+        .about(Subject::Node(node))
+        .outcome(format!("the node is {}", lifecycle_name(next)));
+        tracing::info!(?next, "drain of this node");
+    }
+}
+
+async fn run_plans(context: Rc<OperateContext>, metrics: Metrics) {
     let peers = Peers::new(context.tables.clone(), context.settings.peer_timeout_ms);
     let interval = Duration::from_millis(context.settings.reconcile_interval_ms.max(10));
     loop {
         tokio::time::sleep(interval).await;
         if is_preferred(&context.tables, "plan-runner")
-            && let Err(failure) = look_at_plans(&context, &peers).await
+            && let Err(failure) = look_at_plans(&context, &peers, &metrics).await
         {
             tracing::debug!(%failure, "the plans could not be looked at");
         }
@@ -103,9 +165,11 @@
 async fn look_at_plans(
     context: &OperateContext,
     peers: &Peers,
-) -> Result<(), dappleyard_wire::Failure> {
+    metrics: &Metrics,
+) -> Result<(), Failure> {
     let tables = &*context.platform.tables;
     let running = running_ids(tables).await?;
+    metrics.plans_running.set(running.len() as i64);
     if running.is_empty() {
         return Ok(());
     }
@@ -118,11 +182,33 @@
             settings: &context.settings,
             unix_ms: context.tables.clock.unix_ms(),
         };
-        advance(tables, &id, &view).await?;
+        let stepped = advance(tables, &id, &view).await;
+        note_step(context, metrics, &id, &stepped);
     }
     Ok(())
 }
 
+fn note_step(
+    context: &OperateContext,
+    metrics: &Metrics,
+    plan: &str,
+    stepped: &Result<Stepped, Failure>,
+) {
+    let outcome = match stepped {
+        Ok(Stepped::Moved(_)) => "moved",
+        Ok(Stepped::Unchanged) => "unchanged",
+        Ok(Stepped::Overtaken) => "overtaken",
+        Err(_) => "failed",
+    };
+    metrics.plan_steps.with_label_values(&[outcome]).inc();
+    if let Ok(Stepped::Moved(row)) = stepped {
+        record(&context.tables, DecisionKind::PlanStep, row.message.clone())
+            .about(Subject::Plan(plan.to_owned()))
+            .input("servers done", row.step)
+            .outcome(format!("the plan is {}", phase_name(row.phase())));
+    }
+}
+
 /// Drained servers whose engine runs nothing, or is gone.
 async fn idle_servers(context: &OperateContext, status: &FleetStatus) -> BTreeSet<String> {
     let drained = status.servers.iter().filter(|server| server.is_drained());
@@ -146,6 +232,7 @@
 
 async fn run_journal(
     context: Rc<OperateContext>,
+    metrics: Metrics,
     stopping: Rc<Cell<bool>>,
     wake: Rc<tokio::sync::Notify>,
 ) {
@@ -155,9 +242,15 @@
     while !stopping.get() && *context.tables.lifecycle.borrow() != Lifecycle::Stopped {
         let _ = tokio::time::timeout(interval, wake.notified()).await;
         // A failed write is tried again with the next one.
-        let _ = journal
+        let written = journal
             .run(objects, context.settings.journal_interval_ms)
             .await;
+        let outcome = match written {
+            Ok(false) => continue,
+            Ok(true) => "written",
+            Err(_) => "failed",
+        };
+        metrics.journal.with_label_values(&[outcome]).inc();
     }
     let _ = journal.flush(objects).await;
 }
--- /dev/null
+++ b/crates/operate/tests/controllers.rs
@@ -0,0 +1,292 @@
+//! Controllers: loads, canaries and roll back, fencing of a paused one, drains at the engine.
+
+mod support;
+
+use std::sync::Arc;
+
+use dappleyard_operate::controller::{Controllers, Tools};
+use dappleyard_operate::metrics::Metrics;
+use dappleyard_operate::plans::confirm::{Confirmation, confirm};
+use dappleyard_operate::plans::store::read_plan;
+use dappleyard_platform::{MemoryPlatform, Transaction};
+use dappleyard_settings::OperateSettings;
+use dappleyard_tables::{Lifecycle, NodeTables};
+use dappleyard_wire::keys;
+use dappleyard_wire::messages::{ConfigurationEntry, DrainRow, PlanPhase, ServiceRow, WindowRow};
+use googletest::prelude::*;
+use support::{FakeEngines, NOW_MS, SERVICE, entry, platform, proposed, put, rollout, row, status};
+
+/// One node's controllers over shared platform and engines.
+struct Node {
+    tables: Arc<NodeTables>,
+    controllers: Controllers,
+    metrics: Metrics,
+    settings: OperateSettings,
+}
+
+impl Node {
+    fn new(name: &str, servers: usize) -> Node {
+        let tables = support::tables(name, 1);
+        tables.lifecycle.send_replace(Lifecycle::Ready);
+        tables.directory.replace((0..servers).map(entry).collect());
+        Node {
+            metrics: Metrics::register(&tables),
+            tables,
+            controllers: Controllers::default(),
+            settings: OperateSettings {
+                canary_watch_ms: 0,
+                ..OperateSettings::default()
+            },
+        }
+    }
+
+    /// Puts the platform's configuration in force on this node, as the fleet part does.
+    fn follow(&self, store: &MemoryPlatform) {
+        let mut state = self.tables.configuration.snapshot();
+        state.revision = store.revision();
+        state.entries.clear();
+        for row in store.rows("config/") {
+            let entry = ConfigurationEntry {
+                key: row.key.clone(),
+                value: row.value.to_vec(),
+                ..ConfigurationEntry::default()
+            };
+            state.entries.insert(row.key, entry);
+        }
+        self.tables.configuration.replace(state);
+    }
+
+    async fn round(&mut self, store: &MemoryPlatform, engines: &FakeEngines) {
+        self.follow(store);
+        self.stale_round(store, engines).await;
+    }
+
+    /// A round under the configuration that this node knows already.
+    async fn stale_round(&mut self, store: &MemoryPlatform, engines: &FakeEngines) {
+        let tools = Tools {
+            tables: &self.tables,
+            store,
+            engine: engines,
+            settings: &self.settings,
+            metrics: &self.metrics,
+        };
+        self.controllers.round(tools).await;
+    }
+
+    async fn rounds(&mut self, count: usize, store: &MemoryPlatform, engines: &FakeEngines) {
+        for _ in 0..count {
+            self.round(store, engines).await;
+            engines.finish_loads();
+        }
+    }
+}
+
+async fn confirmed_rollout(store: &MemoryPlatform, servers: usize) -> Result<String> {
+    let plan = proposed(store, &status(servers), &rollout("v2"))
+        .await
+        .or_fail()?;
+    let confirmation = Confirmation {
+        plan: plan.row.id.clone(),
+        token: "a".to_owned(),
+        unix_ms: NOW_MS,
+        region_fresh_ms: 15_000,
+    };
+    confirm(store, &confirmation).await.expect("accepted");
+    Ok(plan.row.id)
+}
+
+#[gtest]
+#[tokio::test]
+async fn empty_servers_are_loaded_a_few_at_a_time() {
+    let store = platform().await;
+    let engines = FakeEngines::new(6, "");
+    let mut node = Node::new("node-1", 6);
+    let mut most = 0;
+    for _ in 0..6 {
+        node.round(&store, &engines).await;
+        most = most.max(engines.loading());
+        engines.finish_loads();
+    }
+    expect_that!(most, eq(node.settings.load_concurrency));
+    expect_that!(engines.versions(), each(eq("v1")));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_healthy_canary_brings_the_version_to_all_servers_within_the_budget() -> Result<()> {
+    let store = platform().await;
+    let engines = FakeEngines::new(8, "v1");
+    let mut node = Node::new("node-1", 8);
+    node.round(&store, &engines).await;
+    confirmed_rollout(&store, 8).await?;
+    let mut most = 0;
+    for _ in 0..20 {
+        node.round(&store, &engines).await;
+        most = most.max(engines.loading());
+        engines.finish_loads();
+    }
+    expect_that!(engines.versions(), each(eq("v2")));
+    // One server of each of two zones at once.
+    expect_that!(most, le(2));
+    let service: ServiceRow = row(&store, &keys::service(SERVICE)).or_fail()?;
+    expect_that!(service.version, eq("v2"));
+    expect_that!(service.canary, eq(""));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_canary_that_fails_to_load_is_taken_back_and_the_plan_says_why() -> Result<()> {
+    let store = platform().await;
+    let engines = FakeEngines::new(4, "v1");
+    for number in 0..4 {
+        engines.with(number, |server| {
+            server.refuse_versions = vec!["v2".to_owned()]
+        });
+    }
+    let mut node = Node::new("node-1", 4);
+    node.round(&store, &engines).await;
+    let id = confirmed_rollout(&store, 4).await?;
+    node.rounds(6, &store, &engines).await;
+    let service: ServiceRow = row(&store, &keys::service(SERVICE)).or_fail()?;
+    expect_that!(service.version, eq("v1"));
+    expect_that!(service.canary, eq(""));
+    expect_that!(engines.versions(), each(eq("v1")));
+    let plan = read_plan(&store, &id).await.or_fail()?;
+    expect_that!(plan.row.phase(), eq(PlanPhase::PlanFailed));
+    expect_that!(
+        plan.row.message,
+        contains_substring("failed to load v2: v2: checksum differs")
+    );
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_canary_with_slow_steps_is_taken_back() -> Result<()> {
+    let store = platform().await;
+    let engines = FakeEngines::new(4, "v1");
+    let mut node = Node::new("node-1", 4);
+    node.settings.canary_watch_ms = 60_000;
+    node.round(&store, &engines).await;
+    confirmed_rollout(&store, 4).await?;
+    node.rounds(3, &store, &engines).await;
+    for number in 0..4 {
+        engines.with(number, |server| {
+            if server.version == "v2" {
+                server.step_ms = 9.0;
+            }
+        });
+    }
+    node.rounds(10, &store, &engines).await;
+    let service: ServiceRow = row(&store, &keys::service(SERVICE)).or_fail()?;
+    expect_that!(service.canary, eq(""));
+    expect_that!(service.version, eq("v1"));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_controller_that_was_paused_beyond_its_takeover_does_no_harm() -> Result<()> {
+    let store = platform().await;
+    let engines = FakeEngines::new(2, "");
+    let mut paused = Node::new("node-1", 2);
+    paused.round(&store, &engines).await;
+    engines.finish_loads();
+    let mut successor = Node::new("node-2", 2);
+    // The pause was longer than any disruption in flight is remembered.
+    successor.settings.disruption_timeout_ms = 0;
+    // The version changes while the first controller sleeps, and the second takes over.
+    let mut next = support::service_row();
+    next.version = "v3".to_owned();
+    put(&store, keys::service(SERVICE), &next).await;
+    successor.rounds(6, &store, &engines).await;
+    expect_that!(engines.versions(), each(eq("v3")));
+    let orders = engines.with(0, |server| server.orders.len());
+    paused.stale_round(&store, &engines).await;
+    paused.stale_round(&store, &engines).await;
+    expect_that!(engines.versions(), each(eq("v3")));
+    expect_that!(engines.loading(), eq(0));
+    expect_that!(engines.with(0, |server| server.orders.len()), eq(orders));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_controller_that_starts_again_is_not_refused_by_its_engines() {
+    let store = platform().await;
+    let engines = FakeEngines::new(2, "");
+    let mut node = Node::new("node-1", 2);
+    node.rounds(3, &store, &engines).await;
+    engines.with(0, |server| server.version.clear());
+    let mut again = Node::new("node-1", 2);
+    again.rounds(3, &store, &engines).await;
+    expect_that!(engines.versions(), each(eq("v1")));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_drained_server_is_closed_at_the_engine_and_opened_when_its_drain_ends() -> Result<()> {
+    let store = platform().await;
+    let engines = FakeEngines::new(2, "v1");
+    let mut node = Node::new("node-1", 2);
+    // Server 1 takes no new work for a reason of its own and must never be opened.
+    engines.with(1, |server| server.accepting = false);
+    node.round(&store, &engines).await;
+    let drain = DrainRow {
+        kind: "server".to_owned(),
+        name: "s0".to_owned(),
+        ..DrainRow::default()
+    };
+    put(&store, keys::drain("server", "s0"), &drain).await;
+    node.rounds(2, &store, &engines).await;
+    expect_that!(engines.with(0, |server| server.accepting), eq(false));
+    store
+        .transact_now(Transaction::default().delete(keys::drain("server", "s0")))
+        .await;
+    // A new controller knows from the store which servers were closed.
+    let mut successor = Node::new("node-2", 2);
+    successor.rounds(3, &store, &engines).await;
+    expect_that!(engines.with(0, |server| server.accepting), eq(true));
+    expect_that!(engines.with(1, |server| server.accepting), eq(false));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn no_serving_server_is_put_out_while_a_demand_window_is_open() {
+    let store = platform().await;
+    let engines = FakeEngines::new(4, "v1");
+    let mut node = Node::new("node-1", 4);
+    let window = WindowRow {
+        name: "shift".to_owned(),
+        service: SERVICE.to_owned(),
+        starts_unix_s: 1,
+        ends_unix_s: u64::from(u32::MAX),
+        ..WindowRow::default()
+    };
+    put(&store, keys::window("shift"), &window).await;
+    let mut next = support::service_row();
+    next.version = "v2".to_owned();
+    put(&store, keys::service(SERVICE), &next).await;
+    engines.with(3, |server| server.version.clear());
+    node.rounds(6, &store, &engines).await;
+    expect_that!(
+        engines.versions(),
+        elements_are![eq("v1"), eq("v1"), eq("v1"), eq("v2")]
+    );
+}
+
+/// A transaction that must succeed.
+trait TransactNow {
+    async fn transact_now(&self, transaction: Transaction);
+}
+
+impl TransactNow for MemoryPlatform {
+    async fn transact_now(&self, transaction: Transaction) {
+        use dappleyard_platform::TableStore;
+        self.transact(transaction)
+            .await
+            .expect("the memory platform writes");
+    }
+}
