--- a/crates/standin/src/engine/model/step.rs
+++ b/crates/standin/src/engine/model/step.rs
@@ -42,6 +42,15 @@
         }
     }
 
+    /// The engine stood still until now: the step at hand ends now, and the time counts neither as
+    /// idle nor as lateness of the machine.
+    pub fn resume_after_hang(&mut self, now_us: u64) {
+        self.idle_since_us = now_us;
+        if let Some(step) = &mut self.step {
+            step.due_us = step.due_us.max(now_us);
+        }
+    }
+
     fn begin_step(&mut self, now_us: u64, effects: &mut Vec<Effect>) {
         self.abandon_unread(now_us, effects);
         self.advance_load(now_us);
@@ -97,7 +106,7 @@
             batch_blocks: 0,
         };
         for sequence in &self.running {
-            if sequence.is_online() {
+            if sequence.online {
                 shape.online += 1;
                 shape.online_prefill += sequence.prefill_now;
                 shape.online_blocks += sequence.blocks();
@@ -129,7 +138,7 @@
             if !self.compute(now_us, index, effects) {
                 continue;
             }
-            if self.running[index].is_online() {
+            if self.running[index].online {
                 online_tokens += 1;
             } else {
                 batch_tokens += 1;
@@ -226,12 +235,8 @@
     }
 
     fn take_sample(&mut self, at_us: u64) {
-        let online = self
-            .running
-            .iter()
-            .filter(|other| other.is_online())
-            .count();
-        let waiting = self.waiting.iter().filter(|other| !other.is_online());
+        let online = self.running.iter().filter(|other| other.online).count();
+        let waiting = self.waiting.iter().filter(|other| !other.online);
         let batch_waiting = waiting.count() as u32;
         let batch = self.running.len() - online;
         self.meter
