--- a/crates/batch/tests/batch/faults.rs
+++ b/crates/batch/tests/batch/faults.rs
@@ -18,9 +18,9 @@
 use crate::support::harness::{Fleet, lines, once_submit, submit, upload};
 use crate::support::platform::Fault;
 
-const ITEMS: usize = 60;
+pub const ITEMS: usize = 60;
 
-fn settings() -> BatchSettings {
+pub fn settings() -> BatchSettings {
     BatchSettings {
         chunk_minimum_items: 4,
         once_chunk_items: 4,
@@ -29,7 +29,7 @@
 }
 
 /// Result lines by the names of their items.
-async fn results(fleet: &Fleet, node: usize, job: &JobState) -> BTreeMap<String, Vec<String>> {
+pub async fn results(fleet: &Fleet, node: usize, job: &JobState) -> BTreeMap<String, Vec<String>> {
     expect_results_under_their_epochs(fleet, &job.job_id);
     let mut found: BTreeMap<String, Vec<String>> = BTreeMap::new();
     for file in [&job.output_file_id, &job.error_file_id] {
@@ -54,7 +54,7 @@
     }
 }
 
-fn expect_once_each(found: &BTreeMap<String, Vec<String>>, items: usize) {
+pub fn expect_once_each(found: &BTreeMap<String, Vec<String>>, items: usize) {
     expect_that!(found.len(), eq(items));
     expect_that!(
         found.values().filter(|lines| lines.len() != 1).count(),
@@ -63,7 +63,7 @@
 }
 
 /// Items that were begun more than once from their first token.
-fn repeated_requests(fleet: &Fleet) -> usize {
+pub fn repeated_requests(fleet: &Fleet) -> usize {
     let mut counts = BTreeMap::new();
     for run in fleet.engine.runs.borrow().iter() {
         if run.resume_offset == 0 {
@@ -355,25 +355,3 @@
             .await;
     }
 }
-
-#[gtest]
-#[tokio::test(start_paused = true)]
-async fn a_paused_node_starts_nothing_of_a_job_cancelled_meanwhile() {
-    LocalSet::new()
-        .run_until(async {
-            let fleet = Fleet::start(2, settings());
-            let file = upload(&fleet.nodes[0], &lines(2_000, 40)).await;
-            let job = fleet.nodes[0]
-                .submit(submit(&file, "key"))
-                .await
-                .expect("accepted");
-            tokio::time::sleep(Duration::from_millis(100)).await;
-            fleet.nodes[1].cancel(&job.job_id).await.expect("cancelled");
-            // All tasks stand still, then go on with what they knew.
-            tokio::time::advance(Duration::from_secs(20)).await;
-            let started = fleet.engine.runs.borrow().len();
-            tokio::time::sleep(Duration::from_secs(20)).await;
-            expect_that!(fleet.engine.runs.borrow().len(), eq(started));
-        })
-        .await;
-}
--- a/crates/batch/tests/batch/main.rs
+++ b/crates/batch/tests/batch/main.rs
@@ -2,4 +2,5 @@
 
 mod faults;
 mod jobs;
+mod paused;
 mod support;
--- a/crates/batch/tests/batch/support/mod.rs
+++ b/crates/batch/tests/batch/support/mod.rs
@@ -3,4 +3,5 @@
 
 pub mod engine;
 pub mod harness;
+pub mod pause;
 pub mod platform;
