--- a/crates/decide/src/once.rs
+++ b/crates/decide/src/once.rs
@@ -18,6 +18,9 @@
     InProgress,
     /// The key was used for a different request.
     KeyReused,
+    /// This attempt gave the key back already: it must neither run nor create the record again.
+    /// Without this a slow loop of the same attempt would take the key back for nobody.
+    GivenUp,
 }
 
 /// Who asks for the key.
@@ -43,6 +46,7 @@
         return OnceDecision::KeyReused;
     }
     match row.phase() {
+        OncePhase::OnceReleased if row.writer == attempt.writer => OnceDecision::GivenUp,
         OncePhase::OnceReleased => OnceDecision::Create(create(attempt)),
         OncePhase::OnceSettled => {
             OnceDecision::Replay(row.outcome.clone().unwrap_or_else(unknown_outcome))
@@ -64,6 +68,48 @@
     row
 }
 
+/// The record that an attempt writes when it was told, or told its caller, that it does not run, while
+/// a create of its own may still take effect; `None` when the key is not its own and needs no write.
+/// An absent record, or one that another attempt released, is written as released too, so that a late
+/// create finds another revision than it expects.
+pub fn give_up(row: Option<&OnceRow>, attempt: &OnceAttempt) -> Option<OnceRow> {
+    let open = row.is_none_or(|row| {
+        let own = row.writer == attempt.writer;
+        match row.phase() {
+            OncePhase::OnceStarted => own,
+            OncePhase::OnceReleased => !own,
+            OncePhase::OnceSettled => false,
+        }
+    });
+    open.then(|| {
+        let mut released = create(attempt);
+        released.set_phase(OncePhase::OnceReleased);
+        released
+    })
+}
+
+/// Whether an outcome may be written over the row. Only the attempt that created a record may release
+/// it; a whole answer replaces an outcome that is none.
+pub fn may_settle(row: &OnceRow, request_id: &str, writer: &str, outcome: &OnceOutcome) -> bool {
+    let is_answer = outcome.kind == 0;
+    let releases = !is_answer && outcome.ran() == Ran::No;
+    let is_writer = !writer.is_empty() && row.writer == writer;
+    if !is_writer && (row.request_id != request_id || releases) {
+        return false;
+    }
+    match row.phase() {
+        OncePhase::OnceStarted => true,
+        OncePhase::OnceSettled => is_answer && !holds_answer(row),
+        OncePhase::OnceReleased => false,
+    }
+}
+
+fn holds_answer(row: &OnceRow) -> bool {
+    row.outcome
+        .as_ref()
+        .is_some_and(|outcome| outcome.kind == 0)
+}
+
 /// The record after the run ended. An attempt that is known not to have run releases the key.
 pub fn settle(row: &OnceRow, outcome: OnceOutcome) -> OnceRow {
     let mut next = row.clone();
--- a/crates/spec/src/catalogue.rs
+++ b/crates/spec/src/catalogue.rs
@@ -4,6 +4,7 @@
 
 use crate::checker::{Exploration, explore};
 use crate::chunks::{self, Chunks};
+use crate::once::{self, Once};
 
 /// A plausible mistake that the checker has to catch.
 pub struct Mutant {
@@ -74,6 +75,29 @@
         ],
         run: |mutant| explore(&chunks(Repeat::Never, mutant)),
     },
+    Entry {
+        name: "once",
+        about: "the at-most-once record with two senders",
+        mutants: &[
+            Mutant {
+                name: "retry-after-maybe",
+                breaks: "the request ran twice",
+            },
+            Mutant {
+                name: "writer-not-compared",
+                breaks: "the request ran twice",
+            },
+            Mutant {
+                name: "loop-outlives-wait",
+                breaks: "the key stays in progress for good, with nobody running the request",
+            },
+            Mutant {
+                name: "not-given-up",
+                breaks: "the key stays in progress for good, with nobody running the request",
+            },
+        ],
+        run: |mutant| explore(&once(mutant)),
+    },
 ];
 
 fn chunks(repeat: Repeat, mutant: Option<&str>) -> Chunks {
@@ -92,3 +116,19 @@
         },
     }
 }
+
+fn once(mutant: Option<&str>) -> Once {
+    Once {
+        mutant: mutant.and_then(|name| match name {
+            "retry-after-maybe" => Some(once::Mutant::RetryAfterMaybe),
+            "writer-not-compared" => Some(once::Mutant::WriterNotCompared),
+            "loop-outlives-wait" => Some(once::Mutant::LoopOutlivesWait),
+            "not-given-up" => Some(once::Mutant::NotGivenUp),
+            _ => None,
+        }),
+        limits: once::Limits {
+            faults: 2,
+            suspicions: 1,
+        },
+    }
+}
