--- /dev/null
+++ b/crates/lab/src/faults/inject.rs
@@ -0,0 +1,285 @@
+//! Carries faults out at their times.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use dappleyard_standin::platform::{Fault as PlatformFault, Service};
+use futures::future::join_all;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::held::HeldFaults;
+use super::{Fault, FaultKind, Target, operators};
+use crate::fleet::Fleet;
+use crate::ledger::{Drain, Event, FaultRecord, Unavailable};
+use crate::load::drive::ClientMoods;
+use crate::network::Cut;
+
+/// Carries out faults on one fleet.
+pub struct Injector {
+    fleet: Rc<Fleet>,
+    moods: Arc<ClientMoods>,
+    start: Duration,
+    held: HeldFaults,
+    publication: Cell<(Duration, bool)>,
+}
+
+/// A fault with its place drawn.
+struct Placed {
+    fault: Fault,
+    number: u32,
+    node: usize,
+    server: usize,
+    zone: usize,
+}
+
+impl Injector {
+    /// An injector whose times count from `start` on the run's clock.
+    pub fn new(fleet: Rc<Fleet>, moods: Arc<ClientMoods>, start: Duration) -> Rc<Injector> {
+        Rc::new(Injector {
+            fleet,
+            moods,
+            start,
+            held: HeldFaults::default(),
+            publication: Cell::default(),
+        })
+    }
+
+    /// Carries out all faults; returns when the last has ended.
+    pub async fn run(self: Rc<Self>, faults: Vec<Fault>, seed: u64) {
+        let placed = self.place(faults, seed);
+        let tasks = placed.into_iter().map(|placed| {
+            let injector = self.clone();
+            actix_rt::spawn(async move { injector.carry_out(placed).await })
+        });
+        join_all(tasks).await;
+    }
+
+    /// Draws the places of faults that name none.
+    fn place(&self, faults: Vec<Fault>, seed: u64) -> Vec<Placed> {
+        let mut generator = ChaCha8Rng::seed_from_u64(seed ^ 0xFA17);
+        let nodes = self.fleet.node_count();
+        let servers = self.fleet.servers.len();
+        let zones = self.fleet.scenario.zones.len();
+        let numbered = faults.into_iter().zip(0_u32..);
+        numbered
+            .map(|(fault, number)| {
+                let drawn: usize = generator.random_range(0..usize::MAX / 2);
+                let index = |count: usize| match fault.target {
+                    Some(Target::Node(index) | Target::Server(index) | Target::Zone(index)) => {
+                        index % count
+                    }
+                    None => drawn % count,
+                };
+                Placed {
+                    node: index(nodes),
+                    server: index(servers),
+                    zone: index(zones),
+                    number,
+                    fault,
+                }
+            })
+            .collect()
+    }
+
+    async fn carry_out(&self, placed: Placed) {
+        let clock = self.fleet.ledger.clock;
+        let due = clock.instant(self.start + placed.fault.start());
+        tokio::time::sleep_until(due.into()).await;
+        let from = clock.now();
+        let place = self.act(&placed).await;
+        self.fleet.ledger.add_event(Event::Fault(FaultRecord {
+            kind: placed.fault.what,
+            place,
+            from,
+            to: clock.now(),
+        }));
+    }
+
+    /// Carries out one fault from its start to its end and says where it was.
+    async fn act(&self, placed: &Placed) -> String {
+        let fleet = &self.fleet;
+        let (length, amount) = (placed.fault.length(), placed.fault.amount);
+        match placed.fault.what {
+            FaultKind::NodeKill => return self.kill_node(placed.node, length).await,
+            FaultKind::NodePause => return self.pause_node(placed.node, length).await,
+            FaultKind::NodeStop => return self.stop_node(placed.node, length).await,
+            FaultKind::RollingRestart => self.restart_all(length).await,
+            FaultKind::EngineKill => return self.kill_engine(placed.server, length).await,
+            FaultKind::ServerLeaving => return self.leave(placed.server, length).await,
+            FaultKind::ServerDrain => {
+                let server = fleet.servers[placed.server].name.clone();
+                operators::drain_server(fleet, &server, length).await;
+                return server;
+            }
+            FaultKind::ZoneCut => {
+                let zone = fleet.scenario.zones[placed.zone].name.clone();
+                return self.cut(Cut::Zone(zone), length).await;
+            }
+            FaultKind::RegionCut => {
+                let region = fleet.scenario.zones[placed.zone].region.clone();
+                return self.cut(Cut::Region(region), length).await;
+            }
+            FaultKind::StoreDown => {
+                let down = PlatformFault { unreachable: true, ..PlatformFault::default() };
+                self.platform_fault(Service::Tables, down, length).await;
+            }
+            FaultKind::StoreSlow => {
+                let delay = Duration::from_secs_f64(amount / 1_000.0);
+                let slow = PlatformFault { delay, ..PlatformFault::default() };
+                self.platform_fault(Service::Tables, slow, length).await;
+            }
+            FaultKind::StoreAnswerLost => {
+                let lost = PlatformFault { answer_lost: amount / 100.0, ..PlatformFault::default() };
+                self.platform_fault(Service::Tables, lost, length).await;
+            }
+            FaultKind::ObjectStoreDown => {
+                let down = PlatformFault { unreachable: true, ..PlatformFault::default() };
+                self.platform_fault(Service::Objects, down, length).await;
+            }
+            FaultKind::UdpLoss => {
+                fleet.network.lose(amount / 100.0);
+                tokio::time::sleep(length).await;
+                fleet.network.lose(0.0);
+            }
+            FaultKind::MachineListLag => {
+                fleet.platform.set_machine_lag(Duration::from_secs_f64(amount / 1_000.0));
+                tokio::time::sleep(length).await;
+                let usual = fleet.scenario.platform.machine_list_lag_ms;
+                fleet.platform.set_machine_lag(Duration::from_millis(usual));
+            }
+            FaultKind::EngineReportLag => {
+                let lag = Duration::from_secs_f64(amount / 1_000.0);
+                self.publication_fault(lag, false, length).await;
+            }
+            FaultKind::CacheEventsDropped => {
+                self.publication_fault(Duration::ZERO, true, length).await;
+            }
+            FaultKind::ClientResend => self.mood(&self.moods.resend, length).await,
+            FaultKind::CancelCommitting => self.mood(&self.moods.cancel_committing, length).await,
+            FaultKind::RacingIntents => operators::race(fleet, placed.number).await,
+            FaultKind::ConfigurationChange => {
+                operators::change_configuration(fleet, placed.number).await;
+            }
+        }
+        "fleet".to_owned()
+    }
+
+    async fn kill_node(&self, index: usize, length: Duration) -> String {
+        let node = self.fleet.node_place(index).name;
+        if !self.fleet.kill_node(index).await {
+            return format!("{node} (did not run)");
+        }
+        tokio::time::sleep(length).await;
+        self.start_again(FaultKind::NodeKill, index).await;
+        node
+    }
+
+    async fn pause_node(&self, index: usize, length: Duration) -> String {
+        let node = self.fleet.node_place(index).name;
+        if !self.fleet.pause_node(index, length) {
+            return format!("{node} (did not run)");
+        }
+        tokio::time::sleep(length).await;
+        node
+    }
+
+    async fn stop_node(&self, index: usize, length: Duration) -> String {
+        let node = self.fleet.node_place(index).name;
+        if !self.fleet.stop_node(index).await {
+            return format!("{node} (did not run)");
+        }
+        tokio::time::sleep(length).await;
+        self.start_again(FaultKind::NodeStop, index).await;
+        node
+    }
+
+    /// Stops and starts all nodes, one after another, spread over the length.
+    async fn restart_all(&self, length: Duration) {
+        let running = self.fleet.running_nodes();
+        let pause = length / (running.len().max(1) as u32 * 2);
+        for index in running {
+            self.stop_node(index, pause).await;
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    async fn start_again(&self, kind: FaultKind, index: usize) {
+        if let Err(error) = self.fleet.start_node(index).await {
+            self.fleet.not_done(kind, &error.to_string());
+        }
+    }
+
+    async fn kill_engine(&self, index: usize, length: Duration) -> String {
+        let server = self.fleet.servers[index].name.clone();
+        self.fleet.engines.kill(&server);
+        tokio::time::sleep(length).await;
+        self.fleet.engines.revive(&server);
+        server
+    }
+
+    /// The drain counts from when the list shows it.
+    async fn leave(&self, index: usize, length: Duration) -> String {
+        let server = self.fleet.servers[index].name.clone();
+        let lag = Duration::from_millis(self.fleet.scenario.platform.machine_list_lag_ms);
+        self.fleet.platform.set_leaving(&server, true);
+        let told = self.fleet.ledger.clock.now() + lag;
+        tokio::time::sleep(length).await;
+        self.fleet.platform.set_leaving(&server, false);
+        self.fleet.ledger.add_event(Event::Drain(Drain {
+            server: server.clone(),
+            told,
+            taken_back: self.fleet.ledger.clock.now(),
+        }));
+        server
+    }
+
+    async fn cut(&self, cut: Cut, length: Duration) -> String {
+        let from = self.fleet.ledger.clock.now();
+        self.fleet.network.cut(cut.clone());
+        tokio::time::sleep(length).await;
+        self.fleet.network.join(&cut);
+        let to = self.fleet.ledger.clock.now();
+        for index in 0..self.fleet.node_count() {
+            let placed = self.fleet.node_place(index);
+            if cut.holds(&placed.spot) {
+                let node = placed.name;
+                self.fleet.ledger.add_event(Event::Unavailable(Unavailable { node, from, to }));
+            }
+        }
+        cut.to_string()
+    }
+
+    async fn platform_fault(&self, service: Service, fault: PlatformFault, length: Duration) {
+        let held = self.held.hold(service, fault);
+        self.fleet.platform.set_fault(service, self.held.joined(service));
+        tokio::time::sleep(length).await;
+        self.held.release(held);
+        self.fleet.platform.set_fault(service, self.held.joined(service));
+    }
+
+    async fn publication_fault(&self, lag: Duration, drop_events: bool, length: Duration) {
+        let (old_lag, old_drop) = self.publication.get();
+        self.publish(lag.max(old_lag), drop_events || old_drop);
+        tokio::time::sleep(length).await;
+        let (held_lag, held_drop) = self.publication.get();
+        let left_lag = if lag.is_zero() { held_lag } else { Duration::ZERO };
+        self.publish(left_lag, held_drop && !drop_events);
+    }
+
+    fn publish(&self, lag: Duration, drop_events: bool) {
+        self.publication.set((lag, drop_events));
+        for server in &self.fleet.servers {
+            self.fleet.engines.set_publication_faults(&server.name, lag, drop_events);
+        }
+    }
+
+    async fn mood(&self, mood: &AtomicBool, length: Duration) {
+        mood.store(true, Ordering::Relaxed);
+        tokio::time::sleep(length).await;
+        mood.store(false, Ordering::Relaxed);
+    }
+}
--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -1,4 +1,10 @@
-//! Faults: a typed list of (at, for, what, where), read from a TOML file.
+//! Faults: a typed list of (at, for, what, where), read from a TOML file and carried out by
+//! [`inject`]. [`routine`] gives the mild events of every run in the same form.
+
+mod held;
+pub mod inject;
+mod operators;
+pub mod routine;
 
 use std::path::Path;
 use std::time::Duration;
@@ -63,13 +69,16 @@
     /// All nodes are stopped as planned and started again, one after another.
     #[display("rolling restart")]
     RollingRestart,
-    /// A server is drained, and taken back after `for_s`.
+    /// The machine list says that a server leaves, and after `for_s` that it stays.
+    #[display("server leaving")]
+    ServerLeaving,
+    /// An operator drains a server, and takes it back after `for_s`.
     #[display("server drain")]
     ServerDrain,
     /// Jobs that are being finished are cancelled.
     #[display("cancel while committing")]
     CancelCommitting,
-    /// A configuration row is changed.
+    /// An operator changes a tenant's limits.
     #[display("configuration change")]
     ConfigurationChange,
 }
--- /dev/null
+++ b/crates/lab/src/faults/operators.rs
@@ -0,0 +1,106 @@
+//! Faults and events that operators bring about through the admin interface.
+
+use std::time::Duration;
+
+use dappleyard_wire::keys;
+use serde_json::Value;
+
+use super::FaultKind;
+use crate::fleet::Fleet;
+use crate::fleet::admin::{self, AdminError, Operator};
+use crate::ledger::{Drain, Event};
+
+/// Attempts of an operator whose call fails.
+const ATTEMPTS: usize = 6;
+/// Wait between two attempts.
+const ATTEMPT_WAIT: Duration = Duration::from_millis(500);
+/// Time between two looks at whether a confirmed drain is in the configuration.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time within which a confirmed drain must be in the configuration.
+const DRAIN_BOUND: Duration = Duration::from_secs(10);
+/// Tenant whose limits are changed for the sake of a change.
+const CHANGED_TENANT: &str = "changed-often";
+
+/// Changes a tenant's limits; the number makes each change differ.
+pub async fn change_configuration(fleet: &Fleet, number: u32) {
+    let intent = admin::tenant_intent(CHANGED_TENANT, number + 1);
+    let done = persist(fleet, &intent).await;
+    note_failure(fleet, FaultKind::ConfigurationChange, done);
+}
+
+/// Drains a server, waits, and takes it back. The drain counts from the moment that its row is in
+/// the table service.
+pub async fn drain_server(fleet: &Fleet, server: &str, length: Duration) {
+    if let Err(error) = persist(fleet, &admin::drain_intent(server)).await {
+        return note_failure(fleet, FaultKind::ServerDrain, Err(error));
+    }
+    let row = keys::drain("server", server);
+    let looked = tokio::time::timeout(DRAIN_BOUND, async {
+        while fleet.platform.row(&row).is_none() {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    });
+    if looked.await.is_err() {
+        return fleet.not_done(FaultKind::ServerDrain, "its row did not appear");
+    }
+    let told = fleet.ledger.clock.now();
+    tokio::time::sleep(length).await;
+    let taken_back = fleet.ledger.clock.now();
+    fleet.ledger.add_event(Event::Drain(Drain {
+        server: server.to_owned(),
+        told,
+        taken_back,
+    }));
+    let done = persist(fleet, &admin::undrain_intent(server)).await;
+    note_failure(fleet, FaultKind::ServerDrain, done);
+}
+
+/// Two operators at two nodes plan conflicting intents, then confirm both at once: one at most may
+/// be accepted.
+pub async fn race(fleet: &Fleet, number: u32) {
+    let addresses = fleet.admin_addresses();
+    let (Some(one), Some(other)) = (addresses.first(), addresses.last()) else {
+        return fleet.not_done(FaultKind::RacingIntents, "no node runs");
+    };
+    let (one, other) = (Operator::new(one), Operator::new(other));
+    let (first, second) = (
+        admin::tenant_intent(CHANGED_TENANT, 1_000 + number),
+        admin::tenant_intent(CHANGED_TENANT, 2_000 + number),
+    );
+    let plans = futures::join!(one.plan(&first), other.plan(&second));
+    let (Ok(first), Ok(second)) = plans else {
+        return fleet.not_done(FaultKind::RacingIntents, &format!("{plans:?}"));
+    };
+    let confirmed = futures::join!(one.confirm(&first), other.confirm(&second));
+    fleet.ledger.add_event(Event::Race {
+        at: fleet.ledger.clock.now(),
+        accepted: u32::from(confirmed.0.is_ok()) + u32::from(confirmed.1.is_ok()),
+        answers: format!("{confirmed:?}"),
+    });
+}
+
+/// Plans and confirms at one node after another until it is done.
+async fn persist(fleet: &Fleet, intent: &Value) -> Result<(), String> {
+    let mut last = "no node runs".to_owned();
+    for attempt in 0..ATTEMPTS {
+        let addresses = fleet.admin_addresses();
+        if let Some(address) = addresses.get(attempt % addresses.len().max(1)) {
+            match Operator::new(address).carry_out(intent).await {
+                Ok(_) => return Ok(()),
+                Err(error) => last = describe(&error),
+            }
+        }
+        tokio::time::sleep(ATTEMPT_WAIT).await;
+    }
+    Err(last)
+}
+
+fn describe(error: &AdminError) -> String {
+    error.to_string().chars().take(300).collect()
+}
+
+fn note_failure(fleet: &Fleet, kind: FaultKind, done: Result<(), String>) {
+    if let Err(reason) = done {
+        fleet.not_done(kind, &reason);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/mod.rs
@@ -0,0 +1,228 @@
+//! The fleet of an experiment in one process: platform, engines, nodes and sidecars.
+
+pub mod admin;
+pub mod names;
+mod node;
+mod settings;
+
+use std::cell::RefCell;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_platform::{Machine, MachineRole};
+use dappleyard_settings::batch::BatchPolicy;
+use dappleyard_sidecar::SidecarHandle;
+use dappleyard_standin::engine::host::{EngineHandle, EngineHost, HostOptions};
+use dappleyard_standin::engine::{EngineModelSettings, EngineSpec};
+use dappleyard_standin::platform::{PlatformHandle, PlatformStandIn, PlatformStandInSettings};
+use dappleyard_tables::Lifecycle;
+
+use crate::error::LabError;
+use crate::ledger::{Event, Ledger, RevisionSample};
+use crate::network::Network;
+use crate::scenario::Scenario;
+
+pub use names::Placed;
+use node::NodeSlot;
+
+/// Time between two looks at whether the fleet is ready.
+const READY_POLL: Duration = Duration::from_millis(50);
+/// Time within which the fleet must be ready.
+const READY_BOUND: Duration = Duration::from_secs(20);
+
+/// A running fleet. Lives on the main arbiter.
+pub struct Fleet {
+    /// Scenario.
+    pub scenario: Scenario,
+    /// Network between the processes.
+    pub network: Arc<Network>,
+    /// Where observations go.
+    pub ledger: Ledger,
+    /// Platform.
+    pub platform: PlatformHandle,
+    /// Engines.
+    pub engines: EngineHandle,
+    /// Servers, in the order of the scenario.
+    pub servers: Vec<Placed>,
+    policy: BatchPolicy,
+    nodes: RefCell<Vec<NodeSlot>>,
+    sidecars: Vec<SidecarHandle>,
+}
+
+/// Starts the platform of a scenario.
+pub fn start_platform(scenario: &Scenario, seed: u64) -> Result<PlatformHandle, LabError> {
+    let settings = PlatformStandInSettings {
+        seed,
+        ..scenario.platform.clone()
+    };
+    let platform = PlatformStandIn::start(settings)
+        .map_err(|error| LabError::failed(format!("the platform did not start: {error}")))?;
+    platform
+        .transact(settings::first_configuration(scenario))
+        .map_err(|error| LabError::failed(format!("the first configuration: {error}")))?;
+    Ok(platform)
+}
+
+/// Starts the engines of a scenario.
+pub fn start_engines(
+    scenario: &Scenario,
+    platform: &PlatformHandle,
+    seed: u64,
+) -> Result<EngineHandle, LabError> {
+    let specs = names::servers(scenario)
+        .into_iter()
+        .enumerate()
+        .map(|(index, server)| EngineSpec {
+            server: server.name,
+            service: scenario.service.name.clone(),
+            version: scenario.service.version.clone(),
+            adapters: Vec::new(),
+            model: EngineModelSettings {
+                online_slowdown_percent: f64::from(scenario.service.online_slowdown_percent),
+                ..scenario.engine.clone()
+            },
+            seed: seed.wrapping_mul(1_000).wrapping_add(index as u64),
+        })
+        .collect();
+    let options = HostOptions {
+        weights: Some(platform.weights()),
+        ..HostOptions::default()
+    };
+    EngineHost::start_with(specs, options)
+        .map_err(|error| LabError::failed(format!("the engines did not start: {error}")))
+}
+
+/// The servers of a scenario as the machine list shows them.
+pub fn server_machines(scenario: &Scenario, engines: &EngineHandle) -> Vec<Machine> {
+    names::servers(scenario)
+        .into_iter()
+        .map(|server| Machine {
+            role: MachineRole::Server,
+            region: server.spot.region.as_str().into(),
+            zone: server.spot.zone.as_str().into(),
+            hall: server.spot.zone.clone(),
+            address: engines.base(&server.name),
+            service: scenario.service.name.as_str().into(),
+            leaving: false,
+            name: server.name,
+        })
+        .collect()
+}
+
+impl Fleet {
+    /// Starts everything and waits until all nodes take work.
+    pub async fn start(
+        scenario: &Scenario,
+        seed: u64,
+        policy: BatchPolicy,
+        ledger: Ledger,
+    ) -> Result<Fleet, LabError> {
+        let platform = start_platform(scenario, seed)?;
+        let engines = start_engines(scenario, &platform, seed)?;
+        platform.begin_with_machines(server_machines(scenario, &engines));
+        let mut fleet = Fleet {
+            network: Network::new(scenario.network.clone()),
+            servers: names::servers(scenario),
+            nodes: RefCell::new(names::nodes(scenario).into_iter().map(NodeSlot::new).collect()),
+            sidecars: Vec::new(),
+            scenario: scenario.clone(),
+            ledger,
+            platform,
+            engines,
+            policy,
+        };
+        for index in 0..fleet.node_count() {
+            fleet.start_node(index).await?;
+        }
+        fleet.start_sidecars()?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    fn start_sidecars(&mut self) -> Result<(), LabError> {
+        for placed in names::sidecars(&self.scenario) {
+            self.network.place(placed.name.clone(), &placed.spot);
+            let policy = self.network.policy(&placed.spot);
+            let settings = settings::sidecar(self, &placed);
+            let sidecar = dappleyard_sidecar::start(settings, policy)
+                .map_err(|error| LabError::failed(format!("{}: {error}", placed.name)))?;
+            self.sidecars.push(sidecar);
+        }
+        Ok(())
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), LabError> {
+        let deadline = tokio::time::Instant::now() + READY_BOUND;
+        loop {
+            let waiting = self.nodes_not_ready();
+            if waiting.is_empty() {
+                return Ok(());
+            }
+            if tokio::time::Instant::now() >= deadline {
+                return Err(LabError::failed(format!("not ready in time: {waiting:?}")));
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+    }
+
+    /// Nodes that do not take work, with what they wait for.
+    fn nodes_not_ready(&self) -> Vec<String> {
+        let servers = self.servers.len();
+        let nodes = self.nodes.borrow();
+        nodes
+            .iter()
+            .filter_map(|slot| {
+                let tables = slot.handle()?.tables();
+                let lifecycle = *tables.lifecycle.borrow();
+                let known = tables.directory.len();
+                let ready = lifecycle == Lifecycle::Ready && known >= servers;
+                (!ready).then(|| format!("{} {lifecycle:?}, {known} servers known", slot.placed.name))
+            })
+            .collect()
+    }
+
+    /// Notes that something was set out to be done and could not be.
+    pub fn not_done(&self, what: impl ToString, reason: &str) {
+        self.ledger.add_event(Event::NotDone {
+            what: what.to_string(),
+            reason: reason.to_owned(),
+            at: self.ledger.clock.now(),
+        });
+    }
+
+    /// Base URLs of the sidecars.
+    pub fn sidecar_urls(&self) -> Vec<String> {
+        self.sidecars
+            .iter()
+            .map(|sidecar| format!("http://{}", sidecar.address()))
+            .collect()
+    }
+
+    /// Notes the revision in force on each live node.
+    pub fn sample_revisions(&self) {
+        let at = self.ledger.clock.now();
+        for slot in self.nodes.borrow().iter() {
+            if let Some(handle) = slot.handle() {
+                self.ledger.add_revision(RevisionSample {
+                    node: slot.placed.name.clone(),
+                    start: slot.starts(),
+                    at,
+                    revision: handle.tables().configuration.revision(),
+                    ready: handle.tables().takes_new_work(),
+                });
+            }
+        }
+    }
+
+    /// Stops everything.
+    pub async fn stop(self) {
+        for sidecar in self.sidecars {
+            sidecar.stop().await;
+        }
+        for slot in self.nodes.into_inner() {
+            slot.kill().await;
+        }
+        self.engines.stop();
+        self.platform.stop();
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/node.rs
@@ -0,0 +1,183 @@
+//! Nodes of the fleet: start, planned stop, kill, pause.
+
+use std::time::Duration;
+
+use dappleyard_node::NodeHandle;
+use dappleyard_platform::{Machine, MachineRole};
+
+use super::{Fleet, Placed, settings};
+use crate::error::LabError;
+use crate::ledger::{Event, PlannedStop, Unavailable};
+
+/// A place for a node, whether it runs or not.
+pub struct NodeSlot {
+    /// Name and place.
+    pub placed: Placed,
+    handle: Option<NodeHandle>,
+    starts: u32,
+    down_since: Option<Duration>,
+}
+
+impl NodeSlot {
+    /// A place without a node.
+    pub fn new(placed: Placed) -> NodeSlot {
+        NodeSlot {
+            placed,
+            handle: None,
+            starts: 0,
+            down_since: None,
+        }
+    }
+
+    /// The node, if it runs.
+    pub fn handle(&self) -> Option<&NodeHandle> {
+        self.handle.as_ref()
+    }
+
+    /// How often a node was started here.
+    pub fn starts(&self) -> u32 {
+        self.starts
+    }
+
+    /// Ends the node at once.
+    pub async fn kill(self) {
+        if let Some(handle) = self.handle {
+            handle.kill().await;
+        }
+    }
+}
+
+impl Fleet {
+    /// Places for nodes.
+    pub fn node_count(&self) -> usize {
+        self.nodes.borrow().len()
+    }
+
+    /// Name and place of a node.
+    pub fn node_place(&self, index: usize) -> Placed {
+        self.nodes.borrow()[index].placed.clone()
+    }
+
+    /// Indexes of the nodes that run.
+    pub fn running_nodes(&self) -> Vec<usize> {
+        let nodes = self.nodes.borrow();
+        let running = nodes.iter().enumerate().filter(|(_, slot)| slot.handle.is_some());
+        running.map(|(index, _)| index).collect()
+    }
+
+    /// Gossip addresses of the nodes that run.
+    pub fn gossip_addresses(&self) -> Vec<String> {
+        self.addresses(NodeHandle::gossip_address)
+    }
+
+    /// Link addresses of the nodes that run.
+    pub fn link_addresses(&self) -> Vec<String> {
+        self.addresses(NodeHandle::link_address)
+    }
+
+    /// Admin addresses of the nodes that run.
+    pub fn admin_addresses(&self) -> Vec<String> {
+        self.addresses(NodeHandle::admin_address)
+    }
+
+    fn addresses(&self, address: fn(&NodeHandle) -> &str) -> Vec<String> {
+        let nodes = self.nodes.borrow();
+        nodes
+            .iter()
+            .filter_map(NodeSlot::handle)
+            .map(|handle| address(handle).to_owned())
+            .collect()
+    }
+
+    /// Starts a node; a new start of the same id has a greater incarnation.
+    pub async fn start_node(&self, index: usize) -> Result<(), LabError> {
+        let placed = self.node_place(index);
+        let settings = settings::node(self, &placed);
+        let policy = self.network.policy(&placed.spot);
+        let handle = dappleyard_node::start(settings, policy)
+            .await
+            .map_err(|error| LabError::failed(format!("{}: {error}", placed.name)))?;
+        let addresses = [handle.link_address(), handle.gossip_address()];
+        for name in addresses.into_iter().chain([placed.name.as_str()]) {
+            self.network.place(name, &placed.spot);
+        }
+        self.platform.put_machine(node_machine(&placed, handle.gossip_address()));
+        let mut nodes = self.nodes.borrow_mut();
+        let slot = &mut nodes[index];
+        slot.handle = Some(handle);
+        slot.starts += 1;
+        if let Some(from) = slot.down_since.take() {
+            self.ledger.add_event(Event::Unavailable(Unavailable {
+                node: placed.name,
+                from,
+                to: self.ledger.clock.now(),
+            }));
+        }
+        Ok(())
+    }
+
+    fn take_node(&self, index: usize) -> Option<NodeHandle> {
+        let mut nodes = self.nodes.borrow_mut();
+        let slot = &mut nodes[index];
+        let handle = slot.handle.take()?;
+        slot.down_since = Some(self.ledger.clock.now());
+        Some(handle)
+    }
+
+    /// Stops a node as planned and notes how long it took; `false` when it does not run.
+    pub async fn stop_node(&self, index: usize) -> bool {
+        let Some(handle) = self.take_node(index) else {
+            return false;
+        };
+        let node = self.node_place(index).name;
+        let told = self.ledger.clock.now();
+        self.platform.set_leaving(&node, true);
+        handle.stop().await;
+        self.platform.remove_machine(&node);
+        self.ledger.add_event(Event::Stop(PlannedStop {
+            node,
+            told,
+            stopped: self.ledger.clock.now(),
+            bound_ms: self.scenario.processes.stop_bound_ms,
+        }));
+        true
+    }
+
+    /// Ends a node at once; the machine list still shows it. `false` when it does not run.
+    pub async fn kill_node(&self, index: usize) -> bool {
+        let Some(handle) = self.take_node(index) else {
+            return false;
+        };
+        handle.kill().await;
+        true
+    }
+
+    /// Blocks a node's threads for a time; `false` when it does not run.
+    pub fn pause_node(&self, index: usize, length: Duration) -> bool {
+        let nodes = self.nodes.borrow();
+        let Some(handle) = nodes[index].handle() else {
+            return false;
+        };
+        handle.pause(length);
+        let from = self.ledger.clock.now();
+        self.ledger.add_event(Event::Unavailable(Unavailable {
+            node: nodes[index].placed.name.clone(),
+            from,
+            to: from + length,
+        }));
+        true
+    }
+}
+
+fn node_machine(placed: &Placed, gossip_address: &str) -> Machine {
+    Machine {
+        name: placed.name.clone(),
+        role: MachineRole::Node,
+        region: placed.spot.region.as_str().into(),
+        zone: placed.spot.zone.as_str().into(),
+        hall: placed.spot.zone.clone(),
+        address: gossip_address.to_owned(),
+        service: "".into(),
+        leaving: false,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/settings.rs
@@ -0,0 +1,116 @@
+//! Settings of the processes and the first configuration, from the scenario.
+
+use dappleyard_platform::Transaction;
+use dappleyard_settings::batch::BatchPolicy;
+use dappleyard_settings::{
+    BatchSettings, FleetSettings, NodeSettings, Place, PlatformSettings, SidecarSettings,
+};
+use dappleyard_wire::keys;
+use dappleyard_wire::messages::{ServiceRow, TenantRow};
+use prost::Message;
+
+use super::{Fleet, Placed};
+use crate::load::plan::ONCE_TENANT;
+use crate::scenario::Scenario;
+
+/// An address of loopback with a port of the operating system's choice.
+const ANY_PORT: &str = "127.0.0.1:0";
+/// Limit of tenants that are not to be refused.
+const AMPLE: f64 = 100_000.0;
+/// Jobs up to this many items run without a person.
+const STANDING_ITEMS: u32 = 400_000;
+
+/// The configuration rows that stand before the first node starts, as one change.
+pub fn first_configuration(scenario: &Scenario) -> Transaction {
+    let service = ServiceRow {
+        name: scenario.service.name.clone(),
+        version: scenario.service.version.clone(),
+        online_slowdown_percent: scenario.service.online_slowdown_percent,
+        max_unavailable_zone: 1,
+        max_unavailable_total: 2,
+        max_prompt_tokens: 8_192,
+        max_output_tokens: 4_096,
+        ..ServiceRow::default()
+    };
+    let mut change = Transaction::default()
+        .put(keys::service(&service.name), service.encode_to_vec())
+        .put(keys::CONFIGURATION_HEAD, "0");
+    for tenant in tenants(scenario) {
+        change = change.put(keys::tenant(&tenant.name), tenant.encode_to_vec());
+    }
+    change
+}
+
+fn tenants(scenario: &Scenario) -> Vec<TenantRow> {
+    let ample = |name: &str| TenantRow {
+        name: name.to_owned(),
+        requests_per_s: AMPLE,
+        requests_burst: AMPLE,
+        concurrent_tokens: 0,
+        batch_weight: 1,
+        standing_batch_items: STANDING_ITEMS,
+    };
+    let mut tenants = vec![ample(&scenario.online.tenant), ample(ONCE_TENANT)];
+    tenants.extend(scenario.batch.tenants.iter().map(|name| ample(name)));
+    tenants.push(TenantRow {
+        requests_per_s: scenario.refused.allowed_per_s,
+        requests_burst: scenario.refused.allowed_per_s.max(1.0),
+        ..ample(&scenario.refused.tenant)
+    });
+    tenants
+}
+
+/// Settings of a node.
+pub fn node(fleet: &Fleet, placed: &Placed) -> NodeSettings {
+    let processes = &fleet.scenario.processes;
+    NodeSettings {
+        id: placed.name.clone(),
+        place: place(placed),
+        link_listen: ANY_PORT.to_owned(),
+        gossip_listen: ANY_PORT.to_owned(),
+        admin_listen: ANY_PORT.to_owned(),
+        workers: processes.node_workers,
+        stop_bound_ms: processes.stop_bound_ms,
+        platform: PlatformSettings {
+            tables_url: fleet.platform.tables_url(),
+            objects_url: fleet.platform.objects_url(),
+            machines_url: fleet.platform.machines_url(),
+            ..PlatformSettings::default()
+        },
+        fleet: FleetSettings {
+            seeds: fleet.gossip_addresses(),
+            ..FleetSettings::default()
+        },
+        batch: batch(fleet.policy, &fleet.scenario),
+        ..NodeSettings::default()
+    }
+}
+
+fn batch(policy: BatchPolicy, scenario: &Scenario) -> BatchSettings {
+    BatchSettings {
+        policy,
+        static_split_percent: scenario.policy.static_split_percent,
+        chunk_target_ms: scenario.processes.chunk_target_ms,
+        online_slowdown_percent: scenario.service.online_slowdown_percent,
+        ..BatchSettings::default()
+    }
+}
+
+/// Settings of a sidecar.
+pub fn sidecar(fleet: &Fleet, placed: &Placed) -> SidecarSettings {
+    SidecarSettings {
+        id: placed.name.clone(),
+        place: place(placed),
+        listen: ANY_PORT.to_owned(),
+        nodes: fleet.link_addresses(),
+        workers: fleet.scenario.processes.sidecar_workers,
+        ..SidecarSettings::default()
+    }
+}
+
+fn place(placed: &Placed) -> Place {
+    Place {
+        zone: placed.spot.zone.clone(),
+        region: placed.spot.region.clone(),
+    }
+}
--- a/crates/lab/src/ledger/events.rs
+++ b/crates/lab/src/ledger/events.rs
@@ -79,6 +79,15 @@
     Configuration(ConfigurationAccepted),
     /// A node that was away.
     Unavailable(Unavailable),
+    /// Two operators confirmed conflicting plans at the same time.
+    Race {
+        /// When.
+        at: Duration,
+        /// Plans accepted; more than one is a fault of the system.
+        accepted: u32,
+        /// The answers.
+        answers: String,
+    },
     /// Something that an event set out to do and could not; makes the run partial.
     NotDone {
         /// What.
--- /dev/null
+++ b/crates/lab/src/measures/mod.rs
@@ -0,0 +1,111 @@
+//! Measures of a run, from what callers received and what the engines and the platform recorded.
+
+mod batch;
+mod online;
+mod series;
+
+use std::time::Duration;
+
+use dappleyard_report::summary::{Measures, Percentiles, Series};
+use dappleyard_standin::engine::Sample;
+use dappleyard_standin::engine::host::MeterSummary;
+use hdrhistogram::Histogram;
+
+use crate::invariants::Evidence;
+
+/// What the stand-ins counted in a run.
+#[derive(Debug, Default)]
+pub struct Counted {
+    /// Start of the load on the run's clock.
+    pub load_start: Duration,
+    /// Length of the load.
+    pub load_length: Duration,
+    /// Samples of each engine's widths, on the run's clock.
+    pub samples: Vec<Vec<EngineSample>>,
+    /// Sums of all engines' meters.
+    pub meters: MeterSummary,
+    /// Time over which the meters summed, for all engines together.
+    pub engine_time: Duration,
+    /// Transactions that the table service applied during the load.
+    pub store_writes: u64,
+    /// Cores taken by the process during the load.
+    pub process_cores: f64,
+    /// Memory of the process, MB.
+    pub process_rss_mb: f64,
+}
+
+/// A sample of an engine's widths.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineSample {
+    /// When, on the run's clock.
+    pub at: Duration,
+    /// Widths and what was made since the sample before.
+    pub sample: Sample,
+}
+
+impl Counted {
+    fn load_end(&self) -> Duration {
+        self.load_start + self.load_length
+    }
+
+    fn in_load(&self, at: Duration) -> bool {
+        at >= self.load_start && at < self.load_end()
+    }
+
+    fn per_second(&self, count: f64) -> f64 {
+        count / self.load_length.as_secs_f64().max(f64::EPSILON)
+    }
+}
+
+/// All measures.
+pub fn measures(evidence: &Evidence, counted: &Counted) -> Measures {
+    let mut measures = Measures {
+        store_writes_per_s: counted.per_second(counted.store_writes as f64),
+        engine_stall_share: stall_share(counted),
+        process_cores: counted.process_cores,
+        process_rss_mb: counted.process_rss_mb,
+        ..Measures::default()
+    };
+    online::fill(&mut measures, evidence, counted);
+    batch::fill(&mut measures, evidence, counted);
+    measures
+}
+
+/// Time series.
+pub fn series(evidence: &Evidence, counted: &Counted) -> Series {
+    series::series(evidence, counted)
+}
+
+fn stall_share(counted: &Counted) -> f64 {
+    let stalled = Duration::from_micros(counted.meters.stalled_us);
+    stalled.as_secs_f64() / counted.engine_time.as_secs_f64().max(f64::EPSILON)
+}
+
+/// A histogram of milliseconds with three digits, kept in microseconds.
+struct Milliseconds {
+    histogram: Histogram<u64>,
+}
+
+impl Milliseconds {
+    fn new() -> Milliseconds {
+        Milliseconds {
+            histogram: Histogram::new(3).expect("three digits are allowed"),
+        }
+    }
+
+    fn add(&mut self, milliseconds: f64) {
+        let microseconds = (milliseconds * 1_000.0).max(0.0) as u64;
+        self.histogram.saturating_record(microseconds);
+    }
+
+    fn percentiles(&self) -> Percentiles {
+        let at = |quantile: f64| self.histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+        Percentiles {
+            count: self.histogram.len(),
+            p50: at(0.50),
+            p95: at(0.95),
+            p99: at(0.99),
+            max: self.histogram.max() as f64 / 1_000.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/measures/online.rs
@@ -0,0 +1,75 @@
+//! Online measures.
+
+use std::collections::BTreeMap;
+
+use dappleyard_report::summary::{Measures, Percentiles};
+
+use super::{Counted, Milliseconds};
+use crate::invariants::Evidence;
+use crate::ledger::OnlineRecord;
+
+/// Kinds of refusal by which a tenant's own limit speaks.
+const LIMIT_KINDS: [&str; 2] = ["rate_limit_exceeded", "concurrency_limit_exceeded"];
+
+/// Fills in the online measures.
+pub fn fill(measures: &mut Measures, evidence: &Evidence, counted: &Counted) {
+    let (mut first_token, mut gaps, mut refusals) =
+        (Milliseconds::new(), Milliseconds::new(), Milliseconds::new());
+    for record in &evidence.observations.online {
+        if let Some(refusal) = record.refusal() {
+            *measures.refused_by_kind.entry(refusal.kind.clone()).or_default() += 1;
+            refusals.add((record.ended - record.sent).as_secs_f64() * 1_000.0);
+        }
+        if is_limited(record) {
+            continue;
+        }
+        measures.online_requests += 1;
+        measures.online_refused += u64::from(record.refusal().is_some());
+        measures.online_whole += u64::from(record.is_whole());
+        // A resend is answered from the record of the first sending, all at once.
+        if record.resend {
+            continue;
+        }
+        if let Some(milliseconds) = record.first_token_ms() {
+            first_token.add(milliseconds);
+        }
+        for gap in &record.gaps_ms {
+            gaps.add(f64::from(*gap));
+        }
+    }
+    measures.goodput_per_s = counted.per_second(measures.online_whole as f64);
+    measures.ttft_ms = first_token.percentiles();
+    measures.itl_ms = gaps.percentiles();
+    measures.refusal_ms = refusals.percentiles();
+    measures.steps_to_yield = steps(&counted.meters.probe.steps);
+    measures.never_yielded = counted.meters.probe.never;
+}
+
+/// A refusal by the tenant's own limit says nothing of the system's.
+fn is_limited(record: &OnlineRecord) -> bool {
+    record
+        .refusal()
+        .is_some_and(|refusal| LIMIT_KINDS.contains(&refusal.kind.as_str()))
+}
+
+fn steps(counts: &BTreeMap<u32, u64>) -> Percentiles {
+    let total: u64 = counts.values().sum();
+    let at = |quantile: f64| {
+        let wanted = (total as f64 * quantile).ceil() as u64;
+        let mut seen = 0;
+        counts
+            .iter()
+            .find(|(_, count)| {
+                seen += **count;
+                seen >= wanted
+            })
+            .map_or(0.0, |(steps, _)| f64::from(*steps))
+    };
+    Percentiles {
+        count: total,
+        p50: at(0.50),
+        p95: at(0.95),
+        p99: at(0.99),
+        max: counts.keys().next_back().map_or(0.0, |steps| f64::from(*steps)),
+    }
+}
--- a/crates/lab/src/network.rs
+++ b/crates/lab/src/network.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use dappleyard_transport::policy::{LinkPolicy, LinkState, SharedPolicy};
+use derive_more::Display;
 use parking_lot::RwLock;
 
 use crate::scenario::NetworkScenario;
@@ -24,16 +25,19 @@
 }
 
 /// A part of the fleet that is cut off from the rest.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Cut {
     /// A zone, its sidecars included.
+    #[display("zone {_0}")]
     Zone(String),
     /// A region, its sidecars included.
+    #[display("region {_0}")]
     Region(String),
 }
 
 impl Cut {
-    fn holds(&self, spot: &Spot) -> bool {
+    /// Whether a spot is inside.
+    pub fn holds(&self, spot: &Spot) -> bool {
         match self {
             Cut::Zone(zone) => spot.zone == *zone,
             Cut::Region(region) => spot.region == *region,
--- /dev/null
+++ b/crates/lab/src/run/collect.rs
@@ -0,0 +1,110 @@
+//! Gathers the evidence of a run from the ledger and the stand-ins.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use dappleyard_standin::engine::RunRecord;
+use dappleyard_standin::engine::record::RunEnd;
+use dappleyard_standin::platform::CallCounts;
+
+use crate::fleet::Fleet;
+use crate::invariants::{EngineRun, Evidence};
+use crate::ledger::{ConfigurationAccepted, Event, Observations};
+use crate::measures::{Counted, EngineSample};
+
+/// Takes all evidence at the end of a run.
+pub fn evidence(fleet: &Fleet) -> Evidence {
+    let observations = fleet.ledger.take();
+    assemble(fleet, observations)
+}
+
+/// Evidence so far; the ledger keeps its own.
+pub fn evidence_so_far(fleet: &Fleet) -> Evidence {
+    let observations = fleet.ledger.read(|seen| Observations {
+        online: seen.online.clone(),
+        jobs: Vec::new(),
+        events: seen.events.clone(),
+        revisions: seen.revisions.clone(),
+    });
+    assemble(fleet, observations)
+}
+
+fn assemble(fleet: &Fleet, mut observations: Observations) -> Evidence {
+    observations.events.extend(configuration_changes(fleet));
+    let zero = fleet.engines.started();
+    let clock = fleet.ledger.clock;
+    let offset = |microseconds: u64| clock.offset(zero + Duration::from_micros(microseconds));
+    let records = fleet.engines.records();
+    Evidence {
+        observations,
+        runs: records.into_iter().map(|record| run(record, offset)).collect(),
+        dropped_runs: fleet.engines.records_dropped(),
+        bounds: fleet.scenario.bounds.clone(),
+        end: clock.now(),
+    }
+}
+
+/// Every change that the table service applied was accepted.
+fn configuration_changes(fleet: &Fleet) -> Vec<Event> {
+    let log = fleet.platform.configuration_log();
+    log.into_iter()
+        .map(|change| {
+            Event::Configuration(ConfigurationAccepted {
+                key: change.keys.join(", "),
+                revision: change.revision,
+                accepted: fleet.ledger.clock.offset(change.at),
+            })
+        })
+        .collect()
+}
+
+fn run(record: RunRecord, offset: impl Fn(u64) -> Duration) -> EngineRun {
+    EngineRun {
+        server: record.server.to_string(),
+        request_id: record.request_id.to_string(),
+        attempt: record.attempt,
+        online: record.online,
+        arrived: offset(record.arrived_us),
+        started: record.started_us.map(&offset),
+        ended: record.ended_us.map(&offset),
+        finished: record.end == Some(RunEnd::Finished),
+        from: record.from,
+        to: record.to,
+    }
+}
+
+/// Samples of all engines on the run's clock.
+pub fn samples(fleet: &Fleet) -> Vec<Vec<EngineSample>> {
+    let zero: Instant = fleet.engines.started();
+    let clock = fleet.ledger.clock;
+    let on_clock = |server: &str| {
+        let samples = fleet.engines.samples(server).into_iter();
+        samples
+            .map(|sample| EngineSample {
+                at: clock.offset(zero + Duration::from_micros(sample.at_us)),
+                sample,
+            })
+            .collect()
+    };
+    let servers = fleet.servers.iter();
+    servers.map(|server| on_clock(&server.name)).collect()
+}
+
+/// Transactions that the table service has applied.
+pub fn store_writes(fleet: &Fleet) -> u64 {
+    let counts: BTreeMap<String, CallCounts> = fleet.platform.table_counts();
+    counts.values().map(|counts| counts.transactions).sum()
+}
+
+/// What the stand-ins counted, without what is known only at the end of the load.
+pub fn counted(fleet: &Fleet, load_start: Duration, load_length: Duration) -> Counted {
+    let lived = fleet.engines.started().elapsed();
+    Counted {
+        load_start,
+        load_length,
+        samples: samples(fleet),
+        meters: fleet.engines.meters(),
+        engine_time: lived * fleet.servers.len() as u32,
+        ..Counted::default()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/run/one.rs
@@ -0,0 +1,212 @@
+//! One run: start the fleet, drive the load and the faults, settle, judge.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_report::summary::{EventSpan, Summary};
+use dappleyard_settings::batch::BatchPolicy;
+
+use super::arguments::RunArguments;
+use super::process::{ProcessTime, rss_mb};
+use super::{collect, progress};
+use crate::error::LabError;
+use crate::faults::inject::Injector;
+use crate::faults::routine;
+use crate::fleet::Fleet;
+use crate::invariants::{self, Evidence};
+use crate::ledger::{Event, Ledger, RunClock};
+use crate::load::drive::{Callers, ClientMoods, LoadContext};
+use crate::load::plan::LoadPlan;
+use crate::measures::{self, Counted};
+
+/// Time between the fleet being ready and the start of the load.
+const LEAD: Duration = Duration::from_millis(1_500);
+/// Time between two samples of revisions.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two lines of progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between the end of all callers and the judgement.
+const LAST_LOOK: Duration = Duration::from_millis(300);
+
+/// What came of a run.
+pub struct RunOutcome {
+    /// Its summary, as written.
+    pub summary: Summary,
+    /// Invariants that were violated or not checked.
+    pub failures: Vec<String>,
+}
+
+/// Runs one seed and writes its summary.
+pub async fn run_one(
+    arguments: &RunArguments,
+    seed: u64,
+    directory: &Path,
+) -> Result<RunOutcome, LabError> {
+    let started_unix_s = unix_s();
+    let ledger = Ledger::new(RunClock::start());
+    let scenario = &arguments.scenario;
+    let fleet = Rc::new(Fleet::start(scenario, seed, arguments.policy, ledger).await?);
+    tokio::time::sleep(LEAD).await;
+    let counted = drive(arguments, seed, &fleet).await;
+    let evidence = collect::evidence(&fleet);
+    let verdicts = invariants::judge(&evidence);
+    let failures = failures(arguments, &evidence, &verdicts);
+    let summary = Summary {
+        scenario: scenario.name.clone(),
+        seed,
+        policy: arguments.policy_name.clone(),
+        seconds: arguments.length.as_secs(),
+        faults: arguments.fault_name.clone(),
+        started_unix_s,
+        invariants: verdicts,
+        measures: measures::measures(&evidence, &counted),
+        not_done: not_done(&evidence),
+        series: measures::series(&evidence, &counted),
+        events: spans(&evidence, counted.load_start),
+    };
+    summary.write(directory).map_err(LabError::failed)?;
+    stop(fleet).await;
+    Ok(RunOutcome { summary, failures })
+}
+
+/// Drives load and faults to their end.
+async fn drive(arguments: &RunArguments, seed: u64, fleet: &Rc<Fleet>) -> Counted {
+    let load_start = fleet.ledger.clock.now();
+    let moods = Arc::new(ClientMoods::default());
+    let context = load_context(arguments, seed, fleet, load_start, moods.clone());
+    let mut faults = routine::events(&arguments.scenario.routine, arguments.length);
+    faults.extend(arguments.faults.fault.iter().cloned());
+    let injector = Injector::new(fleet.clone(), moods, load_start);
+    let injecting = actix_rt::spawn(injector.run(faults, seed));
+    let watching = actix_rt::spawn(watch(fleet.clone(), load_start, arguments.length));
+    let process = ProcessTime::now();
+    let writes_before = collect::store_writes(fleet);
+    let callers = Callers::start(&context);
+    tokio::time::sleep(arguments.length).await;
+    let mut counted = collect::counted(fleet, load_start, arguments.length);
+    counted.store_writes = collect::store_writes(fleet) - writes_before;
+    counted.process_cores = process.cores_since();
+    counted.process_rss_mb = rss_mb();
+    callers.finish().await;
+    // A fault that outlives the load holds on to the fleet; its end is awaited.
+    let _ = injecting.await;
+    tokio::time::sleep(LAST_LOOK).await;
+    watching.abort();
+    let _ = watching.await;
+    counted
+}
+
+fn load_context(
+    arguments: &RunArguments,
+    seed: u64,
+    fleet: &Fleet,
+    start: Duration,
+    moods: Arc<ClientMoods>,
+) -> LoadContext {
+    let scenario = &arguments.scenario;
+    let mut plan = LoadPlan::draw(scenario, seed, arguments.length);
+    if arguments.policy == BatchPolicy::OnlineOnly {
+        plan.jobs.clear();
+    }
+    let settle = Duration::from_millis(scenario.bounds.settle_ms);
+    LoadContext {
+        plan: Arc::new(plan),
+        ledger: fleet.ledger.clone(),
+        start,
+        give_up: start + arguments.length + settle,
+        read_again: start + arguments.length,
+        sidecars: fleet.sidecar_urls(),
+        service: scenario.service.name.clone(),
+        versions: vec![scenario.service.version.clone()],
+        batch: scenario.batch.clone(),
+        moods,
+        seed,
+    }
+}
+
+/// Samples revisions and prints progress until it is aborted.
+async fn watch(fleet: Rc<Fleet>, load_start: Duration, length: Duration) {
+    let mut next_line = load_start + PROGRESS_INTERVAL;
+    loop {
+        fleet.sample_revisions();
+        let now = fleet.ledger.clock.now();
+        if now >= next_line {
+            next_line = now + PROGRESS_INTERVAL;
+            let phase = if now < load_start + length { "load" } else { "settle" };
+            progress::print(&fleet, now - load_start, phase);
+        }
+        tokio::time::sleep(SAMPLE_INTERVAL).await;
+    }
+}
+
+/// Invariants about batch work cannot be checked where there is none.
+const BATCH_INVARIANTS: [&str; 3] = ["exactly_once", "results_readable", "cancellation_effective"];
+
+fn failures(
+    arguments: &RunArguments,
+    evidence: &Evidence,
+    verdicts: &dappleyard_report::summary::Verdicts,
+) -> Vec<String> {
+    let without_batch = arguments.policy == BatchPolicy::OnlineOnly;
+    let mut failures: Vec<String> = invariants::failures(verdicts)
+        .into_iter()
+        .filter(|failure| {
+            let unchecked_batch = failure.ends_with("not checked")
+                && BATCH_INVARIANTS.iter().any(|name| failure.starts_with(name));
+            !(without_batch && unchecked_batch)
+        })
+        .collect();
+    if evidence.dropped_runs > 0 {
+        failures.push(format!("{} engine records were dropped", evidence.dropped_runs));
+    }
+    for event in &evidence.observations.events {
+        if let Event::Race { accepted, answers, .. } = event
+            && *accepted != 1
+        {
+            failures.push(format!("{accepted} of two racing plans were accepted: {answers}"));
+        }
+    }
+    failures
+}
+
+fn not_done(evidence: &Evidence) -> Vec<String> {
+    let events = evidence.observations.events.iter();
+    events
+        .filter_map(|event| match event {
+            Event::NotDone { what, reason, at } => {
+                Some(format!("{what} at {:.1}s: {reason}", at.as_secs_f64()))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+fn spans(evidence: &Evidence, load_start: Duration) -> Vec<EventSpan> {
+    let seconds = |at: Duration| at.as_secs_f64() - load_start.as_secs_f64();
+    let events = evidence.observations.events.iter();
+    events
+        .filter_map(|event| match event {
+            Event::Fault(fault) => Some(EventSpan {
+                what: fault.kind.to_string(),
+                place: fault.place.clone(),
+                from_s: seconds(fault.from),
+                to_s: seconds(fault.to),
+            }),
+            _ => None,
+        })
+        .collect()
+}
+
+async fn stop(fleet: Rc<Fleet>) {
+    match Rc::try_unwrap(fleet) {
+        Ok(fleet) => fleet.stop().await,
+        Err(_) => tracing::warn!("a task still holds the fleet; it ends with the process"),
+    }
+}
+
+fn unix_s() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_secs())
+}
--- /dev/null
+++ b/crates/lab/src/run/process.rs
@@ -0,0 +1,40 @@
+//! What the process of an experiment takes from the machine.
+
+use std::time::{Duration, Instant};
+
+/// Bytes of a megabyte.
+const MEGABYTE: f64 = 1_048_576.0;
+
+/// Processor time of this process at one moment.
+pub struct ProcessTime {
+    at: Instant,
+    used: Duration,
+}
+
+impl ProcessTime {
+    /// Reads it now.
+    pub fn now() -> ProcessTime {
+        ProcessTime {
+            at: Instant::now(),
+            used: used().unwrap_or_default(),
+        }
+    }
+
+    /// Cores taken since then, on average.
+    pub fn cores_since(&self) -> f64 {
+        let used = used().unwrap_or_default().saturating_sub(self.used);
+        used.as_secs_f64() / self.at.elapsed().as_secs_f64().max(f64::EPSILON)
+    }
+}
+
+fn used() -> Option<Duration> {
+    let stat = procfs::process::Process::myself().ok()?.stat().ok()?;
+    let ticks = (stat.utime + stat.stime) as f64;
+    Some(Duration::from_secs_f64(ticks / procfs::ticks_per_second() as f64))
+}
+
+/// Memory of this process, MB.
+pub fn rss_mb() -> f64 {
+    let status = procfs::process::Process::myself().and_then(|process| process.statm());
+    status.map_or(0.0, |status| (status.resident * procfs::page_size()) as f64 / MEGABYTE)
+}
--- /dev/null
+++ b/crates/lab/src/run/progress.rs
@@ -0,0 +1,42 @@
+//! One line a second while a run goes on, with the invariants as they stand.
+
+use std::time::Duration;
+
+use crate::fleet::Fleet;
+use crate::invariants;
+use crate::run::collect;
+
+/// Prints the state of the run.
+pub fn print(fleet: &Fleet, since_start: Duration, phase: &str) {
+    let (online, whole, refused, jobs) = fleet.ledger.read(|seen| {
+        let whole = seen.online.iter().filter(|record| record.is_whole()).count();
+        let refused = seen.online.iter().filter(|record| record.refusal().is_some()).count();
+        (seen.online.len(), whole, refused, seen.jobs.len())
+    });
+    let meters = fleet.engines.meters();
+    eprintln!(
+        "{:>5.1}s {phase:<7} online {online} ended ({whole} whole, {refused} refused), jobs {jobs} \
+         ended, tokens {} online {} batch; {}",
+        since_start.as_secs_f64(),
+        meters.online_tokens,
+        meters.batch_tokens,
+        invariants_so_far(fleet),
+    );
+}
+
+/// Which invariants are violated by what has been seen so far. Those about work that has yet to end
+/// are judged at the end.
+fn invariants_so_far(fleet: &Fleet) -> String {
+    let evidence = collect::evidence_so_far(fleet);
+    let verdicts = invariants::judge(&evidence);
+    let checked: u64 = verdicts.values().map(|verdict| verdict.checked).sum();
+    let violated: Vec<String> = verdicts
+        .iter()
+        .filter(|(_, verdict)| verdict.violated > 0)
+        .map(|(name, verdict)| format!("{name} {}", verdict.violated))
+        .collect();
+    if violated.is_empty() {
+        return format!("{checked} checks, 0 violated");
+    }
+    format!("{checked} checks, VIOLATED: {}", violated.join(", "))
+}
--- a/crates/lab/src/scenario/check.rs
+++ b/crates/lab/src/scenario/check.rs
@@ -50,7 +50,7 @@
     fn engine(&mut self, scenario: &Scenario) {
         let engine = &scenario.engine;
         let positive = [
-            ("engine.base_step_ms", engine.base_step_ms),
+            ("engine.base_ms", engine.base_ms),
             ("engine.slow_step_factor", engine.slow_step_factor),
             (
                 "engine.maximum_sequences",
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -4,16 +4,16 @@
 //! milliseconds or seconds as the name says, lengths in tokens.
 
 mod check;
-mod engine;
 mod load;
 
 use std::path::Path;
 
+use dappleyard_standin::engine::EngineModelSettings;
+use dappleyard_standin::platform::PlatformStandInSettings;
 use serde::{Deserialize, Serialize};
 
 use crate::error::LabError;
 
-pub use engine::EngineScenario;
 pub use load::{BatchScenario, Lengths, OnceScenario, OnlineScenario, RefusedScenario};
 
 /// One experiment.
@@ -32,10 +32,15 @@
     pub zones: Vec<ZoneScenario>,
     /// Delays between processes.
     pub network: NetworkScenario,
-    /// Model engines.
-    pub engine: EngineScenario,
-    /// Platform.
-    pub platform: PlatformScenario,
+    /// Cost model of the engines; its slowdown is the service's.
+    #[serde(default)]
+    pub engine: EngineModelSettings,
+    /// Platform; its seed is the run's.
+    #[serde(default)]
+    pub platform: PlatformStandInSettings,
+    /// Processes of the system.
+    #[serde(default)]
+    pub processes: ProcessScenario,
     /// Online load.
     pub online: OnlineScenario,
     /// Must-not-repeat requests.
@@ -95,27 +100,27 @@
     pub to_clients_ms: f64,
 }
 
-/// The platform.
+/// Settings of nodes and sidecars that differ from their defaults.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct PlatformScenario {
-    /// Calls a second that the table service takes from all nodes together.
-    pub table_calls_per_s: f64,
-    /// Calls a second that the object store takes.
-    pub object_calls_per_s: f64,
-    /// Usual time of a call, milliseconds.
-    pub call_ms: f64,
-    /// How far the machine list lags behind the truth, milliseconds.
-    pub list_lag_ms: u64,
+pub struct ProcessScenario {
+    /// Request threads of a node.
+    pub node_workers: usize,
+    /// Threads of a sidecar.
+    pub sidecar_workers: usize,
+    /// Longest time that a planned stop may take, milliseconds.
+    pub stop_bound_ms: u64,
+    /// Work that one chunk of a job should hold, milliseconds.
+    pub chunk_target_ms: u64,
 }
 
-impl Default for PlatformScenario {
+impl Default for ProcessScenario {
     fn default() -> Self {
         Self {
-            table_calls_per_s: 600.0,
-            object_calls_per_s: 1_000.0,
-            call_ms: 2.0,
-            list_lag_ms: 1_500,
+            node_workers: 1,
+            sidecar_workers: 1,
+            stop_bound_ms: 15_000,
+            chunk_target_ms: 3_000,
         }
     }
 }
