--- a/crates/lab/src/faults/inject.rs
+++ b/crates/lab/src/faults/inject.rs
@@ -124,20 +124,32 @@
                 return self.cut(Cut::Region(region), length).await;
             }
             FaultKind::StoreDown => {
-                let down = PlatformFault { unreachable: true, ..PlatformFault::default() };
+                let down = PlatformFault {
+                    unreachable: true,
+                    ..PlatformFault::default()
+                };
                 self.platform_fault(Service::Tables, down, length).await;
             }
             FaultKind::StoreSlow => {
                 let delay = Duration::from_secs_f64(amount / 1_000.0);
-                let slow = PlatformFault { delay, ..PlatformFault::default() };
+                let slow = PlatformFault {
+                    delay,
+                    ..PlatformFault::default()
+                };
                 self.platform_fault(Service::Tables, slow, length).await;
             }
             FaultKind::StoreAnswerLost => {
-                let lost = PlatformFault { answer_lost: amount / 100.0, ..PlatformFault::default() };
+                let lost = PlatformFault {
+                    answer_lost: amount / 100.0,
+                    ..PlatformFault::default()
+                };
                 self.platform_fault(Service::Tables, lost, length).await;
             }
             FaultKind::ObjectStoreDown => {
-                let down = PlatformFault { unreachable: true, ..PlatformFault::default() };
+                let down = PlatformFault {
+                    unreachable: true,
+                    ..PlatformFault::default()
+                };
                 self.platform_fault(Service::Objects, down, length).await;
             }
             FaultKind::UdpLoss => {
@@ -146,7 +158,9 @@
                 fleet.network.lose(0.0);
             }
             FaultKind::MachineListLag => {
-                fleet.platform.set_machine_lag(Duration::from_secs_f64(amount / 1_000.0));
+                fleet
+                    .platform
+                    .set_machine_lag(Duration::from_secs_f64(amount / 1_000.0));
                 tokio::time::sleep(length).await;
                 let usual = fleet.scenario.platform.machine_list_lag_ms;
                 fleet.platform.set_machine_lag(Duration::from_millis(usual));
@@ -247,7 +261,9 @@
             let placed = self.fleet.node_place(index);
             if cut.holds(&placed.spot) {
                 let node = placed.name;
-                self.fleet.ledger.add_event(Event::Unavailable(Unavailable { node, from, to }));
+                self.fleet
+                    .ledger
+                    .add_event(Event::Unavailable(Unavailable { node, from, to }));
             }
         }
         cut.to_string()
@@ -255,10 +271,14 @@
 
     async fn platform_fault(&self, service: Service, fault: PlatformFault, length: Duration) {
         let held = self.held.hold(service, fault);
-        self.fleet.platform.set_fault(service, self.held.joined(service));
+        self.fleet
+            .platform
+            .set_fault(service, self.held.joined(service));
         tokio::time::sleep(length).await;
         self.held.release(held);
-        self.fleet.platform.set_fault(service, self.held.joined(service));
+        self.fleet
+            .platform
+            .set_fault(service, self.held.joined(service));
     }
 
     async fn publication_fault(&self, lag: Duration, drop_events: bool, length: Duration) {
@@ -266,14 +286,20 @@
         self.publish(lag.max(old_lag), drop_events || old_drop);
         tokio::time::sleep(length).await;
         let (held_lag, held_drop) = self.publication.get();
-        let left_lag = if lag.is_zero() { held_lag } else { Duration::ZERO };
+        let left_lag = if lag.is_zero() {
+            held_lag
+        } else {
+            Duration::ZERO
+        };
         self.publish(left_lag, held_drop && !drop_events);
     }
 
     fn publish(&self, lag: Duration, drop_events: bool) {
         self.publication.set((lag, drop_events));
         for server in &self.fleet.servers {
-            self.fleet.engines.set_publication_faults(&server.name, lag, drop_events);
+            self.fleet
+                .engines
+                .set_publication_faults(&server.name, lag, drop_events);
         }
     }
 
--- a/crates/lab/src/fleet/admin.rs
+++ b/crates/lab/src/fleet/admin.rs
@@ -50,7 +50,9 @@
     /// Asks for a plan and returns its id.
     pub async fn plan(&self, intent: &Value) -> Result<String, AdminError> {
         let answer = self.post("/admin/v1/plans", intent).await?;
-        let id = answer["id"].as_str().or_else(|| answer["plan"]["id"].as_str());
+        let id = answer["id"]
+            .as_str()
+            .or_else(|| answer["plan"]["id"].as_str());
         id.map(str::to_owned).ok_or_else(|| AdminError::Refused {
             address: self.address.clone(),
             status: 200,
@@ -83,7 +85,10 @@
             .send_json(body)
             .await
             .map_err(|error| unreached(error.to_string()))?;
-        let bytes = response.body().await.map_err(|error| unreached(error.to_string()))?;
+        let bytes = response
+            .body()
+            .await
+            .map_err(|error| unreached(error.to_string()))?;
         let status = response.status();
         if !status.is_success() {
             return Err(AdminError::Refused {
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -63,11 +63,12 @@
     Ok(platform)
 }
 
-/// Starts the engines of a scenario.
+/// Starts the engines of a scenario on an address.
 pub fn start_engines(
     scenario: &Scenario,
     platform: &PlatformHandle,
     seed: u64,
+    listen: &str,
 ) -> Result<EngineHandle, LabError> {
     let specs = names::servers(scenario)
         .into_iter()
@@ -85,6 +86,7 @@
         })
         .collect();
     let options = HostOptions {
+        listen: listen.to_owned(),
         weights: Some(platform.weights()),
         ..HostOptions::default()
     };
@@ -118,12 +120,17 @@
         ledger: Ledger,
     ) -> Result<Fleet, LabError> {
         let platform = start_platform(scenario, seed)?;
-        let engines = start_engines(scenario, &platform, seed)?;
+        let engines = start_engines(scenario, &platform, seed, settings::ANY_PORT)?;
         platform.begin_with_machines(server_machines(scenario, &engines));
         let mut fleet = Fleet {
             network: Network::new(scenario.network.clone()),
             servers: names::servers(scenario),
-            nodes: RefCell::new(names::nodes(scenario).into_iter().map(NodeSlot::new).collect()),
+            nodes: RefCell::new(
+                names::nodes(scenario)
+                    .into_iter()
+                    .map(NodeSlot::new)
+                    .collect(),
+            ),
             sidecars: Vec::new(),
             scenario: scenario.clone(),
             ledger,
@@ -176,7 +183,8 @@
                 let lifecycle = *tables.lifecycle.borrow();
                 let known = tables.directory.len();
                 let ready = lifecycle == Lifecycle::Ready && known >= servers;
-                (!ready).then(|| format!("{} {lifecycle:?}, {known} servers known", slot.placed.name))
+                (!ready)
+                    .then(|| format!("{} {lifecycle:?}, {known} servers known", slot.placed.name))
             })
             .collect()
     }
--- a/crates/lab/src/fleet/node.rs
+++ b/crates/lab/src/fleet/node.rs
@@ -61,7 +61,10 @@
     /// Indexes of the nodes that run.
     pub fn running_nodes(&self) -> Vec<usize> {
         let nodes = self.nodes.borrow();
-        let running = nodes.iter().enumerate().filter(|(_, slot)| slot.handle.is_some());
+        let running = nodes
+            .iter()
+            .enumerate()
+            .filter(|(_, slot)| slot.handle.is_some());
         running.map(|(index, _)| index).collect()
     }
 
@@ -101,7 +104,8 @@
         for name in addresses.into_iter().chain([placed.name.as_str()]) {
             self.network.place(name, &placed.spot);
         }
-        self.platform.put_machine(node_machine(&placed, handle.gossip_address()));
+        self.platform
+            .put_machine(node_machine(&placed, handle.gossip_address()));
         let mut nodes = self.nodes.borrow_mut();
         let slot = &mut nodes[index];
         slot.handle = Some(handle);
--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -14,7 +14,7 @@
 use crate::scenario::Scenario;
 
 /// An address of loopback with a port of the operating system's choice.
-const ANY_PORT: &str = "127.0.0.1:0";
+pub const ANY_PORT: &str = "127.0.0.1:0";
 /// Limit of tenants that are not to be refused.
 const AMPLE: f64 = 100_000.0;
 /// Jobs up to this many items run without a person.
--- a/crates/lab/src/measures/batch.rs
+++ b/crates/lab/src/measures/batch.rs
@@ -114,10 +114,16 @@
     let made: f64 = finished
         .iter()
         .map(|run| -> f64 {
-            spans.iter().map(|(from, to)| run.tokens_within(*from, *to)).sum()
+            spans
+                .iter()
+                .map(|(from, to)| run.tokens_within(*from, *to))
+                .sum()
         })
         .sum();
-    measures.batch_waiting_s = spans.iter().map(|(from, to)| (*to - *from).as_secs_f64()).sum();
+    measures.batch_waiting_s = spans
+        .iter()
+        .map(|(from, to)| (*to - *from).as_secs_f64())
+        .sum();
     measures.batch_share_of_idle = (idle > 0.0).then_some(made / idle);
 }
 
@@ -127,7 +133,10 @@
         let (Some(started), Some(ended)) = (self.run.started, self.run.ended) else {
             return 0.0;
         };
-        let within = ended.min(to).saturating_sub(started.max(from)).as_secs_f64();
+        let within = ended
+            .min(to)
+            .saturating_sub(started.max(from))
+            .as_secs_f64();
         let whole = ended.saturating_sub(started).as_secs_f64().max(1e-6);
         f64::from(self.tokens) * within / whole
     }
@@ -176,7 +185,9 @@
     /// The number at a time.
     pub fn at(&self, time: Duration) -> i64 {
         let after = self.changes.partition_point(|(at, _)| *at <= time);
-        after.checked_sub(1).map_or(0, |index| self.changes[index].1)
+        after
+            .checked_sub(1)
+            .map_or(0, |index| self.changes[index].1)
     }
 
     /// Whether some waited at both ends of a span.
--- a/crates/lab/src/measures/online.rs
+++ b/crates/lab/src/measures/online.rs
@@ -13,11 +13,17 @@
 
 /// Fills in the online measures.
 pub fn fill(measures: &mut Measures, evidence: &Evidence, counted: &Counted) {
-    let (mut first_token, mut gaps, mut refusals) =
-        (Milliseconds::new(), Milliseconds::new(), Milliseconds::new());
+    let (mut first_token, mut gaps, mut refusals) = (
+        Milliseconds::new(),
+        Milliseconds::new(),
+        Milliseconds::new(),
+    );
     for record in &evidence.observations.online {
         if let Some(refusal) = record.refusal() {
-            *measures.refused_by_kind.entry(refusal.kind.clone()).or_default() += 1;
+            *measures
+                .refused_by_kind
+                .entry(refusal.kind.clone())
+                .or_default() += 1;
             refusals.add((record.ended - record.sent).as_secs_f64() * 1_000.0);
         }
         if is_limited(record) {
@@ -70,6 +76,9 @@
         p50: at(0.50),
         p95: at(0.95),
         p99: at(0.99),
-        max: counts.keys().next_back().map_or(0.0, |steps| f64::from(*steps)),
+        max: counts
+            .keys()
+            .next_back()
+            .map_or(0.0, |steps| f64::from(*steps)),
     }
 }
--- a/crates/lab/src/measures/series.rs
+++ b/crates/lab/src/measures/series.rs
@@ -13,7 +13,10 @@
 
 /// All series, over the time of the load.
 pub fn series(evidence: &Evidence, counted: &Counted) -> Series {
-    let intervals = counted.load_length.as_millis().div_ceil(INTERVAL.as_millis()) as usize;
+    let intervals = counted
+        .load_length
+        .as_millis()
+        .div_ceil(INTERVAL.as_millis()) as usize;
     let mut series = Series {
         interval_s: INTERVAL.as_secs_f64(),
         online_sent: vec![0; intervals],
@@ -45,7 +48,12 @@
 fn add_online(series: &mut Series, evidence: &Evidence, counted: &Counted) {
     let mut gaps: Vec<Milliseconds> = Vec::new();
     gaps.resize_with(series.online_sent.len(), Milliseconds::new);
-    for record in evidence.observations.online.iter().filter(|record| !record.resend) {
+    for record in evidence
+        .observations
+        .online
+        .iter()
+        .filter(|record| !record.resend)
+    {
         let Some(index) = interval(counted, record.sent) else {
             continue;
         };
--- a/crates/lab/src/run/arguments.rs
+++ b/crates/lab/src/run/arguments.rs
@@ -108,12 +108,16 @@
     /// Reads the command line and the files that it names.
     pub fn read(arguments: &ArgMatches) -> Result<RunArguments, LabError> {
         let file = |name: &str| arguments.get_one::<PathBuf>(name);
-        let required = |name: &str| {
-            file(name).ok_or_else(|| LabError::usage(format!("--{name} is required")))
-        };
+        let required =
+            |name: &str| file(name).ok_or_else(|| LabError::usage(format!("--{name} is required")));
         let scenario = Scenario::load(required("scenario")?)?;
-        let faults = file("faults").map(|path| FaultFile::load(path)).transpose()?;
-        let seconds = arguments.get_one("seconds").copied().unwrap_or(scenario.seconds);
+        let faults = file("faults")
+            .map(|path| FaultFile::load(path))
+            .transpose()?;
+        let seconds = arguments
+            .get_one("seconds")
+            .copied()
+            .unwrap_or(scenario.seconds);
         let policy_name: &String = arguments
             .get_one("policy")
             .ok_or_else(|| LabError::usage("--policy is required"))?;
@@ -147,5 +151,8 @@
 }
 
 fn stem(path: &Path) -> String {
-    path.file_stem().unwrap_or_default().to_string_lossy().into_owned()
+    path.file_stem()
+        .unwrap_or_default()
+        .to_string_lossy()
+        .into_owned()
 }
--- a/crates/lab/src/run/collect.rs
+++ b/crates/lab/src/run/collect.rs
@@ -37,7 +37,10 @@
     let records = fleet.engines.records();
     Evidence {
         observations,
-        runs: records.into_iter().map(|record| run(record, offset)).collect(),
+        runs: records
+            .into_iter()
+            .map(|record| run(record, offset))
+            .collect(),
         dropped_runs: fleet.engines.records_dropped(),
         bounds: fleet.scenario.bounds.clone(),
         end: clock.now(),
--- a/crates/lab/src/run/one.rs
+++ b/crates/lab/src/run/one.rs
@@ -134,7 +134,11 @@
         let now = fleet.ledger.clock.now();
         if now >= next_line {
             next_line = now + PROGRESS_INTERVAL;
-            let phase = if now < load_start + length { "load" } else { "settle" };
+            let phase = if now < load_start + length {
+                "load"
+            } else {
+                "settle"
+            };
             progress::print(&fleet, now - load_start, phase);
         }
         tokio::time::sleep(SAMPLE_INTERVAL).await;
@@ -154,18 +158,27 @@
         .into_iter()
         .filter(|failure| {
             let unchecked_batch = failure.ends_with("not checked")
-                && BATCH_INVARIANTS.iter().any(|name| failure.starts_with(name));
+                && BATCH_INVARIANTS
+                    .iter()
+                    .any(|name| failure.starts_with(name));
             !(without_batch && unchecked_batch)
         })
         .collect();
     if evidence.dropped_runs > 0 {
-        failures.push(format!("{} engine records were dropped", evidence.dropped_runs));
+        failures.push(format!(
+            "{} engine records were dropped",
+            evidence.dropped_runs
+        ));
     }
     for event in &evidence.observations.events {
-        if let Event::Race { accepted, answers, .. } = event
+        if let Event::Race {
+            accepted, answers, ..
+        } = event
             && *accepted != 1
         {
-            failures.push(format!("{accepted} of two racing plans were accepted: {answers}"));
+            failures.push(format!(
+                "{accepted} of two racing plans were accepted: {answers}"
+            ));
         }
     }
     failures
--- a/crates/lab/src/run/process.rs
+++ b/crates/lab/src/run/process.rs
@@ -30,11 +30,15 @@
 fn used() -> Option<Duration> {
     let stat = procfs::process::Process::myself().ok()?.stat().ok()?;
     let ticks = (stat.utime + stat.stime) as f64;
-    Some(Duration::from_secs_f64(ticks / procfs::ticks_per_second() as f64))
+    Some(Duration::from_secs_f64(
+        ticks / procfs::ticks_per_second() as f64,
+    ))
 }
 
 /// Memory of this process, MB.
 pub fn rss_mb() -> f64 {
     let status = procfs::process::Process::myself().and_then(|process| process.statm());
-    status.map_or(0.0, |status| (status.resident * procfs::page_size()) as f64 / MEGABYTE)
+    status.map_or(0.0, |status| {
+        (status.resident * procfs::page_size()) as f64 / MEGABYTE
+    })
 }
--- a/crates/lab/src/run/progress.rs
+++ b/crates/lab/src/run/progress.rs
@@ -9,8 +9,16 @@
 /// Prints the state of the run.
 pub fn print(fleet: &Fleet, since_start: Duration, phase: &str) {
     let (online, whole, refused, jobs) = fleet.ledger.read(|seen| {
-        let whole = seen.online.iter().filter(|record| record.is_whole()).count();
-        let refused = seen.online.iter().filter(|record| record.refusal().is_some()).count();
+        let whole = seen
+            .online
+            .iter()
+            .filter(|record| record.is_whole())
+            .count();
+        let refused = seen
+            .online
+            .iter()
+            .filter(|record| record.refusal().is_some())
+            .count();
         (seen.online.len(), whole, refused, seen.jobs.len())
     });
     let meters = fleet.engines.meters();
--- a/crates/lab/src/run/table.rs
+++ b/crates/lab/src/run/table.rs
@@ -12,7 +12,11 @@
         summary.scenario,
         summary.seed,
         summary.policy,
-        if summary.faults.is_empty() { "none" } else { &summary.faults },
+        if summary.faults.is_empty() {
+            "none"
+        } else {
+            &summary.faults
+        },
         summary.seconds,
     );
     println!("{}", invariants(summary));
@@ -20,12 +24,19 @@
     for failure in &summary.not_done {
         println!("not done: {failure}");
     }
-    println!("{}", directory.join(dappleyard_report::summary::FILE_NAME).display());
+    println!(
+        "{}",
+        directory
+            .join(dappleyard_report::summary::FILE_NAME)
+            .display()
+    );
 }
 
 fn table(header: [&str; 2]) -> Table {
     let mut table = Table::new();
-    table.load_preset(presets::UTF8_BORDERS_ONLY).set_header(header);
+    table
+        .load_preset(presets::UTF8_BORDERS_ONLY)
+        .set_header(header);
     table
 }
 
@@ -48,11 +59,18 @@
 
 fn measures(summary: &Summary) -> Table {
     let measures = &summary.measures;
-    let share = |share: Option<f64>| share.map_or("not measured".to_owned(), |share| format!("{share:.3}"));
+    let share =
+        |share: Option<f64>| share.map_or("not measured".to_owned(), |share| format!("{share:.3}"));
     let mut table = table(["measure", "value"]);
     let rows = [
-        ("batch items/s", format!("{:.1}", measures.batch_items_per_s)),
-        ("batch tokens/s", format!("{:.0}", measures.batch_tokens_per_s)),
+        (
+            "batch items/s",
+            format!("{:.1}", measures.batch_items_per_s),
+        ),
+        (
+            "batch tokens/s",
+            format!("{:.0}", measures.batch_tokens_per_s),
+        ),
         (
             "batch share of idle",
             format!(
@@ -75,7 +93,11 @@
         ("time to refusal, ms", percentiles(&measures.refusal_ms)),
         (
             "engine steps to yield",
-            format!("{}, never {}", percentiles(&measures.steps_to_yield), measures.never_yielded),
+            format!(
+                "{}, never {}",
+                percentiles(&measures.steps_to_yield),
+                measures.never_yielded
+            ),
         ),
         (
             "store writes",
@@ -85,10 +107,16 @@
                 share(measures.store_writes_per_1000_items)
             ),
         ),
-        ("engine stall share", format!("{:.4}", measures.engine_stall_share)),
+        (
+            "engine stall share",
+            format!("{:.4}", measures.engine_stall_share),
+        ),
         (
             "process",
-            format!("{:.1} cores, {:.0} MB", measures.process_cores, measures.process_rss_mb),
+            format!(
+                "{:.1} cores, {:.0} MB",
+                measures.process_cores, measures.process_rss_mb
+            ),
         ),
     ];
     for (name, value) in rows {
--- a/crates/lab/src/standins.rs
+++ b/crates/lab/src/standins.rs
@@ -1,10 +1,13 @@
 //! `dappleyard-lab standins`: the platform and the engines of a scenario as one plain process.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
 use crate::error::{LabError, report};
+use crate::fleet::{server_machines, start_engines, start_platform};
+use crate::scenario::Scenario;
 
 /// Arguments of `standins`.
 pub fn command() -> Command {
@@ -15,12 +18,67 @@
                 .long("scenario")
                 .value_name("PATH")
                 .required(true)
-                .value_parser(value_parser!(std::path::PathBuf))
+                .value_parser(value_parser!(PathBuf))
                 .help("Scenario file"),
         )
+        .arg(address(
+            "platform",
+            "127.0.0.1:7600",
+            "Listening address of the platform",
+        ))
+        .arg(address(
+            "engines",
+            "127.0.0.1:7601",
+            "Listening address of the engines",
+        ))
 }
 
-/// Runs the stand-ins.
-pub fn run(_arguments: &ArgMatches) -> ExitCode {
-    report(Err(LabError::failed("`standins` is not built yet")))
+fn address(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("ADDRESS")
+        .default_value(default)
+        .help(help)
+}
+
+/// Runs the stand-ins until an interrupt or a termination signal.
+pub fn run(arguments: &ArgMatches) -> ExitCode {
+    report(serve(arguments))
+}
+
+fn serve(arguments: &ArgMatches) -> Result<(), LabError> {
+    let path = arguments
+        .get_one::<PathBuf>("scenario")
+        .ok_or_else(|| LabError::usage("--scenario is required"))?;
+    let listen = |name: &str| {
+        let address = arguments.get_one::<String>(name);
+        address
+            .cloned()
+            .ok_or_else(|| LabError::usage(format!("--{name} is required")))
+    };
+    let mut scenario = Scenario::load(path)?;
+    scenario.platform.listen = listen("platform")?;
+    let platform = start_platform(&scenario, scenario.seed)?;
+    let engines = start_engines(&scenario, &platform, scenario.seed, &listen("engines")?)?;
+    platform.begin_with_machines(server_machines(&scenario, &engines));
+    println!(
+        "platform on {}, engines on {}",
+        platform.address(),
+        engines.address()
+    );
+    actix_rt::System::new().block_on(stop_signal())?;
+    engines.stop();
+    platform.stop();
+    Ok(())
+}
+
+async fn stop_signal() -> Result<(), LabError> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate()).map_err(LabError::failed)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(LabError::failed)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
 }
--- a/crates/lab/tests/scenario.rs
+++ b/crates/lab/tests/scenario.rs
@@ -47,7 +47,7 @@
 fn every_bad_value_is_named_at_once() {
     let text = small_text()
         .replace("busy_per_s = 16.0", "busy_per_s = 0.0")
-        .replace("base_ms = 3.2", "base_step_ms = -1.0");
+        .replace("base_ms = 3.2", "base_ms = -1.0");
     expect_that!(
         Scenario::parse(&text),
         err(all![
