--- a/crates/lab/src/faults/operators.rs
+++ b/crates/lab/src/faults/operators.rs
@@ -79,14 +79,17 @@
     });
 }
 
-/// Plans and confirms at one node after another until it is done.
+/// Plans and confirms, at one node after another, until it is done. A confirmation that may have
+/// taken effect is repeated for the same plan; a plan that was overtaken is made anew.
 async fn persist(fleet: &Fleet, intent: &Value) -> Result<(), String> {
     let mut last = "no node runs".to_owned();
+    let mut plan: Option<String> = None;
     for attempt in 0..ATTEMPTS {
         let addresses = fleet.admin_addresses();
         if let Some(address) = addresses.get(attempt % addresses.len().max(1)) {
-            match Operator::new(address).carry_out(intent).await {
-                Ok(_) => return Ok(()),
+            let operator = Operator::new(address);
+            match carry_out(&operator, intent, &mut plan).await {
+                Ok(()) => return Ok(()),
                 Err(error) => last = describe(&error),
             }
         }
@@ -95,6 +98,24 @@
     Err(last)
 }
 
+async fn carry_out(
+    operator: &Operator,
+    intent: &Value,
+    plan: &mut Option<String>,
+) -> Result<(), AdminError> {
+    let id = match plan.take() {
+        Some(id) => id,
+        None => operator.plan(intent).await?,
+    };
+    match operator.confirm(&id).await {
+        Ok(_) => Ok(()),
+        Err(error) => {
+            *plan = error.may_repeat().then_some(id);
+            Err(error)
+        }
+    }
+}
+
 fn describe(error: &AdminError) -> String {
     error.to_string().chars().take(300).collect()
 }
--- a/crates/lab/src/fleet/admin.rs
+++ b/crates/lab/src/fleet/admin.rs
@@ -6,6 +6,8 @@
 use derive_more::{Display, Error};
 use serde_json::{Value, json};
 
+/// Name that the experiment's operators give.
+const OPERATOR: &str = "experiment";
 /// Longest time for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -32,6 +34,16 @@
     },
 }
 
+impl AdminError {
+    /// Whether the same call may succeed later, or may have succeeded already.
+    pub fn may_repeat(&self) -> bool {
+        match self {
+            AdminError::Unreached { .. } => true,
+            AdminError::Refused { status, .. } => *status >= 500,
+        }
+    }
+}
+
 /// An operator who speaks to one node.
 pub struct Operator {
     http: Client,
@@ -49,10 +61,9 @@
 
     /// Asks for a plan and returns its id.
     pub async fn plan(&self, intent: &Value) -> Result<String, AdminError> {
-        let answer = self.post("/admin/v1/plans", intent).await?;
-        let id = answer["id"]
-            .as_str()
-            .or_else(|| answer["plan"]["id"].as_str());
+        let body = json!({"intent": intent, "operator": OPERATOR});
+        let answer = self.post("/admin/v1/plans", &body).await?;
+        let id = answer["id"].as_str();
         id.map(str::to_owned).ok_or_else(|| AdminError::Refused {
             address: self.address.clone(),
             status: 200,
@@ -60,17 +71,13 @@
         })
     }
 
-    /// Confirms a plan.
+    /// Confirms a plan. The plan's id is the token, so that a repeat gets the same answer.
     pub async fn confirm(&self, plan: &str) -> Result<Value, AdminError> {
-        self.post(&format!("/admin/v1/plans/{plan}/confirm"), &json!({}))
-            .await
-    }
-
-    /// Plans and confirms at once.
-    pub async fn carry_out(&self, intent: &Value) -> Result<String, AdminError> {
-        let plan = self.plan(intent).await?;
-        self.confirm(&plan).await?;
-        Ok(plan)
+        self.post(
+            &format!("/admin/v1/plans/{plan}/confirm"),
+            &json!({"token": plan}),
+        )
+        .await
     }
 
     async fn post(&self, path: &str, body: &Value) -> Result<Value, AdminError> {
--- a/crates/lab/src/measures/mod.rs
+++ b/crates/lab/src/measures/mod.rs
@@ -81,6 +81,9 @@
     stalled.as_secs_f64() / counted.engine_time.as_secs_f64().max(f64::EPSILON)
 }
 
+/// Greatest time of a histogram, microseconds: an hour.
+const GREATEST_US: u64 = 3_600_000_000;
+
 /// A histogram of milliseconds with three digits, kept in microseconds.
 struct Milliseconds {
     histogram: Histogram<u64>,
@@ -89,7 +92,8 @@
 impl Milliseconds {
     fn new() -> Milliseconds {
         Milliseconds {
-            histogram: Histogram::new(3).expect("three digits are allowed"),
+            histogram: Histogram::new_with_bounds(1, GREATEST_US, 3)
+                .expect("the bounds and three digits are allowed"),
         }
     }
 
--- a/crates/sidecar/src/prompt.rs
+++ b/crates/sidecar/src/prompt.rs
@@ -1,8 +1,8 @@
 //! The canonical prompt: how the messages of a chat become the text that an engine reads.
 //!
-//! Each message becomes `<|ROLE|>`, a line feed, its text and a line feed; the prompt ends with
-//! `<|assistant|>` and a line feed, after which the answer begins. The prompt of a completion is
-//! taken as it is. Tokens are estimated as words between white space; engines count their own.
+//! The text is that of [`dappleyard_wire::prompt`], so that a batch item and an online request with
+//! the same messages are the same prompt. The prompt of a completion is taken as it is. Tokens are
+//! estimated as words between white space; engines count their own.
 //!
 //! The *shared prefix* is what other requests are likely to repeat, so that an engine that has it in
 //! its cache is worth finding:
@@ -13,6 +13,7 @@
 //! - with neither: the first [`UNSHARED_PREFIX_WORDS`] words of the prompt.
 
 use dappleyard_wire::hash::hash_bytes;
+use dappleyard_wire::prompt::canonical_chat;
 
 /// Words that stand for the prefix of a prompt without a system message or a session.
 pub const UNSHARED_PREFIX_WORDS: usize = 32;
@@ -44,11 +45,7 @@
 
 /// The canonical prompt of a chat. `session` is empty for none.
 pub fn canonical(messages: &[PromptMessage], session: &str) -> CanonicalPrompt {
-    let mut text = String::new();
-    for message in messages {
-        push_message(&mut text, message);
-    }
-    text.push_str("<|assistant|>\n");
+    let text = join(messages);
     let system_messages = messages
         .iter()
         .take_while(|message| SYSTEM_ROLES.contains(&message.role.as_str()))
@@ -75,20 +72,9 @@
     build(text, session_hash("", session), tokens)
 }
 
-fn push_message(text: &mut String, message: &PromptMessage) {
-    text.push_str("<|");
-    text.push_str(&message.role);
-    text.push_str("|>\n");
-    text.push_str(&message.text);
-    text.push('\n');
-}
-
 fn join(messages: &[PromptMessage]) -> String {
-    let mut text = String::new();
-    for message in messages {
-        push_message(&mut text, message);
-    }
-    text
+    let pairs = messages.iter();
+    canonical_chat(pairs.map(|message| (message.role.as_str(), message.text.as_str())))
 }
 
 fn session_hash(system: &str, session: &str) -> u64 {
