--- a/crates/standin/examples/host_cost.rs
+++ b/crates/standin/examples/host_cost.rs
@@ -1,6 +1,8 @@
-//! What a host of engines costs the machine: closed loop of batch sequences over HTTP.
+//! What a host of engines costs the machine: closed loops of sequences over HTTP.
 //!
-//! `cargo run --release -p dappleyard-standin --example host_cost -- ENGINES WIDTH SECONDS`
+//! `cargo run --release -p dappleyard-standin --example host_cost -- ENGINES BATCH ONLINE SECONDS`
+//!
+//! BATCH and ONLINE are sequences on each engine; online ones are streamed token by token.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,16 +17,18 @@
         .skip(1)
         .map(|argument| argument.parse().expect("a number"))
         .collect();
-    let [engines, width, seconds] = arguments[..] else {
-        eprintln!("usage: host_cost ENGINES WIDTH SECONDS");
+    let [engines, batch, online, seconds] = arguments[..] else {
+        eprintln!("usage: host_cost ENGINES BATCH ONLINE SECONDS");
         std::process::exit(2);
     };
     let host = EngineHost::start((0..engines).map(spec).collect()).expect("a host");
     let end = Instant::now() + Duration::from_secs(seconds as u64);
-    actix_rt::System::new().block_on(drive(&host, width, end));
+    actix_rt::System::new().block_on(drive(&host, batch, online, end));
     let meters = host.meters();
-    let made = meters.batch_tokens as f64 / seconds as f64;
-    println!("engines {engines}, width {width}, {seconds} s: {made:.0} batch tokens/s");
+    let rate = |tokens: u64| tokens as f64 / seconds as f64;
+    println!("engines {engines}, batch {batch}, online {online}, {seconds} s");
+    println!("batch tokens/s {:.0}", rate(meters.batch_tokens));
+    println!("online tokens/s {:.0}", rate(meters.online_tokens));
     println!(
         "late by {:.2}% of the engines' time",
         meters.stalled_us as f64 / 1e4 / (engines * seconds) as f64
@@ -43,26 +47,37 @@
     }
 }
 
-async fn drive(host: &EngineHandle, width: usize, end: Instant) {
+async fn drive(host: &EngineHandle, batch: usize, online: usize, end: Instant) {
     let engine = Rc::new(HttpEngine::new(
         Duration::from_secs(1),
         Duration::from_secs(10),
     ));
     let mut loops = Vec::new();
     for server in host.servers() {
-        for place in 0..width {
+        for place in 0..batch + online {
+            let priority = match place < batch {
+                true => Priority::BATCH,
+                false => Priority::ONLINE,
+            };
             let (engine, base) = (engine.clone(), host.base(&server));
-            loops.push(closed_loop(engine, base, place, end));
+            loops.push(closed_loop(engine, base, place, priority, end));
         }
     }
     futures::future::join_all(loops).await;
+    tokio::time::sleep(end.saturating_duration_since(Instant::now())).await;
 }
 
-async fn closed_loop(engine: Rc<HttpEngine>, base: String, place: usize, end: Instant) {
+async fn closed_loop(
+    engine: Rc<HttpEngine>,
+    base: String,
+    place: usize,
+    priority: Priority,
+    end: Instant,
+) {
     let mut number = 0;
     while Instant::now() < end {
         number += 1;
-        let call = call(format!("{base} {place} {number}"));
+        let call = call(format!("{base} {place} {number}"), priority);
         let mut events = engine.generate(&base, call).await.expect("taken in");
         while let Some(event) = events.next().await {
             if let EngineEvent::Finished { .. } = event.expect("an event") {
@@ -72,7 +87,7 @@
     }
 }
 
-fn call(name: String) -> GenerateCall {
+fn call(name: String, priority: Priority) -> GenerateCall {
     GenerateCall {
         request_id: name.clone(),
         attempt: 1,
@@ -84,17 +99,21 @@
         prefix_hash: 0,
         prefix_tokens: 0,
         max_tokens: 200,
-        priority: Priority::BATCH,
+        priority,
         resume_offset: 0,
         attach_stream: String::new(),
         attach_only: false,
-        stream: false,
+        stream: priority == Priority::ONLINE,
     }
 }
 
 /// Processor time of each thread, as a share of one core.
 fn print_threads(seconds: usize) {
     let ticks = procfs::ticks_per_second() as f64;
+    let memory = Process::myself().and_then(|process| process.statm());
+    let pages = memory.expect("memory").resident;
+    let megabytes = pages * procfs::page_size() / 1_048_576;
+    println!("resident memory {megabytes} MB, client included");
     let tasks = Process::myself().and_then(|process| process.tasks());
     for task in tasks.expect("threads").flatten() {
         let Ok(stat) = task.stat() else { continue };
