Sidecar: resume, restart, hedge and give up by one table; refuse hostile input by name

Cause: a failed attempt was followed by rules spread over the code, a chunk that did not fit could leave some of its pieces in the answer, and a head bound under half a second could end a fresh connection, as the HTTP server's clock ticks only every 500 ms. Change: one pure table decides what follows; a hedge joins a silent first attempt and the first piece decides; a chunk is taken whole or not at all; the head bound is at least a second; uploads have places of their own.

--- a/crates/decide/src/reassembly.rs
+++ b/crates/decide/src/reassembly.rs
@@ -6,7 +6,6 @@
 //! joined only when both were made by the same model version.
 
 use std::collections::BTreeMap;
-use std::collections::btree_map::Entry;
 
 use derive_more::{Display, Error};
 
@@ -99,11 +98,16 @@
         }
     }
 
-    /// Takes the pieces at `offset` and after it. Pieces that are there already are compared.
+    /// Takes the pieces at `offset` and after it, all or none. Pieces that are there already are
+    /// compared.
     pub fn take(&mut self, offset: u32, pieces: Vec<String>) -> Result<(), AssemblyError> {
-        for (index, piece) in pieces.into_iter().enumerate() {
-            let position = offset.saturating_add(u32::try_from(index).unwrap_or(u32::MAX));
-            self.take_one(position, piece)?;
+        self.check(offset, &pieces)?;
+        for (position, piece) in (offset..).zip(pieces) {
+            if position == self.offset() {
+                self.pieces.push(piece);
+            } else if position > self.offset() {
+                self.behind_gap.insert(position, piece);
+            }
         }
         while let Some(next) = self.behind_gap.remove(&self.offset()) {
             self.pieces.push(next);
@@ -111,33 +115,37 @@
         Ok(())
     }
 
-    fn take_one(&mut self, offset: u32, piece: String) -> Result<(), AssemblyError> {
-        if let Some(total) = self.total.filter(|total| offset >= *total) {
-            return Err(AssemblyError::BehindEnd { offset, total });
-        }
-        if offset >= self.bounds.pieces {
+    fn check(&self, offset: u32, pieces: &[String]) -> Result<(), AssemblyError> {
+        let end = u64::from(offset) + pieces.len() as u64;
+        if end > u64::from(self.bounds.pieces) {
             return Err(AssemblyError::Bound {
                 bound: self.bounds.pieces as usize,
             });
         }
-        if let Some(held) = self.pieces.get(offset as usize) {
-            return same_text(held, &piece, offset);
+        if let Some(total) = self.total.filter(|total| end > u64::from(*total)) {
+            return Err(AssemblyError::BehindEnd { offset, total });
         }
-        if offset == self.offset() {
-            self.pieces.push(piece);
-            return Ok(());
+        for (position, piece) in (offset..).zip(pieces) {
+            if self.held(position).is_some_and(|held| held != piece) {
+                return Err(AssemblyError::Conflict { offset: position });
+            }
         }
-        let full = self.behind_gap.len() >= self.bounds.behind_gap;
-        match self.behind_gap.entry(offset) {
-            Entry::Occupied(held) => same_text(held.get(), &piece, offset),
-            Entry::Vacant(_) if full => Err(AssemblyError::Bound {
+        let new = (offset..)
+            .zip(pieces)
+            .filter(|(at, _)| self.held(*at).is_none());
+        let behind_gap = self.behind_gap.len() + new.count();
+        if offset > self.offset() && behind_gap > self.bounds.behind_gap {
+            return Err(AssemblyError::Bound {
                 bound: self.bounds.behind_gap,
-            }),
-            Entry::Vacant(place) => {
-                place.insert(piece);
-                Ok(())
-            }
+            });
         }
+        Ok(())
+    }
+
+    fn held(&self, offset: u32) -> Option<&String> {
+        self.pieces
+            .get(offset as usize)
+            .or_else(|| self.behind_gap.get(&offset))
     }
 
     /// The sender announced the length of the whole answer.
@@ -201,11 +209,3 @@
         self.released
     }
 }
-
-fn same_text(held: &str, offered: &str, offset: u32) -> Result<(), AssemblyError> {
-    if held == offered {
-        Ok(())
-    } else {
-        Err(AssemblyError::Conflict { offset })
-    }
-}
--- a/crates/sidecar/src/accept.rs
+++ b/crates/sidecar/src/accept.rs
@@ -49,12 +49,16 @@
 pub fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, ApiError> {
     let mut reader = serde_json::Deserializer::from_slice(body);
     let parsed: T = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
-        let path = error.path().to_string();
+        let path = known_path(error.path());
         let cause = error.inner().to_string();
         let field = missing_field(&cause).map_or(path.clone(), |name| join(&path, name));
         ApiError::invalid(
-            if field == "." { "" } else { &field },
-            format!("the body is not valid at {field}: {cause}"),
+            field.clone(),
+            if field.is_empty() {
+                format!("the body is not valid: {cause}")
+            } else {
+                format!("the body is not valid at {field}: {cause}")
+            },
         )
     })?;
     reader
@@ -63,13 +67,22 @@
     Ok(parsed)
 }
 
+/// The path of a field; empty when the error is not at a field.
+fn known_path(path: &serde_path_to_error::Path) -> String {
+    let path = path.to_string();
+    if matches!(path.as_str(), "." | "?") {
+        return String::new();
+    }
+    path
+}
+
 /// The field that a message of serde says is missing.
 fn missing_field(cause: &str) -> Option<&str> {
     cause.strip_prefix("missing field `")?.split('`').next()
 }
 
 fn join(path: &str, name: &str) -> String {
-    if path == "." {
+    if path.is_empty() {
         name.to_owned()
     } else {
         format!("{path}.{name}")
--- a/crates/sidecar/src/forward/attempt.rs
+++ b/crates/sidecar/src/forward/attempt.rs
@@ -2,14 +2,16 @@
 
 use dappleyard_transport::link::ClientStream;
 use dappleyard_transport::{Link, LinkError};
-use dappleyard_wire::messages::{Cancel, frame};
+use dappleyard_wire::messages::{Accepted, Cancel, frame};
 
 /// One attempt on one node.
 pub struct Attempt {
+    /// What the node said when a server took the request.
+    pub accepted: Option<Accepted>,
     stream: ClientStream,
     node: String,
     cancels: bool,
-    open: bool,
+    ended: bool,
 }
 
 impl Attempt {
@@ -17,10 +19,11 @@
     /// attempt is dropped before its end.
     pub fn open(link: &Link, body: frame::Body, cancels: bool) -> Result<Attempt, LinkError> {
         Ok(Attempt {
+            accepted: None,
             stream: link.open(body)?,
             node: link.peer().id.clone(),
             cancels,
-            open: true,
+            ended: false,
         })
     }
 
@@ -29,26 +32,29 @@
         &self.node
     }
 
-    /// Next frame; an error once the link is lost.
-    pub async fn receive(&mut self) -> Result<frame::Body, LinkError> {
-        let received = self.stream.receive().await;
-        if received.is_err() {
-            self.open = false;
-        }
-        received
-    }
-
     /// The node has sent its last frame: nothing is left to cancel.
     pub fn end(&mut self) {
-        self.open = false;
+        self.ended = true;
     }
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        if self.open && self.cancels {
+        if !self.ended && self.cancels {
             let reason = "the caller has gone or another attempt took over".to_owned();
             let _ = self.stream.send(frame::Body::Cancel(Cancel { reason }));
         }
     }
 }
+
+/// Next frame of any of the attempts, with the attempt's index; an error once its link is lost.
+pub async fn hear(open: &mut [Attempt]) -> (usize, Result<frame::Body, LinkError>) {
+    match open {
+        [only] => (0, only.stream.receive().await),
+        [first, second, ..] => tokio::select! {
+            received = first.stream.receive() => (0, received),
+            received = second.stream.receive() => (1, received),
+        },
+        [] => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/forward/receive.rs
@@ -0,0 +1,158 @@
+//! Takes the frames of open attempts into the answer.
+
+use std::time::Duration;
+
+use dappleyard_decide::reassembly::AssemblyError;
+use dappleyard_wire::error::join_ran;
+use dappleyard_wire::messages::{Accepted, Chunk, Finish, frame};
+use dappleyard_wire::{ErrorKind, Failure, Ran};
+use tokio::time::Instant;
+
+use super::Forward;
+
+/// Longest wait for pieces that are missing after the end was announced.
+const STRAGGLER_WAIT: Duration = Duration::from_millis(200);
+/// Reason of an end that was not the engine's own.
+const CANCELLED: &str = "cancelled";
+
+impl Forward {
+    /// Takes a frame of the open attempt `index`.
+    pub(super) async fn take(&mut self, index: usize, body: frame::Body) -> Result<(), Failure> {
+        match body {
+            frame::Body::Accepted(accepted) => self.take_accepted(index, accepted).await,
+            frame::Body::Chunk(chunk) => {
+                if self.settle_on(index).await? {
+                    self.take_chunk(chunk).await?;
+                }
+                Ok(())
+            }
+            frame::Body::Finish(finish) => {
+                if self.settle_on(index).await? {
+                    self.take_finish(finish).await?;
+                }
+                Ok(())
+            }
+            frame::Body::Refused(refused) => {
+                self.open[index].end();
+                self.fail(index, Failure::from_refused(&refused)).await
+            }
+            _ => {
+                self.count_bad_frame("unexpected");
+                Ok(())
+            }
+        }
+    }
+
+    /// The link of an attempt was lost: nobody knows whether it ran.
+    pub(super) async fn take_loss(&mut self, index: usize) -> Result<(), Failure> {
+        let message = "the node was lost while it had the request";
+        let failure = Failure::maybe_ran(ErrorKind::NodeLost, message);
+        self.fail(index, failure).await
+    }
+
+    /// Pieces are missing, though the end was announced.
+    pub(super) async fn take_incomplete(&mut self) -> Result<(), Failure> {
+        self.count_bad_frame("incomplete");
+        let message = "the node announced the end before all of the answer was there";
+        let failure = Failure::maybe_ran(ErrorKind::NodeLost, message);
+        self.fail(0, failure).await
+    }
+
+    async fn take_accepted(&mut self, index: usize, accepted: Accepted) -> Result<(), Failure> {
+        self.ran = join_ran(self.ran, Ran::Maybe);
+        self.open[index].accepted = Some(accepted);
+        if self.open.len() == 1 {
+            self.rest_on_accepted().await?;
+        }
+        Ok(())
+    }
+
+    /// A piece or the end came: the answer rests on this attempt, and another open one is given up.
+    /// `false` when the attempt cannot go on with the answer, so that its frame must not be taken.
+    async fn settle_on(&mut self, index: usize) -> Result<bool, Failure> {
+        self.hedge_at = None;
+        self.ran = join_ran(self.ran, Ran::Yes);
+        if self.open.len() == 1 {
+            return Ok(true);
+        }
+        let winner = self.open.swap_remove(index);
+        self.open = vec![winner];
+        let attempts = self.attempts;
+        self.rest_on_accepted().await?;
+        Ok(self.attempts == attempts)
+    }
+
+    /// Takes over the version and the engine stream of the one open attempt.
+    pub(super) async fn rest_on_accepted(&mut self) -> Result<(), Failure> {
+        let accepted = self.open.first().and_then(|open| open.accepted.clone());
+        let Some(accepted) = accepted else {
+            return Ok(());
+        };
+        if let Err(error) = self.assembly.accepted(&accepted.version) {
+            return self.does_not_fit(&error).await;
+        }
+        self.accepted = Some(accepted);
+        Ok(())
+    }
+
+    async fn take_chunk(&mut self, chunk: Chunk) -> Result<(), Failure> {
+        let count = chunk.pieces.len() as u64;
+        if let Err(error) = self.assembly.take(chunk.offset, chunk.pieces) {
+            return self.does_not_fit(&error).await;
+        }
+        self.worker.metrics().pieces.inc_by(count);
+        self.end_if_complete();
+        Ok(())
+    }
+
+    async fn take_finish(&mut self, finish: Finish) -> Result<(), Failure> {
+        let Some(attempt) = self.open.first_mut() else {
+            return Ok(());
+        };
+        if finish.reason == CANCELLED {
+            attempt.end();
+            let message = "the engine cancelled the request";
+            let failure = Failure::maybe_ran(ErrorKind::EngineLost, message);
+            return self.fail(0, failure).await;
+        }
+        let fits = self
+            .assembly
+            .accepted(&finish.version)
+            .and_then(|()| self.assembly.finish(finish.total_tokens));
+        if let Err(error) = fits {
+            return self.does_not_fit(&error).await;
+        }
+        self.finish = Some(finish);
+        self.straggler_deadline = Some(self.deadline.min(Instant::now() + STRAGGLER_WAIT));
+        self.end_if_complete();
+        Ok(())
+    }
+
+    fn end_if_complete(&mut self) {
+        if self.completed().is_some() {
+            self.ended = true;
+            self.open.iter_mut().for_each(|attempt| attempt.end());
+        }
+    }
+
+    /// The attempt's frames do not fit into the answer: another version, or a fault of the sender.
+    async fn does_not_fit(&mut self, error: &AssemblyError) -> Result<(), Failure> {
+        let (kind, cause) = match error {
+            AssemblyError::VersionChanged { .. } => (ErrorKind::VersionGone, "version"),
+            AssemblyError::Conflict { .. } => (ErrorKind::EngineLost, "conflict"),
+            AssemblyError::Bound { .. } => (ErrorKind::EngineLost, "bound"),
+            AssemblyError::BehindEnd { .. } => (ErrorKind::EngineLost, "behind_end"),
+        };
+        self.count_bad_frame(cause);
+        self.fail(0, Failure::maybe_ran(kind, error.to_string()))
+            .await
+    }
+
+    fn count_bad_frame(&self, cause: &str) {
+        self.worker
+            .metrics()
+            .bad_frames
+            .with_label_values(&[cause])
+            .inc();
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/forward/retry.rs
@@ -0,0 +1,206 @@
+//! Begins attempts, follows failed ones as [`super::rule`] decides, and ends the request.
+
+use std::time::Duration;
+
+use dappleyard_decide::retry::pause_ms;
+use dappleyard_transport::{Link, LinkError};
+use dappleyard_wire::error::join_ran;
+use dappleyard_wire::messages::{Stage, Submit, frame};
+use dappleyard_wire::{ErrorKind, Failure, Ran, Repeat};
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::Forward;
+use super::attempt::Attempt;
+use super::rule::{Next, Situation, may_come_back, next};
+
+/// Longest wait for a link when an answer must be resumed and none is up.
+const LINK_WAIT: Duration = Duration::from_millis(1_000);
+/// Advice when to come back where a failure carries none, milliseconds.
+const RETRY_AFTER_MS: u32 = 500;
+
+impl Forward {
+    /// Sends the request to a node, from the offset that is reached.
+    pub(super) async fn begin_attempt(&mut self, reason: &'static str) -> Result<(), Failure> {
+        if self.left().is_zero() {
+            return Err(self.deadline_passed());
+        }
+        let Some(link) = self.choose_link().await else {
+            let message = "no node is reachable from this sidecar; come back later";
+            return Err(self.give_up(Failure::not_run(ErrorKind::NotReady, message)));
+        };
+        if self.attempts == 0 {
+            self.worker.shared.retries.lock().first_attempt();
+            self.hedge_at = self.first_hedge_at();
+        }
+        self.assembly.begin_attempt();
+        self.finish = None;
+        self.straggler_deadline = None;
+        self.open_attempt(&link, reason)
+    }
+
+    async fn choose_link(&self) -> Option<Link> {
+        let links = &self.worker.links;
+        let (key, service) = (self.request.prefix_hash, &self.request.service);
+        let link = links.choose(key, service, &self.avoid);
+        if link.is_some() || self.attempts == 0 {
+            return link;
+        }
+        let until = self.deadline.min(Instant::now() + LINK_WAIT);
+        links.wait_ready(until).await;
+        links.choose(key, service, &self.avoid)
+    }
+
+    /// Opens an attempt on a link. When the link was lost just now nothing was sent, and the next
+    /// step chooses another.
+    fn open_attempt(&mut self, link: &Link, reason: &'static str) -> Result<(), Failure> {
+        self.attempts += 1;
+        let attempts = &self.worker.metrics().attempts;
+        attempts.with_label_values(&[reason]).inc();
+        let body = frame::Body::Submit(self.submit());
+        match Attempt::open(link, body, self.cancels()) {
+            Ok(attempt) => self.open.push(attempt),
+            Err(error @ LinkError::TooLarge { .. }) => {
+                let failure = Failure::not_run(ErrorKind::TooLarge, error.to_string());
+                return Err(self.give_up(failure));
+            }
+            Err(_) => self.avoid.push(link.peer().id.clone()),
+        }
+        Ok(())
+    }
+
+    fn first_hedge_at(&self) -> Option<Instant> {
+        let after_ms = self.worker.settings().hedge_after_ms;
+        let wanted = after_ms > 0 && self.request.repeat() == Repeat::Allowed;
+        wanted.then(|| Instant::now() + Duration::from_millis(after_ms))
+    }
+
+    /// Opens a second attempt on another node when no piece has come for long; the first piece of
+    /// either decides. Spends from the retry budget.
+    pub(super) fn hedge(&mut self) -> Result<(), Failure> {
+        self.hedge_at = None;
+        let Some(first) = self.open.first() else {
+            return Ok(());
+        };
+        let mut avoid = self.avoid.clone();
+        avoid.push(first.node().to_owned());
+        let links = &self.worker.links;
+        let link = links.choose(self.request.prefix_hash, &self.request.service, &avoid);
+        let other = link.filter(|link| !avoid.contains(&link.peer().id));
+        if let Some(link) = other
+            && self.spend_retry()
+        {
+            return self.open_attempt(&link, "hedge");
+        }
+        Ok(())
+    }
+
+    fn submit(&self) -> Submit {
+        let accepted = self.accepted.clone().unwrap_or_default();
+        let pieces = self.assembly.pieces();
+        let version = self.assembly.version().unwrap_or_default();
+        Submit {
+            request: Some(self.request.clone()),
+            attempt: self.attempts,
+            stage: Stage::Ingress as i32,
+            budget_ms: u32::try_from(self.left().as_millis()).unwrap_or(u32::MAX),
+            resume_offset: self.assembly.offset(),
+            resumed_pieces: pieces.to_vec(),
+            version: if pieces.is_empty() { "" } else { version }.to_owned(),
+            engine_stream: accepted.engine_stream,
+            server: accepted.server,
+            ran_before: self.ran as i32,
+            from_zone: self.worker.settings().place.zone.clone(),
+            configuration_revision: 0,
+        }
+    }
+
+    /// The open attempt `index` failed. Another open one goes on alone; else the next attempt begins,
+    /// or the final failure is returned at once.
+    pub(super) async fn fail(&mut self, index: usize, failure: Failure) -> Result<(), Failure> {
+        self.ran = join_ran(self.ran, failure.ran);
+        let failed = self.open.remove(index);
+        self.avoid.push(failed.node().to_owned());
+        drop(failed);
+        let failed_attempts = &self.worker.metrics().failed_attempts;
+        failed_attempts
+            .with_label_values(&[failure.kind.answer().code])
+            .inc();
+        if !self.open.is_empty() {
+            return Box::pin(self.rest_on_accepted()).await;
+        }
+        self.follow(failure).await
+    }
+
+    async fn follow(&mut self, failure: Failure) -> Result<(), Failure> {
+        let step = next(&Situation {
+            kind: failure.kind,
+            ran: self.ran,
+            repeat: self.request.repeat(),
+            attempts: self.attempts,
+            maximum_attempts: self.worker.settings().maximum_attempts,
+            accepted: self.accepted.is_some(),
+            released: self.assembly.released() > 0,
+        });
+        let allowed = match step {
+            Next::GiveUp => false,
+            Next::Resume => true,
+            Next::Retry | Next::Poll => self.spend_retry(),
+            Next::Restart => self.spend_retry() && self.assembly.restart(),
+        };
+        if !allowed {
+            return Err(self.give_up(failure));
+        }
+        if step == Next::Restart {
+            self.accepted = None;
+        }
+        self.pause(step, failure).await?;
+        self.begin_attempt(step.reason()).await
+    }
+
+    fn spend_retry(&self) -> bool {
+        let allowed = self.worker.shared.retries.lock().take();
+        if !allowed {
+            self.worker.metrics().budget_denied.inc();
+        }
+        allowed
+    }
+
+    /// Pauses before a retry, with jitter; the first move to another node does not wait.
+    async fn pause(&mut self, step: Next, failure: Failure) -> Result<(), Failure> {
+        let retry = self.attempts - u32::from(step != Next::Poll);
+        if retry == 0 {
+            return Ok(());
+        }
+        let left_ms = u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX);
+        match pause_ms(retry, rand::rng().random(), left_ms) {
+            Some(pause) => {
+                tokio::time::sleep(Duration::from_millis(pause)).await;
+                Ok(())
+            }
+            None => Err(self.give_up(failure)),
+        }
+    }
+
+    pub(super) fn deadline_passed(&mut self) -> Failure {
+        let message = "the deadline passed before the whole answer was there";
+        self.give_up(Failure::not_run(ErrorKind::DeadlineExceeded, message))
+    }
+
+    /// The final failure: execution truth of all attempts, and when to come back.
+    fn give_up(&mut self, failure: Failure) -> Failure {
+        self.ended = true;
+        self.open.clear();
+        let mut last = failure.after(self.ran);
+        let lost = matches!(last.kind, ErrorKind::NodeLost | ErrorKind::EngineLost);
+        if lost && self.request.repeat() == Repeat::Never && last.ran != Ran::No {
+            last.kind = ErrorKind::OutcomeUnknown;
+            "the outcome is not known here; ask again with the same Idempotency-Key"
+                .clone_into(&mut last.message);
+        }
+        if last.retry_after_ms == 0 && may_come_back(last.kind) {
+            last.retry_after_ms = RETRY_AFTER_MS;
+        }
+        last
+    }
+}
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -86,8 +86,12 @@
             .iter()
             .map(|address| (address.clone(), Known::new(true)))
             .collect();
+        let settings = LinkSettings {
+            metrics: shared.metrics.transport.clone(),
+            ..LinkSettings::from(&shared.settings.link)
+        };
         let links = Rc::new(Links {
-            settings: LinkSettings::from(&shared.settings.link),
+            settings,
             shared,
             policy,
             known: RefCell::new(known),
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Counters and histograms of a sidecar.
 
+use std::sync::Arc;
+
+use dappleyard_transport::LinkMetrics;
 use prometheus::{
     Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
@@ -37,6 +40,8 @@
     pub links: IntGauge,
     /// Links lost, or not made.
     pub link_failures: IntCounterVec,
+    /// Frames and bytes on links.
+    pub transport: Arc<LinkMetrics>,
 }
 
 impl Metrics {
@@ -66,6 +71,7 @@
             callers_gone: counter("callers_gone_total", "Callers that went away")?,
             links: IntGauge::new("dappleyard_sidecar_links", "Links that are up")?,
             link_failures: counters("link_failures_total", "Links lost or not made", &["cause"])?,
+            transport: Arc::default(),
             registry,
         };
         built.register()?;
@@ -90,7 +96,7 @@
         for collector in collectors {
             self.registry.register(collector)?;
         }
-        Ok(())
+        self.transport.register(&self.registry)
     }
 }
 
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -24,6 +24,10 @@
 /// Idle time after which a caller's connection is closed.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
+/// Shortest bound for the head of a request: the HTTP server's clock ticks every half second, so a
+/// shorter one could end a fresh connection at once.
+const SHORTEST_HEAD_BOUND: Duration = Duration::from_secs(1);
+
 /// Why a sidecar did not start.
 #[derive(Debug, Display, Error)]
 pub enum SidecarError {
@@ -74,7 +78,7 @@
         reason: error.to_string(),
     };
     let shared = Shared::new(settings.clone(), metrics);
-    let header_bound = Duration::from_millis(settings.body_timeout_ms);
+    let header_bound = Duration::from_millis(settings.body_timeout_ms).max(SHORTEST_HEAD_BOUND);
     let server = HttpServer::new(move || {
         let worker = Rc::new(Worker {
             links: Links::start(shared.clone(), policy.clone()),
--- /dev/null
+++ b/crates/sidecar/tests/rules.rs
@@ -0,0 +1,178 @@
+//! The pure tables: what follows a failed attempt, which node is chosen, the canonical prompt.
+
+use dappleyard_settings::Place;
+use dappleyard_sidecar::choose::{Candidate, choose};
+use dappleyard_sidecar::forward::rule::{Next, Situation, next};
+use dappleyard_sidecar::prompt::{PromptMessage, canonical, canonical_completion};
+use dappleyard_wire::{ErrorKind, Ran, Repeat};
+use googletest::prelude::*;
+
+const FRESH: Situation = Situation {
+    kind: ErrorKind::NodeLost,
+    ran: Ran::Maybe,
+    repeat: Repeat::Allowed,
+    attempts: 1,
+    maximum_attempts: 4,
+    accepted: false,
+    released: false,
+};
+
+#[gtest]
+fn a_request_that_must_not_repeat_is_never_run_after_it_may_have_run() {
+    let never = Situation {
+        repeat: Repeat::Never,
+        ..FRESH
+    };
+    for kind in ErrorKind::ALL {
+        for ran in [Ran::Maybe, Ran::Yes] {
+            let step = next(&Situation {
+                kind: *kind,
+                ran,
+                accepted: true,
+                attempts: 2,
+                ..never
+            });
+            let asks_the_record = matches!(kind, ErrorKind::NodeLost | ErrorKind::InProgress);
+            expect_that!(
+                step == Next::GiveUp,
+                eq(!asks_the_record),
+                "{kind:?} {ran:?}"
+            );
+        }
+    }
+}
+
+#[gtest]
+fn a_lost_node_is_followed_by_a_resume_once_a_server_had_the_request() {
+    expect_that!(next(&FRESH), eq(Next::Retry));
+    let accepted = Situation {
+        accepted: true,
+        ..FRESH
+    };
+    expect_that!(next(&accepted), eq(Next::Resume));
+}
+
+#[gtest]
+fn attempts_are_bounded() {
+    let last = Situation {
+        attempts: 4,
+        accepted: true,
+        ..FRESH
+    };
+    expect_that!(next(&last), eq(Next::GiveUp));
+}
+
+#[gtest]
+fn overload_is_asked_about_twice_at_most() {
+    let overloaded = Situation {
+        kind: ErrorKind::Overloaded,
+        ran: Ran::No,
+        ..FRESH
+    };
+    expect_that!(next(&overloaded), eq(Next::Retry));
+    let again = Situation {
+        attempts: 2,
+        ..overloaded
+    };
+    expect_that!(next(&again), eq(Next::GiveUp));
+}
+
+#[gtest]
+fn a_lost_version_is_restarted_only_before_text_was_released() {
+    let gone = Situation {
+        kind: ErrorKind::VersionGone,
+        ran: Ran::Yes,
+        accepted: true,
+        ..FRESH
+    };
+    expect_that!(next(&gone), eq(Next::Restart));
+    let released = Situation {
+        released: true,
+        ..gone
+    };
+    expect_that!(next(&released), eq(Next::GiveUp));
+    let never = Situation {
+        repeat: Repeat::Never,
+        ..gone
+    };
+    expect_that!(next(&never), eq(Next::GiveUp));
+}
+
+fn node(name: &str, zone: &str, wait_ms: u32) -> Candidate {
+    Candidate {
+        node: name.to_owned(),
+        zone: zone.to_owned(),
+        region: "region-1".to_owned(),
+        wait_ms,
+        open_streams: 0,
+    }
+}
+
+#[gtest]
+fn the_same_zone_goes_first_and_a_failed_node_last() {
+    let here = Place::default();
+    let nodes = [node("far", "zone-2", 0), node("near", "zone-1", 900)];
+    expect_that!(choose(&here, 1, &nodes, &[]), some(eq(1)));
+    expect_that!(choose(&here, 1, &nodes, &["near".to_owned()]), some(eq(0)));
+    let all = ["near".to_owned(), "far".to_owned()];
+    expect_that!(choose(&here, 1, &nodes, &all), some(eq(1)));
+    expect_that!(choose(&here, 1, &[], &[]), none());
+}
+
+#[gtest]
+fn a_key_prefers_two_nodes_and_takes_the_less_loaded() {
+    let here = Place::default();
+    let mut nodes: Vec<Candidate> = (0..8)
+        .map(|index| node(&format!("n{index}"), "zone-1", 10))
+        .collect();
+    let first = choose(&here, 77, &nodes, &[]).unwrap();
+    expect_that!(choose(&here, 77, &nodes, &[]), some(eq(first)));
+    nodes[first].wait_ms = 500;
+    let second = choose(&here, 77, &nodes, &[]).unwrap();
+    expect_that!(second, not(eq(first)));
+    nodes[second].wait_ms = 900;
+    expect_that!(choose(&here, 77, &nodes, &[]), some(eq(first)));
+}
+
+fn message(role: &str, text: &str) -> PromptMessage {
+    PromptMessage {
+        role: role.to_owned(),
+        text: text.to_owned(),
+    }
+}
+
+#[gtest]
+fn a_chat_becomes_one_text() {
+    let chat = [
+        message("system", "Match parts."),
+        message("user", "Which one?"),
+    ];
+    let prompt = canonical(&chat, "");
+    expect_that!(
+        prompt.text,
+        eq("<|system|>\nMatch parts.\n<|user|>\nWhich one?\n<|assistant|>\n")
+    );
+    expect_that!(prompt.tokens, eq(7));
+    expect_that!(prompt.prefix_tokens, eq(3));
+}
+
+#[gtest]
+fn the_prefix_is_shared_by_what_shares_it() {
+    let ask = |text: &str, session: &str| {
+        canonical(
+            &[message("system", "Match parts."), message("user", text)],
+            session,
+        )
+    };
+    expect_that!(ask("a", "").prefix_hash, eq(ask("b", "").prefix_hash));
+    expect_that!(ask("a", "s").prefix_hash, eq(ask("b", "s").prefix_hash));
+    expect_that!(
+        ask("a", "s").prefix_hash,
+        not(eq(ask("a", "t").prefix_hash))
+    );
+    let long: String = "word ".repeat(40);
+    let first = canonical_completion(&format!("{long} one"), "");
+    let second = canonical_completion(&format!("{long} two"), "");
+    expect_that!(first.prefix_hash, eq(second.prefix_hash));
+    expect_that!(first.prefix_tokens, eq(32));
+}
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -56,9 +56,9 @@
         }
     }
 
-    /// Ends the node and its links.
-    pub fn kill(&self) {
-        self.serving.abort();
+    /// A handle that ends the node and its links.
+    pub fn abort_handle(&self) -> tokio::task::AbortHandle {
+        self.serving.abort_handle()
     }
 }
 
@@ -240,3 +240,89 @@
     })
     .to_string()
 }
+
+/// Waits until something holds; the test runner bounds the whole test.
+pub async fn until(mut holds: impl AsyncFnMut() -> bool) {
+    while !holds().await {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Sends a chat and closes the connection once the node has it.
+pub async fn send_and_go(base: &str, body: &str, headers: &[(&str, &str)]) {
+    use tokio::io::AsyncWriteExt;
+    let address = base.trim_start_matches("http://");
+    let mut socket = tokio::net::TcpStream::connect(address).await.unwrap();
+    let extra: String = headers
+        .iter()
+        .map(|(name, value)| format!("{name}: {value}\r\n"))
+        .collect();
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let before = attempts(base).await;
+    socket.write_all(request.as_bytes()).await.unwrap();
+    until(async || attempts(base).await > before).await;
+    drop(socket);
+}
+
+async fn attempts(base: &str) -> u64 {
+    let metrics = get(&format!("{base}/metrics")).await.body;
+    let line = metrics
+        .lines()
+        .find(|line| line.starts_with("dappleyard_sidecar_attempts_total"));
+    line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
+        .unwrap_or(0)
+}
+
+/// A script that keeps uploaded files and batches of one kind in memory.
+pub fn stores_files() -> Script {
+    use dappleyard_wire::messages::{FileData, FileState, Reply, call, reply};
+    let content: Rc<RefCell<Vec<u8>>> = Rc::default();
+    let sealed: Rc<RefCell<bool>> = Rc::default();
+    Rc::new(move |stream: ServerStream| {
+        let frame::Body::Call(call) = &stream.first else {
+            return;
+        };
+        let file = |size: usize, sealed: bool| {
+            reply::Result::File(FileState {
+                file_id: "file-1".to_owned(),
+                filename: "a.jsonl".to_owned(),
+                purpose: "batch".to_owned(),
+                size: size as u64,
+                created_unix_s: 1,
+                sealed,
+            })
+        };
+        let mut held = content.borrow_mut();
+        let result = match call.method.clone() {
+            Some(call::Method::FileCreate(_)) => {
+                held.clear();
+                file(0, false)
+            }
+            Some(call::Method::FileAppend(part)) => {
+                held.truncate(part.offset as usize);
+                held.extend_from_slice(&part.data);
+                file(held.len(), false)
+            }
+            Some(call::Method::FileSeal(seal)) => {
+                *sealed.borrow_mut() = seal.size == held.len() as u64;
+                file(held.len(), *sealed.borrow())
+            }
+            Some(call::Method::FileStat(_)) => file(held.len(), *sealed.borrow()),
+            Some(call::Method::FileRead(read)) => {
+                let from = (read.offset as usize).min(held.len());
+                let to = (from + 1_000).min(held.len());
+                reply::Result::Data(FileData {
+                    offset: read.offset,
+                    data: held[from..to].to_vec(),
+                    end: to == held.len(),
+                })
+            }
+            _ => return,
+        };
+        let result = Some(result);
+        let _ = stream.send(frame::Body::Reply(Reply { result }));
+    })
+}
