--- a/crates/sidecar/tests/faults.rs
+++ b/crates/sidecar/tests/faults.rs
@@ -14,6 +14,7 @@
     Received, Script, ScriptedNode, accepted, answers, chat_body, chunk, finish, post, refused,
     sends, settings, sidecar, text, until,
 };
+use tokio::task::AbortHandle;
 
 type Seen = Rc<RefCell<Vec<Submit>>>;
 
@@ -23,7 +24,7 @@
     let seen: Seen = Rc::default();
     let turn = Rc::new(Cell::new(0));
     let mut nodes = Vec::new();
-    let killed: Rc<RefCell<Vec<Rc<dyn Fn()>>>> = Rc::default();
+    let killed: Rc<RefCell<Vec<AbortHandle>>> = Rc::default();
     for index in 0..2_usize {
         let (seen, turn, first, then) = (seen.clone(), turn.clone(), first.clone(), then.clone());
         let killed = killed.clone();
@@ -42,15 +43,14 @@
                 let kill = killed.borrow()[index].clone();
                 actix_rt::spawn(async move {
                     actix_rt::time::sleep(std::time::Duration::from_millis(30)).await;
-                    kill();
+                    kill.abort();
                 });
             }
         });
         nodes.push(ScriptedNode::start(&format!("node-{index}"), script).await);
     }
     for node in &nodes {
-        let serving = node.abort_handle();
-        killed.borrow_mut().push(Rc::new(move || serving.abort()));
+        killed.borrow_mut().push(node.abort_handle());
     }
     (nodes, seen)
 }
