Split the ingress stage; end a detached run instead of taking its stream back

Cause: when another node attaches to an engine stream, the engine ends the former reader's connection; that reader, its caller gone, would have attached again and cut the new one off. Change: with the caller gone nothing follows a lost engine; ingress in three files; decision records about requests are limited (100 at once, 5 a second), the rest counted; the expected KV use of a request is its prompt and at most 256 tokens instead of its whole limit.

--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -127,17 +127,23 @@
 /// Prompt tokens that an engine prefills in one step.
 pub const PREFILL_TOKENS_A_STEP: u32 = 512;
 
-/// Tokens that a sequence still has to give, on average, when a place is waited for.
-const REMAINING_TOKENS: f64 = 60.0;
+/// Output tokens of a request of usual size: what a place is waited for, and what a request is
+/// expected to use of a larger limit.
+pub const USUAL_OUTPUT_TOKENS: u32 = 256;
+
+/// KV tokens that a request is expected to hold: few use the whole of a large output limit.
+pub fn expected_tokens(prompt_tokens: u32, max_tokens: u32) -> u32 {
+    prompt_tokens.saturating_add(max_tokens.min(USUAL_OUTPUT_TOKENS))
+}
 
 /// Expected wait of a request of `tokens` KV tokens for its first step, milliseconds. Batch
 /// sequences do not count: the engine drops them for online work.
 pub fn expected_wait_ms(room: &ServerRoom, tokens: u32) -> u32 {
     let prefill_steps = f64::from(room.prefill_tokens) / f64::from(PREFILL_TOKENS_A_STEP);
-    let ahead = places_short(room, tokens);
+    let ahead = f64::from(places_short(room, tokens));
     let places = f64::from(room.maximum_sequences.max(1));
-    let turnover = REMAINING_TOKENS * room.step_ms * f64::from(ahead) / places;
-    (prefill_steps * room.step_ms + turnover * 2.0).min(f64::from(u32::MAX)) as u32
+    let turnover_steps = f64::from(USUAL_OUTPUT_TOKENS / 2) * ahead / places;
+    ((prefill_steps + turnover_steps) * room.step_ms).min(f64::from(u32::MAX)) as u32
 }
 
 /// Sequences that must end before this one can start, by places and by KV memory.
--- a/crates/online/src/caller.rs
+++ b/crates/online/src/caller.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Whether the submitter was seen to go away.
+    pub fn is_gone(&self) -> bool {
+        self.gone.is_some()
+    }
+
     /// Resolves once, when the submitter goes away; afterwards never.
     pub async fn gone(&mut self) -> Gone {
         if self.gone.is_some() {
--- a/crates/online/src/dispatch.rs
+++ b/crates/online/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_decide::placement::{Candidate, expected_wait_ms, rank};
+use dappleyard_decide::placement::{Candidate, expected_tokens, expected_wait_ms, rank};
 use dappleyard_engine::{GenerateCall, Priority};
 use dappleyard_tables::NodeTables;
 use dappleyard_tables::configuration::Configuration;
@@ -65,13 +65,14 @@
     bound_percent: u32,
 ) -> Option<(Chosen, u32)> {
     let (key, has_key) = affinity_key(&incoming.request);
+    let (prompt, output) = (incoming.request.prompt_tokens, incoming.request.max_tokens);
     let candidate = |state: &&OwnedServer| {
         let room = load::room(state);
         Candidate {
             weight: rendezvous_weight(key, state.entry.server.as_str()),
             servers: 1,
             sequences: room.online,
-            wait_ms: expected_wait_ms(&room, incoming.tokens()),
+            wait_ms: expected_wait_ms(&room, expected_tokens(prompt, output)),
         }
     };
     let candidates: Vec<Candidate> = servers.iter().map(candidate).collect();
--- /dev/null
+++ b/crates/online/src/ingress/ask.rs
@@ -0,0 +1,161 @@
+//! One target: the request is sent, its frames are relayed, and its end is told.
+
+use std::time::Duration;
+
+use dappleyard_wire::error::join_ran;
+use dappleyard_wire::messages::{Cancel, Chunk, Finish, Refused, frame};
+use dappleyard_wire::{Failure, Ran};
+use tokio::time::Instant;
+
+use super::IngressRun;
+use crate::caller::Gone;
+use crate::owner_link::OwnerLink;
+use crate::place::Target;
+use crate::receive::EarlierRun;
+
+/// How one target answered.
+pub(super) enum Tried {
+    Finished(Finish),
+    Refused(Failure),
+    /// The target was not reached: nothing was sent.
+    NotSent(String),
+    /// The target was lost after the request was sent.
+    Lost,
+    CallerGone,
+    Deadline,
+}
+
+impl IngressRun {
+    pub(super) async fn ask(&mut self, target: &Target) -> Tried {
+        let submit = self.submission(target);
+        let opened = OwnerLink::open(&self.worker, target, submit);
+        let mut link = match tokio::time::timeout_at(self.incoming.deadline, opened).await {
+            Ok(Ok(link)) => link,
+            Ok(Err(not_sent)) => return Tried::NotSent(not_sent.0),
+            Err(_) => return Tried::Deadline,
+        };
+        loop {
+            let until = self.waits_until();
+            tokio::select! {
+                biased;
+                gone = self.caller.gone() => {
+                    if !self.keeps_on(gone) {
+                        self.give_up(&link, "the caller went away");
+                        return Tried::CallerGone;
+                    }
+                }
+                () = tokio::time::sleep_until(until) => {
+                    self.give_up(&link, "nobody waits any more");
+                    let passed = self.deadline_passed();
+                    return if passed { Tried::Deadline } else { Tried::CallerGone };
+                }
+                frame = link.receive() => match frame {
+                    Ok(body) => if let Some(tried) = self.absorb(body) {
+                        return tried;
+                    },
+                    Err(_) => return self.lost(),
+                },
+            }
+        }
+    }
+
+    /// Cancels at the owner. It may have dispatched without our knowing.
+    fn give_up(&mut self, link: &OwnerLink, reason: &str) {
+        link.send(cancel(reason));
+        self.ran = join_ran(self.ran, Ran::Maybe);
+    }
+
+    fn lost(&mut self) -> Tried {
+        self.worker.refresh_view();
+        Tried::Lost
+    }
+
+    /// Takes one frame of an owner; `Some` when it was the last one.
+    fn absorb(&mut self, body: frame::Body) -> Option<Tried> {
+        match body {
+            frame::Body::Accepted(accepted) => {
+                self.ran = join_ran(self.ran, Ran::Maybe);
+                self.earlier = EarlierRun {
+                    version: accepted.version.clone(),
+                    engine_stream: accepted.engine_stream.clone(),
+                    server: accepted.server.clone(),
+                };
+                self.caller.send(frame::Body::Accepted(accepted));
+                None
+            }
+            frame::Body::Chunk(chunk) => self.absorb_chunk(chunk),
+            frame::Body::Finish(finish) => {
+                let whole = finish.total_tokens as usize == self.pieces.len();
+                Some(if whole {
+                    Tried::Finished(finish)
+                } else {
+                    Tried::Lost
+                })
+            }
+            frame::Body::Refused(refused) => Some(self.absorb_refusal(refused)),
+            _ => None,
+        }
+    }
+
+    pub(super) fn absorb_chunk(&mut self, chunk: Chunk) -> Option<Tried> {
+        let offset = chunk.offset as usize;
+        if offset > self.pieces.len() {
+            return Some(Tried::Lost);
+        }
+        self.ran = join_ran(self.ran, Ran::Yes);
+        let known = self.pieces.len() - offset;
+        let fresh: Vec<String> = chunk.pieces.into_iter().skip(known).collect();
+        if fresh.is_empty() {
+            return None;
+        }
+        if !self.has_token {
+            self.has_token = true;
+            let elapsed = self.incoming.received.elapsed().as_secs_f64();
+            self.worker.shared.metrics.first_token.observe(elapsed);
+        }
+        let offset = u32::try_from(self.pieces.len()).unwrap_or(u32::MAX);
+        self.pieces.extend(fresh.iter().cloned());
+        self.caller.send(frame::Body::Chunk(Chunk {
+            offset,
+            pieces: fresh,
+        }));
+        None
+    }
+
+    /// An owner that refuses has no stream of this request any more; its fresh load goes into the
+    /// table for the next placement.
+    fn absorb_refusal(&mut self, refused: Refused) -> Tried {
+        let failure = Failure::from_refused(&refused);
+        if let Some(load) = refused.load {
+            let tables = &self.worker.tables;
+            tables.loads.put_node(load, tables.clock.now());
+            self.worker.refresh_view();
+        }
+        self.earlier.engine_stream.clear();
+        Tried::Refused(failure)
+    }
+
+    /// Whether the request goes on although its caller went away. One that must not be repeated runs
+    /// to its end, so that a resend gets the recorded answer; others wait a while for the caller to
+    /// come back through another node, unless it said that it will not.
+    fn keeps_on(&mut self, gone: Gone) -> bool {
+        if self.incoming.never_repeats() {
+            return true;
+        }
+        let grace = Duration::from_millis(self.worker.settings.detach_grace_ms);
+        self.detached_until = Some(Instant::now() + grace);
+        gone == Gone::LinkLost
+    }
+
+    fn waits_until(&self) -> Instant {
+        let deadline = self.incoming.deadline;
+        self.detached_until
+            .map_or(deadline, |until| until.min(deadline))
+    }
+}
+
+fn cancel(reason: &str) -> frame::Body {
+    frame::Body::Cancel(Cancel {
+        reason: reason.to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/online/src/ingress/mod.rs
@@ -0,0 +1,234 @@
+//! The ingress stage: admits a request, takes its record, asks owners in turn and relays the answer.
+
+mod ask;
+mod targets;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_decide::retry::{may_follow, pause_ms};
+use dappleyard_wire::error::join_ran;
+use dappleyard_wire::messages::{Chunk, Finish, OnceOutcome, Stage, frame};
+use dappleyard_wire::{ErrorKind, Failure, Ran};
+use tokio::time::Instant;
+
+use crate::admit;
+use crate::caller::Caller;
+use crate::once::{self, Begun, Holder};
+use crate::receive::{EarlierRun, Incoming};
+use crate::settle;
+use crate::worker::OnlineWorker;
+use ask::Tried;
+
+/// Advice when every node that was asked refused, milliseconds.
+const EXHAUSTED_RETRY_AFTER_MS: u32 = 200;
+
+/// One submission at the ingress stage, or at a cell that was entered.
+pub(crate) struct IngressRun {
+    worker: Rc<OnlineWorker>,
+    caller: Caller,
+    incoming: Incoming,
+    /// What is known of whether it ran, as far as the record leaves open.
+    ran: Ran,
+    /// Tokens of the answer so far.
+    pieces: Vec<String>,
+    /// Where it ran last.
+    earlier: EarlierRun,
+    holder: Option<Holder>,
+    submissions: u32,
+    retries: u32,
+    owners_asked: usize,
+    spills: usize,
+    tried: Vec<String>,
+    /// When a stream whose caller was lost is given up.
+    detached_until: Option<Instant>,
+    has_token: bool,
+}
+
+impl IngressRun {
+    /// A run that has not begun.
+    pub fn new(worker: Rc<OnlineWorker>, incoming: Incoming, caller: Caller) -> IngressRun {
+        IngressRun {
+            worker,
+            caller,
+            ran: incoming.ran_before,
+            pieces: incoming.pieces.clone(),
+            earlier: incoming.earlier.clone(),
+            incoming,
+            holder: None,
+            submissions: 0,
+            retries: 0,
+            owners_asked: 0,
+            spills: 0,
+            tried: Vec::new(),
+            detached_until: None,
+            has_token: false,
+        }
+    }
+
+    /// Serves the submission and sends its final frame.
+    pub async fn run(mut self) {
+        match self.serve().await {
+            Ok(finish) => self.finish(finish),
+            Err(failure) => self.refuse(failure),
+        }
+    }
+
+    async fn serve(&mut self) -> Result<Finish, Failure> {
+        if self.incoming.stage == Stage::Cell {
+            return self.ask_until_done().await;
+        }
+        let _tenant = admit::admit(&self.worker, &self.incoming)?;
+        if self.incoming.attempt == 1 {
+            self.worker.shared.first_attempt();
+        }
+        if self.incoming.never_repeats() {
+            match once::begin(&self.worker, &self.incoming).await? {
+                Begun::Fresh(holder) => {
+                    self.ran = Ran::No;
+                    self.holder = Some(holder);
+                }
+                Begun::Attach(holder) => {
+                    self.ran = join_ran(self.ran, Ran::Maybe);
+                    self.holder = Some(holder);
+                }
+                Begun::Replay(outcome) => return Ok(self.replay(outcome)),
+            }
+        }
+        self.ask_until_done().await
+    }
+
+    /// Asks targets in turn until one gives the whole answer or none is left.
+    async fn ask_until_done(&mut self) -> Result<Finish, Failure> {
+        let mut last = None;
+        loop {
+            if self.deadline_passed() {
+                return Err(settle::deadline(self.ran));
+            }
+            let Some(target) = self.next_target() else {
+                return Err(self.exhausted(last));
+            };
+            let failure = match self.ask(&target).await {
+                Tried::Finished(finish) => return Ok(finish),
+                Tried::CallerGone => return Err(settle::cancelled(self.ran)),
+                Tried::Deadline => return Err(settle::deadline(self.ran)),
+                Tried::NotSent(reason) => Failure::not_run(ErrorKind::NodeLost, reason),
+                Tried::Refused(failure) => failure,
+                Tried::Lost => Failure::maybe_ran(ErrorKind::NodeLost, "the owner was lost"),
+            };
+            self.ran = join_ran(self.ran, failure.ran);
+            self.follow(&failure).await?;
+            last = Some(failure);
+        }
+    }
+
+    /// Says whether another target may be asked after a failure, and waits as long as it should.
+    async fn follow(&mut self, failure: &Failure) -> Result<(), Failure> {
+        if !failure.kind.answer().retryable {
+            return Err(failure.clone());
+        }
+        if !may_follow(self.ran, self.incoming.request.repeat()) && !self.earlier.has_stream() {
+            return Err(settle::outcome_unknown());
+        }
+        let cause = failure.kind.answer().code;
+        let again = &self.worker.shared.metrics.placed_again;
+        again.with_label_values(&[cause]).inc();
+        settle::explain_again(&self.worker, &self.incoming, cause, self.ran);
+        if failure.ran == Ran::No {
+            return Ok(());
+        }
+        self.retries += 1;
+        if !self.worker.shared.take_retry() {
+            return Err(failure.clone().retry_after(EXHAUSTED_RETRY_AFTER_MS));
+        }
+        let left_ms = u64::from(self.incoming.left_ms());
+        let pause = pause_ms(self.retries, rand::random(), left_ms);
+        let pause = pause.ok_or_else(|| settle::deadline(self.ran))?;
+        self.owners_asked = 0;
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        Ok(())
+    }
+
+    fn deadline_passed(&self) -> bool {
+        Instant::now() >= self.incoming.deadline
+    }
+
+    /// What to say when nobody is left to ask.
+    fn exhausted(&self, last: Option<Failure>) -> Failure {
+        if self.incoming.never_repeats() && self.ran != Ran::No {
+            return settle::outcome_unknown();
+        }
+        if self.incoming.stage == Stage::Cell {
+            return bounced(last);
+        }
+        let pinned = !self.earlier.version.is_empty() && !self.pieces.is_empty();
+        let kind = last
+            .as_ref()
+            .map_or(ErrorKind::NoServer, |failure| failure.kind);
+        let message = last.map_or("no node carries the service".to_owned(), |one| one.message);
+        let kind = match kind {
+            ErrorKind::Bounced | ErrorKind::NoServer if pinned => ErrorKind::VersionGone,
+            ErrorKind::Bounced => ErrorKind::Overloaded,
+            kind => kind,
+        };
+        Failure::not_run(kind, message).retry_after(EXHAUSTED_RETRY_AFTER_MS)
+    }
+
+    /// The recorded answer, from the caller's offset on.
+    fn replay(&mut self, outcome: OnceOutcome) -> Finish {
+        self.worker.shared.metrics.replayed.inc();
+        let total_tokens = u32::try_from(outcome.pieces.len()).unwrap_or(u32::MAX);
+        self.absorb_chunk(Chunk {
+            offset: 0,
+            pieces: outcome.pieces,
+        });
+        Finish {
+            total_tokens,
+            prompt_tokens: outcome.prompt_tokens,
+            cached_tokens: 0,
+            reason: outcome.reason,
+            version: outcome.version,
+            server: String::new(),
+            replayed: true,
+        }
+    }
+
+    fn finish(self, finish: Finish) {
+        self.worker.shared.metrics.finished.inc();
+        if let Some(holder) = &self.holder {
+            let outcome = OnceOutcome {
+                pieces: self.pieces,
+                reason: finish.reason.clone(),
+                version: finish.version.clone(),
+                prompt_tokens: finish.prompt_tokens,
+                kind: 0,
+                ran: Ran::Yes as i32,
+            };
+            holder.settle(&self.worker, outcome);
+        }
+        self.caller.send(frame::Body::Finish(finish));
+    }
+
+    fn refuse(self, failure: Failure) {
+        let failure = failure.after(self.ran);
+        if let Some(holder) = &self.holder {
+            holder.settle(&self.worker, settle::failed_outcome(&failure));
+        }
+        let failure = failure.after(self.incoming.ran_before);
+        let metrics = &self.worker.shared.metrics;
+        metrics.count_refusal(&failure);
+        if failure.ran == Ran::No {
+            let elapsed = self.incoming.received.elapsed().as_secs_f64();
+            metrics.refusal_time.observe(elapsed);
+        }
+        settle::explain_refusal(&self.worker, &self.incoming, &failure);
+        self.caller.send(frame::Body::Refused(failure.to_refused()));
+    }
+}
+
+/// A cell that could not place the request: its sender goes on.
+fn bounced(last: Option<Failure>) -> Failure {
+    last.unwrap_or_else(|| {
+        Failure::not_run(ErrorKind::Bounced, "no owner of this cell can take it")
+    })
+}
--- a/crates/online/src/load.rs
+++ b/crates/online/src/load.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use dappleyard_decide::placement::{ServerRoom, expected_wait_ms};
-use dappleyard_tables::servers::OwnedServer;
+use dappleyard_decide::placement::{ServerRoom, expected_tokens, expected_wait_ms};
+use dappleyard_tables::servers::{InFlight, OwnedServer};
 use dappleyard_tables::{Lifecycle, NodeTables};
 use dappleyard_wire::messages::{NodeLoad, ServiceLoad};
 
@@ -63,13 +63,19 @@
         online: own + state.foreign_online,
         unstarted: waiting,
         prefill_tokens,
-        online_tokens: state.online.values().map(|flight| flight.tokens).sum(),
+        online_tokens: state.online.values().map(held_tokens).sum(),
         total_tokens: report.map_or(0, |report| report.total_blocks * report.block_tokens),
         maximum_sequences: report.map_or(0, |report| report.maximum_sequences),
         step_ms: step_ms(state),
     }
 }
 
+/// KV tokens that a sequence in flight is expected to hold.
+fn held_tokens(flight: &InFlight) -> u32 {
+    let output = flight.tokens.saturating_sub(flight.prefill_tokens);
+    expected_tokens(flight.prefill_tokens, output)
+}
+
 /// Step time of a server as its online streams see it, else as it reports it, milliseconds.
 pub(crate) fn step_ms(state: &OwnedServer) -> f64 {
     if state.online_step_ms > 0.0 {
--- a/crates/online/src/metrics.rs
+++ b/crates/online/src/metrics.rs
@@ -20,6 +20,8 @@
     pub placed_again: IntCounterVec,
     /// Retries that the budget did not allow.
     pub budget_refused: IntCounter,
+    /// Decisions about requests that were counted without a record.
+    pub unexplained: IntCounter,
     /// Answers that ended whole.
     pub finished: IntCounter,
     /// Streams that were cancelled at an engine, by cause.
@@ -49,6 +51,7 @@
             placed: family(registry, "placed_total", "Placements.", &["where"]),
             placed_again: family(registry, "placed_again_total", "Placed again.", &["cause"]),
             budget_refused: counter(registry, "retry_budget_refused_total", "Retries refused."),
+            unexplained: counter(registry, "unexplained_total", "Decisions without a record."),
             finished: counter(registry, "finished_total", "Whole answers."),
             cancelled: family(registry, "cancelled_total", "Engine cancels.", &["cause"]),
             streams: gauge(registry, "streams", "Streams in progress."),
--- a/crates/online/src/owner.rs
+++ b/crates/online/src/owner.rs
@@ -235,9 +235,11 @@
         }
     }
 
-    /// Takes a failure of the engine into account and says whether another call may follow.
+    /// Takes a failure of the engine into account and says whether another call may follow. With the
+    /// caller gone nothing follows: the engine ends a connection when another node attaches to its
+    /// stream, and taking the stream back would cut that node's caller off.
     fn engine_failed(&mut self, error: EngineError, chosen: &Chosen) -> Next {
-        if self.is_superseded() {
+        if self.is_superseded() || self.caller.is_gone() {
             return Next::End(End::Refused(self.superseded()));
         }
         let lost = matches!(error, EngineError::Lost { .. });
@@ -311,7 +313,7 @@
         self.caller.send(frame::Body::Chunk(chunk));
     }
 
-    /// A later attempt goes on with the stream; what comes of it is not known here.
+    /// A later attempt goes on with the stream, here or elsewhere; its outcome is not known here.
     fn superseded(&self) -> Failure {
         if self.incoming.never_repeats() {
             settle::outcome_unknown()
--- a/crates/online/src/settle.rs
+++ b/crates/online/src/settle.rs
@@ -1,13 +1,13 @@
 //! The last filter: what a submission's end means for the caller, the record and the operators.
 
 use dappleyard_decide::once::unknown_outcome;
-use dappleyard_tables::NodeTables;
 use dappleyard_tables::decisions::{Decision, DecisionKind, Subject};
 use dappleyard_wire::error::ran_name;
 use dappleyard_wire::messages::OnceOutcome;
 use dappleyard_wire::{ErrorKind, Failure, Ran};
 
 use crate::receive::Incoming;
+use crate::worker::OnlineWorker;
 
 /// Advice after a passed deadline, milliseconds.
 const DEADLINE_RETRY_AFTER_MS: u32 = 100;
@@ -66,8 +66,8 @@
     }
 }
 
-/// Records a refusal for operators. Causes of a rate limit are counted only: they come in masses.
-pub(crate) fn explain_refusal(tables: &NodeTables, incoming: &Incoming, failure: &Failure) {
+/// Records a refusal for operators. Tenant limits are counted only: they come in masses.
+pub(crate) fn explain_refusal(worker: &OnlineWorker, incoming: &Incoming, failure: &Failure) {
     if matches!(
         failure.kind,
         ErrorKind::TenantRate | ErrorKind::TenantConcurrency
@@ -79,39 +79,32 @@
         ("attempt".to_owned(), incoming.attempt.to_string()),
         ("left_ms".to_owned(), incoming.left_ms().to_string()),
     ];
-    let outcome = failure.kind.answer().code.to_owned();
-    record(
-        tables,
-        incoming,
-        DecisionKind::Refused,
-        &failure.message,
-        inputs,
-        outcome,
-    );
+    let code = failure.kind.answer().code;
+    let kind = DecisionKind::Refused;
+    record(worker, incoming, kind, &failure.message, inputs, code);
 }
 
 /// Records that a request was placed again.
-pub(crate) fn explain_again(tables: &NodeTables, incoming: &Incoming, cause: &str, ran: Ran) {
+pub(crate) fn explain_again(worker: &OnlineWorker, incoming: &Incoming, cause: &str, ran: Ran) {
     let inputs = vec![("ran".to_owned(), ran_name(ran).to_owned())];
-    let outcome = "placed again".to_owned();
-    record(
-        tables,
-        incoming,
-        DecisionKind::PlacedAgain,
-        cause,
-        inputs,
-        outcome,
-    );
+    let kind = DecisionKind::PlacedAgain;
+    record(worker, incoming, kind, cause, inputs, "placed again");
 }
 
+/// Records a decision about a request, unless there were too many just before: under overload the
+/// counters tell the rest.
 fn record(
-    tables: &NodeTables,
+    worker: &OnlineWorker,
     incoming: &Incoming,
     kind: DecisionKind,
     cause: &str,
     inputs: Vec<(String, String)>,
-    outcome: String,
+    outcome: &str,
 ) {
+    let tables = &worker.tables;
+    if !worker.shared.may_explain(tables.clock.now()) {
+        return;
+    }
     tables.decisions.record(Decision {
         unix_ms: tables.clock.unix_ms(),
         node: tables.identity.node.to_string(),
@@ -122,6 +115,6 @@
         ],
         cause: cause.to_owned(),
         inputs,
-        outcome,
+        outcome: outcome.to_owned(),
     });
 }
--- a/crates/online/src/shared.rs
+++ b/crates/online/src/shared.rs
@@ -17,6 +17,10 @@
 /// Advice when a concurrency limit is used up, milliseconds: about the length of a short answer.
 const CONCURRENCY_RETRY_AFTER_MS: u32 = 250;
 
+/// Decision records about requests per second, and how many may come at once; the others are counted.
+const EXPLAINED_PER_S: f64 = 5.0;
+const EXPLAINED_BURST: f64 = 100.0;
+
 /// Admission state, retry budget and stream counts of a node.
 pub struct OnlineShared {
     state: Ranked<SharedState>,
@@ -28,6 +32,7 @@
 struct SharedState {
     tenants: BTreeMap<String, TenantState>,
     budget: RetryBudget,
+    explained: TokenBucket,
     /// Number of the run that reads each engine stream: a later one supersedes an earlier one.
     readers: BTreeMap<String, u64>,
     next_reader: u64,
@@ -44,6 +49,7 @@
         let state = SharedState {
             tenants: BTreeMap::new(),
             budget: RetryBudget::new(settings.retry_budget_percent),
+            explained: TokenBucket::full(EXPLAINED_BURST, tables.clock.now()),
             readers: BTreeMap::new(),
             next_reader: 1,
         };
@@ -125,6 +131,16 @@
         taken
     }
 
+    /// Whether a decision about a request may be recorded now.
+    pub(crate) fn may_explain(&self, now: Millis) -> bool {
+        let mut state = self.state.lock();
+        let taken = state.explained.take(EXPLAINED_PER_S, EXPLAINED_BURST, now);
+        if taken.is_err() {
+            self.metrics.unexplained.inc();
+        }
+        taken.is_ok()
+    }
+
     /// Becomes the reader of an engine stream. An earlier reader is superseded: it ends without
     /// cancelling the stream.
     pub(crate) fn read_stream(self: &Arc<Self>, server: &str, stream: &str) -> ReaderSlot {
