--- /dev/null
+++ b/crates/operate/src/start.rs
@@ -0,0 +1,256 @@
+//! The parts of this crate that run on a node's control arbiter.
+
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_engine::Engine;
+use dappleyard_platform::Platform;
+use dappleyard_settings::OperateSettings;
+use dappleyard_tables::decisions::{DecisionKind, Subject};
+use dappleyard_tables::{Lifecycle, NodeTables};
+use dappleyard_wire::Failure;
+use dappleyard_wire::hash::{hash_bytes, rendezvous_weight};
+use dappleyard_wire::messages::MemberState;
+use tokio::task::JoinHandle;
+
+use crate::controller;
+use crate::describe::phase_name;
+use crate::journal::Journal;
+use crate::local::lifecycle_name;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::plans::drain::Stepped;
+use crate::plans::runner::{RunView, advance};
+use crate::plans::store::running_ids;
+use crate::record::record;
+use crate::status::{FleetStatus, gather};
+
+/// What the controllers, the plan runner and the journal need.
+pub struct OperateContext {
+    /// The node's tables.
+    pub tables: Arc<NodeTables>,
+    /// Settings.
+    pub settings: OperateSettings,
+    /// Platform, for the control arbiter.
+    pub platform: Platform,
+    /// Engines, for the control arbiter.
+    pub engine: Rc<dyn Engine>,
+}
+
+/// The running parts.
+pub struct OperateHandle {
+    tasks: Vec<JoinHandle<()>>,
+    journal: JoinHandle<()>,
+    stopping: Rc<Cell<bool>>,
+    wake: Rc<tokio::sync::Notify>,
+}
+
+impl OperateHandle {
+    /// Stops controllers and plan runner, and writes the last decision records.
+    pub async fn stop(self) {
+        self.stopping.set(true);
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.wake.notify_one();
+        let _ = self.journal.await;
+    }
+}
+
+/// Starts the plan runner, the controllers and the journal on the calling arbiter.
+pub fn start(context: OperateContext) -> OperateHandle {
+    let context = Rc::new(context);
+    let stopping = Rc::new(Cell::new(false));
+    let wake = Rc::new(tokio::sync::Notify::new());
+    let metrics = Metrics::register(&context.tables);
+    let tasks = vec![
+        actix_rt::spawn(run_plans(context.clone(), metrics.clone())),
+        actix_rt::spawn(controller::run(context.clone(), metrics.clone())),
+        actix_rt::spawn(follow_own_drain(context.tables.clone())),
+    ];
+    let journal = actix_rt::spawn(run_journal(
+        context,
+        metrics,
+        stopping.clone(),
+        wake.clone(),
+    ));
+    OperateHandle {
+        tasks,
+        journal,
+        stopping,
+        wake,
+    }
+}
+
+/// Node that the rendezvous hash prefers for a resource among the live members that do not drain.
+pub fn preferred_node(tables: &NodeTables, resource: &str) -> Option<String> {
+    let key = hash_bytes(resource.as_bytes());
+    let me = tables.identity.node.to_string();
+    let own = tables.takes_new_work().then_some(me.clone());
+    let members = tables.members.all().into_iter();
+    let others = members
+        .filter(|member| member.node != me && !member.draining)
+        .filter(|member| member.state() == MemberState::MemberAlive)
+        .map(|member| member.node);
+    others
+        .chain(own)
+        .max_by_key(|node| rendezvous_weight(key, node))
+}
+
+/// Whether this node is the preferred one for a resource.
+pub fn is_preferred(tables: &NodeTables, resource: &str) -> bool {
+    preferred_node(tables, resource).is_some_and(|node| node == tables.identity.node.as_str())
+}
+
+/// Makes this node drain while configuration says so, and lets it serve again afterwards.
+async fn follow_own_drain(tables: Arc<NodeTables>) {
+    let mut configurations = tables.configuration.subscribe();
+    let key = ("node".to_owned(), tables.identity.node.to_string());
+    let mut drained = false;
+    loop {
+        let wanted = configurations.borrow_and_update().drains.contains_key(&key);
+        if wanted != drained {
+            drained = wanted;
+            // Membership lifts a withdrawn node to ready once it vouches for its configuration.
+            let next = if wanted {
+                Lifecycle::Draining
+            } else {
+                Lifecycle::Withdrawn
+            };
+            enter(&tables, next);
+        }
+        if configurations.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn enter(tables: &NodeTables, next: Lifecycle) {
+    let changed = tables.lifecycle.send_if_modified(|current| {
+        let moves = *current != Lifecycle::Stopped && *current != next;
+        if moves {
+            *current = next;
+        }
+        moves
+    });
+    if changed {
+        let node = tables.identity.node.to_string();
+        record(
+            tables,
+            DecisionKind::Withdrawn,
+            "configuration drains the node, or no longer does",
+        )
+        .about(Subject::Node(node))
+        .outcome(format!("the node is {}", lifecycle_name(next)));
+        tracing::info!(?next, "drain of this node");
+    }
+}
+
+async fn run_plans(context: Rc<OperateContext>, metrics: Metrics) {
+    let peers = Peers::new(context.tables.clone(), context.settings.peer_timeout_ms);
+    let interval = Duration::from_millis(context.settings.reconcile_interval_ms.max(10));
+    loop {
+        tokio::time::sleep(interval).await;
+        if is_preferred(&context.tables, "plan-runner")
+            && let Err(failure) = look_at_plans(&context, &peers, &metrics).await
+        {
+            tracing::debug!(%failure, "the plans could not be looked at");
+        }
+    }
+}
+
+async fn look_at_plans(
+    context: &OperateContext,
+    peers: &Peers,
+    metrics: &Metrics,
+) -> Result<(), Failure> {
+    let tables = &*context.platform.tables;
+    let running = running_ids(tables).await?;
+    metrics.plans_running.set(running.len() as i64);
+    if running.is_empty() {
+        return Ok(());
+    }
+    let status = gather(&context.tables, &context.platform, peers).await;
+    let idle = idle_servers(context, &status).await;
+    for id in running {
+        let view = RunView {
+            status: &status,
+            idle: &idle,
+            settings: &context.settings,
+            unix_ms: context.tables.clock.unix_ms(),
+        };
+        let stepped = advance(tables, &id, &view).await;
+        note_step(context, metrics, &id, &stepped);
+    }
+    Ok(())
+}
+
+fn note_step(
+    context: &OperateContext,
+    metrics: &Metrics,
+    plan: &str,
+    stepped: &Result<Stepped, Failure>,
+) {
+    let outcome = match stepped {
+        Ok(Stepped::Moved(_)) => "moved",
+        Ok(Stepped::Unchanged) => "unchanged",
+        Ok(Stepped::Overtaken) => "overtaken",
+        Err(_) => "failed",
+    };
+    metrics.plan_steps.with_label_values(&[outcome]).inc();
+    if let Ok(Stepped::Moved(row)) = stepped {
+        record(&context.tables, DecisionKind::PlanStep, row.message.clone())
+            .about(Subject::Plan(plan.to_owned()))
+            .input("servers done", row.step)
+            .outcome(format!("the plan is {}", phase_name(row.phase())));
+    }
+}
+
+/// Drained servers whose engine runs nothing, or is gone.
+async fn idle_servers(context: &OperateContext, status: &FleetStatus) -> BTreeSet<String> {
+    let drained = status.servers.iter().filter(|server| server.is_drained());
+    let looks = drained.map(|server| async {
+        let id = server.server.as_str().into();
+        let entry = context.tables.directory.get(&id)?;
+        let busy = match context.engine.status(&entry.base_url).await {
+            Ok(report) => {
+                report.running_online
+                    + report.running_batch
+                    + report.waiting_online
+                    + report.waiting_batch
+            }
+            Err(_) => 0,
+        };
+        (busy == 0).then(|| server.server.clone())
+    });
+    let looked = futures::future::join_all(looks).await;
+    looked.into_iter().flatten().collect()
+}
+
+async fn run_journal(
+    context: Rc<OperateContext>,
+    metrics: Metrics,
+    stopping: Rc<Cell<bool>>,
+    wake: Rc<tokio::sync::Notify>,
+) {
+    let mut journal = Journal::new(context.tables.clone(), context.settings.journal_objects);
+    let interval = Duration::from_millis(context.settings.journal_interval_ms.max(10));
+    let objects = &*context.platform.objects;
+    while !stopping.get() && *context.tables.lifecycle.borrow() != Lifecycle::Stopped {
+        let _ = tokio::time::timeout(interval, wake.notified()).await;
+        // A failed write is tried again with the next one.
+        let written = journal
+            .run(objects, context.settings.journal_interval_ms)
+            .await;
+        let outcome = match written {
+            Ok(false) => continue,
+            Ok(true) => "written",
+            Err(_) => "failed",
+        };
+        metrics.journal.with_label_values(&[outcome]).inc();
+    }
+    let _ = journal.flush(objects).await;
+}
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -86,8 +86,12 @@
             .iter()
             .map(|address| (address.clone(), Known::new(true)))
             .collect();
+        let settings = LinkSettings {
+            metrics: shared.metrics.transport.clone(),
+            ..LinkSettings::from(&shared.settings.link)
+        };
         let links = Rc::new(Links {
-            settings: LinkSettings::from(&shared.settings.link),
+            settings,
             shared,
             policy,
             known: RefCell::new(known),
@@ -217,8 +221,8 @@
             let dialled =
                 Link::connect(&address, hello, &links.settings, links.policy.clone()).await;
             links.note_dialled(&address, dialled.as_ref().ok());
-            if let Ok(link) = dialled {
-                link.wait_lost().await;
+            if let Ok(loss) = dialled.map(|link| link.loss_signal()) {
+                loss.wait().await;
                 links.changed.notify_waiters();
             }
         });
