Give keys up for good: no create outlives the attempt that it is for

Cause: three runs of the new specification left a key in progress for good with nobody running its request: (1) a recorder's loop created the record again after its own attempt had released it; (2) the loop went on after the asker had stopped waiting for it; (3) an attempt that gave up while its create over another's released record was under way wrote nothing, and the create took effect later. Change: OnceDecision::GivenUp; decide::once::give_up writes over a record that another released; a recorder gets no more time than it is waited for; a refusal after an unconfirmed create gives the key up. may_settle and give_up moved from the recorder to decide, where the specification calls them. Conclusion: safety (one run) held before; what was wrong was that a key could be lost to its caller.

--- a/crates/online/src/once.rs
+++ b/crates/online/src/once.rs
@@ -9,6 +9,7 @@
     Call, OnceOutcome, OncePhase, OnceRow, RecordBegin, RecordSettle, RecordState, call, reply,
 };
 use dappleyard_wire::{ErrorKind, Failure, keys};
+use tokio::time::Instant;
 
 use crate::receive::Incoming;
 use crate::settle::{outcome_unknown, recorded_failure};
@@ -62,7 +63,7 @@
         fingerprint: fingerprint(incoming),
         writer: holder.writer.clone(),
     };
-    let asked = ask(worker, begin.clone());
+    let asked = ask(worker, begin.clone(), incoming.deadline);
     match tokio::time::timeout_at(incoming.deadline, asked).await {
         Ok(Ok(state)) if state.fresh => Ok(Begun::Fresh(holder)),
         Ok(Ok(state)) => judge(worker, incoming, holder, state.row.unwrap_or_default()),
@@ -195,14 +196,25 @@
 }
 
 /// Asks the recorder of the cell; when it is lost, writes the record directly.
-async fn ask(worker: &Rc<OnlineWorker>, begin: RecordBegin) -> Result<RecordState, Failure> {
+///
+/// The recorder gets no more time than it is waited for, so that it takes the key for nobody else.
+async fn ask(
+    worker: &Rc<OnlineWorker>,
+    begin: RecordBegin,
+    deadline: Instant,
+) -> Result<RecordState, Failure> {
     let recorder = recorder_node(worker, &begin.tenant, &begin.idempotency_key);
+    let mut unanswered = false;
     if let Some(address) = recorder {
-        let call = call_of(call::Method::RecordBegin(begin.clone()));
+        let left = deadline.saturating_duration_since(Instant::now());
+        let patience = left.min(RECORDER_PATIENCE);
+        let mut call = call_of(call::Method::RecordBegin(begin.clone()));
+        call.budget_ms = u32::try_from(patience.as_millis()).unwrap_or(u32::MAX);
         let sent = worker
             .links
-            .call(&address.link_address, call, RECORDER_PATIENCE)
+            .call(&address.link_address, call, patience)
             .await;
+        unanswered = matches!(sent, Err(CallError::NoReply { .. }));
         match sent {
             Ok(reply) => {
                 if let Some(reply::Result::Record(state)) = reply.result {
@@ -221,7 +233,16 @@
             Err(CallError::NotSent(_) | CallError::NoReply { .. }) => {}
         }
     }
-    worker.recorder.begin(begin).await
+    let begun = worker.recorder.begin(begin, deadline).await;
+    begun.map_err(|failure| Failure {
+        kind: if unanswered {
+            // The recorder's create may still take effect: the key must be given up.
+            ErrorKind::OutcomeUnknown
+        } else {
+            failure.kind
+        },
+        ..failure
+    })
 }
 
 async fn send_settlement(
--- a/crates/online/src/recorder.rs
+++ b/crates/online/src/recorder.rs
@@ -10,12 +10,11 @@
 
 use dappleyard_decide::once::{self, OnceAttempt, OnceDecision};
 use dappleyard_platform::{Expect, Row, StoreError, TableStore, Transaction};
-use dappleyard_wire::messages::{
-    OnceOutcome, OncePhase, OnceRow, Ran, RecordBegin, RecordSettle, RecordState,
-};
+use dappleyard_wire::messages::{OnceRow, RecordBegin, RecordSettle, RecordState};
 use dappleyard_wire::{ErrorKind, Failure, keys};
 use prost::Message;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::shared::OnlineShared;
 
@@ -72,16 +71,18 @@
     /// Reserves a key: `fresh` when the caller's attempt holds it now and may run. Fails with
     /// `StoreUnavailable` when nothing was written, and with `OutcomeUnknown` when a create was sent
     /// whose fate could not be read back: the caller must then give the key up.
-    pub async fn begin(&self, begin: RecordBegin) -> Result<RecordState, Failure> {
+    ///
+    /// No create is sent that rests on a read after `until`: the asker then no longer listens, and a
+    /// key taken for nobody would stay in progress for good.
+    pub async fn begin(&self, begin: RecordBegin, until: Instant) -> Result<RecordState, Failure> {
         let key = keys::once(&begin.tenant, &begin.idempotency_key);
-        let attempt = OnceAttempt {
-            request_id: begin.request_id,
-            fingerprint: begin.fingerprint,
-            writer: begin.writer,
-            now_unix_ms: unix_ms(),
-        };
+        let attempt = attempt_of(&begin);
         let mut read: Read = None;
+        let mut unconfirmed = false;
         for _ in 0..MAXIMUM_READS {
+            if Instant::now() >= until {
+                break;
+            }
             let row = read.as_ref().map(|(row, _)| row);
             match once::decide(row, &attempt, true) {
                 OnceDecision::Create(next) => {
@@ -89,13 +90,18 @@
                     match self.writer.write(key.clone(), expect, next.clone()).await {
                         Written::Done => return Ok(fresh(next)),
                         Written::ReadBack => {
+                            unconfirmed = true;
                             read = self.read_back(&key).await.map_err(|_| unresolved())?;
                         }
+                        Written::Unavailable(_) if unconfirmed => return Err(unresolved()),
                         Written::Unavailable(error) => return Err(unavailable(&error)),
                     }
                 }
                 OnceDecision::Run => return Ok(fresh(row.cloned().unwrap_or_default())),
-                OnceDecision::Replay(_) | OnceDecision::InProgress | OnceDecision::KeyReused => {
+                OnceDecision::Replay(_)
+                | OnceDecision::InProgress
+                | OnceDecision::KeyReused
+                | OnceDecision::GivenUp => {
                     return Ok(RecordState {
                         fresh: false,
                         row: row.cloned(),
@@ -117,7 +123,7 @@
             let Some((row, revision)) = read else {
                 return Ok(());
             };
-            if !may_settle(&row, &id, &writer, &outcome) {
+            if !once::may_settle(&row, &id, &writer, &outcome) {
                 return Ok(());
             }
             let next = once::settle(&row, outcome.clone());
@@ -138,24 +144,14 @@
     /// its create takes effect later: an absent record is written as released.
     pub async fn give_up(&self, begin: RecordBegin) -> Result<(), Failure> {
         let key = keys::once(&begin.tenant, &begin.idempotency_key);
-        let released = released_row(&begin);
+        let attempt = attempt_of(&begin);
         for _ in 0..MAXIMUM_READS {
             let read = self.read_back(&key).await?;
-            let mine = match &read {
-                None => true,
-                Some((row, _)) => {
-                    row.writer == begin.writer && row.phase() == OncePhase::OnceStarted
-                }
-            };
-            if !mine {
+            let Some(released) = once::give_up(read.as_ref().map(|(row, _)| row), &attempt) else {
                 return Ok(());
-            }
+            };
             let expect = expectation(&read);
-            match self
-                .writer
-                .write(key.clone(), expect, released.clone())
-                .await
-            {
+            match self.writer.write(key.clone(), expect, released).await {
                 Written::Done => return Ok(()),
                 Written::ReadBack => {}
                 Written::Unavailable(error) => return Err(unavailable(&error)),
@@ -179,38 +175,13 @@
     }
 }
 
-/// Whether an outcome may be written over the row. Only the attempt that created a record may
-/// release it.
-fn may_settle(row: &OnceRow, request_id: &str, writer: &str, outcome: &OnceOutcome) -> bool {
-    let is_answer = outcome.kind == 0;
-    let releases = !is_answer && outcome.ran() == Ran::No;
-    let is_writer = !writer.is_empty() && row.writer == writer;
-    if !is_writer && (row.request_id != request_id || releases) {
-        return false;
-    }
-    match row.phase() {
-        OncePhase::OnceStarted => true,
-        OncePhase::OnceSettled => is_answer && !recorded_answer(row),
-        OncePhase::OnceReleased => false,
-    }
-}
-
-fn recorded_answer(row: &OnceRow) -> bool {
-    row.outcome
-        .as_ref()
-        .is_some_and(|outcome| outcome.kind == 0)
-}
-
-fn released_row(begin: &RecordBegin) -> OnceRow {
-    let mut row = OnceRow {
+fn attempt_of(begin: &RecordBegin) -> OnceAttempt {
+    OnceAttempt {
         request_id: begin.request_id.clone(),
         fingerprint: begin.fingerprint,
         writer: begin.writer.clone(),
-        created_unix_ms: unix_ms(),
-        ..OnceRow::default()
-    };
-    row.set_phase(OncePhase::OnceReleased);
-    row
+        now_unix_ms: unix_ms(),
+    }
 }
 
 fn expectation(read: &Read) -> Expect {
--- a/crates/online/src/worker.rs
+++ b/crates/online/src/worker.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use dappleyard_engine::Engine;
 use dappleyard_platform::Platform;
@@ -12,6 +13,7 @@
 use dappleyard_wire::messages::{Call, RecordState, Reply, Stage, Submit, call, frame, reply};
 use dappleyard_wire::{ErrorKind, Failure};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::caller::Caller;
 use crate::ingress::IngressRun;
@@ -106,8 +108,10 @@
 
     /// Answers `RecordBegin` and `RecordSettle`: this node is the recorder of the key's cell.
     pub async fn record_call(&self, call: Call) -> Result<Reply, Failure> {
+        let budget = Duration::from_millis(u64::from(call.budget_ms));
+        let until = Instant::now() + budget;
         let state = match call.method {
-            Some(call::Method::RecordBegin(begin)) => self.recorder.begin(begin).await?,
+            Some(call::Method::RecordBegin(begin)) => self.recorder.begin(begin, until).await?,
             Some(call::Method::RecordSettle(settle)) => {
                 self.recorder.settle(settle).await?;
                 RecordState::default()
--- a/crates/spec/src/catalogue.rs
+++ b/crates/spec/src/catalogue.rs
@@ -127,7 +127,7 @@
             _ => None,
         }),
         limits: once::Limits {
-            faults: 2,
+            faults: 3,
             suspicions: 1,
         },
     }
--- a/crates/spec/src/once.rs
+++ b/crates/spec/src/once.rs
@@ -214,7 +214,12 @@
             OnceDecision::Run => true,
             _ => false,
         };
-        answer(state, attempt, way, if fresh { Phase::Running } else { Phase::Ended });
+        answer(
+            state,
+            attempt,
+            way,
+            if fresh { Phase::Running } else { Phase::Ended },
+        );
     }
 
     /// A loop goes on only while its attempt waits for it: the time that it was given has passed
@@ -337,9 +342,11 @@
                 self.proceed(&mut state, attempt);
             }
         }
-        state.row.value.as_ref().is_none_or(|row| {
-            row.phase() != OncePhase::OnceStarted || is_gone(&state, &row.writer)
-        })
+        state
+            .row
+            .value
+            .as_ref()
+            .is_none_or(|row| row.phase() != OncePhase::OnceStarted || is_gone(&state, &row.writer))
     }
 
     fn proceed(&self, state: &mut State, attempt: usize) {
