--- a/crates/standin/src/engine/model/step.rs
+++ b/crates/standin/src/engine/model/step.rs
@@ -3,7 +3,8 @@
 use rand::Rng;
 use rand_distr::{Distribution, LogNormal};
 
-use super::{Effect, EngineModel, LoadPhase, RunEnd, Step, emit};
+use super::streams::emit;
+use super::{Effect, EngineModel, LoadPhase, RunEnd, Step};
 use crate::engine::meter::StepShape;
 use crate::engine::settings::EngineModelSettings;
 
--- a/crates/standin/tests/engine_model.rs
+++ b/crates/standin/tests/engine_model.rs
@@ -362,7 +362,7 @@
 #[gtest]
 fn lost_reader_may_attach_within_the_grace() {
     let mut bench = bench(settings());
-    let original = call("rider", 10, 5_000, Priority::ONLINE);
+    let original = call("attached", 10, 5_000, Priority::ONLINE);
     let stream = bench.start(&original).stream;
     bench.steps(20);
     bench.engine.detach(bench.now_us, stream);
@@ -397,7 +397,7 @@
 #[gtest]
 fn end_of_a_finished_stream_can_be_attached_to_by_its_own_request_only() {
     let mut bench = bench(settings());
-    let original = call("van", 10, 8, Priority::ONLINE);
+    let original = call("finished", 10, 8, Priority::ONLINE);
     let stream = bench.start(&original).stream;
     bench.run_out();
     bench.effects.clear();
