--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -67,6 +67,8 @@
         member: Member,
         /// Its state before; `None` for a new one.
         before: Option<MemberState>,
+        /// This node found it out by its own probes.
+        own_finding: bool,
         /// Time from the last sign that all was well, milliseconds; for a death that this node
         /// declared itself.
         detected_after_ms: Option<u64>,
--- a/crates/decide/src/membership/gossip.rs
+++ b/crates/decide/src/membership/gossip.rs
@@ -174,6 +174,7 @@
         actions.push(Action::Changed {
             member,
             before,
+            own_finding,
             detected_after_ms,
         });
     }
--- a/crates/decide/src/membership/probing.rs
+++ b/crates/decide/src/membership/probing.rs
@@ -381,6 +381,7 @@
             actions.push(Action::Changed {
                 member: entry.member.clone(),
                 before: Some(MemberState::MemberSuspect),
+                own_finding: true,
                 detected_after_ms: None,
             });
         }
--- a/crates/fleet/src/actor/changes.rs
+++ b/crates/fleet/src/actor/changes.rs
@@ -18,8 +18,14 @@
             Action::Changed {
                 member,
                 before,
+                own_finding,
                 detected_after_ms,
-            } => self.member_changed(member, before, detected_after_ms),
+            } => {
+                if own_finding && member.state() == MemberState::MemberSuspect {
+                    self.metrics.own_suspicions.inc();
+                }
+                self.member_changed(member, before, detected_after_ms);
+            }
             Action::Forgotten { node } => {
                 self.tables.members.remove(&NodeId::from(node));
                 self.dirty = true;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -13,6 +13,8 @@
     pub malformed: IntCounter,
     /// Members suspected, by own probes or by hearsay.
     pub suspicions: IntCounter,
+    /// Members suspected by own probes.
+    pub own_suspicions: IntCounter,
     /// Suspicions that turned out false.
     pub false_suspicions: IntCounter,
     /// Members believed dead that turned out alive under the same start.
@@ -76,6 +78,10 @@
                 "Datagrams that could not be read",
             ),
             suspicions: counter("dappleyard_fleet_suspicions_total", "Members suspected"),
+            own_suspicions: counter(
+                "dappleyard_fleet_own_suspicions_total",
+                "Members suspected by own probes",
+            ),
             false_suspicions: counter(
                 "dappleyard_fleet_false_suspicions_total",
                 "Suspicions that turned out false",
--- /dev/null
+++ b/crates/lab/src/capacity/measure.rs
@@ -0,0 +1,251 @@
+//! One measurement: a hollow fleet of one size over one window.
+
+use std::time::{Duration, Instant};
+
+use dappleyard_settings::FleetSettings;
+use dappleyard_tables::Lifecycle;
+use prometheus::proto::MetricType;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::Options;
+use super::changes::{InForceTimes, Journal};
+use super::detection::{Detection, detect};
+use super::hollow::HollowFleet;
+use super::movement::{Movement, movement};
+use crate::error::LabError;
+
+/// Longest time for a fleet to become ready.
+const LONGEST_START: Duration = Duration::from_secs(120);
+/// Pause before the window, so that the costs of the start are over.
+const SETTLING: Duration = Duration::from_secs(8);
+/// Time after the window for the last changes to arrive.
+const DRAINING: Duration = Duration::from_secs(8);
+/// Nodes lost after the window.
+const LOSSES: usize = 3;
+
+/// What was measured.
+#[derive(Debug, Clone)]
+pub struct Measured {
+    /// What it is about.
+    pub options: Options,
+    /// Time until all nodes were ready and knew each other, seconds.
+    pub start_s: f64,
+    /// Processor time of a node, percent of a core, the in-memory platform included.
+    pub cpu_percent: f64,
+    /// Datagram bytes a second sent by a node, mean.
+    pub bytes_out: f64,
+    /// Datagram bytes a second received by a node, mean.
+    pub bytes_in: f64,
+    /// Datagrams a second sent by a node, mean.
+    pub datagrams_out: f64,
+    /// Bytes a second sent and received by the node with the most traffic.
+    pub bytes_worst: f64,
+    /// Memory of a node, MB: growth of the process divided by the nodes.
+    pub memory_mb: f64,
+    /// Readings of the machine list by a node, a second.
+    pub machine_lists: f64,
+    /// Readings of the change feed by the fleet, a second.
+    pub feed_reads: f64,
+    /// Suspicions raised an hour by the whole fleet; none of them is right.
+    pub false_suspicions_per_hour: f64,
+    /// Nodes believed dead that were alive, in all nodes' views.
+    pub false_deaths: f64,
+    /// Times until changes were in force.
+    pub in_force: InForceTimes,
+    /// Losses of a node.
+    pub detections: Vec<Detection>,
+    /// Ownership.
+    pub movement: Movement,
+}
+
+/// Totals of the fleet at one moment.
+struct Totals {
+    at: Instant,
+    cpu_s: f64,
+    bytes_out: Vec<f64>,
+    bytes_in: Vec<f64>,
+    datagrams_out: f64,
+    machine_lists: f64,
+    feed_reads: f64,
+    own_suspicions: f64,
+    false_deaths: f64,
+}
+
+/// Starts the fleet, measures the window, then the losses.
+pub async fn measure(options: &Options) -> Result<Measured, LabError> {
+    let memory_before = memory_bytes()?;
+    let mut fleet = HollowFleet::start(options).await?;
+    Journal::fill(&fleet.platform)
+        .await
+        .map_err(LabError::failed)?;
+    let start_s = wait_ready(&fleet).await?;
+    tokio::time::sleep(SETTLING).await;
+    let journal = Journal::default();
+    for node in &fleet.nodes {
+        actix_rt::spawn(journal.clone().watch(node.index, node.tables.clone()));
+    }
+    let before = totals(&fleet)?;
+    let restarted = run_window(&mut fleet, options, &journal).await?;
+    let after = totals(&fleet)?;
+    let memory_after = memory_bytes()?;
+    tokio::time::sleep(DRAINING).await;
+    let lasting: Vec<usize> = (0..options.nodes)
+        .filter(|n| !restarted.contains(n))
+        .collect();
+    let in_force = journal.times(&lasting);
+    let mut detections = Vec::new();
+    if options.nodes > LOSSES * 2 {
+        for lost in 0..LOSSES {
+            detections.push(detect(&fleet, options.nodes - 1 - lost).await);
+        }
+    }
+    fleet.stop().await;
+    let window = (after.at - before.at).as_secs_f64();
+    let nodes = options.nodes as f64;
+    let per_node = |later: &[f64], earlier: &[f64]| -> Vec<f64> {
+        // A restarted node counts from zero again.
+        let pairs = later.iter().zip(earlier);
+        pairs
+            .map(|(later, earlier)| (later - earlier).max(0.0) / window)
+            .collect()
+    };
+    let bytes_out = per_node(&after.bytes_out, &before.bytes_out);
+    let bytes_in = per_node(&after.bytes_in, &before.bytes_in);
+    let sums = bytes_out
+        .iter()
+        .zip(&bytes_in)
+        .map(|(out, into)| out + into);
+    Ok(Measured {
+        options: options.clone(),
+        start_s,
+        cpu_percent: (after.cpu_s - before.cpu_s) / window / nodes * 100.0,
+        bytes_worst: sums.fold(0.0, f64::max),
+        bytes_out: bytes_out.iter().sum::<f64>() / nodes,
+        bytes_in: bytes_in.iter().sum::<f64>() / nodes,
+        datagrams_out: (after.datagrams_out - before.datagrams_out) / window / nodes,
+        memory_mb: memory_after.saturating_sub(memory_before) as f64 / 1e6 / nodes,
+        machine_lists: (after.machine_lists - before.machine_lists) / window / nodes,
+        feed_reads: (after.feed_reads - before.feed_reads) / window,
+        false_suspicions_per_hour: (after.own_suspicions - before.own_suspicions) / window * 3600.0,
+        false_deaths: after.false_deaths - before.false_deaths,
+        in_force,
+        detections,
+        movement: movement(options, FleetSettings::default().cell_size),
+    })
+}
+
+async fn wait_ready(fleet: &HollowFleet) -> Result<f64, LabError> {
+    let since = Instant::now();
+    let count = fleet.nodes.len();
+    loop {
+        let ready = fleet.nodes.iter().filter(|node| {
+            let is_ready = *node.tables.lifecycle.borrow() == Lifecycle::Ready;
+            is_ready && node.tables.members.all().len() >= count
+        });
+        let ready = ready.count();
+        if ready == count {
+            return Ok(since.elapsed().as_secs_f64());
+        }
+        if since.elapsed() > LONGEST_START {
+            return Err(LabError::failed(format!(
+                "only {ready} of {count} nodes became ready"
+            )));
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+/// Writes changes and restarts nodes at their rates. Returns the nodes that were restarted.
+async fn run_window(
+    fleet: &mut HollowFleet,
+    options: &Options,
+    journal: &Journal,
+) -> Result<Vec<usize>, LabError> {
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+    let mut restarted = Vec::new();
+    let began = Instant::now();
+    let mut next_change = 0.0;
+    // A short window sees one restart nevertheless.
+    let every = options.restart_every.min(options.window / 2).as_secs_f64();
+    let mut next_restart = every / 2.0;
+    let mut number = 0;
+    while began.elapsed() < options.window {
+        let elapsed = began.elapsed().as_secs_f64();
+        if elapsed >= next_change && options.changes_per_s > 0.0 {
+            number += 1;
+            journal
+                .write(&fleet.platform, number)
+                .await
+                .map_err(LabError::failed)?;
+            next_change += random.random_range(0.5..1.5) / options.changes_per_s;
+        }
+        if elapsed >= next_restart && options.nodes > 1 {
+            let index = random.random_range(0..options.nodes);
+            fleet.restart(index).await?;
+            restarted.push(index);
+            next_restart += options.restart_every.as_secs_f64();
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(restarted)
+}
+
+fn totals(fleet: &HollowFleet) -> Result<Totals, LabError> {
+    let stat = procfs::process::Process::myself()
+        .and_then(|process| process.stat())
+        .map_err(LabError::failed)?;
+    let mut totals = Totals {
+        at: Instant::now(),
+        cpu_s: (stat.utime + stat.stime) as f64 / procfs::ticks_per_second() as f64,
+        bytes_out: Vec::new(),
+        bytes_in: Vec::new(),
+        datagrams_out: 0.0,
+        machine_lists: 0.0,
+        feed_reads: 0.0,
+        own_suspicions: 0.0,
+        false_deaths: 0.0,
+    };
+    for node in &fleet.nodes {
+        let metrics = node.tables.metrics.gather();
+        let sum = |name: &str, label: &str| counter_sum(&metrics, name, label);
+        totals
+            .bytes_out
+            .push(sum("dappleyard_fleet_bytes_total", "out"));
+        totals
+            .bytes_in
+            .push(sum("dappleyard_fleet_bytes_total", "in"));
+        totals.datagrams_out += sum("dappleyard_fleet_datagrams_total", "out");
+        totals.machine_lists += sum("dappleyard_fleet_calls_total", "machines");
+        totals.feed_reads += sum("dappleyard_fleet_calls_total", "changes");
+        totals.own_suspicions += sum("dappleyard_fleet_own_suspicions_total", "");
+        totals.false_deaths += sum("dappleyard_fleet_false_deaths_total", "");
+    }
+    Ok(totals)
+}
+
+/// Sum of a counter over the series that have a label of this value; all when it is empty.
+fn counter_sum(families: &[prometheus::proto::MetricFamily], name: &str, value: &str) -> f64 {
+    let family = families
+        .iter()
+        .find(|family| family.name() == name && family.get_field_type() == MetricType::COUNTER);
+    let series = family.map(|family| family.get_metric()).unwrap_or_default();
+    series
+        .iter()
+        .filter(|metric| {
+            value.is_empty()
+                || metric
+                    .get_label()
+                    .iter()
+                    .any(|label| label.value() == value)
+        })
+        .map(|metric| metric.get_counter().get_value())
+        .sum()
+}
+
+fn memory_bytes() -> Result<u64, LabError> {
+    let statm = procfs::process::Process::myself()
+        .and_then(|process| process.statm())
+        .map_err(LabError::failed)?;
+    Ok(statm.resident * procfs::page_size())
+}
--- /dev/null
+++ b/crates/lab/src/capacity/movement.rs
@@ -0,0 +1,82 @@
+//! How many servers change their owner when one node leaves, and how even the ownership is.
+
+use std::collections::BTreeMap;
+
+use dappleyard_decide::ownership::{Cells, OwnedServerPlace, OwnerNode, owners};
+
+use super::Options;
+
+/// Most nodes that are tried as the one that leaves.
+const MAXIMUM_TRIALS: usize = 40;
+
+/// Balance and movement of ownership.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Movement {
+    /// Servers moved when one node leaves, as a multiple of the servers it owned; mean.
+    pub mean_moved: f64,
+    /// The same; worst.
+    pub worst_moved: f64,
+    /// Servers of the node with the most, as a multiple of the mean.
+    pub imbalance: f64,
+}
+
+/// Computes both for a fleet of this size.
+pub fn movement(options: &Options, cell_size: usize) -> Movement {
+    let zone = |index: usize| format!("zone-{}", index % options.zones);
+    let region = |index: usize| format!("region-{}", index % options.zones % options.regions);
+    let mut nodes: Vec<OwnerNode> = (0..options.nodes)
+        .map(|index| OwnerNode {
+            node: format!("node-{index:03}"),
+            zone: zone(index),
+            region: region(index),
+            eligible: true,
+        })
+        .collect();
+    let servers: Vec<(String, String, String)> = (0..options.servers)
+        .map(|index| (format!("server-{index:05}"), zone(index), region(index)))
+        .collect();
+    let assign = |nodes: &[OwnerNode]| -> Vec<Option<String>> {
+        let cells = Cells::of(nodes, cell_size);
+        let places: Vec<OwnedServerPlace<'_>> = servers
+            .iter()
+            .map(|(server, zone, region)| OwnedServerPlace {
+                server,
+                zone,
+                region,
+            })
+            .collect();
+        let owned = owners(&cells, &places);
+        owned
+            .into_iter()
+            .map(|owner| owner.map(str::to_owned))
+            .collect()
+    };
+    let before = assign(&nodes);
+    let mut owned: BTreeMap<&str, usize> = BTreeMap::new();
+    for owner in before.iter().flatten() {
+        *owned.entry(owner).or_default() += 1;
+    }
+    let mean = options.servers as f64 / options.nodes as f64;
+    let most = owned.values().max().copied().unwrap_or_default();
+    let mut ratios = Vec::new();
+    for index in 0..options.nodes.min(MAXIMUM_TRIALS) {
+        nodes[index].eligible = false;
+        let after = assign(&nodes);
+        let moved = before
+            .iter()
+            .zip(&after)
+            .filter(|(old, new)| old != new)
+            .count();
+        let own = owned
+            .get(nodes[index].node.as_str())
+            .copied()
+            .unwrap_or_default();
+        ratios.push(moved as f64 / own.max(1) as f64);
+        nodes[index].eligible = true;
+    }
+    Movement {
+        mean_moved: ratios.iter().sum::<f64>() / ratios.len().max(1) as f64,
+        worst_moved: ratios.iter().copied().fold(0.0, f64::max),
+        imbalance: most as f64 / mean,
+    }
+}
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -20,6 +20,10 @@
         command: crate::compare::command,
         run: crate::compare::run,
     },
+    Subcommand {
+        command: crate::capacity::command,
+        run: crate::capacity::run,
+    },
     Subcommand {
         command: crate::standins::command,
         run: crate::standins::run,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! speak real TCP and UDP on loopback. [`commands`] is the command line, with one module for each
 //! subcommand.
 
+pub mod capacity;
 pub mod commands;
 pub mod compare;
 pub mod error;
