--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -7,7 +7,7 @@
 use actix_web::http::StatusCode;
 use actix_web::{HttpResponse, web};
 use bytes::Bytes;
-use dappleyard_engine::{EngineEvent, EngineOrder, GenerateCall};
+use dappleyard_engine::{EngineEvent, EngineOrder, GenerateCall, KvQuery, KvState};
 use derive_more::{Display, Error};
 use parking_lot::RwLock;
 use serde::Deserialize;
@@ -17,6 +17,8 @@
 
 /// Largest body of a call, bytes.
 pub(super) const MAXIMUM_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Tokens of moved KV state up to which the transfer takes time.
+const MAXIMUM_MOVED_TOKENS: u32 = 1_000_000;
 /// A blank line is sent after this long without an event, so that a silent stream is told apart
 /// from a lost engine.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
@@ -48,7 +50,9 @@
             .route("/report", web::get().to(report))
             .route("/status", web::get().to(status))
             .route("/cache-events", web::get().to(cache_events))
-            .route("/orders", web::post().to(order)),
+            .route("/orders", web::post().to(order))
+            .route("/kv/export", web::post().to(export_kv))
+            .route("/kv/import", web::post().to(import_kv)),
     );
 }
 
@@ -66,7 +70,7 @@
         Ok(reader) => HttpResponse::Ok()
             .content_type("application/x-ndjson")
             .streaming(lines(reader)),
-        Err(error) => failed(error),
+        Err(error) => failed(error).await,
     }
 }
 
@@ -75,16 +79,16 @@
     match find(&slots, &server).and_then(|slot| slot.cancel(&stream)) {
         Ok(true) => HttpResponse::Ok().finish(),
         Ok(false) => HttpResponse::NotFound().body("no such stream"),
-        Err(error) => failed(error),
+        Err(error) => failed(error).await,
     }
 }
 
 async fn report(slots: web::Data<SlotsByName>, server: web::Path<String>) -> HttpResponse {
-    answer(&slots, &server, Slot::report)
+    answer(&slots, &server, Slot::report).await
 }
 
 async fn status(slots: web::Data<SlotsByName>, server: web::Path<String>) -> HttpResponse {
-    answer(&slots, &server, Slot::status)
+    answer(&slots, &server, Slot::status).await
 }
 
 async fn cache_events(
@@ -92,7 +96,7 @@
     server: web::Path<String>,
     query: web::Query<After>,
 ) -> HttpResponse {
-    answer(&slots, &server, |slot| slot.cache_events(query.after))
+    answer(&slots, &server, |slot| slot.cache_events(query.after)).await
 }
 
 async fn order(
@@ -100,21 +104,48 @@
     server: web::Path<String>,
     order: web::Json<EngineOrder>,
 ) -> HttpResponse {
-    answer(&slots, &server, |slot| slot.order(&order))
+    answer(&slots, &server, |slot| slot.order(&order)).await
 }
 
-fn answer<T: serde::Serialize>(
+async fn export_kv(
+    slots: web::Data<SlotsByName>,
+    server: web::Path<String>,
+    query: web::Json<KvQuery>,
+) -> HttpResponse {
+    match find(&slots, &server).and_then(|slot| slot.export_kv(&query).map(|state| (slot, state))) {
+        Ok((slot, state)) => {
+            let tokens = state.prefix_tokens.saturating_add(state.tokens);
+            tokio::time::sleep(slot.transfer_time(tokens)).await;
+            HttpResponse::Ok().json(state)
+        }
+        Err(error) => failed(error).await,
+    }
+}
+
+async fn import_kv(
+    slots: web::Data<SlotsByName>,
+    server: web::Path<String>,
+    state: web::Json<KvState>,
+) -> HttpResponse {
+    if let Ok(slot) = find(&slots, &server) {
+        let tokens = state.prefix_tokens.saturating_add(state.tokens);
+        tokio::time::sleep(slot.transfer_time(tokens.min(MAXIMUM_MOVED_TOKENS))).await;
+    }
+    answer(&slots, &server, |slot| slot.import_kv(&state)).await
+}
+
+async fn answer<T: serde::Serialize>(
     slots: &SlotsByName,
     server: &str,
     call: impl FnOnce(&Slot) -> Result<T, CallError>,
 ) -> HttpResponse {
     match find(slots, server).and_then(|slot| call(&slot)) {
         Ok(body) => HttpResponse::Ok().json(body),
-        Err(error) => failed(error),
+        Err(error) => failed(error).await,
     }
 }
 
-fn failed(error: CallError) -> HttpResponse {
+async fn failed(error: CallError) -> HttpResponse {
     match error {
         CallError::NoSuchEngine => HttpResponse::NotFound().body("no such engine"),
         CallError::Refused(refusal) => {
@@ -122,6 +153,7 @@
             HttpResponse::build(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE))
                 .body(refusal.reason)
         }
+        CallError::Hung => futures::future::pending().await,
         // The body breaks before its first byte: the connection is closed without an answer.
         CallError::Dead => {
             HttpResponse::Ok().streaming(futures::stream::iter([Err::<Bytes, EngineLost>(
@@ -142,6 +174,7 @@
         loop {
             let next = tokio::time::timeout(KEEP_ALIVE, reader.deliveries.recv()).await;
             match next {
+                Err(_) if reader.slot.is_hung() => {}
                 Err(_) => yield Ok(Bytes::from_static(b"\n")),
                 Ok(Some(Delivery::Output(output))) => {
                     let ends = matches!(output, Output::Finished { .. });
