--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,13 +4,16 @@
 //! speak real TCP and UDP on loopback. [`commands`] is the command line, with one module for each
 //! subcommand.
 
+pub mod capacity;
 pub mod commands;
 pub mod compare;
 pub mod error;
 pub mod faults;
+pub mod fleet;
 pub mod invariants;
 pub mod ledger;
 pub mod load;
+pub mod measures;
 pub mod network;
 pub mod run;
 pub mod scenario;
