--- a/crates/online/src/ingress/mod.rs
+++ b/crates/online/src/ingress/mod.rs
@@ -222,6 +222,7 @@
             metrics.refusal_time.observe(elapsed);
         }
         settle::explain_refusal(&self.worker, &self.incoming, &failure);
+        tracing::debug!(request = %self.incoming.id, attempt = self.incoming.attempt, %failure, "refused");
         self.caller.send(frame::Body::Refused(failure.to_refused()));
     }
 }
--- a/crates/online/src/once.rs
+++ b/crates/online/src/once.rs
@@ -123,6 +123,11 @@
 
 /// The node that ran the request is gone: its outcome is unknown for good, and the key stays used.
 fn settle_unknown(worker: &Rc<OnlineWorker>, holder: &Holder, row: &OnceRow) {
+    tracing::info!(
+        key = holder.key,
+        writer = row.writer,
+        "a record is settled as unknown: the node that ran the request is gone"
+    );
     let lost = Holder {
         request_id: row.request_id.clone(),
         writer: row.writer.clone(),
--- a/crates/online/tests/support/mod.rs
+++ b/crates/online/tests/support/mod.rs
@@ -12,7 +12,8 @@
 use dappleyard_settings::OnlineSettings;
 use dappleyard_tables::directory::ServerEntry;
 use dappleyard_tables::{Identity, Lifecycle, NodeTables};
-use dappleyard_transport::{DirectPolicy, LinkPool};
+use dappleyard_transport::{DirectPolicy, LinkPool, LinkSettings};
+use dappleyard_wire::PROTOCOL_VERSION;
 use dappleyard_wire::ids::{NodeId, RegionId, ServerId, ServiceId, ZoneId};
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{
@@ -56,23 +57,34 @@
     }
 
     pub fn with(servers: usize, settings: OnlineSettings, platform: MemoryPlatform) -> Node {
+        Node::named("n0", servers, settings, platform, Rc::default())
+    }
+
+    /// A node of this name, with engines that it may share with other nodes.
+    pub fn named(
+        name: &str,
+        servers: usize,
+        settings: OnlineSettings,
+        platform: MemoryPlatform,
+        engine: Rc<FakeEngine>,
+    ) -> Node {
         let tables = NodeTables::new(Identity {
-            node: NodeId::from("n0"),
+            node: NodeId::from(name),
             zone: ZoneId::from("zone-a"),
             region: RegionId::from("region-a"),
             incarnation: 7 << 16,
         });
         tables.lifecycle.send_replace(Lifecycle::Ready);
-        let entries: Vec<ServerEntry> = (0..servers).map(server_entry).collect();
+        let entries: Vec<ServerEntry> = (0..servers).map(|at| server_entry(at, name)).collect();
         tables.directory.replace(entries.clone());
         tables.servers.set_owned(entries);
-        let engine = Rc::new(FakeEngine::default());
         let shared = OnlineShared::new(&settings, &tables);
-        let links = LinkPool::new(
-            Hello::default(),
-            dappleyard_transport::LinkSettings::default(),
-            Arc::new(DirectPolicy),
-        );
+        let hello = Hello {
+            protocol: PROTOCOL_VERSION,
+            id: name.to_owned(),
+            ..Hello::default()
+        };
+        let links = LinkPool::new(hello, LinkSettings::default(), Arc::new(DirectPolicy));
         let worker = OnlineWorker::new(OnlineContext {
             tables: tables.clone(),
             settings,
@@ -157,7 +169,7 @@
     (keys::drain(kind, name), row.encode_to_vec())
 }
 
-fn server_entry(index: usize) -> ServerEntry {
+fn server_entry(index: usize, owner: &str) -> ServerEntry {
     ServerEntry {
         server: ServerId::from(format!("s{index}")),
         service: ServiceId::from(SERVICE),
@@ -166,7 +178,7 @@
         hall: "hall-a".to_owned(),
         base_url: format!("http://s{index}"),
         leaving: false,
-        owner: Some(NodeId::from("n0")),
+        owner: Some(NodeId::from(owner)),
     }
 }
 
