--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -17,8 +17,11 @@
 /// Advice when to come back after a call that no node answered, milliseconds.
 const RETRY_AFTER_MS: u32 = 500;
 
+/// Longest wait for a link after a node was lost.
+const LINK_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Makes a call and waits for its reply until `deadline`. `key` prefers a node, so that the calls of
-/// one file or job go the same way.
+/// one upload or job go the same way.
 pub async fn call(
     worker: &Worker,
     method: call::Method,
@@ -29,11 +32,11 @@
     let mut attempt = 1;
     worker.shared.retries.lock().first_attempt();
     loop {
-        if avoid.is_empty() || worker.links.is_ready() {
-        } else {
-            worker.links.wait_ready(deadline).await;
+        if !avoid.is_empty() {
+            let until = deadline.min(Instant::now() + LINK_WAIT);
+            worker.links.wait_ready(until).await;
         }
-        let Some(link) = worker.links.choose(key, "", &avoid) else {
+        let Some(link) = worker.links.choose_first(key, &avoid) else {
             return Err(unreachable());
         };
         let failure = match call_once(&link, method.clone(), deadline).await {
--- a/crates/sidecar/src/choose.rs
+++ b/crates/sidecar/src/choose.rs
@@ -36,8 +36,23 @@
     }
 }
 
+/// How a key picks among the nearest nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pick {
+    /// The less loaded of the key's two nodes.
+    LessLoaded,
+    /// The key's first node, whatever its load: calls that belong together go the same way.
+    First,
+}
+
 /// Index of the chosen candidate. Nodes in `avoid` are taken only when there is no other.
-pub fn choose(from: &Place, key: u64, candidates: &[Candidate], avoid: &[String]) -> Option<usize> {
+pub fn choose(
+    from: &Place,
+    key: u64,
+    pick: Pick,
+    candidates: &[Candidate],
+    avoid: &[String],
+) -> Option<usize> {
     let place = |index: &usize| {
         let candidate = &candidates[*index];
         let avoided = avoid.contains(&candidate.node);
@@ -48,7 +63,11 @@
         .filter(|index| place(index) == nearest)
         .collect();
     near.sort_by_key(|index| Reverse(rendezvous_weight(key, &candidates[*index].node)));
+    let compared = match pick {
+        Pick::LessLoaded => CANDIDATES,
+        Pick::First => 1,
+    };
     near.into_iter()
-        .take(CANDIDATES)
+        .take(compared)
         .min_by_key(|index| (candidates[*index].wait_ms, candidates[*index].open_streams))
 }
--- a/crates/sidecar/src/files/upload.rs
+++ b/crates/sidecar/src/files/upload.rs
@@ -6,9 +6,9 @@
 use actix_multipart::{Field, Multipart};
 use actix_web::web::{Bytes, BytesMut, Data};
 use actix_web::{HttpRequest, HttpResponse};
-use dappleyard_wire::hash::hash_bytes;
 use dappleyard_wire::messages::{FileAppend, FileCreate, FileSeal, FileState, call};
 use futures::StreamExt;
+use rand::Rng;
 
 use super::file;
 use crate::accept::{slow_sender, too_large};
@@ -65,6 +65,8 @@
     worker: &'a Worker,
     headers: &'a CallerHeaders,
     file_id: String,
+    /// Sends all parts to the node that began the file, as long as it is there.
+    key: u64,
     size: u64,
 }
 
@@ -83,11 +85,13 @@
             filename: name.chars().take(MAXIMUM_FILENAME).collect(),
             purpose: PURPOSE.to_owned(),
         });
-        let state = file(call(worker, method, 0, headers.deadline()).await?)?;
+        let key = rand::rng().random();
+        let state = file(call(worker, method, key, headers.deadline()).await?)?;
         Ok(Upload {
             worker,
             headers,
             file_id: state.file_id,
+            key,
             size: 0,
         })
     }
@@ -146,8 +150,7 @@
         &self,
         method: call::Method,
     ) -> Result<dappleyard_wire::messages::reply::Result, ApiError> {
-        let key = hash_bytes(self.file_id.as_bytes());
-        Ok(call(self.worker, method, key, self.headers.deadline()).await?)
+        Ok(call(self.worker, method, self.key, self.headers.deadline()).await?)
     }
 }
 
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::choose::{Candidate, choose, distance};
+use crate::choose::{Candidate, Pick, choose, distance};
 use crate::worker::Shared;
 
 /// First pause before a node is dialled again.
@@ -109,6 +109,15 @@
     /// The link of the node that a request with this key enters at. Nodes in `avoid` are taken only
     /// when there is no other.
     pub fn choose(&self, key: u64, service: &str, avoid: &[String]) -> Option<Link> {
+        self.pick(key, Pick::LessLoaded, service, avoid)
+    }
+
+    /// The link of the node that all calls with this key go to while it is there.
+    pub fn choose_first(&self, key: u64, avoid: &[String]) -> Option<Link> {
+        self.pick(key, Pick::First, "", avoid)
+    }
+
+    fn pick(&self, key: u64, pick: Pick, service: &str, avoid: &[String]) -> Option<Link> {
         let known = self.known.borrow();
         let links: Vec<&Link> = known
             .values()
@@ -117,7 +126,7 @@
             .collect();
         let candidates: Vec<Candidate> =
             links.iter().map(|link| candidate(link, service)).collect();
-        let index = choose(&self.shared.settings.place, key, &candidates, avoid)?;
+        let index = choose(&self.shared.settings.place, key, pick, &candidates, avoid)?;
         Some(links[index].clone())
     }
 
--- a/crates/sidecar/tests/rules.rs
+++ b/crates/sidecar/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The pure tables: what follows a failed attempt, which node is chosen, the canonical prompt.
 
 use dappleyard_settings::Place;
-use dappleyard_sidecar::choose::{Candidate, choose};
+use dappleyard_sidecar::choose::{Candidate, Pick, choose};
 use dappleyard_sidecar::forward::rule::{Next, Situation, next};
 use dappleyard_sidecar::prompt::{PromptMessage, canonical, canonical_completion};
 use dappleyard_wire::{ErrorKind, Ran, Repeat};
@@ -112,11 +112,17 @@
 fn the_same_zone_goes_first_and_a_failed_node_last() {
     let here = Place::default();
     let nodes = [node("far", "zone-2", 0), node("near", "zone-1", 900)];
-    expect_that!(choose(&here, 1, &nodes, &[]), some(eq(1)));
-    expect_that!(choose(&here, 1, &nodes, &["near".to_owned()]), some(eq(0)));
+    expect_that!(choose(&here, 1, Pick::LessLoaded, &nodes, &[]), some(eq(1)));
+    expect_that!(
+        choose(&here, 1, Pick::LessLoaded, &nodes, &["near".to_owned()]),
+        some(eq(0))
+    );
     let all = ["near".to_owned(), "far".to_owned()];
-    expect_that!(choose(&here, 1, &nodes, &all), some(eq(1)));
-    expect_that!(choose(&here, 1, &[], &[]), none());
+    expect_that!(
+        choose(&here, 1, Pick::LessLoaded, &nodes, &all),
+        some(eq(1))
+    );
+    expect_that!(choose(&here, 1, Pick::LessLoaded, &[], &[]), none());
 }
 
 #[gtest]
@@ -125,13 +131,20 @@
     let mut nodes: Vec<Candidate> = (0..8)
         .map(|index| node(&format!("n{index}"), "zone-1", 10))
         .collect();
-    let first = choose(&here, 77, &nodes, &[]).unwrap();
-    expect_that!(choose(&here, 77, &nodes, &[]), some(eq(first)));
+    let first = choose(&here, 77, Pick::LessLoaded, &nodes, &[]).unwrap();
+    expect_that!(
+        choose(&here, 77, Pick::LessLoaded, &nodes, &[]),
+        some(eq(first))
+    );
     nodes[first].wait_ms = 500;
-    let second = choose(&here, 77, &nodes, &[]).unwrap();
+    let second = choose(&here, 77, Pick::LessLoaded, &nodes, &[]).unwrap();
     expect_that!(second, not(eq(first)));
+    expect_that!(choose(&here, 77, Pick::First, &nodes, &[]), some(eq(first)));
     nodes[second].wait_ms = 900;
-    expect_that!(choose(&here, 77, &nodes, &[]), some(eq(first)));
+    expect_that!(
+        choose(&here, 77, Pick::LessLoaded, &nodes, &[]),
+        some(eq(first))
+    );
 }
 
 fn message(role: &str, text: &str) -> PromptMessage {
