Baselines: a shared queue without priorities, and a static split by a service of its own

Cause: shared-queue sent batch at the online priority, so that the engines' own records called it online work, and static-split was not carried out at all. Change: batch is always sent as batch; under shared-queue the engines take sequences in order of arrival. Under static-split a part of the servers is meant for a second service that only batch items name, so the product needs no code for it.

--- a/crates/batch/src/runner/run_item.rs
+++ b/crates/batch/src/runner/run_item.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use dappleyard_engine::{EngineError, EngineEvent, GenerateCall, Priority};
-use dappleyard_settings::BatchPolicy;
 use dappleyard_tables::directory::ServerEntry;
 use dappleyard_tables::servers::InFlight;
 use dappleyard_wire::ids::RequestId;
@@ -147,7 +146,7 @@
     if !item.pieces.is_empty() {
         runner.metrics.resumes.inc();
     }
-    let call = generate_call(runner, item, request, attempt);
+    let call = generate_call(item, request, attempt);
     let mut events = match runner.engine.generate(&entry.base_url, call).await {
         Ok(events) => events,
         Err(error) => return refused(error, item),
@@ -172,17 +171,8 @@
     Ended::Lost("the stream ended without its end".to_owned())
 }
 
-fn generate_call(
-    runner: &Runner,
-    item: &WorkItem,
-    request: &RequestId,
-    attempt: u32,
-) -> GenerateCall {
+fn generate_call(item: &WorkItem, request: &RequestId, attempt: u32) -> GenerateCall {
     let input = item.item();
-    let priority = match runner.settings.policy {
-        BatchPolicy::SharedQueue => Priority::ONLINE,
-        _ => Priority::BATCH,
-    };
     GenerateCall {
         request_id: request.to_string(),
         attempt,
@@ -194,7 +184,7 @@
         prefix_hash: prompt::prefix_hash(&input.prompt),
         prefix_tokens: 0,
         max_tokens: input.max_tokens,
-        priority,
+        priority: Priority::BATCH,
         resume_offset: u32::try_from(item.pieces.len()).unwrap_or(u32::MAX),
         attach_stream: String::new(),
         attach_only: false,
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use dappleyard_platform::{Machine, MachineRole};
-use dappleyard_settings::batch::BatchPolicy;
 use dappleyard_sidecar::SidecarHandle;
 use dappleyard_standin::engine::host::{EngineHandle, EngineHost, HostOptions};
 use dappleyard_standin::engine::{EngineModelSettings, EngineSpec};
@@ -20,7 +19,7 @@
 use crate::error::LabError;
 use crate::ledger::{Event, Ledger, RevisionSample};
 use crate::network::Network;
-use crate::scenario::Scenario;
+use crate::scenario::{Policy, Scenario};
 
 pub use names::Placed;
 use node::NodeSlot;
@@ -44,13 +43,17 @@
     pub engines: EngineHandle,
     /// Servers, in the order of the scenario.
     pub servers: Vec<Placed>,
-    policy: BatchPolicy,
+    policy: Policy,
     nodes: RefCell<Vec<NodeSlot>>,
     sidecars: Vec<SidecarHandle>,
 }
 
 /// Starts the platform of a scenario.
-pub fn start_platform(scenario: &Scenario, seed: u64) -> Result<PlatformHandle, LabError> {
+pub fn start_platform(
+    scenario: &Scenario,
+    policy: Policy,
+    seed: u64,
+) -> Result<PlatformHandle, LabError> {
     let settings = PlatformStandInSettings {
         seed,
         ..scenario.platform.clone()
@@ -58,7 +61,7 @@
     let platform = PlatformStandIn::start(settings)
         .map_err(|error| LabError::failed(format!("the platform did not start: {error}")))?;
     platform
-        .transact(settings::first_configuration(scenario))
+        .transact(settings::first_configuration(scenario, policy))
         .map_err(|error| LabError::failed(format!("the first configuration: {error}")))?;
     Ok(platform)
 }
@@ -66,6 +69,7 @@
 /// Starts the engines of a scenario on an address.
 pub fn start_engines(
     scenario: &Scenario,
+    policy: Policy,
     platform: &PlatformHandle,
     seed: u64,
     listen: &str,
@@ -75,11 +79,12 @@
         .enumerate()
         .map(|(index, server)| EngineSpec {
             server: server.name,
-            service: scenario.service.name.clone(),
+            service: scenario.service_of(policy, index),
             version: scenario.service.version.clone(),
             adapters: Vec::new(),
             model: EngineModelSettings {
                 online_slowdown_percent: f64::from(scenario.service.online_slowdown_percent),
+                ignore_priority: policy.ignores_priority(),
                 ..scenario.engine.clone()
             },
             seed: seed.wrapping_mul(1_000).wrapping_add(index as u64),
@@ -95,16 +100,21 @@
 }
 
 /// The servers of a scenario as the machine list shows them.
-pub fn server_machines(scenario: &Scenario, engines: &EngineHandle) -> Vec<Machine> {
+pub fn server_machines(
+    scenario: &Scenario,
+    policy: Policy,
+    engines: &EngineHandle,
+) -> Vec<Machine> {
     names::servers(scenario)
         .into_iter()
-        .map(|server| Machine {
+        .enumerate()
+        .map(|(index, server)| Machine {
             role: MachineRole::Server,
             region: server.spot.region.as_str().into(),
             zone: server.spot.zone.as_str().into(),
             hall: server.spot.zone.clone(),
             address: engines.base(&server.name),
-            service: scenario.service.name.as_str().into(),
+            service: scenario.service_of(policy, index).into(),
             leaving: false,
             name: server.name,
         })
@@ -116,12 +126,12 @@
     pub async fn start(
         scenario: &Scenario,
         seed: u64,
-        policy: BatchPolicy,
+        policy: Policy,
         ledger: Ledger,
     ) -> Result<Fleet, LabError> {
-        let platform = start_platform(scenario, seed)?;
-        let engines = start_engines(scenario, &platform, seed, settings::ANY_PORT)?;
-        platform.begin_with_machines(server_machines(scenario, &engines));
+        let platform = start_platform(scenario, policy, seed)?;
+        let engines = start_engines(scenario, policy, &platform, seed, settings::ANY_PORT)?;
+        platform.begin_with_machines(server_machines(scenario, policy, &engines));
         let mut fleet = Fleet {
             network: Network::new(scenario.network.clone()),
             servers: names::servers(scenario),
--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of the processes and the first configuration, from the scenario.
 
 use dappleyard_platform::Transaction;
-use dappleyard_settings::batch::BatchPolicy;
 use dappleyard_settings::{
     BatchSettings, FleetSettings, NodeSettings, Place, PlatformSettings, SidecarSettings,
 };
@@ -11,7 +10,7 @@
 
 use super::{Fleet, Placed};
 use crate::load::plan::ONCE_TENANT;
-use crate::scenario::Scenario;
+use crate::scenario::{Policy, Scenario};
 
 /// An address of loopback with a port of the operating system's choice.
 pub const ANY_PORT: &str = "127.0.0.1:0";
@@ -21,9 +20,21 @@
 const STANDING_ITEMS: u32 = 400_000;
 
 /// The configuration rows that stand before the first node starts, as one change.
-pub fn first_configuration(scenario: &Scenario) -> Transaction {
-    let service = ServiceRow {
-        name: scenario.service.name.clone(),
+pub fn first_configuration(scenario: &Scenario, policy: Policy) -> Transaction {
+    let mut change = Transaction::default().put(keys::CONFIGURATION_HEAD, "0");
+    for name in scenario.services(policy) {
+        let service = service(scenario, name);
+        change = change.put(keys::service(&service.name), service.encode_to_vec());
+    }
+    for tenant in tenants(scenario) {
+        change = change.put(keys::tenant(&tenant.name), tenant.encode_to_vec());
+    }
+    change
+}
+
+fn service(scenario: &Scenario, name: String) -> ServiceRow {
+    ServiceRow {
+        name,
         version: scenario.service.version.clone(),
         online_slowdown_percent: scenario.service.online_slowdown_percent,
         max_unavailable_zone: 1,
@@ -31,14 +42,7 @@
         max_prompt_tokens: 8_192,
         max_output_tokens: 4_096,
         ..ServiceRow::default()
-    };
-    let mut change = Transaction::default()
-        .put(keys::service(&service.name), service.encode_to_vec())
-        .put(keys::CONFIGURATION_HEAD, "0");
-    for tenant in tenants(scenario) {
-        change = change.put(keys::tenant(&tenant.name), tenant.encode_to_vec());
     }
-    change
 }
 
 fn tenants(scenario: &Scenario) -> Vec<TenantRow> {
@@ -86,10 +90,9 @@
     }
 }
 
-fn batch(policy: BatchPolicy, scenario: &Scenario) -> BatchSettings {
+fn batch(policy: Policy, scenario: &Scenario) -> BatchSettings {
     BatchSettings {
-        policy,
-        static_split_percent: scenario.policy.static_split_percent,
+        policy: policy.batch_policy(),
         chunk_target_ms: scenario.processes.chunk_target_ms,
         online_slowdown_percent: scenario.service.online_slowdown_percent,
         ..BatchSettings::default()
--- a/crates/lab/src/load/drive.rs
+++ b/crates/lab/src/load/drive.rs
@@ -45,6 +45,8 @@
     pub sidecars: Vec<String>,
     /// Model service.
     pub service: String,
+    /// Model service of batch items.
+    pub batch_service: String,
     /// All versions that may be loaded.
     pub versions: Vec<String>,
     /// Shape of the jobs.
@@ -142,7 +144,7 @@
         http: client(),
         ledger: context.ledger.clone(),
         sidecars: Rc::new(context.sidecars.clone()),
-        service: context.service.clone(),
+        service: context.batch_service.clone(),
         versions: context.versions.clone(),
         batch: context.batch.clone(),
         give_up: context.give_up,
--- a/crates/lab/src/measures/batch.rs
+++ b/crates/lab/src/measures/batch.rs
@@ -23,7 +23,8 @@
         .iter()
         .map(|run| run.tokens_within(counted.load_start, counted.load_end()))
         .sum();
-    measures.batch_tokens_per_s = counted.per_second(tokens);
+    // The sum of nothing is -0.
+    measures.batch_tokens_per_s = counted.per_second(tokens + 0.0);
     if accepted > 0 {
         let per_item = counted.store_writes as f64 / accepted as f64;
         measures.store_writes_per_1000_items = Some(per_item * 1_000.0);
--- a/crates/lab/src/run/arguments.rs
+++ b/crates/lab/src/run/arguments.rs
@@ -5,19 +5,10 @@
 use std::time::Duration;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use dappleyard_settings::batch::BatchPolicy;
 
 use crate::error::LabError;
 use crate::faults::FaultFile;
-use crate::scenario::Scenario;
-
-/// Names of the policies, the product's last.
-const POLICIES: [(&str, BatchPolicy); 4] = [
-    ("online-only", BatchPolicy::OnlineOnly),
-    ("shared-queue", BatchPolicy::SharedQueue),
-    ("static-split", BatchPolicy::StaticSplit),
-    ("preempt", BatchPolicy::Preempt),
-];
+use crate::scenario::{Policy, Scenario};
 
 /// Arguments of `run`.
 pub fn command() -> Command {
@@ -57,7 +48,7 @@
                 .long("policy")
                 .value_name("NAME")
                 .default_value("preempt")
-                .value_parser(POLICIES.map(|(name, _)| name))
+                .value_parser(Policy::ALL.map(Policy::name))
                 .help("How batch work is run beside online work"),
         )
 }
@@ -94,9 +85,7 @@
     /// Length of the load.
     pub length: Duration,
     /// Policy.
-    pub policy: BatchPolicy,
-    /// Name of the policy.
-    pub policy_name: String,
+    pub policy: Policy,
     /// File for a trace.
     pub record: Option<PathBuf>,
     out: PathBuf,
@@ -121,13 +110,12 @@
         let policy_name: &String = arguments
             .get_one("policy")
             .ok_or_else(|| LabError::usage("--policy is required"))?;
-        let policy = POLICIES.iter().find(|(name, _)| name == policy_name);
+        let policy = Policy::of_name(policy_name);
         Ok(RunArguments {
             faults: faults.unwrap_or_default(),
             fault_name: file("faults").map(|path| stem(path)).unwrap_or_default(),
             length: Duration::from_secs(seconds),
-            policy: policy.map_or(BatchPolicy::Preempt, |(_, policy)| *policy),
-            policy_name: policy_name.clone(),
+            policy: policy.unwrap_or(Policy::Preempt),
             record: file("record").cloned(),
             out: required("out")?.clone(),
             seed: arguments.get_one("seed").copied().unwrap_or(scenario.seed),
--- a/crates/lab/src/run/one.rs
+++ b/crates/lab/src/run/one.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use dappleyard_report::summary::{EventSpan, Summary};
-use dappleyard_settings::batch::BatchPolicy;
 
 use super::arguments::RunArguments;
 use super::process::{ProcessTime, rss_mb};
@@ -20,6 +19,7 @@
 use crate::load::drive::{Callers, ClientMoods, LoadContext};
 use crate::load::plan::LoadPlan;
 use crate::measures::{self, Counted};
+use crate::scenario::Policy;
 
 /// Time between the fleet being ready and the start of the load.
 const LEAD: Duration = Duration::from_millis(1_500);
@@ -56,7 +56,7 @@
     let summary = Summary {
         scenario: scenario.name.clone(),
         seed,
-        policy: arguments.policy_name.clone(),
+        policy: arguments.policy.name().to_owned(),
         seconds: arguments.length.as_secs(),
         faults: arguments.fault_name.clone(),
         started_unix_s,
@@ -107,7 +107,7 @@
 ) -> LoadContext {
     let scenario = &arguments.scenario;
     let mut plan = LoadPlan::draw(scenario, seed, arguments.length);
-    if arguments.policy == BatchPolicy::OnlineOnly {
+    if arguments.policy == Policy::OnlineOnly {
         plan.jobs.clear();
     }
     let settle = Duration::from_millis(scenario.bounds.settle_ms);
@@ -119,6 +119,7 @@
         read_again: start + arguments.length,
         sidecars: fleet.sidecar_urls(),
         service: scenario.service.name.clone(),
+        batch_service: scenario.batch_service(arguments.policy),
         versions: vec![scenario.service.version.clone()],
         batch: scenario.batch.clone(),
         moods,
@@ -153,7 +154,7 @@
     evidence: &Evidence,
     verdicts: &dappleyard_report::summary::Verdicts,
 ) -> Vec<String> {
-    let without_batch = arguments.policy == BatchPolicy::OnlineOnly;
+    let without_batch = arguments.policy == Policy::OnlineOnly;
     let mut failures: Vec<String> = invariants::failures(verdicts)
         .into_iter()
         .filter(|failure| {
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -5,6 +5,7 @@
 
 mod check;
 mod load;
+mod policy;
 
 use std::path::Path;
 
@@ -15,6 +16,7 @@
 use crate::error::LabError;
 
 pub use load::{BatchScenario, Lengths, OnceScenario, OnlineScenario, RefusedScenario};
+pub use policy::Policy;
 
 /// One experiment.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/lab/src/standins.rs
+++ b/crates/lab/src/standins.rs
@@ -7,7 +7,7 @@
 
 use crate::error::{LabError, report};
 use crate::fleet::{server_machines, start_engines, start_platform};
-use crate::scenario::Scenario;
+use crate::scenario::{Policy, Scenario};
 
 /// Arguments of `standins`.
 pub fn command() -> Command {
@@ -58,9 +58,16 @@
     };
     let mut scenario = Scenario::load(path)?;
     scenario.platform.listen = listen("platform")?;
-    let platform = start_platform(&scenario, scenario.seed)?;
-    let engines = start_engines(&scenario, &platform, scenario.seed, &listen("engines")?)?;
-    platform.begin_with_machines(server_machines(&scenario, &engines));
+    let policy = Policy::Preempt;
+    let platform = start_platform(&scenario, policy, scenario.seed)?;
+    let engines = start_engines(
+        &scenario,
+        policy,
+        &platform,
+        scenario.seed,
+        &listen("engines")?,
+    )?;
+    platform.begin_with_machines(server_machines(&scenario, policy, &engines));
     println!(
         "platform on {}, engines on {}",
         platform.address(),
