Count unknown answers of engines as lost, and meter the harm of batch to online steps

Cause: a redirect would have sent a call twice, and any 3xx, 408 or 5xx other than 500, 502, 504 was told as refused, that is as not run. Change: no redirects; only the statuses of the interface are refusals. The meter compares online steps with the same steps alone.

--- a/crates/engine/src/client/mod.rs
+++ b/crates/engine/src/client/mod.rs
@@ -22,6 +22,10 @@
 /// Characters of an engine's refusal that are kept.
 const MAXIMUM_REASON_CHARACTERS: usize = 300;
 
+/// Statuses by which an engine says that nothing ran. Any other failure, a redirect included, says
+/// nothing about what ran.
+const REFUSALS: [u16; 9] = [400, 404, 405, 409, 413, 422, 429, 501, 503];
+
 /// [`Engine`] over HTTP/1.1 by `awc`. One for each worker thread; connections are kept and reused.
 pub struct HttpEngine {
     client: Client,
@@ -36,6 +40,7 @@
         let client = Client::builder()
             .connector(connector)
             .disable_timeout()
+            .disable_redirects()
             .finish();
         HttpEngine {
             client,
@@ -197,10 +202,10 @@
             .collect(),
         _ => String::new(),
     };
-    // A server error that is not the engine's own refusal says nothing about what ran.
-    match status {
-        500 | 502 | 504 => EngineError::Lost { reason },
-        _ => EngineError::Refused { status, reason },
+    if REFUSALS.contains(&status) {
+        EngineError::Refused { status, reason }
+    } else {
+        lost(format!("status {status}: {reason}"))
     }
 }
 
--- a/crates/platform/src/client/http.rs
+++ b/crates/platform/src/client/http.rs
@@ -57,6 +57,7 @@
         let client = Client::builder()
             .connector(connector)
             .disable_timeout()
+            .disable_redirects()
             .finish();
         Http { client, timeout }
     }
@@ -139,6 +140,7 @@
             }
         }
         StatusCode::SERVICE_UNAVAILABLE => StoreError::Unavailable { reason: reason() },
+        StatusCode::REQUEST_TIMEOUT => lost(effect, reason()),
         status if status.is_client_error() => StoreError::Invalid { reason: reason() },
         _ => lost(effect, reason()),
     }
--- a/crates/standin/src/engine/host.rs
+++ b/crates/standin/src/engine/host.rs
@@ -72,6 +72,10 @@
     pub online_tokens: u64,
     /// Steps made.
     pub steps: u64,
+    /// Time of steps with online sequences, milliseconds.
+    pub online_step_ms: f64,
+    /// What that time would have been without batch work, milliseconds.
+    pub online_alone_ms: f64,
     /// Time by which the machine was too late for its steps, microseconds.
     pub stalled_us: u64,
     /// How soon batch yielded to online bursts.
@@ -307,6 +311,8 @@
         self.batch_tokens += other.batch_tokens;
         self.online_tokens += other.online_tokens;
         self.steps += other.steps;
+        self.online_step_ms += other.online_step_ms;
+        self.online_alone_ms += other.online_alone_ms;
         self.stalled_us += other.stalled_us;
         self.probe.merge(&other.probe);
     }
@@ -315,11 +321,14 @@
 fn sum(meters: &[&Meter]) -> MeterSummary {
     let mut total = MeterSummary::default();
     for meter in meters {
+        let (online_step_ms, online_alone_ms) = meter.online_step_ms();
         total.merge(&MeterSummary {
             idle_tokens: meter.idle_tokens(),
             batch_tokens: meter.batch_tokens(),
             online_tokens: meter.online_tokens(),
             steps: meter.steps(),
+            online_step_ms,
+            online_alone_ms,
             stalled_us: meter.stalled_us(),
             probe: meter.probe().clone(),
         });
--- a/crates/standin/src/engine/meter.rs
+++ b/crates/standin/src/engine/meter.rs
@@ -95,6 +95,8 @@
     open: Option<OpenProbe>,
     probe: YieldProbe,
     steps: u64,
+    online_step_ms: f64,
+    online_alone_ms: f64,
     stalled_us: u64,
 }
 
@@ -122,6 +124,8 @@
             open: None,
             probe: YieldProbe::default(),
             steps: 0,
+            online_step_ms: 0.0,
+            online_alone_ms: 0.0,
             stalled_us: 0,
         }
     }
@@ -146,6 +150,12 @@
         self.steps
     }
 
+    /// Time of all steps with online sequences, and what it would have been without batch work,
+    /// milliseconds. Their ratio is the harm that batch does to online tokens, free of noise.
+    pub fn online_step_ms(&self) -> (f64, f64) {
+        (self.online_step_ms, self.online_alone_ms)
+    }
+
     /// Time by which the machine drove the engine too late, microseconds. A run in which this is
     /// more than a small share of the time measured the machine and not the product.
     pub fn stalled_us(&self) -> u64 {
@@ -176,16 +186,25 @@
         if step.online == 0 {
             return width;
         }
-        let alone = step.noisy_base_ms
-            + self.per_sequence_ms * f64::from(step.online)
-            + self.per_prefill_token_ms * f64::from(step.online_prefill);
-        let by_slowdown = alone * self.slowdown / self.per_sequence_ms.max(f64::EPSILON);
+        let by_slowdown =
+            self.alone_ms(step) * self.slowdown / self.per_sequence_ms.max(f64::EPSILON);
         width.min(by_slowdown as u32)
     }
 
-    /// A step begins.
-    pub(super) fn step_begins(&mut self, now_us: u64, step: &StepShape) {
+    /// Time of the step if its online sequences were alone, milliseconds.
+    fn alone_ms(&self, step: &StepShape) -> f64 {
+        step.noisy_base_ms
+            + self.per_sequence_ms * f64::from(step.online)
+            + self.per_prefill_token_ms * f64::from(step.online_prefill)
+    }
+
+    /// A step begins that takes `step_ms`.
+    pub(super) fn step_begins(&mut self, now_us: u64, step: &StepShape, step_ms: f64) {
         self.steps += 1;
+        if step.online > 0 {
+            self.online_step_ms += step_ms;
+            self.online_alone_ms += self.alone_ms(step);
+        }
         if step.batch > 0 {
             let blocks = f64::from(step.batch_blocks) / f64::from(step.batch);
             self.mean_batch_blocks += MEAN_WEIGHT * (blocks.max(1.0) - self.mean_batch_blocks);
--- a/crates/standin/src/engine/model/step.rs
+++ b/crates/standin/src/engine/model/step.rs
@@ -63,12 +63,12 @@
         }
         let prefill = self.assign_prefill();
         let shape = self.shape();
-        self.meter.step_begins(now_us, &shape);
         self.mark_started(now_us);
         let sequences = self.running.len() as f64;
         let step_ms = shape.noisy_base_ms
             + self.settings.per_sequence_ms * sequences
             + self.settings.per_prefill_token_ms * f64::from(prefill);
+        self.meter.step_begins(now_us, &shape, step_ms);
         self.step_ms += STEP_WEIGHT * (step_ms - self.step_ms);
         let step_us = ((step_ms * 1_000.0) as u64).max(1);
         self.step = Some(Step {
--- a/crates/standin/tests/engine_model.rs
+++ b/crates/standin/tests/engine_model.rs
@@ -546,7 +546,12 @@
             .cancel(bench.now_us, *stream, &mut bench.effects);
     }
     bench.steps(2);
-    let probe = bench.engine.meter(bench.now_us).probe();
+    let meter = bench.engine.meter(bench.now_us);
+    let (with_batch, alone) = meter.online_step_ms();
+    // Four steps: 40, 40, 10 and 10 batch sequences beside one; 16 tokens of online prefill.
+    expect_that!(alone, near(4.0 * 3.21 + 16.0 * 0.004, 1e-6));
+    expect_that!(with_batch - alone, near(1.0, 1e-6));
+    let probe = meter.probe();
     // Two steps passed before the cancel, and the one at hand had begun.
     expect_that!(probe.steps, eq(&[(3, 1)].into()));
     expect_that!(probe.never, eq(0));
