--- a/crates/decide/src/configuration.rs
+++ b/crates/decide/src/configuration.rs
@@ -1,6 +1,6 @@
 //! Application of configuration changes: one chain of revisions, applied in order, never back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use dappleyard_wire::messages::ConfigurationEntry;
 
@@ -16,7 +16,7 @@
 }
 
 /// Configuration rows at one revision.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct ConfigurationState {
     /// Revision of the last change applied.
     pub revision: u64,
@@ -35,7 +35,9 @@
         if first.revision <= self.revision {
             return Applied::Old;
         }
-        let whole = change.len() == first.parts.max(1) as usize;
+        let same = change.iter().all(|entry| entry.revision == first.revision);
+        let keys: BTreeSet<&str> = change.iter().map(|entry| entry.key.as_str()).collect();
+        let whole = same && keys.len() == first.parts.max(1) as usize;
         if first.previous != self.revision || !whole {
             return Applied::Gap;
         }
@@ -157,7 +159,7 @@
 const MAXIMUM_PENDING: usize = 128;
 
 /// Changes that arrived in parts or out of order.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct PendingChanges {
     changes: BTreeMap<u64, BTreeMap<u32, ConfigurationEntry>>,
 }
