--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ledger;
 pub mod load;
 pub mod measures;
+pub mod model;
 pub mod network;
 pub mod run;
 pub mod scenario;
--- a/crates/spec/src/configuration.rs
+++ b/crates/spec/src/configuration.rs
@@ -443,7 +443,7 @@
         .iter()
         .take(committed)
         .map(|change| change[0].revision)
-        .last()
+        .next_back()
         .unwrap_or_default()
 }
 
--- a/crates/spec/tests/specifications.rs
+++ b/crates/spec/tests/specifications.rs
@@ -18,7 +18,7 @@
     for entry in ALL {
         for mutant in entry.mutants {
             let found = entry
-                .explore_mutant(mutant.name, entry.quick_faults)
+                .explore_mutant(mutant.name, entry.faults)
                 .expect("a listed mutant");
             println!("{} with {}: {found}", entry.name, mutant.name);
             let broken = found.counterexample.map(|found| found.violation);
