--- a/crates/sidecar/src/prompt.rs
+++ b/crates/sidecar/src/prompt.rs
@@ -13,7 +13,7 @@
 //! - with neither: the first [`UNSHARED_PREFIX_WORDS`] words of the prompt.
 
 use dappleyard_wire::hash::hash_bytes;
-use dappleyard_wire::prompt::canonical_chat;
+use dappleyard_wire::prompt::{canonical_chat, count_tokens};
 
 /// Words that stand for the prefix of a prompt without a system message or a session.
 pub const UNSHARED_PREFIX_WORDS: usize = 32;
@@ -97,7 +97,7 @@
 
 fn build(text: String, prefix_hash: u64, prefix_tokens: u32) -> CanonicalPrompt {
     CanonicalPrompt {
-        tokens: words(&text).max(1),
+        tokens: count_tokens(&text),
         text,
         prefix_hash,
         prefix_tokens,
