Plans of batch jobs, and deadlines at risk from the progress of active jobs

Cause: a confirmed job must be split and become active in the same transaction, and the row of a running job carries no expected finish. Change: the batch part says which rows an approval writes; status and plans read the active index and each job's progress instead of scanning all jobs.

--- a/crates/batch/src/jobs/approval.rs
+++ b/crates/batch/src/jobs/approval.rs
@@ -40,6 +40,41 @@
     pub effects: Vec<TenantEffect>,
 }
 
+/// Rows of a planned job once it is approved: its split begins again.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ApprovedRows {
+    /// Row `job/{tenant}/{job}`.
+    pub job: JobRow,
+    /// Row `split-job/{job}`.
+    pub split: SplitRow,
+    /// Row `active-job/{job}`.
+    pub active: ActiveJobRow,
+}
+
+/// The rows to be written, in one transaction, when a planned job is confirmed.
+pub fn approved_rows(planned: &JobRow) -> ApprovedRows {
+    let mut row = planned.clone();
+    let mut state = row.state.take().unwrap_or_default();
+    state.set_phase(JobPhase::JobValidating);
+    row.approved = true;
+    row.state = Some(state.clone());
+    ApprovedRows {
+        split: SplitRow {
+            job_id: state.job_id.clone(),
+            tenant: state.tenant.clone(),
+            ..SplitRow::default()
+        },
+        active: ActiveJobRow {
+            job_id: state.job_id.clone(),
+            tenant: state.tenant.clone(),
+            deadline_unix_s: state.deadline_unix_s,
+            repeat: row.repeat,
+            ..ActiveJobRow::default()
+        },
+        job: row,
+    }
+}
+
 impl JobsApi {
     /// The plan of a job that waits for confirmation.
     pub async fn plan(&self, tenant: &str, job: &str) -> Result<JobPlan, Failure> {
@@ -66,25 +101,14 @@
     /// Puts a planned job back to its split, now approved.
     async fn start_planned(&self, tenant: &str, job: &str) -> Result<JobState, Failure> {
         let read = self.job_row(tenant, job).await?;
-        let mut row = read.row;
-        let mut state = row.state.take().unwrap_or_default();
-        state.set_phase(JobPhase::JobValidating);
-        row.approved = true;
-        row.state = Some(state.clone());
+        let ApprovedRows {
+            job: row,
+            split,
+            active,
+        } = approved_rows(&read.row);
+        let state = row.state.clone().unwrap_or_default();
         let job = job.into();
         let key = keys::job(&tenant.into(), &job);
-        let split = SplitRow {
-            job_id: state.job_id.clone(),
-            tenant: state.tenant.clone(),
-            ..SplitRow::default()
-        };
-        let active = ActiveJobRow {
-            job_id: state.job_id.clone(),
-            tenant: state.tenant.clone(),
-            deadline_unix_s: state.deadline_unix_s,
-            repeat: row.repeat,
-            ..ActiveJobRow::default()
-        };
         let transaction = Transaction::default()
             .expect(key.as_str(), Expect::Revision(read.revision))
             .put(key.as_str(), row.encode_to_vec())
--- a/crates/batch/src/jobs/mod.rs
+++ b/crates/batch/src/jobs/mod.rs
@@ -18,7 +18,7 @@
 use dappleyard_wire::messages::{Call, JobRow, Reply, call, reply};
 use dappleyard_wire::{ErrorKind, Failure};
 
-pub use approval::{JobPlan, TenantEffect};
+pub use approval::{ApprovedRows, JobPlan, TenantEffect, approved_rows};
 pub use progress::{End, Progress, finish_when_done};
 
 use crate::store::{self, Versioned};
--- a/crates/operate/src/api/mod.rs
+++ b/crates/operate/src/api/mod.rs
@@ -5,13 +5,16 @@
 mod plans;
 mod views;
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use actix_web::web;
+use dappleyard_batch::JobsApi;
 use dappleyard_platform::Platform;
-use dappleyard_settings::OperateSettings;
+use dappleyard_settings::{BatchSettings, OperateSettings};
 use dappleyard_tables::NodeTables;
 
+use crate::jobs::JobLine;
 use crate::peers::Peers;
 use crate::status::{self, FleetStatus};
 
@@ -22,6 +25,7 @@
     settings: OperateSettings,
     platform: Platform,
     peers: Peers,
+    jobs: Rc<JobsApi>,
 }
 
 impl OperateApi {
@@ -32,17 +36,27 @@
         platform: Platform,
     ) -> OperateApi {
         let peers = Peers::new(tables.clone(), settings.peer_timeout_ms);
+        // Only reads of job states go through it, which depend on no setting.
+        let jobs = JobsApi::new(tables.clone(), BatchSettings::default(), platform.clone());
         OperateApi {
             tables,
             settings,
             platform,
             peers,
+            jobs,
         }
     }
 
     /// The fleet as gathered from this node and its peers.
     pub async fn status(&self) -> FleetStatus {
-        status::gather(&self.tables, &self.platform, &self.peers).await
+        self.status_and_jobs().await.0
+    }
+
+    /// The fleet, and the jobs that need capacity.
+    async fn status_and_jobs(&self) -> (FleetStatus, Vec<JobLine>) {
+        let mut status = status::gather(&self.tables, &self.peers).await;
+        let jobs = status::add_work(&mut status, &self.platform, &self.jobs).await;
+        (status, jobs)
     }
 }
 
--- a/crates/operate/src/api/plans.rs
+++ b/crates/operate/src/api/plans.rs
@@ -7,12 +7,17 @@
 
 use crate::api::OperateApi;
 use crate::api::answers::{ConfirmBody, ProposeBody, Refused, invalid};
+use crate::describe::phase_name;
+use crate::intent::Intent;
+use crate::jobs::read_job;
 use crate::plans::abort::abort as abort_plan;
 use crate::plans::body::PlanDocument;
 use crate::plans::confirm::{Confirmation, confirm as confirm_plan, has_steps};
-use crate::plans::propose::{Request, propose as propose_plan};
+use crate::plans::propose::{Surroundings, propose as propose_plan};
 use crate::plans::runner::{RunView, advance};
 use crate::plans::store::{PlanLine, StoredPlan, list_plans, read_plan};
+use crate::record::record;
+use dappleyard_tables::decisions::{DecisionKind, Subject};
 
 /// Plans in one answer.
 const MOST_PLANS: usize = 200;
@@ -31,19 +36,23 @@
 /// `POST /admin/v1/plans`: makes a plan, and changes nothing else.
 pub async fn propose(api: Data<OperateApi>, body: Bytes) -> Result<Json<PlanDocument>, Refused> {
     let body: ProposeBody = parse(&body)?;
-    let status = api.status().await;
-    let request = Request {
-        operator: body.operator,
+    let (status, mut jobs) = api.status_and_jobs().await;
+    if let Intent::BatchJob(job) = &body.intent {
+        jobs.push(read_job(&api.jobs, &job.tenant, &job.job).await?);
+    }
+    let surroundings = Surroundings {
+        settings: &api.settings,
+        status: &status,
+        jobs: &jobs,
+        operator: &body.operator,
         unix_ms: api.tables.clock.unix_ms(),
     };
-    let plan = propose_plan(
-        &*api.platform.tables,
-        &api.settings,
-        &status,
-        &body.intent,
-        &request,
-    )
-    .await?;
+    let plan = propose_plan(&*api.platform.tables, &body.intent, &surroundings).await?;
+    note(
+        &api,
+        &plan,
+        &format!("{} asked for it", name_of(&body.operator)),
+    );
     Ok(Json(plan.document()?))
 }
 
@@ -68,7 +77,24 @@
         unix_ms: api.tables.clock.unix_ms(),
         region_fresh_ms: api.settings.region_fresh_ms,
     };
-    let plan = confirm_plan(&*api.platform.tables, &confirmation).await?;
+    let plan = match confirm_plan(&*api.platform.tables, &confirmation).await {
+        Ok(plan) => plan,
+        Err(refusal) => {
+            record(
+                &api.tables,
+                DecisionKind::PlanStep,
+                &refusal.failure.message,
+            )
+            .about(Subject::Plan(confirmation.plan))
+            .outcome("the confirmation was refused");
+            return Err(refusal.into());
+        }
+    };
+    note(
+        &api,
+        &plan,
+        "it was confirmed and nothing that it rests on had changed",
+    );
     Ok(Json(first_step(&api, plan).await?.document()?))
 }
 
@@ -93,9 +119,27 @@
 pub async fn abort(api: Data<OperateApi>, id: Path<String>) -> Result<Json<PlanDocument>, Refused> {
     let now = api.tables.clock.unix_ms();
     let plan = abort_plan(&*api.platform.tables, &id, now).await?;
+    note(&api, &plan, "an operator aborted it");
     Ok(Json(plan.document()?))
 }
 
+fn name_of(operator: &str) -> &str {
+    match operator {
+        "" => "an operator without a name",
+        name => name,
+    }
+}
+
+/// Records what became of a plan.
+fn note(api: &OperateApi, plan: &StoredPlan, cause: &str) {
+    let summary = plan.body().map(|body| body.summary).unwrap_or_default();
+    record(&api.tables, DecisionKind::PlanStep, cause)
+        .about(Subject::Plan(plan.row.id.clone()))
+        .input("plan", summary)
+        .input("rows it rests on", plan.row.basis.len())
+        .outcome(format!("the plan is {}", phase_name(plan.row.phase())));
+}
+
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refused> {
     serde_json::from_slice(body).map_err(|error| {
         invalid(format!(
--- a/crates/operate/src/api/views.rs
+++ b/crates/operate/src/api/views.rs
@@ -6,7 +6,7 @@
 
 use crate::api::OperateApi;
 use crate::api::answers::{ConfigurationAnswer, Refused, configuration_lines, invalid};
-use crate::jobs::{JobLine, list_jobs};
+use crate::jobs::{JobLine, active_jobs, list_jobs};
 use crate::local::{LocalReport, local_report};
 use crate::status::{FleetStatus, ServerStatus, member_name};
 
@@ -85,7 +85,15 @@
 
 /// `GET /admin/v1/jobs`
 pub async fn jobs(api: Data<OperateApi>) -> Result<Json<Vec<JobLine>>, Refused> {
-    Ok(Json(list_jobs(&*api.platform.tables).await?))
+    let tables = &*api.platform.tables;
+    let active = active_jobs(tables, &api.jobs).await?;
+    let mut jobs = list_jobs(tables).await?;
+    for job in &mut jobs {
+        if let Some(line) = active.iter().find(|line| line.job == job.job) {
+            job.clone_from(line);
+        }
+    }
+    Ok(Json(jobs))
 }
 
 /// Any other path.
--- a/crates/operate/src/describe.rs
+++ b/crates/operate/src/describe.rs
@@ -21,6 +21,8 @@
         ["plan-guard", _] => PlanGuardRow::decode(value)
             .map(|row| format!("last plan {} ({})", row.plan_id, row.summary)),
         ["plan", _] => PlanRow::decode(value).map(|row| phase_name(row.phase()).to_owned()),
+        ["split-job", _] => return "to be split into chunks".to_owned(),
+        ["active-job", _] => return "needs capacity".to_owned(),
         ["job", ..] => JobRow::decode(value).map(|row| job_words(&row)),
         _ => return format!("{} bytes", value.len()),
     };
--- a/crates/operate/src/jobs.rs
+++ b/crates/operate/src/jobs.rs
@@ -1,9 +1,11 @@
 //! Batch jobs as operators look at them: state, and deadlines at risk.
 
+use dappleyard_batch::JobsApi;
 use dappleyard_platform::TableStore;
-use dappleyard_wire::Failure;
-use dappleyard_wire::keys::JOB_PREFIX;
-use dappleyard_wire::messages::{JobPhase, JobRow, JobState};
+use dappleyard_wire::keys::{ACTIVE_JOB_PREFIX, JOB_PREFIX};
+use dappleyard_wire::messages::{ActiveJobRow, Call, JobGet, JobRow, JobState, call, reply};
+use dappleyard_wire::{ErrorKind, Failure};
+use futures::StreamExt;
 use serde::{Deserialize, Serialize};
 
 use crate::describe::job_phase_name;
@@ -13,6 +15,10 @@
 const PAGE: usize = 500;
 /// Most pages read for one question.
 const MOST_PAGES: usize = 10;
+/// Active jobs whose progress is read for one question, those with the nearest deadlines.
+const MOST_ACTIVE: usize = 100;
+/// Jobs whose progress is read at once.
+const CONCURRENCY: usize = 8;
 
 /// One job on one line.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,7 +56,55 @@
     pub reason: String,
 }
 
-/// Reads jobs, at most [`MOST_PAGES`] pages of them.
+/// Jobs that need capacity now, nearest deadline first, each with its progress. At most
+/// 100 of them.
+pub async fn active_jobs(tables: &dyn TableStore, jobs: &JobsApi) -> Result<Vec<JobLine>, Failure> {
+    let rows = tables
+        .range(ACTIVE_JOB_PREFIX, "", PAGE)
+        .await
+        .map_err(|error| store_failure(&error))?;
+    let mut active = Vec::new();
+    for row in rows {
+        active.push(decode::<ActiveJobRow>(&row.key, &row.value)?);
+    }
+    active.sort_by_key(|job| job.deadline_unix_s);
+    active.truncate(MOST_ACTIVE);
+    let reads = active
+        .into_iter()
+        .map(|job| async move { read_job(jobs, &job.tenant, &job.job_id).await });
+    let mut lines = Vec::new();
+    let mut reads = futures::stream::iter(reads).buffered(CONCURRENCY);
+    while let Some(read) = reads.next().await {
+        match read {
+            Ok(line) => lines.push(line),
+            // It ended, and its rows went, between the two readings.
+            Err(failure) if failure.kind == ErrorKind::NotFound => {}
+            Err(failure) => return Err(failure),
+        }
+    }
+    Ok(lines)
+}
+
+/// One job with its progress.
+pub async fn read_job(jobs: &JobsApi, tenant: &str, job: &str) -> Result<JobLine, Failure> {
+    let get = JobGet {
+        tenant: tenant.to_owned(),
+        job_id: job.to_owned(),
+    };
+    let call = Call {
+        method: Some(call::Method::JobGet(get)),
+        ..Call::default()
+    };
+    match jobs.call(call).await?.result {
+        Some(reply::Result::Job(state)) => Ok(job_line(&state)),
+        _ => Err(Failure::not_run(
+            ErrorKind::Internal,
+            "no job in the answer",
+        )),
+    }
+}
+
+/// Reads jobs of all phases, at most 5,000 of them; without the progress of running ones.
 pub async fn list_jobs(tables: &dyn TableStore) -> Result<Vec<JobLine>, Failure> {
     let mut jobs = Vec::new();
     let mut after = String::new();
@@ -61,7 +115,7 @@
             .map_err(|error| store_failure(&error))?;
         for row in &page {
             let job: JobRow = decode(&row.key, &row.value)?;
-            jobs.push(job_line(&job));
+            jobs.push(job_line(&job.state.unwrap_or_default()));
         }
         match page.last() {
             Some(last) if page.len() == PAGE => after.clone_from(&last.key),
@@ -71,19 +125,15 @@
     Ok(jobs)
 }
 
-/// Unfinished jobs whose deadline is at risk, earliest deadline first.
-pub async fn jobs_at_risk(
-    tables: &dyn TableStore,
-    now_unix_s: u64,
-) -> Result<Vec<JobAtRisk>, Failure> {
-    let mut at_risk: Vec<JobAtRisk> = list_jobs(tables)
-        .await?
-        .into_iter()
+/// Unfinished jobs among these whose deadline is at risk, earliest deadline first.
+pub fn jobs_at_risk(jobs: &[JobLine], now_unix_s: u64) -> Vec<JobAtRisk> {
+    let mut at_risk: Vec<JobAtRisk> = jobs
+        .iter()
         .filter(|job| is_unfinished(&job.phase))
-        .filter_map(|job| risk(&job, now_unix_s, 1.0))
+        .filter_map(|job| risk(job, now_unix_s, 1.0))
         .collect();
     at_risk.sort_by_key(|job| job.deadline_unix_s);
-    Ok(at_risk)
+    at_risk
 }
 
 /// Whether a job of this phase still needs capacity.
@@ -94,12 +144,14 @@
 /// Whether a job's deadline is at risk when its remaining work takes `slowdown` times as long.
 pub fn risk(job: &JobLine, now_unix_s: u64, slowdown: f64) -> Option<JobAtRisk> {
     let remaining_s = job.expected_unix_s.saturating_sub(now_unix_s);
-    let expected = now_unix_s + (remaining_s as f64 * slowdown).ceil() as u64;
+    let expected = now_unix_s.saturating_add((remaining_s as f64 * slowdown).ceil() as u64);
     let reason = if job.deadline_unix_s > 0 && now_unix_s > job.deadline_unix_s {
         format!(
             "the deadline passed {} s ago",
             now_unix_s - job.deadline_unix_s
         )
+    } else if job.expected_unix_s > 0 && slowdown.is_infinite() {
+        "no capacity is left for it meanwhile".to_owned()
     } else if job.expected_unix_s > 0 && expected > job.deadline_unix_s {
         format!(
             "{} of {} items are left and would end {} s after the deadline",
@@ -121,12 +173,7 @@
 }
 
 /// One job on one line.
-pub fn job_line(row: &JobRow) -> JobLine {
-    let state = row.state.clone().unwrap_or_else(|| {
-        let mut state = JobState::default();
-        state.set_phase(JobPhase::JobFailed);
-        state
-    });
+pub fn job_line(state: &JobState) -> JobLine {
     JobLine {
         tenant: state.tenant.clone(),
         job: state.job_id.clone(),
@@ -136,6 +183,6 @@
         deadline_unix_s: state.deadline_unix_s,
         expected_unix_s: state.expected_unix_s,
         at_risk: state.deadline_at_risk,
-        plan: state.plan_id,
+        plan: state.plan_id.clone(),
     }
 }
--- a/crates/operate/src/plans/changes.rs
+++ b/crates/operate/src/plans/changes.rs
@@ -1,8 +1,11 @@
 //! From an intent to the rows that it rests on and the rows that its confirmation writes.
 
+use dappleyard_batch::jobs::approved_rows;
 use dappleyard_wire::ids::{JobId, TenantId};
 use dappleyard_wire::keys;
-use dappleyard_wire::messages::{DrainRow, JobPhase, JobRow, ServiceRow, TenantRow, WindowRow};
+use dappleyard_wire::messages::{
+    DrainRow, JobPhase, JobRow, JobState, ServiceRow, TenantRow, WindowRow,
+};
 use dappleyard_wire::{ErrorKind, Failure};
 
 use crate::intent::{
@@ -310,23 +313,26 @@
 
 fn batch_job_writes(job: &BatchJob, snapshot: &Snapshot) -> Result<Vec<PlannedWrite>, Failure> {
     let key = job_key(job);
-    let Some(mut row) = snapshot.message::<JobRow>(&key)? else {
+    let Some(row) = snapshot.message::<JobRow>(&key)? else {
         return Err(not_found(format!(
-            "there is no job {} of {}",
+            "there is no job {} of {}; `dappleyard ctl job list` lists them",
             job.job, job.tenant
         )));
     };
-    let Some(state) = row.state.as_mut() else {
-        return Err(conflict(format!("job {} has no state yet", job.job)));
-    };
-    if state.phase() != JobPhase::JobPlanned {
+    let phase = row.state.as_ref().map(JobState::phase);
+    if phase != Some(JobPhase::JobPlanned) {
         return Err(conflict(format!(
             "job {} does not wait for a confirmation",
             job.job
         )));
     }
-    state.set_phase(JobPhase::JobInProgress);
-    Ok(vec![PlannedWrite::put(key, &row)])
+    let approved = approved_rows(&row);
+    let id = JobId::from(&job.job);
+    Ok(vec![
+        PlannedWrite::put(key, &approved.job),
+        PlannedWrite::put(keys::split_job(&id), &approved.split),
+        PlannedWrite::put(keys::active_job(&id), &approved.active),
+    ])
 }
 
 fn set<T>(field: &mut T, value: Option<T>) {
--- a/crates/operate/src/plans/effects.rs
+++ b/crates/operate/src/plans/effects.rs
@@ -7,7 +7,7 @@
 use dappleyard_decide::rollout::canary_count;
 use dappleyard_settings::OperateSettings;
 
-use crate::intent::{DrainKind, DrainTarget, Intent, Rollout};
+use crate::intent::{BatchJob, DrainKind, DrainTarget, Intent, Rollout};
 use crate::jobs::{JobAtRisk, JobLine, is_unfinished, risk};
 use crate::plans::body::{CapacityLeft, RequestsAffected, Step};
 use crate::plans::changes::drained_servers;
@@ -52,6 +52,7 @@
     let mut effects = match intent {
         Intent::Rollout(rollout) => rollout_effects(rollout, outlook),
         Intent::Drain(target) => drain_effects(target, outlook),
+        Intent::BatchJob(job) => batch_job_effects(job, outlook),
         _ => single_step(intent),
     };
     effects.expected_ms = effects.steps.iter().map(|step| step.expected_ms).sum();
@@ -71,6 +72,36 @@
     }
 }
 
+/// What the job takes: its items, and a share of the idle capacity beside the jobs that run.
+fn batch_job_effects(job: &BatchJob, outlook: &Outlook<'_>) -> Effects {
+    let known = outlook.jobs.iter().find(|line| line.job == job.job);
+    let beside = outlook
+        .jobs
+        .iter()
+        .filter(|line| is_unfinished(&line.phase));
+    let servers = outlook
+        .status
+        .servers
+        .iter()
+        .filter(|server| server.serves());
+    let items = known.map_or(0, |line| line.items);
+    let due_s = known.map_or(0, |line| {
+        line.deadline_unix_s.saturating_sub(outlook.now_unix_s)
+    });
+    Effects {
+        steps: vec![Step {
+            what: format!(
+                "run {items} items, due in {due_s} s, in the idle capacity of {} servers, beside {} jobs",
+                servers.count(),
+                beside.count()
+            ),
+            ..Step::default()
+        }],
+        warnings: vec!["its finish is foreseen once its first chunks are done".to_owned()],
+        ..Effects::default()
+    }
+}
+
 fn planned(server: &ServerStatus) -> PlannedServer {
     PlannedServer {
         server: server.server.clone(),
--- a/crates/operate/src/plans/propose.rs
+++ b/crates/operate/src/plans/propose.rs
@@ -13,7 +13,7 @@
 
 use crate::describe::{key_words, row_words};
 use crate::intent::Intent;
-use crate::jobs::list_jobs;
+use crate::jobs::JobLine;
 use crate::plans::body::{BasisWords, PlanBody, PlannedWrite, RowChange};
 use crate::plans::changes::{basis_keys, services, writes};
 use crate::plans::effects::{Outlook, foresee};
@@ -22,11 +22,17 @@
 use crate::snapshot::{Snapshot, store_failure};
 use crate::status::FleetStatus;
 
-/// Who asks, and when.
-#[derive(Debug, Clone)]
-pub struct Request {
+/// What a plan is made from besides the rows that it rests on.
+#[derive(Debug, Clone, Copy)]
+pub struct Surroundings<'a> {
+    /// Settings.
+    pub settings: &'a OperateSettings,
+    /// The fleet as gathered.
+    pub status: &'a FleetStatus,
+    /// Jobs that need capacity, and the one that the plan is for.
+    pub jobs: &'a [JobLine],
     /// Operator's name, as given.
-    pub operator: String,
+    pub operator: &'a str,
     /// Wall-clock time, milliseconds since 1970.
     pub unix_ms: u64,
 }
@@ -34,22 +40,26 @@
 /// Makes a plan for an intent and stores it. Nothing else changes.
 pub async fn propose(
     tables: &dyn TableStore,
-    settings: &OperateSettings,
-    status: &FleetStatus,
     intent: &Intent,
-    request: &Request,
+    surroundings: &Surroundings<'_>,
 ) -> Result<StoredPlan, Failure> {
+    let Surroundings {
+        settings,
+        status,
+        jobs,
+        unix_ms,
+        ..
+    } = *surroundings;
     let touched = regions::touched(intent, status);
-    regions::check_fresh(tables, &touched, request.unix_ms, settings.region_fresh_ms).await?;
+    regions::check_fresh(tables, &touched, unix_ms, settings.region_fresh_ms).await?;
     let snapshot = Snapshot::read(tables, basis_keys(intent, status)).await?;
     let writes = writes(intent, &snapshot, status)?;
-    let jobs = list_jobs(tables).await?;
     let outlook = Outlook {
         status,
         budgets: budgets(intent, status, &snapshot)?,
-        jobs: &jobs,
+        jobs,
         settings,
-        now_unix_s: request.unix_ms / 1000,
+        now_unix_s: unix_ms / 1000,
     };
     let effects = foresee(intent, &outlook);
     let body = PlanBody {
@@ -65,7 +75,7 @@
         services: services(intent, status),
         writes,
     };
-    store(tables, plan_row(intent, &body, &snapshot, request)).await
+    store(tables, plan_row(intent, &body, &snapshot, surroundings)).await
 }
 
 fn budgets(
@@ -111,17 +121,22 @@
         .collect()
 }
 
-fn plan_row(intent: &Intent, body: &PlanBody, snapshot: &Snapshot, request: &Request) -> PlanRow {
+fn plan_row(
+    intent: &Intent,
+    body: &PlanBody,
+    snapshot: &Snapshot,
+    surroundings: &Surroundings<'_>,
+) -> PlanRow {
     let mut row = PlanRow {
         id: new_id(),
         kind: intent.kind().to_owned(),
         intent_json: serde_json::to_string(intent).unwrap_or_default(),
         body_json: serde_json::to_string(body).unwrap_or_default(),
         basis: snapshot.basis(),
-        created_unix_ms: request.unix_ms,
-        created_by: request.operator.clone(),
+        created_unix_ms: surroundings.unix_ms,
+        created_by: surroundings.operator.to_owned(),
         message: "waits for a confirmation".to_owned(),
-        changed_unix_ms: request.unix_ms,
+        changed_unix_ms: surroundings.unix_ms,
         ..PlanRow::default()
     };
     row.set_phase(PlanPhase::PlanProposed);
--- a/crates/operate/src/start.rs
+++ b/crates/operate/src/start.rs
@@ -173,7 +173,7 @@
     if running.is_empty() {
         return Ok(());
     }
-    let status = gather(&context.tables, &context.platform, peers).await;
+    let status = gather(&context.tables, peers).await;
     let idle = idle_servers(context, &status).await;
     for id in running {
         let view = RunView {
--- a/crates/operate/src/status.rs
+++ b/crates/operate/src/status.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use dappleyard_batch::JobsApi;
 use dappleyard_platform::Platform;
 use dappleyard_tables::NodeTables;
 use dappleyard_wire::messages::{Member, MemberState};
 use serde::{Deserialize, Serialize};
 
-use crate::jobs::{JobAtRisk, jobs_at_risk};
+use crate::jobs::{JobAtRisk, JobLine, active_jobs, jobs_at_risk};
 use crate::local::{LocalReport, LocalServer, local_report};
 use crate::peers::Peers;
 use crate::plans::store::{PlanLine, running_plans};
@@ -110,8 +111,9 @@
     pub lagging: Vec<String>,
 }
 
-/// Gathers the status. Peers that do not answer are named in `unknown`.
-pub async fn gather(tables: &Arc<NodeTables>, platform: &Platform, peers: &Peers) -> FleetStatus {
+/// Gathers nodes, servers and the revision in force. Peers that do not answer are named in
+/// `unknown`.
+pub async fn gather(tables: &Arc<NodeTables>, peers: &Peers) -> FleetStatus {
     let answers = peers.ask::<LocalReport>("/admin/v1/local").await;
     let mut reports: BTreeMap<String, LocalReport> = answers
         .answers
@@ -119,23 +121,8 @@
         .map(|report| (report.node.clone(), report))
         .collect();
     reports.insert(tables.identity.node.to_string(), local_report(tables));
-    let mut unknown: Vec<String> = answers
-        .silent
-        .into_iter()
-        .map(|(node, cause)| format!("node {node} did not answer: {cause}"))
-        .collect();
-    let plans = running_plans(&*platform.tables)
-        .await
-        .unwrap_or_else(|failure| {
-            unknown.push(format!("running plans: {failure}"));
-            Vec::new()
-        });
-    let jobs = jobs_at_risk(&*platform.tables, tables.clock.unix_ms() / 1000)
-        .await
-        .unwrap_or_else(|failure| {
-            unknown.push(format!("jobs: {failure}"));
-            Vec::new()
-        });
+    let silent = answers.silent.into_iter();
+    let unknown = silent.map(|(node, cause)| format!("node {node} did not answer: {cause}"));
     let nodes = node_statuses(tables, &reports);
     FleetStatus {
         observed_by: tables.identity.node.to_string(),
@@ -143,9 +130,31 @@
         revision: revision_in_force(&nodes),
         servers: server_statuses(tables, &reports),
         nodes,
-        plans,
-        jobs_at_risk: jobs,
-        unknown,
+        plans: Vec::new(),
+        jobs_at_risk: Vec::new(),
+        unknown: unknown.collect(),
+    }
+}
+
+/// Adds plans that run and jobs at risk, from the table service. Gives the active jobs.
+pub async fn add_work(
+    status: &mut FleetStatus,
+    platform: &Platform,
+    jobs: &JobsApi,
+) -> Vec<JobLine> {
+    match running_plans(&*platform.tables).await {
+        Ok(plans) => status.plans = plans,
+        Err(failure) => status.unknown.push(format!("running plans: {failure}")),
+    }
+    match active_jobs(&*platform.tables, jobs).await {
+        Ok(active) => {
+            status.jobs_at_risk = jobs_at_risk(&active, status.unix_ms / 1000);
+            active
+        }
+        Err(failure) => {
+            status.unknown.push(format!("jobs: {failure}"));
+            Vec::new()
+        }
     }
 }
 
--- a/crates/operate/tests/confirm.rs
+++ b/crates/operate/tests/confirm.rs
@@ -2,13 +2,16 @@
 
 mod support;
 
-use dappleyard_operate::intent::{DrainKind, DrainTarget, Intent, TenantLimits};
+use dappleyard_operate::intent::{BatchJob, DrainKind, DrainTarget, Intent, TenantLimits};
+use dappleyard_operate::jobs::{JobLine, risk};
 use dappleyard_operate::plans::abort::abort;
 use dappleyard_operate::plans::confirm::{Confirmation, Refusal, confirm};
 use dappleyard_operate::plans::store::{StoredPlan, read_plan};
 use dappleyard_platform::{Fault, MemoryPlatform};
 use dappleyard_wire::keys::{self, CONFIGURATION_HEAD};
-use dappleyard_wire::messages::{PlanPhase, RegionRow, ServiceRow, TenantRow};
+use dappleyard_wire::messages::{
+    JobPhase, JobRow, JobState, PlanPhase, RegionRow, ServiceRow, TenantRow,
+};
 use dappleyard_wire::{ErrorKind, Ran};
 use googletest::prelude::*;
 use support::{NOW_MS, SERVICE, drain, platform, proposed, put, rollout, row, status};
@@ -212,6 +215,59 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_planned_job_runs_only_after_its_confirmation() -> Result<()> {
+    let store = platform().await;
+    let mut state = JobState {
+        job_id: "job-1".to_owned(),
+        tenant: "yard".to_owned(),
+        items_total: 5_000,
+        ..JobState::default()
+    };
+    state.set_phase(JobPhase::JobPlanned);
+    let planned = JobRow {
+        state: Some(state),
+        ..JobRow::default()
+    };
+    let key = keys::job(&"yard".into(), &"job-1".into());
+    put(&store, key.clone(), &planned).await;
+    let intent = Intent::BatchJob(BatchJob {
+        tenant: "yard".to_owned(),
+        job: "job-1".to_owned(),
+    });
+    let plan = proposed(&store, &status(4), &intent).await.or_fail()?;
+    expect_that!(store.rows("active-job/"), is_empty());
+    confirmed(&store, &plan, "a").await.expect("accepted");
+    let job: JobRow = row(&store, &key).or_fail()?;
+    expect_that!(job.approved, eq(true));
+    expect_that!(store.rows("active-job/"), len(eq(1)));
+    expect_that!(store.rows("split-job/"), len(eq(1)));
+    let again = proposed(&store, &status(4), &intent).await;
+    expect_that!(again.expect_err("refused").kind, eq(ErrorKind::Conflict));
+    Ok(())
+}
+
+#[gtest]
+fn a_job_is_at_risk_when_less_capacity_makes_it_late() {
+    let job = JobLine {
+        tenant: "yard".to_owned(),
+        job: "job-1".to_owned(),
+        phase: "in_progress".to_owned(),
+        items: 100,
+        settled: 50,
+        deadline_unix_s: 1_000,
+        expected_unix_s: 950,
+        at_risk: false,
+        plan: String::new(),
+    };
+    expect_that!(risk(&job, 900, 1.0), none());
+    let late = risk(&job, 900, 3.0).expect("at risk");
+    expect_that!(late.reason, contains_substring("50 of 100 items are left"));
+    expect_that!(late.reason, contains_substring("50 s after the deadline"));
+    expect_that!(risk(&job, 900, f64::INFINITY), some(anything()));
+}
+
 #[gtest]
 #[tokio::test]
 async fn an_intent_that_makes_no_sense_is_refused_with_what_to_do() -> Result<()> {
--- a/crates/operate/tests/support/mod.rs
+++ b/crates/operate/tests/support/mod.rs
@@ -13,7 +13,7 @@
     LoadedModel, OrderKind,
 };
 use dappleyard_operate::intent::{DrainKind, DrainTarget, Intent, Rollout};
-use dappleyard_operate::plans::propose::{Request, propose};
+use dappleyard_operate::plans::propose::{Surroundings, propose};
 use dappleyard_operate::plans::store::StoredPlan;
 use dappleyard_operate::status::{FleetStatus, ServerStatus};
 use dappleyard_platform::{MemoryPlatform, TableStore, Transaction};
@@ -125,11 +125,15 @@
     fleet: &FleetStatus,
     intent: &Intent,
 ) -> Result<StoredPlan, dappleyard_wire::Failure> {
-    let request = Request {
-        operator: "test".to_owned(),
+    let settings = OperateSettings::default();
+    let surroundings = Surroundings {
+        settings: &settings,
+        status: fleet,
+        jobs: &[],
+        operator: "test",
         unix_ms: NOW_MS,
     };
-    propose(store, &OperateSettings::default(), fleet, intent, &request).await
+    propose(store, intent, &surroundings).await
 }
 
 #[derive(Default)]
