--- a/crates/batch/src/jobs/mod.rs
+++ b/crates/batch/src/jobs/mod.rs
@@ -18,7 +18,7 @@
 use dappleyard_wire::messages::{Call, JobRow, Reply, call, reply};
 use dappleyard_wire::{ErrorKind, Failure};
 
-pub use approval::{JobPlan, TenantEffect};
+pub use approval::{ApprovedRows, JobPlan, TenantEffect, approved_rows};
 pub use progress::{End, Progress, finish_when_done};
 
 use crate::store::{self, Versioned};
@@ -76,7 +76,7 @@
         use call::Method;
         use reply::Result as Answer;
         match method {
-            Some(Method::FileCreate(call)) => self.create_file(call).map(Answer::File),
+            Some(Method::FileCreate(call)) => self.create_file(call).await.map(Answer::File),
             Some(Method::FileAppend(call)) => self.append_file(call).await.map(Answer::File),
             Some(Method::FileSeal(call)) => self.seal_file(call).await.map(Answer::File),
             Some(Method::FileRead(call)) => self.read_file(call).await.map(Answer::Data),
