Do not take a node that has just started for gone

Change: news of an earlier start says nothing about a later one; a record of an unknown node is taken as running while it is younger than 10 s.

--- a/crates/online/src/once.rs
+++ b/crates/online/src/once.rs
@@ -5,6 +5,7 @@
 
 use dappleyard_transport::CallError;
 use dappleyard_wire::hash::{hash_bytes, rendezvous_weight};
+use dappleyard_wire::ids::NodeId;
 use dappleyard_wire::messages::{
     Call, OnceOutcome, OncePhase, OnceRow, RecordBegin, RecordSettle, RecordState, call, reply,
 };
@@ -22,6 +23,9 @@
 /// Advice while the request with this key still runs, milliseconds.
 const IN_PROGRESS_RETRY_AFTER_MS: u32 = 250;
 
+/// Age up to which a record of a node that is not known is taken as running, milliseconds.
+const UNKNOWN_WRITER_GRACE_MS: u64 = 10_000;
+
 /// Advice when the store is unavailable, milliseconds.
 const STORE_RETRY_AFTER_MS: u32 = 500;
 
@@ -110,7 +114,7 @@
         let writer = String::new();
         return Ok(Begun::Attach(Holder { writer, ..holder }));
     }
-    if writer_is_gone(worker, &row.writer) {
+    if writer_is_gone(worker, &row) {
         settle_unknown(worker, &holder, &row);
         return Err(outcome_unknown());
     }
@@ -137,18 +141,23 @@
 }
 
 /// Whether the node that created a record is dead, left or restarted. A token that does not read
-/// counts as gone.
-fn writer_is_gone(worker: &OnlineWorker, writer: &str) -> bool {
-    let mut parts = writer.split('|');
+/// counts as gone; so does a node that is not known, unless the record is so young that the node may
+/// have started just now.
+fn writer_is_gone(worker: &OnlineWorker, row: &OnceRow) -> bool {
+    let mut parts = row.writer.split('|');
     let (Some(node), Some(Ok(incarnation))) = (parts.next(), parts.next().map(str::parse::<u64>))
     else {
         return true;
     };
-    let identity = &worker.tables.identity;
-    if node == identity.node.as_str() {
-        return incarnation != identity.incarnation;
+    let tables = &worker.tables;
+    if node == tables.identity.node.as_str() {
+        return incarnation != tables.identity.incarnation;
+    }
+    let age_ms = tables.clock.unix_ms().saturating_sub(row.created_unix_ms);
+    if tables.members.get(&NodeId::from(node)).is_none() && age_ms < UNKNOWN_WRITER_GRACE_MS {
+        return false;
     }
-    worker.tables.members.is_gone(node, incarnation)
+    tables.members.is_gone(node, incarnation)
 }
 
 impl Holder {
--- a/crates/online/tests/once.rs
+++ b/crates/online/tests/once.rs
@@ -6,7 +6,7 @@
 
 use dappleyard_platform::{Fault, MemoryPlatform, TableStore, Transaction};
 use dappleyard_settings::OnlineSettings;
-use dappleyard_wire::messages::{OncePhase, OnceRow, frame};
+use dappleyard_wire::messages::{Member, MemberState, OncePhase, OnceRow, frame};
 use dappleyard_wire::{ErrorKind, Ran, keys};
 use googletest::prelude::*;
 use prost::Message;
@@ -234,6 +234,7 @@
         lost.set_phase(OncePhase::OnceStarted);
         lost.outcome = None;
         lost.writer = "n9|65536|token".to_owned();
+        lost.created_unix_ms -= 60_000;
         let key = keys::once("tenant-a", "key-1");
         let write = Transaction::default().put(key, lost.encode_to_vec());
         platform.transact(write).await.expect("a write");
@@ -284,3 +285,39 @@
         expect_that!(node.platform.transactions(), lt(20));
     });
 }
+
+/// Puts a running record of another node into the store.
+async fn put_running(node: &Node, key: &str, writer: &str, age_ms: u64) {
+    let answer = node.submit(once_request("r0", "key-0")).whole().await;
+    assert!(answer.finish.is_some());
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    let mut row: OnceRow = node.record("key-0").expect("a record");
+    row.set_phase(OncePhase::OnceStarted);
+    row.outcome = None;
+    row.writer = writer.to_owned();
+    row.created_unix_ms -= age_ms;
+    let write = Transaction::default().put(keys::once("tenant-a", key), row.encode_to_vec());
+    node.platform.transact(write).await.expect("a write");
+}
+
+#[gtest]
+fn a_record_of_a_node_that_started_just_now_is_not_taken_for_lost() {
+    run(async {
+        let node = Node::new(1);
+        let before = Member {
+            node: "n9".to_owned(),
+            incarnation: 5 << 16,
+            state: MemberState::MemberLeft as i32,
+            ..Member::default()
+        };
+        node.tables.members.put(before);
+        let restarted = format!("n9|{}|token", 6_u64 << 16);
+        put_running(&node, "key-1", &restarted, 60_000).await;
+        put_running(&node, "key-2", "n8|65536|token", 100).await;
+        for key in ["key-1", "key-2"] {
+            let refused = node.submit(once_request("r1", key)).whole().await.refused;
+            let refused = refused.expect("a refusal");
+            expect_that!(refused.kind, eq(ErrorKind::InProgress as u32));
+        }
+    });
+}
--- a/crates/tables/src/members.rs
+++ b/crates/tables/src/members.rs
@@ -1,5 +1,6 @@
 //! Members of the fleet as membership believes them to be.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use dappleyard_wire::ids::NodeId;
@@ -55,17 +56,20 @@
         self.members.lock().values().cloned().collect()
     }
 
-    /// Whether the node, under this incarnation or a later one, is believed dead or gone. An unknown
-    /// node counts as gone.
+    /// Whether the start of the node that this incarnation belongs to is believed dead or gone. An
+    /// unknown node counts as gone; what is known of an earlier start says nothing about a later one.
     pub fn is_gone(&self, node: &str, incarnation: u64) -> bool {
-        match self.members.lock().get(&NodeId::from(node)) {
-            None => true,
-            Some(member) => {
-                matches!(
-                    member.state(),
-                    MemberState::MemberDead | MemberState::MemberLeft
-                ) || member.incarnation > incarnation && is_restart(member, incarnation)
-            }
+        let members = self.members.lock();
+        let Some(member) = members.get(&NodeId::from(node)) else {
+            return true;
+        };
+        match start_of(member.incarnation).cmp(&start_of(incarnation)) {
+            Ordering::Less => false,
+            Ordering::Equal => matches!(
+                member.state(),
+                MemberState::MemberDead | MemberState::MemberLeft
+            ),
+            Ordering::Greater => true,
         }
     }
 
@@ -78,6 +82,7 @@
 /// Bits of an incarnation that count refutations of one start; the bits above number the start.
 pub const REFUTATION_BITS: u32 = 16;
 
-fn is_restart(member: &Member, incarnation: u64) -> bool {
-    member.incarnation >> REFUTATION_BITS > incarnation >> REFUTATION_BITS
+/// Number of the start that an incarnation belongs to.
+const fn start_of(incarnation: u64) -> u64 {
+    incarnation >> REFUTATION_BITS
 }
