Fleet: gossip changes of a large machine list; recompute owners of touched zones only

Cause: a list of 7,900 servers is over a megabyte, so that reading it on each node would cost a hundred times the traffic budget; and each membership change rewrote the whole directory on each node. Change: a list of more than 256 entries is read by the watchers of each zone, who gossip what changed; the directory keeps one copy of the entries, and owners are recomputed for zones whose cells changed. The datagram socket reuses its receive buffer.

--- a/crates/decide/src/ownership.rs
+++ b/crates/decide/src/ownership.rs
@@ -96,7 +96,7 @@
 
     /// The cells that may own servers of a zone: those of the zone; while none of its nodes may own
     /// servers, those of its region; at last all.
-    fn candidates(&self, region: &str, zone: &str) -> Vec<&Cell> {
+    pub fn candidates(&self, region: &str, zone: &str) -> Vec<&Cell> {
         let able = |cell: &&Cell| cell.eligible() > 0;
         let of_zone: Vec<&Cell> = self
             .cells
@@ -162,55 +162,49 @@
     nodes.div_ceil((maximum_nodes * 3 / 4).max(1))
 }
 
-/// A server as ownership sees it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct OwnedServerPlace<'a> {
-    /// Server id.
-    pub server: &'a str,
-    /// Zone.
-    pub zone: &'a str,
-    /// Region.
-    pub region: &'a str,
+/// Key of a server, by which it is placed.
+pub fn server_key(server: &str) -> u64 {
+    hash_bytes(server.as_bytes())
 }
 
-/// The owner of each server, in the order of `servers`; `None` where no node may own any.
-pub fn owners<'a>(cells: &'a Cells, servers: &[OwnedServerPlace<'_>]) -> Vec<Option<&'a str>> {
-    let mut by_cell: BTreeMap<&str, (&Cell, Vec<usize>)> = BTreeMap::new();
-    let mut candidates: BTreeMap<(&str, &str), Vec<&Cell>> = BTreeMap::new();
-    for (index, server) in servers.iter().enumerate() {
-        let of_zone = candidates
-            .entry((server.region, server.zone))
-            .or_insert_with(|| cells.candidates(server.region, server.zone));
-        if let Some(cell) = best_cell(server.server, of_zone) {
-            let (_, indexes) = by_cell.entry(&cell.name).or_insert((cell, Vec::new()));
-            indexes.push(index);
+/// The owner of each server of a zone; `None` where no node may own any. `keys` are the keys of the
+/// servers, in ascending order, which is the order in which they are placed.
+pub fn owners_of_zone<'a>(candidates: &[&'a Cell], keys: &[u64]) -> Vec<Option<&'a str>> {
+    let mut by_cell: Vec<Vec<usize>> = vec![Vec::new(); candidates.len()];
+    let weights: Vec<f64> = candidates.iter().map(|cell| cell.weight()).collect();
+    for (index, key) in keys.iter().enumerate() {
+        if let Some(cell) = best_cell(*key, candidates, &weights) {
+            by_cell[cell].push(index);
         }
     }
-    let mut owners = vec![None; servers.len()];
-    for (cell, indexes) in by_cell.into_values() {
-        assign_in_cell(cell, servers, indexes, &mut owners);
+    let mut owners = vec![None; keys.len()];
+    for (cell, indexes) in candidates.iter().zip(by_cell) {
+        assign_in_cell(cell, keys, &indexes, &mut owners);
     }
     owners
 }
 
 /// Weighted rendezvous: a cell gets servers in proportion to its weight.
-fn best_cell<'a>(server: &str, cells: &[&'a Cell]) -> Option<&'a Cell> {
-    let key = hash_bytes(server.as_bytes());
-    let score = |cell: &Cell| {
-        let uniform = (rendezvous_weight(key, &cell.name) as f64 + 0.5) / (u64::MAX as f64 + 1.0);
-        -cell.weight() / uniform.ln()
+fn best_cell(key: u64, cells: &[&Cell], weights: &[f64]) -> Option<usize> {
+    if cells.len() <= 1 {
+        return (!cells.is_empty()).then_some(0);
+    }
+    let score = |index: usize| {
+        let weight = rendezvous_weight(key, &cells[index].name);
+        let uniform = (weight as f64 + 0.5) / (u64::MAX as f64 + 1.0);
+        -weights[index] / uniform.ln()
     };
-    cells
-        .iter()
-        .copied()
-        .max_by(|left, right| score(left).total_cmp(&score(right)))
+    (0..cells.len())
+        .map(|index| (score(index), index))
+        .max_by(|left, right| left.0.total_cmp(&right.0))
+        .map(|(_, index)| index)
 }
 
 /// Rendezvous with bounded load: each server goes to the heaviest node that still has room.
 fn assign_in_cell<'a>(
     cell: &'a Cell,
-    servers: &[OwnedServerPlace<'_>],
-    mut indexes: Vec<usize>,
+    keys: &[u64],
+    indexes: &[usize],
     owners: &mut [Option<&'a str>],
 ) {
     let nodes: Vec<&str> = cell
@@ -222,15 +216,13 @@
     let mean = indexes.len() as f64 / nodes.len().max(1) as f64;
     let room = (mean * LOAD_BOUND).ceil().max(1.0) as usize;
     let mut loads = vec![0_usize; nodes.len()];
-    indexes.sort_by_key(|index| hash_bytes(servers[*index].server.as_bytes()));
     for index in indexes {
-        let key = hash_bytes(servers[index].server.as_bytes());
         let best = (0..nodes.len())
             .filter(|node| loads[*node] < room)
-            .max_by_key(|node| rendezvous_weight(key, nodes[*node]));
+            .max_by_key(|node| rendezvous_weight(keys[*index], nodes[*node]));
         if let Some(node) = best {
             loads[node] += 1;
-            owners[index] = Some(nodes[node]);
+            owners[*index] = Some(nodes[node]);
         }
     }
 }
--- a/crates/decide/tests/ownership.rs
+++ b/crates/decide/tests/ownership.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use dappleyard_decide::ownership::{Cells, OwnedServerPlace, OwnerNode, owners};
+use dappleyard_decide::ownership::{Cells, OwnerNode, owners_of_zone, server_key};
 use googletest::prelude::*;
 
 const CELL_SIZE: usize = 16;
@@ -31,19 +31,21 @@
 
 fn assignment(nodes: &[OwnerNode], servers: &[(String, String, String)]) -> Vec<Option<String>> {
     let cells = Cells::of(nodes, CELL_SIZE);
-    let places: Vec<OwnedServerPlace<'_>> = servers
-        .iter()
-        .map(|(server, zone, region)| OwnedServerPlace {
-            server,
-            zone,
-            region,
-        })
-        .collect();
-    let owners = owners(&cells, &places);
-    owners
-        .into_iter()
-        .map(|owner| owner.map(str::to_owned))
-        .collect()
+    let mut zones: BTreeMap<(&str, &str), Vec<(u64, usize)>> = BTreeMap::new();
+    for (index, (server, zone, region)) in servers.iter().enumerate() {
+        let of_zone = zones.entry((region, zone)).or_default();
+        of_zone.push((server_key(server), index));
+    }
+    let mut assigned = vec![None; servers.len()];
+    for ((region, zone), mut keyed) in zones {
+        keyed.sort_unstable();
+        let keys: Vec<u64> = keyed.iter().map(|(key, _)| *key).collect();
+        let owners = owners_of_zone(&cells.candidates(region, zone), &keys);
+        for ((_, index), owner) in keyed.into_iter().zip(owners) {
+            assigned[index] = owner.map(str::to_owned);
+        }
+    }
+    assigned
 }
 
 fn moved(before: &[Option<String>], after: &[Option<String>]) -> usize {
--- a/crates/fleet/src/actor.rs
+++ b/crates/fleet/src/actor.rs
@@ -28,6 +28,7 @@
 use crate::directory::Directory;
 use crate::lifecycle::{Inputs, LifecycleGuard};
 use crate::loads::Loads;
+use crate::machines::Machines;
 use crate::metrics::Metrics;
 use crate::spread::Spread;
 use crate::sync::Dialler;
@@ -37,6 +38,8 @@
 const TICK_MS: u64 = 100;
 /// Time after which dead and left members are forgotten, milliseconds.
 const FORGET_MS: u64 = 60_000;
+/// Time over which nodes spread their readings after a large change of the list, milliseconds.
+const REREAD_SPREAD_MS: u64 = 5_000;
 /// Times that a leaving node says so, and the pause between, milliseconds.
 const LEAVE_REPEATS: u32 = 3;
 const LEAVE_PAUSE_MS: u64 = 30;
@@ -51,6 +54,7 @@
     machines: Millis,
     region: Millis,
     sync: Millis,
+    publish: Millis,
 }
 
 /// Calls that are under way.
@@ -82,7 +86,8 @@
     started: Millis,
     /// Members or machines have changed since the directory was written.
     dirty: bool,
-    machines_changed: bool,
+    servers_changed: bool,
+    machines: Machines,
     /// A peer that has more than fits a datagram.
     snapshot_from: Option<String>,
     synced: bool,
@@ -139,7 +144,8 @@
             running: Running::default(),
             started: now,
             dirty: true,
-            machines_changed: false,
+            servers_changed: false,
+            machines: Machines::default(),
             snapshot_from: None,
             synced: false,
             sync_attempts: 0,
@@ -169,7 +175,7 @@
         self.perform(actions);
         self.update_lifecycle(now);
         self.cancelled.collect(&self.tables, now);
-        self.publish();
+        self.publish(now);
         self.push_fresh();
         self.ask_for_missing();
         if now >= self.due.load {
@@ -240,6 +246,7 @@
         }
         self.cancelled
             .learn(&datagram.cancelled_jobs, &self.tables, now);
+        self.take_servers(&datagram);
         match datagram.body {
             Some(Body::Ack(ack)) => self.hear_revision(from, ack.configuration_revision),
             Some(Body::Load(report)) => {
@@ -261,6 +268,26 @@
         }
     }
 
+    /// Takes changes of the machine list that others have seen.
+    fn take_servers(&mut self, datagram: &Datagram) {
+        if !datagram.servers.is_empty() {
+            let change = self.machines.learn(&datagram.servers);
+            self.change_directory(change);
+        }
+        if self.machines.hear_reread(datagram.reread_machines_unix_ms) {
+            self.due.machines = self.later(REREAD_SPREAD_MS);
+        }
+    }
+
+    fn change_directory(&mut self, change: crate::machines::DirectoryChange) {
+        if !change.is_empty() {
+            self.directory
+                .change_servers(&self.tables, change.put, &change.removed);
+            self.servers_changed = true;
+            self.dirty = true;
+        }
+    }
+
     fn hear_revision(&mut self, from: SocketAddr, revision: u64) {
         self.highest_heard = self.highest_heard.max(revision);
         if revision > self.tables.configuration.revision() {
--- a/crates/fleet/src/actor/calls.rs
+++ b/crates/fleet/src/actor/calls.rs
@@ -33,6 +33,9 @@
         if !self.running.watch && now >= self.due.watch {
             self.due.watch = self.later(self.settings.watch_interval_ms);
             if self.is_watcher() {
+                // A node that has just become a watcher does not wait for its next rare reading.
+                let latest = now.plus(self.settings.machine_list_interval_ms);
+                self.due.machines = self.due.machines.min(latest);
                 self.watch(now, context);
             }
         }
@@ -86,7 +89,10 @@
 
     fn read_machines(&mut self, context: &mut Context<Self>) {
         self.running.machines = true;
-        self.due.machines = self.later(self.settings.machine_list_interval_ms);
+        let watcher = self.is_watcher();
+        let interval = self.settings.machine_list_interval_ms;
+        let interval = self.machines.reading_interval_ms(interval, watcher);
+        self.due.machines = self.later(interval);
         let list = self.platform.machines.clone();
         let reading = async move { list.machines().await };
         let done = reading.into_actor(self).map(|read, actor, _| {
@@ -98,19 +104,16 @@
 
     fn take_machines(&mut self, read: Result<Vec<Machine>, StoreError>) {
         self.metrics.count_call("machines", &read);
-        let changed = match read {
-            Ok(machines) => self.directory.set_machines(machines),
-            Err(error) => {
-                tracing::debug!(%error, "the machine list cannot be read");
-                false
+        match read {
+            Ok(machines) => {
+                let unix_ms = self.tables.clock.unix_ms();
+                let change = self.machines.read(&machines, unix_ms);
+                self.change_directory(change);
             }
-        };
-        if changed {
-            self.dirty = true;
-            self.machines_changed = true;
+            Err(error) => tracing::debug!(%error, "the machine list cannot be read"),
         }
         let mut contacts = self.seeds.clone();
-        contacts.extend(self.directory.node_addresses());
+        contacts.extend(self.machines.node_addresses());
         self.membership.set_contacts(contacts);
     }
 
--- a/crates/fleet/src/actor/changes.rs
+++ b/crates/fleet/src/actor/changes.rs
@@ -1,12 +1,15 @@
 //! What the actor does when a member has changed: tables, metrics, decision records.
 
 use dappleyard_decide::membership::{Action, start_of};
+use dappleyard_decide::time::Millis;
 use dappleyard_tables::decisions::{Decision, DecisionKind, Subject};
 use dappleyard_wire::ids::NodeId;
 use dappleyard_wire::messages::{Member, MemberState};
 
 use super::FleetActor;
 
+/// Shortest time between two writings of the directory, milliseconds.
+const PUBLISH_PAUSE_MS: u64 = 250;
 /// Fewest members of a zone whose common loss is recorded as one event.
 const ZONE_LOSS_MINIMUM: usize = 3;
 
@@ -167,16 +170,19 @@
     }
 
     /// Writes members' effects: cells, directory, owned servers, this node's own entry.
-    pub(super) fn publish(&mut self) {
-        if !std::mem::take(&mut self.dirty) {
+    /// Changes that come close together are written together.
+    pub(super) fn publish(&mut self, now: Millis) {
+        if !self.dirty || now < self.due.publish {
             return;
         }
+        self.dirty = false;
+        self.due.publish = now.plus(PUBLISH_PAUSE_MS);
         let own = self.membership.own().clone();
         self.tables.members.put(own);
         let members_changed = self
             .directory
             .set_members(&self.membership, self.settings.cell_size);
-        if members_changed || std::mem::take(&mut self.machines_changed) {
+        if members_changed || std::mem::take(&mut self.servers_changed) {
             let owned = self.directory.publish(&self.tables);
             self.metrics
                 .owned_servers
--- a/crates/fleet/src/actor/outgoing.rs
+++ b/crates/fleet/src/actor/outgoing.rs
@@ -34,6 +34,9 @@
         datagram.configuration = self.spread.take(free, limit);
         let free = MAXIMUM_DATAGRAM_BYTES.saturating_sub(datagram.encoded_len());
         datagram.cancelled_jobs = self.cancelled.take(free, limit);
+        let free = MAXIMUM_DATAGRAM_BYTES.saturating_sub(datagram.encoded_len());
+        datagram.servers = self.machines.take(free, limit);
+        datagram.reread_machines_unix_ms = self.machines.reread_unix_ms();
         self.send(to, &datagram);
     }
 
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -1,45 +1,36 @@
-//! The directory of servers: the machine list, and the owner of each by the cells of the members.
+//! The directory of servers: cells of the members, and the owner of each server.
+//!
+//! Entries live in the node's table only; here are the keys of the servers of each zone, in the
+//! order in which they are placed. A change of members recomputes the zones whose cells it touches.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use dappleyard_decide::membership::{Membership, is_present};
-use dappleyard_decide::ownership::{Cell, Cells, OwnedServerPlace, OwnerNode, owners};
-use dappleyard_platform::{Machine, MachineRole};
+use dappleyard_decide::ownership::{Cell, Cells, OwnerNode, owners_of_zone, server_key};
 use dappleyard_tables::NodeTables;
 use dappleyard_tables::directory::ServerEntry;
-use dappleyard_wire::ids::NodeId;
+use dappleyard_wire::ids::{NodeId, ServerId};
 use dappleyard_wire::messages::Member;
 
-/// The machine list as last read, and the cells of the members.
+/// Servers of one zone, by key.
+#[derive(Default)]
+struct Zone {
+    servers: BTreeMap<u64, ServerId>,
+    owners: BTreeMap<u64, NodeId>,
+    /// Cells for which `owners` was computed.
+    cells: Vec<Cell>,
+    changed: bool,
+}
+
+/// Cells of the members, and the servers of each zone.
 #[derive(Default)]
 pub struct Directory {
-    machines: Vec<Machine>,
-    servers: Vec<ServerEntry>,
+    zones: BTreeMap<(String, String), Zone>,
     cells: Cells,
     nodes: Vec<OwnerNode>,
 }
 
 impl Directory {
-    /// Takes the machine list as read; `true` when it differs from the last one.
-    pub fn set_machines(&mut self, machines: Vec<Machine>) -> bool {
-        if self.machines == machines {
-            return false;
-        }
-        self.servers = machines.iter().filter_map(server_entry).collect();
-        self.machines = machines;
-        true
-    }
-
-    /// Gossip addresses of the nodes that the machine list shows.
-    pub fn node_addresses(&self) -> Vec<SocketAddr> {
-        self.machines
-            .iter()
-            .filter(|machine| machine.role == MachineRole::Node)
-            .filter_map(|machine| machine.address.parse().ok())
-            .collect()
-    }
-
     /// The cells of the members.
     pub fn cells(&self) -> &Cells {
         &self.cells
@@ -66,39 +57,75 @@
         true
     }
 
-    /// Writes the directory and the owned servers. Returns the number of owned servers.
+    /// Takes entries that the machine list shows anew or otherwise, and those that it lost.
+    pub fn change_servers(
+        &mut self,
+        tables: &NodeTables,
+        put: Vec<ServerEntry>,
+        removed: &[ServerId],
+    ) {
+        let moved = put.iter().map(|entry| &entry.server).chain(removed);
+        for server in moved {
+            self.forget(server);
+        }
+        for entry in &put {
+            let place = (entry.region.to_string(), entry.zone.to_string());
+            let zone = self.zones.entry(place).or_default();
+            let key = server_key(entry.server.as_str());
+            zone.servers.insert(key, entry.server.clone());
+            zone.changed = true;
+        }
+        tables.directory.change(put, removed);
+    }
+
+    fn forget(&mut self, server: &ServerId) {
+        let key = server_key(server.as_str());
+        for zone in self.zones.values_mut() {
+            if zone.servers.remove(&key).is_some() {
+                zone.changed = true;
+            }
+        }
+    }
+
+    /// Writes owners that have changed, and the owned servers. Returns the number of owned servers.
     pub fn publish(&mut self, tables: &NodeTables) -> usize {
-        let places: Vec<OwnedServerPlace<'_>> = self
-            .servers
-            .iter()
-            .map(|entry| OwnedServerPlace {
-                server: entry.server.as_str(),
-                zone: entry.zone.as_str(),
-                region: entry.region.as_str(),
-            })
-            .collect();
-        let mut ids: BTreeMap<&str, NodeId> = BTreeMap::new();
-        let owners: Vec<Option<NodeId>> = owners(&self.cells, &places)
-            .into_iter()
-            .map(|owner| owner.map(|id| ids.entry(id).or_insert_with(|| NodeId::from(id)).clone()))
-            .collect();
-        for (entry, owner) in self.servers.iter_mut().zip(owners) {
-            entry.owner = owner;
+        let mut changes = Vec::new();
+        for ((region, place), zone) in &mut self.zones {
+            let candidates = self.cells.candidates(region, place);
+            let same_cells = candidates.iter().copied().eq(&zone.cells);
+            if same_cells && !zone.changed {
+                continue;
+            }
+            zone.assign(&candidates, &mut changes);
+            zone.cells = candidates.into_iter().cloned().collect();
+            zone.changed = false;
         }
-        let own = &tables.identity.node;
-        let owned: Vec<ServerEntry> = self
-            .servers
-            .iter()
-            .filter(|entry| entry.owner.as_ref() == Some(own))
-            .cloned()
-            .collect();
+        tables.directory.set_owners(changes);
+        let owned = tables.directory.owned_by(&tables.identity.node);
         let count = owned.len();
-        tables.directory.replace(self.servers.clone());
         tables.servers.set_owned(owned);
         count
     }
 }
 
+impl Zone {
+    /// Computes the owners and adds those that differ from the last ones to `changes`.
+    fn assign(&mut self, candidates: &[&Cell], changes: &mut Vec<(ServerId, Option<NodeId>)>) {
+        let keys: Vec<u64> = self.servers.keys().copied().collect();
+        let mut ids: BTreeMap<&str, NodeId> = BTreeMap::new();
+        let owners = owners_of_zone(candidates, &keys);
+        let mut next = BTreeMap::new();
+        for ((key, server), owner) in self.servers.iter().zip(owners) {
+            let owner = owner.map(|id| ids.entry(id).or_insert_with(|| id.into()).clone());
+            if self.owners.get(key) != owner.as_ref() || self.changed {
+                changes.push((server.clone(), owner.clone()));
+            }
+            next.extend(owner.map(|owner| (*key, owner)));
+        }
+        self.owners = next;
+    }
+}
+
 fn owner_node(member: &Member) -> OwnerNode {
     OwnerNode {
         node: member.node.clone(),
@@ -107,19 +134,3 @@
         eligible: is_present(member) && !member.draining,
     }
 }
-
-fn server_entry(machine: &Machine) -> Option<ServerEntry> {
-    if machine.role != MachineRole::Server {
-        return None;
-    }
-    Some(ServerEntry {
-        server: machine.name.as_str().into(),
-        service: machine.service.clone(),
-        region: machine.region.clone(),
-        zone: machine.zone.clone(),
-        hall: machine.hall.clone(),
-        base_url: machine.address.clone(),
-        leaving: machine.leaving,
-        owner: None,
-    })
-}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod directory;
 mod lifecycle;
 mod loads;
+mod machines;
 mod metrics;
 mod regions;
 mod spread;
--- a/crates/lab/src/capacity/measure.rs
+++ b/crates/lab/src/capacity/measure.rs
@@ -141,7 +141,7 @@
     loop {
         let ready = fleet.nodes.iter().filter(|node| {
             let is_ready = *node.tables.lifecycle.borrow() == Lifecycle::Ready;
-            is_ready && node.tables.members.all().len() >= count
+            is_ready && node.tables.members.len() >= count
         });
         let ready = ready.count();
         if ready == count {
--- a/crates/lab/src/capacity/movement.rs
+++ b/crates/lab/src/capacity/movement.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use dappleyard_decide::ownership::{Cells, OwnedServerPlace, OwnerNode, owners};
+use dappleyard_decide::ownership::{Cells, OwnerNode, owners_of_zone, server_key};
 
 use super::Options;
 
@@ -32,24 +32,24 @@
             eligible: true,
         })
         .collect();
-    let servers: Vec<(String, String, String)> = (0..options.servers)
-        .map(|index| (format!("server-{index:05}"), zone(index), region(index)))
+    let zones: Vec<Vec<u64>> = (0..options.zones)
+        .map(|zone| {
+            let indexes = (zone..options.servers).step_by(options.zones);
+            let mut keys: Vec<u64> = indexes
+                .map(|index| server_key(&format!("server-{index:05}")))
+                .collect();
+            keys.sort_unstable();
+            keys
+        })
         .collect();
     let assign = |nodes: &[OwnerNode]| -> Vec<Option<String>> {
         let cells = Cells::of(nodes, cell_size);
-        let places: Vec<OwnedServerPlace<'_>> = servers
-            .iter()
-            .map(|(server, zone, region)| OwnedServerPlace {
-                server,
-                zone,
-                region,
-            })
-            .collect();
-        let owned = owners(&cells, &places);
-        owned
-            .into_iter()
-            .map(|owner| owner.map(str::to_owned))
-            .collect()
+        let mut assigned = Vec::with_capacity(options.servers);
+        for (index, keys) in zones.iter().enumerate() {
+            let owners = owners_of_zone(&cells.candidates(&region(index), &zone(index)), keys);
+            assigned.extend(owners.into_iter().map(|owner| owner.map(str::to_owned)));
+        }
+        assigned
     };
     let before = assign(&nodes);
     let mut owned: BTreeMap<&str, usize> = BTreeMap::new();
--- a/crates/tables/src/directory.rs
+++ b/crates/tables/src/directory.rs
@@ -59,6 +59,46 @@
         self.changed.send_modify(|version| *version += 1);
     }
 
+    /// Puts and removes some entries; owners of those known already stay.
+    pub fn change(&self, put: Vec<ServerEntry>, removed: &[ServerId]) {
+        if put.is_empty() && removed.is_empty() {
+            return;
+        }
+        let mut servers = self.servers.lock();
+        for entry in put {
+            let owner = servers
+                .get(&entry.server)
+                .and_then(|known| known.owner.clone());
+            let entry = ServerEntry { owner, ..entry };
+            servers.insert(entry.server.clone(), entry);
+        }
+        for server in removed {
+            servers.remove(server);
+        }
+        drop(servers);
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    /// Sets the owners of some servers.
+    pub fn set_owners(&self, owners: Vec<(ServerId, Option<NodeId>)>) {
+        if owners.is_empty() {
+            return;
+        }
+        let mut servers = self.servers.lock();
+        for (server, owner) in owners {
+            if let Some(entry) = servers.get_mut(&server) {
+                entry.owner = owner;
+            }
+        }
+        drop(servers);
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    /// Reads all entries under one lock, without copies.
+    pub fn read<R>(&self, reader: impl FnOnce(&BTreeMap<ServerId, ServerEntry>) -> R) -> R {
+        reader(&self.servers.lock())
+    }
+
     /// One entry.
     pub fn get(&self, server: &ServerId) -> Option<ServerEntry> {
         self.servers.lock().get(server).cloned()
--- a/crates/tables/src/members.rs
+++ b/crates/tables/src/members.rs
@@ -55,6 +55,16 @@
         self.members.lock().values().cloned().collect()
     }
 
+    /// Number of members remembered, gone ones included.
+    pub fn len(&self) -> usize {
+        self.members.lock().len()
+    }
+
+    /// Whether no member is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Whether the node, under this incarnation or a later one, is believed dead or gone. An unknown
     /// node counts as gone.
     pub fn is_gone(&self, node: &str, incarnation: u64) -> bool {
--- a/crates/transport/src/datagram.rs
+++ b/crates/transport/src/datagram.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use bytes::BytesMut;
 use dappleyard_wire::messages::Datagram;
 use dappleyard_wire::{MAXIMUM_DATAGRAM_BYTES, messages};
 use prost::Message;
@@ -10,14 +9,15 @@
 
 use crate::policy::SharedPolicy;
 
-/// Bytes read for one datagram; longer ones are malformed.
-const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+/// Bytes read for one datagram; those that fill the buffer are malformed.
+const RECEIVE_BUFFER_BYTES: usize = 4 * MAXIMUM_DATAGRAM_BYTES;
 
 /// A bound UDP socket that sends and receives [`Datagram`]s through the link policy.
 pub struct DatagramSocket {
     socket: std::rc::Rc<UdpSocket>,
     policy: SharedPolicy,
     generator: std::cell::Cell<u64>,
+    buffer: std::cell::RefCell<Vec<u8>>,
 }
 
 /// One thing received.
@@ -55,6 +55,7 @@
             socket: std::rc::Rc::new(socket),
             policy,
             generator: std::cell::Cell::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
+            buffer: std::cell::RefCell::new(vec![0; RECEIVE_BUFFER_BYTES]),
         }
     }
 
@@ -87,16 +88,15 @@
 
     /// Waits for the next datagram.
     pub async fn receive(&self) -> std::io::Result<Received> {
-        let mut buffer = BytesMut::zeroed(RECEIVE_BUFFER_BYTES);
-        let (size, from) = self.socket.recv_from(&mut buffer).await?;
-        Ok(match Datagram::decode(&buffer[..size]) {
-            Ok(datagram) => Received::Message {
-                from,
-                datagram: Box::new(datagram),
-                bytes: size,
-            },
-            Err(_) => Received::Malformed { from },
-        })
+        loop {
+            self.socket.readable().await?;
+            let mut buffer = self.buffer.borrow_mut();
+            match self.socket.try_recv_from(&mut buffer) {
+                Ok((size, from)) => return Ok(read(&buffer[..size], from)),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
     }
 
     /// A cheap generator for loss only (xorshift); no decision of the product depends on it.
@@ -109,3 +109,17 @@
         (state >> 11) as f64 / (1_u64 << 53) as f64
     }
 }
+
+fn read(bytes: &[u8], from: SocketAddr) -> Received {
+    if bytes.len() == RECEIVE_BUFFER_BYTES {
+        return Received::Malformed { from };
+    }
+    match Datagram::decode(bytes) {
+        Ok(datagram) => Received::Message {
+            from,
+            datagram: Box::new(datagram),
+            bytes: bytes.len(),
+        },
+        Err(_) => Received::Malformed { from },
+    }
+}
