Explanations keep decisions that differ only in their inputs; narrower tables

Failure found on a running fleet: two orders of the same millisecond, cause and outcome were shown as one. Records are now told apart by their whole content (test added). Tables of ctl keep names whole within 100 columns.

--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,8 +7,8 @@
 mod command;
 mod intents;
 mod run;
-mod tables;
-mod time;
+pub mod tables;
+pub mod time;
 mod watch;
 
 pub use client::{Client, CtlError};
--- a/crates/ctl/src/tables.rs
+++ b/crates/ctl/src/tables.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use comfy_table::{ContentArrangement, Table, presets};
+use comfy_table::{ColumnConstraint, ContentArrangement, Table, TableComponent, presets};
 use dappleyard_operate::api::answers::ConfigurationAnswer;
 use dappleyard_operate::explain::Explanation;
 use dappleyard_operate::jobs::JobLine;
@@ -18,13 +18,21 @@
 /// Names listed before the rest is counted.
 const NAMES_SHOWN: usize = 6;
 
+/// A table with a line under its header only, whose first column is never broken.
 fn table(header: &[&str]) -> Table {
     let mut table = Table::new();
     table
         .load_preset(presets::UTF8_HORIZONTAL_ONLY)
+        .remove_style(TableComponent::HorizontalLines)
+        .remove_style(TableComponent::LeftBorderIntersections)
+        .remove_style(TableComponent::MiddleIntersections)
+        .remove_style(TableComponent::RightBorderIntersections)
         .set_content_arrangement(ContentArrangement::Dynamic)
         .set_width(WIDTH)
         .set_header(header.to_vec());
+    if let Some(first) = table.column_mut(0) {
+        first.set_constraint(ColumnConstraint::ContentWidth);
+    }
     table
 }
 
--- a/crates/ctl/tests/command.rs
+++ b/crates/ctl/tests/command.rs
@@ -1,7 +1,9 @@
 //! The command line: it is well formed, and arguments become the intents that they name.
 
-use dappleyard_ctl::{command, intent, run};
+use dappleyard_ctl::time::duration;
+use dappleyard_ctl::{command, intent, run, tables};
 use dappleyard_operate::intent::{DrainKind, Intent};
+use dappleyard_operate::status::{FleetStatus, ServerStatus};
 use googletest::prelude::*;
 
 fn parsed(arguments: &str) -> Intent {
@@ -37,6 +39,45 @@
     expect_that!(window.days, eq(0b100_0001));
 }
 
+#[gtest]
+fn tables_fit_a_terminal_and_keep_names_whole() {
+    let name = "khidirpur-hall-server-1234";
+    let server = ServerStatus {
+        server: name.to_owned(),
+        service: "fittings-llm".to_owned(),
+        region: "bengal".to_owned(),
+        zone: "khidirpur-hall".to_owned(),
+        hall: "khidirpur-hall".to_owned(),
+        owner: "khidirpur-hall-node-12".to_owned(),
+        state: "withdrawn".to_owned(),
+        reason: String::new(),
+        live: None,
+    };
+    let fleet = FleetStatus {
+        servers: vec![server.clone(); 3],
+        ..FleetStatus::default()
+    };
+    let listing = tables::servers(&fleet.servers).to_string();
+    expect_that!(listing, contains_substring(name));
+    for text in [listing, tables::status(&fleet)] {
+        let widest = text.lines().map(|line| line.chars().count()).max();
+        expect_that!(widest, some(le(usize::from(tables::WIDTH))));
+    }
+}
+
+#[gtest]
+fn durations_read_in_their_two_greatest_units() {
+    let cases = [
+        (900, "900 ms"),
+        (1_500, "1.5 s"),
+        (61_000, "1 min 1 s"),
+        (90_000_000, "1 d 1 h"),
+    ];
+    for (milliseconds, words) in cases {
+        expect_that!(duration(milliseconds), eq(words));
+    }
+}
+
 #[gtest]
 fn a_fleet_that_does_not_answer_is_a_failure_and_wrong_words_are_wrong_usage() {
     // Port 1 on loopback refuses connections.
--- a/crates/operate/src/explain.rs
+++ b/crates/operate/src/explain.rs
@@ -123,13 +123,8 @@
 fn ordered(records: Vec<Decision>) -> Vec<Decision> {
     let mut unique = BTreeMap::new();
     for record in records {
-        let key = (
-            record.unix_ms,
-            record.node.clone(),
-            record.cause.clone(),
-            record.outcome.clone(),
-        );
-        unique.entry(key).or_insert(record);
+        let content = serde_json::to_string(&record).unwrap_or_default();
+        unique.entry((record.unix_ms, content)).or_insert(record);
     }
     let surplus = unique.len().saturating_sub(MOST_RECORDS);
     unique.into_values().skip(surplus).collect()
@@ -144,7 +139,7 @@
         DecisionKind::TakenOver => "took over",
         DecisionKind::Fenced => "held back an old write or order",
         DecisionKind::Ordered => "gave the engine an order",
-        DecisionKind::PlanStep => "looked at a step of the plan",
+        DecisionKind::PlanStep => "took a step or held one back",
         DecisionKind::Withdrawn => "stopped new work",
         DecisionKind::MemberChanged => "changed its mind about a member",
         DecisionKind::ConfigurationApplied => "put configuration in force",
--- a/crates/operate/src/plans/runner.rs
+++ b/crates/operate/src/plans/runner.rs
@@ -151,7 +151,8 @@
     let finished = !at_canaries && progress.done.len() == progress.servers;
     if finished {
         let message = format!("all {} servers carry {}", progress.servers, rollout.version);
-        let next = done(plan, &message, view);
+        let mut next = done(plan, &message, view);
+        next.progress_json = serde_json::to_string(&progress).unwrap_or_default();
         return write(tables, plan, next, Transaction::default()).await;
     }
     write_progress(tables, plan, progress, view).await
--- a/crates/operate/tests/explanations.rs
+++ b/crates/operate/tests/explanations.rs
@@ -131,6 +131,31 @@
     Ok(())
 }
 
+#[gtest]
+#[actix_web::test]
+async fn decisions_that_differ_only_in_their_inputs_are_all_told_and_each_once() -> Result<()> {
+    let store = MemoryPlatform::default();
+    let tables = support::tables("node-1", 1);
+    for input in ["1", "2"] {
+        tables.decisions.record(Decision {
+            unix_ms: 5,
+            node: "node-1".to_owned(),
+            kind: DecisionKind::Ordered,
+            subjects: vec![Subject::Service("fittings-llm".to_owned())],
+            cause: "its drain has ended".to_owned(),
+            inputs: vec![("sequence".to_owned(), input.to_owned())],
+            outcome: "the engine took it".to_owned(),
+        });
+    }
+    let mut journal = Journal::new(tables.clone(), 8);
+    journal.flush(&store).await.or_fail()?;
+    let peers = Peers::new(tables.clone(), 1_000);
+    let question = Question::parse("service", "fittings-llm").or_fail()?;
+    let explanation = explain(&tables, &store.platform(), &peers, &question).await;
+    expect_that!(explanation.events, len(eq(2)));
+    Ok(())
+}
+
 #[gtest]
 #[actix_web::test]
 async fn the_journal_is_bounded_and_loses_nothing_through_a_store_that_is_down() -> Result<()> {
