--- a/crates/tables/src/members.rs
+++ b/crates/tables/src/members.rs
@@ -56,6 +56,16 @@
         self.members.lock().values().cloned().collect()
     }
 
+    /// Number of members remembered, gone ones included.
+    pub fn len(&self) -> usize {
+        self.members.lock().len()
+    }
+
+    /// Whether no member is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Whether the start of the node that this incarnation belongs to is believed dead or gone. An
     /// unknown node counts as gone; what is known of an earlier start says nothing about a later one.
     pub fn is_gone(&self, node: &str, incarnation: u64) -> bool {
