--- a/crates/engine/tests/broken_answers.rs
+++ b/crates/standin/tests/broken_answers.rs
@@ -1,10 +1,13 @@
-//! What the client says of engines that answer in part, wrongly or not at all.
+//! What the clients say of engines and stores that answer in part, wrongly or not at all.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
 use dappleyard_engine::{Engine, EngineError, EngineEvent, GenerateCall, HttpEngine, Priority};
+use dappleyard_platform::client::direct;
+use dappleyard_platform::{StoreError, Transaction};
+use dappleyard_settings::PlatformSettings;
 use futures::StreamExt;
 use googletest::prelude::*;
 
@@ -150,3 +153,64 @@
         expect_true!(ends_lost(answer(status)));
     }
 }
+
+/// What a write to the table service gives when it is answered so.
+fn write_answered(answer: &str) -> StoreError {
+    let address = answer_once(answer.to_owned());
+    actix_rt::System::new().block_on(async {
+        let platform = direct(&PlatformSettings {
+            tables_url: format!("http://{address}"),
+            call_timeout_ms: 5_000,
+            ..PlatformSettings::default()
+        });
+        let written = platform
+            .tables
+            .transact(Transaction::default().put("a", "x"));
+        written.await.expect_err("a failure")
+    })
+}
+
+fn store_answer(status: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+#[gtest]
+fn write_without_a_whole_answer_is_ambiguous() {
+    let cut = "HTTP/1.1 200 OK\r\ncontent-length: 90\r\n\r\n{\"rev";
+    let garbage = store_answer("200 OK", "[]");
+    let elsewhere = store_answer("302 Elsewhere", "");
+    let broken = store_answer("500 Broken", "");
+    let odd_conflict = store_answer("409 Conflict", "what?");
+    for answer in ["", cut, &garbage, &elsewhere, &broken, &odd_conflict] {
+        expect_that!(
+            write_answered(answer),
+            matches_pattern!(StoreError::Ambiguous { .. }),
+            "{answer}"
+        );
+    }
+}
+
+#[gtest]
+fn refusal_of_a_write_changed_nothing() {
+    expect_that!(
+        write_answered(&store_answer("503 Down", "")),
+        matches_pattern!(StoreError::Unavailable { .. })
+    );
+    expect_that!(
+        write_answered(&store_answer("429 Slow", "soon")),
+        matches_pattern!(StoreError::RateLimited { .. })
+    );
+    expect_that!(
+        write_answered(&store_answer("400 Bad", "")),
+        matches_pattern!(StoreError::Invalid { .. })
+    );
+    let conflict = store_answer("409 Conflict", r#"{"key": "a", "actual": 3}"#);
+    expect_that!(
+        write_answered(&conflict),
+        eq(&StoreError::Conflict {
+            key: "a".to_owned(),
+            actual: Some(3)
+        })
+    );
+}
