--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -25,6 +25,17 @@
     Failed(LinkError, Instant),
 }
 
+impl Slot {
+    /// Addresses of nodes that are gone for good do not pile up.
+    fn is_forgotten(&self) -> bool {
+        match self {
+            Slot::Failed(_, at) => at.elapsed() >= REDIAL_PAUSE,
+            Slot::Up(link) => !link.is_up(),
+            Slot::Dialling(_) => false,
+        }
+    }
+}
+
 /// Why a unary call gave no reply.
 #[derive(Debug, Clone, PartialEq, Display, Error)]
 pub enum CallError {
@@ -78,6 +89,7 @@
             Err(error) => Slot::Failed(error.clone(), Instant::now()),
         };
         let mut links = self.links.borrow_mut();
+        links.retain(|_, slot| !slot.is_forgotten());
         if matches!(links.get(address), Some(Slot::Dialling(_))) {
             links.insert(address.to_owned(), slot);
         }
