Count shared prefixes once in the idle capacity, and find the ceiling of a policy without lag

Cause: the meter divided the memory by whole batch sequences and so counted a shared prefix once for each of them; the width it allowed (about 85) was below what fits (128), and batch_share_of_idle looked better than it was.

--- a/crates/standin/src/engine/memory.rs
+++ b/crates/standin/src/engine/memory.rs
@@ -53,6 +53,11 @@
         self.cached_blocks
     }
 
+    /// Blocks of all shared prefixes in use.
+    pub fn pinned_blocks(&self) -> u32 {
+        self.pinned.values().map(|entry| entry.blocks).sum()
+    }
+
     /// Blocks cached under a key, used by nobody.
     pub fn cached(&self, key: u64) -> u32 {
         self.cached.peek(&key).copied().unwrap_or(0)
@@ -180,7 +185,7 @@
 
     /// Whether each block is in exactly one place, given the blocks that sequences own.
     pub fn is_consistent(&self, owned: u32) -> bool {
-        let pinned: u32 = self.pinned.values().map(|entry| entry.blocks).sum();
+        let pinned = self.pinned_blocks();
         let cached: u32 = self.cached.iter().map(|(_, blocks)| *blocks).sum();
         cached == self.cached_blocks && self.free + pinned + cached + owned == self.total
     }
--- a/crates/standin/src/engine/meter.rs
+++ b/crates/standin/src/engine/meter.rs
@@ -69,9 +69,11 @@
     pub batch: u32,
     /// Prefill tokens of online sequences in the step.
     pub online_prefill: u32,
-    /// KV blocks of online sequences.
+    /// KV blocks of shared prefixes in use, each counted once.
+    pub shared_blocks: u32,
+    /// Other KV blocks of online sequences.
     pub online_blocks: u32,
-    /// KV blocks of batch sequences.
+    /// Other KV blocks of batch sequences.
     pub batch_blocks: u32,
 }
 
@@ -180,7 +182,8 @@
     /// the limits of sequences and memory.
     pub(super) fn allowed_width(&self, step: &StepShape) -> u32 {
         let by_sequences = self.maximum_sequences.saturating_sub(step.online);
-        let free_blocks = self.total_blocks.saturating_sub(step.online_blocks);
+        let others = step.online_blocks + step.shared_blocks;
+        let free_blocks = self.total_blocks.saturating_sub(others);
         let by_memory = (f64::from(free_blocks) / self.mean_batch_blocks) as u32;
         let width = by_sequences.min(by_memory);
         if step.online == 0 {
@@ -236,6 +239,7 @@
             online: 0,
             batch: 0,
             online_prefill: 0,
+            shared_blocks: 0,
             online_blocks: 0,
             batch_blocks: 0,
         };
--- a/crates/standin/src/engine/model/step.rs
+++ b/crates/standin/src/engine/model/step.rs
@@ -62,7 +62,8 @@
             return;
         }
         let prefill = self.assign_prefill();
-        let shape = self.shape();
+        let noisy_base_ms = self.noisy_base_ms();
+        let shape = self.shape(noisy_base_ms);
         self.mark_started(now_us);
         let sequences = self.running.len() as f64;
         let step_ms = shape.noisy_base_ms
@@ -97,12 +98,13 @@
         }
     }
 
-    fn shape(&mut self) -> StepShape {
+    fn shape(&self, noisy_base_ms: f64) -> StepShape {
         let mut shape = StepShape {
-            noisy_base_ms: self.noisy_base_ms(),
+            noisy_base_ms,
             online: 0,
             batch: 0,
             online_prefill: 0,
+            shared_blocks: self.memory.pinned_blocks(),
             online_blocks: 0,
             batch_blocks: 0,
         };
@@ -110,15 +112,22 @@
             if sequence.online {
                 shape.online += 1;
                 shape.online_prefill += sequence.prefill_now;
-                shape.online_blocks += sequence.blocks();
+                shape.online_blocks += sequence.own_blocks;
             } else {
                 shape.batch += 1;
-                shape.batch_blocks += sequence.blocks();
+                shape.batch_blocks += sequence.own_blocks;
             }
         }
         shape
     }
 
+    /// The batch width that the definition of idle capacity allows for the sequences now in the
+    /// engine, with a step of usual length: what the best policy would keep to.
+    pub fn allowed_batch(&self) -> u32 {
+        let usual_ms = self.settings.base_ms;
+        self.meter.allowed_width(&self.shape(usual_ms))
+    }
+
     fn noisy_base_ms(&mut self) -> f64 {
         let settings = &self.settings;
         let noise = match LogNormal::new(0.0, settings.noise_sigma) {
