Keep distributions and the decisions around faults in a run's summary

Cause: the report shows distributions and why nodes did what they did around each fault; the summary held three percentiles and no decision. Old summaries still read. Conclusion: a killed node's decisions are lost with it, which the report must say.

--- a/crates/lab/src/fleet/node.rs
+++ b/crates/lab/src/fleet/node.rs
@@ -4,6 +4,7 @@
 
 use dappleyard_node::NodeHandle;
 use dappleyard_platform::{Machine, MachineRole};
+use dappleyard_tables::decisions::Decision;
 
 use super::{Fleet, Placed, settings};
 use crate::error::LabError;
@@ -68,6 +69,15 @@
         running.map(|(index, _)| index).collect()
     }
 
+    /// Decision records of the nodes that run, at most `limit` of each.
+    pub fn decisions(&self, limit: usize) -> Vec<Decision> {
+        let nodes = self.nodes.borrow();
+        let running = nodes.iter().filter_map(NodeSlot::handle);
+        running
+            .flat_map(|handle| handle.tables().decisions.recent(limit))
+            .collect()
+    }
+
     /// Gossip addresses of the nodes that run.
     pub fn gossip_addresses(&self) -> Vec<String> {
         self.addresses(NodeHandle::gossip_address)
--- a/crates/lab/src/measures/mod.rs
+++ b/crates/lab/src/measures/mod.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use dappleyard_report::summary::{Measures, Percentiles, Series};
+use dappleyard_report::summary::{Measures, Percentiles, QuantilePoint, Series};
 use dappleyard_standin::engine::Sample;
 use dappleyard_standin::engine::host::MeterSummary;
 use hdrhistogram::Histogram;
@@ -84,6 +84,11 @@
 /// Greatest time of a histogram, microseconds: an hour.
 const GREATEST_US: u64 = 3_600_000_000;
 
+/// Quantiles at which a distribution is kept.
+const CURVE_QUANTILES: [f64; 15] = [
+    0.0, 0.05, 0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.975, 0.99, 0.995, 0.9975, 0.999, 0.9995, 1.0,
+];
+
 /// A histogram of milliseconds with three digits, kept in microseconds.
 struct Milliseconds {
     histogram: Histogram<u64>,
@@ -102,6 +107,19 @@
         self.histogram.saturating_record(microseconds);
     }
 
+    /// The distribution at [`CURVE_QUANTILES`]; empty when there is no value.
+    fn curve(&self) -> Vec<QuantilePoint> {
+        let quantiles = CURVE_QUANTILES
+            .iter()
+            .filter(|_| !self.histogram.is_empty());
+        quantiles
+            .map(|quantile| QuantilePoint {
+                quantile: *quantile,
+                value: self.histogram.value_at_quantile(*quantile) as f64 / 1_000.0,
+            })
+            .collect()
+    }
+
     fn percentiles(&self) -> Percentiles {
         let at = |quantile: f64| self.histogram.value_at_quantile(quantile) as f64 / 1_000.0;
         Percentiles {
--- a/crates/lab/src/measures/online.rs
+++ b/crates/lab/src/measures/online.rs
@@ -46,6 +46,8 @@
     measures.goodput_per_s = counted.per_second(measures.online_whole as f64);
     measures.ttft_ms = first_token.percentiles();
     measures.itl_ms = gaps.percentiles();
+    measures.ttft_curve = first_token.curve();
+    measures.itl_curve = gaps.curve();
     measures.refusal_ms = refusals.percentiles();
     measures.steps_to_yield = steps(&counted.meters.probe.steps);
     measures.never_yielded = counted.meters.probe.never;
--- a/crates/lab/src/run/mod.rs
+++ b/crates/lab/src/run/mod.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod collect;
+mod decisions;
 mod one;
 mod process;
 mod progress;
--- a/crates/lab/src/run/one.rs
+++ b/crates/lab/src/run/one.rs
@@ -9,7 +9,7 @@
 
 use super::arguments::RunArguments;
 use super::process::{ProcessTime, rss_mb};
-use super::{collect, progress};
+use super::{collect, decisions, progress};
 use crate::error::LabError;
 use crate::faults::inject::Injector;
 use crate::faults::routine;
@@ -65,6 +65,7 @@
         not_done: not_done(&evidence),
         series: measures::series(&evidence, &counted),
         events: spans(&evidence, counted.load_start),
+        decisions: decisions::around_faults(&fleet, &evidence, counted.load_start),
     };
     summary.write(directory).map_err(LabError::failed)?;
     stop(fleet).await;
--- a/crates/report/src/summary.rs
+++ b/crates/report/src/summary.rs
@@ -88,6 +88,35 @@
     pub series: Series,
     /// Faults and other events, as spans.
     pub events: Vec<EventSpan>,
+    /// Decisions of the nodes that still ran at the end, around the events; oldest first.
+    #[serde(default)]
+    pub decisions: Vec<DecisionLine>,
+}
+
+/// One decision of a node.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DecisionLine {
+    /// When, seconds after the load's start.
+    pub at_s: f64,
+    /// Node that decided.
+    pub node: String,
+    /// Kind of the decision.
+    pub kind: String,
+    /// What it is about.
+    pub subjects: Vec<String>,
+    /// Why.
+    pub cause: String,
+    /// What came of it.
+    pub outcome: String,
+}
+
+/// One point of a distribution.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct QuantilePoint {
+    /// Share of the values that are at most `value`, from 0 to 1.
+    pub quantile: f64,
+    /// The value.
+    pub value: f64,
 }
 
 /// Percentiles of a distribution.
@@ -144,8 +173,14 @@
     pub goodput_per_s: f64,
     /// Time to the first text.
     pub ttft_ms: Percentiles,
+    /// Distribution of the time to the first text, milliseconds.
+    #[serde(default)]
+    pub ttft_curve: Vec<QuantilePoint>,
     /// Time between two texts.
     pub itl_ms: Percentiles,
+    /// Distribution of the time between two texts, milliseconds.
+    #[serde(default)]
+    pub itl_curve: Vec<QuantilePoint>,
     /// Time to a refusal.
     pub refusal_ms: Percentiles,
     /// Engine steps from an online burst's first arrival until batch was out of its way.
