--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -24,6 +24,10 @@
         command: crate::capacity::command,
         run: crate::capacity::run,
     },
+    Subcommand {
+        command: crate::report::command,
+        run: crate::report::run,
+    },
     Subcommand {
         command: crate::model::command,
         run: crate::model::run,
--- /dev/null
+++ b/crates/report/src/tradeoff.rs
@@ -0,0 +1,56 @@
+//! Batch throughput against online harm, from runs that differ in `online_slowdown_percent`.
+
+use std::path::PathBuf;
+
+use crate::charts::{Trade, trade_off};
+use crate::compare::median;
+use crate::page::PageError;
+use crate::runs;
+use crate::summary::Summary;
+
+/// Runs under one setting.
+pub struct Setting {
+    /// The setting's value, for example `10%`.
+    pub label: String,
+    /// Directory of its runs.
+    pub directory: PathBuf,
+}
+
+/// Draws the curve: the 99th percentile of the time to the first token relative to `baseline` (the
+/// same seeds without batch work) on the horizontal axis, batch items a second on the vertical one.
+pub fn curve(title: &str, baseline: &PathBuf, settings: &[Setting]) -> Result<String, PageError> {
+    let baseline = runs::read(std::slice::from_ref(baseline))?;
+    let mut points = Vec::new();
+    for setting in settings {
+        let runs = runs::read(std::slice::from_ref(&setting.directory))?;
+        points.extend(point(&setting.label, &baseline, &runs));
+    }
+    let axes = (
+        "online TTFT p99, ratio to no batch work",
+        "batch items a second",
+    );
+    Ok(trade_off(title, axes, &points)?)
+}
+
+fn point(label: &str, baseline: &[Summary], runs: &[Summary]) -> Option<Trade> {
+    let harm: Vec<f64> = runs
+        .iter()
+        .filter_map(|run| {
+            let alone = baseline.iter().find(|alone| alone.seed == run.seed)?;
+            Some(run.measures.ttft_ms.p99 / alone.measures.ttft_ms.p99)
+        })
+        .collect();
+    let items: Vec<f64> = runs
+        .iter()
+        .map(|run| run.measures.batch_items_per_s)
+        .collect();
+    Some(Trade {
+        label: label.to_owned(),
+        x: median(&harm)?,
+        y: median(&items)?,
+        spread: (
+            items.iter().copied().fold(f64::INFINITY, f64::min),
+            items.iter().copied().fold(0.0, f64::max),
+        ),
+    })
+}
