--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -28,6 +28,10 @@
         command: crate::report::command,
         run: crate::report::run,
     },
+    Subcommand {
+        command: crate::tradeoff::command,
+        run: crate::tradeoff::run,
+    },
     Subcommand {
         command: crate::model::command,
         run: crate::model::run,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod run;
 pub mod scenario;
 pub mod standins;
+pub mod tradeoff;
--- a/crates/report/src/charts.rs
+++ b/crates/report/src/charts.rs
@@ -10,6 +10,8 @@
 /// Heights, pixels.
 const CURVE_HEIGHT: u32 = 300;
 const TIMELINE_HEIGHT: u32 = 220;
+/// Size of the text beside axes, pixels.
+const LABEL_SIZE: u32 = 13;
 /// Quantiles from here on are drawn: below, all policies look alike.
 const GREATEST_NINES: f64 = 4.0;
 /// Colours that people who see few colours can tell apart.
@@ -91,6 +93,7 @@
             .map_err(failed)?;
         chart
             .configure_mesh()
+            .label_style(("sans-serif", LABEL_SIZE))
             .x_labels(5)
             .x_label_formatter(&|nines| quantile_name(*nines))
             .y_label_formatter(&|value| milliseconds(*value))
@@ -114,6 +117,7 @@
         }
         chart
             .configure_series_labels()
+            .label_font(("sans-serif", LABEL_SIZE))
             .position(SeriesLabelPosition::UpperLeft)
             .background_style(WHITE.mix(0.85))
             .border_style(BLACK.mix(0.3))
@@ -162,6 +166,7 @@
             .map_err(failed)?;
         chart
             .configure_mesh()
+            .label_style(("sans-serif", LABEL_SIZE))
             .x_label_formatter(&|second| format!("{second:.0} s"))
             .y_label_formatter(&|value| short(*value))
             .y_labels(5)
@@ -192,6 +197,7 @@
         }
         chart
             .configure_series_labels()
+            .label_font(("sans-serif", LABEL_SIZE))
             .position(SeriesLabelPosition::UpperRight)
             .background_style(WHITE.mix(0.85))
             .border_style(BLACK.mix(0.3))
@@ -287,6 +293,7 @@
             .map_err(failed)?;
         chart
             .configure_mesh()
+            .label_style(("sans-serif", LABEL_SIZE))
             .x_desc(x_name)
             .y_desc(y_name)
             .light_line_style(TRANSPARENT)
--- a/crates/report/src/compare.rs
+++ b/crates/report/src/compare.rs
@@ -183,7 +183,9 @@
 
 /// A number with as many decimals as help.
 pub fn number(value: f64) -> String {
-    if value.abs() >= 100.0 {
+    if value == 0.0 {
+        "0".to_owned()
+    } else if value.abs() >= 100.0 {
         format!("{value:.0}")
     } else if value.abs() >= 1.0 {
         format!("{value:.2}")
--- a/crates/report/src/page/decisions.rs
+++ b/crates/report/src/page/decisions.rs
@@ -3,16 +3,16 @@
 use maud::{Markup, html};
 
 use crate::charts::is_fault;
-use crate::runs::Group;
 use crate::summary::{DecisionLine, EventSpan, Summary};
 
 /// Seconds around a fault in which decisions are shown.
 const MARGIN_S: f64 = 2.0;
 
-/// Faults of the first run that had any, each with its decisions.
-pub fn around_faults(group: &Group) -> Markup {
+/// Faults of the first run that had any, each with its decisions. Runs are looked at in the order given.
+pub fn around_faults<'a>(runs: impl Iterator<Item = &'a Summary>) -> Markup {
     let had_faults = |run: &&Summary| run.events.iter().any(is_fault);
-    let Some(run) = group.runs().find(had_faults) else {
+    let mut runs = runs.filter(had_faults);
+    let Some(run) = runs.next() else {
         return html! { p class="note" { "No fault or operation in these runs." } };
     };
     let mut events: Vec<&EventSpan> = run.events.iter().filter(|event| is_fault(event)).collect();
--- a/crates/report/src/page/sections.rs
+++ b/crates/report/src/page/sections.rs
@@ -34,7 +34,7 @@
             (legend())
             (timelines)
             h3 { "Faults, and what the nodes decided around them" }
-            (decisions::around_faults(group))
+            (decisions::around_faults(policies(group).into_iter().flat_map(|(_, runs)| runs)))
             h3 { "Cost" }
             (cost(group))
         }
