--- a/crates/standin/tests/engine_model.rs
+++ b/crates/standin/tests/engine_model.rs
@@ -217,6 +217,23 @@
     expect_true!(records.iter().all(|record| record.preempted == 0));
     expect_that!(records[3].started_us, gt(records[2].started_us));
     expect_true!(records[3].online);
+    expect_that!(records[3].steps_behind_batch, gt(2));
+}
+
+#[gtest]
+fn engine_with_priorities_keeps_no_online_sequence_behind_batch() {
+    let mut bench = bench(EngineModelSettings {
+        maximum_sequences: 2,
+        ..settings()
+    });
+    for number in 0..3 {
+        bench.start(&call(&format!("batch {number}"), 600, 50, Priority::BATCH));
+    }
+    bench.steps(1);
+    bench.start(&call("online", 600, 5, Priority::ONLINE));
+    bench.run_out();
+    let records = bench.engine.records().all();
+    expect_that!(records[3].steps_behind_batch, eq(0));
 }
 
 #[gtest]
@@ -546,7 +563,12 @@
             .cancel(bench.now_us, *stream, &mut bench.effects);
     }
     bench.steps(2);
-    let probe = bench.engine.meter(bench.now_us).probe();
+    let meter = bench.engine.meter(bench.now_us);
+    let (with_batch, alone) = meter.online_step_ms();
+    // Four steps: 40, 40, 10 and 10 batch sequences beside one; 16 tokens of online prefill.
+    expect_that!(alone, near(4.0 * 3.21 + 16.0 * 0.004, 1e-6));
+    expect_that!(with_batch - alone, near(1.0, 1e-6));
+    let probe = meter.probe();
     // Two steps passed before the cancel, and the one at hand had begun.
     expect_that!(probe.steps, eq(&[(3, 1)].into()));
     expect_that!(probe.never, eq(0));
