--- a/crates/decide/src/membership/probing.rs
+++ b/crates/decide/src/membership/probing.rs
@@ -1,5 +1,6 @@
 //! Probes: direct, indirect, of suspects, and of addresses where unknown members may be.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use dappleyard_wire::messages::datagram::Body;
@@ -72,7 +73,7 @@
         actions: &mut Vec<Action>,
     ) {
         let own: Option<SocketAddr> = self.own.gossip_address.parse().ok();
-        let present: Vec<SocketAddr> = self
+        let present: BTreeSet<SocketAddr> = self
             .members
             .values()
             .filter(|entry| entry.is_present())
--- a/crates/fleet/src/actor.rs
+++ b/crates/fleet/src/actor.rs
@@ -87,11 +87,14 @@
     /// Members or machines have changed since the directory was written.
     dirty: bool,
     servers_changed: bool,
+    /// Member changes since the directory was written.
+    member_changes: u64,
     machines: Machines,
     /// A peer that has more than fits a datagram.
     snapshot_from: Option<String>,
     synced: bool,
     sync_attempts: u32,
+    sync_pause_ms: u64,
     feed_from: u64,
     highest_heard: u64,
     /// A member that has shown a greater revision, to be asked for what is missing.
@@ -145,10 +148,12 @@
             started: now,
             dirty: true,
             servers_changed: false,
+            member_changes: 0,
             machines: Machines::default(),
             snapshot_from: None,
             synced: false,
             sync_attempts: 0,
+            sync_pause_ms: calls::SYNC_RETRY_MS,
             feed_from: 0,
             highest_heard: 0,
             ahead: None,
@@ -174,6 +179,9 @@
         let actions = self.membership.tick(now, &mut self.random);
         self.perform(actions);
         self.update_lifecycle(now);
+        // Worker threads that wake from a pause before this actor does see that its time is up.
+        let grace = self.settings.suspicion_ms / 2;
+        self.tables.set_vouched_until(now.plus(grace));
         self.cancelled.collect(&self.tables, now);
         self.publish(now);
         self.push_fresh();
@@ -212,7 +220,7 @@
         if lifecycle::enter(&self.tables, next, cause) && next == Lifecycle::Withdrawn {
             self.metrics.withdrawals.inc();
         }
-        let ready = self.tables.takes_new_work();
+        let ready = *self.tables.lifecycle.borrow() == Lifecycle::Ready;
         if self.membership.own().draining == ready {
             self.membership.set_draining(!ready);
             self.dirty = true;
--- a/crates/fleet/src/actor/calls.rs
+++ b/crates/fleet/src/actor/calls.rs
@@ -14,7 +14,9 @@
 use crate::{regions, sync};
 
 /// Pause between two attempts to learn the snapshot, milliseconds.
-const SYNC_RETRY_MS: u64 = 300;
+pub(super) const SYNC_RETRY_MS: u64 = 300;
+/// The same, when the store has failed several times, milliseconds.
+const LONGEST_SYNC_RETRY_MS: u64 = 5_000;
 /// Peers asked in vain before the store is read.
 const PEERS_ASKED: u32 = 3;
 
@@ -201,7 +203,6 @@
         let reading = watcher::read_whole(self.platform.tables.clone());
         let done = reading.into_actor(self).map(move |read, actor, _| {
             actor.running.sync = false;
-            actor.due.sync = actor.later(SYNC_RETRY_MS);
             actor.metrics.count_call("snapshot", &read);
             match read {
                 Ok(snapshot) => {
@@ -209,8 +210,12 @@
                     actor.take_snapshot(snapshot);
                     actor.finish_sync();
                 }
-                Err(_) => actor.sync_attempts = 0,
+                Err(_) => {
+                    actor.sync_attempts = 0;
+                    actor.sync_pause_ms = (actor.sync_pause_ms * 2).min(LONGEST_SYNC_RETRY_MS);
+                }
             }
+            actor.due.sync = actor.later(actor.sync_pause_ms);
         });
         context.spawn(done);
     }
--- a/crates/fleet/src/actor/changes.rs
+++ b/crates/fleet/src/actor/changes.rs
@@ -10,6 +10,8 @@
 
 /// Shortest time between two writings of the directory, milliseconds.
 const PUBLISH_PAUSE_MS: u64 = 250;
+/// After many member changes at once the pause is up to this many times as long.
+const MOST_PAUSES: u64 = 8;
 /// Fewest members of a zone whose common loss is recorded as one event.
 const ZONE_LOSS_MINIMUM: usize = 3;
 
@@ -61,6 +63,7 @@
         self.count_change(&member, before, restarted, detected_after_ms);
         self.record_change(&member, before, restarted, detected_after_ms);
         self.tables.members.put(member);
+        self.member_changes += 1;
         self.dirty = true;
     }
 
@@ -176,7 +179,8 @@
             return;
         }
         self.dirty = false;
-        self.due.publish = now.plus(PUBLISH_PAUSE_MS);
+        let changes = std::mem::take(&mut self.member_changes).clamp(1, MOST_PAUSES);
+        self.due.publish = now.plus(PUBLISH_PAUSE_MS * changes);
         let own = self.membership.own().clone();
         self.tables.members.put(own);
         let members_changed = self
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -9,6 +9,7 @@
 use dappleyard_decide::ownership::{Cell, Cells, OwnerNode, owners_of_zone, server_key};
 use dappleyard_tables::NodeTables;
 use dappleyard_tables::directory::ServerEntry;
+use dappleyard_wire::hash::hash_bytes;
 use dappleyard_wire::ids::{NodeId, ServerId};
 use dappleyard_wire::messages::Member;
 
@@ -27,7 +28,8 @@
 pub struct Directory {
     zones: BTreeMap<(String, String), Zone>,
     cells: Cells,
-    nodes: Vec<OwnerNode>,
+    /// Of the members for which `cells` was made.
+    fingerprint: u64,
 }
 
 impl Directory {
@@ -43,17 +45,18 @@
 
     /// Takes the members; `true` when cells or eligible nodes have changed.
     pub fn set_members(&mut self, membership: &Membership, cell_size: usize) -> bool {
-        let others = membership.members().map(|entry| &entry.member);
-        let mut nodes: Vec<OwnerNode> = others
-            .chain(std::iter::once(membership.own()))
-            .map(owner_node)
-            .collect();
-        nodes.sort_by(|left, right| left.node.cmp(&right.node));
-        if self.nodes == nodes {
+        let members = || {
+            let others = membership.members().map(|entry| &entry.member);
+            others.chain(std::iter::once(membership.own()))
+        };
+        let fingerprint = members().fold(0_u64, |sum, member| sum.wrapping_add(weight(member)));
+        if self.fingerprint == fingerprint {
             return false;
         }
+        self.fingerprint = fingerprint;
+        let mut nodes: Vec<OwnerNode> = members().map(owner_node).collect();
+        nodes.sort_by(|left, right| left.node.cmp(&right.node));
         self.cells = Cells::of(&nodes, cell_size);
-        self.nodes = nodes;
         true
     }
 
@@ -126,6 +129,13 @@
     }
 }
 
+/// Hash of what ownership sees of a member.
+fn weight(member: &Member) -> u64 {
+    let key = hash_bytes(member.node.as_bytes());
+    let eligible = u64::from(is_present(member) && !member.draining);
+    key.rotate_left(1).wrapping_mul(2 * eligible + 3)
+}
+
 fn owner_node(member: &Member) -> OwnerNode {
     OwnerNode {
         node: member.node.clone(),
--- a/crates/fleet/src/lifecycle.rs
+++ b/crates/fleet/src/lifecycle.rs
@@ -1,5 +1,8 @@
 //! The node's life cycle as far as the fleet part decides it: starting, ready, withdrawn.
 
+#[cfg(test)]
+mod tests;
+
 use dappleyard_decide::membership::Standing;
 use dappleyard_decide::time::Millis;
 use dappleyard_tables::decisions::{Decision, DecisionKind, Subject};
--- a/crates/fleet/src/machines.rs
+++ b/crates/fleet/src/machines.rs
@@ -7,6 +7,9 @@
 //! differ from the reader's last one does not undo what others have seen meanwhile, since the list
 //! lags by a different time for each reader.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -2,10 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dappleyard_decide::membership::is_present;
 use dappleyard_decide::time::Millis;
 use dappleyard_tables::NodeTables;
-use dappleyard_wire::messages::{CellAggregate, Member};
+use dappleyard_wire::messages::{CellAggregate, Member, MemberState};
 
 /// Aggregates older than this say nothing of a cell any more, milliseconds.
 const STALE_AGGREGATE_MS: u64 = 60_000;
@@ -35,7 +34,7 @@
     let aggregates = fresh_aggregates(tables, now);
     let alive: Vec<&Member> = members
         .iter()
-        .filter(|m| m.state() == dappleyard_wire::messages::MemberState::MemberAlive)
+        .filter(|m| m.state() == MemberState::MemberAlive)
         .collect();
     let own = tables.configuration.revision();
     let shown = aggregates
@@ -106,29 +105,25 @@
         .collect()
 }
 
-/// Regions other than this node's of which no member is believed alive, while there are some that
-/// have not left.
+/// Regions other than this node's in which there are servers or members that have not left, while no
+/// member there is believed alive.
 fn cut_off_regions(members: &[Member], tables: &NodeTables) -> Vec<String> {
-    let mut known = BTreeSet::new();
-    let mut answering = BTreeSet::new();
+    let mut known: BTreeSet<String> = tables.directory.read(|servers| {
+        let regions: BTreeSet<&str> = servers.values().map(|s| s.region.as_str()).collect();
+        regions.into_iter().map(str::to_owned).collect()
+    });
+    let mut answering = BTreeSet::from([tables.identity.region.as_str()]);
     for member in members {
         match member.state() {
-            dappleyard_wire::messages::MemberState::MemberAlive => {
-                answering.insert(member.region.as_str());
+            MemberState::MemberLeft => {}
+            MemberState::MemberAlive => {
+                answering.insert(&member.region);
             }
-            _ if is_present(member) => {
-                known.insert(member.region.as_str());
+            _ => {
+                known.insert(member.region.clone());
             }
-            dappleyard_wire::messages::MemberState::MemberDead => {
-                known.insert(member.region.as_str());
-            }
-            _ => {}
         }
     }
-    let own = tables.identity.region.as_str();
-    known
-        .into_iter()
-        .filter(|region| *region != own && !answering.contains(region))
-        .map(str::to_owned)
-        .collect()
+    known.retain(|region| !answering.contains(region.as_str()));
+    known.into_iter().collect()
 }
--- a/crates/lab/src/capacity/hollow.rs
+++ b/crates/lab/src/capacity/hollow.rs
@@ -22,6 +22,7 @@
 use tokio::sync::oneshot;
 
 use super::Options;
+use super::changes::Journal;
 use crate::error::LabError;
 
 /// Services that each node carries.
@@ -83,6 +84,7 @@
     pub async fn start(options: &Options) -> Result<HollowFleet, LabError> {
         let platform = MemoryPlatform::default();
         platform.set_machines(servers(options));
+        Journal::fill(&platform).await.map_err(LabError::failed)?;
         let mut fleet = HollowFleet {
             nodes: Vec::new(),
             platform,
--- a/crates/lab/src/capacity/measure.rs
+++ b/crates/lab/src/capacity/measure.rs
@@ -76,9 +76,6 @@
 pub async fn measure(options: &Options) -> Result<Measured, LabError> {
     let memory_before = memory_bytes()?;
     let mut fleet = HollowFleet::start(options).await?;
-    Journal::fill(&fleet.platform)
-        .await
-        .map_err(LabError::failed)?;
     let start_s = wait_ready(&fleet).await?;
     tokio::time::sleep(SETTLING).await;
     let journal = Journal::default();
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -15,7 +15,9 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
+use dappleyard_decide::time::Millis;
 use dappleyard_wire::ids::{NodeId, RegionId, ZoneId};
 use tokio::sync::watch;
 
@@ -73,6 +75,7 @@
     pub decisions: decisions::DecisionsTable,
     /// Registry of this node's metrics.
     pub metrics: prometheus::Registry,
+    vouched_until: AtomicU64,
 }
 
 impl NodeTables {
@@ -90,11 +93,20 @@
             cancelled_jobs: Ranked::new(Rank::CancelledJobs, BTreeSet::new()),
             decisions: decisions::DecisionsTable::default(),
             metrics: prometheus::Registry::new(),
+            vouched_until: AtomicU64::new(u64::MAX),
         })
     }
 
-    /// Whether the node takes new work.
+    /// Whether the node takes new work: it is ready, and the fleet part has vouched for that a moment
+    /// ago. After a pause of the process this is false at once on every thread.
     pub fn takes_new_work(&self) -> bool {
-        *self.lifecycle.borrow() == Lifecycle::Ready
+        let vouched = self.clock.now().0 <= self.vouched_until.load(Ordering::Relaxed);
+        vouched && *self.lifecycle.borrow() == Lifecycle::Ready
+    }
+
+    /// Sets until when the life cycle holds without another word of the fleet part. Until the first
+    /// call it holds for ever.
+    pub fn set_vouched_until(&self, until: Millis) {
+        self.vouched_until.store(until.0, Ordering::Relaxed);
     }
 }
