--- a/crates/operate/src/controller/mod.rs
+++ b/crates/operate/src/controller/mod.rs
@@ -29,6 +29,7 @@
 use crate::controller::authority::Authority;
 use crate::controller::service::{Outcome, ServiceController};
 use crate::metrics::Metrics;
+use crate::peers::Peers;
 use crate::record::record;
 use crate::start::is_preferred;
 
@@ -44,6 +45,8 @@
     pub store: &'a dyn TableStore,
     /// Engines.
     pub engine: &'a dyn Engine,
+    /// The other nodes.
+    pub peers: &'a Peers,
     /// Settings.
     pub settings: &'a OperateSettings,
     /// Metrics.
@@ -161,6 +164,7 @@
 /// Runs the reconcilers for ever on the calling arbiter.
 pub(crate) async fn run(context: Rc<crate::start::OperateContext>, metrics: Metrics) {
     let interval = Duration::from_millis(context.settings.reconcile_interval_ms.max(10));
+    let peers = Peers::new(context.tables.clone(), context.settings.peer_timeout_ms);
     let mut controllers = Controllers::default();
     loop {
         tokio::time::sleep(interval).await;
@@ -172,6 +176,7 @@
             tables: &context.tables,
             store: &*context.platform.tables,
             engine: &*context.engine,
+            peers: &peers,
             settings: &context.settings,
             metrics: &metrics,
         };
--- a/crates/operate/src/controller/observe.rs
+++ b/crates/operate/src/controller/observe.rs
@@ -117,12 +117,14 @@
         self.seen = next;
     }
 
-    /// Looks at the engines: all `of_interest`, and some of the others in turn.
+    /// Looks at the engines: all `of_interest`, and some of the others in turn. `failing` are servers
+    /// of which their owners say that calls fail.
     pub async fn look(
         &mut self,
         tables: &NodeTables,
         engine: &dyn Engine,
         of_interest: &BTreeSet<String>,
+        failing: &BTreeSet<String>,
     ) {
         let targets = self.targets(of_interest);
         let looks = targets.into_iter().map(|(id, base)| async move {
@@ -135,10 +137,10 @@
             .await;
         let now = tables.clock.now();
         for (id, answer) in answers {
-            let failing = is_failing(tables, &id);
+            let is_failing = failing.contains(&id);
             if let Some(seen) = self.seen.get_mut(&id) {
                 match answer {
-                    Ok(Ok(report)) => seen.take(report, failing, now),
+                    Ok(Ok(report)) => seen.take(report, is_failing, now),
                     Ok(Err(_)) | Err(_) => seen.miss(now),
                 }
             }
@@ -197,11 +199,3 @@
         }
     }
 }
-
-/// Whether this node, as the server's owner, sees its calls to the server fail.
-fn is_failing(tables: &NodeTables, server: &str) -> bool {
-    let failing = tables
-        .servers
-        .with(&server.into(), |state| state.failures > 0);
-    failing.unwrap_or(false)
-}
--- a/crates/operate/src/controller/service.rs
+++ b/crates/operate/src/controller/service.rs
@@ -12,6 +12,7 @@
 use crate::controller::Tools;
 use crate::controller::authority::Authority;
 use crate::controller::observe::Observations;
+use crate::local::{LocalReport, local_report};
 use crate::record::record;
 
 /// HTTP status with which an engine refuses an order of an old epoch.
@@ -77,7 +78,10 @@
         let target = target_of(row, window);
         self.seen.follow(tools.tables, &self.service);
         let interest = self.interest(&target);
-        self.seen.look(tools.tables, tools.engine, &interest).await;
+        let failing = self.failing(tools, &target).await;
+        self.seen
+            .look(tools.tables, tools.engine, &interest, &failing)
+            .await;
         if self.close_and_open(tools).await == Outcome::Lost {
             return Outcome::Lost;
         }
@@ -107,6 +111,31 @@
         interest
     }
 
+    /// Servers of which their owners say that calls fail, while there are canaries to be judged.
+    async fn failing(&self, tools: Tools<'_>, target: &Target) -> BTreeSet<String> {
+        if target.canary.is_empty() {
+            return BTreeSet::new();
+        }
+        let owners: BTreeSet<&str> = self
+            .seen
+            .all()
+            .filter(|seen| seen.view.version == target.canary)
+            .filter_map(|seen| seen.entry.owner.as_ref())
+            .map(|owner| owner.as_str())
+            .collect();
+        let answers = tools
+            .peers
+            .ask_those::<LocalReport>("/admin/v1/local", |node| owners.contains(node))
+            .await;
+        let own = local_report(tools.tables);
+        let reports = answers.answers.into_iter().chain([own]);
+        reports
+            .flat_map(|report| report.servers)
+            .filter(|server| server.failures > 0)
+            .map(|server| server.server)
+            .collect()
+    }
+
     pub(super) fn version_of(&self, server: &str) -> &str {
         self.seen.get(server).map_or("", |seen| &seen.view.version)
     }
--- a/crates/operate/src/peers.rs
+++ b/crates/operate/src/peers.rs
@@ -41,13 +41,23 @@
 
     /// Asks every live peer for `path`, a path of the operators' interface.
     pub async fn ask<T: DeserializeOwned>(&self, path: &str) -> PeerAnswers<T> {
-        let questions = self
-            .addresses()
-            .into_iter()
-            .map(|(node, address)| async move {
-                let answer = self.ask_one::<T>(&format!("http://{address}{path}")).await;
-                (node, answer)
-            });
+        self.ask_those(path, |_| true).await
+    }
+
+    /// Asks the live peers that `wanted` names.
+    pub async fn ask_those<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        wanted: impl Fn(&str) -> bool,
+    ) -> PeerAnswers<T> {
+        let addresses = self.addresses().into_iter();
+        let questions =
+            addresses
+                .filter(|(node, _)| wanted(node))
+                .map(|(node, address)| async move {
+                    let answer = self.ask_one::<T>(&format!("http://{address}{path}")).await;
+                    (node, answer)
+                });
         let mut results = futures::stream::iter(questions).buffer_unordered(CONCURRENCY);
         let mut collected = PeerAnswers {
             answers: Vec::new(),
--- a/crates/operate/tests/controllers.rs
+++ b/crates/operate/tests/controllers.rs
@@ -6,6 +6,7 @@
 
 use dappleyard_operate::controller::{Controllers, Tools};
 use dappleyard_operate::metrics::Metrics;
+use dappleyard_operate::peers::Peers;
 use dappleyard_operate::plans::confirm::{Confirmation, confirm};
 use dappleyard_operate::plans::store::read_plan;
 use dappleyard_platform::{MemoryPlatform, Transaction};
@@ -21,6 +22,7 @@
     tables: Arc<NodeTables>,
     controllers: Controllers,
     metrics: Metrics,
+    peers: Peers,
     settings: OperateSettings,
 }
 
@@ -31,6 +33,7 @@
         tables.directory.replace((0..servers).map(entry).collect());
         Node {
             metrics: Metrics::register(&tables),
+            peers: Peers::new(tables.clone(), 1_000),
             tables,
             controllers: Controllers::default(),
             settings: OperateSettings {
@@ -67,6 +70,7 @@
             tables: &self.tables,
             store,
             engine: engines,
+            peers: &self.peers,
             settings: &self.settings,
             metrics: &self.metrics,
         };
@@ -185,6 +189,32 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_canary_on_which_calls_fail_is_taken_back() -> Result<()> {
+    let store = platform().await;
+    let engines = FakeEngines::new(4, "v1");
+    let mut node = Node::new("node-1", 4);
+    node.settings.canary_watch_ms = 60_000;
+    node.tables.servers.set_owned((0..4).map(entry).collect());
+    node.round(&store, &engines).await;
+    confirmed_rollout(&store, 4).await?;
+    node.rounds(3, &store, &engines).await;
+    for number in 0..4 {
+        if engines.with(number, |server| server.version == "v2") {
+            let server = entry(number).server;
+            node.tables
+                .servers
+                .with(&server, |state| state.failures = 2);
+        }
+    }
+    node.rounds(8, &store, &engines).await;
+    let service: ServiceRow = row(&store, &keys::service(SERVICE)).or_fail()?;
+    expect_that!(service.canary, eq(""));
+    expect_that!(service.version, eq("v1"));
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_controller_that_was_paused_beyond_its_takeover_does_no_harm() -> Result<()> {
