Find how far the idle capacity can be used, and at what harm

Cause: the aims for share of idle capacity and for inter-token time were not known to be reachable together. Change: batch_ceiling reports online inter-token and first-token times, and tries limits on fresh batch sequences beside online work.

--- a/crates/standin/examples/batch_ceiling.rs
+++ b/crates/standin/examples/batch_ceiling.rs
@@ -1,9 +1,12 @@
-//! How much of the idle capacity the best policy could use, in virtual time: batch work never ends,
-//! and at each step the batch is exactly as wide as the meter allows.
+//! How much of the idle capacity a policy without lag could use, in virtual time: batch work never
+//! ends, and at each step the batch is at most as wide as the meter allows.
+//!
+//! Fresh batch sequences cost online ones their prefill, which no width accounts for; so each width
+//! is tried with fresh starts beside online work at any step, at most one in some steps, and never.
 //!
 //! `cargo run --release -p dappleyard-standin --example batch_ceiling -- SLOWDOWN ONLINE_PER_S SECONDS`
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 use dappleyard_engine::{GenerateCall, Priority};
 use dappleyard_standin::engine::{Effect, EngineModel, EngineModelSettings, EngineSpec, Output};
@@ -12,7 +15,9 @@
 use rand_distr::{Distribution, Exp, LogNormal};
 
 /// Widths tried; each run keeps at most so many batch sequences in the engine.
-const WIDTHS: [usize; 6] = [64, 80, 96, 112, 128, 160];
+const WIDTHS: [usize; 3] = [64, 96, 128];
+/// Least steps between fresh batch sequences while there is online work.
+const STEPS_BETWEEN_STARTS: [u64; 6] = [0, 4, 10, 20, 40, u64::MAX];
 
 fn main() {
     let arguments: Vec<f64> = std::env::args()
@@ -24,11 +29,19 @@
         std::process::exit(2);
     };
     println!("slowdown {slowdown}%, {online_per_s} online requests/s, {seconds} s");
-    println!("width  share of idle  batch tokens/s  preempted  step ratio");
-    for width in WIDTHS {
-        let mut run = Run::new(slowdown, online_per_s, width);
+    println!(
+        "width  steps between  share  tokens/s  preempted  itl ms p50 p95 p99  ttft ms p50 p99"
+    );
+    let report = |width, between| {
+        let mut run = Run::new(slowdown, online_per_s, width, between);
         run.until((seconds * 1e6) as u64);
         run.print(seconds);
+    };
+    report(0, 0);
+    for width in WIDTHS {
+        for between in STEPS_BETWEEN_STARTS {
+            report(width, between);
+        }
     }
 }
 
@@ -38,6 +51,12 @@
     arrivals: Option<Exp<f64>>,
     next_arrival_us: u64,
     width: usize,
+    steps_between_starts: u64,
+    steps: u64,
+    last_start: u64,
+    online: HashMap<u64, (u64, bool)>,
+    token_gaps_us: Vec<u64>,
+    first_tokens_us: Vec<u64>,
     number: u64,
     live: Vec<(u64, GenerateCall)>,
     paused: VecDeque<GenerateCall>,
@@ -45,7 +64,7 @@
 }
 
 impl Run {
-    fn new(slowdown: f64, online_per_s: f64, width: usize) -> Run {
+    fn new(slowdown: f64, online_per_s: f64, width: usize, steps_between_starts: u64) -> Run {
         let model = EngineModelSettings {
             online_slowdown_percent: slowdown,
             maximum_waiting: 1_000,
@@ -65,6 +84,12 @@
             arrivals: Exp::new(online_per_s).ok(),
             next_arrival_us: if online_per_s > 0.0 { 0 } else { u64::MAX },
             width,
+            steps_between_starts,
+            steps: 0,
+            last_start: 0,
+            online: HashMap::new(),
+            token_gaps_us: Vec::new(),
+            first_tokens_us: Vec::new(),
             number: 0,
             live: Vec::new(),
             paused: VecDeque::new(),
@@ -80,7 +105,8 @@
             }
             self.fill(now_us);
             let due_us = self.engine.advance(now_us, &mut self.effects);
-            self.forget_ended();
+            self.steps += 1;
+            self.take_effects(now_us);
             self.narrow(now_us);
             now_us = due_us.unwrap_or(now_us + 1_000);
         }
@@ -89,17 +115,22 @@
     fn online_arrives(&mut self, now_us: u64) {
         let call = self.call(400.0, 120.0, 200, Priority::ONLINE);
         // A refusal is the engine's bound; the run goes on without the request.
-        let _ = self.engine.generate(now_us, &call, &mut self.effects);
+        if let Ok(started) = self.engine.generate(now_us, &call, &mut self.effects) {
+            self.online.insert(started.stream, (now_us, false));
+        }
         let gap_s = self.arrivals.map_or(1e9, |gaps| gaps.sample(&mut self.rng));
         self.next_arrival_us += (gap_s * 1e6) as u64;
     }
 
-    /// Sends batch work up to the width: paused work first.
+    /// Sends batch work up to the width: paused work first, then fresh work.
     fn fill(&mut self, now_us: u64) {
         let allowed = self.engine.allowed_batch() as usize;
         while self.live.len() < self.width.min(allowed) {
-            let paused = self.paused.pop_front();
-            let call = paused.unwrap_or_else(|| self.call(600.0, 200.0, 300, Priority::BATCH));
+            let call = match self.paused.pop_front() {
+                Some(paused) => paused,
+                None if self.may_start() => self.call(600.0, 200.0, 300, Priority::BATCH),
+                None => return,
+            };
             let Ok(started) = self.engine.generate(now_us, &call, &mut self.effects) else {
                 return;
             };
@@ -107,6 +138,15 @@
         }
     }
 
+    fn may_start(&mut self) -> bool {
+        let since = self.steps - self.last_start;
+        let may = self.online.is_empty() || since >= self.steps_between_starts;
+        if may {
+            self.last_start = self.steps;
+        }
+        may
+    }
+
     /// Pauses the newest batch work beyond what is allowed now.
     fn narrow(&mut self, now_us: u64) {
         let allowed = self.engine.allowed_batch() as usize;
@@ -126,10 +166,20 @@
         }
     }
 
-    fn forget_ended(&mut self) {
+    fn take_effects(&mut self, now_us: u64) {
         for effect in self.effects.drain(..) {
+            let stream = effect.stream;
             if matches!(effect.output, Output::Finished { .. }) {
-                self.live.retain(|(stream, _)| *stream != effect.stream);
+                self.live.retain(|(other, _)| *other != stream);
+                self.online.remove(&stream);
+            } else if let Some((last_us, started)) = self.online.get_mut(&stream) {
+                let gap_us = now_us - *last_us;
+                if *started {
+                    self.token_gaps_us.push(gap_us);
+                } else {
+                    self.first_tokens_us.push(gap_us);
+                }
+                (*last_us, *started) = (now_us, true);
             }
         }
     }
@@ -156,7 +206,7 @@
             resume_offset: 0,
             attach_stream: String::new(),
             attach_only: false,
-            stream: false,
+            stream: priority == Priority::ONLINE,
         }
     }
 
@@ -166,14 +216,32 @@
         let preempted: u32 = batch.map(|record| record.preempted).sum();
         let meter = self.engine.meter_as_it_stands();
         let made = meter.batch_tokens() as f64;
-        let (with_batch, alone) = meter.online_step_ms();
+        let share = made / meter.idle_tokens().max(1.0);
+        let gaps = &mut self.token_gaps_us;
+        let (p50, p95, p99) = (
+            quantile(gaps, 0.5),
+            quantile(gaps, 0.95),
+            quantile(gaps, 0.99),
+        );
+        let first = &mut self.first_tokens_us;
+        let (first_p50, first_p99) = (quantile(first, 0.5), quantile(first, 0.99));
+        let between = match self.steps_between_starts {
+            u64::MAX => "never".to_owned(),
+            steps => steps.to_string(),
+        };
         println!(
-            "{:5}  {:13.3}  {:14.0}  {:9}  {:10.3}",
+            "{:5}  {between:>13}  {share:5.3}  {:8.0}  {preempted:9}  {p50:10.2} {p95:.2} {p99:.2}  \
+             {first_p50:11.1} {first_p99:.1}",
             self.width,
-            made / meter.idle_tokens(),
             made / seconds,
-            preempted,
-            if alone > 0.0 { with_batch / alone } else { 1.0 },
         );
     }
 }
+
+/// A quantile of some times, milliseconds; 0 for none.
+fn quantile(times_us: &mut [u64], share: f64) -> f64 {
+    times_us.sort_unstable();
+    let last = times_us.len().saturating_sub(1) as f64;
+    let at = times_us.get((last * share) as usize);
+    at.map_or(0.0, |time_us| *time_us as f64 / 1_000.0)
+}
