--- a/crates/operate/src/api/plans.rs
+++ b/crates/operate/src/api/plans.rs
@@ -3,13 +3,15 @@
 use std::collections::BTreeSet;
 
 use actix_web::web::{Bytes, Data, Json, Path};
+use dappleyard_tables::decisions::{DecisionKind, Subject};
+use dappleyard_wire::Failure;
 use serde::de::DeserializeOwned;
 
 use crate::api::OperateApi;
 use crate::api::answers::{ConfirmBody, ProposeBody, Refused, invalid};
 use crate::describe::phase_name;
 use crate::intent::Intent;
-use crate::jobs::read_job;
+use crate::jobs::{JobLine, read_job};
 use crate::plans::abort::abort as abort_plan;
 use crate::plans::body::PlanDocument;
 use crate::plans::confirm::{Confirmation, confirm as confirm_plan, has_steps};
@@ -17,7 +19,7 @@
 use crate::plans::runner::{RunView, advance};
 use crate::plans::store::{PlanLine, StoredPlan, list_plans, read_plan};
 use crate::record::record;
-use dappleyard_tables::decisions::{DecisionKind, Subject};
+use crate::status::{FleetStatus, gather, known_here};
 
 /// Plans in one answer.
 const MOST_PLANS: usize = 200;
@@ -36,10 +38,7 @@
 /// `POST /admin/v1/plans`: makes a plan, and changes nothing else.
 pub async fn propose(api: Data<OperateApi>, body: Bytes) -> Result<Json<PlanDocument>, Refused> {
     let body: ProposeBody = parse(&body)?;
-    let (status, mut jobs) = api.status_and_jobs().await;
-    if let Intent::BatchJob(job) = &body.intent {
-        jobs.push(read_job(&api.jobs, &job.tenant, &job.job).await?);
-    }
+    let (status, jobs) = seen_for(&api, &body.intent).await?;
     let surroundings = Surroundings {
         settings: &api.settings,
         status: &status,
@@ -56,6 +55,23 @@
     Ok(Json(plan.document()?))
 }
 
+/// The fleet and the jobs as far as a plan for the intent states them. Changes that touch no server
+/// are planned without asking the other nodes.
+async fn seen_for(
+    api: &OperateApi,
+    intent: &Intent,
+) -> Result<(FleetStatus, Vec<JobLine>), Failure> {
+    match intent {
+        Intent::Rollout(_) | Intent::Drain(_) => Ok(api.status_and_jobs().await),
+        Intent::BatchJob(job) => {
+            let (status, mut jobs) = api.status_and_jobs().await;
+            jobs.push(read_job(&api.jobs, &job.tenant, &job.job).await?);
+            Ok((status, jobs))
+        }
+        _ => Ok((known_here(&api.tables), Vec::new())),
+    }
+}
+
 /// `POST /admin/v1/plans/{id}/confirm`
 pub async fn confirm(
     api: Data<OperateApi>,
@@ -103,7 +119,7 @@
     if !has_steps(&plan.intent()?) {
         return Ok(plan);
     }
-    let status = api.status().await;
+    let status = gather(&api.tables, &api.peers).await;
     let view = RunView {
         status: &status,
         idle: &BTreeSet::new(),
--- a/crates/operate/src/api/views.rs
+++ b/crates/operate/src/api/views.rs
@@ -8,7 +8,7 @@
 use crate::api::answers::{ConfigurationAnswer, Refused, configuration_lines, invalid};
 use crate::jobs::{JobLine, active_jobs, list_jobs};
 use crate::local::{LocalReport, local_report};
-use crate::status::{FleetStatus, ServerStatus, member_name};
+use crate::status::{FleetStatus, ServerStatus, gather, member_name};
 
 /// A member as this node believes it to be.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -71,7 +71,7 @@
 
 /// `GET /admin/v1/servers`
 pub async fn servers(api: Data<OperateApi>) -> Json<Vec<ServerStatus>> {
-    Json(api.status().await.servers)
+    Json(gather(&api.tables, &api.peers).await.servers)
 }
 
 /// `GET /admin/v1/configuration`
--- a/crates/operate/src/jobs.rs
+++ b/crates/operate/src/jobs.rs
@@ -16,7 +16,7 @@
 /// Most pages read for one question.
 const MOST_PAGES: usize = 10;
 /// Active jobs whose progress is read for one question, those with the nearest deadlines.
-const MOST_ACTIVE: usize = 100;
+const MOST_ACTIVE: usize = 32;
 /// Jobs whose progress is read at once.
 const CONCURRENCY: usize = 8;
 
@@ -57,7 +57,7 @@
 }
 
 /// Jobs that need capacity now, nearest deadline first, each with its progress. At most
-/// 100 of them.
+/// 32 of them.
 pub async fn active_jobs(tables: &dyn TableStore, jobs: &JobsApi) -> Result<Vec<JobLine>, Failure> {
     let rows = tables
         .range(ACTIVE_JOB_PREFIX, "", PAGE)
--- a/crates/operate/src/status.rs
+++ b/crates/operate/src/status.rs
@@ -115,14 +115,26 @@
 /// `unknown`.
 pub async fn gather(tables: &Arc<NodeTables>, peers: &Peers) -> FleetStatus {
     let answers = peers.ask::<LocalReport>("/admin/v1/local").await;
-    let mut reports: BTreeMap<String, LocalReport> = answers
-        .answers
+    let silent = answers.silent.into_iter();
+    let unknown = silent.map(|(node, cause)| format!("node {node} did not answer: {cause}"));
+    FleetStatus {
+        unknown: unknown.collect(),
+        ..assemble(tables, answers.answers)
+    }
+}
+
+/// What this node knows without asking anybody: members, the machine list and its own servers.
+pub fn known_here(tables: &NodeTables) -> FleetStatus {
+    assemble(tables, Vec::new())
+}
+
+fn assemble(tables: &NodeTables, peers: Vec<LocalReport>) -> FleetStatus {
+    let own = local_report(tables);
+    let reports: BTreeMap<String, LocalReport> = peers
         .into_iter()
+        .chain([own])
         .map(|report| (report.node.clone(), report))
         .collect();
-    reports.insert(tables.identity.node.to_string(), local_report(tables));
-    let silent = answers.silent.into_iter();
-    let unknown = silent.map(|(node, cause)| format!("node {node} did not answer: {cause}"));
     let nodes = node_statuses(tables, &reports);
     FleetStatus {
         observed_by: tables.identity.node.to_string(),
@@ -130,9 +142,7 @@
         revision: revision_in_force(&nodes),
         servers: server_statuses(tables, &reports),
         nodes,
-        plans: Vec::new(),
-        jobs_at_risk: Vec::new(),
-        unknown: unknown.collect(),
+        ..FleetStatus::default()
     }
 }
 
