Keep paused items on their server, pace prefills beside online work, learn the step base, share prefixes

A tenant that was never served kept pace with the one that was (its floor moved along): tenants now join at a fixed floor. Found by the test of weights.

--- a/crates/batch/src/input/item.rs
+++ b/crates/batch/src/input/item.rs
@@ -1,5 +1,6 @@
 //! One line of an input file: OpenAI's batch request, checked field by field.
 
+use dappleyard_wire::hash::hash_bytes;
 use dappleyard_wire::prompt;
 use serde::Deserialize;
 
@@ -24,6 +25,10 @@
     pub prompt: String,
     /// Length of the prompt, tokens.
     pub prompt_tokens: u32,
+    /// Hash of the head that items of a job share.
+    pub prefix_hash: u64,
+    /// Length of that head, tokens.
+    pub prefix_tokens: u32,
     /// Most output tokens.
     pub max_tokens: u32,
     /// Whether the answer has the shape of a chat completion.
@@ -115,9 +120,9 @@
 
 fn parse_body(custom_id: String, body: Body, chat: bool) -> Result<Item, LineError> {
     let model = required(body.model, "body.model")?;
-    let prompt = match chat {
+    let (prompt, prefix) = match chat {
         true => chat_prompt(body.messages)?,
-        false => required(body.prompt, "body.prompt")?,
+        false => (required(body.prompt, "body.prompt")?, String::new()),
     };
     let limit = body.max_completion_tokens.or(body.max_tokens);
     let max_tokens = limit.unwrap_or(DEFAULT_MAX_TOKENS);
@@ -131,12 +136,21 @@
         adapter,
         prompt_tokens: prompt::count_tokens(&prompt),
         prompt,
+        prefix_hash: hash_bytes(prefix.as_bytes()),
+        prefix_tokens: match prefix.is_empty() {
+            true => 0,
+            false => prompt::count_tokens(&prefix),
+        },
         max_tokens,
         chat,
     })
 }
 
-fn chat_prompt(messages: Option<Vec<ChatMessage>>) -> Result<String, LineError> {
+/// Roles of messages at the head of a chat that items of a job share.
+const SHARED_ROLES: [&str; 2] = ["system", "developer"];
+
+/// The canonical prompt and its shared head: the messages of the system before all others.
+fn chat_prompt(messages: Option<Vec<ChatMessage>>) -> Result<(String, String), LineError> {
     let messages = messages.unwrap_or_default();
     if messages.is_empty() {
         return Err(LineError::new("body.messages", "must not be empty"));
@@ -148,7 +162,13 @@
     let pairs = texts
         .iter()
         .map(|(role, text)| (role.as_str(), text.as_str()));
-    Ok(prompt::canonical_chat(pairs))
+    let shared = pairs
+        .clone()
+        .take_while(|(role, _)| SHARED_ROLES.contains(role));
+    Ok((
+        prompt::canonical_chat(pairs.clone()),
+        prompt::canonical_chat(shared),
+    ))
 }
 
 /// A model is named `service` or `service:adapter`.
--- a/crates/batch/src/runner/claim.rs
+++ b/crates/batch/src/runner/claim.rs
@@ -15,6 +15,7 @@
 use prost::Message;
 use rand::Rng;
 
+use super::state::State;
 use super::{Runner, load};
 use crate::store::{self, Applied, Versioned, wait_jittered};
 
@@ -22,6 +23,10 @@
 const OPEN_PAGE: usize = 16;
 /// How long a job without open chunks is not looked at, milliseconds, unless its row changes.
 const EXHAUSTED_MS: u64 = 3_000;
+/// More is claimed when less waits than this part of the width; what waits here cannot run elsewhere.
+const LOW_WATER_SHARE: u32 = 4;
+/// More is claimed when less waits than this many items.
+const LOW_WATER_ITEMS: u32 = 16;
 /// Items that the fleet is taken to finish in a second when the slack of a job is estimated.
 const ITEMS_PER_SECOND_GUESS: u64 = 100;
 
@@ -76,9 +81,11 @@
 
 fn candidates(runner: &Runner, service: &str) -> Vec<Candidate> {
     let now = runner.tables.clock.now();
-    let state = runner.state.borrow();
-    let mut candidates: Vec<Candidate> = state
-        .jobs
+    let mut state = runner.state.borrow_mut();
+    let State { jobs, shares, .. } = &mut *state;
+    let of_service = jobs.values().filter(|job| job.row.service == service);
+    shares.set_waiting(&of_service.map(|job| job.row.tenant.as_str()).collect());
+    let mut candidates: Vec<Candidate> = jobs
         .values()
         .filter(|job| job.row.service == service && !job.row.cancelled)
         .filter(|job| job.exhausted_until <= now)
@@ -89,7 +96,7 @@
             remaining_s: u64::from(job.row.items) / ITEMS_PER_SECOND_GUESS,
         })
         .collect();
-    fairness::order(&mut candidates, &state.shares, runner.now_unix_s());
+    fairness::order(&mut candidates, shares, runner.now_unix_s());
     candidates
 }
 
@@ -186,6 +193,7 @@
         let width = self.service_widths().get(service).copied().unwrap_or(0);
         let state = self.state.borrow();
         let room = state.held.is_empty() || state.held_bytes < self.settings.memory_bytes;
-        room && state.waiting(service) < width as usize
+        let low_water = (width / LOW_WATER_SHARE).max(LOW_WATER_ITEMS);
+        room && width > 0 && state.waiting(service) < low_water as usize
     }
 }
--- a/crates/batch/src/runner/dispatch.rs
+++ b/crates/batch/src/runner/dispatch.rs
@@ -6,21 +6,25 @@
 
 use dappleyard_decide::time::Millis;
 use dappleyard_decide::width::{self, WidthInputs};
+use dappleyard_engine::EngineReport;
 use dappleyard_settings::BatchPolicy;
 use dappleyard_tables::servers::OwnedServer;
 use dappleyard_wire::ids::ServerId;
 
-use super::Runner;
-use super::run_item;
+use super::state::ServerState;
+use super::work::WorkItem;
+use super::{Runner, run_item};
 
 /// Longest time between two looks, milliseconds.
 const TICK_MS: u64 = 20;
 /// A gap between two looks above which this node counts as having been paused, milliseconds.
 const PAUSE_MS: u64 = 500;
-/// KV tokens that a batch sequence is taken to hold while none is known.
-const SEQUENCE_TOKENS: u32 = 800;
+/// KV tokens that one more batch sequence is taken to hold.
+const SEQUENCE_TOKENS: u32 = 500;
+/// Prefill tokens of a batch sequence, for the pace of starts beside online work.
+const PREFILL_TOKENS: u32 = 500;
 /// Share of the KV memory that is given out, percent.
-const MEMORY_PERCENT: u32 = 95;
+const MEMORY_PERCENT: u32 = 97;
 
 /// Keeps all owned servers at their width.
 pub async fn run(runner: Rc<Runner>) {
@@ -67,12 +71,7 @@
 
 fn active_streams(runner: &Runner, server: &ServerId) -> u32 {
     let state = runner.state.borrow();
-    let running = state.servers.get(server);
-    let count = running.map_or(0, |server| {
-        let active = server.running.iter().filter(|running| !running.stopping);
-        active.count()
-    });
-    u32::try_from(count).unwrap_or(u32::MAX)
+    state.servers.get(server).map_or(0, ServerState::active)
 }
 
 fn decide_width(runner: &Runner, server: &OwnedServer) -> u32 {
@@ -82,25 +81,23 @@
     if !server.takes_new_work() || runner.settings.policy == BatchPolicy::OnlineOnly {
         return 0;
     }
+    let now = runner.tables.clock.now();
     let mut state = runner.state.borrow_mut();
     let known = state
         .servers
         .entry(server.entry.server.clone())
         .or_default();
-    if report.sequence > known.report_seen {
-        known.report_seen = report.sequence;
-        let sequences = report.running_online + report.running_batch;
-        known.steps = known.steps.observe(report.step_ms, sequences);
-    }
-    let online_tokens = server.online.values().map(|flight| flight.tokens).sum();
+    observe(known, report, now);
     let total = report.total_blocks.saturating_mul(report.block_tokens);
     let mut inputs = WidthInputs {
         model: known.steps,
         online_sequences: u32::try_from(server.online.len()).unwrap_or(u32::MAX),
-        online_tokens,
+        online_tokens: server.online.values().map(|flight| flight.tokens).sum(),
         total_tokens: total / 100 * MEMORY_PERCENT,
         maximum_sequences: report.maximum_sequences,
-        batch_sequence_tokens: sequence_tokens(server),
+        batch_sequences: known.active(),
+        batch_tokens: known.batch_tokens(now),
+        new_sequence_tokens: SEQUENCE_TOKENS,
         slowdown_percent: runner.slowdown_percent(server.entry.service.as_str()),
         window_percent: 100,
     };
@@ -110,10 +107,19 @@
     width::batch_width(&inputs)
 }
 
-fn sequence_tokens(server: &OwnedServer) -> u32 {
-    let tokens: u32 = server.batch.values().map(|flight| flight.tokens).sum();
-    let sequences = u32::try_from(server.batch.len()).unwrap_or(u32::MAX);
-    tokens.checked_div(sequences).unwrap_or(SEQUENCE_TOKENS)
+/// Takes a new report into what is known of the server's steps.
+fn observe(known: &mut ServerState, report: &EngineReport, now: Millis) {
+    if report.sequence <= known.report_seen {
+        return;
+    }
+    let passed_ms = now.since(known.report_at).max(1) as f64;
+    let steps = (passed_ms / report.step_ms.max(0.1)).max(1.0);
+    let prefill = f64::from(known.prefill_sent) / steps;
+    let sequences = report.running_online + report.running_batch;
+    known.steps = known.steps.observe(report.step_ms, sequences, prefill);
+    known.report_seen = report.sequence;
+    known.report_at = now;
+    known.prefill_sent = 0;
 }
 
 /// Stops the streams of chunks that were given up.
@@ -169,25 +175,50 @@
     }
 }
 
+/// Starts up to `count` items: those that the server still caches first. Beside online work those
+/// that need a prefill are started at a slow pace only.
 fn start_items(runner: &Rc<Runner>, server: &OwnedServer, count: u32) {
     let now = runner.tables.clock.now();
+    let id = &server.entry.server;
     let behind = runner.state.borrow().is_behind();
-    if behind || runner.draining.get() || avoided(runner, &server.entry.server, now) {
+    if behind || runner.draining.get() || avoided(runner, id, now) {
         return;
     }
     let service = server.entry.service.as_str();
     for _ in 0..count {
-        let item = {
-            let mut state = runner.state.borrow_mut();
-            state.take_item(service, &server.entry.server)
-        };
-        let Some(item) = item else {
-            return;
+        let warm = runner.state.borrow_mut().take_warm(service, id, now);
+        let item = match warm {
+            Some(item) => item,
+            None => match take_cold(runner, server, now) {
+                Some(item) => item,
+                None => return,
+            },
         };
         run_item::start(runner, server.entry.clone(), item);
     }
 }
 
+fn take_cold(runner: &Runner, server: &OwnedServer, now: Millis) -> Option<WorkItem> {
+    let id = &server.entry.server;
+    let service = server.entry.service.as_str();
+    let slowdown = runner.slowdown_percent(service);
+    let paced = !server.online.is_empty() && runner.settings.policy == BatchPolicy::Preempt;
+    let mut state = runner.state.borrow_mut();
+    let known = state.servers.entry(id.clone()).or_default();
+    if paced {
+        let interval = width::prefill_interval_ms(&known.steps, PREFILL_TOKENS, slowdown);
+        if (now.since(known.prefilled_at) as f64) < interval {
+            return None;
+        }
+    }
+    let item = state.take_cold(service)?;
+    let known = state.servers.entry(id.clone()).or_default();
+    let input = item.item();
+    known.prefilled_at = now;
+    known.prefill_sent += input.prompt_tokens.saturating_sub(input.prefix_tokens);
+    Some(item)
+}
+
 fn avoided(runner: &Runner, server: &ServerId, now: Millis) -> bool {
     let state = runner.state.borrow();
     let known = state.servers.get(server);
--- a/crates/batch/src/runner/mod.rs
+++ b/crates/batch/src/runner/mod.rs
@@ -163,6 +163,7 @@
     }
 
     fn decide(&self, kind: DecisionKind, job: &str, cause: &str, outcome: String) {
+        tracing::info!(node = %self.tables.identity.node, ?kind, job, cause, outcome);
         self.tables.decisions.record(Decision {
             unix_ms: self.tables.clock.unix_ms(),
             node: self.tables.identity.node.to_string(),
--- a/crates/batch/src/runner/run_item.rs
+++ b/crates/batch/src/runner/run_item.rs
@@ -6,12 +6,12 @@
 use dappleyard_settings::BatchPolicy;
 use dappleyard_tables::directory::ServerEntry;
 use dappleyard_tables::servers::InFlight;
+use dappleyard_wire::ErrorKind;
 use dappleyard_wire::ids::RequestId;
-use dappleyard_wire::{ErrorKind, prompt};
 use futures::StreamExt;
 
 use super::Runner;
-use super::state::RunningItem;
+use super::state::{RunningItem, SequenceMemory};
 use super::work::WorkItem;
 use crate::output::{ItemAnswer, ItemOutcome};
 
@@ -38,10 +38,11 @@
 pub fn start(runner: &Rc<Runner>, entry: ServerEntry, mut item: WorkItem) {
     let attempt = item.next_attempt();
     let request = item.chunk.request_id(item.index);
+    let now = runner.tables.clock.now();
     let flight = InFlight {
         tokens: item.kv_tokens(),
         prefill_tokens: item.item().prompt_tokens,
-        since: runner.tables.clock.now(),
+        since: now,
         started: false,
     };
     runner
@@ -54,6 +55,8 @@
         chunk: item.chunk.clone(),
         stream: None,
         stopping: false,
+        memory: SequenceMemory::of(&item),
+        started_at: now,
     };
     let mut state = runner.state.borrow_mut();
     let server = state.servers.entry(entry.server.clone()).or_default();
@@ -76,6 +79,7 @@
     runner.tables.servers.end_batch(&entry.server, &request);
     remove_running(&runner, &entry, &request, attempt);
     item.last_server = Some(entry.server.clone());
+    item.stopped_at = runner.tables.clock.now();
     finish(&runner, &entry, item, ended);
     runner.dispatch_wake.notify_one();
     runner.claim_wake.notify_one();
@@ -191,8 +195,8 @@
         adapter: input.adapter.clone(),
         prompt: input.prompt.clone(),
         prompt_tokens: input.prompt_tokens,
-        prefix_hash: prompt::prefix_hash(&input.prompt),
-        prefix_tokens: 0,
+        prefix_hash: input.prefix_hash,
+        prefix_tokens: input.prefix_tokens,
         max_tokens: input.max_tokens,
         priority,
         resume_offset: u32::try_from(item.pieces.len()).unwrap_or(u32::MAX),
--- a/crates/batch/src/runner/state.rs
+++ b/crates/batch/src/runner/state.rs
@@ -34,6 +34,42 @@
     pub stream: Option<String>,
     /// It was told to stop.
     pub stopping: bool,
+    /// What it needs of the KV memory.
+    pub memory: SequenceMemory,
+    /// When it was sent.
+    pub started_at: Millis,
+}
+
+/// What a sequence needs of the KV memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SequenceMemory {
+    /// Hash of the shared head of its prompt.
+    pub prefix_hash: u64,
+    /// Tokens of the shared head, which sequences with the same hash hold together.
+    pub prefix_tokens: u32,
+    /// Tokens of its own when it was sent.
+    pub own_tokens: u32,
+    /// Tokens that it may still make.
+    pub left: u32,
+}
+
+/// Tokens that a sequence holds beyond its own, since memory is given out in blocks.
+const BLOCK_WASTE_TOKENS: u32 = 16;
+
+impl SequenceMemory {
+    /// Memory of an item that is about to be sent.
+    pub fn of(item: &WorkItem) -> SequenceMemory {
+        let input = item.item();
+        let made = u32::try_from(item.pieces.len()).unwrap_or(u32::MAX);
+        SequenceMemory {
+            prefix_hash: input.prefix_hash,
+            prefix_tokens: input.prefix_tokens,
+            own_tokens: input.prompt_tokens.saturating_sub(input.prefix_tokens)
+                + made
+                + BLOCK_WASTE_TOKENS,
+            left: input.max_tokens.saturating_sub(made),
+        }
+    }
 }
 
 /// What is known of a server besides the shared table.
@@ -47,6 +83,34 @@
     pub report_seen: u64,
     /// Start nothing before this time, since the engine refused or failed.
     pub avoid_until: Millis,
+    /// When an item was last started that needed a prefill.
+    pub prefilled_at: Millis,
+    /// Prefill tokens sent since the last report was taken in, and when that was.
+    pub prefill_sent: u32,
+    /// When the last report was taken in.
+    pub report_at: Millis,
+}
+
+impl ServerState {
+    /// Tokens of KV memory that the running streams are estimated to hold: each makes a token a step.
+    pub fn batch_tokens(&self, now: Millis) -> u32 {
+        let step_ms = self.steps.step_ms(self.active(), 0);
+        let mut prefixes = BTreeMap::new();
+        let mut own = 0_u32;
+        for running in self.running.iter().filter(|running| !running.stopping) {
+            let memory = &running.memory;
+            prefixes.insert(memory.prefix_hash, memory.prefix_tokens);
+            let steps = now.since(running.started_at) as f64 / step_ms;
+            own = own.saturating_add(memory.own_tokens + (steps as u32).min(memory.left));
+        }
+        own.saturating_add(prefixes.values().sum())
+    }
+
+    /// Streams that were not told to stop.
+    pub fn active(&self) -> u32 {
+        let active = self.running.iter().filter(|running| !running.stopping);
+        u32::try_from(active.count()).unwrap_or(u32::MAX)
+    }
 }
 
 /// State of the runner.
@@ -115,11 +179,14 @@
         servers.map(|server| server.running.len()).sum()
     }
 
-    /// Takes the next item for a server: one that ran there before, then a fresh one, then one that
-    /// ran elsewhere. Items of chunks that were given up are dropped.
-    pub fn take_item(&mut self, service: &str, server: &ServerId) -> Option<WorkItem> {
-        self.take_paused(service, |item| item.last_server.as_ref() == Some(server))
-            .or_else(|| self.take_fresh(service))
+    /// Takes an item whose state a server still caches.
+    pub fn take_warm(&mut self, service: &str, server: &ServerId, now: Millis) -> Option<WorkItem> {
+        self.take_paused(service, |item| item.is_warm_on(server, now))
+    }
+
+    /// Takes an item that needs a prefill: a fresh one, or else one that was paused elsewhere.
+    pub fn take_cold(&mut self, service: &str) -> Option<WorkItem> {
+        self.take_fresh(service)
             .or_else(|| self.take_paused(service, |_| true))
     }
 
--- a/crates/batch/src/runner/work.rs
+++ b/crates/batch/src/runner/work.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use dappleyard_decide::time::Millis;
 use dappleyard_wire::hash::hash_bytes;
 use dappleyard_wire::ids::{JobId, RequestId, ServerId};
 use dappleyard_wire::messages::{ChunkRow, Repeat};
@@ -129,10 +130,14 @@
     pub version: String,
     /// Server that it ran on last.
     pub last_server: Option<ServerId>,
+    /// When it stopped running there.
+    pub stopped_at: Millis,
     /// Attempts made under this epoch.
     pub attempts: u32,
 }
 
+/// How long the state of a paused item is taken to stay in a server's cache, milliseconds.
+const WARM_MS: u64 = 10_000;
 /// Attempt numbers that each epoch has for an item.
 const ATTEMPTS_PER_EPOCH: u32 = 10_000;
 
@@ -145,6 +150,7 @@
             pieces: Vec::new(),
             version: String::new(),
             last_server: None,
+            stopped_at: Millis(0),
             attempts: 0,
         }
     }
@@ -160,6 +166,13 @@
         item.prompt_tokens.saturating_add(item.max_tokens)
     }
 
+    /// Whether a server probably still caches the state of the item, so that going on costs it no
+    /// prefill.
+    pub fn is_warm_on(&self, server: &ServerId, now: Millis) -> bool {
+        let there = self.last_server.as_ref() == Some(server) && !self.pieces.is_empty();
+        there && now.since(self.stopped_at) <= WARM_MS
+    }
+
     /// Number of the next attempt: grows over epochs too.
     pub fn next_attempt(&mut self) -> u32 {
         self.attempts += 1;
--- a/crates/batch/tests/batch/support/engine.rs
+++ b/crates/batch/tests/batch/support/engine.rs
@@ -103,7 +103,7 @@
 #[async_trait(?Send)]
 impl Engine for EngineClient {
     async fn generate(&self, base: &str, call: GenerateCall) -> Result<EventStream, EngineError> {
-        tokio::time::sleep(Duration::from_millis(1)).await;
+        // What has been sent reaches the engine even if the sender is stopped now.
         let engine = self.0.clone();
         if engine.dead.borrow().contains(base) {
             return Err(EngineError::Unreachable {
@@ -120,6 +120,7 @@
             resume_offset: call.resume_offset,
         });
         engine.begin(&base);
+        tokio::time::sleep(Duration::from_millis(1)).await;
         Ok(Box::pin(async_stream::stream! {
             let _running = Running { engine: engine.clone(), base: base.clone() };
             yield Ok(EngineEvent::Accepted { stream: stream.clone(), version: "v1".to_owned() });
--- a/crates/decide/src/chunks.rs
+++ b/crates/decide/src/chunks.rs
@@ -168,7 +168,7 @@
 }
 
 /// Chunks that each node should get of a job, so that it ends everywhere at about the same time.
-pub const CHUNKS_PER_NODE: u32 = 4;
+pub const CHUNKS_PER_NODE: u32 = 2;
 
 /// Items of one chunk: no more than the target's work, and few enough to spread over the nodes.
 pub fn chunk_items(sizing: &ChunkSizing) -> u32 {
--- a/crates/decide/src/fairness.rs
+++ b/crates/decide/src/fairness.rs
@@ -1,7 +1,7 @@
 //! Which job's chunk is worked on next: earliest deadline where slack is short, otherwise weighted
 //! fair across tenants.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A job with work that waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,6 +26,19 @@
 pub const URGENT_SLACK_FACTOR: u64 = 2;
 
 impl TenantShares {
+    /// Makes `tenants` those that have work. One that had none starts level with the one that is
+    /// furthest behind; one that has none any more is forgotten.
+    pub fn set_waiting(&mut self, tenants: &BTreeSet<&str>) {
+        self.virtual_time
+            .retain(|tenant, _| tenants.contains(tenant.as_str()));
+        let floor = self.lowest();
+        for tenant in tenants {
+            self.virtual_time
+                .entry((*tenant).to_owned())
+                .or_insert(floor);
+        }
+    }
+
     /// Counts work (items or tokens) given to a tenant of some weight.
     pub fn charge(&mut self, tenant: &str, work: f64, weight: u32) {
         let floor = self.lowest();
@@ -33,11 +46,6 @@
         *time += work / f64::from(weight.max(1));
     }
 
-    /// Forgets tenants without waiting work, so that a tenant that comes back starts level.
-    pub fn retain(&mut self, waiting: impl Fn(&str) -> bool) {
-        self.virtual_time.retain(|tenant, _| waiting(tenant));
-    }
-
     fn of(&self, tenant: &str) -> f64 {
         let time = self.virtual_time.get(tenant).copied();
         time.unwrap_or_else(|| self.lowest())
--- a/crates/decide/src/width.rs
+++ b/crates/decide/src/width.rs
@@ -36,11 +36,13 @@
             + self.per_prefill_token_ms * f64::from(prefill_tokens)
     }
 
-    /// The model after an observed step time with a known number of sequences and no prefill: the
-    /// base moves towards what the observation implies.
+    /// The model after an observed step time with a known number of sequences and prefill tokens a
+    /// step: the base moves towards what the observation implies.
     #[must_use]
-    pub fn observe(mut self, step_ms: f64, sequences: u32) -> StepModel {
-        let implied = step_ms - self.per_sequence_ms * f64::from(sequences);
+    pub fn observe(mut self, step_ms: f64, sequences: u32, prefill_tokens: f64) -> StepModel {
+        let implied = step_ms
+            - self.per_sequence_ms * f64::from(sequences)
+            - self.per_prefill_token_ms * prefill_tokens;
         if implied.is_finite() && implied > 0.0 {
             self.base_ms += OBSERVATION_WEIGHT * (implied - self.base_ms);
         }
@@ -60,12 +62,16 @@
     pub online_sequences: u32,
     /// KV tokens that the online sequences may hold.
     pub online_tokens: u32,
-    /// KV tokens of the server.
+    /// KV tokens of the server that may be given out.
     pub total_tokens: u32,
     /// Most sequences of the server.
     pub maximum_sequences: u32,
-    /// KV tokens that one batch sequence holds on average.
-    pub batch_sequence_tokens: u32,
+    /// Batch sequences in flight.
+    pub batch_sequences: u32,
+    /// KV tokens that the batch sequences are estimated to hold.
+    pub batch_tokens: u32,
+    /// KV tokens that one more batch sequence would hold.
+    pub new_sequence_tokens: u32,
     /// Slowdown of an online step that batch may cause, percent.
     pub slowdown_percent: u32,
     /// Share of the width that a declared demand window leaves, percent.
@@ -74,8 +80,7 @@
 
 /// The widest batch that is allowed.
 pub fn batch_width(inputs: &WidthInputs) -> u32 {
-    let free_tokens = inputs.total_tokens.saturating_sub(inputs.online_tokens);
-    let by_memory = free_tokens / inputs.batch_sequence_tokens.max(1);
+    let by_memory = width_in_memory(inputs);
     let by_sequences = inputs
         .maximum_sequences
         .saturating_sub(inputs.online_sequences);
@@ -87,6 +92,27 @@
     scale(width, inputs.window_percent)
 }
 
+/// The present width and as many sequences as the free memory holds, or fewer where it is overdrawn.
+fn width_in_memory(inputs: &WidthInputs) -> u32 {
+    let used = i64::from(inputs.online_tokens) + i64::from(inputs.batch_tokens);
+    let free = i64::from(inputs.total_tokens) - used;
+    let more = free.div_euclid(i64::from(inputs.new_sequence_tokens.max(1)));
+    let width = i64::from(inputs.batch_sequences) + more;
+    u32::try_from(width.max(0)).unwrap_or(u32::MAX)
+}
+
+/// Shortest time between two starts that need a prefill, on a server with online sequences,
+/// milliseconds. A prefill lengthens whole steps; the pace keeps the steps that are lengthened so few
+/// that they stay out of the online tail.
+pub fn prefill_interval_ms(model: &StepModel, prefill_tokens: u32, slowdown_percent: u32) -> f64 {
+    let cost_ms = model.per_prefill_token_ms * f64::from(prefill_tokens);
+    cost_ms * 100.0 / f64::from(slowdown_percent.max(1)) * PREFILL_SPREAD
+}
+
+/// How much rarer prefills are than the mean slowdown alone would allow: the tail counts, not the
+/// mean.
+const PREFILL_SPREAD: f64 = 16.0;
+
 fn width_beside_online(inputs: &WidthInputs) -> u32 {
     let alone = inputs.model.step_ms(inputs.online_sequences, 0);
     let spare_ms = alone * f64::from(inputs.slowdown_percent) / 100.0;
