--- a/crates/batch/src/runner/dispatch.rs
+++ b/crates/batch/src/runner/dispatch.rs
@@ -211,7 +211,7 @@
             return None;
         }
     }
-    let item = state.take_cold(service)?;
+    let item = state.take_cold(service, now)?;
     let known = state.servers.entry(id.clone()).or_default();
     let input = item.item();
     known.prefilled_at = now;
--- a/crates/batch/src/runner/mod.rs
+++ b/crates/batch/src/runner/mod.rs
@@ -29,6 +29,7 @@
 use std::sync::Arc;
 
 use dappleyard_decide::chunks::Claimant;
+use dappleyard_decide::time::Millis;
 use dappleyard_engine::Engine;
 use dappleyard_platform::Platform;
 use dappleyard_settings::BatchSettings;
@@ -40,6 +41,10 @@
 use crate::metrics::Metrics;
 use state::{ChunkPlace, State};
 
+/// Time after its start from which a node takes a holder that it has never heard of for gone,
+/// milliseconds: several rounds of gossip and of the machine list.
+const UNKNOWN_GONE_MS: u64 = 15_000;
+
 /// What a batch runner works with.
 pub struct BatchContext {
     /// Tables of the node.
@@ -67,6 +72,7 @@
     /// Wakes the splitter.
     split_wake: Notify,
     draining: Cell<bool>,
+    started_at: Millis,
     /// Items under way and commits; they end with the runner.
     children: RefCell<JoinSet<()>>,
 }
@@ -80,6 +86,7 @@
 /// Starts the batch runner on the calling arbiter.
 pub fn start(context: BatchContext) -> BatchHandle {
     let metrics = Metrics::register(&context.tables.metrics);
+    let started_at = context.tables.clock.now();
     let runner = Rc::new(Runner {
         tables: context.tables,
         settings: context.settings,
@@ -91,6 +98,7 @@
         claim_wake: Notify::new(),
         split_wake: Notify::new(),
         draining: Cell::new(false),
+        started_at,
         children: RefCell::new(JoinSet::new()),
     });
     let tasks = vec![
@@ -146,12 +154,18 @@
         self.tables.clock.unix_ms() / 1_000
     }
 
-    /// Whether a holder is believed gone. An earlier start of this very node is.
+    /// Whether a holder is believed gone. An earlier start of this very node is. A node that this one
+    /// has never heard of counts as gone only once this one has been up long enough to have heard of
+    /// all that live.
     fn is_gone(&self, holder: &str, incarnation: u64) -> bool {
         let own = &self.tables.identity;
         if holder == own.node.as_str() {
             return incarnation != own.incarnation;
         }
+        let up_ms = self.tables.clock.now().since(self.started_at);
+        if self.tables.members.get(&holder.into()).is_none() && up_ms < UNKNOWN_GONE_MS {
+            return false;
+        }
         self.tables.members.is_gone(holder, incarnation)
     }
 
--- a/crates/batch/src/runner/state.rs
+++ b/crates/batch/src/runner/state.rs
@@ -184,9 +184,11 @@
         self.take_paused(service, |item| item.is_warm_on(server, now))
     }
 
-    /// Takes an item that needs a prefill: a fresh one, or else one that was paused elsewhere.
-    pub fn take_cold(&mut self, service: &str) -> Option<WorkItem> {
-        self.take_fresh(service)
+    /// Takes an item that needs a prefill: one that has waited long for its server, or a fresh one,
+    /// or else one that was paused elsewhere.
+    pub fn take_cold(&mut self, service: &str, now: Millis) -> Option<WorkItem> {
+        self.take_paused(service, |item| item.is_stale(now))
+            .or_else(|| self.take_fresh(service))
             .or_else(|| self.take_paused(service, |_| true))
     }
 
--- a/crates/batch/src/runner/work.rs
+++ b/crates/batch/src/runner/work.rs
@@ -137,7 +137,7 @@
 }
 
 /// How long the state of a paused item is taken to stay in a server's cache, milliseconds.
-const WARM_MS: u64 = 10_000;
+const WARM_MS: u64 = 3_000;
 /// Attempt numbers that each epoch has for an item.
 const ATTEMPTS_PER_EPOCH: u32 = 10_000;
 
@@ -173,6 +173,11 @@
         there && now.since(self.stopped_at) <= WARM_MS
     }
 
+    /// Whether the item has waited so long that no server is taken to cache its state.
+    pub fn is_stale(&self, now: Millis) -> bool {
+        now.since(self.stopped_at) > WARM_MS
+    }
+
     /// Number of the next attempt: grows over epochs too.
     pub fn next_attempt(&mut self) -> u32 {
         self.attempts += 1;
--- a/crates/batch/tests/batch/faults.rs
+++ b/crates/batch/tests/batch/faults.rs
@@ -192,6 +192,27 @@
         .await;
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_node_that_has_just_started_takes_nothing_over() {
+    LocalSet::new()
+        .run_until(async {
+            let mut fleet = Fleet::start(2, settings());
+            let file = upload(&fleet.nodes[0], &lines(ITEMS, 800)).await;
+            let job = fleet.nodes[0]
+                .submit(submit(&file, "key"))
+                .await
+                .expect("accepted");
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            // It knows no member yet, as after a start.
+            fleet.add_stranger(2);
+            let ended = fleet.nodes[1].ended(&job.job_id).await;
+            expect_once_each(&results(&fleet, 1, &ended).await, ITEMS);
+            expect_that!(repeated_requests(&fleet), eq(0));
+        })
+        .await;
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn nothing_is_committed_or_started_after_a_cancel() {
--- a/crates/batch/tests/batch/support/harness.rs
+++ b/crates/batch/tests/batch/support/harness.rs
@@ -49,7 +49,14 @@
         fleet
     }
 
+    /// Adds a node that is known to all.
     pub fn add_node(&mut self, index: usize) {
+        self.add_stranger(index);
+        self.spread_members();
+    }
+
+    /// Adds a node that knows of no other, and of which no other knows.
+    pub fn add_stranger(&mut self, index: usize) {
         let name = format!("node-{index}");
         let tables = NodeTables::new(Identity {
             node: name.as_str().into(),
@@ -87,7 +94,6 @@
             api,
             handle: Some(handle),
         });
-        self.spread_members();
     }
 
     fn spread_members(&self) {
