--- a/crates/batch/src/input/check.rs
+++ b/crates/batch/src/input/check.rs
@@ -158,11 +158,7 @@
             let message = "the file has no items".to_owned();
             self.checked.errors.push(error(0, "", message));
         }
-        let size = chunks::chunk_items(&ChunkSizing {
-            items: self.checked.items,
-            ..self.bounds.chunks
-        });
-        self.checked.chunks = merge(&self.groups, size, self.bounds);
+        self.checked.chunks = merge(&self.groups, self.checked.items, self.bounds);
         self.checked
     }
 }
@@ -173,10 +169,17 @@
     }
 }
 
-/// Merges neighbouring groups into chunks of up to `size` items.
-fn merge(groups: &[Span], size: u32, bounds: &Bounds) -> Vec<Span> {
+/// Merges neighbouring groups into chunks, each sized by what is left of the job.
+fn merge(groups: &[Span], items: u32, bounds: &Bounds) -> Vec<Span> {
     let mut spans: Vec<Span> = Vec::new();
+    let mut size = 0;
     for group in groups {
+        if spans.last().is_none_or(|span| span.items >= size) {
+            size = chunks::chunk_items(&ChunkSizing {
+                items: items - group.first_item,
+                ..bounds.chunks
+            });
+        }
         match spans.last_mut() {
             Some(span)
                 if span.items + group.items <= size && bounds.admits(span.start, group.end) =>
--- a/crates/batch/src/runner/claim.rs
+++ b/crates/batch/src/runner/claim.rs
@@ -7,15 +7,16 @@
 use dappleyard_decide::chunks::{self, ClaimDecision};
 use dappleyard_decide::fairness::{self, Candidate};
 use dappleyard_platform::tables::Expect;
-use dappleyard_platform::{StoreError, Transaction};
+use dappleyard_platform::{Row, StoreError, Transaction};
 use dappleyard_settings::BatchPolicy;
+use dappleyard_tables::servers::OwnedServer;
 use dappleyard_wire::ids::JobId;
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{ChunkRow, EpochRow};
 use prost::Message;
 use rand::Rng;
 
-use super::state::State;
+use super::state::{ServerState, State};
 use super::{Runner, load};
 use crate::store::{self, Applied, Versioned, wait_jittered};
 
@@ -23,10 +24,11 @@
 const OPEN_PAGE: usize = 16;
 /// How long a job without open chunks is not looked at, milliseconds, unless its row changes.
 const EXHAUSTED_MS: u64 = 3_000;
-/// More is claimed when less waits than this part of the width; what waits here cannot run elsewhere.
-const LOW_WATER_SHARE: u32 = 4;
-/// More is claimed when less waits than this many items.
-const LOW_WATER_ITEMS: u32 = 16;
+/// Items kept waiting for a server without online work that is full: it ends about as many while a
+/// claim is under way.
+const ITEMS_IN_RESERVE: u32 = 16;
+/// Items kept waiting for a server with online work; what waits here cannot run elsewhere.
+const ITEMS_BESIDE_ONLINE: u32 = 2;
 /// Items that the fleet is taken to finish in a second when the slack of a job is estimated.
 const ITEMS_PER_SECOND_GUESS: u64 = 100;
 
@@ -49,34 +51,35 @@
 
 /// Claims chunks of one service until its servers have enough.
 async fn fill(runner: &Rc<Runner>, service: &str) -> Result<(), StoreError> {
-    while runner.takes_new_work() && runner.wants_more(service) {
-        let Some((row, job)) = claim_one(runner, service).await? else {
+    while runner.wanted_items(service) > 0 {
+        if !claim_some(runner, service).await? {
             return Ok(());
-        };
-        let place = (job.to_string(), row.row.index);
-        load::hold(runner, job, row).await;
-        runner.state.borrow_mut().claiming.remove(&place);
+        }
     }
     Ok(())
 }
 
-/// Claims one chunk of the jobs of a service, in the order of fairness.
-async fn claim_one(
-    runner: &Runner,
-    service: &str,
-) -> Result<Option<(Versioned<ChunkRow>, JobId)>, StoreError> {
+/// Claims chunks of the first job, in the order of fairness, that has open ones. Returns whether
+/// there was any.
+async fn claim_some(runner: &Rc<Runner>, service: &str) -> Result<bool, StoreError> {
     for candidate in candidates(runner, service) {
         let job = JobId::from(&candidate.job);
-        if let Some(row) = claim_of_job(runner, &job).await? {
-            let weight = tenant_weight(runner, &candidate.tenant);
+        let wanted = runner.wanted_items(service);
+        let claimed = claim_of_job(runner, &job, wanted).await?;
+        if claimed.is_empty() {
+            set_exhausted(runner, &candidate.job);
+            continue;
+        }
+        let weight = tenant_weight(runner, &candidate.tenant);
+        for row in claimed {
             let work = f64::from(row.row.items);
-            let mut state = runner.state.borrow_mut();
-            state.shares.charge(&candidate.tenant, work, weight);
-            return Ok(Some((row, job)));
+            let shares = &mut runner.state.borrow_mut().shares;
+            shares.charge(&candidate.tenant, work, weight);
+            load::begin(runner, job.clone(), row);
         }
-        set_exhausted(runner, &candidate.job);
+        return Ok(true);
     }
-    Ok(None)
+    Ok(false)
 }
 
 fn candidates(runner: &Runner, service: &str) -> Vec<Candidate> {
@@ -113,29 +116,67 @@
     }
 }
 
+/// Claims open chunks of a job with about `wanted` items, by transactions that the store gate joins.
 async fn claim_of_job(
     runner: &Runner,
     job: &JobId,
-) -> Result<Option<Versioned<ChunkRow>>, StoreError> {
+    wanted: usize,
+) -> Result<Vec<Versioned<ChunkRow>>, StoreError> {
     let prefix = format!("{}{job}/", keys::OPEN_CHUNK_PREFIX);
-    let mut rows = runner.platform.tables.range(&prefix, "", OPEN_PAGE).await?;
-    while !rows.is_empty() {
-        let chosen = rand::rng().random_range(0..rows.len());
-        let open = rows.swap_remove(chosen);
-        let read = store::decode::<ChunkRow>(&open.key, &open.value, open.revision)?;
-        let place = (job.to_string(), read.row.index);
-        runner.state.borrow_mut().claiming.insert(place.clone());
-        let claimed = write_claim(runner, job, read).await;
-        if let Ok(Some(claimed)) = claimed {
-            runner.metrics.chunk("claimed");
-            return Ok(Some(claimed));
+    let tables = &runner.platform.tables;
+    let mut rows = tables.range(&prefix, "", OPEN_PAGE).await?;
+    let mut claimed = Vec::new();
+    while claimed.is_empty() && !rows.is_empty() {
+        let chosen = choose(&mut rows, wanted)?;
+        let claims = chosen.into_iter().map(|read| try_claim(runner, job, read));
+        let mut failed = None;
+        for result in futures::future::join_all(claims).await {
+            match result {
+                Ok(row) => claimed.extend(row),
+                Err(error) => failed = Some(error),
+            }
+        }
+        if let (true, Some(error)) = (claimed.is_empty(), failed) {
+            return Err(error);
         }
+    }
+    Ok(claimed)
+}
+
+/// Takes rows at random until they hold the items that are wanted.
+fn choose(rows: &mut Vec<Row>, wanted: usize) -> Result<Vec<Versioned<ChunkRow>>, StoreError> {
+    let mut chosen = Vec::new();
+    let mut items = 0;
+    while items < wanted.max(1) && !rows.is_empty() {
+        let open = rows.swap_remove(rand::rng().random_range(0..rows.len()));
+        let read = store::decode::<ChunkRow>(&open.key, &open.value, open.revision)?;
+        items += read.row.items as usize;
+        chosen.push(read);
+    }
+    Ok(chosen)
+}
+
+async fn try_claim(
+    runner: &Runner,
+    job: &JobId,
+    read: Versioned<ChunkRow>,
+) -> Result<Option<Versioned<ChunkRow>>, StoreError> {
+    let place = (job.to_string(), read.row.index);
+    let items = read.row.items;
+    runner
+        .state
+        .borrow_mut()
+        .claiming
+        .insert(place.clone(), items);
+    let claimed = write_claim(runner, job, read).await;
+    if let Ok(Some(_)) = claimed {
+        runner.metrics.chunk("claimed");
+    } else {
         // A claim whose fate is unknown may still take effect: the sweep of this node's own list
         // finds it then.
         runner.state.borrow_mut().claiming.remove(&place);
-        claimed?;
     }
-    Ok(None)
+    claimed
 }
 
 /// Claims a chunk whose open row was read. Open row and chunk row were written by the same
@@ -175,6 +216,19 @@
     })
 }
 
+/// Items that a server could start soon: beside online work starts are paced, so few.
+fn server_wants(server: &OwnedServer, state: &State) -> u32 {
+    if !server.online.is_empty() {
+        return ITEMS_BESIDE_ONLINE;
+    }
+    let known = state.servers.get(&server.entry.server);
+    let active = known.map_or(0, ServerState::active);
+    server
+        .batch_width
+        .saturating_sub(active)
+        .max(ITEMS_IN_RESERVE)
+}
+
 impl Runner {
     /// Batch sequences that the servers of each service may run at present.
     fn service_widths(&self) -> BTreeMap<String, u32> {
@@ -188,12 +242,20 @@
         })
     }
 
-    /// Whether the servers of a service could use more work than waits here, within memory.
-    fn wants_more(&self, service: &str) -> bool {
-        let width = self.service_widths().get(service).copied().unwrap_or(0);
+    /// Items that the servers of a service could use beyond those that wait here, within memory.
+    fn wanted_items(&self, service: &str) -> usize {
         let state = self.state.borrow();
         let room = state.held.is_empty() || state.held_bytes < self.settings.memory_bytes;
-        let low_water = (width / LOW_WATER_SHARE).max(LOW_WATER_ITEMS);
-        room && width > 0 && state.waiting(service) < low_water as usize
+        if !room || !self.takes_new_work() {
+            return 0;
+        }
+        let wanted: u32 = self.tables.servers.read(|servers| {
+            let of_service = servers
+                .values()
+                .filter(|server| server.entry.service.as_str() == service)
+                .filter(|server| server.batch_width > 0);
+            of_service.map(|server| server_wants(server, &state)).sum()
+        });
+        (wanted as usize).saturating_sub(state.waiting_cold(service))
     }
 }
--- a/crates/batch/src/runner/dispatch.rs
+++ b/crates/batch/src/runner/dispatch.rs
@@ -168,11 +168,12 @@
 }
 
 fn cancel(runner: &Rc<Runner>, server: &OwnedServer, streams: Vec<String>) {
-    for stream in streams {
-        let base = server.entry.base_url.clone();
-        let canceller = runner.clone();
-        runner.spawn(async move { run_item::cancel_stream(&canceller, &base, &stream).await });
+    if streams.is_empty() {
+        return;
     }
+    let base = server.entry.base_url.clone();
+    let canceller = runner.clone();
+    runner.spawn(async move { run_item::cancel_streams(&canceller, &base, &streams).await });
 }
 
 /// Starts up to `count` items: those that the server still caches first. Beside online work those
@@ -211,7 +212,7 @@
             return None;
         }
     }
-    let item = state.take_cold(service, now)?;
+    let item = state.take_cold(service, id, now)?;
     let known = state.servers.entry(id.clone()).or_default();
     let input = item.item();
     known.prefilled_at = now;
--- a/crates/batch/src/runner/feed.rs
+++ b/crates/batch/src/runner/feed.rs
@@ -81,6 +81,7 @@
     let ids: BTreeSet<&str> = ids.collect();
     let mut state = runner.state.borrow_mut();
     state.jobs.retain(|job, _| ids.contains(job.as_str()));
+    state.inputs.retain(|job, _| ids.contains(job.as_str()));
 }
 
 async fn read_changes(runner: &Runner, after: u64) -> Result<Option<u64>, StoreError> {
@@ -131,7 +132,9 @@
 }
 
 fn remove(runner: &Runner, job: &str) {
-    runner.state.borrow_mut().jobs.remove(job);
+    let mut state = runner.state.borrow_mut();
+    state.jobs.remove(job);
+    state.inputs.remove(job);
 }
 
 /// The feed was read by a call that was sent at a time: what changed before it is known.
--- a/crates/batch/src/runner/load.rs
+++ b/crates/batch/src/runner/load.rs
@@ -9,6 +9,7 @@
 use dappleyard_wire::messages::{ChunkRow, JobRow, PartialLine, PartialResult};
 use prost::Message;
 
+use super::state::JobInput;
 use super::work::{HeldChunk, ItemLine};
 use super::{Runner, commit};
 use crate::input::{Item, PartIndex, parse};
@@ -17,9 +18,19 @@
 /// Largest object with finished lines, bytes.
 const LARGEST_PARTIAL_BYTES: u64 = 1 << 32;
 
+/// Loads a claimed chunk in a task of its own.
+pub fn begin(runner: &Rc<Runner>, job: JobId, row: Versioned<ChunkRow>) {
+    let loader = runner.clone();
+    runner.spawn(async move {
+        let place = (job.to_string(), row.row.index);
+        hold(&loader, job, row).await;
+        loader.state.borrow_mut().claiming.remove(&place);
+    });
+}
+
 /// Loads the input of a claimed chunk and queues its items. While the store does not answer it is
 /// tried again. A chunk whose job is cancelled or gone is dropped; the janitor removes its rows.
-pub async fn hold(runner: &Rc<Runner>, job: JobId, row: Versioned<ChunkRow>) {
+async fn hold(runner: &Rc<Runner>, job: JobId, row: Versioned<ChunkRow>) {
     let loaded = loop {
         match load(runner, &job, &row.row).await {
             Ok(Some(loaded)) => break loaded,
@@ -34,6 +45,9 @@
             }
         }
     };
+    if runner.tables.cancelled_jobs.lock().contains(job.as_str()) {
+        return;
+    }
     let chunk = Rc::new(HeldChunk::new(job, row, loaded.items));
     for line in loaded.finished {
         take_finished(&chunk, line);
@@ -63,21 +77,18 @@
 
 /// Reads a chunk's items; `None` when its job is cancelled or gone.
 async fn load(runner: &Runner, job: &JobId, row: &ChunkRow) -> Result<Option<Loaded>, StoreError> {
-    let key = keys::job(&row.tenant.as_str().into(), job);
-    let read = store::read_row::<JobRow>(&*runner.platform.tables, &key).await?;
-    let Some(job_row) = read.map(|read| read.row).filter(|row| !row.cancelled) else {
+    let Some(input) = job_input(runner, job, &row.tenant).await? else {
         return Ok(None);
     };
-    let state = job_row.state.unwrap_or_default();
     let objects = &*runner.platform.objects;
-    let parts = PartIndex::list(objects, &row.tenant, &state.input_file_id).await?;
+    let JobInput { endpoint, parts } = &*input;
     let bytes = parts
         .read_range(objects, row.input_start, row.input_end)
         .await?;
     let items: Vec<Item> = bytes
         .split(|byte| *byte == b'\n')
         .filter(|line| !line.iter().all(u8::is_ascii_whitespace))
-        .filter_map(|line| parse(line, &state.endpoint).ok())
+        .filter_map(|line| parse(line, endpoint).ok())
         .collect();
     match items.len() == row.items as usize {
         true => Ok(Some(Loaded {
@@ -88,6 +99,35 @@
     }
 }
 
+/// Where the input of a job is, remembered while the job is active; `None` when the job is cancelled
+/// or gone. A cancel that comes later is seen by the feed and, at the latest, by the commit.
+async fn job_input(
+    runner: &Runner,
+    job: &JobId,
+    tenant: &str,
+) -> Result<Option<Rc<JobInput>>, StoreError> {
+    if let Some(input) = runner.state.borrow().inputs.get(job.as_str()) {
+        return Ok(Some(input.clone()));
+    }
+    let key = keys::job(&tenant.into(), job);
+    let read = store::read_row::<JobRow>(&*runner.platform.tables, &key).await?;
+    let Some(row) = read.map(|read| read.row).filter(|row| !row.cancelled) else {
+        return Ok(None);
+    };
+    let state = row.state.unwrap_or_default();
+    let objects = &*runner.platform.objects;
+    let parts = PartIndex::list(objects, tenant, &state.input_file_id).await?;
+    let input = Rc::new(JobInput {
+        endpoint: state.endpoint,
+        parts,
+    });
+    let mut state = runner.state.borrow_mut();
+    if state.jobs.contains_key(job.as_str()) {
+        state.inputs.insert(job.to_string(), input.clone());
+    }
+    Ok(Some(input))
+}
+
 /// Reads what an earlier holder finished. An object that is gone costs repeated work only, where
 /// items may repeat; where they may not, they are known to have been started.
 async fn load_partial(
--- a/crates/batch/src/runner/run_item.rs
+++ b/crates/batch/src/runner/run_item.rs
@@ -217,15 +217,15 @@
         })
     };
     if stopping {
-        cancel_stream(runner, &entry.base_url, &stream).await;
+        cancel_streams(runner, &entry.base_url, &[stream]).await;
     }
 }
 
-/// Tells an engine to stop a stream. A failure is harmless: the engine keeps running an item whose
-/// result is dropped, or its loss is seen on the stream itself.
-pub async fn cancel_stream(runner: &Runner, base: &str, stream: &str) {
-    if let Err(error) = runner.engine.cancel(base, stream).await {
-        tracing::debug!(%error, stream, "a stream was not cancelled");
+/// Tells an engine to stop streams. A failure is harmless: the engine keeps running items whose
+/// results are dropped, or its loss is seen on the streams themselves.
+pub async fn cancel_streams(runner: &Runner, base: &str, streams: &[String]) {
+    if let Err(error) = runner.engine.cancel_all(base, streams).await {
+        tracing::debug!(%error, base, "streams were not cancelled");
     }
 }
 
--- a/crates/batch/src/runner/state.rs
+++ b/crates/batch/src/runner/state.rs
@@ -1,6 +1,6 @@
 //! What the runner's tasks share: active jobs, held chunks, waiting and running items.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 use dappleyard_decide::fairness::TenantShares;
@@ -10,6 +10,7 @@
 use dappleyard_wire::messages::ActiveJobRow;
 
 use super::work::{HeldChunk, WorkItem};
+use crate::input::PartIndex;
 
 /// Place of a chunk: job id and index.
 pub type ChunkPlace = (String, u32);
@@ -22,6 +23,14 @@
     pub exhausted_until: Millis,
 }
 
+/// Where the input of a job is.
+pub struct JobInput {
+    /// Endpoint of its items.
+    pub endpoint: String,
+    /// Parts of the input file.
+    pub parts: PartIndex,
+}
+
 /// A batch stream on a server.
 pub struct RunningItem {
     /// Request id.
@@ -89,8 +98,15 @@
     pub prefill_sent: u32,
     /// When the last report was taken in.
     pub report_at: Millis,
+    /// Shared heads of prompts, and when the first item with each was sent.
+    pub prefixes: BTreeMap<u64, Millis>,
 }
 
+/// Time that a server needs to compute the shared head of a prompt, milliseconds.
+const PREFIX_WARM_MS: u64 = 25;
+/// Time after which a shared head is taken to have left the cache, milliseconds.
+const PREFIX_KEPT_MS: u64 = 30_000;
+
 impl ServerState {
     /// Tokens of KV memory that the running streams are estimated to hold: each makes a token a step.
     pub fn batch_tokens(&self, now: Millis) -> u32 {
@@ -106,6 +122,20 @@
         own.saturating_add(prefixes.values().sum())
     }
 
+    /// Whether an item whose prompt begins with a shared head may be sent: the first one that does,
+    /// or one that comes after the first has computed it.
+    fn admits_prefix(&mut self, prefix: u64, now: Millis) -> bool {
+        self.prefixes
+            .retain(|_, sent_at| now.since(*sent_at) < PREFIX_KEPT_MS);
+        match self.prefixes.get(&prefix) {
+            Some(first_at) => now.since(*first_at) >= PREFIX_WARM_MS,
+            None => {
+                self.prefixes.insert(prefix, now);
+                true
+            }
+        }
+    }
+
     /// Streams that were not told to stop.
     pub fn active(&self) -> u32 {
         let active = self.running.iter().filter(|running| !running.stopping);
@@ -118,6 +148,8 @@
 pub struct State {
     /// Jobs that are not finished.
     pub jobs: BTreeMap<String, ActiveJob>,
+    /// Inputs of active jobs of which this node holds or held chunks.
+    pub inputs: BTreeMap<String, Rc<JobInput>>,
     /// When the last call was sent that read the feed with success.
     pub feed_read_at: Millis,
     /// When the feed was last asked for in vain.
@@ -125,8 +157,8 @@
     /// When this node was last found to have been paused: until it has asked for the feed again, it
     /// starts nothing, since a job may have been cancelled meanwhile.
     pub paused_until: Millis,
-    /// Chunks that are being claimed or loaded.
-    pub claiming: BTreeSet<ChunkPlace>,
+    /// Chunks that are being claimed or loaded, with their items.
+    pub claiming: BTreeMap<ChunkPlace, u32>,
     /// Chunks held, input loaded.
     pub held: BTreeMap<ChunkPlace, Rc<HeldChunk>>,
     /// Items never started, by service.
@@ -150,7 +182,7 @@
 
     /// Whether this node works on a chunk.
     pub fn knows(&self, place: &ChunkPlace) -> bool {
-        self.held.contains_key(place) || self.claiming.contains(place)
+        self.held.contains_key(place) || self.claiming.contains_key(place)
     }
 
     /// Whether an item of a chunk is on an engine.
@@ -159,11 +191,10 @@
         running.any(|running| Rc::ptr_eq(&running.chunk, chunk))
     }
 
-    /// Items of a service that wait.
-    pub fn waiting(&self, service: &str) -> usize {
-        let fresh = self.fresh.get(service).map_or(0, VecDeque::len);
-        let paused = self.paused.get(service).map_or(0, Vec::len);
-        fresh + paused
+    /// Items of a service that were never started, and all that are being claimed or loaded.
+    pub fn waiting_cold(&self, service: &str) -> usize {
+        let coming: u32 = self.claiming.values().sum();
+        self.fresh.get(service).map_or(0, VecDeque::len) + coming as usize
     }
 
     /// All items that wait.
@@ -186,9 +217,9 @@
 
     /// Takes an item that needs a prefill: one that has waited long for its server, or a fresh one,
     /// or else one that was paused elsewhere.
-    pub fn take_cold(&mut self, service: &str, now: Millis) -> Option<WorkItem> {
+    pub fn take_cold(&mut self, service: &str, server: &ServerId, now: Millis) -> Option<WorkItem> {
         self.take_paused(service, |item| item.is_stale(now))
-            .or_else(|| self.take_fresh(service))
+            .or_else(|| self.take_fresh(service, server, now))
             .or_else(|| self.take_paused(service, |_| true))
     }
 
@@ -203,14 +234,19 @@
         Some(paused.remove(index))
     }
 
-    fn take_fresh(&mut self, service: &str) -> Option<WorkItem> {
+    /// Takes the first fresh item, unless a server is just computing the head of its prompt: what
+    /// starts a little later finds it in the cache.
+    fn take_fresh(&mut self, service: &str, server: &ServerId, now: Millis) -> Option<WorkItem> {
         let fresh = self.fresh.get_mut(service)?;
-        while let Some(item) = fresh.pop_front() {
-            if !item.chunk.is_stopped() {
-                return Some(item);
-            }
+        while fresh.front().is_some_and(|item| item.chunk.is_stopped()) {
+            fresh.pop_front();
+        }
+        let first = fresh.front()?.item();
+        let known = self.servers.entry(server.clone()).or_default();
+        if first.prefix_tokens > 0 && !known.admits_prefix(first.prefix_hash, now) {
+            return None;
         }
-        None
+        fresh.pop_front()
     }
 
     /// Puts an item back that was paused or has to be tried again.
--- a/crates/decide/src/chunks.rs
+++ b/crates/decide/src/chunks.rs
@@ -153,7 +153,7 @@
 /// What the size of a job's chunks rests on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ChunkSizing {
-    /// Items of the job.
+    /// Items that are not cut yet.
     pub items: u32,
     /// Nodes that can work on it.
     pub nodes: u32,
@@ -167,17 +167,15 @@
     pub maximum: u32,
 }
 
-/// Chunks that each node should get of a job, so that it ends everywhere at about the same time.
-pub const CHUNKS_PER_NODE: u32 = 2;
-
-/// Items of one chunk: no more than the target's work, and few enough to spread over the nodes.
+/// Items of the next chunk of a job of which `sizing.items` items are not cut yet: no more than the
+/// target's work, and no more than a node's share of the rest. Chunks so get smaller towards the end
+/// of a job, and the nodes end at about the same time.
 pub fn chunk_items(sizing: &ChunkSizing) -> u32 {
     let by_work = match sizing.item_us {
         0 => sizing.maximum,
         item_us => u32::try_from(sizing.target_ms * 1_000 / item_us).unwrap_or(u32::MAX),
     };
-    let shares = sizing.nodes.max(1).saturating_mul(CHUNKS_PER_NODE);
-    let by_spread = sizing.items.div_ceil(shares);
+    let by_spread = sizing.items.div_ceil(sizing.nodes.max(1));
     let maximum = sizing.maximum.max(1);
     by_work
         .min(by_spread)
--- a/crates/engine/src/client/mod.rs
+++ b/crates/engine/src/client/mod.rs
@@ -113,6 +113,20 @@
         }
     }
 
+    async fn cancel_all(&self, base: &str, streams: &[String]) -> Result<(), EngineError> {
+        let url = format!("{base}/v1/cancel");
+        match self.post(url, &streams).await {
+            Err(EngineError::Refused {
+                status: 404 | 405, ..
+            }) => {}
+            other => return other,
+        }
+        for stream in streams {
+            self.cancel(base, stream).await?;
+        }
+        Ok(())
+    }
+
     async fn report(&self, base: &str) -> Result<EngineReport, EngineError> {
         self.get(format!("{base}/v1/report")).await
     }
--- a/crates/engine/src/port.rs
+++ b/crates/engine/src/port.rs
@@ -245,6 +245,15 @@
     /// Cancels a stream: `POST {base}/v1/streams/{stream}/cancel`. No error when it is gone.
     async fn cancel(&self, base: &str, stream: &str) -> Result<(), EngineError>;
 
+    /// Cancels several streams by one call: `POST {base}/v1/cancel` with a list of stream ids. No error
+    /// for those that are gone. An engine that has no such call is told one by one.
+    async fn cancel_all(&self, base: &str, streams: &[String]) -> Result<(), EngineError> {
+        for stream in streams {
+            self.cancel(base, stream).await?;
+        }
+        Ok(())
+    }
+
     /// The latest report that the engine has published, lagged.
     async fn report(&self, base: &str) -> Result<EngineReport, EngineError>;
 
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -47,6 +47,7 @@
             .app_data(json)
             .route("/generate", web::post().to(generate))
             .route("/streams/{stream}/cancel", web::post().to(cancel))
+            .route("/cancel", web::post().to(cancel_all))
             .route("/report", web::get().to(report))
             .route("/status", web::get().to(status))
             .route("/cache-events", web::get().to(cache_events))
@@ -83,6 +84,14 @@
     }
 }
 
+async fn cancel_all(
+    slots: web::Data<SlotsByName>,
+    server: web::Path<String>,
+    streams: web::Json<Vec<String>>,
+) -> HttpResponse {
+    answer(&slots, &server, |slot| slot.cancel_all(&streams)).await
+}
+
 async fn report(slots: web::Data<SlotsByName>, server: web::Path<String>) -> HttpResponse {
     answer(&slots, &server, Slot::report).await
 }
--- a/crates/standin/src/engine/slot.rs
+++ b/crates/standin/src/engine/slot.rs
@@ -173,6 +173,19 @@
         Ok(found)
     }
 
+    pub(super) fn cancel_all(&self, names: &[String]) -> Result<(), CallError> {
+        let mut life = self.life.lock();
+        let now_us = self.now_us();
+        let mut effects = std::mem::take(&mut life.effects);
+        let model = life.answering()?;
+        for stream in names.iter().filter_map(|name| parse_stream(name)) {
+            model.cancel(now_us, stream, &mut effects);
+        }
+        life.effects = effects;
+        life.deliver();
+        Ok(())
+    }
+
     pub(super) fn report(&self) -> Result<EngineReport, CallError> {
         self.with_model(|model, now_us| model.report(now_us))
     }
