Follow the product's protocol in the specification of chunks: opening again, marks, hand-back

Cause: chunks are now opened again under a higher epoch before they are claimed, and items that must not repeat are marked in the row before they start; the specification knew neither. Change: the specification takes the same steps through reopen, may_start_item and mark_started, and has a mutant that starts an item before its mark stands.

--- a/crates/spec/src/catalogue.rs
+++ b/crates/spec/src/catalogue.rs
@@ -77,6 +77,10 @@
                 name: "retry-after-maybe",
                 breaks: "an item that must not repeat ran twice",
             },
+            Mutant {
+                name: "started-before-mark",
+                breaks: "an item that must not repeat ran twice",
+            },
             Mutant {
                 name: "takeover-forgets-start",
                 breaks: "an item that must not repeat ran twice",
@@ -179,6 +183,7 @@
             "epoch-not-compared" => Some(chunks::Mutant::EpochNotCompared),
             "cancel-not-compared" => Some(chunks::Mutant::CancelNotCompared),
             "retry-after-maybe" => Some(chunks::Mutant::RetryAfterMaybe),
+            "started-before-mark" => Some(chunks::Mutant::StartedBeforeMark),
             "takeover-forgets-start" => Some(chunks::Mutant::TakeoverForgetsStart),
             _ => None,
         }),
--- a/crates/spec/src/chunks.rs
+++ b/crates/spec/src/chunks.rs
@@ -1,13 +1,16 @@
-//! Claim, takeover, commit and cancel of one batch chunk by two nodes.
+//! Claim, takeover, hand-back, commit and cancel of one batch chunk by two nodes.
+//!
+//! A chunk of a holder that is believed gone is opened again under a higher epoch, and then claimed
+//! like any other. An item that must not repeat is marked in the chunk row before it is started.
 //!
 //! A node that takes no step for a while is a paused holder; a wrong suspicion may come at any time;
-//! a call may take effect long after its sender has given up on it. What a node must do around
-//! [`dappleyard_decide::chunks`] is written at the steps of this module.
+//! a call may take effect long after its sender has given up on it.
 
 use std::collections::BTreeSet;
 
 use dappleyard_decide::chunks::{
-    ChunkResult, ClaimDecision, Claimant, CommitDecision, claim, commit, may_start_items,
+    ChunkResult, ClaimDecision, Claimant, CommitDecision, claim, commit, mark_started,
+    may_start_item, reopen,
 };
 use dappleyard_wire::messages::{ChunkPhase, ChunkRow, JobRow, Repeat};
 use derive_more::Display;
@@ -28,6 +31,8 @@
     RetryAfterMaybe,
     /// A takeover forgets that items may have been started.
     TakeoverForgetsStart,
+    /// An item is started before its mark stands in the row.
+    StartedBeforeMark,
     /// A commit does not compare the job row.
     CancelNotCompared,
 }
@@ -66,9 +71,20 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum Work {
     Idle,
-    Claiming { next: ChunkRow },
-    Holding { row: ChunkRow, item: Item },
-    Committing { row: ChunkRow, item: Item },
+    Claiming {
+        next: ChunkRow,
+    },
+    Holding {
+        row: Versioned<ChunkRow>,
+        item: Item,
+    },
+    Marking {
+        row: Versioned<ChunkRow>,
+    },
+    Committing {
+        row: Versioned<ChunkRow>,
+        item: Item,
+    },
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -80,6 +96,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum Change {
     Claim,
+    Mark,
+    Reopen,
     Commit { job_revision: u8, item: Item },
 }
 
@@ -123,16 +141,45 @@
     Lost,
 }
 
+/// Why a chunk is opened again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Reason {
+    /// Its holder has restarted.
+    #[display("its holder has restarted")]
+    Restarted,
+    /// Its holder is believed gone, and is not.
+    #[display("its holder is wrongly believed gone")]
+    Suspected,
+    /// The row names the node itself, which does not know of it: a claim took effect late.
+    #[display("it is its own without its knowing")]
+    Unknown,
+    /// The holder gives it back.
+    #[display("it gives it back")]
+    HandBack,
+}
+
 /// One step.
 #[derive(Debug, Clone, Display)]
 pub enum Action {
-    /// A node reads the row and sends a claim.
-    #[display("node {node} claims{}", if *suspects { ", believing the holder gone" } else { "" })]
+    /// A node reads the open row and sends a claim.
+    #[display("node {node} claims")]
     Claim {
         /// The node.
         node: usize,
-        /// Membership says that the holder is gone.
-        suspects: bool,
+    },
+    /// A node opens a chunk again that is claimed.
+    #[display("node {node} opens the chunk again: {why}")]
+    Reopen {
+        /// The node.
+        node: usize,
+        /// Its reason.
+        why: Reason,
+    },
+    /// A holder marks the item as started.
+    #[display("node {node} marks the item")]
+    Mark {
+        /// The node.
+        node: usize,
     },
     /// The network treats the oldest or a later call.
     #[display("call {index} is {delivery}")]
@@ -183,41 +230,68 @@
 }
 
 impl Chunks {
-    fn claim(&self, state: &mut State, node: usize, holder_gone: bool) -> bool {
-        let claimant = Claimant {
-            node: name(node),
-            incarnation: state.nodes[node].incarnation,
+    fn claim(&self, state: &mut State, node: usize) -> bool {
+        let decision = claim(&state.row.value, &claimant(state, node), false);
+        let ClaimDecision::Write(next) = decision else {
+            return false;
         };
-        match claim(&state.row.value, &claimant, holder_gone) {
-            ClaimDecision::Write(mut next) => {
-                if self.mutant == Some(Mutant::TakeoverForgetsStart) {
-                    next.maybe_started = false;
-                }
-                send(state, node, next.clone(), Change::Claim);
-                state.nodes[node].work = Work::Claiming { next };
-                true
-            }
-            ClaimDecision::Own => {
-                state.nodes[node].work = Work::Holding {
-                    row: state.row.value.clone(),
-                    item: Item::NotStarted,
-                };
-                true
-            }
-            ClaimDecision::Held | ClaimDecision::Done => false,
+        let revision = state.row.revision;
+        send(state, node, next.clone(), revision, Change::Claim);
+        state.nodes[node].work = Work::Claiming { next };
+        true
+    }
+
+    /// Sends the opening of a claimed chunk and forgets the chunk; `revision` is what the row is
+    /// expected to be at.
+    fn reopen(
+        &self,
+        state: &mut State,
+        node: usize,
+        row: &Versioned<ChunkRow>,
+        gone: bool,
+    ) -> bool {
+        let Some(mut next) = reopen(&row.value, &claimant(state, node), gone) else {
+            return false;
+        };
+        if self.mutant == Some(Mutant::TakeoverForgetsStart) {
+            next.maybe_started = false;
+            next.started_items = 0;
         }
+        send(state, node, next, row.revision, Change::Reopen);
+        state.nodes[node].work = Work::Idle;
+        true
     }
 
-    /// The holder that the row names has restarted, or is the claimant before its own restart.
-    fn holder_restarted(state: &State) -> bool {
+    /// Why an idle node may open the chunk again, if it may.
+    fn reason(&self, state: &State, node: usize) -> Option<Reason> {
         let row = &state.row.value;
-        (0..NODES).any(|node| {
-            row.holder == name(node) && row.holder_incarnation < state.nodes[node].incarnation
-        })
+        let holder = (0..NODES).find(|other| row.holder == name(*other))?;
+        if row.holder_incarnation < state.nodes[holder].incarnation {
+            Some(Reason::Restarted)
+        } else if holder == node {
+            Some(Reason::Unknown)
+        } else {
+            (state.suspicions < self.limits.suspicions).then_some(Reason::Suspected)
+        }
     }
 
     fn may_start(&self, row: &ChunkRow, item: Item) -> bool {
-        item == Item::NotStarted && may_start_items(row)
+        item == Item::NotStarted
+            && (self.repeat == Repeat::Allowed || may_start_item(row, 0) || is_marked(row))
+    }
+
+    /// Whether the item must be marked before it is started.
+    fn must_mark(&self, row: &ChunkRow) -> bool {
+        let skipped = self.mutant == Some(Mutant::StartedBeforeMark);
+        self.repeat == Repeat::Never && !is_marked(row) && !skipped
+    }
+
+    fn mark(state: &mut State, node: usize) {
+        if let Work::Holding { row, .. } = state.nodes[node].work.clone() {
+            let next = mark_started(&row.value, 0);
+            send(state, node, next, row.revision, Change::Mark);
+            state.nodes[node].work = Work::Marking { row };
+        }
     }
 
     fn start(&self, state: &mut State, node: usize, run: Run) {
@@ -240,25 +314,26 @@
         let Work::Holding { row, item } = state.nodes[node].work.clone() else {
             return;
         };
-        state.objects.insert(row.epoch);
+        state.objects.insert(row.value.epoch);
         let result = ChunkResult {
-            object: row.epoch.to_string(),
+            object: row.value.epoch.to_string(),
             completed: u32::from(item == Item::Completed),
             failed: u32::from(item == Item::Unknown),
         };
-        let current = state.row.value.clone();
+        let current = state.row.clone();
         let job = JobRow {
             cancelled: state.job.value,
             ..JobRow::default()
         };
         let epoch = match self.mutant {
-            Some(Mutant::EpochNotCompared) => current.epoch,
-            _ => row.epoch,
+            Some(Mutant::EpochNotCompared) => current.value.epoch,
+            _ => row.value.epoch,
         };
-        state.nodes[node].work = match commit(&current, &job, epoch, &result) {
+        state.nodes[node].work = match commit(&current.value, &job, epoch, &result) {
             CommitDecision::Write(next) => {
                 let job_revision = state.job.revision;
-                send(state, node, next, Change::Commit { job_revision, item });
+                let change = Change::Commit { job_revision, item };
+                send(state, node, next, current.revision, change);
                 Work::Committing { row, item }
             }
             CommitDecision::AlreadyCommitted
@@ -277,15 +352,19 @@
         if delivery == Delivery::AnswerLost || restarted {
             return;
         }
+        let row = Versioned {
+            value: call.next.clone(),
+            revision: state.row.revision,
+        };
+        let item = Item::NotStarted;
         let work = &mut state.nodes[call.node].work;
-        match work.clone() {
-            Work::Claiming { next } if done && next == call.next => {
-                *work = Work::Holding {
-                    row: next,
-                    item: Item::NotStarted,
-                };
+        match (work.clone(), call.change) {
+            (Work::Claiming { next }, Change::Claim) if done && next == call.next => {
+                *work = Work::Holding { row, item };
             }
-            Work::Committing { .. } if done && call.change != Change::Claim => *work = Work::Idle,
+            (Work::Marking { .. }, Change::Mark) if done => *work = Work::Holding { row, item },
+            (Work::Committing { .. }, Change::Commit { .. }) if done => *work = Work::Idle,
+            (_, Change::Reopen) => {}
             // A conflict may be with a call of its own that took effect earlier.
             _ => read_back(state, call.node),
         }
@@ -321,20 +400,28 @@
 
     fn proceed(&self, state: &mut State, node: usize) {
         match state.nodes[node].work.clone() {
+            Work::Idle if self.claim(state, node) => {}
             Work::Idle => {
-                let restarted = Self::holder_restarted(state);
-                self.claim(state, node, restarted);
+                let reason = self.reason(state, node);
+                let row = state.row.clone();
+                if reason.is_some_and(|reason| reason != Reason::Suspected) {
+                    self.reopen(state, node, &row, true);
+                }
+            }
+            Work::Claiming { .. } | Work::Marking { .. } | Work::Committing { .. } => {
+                read_back(state, node);
             }
-            Work::Claiming { .. } | Work::Committing { .. } => read_back(state, node),
-            Work::Holding { row, item } if self.may_start(&row, item) => {
-                self.start(state, node, Run::Completes);
+            Work::Holding { row, item } if self.may_start(&row.value, item) => {
+                if self.must_mark(&row.value) {
+                    Self::mark(state, node);
+                } else {
+                    self.start(state, node, Run::Completes);
+                }
             }
             Work::Holding {
                 row,
                 item: Item::NotStarted,
-            } => {
-                settle_unknown(state, node, row);
-            }
+            } => settle_unknown(state, node, row),
             Work::Holding { .. } => self.commit(state, node),
         }
     }
@@ -342,8 +429,8 @@
     fn steps_of_node(&self, state: &State, node: usize, steps: &mut Vec<(Action, State)>) {
         let faults_left = state.faults < self.limits.faults;
         match &state.nodes[node].work {
-            Work::Idle => self.claims(state, node, steps),
-            Work::Claiming { .. } | Work::Committing { .. } => {
+            Work::Idle => self.steps_of_idle(state, node, steps),
+            Work::Claiming { .. } | Work::Marking { .. } | Work::Committing { .. } => {
                 let early = state.calls.iter().any(|call| call.node == node);
                 if !early || faults_left {
                     let mut next = state.clone();
@@ -352,29 +439,7 @@
                     steps.push((Action::TimeOut { node }, next));
                 }
             }
-            Work::Holding { row, item } if self.may_start(row, *item) => {
-                for run in [Run::Completes, Run::AnswerLost, Run::Lost] {
-                    if run == Run::Completes || faults_left {
-                        let mut next = state.clone();
-                        next.faults += u8::from(run != Run::Completes);
-                        self.start(&mut next, node, run);
-                        steps.push((Action::Start { node, run }, next));
-                    }
-                }
-            }
-            Work::Holding {
-                row,
-                item: Item::NotStarted,
-            } => {
-                let mut next = state.clone();
-                settle_unknown(&mut next, node, row.clone());
-                steps.push((Action::SettleUnknown { node }, next));
-            }
-            Work::Holding { .. } => {
-                let mut next = state.clone();
-                self.commit(&mut next, node);
-                steps.push((Action::Commit { node }, next));
-            }
+            Work::Holding { row, item } => self.steps_of_holder(state, node, row, *item, steps),
         }
         if faults_left {
             let mut next = state.clone();
@@ -385,23 +450,64 @@
         }
     }
 
-    /// Chunks of a cancelled job are not claimed: the claimant reads the job row too.
-    fn claims(&self, state: &State, node: usize, steps: &mut Vec<(Action, State)>) {
-        if state.job.value {
+    /// Chunks of a cancelled job are neither claimed nor opened: a node reads the job row too.
+    fn steps_of_idle(&self, state: &State, node: usize, steps: &mut Vec<(Action, State)>) {
+        let opening = |call: &Call| call.node == node && call.change == Change::Reopen;
+        if state.job.value || state.calls.iter().any(opening) {
             return;
         }
-        let restarted = Self::holder_restarted(state);
         let mut next = state.clone();
-        if self.claim(&mut next, node, restarted) {
-            let suspects = false;
-            steps.push((Action::Claim { node, suspects }, next));
-        } else if state.suspicions < self.limits.suspicions && state.row.value.holder != name(node)
-        {
-            let mut next = state.clone();
-            next.suspicions += 1;
-            if self.claim(&mut next, node, true) {
-                let suspects = true;
-                steps.push((Action::Claim { node, suspects }, next));
+        if self.claim(&mut next, node) {
+            steps.push((Action::Claim { node }, next));
+            return;
+        }
+        let Some(why) = self.reason(state, node) else {
+            return;
+        };
+        let mut next = state.clone();
+        next.suspicions += u8::from(why == Reason::Suspected);
+        if self.reopen(&mut next, node, &state.row, true) {
+            steps.push((Action::Reopen { node, why }, next));
+        }
+    }
+
+    fn steps_of_holder(
+        &self,
+        state: &State,
+        node: usize,
+        row: &Versioned<ChunkRow>,
+        item: Item,
+        steps: &mut Vec<(Action, State)>,
+    ) {
+        let faults_left = state.faults < self.limits.faults;
+        let mut next = state.clone();
+        if !self.may_start(&row.value, item) {
+            if item == Item::NotStarted {
+                settle_unknown(&mut next, node, row.clone());
+                steps.push((Action::SettleUnknown { node }, next));
+            } else {
+                self.commit(&mut next, node);
+                steps.push((Action::Commit { node }, next));
+            }
+            return;
+        }
+        let mut given_back = state.clone();
+        given_back.faults += 1;
+        if faults_left && self.reopen(&mut given_back, node, row, false) {
+            let why = Reason::HandBack;
+            steps.push((Action::Reopen { node, why }, given_back));
+        }
+        if self.must_mark(&row.value) {
+            Self::mark(&mut next, node);
+            steps.push((Action::Mark { node }, next));
+            return;
+        }
+        for run in [Run::Completes, Run::AnswerLost, Run::Lost] {
+            if run == Run::Completes || faults_left {
+                let mut next = state.clone();
+                next.faults += u8::from(run != Run::Completes);
+                self.start(&mut next, node, run);
+                steps.push((Action::Start { node, run }, next));
             }
         }
     }
@@ -488,7 +594,7 @@
     fn situations(&self, state: &State) -> Vec<&'static str> {
         let row = &state.row.value;
         let stale = state.nodes.iter().any(
-            |node| matches!(&node.work, Work::Holding { row: held, .. } if held.epoch < row.epoch),
+            |node| matches!(&node.work, Work::Holding { row: held, .. } if held.value.epoch < row.epoch),
         );
         let seen = [
             ("done", row.phase() == ChunkPhase::ChunkDone),
@@ -515,12 +621,23 @@
     node.to_string()
 }
 
-fn send(state: &mut State, node: usize, next: ChunkRow, change: Change) {
+fn claimant(state: &State, node: usize) -> Claimant {
+    Claimant {
+        node: name(node),
+        incarnation: state.nodes[node].incarnation,
+    }
+}
+
+fn is_marked(row: &ChunkRow) -> bool {
+    !row.maybe_started && row.started_items != 0
+}
+
+fn send(state: &mut State, node: usize, next: ChunkRow, revision: u8, change: Change) {
     state.calls.push(Call {
         node,
         incarnation: state.nodes[node].incarnation,
         next,
-        revision: state.row.revision,
+        revision,
         change,
     });
 }
@@ -544,23 +661,24 @@
 }
 
 /// What a node does after an ambiguous answer or a conflict: it reads the row, and holds the chunk if
-/// its own claim is what stands there. A commit is decided afresh.
+/// its own claim is what stands there. A mark that stands is taken for its own, since only the holder
+/// writes marks under its epoch; a commit is decided afresh.
 fn read_back(state: &mut State, node: usize) {
-    let row = state.row.value.clone();
-    let incarnation = state.nodes[node].incarnation;
-    let own = row.holder == name(node) && row.holder_incarnation == incarnation;
+    let row = state.row.clone();
+    let claimed = row.value.phase() == ChunkPhase::ChunkClaimed;
+    let item = Item::NotStarted;
     state.nodes[node].work = match state.nodes[node].work.clone() {
-        Work::Claiming { next } if own && row.epoch == next.epoch => Work::Holding {
-            row,
-            item: Item::NotStarted,
-        },
-        Work::Claiming { .. } => Work::Idle,
+        Work::Claiming { next } if row.value == next => Work::Holding { row, item },
+        Work::Marking { row: held } if claimed && held.value.epoch == row.value.epoch => {
+            Work::Holding { row, item }
+        }
+        Work::Claiming { .. } | Work::Marking { .. } => Work::Idle,
         Work::Committing { row, item } => Work::Holding { row, item },
         other => other,
     };
 }
 
-fn settle_unknown(state: &mut State, node: usize, row: ChunkRow) {
+fn settle_unknown(state: &mut State, node: usize, row: Versioned<ChunkRow>) {
     let item = Item::Unknown;
     state.nodes[node].work = Work::Holding { row, item };
 }
@@ -571,9 +689,9 @@
     state.calls.retain(|call| {
         let node = &nodes[call.node];
         let waits = node.incarnation == call.incarnation
-            && matches!(node.work, Work::Claiming { .. } | Work::Committing { .. });
+            && !matches!(node.work, Work::Idle | Work::Holding { .. });
         let spent = match call.change {
-            Change::Claim => call.revision != row,
+            Change::Claim | Change::Mark | Change::Reopen => call.revision != row,
             Change::Commit { job_revision, .. } => call.revision != row || job_revision != job,
         };
         waits || !spent
