--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -32,6 +32,10 @@
         command: crate::tradeoff::command,
         run: crate::tradeoff::run,
     },
+    Subcommand {
+        command: crate::replay::command,
+        run: crate::replay::run,
+    },
     Subcommand {
         command: crate::model::command,
         run: crate::model::run,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod measures;
 pub mod model;
 pub mod network;
+pub mod replay;
 pub mod report;
 pub mod run;
 pub mod scenario;
--- /dev/null
+++ b/crates/lab/src/replay/machine.rs
@@ -0,0 +1,93 @@
+//! What decisions rest on while a trace is replayed.
+
+use std::collections::BTreeMap;
+
+use dappleyard_decide::fence::{OrderPosition, admits};
+use dappleyard_decide::reassembly::{Assembly, AssemblyBounds};
+
+use super::configuration::ConfigurationReplay;
+use super::rows::RowReplay;
+use super::stepwise::Stepwise;
+use super::trace::Input;
+
+/// Bounds of a replayed answer.
+const BOUNDS: AssemblyBounds = AssemblyBounds {
+    pieces: 4096,
+    behind_gap: 256,
+};
+
+/// All state of a replay.
+pub struct Machine {
+    rows: RowReplay,
+    stepwise: Stepwise,
+    configuration: ConfigurationReplay,
+    applied: OrderPosition,
+    assembly: Assembly,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self {
+            rows: RowReplay::default(),
+            stepwise: Stepwise::default(),
+            configuration: ConfigurationReplay::default(),
+            applied: OrderPosition::default(),
+            assembly: Assembly::new(BOUNDS),
+        }
+    }
+}
+
+impl Machine {
+    /// Takes one input and names the decisions on it.
+    pub fn step(&mut self, input: &Input) -> Vec<String> {
+        match input {
+            Input::Rows { revision, rows } => self.rows.transaction(*revision, rows),
+            Input::Order { epoch, sequence } => vec![self.order(*epoch, *sequence)],
+            Input::ConfigurationDelta { .. }
+            | Input::ConfigurationAnswer { .. }
+            | Input::ConfigurationRestart => vec![self.configuration.step(input)],
+            Input::Accepted { .. } | Input::Pieces { .. } | Input::Finish { .. } => {
+                vec![self.assemble(input)]
+            }
+            _ => vec![self.stepwise.step(input)],
+        }
+    }
+
+    fn order(&mut self, epoch: u64, sequence: u64) -> String {
+        let offered = OrderPosition { epoch, sequence };
+        if admits(self.applied, offered) {
+            self.applied = offered;
+            "order obeyed".to_owned()
+        } else {
+            "order refused".to_owned()
+        }
+    }
+
+    fn assemble(&mut self, input: &Input) -> String {
+        let result = match input {
+            Input::Accepted {
+                version,
+                new_attempt,
+            } => {
+                if *new_attempt {
+                    self.assembly.begin_attempt();
+                }
+                self.assembly.accepted(version)
+            }
+            Input::Pieces { offset, pieces } => self.assembly.take(*offset, pieces.clone()),
+            Input::Finish { total } => self.assembly.finish(*total),
+            _ => Ok(()),
+        };
+        if let Err(error) = result {
+            return format!("refused: {error}");
+        }
+        let released = self.assembly.release();
+        if self.assembly.is_complete() {
+            return format!("complete with \"{released}\"");
+        }
+        format!("released \"{released}\"")
+    }
+}
+
+/// Values by name of the call that is on its way.
+pub type Calls<T> = BTreeMap<String, T>;
--- /dev/null
+++ b/crates/lab/src/replay/mod.rs
@@ -0,0 +1,118 @@
+//! `replay`: feeds a recorded trace to the decision logic in virtual time, and compares every decision
+//! with the one that the trace states.
+//!
+//! A trace holds inputs, deliveries and losses in order, and what was decided on each ([`trace`]).
+//! [`machine::Machine`] keeps the rows and assemblies that the decisions rest on. Recorded traces hold
+//! the transactions of the table service; [`rows`] asks which decision explains each changed row.
+
+mod configuration;
+mod machine;
+mod record;
+mod rows;
+mod stepwise;
+pub mod trace;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use crate::error::{LabError, report};
+use machine::Machine;
+use trace::{Outcome, Trace};
+
+pub use record::{PREFIXES as RECORDED_PREFIXES, write as write_recording};
+
+/// What a replay showed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Replayed {
+    /// Steps replayed.
+    pub steps: usize,
+    /// How often each decision was taken.
+    pub outcome: Outcome,
+    /// Decisions that differ from the stated ones, in words.
+    pub differences: Vec<String>,
+}
+
+/// Arguments of `replay`.
+pub fn command() -> Command {
+    Command::new("replay")
+        .about(
+            "Feeds recorded traces to the decision logic and compares with their stated outcomes",
+        )
+        .arg(
+            Arg::new("traces")
+                .value_name("TRACE")
+                .num_args(1..)
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Trace files, JSON lines"),
+        )
+        .after_help("Example:\n  dappleyard-lab replay traces/*.jsonl")
+}
+
+/// Replays the traces: 0 when every outcome is as stated, 1 when not.
+pub fn run(arguments: &ArgMatches) -> ExitCode {
+    let traces = arguments.get_many::<PathBuf>("traces");
+    report(replay_all(traces.into_iter().flatten()))
+}
+
+fn replay_all<'a>(paths: impl Iterator<Item = &'a PathBuf>) -> Result<(), LabError> {
+    let mut failed = Vec::new();
+    for path in paths {
+        let replayed = replay_file(path)?;
+        println!("{}: {} steps", path.display(), replayed.steps);
+        for (decision, count) in &replayed.outcome {
+            println!("  {count:>6} {decision}");
+        }
+        for difference in &replayed.differences {
+            println!("  DIFFERS: {difference}");
+        }
+        if !replayed.differences.is_empty() {
+            failed.push(path.display().to_string());
+        }
+    }
+    if failed.is_empty() {
+        return Ok(());
+    }
+    Err(LabError::failed(format!(
+        "the outcome changed: {}",
+        failed.join(", ")
+    )))
+}
+
+/// Replays one file.
+pub fn replay_file(path: &Path) -> Result<Replayed, LabError> {
+    let trace = Trace::read(path).map_err(LabError::usage)?;
+    Ok(replay(&trace))
+}
+
+/// Replays a trace.
+pub fn replay(trace: &Trace) -> Replayed {
+    let mut machine = Machine::default();
+    let mut outcome = Outcome::new();
+    let mut differences = Vec::new();
+    for (number, step) in (1..).zip(&trace.steps) {
+        let decided = machine.step(&step.input);
+        for decision in &decided {
+            *outcome.entry(decision.clone()).or_default() += 1;
+        }
+        if decided != step.decided {
+            differences.push(format!(
+                "step {number} at {} ms: decided {decided:?}, stated {:?}",
+                step.at_ms, step.decided
+            ));
+        }
+    }
+    if outcome != trace.header.outcome {
+        differences.push(format!(
+            "outcome {outcome:?}, stated {:?}",
+            trace.header.outcome
+        ));
+    }
+    Replayed {
+        steps: trace.steps.len(),
+        outcome,
+        differences,
+    }
+}
--- a/crates/lab/src/run/one.rs
+++ b/crates/lab/src/run/one.rs
@@ -19,6 +19,7 @@
 use crate::load::drive::{Callers, ClientMoods, LoadContext};
 use crate::load::plan::LoadPlan;
 use crate::measures::{self, Counted};
+use crate::replay;
 use crate::scenario::Policy;
 
 /// Time between the fleet being ready and the start of the load.
@@ -68,6 +69,10 @@
         decisions: decisions::around_faults(&fleet, &evidence, counted.load_start),
     };
     summary.write(directory).map_err(LabError::failed)?;
+    if let Some(path) = &arguments.record {
+        let history = fleet.platform.history(&replay::RECORDED_PREFIXES);
+        replay::write_recording(path, &about(&summary), &history)?;
+    }
     stop(fleet).await;
     Ok(RunOutcome { summary, failures })
 }
@@ -221,6 +226,13 @@
     }
 }
 
+fn about(summary: &Summary) -> String {
+    format!(
+        "transactions of the table service, scenario {}, seed {}, {} s, faults: {}",
+        summary.scenario, summary.seed, summary.seconds, summary.faults
+    )
+}
+
 fn unix_s() -> u64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     since.map_or(0, |since| since.as_secs())
--- a/crates/standin/src/platform/host.rs
+++ b/crates/standin/src/platform/host.rs
@@ -17,7 +17,7 @@
 use super::machines::MachineState;
 use super::objects::ObjectState;
 use super::settings::PlatformStandInSettings;
-use super::tables::{CallCounts, RevisionRecord, TableState};
+use super::tables::{CallCounts, HistoryRow, RevisionRecord, TableState};
 use super::weights::WeightState;
 use crate::engine::host::WeightSource;
 use crate::server::{self, RunningServer};
@@ -225,6 +225,12 @@
         self.state.tables.lock().configuration()
     }
 
+    /// Everything that was written under the prefixes, as far as the feed reaches back.
+    pub fn history(&self, prefixes: &[&str]) -> Vec<HistoryRow> {
+        let started = self.state.started;
+        self.state.tables.lock().history(prefixes, started)
+    }
+
     /// Reads a whole object directly.
     pub fn object(&self, name: &str) -> Option<Bytes> {
         self.state.objects.lock().peek(name)
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -18,4 +18,4 @@
 pub use faults::{Fault, Service};
 pub use host::{PlatformHandle, PlatformStandIn};
 pub use settings::PlatformStandInSettings;
-pub use tables::{CallCounts, RevisionRecord};
+pub use tables::{CallCounts, HistoryRow, RevisionRecord};
--- a/crates/standin/src/platform/tables.rs
+++ b/crates/standin/src/platform/tables.rs
@@ -40,9 +40,23 @@
     revision: u64,
 }
 
+/// One written row of the feed, for recordings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HistoryRow {
+    /// Revision of the store.
+    pub revision: u64,
+    /// Time since the table service started, milliseconds.
+    pub at_ms: u64,
+    /// Key.
+    pub key: String,
+    /// New value; `None` for a removed row.
+    pub value: Option<Bytes>,
+}
+
 #[derive(Debug, Clone)]
 struct Change {
     revision: u64,
+    at: Instant,
     key: String,
     value: Option<Bytes>,
 }
@@ -163,6 +177,7 @@
         };
         self.feed.push_back(Change {
             revision,
+            at: Instant::now(),
             key,
             value,
         });
@@ -273,6 +288,21 @@
         changes
     }
 
+    /// Everything that the feed holds under the prefixes, oldest first.
+    pub fn history(&self, prefixes: &[&str], started: Instant) -> Vec<HistoryRow> {
+        let wanted =
+            |change: &&Change| prefixes.iter().any(|prefix| change.key.starts_with(prefix));
+        let changes = self.feed.iter().filter(wanted);
+        changes
+            .map(|change| HistoryRow {
+                revision: change.revision,
+                at_ms: change.at.duration_since(started).as_millis() as u64,
+                key: change.key.clone(),
+                value: change.value.clone(),
+            })
+            .collect()
+    }
+
     /// Counts a read.
     pub fn count_read(&mut self, key: &str) {
         self.counts.entry(class_of(key)).or_default().reads += 1;
