--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -24,6 +24,18 @@
         command: crate::capacity::command,
         run: crate::capacity::run,
     },
+    Subcommand {
+        command: crate::report::command,
+        run: crate::report::run,
+    },
+    Subcommand {
+        command: crate::tradeoff::command,
+        run: crate::tradeoff::run,
+    },
+    Subcommand {
+        command: crate::replay::command,
+        run: crate::replay::run,
+    },
     Subcommand {
         command: crate::model::command,
         run: crate::model::run,
--- a/crates/standin/src/engine/model/step.rs
+++ b/crates/standin/src/engine/model/step.rs
@@ -62,8 +62,10 @@
             return;
         }
         let prefill = self.assign_prefill();
-        let shape = self.shape();
+        let noisy_base_ms = self.noisy_base_ms();
+        let shape = self.shape(noisy_base_ms);
         self.mark_started(now_us);
+        self.count_waits();
         let sequences = self.running.len() as f64;
         let step_ms = shape.noisy_base_ms
             + self.settings.per_sequence_ms * sequences
@@ -97,12 +99,28 @@
         }
     }
 
-    fn shape(&mut self) -> StepShape {
+    /// Counts the step for each online sequence that waits while batch is served.
+    fn count_waits(&mut self) {
+        let batch = || self.running.iter().filter(|sequence| !sequence.online);
+        let batch_prefills = batch().any(|sequence| sequence.prefill_now > 0);
+        if batch().next().is_none() {
+            return;
+        }
+        let entered = self.running.iter().filter(|_| batch_prefills);
+        let behind = entered.chain(&self.waiting);
+        for sequence in behind.filter(|sequence| sequence.online && !sequence.ran) {
+            self.records
+                .change(sequence.record, |record| record.steps_behind_batch += 1);
+        }
+    }
+
+    fn shape(&self, noisy_base_ms: f64) -> StepShape {
         let mut shape = StepShape {
-            noisy_base_ms: self.noisy_base_ms(),
+            noisy_base_ms,
             online: 0,
             batch: 0,
             online_prefill: 0,
+            shared_blocks: self.memory.pinned_blocks(),
             online_blocks: 0,
             batch_blocks: 0,
         };
@@ -110,15 +128,22 @@
             if sequence.online {
                 shape.online += 1;
                 shape.online_prefill += sequence.prefill_now;
-                shape.online_blocks += sequence.blocks();
+                shape.online_blocks += sequence.own_blocks;
             } else {
                 shape.batch += 1;
-                shape.batch_blocks += sequence.blocks();
+                shape.batch_blocks += sequence.own_blocks;
             }
         }
         shape
     }
 
+    /// The batch width that the definition of idle capacity allows for the sequences now in the
+    /// engine, with a step of usual length: what the best policy would keep to.
+    pub fn allowed_batch(&self) -> u32 {
+        let usual_ms = self.settings.base_ms;
+        self.meter.allowed_width(&self.shape(usual_ms))
+    }
+
     fn noisy_base_ms(&mut self) -> f64 {
         let settings = &self.settings;
         let noise = match LogNormal::new(0.0, settings.noise_sigma) {
