--- a/crates/online/src/owner.rs
+++ b/crates/online/src/owner.rs
@@ -246,9 +246,7 @@
         if lost {
             self.ran = join_ran(self.ran, Ran::Maybe);
         }
-        if !matches!(error, EngineError::Refused { .. }) {
-            reports::note_failure(&self.worker.tables, &chosen.server, &error.to_string());
-        }
+        self.note_failure(&error, chosen);
         self.set_aside(lost, chosen);
         if !may_follow(self.ran, self.incoming.request.repeat()) && !self.earlier.has_stream() {
             return Next::End(End::Refused(settle::outcome_unknown()));
@@ -263,6 +261,18 @@
         Next::End(End::Refused(failure.after(self.ran)))
     }
 
+    /// Makes the server's state show the failure. A refusal to attach says nothing about the server.
+    fn note_failure(&self, error: &EngineError, chosen: &Chosen) {
+        let tables = &self.worker.tables;
+        match error {
+            EngineError::Refused { status, .. } if !self.earlier.has_stream() => {
+                reports::note_refusal(tables, &chosen.server, *status);
+            }
+            EngineError::Refused { .. } => {}
+            _ => reports::note_failure(tables, &chosen.server, &error.to_string()),
+        }
+    }
+
     /// A stream whose connection was lost is attached to again; a server that failed otherwise is not
     /// asked again by this submission.
     fn set_aside(&mut self, lost: bool, chosen: &Chosen) {
--- a/crates/online/src/reports.rs
+++ b/crates/online/src/reports.rs
@@ -21,6 +21,9 @@
 /// Calls that must fail in a row before a server is withdrawn.
 const FAILURES_TO_WITHDRAW: u32 = 2;
 
+/// HTTP status of an engine that takes no new work.
+const STATUS_LEAVING: u16 = 503;
+
 /// Own sequence counts kept for each server, one for each poll: as long as reports lag.
 const OWN_COUNTS: usize = 10;
 
@@ -179,6 +182,24 @@
     }
 }
 
+/// Takes the refusal of a call into account. An engine that says that it leaves is withdrawn until a
+/// later word; one that refuses otherwise is asked for its state before the next dispatch.
+pub(crate) fn note_refusal(tables: &NodeTables, server: &ServerId, status: u16) {
+    let now = tables.clock.now();
+    let withdrawn = tables.servers.with(server, |state| {
+        if status != STATUS_LEAVING {
+            state.accepting_known_at = Millis(0);
+            return false;
+        }
+        let newly = state.withdrawn.is_none();
+        state.withdrawn = Some(("the engine refused a call: it leaves".to_owned(), now));
+        newly
+    });
+    if withdrawn == Some(true) {
+        explain(tables, server, "takes no new work", "it refused a call");
+    }
+}
+
 fn explain(tables: &NodeTables, server: &ServerId, cause: &str, input: &str) {
     tracing::info!(%server, cause, input, "a server changed");
     tables.decisions.record(Decision {
--- a/crates/online/tests/admission.rs
+++ b/crates/online/tests/admission.rs
@@ -211,3 +211,23 @@
         expect_that!(answer.text(), eq(&whole_text()));
     });
 }
+
+#[gtest]
+fn an_engine_that_refuses_because_it_leaves_gets_nothing_more() {
+    run(async {
+        let node = Node::new(2);
+        let home = node.submit(request("r0")).whole().await.accepted[0]
+            .server
+            .clone();
+        node.engine.script(&home, [Script::Refuse(503)]);
+        for index in 1..4 {
+            let answer = node.submit(request(&format!("r{index}"))).whole().await;
+            expect_that!(answer.text(), eq(&whole_text()));
+        }
+        let called = node.engine.servers_called();
+        expect_that!(
+            called.iter().filter(|server| **server == home).count(),
+            eq(2)
+        );
+    });
+}
--- a/crates/online/tests/support/engine.rs
+++ b/crates/online/tests/support/engine.rs
@@ -42,6 +42,11 @@
 }
 
 impl Script {
+    /// Whether an engine that does this may have run the request.
+    fn may_run(&self) -> bool {
+        !matches!(self, Script::Unreachable | Script::Refuse(_))
+    }
+
     pub fn whole() -> Script {
         Script::Steps(vec![Step::Accept, Step::Tokens(TOKENS), Step::Finish])
     }
@@ -84,6 +89,8 @@
     scripts: RefCell<BTreeMap<String, VecDeque<Script>>>,
     /// Calls to generate, with the base URL of each.
     pub calls: RefCell<Vec<(String, GenerateCall)>>,
+    /// Request ids of calls that may have started a run.
+    pub runs: RefCell<Vec<String>>,
     /// Streams cancelled.
     pub cancels: RefCell<Vec<String>>,
     /// Servers whose status says that they take no new work.
@@ -190,6 +197,9 @@
                 reason: "no such stream".to_owned(),
             });
         }
+        if !call.attach_only && script.may_run() {
+            self.runs.borrow_mut().push(call.request_id.clone());
+        }
         match script {
             Script::Steps(steps) => Ok(self.open(&call, steps)),
             Script::Unreachable => Err(EngineError::Unreachable {
