--- a/crates/online/tests/support/engine.rs
+++ b/crates/online/tests/support/engine.rs
@@ -100,6 +100,8 @@
     next_stream: Cell<u32>,
     /// Streams that can be attached to.
     pub living: RefCell<Vec<String>>,
+    /// Tokens of answers that come at once; 0 for answers in time.
+    at_once: Cell<u32>,
 }
 
 impl FakeEngine {
@@ -110,6 +112,18 @@
         queue.extend(scripts);
     }
 
+    /// Makes all answers come at once, with this many tokens.
+    pub fn answer_at_once(&self, tokens: u32) {
+        self.at_once.set(tokens);
+    }
+
+    /// Forgets what was called, for long measurements.
+    pub fn forget(&self) {
+        self.calls.borrow_mut().clear();
+        self.runs.borrow_mut().clear();
+        self.living.borrow_mut().clear();
+    }
+
     pub fn servers_called(&self) -> Vec<String> {
         let calls = self.calls.borrow();
         calls
@@ -174,6 +188,25 @@
     })
 }
 
+fn whole_at_once(tokens: u32) -> EventStream {
+    let accepted = EngineEvent::Accepted {
+        stream: "e0".to_owned(),
+        version: VERSION.to_owned(),
+    };
+    let pieces = (0..tokens).map(|offset| EngineEvent::Tokens {
+        offset,
+        pieces: vec![piece(offset)],
+    });
+    let finished = EngineEvent::Finished {
+        reason: "length".to_owned(),
+        total_tokens: tokens,
+        cached_tokens: 0,
+        ran: true,
+    };
+    let events = std::iter::once(accepted).chain(pieces).chain([finished]);
+    Box::pin(stream::iter(events.map(Ok)))
+}
+
 fn finished() -> Result<EngineEvent, EngineError> {
     Ok(EngineEvent::Finished {
         reason: "length".to_owned(),
@@ -189,6 +222,9 @@
         self.calls
             .borrow_mut()
             .push((base.to_owned(), call.clone()));
+        if self.at_once.get() > 0 {
+            return Ok(whole_at_once(self.at_once.get()));
+        }
         let script = self.next_script(base);
         let lives = self.living.borrow().contains(&call.attach_stream);
         if call.attach_only && !lives {
