--- a/crates/operate/src/api/plans.rs
+++ b/crates/operate/src/api/plans.rs
@@ -26,7 +26,9 @@
 
 /// `GET /admin/v1/plans`
 pub async fn list(api: Data<OperateApi>) -> Result<Json<Vec<PlanLine>>, Refused> {
-    Ok(Json(list_plans(&*api.platform.tables, MOST_PLANS).await?))
+    let now = api.tables.clock.unix_ms();
+    let plans = list_plans(&*api.platform.tables, MOST_PLANS, now).await?;
+    Ok(Json(plans))
 }
 
 /// `GET /admin/v1/plans/{id}`
--- a/crates/operate/src/explain.rs
+++ b/crates/operate/src/explain.rs
@@ -3,12 +3,13 @@
 //! Records come from this node's memory, from the memories of its peers, and from the journal objects
 //! of nodes that are gone. The state of the subject as it stands comes from rows and tables.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use dappleyard_platform::Platform;
 use dappleyard_tables::NodeTables;
 use dappleyard_tables::decisions::{Decision, DecisionKind, Subject};
+use dappleyard_wire::messages::MemberState;
 use serde::{Deserialize, Serialize};
 
 use crate::journal;
@@ -94,10 +95,15 @@
     let path = format!("/admin/v1/decisions/{}/{}", question.kind, question.id);
     let answers = peers.ask::<Vec<Decision>>(&path).await;
     records.extend(answers.answers.into_iter().flatten());
+    let unanswered: BTreeSet<String> = answers
+        .silent
+        .iter()
+        .map(|(node, _)| node.clone())
+        .collect();
     let silent = answers.silent.into_iter();
     unknown.extend(silent.map(|(node, cause)| format!("node {node} did not answer: {cause}")));
     let about = |record: &Decision| record.subjects.contains(&subject);
-    match journal::search(&*platform.objects, about).await {
+    match journal::search(&*platform.objects, &answered(tables, &unanswered), about).await {
         Ok((found, partial)) => {
             records.extend(found);
             if partial {
@@ -119,6 +125,17 @@
     }
 }
 
+/// Nodes whose memory was asked: this one and the live members that answered.
+fn answered(tables: &NodeTables, unanswered: &BTreeSet<String>) -> BTreeSet<String> {
+    let members = tables.members.all().into_iter();
+    members
+        .filter(|member| member.state() == MemberState::MemberAlive)
+        .map(|member| member.node)
+        .chain([tables.identity.node.to_string()])
+        .filter(|node| !unanswered.contains(node))
+        .collect()
+}
+
 /// In order of time, each record once: a record may be both in memory and in the journal.
 fn ordered(records: Vec<Decision>) -> Vec<Decision> {
     let mut unique = BTreeMap::new();
--- a/crates/operate/src/journal.rs
+++ b/crates/operate/src/journal.rs
@@ -1,6 +1,7 @@
 //! Decision records in the object store: appended in batches, bounded for each node.
 
-use std::collections::VecDeque;
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -26,7 +27,8 @@
     tables: Arc<NodeTables>,
     kept: usize,
     next: u64,
-    written: VecDeque<String>,
+    /// Names of own objects, oldest first; `None` before those of earlier starts were listed.
+    written: Option<VecDeque<String>>,
     pending: Vec<Decision>,
     last_ms: u64,
 }
@@ -39,7 +41,7 @@
             tables,
             kept: kept.max(1),
             next: 0,
-            written: VecDeque::new(),
+            written: None,
             pending: Vec::new(),
         }
     }
@@ -80,29 +82,45 @@
     }
 
     async fn write(&mut self, objects: &dyn ObjectStore) -> Result<(), StoreError> {
-        let identity = &self.tables.identity;
-        let name = keys::journal_object(identity.node.as_str(), identity.incarnation, self.next);
+        self.adopt(objects).await?;
         self.last_ms = self.tables.clock.now().0;
-        let written = objects
-            .create(&name, Bytes::from(lines(&self.pending)))
-            .await;
-        if !matches!(
-            written,
-            Err(StoreError::Unavailable { .. } | StoreError::RateLimited { .. })
-        ) {
-            // After a lost answer the name may be taken: the records go under the next one again.
-            self.next += 1;
+        let body = Bytes::from(lines(&self.pending));
+        let mut name = self.next_name();
+        let mut created = objects.create(&name, body.clone()).await;
+        if matches!(created, Err(StoreError::Conflict { .. })) {
+            // An earlier start of this node wrote in the same millisecond.
+            name = self.next_name();
+            created = objects.create(&name, body).await;
         }
-        written?;
+        created?;
         self.pending.clear();
-        self.written.push_back(name);
-        while self.written.len() > self.kept {
-            if let Some(oldest) = self.written.pop_front() {
+        let written = self.written.get_or_insert_default();
+        written.push_back(name);
+        while written.len() > self.kept {
+            if let Some(oldest) = written.pop_front() {
                 objects.delete(&oldest).await?;
             }
         }
         Ok(())
     }
+
+    /// After a lost answer the records are written again under another name.
+    fn next_name(&mut self) -> String {
+        let number = self.next;
+        self.next += 1;
+        let node = self.tables.identity.node.as_str();
+        keys::journal_object(node, self.tables.clock.unix_ms(), number)
+    }
+
+    /// Counts the objects of earlier starts of this node among its own.
+    async fn adopt(&mut self, objects: &dyn ObjectStore) -> Result<(), StoreError> {
+        if self.written.is_none() {
+            let prefix = format!("{JOURNAL_PREFIX}{}/", self.tables.identity.node);
+            let known = objects.list(&prefix, "", PAGE).await?;
+            self.written = Some(known.into_iter().map(|(name, _)| name).collect());
+        }
+        Ok(())
+    }
 }
 
 fn lines(records: &[Decision]) -> Vec<u8> {
@@ -116,15 +134,19 @@
     bytes
 }
 
-/// Records in the journal objects, newest objects first, that `wanted` accepts. Also says whether
-/// older objects were left unread.
+/// Records in the journal objects that `wanted` accepts. Objects of nodes that `answered` names come
+/// last, since their memory was asked; the latest come first. Also says whether objects were left
+/// unread.
 pub async fn search(
     objects: &dyn ObjectStore,
+    answered: &BTreeSet<String>,
     wanted: impl Fn(&Decision) -> bool,
 ) -> Result<(Vec<Decision>, bool), StoreError> {
     let mut names = names(objects).await?;
-    // Names end with incarnation and number, which grow with time.
-    names.sort_by(|left, right| file_name(right).cmp(file_name(left)));
+    names.sort_by_cached_key(|name| {
+        let (node, written_ms) = parts(name);
+        (answered.contains(node), Reverse(written_ms))
+    });
     let partial = names.len() > MOST_OBJECTS;
     names.truncate(MOST_OBJECTS);
     let mut found = Vec::new();
@@ -142,8 +164,34 @@
     Ok((found, partial))
 }
 
-fn file_name(name: &str) -> &str {
-    name.rsplit('/').next().unwrap_or(name)
+/// Removes objects that were written before a time, milliseconds since 1970, at most `limit` of them.
+/// Nodes remove their own surplus; this is for nodes that do not come back.
+pub async fn remove_older(
+    objects: &dyn ObjectStore,
+    before_unix_ms: u64,
+    limit: usize,
+) -> Result<usize, StoreError> {
+    let old = names(objects).await?.into_iter();
+    let old: Vec<String> = old
+        .filter(|name| {
+            parts(name)
+                .1
+                .is_some_and(|written| written < before_unix_ms)
+        })
+        .take(limit)
+        .collect();
+    for name in &old {
+        objects.delete(name).await?;
+    }
+    Ok(old.len())
+}
+
+/// Node and time of writing, milliseconds since 1970, of a journal object.
+fn parts(name: &str) -> (&str, Option<u64>) {
+    let path = name.strip_prefix(JOURNAL_PREFIX).unwrap_or(name);
+    let (node, file) = path.rsplit_once('/').unwrap_or((path, ""));
+    let written = file.split('-').next().and_then(|text| text.parse().ok());
+    (node, written)
 }
 
 async fn names(objects: &dyn ObjectStore) -> Result<Vec<String>, StoreError> {
--- a/crates/operate/src/plans/propose.rs
+++ b/crates/operate/src/plans/propose.rs
@@ -17,7 +17,7 @@
 use crate::plans::body::{BasisWords, PlanBody, PlannedWrite, RowChange};
 use crate::plans::changes::{basis_keys, services, writes};
 use crate::plans::effects::{Outlook, foresee};
-use crate::plans::store::{StoredPlan, encoded, read_plan};
+use crate::plans::store::{StoredPlan, encoded, id_of_time, read_plan};
 use crate::regions;
 use crate::snapshot::{Snapshot, store_failure};
 use crate::status::FleetStatus;
@@ -128,7 +128,7 @@
     surroundings: &Surroundings<'_>,
 ) -> PlanRow {
     let mut row = PlanRow {
-        id: new_id(),
+        id: new_id(surroundings.unix_ms),
         kind: intent.kind().to_owned(),
         intent_json: serde_json::to_string(intent).unwrap_or_default(),
         body_json: serde_json::to_string(body).unwrap_or_default(),
@@ -143,10 +143,10 @@
     row
 }
 
-/// A short id that a person can type.
-fn new_id() -> String {
+/// An id that sorts by time: plans are listed and forgotten in the order in which they were made.
+fn new_id(unix_ms: u64) -> String {
     let random = Uuid::new_v4().simple().to_string();
-    format!("plan-{}", &random[..10])
+    format!("{}{}", id_of_time(unix_ms), &random[..4])
 }
 
 /// Creates the row. A lost answer is resolved by reading back: nobody else knows the id.
--- a/crates/operate/src/plans/store.rs
+++ b/crates/operate/src/plans/store.rs
@@ -1,6 +1,6 @@
 //! Plan rows in the table service.
 
-use dappleyard_platform::{Row, TableStore};
+use dappleyard_platform::{Expect, Row, TableStore, Transaction};
 use dappleyard_wire::ids::PlanId;
 use dappleyard_wire::keys::{self, ACTIVE_PLAN_PREFIX, PLAN_PREFIX};
 use dappleyard_wire::messages::{PlanPhase, PlanRow};
@@ -124,12 +124,39 @@
     }
 }
 
-/// Plans, newest first, at most `limit`.
-pub async fn list_plans(tables: &dyn TableStore, limit: usize) -> Result<Vec<PlanLine>, Failure> {
-    const PAGE: usize = 500;
-    const MOST_PAGES: usize = 20;
+/// Beginning of the ids of plans made at a time, milliseconds since 1970.
+pub fn id_of_time(unix_ms: u64) -> String {
+    format!("plan-{unix_ms:011x}")
+}
+
+/// Rows read in one call.
+const PAGE: usize = 500;
+/// Most pages read for one list.
+const MOST_PAGES: usize = 20;
+/// Ages back to which a list looks until it has enough plans, milliseconds.
+const AGES_MS: [u64; 4] = [600_000, 3_600_000, 86_400_000, u64::MAX];
+
+/// Plans, newest first, at most `limit`. Ids sort by time, so that only the latest rows are read.
+pub async fn list_plans(
+    tables: &dyn TableStore,
+    limit: usize,
+    now_unix_ms: u64,
+) -> Result<Vec<PlanLine>, Failure> {
+    let mut plans = Vec::new();
+    for age_ms in AGES_MS {
+        plans = plans_since(tables, now_unix_ms.saturating_sub(age_ms)).await?;
+        if plans.len() >= limit {
+            break;
+        }
+    }
+    plans.reverse();
+    plans.truncate(limit);
+    Ok(plans)
+}
+
+async fn plans_since(tables: &dyn TableStore, unix_ms: u64) -> Result<Vec<PlanLine>, Failure> {
     let mut plans = Vec::new();
-    let mut after = String::new();
+    let mut after = format!("{PLAN_PREFIX}{}", id_of_time(unix_ms));
     for _ in 0..MOST_PAGES {
         let page = tables
             .range(PLAN_PREFIX, &after, PAGE)
@@ -143,11 +170,42 @@
             _ => break,
         }
     }
-    plans.sort_by_key(|plan| std::cmp::Reverse(plan.created_unix_ms));
-    plans.truncate(limit);
     Ok(plans)
 }
 
+/// Removes plans that last changed before a time, milliseconds since 1970, and do not run; at most
+/// `limit` of them, oldest first. A plan that changes meanwhile stays.
+pub async fn remove_older(
+    tables: &dyn TableStore,
+    before_unix_ms: u64,
+    limit: usize,
+) -> Result<usize, Failure> {
+    let rows = tables
+        .range(PLAN_PREFIX, "", limit)
+        .await
+        .map_err(|error| store_failure(&error))?;
+    let mut transaction = Transaction::default();
+    let mut removed = 0;
+    for row in &rows {
+        let plan = StoredPlan::of(row)?;
+        let runs = matches!(
+            plan.row.phase(),
+            PlanPhase::PlanConfirmed | PlanPhase::PlanRunning
+        );
+        if !runs && plan.row.changed_unix_ms < before_unix_ms {
+            transaction = transaction
+                .expect(row.key.clone(), Expect::Revision(row.revision))
+                .delete(row.key.clone());
+            removed += 1;
+        }
+    }
+    if removed > 0 {
+        let answer = tables.transact(transaction).await;
+        answer.map_err(|error| store_failure(&error))?;
+    }
+    Ok(removed)
+}
+
 /// Ids of the plans that run.
 pub async fn running_ids(tables: &dyn TableStore) -> Result<Vec<String>, Failure> {
     let rows = tables
--- a/crates/operate/src/start.rs
+++ b/crates/operate/src/start.rs
@@ -18,13 +18,13 @@
 
 use crate::controller;
 use crate::describe::phase_name;
-use crate::journal::Journal;
+use crate::journal::{self, Journal};
 use crate::local::lifecycle_name;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::plans::drain::Stepped;
 use crate::plans::runner::{RunView, advance};
-use crate::plans::store::running_ids;
+use crate::plans::store::{remove_older, running_ids};
 use crate::record::record;
 use crate::status::{FleetStatus, gather};
 
@@ -70,6 +70,7 @@
         actix_rt::spawn(run_plans(context.clone(), metrics.clone())),
         actix_rt::spawn(controller::run(context.clone(), metrics.clone())),
         actix_rt::spawn(follow_own_drain(context.tables.clone())),
+        actix_rt::spawn(forget_old(context.clone())),
     ];
     let journal = actix_rt::spawn(run_journal(
         context,
@@ -105,6 +106,26 @@
     preferred_node(tables, resource).is_some_and(|node| node == tables.identity.node.as_str())
 }
 
+/// Time between two rounds of forgetting.
+const FORGET_INTERVAL: Duration = Duration::from_secs(60);
+/// Most plans, and most journal objects, forgotten in one round.
+const FORGET_AT_ONCE: usize = 200;
+
+/// Removes plans and journal objects that are older than the retention, on one node of the fleet.
+async fn forget_old(context: Rc<OperateContext>) {
+    loop {
+        tokio::time::sleep(FORGET_INTERVAL).await;
+        if !is_preferred(&context.tables, "plan-runner") {
+            continue;
+        }
+        let retention_ms = context.settings.retention_s.saturating_mul(1_000);
+        let before = context.tables.clock.unix_ms().saturating_sub(retention_ms);
+        // What fails is tried again in the next round.
+        let _ = remove_older(&*context.platform.tables, before, FORGET_AT_ONCE).await;
+        let _ = journal::remove_older(&*context.platform.objects, before, FORGET_AT_ONCE).await;
+    }
+}
+
 /// Makes this node drain while configuration says so, and lets it serve again afterwards.
 async fn follow_own_drain(tables: Arc<NodeTables>) {
     let mut configurations = tables.configuration.subscribe();
--- a/crates/operate/tests/confirm.rs
+++ b/crates/operate/tests/confirm.rs
@@ -6,7 +6,7 @@
 use dappleyard_operate::jobs::{JobLine, risk};
 use dappleyard_operate::plans::abort::abort;
 use dappleyard_operate::plans::confirm::{Confirmation, Refusal, confirm};
-use dappleyard_operate::plans::store::{StoredPlan, read_plan};
+use dappleyard_operate::plans::store::{StoredPlan, list_plans, read_plan, remove_older};
 use dappleyard_platform::{Fault, MemoryPlatform};
 use dappleyard_wire::keys::{self, CONFIGURATION_HEAD};
 use dappleyard_wire::messages::{
@@ -215,6 +215,28 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test]
+async fn plans_are_listed_newest_first_and_forgotten_when_they_are_old_and_over() -> Result<()> {
+    let store = platform().await;
+    let old = proposed(&store, &status(4), &tenant(5.0)).await.or_fail()?;
+    let running = proposed(&store, &status(4), &rollout("v2"))
+        .await
+        .or_fail()?;
+    confirmed(&store, &running, "a").await.expect("accepted");
+    let lines = list_plans(&store, 1, NOW_MS).await.or_fail()?;
+    let newest = old.row.id.clone().max(running.row.id.clone());
+    expect_that!(
+        lines.iter().map(|line| line.id.clone()).collect::<Vec<_>>(),
+        eq(&vec![newest])
+    );
+    expect_that!(remove_older(&store, NOW_MS, 100).await, ok(eq(&0)));
+    expect_that!(remove_older(&store, NOW_MS + 1, 100).await, ok(eq(&1)));
+    expect_that!(read_plan(&store, &old.row.id).await, err(anything()));
+    expect_that!(read_plan(&store, &running.row.id).await, ok(anything()));
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_planned_job_runs_only_after_its_confirmation() -> Result<()> {
--- a/crates/operate/tests/explanations.rs
+++ b/crates/operate/tests/explanations.rs
@@ -2,12 +2,13 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use actix_web::{App, test};
 use dappleyard_operate::api::answers::{ErrorBody, ProposeBody};
 use dappleyard_operate::explain::{Explanation, Question, explain};
-use dappleyard_operate::journal::{Journal, search};
+use dappleyard_operate::journal::{Journal, remove_older, search};
 use dappleyard_operate::peers::Peers;
 use dappleyard_operate::plans::PlanDocument;
 use dappleyard_operate::status::FleetStatus;
@@ -163,6 +164,10 @@
     let tables = support::tables("node-1", 7);
     let mut journal = Journal::new(tables.clone(), 2);
     for number in 0..4 {
+        // Every second one is a new start of the node, which takes over the objects of the last.
+        if number == 2 {
+            journal = Journal::new(tables.clone(), 2);
+        }
         decide(&tables, number, "cause");
         journal.flush(&store).await.or_fail()?;
     }
@@ -172,11 +177,15 @@
     expect_that!(journal.flush(&store).await, err(anything()));
     store.set_down(false);
     journal.flush(&store).await.or_fail()?;
-    let (found, partial) = search(&store, |record| record.unix_ms == 10)
+    let (found, partial) = search(&store, &BTreeSet::new(), |record| record.unix_ms == 10)
         .await
         .or_fail()?;
     expect_that!(found, len(eq(1)));
     expect_that!(partial, eq(false));
+    let now = tables.clock.unix_ms();
+    expect_that!(remove_older(&store, now - 60_000, 100).await, ok(eq(&0)));
+    expect_that!(remove_older(&store, now + 60_000, 100).await, ok(eq(&2)));
+    expect_that!(store.object_names(), is_empty());
     Ok(())
 }
 
--- a/crates/settings/src/operate.rs
+++ b/crates/settings/src/operate.rs
@@ -28,6 +28,8 @@
     pub peer_timeout_ms: u64,
     /// Journal objects kept for each node.
     pub journal_objects: usize,
+    /// How long plans that are over, unconfirmed plans and journal objects are kept, seconds.
+    pub retention_s: u64,
 }
 
 impl Default for OperateSettings {
@@ -44,6 +46,7 @@
             disruption_timeout_ms: 30_000,
             peer_timeout_ms: 1_000,
             journal_objects: 64,
+            retention_s: 604_800,
         }
     }
 }
--- a/crates/wire/src/keys.rs
+++ b/crates/wire/src/keys.rs
@@ -40,9 +40,10 @@
     format!("disruption/{service}")
 }
 
-/// Object with the `number`-th batch of a node's decision records.
-pub fn journal_object(node: &str, incarnation: u64, number: u64) -> String {
-    format!("{JOURNAL_PREFIX}{node}/{incarnation:020}-{number:08}")
+/// Object with a batch of a node's decision records, written at a wall-clock time (milliseconds since
+/// 1970) as its `number`-th. Names of one node sort by time.
+pub fn journal_object(node: &str, unix_ms: u64, number: u64) -> String {
+    format!("{JOURNAL_PREFIX}{node}/{unix_ms:013}-{number:06}")
 }
 
 /// Row of a job.
