--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod loads;
 pub mod members;
+mod mutex;
 pub mod rank;
 pub mod servers;
 
--- a/crates/tables/src/rank.rs
+++ b/crates/tables/src/rank.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::ops::{Deref, DerefMut};
 
-use parking_lot::{Mutex, MutexGuard};
+use crate::mutex::{Mutex, MutexGuard, lock, thread_local};
 
 /// Rank of a table's lock. A thread takes locks in increasing order only.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -31,7 +31,7 @@
 }
 
 thread_local! {
-    static HELD: RefCell<Vec<Rank>> = const { RefCell::new(Vec::new()) };
+    static HELD: RefCell<Vec<Rank>> = RefCell::new(Vec::new());
 }
 
 /// A mutex with a rank.
@@ -43,7 +43,7 @@
 
 impl<T> Ranked<T> {
     /// A mutex of this rank.
-    pub const fn new(rank: Rank, value: T) -> Self {
+    pub fn new(rank: Rank, value: T) -> Self {
         Self {
             rank,
             inner: Mutex::new(value),
@@ -54,7 +54,8 @@
     /// rank.
     pub fn lock(&self) -> RankedGuard<'_, T> {
         if cfg!(debug_assertions) {
-            HELD.with_borrow_mut(|held| {
+            HELD.with(|held| {
+                let mut held = held.borrow_mut();
                 if let Some(highest) = held.iter().max() {
                     assert!(
                         self.rank > *highest,
@@ -67,7 +68,7 @@
         }
         RankedGuard {
             rank: self.rank,
-            inner: self.inner.lock(),
+            inner: lock(&self.inner),
         }
     }
 }
@@ -96,7 +97,8 @@
 impl<T> Drop for RankedGuard<'_, T> {
     fn drop(&mut self) {
         if cfg!(debug_assertions) {
-            HELD.with_borrow_mut(|held| {
+            HELD.with(|held| {
+                let mut held = held.borrow_mut();
                 if let Some(position) = held.iter().rposition(|rank| *rank == self.rank) {
                     held.remove(position);
                 }
