--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -2,9 +2,12 @@
 //!
 //! It keeps the contract of the ports to the letter (transactions are atomic, revisions grow, a
 //! conflict names the first row that differs) and can be told to fail calls: see [`Fault`]. Clones
-//! share one state, also between threads.
+//! share one state, also between threads. [`rows`] and [`objects`] are the states without ports.
 
-use std::collections::{BTreeMap, VecDeque};
+pub mod objects;
+pub mod rows;
+
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,9 +18,11 @@
 use tokio::sync::watch;
 
 use crate::{
-    Changes, Expect, Machine, MachineList, ObjectData, ObjectStore, Platform, PlatformFactory, Row,
-    StoreError, TableStore, Transaction, Write,
+    Changes, Machine, MachineList, ObjectData, ObjectStore, Platform, PlatformFactory, Row,
+    StoreError, TableStore, Transaction,
 };
+use objects::Objects;
+use rows::Rows;
 
 /// How a call to the in-memory platform fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,19 +37,29 @@
     RateLimited,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
-    revision: u64,
-    rows: BTreeMap<String, Row>,
-    feed: Vec<(String, u64, Option<Bytes>)>,
-    compacted: u64,
-    objects: BTreeMap<String, Bytes>,
+    rows: Rows,
+    objects: Objects,
     machines: Vec<Machine>,
     transaction_faults: VecDeque<Option<Fault>>,
     down: bool,
     transactions: u64,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            rows: Rows::new(usize::MAX),
+            objects: Objects::default(),
+            machines: Vec::new(),
+            transaction_faults: VecDeque::new(),
+            down: false,
+            transactions: 0,
+        }
+    }
+}
+
 /// The in-memory platform.
 #[derive(Debug, Clone)]
 pub struct MemoryPlatform {
@@ -55,7 +70,7 @@
 impl Default for MemoryPlatform {
     fn default() -> Self {
         Self {
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(State::default())),
             revision: watch::Sender::new(0),
         }
     }
@@ -95,8 +110,8 @@
     /// Forgets the change feed up to now, as a store does after a while.
     pub fn compact(&self) {
         let mut state = self.state.lock();
-        state.compacted = state.revision;
-        state.feed.clear();
+        let revision = state.rows.revision();
+        state.rows.compact_to(revision);
     }
 
     /// A row, read without faults.
@@ -107,21 +122,19 @@
     /// All rows under a prefix, read without faults.
     pub fn rows(&self, prefix: &str) -> Vec<Row> {
         let state = self.state.lock();
-        let matching = state
-            .rows
-            .values()
-            .filter(|row| row.key.starts_with(prefix));
-        matching.cloned().collect()
+        state.rows.range(prefix, "").cloned().collect()
     }
 
     /// Names of all objects.
     pub fn object_names(&self) -> Vec<String> {
-        self.state.lock().objects.keys().cloned().collect()
+        let state = self.state.lock();
+        let objects = state.objects.list("", "", usize::MAX).into_iter();
+        objects.map(|(name, _)| name).collect()
     }
 
     /// Revision of the store.
     pub fn revision(&self) -> u64 {
-        self.state.lock().revision
+        self.state.lock().rows.revision()
     }
 
     /// Transactions that took effect.
@@ -150,67 +163,10 @@
 }
 
 impl State {
-    fn check(&self, compare: &[(String, Expect)]) -> Result<(), StoreError> {
-        for (key, expect) in compare {
-            let actual = self.rows.get(key).map(|row| row.revision);
-            let holds = match expect {
-                Expect::Absent => actual.is_none(),
-                Expect::Present => actual.is_some(),
-                Expect::Revision(revision) => actual == Some(*revision),
-            };
-            if !holds {
-                let key = key.clone();
-                return Err(StoreError::Conflict { key, actual });
-            }
-        }
-        Ok(())
-    }
-
     fn apply(&mut self, transaction: Transaction) -> Result<u64, StoreError> {
-        self.check(&transaction.compare)?;
+        let revision = self.rows.transact(transaction)?;
         self.transactions += 1;
-        if transaction.writes.is_empty() {
-            return Ok(self.revision);
-        }
-        self.revision += 1;
-        for write in transaction.writes {
-            self.write(write);
-        }
-        Ok(self.revision)
-    }
-
-    fn write(&mut self, write: Write) {
-        let revision = self.revision;
-        match write {
-            Write::Put { key, value } => {
-                self.feed.push((key.clone(), revision, Some(value.clone())));
-                let row = Row {
-                    key: key.clone(),
-                    value,
-                    revision,
-                };
-                self.rows.insert(key, row);
-            }
-            Write::Delete { key } => {
-                if self.rows.remove(&key).is_some() {
-                    self.feed.push((key, revision, None));
-                }
-            }
-        }
-    }
-
-    fn changes(&self, prefix: &str, after: u64) -> Changes {
-        let rows = self
-            .feed
-            .iter()
-            .filter(|(key, revision, _)| *revision > after && key.starts_with(prefix))
-            .cloned()
-            .collect();
-        Changes {
-            rows,
-            up_to: self.revision,
-            compacted: after < self.compacted,
-        }
+        Ok(revision)
     }
 }
 
@@ -246,12 +202,12 @@
     async fn range(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, StoreError> {
         self.check_up()?;
         let state = self.state.lock();
-        let rows = state.rows.range(prefix.to_owned()..);
-        let matching = rows
-            .map(|(_, row)| row)
-            .take_while(|row| row.key.starts_with(prefix))
-            .filter(|row| row.key.as_str() > after);
-        Ok(matching.take(limit).cloned().collect())
+        Ok(state
+            .rows
+            .range(prefix, after)
+            .take(limit)
+            .cloned()
+            .collect())
     }
 
     async fn changes(&self, prefix: &str, after: u64, wait_ms: u32) -> Result<Changes, StoreError> {
@@ -260,7 +216,7 @@
         let wait = tokio::time::sleep(Duration::from_millis(u64::from(wait_ms)));
         tokio::pin!(wait);
         loop {
-            let changes = self.state.lock().changes(prefix, after);
+            let changes = self.state.lock().rows.changes(prefix, after, usize::MAX);
             if !changes.rows.is_empty() || changes.compacted {
                 return Ok(changes);
             }
@@ -276,15 +232,7 @@
 impl ObjectStore for MemoryPlatform {
     async fn create(&self, name: &str, bytes: Bytes) -> Result<(), StoreError> {
         self.check_up()?;
-        let mut state = self.state.lock();
-        if state.objects.contains_key(name) {
-            return Err(StoreError::Conflict {
-                key: name.to_owned(),
-                actual: None,
-            });
-        }
-        state.objects.insert(name.to_owned(), bytes);
-        Ok(())
+        self.state.lock().objects.create(name, bytes)
     }
 
     async fn read(
@@ -294,21 +242,12 @@
         limit: u64,
     ) -> Result<Option<ObjectData>, StoreError> {
         self.check_up()?;
-        let state = self.state.lock();
-        Ok(state.objects.get(name).map(|whole| {
-            let size = whole.len() as u64;
-            let start = offset.min(size);
-            let end = offset.saturating_add(limit).min(size);
-            ObjectData {
-                bytes: whole.slice(start as usize..end as usize),
-                size,
-            }
-        }))
+        Ok(self.state.lock().objects.read(name, offset, limit))
     }
 
     async fn delete(&self, name: &str) -> Result<(), StoreError> {
         self.check_up()?;
-        self.state.lock().objects.remove(name);
+        self.state.lock().objects.delete(name);
         Ok(())
     }
 
@@ -319,13 +258,7 @@
         limit: usize,
     ) -> Result<Vec<(String, u64)>, StoreError> {
         self.check_up()?;
-        let state = self.state.lock();
-        let names = state.objects.iter();
-        let matching = names.filter(|(name, _)| name.starts_with(prefix) && name.as_str() > after);
-        Ok(matching
-            .take(limit)
-            .map(|(name, bytes)| (name.clone(), bytes.len() as u64))
-            .collect())
+        Ok(self.state.lock().objects.list(prefix, after, limit))
     }
 }
 
--- /dev/null
+++ b/crates/platform/src/memory/rows.rs
@@ -0,0 +1,160 @@
+//! Rows of a table service in memory: one revision for all, and a feed of changes.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+
+use crate::tables::{Changes, Expect, Row, StoreError, Transaction, Write};
+
+#[derive(Debug, Clone)]
+struct Change {
+    revision: u64,
+    key: String,
+    value: Option<Bytes>,
+}
+
+/// Rows, their revision and the feed of their changes.
+#[derive(Debug)]
+pub struct Rows {
+    rows: BTreeMap<String, Row>,
+    revision: u64,
+    feed: VecDeque<Change>,
+    /// Revision of the last change that the feed has forgotten.
+    compacted_to: u64,
+    maximum_feed: usize,
+}
+
+impl Rows {
+    /// No rows, at revision 0; the feed reaches back at most `maximum_feed` changes.
+    pub fn new(maximum_feed: usize) -> Rows {
+        Rows {
+            rows: BTreeMap::new(),
+            revision: 0,
+            feed: VecDeque::new(),
+            compacted_to: 0,
+            maximum_feed,
+        }
+    }
+
+    /// Revision of the last transaction that wrote.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Applies a transaction, all of it or nothing; returns the revision after it.
+    pub fn transact(&mut self, transaction: Transaction) -> Result<u64, StoreError> {
+        self.compare(&transaction.compare)?;
+        if transaction.writes.is_empty() {
+            return Ok(self.revision);
+        }
+        self.revision += 1;
+        for write in transaction.writes {
+            self.write(write);
+        }
+        self.forget_old_changes();
+        Ok(self.revision)
+    }
+
+    fn compare(&self, compare: &[(String, Expect)]) -> Result<(), StoreError> {
+        for (key, expect) in compare {
+            let actual = self.rows.get(key).map(|row| row.revision);
+            let holds = match expect {
+                Expect::Absent => actual.is_none(),
+                Expect::Present => actual.is_some(),
+                Expect::Revision(revision) => actual == Some(*revision),
+            };
+            if !holds {
+                let key = key.clone();
+                return Err(StoreError::Conflict { key, actual });
+            }
+        }
+        Ok(())
+    }
+
+    fn write(&mut self, write: Write) {
+        let revision = self.revision;
+        let (key, value) = match write {
+            Write::Put { key, value } => {
+                let row = Row {
+                    key: key.clone(),
+                    value: value.clone(),
+                    revision,
+                };
+                self.rows.insert(key.clone(), row);
+                (key, Some(value))
+            }
+            Write::Delete { key } => {
+                if self.rows.remove(&key).is_none() {
+                    return;
+                }
+                (key, None)
+            }
+        };
+        self.feed.push_back(Change {
+            revision,
+            key,
+            value,
+        });
+    }
+
+    fn forget_old_changes(&mut self) {
+        while self.feed.len() > self.maximum_feed {
+            let Some(oldest) = self.feed.pop_front() else {
+                return;
+            };
+            self.compacted_to = oldest.revision;
+        }
+    }
+
+    /// Forgets the feed up to a revision.
+    pub fn compact_to(&mut self, revision: u64) {
+        while let Some(oldest) = self.feed.front()
+            && oldest.revision <= revision
+        {
+            self.feed.pop_front();
+        }
+        self.compacted_to = self.compacted_to.max(revision.min(self.revision));
+    }
+
+    /// One row.
+    pub fn get(&self, key: &str) -> Option<&Row> {
+        self.rows.get(key)
+    }
+
+    /// Rows under a prefix after a key, in key order.
+    pub fn range(&self, prefix: &str, after: &str) -> impl Iterator<Item = &Row> {
+        let from = prefix.max(after).to_owned();
+        let rows = self.rows.range(from..).map(|(_, row)| row);
+        rows.take_while(move |row| row.key.starts_with(prefix))
+            .filter(move |row| after.is_empty() || row.key.as_str() > after)
+    }
+
+    /// Changes under a prefix after a revision, about `maximum` of them; transactions stay whole.
+    pub fn changes(&self, prefix: &str, after: u64, maximum: usize) -> Changes {
+        let mut changes = Changes {
+            up_to: self.revision,
+            compacted: after < self.compacted_to,
+            ..Changes::default()
+        };
+        if changes.compacted {
+            return changes;
+        }
+        let first = self.feed.partition_point(|change| change.revision <= after);
+        let mut last_revision = 0;
+        for change in self.feed.range(first..) {
+            let full = changes.rows.len() >= maximum;
+            if full && change.revision != last_revision {
+                changes.up_to = last_revision;
+                break;
+            }
+            if change.key.starts_with(prefix) {
+                last_revision = change.revision;
+                let value = change.value.clone();
+                changes
+                    .rows
+                    .push((change.key.clone(), change.revision, value));
+            }
+        }
+        changes
+    }
+}
--- a/crates/standin/src/platform/objects.rs
+++ b/crates/standin/src/platform/objects.rs
@@ -1,14 +1,13 @@
-//! State of the object store.
-
-use std::collections::BTreeMap;
+//! State of the object store: objects, bounds and counts.
 
 use bytes::Bytes;
+use dappleyard_platform::memory::objects::Objects;
 use dappleyard_platform::{ObjectData, StoreError};
 
 /// State of the object store.
 #[derive(Debug)]
 pub struct ObjectState {
-    objects: BTreeMap<String, Bytes>,
+    objects: Objects,
     maximum_bytes: usize,
     written: u64,
     read: u64,
@@ -18,7 +17,7 @@
     /// No objects.
     pub fn new(maximum_bytes: usize) -> ObjectState {
         ObjectState {
-            objects: BTreeMap::new(),
+            objects: Objects::default(),
             maximum_bytes,
             written: 0,
             read: 0,
@@ -32,28 +31,15 @@
                 reason: format!("{name}: {} bytes", bytes.len()),
             });
         }
-        if self.objects.contains_key(name) {
-            return Err(StoreError::Conflict {
-                key: name.to_owned(),
-                actual: None,
-            });
-        }
+        self.objects.create(name, bytes)?;
         self.written += 1;
-        self.objects.insert(name.to_owned(), bytes);
         Ok(())
     }
 
     /// Reads a part of an object.
     pub fn read(&mut self, name: &str, offset: u64, limit: u64) -> Option<ObjectData> {
         self.read += 1;
-        let whole = self.objects.get(name)?;
-        let size = whole.len() as u64;
-        let start = offset.min(size);
-        let end = start.saturating_add(limit).min(size);
-        Some(ObjectData {
-            bytes: whole.slice(start as usize..end as usize),
-            size,
-        })
+        self.objects.read(name, offset, limit)
     }
 
     /// Reads a whole object without counting the read.
@@ -63,19 +49,12 @@
 
     /// Removes an object.
     pub fn delete(&mut self, name: &str) {
-        self.objects.remove(name);
+        self.objects.delete(name);
     }
 
     /// Names under a prefix after a name, with sizes.
     pub fn list(&self, prefix: &str, after: &str, limit: usize) -> Vec<(String, u64)> {
-        let from = prefix.max(after);
-        let objects = self.objects.range(from.to_owned()..);
-        objects
-            .take_while(|(name, _)| name.starts_with(prefix))
-            .filter(|(name, _)| after.is_empty() || name.as_str() > after)
-            .take(limit)
-            .map(|(name, bytes)| (name.clone(), bytes.len() as u64))
-            .collect()
+        self.objects.list(prefix, after, limit)
     }
 
     /// Objects created and parts read.
--- a/crates/standin/src/platform/tables.rs
+++ b/crates/standin/src/platform/tables.rs
@@ -1,10 +1,10 @@
-//! State of the table service: rows, one revision that grows with each transaction, and a feed.
+//! State of the table service: rows with their feed, bounds, counts and a log for the checker.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Instant;
 
-use bytes::Bytes;
-use dappleyard_platform::{Changes, Expect, Row, StoreError, Transaction, Write};
+use dappleyard_platform::memory::rows::Rows;
+use dappleyard_platform::{Changes, Row, StoreError, Transaction, Write};
 use dappleyard_wire::keys::{CONFIGURATION_HEAD, CONFIGURATION_PREFIX};
 use serde::Serialize;
 
@@ -34,32 +34,14 @@
     pub at: Instant,
 }
 
-#[derive(Debug, Clone)]
-struct Stored {
-    value: Bytes,
-    revision: u64,
-}
-
-#[derive(Debug, Clone)]
-struct Change {
-    revision: u64,
-    key: String,
-    value: Option<Bytes>,
-}
-
 /// State of the table service.
 #[derive(Debug)]
 pub struct TableState {
-    rows: BTreeMap<String, Stored>,
-    revision: u64,
-    feed: VecDeque<Change>,
-    /// Revision of the last change that the feed has forgotten.
-    compacted_to: u64,
+    rows: Rows,
     configuration: Vec<RevisionRecord>,
     counts: BTreeMap<String, CallCounts>,
     maximum_rows: usize,
     maximum_value: usize,
-    maximum_feed: usize,
     maximum_answer: usize,
 }
 
@@ -67,45 +49,37 @@
     /// No rows, at revision 0.
     pub fn new(settings: &PlatformStandInSettings) -> TableState {
         TableState {
-            rows: BTreeMap::new(),
-            revision: 0,
-            feed: VecDeque::new(),
-            compacted_to: 0,
+            rows: Rows::new(settings.feed_changes),
             configuration: Vec::new(),
             counts: BTreeMap::new(),
             maximum_rows: settings.maximum_transaction_rows,
             maximum_value: settings.maximum_value_bytes,
-            maximum_feed: settings.feed_changes,
             maximum_answer: settings.maximum_feed_answer,
         }
     }
 
     /// Revision of the last transaction.
     pub fn revision(&self) -> u64 {
-        self.revision
+        self.rows.revision()
     }
 
     /// Applies a transaction, all of it or nothing.
     pub fn transact(&mut self, transaction: Transaction) -> Result<u64, StoreError> {
         self.check_size(&transaction)?;
         let class = transaction_class(&transaction);
-        if let Some((key, actual)) = self.failed_comparison(&transaction) {
-            self.counts.entry(class).or_default().conflicts += 1;
-            return Err(StoreError::Conflict { key, actual });
-        }
+        let written = transaction.writes.len() as u64;
+        let configuration = configuration_keys(&transaction);
+        let result = self.rows.transact(transaction);
         let counts = self.counts.entry(class).or_default();
-        counts.transactions += 1;
-        counts.rows_written += transaction.writes.len() as u64;
-        if transaction.writes.is_empty() {
-            return Ok(self.revision);
-        }
-        self.revision += 1;
-        self.note_configuration(&transaction);
-        for write in transaction.writes {
-            self.apply(write);
+        match &result {
+            Ok(revision) => {
+                counts.transactions += 1;
+                counts.rows_written += written;
+                self.note_configuration(*revision, configuration);
+            }
+            Err(_) => counts.conflicts += 1,
         }
-        self.compact();
-        Ok(self.revision)
+        result
     }
 
     fn check_size(&self, transaction: &Transaction) -> Result<(), StoreError> {
@@ -132,76 +106,19 @@
         Ok(())
     }
 
-    fn failed_comparison(&self, transaction: &Transaction) -> Option<(String, Option<u64>)> {
-        let mut compared = transaction.compare.iter();
-        compared.find_map(|(key, expect)| {
-            let actual = self.rows.get(key).map(|row| row.revision);
-            let holds = match expect {
-                Expect::Absent => actual.is_none(),
-                Expect::Present => actual.is_some(),
-                Expect::Revision(revision) => actual == Some(*revision),
-            };
-            (!holds).then(|| (key.clone(), actual))
-        })
-    }
-
-    fn apply(&mut self, write: Write) {
-        let revision = self.revision;
-        let (key, value) = match write {
-            Write::Put { key, value } => {
-                let stored = Stored {
-                    value: value.clone(),
-                    revision,
-                };
-                self.rows.insert(key.clone(), stored);
-                (key, Some(value))
-            }
-            Write::Delete { key } => {
-                self.rows.remove(&key);
-                (key, None)
-            }
-        };
-        self.feed.push_back(Change {
-            revision,
-            key,
-            value,
-        });
-    }
-
-    fn note_configuration(&mut self, transaction: &Transaction) {
-        let keys = transaction.writes.iter().map(write_key);
-        let configuration = keys.filter(|key| key.starts_with(CONFIGURATION_PREFIX));
-        let keys: Vec<String> = configuration.map(str::to_owned).collect();
-        let chained = transaction
-            .writes
-            .iter()
-            .any(|write| write_key(write) == CONFIGURATION_HEAD);
-        if !keys.is_empty() || chained {
+    fn note_configuration(&mut self, revision: u64, keys: Option<Vec<String>>) {
+        if let Some(keys) = keys {
             self.configuration.push(RevisionRecord {
-                revision: self.revision,
+                revision,
                 keys,
                 at: Instant::now(),
             });
         }
     }
 
-    fn compact(&mut self) {
-        while self.feed.len() > self.maximum_feed {
-            let Some(oldest) = self.feed.pop_front() else {
-                return;
-            };
-            self.compacted_to = oldest.revision;
-        }
-    }
-
     /// Forgets the feed up to a revision.
     pub fn compact_to(&mut self, revision: u64) {
-        while let Some(oldest) = self.feed.front()
-            && oldest.revision <= revision
-        {
-            self.feed.pop_front();
-        }
-        self.compacted_to = self.compacted_to.max(revision.min(self.revision));
+        self.rows.compact_to(revision);
     }
 
     /// Reads one row.
@@ -212,12 +129,7 @@
 
     /// Reads one row without counting the read.
     pub fn peek(&self, key: &str) -> Option<Row> {
-        let stored = self.rows.get(key)?;
-        Some(Row {
-            key: key.to_owned(),
-            value: stored.value.clone(),
-            revision: stored.revision,
-        })
+        self.rows.get(key).cloned()
     }
 
     /// Reads rows under a prefix after a key, in key order.
@@ -228,49 +140,13 @@
 
     /// Reads a range without counting the read.
     pub fn peek_range(&self, prefix: &str, after: &str, limit: usize) -> Vec<Row> {
-        let from = prefix.max(after);
-        let rows = self.rows.range(from.to_owned()..);
-        rows.take_while(|(key, _)| key.starts_with(prefix))
-            .filter(|(key, _)| after.is_empty() || key.as_str() > after)
-            .take(limit)
-            .map(|(key, stored)| Row {
-                key: key.clone(),
-                value: stored.value.clone(),
-                revision: stored.revision,
-            })
-            .collect()
+        let rows = self.rows.range(prefix, after);
+        rows.take(limit).cloned().collect()
     }
 
     /// Changes under a prefix after a revision; only whole transactions.
     pub fn changes(&self, prefix: &str, after: u64) -> Changes {
-        if after < self.compacted_to {
-            return Changes {
-                rows: Vec::new(),
-                up_to: self.revision,
-                compacted: true,
-            };
-        }
-        let first = self.feed.partition_point(|change| change.revision <= after);
-        let mut changes = Changes {
-            up_to: self.revision,
-            ..Changes::default()
-        };
-        let mut last_revision = 0;
-        for change in self.feed.range(first..) {
-            let full = changes.rows.len() >= self.maximum_answer;
-            if full && change.revision != last_revision {
-                changes.up_to = last_revision;
-                break;
-            }
-            if change.key.starts_with(prefix) {
-                last_revision = change.revision;
-                let value = change.value.clone();
-                changes
-                    .rows
-                    .push((change.key.clone(), change.revision, value));
-            }
-        }
-        changes
+        self.rows.changes(prefix, after, self.maximum_answer)
     }
 
     /// Counts a read.
@@ -295,6 +171,15 @@
     }
 }
 
+/// Configuration rows that a transaction writes; `None` when it does not touch the configuration.
+fn configuration_keys(transaction: &Transaction) -> Option<Vec<String>> {
+    let keys = || transaction.writes.iter().map(write_key);
+    let chained = keys().any(|key| key == CONFIGURATION_HEAD);
+    let rows = keys().filter(|key| key.starts_with(CONFIGURATION_PREFIX));
+    let rows: Vec<String> = rows.map(str::to_owned).collect();
+    (chained || !rows.is_empty()).then_some(rows)
+}
+
 fn class_of(key: &str) -> String {
     key.split('/').next().unwrap_or_default().to_owned()
 }
