--- a/crates/platform/src/memory/rows.rs
+++ b/crates/platform/src/memory/rows.rs
@@ -129,6 +129,12 @@
             .filter(move |row| after.is_empty() || row.key.as_str() > after)
     }
 
+    /// All that the feed holds, oldest first: key, revision and value, `None` for a removed row.
+    pub fn feed(&self) -> impl Iterator<Item = (&str, u64, Option<&Bytes>)> {
+        let changes = self.feed.iter();
+        changes.map(|change| (&*change.key, change.revision, change.value.as_ref()))
+    }
+
     /// Changes under a prefix after a revision, about `maximum` of them; transactions stay whole.
     pub fn changes(&self, prefix: &str, after: u64, maximum: usize) -> Changes {
         let mut changes = Changes {
--- a/crates/standin/src/platform/tables.rs
+++ b/crates/standin/src/platform/tables.rs
@@ -1,8 +1,9 @@
 //! State of the table service: rows with their feed, bounds, counts and a log for the checker.
 
-use std::collections::BTreeMap;
-use std::time::Instant;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use dappleyard_platform::memory::rows::Rows;
 use dappleyard_platform::{Changes, Row, StoreError, Transaction, Write};
 use dappleyard_wire::keys::{CONFIGURATION_HEAD, CONFIGURATION_PREFIX};
@@ -34,14 +35,30 @@
     pub at: Instant,
 }
 
+/// One written row of the feed, for recordings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HistoryRow {
+    /// Revision of the store.
+    pub revision: u64,
+    /// Time since the table service started, milliseconds.
+    pub at_ms: u64,
+    /// Key.
+    pub key: String,
+    /// New value; `None` for a removed row.
+    pub value: Option<Bytes>,
+}
+
 /// State of the table service.
 #[derive(Debug)]
 pub struct TableState {
     rows: Rows,
+    /// When each transaction was applied, by its revision, as far back as the feed may reach.
+    applied: VecDeque<(u64, Instant)>,
     configuration: Vec<RevisionRecord>,
     counts: BTreeMap<String, CallCounts>,
     maximum_rows: usize,
     maximum_value: usize,
+    maximum_feed: usize,
     maximum_answer: usize,
 }
 
@@ -50,10 +67,12 @@
     pub fn new(settings: &PlatformStandInSettings) -> TableState {
         TableState {
             rows: Rows::new(settings.feed_changes),
+            applied: VecDeque::new(),
             configuration: Vec::new(),
             counts: BTreeMap::new(),
             maximum_rows: settings.maximum_transaction_rows,
             maximum_value: settings.maximum_value_bytes,
+            maximum_feed: settings.feed_changes,
             maximum_answer: settings.maximum_feed_answer,
         }
     }
@@ -75,6 +94,7 @@
             Ok(revision) => {
                 counts.transactions += 1;
                 counts.rows_written += written;
+                self.note_applied(*revision);
                 self.note_configuration(*revision, configuration);
             }
             Err(_) => counts.conflicts += 1,
@@ -149,6 +169,41 @@
         self.rows.changes(prefix, after, self.maximum_answer)
     }
 
+    /// Everything that the feed holds under the prefixes, oldest first.
+    pub fn history(&self, prefixes: &[&str], started: Instant) -> Vec<HistoryRow> {
+        let wanted = |key: &str| prefixes.iter().any(|prefix| key.starts_with(prefix));
+        let changes = self.rows.feed().filter(|(key, ..)| wanted(key));
+        changes
+            .map(|(key, revision, value)| HistoryRow {
+                revision,
+                at_ms: self.applied_at(revision, started).as_millis() as u64,
+                key: key.to_owned(),
+                value: value.cloned(),
+            })
+            .collect()
+    }
+
+    /// When a transaction was applied; zero when that is forgotten.
+    fn applied_at(&self, revision: u64, started: Instant) -> Duration {
+        let index = self.applied.partition_point(|(other, _)| *other < revision);
+        let applied = self.applied.get(index).map(|(_, at)| *at);
+        applied.map_or(Duration::ZERO, |at| at.duration_since(started))
+    }
+
+    fn note_applied(&mut self, revision: u64) {
+        let known = self
+            .applied
+            .back()
+            .is_some_and(|(last, _)| *last >= revision);
+        if known {
+            return;
+        }
+        if self.applied.len() > self.maximum_feed {
+            self.applied.pop_front();
+        }
+        self.applied.push_back((revision, Instant::now()));
+    }
+
     /// Counts a read.
     pub fn count_read(&mut self, key: &str) {
         self.counts.entry(class_of(key)).or_default().reads += 1;
