--- a/crates/batch/src/runner/state.rs
+++ b/crates/batch/src/runner/state.rs
@@ -1,6 +1,6 @@
 //! What the runner's tasks share: active jobs, held chunks, waiting and running items.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 use dappleyard_decide::fairness::TenantShares;
@@ -10,6 +10,7 @@
 use dappleyard_wire::messages::ActiveJobRow;
 
 use super::work::{HeldChunk, WorkItem};
+use crate::input::PartIndex;
 
 /// Place of a chunk: job id and index.
 pub type ChunkPlace = (String, u32);
@@ -22,6 +23,14 @@
     pub exhausted_until: Millis,
 }
 
+/// Where the input of a job is.
+pub struct JobInput {
+    /// Endpoint of its items.
+    pub endpoint: String,
+    /// Parts of the input file.
+    pub parts: PartIndex,
+}
+
 /// A batch stream on a server.
 pub struct RunningItem {
     /// Request id.
@@ -34,6 +43,42 @@
     pub stream: Option<String>,
     /// It was told to stop.
     pub stopping: bool,
+    /// What it needs of the KV memory.
+    pub memory: SequenceMemory,
+    /// When it was sent.
+    pub started_at: Millis,
+}
+
+/// What a sequence needs of the KV memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SequenceMemory {
+    /// Hash of the shared head of its prompt.
+    pub prefix_hash: u64,
+    /// Tokens of the shared head, which sequences with the same hash hold together.
+    pub prefix_tokens: u32,
+    /// Tokens of its own when it was sent.
+    pub own_tokens: u32,
+    /// Tokens that it may still make.
+    pub left: u32,
+}
+
+/// Tokens that a sequence holds beyond its own, since memory is given out in blocks.
+const BLOCK_WASTE_TOKENS: u32 = 16;
+
+impl SequenceMemory {
+    /// Memory of an item that is about to be sent.
+    pub fn of(item: &WorkItem) -> SequenceMemory {
+        let input = item.item();
+        let made = u32::try_from(item.pieces.len()).unwrap_or(u32::MAX);
+        SequenceMemory {
+            prefix_hash: input.prefix_hash,
+            prefix_tokens: input.prefix_tokens,
+            own_tokens: input.prompt_tokens.saturating_sub(input.prefix_tokens)
+                + made
+                + BLOCK_WASTE_TOKENS,
+            left: input.max_tokens.saturating_sub(made),
+        }
+    }
 }
 
 /// What is known of a server besides the shared table.
@@ -47,6 +92,55 @@
     pub report_seen: u64,
     /// Start nothing before this time, since the engine refused or failed.
     pub avoid_until: Millis,
+    /// When an item was last started that needed a prefill.
+    pub prefilled_at: Millis,
+    /// Prefill tokens sent since the last report was taken in, and when that was.
+    pub prefill_sent: u32,
+    /// When the last report was taken in.
+    pub report_at: Millis,
+    /// Shared heads of prompts, and when the first item with each was sent.
+    pub prefixes: BTreeMap<u64, Millis>,
+}
+
+/// Time that a server needs to compute the shared head of a prompt, milliseconds.
+const PREFIX_WARM_MS: u64 = 25;
+/// Time after which a shared head is taken to have left the cache, milliseconds.
+const PREFIX_KEPT_MS: u64 = 30_000;
+
+impl ServerState {
+    /// Tokens of KV memory that the running streams are estimated to hold: each makes a token a step.
+    pub fn batch_tokens(&self, now: Millis) -> u32 {
+        let step_ms = self.steps.step_ms(self.active(), 0);
+        let mut prefixes = BTreeMap::new();
+        let mut own = 0_u32;
+        for running in self.running.iter().filter(|running| !running.stopping) {
+            let memory = &running.memory;
+            prefixes.insert(memory.prefix_hash, memory.prefix_tokens);
+            let steps = now.since(running.started_at) as f64 / step_ms;
+            own = own.saturating_add(memory.own_tokens + (steps as u32).min(memory.left));
+        }
+        own.saturating_add(prefixes.values().sum())
+    }
+
+    /// Whether an item whose prompt begins with a shared head may be sent: the first one that does,
+    /// or one that comes after the first has computed it.
+    fn admits_prefix(&mut self, prefix: u64, now: Millis) -> bool {
+        self.prefixes
+            .retain(|_, sent_at| now.since(*sent_at) < PREFIX_KEPT_MS);
+        match self.prefixes.get(&prefix) {
+            Some(first_at) => now.since(*first_at) >= PREFIX_WARM_MS,
+            None => {
+                self.prefixes.insert(prefix, now);
+                true
+            }
+        }
+    }
+
+    /// Streams that were not told to stop.
+    pub fn active(&self) -> u32 {
+        let active = self.running.iter().filter(|running| !running.stopping);
+        u32::try_from(active.count()).unwrap_or(u32::MAX)
+    }
 }
 
 /// State of the runner.
@@ -54,6 +148,8 @@
 pub struct State {
     /// Jobs that are not finished.
     pub jobs: BTreeMap<String, ActiveJob>,
+    /// Inputs of active jobs of which this node holds or held chunks.
+    pub inputs: BTreeMap<String, Rc<JobInput>>,
     /// When the last call was sent that read the feed with success.
     pub feed_read_at: Millis,
     /// When the feed was last asked for in vain.
@@ -61,8 +157,8 @@
     /// When this node was last found to have been paused: until it has asked for the feed again, it
     /// starts nothing, since a job may have been cancelled meanwhile.
     pub paused_until: Millis,
-    /// Chunks that are being claimed or loaded.
-    pub claiming: BTreeSet<ChunkPlace>,
+    /// Chunks that are being claimed or loaded, with their items.
+    pub claiming: BTreeMap<ChunkPlace, u32>,
     /// Chunks held, input loaded.
     pub held: BTreeMap<ChunkPlace, Rc<HeldChunk>>,
     /// Items never started, by service.
@@ -86,7 +182,7 @@
 
     /// Whether this node works on a chunk.
     pub fn knows(&self, place: &ChunkPlace) -> bool {
-        self.held.contains_key(place) || self.claiming.contains(place)
+        self.held.contains_key(place) || self.claiming.contains_key(place)
     }
 
     /// Whether an item of a chunk is on an engine.
@@ -95,11 +191,10 @@
         running.any(|running| Rc::ptr_eq(&running.chunk, chunk))
     }
 
-    /// Items of a service that wait.
-    pub fn waiting(&self, service: &str) -> usize {
-        let fresh = self.fresh.get(service).map_or(0, VecDeque::len);
-        let paused = self.paused.get(service).map_or(0, Vec::len);
-        fresh + paused
+    /// Items of a service that were never started, and all that are being claimed or loaded.
+    pub fn waiting_cold(&self, service: &str) -> usize {
+        let coming: u32 = self.claiming.values().sum();
+        self.fresh.get(service).map_or(0, VecDeque::len) + coming as usize
     }
 
     /// All items that wait.
@@ -115,11 +210,16 @@
         servers.map(|server| server.running.len()).sum()
     }
 
-    /// Takes the next item for a server: one that ran there before, then a fresh one, then one that
-    /// ran elsewhere. Items of chunks that were given up are dropped.
-    pub fn take_item(&mut self, service: &str, server: &ServerId) -> Option<WorkItem> {
-        self.take_paused(service, |item| item.last_server.as_ref() == Some(server))
-            .or_else(|| self.take_fresh(service))
+    /// Takes an item whose state a server still caches.
+    pub fn take_warm(&mut self, service: &str, server: &ServerId, now: Millis) -> Option<WorkItem> {
+        self.take_paused(service, |item| item.is_warm_on(server, now))
+    }
+
+    /// Takes an item that needs a prefill: one that has waited long for its server, or a fresh one,
+    /// or else one that was paused elsewhere.
+    pub fn take_cold(&mut self, service: &str, server: &ServerId, now: Millis) -> Option<WorkItem> {
+        self.take_paused(service, |item| item.is_stale(now))
+            .or_else(|| self.take_fresh(service, server, now))
             .or_else(|| self.take_paused(service, |_| true))
     }
 
@@ -134,14 +234,19 @@
         Some(paused.remove(index))
     }
 
-    fn take_fresh(&mut self, service: &str) -> Option<WorkItem> {
+    /// Takes the first fresh item, unless a server is just computing the head of its prompt: what
+    /// starts a little later finds it in the cache.
+    fn take_fresh(&mut self, service: &str, server: &ServerId, now: Millis) -> Option<WorkItem> {
         let fresh = self.fresh.get_mut(service)?;
-        while let Some(item) = fresh.pop_front() {
-            if !item.chunk.is_stopped() {
-                return Some(item);
-            }
+        while fresh.front().is_some_and(|item| item.chunk.is_stopped()) {
+            fresh.pop_front();
+        }
+        let first = fresh.front()?.item();
+        let known = self.servers.entry(server.clone()).or_default();
+        if first.prefix_tokens > 0 && !known.admits_prefix(first.prefix_hash, now) {
+            return None;
         }
-        None
+        fresh.pop_front()
     }
 
     /// Puts an item back that was paused or has to be tried again.
