--- a/crates/tables/src/rank.rs
+++ b/crates/tables/src/rank.rs
@@ -31,7 +31,7 @@
 }
 
 thread_local! {
-    static HELD: RefCell<Vec<Rank>> = RefCell::new(Vec::new());
+    static HELD: RefCell<Vec<Rank>> = const { RefCell::new(Vec::new()) };
 }
 
 /// A mutex with a rank.
