Shared heads of prompts are computed once a server; what is not computed yields first

Cause: items sent together each computed the whole prompt, since none found the head that its job shares in the cache; streams still computing their prompts stayed beside online work, each of their steps half as long again; items paused before their first token waited seconds for their server. Change: the first item with a head streams, and the others follow its first token; on an online arrival streams estimated to be computing stop first; items without a token go to the front again; chunks near the front, which are the larger ones, are claimed first.

--- a/crates/batch/src/runner/claim.rs
+++ b/crates/batch/src/runner/claim.rs
@@ -20,8 +20,10 @@
 use super::{Runner, load};
 use crate::store::{self, Applied, Versioned, wait_jittered};
 
-/// Open chunks read at once; one of them is taken at random, so that nodes seldom collide.
-const OPEN_PAGE: usize = 16;
+/// Open chunks read at once.
+const OPEN_PAGE: usize = 32;
+/// Open chunks at the front of which one is taken at random, so that nodes seldom collide.
+const FRONT_ROWS: usize = 8;
 /// How long a job without open chunks is not looked at, milliseconds, unless its row changes.
 const EXHAUSTED_MS: u64 = 3_000;
 /// Items kept waiting for a server without online work that is full: it ends about as many while a
@@ -143,12 +145,13 @@
     Ok(claimed)
 }
 
-/// Takes rows at random until they hold the items that are wanted.
+/// Takes rows near the front until they hold the items that are wanted: chunks get smaller towards
+/// the end of a job, and the large ones should go first.
 fn choose(rows: &mut Vec<Row>, wanted: usize) -> Result<Vec<Versioned<ChunkRow>>, StoreError> {
     let mut chosen = Vec::new();
     let mut items = 0;
     while items < wanted.max(1) && !rows.is_empty() {
-        let open = rows.swap_remove(rand::rng().random_range(0..rows.len()));
+        let open = rows.remove(rand::rng().random_range(0..rows.len().min(FRONT_ROWS)));
         let read = store::decode::<ChunkRow>(&open.key, &open.value, open.revision)?;
         items += read.row.items as usize;
         chosen.push(read);
--- a/crates/batch/src/runner/dispatch.rs
+++ b/crates/batch/src/runner/dispatch.rs
@@ -11,7 +11,7 @@
 use dappleyard_tables::servers::OwnedServer;
 use dappleyard_wire::ids::ServerId;
 
-use super::state::ServerState;
+use super::state::{RunningItem, ServerState};
 use super::work::WorkItem;
 use super::{Runner, run_item};
 
@@ -21,8 +21,10 @@
 const PAUSE_MS: u64 = 500;
 /// KV tokens that one more batch sequence is taken to hold.
 const SEQUENCE_TOKENS: u32 = 500;
-/// Prefill tokens of a batch sequence, for the pace of starts beside online work.
+/// Prompt tokens of a batch sequence, for the pace of starts beside online work.
 const PREFILL_TOKENS: u32 = 500;
+/// Longest time that the prompts of streams started at the slow pace take to compute, milliseconds.
+const LONGEST_PACED_PREFILL_MS: u64 = 20;
 /// Share of the KV memory that is given out, percent.
 const MEMORY_PERCENT: u32 = 97;
 
@@ -55,6 +57,7 @@
             .servers
             .with(&id, |state| state.batch_width = width);
         stop_given_up(runner, &server);
+        pause_uncomputed(runner, &server);
         let running = active_streams(runner, &id);
         if running > width {
             pause_newest(runner, &server, running - width);
@@ -124,12 +127,41 @@
 
 /// Stops the streams of chunks that were given up.
 fn stop_given_up(runner: &Rc<Runner>, server: &OwnedServer) {
-    let streams = mark_stopping(runner, &server.entry.server, usize::MAX, |given_up| {
-        given_up
+    let streams = mark_stopping(runner, &server.entry.server, usize::MAX, |running| {
+        running.chunk.is_stopped()
     });
     cancel(runner, server, streams);
 }
 
+/// Pauses the streams whose prompts are not computed yet as soon as there is online work: each step
+/// that computes prompts is far longer than the others. Streams that were sent since, at the slow
+/// pace, go on.
+fn pause_uncomputed(runner: &Rc<Runner>, server: &OwnedServer) {
+    if runner.settings.policy != BatchPolicy::Preempt {
+        return;
+    }
+    let now = runner.tables.clock.now();
+    let since = server.online.values().map(|flight| flight.since).min();
+    let Some(since) = since else {
+        return;
+    };
+    let streams = mark_stopping(runner, &server.entry.server, usize::MAX, |running| {
+        running.prefilled_at > now && running.started_at <= since
+    });
+    if let Some(known) = runner
+        .state
+        .borrow_mut()
+        .servers
+        .get_mut(&server.entry.server)
+    {
+        known.prefill_free_at = known
+            .prefill_free_at
+            .min(now.plus(LONGEST_PACED_PREFILL_MS));
+    }
+    runner.metrics.pauses.inc_by(streams.len() as u64);
+    cancel(runner, server, streams);
+}
+
 /// Pauses the newest streams.
 fn pause_newest(runner: &Rc<Runner>, server: &OwnedServer, count: u32) {
     if runner.settings.policy == BatchPolicy::SharedQueue {
@@ -146,7 +178,7 @@
     runner: &Runner,
     server: &ServerId,
     count: usize,
-    wanted: impl Fn(bool) -> bool,
+    wanted: impl Fn(&RunningItem) -> bool,
 ) -> Vec<String> {
     let mut state = runner.state.borrow_mut();
     let Some(server) = state.servers.get_mut(server) else {
@@ -156,7 +188,7 @@
         .running
         .iter_mut()
         .rev()
-        .filter(|running| !running.stopping && wanted(running.chunk.is_stopped()))
+        .filter(|running| !running.stopping && wanted(running))
         .filter(|running| !running.chunk.once || running.chunk.is_stopped())
         .take(count);
     let mut streams = Vec::new();
@@ -188,12 +220,8 @@
     let service = server.entry.service.as_str();
     for _ in 0..count {
         let warm = runner.state.borrow_mut().take_warm(service, id, now);
-        let item = match warm {
-            Some(item) => item,
-            None => match take_cold(runner, server, now) {
-                Some(item) => item,
-                None => return,
-            },
+        let Some(item) = warm.or_else(|| take_cold(runner, server, now)) else {
+            return;
         };
         run_item::start(runner, server.entry.clone(), item);
     }
@@ -212,12 +240,7 @@
             return None;
         }
     }
-    let item = state.take_cold(service, id, now)?;
-    let known = state.servers.entry(id.clone()).or_default();
-    let input = item.item();
-    known.prefilled_at = now;
-    known.prefill_sent += input.prompt_tokens.saturating_sub(input.prefix_tokens);
-    Some(item)
+    state.take_cold(service, id, now)
 }
 
 fn avoided(runner: &Runner, server: &ServerId, now: Millis) -> bool {
--- a/crates/batch/src/runner/run_item.rs
+++ b/crates/batch/src/runner/run_item.rs
@@ -48,19 +48,27 @@
         .tables
         .servers
         .begin_batch(&entry.server, &request, flight);
+    let memory = SequenceMemory::of(&item);
+    let warm = item.is_warm_on(&entry.server, now);
+    let mut state = runner.state.borrow_mut();
+    let server = state.servers.entry(entry.server.clone()).or_default();
+    let (prefilled_at, leads) = match warm {
+        true => (now, false),
+        false => server.send_cold(&memory, now),
+    };
     let running = RunningItem {
         request: request.clone(),
         attempt,
         chunk: item.chunk.clone(),
         stream: None,
         stopping: false,
-        memory: SequenceMemory::of(&item),
+        memory,
         started_at: now,
+        prefilled_at,
     };
-    let mut state = runner.state.borrow_mut();
-    let server = state.servers.entry(entry.server.clone()).or_default();
     server.running.push(running);
     drop(state);
+    item.leads_prefix = leads;
     runner.spawn(follow(runner.clone(), entry, item, request, attempt));
 }
 
@@ -161,7 +169,10 @@
                 item.version = version;
                 accepted(runner, entry, request, attempt, stream).await;
             }
-            Ok(EngineEvent::Tokens { offset, pieces }) => take_tokens(item, offset, pieces),
+            Ok(EngineEvent::Tokens { offset, pieces }) => {
+                note_prefix(runner, entry, item);
+                take_tokens(item, offset, pieces);
+            }
             Ok(EngineEvent::Finished {
                 reason,
                 total_tokens,
@@ -192,7 +203,8 @@
         resume_offset: u32::try_from(item.pieces.len()).unwrap_or(u32::MAX),
         attach_stream: String::new(),
         attach_only: false,
-        stream: false,
+        // The leader of a shared head shows by its first token that the head is computed.
+        stream: item.leads_prefix,
     }
 }
 
@@ -229,6 +241,19 @@
     }
 }
 
+/// A token of the leader of a shared head has come: others may follow.
+fn note_prefix(runner: &Runner, entry: &ServerEntry, item: &mut WorkItem) {
+    if !std::mem::take(&mut item.leads_prefix) {
+        return;
+    }
+    let now = runner.tables.clock.now();
+    let prefix = item.item().prefix_hash;
+    let mut state = runner.state.borrow_mut();
+    let server = state.servers.entry(entry.server.clone()).or_default();
+    server.prefix_computed(prefix, now);
+    runner.dispatch_wake.notify_one();
+}
+
 /// Appends tokens; those that are known already are skipped, and tokens after a gap are dropped.
 fn take_tokens(item: &mut WorkItem, offset: u32, pieces: Vec<String>) {
     let known = item.pieces.len();
--- a/crates/batch/src/runner/state.rs
+++ b/crates/batch/src/runner/state.rs
@@ -47,6 +47,8 @@
     pub memory: SequenceMemory,
     /// When it was sent.
     pub started_at: Millis,
+    /// When its prompt is estimated to be computed.
+    pub prefilled_at: Millis,
 }
 
 /// What a sequence needs of the KV memory.
@@ -98,14 +100,33 @@
     pub prefill_sent: u32,
     /// When the last report was taken in.
     pub report_at: Millis,
-    /// Shared heads of prompts, and when the first item with each was sent.
-    pub prefixes: BTreeMap<u64, Millis>,
+    /// Shared heads of prompts that the server computes or caches.
+    pub prefixes: BTreeMap<u64, PrefixState>,
+    /// When the server will have computed all prompts sent to it, as estimated.
+    pub prefill_free_at: Millis,
 }
 
-/// Time that a server needs to compute the shared head of a prompt, milliseconds.
-const PREFIX_WARM_MS: u64 = 25;
-/// Time after which a shared head is taken to have left the cache, milliseconds.
-const PREFIX_KEPT_MS: u64 = 30_000;
+/// What is known of a shared head of prompts on a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PrefixState {
+    /// The first item with it, its leader, was sent and has not made a token yet.
+    Computing {
+        /// When the leader was sent.
+        since: Millis,
+    },
+    /// It is in the cache.
+    Cached {
+        /// When it was last used.
+        used_at: Millis,
+    },
+}
+
+/// Time after which a leader is taken to be lost, milliseconds.
+const LEADER_LOST_MS: u64 = 2_000;
+/// Time without use after which a shared head is taken to have left the cache, milliseconds.
+const PREFIX_KEPT_MS: u64 = 10_000;
+/// Prompt tokens that a server computes in one step.
+const PREFILL_TOKENS_PER_STEP: f64 = 512.0;
 
 impl ServerState {
     /// Tokens of KV memory that the running streams are estimated to hold: each makes a token a step.
@@ -123,17 +144,42 @@
     }
 
     /// Whether an item whose prompt begins with a shared head may be sent: the first one that does,
-    /// or one that comes after the first has computed it.
+    /// or one that comes after the first has computed it and finds it in the cache.
     fn admits_prefix(&mut self, prefix: u64, now: Millis) -> bool {
-        self.prefixes
-            .retain(|_, sent_at| now.since(*sent_at) < PREFIX_KEPT_MS);
-        match self.prefixes.get(&prefix) {
-            Some(first_at) => now.since(*first_at) >= PREFIX_WARM_MS,
-            None => {
-                self.prefixes.insert(prefix, now);
-                true
-            }
-        }
+        self.prefixes.retain(|_, state| match state {
+            PrefixState::Computing { since } => now.since(*since) < LEADER_LOST_MS,
+            PrefixState::Cached { used_at } => now.since(*used_at) < PREFIX_KEPT_MS,
+        });
+        !matches!(
+            self.prefixes.get(&prefix),
+            Some(PrefixState::Computing { .. })
+        )
+    }
+
+    /// Notes that an item is sent whose prompt must be computed, and says when that is estimated to be
+    /// done and whether the item is the leader of its shared head.
+    pub fn send_cold(&mut self, memory: &SequenceMemory, now: Millis) -> (Millis, bool) {
+        let leads = memory.prefix_tokens > 0 && !self.prefixes.contains_key(&memory.prefix_hash);
+        let state = match leads {
+            true => PrefixState::Computing { since: now },
+            false => PrefixState::Cached { used_at: now },
+        };
+        self.prefixes.insert(memory.prefix_hash, state);
+        let shared = if leads { memory.prefix_tokens } else { 0 };
+        let tokens = memory.own_tokens + shared;
+        self.prefilled_at = now;
+        self.prefill_sent += tokens;
+        let step_ms = self.steps.step_ms(self.active(), tokens.min(512));
+        let cost_ms = f64::from(tokens) / PREFILL_TOKENS_PER_STEP * step_ms;
+        let begin = self.prefill_free_at.max(now);
+        self.prefill_free_at = begin.plus(cost_ms.ceil() as u64);
+        (self.prefill_free_at, leads)
+    }
+
+    /// The leader of a shared head has made a token.
+    pub fn prefix_computed(&mut self, prefix: u64, now: Millis) {
+        let cached = PrefixState::Cached { used_at: now };
+        self.prefixes.insert(prefix, cached);
     }
 
     /// Streams that were not told to stop.
@@ -234,25 +280,36 @@
         Some(paused.remove(index))
     }
 
-    /// Takes the first fresh item, unless a server is just computing the head of its prompt: what
+    /// Takes the first fresh item of which a server is not just computing the shared head: what
     /// starts a little later finds it in the cache.
     fn take_fresh(&mut self, service: &str, server: &ServerId, now: Millis) -> Option<WorkItem> {
         let fresh = self.fresh.get_mut(service)?;
-        while fresh.front().is_some_and(|item| item.chunk.is_stopped()) {
-            fresh.pop_front();
-        }
-        let first = fresh.front()?.item();
         let known = self.servers.entry(server.clone()).or_default();
-        if first.prefix_tokens > 0 && !known.admits_prefix(first.prefix_hash, now) {
-            return None;
-        }
-        fresh.pop_front()
+        let mut held_back = None;
+        let index = fresh.iter().position(|item| {
+            let prefix = item.item().prefix_hash;
+            if item.chunk.is_stopped() || held_back == Some(prefix) {
+                return false;
+            }
+            let admitted = item.item().prefix_tokens == 0 || known.admits_prefix(prefix, now);
+            if !admitted {
+                held_back = Some(prefix);
+            }
+            admitted
+        })?;
+        fresh.remove(index)
     }
 
-    /// Puts an item back that was paused or has to be tried again.
+    /// Puts an item back that was paused or has to be tried again. One without a token goes to the
+    /// front of those that were never started.
     pub fn put_back(&mut self, item: WorkItem) {
-        if !item.chunk.is_stopped() {
-            let service = item.chunk.service.clone();
+        if item.chunk.is_stopped() {
+            return;
+        }
+        let service = item.chunk.service.clone();
+        if item.pieces.is_empty() {
+            self.fresh.entry(service).or_default().push_front(item);
+        } else {
             self.paused.entry(service).or_default().push(item);
         }
     }
--- a/crates/batch/src/runner/work.rs
+++ b/crates/batch/src/runner/work.rs
@@ -134,6 +134,8 @@
     pub stopped_at: Millis,
     /// Attempts made under this epoch.
     pub attempts: u32,
+    /// It is the first on its server with its shared head and has not made a token there.
+    pub leads_prefix: bool,
 }
 
 /// How long the state of a paused item is taken to stay in a server's cache, milliseconds.
@@ -152,6 +154,7 @@
             last_server: None,
             stopped_at: Millis(0),
             attempts: 0,
+            leads_prefix: false,
         }
     }
 
