--- a/crates/standin/tests/broken_answers.rs
+++ b/crates/standin/tests/standin/broken_answers.rs
@@ -82,7 +82,7 @@
 /// All events that come of one raw answer; a refusal of the call counts as one error.
 fn events_of(answer: String) -> Vec<std::result::Result<EngineEvent, EngineError>> {
     let address = answer_once(answer);
-    actix_rt::System::new().block_on(async {
+    crate::run(async {
         let engine = HttpEngine::new(Duration::from_secs(5), Duration::from_secs(5));
         let base = format!("http://{address}");
         match engine.generate(&base, call()).await {
@@ -157,7 +157,7 @@
 /// What a write to the table service gives when it is answered so.
 fn write_answered(answer: &str) -> StoreError {
     let address = answer_once(answer.to_owned());
-    actix_rt::System::new().block_on(async {
+    crate::run(async {
         let platform = direct(&PlatformSettings {
             tables_url: format!("http://{address}"),
             call_timeout_ms: 5_000,
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/standin/process.rs
@@ -30,7 +30,7 @@
 
 #[gtest]
 fn control_interface_sets_faults() {
-    actix_rt::System::new().block_on(async {
+    crate::run(async {
         let stand_ins = StandIns::start(spec()).expect("ports of the operating system");
         let http = awc::Client::default();
         let control = format!("http://{}/control", stand_ins.control_address());
