Lab: measure what the path costs and what it does under overload; a resend waits for its record

Change: the sidecar asks the record again a few times, with jittered pauses, within its attempts and retry budget; a run that really goes on is still told in_progress at once after that. Two subcommands measure a fleet of plain processes.

--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -24,6 +24,14 @@
         command: crate::capacity::command,
         run: crate::capacity::run,
     },
+    Subcommand {
+        command: crate::overhead::overhead_command,
+        run: crate::overhead::run_overhead,
+    },
+    Subcommand {
+        command: crate::overhead::overload_command,
+        run: crate::overhead::run_overload,
+    },
     Subcommand {
         command: crate::standins::command,
         run: crate::standins::run,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod load;
 pub mod measures;
 pub mod network;
+pub mod overhead;
 pub mod run;
 pub mod scenario;
 pub mod standins;
--- /dev/null
+++ b/crates/lab/src/overhead/latency.rs
@@ -0,0 +1,91 @@
+//! Latency that sidecar and node add: the same requests by turns both ways.
+
+use std::time::Duration;
+
+use dappleyard_engine::HttpEngine;
+
+use super::request::{Outcome, Request, through_sidecar, to_engine};
+use super::{quantile, sorted_ms};
+use crate::error::LabError;
+use crate::load::client::client;
+
+/// Requests before the measurement, so that connections and caches are warm.
+const WARM_UP: u32 = 20;
+
+/// What is measured.
+pub struct Plan {
+    /// Base URL of the sidecar.
+    pub sidecar: String,
+    /// Base URL of the engine.
+    pub engine: String,
+    /// Requests each way.
+    pub requests: u32,
+    /// Tokens of each answer.
+    pub tokens: u32,
+}
+
+#[derive(Default)]
+struct Times {
+    first: Vec<Duration>,
+    total: Vec<Duration>,
+    failed: u32,
+}
+
+impl Times {
+    fn add(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Whole { first, total, .. } => {
+                self.first.push(first);
+                self.total.push(total);
+            }
+            Outcome::Refused { .. } => self.failed += 1,
+        }
+    }
+}
+
+/// Measures and prints.
+pub async fn measure(plan: &Plan) -> Result<(), LabError> {
+    let engine = HttpEngine::new(Duration::from_secs(2), Duration::from_secs(10));
+    let caller = client();
+    let (mut direct, mut through) = (Times::default(), Times::default());
+    for index in 0..WARM_UP + plan.requests {
+        let request = Request {
+            text: format!("Which rudder stock fits hull number {index}?"),
+            tokens: plan.tokens,
+            deadline_ms: None,
+        };
+        let by_engine = to_engine(&engine, &plan.engine, &request).await;
+        let by_sidecar = through_sidecar(&caller, &plan.sidecar, &request).await;
+        if index >= WARM_UP {
+            direct.add(by_engine);
+            through.add(by_sidecar);
+        }
+    }
+    if direct.first.is_empty() || through.first.is_empty() {
+        return Err(LabError::failed("no request was answered both ways"));
+    }
+    println!(
+        "{} requests each way, {} tokens, one at a time; failed: {} direct, {} through",
+        plan.requests, plan.tokens, direct.failed, through.failed
+    );
+    print_line("first token, ms", &direct.first, &through.first);
+    print_line("whole answer, ms", &direct.total, &through.total);
+    Ok(())
+}
+
+fn print_line(name: &str, direct: &[Duration], through: &[Duration]) {
+    let direct = sorted_ms(direct.iter().copied());
+    let through = sorted_ms(through.iter().copied());
+    let shown: Vec<String> = [0.5, 0.9, 0.99]
+        .into_iter()
+        .map(|share| {
+            let (from, to) = (quantile(&direct, share), quantile(&through, share));
+            format!(
+                "p{:.0} {from:.2} -> {to:.2} (+{:.2})",
+                share * 100.0,
+                to - from
+            )
+        })
+        .collect();
+    println!("{name:18} {}", shown.join("   "));
+}
--- /dev/null
+++ b/crates/lab/src/overhead/mod.rs
@@ -0,0 +1,159 @@
+//! `dappleyard-lab overhead` and `dappleyard-lab overload`: what the path costs, and what it does
+//! when more is asked than the engines can give.
+//!
+//! Both drive a fleet that runs as plain processes (`scripts/fleet up`), so that the cost of sidecars
+//! and nodes is read from their own processes. `overhead` sends the same requests by turns to an
+//! engine directly and through a sidecar, in one run, and then measures tokens for each core.
+//! `overload` sends an open-loop load at given rates and reports goodput and refusals.
+
+mod latency;
+mod overload;
+mod processes;
+mod request;
+mod throughput;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use crate::error::{LabError, report};
+
+/// Arguments of `overhead`.
+pub fn overhead_command() -> Command {
+    Command::new("overhead")
+        .about("Measures what sidecar and node add to an engine, and tokens for each core")
+        .arg(sidecar())
+        .arg(
+            text(
+                "engine",
+                "URL",
+                "Base URL of one engine, as the machine list names it",
+            )
+            .required(true),
+        )
+        .arg(count("requests", "400", "Requests each way"))
+        .arg(count("tokens", "16", "Tokens of each answer"))
+        .arg(count(
+            "streams",
+            "200",
+            "Streams at once when throughput is measured",
+        ))
+        .arg(count("seconds", "8", "Time for throughput, seconds"))
+        .arg(
+            Arg::new("processes")
+                .long("processes")
+                .value_name("FILE")
+                .default_value("out/fleet/processes.json")
+                .value_parser(value_parser!(PathBuf))
+                .help("Processes of scripts/fleet"),
+        )
+}
+
+/// Arguments of `overload`.
+pub fn overload_command() -> Command {
+    Command::new("overload")
+        .about("Measures goodput and refusals at several rates of arrival")
+        .arg(sidecar())
+        .arg(
+            text("rates", "A,B,C", "Requests a second, one phase for each")
+                .default_value("20,40,80,120"),
+        )
+        .arg(count("seconds", "6", "Time of each phase, seconds"))
+        .arg(count("tokens", "32", "Tokens of each answer"))
+        .arg(count(
+            "deadline-ms",
+            "2000",
+            "Deadline of each request, milliseconds",
+        ))
+        .arg(count("seed", "1", "Seed of the arrivals"))
+}
+
+fn sidecar() -> Arg {
+    text("sidecar", "URL", "Base URL of a sidecar").default_value("http://127.0.0.1:8080")
+}
+
+fn text(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).help(help)
+}
+
+fn count(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    text(name, "N", help)
+        .default_value(default)
+        .value_parser(value_parser!(u32).range(1..))
+}
+
+fn number(arguments: &ArgMatches, name: &str) -> u32 {
+    arguments.get_one::<u32>(name).copied().unwrap_or(1)
+}
+
+fn word(arguments: &ArgMatches, name: &str) -> String {
+    arguments
+        .get_one::<String>(name)
+        .cloned()
+        .unwrap_or_default()
+}
+
+/// Runs `overhead`.
+pub fn run_overhead(arguments: &ArgMatches) -> ExitCode {
+    let sidecar = word(arguments, "sidecar");
+    let latency = latency::Plan {
+        sidecar: sidecar.clone(),
+        engine: word(arguments, "engine"),
+        requests: number(arguments, "requests"),
+        tokens: number(arguments, "tokens"),
+    };
+    let throughput = throughput::Plan {
+        sidecar,
+        streams: number(arguments, "streams"),
+        time: seconds(arguments),
+        processes: arguments
+            .get_one::<PathBuf>("processes")
+            .cloned()
+            .unwrap_or_default(),
+    };
+    report(actix_rt::System::new().block_on(async {
+        latency::measure(&latency).await?;
+        throughput::measure(&throughput).await
+    }))
+}
+
+/// Runs `overload`.
+pub fn run_overload(arguments: &ArgMatches) -> ExitCode {
+    report(plan_overload(arguments).and_then(|plan| {
+        let system = actix_rt::System::new();
+        system.block_on(overload::measure(&plan))
+    }))
+}
+
+fn plan_overload(arguments: &ArgMatches) -> Result<overload::Plan, LabError> {
+    let rates = word(arguments, "rates");
+    let parsed: Result<Vec<f64>, _> = rates.split(',').map(str::parse).collect();
+    Ok(overload::Plan {
+        sidecar: word(arguments, "sidecar"),
+        rates: parsed.map_err(|error| LabError::usage(format!("--rates {rates}: {error}")))?,
+        time: seconds(arguments),
+        tokens: number(arguments, "tokens"),
+        deadline_ms: number(arguments, "deadline-ms"),
+        seed: u64::from(number(arguments, "seed")),
+    })
+}
+
+fn seconds(arguments: &ArgMatches) -> Duration {
+    Duration::from_secs(u64::from(number(arguments, "seconds")))
+}
+
+/// The value at a share (0 to 1) of sorted values.
+fn quantile(sorted: &[f64], share: f64) -> f64 {
+    let last = sorted.len().saturating_sub(1);
+    let index = (last as f64 * share).round() as usize;
+    sorted.get(index).copied().unwrap_or(f64::NAN)
+}
+
+/// Milliseconds, sorted, for [`quantile`].
+fn sorted_ms(times: impl Iterator<Item = Duration>) -> Vec<f64> {
+    let mut list: Vec<f64> = times.map(|time| time.as_secs_f64() * 1_000.0).collect();
+    list.sort_by(f64::total_cmp);
+    list
+}
--- a/crates/sidecar/src/forward/retry.rs
+++ b/crates/sidecar/src/forward/retry.rs
@@ -18,6 +18,9 @@
 const LINK_WAIT: Duration = Duration::from_millis(1_000);
 /// Advice when to come back where a failure carries none, milliseconds.
 const RETRY_AFTER_MS: u32 = 500;
+/// Doublings of the first pause that a poll of a record skips, since a record is written within tens
+/// of milliseconds after the answer it holds.
+const POLL_PAUSE_STEPS: u32 = 2;
 
 impl Forward {
     /// Sends the request to a node, from the offset that is reached.
@@ -168,7 +171,10 @@
 
     /// Pauses before a retry, with jitter; the first move to another node does not wait.
     async fn pause(&mut self, step: Next, failure: Failure) -> Result<(), Failure> {
-        let retry = self.attempts - u32::from(step != Next::Poll);
+        let retry = match step {
+            Next::Poll => self.attempts + POLL_PAUSE_STEPS,
+            _ => self.attempts - 1,
+        };
         if retry == 0 {
             return Ok(());
         }
--- a/crates/sidecar/src/forward/rule.rs
+++ b/crates/sidecar/src/forward/rule.rs
@@ -65,7 +65,7 @@
     }
     match kind {
         ErrorKind::VersionGone if repeat == Repeat::Allowed && !situation.released => Next::Restart,
-        ErrorKind::InProgress if situation.attempts > 1 => Next::Poll,
+        ErrorKind::InProgress => Next::Poll,
         ErrorKind::Overloaded if situation.attempts >= OVERLOADED_ATTEMPTS => Next::GiveUp,
         _ if !kind.answer().retryable => Next::GiveUp,
         _ if situation.ran == Ran::No => Next::Retry,
--- a/crates/sidecar/tests/faults.rs
+++ b/crates/sidecar/tests/faults.rs
@@ -190,6 +190,30 @@
     expect_that!(seen.borrow().len(), eq(1));
 }
 
+#[gtest]
+#[actix_rt::test]
+async fn a_resend_whose_first_run_is_just_being_recorded_gets_its_answer() {
+    let (then, _) = answers("v1", 3);
+    let (nodes, seen) = by_turns(vec![refused(ErrorKind::InProgress, 300)], false, then).await;
+    let (_sidecar, base) = start(&nodes).await;
+    expect_that!(chat(&base, false, &NEVER).await.status, eq(200));
+    expect_that!(seen.borrow().len(), eq(2));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_resend_whose_first_run_goes_on_is_told_when_to_come_back() {
+    let (script, seen) = sends(vec![refused(ErrorKind::InProgress, 300)]);
+    let node = ScriptedNode::start("node-1", script).await;
+    let (_sidecar, base) = sidecar(settings(&[&node])).await;
+    let answer = chat(&base, false, &NEVER).await;
+    expect_that!(answer.status, eq(409));
+    let error = &answer.json()["error"];
+    expect_that!(error["kind"].as_str(), some(eq("in_progress")));
+    expect_that!(error["retry_after_ms"].as_u64(), some(eq(300)));
+    expect_that!(seen.borrow().len(), eq(4));
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn the_truth_about_a_lost_attempt_outlives_later_refusals() {
