--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -32,6 +32,10 @@
         command: crate::overhead::overload_command,
         run: crate::overhead::run_overload,
     },
+    Subcommand {
+        command: crate::model::command,
+        run: crate::model::run,
+    },
     Subcommand {
         command: crate::standins::command,
         run: crate::standins::run,
--- a/crates/standin/src/engine/model/step.rs
+++ b/crates/standin/src/engine/model/step.rs
@@ -63,12 +63,13 @@
         }
         let prefill = self.assign_prefill();
         let shape = self.shape();
-        self.meter.step_begins(now_us, &shape);
         self.mark_started(now_us);
+        self.count_waits();
         let sequences = self.running.len() as f64;
         let step_ms = shape.noisy_base_ms
             + self.settings.per_sequence_ms * sequences
             + self.settings.per_prefill_token_ms * f64::from(prefill);
+        self.meter.step_begins(now_us, &shape, step_ms);
         self.step_ms += STEP_WEIGHT * (step_ms - self.step_ms);
         let step_us = ((step_ms * 1_000.0) as u64).max(1);
         self.step = Some(Step {
@@ -97,6 +98,21 @@
         }
     }
 
+    /// Counts the step for each online sequence that waits while batch is served.
+    fn count_waits(&mut self) {
+        let batch = || self.running.iter().filter(|sequence| !sequence.online);
+        let batch_prefills = batch().any(|sequence| sequence.prefill_now > 0);
+        if batch().next().is_none() {
+            return;
+        }
+        let entered = self.running.iter().filter(|_| batch_prefills);
+        let behind = entered.chain(&self.waiting);
+        for sequence in behind.filter(|sequence| sequence.online && !sequence.ran) {
+            self.records
+                .change(sequence.record, |record| record.steps_behind_batch += 1);
+        }
+    }
+
     fn shape(&mut self) -> StepShape {
         let mut shape = StepShape {
             noisy_base_ms: self.noisy_base_ms(),
