--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -142,9 +142,11 @@
         loop {
             self.learn_peers();
             self.note_lost();
-            for address in self.wanted() {
-                self.dial(address);
+            let wanted = self.wanted();
+            for address in &wanted {
+                self.dial_when_down(address);
             }
+            self.close_spare(&wanted);
             self.count();
             let _ = tokio::time::timeout(LOOK_INTERVAL, self.changed.notified()).await;
         }
@@ -190,7 +192,7 @@
         }
     }
 
-    /// Addresses to dial now, so that the nearest nodes are linked, one of another zone among them.
+    /// Addresses to keep links to: the nearest nodes, one of another zone among them.
     fn wanted(&self) -> Vec<String> {
         let known = self.known.borrow();
         let settings = &self.shared.settings;
@@ -215,15 +217,34 @@
         }
         wanted
             .into_iter()
-            .filter(|(_, entry)| matches!(entry.state, State::Idle | State::Waiting(_)))
             .map(|(address, _)| address.clone())
             .collect()
     }
 
-    fn dial(self: &Rc<Self>, address: String) {
-        if let Some(entry) = self.known.borrow_mut().get_mut(&address) {
-            entry.state = State::Dialling;
+    /// Closes unused links beyond those wanted, while enough others are up.
+    fn close_spare(&self, wanted: &[String]) {
+        let mut known = self.known.borrow_mut();
+        let up = known
+            .values()
+            .filter(|entry| entry.takes_new_work())
+            .count();
+        let spare = up.saturating_sub(self.shared.settings.links);
+        known
+            .iter_mut()
+            .filter(|(address, entry)| entry.takes_new_work() && !wanted.contains(address))
+            .filter(|(_, entry)| entry.link().is_some_and(|link| link.open_streams() == 0))
+            .take(spare)
+            .for_each(|(_, entry)| entry.state = State::Idle);
+    }
+
+    fn dial_when_down(self: &Rc<Self>, address: &str) {
+        match self.known.borrow_mut().get_mut(address) {
+            Some(entry) if matches!(entry.state, State::Idle | State::Waiting(_)) => {
+                entry.state = State::Dialling;
+            }
+            _ => return,
         }
+        let address = address.to_owned();
         let links = self.clone();
         actix_rt::spawn(async move {
             let hello = links.hello();
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -6,7 +6,7 @@
 
 use actix_web::dev::ServerHandle;
 use actix_web::http::Method;
-use actix_web::web::{self, Data, ServiceConfig};
+use actix_web::web::{self, Data, QueryConfig, ServiceConfig};
 use actix_web::{App, HttpResponse, HttpServer};
 use dappleyard_settings::SidecarSettings;
 use dappleyard_transport::policy::SharedPolicy;
@@ -109,6 +109,9 @@
 
 fn routes(config: &mut ServiceConfig) {
     config
+        .app_data(QueryConfig::default().error_handler(|error, _| {
+            ApiError::invalid("", format!("the query is not valid: {error}")).into()
+        }))
         .route("/metrics", web::get().to(health::metrics))
         .route("/healthz", web::get().to(health::healthz))
         .route("/readyz", web::get().to(health::readyz))
--- a/crates/sidecar/tests/faults.rs
+++ b/crates/sidecar/tests/faults.rs
@@ -57,11 +57,7 @@
 
 async fn start(nodes: &[ScriptedNode]) -> (SidecarHandle, String) {
     let (handle, base) = sidecar(settings(&nodes.iter().collect::<Vec<_>>())).await;
-    until(async || {
-        let metrics = support::get(&format!("{base}/metrics")).await.body;
-        metrics.contains(&format!("dappleyard_sidecar_links {}", nodes.len()))
-    })
-    .await;
+    support::wait_links(&base, nodes.len() as u64).await;
     (handle, base)
 }
 
@@ -370,11 +366,7 @@
     let mut bounds = settings(&nodes.iter().collect::<Vec<_>>());
     bounds.hedge_after_ms = 50;
     let (_sidecar, base) = sidecar(bounds).await;
-    until(async || {
-        let metrics = support::get(&format!("{base}/metrics")).await.body;
-        metrics.contains("dappleyard_sidecar_links 2")
-    })
-    .await;
+    support::wait_links(&base, 2).await;
     let answer = chat(&base, true, &[]).await;
     expect_that!(answer.streamed_text(), eq(&text("v1", 5)));
     until(async || cancelled.get() == 1).await;
--- a/crates/sidecar/tests/hostile_input.rs
+++ b/crates/sidecar/tests/hostile_input.rs
@@ -11,12 +11,15 @@
 use dappleyard_wire::messages::{Chunk, frame};
 use googletest::prelude::*;
 use support::{
-    Received, Script, ScriptedNode, accepted, answers, chat_body, finish, get, post, refused,
-    sends, settings, sidecar, text, until,
+    Received, Script, ScriptedNode, accepted, answers, chat_body, finish, get, metric, post,
+    refused, sends, settings, sidecar, text, until,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+/// Gauge of requests being served.
+const OPEN: &str = "dappleyard_sidecar_open_requests";
+
 struct Place {
     _node: ScriptedNode,
     _sidecar: SidecarHandle,
@@ -66,11 +69,7 @@
             answer.headers,
             answer.body
         );
-        until(async || {
-            let metrics = get(&format!("{}/metrics", self.base)).await.body;
-            metrics.contains("dappleyard_sidecar_open_requests 0")
-        })
-        .await;
+        until(async || metric(&self.base, OPEN).await == 0).await;
     }
 }
 
@@ -266,22 +265,13 @@
         body.len()
     );
     let mut socket = place.raw(request.as_bytes()).await;
-    until(async || open_requests(&place).await == 1).await;
+    until(async || metric(&place.base, OPEN).await == 1).await;
     socket.shutdown().await.unwrap();
-    until(async || open_requests(&place).await == 0).await;
+    until(async || metric(&place.base, OPEN).await == 0).await;
     let metrics = get(&format!("{}/metrics", place.base)).await.body;
     expect_that!(metrics, contains_substring("callers_gone_total 1"));
 }
 
-async fn open_requests(place: &Place) -> u64 {
-    let metrics = get(&format!("{}/metrics", place.base)).await.body;
-    let line = metrics
-        .lines()
-        .find(|line| line.starts_with("dappleyard_sidecar_open_requests "));
-    line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
-        .unwrap_or(0)
-}
-
 #[gtest]
 #[actix_rt::test]
 async fn requests_beyond_the_bound_are_refused_at_once() {
@@ -295,11 +285,7 @@
     let url = format!("{base}/v1/chat/completions");
     let first = awc::Client::default();
     let waiting = actix_rt::spawn(first.post(&url).send_body(chat_body(false)));
-    until(async || {
-        let metrics = get(&format!("{base}/metrics")).await.body;
-        metrics.contains("dappleyard_sidecar_open_requests 1")
-    })
-    .await;
+    until(async || metric(&base, OPEN).await == 1).await;
     let answer = post(&url, &[], chat_body(false)).await;
     expect_error(&answer, 503, "overloaded", None);
     expect_that!(answer.headers.get("retry-after").is_some(), eq(true));
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -15,6 +15,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// Counter of attempts.
+const ATTEMPTS: &str = "dappleyard_sidecar_attempts_total";
+
 /// What a scripted node does with each stream.
 pub type Script = Rc<dyn Fn(ServerStream)>;
 
@@ -261,21 +264,25 @@
         "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n{extra}Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
-    let before = attempts(base).await;
+    let before = metric(base, ATTEMPTS).await;
     socket.write_all(request.as_bytes()).await.unwrap();
-    until(async || attempts(base).await > before).await;
+    until(async || metric(base, ATTEMPTS).await > before).await;
     drop(socket);
 }
 
-async fn attempts(base: &str) -> u64 {
+/// First value of a metric; 0 when it is not there.
+pub async fn metric(base: &str, name: &str) -> u64 {
     let metrics = get(&format!("{base}/metrics")).await.body;
-    let line = metrics
-        .lines()
-        .find(|line| line.starts_with("dappleyard_sidecar_attempts_total"));
+    let line = metrics.lines().find(|line| line.starts_with(name));
     line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
         .unwrap_or(0)
 }
 
+/// Waits until the sidecar has this many links.
+pub async fn wait_links(base: &str, links: u64) {
+    until(async || metric(base, "dappleyard_sidecar_links").await == links).await;
+}
+
 /// A script that keeps uploaded files and batches of one kind in memory.
 pub fn stores_files() -> Script {
     use dappleyard_wire::messages::{FileData, FileState, Reply, call, reply};
