--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -16,6 +16,14 @@
         command: crate::run::command,
         run: crate::run::run,
     },
+    Subcommand {
+        command: crate::overhead::overhead_command,
+        run: crate::overhead::run_overhead,
+    },
+    Subcommand {
+        command: crate::overhead::overload_command,
+        run: crate::overhead::run_overload,
+    },
     Subcommand {
         command: crate::compare::command,
         run: crate::compare::run,
@@ -25,12 +33,12 @@
         run: crate::capacity::run,
     },
     Subcommand {
-        command: crate::overhead::overhead_command,
-        run: crate::overhead::run_overhead,
+        command: crate::report::command,
+        run: crate::report::run,
     },
     Subcommand {
-        command: crate::overhead::overload_command,
-        run: crate::overhead::run_overload,
+        command: crate::tradeoff::command,
+        run: crate::tradeoff::run,
     },
     Subcommand {
         command: crate::model::command,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod model;
 pub mod network;
 pub mod overhead;
+pub mod report;
 pub mod run;
 pub mod scenario;
 pub mod standins;
+pub mod tradeoff;
