--- a/crates/batch/src/runner/run_item.rs
+++ b/crates/batch/src/runner/run_item.rs
@@ -5,12 +5,12 @@
 use dappleyard_engine::{EngineError, EngineEvent, GenerateCall, Priority};
 use dappleyard_tables::directory::ServerEntry;
 use dappleyard_tables::servers::InFlight;
+use dappleyard_wire::ErrorKind;
 use dappleyard_wire::ids::RequestId;
-use dappleyard_wire::{ErrorKind, prompt};
 use futures::StreamExt;
 
 use super::Runner;
-use super::state::RunningItem;
+use super::state::{RunningItem, SequenceMemory};
 use super::work::WorkItem;
 use crate::output::{ItemAnswer, ItemOutcome};
 
@@ -37,10 +37,11 @@
 pub fn start(runner: &Rc<Runner>, entry: ServerEntry, mut item: WorkItem) {
     let attempt = item.next_attempt();
     let request = item.chunk.request_id(item.index);
+    let now = runner.tables.clock.now();
     let flight = InFlight {
         tokens: item.kv_tokens(),
         prefill_tokens: item.item().prompt_tokens,
-        since: runner.tables.clock.now(),
+        since: now,
         started: false,
     };
     runner
@@ -53,6 +54,8 @@
         chunk: item.chunk.clone(),
         stream: None,
         stopping: false,
+        memory: SequenceMemory::of(&item),
+        started_at: now,
     };
     let mut state = runner.state.borrow_mut();
     let server = state.servers.entry(entry.server.clone()).or_default();
@@ -75,6 +78,7 @@
     runner.tables.servers.end_batch(&entry.server, &request);
     remove_running(&runner, &entry, &request, attempt);
     item.last_server = Some(entry.server.clone());
+    item.stopped_at = runner.tables.clock.now();
     finish(&runner, &entry, item, ended);
     runner.dispatch_wake.notify_one();
     runner.claim_wake.notify_one();
@@ -181,8 +185,8 @@
         adapter: input.adapter.clone(),
         prompt: input.prompt.clone(),
         prompt_tokens: input.prompt_tokens,
-        prefix_hash: prompt::prefix_hash(&input.prompt),
-        prefix_tokens: 0,
+        prefix_hash: input.prefix_hash,
+        prefix_tokens: input.prefix_tokens,
         max_tokens: input.max_tokens,
         priority: Priority::BATCH,
         resume_offset: u32::try_from(item.pieces.len()).unwrap_or(u32::MAX),
@@ -213,15 +217,15 @@
         })
     };
     if stopping {
-        cancel_stream(runner, &entry.base_url, &stream).await;
+        cancel_streams(runner, &entry.base_url, &[stream]).await;
     }
 }
 
-/// Tells an engine to stop a stream. A failure is harmless: the engine keeps running an item whose
-/// result is dropped, or its loss is seen on the stream itself.
-pub async fn cancel_stream(runner: &Runner, base: &str, stream: &str) {
-    if let Err(error) = runner.engine.cancel(base, stream).await {
-        tracing::debug!(%error, stream, "a stream was not cancelled");
+/// Tells an engine to stop streams. A failure is harmless: the engine keeps running items whose
+/// results are dropped, or its loss is seen on the streams themselves.
+pub async fn cancel_streams(runner: &Runner, base: &str, streams: &[String]) {
+    if let Err(error) = runner.engine.cancel_all(base, streams).await {
+        tracing::debug!(%error, base, "streams were not cancelled");
     }
 }
 
