--- a/crates/standin/tests/platform_state.rs
+++ b/crates/standin/tests/standin/platform_state.rs
@@ -1,5 +1,7 @@
 //! States of the platform's services, without sockets.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use dappleyard_platform::{Expect, Machine, MachineRole, StoreError, Transaction};
 use dappleyard_standin::platform::PlatformStandInSettings;
@@ -134,6 +136,33 @@
     );
 }
 
+#[gtest]
+fn history_tells_each_written_row_and_when() {
+    let started = Instant::now();
+    let mut tables = tables();
+    tables
+        .transact(put("job/1", "x").put("chunk/1", "x"))
+        .expect("applied");
+    tables.transact(put("other", "x")).expect("applied");
+    tables
+        .transact(Transaction::default().delete("job/1").delete("job/2"))
+        .expect("applied");
+    let history = tables.history(&["job/", "chunk/"], started);
+    let rows: Vec<(u64, &str, bool)> = history
+        .iter()
+        .map(|row| (row.revision, row.key.as_str(), row.value.is_some()))
+        .collect();
+    expect_that!(
+        rows,
+        eq(&[
+            (1, "job/1", true),
+            (1, "chunk/1", true),
+            (3, "job/1", false)
+        ])
+    );
+    expect_true!(history.is_sorted_by_key(|row| row.at_ms));
+}
+
 fn machine(name: &str) -> Machine {
     Machine {
         name: name.to_owned(),
