--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -54,7 +54,7 @@
     /// Engine reports come `amount` milliseconds later.
     #[display("engine report lag")]
     EngineReportLag,
-    /// `amount` percent of cache events are lost.
+    /// All cache events are lost.
     #[display("cache events dropped")]
     CacheEventsDropped,
     /// Clients send every must-not-repeat request and every job twice.
