Probe the yield also by steps of usual length, and take empty engines' steps at their mean

Cause: the width that a step allows follows its own noise (sigma 0.25), so at a batch of just the usual width about half of the steps do not pass and the probe measured noise; an empty engine's steps were taken at the base, 5.2% below their mean. Change: usual_probe beside probe (which stays as it is); idle time of an empty engine and the ceiling use the mean step.

--- a/crates/standin/src/engine/host.rs
+++ b/crates/standin/src/engine/host.rs
@@ -12,7 +12,8 @@
 
 use super::driver::{self, Slots, Wakeups};
 use super::http::{self, SlotsByName};
-use super::meter::{Meter, Sample, YieldProbe};
+use super::meter::{Meter, Sample};
+use super::probe::YieldProbe;
 use super::record::RunRecord;
 use super::settings::EngineSpec;
 use super::slot::Slot;
@@ -78,8 +79,10 @@
     pub online_alone_ms: f64,
     /// Time by which the machine was too late for its steps, microseconds.
     pub stalled_us: u64,
-    /// How soon batch yielded to online bursts.
+    /// How soon batch yielded to online bursts, by what each step allowed.
     pub probe: YieldProbe,
+    /// The same, by what a step of usual length allows.
+    pub usual_probe: YieldProbe,
 }
 
 /// Starts hosts of engines.
@@ -315,6 +318,7 @@
         self.online_alone_ms += other.online_alone_ms;
         self.stalled_us += other.stalled_us;
         self.probe.merge(&other.probe);
+        self.usual_probe.merge(&other.usual_probe);
     }
 }
 
@@ -331,6 +335,7 @@
             online_alone_ms,
             stalled_us: meter.stalled_us(),
             probe: meter.probe().clone(),
+            usual_probe: meter.usual_probe().clone(),
         });
     }
     total
--- a/crates/standin/src/engine/meter.rs
+++ b/crates/standin/src/engine/meter.rs
@@ -1,9 +1,8 @@
-//! Idle capacity, widths over time, and how soon batch yields to an online burst.
-
-use std::collections::BTreeMap;
+//! Idle capacity, widths over time, harm to online steps, and how soon batch yields.
 
 use serde::Serialize;
 
+use super::probe::{Prober, YieldProbe};
 use super::settings::EngineModelSettings;
 
 /// Most samples kept for each engine: an hour at the usual interval.
@@ -28,36 +27,6 @@
     pub online_tokens: u64,
 }
 
-/// Histogram of how soon batch was out of the way of online bursts.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
-pub struct YieldProbe {
-    /// Bursts by engine steps until the batch width was allowed.
-    pub steps: BTreeMap<u32, u64>,
-    /// Bursts by milliseconds, rounded up.
-    pub milliseconds: BTreeMap<u64, u64>,
-    /// Bursts that ended before batch had yielded.
-    pub never: u64,
-}
-
-impl YieldProbe {
-    /// Adds the bursts of another probe.
-    pub fn merge(&mut self, other: &YieldProbe) {
-        for (steps, bursts) in &other.steps {
-            *self.steps.entry(*steps).or_default() += bursts;
-        }
-        for (milliseconds, bursts) in &other.milliseconds {
-            *self.milliseconds.entry(*milliseconds).or_default() += bursts;
-        }
-        self.never += other.never;
-    }
-}
-
-#[derive(Debug, Clone, Copy)]
-struct OpenProbe {
-    since_us: u64,
-    steps: u32,
-}
-
 /// One step as the meter sees it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StepShape {
@@ -86,7 +55,7 @@
     maximum_sequences: u32,
     total_blocks: u32,
     quiet_us: u64,
-    idle_cost_ms: f64,
+    usual_base_ms: f64,
     mean_batch_blocks: f64,
     idle_tokens: f64,
     batch_tokens: u64,
@@ -94,8 +63,8 @@
     sampled: (f64, u64, u64),
     samples: Vec<Sample>,
     online_ended_us: Option<u64>,
-    open: Option<OpenProbe>,
-    probe: YieldProbe,
+    probe: Prober,
+    usual_probe: Prober,
     steps: u64,
     online_step_ms: f64,
     online_alone_ms: f64,
@@ -115,7 +84,7 @@
             maximum_sequences: settings.maximum_sequences,
             total_blocks: settings.total_blocks(),
             quiet_us: EngineModelSettings::micros(settings.probe_quiet_ms),
-            idle_cost_ms: settings.base_ms,
+            usual_base_ms: settings.usual_base_ms(),
             mean_batch_blocks: f64::from(typical),
             idle_tokens: 0.0,
             batch_tokens: 0,
@@ -123,8 +92,8 @@
             sampled: (0.0, 0, 0),
             samples: Vec::new(),
             online_ended_us: Some(0),
-            open: None,
-            probe: YieldProbe::default(),
+            probe: Prober::default(),
+            usual_probe: Prober::default(),
             steps: 0,
             online_step_ms: 0.0,
             online_alone_ms: 0.0,
@@ -169,9 +138,15 @@
         &self.samples
     }
 
-    /// How soon batch yielded.
+    /// How soon batch yielded to what each step allowed with its own noise.
     pub fn probe(&self) -> &YieldProbe {
-        &self.probe
+        &self.probe.seen
+    }
+
+    /// How soon batch yielded to what a step of usual length allows: a short step allows less, which
+    /// nobody can know before.
+    pub fn usual_probe(&self) -> &YieldProbe {
+        &self.usual_probe.seen
     }
 
     pub(super) fn stalled(&mut self, microseconds: u64) {
@@ -214,12 +189,15 @@
         }
         let allowed = self.allowed_width(step);
         self.idle_tokens += f64::from(allowed);
-        let Some(open) = self.open else { return };
         if step.online > 0 && step.batch <= allowed {
-            let waited_ms = now_us.saturating_sub(open.since_us).div_ceil(1_000);
-            *self.probe.steps.entry(open.steps).or_default() += 1;
-            *self.probe.milliseconds.entry(waited_ms).or_default() += 1;
-            self.open = None;
+            self.probe.yielded(now_us);
+        }
+        let usual = StepShape {
+            noisy_base_ms: self.usual_base_ms,
+            ..*step
+        };
+        if step.online > 0 && step.batch <= self.allowed_width(&usual) {
+            self.usual_probe.yielded(now_us);
         }
     }
 
@@ -227,15 +205,14 @@
     pub(super) fn step_ended(&mut self, online_tokens: u64, batch_tokens: u64) {
         self.online_tokens += online_tokens;
         self.batch_tokens += batch_tokens;
-        if let Some(open) = &mut self.open {
-            open.steps += 1;
-        }
+        self.probe.step_ended();
+        self.usual_probe.step_ended();
     }
 
     /// The engine had nothing at all to do for some time: it could have run full batches.
     pub(super) fn idle_for(&mut self, microseconds: u64) {
         let empty = StepShape {
-            noisy_base_ms: self.idle_cost_ms,
+            noisy_base_ms: self.usual_base_ms,
             online: 0,
             batch: 0,
             online_prefill: 0,
@@ -244,7 +221,7 @@
             batch_blocks: 0,
         };
         let width = f64::from(self.allowed_width(&empty));
-        let step_ms = self.idle_cost_ms + self.per_sequence_ms * width;
+        let step_ms = self.usual_base_ms + self.per_sequence_ms * width;
         self.idle_tokens += microseconds as f64 / 1_000.0 / step_ms * width;
     }
 
@@ -253,10 +230,8 @@
         let quiet_since = self.online_ended_us.filter(|_| others == 0);
         let quiet = quiet_since.is_some_and(|since| now_us - since.min(now_us) >= self.quiet_us);
         if quiet {
-            self.open = Some(OpenProbe {
-                since_us: now_us,
-                steps: 0,
-            });
+            self.probe.burst_begins(now_us);
+            self.usual_probe.burst_begins(now_us);
         }
         self.online_ended_us = None;
     }
@@ -264,9 +239,8 @@
     /// The last online sequence has gone.
     pub(super) fn online_gone(&mut self, now_us: u64) {
         self.online_ended_us = Some(now_us);
-        if self.open.take().is_some() {
-            self.probe.never += 1;
-        }
+        self.probe.burst_ends();
+        self.usual_probe.burst_ends();
     }
 
     /// Takes a sample.
--- a/crates/standin/src/engine/model/step.rs
+++ b/crates/standin/src/engine/model/step.rs
@@ -140,7 +140,7 @@
     /// The batch width that the definition of idle capacity allows for the sequences now in the
     /// engine, with a step of usual length: what the best policy would keep to.
     pub fn allowed_batch(&self) -> u32 {
-        let usual_ms = self.settings.base_ms;
+        let usual_ms = self.settings.usual_base_ms();
         self.meter.allowed_width(&self.shape(usual_ms))
     }
 
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -103,6 +103,13 @@
         self.memory_tokens / self.block_tokens.max(1)
     }
 
+    /// Mean time of a step without sequences, its noise and the slow steps included, milliseconds.
+    pub fn usual_base_ms(&self) -> f64 {
+        let noise = (self.noise_sigma * self.noise_sigma / 2.0).exp();
+        let slow = 1.0 + self.slow_step_share * (self.slow_step_factor - 1.0);
+        self.base_ms * noise * slow
+    }
+
     /// Microseconds of some milliseconds.
     pub(crate) fn micros(milliseconds: u64) -> u64 {
         milliseconds.saturating_mul(1_000)
--- a/crates/standin/tests/standin/meters.rs
+++ b/crates/standin/tests/standin/meters.rs
@@ -49,4 +49,9 @@
     // Two steps passed before the cancel, and the one at hand had begun.
     expect_that!(probe.steps, eq(&[(3, 1)].into()));
     expect_that!(probe.never, eq(0));
+    expect_that!(
+        meter.usual_probe(),
+        eq(probe),
+        "without noise they are the same"
+    );
 }
