Carry calls out that reached an engine while it hung

Cause: a call to a hanging engine was never answered, also after the engine went on; a stopped process that goes on carries out what waits in its sockets, and that is the harder case for callers. Change: such calls wait and are carried out; a test has 40 callers while the engine hangs, dies and starts again.

--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -17,6 +17,8 @@
 
 /// Largest body of a call, bytes.
 pub(super) const MAXIMUM_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// How often a call that waits for a hanging engine looks at it.
+const HANG_POLL: Duration = Duration::from_millis(10);
 /// Tokens of moved KV state up to which the transfer takes time.
 const MAXIMUM_MOVED_TOKENS: u32 = 1_000_000;
 /// A blank line is sent after this long without an event, so that a silent stream is told apart
@@ -62,25 +64,40 @@
     found.ok_or(CallError::NoSuchEngine)
 }
 
+/// Calls an engine. A call to one that hangs waits, and is carried out when the engine goes on, as
+/// with a process that was stopped: its caller may have given up by then.
+async fn call_engine<T>(
+    slots: &SlotsByName,
+    server: &str,
+    call: impl Fn(&Arc<Slot>) -> Result<T, CallError>,
+) -> Result<T, CallError> {
+    loop {
+        match find(slots, server).and_then(|slot| call(&slot)) {
+            Err(CallError::Hung) => tokio::time::sleep(HANG_POLL).await,
+            other => return other,
+        }
+    }
+}
+
 async fn generate(
     slots: web::Data<SlotsByName>,
     server: web::Path<String>,
     call: web::Json<GenerateCall>,
 ) -> HttpResponse {
-    match find(&slots, &server).and_then(|slot| slot.generate(&call)) {
+    match call_engine(&slots, &server, |slot| slot.generate(&call)).await {
         Ok(reader) => HttpResponse::Ok()
             .content_type("application/x-ndjson")
             .streaming(lines(reader)),
-        Err(error) => failed(error).await,
+        Err(error) => failed(error),
     }
 }
 
 async fn cancel(slots: web::Data<SlotsByName>, path: web::Path<(String, String)>) -> HttpResponse {
     let (server, stream) = path.into_inner();
-    match find(&slots, &server).and_then(|slot| slot.cancel(&stream)) {
+    match call_engine(&slots, &server, |slot| slot.cancel(&stream)).await {
         Ok(true) => HttpResponse::Ok().finish(),
         Ok(false) => HttpResponse::NotFound().body("no such stream"),
-        Err(error) => failed(error).await,
+        Err(error) => failed(error),
     }
 }
 
@@ -121,13 +138,17 @@
     server: web::Path<String>,
     query: web::Json<KvQuery>,
 ) -> HttpResponse {
-    match find(&slots, &server).and_then(|slot| slot.export_kv(&query).map(|state| (slot, state))) {
+    let exported = call_engine(&slots, &server, |slot| {
+        let state = slot.export_kv(&query)?;
+        Ok((slot.clone(), state))
+    });
+    match exported.await {
         Ok((slot, state)) => {
             let tokens = state.prefix_tokens.saturating_add(state.tokens);
             tokio::time::sleep(slot.transfer_time(tokens)).await;
             HttpResponse::Ok().json(state)
         }
-        Err(error) => failed(error).await,
+        Err(error) => failed(error),
     }
 }
 
@@ -146,15 +167,15 @@
 async fn answer<T: serde::Serialize>(
     slots: &SlotsByName,
     server: &str,
-    call: impl FnOnce(&Slot) -> Result<T, CallError>,
+    call: impl Fn(&Slot) -> Result<T, CallError>,
 ) -> HttpResponse {
-    match find(slots, server).and_then(|slot| call(&slot)) {
+    match call_engine(slots, server, |slot| call(slot)).await {
         Ok(body) => HttpResponse::Ok().json(body),
-        Err(error) => failed(error).await,
+        Err(error) => failed(error),
     }
 }
 
-async fn failed(error: CallError) -> HttpResponse {
+fn failed(error: CallError) -> HttpResponse {
     match error {
         CallError::NoSuchEngine => HttpResponse::NotFound().body("no such engine"),
         CallError::Refused(refusal) => {
@@ -162,9 +183,8 @@
             HttpResponse::build(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE))
                 .body(refusal.reason)
         }
-        CallError::Hung => futures::future::pending().await,
         // The body breaks before its first byte: the connection is closed without an answer.
-        CallError::Dead => {
+        CallError::Dead | CallError::Hung => {
             HttpResponse::Ok().streaming(futures::stream::iter([Err::<Bytes, EngineLost>(
                 EngineLost,
             )]))
--- a/crates/standin/tests/standin/engines_over_http.rs
+++ b/crates/standin/tests/standin/engines_over_http.rs
@@ -282,3 +282,49 @@
         }
     });
 }
+
+#[gtest]
+fn answers_that_end_are_whole_while_the_engine_dies_and_hangs() {
+    run(async {
+        let host = host();
+        let (engine, base) = (client(), host.base(SERVER));
+        let callers = (0..40).map(|number| {
+            let (engine, base) = (&engine, &base);
+            async move {
+                let prompt = format!("caller {number}");
+                let call = call(&prompt, 60, number % 2 == 0);
+                match collect(engine, base, call).await {
+                    Ok((text, _)) => {
+                        expect_that!(text, eq(&text::expected("v1", &prompt, 60).text));
+                        1
+                    }
+                    Err(_) => 0,
+                }
+            }
+        });
+        let faults = async {
+            for round in 0..6 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                if round % 3 == 2 {
+                    host.kill(SERVER);
+                    host.revive(SERVER);
+                } else {
+                    host.set_hung(SERVER, round % 3 == 0);
+                }
+            }
+            host.set_hung(SERVER, false);
+        };
+        let (first, ()) = futures::join!(futures::future::join_all(callers), faults);
+        let lost = first.iter().filter(|whole| **whole == 0).count();
+        while host.records().iter().any(|run| run.end.is_none()) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let records = host.records();
+        let runs_lost = records.iter().filter(|run| run.end == Some(RunEnd::Lost));
+        expect_that!(
+            runs_lost.count(),
+            le(lost),
+            "whoever was lost has been told"
+        );
+    });
+}
