Membership: ask for the whole list after several digests that differ; load reports spaced by the size of the cell

Cause: 100 hollow nodes that started at once took 24 s to know each other: each had 600 updates to send, seven in a datagram; and a node in a full cell sent and received 8.6 KB/s. Change: after four differing digests a node asks the peer for its list over a link, at most every four seconds; load reports go to single members at most every 45 ms. Result: not measured yet.

--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -111,6 +111,8 @@
     next_probe: Millis,
     next_survey: Millis,
     rounds: u64,
+    differing_digests: u32,
+    differs_from: Option<String>,
     standing: standing::Evidence,
 }
 
@@ -131,6 +133,8 @@
             next_probe: now,
             next_survey: now,
             rounds: 0,
+            differing_digests: 0,
+            differs_from: None,
             standing: standing::Evidence::new(now),
         };
         membership.announce_self();
--- a/crates/decide/src/membership/gossip.rs
+++ b/crates/decide/src/membership/gossip.rs
@@ -19,6 +19,8 @@
 const UPDATE_OVERHEAD_BYTES: usize = 3;
 /// Members sent to one whose member list differs.
 const REPAIR_MEMBERS: usize = 8;
+/// Digests in a row that differ before the whole list is asked for.
+const DIFFERING_DIGESTS: u32 = 4;
 
 impl Membership {
     /// Takes a datagram. Bodies other than probes and acknowledgements are the caller's.
@@ -50,7 +52,9 @@
             Some(Body::IndirectProbe(request)) => {
                 self.probe_for_other(from, request, now, &mut actions);
             }
-            Some(Body::Digest(digest)) => self.compare_digest(from, digest, rng, &mut actions),
+            Some(Body::Digest(digest)) => {
+                self.compare_digest(from, &datagram.from, digest, rng, &mut actions);
+            }
             _ => {}
         }
         actions
@@ -83,13 +87,19 @@
     fn compare_digest<R: Rng>(
         &mut self,
         from: SocketAddr,
+        sender: &str,
         digest: &SyncDigest,
         rng: &mut R,
         actions: &mut Vec<Action>,
     ) {
         if digest.members_hash == self.members_hash() {
+            self.differing_digests = 0;
             return;
         }
+        self.differing_digests += 1;
+        if self.differing_digests >= DIFFERING_DIGESTS {
+            self.differs_from = Some(sender.to_owned());
+        }
         let mut datagram = self.header();
         datagram.members = self.repair_members(rng);
         if !digest.want_entries {
@@ -98,12 +108,25 @@
         actions.push(Action::Send { to: from, datagram });
     }
 
-    /// Takes statements about members that came over another way than a datagram.
+    /// A member whose list differs, after several digests in a row that did: many members have come
+    /// or gone at once, and its whole list should be asked for.
+    pub fn take_differing(&mut self) -> Option<String> {
+        self.differing_digests = 0;
+        self.differs_from.take()
+    }
+
+    /// Takes the whole list of another member. It is not passed on: others ask for theirs.
     pub fn learn_all(&mut self, members: &[Member], now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
+        let waiting = self.updates.clone();
+        let incarnation = self.own.incarnation;
         for member in members {
             self.learn(member, now, &mut actions);
         }
+        self.updates = waiting;
+        if self.own.incarnation != incarnation {
+            self.announce_self();
+        }
         actions
     }
 
--- a/crates/fleet/src/actor.rs
+++ b/crates/fleet/src/actor.rs
@@ -38,6 +38,9 @@
 const TICK_MS: u64 = 100;
 /// Time after which dead and left members are forgotten, milliseconds.
 const FORGET_MS: u64 = 60_000;
+/// Shortest mean time between two load reports to single members, milliseconds: a large cell hears
+/// less often, so that the traffic of a node stays within its budget.
+const LOAD_SPACING_MS: u64 = 45;
 /// Time over which nodes spread their readings after a large change of the list, milliseconds.
 const REREAD_SPREAD_MS: u64 = 5_000;
 /// Times that a leaving node says so, and the pause between, milliseconds.
@@ -187,8 +190,12 @@
         self.push_fresh();
         self.ask_for_missing();
         if now >= self.due.load {
-            self.due.load = now.plus(self.settings.load_interval_ms);
-            self.send_load();
+            let receivers = self.send_load() as u64;
+            let interval = self
+                .settings
+                .load_interval_ms
+                .max(receivers * LOAD_SPACING_MS);
+            self.due.load = now.plus(interval);
         }
         if now >= self.due.aggregate {
             self.due.aggregate = self.later(self.settings.aggregate_interval_ms);
--- a/crates/fleet/src/actor/calls.rs
+++ b/crates/fleet/src/actor/calls.rs
@@ -15,6 +15,8 @@
 
 /// Pause between two attempts to learn the snapshot, milliseconds.
 pub(super) const SYNC_RETRY_MS: u64 = 300;
+/// Shortest time between two snapshots of a node that has started, milliseconds.
+const SYNC_PAUSE_MS: u64 = 4_000;
 /// The same, when the store has failed several times, milliseconds.
 const LONGEST_SYNC_RETRY_MS: u64 = 5_000;
 /// Peers asked in vain before the store is read.
@@ -143,6 +145,7 @@
     /// the store when no peer answers.
     fn start_sync(&mut self, now: Millis, context: &mut Context<Self>) {
         let wanted = self.snapshot_from.take();
+        let wanted = wanted.or_else(|| self.membership.take_differing());
         if self.synced && wanted.is_none() {
             return;
         }
@@ -177,7 +180,12 @@
         let asking = async move { dialler.cell_sync(&identity, &address).await };
         let done = asking.into_actor(self).map(|answer, actor, _| {
             actor.running.sync = false;
-            actor.due.sync = actor.later(SYNC_RETRY_MS);
+            let pause = if actor.synced {
+                SYNC_PAUSE_MS
+            } else {
+                SYNC_RETRY_MS
+            };
+            actor.due.sync = actor.later(pause);
             actor.take_peer_snapshot(answer);
         });
         context.spawn(done);
--- a/crates/fleet/src/actor/outgoing.rs
+++ b/crates/fleet/src/actor/outgoing.rs
@@ -101,13 +101,15 @@
     }
 
     /// Reports this node's load to its cell.
-    pub(super) fn send_load(&mut self) {
-        let Some(report) = self.loads.report(&self.tables) else {
-            return;
-        };
-        for to in self.cell_addresses() {
-            self.send_body(to, Body::Load(report.clone()));
+    /// Returns the number of receivers.
+    pub(super) fn send_load(&mut self) -> usize {
+        let receivers = self.cell_addresses();
+        if let Some(report) = self.loads.report(&self.tables) {
+            for to in &receivers {
+                self.send_body(*to, Body::Load(report.clone()));
+            }
         }
+        receivers.len()
     }
 
     /// Addresses of the other members of this node's cell.
--- a/crates/lab/src/capacity/hollow.rs
+++ b/crates/lab/src/capacity/hollow.rs
@@ -30,6 +30,9 @@
 /// Bits of an incarnation below the number of the start.
 const REFUTATION_BITS: u32 = 16;
 
+/// Number of the first start, seconds since 1970.
+const FIRST_START: u64 = 1_780_000_000;
+
 /// Loss and cuts of the whole fleet.
 pub struct Faults {
     loss: f64,
@@ -157,7 +160,8 @@
         node: format!("node-{index:03}").into(),
         zone: format!("zone-{zone}").into(),
         region: format!("region-{}", zone % options.regions).into(),
-        incarnation: start << REFUTATION_BITS,
+        // As long as a real one, which is made of the wall clock.
+        incarnation: (FIRST_START + start) << REFUTATION_BITS,
     }
 }
 
--- a/crates/lab/src/capacity/measure.rs
+++ b/crates/lab/src/capacity/measure.rs
@@ -68,8 +68,8 @@
     datagrams_out: f64,
     machine_lists: f64,
     feed_reads: f64,
-    own_suspicions: f64,
-    false_deaths: f64,
+    own_suspicions: Vec<f64>,
+    false_deaths: Vec<f64>,
 }
 
 /// Starts the fleet, measures the window, then the losses.
@@ -77,6 +77,7 @@
     let memory_before = memory_bytes()?;
     let mut fleet = HollowFleet::start(options).await?;
     let start_s = wait_ready(&fleet).await?;
+    eprintln!("{} nodes ready after {start_s:.1} s", options.nodes);
     tokio::time::sleep(SETTLING).await;
     let journal = Journal::default();
     for node in &fleet.nodes {
@@ -109,6 +110,8 @@
     };
     let bytes_out = per_node(&after.bytes_out, &before.bytes_out);
     let bytes_in = per_node(&after.bytes_in, &before.bytes_in);
+    let suspicions = per_node(&after.own_suspicions, &before.own_suspicions);
+    let deaths = per_node(&after.false_deaths, &before.false_deaths);
     let sums = bytes_out
         .iter()
         .zip(&bytes_in)
@@ -124,8 +127,8 @@
         memory_mb: memory_after.saturating_sub(memory_before) as f64 / 1e6 / nodes,
         machine_lists: (after.machine_lists - before.machine_lists) / window / nodes,
         feed_reads: (after.feed_reads - before.feed_reads) / window,
-        false_suspicions_per_hour: (after.own_suspicions - before.own_suspicions) / window * 3600.0,
-        false_deaths: after.false_deaths - before.false_deaths,
+        false_suspicions_per_hour: suspicions.iter().sum::<f64>() * 3600.0,
+        false_deaths: deaths.iter().sum::<f64>() * window,
         in_force,
         detections,
         movement: movement(options, FleetSettings::default().cell_size),
@@ -200,8 +203,8 @@
         datagrams_out: 0.0,
         machine_lists: 0.0,
         feed_reads: 0.0,
-        own_suspicions: 0.0,
-        false_deaths: 0.0,
+        own_suspicions: Vec::new(),
+        false_deaths: Vec::new(),
     };
     for node in &fleet.nodes {
         let metrics = node.tables.metrics.gather();
@@ -215,8 +218,10 @@
         totals.datagrams_out += sum("dappleyard_fleet_datagrams_total", "out");
         totals.machine_lists += sum("dappleyard_fleet_calls_total", "machines");
         totals.feed_reads += sum("dappleyard_fleet_calls_total", "changes");
-        totals.own_suspicions += sum("dappleyard_fleet_own_suspicions_total", "");
-        totals.false_deaths += sum("dappleyard_fleet_false_deaths_total", "");
+        let suspicions = sum("dappleyard_fleet_own_suspicions_total", "");
+        totals.own_suspicions.push(suspicions);
+        let deaths = sum("dappleyard_fleet_false_deaths_total", "");
+        totals.false_deaths.push(deaths);
     }
     Ok(totals)
 }
