--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -30,7 +30,11 @@
 
 impl ScriptedNode {
     pub async fn start(id: &str, script: Script) -> ScriptedNode {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        ScriptedNode::start_at(id, "127.0.0.1:0", script).await
+    }
+
+    pub async fn start_at(id: &str, address: &str, script: Script) -> ScriptedNode {
+        let listener = TcpListener::bind(address).await.unwrap();
         let address = listener.local_addr().unwrap().to_string();
         let (announcement, receiver) = watch::channel(Announcement {
             ready: true,
--- a/crates/transport/src/datagram.rs
+++ b/crates/transport/src/datagram.rs
@@ -43,6 +43,8 @@
     /// Binds `address`; port 0 takes a free one. Must be called on an actix arbiter.
     pub async fn bind(address: SocketAddr, policy: SharedPolicy) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
+        // Until the runtime has seen the socket as writable, what is sent would be dropped.
+        socket.writable().await?;
         Ok(Self::from_socket(socket, policy))
     }
 
--- /dev/null
+++ b/crates/transport/tests/datagram.rs
@@ -0,0 +1,104 @@
+//! Datagrams between two sockets: what passes, what is dropped, what is not ours.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_transport::DatagramSocket;
+use dappleyard_transport::datagram::Received;
+use dappleyard_wire::messages::{Datagram, Probe, datagram};
+use googletest::prelude::*;
+use support::SwitchedPolicy;
+use tokio::time::Instant;
+
+async fn socket(policy: &Arc<SwitchedPolicy>) -> DatagramSocket {
+    let address = "127.0.0.1:0".parse().unwrap();
+    DatagramSocket::bind(address, policy.clone()).await.unwrap()
+}
+
+fn numbered(sequence: u64) -> Datagram {
+    Datagram {
+        from: "node-1".to_owned(),
+        sequence,
+        body: Some(datagram::Body::Probe(Probe::default())),
+        ..Datagram::default()
+    }
+}
+
+async fn next_sequence(socket: &DatagramSocket) -> u64 {
+    match socket.receive().await.unwrap() {
+        Received::Message { datagram, .. } => datagram.sequence,
+        Received::Malformed { .. } => panic!("malformed"),
+    }
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_datagram_arrives_with_its_size_and_sender() {
+    let policy = SwitchedPolicy::direct();
+    let (sender, receiver) = (socket(&policy).await, socket(&policy).await);
+    let size = sender.send(receiver.local_address().unwrap(), &numbered(7));
+    let Received::Message {
+        from,
+        datagram,
+        bytes,
+    } = receiver.receive().await.unwrap()
+    else {
+        panic!("malformed");
+    };
+    expect_that!(*datagram, eq(&numbered(7)));
+    expect_that!(bytes, eq(size));
+    expect_that!(from, eq(sender.local_address().unwrap()));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn garbage_is_told_apart_and_what_follows_is_read() {
+    let policy = SwitchedPolicy::direct();
+    let (sender, receiver) = (socket(&policy).await, socket(&policy).await);
+    let to = receiver.local_address().unwrap();
+    let raw = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let long = vec![0xff_u8; 60_000];
+    for bytes in [&b"\xff\xff\xff garbage"[..], &long] {
+        raw.send_to(bytes, to).unwrap();
+        expect_that!(
+            receiver.receive().await.unwrap(),
+            matches_pattern!(Received::Malformed {
+                from: eq(&raw.local_addr().unwrap())
+            })
+        );
+    }
+    sender.send(to, &numbered(1));
+    expect_that!(next_sequence(&receiver).await, eq(1));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn what_is_cut_or_lost_does_not_arrive() {
+    let policy = SwitchedPolicy::direct();
+    let (sender, receiver) = (socket(&policy).await, socket(&policy).await);
+    let to = receiver.local_address().unwrap();
+    policy.set(|path| path.cut = true);
+    sender.send(to, &numbered(1));
+    policy.set(|path| path.cut = false);
+    policy.set(|path| path.loss = 1.0);
+    sender.send(to, &numbered(2));
+    policy.set(|path| path.loss = 0.0);
+    sender.send(to, &numbered(3));
+    expect_that!(next_sequence(&receiver).await, eq(3));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_delay_holds_a_datagram() {
+    let policy = SwitchedPolicy::direct();
+    let (sender, receiver) = (socket(&policy).await, socket(&policy).await);
+    tokio::time::pause();
+    let delay = Duration::from_secs(5);
+    policy.set(|path| path.delay = delay);
+    let sent_at = Instant::now();
+    sender.send(receiver.local_address().unwrap(), &numbered(1));
+    expect_that!(next_sequence(&receiver).await, eq(1));
+    expect_that!(sent_at.elapsed(), ge(delay));
+}
