--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -16,6 +16,14 @@
         command: crate::run::command,
         run: crate::run::run,
     },
+    Subcommand {
+        command: crate::overhead::overhead_command,
+        run: crate::overhead::run_overhead,
+    },
+    Subcommand {
+        command: crate::overhead::overload_command,
+        run: crate::overhead::run_overload,
+    },
     Subcommand {
         command: crate::compare::command,
         run: crate::compare::run,
@@ -32,6 +40,10 @@
         command: crate::tradeoff::command,
         run: crate::tradeoff::run,
     },
+    Subcommand {
+        command: crate::replay::command,
+        run: crate::replay::run,
+    },
     Subcommand {
         command: crate::model::command,
         run: crate::model::run,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,8 +16,11 @@
 pub mod measures;
 pub mod model;
 pub mod network;
+pub mod replay;
 pub mod report;
 pub mod run;
 pub mod scenario;
 pub mod standins;
 pub mod tradeoff;
+
+pub mod overhead;
