--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -16,6 +16,14 @@
         command: crate::run::command,
         run: crate::run::run,
     },
+    Subcommand {
+        command: crate::overhead::overhead_command,
+        run: crate::overhead::run_overhead,
+    },
+    Subcommand {
+        command: crate::overhead::overload_command,
+        run: crate::overhead::run_overload,
+    },
     Subcommand {
         command: crate::compare::command,
         run: crate::compare::run,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -22,3 +22,5 @@
 pub mod scenario;
 pub mod standins;
 pub mod tradeoff;
+
+pub mod overhead;
--- a/crates/standin/tests/broken_answers.rs
+++ b/crates/standin/tests/standin/broken_answers.rs
@@ -82,7 +82,7 @@
 /// All events that come of one raw answer; a refusal of the call counts as one error.
 fn events_of(answer: String) -> Vec<std::result::Result<EngineEvent, EngineError>> {
     let address = answer_once(answer);
-    actix_rt::System::new().block_on(async {
+    crate::run(async {
         let engine = HttpEngine::new(Duration::from_secs(5), Duration::from_secs(5));
         let base = format!("http://{address}");
         match engine.generate(&base, call()).await {
@@ -157,7 +157,7 @@
 /// What a write to the table service gives when it is answered so.
 fn write_answered(answer: &str) -> StoreError {
     let address = answer_once(answer.to_owned());
-    actix_rt::System::new().block_on(async {
+    crate::run(async {
         let platform = direct(&PlatformSettings {
             tables_url: format!("http://{address}"),
             call_timeout_ms: 5_000,
@@ -191,6 +191,25 @@
     }
 }
 
+#[gtest]
+fn object_cut_in_its_middle_is_not_taken_for_the_whole() {
+    let head = "HTTP/1.1 200 OK\r\nx-object-size: 8\r\n";
+    let cut_of_known_length = format!("{head}content-length: 8\r\n\r\nhalf");
+    let cut_in_chunks = format!("{head}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+    for answer in [cut_of_known_length, cut_in_chunks] {
+        let address = answer_once(answer);
+        let read = actix_rt::System::new().block_on(async {
+            let platform = direct(&PlatformSettings {
+                objects_url: format!("http://{address}"),
+                call_timeout_ms: 5_000,
+                ..PlatformSettings::default()
+            });
+            platform.objects.read("object", 0, 100).await
+        });
+        expect_that!(read, err(matches_pattern!(StoreError::Unavailable { .. })));
+    }
+}
+
 #[gtest]
 fn refusal_of_a_write_changed_nothing() {
     expect_that!(
