--- a/crates/online/src/owner.rs
+++ b/crates/online/src/owner/mod.rs
@@ -1,16 +1,18 @@
 //! The owner stage: dispatches to one of this node's servers, and decides what follows a loss.
 
+mod cancel;
+
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use dappleyard_decide::retry::may_follow;
-use dappleyard_engine::{Engine, EngineError, EngineEvent, EventStream};
+use dappleyard_engine::{EngineError, EventStream};
 use dappleyard_wire::error::join_ran;
 use dappleyard_wire::ids::ServerId;
 use dappleyard_wire::messages::{Chunk, Finish, frame};
 use dappleyard_wire::{ErrorKind, Failure, Ran};
-use futures::{Future, StreamExt};
+use futures::Future;
 use tokio::time::Instant;
 
 use crate::caller::{Caller, Gone};
@@ -26,12 +28,6 @@
 /// Most calls to engines for one submission.
 const MAXIMUM_DISPATCHES: u32 = 4;
 
-/// Pause before a stream whose connection was lost is attached to again.
-const ATTACH_PAUSE: Duration = Duration::from_millis(20);
-
-/// How long an engine is waited for to name a stream that is not wanted any more.
-const CANCEL_PATIENCE: Duration = Duration::from_secs(5);
-
 type Generating = Pin<Box<dyn Future<Output = Result<EventStream, EngineError>>>>;
 
 /// One submission at the owner stage.
@@ -335,62 +331,4 @@
     fn is_superseded(&self) -> bool {
         self.reader.as_ref().is_some_and(ReaderSlot::is_superseded)
     }
-
-    /// Cancels the stream at the engine, unless a later run reads it.
-    fn cancel(&mut self, events: EventStream, chosen: &Chosen, cause: &str) {
-        if self.is_superseded() {
-            return;
-        }
-        let known = self.reader.is_some();
-        let stream = known.then(|| self.earlier.engine_stream.clone());
-        self.count_cancel(cause);
-        let (engine, base) = (self.worker.engine.clone(), chosen.base_url.clone());
-        actix_rt::spawn(cancel_stream(engine, base, events, stream));
-    }
-
-    fn cancel_later(&self, generating: Generating, chosen: &Chosen, cause: &str) {
-        self.count_cancel(cause);
-        let (engine, base) = (self.worker.engine.clone(), chosen.base_url.clone());
-        actix_rt::spawn(async move {
-            let opened = tokio::time::timeout(CANCEL_PATIENCE, generating).await;
-            if let Ok(Ok(events)) = opened {
-                cancel_stream(engine, base, events, None).await;
-            }
-        });
-    }
-
-    fn count_cancel(&self, cause: &str) {
-        let cancelled = &self.worker.shared.metrics.cancelled;
-        cancelled.with_label_values(&[cause]).inc();
-    }
-}
-
-/// Cancels a stream. Its id is read from the events when it is not known yet.
-async fn cancel_stream(
-    engine: Rc<dyn Engine>,
-    base: String,
-    mut events: EventStream,
-    known: Option<String>,
-) {
-    let accepted = async {
-        while let Some(Ok(event)) = events.next().await {
-            if let EngineEvent::Accepted { stream, .. } = event {
-                return Some(stream);
-            }
-        }
-        None
-    };
-    let stream = match known {
-        Some(stream) => Some(stream),
-        None => tokio::time::timeout(CANCEL_PATIENCE, accepted)
-            .await
-            .ok()
-            .flatten(),
-    };
-    if let Some(stream) = stream
-        && engine.cancel(&base, &stream).await.is_err()
-    {
-        tokio::time::sleep(ATTACH_PAUSE).await;
-        let _ = engine.cancel(&base, &stream).await;
-    }
 }
