--- a/crates/standin/src/engine/slot.rs
+++ b/crates/standin/src/engine/slot.rs
@@ -1,4 +1,8 @@
 //! One engine of a host: its state machine, the readers of its streams, and its past lives.
+//!
+//! Calls and the driver come in here; `experiment` holds what only experiments do.
+
+mod experiment;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -10,9 +14,7 @@
 
 use super::driver::Wakeups;
 use super::host::{OrderRecord, WeightSource};
-use super::meter::Meter;
 use super::model::{Effect, EngineModel, Output, Refusal, Started, parse_stream};
-use super::record::RunRecord;
 use super::sequence::StreamNumber;
 use super::settings::EngineSpec;
 
@@ -35,7 +37,7 @@
     NoSuchEngine,
     /// The engine is dead: the connection breaks.
     Dead,
-    /// The engine hangs: the call is never answered.
+    /// The engine hangs: the call waits.
     Hung,
     /// The engine refused.
     Refused(Refusal),
@@ -214,14 +216,6 @@
         Duration::from_micros(each_us.saturating_mul(tokens.into()))
     }
 
-    pub(super) fn set_publication_faults(&self, extra_delay_us: u64, events_dropped: bool) {
-        let set = |model: &mut EngineModel, _| {
-            model.set_publication_faults(extra_delay_us, events_dropped);
-        };
-        // A dead engine publishes nothing anyway.
-        let _ = self.with_model(set);
-    }
-
     fn with_model<R>(&self, read: impl FnOnce(&mut EngineModel, u64) -> R) -> Result<R, CallError> {
         let mut life = self.life.lock();
         let now_us = self.now_us();
@@ -246,83 +240,6 @@
         result.map_err(CallError::Refused)
     }
 
-    /// The engine dies: its readers lose their connections, its state is gone.
-    pub(super) fn kill(&self) {
-        let mut life = self.life.lock();
-        let now_us = self.now_us();
-        let Some(mut model) = life.model.take() else {
-            return;
-        };
-        model.lose(now_us);
-        life.next_stream = model.next_stream();
-        life.past.push(model);
-        life.hung = false;
-        life.due_us = None;
-        for (_, sink) in life.sinks.drain() {
-            // A reader that has gone needs no word.
-            let _ = sink.sender.send(Delivery::EngineLost);
-        }
-    }
-
-    /// A new engine starts in the place of a dead one.
-    pub(super) fn revive(&self) {
-        let mut life = self.life.lock();
-        if life.model.is_none() {
-            let now_us = self.now_us();
-            life.model = Some(EngineModel::new(&self.spec, now_us, life.next_stream));
-        }
-    }
-
-    /// The engine stands still and answers nothing, or goes on where it stood.
-    pub(super) fn set_hung(&self, hung: bool) {
-        let mut life = self.life.lock();
-        let was_hung = life.hung;
-        life.hung = hung && life.model.is_some();
-        if was_hung && !hung {
-            let now_us = self.now_us();
-            if let Some(model) = &mut life.model {
-                model.resume_after_hang(now_us);
-            }
-            self.pump_if_unscheduled(&mut life, now_us);
-        }
-    }
-
-    pub(super) fn is_hung(&self) -> bool {
-        self.life.lock().hung
-    }
-
-    pub(super) fn is_alive(&self) -> bool {
-        self.life.lock().model.is_some()
-    }
-
-    pub(super) fn records(&self) -> Vec<RunRecord> {
-        let life = self.life.lock();
-        let lives = life.past.iter().chain(life.model.iter());
-        lives.flat_map(|model| model.records().all()).collect()
-    }
-
-    pub(super) fn records_dropped(&self) -> u64 {
-        let life = self.life.lock();
-        let lives = life.past.iter().chain(life.model.iter());
-        lives.map(|model| model.records().dropped()).sum()
-    }
-
-    pub(super) fn orders(&self) -> Vec<OrderRecord> {
-        self.life.lock().orders.clone()
-    }
-
-    /// Reads the meters of all lives of the engine, oldest first.
-    pub(super) fn with_meters<R>(&self, read: impl FnOnce(&[&Meter]) -> R) -> R {
-        let mut life = self.life.lock();
-        let now_us = self.now_us();
-        if let Ok(model) = life.answering() {
-            model.meter(now_us);
-        }
-        let lives = life.past.iter().chain(life.model.iter());
-        let meters: Vec<&Meter> = lives.map(EngineModel::meter_as_it_stands).collect();
-        read(&meters)
-    }
-
     /// Called by the driver when `due_us` has come. Returns the next time.
     pub(super) fn advance(&self, due_us: u64) -> Option<u64> {
         let mut life = self.life.lock();
