--- a/crates/online/tests/support/engine.rs
+++ b/crates/online/tests/support/engine.rs
@@ -42,6 +42,11 @@
 }
 
 impl Script {
+    /// Whether an engine that does this may have run the request.
+    fn may_run(&self) -> bool {
+        !matches!(self, Script::Unreachable | Script::Refuse(_))
+    }
+
     pub fn whole() -> Script {
         Script::Steps(vec![Step::Accept, Step::Tokens(TOKENS), Step::Finish])
     }
@@ -84,6 +89,8 @@
     scripts: RefCell<BTreeMap<String, VecDeque<Script>>>,
     /// Calls to generate, with the base URL of each.
     pub calls: RefCell<Vec<(String, GenerateCall)>>,
+    /// Request ids of calls that may have started a run.
+    pub runs: RefCell<Vec<String>>,
     /// Streams cancelled.
     pub cancels: RefCell<Vec<String>>,
     /// Servers whose status says that they take no new work.
@@ -93,6 +100,8 @@
     next_stream: Cell<u32>,
     /// Streams that can be attached to.
     pub living: RefCell<Vec<String>>,
+    /// Tokens of answers that come at once; 0 for answers in time.
+    at_once: Cell<u32>,
 }
 
 impl FakeEngine {
@@ -103,6 +112,18 @@
         queue.extend(scripts);
     }
 
+    /// Makes all answers come at once, with this many tokens.
+    pub fn answer_at_once(&self, tokens: u32) {
+        self.at_once.set(tokens);
+    }
+
+    /// Forgets what was called, for long measurements.
+    pub fn forget(&self) {
+        self.calls.borrow_mut().clear();
+        self.runs.borrow_mut().clear();
+        self.living.borrow_mut().clear();
+    }
+
     pub fn servers_called(&self) -> Vec<String> {
         let calls = self.calls.borrow();
         calls
@@ -167,6 +188,25 @@
     })
 }
 
+fn whole_at_once(tokens: u32) -> EventStream {
+    let accepted = EngineEvent::Accepted {
+        stream: "e0".to_owned(),
+        version: VERSION.to_owned(),
+    };
+    let pieces = (0..tokens).map(|offset| EngineEvent::Tokens {
+        offset,
+        pieces: vec![piece(offset)],
+    });
+    let finished = EngineEvent::Finished {
+        reason: "length".to_owned(),
+        total_tokens: tokens,
+        cached_tokens: 0,
+        ran: true,
+    };
+    let events = std::iter::once(accepted).chain(pieces).chain([finished]);
+    Box::pin(stream::iter(events.map(Ok)))
+}
+
 fn finished() -> Result<EngineEvent, EngineError> {
     Ok(EngineEvent::Finished {
         reason: "length".to_owned(),
@@ -182,6 +222,9 @@
         self.calls
             .borrow_mut()
             .push((base.to_owned(), call.clone()));
+        if self.at_once.get() > 0 {
+            return Ok(whole_at_once(self.at_once.get()));
+        }
         let script = self.next_script(base);
         let lives = self.living.borrow().contains(&call.attach_stream);
         if call.attach_only && !lives {
@@ -190,6 +233,9 @@
                 reason: "no such stream".to_owned(),
             });
         }
+        if !call.attach_only && script.may_run() {
+            self.runs.borrow_mut().push(call.request_id.clone());
+        }
         match script {
             Script::Steps(steps) => Ok(self.open(&call, steps)),
             Script::Unreachable => Err(EngineError::Unreachable {
