--- a/crates/batch/src/runner/dispatch.rs
+++ b/crates/batch/src/runner/dispatch.rs
@@ -81,7 +81,9 @@
     let Some((report, _)) = &server.report else {
         return 0;
     };
-    if !server.takes_new_work() || runner.settings.policy == BatchPolicy::OnlineOnly {
+    let draining = runner.tables.configuration.current().drains(&server.entry);
+    let closed = draining || !server.takes_new_work();
+    if closed || runner.settings.policy == BatchPolicy::OnlineOnly {
         return 0;
     }
     let now = runner.tables.clock.now();
--- a/crates/batch/src/runner/handback.rs
+++ b/crates/batch/src/runner/handback.rs
@@ -1,9 +1,12 @@
-//! Planned stop: held chunks are given back, so that other nodes go on with them. What is finished of
-//! a chunk goes into an object that its next holder reads.
+//! Held chunks are given back, so that other nodes go on with them: all at a planned stop, and those
+//! of a service when all of its servers here are closed. What is finished of a chunk goes into an
+//! object that its next holder reads.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
+use dappleyard_decide::time::Millis;
 use dappleyard_platform::StoreError;
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{PartialLine, PartialResult};
@@ -22,6 +25,43 @@
 /// when they take longer.
 const FINISH_MS: u64 = 3_000;
 
+/// Time between looks for services without an open server, milliseconds.
+const WATCH_MS: u64 = 250;
+
+/// Time for which all servers of a service must have been closed, milliseconds.
+const CLOSED_MS: u64 = 1_000;
+
+/// Gives back the chunks of services of which this node has had no open server for a time, for ever.
+pub async fn watch(runner: Rc<Runner>) {
+    let mut closed_since: BTreeMap<String, Millis> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(Duration::from_millis(WATCH_MS)).await;
+        let now = runner.tables.clock.now();
+        let held: Vec<Rc<HeldChunk>> = runner.state.borrow().held.values().cloned().collect();
+        let open = open_services(&runner);
+        closed_since.retain(|service, _| !open.contains(service));
+        for chunk in held.iter().filter(|chunk| !open.contains(&chunk.service)) {
+            let since = *closed_since.entry(chunk.service.clone()).or_insert(now);
+            let running = runner.state.borrow().runs(chunk);
+            if now.since(since) >= CLOSED_MS && may_hand_back(chunk) && !running {
+                hand_back(&runner, chunk).await;
+            }
+        }
+    }
+}
+
+/// Services of which a server here may be sent batch work.
+fn open_services(runner: &Runner) -> BTreeSet<String> {
+    let configuration = runner.tables.configuration.current();
+    runner.tables.servers.read(|servers| {
+        servers
+            .values()
+            .filter(|server| server.takes_new_work() && !configuration.drains(&server.entry))
+            .map(|server| server.entry.service.to_string())
+            .collect()
+    })
+}
+
 /// Gives back all chunks. No item is started any more; chunks whose items are all settled are
 /// committed instead.
 pub async fn run(runner: &Rc<Runner>) {
--- a/crates/batch/src/runner/mod.rs
+++ b/crates/batch/src/runner/mod.rs
@@ -108,6 +108,7 @@
         actix_rt::spawn(dispatch::run(runner.clone())),
         actix_rt::spawn(takeover::run(runner.clone())),
         actix_rt::spawn(janitor::run(runner.clone())),
+        actix_rt::spawn(handback::watch(runner.clone())),
     ];
     BatchHandle { runner, tasks }
 }
--- /dev/null
+++ b/crates/batch/tests/batch/drains.rs
@@ -0,0 +1,60 @@
+//! A server that an operator drains gets no batch work, and its chunks are run elsewhere.
+
+use std::time::Duration;
+
+use dappleyard_wire::keys;
+use dappleyard_wire::messages::{ConfigurationEntry, DrainRow};
+use googletest::prelude::*;
+use prost::Message;
+use tokio::task::LocalSet;
+
+use crate::faults::{expect_once_each, results, settings};
+use crate::support::harness::{Fleet, lines, submit, upload};
+
+const ITEMS: usize = 40;
+
+/// Puts an operator's drain of a server in force on all nodes.
+fn drain(fleet: &Fleet, server: &str) {
+    let row = DrainRow {
+        kind: "server".to_owned(),
+        name: server.to_owned(),
+        ..DrainRow::default()
+    };
+    for node in &fleet.nodes {
+        node.tables.configuration.apply(&[ConfigurationEntry {
+            revision: 1,
+            key: keys::drain("server", server),
+            value: row.encode_to_vec(),
+            parts: 1,
+            ..ConfigurationEntry::default()
+        }]);
+    }
+}
+
+fn runs_of(fleet: &Fleet, base: &str) -> usize {
+    let runs = fleet.engine.runs.borrow();
+    runs.iter().filter(|run| run.base == base).count()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn nothing_is_sent_to_a_server_after_its_drain() {
+    for drained_after_ms in [0, 40, 100] {
+        LocalSet::new()
+            .run_until(async move {
+                let fleet = Fleet::start(2, settings());
+                let file = upload(&fleet.nodes[0], &lines(ITEMS, 100)).await;
+                let job = fleet.nodes[0]
+                    .submit(submit(&file, "key"))
+                    .await
+                    .expect("accepted");
+                tokio::time::sleep(Duration::from_millis(drained_after_ms)).await;
+                drain(&fleet, "server-0");
+                let before = runs_of(&fleet, "http://server-0");
+                let ended = fleet.nodes[1].ended(&job.job_id).await;
+                expect_that!(runs_of(&fleet, "http://server-0"), eq(before));
+                expect_once_each(&results(&fleet, 1, &ended).await, ITEMS);
+            })
+            .await;
+    }
+}
--- a/crates/online/src/dispatch.rs
+++ b/crates/online/src/dispatch.rs
@@ -91,8 +91,7 @@
 
 /// Whether a drain names the server, its hall or its zone.
 pub(crate) fn is_draining(configuration: &Configuration, entry: &ServerEntry) -> bool {
-    !configuration.drains.is_empty()
-        && configuration.is_draining(entry.server.as_str(), &entry.hall, entry.zone.as_str())
+    configuration.drains(entry)
 }
 
 fn suits(state: &OwnedServer, incoming: &Incoming, version: &str) -> bool {
--- a/crates/tables/src/configuration.rs
+++ b/crates/tables/src/configuration.rs
@@ -9,6 +9,7 @@
 use prost::Message;
 use tokio::sync::watch;
 
+use crate::directory::ServerEntry;
 use crate::rank::{Rank, Ranked};
 
 /// All configuration at one revision, decoded.
@@ -37,6 +38,12 @@
             })
     }
 
+    /// Whether a drain names a server, its hall or its zone.
+    pub fn drains(&self, entry: &ServerEntry) -> bool {
+        !self.drains.is_empty()
+            && self.is_draining(entry.server.as_str(), &entry.hall, entry.zone.as_str())
+    }
+
     fn decode(state: &ConfigurationState) -> Configuration {
         let mut decoded = Configuration {
             revision: state.revision,
