--- a/crates/batch/src/runner/claim.rs
+++ b/crates/batch/src/runner/claim.rs
@@ -16,7 +16,8 @@
 use prost::Message;
 use rand::Rng;
 
-use super::state::{ServerState, State};
+use super::server::ServerState;
+use super::state::State;
 use super::{Runner, load};
 use crate::store::{self, Applied, Versioned, wait_jittered};
 
--- a/crates/batch/src/runner/dispatch.rs
+++ b/crates/batch/src/runner/dispatch.rs
@@ -11,7 +11,7 @@
 use dappleyard_tables::servers::OwnedServer;
 use dappleyard_wire::ids::ServerId;
 
-use super::state::{RunningItem, ServerState};
+use super::server::{RunningItem, ServerState};
 use super::work::WorkItem;
 use super::{Runner, run_item};
 
@@ -21,8 +21,6 @@
 const PAUSE_MS: u64 = 500;
 /// KV tokens that one more batch sequence is taken to hold.
 const SEQUENCE_TOKENS: u32 = 500;
-/// Prompt tokens of a batch sequence, for the pace of starts beside online work.
-const PREFILL_TOKENS: u32 = 500;
 /// Longest time that the prompts of streams started at the slow pace take to compute, milliseconds.
 const LONGEST_PACED_PREFILL_MS: u64 = 20;
 /// Share of the KV memory that is given out, percent.
@@ -92,14 +90,19 @@
         .or_default();
     observe(known, report, now);
     let total = report.total_blocks.saturating_mul(report.block_tokens);
+    let online_tokens = server.online.values().map(|flight| flight.tokens).sum();
+    let batch_tokens = known.batch_tokens(now);
+    known
+        .cache
+        .set_room(total.saturating_sub(online_tokens + batch_tokens));
     let mut inputs = WidthInputs {
         model: known.steps,
         online_sequences: u32::try_from(server.online.len()).unwrap_or(u32::MAX),
-        online_tokens: server.online.values().map(|flight| flight.tokens).sum(),
+        online_tokens,
         total_tokens: total / 100 * MEMORY_PERCENT,
         maximum_sequences: report.maximum_sequences,
         batch_sequences: known.active(),
-        batch_tokens: known.batch_tokens(now),
+        batch_tokens,
         new_sequence_tokens: SEQUENCE_TOKENS,
         slowdown_percent: runner.slowdown_percent(server.entry.service.as_str()),
         window_percent: 100,
@@ -235,7 +238,8 @@
     let mut state = runner.state.borrow_mut();
     let known = state.servers.entry(id.clone()).or_default();
     if paced {
-        let interval = width::prefill_interval_ms(&known.steps, PREFILL_TOKENS, slowdown);
+        let tokens = known.last_prefill_tokens;
+        let interval = width::prefill_interval_ms(&known.steps, tokens, slowdown);
         if (now.since(known.prefilled_at) as f64) < interval {
             return None;
         }
--- a/crates/batch/src/runner/mod.rs
+++ b/crates/batch/src/runner/mod.rs
@@ -9,6 +9,7 @@
 //! - `takeover` opens chunks of nodes that are gone, `janitor` removes what is left behind,
 //! - `handback` gives chunks back on a planned stop.
 
+mod cache;
 mod claim;
 mod commit;
 mod dispatch;
@@ -18,6 +19,7 @@
 mod load;
 mod once;
 mod run_item;
+mod server;
 mod settle;
 mod split;
 mod state;
--- a/crates/batch/src/runner/run_item.rs
+++ b/crates/batch/src/runner/run_item.rs
@@ -10,7 +10,8 @@
 use futures::StreamExt;
 
 use super::Runner;
-use super::state::{RunningItem, SequenceMemory};
+use super::cache::CacheMark;
+use super::server::{RunningItem, SequenceMemory};
 use super::work::WorkItem;
 use crate::output::{ItemAnswer, ItemOutcome};
 
@@ -49,9 +50,12 @@
         .servers
         .begin_batch(&entry.server, &request, flight);
     let memory = SequenceMemory::of(&item);
-    let warm = item.is_warm_on(&entry.server, now);
     let mut state = runner.state.borrow_mut();
     let server = state.servers.entry(entry.server.clone()).or_default();
+    let warm = item.is_warm_on(&entry.server, &server.cache, now);
+    if item.last_server.as_ref() == Some(&entry.server) {
+        server.cache.take(item.cache_mark);
+    }
     let (prefilled_at, leads) = match warm {
         true => (now, false),
         false => server.send_cold(&memory, now),
@@ -84,7 +88,7 @@
         _ => run(&runner, &entry, &mut item, &request, attempt).await,
     };
     runner.tables.servers.end_batch(&entry.server, &request);
-    remove_running(&runner, &entry, &request, attempt);
+    item.cache_mark = remove_running(&runner, &entry, &request, attempt, &item);
     item.last_server = Some(entry.server.clone());
     item.stopped_at = runner.tables.clock.now();
     finish(&runner, &entry, item, ended);
@@ -92,12 +96,20 @@
     runner.claim_wake.notify_one();
 }
 
-fn remove_running(runner: &Runner, entry: &ServerEntry, request: &RequestId, attempt: u32) {
+/// Removes a stream that ended from those of its server, and returns the mark of what it left in the
+/// cache there.
+fn remove_running(
+    runner: &Runner,
+    entry: &ServerEntry,
+    request: &RequestId,
+    attempt: u32,
+    item: &WorkItem,
+) -> CacheMark {
     let mut state = runner.state.borrow_mut();
-    if let Some(server) = state.servers.get_mut(&entry.server) {
-        let running = &mut server.running;
-        running.retain(|running| running.request != *request || running.attempt != attempt);
-    }
+    let server = state.servers.entry(entry.server.clone()).or_default();
+    let running = &mut server.running;
+    running.retain(|running| running.request != *request || running.attempt != attempt);
+    server.cache.leave(SequenceMemory::of(item).own_tokens)
 }
 
 fn finish(runner: &Rc<Runner>, entry: &ServerEntry, mut item: WorkItem, ended: Ended) {
--- a/crates/batch/src/runner/work.rs
+++ b/crates/batch/src/runner/work.rs
@@ -8,6 +8,7 @@
 use dappleyard_wire::ids::{JobId, RequestId, ServerId};
 use dappleyard_wire::messages::{ChunkRow, Repeat};
 
+use super::cache::{CacheMark, CacheModel};
 use super::state::ChunkPlace;
 use crate::input::Item;
 use crate::store::Versioned;
@@ -132,6 +133,8 @@
     pub last_server: Option<ServerId>,
     /// When it stopped running there.
     pub stopped_at: Millis,
+    /// Mark of what it left in that server's cache.
+    pub cache_mark: CacheMark,
     /// Attempts made under this epoch.
     pub attempts: u32,
     /// It is the first on its server with its shared head and has not made a token there.
@@ -153,6 +156,7 @@
             version: String::new(),
             last_server: None,
             stopped_at: Millis(0),
+            cache_mark: 0,
             attempts: 0,
             leads_prefix: false,
         }
@@ -171,14 +175,16 @@
 
     /// Whether a server probably still caches the state of the item, so that going on costs it no
     /// prefill.
-    pub fn is_warm_on(&self, server: &ServerId, now: Millis) -> bool {
+    pub fn is_warm_on(&self, server: &ServerId, cache: &CacheModel, now: Millis) -> bool {
         let there = self.last_server.as_ref() == Some(server) && !self.pieces.is_empty();
-        there && now.since(self.stopped_at) <= WARM_MS
+        there && !self.is_stale(Some(cache), now)
     }
 
-    /// Whether the item has waited so long that no server is taken to cache its state.
-    pub fn is_stale(&self, now: Millis) -> bool {
-        now.since(self.stopped_at) > WARM_MS
+    /// Whether the item has waited too long for the server that it ran on, or that server is taken to
+    /// have dropped its state.
+    pub fn is_stale(&self, cache: Option<&CacheModel>, now: Millis) -> bool {
+        let cached = cache.is_some_and(|cache| cache.holds(self.cache_mark));
+        !cached || now.since(self.stopped_at) > WARM_MS
     }
 
     /// Number of the next attempt: grows over epochs too.
--- a/crates/decide/src/width.rs
+++ b/crates/decide/src/width.rs
@@ -111,7 +111,7 @@
 
 /// How much rarer prefills are than the mean slowdown alone would allow: the tail counts, not the
 /// mean.
-const PREFILL_SPREAD: f64 = 16.0;
+const PREFILL_SPREAD: f64 = 4.5;
 
 fn width_beside_online(inputs: &WidthInputs) -> u32 {
     let alone = inputs.model.step_ms(inputs.online_sequences, 0);
--- a/crates/platform/src/gate/tables.rs
+++ b/crates/platform/src/gate/tables.rs
@@ -45,7 +45,11 @@
     }
 
     async fn changes(&self, prefix: &str, after: u64, wait_ms: u32) -> Result<Changes, StoreError> {
-        let send = || self.inner.changes(prefix, after, wait_ms);
+        // A call that waits for changes would keep the breaker open for as long as it waits.
+        let send = || {
+            let wait_ms = if self.lane.answers() { wait_ms } else { 0 };
+            self.inner.changes(prefix, after, wait_ms)
+        };
         self.lane.call(CallClass::of_key(prefix), send).await
     }
 }
