--- a/crates/operate/src/journal.rs
+++ b/crates/operate/src/journal.rs
@@ -85,14 +85,8 @@
         self.adopt(objects).await?;
         self.last_ms = self.tables.clock.now().0;
         let body = Bytes::from(lines(&self.pending));
-        let mut name = self.next_name();
-        let mut created = objects.create(&name, body.clone()).await;
-        if matches!(created, Err(StoreError::Conflict { .. })) {
-            // An earlier start of this node wrote in the same millisecond.
-            name = self.next_name();
-            created = objects.create(&name, body).await;
-        }
-        created?;
+        let name = self.next_name();
+        objects.create(&name, body).await?;
         self.pending.clear();
         let written = self.written.get_or_insert_default();
         written.push_back(name);
@@ -112,17 +106,25 @@
         keys::journal_object(node, self.tables.clock.unix_ms(), number)
     }
 
-    /// Counts the objects of earlier starts of this node among its own.
+    /// Counts the objects of earlier starts of this node among its own, and goes on numbering after
+    /// them, so that a start within the same millisecond takes no name that is taken.
     async fn adopt(&mut self, objects: &dyn ObjectStore) -> Result<(), StoreError> {
         if self.written.is_none() {
             let prefix = format!("{JOURNAL_PREFIX}{}/", self.tables.identity.node);
             let known = objects.list(&prefix, "", PAGE).await?;
+            let numbers = known.iter().filter_map(|(name, _)| number(name));
+            self.next = numbers.max().map_or(self.next, |last| last + 1);
             self.written = Some(known.into_iter().map(|(name, _)| name).collect());
         }
         Ok(())
     }
 }
 
+/// Number in the name of a journal object.
+fn number(name: &str) -> Option<u64> {
+    name.rsplit('-').next()?.parse().ok()
+}
+
 fn lines(records: &[Decision]) -> Vec<u8> {
     let mut bytes = Vec::new();
     for record in records {
