--- a/crates/operate/src/controller/mod.rs
+++ b/crates/operate/src/controller/mod.rs
@@ -30,8 +30,8 @@
 use crate::controller::service::{Outcome, ServiceController};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::preferred::is_preferred;
 use crate::record::record;
-use crate::start::is_preferred;
 
 /// Pause before a service is claimed again after its epoch was lost, milliseconds.
 const RECLAIM_PAUSE_MS: u64 = 5_000;
--- /dev/null
+++ b/crates/operate/src/own_drain.rs
@@ -0,0 +1,53 @@
+//! The drain of this node itself: it takes nothing new while configuration names it.
+
+use std::sync::Arc;
+
+use dappleyard_tables::decisions::{DecisionKind, Subject};
+use dappleyard_tables::{Lifecycle, NodeTables};
+
+use crate::local::lifecycle_name;
+use crate::record::record;
+
+/// Makes this node drain while configuration says so, and lets it serve again afterwards.
+pub async fn follow_own_drain(tables: Arc<NodeTables>) {
+    let mut configurations = tables.configuration.subscribe();
+    let key = ("node".to_owned(), tables.identity.node.to_string());
+    let mut drained = false;
+    loop {
+        let wanted = configurations.borrow_and_update().drains.contains_key(&key);
+        if wanted != drained {
+            drained = wanted;
+            // Membership lifts a withdrawn node to ready once it vouches for its configuration.
+            let next = if wanted {
+                Lifecycle::Draining
+            } else {
+                Lifecycle::Withdrawn
+            };
+            enter(&tables, next);
+        }
+        if configurations.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn enter(tables: &NodeTables, next: Lifecycle) {
+    let changed = tables.lifecycle.send_if_modified(|current| {
+        let moves = *current != Lifecycle::Stopped && *current != next;
+        if moves {
+            *current = next;
+        }
+        moves
+    });
+    if changed {
+        let node = tables.identity.node.to_string();
+        let cause = match next {
+            Lifecycle::Draining => "a drain of the node is in force",
+            _ => "the drain of the node has ended",
+        };
+        record(tables, DecisionKind::Withdrawn, cause)
+            .about(Subject::Node(node))
+            .outcome(format!("the node is {}", lifecycle_name(next)));
+        tracing::info!(?next, "drain of this node");
+    }
+}
--- a/crates/operate/src/plans/drain.rs
+++ b/crates/operate/src/plans/drain.rs
@@ -80,21 +80,21 @@
     view: &DrainView<'_>,
 ) -> Result<Stepped, Failure> {
     let drains = server_drains(tables).await?;
-    let mut move_ = Move::new(target, view, &drains);
-    let services = move_.services();
+    let mut next = DrainStep::new(target, view, &drains);
+    let services = next.services();
     let mut ledgers = Vec::new();
     for service in services {
         let mut ledger = Ledger::read(tables, &service).await?;
         let budget = budget(tables, &service).await?;
         ledger.forget(
-            &move_.done,
+            &next.done,
             view.settings.disruption_timeout_ms,
             view.unix_ms,
         );
-        move_.put_out(&service, budget, &mut ledger, &plan.row.id);
+        next.put_out(&service, budget, &mut ledger, &plan.row.id);
         ledgers.push(ledger);
     }
-    write(tables, plan, &move_, &ledgers).await
+    write(tables, plan, &next, &ledgers).await
 }
 
 async fn budget(tables: &dyn TableStore, service: &str) -> Result<Budget, Failure> {
@@ -114,7 +114,7 @@
 }
 
 /// Where the servers of a drain stand, and which go out now.
-struct Move<'a> {
+struct DrainStep<'a> {
     target: &'a DrainTarget,
     view: &'a DrainView<'a>,
     drains: &'a BTreeMap<String, DrainRow>,
@@ -124,14 +124,14 @@
     held: String,
 }
 
-impl<'a> Move<'a> {
+impl<'a> DrainStep<'a> {
     fn new(
         target: &'a DrainTarget,
         view: &'a DrainView<'a>,
         drains: &'a BTreeMap<String, DrainRow>,
-    ) -> Move<'a> {
+    ) -> DrainStep<'a> {
         let servers: Vec<&ServerStatus> = drained_servers(target, view.status).collect();
-        let mut next = Move {
+        let mut next = DrainStep {
             target,
             view,
             drains,
@@ -292,7 +292,7 @@
 async fn write(
     tables: &dyn TableStore,
     plan: &StoredPlan,
-    next: &Move<'_>,
+    next: &DrainStep<'_>,
     ledgers: &[Ledger],
 ) -> Result<Stepped, Failure> {
     let finished = next.is_finished();
@@ -333,7 +333,7 @@
     }
 }
 
-fn next_row(plan: &StoredPlan, next: &Move<'_>, finished: bool) -> PlanRow {
+fn next_row(plan: &StoredPlan, next: &DrainStep<'_>, finished: bool) -> PlanRow {
     let progress = next.progress();
     let (phase, message) = if finished {
         (
--- /dev/null
+++ b/crates/operate/src/preferred.rs
@@ -0,0 +1,26 @@
+//! Which node does a thing that one node of the fleet should do. A preference, no authority: that two
+//! nodes think themselves preferred for a moment must be harmless.
+
+use dappleyard_tables::NodeTables;
+use dappleyard_wire::hash::{hash_bytes, rendezvous_weight};
+use dappleyard_wire::messages::MemberState;
+
+/// Node that the rendezvous hash prefers for a resource among the live members that do not drain.
+pub fn preferred_node(tables: &NodeTables, resource: &str) -> Option<String> {
+    let key = hash_bytes(resource.as_bytes());
+    let me = tables.identity.node.to_string();
+    let own = tables.takes_new_work().then_some(me.clone());
+    let members = tables.members.all().into_iter();
+    let others = members
+        .filter(|member| member.node != me && !member.draining)
+        .filter(|member| member.state() == MemberState::MemberAlive)
+        .map(|member| member.node);
+    others
+        .chain(own)
+        .max_by_key(|node| rendezvous_weight(key, node))
+}
+
+/// Whether this node is the preferred one for a resource.
+pub fn is_preferred(tables: &NodeTables, resource: &str) -> bool {
+    preferred_node(tables, resource).is_some_and(|node| node == tables.identity.node.as_str())
+}
--- a/crates/operate/src/start.rs
+++ b/crates/operate/src/start.rs
@@ -12,19 +12,18 @@
 use dappleyard_tables::decisions::{DecisionKind, Subject};
 use dappleyard_tables::{Lifecycle, NodeTables};
 use dappleyard_wire::Failure;
-use dappleyard_wire::hash::{hash_bytes, rendezvous_weight};
-use dappleyard_wire::messages::MemberState;
 use tokio::task::JoinHandle;
 
 use crate::controller;
 use crate::describe::phase_name;
 use crate::journal::{self, Journal};
-use crate::local::lifecycle_name;
 use crate::metrics::Metrics;
+use crate::own_drain::follow_own_drain;
 use crate::peers::Peers;
 use crate::plans::drain::Stepped;
 use crate::plans::runner::{RunView, advance};
 use crate::plans::store::{remove_older, running_ids};
+use crate::preferred::is_preferred;
 use crate::record::record;
 use crate::status::{FleetStatus, gather};
 
@@ -86,26 +85,6 @@
     }
 }
 
-/// Node that the rendezvous hash prefers for a resource among the live members that do not drain.
-pub fn preferred_node(tables: &NodeTables, resource: &str) -> Option<String> {
-    let key = hash_bytes(resource.as_bytes());
-    let me = tables.identity.node.to_string();
-    let own = tables.takes_new_work().then_some(me.clone());
-    let members = tables.members.all().into_iter();
-    let others = members
-        .filter(|member| member.node != me && !member.draining)
-        .filter(|member| member.state() == MemberState::MemberAlive)
-        .map(|member| member.node);
-    others
-        .chain(own)
-        .max_by_key(|node| rendezvous_weight(key, node))
-}
-
-/// Whether this node is the preferred one for a resource.
-pub fn is_preferred(tables: &NodeTables, resource: &str) -> bool {
-    preferred_node(tables, resource).is_some_and(|node| node == tables.identity.node.as_str())
-}
-
 /// Time between two rounds of forgetting.
 const FORGET_INTERVAL: Duration = Duration::from_secs(60);
 /// Most plans, and most journal objects, forgotten in one round.
@@ -126,50 +105,6 @@
     }
 }
 
-/// Makes this node drain while configuration says so, and lets it serve again afterwards.
-async fn follow_own_drain(tables: Arc<NodeTables>) {
-    let mut configurations = tables.configuration.subscribe();
-    let key = ("node".to_owned(), tables.identity.node.to_string());
-    let mut drained = false;
-    loop {
-        let wanted = configurations.borrow_and_update().drains.contains_key(&key);
-        if wanted != drained {
-            drained = wanted;
-            // Membership lifts a withdrawn node to ready once it vouches for its configuration.
-            let next = if wanted {
-                Lifecycle::Draining
-            } else {
-                Lifecycle::Withdrawn
-            };
-            enter(&tables, next);
-        }
-        if configurations.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-fn enter(tables: &NodeTables, next: Lifecycle) {
-    let changed = tables.lifecycle.send_if_modified(|current| {
-        let moves = *current != Lifecycle::Stopped && *current != next;
-        if moves {
-            *current = next;
-        }
-        moves
-    });
-    if changed {
-        let node = tables.identity.node.to_string();
-        record(
-            tables,
-            DecisionKind::Withdrawn,
-            "configuration drains the node, or no longer does",
-        )
-        .about(Subject::Node(node))
-        .outcome(format!("the node is {}", lifecycle_name(next)));
-        tracing::info!(?next, "drain of this node");
-    }
-}
-
 async fn run_plans(context: Rc<OperateContext>, metrics: Metrics) {
     let peers = Peers::new(context.tables.clone(), context.settings.peer_timeout_ms);
     let interval = Duration::from_millis(context.settings.reconcile_interval_ms.max(10));
