--- /dev/null
+++ b/crates/spec/src/chunks/state.rs
@@ -0,0 +1,274 @@
+//! State of the store, the nodes and the network, and the names of the steps.
+
+use std::collections::BTreeSet;
+
+use dappleyard_decide::chunks::Claimant;
+use dappleyard_wire::messages::{ChunkPhase, ChunkRow};
+use derive_more::Display;
+
+use crate::store::{Delivery, Versioned};
+
+pub(super) const NODES: usize = 2;
+
+/// Rounds after which a protocol that can still finish has done so, when nothing fails any more.
+pub(super) const HEALING_ROUNDS: usize = 12;
+
+/// What became of the item of the chunk on one holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Item {
+    /// Not started by this holder under this epoch.
+    NotStarted,
+    /// Completed.
+    Completed,
+    /// Settled as `outcome_unknown`.
+    Unknown,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) enum Work {
+    Idle,
+    Claiming {
+        next: ChunkRow,
+    },
+    Holding {
+        row: Versioned<ChunkRow>,
+        item: Item,
+    },
+    Marking {
+        row: Versioned<ChunkRow>,
+    },
+    Committing {
+        row: Versioned<ChunkRow>,
+        item: Item,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct Node {
+    pub(super) incarnation: u64,
+    pub(super) work: Work,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) enum Change {
+    Claim,
+    Mark,
+    Reopen,
+    Commit { job_revision: u8, item: Item },
+}
+
+/// A call to the store that is on its way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct Call {
+    pub(super) node: usize,
+    pub(super) incarnation: u64,
+    pub(super) next: ChunkRow,
+    pub(super) revision: u8,
+    pub(super) change: Change,
+}
+
+/// State of the store, the nodes and the network, and what has been observed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    pub(super) row: Versioned<ChunkRow>,
+    /// Whether the job is cancelled.
+    pub(super) job: Versioned<bool>,
+    /// Epochs under which a result object was written.
+    pub(super) objects: BTreeSet<u64>,
+    pub(super) nodes: [Node; NODES],
+    pub(super) calls: Vec<Call>,
+    pub(super) runs: u8,
+    pub(super) faults: u8,
+    pub(super) suspicions: u8,
+    pub(super) flaw: Option<&'static str>,
+}
+
+/// What an engine did with the item.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Run {
+    /// It ran and answered.
+    #[display("completes")]
+    Completes,
+    /// It ran and the answer was lost.
+    #[display("runs, answer lost")]
+    AnswerLost,
+    /// It did not run, which the node cannot know.
+    #[display("lost before it ran")]
+    Lost,
+}
+
+/// Why a chunk is opened again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Reason {
+    /// Its holder has restarted.
+    #[display("its holder has restarted")]
+    Restarted,
+    /// Its holder is believed gone, and is not.
+    #[display("its holder is wrongly believed gone")]
+    Suspected,
+    /// The row names the node itself, which does not know of it: a claim took effect late.
+    #[display("it is its own without its knowing")]
+    Unknown,
+    /// The holder gives it back.
+    #[display("it gives it back")]
+    HandBack,
+}
+
+/// One step.
+#[derive(Debug, Clone, Display)]
+pub enum Action {
+    /// A node reads the open row and sends a claim.
+    #[display("node {node} claims")]
+    Claim {
+        /// The node.
+        node: usize,
+    },
+    /// A node opens a chunk again that is claimed.
+    #[display("node {node} opens the chunk again: {why}")]
+    Reopen {
+        /// The node.
+        node: usize,
+        /// Its reason.
+        why: Reason,
+    },
+    /// A holder marks the item as started.
+    #[display("node {node} marks the item")]
+    Mark {
+        /// The node.
+        node: usize,
+    },
+    /// The network treats the oldest or a later call.
+    #[display("call {index} is {delivery}")]
+    Network {
+        /// Which call.
+        index: usize,
+        /// What becomes of it.
+        delivery: Delivery,
+    },
+    /// A node gives up waiting for the store and reads the row back.
+    #[display("node {node} stops waiting and reads back")]
+    TimeOut {
+        /// The node.
+        node: usize,
+    },
+    /// A node has the item run.
+    #[display("node {node} starts the item: {run}")]
+    Start {
+        /// The node.
+        node: usize,
+        /// What the engine did.
+        run: Run,
+    },
+    /// A node settles an item, which it must not start, as unknown.
+    #[display("node {node} settles the item as unknown")]
+    SettleUnknown {
+        /// The node.
+        node: usize,
+    },
+    /// A node writes its result object, reads both rows and sends the commit.
+    #[display("node {node} commits")]
+    Commit {
+        /// The node.
+        node: usize,
+    },
+    /// The job is cancelled.
+    #[display("the job is cancelled")]
+    Cancel,
+    /// Objects of epochs below that of the row are removed.
+    #[display("objects of old epochs are collected")]
+    Collect,
+    /// A node crashes and starts again.
+    #[display("node {node} crashes and restarts")]
+    Crash {
+        /// The node.
+        node: usize,
+    },
+}
+
+pub(super) fn name(node: usize) -> String {
+    node.to_string()
+}
+
+pub(super) fn claimant(state: &State, node: usize) -> Claimant {
+    Claimant {
+        node: name(node),
+        incarnation: state.nodes[node].incarnation,
+    }
+}
+
+pub(super) fn is_marked(row: &ChunkRow) -> bool {
+    !row.maybe_started && row.started_items != 0
+}
+
+pub(super) fn send(state: &mut State, node: usize, next: ChunkRow, revision: u8, change: Change) {
+    state.calls.push(Call {
+        node,
+        incarnation: state.nodes[node].incarnation,
+        next,
+        revision,
+        change,
+    });
+}
+
+pub(super) fn apply_commit(state: &mut State, call: &Call, item: Item) -> bool {
+    let was_done = state.row.value.phase() == ChunkPhase::ChunkDone;
+    if !state.row.compare_and_swap(call.revision, call.next.clone()) {
+        return false;
+    }
+    let object = call.next.result_object.parse().unwrap_or_default();
+    if was_done {
+        state.flaw = Some("a committed result was replaced");
+    } else if state.job.value {
+        state.flaw = Some("a result was committed after the cancel");
+    } else if !state.objects.contains(&object) {
+        state.flaw = Some("a committed result cannot be read");
+    } else if item == Item::Completed && state.runs == 0 {
+        state.flaw = Some("an item is completed that never ran");
+    }
+    true
+}
+
+/// What a node does after an ambiguous answer or a conflict: it reads the row, and holds the chunk if
+/// its own claim is what stands there. A mark that stands is taken for its own, since only the holder
+/// writes marks under its epoch; a commit is decided afresh.
+pub(super) fn read_back(state: &mut State, node: usize) {
+    let row = state.row.clone();
+    let claimed = row.value.phase() == ChunkPhase::ChunkClaimed;
+    let item = Item::NotStarted;
+    state.nodes[node].work = match state.nodes[node].work.clone() {
+        Work::Claiming { next } if row.value == next => Work::Holding { row, item },
+        Work::Marking { row: held } if claimed && held.value.epoch == row.value.epoch => {
+            Work::Holding { row, item }
+        }
+        Work::Claiming { .. } | Work::Marking { .. } => Work::Idle,
+        Work::Committing { row, item } => Work::Holding { row, item },
+        other => other,
+    };
+}
+
+pub(super) fn settle_unknown(state: &mut State, node: usize, row: Versioned<ChunkRow>) {
+    let item = Item::Unknown;
+    state.nodes[node].work = Work::Holding { row, item };
+}
+
+/// Drops calls that can neither take effect nor be answered: the row has moved on, and nobody waits.
+pub(super) fn forget_spent_calls(state: &mut State) {
+    let (row, job, nodes) = (state.row.revision, state.job.revision, &state.nodes);
+    state.calls.retain(|call| {
+        let node = &nodes[call.node];
+        let waits = node.incarnation == call.incarnation
+            && !matches!(node.work, Work::Idle | Work::Holding { .. });
+        let spent = match call.change {
+            Change::Claim | Change::Mark | Change::Reopen => call.revision != row,
+            Change::Commit { job_revision, .. } => call.revision != row || job_revision != job,
+        };
+        waits || !spent
+    });
+}
+
+pub(super) fn outlived(state: &State) -> bool {
+    state.calls.iter().any(|call| {
+        let node = &state.nodes[call.node];
+        node.incarnation != call.incarnation || matches!(node.work, Work::Idle)
+    })
+}
