--- a/crates/lab/src/tradeoff.rs
+++ b/crates/lab/src/tradeoff.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
+use dappleyard_report::compare::MEASURES;
 use dappleyard_report::tradeoff::{Setting, curve};
 
 use crate::error::{LabError, report};
@@ -20,6 +21,14 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Runs of the same seeds without batch work"),
         )
+        .arg(
+            Arg::new("harm")
+                .long("harm")
+                .value_name("MEASURE")
+                .default_value("TTFT p99, ms")
+                .value_parser(MEASURES.iter().map(|measure| measure.name).collect::<Vec<_>>())
+                .help("Measure of the harm to online work"),
+        )
         .arg(
             Arg::new("title")
                 .long("title")
@@ -78,6 +87,10 @@
     let title = arguments
         .get_one::<String>("title")
         .map_or("", String::as_str);
-    let svg = curve(title, &path("baseline"), &settings).map_err(LabError::failed)?;
+    let harm = arguments.get_one::<String>("harm");
+    let harm = harm
+        .and_then(|name| MEASURES.iter().find(|measure| measure.name == name))
+        .ok_or_else(|| LabError::usage("no such measure"))?;
+    let svg = curve(title, harm, &path("baseline"), &settings).map_err(LabError::failed)?;
     std::fs::write(path("out"), svg).map_err(LabError::failed)
 }
--- a/crates/report/src/tradeoff.rs
+++ b/crates/report/src/tradeoff.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use crate::charts::{Trade, trade_off};
-use crate::compare::median;
+use crate::compare::{Measure, median};
 use crate::page::PageError;
 use crate::runs;
 use crate::summary::Summary;
@@ -16,28 +16,32 @@
     pub directory: PathBuf,
 }
 
-/// Draws the curve: the 99th percentile of the time to the first token relative to `baseline` (the
-/// same seeds without batch work) on the horizontal axis, batch items a second on the vertical one.
-pub fn curve(title: &str, baseline: &PathBuf, settings: &[Setting]) -> Result<String, PageError> {
+/// Draws the curve: a measure of online harm relative to `baseline` (the same seeds without batch work)
+/// on the horizontal axis, batch items a second on the vertical one.
+pub fn curve(
+    title: &str,
+    harm: &Measure,
+    baseline: &PathBuf,
+    settings: &[Setting],
+) -> Result<String, PageError> {
     let baseline = runs::read(std::slice::from_ref(baseline))?;
     let mut points = Vec::new();
     for setting in settings {
         let runs = runs::read(std::slice::from_ref(&setting.directory))?;
-        points.extend(point(&setting.label, &baseline, &runs));
+        points.extend(point(&setting.label, harm, &baseline, &runs));
     }
-    let axes = (
-        "online TTFT p99, ratio to no batch work",
-        "batch items a second",
-    );
+    let name = harm.name.trim_end_matches(", ms");
+    let horizontal = format!("online {name}, ratio to no batch work");
+    let axes = (horizontal.as_str(), "batch items a second");
     Ok(trade_off(title, axes, &points)?)
 }
 
-fn point(label: &str, baseline: &[Summary], runs: &[Summary]) -> Option<Trade> {
+fn point(label: &str, measure: &Measure, baseline: &[Summary], runs: &[Summary]) -> Option<Trade> {
     let harm: Vec<f64> = runs
         .iter()
         .filter_map(|run| {
             let alone = baseline.iter().find(|alone| alone.seed == run.seed)?;
-            Some(run.measures.ttft_ms.p99 / alone.measures.ttft_ms.p99)
+            Some((measure.read)(run)? / (measure.read)(alone)?)
         })
         .collect();
     let items: Vec<f64> = runs
