--- a/crates/batch/src/runner/dispatch.rs
+++ b/crates/batch/src/runner/dispatch.rs
@@ -6,6 +6,7 @@
 
 use dappleyard_decide::time::Millis;
 use dappleyard_decide::width::{self, WidthInputs};
+use dappleyard_decide::windows::{self, WindowState};
 use dappleyard_engine::EngineReport;
 use dappleyard_settings::BatchPolicy;
 use dappleyard_tables::servers::OwnedServer;
@@ -105,7 +106,7 @@
         batch_tokens,
         new_sequence_tokens: SEQUENCE_TOKENS,
         slowdown_percent: runner.slowdown_percent(server.entry.service.as_str()),
-        window_percent: 100,
+        window_percent: runner.window_percent(server.entry.service.as_str()),
     };
     if runner.settings.policy == BatchPolicy::SharedQueue {
         inputs.slowdown_percent = u32::MAX;
@@ -254,6 +255,20 @@
 }
 
 impl Runner {
+    /// Share of the width that open demand windows of a service leave, percent. While models are made
+    /// warm before a window the share is the window's already, so that batch is out of the way in time.
+    fn window_percent(&self, service: &str) -> u32 {
+        let configuration = self.tables.configuration.current();
+        let now_unix_s = self.now_unix_s();
+        let windows = configuration.windows.values();
+        windows
+            .filter(|window| window.service == service)
+            .filter(|window| windows::state(window, now_unix_s) != WindowState::Closed)
+            .map(|window| window.batch_percent)
+            .min()
+            .unwrap_or(100)
+    }
+
     /// Slowdown of online steps that batch may cause, percent.
     fn slowdown_percent(&self, service: &str) -> u32 {
         let configuration = self.tables.configuration.current();
--- a/crates/batch/tests/batch/jobs.rs
+++ b/crates/batch/tests/batch/jobs.rs
@@ -1,13 +1,16 @@
 //! Jobs from upload to result files, on nodes that share a store.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use dappleyard_settings::BatchSettings;
 use dappleyard_wire::ErrorKind;
-use dappleyard_wire::messages::JobPhase;
+use dappleyard_wire::keys;
+use dappleyard_wire::messages::{ConfigurationEntry, JobPhase, WindowRow};
 use googletest::prelude::*;
+use prost::Message;
 
-use crate::support::harness::{Fleet, lines, submit, upload};
+use crate::support::harness::{Fleet, TENANT, lines, submit, upload};
 use tokio::task::LocalSet;
 
 fn custom_ids(text: &str) -> Vec<String> {
@@ -101,3 +104,65 @@
         })
         .await;
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_job_beyond_the_standing_approval_waits_for_its_confirmation() {
+    LocalSet::new()
+        .run_until(async {
+            let settings = BatchSettings {
+                standing_items: 20,
+                ..BatchSettings::default()
+            };
+            let fleet = Fleet::start(2, settings);
+            let node = &fleet.nodes[0];
+            let file = upload(node, &lines(21, 5)).await;
+            let job = node.submit(submit(&file, "key")).await.expect("accepted");
+            tokio::time::sleep(Duration::from_secs(20)).await;
+            let planned = node.job(&job.job_id).await;
+            expect_that!(planned.phase(), eq(JobPhase::JobPlanned));
+            expect_that!(planned.items_total, eq(21));
+            expect_that!(fleet.engine.runs.borrow().len(), eq(0));
+            let plan = node.api.plan(TENANT, &job.job_id).await.expect("a plan");
+            expect_that!(plan.items, eq(21));
+            let confirmed = fleet.nodes[1].api.confirm(TENANT, &job.job_id).await;
+            confirmed.expect("confirmed");
+            let ended = node.ended(&job.job_id).await;
+            expect_that!(ended.phase(), eq(JobPhase::JobCompleted));
+            expect_that!(ended.items_completed, eq(21));
+        })
+        .await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_open_demand_window_narrows_batch() {
+    LocalSet::new()
+        .run_until(async {
+            let fleet = Fleet::start(1, BatchSettings::default());
+            let tables = &fleet.nodes[0].tables;
+            let now = tables.clock.unix_ms() / 1_000;
+            let window = WindowRow {
+                name: "shift".to_owned(),
+                service: "llm".to_owned(),
+                batch_percent: 10,
+                starts_unix_s: now - 10,
+                ends_unix_s: now + 3_600,
+                ..WindowRow::default()
+            };
+            tables.configuration.apply(&[ConfigurationEntry {
+                revision: 1,
+                key: keys::window("shift"),
+                value: window.encode_to_vec(),
+                parts: 1,
+                ..ConfigurationEntry::default()
+            }]);
+            let node = &fleet.nodes[0];
+            let file = upload(node, &lines(300, 20)).await;
+            let job = node.submit(submit(&file, "key")).await.expect("accepted");
+            node.ended(&job.job_id).await;
+            let widest = fleet.engine.widest.borrow()["http://server-0"];
+            expect_that!(widest, all!(ge(8), le(12)));
+        })
+        .await;
+}
--- a/crates/platform/tests/gate.rs
+++ b/crates/platform/tests/gate.rs
@@ -59,8 +59,13 @@
         Ok(Vec::new())
     }
 
-    async fn changes(&self, _p: &str, _a: u64, _w: u32) -> Result<Changes, StoreError> {
-        Ok(Changes::default())
+    async fn changes(&self, _p: &str, _a: u64, wait_ms: u32) -> Result<Changes, StoreError> {
+        tokio::time::sleep(Duration::from_millis(u64::from(wait_ms))).await;
+        if self.0.down.get() {
+            Err(unavailable())
+        } else {
+            Ok(Changes::default())
+        }
     }
 }
 
@@ -203,6 +208,28 @@
         .await;
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_feed_that_waits_does_not_keep_the_breaker_open() {
+    LocalSet::new()
+        .run_until(async {
+            let settings = PlatformSettings::default();
+            let (platform, script) = gated(&settings);
+            script.down.set(true);
+            for _ in 0..20 {
+                let _ = platform.tables.get("job/a").await;
+            }
+            script.down.set(false);
+            tokio::time::sleep(Duration::from_millis(2 * settings.breaker_probe_ms)).await;
+            let asked = tokio::time::Instant::now();
+            let probe = platform.tables.changes("active-job/", 0, 10_000).await;
+            expect_that!(probe, ok(anything()));
+            expect_that!(asked.elapsed().as_millis(), lt(100));
+            expect_that!(platform.tables.get("job/a").await, ok(none()));
+        })
+        .await;
+}
+
 #[gtest]
 fn calls_that_may_wait_leave_tokens_to_those_that_protect_promises() {
     let mut limiter = Limiter::new(10.0, 20.0, 0);
