--- a/crates/lab/src/overhead/latency.rs
+++ b/crates/lab/src/overhead/latency.rs
@@ -81,7 +81,7 @@
         .map(|share| {
             let (from, to) = (quantile(&direct, share), quantile(&through, share));
             format!(
-                "p{:.0} {from:.2} -> {to:.2} (+{:.2})",
+                "p{:.0} {from:.2} -> {to:.2} ({:+.2})",
                 share * 100.0,
                 to - from
             )
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -11,7 +11,7 @@
 use dappleyard_tables::NodeTables;
 use dappleyard_transport::link::Announcement;
 use dappleyard_transport::policy::SharedPolicy;
-use dappleyard_transport::{LinkPool, LinkServer, ServerStream};
+use dappleyard_transport::{LinkMetrics, LinkPool, LinkServer, LinkSettings, ServerStream};
 use dappleyard_wire::messages::{Hello, frame};
 use dappleyard_wire::{ErrorKind, Failure};
 use tokio::net::TcpListener;
@@ -37,6 +37,17 @@
     pub announcement: watch::Receiver<Announcement>,
     /// Hello of this node.
     pub hello: Hello,
+    /// Where the links of all workers are counted.
+    pub link_metrics: Arc<LinkMetrics>,
+}
+
+impl RequestContext {
+    fn link_settings(&self) -> LinkSettings {
+        LinkSettings {
+            metrics: self.link_metrics.clone(),
+            ..LinkSettings::from(&self.settings.link)
+        }
+    }
 }
 
 /// Runs a worker on this thread until the thread ends.
@@ -45,8 +56,8 @@
     let listener = TcpListener::from_std(listener)?;
     let handler = stream_handler(&context);
     let server = Rc::new(LinkServer {
+        settings: context.link_settings(),
         hello: context.hello,
-        settings: (&context.settings.link).into(),
         policy: context.policy,
         announcement: context.announcement,
     });
@@ -58,7 +69,7 @@
     let engine = engine::client(&context.settings.online);
     let links = Rc::new(LinkPool::new(
         context.hello.clone(),
-        (&context.settings.link).into(),
+        context.link_settings(),
         context.policy.clone(),
     ));
     let online = OnlineWorker::new(OnlineContext {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -9,6 +9,7 @@
 use dappleyard_settings::NodeSettings;
 use dappleyard_tables::members::REFUTATION_BITS;
 use dappleyard_tables::{Identity, NodeTables};
+use dappleyard_transport::LinkMetrics;
 use dappleyard_transport::link::Announcement;
 use dappleyard_transport::policy::SharedPolicy;
 use dappleyard_wire::PROTOCOL_VERSION;
@@ -50,7 +51,12 @@
         .map_err(|cause| sockets_failed("gossip_listen", &sockets.gossip_address, cause))?;
     let drain = start_batch(&mut threads, &settings, &tables, &platform).await?;
 
+    let link_metrics = Arc::new(LinkMetrics::default());
+    if let Err(error) = link_metrics.register(&tables.metrics) {
+        tracing::warn!(%error, "links are not counted");
+    }
     let request = RequestContext {
+        link_metrics,
         hello: hello(&tables),
         shared: OnlineShared::new(&settings.online, &tables),
         settings: settings.clone(),
