Fleet: a node that is no watcher reads a large machine list once on start

Cause: each node read it twice, since the interval was set before the list was known to be large; the profile of 300 starting hollow nodes showed the reading first. Change: the interval is set after the reading; a reading marks what it saw instead of building a set.

--- a/crates/fleet/src/actor/calls.rs
+++ b/crates/fleet/src/actor/calls.rs
@@ -93,15 +93,15 @@
 
     fn read_machines(&mut self, context: &mut Context<Self>) {
         self.running.machines = true;
-        let watcher = self.is_watcher();
-        let interval = self.settings.machine_list_interval_ms;
-        let interval = self.machines.reading_interval_ms(interval, watcher);
-        self.due.machines = self.later(interval);
         let list = self.platform.machines.clone();
         let reading = async move { list.machines().await };
         let done = reading.into_actor(self).map(|read, actor, _| {
             actor.running.machines = false;
+            let often = read.is_err() || actor.is_watcher();
             actor.take_machines(read);
+            let interval = actor.settings.machine_list_interval_ms;
+            let interval = actor.machines.reading_interval_ms(interval, often);
+            actor.due.machines = actor.later(interval);
         });
         context.spawn(done);
     }
--- a/crates/fleet/src/machines.rs
+++ b/crates/fleet/src/machines.rs
@@ -40,6 +40,8 @@
     read: Option<u64>,
     /// When the content in force was observed.
     observed_unix_ms: u64,
+    /// Last reading that showed the server, or its absence.
+    reading: u32,
 }
 
 /// What has to change in the directory.
@@ -64,6 +66,7 @@
     known: BTreeMap<ServerId, Known>,
     nodes: Vec<SocketAddr>,
     entries: usize,
+    reading: u32,
     waiting: Broadcasts<ServerUpdate>,
     /// Ids that many entries share, kept once.
     services: BTreeMap<String, ServiceId>,
@@ -79,9 +82,10 @@
         &self.nodes
     }
 
-    /// Time until this node reads the list again, milliseconds.
-    pub fn reading_interval_ms(&self, interval_ms: u64, watcher: bool) -> u64 {
-        if watcher || !self.read_once || self.entries <= SMALL_LIST {
+    /// Time until this node reads the list again, milliseconds. `often` says that it is a watcher, or
+    /// that the last reading failed.
+    pub fn reading_interval_ms(&self, interval_ms: u64, often: bool) -> u64 {
+        if often || !self.read_once || self.entries <= SMALL_LIST {
             interval_ms
         } else {
             RARE_READING_MS
@@ -118,9 +122,8 @@
         let servers = machines
             .iter()
             .filter(|machine| machine.role == MachineRole::Server);
-        let mut seen = std::collections::BTreeSet::new();
+        self.reading += 1;
         for machine in servers {
-            seen.insert(machine.name.as_str());
             let hash = content_hash(machine);
             if self.take_reading(machine.name.as_str(), Some(hash), unix_ms) {
                 change.put.push(self.entry_of(machine));
@@ -129,9 +132,9 @@
         }
         let missing: Vec<ServerId> = self
             .known
-            .keys()
-            .filter(|server| !seen.contains(server.as_str()))
-            .cloned()
+            .iter()
+            .filter(|(_, known)| known.reading != self.reading)
+            .map(|(server, _)| server.clone())
             .collect();
         for server in missing {
             if self.take_reading(server.as_str(), None, unix_ms) {
@@ -154,10 +157,12 @@
                 current: hash,
                 read: hash,
                 observed_unix_ms: unix_ms,
+                reading: self.reading,
             };
             self.known.insert(server.into(), fresh);
             return true;
         };
+        known.reading = self.reading;
         let differs_from_last = known.read != hash;
         known.read = hash;
         let overrules = unix_ms.saturating_sub(known.observed_unix_ms) >= OVERRULE_MS;
@@ -206,6 +211,7 @@
                 current: hash,
                 read,
                 observed_unix_ms: update.observed_unix_ms,
+                reading: self.reading,
             };
             self.known.insert(update.server.as_str().into(), next);
             match update.removed {
