--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -21,6 +21,7 @@
 mod gossip;
 mod probing;
 mod standing;
+mod suspects;
 
 pub use entry::{Entry, REFUTATION_BITS, Suspicion, is_present, start_of, supersedes};
 pub use standing::Standing;
