--- a/crates/online/src/reports.rs
+++ b/crates/online/src/reports.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dappleyard_decide::freshness;
 use dappleyard_decide::time::Millis;
 use dappleyard_engine::{Engine, EngineReport};
 use dappleyard_settings::OnlineSettings;
@@ -21,6 +22,9 @@
 /// Calls that must fail in a row before a server is withdrawn.
 const FAILURES_TO_WITHDRAW: u32 = 2;
 
+/// HTTP status of an engine that takes no new work.
+const STATUS_LEAVING: u16 = 503;
+
 /// Own sequence counts kept for each server, one for each poll: as long as reports lag.
 const OWN_COUNTS: usize = 10;
 
@@ -98,6 +102,7 @@
 
     /// A server seen for the first time is asked for its state at once, others for their report.
     async fn poll(&self, server: &ServerId, base: &str, first: bool) {
+        let asked = self.tables.clock.now();
         let asking = async {
             if first {
                 self.engine.status(base).await
@@ -114,7 +119,7 @@
                     .and_then(|c| c.iter().max().copied());
                 let online = report.running_online + report.waiting_online;
                 let foreign = online.saturating_sub(own.unwrap_or(0));
-                apply_report(&self.tables, server, report);
+                apply_report(&self.tables, server, report, asked);
                 self.tables
                     .servers
                     .with(server, |state| state.foreign_online = foreign);
@@ -125,10 +130,16 @@
     }
 }
 
-/// Takes a report or status into the table. An older word never replaces a newer one.
-pub(crate) fn apply_report(tables: &NodeTables, server: &ServerId, report: EngineReport) {
+/// Takes a report or status that was asked for at `asked` into the table. An older word never replaces
+/// a newer one.
+pub(crate) fn apply_report(
+    tables: &NodeTables,
+    server: &ServerId,
+    report: EngineReport,
+    asked: Millis,
+) {
     let now = tables.clock.now();
-    let said_at = Millis(now.0.saturating_sub(u64::from(report.age_ms)));
+    let said_at = freshness::said_at(asked, u64::from(report.age_ms));
     let change = tables.servers.with(server, |state| {
         state.failures = 0;
         if said_at < state.accepting_known_at {
@@ -179,6 +190,24 @@
     }
 }
 
+/// Takes the refusal of a call into account. An engine that says that it leaves is withdrawn until a
+/// later word; one that refuses otherwise is asked for its state before the next dispatch.
+pub(crate) fn note_refusal(tables: &NodeTables, server: &ServerId, status: u16) {
+    let now = tables.clock.now();
+    let withdrawn = tables.servers.with(server, |state| {
+        if status != STATUS_LEAVING {
+            state.accepting_known_at = Millis(0);
+            return false;
+        }
+        let newly = state.withdrawn.is_none();
+        state.withdrawn = Some(("the engine refused a call: it leaves".to_owned(), now));
+        newly
+    });
+    if withdrawn == Some(true) {
+        explain(tables, server, "takes no new work", "it refused a call");
+    }
+}
+
 fn explain(tables: &NodeTables, server: &ServerId, cause: &str, input: &str) {
     tracing::info!(%server, cause, input, "a server changed");
     tables.decisions.record(Decision {
