--- a/crates/batch/src/runner/dispatch.rs
+++ b/crates/batch/src/runner/dispatch.rs
@@ -6,12 +6,13 @@
 
 use dappleyard_decide::time::Millis;
 use dappleyard_decide::width::{self, WidthInputs};
+use dappleyard_decide::windows::{self, WindowState};
 use dappleyard_engine::EngineReport;
 use dappleyard_settings::BatchPolicy;
 use dappleyard_tables::servers::OwnedServer;
 use dappleyard_wire::ids::ServerId;
 
-use super::state::{RunningItem, ServerState};
+use super::server::{RunningItem, ServerState};
 use super::work::WorkItem;
 use super::{Runner, run_item};
 
@@ -21,8 +22,6 @@
 const PAUSE_MS: u64 = 500;
 /// KV tokens that one more batch sequence is taken to hold.
 const SEQUENCE_TOKENS: u32 = 500;
-/// Prompt tokens of a batch sequence, for the pace of starts beside online work.
-const PREFILL_TOKENS: u32 = 500;
 /// Longest time that the prompts of streams started at the slow pace take to compute, milliseconds.
 const LONGEST_PACED_PREFILL_MS: u64 = 20;
 /// Share of the KV memory that is given out, percent.
@@ -81,7 +80,9 @@
     let Some((report, _)) = &server.report else {
         return 0;
     };
-    if !server.takes_new_work() || runner.settings.policy == BatchPolicy::OnlineOnly {
+    let draining = runner.tables.configuration.current().drains(&server.entry);
+    let closed = draining || !server.takes_new_work();
+    if closed || runner.settings.policy == BatchPolicy::OnlineOnly {
         return 0;
     }
     let now = runner.tables.clock.now();
@@ -92,17 +93,22 @@
         .or_default();
     observe(known, report, now);
     let total = report.total_blocks.saturating_mul(report.block_tokens);
+    let online_tokens = server.online.values().map(|flight| flight.tokens).sum();
+    let batch_tokens = known.batch_tokens(now);
+    known
+        .cache
+        .set_room(total.saturating_sub(online_tokens + batch_tokens));
     let mut inputs = WidthInputs {
         model: known.steps,
         online_sequences: u32::try_from(server.online.len()).unwrap_or(u32::MAX),
-        online_tokens: server.online.values().map(|flight| flight.tokens).sum(),
+        online_tokens,
         total_tokens: total / 100 * MEMORY_PERCENT,
         maximum_sequences: report.maximum_sequences,
         batch_sequences: known.active(),
-        batch_tokens: known.batch_tokens(now),
+        batch_tokens,
         new_sequence_tokens: SEQUENCE_TOKENS,
         slowdown_percent: runner.slowdown_percent(server.entry.service.as_str()),
-        window_percent: 100,
+        window_percent: runner.window_percent(server.entry.service.as_str()),
     };
     if runner.settings.policy == BatchPolicy::SharedQueue {
         inputs.slowdown_percent = u32::MAX;
@@ -235,7 +241,8 @@
     let mut state = runner.state.borrow_mut();
     let known = state.servers.entry(id.clone()).or_default();
     if paced {
-        let interval = width::prefill_interval_ms(&known.steps, PREFILL_TOKENS, slowdown);
+        let tokens = known.last_prefill_tokens;
+        let interval = width::prefill_interval_ms(&known.steps, tokens, slowdown);
         if (now.since(known.prefilled_at) as f64) < interval {
             return None;
         }
@@ -250,6 +257,20 @@
 }
 
 impl Runner {
+    /// Share of the width that open demand windows of a service leave, percent. While models are made
+    /// warm before a window the share is the window's already, so that batch is out of the way in time.
+    fn window_percent(&self, service: &str) -> u32 {
+        let configuration = self.tables.configuration.current();
+        let now_unix_s = self.now_unix_s();
+        let windows = configuration.windows.values();
+        windows
+            .filter(|window| window.service == service)
+            .filter(|window| windows::state(window, now_unix_s) != WindowState::Closed)
+            .map(|window| window.batch_percent)
+            .min()
+            .unwrap_or(100)
+    }
+
     /// Slowdown of online steps that batch may cause, percent.
     fn slowdown_percent(&self, service: &str) -> u32 {
         let configuration = self.tables.configuration.current();
