A link whose peer takes new work again is used again

Failure found: a node whose drain was taken back stayed unused on every link that had heard GoAway, since nothing took that word back. Now a Pong that says ready ends it, and a peer that goes away never says ready. The test of announcements takes a drain back on the same link; without the change it does not end.

--- a/crates/transport/src/link/announce.rs
+++ b/crates/transport/src/link/announce.rs
@@ -21,6 +21,11 @@
 }
 
 impl Announcement {
+    /// Whether the node takes new work: it is ready and does not go away.
+    pub(super) fn takes_new_work(&self) -> bool {
+        self.ready && self.go_away_ms.is_none()
+    }
+
     /// Frames that tell what has changed since `told`; `None` when nothing was told yet.
     fn changes(&self, told: Option<&Announcement>) -> Vec<frame::Body> {
         let changed = |differs: fn(&Announcement, &Announcement) -> bool| {
@@ -37,8 +42,8 @@
             let go_away = self.go_away_ms.map(|leave_in_ms| GoAway { leave_in_ms });
             bodies.extend(go_away.map(frame::Body::GoAway));
         }
-        if changed(|now, told| now.ready != told.ready) {
-            let ready = self.ready;
+        if changed(|now, told| now.takes_new_work() != told.takes_new_work()) {
+            let ready = self.takes_new_work();
             bodies.push(frame::Body::Pong(Pong { nonce: 0, ready }));
         }
         bodies
--- a/crates/transport/src/link/client.rs
+++ b/crates/transport/src/link/client.rs
@@ -228,7 +228,11 @@
     fn hear(&self, body: frame::Body) {
         match body {
             frame::Body::GoAway(_) => self.going_away.set(true),
-            frame::Body::Pong(pong) => self.ready.set(pong.ready),
+            frame::Body::Pong(pong) => {
+                self.ready.set(pong.ready);
+                // A peer that takes new work again no longer goes away: its drain was taken back.
+                self.going_away.set(self.going_away.get() && !pong.ready);
+            }
             frame::Body::Peers(peers) => *self.peers.borrow_mut() = peers,
             frame::Body::Load(load) => *self.load.borrow_mut() = Some(load),
             _ => {}
--- a/crates/transport/src/link/server.rs
+++ b/crates/transport/src/link/server.rs
@@ -210,7 +210,7 @@
 
     fn receive_on_link(&self, body: &frame::Body) {
         if let frame::Body::Ping(Ping { nonce }) = body {
-            let ready = self.server.announcement.borrow().ready;
+            let ready = self.server.announcement.borrow().takes_new_work();
             let pong = Pong {
                 nonce: *nonce,
                 ready,
--- a/crates/transport/tests/link.rs
+++ b/crates/transport/tests/link.rs
@@ -57,6 +57,9 @@
         .send_modify(|now| now.go_away_ms = Some(1_000));
     until(|| !link.takes_new_work()).await;
     expect_that!(link.is_up(), eq(true));
+    // A drain that is taken back: the same link is used again.
+    server.announcement.send_modify(|now| now.go_away_ms = None);
+    until(|| link.takes_new_work()).await;
 }
 
 #[gtest]
