--- a/crates/lab/src/load/batch.rs
+++ b/crates/lab/src/load/batch.rs
@@ -1,19 +1,17 @@
 //! Batch callers: upload, submit, poll, cancel, read and check the results.
 
 use std::cell::Cell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use awc::Client;
-use dappleyard_wire::hash::hash_bytes;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
 use super::client::{CallError, Caller};
-use super::expected::{Expected, canonical};
 use super::plan::{ItemPlan, JobArrival};
-use crate::ledger::{CancelRecord, ItemFinding, JobRecord, JobResults, Ledger, Refusal};
+use super::results;
+use crate::ledger::{CancelRecord, JobRecord, JobResults, Ledger, Refusal};
 use crate::scenario::BatchScenario;
 
 /// Wait before a failed call is made again.
@@ -284,7 +282,7 @@
                 lines.push(b'\n');
             }
         }
-        Ok(self.judge(&lines, items))
+        Ok(results::judge(&lines, items, &self.versions))
     }
 
     /// Reads a file, again while the system says that it cannot now.
@@ -308,54 +306,6 @@
         let state: Result<Value, _> = caller.get(&format!("/v1/files/{file}")).await;
         state.is_ok_and(|state| state["bytes"].as_u64() == Some(content.len() as u64))
     }
-
-    fn judge(&self, lines: &[u8], items: &[ItemPlan]) -> JobResults {
-        let mut found: HashMap<String, Vec<Value>> = HashMap::new();
-        for line in lines
-            .split(|byte| *byte == b'\n')
-            .filter(|line| !line.is_empty())
-        {
-            let value: Value = serde_json::from_slice(line).unwrap_or_default();
-            let custom_id = value["custom_id"].as_str().unwrap_or_default().to_owned();
-            found.entry(custom_id).or_default().push(value);
-        }
-        let mut results = JobResults::default();
-        for item in items {
-            let values = found.remove(&item.custom_id).unwrap_or_default();
-            match self.judge_item(item, &values) {
-                None => {
-                    results.right += 1;
-                    let text = values[0].to_string();
-                    results.fingerprint ^= hash_bytes(text.as_bytes());
-                }
-                Some(finding) => results.findings.push(finding),
-            }
-        }
-        let foreign = found.into_keys().map(ItemFinding::Foreign);
-        results.findings.extend(foreign);
-        results
-    }
-
-    fn judge_item(&self, item: &ItemPlan, values: &[Value]) -> Option<ItemFinding> {
-        let custom_id = item.custom_id.clone();
-        let value = match values {
-            [] => return Some(ItemFinding::Missing(custom_id)),
-            [value] => value,
-            _ => return Some(ItemFinding::Doubled(custom_id)),
-        };
-        let body = &value["response"]["body"];
-        let Some(text) = body["choices"][0]["message"]["content"].as_str() else {
-            let shown: String = value.to_string().chars().take(300).collect();
-            return Some(ItemFinding::Failed(shown));
-        };
-        let expected = Expected {
-            versions: self.versions.clone(),
-            prompt: canonical(&item.system, &item.user),
-            max_tokens: item.max_tokens,
-        };
-        let wrong = expected.judge_whole(text)?;
-        Some(ItemFinding::Wrong(format!("{custom_id}: {wrong}")))
-    }
 }
 
 async fn submit_once(
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! [`plan`] draws all arrivals from the seed before the run, so that each policy sees the same ones;
 //! [`online`] and [`batch`] carry them out against the sidecars and note what came back in the
-//! ledger; [`drive`] spreads them over threads. Texts of prompts come from [`words`], and answers
-//! are judged by [`expected`].
+//! ledger; [`drive`] spreads them over threads. Texts of prompts come from [`words`]; answers are
+//! judged by [`expected`], and whole jobs by [`results`].
 
 pub mod batch;
 pub mod client;
@@ -11,5 +11,6 @@
 pub mod expected;
 pub mod online;
 pub mod plan;
+pub mod results;
 pub mod sse;
 pub mod words;
