Keep axis labels of plots apart; leave the machine out of the ratios

Cause: labels of logarithmic axes overlapped, the last one was clipped; a ratio of how late the machine was says nothing of a policy. Change: fewer labels, a margin on the right, and a mark on measures that are of the machine.

--- a/crates/report/src/charts.rs
+++ b/crates/report/src/charts.rs
@@ -84,6 +84,7 @@
         let mut chart = ChartBuilder::on(area)
             .caption(title, ("sans-serif", 16))
             .margin(8)
+            .margin_right(28)
             .x_label_area_size(36)
             .y_label_area_size(64)
             .build_cartesian_2d(
@@ -95,6 +96,7 @@
             .configure_mesh()
             .label_style(("sans-serif", LABEL_SIZE))
             .x_labels(5)
+            .y_labels(4)
             .x_label_formatter(&|nines| quantile_name(*nines))
             .y_label_formatter(&|value| milliseconds(*value))
             .y_desc("ms")
@@ -160,6 +162,7 @@
         let mut chart = ChartBuilder::on(area)
             .caption(title, ("sans-serif", 15))
             .margin(6)
+            .margin_right(28)
             .x_label_area_size(28)
             .y_label_area_size(64)
             .build_cartesian_2d(0.0..length, 0.0..greatest)
--- a/crates/report/src/compare.rs
+++ b/crates/report/src/compare.rs
@@ -13,6 +13,8 @@
 pub struct Measure {
     /// Name, with the unit.
     pub name: &'static str,
+    /// Whether it says something of the product, and not of the machine that it ran on.
+    pub of_product: bool,
     /// Reads it; `None` when the run does not have it.
     pub read: fn(&Summary) -> Option<f64>,
 }
@@ -21,50 +23,62 @@
 pub const MEASURES: &[Measure] = &[
     Measure {
         name: "batch items/s",
+        of_product: true,
         read: |run| Some(run.measures.batch_items_per_s),
     },
     Measure {
         name: "batch tokens/s",
+        of_product: true,
         read: |run| Some(run.measures.batch_tokens_per_s),
     },
     Measure {
         name: "batch share of idle",
+        of_product: true,
         read: |run| run.measures.batch_share_of_idle,
     },
     Measure {
         name: "TTFT p50, ms",
+        of_product: true,
         read: |run| Some(run.measures.ttft_ms.p50),
     },
     Measure {
         name: "TTFT p95, ms",
+        of_product: true,
         read: |run| Some(run.measures.ttft_ms.p95),
     },
     Measure {
         name: "TTFT p99, ms",
+        of_product: true,
         read: |run| Some(run.measures.ttft_ms.p99),
     },
     Measure {
         name: "inter-token p50, ms",
+        of_product: true,
         read: |run| Some(run.measures.itl_ms.p50),
     },
     Measure {
         name: "inter-token p95, ms",
+        of_product: true,
         read: |run| Some(run.measures.itl_ms.p95),
     },
     Measure {
         name: "inter-token p99, ms",
+        of_product: true,
         read: |run| Some(run.measures.itl_ms.p99),
     },
     Measure {
         name: "online goodput/s",
+        of_product: true,
         read: |run| Some(run.measures.goodput_per_s),
     },
     Measure {
         name: "store writes/s",
+        of_product: true,
         read: |run| Some(run.measures.store_writes_per_s),
     },
     Measure {
         name: "machine too late, share",
+        of_product: false,
         read: |run| Some(run.measures.engine_stall_share),
     },
 ];
--- a/crates/report/src/page/sections.rs
+++ b/crates/report/src/page/sections.rs
@@ -179,7 +179,7 @@
                 th { "ratio" }
                 @for (policy, _) in &others { th { (policy) } }
             }
-            @for measure in MEASURES {
+            @for measure in MEASURES.iter().filter(|measure| measure.of_product) {
                 @if others.iter().any(|(_, rows)| find(rows, measure.name).is_some()) {
                     tr {
                         td { (measure.name) }
