In force: judge a member by the aggregate of its own cell only

Cause: in a zone of several cells the aggregate of another cell stood for a lagging member of this one, and members of a cell not heard of were counted as in force: the answer claimed too much. Change: the fleet part keeps the cell of each member in the members table; a member counts by its own statement or by the aggregate of its cell, and by nothing else. Also the test of shared servers waited for a sum of 12, which also holds while the first node owns all: it failed once. It now waits for the sum and for a share on each node, which is stricter.

--- a/crates/fleet/src/actor/changes.rs
+++ b/crates/fleet/src/actor/changes.rs
@@ -186,6 +186,9 @@
         let members_changed = self
             .directory
             .set_members(&self.membership, self.settings.cell_size);
+        if members_changed {
+            self.tables.members.set_cells(self.directory.cell_names());
+        }
         if members_changed || std::mem::take(&mut self.servers_changed) {
             let owned = self.directory.publish(&self.tables);
             self.metrics
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -60,6 +60,17 @@
         true
     }
 
+    /// The cell of each member by name.
+    pub fn cell_names(&self) -> BTreeMap<NodeId, String> {
+        let cells = self.cells.all().iter();
+        cells
+            .flat_map(|cell| {
+                let nodes = cell.nodes.iter();
+                nodes.map(|node| (NodeId::from(&node.node), cell.name.clone()))
+            })
+            .collect()
+    }
+
     /// Takes entries that the machine list shows anew or otherwise, and those that it lost.
     pub fn change_servers(
         &mut self,
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -4,6 +4,7 @@
 
 use dappleyard_decide::time::Millis;
 use dappleyard_tables::NodeTables;
+use dappleyard_wire::ids::NodeId;
 use dappleyard_wire::messages::{CellAggregate, Member, MemberState};
 
 /// Aggregates older than this say nothing of a cell any more, milliseconds.
@@ -48,8 +49,16 @@
         cut_off_regions: cut_off_regions(&members, tables),
         ..InForce::default()
     };
+    let cells = tables.members.cells();
     for member in alive {
-        if applied(member, tables, &aggregates, own) >= revision {
+        let is_own = member.node == tables.identity.node.as_str();
+        let cell = cells.get(&NodeId::from(&member.node));
+        let applied = if is_own {
+            own
+        } else {
+            applied(member, cell, &aggregates)
+        };
+        if applied >= revision {
             answer.nodes_in_force += 1;
         } else if answer.laggards.len() < MAXIMUM_LAGGARDS {
             answer.laggards.push(member.node.clone());
@@ -58,43 +67,31 @@
     answer
 }
 
-/// Revision that a member is known to have applied.
+/// Revision that a member is known to have applied: what it said itself, within this node's cell, or
+/// what the aggregate of its own cell says of it.
 fn applied(
     member: &Member,
-    tables: &NodeTables,
+    cell: Option<&String>,
     aggregates: &BTreeMap<String, CellAggregate>,
-    own: u64,
 ) -> u64 {
-    if member.node == tables.identity.node.as_str() {
-        return own;
-    }
-    // Which cell a member of another zone is in is not known here; the lowest of its zone holds.
-    let of_zone: Vec<&CellAggregate> = aggregates
-        .values()
-        .filter(|aggregate| aggregate.zone == member.zone)
-        .collect();
-    let named = of_zone
-        .iter()
-        .any(|aggregate| aggregate.lagging_nodes.contains(&member.node));
-    let by_cells = if named {
-        of_zone
-            .iter()
-            .map(|aggregate| aggregate.lowest_revision)
-            .min()
-    } else {
-        of_zone
-            .iter()
-            .map(|aggregate| {
-                match aggregate.nodes_lagging as usize == aggregate.lagging_nodes.len() {
-                    true => aggregate.highest_revision,
-                    false => aggregate.lowest_revision,
-                }
-            })
-            .min()
-    };
+    let by_cell = cell
+        .and_then(|cell| aggregates.get(cell))
+        .map(|aggregate| shown_by(aggregate, &member.node));
     member
         .configuration_revision
-        .max(by_cells.unwrap_or_default())
+        .max(by_cell.unwrap_or_default())
+}
+
+/// Revision that an aggregate shows for one of its members. When it does not name all that lag, any
+/// of them may.
+fn shown_by(aggregate: &CellAggregate, node: &str) -> u64 {
+    let names_all = aggregate.nodes_lagging as usize == aggregate.lagging_nodes.len();
+    let lags = aggregate.lagging_nodes.iter().any(|name| name == node);
+    if names_all && !lags {
+        aggregate.highest_revision
+    } else {
+        aggregate.lowest_revision
+    }
 }
 
 fn fresh_aggregates(tables: &NodeTables, now: Millis) -> BTreeMap<String, CellAggregate> {
--- a/crates/fleet/tests/cluster.rs
+++ b/crates/fleet/tests/cluster.rs
@@ -163,8 +163,12 @@
     platform.set_machines(servers("zone-1", 12));
     let nodes = three_nodes(&platform).await;
     let owned = |node: &Node| node.tables.servers.all().len();
-    eventually(|| nodes.iter().map(owned).sum::<usize>() == 12).await;
-    expect_that!(nodes.iter().map(owned).min(), some(ge(1)));
+    // Before the others are ready the first node owns all of them, so the sum alone proves nothing.
+    eventually(|| {
+        let counts: Vec<usize> = nodes.iter().map(owned).collect();
+        counts.iter().sum::<usize>() == 12 && counts.iter().all(|count| *count >= 1)
+    })
+    .await;
 
     nodes[2].handle.leave().await;
     eventually(|| owned(&nodes[0]) + owned(&nodes[1]) == 12).await;
--- a/crates/tables/src/members.rs
+++ b/crates/tables/src/members.rs
@@ -12,6 +12,8 @@
 /// Table of members. Membership writes it; everyone else reads it.
 pub struct MembersTable {
     members: Ranked<BTreeMap<NodeId, Member>>,
+    /// Cell of each member. Never locked together with `members`.
+    cells: Ranked<BTreeMap<NodeId, String>>,
     changed: watch::Sender<u64>,
 }
 
@@ -19,6 +21,7 @@
     fn default() -> Self {
         Self {
             members: Ranked::new(Rank::Members, BTreeMap::new()),
+            cells: Ranked::new(Rank::Members, BTreeMap::new()),
             changed: watch::Sender::new(0),
         }
     }
@@ -40,6 +43,16 @@
         }
     }
 
+    /// Sets the cell of each member.
+    pub fn set_cells(&self, cells: BTreeMap<NodeId, String>) {
+        *self.cells.lock() = cells;
+    }
+
+    /// The cell of each member.
+    pub fn cells(&self) -> BTreeMap<NodeId, String> {
+        self.cells.lock().clone()
+    }
+
     /// Forgets a member.
     pub fn remove(&self, node: &NodeId) {
         self.members.lock().remove(node);
