--- a/crates/lab/src/capacity/measure.rs
+++ b/crates/lab/src/capacity/measure.rs
@@ -65,7 +65,7 @@
     cpu_s: f64,
     bytes_out: Vec<f64>,
     bytes_in: Vec<f64>,
-    datagrams_out: f64,
+    datagrams_out: Vec<f64>,
     machine_lists: f64,
     feed_reads: f64,
     own_suspicions: Vec<f64>,
@@ -110,6 +110,7 @@
     };
     let bytes_out = per_node(&after.bytes_out, &before.bytes_out);
     let bytes_in = per_node(&after.bytes_in, &before.bytes_in);
+    let datagrams_out = per_node(&after.datagrams_out, &before.datagrams_out);
     let suspicions = per_node(&after.own_suspicions, &before.own_suspicions);
     let deaths = per_node(&after.false_deaths, &before.false_deaths);
     let sums = bytes_out
@@ -123,7 +124,7 @@
         bytes_worst: sums.fold(0.0, f64::max),
         bytes_out: bytes_out.iter().sum::<f64>() / nodes,
         bytes_in: bytes_in.iter().sum::<f64>() / nodes,
-        datagrams_out: (after.datagrams_out - before.datagrams_out) / window / nodes,
+        datagrams_out: datagrams_out.iter().sum::<f64>() / nodes,
         memory_mb: memory_after.saturating_sub(memory_before) as f64 / 1e6 / nodes,
         machine_lists: (after.machine_lists - before.machine_lists) / window / nodes,
         feed_reads: (after.feed_reads - before.feed_reads) / window,
@@ -200,7 +201,7 @@
         cpu_s: (stat.utime + stat.stime) as f64 / procfs::ticks_per_second() as f64,
         bytes_out: Vec::new(),
         bytes_in: Vec::new(),
-        datagrams_out: 0.0,
+        datagrams_out: Vec::new(),
         machine_lists: 0.0,
         feed_reads: 0.0,
         own_suspicions: Vec::new(),
@@ -215,7 +216,8 @@
         totals
             .bytes_in
             .push(sum("dappleyard_fleet_bytes_total", "in"));
-        totals.datagrams_out += sum("dappleyard_fleet_datagrams_total", "out");
+        let datagrams = sum("dappleyard_fleet_datagrams_total", "out");
+        totals.datagrams_out.push(datagrams);
         totals.machine_lists += sum("dappleyard_fleet_calls_total", "machines");
         totals.feed_reads += sum("dappleyard_fleet_calls_total", "changes");
         let suspicions = sum("dappleyard_fleet_own_suspicions_total", "");
