Sidecar: what is known of a node is a module of its own; links are counted over all workers

Cause: each worker set the gauge of links to its own count, so that the last one won; each look at the links copied all lists of peers; a node that one peer tells of as draining and another not was dialled or not by chance. Change: workers add what changed; lists are read in place; draining holds when any says so.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod generations;
 pub mod headers;
 pub mod health;
+pub(crate) mod known;
 pub mod links;
 pub mod metrics;
 pub mod models;
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -1,28 +1,23 @@
 //! The links of one worker: a few nodes, the nearest first, dialled again with jittered backoff.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_settings::Place;
 use dappleyard_transport::policy::SharedPolicy;
 use dappleyard_transport::{Link, LinkSettings};
 use dappleyard_wire::PROTOCOL_VERSION;
 use dappleyard_wire::hash::{hash_bytes, rendezvous_weight};
 use dappleyard_wire::messages::{Hello, PeerNode};
-use rand::Rng;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::choose::{Candidate, Pick, choose, distance};
+use crate::choose::{Candidate, Pick, choose};
+use crate::known::{Known, State};
 use crate::worker::Shared;
 
-/// First pause before a node is dialled again.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-/// Longest pause before a node is dialled again.
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// Time between two looks at the links when nothing happens.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Most nodes remembered.
@@ -35,46 +30,10 @@
     settings: LinkSettings,
     known: RefCell<BTreeMap<String, Known>>,
     changed: Notify,
-}
-
-/// A node that may be dialled.
-struct Known {
-    place: Option<Place>,
-    draining: bool,
-    /// Named by the settings: never forgotten.
-    configured: bool,
-    state: State,
-    failures: u32,
-}
-
-enum State {
-    Idle,
-    Dialling,
-    Up(Link),
-    Waiting(Instant),
-}
-
-impl Known {
-    fn new(configured: bool) -> Self {
-        Self {
-            place: None,
-            draining: false,
-            configured,
-            state: State::Idle,
-            failures: 0,
-        }
-    }
-
-    fn link(&self) -> Option<&Link> {
-        match &self.state {
-            State::Up(link) => Some(link),
-            _ => None,
-        }
-    }
-
-    fn takes_new_work(&self) -> bool {
-        !self.draining && self.link().is_some_and(Link::takes_new_work)
-    }
+    /// Number of looks at the links so far.
+    looks: Cell<u64>,
+    /// Links of this worker that the gauge counts already.
+    counted: Cell<i64>,
 }
 
 impl Links {
@@ -96,6 +55,8 @@
             policy,
             known: RefCell::new(known),
             changed: Notify::new(),
+            looks: Cell::new(0),
+            counted: Cell::new(0),
         });
         actix_rt::spawn(links.clone().keep());
         links
@@ -152,34 +113,25 @@
         }
     }
 
-    /// Takes over what the nodes at the other ends tell of their peers.
+    /// Takes over what the nodes at the other ends tell of their peers, and forgets those of which
+    /// nobody tells any more.
     fn learn_peers(&self) {
+        let look = self.looks.get() + 1;
+        self.looks.set(look);
         let mut known = self.known.borrow_mut();
-        let told: Vec<PeerNode> = known
-            .values()
-            .filter_map(Known::link)
-            .flat_map(|link| link.peers().nodes)
-            .collect();
-        if told.is_empty() {
-            return;
-        }
-        for peer in &told {
-            if known.len() >= MAXIMUM_KNOWN && !known.contains_key(&peer.link_address) {
-                continue;
-            }
-            let entry = known
-                .entry(peer.link_address.clone())
-                .or_insert_with(|| Known::new(false));
-            entry.draining = peer.draining;
-            entry.place = Some(Place {
-                zone: peer.zone.clone(),
-                region: peer.region.clone(),
+        let links: Vec<Link> = known.values().filter_map(Known::link).cloned().collect();
+        let mut told = false;
+        for link in &links {
+            link.read_peers(|peers| {
+                told |= !peers.nodes.is_empty();
+                for peer in &peers.nodes {
+                    learn(&mut known, peer, look);
+                }
             });
         }
-        known.retain(|address, entry| {
-            entry.configured
-                || matches!(entry.state, State::Up(_) | State::Dialling)
-                || told.iter().any(|peer| peer.link_address == *address)
+        known.retain(|_, entry| {
+            let linked = matches!(entry.state, State::Up(_) | State::Dialling);
+            !told || entry.configured || linked || entry.told_at == look
         });
     }
 
@@ -264,14 +216,7 @@
             return;
         };
         match link {
-            Some(link) => {
-                entry.place = Some(Place {
-                    zone: link.peer().zone.clone(),
-                    region: link.peer().region.clone(),
-                });
-                entry.failures = 0;
-                entry.state = State::Up(link.clone());
-            }
+            Some(link) => entry.linked(link),
             None => {
                 self.count_failure("not_made");
                 entry.wait();
@@ -300,7 +245,9 @@
             .values()
             .filter(|entry| entry.link().is_some_and(Link::is_up))
             .count();
-        self.shared.metrics.links.set(up as i64);
+        let up = i64::try_from(up).unwrap_or(i64::MAX);
+        self.shared.metrics.links.add(up - self.counted.get());
+        self.counted.set(up);
     }
 
     fn count_failure(&self, cause: &str) {
@@ -312,31 +259,13 @@
     }
 }
 
-impl Known {
-    /// Whether it counts among the links kept: up, or worth dialling now.
-    fn is_usable(&self, now: Instant) -> bool {
-        match &self.state {
-            _ if self.draining => false,
-            State::Idle | State::Dialling => true,
-            State::Up(link) => link.takes_new_work(),
-            State::Waiting(until) => *until <= now,
-        }
-    }
-
-    /// Distance, with a node of unknown place counted as near, so that its place is learnt.
-    fn distance_from(&self, place: &Place) -> u8 {
-        self.place
-            .as_ref()
-            .map_or(0, |its| distance(place, &its.zone, &its.region))
-    }
-
-    fn wait(&mut self) {
-        let longest = FIRST_PAUSE
-            .saturating_mul(1 << self.failures.min(10))
-            .min(LONGEST_PAUSE);
-        let pause = longest.mul_f64(rand::rng().random_range(0.5..=1.0));
-        self.failures = self.failures.saturating_add(1);
-        self.state = State::Waiting(Instant::now() + pause);
+fn learn(known: &mut BTreeMap<String, Known>, peer: &PeerNode, look: u64) {
+    if let Some(entry) = known.get_mut(&peer.link_address) {
+        entry.told(peer, look);
+    } else if known.len() < MAXIMUM_KNOWN {
+        let mut entry = Known::new(false);
+        entry.told(peer, look);
+        known.insert(peer.link_address.clone(), entry);
     }
 }
 
--- a/crates/sidecar/tests/links.rs
+++ b/crates/sidecar/tests/links.rs
@@ -45,6 +45,19 @@
     expect_that!(second_seen.borrow().len(), eq(1));
 }
 
+#[gtest]
+#[actix_rt::test]
+async fn links_are_counted_over_all_workers() {
+    let (script, _) = answers("v1", 2);
+    let node = ScriptedNode::start("node-1", script).await;
+    let mut bounds = settings(&[&node]);
+    bounds.workers = 3;
+    let (_sidecar, base) = sidecar(bounds).await;
+    wait_links(&base, 3).await;
+    node.abort_handle().abort();
+    wait_links(&base, 0).await;
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn a_node_that_drains_is_not_dialled() {
--- a/crates/transport/src/link/client.rs
+++ b/crates/transport/src/link/client.rs
@@ -144,6 +144,11 @@
         self.shared.told.peers.borrow().clone()
     }
 
+    /// Reads the nodes that the peer has told of, without copying them.
+    pub fn read_peers<R>(&self, reader: impl FnOnce(&Peers) -> R) -> R {
+        reader(&self.shared.told.peers.borrow())
+    }
+
     /// Last load that the peer has told of.
     pub fn load(&self) -> Option<NodeLoad> {
         self.shared.told.load.borrow().clone()
