Transport: a ping does not hold up frames that were queued before it

The sender picked at random between a queued frame and a due ping; the ping's time is taken when it is picked, so that under a delay of the path it was due later than the frames behind it and held them up. Without a delay there was no effect. Change: queued frames go first. The test now uses virtual time and a delay of 20 s, so that it shows the fault whatever the machine's load.

--- a/crates/transport/src/link/session.rs
+++ b/crates/transport/src/link/session.rs
@@ -113,7 +113,9 @@
     ) -> CloseReason {
         let mut pings = tokio::time::interval(self.settings.ping_interval);
         loop {
+            // Queued frames first: a ping made now is due later than they are, and would hold them up.
             let queued = tokio::select! {
+                biased;
                 queued = queue.frames.recv() => match queued {
                     Some(queued) => queued,
                     None => return CloseReason::LocalEnd,
--- a/crates/transport/tests/link.rs
+++ b/crates/transport/tests/link.rs
@@ -141,18 +141,21 @@
 #[gtest]
 #[actix_rt::test]
 async fn a_cut_that_begins_between_two_queued_frames_holds_the_second() {
-    let server = echo_server(settings()).await;
+    let mut patient = settings();
+    patient.idle_timeout = Duration::from_secs(600);
+    let server = echo_server(patient).await;
     let policy = SwitchedPolicy::direct();
     let link = server.dial_through(policy.clone()).await.unwrap();
     let mut stream = link.open(submit()).unwrap();
     stream.receive().await.unwrap();
-    policy.set(|path| path.delay = Duration::from_millis(20));
     stream.send(chunk(2)).unwrap();
-    policy.set(|path| path.delay = Duration::from_millis(60));
+    let second_due = Duration::from_secs(20);
+    policy.set(|path| path.delay = second_due);
     stream.send(chunk(3)).unwrap();
     expect_that!(stream.receive().await, ok(eq(&chunk(2))));
     policy.set(|path| path.cut = true);
-    let held = tokio::time::timeout(Duration::from_millis(150), stream.receive()).await;
+    tokio::time::pause();
+    let held = tokio::time::timeout(second_due * 2, stream.receive()).await;
     expect_that!(held.is_err(), eq(true));
     policy.set(|path| path.cut = false);
     expect_that!(stream.receive().await, ok(eq(&chunk(3))));
