Offer the control interface in the stand-ins' process

Cause: the stand-ins could be started as a process in two ways, of which the library's was unused, and the command had no control interface.

--- a/crates/lab/src/standins.rs
+++ b/crates/lab/src/standins.rs
@@ -2,9 +2,12 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
+use dappleyard_standin::control;
+
 use crate::error::{LabError, report};
 use crate::fleet::{server_machines, start_engines, start_platform};
 use crate::scenario::{Policy, Scenario};
@@ -31,6 +34,11 @@
             "127.0.0.1:7601",
             "Listening address of the engines",
         ))
+        .arg(address(
+            "control",
+            "127.0.0.1:0",
+            "Listening address of the control interface, by which a script sets faults",
+        ))
 }
 
 fn address(name: &'static str, default: &'static str, help: &'static str) -> Arg {
@@ -68,12 +76,17 @@
         &listen("engines")?,
     )?;
     platform.begin_with_machines(server_machines(&scenario, policy, &engines));
+    let engines = Arc::new(engines);
+    let control = control::start(&listen("control")?, engines.clone(), platform.clone())
+        .map_err(|error| LabError::failed(format!("the control interface: {error}")))?;
     println!(
-        "platform on {}, engines on {}",
+        "platform on {}, engines on {}, control on {}",
         platform.address(),
-        engines.address()
+        engines.address(),
+        control.address()
     );
     actix_rt::System::new().block_on(stop_signal())?;
+    control.stop();
     engines.stop();
     platform.stop();
     Ok(())
--- a/crates/standin/src/process/control.rs
+++ b/crates/standin/src/control.rs
@@ -1,5 +1,7 @@
-//! Control interface over HTTP: faults in, records out. For experiments only.
+//! Control interface over HTTP, for stand-ins that run as a plain process: faults in, records out.
+//! For experiments only.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,21 +30,37 @@
     answer_lost: f64,
 }
 
-/// Starts the control interface.
-pub(super) fn start(
+/// A running control interface.
+pub struct ControlHandle(RunningServer);
+
+impl ControlHandle {
+    /// Address of the HTTP server.
+    pub fn address(&self) -> SocketAddr {
+        self.0.address()
+    }
+
+    /// Stops it.
+    pub fn stop(&self) {
+        self.0.stop();
+    }
+}
+
+/// Starts the control interface of running stand-ins; port 0 takes one from the operating system.
+pub fn start(
     listen: &str,
     engines: Arc<EngineHandle>,
     platform: PlatformHandle,
-) -> std::io::Result<RunningServer> {
+) -> std::io::Result<ControlHandle> {
     let listen = listen.to_owned();
-    server::start("stand-ins-control", move || {
+    let server = server::start("stand-ins-control", move || {
         let handles = web::Data::new(Handles { engines, platform });
         HttpServer::new(move || App::new().app_data(handles.clone()).configure(configure))
             .workers(1)
             .disable_signals()
             .bind(listen.as_str())
             .map(|server| (server.addrs(), server.run()))
-    })
+    })?;
+    Ok(ControlHandle(server))
 }
 
 fn configure(config: &mut web::ServiceConfig) {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,9 +5,9 @@
 //! same HTTP as the real ones and give a handle with faults, and with direct access to what
 //! happened for the invariants' checker. [`text`] is the one place that says what an engine answers.
 
+pub mod control;
 pub mod engine;
 pub mod platform;
-pub mod process;
 pub mod text;
 
 mod server;
--- a/crates/standin/tests/standin/main.rs
+++ b/crates/standin/tests/standin/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod broken_answers;
+mod control;
 mod engines_over_http;
 mod histories;
 mod memory;
@@ -9,7 +10,6 @@
 mod orders;
 mod platform_over_http;
 mod platform_state;
-mod process;
 mod steps;
 mod streams;
 
