--- a/crates/sidecar/tests/hostile_input.rs
+++ b/crates/sidecar/tests/hostile_input.rs
@@ -104,7 +104,7 @@
             Some("messages"),
         ),
         (
-            r#"{"model": "m", "messages": [{"role": "rider", "content": "x"}]}"#.to_owned(),
+            r#"{"model": "m", "messages": [{"role": "narrator", "content": "x"}]}"#.to_owned(),
             Some("messages[0].role"),
         ),
         (
