Online: one loop that repeats record writes, one clock, no unused input of the wait

Clean-up: the same loop stood twice in once.rs, the clock was read beside the tables', and ServerRoom carried a count that nothing read. Result: tests of decide and online pass as before.

--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -110,8 +110,6 @@
 pub struct ServerRoom {
     /// Online sequences there, this owner's and others'.
     pub online: u32,
-    /// Of them, those that have not given a token yet.
-    pub unstarted: u32,
     /// Prompt tokens that wait for prefill.
     pub prefill_tokens: u32,
     /// KV tokens that online sequences may come to hold.
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -137,7 +137,6 @@
 fn room() -> ServerRoom {
     ServerRoom {
         online: 10,
-        unstarted: 0,
         prefill_tokens: 0,
         online_tokens: 5_000,
         total_tokens: 60_000,
--- a/crates/online/src/load.rs
+++ b/crates/online/src/load.rs
@@ -53,16 +53,10 @@
 pub(crate) fn room(state: &OwnedServer) -> ServerRoom {
     let report = state.report.as_ref().map(|(report, _)| report);
     let unstarted = state.online.values().filter(|flight| !flight.started);
-    let (mut waiting, mut prefill_tokens) = (0, 0);
-    for flight in unstarted {
-        waiting += 1;
-        prefill_tokens += flight.prefill_tokens;
-    }
     let own = u32::try_from(state.online.len()).unwrap_or(u32::MAX);
     ServerRoom {
         online: own + state.foreign_online,
-        unstarted: waiting,
-        prefill_tokens,
+        prefill_tokens: unstarted.map(|flight| flight.prefill_tokens).sum(),
         online_tokens: state.online.values().map(held_tokens).sum(),
         total_tokens: report.map_or(0, |report| report.total_blocks * report.block_tokens),
         maximum_sequences: report.map_or(0, |report| report.maximum_sequences),
--- a/crates/online/src/once.rs
+++ b/crates/online/src/once.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::receive::Incoming;
+use crate::recorder::STORE_RETRY_AFTER_MS;
 use crate::settle::{outcome_unknown, recorded_failure};
 use crate::view::NodeAddress;
 use crate::worker::OnlineWorker;
@@ -26,12 +27,9 @@
 /// Age up to which a record of a node that is not known is taken as running, milliseconds.
 const UNKNOWN_WRITER_GRACE_MS: u64 = 10_000;
 
-/// Advice when the store is unavailable, milliseconds.
-const STORE_RETRY_AFTER_MS: u32 = 500;
-
-/// Pauses between attempts to settle a record while the store is away.
-const FIRST_SETTLE_PAUSE: Duration = Duration::from_millis(100);
-const LONGEST_SETTLE_PAUSE: Duration = Duration::from_secs(2);
+/// Pauses between attempts to write a record while the store is away.
+const FIRST_WRITE_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_WRITE_PAUSE: Duration = Duration::from_secs(2);
 
 /// What a request that must not be repeated may do.
 #[derive(Debug, PartialEq)]
@@ -188,11 +186,7 @@
         let slot = worker.shared.count_stream();
         actix_rt::spawn(async move {
             let _slot = slot;
-            let mut pause = FIRST_SETTLE_PAUSE;
-            while send_settlement(&worker, &settlement).await.is_err() {
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(LONGEST_SETTLE_PAUSE);
-            }
+            repeat_until_done(async || send_settlement(&worker, &settlement).await).await;
         });
     }
 }
@@ -201,14 +195,19 @@
 fn give_up(worker: &Rc<OnlineWorker>, begin: RecordBegin) {
     let worker = worker.clone();
     actix_rt::spawn(async move {
-        let mut pause = FIRST_SETTLE_PAUSE;
-        while worker.recorder.give_up(begin.clone()).await.is_err() {
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(LONGEST_SETTLE_PAUSE);
-        }
+        repeat_until_done(async || worker.recorder.give_up(begin.clone()).await).await;
     });
 }
 
+/// Repeats a write, with growing pauses, until the store has taken it.
+async fn repeat_until_done(write: impl AsyncFn() -> Result<(), Failure>) {
+    let mut pause = FIRST_WRITE_PAUSE;
+    while write().await.is_err() {
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_WRITE_PAUSE);
+    }
+}
+
 /// Asks the recorder of the cell; when it is lost, writes the record directly.
 ///
 /// The recorder gets no more time than it is waited for, so that it takes the key for nobody else.
--- a/crates/online/src/recorder.rs
+++ b/crates/online/src/recorder.rs
@@ -10,6 +10,7 @@
 
 use dappleyard_decide::once::{self, OnceAttempt, OnceDecision};
 use dappleyard_platform::{Expect, Row, StoreError, TableStore, Transaction};
+use dappleyard_tables::clock::Clock;
 use dappleyard_wire::messages::{OnceRow, RecordBegin, RecordSettle, RecordState};
 use dappleyard_wire::{ErrorKind, Failure, keys};
 use prost::Message;
@@ -28,7 +29,7 @@
 const READ_BACK_PAUSE: Duration = Duration::from_millis(30);
 
 /// Advice when the store is unavailable, milliseconds.
-const STORE_RETRY_AFTER_MS: u32 = 500;
+pub(crate) const STORE_RETRY_AFTER_MS: u32 = 500;
 
 /// What became of one write.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -53,12 +54,14 @@
 /// The recorder of one worker thread.
 pub(crate) struct Recorder {
     writer: Rc<GroupWriter>,
+    clock: Clock,
 }
 
 impl Recorder {
     /// A recorder over a table service.
-    pub fn new(tables: Rc<dyn TableStore>, shared: Arc<OnlineShared>) -> Recorder {
+    pub fn new(tables: Rc<dyn TableStore>, shared: Arc<OnlineShared>, clock: Clock) -> Recorder {
         Recorder {
+            clock,
             writer: Rc::new(GroupWriter {
                 tables,
                 shared,
@@ -76,7 +79,7 @@
     /// key taken for nobody would stay in progress for good.
     pub async fn begin(&self, begin: RecordBegin, until: Instant) -> Result<RecordState, Failure> {
         let key = keys::once(&begin.tenant, &begin.idempotency_key);
-        let attempt = attempt_of(&begin);
+        let attempt = self.attempt_of(&begin);
         let mut read: Read = None;
         let mut unconfirmed = false;
         for _ in 0..MAXIMUM_READS {
@@ -144,7 +147,7 @@
     /// its create takes effect later: an absent record is written as released.
     pub async fn give_up(&self, begin: RecordBegin) -> Result<(), Failure> {
         let key = keys::once(&begin.tenant, &begin.idempotency_key);
-        let attempt = attempt_of(&begin);
+        let attempt = self.attempt_of(&begin);
         for _ in 0..MAXIMUM_READS {
             let read = self.read_back(&key).await?;
             let Some(released) = once::give_up(read.as_ref().map(|(row, _)| row), &attempt) else {
@@ -173,14 +176,14 @@
         }
         Err(unavailable(&last))
     }
-}
 
-fn attempt_of(begin: &RecordBegin) -> OnceAttempt {
-    OnceAttempt {
-        request_id: begin.request_id.clone(),
-        fingerprint: begin.fingerprint,
-        writer: begin.writer.clone(),
-        now_unix_ms: unix_ms(),
+    fn attempt_of(&self, begin: &RecordBegin) -> OnceAttempt {
+        OnceAttempt {
+            request_id: begin.request_id.clone(),
+            fingerprint: begin.fingerprint,
+            writer: begin.writer.clone(),
+            now_unix_ms: self.clock.unix_ms(),
+        }
     }
 }
 
@@ -236,15 +239,6 @@
     )
 }
 
-/// Wall-clock time for rows, milliseconds since 1970.
-pub(crate) fn unix_ms() -> u64 {
-    let now = std::time::SystemTime::now();
-    let since = now
-        .duration_since(std::time::UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Writes rows of many keys in one transaction: while one is under way, others gather for the next.
 struct GroupWriter {
     tables: Rc<dyn TableStore>,
--- a/crates/online/src/worker.rs
+++ b/crates/online/src/worker.rs
@@ -66,7 +66,11 @@
     /// A worker. Must be called on the arbiter that it is to run on.
     pub fn new(context: OnlineContext) -> Rc<OnlineWorker> {
         Rc::new(OnlineWorker {
-            recorder: Recorder::new(context.platform.tables, context.shared.clone()),
+            recorder: Recorder::new(
+                context.platform.tables,
+                context.shared.clone(),
+                context.tables.clock,
+            ),
             tables: context.tables,
             settings: context.settings,
             engine: context.engine,
