--- a/crates/decide/tests/configuration.rs
+++ b/crates/decide/tests/configuration.rs
@@ -177,3 +177,36 @@
     expect_that!(state.merge(0, &[], 9), eq(Applied::Yes));
     expect_that!(state.merge(0, &[], 7), eq(Applied::Old));
 }
+
+fn part(revision: u64, part: u32, key: &str) -> ConfigurationEntry {
+    ConfigurationEntry {
+        revision,
+        previous: 0,
+        key: key.to_owned(),
+        value: b"value".to_vec(),
+        deleted: false,
+        part,
+        parts: 2,
+    }
+}
+
+#[gtest]
+fn a_row_that_came_twice_is_not_taken_for_a_whole_change() {
+    let mut state = ConfigurationState::default();
+    let first = part(3, 0, "config/tenant/a");
+    expect_that!(
+        state.apply(&[first.clone(), first.clone()]),
+        eq(Applied::Gap)
+    );
+    expect_that!(state.revision, eq(0));
+    let second = part(3, 1, "config/tenant/b");
+    expect_that!(state.apply(&[first, second]), eq(Applied::Yes));
+}
+
+#[gtest]
+fn rows_of_two_revisions_are_not_taken_for_one_change() {
+    let mut state = ConfigurationState::default();
+    let mixed = [part(3, 0, "config/tenant/a"), part(4, 1, "config/tenant/b")];
+    expect_that!(state.apply(&mixed), eq(Applied::Gap));
+    expect_that!(state.entries, is_empty());
+}
