--- a/crates/online/src/admit.rs
+++ b/crates/online/src/admit.rs
@@ -59,10 +59,11 @@
 fn check_unconfigured(worker: &OnlineWorker, service: &str) -> Result<(), Failure> {
     let has_owner = worker.view().shortest_wait_ms(service).is_some();
     let is_meant = || {
-        let servers = worker.tables.directory.all();
-        servers
-            .iter()
-            .any(|entry| entry.service.as_str() == service)
+        worker.tables.directory.read(|servers| {
+            servers
+                .values()
+                .any(|entry| entry.service.as_str() == service)
+        })
     };
     if has_owner || is_meant() {
         return Ok(());
