--- a/crates/batch/examples/check_memory.rs
+++ b/crates/batch/examples/check_memory.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dappleyard_batch::input::{Bounds, PartIndex, check};
 use dappleyard_decide::chunks::ChunkSizing;
-use dappleyard_platform::{ObjectData, ObjectStore, StoreError};
+use dappleyard_store::{ObjectData, ObjectStore, StoreError};
 
 /// Bytes of a line.
 const LINE_BYTES: u64 = 1_000;
--- a/crates/batch/src/input/check.rs
+++ b/crates/batch/src/input/check.rs
@@ -6,7 +6,7 @@
 use std::collections::HashSet;
 
 use dappleyard_decide::chunks::{self, ChunkSizing};
-use dappleyard_platform::{ObjectStore, StoreError};
+use dappleyard_store::{ObjectStore, StoreError};
 use dappleyard_wire::hash::hash_bytes;
 use dappleyard_wire::messages::JobError;
 
--- a/crates/batch/src/input/lines.rs
+++ b/crates/batch/src/input/lines.rs
@@ -1,7 +1,7 @@
 //! Lines of an input file, read through a bounded buffer.
 
 use bytes::{Buf, Bytes, BytesMut};
-use dappleyard_platform::{ObjectStore, StoreError};
+use dappleyard_store::{ObjectStore, StoreError};
 
 use crate::input::parts::PartIndex;
 
--- a/crates/batch/src/input/parts.rs
+++ b/crates/batch/src/input/parts.rs
@@ -1,7 +1,7 @@
 //! Parts of an uploaded file in the object store, and reads that span them.
 
 use bytes::{Bytes, BytesMut};
-use dappleyard_platform::{ObjectStore, StoreError};
+use dappleyard_store::{ObjectStore, StoreError};
 use dappleyard_wire::keys;
 
 /// Most names asked for in one listing.
--- a/crates/batch/src/jobs/approval.rs
+++ b/crates/batch/src/jobs/approval.rs
@@ -1,7 +1,7 @@
 //! Plans and confirmation of jobs that no standing approval covers.
 
-use dappleyard_platform::Transaction;
-use dappleyard_platform::tables::Expect;
+use dappleyard_store::Transaction;
+use dappleyard_store::tables::Expect;
 use dappleyard_wire::messages::{ActiveJobRow, JobPhase, JobRow, JobState, SplitRow};
 use dappleyard_wire::{ErrorKind, Failure, keys};
 use prost::Message;
--- a/crates/batch/src/jobs/cancel.rs
+++ b/crates/batch/src/jobs/cancel.rs
@@ -1,7 +1,7 @@
 //! Cancelling a job: a compare-and-swap on its row, after which no chunk commit succeeds.
 
-use dappleyard_platform::Transaction;
-use dappleyard_platform::tables::Expect;
+use dappleyard_store::Transaction;
+use dappleyard_store::tables::Expect;
 use dappleyard_wire::messages::{ActiveJobRow, JobCancel, JobPhase, JobRow, JobState};
 use dappleyard_wire::{ErrorKind, Failure, keys};
 use prost::Message;
--- a/crates/batch/src/jobs/files.rs
+++ b/crates/batch/src/jobs/files.rs
@@ -5,8 +5,8 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use dappleyard_platform::tables::Expect;
-use dappleyard_platform::{StoreError, Transaction};
+use dappleyard_store::tables::Expect;
+use dappleyard_store::{StoreError, Transaction};
 use dappleyard_wire::messages::{
     FileAppend, FileCreate, FileData, FileRead, FileRow, FileSeal, FileStat, FileState,
 };
--- a/crates/batch/src/jobs/mod.rs
+++ b/crates/batch/src/jobs/mod.rs
@@ -12,8 +12,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_platform::Platform;
 use dappleyard_settings::BatchSettings;
+use dappleyard_store::Platform;
 use dappleyard_tables::NodeTables;
 use dappleyard_wire::messages::{Call, JobRow, Reply, call, reply};
 use dappleyard_wire::{ErrorKind, Failure};
--- a/crates/batch/src/jobs/progress.rs
+++ b/crates/batch/src/jobs/progress.rs
@@ -6,8 +6,8 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 
-use dappleyard_platform::tables::Expect;
-use dappleyard_platform::{Platform, StoreError, Transaction};
+use dappleyard_store::tables::Expect;
+use dappleyard_store::{Platform, StoreError, Transaction};
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{ChunkPhase, ChunkRow, JobPhase, JobRow, JobState};
 use prost::Message;
--- a/crates/batch/src/jobs/submit.rs
+++ b/crates/batch/src/jobs/submit.rs
@@ -1,7 +1,7 @@
 //! Acceptance of jobs: one transaction creates the job and binds the client's key to it.
 
-use dappleyard_platform::Transaction;
-use dappleyard_platform::tables::Expect;
+use dappleyard_store::Transaction;
+use dappleyard_store::tables::Expect;
 use dappleyard_wire::hash::hash_bytes;
 use dappleyard_wire::messages::{
     ActiveJobRow, ClientKeyRow, JobPhase, JobRow, JobState, JobSubmit, SplitRow,
--- a/crates/batch/src/runner/claim.rs
+++ b/crates/batch/src/runner/claim.rs
@@ -6,9 +6,9 @@
 
 use dappleyard_decide::chunks::{self, ClaimDecision};
 use dappleyard_decide::fairness::{self, Candidate};
-use dappleyard_platform::tables::Expect;
-use dappleyard_platform::{Row, StoreError, Transaction};
 use dappleyard_settings::BatchPolicy;
+use dappleyard_store::tables::Expect;
+use dappleyard_store::{Row, StoreError, Transaction};
 use dappleyard_tables::servers::OwnedServer;
 use dappleyard_wire::ids::JobId;
 use dappleyard_wire::keys;
--- a/crates/batch/src/runner/feed.rs
+++ b/crates/batch/src/runner/feed.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dappleyard_decide::time::Millis;
-use dappleyard_platform::StoreError;
+use dappleyard_store::StoreError;
 use dappleyard_wire::keys::ACTIVE_JOB_PREFIX;
 use dappleyard_wire::messages::ActiveJobRow;
 use prost::Message;
--- a/crates/batch/src/runner/handback.rs
+++ b/crates/batch/src/runner/handback.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use dappleyard_decide::time::Millis;
-use dappleyard_platform::StoreError;
+use dappleyard_store::StoreError;
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{PartialLine, PartialResult};
 use prost::Message;
--- a/crates/batch/src/runner/janitor.rs
+++ b/crates/batch/src/runner/janitor.rs
@@ -3,8 +3,8 @@
 
 use std::rc::Rc;
 
-use dappleyard_platform::tables::Expect;
-use dappleyard_platform::{StoreError, Transaction};
+use dappleyard_store::tables::Expect;
+use dappleyard_store::{StoreError, Transaction};
 use dappleyard_wire::ids::JobId;
 use dappleyard_wire::keys::{self, OPEN_CHUNK_PREFIX};
 use dappleyard_wire::messages::{ActiveJobRow, ChunkPhase, ChunkRow};
--- a/crates/batch/src/runner/load.rs
+++ b/crates/batch/src/runner/load.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use dappleyard_decide::chunks;
-use dappleyard_platform::{ObjectStore, StoreError};
+use dappleyard_store::{ObjectStore, StoreError};
 use dappleyard_wire::ids::JobId;
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{ChunkRow, JobRow, PartialLine, PartialResult};
--- a/crates/batch/src/runner/once.rs
+++ b/crates/batch/src/runner/once.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use dappleyard_decide::chunks;
-use dappleyard_platform::tables::Expect;
-use dappleyard_platform::{StoreError, Transaction};
+use dappleyard_store::tables::Expect;
+use dappleyard_store::{StoreError, Transaction};
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{ChunkPhase, ChunkRow};
 use prost::Message;
--- a/crates/batch/src/runner/takeover.rs
+++ b/crates/batch/src/runner/takeover.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use dappleyard_decide::chunks;
-use dappleyard_platform::tables::Expect;
-use dappleyard_platform::{StoreError, Transaction};
+use dappleyard_store::tables::Expect;
+use dappleyard_store::{StoreError, Transaction};
 use dappleyard_tables::decisions::DecisionKind;
 use dappleyard_wire::ids::JobId;
 use dappleyard_wire::keys::{self, HELD_CHUNK_PREFIX};
--- a/crates/batch/src/store.rs
+++ b/crates/batch/src/store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dappleyard_platform::{StoreError, TableStore, Transaction};
+use dappleyard_store::{StoreError, TableStore, Transaction};
 use dappleyard_wire::{ErrorKind, Failure};
 use prost::Message;
 use rand::Rng;
--- a/crates/batch/tests/batch/faults.rs
+++ b/crates/batch/tests/batch/faults.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dappleyard_platform::Transaction;
-use dappleyard_platform::tables::Write;
 use dappleyard_settings::BatchSettings;
+use dappleyard_store::Transaction;
+use dappleyard_store::tables::Write;
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{ChunkPhase, ChunkRow, JobPhase, JobState};
 use googletest::prelude::*;
--- a/crates/batch/tests/batch/support/platform.rs
+++ b/crates/batch/tests/batch/support/platform.rs
@@ -7,8 +7,8 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use dappleyard_platform::tables::{Expect, Write};
-use dappleyard_platform::{
+use dappleyard_store::tables::{Expect, Write};
+use dappleyard_store::{
     Changes, Machine, MachineList, ObjectData, ObjectStore, Platform, Row, StoreError, TableStore,
     Transaction,
 };
--- /dev/null
+++ b/crates/cluster/src/follow.rs
@@ -0,0 +1,134 @@
+//! Follows a table of the row store: reads it whole, then applies its changes in order.
+
+use std::time::Duration;
+
+use dappleyard_model::{EventLog, Feed, Row, RowStore, StoreError};
+
+/// How long the store may hold a call that waits for changes.
+const WAIT_MS: u64 = 2_000;
+/// Rows read by one call.
+const PAGE_ROWS: usize = 500;
+/// First pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(40);
+/// Longest pause after failed calls.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+/// What follows a table.
+pub trait TableSink {
+    /// The table.
+    fn table(&self) -> &'static str;
+
+    /// Whether the table has more partitions than the one without a name.
+    fn is_partitioned(&self) -> bool;
+
+    /// The whole table as of a revision. Rows that the sink holds at a later revision stay.
+    fn replace(&self, rows: Vec<Row>, revision: u64);
+
+    /// One changed row.
+    fn change(&self, row: Row);
+
+    /// The store answered; everything up to this revision was applied.
+    fn contact(&self, revision: u64, now_ms: u64);
+}
+
+/// Follows a table until the process ends.
+pub async fn follow(store: &dyn RowStore, sink: &dyn TableSink, log: &EventLog) {
+    let mut revision = 0;
+    let mut pause = FIRST_PAUSE;
+    let mut whole = false;
+    let mut healthy = true;
+    loop {
+        let outcome = match whole {
+            false => read_whole(store, sink, revision).await,
+            true => read_changes(store, sink, revision).await,
+        };
+        match outcome {
+            Ok(reached) => {
+                if !healthy {
+                    log.write("dependency_regained", || {
+                        serde_json::json!({"dependency": "store", "table": sink.table(), "revision": reached})
+                    });
+                }
+                healthy = true;
+                whole = true;
+                revision = reached.max(revision);
+                pause = FIRST_PAUSE;
+                continue;
+            }
+            Err(StoreError::Compacted) => whole = false,
+            Err(error) => {
+                if healthy {
+                    log.write("dependency_lost", || {
+                        serde_json::json!({"dependency": "store", "table": sink.table(),
+                            "revision": revision, "cause": error.to_string()})
+                    });
+                }
+                healthy = false;
+            }
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+async fn read_changes(
+    store: &dyn RowStore,
+    sink: &dyn TableSink,
+    after: u64,
+) -> Result<u64, StoreError> {
+    let feed: Feed = store.feed(sink.table(), after, WAIT_MS).await?;
+    if feed.revision < after {
+        // The history begins anew below what is known: read the table whole.
+        return Err(StoreError::Compacted);
+    }
+    for row in feed.rows {
+        sink.change(row);
+    }
+    sink.contact(feed.revision, feed.now_ms);
+    Ok(feed.revision)
+}
+
+async fn read_whole(
+    store: &dyn RowStore,
+    sink: &dyn TableSink,
+    known: u64,
+) -> Result<u64, StoreError> {
+    let parts = match sink.is_partitioned() {
+        true => store.parts(sink.table()).await?,
+        false => vec![String::new()],
+    };
+    let mut rows = Vec::new();
+    let mut oldest: Option<(u64, u64)> = None;
+    // A table without partitions has nothing to read but still a revision to follow from.
+    let parts = match parts.is_empty() {
+        true => vec![String::new()],
+        false => parts,
+    };
+    for part in parts {
+        let mut from = String::new();
+        loop {
+            let page = store
+                .read(sink.table(), &part, &from, "", PAGE_ROWS)
+                .await?;
+            if page.revision < known {
+                return Err(StoreError::Unavailable {
+                    reason: format!("read at {} is older than {known}", page.revision),
+                });
+            }
+            oldest = oldest.or(Some((page.revision, page.now_ms)));
+            let last = page.rows.last().map(|row| format!("{}\u{1}", row.key));
+            rows.extend(page.rows.into_iter().map(|row| Row {
+                part: part.clone(),
+                ..row
+            }));
+            match last {
+                Some(last) if page.more => from = last,
+                _ => break,
+            }
+        }
+    }
+    let (revision, now_ms) = oldest.unwrap_or((known, 0));
+    sink.replace(rows, revision);
+    sink.contact(revision, now_ms);
+    Ok(revision)
+}
--- /dev/null
+++ b/crates/cluster/src/gossip.rs
@@ -0,0 +1,133 @@
+//! Heartbeats over UDP: who is there, and what work each node has at which server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use prost::Message;
+use rand::seq::IndexedRandom;
+use tokio::net::UdpSocket;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::loads::LoadTable;
+use crate::messages::Heartbeat;
+use crate::peers::PeerTable;
+use crate::view::View;
+
+/// Time between heartbeats to nodes of the own zone.
+const NEAR_PERIOD: Duration = Duration::from_millis(150);
+/// Heartbeats to nodes of other zones are sent each so many periods.
+const FAR_EVERY: u32 = 3;
+/// Most nodes that one round of heartbeats goes to.
+const FANOUT: usize = 24;
+/// Longest datagram.
+const DATAGRAM_BYTES: usize = 8 * 1024;
+
+/// Who sends the heartbeats.
+#[derive(Debug, Clone)]
+pub struct GossipSettings {
+    /// Name of this node.
+    pub name: String,
+    /// Number of this life of the process.
+    pub life: u64,
+    /// Address to send from and to listen on.
+    pub address: SocketAddr,
+}
+
+/// Heartbeats of one node.
+pub struct Gossip {
+    settings: GossipSettings,
+    socket: UdpSocket,
+    peers: Arc<PeerTable>,
+    loads: Arc<LoadTable>,
+    view: Arc<View>,
+    leaving: Arc<std::sync::atomic::AtomicBool>,
+}
+
+impl Gossip {
+    /// Opens the socket.
+    pub async fn open(
+        settings: GossipSettings,
+        peers: Arc<PeerTable>,
+        loads: Arc<LoadTable>,
+        view: Arc<View>,
+        leaving: Arc<std::sync::atomic::AtomicBool>,
+    ) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(settings.address).await?;
+        Ok(Self {
+            settings,
+            socket,
+            peers,
+            loads,
+            view,
+            leaving,
+        })
+    }
+
+    /// Sends and receives heartbeats until the process ends.
+    pub async fn run(&self) {
+        let mut buffer = vec![0_u8; DATAGRAM_BYTES];
+        let mut ticks = tokio::time::interval(NEAR_PERIOD);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut round = 0_u32;
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {
+                    round = round.wrapping_add(1);
+                    self.send_round(round).await;
+                }
+                received = self.socket.recv_from(&mut buffer) => {
+                    if let Ok((length, _)) = received {
+                        self.receive(&buffer[..length]);
+                    }
+                }
+            }
+        }
+    }
+
+    async fn send_round(&self, round: u32) {
+        let far_too = round.is_multiple_of(FAR_EVERY);
+        let targets: Vec<SocketAddr> = self
+            .peers
+            .heartbeat_targets()
+            .into_iter()
+            .filter(|(_, near)| *near || far_too)
+            .map(|(address, _)| address)
+            .collect();
+        let chosen: Vec<SocketAddr> = targets
+            .choose_multiple(&mut rand::rng(), FANOUT)
+            .copied()
+            .collect();
+        let message = self.heartbeat().encode_to_vec();
+        for target in chosen {
+            // A datagram that is lost is made good by the next one.
+            let _ = self.socket.try_send_to(&message, target);
+        }
+        if far_too {
+            self.peers.log_silent();
+        }
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        let store_age = self.view.store_age().unwrap_or(Duration::from_secs(3600));
+        Heartbeat {
+            name: self.settings.name.clone(),
+            life: self.settings.life,
+            ready: self.view.is_ready(),
+            leaving: self.leaving.load(std::sync::atomic::Ordering::Relaxed),
+            store_age_ms: u32::try_from(store_age.as_millis()).unwrap_or(u32::MAX),
+            loads: self.loads.own_entries(),
+        }
+    }
+
+    fn receive(&self, datagram: &[u8]) {
+        let Ok(heartbeat) = Heartbeat::decode(datagram) else {
+            return;
+        };
+        if heartbeat.name == self.settings.name || !self.peers.heard(&heartbeat) {
+            return;
+        }
+        let number = xxh3_64(heartbeat.name.as_bytes());
+        self.loads.set_peer(number, heartbeat.loads);
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/loads.rs
@@ -0,0 +1,247 @@
+//! Work under way at each server: this node's exactly, the other nodes' as of their last
+//! heartbeat.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::messages::LoadEntry;
+
+/// Heartbeats older than this tell nothing.
+const HEARTBEAT_LIFE: Duration = Duration::from_millis(1500);
+/// Time for which the most online work of a server is remembered.
+const PEAK_LIFE: Duration = Duration::from_secs(6);
+/// Share of a new time to first event in the running mean.
+const MEAN_SHARE: f64 = 0.25;
+
+/// Which work is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkKind {
+    /// A caller waits.
+    Online,
+    /// An item of a job.
+    Batch,
+}
+
+/// Load of one server, over all nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct LoadSummary {
+    /// Online requests under way.
+    pub online: u32,
+    /// Batch items under way.
+    pub batch: u32,
+    /// Prompt tokens that the server has yet to read.
+    pub unread_tokens: u32,
+    /// Most online requests under way lately.
+    pub online_peak: u32,
+    /// The server was found silent or broken a moment ago, here or by another node.
+    pub suspect: bool,
+    /// Running mean of the time to the first event, over what was expected.
+    pub excess_ms: f64,
+}
+
+#[derive(Default)]
+struct ServerLoads {
+    online: u32,
+    batch: u32,
+    unread_tokens: u32,
+    peers: HashMap<u64, (Instant, LoadEntry)>,
+    peak: Option<(Instant, u32)>,
+    suspect_until: Option<Instant>,
+    heard: Option<Instant>,
+    excess_ms: f64,
+    excess_at: Option<Instant>,
+}
+
+impl ServerLoads {
+    fn summary(&self, now: Instant) -> LoadSummary {
+        let mut summary = LoadSummary {
+            online: self.online,
+            batch: self.batch,
+            unread_tokens: self.unread_tokens,
+            suspect: self.suspect_until.is_some_and(|until| until > now),
+            ..LoadSummary::default()
+        };
+        for (at, entry) in self.peers.values() {
+            if now.duration_since(*at) < HEARTBEAT_LIFE {
+                summary.online += entry.online;
+                summary.batch += entry.batch;
+                summary.unread_tokens += entry.unread_tokens;
+                summary.suspect |= entry.suspect;
+            }
+        }
+        summary.online_peak = match self.peak {
+            Some((at, peak)) if now.duration_since(at) < PEAK_LIFE => peak.max(summary.online),
+            _ => summary.online,
+        };
+        if let Some(at) = self.excess_at {
+            let age = now.duration_since(at).as_secs_f64();
+            summary.excess_ms = self.excess_ms * (-age / 2.0).exp();
+        }
+        summary
+    }
+
+    fn note_peak(&mut self, now: Instant) {
+        let online = self.summary(now).online;
+        let held = self
+            .peak
+            .filter(|(at, _)| now.duration_since(*at) < PEAK_LIFE);
+        if held.is_none_or(|(_, peak)| online >= peak) {
+            self.peak = Some((now, online));
+        }
+    }
+}
+
+/// Work under way at all servers.
+#[derive(Default)]
+pub struct LoadTable {
+    servers: Mutex<HashMap<u32, ServerLoads>>,
+}
+
+/// Number that stands for a server in messages.
+pub(crate) fn server_number(id: &str) -> u32 {
+    xxh3_64(id.as_bytes()) as u32
+}
+
+impl LoadTable {
+    /// Notes the beginning of work; it ends when the answer is dropped.
+    pub fn begin(self: &Arc<Self>, server: &str, kind: WorkKind, unread_tokens: u32) -> InFlight {
+        let number = server_number(server);
+        let mut servers = self.servers.lock();
+        let loads = servers.entry(number).or_default();
+        match kind {
+            WorkKind::Online => loads.online += 1,
+            WorkKind::Batch => loads.batch += 1,
+        }
+        loads.unread_tokens += unread_tokens;
+        if kind == WorkKind::Online {
+            loads.note_peak(Instant::now());
+        }
+        InFlight {
+            table: self.clone(),
+            server: number,
+            kind,
+            unread_tokens,
+        }
+    }
+
+    /// Load of a server.
+    pub fn summary(&self, server: &str) -> LoadSummary {
+        let servers = self.servers.lock();
+        servers
+            .get(&server_number(server))
+            .map_or_else(LoadSummary::default, |loads| loads.summary(Instant::now()))
+    }
+
+    /// The server is to be avoided for a time.
+    pub fn suspect(&self, server: &str, time: Duration) {
+        let mut servers = self.servers.lock();
+        let loads = servers.entry(server_number(server)).or_default();
+        loads.suspect_until = Some(Instant::now() + time);
+    }
+
+    /// Bytes came from the server.
+    pub fn heard(&self, server: &str) {
+        let mut servers = self.servers.lock();
+        let loads = servers.entry(server_number(server)).or_default();
+        loads.heard = Some(Instant::now());
+        loads.suspect_until = None;
+    }
+
+    /// Time since any byte came from the server.
+    pub fn silence(&self, server: &str) -> Option<Duration> {
+        let servers = self.servers.lock();
+        let heard = servers.get(&server_number(server))?.heard?;
+        Some(heard.elapsed())
+    }
+
+    /// Notes how much longer than expected the first event took.
+    pub fn note_excess(&self, server: &str, excess_ms: f64) {
+        let mut servers = self.servers.lock();
+        let loads = servers.entry(server_number(server)).or_default();
+        let now = Instant::now();
+        let held = loads.summary(now).excess_ms;
+        loads.excess_ms = held + MEAN_SHARE * (excess_ms.max(0.0) - held);
+        loads.excess_at = Some(now);
+    }
+
+    /// This node's work, for its heartbeat.
+    pub(crate) fn own_entries(&self) -> Vec<LoadEntry> {
+        let now = Instant::now();
+        let servers = self.servers.lock();
+        let entries = servers.iter().map(|(number, loads)| LoadEntry {
+            server: *number,
+            online: loads.online,
+            batch: loads.batch,
+            unread_tokens: loads.unread_tokens,
+            suspect: loads.suspect_until.is_some_and(|until| until > now),
+        });
+        entries
+            .filter(|entry| entry.online + entry.batch > 0 || entry.suspect)
+            .collect()
+    }
+
+    /// Another node's work.
+    pub(crate) fn set_peer(&self, peer: u64, entries: Vec<LoadEntry>) {
+        let now = Instant::now();
+        let mut servers = self.servers.lock();
+        for loads in servers.values_mut() {
+            loads.peers.remove(&peer);
+        }
+        for entry in entries {
+            let loads = servers.entry(entry.server).or_default();
+            loads.peers.insert(peer, (now, entry));
+            loads.note_peak(now);
+        }
+    }
+
+    /// Forgets servers without work of this node and without news for long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        self.servers.lock().retain(|_, loads| {
+            loads
+                .peers
+                .retain(|_, (at, _)| now.duration_since(*at) < HEARTBEAT_LIFE);
+            let quiet = loads
+                .heard
+                .is_none_or(|heard| now.duration_since(heard) > PEAK_LIFE * 5);
+            loads.online + loads.batch > 0 || !loads.peers.is_empty() || !quiet
+        });
+    }
+}
+
+/// Work under way at one server; dropping it ends the work.
+pub struct InFlight {
+    table: Arc<LoadTable>,
+    server: u32,
+    kind: WorkKind,
+    unread_tokens: u32,
+}
+
+impl InFlight {
+    /// The server has read the prompt.
+    pub fn prompt_read(&mut self) {
+        let tokens = std::mem::take(&mut self.unread_tokens);
+        if tokens == 0 {
+            return;
+        }
+        if let Some(loads) = self.table.servers.lock().get_mut(&self.server) {
+            loads.unread_tokens = loads.unread_tokens.saturating_sub(tokens);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.prompt_read();
+        if let Some(loads) = self.table.servers.lock().get_mut(&self.server) {
+            match self.kind {
+                WorkKind::Online => loads.online = loads.online.saturating_sub(1),
+                WorkKind::Batch => loads.batch = loads.batch.saturating_sub(1),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/messages.rs
@@ -0,0 +1,66 @@
+//! Messages between nodes, and the row with which a node makes itself known.
+
+use prost::Message;
+
+/// Row of one node.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct NodeRow {
+    /// Number of this life of the process.
+    #[prost(fixed64, tag = "1")]
+    pub life: u64,
+    /// Address for callers.
+    #[prost(string, tag = "2")]
+    pub front: String,
+    /// Zone.
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    /// Address for messages between nodes.
+    #[prost(string, tag = "4")]
+    pub peer: String,
+    /// The node takes no new work and will end.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+}
+
+/// Work of one node at one server.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LoadEntry {
+    /// Hash of the server's identifier.
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    /// Online requests under way.
+    #[prost(uint32, tag = "2")]
+    pub online: u32,
+    /// Batch items under way.
+    #[prost(uint32, tag = "3")]
+    pub batch: u32,
+    /// Prompt tokens that the server has yet to read.
+    #[prost(uint32, tag = "4")]
+    pub unread_tokens: u32,
+    /// The node found the server silent or broken lately.
+    #[prost(bool, tag = "5")]
+    pub suspect: bool,
+}
+
+/// Heartbeat of one node.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Heartbeat {
+    /// Name of the sender.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Number of this life of the sender.
+    #[prost(fixed64, tag = "2")]
+    pub life: u64,
+    /// The sender takes requests.
+    #[prost(bool, tag = "3")]
+    pub ready: bool,
+    /// The sender will end.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
+    /// Time since the store last answered the sender.
+    #[prost(uint32, tag = "5")]
+    pub store_age_ms: u32,
+    /// Work of the sender.
+    #[prost(message, repeated, tag = "6")]
+    pub loads: Vec<LoadEntry>,
+}
--- /dev/null
+++ b/crates/cluster/src/peers.rs
@@ -0,0 +1,261 @@
+//! The other nodes: their rows, and when they were last heard.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dappleyard_model::{EventLog, Row};
+use parking_lot::Mutex;
+use prost::Message;
+use tokio::sync::Notify;
+
+use crate::follow::TableSink;
+use crate::messages::{Heartbeat, NodeRow};
+
+/// Table of the nodes' rows.
+pub const NODES_TABLE: &str = "nodes";
+/// Silence after which a node of the own zone counts as down.
+const NEAR_SILENCE: Duration = Duration::from_millis(700);
+/// Silence after which a node of another zone counts as down.
+const FAR_SILENCE: Duration = Duration::from_millis(1600);
+/// Time that a node has from the moment its row is seen to its first heartbeat.
+const FIRST_HEARTBEAT: Duration = Duration::from_millis(1600);
+/// A node that has had no answer of the store for this long can commit nothing.
+const STORE_SILENCE: Duration = Duration::from_millis(3200);
+
+/// What is believed of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerStatus {
+    /// It is heard and takes requests.
+    Ready,
+    /// It is heard or was just started, and takes no requests.
+    Present,
+    /// It is heard, but the store does not answer it.
+    Isolated,
+    /// It has fallen silent, or its process was replaced.
+    Down,
+}
+
+struct Peer {
+    row: NodeRow,
+    revision: u64,
+    address: Option<SocketAddr>,
+    seen: Instant,
+    heard: Option<Instant>,
+    ready: bool,
+    leaving: bool,
+    store_silent: bool,
+    logged_down: bool,
+}
+
+/// The nodes that are known, this one included.
+pub struct PeerTable {
+    own_name: String,
+    own_zone: String,
+    peers: Mutex<HashMap<String, Peer>>,
+    changed: Notify,
+    log: Arc<EventLog>,
+}
+
+impl PeerTable {
+    /// A table that knows no node yet.
+    pub fn new(own_name: &str, own_zone: &str, log: Arc<EventLog>) -> Self {
+        Self {
+            own_name: own_name.to_owned(),
+            own_zone: own_zone.to_owned(),
+            peers: Mutex::default(),
+            changed: Notify::new(),
+            log,
+        }
+    }
+
+    /// Waits for the next change of a node's row.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// What is believed of the life of a node.
+    pub fn status(&self, name: &str, life: u64) -> PeerStatus {
+        let peers = self.peers.lock();
+        match peers.get(name) {
+            Some(peer) if peer.row.life == life => self.judge(peer, Instant::now()),
+            _ => PeerStatus::Down,
+        }
+    }
+
+    /// Names of the nodes that can run jobs, this one included when it is fit.
+    pub fn workers(&self, own_fit: bool) -> Vec<String> {
+        let now = Instant::now();
+        let peers = self.peers.lock();
+        let others = peers
+            .iter()
+            .filter(|(name, _)| **name != self.own_name)
+            .filter(|(_, peer)| self.judge(peer, now) == PeerStatus::Ready)
+            .map(|(name, _)| name.clone());
+        others
+            .chain(own_fit.then(|| self.own_name.clone()))
+            .collect()
+    }
+
+    /// Nodes that take requests: address and zone, this one left out.
+    pub fn ready_fronts(&self) -> Vec<(String, String)> {
+        let now = Instant::now();
+        let peers = self.peers.lock();
+        peers
+            .iter()
+            .filter(|(name, _)| **name != self.own_name)
+            .filter(|(_, peer)| self.judge(peer, now) == PeerStatus::Ready)
+            .map(|(_, peer)| (peer.row.front.clone(), peer.row.zone.clone()))
+            .collect()
+    }
+
+    /// Where to send heartbeats: address, and whether the node is in the own zone.
+    pub fn heartbeat_targets(&self) -> Vec<(SocketAddr, bool)> {
+        let now = Instant::now();
+        let peers = self.peers.lock();
+        peers
+            .iter()
+            .filter(|(name, _)| **name != self.own_name)
+            .filter(|(_, peer)| {
+                let last = peer.heard.unwrap_or(peer.seen).max(peer.seen);
+                now.duration_since(last) < Duration::from_secs(60)
+            })
+            .filter_map(|(_, peer)| Some((peer.address?, peer.row.zone == self.own_zone)))
+            .collect()
+    }
+
+    /// Number of nodes that are heard, this one included.
+    pub fn count(&self) -> usize {
+        let now = Instant::now();
+        let peers = self.peers.lock();
+        let others = peers
+            .iter()
+            .filter(|(name, _)| **name != self.own_name)
+            .filter(|(_, peer)| self.judge(peer, now) != PeerStatus::Down);
+        others.count() + 1
+    }
+
+    pub(crate) fn heard(&self, heartbeat: &Heartbeat) -> bool {
+        let mut peers = self.peers.lock();
+        let Some(peer) = peers.get_mut(&heartbeat.name) else {
+            return false;
+        };
+        if peer.row.life != heartbeat.life {
+            return false;
+        }
+        peer.heard = Some(Instant::now());
+        peer.ready = heartbeat.ready;
+        peer.leaving = heartbeat.leaving;
+        peer.store_silent =
+            Duration::from_millis(u64::from(heartbeat.store_age_ms)) > STORE_SILENCE;
+        if std::mem::take(&mut peer.logged_down) {
+            self.log.write(
+                "peer_back",
+                || serde_json::json!({"peer": heartbeat.name, "life": heartbeat.life}),
+            );
+        }
+        true
+    }
+
+    /// Writes a record for each node that has fallen silent since the last call.
+    pub(crate) fn log_silent(&self) {
+        let now = Instant::now();
+        let mut peers = self.peers.lock();
+        for (name, peer) in peers.iter_mut() {
+            let down = *name != self.own_name && self.judge(peer, now) == PeerStatus::Down;
+            if down && !peer.logged_down {
+                peer.logged_down = true;
+                let silent_ms = peer
+                    .heard
+                    .map(|heard| now.duration_since(heard).as_millis());
+                self.log.write("peer_gone", || {
+                    serde_json::json!({"peer": name, "life": peer.row.life,
+                        "silent_ms": silent_ms.map(|ms| ms as u64)})
+                });
+            }
+        }
+    }
+
+    fn judge(&self, peer: &Peer, now: Instant) -> PeerStatus {
+        let limit = match peer.row.zone == self.own_zone {
+            true => NEAR_SILENCE,
+            false => FAR_SILENCE,
+        };
+        let alive = match peer.heard {
+            Some(heard) => now.duration_since(heard) < limit,
+            None => now.duration_since(peer.seen) < FIRST_HEARTBEAT,
+        };
+        if !alive {
+            return PeerStatus::Down;
+        }
+        if peer.row.leaving || peer.leaving || !peer.ready {
+            return PeerStatus::Present;
+        }
+        match peer.store_silent {
+            true => PeerStatus::Isolated,
+            false => PeerStatus::Ready,
+        }
+    }
+
+    fn put(peers: &mut HashMap<String, Peer>, row: &Row) {
+        let Some(value) = &row.value else {
+            peers.remove(&row.key);
+            return;
+        };
+        let Ok(node) = NodeRow::decode(value.clone()) else {
+            return;
+        };
+        let address = node.peer.parse().ok();
+        match peers.get_mut(&row.key) {
+            Some(peer) if peer.revision >= row.revision => {}
+            Some(peer) if peer.row.life == node.life => {
+                peer.row = node;
+                peer.revision = row.revision;
+            }
+            _ => {
+                let peer = Peer {
+                    row: node,
+                    revision: row.revision,
+                    address,
+                    seen: Instant::now(),
+                    heard: None,
+                    ready: false,
+                    leaving: false,
+                    store_silent: false,
+                    logged_down: false,
+                };
+                peers.insert(row.key.clone(), peer);
+            }
+        }
+    }
+}
+
+impl TableSink for PeerTable {
+    fn table(&self) -> &'static str {
+        NODES_TABLE
+    }
+
+    fn is_partitioned(&self) -> bool {
+        false
+    }
+
+    fn replace(&self, rows: Vec<Row>, revision: u64) {
+        let mut peers = self.peers.lock();
+        peers.retain(|name, peer| {
+            peer.revision > revision || rows.iter().any(|row| row.key == *name)
+        });
+        for row in &rows {
+            Self::put(&mut peers, row);
+        }
+        drop(peers);
+        self.changed.notify_waiters();
+    }
+
+    fn change(&self, row: Row) {
+        Self::put(&mut self.peers.lock(), &row);
+        self.changed.notify_waiters();
+    }
+
+    fn contact(&self, _revision: u64, _now_ms: u64) {}
+}
--- /dev/null
+++ b/crates/cluster/src/view.rs
@@ -0,0 +1,257 @@
+//! The configuration in force and the servers of each service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dappleyard_model::{Configuration, Dialect, EventLog, Row, ServerRecord};
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use crate::follow::TableSink;
+
+#[derive(Default)]
+struct Known {
+    configuration: Option<Arc<Configuration>>,
+    servers: HashMap<String, (u64, Arc<ServerRecord>)>,
+    by_service: HashMap<String, Arc<Vec<Arc<ServerRecord>>>>,
+    servers_read: bool,
+    contact: Option<Instant>,
+}
+
+/// The configuration in force and the servers, shared by all threads.
+pub struct View {
+    known: Mutex<Known>,
+    changed: Notify,
+    log: Arc<EventLog>,
+}
+
+impl View {
+    /// A view that knows nothing yet.
+    pub fn new(log: Arc<EventLog>) -> Self {
+        Self {
+            known: Mutex::default(),
+            changed: Notify::new(),
+            log,
+        }
+    }
+
+    /// The configuration in force, or `None` before the first one.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.known.lock().configuration.clone()
+    }
+
+    /// Servers of a service that take new work.
+    pub fn servers(&self, service: &str) -> Arc<Vec<Arc<ServerRecord>>> {
+        self.known
+            .lock()
+            .by_service
+            .get(service)
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    /// Whether a server still takes new work.
+    pub fn takes_work(&self, id: &str) -> bool {
+        self.known
+            .lock()
+            .servers
+            .get(id)
+            .is_some_and(|(_, server)| !server.draining)
+    }
+
+    /// Whether requests can be served: configuration and servers are known.
+    pub fn is_ready(&self) -> bool {
+        let known = self.known.lock();
+        known.configuration.is_some() && known.servers_read
+    }
+
+    /// Time since the store last answered.
+    pub fn store_age(&self) -> Option<Duration> {
+        self.known.lock().contact.map(|contact| contact.elapsed())
+    }
+
+    /// Waits for the next change of configuration or servers.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    fn apply_configuration(&self, configuration: Configuration, revision: u64) {
+        let mut known = self.known.lock();
+        let current = known.configuration.as_ref().map_or(0, |held| held.version);
+        if configuration.version <= current && known.configuration.is_some() {
+            return;
+        }
+        let version = configuration.version;
+        let routes = configuration.routes.len();
+        known.configuration = Some(Arc::new(configuration));
+        drop(known);
+        self.log.write("configuration_applied", || {
+            serde_json::json!({"version": version, "previous": current, "routes": routes,
+                "revision": revision, "source": "store"})
+        });
+        self.changed.notify_waiters();
+    }
+
+    fn put_server(known: &mut Known, server: ServerRecord, revision: u64) -> bool {
+        let held = known.servers.get(&server.id);
+        if held.is_some_and(|(at, _)| *at >= revision) {
+            return false;
+        }
+        let draining_sticks = held.is_some_and(|(_, held)| held.draining);
+        let mut server = server;
+        server.draining |= draining_sticks;
+        known
+            .servers
+            .insert(server.id.clone(), (revision, Arc::new(server)));
+        true
+    }
+
+    fn index(known: &mut Known) {
+        let mut by_service: HashMap<String, Vec<Arc<ServerRecord>>> = HashMap::new();
+        for (_, server) in known.servers.values() {
+            if !server.draining {
+                let servers = by_service.entry(server.service.clone()).or_default();
+                servers.push(server.clone());
+            }
+        }
+        known.by_service = by_service
+            .into_iter()
+            .map(|(service, mut servers)| {
+                servers.sort_by(|a, b| a.id.cmp(&b.id));
+                (service, Arc::new(servers))
+            })
+            .collect();
+    }
+
+    fn contact(&self) {
+        self.known.lock().contact = Some(Instant::now());
+    }
+
+    fn log_server(&self, row: &Row, server: Option<&ServerRecord>) {
+        self.log.write("server_changed", || {
+            let state = match server {
+                None => "gone",
+                Some(server) if server.draining => "draining",
+                Some(_) => "ready",
+            };
+            serde_json::json!({"server": row.key, "state": state, "revision": row.revision,
+                "address": server.map(|server| server.address.to_string())})
+        });
+    }
+}
+
+/// Feeds configurations into a view.
+pub struct ConfigurationSink {
+    /// The view.
+    pub view: Arc<View>,
+    /// Formats.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+impl TableSink for ConfigurationSink {
+    fn table(&self) -> &'static str {
+        self.dialect.sources().configuration_table
+    }
+
+    fn is_partitioned(&self) -> bool {
+        false
+    }
+
+    fn replace(&self, rows: Vec<Row>, _revision: u64) {
+        for row in rows {
+            self.change(row);
+        }
+    }
+
+    fn change(&self, row: Row) {
+        if row.key != self.dialect.sources().configuration_key {
+            return;
+        }
+        let Some(value) = &row.value else {
+            return;
+        };
+        match self.dialect.configuration(value) {
+            Ok(configuration) => self.view.apply_configuration(configuration, row.revision),
+            Err(error) => self.view.log.write(
+                "configuration_refused",
+                || serde_json::json!({"cause": error.to_string(), "revision": row.revision}),
+            ),
+        }
+    }
+
+    fn contact(&self, _revision: u64, _now_ms: u64) {
+        self.view.contact();
+    }
+}
+
+/// Feeds servers into a view.
+pub struct ServersSink {
+    /// The view.
+    pub view: Arc<View>,
+    /// Formats.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+impl ServersSink {
+    fn read(&self, row: &Row) -> Option<ServerRecord> {
+        let value = row.value.as_ref()?;
+        match self.dialect.server(&row.key, value) {
+            Ok(server) => Some(server),
+            Err(error) => {
+                self.view.log.write(
+                    "server_refused",
+                    || serde_json::json!({"server": row.key, "cause": error.to_string()}),
+                );
+                None
+            }
+        }
+    }
+}
+
+impl TableSink for ServersSink {
+    fn table(&self) -> &'static str {
+        self.dialect.sources().servers_table
+    }
+
+    fn is_partitioned(&self) -> bool {
+        false
+    }
+
+    fn replace(&self, rows: Vec<Row>, revision: u64) {
+        let servers: Vec<(ServerRecord, u64)> = rows
+            .iter()
+            .filter_map(|row| self.read(row).map(|server| (server, row.revision)))
+            .collect();
+        let mut known = self.view.known.lock();
+        known.servers.retain(|id, (at, _)| {
+            *at > revision || servers.iter().any(|(server, _)| server.id == *id)
+        });
+        for (server, at) in servers {
+            View::put_server(&mut known, server, at);
+        }
+        known.servers_read = true;
+        View::index(&mut known);
+        drop(known);
+        self.view.changed.notify_waiters();
+    }
+
+    fn change(&self, row: Row) {
+        let server = self.read(&row);
+        self.view.log_server(&row, server.as_ref());
+        let mut known = self.view.known.lock();
+        let applied = match server {
+            Some(server) => View::put_server(&mut known, server, row.revision),
+            None => known.servers.remove(&row.key).is_some(),
+        };
+        if applied {
+            View::index(&mut known);
+        }
+        drop(known);
+        self.view.changed.notify_waiters();
+    }
+
+    fn contact(&self, _revision: u64, _now_ms: u64) {
+        self.view.contact();
+    }
+}
--- a/crates/dappleyard/src/command.rs
+++ b/crates/dappleyard/src/command.rs
@@ -14,6 +14,7 @@
         .about("Online and batch inference on one shared fleet")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(serve())
         .subcommand(node())
         .subcommand(sidecar())
         .subcommand(check())
@@ -21,6 +22,24 @@
         .subcommand(completions())
 }
 
+fn serve() -> Command {
+    Command::new("serve")
+        .about("Runs one node on the users' platform: callers, directory, batch jobs")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .help("Settings file of the platform; the environment names it otherwise"),
+        )
+        .arg(
+            Arg::new("quiet")
+                .long("quiet")
+                .action(clap::ArgAction::SetTrue)
+                .help("Writes no decision records"),
+        )
+        .after_help("Example:\n  dappleyard serve --settings /etc/dappleyard/node.toml")
+}
+
 fn node() -> Command {
     Command::new("node")
         .about("Runs a node: everything between sidecars and engines")
@@ -49,7 +68,7 @@
         .arg(
             Arg::new("kind")
                 .long("kind")
-                .value_parser(["node", "sidecar"])
+                .value_parser(["node", "serve", "sidecar"])
                 .default_value("node")
                 .help("Program that the settings are for"),
         )
--- a/crates/dappleyard/src/failure.rs
+++ b/crates/dappleyard/src/failure.rs
@@ -21,6 +21,9 @@
     /// Bad settings.
     #[display("{_0}")]
     Settings(SettingsError),
+    /// Bad settings of the platform.
+    #[display("{_0}")]
+    Platform(dappleyard_platform::SettingsErrors),
     /// The node could not start.
     #[display("the node cannot start: {_0}")]
     Node(dappleyard_node::NodeError),
@@ -36,7 +39,9 @@
     /// 2 for bad usage or settings, 1 for all else.
     pub fn exit_code(&self) -> ExitCode {
         match self {
-            Failure::Usage { .. } | Failure::Settings(_) => ExitCode::from(EXIT_USAGE),
+            Failure::Usage { .. } | Failure::Settings(_) | Failure::Platform(_) => {
+                ExitCode::from(EXIT_USAGE)
+            }
             Failure::Node(dappleyard_node::NodeError::Setting { .. }) => ExitCode::from(EXIT_USAGE),
             _ => ExitCode::FAILURE,
         }
--- a/crates/dappleyard/src/main.rs
+++ b/crates/dappleyard/src/main.rs
@@ -6,6 +6,7 @@
 mod flags;
 mod logging;
 mod node;
+mod serve;
 mod sidecar;
 mod signals;
 
@@ -28,6 +29,7 @@
 
 fn dispatch(matches: &ArgMatches) -> Result<ExitCode, Failure> {
     match matches.subcommand() {
+        Some(("serve", arguments)) => serve::run(arguments),
         Some(("node", arguments)) => node::run(arguments),
         Some(("sidecar", arguments)) => sidecar::run(arguments),
         Some(("check", arguments)) => check::run(arguments),
--- /dev/null
+++ b/crates/dappleyard/src/serve.rs
@@ -0,0 +1,25 @@
+//! `dappleyard serve`: one node of the system on the users' platform, until it is asked to stop.
+
+mod assembly;
+mod registration;
+mod stopping;
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use dappleyard_platform::{read_settings, settings_path};
+
+use crate::failure::Failure;
+
+/// Runs a node.
+pub fn run(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
+    let path = arguments
+        .get_one::<String>("settings")
+        .map_or_else(settings_path, Into::into);
+    let settings = read_settings(&path)?;
+    let log = !arguments.get_flag("quiet");
+    actix_rt::System::new().block_on(async move {
+        let running = assembly::start(settings, log).await?;
+        stopping::until_stopped(running, &path).await
+    })
+}
--- /dev/null
+++ b/crates/dappleyard/src/serve/registration.rs
@@ -0,0 +1,69 @@
+//! The row with which a node makes itself known to the others.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_cluster::{NODES_TABLE, NodeRow};
+use dappleyard_ingress::Node;
+use dappleyard_model::{RowKey, RowStore, StoreError, Transaction};
+use prost::Message;
+
+/// Pause after a call that the store did not answer.
+const PAUSE: Duration = Duration::from_millis(150);
+
+fn key(node: &Node) -> RowKey {
+    RowKey::new(NODES_TABLE, "", node.settings.name.clone())
+}
+
+fn row(node: &Node) -> NodeRow {
+    NodeRow {
+        life: node.life,
+        front: node.settings.listen.front.to_string(),
+        zone: node.settings.zone.clone(),
+        peer: format!("{}:{}", node.settings.ip, node.settings.peer_port),
+        leaving: node.is_leaving(),
+    }
+}
+
+/// Writes the node's row until the store has taken it.
+pub async fn register(node: Arc<Node>, store: Rc<dyn RowStore>) {
+    loop {
+        let transaction = Transaction::default().put(key(&node), row(&node).encode_to_vec());
+        match store.transact(&transaction).await {
+            Ok(committed) => {
+                node.log.write("registered", || {
+                    serde_json::json!({"life": node.life, "leaving": node.is_leaving(),
+                        "revision": committed.revision})
+                });
+                return;
+            }
+            Err(error) => {
+                node.log.write(
+                    "registration_failed",
+                    || serde_json::json!({"cause": error.to_string()}),
+                );
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Removes the node's row, unless a later life has written it.
+pub async fn unregister(node: &Node, store: &dyn RowStore) -> Result<(), StoreError> {
+    let key = key(node);
+    let behind = format!("{}\u{1}", key.key);
+    let read = store.read(NODES_TABLE, "", &key.key, &behind, 1).await?;
+    let found = read.rows.into_iter().find(|found| found.key == key.key);
+    let Some(found) = found else {
+        return Ok(());
+    };
+    let held = found.value.and_then(|value| NodeRow::decode(value).ok());
+    if held.is_some_and(|held| held.life == node.life) {
+        let removal = Transaction::default()
+            .expect(key.clone(), found.revision)
+            .remove(key);
+        store.transact(&removal).await?;
+    }
+    Ok(())
+}
--- a/crates/fleet/src/actor/calls.rs
+++ b/crates/fleet/src/actor/calls.rs
@@ -3,7 +3,7 @@
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use dappleyard_decide::time::Millis;
-use dappleyard_platform::{Machine, StoreError};
+use dappleyard_store::{Machine, StoreError};
 use dappleyard_tables::Lifecycle;
 use dappleyard_wire::messages::{CellSyncAnswer, MemberState};
 use rand::seq::IteratorRandom;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,8 +26,8 @@
 use std::sync::Arc;
 
 use actix::{Actor, Addr};
-use dappleyard_platform::Platform;
 use dappleyard_settings::FleetSettings;
+use dappleyard_store::Platform;
 use dappleyard_tables::NodeTables;
 use dappleyard_transport::policy::SharedPolicy;
 use dappleyard_transport::{DatagramSocket, LinkSettings};
--- a/crates/fleet/src/machines.rs
+++ b/crates/fleet/src/machines.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 
 use dappleyard_decide::broadcast::Broadcasts;
-use dappleyard_platform::{Machine, MachineRole};
+use dappleyard_store::{Machine, MachineRole};
 use dappleyard_tables::directory::ServerEntry;
 use dappleyard_wire::hash::hash_bytes;
 use dappleyard_wire::ids::{RegionId, ServerId, ServiceId, ZoneId};
--- a/crates/fleet/src/machines/tests.rs
+++ b/crates/fleet/src/machines/tests.rs
@@ -1,6 +1,6 @@
 //! Readings of the list and updates by gossip, in any order.
 
-use dappleyard_platform::{Machine, MachineRole};
+use dappleyard_store::{Machine, MachineRole};
 use googletest::prelude::*;
 
 use super::{MAXIMUM_UPDATES, Machines, OVERRULE_MS, RARE_READING_MS, SMALL_LIST};
--- a/crates/fleet/src/regions.rs
+++ b/crates/fleet/src/regions.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 
-use dappleyard_platform::{Platform, StoreError, Transaction};
+use dappleyard_store::{Platform, StoreError, Transaction};
 use dappleyard_tables::NodeTables;
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{MemberState, RegionRow};
--- a/crates/fleet/src/watcher.rs
+++ b/crates/fleet/src/watcher.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use dappleyard_decide::configuration::{ConfigurationState, FeedRow, changes_of_feed};
-use dappleyard_platform::{StoreError, TableStore};
+use dappleyard_store::{StoreError, TableStore};
 use dappleyard_wire::keys::{CONFIGURATION_HEAD, CONFIGURATION_PREFIX};
 use dappleyard_wire::messages::ConfigurationEntry;
 
@@ -96,7 +96,7 @@
             None => state.entries.remove(&key),
             Some(value) => state.entries.insert(
                 key.clone(),
-                entry_of(dappleyard_platform::Row {
+                entry_of(dappleyard_store::Row {
                     key,
                     value,
                     revision,
@@ -111,7 +111,7 @@
     })
 }
 
-fn entry_of(row: dappleyard_platform::Row) -> ConfigurationEntry {
+fn entry_of(row: dappleyard_store::Row) -> ConfigurationEntry {
     ConfigurationEntry {
         revision: row.revision,
         key: row.key,
--- a/crates/fleet/tests/cluster.rs
+++ b/crates/fleet/tests/cluster.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use dappleyard_fleet::{FleetContext, FleetHandle, in_force, regions_fresh};
-use dappleyard_platform::memory::MemoryPlatform;
-use dappleyard_platform::{Machine, MachineRole, TableStore, Transaction};
 use dappleyard_settings::FleetSettings;
+use dappleyard_store::memory::MemoryPlatform;
+use dappleyard_store::{Machine, MachineRole, TableStore, Transaction};
 use dappleyard_tables::{Identity, Lifecycle, NodeTables};
 use dappleyard_transport::link::{Announcement, LinkServer};
 use dappleyard_transport::{DatagramSocket, DirectPolicy, LinkSettings, ServerStream};
--- /dev/null
+++ b/crates/ingress/src/attempt.rs
@@ -0,0 +1,327 @@
+//! One attempt at one server.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use dappleyard_model::{AnswerFacts, ServerRecord, ServerStamp};
+use dappleyard_upstream::{
+    AnswerHead, BodyFraming, Connection, ExchangeError, IdleLimit, Pool, Stage, request_bytes,
+};
+use derive_more::{Display, Error};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+
+use crate::metrics::Metrics;
+use crate::node::Node;
+
+/// Time for a connection to come up.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Answers to other requests that are passed over on one connection.
+const FOREIGN_ANSWERS: usize = 2;
+/// Longest answer to another request that is passed over, bytes.
+const FOREIGN_BYTES: usize = 1024 * 1024;
+/// How often the silence of a server is looked at.
+const SILENCE_TICK: Duration = Duration::from_millis(100);
+/// Resting connections kept to one server.
+const RESTING: usize = 24;
+/// How long a resting connection may be used again.
+const IDLE: IdleLimit = IdleLimit {
+    default: Duration::from_secs(10),
+    margin: Duration::from_millis(700),
+};
+
+/// Whether a request has run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum Ran {
+    /// It certainly has not, and will not.
+    #[display("no")]
+    No,
+    /// It may have.
+    #[display("maybe")]
+    Maybe,
+    /// It has.
+    #[display("yes")]
+    Yes,
+}
+
+/// An attempt that brought no answer of use.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("{reason}")]
+pub struct AttemptError {
+    /// Whether the request has run at this server.
+    pub ran: Ran,
+    /// What was seen.
+    pub reason: String,
+    /// The server itself was not reached or fell silent.
+    pub unreachable: bool,
+}
+
+/// What is sent to a server.
+pub struct Attempt<'a> {
+    /// Method.
+    pub method: &'a Method,
+    /// Path and query.
+    pub target: &'a str,
+    /// The caller's headers.
+    pub headers: &'a HeaderMap,
+    /// Body.
+    pub body: &'a Bytes,
+    /// Identifier of the request.
+    pub id: &'a str,
+    /// Time that is left.
+    pub remaining_ms: Option<u64>,
+    /// Event after which the server should go on.
+    pub last_event_id: Option<u64>,
+    /// Silence of the server after which the attempt is given up; `None` never.
+    pub patience: Option<Duration>,
+}
+
+/// An answer whose body is still to be read.
+pub struct Exchange {
+    /// Connection that it comes on.
+    pub connection: Connection,
+    /// Head of the answer.
+    pub head: AnswerHead,
+    /// What the head says.
+    pub facts: AnswerFacts,
+    /// The server.
+    pub server: Arc<ServerRecord>,
+}
+
+impl Exchange {
+    /// Whether the end of the body shows that it is whole.
+    pub fn is_framed(&self) -> bool {
+        self.head.framing != BodyFraming::UntilClose
+    }
+}
+
+/// Connections to servers of one thread.
+#[derive(Clone)]
+pub struct Upstreams {
+    node: Arc<Node>,
+    pool: Rc<Pool>,
+}
+
+impl Upstreams {
+    /// No connection yet.
+    pub fn new(node: Arc<Node>) -> Self {
+        Self {
+            node,
+            pool: Rc::new(Pool::new(IDLE, RESTING)),
+        }
+    }
+
+    /// The node.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Gives a connection back for other requests.
+    pub fn release(&self, exchange: Exchange) {
+        self.pool.put(exchange.server.address, exchange.connection);
+    }
+
+    /// Closes resting connections that are no longer of use.
+    pub fn sweep(&self) {
+        self.pool.sweep();
+    }
+
+    /// Sends a request to a server and waits for the head of its answer.
+    pub async fn attempt(
+        &self,
+        server: &Arc<ServerRecord>,
+        attempt: &Attempt<'_>,
+    ) -> Result<Exchange, AttemptError> {
+        Metrics::count(&self.node.metrics.attempts);
+        let request = self.request(server, attempt);
+        let mut connection = self.connect(server.address).await?;
+        let head = {
+            let waiting = self.answer(&mut connection, &request, attempt.id);
+            self.with_patience(server, attempt.patience, waiting).await
+        };
+        let (head, facts) = match head {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.pool.forget(server.address);
+                return Err(error);
+            }
+        };
+        self.node.loads.heard(&server.id);
+        if facts.not_run {
+            let reason = format!("status {} not run", head.status);
+            self.drain(connection, server.address).await;
+            return Err(AttemptError {
+                ran: Ran::No,
+                reason,
+                unreachable: head.status == 421,
+            });
+        }
+        Ok(Exchange {
+            connection,
+            head,
+            facts,
+            server: server.clone(),
+        })
+    }
+
+    /// Waits for something of a server, and gives up once the server has been silent for as long
+    /// as `patience`, on all connections of this node.
+    pub async fn with_patience<T>(
+        &self,
+        server: &ServerRecord,
+        patience: Option<Duration>,
+        waiting: impl Future<Output = Result<T, AttemptError>>,
+    ) -> Result<T, AttemptError> {
+        let Some(patience) = patience else {
+            return waiting.await;
+        };
+        tokio::pin!(waiting);
+        let started = Instant::now();
+        let mut pause = patience;
+        loop {
+            match tokio::time::timeout(pause, &mut waiting).await {
+                Ok(done) => return done,
+                Err(_) => {
+                    let own = started.elapsed();
+                    let silence = self.node.loads.silence(&server.id).unwrap_or(own).min(own);
+                    if silence >= patience {
+                        return Err(AttemptError {
+                            ran: Ran::Maybe,
+                            reason: format!("silent for {} ms", silence.as_millis()),
+                            unreachable: true,
+                        });
+                    }
+                    pause = SILENCE_TICK;
+                }
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptError> {
+        if let Some(connection) = self.pool.take(address) {
+            return Ok(connection);
+        }
+        Metrics::count(&self.node.metrics.connections);
+        Connection::open(address, CONNECT_LIMIT)
+            .await
+            .map_err(|error| AttemptError {
+                ran: Ran::No,
+                reason: error.to_string(),
+                unreachable: true,
+            })
+    }
+
+    async fn answer(
+        &self,
+        connection: &mut Connection,
+        request: &[u8],
+        id: &str,
+    ) -> Result<(AnswerHead, AnswerFacts), AttemptError> {
+        let mut head = connection.send(request).await.map_err(broken)?;
+        for _ in 0..FOREIGN_ANSWERS {
+            let facts = self.node.dialect.answer_facts(head.status, &head.headers);
+            match &facts.request_id {
+                Some(answered) if answered != id => {
+                    self.node.log.write("answer_of_another_request", || {
+                        serde_json::json!({"request": id, "answers": answered, "status": head.status})
+                    });
+                    connection.whole_body(FOREIGN_BYTES).await.map_err(broken)?;
+                    head = connection.next_head().await.map_err(broken)?;
+                }
+                None if head.status / 100 == 2 => {
+                    return Err(garbled("answer without identifier"));
+                }
+                _ if head.status / 100 == 2 && !facts.sealed => {
+                    return Err(garbled("success without signature"));
+                }
+                _ => return Ok((head, facts)),
+            }
+        }
+        Err(garbled("answers of other requests"))
+    }
+
+    async fn drain(&self, mut connection: Connection, address: SocketAddr) {
+        let reading = connection.whole_body(FOREIGN_BYTES);
+        let read = tokio::time::timeout(SILENCE_TICK, reading).await;
+        if matches!(read, Ok(Ok(_))) {
+            self.pool.put(address, connection);
+        }
+    }
+
+    fn request(&self, server: &ServerRecord, attempt: &Attempt<'_>) -> Vec<u8> {
+        let dialect = &self.node.dialect;
+        let stamp = ServerStamp {
+            remaining_ms: attempt.remaining_ms,
+            expect_instance: &server.id,
+            last_event_id: attempt.last_event_id,
+        };
+        let stamped = dialect.stamp(&stamp);
+        let own = stamped.iter().map(|(name, value)| (name, value));
+        let passed = attempt
+            .headers
+            .iter()
+            .filter(|(name, _)| is_end_to_end(name, attempt.headers))
+            .filter(|(name, _)| !dialect.is_stamped(name, &stamp));
+        request_bytes(
+            attempt.method,
+            attempt.target,
+            passed.chain(own),
+            attempt.body,
+        )
+        .to_vec()
+    }
+}
+
+fn broken(error: ExchangeError) -> AttemptError {
+    AttemptError {
+        ran: match error.stage {
+            Stage::Connect => Ran::No,
+            _ => Ran::Maybe,
+        },
+        reason: error.to_string(),
+        unreachable: false,
+    }
+}
+
+fn garbled(reason: &str) -> AttemptError {
+    AttemptError {
+        ran: Ran::Maybe,
+        reason: reason.to_owned(),
+        unreachable: false,
+    }
+}
+
+/// Whether a header concerns more than one connection.
+pub(crate) fn is_end_to_end(name: &HeaderName, headers: &HeaderMap) -> bool {
+    let single_hop = [
+        CONNECTION,
+        CONTENT_LENGTH,
+        EXPECT,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ];
+    if single_hop.contains(name) || name.as_str() == "keep-alive" {
+        return false;
+    }
+    *name == HOST || !names_connection_header(name, headers.get_all(CONNECTION).iter())
+}
+
+fn names_connection_header<'a>(
+    name: &HeaderName,
+    values: impl Iterator<Item = &'a HeaderValue>,
+) -> bool {
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case(name.as_str()))
+}
--- /dev/null
+++ b/crates/ingress/src/dispatch.rs
@@ -0,0 +1,267 @@
+//! Finds a server that runs a request.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use dappleyard_cluster::{InFlight, WorkKind};
+use dappleyard_model::{RequestFacts, Route, RouteKind, ServerRecord};
+use http::{HeaderMap, Method};
+
+use crate::attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
+use crate::metrics::Metrics;
+use crate::outcome::ErrorKind;
+use crate::placement::{Candidate, PromptShape, choose, home};
+
+/// Silence of a server after which a request that may be repeated goes to another one.
+const SERVER_PATIENCE: Duration = Duration::from_millis(700);
+/// Time for which a server that broke or fell silent is avoided.
+const SUSPECT_TIME: Duration = Duration::from_millis(1_200);
+/// Servers that are asked for one request, those that did not run it included.
+const MOST_ASKED: usize = 6;
+/// Longest answer that is held whole, bytes.
+const HELD_ANSWER: usize = 8 * 1024 * 1024;
+
+/// One request of a caller on its way.
+pub struct Request {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// What the head says.
+    pub facts: RequestFacts,
+    /// Route as of the arrival.
+    pub route: Route,
+    /// Service that serves it.
+    pub service: String,
+    /// When it came.
+    pub arrived: Instant,
+    /// When its time is over.
+    pub deadline: Instant,
+    /// Whether it has run, over all attempts.
+    pub ran: Ran,
+    /// Servers that may have run it.
+    pub runs: u32,
+    /// Servers that were asked.
+    pub asked: HashSet<String>,
+    /// Shape of the prompt.
+    pub shape: PromptShape,
+}
+
+/// An answer that has begun.
+pub struct Begun {
+    /// The answer.
+    pub exchange: Exchange,
+    /// The work at the server.
+    pub work: InFlight,
+    /// When the request was sent.
+    pub sent: Instant,
+}
+
+/// A failure answer of a server, whole.
+pub struct Failed {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What dispatching came to.
+pub enum Dispatched {
+    /// A server serves the request.
+    Begun(Box<Begun>),
+    /// A server answered with a failure, which is passed on.
+    Failed(Failed),
+    /// The node gives up.
+    GaveUp(ErrorKind),
+}
+
+impl Request {
+    /// Time that is left.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.route.may_repeat()
+    }
+
+    fn may_run_again(&self) -> bool {
+        self.ran == Ran::No || (self.may_repeat() && self.runs < self.route.max_attempts)
+    }
+
+    fn give_up(&self) -> ErrorKind {
+        let expired = self.remaining().is_zero();
+        match (self.ran, expired) {
+            (Ran::No, true) => ErrorKind::ExpiredBeforeRun,
+            (Ran::No, false) => ErrorKind::NoServer,
+            (_, true) => ErrorKind::Expired,
+            (_, false) => ErrorKind::ServerFailed,
+        }
+    }
+}
+
+/// Sends a request to servers until one serves it, or until it must be given up.
+pub async fn dispatch(
+    upstreams: &Upstreams,
+    request: &mut Request,
+    last_event_id: Option<u64>,
+) -> Dispatched {
+    let node = upstreams.node().clone();
+    loop {
+        if request.remaining().is_zero() || !request.may_run_again() {
+            return Dispatched::GaveUp(request.give_up());
+        }
+        let Some((server, kept)) = place(upstreams, request) else {
+            return Dispatched::GaveUp(request.give_up());
+        };
+        request.asked.insert(server.id.clone());
+        let mut work = node
+            .loads
+            .begin(&server.id, WorkKind::Online, request.shape.unread(kept));
+        let sent = Instant::now();
+        let outcome = ask(upstreams, request, &server, last_event_id).await;
+        let exchange = match outcome {
+            Ok(exchange) => exchange,
+            Err(error) => {
+                note_failure(upstreams, request, &server, &error);
+                continue;
+            }
+        };
+        request.ran = Ran::Yes;
+        request.runs += 1;
+        if exchange.head.status / 100 == 2 {
+            return Dispatched::Begun(Box::new(Begun {
+                exchange,
+                work,
+                sent,
+            }));
+        }
+        work.prompt_read();
+        match hold_failure(upstreams, request, exchange).await {
+            Some(failed) => return Dispatched::Failed(failed),
+            None => continue,
+        }
+    }
+}
+
+async fn ask(
+    upstreams: &Upstreams,
+    request: &Request,
+    server: &Arc<ServerRecord>,
+    last_event_id: Option<u64>,
+) -> Result<Exchange, AttemptError> {
+    let remaining = request.remaining();
+    let attempt = Attempt {
+        method: &request.method,
+        target: &request.target,
+        headers: &request.headers,
+        body: &request.body,
+        id: &request.facts.id,
+        remaining_ms: Some(remaining.as_millis() as u64),
+        last_event_id,
+        patience: request.may_repeat().then_some(SERVER_PATIENCE),
+    };
+    match tokio::time::timeout(remaining, upstreams.attempt(server, &attempt)).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(AttemptError {
+            ran: Ran::Maybe,
+            reason: "time over".to_owned(),
+            unreachable: false,
+        }),
+    }
+}
+
+fn note_failure(
+    upstreams: &Upstreams,
+    request: &mut Request,
+    server: &ServerRecord,
+    error: &AttemptError,
+) {
+    let node = upstreams.node();
+    Metrics::count(&node.metrics.attempts_failed);
+    request.ran = request.ran.max(error.ran);
+    if error.ran > Ran::No {
+        request.runs += 1;
+    }
+    if error.unreachable {
+        node.loads.suspect(&server.id, SUSPECT_TIME);
+    }
+    node.log.write("attempt_failed", || {
+        serde_json::json!({"request": request.facts.id, "server": server.id,
+            "ran": error.ran.to_string(), "cause": error.reason, "runs": request.runs,
+            "remaining_ms": request.remaining().as_millis() as u64})
+    });
+}
+
+/// Reads a failure answer whole; `None` when the request goes to another server instead.
+async fn hold_failure(
+    upstreams: &Upstreams,
+    request: &Request,
+    mut exchange: Exchange,
+) -> Option<Failed> {
+    let node = upstreams.node();
+    let status = exchange.head.status;
+    let again = status >= 500 && request.may_run_again();
+    node.log.write("server_answered_failure", || {
+        serde_json::json!({"request": request.facts.id, "server": exchange.server.id,
+            "status": status, "again": again})
+    });
+    let remaining = request.remaining();
+    let reading = exchange.connection.whole_body(HELD_ANSWER);
+    let body = match tokio::time::timeout(remaining, reading).await {
+        Ok(Ok(body)) => body,
+        _ => Bytes::new(),
+    };
+    let headers = exchange.head.headers.clone();
+    upstreams.release(exchange);
+    (!again).then_some(Failed {
+        status,
+        headers,
+        body,
+    })
+}
+
+/// The server for the next attempt, and whether it keeps the shared parts of the prompt.
+fn place(upstreams: &Upstreams, request: &Request) -> Option<(Arc<ServerRecord>, bool)> {
+    let node = upstreams.node();
+    if request.asked.len() >= MOST_ASKED {
+        return None;
+    }
+    let servers = node.view.servers(&request.service);
+    let home = request
+        .shape
+        .shared
+        .and_then(|shared| home(&servers, shared));
+    let candidates: Vec<Candidate> = servers
+        .iter()
+        .filter(|server| !request.asked.contains(&server.id))
+        .map(|server| Candidate {
+            server: server.clone(),
+            load: node.loads.summary(&server.id),
+        })
+        .collect();
+    let home_id = home.map(|home| home.id.as_str());
+    let chosen = choose(&candidates, &node.settings.zone, home_id)?;
+    let kept = home_id == Some(chosen.server.id.as_str());
+    node.log.write("placed", || {
+        serde_json::json!({"request": request.facts.id, "route": request.route.name,
+            "server": chosen.server.id, "candidates": candidates.len(), "kept": kept,
+            "online": chosen.load.online, "batch": chosen.load.batch,
+            "unread_tokens": chosen.load.unread_tokens, "suspect": chosen.load.suspect,
+            "remaining_ms": request.remaining().as_millis() as u64})
+    });
+    Some((chosen.server.clone(), kept))
+}
+
+/// Whether answers of the route come as events.
+pub fn is_event_route(route: &Route) -> bool {
+    route.kind == RouteKind::Streaming
+}
--- /dev/null
+++ b/crates/ingress/src/event_stream.rs
@@ -0,0 +1,80 @@
+//! Splits a stream of bytes into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// One whole event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Its bytes, the empty line at the end included.
+    pub bytes: Bytes,
+    /// Its identifier.
+    pub id: Option<u64>,
+}
+
+impl Event {
+    /// Data lines of the event, joined by line feeds; `None` when it has none.
+    pub fn data(&self) -> Option<String> {
+        let text = String::from_utf8_lossy(&self.bytes);
+        let lines: Vec<&str> = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("data:"))
+            .map(|data| data.strip_prefix(' ').unwrap_or(data))
+            .collect();
+        (!lines.is_empty()).then(|| lines.join("\n"))
+    }
+}
+
+/// Collects bytes until an event is whole.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Adds bytes as they come.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let from = self.searched.saturating_sub(3);
+        let end = find_end(&self.buffer[from..]).map(|length| from + length);
+        let Some(end) = end else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        self.searched = 0;
+        let bytes = self.buffer.split_to(end).freeze();
+        let id = event_id(&bytes);
+        Some(Event { bytes, id })
+    }
+
+    /// Bytes behind the last whole event.
+    pub fn rest(&mut self) -> Bytes {
+        self.searched = 0;
+        self.buffer.split().freeze()
+    }
+}
+
+/// Length up to and with the first empty line.
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    let mut at = 0;
+    while let Some(offset) = bytes[at..].iter().position(|byte| *byte == b'\n') {
+        let next = at + offset + 1;
+        match bytes.get(next..) {
+            Some([b'\n', ..]) => return Some(next + 1),
+            Some([b'\r', b'\n', ..]) => return Some(next + 2),
+            _ => at = next,
+        }
+    }
+    None
+}
+
+fn event_id(bytes: &[u8]) -> Option<u64> {
+    bytes.split(|byte| *byte == b'\n').find_map(|line| {
+        let text = std::str::from_utf8(line.strip_prefix(b"id:")?).ok()?;
+        text.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/crates/ingress/src/front.rs
@@ -0,0 +1,305 @@
+//! The interface for callers: online requests, jobs, the directory and readiness.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_web::http::header::CONTENT_TYPE;
+use actix_web::{HttpRequest, HttpResponse, web};
+use bytes::{Bytes, BytesMut};
+use dappleyard_model::{Endpoint, RequestFacts, Route, RouteKind};
+use futures::StreamExt;
+use futures::future::LocalBoxFuture;
+use http::HeaderMap;
+
+use crate::answer::{begin, copy_headers, refusal};
+use crate::attempt::{Ran, Upstreams};
+use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
+use crate::metrics::Metrics;
+use crate::node::{Node, UnderWay};
+use crate::outcome::ErrorKind;
+use crate::placement::PromptShape;
+use crate::relay;
+
+/// Longest time that a request without a deadline is held.
+const LONGEST_HOLD: Duration = Duration::from_secs(60);
+/// Body limit before a configuration is known, bytes.
+const BODY_LIMIT: usize = 4 * 1024 * 1024;
+
+/// Answer to a call about jobs.
+pub enum JobReply {
+    /// The job is accepted.
+    Accepted,
+    /// The job is ended.
+    Ended,
+    /// A page of results.
+    Page(Bytes),
+    /// The body of an item.
+    Body(Bytes),
+    /// The call is not served.
+    Refused(ErrorKind, String),
+}
+
+/// Calls about jobs, as the interface needs them.
+pub trait JobCalls {
+    /// Takes a job.
+    fn submit<'a>(
+        &'a self,
+        route: &'a Route,
+        facts: &'a RequestFacts,
+        body: Bytes,
+    ) -> LocalBoxFuture<'a, JobReply>;
+
+    /// Reads results from a position on.
+    fn results<'a>(&'a self, job: &'a str, from: u64, wait_ms: u64)
+    -> LocalBoxFuture<'a, JobReply>;
+
+    /// Reads the body of an item.
+    fn item<'a>(&'a self, job: &'a str, item: &'a str) -> LocalBoxFuture<'a, JobReply>;
+
+    /// Ends a job.
+    fn end<'a>(&'a self, job: &'a str) -> LocalBoxFuture<'a, JobReply>;
+}
+
+/// What the handlers of one worker thread need.
+pub struct FrontData {
+    upstreams: Upstreams,
+    jobs: Rc<dyn JobCalls>,
+}
+
+/// State of one worker thread.
+pub fn front_app_data(upstreams: Upstreams, jobs: Rc<dyn JobCalls>) -> web::Data<FrontData> {
+    web::Data::new(FrontData { upstreams, jobs })
+}
+
+/// Adds the handlers to an application.
+pub fn configure(config: &mut web::ServiceConfig) {
+    config.default_service(web::to(handle));
+}
+
+async fn handle(
+    request: HttpRequest,
+    payload: web::Payload,
+    data: web::Data<FrontData>,
+) -> HttpResponse {
+    let node = data.upstreams.node().clone();
+    let port = request.app_config().local_addr().port();
+    let listen = &node.settings.listen;
+    let endpoint = node
+        .dialect
+        .endpoint(request.method(), request.path(), request.query_string());
+    if port == listen.ready.port() && port != listen.front.port() {
+        return match endpoint {
+            Endpoint::Ready => ready(&node),
+            _ if request.path() == "/metrics" => metrics(&node),
+            _ => refusal(&node, ErrorKind::NoRoute, "only readiness is told here"),
+        };
+    }
+    if port == listen.directory.port() && port != listen.front.port() {
+        return match endpoint {
+            Endpoint::Resolve => resolve(&node, request.query_string()),
+            _ => refusal(&node, ErrorKind::NoRoute, "only the directory is here"),
+        };
+    }
+    let under_way = UnderWay::begin(&node);
+    match endpoint {
+        Endpoint::JobResults { job, from } => {
+            let headers = header_map(&request);
+            let wait = node.dialect.request_facts(&headers).wait_ms;
+            job_answer(&node, data.jobs.results(&job, from, wait).await)
+        }
+        Endpoint::JobItem { job, item } => job_answer(&node, data.jobs.item(&job, &item).await),
+        Endpoint::JobEnd { job } => job_answer(&node, data.jobs.end(&job).await),
+        _ => routed(request, payload, &data, under_way).await,
+    }
+}
+
+fn ready(node: &Node) -> HttpResponse {
+    match node.is_ready() {
+        true => HttpResponse::Ok().finish(),
+        false => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+fn metrics(node: &Node) -> HttpResponse {
+    HttpResponse::Ok()
+        .insert_header((CONTENT_TYPE, "text/plain; version=0.0.4"))
+        .body(node.metrics.text())
+}
+
+fn resolve(node: &Node, query: &str) -> HttpResponse {
+    let zone = node.dialect.resolve_zone(query);
+    match node.resolve(zone.as_deref()) {
+        Some(answer) => begin(node, 200)
+            .insert_header((CONTENT_TYPE, "application/json"))
+            .body(answer),
+        None => refusal(node, ErrorKind::NotReady, "no node is known to be ready"),
+    }
+}
+
+fn header_map(request: &HttpRequest) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(request.headers().len());
+    for (name, value) in request.headers() {
+        headers.append(name.clone(), value.clone());
+    }
+    headers
+}
+
+async fn routed(
+    http: HttpRequest,
+    payload: web::Payload,
+    data: &FrontData,
+    under_way: UnderWay,
+) -> HttpResponse {
+    let arrived = Instant::now();
+    let node = data.upstreams.node().clone();
+    Metrics::count(&node.metrics.requests);
+    let headers = header_map(&http);
+    let facts = node.dialect.request_facts(&headers);
+    let limit = node
+        .view
+        .configuration()
+        .map_or(BODY_LIMIT, |configuration| {
+            configuration.limits.max_body_bytes
+        });
+    // The body is read before the route is chosen, so that no caller is cut off while it sends.
+    let body = match read_body(payload, limit).await {
+        Ok(body) => body,
+        Err(kind) => return refuse(&node, &facts.id, kind, "body"),
+    };
+    let Some(configuration) = node.view.configuration() else {
+        return refuse(
+            &node,
+            &facts.id,
+            ErrorKind::NotReady,
+            "no configuration yet",
+        );
+    };
+    let host = headers
+        .get(http::header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default();
+    let Some(route) = configuration.route(host, http.path()).cloned() else {
+        let detail = format!("configuration {}", configuration.version);
+        return refuse(&node, &facts.id, ErrorKind::NoRoute, &detail);
+    };
+    if facts.id.is_empty() {
+        return refuse(&node, &facts.id, ErrorKind::NoRequestId, "no identifier");
+    }
+    if route.kind == RouteKind::Batch {
+        return job_answer(&node, data.jobs.submit(&route, &facts, body).await);
+    }
+    let Some(service) = route.pick_service(rand::random()).map(str::to_owned) else {
+        return refuse(
+            &node,
+            &facts.id,
+            ErrorKind::NoServer,
+            "the route has no service",
+        );
+    };
+    let hold = [
+        facts.deadline_ms,
+        Some(route.timeout_ms).filter(|ms| *ms > 0),
+    ]
+    .into_iter()
+    .flatten()
+    .min()
+    .map_or(LONGEST_HOLD, Duration::from_millis);
+    let target = http
+        .uri()
+        .path_and_query()
+        .map_or_else(|| http.path().to_owned(), ToString::to_string);
+    let request = Request {
+        method: http.method().clone(),
+        target,
+        headers,
+        body,
+        shape: PromptShape::new(&facts.parts, facts.tokens_in),
+        facts,
+        route,
+        service,
+        arrived,
+        deadline: arrived + hold,
+        ran: Ran::No,
+        runs: 0,
+        asked: Default::default(),
+    };
+    serve(data.upstreams.clone(), request, under_way).await
+}
+
+async fn serve(upstreams: Upstreams, mut request: Request, under_way: UnderWay) -> HttpResponse {
+    let node = upstreams.node().clone();
+    match dispatch(&upstreams, &mut request, None).await {
+        Dispatched::Begun(begun) => stream(upstreams, request, *begun, under_way),
+        Dispatched::Failed(failed) => {
+            Metrics::count(&node.metrics.failed);
+            let mut answer = begin(&node, failed.status);
+            copy_headers(&mut answer, &failed.headers);
+            answer.body(failed.body)
+        }
+        Dispatched::GaveUp(kind) => {
+            let detail = format!("{} servers asked", request.asked.len());
+            refuse(&node, &request.facts.id, kind, &detail)
+        }
+    }
+}
+
+fn stream(
+    upstreams: Upstreams,
+    request: Request,
+    begun: Begun,
+    under_way: UnderWay,
+) -> HttpResponse {
+    let node = upstreams.node().clone();
+    let mut answer = begin(&node, begun.exchange.head.status);
+    copy_headers(&mut answer, &begun.exchange.head.headers);
+    let length = match begun.exchange.head.framing {
+        dappleyard_upstream::BodyFraming::Length(length) => Some(length),
+        _ => None,
+    };
+    let sized = length.filter(|_| !is_event_route(&request.route));
+    let body = relay::body(upstreams, request, begun, under_way);
+    match sized {
+        Some(length) => answer.body(actix_web::body::SizedStream::new(length, Box::pin(body))),
+        None => answer.streaming(Box::pin(body)),
+    }
+}
+
+fn refuse(node: &Arc<Node>, id: &str, kind: ErrorKind, detail: &str) -> HttpResponse {
+    let promised = matches!(kind.status(), 429 | 503);
+    Metrics::count(match promised {
+        true => &node.metrics.refused,
+        false => &node.metrics.failed,
+    });
+    node.log.write("request_refused", || {
+        serde_json::json!({"request": id, "kind": kind.to_string(), "status": kind.status(),
+            "detail": detail, "retry_after_ms": kind.retry_after_ms()})
+    });
+    refusal(node, kind, detail)
+}
+
+async fn read_body(mut payload: web::Payload, limit: usize) -> Result<Bytes, ErrorKind> {
+    let mut body = BytesMut::new();
+    while let Some(piece) = payload.next().await {
+        let piece = piece.map_err(|_| ErrorKind::Malformed)?;
+        if body.len() + piece.len() > limit {
+            return Err(ErrorKind::BodyTooLong);
+        }
+        body.extend_from_slice(&piece);
+    }
+    Ok(body.freeze())
+}
+
+fn job_answer(node: &Arc<Node>, reply: JobReply) -> HttpResponse {
+    match reply {
+        JobReply::Accepted => begin(node, 202).json(serde_json::json!({})),
+        JobReply::Ended => begin(node, 200).json(serde_json::json!({})),
+        JobReply::Page(page) => begin(node, 200)
+            .insert_header((CONTENT_TYPE, "application/json"))
+            .body(page),
+        JobReply::Body(body) => begin(node, 200)
+            .insert_header((CONTENT_TYPE, "application/octet-stream"))
+            .body(body),
+        JobReply::Refused(kind, detail) => refusal(node, kind, &detail),
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/lib.rs
@@ -0,0 +1,24 @@
+//! Online requests: accept, place, dispatch, relay.
+//!
+//! A request passes through small filters: `front` reads it, `dispatch` finds a server that runs
+//! it, `relay` passes the answer on. What has run is a sticky fact: only a request that certainly
+//! did not run is refused with a status that says so.
+
+mod answer;
+mod attempt;
+mod dispatch;
+mod event_stream;
+mod front;
+mod metrics;
+mod node;
+mod outcome;
+mod placement;
+mod relay;
+
+pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
+pub use event_stream::{Event, EventSplitter};
+pub use front::{JobCalls, JobReply, configure, front_app_data};
+pub use metrics::Metrics;
+pub use node::Node;
+pub use outcome::ErrorKind;
+pub use placement::{Candidate, PromptShape, choose, home};
--- /dev/null
+++ b/crates/ingress/src/metrics.rs
@@ -0,0 +1,93 @@
+//! Counters of one process.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Upper bounds of the latency histogram, milliseconds.
+const BOUNDS_MS: [u64; 10] = [25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800];
+
+/// Counters and histograms of one process.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    /// Requests taken from callers.
+    pub requests: AtomicU64,
+    /// Requests answered with success.
+    pub served: AtomicU64,
+    /// Answers of the node's own that promise "not run".
+    pub refused: AtomicU64,
+    /// Other failures.
+    pub failed: AtomicU64,
+    /// Attempts at servers.
+    pub attempts: AtomicU64,
+    /// Attempts that failed.
+    pub attempts_failed: AtomicU64,
+    /// Streams taken up at another server.
+    pub resumed: AtomicU64,
+    /// Connections opened to servers.
+    pub connections: AtomicU64,
+    /// Jobs accepted.
+    pub jobs_accepted: AtomicU64,
+    /// Jobs claimed from other nodes.
+    pub jobs_claimed: AtomicU64,
+    /// Results committed.
+    pub results: AtomicU64,
+    /// Items that went back to wait after a run broke.
+    pub items_again: AtomicU64,
+    first_event: [AtomicU64; BOUNDS_MS.len() + 1],
+    first_event_sum_ms: AtomicU64,
+}
+
+impl Metrics {
+    /// Adds one to a counter.
+    pub fn count(counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes the time to the first event of an answer.
+    pub fn note_first_event(&self, time_ms: u64) {
+        let bucket = BOUNDS_MS.iter().position(|bound| time_ms <= *bound);
+        Self::count(&self.first_event[bucket.unwrap_or(BOUNDS_MS.len())]);
+        self.first_event_sum_ms
+            .fetch_add(time_ms, Ordering::Relaxed);
+    }
+
+    /// The figures in the Prometheus text format.
+    pub fn text(&self) -> String {
+        let counters = [
+            ("requests", &self.requests),
+            ("served", &self.served),
+            ("refused", &self.refused),
+            ("failed", &self.failed),
+            ("attempts", &self.attempts),
+            ("attempts_failed", &self.attempts_failed),
+            ("resumed", &self.resumed),
+            ("connections", &self.connections),
+            ("jobs_accepted", &self.jobs_accepted),
+            ("jobs_claimed", &self.jobs_claimed),
+            ("results", &self.results),
+            ("items_again", &self.items_again),
+        ];
+        let mut text = String::new();
+        for (name, counter) in counters {
+            let value = counter.load(Ordering::Relaxed);
+            text.push_str(&format!(
+                "# TYPE dappleyard_{name}_total counter\ndappleyard_{name}_total {value}\n"
+            ));
+        }
+        text.push_str("# TYPE dappleyard_first_event_ms histogram\n");
+        let mut sum = 0;
+        for (position, bucket) in self.first_event.iter().enumerate() {
+            sum += bucket.load(Ordering::Relaxed);
+            let bound = BOUNDS_MS
+                .get(position)
+                .map_or_else(|| "+Inf".to_owned(), u64::to_string);
+            text.push_str(&format!(
+                "dappleyard_first_event_ms_bucket{{le=\"{bound}\"}} {sum}\n"
+            ));
+        }
+        let total = self.first_event_sum_ms.load(Ordering::Relaxed);
+        text.push_str(&format!(
+            "dappleyard_first_event_ms_sum {total}\ndappleyard_first_event_ms_count {sum}\n"
+        ));
+        text
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/node.rs
@@ -0,0 +1,89 @@
+//! What all threads of a node share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use dappleyard_cluster::{LoadTable, PeerTable, View, directory};
+use dappleyard_model::{Dialect, EventLog, NodeSettings};
+use parking_lot::Mutex;
+
+use crate::metrics::Metrics;
+
+/// Time for which callers may use a directory answer.
+const DIRECTORY_TTL_MS: u64 = 1_500;
+
+/// One node. Locks are taken one at a time; none is held across an await.
+pub struct Node {
+    /// Settings at the start.
+    pub settings: NodeSettings,
+    /// Number of this life of the process.
+    pub life: u64,
+    /// Configuration and servers.
+    pub view: Arc<View>,
+    /// Work at servers.
+    pub loads: Arc<LoadTable>,
+    /// The other nodes.
+    pub peers: Arc<PeerTable>,
+    /// Formats.
+    pub dialect: Arc<dyn Dialect>,
+    /// Decision records.
+    pub log: Arc<EventLog>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// The node takes no new work and will end.
+    pub leaving: Arc<AtomicBool>,
+    /// Requests of callers under way.
+    pub under_way: AtomicU64,
+    /// When the last request of a caller came.
+    pub last_request: Mutex<Instant>,
+}
+
+impl Node {
+    /// Whether the node says that it takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.view.is_ready() && !self.is_leaving()
+    }
+
+    /// Whether the node will end.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Answer to a caller of a zone that asks where to go; `None` when this node cannot tell.
+    pub fn resolve(&self, zone: Option<&str>) -> Option<bytes::Bytes> {
+        let mut ready = self.peers.ready_fronts();
+        let isolated = self
+            .view
+            .store_age()
+            .is_none_or(|age| age > Duration::from_millis(3200));
+        if self.is_ready() && (!isolated || ready.is_empty()) {
+            let own = self.settings.listen.front.to_string();
+            ready.push((own, self.settings.zone.clone()));
+        }
+        if ready.is_empty() {
+            return None;
+        }
+        ready.sort();
+        let addresses = directory::addresses_for(zone, &ready);
+        let ttl_ms = DIRECTORY_TTL_MS.min(self.settings.bounds.directory_ttl_ms);
+        Some(self.dialect.resolve_answer(&addresses, ttl_ms))
+    }
+}
+
+/// Counts a request of a caller as under way until it is dropped.
+pub(crate) struct UnderWay(Arc<Node>);
+
+impl UnderWay {
+    pub(crate) fn begin(node: &Arc<Node>) -> Self {
+        node.under_way.fetch_add(1, Ordering::Relaxed);
+        *node.last_request.lock() = Instant::now();
+        Self(node.clone())
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.under_way.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/outcome.rs
@@ -0,0 +1,78 @@
+//! Why a request was not served, and the answer to each kind.
+
+use derive_more::Display;
+
+/// The closed list of reasons for which a caller gets an answer of the node's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum ErrorKind {
+    /// The node knows no configuration yet.
+    #[display("not_ready")]
+    NotReady,
+    /// No route takes the host and path.
+    #[display("no_route")]
+    NoRoute,
+    /// The request names no identifier.
+    #[display("no_request_id")]
+    NoRequestId,
+    /// The request cannot be read.
+    #[display("malformed")]
+    Malformed,
+    /// The body is longer than the operators allow.
+    #[display("body_too_long")]
+    BodyTooLong,
+    /// No server took the request; it did not run.
+    #[display("no_server")]
+    NoServer,
+    /// The time was over before any server ran the request.
+    #[display("expired_before_run")]
+    ExpiredBeforeRun,
+    /// The time was over; the request may have run.
+    #[display("expired")]
+    Expired,
+    /// A server broke off; the request may have run.
+    #[display("server_failed")]
+    ServerFailed,
+    /// The store did not answer; nothing of the job was accepted.
+    #[display("store_unavailable")]
+    StoreUnavailable,
+    /// The store's answer was lost; the job may have been accepted.
+    #[display("store_in_doubt")]
+    StoreInDoubt,
+    /// The job does not fit into the tokens that may wait.
+    #[display("quota_exceeded")]
+    QuotaExceeded,
+    /// There is no such job or item.
+    #[display("no_job")]
+    NoJob,
+}
+
+impl ErrorKind {
+    /// Status of the answer. 429 and 503 promise that the request did not and will not run.
+    pub fn status(self) -> u16 {
+        match self {
+            ErrorKind::NoRequestId | ErrorKind::Malformed => 400,
+            ErrorKind::NoRoute | ErrorKind::NoJob => 404,
+            ErrorKind::BodyTooLong => 413,
+            ErrorKind::QuotaExceeded => 429,
+            ErrorKind::StoreInDoubt => 500,
+            ErrorKind::ServerFailed => 502,
+            ErrorKind::NotReady
+            | ErrorKind::NoServer
+            | ErrorKind::ExpiredBeforeRun
+            | ErrorKind::StoreUnavailable => 503,
+            ErrorKind::Expired => 504,
+        }
+    }
+
+    /// When the caller may come back, in milliseconds, where it has not run.
+    pub fn retry_after_ms(self) -> Option<u64> {
+        match self {
+            ErrorKind::NotReady => Some(200),
+            ErrorKind::NoServer => Some(50),
+            ErrorKind::ExpiredBeforeRun => Some(100),
+            ErrorKind::StoreUnavailable => Some(500),
+            ErrorKind::QuotaExceeded => Some(1000),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/placement.rs
@@ -0,0 +1,112 @@
+//! Choice of a server. Pure: what it rests on is passed in.
+
+use std::sync::Arc;
+
+use dappleyard_cluster::LoadSummary;
+use dappleyard_model::{PromptPart, ServerRecord};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Prompt tokens that weigh as much as one request under way.
+const TOKENS_PER_UNIT: f64 = 1_000.0;
+/// Weight of a server in another zone.
+const OTHER_ZONE: f64 = 6.0;
+/// Weight of shared prompt parts that the server keeps.
+const AFFINITY: f64 = 30.0;
+/// Shared tokens from which a prompt has a home server.
+const AFFINITY_TOKENS: u32 = 1_500;
+/// Weight of each request above the server's slots.
+const OVER_SLOTS: f64 = 6.0;
+/// Weight of a server that was found silent or broken a moment ago.
+const SUSPECT: f64 = 200.0;
+/// Milliseconds of excess time to the first event that weigh as much as one request.
+const EXCESS_MS_PER_UNIT: f64 = 12.0;
+/// Remaining milliseconds of a cold start that weigh as much as one request.
+const COLD_MS_PER_UNIT: f64 = 100.0;
+
+/// What matters of a prompt for placement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PromptShape {
+    /// Hash over the shared parts, or `None` when they are too short to matter.
+    pub shared: Option<u64>,
+    /// Tokens of the shared parts.
+    pub shared_tokens: u32,
+    /// Tokens of the whole prompt.
+    pub tokens: u32,
+}
+
+impl PromptShape {
+    /// The shape of a prompt; its last part belongs to the request itself.
+    pub fn new(parts: &[PromptPart], tokens: u32) -> Self {
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared_tokens = shared.iter().map(|part| part.tokens).sum();
+        let bytes: Vec<u8> = shared
+            .iter()
+            .flat_map(|part| part.id.to_le_bytes())
+            .collect();
+        Self {
+            shared: (shared_tokens >= AFFINITY_TOKENS).then(|| xxh3_64(&bytes)),
+            shared_tokens,
+            tokens: tokens.max(shared_tokens),
+        }
+    }
+
+    /// Tokens that a server has to read, when it keeps the shared parts or not.
+    pub fn unread(&self, kept: bool) -> u32 {
+        match kept {
+            true => self.tokens.saturating_sub(self.shared_tokens),
+            false => self.tokens,
+        }
+    }
+}
+
+/// One server that could run a request.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// The server.
+    pub server: Arc<ServerRecord>,
+    /// Its load over all nodes.
+    pub load: LoadSummary,
+}
+
+/// The server that keeps the shared parts of a prompt: the highest hash of both.
+pub fn home(servers: &[Arc<ServerRecord>], shared: u64) -> Option<&Arc<ServerRecord>> {
+    servers.iter().max_by_key(|server| {
+        let mut bytes = server.id.as_bytes().to_vec();
+        bytes.extend_from_slice(&shared.to_le_bytes());
+        xxh3_64(&bytes)
+    })
+}
+
+/// Weight of a candidate; the least is best.
+fn weight(candidate: &Candidate, zone: &str, is_home: bool) -> f64 {
+    let load = &candidate.load;
+    let requests = f64::from(load.online + load.batch);
+    let over = requests + 1.0 - f64::from(candidate.server.slots);
+    let mut weight = requests + f64::from(load.unread_tokens) / TOKENS_PER_UNIT;
+    weight += over.max(0.0) * OVER_SLOTS;
+    weight += load.excess_ms / EXCESS_MS_PER_UNIT;
+    weight += candidate.server.cold_left_ms as f64 / COLD_MS_PER_UNIT;
+    if candidate.server.zone != zone {
+        weight += OTHER_ZONE;
+    }
+    if load.suspect {
+        weight += SUSPECT;
+    }
+    if is_home {
+        weight -= AFFINITY;
+    }
+    weight
+}
+
+/// Chooses the candidate of least weight; `home` names the server that keeps the prompt.
+pub fn choose<'a>(
+    candidates: &'a [Candidate],
+    zone: &str,
+    home: Option<&str>,
+) -> Option<&'a Candidate> {
+    candidates.iter().min_by(|a, b| {
+        let weight_a = weight(a, zone, home == Some(a.server.id.as_str()));
+        let weight_b = weight(b, zone, home == Some(b.server.id.as_str()));
+        weight_a.total_cmp(&weight_b)
+    })
+}
--- /dev/null
+++ b/crates/ingress/src/relay.rs
@@ -0,0 +1,211 @@
+//! Passes an answer on as it comes, and takes a broken stream up at another server.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use futures::Stream;
+
+use crate::attempt::{AttemptError, Exchange, Ran, Upstreams};
+use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
+use crate::event_stream::EventSplitter;
+use crate::metrics::Metrics;
+use crate::node::UnderWay;
+
+/// Silence of a server after which a stream is taken up elsewhere.
+const STREAM_PATIENCE: Duration = Duration::from_millis(700);
+/// Time for which a server that fell silent is avoided.
+const SUSPECT_TIME: Duration = Duration::from_millis(1_200);
+
+/// The answer cannot be finished; the caller's connection is closed without its end.
+#[derive(Debug, Display, Error)]
+#[display("the answer was cut")]
+pub struct Cut;
+
+/// The body of an answer as it comes.
+pub(crate) fn body(
+    upstreams: Upstreams,
+    request: Request,
+    begun: Begun,
+    under_way: UnderWay,
+) -> impl Stream<Item = Result<Bytes, Cut>> {
+    async_stream::stream! {
+        let _under_way = under_way;
+        let mut relay = Relay::new(upstreams, request, begun);
+        loop {
+            match relay.next().await {
+                Ok(Some(piece)) => yield Ok(piece),
+                Ok(None) => break,
+                Err(cut) => {
+                    yield Err(cut);
+                    break;
+                }
+            }
+        }
+    }
+}
+
+struct Relay {
+    upstreams: Upstreams,
+    request: Request,
+    begun: Option<Begun>,
+    splitter: EventSplitter,
+    last_event: Option<u64>,
+    events: u64,
+    ended: bool,
+}
+
+impl Relay {
+    fn new(upstreams: Upstreams, request: Request, begun: Begun) -> Self {
+        let last_event = request.facts.last_event_id;
+        Self {
+            upstreams,
+            request,
+            begun: Some(begun),
+            splitter: EventSplitter::default(),
+            last_event,
+            events: 0,
+            ended: false,
+        }
+    }
+
+    /// The next bytes for the caller; `None` at the end of the answer.
+    async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                self.note_event();
+                self.last_event = event.id.or(self.last_event);
+                return Ok(Some(event.bytes));
+            }
+            if self.ended {
+                return Ok(None);
+            }
+            match self.read().await {
+                Ok(Some(piece)) => {
+                    if !is_event_route(&self.request.route) {
+                        return Ok(Some(piece));
+                    }
+                    self.splitter.push(&piece);
+                }
+                Ok(None) => return self.finish(),
+                Err(error) => self.resume(error).await?,
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<Option<Bytes>, AttemptError> {
+        let remaining = self.request.remaining();
+        let patience = self.request.route.may_repeat().then_some(STREAM_PATIENCE);
+        let upstreams = self.upstreams.clone();
+        let Some(begun) = &mut self.begun else {
+            return Ok(None);
+        };
+        let Exchange {
+            connection, server, ..
+        } = &mut begun.exchange;
+        let reading = async {
+            connection.next_piece().await.map_err(|error| AttemptError {
+                ran: Ran::Yes,
+                reason: error.to_string(),
+                unreachable: false,
+            })
+        };
+        let waiting = upstreams.with_patience(server, patience, reading);
+        let piece = match tokio::time::timeout(remaining, waiting).await {
+            Ok(piece) => piece?,
+            Err(_) => {
+                return Err(AttemptError {
+                    ran: Ran::Yes,
+                    reason: "time over".to_owned(),
+                    unreachable: false,
+                });
+            }
+        };
+        upstreams.node().loads.heard(&server.id);
+        Ok(piece)
+    }
+
+    fn note_event(&mut self) {
+        self.events += 1;
+        if self.events > 1 {
+            return;
+        }
+        let node = self.upstreams.node().clone();
+        if let Some(begun) = &mut self.begun {
+            begun.work.prompt_read();
+            let taken = begun.sent.elapsed().as_millis() as f64;
+            let expected = 30.0 + f64::from(self.request.shape.tokens) / 30.0;
+            node.loads
+                .note_excess(&begun.exchange.server.id, taken - expected);
+        }
+        let since_arrival = self.request.arrived.elapsed().as_millis() as u64;
+        node.metrics.note_first_event(since_arrival);
+    }
+
+    fn finish(&mut self) -> Result<Option<Bytes>, Cut> {
+        self.ended = true;
+        let node = self.upstreams.node().clone();
+        let rest = self.splitter.rest();
+        if let Some(begun) = self.begun.take() {
+            if !begun.exchange.is_framed() && !rest.is_empty() {
+                self.log_cut("the server's connection ended inside an event");
+                return Err(Cut);
+            }
+            let server = begun.exchange.server.id.clone();
+            self.upstreams.release(begun.exchange);
+            node.log.write("request_finished", || {
+                serde_json::json!({"request": self.request.facts.id, "server": server,
+                    "events": self.events, "runs": self.request.runs,
+                    "ms": self.request.arrived.elapsed().as_millis() as u64})
+            });
+        }
+        Metrics::count(&node.metrics.served);
+        Ok((!rest.is_empty()).then_some(rest))
+    }
+
+    async fn resume(&mut self, error: AttemptError) -> Result<(), Cut> {
+        let node = self.upstreams.node().clone();
+        let failed = self.begun.take();
+        self.splitter.rest();
+        let server = failed.map(|begun| begun.exchange.server.id.clone());
+        if let Some(server) = server.as_ref().filter(|_| error.unreachable) {
+            node.loads.suspect(server, SUSPECT_TIME);
+        }
+        node.log.write("stream_broke", || {
+            serde_json::json!({"request": self.request.facts.id, "server": server,
+                "cause": error.reason, "after_event": self.last_event,
+                "events": self.events, "runs": self.request.runs,
+                "resumable": self.request.route.resumable})
+        });
+        let resumable = is_event_route(&self.request.route) && self.request.route.resumable;
+        if !resumable {
+            self.log_cut(&error.reason);
+            return Err(Cut);
+        }
+        match dispatch(&self.upstreams, &mut self.request, self.last_event).await {
+            Dispatched::Begun(begun) => {
+                Metrics::count(&node.metrics.resumed);
+                self.begun = Some(*begun);
+                Ok(())
+            }
+            Dispatched::Failed(failed) => {
+                self.log_cut(&format!("resumption answered {}", failed.status));
+                Err(Cut)
+            }
+            Dispatched::GaveUp(kind) => {
+                self.log_cut(&kind.to_string());
+                Err(Cut)
+            }
+        }
+    }
+
+    fn log_cut(&self, cause: &str) {
+        let node = self.upstreams.node();
+        Metrics::count(&node.metrics.failed);
+        node.log.write("answer_cut", || {
+            serde_json::json!({"request": self.request.facts.id, "cause": cause,
+                "events": self.events, "runs": self.request.runs,
+                "ms": Instant::now().duration_since(self.request.arrived).as_millis() as u64})
+        });
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/calls.rs
@@ -0,0 +1,90 @@
+//! Calls of callers about jobs, for one worker thread.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dappleyard_ingress::{ErrorKind, JobCalls, JobReply, Node};
+use dappleyard_model::{RequestFacts, Route, RowStore, StoreError};
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use prost::Message;
+
+use crate::keys::job_key;
+use crate::messages::JobRow;
+use crate::table::{JobTable, Known};
+use crate::{accept, end, read};
+
+/// Calls about jobs.
+pub struct NodeJobs {
+    pub(crate) node: Arc<Node>,
+    pub(crate) table: Arc<JobTable>,
+    pub(crate) store: Rc<dyn RowStore>,
+}
+
+impl NodeJobs {
+    /// Calls that use a store client of this thread.
+    pub fn new(node: Arc<Node>, table: Arc<JobTable>, store: Rc<dyn RowStore>) -> Self {
+        Self { node, table, store }
+    }
+
+    /// Reads a job's row from the store and notes it.
+    pub(crate) async fn fetch(&self, job: &str) -> Result<Option<Known>, StoreError> {
+        let key = job_key(job);
+        let behind = format!("{job}\u{1}");
+        let read = self
+            .store
+            .read(key.table, &key.part, job, &behind, 1)
+            .await?;
+        let found = read.rows.into_iter().find(|row| row.key == job);
+        let Some((value, revision)) = found.and_then(|row| Some((row.value?, row.revision))) else {
+            return Ok(None);
+        };
+        let Ok(row) = JobRow::decode(value) else {
+            return Ok(None);
+        };
+        self.table.put(job, row, revision);
+        Ok(self.table.get(job))
+    }
+
+    /// A job as the table knows it, or else as the store does.
+    pub(crate) async fn find(&self, job: &str) -> Result<Option<Known>, StoreError> {
+        match self.table.get(job) {
+            Some(known) if self.table.is_fresh() => Ok(Some(known)),
+            _ => self.fetch(job).await,
+        }
+    }
+}
+
+/// Answer when the store did not tell what is so.
+pub(crate) fn unsure(error: &StoreError) -> JobReply {
+    JobReply::Refused(ErrorKind::StoreUnavailable, error.to_string())
+}
+
+impl JobCalls for NodeJobs {
+    fn submit<'a>(
+        &'a self,
+        route: &'a Route,
+        facts: &'a RequestFacts,
+        body: Bytes,
+    ) -> LocalBoxFuture<'a, JobReply> {
+        accept::submit(self, route, facts, body).boxed_local()
+    }
+
+    fn results<'a>(
+        &'a self,
+        job: &'a str,
+        from: u64,
+        wait_ms: u64,
+    ) -> LocalBoxFuture<'a, JobReply> {
+        read::results(self, job, from, wait_ms).boxed_local()
+    }
+
+    fn item<'a>(&'a self, job: &'a str, item: &'a str) -> LocalBoxFuture<'a, JobReply> {
+        read::item(self, job, item).boxed_local()
+    }
+
+    fn end<'a>(&'a self, job: &'a str) -> LocalBoxFuture<'a, JobReply> {
+        end::end(self, job).boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,25 @@
+//! Batch jobs on the row store.
+//!
+//! Every write about a job is conditional on the revision of the job's row, so that a node that
+//! lost a job without knowing it can commit nothing more. Which node runs a job is decided by that
+//! row alone; heartbeats only tell when another node should try to claim it.
+
+mod accept;
+mod calls;
+mod end;
+mod give_up;
+mod keys;
+mod messages;
+mod owned;
+mod read;
+mod release;
+mod run;
+mod runner;
+mod table;
+mod width;
+
+pub use calls::NodeJobs;
+pub use messages::{ItemsBlob, JobRow, JobState, StoredItem};
+pub use runner::Runner;
+pub use table::JobTable;
+pub use width::{ServerRoom, pick_server, room};
--- /dev/null
+++ b/crates/jobs/src/run.rs
@@ -0,0 +1,276 @@
+//! Runs one item at one server.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dappleyard_cluster::WorkKind;
+use dappleyard_ingress::{
+    Attempt, AttemptError, EventSplitter, Exchange, Metrics, PromptShape, Ran,
+};
+use dappleyard_model::{Route, ServerRecord};
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+
+use crate::owned::{Item, OwnedJob, Progress};
+use crate::runner::Runner;
+
+/// Silence of a server after which an item goes to another one.
+const SERVER_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time for which a server that broke or fell silent is avoided.
+const SUSPECT_TIME: Duration = Duration::from_millis(1_200);
+/// Pause before an item is sent again after a server did not take it.
+const PAUSE_NOT_RUN: Duration = Duration::from_millis(120);
+/// Pause before an item is sent again after a run that broke.
+const PAUSE_BROKEN: Duration = Duration::from_millis(40);
+/// Longest failure answer that is read, bytes.
+const FAILURE_BYTES: usize = 256 * 1024;
+/// Status of an item that can never be done.
+const NEVER: u16 = 422;
+
+/// How a run ended.
+enum RunEnd {
+    /// The whole output is there.
+    Whole,
+    /// The server answered that it can never be done.
+    Never,
+    /// The server answered with a failure.
+    Failure(u16),
+    /// The run broke, or did not begin.
+    Broke(AttemptError),
+}
+
+/// Runs an item and notes how the run ended.
+pub(crate) async fn run_item(
+    runner: Rc<Runner>,
+    job: Rc<OwnedJob>,
+    index: usize,
+    server: Arc<ServerRecord>,
+    route: Route,
+) {
+    let end = run(&runner, &job, index, &server).await;
+    note_end(&runner, &job, index, &server, &route, end);
+    runner.wake.notify_one();
+}
+
+async fn run(
+    runner: &Rc<Runner>,
+    job: &Rc<OwnedJob>,
+    index: usize,
+    server: &Arc<ServerRecord>,
+) -> RunEnd {
+    let (request, last_event, host) = {
+        let state = job.state.borrow();
+        let item = &state.items[index];
+        (item.stored.clone(), item.last_event, state.row.host.clone())
+    };
+    let headers = item_headers(runner, &request, &host);
+    let facts = runner.node.dialect.request_facts(&headers);
+    let shape = PromptShape::new(&facts.parts, facts.tokens_in);
+    let mut work = runner
+        .node
+        .loads
+        .begin(&server.id, WorkKind::Batch, shape.tokens);
+    let attempt = Attempt {
+        method: &Method::POST,
+        target: &request.path,
+        headers: &headers,
+        body: &request.body,
+        id: &request.id,
+        remaining_ms: None,
+        last_event_id: last_event,
+        patience: Some(SERVER_PATIENCE),
+    };
+    let mut exchange = match runner.upstreams.attempt(server, &attempt).await {
+        Ok(exchange) => exchange,
+        Err(error) => return RunEnd::Broke(error),
+    };
+    let status = exchange.head.status;
+    if status / 100 != 2 {
+        work.prompt_read();
+        // Only the status matters; the body is read so that the connection can be used again.
+        let reading = exchange.connection.whole_body(FAILURE_BYTES);
+        let _ = tokio::time::timeout(SERVER_PATIENCE, reading).await;
+        runner.upstreams.release(exchange);
+        return match status {
+            NEVER => RunEnd::Never,
+            status => RunEnd::Failure(status),
+        };
+    }
+    match collect(runner, job, index, &mut exchange, &mut work).await {
+        Ok(()) => {
+            runner.upstreams.release(exchange);
+            RunEnd::Whole
+        }
+        Err(error) => RunEnd::Broke(error),
+    }
+}
+
+/// Adds events to the item's text until the answer is whole.
+async fn collect(
+    runner: &Rc<Runner>,
+    job: &Rc<OwnedJob>,
+    index: usize,
+    exchange: &mut Exchange,
+    work: &mut dappleyard_cluster::InFlight,
+) -> Result<(), AttemptError> {
+    let mut splitter = EventSplitter::default();
+    loop {
+        let connection = &mut exchange.connection;
+        let reading = async {
+            connection.next_piece().await.map_err(|error| AttemptError {
+                ran: Ran::Yes,
+                reason: error.to_string(),
+                unreachable: false,
+            })
+        };
+        let waiting =
+            runner
+                .upstreams
+                .with_patience(&exchange.server, Some(SERVER_PATIENCE), reading);
+        let Some(piece) = waiting.await? else {
+            break;
+        };
+        work.prompt_read();
+        runner.node.loads.heard(&exchange.server.id);
+        splitter.push(&piece);
+        let mut state = job.state.borrow_mut();
+        let item = &mut state.items[index];
+        while let Some(event) = splitter.next_event() {
+            add_event(item, &event)?;
+        }
+    }
+    if !splitter.rest().is_empty() {
+        return Err(cut("the answer ended inside an event"));
+    }
+    if !exchange.is_framed() {
+        // The end of the connection does not show that the output is whole: ask for the rest.
+        return Err(cut("the answer has no end of its own"));
+    }
+    Ok(())
+}
+
+fn cut(reason: &str) -> AttemptError {
+    AttemptError {
+        ran: Ran::Yes,
+        reason: reason.to_owned(),
+        unreachable: false,
+    }
+}
+
+fn add_event(item: &mut Item, event: &dappleyard_ingress::Event) -> Result<(), AttemptError> {
+    if event.id.is_some() && event.id <= item.last_event {
+        return Err(cut("an event came twice"));
+    }
+    if let Some(data) = event.data() {
+        if item.events > 0 {
+            item.text.push('\n');
+        }
+        item.text.push_str(&data);
+        item.events += 1;
+    }
+    item.last_event = event.id.or(item.last_event);
+    Ok(())
+}
+
+fn item_headers(runner: &Runner, item: &crate::messages::StoredItem, host: &str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    if let Ok(host) = HeaderValue::from_str(host) {
+        headers.insert(HOST, host);
+    }
+    if let Ok(id) = HeaderValue::from_str(&item.id) {
+        headers.insert(runner.node.dialect.request_id_header(), id);
+    }
+    for header in &item.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_str(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    if !headers.contains_key(CONTENT_TYPE) {
+        let octets = HeaderValue::from_static("application/octet-stream");
+        headers.insert(CONTENT_TYPE, octets);
+    }
+    headers
+}
+
+fn note_end(
+    runner: &Runner,
+    job: &OwnedJob,
+    index: usize,
+    server: &ServerRecord,
+    route: &Route,
+    end: RunEnd,
+) {
+    let mut outcome = "again";
+    let mut finished = None;
+    {
+        let mut state = job.state.borrow_mut();
+        let item = &mut state.items[index];
+        item.task = None;
+        item.runs += 1;
+        item.progress = Progress::Waiting;
+        match &end {
+            RunEnd::Whole => {
+                outcome = "completed";
+                finished = Some(true);
+            }
+            RunEnd::Never => {
+                outcome = "abandoned";
+                finished = Some(false);
+            }
+            RunEnd::Failure(_) => {
+                item.failures += 1;
+                item.not_before = Some(Instant::now() + PAUSE_NOT_RUN);
+                if item.failures >= route.max_attempts {
+                    outcome = "abandoned";
+                    finished = Some(false);
+                }
+            }
+            RunEnd::Broke(error) => {
+                let pause = match error.ran {
+                    Ran::No => PAUSE_NOT_RUN,
+                    _ => PAUSE_BROKEN,
+                };
+                item.not_before = Some(Instant::now() + pause);
+                item.avoid = Some(server.id.clone());
+            }
+        }
+    }
+    if let Some(completed) = finished {
+        job.finish(index, completed);
+    }
+    log_end(runner, job, index, server, &end, outcome);
+}
+
+fn log_end(
+    runner: &Runner,
+    job: &OwnedJob,
+    index: usize,
+    server: &ServerRecord,
+    end: &RunEnd,
+    outcome: &str,
+) {
+    let (status, cause) = match end {
+        RunEnd::Whole => (200, String::new()),
+        RunEnd::Never => (NEVER, String::new()),
+        RunEnd::Failure(status) => (*status, String::new()),
+        RunEnd::Broke(error) => {
+            if error.ran > Ran::No {
+                Metrics::count(&runner.node.metrics.items_again);
+            }
+            if error.unreachable {
+                runner.node.loads.suspect(&server.id, SUSPECT_TIME);
+            }
+            (0, error.reason.clone())
+        }
+    };
+    let state = job.state.borrow();
+    let item = &state.items[index];
+    runner.node.log.write("item_run", || {
+        serde_json::json!({"job": job.job, "item": item.stored.id, "server": server.id,
+            "epoch": state.row.epoch, "status": status, "cause": cause, "runs": item.runs,
+            "failures": item.failures, "events": item.events, "outcome": outcome})
+    });
+}
--- /dev/null
+++ b/crates/jobs/src/runner.rs
@@ -0,0 +1,402 @@
+//! Claims jobs, and runs the items of those that this node owns.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dappleyard_cluster::PeerStatus;
+use dappleyard_ingress::{Metrics, Node, Upstreams};
+use dappleyard_model::{RouteKind, RowKey, RowStore, ServerRecord, StoreError, Transaction};
+use prost::Message;
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::give_up::{give_up, is_over};
+use crate::keys::{
+    ITEMS_TABLE, PARTIALS_TABLE, RESULTS_TABLE, job_key, partition, range_end, range_start,
+};
+use crate::messages::{JobRow, StoredPartial};
+use crate::owned::{Item, OwnedJob, Progress, commit_results};
+use crate::read::{assemble, read_items, retry};
+use crate::release::release;
+use crate::run::run_item;
+use crate::table::{JobTable, Known};
+use crate::width::{ServerRoom, pick_server};
+
+/// Longest time between two looks at the jobs.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between two looks for jobs that nobody reads any more.
+const CLEANING: Duration = Duration::from_secs(10);
+/// Added to the time for which results stay readable.
+const CLEANING_MARGIN_MS: u64 = 60_000;
+/// Rows removed by one transaction.
+const CLEANING_ROWS: usize = 90;
+
+/// Runs jobs on one thread.
+pub struct Runner {
+    pub(crate) node: Arc<Node>,
+    pub(crate) table: Arc<JobTable>,
+    pub(crate) store: Rc<dyn RowStore>,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) wake: Notify,
+    owned: RefCell<HashMap<String, Rc<OwnedJob>>>,
+    busy: RefCell<HashSet<String>>,
+    cleaned: Cell<Instant>,
+    stopping: Cell<bool>,
+}
+
+impl Runner {
+    /// A runner that owns no job yet.
+    pub fn new(
+        node: Arc<Node>,
+        table: Arc<JobTable>,
+        store: Rc<dyn RowStore>,
+        upstreams: Upstreams,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            node,
+            table,
+            store,
+            upstreams,
+            wake: Notify::new(),
+            owned: RefCell::default(),
+            busy: RefCell::default(),
+            cleaned: Cell::new(Instant::now()),
+            stopping: Cell::new(false),
+        })
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            tokio::select! {
+                () = self.table.changed(TICK) => {}
+                () = self.wake.notified() => {}
+            }
+            if self.stopping.get() {
+                return;
+            }
+            self.reconcile();
+            self.start_commits();
+            self.schedule();
+            self.clean();
+        }
+    }
+
+    /// Gives all jobs back to the other nodes; the process is about to end.
+    pub async fn stop(self: &Rc<Self>) {
+        self.stopping.set(true);
+        let jobs: Vec<Rc<OwnedJob>> = self.owned.borrow().values().cloned().collect();
+        let released = jobs.iter().map(|job| self.give_back(job));
+        futures::future::join_all(released).await;
+    }
+
+    async fn give_back(self: &Rc<Self>, job: &Rc<OwnedJob>) {
+        for item in &mut job.state.borrow_mut().items {
+            if let Some(task) = item.task.take() {
+                task.abort();
+            }
+        }
+        let until = Instant::now() + Duration::from_millis(self.node.settings.bounds.grace_ms / 2);
+        while Instant::now() < until {
+            let committing = std::mem::replace(&mut job.state.borrow_mut().committing, true);
+            if committing {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                continue;
+            }
+            commit_results(self, job).await;
+            if job.state.borrow().lost || !job.state.borrow().row.is_open() {
+                return;
+            }
+            if release(self, job).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Brings what is owned into line with the rows.
+    fn reconcile(self: &Rc<Self>) {
+        let own = (&self.node.settings.name, self.node.life);
+        self.owned.borrow_mut().retain(|name, job| {
+            let known = self.table.get(name);
+            let kept = known.is_some_and(|known| {
+                let row = &known.row;
+                // The table may lag behind this node's own commits.
+                let behind = known.revision < job.state.borrow().revision;
+                behind || (row.is_open() && (&row.owner, row.life) == own)
+            });
+            let kept = kept && !job.state.borrow().lost;
+            let done = !job.state.borrow().row.is_open();
+            if !kept || done {
+                job.lose();
+            }
+            kept && !done
+        });
+        for (name, known) in self.table.select(JobRow::is_open) {
+            if self.owned.borrow().contains_key(&name) || self.busy.borrow().contains(&name) {
+                continue;
+            }
+            if (&known.row.owner, known.row.life) == own {
+                self.spawn_adopt(name, known);
+            } else if self.should_claim(&name, &known.row) {
+                self.spawn_claim(name, known);
+            }
+        }
+    }
+
+    fn should_claim(&self, job: &str, row: &JobRow) -> bool {
+        let free = row.owner.is_empty()
+            || matches!(
+                self.node.peers.status(&row.owner, row.life),
+                PeerStatus::Down | PeerStatus::Isolated
+            );
+        if !free || !self.table.is_fresh() || self.node.is_leaving() {
+            return false;
+        }
+        let workers = self.node.peers.workers(true);
+        let preferred = workers.iter().max_by_key(|worker| {
+            let mut bytes = worker.as_bytes().to_vec();
+            bytes.extend_from_slice(job.as_bytes());
+            xxh3_64(&bytes)
+        });
+        preferred == Some(&self.node.settings.name)
+    }
+
+    fn spawn_claim(self: &Rc<Self>, name: String, known: Known) {
+        self.busy.borrow_mut().insert(name.clone());
+        let runner = self.clone();
+        tokio::task::spawn_local(async move {
+            let mut row = JobRow::clone(&known.row);
+            let previous = std::mem::replace(&mut row.owner, runner.node.settings.name.clone());
+            row.life = runner.node.life;
+            row.epoch += 1;
+            let key = job_key(&name);
+            let transaction = Transaction::default()
+                .expect(key.clone(), known.revision)
+                .put(key, row.encode_to_vec());
+            let outcome = runner.store.transact(&transaction).await;
+            runner.node.log.write("job_claim", || {
+                serde_json::json!({"job": name, "from": previous, "epoch": row.epoch,
+                    "outcome": outcome.as_ref().map_or_else(ToString::to_string, |_| "claimed".to_owned())})
+            });
+            if let Ok(committed) = outcome {
+                Metrics::count(&runner.node.metrics.jobs_claimed);
+                runner.table.put(&name, row, committed.revision);
+            }
+            runner.busy.borrow_mut().remove(&name);
+            runner.wake.notify_one();
+        });
+    }
+
+    fn spawn_adopt(self: &Rc<Self>, name: String, known: Known) {
+        self.busy.borrow_mut().insert(name.clone());
+        let runner = self.clone();
+        tokio::task::spawn_local(async move {
+            match runner.load(&name, &known.row).await {
+                Ok(items) => {
+                    let row = JobRow::clone(&known.row);
+                    let job = OwnedJob::new(&name, row, known.revision, items);
+                    let mut owned = runner.owned.borrow_mut();
+                    owned.insert(name.clone(), Rc::new(job));
+                }
+                Err(error) => {
+                    runner.node.log.write(
+                        "job_load_failed",
+                        || serde_json::json!({"job": name, "cause": error.to_string()}),
+                    );
+                    tokio::time::sleep(TICK).await;
+                }
+            }
+            runner.busy.borrow_mut().remove(&name);
+            runner.wake.notify_one();
+        });
+    }
+
+    async fn load(&self, name: &str, row: &JobRow) -> Result<Vec<Item>, StoreError> {
+        let stored = match self.table.take_handed_over(name) {
+            Some(items) => items,
+            None => retry(|| read_items(self.store.as_ref(), name)).await?,
+        };
+        if stored.len() as u64 != row.total {
+            return Err(StoreError::Unavailable {
+                reason: format!("{} of {} items", stored.len(), row.total),
+            });
+        }
+        let mut items: Vec<Item> = stored
+            .into_iter()
+            .enumerate()
+            .map(|(index, item)| Item::new(item, row.is_listed(index)))
+            .collect();
+        if row.has_partials {
+            self.load_partials(name, &mut items).await?;
+        }
+        Ok(items)
+    }
+
+    async fn load_partials(&self, name: &str, items: &mut [Item]) -> Result<(), StoreError> {
+        let part = partition(name);
+        let (start, end) = (range_start(name), range_end(name));
+        let read = retry(|| self.store.read(PARTIALS_TABLE, &part, &start, &end, 400)).await?;
+        for (index, value) in assemble(&read.rows) {
+            let item = usize::try_from(index).ok().and_then(|at| items.get_mut(at));
+            let (Some(item), Ok(partial)) = (item, StoredPartial::decode(value)) else {
+                continue;
+            };
+            if item.progress == Progress::Waiting {
+                item.events = partial.text.split('\n').count() as u64;
+                item.text = partial.text;
+                item.last_event = Some(partial.last_event);
+                item.failures = partial.failures;
+            }
+        }
+        Ok(())
+    }
+
+    fn start_commits(self: &Rc<Self>) {
+        for job in self.owned.borrow().values() {
+            let mut state = job.state.borrow_mut();
+            if state.finished.is_empty() || state.committing || state.lost {
+                continue;
+            }
+            state.committing = true;
+            let (runner, job) = (self.clone(), job.clone());
+            tokio::task::spawn_local(async move {
+                commit_results(&runner, &job).await;
+                runner.wake.notify_one();
+            });
+        }
+    }
+
+    /// Starts items where servers have room, the job that is due first at first.
+    fn schedule(self: &Rc<Self>) {
+        let Some(configuration) = self.node.view.configuration() else {
+            return;
+        };
+        let mut jobs: Vec<Rc<OwnedJob>> = self.owned.borrow().values().cloned().collect();
+        jobs.sort_by_key(|job| (job.state.borrow().row.due_ms, job.job.clone()));
+        let now = Instant::now();
+        let now_ms = self.table.now_ms();
+        for job in jobs {
+            let (host, accepted_ms) = {
+                let row = &job.state.borrow().row;
+                (row.host.clone(), row.accepted_ms)
+            };
+            let waiting: Vec<usize> = {
+                let state = job.state.borrow();
+                let items = state.items.iter().enumerate();
+                items
+                    .filter(|(_, item)| item.progress == Progress::Waiting)
+                    .filter(|(_, item)| item.not_before.is_none_or(|at| at <= now))
+                    .map(|(index, _)| index)
+                    .collect()
+            };
+            for index in waiting {
+                let path = job.state.borrow().items[index].stored.path.clone();
+                let route = configuration
+                    .route(&host, &path)
+                    .filter(|route| route.kind == RouteKind::Batch);
+                let Some(route) = route else {
+                    give_up(self, &job, "the route is gone");
+                    break;
+                };
+                if is_over(accepted_ms, route.max_wait_s, now_ms) {
+                    give_up(self, &job, "the time is over");
+                    break;
+                }
+                let avoid = job.state.borrow().items[index].avoid.clone();
+                let service = route.pick_service(rand::random()).unwrap_or_default();
+                let Some(server) = self.pick(service, avoid.as_deref()) else {
+                    break;
+                };
+                self.start(&job, index, server, route.clone());
+            }
+        }
+    }
+
+    fn start(
+        self: &Rc<Self>,
+        job: &Rc<OwnedJob>,
+        index: usize,
+        server: Arc<ServerRecord>,
+        route: dappleyard_model::Route,
+    ) {
+        job.state.borrow_mut().items[index].progress = Progress::Running;
+        let run = run_item(self.clone(), job.clone(), index, server, route);
+        let task = tokio::task::spawn_local(run);
+        job.state.borrow_mut().items[index].task = Some(task.abort_handle());
+    }
+
+    fn pick(&self, service: &str, avoid: Option<&str>) -> Option<Arc<ServerRecord>> {
+        let servers = self.node.view.servers(service);
+        let rooms: Vec<ServerRoom<'_>> = servers
+            .iter()
+            .filter(|server| servers.len() == 1 || avoid != Some(server.id.as_str()))
+            .map(|server| ServerRoom {
+                id: &server.id,
+                zone: &server.zone,
+                slots: server.slots,
+                load: self.node.loads.summary(&server.id),
+            })
+            .collect();
+        let settings = &self.node.settings;
+        let chosen = pick_server(&rooms, &settings.name, &settings.zone)?.id;
+        servers.iter().find(|server| server.id == chosen).cloned()
+    }
+
+    /// Removes the rows of jobs that nobody reads any more.
+    fn clean(self: &Rc<Self>) {
+        if self.cleaned.get().elapsed() < CLEANING {
+            return;
+        }
+        self.cleaned.set(Instant::now());
+        let kept_ms = self.node.settings.bounds.status_ms + CLEANING_MARGIN_MS;
+        let now_ms = self.table.now_ms();
+        let old = self
+            .table
+            .select(|row| !row.is_open() && row.accepted_ms + kept_ms < now_ms);
+        for (name, known) in old {
+            let unowned = JobRow {
+                owner: String::new(),
+                ..JobRow::clone(&known.row)
+            };
+            if self.should_claim(&name, &unowned) {
+                let runner = self.clone();
+                tokio::task::spawn_local(async move {
+                    // What fails now is removed at the next look.
+                    let _ = runner.remove(&name, known.revision).await;
+                });
+            }
+        }
+    }
+
+    async fn remove(&self, name: &str, revision: u64) -> Result<(), StoreError> {
+        let part = partition(name);
+        for table in [RESULTS_TABLE, PARTIALS_TABLE, ITEMS_TABLE] {
+            loop {
+                let (start, end) = (range_start(name), range_end(name));
+                let read = self
+                    .store
+                    .read(table, &part, &start, &end, CLEANING_ROWS)
+                    .await?;
+                if read.rows.is_empty() {
+                    break;
+                }
+                let removal = read
+                    .rows
+                    .into_iter()
+                    .fold(Transaction::default(), |removal, row| {
+                        removal.remove(RowKey::new(table, part.clone(), row.key))
+                    });
+                self.store.transact(&removal).await?;
+            }
+        }
+        let key = job_key(name);
+        let removal = Transaction::default()
+            .expect(key.clone(), revision)
+            .remove(key);
+        self.store.transact(&removal).await.map(|_| ())
+    }
+}
--- a/crates/lab/src/capacity/changes.rs
+++ b/crates/lab/src/capacity/changes.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dappleyard_platform::memory::MemoryPlatform;
-use dappleyard_platform::{StoreError, TableStore, Transaction};
+use dappleyard_store::memory::MemoryPlatform;
+use dappleyard_store::{StoreError, TableStore, Transaction};
 use dappleyard_tables::NodeTables;
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::TenantRow;
--- a/crates/lab/src/capacity/hollow.rs
+++ b/crates/lab/src/capacity/hollow.rs
@@ -7,9 +7,9 @@
 
 use actix_rt::Arbiter;
 use dappleyard_fleet::{FleetContext, FleetHandle};
-use dappleyard_platform::memory::MemoryPlatform;
-use dappleyard_platform::{Machine, MachineRole};
 use dappleyard_settings::FleetSettings;
+use dappleyard_store::memory::MemoryPlatform;
+use dappleyard_store::{Machine, MachineRole};
 use dappleyard_tables::{Identity, NodeTables};
 use dappleyard_transport::link::{Announcement, LinkServer};
 use dappleyard_transport::policy::{LinkPolicy, LinkState};
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -9,11 +9,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_platform::{Machine, MachineRole};
 use dappleyard_sidecar::SidecarHandle;
 use dappleyard_standin::engine::host::{EngineHandle, EngineHost, HostOptions};
 use dappleyard_standin::engine::{EngineModelSettings, EngineSpec};
 use dappleyard_standin::platform::{PlatformHandle, PlatformStandIn, PlatformStandInSettings};
+use dappleyard_store::{Machine, MachineRole};
 use dappleyard_tables::Lifecycle;
 
 use crate::error::LabError;
--- a/crates/lab/src/fleet/node.rs
+++ b/crates/lab/src/fleet/node.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dappleyard_node::NodeHandle;
-use dappleyard_platform::{Machine, MachineRole};
+use dappleyard_store::{Machine, MachineRole};
 use dappleyard_tables::decisions::Decision;
 
 use super::{Fleet, Placed, settings};
--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -1,9 +1,9 @@
 //! Settings of the processes and the first configuration, from the scenario.
 
-use dappleyard_platform::Transaction;
 use dappleyard_settings::{
     BatchSettings, FleetSettings, NodeSettings, Place, PlatformSettings, SidecarSettings,
 };
+use dappleyard_store::Transaction;
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{ServiceRow, TenantRow};
 use prost::Message;
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,20 @@
+//! Domain types of a serving node, and the ports through which it meets the platform.
+//!
+//! Nothing here performs I/O or knows a name of any wire. Durations are in milliseconds unless a
+//! field says otherwise.
+
+pub mod configuration;
+pub mod dialect;
+pub mod events;
+pub mod request;
+pub mod rows;
+pub mod settings;
+
+pub use configuration::{Configuration, Route, RouteKind, Service, Target, TrafficLimits};
+pub use dialect::{Dialect, Endpoint, FormatError, ResultEntry, ServerStamp, ServersSource};
+pub use events::EventLog;
+pub use request::{
+    AnswerFacts, ItemSubmission, PromptPart, RequestFacts, ServerLoad, ServerRecord,
+};
+pub use rows::{Committed, Condition, Feed, Row, RowKey, RowStore, Rows, StoreError, Transaction};
+pub use settings::{Bounds, Listen, NodeSettings, StoreSettings};
--- /dev/null
+++ b/crates/model/src/request.rs
@@ -0,0 +1,91 @@
+//! What a node learns from the heads of requests and answers.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+
+/// One part of a prompt that may be shared between requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Hash of the part's identifier.
+    pub id: u64,
+    /// Length in tokens.
+    pub tokens: u32,
+}
+
+/// What the head of a caller's request says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RequestFacts {
+    /// Identifier of this attempt; empty when the caller sent none.
+    pub id: String,
+    /// How long the caller waits.
+    pub deadline_ms: Option<u64>,
+    /// Parts of the prompt, in order.
+    pub parts: Vec<PromptPart>,
+    /// Tokens of the prompt.
+    pub tokens_in: u32,
+    /// Most tokens to generate.
+    pub tokens_out: u32,
+    /// Event after which the caller wants the stream to go on.
+    pub last_event_id: Option<u64>,
+    /// How long an answer may be held for something to report.
+    pub wait_ms: u64,
+}
+
+/// Load that a server told of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at once.
+    pub slots: u32,
+}
+
+/// What the head of a server's answer says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// Identifier of the request that it answers.
+    pub request_id: Option<String>,
+    /// The server says that it did not run the request.
+    pub not_run: bool,
+    /// The answer carries the server's signature.
+    pub sealed: bool,
+    /// Load of the server.
+    pub load: Option<ServerLoad>,
+}
+
+/// One server as service discovery shows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerRecord {
+    /// Identifier of this incarnation.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Zone that it is in.
+    pub zone: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// It is about to leave and takes no new work.
+    pub draining: bool,
+    /// How much longer it stays slow.
+    pub cold_left_ms: u64,
+}
+
+/// One item of a job as a caller submits it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ItemSubmission {
+    /// Identifier of the item.
+    pub id: String,
+    /// Path at the server.
+    pub path: String,
+    /// Headers, name and value.
+    pub headers: Vec<(String, String)>,
+    /// Body, decoded.
+    pub body: Bytes,
+    /// Tokens of the prompt and the most out, together.
+    pub tokens: u64,
+}
--- /dev/null
+++ b/crates/model/src/settings.rs
@@ -0,0 +1,53 @@
+//! Settings of one node, as the program uses them.
+
+use std::net::{IpAddr, SocketAddr};
+
+/// Addresses that a node listens on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listen {
+    /// Requests and jobs of callers.
+    pub front: SocketAddr,
+    /// Readiness checks.
+    pub ready: SocketAddr,
+    /// Callers that ask where to go.
+    pub directory: SocketAddr,
+}
+
+/// The row store as the settings describe it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Longest value of a row, bytes.
+    pub row_bytes: usize,
+}
+
+/// Bounds that the operators hold the system to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Time that a stopping process has.
+    pub grace_ms: u64,
+    /// Longest time to live of a directory answer.
+    pub directory_ttl_ms: u64,
+    /// Time for which results stay readable, from the sending of the job.
+    pub status_ms: u64,
+}
+
+/// Settings of one node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// Name of the machine.
+    pub name: String,
+    /// Address of the machine.
+    pub ip: IpAddr,
+    /// Zone of the machine.
+    pub zone: String,
+    /// Port for talk between nodes, alike on all machines.
+    pub peer_port: u16,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// The row store.
+    pub store: StoreSettings,
+    /// Bounds.
+    pub bounds: Bounds,
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -6,8 +6,8 @@
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpResponse, HttpServer, web};
 use dappleyard_operate::OperateApi;
-use dappleyard_platform::PlatformFactory;
 use dappleyard_settings::OperateSettings;
+use dappleyard_store::PlatformFactory;
 use dappleyard_tables::{Lifecycle, NodeTables};
 use prometheus::TextEncoder;
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -5,8 +5,8 @@
 
 use dappleyard_fleet::{FleetContext, FleetHandle};
 use dappleyard_operate::{OperateContext, OperateHandle};
-use dappleyard_platform::PlatformFactory;
 use dappleyard_settings::NodeSettings;
+use dappleyard_store::PlatformFactory;
 use dappleyard_tables::NodeTables;
 use dappleyard_transport::DatagramSocket;
 use dappleyard_transport::link::Announcement;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -6,8 +6,8 @@
 
 use dappleyard_batch::JobsApi;
 use dappleyard_online::{OnlineContext, OnlineShared, OnlineWorker};
-use dappleyard_platform::PlatformFactory;
 use dappleyard_settings::NodeSettings;
+use dappleyard_store::PlatformFactory;
 use dappleyard_tables::NodeTables;
 use dappleyard_transport::link::Announcement;
 use dappleyard_transport::policy::SharedPolicy;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -5,8 +5,8 @@
 
 use dappleyard_batch::BatchContext;
 use dappleyard_online::OnlineShared;
-use dappleyard_platform::PlatformFactory;
 use dappleyard_settings::NodeSettings;
+use dappleyard_store::PlatformFactory;
 use dappleyard_tables::members::REFUTATION_BITS;
 use dappleyard_tables::{Identity, NodeTables};
 use dappleyard_transport::LinkMetrics;
@@ -132,8 +132,8 @@
 
 /// The platform clients behind one store gate for the whole node.
 fn platform_factory(settings: &NodeSettings, tables: &NodeTables) -> PlatformFactory {
-    let direct = dappleyard_platform::client::factory(&settings.platform);
-    let gate = dappleyard_platform::gate::StoreGate::new(&settings.platform, &tables.metrics);
+    let direct = dappleyard_store::client::factory(&settings.platform);
+    let gate = dappleyard_store::gate::StoreGate::new(&settings.platform, &tables.metrics);
     gate.wrap(direct)
 }
 
--- a/crates/online/src/recorder.rs
+++ b/crates/online/src/recorder.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use dappleyard_decide::once::{self, OnceAttempt, OnceDecision};
-use dappleyard_platform::{Expect, Row, StoreError, TableStore, Transaction};
+use dappleyard_store::{Expect, Row, StoreError, TableStore, Transaction};
 use dappleyard_tables::clock::Clock;
 use dappleyard_wire::messages::{OnceRow, RecordBegin, RecordSettle, RecordState};
 use dappleyard_wire::{ErrorKind, Failure, keys};
--- a/crates/online/src/worker.rs
+++ b/crates/online/src/worker.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use dappleyard_engine::Engine;
-use dappleyard_platform::Platform;
 use dappleyard_settings::OnlineSettings;
+use dappleyard_store::Platform;
 use dappleyard_tables::NodeTables;
 use dappleyard_transport::{LinkPool, ServerStream, StreamReceiver};
 use dappleyard_wire::messages::{Call, RecordState, Reply, Stage, Submit, call, frame, reply};
--- a/crates/online/tests/admission.rs
+++ b/crates/online/tests/admission.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use dappleyard_platform::MemoryPlatform;
 use dappleyard_settings::OnlineSettings;
+use dappleyard_store::MemoryPlatform;
 use dappleyard_tables::Lifecycle;
 use dappleyard_tables::decisions::{DecisionKind, Subject};
 use dappleyard_wire::messages::{Refused, TenantRow};
--- a/crates/online/tests/chaos.rs
+++ b/crates/online/tests/chaos.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dappleyard_platform::Fault;
+use dappleyard_store::Fault;
 use dappleyard_wire::messages::frame;
 use dappleyard_wire::{ErrorKind, Ran};
 use googletest::prelude::*;
--- a/crates/online/tests/once.rs
+++ b/crates/online/tests/once.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use dappleyard_platform::{Fault, MemoryPlatform, TableStore, Transaction};
 use dappleyard_settings::OnlineSettings;
+use dappleyard_store::{Fault, MemoryPlatform, TableStore, Transaction};
 use dappleyard_wire::messages::{Member, MemberState, OncePhase, OnceRow, frame};
 use dappleyard_wire::{ErrorKind, Ran, keys};
 use googletest::prelude::*;
--- a/crates/online/tests/remote.rs
+++ b/crates/online/tests/remote.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use dappleyard_online::summary;
-use dappleyard_platform::MemoryPlatform;
 use dappleyard_settings::OnlineSettings;
+use dappleyard_store::MemoryPlatform;
 use dappleyard_tables::Lifecycle;
 use dappleyard_transport::link::Announcement;
 use dappleyard_transport::{DirectPolicy, LinkServer, LinkSettings, ServerStream};
--- a/crates/online/tests/support/mod.rs
+++ b/crates/online/tests/support/mod.rs
@@ -8,8 +8,8 @@
 
 use dappleyard_decide::configuration::ConfigurationState;
 use dappleyard_online::{LocalStream, OnlineContext, OnlineShared, OnlineWorker};
-use dappleyard_platform::MemoryPlatform;
 use dappleyard_settings::OnlineSettings;
+use dappleyard_store::MemoryPlatform;
 use dappleyard_tables::directory::ServerEntry;
 use dappleyard_tables::{Identity, Lifecycle, NodeTables};
 use dappleyard_transport::{DirectPolicy, LinkPool, LinkSettings};
--- a/crates/operate/src/api/mod.rs
+++ b/crates/operate/src/api/mod.rs
@@ -10,8 +10,8 @@
 
 use actix_web::web;
 use dappleyard_batch::JobsApi;
-use dappleyard_platform::Platform;
 use dappleyard_settings::{BatchSettings, OperateSettings};
+use dappleyard_store::Platform;
 use dappleyard_tables::NodeTables;
 
 use crate::jobs::JobLine;
--- a/crates/operate/src/controller/authority.rs
+++ b/crates/operate/src/controller/authority.rs
@@ -4,7 +4,7 @@
 //! predecessor fails, also when it was paused and wakes.
 
 use dappleyard_decide::fence::OrderPosition;
-use dappleyard_platform::{Expect, Row, StoreError, TableStore, Transaction};
+use dappleyard_store::{Expect, Row, StoreError, TableStore, Transaction};
 use dappleyard_tables::Identity;
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::EpochRow;
--- a/crates/operate/src/controller/closing.rs
+++ b/crates/operate/src/controller/closing.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 
 use dappleyard_engine::OrderKind;
-use dappleyard_platform::Transaction;
+use dappleyard_store::Transaction;
 
 use crate::controller::Tools;
 use crate::controller::service::{Given, Outcome, ServiceController};
--- a/crates/operate/src/controller/loads.rs
+++ b/crates/operate/src/controller/loads.rs
@@ -7,7 +7,7 @@
 use dappleyard_decide::rollout::{Assignment, LoadBounds, LoadPlan, plan_loads};
 use dappleyard_decide::windows::WindowState;
 use dappleyard_engine::OrderKind;
-use dappleyard_platform::Transaction;
+use dappleyard_store::Transaction;
 use dappleyard_tables::decisions::{DecisionKind, Subject};
 use dappleyard_wire::messages::ServiceRow;
 
--- a/crates/operate/src/controller/mod.rs
+++ b/crates/operate/src/controller/mod.rs
@@ -19,8 +19,8 @@
 
 use dappleyard_decide::time::Millis;
 use dappleyard_engine::Engine;
-use dappleyard_platform::TableStore;
 use dappleyard_settings::OperateSettings;
+use dappleyard_store::TableStore;
 use dappleyard_tables::NodeTables;
 use dappleyard_tables::decisions::{DecisionKind, Subject};
 use dappleyard_wire::{ErrorKind, Failure};
--- a/crates/operate/src/controller/rollout.rs
+++ b/crates/operate/src/controller/rollout.rs
@@ -1,7 +1,7 @@
 //! The canaries' health gate: promotes a version, or takes it back, by one transaction.
 
 use dappleyard_decide::rollout::{Gate, GateBounds, Target, assign, gate};
-use dappleyard_platform::{Expect, TableStore, Transaction};
+use dappleyard_store::{Expect, TableStore, Transaction};
 use dappleyard_tables::decisions::{DecisionKind, Subject};
 use dappleyard_wire::Failure;
 use dappleyard_wire::ids::PlanId;
--- a/crates/operate/src/explain.rs
+++ b/crates/operate/src/explain.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use dappleyard_platform::Platform;
+use dappleyard_store::Platform;
 use dappleyard_tables::NodeTables;
 use dappleyard_tables::decisions::{Decision, DecisionKind, Subject};
 use dappleyard_wire::messages::MemberState;
--- a/crates/operate/src/head.rs
+++ b/crates/operate/src/head.rs
@@ -1,7 +1,7 @@
 //! The head row of configuration: every transaction that changes configuration writes it, so that
 //! all changes form one chain.
 
-use dappleyard_platform::{Expect, Row, StoreError, TableStore, Transaction};
+use dappleyard_store::{Expect, Row, StoreError, TableStore, Transaction};
 use dappleyard_wire::keys::CONFIGURATION_HEAD;
 
 /// The head row as read.
--- a/crates/operate/src/jobs.rs
+++ b/crates/operate/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Batch jobs as operators look at them: state, and deadlines at risk.
 
 use dappleyard_batch::JobsApi;
-use dappleyard_platform::TableStore;
+use dappleyard_store::TableStore;
 use dappleyard_wire::keys::{ACTIVE_JOB_PREFIX, JOB_PREFIX};
 use dappleyard_wire::messages::{ActiveJobRow, Call, JobGet, JobRow, JobState, call, reply};
 use dappleyard_wire::{ErrorKind, Failure};
--- a/crates/operate/src/journal.rs
+++ b/crates/operate/src/journal.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use dappleyard_platform::{ObjectStore, StoreError};
+use dappleyard_store::{ObjectStore, StoreError};
 use dappleyard_tables::NodeTables;
 use dappleyard_tables::decisions::Decision;
 use dappleyard_wire::keys::{self, JOURNAL_PREFIX};
--- a/crates/operate/src/plans/abort.rs
+++ b/crates/operate/src/plans/abort.rs
@@ -1,7 +1,7 @@
 //! Abort: a proposed plan is closed, a running one stops where it is; a rollout that is still at its
 //! canaries is taken back.
 
-use dappleyard_platform::{Expect, StoreError, TableStore, Transaction};
+use dappleyard_store::{Expect, StoreError, TableStore, Transaction};
 use dappleyard_wire::ids::PlanId;
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{PlanPhase, ServiceRow};
--- a/crates/operate/src/plans/body.rs
+++ b/crates/operate/src/plans/body.rs
@@ -2,7 +2,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use dappleyard_platform::Transaction;
+use dappleyard_store::Transaction;
 use dappleyard_wire::{ErrorKind, Failure};
 use serde::{Deserialize, Serialize};
 
--- a/crates/operate/src/plans/confirm.rs
+++ b/crates/operate/src/plans/confirm.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use dappleyard_platform::{Expect, StoreError, TableStore, Transaction};
+use dappleyard_store::{Expect, StoreError, TableStore, Transaction};
 use dappleyard_wire::ids::PlanId;
 use dappleyard_wire::keys::{self, CONFIGURATION_HEAD, CONFIGURATION_PREFIX};
 use dappleyard_wire::messages::{ActivePlanRow, PlanGuardRow, PlanPhase, PlanRow};
--- a/crates/operate/src/plans/drain.rs
+++ b/crates/operate/src/plans/drain.rs
@@ -6,8 +6,8 @@
 use dappleyard_decide::disruption::{
     Budget, Replica, ReplicaState, Situation, Verdict, may_disrupt,
 };
-use dappleyard_platform::{Expect, StoreError, TableStore, Transaction};
 use dappleyard_settings::OperateSettings;
+use dappleyard_store::{Expect, StoreError, TableStore, Transaction};
 use dappleyard_wire::Failure;
 use dappleyard_wire::ids::PlanId;
 use dappleyard_wire::keys;
--- a/crates/operate/src/plans/ledger.rs
+++ b/crates/operate/src/plans/ledger.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use dappleyard_decide::disruption::{InFlight, remembered};
-use dappleyard_platform::{Expect, TableStore, Transaction};
+use dappleyard_store::{Expect, TableStore, Transaction};
 use dappleyard_wire::Failure;
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{Disruption, DisruptionRow};
--- a/crates/operate/src/plans/propose.rs
+++ b/crates/operate/src/plans/propose.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use dappleyard_decide::disruption::Budget;
-use dappleyard_platform::{Expect, TableStore, Transaction};
 use dappleyard_settings::OperateSettings;
+use dappleyard_store::{Expect, TableStore, Transaction};
 use dappleyard_wire::Failure;
 use dappleyard_wire::ids::PlanId;
 use dappleyard_wire::keys;
--- a/crates/operate/src/plans/runner.rs
+++ b/crates/operate/src/plans/runner.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeSet;
 
-use dappleyard_platform::{Expect, StoreError, TableStore, Transaction};
 use dappleyard_settings::OperateSettings;
+use dappleyard_store::{Expect, StoreError, TableStore, Transaction};
 use dappleyard_wire::Failure;
 use dappleyard_wire::ids::PlanId;
 use dappleyard_wire::keys;
--- a/crates/operate/src/plans/store.rs
+++ b/crates/operate/src/plans/store.rs
@@ -1,6 +1,6 @@
 //! Plan rows in the table service.
 
-use dappleyard_platform::{Expect, Row, TableStore, Transaction};
+use dappleyard_store::{Expect, Row, TableStore, Transaction};
 use dappleyard_wire::ids::PlanId;
 use dappleyard_wire::keys::{self, ACTIVE_PLAN_PREFIX, PLAN_PREFIX};
 use dappleyard_wire::messages::{PlanPhase, PlanRow};
--- a/crates/operate/src/regions.rs
+++ b/crates/operate/src/regions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use dappleyard_platform::TableStore;
+use dappleyard_store::TableStore;
 use dappleyard_wire::keys::REGION_PREFIX;
 use dappleyard_wire::messages::RegionRow;
 use dappleyard_wire::{ErrorKind, Failure};
--- a/crates/operate/src/snapshot.rs
+++ b/crates/operate/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use dappleyard_platform::{Expect, Row, StoreError, TableStore, Transaction};
+use dappleyard_store::{Expect, Row, StoreError, TableStore, Transaction};
 use dappleyard_wire::messages::PlanBasis;
 use dappleyard_wire::{ErrorKind, Failure};
 use prost::Message;
--- a/crates/operate/src/start.rs
+++ b/crates/operate/src/start.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use dappleyard_engine::Engine;
-use dappleyard_platform::Platform;
 use dappleyard_settings::OperateSettings;
+use dappleyard_store::Platform;
 use dappleyard_tables::decisions::{DecisionKind, Subject};
 use dappleyard_tables::{Lifecycle, NodeTables};
 use dappleyard_wire::Failure;
--- a/crates/operate/src/status.rs
+++ b/crates/operate/src/status.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use dappleyard_batch::JobsApi;
-use dappleyard_platform::Platform;
+use dappleyard_store::Platform;
 use dappleyard_tables::NodeTables;
 use dappleyard_wire::messages::{Member, MemberState};
 use serde::{Deserialize, Serialize};
--- a/crates/operate/src/subject_state.rs
+++ b/crates/operate/src/subject_state.rs
@@ -1,6 +1,6 @@
 //! How a subject of an explanation stands now, from rows and from this node's tables, in words.
 
-use dappleyard_platform::{Platform, StoreError};
+use dappleyard_store::{Platform, StoreError};
 use dappleyard_tables::NodeTables;
 use dappleyard_wire::ids::{NodeId, PlanId, ServerId};
 use dappleyard_wire::keys;
--- a/crates/operate/tests/confirm.rs
+++ b/crates/operate/tests/confirm.rs
@@ -7,7 +7,7 @@
 use dappleyard_operate::plans::abort::abort;
 use dappleyard_operate::plans::confirm::{Confirmation, Refusal, confirm};
 use dappleyard_operate::plans::store::{StoredPlan, list_plans, read_plan, remove_older};
-use dappleyard_platform::{Fault, MemoryPlatform};
+use dappleyard_store::{Fault, MemoryPlatform};
 use dappleyard_wire::keys::{self, CONFIGURATION_HEAD};
 use dappleyard_wire::messages::{
     JobPhase, JobRow, JobState, PlanPhase, RegionRow, ServiceRow, TenantRow,
--- a/crates/operate/tests/controllers.rs
+++ b/crates/operate/tests/controllers.rs
@@ -9,8 +9,8 @@
 use dappleyard_operate::peers::Peers;
 use dappleyard_operate::plans::confirm::{Confirmation, confirm};
 use dappleyard_operate::plans::store::read_plan;
-use dappleyard_platform::{MemoryPlatform, Transaction};
 use dappleyard_settings::OperateSettings;
+use dappleyard_store::{MemoryPlatform, Transaction};
 use dappleyard_tables::{Lifecycle, NodeTables};
 use dappleyard_wire::keys;
 use dappleyard_wire::messages::{ConfigurationEntry, DrainRow, PlanPhase, ServiceRow, WindowRow};
@@ -314,7 +314,7 @@
 
 impl TransactNow for MemoryPlatform {
     async fn transact_now(&self, transaction: Transaction) {
-        use dappleyard_platform::TableStore;
+        use dappleyard_store::TableStore;
         self.transact(transaction)
             .await
             .expect("the memory platform writes");
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use actix_web::{App, HttpResponse, HttpServer, web};
-use dappleyard_platform::Machine;
+use dappleyard_store::Machine;
 use serde::Deserialize;
 
 use crate::engine::EngineHandle;
--- a/crates/standin/src/platform/host.rs
+++ b/crates/standin/src/platform/host.rs
@@ -7,7 +7,7 @@
 
 use actix_web::{App, HttpServer, web};
 use bytes::Bytes;
-use dappleyard_platform::{Changes, Machine, Row, StoreError, Transaction};
+use dappleyard_store::{Changes, Machine, Row, StoreError, Transaction};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -6,8 +6,8 @@
 
 use actix_web::{HttpResponse, web};
 use bytes::Bytes;
-use dappleyard_platform::StoreError;
-use dappleyard_platform::client::protocol::{
+use dappleyard_store::StoreError;
+use dappleyard_store::client::protocol::{
     ChangesBody, ChangesQuery, CommittedBody, ConflictBody, OBJECT_SIZE_HEADER, ObjectBody,
     ObjectPartQuery, ObjectQuery, RangeQuery, RateLimitedBody, RowBody, RowQuery, RowsBody,
     TransactionBody,
--- a/crates/standin/src/platform/machines.rs
+++ b/crates/standin/src/platform/machines.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use dappleyard_platform::Machine;
+use dappleyard_store::Machine;
 
 type List = Arc<BTreeMap<String, Machine>>;
 
--- a/crates/standin/src/platform/objects.rs
+++ b/crates/standin/src/platform/objects.rs
@@ -1,8 +1,8 @@
 //! State of the object store: objects, bounds and counts.
 
 use bytes::Bytes;
-use dappleyard_platform::memory::objects::Objects;
-use dappleyard_platform::{ObjectData, StoreError};
+use dappleyard_store::memory::objects::Objects;
+use dappleyard_store::{ObjectData, StoreError};
 
 /// State of the object store.
 #[derive(Debug)]
--- a/crates/standin/src/platform/tables.rs
+++ b/crates/standin/src/platform/tables.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use dappleyard_platform::memory::rows::Rows;
-use dappleyard_platform::{Changes, Row, StoreError, Transaction, Write};
+use dappleyard_store::memory::rows::Rows;
+use dappleyard_store::{Changes, Row, StoreError, Transaction, Write};
 use dappleyard_wire::keys::{CONFIGURATION_HEAD, CONFIGURATION_PREFIX};
 use serde::Serialize;
 
--- a/crates/standin/tests/standin/broken_answers.rs
+++ b/crates/standin/tests/standin/broken_answers.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use dappleyard_engine::{Engine, EngineError, EngineEvent, GenerateCall, HttpEngine, Priority};
-use dappleyard_platform::client::direct;
-use dappleyard_platform::{StoreError, Transaction};
 use dappleyard_settings::PlatformSettings;
+use dappleyard_store::client::direct;
+use dappleyard_store::{StoreError, Transaction};
 use futures::StreamExt;
 use googletest::prelude::*;
 
--- a/crates/standin/tests/standin/platform_over_http.rs
+++ b/crates/standin/tests/standin/platform_over_http.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use dappleyard_engine::{Engine, EngineError, HttpEngine};
-use dappleyard_platform::client::direct;
-use dappleyard_platform::{Expect, Platform, StoreError, Transaction};
 use dappleyard_settings::PlatformSettings;
 use dappleyard_standin::platform::{
     Fault, PlatformHandle, PlatformStandIn, PlatformStandInSettings, Service,
 };
+use dappleyard_store::client::direct;
+use dappleyard_store::{Expect, Platform, StoreError, Transaction};
 use googletest::prelude::*;
 
 use crate::run;
--- a/crates/standin/tests/standin/platform_state.rs
+++ b/crates/standin/tests/standin/platform_state.rs
@@ -3,11 +3,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use dappleyard_platform::{Expect, Machine, MachineRole, StoreError, Transaction};
 use dappleyard_standin::platform::PlatformStandInSettings;
 use dappleyard_standin::platform::machines::MachineState;
 use dappleyard_standin::platform::tables::TableState;
 use dappleyard_standin::platform::weights::WeightState;
+use dappleyard_store::{Expect, Machine, MachineRole, StoreError, Transaction};
 use googletest::prelude::*;
 
 fn tables() -> TableState {
@@ -85,7 +85,7 @@
     for key in ["job/a/1", "job/a/2", "job/a/3", "job0", "jo", "job/b"] {
         tables.transact(put(key, "x")).expect("applied");
     }
-    let keys = |rows: Vec<dappleyard_platform::Row>| -> Vec<String> {
+    let keys = |rows: Vec<dappleyard_store::Row>| -> Vec<String> {
         rows.into_iter().map(|row| row.key).collect()
     };
     let first = keys(tables.range("job/", "", 2));
--- a/crates/platform/tests/gate.rs
+++ b/crates/store/tests/gate.rs
@@ -8,13 +8,13 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use dappleyard_platform::gate::{Admission, Breaker, CallClass, Limiter, RetryBudget, StoreGate};
-use dappleyard_platform::tables::Expect;
-use dappleyard_platform::{
+use dappleyard_settings::PlatformSettings;
+use dappleyard_store::gate::{Admission, Breaker, CallClass, Limiter, RetryBudget, StoreGate};
+use dappleyard_store::tables::Expect;
+use dappleyard_store::{
     Changes, Machine, MachineList, ObjectData, ObjectStore, Platform, Row, StoreError, TableStore,
     Transaction,
 };
-use dappleyard_settings::PlatformSettings;
 use googletest::prelude::*;
 use tokio::task::LocalSet;
 
--- a/crates/platform/tests/memory.rs
+++ b/crates/store/tests/memory.rs
@@ -1,6 +1,6 @@
 //! The in-memory platform keeps the contract of the ports.
 
-use dappleyard_platform::{Expect, Fault, MemoryPlatform, StoreError, TableStore, Transaction};
+use dappleyard_store::{Expect, Fault, MemoryPlatform, StoreError, TableStore, Transaction};
 use googletest::prelude::*;
 
 #[gtest]
--- /dev/null
+++ b/crates/upstream/src/body.rs
@@ -0,0 +1,144 @@
+//! Where the body of an answer ends.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// Longest line that tells the size of a chunk, bytes.
+const MAX_SIZE_LINE: usize = 256;
+
+/// How the body of an answer ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// After this many bytes.
+    Length(u64),
+    /// After the last chunk.
+    Chunked,
+    /// With the connection.
+    UntilClose,
+}
+
+/// Reads a body out of a buffer.
+#[derive(Debug)]
+pub(crate) enum BodyReader {
+    /// Bytes still to come.
+    Length(u64),
+    /// At the line that tells the size of a chunk.
+    ChunkSize,
+    /// Inside a chunk, bytes still to come.
+    ChunkData(u64),
+    /// At the line end after a chunk.
+    ChunkEnd,
+    /// Behind the last chunk, at the trailers.
+    Trailers,
+    /// Until the connection ends.
+    UntilClose,
+    /// At the end.
+    Done,
+}
+
+impl BodyReader {
+    pub(crate) fn new(framing: BodyFraming) -> Self {
+        match framing {
+            BodyFraming::Length(0) => BodyReader::Done,
+            BodyFraming::Length(length) => BodyReader::Length(length),
+            BodyFraming::Chunked => BodyReader::ChunkSize,
+            BodyFraming::UntilClose => BodyReader::UntilClose,
+        }
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        matches!(self, BodyReader::Done)
+    }
+
+    /// The connection ended in order; whether that ends the body too.
+    pub(crate) fn end_of_connection(&mut self) -> bool {
+        if matches!(self, BodyReader::UntilClose) {
+            *self = BodyReader::Done;
+        }
+        self.is_done()
+    }
+
+    /// Takes the next piece of body off the buffer, or `None` when more bytes are needed or the
+    /// body is at its end.
+    pub(crate) fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, &'static str> {
+        loop {
+            match self {
+                BodyReader::Done => return Ok(None),
+                BodyReader::UntilClose => {
+                    return Ok((!buffer.is_empty()).then(|| buffer.split().freeze()));
+                }
+                BodyReader::Length(left) => {
+                    let Some((piece, rest)) = split(buffer, *left) else {
+                        return Ok(None);
+                    };
+                    *self = match rest {
+                        0 => BodyReader::Done,
+                        rest => BodyReader::Length(rest),
+                    };
+                    return Ok(Some(piece));
+                }
+                BodyReader::ChunkData(left) => {
+                    let Some((piece, rest)) = split(buffer, *left) else {
+                        return Ok(None);
+                    };
+                    *self = match rest {
+                        0 => BodyReader::ChunkEnd,
+                        rest => BodyReader::ChunkData(rest),
+                    };
+                    return Ok(Some(piece));
+                }
+                BodyReader::ChunkEnd => {
+                    if buffer.len() < 2 {
+                        return Ok(None);
+                    }
+                    if &buffer[..2] != b"\r\n" {
+                        return Err("chunk end");
+                    }
+                    buffer.advance(2);
+                    *self = BodyReader::ChunkSize;
+                }
+                BodyReader::ChunkSize => match chunk_size(buffer)? {
+                    None => return Ok(None),
+                    Some(0) => *self = BodyReader::Trailers,
+                    Some(size) => *self = BodyReader::ChunkData(size),
+                },
+                BodyReader::Trailers => match line(buffer)? {
+                    None => return Ok(None),
+                    Some(true) => *self = BodyReader::Done,
+                    Some(false) => {}
+                },
+            }
+        }
+    }
+}
+
+fn split(buffer: &mut BytesMut, left: u64) -> Option<(Bytes, u64)> {
+    if buffer.is_empty() {
+        return None;
+    }
+    let size = usize::try_from(left).map_or(buffer.len(), |left| left.min(buffer.len()));
+    Some((buffer.split_to(size).freeze(), left - size as u64))
+}
+
+fn chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>, &'static str> {
+    match httparse::parse_chunk_size(buffer) {
+        Ok(httparse::Status::Complete((length, size))) => {
+            buffer.advance(length);
+            Ok(Some(size))
+        }
+        Ok(httparse::Status::Partial) if buffer.len() > MAX_SIZE_LINE => Err("chunk size"),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err("chunk size"),
+    }
+}
+
+/// Takes a line; whether it was empty.
+fn line(buffer: &mut BytesMut) -> Result<Option<bool>, &'static str> {
+    match buffer.windows(2).position(|pair| pair == b"\r\n") {
+        Some(length) => {
+            buffer.advance(length + 2);
+            Ok(Some(length == 0))
+        }
+        None if buffer.len() > MAX_SIZE_LINE * 16 => Err("trailer"),
+        None => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/connection.rs
@@ -0,0 +1,189 @@
+//! One connection, one exchange at a time.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use derive_more::{Display, Error};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::body::BodyReader;
+use crate::head::{AnswerHead, take_head};
+
+/// Room made for each read, bytes.
+const READ_BYTES: usize = 16 * 1024;
+
+/// How far an exchange had come when it failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// The connection did not come up: nothing was sent.
+    Connect,
+    /// Some of the request was sent.
+    Send,
+    /// The whole request was sent, and no answer was seen.
+    Head,
+    /// The answer had begun.
+    Body,
+}
+
+/// An exchange that failed.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("{stage:?}: {reason}")]
+pub struct ExchangeError {
+    /// How far it had come.
+    pub stage: Stage,
+    /// What was seen.
+    pub reason: String,
+}
+
+impl ExchangeError {
+    fn new(stage: Stage, reason: impl ToString) -> Self {
+        Self {
+            stage,
+            reason: reason.to_string(),
+        }
+    }
+}
+
+/// One connection to a peer.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    buffer: BytesMut,
+    body: BodyReader,
+    reusable: bool,
+    keep_alive_s: Option<u64>,
+    answered: bool,
+    rested: Instant,
+}
+
+impl Connection {
+    /// Connects within a time limit.
+    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, ExchangeError> {
+        let connecting = tokio::time::timeout(limit, TcpStream::connect(address));
+        let stream = connecting
+            .await
+            .map_err(|_| ExchangeError::new(Stage::Connect, "timeout"))?
+            .map_err(|error| ExchangeError::new(Stage::Connect, error))?;
+        // Without it small messages wait for acknowledgements; a failure only costs time.
+        let _ = stream.set_nodelay(true);
+        Ok(Self {
+            stream,
+            buffer: BytesMut::with_capacity(READ_BYTES),
+            body: BodyReader::Done,
+            reusable: true,
+            keep_alive_s: None,
+            answered: false,
+            rested: Instant::now(),
+        })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(&mut self, request: &[u8]) -> Result<AnswerHead, ExchangeError> {
+        self.answered = false;
+        self.write(request).await?;
+        self.next_head().await
+    }
+
+    /// Waits for the next head on the connection; heads of interim answers are passed over.
+    pub async fn next_head(&mut self) -> Result<AnswerHead, ExchangeError> {
+        loop {
+            let head = take_head(&mut self.buffer)
+                .map_err(|reason| ExchangeError::new(Stage::Head, reason))?;
+            if let Some(head) = head {
+                if head.status / 100 == 1 {
+                    continue;
+                }
+                self.answered = true;
+                self.reusable &= head.keep_alive;
+                self.keep_alive_s = head.keep_alive_s;
+                self.body = BodyReader::new(head.framing);
+                return Ok(head);
+            }
+            if self.fill(Stage::Head).await? == 0 {
+                return Err(ExchangeError::new(Stage::Head, "closed before the answer"));
+            }
+        }
+    }
+
+    /// The next piece of the answer's body; `None` at its end.
+    pub async fn next_piece(&mut self) -> Result<Option<Bytes>, ExchangeError> {
+        loop {
+            let piece = self
+                .body
+                .take(&mut self.buffer)
+                .map_err(|reason| ExchangeError::new(Stage::Body, reason))?;
+            if piece.is_some() {
+                return Ok(piece);
+            }
+            if self.body.is_done() {
+                self.rested = Instant::now();
+                return Ok(None);
+            }
+            if self.fill(Stage::Body).await? == 0 && !self.body.end_of_connection() {
+                return Err(ExchangeError::new(Stage::Body, "closed inside the answer"));
+            }
+        }
+    }
+
+    /// The whole body, up to a limit.
+    pub async fn whole_body(&mut self, limit: usize) -> Result<Bytes, ExchangeError> {
+        let mut whole = BytesMut::new();
+        while let Some(piece) = self.next_piece().await? {
+            if whole.len() + piece.len() > limit {
+                return Err(ExchangeError::new(Stage::Body, "answer too long"));
+            }
+            whole.extend_from_slice(&piece);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Whether another request may follow: the answer was read to its end, nothing is left over,
+    /// and the peer has not closed.
+    pub fn is_reusable(&self) -> bool {
+        if !self.reusable || !self.body.is_done() || !self.buffer.is_empty() {
+            return false;
+        }
+        let mut probe = [0_u8; 1];
+        match self.stream.try_read(&mut probe) {
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+            Ok(_) => false,
+        }
+    }
+
+    /// Seconds that the peer said it keeps the connection at rest.
+    pub fn keep_alive_s(&self) -> Option<u64> {
+        self.keep_alive_s
+    }
+
+    /// Since when the connection rests.
+    pub fn rested(&self) -> Instant {
+        self.rested
+    }
+
+    async fn write(&mut self, request: &[u8]) -> Result<(), ExchangeError> {
+        let (reader, mut writer) = self.stream.split();
+        let writing = writer.write_all(request);
+        tokio::pin!(writing);
+        let early = tokio::select! {
+            biased;
+            written = &mut writing => {
+                return written.map_err(|error| ExchangeError::new(Stage::Send, error));
+            }
+            readable = reader.readable() => readable,
+        };
+        // The peer answers before it has read the request: the connection carries nothing more.
+        self.reusable = false;
+        early.map_err(|error| ExchangeError::new(Stage::Send, error))
+    }
+
+    async fn fill(&mut self, stage: Stage) -> Result<usize, ExchangeError> {
+        self.buffer.reserve(READ_BYTES);
+        self.stream
+            .read_buf(&mut self.buffer)
+            .await
+            .map_err(|error| ExchangeError::new(stage, error))
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/head.rs
@@ -0,0 +1,122 @@
+//! Heads of requests and answers.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+
+use crate::body::BodyFraming;
+
+/// Most headers of an answer.
+const MAX_HEADERS: usize = 64;
+/// Longest head of an answer, bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Head of an answer.
+#[derive(Debug, Clone)]
+pub struct AnswerHead {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// How the body ends.
+    pub framing: BodyFraming,
+    /// The connection may carry another request afterwards.
+    pub keep_alive: bool,
+    /// Seconds that the peer keeps a resting connection, where it says so.
+    pub keep_alive_s: Option<u64>,
+}
+
+/// The bytes of a request: head and body.
+pub fn request_bytes<'a>(
+    method: &Method,
+    target: &str,
+    headers: impl Iterator<Item = (&'a HeaderName, &'a HeaderValue)>,
+    body: &Bytes,
+) -> BytesMut {
+    let mut out = BytesMut::with_capacity(512 + body.len());
+    out.put_slice(method.as_str().as_bytes());
+    out.put_u8(b' ');
+    out.put_slice(target.as_bytes());
+    out.put_slice(b" HTTP/1.1\r\n");
+    for (name, value) in headers {
+        out.put_slice(name.as_str().as_bytes());
+        out.put_slice(b": ");
+        out.put_slice(value.as_bytes());
+        out.put_slice(b"\r\n");
+    }
+    if !body.is_empty() || *method == Method::POST || *method == Method::PUT {
+        out.put_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
+    }
+    out.put_slice(b"\r\n");
+    out.put_slice(body);
+    out
+}
+
+/// Takes a head off the front of `buffer`, or `None` when it is not whole yet.
+pub(crate) fn take_head(buffer: &mut BytesMut) -> Result<Option<AnswerHead>, &'static str> {
+    let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut answer = httparse::Response::new(&mut slots);
+    let parsed = answer.parse(buffer).map_err(|_| "not an answer")?;
+    let httparse::Status::Complete(length) = parsed else {
+        if buffer.len() > MAX_HEAD_BYTES {
+            return Err("head too long");
+        }
+        return Ok(None);
+    };
+    let status = answer.code.unwrap_or(0);
+    let http11 = answer.version == Some(1);
+    let mut headers = HeaderMap::with_capacity(answer.headers.len());
+    for header in answer.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(|_| "header name")?;
+        let value = HeaderValue::from_bytes(header.value).map_err(|_| "header value")?;
+        headers.append(name, value);
+    }
+    let framing = framing(status, &headers)?;
+    let keep_alive = http11 && !names_close(&headers) && framing != BodyFraming::UntilClose;
+    let keep_alive_s = keep_alive_seconds(&headers);
+    let _ = buffer.split_to(length);
+    Ok(Some(AnswerHead {
+        status,
+        headers,
+        framing,
+        keep_alive,
+        keep_alive_s,
+    }))
+}
+
+fn framing(status: u16, headers: &HeaderMap) -> Result<BodyFraming, &'static str> {
+    if status / 100 == 1 || status == 204 || status == 304 {
+        return Ok(BodyFraming::Length(0));
+    }
+    if let Some(encoding) = headers.get(TRANSFER_ENCODING) {
+        return match encoding.as_bytes().eq_ignore_ascii_case(b"chunked") {
+            true => Ok(BodyFraming::Chunked),
+            false => Err("transfer encoding"),
+        };
+    }
+    match headers.get(CONTENT_LENGTH) {
+        Some(length) => length
+            .to_str()
+            .ok()
+            .and_then(|text| text.trim().parse().ok())
+            .map(BodyFraming::Length)
+            .ok_or("content length"),
+        None => Ok(BodyFraming::UntilClose),
+    }
+}
+
+fn names_close(headers: &HeaderMap) -> bool {
+    headers.get_all(CONNECTION).iter().any(|value| {
+        value.to_str().is_ok_and(|text| {
+            text.split(',')
+                .any(|token| token.trim().eq_ignore_ascii_case("close"))
+        })
+    })
+}
+
+fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    text.split(',')
+        .find_map(|token| token.trim().strip_prefix("timeout="))
+        .and_then(|seconds| seconds.trim().parse().ok())
+}
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,14 @@
+//! HTTP/1.1 client connections to model servers and to the row store.
+//!
+//! The end of a body and the end of a connection are told apart: an answer that ends early is an
+//! error and never looks complete.
+
+mod body;
+mod connection;
+mod head;
+mod pool;
+
+pub use body::BodyFraming;
+pub use connection::{Connection, ExchangeError, Stage};
+pub use head::{AnswerHead, request_bytes};
+pub use pool::{IdleLimit, Pool};
