Batch yields to online work; work is noted when it starts

Items are paused, newest due first, where online and batch together exceed the slots; shares of the nodes add up; batch starts are told to peers at once. Silence of a server is judged over all nodes.

--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -2,14 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use prost::Message;
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::loads::LoadTable;
+use crate::loads::{LoadTable, node_number};
 use crate::messages::Heartbeat;
 use crate::peers::PeerTable;
 use crate::view::View;
@@ -18,6 +17,8 @@
 const NEAR_PERIOD: Duration = Duration::from_millis(150);
 /// Heartbeats to nodes of other zones are sent each so many periods.
 const FAR_EVERY: u32 = 3;
+/// Shortest time between heartbeats that tell of changed batch work.
+const SHORTEST_GAP: Duration = Duration::from_millis(15);
 /// Most nodes that one round of heartbeats goes to.
 const FANOUT: usize = 24;
 /// Longest datagram.
@@ -70,11 +71,17 @@
         let mut ticks = tokio::time::interval(NEAR_PERIOD);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut round = 0_u32;
+        let mut last_sent = Instant::now();
         loop {
             tokio::select! {
                 _ = ticks.tick() => {
                     round = round.wrapping_add(1);
-                    self.send_round(round).await;
+                    self.send_round(round.is_multiple_of(FAR_EVERY));
+                }
+                () = self.loads.batch_changed(), if last_sent.elapsed() > SHORTEST_GAP => {
+                    // The others must not fill the same slots.
+                    last_sent = Instant::now();
+                    self.send_round(true);
                 }
                 received = self.socket.recv_from(&mut buffer) => {
                     if let Ok((length, _)) = received {
@@ -85,8 +92,7 @@
         }
     }
 
-    async fn send_round(&self, round: u32) {
-        let far_too = round.is_multiple_of(FAR_EVERY);
+    fn send_round(&self, far_too: bool) {
         let targets: Vec<SocketAddr> = self
             .peers
             .heartbeat_targets()
@@ -127,7 +133,7 @@
         if heartbeat.name == self.settings.name || !self.peers.heard(&heartbeat) {
             return;
         }
-        let number = xxh3_64(heartbeat.name.as_bytes());
+        let number = node_number(&heartbeat.name);
         self.loads.set_peer(number, heartbeat.loads);
     }
 }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use follow::{TableSink, follow};
 pub use gossip::{Gossip, GossipSettings};
-pub use loads::{InFlight, LoadSummary, LoadTable, WorkKind};
+pub use loads::{InFlight, LoadSummary, LoadTable, WorkKind, node_number};
 pub use messages::NodeRow;
 pub use peers::{NODES_TABLE, PeerStatus, PeerTable};
 pub use view::{ConfigurationSink, ServersSink, View};
--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use dappleyard_model::ServerRecord;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::messages::LoadEntry;
@@ -14,6 +16,8 @@
 const HEARTBEAT_LIFE: Duration = Duration::from_millis(1500);
 /// Time for which the most online work of a server is remembered.
 const PEAK_LIFE: Duration = Duration::from_secs(6);
+/// Mixes the order in which nodes pause items, another one for each server.
+const ORDER_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
 /// Share of a new time to first event in the running mean.
 const MEAN_SHARE: f64 = 0.25;
 
@@ -48,6 +52,7 @@
     online: u32,
     batch: u32,
     unread_tokens: u32,
+    slots: u32,
     peers: HashMap<u64, (Instant, LoadEntry)>,
     peak: Option<(Instant, u32)>,
     suspect_until: Option<Instant>,
@@ -99,6 +104,13 @@
 #[derive(Default)]
 pub struct LoadTable {
     servers: Mutex<HashMap<u32, ServerLoads>>,
+    pressure: Notify,
+    batch_change: Notify,
+}
+
+/// Number that stands for a node in load tables.
+pub fn node_number(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
 }
 
 /// Number that stands for a server in messages.
@@ -108,17 +120,27 @@
 
 impl LoadTable {
     /// Notes the beginning of work; it ends when the answer is dropped.
-    pub fn begin(self: &Arc<Self>, server: &str, kind: WorkKind, unread_tokens: u32) -> InFlight {
-        let number = server_number(server);
+    pub fn begin(
+        self: &Arc<Self>,
+        server: &ServerRecord,
+        kind: WorkKind,
+        unread_tokens: u32,
+    ) -> InFlight {
+        let number = server_number(&server.id);
         let mut servers = self.servers.lock();
         let loads = servers.entry(number).or_default();
+        loads.slots = server.slots;
         match kind {
             WorkKind::Online => loads.online += 1,
-            WorkKind::Batch => loads.batch += 1,
+            WorkKind::Batch => {
+                loads.batch += 1;
+                self.batch_change.notify_one();
+            }
         }
         loads.unread_tokens += unread_tokens;
         if kind == WorkKind::Online {
             loads.note_peak(Instant::now());
+            self.tell_pressure(loads);
         }
         InFlight {
             table: self.clone(),
@@ -128,6 +150,52 @@
         }
     }
 
+    /// Waits until online work presses on a server where this node runs batch items.
+    pub async fn pressed(&self) {
+        self.pressure.notified().await;
+    }
+
+    /// Waits until this node's batch work has changed.
+    pub async fn batch_changed(&self) {
+        self.batch_change.notified().await;
+    }
+
+    /// Items that this node pauses at a server so that no online request waits behind batch
+    /// work. All nodes see the same loads and come to shares that add up.
+    pub fn pause_share(&self, server: &str, slots: u32, own: u64) -> u32 {
+        let now = Instant::now();
+        let number = server_number(server);
+        let servers = self.servers.lock();
+        let Some(loads) = servers.get(&number) else {
+            return 0;
+        };
+        let summary = loads.summary(now);
+        let over = (summary.online + summary.batch).saturating_sub(slots);
+        let others = loads
+            .peers
+            .iter()
+            .filter(|(_, (at, _))| now.duration_since(*at) < HEARTBEAT_LIFE)
+            .map(|(peer, (_, entry))| (*peer, entry.batch));
+        let mut nodes: Vec<(u64, u32)> = others.chain([(own, loads.batch)]).collect();
+        nodes.sort_by_key(|(node, _)| (node ^ u64::from(number)).wrapping_mul(ORDER_FACTOR));
+        let before: u32 = nodes
+            .iter()
+            .take_while(|(node, _)| *node != own)
+            .map(|(_, batch)| batch)
+            .sum();
+        over.saturating_sub(before).min(loads.batch)
+    }
+
+    fn tell_pressure(&self, loads: &ServerLoads) {
+        if loads.batch == 0 {
+            return;
+        }
+        let summary = loads.summary(Instant::now());
+        if summary.online + summary.batch > loads.slots {
+            self.pressure.notify_one();
+        }
+    }
+
     /// Load of a server.
     pub fn summary(&self, server: &str) -> LoadSummary {
         let servers = self.servers.lock();
@@ -151,11 +219,19 @@
         loads.suspect_until = None;
     }
 
-    /// Time since any byte came from the server.
+    /// Time since any byte came from the server to any node.
     pub fn silence(&self, server: &str) -> Option<Duration> {
+        let now = Instant::now();
         let servers = self.servers.lock();
-        let heard = servers.get(&server_number(server))?.heard?;
-        Some(heard.elapsed())
+        let loads = servers.get(&server_number(server))?;
+        let own = loads.heard.map(|heard| now.duration_since(heard));
+        let others = loads.peers.values().filter(|(_, entry)| entry.heard_ms > 0);
+        others
+            .map(|(at, entry)| {
+                now.duration_since(*at) + Duration::from_millis(u64::from(entry.heard_ms))
+            })
+            .chain(own)
+            .min()
     }
 
     /// Notes how much longer than expected the first event took.
@@ -178,6 +254,10 @@
             batch: loads.batch,
             unread_tokens: loads.unread_tokens,
             suspect: loads.suspect_until.is_some_and(|until| until > now),
+            heard_ms: loads.heard.map_or(0, |heard| {
+                let age = now.duration_since(heard).as_millis();
+                u32::try_from(age).unwrap_or(u32::MAX - 1) + 1
+            }),
         });
         entries
             .filter(|entry| entry.online + entry.batch > 0 || entry.suspect)
@@ -195,6 +275,7 @@
             let loads = servers.entry(entry.server).or_default();
             loads.peers.insert(peer, (now, entry));
             loads.note_peak(now);
+            self.tell_pressure(loads);
         }
     }
 
@@ -240,7 +321,10 @@
         if let Some(loads) = self.table.servers.lock().get_mut(&self.server) {
             match self.kind {
                 WorkKind::Online => loads.online = loads.online.saturating_sub(1),
-                WorkKind::Batch => loads.batch = loads.batch.saturating_sub(1),
+                WorkKind::Batch => {
+                    loads.batch = loads.batch.saturating_sub(1);
+                    self.table.batch_change.notify_one();
+                }
             }
         }
     }
--- a/crates/cluster/src/messages.rs
+++ b/crates/cluster/src/messages.rs
@@ -40,6 +40,9 @@
     /// The node found the server silent or broken lately.
     #[prost(bool, tag = "5")]
     pub suspect: bool,
+    /// Time since any byte came from the server to the node, plus one; 0 when none ever did.
+    #[prost(uint32, tag = "6")]
+    pub heard_ms: u32,
 }
 
 /// Heartbeat of one node.
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -51,13 +51,10 @@
             .unwrap_or_default()
     }
 
-    /// Whether a server still takes new work.
-    pub fn takes_work(&self, id: &str) -> bool {
-        self.known
-            .lock()
-            .servers
-            .get(id)
-            .is_some_and(|(_, server)| !server.draining)
+    /// A server by its identifier, leaving ones included.
+    pub fn server(&self, id: &str) -> Option<Arc<ServerRecord>> {
+        let known = self.known.lock();
+        known.servers.get(id).map(|(_, server)| server.clone())
     }
 
     /// Whether requests can be served: configuration and servers are known.
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::placement::{Candidate, PromptShape, choose, home};
 
 /// Silence of a server after which a request that may be repeated goes to another one.
-const SERVER_PATIENCE: Duration = Duration::from_millis(700);
+const SERVER_PATIENCE: Duration = Duration::from_millis(900);
 /// Time for which a server that broke or fell silent is avoided.
 const SUSPECT_TIME: Duration = Duration::from_millis(1_200);
 /// Servers that are asked for one request, those that did not run it included.
@@ -125,7 +125,7 @@
         request.asked.insert(server.id.clone());
         let mut work = node
             .loads
-            .begin(&server.id, WorkKind::Online, request.shape.unread(kept));
+            .begin(&server, WorkKind::Online, request.shape.unread(kept));
         let sent = Instant::now();
         let outcome = ask(upstreams, request, &server, last_event_id).await;
         let exchange = match outcome {
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -13,7 +13,7 @@
 use crate::node::UnderWay;
 
 /// Silence of a server after which a stream is taken up elsewhere.
-const STREAM_PATIENCE: Duration = Duration::from_millis(700);
+const STREAM_PATIENCE: Duration = Duration::from_millis(900);
 /// Time for which a server that fell silent is avoided.
 const SUSPECT_TIME: Duration = Duration::from_millis(1_200);
 
--- a/crates/jobs/src/accept.rs
+++ b/crates/jobs/src/accept.rs
@@ -100,6 +100,14 @@
         if table.get(self.job).is_some() {
             return Step::Reply(JobReply::Accepted);
         }
+        // Neither the waiting tokens nor the clock can be told before the table was read.
+        let now_ms = match table.now_ms() {
+            Some(now_ms) if table.is_fresh() => now_ms,
+            _ => {
+                table.changed(PAUSE).await;
+                return Step::Again;
+            }
+        };
         let limit = self.route.max_queued_tokens;
         let waiting = table.open_tokens(&self.route.name);
         let free = limit.saturating_sub(waiting + self.tokens);
@@ -111,7 +119,7 @@
             return Step::Reply(JobReply::Refused(ErrorKind::QuotaExceeded, detail));
         }
         let in_turn = limit > 0 && free < AMPLE_TOKENS.max(limit / 2);
-        let row = self.row();
+        let row = self.row(now_ms);
         let transaction = self.transaction(&row, in_turn);
         match self.calls.store.transact(&transaction).await {
             Ok(committed) => {
@@ -177,9 +185,8 @@
         }
     }
 
-    fn row(&self) -> JobRow {
+    fn row(&self, now_ms: u64) -> JobRow {
         let node = &self.calls.node;
-        let now_ms = self.calls.table.now_ms();
         // A leaving node leaves the job to the others.
         let (owner, life) = match node.is_leaving() {
             true => (String::new(), 0),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,7 @@
 mod keys;
 mod messages;
 mod owned;
+mod preempt;
 mod read;
 mod release;
 mod run;
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -40,7 +40,27 @@
     pub runs: u32,
     pub not_before: Option<Instant>,
     pub avoid: Option<String>,
-    pub task: Option<tokio::task::AbortHandle>,
+    pub task: Option<Run>,
+}
+
+/// One run of an item under way.
+pub(crate) struct Run {
+    pub server: String,
+    handle: tokio::task::AbortHandle,
+}
+
+impl Run {
+    pub(crate) fn new(server: &str, handle: tokio::task::AbortHandle) -> Self {
+        Self {
+            server: server.to_owned(),
+            handle,
+        }
+    }
+
+    /// Ends the run; what it has brought stays with the item.
+    pub(crate) fn abort(&self) {
+        self.handle.abort();
+    }
 }
 
 impl Item {
--- /dev/null
+++ b/crates/jobs/src/preempt.rs
@@ -0,0 +1,73 @@
+//! Pauses items at servers where online work presses. A paused item keeps its text and goes on
+//! behind its last event, at whichever server has room.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use dappleyard_cluster::node_number;
+
+use crate::owned::{OwnedJob, Progress};
+use crate::runner::Runner;
+
+/// Time before a paused item is sent again.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// One item that runs.
+struct Running {
+    job: Rc<OwnedJob>,
+    index: usize,
+    due_ms: u64,
+}
+
+/// Pauses this node's share of the items that stand in the way of online work.
+pub(crate) fn preempt(runner: &Runner) {
+    let own = node_number(&runner.node.settings.name);
+    for (server, mut running) in running_by_server(runner) {
+        let Some(slots) = runner.slots(&server) else {
+            continue;
+        };
+        let load = runner.node.loads.summary(&server);
+        let count = runner.node.loads.pause_share(&server, slots, own);
+        // The job that is due last waits first.
+        running.sort_by_key(|item| std::cmp::Reverse(item.due_ms));
+        for item in running.into_iter().take(count as usize) {
+            pause(runner, &server, &item, load.online, load.batch);
+        }
+    }
+}
+
+fn running_by_server(runner: &Runner) -> HashMap<String, Vec<Running>> {
+    let mut servers: HashMap<String, Vec<Running>> = HashMap::new();
+    for job in runner.owned.borrow().values() {
+        let state = job.state.borrow();
+        for (index, item) in state.items.iter().enumerate() {
+            if let Some(run) = &item.task {
+                servers
+                    .entry(run.server.clone())
+                    .or_default()
+                    .push(Running {
+                        job: job.clone(),
+                        index,
+                        due_ms: state.row.due_ms,
+                    });
+            }
+        }
+    }
+    servers
+}
+
+fn pause(runner: &Runner, server: &str, running: &Running, online: u32, batch: u32) {
+    let mut state = running.job.state.borrow_mut();
+    let item = &mut state.items[running.index];
+    let Some(run) = item.task.take() else {
+        return;
+    };
+    run.abort();
+    item.progress = Progress::Waiting;
+    item.not_before = Some(Instant::now() + PAUSE);
+    runner.node.log.write("item_paused", || {
+        serde_json::json!({"job": running.job.job, "item": item.stored.id, "server": server,
+            "events": item.events, "online": online, "batch": batch})
+    });
+}
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dappleyard_cluster::WorkKind;
-use dappleyard_ingress::{
-    Attempt, AttemptError, EventSplitter, Exchange, Metrics, PromptShape, Ran,
-};
+use dappleyard_cluster::{InFlight, WorkKind};
+use dappleyard_ingress::{Attempt, AttemptError, EventSplitter, Exchange, Metrics, Ran};
 use dappleyard_model::{Route, ServerRecord};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
+use crate::messages::StoredItem;
 use crate::owned::{Item, OwnedJob, Progress};
 use crate::runner::Runner;
 
@@ -47,8 +46,9 @@
     index: usize,
     server: Arc<ServerRecord>,
     route: Route,
+    work: InFlight,
 ) {
-    let end = run(&runner, &job, index, &server).await;
+    let end = run(&runner, &job, index, &server, work).await;
     note_end(&runner, &job, index, &server, &route, end);
     runner.wake.notify_one();
 }
@@ -58,6 +58,7 @@
     job: &Rc<OwnedJob>,
     index: usize,
     server: &Arc<ServerRecord>,
+    mut work: InFlight,
 ) -> RunEnd {
     let (request, last_event, host) = {
         let state = job.state.borrow();
@@ -65,12 +66,6 @@
         (item.stored.clone(), item.last_event, state.row.host.clone())
     };
     let headers = item_headers(runner, &request, &host);
-    let facts = runner.node.dialect.request_facts(&headers);
-    let shape = PromptShape::new(&facts.parts, facts.tokens_in);
-    let mut work = runner
-        .node
-        .loads
-        .begin(&server.id, WorkKind::Batch, shape.tokens);
     let attempt = Attempt {
         method: &Method::POST,
         target: &request.path,
@@ -112,7 +107,7 @@
     job: &Rc<OwnedJob>,
     index: usize,
     exchange: &mut Exchange,
-    work: &mut dappleyard_cluster::InFlight,
+    work: &mut InFlight,
 ) -> Result<(), AttemptError> {
     let mut splitter = EventSplitter::default();
     loop {
@@ -173,7 +168,20 @@
     Ok(())
 }
 
-fn item_headers(runner: &Runner, item: &crate::messages::StoredItem, host: &str) -> HeaderMap {
+/// Notes that an item begins at a server. This happens before its task runs, so that the next
+/// choice of a server sees it.
+pub(crate) fn begin_work(
+    runner: &Runner,
+    item: &StoredItem,
+    host: &str,
+    server: &ServerRecord,
+) -> InFlight {
+    let headers = item_headers(runner, item, host);
+    let tokens = runner.node.dialect.request_facts(&headers).tokens_in;
+    runner.node.loads.begin(server, WorkKind::Batch, tokens)
+}
+
+fn item_headers(runner: &Runner, item: &StoredItem, host: &str) -> HeaderMap {
     let mut headers = HeaderMap::new();
     if let Ok(host) = HeaderValue::from_str(host) {
         headers.insert(HOST, host);
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -18,10 +18,11 @@
     ITEMS_TABLE, PARTIALS_TABLE, RESULTS_TABLE, job_key, partition, range_end, range_start,
 };
 use crate::messages::{JobRow, StoredPartial};
-use crate::owned::{Item, OwnedJob, Progress, commit_results};
+use crate::owned::{Item, OwnedJob, Progress, Run, commit_results};
+use crate::preempt::preempt;
 use crate::read::{assemble, read_items, retry};
 use crate::release::release;
-use crate::run::run_item;
+use crate::run::{begin_work, run_item};
 use crate::table::{JobTable, Known};
 use crate::width::{ServerRoom, pick_server};
 
@@ -41,7 +42,7 @@
     pub(crate) store: Rc<dyn RowStore>,
     pub(crate) upstreams: Upstreams,
     pub(crate) wake: Notify,
-    owned: RefCell<HashMap<String, Rc<OwnedJob>>>,
+    pub(crate) owned: RefCell<HashMap<String, Rc<OwnedJob>>>,
     busy: RefCell<HashSet<String>>,
     cleaned: Cell<Instant>,
     stopping: Cell<bool>,
@@ -74,12 +75,14 @@
             tokio::select! {
                 () = self.table.changed(TICK) => {}
                 () = self.wake.notified() => {}
+                () = self.node.loads.pressed() => {}
             }
             if self.stopping.get() {
                 return;
             }
             self.reconcile();
             self.start_commits();
+            preempt(&self);
             self.schedule();
             self.clean();
         }
@@ -278,7 +281,9 @@
         let mut jobs: Vec<Rc<OwnedJob>> = self.owned.borrow().values().cloned().collect();
         jobs.sort_by_key(|job| (job.state.borrow().row.due_ms, job.job.clone()));
         let now = Instant::now();
-        let now_ms = self.table.now_ms();
+        let Some(now_ms) = self.table.now_ms() else {
+            return;
+        };
         for job in jobs {
             let (host, accepted_ms) = {
                 let row = &job.state.borrow().row;
@@ -323,10 +328,22 @@
         server: Arc<ServerRecord>,
         route: dappleyard_model::Route,
     ) {
-        job.state.borrow_mut().items[index].progress = Progress::Running;
-        let run = run_item(self.clone(), job.clone(), index, server, route);
+        let id = server.id.clone();
+        let work = {
+            let mut state = job.state.borrow_mut();
+            let host = state.row.host.clone();
+            let item = &mut state.items[index];
+            item.progress = Progress::Running;
+            begin_work(self, &item.stored, &host, &server)
+        };
+        let run = run_item(self.clone(), job.clone(), index, server, route, work);
         let task = tokio::task::spawn_local(run);
-        job.state.borrow_mut().items[index].task = Some(task.abort_handle());
+        job.state.borrow_mut().items[index].task = Some(Run::new(&id, task.abort_handle()));
+    }
+
+    /// Requests that a server works on at once; `None` when it is gone.
+    pub(crate) fn slots(&self, server: &str) -> Option<u32> {
+        self.node.view.server(server).map(|server| server.slots)
     }
 
     fn pick(&self, service: &str, avoid: Option<&str>) -> Option<Arc<ServerRecord>> {
@@ -353,7 +370,9 @@
         }
         self.cleaned.set(Instant::now());
         let kept_ms = self.node.settings.bounds.status_ms + CLEANING_MARGIN_MS;
-        let now_ms = self.table.now_ms();
+        let Some(now_ms) = self.table.now_ms() else {
+            return;
+        };
         let old = self
             .table
             .select(|row| !row.is_open() && row.accepted_ms + kept_ms < now_ms);
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -100,12 +100,11 @@
             .is_some_and(|contact| contact.elapsed() < FRESH)
     }
 
-    /// The store's clock, carried on by this machine's steady one.
-    pub fn now_ms(&self) -> u64 {
-        let state = self.state.lock();
-        state
-            .clock
-            .map_or(0, |(now_ms, at)| now_ms + at.elapsed().as_millis() as u64)
+    /// The store's clock, carried on by this machine's steady one; `None` before the store has
+    /// told it.
+    pub fn now_ms(&self) -> Option<u64> {
+        let (now_ms, at) = self.state.lock().clock?;
+        Some(now_ms + at.elapsed().as_millis() as u64)
     }
 
     /// Waits for the next change, for some time at most.
