Batch width: all slots that online work leaves free now

The peak is no longer kept: one slot stays free, and items in the way of a burst are paused at once; one waiting request in eight slots is borne before that. Items that can still be in time go first, and a paused one prefers the server where it ran.

--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -14,10 +14,12 @@
 
 /// Heartbeats older than this tell nothing.
 const HEARTBEAT_LIFE: Duration = Duration::from_millis(1500);
-/// Time for which the most online work of a server is remembered.
-const PEAK_LIFE: Duration = Duration::from_secs(6);
+/// One waiting request is borne for so many slots: pausing an item costs a prompt read.
+const TOLERANCE: u32 = 8;
 /// Mixes the order in which nodes pause items, another one for each server.
 const ORDER_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
+/// Time after which a server without news is forgotten.
+const QUIET_LIFE: Duration = Duration::from_secs(15);
 /// Share of a new time to first event in the running mean.
 const MEAN_SHARE: f64 = 0.25;
 
@@ -39,8 +41,6 @@
     pub batch: u32,
     /// Prompt tokens that the server has yet to read.
     pub unread_tokens: u32,
-    /// Most online requests under way lately.
-    pub online_peak: u32,
     /// The server was found silent or broken a moment ago, here or by another node.
     pub suspect: bool,
     /// Running mean of the time to the first event, over what was expected.
@@ -54,7 +54,6 @@
     unread_tokens: u32,
     slots: u32,
     peers: HashMap<u64, (Instant, LoadEntry)>,
-    peak: Option<(Instant, u32)>,
     suspect_until: Option<Instant>,
     heard: Option<Instant>,
     excess_ms: f64,
@@ -78,26 +77,12 @@
                 summary.suspect |= entry.suspect;
             }
         }
-        summary.online_peak = match self.peak {
-            Some((at, peak)) if now.duration_since(at) < PEAK_LIFE => peak.max(summary.online),
-            _ => summary.online,
-        };
         if let Some(at) = self.excess_at {
             let age = now.duration_since(at).as_secs_f64();
             summary.excess_ms = self.excess_ms * (-age / 2.0).exp();
         }
         summary
     }
-
-    fn note_peak(&mut self, now: Instant) {
-        let online = self.summary(now).online;
-        let held = self
-            .peak
-            .filter(|(at, _)| now.duration_since(*at) < PEAK_LIFE);
-        if held.is_none_or(|(_, peak)| online >= peak) {
-            self.peak = Some((now, online));
-        }
-    }
 }
 
 /// Work under way at all servers.
@@ -139,7 +124,6 @@
         }
         loads.unread_tokens += unread_tokens;
         if kind == WorkKind::Online {
-            loads.note_peak(Instant::now());
             self.tell_pressure(loads);
         }
         InFlight {
@@ -170,7 +154,7 @@
             return 0;
         };
         let summary = loads.summary(now);
-        let over = (summary.online + summary.batch).saturating_sub(slots);
+        let over = (summary.online + summary.batch).saturating_sub(slots + slots / TOLERANCE);
         let others = loads
             .peers
             .iter()
@@ -274,7 +258,6 @@
         for entry in entries {
             let loads = servers.entry(entry.server).or_default();
             loads.peers.insert(peer, (now, entry));
-            loads.note_peak(now);
             self.tell_pressure(loads);
         }
     }
@@ -288,7 +271,7 @@
                 .retain(|_, (at, _)| now.duration_since(*at) < HEARTBEAT_LIFE);
             let quiet = loads
                 .heard
-                .is_none_or(|heard| now.duration_since(heard) > PEAK_LIFE * 5);
+                .is_none_or(|heard| now.duration_since(heard) > QUIET_LIFE);
             loads.online + loads.batch > 0 || !loads.peers.is_empty() || !quiet
         });
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,6 +10,7 @@
 mod give_up;
 mod keys;
 mod messages;
+mod order;
 mod owned;
 mod preempt;
 mod read;
@@ -21,6 +22,7 @@
 
 pub use calls::NodeJobs;
 pub use messages::{ItemsBlob, JobRow, JobState, StoredItem};
+pub use order::{RunEstimate, rank};
 pub use runner::Runner;
 pub use table::JobTable;
 pub use width::{ServerRoom, pick_server, room};
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -40,6 +40,7 @@
     pub runs: u32,
     pub not_before: Option<Instant>,
     pub avoid: Option<String>,
+    pub last_server: Option<String>,
     pub task: Option<Run>,
 }
 
@@ -78,6 +79,7 @@
             runs: 0,
             not_before: None,
             avoid: None,
+            last_server: None,
             task: None,
         }
     }
--- a/crates/jobs/src/preempt.rs
+++ b/crates/jobs/src/preempt.rs
@@ -7,6 +7,7 @@
 
 use dappleyard_cluster::node_number;
 
+use crate::order::rank;
 use crate::owned::{OwnedJob, Progress};
 use crate::runner::Runner;
 
@@ -17,7 +18,7 @@
 struct Running {
     job: Rc<OwnedJob>,
     index: usize,
-    due_ms: u64,
+    rank: (bool, u64),
 }
 
 /// Pauses this node's share of the items that stand in the way of online work.
@@ -29,8 +30,8 @@
         };
         let load = runner.node.loads.summary(&server);
         let count = runner.node.loads.pause_share(&server, slots, own);
-        // The job that is due last waits first.
-        running.sort_by_key(|item| std::cmp::Reverse(item.due_ms));
+        // The item whose turn comes last waits first.
+        running.sort_by_key(|item| std::cmp::Reverse(item.rank));
         for item in running.into_iter().take(count as usize) {
             pause(runner, &server, &item, load.online, load.batch);
         }
@@ -39,17 +40,19 @@
 
 fn running_by_server(runner: &Runner) -> HashMap<String, Vec<Running>> {
     let mut servers: HashMap<String, Vec<Running>> = HashMap::new();
+    let now_ms = runner.table.now_ms().unwrap_or(0);
     for job in runner.owned.borrow().values() {
         let state = job.state.borrow();
         for (index, item) in state.items.iter().enumerate() {
             if let Some(run) = &item.task {
+                let needs_ms = runner.estimate.get().remaining_ms(item.events);
                 servers
                     .entry(run.server.clone())
                     .or_default()
                     .push(Running {
                         job: job.clone(),
                         index,
-                        due_ms: state.row.due_ms,
+                        rank: rank(state.row.due_ms, needs_ms, now_ms),
                     });
             }
         }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -48,7 +48,16 @@
     route: Route,
     work: InFlight,
 ) {
+    let started = Instant::now();
+    let events = job.state.borrow().items[index].events;
     let end = run(&runner, &job, index, &server, work).await;
+    let now_events = job.state.borrow().items[index].events;
+    let mut estimate = runner.estimate.get();
+    estimate.note_run(now_events - events, started.elapsed().as_millis() as u64);
+    if matches!(end, RunEnd::Whole) {
+        estimate.note_events(now_events);
+    }
+    runner.estimate.set(estimate);
     note_end(&runner, &job, index, &server, &route, end);
     runner.wake.notify_one();
 }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -8,7 +8,9 @@
 
 use dappleyard_cluster::PeerStatus;
 use dappleyard_ingress::{Metrics, Node, Upstreams};
-use dappleyard_model::{RouteKind, RowKey, RowStore, ServerRecord, StoreError, Transaction};
+use dappleyard_model::{
+    Configuration, Route, RouteKind, RowKey, RowStore, ServerRecord, StoreError, Transaction,
+};
 use prost::Message;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
@@ -18,6 +20,7 @@
     ITEMS_TABLE, PARTIALS_TABLE, RESULTS_TABLE, job_key, partition, range_end, range_start,
 };
 use crate::messages::{JobRow, StoredPartial};
+use crate::order::{RunEstimate, rank};
 use crate::owned::{Item, OwnedJob, Progress, Run, commit_results};
 use crate::preempt::preempt;
 use crate::read::{assemble, read_items, retry};
@@ -35,6 +38,16 @@
 /// Rows removed by one transaction.
 const CLEANING_ROWS: usize = 90;
 
+/// An item that waits for its turn.
+struct Turn {
+    job: Rc<OwnedJob>,
+    index: usize,
+    route: Route,
+    rank: (bool, u64),
+    avoid: Option<String>,
+    last: Option<String>,
+}
+
 /// Runs jobs on one thread.
 pub struct Runner {
     pub(crate) node: Arc<Node>,
@@ -42,6 +55,7 @@
     pub(crate) store: Rc<dyn RowStore>,
     pub(crate) upstreams: Upstreams,
     pub(crate) wake: Notify,
+    pub(crate) estimate: Cell<RunEstimate>,
     pub(crate) owned: RefCell<HashMap<String, Rc<OwnedJob>>>,
     busy: RefCell<HashSet<String>>,
     cleaned: Cell<Instant>,
@@ -62,6 +76,7 @@
             store,
             upstreams,
             wake: Notify::new(),
+            estimate: Cell::default(),
             owned: RefCell::default(),
             busy: RefCell::default(),
             cleaned: Cell::new(Instant::now()),
@@ -273,51 +288,71 @@
         }
     }
 
-    /// Starts items where servers have room, the job that is due first at first.
+    /// Starts items where servers have room, in the order of their ranks.
     fn schedule(self: &Rc<Self>) {
         let Some(configuration) = self.node.view.configuration() else {
             return;
         };
-        let mut jobs: Vec<Rc<OwnedJob>> = self.owned.borrow().values().cloned().collect();
-        jobs.sort_by_key(|job| (job.state.borrow().row.due_ms, job.job.clone()));
-        let now = Instant::now();
         let Some(now_ms) = self.table.now_ms() else {
             return;
         };
-        for job in jobs {
-            let (host, accepted_ms) = {
-                let row = &job.state.borrow().row;
-                (row.host.clone(), row.accepted_ms)
+        let jobs: Vec<Rc<OwnedJob>> = self.owned.borrow().values().cloned().collect();
+        let mut waiting: Vec<Turn> = jobs
+            .iter()
+            .flat_map(|job| self.turns(job, &configuration, now_ms))
+            .collect();
+        waiting.sort_by(|a, b| (a.rank, &a.job.job, a.index).cmp(&(b.rank, &b.job.job, b.index)));
+        for turn in waiting {
+            let service = turn.route.pick_service(rand::random()).unwrap_or_default();
+            let Some(server) = self.pick(service, &turn) else {
+                break;
             };
-            let waiting: Vec<usize> = {
-                let state = job.state.borrow();
-                let items = state.items.iter().enumerate();
-                items
-                    .filter(|(_, item)| item.progress == Progress::Waiting)
-                    .filter(|(_, item)| item.not_before.is_none_or(|at| at <= now))
-                    .map(|(index, _)| index)
-                    .collect()
+            self.start(&turn.job, turn.index, server, turn.route);
+        }
+    }
+
+    /// The items of a job that wait; those whose time or route is over are given up.
+    fn turns(&self, job: &Rc<OwnedJob>, configuration: &Configuration, now_ms: u64) -> Vec<Turn> {
+        let now = Instant::now();
+        let mut turns = Vec::new();
+        let mut over = None;
+        let state = job.state.borrow();
+        for (index, item) in state.items.iter().enumerate() {
+            if item.progress == Progress::Finished {
+                continue;
+            }
+            let route = configuration
+                .route(&state.row.host, &item.stored.path)
+                .filter(|route| route.kind == RouteKind::Batch);
+            let Some(route) = route else {
+                over = Some("the route is gone");
+                break;
             };
-            for index in waiting {
-                let path = job.state.borrow().items[index].stored.path.clone();
-                let route = configuration
-                    .route(&host, &path)
-                    .filter(|route| route.kind == RouteKind::Batch);
-                let Some(route) = route else {
-                    give_up(self, &job, "the route is gone");
-                    break;
-                };
-                if is_over(accepted_ms, route.max_wait_s, now_ms) {
-                    give_up(self, &job, "the time is over");
-                    break;
-                }
-                let avoid = job.state.borrow().items[index].avoid.clone();
-                let service = route.pick_service(rand::random()).unwrap_or_default();
-                let Some(server) = self.pick(service, avoid.as_deref()) else {
-                    break;
-                };
-                self.start(&job, index, server, route.clone());
+            if is_over(state.row.accepted_ms, route.max_wait_s, now_ms) {
+                over = Some("the time is over");
+                break;
+            }
+            let resting = item.not_before.is_some_and(|at| at > now);
+            if item.progress == Progress::Running || resting {
+                continue;
+            }
+            let needs_ms = self.estimate.get().remaining_ms(item.events);
+            turns.push(Turn {
+                job: job.clone(),
+                index,
+                route: route.clone(),
+                rank: rank(state.row.due_ms, needs_ms, now_ms),
+                avoid: item.avoid.clone(),
+                last: item.last_server.clone(),
+            });
+        }
+        drop(state);
+        match over {
+            Some(cause) => {
+                give_up(self, job, cause);
+                Vec::new()
             }
+            None => turns,
         }
     }
 
@@ -326,7 +361,7 @@
         job: &Rc<OwnedJob>,
         index: usize,
         server: Arc<ServerRecord>,
-        route: dappleyard_model::Route,
+        route: Route,
     ) {
         let id = server.id.clone();
         let work = {
@@ -334,6 +369,7 @@
             let host = state.row.host.clone();
             let item = &mut state.items[index];
             item.progress = Progress::Running;
+            item.last_server = Some(server.id.clone());
             begin_work(self, &item.stored, &host, &server)
         };
         let run = run_item(self.clone(), job.clone(), index, server, route, work);
@@ -346,11 +382,11 @@
         self.node.view.server(server).map(|server| server.slots)
     }
 
-    fn pick(&self, service: &str, avoid: Option<&str>) -> Option<Arc<ServerRecord>> {
+    fn pick(&self, service: &str, turn: &Turn) -> Option<Arc<ServerRecord>> {
         let servers = self.node.view.servers(service);
         let rooms: Vec<ServerRoom<'_>> = servers
             .iter()
-            .filter(|server| servers.len() == 1 || avoid != Some(server.id.as_str()))
+            .filter(|server| servers.len() == 1 || turn.avoid.as_ref() != Some(&server.id))
             .map(|server| ServerRoom {
                 id: &server.id,
                 zone: &server.zone,
@@ -359,7 +395,7 @@
             })
             .collect();
         let settings = &self.node.settings;
-        let chosen = pick_server(&rooms, &settings.name, &settings.zone)?.id;
+        let chosen = pick_server(&rooms, &settings.name, &settings.zone, turn.last.as_deref())?.id;
         servers.iter().find(|server| server.id == chosen).cloned()
     }
 
--- a/crates/jobs/src/width.rs
+++ b/crates/jobs/src/width.rs
@@ -3,16 +3,15 @@
 use dappleyard_cluster::LoadSummary;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Slots that stay free beyond the most online work seen lately.
-const SPARE_SLOTS: u32 = 2;
-/// Batch items that a server takes however busy it is online.
-const LEAST_WIDTH: u32 = 3;
-/// Slots that batch work never takes.
-const ONLINE_SLOTS: u32 = 3;
+/// Slots that stay free for the next online request. More would idle: items that are in the way
+/// of a burst are paused at once.
+const SPARE_SLOTS: u32 = 1;
 /// Unread prompt tokens above which no further item begins at a server.
 const UNREAD_TOKENS: u32 = 4_000;
 /// Weight of a server in another zone.
 const OTHER_ZONE: f64 = 3.0;
+/// Weight of the server where the item ran last: it may keep the prompt.
+const SAME_SERVER: f64 = -2.0;
 /// Spread between nodes that see the same loads.
 const SPREAD: f64 = 2.0;
 
@@ -34,27 +33,24 @@
     if load.suspect || load.unread_tokens > UNREAD_TOKENS {
         return 0;
     }
-    let most = slots.saturating_sub(ONLINE_SLOTS).max(1);
-    let width = slots
-        .saturating_sub(load.online_peak.max(load.online) + SPARE_SLOTS)
-        .clamp(LEAST_WIDTH.min(most), most);
-    let free = slots.saturating_sub(load.online + load.batch + 1);
-    width.saturating_sub(load.batch).min(free)
+    slots.saturating_sub(load.online + load.batch + SPARE_SLOTS)
 }
 
-/// The server for the next item; `node` and `zone` are those of the caller.
+/// The server for the next item; `node` and `zone` are those of the caller, and `last` is the
+/// server where the item ran last.
 pub fn pick_server<'a>(
     servers: &'a [ServerRoom<'a>],
     node: &str,
     zone: &str,
+    last: Option<&str>,
 ) -> Option<&'a ServerRoom<'a>> {
     servers
         .iter()
         .filter(|server| room(server.slots, &server.load) > 0)
-        .min_by(|a, b| weight(a, node, zone).total_cmp(&weight(b, node, zone)))
+        .min_by(|a, b| weight(a, node, zone, last).total_cmp(&weight(b, node, zone, last)))
 }
 
-fn weight(server: &ServerRoom<'_>, node: &str, zone: &str) -> f64 {
+fn weight(server: &ServerRoom<'_>, node: &str, zone: &str, last: Option<&str>) -> f64 {
     let work = f64::from(server.load.online + server.load.batch);
     let away = match server.zone == zone {
         true => 0.0,
@@ -63,5 +59,9 @@
     let mut bytes = node.as_bytes().to_vec();
     bytes.extend_from_slice(server.id.as_bytes());
     let spread = xxh3_64(&bytes) as f64 / u64::MAX as f64 * SPREAD;
-    work + away + spread + server.load.excess_ms / 20.0
+    let same = match last == Some(server.id) {
+        true => SAME_SERVER,
+        false => 0.0,
+    };
+    work + away + same + spread + server.load.excess_ms / 20.0
 }
