--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use prost::Message;
 use rand::seq::IndexedRandom;
@@ -12,6 +12,7 @@
 use crate::messages::Heartbeat;
 use crate::peers::PeerTable;
 use crate::view::View;
+use tokio::time::Instant;
 
 /// Time between heartbeats to nodes of the own zone.
 const NEAR_PERIOD: Duration = Duration::from_millis(150);
--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dappleyard_model::ServerRecord;
 use parking_lot::Mutex;
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::messages::LoadEntry;
+use tokio::time::Instant;
 
 /// Heartbeats older than this tell nothing.
 const HEARTBEAT_LIFE: Duration = Duration::from_millis(1500);
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dappleyard_model::{EventLog, Row};
 use parking_lot::Mutex;
@@ -12,6 +12,7 @@
 
 use crate::follow::TableSink;
 use crate::messages::{Heartbeat, NodeRow};
+use tokio::time::Instant;
 
 /// Table of the nodes' rows.
 pub const NODES_TABLE: &str = "nodes";
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -2,13 +2,14 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dappleyard_model::{Configuration, Dialect, EventLog, Row, ServerRecord};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
 use crate::follow::TableSink;
+use tokio::time::Instant;
 
 #[derive(Default)]
 struct Known {
--- /dev/null
+++ b/crates/cluster/tests/pure.rs
@@ -0,0 +1,73 @@
+//! Shares of paused items, loads over nodes, and the directory.
+
+use std::sync::Arc;
+
+use dappleyard_cluster::directory::addresses_for;
+use dappleyard_cluster::{LoadTable, WorkKind, node_number};
+use dappleyard_model::ServerRecord;
+use googletest::prelude::*;
+
+fn server() -> ServerRecord {
+    ServerRecord {
+        id: "i-1".to_owned(),
+        service: "llm".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "north".to_owned(),
+        slots: 8,
+        draining: false,
+        cold_left_ms: 0,
+    }
+}
+
+#[gtest]
+fn work_is_counted_while_it_is_under_way() {
+    let table = Arc::new(LoadTable::default());
+    let mut online = table.begin(&server(), WorkKind::Online, 500);
+    let batch = table.begin(&server(), WorkKind::Batch, 1_000);
+    let load = table.summary("i-1");
+    expect_that!(
+        (load.online, load.batch, load.unread_tokens),
+        eq((1, 1, 1_500))
+    );
+    online.prompt_read();
+    expect_that!(table.summary("i-1").unread_tokens, eq(1_000));
+    drop(batch);
+    drop(online);
+    let load = table.summary("i-1");
+    expect_that!((load.online, load.batch, load.unread_tokens), eq((0, 0, 0)));
+}
+
+#[gtest]
+fn a_node_pauses_only_what_is_over_the_slots_and_their_tolerance() {
+    let table = Arc::new(LoadTable::default());
+    let _batch: Vec<_> = (0..6)
+        .map(|_| table.begin(&server(), WorkKind::Batch, 0))
+        .collect();
+    let own = node_number("a");
+    let mut online = Vec::new();
+    for (count, expected) in [(2, 0), (3, 0), (4, 1), (7, 4), (20, 6)] {
+        while online.len() < count {
+            online.push(table.begin(&server(), WorkKind::Online, 0));
+        }
+        expect_that!(
+            table.pause_share("i-1", 8, own),
+            eq(expected),
+            "{count} online"
+        );
+    }
+}
+
+#[gtest]
+fn callers_go_to_their_zone_or_anywhere_when_it_has_no_node() {
+    let ready: Vec<(String, String)> = [("a", "north"), ("b", "north"), ("c", "south")]
+        .map(|(address, zone)| (address.to_owned(), zone.to_owned()))
+        .to_vec();
+    expect_that!(addresses_for(Some("north"), &ready), eq(&["a", "b"]));
+    expect_that!(addresses_for(Some("south"), &ready), eq(&["c"]));
+    expect_that!(addresses_for(Some("west"), &ready), eq(&["a", "b", "c"]));
+    expect_that!(addresses_for(None, &ready), eq(&["a", "b", "c"]));
+    let many: Vec<(String, String)> = (0..100)
+        .map(|number| (format!("{number:03}"), "north".to_owned()))
+        .collect();
+    expect_that!(addresses_for(Some("north"), &many).len(), eq(64));
+}
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpServer};
@@ -18,6 +18,7 @@
 use parking_lot::Mutex;
 
 use super::registration;
+use tokio::time::Instant;
 
 /// Time that a caller's connection may rest; the operators' limit is never above it.
 const KEEP_ALIVE: Duration = Duration::from_secs(120);
--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dappleyard_platform::read_settings;
 use tokio::signal::unix::{SignalKind, signal};
@@ -11,6 +11,7 @@
 use super::assembly::Running;
 use super::registration;
 use crate::failure::Failure;
+use tokio::time::Instant;
 
 /// Shortest time that a stopping node goes on taking requests: callers that were told of it
 /// before may come until their directory answers run out.
--- /dev/null
+++ b/crates/emulator/src/server.rs
@@ -0,0 +1,200 @@
+//! A model server on loopback that answers as a script says, byte for byte.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// One step of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// Sends bytes; `{id}` stands for the identifier of the request.
+    Send(String),
+    /// Waits.
+    Pause(Duration),
+    /// Says nothing until the peer leaves.
+    Hang,
+    /// Closes the connection.
+    Close,
+}
+
+/// What a server saw.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Seen {
+    /// A whole request: its head, and its body.
+    Request(String, Vec<u8>),
+    /// The peer left while the server was at work.
+    Left,
+}
+
+#[derive(Default)]
+struct State {
+    script: VecDeque<Vec<Reply>>,
+    otherwise: Vec<Reply>,
+    seen: Vec<Seen>,
+    connections: u64,
+}
+
+/// A scripted server.
+#[derive(Clone)]
+pub struct EmulatedServer {
+    address: SocketAddr,
+    id_header: String,
+    state: Arc<Mutex<State>>,
+}
+
+/// Bytes of events numbered from `from` to `to`, data `token-N`.
+pub fn numbered_events(from: u64, to: u64) -> String {
+    (from..=to).map(event_text).collect()
+}
+
+/// Bytes of one event.
+pub fn event_text(number: u64) -> String {
+    format!("id: {number}\ndata: token-{number}\n\n")
+}
+
+impl EmulatedServer {
+    /// Starts a server on a port of the operating system's choice; `id_header` names the header
+    /// with the identifier of a request.
+    pub async fn start(id_header: &str) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let server = Self {
+            address: listener.local_addr()?,
+            id_header: id_header.to_ascii_lowercase(),
+            state: Arc::default(),
+        };
+        let accepting = server.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                accepting.state.lock().connections += 1;
+                let server = accepting.clone();
+                tokio::task::spawn_local(async move {
+                    // A peer that leaves ends the connection.
+                    let _ = server.serve(stream).await;
+                });
+            }
+        });
+        Ok(server)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The next request is answered so.
+    pub fn next(&self, reply: Vec<Reply>) {
+        self.state.lock().script.push_back(reply);
+    }
+
+    /// Requests without a script of their own are answered so.
+    pub fn otherwise(&self, reply: Vec<Reply>) {
+        self.state.lock().otherwise = reply;
+    }
+
+    /// What the server saw.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.state.lock().seen.clone()
+    }
+
+    /// Number of requests seen.
+    pub fn requests(&self) -> usize {
+        let state = self.state.lock();
+        let requests = state.seen.iter();
+        requests
+            .filter(|seen| matches!(seen, Seen::Request(..)))
+            .count()
+    }
+
+    /// Number of connections taken.
+    pub fn connections(&self) -> u64 {
+        self.state.lock().connections
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let mut buffer = Vec::new();
+        loop {
+            let Some((head, body)) = read_request(&mut stream, &mut buffer).await? else {
+                return Ok(());
+            };
+            let id = header(&head, &self.id_header).unwrap_or_default();
+            let reply = {
+                let mut state = self.state.lock();
+                state.seen.push(Seen::Request(head, body));
+                let next = state.script.pop_front();
+                next.unwrap_or_else(|| state.otherwise.clone())
+            };
+            for step in reply {
+                match step {
+                    Reply::Send(text) => {
+                        stream
+                            .write_all(text.replace("{id}", &id).as_bytes())
+                            .await?;
+                    }
+                    Reply::Pause(time) => {
+                        if self.left_within(&mut stream, time).await {
+                            return Ok(());
+                        }
+                    }
+                    Reply::Hang => {
+                        self.left_within(&mut stream, Duration::from_secs(3600))
+                            .await;
+                        return Ok(());
+                    }
+                    Reply::Close => return stream.shutdown().await,
+                }
+            }
+        }
+    }
+
+    async fn left_within(&self, stream: &mut TcpStream, time: Duration) -> bool {
+        let mut byte = [0_u8; 1];
+        match tokio::time::timeout(time, stream.read(&mut byte)).await {
+            Ok(Ok(0) | Err(_)) => {
+                self.state.lock().seen.push(Seen::Left);
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> std::io::Result<Option<(String, Vec<u8>)>> {
+    loop {
+        let end = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        if let Some(end) = end {
+            let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+            let length = header(&head, "content-length")
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0);
+            if buffer.len() >= end + 4 + length {
+                let rest = buffer.split_off(end + 4 + length);
+                let body = buffer[end + 4..].to_vec();
+                *buffer = rest;
+                return Ok(Some((head, body)));
+            }
+        }
+        let mut piece = [0_u8; 4096];
+        let length = stream.read(&mut piece).await?;
+        if length == 0 {
+            return Ok(None);
+        }
+        buffer.extend_from_slice(&piece[..length]);
+    }
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found
+            .eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_owned())
+    })
+}
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use dappleyard_model::{AnswerFacts, ServerRecord, ServerStamp};
@@ -19,6 +19,7 @@
 
 use crate::metrics::Metrics;
 use crate::node::Node;
+use tokio::time::Instant;
 
 /// Time for a connection to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use dappleyard_cluster::{InFlight, WorkKind};
@@ -13,6 +13,7 @@
 use crate::metrics::Metrics;
 use crate::outcome::ErrorKind;
 use crate::placement::{Candidate, PromptShape, choose, home};
+use tokio::time::Instant;
 
 /// Silence of a server after which a request that may be repeated goes to another one.
 const SERVER_PATIENCE: Duration = Duration::from_millis(900);
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_web::http::header::CONTENT_TYPE;
 use actix_web::{HttpRequest, HttpResponse, web};
@@ -20,6 +20,7 @@
 use crate::outcome::ErrorKind;
 use crate::placement::PromptShape;
 use crate::relay;
+use tokio::time::Instant;
 
 /// Longest time that a request without a deadline is held.
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dappleyard_cluster::{LoadTable, PeerTable, View, directory};
 use dappleyard_model::{Dialect, EventLog, NodeSettings};
 use parking_lot::Mutex;
 
 use crate::metrics::Metrics;
+use tokio::time::Instant;
 
 /// Time for which callers may use a directory answer.
 const DIRECTORY_TTL_MS: u64 = 1_500;
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -1,6 +1,6 @@
 //! Passes an answer on as it comes, and takes a broken stream up at another server.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -11,6 +11,7 @@
 use crate::event_stream::EventSplitter;
 use crate::metrics::Metrics;
 use crate::node::UnderWay;
+use tokio::time::Instant;
 
 /// Silence of a server after which a stream is taken up elsewhere.
 const STREAM_PATIENCE: Duration = Duration::from_millis(900);
@@ -37,6 +38,8 @@
                 Ok(Some(piece)) => yield Ok(piece),
                 Ok(None) => break,
                 Err(cut) => {
+                    // What was passed on before is flushed first.
+                    tokio::task::yield_now().await;
                     yield Err(cut);
                     break;
                 }
--- /dev/null
+++ b/crates/ingress/tests/pure.rs
@@ -0,0 +1,146 @@
+//! Events, placement and the table of answers.
+
+use std::sync::Arc;
+
+use dappleyard_cluster::LoadSummary;
+use dappleyard_ingress::{Candidate, ErrorKind, EventSplitter, PromptShape, choose, home};
+use dappleyard_model::{PromptPart, ServerRecord};
+use googletest::prelude::*;
+
+fn server(id: &str, zone: &str) -> Arc<ServerRecord> {
+    Arc::new(ServerRecord {
+        id: id.to_owned(),
+        service: "llm".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zone.to_owned(),
+        slots: 4,
+        draining: false,
+        cold_left_ms: 0,
+    })
+}
+
+fn candidate(id: &str, zone: &str, load: LoadSummary) -> Candidate {
+    Candidate {
+        server: server(id, zone),
+        load,
+    }
+}
+
+#[gtest]
+fn events_are_whole_however_their_bytes_come() {
+    let bytes =
+        b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nversion: 3\nid: 3\ndata: c\ndata: d\n\ntail";
+    for size in 1..bytes.len() {
+        let mut splitter = EventSplitter::default();
+        let mut ids = Vec::new();
+        let mut data = Vec::new();
+        let mut passed = Vec::new();
+        for piece in bytes.chunks(size) {
+            splitter.push(piece);
+            while let Some(event) = splitter.next_event() {
+                ids.push(event.id);
+                data.push(event.data());
+                passed.extend_from_slice(&event.bytes);
+            }
+        }
+        expect_that!(ids, eq(&[Some(1), Some(2), Some(3)]), "pieces of {size}");
+        expect_that!(data[2], some(eq("c\nd")));
+        passed.extend_from_slice(&splitter.rest());
+        expect_that!(passed, eq(bytes));
+    }
+}
+
+#[gtest]
+fn the_least_loaded_server_of_the_zone_is_chosen() {
+    let busy = LoadSummary {
+        online: 3,
+        ..Default::default()
+    };
+    let candidates = [
+        candidate("far", "south", LoadSummary::default()),
+        candidate("busy", "north", busy),
+        candidate("free", "north", LoadSummary::default()),
+    ];
+    let chosen = choose(&candidates, "north", None).map(|chosen| chosen.server.id.clone());
+    expect_that!(chosen, some(eq("free")));
+}
+
+#[gtest]
+fn a_zone_without_room_sends_its_requests_elsewhere() {
+    let full = LoadSummary {
+        online: 8,
+        ..Default::default()
+    };
+    let candidates = [
+        candidate("near", "north", full),
+        candidate("far", "south", LoadSummary::default()),
+    ];
+    let chosen = choose(&candidates, "north", None).map(|chosen| chosen.server.id.clone());
+    expect_that!(chosen, some(eq("far")));
+}
+
+#[gtest]
+fn a_suspect_server_is_chosen_only_when_there_is_no_other() {
+    let suspect = LoadSummary {
+        suspect: true,
+        ..Default::default()
+    };
+    let full = LoadSummary {
+        online: 12,
+        ..Default::default()
+    };
+    let both = [
+        candidate("suspect", "north", suspect),
+        candidate("full", "south", full),
+    ];
+    let chosen = choose(&both, "north", None).map(|chosen| chosen.server.id.clone());
+    expect_that!(chosen, some(eq("full")));
+    let chosen = choose(&both[..1], "north", None).map(|chosen| chosen.server.id.clone());
+    expect_that!(chosen, some(eq("suspect")));
+}
+
+#[gtest]
+fn long_shared_prompts_have_a_home_that_moves_little_when_a_server_goes() {
+    let part = |id, tokens| PromptPart { id, tokens };
+    let short = PromptShape::new(&[part(1, 150), part(2, 400)], 550);
+    expect_that!(short.shared, none());
+    let servers: Vec<_> = (0..12)
+        .map(|n| server(&format!("i-{n}"), "north"))
+        .collect();
+    let mut moved = 0;
+    for key in 0..200 {
+        let shape = PromptShape::new(&[part(key, 2_500), part(9, 400)], 2_900);
+        expect_that!((shape.unread(true), shape.unread(false)), eq((400, 2_900)));
+        let shared = shape.shared.expect("a long shared part");
+        let before = home(&servers, shared).expect("a home").id.clone();
+        let after = home(&servers[1..], shared).expect("a home").id.clone();
+        moved += usize::from(before != after && before != "i-0");
+    }
+    expect_that!(moved, eq(0));
+}
+
+#[gtest]
+fn only_answers_that_promise_not_run_name_a_time_to_come_back() {
+    let kinds = [
+        ErrorKind::NotReady,
+        ErrorKind::NoRoute,
+        ErrorKind::NoRequestId,
+        ErrorKind::Malformed,
+        ErrorKind::BodyTooLong,
+        ErrorKind::NoServer,
+        ErrorKind::ExpiredBeforeRun,
+        ErrorKind::Expired,
+        ErrorKind::ServerFailed,
+        ErrorKind::StoreUnavailable,
+        ErrorKind::StoreInDoubt,
+        ErrorKind::QuotaExceeded,
+        ErrorKind::NoJob,
+    ];
+    for kind in kinds {
+        let promises = matches!(kind.status(), 429 | 503);
+        expect_that!(kind.retry_after_ms().is_some(), eq(promises), "{kind}");
+    }
+    expect_that!(ErrorKind::ServerFailed.status(), eq(502));
+    expect_that!(ErrorKind::StoreInDoubt.status(), eq(500));
+    expect_that!(ErrorKind::Expired.status(), eq(504));
+}
--- a/crates/jobs/src/accept.rs
+++ b/crates/jobs/src/accept.rs
@@ -1,6 +1,6 @@
 //! Takes a job: durable before it is accepted, and taken once however often it is sent.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use dappleyard_ingress::{ErrorKind, JobReply, Metrics};
@@ -10,6 +10,7 @@
 use crate::calls::NodeJobs;
 use crate::keys::{CHUNK_BYTES, items_key, job_key, quota_key};
 use crate::messages::{ItemsBlob, JobRow, StoredItem};
+use tokio::time::Instant;
 
 /// Time for which a submission is tried.
 const TRY_LIMIT: Duration = Duration::from_millis(1_500);
--- a/crates/jobs/src/end.rs
+++ b/crates/jobs/src/end.rs
@@ -1,6 +1,6 @@
 //! Ends a job at its caller's wish.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dappleyard_ingress::{ErrorKind, JobReply};
 use dappleyard_model::{StoreError, Transaction};
@@ -9,6 +9,7 @@
 use crate::calls::{NodeJobs, unsure};
 use crate::keys::job_key;
 use crate::messages::{JobRow, JobState};
+use tokio::time::Instant;
 
 /// Time for which an end is tried.
 const TRY_LIMIT: Duration = Duration::from_millis(2_500);
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use dappleyard_model::{Row, StoreError, Transaction};
@@ -11,6 +11,7 @@
 use crate::keys::{CHUNK_BYTES, job_key, result_key};
 use crate::messages::{JobRow, JobState, StoredItem, StoredResult};
 use crate::runner::Runner;
+use tokio::time::Instant;
 
 /// Most bytes of results in one commit.
 const COMMIT_BYTES: usize = 500_000;
--- a/crates/jobs/src/preempt.rs
+++ b/crates/jobs/src/preempt.rs
@@ -3,13 +3,14 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dappleyard_cluster::node_number;
 
 use crate::order::rank;
 use crate::owned::{OwnedJob, Progress};
 use crate::runner::Runner;
+use tokio::time::Instant;
 
 /// Time before a paused item is sent again.
 const PAUSE: Duration = Duration::from_millis(300);
--- a/crates/jobs/src/read.rs
+++ b/crates/jobs/src/read.rs
@@ -1,7 +1,7 @@
 //! Reads results and items.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use dappleyard_ingress::{ErrorKind, JobReply};
@@ -11,6 +11,7 @@
 use crate::calls::{NodeJobs, unsure};
 use crate::keys::{ITEMS_TABLE, RESULTS_TABLE, partition, range_end, range_from, range_start};
 use crate::messages::{ItemsBlob, JobState, StoredItem, StoredResult};
+use tokio::time::Instant;
 
 /// Rows read by one call.
 const PAGE_ROWS: usize = 400;
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dappleyard_cluster::{InFlight, WorkKind};
 use dappleyard_ingress::{Attempt, AttemptError, EventSplitter, Exchange, Metrics, Ran};
@@ -13,6 +13,7 @@
 use crate::messages::StoredItem;
 use crate::owned::{Item, OwnedJob, Progress};
 use crate::runner::Runner;
+use tokio::time::Instant;
 
 /// Silence of a server after which an item goes to another one.
 const SERVER_PATIENCE: Duration = Duration::from_millis(1_500);
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dappleyard_cluster::PeerStatus;
 use dappleyard_ingress::{Metrics, Node, Upstreams};
@@ -28,6 +28,7 @@
 use crate::run::{begin_work, run_item};
 use crate::table::{JobTable, Known};
 use crate::width::{ServerRoom, pick_server};
+use tokio::time::Instant;
 
 /// Longest time between two looks at the jobs.
 const TICK: Duration = Duration::from_millis(100);
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dappleyard_cluster::TableSink;
 use dappleyard_model::Row;
@@ -12,6 +12,7 @@
 
 use crate::keys::JOBS_TABLE;
 use crate::messages::{JobRow, StoredItem};
+use tokio::time::Instant;
 
 /// Age of the last answer of the store from which the table may be out of date.
 const FRESH: Duration = Duration::from_millis(2_800);
--- /dev/null
+++ b/crates/jobs/tests/pure.rs
@@ -0,0 +1,105 @@
+//! Room for batch work, the order of items, and the bits of listed items.
+
+use dappleyard_cluster::LoadSummary;
+use dappleyard_jobs::{JobRow, RunEstimate, ServerRoom, pick_server, rank, room};
+use googletest::prelude::*;
+
+fn load(online: u32, batch: u32) -> LoadSummary {
+    LoadSummary {
+        online,
+        batch,
+        ..Default::default()
+    }
+}
+
+#[gtest]
+fn batch_work_takes_what_online_work_leaves_but_one_slot() {
+    for (online, batch, expected) in [
+        (0, 0, 11),
+        (0, 11, 0),
+        (5, 2, 4),
+        (11, 0, 0),
+        (12, 9, 0),
+        (20, 0, 0),
+    ] {
+        expect_that!(
+            room(12, &load(online, batch)),
+            eq(expected),
+            "{online} {batch}"
+        );
+    }
+}
+
+#[gtest]
+fn a_server_that_is_suspect_or_has_much_to_read_takes_no_item() {
+    let suspect = LoadSummary {
+        suspect: true,
+        ..Default::default()
+    };
+    let reading = LoadSummary {
+        unread_tokens: 9_000,
+        ..Default::default()
+    };
+    expect_that!((room(12, &suspect), room(12, &reading)), eq((0, 0)));
+}
+
+#[gtest]
+fn an_item_goes_back_to_its_server_unless_that_one_is_busier() {
+    let server = |id, online| ServerRoom {
+        id,
+        zone: "north",
+        slots: 12,
+        load: load(online, 0),
+    };
+    let servers = [server("a", 0), server("b", 0)];
+    for last in ["a", "b"] {
+        let chosen = pick_server(&servers, "node", "north", Some(last)).map(|room| room.id);
+        expect_that!(chosen, some(eq(last)));
+    }
+    let servers = [server("a", 9), server("b", 0)];
+    let chosen = pick_server(&servers, "node", "north", Some("a")).map(|room| room.id);
+    expect_that!(chosen, some(eq("b")));
+    let servers = [server("a", 11), server("b", 12)];
+    expect_that!(
+        pick_server(&servers, "node", "north", None).is_none(),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn items_that_can_be_in_time_go_before_those_that_cannot() {
+    let mut ranks = [
+        rank(9_000, 2_000, 10_000),
+        rank(15_000, 2_000, 10_000),
+        rank(12_500, 2_000, 10_000),
+    ];
+    ranks.sort_unstable();
+    let due: Vec<u64> = ranks.iter().map(|rank| rank.1).collect();
+    expect_that!(due, eq(&[12_500, 15_000, 9_000]));
+}
+
+#[gtest]
+fn the_estimate_follows_what_runs_took() {
+    let mut estimate = RunEstimate::default();
+    for _ in 0..200 {
+        estimate.note_events(100);
+        estimate.note_run(100, 1_000);
+    }
+    let near = |ms: u64, expected: u64| ms.abs_diff(expected) <= 5;
+    expect_that!(near(estimate.remaining_ms(0), 1_000), eq(true));
+    expect_that!(near(estimate.remaining_ms(60), 400), eq(true));
+    // An item that goes on for longer than others still needs some time.
+    expect_that!(estimate.remaining_ms(150), ge(50));
+    estimate.note_run(0, 5_000);
+    expect_that!(near(estimate.remaining_ms(0), 1_000), eq(true));
+}
+
+#[gtest]
+fn listed_items_are_told_apart() {
+    let mut row = JobRow::default();
+    for item in [0, 9, 199] {
+        row.listed_items = row.with_listed(item);
+    }
+    let listed: Vec<usize> = (0..300).filter(|item| row.is_listed(*item)).collect();
+    expect_that!(listed, eq(&[0, 9, 199]));
+}
--- a/crates/sidecar/src/error.rs
+++ b/crates/sidecar/src/error.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 /// Header that carries the request id of each answer.
-pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-dappleyard-request-id");
+pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 /// Header that carries the model version of each generation.
 pub const VERSION_HEADER: HeaderName = HeaderName::from_static("x-dappleyard-version");
 /// Header that carries what is known of whether a failed request ran.
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
@@ -11,6 +11,7 @@
 
 use crate::body::BodyReader;
 use crate::head::{AnswerHead, take_head};
+use tokio::time::Instant;
 
 /// Room made for each read, bytes.
 const READ_BYTES: usize = 16 * 1024;
--- /dev/null
+++ b/crates/upstream/tests/exchange.rs
@@ -0,0 +1,167 @@
+//! Exchanges with servers that behave and that do not.
+
+use std::time::Duration;
+
+use dappleyard_emulator::{EmulatedServer, Reply};
+use dappleyard_upstream::{Connection, IdleLimit, Pool, Stage};
+use googletest::prelude::*;
+
+const REQUEST: &[u8] = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi";
+const LIMIT: usize = 1 << 16;
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+async fn open(server: &EmulatedServer) -> Connection {
+    Connection::open(server.address(), Duration::from_secs(2))
+        .await
+        .expect("a connection")
+}
+
+fn send(text: &str) -> Reply {
+    Reply::Send(text.to_owned())
+}
+
+fn with_server<F: Future<Output = ()>>(test: impl FnOnce(EmulatedServer) -> F) {
+    actix_rt::System::new().block_on(async {
+        test(EmulatedServer::start("id").await.expect("a server")).await;
+    });
+}
+
+#[gtest]
+fn a_body_that_ends_inside_its_chunks_is_an_error() {
+    with_server(|server| async move {
+        server.next(vec![send(CHUNKED), send("3\r\nabc\r\n"), Reply::Close]);
+        let mut connection = open(&server).await;
+        expect_that!(connection.send(REQUEST).await.is_ok(), eq(true));
+        expect_that!(
+            connection.next_piece().await.ok().flatten(),
+            some(eq("abc"))
+        );
+        let error = connection.next_piece().await.expect_err("a cut");
+        expect_that!(error.stage, eq(Stage::Body));
+    });
+}
+
+#[gtest]
+fn a_body_that_is_shorter_than_its_length_is_an_error() {
+    with_server(|server| async move {
+        server.next(vec![
+            send("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc"),
+            Reply::Close,
+        ]);
+        let mut connection = open(&server).await;
+        expect_that!(connection.send(REQUEST).await.is_ok(), eq(true));
+        expect_that!(connection.whole_body(LIMIT).await.is_err(), eq(true));
+    });
+}
+
+#[gtest]
+fn a_body_without_a_length_ends_with_its_connection() {
+    with_server(|server| async move {
+        server.next(vec![send("HTTP/1.1 200 OK\r\n\r\nabc"), Reply::Close]);
+        let mut connection = open(&server).await;
+        let head = connection.send(REQUEST).await.expect("a head");
+        expect_that!(head.keep_alive, eq(false));
+        expect_that!(connection.whole_body(LIMIT).await.ok(), some(eq("abc")));
+        expect_that!(connection.is_reusable(), eq(false));
+    });
+}
+
+#[gtest]
+fn bytes_behind_a_whole_answer_belong_to_no_request() {
+    with_server(|server| async move {
+        server.next(vec![send(
+            "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n",
+        )]);
+        let mut connection = open(&server).await;
+        expect_that!(connection.send(REQUEST).await.is_ok(), eq(true));
+        expect_that!(connection.whole_body(LIMIT).await.ok(), some(eq("abc")));
+        expect_that!(connection.is_reusable(), eq(false));
+    });
+}
+
+#[gtest]
+fn an_answer_that_comes_before_the_request_was_read_ends_the_connection() {
+    with_server(|server| async move {
+        server.next(vec![send(
+            "HTTP/1.1 413 No\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+        )]);
+        let mut connection = open(&server).await;
+        let head = connection.send(REQUEST).await.expect("a head");
+        expect_that!(head.status, eq(413));
+        expect_that!(connection.whole_body(LIMIT).await.is_ok(), eq(true));
+        expect_that!(connection.is_reusable(), eq(false));
+    });
+}
+
+#[gtest]
+fn bytes_that_are_no_answer_are_an_error() {
+    with_server(|server| async move {
+        for bytes in [
+            "nonsense\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n",
+        ] {
+            server.next(vec![send(bytes), Reply::Close]);
+            let mut connection = open(&server).await;
+            let error = connection.send(REQUEST).await.expect_err("no answer");
+            expect_that!(error.stage, eq(Stage::Head));
+        }
+        server.next(vec![send(CHUNKED), send("zz\r\n"), Reply::Close]);
+        let mut connection = open(&server).await;
+        expect_that!(connection.send(REQUEST).await.is_ok(), eq(true));
+        expect_that!(connection.whole_body(LIMIT).await.is_err(), eq(true));
+    });
+}
+
+#[gtest]
+fn a_connection_that_does_not_come_up_sent_nothing() {
+    actix_rt::System::new().block_on(async {
+        let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = port.local_addr().expect("an address");
+        drop(port);
+        let error = Connection::open(address, Duration::from_secs(1)).await;
+        expect_that!(error.expect_err("refused").stage, eq(Stage::Connect));
+    });
+}
+
+#[gtest]
+fn interim_answers_are_passed_over() {
+    with_server(|server| async move {
+        server.next(vec![
+            send("HTTP/1.1 100 Continue\r\n\r\n"),
+            send("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na"),
+        ]);
+        let mut connection = open(&server).await;
+        let head = connection.send(REQUEST).await.expect("a head");
+        expect_that!(head.status, eq(200));
+    });
+}
+
+#[gtest]
+fn a_pool_hands_out_only_connections_that_are_fit() {
+    with_server(|server| async move {
+        let limit = IdleLimit {
+            default: Duration::from_secs(5),
+            margin: Duration::from_millis(100),
+        };
+        let pool = Pool::new(limit, 4);
+        server.next(vec![send("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na")]);
+        server.next(vec![send(
+            "HTTP/1.1 200 OK\r\nkeep-alive: timeout=0\r\ncontent-length: 1\r\n\r\nb",
+        )]);
+        let mut connection = open(&server).await;
+        for expected in ["a", "b"] {
+            expect_that!(connection.send(REQUEST).await.is_ok(), eq(true));
+            expect_that!(connection.whole_body(LIMIT).await.ok(), some(eq(expected)));
+            pool.put(server.address(), connection);
+            match pool.take(server.address()) {
+                Some(taken) => connection = taken,
+                // The peer said that it closes at once.
+                None => {
+                    expect_that!(expected, eq("b"));
+                    return;
+                }
+            }
+        }
+        expect_that!("a connection past its time", eq("not handed out"));
+    });
+}
