--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -10,7 +10,7 @@
 
 use crate::loads::{LoadTable, node_number};
 use crate::messages::Heartbeat;
-use crate::peers::PeerTable;
+use crate::peers::{ALL_HEARD, PeerTable};
 use crate::view::View;
 use tokio::time::Instant;
 
@@ -20,8 +20,8 @@
 const FAR_EVERY: u32 = 3;
 /// Shortest time between heartbeats that tell of changed batch work.
 const SHORTEST_GAP: Duration = Duration::from_millis(15);
-/// Most nodes that one round of heartbeats goes to.
-const FANOUT: usize = 24;
+/// Nodes that one round of heartbeats goes to in a fleet where not every node hears every other.
+const FANOUT: usize = 6;
 /// Longest datagram.
 const DATAGRAM_BYTES: usize = 8 * 1024;
 
@@ -101,10 +101,13 @@
             .filter(|(_, near)| *near || far_too)
             .map(|(address, _)| address)
             .collect();
-        let chosen: Vec<SocketAddr> = targets
-            .choose_multiple(&mut rand::rng(), FANOUT)
-            .copied()
-            .collect();
+        let chosen: Vec<SocketAddr> = match targets.len() < ALL_HEARD {
+            true => targets,
+            false => targets
+                .choose_multiple(&mut rand::rng(), FANOUT)
+                .copied()
+                .collect(),
+        };
         let message = self.heartbeat().encode_to_vec();
         for target in chosen {
             // A datagram that is lost is made good by the next one.
@@ -124,6 +127,7 @@
             leaving: self.leaving.load(std::sync::atomic::Ordering::Relaxed),
             store_age_ms: u32::try_from(store_age.as_millis()).unwrap_or(u32::MAX),
             loads: self.loads.own_entries(),
+            heard: self.peers.heard_entries(),
         }
     }
 
@@ -134,6 +138,7 @@
         if heartbeat.name == self.settings.name || !self.peers.heard(&heartbeat) {
             return;
         }
+        self.peers.relayed(&heartbeat.heard);
         let number = node_number(&heartbeat.name);
         self.loads.set_peer(number, heartbeat.loads);
     }
--- a/crates/cluster/src/messages.rs
+++ b/crates/cluster/src/messages.rs
@@ -45,6 +45,17 @@
     pub heard_ms: u32,
 }
 
+/// When another node was last heard of.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct HeardEntry {
+    /// Hash of the node's name and life.
+    #[prost(fixed32, tag = "1")]
+    pub node: u32,
+    /// Time since its heartbeat was sent, as far as is known.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+
 /// Heartbeat of one node.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Heartbeat {
@@ -66,4 +77,7 @@
     /// Work of the sender.
     #[prost(message, repeated, tag = "6")]
     pub loads: Vec<LoadEntry>,
+    /// When some other nodes were last heard of; in fleets where not every node hears every other.
+    #[prost(message, repeated, tag = "7")]
+    pub heard: Vec<HeardEntry>,
 }
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -8,11 +8,13 @@
 use dappleyard_model::{EventLog, Row};
 use parking_lot::Mutex;
 use prost::Message;
+use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 
 use crate::follow::TableSink;
-use crate::messages::{Heartbeat, NodeRow};
+use crate::messages::{HeardEntry, Heartbeat, NodeRow};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Table of the nodes' rows.
 pub const NODES_TABLE: &str = "nodes";
@@ -20,11 +22,22 @@
 const NEAR_SILENCE: Duration = Duration::from_millis(700);
 /// Silence after which a node of another zone counts as down.
 const FAR_SILENCE: Duration = Duration::from_millis(1600);
+/// Most nodes of a fleet in which every node hears every other.
+pub(crate) const ALL_HEARD: usize = 24;
+/// Silence after which a node counts as down in a larger fleet, where heartbeats are relayed.
+const RELAYED_SILENCE: Duration = Duration::from_millis(2_500);
+/// Nodes of which one heartbeat relays when they were heard.
+const RELAYED: usize = 32;
 /// Time that a node has from the moment its row is seen to its first heartbeat.
 const FIRST_HEARTBEAT: Duration = Duration::from_millis(1600);
 /// A node that has had no answer of the store for this long can commit nothing.
 const STORE_SILENCE: Duration = Duration::from_millis(3200);
 
+/// Number that stands for one life of a node in relayed entries.
+fn life_number(name: &str, life: u64) -> u32 {
+    xxh3_64_with_seed(name.as_bytes(), life) as u32
+}
+
 /// What is believed of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerStatus {
@@ -80,7 +93,7 @@
     pub fn status(&self, name: &str, life: u64) -> PeerStatus {
         let peers = self.peers.lock();
         match peers.get(name) {
-            Some(peer) if peer.row.life == life => self.judge(peer, Instant::now()),
+            Some(peer) if peer.row.life == life => self.judge(peer, Instant::now(), peers.len()),
             _ => PeerStatus::Down,
         }
     }
@@ -92,7 +105,7 @@
         let others = peers
             .iter()
             .filter(|(name, _)| **name != self.own_name)
-            .filter(|(_, peer)| self.judge(peer, now) == PeerStatus::Ready)
+            .filter(|(_, peer)| self.judge(peer, now, peers.len()) == PeerStatus::Ready)
             .map(|(name, _)| name.clone());
         others
             .chain(own_fit.then(|| self.own_name.clone()))
@@ -106,7 +119,7 @@
         peers
             .iter()
             .filter(|(name, _)| **name != self.own_name)
-            .filter(|(_, peer)| self.judge(peer, now) == PeerStatus::Ready)
+            .filter(|(_, peer)| self.judge(peer, now, peers.len()) == PeerStatus::Ready)
             .map(|(_, peer)| (peer.row.front.clone(), peer.row.zone.clone()))
             .collect()
     }
@@ -133,7 +146,7 @@
         let others = peers
             .iter()
             .filter(|(name, _)| **name != self.own_name)
-            .filter(|(_, peer)| self.judge(peer, now) != PeerStatus::Down);
+            .filter(|(_, peer)| self.judge(peer, now, peers.len()) != PeerStatus::Down);
         others.count() + 1
     }
 
@@ -159,12 +172,58 @@
         true
     }
 
+    /// When some nodes were last heard of, for a heartbeat in a large fleet.
+    pub(crate) fn heard_entries(&self) -> Vec<HeardEntry> {
+        let now = Instant::now();
+        let peers = self.peers.lock();
+        if peers.len() <= ALL_HEARD {
+            return Vec::new();
+        }
+        let recent = peers.iter().filter_map(|(name, peer)| {
+            let age = now.duration_since(peer.heard?);
+            (age < RELAYED_SILENCE).then(|| HeardEntry {
+                node: life_number(name, peer.row.life),
+                age_ms: age.as_millis() as u32,
+            })
+        });
+        let recent: Vec<HeardEntry> = recent.collect();
+        recent
+            .choose_multiple(&mut rand::rng(), RELAYED)
+            .cloned()
+            .collect()
+    }
+
+    /// Takes over what another node has heard.
+    pub(crate) fn relayed(&self, entries: &[HeardEntry]) {
+        if entries.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        let mut peers = self.peers.lock();
+        for (name, peer) in peers.iter_mut() {
+            let number = life_number(name, peer.row.life);
+            let Some(entry) = entries.iter().find(|entry| entry.node == number) else {
+                continue;
+            };
+            let age = Duration::from_millis(u64::from(entry.age_ms));
+            let Some(heard) = now.checked_sub(age) else {
+                continue;
+            };
+            if peer.heard.is_none() {
+                // A node that others hear takes requests unless its row says otherwise.
+                peer.ready = true;
+            }
+            peer.heard = peer.heard.max(Some(heard));
+        }
+    }
+
     /// Writes a record for each node that has fallen silent since the last call.
     pub(crate) fn log_silent(&self) {
         let now = Instant::now();
         let mut peers = self.peers.lock();
+        let fleet = peers.len();
         for (name, peer) in peers.iter_mut() {
-            let down = *name != self.own_name && self.judge(peer, now) == PeerStatus::Down;
+            let down = *name != self.own_name && self.judge(peer, now, fleet) == PeerStatus::Down;
             if down && !peer.logged_down {
                 peer.logged_down = true;
                 let silent_ms = peer
@@ -178,10 +237,11 @@
         }
     }
 
-    fn judge(&self, peer: &Peer, now: Instant) -> PeerStatus {
-        let limit = match peer.row.zone == self.own_zone {
-            true => NEAR_SILENCE,
-            false => FAR_SILENCE,
+    fn judge(&self, peer: &Peer, now: Instant, fleet: usize) -> PeerStatus {
+        let limit = match (fleet > ALL_HEARD, peer.row.zone == self.own_zone) {
+            (true, _) => RELAYED_SILENCE,
+            (false, true) => NEAR_SILENCE,
+            (false, false) => FAR_SILENCE,
         };
         let alive = match peer.heard {
             Some(heard) => now.duration_since(heard) < limit,
--- a/crates/dappleyard/src/command.rs
+++ b/crates/dappleyard/src/command.rs
@@ -17,6 +17,7 @@
         .subcommand(serve())
         .subcommand(node())
         .subcommand(sidecar())
+        .subcommand(explain())
         .subcommand(check())
         .subcommand(dappleyard_ctl::command())
         .subcommand(completions())
@@ -31,6 +32,13 @@
                 .value_name("FILE")
                 .help("Settings file of the platform; the environment names it otherwise"),
         )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .value_name("PORT")
+                .value_parser(value_parser!(u16).range(1..))
+                .help("Port of counters and histograms, at /metrics; not served otherwise"),
+        )
         .arg(
             Arg::new("quiet")
                 .long("quiet")
@@ -56,6 +64,25 @@
         .after_help("Example:\n  dappleyard sidecar --listen 127.0.0.1:8080 --node 10.0.0.7:7700")
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Prints the story of a request or job from the nodes' decision records")
+        .arg(
+            Arg::new("log")
+                .long("log")
+                .required(true)
+                .value_name("FILE")
+                .help("Decision records, one a line; - for standard input"),
+        )
+        .arg(
+            Arg::new("id")
+                .required(true)
+                .value_name("ID")
+                .help("Identifier of a request, job or item"),
+        )
+        .after_help("Example:\n  dappleyard explain --log node.log 9c41d07be2a35f68")
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Reads a settings file and prints the effective settings, or every error in it")
--- /dev/null
+++ b/crates/dappleyard/src/explain.rs
@@ -0,0 +1,97 @@
+//! `dappleyard explain`: the story of a request or job, from the decision records of the nodes.
+
+use std::io::BufRead;
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use serde_json::{Map, Value};
+
+use crate::failure::Failure;
+
+/// Fields that name what a record is about.
+const NAMES: [&str; 3] = ["request", "job", "item"];
+/// Fields that do not belong to the facts of a record.
+const FRAME: [&str; 2] = ["ms", "event"];
+
+/// Prints the records of a file that name an identifier, in plain words.
+pub fn run(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
+    let argument = |name| arguments.get_one::<String>(name).map_or("", String::as_str);
+    let (file, id) = (argument("log"), argument("id"));
+    let reader: Box<dyn BufRead> = match file {
+        "-" => Box::new(std::io::stdin().lock()),
+        path => Box::new(std::io::BufReader::new(std::fs::File::open(path)?)),
+    };
+    let mut found = 0;
+    for line in reader.lines() {
+        if let Some(story) = story(&line?, id) {
+            println!("{story}");
+            found += 1;
+        }
+    }
+    if found == 0 {
+        return Err(Failure::Usage {
+            cause: format!("{file}: no record names {id}"),
+        });
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// One record in plain words, when it names the identifier. What stands before the record, such
+/// as a time and a machine, is kept.
+fn story(line: &str, id: &str) -> Option<String> {
+    let start = line.find('{')?;
+    let record: Map<String, Value> = serde_json::from_str(&line[start..]).ok()?;
+    let about = NAMES
+        .iter()
+        .any(|name| record.get(*name).and_then(Value::as_str) == Some(id));
+    if !about {
+        return None;
+    }
+    let event = record.get("event")?.as_str()?.to_owned();
+    let facts: Vec<String> = record
+        .iter()
+        .filter(|(name, _)| !FRAME.contains(&name.as_str()))
+        .map(|(name, value)| format!("{} {}", name.replace('_', " "), plain(value)))
+        .collect();
+    let at = record.get("ms").and_then(Value::as_u64).unwrap_or(0);
+    Some(format!(
+        "{}{at:>7} ms  {}: {}",
+        &line[..start],
+        words(&event),
+        facts.join(", ")
+    ))
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "unknown".to_owned(),
+        other => other.to_string(),
+    }
+}
+
+/// What an event means, for people.
+fn words(event: &str) -> &str {
+    match event {
+        "placed" => "a server was chosen",
+        "attempt_failed" => "an attempt at a server failed",
+        "server_answered_failure" => "the server answered with a failure",
+        "request_refused" => "the node answered by itself",
+        "stream_broke" => "the server's stream broke",
+        "answer_cut" => "the answer was cut, visibly for the caller",
+        "request_finished" => "the whole answer was passed on",
+        "answer_of_another_request" => "an answer to another request was passed over",
+        "job_submitted" => "a job came",
+        "job_claim" => "a node tried to take the job over",
+        "job_lost" => "the node no longer owns the job",
+        "job_released" => "a stopping node gave the job back",
+        "job_load_failed" => "the job could not be read from the store",
+        "job_end_asked" => "the end of the job was asked for",
+        "item_run" => "a run of an item ended",
+        "item_paused" => "an item was paused for online work",
+        "items_given_up" => "items were given up",
+        "results_committed" => "results were committed",
+        "commit_failed" => "a commit got no answer of use",
+        other => other,
+    }
+}
--- a/crates/dappleyard/src/main.rs
+++ b/crates/dappleyard/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod command;
+mod explain;
 mod failure;
 mod flags;
 mod logging;
@@ -32,6 +33,7 @@
         Some(("serve", arguments)) => serve::run(arguments),
         Some(("node", arguments)) => node::run(arguments),
         Some(("sidecar", arguments)) => sidecar::run(arguments),
+        Some(("explain", arguments)) => explain::run(arguments),
         Some(("check", arguments)) => check::run(arguments),
         Some(("ctl", arguments)) => Ok(ExitCode::from(dappleyard_ctl::run(arguments))),
         Some(("completions", arguments)) => Ok(command::print_completions(arguments)),
--- a/crates/dappleyard/src/serve.rs
+++ b/crates/dappleyard/src/serve.rs
@@ -16,7 +16,10 @@
     let path = arguments
         .get_one::<String>("settings")
         .map_or_else(settings_path, Into::into);
-    let settings = read_settings(&path)?;
+    let mut settings = read_settings(&path)?;
+    settings.listen.metrics = arguments
+        .get_one::<u16>("metrics-port")
+        .map(|port| (settings.ip, *port).into());
     let log = !arguments.get_flag("quiet");
     actix_rt::System::new().block_on(async move {
         let running = assembly::start(settings, log).await?;
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -39,7 +39,10 @@
 
 /// Starts all parts of a node.
 pub async fn start(settings: NodeSettings, log: bool) -> std::io::Result<Running> {
-    let log = Arc::new(EventLog::new(log));
+    let log = Arc::new(match log {
+        true => EventLog::to(std::io::stdout()),
+        false => EventLog::silent(),
+    });
     let dialect: Arc<dyn Dialect> = Arc::new(PlatformDialect);
     let life: u64 = rand::random();
     log.write("start", || {
@@ -148,7 +151,7 @@
         let data = front_app_data(Upstreams::new(node.clone()), Rc::new(jobs));
         App::new().app_data(data).configure(configure)
     };
-    let server = HttpServer::new(factory)
+    let mut server = HttpServer::new(factory)
         .workers(1)
         .backlog(BACKLOG)
         .keep_alive(KEEP_ALIVE)
@@ -157,8 +160,11 @@
         .disable_signals()
         .bind(listen.front)?
         .bind(listen.ready)?
-        .bind(listen.directory)?
-        .run();
+        .bind(listen.directory)?;
+    if let Some(metrics) = listen.metrics {
+        server = server.bind(metrics)?;
+    }
+    let server = server.run();
     let handle = server.handle();
     tokio::task::spawn_local(server);
     Ok(handle)
--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -42,9 +42,16 @@
 }
 
 fn reload(running: &Running, path: &Path) {
+    let held = &running.node.settings;
     let outcome = match read_settings(path) {
-        Ok(settings) if settings == running.node.settings => "unchanged".to_owned(),
-        Ok(_) => "changed; addresses hold until the next start".to_owned(),
+        Ok(mut settings) => {
+            // The port of the metrics comes from the command line.
+            settings.listen.metrics = held.listen.metrics;
+            match settings == *held {
+                true => "unchanged".to_owned(),
+                false => "changed; addresses hold until the next start".to_owned(),
+            }
+        }
         Err(errors) => errors.to_string(),
     };
     running
--- a/crates/dappleyard/tests/command_line.rs
+++ b/crates/dappleyard/tests/command_line.rs
@@ -52,3 +52,53 @@
 fn an_unknown_subcommand_exits_2() {
     expect_that!(dappleyard(&["bogus"]).status.code(), some(eq(2)));
 }
+
+#[gtest]
+fn check_names_every_error_of_the_platforms_settings() {
+    let file = settings_file(
+        "platform.toml",
+        "node_name = 1\n[platform]\naddress = \"x\"\n",
+    );
+    let output = dappleyard(&["check", "--kind", "serve", &file]);
+    expect_that!(output.status.code(), some(eq(2)));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    for key in [
+        "node_name",
+        "ip",
+        "zone",
+        "port_range",
+        "listen.front",
+        "platform.address",
+    ] {
+        expect_that!(text, contains_substring(format!("{key}: ")));
+    }
+}
+
+#[gtest]
+fn serve_without_settings_exits_2_and_names_the_file() {
+    let output = dappleyard(&["serve", "--settings", "/nowhere/node.toml"]);
+    expect_that!(output.status.code(), some(eq(2)));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    expect_that!(text, contains_substring("/nowhere/node.toml"));
+}
+
+#[gtest]
+fn explain_tells_the_story_of_one_request() {
+    let records = concat!(
+        "1.5 node-a {\"ms\":20,\"event\":\"placed\",\"request\":\"r1\",\"server\":\"i-1\"}\n",
+        "1.6 node-a {\"ms\":30,\"event\":\"placed\",\"request\":\"r2\",\"server\":\"i-2\"}\n",
+        "not a record\n",
+        "1.7 node-a {\"ms\":40,\"event\":\"attempt_failed\",\"request\":\"r1\",\"cause\":\"silent\"}\n",
+    );
+    let file = settings_file("records.log", records);
+    let output = dappleyard(&["explain", "--log", &file, "r1"]);
+    expect_that!(output.status.code(), some(eq(0)));
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    expect_that!(text.lines().count(), eq(2));
+    expect_that!(text, contains_substring("a server was chosen"));
+    expect_that!(text, contains_substring("cause silent"));
+    expect_that!(
+        dappleyard(&["explain", "--log", &file, "r9"]).status.code(),
+        some(eq(2))
+    );
+}
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -92,7 +92,6 @@
     if port == listen.ready.port() && port != listen.front.port() {
         return match endpoint {
             Endpoint::Ready => ready(&node),
-            _ if request.path() == "/metrics" => metrics(&node),
             _ => refusal(&node, ErrorKind::NoRoute, "only readiness is told here"),
         };
     }
@@ -102,6 +101,12 @@
             _ => refusal(&node, ErrorKind::NoRoute, "only the directory is here"),
         };
     }
+    if listen.metrics.is_some_and(|metrics| metrics.port() == port) {
+        return match request.path() == "/metrics" {
+            true => metrics(&node),
+            false => refusal(&node, ErrorKind::NoRoute, "only metrics are here"),
+        };
+    }
     let under_way = UnderWay::begin(&node);
     match endpoint {
         Endpoint::JobResults { job, from } => {
--- a/crates/model/src/events.rs
+++ b/crates/model/src/events.rs
@@ -2,10 +2,12 @@
 //!
 //! A line is written for each decision that touches a request or changes what the process
 //! believes. Lines above the budget of their kind are counted and left out; the next line of the
-//! kind tells how many.
+//! kind tells how many. A thread of its own writes them, so that no decision ever waits for a
+//! reader; when its queue is full, lines are left out and counted too.
 
 use std::collections::HashMap;
 use std::io::Write;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::Instant;
 
 use parking_lot::Mutex;
@@ -13,6 +15,8 @@
 
 /// Lines of one kind that may be written in one second.
 const LINES_PER_SECOND: f64 = 40.0;
+/// Lines that may wait for the writer.
+const QUEUE_LINES: usize = 2_048;
 /// Lines that may be written at once after a quiet time.
 const BURST_LINES: f64 = 80.0;
 
@@ -25,25 +29,35 @@
 /// The log of one process.
 pub struct EventLog {
     started: Instant,
-    enabled: bool,
+    queue: Option<SyncSender<String>>,
     budgets: Mutex<HashMap<&'static str, Budget>>,
 }
 
 impl EventLog {
-    /// A log that writes to standard output, or to nowhere.
-    pub fn new(enabled: bool) -> Self {
+    /// A log that writes to nowhere.
+    pub fn silent() -> Self {
         Self {
             started: Instant::now(),
-            enabled,
+            queue: None,
             budgets: Mutex::new(HashMap::new()),
         }
     }
 
+    /// A log that writes lines to `output` from a thread of its own.
+    pub fn to(output: impl Write + Send + 'static) -> Self {
+        let (queue, lines) = sync_channel(QUEUE_LINES);
+        std::thread::spawn(move || write_lines(&lines, output));
+        Self {
+            queue: Some(queue),
+            ..Self::silent()
+        }
+    }
+
     /// Writes one record; `fields` is evaluated only when the line is written.
     pub fn write(&self, kind: &'static str, fields: impl FnOnce() -> Value) {
-        if !self.enabled {
+        let Some(queue) = &self.queue else {
             return;
-        }
+        };
         let Some(left_out) = self.admit(kind) else {
             return;
         };
@@ -59,8 +73,15 @@
         }
         let mut text = Value::Object(line).to_string();
         text.push('\n');
-        // A reader that is gone must not end the process.
-        let _ = std::io::stdout().lock().write_all(text.as_bytes());
+        if queue.try_send(text).is_err() {
+            self.leave_out(kind, left_out + 1);
+        }
+    }
+
+    fn leave_out(&self, kind: &'static str, lines: u64) {
+        if let Some(budget) = self.budgets.lock().get_mut(kind) {
+            budget.left_out += lines;
+        }
     }
 
     fn admit(&self, kind: &'static str) -> Option<u64> {
@@ -82,3 +103,16 @@
         Some(std::mem::take(&mut budget.left_out))
     }
 }
+
+fn write_lines(lines: &Receiver<String>, mut output: impl Write) {
+    while let Ok(first) = lines.recv() {
+        let mut text = first;
+        // What waits is written together.
+        while let Ok(next) = lines.try_recv() {
+            text.push_str(&next);
+        }
+        // A reader that is gone must not end the process.
+        let _ = output.write_all(text.as_bytes());
+        let _ = output.flush();
+    }
+}
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -11,6 +11,8 @@
     pub ready: SocketAddr,
     /// Callers that ask where to go.
     pub directory: SocketAddr,
+    /// Counters and histograms; not served where it is left out.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// The row store as the settings describe it.
--- /dev/null
+++ b/crates/model/tests/events.rs
@@ -0,0 +1,82 @@
+//! Decision records: their form, their budget, and that they never wait for a reader.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::mpsc::{Sender, channel};
+
+use dappleyard_model::EventLog;
+use googletest::prelude::*;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+
+struct Lines(Sender<String>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        for line in String::from_utf8_lossy(bytes).lines() {
+            // The test may have seen enough.
+            let _ = self.0.send(line.to_owned());
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// An output whose reader does not read.
+struct Stuck(Arc<Mutex<()>>);
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        drop(self.0.lock());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[gtest]
+fn each_record_is_one_line_of_json() {
+    let (sender, lines) = channel();
+    let log = EventLog::to(Lines(sender));
+    log.write("placed", || json!({"request": "r1", "candidates": 3}));
+    let line: Value = serde_json::from_str(&lines.recv().expect("a line")).expect("json");
+    expect_that!(line["event"], eq(&json!("placed")));
+    expect_that!(line["request"], eq(&json!("r1")));
+    expect_that!(line["ms"].is_u64(), eq(true));
+}
+
+#[gtest]
+fn a_flood_of_one_kind_is_bounded_and_hides_no_other() {
+    let (sender, lines) = channel();
+    let log = EventLog::to(Lines(sender));
+    for number in 0..5_000 {
+        log.write("flood", || json!({"number": number}));
+    }
+    log.write("rare", || json!({}));
+    drop(log);
+    let lines: Vec<String> = lines.iter().collect();
+    let flood = lines
+        .iter()
+        .filter(|line| line.contains("\"flood\""))
+        .count();
+    expect_that!(flood, lt(500));
+    expect_that!(lines.iter().any(|line| line.contains("\"rare\"")), eq(true));
+}
+
+#[gtest]
+fn a_reader_that_does_not_read_holds_nobody_up() {
+    let gate = Arc::new(Mutex::new(()));
+    let held = gate.lock();
+    let log = EventLog::to(Stuck(gate.clone()));
+    for kind in ["a", "b", "c", "d"] {
+        for _ in 0..10_000 {
+            log.write(kind, || json!({}));
+        }
+    }
+    drop(held);
+}
