After an outage the store is asked at once, without waiting for a change

The first call after a failure now asks for an answer at once. Test in virtual time: no contact within 600 ms before, contact after.

--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -40,7 +40,10 @@
     loop {
         let outcome = match whole {
             false => read_whole(store, sink, revision).await,
-            true => read_changes(store, sink, revision).await,
+            // After a failure the store is asked to answer at once, so that contact is known again
+            // without waiting for a change.
+            true if !healthy => read_changes(store, sink, revision, 0).await,
+            true => read_changes(store, sink, revision, WAIT_MS).await,
         };
         match outcome {
             Ok(reached) => {
@@ -75,8 +78,9 @@
     store: &dyn RowStore,
     sink: &dyn TableSink,
     after: u64,
+    wait_ms: u64,
 ) -> Result<u64, StoreError> {
-    let feed: Feed = store.feed(sink.table(), after, WAIT_MS).await?;
+    let feed: Feed = store.feed(sink.table(), after, wait_ms).await?;
     if feed.revision < after {
         // The history begins anew below what is known: read the table whole.
         return Err(StoreError::Compacted);
--- /dev/null
+++ b/crates/cluster/tests/follow.rs
@@ -0,0 +1,123 @@
+//! Following a table through outages and forgotten histories, in virtual time.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_cluster::{TableSink, follow};
+use dappleyard_emulator::EmulatedRows;
+use dappleyard_model::{EventLog, Row};
+use googletest::prelude::*;
+use tokio::time::Instant;
+
+const TABLE: &str = "things";
+
+#[derive(Default)]
+struct Sink {
+    rows: RefCell<BTreeMap<String, u64>>,
+    contact: Cell<Option<Instant>>,
+    newest: Cell<u64>,
+    went_back: Cell<bool>,
+}
+
+impl TableSink for Sink {
+    fn table(&self) -> &'static str {
+        TABLE
+    }
+
+    fn is_partitioned(&self) -> bool {
+        false
+    }
+
+    fn replace(&self, rows: Vec<Row>, _revision: u64) {
+        let rows = rows.into_iter().map(|row| (row.key, row.revision));
+        *self.rows.borrow_mut() = rows.collect();
+    }
+
+    fn change(&self, row: Row) {
+        match row.value {
+            Some(_) => self.rows.borrow_mut().insert(row.key, row.revision),
+            None => self.rows.borrow_mut().remove(&row.key),
+        };
+    }
+
+    fn contact(&self, revision: u64, _now_ms: u64) {
+        self.went_back.set(self.went_back.get() || revision < self.newest.get());
+        self.newest.set(revision);
+        self.contact.set(Some(Instant::now()));
+    }
+}
+
+fn in_virtual_time<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+fn start(rows: &EmulatedRows) -> Rc<Sink> {
+    let sink = Rc::new(Sink::default());
+    let (rows, followed) = (rows.clone(), sink.clone());
+    tokio::task::spawn_local(async move {
+        follow(&rows, followed.as_ref(), &EventLog::silent()).await;
+    });
+    sink
+}
+
+fn keys(sink: &Sink) -> Vec<String> {
+    sink.rows.borrow().keys().cloned().collect()
+}
+
+#[gtest]
+fn contact_is_known_again_at_once_when_the_store_comes_back() {
+    in_virtual_time(async {
+        let rows = EmulatedRows::default();
+        let sink = start(&rows);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        rows.set_down(true);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        rows.set_down(false);
+        let back = Instant::now();
+        // Nothing changes in the table meanwhile.
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        expect_that!(sink.contact.get().is_some_and(|at| at >= back), eq(true));
+    });
+}
+
+#[gtest]
+fn a_forgotten_history_loses_no_change() {
+    in_virtual_time(async {
+        let rows = EmulatedRows::default();
+        rows.write(TABLE, "", "a", "1");
+        let sink = start(&rows);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        rows.set_down(true);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        rows.write(TABLE, "", "b", "1");
+        rows.remove(TABLE, "", "a");
+        rows.forget_history();
+        rows.set_down(false);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        expect_that!(keys(&sink), eq(&["b"]));
+        rows.write(TABLE, "", "c", "1");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        expect_that!(keys(&sink), eq(&["b", "c"]));
+        expect_that!(sink.went_back.get(), eq(false));
+    });
+}
+
+#[gtest]
+fn a_table_of_many_pages_is_read_whole() {
+    in_virtual_time(async {
+        let rows = EmulatedRows::default();
+        for number in 0..1_203 {
+            rows.write(TABLE, "", &format!("key-{number:05}"), "1");
+        }
+        let sink = start(&rows);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        expect_that!(keys(&sink).len(), eq(1_203));
+    });
+}
