Jobs are claimed only on firm ground

A node now claims a job of a silent owner only after a second, and of a cut-off owner only after 2.5 seconds, in which it ran and had answers of the store without a gap; a belief must stand for 250 ms.

--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -47,8 +47,10 @@
     Present,
     /// It is heard, but the store does not answer it.
     Isolated,
-    /// It has fallen silent, or its process was replaced.
+    /// It has fallen silent, or it is not known.
     Down,
+    /// Another process runs under its name.
+    Replaced,
 }
 
 struct Peer {
@@ -94,7 +96,8 @@
         let peers = self.peers.lock();
         match peers.get(name) {
             Some(peer) if peer.row.life == life => self.judge(peer, Instant::now(), peers.len()),
-            _ => PeerStatus::Down,
+            Some(_) => PeerStatus::Replaced,
+            None => PeerStatus::Down,
         }
     }
 
--- a/crates/cluster/tests/follow.rs
+++ b/crates/cluster/tests/follow.rs
@@ -43,7 +43,8 @@
     }
 
     fn contact(&self, revision: u64, _now_ms: u64) {
-        self.went_back.set(self.went_back.get() || revision < self.newest.get());
+        self.went_back
+            .set(self.went_back.get() || revision < self.newest.get());
         self.newest.set(revision);
         self.contact.set(Some(Instant::now()));
     }
--- /dev/null
+++ b/crates/jobs/src/claiming.rs
@@ -0,0 +1,43 @@
+//! When a node may try to take a job over. Pure.
+//!
+//! The claim itself is safe whenever it is tried, since the row decides. But a job that changes
+//! hands loses the text of its running items, so a node tries only when it has reason to trust what
+//! it believes of the owner.
+
+use std::time::Duration;
+
+use dappleyard_cluster::PeerStatus;
+
+/// Time for which the belief must have stood, so that rows which cross on their way do not matter.
+const SUSPECTED: Duration = Duration::from_millis(250);
+/// Time for which this node must have run and had answers of the store without a gap before it
+/// trusts the silence of others: a node that was itself paused hears nobody for a moment.
+const STEADY_FOR_SILENCE: Duration = Duration::from_millis(1_000);
+/// The same before it trusts that the store answers others no more: after an outage all nodes are
+/// answered again at about the same time.
+const STEADY_FOR_ISOLATION: Duration = Duration::from_millis(2_500);
+
+/// What a claim rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ground {
+    /// What is believed of the owner; `None` when the job has none.
+    pub owner: Option<PeerStatus>,
+    /// For how long that belief has stood.
+    pub suspected: Duration,
+    /// For how long this node has run and had answers of the store without a gap.
+    pub steady: Duration,
+}
+
+/// Whether a claim may be tried.
+pub fn may_claim(ground: Ground) -> bool {
+    let Some(owner) = ground.owner else {
+        return true;
+    };
+    let needed = match owner {
+        PeerStatus::Replaced => Duration::ZERO,
+        PeerStatus::Down => STEADY_FOR_SILENCE,
+        PeerStatus::Isolated => STEADY_FOR_ISOLATION,
+        PeerStatus::Ready | PeerStatus::Present => return false,
+    };
+    ground.suspected >= SUSPECTED && ground.steady >= needed
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod accept;
 mod calls;
+mod claiming;
 mod end;
 mod give_up;
 mod keys;
@@ -21,6 +22,7 @@
 mod width;
 
 pub use calls::NodeJobs;
+pub use claiming::{Ground, may_claim};
 pub use messages::{ItemsBlob, JobRow, JobState, StoredItem};
 pub use order::{RunEstimate, rank};
 pub use runner::Runner;
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::claiming::{Ground, may_claim};
 use crate::give_up::{give_up, is_over};
 use crate::keys::{
     ITEMS_TABLE, PARTIALS_TABLE, RESULTS_TABLE, job_key, partition, range_end, range_start,
@@ -32,6 +33,8 @@
 
 /// Longest time between two looks at the jobs.
 const TICK: Duration = Duration::from_millis(100);
+/// Time between two looks from which this node counts as paused.
+const LONGEST_GAP: Duration = Duration::from_millis(500);
 /// Time between two looks for jobs that nobody reads any more.
 const CLEANING: Duration = Duration::from_secs(10);
 /// Added to the time for which results stay readable.
@@ -59,6 +62,9 @@
     pub(crate) estimate: Cell<RunEstimate>,
     pub(crate) owned: RefCell<HashMap<String, Rc<OwnedJob>>>,
     busy: RefCell<HashSet<String>>,
+    suspected: RefCell<HashMap<String, Instant>>,
+    steady_since: Cell<Instant>,
+    last_look: Cell<Instant>,
     cleaned: Cell<Instant>,
     stopping: Cell<bool>,
 }
@@ -80,6 +86,9 @@
             estimate: Cell::default(),
             owned: RefCell::default(),
             busy: RefCell::default(),
+            suspected: RefCell::default(),
+            steady_since: Cell::new(Instant::now()),
+            last_look: Cell::new(Instant::now()),
             cleaned: Cell::new(Instant::now()),
             stopping: Cell::new(false),
         })
@@ -96,6 +105,7 @@
             if self.stopping.get() {
                 return;
             }
+            self.note_steadiness();
             self.reconcile();
             self.start_commits();
             preempt(&self);
@@ -154,7 +164,11 @@
             }
             kept && !done
         });
-        for (name, known) in self.table.select(JobRow::is_open) {
+        let open = self.table.select(JobRow::is_open);
+        self.suspected
+            .borrow_mut()
+            .retain(|name, _| open.iter().any(|(job, _)| job == name));
+        for (name, known) in open {
             if self.owned.borrow().contains_key(&name) || self.busy.borrow().contains(&name) {
                 continue;
             }
@@ -167,14 +181,27 @@
     }
 
     fn should_claim(&self, job: &str, row: &JobRow) -> bool {
-        let free = row.owner.is_empty()
-            || matches!(
-                self.node.peers.status(&row.owner, row.life),
-                PeerStatus::Down | PeerStatus::Isolated
-            );
-        if !free || !self.table.is_fresh() || self.node.is_leaving() {
+        if !self.table.is_fresh() || self.node.is_leaving() {
             return false;
         }
+        let now = Instant::now();
+        let owner = (!row.owner.is_empty()).then(|| self.node.peers.status(&row.owner, row.life));
+        let mut suspected = self.suspected.borrow_mut();
+        if matches!(owner, Some(PeerStatus::Ready | PeerStatus::Present)) {
+            suspected.remove(job);
+            return false;
+        }
+        let since = *suspected.entry(job.to_owned()).or_insert(now);
+        let ground = Ground {
+            owner,
+            suspected: now.duration_since(since),
+            steady: now.duration_since(self.steady_since.get()),
+        };
+        may_claim(ground) && self.is_preferred(job)
+    }
+
+    /// Whether this node is the one of all that should take a job.
+    fn is_preferred(&self, job: &str) -> bool {
         let workers = self.node.peers.workers(true);
         let preferred = workers.iter().max_by_key(|worker| {
             let mut bytes = worker.as_bytes().to_vec();
@@ -184,6 +211,15 @@
         preferred == Some(&self.node.settings.name)
     }
 
+    /// Notes a gap in this node's own running, or in the answers of the store.
+    fn note_steadiness(&self) {
+        let now = Instant::now();
+        let gap = now.duration_since(self.last_look.replace(now)) > LONGEST_GAP;
+        if gap || !self.table.is_fresh() {
+            self.steady_since.set(now);
+        }
+    }
+
     fn spawn_claim(self: &Rc<Self>, name: String, known: Known) {
         self.busy.borrow_mut().insert(name.clone());
         let runner = self.clone();
@@ -414,11 +450,7 @@
             .table
             .select(|row| !row.is_open() && row.accepted_ms + kept_ms < now_ms);
         for (name, known) in old {
-            let unowned = JobRow {
-                owner: String::new(),
-                ..JobRow::clone(&known.row)
-            };
-            if self.should_claim(&name, &unowned) {
+            if self.table.is_fresh() && self.is_preferred(&name) {
                 let runner = self.clone();
                 tokio::task::spawn_local(async move {
                     // What fails now is removed at the next look.
--- a/crates/jobs/tests/pure.rs
+++ b/crates/jobs/tests/pure.rs
@@ -1,7 +1,11 @@
 //! Room for batch work, the order of items, and the bits of listed items.
 
-use dappleyard_cluster::LoadSummary;
-use dappleyard_jobs::{JobRow, RunEstimate, ServerRoom, pick_server, rank, room};
+use std::time::Duration;
+
+use dappleyard_cluster::{LoadSummary, PeerStatus};
+use dappleyard_jobs::{
+    Ground, JobRow, RunEstimate, ServerRoom, may_claim, pick_server, rank, room,
+};
 use googletest::prelude::*;
 
 fn load(online: u32, batch: u32) -> LoadSummary {
@@ -103,3 +107,37 @@
     let listed: Vec<usize> = (0..300).filter(|item| row.is_listed(*item)).collect();
     expect_that!(listed, eq(&[0, 9, 199]));
 }
+
+#[gtest]
+fn a_job_is_claimed_only_on_firm_ground() {
+    let claims = |owner, suspected, steady| {
+        may_claim(Ground {
+            owner,
+            suspected: Duration::from_millis(suspected),
+            steady: Duration::from_millis(steady),
+        })
+    };
+    // Given back: at once.
+    expect_that!(claims(None, 0, 0), eq(true));
+    // Another process has the name: as soon as rows that cross are ruled out.
+    let replaced = Some(PeerStatus::Replaced);
+    expect_that!(
+        (claims(replaced, 100, 9_000), claims(replaced, 300, 0)),
+        eq((false, true))
+    );
+    // Silence counts only for a node that was not itself paused a moment ago.
+    let down = Some(PeerStatus::Down);
+    expect_that!(
+        (claims(down, 300, 500), claims(down, 300, 1_000)),
+        eq((false, true))
+    );
+    // After an outage of the store every node seems cut off to the others for a while.
+    let isolated = Some(PeerStatus::Isolated);
+    expect_that!(
+        (claims(isolated, 900, 1_500), claims(isolated, 900, 2_500)),
+        eq((false, true))
+    );
+    for alive in [PeerStatus::Ready, PeerStatus::Present] {
+        expect_that!(claims(Some(alive), 60_000, 60_000), eq(false));
+    }
+}
