A bounded subset of servers for each node of a large fleet; pages are asked for again by themselves

Beyond 64 servers a node uses 40 of its zone and 8 others, different ones for each node, and prompts have their homes inside the zone; each page is asked for up to eight times, with scattered pauses. Test in virtual time: 10,000 rows with half of the reads refused are not read in 6 s before, and are after.

--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use dappleyard_model::{EventLog, Feed, Row, RowStore, StoreError};
+use dappleyard_model::{EventLog, Feed, Row, RowStore, Rows, StoreError};
 
 /// How long the store may hold a call that waits for changes.
 const WAIT_MS: u64 = 2_000;
 /// Rows read by one call.
 const PAGE_ROWS: usize = 500;
+/// Times that one page is asked for.
+const PAGE_TRIES: usize = 8;
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
 /// Longest pause after failed calls.
@@ -69,7 +71,7 @@
                 healthy = false;
             }
         }
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(scattered(pause)).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
     }
 }
@@ -92,6 +94,31 @@
     Ok(feed.revision)
 }
 
+/// Reads one page, more than once if need be: a read that begins anew at its first page whenever
+/// one of many fails never ends where all nodes start at once.
+async fn read_page(
+    store: &dyn RowStore,
+    table: &'static str,
+    part: &str,
+    from: &str,
+) -> Result<Rows, StoreError> {
+    let mut pause = FIRST_PAUSE;
+    for _ in 1..PAGE_TRIES {
+        match store.read(table, part, from, "", PAGE_ROWS).await {
+            Err(StoreError::Unavailable { .. } | StoreError::Ambiguous { .. }) => {}
+            outcome => return outcome,
+        }
+        tokio::time::sleep(scattered(pause)).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+    store.read(table, part, from, "", PAGE_ROWS).await
+}
+
+/// A pause of about this length: nodes that failed together must not come back together.
+fn scattered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::random_range(0.5..1.5))
+}
+
 async fn read_whole(
     store: &dyn RowStore,
     sink: &dyn TableSink,
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -9,6 +9,7 @@
 mod loads;
 mod messages;
 mod peers;
+mod servers;
 mod view;
 
 pub use follow::{TableSink, follow};
@@ -16,4 +17,5 @@
 pub use loads::{InFlight, LoadSummary, LoadTable, WorkKind, node_number};
 pub use messages::NodeRow;
 pub use peers::{NODES_TABLE, PeerStatus, PeerTable};
+pub use servers::{ServerSet, Standpoint};
 pub use view::{ConfigurationSink, ServersSink, View};
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -9,13 +9,14 @@
 use tokio::sync::Notify;
 
 use crate::follow::TableSink;
+use crate::servers::{ServerSet, Standpoint};
 use tokio::time::Instant;
 
 #[derive(Default)]
 struct Known {
     configuration: Option<Arc<Configuration>>,
     servers: HashMap<String, (u64, Arc<ServerRecord>)>,
-    by_service: HashMap<String, Arc<Vec<Arc<ServerRecord>>>>,
+    by_service: HashMap<String, Arc<ServerSet>>,
     servers_read: bool,
     contact: Option<Instant>,
 }
@@ -24,13 +25,15 @@
 pub struct View {
     known: Mutex<Known>,
     changed: Notify,
+    own: Standpoint,
     log: Arc<EventLog>,
 }
 
 impl View {
-    /// A view that knows nothing yet.
-    pub fn new(log: Arc<EventLog>) -> Self {
+    /// A view that knows nothing yet, of a node.
+    pub fn new(node: &str, zone: &str, log: Arc<EventLog>) -> Self {
         Self {
+            own: Standpoint::new(node, zone),
             known: Mutex::default(),
             changed: Notify::new(),
             log,
@@ -43,7 +46,7 @@
     }
 
     /// Servers of a service that take new work.
-    pub fn servers(&self, service: &str) -> Arc<Vec<Arc<ServerRecord>>> {
+    pub fn servers(&self, service: &str) -> Arc<ServerSet> {
         self.known
             .lock()
             .by_service
@@ -105,7 +108,7 @@
         true
     }
 
-    fn index(known: &mut Known) {
+    fn index(&self, known: &mut Known) {
         let mut by_service: HashMap<String, Vec<Arc<ServerRecord>>> = HashMap::new();
         for (_, server) in known.servers.values() {
             if !server.draining {
@@ -115,10 +118,7 @@
         }
         known.by_service = by_service
             .into_iter()
-            .map(|(service, mut servers)| {
-                servers.sort_by(|a, b| a.id.cmp(&b.id));
-                (service, Arc::new(servers))
-            })
+            .map(|(service, servers)| (service, Arc::new(self.own.servers(servers))))
             .collect();
     }
 
@@ -229,7 +229,7 @@
             View::put_server(&mut known, server, at);
         }
         known.servers_read = true;
-        View::index(&mut known);
+        self.view.index(&mut known);
         drop(known);
         self.view.changed.notify_waiters();
     }
@@ -243,7 +243,7 @@
             None => known.servers.remove(&row.key).is_some(),
         };
         if applied {
-            View::index(&mut known);
+            self.view.index(&mut known);
         }
         drop(known);
         self.view.changed.notify_waiters();
--- a/crates/cluster/tests/follow.rs
+++ b/crates/cluster/tests/follow.rs
@@ -122,3 +122,17 @@
         expect_that!(keys(&sink).len(), eq(1_203));
     });
 }
+
+#[gtest]
+fn a_table_of_many_pages_is_read_although_half_of_the_reads_are_refused() {
+    in_virtual_time(async {
+        let rows = EmulatedRows::default();
+        for number in 0..10_000 {
+            rows.write(TABLE, "", &format!("key-{number:05}"), "1");
+        }
+        rows.refuse_reads_at_random(3, 0.5);
+        let sink = start(&rows);
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        expect_that!(keys(&sink).len(), eq(10_000));
+    });
+}
--- a/crates/cluster/tests/pure.rs
+++ b/crates/cluster/tests/pure.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use dappleyard_cluster::directory::addresses_for;
-use dappleyard_cluster::{LoadTable, WorkKind, node_number};
+use dappleyard_cluster::{LoadTable, Standpoint, WorkKind, node_number};
 use dappleyard_model::ServerRecord;
 use googletest::prelude::*;
 
@@ -71,3 +71,40 @@
         .collect();
     expect_that!(addresses_for(Some("north"), &many).len(), eq(64));
 }
+
+fn fleet(count: usize) -> Vec<Arc<ServerRecord>> {
+    let zones = ["north", "south", "west"];
+    let server = |number: usize| ServerRecord {
+        id: format!("i-{number:05}"),
+        zone: zones[number % 3].to_owned(),
+        ..server()
+    };
+    (0..count).map(|number| Arc::new(server(number))).collect()
+}
+
+#[gtest]
+fn a_small_fleet_is_used_whole() {
+    let servers = Standpoint::new("a", "north").servers(fleet(60));
+    expect_that!((servers.used.len(), servers.homes.len()), eq((60, 60)));
+    expect_that!(servers.is_large(), eq(false));
+}
+
+#[gtest]
+fn in_a_large_fleet_each_node_uses_some_servers_and_all_servers_are_used() {
+    let mut uses = std::collections::HashMap::<String, u32>::new();
+    for number in 0..100 {
+        let node = Standpoint::new(&format!("node-{number}"), "north");
+        let servers = node.servers(fleet(3_000));
+        expect_that!(servers.used.len(), eq(48));
+        expect_that!(
+            servers.homes.iter().all(|home| home.zone == "north"),
+            eq(true)
+        );
+        for server in servers.used.iter().filter(|server| server.zone == "north") {
+            *uses.entry(server.id.clone()).or_default() += 1;
+        }
+    }
+    // Four nodes a server in the mean; hardly any server without one.
+    expect_that!(uses.len(), gt(960));
+    expect_that!(uses.values().max().copied().unwrap_or(0), lt(16));
+}
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -49,7 +49,7 @@
         serde_json::json!({"settings": describe(&settings), "life": life,
             "version": env!("CARGO_PKG_VERSION")})
     });
-    let view = Arc::new(View::new(log.clone()));
+    let view = Arc::new(View::new(&settings.name, &settings.zone, log.clone()));
     let node = Arc::new(Node {
         life,
         view: view.clone(),
--- a/crates/emulator/src/rows.rs
+++ b/crates/emulator/src/rows.rs
@@ -43,6 +43,7 @@
     late: Vec<Transaction>,
     down: bool,
     random: Option<(ChaCha8Rng, f64)>,
+    random_reads: Option<(ChaCha8Rng, f64)>,
     transactions: u64,
 }
 
@@ -75,6 +76,11 @@
         self.state.lock().random = Some((ChaCha8Rng::seed_from_u64(seed), share));
     }
 
+    /// A share of all reads of rows is refused, drawn from a seed.
+    pub fn refuse_reads_at_random(&self, seed: u64, share: f64) {
+        self.state.lock().random_reads = Some((ChaCha8Rng::seed_from_u64(seed), share));
+    }
+
     /// Whether all calls are refused.
     pub fn set_down(&self, down: bool) {
         self.state.lock().down = down;
@@ -155,6 +161,11 @@
         Some(faults[random.random_range(0..faults.len())])
     }
 
+    fn refuses_read(&mut self) -> bool {
+        let drawn = self.random_reads.as_mut();
+        drawn.is_some_and(|(random, share)| random.random_bool(*share))
+    }
+
     fn apply(&mut self, transaction: &Transaction) -> Result<u64, Vec<Row>> {
         let fails = transaction.conditions.iter().any(|condition| {
             let row = &condition.row;
@@ -254,8 +265,8 @@
         limit: usize,
     ) -> Result<Rows, StoreError> {
         tokio::task::yield_now().await;
-        let state = self.state.lock();
-        if state.down {
+        let mut state = self.state.lock();
+        if state.down || state.refuses_read() {
             return Err(refused());
         }
         let mut rows: Vec<Row> = state
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
 use crate::metrics::Metrics;
 use crate::outcome::ErrorKind;
-use crate::placement::{Candidate, Place, PromptShape, choose, home};
+use crate::placement::{Candidate, PromptShape, choose, home};
 use tokio::time::Instant;
 
 /// Silence of a server after which a request that may be repeated goes to another one.
@@ -240,21 +240,20 @@
     let home = request
         .shape
         .shared
-        .and_then(|shared| home(&servers, shared));
+        .and_then(|shared| home(&servers.homes, shared));
+    let extra = home.filter(|_| servers.is_large());
     let candidates: Vec<Candidate> = servers
+        .used
         .iter()
+        .chain(extra)
         .filter(|server| !request.asked.contains(&server.id))
         .map(|server| Candidate {
             server: server.clone(),
             load: node.loads.summary(&server.id),
         })
         .collect();
-    let own_place = Place {
-        node: &node.settings.name,
-        zone: &node.settings.zone,
-    };
     let home_id = home.map(|home| home.id.as_str());
-    let chosen = choose(&candidates, own_place, home_id)?;
+    let chosen = choose(&candidates, &node.settings.zone, home_id)?;
     let kept = home_id == Some(chosen.server.id.as_str());
     node.log.write("placed", || {
         serde_json::json!({"request": request.facts.id, "route": request.route.name,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -21,4 +21,4 @@
 pub use metrics::Metrics;
 pub use node::Node;
 pub use outcome::ErrorKind;
-pub use placement::{Candidate, Place, PromptShape, choose, home};
+pub use placement::{Candidate, PromptShape, choose, home};
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -4,7 +4,7 @@
 
 use dappleyard_cluster::LoadSummary;
 use dappleyard_model::{PromptPart, ServerRecord};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Prompt tokens that weigh as much as one request under way.
 const TOKENS_PER_UNIT: f64 = 1_000.0;
@@ -20,12 +20,6 @@
 const SUSPECT: f64 = 200.0;
 /// Milliseconds of excess time to the first event that weigh as much as one request.
 const EXCESS_MS_PER_UNIT: f64 = 12.0;
-/// Spread between nodes of a large fleet, which do not see all loads. It makes each node prefer
-/// servers of its own, so that connections stay few and nobody floods the first of the list.
-const SPREAD: f64 = 2.0;
-/// Servers from which a fleet counts as large. Below, nodes see all loads, and a spread only
-/// scatters work (trials: 0.711 of the worth without, 0.656 with a spread of 1).
-const LARGE_FLEET: usize = 64;
 /// Remaining milliseconds of a cold start that weigh as much as one request.
 const COLD_MS_PER_UNIT: f64 = 100.0;
 
@@ -83,25 +77,8 @@
     })
 }
 
-/// Where a node stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Place<'a> {
-    /// Name of the node.
-    pub node: &'a str,
-    /// Its zone.
-    pub zone: &'a str,
-}
-
-impl Place<'_> {
-    /// How little the node prefers a server among equals, from 0 to 1.
-    fn preference(&self, server: &str) -> f64 {
-        let hash = xxh3_64_with_seed(server.as_bytes(), xxh3_64(self.node.as_bytes()));
-        hash as f64 / u64::MAX as f64
-    }
-}
-
 /// Weight of a candidate; the least is best.
-fn weight(candidate: &Candidate, place: Place<'_>, is_home: bool, spread: f64) -> f64 {
+fn weight(candidate: &Candidate, zone: &str, is_home: bool) -> f64 {
     let load = &candidate.load;
     let requests = f64::from(load.online + load.batch);
     let over = requests + 1.0 - f64::from(candidate.server.slots);
@@ -109,8 +86,7 @@
     weight += over.max(0.0) * OVER_SLOTS;
     weight += load.excess_ms / EXCESS_MS_PER_UNIT;
     weight += candidate.server.cold_left_ms as f64 / COLD_MS_PER_UNIT;
-    weight += place.preference(&candidate.server.id) * spread;
-    if candidate.server.zone != place.zone {
+    if candidate.server.zone != zone {
         weight += OTHER_ZONE;
     }
     if load.suspect {
@@ -122,19 +98,15 @@
     weight
 }
 
-/// Chooses the candidate of least weight; `home` names the server that keeps the prompt.
+/// Chooses the candidate of least weight, the first one among equals; `home` names the server that keeps the prompt.
 pub fn choose<'a>(
     candidates: &'a [Candidate],
-    place: Place<'_>,
+    zone: &str,
     home: Option<&str>,
 ) -> Option<&'a Candidate> {
-    let spread = match candidates.len() < LARGE_FLEET {
-        true => 0.0,
-        false => SPREAD,
-    };
     let weigh = |candidate: &Candidate| {
         let is_home = home == Some(candidate.server.id.as_str());
-        weight(candidate, place, is_home, spread)
+        weight(candidate, zone, is_home)
     };
     candidates
         .iter()
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -422,8 +422,9 @@
     fn pick(&self, service: &str, turn: &Turn) -> Option<Arc<ServerRecord>> {
         let servers = self.node.view.servers(service);
         let rooms: Vec<ServerRoom<'_>> = servers
+            .used
             .iter()
-            .filter(|server| servers.len() == 1 || turn.avoid.as_ref() != Some(&server.id))
+            .filter(|server| servers.used.len() == 1 || turn.avoid.as_ref() != Some(&server.id))
             .map(|server| ServerRoom {
                 id: &server.id,
                 zone: &server.zone,
@@ -433,7 +434,8 @@
             .collect();
         let settings = &self.node.settings;
         let chosen = pick_server(&rooms, &settings.name, &settings.zone, turn.last.as_deref())?.id;
-        servers.iter().find(|server| server.id == chosen).cloned()
+        let mut used = servers.used.iter();
+        used.find(|server| server.id == chosen).cloned()
     }
 
     /// Removes the rows of jobs that nobody reads any more.
