--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -138,9 +138,7 @@
     for part in parts {
         let mut from = String::new();
         loop {
-            let page = store
-                .read(sink.table(), &part, &from, "", PAGE_ROWS)
-                .await?;
+            let page = read_page(store, sink.table(), &part, &from).await?;
             if page.revision < known {
                 return Err(StoreError::Unavailable {
                     reason: format!("read at {} is older than {known}", page.revision),
