Specification of jobs on the row store, with four mutants

Accept with refused, lost, unanswered and late calls, claim by any node at any moment, commit at a position, end; two nodes, two items, two submissions. Mutants caught: a refusal in doubt, an acceptance over a row that is there, a commit without its revision, a commit after the end.

--- a/crates/spec/src/catalogue.rs
+++ b/crates/spec/src/catalogue.rs
@@ -6,6 +6,7 @@
 use crate::chunks::{self, Chunks};
 use crate::configuration::{self, Configuration};
 use crate::fence::{self, Fence};
+use crate::jobs::{self, Jobs};
 use crate::leaving::{self, Leaving};
 use crate::once::{self, Once};
 use crate::plans::{self, Plans};
@@ -91,6 +92,31 @@
         faults: 3,
         run: |mutant, faults| explore(&chunks(Repeat::Never, mutant, faults)),
     },
+    Entry {
+        name: "jobs",
+        about: "a job on the row store: accept in doubt, claim, commit at a position, end",
+        mutants: &[
+            Mutant {
+                name: "doubt-forgotten",
+                breaks: "a job that was refused as not run was accepted",
+            },
+            Mutant {
+                name: "absence-not-compared",
+                breaks: "a result that was read is gone or at another position",
+            },
+            Mutant {
+                name: "revision-not-compared",
+                breaks: "a result was listed after the end was acknowledged",
+            },
+            Mutant {
+                name: "end-not-compared",
+                breaks: "a result was listed after the end was acknowledged",
+            },
+        ],
+        quick_faults: 1,
+        faults: 2,
+        run: |mutant, faults| explore(&jobs(mutant, faults)),
+    },
     Entry {
         name: "once",
         about: "the at-most-once record with two senders",
@@ -212,6 +238,21 @@
     }
 }
 
+fn jobs(mutant: Option<&str>, faults: u8) -> Jobs {
+    let mutant = match mutant {
+        Some("doubt-forgotten") => Some(jobs::Mutant::DoubtForgotten),
+        Some("absence-not-compared") => Some(jobs::Mutant::AbsenceNotCompared),
+        Some("revision-not-compared") => Some(jobs::Mutant::RevisionNotCompared),
+        Some("end-not-compared") => Some(jobs::Mutant::EndNotCompared),
+        _ => None,
+    };
+    Jobs {
+        mutant,
+        faults,
+        claims: 1,
+    }
+}
+
 fn once(mutant: Option<&str>, faults: u8) -> Once {
     Once {
         mutant: mutant.and_then(|name| match name {
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -7,6 +7,7 @@
 //! plausible mistake that the checker has to catch; this shows that the check can fail at all.
 //!
 //! - [`chunks`]: claim, takeover, commit and cancel of a batch chunk;
+//! - [`jobs`]: a job on the row store, accepted, claimed, committed at positions, ended;
 //! - [`once`]: the at-most-once record;
 //! - [`configuration`]: spread of configuration revisions;
 //! - [`fence`]: orders to an engine from two controllers;
@@ -19,6 +20,7 @@
 pub mod chunks;
 pub mod configuration;
 pub mod fence;
+pub mod jobs;
 pub mod leaving;
 pub mod once;
 pub mod plans;
