--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -4,7 +4,7 @@
 
 use dappleyard_cluster::LoadSummary;
 use dappleyard_model::{PromptPart, ServerRecord};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Prompt tokens that weigh as much as one request under way.
 const TOKENS_PER_UNIT: f64 = 1_000.0;
@@ -70,11 +70,9 @@
 
 /// The server that keeps the shared parts of a prompt: the highest hash of both.
 pub fn home(servers: &[Arc<ServerRecord>], shared: u64) -> Option<&Arc<ServerRecord>> {
-    servers.iter().max_by_key(|server| {
-        let mut bytes = server.id.as_bytes().to_vec();
-        bytes.extend_from_slice(&shared.to_le_bytes());
-        xxh3_64(&bytes)
-    })
+    servers
+        .iter()
+        .max_by_key(|server| xxh3_64_with_seed(server.id.as_bytes(), shared))
 }
 
 /// Weight of a candidate; the least is best.
