A resend that meets a stopping node asks the record at another one

When the node polled next had begun a planned stop, it refused with not_ready before it looked at the record, and the sidecar's table gave up. Only in_progress and node_lost lead to another attempt with ran: maybe, so no other way leads there.

The table's own test is stricter by one kind: not_ready must ask the record.

--- a/crates/sidecar/src/forward/rule.rs
+++ b/crates/sidecar/src/forward/rule.rs
@@ -69,6 +69,8 @@
         ErrorKind::Overloaded if situation.attempts >= OVERLOADED_ATTEMPTS => Next::GiveUp,
         _ if !kind.answer().retryable => Next::GiveUp,
         _ if situation.ran == Ran::No => Next::Retry,
+        // The node takes nothing new and has not looked at the record.
+        ErrorKind::NotReady if repeat == Repeat::Never => Next::Poll,
         _ if repeat == Repeat::Never && kind != ErrorKind::NodeLost => Next::GiveUp,
         _ if situation.accepted => Next::Resume,
         _ => Next::Retry,
--- a/crates/sidecar/tests/faults.rs
+++ b/crates/sidecar/tests/faults.rs
@@ -8,7 +8,7 @@
 use dappleyard_sidecar::SidecarHandle;
 use dappleyard_transport::link::ServerStream;
 use dappleyard_wire::messages::{Refused, Submit, frame};
-use dappleyard_wire::{ErrorKind, Ran, Repeat};
+use dappleyard_wire::{ErrorKind, Failure, Ran, Repeat};
 use googletest::prelude::*;
 use support::{
     Received, Script, ScriptedNode, accepted, answers, chat_body, chunk, finish, post, refused,
@@ -148,6 +148,30 @@
     expect_that!(seen.borrow()[1].attempt, eq(2));
 }
 
+#[gtest]
+#[actix_rt::test]
+async fn a_resend_that_meets_a_stopping_node_asks_the_record_at_another() {
+    let (last, _) = answers("v1", 3);
+    // The first run of the key is under way; the node that is asked next takes nothing new.
+    let in_progress = vec![refused_after(ErrorKind::InProgress, Ran::Maybe)];
+    let stopping = refused_after(ErrorKind::NotReady, Ran::Maybe);
+    let met = Rc::new(Cell::new(false));
+    let then: Script = Rc::new(move |stream: ServerStream| {
+        if met.replace(true) {
+            return last(stream);
+        }
+        let _ = stream.send(stopping.clone());
+    });
+    let (nodes, seen) = by_turns(in_progress, false, then).await;
+    let (_sidecar, base) = start(&nodes).await;
+    expect_that!(chat(&base, false, &NEVER).await.status, eq(200));
+    expect_that!(seen.borrow().len(), eq(3));
+}
+
+fn refused_after(kind: ErrorKind, ran: Ran) -> frame::Body {
+    frame::Body::Refused(Failure::not_run(kind, "not now").after(ran).to_refused())
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn a_request_that_must_not_repeat_asks_the_record_after_a_lost_node() {
--- a/crates/sidecar/tests/rules.rs
+++ b/crates/sidecar/tests/rules.rs
@@ -32,7 +32,11 @@
                 attempts: 2,
                 ..never
             });
-            let asks_the_record = matches!(kind, ErrorKind::NodeLost | ErrorKind::InProgress);
+            // A node that takes nothing new has not looked at the record: another one does.
+            let asks_the_record = matches!(
+                kind,
+                ErrorKind::NodeLost | ErrorKind::InProgress | ErrorKind::NotReady
+            );
             expect_that!(
                 step == Next::GiveUp,
                 eq(!asks_the_record),
