The store by way of other nodes: readers of each zone in large fleets, and calls passed on

Change: crates/relay. Tables are taken from two readers of the zone in fleets of more than 24 nodes, and from any node that is answered while the store does not answer this one; reads and transactions are passed on once at most. Safety stays with the conditions of the transactions.

--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -4,9 +4,10 @@
 
 use dappleyard_model::{EventLog, Feed, Row, RowStore, Rows, StoreError};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How long the store may hold a call that waits for changes.
-const WAIT_MS: u64 = 2_000;
+const WAIT: Duration = Duration::from_millis(2_000);
 /// Rows read by one call.
 const PAGE_ROWS: usize = 500;
 /// Times that one page is asked for.
@@ -16,6 +17,17 @@
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// What the store told of itself with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Contact {
+    /// Everything up to this revision is known.
+    pub revision: u64,
+    /// Steady clock of the store, as of now.
+    pub now_ms: u64,
+    /// Time since the store said so; more than nothing when another node passed it on.
+    pub age: Duration,
+}
+
 /// What follows a table.
 pub trait TableSink {
     /// The table.
@@ -30,21 +42,36 @@
         Duration::ZERO
     }
 
+    /// How long the store may hold a call that waits for changes.
+    fn wait(&self) -> Duration {
+        WAIT
+    }
+
     /// The whole table as of a revision. Rows that the sink holds at a later revision stay.
     fn replace(&self, rows: Vec<Row>, revision: u64);
 
     /// One changed row.
     fn change(&self, row: Row);
 
-    /// The store answered; everything up to this revision was applied.
-    fn contact(&self, revision: u64, now_ms: u64);
+    /// The store answered; everything up to a revision was applied.
+    fn contact(&self, contact: &Contact);
+
+    /// Revision up to which the whole table is held already.
+    fn held(&self) -> Option<u64> {
+        None
+    }
+
+    /// What matters of a row: a change that leaves it alike is no change.
+    fn essence(&self, row: &Row) -> u64 {
+        row.value.as_ref().map_or(0, |value| xxh3_64(value))
+    }
 }
 
 /// Follows a table until the process ends.
 pub async fn follow(store: &dyn RowStore, sink: &dyn TableSink, log: &EventLog) {
-    let mut revision = 0;
+    let mut revision = sink.held().unwrap_or(0);
     let mut pause = FIRST_PAUSE;
-    let mut whole = false;
+    let mut whole = sink.held().is_some();
     let mut healthy = true;
     loop {
         let asked = Instant::now();
@@ -52,8 +79,8 @@
             false => read_whole(store, sink, revision).await,
             // After a failure the store is asked to answer at once, so that contact is known again
             // without waiting for a change.
-            true if !healthy => read_changes(store, sink, revision, 0).await,
-            true => read_changes(store, sink, revision, WAIT_MS).await,
+            true if !healthy => read_changes(store, sink, revision, Duration::ZERO).await,
+            true => read_changes(store, sink, revision, sink.wait()).await,
         };
         match outcome {
             Ok(reached) => {
@@ -93,8 +120,9 @@
     store: &dyn RowStore,
     sink: &dyn TableSink,
     after: u64,
-    wait_ms: u64,
+    wait: Duration,
 ) -> Result<u64, StoreError> {
+    let wait_ms = wait.as_millis() as u64;
     let feed: Feed = store.feed(sink.table(), after, wait_ms).await?;
     if feed.revision < after {
         // The history begins anew below what is known: read the table whole.
@@ -103,7 +131,11 @@
     for row in feed.rows {
         sink.change(row);
     }
-    sink.contact(feed.revision, feed.now_ms);
+    sink.contact(&Contact {
+        revision: feed.revision,
+        now_ms: feed.now_ms,
+        age: Duration::ZERO,
+    });
     Ok(feed.revision)
 }
 
@@ -171,6 +203,10 @@
     }
     let (revision, now_ms) = oldest.unwrap_or((known, 0));
     sink.replace(rows, revision);
-    sink.contact(revision, now_ms);
+    sink.contact(&Contact {
+        revision,
+        now_ms,
+        age: Duration::ZERO,
+    });
     Ok(revision)
 }
--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -8,6 +8,7 @@
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 
+use crate::health::StoreHealth;
 use crate::loads::{LoadTable, node_number};
 use crate::messages::Heartbeat;
 use crate::peers::{ALL_HEARD, PeerTable};
@@ -43,6 +44,7 @@
     peers: Arc<PeerTable>,
     loads: Arc<LoadTable>,
     view: Arc<View>,
+    health: Arc<StoreHealth>,
     leaving: Arc<std::sync::atomic::AtomicBool>,
 }
 
@@ -53,6 +55,7 @@
         peers: Arc<PeerTable>,
         loads: Arc<LoadTable>,
         view: Arc<View>,
+        health: Arc<StoreHealth>,
         leaving: Arc<std::sync::atomic::AtomicBool>,
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(settings.address).await?;
@@ -62,6 +65,7 @@
             peers,
             loads,
             view,
+            health,
             leaving,
         })
     }
@@ -128,6 +132,9 @@
             store_age_ms: u32::try_from(store_age.as_millis()).unwrap_or(u32::MAX),
             loads: self.loads.own_entries(),
             heard: self.peers.heard_entries(),
+            direct_age_ms: self.health.age().map_or(0, |age| {
+                u32::try_from(age.as_millis()).unwrap_or(u32::MAX - 1) + 1
+            }),
         }
     }
 
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -6,16 +6,18 @@
 pub mod directory;
 mod follow;
 mod gossip;
+mod health;
 mod loads;
 mod messages;
 mod peers;
 mod servers;
 mod view;
 
-pub use follow::{TableSink, follow};
+pub use follow::{Contact, TableSink, follow};
 pub use gossip::{Gossip, GossipSettings};
+pub use health::StoreHealth;
 pub use loads::{InFlight, LoadSummary, LoadTable, WorkKind, node_number};
-pub use messages::NodeRow;
-pub use peers::{NODES_TABLE, PeerStatus, PeerTable};
+pub use messages::{Heartbeat, NodeRow};
+pub use peers::{ALL_HEARD, NODES_TABLE, PeerStatus, PeerTable, RelayPeer};
 pub use servers::{ServerSet, Standpoint};
 pub use view::{ConfigurationSink, ServersSink, View};
--- a/crates/cluster/src/messages.rs
+++ b/crates/cluster/src/messages.rs
@@ -80,4 +80,8 @@
     /// When some other nodes were last heard of; in fleets where not every node hears every other.
     #[prost(message, repeated, tag = "7")]
     pub heard: Vec<HeardEntry>,
+    /// Time since the store last answered a call of the sender itself, plus one; 0 when it never
+    /// has.
+    #[prost(uint32, tag = "8")]
+    pub direct_age_ms: u32,
 }
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 
-use crate::follow::TableSink;
+use crate::follow::{Contact, TableSink};
 use crate::messages::{HeardEntry, Heartbeat, NodeRow};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -23,7 +23,7 @@
 /// Silence after which a node of another zone counts as down.
 const FAR_SILENCE: Duration = Duration::from_millis(1600);
 /// Most nodes of a fleet in which every node hears every other.
-pub(crate) const ALL_HEARD: usize = 24;
+pub const ALL_HEARD: usize = 24;
 /// Silence after which a node counts as down in a larger fleet, where heartbeats are relayed.
 const RELAYED_SILENCE: Duration = Duration::from_millis(2_500);
 /// Nodes of which one heartbeat relays when they were heard.
@@ -62,9 +62,23 @@
     ready: bool,
     leaving: bool,
     store_silent: bool,
+    direct: Option<Instant>,
     logged_down: bool,
 }
 
+/// A node that may pass calls to the store on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayPeer {
+    /// Name.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Address for calls between nodes.
+    pub address: SocketAddr,
+    /// Time since the store last answered it, as far as is known.
+    pub direct_age: Option<Duration>,
+}
+
 /// The nodes that are known, this one included.
 pub struct PeerTable {
     own_name: String,
@@ -142,6 +156,33 @@
             .collect()
     }
 
+    /// The other nodes that are alive and stay.
+    pub fn relay_peers(&self) -> Vec<RelayPeer> {
+        let now = Instant::now();
+        let peers = self.peers.lock();
+        let others = peers.iter().filter(|(name, peer)| {
+            let leaves = peer.row.leaving || peer.leaving;
+            **name != self.own_name
+                && !leaves
+                && self.judge(peer, now, peers.len()) != PeerStatus::Down
+        });
+        others
+            .filter_map(|(name, peer)| {
+                Some(RelayPeer {
+                    name: name.clone(),
+                    zone: peer.row.zone.clone(),
+                    address: peer.address?,
+                    direct_age: peer.direct.map(|at| now.duration_since(at)),
+                })
+            })
+            .collect()
+    }
+
+    /// Number of nodes that have a row, this one included.
+    pub fn listed(&self) -> usize {
+        self.peers.lock().len()
+    }
+
     /// Number of nodes that are heard, this one included.
     pub fn count(&self) -> usize {
         let now = Instant::now();
@@ -153,7 +194,8 @@
         others.count() + 1
     }
 
-    pub(crate) fn heard(&self, heartbeat: &Heartbeat) -> bool {
+    /// Takes a heartbeat; whether it is of a life that is known.
+    pub fn heard(&self, heartbeat: &Heartbeat) -> bool {
         let mut peers = self.peers.lock();
         let Some(peer) = peers.get_mut(&heartbeat.name) else {
             return false;
@@ -166,6 +208,10 @@
         peer.leaving = heartbeat.leaving;
         peer.store_silent =
             Duration::from_millis(u64::from(heartbeat.store_age_ms)) > STORE_SILENCE;
+        if heartbeat.direct_age_ms > 0 {
+            let age = Duration::from_millis(u64::from(heartbeat.direct_age_ms - 1));
+            peer.direct = Instant::now().checked_sub(age);
+        }
         if std::mem::take(&mut peer.logged_down) {
             self.log.write(
                 "peer_back",
@@ -287,6 +333,7 @@
                     ready: false,
                     leaving: false,
                     store_silent: false,
+                    direct: None,
                     logged_down: false,
                 };
                 peers.insert(row.key.clone(), peer);
@@ -321,5 +368,5 @@
         self.changed.notify_waiters();
     }
 
-    fn contact(&self, _revision: u64, _now_ms: u64) {}
+    fn contact(&self, _contact: &Contact) {}
 }
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -1,14 +1,16 @@
 //! The configuration in force and the servers of each service.
 
 use std::collections::HashMap;
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use dappleyard_model::{Configuration, Dialect, EventLog, Row, ServerRecord};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
+use xxhash_rust::xxh3::Xxh3Default;
 
-use crate::follow::TableSink;
+use crate::follow::{Contact, TableSink};
 use crate::servers::{ServerSet, Standpoint};
 use tokio::time::Instant;
 
@@ -131,8 +133,10 @@
             .collect();
     }
 
-    fn contact(&self) {
-        self.known.lock().contact = Some(Instant::now());
+    fn contact(&self, contact: &Contact) {
+        let mut known = self.known.lock();
+        let at = Instant::now().checked_sub(contact.age);
+        known.contact = known.contact.max(at);
     }
 
     fn log_server(&self, row: &Row, server: Option<&ServerRecord>) {
@@ -187,8 +191,8 @@
         }
     }
 
-    fn contact(&self, _revision: u64, _now_ms: u64) {
-        self.view.contact();
+    fn contact(&self, contact: &Contact) {
+        self.view.contact(contact);
     }
 }
 
@@ -229,6 +233,12 @@
         SERVERS_PACE
     }
 
+    fn essence(&self, row: &Row) -> u64 {
+        let mut hasher = Xxh3Default::new();
+        self.read(row).hash(&mut hasher);
+        hasher.finish()
+    }
+
     fn replace(&self, rows: Vec<Row>, revision: u64) {
         let servers: Vec<(ServerRecord, u64)> = rows
             .iter()
@@ -263,7 +273,7 @@
         self.view.changed.notify_waiters();
     }
 
-    fn contact(&self, _revision: u64, _now_ms: u64) {
-        self.view.contact();
+    fn contact(&self, contact: &Contact) {
+        self.view.contact(contact);
     }
 }
--- a/crates/cluster/tests/follow.rs
+++ b/crates/cluster/tests/follow.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dappleyard_cluster::{TableSink, follow};
+use dappleyard_cluster::{Contact, TableSink, follow};
 use dappleyard_emulator::EmulatedRows;
 use dappleyard_model::{EventLog, Row};
 use googletest::prelude::*;
@@ -47,7 +47,8 @@
         };
     }
 
-    fn contact(&self, revision: u64, _now_ms: u64) {
+    fn contact(&self, contact: &Contact) {
+        let revision = contact.revision;
         self.went_back
             .set(self.went_back.get() || revision < self.newest.get());
         self.newest.set(revision);
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -8,13 +8,17 @@
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpServer};
 use dappleyard_cluster::{
-    ConfigurationSink, Gossip, GossipSettings, LoadTable, PeerTable, ServersSink, TableSink, View,
-    follow,
+    ConfigurationSink, Contact, Gossip, GossipSettings, LoadTable, NODES_TABLE, PeerTable,
+    ServersSink, StoreHealth, TableSink, View,
 };
-use dappleyard_ingress::{Metrics, Node, Upstreams, configure, front_app_data};
-use dappleyard_jobs::{JobTable, NodeJobs, Runner};
-use dappleyard_model::{Dialect, EventLog, NodeSettings, RowStore};
+use dappleyard_ingress::{Metrics, Node, PeerAnswers, Upstreams, configure, front_app_data};
+use dappleyard_jobs::{JOB_TABLES, JobTable, NodeJobs, Runner};
+use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
 use dappleyard_platform::{HttpRows, PlatformDialect, describe};
+use dappleyard_relay::{
+    Access, Histories, RelayService, RelayedRows, Replica, follow_directly, mirror,
+};
+use futures::FutureExt;
 use parking_lot::Mutex;
 
 use super::registration;
@@ -50,11 +54,20 @@
             "version": env!("CARGO_PKG_VERSION")})
     });
     let view = Arc::new(View::new(&settings.name, &settings.zone, log.clone()));
+    let peers = Arc::new(PeerTable::new(&settings.name, &settings.zone, log.clone()));
+    let health = Arc::new(StoreHealth::default());
+    let access = Arc::new(Access::new(
+        &settings.name,
+        &settings.zone,
+        health.clone(),
+        peers.clone(),
+        log.clone(),
+    ));
     let node = Arc::new(Node {
         life,
         view: view.clone(),
         loads: Arc::new(LoadTable::default()),
-        peers: Arc::new(PeerTable::new(&settings.name, &settings.zone, log.clone())),
+        peers,
         dialect: dialect.clone(),
         log: log.clone(),
         metrics: Arc::new(Metrics::default()),
@@ -64,29 +77,30 @@
         settings,
     });
     let table = Arc::new(JobTable::default());
-    let store: Rc<dyn RowStore> = Rc::new(HttpRows::new(node.settings.store.clone()));
-    let sinks: [Rc<dyn TableSink>; 2] = [
+    let direct: Rc<dyn RowStore> = Rc::new(HttpRows::new(node.settings.store.clone()));
+    let store: Rc<dyn RowStore> = Rc::new(RelayedRows::new(direct.clone(), access.clone()));
+    let sinks: [Rc<dyn TableSink>; 4] = [
         Rc::new(ConfigurationSink {
             view: view.clone(),
             dialect: dialect.clone(),
         }),
         Rc::new(ServersSink {
             view: view.clone(),
-            dialect,
+            dialect: dialect.clone(),
         }),
+        Rc::new(Shared(node.peers.clone())),
+        Rc::new(Shared(table.clone())),
     ];
-    for sink in sinks {
-        spawn_follow(store.clone(), log.clone(), move || sink.clone());
-    }
-    spawn_shared_follow(store.clone(), log.clone(), node.peers.clone());
-    spawn_shared_follow(store.clone(), log, table.clone());
-    spawn_gossip(&node).await?;
+    let tables = sinks.each_ref().map(|sink| sink.table());
+    let histories = Histories::new(&tables);
+    spawn_follow(&sinks, &histories, &store, &direct, &access, &log);
+    spawn_gossip(&node, health).await?;
     tokio::task::spawn_local(registration::register(node.clone(), store.clone()));
     let upstreams = Upstreams::new(node.clone());
     spawn_sweep(node.clone(), upstreams.clone());
     let runner = Runner::new(node.clone(), table.clone(), store.clone(), upstreams);
     tokio::task::spawn_local(runner.clone().run());
-    let server = spawn_server(node.clone(), table)?;
+    let server = spawn_server(node.clone(), table, access, histories)?;
     Ok(Running {
         node,
         store,
@@ -95,27 +109,67 @@
     })
 }
 
-fn spawn_follow(
-    store: Rc<dyn RowStore>,
-    log: Arc<EventLog>,
-    sink: impl Fn() -> Rc<dyn TableSink> + 'static,
-) {
-    tokio::task::spawn_local(async move {
-        follow(store.as_ref(), sink().as_ref(), &log).await;
-    });
+/// Tables that nodes read and write for each other.
+fn node_tables() -> Vec<&'static str> {
+    JOB_TABLES.into_iter().chain([NODES_TABLE]).collect()
 }
 
-fn spawn_shared_follow(
-    store: Rc<dyn RowStore>,
-    log: Arc<EventLog>,
-    sink: Arc<impl TableSink + 'static>,
+/// A table that other threads read too.
+struct Shared<S>(Arc<S>);
+
+impl<S: TableSink> TableSink for Shared<S> {
+    fn table(&self) -> &'static str {
+        self.0.table()
+    }
+
+    fn is_partitioned(&self) -> bool {
+        self.0.is_partitioned()
+    }
+
+    fn pace(&self) -> Duration {
+        self.0.pace()
+    }
+
+    fn replace(&self, rows: Vec<Row>, revision: u64) {
+        self.0.replace(rows, revision);
+    }
+
+    fn change(&self, row: Row) {
+        self.0.change(row);
+    }
+
+    fn contact(&self, contact: &Contact) {
+        self.0.contact(contact);
+    }
+}
+
+/// Follows all tables, at the store or by way of other nodes.
+fn spawn_follow(
+    sinks: &[Rc<dyn TableSink>],
+    histories: &Histories,
+    store: &Rc<dyn RowStore>,
+    direct: &Rc<dyn RowStore>,
+    access: &Arc<Access>,
+    log: &Arc<EventLog>,
 ) {
-    tokio::task::spawn_local(async move {
-        follow(store.as_ref(), sink.as_ref(), &log).await;
-    });
+    let replicas: Vec<Rc<Replica>> = sinks
+        .iter()
+        .filter_map(|sink| Replica::new(sink.clone(), histories, access.clone()))
+        .map(Rc::new)
+        .collect();
+    for replica in replicas.clone() {
+        let (store, access, log) = (store.clone(), access.clone(), log.clone());
+        tokio::task::spawn_local(async move {
+            follow_directly(store, replica, &access, &log).await;
+        });
+    }
+    let (watched, log) = (access.clone(), log.clone());
+    tokio::task::spawn_local(async move { mirror(&replicas, &watched, &log).await });
+    let (access, direct) = (access.clone(), direct.clone());
+    tokio::task::spawn_local(async move { access.run(direct.as_ref()).await });
 }
 
-async fn spawn_gossip(node: &Arc<Node>) -> std::io::Result<()> {
+async fn spawn_gossip(node: &Arc<Node>, health: Arc<StoreHealth>) -> std::io::Result<()> {
     let settings = GossipSettings {
         name: node.settings.name.clone(),
         life: node.life,
@@ -126,6 +180,7 @@
         node.peers.clone(),
         node.loads.clone(),
         node.view.clone(),
+        health,
         node.leaving.clone(),
     )
     .await?;
@@ -143,12 +198,25 @@
     });
 }
 
-fn spawn_server(node: Arc<Node>, table: Arc<JobTable>) -> std::io::Result<ServerHandle> {
+fn spawn_server(
+    node: Arc<Node>,
+    table: Arc<JobTable>,
+    access: Arc<Access>,
+    histories: Histories,
+) -> std::io::Result<ServerHandle> {
     let listen = node.settings.listen.clone();
+    let peer_address = (node.settings.ip, node.settings.peer_port);
     let factory = move || {
-        let store = Rc::new(HttpRows::new(node.settings.store.clone()));
+        let direct: Rc<dyn RowStore> = Rc::new(HttpRows::new(node.settings.store.clone()));
+        let store = Rc::new(RelayedRows::new(direct.clone(), access.clone()));
         let jobs = NodeJobs::new(node.clone(), table.clone(), store);
-        let data = front_app_data(Upstreams::new(node.clone()), Rc::new(jobs));
+        let relay = RelayService::new(direct, access.clone(), histories.clone(), node_tables());
+        let relay = Rc::new(relay);
+        let peers: PeerAnswers = Rc::new(move |call| {
+            let relay = relay.clone();
+            async move { relay.answer(call).await }.boxed_local()
+        });
+        let data = front_app_data(Upstreams::new(node.clone()), Rc::new(jobs), peers);
         App::new().app_data(data).configure(configure)
     };
     let mut server = HttpServer::new(factory)
@@ -160,7 +228,8 @@
         .disable_signals()
         .bind(listen.front)?
         .bind(listen.ready)?
-        .bind(listen.directory)?;
+        .bind(listen.directory)?
+        .bind(peer_address)?;
     if let Some(metrics) = listen.metrics {
         server = server.bind(metrics)?;
     }
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -62,15 +62,27 @@
     fn end<'a>(&'a self, job: &'a str) -> LocalBoxFuture<'a, JobReply>;
 }
 
+/// Answers a call of another node; both are bytes of the protocol between nodes.
+pub type PeerAnswers = Rc<dyn Fn(Bytes) -> LocalBoxFuture<'static, Bytes>>;
+
 /// What the handlers of one worker thread need.
 pub struct FrontData {
     upstreams: Upstreams,
     jobs: Rc<dyn JobCalls>,
+    peers: PeerAnswers,
 }
 
 /// State of one worker thread.
-pub fn front_app_data(upstreams: Upstreams, jobs: Rc<dyn JobCalls>) -> web::Data<FrontData> {
-    web::Data::new(FrontData { upstreams, jobs })
+pub fn front_app_data(
+    upstreams: Upstreams,
+    jobs: Rc<dyn JobCalls>,
+    peers: PeerAnswers,
+) -> web::Data<FrontData> {
+    web::Data::new(FrontData {
+        upstreams,
+        jobs,
+        peers,
+    })
 }
 
 /// Adds the handlers to an application.
@@ -101,6 +113,9 @@
             _ => refusal(&node, ErrorKind::NoRoute, "only the directory is here"),
         };
     }
+    if port == node.settings.peer_port {
+        return peer_call(payload, &data).await;
+    }
     if listen.metrics.is_some_and(|metrics| metrics.port() == port) {
         return match request.path() == "/metrics" {
             true => metrics(&node),
@@ -120,6 +135,13 @@
     }
 }
 
+async fn peer_call(payload: web::Payload, data: &FrontData) -> HttpResponse {
+    match read_body(payload, BODY_LIMIT).await {
+        Ok(call) => HttpResponse::Ok().body((data.peers)(call).await),
+        Err(kind) => refusal(data.upstreams.node(), kind, "body of a node's call"),
+    }
+}
+
 fn ready(node: &Node) -> HttpResponse {
     match node.is_ready() {
         true => HttpResponse::Ok().finish(),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
 pub use event_stream::{Event, EventSplitter};
-pub use front::{JobCalls, JobReply, configure, front_app_data};
+pub use front::{JobCalls, JobReply, PeerAnswers, configure, front_app_data};
 pub use metrics::Metrics;
 pub use node::Node;
 pub use outcome::ErrorKind;
--- a/crates/jobs/src/keys.rs
+++ b/crates/jobs/src/keys.rs
@@ -14,6 +14,15 @@
 /// One row for each route, written by acceptances that must not overtake each other.
 pub const QUOTAS_TABLE: &str = "quotas";
 
+/// All tables of jobs.
+pub const JOB_TABLES: [&str; 5] = [
+    JOBS_TABLE,
+    ITEMS_TABLE,
+    RESULTS_TABLE,
+    PARTIALS_TABLE,
+    QUOTAS_TABLE,
+];
+
 /// Partitions that jobs are spread over.
 const PARTITIONS: u64 = 4;
 /// Longest value written to one row, bytes, before the store's encoding.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub use calls::NodeJobs;
 pub use claiming::{Ground, may_claim};
+pub use keys::JOB_TABLES;
 pub use messages::{ItemsBlob, JobRow, JobState, StoredItem};
 pub use order::{RunEstimate, rank};
 pub use runner::Runner;
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_cluster::TableSink;
+use dappleyard_cluster::{Contact, TableSink};
 use dappleyard_model::Row;
 use parking_lot::Mutex;
 use prost::Message;
@@ -173,11 +173,12 @@
         }
     }
 
-    fn contact(&self, revision: u64, now_ms: u64) {
+    fn contact(&self, contact: &Contact) {
+        let now = Instant::now();
         let mut state = self.state.lock();
-        state.revision = state.revision.max(revision);
-        state.contact = Some(Instant::now());
-        state.clock = Some((now_ms, Instant::now()));
+        state.revision = state.revision.max(contact.revision);
+        state.contact = state.contact.max(now.checked_sub(contact.age));
+        state.clock = Some((contact.now_ms, now));
         drop(state);
         self.changed.notify_waiters();
     }
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -57,7 +57,7 @@
 }
 
 /// One server as service discovery shows it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ServerRecord {
     /// Identifier of this incarnation.
     pub id: String,
--- /dev/null
+++ b/crates/relay/src/access.rs
@@ -0,0 +1,242 @@
+//! How a node reaches the store: by itself, or by way of other nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_cluster::{ALL_HEARD, NODES_TABLE, PeerTable, RelayPeer, StoreHealth};
+use dappleyard_model::{EventLog, RowStore};
+use derive_more::Display;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Nodes of each zone of a large fleet that follow the tables at the store.
+const READERS: usize = 2;
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(150);
+/// Time without an answer of the store after which a node that follows tables there makes sure.
+const QUIET: Duration = Duration::from_millis(900);
+/// Longest wait for the answer that makes sure.
+const PROBE_LIMIT: Duration = Duration::from_millis(350);
+/// A node that the store answered this long ago, as far as is known, may pass calls on.
+const FIT: Duration = Duration::from_millis(2_000);
+/// Time for which a node reads the store itself after its readers failed it.
+const AFTER_FAILURE: Duration = Duration::from_secs(2);
+
+/// How tables are followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Path {
+    /// At the store.
+    #[display("direct")]
+    Direct,
+    /// By way of another node.
+    #[display("by_peer")]
+    ByPeer,
+}
+
+/// What the choice of a path rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Situation {
+    /// The fleet is so large that only readers follow tables at the store.
+    pub large: bool,
+    /// This node is one of the readers of its zone.
+    pub reader: bool,
+    /// The store does not answer this node.
+    pub lost: bool,
+    /// Other nodes could pass on what they know.
+    pub peers: usize,
+    /// Those failed a moment ago.
+    pub peers_failed: bool,
+}
+
+/// Chooses a path.
+pub fn decide(situation: &Situation) -> Path {
+    let needs_others = situation.lost || (situation.large && !situation.reader);
+    match needs_others && situation.peers > 0 && !situation.peers_failed {
+        true => Path::ByPeer,
+        false => Path::Direct,
+    }
+}
+
+/// The readers among the nodes of a zone: all nodes that know the same names choose the same ones.
+pub fn readers<'a>(names: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut ranked: Vec<(u64, &str)> = names.map(|name| (xxh3_64(name.as_bytes()), name)).collect();
+    ranked.sort();
+    ranked
+        .into_iter()
+        .take(READERS)
+        .map(|(_, name)| name)
+        .collect()
+}
+
+/// How this node reaches the store, shared by all threads.
+pub struct Access {
+    name: String,
+    zone: String,
+    health: Arc<StoreHealth>,
+    peers: Arc<PeerTable>,
+    path: watch::Sender<Path>,
+    peers_failed: Mutex<Option<Instant>>,
+    log: Arc<EventLog>,
+}
+
+impl Access {
+    /// Direct access of a node.
+    pub fn new(
+        name: &str,
+        zone: &str,
+        health: Arc<StoreHealth>,
+        peers: Arc<PeerTable>,
+        log: Arc<EventLog>,
+    ) -> Self {
+        Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            health,
+            peers,
+            path: watch::channel(Path::Direct).0,
+            peers_failed: Mutex::default(),
+            log,
+        }
+    }
+
+    /// Outcomes of this node's own calls.
+    pub fn health(&self) -> &StoreHealth {
+        &self.health
+    }
+
+    /// How tables are followed now.
+    pub fn path(&self) -> Path {
+        *self.path.borrow()
+    }
+
+    /// Whether other nodes take tables from this one as a rule.
+    pub fn serves_others(&self) -> bool {
+        self.is_large() && self.is_reader()
+    }
+
+    /// Waits until tables are followed by this path.
+    pub async fn until(&self, wanted: Path) {
+        let mut path = self.path.subscribe();
+        // The sender lives as long as this does.
+        let _ = path.wait_for(|path| *path == wanted).await;
+    }
+
+    /// Nodes to take tables from, the best first.
+    pub fn sources(&self) -> Vec<RelayPeer> {
+        let peers = self.peers.relay_peers();
+        if !self.is_large() {
+            return self.fit(peers);
+        }
+        let near: Vec<RelayPeer> = peers
+            .into_iter()
+            .filter(|peer| peer.zone == self.zone)
+            .collect();
+        let names = near.iter().map(|peer| peer.name.as_str());
+        let chosen: Vec<String> = readers(names.chain([self.name.as_str()]))
+            .into_iter()
+            .map(str::to_owned)
+            .collect();
+        let mut sources: Vec<RelayPeer> = near
+            .into_iter()
+            .filter(|peer| chosen.contains(&peer.name))
+            .collect();
+        self.sort(&mut sources);
+        sources
+    }
+
+    /// Nodes that may pass a call on, the best first.
+    pub fn relays(&self) -> Vec<RelayPeer> {
+        let mut relays = self.fit(self.peers.relay_peers());
+        if relays.is_empty() && self.is_large() {
+            relays = self.sources();
+        }
+        relays
+    }
+
+    /// Notes that no node gave what was asked.
+    pub fn note_peers_failed(&self) {
+        *self.peers_failed.lock() = Some(Instant::now());
+    }
+
+    /// Watches over the access until the process ends.
+    pub async fn run(&self, store: &dyn RowStore) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            self.probe(store).await;
+            self.look();
+        }
+    }
+
+    /// Chooses the path anew.
+    pub fn look(&self) {
+        let failed = *self.peers_failed.lock();
+        let situation = Situation {
+            large: self.is_large(),
+            reader: self.is_reader(),
+            lost: self.health.is_lost(),
+            peers: self.sources().len(),
+            peers_failed: failed.is_some_and(|at| at.elapsed() < AFTER_FAILURE),
+        };
+        let next = decide(&situation);
+        let changed = self.path.send_if_modified(|path| {
+            let changed = *path != next;
+            *path = next;
+            changed
+        });
+        if changed {
+            self.log.write("store_path", || {
+                serde_json::json!({"path": next.to_string(), "lost": situation.lost,
+                    "reader": situation.reader, "large": situation.large,
+                    "peers": situation.peers, "peers_failed": situation.peers_failed,
+                    "store_age_ms": self.health.age().map(|age| age.as_millis() as u64)})
+            });
+        }
+    }
+
+    /// Makes sure of the store when it has been quiet, or whether it answers again.
+    async fn probe(&self, store: &dyn RowStore) {
+        let quiet = self.health.age().is_none_or(|age| age > QUIET);
+        let follows = self.path() == Path::Direct;
+        if !(quiet && (follows || self.health.is_lost())) {
+            return;
+        }
+        let behind = format!("{}\u{1}", self.name);
+        let read = store.read(NODES_TABLE, "", &self.name, &behind, 1);
+        let outcome = tokio::time::timeout(PROBE_LIMIT, read).await;
+        let outcome = outcome.unwrap_or_else(|_| {
+            Err(dappleyard_model::StoreError::Ambiguous {
+                reason: "no answer to a probe".to_owned(),
+            })
+        });
+        self.health.note(&outcome);
+    }
+
+    fn is_large(&self) -> bool {
+        self.peers.listed() > ALL_HEARD
+    }
+
+    fn is_reader(&self) -> bool {
+        let peers = self.peers.relay_peers();
+        let near = peers.iter().filter(|peer| peer.zone == self.zone);
+        let names = near.map(|peer| peer.name.as_str());
+        readers(names.chain([self.name.as_str()])).contains(&self.name.as_str())
+    }
+
+    fn fit(&self, peers: Vec<RelayPeer>) -> Vec<RelayPeer> {
+        let answered = |peer: &RelayPeer| peer.direct_age.is_some_and(|age| age < FIT);
+        let mut fit: Vec<RelayPeer> = peers.into_iter().filter(answered).collect();
+        self.sort(&mut fit);
+        fit
+    }
+
+    /// Nodes of the own zone first, in an order of this node's own.
+    fn sort(&self, peers: &mut [RelayPeer]) {
+        peers.sort_by_key(|peer| {
+            let mut bytes = self.name.as_bytes().to_vec();
+            bytes.extend_from_slice(peer.name.as_bytes());
+            (peer.zone != self.zone, xxh3_64(&bytes))
+        });
+    }
+}
--- /dev/null
+++ b/crates/relay/src/mirror.rs
@@ -0,0 +1,164 @@
+//! Follows tables: at the store, or by way of a node that does.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_cluster::{Contact, RelayPeer, TableSink, follow};
+use dappleyard_model::{EventLog, Row, RowStore, StoreError};
+use tokio::time::Instant;
+
+use crate::access::{Access, Path};
+use crate::call::PeerCalls;
+use crate::history::Replica;
+use crate::messages::{
+    AnswerKind, CallKind, ChangesAnswer, ChangesCall, TableChanges, TablePosition,
+};
+
+/// How long another node may hold its answer.
+const WAIT: Duration = Duration::from_millis(400);
+/// Longest wait for that answer.
+const LIMIT: Duration = Duration::from_millis(700);
+/// Longest wait for whole tables.
+const WHOLE_LIMIT: Duration = Duration::from_millis(2_000);
+/// A copy whose reader has had no answer of the store for longer is not good enough.
+const OLDEST: Duration = Duration::from_millis(1_000);
+/// Time for which a node that failed is not asked.
+const AVOIDED: Duration = Duration::from_secs(2);
+
+/// Follows a table at the store whenever that is the path.
+pub async fn follow_directly(
+    store: Rc<dyn RowStore>,
+    replica: Rc<Replica>,
+    access: &Access,
+    log: &EventLog,
+) {
+    loop {
+        access.until(Path::Direct).await;
+        tokio::select! {
+            () = follow(store.as_ref(), replica.as_ref(), log) => {}
+            () = access.until(Path::ByPeer) => {}
+        }
+    }
+}
+
+/// Takes the tables from other nodes whenever that is the path.
+pub async fn mirror(replicas: &[Rc<Replica>], access: &Access, log: &EventLog) {
+    let mut mirror = Mirror {
+        replicas,
+        calls: PeerCalls::new(),
+        avoided: Vec::new(),
+        from: None,
+    };
+    loop {
+        access.until(Path::ByPeer).await;
+        tokio::select! {
+            () = mirror.take(access, log) => {}
+            () = access.until(Path::Direct) => {}
+        }
+    }
+}
+
+struct Mirror<'a> {
+    replicas: &'a [Rc<Replica>],
+    calls: PeerCalls,
+    avoided: Vec<(String, Instant)>,
+    from: Option<String>,
+}
+
+impl Mirror<'_> {
+    /// Takes changes until no node gives any.
+    async fn take(&mut self, access: &Access, log: &EventLog) {
+        loop {
+            self.avoided.retain(|(_, at)| at.elapsed() < AVOIDED);
+            let source = access.sources().into_iter().find(|peer| !self.avoids(peer));
+            let Some(source) = source else {
+                access.note_peers_failed();
+                access.look();
+                return;
+            };
+            if let Err(error) = self.ask(&source).await {
+                log.write(
+                    "reader_failed",
+                    || serde_json::json!({"peer": source.name, "cause": error.to_string()}),
+                );
+                self.avoided.push((source.name.clone(), Instant::now()));
+                self.from = None;
+            } else if self.from.as_ref() != Some(&source.name) {
+                log.write(
+                    "reader_followed",
+                    || serde_json::json!({"peer": source.name}),
+                );
+                self.from = Some(source.name.clone());
+            }
+        }
+    }
+
+    fn avoids(&self, peer: &RelayPeer) -> bool {
+        self.avoided.iter().any(|(name, _)| *name == peer.name)
+    }
+
+    async fn ask(&self, source: &RelayPeer) -> Result<(), StoreError> {
+        let positions = self.replicas.iter().map(|replica| TablePosition {
+            table: replica.table().to_owned(),
+            revision: replica.held(),
+        });
+        let call = ChangesCall {
+            tables: positions.collect(),
+            wait_ms: WAIT.as_millis() as u32,
+        };
+        let limit = match call
+            .tables
+            .iter()
+            .all(|position| position.revision.is_some())
+        {
+            true => LIMIT,
+            false => WHOLE_LIMIT,
+        };
+        let answer = self
+            .calls
+            .call(source.address, CallKind::Changes(call), limit);
+        let AnswerKind::Changes(answer) = answer.await? else {
+            return Err(unfit("the answer to another call"));
+        };
+        self.apply(answer)
+    }
+
+    fn apply(&self, answer: ChangesAnswer) -> Result<(), StoreError> {
+        for table in answer.tables {
+            let replica = self
+                .replicas
+                .iter()
+                .find(|held| held.table() == table.table);
+            let Some(replica) = replica else {
+                continue;
+            };
+            if Duration::from_millis(u64::from(table.age_ms)) > OLDEST {
+                return Err(unfit("its own knowledge is old"));
+            }
+            if replica.held().is_some_and(|held| held > table.revision) {
+                return Err(unfit("it is behind this node"));
+            }
+            apply(replica, table);
+        }
+        Ok(())
+    }
+}
+
+fn apply(replica: &Replica, table: TableChanges) {
+    let rows: Vec<Row> = table.rows.into_iter().map(Row::from).collect();
+    match table.whole {
+        true => replica.replace(rows, table.revision),
+        false => rows.into_iter().for_each(|row| replica.change(row)),
+    }
+    replica.contact(&Contact {
+        revision: table.revision,
+        now_ms: table.now_ms,
+        age: Duration::from_millis(u64::from(table.age_ms)),
+    });
+}
+
+fn unfit(reason: &str) -> StoreError {
+    StoreError::Unavailable {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/rows.rs
@@ -0,0 +1,111 @@
+//! The row store as a node uses it: its own calls, or calls passed on by another node while the
+//! store does not answer this one.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dappleyard_model::{Committed, Feed, RowStore, Rows, StoreError, Transaction};
+
+use crate::access::Access;
+use crate::call::PeerCalls;
+use crate::messages::{AnswerKind, CallKind, ReadCall, TransactCall};
+
+/// Longest wait for a call that another node makes.
+const LIMIT: Duration = Duration::from_millis(1_800);
+/// Nodes that are asked to make one call.
+const MOST_ASKED: usize = 3;
+
+/// The row store of one thread.
+pub struct RelayedRows {
+    direct: Rc<dyn RowStore>,
+    access: Arc<Access>,
+    calls: PeerCalls,
+}
+
+impl RelayedRows {
+    /// Calls through `direct` while the store answers there.
+    pub fn new(direct: Rc<dyn RowStore>, access: Arc<Access>) -> Self {
+        Self {
+            direct,
+            access,
+            calls: PeerCalls::new(),
+        }
+    }
+
+    fn noted<T>(&self, outcome: Result<T, StoreError>) -> Result<T, StoreError> {
+        self.access.health().note(&outcome);
+        outcome
+    }
+
+    /// Has another node make the call; `None` when none did anything about it.
+    async fn by_peer(&self, kind: &CallKind) -> Option<Result<AnswerKind, StoreError>> {
+        if !self.access.health().is_lost() {
+            return None;
+        }
+        for peer in self.access.relays().into_iter().take(MOST_ASKED) {
+            match self.calls.call(peer.address, kind.clone(), LIMIT).await {
+                // Nothing was done there.
+                Err(StoreError::Unavailable { .. }) => {}
+                outcome => return Some(outcome),
+            }
+        }
+        None
+    }
+}
+
+fn unexpected() -> StoreError {
+    StoreError::Ambiguous {
+        reason: "another node gave the answer to another call".to_owned(),
+    }
+}
+
+#[async_trait(?Send)]
+impl RowStore for RelayedRows {
+    async fn transact(&self, transaction: &Transaction) -> Result<Committed, StoreError> {
+        let call = CallKind::Transact(TransactCall::from(transaction));
+        match self.by_peer(&call).await {
+            Some(Ok(AnswerKind::Committed(committed))) => Ok(committed.into()),
+            Some(Ok(_)) => Err(unexpected()),
+            Some(Err(error)) => Err(error),
+            None => self.noted(self.direct.transact(transaction).await),
+        }
+    }
+
+    async fn read(
+        &self,
+        table: &'static str,
+        part: &str,
+        from: &str,
+        to: &str,
+        limit: usize,
+    ) -> Result<Rows, StoreError> {
+        let call = CallKind::Read(ReadCall {
+            table: table.to_owned(),
+            part: part.to_owned(),
+            from: from.to_owned(),
+            to: to.to_owned(),
+            limit: u32::try_from(limit).unwrap_or(u32::MAX),
+        });
+        match self.by_peer(&call).await {
+            Some(Ok(AnswerKind::Rows(rows))) => Ok(rows.into()),
+            Some(Ok(_)) => Err(unexpected()),
+            Some(Err(error)) => Err(error),
+            None => self.noted(self.direct.read(table, part, from, to, limit).await),
+        }
+    }
+
+    async fn parts(&self, table: &'static str) -> Result<Vec<String>, StoreError> {
+        self.noted(self.direct.parts(table).await)
+    }
+
+    async fn feed(
+        &self,
+        table: &'static str,
+        after: u64,
+        wait_ms: u64,
+    ) -> Result<Feed, StoreError> {
+        self.noted(self.direct.feed(table, after, wait_ms).await)
+    }
+}
