Large fleets: delegates of each zone sum loads up, online requests weigh a sample, items fill a share

Cause: with 63 nodes a heartbeat went to six random nodes each 150 ms, so that a node knew the work of about half of the others (news of one node came each 1.6 s, and 1.5 s is its life), yet it cost 0.126 GB between zones.

Tests: cluster/tests/gossip.rs (real datagrams: small and large fleets know all loads, all delegates lost), waiting.rs, ingress samples.

--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -1,43 +1,58 @@
-//! Heartbeats over UDP: who is there, and what work each node has at which server.
+//! Messages over UDP: who is there, and what work each node has at which server.
+//!
+//! In a small fleet every node sends heartbeats to every other. In a large one it sends them to the
+//! delegates of its zone; these sum up, tell each other across zones, and tell each node of their
+//! zone what all the others do. Where no delegate is heard, heartbeats go to random nodes and relay
+//! what was heard, so that a fleet that has lost its delegates finds new ones.
 
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use prost::Message;
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
+use tokio::time::Instant;
 
 use crate::health::StoreHealth;
-use crate::loads::{LoadTable, node_number};
-use crate::messages::Heartbeat;
-use crate::peers::{ALL_HEARD, PeerTable};
+use crate::loads::{LoadTable, Source, node_number};
+use crate::messages::{HeardEntry, Heartbeat, LoadEntry, Packet, PacketKind, Summary};
+use crate::peers::{PeerTable, RelayPeer};
 use crate::view::View;
-use tokio::time::Instant;
 
-/// Time between heartbeats to nodes of the own zone.
-const NEAR_PERIOD: Duration = Duration::from_millis(150);
+/// Time between messages of a delegate to the nodes of its zone.
+const PERIOD: Duration = Duration::from_millis(75);
+/// Heartbeats to nodes of the own zone, and messages between delegates, are sent each so many
+/// periods.
+const NEAR_EVERY: u32 = 2;
 /// Heartbeats to nodes of other zones are sent each so many periods.
-const FAR_EVERY: u32 = 3;
+const FAR_EVERY: u32 = 6;
 /// Shortest time between heartbeats that tell of changed batch work.
 const SHORTEST_GAP: Duration = Duration::from_millis(15);
-/// Nodes that one round of heartbeats goes to in a fleet where not every node hears every other.
+/// Random nodes that a heartbeat goes to where no delegate is heard.
 const FANOUT: usize = 6;
+/// Time after which a delegate that says nothing is not counted on.
+const DELEGATE_SILENCE: Duration = Duration::from_millis(600);
 /// Longest datagram.
-const DATAGRAM_BYTES: usize = 8 * 1024;
+const DATAGRAM_BYTES: usize = 16 * 1024;
 
 /// Who sends the heartbeats.
 #[derive(Debug, Clone)]
 pub struct GossipSettings {
     /// Name of this node.
     pub name: String,
+    /// Zone of this node.
+    pub zone: String,
     /// Number of this life of the process.
     pub life: u64,
     /// Address to send from and to listen on.
     pub address: SocketAddr,
 }
 
-/// Heartbeats of one node.
+/// Messages of one node.
 pub struct Gossip {
     settings: GossipSettings,
     socket: UdpSocket,
@@ -45,7 +60,11 @@
     loads: Arc<LoadTable>,
     view: Arc<View>,
     health: Arc<StoreHealth>,
-    leaving: Arc<std::sync::atomic::AtomicBool>,
+    leaving: Arc<AtomicBool>,
+    /// When a delegate of the own zone last told of the fleet.
+    told: Cell<Option<Instant>>,
+    /// Servers that other nodes use, by the number of the node; none stand for all.
+    used: RefCell<HashMap<u64, Vec<u32>>>,
 }
 
 impl Gossip {
@@ -56,7 +75,7 @@
         loads: Arc<LoadTable>,
         view: Arc<View>,
         health: Arc<StoreHealth>,
-        leaving: Arc<std::sync::atomic::AtomicBool>,
+        leaving: Arc<AtomicBool>,
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(settings.address).await?;
         Ok(Self {
@@ -67,13 +86,20 @@
             view,
             health,
             leaving,
+            told: Cell::new(None),
+            used: RefCell::default(),
         })
     }
 
-    /// Sends and receives heartbeats until the process ends.
+    /// Where messages are received.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sends and receives messages until the process ends.
     pub async fn run(&self) {
         let mut buffer = vec![0_u8; DATAGRAM_BYTES];
-        let mut ticks = tokio::time::interval(NEAR_PERIOD);
+        let mut ticks = tokio::time::interval(PERIOD);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut round = 0_u32;
         let mut last_sent = Instant::now();
@@ -81,12 +107,12 @@
             tokio::select! {
                 _ = ticks.tick() => {
                     round = round.wrapping_add(1);
-                    self.send_round(round.is_multiple_of(FAR_EVERY));
+                    self.send_round(round);
                 }
                 () = self.loads.batch_changed(), if last_sent.elapsed() > SHORTEST_GAP => {
                     // The others must not fill the same slots.
                     last_sent = Instant::now();
-                    self.send_round(true);
+                    self.send_change();
                 }
                 received = self.socket.recv_from(&mut buffer) => {
                     if let Ok((length, _)) = received {
@@ -97,56 +123,219 @@
         }
     }
 
-    fn send_round(&self, far_too: bool) {
-        let targets: Vec<SocketAddr> = self
-            .peers
-            .heartbeat_targets()
+    fn send_round(&self, round: u32) {
+        let near = round.is_multiple_of(NEAR_EVERY);
+        let far_too = round.is_multiple_of(FAR_EVERY);
+        let large = self.peers.is_large();
+        if large && self.peers.is_delegate() {
+            self.send_summaries(near, far_too);
+        } else if large && near {
+            self.send_to_delegates(far_too);
+        } else if near {
+            self.send_to_all(far_too);
+        }
+        if far_too {
+            self.peers.log_silent();
+        }
+    }
+
+    /// Tells of changed batch work at once.
+    fn send_change(&self) {
+        match self.peers.is_large() {
+            false => self.send_to_all(true),
+            true if self.peers.is_delegate() => {}
+            true => self.send_to_delegates(false),
+        }
+    }
+
+    fn send_to_all(&self, far_too: bool) {
+        let targets = self.peers.heartbeat_targets().into_iter();
+        let targets = targets.filter(|(_, near)| *near || far_too);
+        let message = self.heartbeat(true);
+        self.send(message, targets.map(|(address, _)| address));
+    }
+
+    /// Sends this node's loads to the delegates of its zone. A life sign goes to a random node now
+    /// and then, and to several while no delegate is heard.
+    fn send_to_delegates(&self, far_too: bool) {
+        let delegates = self.peers.delegates(&self.settings.zone);
+        let peers = self.peers.relay_peers();
+        let near = peers.iter().filter(|peer| delegates.contains(&peer.name));
+        self.send(self.heartbeat(true), near.map(|peer| peer.address));
+        let told = self.told.get();
+        let fanout = match told.is_some_and(|at| at.elapsed() < DELEGATE_SILENCE) {
+            true => usize::from(far_too),
+            false => FANOUT,
+        };
+        self.send_at_random(fanout);
+    }
+
+    /// As a delegate, tells each node of the zone what all others do, and the delegates of other
+    /// zones what this zone does.
+    fn send_summaries(&self, zones_too: bool, far_too: bool) {
+        let peers = self.peers.relay_peers();
+        let heard = self.peers.all_heard();
+        let used = self.used.borrow();
+        let near: Vec<&RelayPeer> = peers
+            .iter()
+            .filter(|peer| peer.zone == self.settings.zone)
+            .collect();
+        let numbers: Vec<(u64, &[u32])> = near
+            .iter()
+            .map(|peer| node_number(&peer.name))
+            .map(|number| (number, used.get(&number).map_or(&[][..], Vec::as_slice)))
+            .collect();
+        let delegates = self.peers.delegates(&self.settings.zone);
+        for (peer, loads) in near.iter().zip(self.loads.sums_without(&numbers)) {
+            let message = match delegates.contains(&peer.name) {
+                // The other delegate sums up itself.
+                true => self.heartbeat(true),
+                false => {
+                    let waiting = self.loads.waiting.sum_without(node_number(&peer.name));
+                    self.summary(false, loads, waiting, heard.clone())
+                }
+            };
+            self.send(message, [peer.address].into_iter());
+        }
+        if zones_too {
+            self.send_zone_summary(&peers);
+        }
+        if far_too {
+            self.send_at_random(1);
+        }
+    }
+
+    fn send_zone_summary(&self, peers: &[RelayPeer]) {
+        let mut zones: Vec<&str> = peers.iter().map(|peer| peer.zone.as_str()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones.retain(|zone| *zone != self.settings.zone);
+        let delegates: Vec<String> = zones
             .into_iter()
-            .filter(|(_, near)| *near || far_too)
-            .map(|(address, _)| address)
+            .flat_map(|zone| self.peers.delegates(zone))
             .collect();
-        let chosen: Vec<SocketAddr> = match targets.len() < ALL_HEARD {
-            true => targets,
-            false => targets
-                .choose_multiple(&mut rand::rng(), FANOUT)
-                .copied()
-                .collect(),
+        let far = peers.iter().filter(|peer| delegates.contains(&peer.name));
+        // Where nodes use servers of their own zone, the loads of others hardly matter.
+        let loads = match self.view.used_servers().is_empty() {
+            true => self.loads.zone_sums(),
+            false => Vec::new(),
         };
-        let message = self.heartbeat().encode_to_vec();
-        for target in chosen {
-            // A datagram that is lost is made good by the next one.
-            let _ = self.socket.try_send_to(&message, target);
+        let waiting = self.loads.waiting.zone_sum();
+        let message = self.summary(true, loads, waiting, self.peers.all_heard());
+        self.send(message, far.map(|peer| peer.address));
+    }
+
+    fn send_at_random(&self, fanout: usize) {
+        if fanout == 0 {
+            return;
         }
-        if far_too {
-            self.peers.log_silent();
+        let targets = self.peers.heartbeat_targets();
+        let chosen = targets.choose_multiple(&mut rand::rng(), fanout);
+        let message = self.heartbeat(fanout == FANOUT);
+        self.send(message, chosen.map(|(address, _)| *address));
+    }
+
+    fn send(&self, kind: PacketKind, targets: impl Iterator<Item = SocketAddr>) {
+        let packet = Packet { kind: Some(kind) };
+        let bytes = packet.encode_to_vec();
+        for target in targets {
+            // A datagram that is lost is made good by the next one.
+            let _ = self.socket.try_send_to(&bytes, target);
         }
     }
 
-    fn heartbeat(&self) -> Heartbeat {
+    fn heartbeat(&self, with_loads: bool) -> PacketKind {
         let store_age = self.view.store_age().unwrap_or(Duration::from_secs(3600));
-        Heartbeat {
+        PacketKind::Heartbeat(Heartbeat {
             name: self.settings.name.clone(),
             life: self.settings.life,
             ready: self.view.is_ready(),
-            leaving: self.leaving.load(std::sync::atomic::Ordering::Relaxed),
+            leaving: self.leaving.load(Ordering::Relaxed),
             store_age_ms: u32::try_from(store_age.as_millis()).unwrap_or(u32::MAX),
-            loads: self.loads.own_entries(),
+            loads: match with_loads {
+                true => self.loads.own_entries(),
+                false => Vec::new(),
+            },
             heard: self.peers.heard_entries(),
             direct_age_ms: self.health.age().map_or(0, |age| {
                 u32::try_from(age.as_millis()).unwrap_or(u32::MAX - 1) + 1
             }),
-        }
+            used: self.view.used_servers(),
+            waiting: self.loads.waiting.own(),
+            tells_loads: with_loads,
+        })
+    }
+
+    fn summary(
+        &self,
+        of_zone: bool,
+        loads: Vec<LoadEntry>,
+        waiting: u32,
+        heard: Vec<HeardEntry>,
+    ) -> PacketKind {
+        PacketKind::Summary(Summary {
+            name: self.settings.name.clone(),
+            life: self.settings.life,
+            of_zone,
+            loads,
+            heard,
+            waiting,
+        })
     }
 
     fn receive(&self, datagram: &[u8]) {
-        let Ok(heartbeat) = Heartbeat::decode(datagram) else {
-            return;
-        };
+        let packet = Packet::decode(datagram).ok();
+        match packet.and_then(|packet| packet.kind) {
+            Some(PacketKind::Heartbeat(heartbeat)) => self.receive_heartbeat(heartbeat),
+            Some(PacketKind::Summary(summary)) => self.receive_summary(summary),
+            None => {}
+        }
+    }
+
+    fn receive_heartbeat(&self, heartbeat: Heartbeat) {
         if heartbeat.name == self.settings.name || !self.peers.heard(&heartbeat) {
             return;
         }
         self.peers.relayed(&heartbeat.heard);
+        let large = self.peers.is_large();
+        let told = self.told.get();
+        let summed = told.is_some_and(|at| at.elapsed() < DELEGATE_SILENCE);
+        // A life sign sent at random tells nothing of loads.
+        let delegate = self.peers.is_delegate();
+        if large && ((summed && !delegate) || !heartbeat.tells_loads) {
+            return;
+        }
         let number = node_number(&heartbeat.name);
-        self.loads.set_peer(number, heartbeat.loads);
+        if large {
+            self.used.borrow_mut().insert(number, heartbeat.used);
+        }
+        let source = Source::Node(number);
+        self.loads.waiting.set_source(source, heartbeat.waiting);
+        self.loads.set_source(source, heartbeat.loads);
+    }
+
+    fn receive_summary(&self, summary: Summary) {
+        if !self.peers.heard_from(&summary.name, summary.life) {
+            return;
+        }
+        self.peers.relayed(&summary.heard);
+        let delegate = self.peers.is_delegate();
+        match (summary.of_zone, delegate) {
+            (true, true) => {
+                let zone = self.peers.zone_of(&summary.name).unwrap_or_default();
+                let source = Source::Zone(node_number(&zone));
+                self.loads.waiting.set_source(source, summary.waiting);
+                self.loads.set_source(source, summary.loads);
+            }
+            (false, false) => {
+                self.told.set(Some(Instant::now()));
+                self.loads
+                    .waiting
+                    .set_source(Source::Fleet, summary.waiting);
+                self.loads.set_source(Source::Fleet, summary.loads);
+            }
+            // Two nodes may for a moment think differently of who the delegates are.
+            _ => {}
+        }
     }
 }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -3,6 +3,7 @@
 //! Liveness comes from heartbeats between nodes; addresses and everything that must be right come
 //! from the row store.
 
+mod delegates;
 pub mod directory;
 mod follow;
 mod gossip;
@@ -12,12 +13,15 @@
 mod peers;
 mod servers;
 mod view;
+mod waiting;
 
+pub use delegates::delegates;
 pub use follow::{Contact, TableSink, follow};
 pub use gossip::{Gossip, GossipSettings};
 pub use health::StoreHealth;
 pub use loads::{InFlight, LoadSummary, LoadTable, WorkKind, node_number};
-pub use messages::{Heartbeat, NodeRow};
+pub use messages::{Heartbeat, LoadEntry, NodeRow};
 pub use peers::{ALL_HEARD, NODES_TABLE, PeerStatus, PeerTable, RelayPeer};
 pub use servers::{ServerSet, Standpoint};
 pub use view::{ConfigurationSink, ServersSink, View};
+pub use waiting::{Allowance, WaitingItems};
--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::messages::LoadEntry;
+use crate::waiting::WaitingItems;
 use tokio::time::Instant;
 
 /// Heartbeats older than this tell nothing.
@@ -48,13 +49,26 @@
     pub excess_ms: f64,
 }
 
+/// Whose work an entry counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Source {
+    /// One other node.
+    Node(u64),
+    /// All nodes of another zone.
+    Zone(u64),
+    /// All nodes but this one.
+    Fleet,
+}
+
 #[derive(Default)]
 struct ServerLoads {
     online: u32,
     batch: u32,
     unread_tokens: u32,
     slots: u32,
-    peers: HashMap<u64, (Instant, LoadEntry)>,
+    peers: HashMap<Source, (Instant, LoadEntry)>,
+    /// The news for which this node has paused its share already.
+    paused_for: Option<Instant>,
     suspect_until: Option<Instant>,
     heard: Option<Instant>,
     excess_ms: f64,
@@ -86,9 +100,75 @@
     }
 }
 
+impl ServerLoads {
+    /// This node's own work.
+    fn own(&self, server: u32, now: Instant) -> LoadEntry {
+        LoadEntry {
+            server,
+            online: self.online,
+            batch: self.batch,
+            unread_tokens: self.unread_tokens,
+            suspect: self.suspect_until.is_some_and(|until| until > now),
+            heard_ms: self.heard.map_or(0, |heard| {
+                let age = now.duration_since(heard).as_millis();
+                u32::try_from(age).unwrap_or(u32::MAX - 1) + 1
+            }),
+        }
+    }
+
+    /// This node's own work and that of some others.
+    fn sum(&self, server: u32, now: Instant, counted: impl Fn(&Source) -> bool) -> LoadEntry {
+        let mut sum = self.own(server, now);
+        for (source, (at, entry)) in &self.peers {
+            let age = now.duration_since(*at);
+            if age >= HEARTBEAT_LIFE || !counted(source) {
+                continue;
+            }
+            sum.online += entry.online;
+            sum.batch += entry.batch;
+            sum.unread_tokens = sum.unread_tokens.saturating_add(entry.unread_tokens);
+            sum.suspect |= entry.suspect;
+            if entry.heard_ms > 0 {
+                let heard_ms = entry.heard_ms.saturating_add(age.as_millis() as u32);
+                sum.heard_ms = match sum.heard_ms {
+                    0 => heard_ms,
+                    held => held.min(heard_ms),
+                };
+            }
+        }
+        sum
+    }
+
+    /// Whether the work of others is known as sums only.
+    fn is_summed(&self) -> bool {
+        let mut sources = self.peers.keys();
+        sources.any(|source| !matches!(source, Source::Node(_)))
+    }
+
+    /// This node's share of what is to be paused, in proportion to its batch work. The shares of
+    /// all nodes add up on average; each piece of news is acted on once.
+    fn share_of_sum(&mut self, over: u32, batch: u32) -> u32 {
+        let news = self.peers.values().map(|(at, _)| *at).max();
+        if over == 0 || self.batch == 0 || self.paused_for == news {
+            return 0;
+        }
+        self.paused_for = news;
+        let share = f64::from(over) * f64::from(self.batch) / f64::from(batch.max(1));
+        let whole = share.floor();
+        let one_more = rand::random::<f64>() < share - whole;
+        (whole as u32 + u32::from(one_more)).min(self.batch)
+    }
+}
+
+fn tells_something(entry: &LoadEntry) -> bool {
+    entry.online + entry.batch > 0 || entry.suspect
+}
+
 /// Work under way at all servers.
 #[derive(Default)]
 pub struct LoadTable {
+    /// Items that wait for a server.
+    pub waiting: WaitingItems,
     servers: Mutex<HashMap<u32, ServerLoads>>,
     pressure: Notify,
     batch_change: Notify,
@@ -150,17 +230,23 @@
     pub fn pause_share(&self, server: &str, slots: u32, own: u64) -> u32 {
         let now = Instant::now();
         let number = server_number(server);
-        let servers = self.servers.lock();
-        let Some(loads) = servers.get(&number) else {
+        let mut servers = self.servers.lock();
+        let Some(loads) = servers.get_mut(&number) else {
             return 0;
         };
         let summary = loads.summary(now);
         let over = (summary.online + summary.batch).saturating_sub(slots + slots / TOLERANCE);
+        if loads.is_summed() {
+            return loads.share_of_sum(over, summary.batch);
+        }
         let others = loads
             .peers
             .iter()
             .filter(|(_, (at, _))| now.duration_since(*at) < HEARTBEAT_LIFE)
-            .map(|(peer, (_, entry))| (*peer, entry.batch));
+            .filter_map(|(source, (_, entry))| match source {
+                Source::Node(node) => Some((*node, entry.batch)),
+                Source::Zone(_) | Source::Fleet => None,
+            });
         let mut nodes: Vec<(u64, u32)> = others.chain([(own, loads.batch)]).collect();
         nodes.sort_by_key(|(node, _)| (node ^ u64::from(number)).wrapping_mul(ORDER_FACTOR));
         let before: u32 = nodes
@@ -233,36 +319,62 @@
     pub(crate) fn own_entries(&self) -> Vec<LoadEntry> {
         let now = Instant::now();
         let servers = self.servers.lock();
-        let entries = servers.iter().map(|(number, loads)| LoadEntry {
-            server: *number,
-            online: loads.online,
-            batch: loads.batch,
-            unread_tokens: loads.unread_tokens,
-            suspect: loads.suspect_until.is_some_and(|until| until > now),
-            heard_ms: loads.heard.map_or(0, |heard| {
-                let age = now.duration_since(heard).as_millis();
-                u32::try_from(age).unwrap_or(u32::MAX - 1) + 1
-            }),
-        });
-        entries
-            .filter(|entry| entry.online + entry.batch > 0 || entry.suspect)
-            .collect()
+        let entries = servers
+            .iter()
+            .map(|(number, loads)| loads.own(*number, now));
+        entries.filter(tells_something).collect()
     }
 
-    /// Another node's work.
-    pub(crate) fn set_peer(&self, peer: u64, entries: Vec<LoadEntry>) {
+    /// The work of others, from one source. A sum over the fleet takes the place of everything
+    /// else, and the other way round.
+    pub(crate) fn set_source(&self, source: Source, entries: Vec<LoadEntry>) {
         let now = Instant::now();
         let mut servers = self.servers.lock();
         for loads in servers.values_mut() {
-            loads.peers.remove(&peer);
+            match source {
+                Source::Fleet => loads.peers.clear(),
+                _ => {
+                    loads.peers.remove(&source);
+                    loads.peers.remove(&Source::Fleet);
+                }
+            }
         }
         for entry in entries {
             let loads = servers.entry(entry.server).or_default();
-            loads.peers.insert(peer, (now, entry));
+            loads.peers.insert(source, (now, entry));
             self.tell_pressure(loads);
         }
     }
 
+    /// The work of this node's zone at each server.
+    pub(crate) fn zone_sums(&self) -> Vec<LoadEntry> {
+        let now = Instant::now();
+        let servers = self.servers.lock();
+        let sums = servers.iter().map(|(number, loads)| {
+            loads.sum(*number, now, |source| matches!(source, Source::Node(_)))
+        });
+        sums.filter(tells_something).collect()
+    }
+
+    /// The work of all nodes but one, at the servers that this one uses, for each of some nodes;
+    /// no servers stand for all.
+    pub(crate) fn sums_without(&self, nodes: &[(u64, &[u32])]) -> Vec<Vec<LoadEntry>> {
+        let now = Instant::now();
+        let servers = self.servers.lock();
+        let sums_for = |(node, used): &(u64, &[u32])| {
+            let wanted = servers
+                .iter()
+                .filter(|(number, _)| used.is_empty() || used.contains(number));
+            let sums = wanted.map(|(number, loads)| {
+                loads.sum(*number, now, |source| {
+                    *source != Source::Node(*node) && *source != Source::Fleet
+                })
+            });
+            sums.filter(tells_something).collect()
+        };
+        nodes.iter().map(sums_for).collect()
+    }
+
     /// Forgets servers without work of this node and without news for long.
     pub fn sweep(&self) {
         let now = Instant::now();
@@ -307,6 +419,7 @@
                 WorkKind::Online => loads.online = loads.online.saturating_sub(1),
                 WorkKind::Batch => {
                     loads.batch = loads.batch.saturating_sub(1);
+                    self.table.waiting.note_ended();
                     self.table.batch_change.notify_one();
                 }
             }
--- a/crates/cluster/src/messages.rs
+++ b/crates/cluster/src/messages.rs
@@ -1,6 +1,6 @@
 //! Messages between nodes, and the row with which a node makes itself known.
 
-use prost::Message;
+use prost::{Message, Oneof};
 
 /// Row of one node.
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -84,4 +84,53 @@
     /// has.
     #[prost(uint32, tag = "8")]
     pub direct_age_ms: u32,
+    /// Hashes of the servers that the sender uses, when it does not use all.
+    #[prost(fixed32, repeated, tag = "9")]
+    pub used: Vec<u32>,
+    /// Items of jobs that wait for a server at the sender.
+    #[prost(uint32, tag = "10")]
+    pub waiting: u32,
+    /// The loads are told; otherwise this is a life sign only.
+    #[prost(bool, tag = "11")]
+    pub tells_loads: bool,
+}
+
+/// Loads and life signs that a delegate of a zone has summed.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Summary {
+    /// Name of the sender.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Number of this life of the sender.
+    #[prost(fixed64, tag = "2")]
+    pub life: u64,
+    /// The loads are those of the sender's zone, for delegates of other zones; otherwise they are
+    /// those of the whole fleet but for the receiver's own.
+    #[prost(bool, tag = "3")]
+    pub of_zone: bool,
+    /// Sums.
+    #[prost(message, repeated, tag = "4")]
+    pub loads: Vec<LoadEntry>,
+    /// When nodes were last heard of.
+    #[prost(message, repeated, tag = "5")]
+    pub heard: Vec<HeardEntry>,
+    /// Items of jobs that wait for a server at the nodes whose loads are summed.
+    #[prost(uint32, tag = "6")]
+    pub waiting: u32,
+}
+
+/// What a datagram carries.
+#[derive(Clone, PartialEq, Eq, Oneof)]
+pub(crate) enum PacketKind {
+    #[prost(message, tag = "1")]
+    Heartbeat(Heartbeat),
+    #[prost(message, tag = "2")]
+    Summary(Summary),
+}
+
+/// One datagram.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct Packet {
+    #[prost(oneof = "PacketKind", tags = "1, 2")]
+    pub kind: Option<PacketKind>,
 }
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -11,6 +11,7 @@
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 
+use crate::delegates::delegates;
 use crate::follow::{Contact, TableSink};
 use crate::messages::{HeardEntry, Heartbeat, NodeRow};
 use tokio::time::Instant;
@@ -221,13 +222,60 @@
         true
     }
 
+    /// Whether the fleet is so large that not every node hears every other.
+    pub fn is_large(&self) -> bool {
+        self.peers.lock().len() > ALL_HEARD
+    }
+
+    /// Whether this node is a delegate of its zone.
+    pub fn is_delegate(&self) -> bool {
+        self.delegates(&self.own_zone).contains(&self.own_name)
+    }
+
+    /// The delegates of a zone among the nodes that are alive and stay, this one included.
+    pub(crate) fn delegates(&self, zone: &str) -> Vec<String> {
+        let peers = self.relay_peers();
+        let others = peers.iter().filter(|peer| peer.zone == zone);
+        let own = (zone == self.own_zone).then_some(self.own_name.as_str());
+        let names = others.map(|peer| peer.name.as_str()).chain(own);
+        delegates(names).into_iter().map(str::to_owned).collect()
+    }
+
+    /// Zone of a node.
+    pub(crate) fn zone_of(&self, name: &str) -> Option<String> {
+        let peers = self.peers.lock();
+        peers.get(name).map(|peer| peer.row.zone.clone())
+    }
+
+    /// Takes the sender of a message for alive; whether it is of a life that is known.
+    pub(crate) fn heard_from(&self, name: &str, life: u64) -> bool {
+        let mut peers = self.peers.lock();
+        let Some(peer) = peers.get_mut(name).filter(|peer| peer.row.life == life) else {
+            return false;
+        };
+        peer.heard = Some(Instant::now());
+        true
+    }
+
+    /// When all nodes were last heard of.
+    pub(crate) fn all_heard(&self) -> Vec<HeardEntry> {
+        self.recently_heard(&self.peers.lock())
+    }
+
     /// When some nodes were last heard of, for a heartbeat in a large fleet.
     pub(crate) fn heard_entries(&self) -> Vec<HeardEntry> {
-        let now = Instant::now();
         let peers = self.peers.lock();
         if peers.len() <= ALL_HEARD {
             return Vec::new();
         }
+        self.recently_heard(&peers)
+            .choose_multiple(&mut rand::rng(), RELAYED)
+            .cloned()
+            .collect()
+    }
+
+    fn recently_heard(&self, peers: &HashMap<String, Peer>) -> Vec<HeardEntry> {
+        let now = Instant::now();
         let recent = peers.iter().filter_map(|(name, peer)| {
             let age = now.duration_since(peer.heard?);
             (age < RELAYED_SILENCE).then(|| HeardEntry {
@@ -235,11 +283,7 @@
                 age_ms: age.as_millis() as u32,
             })
         });
-        let recent: Vec<HeardEntry> = recent.collect();
-        recent
-            .choose_multiple(&mut rand::rng(), RELAYED)
-            .cloned()
-            .collect()
+        recent.collect()
     }
 
     /// Takes over what another node has heard.
@@ -248,13 +292,16 @@
             return;
         }
         let now = Instant::now();
+        let ages: HashMap<u32, u32> = entries
+            .iter()
+            .map(|entry| (entry.node, entry.age_ms))
+            .collect();
         let mut peers = self.peers.lock();
         for (name, peer) in peers.iter_mut() {
-            let number = life_number(name, peer.row.life);
-            let Some(entry) = entries.iter().find(|entry| entry.node == number) else {
+            let Some(age_ms) = ages.get(&life_number(name, peer.row.life)) else {
                 continue;
             };
-            let age = Duration::from_millis(u64::from(entry.age_ms));
+            let age = Duration::from_millis(u64::from(*age_ms));
             let Some(heard) = now.checked_sub(age) else {
                 continue;
             };
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::follow::{Contact, TableSink};
+use crate::loads::server_number;
 use crate::servers::{ServerSet, Standpoint};
 use tokio::time::Instant;
 
@@ -67,6 +68,14 @@
         known.servers.get(id).map(|(_, server)| server.clone())
     }
 
+    /// Numbers of the servers that this node uses, when it does not use all.
+    pub(crate) fn used_servers(&self) -> Vec<u32> {
+        let known = self.known.lock();
+        let large = known.by_service.values().filter(|set| set.is_large());
+        let used = large.flat_map(|set| set.used.iter());
+        used.map(|server| server_number(&server.id)).collect()
+    }
+
     /// Whether requests can be served: configuration and servers are known.
     pub fn is_ready(&self) -> bool {
         let known = self.known.lock();
--- /dev/null
+++ b/crates/cluster/tests/gossip.rs
@@ -0,0 +1,186 @@
+//! Loads and life signs between nodes, over real datagrams on loopback.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dappleyard_cluster::{
+    Gossip, GossipSettings, InFlight, LoadTable, NodeRow, PeerStatus, PeerTable, StoreHealth,
+    TableSink, View, WorkKind,
+};
+use dappleyard_model::{EventLog, Row, ServerRecord};
+use googletest::prelude::*;
+use prost::Message;
+
+const ZONES: [&str; 3] = ["north", "south", "west"];
+
+struct TestNode {
+    name: String,
+    zone: &'static str,
+    gossip: Rc<Gossip>,
+    peers: Arc<PeerTable>,
+    loads: Arc<LoadTable>,
+    task: Option<tokio::task::JoinHandle<()>>,
+}
+
+impl TestNode {
+    async fn open(number: usize) -> Self {
+        let (name, zone) = (format!("node-{number}"), ZONES[number % 3]);
+        let log = Arc::new(EventLog::silent());
+        let peers = Arc::new(PeerTable::new(&name, zone, log.clone()));
+        let loads = Arc::new(LoadTable::default());
+        let settings = GossipSettings {
+            name: name.clone(),
+            zone: zone.to_owned(),
+            life: 1,
+            address: ([127, 0, 0, 1], 0).into(),
+        };
+        let gossip = Gossip::open(
+            settings,
+            peers.clone(),
+            loads.clone(),
+            Arc::new(View::new(&name, zone, log)),
+            Arc::new(StoreHealth::default()),
+            Arc::new(AtomicBool::new(false)),
+        );
+        Self {
+            name,
+            zone,
+            gossip: Rc::new(gossip.await.expect("a socket")),
+            peers,
+            loads,
+            task: None,
+        }
+    }
+
+    fn row(&self) -> Row {
+        let row = NodeRow {
+            life: 1,
+            front: "127.0.0.1:1".to_owned(),
+            zone: self.zone.to_owned(),
+            peer: self.gossip.address().expect("an address").to_string(),
+            leaving: false,
+        };
+        Row {
+            part: String::new(),
+            key: self.name.clone(),
+            value: Some(Bytes::from(row.encode_to_vec())),
+            revision: 1,
+        }
+    }
+}
+
+async fn fleet(count: usize) -> Vec<TestNode> {
+    let mut nodes = Vec::new();
+    for number in 0..count {
+        nodes.push(TestNode::open(number).await);
+    }
+    let rows: Vec<Row> = nodes.iter().map(TestNode::row).collect();
+    for node in &mut nodes {
+        rows.iter().cloned().for_each(|row| node.peers.change(row));
+        let gossip = node.gossip.clone();
+        node.task = Some(tokio::task::spawn_local(async move { gossip.run().await }));
+    }
+    nodes
+}
+
+fn server() -> ServerRecord {
+    ServerRecord {
+        id: "i-1".to_owned(),
+        service: "llm".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "north".to_owned(),
+        slots: 8,
+        draining: false,
+        cold_left_ms: 0,
+    }
+}
+
+/// Each node begins one request and one item at the same server.
+fn work(nodes: &[TestNode]) -> Vec<InFlight> {
+    let begin = |node: &TestNode| {
+        [WorkKind::Online, WorkKind::Batch].map(|kind| node.loads.begin(&server(), kind, 10))
+    };
+    nodes.iter().flat_map(begin).collect()
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..2_000 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("did not come: {what}");
+}
+
+fn all_know(nodes: &[TestNode], online: u32, batch: u32) -> bool {
+    nodes.iter().all(|node| {
+        let load = node.loads.summary("i-1");
+        (load.online, load.batch) == (online, batch)
+    })
+}
+
+fn on_local<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+#[gtest]
+fn small_fleet() {
+    on_local(async {
+        let nodes = fleet(9).await;
+        let under_way = work(&nodes);
+        until("all loads are known", || all_know(&nodes, 9, 9)).await;
+        drop(under_way);
+        until("the end is known", || all_know(&nodes, 0, 0)).await;
+    });
+}
+
+#[gtest]
+fn large_fleet() {
+    on_local(async {
+        let nodes = fleet(36).await;
+        let under_way = work(&nodes);
+        until("all loads are known", || all_know(&nodes, 36, 36)).await;
+        drop(under_way);
+        until("the end is known", || all_know(&nodes, 0, 0)).await;
+    });
+}
+
+#[gtest]
+fn delegates_lost() {
+    on_local(async {
+        let mut nodes = fleet(36).await;
+        let under_way = work(&nodes);
+        until("all loads are known", || all_know(&nodes, 36, 36)).await;
+        let lost: Vec<String> = ZONES
+            .iter()
+            .flat_map(|zone| {
+                let near = nodes.iter().filter(|node| node.zone == *zone);
+                dappleyard_cluster::delegates(near.map(|node| node.name.as_str()))
+            })
+            .map(str::to_owned)
+            .collect();
+        expect_that!(lost.len(), eq(6));
+        for node in nodes.iter_mut().filter(|node| lost.contains(&node.name)) {
+            node.task.take().expect("a task").abort();
+        }
+        nodes.retain(|node| !lost.contains(&node.name));
+        // Others take their place; what the lost ones had under way is forgotten.
+        until("new delegates sum up", || all_know(&nodes, 30, 30)).await;
+        let down = |node: &TestNode| {
+            let mut names = lost.iter();
+            names.all(|name| node.peers.status(name, 1) == PeerStatus::Down)
+        };
+        until("the lost are known", || nodes.iter().all(down)).await;
+        let others_alive = |node: &TestNode| node.peers.count() == 30;
+        expect_that!(nodes.iter().all(others_alive), eq(true));
+        drop(under_way);
+    });
+}
--- /dev/null
+++ b/crates/cluster/tests/waiting.rs
@@ -0,0 +1,65 @@
+//! The part of the free slots that one node may fill.
+
+use std::sync::Arc;
+
+use dappleyard_cluster::{Allowance, LoadTable, WorkKind, node_number};
+use dappleyard_model::ServerRecord;
+use googletest::prelude::*;
+
+fn starts(allowance: &mut Allowance) -> u32 {
+    std::iter::from_fn(|| allowance.take().then_some(())).count() as u32
+}
+
+fn server() -> ServerRecord {
+    ServerRecord {
+        id: "i-1".to_owned(),
+        service: "llm".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "north".to_owned(),
+        slots: 8,
+        draining: false,
+        cold_left_ms: 0,
+    }
+}
+
+#[gtest]
+fn alone() {
+    let table = LoadTable::default();
+    table.waiting.set_own(30);
+    let mut allowance = Allowance::default();
+    allowance.refresh(&table.waiting, 12, 0.5);
+    expect_that!(starts(&mut allowance), eq(12));
+    allowance.refresh(&table.waiting, 3, 0.5);
+    expect_that!(starts(&mut allowance), eq(3));
+}
+
+#[gtest]
+fn by_share() {
+    let table = LoadTable::default();
+    table.waiting.set_own(30);
+    table.waiting.set_others(node_number("b"), 60);
+    let mut allowance = Allowance::default();
+    // A third of ten: three and, by the draw, one more.
+    allowance.refresh(&table.waiting, 10, 0.2);
+    expect_that!(starts(&mut allowance), eq(4));
+    // Without news the free slots are not shared out again.
+    allowance.refresh(&table.waiting, 10, 0.2);
+    expect_that!(starts(&mut allowance), eq(0));
+    table.waiting.set_others(node_number("b"), 0);
+    allowance.refresh(&table.waiting, 10, 0.9);
+    expect_that!(starts(&mut allowance), eq(10));
+}
+
+#[gtest]
+fn own_ends() {
+    let table = Arc::new(LoadTable::default());
+    table.waiting.set_own(1);
+    table.waiting.set_others(node_number("b"), 1_000);
+    let mut allowance = Allowance::default();
+    allowance.refresh(&table.waiting, 10, 0.99);
+    expect_that!(starts(&mut allowance), eq(0));
+    // A slot that this node's own item leaves is this node's to fill.
+    drop(table.begin(&server(), WorkKind::Batch, 0));
+    allowance.refresh(&table.waiting, 10, 0.99);
+    expect_that!(starts(&mut allowance), eq(1));
+}
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -172,6 +172,7 @@
 async fn spawn_gossip(node: &Arc<Node>, health: Arc<StoreHealth>) -> std::io::Result<()> {
     let settings = GossipSettings {
         name: node.settings.name.clone(),
+        zone: node.settings.zone.clone(),
         life: node.life,
         address: (node.settings.ip, node.settings.peer_port).into(),
     };
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
 use crate::metrics::Metrics;
 use crate::outcome::ErrorKind;
-use crate::placement::{Candidate, PromptShape, choose, home};
+use crate::placement::{Candidate, PromptShape, choose, has_room, home, sample};
 use tokio::time::Instant;
 
 /// Silence of a server after which a request that may be repeated goes to another one.
@@ -241,19 +241,35 @@
         .shape
         .shared
         .and_then(|shared| home(&servers.homes, shared));
+    let candidate = |server: &Arc<ServerRecord>| Candidate {
+        server: server.clone(),
+        load: node.loads.summary(&server.id),
+    };
     let extra = home.filter(|_| servers.is_large());
-    let candidates: Vec<Candidate> = servers
+    let open: Vec<&Arc<ServerRecord>> = servers
         .used
         .iter()
         .chain(extra)
         .filter(|server| !request.asked.contains(&server.id))
-        .map(|server| Candidate {
-            server: server.clone(),
-            load: node.loads.summary(&server.id),
-        })
         .collect();
+    let zone = &node.settings.zone;
     let home_id = home.map(|home| home.id.as_str());
-    let chosen = choose(&candidates, &node.settings.zone, home_id)?;
+    let sampled: Vec<Candidate> = match node.peers.is_large() {
+        true => sample(&open, zone, home_id, &mut rand::rng())
+            .into_iter()
+            .map(candidate)
+            .collect(),
+        false => Vec::new(),
+    };
+    let has_room = |chosen: &&Candidate| has_room(chosen);
+    let whole: Vec<Candidate>;
+    let (candidates, chosen) = match choose(&sampled, zone, home_id).filter(has_room) {
+        Some(chosen) => (&sampled, chosen),
+        None => {
+            whole = open.into_iter().map(candidate).collect();
+            (&whole, choose(&whole, zone, home_id)?)
+        }
+    };
     let kept = home_id == Some(chosen.server.id.as_str());
     node.log.write("placed", || {
         serde_json::json!({"request": request.facts.id, "route": request.route.name,
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -4,6 +4,8 @@
 
 use dappleyard_cluster::LoadSummary;
 use dappleyard_model::{PromptPart, ServerRecord};
+use rand::Rng;
+use rand::seq::IndexedRandom;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Prompt tokens that weigh as much as one request under way.
@@ -23,6 +25,11 @@
 /// Remaining milliseconds of a cold start that weigh as much as one request.
 const COLD_MS_PER_UNIT: f64 = 100.0;
 
+/// Servers of the own zone that one request weighs in a large fleet, drawn at random.
+const NEAR_SAMPLED: usize = 4;
+/// Servers of other zones that it weighs besides.
+const FAR_SAMPLED: usize = 2;
+
 /// What matters of a prompt for placement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct PromptShape {
@@ -68,6 +75,33 @@
     pub load: LoadSummary,
 }
 
+/// Some servers at random, near ones and far ones, and the home of the prompt. Loads are known
+/// with a delay; were the least loaded of all servers chosen, all nodes of a large fleet would choose
+/// the same one until its load is told.
+pub fn sample<'a>(
+    servers: &[&'a Arc<ServerRecord>],
+    zone: &str,
+    home: Option<&str>,
+    random: &mut impl Rng,
+) -> Vec<&'a Arc<ServerRecord>> {
+    let (near, far): (Vec<_>, Vec<_>) = servers.iter().partition(|server| server.zone == zone);
+    let mut chosen: Vec<&Arc<ServerRecord>> = near
+        .choose_multiple(random, NEAR_SAMPLED)
+        .chain(far.choose_multiple(random, FAR_SAMPLED))
+        .copied()
+        .copied()
+        .collect();
+    let is_home = |server: &&&Arc<ServerRecord>| home == Some(server.id.as_str());
+    chosen.extend(servers.iter().find(is_home).copied());
+    chosen
+}
+
+/// Whether a candidate would run a request at once.
+pub fn has_room(candidate: &Candidate) -> bool {
+    let load = &candidate.load;
+    !load.suspect && load.online + load.batch < candidate.server.slots
+}
+
 /// The server that keeps the shared parts of a prompt: the highest hash of both.
 pub fn home(servers: &[Arc<ServerRecord>], shared: u64) -> Option<&Arc<ServerRecord>> {
     servers
--- a/crates/ingress/tests/pure.rs
+++ b/crates/ingress/tests/pure.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 
 use dappleyard_cluster::LoadSummary;
-use dappleyard_ingress::{Candidate, ErrorKind, EventSplitter, PromptShape, choose, home};
+use dappleyard_ingress::{
+    Candidate, ErrorKind, EventSplitter, PromptShape, choose, has_room, home, sample,
+};
 
 use dappleyard_model::{PromptPart, ServerRecord};
 use googletest::prelude::*;
+use rand::SeedableRng;
 
 fn server(id: &str, zone: &str) -> Arc<ServerRecord> {
     Arc::new(ServerRecord {
@@ -145,3 +148,39 @@
     expect_that!(ErrorKind::StoreInDoubt.status(), eq(500));
     expect_that!(ErrorKind::Expired.status(), eq(504));
 }
+
+#[gtest]
+fn samples_differ_and_keep_the_home() {
+    let servers: Vec<Arc<ServerRecord>> = (0..40)
+        .map(|number| server(&format!("i-{number}"), ["north", "south"][number % 2]))
+        .collect();
+    let servers: Vec<&Arc<ServerRecord>> = servers.iter().collect();
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+    let mut seen = std::collections::HashSet::new();
+    for _ in 0..200 {
+        let sampled = sample(&servers, "north", Some("i-7"), &mut random);
+        let near = sampled.iter().filter(|server| server.zone == "north");
+        expect_that!(near.count(), eq(4));
+        expect_that!(sampled.iter().any(|server| server.id == "i-7"), eq(true));
+        seen.extend(sampled.iter().map(|server| server.id.clone()));
+    }
+    expect_that!(seen.len(), eq(40));
+    // A zone with few servers is sampled whole.
+    let few = sample(&servers[..3], "north", None, &mut random);
+    expect_that!(few.len(), eq(3));
+}
+
+#[gtest]
+fn room_is_a_free_slot_at_a_sound_server() {
+    let load = |online, suspect| LoadSummary {
+        online,
+        suspect,
+        ..Default::default()
+    };
+    expect_that!(has_room(&candidate("a", "north", load(3, false))), eq(true));
+    expect_that!(
+        has_room(&candidate("a", "north", load(4, false))),
+        eq(false)
+    );
+    expect_that!(has_room(&candidate("a", "north", load(0, true))), eq(false));
+}
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_cluster::PeerStatus;
+use dappleyard_cluster::{Allowance, PeerStatus};
 use dappleyard_ingress::{Metrics, Node, Upstreams};
 use dappleyard_model::{
     Configuration, Route, RouteKind, RowKey, RowStore, ServerRecord, StoreError, Transaction,
@@ -28,7 +28,7 @@
 use crate::release::release;
 use crate::run::{begin_work, run_item};
 use crate::table::{JobTable, Known};
-use crate::width::{ServerRoom, pick_server};
+use crate::width::{ServerRoom, pick_server, room};
 use tokio::time::Instant;
 
 /// Longest time between two looks at the jobs.
@@ -66,6 +66,7 @@
     steady_since: Cell<Instant>,
     last_look: Cell<Instant>,
     cleaned: Cell<Instant>,
+    allowances: RefCell<HashMap<String, Allowance>>,
     stopping: Cell<bool>,
 }
 
@@ -90,6 +91,7 @@
             steady_since: Cell::new(Instant::now()),
             last_look: Cell::new(Instant::now()),
             cleaned: Cell::new(Instant::now()),
+            allowances: RefCell::default(),
             stopping: Cell::new(false),
         })
     }
@@ -339,8 +341,22 @@
             .flat_map(|job| self.turns(job, &configuration, now_ms))
             .collect();
         waiting.sort_by(|a, b| (a.rank, &a.job.job, a.index).cmp(&(b.rank, &b.job.job, b.index)));
+        let loads = &self.node.loads;
+        loads
+            .waiting
+            .set_own(u32::try_from(waiting.len()).unwrap_or(u32::MAX));
+        let mut refreshed: HashSet<String> = HashSet::new();
         for turn in waiting {
             let service = turn.route.pick_service(rand::random()).unwrap_or_default();
+            let mut allowances = self.allowances.borrow_mut();
+            let allowance = allowances.entry(service.to_owned()).or_default();
+            if refreshed.insert(service.to_owned()) {
+                allowance.refresh(&loads.waiting, self.room_at(service), rand::random());
+            }
+            if !allowance.take() {
+                break;
+            }
+            drop(allowances);
             let Some(server) = self.pick(service, &turn) else {
                 break;
             };
@@ -348,6 +364,15 @@
         }
     }
 
+    /// Items that the servers of a service still take, as this node sees them.
+    fn room_at(&self, service: &str) -> u32 {
+        let servers = self.node.view.servers(service);
+        let rooms = servers.used.iter();
+        rooms
+            .map(|server| room(server.slots, &self.node.loads.summary(&server.id)))
+            .sum()
+    }
+
     /// The items of a job that wait; those whose time or route is over are given up.
     fn turns(&self, job: &Rc<OwnedJob>, configuration: &Configuration, now_ms: u64) -> Vec<Turn> {
         let now = Instant::now();
--- a/crates/relay/src/access.rs
+++ b/crates/relay/src/access.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_cluster::{ALL_HEARD, NODES_TABLE, PeerTable, RelayPeer, StoreHealth};
+use dappleyard_cluster::{NODES_TABLE, PeerTable, RelayPeer, StoreHealth, delegates};
 use dappleyard_model::{EventLog, RowStore};
 use derive_more::Display;
 use parking_lot::Mutex;
@@ -11,8 +11,6 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Nodes of each zone of a large fleet that follow the tables at the store.
-const READERS: usize = 2;
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(150);
 /// Time without an answer of the store after which a node that follows tables there makes sure.
@@ -59,17 +57,6 @@
     }
 }
 
-/// The readers among the nodes of a zone: all nodes that know the same names choose the same ones.
-pub fn readers<'a>(names: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
-    let mut ranked: Vec<(u64, &str)> = names.map(|name| (xxh3_64(name.as_bytes()), name)).collect();
-    ranked.sort();
-    ranked
-        .into_iter()
-        .take(READERS)
-        .map(|(_, name)| name)
-        .collect()
-}
-
 /// How this node reaches the store, shared by all threads.
 pub struct Access {
     name: String,
@@ -113,7 +100,7 @@
 
     /// Whether other nodes take tables from this one as a rule.
     pub fn serves_others(&self) -> bool {
-        self.is_large() && self.is_reader()
+        self.peers.is_large() && self.peers.is_delegate()
     }
 
     /// Waits until tables are followed by this path.
@@ -126,7 +113,7 @@
     /// Nodes to take tables from, the best first.
     pub fn sources(&self) -> Vec<RelayPeer> {
         let peers = self.peers.relay_peers();
-        if !self.is_large() {
+        if !self.peers.is_large() {
             return self.fit(peers);
         }
         let near: Vec<RelayPeer> = peers
@@ -134,7 +121,7 @@
             .filter(|peer| peer.zone == self.zone)
             .collect();
         let names = near.iter().map(|peer| peer.name.as_str());
-        let chosen: Vec<String> = readers(names.chain([self.name.as_str()]))
+        let chosen: Vec<String> = delegates(names.chain([self.name.as_str()]))
             .into_iter()
             .map(str::to_owned)
             .collect();
@@ -149,7 +136,7 @@
     /// Nodes that may pass a call on, the best first.
     pub fn relays(&self) -> Vec<RelayPeer> {
         let mut relays = self.fit(self.peers.relay_peers());
-        if relays.is_empty() && self.is_large() {
+        if relays.is_empty() && self.peers.is_large() {
             relays = self.sources();
         }
         relays
@@ -173,8 +160,8 @@
     pub fn look(&self) {
         let failed = *self.peers_failed.lock();
         let situation = Situation {
-            large: self.is_large(),
-            reader: self.is_reader(),
+            large: self.peers.is_large(),
+            reader: self.peers.is_delegate(),
             lost: self.health.is_lost(),
             peers: self.sources().len(),
             peers_failed: failed.is_some_and(|at| at.elapsed() < AFTER_FAILURE),
@@ -213,17 +200,6 @@
         self.health.note(&outcome);
     }
 
-    fn is_large(&self) -> bool {
-        self.peers.listed() > ALL_HEARD
-    }
-
-    fn is_reader(&self) -> bool {
-        let peers = self.peers.relay_peers();
-        let near = peers.iter().filter(|peer| peer.zone == self.zone);
-        let names = near.map(|peer| peer.name.as_str());
-        readers(names.chain([self.name.as_str()])).contains(&self.name.as_str())
-    }
-
     fn fit(&self, peers: Vec<RelayPeer>) -> Vec<RelayPeer> {
         let answered = |peer: &RelayPeer| peer.direct_age.is_some_and(|age| age < FIT);
         let mut fit: Vec<RelayPeer> = peers.into_iter().filter(answered).collect();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,7 +21,7 @@
 mod rows;
 mod serve;
 
-pub use access::{Access, Path, Situation, decide, readers};
+pub use access::{Access, Path, Situation, decide};
 pub use history::{Histories, Replica, TableHistory, Told};
 pub use mirror::{follow_directly, mirror};
 pub use rows::RelayedRows;
--- a/crates/relay/tests/paths.rs
+++ b/crates/relay/tests/paths.rs
@@ -1,6 +1,7 @@
 //! Which way a node reaches the store.
 
-use dappleyard_relay::{Path, Situation, decide, readers};
+use dappleyard_cluster::delegates;
+use dappleyard_relay::{Path, Situation, decide};
 use googletest::prelude::*;
 
 const SMALL: Situation = Situation {
@@ -54,14 +55,14 @@
 }
 
 #[gtest]
-fn same_readers() {
+fn same_delegates() {
     let names: Vec<String> = (0..50).map(|number| format!("node-{number}")).collect();
-    let chosen = readers(names.iter().map(String::as_str));
-    let reversed = readers(names.iter().rev().map(String::as_str));
+    let chosen = delegates(names.iter().map(String::as_str));
+    let reversed = delegates(names.iter().rev().map(String::as_str));
     expect_that!(chosen.len(), eq(2));
     expect_that!(chosen, eq(&reversed));
     // A node that leaves changes no more than its own place.
     let without = names.iter().filter(|name| *name != chosen[0]);
-    let next = readers(without.map(String::as_str));
+    let next = delegates(without.map(String::as_str));
     expect_that!(next[0], eq(chosen[1]));
 }
