--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -115,8 +115,8 @@
                     self.send_change();
                 }
                 received = self.socket.recv_from(&mut buffer) => {
-                    if let Ok((length, _)) = received {
-                        self.receive(&buffer[..length]);
+                    if let Ok((length, sender)) = received {
+                        self.receive(&buffer[..length], sender);
                     }
                 }
             }
@@ -283,10 +283,13 @@
         })
     }
 
-    fn receive(&self, datagram: &[u8]) {
+    fn receive(&self, datagram: &[u8], sender: SocketAddr) {
         let packet = Packet::decode(datagram).ok();
         match packet.and_then(|packet| packet.kind) {
-            Some(PacketKind::Heartbeat(heartbeat)) => self.receive_heartbeat(heartbeat),
+            Some(PacketKind::Heartbeat(heartbeat)) => {
+                self.peers.meet(&heartbeat, sender);
+                self.receive_heartbeat(heartbeat);
+            }
             Some(PacketKind::Summary(summary)) => self.receive_summary(summary),
             None => {}
         }
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -34,6 +34,12 @@
 /// A node that has had no answer of the store for this long can commit nothing.
 const STORE_SILENCE: Duration = Duration::from_millis(3200);
 
+/// When the store last answered the sender of a heartbeat itself.
+fn direct_answer(heartbeat: &Heartbeat, now: Instant) -> Option<Instant> {
+    let age_ms = u64::from(heartbeat.direct_age_ms.checked_sub(1)?);
+    now.checked_sub(Duration::from_millis(age_ms))
+}
+
 /// Number that stands for one life of a node in relayed entries.
 fn life_number(name: &str, life: u64) -> u32 {
     xxh3_64_with_seed(name.as_bytes(), life) as u32
@@ -67,6 +73,13 @@
     logged_down: bool,
 }
 
+/// A node that is heard before its row is known.
+struct Stranger {
+    address: SocketAddr,
+    heard: Instant,
+    direct: Option<Instant>,
+}
+
 /// A node that may pass calls to the store on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RelayPeer {
@@ -85,6 +98,8 @@
     own_name: String,
     own_zone: String,
     peers: Mutex<HashMap<String, Peer>>,
+    /// Senders of heartbeats while no row of a node is known. Locked after `peers`.
+    strangers: Mutex<HashMap<String, Stranger>>,
     changed: Notify,
     log: Arc<EventLog>,
 }
@@ -96,6 +111,7 @@
             own_name: own_name.to_owned(),
             own_zone: own_zone.to_owned(),
             peers: Mutex::default(),
+            strangers: Mutex::default(),
             changed: Notify::new(),
             log,
         }
@@ -157,10 +173,45 @@
             .collect()
     }
 
+    /// Notes who sends heartbeats while this node knows no row of any node: one that starts while
+    /// the store is away learns from them.
+    pub fn meet(&self, heartbeat: &Heartbeat, address: SocketAddr) {
+        let peers = self.peers.lock();
+        if !peers.is_empty() || heartbeat.name == self.own_name {
+            return;
+        }
+        let now = Instant::now();
+        let stranger = Stranger {
+            address,
+            heard: now,
+            direct: direct_answer(heartbeat, now),
+        };
+        let mut strangers = self.strangers.lock();
+        strangers.insert(heartbeat.name.clone(), stranger);
+    }
+
+    fn strangers(&self, now: Instant) -> Vec<RelayPeer> {
+        let strangers = self.strangers.lock();
+        let heard = strangers
+            .iter()
+            .filter(|(_, stranger)| now.duration_since(stranger.heard) < FAR_SILENCE);
+        heard
+            .map(|(name, stranger)| RelayPeer {
+                name: name.clone(),
+                zone: String::new(),
+                address: stranger.address,
+                direct_age: stranger.direct.map(|at| now.duration_since(at)),
+            })
+            .collect()
+    }
+
     /// The other nodes that are alive and stay.
     pub fn relay_peers(&self) -> Vec<RelayPeer> {
         let now = Instant::now();
         let peers = self.peers.lock();
+        if peers.is_empty() {
+            return self.strangers(now);
+        }
         let others = peers.iter().filter(|(name, peer)| {
             let leaves = peer.row.leaving || peer.leaving;
             **name != self.own_name
@@ -209,9 +260,8 @@
         peer.leaving = heartbeat.leaving;
         peer.store_silent =
             Duration::from_millis(u64::from(heartbeat.store_age_ms)) > STORE_SILENCE;
-        if heartbeat.direct_age_ms > 0 {
-            let age = Duration::from_millis(u64::from(heartbeat.direct_age_ms - 1));
-            peer.direct = Instant::now().checked_sub(age);
+        if let Some(direct) = direct_answer(heartbeat, Instant::now()) {
+            peer.direct = Some(direct);
         }
         if std::mem::take(&mut peer.logged_down) {
             self.log.write(
--- a/crates/relay/src/access.rs
+++ b/crates/relay/src/access.rs
@@ -1,6 +1,7 @@
 //! How a node reaches the store: by itself, or by way of other nodes.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use dappleyard_cluster::{NODES_TABLE, PeerTable, RelayPeer, StoreHealth, delegates};
@@ -65,6 +66,7 @@
     peers: Arc<PeerTable>,
     path: watch::Sender<Path>,
     peers_failed: Mutex<Option<Instant>>,
+    starting: AtomicBool,
     log: Arc<EventLog>,
 }
 
@@ -84,6 +86,7 @@
             peers,
             path: watch::channel(Path::Direct).0,
             peers_failed: Mutex::default(),
+            starting: AtomicBool::new(true),
             log,
         }
     }
@@ -110,9 +113,24 @@
         let _ = path.wait_for(|path| *path == wanted).await;
     }
 
-    /// Nodes to take tables from, the best first.
+    /// Whether this node does not know all tables yet.
+    pub fn is_starting(&self) -> bool {
+        self.starting.load(Ordering::Relaxed)
+    }
+
+    /// All tables are known.
+    pub(crate) fn started(&self) {
+        self.starting.store(false, Ordering::Relaxed);
+    }
+
+    /// Nodes to take tables from, the best first. A node that starts while the store is away takes
+    /// them from anybody: old knowledge is better than none.
     pub fn sources(&self) -> Vec<RelayPeer> {
-        let peers = self.peers.relay_peers();
+        let mut peers = self.peers.relay_peers();
+        if self.is_starting() && self.health.is_lost() {
+            self.sort(&mut peers);
+            return peers;
+        }
         if !self.peers.is_large() {
             return self.fit(peers);
         }
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -208,6 +208,12 @@
         self.tables.get(table)
     }
 
+    /// Whether all tables are known.
+    fn are_known(&self) -> bool {
+        let mut tables = self.tables.values();
+        tables.all(|table| table.revision().is_some())
+    }
+
     /// Tells of every change that matters.
     pub(crate) fn watch(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
@@ -283,6 +289,9 @@
     fn contact(&self, contact: &Contact) {
         self.history.contact(contact);
         self.sink.contact(contact);
+        if self.access.is_starting() && self.histories.are_known() {
+            self.access.started();
+        }
     }
 
     fn held(&self) -> Option<u64> {
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -132,7 +132,8 @@
             let Some(replica) = replica else {
                 continue;
             };
-            if Duration::from_millis(u64::from(table.age_ms)) > OLDEST {
+            let age = Duration::from_millis(u64::from(table.age_ms));
+            if age > OLDEST && replica.held().is_some() {
                 return Err(unfit("its own knowledge is old"));
             }
             if replica.held().is_some_and(|held| held > table.revision) {
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -355,3 +355,28 @@
         expect_that!(answer.is_empty(), eq(false));
     }
 }
+
+#[gtest]
+#[actix_rt::test]
+async fn started_in_an_outage() {
+    let (rows, a, _b) = pair().await;
+    rows.set_down(true);
+    until("the store is lost", || a.access.health().is_lost()).await;
+    // Others cannot pass calls on, but they know the tables.
+    let late = TestNode::start("late", &rows);
+    let heartbeat = Heartbeat {
+        name: "a".to_owned(),
+        life: 1,
+        ..Heartbeat::default()
+    };
+    until("the table is known", || {
+        late.peers.meet(&heartbeat, a.address);
+        late.holds("first")
+    })
+    .await;
+    expect_that!(late.access.is_starting(), eq(false));
+    rows.set_down(false);
+    rows.write(TABLE, "", "second", "2");
+    until("the store is followed", || late.holds("second")).await;
+    expect_that!(late.sink.went_back.get(), eq(false));
+}
