A copy of a quiet table is taken while the store does not answer

Change: three seconds while the store does not answer the asking node; the age stays told, so what rests on freshness is as before.

Test: quiet_tables (did not come within 10 s before).

--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -20,8 +20,12 @@
 const LIMIT: Duration = Duration::from_millis(700);
 /// Longest wait for whole tables.
 const WHOLE_LIMIT: Duration = Duration::from_millis(2_000);
-/// A copy whose reader has had no answer of the store for longer is not good enough.
+/// A copy whose reader has had no answer of the store for longer is not good enough while the store
+/// itself can be asked.
 const OLDEST: Duration = Duration::from_millis(1_000);
+/// The same while the store does not answer this node. A reader waits up to two seconds for a change
+/// in a table that is quiet.
+const OLDEST_WHEN_LOST: Duration = Duration::from_millis(3_000);
 /// Time for which a node that failed is not asked.
 const AVOIDED: Duration = Duration::from_secs(2);
 
@@ -76,7 +80,11 @@
                 access.look();
                 return;
             };
-            if let Err(error) = self.ask(&source).await {
+            let oldest = match access.health().is_lost() {
+                true => OLDEST_WHEN_LOST,
+                false => OLDEST,
+            };
+            if let Err(error) = self.ask(&source, oldest).await {
                 log.write(
                     "reader_failed",
                     || serde_json::json!({"peer": source.name, "cause": error.to_string()}),
@@ -97,7 +105,7 @@
         self.avoided.iter().any(|(name, _)| *name == peer.name)
     }
 
-    async fn ask(&self, source: &RelayPeer) -> Result<(), StoreError> {
+    async fn ask(&self, source: &RelayPeer, oldest: Duration) -> Result<(), StoreError> {
         let positions = self.replicas.iter().map(|replica| TablePosition {
             table: replica.table().to_owned(),
             revision: replica.held(),
@@ -120,10 +128,10 @@
         let AnswerKind::Changes(answer) = answer.await? else {
             return Err(unfit("the answer to another call"));
         };
-        self.apply(answer)
+        self.apply(answer, oldest)
     }
 
-    fn apply(&self, answer: ChangesAnswer) -> Result<(), StoreError> {
+    fn apply(&self, answer: ChangesAnswer, oldest: Duration) -> Result<(), StoreError> {
         for table in answer.tables {
             let replica = self
                 .replicas
@@ -133,7 +141,7 @@
                 continue;
             };
             let age = Duration::from_millis(u64::from(table.age_ms));
-            if age > OLDEST && replica.held().is_some() {
+            if age > oldest && replica.held().is_some() {
                 return Err(unfit("its own knowledge is old"));
             }
             if replica.held().is_some_and(|held| held > table.revision) {
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -86,6 +86,7 @@
     rows: RefCell<BTreeMap<String, u64>>,
     newest: Cell<u64>,
     went_back: Cell<bool>,
+    oldest: Cell<Duration>,
 }
 
 impl TableSink for Sink {
@@ -113,6 +114,7 @@
         let back = contact.revision < self.newest.get();
         self.went_back.set(self.went_back.get() || back);
         self.newest.set(contact.revision);
+        self.oldest.set(self.oldest.get().max(contact.age));
     }
 }
 
@@ -380,3 +382,15 @@
     until("the store is followed", || late.holds("second")).await;
     expect_that!(late.sink.went_back.get(), eq(false));
 }
+
+#[gtest]
+#[actix_rt::test]
+async fn quiet_tables() {
+    let (_rows, a, _b) = pair().await;
+    cut_off(&a).await;
+    // The other node waits two seconds for a change that does not come; what it knows is taken
+    // all the same, for there is nothing better.
+    let old = Duration::from_millis(1_200);
+    until("an old copy is taken", || a.sink.oldest.get() > old).await;
+    expect_that!(a.access.path(), eq(Path::ByPeer));
+}
