Sets of servers are built when asked for; others are told once for each answer of the store

Beside it: a reader woke all waiting calls at each row of an answer and looked through all 4,096 kept changes.

--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -19,11 +19,19 @@
 /// its heartbeats, and hardly any of these changes matters.
 const SERVERS_PACE: Duration = Duration::from_millis(400);
 
+/// The servers of one service, as they were sorted last.
+struct KnownSet {
+    set: Arc<ServerSet>,
+    /// A server of the service has changed since.
+    stale: bool,
+}
+
 #[derive(Default)]
 struct Known {
     configuration: Option<Arc<Configuration>>,
     servers: HashMap<String, (u64, Arc<ServerRecord>)>,
-    by_service: HashMap<String, Arc<ServerSet>>,
+    by_service: HashMap<String, KnownSet>,
+    sets_built: u64,
     servers_read: bool,
     contact: Option<Instant>,
 }
@@ -54,12 +62,31 @@
 
     /// Servers of a service that take new work.
     pub fn servers(&self, service: &str) -> Arc<ServerSet> {
-        self.known
-            .lock()
-            .by_service
-            .get(service)
-            .cloned()
-            .unwrap_or_default()
+        let mut known = self.known.lock();
+        match known.by_service.get(service) {
+            None => Arc::default(),
+            Some(held) if !held.stale => held.set.clone(),
+            Some(_) => self.build(&mut known, service),
+        }
+    }
+
+    /// Sets of servers built so far. In a large fleet each costs a look at thousands of servers, so
+    /// they are built when asked for, not at each change.
+    pub fn sets_built(&self) -> u64 {
+        self.known.lock().sets_built
+    }
+
+    fn build(&self, known: &mut Known, service: &str) -> Arc<ServerSet> {
+        let servers = known.servers.values().map(|(_, server)| server);
+        let open = servers.filter(|server| server.service == service && !server.draining);
+        let set = Arc::new(self.own.servers(open.cloned().collect()));
+        let held = KnownSet {
+            set: set.clone(),
+            stale: false,
+        };
+        known.by_service.insert(service.to_owned(), held);
+        known.sets_built += 1;
+        set
     }
 
     /// A server by its identifier, leaving ones included.
@@ -71,8 +98,10 @@
     /// Numbers of the servers that this node uses, when it does not use all.
     pub(crate) fn used_servers(&self) -> Vec<u32> {
         let known = self.known.lock();
-        let large = known.by_service.values().filter(|set| set.is_large());
-        let used = large.flat_map(|set| set.used.iter());
+        let sets = known.by_service.values().map(|held| &held.set);
+        let used = sets
+            .filter(|set| set.is_large())
+            .flat_map(|set| set.used.iter());
         used.map(|server| server_number(&server.id)).collect()
     }
 
@@ -128,18 +157,36 @@
         true
     }
 
-    fn index(&self, known: &mut Known) {
-        let mut by_service: HashMap<String, Vec<Arc<ServerRecord>>> = HashMap::new();
-        for (_, server) in known.servers.values() {
-            if !server.draining {
-                let servers = by_service.entry(server.service.clone()).or_default();
-                servers.push(server.clone());
+    /// The sets of all services are to be built anew.
+    fn all_stale(known: &mut Known) {
+        known
+            .by_service
+            .values_mut()
+            .for_each(|held| held.stale = true);
+        let services: Vec<String> = known
+            .servers
+            .values()
+            .map(|(_, server)| &server.service)
+            .filter(|service| !known.by_service.contains_key(*service))
+            .cloned()
+            .collect();
+        for service in services {
+            Self::stale(known, &service);
+        }
+    }
+
+    /// The set of a service is to be built anew.
+    fn stale(known: &mut Known, service: &str) {
+        match known.by_service.get_mut(service) {
+            Some(held) => held.stale = true,
+            None => {
+                let held = KnownSet {
+                    set: Arc::default(),
+                    stale: true,
+                };
+                known.by_service.insert(service.to_owned(), held);
             }
         }
-        known.by_service = by_service
-            .into_iter()
-            .map(|(service, servers)| (service, Arc::new(self.own.servers(servers))))
-            .collect();
     }
 
     fn contact(&self, contact: &Contact) {
@@ -261,7 +308,7 @@
             View::put_server(&mut known, server, at);
         }
         known.servers_read = true;
-        self.view.index(&mut known);
+        View::all_stale(&mut known);
         drop(known);
         self.view.changed.notify_waiters();
     }
@@ -269,6 +316,8 @@
     fn change(&self, row: Row) {
         let server = self.read(&row);
         let mut known = self.view.known.lock();
+        let held = known.servers.get(&row.key);
+        let before = held.map(|(_, server)| server.service.clone());
         let applied = match server.clone() {
             Some(server) => View::put_server(&mut known, server, row.revision),
             None => known.servers.remove(&row.key).is_some(),
@@ -276,7 +325,10 @@
         if !applied {
             return;
         }
-        self.view.index(&mut known);
+        let after = server.as_ref().map(|server| server.service.clone());
+        for service in before.into_iter().chain(after) {
+            View::stale(&mut known, &service);
+        }
         drop(known);
         self.view.log_server(&row, server.as_ref());
         self.view.changed.notify_waiters();
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -1,5 +1,6 @@
 //! Copies of followed tables with their latest changes, for other nodes to take from.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -164,10 +165,10 @@
     /// Each row that changed after a revision, once, as it is.
     fn changed_after(&self, after: u64) -> Vec<Row> {
         let mut seen: HashMap<&Place, u64> = HashMap::new();
-        for (revision, place) in &self.changes {
-            if *revision > after {
-                seen.insert(place, *revision);
-            }
+        // Changes are kept in the order of their revisions: few of them are new to a caller.
+        let newest = self.changes.iter().rev();
+        for (revision, place) in newest.take_while(|(revision, _)| *revision > after) {
+            seen.entry(place).or_insert(*revision);
         }
         let mut rows: Vec<Row> = seen
             .into_iter()
@@ -230,6 +231,8 @@
     history: Arc<TableHistory>,
     histories: Histories,
     access: Arc<Access>,
+    /// Something has changed that others were not told yet.
+    untold: Cell<bool>,
 }
 
 impl Replica {
@@ -244,6 +247,7 @@
             histories: histories.clone(),
             sink,
             access,
+            untold: Cell::new(false),
         })
     }
 }
@@ -275,20 +279,24 @@
         let judged = rows.iter().map(|row| (row.clone(), self.essence(row)));
         self.history.replace(judged.collect(), revision);
         self.sink.replace(rows, revision);
-        self.histories.notify();
+        self.untold.set(true);
     }
 
     fn change(&self, row: Row) {
         let essence = self.essence(&row);
         if self.history.change(&row, essence) {
             self.sink.change(row);
-            self.histories.notify();
+            self.untold.set(true);
         }
     }
 
     fn contact(&self, contact: &Contact) {
         self.history.contact(contact);
         self.sink.contact(contact);
+        // The rows of one answer are told together.
+        if self.untold.take() {
+            self.histories.notify();
+        }
         if self.access.is_starting() && self.histories.are_known() {
             self.access.started();
         }
