--- a/crates/fleet/src/cancelled.rs
+++ b/crates/fleet/src/cancelled.rs
@@ -9,6 +9,11 @@
 /// How long a cancelled job is remembered, milliseconds. The job row remembers it for good; gossip
 /// only stops running items early.
 const RETENTION_MS: u64 = 600_000;
+/// How long an id is sent again and again. Each sending rides on a few datagrams to whoever is probed
+/// or answered next, which may be the same node each time.
+const REPEATED_FOR_MS: u64 = 60_000;
+/// Time between two sendings.
+const REPEAT_MS: u64 = 1_000;
 /// Most cancelled jobs remembered; the oldest go first.
 const MAXIMUM_JOBS: usize = 4096;
 /// Bytes that the tag and length of one id take.
@@ -19,6 +24,7 @@
 pub struct CancelledJobs {
     known: BTreeMap<String, Millis>,
     waiting: Broadcasts<String>,
+    repeated: Millis,
 }
 
 impl CancelledJobs {
@@ -32,6 +38,7 @@
                     .push(job, job.clone(), job.len() + OVERHEAD_BYTES);
             }
         }
+        self.repeat(now);
         self.known.retain(|job, at| {
             let kept = now.since(*at) < RETENTION_MS;
             if !kept {
@@ -49,6 +56,20 @@
         }
     }
 
+    /// Sends the ids of the last minute again, so that no node misses one for good.
+    fn repeat(&mut self, now: Millis) {
+        if now.since(self.repeated) < REPEAT_MS {
+            return;
+        }
+        self.repeated = now;
+        for (job, at) in &self.known {
+            if now.since(*at) < REPEATED_FOR_MS {
+                let bytes = job.len() + OVERHEAD_BYTES;
+                self.waiting.push(job, job.clone(), bytes);
+            }
+        }
+    }
+
     /// Takes ids that came by gossip; those that are new go on to others.
     pub fn learn(&mut self, ids: &[String], tables: &NodeTables, now: Millis) {
         for job in ids.iter().filter(|job| !job.is_empty()) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,7 +6,7 @@
 //! starting to ready, withdrawn and back. It never touches a life cycle that is draining or stopped.
 
 mod actor;
-mod cancelled;
+pub mod cancelled;
 mod directory;
 mod lifecycle;
 mod loads;
--- a/crates/fleet/tests/cluster.rs
+++ b/crates/fleet/tests/cluster.rs
@@ -97,10 +97,15 @@
 }
 
 /// Waits until a condition holds; the test's own time limit is the only deadline.
+/// Waits until something holds; what never comes fails the test instead of holding it for good.
 async fn eventually(mut holds: impl FnMut() -> bool) {
-    while !holds() {
+    for _ in 0..3_000 {
+        if holds() {
+            return;
+        }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    panic!("what was waited for did not come within a minute");
 }
 
 fn is_ready(node: &Node) -> bool {
