A job does not go to and fro between nodes that cannot hear each other

Since calls are passed on, its claims reach the store by a neighbour; it heard nothing of the owner and took the job, the owner heard nothing of it and took the job back, and each began to count failures anew.

Change: a node that the store does not answer itself claims nothing but jobs without an owner or of a replaced life, and none takes back within five seconds what was taken from it.

Test: no_claims_to_and_fro.

--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -68,6 +68,7 @@
         view: view.clone(),
         loads: Arc::new(LoadTable::default()),
         peers,
+        health: health.clone(),
         dialect: dialect.clone(),
         log: log.clone(),
         metrics: Arc::new(Metrics::default()),
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use dappleyard_cluster::{LoadTable, PeerTable, View, directory};
+use dappleyard_cluster::{LoadTable, PeerTable, StoreHealth, View, directory};
 use dappleyard_model::{Dialect, EventLog, NodeSettings};
 use parking_lot::Mutex;
 
@@ -26,6 +26,8 @@
     pub loads: Arc<LoadTable>,
     /// The other nodes.
     pub peers: Arc<PeerTable>,
+    /// Whether the store answers this node's own calls.
+    pub health: Arc<StoreHealth>,
     /// Formats.
     pub dialect: Arc<dyn Dialect>,
     /// Decision records.
--- a/crates/jobs/src/claiming.rs
+++ b/crates/jobs/src/claiming.rs
@@ -17,6 +17,10 @@
 /// answered again at about the same time.
 const STEADY_FOR_ISOLATION: Duration = Duration::from_millis(2_500);
 
+/// Time for which a node does not take back a job that another one has taken from it: each may hear
+/// nothing of the other and call it gone, and the job would go to and fro.
+const TAKEN_REST: Duration = Duration::from_millis(5_000);
+
 /// What a claim rests on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ground {
@@ -26,6 +30,11 @@
     pub suspected: Duration,
     /// For how long this node has run and had answers of the store without a gap.
     pub steady: Duration,
+    /// The store answers this node itself. One that is cut off from the store may be cut off from
+    /// the owners of jobs too, and what it hears of them says little.
+    pub answered: bool,
+    /// Time since the job was taken from this node.
+    pub taken: Option<Duration>,
 }
 
 /// Whether a claim may be tried.
@@ -39,5 +48,11 @@
         PeerStatus::Isolated => STEADY_FOR_ISOLATION,
         PeerStatus::Ready | PeerStatus::Present => return false,
     };
+    if owner != PeerStatus::Replaced {
+        let rests = ground.taken.is_some_and(|taken| taken < TAKEN_REST);
+        if rests || !ground.answered {
+            return false;
+        }
+    }
     ground.suspected >= SUSPECTED && ground.steady >= needed
 }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -63,6 +63,8 @@
     pub(crate) owned: RefCell<HashMap<String, Rc<OwnedJob>>>,
     busy: RefCell<HashSet<String>>,
     suspected: RefCell<HashMap<String, Instant>>,
+    /// When jobs were taken from this node by another one.
+    taken: RefCell<HashMap<String, Instant>>,
     steady_since: Cell<Instant>,
     last_look: Cell<Instant>,
     cleaned: Cell<Instant>,
@@ -88,6 +90,7 @@
             owned: RefCell::default(),
             busy: RefCell::default(),
             suspected: RefCell::default(),
+            taken: RefCell::default(),
             steady_since: Cell::new(Instant::now()),
             last_look: Cell::new(Instant::now()),
             cleaned: Cell::new(Instant::now()),
@@ -161,6 +164,10 @@
             });
             let kept = kept && !job.state.borrow().lost;
             let done = !job.state.borrow().row.is_open();
+            if !kept && !done {
+                let mut taken = self.taken.borrow_mut();
+                taken.insert(name.clone(), Instant::now());
+            }
             if !kept || done {
                 job.lose();
             }
@@ -170,6 +177,9 @@
         self.suspected
             .borrow_mut()
             .retain(|name, _| open.iter().any(|(job, _)| job == name));
+        self.taken
+            .borrow_mut()
+            .retain(|name, _| open.iter().any(|(job, _)| job == name));
         for (name, known) in open {
             if self.owned.borrow().contains_key(&name) || self.busy.borrow().contains(&name) {
                 continue;
@@ -198,6 +208,8 @@
             owner,
             suspected: now.duration_since(since),
             steady: now.duration_since(self.steady_since.get()),
+            answered: !self.node.health.is_lost(),
+            taken: self.taken.borrow().get(job).map(Instant::elapsed),
         };
         may_claim(ground) && self.is_preferred(job)
     }
--- a/crates/jobs/tests/pure.rs
+++ b/crates/jobs/tests/pure.rs
@@ -115,6 +115,8 @@
             owner,
             suspected: Duration::from_millis(suspected),
             steady: Duration::from_millis(steady),
+            answered: true,
+            taken: None,
         })
     };
     // Given back: at once.
@@ -141,3 +143,35 @@
         expect_that!(claims(Some(alive), 60_000, 60_000), eq(false));
     }
 }
+
+#[gtest]
+fn no_claims_to_and_fro() {
+    let ground = Ground {
+        owner: Some(PeerStatus::Down),
+        suspected: Duration::from_secs(3),
+        steady: Duration::from_secs(3),
+        answered: true,
+        taken: None,
+    };
+    expect_that!(may_claim(ground), eq(true));
+    // Cut off from the store, a node's calls are passed on, but what it hears says little.
+    expect_that!(
+        may_claim(Ground {
+            answered: false,
+            ..ground
+        }),
+        eq(false)
+    );
+    let taken = |ms| Ground {
+        taken: Some(Duration::from_millis(ms)),
+        ..ground
+    };
+    expect_that!(may_claim(taken(1_000)), eq(false));
+    expect_that!(may_claim(taken(6_000)), eq(true));
+    // A new life under the owner's name has lost the job for certain.
+    let replaced = Ground {
+        owner: Some(PeerStatus::Replaced),
+        ..taken(1_000)
+    };
+    expect_that!(may_claim(replaced), eq(true));
+}
