Unfinished text of items is stored each second

Change: new text of running items goes into the next transaction of the job, each second at most, as pieces that are joined only where each goes on behind the one before.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 mod messages;
 mod order;
 mod owned;
+mod partials;
 mod preempt;
 mod read;
 mod release;
--- a/crates/jobs/src/messages.rs
+++ b/crates/jobs/src/messages.rs
@@ -152,16 +152,26 @@
     pub text: String,
 }
 
-/// Text of an item whose run has not come to its end; cut into chunks for the store.
+/// A piece of the text of an item whose run has not come to its end. Each piece has a row of its own;
+/// together they are the text so far.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct StoredPartial {
-    /// Last event that the text holds.
+    /// Last event that the text holds with this piece.
     #[prost(uint64, tag = "1")]
     pub last_event: u64,
-    /// Text so far.
+    /// Text behind the pieces before.
     #[prost(string, tag = "2")]
     pub text: String,
     /// Answers of failure so far.
     #[prost(uint32, tag = "3")]
     pub failures: u32,
+    /// Last event of the piece before; `None` in the first one.
+    #[prost(uint64, optional, tag = "4")]
+    pub after_event: Option<u64>,
+    /// Epoch of the job in which the piece was written.
+    #[prost(uint64, tag = "5")]
+    pub epoch: u64,
+    /// Events of the piece.
+    #[prost(uint64, tag = "6")]
+    pub events: u64,
 }
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -10,6 +10,7 @@
 
 use crate::keys::{CHUNK_BYTES, job_key, result_key};
 use crate::messages::{JobRow, JobState, StoredItem, StoredResult};
+use crate::partials::{Mark, Saved, add_pieces, has_grown};
 use crate::runner::Runner;
 use tokio::time::Instant;
 
@@ -21,6 +22,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// Time between two writes of unfinished text: what a killed node loses of its items' runs.
+const SAVE_EVERY: Duration = Duration::from_millis(1_000);
 
 /// How far an item is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +45,7 @@
     pub not_before: Option<Instant>,
     pub avoid: Option<String>,
     pub last_server: Option<String>,
+    pub saved: Saved,
     pub task: Option<Run>,
 }
 
@@ -81,6 +85,7 @@
             not_before: None,
             avoid: None,
             last_server: None,
+            saved: Saved::default(),
             task: None,
         }
     }
@@ -94,6 +99,19 @@
     pub finished: VecDeque<(usize, bool)>,
     pub committing: bool,
     pub lost: bool,
+    pub saved_at: Instant,
+}
+
+impl OwnedState {
+    /// Whether there is anything to commit.
+    pub(crate) fn has_news(&self) -> bool {
+        !self.finished.is_empty() || self.is_save_due()
+    }
+
+    /// Whether unfinished text is to be stored.
+    fn is_save_due(&self) -> bool {
+        self.saved_at.elapsed() >= SAVE_EVERY && self.items.iter().any(has_grown)
+    }
 }
 
 /// A job that this node runs.
@@ -102,13 +120,22 @@
     pub state: RefCell<OwnedState>,
 }
 
-/// Results of one commit: items in the order of their positions, and the row that follows.
+/// One commit: items whose results it lists, in the order of their positions, what it stores of
+/// unfinished text, and the row that follows.
 struct Commit {
     items: Vec<usize>,
+    marks: Vec<Mark>,
     row: JobRow,
     transaction: Transaction,
 }
 
+impl Commit {
+    /// Whether the row of the job changes with it.
+    fn writes_row(&self, job: &OwnedJob) -> bool {
+        self.row != job.state.borrow().row
+    }
+}
+
 impl OwnedJob {
     pub(crate) fn new(job: &str, row: JobRow, revision: u64, items: Vec<Item>) -> Self {
         Self {
@@ -120,6 +147,7 @@
                 finished: VecDeque::new(),
                 committing: false,
                 lost: false,
+                saved_at: Instant::now(),
             }),
         }
     }
@@ -179,15 +207,23 @@
             row.open_tokens = row.open_tokens.saturating_sub(held.stored.tokens);
             items.push(*item);
         }
-        if items.is_empty() {
-            return None;
-        }
         if row.listed == row.total {
             row.set_state(JobState::Done);
         }
-        transaction = transaction.put(job_key(&self.job), row.encode_to_vec());
+        let mut marks = Vec::new();
+        if state.is_save_due() {
+            (transaction, marks) = add_pieces(&self.job, row.epoch, &state.items, transaction);
+            row.has_partials |= !marks.is_empty();
+        }
+        if items.is_empty() && marks.is_empty() {
+            return None;
+        }
+        if row != state.row {
+            transaction = transaction.put(job_key(&self.job), row.encode_to_vec());
+        }
         Some(Commit {
             items,
+            marks,
             row,
             transaction,
         })
@@ -195,12 +231,20 @@
 
     fn committed(&self, commit: &Commit, revision: u64) {
         let mut state = self.state.borrow_mut();
-        state.row = commit.row.clone();
-        state.revision = revision;
+        if state.row != commit.row {
+            state.row = commit.row.clone();
+            state.revision = revision;
+        }
         for item in &commit.items {
             state.finished.pop_front();
             state.items[*item].text = String::new();
         }
+        for mark in &commit.marks {
+            state.items[mark.item].saved = mark.saved;
+        }
+        if !commit.marks.is_empty() {
+            state.saved_at = Instant::now();
+        }
     }
 }
 
@@ -241,7 +285,11 @@
 }
 
 fn note_committed(runner: &Runner, job: &OwnedJob, commit: &Commit, revision: u64) {
+    let row_written = commit.writes_row(job);
     job.committed(commit, revision);
+    if !row_written {
+        return;
+    }
     let results = commit.items.len() as u64;
     runner
         .node
@@ -251,7 +299,7 @@
     runner.table.put(&job.job, commit.row.clone(), revision);
     runner.node.log.write("results_committed", || {
         serde_json::json!({"job": job.job, "results": results, "listed": commit.row.listed,
-            "total": commit.row.total, "epoch": commit.row.epoch, "revision": revision})
+            "total": commit.row.total, "pieces": commit.marks.len(), "epoch": commit.row.epoch, "revision": revision})
     });
 }
 
@@ -263,7 +311,7 @@
         .and_then(|value| JobRow::decode(value).ok());
     let revision = found.map_or(0, |row| row.revision);
     match row {
-        Some(row) if row == commit.row => {
+        Some(row) if row == commit.row && commit.writes_row(job) => {
             note_committed(runner, job, commit, revision);
             true
         }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -20,11 +20,12 @@
 use crate::keys::{
     ITEMS_TABLE, PARTIALS_TABLE, RESULTS_TABLE, job_key, partition, range_end, range_start,
 };
-use crate::messages::{JobRow, StoredPartial};
+use crate::messages::JobRow;
 use crate::order::{RunEstimate, rank};
 use crate::owned::{Item, OwnedJob, Progress, Run, commit_results};
+use crate::partials;
 use crate::preempt::preempt;
-use crate::read::{assemble, read_items, retry};
+use crate::read::{read_items, retry};
 use crate::release::release;
 use crate::run::{begin_work, run_item};
 use crate::table::{JobTable, Known};
@@ -300,34 +301,15 @@
             .map(|(index, item)| Item::new(item, row.is_listed(index)))
             .collect();
         if row.has_partials {
-            self.load_partials(name, &mut items).await?;
+            partials::load(self.store.as_ref(), name, &mut items).await?;
         }
         Ok(items)
     }
 
-    async fn load_partials(&self, name: &str, items: &mut [Item]) -> Result<(), StoreError> {
-        let part = partition(name);
-        let (start, end) = (range_start(name), range_end(name));
-        let read = retry(|| self.store.read(PARTIALS_TABLE, &part, &start, &end, 400)).await?;
-        for (index, value) in assemble(&read.rows) {
-            let item = usize::try_from(index).ok().and_then(|at| items.get_mut(at));
-            let (Some(item), Ok(partial)) = (item, StoredPartial::decode(value)) else {
-                continue;
-            };
-            if item.progress == Progress::Waiting {
-                item.events = partial.text.split('\n').count() as u64;
-                item.text = partial.text;
-                item.last_event = Some(partial.last_event);
-                item.failures = partial.failures;
-            }
-        }
-        Ok(())
-    }
-
     fn start_commits(self: &Rc<Self>) {
         for job in self.owned.borrow().values() {
             let mut state = job.state.borrow_mut();
-            if state.finished.is_empty() || state.committing || state.lost {
+            if !state.has_news() || state.committing || state.lost {
                 continue;
             }
             state.committing = true;
