A stopping node answers whom it has let in; times of records are of one kind

Records carry at_ms (since 1970) and uptime_ms, durations are took_ms; explain sorts by time over nodes and lives.

--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use clap::ArgMatches;
+use dappleyard_model::AT;
 use serde_json::{Map, Value};
 
 use crate::failure::Failure;
@@ -11,9 +12,20 @@
 /// Fields that name what a record is about.
 const NAMES: [&str; 3] = ["request", "job", "item"];
 /// Fields that do not belong to the facts of a record.
-const FRAME: [&str; 2] = ["ms", "event"];
+const FRAME: [&str; 3] = [AT, "uptime_ms", "event"];
 
-/// Prints the records of a file that name an identifier, in plain words.
+/// One record that names the identifier.
+struct Entry {
+    /// Milliseconds since 1970.
+    at_ms: u64,
+    /// What stands before the record, such as a time and a machine.
+    before: String,
+    /// The record in plain words.
+    words: String,
+}
+
+/// Prints the records of a file that name an identifier, in plain words and in the order of their
+/// times, which are told from the first of them on.
 pub fn run(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
     let argument = |name| arguments.get_one::<String>(name).map_or("", String::as_str);
     let (file, id) = (argument("log"), argument("id"));
@@ -21,24 +33,25 @@
         "-" => Box::new(std::io::stdin().lock()),
         path => Box::new(std::io::BufReader::new(std::fs::File::open(path)?)),
     };
-    let mut found = 0;
+    let mut story = Vec::new();
     for line in reader.lines() {
-        if let Some(story) = story(&line?, id) {
-            println!("{story}");
-            found += 1;
-        }
+        story.extend(entry(&line?, id));
     }
-    if found == 0 {
+    story.sort_by_key(|entry| entry.at_ms);
+    let Some(first_ms) = story.first().map(|entry| entry.at_ms) else {
         return Err(Failure::Usage {
             cause: format!("{file}: no record names {id}"),
         });
+    };
+    for entry in story {
+        let since_ms = entry.at_ms - first_ms;
+        println!("{}{since_ms:>+7} ms  {}", entry.before, entry.words);
     }
     Ok(ExitCode::SUCCESS)
 }
 
-/// One record in plain words, when it names the identifier. What stands before the record, such
-/// as a time and a machine, is kept.
-fn story(line: &str, id: &str) -> Option<String> {
+/// One record, when it names the identifier.
+fn entry(line: &str, id: &str) -> Option<Entry> {
     let start = line.find('{')?;
     let record: Map<String, Value> = serde_json::from_str(&line[start..]).ok()?;
     let about = NAMES
@@ -53,13 +66,11 @@
         .filter(|(name, _)| !FRAME.contains(&name.as_str()))
         .map(|(name, value)| format!("{} {}", name.replace('_', " "), plain(value)))
         .collect();
-    let at = record.get("ms").and_then(Value::as_u64).unwrap_or(0);
-    Some(format!(
-        "{}{at:>7} ms  {}: {}",
-        &line[..start],
-        words(&event),
-        facts.join(", ")
-    ))
+    Some(Entry {
+        at_ms: record.get(AT).and_then(Value::as_u64).unwrap_or(0),
+        before: line[..start].to_owned(),
+        words: format!("{}: {}", words(&event), facts.join(", ")),
+    })
 }
 
 fn plain(value: &Value) -> String {
--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use dappleyard_ingress::close;
 use dappleyard_platform::read_settings;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -84,10 +85,11 @@
     let call = registration::unregister(node, running.store.as_ref());
     // The row of a node that is gone does no harm: its heartbeats end.
     let _ = tokio::time::timeout(LAST_CALL, call).await;
+    close(&running.server, &node.under_way, started + last).await;
     node.log.write("stop", || {
         serde_json::json!({"under_way": node.under_way.load(Ordering::Relaxed),
             "jobs_handed_back": handing_back.is_finished(),
-            "ms": started.elapsed().as_millis() as u64})
+            "took_ms": started.elapsed().as_millis() as u64})
     });
     // Nothing is under way, or the time is over.
     drop(running.server.stop(false));
--- a/crates/dappleyard/tests/command_line.rs
+++ b/crates/dappleyard/tests/command_line.rs
@@ -85,16 +85,29 @@
 #[gtest]
 fn explain_tells_the_story_of_one_request() {
     let records = concat!(
-        "1.5 node-a {\"ms\":20,\"event\":\"placed\",\"request\":\"r1\",\"server\":\"i-1\"}\n",
-        "1.6 node-a {\"ms\":30,\"event\":\"placed\",\"request\":\"r2\",\"server\":\"i-2\"}\n",
+        "1.9 node-b {\"at_ms\":1900,\"uptime_ms\":7,\"event\":\"request_finished\",\"request\":\"r1\",\"took_ms\":400}\n",
+        "1.5 node-a {\"at_ms\":1500,\"uptime_ms\":900,\"event\":\"placed\",\"request\":\"r1\",\"server\":\"i-1\"}\n",
+        "1.6 node-a {\"at_ms\":1600,\"event\":\"placed\",\"request\":\"r2\",\"server\":\"i-2\"}\n",
         "not a record\n",
-        "1.7 node-a {\"ms\":40,\"event\":\"attempt_failed\",\"request\":\"r1\",\"cause\":\"silent\"}\n",
+        "1.7 node-a {\"at_ms\":1700,\"event\":\"attempt_failed\",\"request\":\"r1\",\"cause\":\"silent\"}\n",
     );
     let file = settings_file("records.log", records);
     let output = dappleyard(&["explain", "--log", &file, "r1"]);
     expect_that!(output.status.code(), some(eq(0)));
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
-    expect_that!(text.lines().count(), eq(2));
+    expect_that!(text.lines().count(), eq(3));
+    // One kind of time, over nodes and lives, in order; durations are told apart.
+    let times: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.split(" ms  ").next())
+        .collect();
+    let ends = |at: usize, end: &str| times[at].ends_with(end);
+    expect_that!(
+        ends(0, "+0") && ends(1, "+200") && ends(2, "+400"),
+        eq(true),
+        "{text}"
+    );
+    expect_that!(text, contains_substring("took ms 400"));
     expect_that!(text, contains_substring("a server was chosen"));
     expect_that!(text, contains_substring("cause silent"));
     expect_that!(
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod closing;
 mod dispatch;
 mod event_stream;
 mod front;
@@ -16,6 +17,7 @@
 mod relay;
 
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
+pub use closing::close;
 pub use event_stream::{Event, EventSplitter};
 pub use front::{JobCalls, JobReply, PeerAnswers, configure, front_app_data};
 pub use metrics::Metrics;
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -159,7 +159,7 @@
             node.log.write("request_finished", || {
                 serde_json::json!({"request": self.request.facts.id, "server": server,
                     "events": self.events, "runs": self.request.runs,
-                    "ms": self.request.arrived.elapsed().as_millis() as u64})
+                    "took_ms": self.request.arrived.elapsed().as_millis() as u64})
             });
         }
         Metrics::count(&node.metrics.served);
@@ -208,7 +208,7 @@
         node.log.write("answer_cut", || {
             serde_json::json!({"request": self.request.facts.id, "cause": cause,
                 "events": self.events, "runs": self.request.runs,
-                "ms": Instant::now().duration_since(self.request.arrived).as_millis() as u64})
+                "took_ms": Instant::now().duration_since(self.request.arrived).as_millis() as u64})
         });
     }
 }
--- /dev/null
+++ b/crates/ingress/tests/closing.rs
@@ -0,0 +1,66 @@
+//! A node that closes its doors answers whom it has let in.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use dappleyard_ingress::close;
+use googletest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+struct Door {
+    under_way: Arc<AtomicU64>,
+    entered: Arc<Notify>,
+    answer: Arc<Notify>,
+}
+
+async fn handle(door: web::Data<Door>) -> HttpResponse {
+    door.under_way.fetch_add(1, Ordering::Relaxed);
+    door.entered.notify_one();
+    door.answer.notified().await;
+    door.under_way.fetch_sub(1, Ordering::Relaxed);
+    HttpResponse::Ok().body("whole")
+}
+
+#[gtest]
+fn late_request() {
+    actix_web::rt::System::new().block_on(async {
+        let under_way = Arc::new(AtomicU64::new(0));
+        let (entered, answer) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+        let door = web::Data::new(Door {
+            under_way: under_way.clone(),
+            entered: entered.clone(),
+            answer: answer.clone(),
+        });
+        let factory = move || {
+            let app = App::new().app_data(door.clone());
+            app.default_service(web::to(handle))
+        };
+        let server = HttpServer::new(factory).workers(1).disable_signals();
+        let server = server.bind(("127.0.0.1", 0)).expect("a port");
+        let address = server.addrs()[0];
+        let server = server.run();
+        let doors = server.handle();
+        actix_web::rt::spawn(server);
+        let mut caller = TcpStream::connect(address).await.expect("a connection");
+        let request = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        caller.write_all(request).await.expect("sent");
+        entered.notified().await;
+        let closing = actix_web::rt::spawn(async move {
+            close(&doors, &under_way, Instant::now() + Duration::from_secs(20)).await;
+            doors.stop(false).await;
+        });
+        // The doors close while the request is under way.
+        tokio::task::yield_now().await;
+        answer.notify_one();
+        closing.await.expect("closed");
+        let mut text = String::new();
+        // A reset shows in the text that is missing.
+        let _ = caller.read_to_string(&mut text).await;
+        expect_that!(text, ends_with("whole"));
+    });
+}
--- a/crates/jobs/src/end.rs
+++ b/crates/jobs/src/end.rs
@@ -24,7 +24,7 @@
                 let found = matches!(reply, JobReply::Ended);
                 calls.node.log.write("job_end_asked", || {
                     serde_json::json!({"job": job, "found": found,
-                        "ms": started.elapsed().as_millis() as u64})
+                        "took_ms": started.elapsed().as_millis() as u64})
                 });
                 return reply;
             }
--- a/crates/model/src/events.rs
+++ b/crates/model/src/events.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::io::Write;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use parking_lot::Mutex;
 use serde_json::{Map, Value};
@@ -20,6 +20,10 @@
 /// Lines that may be written at once after a quiet time.
 const BURST_LINES: f64 = 80.0;
 
+/// Field of a record that holds its time: milliseconds since 1970, so that the records of several
+/// nodes, and of several lives of one, stand in one order.
+pub const AT: &str = "at_ms";
+
 struct Budget {
     lines: f64,
     filled: Instant,
@@ -61,16 +65,18 @@
         let Some(left_out) = self.admit(kind) else {
             return;
         };
-        let mut line = Map::new();
+        let mut line = match fields() {
+            Value::Object(fields) => fields,
+            _ => Map::new(),
+        };
+        // What frames a record stands above its facts: no fact takes its place.
         let uptime = self.started.elapsed().as_millis() as u64;
-        line.insert("ms".into(), uptime.into());
+        line.insert(AT.into(), unix_ms().into());
+        line.insert("uptime_ms".into(), uptime.into());
         line.insert("event".into(), kind.into());
         if left_out > 0 {
             line.insert("left_out".into(), left_out.into());
         }
-        if let Value::Object(fields) = fields() {
-            line.extend(fields);
-        }
         let mut text = Value::Object(line).to_string();
         text.push('\n');
         if queue.try_send(text).is_err() {
@@ -104,6 +110,12 @@
     }
 }
 
+/// Milliseconds since 1970.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 fn write_lines(lines: &Receiver<String>, mut output: impl Write) {
     while let Ok(first) = lines.recv() {
         let mut text = first;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use configuration::{Configuration, Route, RouteKind, Service, Target, TrafficLimits};
 pub use dialect::{Dialect, Endpoint, FormatError, ResultEntry, ServerStamp, ServersSource};
-pub use events::EventLog;
+pub use events::{AT, EventLog};
 pub use request::{
     AnswerFacts, ItemSubmission, PromptPart, RequestFacts, ServerLoad, ServerRecord,
 };
--- a/crates/model/tests/events.rs
+++ b/crates/model/tests/events.rs
@@ -47,7 +47,23 @@
     let line: Value = serde_json::from_str(&lines.recv().expect("a line")).expect("json");
     expect_that!(line["event"], eq(&json!("placed")));
     expect_that!(line["request"], eq(&json!("r1")));
-    expect_that!(line["ms"].is_u64(), eq(true));
+    expect_that!(line["at_ms"].is_u64(), eq(true));
+    expect_that!(line["uptime_ms"].is_u64(), eq(true));
+}
+
+#[gtest]
+fn frame_kept() {
+    let (sender, lines) = channel();
+    let log = EventLog::to(Lines(sender));
+    // No fact takes the place of a record's time or kind.
+    log.write(
+        "placed",
+        || json!({"at_ms": "x", "uptime_ms": "x", "event": "x"}),
+    );
+    let line: Value = serde_json::from_str(&lines.recv().expect("a line")).expect("json");
+    expect_that!(line["at_ms"].is_u64(), eq(true));
+    expect_that!(line["uptime_ms"].is_u64(), eq(true));
+    expect_that!(line["event"], eq(&json!("placed")));
 }
 
 #[gtest]
