--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -18,10 +18,11 @@
 use tokio::time::Instant;
 
 use crate::health::StoreHealth;
-use crate::loads::{LoadTable, Source, node_number};
+use crate::loads::{LoadTable, node_number};
 use crate::messages::{HeardEntry, Heartbeat, LoadChange, LoadEntry, Packet, PacketKind, Summary};
 use crate::pace::ChangePace;
 use crate::peers::{PeerTable, RelayPeer};
+use crate::server_loads::Source;
 use crate::view::View;
 
 /// Time between messages of a delegate to the nodes of its zone.
--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -12,11 +12,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::messages::LoadEntry;
+use crate::server_loads::{HEARTBEAT_LIFE, LoadSummary, ServerLoads, Source, tells_something};
 use crate::waiting::WaitingItems;
 use tokio::time::Instant;
 
-/// Heartbeats older than this tell nothing.
-const HEARTBEAT_LIFE: Duration = Duration::from_millis(1500);
 /// Mixes the order in which nodes pause items, another one for each server.
 const ORDER_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
 /// Time after which a server without news is forgotten.
@@ -33,138 +32,6 @@
     Batch,
 }
 
-/// Load of one server, over all nodes.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct LoadSummary {
-    /// Online requests under way.
-    pub online: u32,
-    /// Batch items under way.
-    pub batch: u32,
-    /// Prompt tokens that the server has yet to read.
-    pub unread_tokens: u32,
-    /// The server was found silent or broken a moment ago, here or by another node.
-    pub suspect: bool,
-    /// Running mean of the time to the first event, over what was expected.
-    pub excess_ms: f64,
-}
-
-/// Whose work an entry counts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(crate) enum Source {
-    /// One other node.
-    Node(u64),
-    /// All nodes of another zone.
-    Zone(u64),
-    /// All nodes but this one.
-    Fleet,
-}
-
-#[derive(Default)]
-struct ServerLoads {
-    online: u32,
-    batch: u32,
-    unread_tokens: u32,
-    slots: u32,
-    peers: HashMap<Source, (Instant, LoadEntry)>,
-    /// The news for which this node has paused its share already.
-    paused_for: Option<Instant>,
-    suspect_until: Option<Instant>,
-    heard: Option<Instant>,
-    excess_ms: f64,
-    excess_at: Option<Instant>,
-    /// This node's work has changed since the others were told.
-    untold: bool,
-}
-
-impl ServerLoads {
-    fn summary(&self, now: Instant) -> LoadSummary {
-        let mut summary = LoadSummary {
-            online: self.online,
-            batch: self.batch,
-            unread_tokens: self.unread_tokens,
-            suspect: self.suspect_until.is_some_and(|until| until > now),
-            ..LoadSummary::default()
-        };
-        for (at, entry) in self.peers.values() {
-            if now.duration_since(*at) < HEARTBEAT_LIFE {
-                summary.online += entry.online;
-                summary.batch += entry.batch;
-                summary.unread_tokens += entry.unread_tokens;
-                summary.suspect |= entry.suspect;
-            }
-        }
-        if let Some(at) = self.excess_at {
-            let age = now.duration_since(at).as_secs_f64();
-            summary.excess_ms = self.excess_ms * (-age / 2.0).exp();
-        }
-        summary
-    }
-}
-
-impl ServerLoads {
-    /// This node's own work.
-    fn own(&self, server: u32, now: Instant) -> LoadEntry {
-        LoadEntry {
-            server,
-            online: self.online,
-            batch: self.batch,
-            unread_tokens: self.unread_tokens,
-            suspect: self.suspect_until.is_some_and(|until| until > now),
-            heard_ms: self.heard.map_or(0, |heard| {
-                let age = now.duration_since(heard).as_millis();
-                u32::try_from(age).unwrap_or(u32::MAX - 1) + 1
-            }),
-        }
-    }
-
-    /// This node's own work and that of some others.
-    fn sum(&self, server: u32, now: Instant, counted: impl Fn(&Source) -> bool) -> LoadEntry {
-        let mut sum = self.own(server, now);
-        for (source, (at, entry)) in &self.peers {
-            let age = now.duration_since(*at);
-            if age >= HEARTBEAT_LIFE || !counted(source) {
-                continue;
-            }
-            sum.online += entry.online;
-            sum.batch += entry.batch;
-            sum.unread_tokens = sum.unread_tokens.saturating_add(entry.unread_tokens);
-            sum.suspect |= entry.suspect;
-            if entry.heard_ms > 0 {
-                let heard_ms = entry.heard_ms.saturating_add(age.as_millis() as u32);
-                sum.heard_ms = match sum.heard_ms {
-                    0 => heard_ms,
-                    held => held.min(heard_ms),
-                };
-            }
-        }
-        sum
-    }
-
-    /// Whether the work of others is known as sums only.
-    fn is_summed(&self) -> bool {
-        let mut sources = self.peers.keys();
-        sources.any(|source| !matches!(source, Source::Node(_)))
-    }
-
-    /// This node's share of what is to be paused, in proportion to its batch work. The shares of
-    /// all nodes add up on average; each piece of news is acted on once.
-    fn share_of_sum(&mut self, over: u32, batch: u32) -> u32 {
-        let news = self.peers.values().map(|(at, _)| *at).max();
-        if over == 0 || self.batch == 0 || self.paused_for == news {
-            return 0;
-        }
-        self.paused_for = news;
-        let share = f64::from(over) * f64::from(self.batch) / f64::from(batch.max(1));
-        let whole = share.floor();
-        let one_more = rand::random::<f64>() < share - whole;
-        (whole as u32 + u32::from(one_more)).min(self.batch)
-    }
-}
-
-fn tells_something(entry: &LoadEntry) -> bool {
-    entry.online + entry.batch > 0 || entry.suspect
-}
-
 /// Work under way at all servers.
 #[derive(Default)]
 pub struct LoadTable {
--- a/crates/cluster/src/waiting.rs
+++ b/crates/cluster/src/waiting.rs
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use crate::loads::Source;
+use crate::server_loads::Source;
 
 /// News older than this tells nothing.
 const NEWS_LIFE: Duration = Duration::from_millis(1500);
--- /dev/null
+++ b/crates/jobs/src/cleaning.rs
@@ -0,0 +1,73 @@
+//! Removes the rows of jobs that nobody reads any more.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dappleyard_model::{RowKey, StoreError, Transaction};
+use tokio::time::Instant;
+
+use crate::keys::{
+    ITEMS_TABLE, PARTIALS_TABLE, RESULTS_TABLE, job_key, partition, range_end, range_start,
+};
+use crate::runner::Runner;
+
+/// Time between two looks for jobs that nobody reads any more.
+const CLEANING: Duration = Duration::from_secs(10);
+/// Added to the time for which results stay readable.
+const CLEANING_MARGIN_MS: u64 = 60_000;
+/// Rows removed by one transaction.
+const CLEANING_ROWS: usize = 90;
+
+impl Runner {
+    /// Removes the rows of jobs that nobody reads any more.
+    pub(crate) fn clean(self: &Rc<Self>) {
+        if self.cleaned.get().elapsed() < CLEANING {
+            return;
+        }
+        self.cleaned.set(Instant::now());
+        let kept_ms = self.node.settings.bounds.status_ms + CLEANING_MARGIN_MS;
+        let Some(now_ms) = self.table.now_ms() else {
+            return;
+        };
+        let old = self
+            .table
+            .select(|row| !row.is_open() && row.accepted_ms + kept_ms < now_ms);
+        for (name, known) in old {
+            if self.table.is_fresh() && self.is_preferred(&name) {
+                let runner = self.clone();
+                tokio::task::spawn_local(async move {
+                    // What fails now is removed at the next look.
+                    let _ = runner.remove(&name, known.revision).await;
+                });
+            }
+        }
+    }
+
+    async fn remove(&self, name: &str, revision: u64) -> Result<(), StoreError> {
+        let part = partition(name);
+        for table in [RESULTS_TABLE, PARTIALS_TABLE, ITEMS_TABLE] {
+            loop {
+                let (start, end) = (range_start(name), range_end(name));
+                let read = self
+                    .store
+                    .read(table, &part, &start, &end, CLEANING_ROWS)
+                    .await?;
+                if read.rows.is_empty() {
+                    break;
+                }
+                let removal = read
+                    .rows
+                    .into_iter()
+                    .fold(Transaction::default(), |removal, row| {
+                        removal.remove(RowKey::new(table, part.clone(), row.key))
+                    });
+                self.store.transact(&removal).await?;
+            }
+        }
+        let key = job_key(name);
+        let removal = Transaction::default()
+            .expect(key.clone(), revision)
+            .remove(key);
+        self.store.transact(&removal).await.map(|_| ())
+    }
+}
--- a/crates/jobs/src/partials.rs
+++ b/crates/jobs/src/partials.rs
@@ -25,7 +25,7 @@
 
 /// How much of an item's text lies in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(crate) struct Saved {
+pub struct Saved {
     /// Bytes of the text.
     pub bytes: usize,
     /// Events of the text.
@@ -45,9 +45,12 @@
 
 /// The text of an item as the store holds it.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub(crate) struct Joined {
+pub struct Joined {
+    /// Text.
     pub text: String,
+    /// Answers of failure so far.
     pub failures: u32,
+    /// How much that is.
     pub saved: Saved,
 }
 
@@ -102,7 +105,7 @@
 }
 
 /// Joins the pieces of each item, by the item's number.
-pub(crate) fn join(rows: &[Row]) -> BTreeMap<usize, Joined> {
+pub fn join(rows: &[Row]) -> BTreeMap<usize, Joined> {
     let mut items: BTreeMap<usize, Vec<(usize, StoredPartial)>> = BTreeMap::new();
     for row in rows {
         let value = row.value.clone();
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -9,7 +9,7 @@
 use dappleyard_cluster::{Allowance, PeerStatus};
 use dappleyard_ingress::{Metrics, Node, Upstreams};
 use dappleyard_model::{
-    Configuration, Route, RouteKind, RowKey, RowStore, ServerRecord, StoreError, Transaction,
+    Configuration, Route, RouteKind, RowStore, ServerRecord, StoreError, Transaction,
 };
 use prost::Message;
 use tokio::sync::Notify;
@@ -17,9 +17,7 @@
 
 use crate::claiming::{Ground, may_claim};
 use crate::give_up::{give_up, is_over};
-use crate::keys::{
-    ITEMS_TABLE, PARTIALS_TABLE, RESULTS_TABLE, job_key, partition, range_end, range_start,
-};
+use crate::keys::job_key;
 use crate::messages::JobRow;
 use crate::order::{RunEstimate, rank};
 use crate::owned::{Item, OwnedJob, Progress, Run, commit_results};
@@ -36,12 +34,6 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two looks from which this node counts as paused.
 const LONGEST_GAP: Duration = Duration::from_millis(500);
-/// Time between two looks for jobs that nobody reads any more.
-const CLEANING: Duration = Duration::from_secs(10);
-/// Added to the time for which results stay readable.
-const CLEANING_MARGIN_MS: u64 = 60_000;
-/// Rows removed by one transaction.
-const CLEANING_ROWS: usize = 90;
 
 /// An item that waits for its turn.
 struct Turn {
@@ -68,7 +60,7 @@
     taken: RefCell<HashMap<String, Instant>>,
     steady_since: Cell<Instant>,
     last_look: Cell<Instant>,
-    cleaned: Cell<Instant>,
+    pub(crate) cleaned: Cell<Instant>,
     allowances: RefCell<HashMap<String, Allowance>>,
     stopping: Cell<bool>,
 }
@@ -216,7 +208,7 @@
     }
 
     /// Whether this node is the one of all that should take a job.
-    fn is_preferred(&self, job: &str) -> bool {
+    pub(crate) fn is_preferred(&self, job: &str) -> bool {
         let workers = self.node.peers.workers(true);
         let preferred = workers.iter().max_by_key(|worker| {
             let mut bytes = worker.as_bytes().to_vec();
@@ -456,56 +448,4 @@
         let mut used = servers.used.iter();
         used.find(|server| server.id == chosen).cloned()
     }
-
-    /// Removes the rows of jobs that nobody reads any more.
-    fn clean(self: &Rc<Self>) {
-        if self.cleaned.get().elapsed() < CLEANING {
-            return;
-        }
-        self.cleaned.set(Instant::now());
-        let kept_ms = self.node.settings.bounds.status_ms + CLEANING_MARGIN_MS;
-        let Some(now_ms) = self.table.now_ms() else {
-            return;
-        };
-        let old = self
-            .table
-            .select(|row| !row.is_open() && row.accepted_ms + kept_ms < now_ms);
-        for (name, known) in old {
-            if self.table.is_fresh() && self.is_preferred(&name) {
-                let runner = self.clone();
-                tokio::task::spawn_local(async move {
-                    // What fails now is removed at the next look.
-                    let _ = runner.remove(&name, known.revision).await;
-                });
-            }
-        }
-    }
-
-    async fn remove(&self, name: &str, revision: u64) -> Result<(), StoreError> {
-        let part = partition(name);
-        for table in [RESULTS_TABLE, PARTIALS_TABLE, ITEMS_TABLE] {
-            loop {
-                let (start, end) = (range_start(name), range_end(name));
-                let read = self
-                    .store
-                    .read(table, &part, &start, &end, CLEANING_ROWS)
-                    .await?;
-                if read.rows.is_empty() {
-                    break;
-                }
-                let removal = read
-                    .rows
-                    .into_iter()
-                    .fold(Transaction::default(), |removal, row| {
-                        removal.remove(RowKey::new(table, part.clone(), row.key))
-                    });
-                self.store.transact(&removal).await?;
-            }
-        }
-        let key = job_key(name);
-        let removal = Transaction::default()
-            .expect(key.clone(), revision)
-            .remove(key);
-        self.store.transact(&removal).await.map(|_| ())
-    }
 }
