--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -6,6 +6,7 @@
 mod cadence;
 mod delegates;
 pub mod directory;
+mod eligibility;
 mod follow;
 mod gossip;
 mod health;
@@ -23,6 +24,7 @@
 
 pub use cadence::{Duties, duties};
 pub use delegates::{Candidate, delegates, is_strong};
+pub use eligibility::Exclusion;
 pub use follow::{Contact, TableSink, follow};
 pub use gossip::{Gossip, GossipSettings, GossipTables};
 pub use health::StoreHealth;
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -5,11 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_model::{Configuration, Dialect, EventLog, Row, ServerRecord};
+use dappleyard_model::{Configuration, Dialect, EventLog, OperatorOrder, Row, ServerRecord};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::eligibility::Exclusion;
 use crate::follow::{Contact, TableSink};
 use crate::loads::server_number;
 use crate::servers::{ServerSet, Standpoint};
@@ -81,7 +82,8 @@
 
     fn build(&self, known: &mut Known, service: &str) -> Arc<ServerSet> {
         let servers = known.servers.values().map(|(_, server)| server);
-        let open = servers.filter(|server| server.service == service && !server.draining);
+        let open = servers
+            .filter(|server| server.service == service && Self::exclusion_of(server).is_none());
         let set = Arc::new(self.own.servers(open.cloned().collect()));
         let held = KnownSet {
             set: set.clone(),
@@ -98,6 +100,20 @@
         known.servers.get(id).map(|(_, server)| server.clone())
     }
 
+    /// Why a server gets no new work; `None` when it may get some.
+    pub fn exclusion(&self, id: &str) -> Option<Exclusion> {
+        let known = self.known.lock();
+        match known.servers.get(id) {
+            None => Some(Exclusion::Gone),
+            Some((_, server)) => Self::exclusion_of(server),
+        }
+    }
+
+    /// Why a server that is listed gets no new work.
+    fn exclusion_of(server: &ServerRecord) -> Option<Exclusion> {
+        server.draining.then_some(Exclusion::Draining)
+    }
+
     /// Numbers of the servers that this node uses, when it does not use all.
     pub(crate) fn used_servers(&self) -> Vec<u32> {
         let known = self.known.lock();
@@ -238,7 +254,7 @@
     }
 
     fn change(&self, row: Row) {
-        if row.key != self.dialect.sources().configuration_key {
+        if self.dialect.order(&row.key) != Some(OperatorOrder::Configuration) {
             return;
         }
         let Some(value) = &row.value else {
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -153,6 +153,15 @@
         Metrics::count(&self.node.metrics.attempts);
         let request = self.request(server, attempt);
         let mut connection = self.connect(server.address).await?;
+        // What is known of the server may have changed since it was chosen.
+        if let Some(exclusion) = self.node.view.exclusion(&server.id) {
+            self.pool.put(server.address, connection);
+            return Err(AttemptError {
+                ran: Ran::No,
+                reason: format!("not sent: {exclusion}"),
+                unreachable: false,
+            });
+        }
         let head = {
             let waiting = self.answer(&mut connection, &request, attempt.id);
             self.with_patience(server, attempt.patience, waiting).await
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The operators' configuration: routes, services, tenants and limits of one version.
 
+use crate::place::RegionName;
 use crate::tenant::Tenants;
 
 /// What a request of a route allows.
@@ -57,6 +58,8 @@
     pub max_wait_s: u64,
     /// Most tokens that may wait on the route; 0 is without limit.
     pub max_queued_tokens: u64,
+    /// Regions in which its requests may be served and kept; empty is without bound.
+    pub home_regions: Vec<RegionName>,
 }
 
 impl Route {
@@ -92,12 +95,16 @@
 }
 
 /// One service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Name of the service.
     pub name: String,
     /// Most connections that one server accepts.
     pub max_conns: u32,
+    /// Time for which a server is cold after its start.
+    pub cold_start_ms: u64,
+    /// Requests a second that a cold server bears, from all nodes together; 0 is without bound.
+    pub cold_per_s: f64,
 }
 
 /// What a caller may send.
--- a/crates/model/src/dialect.rs
+++ b/crates/model/src/dialect.rs
@@ -4,7 +4,7 @@
 use derive_more::{Display, Error};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
-use crate::{AnswerFacts, Configuration, ItemSubmission, RequestFacts, ServerRecord};
+use crate::{AnswerFacts, Configuration, ItemSubmission, RequestFacts, ServerRecord, ZoneName};
 
 /// What a call to the node's own interface asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,13 +36,20 @@
     Routed,
 }
 
+/// What a row of the operators asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OperatorOrder {
+    /// The configuration.
+    Configuration,
+    /// As long as the row stands, the servers of a zone get no new work.
+    Evacuation(ZoneName),
+}
+
 /// Where service discovery keeps its rows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServersSource {
     /// Table of the operators' configuration.
     pub configuration_table: &'static str,
-    /// Key of the configuration in that table.
-    pub configuration_key: &'static str,
     /// Table of the servers.
     pub servers_table: &'static str,
 }
@@ -127,6 +134,9 @@
     /// Where the operators' rows are.
     fn sources(&self) -> ServersSource;
 
+    /// What a row of the operators' table asks for, by its key; `None` for a key that means nothing.
+    fn order(&self, key: &str) -> Option<OperatorOrder>;
+
     /// Reads a configuration.
     fn configuration(&self, value: &[u8]) -> Result<Configuration, FormatError>;
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod dialect;
 pub mod events;
+pub mod place;
 pub mod request;
 pub mod rows;
 pub mod settings;
@@ -13,12 +14,16 @@
 
 pub use configuration::{Configuration, Route, RouteKind, Service, Target, TrafficLimits};
 pub use dialect::{
-    Dialect, Endpoint, FormatError, ResultEntry, ServerStamp, ServersSource, TenantStamp,
+    Dialect, Endpoint, FormatError, OperatorOrder, ResultEntry, ServerStamp, ServersSource,
+    TenantStamp,
 };
 pub use events::{AT, EventLog};
+pub use place::{Distance, Places, RegionName, ZoneName};
 pub use request::{
     AnswerFacts, ItemSubmission, PromptPart, RequestFacts, ServerLoad, ServerRecord,
 };
 pub use rows::{Committed, Condition, Feed, Row, RowKey, RowStore, Rows, StoreError, Transaction};
-pub use settings::{Bounds, Listen, NodeSettings, QuotaBounds, Resources, StoreSettings};
+pub use settings::{
+    Bounds, ColdBounds, Listen, NodeSettings, QuotaBounds, Resources, StoreSettings, Tolerated,
+};
 pub use tenant::{KeyDigest, RateLimit, SharedKey, Tenant, TenantName, Tenants};
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -58,6 +58,11 @@
     pub sealed: bool,
     /// Load of the server.
     pub load: Option<ServerLoad>,
+    /// How much longer the server is cold, as its answer to a health check says; `None` where the answer
+    /// says nothing of it.
+    pub cold_left_ms: Option<u64>,
+    /// The server that answered, as its answer to a health check says.
+    pub instance: Option<String>,
 }
 
 /// One server as service discovery shows it.
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use crate::place::Places;
+
 /// Addresses that a node listens on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listen {
@@ -43,6 +45,29 @@
     pub revoke_strict: bool,
     /// How quotas are measured.
     pub quota: QuotaBounds,
+    /// Time from which the servers of a zone get nothing more after its evacuation was accepted.
+    pub evacuation_ms: u64,
+    /// How the requests at a server that is cold are measured; `None` where they are not.
+    pub cold: Option<ColdBounds>,
+}
+
+/// How the operators measure the requests that a cold server gets from all nodes in one second: at most
+/// `rate x over + slack`, where the configuration of the service gives the rate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdBounds {
+    /// Multiple of the rate.
+    pub over: f64,
+    /// Requests beyond it.
+    pub slack: f64,
+}
+
+/// What may be lost at once without a rule broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Tolerated {
+    /// Zones.
+    pub zones: u32,
+    /// Regions.
+    pub regions: u32,
 }
 
 /// How the operators measure the quota of a tenant.
@@ -74,6 +99,10 @@
     pub ip: IpAddr,
     /// Zone of the machine.
     pub zone: String,
+    /// All zones, and the region of each.
+    pub places: Places,
+    /// What the deployment is to bear.
+    pub tolerated: Tolerated,
     /// Port for talk between nodes, alike on all machines.
     pub peer_port: u16,
     /// Addresses to listen on.
--- a/crates/model/src/tenant.rs
+++ b/crates/model/src/tenant.rs
@@ -11,6 +11,8 @@
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
+use crate::place::RegionName;
+
 /// Name of a tenant.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
 pub struct TenantName(Arc<str>);
@@ -77,6 +79,8 @@
     pub priority: Option<u32>,
     /// What it may ask; `None` is without limit.
     pub limit: Option<RateLimit>,
+    /// Regions in which its requests may be served and kept; empty is without bound.
+    pub home_regions: Vec<RegionName>,
 }
 
 /// A key that two tenants hold.
--- /dev/null
+++ b/crates/model/tests/places.rs
@@ -0,0 +1,36 @@
+//! Zones, regions and how far they are apart.
+
+use dappleyard_model::{Distance, Places, RegionName, ZoneName};
+use googletest::prelude::*;
+
+fn places(zones: &[(&str, &str)]) -> Places {
+    let zones = zones.iter();
+    zones
+        .map(|(zone, region)| (ZoneName::from(*zone), RegionName::from(*region)))
+        .collect()
+}
+
+#[gtest]
+fn zones_of_one_region() {
+    let places = places(&[("a", "north"), ("b", "north")]);
+    expect_that!(places.distance("a", "a"), eq(Distance::SameZone));
+    expect_that!(places.distance("a", "b"), eq(Distance::SameRegion));
+    expect_that!(places.has_regions(), eq(false));
+}
+
+#[gtest]
+fn zones_of_two_regions() {
+    let places = places(&[("a", "north"), ("b", "south")]);
+    expect_that!(places.distance("a", "b"), eq(Distance::OtherRegion));
+    expect_that!(places.has_regions(), eq(true));
+}
+
+#[gtest]
+fn an_unknown_zone() {
+    let named = places(&[("a", "north")]);
+    expect_that!(named.distance("a", "x"), eq(Distance::OtherRegion));
+    expect_that!(
+        Places::default().distance("a", "x"),
+        eq(Distance::SameRegion)
+    );
+}
--- a/crates/model/tests/routing.rs
+++ b/crates/model/tests/routing.rs
@@ -29,6 +29,7 @@
         result_target_ms: 0,
         max_wait_s: 0,
         max_queued_tokens: 0,
+        home_regions: Vec::new(),
     }
 }
 
--- a/crates/tenants/tests/identity.rs
+++ b/crates/tenants/tests/identity.rs
@@ -22,6 +22,8 @@
         over: 0.1,
         slack: 20.0,
     },
+    evacuation_ms: 5_000,
+    cold: None,
 };
 
 fn tenant(name: &str) -> Tenant {
@@ -29,6 +31,7 @@
         name: name.parse::<TenantName>().expect("a name"),
         priority: None,
         limit: None,
+        home_regions: Vec::new(),
     }
 }
 
--- a/crates/tenants/tests/support/mod.rs
+++ b/crates/tenants/tests/support/mod.rs
@@ -131,6 +131,7 @@
             name,
             priority: None,
             limit: Some(demand.limit),
+            home_regions: Vec::new(),
         };
         tenants.add(tenant, &[]).expect("no keys");
     }
