--- a/crates/dappleyard/src/command.rs
+++ b/crates/dappleyard/src/command.rs
@@ -66,7 +66,7 @@
 
 fn explain() -> Command {
     Command::new("explain")
-        .about("Prints the story of a request or job from the nodes' decision records")
+        .about("Prints the story of a request or job, or a summary of all, from decision records")
         .arg(
             Arg::new("log")
                 .long("log")
@@ -76,11 +76,30 @@
         )
         .arg(
             Arg::new("id")
-                .required(true)
+                .required_unless_present("summary")
                 .value_name("ID")
                 .help("Identifier of a request, job or item"),
         )
-        .after_help("Example:\n  dappleyard explain --log node.log 9c41d07be2a35f68")
+        .arg(
+            Arg::new("summary")
+                .long("summary")
+                .action(clap::ArgAction::SetTrue)
+                .conflicts_with("id")
+                .help(
+                    "Counts all requests and runs of items under the one cause of how they ended",
+                ),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(clap::ArgAction::SetTrue)
+                .requires("summary")
+                .help("Prints the summary as JSON"),
+        )
+        .after_help(
+            "Example:\n  dappleyard explain --log node.log 9c41d07be2a35f68\n  \
+             dappleyard explain --log node.log --summary",
+        )
 }
 
 fn check() -> Command {
--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -8,6 +8,7 @@
 use serde_json::{Map, Value};
 
 use crate::failure::Failure;
+use crate::summary::{Line, Summary};
 
 /// Fields that name what a record is about.
 const NAMES: [&str; 3] = ["request", "job", "item"];
@@ -24,17 +25,73 @@
     words: String,
 }
 
+/// Prints what was asked for: the story of one identifier, or the summary of all.
+pub fn run(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
+    match arguments.get_flag("summary") {
+        true => summary(arguments),
+        false => story(arguments),
+    }
+}
+
+fn records(arguments: &ArgMatches) -> Result<Box<dyn BufRead>, Failure> {
+    let file = arguments
+        .get_one::<String>("log")
+        .map_or("", String::as_str);
+    Ok(match file {
+        "-" => Box::new(std::io::stdin().lock()),
+        path => Box::new(std::io::BufReader::new(std::fs::File::open(path)?)),
+    })
+}
+
+/// Prints what became of all requests and items of a file, and why.
+fn summary(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
+    let mut summary = Summary::default();
+    for line in records(arguments)?.lines() {
+        if let Some((_, record)) = record(&line?) {
+            summary.take(&record);
+        }
+    }
+    let (requests, items) = (summary.requests(), summary.items());
+    if arguments.get_flag("json") {
+        println!(
+            "{}",
+            serde_json::json!({"requests": requests, "items": items})
+        );
+        return Ok(ExitCode::SUCCESS);
+    }
+    print_lines("requests", &requests);
+    print_lines("items", &items);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_lines(heading: &str, lines: &[Line]) {
+    let total: u64 = lines.iter().map(|line| line.count).sum();
+    println!("{heading}: {total}");
+    for line in lines {
+        println!(
+            "{:>8}  {:<16}{}  ({})",
+            line.count,
+            line.end,
+            line.cause,
+            line.examples.join(", ")
+        );
+    }
+}
+
+/// What stands before the record of a line, and the record.
+fn record(line: &str) -> Option<(&str, Map<String, Value>)> {
+    let start = line.find('{')?;
+    let record = serde_json::from_str(&line[start..]).ok()?;
+    Some((&line[..start], record))
+}
+
 /// Prints the records of a file that name an identifier, in plain words and in the order of their
 /// times, which are told from the first of them on.
-pub fn run(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
+fn story(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
     let argument = |name| arguments.get_one::<String>(name).map_or("", String::as_str);
     let (file, id) = (argument("log"), argument("id"));
-    let reader: Box<dyn BufRead> = match file {
-        "-" => Box::new(std::io::stdin().lock()),
-        path => Box::new(std::io::BufReader::new(std::fs::File::open(path)?)),
-    };
     let mut story = Vec::new();
-    for line in reader.lines() {
+    for line in records(arguments)?.lines() {
         story.extend(entry(&line?, id));
     }
     story.sort_by_key(|entry| entry.at_ms);
@@ -52,8 +109,7 @@
 
 /// One record, when it names the identifier.
 fn entry(line: &str, id: &str) -> Option<Entry> {
-    let start = line.find('{')?;
-    let record: Map<String, Value> = serde_json::from_str(&line[start..]).ok()?;
+    let (before, record) = record(line)?;
     let about = NAMES
         .iter()
         .any(|name| record.get(*name).and_then(Value::as_str) == Some(id));
@@ -68,7 +124,7 @@
         .collect();
     Some(Entry {
         at_ms: record.get(AT).and_then(Value::as_u64).unwrap_or(0),
-        before: line[..start].to_owned(),
+        before: before.to_owned(),
         words: format!("{}: {}", words(&event), facts.join(", ")),
     })
 }
@@ -89,6 +145,7 @@
         "server_answered_failure" => "the server answered with a failure",
         "request_refused" => "the node answered by itself",
         "stream_broke" => "the server's stream broke",
+        "caller_left" => "the caller closed its connection before the end",
         "answer_cut" => "the answer was cut, visibly for the caller",
         "request_finished" => "the whole answer was passed on",
         "answer_of_another_request" => "an answer to another request was passed over",
--- a/crates/dappleyard/src/main.rs
+++ b/crates/dappleyard/src/main.rs
@@ -10,6 +10,7 @@
 mod serve;
 mod sidecar;
 mod signals;
+mod summary;
 
 use std::process::ExitCode;
 
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -18,7 +18,7 @@
 use crate::attempt::{Ran, Upstreams};
 use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
 use crate::metrics::{Metrics, tenant_text};
-use crate::node::{Node, UnderWay};
+use crate::node::{Node, UnderWay, UntilEnd};
 use crate::outcome::ErrorKind;
 use crate::placement::PromptShape;
 use crate::relay;
@@ -323,15 +323,19 @@
 
 async fn serve(upstreams: Upstreams, mut request: Request, under_way: UnderWay) -> HttpResponse {
     let node = upstreams.node().clone();
-    match dispatch(&upstreams, &mut request, None).await {
-        Dispatched::Begun(begun) => stream(upstreams, request, *begun, under_way),
+    let until_end = UntilEnd::begin(&node, &request.facts.id);
+    let dispatched = dispatch(&upstreams, &mut request, None).await;
+    match dispatched {
+        Dispatched::Begun(begun) => stream(upstreams, request, *begun, under_way, until_end),
         Dispatched::Failed(failed) => {
+            until_end.end();
             Metrics::count(&node.metrics.failed);
             let mut answer = begin(&node, failed.status);
             copy_headers(&mut answer, &failed.headers);
             answer.body(failed.body)
         }
         Dispatched::GaveUp(kind) => {
+            until_end.end();
             if let Some(tenant) = request.caller.tenant().filter(|_| request.ran == Ran::No) {
                 node.quotas.give_back(&tenant.name);
             }
@@ -346,6 +350,7 @@
     request: Request,
     begun: Begun,
     under_way: UnderWay,
+    until_end: UntilEnd,
 ) -> HttpResponse {
     let node = upstreams.node().clone();
     let mut answer = begin(&node, begun.exchange.head.status);
@@ -355,7 +360,7 @@
         _ => None,
     };
     let sized = length.filter(|_| !is_event_route(&request.route));
-    let body = relay::body(upstreams, request, begun, under_way);
+    let body = relay::body(upstreams, request, begun, under_way, until_end);
     match sized {
         Some(length) => answer.body(actix_web::body::SizedStream::new(length, Box::pin(body))),
         None => answer.streaming(Box::pin(body)),
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -108,3 +108,37 @@
         self.0.under_way.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Writes a record when a request is dropped before its end, which is how a caller's leaving shows.
+pub(crate) struct UntilEnd {
+    node: Arc<Node>,
+    request: String,
+    ended: bool,
+}
+
+impl UntilEnd {
+    pub(crate) fn begin(node: &Arc<Node>, request: &str) -> Self {
+        Self {
+            node: node.clone(),
+            request: request.to_owned(),
+            ended: false,
+        }
+    }
+
+    /// The request ended, and another record says how.
+    pub(crate) fn end(mut self) {
+        self.ended = true;
+    }
+}
+
+impl Drop for UntilEnd {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        self.node.log.write(
+            "caller_left",
+            || serde_json::json!({"request": self.request}),
+        );
+    }
+}
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -10,7 +10,7 @@
 use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
 use crate::event_stream::EventSplitter;
 use crate::metrics::Metrics;
-use crate::node::UnderWay;
+use crate::node::{UnderWay, UntilEnd};
 use tokio::time::Instant;
 
 /// Silence of a server after which a stream is taken up elsewhere.
@@ -29,6 +29,7 @@
     request: Request,
     begun: Begun,
     under_way: UnderWay,
+    until_end: UntilEnd,
 ) -> impl Stream<Item = Result<Bytes, Cut>> {
     async_stream::stream! {
         let _under_way = under_way;
@@ -36,8 +37,12 @@
         loop {
             match relay.next().await {
                 Ok(Some(piece)) => yield Ok(piece),
-                Ok(None) => break,
+                Ok(None) => {
+                    until_end.end();
+                    break;
+                }
                 Err(cut) => {
+                    until_end.end();
                     // What was passed on before is flushed first.
                     tokio::task::yield_now().await;
                     yield Err(cut);
@@ -55,6 +60,8 @@
     splitter: EventSplitter,
     last_event: Option<u64>,
     events: u64,
+    /// Time from the request's coming to its first event, milliseconds.
+    first_event_ms: Option<u64>,
     ended: bool,
 }
 
@@ -68,6 +75,7 @@
             splitter: EventSplitter::default(),
             last_event,
             events: 0,
+            first_event_ms: None,
             ended: false,
         }
     }
@@ -142,6 +150,7 @@
                 .note_excess(&begun.exchange.server.id, taken - expected);
         }
         let since_arrival = self.request.arrived.elapsed().as_millis() as u64;
+        self.first_event_ms = Some(since_arrival);
         node.metrics.note_first_event(since_arrival);
     }
 
@@ -159,6 +168,7 @@
             node.log.write("request_finished", || {
                 serde_json::json!({"request": self.request.facts.id, "server": server,
                     "events": self.events, "runs": self.request.runs,
+                    "first_event_ms": self.first_event_ms, "target_ms": self.request.route.target_ms,
                     "took_ms": self.request.arrived.elapsed().as_millis() as u64})
             });
         }
