--- a/crates/cluster/src/cadence.rs
+++ b/crates/cluster/src/cadence.rs
@@ -22,6 +22,10 @@
 /// Most rounds from one message of a delegate to the next: 75 ms.
 const MOST_ROUNDS: usize = 3;
 
+/// Rounds from one message to another region to the next: 75 ms, as long as a large zone waits for its own.
+/// Every round with life signs or all servers is one of these.
+const REGION_ROUNDS: u32 = MOST_ROUNDS as u32;
+
 /// What is due in one round.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Duties {
@@ -35,6 +39,8 @@
     pub signs: bool,
     /// The sums to other zones hold all servers, not only those that have changed.
     pub all: bool,
+    /// The sums go to other regions too.
+    pub regions: bool,
 }
 
 /// What is due in a round, in a zone of so many other nodes.
@@ -46,5 +52,6 @@
         sums: round.is_multiple_of(rounds),
         signs: round.is_multiple_of(SIGNS_EVERY),
         all: round.is_multiple_of(ALL_EVERY),
+        regions: round.is_multiple_of(REGION_ROUNDS),
     }
 }
--- a/crates/cluster/src/delegates.rs
+++ b/crates/cluster/src/delegates.rs
@@ -38,3 +38,16 @@
     let chosen = ranked.into_iter().take(DELEGATES);
     chosen.map(|(_, _, name)| name).collect()
 }
+
+/// The delegates of a zone of another region that one of several delegates tells: each hears one voice of
+/// the zone, not all of them, since bytes between regions are dear. One that is lost is replaced when its
+/// silence is noticed; until then half of the delegates there go by older news.
+pub fn told_by(own: usize, tellers: usize, there: Vec<&str>) -> Vec<&str> {
+    let (tellers, told) = (tellers.max(1), there.len().max(1));
+    let pairs = there.into_iter().enumerate();
+    let is_told = |place: usize| place % tellers == own || own % told == place;
+    pairs
+        .filter(|(place, _)| is_told(*place))
+        .map(|(_, name)| name)
+        .collect()
+}
--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -6,7 +6,7 @@
 //! what was heard, so that a fleet that has lost its delegates finds new ones.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::cadence::{Duties, ROUND, duties};
+use crate::delegates::told_by;
 use crate::health::StoreHealth;
 use crate::loads::{LoadTable, node_number};
 use crate::messages::{Heartbeat, LifeSigns, LoadChange, Packet, PacketKind, Summary};
@@ -85,8 +86,10 @@
     near_delegates: RefCell<Vec<SocketAddr>>,
     /// Other nodes of the own zone that are alive, as of the last round.
     zone_nodes: Cell<usize>,
-    /// What other zones were told of this one.
+    /// What other zones of the region were told of this one.
     digest: RefCell<ZoneDigest>,
+    /// What zones of other regions were told.
+    region_digest: RefCell<ZoneDigest>,
     /// Messages about loads that were sent.
     sequence: Cell<u64>,
     changes_told: Cell<u64>,
@@ -112,6 +115,7 @@
             near_delegates: RefCell::default(),
             zone_nodes: Cell::new(0),
             digest: RefCell::default(),
+            region_digest: RefCell::new(ZoneDigest::coarse()),
             sequence: Cell::new(0),
             changes_told: Cell::new(0),
             newest: RefCell::default(),
@@ -206,7 +210,7 @@
         if delegates.contains(&self.settings.name.as_str()) {
             if duties.sums {
                 self.tell_zone(&peers, &delegates, duties);
-                self.tell_other_zones(&peers, duties);
+                self.tell_other_zones(&peers, &delegates, duties);
             }
             if duties.far {
                 self.send_at_random(1);
@@ -295,23 +299,42 @@
     /// As a delegate, tells the delegates of other zones what this zone does: nodes of other zones
     /// use some servers of this one, and the other way round, and what they do not hear of they take
     /// for free.
-    fn tell_other_zones(&self, peers: &[RelayPeer], duties: Duties) {
-        let zone = &self.settings.zone;
-        let mut others: Vec<&str> = peers.iter().map(|peer| peer.zone.as_str()).collect();
-        others.sort_unstable();
-        others.dedup();
-        others.retain(|other| other != zone);
-        let delegates: Vec<&str> = others
+    fn tell_other_zones(&self, peers: &[RelayPeer], delegates: &[&str], duties: Duties) {
+        let zone = self.settings.zone.as_str();
+        let ways = self.view.ways();
+        let others: BTreeSet<&str> = peers.iter().map(|peer| peer.zone.as_str()).collect();
+        let others = others.into_iter().filter(|other| *other != zone);
+        let (near, far): (Vec<&str>, Vec<&str>) = others.partition(|other| ways.is_near(other));
+        let near = near
             .into_iter()
-            .flat_map(|other| self.peers.delegates_among(peers, other))
-            .collect();
+            .flat_map(|other| self.peers.delegates_among(peers, other));
+        self.tell_delegates(peers, near.collect(), &self.digest, duties);
+        if !duties.regions || far.is_empty() {
+            return;
+        }
+        let own = delegates
+            .iter()
+            .position(|name| *name == self.settings.name);
+        let far = far.into_iter().flat_map(|other| {
+            let there = self.peers.delegates_among(peers, other);
+            told_by(own.unwrap_or_default(), delegates.len(), there)
+        });
+        self.tell_delegates(peers, far.collect(), &self.region_digest, duties);
+    }
+
+    /// Tells some delegates of other zones what this one does, as far as they do not know it.
+    fn tell_delegates(
+        &self,
+        peers: &[RelayPeer],
+        delegates: Vec<&str>,
+        digest: &RefCell<ZoneDigest>,
+        duties: Duties,
+    ) {
+        let zone = &self.settings.zone;
         let far = peers
             .iter()
             .filter(|peer| delegates.contains(&peer.name.as_str()));
-        let told = self
-            .digest
-            .borrow_mut()
-            .next(self.loads.zone_sums(), duties.all);
+        let told = digest.borrow_mut().next(self.loads.zone_sums(), duties.all);
         let message = PacketKind::Summary(Summary {
             of_zone: true,
             loads: told.loads,
@@ -363,7 +386,10 @@
             direct_age_ms: self.health.age().map_or(0, |age| {
                 u32::try_from(age.as_millis()).unwrap_or(u32::MAX - 1) + 1
             }),
-            used: self.view.used_servers(),
+            used: match with_loads {
+                true => self.view.used_servers(),
+                false => Vec::new(),
+            },
             waiting: self.loads.waiting.own(),
             tells_loads: with_loads,
             passed: match with_loads {
@@ -467,9 +493,14 @@
                     counts: &summary.passed,
                     heard_part: f64::from(summary.heard_permille) / 1_000.0,
                 };
-                self.quotas.note_zone(node_number(&zone), delegate, &told);
+                let later = self.view.ways().extra(&zone) / 2;
+                let number = node_number(&zone);
+                self.quotas.note_zone(number, delegate, &told, later);
                 let source = Source::Zone(node_number(&zone));
-                self.loads.waiting.set_source(source, summary.waiting);
+                if self.view.ways().is_near(&zone) {
+                    // Items of other regions wait for other servers.
+                    self.loads.waiting.set_source(source, summary.waiting);
+                }
                 match summary.changes_only {
                     true => self.loads.merge_source(source, summary.loads),
                     false => self.loads.set_source(source, summary.loads),
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -62,6 +62,15 @@
     Replaced,
 }
 
+/// A node that can run jobs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Worker {
+    /// Name.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+}
+
 struct Peer {
     row: NodeRow,
     revision: u64,
@@ -155,18 +164,23 @@
         }
     }
 
-    /// Names of the nodes that can run jobs, this one included when it is fit.
-    pub fn workers(&self, own_fit: bool) -> Vec<String> {
+    /// The nodes that can run jobs, this one included when it is fit.
+    pub fn workers(&self, own_fit: bool) -> Vec<Worker> {
         let now = Instant::now();
         let peers = self.peers.lock();
         let others = peers
             .iter()
             .filter(|(name, _)| **name != self.own_name)
             .filter(|(_, peer)| self.judge(peer, now, peers.len()) == PeerStatus::Ready)
-            .map(|(name, _)| name.clone());
-        others
-            .chain(own_fit.then(|| self.own_name.clone()))
-            .collect()
+            .map(|(name, peer)| Worker {
+                name: name.clone(),
+                zone: peer.row.zone.clone(),
+            });
+        let own = own_fit.then(|| Worker {
+            name: self.own_name.clone(),
+            zone: self.own_zone.clone(),
+        });
+        others.chain(own).collect()
     }
 
     /// Nodes that take requests: address and zone, this one left out.
--- a/crates/cluster/src/servers.rs
+++ b/crates/cluster/src/servers.rs
@@ -1,25 +1,33 @@
 //! The servers of a service as one node uses them.
 //!
 //! In a large fleet a node does not weigh, nor connect to, all servers: it uses a subset of its own
-//! zone that differs from node to node, so that work per request and connections stay bounded.
+//! zone that differs from node to node, so that work per request and connections stay bounded. Where
+//! a service is spread over regions, a node uses few servers of the others however small the service
+//! is: connections there serve only while its own region cannot.
 
 use std::sync::Arc;
 
-use dappleyard_model::ServerRecord;
+use dappleyard_model::{Distance, ServerRecord};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// Servers up to which a node uses all of them.
+use crate::ways::Ways;
+
+/// Servers up to which a node uses all of them, where they stand in one region.
 const ALL_USED: usize = 64;
 /// Servers of the own zone that a node of a large fleet uses.
 const NEAR_USED: usize = 40;
-/// Servers of any zone that it uses besides, for when its zone has none.
+/// Servers of any other zone that it uses besides, for when its zone has none; in a service that is
+/// spread over regions, servers of other regions.
 const FAR_USED: usize = 8;
+/// Servers of the other zones of its region that it uses, where a service is spread over regions: the
+/// sum of all is then no more than where all are used.
+const REGION_USED: usize = ALL_USED - NEAR_USED - FAR_USED;
 
 /// Where a node stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Standpoint {
     number: u64,
-    zone: String,
+    ways: Arc<Ways>,
 }
 
 /// Servers of one service that take new work.
@@ -29,29 +37,44 @@
     pub all: Vec<Arc<ServerRecord>>,
     /// Those that the node sends work to.
     pub used: Vec<Arc<ServerRecord>>,
-    /// Those among which prompts have their homes: all, or those of the zone in a large fleet.
+    /// Those among which prompts have their homes: all, or those of the zone in a large fleet; never
+    /// those of another region while the own one has any.
     pub homes: Vec<Arc<ServerRecord>>,
 }
 
 impl ServerSet {
     /// Whether the node uses only some of the servers.
     pub fn is_large(&self) -> bool {
-        self.all.len() > ALL_USED
+        self.used.len() < self.all.len()
     }
 }
 
 impl Standpoint {
-    /// The standpoint of a node.
+    /// The standpoint of a node in a deployment of one region.
     pub fn new(node: &str, zone: &str) -> Self {
+        Self::with_ways(node, Arc::new(Ways::within(zone)))
+    }
+
+    /// The standpoint of a node from which these ways begin.
+    pub fn with_ways(node: &str, ways: Arc<Ways>) -> Self {
         Self {
             number: xxh3_64(node.as_bytes()),
-            zone: zone.to_owned(),
+            ways,
         }
     }
 
+    /// The ways from here.
+    pub fn ways(&self) -> &Arc<Ways> {
+        &self.ways
+    }
+
     /// Sorts the servers of a service into those that the node uses.
     pub fn servers(&self, mut all: Vec<Arc<ServerRecord>>) -> ServerSet {
         all.sort_by(|a, b| a.id.cmp(&b.id));
+        let spread = all.iter().any(|server| !self.ways.is_near(&server.zone));
+        if spread {
+            return self.spread_servers(all);
+        }
         if all.len() <= ALL_USED {
             return ServerSet {
                 used: all.clone(),
@@ -59,11 +82,10 @@
                 all,
             };
         }
-        let mut preferred = all.clone();
-        preferred.sort_by_key(|server| xxh3_64_with_seed(server.id.as_bytes(), self.number));
-        let (near, far): (Vec<_>, Vec<_>) = preferred
+        let (near, far): (Vec<_>, Vec<_>) = self
+            .in_turn(&all)
             .into_iter()
-            .partition(|server| server.zone == self.zone);
+            .partition(|server| server.zone == self.ways.zone());
         let mut homes = near.clone();
         homes.sort_by(|a, b| a.id.cmp(&b.id));
         let used = near.into_iter().take(NEAR_USED);
@@ -73,4 +95,54 @@
             all,
         }
     }
+
+    /// Servers in this node's own order.
+    fn in_turn(&self, all: &[Arc<ServerRecord>]) -> Vec<Arc<ServerRecord>> {
+        let mut preferred = all.to_vec();
+        preferred.sort_by_key(|server| xxh3_64_with_seed(server.id.as_bytes(), self.number));
+        preferred
+    }
+
+    /// The same where some servers stand in other regions.
+    fn spread_servers(&self, all: Vec<Arc<ServerRecord>>) -> ServerSet {
+        let preferred = self.in_turn(&all);
+        let some = |distance: Distance, most: usize| {
+            let servers = preferred.iter();
+            let there = servers.filter(move |server| self.ways.distance(&server.zone) == distance);
+            there.take(most).cloned()
+        };
+        let zone = some(Distance::SameZone, NEAR_USED);
+        let region = zone.chain(some(Distance::SameRegion, REGION_USED));
+        let mut used: Vec<_> = region.collect();
+        let far = match used.is_empty() {
+            // The node's own region has none: the others are all that it has.
+            true => NEAR_USED,
+            false => FAR_USED,
+        };
+        used.extend(some(Distance::OtherRegion, far));
+        ServerSet {
+            used,
+            homes: self.spread_homes(&all),
+            all,
+        }
+    }
+
+    /// Homes of prompts: in a large fleet the own zone's servers, else those of the region, and all where
+    /// the region has none.
+    fn spread_homes(&self, all: &[Arc<ServerRecord>]) -> Vec<Arc<ServerRecord>> {
+        let within = |farthest: Distance| -> Vec<_> {
+            let servers = all.iter();
+            let there = servers.filter(|server| self.ways.distance(&server.zone) <= farthest);
+            there.cloned().collect()
+        };
+        let zone = within(Distance::SameZone);
+        if all.len() > ALL_USED && !zone.is_empty() {
+            return zone;
+        }
+        let region = within(Distance::SameRegion);
+        match region.is_empty() {
+            true => all.to_vec(),
+            false => region,
+        }
+    }
 }
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -14,6 +14,7 @@
 use crate::follow::{Contact, TableSink};
 use crate::loads::server_number;
 use crate::servers::{ServerSet, Standpoint};
+use crate::ways::Ways;
 use tokio::time::Instant;
 
 /// Shortest time between two calls for changes of servers: each server's row changes with each of
@@ -49,16 +50,26 @@
 }
 
 impl View {
-    /// A view that knows nothing yet, of a node.
+    /// A view that knows nothing yet, of a node in a deployment of one region.
     pub fn new(node: &str, zone: &str, log: Arc<EventLog>) -> Self {
+        Self::with_ways(node, Arc::new(Ways::within(zone)), log)
+    }
+
+    /// A view that knows nothing yet, of a node from which these ways begin.
+    pub fn with_ways(node: &str, ways: Arc<Ways>, log: Arc<EventLog>) -> Self {
         Self {
-            own: Standpoint::new(node, zone),
+            own: Standpoint::with_ways(node, ways),
             known: Mutex::default(),
             changed: Notify::new(),
             log,
         }
     }
 
+    /// The ways from this node to the servers of each zone.
+    pub fn ways(&self) -> &Arc<Ways> {
+        self.own.ways()
+    }
+
     /// The configuration in force, or `None` before the first one.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         self.known.lock().configuration.clone()
--- a/crates/cluster/src/zone_digest.rs
+++ b/crates/cluster/src/zone_digest.rs
@@ -18,13 +18,27 @@
     pub changes_only: bool,
 }
 
+/// Requests and items by which the work at a server must have changed to be told to another region. Work
+/// there goes by it only when its own region has no room, and then a slot or two more matter little.
+const CHANGE_TOLD: u32 = 2;
+
 /// The sums that were told last.
 #[derive(Debug, Default)]
 pub struct ZoneDigest {
     told: HashMap<u32, LoadEntry>,
+    /// Only sums that have changed by much are told between two whole ones.
+    coarse: bool,
 }
 
 impl ZoneDigest {
+    /// What another region is told: only sums that have changed by much, and all now and then.
+    pub fn coarse() -> Self {
+        Self {
+            coarse: true,
+            ..Self::default()
+        }
+    }
+
     /// The sums of the next message, when `sums` are those of all servers with work. With `all` every one is
     /// told, changed or not.
     pub fn next(&mut self, mut sums: Vec<LoadEntry>, all: bool) -> ToldSums {
@@ -63,6 +77,9 @@
     /// changes all the time and is told with the rest.
     fn is_news(&self, sum: &LoadEntry) -> bool {
         let held = self.told.get(&sum.server);
+        if self.coarse {
+            return is_much(held.unwrap_or(&LoadEntry::default()), sum);
+        }
         held.is_none_or(|held| {
             let (heard_ms, served) = (sum.heard_ms, sum.served);
             LoadEntry {
@@ -73,3 +90,11 @@
         })
     }
 }
+
+/// Whether a sum differs by so much from what was told that another region should know.
+fn is_much(held: &LoadEntry, sum: &LoadEntry) -> bool {
+    let online = held.online.abs_diff(sum.online);
+    let work = (held.online + held.batch).abs_diff(sum.online + sum.batch);
+    let failing = (held.failed > 0) != (sum.failed > 0);
+    online.max(work) >= CHANGE_TOLD || held.suspect != sum.suspect || failing
+}
--- /dev/null
+++ b/crates/cluster/tests/regions.rs
@@ -0,0 +1,167 @@
+//! Servers that a node of one of several regions uses, and what regions are told.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use dappleyard_cluster::{LoadEntry, ServerSet, Standpoint, Ways, ZoneDigest, duties, told_by};
+use dappleyard_model::{Distance, Places, RegionName, ServerRecord, ZoneName};
+use googletest::prelude::*;
+
+const ZONES: [(&str, &str); 6] = [
+    ("a1", "a"),
+    ("a2", "a"),
+    ("b1", "b"),
+    ("b2", "b"),
+    ("c1", "c"),
+    ("c2", "c"),
+];
+
+fn ways(zone: &str) -> Arc<Ways> {
+    let zones = ZONES.iter();
+    let places: Places = zones
+        .map(|(zone, region)| (ZoneName::from(*zone), RegionName::from(*region)))
+        .collect();
+    Arc::new(Ways::new(zone, &places))
+}
+
+fn fleet(count: usize, zones: &[&str]) -> Vec<Arc<ServerRecord>> {
+    let server = |number: usize| ServerRecord {
+        id: format!("i-{number:05}"),
+        service: "llm".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zones[number % zones.len()].to_owned(),
+        slots: 8,
+        draining: false,
+        cold_left_ms: 0,
+    };
+    (0..count).map(|number| Arc::new(server(number))).collect()
+}
+
+fn all_zones() -> Vec<&'static str> {
+    ZONES.iter().map(|(zone, _)| *zone).collect()
+}
+
+/// Servers of a set by distance: zone, region, other regions.
+fn by_distance(set: &ServerSet, ways: &Ways) -> [usize; 3] {
+    let at = |distance| {
+        let used = set.used.iter();
+        used.filter(|server| ways.distance(&server.zone) == distance)
+            .count()
+    };
+    [
+        Distance::SameZone,
+        Distance::SameRegion,
+        Distance::OtherRegion,
+    ]
+    .map(at)
+}
+
+#[gtest]
+fn few_servers_of_other_regions_at_any_size() {
+    let ways = ways("a1");
+    let node = Standpoint::with_ways("node-1", ways.clone());
+    for (servers, expected) in [
+        (6, [1, 1, 4]),
+        (60, [10, 10, 8]),
+        (120, [20, 16, 8]),
+        (3_000, [40, 16, 8]),
+    ] {
+        let set = node.servers(fleet(servers, &all_zones()));
+        expect_that!(by_distance(&set, &ways), eq(expected), "{servers} servers");
+        let near = |home: &Arc<ServerRecord>| ways.is_near(&home.zone);
+        expect_that!(set.homes.iter().all(near), eq(true));
+        expect_that!(set.homes.is_empty(), eq(false));
+    }
+}
+
+#[gtest]
+fn all_servers_are_used_by_some_node() {
+    let mut used = HashSet::new();
+    for number in 0..30 {
+        let node = Standpoint::with_ways(&format!("node-{number}"), ways("a1"));
+        let set = node.servers(fleet(60, &all_zones()));
+        expect_that!(set.is_large(), eq(true));
+        used.extend(set.used.iter().map(|server| server.id.clone()));
+    }
+    expect_that!(used.len(), eq(60));
+}
+
+#[gtest]
+fn a_region_without_servers_uses_the_others() {
+    let node = Standpoint::with_ways("node-1", ways("a1"));
+    let set = node.servers(fleet(60, &["b1", "c2"]));
+    expect_that!(set.used.len(), eq(40));
+    expect_that!(set.homes.len(), eq(60));
+}
+
+#[gtest]
+fn a_service_within_the_region_is_used_as_before() {
+    let node = Standpoint::with_ways("node-1", ways("a1"));
+    let plain = Standpoint::new("node-1", "a1");
+    for servers in [60, 400] {
+        let near = fleet(servers, &["a1", "a2"]);
+        expect_that!(node.servers(near.clone()), eq(&plain.servers(near)));
+    }
+}
+
+#[gtest]
+fn each_far_delegate_hears_one_voice() {
+    for (tellers, there) in [(2, 2), (1, 2), (2, 1), (1, 1)] {
+        let names = &["x", "y"][..there];
+        let voices = |name: &str| {
+            let told = (0..tellers).map(|own| told_by(own, tellers, names.to_vec()));
+            told.filter(|told| told.contains(&name)).count()
+        };
+        for name in names {
+            let expected = if tellers > there { tellers } else { 1 };
+            expect_that!(voices(name), eq(expected), "{tellers} tell {there}");
+        }
+    }
+}
+
+#[gtest]
+fn signs_and_whole_sums_go_to_regions_too() {
+    let all = (0..72).map(|round| duties(round, 5));
+    let due = |of: fn(&dappleyard_cluster::Duties) -> bool| all.clone().filter(of).count();
+    expect_that!(due(|duties| duties.regions), eq(24));
+    expect_that!(due(|duties| duties.signs && duties.regions), eq(4));
+    expect_that!(due(|duties| duties.all && duties.regions), eq(3));
+    // No round that a large zone is told in passes the regions by.
+    let large = (0..72).map(|round| duties(round, 60));
+    expect_that!(
+        large
+            .filter(|duties| duties.sums && !duties.regions)
+            .count(),
+        eq(0)
+    );
+}
+
+fn sum(server: u32, online: u32) -> LoadEntry {
+    LoadEntry {
+        server,
+        online,
+        heard_ms: 5,
+        ..LoadEntry::default()
+    }
+}
+
+#[gtest]
+fn changes_by_much() {
+    let mut digest = ZoneDigest::coarse();
+    let first = digest.next(vec![sum(1, 4), sum(2, 4)], true);
+    expect_that!(first.loads.len(), eq(2));
+    let small = digest.next(vec![sum(1, 5), sum(2, 3)], false);
+    expect_that!(small.loads.len(), eq(0));
+    // Small changes add up.
+    let large = digest.next(vec![sum(1, 6), sum(2, 3)], false);
+    expect_that!(large.loads, eq(&vec![sum(1, 6)]));
+    let suspect = LoadEntry {
+        suspect: true,
+        ..sum(2, 4)
+    };
+    let told = digest.next(vec![sum(1, 6), suspect.clone()], false);
+    expect_that!(told.loads, eq(&vec![suspect]));
+    // Whatever was believed, no sum stays wrong by more than one for longer than a whole message.
+    let whole = digest.next(vec![sum(1, 7)], true);
+    expect_that!(whole.loads, eq(&vec![sum(1, 7)]));
+}
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -9,7 +9,7 @@
 use actix_web::{App, HttpServer};
 use dappleyard_cluster::{
     ConfigurationSink, Contact, Gossip, GossipSettings, GossipTables, LoadTable, NODES_TABLE,
-    PeerTable, ServersSink, StoreHealth, TableSink, View,
+    PeerTable, ServersSink, StoreHealth, TableSink, View, Ways,
 };
 use dappleyard_ingress::{Metrics, Node, PeerAnswers, Upstreams, configure, front_app_data};
 use dappleyard_jobs::{JOB_TABLES, JobTable, NodeJobs, Runner};
@@ -54,16 +54,18 @@
         serde_json::json!({"settings": describe(&settings), "life": life,
             "version": env!("CARGO_PKG_VERSION")})
     });
-    let view = Arc::new(View::new(&settings.name, &settings.zone, log.clone()));
+    let ways = Arc::new(Ways::new(&settings.zone, &settings.places));
+    let view = Arc::new(View::with_ways(&settings.name, ways.clone(), log.clone()));
     let peers = Arc::new(PeerTable::new(&settings.name, &settings.zone, log.clone()));
     let health = Arc::new(StoreHealth::default());
-    let access = Arc::new(Access::new(
+    let access = Access::new(
         &settings.name,
         &settings.zone,
         health.clone(),
         peers.clone(),
         log.clone(),
-    ));
+    );
+    let access = Arc::new(access.with_ways(ways));
     let node = Arc::new(Node {
         life,
         view: view.clone(),
--- a/crates/ingress/benches/online.rs
+++ b/crates/ingress/benches/online.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
-use dappleyard_cluster::{LoadSummary, Standpoint};
+use dappleyard_cluster::{LoadSummary, Standpoint, Ways};
 use dappleyard_ingress::{Candidate, EventSplitter, choose, home};
 use dappleyard_model::ServerRecord;
 
@@ -43,7 +43,8 @@
     for count in FLEETS {
         let servers = Standpoint::new("node-1", "north").servers(fleet(count));
         let used = candidates(&servers.used);
-        let decide = || choose(black_box(&used), "north", None).map(|chosen| chosen.server.slots);
+        let ways = Ways::within("north");
+        let decide = || choose(black_box(&used), &ways, None).map(|chosen| chosen.server.slots);
         let allocations = allocation_counter::measure(|| {
             black_box(decide());
         });
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -152,7 +152,7 @@
     ) -> Result<Exchange, AttemptError> {
         Metrics::count(&self.node.metrics.attempts);
         let request = self.request(server, attempt);
-        let mut connection = self.connect(server.address).await?;
+        let mut connection = self.connect(server).await?;
         // What is known of the server may have changed since it was chosen.
         if let Some(exclusion) = self.node.view.exclusion(&server.id) {
             self.pool.put(server.address, connection);
@@ -242,18 +242,22 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptError> {
-        if let Some(connection) = self.pool.take(address) {
+    async fn connect(&self, server: &ServerRecord) -> Result<Connection, AttemptError> {
+        if let Some(connection) = self.pool.take(server.address) {
             return Ok(connection);
         }
         Metrics::count(&self.node.metrics.connections);
-        Connection::open(address, CONNECT_LIMIT)
-            .await
-            .map_err(|error| AttemptError {
-                ran: Ran::No,
-                reason: error.to_string(),
-                unreachable: true,
-            })
+        let started = Instant::now();
+        let opened = Connection::open(server.address, CONNECT_LIMIT).await;
+        if opened.is_ok() {
+            let ways = self.node.view.ways();
+            ways.note(&server.zone, started.elapsed());
+        }
+        opened.map_err(|error| AttemptError {
+            ran: Ran::No,
+            reason: error.to_string(),
+            unreachable: true,
+        })
     }
 
     async fn answer(
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use dappleyard_cluster::{InFlight, LoadSummary, WorkKind};
-use dappleyard_model::{RequestFacts, Route, RouteKind, ServerRecord};
+use dappleyard_model::{Distance, RequestFacts, Route, RouteKind, ServerRecord};
 use dappleyard_tenants::Caller;
 use http::{HeaderMap, Method};
 
@@ -14,7 +14,9 @@
 use crate::holding::standing;
 use crate::metrics::Metrics;
 use crate::outcome::ErrorKind;
-use crate::placement::{Candidate, PromptShape, choose, home, is_sound, mean_over, sample};
+use crate::placement::{
+    Candidate, PromptShape, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
+};
 use tokio::time::Instant;
 
 /// Silence of a server after which a request that may be repeated goes to another one.
@@ -278,9 +280,18 @@
 
 fn log_placed(upstreams: &Upstreams, request: &Request, placement: &Placement) {
     let (load, server) = (&placement.load, &placement.server.id);
+    let distance = upstreams
+        .node()
+        .view
+        .ways()
+        .distance(&placement.server.zone);
+    if distance == Distance::OtherRegion {
+        Metrics::count(&upstreams.node().metrics.left_region);
+    }
     upstreams.node().log.write("placed", || {
         serde_json::json!({"request": request.facts.id, "route": request.route.name,
             "tenant": request.caller.tenant_name(), "server": server,
+            "distance": distance.to_string(),
             "candidates": placement.candidates, "kept": placement.kept,
             "online": load.online, "batch": load.batch,
             "unread_tokens": load.unread_tokens, "suspect": load.suspect,
@@ -311,29 +322,38 @@
         .chain(extra)
         .filter(|server| !request.asked.contains(&server.id))
         .collect();
-    let zone = &node.settings.zone;
+    let ways = node.view.ways();
     let home_id = home.map(|home| home.id.as_str());
-    let sampled: Vec<Candidate> = match node.peers.is_large() {
-        true => sample(&open, zone, home_id, &mut rand::rng())
-            .into_iter()
-            .map(candidate)
-            .collect(),
+    let some_of = |servers: &[&Arc<ServerRecord>]| -> Vec<Candidate> {
+        let sampled = sample(servers, ways, home_id, &mut rand::rng());
+        within_reach(sampled.into_iter().map(candidate).collect(), ways)
+    };
+    let large = node.peers.is_large();
+    let mut candidates = match large {
+        true => some_of(&open),
         false => Vec::new(),
     };
-    let sound = |chosen: &&Candidate| is_sound(chosen);
-    let whole: Vec<Candidate>;
-    let (candidates, chosen) = match choose(&sampled, zone, home_id).filter(sound) {
-        Some(chosen) => (&sampled, chosen),
-        None => {
-            whole = open.into_iter().map(candidate).collect();
-            (&whole, choose(&whole, zone, home_id)?)
+    let free_near = |held: &Candidate| ways.is_near(&held.server.zone) && has_slot(held);
+    if large && ways.has_regions() && !candidates.iter().any(free_near) {
+        // Before the request leaves its region, all servers there are looked at.
+        let free = open.iter().copied();
+        let free: Vec<_> = free
+            .filter(|server| free_near(&candidate(server)))
+            .collect();
+        if !free.is_empty() {
+            candidates = some_of(&free);
         }
-    };
+    }
+    let sound = |chosen: &&Candidate| is_sound(chosen);
+    if choose(&candidates, ways, home_id).filter(sound).is_none() {
+        candidates = within_reach(open.into_iter().map(candidate).collect(), ways);
+    }
+    let chosen = choose(&candidates, ways, home_id)?;
     Some(Placement {
         server: chosen.server.clone(),
         kept: home_id == Some(chosen.server.id.as_str()),
         load: chosen.load,
-        mean_over: mean_over(candidates),
+        mean_over: mean_over(&candidates),
         candidates: candidates.len(),
     })
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -26,4 +26,6 @@
 pub use metrics::Metrics;
 pub use node::Node;
 pub use outcome::ErrorKind;
-pub use placement::{Candidate, PromptShape, choose, home, is_sound, mean_over, sample};
+pub use placement::{
+    Candidate, PromptShape, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
+};
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -51,6 +51,8 @@
     pub attempts: AtomicU64,
     /// Attempts that failed.
     pub attempts_failed: AtomicU64,
+    /// Attempts at servers of other regions.
+    pub left_region: AtomicU64,
     /// Streams taken up at another server.
     pub resumed: AtomicU64,
     /// Connections opened to servers.
@@ -61,6 +63,8 @@
     pub jobs_claimed: AtomicU64,
     /// Results committed.
     pub results: AtomicU64,
+    /// Runs of items at servers of other regions.
+    pub items_left_region: AtomicU64,
     /// Items that went back to wait after a run broke.
     pub items_again: AtomicU64,
     first_event: [AtomicU64; BOUNDS_MS.len() + 1],
@@ -90,11 +94,13 @@
             ("failed", &self.failed),
             ("attempts", &self.attempts),
             ("attempts_failed", &self.attempts_failed),
+            ("left_region", &self.left_region),
             ("resumed", &self.resumed),
             ("connections", &self.connections),
             ("jobs_accepted", &self.jobs_accepted),
             ("jobs_claimed", &self.jobs_claimed),
             ("results", &self.results),
+            ("items_left_region", &self.items_left_region),
             ("items_again", &self.items_again),
         ];
         let mut text = String::new();
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -2,16 +2,14 @@
 
 use std::sync::Arc;
 
-use dappleyard_cluster::LoadSummary;
-use dappleyard_model::{PromptPart, ServerRecord};
+use dappleyard_cluster::{LoadSummary, WayWeights, Ways};
+use dappleyard_model::{Distance, PromptPart, ServerRecord};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Prompt tokens that weigh as much as one request under way.
 const TOKENS_PER_UNIT: f64 = 1_000.0;
-/// Weight of a server in another zone.
-const OTHER_ZONE: f64 = 6.0;
 /// Weight of shared prompt parts that the server keeps.
 const AFFINITY: f64 = 30.0;
 /// Shared tokens from which a prompt has a home server.
@@ -22,12 +20,18 @@
 const SUSPECT: f64 = 200.0;
 /// Milliseconds of excess time to the first event that weigh as much as one request.
 const EXCESS_MS_PER_UNIT: f64 = 12.0;
+/// Weights of the way to a server. The first event comes later by as much as the way is longer, so its time
+/// weighs like any other by which that event comes late.
+const WAY: WayWeights = WayWeights {
+    other_zone: 6.0,
+    ms_per_unit: EXCESS_MS_PER_UNIT,
+};
 /// Remaining milliseconds of a cold start that weigh as much as one request.
 const COLD_MS_PER_UNIT: f64 = 100.0;
 
 /// Servers of the own zone that one request weighs in a large fleet, drawn at random.
 const NEAR_SAMPLED: usize = 4;
-/// Servers of other zones that it weighs besides.
+/// Servers of other zones that it weighs besides, and as many of other regions.
 const FAR_SAMPLED: usize = 2;
 
 /// What matters of a prompt for placement.
@@ -75,22 +79,28 @@
     pub load: LoadSummary,
 }
 
-/// Some servers at random, near ones and far ones, and the home of the prompt. Loads are known
-/// with a delay; were the least loaded of all servers chosen, all nodes of a large fleet would choose
-/// the same one until its load is told.
+/// Some servers at random of each distance, and the home of the prompt. Loads are known with a delay; were
+/// the least loaded of all servers chosen, all nodes of a large fleet would choose the same one until its
+/// load is told.
 pub fn sample<'a>(
     servers: &[&'a Arc<ServerRecord>],
-    zone: &str,
+    ways: &Ways,
     home: Option<&str>,
     random: &mut impl Rng,
 ) -> Vec<&'a Arc<ServerRecord>> {
-    let (near, far): (Vec<_>, Vec<_>) = servers.iter().partition(|server| server.zone == zone);
-    let mut chosen: Vec<&Arc<ServerRecord>> = near
-        .choose_multiple(random, NEAR_SAMPLED)
-        .chain(far.choose_multiple(random, FAR_SAMPLED))
-        .copied()
-        .copied()
-        .collect();
+    let sampled = [
+        (Distance::SameZone, NEAR_SAMPLED),
+        (Distance::SameRegion, FAR_SAMPLED),
+        (Distance::OtherRegion, FAR_SAMPLED),
+    ];
+    let mut chosen: Vec<&Arc<ServerRecord>> = Vec::new();
+    for (distance, most) in sampled {
+        let there = servers.iter().copied();
+        let there: Vec<_> = there
+            .filter(|server| ways.distance(&server.zone) == distance)
+            .collect();
+        chosen.extend(there.choose_multiple(random, most).copied());
+    }
     let is_home = |server: &&&Arc<ServerRecord>| home == Some(server.id.as_str());
     chosen.extend(servers.iter().find(is_home).copied());
     chosen
@@ -120,7 +130,7 @@
 }
 
 /// Weight of a candidate; the least is best.
-fn weight(candidate: &Candidate, zone: &str, is_home: bool) -> f64 {
+fn weight(candidate: &Candidate, ways: &Ways, is_home: bool) -> f64 {
     let load = &candidate.load;
     let requests = f64::from(load.online + load.batch);
     let over = requests + 1.0 - f64::from(candidate.server.slots);
@@ -128,9 +138,7 @@
     weight += over.max(0.0) * OVER_SLOTS;
     weight += load.excess_ms / EXCESS_MS_PER_UNIT;
     weight += candidate.server.cold_left_ms as f64 / COLD_MS_PER_UNIT;
-    if candidate.server.zone != zone {
-        weight += OTHER_ZONE;
-    }
+    weight += ways.weigh(&candidate.server.zone, WAY);
     if load.suspect {
         weight += SUSPECT;
     }
@@ -140,15 +148,34 @@
     weight
 }
 
+/// Whether a request would begin at once at a candidate.
+pub fn has_slot(candidate: &Candidate) -> bool {
+    is_sound(candidate) && candidate.load.online < candidate.server.slots
+}
+
+/// The candidates among which a request is placed: those of its own region with a free slot, and all where
+/// there is none. Bytes between regions are dear whatever the way takes, so a request does not leave its
+/// region for a server that is merely less busy.
+pub fn within_reach(candidates: Vec<Candidate>, ways: &Ways) -> Vec<Candidate> {
+    if !ways.has_regions() {
+        return candidates;
+    }
+    let serves = |held: &Candidate| ways.is_near(&held.server.zone) && has_slot(held);
+    match candidates.iter().any(serves) {
+        true => candidates.into_iter().filter(serves).collect(),
+        false => candidates,
+    }
+}
+
 /// Chooses the candidate of least weight, the first one among equals; `home` names the server that keeps the prompt.
 pub fn choose<'a>(
     candidates: &'a [Candidate],
-    zone: &str,
+    ways: &Ways,
     home: Option<&str>,
 ) -> Option<&'a Candidate> {
     let weigh = |candidate: &Candidate| {
         let is_home = home == Some(candidate.server.id.as_str());
-        weight(candidate, zone, is_home)
+        weight(candidate, ways, is_home)
     };
     candidates
         .iter()
--- /dev/null
+++ b/crates/ingress/tests/regions.rs
@@ -0,0 +1,121 @@
+//! Placement where servers stand in several regions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_cluster::{LoadSummary, Ways};
+use dappleyard_ingress::{Candidate, choose, sample, within_reach};
+use dappleyard_model::{Places, RegionName, ServerRecord, ZoneName};
+use googletest::prelude::*;
+use rand::SeedableRng;
+
+fn ways() -> Ways {
+    let zones = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")].into_iter();
+    let places: Places = zones
+        .map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region)))
+        .collect();
+    Ways::new("a1", &places)
+}
+
+fn candidate(id: &str, zone: &str, load: LoadSummary) -> Candidate {
+    Candidate {
+        server: Arc::new(ServerRecord {
+            id: id.to_owned(),
+            service: "llm".to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: zone.to_owned(),
+            slots: 8,
+            draining: false,
+            cold_left_ms: 0,
+        }),
+        load,
+    }
+}
+
+fn online(online: u32) -> LoadSummary {
+    LoadSummary {
+        online,
+        ..LoadSummary::default()
+    }
+}
+
+fn chosen(candidates: &[Candidate], ways: &Ways) -> String {
+    let reach = within_reach(candidates.to_vec(), ways);
+    let choice = choose(&reach, ways, None).expect("a server");
+    choice.server.id.clone()
+}
+
+#[gtest]
+fn a_request_stays_while_its_region_has_a_slot() {
+    let ways = ways();
+    let far = || candidate("far", "b1", online(0));
+    let busy = [
+        candidate("zone", "a1", online(8)),
+        candidate("region", "a2", online(7)),
+        far(),
+    ];
+    expect_that!(chosen(&busy, &ways), eq("region"));
+    // Items give way: they are no reason to leave.
+    let items = LoadSummary {
+        online: 3,
+        batch: 5,
+        ..LoadSummary::default()
+    };
+    expect_that!(
+        chosen(&[candidate("zone", "a1", items), far()], &ways),
+        eq("zone")
+    );
+}
+
+#[gtest]
+fn a_request_leaves_a_region_that_cannot_serve_it() {
+    let ways = ways();
+    let far = || candidate("far", "b1", online(2));
+    let full = [
+        candidate("zone", "a1", online(9)),
+        candidate("region", "a2", online(9)),
+        far(),
+    ];
+    expect_that!(chosen(&full, &ways), eq("far"));
+    let dark = LoadSummary {
+        suspect: true,
+        ..LoadSummary::default()
+    };
+    let dark = [
+        candidate("zone", "a1", dark),
+        candidate("region", "a2", dark),
+        far(),
+    ];
+    expect_that!(chosen(&dark, &ways), eq("far"));
+}
+
+#[gtest]
+fn a_long_way_is_worth_a_wait() {
+    let ways = ways();
+    let full = [
+        candidate("zone", "a1", online(8)),
+        candidate("far", "b1", online(0)),
+    ];
+    expect_that!(chosen(&full, &ways), eq("far"));
+    // A tenth of a second there and back costs more than one request ahead.
+    ways.note("a1", Duration::from_millis(1));
+    ways.note("b1", Duration::from_millis(130));
+    expect_that!(chosen(&full, &ways), eq("zone"));
+}
+
+#[gtest]
+fn samples_hold_each_distance() {
+    let ways = ways();
+    let zones = ["a1", "a2", "b1", "b2"];
+    let all: Vec<Candidate> = (0..80)
+        .map(|number| candidate(&format!("i-{number}"), zones[number % 4], online(0)))
+        .collect();
+    let servers: Vec<&Arc<ServerRecord>> = all.iter().map(|held| &held.server).collect();
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..50 {
+        let sampled = sample(&servers, &ways, None, &mut random);
+        let near = sampled.iter().filter(|server| server.zone == "a1");
+        let region = sampled.iter().filter(|server| server.zone == "a2");
+        expect_that!((near.count(), region.count(), sampled.len()), eq((4, 2, 8)));
+    }
+}
--- a/crates/jobs/src/accept.rs
+++ b/crates/jobs/src/accept.rs
@@ -215,6 +215,7 @@
             due_ms: now_ms + self.route.result_target_ms,
             has_partials: false,
             tenant: self.caller.tenant_name().to_owned(),
+            region: node.view.ways().region().map(ToString::to_string),
         }
     }
 
--- a/crates/jobs/src/claiming.rs
+++ b/crates/jobs/src/claiming.rs
@@ -6,7 +6,8 @@
 
 use std::time::Duration;
 
-use dappleyard_cluster::PeerStatus;
+use dappleyard_cluster::{PeerStatus, Worker};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time for which the belief must have stood, so that rows which cross on their way do not matter.
 const SUSPECTED: Duration = Duration::from_millis(250);
@@ -56,3 +57,20 @@
     }
     ground.suspected >= SUSPECTED && ground.steady >= needed
 }
+
+/// The worker that should take a job: by hash, among those of the region where it was accepted, and among
+/// all when that has none. `is_home` tells whether a zone is in that region.
+pub fn preferred<'a>(
+    job: &str,
+    workers: &'a [Worker],
+    is_home: impl Fn(&str) -> bool,
+) -> Option<&'a Worker> {
+    let by_hash = |worker: &&Worker| {
+        let mut bytes = worker.name.as_bytes().to_vec();
+        bytes.extend_from_slice(job.as_bytes());
+        xxh3_64(&bytes)
+    };
+    let home = workers.iter().filter(|worker| is_home(&worker.zone));
+    home.max_by_key(by_hash)
+        .or_else(|| workers.iter().max_by_key(by_hash))
+}
--- a/crates/jobs/src/cleaning.rs
+++ b/crates/jobs/src/cleaning.rs
@@ -33,7 +33,7 @@
             .table
             .select(|row| !row.is_open() && row.accepted_ms + kept_ms < now_ms);
         for (name, known) in old {
-            if self.table.is_fresh() && self.is_preferred(&name) {
+            if self.table.is_fresh() && self.is_preferred(&name, &known.row) {
                 let runner = self.clone();
                 tokio::task::spawn_local(async move {
                     // What fails now is removed at the next look.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -24,10 +24,10 @@
 mod width;
 
 pub use calls::NodeJobs;
-pub use claiming::{Ground, may_claim};
+pub use claiming::{Ground, may_claim, preferred};
 pub use keys::JOB_TABLES;
 pub use messages::{ItemsBlob, JobRow, JobState, StoredItem, StoredPartial};
 pub use order::{Rank, RunEstimate, rank};
 pub use runner::Runner;
 pub use table::JobTable;
-pub use width::{ServerRoom, pick_server, room};
+pub use width::{ServerRoom, pick_server, room, within_reach};
--- a/crates/jobs/src/messages.rs
+++ b/crates/jobs/src/messages.rs
@@ -62,6 +62,9 @@
     /// Tenant that it belongs to; empty when it belongs to none.
     #[prost(string, tag = "14")]
     pub tenant: String,
+    /// Region in which it was accepted; none in a deployment of one region.
+    #[prost(string, optional, tag = "15")]
+    pub region: Option<String>,
 }
 
 impl JobRow {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -6,7 +6,7 @@
 
 use dappleyard_cluster::{InFlight, WorkKind};
 use dappleyard_ingress::{Attempt, AttemptError, EventSplitter, Exchange, Metrics, Ran};
-use dappleyard_model::{Route, ServerRecord, TenantStamp};
+use dappleyard_model::{Distance, Route, ServerRecord, TenantStamp};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
@@ -308,9 +308,13 @@
     };
     let state = job.state.borrow();
     let item = &state.items[index];
+    let distance = runner.node.view.ways().distance(&server.zone);
+    if distance == Distance::OtherRegion {
+        Metrics::count(&runner.node.metrics.items_left_region);
+    }
     runner.node.log.write("item_run", || {
         serde_json::json!({"job": job.job, "item": item.stored.id, "server": server.id,
-            "epoch": state.row.epoch, "status": status, "cause": cause, "runs": item.runs,
+            "distance": distance.to_string(), "epoch": state.row.epoch, "status": status, "cause": cause, "runs": item.runs,
             "failures": item.failures, "events": item.events, "outcome": outcome})
     });
 }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -13,9 +13,8 @@
 };
 use prost::Message;
 use tokio::sync::Notify;
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::claiming::{Ground, may_claim};
+use crate::claiming::{Ground, may_claim, preferred};
 use crate::give_up::{give_up, is_over};
 use crate::keys::job_key;
 use crate::messages::JobRow;
@@ -27,7 +26,7 @@
 use crate::release::release;
 use crate::run::{begin_work, run_item};
 use crate::table::{JobTable, Known};
-use crate::width::{ServerRoom, pick_server, room};
+use crate::width::{ServerRoom, pick_server, room, within_reach};
 use tokio::time::Instant;
 
 /// Longest time between two looks at the jobs.
@@ -35,6 +34,10 @@
 /// Time between two looks from which this node counts as paused.
 const LONGEST_GAP: Duration = Duration::from_millis(500);
 
+/// An item presses when it is due within so many times the time that it needs: online work pauses items for
+/// up to half of a wave.
+const PRESSING_RUNS: u64 = 2;
+
 /// An item that waits for its turn.
 struct Turn {
     job: Rc<OwnedJob>,
@@ -43,6 +46,8 @@
     rank: Rank,
     avoid: Option<String>,
     last: Option<String>,
+    /// It may not be in time if it waits for a server of its region.
+    presses: bool,
 }
 
 /// Runs jobs on one thread.
@@ -204,18 +209,17 @@
             answered: !self.node.health.is_lost(),
             taken: self.taken.borrow().get(job).map(Instant::elapsed),
         };
-        may_claim(ground) && self.is_preferred(job)
+        may_claim(ground) && self.is_preferred(job, row)
     }
 
     /// Whether this node is the one of all that should take a job.
-    pub(crate) fn is_preferred(&self, job: &str) -> bool {
+    pub(crate) fn is_preferred(&self, job: &str, row: &JobRow) -> bool {
         let workers = self.node.peers.workers(true);
-        let preferred = workers.iter().max_by_key(|worker| {
-            let mut bytes = worker.as_bytes().to_vec();
-            bytes.extend_from_slice(job.as_bytes());
-            xxh3_64(&bytes)
-        });
-        preferred == Some(&self.node.settings.name)
+        let ways = self.node.view.ways();
+        let region = row.region.as_deref();
+        let is_home = |zone: &str| region.is_some_and(|region| ways.is_in(zone, region));
+        let preferred = preferred(job, &workers, is_home);
+        preferred.is_some_and(|worker| worker.name == self.node.settings.name)
     }
 
     /// Notes a gap in this node's own running, or in the answers of the store.
@@ -362,9 +366,10 @@
     /// Items that the servers of a service still take, as this node sees them.
     fn room_at(&self, service: &str) -> u32 {
         let servers = self.node.view.servers(service);
-        let rooms = servers.used.iter();
-        rooms
-            .map(|server| room(server.slots, &self.node.loads.summary(&server.id)))
+        let rooms = servers.used.iter().map(|server| self.room_of(server));
+        within_reach(rooms.collect(), self.node.view.ways(), true)
+            .iter()
+            .map(|server| room(server.slots, &server.load))
             .sum()
     }
 
@@ -402,6 +407,7 @@
                 rank: rank(state.row.due_ms, needs_ms, now_ms, priority),
                 avoid: item.avoid.clone(),
                 last: item.last_server.clone(),
+                presses: now_ms + PRESSING_RUNS * needs_ms > state.row.due_ms,
             });
         }
         drop(state);
@@ -441,19 +447,24 @@
         self.node.view.server(server).map(|server| server.slots)
     }
 
+    fn room_of<'a>(&self, server: &'a ServerRecord) -> ServerRoom<'a> {
+        ServerRoom {
+            id: &server.id,
+            zone: &server.zone,
+            slots: server.slots,
+            load: self.node.loads.summary(&server.id),
+        }
+    }
+
     fn pick(&self, service: &str, turn: &Turn) -> Option<Arc<ServerRecord>> {
         let servers = self.node.view.servers(service);
         let rooms: Vec<ServerRoom<'_>> = servers
             .used
             .iter()
             .filter(|server| servers.used.len() == 1 || turn.avoid.as_ref() != Some(&server.id))
-            .map(|server| ServerRoom {
-                id: &server.id,
-                zone: &server.zone,
-                slots: server.slots,
-                load: self.node.loads.summary(&server.id),
-            })
+            .map(|server| self.room_of(server))
             .collect();
+        let rooms = within_reach(rooms, self.node.view.ways(), turn.presses);
         let settings = &self.node.settings;
         let chosen = pick_server(&rooms, &settings.name, &settings.zone, turn.last.as_deref())?.id;
         let mut used = servers.used.iter();
--- a/crates/jobs/src/width.rs
+++ b/crates/jobs/src/width.rs
@@ -1,6 +1,6 @@
 //! How much batch work a server takes beside its online work. Pure.
 
-use dappleyard_cluster::LoadSummary;
+use dappleyard_cluster::{LoadSummary, Ways};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Slots that stay free for the next online request. More would idle: items that are in the way
@@ -36,6 +36,27 @@
     slots.saturating_sub(load.online + load.batch + SPARE_SLOTS)
 }
 
+/// The servers among which an item is placed: those of the own region, unless none of them lives, or none
+/// has room for an item that `presses`. The time of the way is nothing beside that of an item; its bytes are
+/// dear, so that no load elsewhere makes up for them.
+pub fn within_reach<'a>(
+    servers: Vec<ServerRoom<'a>>,
+    ways: &Ways,
+    presses: bool,
+) -> Vec<ServerRoom<'a>> {
+    if !ways.has_regions() {
+        return servers;
+    }
+    let is_near = |server: &ServerRoom<'a>| ways.is_near(server.zone);
+    let near = || servers.iter().filter(|server| is_near(server));
+    let lives = near().any(|server| !server.load.suspect);
+    let has_room = near().any(|server| room(server.slots, &server.load) > 0);
+    match has_room || (lives && !presses) {
+        true => servers.into_iter().filter(is_near).collect(),
+        false => servers,
+    }
+}
+
 /// The server for the next item; `node` and `zone` are those of the caller, and `last` is the
 /// server where the item ran last.
 pub fn pick_server<'a>(
--- a/crates/relay/src/access.rs
+++ b/crates/relay/src/access.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use dappleyard_cluster::{NODES_TABLE, PeerTable, RelayPeer, StoreClock, StoreHealth};
+use dappleyard_cluster::{NODES_TABLE, PeerTable, RelayPeer, StoreClock, StoreHealth, Ways};
 use dappleyard_model::{EventLog, RowStore};
 use derive_more::Display;
 use parking_lot::Mutex;
@@ -62,6 +62,7 @@
 pub struct Access {
     name: String,
     zone: String,
+    ways: Arc<Ways>,
     health: Arc<StoreHealth>,
     clock: StoreClock,
     peers: Arc<PeerTable>,
@@ -83,6 +84,7 @@
         Self {
             name: name.to_owned(),
             zone: zone.to_owned(),
+            ways: Arc::new(Ways::within(zone)),
             health,
             clock: StoreClock::default(),
             peers,
@@ -93,6 +95,11 @@
         }
     }
 
+    /// The same in a deployment where these ways begin at the node.
+    pub fn with_ways(self, ways: Arc<Ways>) -> Self {
+        Self { ways, ..self }
+    }
+
     /// Outcomes of this node's own calls.
     pub fn health(&self) -> &StoreHealth {
         &self.health
@@ -224,12 +231,12 @@
         fit
     }
 
-    /// Nodes of the own zone first, in an order of this node's own.
+    /// Nodes of the own zone first, then those of the region, in an order of this node's own.
     fn sort(&self, peers: &mut [RelayPeer]) {
         peers.sort_by_key(|peer| {
             let mut bytes = self.name.as_bytes().to_vec();
             bytes.extend_from_slice(peer.name.as_bytes());
-            (peer.zone != self.zone, xxh3_64(&bytes))
+            (self.ways.distance(&peer.zone), xxh3_64(&bytes))
         });
     }
 }
--- a/crates/tenants/src/counts.rs
+++ b/crates/tenants/src/counts.rs
@@ -85,6 +85,8 @@
     since: Instant,
     heard: Instant,
     heard_part: f64,
+    /// Time by which its messages are longer under way than those of a zone of the own region.
+    pub(crate) later: Duration,
     passed: HashMap<u32, u64>,
 }
 
@@ -96,6 +98,7 @@
             since: now,
             heard: now,
             heard_part: 1.0,
+            later: Duration::ZERO,
             passed: HashMap::new(),
         }
     }
--- a/crates/tenants/src/ledger.rs
+++ b/crates/tenants/src/ledger.rs
@@ -26,7 +26,8 @@
 const IN_DOUBT: f64 = 0.5;
 /// Age of a node's last word up to which it counts as fresh: two heartbeats of 150 ms, and a late one.
 const NODE_FRESH: Duration = Duration::from_millis(400);
-/// The same of another zone, which is told of each 25 to 75 ms.
+/// The same of another zone, which is told of each 25 to 75 ms. Messages of another region come as often and
+/// are longer under way: that time is added, as this node measured it.
 const ZONE_FRESH: Duration = Duration::from_millis(250);
 /// Time after which the silence of others shows in the known part of the fleet.
 const SILENCE_NOTED: Duration = Duration::from_millis(3_000);
@@ -153,7 +154,7 @@
         let zones = self.zones.values();
         for zone in zones.filter(|zone| now.duration_since(zone.heard()) < SILENCE_NOTED) {
             known += 1.0;
-            if now.duration_since(zone.heard()) < ZONE_FRESH {
+            if now.duration_since(zone.heard()) < ZONE_FRESH + zone.later {
                 fresh += zone.heard_part();
             }
         }
@@ -324,6 +325,13 @@
         }
     }
 
+    /// Notes by how much longer messages of a zone are under way than those of zones of the own region.
+    pub fn note_way(&mut self, zone: u64, later: Duration) {
+        if let Some(held) = self.zones.get_mut(&zone) {
+            held.later = later;
+        }
+    }
+
     /// Levels for a node of this zone: those that are low, or were a moment ago.
     pub fn levels_for(&mut self, node: u64, now: Instant) -> Vec<CreditLevel> {
         self.fill(now);
--- a/crates/tenants/src/table.rs
+++ b/crates/tenants/src/table.rs
@@ -149,11 +149,19 @@
         self.state.lock().ledger.note_node(node, life, counts, now);
     }
 
-    /// Takes off what another zone let pass.
-    pub fn note_zone(&self, zone: u64, delegate: (u64, u64), told: &ZonePassed<'_>) {
+    /// Takes off what another zone let pass; its messages are `later` by so much than those of zones of the
+    /// own region.
+    pub fn note_zone(
+        &self,
+        zone: u64,
+        delegate: (u64, u64),
+        told: &ZonePassed<'_>,
+        later: Duration,
+    ) {
         let now = Instant::now();
         let mut state = self.state.lock();
         state.ledger.note_zone(zone, delegate, told, now);
+        state.ledger.note_way(zone, later);
     }
 
     /// Takes over what a delegate says.
--- /dev/null
+++ b/crates/tenants/tests/distance.rs
@@ -0,0 +1,80 @@
+//! News of zones that are far away.
+
+use std::time::Duration;
+
+use dappleyard_model::{QuotaBounds, RateLimit, Tenant, Tenants};
+use dappleyard_tenants::{Ledger, ZonePassed, tenant_number};
+use googletest::prelude::*;
+use tokio::time::Instant;
+
+const BOUNDS: QuotaBounds = QuotaBounds {
+    window_ms: 5_000,
+    over: 0.1,
+    slack: 20.0,
+};
+const TENANT: &str = "a";
+const QUOTA_PER_S: f64 = 100.0;
+/// One way between regions.
+const LATER: Duration = Duration::from_millis(20);
+/// Another zone and its delegate.
+const ZONE: u64 = 7;
+const DELEGATE: (u64, u64) = (8, 1);
+
+fn tenants() -> Tenants {
+    let mut tenants = Tenants::default();
+    let tenant = Tenant {
+        name: TENANT.parse().expect("a name"),
+        limit: Some(RateLimit {
+            per_s: QUOTA_PER_S,
+            burst: 100.0,
+        }),
+        priority: None,
+        home_regions: Vec::new(),
+    };
+    tenants.add(tenant, &[]).expect("a tenant without a key");
+    tenants
+}
+
+/// Credit that grows in a span of 10 ms, so long after another zone was last heard.
+fn growth(after: Duration, later: Duration) -> f64 {
+    let number = tenant_number(TENANT);
+    let mut now = Instant::now();
+    let mut ledger = Ledger::new(BOUNDS, 1, now);
+    ledger.set_limits(Some(&tenants()), now);
+    ledger.set_standing(true, 1.0, now);
+    now += Duration::from_secs(10);
+    while ledger.take(number, now).is_ok() {}
+    let told = ZonePassed {
+        counts: &[],
+        heard_part: 1.0,
+    };
+    ledger.note_zone(ZONE, DELEGATE, &told, now);
+    ledger.note_way(ZONE, later);
+    now += after;
+    // Each round looks anew at who was heard.
+    ledger.zone_passed(false, now);
+    let before = ledger.level(number, now).expect("a level");
+    now += Duration::from_millis(10);
+    ledger.level(number, now).expect("a level") - before
+}
+
+#[gtest]
+fn news_of_a_far_zone_counts_by_so_much_longer() {
+    let ms = Duration::from_millis;
+    let whole = QUOTA_PER_S / 100.0;
+    let near = |value: f64, expected: f64| (value - expected).abs() < 1e-6;
+    for (after, later, expected) in [
+        (ms(230), Duration::ZERO, whole),
+        (ms(255), Duration::ZERO, whole / 2.0),
+        (ms(255), LATER, whole),
+        // Beyond the way the bound is the same: a cut shows as soon.
+        (ms(275), LATER, whole / 2.0),
+    ] {
+        let grown = growth(after, later);
+        expect_that!(
+            near(grown, expected),
+            eq(true),
+            "{after:?}, {later:?}: {grown}"
+        );
+    }
+}
