--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -84,6 +84,7 @@
 /// What an event means, for people.
 fn words(event: &str) -> &str {
     match event {
+        // "far" stands for a server of another region, "region" for one of another zone of the own one.
         "placed" => "a server was chosen",
         "attempt_failed" => "an attempt at a server failed",
         "server_answered_failure" => "the server answered with a failure",
