--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -4,6 +4,8 @@
 //! from the row store.
 
 mod cadence;
+mod cold_loads;
+mod cold_parts;
 mod delegates;
 pub mod directory;
 mod eligibility;
@@ -18,12 +20,14 @@
 mod server_loads;
 mod servers;
 mod store_clock;
+mod temperature;
 mod view;
 mod waiting;
 mod ways;
 mod zone_digest;
 
 pub use cadence::{Duties, duties};
+pub use cold_parts::{ColdParts, ColdShare, standing};
 pub use delegates::{Candidate, delegates, is_strong, told_by};
 pub use eligibility::Exclusion;
 pub use follow::{Contact, TableSink, follow};
@@ -37,6 +41,7 @@
 pub use server_loads::LoadSummary;
 pub use servers::{ServerSet, Standpoint};
 pub use store_clock::StoreClock;
+pub use temperature::{Checked, Teller, Temperature, Thermal};
 pub use view::{ConfigurationSink, ServersSink, View};
 pub use waiting::{Allowance, WaitingItems};
 pub use ways::{WayWeights, Ways};
--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::cold_parts::ColdParts;
 use crate::messages::LoadEntry;
 use crate::server_loads::{HEARTBEAT_LIFE, LoadSummary, ServerLoads, Source, tells_something};
 use crate::waiting::WaitingItems;
@@ -36,9 +37,11 @@
 pub struct LoadTable {
     /// Items that wait for a server.
     pub waiting: WaitingItems,
-    servers: Mutex<HashMap<u32, ServerLoads>>,
+    /// What this node sent to cold servers.
+    pub(crate) cold: ColdParts,
+    pub(crate) servers: Mutex<HashMap<u32, ServerLoads>>,
     pressure: Notify,
-    change: Notify,
+    pub(crate) change: Notify,
 }
 
 /// Number that stands for a node in load tables.
@@ -125,6 +128,7 @@
 
     /// Acts on what others told of a server.
     fn note_news(&self, loads: &mut ServerLoads, now: Instant) {
+        loads.take_thermal_news(now);
         if loads.peers.values().any(|(_, entry)| entry.failed > 0) {
             // The nodes at which requests failed write the record.
             loads.judge(now);
@@ -154,7 +158,9 @@
     pub fn suspect(&self, server: &str, time: Duration) {
         let mut servers = self.servers.lock();
         let loads = servers.entry(server_number(server)).or_default();
-        loads.suspect_until = Some(Instant::now() + time);
+        let now = Instant::now();
+        loads.suspect_until = Some(now + time);
+        loads.thermal.note_silent(now);
     }
 
     /// Notes that a request at the server was served, or failed there; whether the server is newly
@@ -175,7 +181,9 @@
     pub fn heard(&self, server: &str) {
         let mut servers = self.servers.lock();
         let loads = servers.entry(server_number(server)).or_default();
-        loads.heard = Some(Instant::now());
+        let now = Instant::now();
+        loads.heard = Some(now);
+        loads.thermal.note_heard(now);
         loads.suspect_until = None;
     }
 
@@ -338,7 +346,8 @@
             let quiet = loads
                 .heard
                 .is_none_or(|heard| now.duration_since(heard) > QUIET_LIFE);
-            loads.online + loads.batch > 0 || !loads.peers.is_empty() || !quiet
+            let kept = loads.online + loads.batch > 0 || !loads.peers.is_empty() || !quiet;
+            kept || loads.is_followed(now)
         });
     }
 }
--- a/crates/cluster/src/messages.rs
+++ b/crates/cluster/src/messages.rs
@@ -53,6 +53,13 @@
     /// Requests that were served there in the last seconds.
     #[prost(uint32, tag = "8")]
     pub served: u32,
+    /// Time since the newest question to the server was asked that told how cold it is, plus one; 0 when none was
+    /// lately.
+    #[prost(uint32, tag = "9")]
+    pub asked_ms: u32,
+    /// How much longer the server was cold then.
+    #[prost(uint32, tag = "10")]
+    pub cold_ms: u32,
 }
 
 /// The newest messages of other nodes that the sender knows of. The lists run side by side: one
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -11,6 +11,7 @@
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 
+use crate::cold_parts::standing;
 use crate::delegates::{Candidate, delegates};
 use crate::follow::{Contact, TableSink};
 use crate::messages::{Heartbeat, LifeSign, LifeSigns, NodeRow};
@@ -266,6 +267,29 @@
             .collect()
     }
 
+    /// The place of this node among the nodes that stand for a server in a zone; `None` when it is not one of
+    /// them. Rows decide, not who was heard a moment ago, so that a restart changes nothing; where all that
+    /// stand are silent, the nodes of all zones that are heard do.
+    pub fn standing(&self, server: &str, zone: &str, nodes: u32) -> Option<u32> {
+        let now = Instant::now();
+        let peers = self.peers.lock();
+        let own = self.own_name.as_str();
+        let alive = |name: &str, peer: &Peer| {
+            name == own || self.judge(peer, now, peers.len()) != PeerStatus::Down
+        };
+        let listed = peers.iter().filter(|(_, peer)| peer.is_recent(now));
+        let near: Vec<(&String, &Peer)> =
+            listed.filter(|(_, peer)| peer.row.zone == zone).collect();
+        let is_near = self.own_zone == zone;
+        let heard = is_near || near.iter().any(|(name, peer)| alive(name, peer));
+        if heard && near.len() >= nodes as usize {
+            let names = near.iter().map(|(name, _)| name.as_str());
+            return is_near.then(|| standing(server, own, names, nodes))?;
+        }
+        let all = peers.iter().filter(|(name, peer)| alive(name, peer));
+        standing(server, own, all.map(|(name, _)| name.as_str()), nodes)
+    }
+
     /// Number of nodes that have a row, this one included.
     pub fn listed(&self) -> usize {
         self.peers.lock().len()
--- a/crates/cluster/src/server_loads.rs
+++ b/crates/cluster/src/server_loads.rs
@@ -7,6 +7,7 @@
 
 use crate::messages::LoadEntry;
 use crate::outcomes::{Ejection, OutcomeCounts, Outcomes};
+use crate::temperature::{Checked, Temperature, Thermal};
 
 /// Heartbeats older than this tell nothing.
 pub(crate) const HEARTBEAT_LIFE: Duration = Duration::from_millis(1500);
@@ -24,6 +25,8 @@
     pub suspect: bool,
     /// Running mean of the time to the first event, over what was expected.
     pub excess_ms: f64,
+    /// How cold it is; `None` where that is not followed.
+    pub temperature: Option<Temperature>,
 }
 
 /// Whose work an entry counts.
@@ -55,6 +58,10 @@
     /// How this node's requests ended.
     pub(crate) outcomes: Outcomes,
     pub(crate) ejection: Ejection,
+    /// How cold the server is.
+    pub(crate) thermal: Thermal,
+    /// This node's own newest answer to a question of how cold it is.
+    pub(crate) own_check: Option<Checked>,
 }
 
 impl ServerLoads {
@@ -64,6 +71,7 @@
             batch: self.batch,
             unread_tokens: self.unread_tokens,
             suspect: self.is_suspect(now) || self.ejection.is_out(now),
+            temperature: self.followed_temperature(now),
             ..LoadSummary::default()
         };
         for (at, entry) in self.peers.values() {
@@ -102,7 +110,10 @@
     /// This node's own work.
     pub(crate) fn own(&self, server: u32, now: Instant) -> LoadEntry {
         let outcomes = self.outcomes.counts(now);
+        let (asked_ms, cold_ms) = self.own_check_told(now);
         LoadEntry {
+            asked_ms,
+            cold_ms,
             failed: outcomes.failed,
             served: outcomes.served,
             server,
@@ -136,6 +147,7 @@
             sum.suspect |= entry.suspect;
             sum.failed = sum.failed.saturating_add(entry.failed);
             sum.served = sum.served.saturating_add(entry.served);
+            sum.take_newer_check(entry, age);
             if entry.heard_ms > 0 {
                 let heard_ms = entry.heard_ms.saturating_add(age.as_millis() as u32);
                 sum.heard_ms = match sum.heard_ms {
@@ -169,5 +181,5 @@
 }
 
 pub(crate) fn tells_something(entry: &LoadEntry) -> bool {
-    entry.online + entry.batch > 0 || entry.suspect || entry.failed > 0
+    entry.online + entry.batch > 0 || entry.suspect || entry.failed > 0 || entry.asked_ms > 0
 }
--- a/crates/cluster/src/zone_digest.rs
+++ b/crates/cluster/src/zone_digest.rs
@@ -82,11 +82,18 @@
         }
         held.is_none_or(|held| {
             let (heard_ms, served) = (sum.heard_ms, sum.served);
-            LoadEntry {
-                heard_ms,
-                served,
-                ..held.clone()
-            } != *sum
+            // The age of one question only grows; a lower one is of a newer question.
+            let asked_again =
+                sum.asked_ms > 0 && (held.asked_ms == 0 || sum.asked_ms < held.asked_ms);
+            let (asked_ms, cold_ms) = (sum.asked_ms, sum.cold_ms);
+            asked_again
+                || LoadEntry {
+                    asked_ms,
+                    cold_ms,
+                    heard_ms,
+                    served,
+                    ..held.clone()
+                } != *sum
         })
     }
 }
--- /dev/null
+++ b/crates/cluster/tests/cold_parts.rs
@@ -0,0 +1,186 @@
+//! The bound on what a cold server gets from all nodes together, in virtual time: parts without a word, beside
+//! counts that are told.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use dappleyard_cluster::{ColdParts, ColdShare, standing};
+use dappleyard_model::ColdBounds;
+use googletest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
+
+const BOUNDS: ColdBounds = ColdBounds {
+    over: 1.5,
+    slack: 5.0,
+};
+const PER_S: f64 = 11.0;
+const ALLOWED: usize = 21;
+const SERVER: &str = "i-7";
+/// Requests that all nodes together have for the server, a second: far more than it bears.
+const ASKED_PER_S: u64 = 400;
+
+fn names(nodes: std::ops::Range<usize>) -> Vec<String> {
+    nodes.map(|number| format!("node-{number}")).collect()
+}
+
+/// The nodes that stand for the server where these are known.
+fn chosen(known: &[String]) -> Vec<String> {
+    let nodes = ColdShare::new(PER_S, BOUNDS).nodes;
+    let place = |own: &&String| {
+        let others = known.iter().map(String::as_str);
+        standing(SERVER, own, others, nodes).is_some()
+    };
+    known.iter().filter(place).cloned().collect()
+}
+
+/// Most times in any second.
+fn most_in_a_second(mut sent: Vec<u64>) -> usize {
+    sent.sort_unstable();
+    let mut window = VecDeque::new();
+    let mut most = 0;
+    for at in sent {
+        window.push_back(at);
+        while window.front().is_some_and(|first| at - first >= 1_000) {
+            window.pop_front();
+        }
+        most = most.max(window.len());
+    }
+    most
+}
+
+/// What arrives in ten seconds when these nodes stand for the server, each with a part of its own; one node may begin
+/// a new life in between.
+fn arrivals(standing: &BTreeSet<String>, restarts: bool, seed: u64) -> Vec<u64> {
+    let share = ColdShare::new(PER_S, BOUNDS);
+    let mut random = StdRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let long_ago = start.checked_sub(Duration::from_secs(9)).unwrap_or(start);
+    let mut parts: Vec<ColdParts> = standing.iter().map(|_| ColdParts::new(long_ago)).collect();
+    let mut sent = Vec::new();
+    for at_ms in 0..10_000 {
+        let now = start + Duration::from_millis(at_ms);
+        if restarts && at_ms % 700 == 350 {
+            let node = random.random_range(0..parts.len());
+            parts[node] = ColdParts::new(now);
+        }
+        if random.random_range(0..1_000) >= ASKED_PER_S {
+            continue;
+        }
+        let node = random.random_range(0..parts.len());
+        if parts[node].take(1, share.requests, now) {
+            sent.push(at_ms);
+        }
+    }
+    sent
+}
+
+/// The same load over all nodes of a fleet that tell each other each `every_ms` what they have sent, and send while
+/// the sum of what is known is below what the server bears.
+fn arrivals_by_counts(nodes: usize, every_ms: u64, split: bool, seed: u64) -> Vec<u64> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut sent: Vec<(u64, usize)> = Vec::new();
+    for at_ms in 0..10_000_u64 {
+        if random.random_range(0..1_000) >= ASKED_PER_S {
+            continue;
+        }
+        let node = random.random_range(0..nodes);
+        let told = at_ms - at_ms % every_ms;
+        let known = sent.iter().filter(|(at, by)| {
+            let same_side = !split || by % 2 == node % 2;
+            let heard = *by == node || (same_side && *at < told);
+            at_ms - at < 1_000 && heard
+        });
+        if known.count() < PER_S as usize {
+            sent.push((at_ms, node));
+        }
+    }
+    sent.into_iter().map(|(at, _)| at).collect()
+}
+
+#[gtest]
+fn rate_is_divided_within_half_of_the_bound() {
+    let share = ColdShare::new(PER_S, BOUNDS);
+    expect_that!(
+        share,
+        eq(ColdShare {
+            nodes: 5,
+            requests: 2
+        })
+    );
+    for (per_s, over, slack) in [
+        (1.0, 1.0, 1.0),
+        (3.0, 1.5, 5.0),
+        (40.0, 1.2, 0.0),
+        (500.0, 2.0, 9.0),
+    ] {
+        let bounds = ColdBounds { over, slack };
+        let share = ColdShare::new(per_s, bounds);
+        let total = f64::from(share.nodes * share.requests);
+        expect_that!(total, le(per_s));
+        expect_that!(2.0 * total, le(per_s * over + slack));
+        expect_that!(total, ge(1.0));
+    }
+}
+
+#[gtest]
+fn one_view_stays_below_what_a_server_bears() {
+    let standing: BTreeSet<String> = chosen(&names(0..22)).into_iter().collect();
+    expect_that!(standing.len(), eq(5));
+    for seed in 0..5 {
+        let most = most_in_a_second(arrivals(&standing, false, seed));
+        expect_that!(most, le(10));
+        expect_that!(most, ge(9));
+    }
+}
+
+#[gtest]
+fn two_views_without_a_common_node_stay_below_the_bound() {
+    let one = chosen(&names(0..22));
+    let other = chosen(&names(22..44));
+    let standing: BTreeSet<String> = one.into_iter().chain(other).collect();
+    expect_that!(standing.len(), eq(10));
+    for seed in 0..5 {
+        expect_that!(
+            most_in_a_second(arrivals(&standing, false, seed)),
+            le(ALLOWED)
+        );
+    }
+}
+
+#[gtest]
+fn restarts_add_nothing() {
+    let standing: BTreeSet<String> = chosen(&names(0..22)).into_iter().collect();
+    for seed in 0..5 {
+        expect_that!(most_in_a_second(arrivals(&standing, true, seed)), le(10));
+    }
+}
+
+#[gtest]
+fn lost_node_changes_one_place() {
+    let before: BTreeSet<String> = chosen(&names(0..22)).into_iter().collect();
+    for lost in 0..22 {
+        let left: Vec<String> = names(0..22)
+            .into_iter()
+            .filter(|name| *name != format!("node-{lost}"))
+            .collect();
+        let after: BTreeSet<String> = chosen(&left).into_iter().collect();
+        expect_that!(before.union(&after).count(), le(6));
+    }
+}
+
+#[gtest]
+fn counts_that_are_told_pass_the_bound() {
+    // Why parts were taken: what 22 nodes have not told each other yet, and what two sides never do.
+    let most = |every_ms, split| {
+        let seeds = 0..5;
+        let runs =
+            seeds.map(|seed| most_in_a_second(arrivals_by_counts(22, every_ms, split, seed)));
+        runs.max().unwrap_or(0)
+    };
+    let (quick, slow, cut) = (most(25, false), most(150, false), most(150, true));
+    println!("counts told: {quick} at 25 ms, {slow} at 150 ms, {cut} cut in two");
+    expect_that!(slow, gt(ALLOWED));
+    expect_that!(cut, gt(ALLOWED));
+}
--- /dev/null
+++ b/crates/cluster/tests/temperature.rs
@@ -0,0 +1,185 @@
+//! What a node believes of the temperature of a server, as news comes in any order.
+
+use std::time::Duration;
+
+use dappleyard_cluster::{Checked, Teller, Temperature, Thermal};
+use googletest::prelude::*;
+use tokio::time::Instant;
+
+const fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+/// A server that is in use and warm, and the time of its last byte.
+fn in_use() -> (Thermal, Instant) {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut server = Thermal::default();
+    server.note_row(0, now);
+    server.note_heard(now);
+    (server, now)
+}
+
+fn temperature(server: &Thermal, now: Instant) -> Temperature {
+    server.temperature(now).0
+}
+
+fn answer(at: Instant, cold_ms: u64) -> Checked {
+    Checked {
+        at,
+        cold: ms(cold_ms),
+    }
+}
+
+#[gtest]
+fn silent_server_is_unknown_until_asked() {
+    let (mut server, now) = in_use();
+    server.note_silent(now + ms(900));
+    expect_that!(
+        temperature(&server, now + ms(900)),
+        eq(Temperature::Unknown)
+    );
+    // Bytes alone do not tell that it is warm.
+    server.note_heard(now + ms(4_000));
+    expect_that!(
+        temperature(&server, now + ms(4_000)),
+        eq(Temperature::Unknown)
+    );
+    server.note_checked(
+        answer(now + ms(4_010), 3_000),
+        Teller::Health,
+        now + ms(4_020),
+    );
+    expect_that!(
+        server.temperature(now + ms(4_020)),
+        eq((Temperature::Cold, Teller::Health))
+    );
+    expect_that!(temperature(&server, now + ms(7_009)), eq(Temperature::Cold));
+    server.note_heard(now + ms(7_000));
+    expect_that!(
+        server.temperature(now + ms(7_010)),
+        eq((Temperature::Warm, Teller::Time))
+    );
+}
+
+#[gtest]
+fn question_before_the_silence_tells_nothing() {
+    let (mut server, now) = in_use();
+    server.note_silent(now + ms(900));
+    server.note_checked(answer(now + ms(100), 0), Teller::Node, now + ms(950));
+    expect_that!(
+        temperature(&server, now + ms(950)),
+        eq(Temperature::Unknown)
+    );
+}
+
+#[gtest]
+fn server_nobody_used_may_have_been_away() {
+    let (mut server, now) = in_use();
+    expect_that!(temperature(&server, now + ms(1_999)), eq(Temperature::Warm));
+    expect_that!(
+        server.temperature(now + ms(2_000)),
+        eq((Temperature::Unknown, Teller::Unused))
+    );
+    // Somebody else uses it.
+    server.note_heard(now + ms(1_500));
+    expect_that!(temperature(&server, now + ms(2_000)), eq(Temperature::Warm));
+}
+
+#[gtest]
+fn new_server_is_as_its_row_says() {
+    let now = Instant::now();
+    let mut warm = Thermal::default();
+    warm.note_row(0, now);
+    expect_that!(temperature(&warm, now + ms(60_000)), eq(Temperature::Warm));
+    let mut cold = Thermal::default();
+    cold.note_row(3_000, now);
+    expect_that!(temperature(&cold, now), eq(Temperature::Cold));
+    // The same row again, later, is no news.
+    cold.note_row(3_000, now + ms(2_000));
+    expect_that!(temperature(&cold, now + ms(3_000)), eq(Temperature::Warm));
+}
+
+#[gtest]
+fn older_row_that_says_warm_does_not_override() {
+    let (mut server, now) = in_use();
+    server.note_row(500, now);
+    server.note_checked(answer(now + ms(100), 3_000), Teller::Health, now + ms(110));
+    server.note_row(0, now + ms(1_000));
+    expect_that!(temperature(&server, now + ms(1_000)), eq(Temperature::Cold));
+}
+
+#[gtest]
+fn older_row_that_says_cold_does_not_override() {
+    let (mut server, now) = in_use();
+    server.note_checked(answer(now + ms(100), 0), Teller::Health, now + ms(110));
+    server.note_row(3_000, now + ms(2_000));
+    expect_that!(temperature(&server, now + ms(2_000)), eq(Temperature::Warm));
+    // Written after the question, for certain.
+    server.note_heard(now + ms(2_600));
+    server.note_row(2_900, now + ms(2_700));
+    expect_that!(temperature(&server, now + ms(2_700)), eq(Temperature::Cold));
+}
+
+#[gtest]
+fn newest_question_counts() {
+    let (mut server, now) = in_use();
+    server.note_checked(answer(now + ms(300), 3_000), Teller::Node, now + ms(350));
+    server.note_checked(answer(now + ms(200), 0), Teller::Health, now + ms(400));
+    expect_that!(temperature(&server, now + ms(400)), eq(Temperature::Cold));
+}
+
+#[gtest]
+fn word_of_silence_after_the_answer_changes_nothing() {
+    let (mut server, now) = in_use();
+    server.note_told_silent(now + ms(1_000));
+    expect_that!(
+        temperature(&server, now + ms(1_000)),
+        eq(Temperature::Unknown)
+    );
+    server.note_checked(
+        answer(now + ms(1_100), 3_000),
+        Teller::Health,
+        now + ms(1_110),
+    );
+    // The others repeat their word for a while.
+    for after in (1_200..2_200).step_by(150) {
+        server.note_told_silent(now + ms(after));
+        expect_that!(temperature(&server, now + ms(after)), eq(Temperature::Cold));
+    }
+}
+
+#[gtest]
+fn new_silence_is_heard_of_again() {
+    let (mut server, now) = in_use();
+    server.note_told_silent(now + ms(1_000));
+    server.note_checked(answer(now + ms(1_100), 0), Teller::Health, now + ms(1_110));
+    server.note_heard(now + ms(4_900));
+    server.note_told_silent(now + ms(5_000));
+    expect_that!(
+        temperature(&server, now + ms(5_000)),
+        eq(Temperature::Unknown)
+    );
+}
+
+#[gtest]
+fn zone_taken_back_is_unknown() {
+    let (mut server, now) = in_use();
+    server.note_taken_back(now);
+    expect_that!(
+        server.temperature(now),
+        eq((Temperature::Unknown, Teller::TakenBack))
+    );
+}
+
+#[gtest]
+fn full_server_that_answers_gets_the_rate_of_a_cold_one() {
+    let (mut server, now) = in_use();
+    server.note_silent(now);
+    server.note_reached(now + ms(200));
+    expect_that!(
+        temperature(&server, now + ms(200)),
+        eq(Temperature::InDoubt)
+    );
+    server.note_checked(answer(now + ms(500), 0), Teller::Health, now + ms(510));
+    expect_that!(temperature(&server, now + ms(510)), eq(Temperature::Warm));
+}
--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -161,6 +161,10 @@
         "items_given_up" => "items were given up",
         "results_committed" => "results were committed",
         "commit_failed" => "a commit got no answer of use",
+        "server_cold" => "a server is cold and gets a bounded rate",
+        "server_warm" => "a server is warm",
+        "server_temperature_unknown" => "nobody knows whether a server is cold; it is asked",
+        "server_health" => "a server was asked how cold it is",
         other => other,
     }
 }
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -11,7 +11,9 @@
     ConfigurationSink, Contact, Gossip, GossipSettings, GossipTables, LoadTable, NODES_TABLE,
     PeerTable, ServersSink, StoreHealth, TableSink, View, Ways,
 };
-use dappleyard_ingress::{Metrics, Node, PeerAnswers, Upstreams, configure, front_app_data};
+use dappleyard_ingress::{
+    Metrics, Node, PeerAnswers, Upstreams, configure, front_app_data, watch_temperatures,
+};
 use dappleyard_jobs::{JOB_TABLES, JobTable, NodeJobs, Runner};
 use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
 use dappleyard_platform::{HttpRows, PlatformDialect, describe};
@@ -103,6 +105,7 @@
     tokio::task::spawn_local(registration::register(node.clone(), store.clone()));
     let upstreams = Upstreams::new(node.clone());
     spawn_sweep(node.clone(), upstreams.clone());
+    tokio::task::spawn_local(watch_temperatures(upstreams.clone()));
     let runner = Runner::new(node.clone(), table.clone(), store.clone(), upstreams);
     tokio::task::spawn_local(runner.clone().run());
     let server = spawn_server(node.clone(), table, access, histories)?;
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -18,6 +18,7 @@
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
+use crate::cold;
 use crate::holding::Allowance;
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -154,7 +155,8 @@
         let request = self.request(server, attempt);
         let mut connection = self.connect(server).await?;
         // What is known of the server may have changed since it was chosen.
-        if let Some(exclusion) = self.node.view.exclusion(&server.id) {
+        let listed = self.node.view.exclusion(&server.id);
+        if let Some(exclusion) = listed.or_else(|| cold::refusal(&self.node, server)) {
             self.pool.put(server.address, connection);
             return Err(AttemptError {
                 ran: Ran::No,
@@ -200,6 +202,27 @@
         })
     }
 
+    /// Asks a server for its health: the status and what the head says, or `None` without an answer in time.
+    pub(crate) async fn ask_health(
+        &self,
+        server: &ServerRecord,
+        path: &str,
+        limit: Duration,
+    ) -> Option<(u16, AnswerFacts)> {
+        let host = HeaderValue::from_str(&server.address.to_string()).ok()?;
+        let headers = [(&HOST, &host)].into_iter();
+        let request = request_bytes(&Method::GET, path, headers, &Bytes::new());
+        let asking = async {
+            let mut connection = self.connect(server).await.ok()?;
+            let head = connection.send(&request).await.ok()?;
+            let facts = self.node.dialect.answer_facts(head.status, &head.headers);
+            connection.whole_body(FOREIGN_BYTES).await.ok()?;
+            self.pool.put(server.address, connection);
+            Some((head.status, facts))
+        };
+        tokio::time::timeout(limit, asking).await.ok()?
+    }
+
     /// Waits for something of a server, and gives up once the server has been silent for as long
     /// as `patience`, on all connections of this node.
     pub async fn with_patience<T>(
@@ -243,7 +266,9 @@
     }
 
     async fn connect(&self, server: &ServerRecord) -> Result<Connection, AttemptError> {
-        if let Some(connection) = self.pool.take(server.address) {
+        // A server that was away has forgotten its connections; a request on one of them would count as run.
+        let back = self.node.loads.back(&server.id);
+        if let Some(connection) = self.pool.take_after(server.address, back) {
             return Ok(connection);
         }
         Metrics::count(&self.node.metrics.connections);
--- /dev/null
+++ b/crates/ingress/src/cold_watch.rs
@@ -0,0 +1,187 @@
+//! Asks servers that were out of sight how cold they are, and writes down what changes.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use dappleyard_cluster::{Teller, Temperature};
+use dappleyard_model::{ServerRecord, Service};
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::attempt::Upstreams;
+use crate::cold::{ColdGate, share_of};
+use crate::metrics::Metrics;
+
+/// Time between two looks at the servers.
+const LOOK: Duration = Duration::from_millis(50);
+/// Time by which each further node that stands for a server waits longer before it asks, and between two questions
+/// of one node to a server that does not answer. The word of one node reaches the others within half of it.
+const STEP: Duration = Duration::from_millis(400);
+/// Time after which a node that does not stand for a server asks it nevertheless, when others hear the server: the
+/// word of those that stand has not come.
+const OTHERS_AFTER: Duration = Duration::from_millis(1_500);
+/// Longest wait for the answer: the way to another zone, and a slot.
+const ANSWER_LIMIT: Duration = Duration::from_millis(400);
+/// Servers that nobody uses are asked only while callers send requests.
+const CALLERS_LATELY: Duration = Duration::from_secs(2);
+
+/// One server as the watch saw it last.
+struct Watched {
+    temperature: Temperature,
+    next_question: Option<Instant>,
+    seen: Instant,
+}
+
+type Seen = Rc<RefCell<HashMap<String, Watched>>>;
+
+/// Watches the temperatures of the servers that this node uses, until the process ends. Costs nothing where no
+/// service has a bound.
+pub async fn watch_temperatures(upstreams: Upstreams) {
+    let seen = Seen::default();
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let node = upstreams.node();
+        if node.settings.bounds.cold.is_none() {
+            return;
+        }
+        let Some(configuration) = node.view.configuration() else {
+            continue;
+        };
+        let now = Instant::now();
+        let (mut cold, mut unknown) = (0, 0);
+        for service in &configuration.services {
+            let Some(share) = share_of(service, node.settings.bounds.cold) else {
+                continue;
+            };
+            let gate = ColdGate::new(node, share);
+            for server in &node.view.servers(&service.name).used {
+                match look(&upstreams, &gate, &seen, service, server, now) {
+                    Temperature::Warm => {}
+                    Temperature::Cold => cold += 1,
+                    Temperature::InDoubt | Temperature::Unknown => unknown += 1,
+                }
+            }
+        }
+        node.metrics.servers_cold.store(cold, Ordering::Relaxed);
+        node.metrics
+            .servers_unknown
+            .store(unknown, Ordering::Relaxed);
+        seen.borrow_mut().retain(|_, watched| watched.seen == now);
+    }
+}
+
+fn look(
+    upstreams: &Upstreams,
+    gate: &ColdGate<'_>,
+    seen: &Seen,
+    service: &Service,
+    server: &Arc<ServerRecord>,
+    now: Instant,
+) -> Temperature {
+    let (temperature, teller) = upstreams.node().loads.temperature(server);
+    let mut servers = seen.borrow_mut();
+    let watched = servers.entry(server.id.clone()).or_insert(Watched {
+        temperature: Temperature::Warm,
+        next_question: None,
+        seen: now,
+    });
+    watched.seen = now;
+    if std::mem::replace(&mut watched.temperature, temperature) != temperature {
+        log_change(upstreams, server, temperature, teller);
+    }
+    if matches!(temperature, Temperature::Warm | Temperature::Cold) {
+        watched.next_question = None;
+        return temperature;
+    }
+    let next = match (watched.next_question, wait(upstreams, gate, server, teller)) {
+        (_, None) => None,
+        (Some(next), Some(wait)) if next <= now => {
+            ask(upstreams, service, server);
+            Some(now + STEP + wait.mul_f64(rand::rng().random_range(0.5..1.5)))
+        }
+        (Some(next), Some(_)) => Some(next),
+        (None, Some(wait)) => Some(now + wait),
+    };
+    watched.next_question = next;
+    temperature
+}
+
+/// How long this node waits before it asks a server that is out of sight; `None` when others ask.
+fn wait(
+    upstreams: &Upstreams,
+    gate: &ColdGate<'_>,
+    server: &ServerRecord,
+    teller: Teller,
+) -> Option<Duration> {
+    let node = upstreams.node();
+    let idle = node.last_request.lock().elapsed() > CALLERS_LATELY;
+    if teller == Teller::Unused && idle {
+        return None;
+    }
+    match gate.standing(server) {
+        Some(place) => Some(STEP * place),
+        None => node.loads.is_alive(&server.id).then_some(OTHERS_AFTER),
+    }
+}
+
+fn ask(upstreams: &Upstreams, service: &Service, server: &Arc<ServerRecord>) {
+    let (upstreams, server) = (upstreams.clone(), server.clone());
+    let (path, cold_start) = (
+        service.health_path.clone(),
+        Duration::from_millis(service.cold_start_ms),
+    );
+    tokio::task::spawn_local(async move {
+        let node = upstreams.node();
+        let asked = Instant::now();
+        if path.is_empty() {
+            // Nobody can tell: taken for as cold as after a start.
+            return node.loads.note_checked(&server.id, asked, cold_start);
+        }
+        Metrics::count(&node.metrics.health_questions);
+        let answer = upstreams.ask_health(&server, &path, ANSWER_LIMIT).await;
+        let (status, facts) = answer.unwrap_or_default();
+        let other = facts.instance.as_ref().is_some_and(|id| *id != server.id);
+        node.log.write("server_health", || {
+            serde_json::json!({"server": server.id, "status": status, "cold_ms": facts.cold_left_ms,
+                "not_run": facts.not_run, "other_server": other,
+                "took_ms": asked.elapsed().as_millis() as u64})
+        });
+        if status == 0 || other {
+            return;
+        }
+        let cold = match facts.cold_left_ms {
+            Some(cold_ms) => Duration::from_millis(cold_ms),
+            None if status == 200 => Duration::ZERO,
+            // It is full, or it says that it is ill without saying how cold it is.
+            None if facts.not_run => return node.loads.note_reached(&server.id),
+            None => cold_start,
+        };
+        let cold = match cold.is_zero() {
+            true => cold,
+            // Counted from the answer, not from the question.
+            false => cold + asked.elapsed(),
+        };
+        node.loads.note_checked(&server.id, asked, cold);
+    });
+}
+
+fn log_change(
+    upstreams: &Upstreams,
+    server: &ServerRecord,
+    temperature: Temperature,
+    teller: Teller,
+) {
+    let event = match temperature {
+        Temperature::Warm => "server_warm",
+        Temperature::Cold => "server_cold",
+        Temperature::InDoubt | Temperature::Unknown => "server_temperature_unknown",
+    };
+    upstreams.node().log.write(event, || {
+        serde_json::json!({"server": server.id, "zone": server.zone, "told_by": teller.to_string(),
+            "temperature": temperature.to_string()})
+    });
+}
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -11,7 +11,8 @@
 use http::{HeaderMap, Method};
 
 use crate::attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
-use crate::holding::standing;
+use crate::cold::ColdGate;
+use crate::holding::{Standing, standing};
 use crate::metrics::Metrics;
 use crate::outcome::ErrorKind;
 use crate::placement::{
@@ -143,6 +144,11 @@
             Ok(exchange) => exchange,
             Err(error) => {
                 note_failure(upstreams, request, &server, &error);
+                let gate = ColdGate::of(&node, &request.service);
+                if error.ran == Ran::No && gate.is_some_and(|gate| !gate.passes(&server)) {
+                    // The server was not asked: it may be later.
+                    request.asked.remove(&server.id);
+                }
                 continue;
             }
         };
@@ -262,8 +268,14 @@
         target_ms => Duration::from_millis(target_ms),
     };
     loop {
-        let placement = place(upstreams, request)?;
         let standing = standing(request.arrived.elapsed(), target, patience);
+        let Some(placement) = place(upstreams, request) else {
+            if standing == Standing::Due || !is_held_back(upstreams, request) {
+                return None;
+            }
+            tokio::time::sleep(HOLD_TICK).await;
+            continue;
+        };
         // A server without work takes a request from anybody.
         let idle = placement.load.online == 0;
         let allowance = upstreams.allowance();
@@ -306,6 +318,7 @@
     if request.asked.len() >= MOST_ASKED {
         return None;
     }
+    let gate = ColdGate::of(node, &request.service);
     let servers = node.view.servers(&request.service);
     let home = request
         .shape
@@ -321,6 +334,7 @@
         .iter()
         .chain(extra)
         .filter(|server| !request.asked.contains(&server.id))
+        .filter(|server| gate.as_ref().is_none_or(|gate| gate.passes(server)))
         .collect();
     let ways = node.view.ways();
     let home_id = home.map(|home| home.id.as_str());
@@ -358,6 +372,21 @@
     })
 }
 
+/// Whether some server could take the request but for what this node may send to it while it may be cold.
+fn is_held_back(upstreams: &Upstreams, request: &Request) -> bool {
+    let node = upstreams.node();
+    let Some(gate) = ColdGate::of(node, &request.service) else {
+        return false;
+    };
+    let left = request.asked.len() < MOST_ASKED;
+    let servers = node.view.servers(&request.service);
+    let mut open = servers
+        .used
+        .iter()
+        .filter(|server| !request.asked.contains(&server.id));
+    left && open.any(|server| !gate.passes(server))
+}
+
 /// Whether answers of the route come as events.
 pub fn is_event_route(route: &Route) -> bool {
     route.kind == RouteKind::Streaming
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -8,6 +8,8 @@
 mod answer;
 mod attempt;
 mod closing;
+mod cold;
+mod cold_watch;
 mod dispatch;
 mod event_stream;
 mod front;
@@ -20,6 +22,8 @@
 
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
 pub use closing::close;
+pub use cold::ColdGate;
+pub use cold_watch::watch_temperatures;
 pub use event_stream::{Event, EventSplitter};
 pub use front::{JobCalls, JobReply, PeerAnswers, configure, front_app_data};
 pub use holding::{Allowance, Standing, standing};
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -67,6 +67,14 @@
     pub items_left_region: AtomicU64,
     /// Items that went back to wait after a run broke.
     pub items_again: AtomicU64,
+    /// Requests and items held back from servers that may be cold.
+    pub cold_held_back: AtomicU64,
+    /// Questions to servers of how cold they are.
+    pub health_questions: AtomicU64,
+    /// Servers that are cold now.
+    pub servers_cold: AtomicU64,
+    /// Servers of which nobody knows whether they are cold.
+    pub servers_unknown: AtomicU64,
     first_event: [AtomicU64; BOUNDS_MS.len() + 1],
     first_event_sum_ms: AtomicU64,
 }
@@ -102,8 +110,20 @@
             ("results", &self.results),
             ("items_left_region", &self.items_left_region),
             ("items_again", &self.items_again),
+            ("cold_held_back", &self.cold_held_back),
+            ("health_questions", &self.health_questions),
+        ];
+        let gauges = [
+            ("servers_cold", &self.servers_cold),
+            ("servers_temperature_unknown", &self.servers_unknown),
         ];
         let mut text = String::new();
+        for (name, gauge) in gauges {
+            let value = gauge.load(Ordering::Relaxed);
+            text.push_str(&format!(
+                "# TYPE dappleyard_{name} gauge\ndappleyard_{name} {value}\n"
+            ));
+        }
         for (name, counter) in counters {
             let value = counter.load(Ordering::Relaxed);
             text.push_str(&format!(
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dappleyard_cluster::{LoadSummary, WayWeights, Ways};
+use dappleyard_cluster::{LoadSummary, Temperature, WayWeights, Ways};
 use dappleyard_model::{Distance, PromptPart, ServerRecord};
 use rand::Rng;
 use rand::seq::IndexedRandom;
@@ -28,6 +28,9 @@
 };
 /// Remaining milliseconds of a cold start that weigh as much as one request.
 const COLD_MS_PER_UNIT: f64 = 100.0;
+/// Weight of a server that is cold, where its rate is bounded: less than the way to another zone, so that a zone that
+/// returns cold takes part in its own work at once.
+const COLD: f64 = 3.0;
 
 /// Servers of the own zone that one request weighs in a large fleet, drawn at random.
 const NEAR_SAMPLED: usize = 4;
@@ -137,7 +140,12 @@
     let mut weight = requests + f64::from(load.unread_tokens) / TOKENS_PER_UNIT;
     weight += over.max(0.0) * OVER_SLOTS;
     weight += load.excess_ms / EXCESS_MS_PER_UNIT;
-    weight += candidate.server.cold_left_ms as f64 / COLD_MS_PER_UNIT;
+    weight += match load.temperature {
+        // Where a cold server bears a bounded rate, that bound keeps the rest away.
+        Some(Temperature::Warm) => 0.0,
+        Some(_) => COLD,
+        None => candidate.server.cold_left_ms as f64 / COLD_MS_PER_UNIT,
+    };
     weight += ways.weigh(&candidate.server.zone, WAY);
     if load.suspect {
         weight += SUSPECT;
--- a/crates/jobs/src/width.rs
+++ b/crates/jobs/src/width.rs
@@ -1,6 +1,6 @@
 //! How much batch work a server takes beside its online work. Pure.
 
-use dappleyard_cluster::{LoadSummary, Ways};
+use dappleyard_cluster::{LoadSummary, Temperature, Ways};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Slots that stay free for the next online request. More would idle: items that are in the way
@@ -30,7 +30,9 @@
 
 /// Items that a server still takes.
 pub fn room(slots: u32, load: &LoadSummary) -> u32 {
-    if load.suspect || load.unread_tokens > UNREAD_TOKENS {
+    // What a cold server bears is left to online requests.
+    let warm = matches!(load.temperature, None | Some(Temperature::Warm));
+    if load.suspect || !warm || load.unread_tokens > UNREAD_TOKENS {
         return 0;
     }
     slots.saturating_sub(load.online + load.batch + SPARE_SLOTS)
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -101,6 +101,8 @@
     pub name: String,
     /// Most connections that one server accepts.
     pub max_conns: u32,
+    /// Path on which a server answers health questions; empty where it answers none.
+    pub health_path: String,
     /// Time for which a server is cold after its start.
     pub cold_start_ms: u64,
     /// Requests a second that a cold server bears, from all nodes together; 0 is without bound.
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::connection::Connection;
 
 /// How long a resting connection may be used again.
@@ -36,10 +38,16 @@
 
     /// Takes a connection that is fit for use.
     pub fn take(&self, address: SocketAddr) -> Option<Connection> {
+        self.take_after(address, None)
+    }
+
+    /// Takes a connection that is fit for use, and was used after a moment where one is named.
+    pub fn take_after(&self, address: SocketAddr, after: Option<Instant>) -> Option<Connection> {
         let mut resting = self.resting.borrow_mut();
         let connections = resting.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
-            if self.is_fresh(&connection) && connection.is_reusable() {
+            let recent = after.is_none_or(|after| connection.rested() >= after);
+            if recent && self.is_fresh(&connection) && connection.is_reusable() {
                 return Some(connection);
             }
         }
