--- a/crates/cluster/src/cold_loads.rs
+++ b/crates/cluster/src/cold_loads.rs
@@ -98,7 +98,8 @@
         loads.thermal.temperature(now)
     }
 
-    /// When a server was found to be back after a time out of sight; connections that are older may be dead.
+    /// When a server was first seen, or found to be back after a time out of sight; connections that are older may be
+    /// dead.
     pub fn back(&self, server: &str) -> Option<Instant> {
         let servers = self.servers.lock();
         servers.get(&server_number(server))?.thermal.back()
--- a/crates/cluster/src/temperature.rs
+++ b/crates/cluster/src/temperature.rs
@@ -92,7 +92,7 @@
     /// When another node last told that the server is silent.
     silence_told: Option<Instant>,
     teller: Option<Teller>,
-    /// When it was found to be back after a time out of sight.
+    /// When it was first seen, or found to be back after a time out of sight.
     back: Option<Instant>,
 }
 
@@ -136,10 +136,16 @@
     /// Whether a byte came from the server after it went out of sight: asking it is no waste.
     pub fn is_alive(&self, now: Instant) -> bool {
         let since = self.out_of_sight(now).map(|(since, _)| since);
-        since.is_some_and(|since| self.heard.is_some_and(|heard| heard > since))
+        // News of the last bytes may come after the word of silence.
+        let later = |since: Instant| {
+            self.heard
+                .is_some_and(|heard| heard > since + 2 * NEWS_DELAY)
+        };
+        since.is_some_and(later)
     }
 
-    /// When the server was found to be back after a time out of sight: connections that are older may be dead.
+    /// When the server was first seen, or found to be back after a time out of sight: connections to its address that
+    /// are older may be dead.
     pub fn back(&self) -> Option<Instant> {
         self.back
     }
@@ -150,7 +156,10 @@
         if self.row_cold_ms == Some(cold_ms) {
             return;
         }
-        self.row_cold_ms = Some(cold_ms);
+        if self.row_cold_ms.replace(cold_ms).is_none() {
+            // Its address may be that of a server that was there before.
+            self.back = Some(now);
+        }
         let asked_lately = self
             .checked
             .is_some_and(|checked| now.duration_since(checked.at) < ROW_DELAY);
@@ -176,6 +185,11 @@
 
     /// Another node tells that it found the server silent a moment ago; it does so in each message for a while.
     pub fn note_told_silent(&mut self, now: Instant) {
+        let heard = |heard: Instant| now.duration_since(heard) < NEWS_DELAY;
+        if self.heard.is_some_and(heard) {
+            // Others hear the server: the trouble is that node's own. If not, it goes on telling of the silence.
+            return;
+        }
         let last = self.silence_told.replace(now);
         if last.is_some_and(|last| now.duration_since(last) < NEWS_DELAY) {
             return;
