--- a/crates/cluster/src/cold_parts.rs
+++ b/crates/cluster/src/cold_parts.rs
@@ -5,6 +5,7 @@
 //! to at most half of what the operators allow. Many small parts lose less than few large ones when a node is
 //! gone, and each node stands for some servers.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
@@ -13,6 +14,8 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::loads::server_number;
+
 /// The second in which the operators count, and what a request may be late on its way: a request counts where
 /// it was sent and arrived in one second, so more than the time of one look is not needed.
 const WINDOW: Duration = Duration::from_millis(1_050);
@@ -42,6 +45,11 @@
     }
 }
 
+/// Rank of a node for a server; the greatest stand for it.
+fn rank(server: &str, node: &str) -> u64 {
+    xxh3_64_with_seed(node.as_bytes(), u64::from(server_number(server)))
+}
+
 /// The place of a node among those that stand for a server, from 0 on; `None` when it is not among the first
 /// `nodes`.
 pub fn standing<'a>(
@@ -50,14 +58,23 @@
     others: impl Iterator<Item = &'a str>,
     nodes: u32,
 ) -> Option<u32> {
-    let seed = u64::from(crate::loads::server_number(server));
-    let rank = |name: &str| (xxh3_64_with_seed(name.as_bytes(), seed), name.to_owned());
-    let own_rank = rank(own);
-    let before = others.filter(|name| *name != own && rank(name) > own_rank);
+    let own_rank = rank(server, own);
+    let before = others.filter(|name| *name != own && rank(server, name) > own_rank);
     let place = u32::try_from(before.count()).unwrap_or(u32::MAX);
     (place < nodes).then_some(place)
 }
 
+/// The nodes that stand for a server, with what belongs to each.
+pub(crate) fn first<'a, T>(
+    server: &str,
+    mut known: Vec<(&'a str, T)>,
+    nodes: u32,
+) -> Vec<(&'a str, T)> {
+    known.sort_by_key(|(name, _)| Reverse(rank(server, name)));
+    known.truncate(nodes as usize);
+    known
+}
+
 /// What this node has sent to cold servers within the last second.
 #[derive(Debug)]
 pub struct ColdParts {
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 
-use crate::cold_parts::standing;
+use crate::cold_parts::{first, standing};
 use crate::delegates::{Candidate, delegates};
 use crate::follow::{Contact, TableSink};
 use crate::messages::{Heartbeat, LifeSign, LifeSigns, NodeRow};
@@ -91,8 +91,12 @@
 impl Peer {
     /// Whether the node may still be there: it was heard, or its row seen, not long ago.
     fn is_recent(&self, now: Instant) -> bool {
-        let last = self.heard.unwrap_or(self.seen).max(self.seen);
-        now.duration_since(last) < FORGOTTEN
+        now.duration_since(self.last()) < FORGOTTEN
+    }
+
+    /// When it was last heard, or its row seen.
+    fn last(&self) -> Instant {
+        self.heard.unwrap_or(self.seen).max(self.seen)
     }
 
     /// Takes a message of the node for known since some time; an older one than known says nothing.
@@ -268,26 +272,31 @@
     }
 
     /// The place of this node among the nodes that stand for a server in a zone; `None` when it is not one of
-    /// them. Rows decide, not who was heard a moment ago, so that a restart changes nothing; where all that
-    /// stand are silent, the nodes of all zones that are heard do.
+    /// them. Rows choose the nodes of the zone, and as many of other zones for when all of those are silent. Who was
+    /// heard a moment ago chooses nobody: nodes that are cut off from each other would all choose themselves.
     pub fn standing(&self, server: &str, zone: &str, nodes: u32) -> Option<u32> {
         let now = Instant::now();
         let peers = self.peers.lock();
         let own = self.own_name.as_str();
-        let alive = |name: &str, peer: &Peer| {
-            name == own || self.judge(peer, now, peers.len()) != PeerStatus::Down
-        };
-        let listed = peers.iter().filter(|(_, peer)| peer.is_recent(now));
-        let near: Vec<(&String, &Peer)> =
-            listed.filter(|(_, peer)| peer.row.zone == zone).collect();
-        let is_near = self.own_zone == zone;
-        let heard = is_near || near.iter().any(|(name, peer)| alive(name, peer));
-        if heard && near.len() >= nodes as usize {
-            let names = near.iter().map(|(name, _)| name.as_str());
-            return is_near.then(|| standing(server, own, names, nodes))?;
+        // Gone for good is who has been silent for long while others were heard.
+        let newest = peers.values().map(Peer::last).max()?;
+        let listed = peers
+            .iter()
+            .filter(|(name, peer)| *name == own || newest.duration_since(peer.last()) < FORGOTTEN);
+        let (near, far): (Vec<_>, Vec<_>) = listed
+            .map(|(name, peer)| (name.as_str(), peer))
+            .partition(|(_, peer)| peer.row.zone == zone);
+        if near.len() < nodes as usize {
+            let all = near.iter().chain(&far).map(|(name, _)| *name);
+            return standing(server, own, all, nodes);
+        }
+        if self.own_zone == zone {
+            return standing(server, own, near.iter().map(|(name, _)| *name), nodes);
         }
-        let all = peers.iter().filter(|(name, peer)| alive(name, peer));
-        standing(server, own, all.map(|(name, _)| name.as_str()), nodes)
+        let place = standing(server, own, far.iter().map(|(name, _)| *name), nodes)?;
+        let first = first(server, near, nodes);
+        let silent = |peer: &Peer| self.judge(peer, now, peers.len()) == PeerStatus::Down;
+        first.iter().all(|(_, peer)| silent(peer)).then_some(place)
     }
 
     /// Number of nodes that have a row, this one included.
--- a/crates/cluster/tests/gossip.rs
+++ b/crates/cluster/tests/gossip.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use dappleyard_cluster::{
     ConfigurationSink, Gossip, GossipSettings, GossipTables, InFlight, LoadTable, NodeRow,
-    PeerStatus, PeerTable, ServersSink, StoreHealth, TableSink, View, WorkKind,
+    PeerStatus, PeerTable, ServersSink, StoreHealth, TableSink, Temperature, View, WorkKind,
 };
 use dappleyard_model::{EventLog, QuotaBounds, Row, ServerRecord};
 use dappleyard_platform::PlatformDialect;
@@ -188,6 +188,26 @@
     });
 }
 
+#[gtest]
+fn word_of_a_cold_server() {
+    on_local(async {
+        let nodes = fleet(36).await;
+        let cold = Duration::from_secs(60);
+        let all_cold = || {
+            nodes.iter().all(|node| {
+                let (temperature, _) = node.loads.temperature(&server());
+                temperature == Temperature::Cold
+            })
+        };
+        expect_that!(all_cold(), eq(false));
+        // Not every node hears every other: delegates pass the word on, also where no node has work there.
+        until("the node knows its peers", || nodes[7].peers.count() > 24).await;
+        let asked = tokio::time::Instant::now();
+        nodes[7].loads.note_checked("i-1", asked, cold);
+        until("all nodes know", all_cold).await;
+    });
+}
+
 /// Row of one of many servers, as the platform writes it.
 fn server_row(number: usize) -> Row {
     let value = format!(
--- a/crates/ingress/tests/cold.rs
+++ b/crates/ingress/tests/cold.rs
@@ -101,6 +101,15 @@
     }
 }
 
+fn node_row() -> NodeRow {
+    NodeRow {
+        life: 1,
+        zone: "north".to_owned(),
+        peer: "127.0.0.1:1".to_owned(),
+        ..NodeRow::default()
+    }
+}
+
 /// One node that has run for a while and a server whose row says that it is cold for so long.
 async fn site(cold: Option<ColdBounds>, cold_left_ms: u64) -> Site {
     let settings = settings(cold);
@@ -141,6 +150,7 @@
         last_request: Mutex::new(Instant::now()),
         settings,
     });
+    node.peers.change(row("", "a", node_row().encode_to_vec()));
     let record = node.view.server(SERVER).expect("a row");
     Site {
         upstreams: Upstreams::new(node.clone()),
@@ -309,14 +319,9 @@
     run(async {
         let site = site(Some(COLD), 60_000).await;
         for number in 0..30 {
-            let node = NodeRow {
-                life: 1,
-                zone: "north".to_owned(),
-                peer: "127.0.0.1:1".to_owned(),
-                ..NodeRow::default()
-            };
             let name = format!("n{number}");
-            site.node.peers.change(row("", &name, node.encode_to_vec()));
+            let value = node_row().encode_to_vec();
+            site.node.peers.change(row("", &name, value));
         }
         pass(A_WHILE).await;
         let stands = site.node.peers.standing(SERVER, "north", 5).is_some();
