--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -448,10 +448,23 @@
         self.quotas
             .note_node(number, heartbeat.life, &heartbeat.passed);
         let source = Source::Node(number);
-        self.loads.waiting.set_source(source, heartbeat.waiting);
+        if self.waits_near(&heartbeat.name) {
+            self.loads.waiting.set_source(source, heartbeat.waiting);
+        }
         self.loads.set_source(source, heartbeat.loads);
     }
 
+    /// Whether the items that a node tells of wait for the same servers as this node's own: those of other
+    /// regions wait for other servers.
+    fn waits_near(&self, name: &str) -> bool {
+        let ways = self.view.ways();
+        if !ways.has_regions() {
+            return true;
+        }
+        let zone = self.peers.zone_of(name).unwrap_or_default();
+        ways.is_near(&zone)
+    }
+
     /// Whether a message about loads is newer than all before it from its node.
     fn is_newest(&self, node: u64, life: u64, sequence: u64) -> bool {
         let mut newest = self.newest.borrow_mut();
@@ -497,8 +510,7 @@
                 let number = node_number(&zone);
                 self.quotas.note_zone(number, delegate, &told, later);
                 let source = Source::Zone(node_number(&zone));
-                if self.view.ways().is_near(&zone) {
-                    // Items of other regions wait for other servers.
+                if self.waits_near(&summary.name) {
                     self.loads.waiting.set_source(source, summary.waiting);
                 }
                 match summary.changes_only {
--- a/crates/cluster/src/ways.rs
+++ b/crates/cluster/src/ways.rs
@@ -119,7 +119,12 @@
         if zone == self.zone {
             return 0.0;
         }
+        weights.other_zone + self.weigh_time(zone, weights)
+    }
+
+    /// Weight of the time alone by which the way to a zone is longer than one within the region.
+    pub fn weigh_time(&self, zone: &str, weights: WayWeights) -> f64 {
         let extra_ms = self.extra(zone).as_secs_f64() * 1_000.0;
-        weights.other_zone + extra_ms / weights.ms_per_unit
+        extra_ms / weights.ms_per_unit
     }
 }
--- a/crates/cluster/tests/gossip.rs
+++ b/crates/cluster/tests/gossip.rs
@@ -8,9 +8,9 @@
 use bytes::Bytes;
 use dappleyard_cluster::{
     ConfigurationSink, Gossip, GossipSettings, GossipTables, InFlight, LoadTable, NodeRow,
-    PeerStatus, PeerTable, ServersSink, StoreHealth, TableSink, View, WorkKind,
+    PeerStatus, PeerTable, ServersSink, StoreHealth, TableSink, View, Ways, WorkKind,
 };
-use dappleyard_model::{EventLog, QuotaBounds, Row, ServerRecord};
+use dappleyard_model::{EventLog, Places, QuotaBounds, RegionName, Row, ServerRecord, ZoneName};
 use dappleyard_platform::PlatformDialect;
 use dappleyard_tenants::QuotaTable;
 use googletest::prelude::*;
@@ -34,8 +34,16 @@
     task: Option<tokio::task::JoinHandle<()>>,
 }
 
+/// Each zone in a region of its own.
+fn regions() -> Places {
+    let zones = ZONES.into_iter();
+    zones
+        .map(|zone| (ZoneName::from(zone), RegionName::from(zone)))
+        .collect()
+}
+
 impl TestNode {
-    async fn open(number: usize) -> Self {
+    async fn open(number: usize, places: &Places) -> Self {
         let (name, zone) = (format!("node-{number}"), ZONES[number % 3]);
         let log = Arc::new(EventLog::silent());
         let peers = Arc::new(PeerTable::new(&name, zone, log.clone()));
@@ -46,7 +54,8 @@
             life: 1,
             address: ([127, 0, 0, 1], 0).into(),
         };
-        let view = Arc::new(View::new(&name, zone, log));
+        let ways = Arc::new(Ways::new(zone, places));
+        let view = Arc::new(View::with_ways(&name, ways, log));
         let quotas = Arc::new(QuotaTable::new(QUOTA, number as u64));
         let tables = GossipTables {
             peers: peers.clone(),
@@ -87,9 +96,13 @@
 }
 
 async fn fleet(count: usize) -> Vec<TestNode> {
+    fleet_in(&Places::default(), count).await
+}
+
+async fn fleet_in(places: &Places, count: usize) -> Vec<TestNode> {
     let mut nodes = Vec::new();
     for number in 0..count {
-        nodes.push(TestNode::open(number).await);
+        nodes.push(TestNode::open(number, places).await);
     }
     let rows: Vec<Row> = nodes.iter().map(TestNode::row).collect();
     for node in &mut nodes {
@@ -188,6 +201,19 @@
     });
 }
 
+#[gtest]
+fn regions_know_each_others_work() {
+    on_local(async {
+        let nodes = fleet_in(&regions(), 36).await;
+        let under_way = work(&nodes);
+        until("all loads are known", || all_know(&nodes, 36, 36)).await;
+        drop(under_way);
+        until("the end is known", || all_know(&nodes, 0, 0)).await;
+        let all_alive = || nodes.iter().all(|node| node.peers.count() == 36);
+        until("all nodes are heard", all_alive).await;
+    });
+}
+
 /// Row of one of many servers, as the platform writes it.
 fn server_row(number: usize) -> Row {
     let value = format!(
@@ -279,8 +305,8 @@
 }
 
 /// Every node lets requests of one tenant pass; all of them come to know of all.
-async fn credit_is_shared(count: usize) {
-    let nodes = fleet(count).await;
+async fn credit_is_shared(places: Places, count: usize) {
+    let nodes = fleet_in(&places, count).await;
     nodes.iter().for_each(configured);
     let all_heard = || nodes.iter().all(|node| node.peers.count() == count);
     until("all nodes are heard", all_heard).await;
@@ -305,10 +331,15 @@
 
 #[gtest]
 fn small_fleets_share_credit() {
-    on_local(credit_is_shared(12));
+    on_local(credit_is_shared(Places::default(), 12));
 }
 
 #[gtest]
 fn large_fleets_share_credit() {
-    on_local(credit_is_shared(33));
+    on_local(credit_is_shared(Places::default(), 33));
+}
+
+#[gtest]
+fn regions_share_credit() {
+    on_local(credit_is_shared(regions(), 33));
 }
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -153,14 +153,30 @@
     is_sound(candidate) && candidate.load.online < candidate.server.slots
 }
 
-/// The candidates among which a request is placed: those of its own region with a free slot, and all where
-/// there is none. Bytes between regions are dear whatever the way takes, so a request does not leave its
-/// region for a server that is merely less busy.
+/// Weight of the wait at a candidate without a free slot. Items count for nothing, since they give way.
+fn wait(candidate: &Candidate) -> f64 {
+    let ahead = f64::from(candidate.load.online) + 1.0 - f64::from(candidate.server.slots);
+    ahead.max(0.0) * (1.0 + OVER_SLOTS)
+}
+
+/// The candidates among which a request is placed. While one of its own region has a free slot, those that
+/// have one: bytes between regions are dear whatever the way takes, so a request does not leave for a server
+/// that is merely less busy. Otherwise those of other regions with a free slot, where the way there takes
+/// less than the shortest wait here; else all.
 pub fn within_reach(candidates: Vec<Candidate>, ways: &Ways) -> Vec<Candidate> {
     if !ways.has_regions() {
         return candidates;
     }
-    let serves = |held: &Candidate| ways.is_near(&held.server.zone) && has_slot(held);
+    let is_near = |held: &Candidate| ways.is_near(&held.server.zone);
+    let sound = candidates
+        .iter()
+        .filter(|held| is_near(held) && is_sound(held));
+    let shortest_wait = sound.map(wait).fold(f64::INFINITY, f64::min);
+    // The way within the region weighs nothing here: it is within every wait.
+    let serves = |held: &Candidate| {
+        let way = ways.weigh_time(&held.server.zone, WAY);
+        has_slot(held) && (is_near(held) || way < shortest_wait)
+    };
     match candidates.iter().any(serves) {
         true => candidates.into_iter().filter(serves).collect(),
         false => candidates,
--- a/crates/ingress/tests/regions.rs
+++ b/crates/ingress/tests/regions.rs
@@ -77,6 +77,17 @@
         far(),
     ];
     expect_that!(chosen(&full, &ways), eq("far"));
+    // Items at a far server give way, so they do not keep a request waiting here.
+    let items = LoadSummary {
+        online: 4,
+        batch: 4,
+        ..LoadSummary::default()
+    };
+    let waits = [
+        candidate("zone", "a1", online(8)),
+        candidate("far", "b1", items),
+    ];
+    expect_that!(chosen(&waits, &ways), eq("far"));
     let dark = LoadSummary {
         suspect: true,
         ..LoadSummary::default()
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -36,7 +36,7 @@
 
 /// An item presses when it is due within so many times the time that it needs: online work pauses items for
 /// up to half of a wave.
-const PRESSING_RUNS: u64 = 2;
+const PRESSING_RUNS: u64 = 3;
 
 /// An item that waits for its turn.
 struct Turn {
