--- a/crates/jobs/src/claiming.rs
+++ b/crates/jobs/src/claiming.rs
@@ -17,6 +17,9 @@
 /// The same before it trusts that the store answers others no more: after an outage all nodes are
 /// answered again at about the same time.
 const STEADY_FOR_ISOLATION: Duration = Duration::from_millis(2_500);
+/// The same before it takes any job of another region: all nodes of that region are heard by then, or are
+/// silent.
+const STEADY_FOR_AWAY: Duration = Duration::from_millis(2_500);
 
 /// Time for which a node does not take back a job that another one has taken from it: each may hear
 /// nothing of the other and call it gone, and the job would go to and fro.
@@ -58,6 +61,12 @@
     ground.suspected >= SUSPECTED && ground.steady >= needed
 }
 
+/// Whether a node may take a job of another region, when it has run and had answers of the store for so long: one
+/// that has just begun has heard few of that region, which go first.
+pub fn may_claim_away(steady: Duration) -> bool {
+    steady >= STEADY_FOR_AWAY
+}
+
 /// The worker that should take a job: by hash, among those of the region where it was accepted, and among
 /// all when that has none. `is_home` tells whether a zone is in that region.
 pub fn preferred<'a>(
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -24,7 +24,7 @@
 mod width;
 
 pub use calls::NodeJobs;
-pub use claiming::{Ground, may_claim, preferred};
+pub use claiming::{Ground, may_claim, may_claim_away, preferred};
 pub use keys::JOB_TABLES;
 pub use messages::{ItemsBlob, JobRow, JobState, StoredItem, StoredPartial};
 pub use order::{Rank, RunEstimate, rank};
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 use tokio::sync::Notify;
 
-use crate::claiming::{Ground, may_claim, preferred};
+use crate::claiming::{Ground, may_claim, may_claim_away, preferred};
 use crate::give_up::{give_up, is_over};
 use crate::keys::job_key;
 use crate::messages::JobRow;
@@ -34,10 +34,6 @@
 /// Time between two looks from which this node counts as paused.
 const LONGEST_GAP: Duration = Duration::from_millis(500);
 
-/// An item presses when it is due within so many times the time that it needs: online work pauses items for
-/// up to half of a wave.
-const PRESSING_RUNS: u64 = 3;
-
 /// An item that waits for its turn.
 struct Turn {
     job: Rc<OwnedJob>,
@@ -46,8 +42,6 @@
     rank: Rank,
     avoid: Option<String>,
     last: Option<String>,
-    /// It may not be in time if it waits for a server of its region.
-    presses: bool,
 }
 
 /// Runs jobs on one thread.
@@ -209,7 +203,15 @@
             answered: !self.node.health.is_lost(),
             taken: self.taken.borrow().get(job).map(Instant::elapsed),
         };
-        may_claim(ground) && self.is_preferred(job, row)
+        let away = self.is_away(row) && !may_claim_away(ground.steady);
+        may_claim(ground) && !away && self.is_preferred(job, row)
+    }
+
+    /// Whether a job was accepted in another region.
+    fn is_away(&self, row: &JobRow) -> bool {
+        let settings = &self.node.settings;
+        let region = row.region.as_deref();
+        region.is_some_and(|region| !self.node.view.ways().is_in(&settings.zone, region))
     }
 
     /// Whether this node is the one of all that should take a job.
@@ -367,7 +369,7 @@
     fn room_at(&self, service: &str) -> u32 {
         let servers = self.node.view.servers(service);
         let rooms = servers.used.iter().map(|server| self.room_of(server));
-        within_reach(rooms.collect(), self.node.view.ways(), true)
+        within_reach(rooms.collect(), self.node.view.ways())
             .iter()
             .map(|server| room(server.slots, &server.load))
             .sum()
@@ -407,7 +409,6 @@
                 rank: rank(state.row.due_ms, needs_ms, now_ms, priority),
                 avoid: item.avoid.clone(),
                 last: item.last_server.clone(),
-                presses: now_ms + PRESSING_RUNS * needs_ms > state.row.due_ms,
             });
         }
         drop(state);
@@ -464,7 +465,7 @@
             .filter(|server| servers.used.len() == 1 || turn.avoid.as_ref() != Some(&server.id))
             .map(|server| self.room_of(server))
             .collect();
-        let rooms = within_reach(rooms, self.node.view.ways(), turn.presses);
+        let rooms = within_reach(rooms, self.node.view.ways());
         let settings = &self.node.settings;
         let chosen = pick_server(&rooms, &settings.name, &settings.zone, turn.last.as_deref())?.id;
         let mut used = servers.used.iter();
--- a/crates/jobs/src/width.rs
+++ b/crates/jobs/src/width.rs
@@ -36,22 +36,14 @@
     slots.saturating_sub(load.online + load.batch + SPARE_SLOTS)
 }
 
-/// The servers among which an item is placed: those of the own region, unless none of them lives, or none
-/// has room for an item that `presses`. The time of the way is nothing beside that of an item; its bytes are
-/// dear, so that no load elsewhere makes up for them.
-pub fn within_reach<'a>(
-    servers: Vec<ServerRoom<'a>>,
-    ways: &Ways,
-    presses: bool,
-) -> Vec<ServerRoom<'a>> {
-    if !ways.has_regions() {
-        return servers;
-    }
+/// The servers among which an item is placed: those of the own region while any of them has room, else all.
+/// The time of the way is nothing beside that of an item; its bytes are dear, so that no server elsewhere is
+/// taken for being less busy.
+pub fn within_reach<'a>(servers: Vec<ServerRoom<'a>>, ways: &Ways) -> Vec<ServerRoom<'a>> {
     let is_near = |server: &ServerRoom<'a>| ways.is_near(server.zone);
-    let near = || servers.iter().filter(|server| is_near(server));
-    let lives = near().any(|server| !server.load.suspect);
-    let has_room = near().any(|server| room(server.slots, &server.load) > 0);
-    match has_room || (lives && !presses) {
+    let has_room = |server: &ServerRoom<'a>| room(server.slots, &server.load) > 0;
+    let stays = |server: &ServerRoom<'a>| is_near(server) && has_room(server);
+    match ways.has_regions() && servers.iter().any(stays) {
         true => servers.into_iter().filter(is_near).collect(),
         false => servers,
     }
