--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -272,6 +272,10 @@
     /// As a delegate, tells each node of the zone what all others do.
     fn tell_zone(&self, peers: &[RelayPeer], delegates: &[&str], duties: Duties) {
         let signs = duties.signs.then(|| self.peers.life_signs(None));
+        let evacuated = match duties.signs {
+            true => self.view.evacuated_work(&self.loads),
+            false => Vec::new(),
+        };
         let used = self.used.borrow();
         let zone = &self.settings.zone;
         let near: Vec<&RelayPeer> = peers.iter().filter(|peer| peer.zone == *zone).collect();
@@ -289,6 +293,7 @@
                     loads,
                     waiting: self.loads.waiting.sum_without(node_number(&peer.name)),
                     signs: signs.clone(),
+                    evacuated: evacuated.clone(),
                     ..self.summary()
                 }),
             };
@@ -520,6 +525,7 @@
             }
             (false, false) => {
                 self.told.set(Some(Instant::now()));
+                self.loads.zones.note(summary.evacuated);
                 self.quotas.note_levels(&summary.levels);
                 self.loads
                     .waiting
--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -14,6 +14,7 @@
 use crate::messages::LoadEntry;
 use crate::server_loads::{HEARTBEAT_LIFE, LoadSummary, ServerLoads, Source, tells_something};
 use crate::waiting::WaitingItems;
+use crate::zones::ToldZones;
 use tokio::time::Instant;
 
 /// Mixes the order in which nodes pause items, another one for each server.
@@ -37,6 +38,8 @@
 pub struct LoadTable {
     /// Items that wait for a server.
     pub waiting: WaitingItems,
+    /// Work in evacuated zones, as a delegate told it.
+    pub zones: ToldZones,
     /// What this node sent to cold servers.
     pub(crate) cold: ColdParts,
     pub(crate) servers: Mutex<HashMap<u32, ServerLoads>>,
@@ -146,6 +149,18 @@
         }
     }
 
+    /// Online requests and items at some servers together.
+    pub(crate) fn work_at(&self, numbers: &[u32]) -> (u32, u32) {
+        let now = Instant::now();
+        let servers = self.servers.lock();
+        let loads = numbers.iter().filter_map(|number| servers.get(number));
+        loads
+            .map(|loads| loads.summary(now))
+            .fold((0, 0), |(online, batch), load| {
+                (online + load.online, batch + load.batch)
+            })
+    }
+
     /// Load of a server.
     pub fn summary(&self, server: &str) -> LoadSummary {
         let servers = self.servers.lock();
--- a/crates/cluster/src/messages.rs
+++ b/crates/cluster/src/messages.rs
@@ -160,6 +160,20 @@
     pub passed: Vec<PassedCount>,
 }
 
+/// What still runs at the servers of an evacuated zone, over all nodes.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ZoneWork {
+    /// Hash of the zone's name.
+    #[prost(fixed64, tag = "1")]
+    pub zone: u64,
+    /// Online requests under way.
+    #[prost(uint32, tag = "2")]
+    pub online: u32,
+    /// Batch items under way.
+    #[prost(uint32, tag = "3")]
+    pub batch: u32,
+}
+
 /// Loads and life signs that a delegate of a zone has summed.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Summary {
@@ -197,6 +211,9 @@
     /// Thousandths of the nodes of the sender's zone that told it a moment ago what they let pass.
     #[prost(uint32, tag = "12")]
     pub heard_permille: u32,
+    /// What still runs in evacuated zones, for the nodes of the sender's zone; not in every summary.
+    #[prost(message, repeated, tag = "20")]
+    pub evacuated: Vec<ZoneWork>,
 }
 
 /// Work of one node at the servers where it has changed since the node last told of it.
--- /dev/null
+++ b/crates/cluster/src/orders.rs
@@ -0,0 +1,133 @@
+//! Rows of the operators: the configuration, and the zones that are evacuated.
+
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+
+use dappleyard_model::{Dialect, EventLog, OperatorOrder, Row, ZoneName};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3Default;
+
+use crate::evacuations::ZoneRow;
+use crate::follow::{Contact, TableSink};
+use crate::view::View;
+
+/// Why a row is passed over whose key the formats do not name.
+const NO_ORDER: &str = "no order has such a key";
+
+/// Feeds the operators' rows into a view.
+pub struct ConfigurationSink {
+    /// The view.
+    pub view: Arc<View>,
+    /// Formats.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+impl ConfigurationSink {
+    fn log(&self) -> &EventLog {
+        self.view.log()
+    }
+
+    fn configure(&self, row: &Row) {
+        let Some(value) = &row.value else {
+            return;
+        };
+        match self.dialect.configuration(value) {
+            Ok(configuration) => self.view.apply_configuration(configuration, row.revision),
+            Err(error) => self.log().write(
+                "configuration_refused",
+                || serde_json::json!({"cause": error.to_string(), "revision": row.revision}),
+            ),
+        }
+    }
+
+    /// Whether the value of an order can be read; a record names the row where it cannot.
+    fn is_readable(&self, row: &Row) -> bool {
+        let value = row.value.as_deref().unwrap_or_default();
+        match self.dialect.evacuation(value) {
+            Ok(()) => true,
+            Err(error) => {
+                self.refuse(row, &error.to_string());
+                false
+            }
+        }
+    }
+
+    fn refuse(&self, row: &Row, cause: &str) {
+        self.log().write(
+            "order_refused",
+            || serde_json::json!({"row": row.key, "revision": row.revision, "cause": cause}),
+        );
+    }
+
+    fn change_zone(&self, zone: &ZoneName, row: &Row) {
+        let now = Instant::now();
+        match row.value {
+            None => self
+                .view
+                .change_zones(|zones| Vec::from_iter(zones.withdraw(zone, row.revision, now))),
+            Some(_) if self.is_readable(row) => self
+                .view
+                .change_zones(|zones| Vec::from_iter(zones.give(zone, row.revision, now))),
+            Some(_) => {}
+        }
+    }
+}
+
+impl TableSink for ConfigurationSink {
+    fn table(&self) -> &'static str {
+        self.dialect.sources().configuration_table
+    }
+
+    fn is_partitioned(&self) -> bool {
+        false
+    }
+
+    /// An order that is written again with the same value was withdrawn in between.
+    fn essence(&self, row: &Row) -> u64 {
+        let mut hasher = Xxh3Default::new();
+        row.value.hash(&mut hasher);
+        if matches!(
+            self.dialect.order(&row.key),
+            Some(OperatorOrder::Evacuation(_))
+        ) {
+            row.revision.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    fn replace(&self, rows: Vec<Row>, revision: u64) {
+        let mut zones = Vec::new();
+        let mut configurations = Vec::new();
+        for row in &rows {
+            match self.dialect.order(&row.key) {
+                Some(OperatorOrder::Configuration) => configurations.push(row),
+                Some(OperatorOrder::Evacuation(zone)) => zones.push(ZoneRow {
+                    zone,
+                    revision: row.revision,
+                    readable: self.is_readable(row),
+                }),
+                None => self.refuse(row, NO_ORDER),
+            }
+        }
+        // A node is ready once it has a configuration: by then it must know the zones.
+        let now = Instant::now();
+        self.view
+            .change_zones(|held| held.replace(&zones, revision, now));
+        configurations
+            .into_iter()
+            .for_each(|row| self.configure(row));
+    }
+
+    fn change(&self, row: Row) {
+        match self.dialect.order(&row.key) {
+            Some(OperatorOrder::Configuration) => self.configure(&row),
+            Some(OperatorOrder::Evacuation(zone)) => self.change_zone(&zone, &row),
+            None if row.value.is_some() => self.refuse(&row, NO_ORDER),
+            None => {}
+        }
+    }
+
+    fn contact(&self, contact: &Contact) {
+        self.view.note_contact(contact);
+    }
+}
--- a/crates/cluster/src/servers.rs
+++ b/crates/cluster/src/servers.rs
@@ -16,8 +16,9 @@
 const ALL_USED: usize = 64;
 /// Servers of the own zone that a node of a large fleet uses.
 const NEAR_USED: usize = 40;
-/// Servers of any other zone that it uses besides, for when its zone has none; in a service that is
-/// spread over regions, servers of other regions.
+/// Servers of any other zone that it uses besides; in a service that is spread over regions, servers of other
+/// regions. Where the own zone has none, evacuated ones say, a node uses as many of other zones as it would of all:
+/// eight would be full while most of the fleet has room.
 const FAR_USED: usize = 8;
 /// Servers of the other zones of its region that it uses, where a service is spread over regions: the
 /// sum of all is then no more than where all are used.
@@ -37,8 +38,8 @@
     pub all: Vec<Arc<ServerRecord>>,
     /// Those that the node sends work to.
     pub used: Vec<Arc<ServerRecord>>,
-    /// Those among which prompts have their homes: all, or those of the zone in a large fleet; never
-    /// those of another region while the own one has any.
+    /// Those among which prompts have their homes: all, or those of the zone in a large fleet where it has
+    /// any; never those of another region while the own one has any.
     pub homes: Vec<Arc<ServerRecord>>,
 }
 
@@ -86,6 +87,13 @@
             .in_turn(&all)
             .into_iter()
             .partition(|server| server.zone == self.ways.zone());
+        if near.is_empty() {
+            return ServerSet {
+                used: far.into_iter().take(NEAR_USED + FAR_USED).collect(),
+                homes: all.clone(),
+                all,
+            };
+        }
         let mut homes = near.clone();
         homes.sort_by(|a, b| a.id.cmp(&b.id));
         let used = near.into_iter().take(NEAR_USED);
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_model::{Configuration, Dialect, EventLog, OperatorOrder, Row, ServerRecord};
+use dappleyard_model::{Configuration, Dialect, EventLog, Row, ServerRecord};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::eligibility::Exclusion;
+use crate::evacuations::Evacuations;
 use crate::follow::{Contact, TableSink};
 use crate::loads::server_number;
 use crate::servers::{ServerSet, Standpoint};
@@ -29,9 +30,10 @@
 }
 
 #[derive(Default)]
-struct Known {
+pub(crate) struct Known {
     configuration: Option<Arc<Configuration>>,
-    servers: HashMap<String, (u64, Arc<ServerRecord>)>,
+    pub(crate) evacuations: Evacuations,
+    pub(crate) servers: HashMap<String, (u64, Arc<ServerRecord>)>,
     by_service: HashMap<String, KnownSet>,
     sets_built: u64,
     servers_read: bool,
@@ -43,8 +45,8 @@
 
 /// The configuration in force and the servers, shared by all threads.
 pub struct View {
-    known: Mutex<Known>,
-    changed: Notify,
+    pub(crate) known: Mutex<Known>,
+    pub(crate) changed: Notify,
     own: Standpoint,
     log: Arc<EventLog>,
 }
@@ -70,6 +72,11 @@
         self.own.ways()
     }
 
+    /// Where records go.
+    pub(crate) fn log(&self) -> &EventLog {
+        &self.log
+    }
+
     /// The configuration in force, or `None` before the first one.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         self.known.lock().configuration.clone()
@@ -93,8 +100,9 @@
 
     fn build(&self, known: &mut Known, service: &str) -> Arc<ServerSet> {
         let servers = known.servers.values().map(|(_, server)| server);
-        let open = servers
-            .filter(|server| server.service == service && Self::exclusion_of(server).is_none());
+        let open = servers.filter(|server| {
+            server.service == service && Self::exclusion_of(known, server).is_none()
+        });
         let set = Arc::new(self.own.servers(open.cloned().collect()));
         let held = KnownSet {
             set: set.clone(),
@@ -116,13 +124,17 @@
         let known = self.known.lock();
         match known.servers.get(id) {
             None => Some(Exclusion::Gone),
-            Some((_, server)) => Self::exclusion_of(server),
+            Some((_, server)) => Self::exclusion_of(&known, server),
         }
     }
 
     /// Why a server that is listed gets no new work.
-    fn exclusion_of(server: &ServerRecord) -> Option<Exclusion> {
-        server.draining.then_some(Exclusion::Draining)
+    pub(crate) fn exclusion_of(known: &Known, server: &ServerRecord) -> Option<Exclusion> {
+        if server.draining {
+            return Some(Exclusion::Draining);
+        }
+        let evacuated = known.evacuations.is_evacuated(&server.zone);
+        evacuated.then_some(Exclusion::ZoneEvacuated)
     }
 
     /// Numbers of the servers that this node uses, when it does not use all.
@@ -155,12 +167,18 @@
         known.configuration_contact.map(|at| at.elapsed())
     }
 
-    /// Waits for the next change of configuration or servers.
+    /// Notes up to when the operators' rows are known.
+    pub(crate) fn note_contact(&self, contact: &Contact) {
+        let mut known = self.known.lock();
+        known.configuration_contact = known.configuration_contact.max(contact.known_at());
+    }
+
+    /// Waits for the next change of configuration, servers or evacuated zones.
     pub async fn changed(&self) {
         self.changed.notified().await;
     }
 
-    fn apply_configuration(&self, configuration: Configuration, revision: u64) {
+    pub(crate) fn apply_configuration(&self, configuration: Configuration, revision: u64) {
         let mut known = self.known.lock();
         let current = known.configuration.as_ref().map_or(0, |held| held.version);
         if configuration.version <= current && known.configuration.is_some() {
@@ -197,7 +215,7 @@
     }
 
     /// The sets of all services are to be built anew.
-    fn all_stale(known: &mut Known) {
+    pub(crate) fn all_stale(known: &mut Known) {
         known
             .by_service
             .values_mut()
@@ -241,51 +259,6 @@
     }
 }
 
-/// Feeds configurations into a view.
-pub struct ConfigurationSink {
-    /// The view.
-    pub view: Arc<View>,
-    /// Formats.
-    pub dialect: Arc<dyn Dialect>,
-}
-
-impl TableSink for ConfigurationSink {
-    fn table(&self) -> &'static str {
-        self.dialect.sources().configuration_table
-    }
-
-    fn is_partitioned(&self) -> bool {
-        false
-    }
-
-    fn replace(&self, rows: Vec<Row>, _revision: u64) {
-        for row in rows {
-            self.change(row);
-        }
-    }
-
-    fn change(&self, row: Row) {
-        if self.dialect.order(&row.key) != Some(OperatorOrder::Configuration) {
-            return;
-        }
-        let Some(value) = &row.value else {
-            return;
-        };
-        match self.dialect.configuration(value) {
-            Ok(configuration) => self.view.apply_configuration(configuration, row.revision),
-            Err(error) => self.view.log.write(
-                "configuration_refused",
-                || serde_json::json!({"cause": error.to_string(), "revision": row.revision}),
-            ),
-        }
-    }
-
-    fn contact(&self, contact: &Contact) {
-        let mut known = self.view.known.lock();
-        known.configuration_contact = known.configuration_contact.max(contact.known_at());
-    }
-}
-
 /// Feeds servers into a view.
 pub struct ServersSink {
     /// The view.
--- /dev/null
+++ b/crates/cluster/src/zones.rs
@@ -0,0 +1,126 @@
+//! Zones as a view knows them: which are evacuated, which servers they have, and what still runs there.
+
+use std::collections::{BTreeMap, HashMap};
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::eligibility::Exclusion;
+use crate::evacuations::{Evacuation, Evacuations, ZoneChange};
+use crate::loads::{LoadTable, node_number, server_number};
+use crate::messages::ZoneWork;
+use crate::peers::PeerTable;
+use crate::server_loads::HEARTBEAT_LIFE;
+use crate::view::View;
+
+impl View {
+    /// Whether a service has servers, and all that could serve are in evacuated zones.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let known = self.known.lock();
+        let servers = known.servers.values().map(|(_, server)| server);
+        let mut open = servers
+            .filter(|server| server.service == service)
+            .map(|server| Self::exclusion_of(&known, server))
+            .filter(|exclusion| *exclusion != Some(Exclusion::Draining))
+            .peekable();
+        open.peek().is_some() && open.all(|why| why == Some(Exclusion::ZoneEvacuated))
+    }
+
+    /// The zones that are evacuated.
+    pub fn evacuations(&self) -> Vec<Evacuation> {
+        self.known.lock().evacuations.standing().collect()
+    }
+
+    /// When this node learnt that an evacuated zone was taken back, as [`Evacuations::restored_at`] says.
+    pub fn restored_at(&self, zone: &str) -> Option<Instant> {
+        self.known.lock().evacuations.restored_at(zone)
+    }
+
+    /// Number of servers in each zone, draining ones included.
+    pub fn servers_by_zone(&self) -> BTreeMap<String, u32> {
+        let known = self.known.lock();
+        let mut zones: BTreeMap<String, u32> = BTreeMap::new();
+        for (_, server) in known.servers.values() {
+            *zones.entry(server.zone.clone()).or_default() += 1;
+        }
+        zones
+    }
+
+    /// Numbers of the servers of a zone.
+    fn numbers_in(&self, zone: &str) -> Vec<u32> {
+        let known = self.known.lock();
+        let servers = known.servers.values();
+        servers
+            .filter(|(_, server)| server.zone == zone)
+            .map(|(_, server)| server_number(&server.id))
+            .collect()
+    }
+
+    /// Changes what is known of evacuated zones. The sets of all services are built anew when anything changes.
+    pub(crate) fn change_zones(&self, change: impl FnOnce(&mut Evacuations) -> Vec<ZoneChange>) {
+        let mut known = self.known.lock();
+        let changes = change(&mut known.evacuations);
+        if changes.is_empty() {
+            return;
+        }
+        Self::all_stale(&mut known);
+        drop(known);
+        for change in &changes {
+            let kind = match change.evacuated {
+                true => "zone_evacuated",
+                false => "zone_restored",
+            };
+            self.log().write(kind, || {
+                serde_json::json!({"zone": change.zone.to_string(), "revision": change.revision,
+                    "servers": self.numbers_in(change.zone.as_str()).len()})
+            });
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// What still runs in each evacuated zone, over all nodes, as this node's table of loads knows it.
+    pub(crate) fn evacuated_work(&self, loads: &LoadTable) -> Vec<ZoneWork> {
+        let zones = self.evacuations().into_iter();
+        zones
+            .map(|held| self.work_in(held.zone.as_str(), loads))
+            .collect()
+    }
+
+    fn work_in(&self, zone: &str, loads: &LoadTable) -> ZoneWork {
+        let (online, batch) = loads.work_at(&self.numbers_in(zone));
+        ZoneWork {
+            zone: node_number(zone),
+            online,
+            batch,
+        }
+    }
+
+    /// What still runs in a zone, over all nodes; `None` while this node has not been told. In a large fleet
+    /// only delegates hear of all servers, and tell the other nodes of the zones that are evacuated.
+    pub fn zone_work(&self, zone: &str, loads: &LoadTable, peers: &PeerTable) -> Option<ZoneWork> {
+        match peers.is_large() && !peers.is_delegate() {
+            true => loads.zones.told(zone),
+            false => Some(self.work_in(zone, loads)),
+        }
+    }
+}
+
+/// What a delegate told of the work in evacuated zones.
+#[derive(Default)]
+pub struct ToldZones(Mutex<HashMap<u64, (Instant, ZoneWork)>>);
+
+impl ToldZones {
+    /// Takes what a delegate told.
+    pub(crate) fn note(&self, told: Vec<ZoneWork>) {
+        let now = Instant::now();
+        let mut held = self.0.lock();
+        held.retain(|_, (at, _)| now.duration_since(*at) < HEARTBEAT_LIFE);
+        held.extend(told.into_iter().map(|work| (work.zone, (now, work))));
+    }
+
+    fn told(&self, zone: &str) -> Option<ZoneWork> {
+        let held = self.0.lock();
+        let (at, work) = held.get(&node_number(zone))?;
+        (at.elapsed() < HEARTBEAT_LIFE).then(|| work.clone())
+    }
+}
--- /dev/null
+++ b/crates/cluster/tests/evacuations.rs
@@ -0,0 +1,433 @@
+//! Zones that the operators have evacuated: orders, withdrawals, and reads that overtake each other.
+
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::mpsc::{Sender, channel};
+use std::time::Duration;
+
+use bytes::Bytes;
+use dappleyard_cluster::{
+    ConfigurationSink, Evacuations, Exclusion, ServersSink, TableSink, View, ZoneRow, follow,
+};
+use dappleyard_emulator::EmulatedRows;
+use dappleyard_model::{EventLog, Row, ZoneName};
+use dappleyard_platform::PlatformDialect;
+use googletest::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+const ZONES: [&str; 3] = ["north", "south", "west"];
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::from(name)
+}
+
+fn order(name: &str, revision: u64) -> ZoneRow {
+    ZoneRow {
+        zone: zone(name),
+        revision,
+        readable: true,
+    }
+}
+
+fn evacuated(zones: &Evacuations) -> Vec<String> {
+    zones.standing().map(|held| held.zone.to_string()).collect()
+}
+
+#[gtest]
+fn newest_decides() {
+    let (mut zones, now) = (Evacuations::default(), Instant::now());
+    expect_that!(zones.give(&zone("north"), 5, now), some(anything()));
+    expect_that!(zones.withdraw(&zone("north"), 4, now), none());
+    expect_that!(zones.is_evacuated("north"), eq(true));
+    expect_that!(zones.withdraw(&zone("north"), 7, now), some(anything()));
+    expect_that!(zones.give(&zone("north"), 6, now), none());
+    expect_that!(zones.give(&zone("north"), 7, now), none());
+    expect_that!(zones.is_evacuated("north"), eq(false));
+    expect_that!(zones.give(&zone("north"), 8, now), some(anything()));
+    expect_that!(evacuated(&zones), elements_are![eq("north")]);
+}
+
+#[gtest]
+fn whole_read() {
+    let (mut zones, now) = (Evacuations::default(), Instant::now());
+    zones.give(&zone("north"), 5, now);
+    zones.give(&zone("south"), 9, now);
+    // As of 7 north was taken back; south came later than this read.
+    let changes = zones.replace(&[order("west", 6)], 7, now);
+    expect_that!(changes.len(), eq(2));
+    expect_that!(evacuated(&zones), elements_are![eq("south"), eq("west")]);
+    // An order that this read would have shown is older than it.
+    expect_that!(zones.give(&zone("east"), 6, now), none());
+    expect_that!(zones.give(&zone("north"), 5, now), none());
+}
+
+#[gtest]
+fn older_read() {
+    let (mut zones, now) = (Evacuations::default(), Instant::now());
+    zones.give(&zone("north"), 5, now);
+    zones.withdraw(&zone("north"), 8, now);
+    zones.give(&zone("south"), 9, now);
+    expect_that!(zones.replace(&[order("north", 5)], 6, now), is_empty());
+    expect_that!(evacuated(&zones), elements_are![eq("south")]);
+}
+
+#[gtest]
+fn unreadable_row() {
+    let (mut zones, now) = (Evacuations::default(), Instant::now());
+    zones.give(&zone("north"), 5, now);
+    let unreadable = |name| ZoneRow {
+        readable: false,
+        ..order(name, 8)
+    };
+    let rows = [unreadable("north"), unreadable("south")];
+    expect_that!(zones.replace(&rows, 9, now), is_empty());
+    expect_that!(evacuated(&zones), elements_are![eq("north")]);
+}
+
+#[gtest]
+fn restored() {
+    let (mut zones, now) = (Evacuations::default(), Instant::now());
+    expect_that!(zones.restored_at("north"), none());
+    zones.give(&zone("north"), 5, now);
+    expect_that!(zones.restored_at("north"), none());
+    let later = now + Duration::from_secs(3);
+    zones.withdraw(&zone("north"), 6, later);
+    expect_that!(zones.restored_at("north"), some(eq(later)));
+    // An order that came and went unheard has left the zone's servers cold all the same.
+    zones.withdraw(&zone("south"), 7, later);
+    expect_that!(zones.restored_at("south"), some(eq(later)));
+    // Given again, it is no longer restored; the new order counts from then on.
+    zones.give(&zone("north"), 8, later);
+    expect_that!(zones.restored_at("north"), none());
+    let since: Vec<Instant> = zones.standing().map(|held| held.since).collect();
+    expect_that!(since, elements_are![eq(&later)]);
+}
+
+#[gtest]
+fn given_again() {
+    let (mut zones, now) = (Evacuations::default(), Instant::now());
+    zones.give(&zone("north"), 5, now);
+    let later = now + Duration::from_secs(3);
+    // Withdrawn and given again between two answers of the store.
+    expect_that!(zones.give(&zone("north"), 9, later), some(anything()));
+    let held: Vec<(u64, Instant)> = zones
+        .standing()
+        .map(|held| (held.revision, held.since))
+        .collect();
+    expect_that!(held, elements_are![eq(&(9, later))]);
+    expect_that!(zones.withdraw(&zone("north"), 7, later), none());
+}
+
+#[gtest]
+fn many_names() {
+    let (mut zones, now) = (Evacuations::default(), Instant::now());
+    for number in 0..1_000 {
+        let name = zone(&format!("zone-{number}"));
+        zones.give(&name, 2 * number + 1, now);
+        zones.withdraw(&name, 2 * number + 2, now);
+    }
+    let remembered = (0..1_000).filter(|number| {
+        let name = format!("zone-{number}");
+        zones.restored_at(&name).is_some()
+    });
+    expect_that!(remembered.count(), eq(64));
+    // What is forgotten does not come back.
+    expect_that!(zones.give(&zone("zone-0"), 1, now), none());
+    expect_that!(evacuated(&zones), is_empty());
+}
+
+struct TestView {
+    view: Arc<View>,
+    orders: Rc<ConfigurationSink>,
+    servers: ServersSink,
+}
+
+fn view_with(log: EventLog) -> TestView {
+    let view = Arc::new(View::new("node", "north", Arc::new(log)));
+    let orders = ConfigurationSink {
+        view: view.clone(),
+        dialect: Arc::new(PlatformDialect),
+    };
+    let servers = ServersSink {
+        view: view.clone(),
+        dialect: Arc::new(PlatformDialect),
+    };
+    TestView {
+        view,
+        orders: Rc::new(orders),
+        servers,
+    }
+}
+
+fn view() -> TestView {
+    view_with(EventLog::silent())
+}
+
+fn row(key: &str, value: Option<&str>, revision: u64) -> Row {
+    Row {
+        part: String::new(),
+        key: key.to_owned(),
+        value: value.map(|value| Bytes::from(value.to_owned())),
+        revision,
+    }
+}
+
+impl TestView {
+    /// Lists `count` servers, spread over the zones.
+    fn list(&self, count: usize) {
+        for number in 0..count {
+            let zone = ZONES[number % ZONES.len()];
+            let entry = format!(
+                r#"{{"service":"llm","address":"10.0.0.1:{}","zone":"{zone}","slots":8,"state":"ready"}}"#,
+                1_000 + number
+            );
+            let key = format!("i-{number:03}");
+            self.servers.change(row(&key, Some(&entry), 1));
+        }
+    }
+
+    fn evacuate(&self, zone: &str, revision: u64) {
+        self.orders
+            .change(row(&format!("evacuate/{zone}"), Some("{}"), revision));
+    }
+
+    fn take_back(&self, zone: &str, revision: u64) {
+        self.orders
+            .change(row(&format!("evacuate/{zone}"), None, revision));
+    }
+
+    /// Zones that servers which get work are in.
+    fn zones(&self) -> Vec<String> {
+        let servers = self.view.servers("llm");
+        let sets = [&servers.all, &servers.used, &servers.homes];
+        let zones = sets.into_iter().flatten().map(|server| server.zone.clone());
+        BTreeSet::from_iter(zones).into_iter().collect()
+    }
+}
+
+#[gtest]
+fn sets_of_servers() {
+    let held = view();
+    held.list(6);
+    held.evacuate("north", 3);
+    let why = Some(Exclusion::ZoneEvacuated);
+    expect_that!(held.view.exclusion("i-000"), eq(why));
+    expect_that!(held.view.exclusion("i-001"), none());
+    let zones = held.zones();
+    expect_that!(zones, elements_are![eq("south"), eq("west")]);
+    expect_that!(held.view.is_evacuated("llm"), eq(false));
+    held.evacuate("south", 4);
+    held.evacuate("west", 5);
+    expect_that!(held.view.servers("llm").all, is_empty());
+    expect_that!(held.view.is_evacuated("llm"), eq(true));
+    // A service without any server is another matter.
+    expect_that!(held.view.is_evacuated("none"), eq(false));
+    held.take_back("south", 6);
+    let zones = held.zones();
+    expect_that!(zones, elements_are![eq("south")]);
+    expect_that!(held.view.restored_at("south"), some(anything()));
+}
+
+#[gtest]
+fn large_sets() {
+    let held = view();
+    held.list(210);
+    expect_that!(held.view.servers("llm").used.len(), eq(48));
+    // Where the own zone is evacuated, the node still weighs as many servers as others do.
+    held.evacuate("north", 3);
+    let servers = held.view.servers("llm");
+    expect_that!(servers.used.len(), eq(48));
+    expect_that!(servers.homes.len(), eq(140));
+    expect_that!(held.zones().iter().any(|zone| zone == "north"), eq(false));
+    // The rest of two zones is still a large set.
+    held.evacuate("south", 4);
+    expect_that!(held.view.servers("llm").used.len(), eq(48));
+}
+
+#[gtest]
+fn unknown_zone() {
+    let held = view();
+    held.list(6);
+    held.evacuate("nowhere", 3);
+    expect_that!(held.view.servers("llm").all.len(), eq(6));
+    expect_that!(held.view.evacuations().len(), eq(1));
+}
+
+#[gtest]
+fn new_servers() {
+    let held = view();
+    held.evacuate("north", 3);
+    held.list(6);
+    expect_that!(held.zones().iter().any(|zone| zone == "north"), eq(false));
+}
+
+/// What the log writes, line by line.
+struct Lines(Sender<String>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let text = String::from_utf8_lossy(bytes).into_owned();
+        // The test may have ended.
+        let _ = self.0.send(text);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[gtest]
+fn malformed_rows() {
+    let (lines, written) = channel();
+    let held = view_with(EventLog::to(Lines(lines)));
+    held.list(6);
+    held.evacuate("north", 3);
+    held.orders.change(row("evacuate/north", Some("no"), 4));
+    held.orders.change(row("evacuate/south", Some("[1]"), 5));
+    held.orders.change(row("evacuate/", Some("{}"), 6));
+    let zones = held.zones();
+    expect_that!(zones, elements_are![eq("south"), eq("west")]);
+    drop(held);
+    // The last holder of the log is gone: its writer ends, and so does what it sent.
+    let text: String = written.iter().collect();
+    let refused = |key: &str, revision: u64| {
+        text.lines().any(|line| {
+            line.contains("order_refused")
+                && line.contains(&format!("\"row\":\"{key}\""))
+                && line.contains(&format!("\"revision\":{revision}"))
+        })
+    };
+    expect_that!(refused("evacuate/north", 4), eq(true), "{text}");
+    expect_that!(refused("evacuate/south", 5), eq(true), "{text}");
+    expect_that!(refused("evacuate/", 6), eq(true), "{text}");
+    expect_that!(
+        text.matches("\"event\":\"zone_evacuated\"").count(),
+        eq(1),
+        "{text}"
+    );
+}
+
+#[gtest]
+fn known_when_ready() {
+    let held = view();
+    held.list(3);
+    held.servers.replace(Vec::new(), 0);
+    let configuration = r#"{"version":1}"#;
+    let changed = held.view.clone();
+    expect_that!(held.view.is_ready(), eq(false));
+    held.orders.replace(
+        vec![
+            row("config", Some(configuration), 1),
+            row("evacuate/north", Some("{}"), 2),
+        ],
+        3,
+    );
+    expect_that!(changed.is_ready(), eq(true));
+    expect_that!(changed.evacuations().len(), eq(1));
+}
+
+fn in_virtual_time<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+async fn pass(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Zones that the store holds orders for.
+fn ordered(rows: &EmulatedRows) -> BTreeSet<String> {
+    let rows = rows.table("op").into_iter();
+    rows.filter_map(|(_, key, _)| Some(key.strip_prefix("evacuate/")?.to_owned()))
+        .collect()
+}
+
+fn known(view: &View) -> BTreeSet<String> {
+    let held = view.evacuations().into_iter();
+    held.map(|held| held.zone.to_string()).collect()
+}
+
+/// Follows the store's table.
+fn follower(rows: &EmulatedRows) -> Arc<View> {
+    let held = view();
+    let (rows, orders) = (rows.clone(), held.orders.clone());
+    tokio::task::spawn_local(async move {
+        follow(&rows, orders.as_ref(), &EventLog::silent()).await;
+    });
+    held.view
+}
+
+#[gtest]
+fn forgotten_history() {
+    in_virtual_time(async {
+        let rows = EmulatedRows::default();
+        rows.write("op", "", "evacuate/north", "{}");
+        let view = follower(&rows);
+        pass(100).await;
+        expect_that!(known(&view), eq(&ordered(&rows)));
+        rows.set_down(true);
+        pass(3_000).await;
+        rows.remove("op", "", "evacuate/north");
+        rows.write("op", "", "evacuate/south", "{}");
+        rows.forget_history();
+        rows.set_down(false);
+        pass(1_000).await;
+        expect_that!(known(&view), eq(&BTreeSet::from(["south".to_owned()])));
+        expect_that!(view.restored_at("north"), some(anything()));
+    });
+}
+
+#[gtest]
+fn within_a_second() {
+    in_virtual_time(async {
+        let rows = EmulatedRows::default();
+        let view = follower(&rows);
+        pass(100).await;
+        rows.write("op", "", "evacuate/north", "{}");
+        pass(400).await;
+        expect_that!(known(&view).len(), eq(1));
+        rows.remove("op", "", "evacuate/north");
+        pass(400).await;
+        expect_that!(known(&view).len(), eq(0));
+        // Between two looks of the follower.
+        rows.write("op", "", "evacuate/south", "{}");
+        rows.remove("op", "", "evacuate/south");
+        pass(400).await;
+        expect_that!(known(&view).len(), eq(0));
+    });
+}
+
+/// Orders, withdrawals, outages and forgotten histories in any order: once the store answers again, what is known
+/// is what it holds, and no order stands that was withdrawn.
+#[gtest]
+fn any_order() {
+    for seed in 0..40 {
+        in_virtual_time(async move {
+            let mut random = ChaCha8Rng::seed_from_u64(seed);
+            let rows = EmulatedRows::default();
+            let view = follower(&rows);
+            for _ in 0..60 {
+                let key = format!("evacuate/{}", ZONES[random.random_range(0..ZONES.len())]);
+                match random.random_range(0..6) {
+                    0 | 1 => rows.write("op", "", &key, "{}"),
+                    2 | 3 => rows.remove("op", "", &key),
+                    4 => rows.set_down(random.random_bool(0.5)),
+                    _ => rows.forget_history(),
+                }
+                pass(random.random_range(0..300)).await;
+            }
+            rows.set_down(false);
+            pass(1_500).await;
+            expect_that!(known(&view), eq(&ordered(&rows)), "seed {seed}");
+        });
+    }
+}
--- a/crates/cluster/tests/gossip.rs
+++ b/crates/cluster/tests/gossip.rs
@@ -278,6 +278,52 @@
     });
 }
 
+/// What still runs in an evacuated zone is known at each node, also at those that are told of few servers.
+#[gtest]
+fn evacuated_work() {
+    on_local(async {
+        let nodes = fleet(36).await;
+        let rows: Vec<Row> = (0..90).map(server_row).collect();
+        for node in &nodes {
+            let dialect = Arc::new(PlatformDialect);
+            let servers = ServersSink {
+                view: node.view.clone(),
+                dialect: dialect.clone(),
+            };
+            servers.replace(rows.clone(), 1);
+            expect_that!(node.view.servers("llm").is_large(), eq(true));
+        }
+        let chosen = nodes[0].view.server("i-000").expect("a server");
+        let under_way = nodes[4].loads.begin(&chosen, WorkKind::Online, 10);
+        let item = nodes[8].loads.begin(&chosen, WorkKind::Batch, 10);
+        for node in &nodes {
+            let orders = ConfigurationSink {
+                view: node.view.clone(),
+                dialect: Arc::new(PlatformDialect),
+            };
+            let value = Some(Bytes::from("{}"));
+            let key = format!("evacuate/{}", chosen.zone);
+            let (part, revision) = (String::new(), 2);
+            orders.change(Row {
+                part,
+                key,
+                value,
+                revision,
+            });
+        }
+        let work = |node: &TestNode| {
+            let work = node.view.zone_work(&chosen.zone, &node.loads, &node.peers);
+            work.map(|work| (work.online, work.batch))
+        };
+        let all_see = |seen| nodes.iter().all(|node| work(node) == Some(seen));
+        until("all know of both", || all_see((1, 1))).await;
+        drop(under_way);
+        until("all know of the end", || all_see((0, 1))).await;
+        drop(item);
+        until("all know that nothing runs", || all_see((0, 0))).await;
+    });
+}
+
 #[gtest]
 fn delegates_lost() {
     on_local(async {
--- a/crates/dappleyard/src/command.rs
+++ b/crates/dappleyard/src/command.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, crate_version, value_parser};
@@ -19,6 +20,7 @@
         .subcommand(sidecar())
         .subcommand(explain())
         .subcommand(check())
+        .subcommand(zones())
         .subcommand(dappleyard_ctl::command())
         .subcommand(completions())
 }
@@ -78,7 +80,7 @@
             Arg::new("id")
                 .required_unless_present("summary")
                 .value_name("ID")
-                .help("Identifier of a request, job or item"),
+                .help("Identifier of a request, job or item, or name of a zone"),
         )
         .arg(
             Arg::new("summary")
@@ -123,6 +125,20 @@
         )
 }
 
+fn zones() -> Command {
+    Command::new("zones")
+        .about("Prints for each zone whether it is evacuated, and what still runs there")
+        .arg(
+            Arg::new("node")
+                .long("node")
+                .required(true)
+                .value_name("IP:PORT")
+                .value_parser(value_parser!(SocketAddr))
+                .help("Address of any node's metrics"),
+        )
+        .after_help("Example:\n  dappleyard zones --node 10.0.0.7:9464")
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Prints a shell's completion script")
--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -11,7 +11,7 @@
 use crate::summary::{Line, Summary};
 
 /// Fields that name what a record is about.
-const NAMES: [&str; 3] = ["request", "job", "item"];
+const NAMES: [&str; 4] = ["request", "job", "item", "zone"];
 /// Fields that do not belong to the facts of a record.
 const FRAME: [&str; 3] = [AT, "uptime_ms", "event"];
 
@@ -160,6 +160,10 @@
         "item_paused" => "an item was paused for online work",
         "items_given_up" => "items were given up",
         "results_committed" => "results were committed",
+        "zone_evacuated" => "the operators had the zone evacuated: its servers get nothing more",
+        "zone_empty" => "nothing runs in the evacuated zone any more",
+        "zone_restored" => "the operators took the evacuated zone back",
+        "order_refused" => "a row of the operators cannot be read, and changes nothing",
         "commit_failed" => "a commit got no answer of use",
         "server_cold" => "a server is cold and gets a bounded rate",
         "server_warm" => "a server is warm",
--- a/crates/dappleyard/src/main.rs
+++ b/crates/dappleyard/src/main.rs
@@ -11,6 +11,7 @@
 mod sidecar;
 mod signals;
 mod summary;
+mod zones;
 
 use std::process::ExitCode;
 
@@ -36,6 +37,7 @@
         Some(("sidecar", arguments)) => sidecar::run(arguments),
         Some(("explain", arguments)) => explain::run(arguments),
         Some(("check", arguments)) => check::run(arguments),
+        Some(("zones", arguments)) => zones::run(arguments),
         Some(("ctl", arguments)) => Ok(ExitCode::from(dappleyard_ctl::run(arguments))),
         Some(("completions", arguments)) => Ok(command::print_completions(arguments)),
         _ => Err(Failure::Usage {
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -12,7 +12,7 @@
     PeerTable, ServersSink, StoreHealth, TableSink, View, Ways,
 };
 use dappleyard_ingress::{
-    Metrics, Node, PeerAnswers, Upstreams, configure, front_app_data, watch_temperatures,
+    Metrics, Node, PeerAnswers, Upstreams, ZoneWatch, configure, front_app_data, watch_temperatures,
 };
 use dappleyard_jobs::{JOB_TABLES, JobTable, NodeJobs, Runner};
 use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
@@ -33,6 +33,8 @@
 const HEAD_LIMIT: Duration = Duration::from_secs(15);
 /// Time between two looks at resting connections and old loads.
 const SWEEP: Duration = Duration::from_secs(2);
+/// Time between two looks whether an evacuated zone is empty.
+const ZONE_LOOK: Duration = Duration::from_millis(500);
 /// New connections that may wait to be taken.
 const BACKLOG: u32 = 1024;
 
@@ -106,6 +108,7 @@
     let upstreams = Upstreams::new(node.clone());
     spawn_sweep(node.clone(), upstreams.clone());
     tokio::task::spawn_local(watch_temperatures(upstreams.clone()));
+    spawn_zone_watch(node.clone());
     let runner = Runner::new(node.clone(), table.clone(), store.clone(), upstreams);
     tokio::task::spawn_local(runner.clone().run());
     let server = spawn_server(node.clone(), table, access, histories)?;
@@ -207,6 +210,16 @@
     });
 }
 
+fn spawn_zone_watch(node: Arc<Node>) {
+    tokio::task::spawn_local(async move {
+        let mut watch = ZoneWatch::default();
+        loop {
+            tokio::time::sleep(ZONE_LOOK).await;
+            watch.look(&node);
+        }
+    });
+}
+
 fn spawn_server(
     node: Arc<Node>,
     table: Arc<JobTable>,
--- a/crates/dappleyard/tests/command_line.rs
+++ b/crates/dappleyard/tests/command_line.rs
@@ -1,5 +1,6 @@
 //! The command line as a new user meets it: help, the settings check, and bad usage.
 
+use std::io::{Read, Write};
 use std::process::{Command, Output};
 
 use googletest::prelude::*;
@@ -115,3 +116,65 @@
         some(eq(2))
     );
 }
+
+/// Answers one call for metrics.
+fn metrics_once(text: &'static str) -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a caller");
+        let mut call = [0_u8; 1024];
+        let length = stream.read(&mut call).expect("a call");
+        assert!(call[..length].starts_with(b"GET /metrics "));
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{text}",
+            text.len()
+        );
+        stream.write_all(answer.as_bytes()).expect("sent");
+    });
+    address
+}
+
+#[gtest]
+fn zones_at_a_node() {
+    let node = metrics_once(
+        "# TYPE dappleyard_zone_servers gauge\n\
+         dappleyard_zone_servers{zone=\"north\"} 3\n\
+         dappleyard_zone_servers{zone=\"south\"} 2\n\
+         dappleyard_orders_age_ms 12\n\
+         dappleyard_evacuated_zone_age_ms{zone=\"north\"} 6200\n\
+         dappleyard_evacuated_zone_age_ms{zone=\"west\"} 900\n\
+         dappleyard_evacuated_zone_revision{zone=\"north\"} 57\n\
+         dappleyard_evacuated_zone_revision{zone=\"west\"} 58\n\
+         dappleyard_evacuated_zone_online{zone=\"north\"} 1\n\
+         dappleyard_evacuated_zone_items{zone=\"north\"} 4\n\
+         dappleyard_evacuated_zone_empty{zone=\"north\"} 0\n\
+         dappleyard_evacuated_zone_empty{zone=\"west\"} 0\n",
+    );
+    let output = dappleyard(&["zones", "--node", &node]);
+    expect_that!(output.status.code(), some(eq(0)));
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let words = |line: usize| -> Vec<&str> {
+        let line = text.lines().nth(line).unwrap_or_default();
+        line.split_whitespace().collect()
+    };
+    expect_that!(
+        words(1),
+        eq(&["north", "3", "6.2", "s", "57", "1", "4", "no"])
+    );
+    expect_that!(words(2), eq(&["south", "2", "-"]));
+    // Ordered, but no server is there, and this node was not told what runs.
+    expect_that!(
+        words(3),
+        eq(&["west", "0", "0.9", "s", "58", "unknown", "unknown", "no"])
+    );
+    expect_that!(text, contains_substring("orders as of 12 ms ago"));
+}
+
+#[gtest]
+fn zones_without_a_node() {
+    let output = dappleyard(&["zones", "--node", "127.0.0.1:1"]);
+    expect_that!(output.status.code(), some(eq(1)));
+    let output = dappleyard(&["zones"]);
+    expect_that!(output.status.code(), some(eq(2)));
+}
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -22,6 +22,7 @@
 use crate::outcome::ErrorKind;
 use crate::placement::PromptShape;
 use crate::relay;
+use crate::zones::zone_text;
 use tokio::time::Instant;
 
 /// Longest time that a request without a deadline is held.
@@ -199,7 +200,7 @@
 fn metrics(node: &Node) -> HttpResponse {
     HttpResponse::Ok()
         .insert_header((CONTENT_TYPE, "text/plain; version=0.0.4"))
-        .body(node.metrics.text() + &tenant_text(&node.quotas))
+        .body(node.metrics.text() + &tenant_text(&node.quotas) + &zone_text(node))
 }
 
 fn resolve(node: &Node, query: &str) -> HttpResponse {
@@ -339,12 +340,21 @@
             if let Some(tenant) = request.caller.tenant().filter(|_| request.ran == Ran::No) {
                 node.quotas.give_back(&tenant.name);
             }
+            let kind = evacuated_or(&node, &request, kind);
             let detail = format!("{} servers asked", request.asked.len());
             refuse(&node, &request.facts.id, &Refusal::new(kind, detail))
         }
     }
 }
 
+/// Says that zones are evacuated where that alone leaves a request without a server.
+fn evacuated_or(node: &Node, request: &Request, kind: ErrorKind) -> ErrorKind {
+    match kind == ErrorKind::NoServer && node.view.is_evacuated(&request.service) {
+        true => ErrorKind::ZonesEvacuated,
+        false => kind,
+    }
+}
+
 fn stream(
     upstreams: Upstreams,
     request: Request,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -19,6 +19,7 @@
 mod outcome;
 mod placement;
 mod relay;
+mod zones;
 
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
 pub use closing::close;
@@ -33,3 +34,4 @@
 pub use placement::{
     Candidate, PromptShape, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
+pub use zones::{EvacuatedZone, ZoneWatch, evacuated_zones};
--- a/crates/ingress/src/outcome.rs
+++ b/crates/ingress/src/outcome.rs
@@ -38,6 +38,9 @@
     /// No server took the request; it did not run.
     #[display("no_server")]
     NoServer,
+    /// All servers that could run it are in zones that the operators have evacuated; it did not run.
+    #[display("zones_evacuated")]
+    ZonesEvacuated,
     /// The time was over before any server ran the request.
     #[display("expired_before_run")]
     ExpiredBeforeRun,
@@ -77,6 +80,7 @@
             | ErrorKind::KeyInDoubt
             | ErrorKind::QuotaInDoubt
             | ErrorKind::NoServer
+            | ErrorKind::ZonesEvacuated
             | ErrorKind::ExpiredBeforeRun
             | ErrorKind::StoreUnavailable => 503,
             ErrorKind::Expired => 504,
@@ -91,6 +95,9 @@
             ErrorKind::ExpiredBeforeRun => Some(100),
             ErrorKind::StoreUnavailable => Some(500),
             ErrorKind::QuotaExceeded | ErrorKind::OverQuota => Some(1000),
+            // Nobody knows when the zones are taken back; an evacuation lasts seconds at least, and a caller that
+            // comes back sooner is only refused again.
+            ErrorKind::ZonesEvacuated => Some(1000),
             _ => None,
         }
     }
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -97,11 +97,18 @@
         (Distance::OtherRegion, FAR_SAMPLED),
     ];
     let mut chosen: Vec<&Arc<ServerRecord>> = Vec::new();
+    let mut undrawn = 0;
     for (distance, most) in sampled {
         let there = servers.iter().copied();
         let there: Vec<_> = there
             .filter(|server| ways.distance(&server.zone) == distance)
             .collect();
+        // A zone without servers, as one that is evacuated, must not choose among fewer than the others do.
+        undrawn += most;
+        let most = match chosen.is_empty() {
+            true => undrawn,
+            false => most,
+        };
         chosen.extend(there.choose_multiple(random, most).copied());
     }
     let is_home = |server: &&&Arc<ServerRecord>| home == Some(server.id.as_str());
--- /dev/null
+++ b/crates/ingress/src/zones.rs
@@ -0,0 +1,130 @@
+//! What the operators see of evacuated zones: metrics, and a record when a zone is empty.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use dappleyard_model::ZoneName;
+
+use crate::node::Node;
+
+/// One evacuated zone as this node knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EvacuatedZone {
+    /// Zone.
+    pub zone: ZoneName,
+    /// Revision of the order.
+    pub revision: u64,
+    /// Time since this node learnt of the order.
+    pub age: Duration,
+    /// Online requests and items that still run at servers of the zone, over all nodes; `None` while this node has
+    /// not been told.
+    pub work: Option<(u32, u32)>,
+    /// Nothing runs there, and from now on no node that is in touch sends anything there.
+    pub empty: bool,
+}
+
+/// The zones that are evacuated.
+pub fn evacuated_zones(node: &Node) -> Vec<EvacuatedZone> {
+    let in_force = Duration::from_millis(node.settings.bounds.evacuation_ms);
+    let zones = node.view.evacuations().into_iter();
+    zones
+        .map(|held| {
+            let work = node
+                .view
+                .zone_work(held.zone.as_str(), &node.loads, &node.peers)
+                .map(|work| (work.online, work.batch));
+            let age = held.since.elapsed();
+            EvacuatedZone {
+                // Another node may send there until the order is in force everywhere.
+                empty: work == Some((0, 0)) && age >= in_force,
+                zone: held.zone,
+                revision: held.revision,
+                age,
+                work,
+            }
+        })
+        .collect()
+}
+
+/// Tells once for each evacuation that its zone is empty.
+#[derive(Debug, Default)]
+pub struct ZoneWatch {
+    told: HashSet<(ZoneName, u64)>,
+}
+
+impl ZoneWatch {
+    /// Looks at the evacuated zones, and writes a record for each that has become empty.
+    pub fn look(&mut self, node: &Node) {
+        let zones = evacuated_zones(node);
+        let place = |zone: &EvacuatedZone| (zone.zone.clone(), zone.revision);
+        let standing: HashSet<(ZoneName, u64)> = zones.iter().map(place).collect();
+        self.told.retain(|told| standing.contains(told));
+        for zone in zones.iter().filter(|zone| zone.empty) {
+            if self.told.insert(place(zone)) {
+                node.log.write("zone_empty", || {
+                    serde_json::json!({"zone": zone.zone.to_string(), "revision": zone.revision,
+                        "after_ms": zone.age.as_millis() as u64})
+                });
+            }
+        }
+    }
+}
+
+/// Zones in the Prometheus text format: the servers of each, and more of those that are evacuated.
+pub(crate) fn zone_text(node: &Node) -> String {
+    let servers = node.view.servers_by_zone();
+    let servers = servers
+        .iter()
+        .map(|(zone, count)| (zone.as_str(), u64::from(*count)));
+    let mut text = gauge("zone_servers", servers);
+    if let Some(age) = node.view.configuration_age() {
+        let age_ms = age.as_millis();
+        text.push_str(&format!(
+            "# TYPE dappleyard_orders_age_ms gauge\ndappleyard_orders_age_ms {age_ms}\n"
+        ));
+    }
+    let zones = evacuated_zones(node);
+    if zones.is_empty() {
+        return text;
+    }
+    let figure = |value: fn(&EvacuatedZone) -> Option<u64>| {
+        let told = zones
+            .iter()
+            .filter_map(move |zone| Some((zone.zone.as_str(), value(zone)?)));
+        told.collect::<Vec<_>>().into_iter()
+    };
+    let gauges = [
+        (
+            "evacuated_zone_age_ms",
+            figure(|zone| Some(zone.age.as_millis() as u64)),
+        ),
+        (
+            "evacuated_zone_revision",
+            figure(|zone| Some(zone.revision)),
+        ),
+        (
+            "evacuated_zone_online",
+            figure(|zone| Some(zone.work?.0.into())),
+        ),
+        (
+            "evacuated_zone_items",
+            figure(|zone| Some(zone.work?.1.into())),
+        ),
+        (
+            "evacuated_zone_empty",
+            figure(|zone| Some(zone.empty.into())),
+        ),
+    ];
+    for (name, values) in gauges {
+        text.push_str(&gauge(name, values));
+    }
+    text
+}
+
+fn gauge<'a>(name: &str, values: impl Iterator<Item = (&'a str, u64)>) -> String {
+    let mut text = format!("# TYPE dappleyard_{name} gauge\n");
+    for (zone, value) in values {
+        text.push_str(&format!("dappleyard_{name}{{zone={zone:?}}} {value}\n"));
+    }
+    text
+}
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -347,19 +347,24 @@
             .waiting
             .set_own(u32::try_from(waiting.len()).unwrap_or(u32::MAX));
         let mut refreshed: HashSet<String> = HashSet::new();
+        // A service without room, such as one whose zones are evacuated, holds up no other one.
+        let mut full: HashSet<String> = HashSet::new();
         for turn in waiting {
             let service = turn.route.pick_service(rand::random()).unwrap_or_default();
+            if full.contains(service) {
+                continue;
+            }
             let mut allowances = self.allowances.borrow_mut();
             let allowance = allowances.entry(service.to_owned()).or_default();
             if refreshed.insert(service.to_owned()) {
                 allowance.refresh(&loads.waiting, self.room_at(service), rand::random());
             }
-            if !allowance.take() {
-                break;
-            }
+            let may_start = allowance.take();
             drop(allowances);
-            let Some(server) = self.pick(service, &turn) else {
-                break;
+            let server = may_start.then(|| self.pick(service, &turn)).flatten();
+            let Some(server) = server else {
+                full.insert(service.to_owned());
+                continue;
             };
             self.start(&turn.job, turn.index, server, turn.route);
         }
--- a/crates/model/src/dialect.rs
+++ b/crates/model/src/dialect.rs
@@ -137,6 +137,9 @@
     /// What a row of the operators' table asks for, by its key; `None` for a key that means nothing.
     fn order(&self, key: &str) -> Option<OperatorOrder>;
 
+    /// Reads the value of an evacuation. It says nothing that matters, but one that cannot be read is no order.
+    fn evacuation(&self, value: &[u8]) -> Result<(), FormatError>;
+
     /// Reads a configuration.
     fn configuration(&self, value: &[u8]) -> Result<Configuration, FormatError>;
 
--- /dev/null
+++ b/crates/relay/tests/evacuations.rs
@@ -0,0 +1,193 @@
+//! Orders of the operators on their way to a node: at the store, by way of another node, and from copies.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dappleyard_cluster::{
+    ConfigurationSink, Contact, Heartbeat, PeerTable, StoreHealth, TableSink, View,
+};
+use dappleyard_emulator::EmulatedRows;
+use dappleyard_model::{EventLog, Row};
+use dappleyard_platform::PlatformDialect;
+use dappleyard_relay::{Access, Histories, Path, Replica};
+use googletest::prelude::*;
+use support::{cut_off, until};
+
+const TABLE: &str = "op";
+
+type TestNode = support::TestNode<ConfigurationSink>;
+
+fn sink(name: &str) -> ConfigurationSink {
+    ConfigurationSink {
+        view: Arc::new(View::new(name, "north", Arc::new(EventLog::silent()))),
+        dialect: Arc::new(PlatformDialect),
+    }
+}
+
+fn start(name: &'static str, rows: &EmulatedRows) -> TestNode {
+    TestNode::start(name, rows, sink(name))
+}
+
+fn known(view: &View) -> Vec<String> {
+    let held = view.evacuations().into_iter();
+    let zones: BTreeSet<String> = held.map(|held| held.zone.to_string()).collect();
+    zones.into_iter().collect()
+}
+
+impl TestNode {
+    fn knows(&self, zones: &[&str]) -> bool {
+        known(&self.sink.view) == zones
+    }
+}
+
+fn give(rows: &EmulatedRows, zone: &str) {
+    rows.write(TABLE, "", &format!("evacuate/{zone}"), "{}");
+}
+
+fn withdraw(rows: &EmulatedRows, zone: &str) {
+    rows.remove(TABLE, "", &format!("evacuate/{zone}"));
+}
+
+async fn pair() -> (EmulatedRows, TestNode, TestNode) {
+    let rows = EmulatedRows::default();
+    give(&rows, "first");
+    let (a, b) = (start("a", &rows), start("b", &rows));
+    a.meet(&b);
+    b.meet(&a);
+    until("both know", || a.knows(&["first"]) && b.knows(&["first"])).await;
+    (rows, a, b)
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn at_the_store() {
+    let (rows, a, b) = pair().await;
+    expect_that!(a.access.path(), eq(Path::Direct));
+    give(&rows, "second");
+    withdraw(&rows, "first");
+    until("both know", || a.knows(&["second"]) && b.knows(&["second"])).await;
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn by_another_node() {
+    let (rows, a, _b) = pair().await;
+    cut_off(&a).await;
+    give(&rows, "second");
+    until("the order passes", || a.knows(&["first", "second"])).await;
+    withdraw(&rows, "first");
+    until("the withdrawal passes", || a.knows(&["second"])).await;
+    expect_that!(a.sink.view.restored_at("first"), some(anything()));
+    // The age of what is told passes with it.
+    expect_that!(a.sink.view.configuration_age(), some(anything()));
+    expect_that!(a.access.path(), eq(Path::ByPeer));
+    a.cut.set(false);
+    until("the store answers", || a.access.path() == Path::Direct).await;
+    withdraw(&rows, "second");
+    until("the withdrawal comes", || a.knows(&[])).await;
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn history_forgotten() {
+    let (rows, a, b) = pair().await;
+    cut_off(&a).await;
+    b.cut.set(true);
+    until("both are lost", || b.access.health().is_lost()).await;
+    withdraw(&rows, "first");
+    give(&rows, "second");
+    rows.forget_history();
+    // What is known holds until more is heard.
+    expect_that!(a.knows(&["first"]), eq(true));
+    b.cut.set(false);
+    until("the read is passed on", || a.knows(&["second"])).await;
+    expect_that!(b.knows(&["second"]), eq(true));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn started_in_an_outage() {
+    let (rows, a, _b) = pair().await;
+    withdraw(&rows, "first");
+    give(&rows, "second");
+    until("it knows", || a.knows(&["second"])).await;
+    rows.set_down(true);
+    until("the store is lost", || a.access.health().is_lost()).await;
+    let late = start("late", &rows);
+    let heartbeat = Heartbeat {
+        name: "a".to_owned(),
+        life: 1,
+        ..Heartbeat::default()
+    };
+    until("it knows the copy", || {
+        late.peers.meet(&heartbeat, a.address);
+        late.knows(&["second"])
+    })
+    .await;
+    rows.set_down(false);
+    withdraw(&rows, "second");
+    until("the store is followed", || late.knows(&[])).await;
+}
+
+fn replica(name: &str) -> (Arc<View>, Histories, Replica) {
+    let log = Arc::new(EventLog::silent());
+    let peers = Arc::new(PeerTable::new(name, "north", log.clone()));
+    let health = Arc::new(StoreHealth::default());
+    let access = Arc::new(Access::new(name, "north", health, peers, log));
+    let histories = Histories::new(&[TABLE]);
+    let sink = sink(name);
+    let view = sink.view.clone();
+    let replica = Replica::new(std::rc::Rc::new(sink), &histories, access);
+    (view, histories, replica.expect("a replica"))
+}
+
+fn order(zone: &str, given: bool, revision: u64) -> Row {
+    Row {
+        part: String::new(),
+        key: format!("evacuate/{zone}"),
+        value: given.then(|| Bytes::from("{}")),
+        revision,
+    }
+}
+
+fn contact(revision: u64) -> Contact {
+    Contact {
+        revision,
+        now_ms: 1,
+        age: Duration::ZERO,
+    }
+}
+
+#[gtest]
+fn copies_hold_orders() {
+    let (_, histories, replica) = replica("a");
+    replica.replace(vec![order("north", true, 3), order("south", true, 4)], 5);
+    replica.contact(&contact(5));
+    replica.change(order("south", false, 6));
+    // Given again with the same value: another order all the same.
+    replica.change(order("north", true, 7));
+    replica.contact(&contact(7));
+    let history = histories.get(TABLE).expect("a history");
+    let told = history.told(Some(5)).expect("changes");
+    let expected = [order("south", false, 6), order("north", true, 7)];
+    expect_that!(told.rows, eq(&expected.to_vec()));
+    let whole = history.told(None).expect("the table");
+    expect_that!(whole.rows, eq(&vec![order("north", true, 7)]));
+}
+
+#[gtest]
+fn late_copies() {
+    let (view, _, replica) = replica("a");
+    replica.replace(vec![order("north", true, 3)], 5);
+    replica.contact(&contact(5));
+    replica.change(order("north", false, 8));
+    replica.contact(&contact(8));
+    // A copy from before, and a row from before.
+    replica.replace(vec![order("north", true, 3)], 6);
+    replica.change(order("north", true, 7));
+    expect_that!(known(&view), is_empty());
+}
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -1,85 +1,22 @@
 //! A node that the store does not answer, beside one that it does.
 
+mod support;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::{App, HttpResponse, HttpServer, web};
-use async_trait::async_trait;
 use bytes::Bytes;
-use dappleyard_cluster::{
-    Contact, Heartbeat, NODES_TABLE, NodeRow, PeerTable, StoreHealth, TableSink,
-};
+use dappleyard_cluster::{Contact, Heartbeat, TableSink};
 use dappleyard_emulator::{EmulatedRows, RowFault};
-use dappleyard_model::{
-    Committed, EventLog, Feed, Row, RowKey, RowStore, Rows, StoreError, Transaction,
-};
-use dappleyard_relay::{
-    Access, Histories, Path, RelayService, RelayedRows, Replica, follow_directly, mirror,
-};
+use dappleyard_model::{Committed, Row, RowKey, RowStore, StoreError, Transaction};
+use dappleyard_relay::Path;
 use googletest::prelude::*;
-use prost::Message;
+use support::{cut_off, until};
 
 const TABLE: &str = "things";
 
-/// The store as one node reaches it.
-#[derive(Clone)]
-struct Link {
-    rows: EmulatedRows,
-    cut: Rc<Cell<bool>>,
-}
-
-impl Link {
-    fn check(&self) -> std::result::Result<(), StoreError> {
-        match self.cut.get() {
-            true => Err(StoreError::Unavailable {
-                reason: "cut".to_owned(),
-            }),
-            false => Ok(()),
-        }
-    }
-}
-
-#[async_trait(?Send)]
-impl RowStore for Link {
-    async fn transact(
-        &self,
-        transaction: &Transaction,
-    ) -> std::result::Result<Committed, StoreError> {
-        self.check()?;
-        self.rows.transact(transaction).await
-    }
-
-    async fn read(
-        &self,
-        table: &'static str,
-        part: &str,
-        from: &str,
-        to: &str,
-        limit: usize,
-    ) -> std::result::Result<Rows, StoreError> {
-        self.check()?;
-        self.rows.read(table, part, from, to, limit).await
-    }
-
-    async fn parts(&self, table: &'static str) -> std::result::Result<Vec<String>, StoreError> {
-        self.check()?;
-        self.rows.parts(table).await
-    }
-
-    async fn feed(
-        &self,
-        table: &'static str,
-        after: u64,
-        wait_ms: u64,
-    ) -> std::result::Result<Feed, StoreError> {
-        self.check()?;
-        self.rows.feed(table, after, wait_ms).await
-    }
-}
+type TestNode = support::TestNode<Sink>;
 
 #[derive(Default)]
 struct Sink {
@@ -118,91 +55,11 @@
     }
 }
 
-struct TestNode {
-    name: &'static str,
-    address: SocketAddr,
-    cut: Rc<Cell<bool>>,
-    peers: Arc<PeerTable>,
-    access: Arc<Access>,
-    store: Rc<RelayedRows>,
-    service: Rc<RelayService>,
-    sink: Rc<Sink>,
+fn start(name: &'static str, rows: &EmulatedRows) -> TestNode {
+    TestNode::start(name, rows, Sink::default())
 }
 
 impl TestNode {
-    fn start(name: &'static str, rows: &EmulatedRows) -> Self {
-        let log = Arc::new(EventLog::silent());
-        let peers = Arc::new(PeerTable::new(name, "north", log.clone()));
-        let health = Arc::new(StoreHealth::default());
-        let access = Access::new(name, "north", health, peers.clone(), log.clone());
-        let access = Arc::new(access);
-        let cut = Rc::new(Cell::new(false));
-        let link: Rc<dyn RowStore> = Rc::new(Link {
-            rows: rows.clone(),
-            cut: cut.clone(),
-        });
-        let histories = Histories::new(&[TABLE]);
-        let sink = Rc::new(Sink::default());
-        let replica = Replica::new(sink.clone(), &histories, access.clone()).expect("a replica");
-        let replica = Rc::new(replica);
-        let store = Rc::new(RelayedRows::new(link.clone(), access.clone()));
-        let tables = vec![TABLE, NODES_TABLE];
-        let service = RelayService::new(link.clone(), access.clone(), histories, tables);
-        let service = Rc::new(service);
-        let (followed, watched) = (store.clone(), access.clone());
-        let (quiet, direct) = (log.clone(), replica.clone());
-        tokio::task::spawn_local(async move {
-            follow_directly(followed, direct, &watched, &quiet).await;
-        });
-        let watched = access.clone();
-        tokio::task::spawn_local(async move { mirror(&[replica], &watched, &log).await });
-        let watched = access.clone();
-        tokio::task::spawn_local(async move { watched.run(link.as_ref()).await });
-        Self {
-            name,
-            address: serve(service.clone()),
-            cut,
-            peers,
-            access,
-            store,
-            service,
-            sink,
-        }
-    }
-
-    /// Makes another node known, as its row and its heartbeats do.
-    fn meet(&self, other: &TestNode) {
-        let row = NodeRow {
-            life: 1,
-            front: other.address.to_string(),
-            zone: "north".to_owned(),
-            peer: other.address.to_string(),
-            ..NodeRow::default()
-        };
-        self.peers.change(Row {
-            part: String::new(),
-            key: other.name.to_owned(),
-            value: Some(Bytes::from(row.encode_to_vec())),
-            revision: 1,
-        });
-        let (peers, name) = (self.peers.clone(), other.name.to_owned());
-        let access = other.access.clone();
-        tokio::task::spawn_local(async move {
-            for sequence in 1.. {
-                let age = access.health().age();
-                peers.heard(&Heartbeat {
-                    name: name.clone(),
-                    life: 1,
-                    sequence,
-                    ready: true,
-                    direct_age_ms: age.map_or(0, |age| age.as_millis() as u32 + 1),
-                    ..Heartbeat::default()
-                });
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-        });
-    }
-
     async fn write(&self, key: &str) -> std::result::Result<Committed, StoreError> {
         let row = RowKey::new(TABLE, "", key);
         let transaction = Transaction::default()
@@ -216,52 +73,10 @@
     }
 }
 
-/// Serves the calls of other nodes on a port of the operating system's choice.
-fn serve(service: Rc<RelayService>) -> SocketAddr {
-    let (calls, mut received) =
-        tokio::sync::mpsc::unbounded_channel::<(Bytes, tokio::sync::oneshot::Sender<Bytes>)>();
-    tokio::task::spawn_local(async move {
-        while let Some((call, answer)) = received.recv().await {
-            let service = service.clone();
-            tokio::task::spawn_local(async move {
-                // A caller that left wants no answer.
-                let _ = answer.send(service.answer(call).await);
-            });
-        }
-    });
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let factory = move || {
-        let calls = calls.clone();
-        App::new().default_service(web::to(move |body: Bytes| {
-            let calls = calls.clone();
-            async move {
-                let (answer, answered) = tokio::sync::oneshot::channel();
-                calls.send((body, answer)).expect("a service");
-                HttpResponse::Ok().body(answered.await.unwrap_or_default())
-            }
-        }))
-    };
-    let server = HttpServer::new(factory).workers(1).disable_signals();
-    let server = server.listen(listener).expect("a listener").run();
-    tokio::task::spawn_local(server);
-    address
-}
-
-async fn until(what: &str, holds: impl Fn() -> bool) {
-    for _ in 0..2_000 {
-        if holds() {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    panic!("did not come: {what}");
-}
-
 async fn pair() -> (EmulatedRows, TestNode, TestNode) {
     let rows = EmulatedRows::default();
     rows.write(TABLE, "", "first", "1");
-    let (a, b) = (TestNode::start("a", &rows), TestNode::start("b", &rows));
+    let (a, b) = (start("a", &rows), start("b", &rows));
     a.meet(&b);
     b.meet(&a);
     until("both know the table", || {
@@ -271,15 +86,6 @@
     (rows, a, b)
 }
 
-async fn cut_off(node: &TestNode) {
-    node.cut.set(true);
-    until("the store counts as lost", || {
-        node.access.health().is_lost()
-    })
-    .await;
-    until("tables come by peer", || node.access.path() == Path::ByPeer).await;
-}
-
 #[gtest]
 #[actix_rt::test]
 async fn calls_passed_on() {
@@ -366,7 +172,7 @@
     rows.set_down(true);
     until("the store is lost", || a.access.health().is_lost()).await;
     // Others cannot pass calls on, but they know the tables.
-    let late = TestNode::start("late", &rows);
+    let late = start("late", &rows);
     let heartbeat = Heartbeat {
         name: "a".to_owned(),
         life: 1,
--- /dev/null
+++ b/crates/relay/tests/support/mod.rs
@@ -0,0 +1,218 @@
+//! Nodes of the relay over the emulated store, each with a path to it that can be cut.
+
+#![allow(dead_code)]
+
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use async_trait::async_trait;
+use bytes::Bytes;
+use dappleyard_cluster::{Heartbeat, NODES_TABLE, NodeRow, PeerTable, StoreHealth, TableSink};
+use dappleyard_emulator::EmulatedRows;
+use dappleyard_model::{Committed, EventLog, Feed, Row, RowStore, Rows, StoreError, Transaction};
+use dappleyard_relay::{
+    Access, Histories, Path, RelayService, RelayedRows, Replica, follow_directly, mirror,
+};
+use prost::Message;
+
+/// The store as one node reaches it.
+#[derive(Clone)]
+struct Link {
+    rows: EmulatedRows,
+    cut: Rc<Cell<bool>>,
+}
+
+impl Link {
+    fn check(&self) -> std::result::Result<(), StoreError> {
+        match self.cut.get() {
+            true => Err(StoreError::Unavailable {
+                reason: "cut".to_owned(),
+            }),
+            false => Ok(()),
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl RowStore for Link {
+    async fn transact(
+        &self,
+        transaction: &Transaction,
+    ) -> std::result::Result<Committed, StoreError> {
+        self.check()?;
+        self.rows.transact(transaction).await
+    }
+
+    async fn read(
+        &self,
+        table: &'static str,
+        part: &str,
+        from: &str,
+        to: &str,
+        limit: usize,
+    ) -> std::result::Result<Rows, StoreError> {
+        self.check()?;
+        self.rows.read(table, part, from, to, limit).await
+    }
+
+    async fn parts(&self, table: &'static str) -> std::result::Result<Vec<String>, StoreError> {
+        self.check()?;
+        self.rows.parts(table).await
+    }
+
+    async fn feed(
+        &self,
+        table: &'static str,
+        after: u64,
+        wait_ms: u64,
+    ) -> std::result::Result<Feed, StoreError> {
+        self.check()?;
+        self.rows.feed(table, after, wait_ms).await
+    }
+}
+
+/// One node of the relay, with a sink of its own.
+pub struct TestNode<S> {
+    pub name: &'static str,
+    pub address: SocketAddr,
+    pub cut: Rc<Cell<bool>>,
+    pub peers: Arc<PeerTable>,
+    pub access: Arc<Access>,
+    pub store: Rc<RelayedRows>,
+    pub service: Rc<RelayService>,
+    pub sink: Rc<S>,
+}
+
+impl<S: TableSink + 'static> TestNode<S> {
+    /// Starts a node that follows the table of its sink.
+    pub fn start(name: &'static str, rows: &EmulatedRows, sink: S) -> Self {
+        let log = Arc::new(EventLog::silent());
+        let peers = Arc::new(PeerTable::new(name, "north", log.clone()));
+        let health = Arc::new(StoreHealth::default());
+        let access = Access::new(name, "north", health, peers.clone(), log.clone());
+        let access = Arc::new(access);
+        let cut = Rc::new(Cell::new(false));
+        let link: Rc<dyn RowStore> = Rc::new(Link {
+            rows: rows.clone(),
+            cut: cut.clone(),
+        });
+        let table = sink.table();
+        let histories = Histories::new(&[table]);
+        let sink = Rc::new(sink);
+        let replica = Replica::new(sink.clone(), &histories, access.clone()).expect("a replica");
+        let replica = Rc::new(replica);
+        let store = Rc::new(RelayedRows::new(link.clone(), access.clone()));
+        let tables = vec![table, NODES_TABLE];
+        let service = RelayService::new(link.clone(), access.clone(), histories, tables);
+        let service = Rc::new(service);
+        let (followed, watched) = (store.clone(), access.clone());
+        let (quiet, direct) = (log.clone(), replica.clone());
+        tokio::task::spawn_local(async move {
+            follow_directly(followed, direct, &watched, &quiet).await;
+        });
+        let watched = access.clone();
+        tokio::task::spawn_local(async move { mirror(&[replica], &watched, &log).await });
+        let watched = access.clone();
+        tokio::task::spawn_local(async move { watched.run(link.as_ref()).await });
+        Self {
+            name,
+            address: serve(service.clone()),
+            cut,
+            peers,
+            access,
+            store,
+            service,
+            sink,
+        }
+    }
+
+    /// Makes another node known, as its row and its heartbeats do.
+    pub fn meet(&self, other: &TestNode<S>) {
+        let row = NodeRow {
+            life: 1,
+            front: other.address.to_string(),
+            zone: "north".to_owned(),
+            peer: other.address.to_string(),
+            ..NodeRow::default()
+        };
+        self.peers.change(Row {
+            part: String::new(),
+            key: other.name.to_owned(),
+            value: Some(Bytes::from(row.encode_to_vec())),
+            revision: 1,
+        });
+        let (peers, name) = (self.peers.clone(), other.name.to_owned());
+        let access = other.access.clone();
+        tokio::task::spawn_local(async move {
+            for sequence in 1.. {
+                let age = access.health().age();
+                peers.heard(&Heartbeat {
+                    name: name.clone(),
+                    life: 1,
+                    sequence,
+                    ready: true,
+                    direct_age_ms: age.map_or(0, |age| age.as_millis() as u32 + 1),
+                    ..Heartbeat::default()
+                });
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+    }
+}
+
+/// Serves the calls of other nodes on a port of the operating system's choice.
+fn serve(service: Rc<RelayService>) -> SocketAddr {
+    let (calls, mut received) =
+        tokio::sync::mpsc::unbounded_channel::<(Bytes, tokio::sync::oneshot::Sender<Bytes>)>();
+    tokio::task::spawn_local(async move {
+        while let Some((call, answer)) = received.recv().await {
+            let service = service.clone();
+            tokio::task::spawn_local(async move {
+                // A caller that left wants no answer.
+                let _ = answer.send(service.answer(call).await);
+            });
+        }
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let factory = move || {
+        let calls = calls.clone();
+        App::new().default_service(web::to(move |body: Bytes| {
+            let calls = calls.clone();
+            async move {
+                let (answer, answered) = tokio::sync::oneshot::channel();
+                calls.send((body, answer)).expect("a service");
+                HttpResponse::Ok().body(answered.await.unwrap_or_default())
+            }
+        }))
+    };
+    let server = HttpServer::new(factory).workers(1).disable_signals();
+    let server = server.listen(listener).expect("a listener").run();
+    tokio::task::spawn_local(server);
+    address
+}
+
+/// Waits until something holds; fails loudly when it does not come.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..2_000 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("did not come: {what}");
+}
+
+/// Cuts a node off the store, and waits until it takes tables from others.
+pub async fn cut_off<S>(node: &TestNode<S>) {
+    node.cut.set(true);
+    until("the store counts as lost", || {
+        node.access.health().is_lost()
+    })
+    .await;
+    until("tables come by peer", || node.access.path() == Path::ByPeer).await;
+}
