--- a/crates/sidecar/src/forward/mod.rs
+++ b/crates/sidecar/src/forward/mod.rs
@@ -39,6 +39,8 @@
     /// What the attempt that the answer rests on was accepted as.
     accepted: Option<Accepted>,
     finish: Option<Finish>,
+    /// What the record last said, when an earlier run of the same key was in progress.
+    in_progress: Option<Failure>,
     /// When pieces that are still missing after the end was announced count as lost.
     straggler_deadline: Option<Instant>,
     /// Nodes that failed this request.
@@ -63,6 +65,7 @@
             hedge_at: None,
             accepted: None,
             finish: None,
+            in_progress: None,
             straggler_deadline: None,
             avoid: Vec::new(),
             ended: false,
--- a/crates/sidecar/src/forward/retry.rs
+++ b/crates/sidecar/src/forward/retry.rs
@@ -122,6 +122,9 @@
     /// or the final failure is returned at once.
     pub(super) async fn fail(&mut self, index: usize, failure: Failure) -> Result<(), Failure> {
         self.ran = join_ran(self.ran, failure.ran);
+        if failure.kind == ErrorKind::InProgress {
+            self.in_progress = Some(failure.clone());
+        }
         let failed = self.open.remove(index);
         self.avoid.push(failed.node().to_owned());
         drop(failed);
@@ -193,11 +196,24 @@
         self.give_up(Failure::not_run(ErrorKind::DeadlineExceeded, message))
     }
 
+    /// What the failure of the last attempt means. A node that takes nothing new has not looked at the
+    /// record, so it cannot have the last word on a request that must not repeat and may have run: what
+    /// the record said before holds, and otherwise the outcome is unknown.
+    fn last_word(&mut self, failure: Failure) -> Failure {
+        let in_doubt = self.request.repeat() == Repeat::Never && self.ran != Ran::No;
+        if failure.kind != ErrorKind::NotReady || !in_doubt {
+            return failure;
+        }
+        self.in_progress
+            .take()
+            .unwrap_or_else(|| Failure::maybe_ran(ErrorKind::NodeLost, failure.message))
+    }
+
     /// The final failure: execution truth of all attempts, and when to come back.
     fn give_up(&mut self, failure: Failure) -> Failure {
         self.ended = true;
         self.open.clear();
-        let mut last = failure.after(self.ran);
+        let mut last = self.last_word(failure).after(self.ran);
         let lost = matches!(last.kind, ErrorKind::NodeLost | ErrorKind::EngineLost);
         if lost && self.request.repeat() == Repeat::Never && last.ran != Ran::No {
             last.kind = ErrorKind::OutcomeUnknown;
--- a/crates/sidecar/tests/faults.rs
+++ b/crates/sidecar/tests/faults.rs
@@ -4,9 +4,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use dappleyard_sidecar::SidecarHandle;
-use dappleyard_transport::link::ServerStream;
+use dappleyard_transport::link::{Announcement, ServerStream};
 use dappleyard_wire::messages::{Refused, Submit, frame};
 use dappleyard_wire::{ErrorKind, Failure, Ran, Repeat};
 use googletest::prelude::*;
@@ -14,6 +15,7 @@
     Received, Script, ScriptedNode, accepted, answers, chat_body, chunk, finish, post, refused,
     sends, settings, sidecar, text, until,
 };
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
 type Seen = Rc<RefCell<Vec<Submit>>>;
@@ -168,6 +170,65 @@
     expect_that!(seen.borrow().len(), eq(3));
 }
 
+/// A resend whose attempts are used up by polls, the last of them at a node that takes nothing new.
+async fn polled_until_a_stopping_node(first: ErrorKind) -> serde_json::Value {
+    let stopping = refused_after(ErrorKind::NotReady, Ran::Maybe);
+    let seen = Rc::new(Cell::new(0));
+    let script: Script = Rc::new(move |stream: ServerStream| {
+        seen.set(seen.get() + 1);
+        let answer = match seen.get() {
+            1..=3 => refused_after(first, Ran::Maybe),
+            _ => stopping.clone(),
+        };
+        let _ = stream.send(answer);
+    });
+    let node = ScriptedNode::start("node-1", script).await;
+    let (_sidecar, base) = sidecar(settings(&[&node])).await;
+    chat(&base, false, &NEVER).await.json()["error"].clone()
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_resend_whose_last_poll_meets_a_stopping_node_is_told_what_the_record_said() {
+    let error = polled_until_a_stopping_node(ErrorKind::InProgress).await;
+    expect_that!(error["kind"].as_str(), some(eq("in_progress")));
+    expect_that!(error["ran"].as_str(), some(eq("maybe")));
+    expect_that!(error["retry_after_ms"].as_u64(), some(gt(0)));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_request_in_doubt_whose_last_poll_meets_a_stopping_node_is_told_so() {
+    let error = polled_until_a_stopping_node(ErrorKind::NodeLost).await;
+    expect_that!(error["kind"].as_str(), some(eq("outcome_unknown")));
+    expect_that!(error["ran"].as_str(), some(eq("maybe")));
+    expect_that!(error["retry_after_ms"].as_u64(), some(gt(0)));
+}
+
+#[gtest]
+#[actix_rt::test]
+async fn a_resend_in_progress_that_finds_no_node_any_more_is_told_what_the_record_said() {
+    // The only node says that it goes away, and only then that the key is in progress.
+    let announcement: Rc<RefCell<Option<watch::Sender<Announcement>>>> = Rc::default();
+    let told = announcement.clone();
+    let script: Script = Rc::new(move |stream: ServerStream| {
+        let told = told.clone();
+        actix_rt::spawn(async move {
+            if let Some(announcement) = told.borrow().as_ref() {
+                announcement.send_modify(|now| now.go_away_ms = Some(1_000));
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let _ = stream.send(refused_after(ErrorKind::InProgress, Ran::Maybe));
+        });
+    });
+    let node = ScriptedNode::start("node-1", script).await;
+    let (_sidecar, base) = sidecar(settings(&[&node])).await;
+    announcement.replace(Some(node.announcement.clone()));
+    let error = chat(&base, false, &NEVER).await.json()["error"].clone();
+    expect_that!(error["kind"].as_str(), some(eq("in_progress")));
+    expect_that!(error["ran"].as_str(), some(eq("maybe")));
+}
+
 fn refused_after(kind: ErrorKind, ran: Ran) -> frame::Body {
     frame::Body::Refused(Failure::not_run(kind, "not now").after(ran).to_refused())
 }
