--- a/crates/tenants/src/account.rs
+++ b/crates/tenants/src/account.rs
@@ -5,6 +5,8 @@
 use dappleyard_model::{QuotaBounds, RateLimit};
 use tokio::time::Instant;
 
+use crate::growing::Held;
+
 /// Part of the operators' tolerance that the bucket is deeper than the burst. What other nodes let pass
 /// is known some hundred milliseconds late, so the order of requests over the fleet is not known
 /// exactly: with this part no caller is refused below its quota because of old news. The other
@@ -12,6 +14,10 @@
 const TOLERANCE_IN_DEPTH: f64 = 0.5;
 /// Least depth of a bucket: with less than one request it would let nothing pass, however long it fills.
 const LEAST_DEPTH: f64 = 1.0;
+/// Part of the fleet from which on it may spend all credit while the rest is silent, and up to which it may
+/// spend none beyond its rate. They add up to one, see `Part::kept`.
+const KEEPS_ALL: f64 = 0.75;
+const KEEPS_NONE: f64 = 0.25;
 /// Longest time after which a caller is asked to come back.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 /// Requests count as recent for one to two spans of this length.
@@ -52,6 +58,26 @@
     }
 }
 
+/// A part of the fleet while the rest is silent and is not known to be gone.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Part {
+    /// The part of the fleet that is heard, between 0 and 1.
+    heard: f64,
+}
+
+impl Part {
+    /// The part, where it is so small that the rest may spend as much as this one.
+    pub(crate) fn new(heard: f64) -> Option<Self> {
+        (heard < KEEPS_ALL).then_some(Self { heard })
+    }
+
+    /// Share of the credit that the part may spend. The shares of all parts of a fleet add up to at most
+    /// one, however it is cut: a large part keeps more than its share, and those that are small nothing.
+    fn kept(self) -> f64 {
+        ((self.heard - KEEPS_NONE) / (KEEPS_ALL - KEEPS_NONE)).max(0.0)
+    }
+}
+
 /// Requests of one tenant that this node let pass.
 #[derive(Debug, Clone, Copy)]
 struct Passed {
@@ -121,8 +147,16 @@
     fleet: Bucket,
     /// What this node may let pass while it hears too few others to know what the fleet has left.
     alone: Option<Bucket>,
+    /// What this part of the fleet may let pass while the rest is silent.
+    part: Option<(Part, Bucket)>,
+    /// Requests of the credit that are not to be spent now.
+    held_back: f64,
     at: Instant,
     passed: Passed,
+    /// Requests that this node had let pass when a delegate last told of levels.
+    passed_when_told: u64,
+    /// Requests that this node lets pass until it is told again.
+    slice: u64,
     /// Requests of all nodes of the own zone.
     pub(crate) zone_passed: u64,
     /// When the credit was last low.
@@ -134,6 +168,8 @@
         Self {
             fleet: Bucket::new(refill, level),
             alone: None,
+            part: None,
+            held_back: 0.0,
             at: now,
             passed: Passed {
                 count: 0,
@@ -141,6 +177,8 @@
                 recent_base: 0,
                 span_began: now,
             },
+            passed_when_told: 0,
+            slice: u64::MAX,
             zone_passed: 0,
             low_at: None,
         }
@@ -152,14 +190,25 @@
         self.at = self.at.max(now);
         self.passed.turn(now);
         self.fleet.fill(seconds * growth);
+        if let Some((_, bucket)) = &mut self.part {
+            bucket.fill(seconds);
+        }
         if let Some(alone) = &mut self.alone {
             alone.fill(seconds);
         }
     }
 
-    /// Goes on with another bucket; what is in it stays, as far as it is deep enough.
+    /// Sets aside what zones that are late may have spent, and drops what silent ones may have spent.
+    pub(crate) fn hold(&mut self, held: Held) {
+        let per_s = self.fleet.refill.per_s;
+        self.fleet.add(-held.given_up_s * per_s);
+        self.held_back = held.back_s * per_s;
+    }
+
+    /// Goes on with another bucket; what is in it stays, as far as it is deep enough. What was set aside for
+    /// a rest of the fleet that is now known to be gone is not spent by this part.
     pub(crate) fn set_refill(&mut self, refill: Refill, point: f64) {
-        let level = self.fleet.level.min(whole(refill.depth, point));
+        let level = self.level().min(whole(refill.depth, point));
         self.fleet = Bucket::new(refill, level);
     }
 
@@ -172,12 +221,40 @@
         });
     }
 
+    /// The rest of the fleet is silent from now on, or is heard again. Credit that is set aside for the rest
+    /// is not lost: it is there again once the rest is heard.
+    pub(crate) fn set_part(&mut self, part: Option<Part>, point: f64) {
+        let Some(part) = part else {
+            self.part = None;
+            return;
+        };
+        let whole_refill = self.fleet.refill;
+        let refill = Refill {
+            per_s: part.heard * whole_refill.per_s,
+            depth: part.kept() * whole_refill.depth,
+        };
+        let level = match self.part {
+            None => whole(part.kept() * self.fleet.level, point),
+            Some((held, bucket)) if part.kept() < held.kept() && bucket.level > 0.0 => {
+                whole(bucket.level * part.kept() / held.kept(), point)
+            }
+            Some((_, bucket)) => bucket.level,
+        };
+        self.part = Some((part, Bucket::new(refill, level)));
+    }
+
     pub(crate) fn is_low(&self, part: f64) -> bool {
         self.fleet.level < part * self.fleet.depth()
     }
 
     pub(crate) fn level(&self) -> f64 {
-        self.fleet.level
+        let part = self.part.map_or(f64::MAX, |(_, bucket)| bucket.level);
+        self.fleet.level.min(part)
+    }
+
+    /// Credit that may be spent now.
+    pub(crate) fn free(&self) -> f64 {
+        self.level().min(self.fleet.level - self.held_back)
     }
 
     pub(crate) fn set_level(&mut self, level: f64) {
@@ -189,9 +266,27 @@
         self.set_level(self.fleet.level.max(part * self.fleet.depth()));
     }
 
+    /// A delegate told what is left.
+    pub(crate) fn note_told(&mut self, slice: u64) {
+        self.passed_when_told = self.passed.count;
+        self.slice = slice;
+    }
+
+    /// Whether this node has let pass what it may, `at_most` or its slice, since a delegate last told what
+    /// is left.
+    pub(crate) fn is_spent(&self, at_most: u64) -> bool {
+        let passed = self.passed.count.saturating_sub(self.passed_when_told);
+        passed >= self.slice.min(at_most)
+    }
+
     /// Takes one request off; `Err` tells when there will be credit for it.
     pub(crate) fn take(&mut self, now: Instant) -> Result<(), Duration> {
-        let buckets = [Some(&self.fleet), self.alone.as_ref()];
+        let part = self.part.as_ref().map(|(_, bucket)| bucket);
+        let fleet = Bucket {
+            level: self.fleet.level - self.held_back,
+            ..self.fleet
+        };
+        let buckets = [Some(&fleet), self.alone.as_ref(), part];
         let wait = buckets
             .into_iter()
             .flatten()
@@ -212,6 +307,9 @@
         if let Some(alone) = &mut self.alone {
             alone.add(requests);
         }
+        if let Some((_, bucket)) = &mut self.part {
+            bucket.add(requests);
+        }
     }
 
     /// A request that was let pass has run nowhere and will not.
@@ -224,6 +322,9 @@
     /// Takes off what another node let pass; below zero when it gave requests back.
     pub(crate) fn charge(&mut self, requests: i64) {
         self.fleet.add(-(requests as f64));
+        if let Some((_, bucket)) = &mut self.part {
+            bucket.add(-(requests as f64));
+        }
     }
 
     /// Requests that this node let pass since it began, and in the last seconds.
--- a/crates/tenants/src/counts.rs
+++ b/crates/tenants/src/counts.rs
@@ -88,6 +88,29 @@
     /// Time by which its messages are longer under way than those of a zone of the own region.
     pub(crate) later: Duration,
     passed: HashMap<u32, u64>,
+    standby: Option<Standby>,
+}
+
+/// Another delegate of the zone, and what it told since the one that is followed was last heard. When that
+/// one is cut off, the 600 ms until it counts as silent are not lost: with the burst of five tenants in play
+/// the others passed some 20 requests in them that were charged to nobody (virtual time).
+#[derive(Debug)]
+struct Standby {
+    delegate: (u64, u64),
+    passed: HashMap<u32, u64>,
+    untold: HashMap<u32, i64>,
+}
+
+impl Standby {
+    fn note(&mut self, told: &ZonePassed<'_>) {
+        for count in told.counts {
+            let before = self.passed.insert(count.tenant, count.passed);
+            if let Some(before) = before {
+                *self.untold.entry(count.tenant).or_default() +=
+                    count.passed as i64 - before as i64;
+            }
+        }
+    }
 }
 
 impl ZoneCounts {
@@ -100,6 +123,36 @@
             heard_part: 1.0,
             later: Duration::ZERO,
             passed: HashMap::new(),
+            standby: None,
+        }
+    }
+
+    /// Follows another delegate from now on; what it told since the former one was last heard is charged.
+    pub(crate) fn follow(&mut self, delegate: (u64, u64), now: Instant) -> Vec<Change> {
+        let standby = self.standby.take();
+        *self = Self {
+            later: self.later,
+            ..Self::new(delegate, now)
+        };
+        let Some(standby) = standby.filter(|standby| standby.delegate == delegate) else {
+            return Vec::new();
+        };
+        self.passed = standby.passed;
+        standby.untold.into_iter().collect()
+    }
+
+    fn note_standby(&mut self, delegate: (u64, u64), told: &ZonePassed<'_>) {
+        match &mut self.standby {
+            Some(standby) if standby.delegate == delegate => standby.note(told),
+            _ => {
+                let mut standby = Standby {
+                    delegate,
+                    passed: HashMap::new(),
+                    untold: HashMap::new(),
+                };
+                standby.note(told);
+                self.standby = Some(standby);
+            }
         }
     }
 
@@ -127,8 +180,12 @@
         now: Instant,
     ) -> Vec<Change> {
         if self.delegate != delegate {
+            self.note_standby(delegate, told);
             return Vec::new();
         }
+        if let Some(standby) = &mut self.standby {
+            standby.untold.clear();
+        }
         self.heard = now;
         self.heard_part = told.heard_part.clamp(0.0, 1.0);
         // All counts were told since then: one that appears later has begun at nothing.
--- a/crates/tenants/src/ledger.rs
+++ b/crates/tenants/src/ledger.rs
@@ -10,11 +10,12 @@
 
 use dappleyard_model::{QuotaBounds, RateLimit, Tenants};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::account::{Account, Refill, tolerance, whole};
+use crate::account::{Account, Part, Refill, tolerance, whole};
 use crate::counts::{NodeCounts, ZoneCounts, ZonePassed};
+use crate::growing::Growing;
 use crate::messages::{CreditLevel, PassedCount};
+use crate::numbers::{point, slice, tenant_number};
 
 /// Part of a bucket under which nodes are told of its level in each message.
 const LOW: f64 = 0.6;
@@ -29,6 +30,15 @@
 /// The same of another zone, which is told of each 25 to 75 ms. Messages of another region come as often and
 /// are longer under way: that time is added, as this node measured it.
 const ZONE_FRESH: Duration = Duration::from_millis(250);
+/// Age of a zone's last word from which credit is held back for it: one message and its delay. It is given
+/// after all when the zone is heard while it still counts as fresh; when it is not, the parts of a fleet that
+/// was cut have not all spent the same credit meanwhile.
+const ZONE_PROMPT: Duration = Duration::from_millis(125);
+/// Age of the delegates' last word from which a node that is told no longer spends the credit of the fleet:
+/// two delegates tell each 75 ms.
+const TOLD_FRESH: Duration = Duration::from_millis(250);
+/// Requests of a tenant that such a node lets pass since that word.
+const UNTOLD_AT_MOST: u64 = 1;
 /// Time after which the silence of others shows in the known part of the fleet.
 const SILENCE_NOTED: Duration = Duration::from_millis(3_000);
 /// Known part of the fleet below which a refusal tells of this node rather than of the tenant.
@@ -36,16 +46,6 @@
 /// Time for which all that a node has summed counts as recent: as long as a node's own requests do.
 const YOUNG: Duration = Duration::from_millis(1_500);
 
-/// Number that stands for a tenant in messages.
-pub fn tenant_number(name: &str) -> u32 {
-    xxh3_64(name.as_bytes()) as u32
-}
-
-/// A number between 0 and 1 for a tenant, another one at each node.
-fn point(seed: u64, tenant: u32) -> f64 {
-    xxh3_64_with_seed(&tenant.to_le_bytes(), seed) as f64 / u64::MAX as f64
-}
-
 /// Credit of all tenants.
 #[derive(Debug)]
 pub struct Ledger {
@@ -58,8 +58,7 @@
     /// When a delegate last told of levels.
     told_at: Option<Instant>,
     share: f64,
-    /// How fast credit of the fleet grows, as of the last look at all accounts.
-    growth: f64,
+    growing: Growing,
     limits: HashMap<u32, RateLimit>,
     accounts: HashMap<u32, Account>,
     nodes: HashMap<u64, NodeCounts>,
@@ -75,7 +74,7 @@
             began: now,
             summing_since: None,
             told_at: None,
-            growth: 0.0,
+            growing: Growing::new(now),
             share: 1.0,
             limits: HashMap::new(),
             accounts: HashMap::new(),
@@ -119,6 +118,13 @@
         self.share < ALONE_BELOW
     }
 
+    /// Whether this node is told of levels, and its delegates have just fallen silent. What it knows of the
+    /// fleet's credit is no longer true, and it does not know yet that it is alone.
+    fn is_untold(&self, now: Instant) -> bool {
+        let told = self.told_at.filter(|_| self.summing_since.is_none());
+        !self.is_alone() && told.is_some_and(|at| now.duration_since(at) >= TOLD_FRESH)
+    }
+
     /// Share of the fleet that the credit of the fleet stands for. A node that sums stands for those it
     /// hears; one that is told takes over what its delegate stands for.
     fn fleet_share(&self) -> f64 {
@@ -146,7 +152,7 @@
     /// message: others take from the same credit. One that sums goes by the part of the fleet that told it a
     /// moment ago what it let pass: where the fleet is cut, all parts together must not let pass more than
     /// before, and the silence of the others shows in the share only after seconds.
-    fn growth(&self, now: Instant) -> f64 {
+    fn growth(&self, zone_fresh: Duration, now: Instant) -> f64 {
         if self.summing_since.is_none() {
             return 0.0;
         }
@@ -154,7 +160,7 @@
         let zones = self.zones.values();
         for zone in zones.filter(|zone| now.duration_since(zone.heard()) < SILENCE_NOTED) {
             known += 1.0;
-            if now.duration_since(zone.heard()) < ZONE_FRESH + zone.later {
+            if now.duration_since(zone.heard()) < zone_fresh + zone.later {
                 fresh += zone.heard_part();
             }
         }
@@ -174,9 +180,15 @@
 
     /// Brings all accounts up to now.
     fn fill(&mut self, now: Instant) {
-        self.growth = self.growth(now);
-        let accounts = self.accounts.values_mut();
-        accounts.for_each(|account| account.fill(self.growth, now));
+        let heard = self.growth(ZONE_FRESH, now);
+        let prompt = self.growth(ZONE_PROMPT, now);
+        let held = self.growing.note(heard, prompt, now);
+        let part = self.summing_since.and_then(|_| Part::new(heard));
+        for (tenant, account) in &mut self.accounts {
+            account.fill(heard, now);
+            account.hold(held);
+            account.set_part(part, point(self.seed, *tenant));
+        }
     }
 
     /// Gives all accounts the buckets that fit limits and standing.
@@ -203,7 +215,7 @@
             self.accounts.insert(tenant, account);
         }
         let account = self.accounts.get_mut(&tenant)?;
-        account.fill(self.growth, now);
+        account.fill(self.growing.heard(), now);
         Some(account)
     }
 
@@ -230,7 +242,10 @@
 
     /// Takes one request of a tenant off; `Err` tells when there will be credit for it.
     pub fn take(&mut self, tenant: u32, now: Instant) -> Result<(), Duration> {
+        let untold = self.is_untold(now);
+        let at_most = if untold { UNTOLD_AT_MOST } else { u64::MAX };
         match self.account(tenant, now) {
+            Some(account) if account.is_spent(at_most) => Err(TOLD_FRESH),
             Some(account) => account.take(now),
             None => Ok(()),
         }
@@ -313,10 +328,11 @@
         }
         let follow = || ZoneCounts::new(delegate, now);
         let held = self.zones.entry(zone).or_insert_with(follow);
+        let mut changes = Vec::new();
         if held.gives_way(delegate, now) {
-            *held = follow();
+            changes = held.follow(delegate, now);
         }
-        let changes = held.note(delegate, told, now);
+        changes.extend(held.note(delegate, told, now));
         self.fill(now);
         for (tenant, change) in changes {
             if let Some(account) = self.account(tenant, now) {
@@ -339,7 +355,7 @@
         let accounts = self.accounts.iter_mut();
         accounts
             .filter_map(|(tenant, account)| {
-                let level = account.level();
+                let level = account.free();
                 if account.is_low(LOW) {
                     account.low_at = Some(now);
                 }
@@ -373,9 +389,12 @@
         }
         self.fill(now);
         self.told_at = Some(now);
-        let untold = self.accounts.iter_mut();
-        for (_, account) in untold.filter(|(tenant, _)| !told.contains_key(tenant)) {
-            account.set_at_least(LOW);
+        for (tenant, account) in &mut self.accounts {
+            let slice = told.get(tenant).map(|level| slice(level.level_milli));
+            account.note_told(slice.unwrap_or(u64::MAX));
+            if slice.is_none() {
+                account.set_at_least(LOW);
+            }
         }
     }
 }
--- a/crates/tenants/src/lib.rs
+++ b/crates/tenants/src/lib.rs
@@ -7,14 +7,17 @@
 
 mod account;
 mod counts;
+mod growing;
 mod identity;
 mod ledger;
 mod messages;
+mod numbers;
 mod table;
 
 pub use account::{Refill, tolerance};
 pub use counts::ZonePassed;
 pub use identity::{Caller, KeyRefusal, Standing, identify};
-pub use ledger::{Ledger, tenant_number};
+pub use ledger::Ledger;
 pub use messages::{CreditLevel, PassedCount};
+pub use numbers::tenant_number;
 pub use table::{QuotaTable, Shortage, TenantCounts};
--- a/crates/tenants/src/table.rs
+++ b/crates/tenants/src/table.rs
@@ -8,8 +8,9 @@
 use tokio::time::Instant;
 
 use crate::counts::ZonePassed;
-use crate::ledger::{Ledger, tenant_number};
+use crate::ledger::Ledger;
 use crate::messages::{CreditLevel, PassedCount};
+use crate::numbers::tenant_number;
 
 /// A request that is not let pass.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/tenants/tests/schedules.rs
+++ b/crates/tenants/tests/schedules.rs
@@ -93,9 +93,8 @@
     }
 }
 
-/// Known red: half of the fleet is cut off while every tenant still has its whole burst and begins to send five times
-/// its quota, or the same schedules meet tenants in that state. Until the silence is noticed the rest holds all
-/// of the burst, and each lone node lets one request of each tenant pass at least.
+/// Half of the fleet is cut off while every tenant still has its whole burst and begins to send five times its
+/// quota, or the same schedules meet tenants in that state.
 #[gtest]
 fn full_buckets_meet_a_cut() {
     for seed in 0..4 {
