--- a/crates/cluster/tests/cold_parts.rs
+++ b/crates/cluster/tests/cold_parts.rs
@@ -184,3 +184,19 @@
     expect_that!(slow, gt(ALLOWED));
     expect_that!(cut, gt(ALLOWED));
 }
+
+#[gtest]
+fn part_of_a_new_life_counts_as_used() {
+    let start = Instant::now();
+    let parts = ColdParts::new(start);
+    expect_that!(
+        parts.take(1, 2, start + Duration::from_millis(1_000)),
+        eq(false)
+    );
+    let later = start + Duration::from_millis(1_050);
+    expect_that!(parts.has_left(1, 2, later), eq(true));
+    expect_that!(
+        [1, 1, 1, 2].map(|server| parts.take(server, 2, later)),
+        eq([true, true, false, true])
+    );
+}
