--- a/crates/cluster/src/cold_loads.rs
+++ b/crates/cluster/src/cold_loads.rs
@@ -131,11 +131,11 @@
         loads.thermal.note_reached(Instant::now());
     }
 
-    /// The server comes back into use after a time without work: nobody knows how cold it is.
-    pub fn note_taken_back(&self, server: &str) {
+    /// Operators took the server back into use, as this node learnt at some time: nobody knows how cold it is.
+    pub fn note_taken_back(&self, server: &str, at: Instant) {
         let mut servers = self.servers.lock();
         let loads = servers.entry(server_number(server)).or_default();
-        loads.thermal.note_taken_back(Instant::now());
+        loads.thermal.note_taken_back(at);
     }
 
     /// Whether this node's part of a cold server's requests has something left.
--- a/crates/cluster/src/temperature.rs
+++ b/crates/cluster/src/temperature.rs
@@ -17,6 +17,9 @@
 /// Time that news takes from one node to all others. A server is found silent after 900 ms without a byte, so an
 /// answer to a question that was asked this long before the news still comes from after the silence.
 const NEWS_DELAY: Duration = Duration::from_millis(500);
+/// Time by which one node may learn later than another that a server was taken back into use. Nobody asks a server
+/// that is out of use, so a question within this time is one of a node that had learnt of it.
+const TAKEN_BACK_DELAY: Duration = Duration::from_millis(2_000);
 
 /// Temperature of a server as a node believes it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -89,6 +92,8 @@
     checked: Option<Checked>,
     /// When any byte is known to have come from the server, to any node.
     heard: Option<Instant>,
+    /// When this node learnt that operators took it back into use.
+    taken_back: Option<Instant>,
     /// When another node last told that the server is silent.
     silence_told: Option<Instant>,
     teller: Option<Teller>,
@@ -202,10 +207,17 @@
         }
     }
 
-    /// The server comes back into use after a time in which it was kept without work: it may have turned cold.
-    pub fn note_taken_back(&mut self, now: Instant) {
-        self.out_of_sight = Some((now, Teller::TakenBack));
-        self.reached = false;
+    /// Operators took the server back into use, as this node learnt at some time: it may have turned cold while it
+    /// got no work. Saying it again changes nothing.
+    pub fn note_taken_back(&mut self, at: Instant) {
+        if self.taken_back.replace(at) == Some(at) {
+            return;
+        }
+        let since = at.checked_sub(TAKEN_BACK_DELAY).unwrap_or(at);
+        if self.checked.is_none_or(|checked| checked.at < since) {
+            self.out_of_sight = Some((since, Teller::TakenBack));
+            self.reached = false;
+        }
     }
 
     /// Takes an answer to a health question, of this node or of another one; the newest question counts.
--- a/crates/cluster/tests/temperature.rs
+++ b/crates/cluster/tests/temperature.rs
@@ -176,13 +176,33 @@
 }
 
 #[gtest]
-fn zone_taken_back_is_unknown() {
+fn server_taken_back_is_unknown_until_asked() {
     let (mut server, now) = in_use();
-    server.note_taken_back(now);
+    let back = now + ms(10_000);
+    server.note_taken_back(back);
     expect_that!(
-        server.temperature(now),
+        server.temperature(back),
         eq((Temperature::Unknown, Teller::TakenBack))
     );
+    let asked = answer(back + ms(20), 3_000);
+    server.note_checked(asked, Teller::Health, back + ms(30));
+    server.note_taken_back(back);
+    expect_that!(temperature(&server, back + ms(30)), eq(Temperature::Cold));
+    // It is evacuated once more.
+    server.note_taken_back(back + ms(9_000));
+    expect_that!(
+        temperature(&server, back + ms(9_000)),
+        eq(Temperature::Unknown)
+    );
+}
+
+#[gtest]
+fn node_that_learns_late_believes_who_asked() {
+    let (mut server, now) = in_use();
+    let asked = now + ms(10_000);
+    server.note_checked(answer(asked, 3_000), Teller::Node, asked + ms(100));
+    server.note_taken_back(asked + ms(900));
+    expect_that!(temperature(&server, asked + ms(900)), eq(Temperature::Cold));
 }
 
 #[gtest]
