--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -212,6 +212,9 @@
                 self.tell_zone(&peers, &delegates, duties);
                 self.tell_other_zones(&peers, &delegates, duties);
             }
+            if duties.heartbeat {
+                self.tell_silent_zones();
+            }
             if duties.far {
                 self.send_at_random(1);
             }
@@ -348,6 +351,21 @@
         self.send(message, far.map(|peer| peer.address));
     }
 
+    /// As a delegate, tells the delegates of zones that have fallen silent who lives here. They are those that the
+    /// zone itself chose before. Once a cut between zones heals, both sides know of all nodes of the other after
+    /// 0.6 s; by heartbeats to random nodes alone it took up to 3 s, and nodes of the one side took over jobs that
+    /// run at the other.
+    fn tell_silent_zones(&self) {
+        let delegates = self.peers.silent_delegates();
+        if delegates.is_empty() {
+            return;
+        }
+        // Loads are told again once the zone is heard.
+        let signs = self.peers.life_signs(Some(&self.settings.zone));
+        let message = self.heartbeat(false, Some(signs));
+        self.send(message, delegates.iter().map(|node| node.address));
+    }
+
     /// Sends life signs to nodes chosen at random; where no delegate is heard they relay others.
     fn send_at_random(&self, fanout: usize) {
         if fanout == 0 {
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -25,6 +25,7 @@
 mod waiting;
 mod ways;
 mod zone_digest;
+mod zone_suspicion;
 
 pub use cadence::{Duties, duties};
 pub use cold_parts::{ColdParts, ColdShare, standing};
@@ -46,3 +47,4 @@
 pub use waiting::{Allowance, WaitingItems};
 pub use ways::{WayWeights, Ways};
 pub use zone_digest::{SERVERS_TOLD, ZoneDigest};
+pub use zone_suspicion::{ServerSign, ZoneChange, ZoneSuspicion};
--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -1,7 +1,7 @@
 //! Work under way at each server: this node's exactly, the other nodes' as of their last
 //! heartbeat.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +40,8 @@
     /// What this node sent to cold servers.
     pub(crate) cold: ColdParts,
     pub(crate) servers: Mutex<HashMap<u32, ServerLoads>>,
+    /// Servers of zones that are doubted. Never locked together with `servers`.
+    held_back: Mutex<HashSet<u32>>,
     pressure: Notify,
     pub(crate) change: Notify,
 }
@@ -148,10 +150,56 @@
 
     /// Load of a server.
     pub fn summary(&self, server: &str) -> LoadSummary {
+        let number = server_number(server);
+        let held_back = self.held_back.lock().contains(&number);
+        let servers = self.servers.lock();
+        let mut summary = servers
+            .get(&number)
+            .map_or_else(LoadSummary::default, |loads| loads.summary(Instant::now()));
+        summary.suspect |= held_back;
+        summary
+    }
+
+    /// Servers that are tried with care from now on, and no others, since hardly any of their zone answers.
+    pub fn hold_back(&self, servers: Vec<&str>) {
+        let numbers: HashSet<u32> = servers.into_iter().map(server_number).collect();
+        let released: Vec<u32> = {
+            let mut held = self.held_back.lock();
+            let released = held.difference(&numbers).copied().collect();
+            *held = numbers;
+            released
+        };
+        // Connections from before stay doubtful until the server is heard.
+        let now = Instant::now();
+        let mut servers = self.servers.lock();
+        for number in released {
+            let loads = servers.entry(number).or_default();
+            loads.doubt_until.get_or_insert(now);
+        }
+    }
+
+    /// Whether any server was found silent a moment ago.
+    pub fn is_any_suspect(&self) -> bool {
+        let now = Instant::now();
+        let servers = self.servers.lock();
+        servers.values().any(|loads| loads.is_found_silent(now))
+    }
+
+    /// Whether the server was found silent a moment ago, here or at another node.
+    pub fn is_found_silent(&self, server: &str) -> bool {
         let servers = self.servers.lock();
-        servers
-            .get(&server_number(server))
-            .map_or_else(LoadSummary::default, |loads| loads.summary(Instant::now()))
+        let loads = servers.get(&server_number(server));
+        loads.is_some_and(|loads| loads.is_found_silent(Instant::now()))
+    }
+
+    /// Whether connections to the server that rest are worth nothing: it was found silent, itself or with its
+    /// zone, and has not been heard here since.
+    pub fn is_doubted(&self, server: &str) -> bool {
+        let number = server_number(server);
+        let held_back = self.held_back.lock().contains(&number);
+        let servers = self.servers.lock();
+        let loads = servers.get(&number);
+        held_back || loads.is_some_and(|loads| loads.is_doubted(Instant::now()))
     }
 
     /// The server is to be avoided for a time.
@@ -161,6 +209,17 @@
         let now = Instant::now();
         loads.suspect_until = Some(now + time);
         loads.thermal.note_silent(now);
+        loads.untold = true;
+        self.change.notify_one();
+    }
+
+    /// The server has said nothing for longer than its answers take: it is avoided for a time, or until it is heard.
+    pub fn doubt(&self, server: &str, time: Duration) {
+        let mut servers = self.servers.lock();
+        let loads = servers.entry(server_number(server)).or_default();
+        loads.doubt_until = Some(Instant::now() + time);
+        loads.untold = true;
+        self.change.notify_one();
     }
 
     /// Notes that a request at the server was served, or failed there; whether the server is newly
@@ -185,6 +244,7 @@
         loads.heard = Some(now);
         loads.thermal.note_heard(now);
         loads.suspect_until = None;
+        loads.doubt_until = None;
     }
 
     /// Time since any byte came from the server to any node.
--- a/crates/cluster/src/messages.rs
+++ b/crates/cluster/src/messages.rs
@@ -60,6 +60,9 @@
     /// How much longer the server was cold then.
     #[prost(uint32, tag = "10")]
     pub cold_ms: u32,
+    /// The node waits for the server for longer than its answers take, if not yet for so long that it is silent.
+    #[prost(bool, tag = "11")]
+    pub doubted: bool,
 }
 
 /// The newest messages of other nodes that the sender knows of. The lists run side by side: one
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -1,6 +1,6 @@
 //! The other nodes: their rows, and when they were last heard.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +13,7 @@
 
 use crate::cold_parts::{first, standing};
 use crate::delegates::{Candidate, delegates};
+use crate::directory::FrontNode;
 use crate::follow::{Contact, TableSink};
 use crate::messages::{Heartbeat, LifeSign, LifeSigns, NodeRow};
 use tokio::time::Instant;
@@ -99,6 +100,11 @@
         self.heard.unwrap_or(self.seen).max(self.seen)
     }
 
+    /// Whether the node took requests when it was last heard.
+    fn took_requests(&self) -> bool {
+        self.heard.is_some() && self.ready && !(self.leaving || self.row.leaving)
+    }
+
     /// Takes a message of the node for known since some time; an older one than known says nothing.
     fn note_message(&mut self, sequence: u64, at: Instant) {
         if self.heard.is_none() || sequence > self.sequence {
@@ -188,16 +194,28 @@
         others.chain(own).collect()
     }
 
-    /// Nodes that take requests: address and zone, this one left out.
-    pub fn ready_fronts(&self) -> Vec<(String, String)> {
+    /// Nodes that callers may be sent to, this one left out: those that take requests, and those that did when
+    /// they were last heard.
+    pub fn front_nodes(&self) -> Vec<FrontNode> {
         let now = Instant::now();
         let peers = self.peers.lock();
-        peers
-            .iter()
-            .filter(|(name, _)| **name != self.own_name)
-            .filter(|(_, peer)| self.judge(peer, now, peers.len()) == PeerStatus::Ready)
-            .map(|(_, peer)| (peer.row.front.clone(), peer.row.zone.clone()))
-            .collect()
+        let others = peers.iter().filter(|(name, _)| **name != self.own_name);
+        let taking = others.filter_map(|(_, peer)| {
+            let ready = match self.judge(peer, now, peers.len()) {
+                PeerStatus::Ready => true,
+                PeerStatus::Down if peer.took_requests() => false,
+                _ => return None,
+            };
+            let newest = peer.heard.unwrap_or(peer.seen).max(peer.seen);
+            Some(FrontNode {
+                address: peer.row.front.clone(),
+                zone: peer.row.zone.clone(),
+                age: now.duration_since(newest),
+                ready,
+                strong: peer.row.strong,
+            })
+        });
+        taking.collect()
     }
 
     /// Where to send heartbeats: address, and whether the node is in the own zone.
@@ -299,6 +317,46 @@
         first.iter().all(|(_, peer)| silent(peer)).then_some(place)
     }
 
+    /// The delegates of other zones of which no node is heard, as these zones chose them when all was well.
+    pub fn silent_delegates(&self) -> Vec<RelayPeer> {
+        let silent = self.silent_zones();
+        let chosen = silent.iter().flat_map(|(zone, nodes)| {
+            let names = self.delegates_among(nodes, zone);
+            let chosen = nodes
+                .iter()
+                .filter(move |node| names.contains(&node.name.as_str()));
+            chosen.cloned()
+        });
+        chosen.collect()
+    }
+
+    /// The nodes of other zones of which none is heard, as they were last known.
+    fn silent_zones(&self) -> BTreeMap<String, Vec<RelayPeer>> {
+        let now = Instant::now();
+        let alive = self.relay_peers();
+        let heard: HashSet<&str> = alive.iter().map(|peer| peer.zone.as_str()).collect();
+        let mut zones: BTreeMap<String, Vec<RelayPeer>> = BTreeMap::new();
+        let peers = self.peers.lock();
+        for (name, peer) in peers.iter() {
+            let zone = &peer.row.zone;
+            let leaves = peer.row.leaving || peer.leaving;
+            if *zone == self.own_zone || heard.contains(zone.as_str()) || leaves {
+                continue;
+            }
+            let Some(address) = peer.address.filter(|_| peer.is_recent(now)) else {
+                continue;
+            };
+            zones.entry(zone.clone()).or_default().push(RelayPeer {
+                name: name.clone(),
+                zone: zone.clone(),
+                address,
+                direct_age: None,
+                strong: peer.row.strong,
+            });
+        }
+        zones
+    }
+
     /// Number of nodes that have a row, this one included.
     pub fn listed(&self) -> usize {
         self.peers.lock().len()
--- a/crates/cluster/src/server_loads.rs
+++ b/crates/cluster/src/server_loads.rs
@@ -9,6 +9,9 @@
 use crate::outcomes::{Ejection, OutcomeCounts, Outcomes};
 use crate::temperature::{Checked, Temperature, Thermal};
 
+/// Time since a server was last heard here in which it does not count as silent for others' sake: they may be cut
+/// off from it, or slow themselves.
+const HEARD_HERE: Duration = Duration::from_millis(200);
 /// Heartbeats older than this tell nothing.
 pub(crate) const HEARTBEAT_LIFE: Duration = Duration::from_millis(1500);
 
@@ -50,6 +53,8 @@
     /// The news for which this node has paused its share already.
     pub(crate) paused_for: Option<Instant>,
     pub(crate) suspect_until: Option<Instant>,
+    /// It has said nothing for longer than its answers take.
+    pub(crate) doubt_until: Option<Instant>,
     pub(crate) heard: Option<Instant>,
     pub(crate) excess_ms: f64,
     pub(crate) excess_at: Option<Instant>,
@@ -70,7 +75,7 @@
             online: self.online,
             batch: self.batch,
             unread_tokens: self.unread_tokens,
-            suspect: self.is_suspect(now) || self.ejection.is_out(now),
+            suspect: self.is_found_silent(now) || self.ejection.is_out(now),
             temperature: self.followed_temperature(now),
             ..LoadSummary::default()
         };
@@ -79,7 +84,6 @@
                 summary.online += entry.online;
                 summary.batch += entry.batch;
                 summary.unread_tokens += entry.unread_tokens;
-                summary.suspect |= entry.suspect;
             }
         }
         if let Some(at) = self.excess_at {
@@ -89,6 +93,26 @@
         summary
     }
 
+    /// The server was silent or could not be reached a moment ago, here or at another node.
+    pub(crate) fn is_found_silent(&self, now: Instant) -> bool {
+        let heard = self.heard.map(|heard| now.duration_since(heard));
+        let told = self.peers.values();
+        let mut others = told.filter(|(_, entry)| entry.suspect || entry.doubted);
+        self.is_suspect(now)
+            || self.is_slow_to_answer(now)
+            || (heard.is_none_or(|age| age > HEARD_HERE)
+                && others.any(|(at, _)| now.duration_since(*at) < HEARTBEAT_LIFE))
+    }
+
+    /// The server was found silent, and has not been heard here since.
+    pub(crate) fn is_doubted(&self, now: Instant) -> bool {
+        self.suspect_until.is_some() || self.doubt_until.is_some() || self.is_found_silent(now)
+    }
+
+    fn is_slow_to_answer(&self, now: Instant) -> bool {
+        self.doubt_until.is_some_and(|until| until > now)
+    }
+
     /// The server was silent or could not be reached a moment ago.
     fn is_suspect(&self, now: Instant) -> bool {
         self.suspect_until.is_some_and(|until| until > now)
@@ -121,6 +145,7 @@
             batch: self.batch,
             unread_tokens: self.unread_tokens,
             suspect: self.is_suspect(now),
+            doubted: self.is_slow_to_answer(now),
             heard_ms: self.heard.map_or(0, |heard| {
                 let age = now.duration_since(heard).as_millis();
                 u32::try_from(age).unwrap_or(u32::MAX - 1) + 1
@@ -145,6 +170,7 @@
             sum.batch += entry.batch;
             sum.unread_tokens = sum.unread_tokens.saturating_add(entry.unread_tokens);
             sum.suspect |= entry.suspect;
+            sum.doubted |= entry.doubted;
             sum.failed = sum.failed.saturating_add(entry.failed);
             sum.served = sum.served.saturating_add(entry.served);
             sum.take_newer_check(entry, age);
@@ -181,5 +207,6 @@
 }
 
 pub(crate) fn tells_something(entry: &LoadEntry) -> bool {
-    entry.online + entry.batch > 0 || entry.suspect || entry.failed > 0 || entry.asked_ms > 0
+    let silent = entry.suspect || entry.doubted;
+    entry.online + entry.batch > 0 || silent || entry.failed > 0 || entry.asked_ms > 0
 }
--- a/crates/cluster/src/zone_digest.rs
+++ b/crates/cluster/src/zone_digest.rs
@@ -103,5 +103,8 @@
     let online = held.online.abs_diff(sum.online);
     let work = (held.online + held.batch).abs_diff(sum.online + sum.batch);
     let failing = (held.failed > 0) != (sum.failed > 0);
-    online.max(work) >= CHANGE_TOLD || held.suspect != sum.suspect || failing
+    online.max(work) >= CHANGE_TOLD
+        || held.suspect != sum.suspect
+        || held.doubted != sum.doubted
+        || failing
 }
--- /dev/null
+++ b/crates/cluster/tests/directory.rs
@@ -0,0 +1,236 @@
+//! Which nodes callers are sent to.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use dappleyard_cluster::directory::{Asked, FrontNode, Ground, addresses_for};
+use dappleyard_model::{Places, Tolerated};
+use googletest::prelude::*;
+
+const NEWS: Duration = Duration::from_millis(400);
+
+fn node(address: impl Into<String>, zone: &str) -> FrontNode {
+    FrontNode {
+        address: address.into(),
+        zone: zone.to_owned(),
+        age: NEWS,
+        ready: true,
+        strong: false,
+    }
+}
+
+/// So many nodes of a zone, of an age.
+fn nodes(zone: &str, count: usize, age_ms: u64) -> Vec<FrontNode> {
+    let nodes = (0..count).map(|number| FrontNode {
+        age: Duration::from_millis(age_ms),
+        ..node(format!("{zone}-{number:02}"), zone)
+    });
+    nodes.collect()
+}
+
+fn places(zones: &[(&str, &str)]) -> Places {
+    let zones = zones
+        .iter()
+        .map(|(zone, region)| ((*zone).into(), (*region).into()));
+    zones.collect()
+}
+
+fn six_zones() -> Places {
+    places(&[
+        ("n1", "north"),
+        ("n2", "north"),
+        ("s1", "south"),
+        ("s2", "south"),
+        ("w1", "west"),
+        ("w2", "west"),
+    ])
+}
+
+struct Deployment {
+    places: Places,
+    zones: u32,
+    own: &'static str,
+}
+
+impl Deployment {
+    fn answer(&self, zone: &str, nodes: &[FrontNode]) -> Vec<String> {
+        self.answer_within(zone, nodes, None)
+    }
+
+    fn answer_within(
+        &self,
+        zone: &str,
+        nodes: &[FrontNode],
+        regions: Option<&[&str]>,
+    ) -> Vec<String> {
+        let regions: Option<BTreeSet<_>> =
+            regions.map(|regions| regions.iter().map(|region| (*region).into()).collect());
+        let ground = Ground {
+            own_zone: self.own,
+            places: &self.places,
+            tolerated: Tolerated {
+                zones: self.zones,
+                regions: 0,
+            },
+        };
+        let asked = Asked {
+            zone: Some(zone),
+            regions: regions.as_ref(),
+        };
+        addresses_for(asked, ground, nodes)
+    }
+}
+
+/// Addresses of an answer by zone: how many begin so.
+fn of(zone: &str, addresses: &[String]) -> usize {
+    let begin = |address: &&String| address.starts_with(zone);
+    addresses.iter().filter(begin).count()
+}
+
+#[gtest]
+fn own_zone_first() {
+    let plain = Deployment {
+        places: Places::default(),
+        zones: 0,
+        own: "north",
+    };
+    let ready = [node("a", "north"), node("b", "north"), node("c", "south")];
+    expect_that!(plain.answer("north", &ready), eq(&["a", "b"]));
+    expect_that!(plain.answer("south", &ready), eq(&["c"]));
+    expect_that!(plain.answer("west", &ready), eq(&["a", "b", "c"]));
+    let ground = Ground {
+        own_zone: "north",
+        places: &plain.places,
+        tolerated: Tolerated::default(),
+    };
+    let nowhere = addresses_for(Asked::default(), ground, &ready);
+    expect_that!(nowhere, eq(&["a", "b", "c"]));
+    let many: Vec<FrontNode> = nodes("north", 100, 400);
+    expect_that!(plain.answer("north", &many).len(), eq(64));
+}
+
+#[gtest]
+fn region_before_world() {
+    let regions = Deployment {
+        places: six_zones(),
+        zones: 0,
+        own: "n2",
+    };
+    let all = ["n2", "s1", "s2", "w1", "w2"].map(|zone| nodes(zone, 14, 400));
+    let answer = regions.answer("n1", &all.concat());
+    expect_that!((of("n2", &answer), answer.len()), eq((14, 14)));
+    // A region with hardly any node is filled up, and not with the whole world.
+    let few = [nodes("n2", 1, 400), nodes("s1", 14, 400)].concat();
+    let answer = regions.answer("n1", &few);
+    expect_that!((of("n2", &answer), answer.len()), eq((1, 3)));
+    // A region without any node has the nodes that were heard of lately.
+    let far = [nodes("s1", 14, 400), nodes("w1", 14, 1_900)].concat();
+    let answer = regions.answer("n1", &far);
+    expect_that!((of("s1", &answer), answer.len()), eq((14, 14)));
+}
+
+#[gtest]
+fn zone_with_few() {
+    let zones = Deployment {
+        places: six_zones(),
+        zones: 0,
+        own: "n2",
+    };
+    // The nodes that are left do not bear all callers of their zone.
+    let all = [nodes("n1", 2, 400), nodes("n2", 14, 400)].concat();
+    let answer = zones.answer("n1", &all);
+    expect_that!((of("n1", &answer), of("n2", &answer)), eq((2, 12)));
+    let all = [nodes("n1", 9, 400), nodes("n2", 14, 400)].concat();
+    let answer = zones.answer("n1", &all);
+    expect_that!((of("n1", &answer), of("n2", &answer)), eq((9, 0)));
+}
+
+#[gtest]
+fn spare_addresses() {
+    let mut zones = Deployment {
+        places: places(&[("a", "one"), ("b", "one"), ("c", "one")]),
+        zones: 1,
+        own: "a",
+    };
+    let all = ["a", "b", "c"].map(|zone| nodes(zone, 22, 400)).concat();
+    let answer = zones.answer("a", &all);
+    expect_that!((of("a", &answer), answer.len()), eq((22, 30)));
+    // The same ones each time: callers give up connections to what an answer no longer names.
+    let mut turned = all.clone();
+    turned.reverse();
+    expect_that!(zones.answer("a", &turned), eq(&answer));
+    // A large zone leaves room for them.
+    let large = [nodes("a", 100, 400), nodes("b", 100, 400)].concat();
+    let answer = zones.answer("a", &large);
+    expect_that!((of("a", &answer), answer.len()), eq((48, 64)));
+    // Where no zone is to be lost nobody pays for bytes between zones.
+    zones.zones = 0;
+    expect_that!(zones.answer("a", &all).len(), eq(22));
+}
+
+#[gtest]
+fn silent_zone() {
+    let zones = Deployment {
+        places: places(&[("a", "one"), ("b", "one"), ("c", "one")]),
+        zones: 1,
+        own: "b",
+    };
+    // All nodes of a zone were last heard before news of them could have been lost once.
+    let mut all = nodes("a", 22, 1_400);
+    all.extend(nodes("b", 22, 400));
+    all.extend(nodes("c", 22, 800));
+    let answer = zones.answer("a", &all);
+    expect_that!((of("a", &answer), of("b", &answer)), eq((0, 22)));
+    // One of them is heard again, then most of them are: the rest may be news that was lost.
+    all[0].age = Duration::from_millis(50);
+    let answer = zones.answer("a", &all);
+    expect_that!(
+        (of("a", &answer), of("b", &answer) + of("c", &answer)),
+        eq((1, 21))
+    );
+    (0..12).for_each(|number| all[number].age = Duration::from_millis(50));
+    expect_that!(of("a", &zones.answer("a", &all)), eq(22));
+}
+
+#[gtest]
+fn cut_off_zone() {
+    let zones = Deployment {
+        places: places(&[("a", "one"), ("b", "one"), ("c", "one")]),
+        zones: 1,
+        own: "a",
+    };
+    let lost = |zone, age_ms| -> Vec<FrontNode> {
+        let nodes = nodes(zone, 22, age_ms).into_iter();
+        nodes
+            .map(|node| FrontNode {
+                ready: false,
+                ..node
+            })
+            .collect()
+    };
+    // More zones are silent than may be lost at once: it is this zone that is cut off. Its callers may choose
+    // nodes of the others as well.
+    let all = [nodes("a", 22, 100), lost("b", 3_000), lost("c", 3_000)].concat();
+    let answer = zones.answer("a", &all);
+    expect_that!((of("a", &answer), answer.len()), eq((22, 44)));
+    // What was last heard long ago is not named.
+    let all = [nodes("a", 22, 100), lost("b", 5_000), lost("c", 5_000)].concat();
+    expect_that!(zones.answer("a", &all).len(), eq(22));
+    // One silent zone is lost, and not named.
+    let all = [nodes("a", 22, 100), lost("b", 3_000), nodes("c", 22, 400)].concat();
+    expect_that!(of("b", &zones.answer("a", &all)), eq(0));
+}
+
+#[gtest]
+fn allowed_regions() {
+    let regions = Deployment {
+        places: six_zones(),
+        zones: 1,
+        own: "n1",
+    };
+    let all = ["n1", "n2", "s1"].map(|zone| nodes(zone, 14, 400)).concat();
+    let answer = regions.answer_within("n1", &all, Some(&["south"]));
+    expect_that!((of("s1", &answer), answer.len()), eq((14, 14)));
+    let answer = regions.answer_within("n1", &all, Some(&["west"]));
+    expect_that!(answer.is_empty(), eq(true));
+}
--- a/crates/cluster/tests/gossip.rs
+++ b/crates/cluster/tests/gossip.rs
@@ -309,6 +309,40 @@
     });
 }
 
+/// Whether each of some nodes takes each of some others for what is said.
+fn all_believe(nodes: &[&TestNode], of: &[&TestNode], status: PeerStatus) -> bool {
+    let believes = |node: &&TestNode| {
+        let mut others = of.iter().filter(|other| other.name != node.name);
+        others.all(|other| node.peers.status(&other.name, 1) == status)
+    };
+    nodes.iter().all(believes)
+}
+
+#[gtest]
+fn zone_lost() {
+    on_local(async {
+        let mut nodes = fleet(36).await;
+        let under_way = work(&nodes);
+        until("all loads are known", || all_know(&nodes, 36, 36)).await;
+        for node in nodes.iter_mut().filter(|node| node.zone == "north") {
+            node.task.take().expect("a task").abort();
+        }
+        let (lost, rest): (Vec<&TestNode>, Vec<&TestNode>) =
+            nodes.iter().partition(|node| node.zone == "north");
+        // The work of the zone is forgotten, and its nodes are down.
+        until("the loads of the rest are known", || {
+            rest.iter()
+                .all(|node| node.loads.summary("i-1").online == 24)
+        })
+        .await;
+        until("the zone is down", || {
+            all_believe(&rest, &lost, PeerStatus::Down)
+        })
+        .await;
+        drop(under_way);
+    });
+}
+
 fn configured(node: &TestNode) {
     let sink = ConfigurationSink {
         view: node.view.clone(),
--- /dev/null
+++ b/crates/cluster/tests/zone_loss.rs
@@ -0,0 +1,198 @@
+//! What the nodes of a fleet believe of each other while a zone is lost, and while one is cut off.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dappleyard_cluster::directory::{Asked, Ground, addresses_for};
+use dappleyard_cluster::{Heartbeat, NodeRow, PeerStatus, PeerTable, TableSink};
+use dappleyard_model::{EventLog, Places, Row, Tolerated};
+use googletest::prelude::*;
+
+const ZONES: [&str; 3] = ["north", "south", "west"];
+/// Nodes in each zone.
+const IN_ZONE: usize = 12;
+/// Time in which the sign of a node has come to all others.
+const NEWS: Duration = Duration::from_millis(450);
+
+fn name(zone: &str, number: usize) -> String {
+    format!("{zone}-{number:02}")
+}
+
+/// A fleet as one node of each zone knows it.
+struct Fleet {
+    tables: BTreeMap<&'static str, PeerTable>,
+    lives: BTreeMap<&'static str, u64>,
+    sequence: u64,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let table = |zone| {
+            let log = Arc::new(EventLog::silent());
+            PeerTable::new(&name(zone, 0), zone, log)
+        };
+        let mut fleet = Self {
+            tables: ZONES.map(|zone| (zone, table(zone))).into(),
+            lives: ZONES.map(|zone| (zone, 1)).into(),
+            sequence: 0,
+        };
+        ZONES.iter().for_each(|zone| fleet.register(zone));
+        fleet
+    }
+
+    /// All nodes of a zone write their rows, and every other node comes to know them.
+    fn register(&mut self, zone: &'static str) {
+        let life = self.lives[zone];
+        for number in 0..IN_ZONE {
+            let node = name(zone, number);
+            let row = prost::Message::encode_to_vec(&NodeRow {
+                life,
+                front: node.clone(),
+                zone: zone.to_owned(),
+                peer: "127.0.0.1:1".to_owned(),
+                ..NodeRow::default()
+            });
+            for table in self.tables.values() {
+                table.change(Row {
+                    part: String::new(),
+                    key: node.clone(),
+                    value: Some(Bytes::from(row.clone())),
+                    revision: life,
+                });
+            }
+        }
+    }
+
+    /// Time passes; a node hears those of the zones that `heard` names for its own.
+    async fn run(&mut self, time: Duration, heard: impl Fn(&str, &str) -> bool) {
+        let until = tokio::time::Instant::now() + time;
+        while tokio::time::Instant::now() < until {
+            self.sequence += 1;
+            for (at, table) in &self.tables {
+                let zones = ZONES.iter().filter(|zone| heard(at, zone));
+                for zone in zones {
+                    (0..IN_ZONE).for_each(|number| self.beat(table, zone, number));
+                }
+            }
+            tokio::time::sleep(NEWS).await;
+        }
+    }
+
+    fn beat(&self, table: &PeerTable, zone: &'static str, number: usize) {
+        table.heard(&Heartbeat {
+            name: name(zone, number),
+            life: self.lives[zone],
+            ready: true,
+            sequence: self.sequence,
+            ..Heartbeat::default()
+        });
+    }
+
+    /// Addresses of each zone in the answer of a node to a caller of some zone; the node itself is not among them.
+    fn answer(&self, by: &str, zone: &str) -> [usize; 3] {
+        let places: Places = ZONES
+            .map(|zone| (zone.into(), "one".into()))
+            .into_iter()
+            .collect();
+        let ground = Ground {
+            own_zone: by,
+            places: &places,
+            tolerated: Tolerated {
+                zones: 1,
+                regions: 0,
+            },
+        };
+        let asked = Asked {
+            zone: Some(zone),
+            ..Asked::default()
+        };
+        let addresses = addresses_for(asked, ground, &self.tables[by].front_nodes());
+        ZONES.map(|zone| {
+            let there = addresses.iter().filter(|address| address.starts_with(zone));
+            there.count()
+        })
+    }
+
+    fn status(&self, by: &str, zone: &str, life: u64) -> PeerStatus {
+        self.tables[by].status(&name(zone, 5), life)
+    }
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[tokio::test(start_paused = true)]
+async fn lost_zone() {
+    let mut fleet = Fleet::new();
+    fleet.run(2 * SECOND, |_, _| true).await;
+    let [north, south, west] = fleet.answer("south", "north");
+    assert_that!((north, south + west), eq((IN_ZONE, 4)));
+    assert_that!(fleet.tables["south"].delegates("north").len(), eq(2));
+    // The zone is without power. After 1.8 s no caller is sent there any more, before each of its nodes is known to be
+    // down, when jobs are claimed from them, their loads and their delegates count no longer, and no call to the store
+    // goes by them.
+    fleet
+        .run(1_800 * SECOND / 1_000, |_, of| of != "north")
+        .await;
+    assert_that!(fleet.answer("south", "north")[0], eq(0));
+    assert_that!(fleet.status("south", "north", 1), eq(PeerStatus::Ready));
+    fleet.run(SECOND, |_, of| of != "north").await;
+    assert_that!(fleet.status("south", "north", 1), eq(PeerStatus::Down));
+    assert_that!(fleet.tables["south"].delegates("north").len(), eq(0));
+    let relays = fleet.tables["west"].relay_peers();
+    assert_that!(
+        relays.iter().filter(|peer| peer.zone == "north").count(),
+        eq(0)
+    );
+    // Quotas are shared among those that are heard, of all that may be there.
+    let known = (
+        fleet.tables["west"].count(),
+        fleet.tables["west"].expected(),
+    );
+    assert_that!(known, eq((2 * IN_ZONE, 3 * IN_ZONE)));
+    // It comes back, each node as a new process: jobs of the old ones may be claimed at once.
+    fleet.lives.insert("north", 2);
+    fleet.register("north");
+    fleet.run(NEWS, |_, _| true).await;
+    assert_that!(fleet.status("south", "north", 1), eq(PeerStatus::Replaced));
+    assert_that!(fleet.status("south", "north", 2), eq(PeerStatus::Ready));
+    assert_that!(fleet.answer("south", "north")[0], eq(IN_ZONE));
+    assert_that!(fleet.tables["south"].delegates("north").len(), eq(2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn cut_zone() {
+    let mut fleet = Fleet::new();
+    fleet.run(2 * SECOND, |_, _| true).await;
+    let cut = |at: &str, of: &str| (at == "north") == (of == "north");
+    fleet.run(1_800 * SECOND / 1_000, cut).await;
+    // The others take the zone for lost. It takes itself for cut off: its callers are sent to it and elsewhere.
+    assert_that!(fleet.answer("south", "north")[0], eq(0));
+    let [north, south, west] = fleet.answer("north", "north");
+    assert_that!((north, south + west), eq((IN_ZONE - 1, IN_ZONE - 1)));
+    // Its own delegates stay, so that loads and quotas are summed within it.
+    let own = fleet.tables["north"].delegates("north");
+    assert_that!(own.len(), eq(2));
+    // It goes on telling the delegates of the others, as these know them, who lives: that is heard once the cut heals.
+    let there = fleet.tables["south"].delegates("south");
+    fleet.run(SECOND, cut).await;
+    assert_that!(fleet.tables["north"].delegates("north"), eq(&own));
+    assert_that!(fleet.status("north", "south", 1), eq(PeerStatus::Down));
+    let mut told = fleet.tables["north"].silent_delegates();
+    told.retain(|delegate| delegate.zone == "south");
+    let told: Vec<String> = told.into_iter().map(|delegate| delegate.name).collect();
+    assert_that!(told, unordered_elements_are![eq(&there[0]), eq(&there[1])]);
+    let known = (
+        fleet.tables["north"].count(),
+        fleet.tables["north"].expected(),
+    );
+    assert_that!(known, eq((IN_ZONE, 3 * IN_ZONE)));
+    // Nobody is sent for long to nodes that were not heard since.
+    fleet.run(2_500 * SECOND / 1_000, cut).await;
+    let [north, south, west] = fleet.answer("north", "north");
+    assert_that!((north, south + west), eq((IN_ZONE - 1, 0)));
+    fleet.run(NEWS, |_, _| true).await;
+    assert_that!(fleet.status("north", "south", 1), eq(PeerStatus::Ready));
+    assert_that!(fleet.answer("south", "north")[0], eq(IN_ZONE));
+}
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -12,7 +12,8 @@
     PeerTable, ServersSink, StoreHealth, TableSink, View, Ways,
 };
 use dappleyard_ingress::{
-    Metrics, Node, PeerAnswers, Upstreams, configure, front_app_data, watch_temperatures,
+    AnswerTimes, Metrics, Node, PeerAnswers, Upstreams, configure, front_app_data,
+    watch_temperatures, watch_zones,
 };
 use dappleyard_jobs::{JOB_TABLES, JobTable, NodeJobs, Runner};
 use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
@@ -72,6 +73,7 @@
         life,
         view: view.clone(),
         loads: Arc::new(LoadTable::default()),
+        times: AnswerTimes::default(),
         quotas: Arc::new(QuotaTable::new(settings.bounds.quota, life)),
         peers,
         health: health.clone(),
@@ -106,6 +108,7 @@
     let upstreams = Upstreams::new(node.clone());
     spawn_sweep(node.clone(), upstreams.clone());
     tokio::task::spawn_local(watch_temperatures(upstreams.clone()));
+    tokio::task::spawn_local(watch_zones(upstreams.clone()));
     let runner = Runner::new(node.clone(), table.clone(), store.clone(), upstreams);
     tokio::task::spawn_local(runner.clone().run());
     let server = spawn_server(node.clone(), table, access, histories)?;
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::holding::Allowance;
 use crate::metrics::Metrics;
 use crate::node::Node;
+use crate::patience::Patience;
 use tokio::time::Instant;
 
 /// Time for a connection to come up.
@@ -30,6 +31,10 @@
 const FOREIGN_ANSWERS: usize = 2;
 /// Longest answer to another request that is passed over, bytes.
 const FOREIGN_BYTES: usize = 1024 * 1024;
+/// Time for which a server that broke or fell silent is avoided.
+pub(crate) const SUSPECT_TIME: Duration = Duration::from_millis(1_200);
+/// Silence from which a server counts as away, and may have begun anew since: then nobody knows how cold it is.
+const SILENT: Duration = Duration::from_millis(900);
 /// How often the silence of a server is looked at.
 const SILENCE_TICK: Duration = Duration::from_millis(100);
 /// Resting connections kept to one server.
@@ -84,8 +89,8 @@
     pub last_event_id: Option<u64>,
     /// Whose request it is.
     pub tenant: TenantStamp<'a>,
-    /// Silence of the server after which the attempt is given up; `None` never.
-    pub patience: Option<Duration>,
+    /// Silence of the server that is borne.
+    pub patience: Patience,
 }
 
 /// An answer whose body is still to be read.
@@ -223,31 +228,53 @@
         tokio::time::timeout(limit, asking).await.ok()?
     }
 
-    /// Waits for something of a server, and gives up once the server has been silent for as long
-    /// as `patience`, on all connections of this node.
+    /// Whether a connection to the server comes up; it is kept for requests.
+    pub(crate) async fn answers(&self, server: &ServerRecord) -> bool {
+        Metrics::count(&self.node.metrics.connections);
+        match Connection::open(server.address, CONNECT_LIMIT).await {
+            Ok(connection) => {
+                self.pool.forget(server.address);
+                self.pool.put(server.address, connection);
+                self.node.loads.heard(&server.id);
+                true
+            }
+            Err(_) => {
+                self.node.loads.suspect(&server.id, SUSPECT_TIME);
+                false
+            }
+        }
+    }
+
+    /// Waits for something of a server. Once the server has been silent for as long as is borne, on all
+    /// connections of all nodes, it is doubted, and the attempt is given up where it may be.
     pub async fn with_patience<T>(
         &self,
         server: &ServerRecord,
-        patience: Option<Duration>,
+        patience: Patience,
         waiting: impl Future<Output = Result<T, AttemptError>>,
     ) -> Result<T, AttemptError> {
-        let Some(patience) = patience else {
-            return waiting.await;
-        };
         tokio::pin!(waiting);
         let started = Instant::now();
-        let mut pause = patience;
+        let mut pause = patience.first_look();
+        let mut next_notice = patience.notice;
         loop {
             match tokio::time::timeout(pause, &mut waiting).await {
                 Ok(done) => return done,
                 Err(_) => {
                     let own = started.elapsed();
                     let silence = self.node.loads.silence(&server.id).unwrap_or(own).min(own);
-                    if silence >= patience {
+                    if silence >= next_notice {
+                        next_notice += SUSPECT_TIME / 2;
+                        match silence >= SILENT {
+                            true => self.node.loads.suspect(&server.id, SUSPECT_TIME),
+                            false => self.node.loads.doubt(&server.id, SUSPECT_TIME),
+                        }
+                    }
+                    if patience.leave.is_some_and(|leave| silence >= leave) {
                         return Err(AttemptError {
                             ran: Ran::Maybe,
                             reason: format!("silent for {} ms", silence.as_millis()),
-                            unreachable: true,
+                            unreachable: silence >= SILENT,
                         });
                     }
                     pause = SILENCE_TICK;
@@ -266,9 +293,15 @@
     }
 
     async fn connect(&self, server: &ServerRecord) -> Result<Connection, AttemptError> {
+        let address = server.address;
+        if self.node.loads.is_doubted(&server.id) {
+            // What is sent on a connection of a lost server may have run for all that is known; a connection
+            // that does not come up costs nothing.
+            self.pool.forget(address);
+        }
         // A server that was away has forgotten its connections; a request on one of them would count as run.
         let back = self.node.loads.back(&server.id);
-        if let Some(connection) = self.pool.take_after(server.address, back) {
+        if let Some(connection) = self.pool.take_after(address, back) {
             return Ok(connection);
         }
         Metrics::count(&self.node.metrics.connections);
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -10,20 +10,17 @@
 use dappleyard_tenants::Caller;
 use http::{HeaderMap, Method};
 
-use crate::attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
+use crate::attempt::{Attempt, AttemptError, Exchange, Ran, SUSPECT_TIME, Upstreams};
 use crate::cold::ColdGate;
 use crate::holding::{Standing, standing};
 use crate::metrics::Metrics;
 use crate::outcome::ErrorKind;
+use crate::patience::Patience;
 use crate::placement::{
     Candidate, PromptShape, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
 use tokio::time::Instant;
 
-/// Silence of a server after which a request that may be repeated goes to another one.
-const SERVER_PATIENCE: Duration = Duration::from_millis(900);
-/// Time for which a server that broke or fell silent is avoided.
-const SUSPECT_TIME: Duration = Duration::from_millis(1_200);
 /// Servers that are asked for one request, those that did not run it included.
 const MOST_ASKED: usize = 6;
 /// Time between two looks for a slot, on the mean: loads are told as often.
@@ -185,7 +182,7 @@
         remaining_ms: Some(remaining.as_millis() as u64),
         last_event_id,
         tenant: request.caller.stamp(),
-        patience: request.may_repeat().then_some(SERVER_PATIENCE),
+        patience: first_patience(upstreams, request),
     };
     match tokio::time::timeout(remaining, upstreams.attempt(server, &attempt)).await {
         Ok(outcome) => outcome,
@@ -197,6 +194,13 @@
     }
 }
 
+/// Silence before the first event that is borne, learned from the service's answers.
+fn first_patience(upstreams: &Upstreams, request: &Request) -> Patience {
+    let times = &upstreams.node().times;
+    let silence = times.first_patience(&request.service, request.shape.tokens);
+    Patience::leave_after(silence).leaving_if(request.may_repeat())
+}
+
 fn note_failure(
     upstreams: &Upstreams,
     request: &mut Request,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod answer;
+mod answer_times;
 mod attempt;
 mod closing;
 mod cold;
@@ -17,9 +18,12 @@
 mod metrics;
 mod node;
 mod outcome;
+mod patience;
 mod placement;
 mod relay;
+mod zone_care;
 
+pub use answer_times::{AnswerTimes, LearnedTime};
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
 pub use closing::close;
 pub use cold::ColdGate;
@@ -30,6 +34,8 @@
 pub use metrics::Metrics;
 pub use node::Node;
 pub use outcome::ErrorKind;
+pub use patience::Patience;
 pub use placement::{
     Candidate, PromptShape, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
+pub use zone_care::watch_zones;
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -75,6 +75,10 @@
     pub servers_cold: AtomicU64,
     /// Servers of which nobody knows whether they are cold.
     pub servers_unknown: AtomicU64,
+    /// Times that the servers of a zone were doubted together.
+    pub zones_suspected: AtomicU64,
+    /// Servers of doubted zones that were tried.
+    pub zone_probes: AtomicU64,
     first_event: [AtomicU64; BOUNDS_MS.len() + 1],
     first_event_sum_ms: AtomicU64,
 }
@@ -112,6 +116,8 @@
             ("items_again", &self.items_again),
             ("cold_held_back", &self.cold_held_back),
             ("health_questions", &self.health_questions),
+            ("zones_suspected", &self.zones_suspected),
+            ("zone_probes", &self.zone_probes),
         ];
         let gauges = [
             ("servers_cold", &self.servers_cold),
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -4,11 +4,13 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use dappleyard_cluster::{LoadTable, PeerTable, StoreHealth, View, directory};
+use dappleyard_cluster::directory::{self, Asked, FrontNode, Ground};
+use dappleyard_cluster::{LoadTable, PeerTable, StoreHealth, View, is_strong};
 use dappleyard_model::{Configuration, Dialect, EventLog, KeyDigest, NodeSettings};
 use dappleyard_tenants::{Caller, KeyRefusal, QuotaTable, Standing, identify};
 use parking_lot::Mutex;
 
+use crate::answer_times::AnswerTimes;
 use crate::metrics::Metrics;
 use tokio::time::Instant;
 
@@ -25,6 +27,8 @@
     pub view: Arc<View>,
     /// Work at servers.
     pub loads: Arc<LoadTable>,
+    /// How long servers take to answer.
+    pub times: AnswerTimes,
     /// Quotas of tenants.
     pub quotas: Arc<QuotaTable>,
     /// The other nodes.
@@ -73,23 +77,42 @@
 
     /// Answer to a caller of a zone that asks where to go; `None` when this node cannot tell.
     pub fn resolve(&self, zone: Option<&str>) -> Option<bytes::Bytes> {
-        let mut ready = self.peers.ready_fronts();
+        let mut nodes = self.peers.front_nodes();
         let isolated = self
             .view
             .store_age()
             .is_none_or(|age| age > Duration::from_millis(3200));
-        if self.is_ready() && (!isolated || ready.is_empty()) {
-            let own = self.settings.listen.front.to_string();
-            ready.push((own, self.settings.zone.clone()));
+        let others_ready = nodes.iter().any(|node| node.ready);
+        if self.is_ready() && (!isolated || !others_ready) {
+            nodes.push(self.own_front());
         }
-        if ready.is_empty() {
+        if !nodes.iter().any(|node| node.ready) {
             return None;
         }
-        ready.sort();
-        let addresses = directory::addresses_for(zone, &ready);
+        let ground = Ground {
+            own_zone: &self.settings.zone,
+            places: &self.settings.places,
+            tolerated: self.settings.tolerated,
+        };
+        let asked = Asked {
+            zone,
+            ..Asked::default()
+        };
+        let addresses = directory::addresses_for(asked, ground, &nodes);
         let ttl_ms = DIRECTORY_TTL_MS.min(self.settings.bounds.directory_ttl_ms);
         Some(self.dialect.resolve_answer(&addresses, ttl_ms))
     }
+
+    /// This node as callers may be sent to it.
+    fn own_front(&self) -> FrontNode {
+        FrontNode {
+            address: self.settings.listen.front.to_string(),
+            zone: self.settings.zone.clone(),
+            age: Duration::ZERO,
+            ready: true,
+            strong: is_strong(self.settings.resources),
+        }
+    }
 }
 
 /// Counts a request of a caller as under way until it is dropped.
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -6,17 +6,16 @@
 use derive_more::{Display, Error};
 use futures::Stream;
 
-use crate::attempt::{AttemptError, Exchange, Ran, Upstreams};
+use crate::attempt::{AttemptError, Exchange, Ran, SUSPECT_TIME, Upstreams};
 use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
 use crate::event_stream::EventSplitter;
 use crate::metrics::Metrics;
 use crate::node::{UnderWay, UntilEnd};
+use crate::patience::Patience;
 use tokio::time::Instant;
 
 /// Silence of a server after which a stream is taken up elsewhere.
 const STREAM_PATIENCE: Duration = Duration::from_millis(900);
-/// Time for which a server that fell silent is avoided.
-const SUSPECT_TIME: Duration = Duration::from_millis(1_200);
 
 /// The answer cannot be finished; the caller's connection is closed without its end.
 #[derive(Debug, Display, Error)]
@@ -106,7 +105,7 @@
 
     async fn read(&mut self) -> Result<Option<Bytes>, AttemptError> {
         let remaining = self.request.remaining();
-        let patience = self.request.route.may_repeat().then_some(STREAM_PATIENCE);
+        let patience = self.patience();
         let upstreams = self.upstreams.clone();
         let Some(begun) = &mut self.begun else {
             return Ok(None);
@@ -121,6 +120,7 @@
                 unreachable: false,
             })
         };
+        let since = Instant::now();
         let waiting = upstreams.with_patience(server, patience, reading);
         let piece = match tokio::time::timeout(remaining, waiting).await {
             Ok(piece) => piece?,
@@ -132,10 +132,28 @@
                 });
             }
         };
-        upstreams.node().loads.heard(&server.id);
+        let node = upstreams.node();
+        node.loads.heard(&server.id);
+        if self.events > 0 && piece.is_some() {
+            node.times
+                .note_pause(&self.request.service, since.elapsed());
+        }
         Ok(piece)
     }
 
+    /// Silence of the server that is borne.
+    fn patience(&self) -> Patience {
+        let request = &self.request;
+        let times = &self.upstreams.node().times;
+        let notice = match self.events {
+            0 => times.first_patience(&request.service, request.shape.tokens),
+            _ => times.pause_notice(&request.service),
+        };
+        Patience::leave_after(STREAM_PATIENCE)
+            .notice_after(notice)
+            .leaving_if(request.route.may_repeat())
+    }
+
     fn note_event(&mut self) {
         self.events += 1;
         if self.events > 1 {
@@ -144,7 +162,11 @@
         let node = self.upstreams.node().clone();
         if let Some(begun) = &mut self.begun {
             begun.work.prompt_read();
-            let taken = begun.sent.elapsed().as_millis() as f64;
+            let sent = begun.sent.elapsed();
+            let request = &self.request;
+            node.times
+                .note_first(&request.service, request.shape.tokens, sent);
+            let taken = sent.as_millis() as f64;
             let expected = 30.0 + f64::from(self.request.shape.tokens) / 30.0;
             node.loads
                 .note_excess(&begun.exchange.server.id, taken - expected);
--- /dev/null
+++ b/crates/ingress/src/zone_care.rs
@@ -0,0 +1,103 @@
+//! Keeps work away from zones whose servers fell silent together, and finds out when they answer again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_cluster::{ServerSet, ServerSign, ZoneChange, ZoneSuspicion};
+use dappleyard_model::ServerRecord;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use tokio::time::Instant;
+
+use crate::attempt::Upstreams;
+use crate::metrics::Metrics;
+use crate::node::Node;
+
+/// Time between two looks at the servers while any is doubted.
+const TICK: Duration = Duration::from_millis(100);
+/// Servers of a doubted zone that all nodes together try in one such time: a zone that is back is found within
+/// 0.1 s, and one that stays away for 4 s costs 80 connections that do not come up.
+const TRIED_IN_TICK: f64 = 2.0;
+/// Servers that a node tries one after the other once the first has answered.
+const TRIED_ON: usize = 8;
+
+/// Watches the servers that the node uses until the process ends.
+pub async fn watch_zones(upstreams: Upstreams) {
+    let node = upstreams.node().clone();
+    let mut zones = ZoneSuspicion::default();
+    loop {
+        tokio::time::sleep(TICK).await;
+        if !zones.is_any() && !node.loads.is_any_suspect() {
+            continue;
+        }
+        let sets = server_sets(&node);
+        let used = sets.iter().flat_map(|set| &set.used);
+        let signs: Vec<ServerSign<'_>> = used.map(|server| sign(&node, server)).collect();
+        for change in zones.judge(&signs, Instant::now()) {
+            note(&node, &change);
+        }
+        let held = sets.iter().flat_map(|set| &set.all);
+        let held = held.filter(|server| zones.holds_back(&server.zone));
+        node.loads
+            .hold_back(held.map(|server| server.id.as_str()).collect());
+        for zone in zones.suspected() {
+            try_some(&upstreams, zone, &sets);
+        }
+    }
+}
+
+/// The servers of all services.
+fn server_sets(node: &Node) -> Vec<Arc<ServerSet>> {
+    let Some(configuration) = node.view.configuration() else {
+        return Vec::new();
+    };
+    let services = configuration.services.iter();
+    services
+        .map(|service| node.view.servers(&service.name))
+        .collect()
+}
+
+fn sign<'a>(node: &Node, server: &'a ServerRecord) -> ServerSign<'a> {
+    ServerSign {
+        zone: &server.zone,
+        suspect: node.loads.is_found_silent(&server.id),
+        silence: node.loads.silence(&server.id),
+    }
+}
+
+fn note(node: &Node, change: &ZoneChange) {
+    let event = match change.suspected {
+        true => "zone_suspected",
+        false => "zone_answers_again",
+    };
+    if change.suspected {
+        Metrics::count(&node.metrics.zones_suspected);
+    }
+    node.log.write(event, || {
+        serde_json::json!({"zone": change.zone, "silent": change.silent,
+            "answering": change.answering, "servers": change.servers,
+            "lasted_ms": change.lasted.map(|lasted| lasted.as_millis() as u64)})
+    });
+}
+
+/// Tries servers of a doubted zone now and then: the nodes of the fleet share it.
+fn try_some(upstreams: &Upstreams, zone: &str, sets: &[Arc<ServerSet>]) {
+    let fleet = upstreams.node().peers.count().max(1) as f64;
+    let mut random = rand::rng();
+    if !random.random_bool((TRIED_IN_TICK / fleet).min(1.0)) {
+        return;
+    }
+    let there = sets.iter().flat_map(|set| &set.used);
+    let there: Vec<&Arc<ServerRecord>> = there.filter(|server| server.zone == zone).collect();
+    let chosen = there.choose_multiple(&mut random, TRIED_ON);
+    let chosen: Vec<Arc<ServerRecord>> = chosen.map(|server| (*server).clone()).collect();
+    let upstreams = upstreams.clone();
+    tokio::task::spawn_local(async move {
+        for server in chosen {
+            Metrics::count(&upstreams.node().metrics.zone_probes);
+            if !upstreams.answers(&server).await {
+                return;
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/ingress/tests/answer_times.rs
@@ -0,0 +1,66 @@
+//! Times that are learned from answers.
+
+use std::time::Duration;
+
+use dappleyard_ingress::LearnedTime;
+use googletest::prelude::*;
+use tokio::time::Instant;
+
+const LEAST: Duration = Duration::from_millis(200);
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[gtest]
+fn little_known() {
+    let now = Instant::now();
+    let mut times = LearnedTime::default();
+    expect_that!(times.bound(LEAST), eq(ms(900)));
+    (0..39).for_each(|_| times.note(ms(30), now));
+    expect_that!(times.bound(LEAST), eq(ms(900)));
+    times.note(ms(30), now);
+    expect_that!(times.bound(LEAST), eq(LEAST));
+}
+
+#[gtest]
+fn slow_answers() {
+    let now = Instant::now();
+    let mut times = LearnedTime::default();
+    (0..97).for_each(|_| times.note(ms(60), now));
+    expect_that!(times.bound(LEAST), eq(LEAST));
+    // A few in a hundred take longer: nobody is sent elsewhere before twice that.
+    (0..3).for_each(|_| times.note(ms(250), now));
+    expect_that!(times.bound(LEAST), ge(ms(500)));
+    expect_that!(times.bound(LEAST), le(ms(620)));
+    // Queues: never above what was fixed before.
+    (0..100).for_each(|_| times.note(ms(3_000), now));
+    expect_that!(times.bound(LEAST), eq(ms(900)));
+}
+
+#[gtest]
+fn forgotten() {
+    let now = Instant::now();
+    let mut times = LearnedTime::default();
+    (0..100).for_each(|_| times.note(ms(3_000), now));
+    for second in 1..=30 {
+        (0..10).for_each(|_| times.note(ms(40), now + ms(second * 1_000)));
+    }
+    expect_that!(times.bound(LEAST), eq(LEAST));
+}
+
+#[gtest]
+fn rising_queues() {
+    // Answers that grow slower by a tenth each half second are never given up.
+    let mut now = Instant::now();
+    let mut times = LearnedTime::default();
+    let mut taken = 60.0;
+    (0..200).for_each(|_| times.note(ms(60), now));
+    while taken < 800.0 {
+        let answer = ms(taken as u64);
+        expect_that!(answer, lt(times.bound(LEAST)));
+        (0..10).for_each(|_| times.note(answer, now));
+        now += ms(500);
+        taken *= 1.1;
+    }
+}
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dappleyard_cluster::{InFlight, WorkKind};
-use dappleyard_ingress::{Attempt, AttemptError, EventSplitter, Exchange, Metrics, Ran};
+use dappleyard_ingress::{Attempt, AttemptError, EventSplitter, Exchange, Metrics, Patience, Ran};
 use dappleyard_model::{Distance, Route, ServerRecord, TenantStamp};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -86,7 +86,7 @@
         remaining_ms: None,
         last_event_id: last_event,
         tenant: stamp(runner, &tenant),
-        patience: Some(SERVER_PATIENCE),
+        patience: Patience::leave_after(SERVER_PATIENCE),
     };
     let mut exchange = match runner.upstreams.attempt(server, &attempt).await {
         Ok(exchange) => exchange,
@@ -140,10 +140,11 @@
                 unreachable: false,
             })
         };
-        let waiting =
-            runner
-                .upstreams
-                .with_patience(&exchange.server, Some(SERVER_PATIENCE), reading);
+        let notice = runner.node.times.pause_notice(&exchange.server.service);
+        let patience = Patience::leave_after(SERVER_PATIENCE).notice_after(notice);
+        let waiting = runner
+            .upstreams
+            .with_patience(&exchange.server, patience, reading);
         let Some(piece) = waiting.await? else {
             break;
         };
