--- a/crates/cluster/src/zones.rs
+++ b/crates/cluster/src/evacuated_work.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::eligibility::Exclusion;
-use crate::evacuations::{Evacuation, Evacuations, ZoneChange};
+use crate::evacuations::{Evacuation, EvacuationChange, Evacuations};
 use crate::loads::{LoadTable, node_number, server_number};
 use crate::messages::ZoneWork;
 use crate::peers::PeerTable;
@@ -57,7 +57,10 @@
     }
 
     /// Changes what is known of evacuated zones. The sets of all services are built anew when anything changes.
-    pub(crate) fn change_zones(&self, change: impl FnOnce(&mut Evacuations) -> Vec<ZoneChange>) {
+    pub(crate) fn change_zones(
+        &self,
+        change: impl FnOnce(&mut Evacuations) -> Vec<EvacuationChange>,
+    ) {
         let mut known = self.known.lock();
         let changes = change(&mut known.evacuations);
         if changes.is_empty() {
--- a/crates/cluster/src/evacuations.rs
+++ b/crates/cluster/src/evacuations.rs
@@ -41,7 +41,7 @@
 
 /// What has changed for a zone.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ZoneChange {
+pub struct EvacuationChange {
     /// Zone.
     pub zone: ZoneName,
     /// Revision that changed it; that of the read where a row was seen to be gone.
@@ -72,12 +72,22 @@
 impl Evacuations {
     /// Takes an order; the change, when it is one. An order that is given again while another one stands was
     /// withdrawn in between: it counts from now on.
-    pub fn give(&mut self, zone: &ZoneName, revision: u64, now: Instant) -> Option<ZoneChange> {
+    pub fn give(
+        &mut self,
+        zone: &ZoneName,
+        revision: u64,
+        now: Instant,
+    ) -> Option<EvacuationChange> {
         self.set(zone, revision, Standing::Evacuated(now))
     }
 
     /// Takes the withdrawal of an order; the change, when it is one.
-    pub fn withdraw(&mut self, zone: &ZoneName, revision: u64, now: Instant) -> Option<ZoneChange> {
+    pub fn withdraw(
+        &mut self,
+        zone: &ZoneName,
+        revision: u64,
+        now: Instant,
+    ) -> Option<EvacuationChange> {
         let change = self.set(zone, revision, Standing::Restored(now));
         self.forget();
         change
@@ -85,7 +95,12 @@
 
     /// Takes all rows about zones as of a revision. An order that is not among them was withdrawn, unless it is
     /// newer than the read.
-    pub fn replace(&mut self, rows: &[ZoneRow], revision: u64, now: Instant) -> Vec<ZoneChange> {
+    pub fn replace(
+        &mut self,
+        rows: &[ZoneRow],
+        revision: u64,
+        now: Instant,
+    ) -> Vec<EvacuationChange> {
         let gone: Vec<ZoneName> = self
             .standing()
             .filter(|held| held.revision <= revision)
@@ -93,7 +108,7 @@
             .map(|held| held.zone)
             .collect();
         let given = rows.iter().filter(|row| row.readable);
-        let mut changes: Vec<ZoneChange> = given
+        let mut changes: Vec<EvacuationChange> = given
             .filter_map(|row| self.give(&row.zone, row.revision, now))
             .collect();
         changes.extend(
@@ -134,13 +149,18 @@
             })
     }
 
-    fn set(&mut self, zone: &ZoneName, revision: u64, standing: Standing) -> Option<ZoneChange> {
+    fn set(
+        &mut self,
+        zone: &ZoneName,
+        revision: u64,
+        standing: Standing,
+    ) -> Option<EvacuationChange> {
         let known = self.zones.get(zone);
         if revision <= known.map_or(self.forgotten, |held| held.revision) {
             return None;
         }
         self.zones.insert(zone.clone(), Held { revision, standing });
-        Some(ZoneChange {
+        Some(EvacuationChange {
             zone: zone.clone(),
             revision,
             evacuated: matches!(standing, Standing::Evacuated(_)),
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -17,12 +17,12 @@
 use crate::answer::{begin, copy_headers, refusal};
 use crate::attempt::{Ran, Upstreams};
 use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
+use crate::evacuated_zones::zone_text;
 use crate::metrics::{Metrics, tenant_text};
 use crate::node::{Node, UnderWay, UntilEnd};
 use crate::outcome::ErrorKind;
 use crate::placement::PromptShape;
 use crate::relay;
-use crate::zones::zone_text;
 use tokio::time::Instant;
 
 /// Longest time that a request without a deadline is held.
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -6,32 +6,38 @@
 
 mod admission;
 mod answer;
+mod answer_times;
 mod attempt;
 mod closing;
 mod cold;
 mod cold_watch;
 mod dispatch;
+mod evacuated_zones;
 mod event_stream;
 mod front;
 mod holding;
 mod metrics;
 mod node;
 mod outcome;
+mod patience;
 mod placement;
 mod relay;
-mod zones;
+mod zone_care;
 
+pub use answer_times::{AnswerTimes, LearnedTime};
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
 pub use closing::close;
 pub use cold::ColdGate;
 pub use cold_watch::watch_temperatures;
+pub use evacuated_zones::{EvacuatedZone, ZoneWatch, evacuated_zones};
 pub use event_stream::{Event, EventSplitter};
 pub use front::{JobCalls, JobReply, PeerAnswers, configure, front_app_data};
 pub use holding::{Allowance, Standing, standing};
 pub use metrics::Metrics;
 pub use node::Node;
 pub use outcome::ErrorKind;
+pub use patience::Patience;
 pub use placement::{
     Candidate, PromptShape, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
-pub use zones::{EvacuatedZone, ZoneWatch, evacuated_zones};
+pub use zone_care::watch_zones;
