--- a/crates/cluster/src/cold_loads.rs
+++ b/crates/cluster/src/cold_loads.rs
@@ -135,7 +135,7 @@
     pub fn note_taken_back(&self, server: &str, at: Instant) {
         let mut servers = self.servers.lock();
         let loads = servers.entry(server_number(server)).or_default();
-        loads.thermal.note_taken_back(at);
+        loads.thermal.note_taken_back(at, Instant::now());
     }
 
     /// Whether this node's part of a cold server's requests has something left.
--- a/crates/cluster/src/temperature.rs
+++ b/crates/cluster/src/temperature.rs
@@ -20,6 +20,8 @@
 /// Time by which one node may learn later than another that a server was taken back into use. Nobody asks a server
 /// that is out of use, so a question within this time is one of a node that had learnt of it.
 const TAKEN_BACK_DELAY: Duration = Duration::from_millis(2_000);
+/// Time after which a server that is seen for the first time was not there when its zone was taken back.
+const TAKEN_BACK_LIFE: Duration = Duration::from_secs(10);
 
 /// Temperature of a server as a node believes it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -209,10 +211,14 @@
 
     /// Operators took the server back into use, as this node learnt at some time: it may have turned cold while it
     /// got no work. Saying it again changes nothing.
-    pub fn note_taken_back(&mut self, at: Instant) {
+    pub fn note_taken_back(&mut self, at: Instant, now: Instant) {
         if self.taken_back.replace(at) == Some(at) {
             return;
         }
+        if !self.is_followed() && now.duration_since(at) > TAKEN_BACK_LIFE {
+            // It came into view later.
+            return;
+        }
         let since = at.checked_sub(TAKEN_BACK_DELAY).unwrap_or(at);
         if self.checked.is_none_or(|checked| checked.at < since) {
             self.out_of_sight = Some((since, Teller::TakenBack));
--- a/crates/cluster/tests/temperature.rs
+++ b/crates/cluster/tests/temperature.rs
@@ -179,29 +179,46 @@
 fn server_taken_back_is_unknown_until_asked() {
     let (mut server, now) = in_use();
     let back = now + ms(10_000);
-    server.note_taken_back(back);
+    server.note_taken_back(back, back);
     expect_that!(
         server.temperature(back),
         eq((Temperature::Unknown, Teller::TakenBack))
     );
     let asked = answer(back + ms(20), 3_000);
     server.note_checked(asked, Teller::Health, back + ms(30));
-    server.note_taken_back(back);
+    server.note_taken_back(back, back);
     expect_that!(temperature(&server, back + ms(30)), eq(Temperature::Cold));
     // It is evacuated once more.
-    server.note_taken_back(back + ms(9_000));
+    server.note_taken_back(back + ms(9_000), back + ms(9_000));
     expect_that!(
         temperature(&server, back + ms(9_000)),
         eq(Temperature::Unknown)
     );
 }
 
+#[gtest]
+fn server_that_came_after_its_zone_was_taken_back_is_as_its_row_says() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut server = Thermal::default();
+    server.note_taken_back(now, now + ms(10_001));
+    server.note_row(0, now + ms(10_001));
+    expect_that!(
+        temperature(&server, now + ms(10_001)),
+        eq(Temperature::Warm)
+    );
+    // One that was there all the time, at a node that had no use for it, is not.
+    let mut server = Thermal::default();
+    server.note_taken_back(now, now + ms(50));
+    server.note_row(0, now + ms(50));
+    expect_that!(temperature(&server, now + ms(50)), eq(Temperature::Unknown));
+}
+
 #[gtest]
 fn node_that_learns_late_believes_who_asked() {
     let (mut server, now) = in_use();
     let asked = now + ms(10_000);
     server.note_checked(answer(asked, 3_000), Teller::Node, asked + ms(100));
-    server.note_taken_back(asked + ms(900));
+    server.note_taken_back(asked + ms(900), asked + ms(900));
     expect_that!(temperature(&server, asked + ms(900)), eq(Temperature::Cold));
 }
 
--- a/crates/ingress/src/cold.rs
+++ b/crates/ingress/src/cold.rs
@@ -1,6 +1,6 @@
 //! Which requests may go to a server that is cold, or may be.
 
-use dappleyard_cluster::{ColdShare, Exclusion, Temperature};
+use dappleyard_cluster::{ColdShare, Exclusion, Teller, Temperature};
 use dappleyard_model::{ColdBounds, Configuration, ServerRecord, Service};
 
 use crate::metrics::Metrics;
@@ -44,7 +44,7 @@
 
     /// Whether a request may go to a server now.
     pub fn passes(&self, server: &ServerRecord) -> bool {
-        match self.node.loads.temperature(server).0 {
+        match temperature(self.node, server).0 {
             Temperature::Warm => true,
             Temperature::Unknown => false,
             Temperature::Cold | Temperature::InDoubt => {
@@ -56,7 +56,7 @@
 
     /// Takes a request out of what may go to a server; `false` when nothing is left.
     fn take(&self, server: &ServerRecord) -> bool {
-        match self.node.loads.temperature(server).0 {
+        match temperature(self.node, server).0 {
             Temperature::Warm => true,
             Temperature::Unknown => false,
             Temperature::Cold | Temperature::InDoubt => {
@@ -67,6 +67,15 @@
     }
 }
 
+/// The temperature of a server, and what told of it. A server that operators took back into use may have turned cold
+/// meanwhile.
+pub(crate) fn temperature(node: &Node, server: &ServerRecord) -> (Temperature, Teller) {
+    if let Some(at) = node.view.restored_at(&server.zone) {
+        node.loads.note_taken_back(&server.id, at);
+    }
+    node.loads.temperature(server)
+}
+
 /// Why nothing may be sent to a server now. Where nothing speaks against it, this counts as a request.
 pub(crate) fn refusal(node: &Node, server: &ServerRecord) -> Option<Exclusion> {
     let gate = ColdGate::of(node, &server.service)?;
--- a/crates/ingress/src/cold_watch.rs
+++ b/crates/ingress/src/cold_watch.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::attempt::Upstreams;
-use crate::cold::{ColdGate, share_of};
+use crate::cold::{ColdGate, share_of, temperature};
 use crate::metrics::Metrics;
 
 /// Time between two looks at the servers.
@@ -82,7 +82,7 @@
     server: &Arc<ServerRecord>,
     now: Instant,
 ) -> Temperature {
-    let (temperature, teller) = upstreams.node().loads.temperature(server);
+    let (temperature, teller) = temperature(upstreams.node(), server);
     let mut servers = seen.borrow_mut();
     let watched = servers.entry(server.id.clone()).or_insert(Watched {
         temperature: Temperature::Warm,
