--- a/crates/cluster/src/cold_loads.rs
+++ b/crates/cluster/src/cold_loads.rs
@@ -55,6 +55,9 @@
 
     /// Takes over what other nodes tell of the server's temperature.
     pub(crate) fn take_thermal_news(&mut self, now: Instant) {
+        if !self.thermal.is_followed() {
+            return;
+        }
         for (at, entry) in self.peers.values() {
             if now.duration_since(*at) >= HEARTBEAT_LIFE {
                 continue;
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -22,6 +22,7 @@
 mod peers;
 mod server_loads;
 mod servers;
+mod standing;
 mod store_clock;
 mod temperature;
 mod view;
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -11,7 +11,6 @@
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 
-use crate::cold_parts::{first, standing};
 use crate::delegates::{Candidate, delegates};
 use crate::directory::FrontNode;
 use crate::follow::{Contact, TableSink};
@@ -34,7 +33,7 @@
 /// Time that a node has from the moment its row is seen to its first heartbeat.
 const FIRST_HEARTBEAT: Duration = Duration::from_millis(1600);
 /// Time without a sign after which a node is taken for gone for good.
-const FORGOTTEN: Duration = Duration::from_secs(60);
+pub(crate) const FORGOTTEN: Duration = Duration::from_secs(60);
 /// A node that has had no answer of the store for this long can commit nothing.
 const STORE_SILENCE: Duration = Duration::from_millis(3200);
 
@@ -73,8 +72,8 @@
     pub zone: String,
 }
 
-struct Peer {
-    row: NodeRow,
+pub(crate) struct Peer {
+    pub(crate) row: NodeRow,
     revision: u64,
     address: Option<SocketAddr>,
     seen: Instant,
@@ -96,7 +95,7 @@
     }
 
     /// When it was last heard, or its row seen.
-    fn last(&self) -> Instant {
+    pub(crate) fn last(&self) -> Instant {
         self.heard.unwrap_or(self.seen).max(self.seen)
     }
 
@@ -138,9 +137,9 @@
 
 /// The nodes that are known, this one included.
 pub struct PeerTable {
-    own_name: String,
-    own_zone: String,
-    peers: Mutex<HashMap<String, Peer>>,
+    pub(crate) own_name: String,
+    pub(crate) own_zone: String,
+    pub(crate) peers: Mutex<HashMap<String, Peer>>,
     /// Senders of heartbeats while no row of a node is known. Locked after `peers`.
     strangers: Mutex<HashMap<String, Stranger>>,
     changed: Notify,
@@ -289,34 +288,6 @@
             .collect()
     }
 
-    /// The place of this node among the nodes that stand for a server in a zone; `None` when it is not one of
-    /// them. Rows choose the nodes of the zone, and as many of other zones for when all of those are silent. Who was
-    /// heard a moment ago chooses nobody: nodes that are cut off from each other would all choose themselves.
-    pub fn standing(&self, server: &str, zone: &str, nodes: u32) -> Option<u32> {
-        let now = Instant::now();
-        let peers = self.peers.lock();
-        let own = self.own_name.as_str();
-        // Gone for good is who has been silent for long while others were heard.
-        let newest = peers.values().map(Peer::last).max()?;
-        let listed = peers
-            .iter()
-            .filter(|(name, peer)| *name == own || newest.duration_since(peer.last()) < FORGOTTEN);
-        let (near, far): (Vec<_>, Vec<_>) = listed
-            .map(|(name, peer)| (name.as_str(), peer))
-            .partition(|(_, peer)| peer.row.zone == zone);
-        if near.len() < nodes as usize {
-            let all = near.iter().chain(&far).map(|(name, _)| *name);
-            return standing(server, own, all, nodes);
-        }
-        if self.own_zone == zone {
-            return standing(server, own, near.iter().map(|(name, _)| *name), nodes);
-        }
-        let place = standing(server, own, far.iter().map(|(name, _)| *name), nodes)?;
-        let first = first(server, near, nodes);
-        let silent = |peer: &Peer| self.judge(peer, now, peers.len()) == PeerStatus::Down;
-        first.iter().all(|(_, peer)| silent(peer)).then_some(place)
-    }
-
     /// The delegates of other zones of which no node is heard, as these zones chose them when all was well.
     pub fn silent_delegates(&self) -> Vec<RelayPeer> {
         let silent = self.silent_zones();
@@ -544,7 +515,7 @@
         }
     }
 
-    fn judge(&self, peer: &Peer, now: Instant, fleet: usize) -> PeerStatus {
+    pub(crate) fn judge(&self, peer: &Peer, now: Instant, fleet: usize) -> PeerStatus {
         let limit = match (fleet > ALL_HEARD, peer.row.zone == self.own_zone) {
             (true, _) => RELAYED_SILENCE,
             (false, true) => NEAR_SILENCE,
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -25,12 +25,10 @@
 use crate::patience::Patience;
 use tokio::time::Instant;
 
-/// Time for a connection to come up.
-const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// Answers to other requests that are passed over on one connection.
 const FOREIGN_ANSWERS: usize = 2;
 /// Longest answer to another request that is passed over, bytes.
-const FOREIGN_BYTES: usize = 1024 * 1024;
+pub(crate) const FOREIGN_BYTES: usize = 1024 * 1024;
 /// Time for which a server that broke or fell silent is avoided.
 pub(crate) const SUSPECT_TIME: Duration = Duration::from_millis(1_200);
 /// Silence from which a server counts as away, and may have begun anew since: then nobody knows how cold it is.
@@ -115,8 +113,8 @@
 /// Connections to servers of one thread.
 #[derive(Clone)]
 pub struct Upstreams {
-    node: Arc<Node>,
-    pool: Rc<Pool>,
+    pub(crate) node: Arc<Node>,
+    pub(crate) pool: Rc<Pool>,
     allowance: Rc<Cell<Allowance>>,
 }
 
@@ -207,44 +205,6 @@
         })
     }
 
-    /// Asks a server for its health: the status and what the head says, or `None` without an answer in time.
-    pub(crate) async fn ask_health(
-        &self,
-        server: &ServerRecord,
-        path: &str,
-        limit: Duration,
-    ) -> Option<(u16, AnswerFacts)> {
-        let host = HeaderValue::from_str(&server.address.to_string()).ok()?;
-        let headers = [(&HOST, &host)].into_iter();
-        let request = request_bytes(&Method::GET, path, headers, &Bytes::new());
-        let asking = async {
-            let mut connection = self.connect(server).await.ok()?;
-            let head = connection.send(&request).await.ok()?;
-            let facts = self.node.dialect.answer_facts(head.status, &head.headers);
-            connection.whole_body(FOREIGN_BYTES).await.ok()?;
-            self.pool.put(server.address, connection);
-            Some((head.status, facts))
-        };
-        tokio::time::timeout(limit, asking).await.ok()?
-    }
-
-    /// Whether a connection to the server comes up; it is kept for requests.
-    pub(crate) async fn answers(&self, server: &ServerRecord) -> bool {
-        Metrics::count(&self.node.metrics.connections);
-        match Connection::open(server.address, CONNECT_LIMIT).await {
-            Ok(connection) => {
-                self.pool.forget(server.address);
-                self.pool.put(server.address, connection);
-                self.node.loads.heard(&server.id);
-                true
-            }
-            Err(_) => {
-                self.node.loads.suspect(&server.id, SUSPECT_TIME);
-                false
-            }
-        }
-    }
-
     /// Waits for something of a server. Once the server has been silent for as long as is borne, on all
     /// connections of all nodes, it is doubted, and the attempt is given up where it may be.
     pub async fn with_patience<T>(
@@ -292,32 +252,6 @@
         }
     }
 
-    async fn connect(&self, server: &ServerRecord) -> Result<Connection, AttemptError> {
-        let address = server.address;
-        if self.node.loads.is_doubted(&server.id) {
-            // What is sent on a connection of a lost server may have run for all that is known; a connection
-            // that does not come up costs nothing.
-            self.pool.forget(address);
-        }
-        // A server that was away has forgotten its connections; a request on one of them would count as run.
-        let back = self.node.loads.back(&server.id);
-        if let Some(connection) = self.pool.take_after(address, back) {
-            return Ok(connection);
-        }
-        Metrics::count(&self.node.metrics.connections);
-        let started = Instant::now();
-        let opened = Connection::open(server.address, CONNECT_LIMIT).await;
-        if opened.is_ok() {
-            let ways = self.node.view.ways();
-            ways.note(&server.zone, started.elapsed());
-        }
-        opened.map_err(|error| AttemptError {
-            ran: Ran::No,
-            reason: error.to_string(),
-            unreachable: true,
-        })
-    }
-
     async fn answer(
         &self,
         connection: &mut Connection,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -11,6 +11,7 @@
 mod closing;
 mod cold;
 mod cold_watch;
+mod connecting;
 mod dispatch;
 mod evacuated_zones;
 mod event_stream;
