--- a/crates/jobs/tests/pure.rs
+++ b/crates/jobs/tests/pure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dappleyard_cluster::{LoadSummary, PeerStatus};
+use dappleyard_cluster::{LoadSummary, PeerStatus, Temperature};
 use dappleyard_jobs::{
     Ground, JobRow, RunEstimate, ServerRoom, may_claim, pick_server, rank, room,
 };
@@ -47,6 +47,26 @@
     expect_that!((room(12, &suspect), room(12, &reading)), eq((0, 0)));
 }
 
+#[gtest]
+fn no_item_goes_to_a_server_that_may_be_cold() {
+    let at = |temperature| {
+        let load = LoadSummary {
+            temperature,
+            ..load(0, 0)
+        };
+        room(8, &load)
+    };
+    // Nobody follows the temperature where there is no bound.
+    let warm = [None, Some(Temperature::Warm)].map(at);
+    expect_that!(warm, each(eq(7)));
+    let other = [
+        Temperature::Cold,
+        Temperature::InDoubt,
+        Temperature::Unknown,
+    ];
+    expect_that!(other.map(|temperature| at(Some(temperature))), each(eq(0)));
+}
+
 #[gtest]
 fn an_item_goes_back_to_its_server_unless_that_one_is_busier() {
     let server = |id, online| ServerRoom {
