--- a/crates/cluster/src/cold_loads.rs
+++ b/crates/cluster/src/cold_loads.rs
@@ -55,6 +55,9 @@
 
     /// Takes over what other nodes tell of the server's temperature.
     pub(crate) fn take_thermal_news(&mut self, now: Instant) {
+        if !self.thermal.is_followed() {
+            return;
+        }
         for (at, entry) in self.peers.values() {
             if now.duration_since(*at) >= HEARTBEAT_LIFE {
                 continue;
@@ -135,7 +138,7 @@
     pub fn note_taken_back(&self, server: &str, at: Instant) {
         let mut servers = self.servers.lock();
         let loads = servers.entry(server_number(server)).or_default();
-        loads.thermal.note_taken_back(at);
+        loads.thermal.note_taken_back(at, Instant::now());
     }
 
     /// Whether this node's part of a cold server's requests has something left.
