--- /dev/null
+++ b/crates/cluster/tests/doubts.rs
@@ -0,0 +1,57 @@
+//! Servers that are doubted, one by one and with their zone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_cluster::{LoadTable, WorkKind};
+use dappleyard_model::ServerRecord;
+use googletest::prelude::*;
+
+const TIME: Duration = Duration::from_millis(1_200);
+
+fn server(id: &str) -> ServerRecord {
+    ServerRecord {
+        id: id.to_owned(),
+        service: "llm".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "north".to_owned(),
+        slots: 8,
+        draining: false,
+        cold_left_ms: 0,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn doubted_until_heard() {
+    let table = Arc::new(LoadTable::default());
+    let _work = table.begin(&server("i-1"), WorkKind::Online, 0);
+    table.heard("i-1");
+    assert_that!(table.is_doubted("i-1"), eq(false));
+    table.doubt("i-1", TIME);
+    assert_that!(table.summary("i-1").suspect, eq(true));
+    assert_that!(table.is_any_suspect(), eq(true));
+    // It gets work again after a while, but not on connections from before.
+    tokio::time::sleep(TIME).await;
+    assert_that!(table.summary("i-1").suspect, eq(false));
+    assert_that!(table.is_any_suspect(), eq(false));
+    assert_that!(table.is_doubted("i-1"), eq(true));
+    table.heard("i-1");
+    assert_that!(table.is_doubted("i-1"), eq(false));
+}
+
+#[tokio::test(start_paused = true)]
+async fn held_back_with_zone() {
+    let table = LoadTable::default();
+    table.hold_back(vec!["i-1", "i-2"]);
+    // Also one that this node has never sent anything to.
+    assert_that!(table.summary("i-2").suspect, eq(true));
+    assert_that!(table.summary("i-3").suspect, eq(false));
+    // Being held back is no finding of its own, and is not told to others as one.
+    assert_that!(table.is_found_silent("i-1"), eq(false));
+    table.hold_back(vec!["i-2"]);
+    assert_that!(table.summary("i-1").suspect, eq(false));
+    assert_that!(table.is_doubted("i-1"), eq(true));
+    table.heard("i-1");
+    assert_that!(table.is_doubted("i-1"), eq(false));
+    assert_that!(table.is_doubted("i-2"), eq(true));
+}
