--- a/crates/cluster/src/evacuated_work.rs
+++ b/crates/cluster/src/evacuated_work.rs
@@ -1,6 +1,7 @@
 //! Zones as a view knows them: which are evacuated, which servers they have, and what still runs there.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -56,6 +57,12 @@
             .collect()
     }
 
+    /// Has the servers of a zone that is taken back count as of unknown temperature in these loads.
+    pub fn tell_returns(&self, loads: Arc<LoadTable>) {
+        // A view has one table of loads; a second one is a mistake that changes nothing.
+        let _ = self.loads.set(loads);
+    }
+
     /// Changes what is known of evacuated zones. The sets of all services are built anew when anything changes.
     pub(crate) fn change_zones(
         &self,
@@ -67,6 +74,15 @@
             return;
         }
         Self::all_stale(&mut known);
+        // Before any request finds the servers in a set again. This is the one place where the loads are locked
+        // within the view's lock; nothing that holds theirs asks the view.
+        if let Some(loads) = self.loads.get() {
+            for (_, server) in known.servers.values() {
+                if let Some(at) = known.evacuations.restored_at(&server.zone) {
+                    loads.note_taken_back(&server.id, at);
+                }
+            }
+        }
         drop(known);
         for change in &changes {
             let kind = match change.evacuated {
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::hash::{Hash, Hasher};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use dappleyard_model::{Configuration, Dialect, EventLog, Row, ServerRecord};
@@ -13,7 +13,7 @@
 use crate::eligibility::Exclusion;
 use crate::evacuations::Evacuations;
 use crate::follow::{Contact, TableSink};
-use crate::loads::server_number;
+use crate::loads::{LoadTable, server_number};
 use crate::servers::{ServerSet, Standpoint};
 use crate::ways::Ways;
 use tokio::time::Instant;
@@ -48,6 +48,8 @@
     pub(crate) known: Mutex<Known>,
     pub(crate) changed: Notify,
     own: Standpoint,
+    /// Work at servers: how cold those of a zone are is unknown once the zone is taken back.
+    pub(crate) loads: OnceLock<Arc<LoadTable>>,
     log: Arc<EventLog>,
 }
 
@@ -63,6 +65,7 @@
             own: Standpoint::with_ways(node, ways),
             known: Mutex::default(),
             changed: Notify::new(),
+            loads: OnceLock::new(),
             log,
         }
     }
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -87,6 +87,7 @@
         last_request: Mutex::new(Instant::now()),
         settings,
     });
+    view.tell_returns(node.loads.clone());
     let table = Arc::new(JobTable::default());
     let direct: Rc<dyn RowStore> = Rc::new(HttpRows::new(node.settings.store.clone()));
     let store: Rc<dyn RowStore> = Rc::new(RelayedRows::new(direct.clone(), access.clone()));
--- a/crates/ingress/src/evacuated_zones.rs
+++ b/crates/ingress/src/evacuated_zones.rs
@@ -70,6 +70,15 @@
     }
 }
 
+/// The orders that stand, for people.
+pub(crate) fn orders_text(node: &Node) -> String {
+    let held = node.view.evacuations().into_iter();
+    let orders: Vec<String> = held
+        .map(|held| format!("{} (revision {})", held.zone, held.revision))
+        .collect();
+    format!("evacuated: {}", orders.join(", "))
+}
+
 /// Zones in the Prometheus text format: the servers of each, and more of those that are evacuated.
 pub(crate) fn zone_text(node: &Node) -> String {
     let servers = node.view.servers_by_zone();
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -17,7 +17,7 @@
 use crate::answer::{begin, copy_headers, refusal};
 use crate::attempt::{Ran, Upstreams};
 use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
-use crate::evacuated_zones::zone_text;
+use crate::evacuated_zones::{orders_text, zone_text};
 use crate::metrics::{Metrics, tenant_text};
 use crate::node::{Node, UnderWay, UntilEnd};
 use crate::outcome::ErrorKind;
@@ -340,21 +340,17 @@
             if let Some(tenant) = request.caller.tenant().filter(|_| request.ran == Ran::No) {
                 node.quotas.give_back(&tenant.name);
             }
-            let kind = evacuated_or(&node, &request, kind);
-            let detail = format!("{} servers asked", request.asked.len());
-            refuse(&node, &request.facts.id, &Refusal::new(kind, detail))
+            let refused =
+                match kind == ErrorKind::NoServer && node.view.is_evacuated(&request.service) {
+                    // Nothing but the operators' orders leaves the request without a server.
+                    true => Refusal::new(ErrorKind::ZonesEvacuated, orders_text(&node)),
+                    false => Refusal::new(kind, format!("{} servers asked", request.asked.len())),
+                };
+            refuse(&node, &request.facts.id, &refused)
         }
     }
 }
 
-/// Says that zones are evacuated where that alone leaves a request without a server.
-fn evacuated_or(node: &Node, request: &Request, kind: ErrorKind) -> ErrorKind {
-    match kind == ErrorKind::NoServer && node.view.is_evacuated(&request.service) {
-        true => ErrorKind::ZonesEvacuated,
-        false => kind,
-    }
-}
-
 fn stream(
     upstreams: Upstreams,
     request: Request,
