--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -186,8 +186,14 @@
         }
         let version = configuration.version;
         let routes = configuration.routes.len();
+        let unknown = configuration.unknown_homes(self.ways().places());
         known.configuration = Some(Arc::new(configuration));
         drop(known);
+        for (place, region) in unknown {
+            self.log.write("home_region_unknown", || {
+                serde_json::json!({"place": place, "region": region.as_str(), "version": version})
+            });
+        }
         self.log.write("configuration_applied", || {
             serde_json::json!({"version": version, "previous": current, "routes": routes,
                 "revision": revision, "source": "store"})
--- a/crates/cluster/src/ways.rs
+++ b/crates/cluster/src/ways.rs
@@ -48,6 +48,11 @@
         Self::new(zone, &Places::default())
     }
 
+    /// The places that they are between.
+    pub fn places(&self) -> &Places {
+        &self.places
+    }
+
     /// The zone that they begin at.
     pub fn zone(&self) -> &str {
         &self.zone
--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -141,6 +141,7 @@
 fn words(event: &str) -> &str {
     match event {
         // "far" stands for a server of another region, "region" for one of another zone of the own one.
+        "home_region_unknown" => "the configuration names a home region that no zone is in",
         "placed" => "a server was chosen",
         "attempt_failed" => "an attempt at a server failed",
         "server_answered_failure" => "the server answered with a failure",
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -15,7 +15,7 @@
     AnswerTimes, Metrics, Node, PeerAnswers, Upstreams, ZoneWatch, configure, front_app_data,
     watch_temperatures, watch_zones,
 };
-use dappleyard_jobs::{JOB_TABLES, JobTable, NodeJobs, Runner};
+use dappleyard_jobs::{BODY_TABLES, JOB_TABLES, JobTable, NodeJobs, Runner};
 use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
 use dappleyard_platform::{HttpRows, PlatformDialect, describe};
 use dappleyard_relay::{
@@ -70,7 +70,11 @@
         peers.clone(),
         log.clone(),
     );
-    let access = Arc::new(access.with_ways(ways));
+    let access = Arc::new(
+        access
+            .with_ways(ways)
+            .with_bodies(view.clone(), &BODY_TABLES),
+    );
     let node = Arc::new(Node {
         life,
         view: view.clone(),
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dappleyard_model::{AnswerFacts, ServerRecord, ServerStamp, TenantStamp};
+use dappleyard_model::{AnswerFacts, Homes, ServerRecord, ServerStamp, TenantStamp};
 use dappleyard_upstream::{
     AnswerHead, BodyFraming, Connection, ExchangeError, IdleLimit, Pool, Stage, request_bytes,
 };
@@ -20,6 +20,7 @@
 
 use crate::cold;
 use crate::holding::Allowance;
+use crate::homes;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::patience::Patience;
@@ -87,6 +88,8 @@
     pub last_event_id: Option<u64>,
     /// Whose request it is.
     pub tenant: TenantStamp<'a>,
+    /// Regions in which it may be served.
+    pub homes: &'a Homes,
     /// Silence of the server that is borne.
     pub patience: Patience,
 }
@@ -159,6 +162,7 @@
         let mut connection = self.connect(server).await?;
         // What is known of the server may have changed since it was chosen.
         let listed = self.node.view.exclusion(&server.id);
+        let listed = listed.or_else(|| homes::refusal(&self.node, server, attempt.homes));
         if let Some(exclusion) = listed.or_else(|| cold::refusal(&self.node, server)) {
             self.pool.put(server.address, connection);
             return Err(AttemptError {
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -6,13 +6,14 @@
 
 use bytes::Bytes;
 use dappleyard_cluster::{InFlight, LoadSummary, WorkKind};
-use dappleyard_model::{Distance, RequestFacts, Route, RouteKind, ServerRecord};
+use dappleyard_model::{Distance, Homes, RequestFacts, Route, RouteKind, ServerRecord};
 use dappleyard_tenants::Caller;
 use http::{HeaderMap, Method};
 
 use crate::attempt::{Attempt, AttemptError, Exchange, Ran, SUSPECT_TIME, Upstreams};
 use crate::cold::ColdGate;
 use crate::holding::{Standing, standing};
+use crate::homes::reached;
 use crate::metrics::Metrics;
 use crate::outcome::ErrorKind;
 use crate::patience::Patience;
@@ -44,6 +45,8 @@
     pub caller: Caller,
     /// Route as of the arrival.
     pub route: Route,
+    /// Regions in which it may be served, as of the arrival.
+    pub homes: Homes,
     /// Service that serves it.
     pub service: String,
     /// When it came.
@@ -182,6 +185,7 @@
         remaining_ms: Some(remaining.as_millis() as u64),
         last_event_id,
         tenant: request.caller.stamp(),
+        homes: &request.homes,
         patience: first_patience(upstreams, request),
     };
     match tokio::time::timeout(remaining, upstreams.attempt(server, &attempt)).await {
@@ -333,13 +337,13 @@
         load: node.loads.summary(&server.id),
     };
     let extra = home.filter(|_| servers.is_large());
-    let open: Vec<&Arc<ServerRecord>> = servers
-        .used
-        .iter()
-        .chain(extra)
-        .filter(|server| !request.asked.contains(&server.id))
-        .filter(|server| gate.as_ref().is_none_or(|gate| gate.passes(server)))
-        .collect();
+    let may_take = |server: &&Arc<ServerRecord>| {
+        !request.asked.contains(&server.id)
+            && request.homes.allow(&server.zone, &node.settings.places)
+            && gate.as_ref().is_none_or(|gate| gate.passes(server))
+    };
+    let reached = reached(&servers, &request.homes, node).chain(extra);
+    let open: Vec<&Arc<ServerRecord>> = reached.filter(may_take).collect();
     let ways = node.view.ways();
     let home_id = home.map(|home| home.id.as_str());
     let some_of = |servers: &[&Arc<ServerRecord>]| -> Vec<Candidate> {
@@ -384,9 +388,9 @@
     };
     let left = request.asked.len() < MOST_ASKED;
     let servers = node.view.servers(&request.service);
-    let mut open = servers
-        .used
-        .iter()
+    let places = &node.settings.places;
+    let mut open = reached(&servers, &request.homes, node)
+        .filter(|server| request.homes.allow(&server.zone, places))
         .filter(|server| !request.asked.contains(&server.id));
     left && open.any(|server| !gate.passes(server))
 }
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -7,7 +7,7 @@
 use actix_web::http::header::CONTENT_TYPE;
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::{Bytes, BytesMut};
-use dappleyard_model::{Configuration, Endpoint, RequestFacts, Route, RouteKind};
+use dappleyard_model::{Configuration, Endpoint, Homes, RequestFacts, Route, RouteKind};
 use dappleyard_tenants::Caller;
 use futures::StreamExt;
 use futures::future::LocalBoxFuture;
@@ -205,7 +205,8 @@
 
 fn resolve(node: &Node, query: &str) -> HttpResponse {
     let zone = node.dialect.resolve_zone(query);
-    match node.resolve(zone.as_deref()) {
+    let host = node.dialect.resolve_host(query);
+    match node.resolve(host.as_deref(), zone.as_deref()) {
         Some(answer) => begin(node, 200)
             .insert_header((CONTENT_TYPE, "application/json"))
             .body(answer),
@@ -292,6 +293,7 @@
         .uri()
         .path_and_query()
         .map_or_else(|| http.path().to_owned(), ToString::to_string);
+    let homes = Homes::of(&route, caller.tenant().map(AsRef::as_ref));
     let request = Request {
         method: http.method().clone(),
         target,
@@ -301,6 +303,7 @@
         facts,
         caller,
         route,
+        homes,
         service,
         arrived,
         deadline: arrived + hold,
@@ -340,12 +343,15 @@
             if let Some(tenant) = request.caller.tenant().filter(|_| request.ran == Ran::No) {
                 node.quotas.give_back(&tenant.name);
             }
-            let refused =
-                match kind == ErrorKind::NoServer && node.view.is_evacuated(&request.service) {
-                    // Nothing but the operators' orders leaves the request without a server.
-                    true => Refusal::new(ErrorKind::ZonesEvacuated, orders_text(&node)),
-                    false => Refusal::new(kind, format!("{} servers asked", request.asked.len())),
-                };
+            let none = kind == ErrorKind::NoServer;
+            let out_of_homes = none && request.homes.bind() && request.asked.is_empty();
+            let detail = || format!("{} servers asked", request.asked.len());
+            let refused = match none && node.view.is_evacuated(&request.service) {
+                // Nothing but the operators' orders leaves the request without a server.
+                true => Refusal::new(ErrorKind::ZonesEvacuated, orders_text(&node)),
+                false if out_of_homes => Refusal::new(ErrorKind::HomesCannotServe, detail()),
+                false => Refusal::new(kind, detail()),
+            };
             refuse(&node, &request.facts.id, &refused)
         }
     }
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 
 use crate::answer_times::AnswerTimes;
+use crate::homes;
 use crate::metrics::Metrics;
 use tokio::time::Instant;
 
@@ -75,8 +76,8 @@
         identify(configuration, public, key, standing, bounds)
     }
 
-    /// Answer to a caller of a zone that asks where to go; `None` when this node cannot tell.
-    pub fn resolve(&self, zone: Option<&str>) -> Option<bytes::Bytes> {
+    /// Answer to a caller of a zone that asks where to go for a host; `None` when this node cannot tell.
+    pub fn resolve(&self, host: Option<&str>, zone: Option<&str>) -> Option<bytes::Bytes> {
         let mut nodes = self.peers.front_nodes();
         let isolated = self
             .view
@@ -94,11 +95,15 @@
             places: &self.settings.places,
             tolerated: self.settings.tolerated,
         };
-        let asked = Asked {
-            zone,
-            ..Asked::default()
-        };
-        let addresses = directory::addresses_for(asked, ground, &nodes);
+        let configuration = self.view.configuration();
+        let homes = homes::of_host(configuration.as_deref(), host);
+        let regions = homes::regions_for(&homes, zone, ground.places);
+        let answer = |regions| directory::addresses_for(Asked { zone, regions }, ground, &nodes);
+        let mut addresses = answer(regions.as_ref());
+        if addresses.is_empty() && regions.is_some() {
+            // Any node tells the caller when to come back.
+            addresses = answer(None);
+        }
         let ttl_ms = DIRECTORY_TTL_MS.min(self.settings.bounds.directory_ttl_ms);
         Some(self.dialect.resolve_answer(&addresses, ttl_ms))
     }
--- a/crates/ingress/src/outcome.rs
+++ b/crates/ingress/src/outcome.rs
@@ -41,6 +41,9 @@
     /// All servers that could run it are in zones that the operators have evacuated; it did not run.
     #[display("zones_evacuated")]
     ZonesEvacuated,
+    /// No server in the regions that the request is bound to takes it; it did not run.
+    #[display("homes_cannot_serve")]
+    HomesCannotServe,
     /// The time was over before any server ran the request.
     #[display("expired_before_run")]
     ExpiredBeforeRun,
@@ -81,6 +84,7 @@
             | ErrorKind::QuotaInDoubt
             | ErrorKind::NoServer
             | ErrorKind::ZonesEvacuated
+            | ErrorKind::HomesCannotServe
             | ErrorKind::ExpiredBeforeRun
             | ErrorKind::StoreUnavailable => 503,
             ErrorKind::Expired => 504,
@@ -93,6 +97,8 @@
             ErrorKind::NotReady | ErrorKind::ConfigurationOld | ErrorKind::KeyInDoubt => Some(200),
             ErrorKind::NoServer | ErrorKind::QuotaInDoubt => Some(50),
             ErrorKind::ExpiredBeforeRun => Some(100),
+            // A region that is cut off or emptied comes back in seconds, not in milliseconds.
+            ErrorKind::HomesCannotServe => Some(500),
             ErrorKind::StoreUnavailable => Some(500),
             ErrorKind::QuotaExceeded | ErrorKind::OverQuota => Some(1000),
             // Nobody knows when the zones are taken back; an evacuation lasts seconds at least, and a caller that
--- /dev/null
+++ b/crates/ingress/tests/homes.rs
@@ -0,0 +1,42 @@
+//! Regions to whose nodes callers of a host with home regions are sent.
+
+use dappleyard_ingress::regions_for;
+use dappleyard_model::{Homes, Places, RegionName, ZoneName};
+use googletest::prelude::*;
+
+fn places() -> Places {
+    let zones = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("c1", "c")].into_iter();
+    zones
+        .map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region)))
+        .collect()
+}
+
+fn homes(regions: &[&str]) -> Homes {
+    Homes::Within(regions.iter().map(|name| RegionName::from(*name)).collect())
+}
+
+fn sent_to(zone: Option<&str>, homes: &[Homes]) -> Vec<String> {
+    let regions = regions_for(homes, zone, &places()).into_iter().flatten();
+    regions.map(|region| region.to_string()).collect()
+}
+
+#[gtest]
+fn own_region_and_homes() {
+    let bound = [homes(&["b"])];
+    expect_that!(sent_to(Some("a1"), &bound), elements_are![eq("a"), eq("b")]);
+    expect_that!(sent_to(Some("b1"), &bound), elements_are![eq("b")]);
+    // Where a caller is, is not known.
+    expect_that!(sent_to(None, &bound), elements_are![eq("b")]);
+    expect_that!(sent_to(Some("elsewhere"), &bound), elements_are![eq("b")]);
+}
+
+#[gtest]
+fn several_routes() {
+    let bound = [homes(&["a", "b"]), homes(&["b", "c"])];
+    expect_that!(sent_to(None, &bound), elements_are![eq("b")]);
+}
+
+#[gtest]
+fn without_homes() {
+    expect_that!(regions_for(&[], Some("a1"), &places()), none());
+}
--- a/crates/jobs/src/cleaning.rs
+++ b/crates/jobs/src/cleaning.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dappleyard_model::{RowKey, StoreError, Transaction};
+use dappleyard_model::{Homes, RowKey, StoreError, Transaction};
 use tokio::time::Instant;
 
 use crate::keys::{
@@ -33,7 +33,7 @@
             .table
             .select(|row| !row.is_open() && row.accepted_ms + kept_ms < now_ms);
         for (name, known) in old {
-            if self.table.is_fresh() && self.is_preferred(&name, &known.row) {
+            if self.table.is_fresh() && self.is_preferred(&name, &known.row, &Homes::Anywhere) {
                 let runner = self.clone();
                 tokio::task::spawn_local(async move {
                     // What fails now is removed at the next look.
--- /dev/null
+++ b/crates/jobs/src/homes.rs
@@ -0,0 +1,27 @@
+//! Regions to which jobs and items are bound.
+
+use dappleyard_model::{Homes, Route};
+
+use crate::messages::JobRow;
+use crate::runner::Runner;
+
+impl Runner {
+    /// Regions in which the items of a tenant on a route may run.
+    pub(crate) fn homes(&self, route: &Route, tenant: &str) -> Homes {
+        let configuration = self.node.view.configuration();
+        let tenants = configuration
+            .as_ref()
+            .and_then(|held| held.tenants.as_ref());
+        let tenant = tenants.and_then(|tenants| tenants.named(tenant));
+        Homes::of(route, tenant.map(AsRef::as_ref))
+    }
+
+    /// Regions to which a job is bound.
+    pub(crate) fn homes_of(&self, row: &JobRow) -> Homes {
+        let configuration = self.node.view.configuration();
+        let configuration = configuration.as_deref();
+        configuration.map_or(Homes::Anywhere, |held| {
+            Homes::of_job(held, &row.route, &row.tenant)
+        })
+    }
+}
--- a/crates/jobs/src/keys.rs
+++ b/crates/jobs/src/keys.rs
@@ -23,6 +23,9 @@
     QUOTAS_TABLE,
 ];
 
+/// Tables that hold what callers sent.
+pub const BODY_TABLES: [&str; 1] = [ITEMS_TABLE];
+
 /// Partitions that jobs are spread over.
 const PARTITIONS: u64 = 4;
 /// Longest value written to one row, bytes, before the store's encoding.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,6 +10,7 @@
 mod cleaning;
 mod end;
 mod give_up;
+mod homes;
 mod keys;
 mod messages;
 mod order;
@@ -25,7 +26,7 @@
 
 pub use calls::NodeJobs;
 pub use claiming::{Ground, may_claim, may_claim_away, preferred};
-pub use keys::JOB_TABLES;
+pub use keys::{BODY_TABLES, JOB_TABLES, partition};
 pub use messages::{ItemsBlob, JobRow, JobState, StoredItem, StoredPartial};
 pub use order::{Rank, RunEstimate, rank};
 pub use runner::Runner;
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -51,7 +51,7 @@
 ) {
     let started = Instant::now();
     let events = job.state.borrow().items[index].events;
-    let end = run(&runner, &job, index, &server, work).await;
+    let end = run(&runner, &job, index, &server, &route, work).await;
     let now_events = job.state.borrow().items[index].events;
     let mut estimate = runner.estimate.get();
     estimate.note_run(now_events - events, started.elapsed().as_millis() as u64);
@@ -68,6 +68,7 @@
     job: &Rc<OwnedJob>,
     index: usize,
     server: &Arc<ServerRecord>,
+    route: &Route,
     mut work: InFlight,
 ) -> RunEnd {
     let (request, last_event, host, tenant) = {
@@ -77,6 +78,7 @@
         (item.stored.clone(), item.last_event, host, tenant)
     };
     let headers = item_headers(runner, &request, &host);
+    let homes = runner.homes(route, &tenant);
     let attempt = Attempt {
         method: &Method::POST,
         target: &request.path,
@@ -86,6 +88,7 @@
         remaining_ms: None,
         last_event_id: last_event,
         tenant: stamp(runner, &tenant),
+        homes: &homes,
         patience: Patience::leave_after(SERVER_PATIENCE),
     };
     let mut exchange = match runner.upstreams.attempt(server, &attempt).await {
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use dappleyard_cluster::{Allowance, PeerStatus};
-use dappleyard_ingress::{Metrics, Node, Upstreams};
+use dappleyard_ingress::{Metrics, Node, Upstreams, reached};
 use dappleyard_model::{
-    Configuration, Route, RouteKind, RowStore, ServerRecord, StoreError, Transaction,
+    Configuration, Homes, Route, RouteKind, RowStore, ServerRecord, StoreError, Transaction,
 };
 use prost::Message;
 use tokio::sync::Notify;
@@ -42,6 +42,7 @@
     rank: Rank,
     avoid: Option<String>,
     last: Option<String>,
+    homes: Homes,
 }
 
 /// Runs jobs on one thread.
@@ -204,7 +205,7 @@
             taken: self.taken.borrow().get(job).map(Instant::elapsed),
         };
         let away = self.is_away(row) && !may_claim_away(ground.steady);
-        may_claim(ground) && !away && self.is_preferred(job, row)
+        may_claim(ground) && !away && self.is_preferred(job, row, &self.homes_of(row))
     }
 
     /// Whether a job was accepted in another region.
@@ -215,11 +216,12 @@
     }
 
     /// Whether this node is the one of all that should take a job.
-    pub(crate) fn is_preferred(&self, job: &str, row: &JobRow) -> bool {
-        let workers = self.node.peers.workers(true);
+    pub(crate) fn is_preferred(&self, job: &str, row: &JobRow, homes: &Homes) -> bool {
+        let mut workers = self.node.peers.workers(true);
         let ways = self.node.view.ways();
         let region = row.region.as_deref();
         let is_home = |zone: &str| region.is_some_and(|region| ways.is_in(zone, region));
+        workers.retain(|worker| homes.allow(&worker.zone, ways.places()) || is_home(&worker.zone));
         let preferred = preferred(job, &workers, is_home);
         preferred.is_some_and(|worker| worker.name == self.node.settings.name)
     }
@@ -359,6 +361,10 @@
             if refreshed.insert(service.to_owned()) {
                 allowance.refresh(&loads.waiting, self.room_at(service), rand::random());
             }
+            // An item that waits for its home says nothing of the others' room, and takes nothing of it.
+            if turn.homes.bind() && self.pick(service, &turn).is_none() {
+                continue;
+            }
             let may_start = allowance.take();
             drop(allowances);
             let server = may_start.then(|| self.pick(service, &turn)).flatten();
@@ -411,6 +417,7 @@
                 job: job.clone(),
                 index,
                 route: route.clone(),
+                homes: self.homes(route, &state.row.tenant),
                 rank: rank(state.row.due_ms, needs_ms, now_ms, priority),
                 avoid: item.avoid.clone(),
                 last: item.last_server.clone(),
@@ -464,16 +471,20 @@
 
     fn pick(&self, service: &str, turn: &Turn) -> Option<Arc<ServerRecord>> {
         let servers = self.node.view.servers(service);
-        let rooms: Vec<ServerRoom<'_>> = servers
-            .used
+        let places = &self.node.settings.places;
+        let open: Vec<&Arc<ServerRecord>> = reached(&servers, &turn.homes, &self.node)
+            .filter(|server| turn.homes.allow(&server.zone, places))
+            .collect();
+        let avoided = |server: &ServerRecord| turn.avoid.as_ref() == Some(&server.id);
+        let rooms: Vec<ServerRoom<'_>> = open
             .iter()
-            .filter(|server| servers.used.len() == 1 || turn.avoid.as_ref() != Some(&server.id))
+            .filter(|server| open.len() == 1 || !avoided(server))
             .map(|server| self.room_of(server))
             .collect();
         let rooms = within_reach(rooms, self.node.view.ways());
         let settings = &self.node.settings;
         let chosen = pick_server(&rooms, &settings.name, &settings.zone, turn.last.as_deref())?.id;
-        let mut used = servers.used.iter();
-        used.find(|server| server.id == chosen).cloned()
+        let mut open = open.into_iter();
+        open.find(|server| server.id == chosen).cloned()
     }
 }
--- a/crates/model/src/dialect.rs
+++ b/crates/model/src/dialect.rs
@@ -125,6 +125,9 @@
     /// Zone named in a query for the directory.
     fn resolve_zone(&self, query: &str) -> Option<String>;
 
+    /// Host that a caller means to call when it asks where to go.
+    fn resolve_host(&self, query: &str) -> Option<String>;
+
     /// Reads a job.
     fn job(&self, body: &[u8]) -> Result<Vec<ItemSubmission>, FormatError>;
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod dialect;
 pub mod events;
+pub mod homes;
 pub mod place;
 pub mod request;
 pub mod rows;
@@ -18,6 +19,7 @@
     TenantStamp,
 };
 pub use events::{AT, EventLog};
+pub use homes::Homes;
 pub use place::{Distance, Places, RegionName, ZoneName};
 pub use request::{
     AnswerFacts, ItemSubmission, PromptPart, RequestFacts, ServerLoad, ServerRecord,
--- /dev/null
+++ b/crates/model/tests/homes.rs
@@ -0,0 +1,139 @@
+//! Home regions of routes and tenants.
+
+use dappleyard_model::{
+    Configuration, Homes, Places, RegionName, Route, RouteKind, Tenant, Tenants, TrafficLimits,
+    ZoneName,
+};
+use googletest::prelude::*;
+
+fn regions(names: &[&str]) -> Vec<RegionName> {
+    names.iter().map(|name| RegionName::from(*name)).collect()
+}
+
+fn places() -> Places {
+    let zones = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("c1", "c")].into_iter();
+    zones
+        .map(|(zone, region)| (ZoneName::from(zone), RegionName::from(region)))
+        .collect()
+}
+
+fn route(name: &str, homes: &[&str]) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "shop.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RouteKind::Safe,
+        timeout_ms: 0,
+        target_ms: 0,
+        patience_ms: 0,
+        priority: 0,
+        public: false,
+        targets: Vec::new(),
+        max_attempts: 1,
+        resumable: false,
+        result_target_ms: 0,
+        max_wait_s: 0,
+        max_queued_tokens: 0,
+        home_regions: regions(homes),
+    }
+}
+
+fn tenant(homes: &[&str]) -> Tenant {
+    Tenant {
+        name: "t1".parse().expect("a name"),
+        priority: None,
+        limit: None,
+        home_regions: regions(homes),
+    }
+}
+
+fn configuration(routes: Vec<Route>, homes: &[&str]) -> Configuration {
+    let mut tenants = Tenants::default();
+    tenants.add(tenant(homes), &[]).expect("a tenant");
+    Configuration {
+        version: 1,
+        routes,
+        services: Vec::new(),
+        limits: TrafficLimits {
+            max_body_bytes: 1,
+            idle_timeout_ms: 1,
+        },
+        tenants: Some(tenants),
+    }
+}
+
+fn zones(homes: &Homes) -> Vec<&'static str> {
+    let zones = ["a1", "a2", "b1", "c1", "elsewhere"].into_iter();
+    zones.filter(|zone| homes.allow(zone, &places())).collect()
+}
+
+#[gtest]
+fn both_bind() {
+    let of = |on_route: &[&str], of_tenant: &[&str]| {
+        Homes::of(&route("r", on_route), Some(&tenant(of_tenant)))
+    };
+    expect_that!(zones(&of(&[], &[])).len(), eq(5));
+    expect_that!(zones(&of(&["a"], &[])), elements_are![eq(&"a1"), eq(&"a2")]);
+    expect_that!(zones(&of(&[], &["b"])), elements_are![eq(&"b1")]);
+    expect_that!(
+        zones(&of(&["a", "b"], &["b", "c"])),
+        elements_are![eq(&"b1")]
+    );
+    expect_that!(zones(&of(&["a"], &["b"])), elements_are![]);
+    expect_that!(
+        zones(&Homes::of(&route("r", &["c"]), None)),
+        elements_are![eq(&"c1")]
+    );
+}
+
+#[gtest]
+fn unknown_names() {
+    // Without regions in the settings, no server is known to be at home.
+    let bound = Homes::of(&route("r", &["a"]), None);
+    expect_that!(bound.allow("a1", &Places::default()), eq(false));
+    let configuration = configuration(vec![route("one", &["a", "x"]), route("two", &[])], &["y"]);
+    let unknown = configuration.unknown_homes(&places());
+    let unknown: Vec<String> = unknown
+        .iter()
+        .map(|(place, region)| format!("{place} {region}"))
+        .collect();
+    expect_that!(
+        unknown,
+        elements_are![
+            eq("routes.one.home_regions x"),
+            eq("tenants.t1.home_regions y")
+        ]
+    );
+}
+
+#[gtest]
+fn hosts() {
+    let homes = |routes: Vec<Route>| configuration(routes, &[]).homes_of_host("shop.example");
+    let bound = homes(vec![route("one", &["a"]), route("two", &["b"])]);
+    expect_that!(bound.len(), eq(2));
+    // One route without homes: its callers may go anywhere.
+    expect_that!(
+        homes(vec![route("one", &["a"]), route("two", &[])]),
+        elements_are![]
+    );
+    expect_that!(homes(Vec::new()), elements_are![]);
+}
+
+#[gtest]
+fn jobs() {
+    let held = configuration(vec![route("one", &["a", "b"])], &["b"]);
+    expect_that!(
+        zones(&Homes::of_job(&held, "one", "t1")),
+        elements_are![eq(&"b1")]
+    );
+    expect_that!(
+        zones(&Homes::of_job(&held, "one", "")),
+        elements_are![eq(&"a1"), eq(&"a2"), eq(&"b1")]
+    );
+    expect_that!(Homes::of_job(&held, "gone", "t1").bind(), eq(false));
+    expect_that!(held.has_homes(), eq(true));
+    expect_that!(
+        configuration(vec![route("one", &[])], &[]).has_homes(),
+        eq(false)
+    );
+}
--- a/crates/relay/src/access.rs
+++ b/crates/relay/src/access.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use dappleyard_cluster::{NODES_TABLE, PeerTable, RelayPeer, StoreClock, StoreHealth, Ways};
+use dappleyard_cluster::{NODES_TABLE, PeerTable, RelayPeer, StoreClock, StoreHealth, View, Ways};
 use dappleyard_model::{EventLog, RowStore};
 use derive_more::Display;
 use parking_lot::Mutex;
@@ -63,6 +63,7 @@
     name: String,
     zone: String,
     ways: Arc<Ways>,
+    bodies: Option<(Arc<View>, &'static [&'static str])>,
     health: Arc<StoreHealth>,
     clock: StoreClock,
     peers: Arc<PeerTable>,
@@ -85,6 +86,7 @@
             name: name.to_owned(),
             zone: zone.to_owned(),
             ways: Arc::new(Ways::within(zone)),
+            bodies: None,
             health,
             clock: StoreClock::default(),
             peers,
@@ -100,6 +102,28 @@
         Self { ways, ..self }
     }
 
+    /// The same where these tables hold bodies of requests. While the configuration binds any request to home
+    /// regions, nodes of the own region alone pass calls about them on: a node holds bodies only of requests
+    /// that may be in its region.
+    pub fn with_bodies(self, view: Arc<View>, tables: &'static [&'static str]) -> Self {
+        let bodies = Some((view, tables));
+        Self { bodies, ..self }
+    }
+
+    /// Nodes that may pass a call about these tables on, the best first.
+    pub fn relays_for<'a>(&self, tables: impl IntoIterator<Item = &'a str>) -> Vec<RelayPeer> {
+        let mut relays = self.relays();
+        let Some((view, bodies)) = &self.bodies else {
+            return relays;
+        };
+        let mut tables = tables.into_iter();
+        let bound = || view.configuration().is_some_and(|held| held.has_homes());
+        if tables.any(|table| bodies.contains(&table)) && bound() {
+            relays.retain(|peer| self.ways.is_near(&peer.zone));
+        }
+        relays
+    }
+
     /// Outcomes of this node's own calls.
     pub fn health(&self) -> &StoreHealth {
         &self.health
--- a/crates/relay/src/rows.rs
+++ b/crates/relay/src/rows.rs
@@ -40,11 +40,15 @@
     }
 
     /// Has another node make the call; `None` when none did anything about it.
-    async fn by_peer(&self, kind: &CallKind) -> Option<Result<AnswerKind, StoreError>> {
+    async fn by_peer<'a>(
+        &self,
+        kind: &CallKind,
+        tables: impl IntoIterator<Item = &'a str>,
+    ) -> Option<Result<AnswerKind, StoreError>> {
         if !self.access.health().is_lost() {
             return None;
         }
-        for peer in self.access.relays().into_iter().take(MOST_ASKED) {
+        for peer in self.access.relays_for(tables).into_iter().take(MOST_ASKED) {
             match self.calls.call(peer.address, kind.clone(), LIMIT).await {
                 // Nothing was done there.
                 Err(StoreError::Unavailable { .. }) => {}
@@ -65,7 +69,8 @@
 impl RowStore for RelayedRows {
     async fn transact(&self, transaction: &Transaction) -> Result<Committed, StoreError> {
         let call = CallKind::Transact(TransactCall::from(transaction));
-        match self.by_peer(&call).await {
+        let tables = transaction.puts.iter().map(|(row, _)| row.table);
+        match self.by_peer(&call, tables).await {
             Some(Ok(AnswerKind::Committed(committed))) => Ok(committed.into()),
             Some(Ok(_)) => Err(unexpected()),
             Some(Err(error)) => Err(error),
@@ -88,7 +93,7 @@
             to: to.to_owned(),
             limit: u32::try_from(limit).unwrap_or(u32::MAX),
         });
-        match self.by_peer(&call).await {
+        match self.by_peer(&call, [table]).await {
             Some(Ok(AnswerKind::Rows(rows))) => Ok(rows.into()),
             Some(Ok(_)) => Err(unexpected()),
             Some(Err(error)) => Err(error),
