--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -6,31 +6,26 @@
 //! what was heard, so that a fleet that has lost its delegates finds new ones.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use dappleyard_tenants::{QuotaTable, ZonePassed};
+use dappleyard_tenants::QuotaTable;
 use prost::Message;
-use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
-use crate::cadence::{Duties, ROUND, duties};
-use crate::delegates::told_by;
+use crate::cadence::{ROUND, duties};
 use crate::health::StoreHealth;
 use crate::loads::{LoadTable, node_number};
 use crate::messages::{Heartbeat, LifeSigns, LoadChange, Packet, PacketKind, Summary};
 use crate::pace::ChangePace;
-use crate::peers::{PeerTable, RelayPeer};
-use crate::server_loads::Source;
+use crate::peers::PeerTable;
 use crate::view::View;
 use crate::zone_digest::ZoneDigest;
 
-/// Random nodes that a heartbeat goes to where no delegate is heard.
-const FANOUT: usize = 6;
 /// Time after which a delegate that says nothing is not counted on.
 const DELEGATE_SILENCE: Duration = Duration::from_millis(600);
 /// Nodes that there may be while no row of any is known: a node that has just begun must not take the
@@ -70,31 +65,31 @@
 
 /// Messages of one node.
 pub struct Gossip {
-    settings: GossipSettings,
-    socket: UdpSocket,
-    peers: Arc<PeerTable>,
-    loads: Arc<LoadTable>,
-    quotas: Arc<QuotaTable>,
-    view: Arc<View>,
-    health: Arc<StoreHealth>,
-    leaving: Arc<AtomicBool>,
+    pub(crate) settings: GossipSettings,
+    pub(crate) socket: UdpSocket,
+    pub(crate) peers: Arc<PeerTable>,
+    pub(crate) loads: Arc<LoadTable>,
+    pub(crate) quotas: Arc<QuotaTable>,
+    pub(crate) view: Arc<View>,
+    pub(crate) health: Arc<StoreHealth>,
+    pub(crate) leaving: Arc<AtomicBool>,
     /// When a delegate of the own zone last told of the fleet.
-    told: Cell<Option<Instant>>,
+    pub(crate) told: Cell<Option<Instant>>,
     /// Servers that other nodes use, by the number of the node; none stand for all.
-    used: RefCell<HashMap<u64, Vec<u32>>>,
+    pub(crate) used: RefCell<HashMap<u64, Vec<u32>>>,
     /// Addresses of the other delegates of the own zone, as of the last round.
-    near_delegates: RefCell<Vec<SocketAddr>>,
+    pub(crate) near_delegates: RefCell<Vec<SocketAddr>>,
     /// Other nodes of the own zone that are alive, as of the last round.
-    zone_nodes: Cell<usize>,
+    pub(crate) zone_nodes: Cell<usize>,
     /// What other zones of the region were told of this one.
-    digest: RefCell<ZoneDigest>,
+    pub(crate) digest: RefCell<ZoneDigest>,
     /// What zones of other regions were told.
-    region_digest: RefCell<ZoneDigest>,
+    pub(crate) region_digest: RefCell<ZoneDigest>,
     /// Messages about loads that were sent.
-    sequence: Cell<u64>,
-    changes_told: Cell<u64>,
+    pub(crate) sequence: Cell<u64>,
+    pub(crate) changes_told: Cell<u64>,
     /// The newest message about loads from each node: its life, and its place in that life.
-    newest: RefCell<HashMap<u64, (u64, u64)>>,
+    pub(crate) newest: RefCell<HashMap<u64, (u64, u64)>>,
 }
 
 impl Gossip {
@@ -190,39 +185,11 @@
     }
 
     /// Whether a delegate has told of the fleet lately.
-    fn is_told(&self) -> bool {
+    pub(crate) fn is_told(&self) -> bool {
         let told = self.told.get();
         told.is_some_and(|at| at.elapsed() < DELEGATE_SILENCE)
     }
 
-    fn send_large_round(&self, duties: Duties) {
-        if !duties.sums && !duties.heartbeat {
-            return;
-        }
-        let peers = self.peers.relay_peers();
-        let zone = &self.settings.zone;
-        let near = peers.iter().filter(|peer| peer.zone == *zone);
-        self.zone_nodes.set(near.count());
-        let delegates = self.peers.delegates_among(&peers, zone);
-        let is_other = |peer: &&RelayPeer| delegates.contains(&peer.name.as_str());
-        let others = peers.iter().filter(is_other).map(|peer| peer.address);
-        *self.near_delegates.borrow_mut() = others.collect();
-        if delegates.contains(&self.settings.name.as_str()) {
-            if duties.sums {
-                self.tell_zone(&peers, &delegates, duties);
-                self.tell_other_zones(&peers, &delegates, duties);
-            }
-            if duties.heartbeat {
-                self.tell_silent_zones();
-            }
-            if duties.far {
-                self.send_at_random(1);
-            }
-        } else if duties.heartbeat {
-            self.send_to_delegates(duties.far);
-        }
-    }
-
     /// Tells of changed work at once: all nodes in a small fleet, the delegates of the zone in a large
     /// one.
     fn send_change(&self) {
@@ -247,7 +214,7 @@
         self.changes_told.get()
     }
 
-    fn next_sequence(&self) -> u64 {
+    pub(crate) fn next_sequence(&self) -> u64 {
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
         sequence
@@ -260,132 +227,7 @@
         self.send(message, targets.map(|(address, _)| address));
     }
 
-    /// Sends this node's loads to the delegates of its zone. A life sign goes to a random node now
-    /// and then, and to several while no delegate is heard.
-    fn send_to_delegates(&self, far_too: bool) {
-        let message = self.heartbeat(true, None);
-        self.send(message, self.near_delegates.borrow().iter().copied());
-        let fanout = match self.is_told() {
-            true => usize::from(far_too),
-            false => FANOUT,
-        };
-        self.send_at_random(fanout);
-    }
-
-    /// As a delegate, tells each node of the zone what all others do.
-    fn tell_zone(&self, peers: &[RelayPeer], delegates: &[&str], duties: Duties) {
-        let signs = duties.signs.then(|| self.peers.life_signs(None));
-        let evacuated = match duties.signs {
-            true => self.view.evacuated_work(&self.loads),
-            false => Vec::new(),
-        };
-        let used = self.used.borrow();
-        let zone = &self.settings.zone;
-        let near: Vec<&RelayPeer> = peers.iter().filter(|peer| peer.zone == *zone).collect();
-        let numbers: Vec<(u64, &[u32])> = near
-            .iter()
-            .map(|peer| node_number(&peer.name))
-            .map(|number| (number, used.get(&number).map_or(&[][..], Vec::as_slice)))
-            .collect();
-        for (peer, loads) in near.iter().zip(self.loads.sums_without(&numbers)) {
-            let message = match delegates.contains(&peer.name.as_str()) {
-                // The other delegate sums up itself.
-                true => self.heartbeat(true, signs.clone()),
-                false => PacketKind::Summary(Summary {
-                    levels: self.quotas.levels_for(node_number(&peer.name)),
-                    loads,
-                    waiting: self.loads.waiting.sum_without(node_number(&peer.name)),
-                    signs: signs.clone(),
-                    evacuated: evacuated.clone(),
-                    ..self.summary()
-                }),
-            };
-            self.send(message, [peer.address].into_iter());
-        }
-    }
-
-    /// As a delegate, tells the delegates of other zones what this zone does: nodes of other zones
-    /// use some servers of this one, and the other way round, and what they do not hear of they take
-    /// for free.
-    fn tell_other_zones(&self, peers: &[RelayPeer], delegates: &[&str], duties: Duties) {
-        let zone = self.settings.zone.as_str();
-        let ways = self.view.ways();
-        let others: BTreeSet<&str> = peers.iter().map(|peer| peer.zone.as_str()).collect();
-        let others = others.into_iter().filter(|other| *other != zone);
-        let (near, far): (Vec<&str>, Vec<&str>) = others.partition(|other| ways.is_near(other));
-        let near = near
-            .into_iter()
-            .flat_map(|other| self.peers.delegates_among(peers, other));
-        self.tell_delegates(peers, near.collect(), &self.digest, duties);
-        if !duties.regions || far.is_empty() {
-            return;
-        }
-        let own = delegates
-            .iter()
-            .position(|name| *name == self.settings.name);
-        let far = far.into_iter().flat_map(|other| {
-            let there = self.peers.delegates_among(peers, other);
-            told_by(own.unwrap_or_default(), delegates.len(), there)
-        });
-        self.tell_delegates(peers, far.collect(), &self.region_digest, duties);
-    }
-
-    /// Tells some delegates of other zones what this one does, as far as they do not know it.
-    fn tell_delegates(
-        &self,
-        peers: &[RelayPeer],
-        delegates: Vec<&str>,
-        digest: &RefCell<ZoneDigest>,
-        duties: Duties,
-    ) {
-        let zone = &self.settings.zone;
-        let far = peers
-            .iter()
-            .filter(|peer| delegates.contains(&peer.name.as_str()));
-        let told = digest.borrow_mut().next(self.loads.zone_sums(), duties.all);
-        let message = PacketKind::Summary(Summary {
-            of_zone: true,
-            loads: told.loads,
-            changes_only: told.changes_only,
-            waiting: self.loads.waiting.zone_sum(),
-            passed: self.quotas.zone_passed(duties.signs),
-            heard_permille: (self.quotas.zone_heard() * 1_000.0) as u32,
-            signs: duties.signs.then(|| self.peers.life_signs(Some(zone))),
-            ..self.summary()
-        });
-        self.send(message, far.map(|peer| peer.address));
-    }
-
-    /// As a delegate, tells the delegates of zones that have fallen silent who lives here. They are those that the
-    /// zone itself chose before. Once a cut between zones heals, both sides know of all nodes of the other after
-    /// 0.6 s; by heartbeats to random nodes alone it took up to 3 s, and nodes of the one side took over jobs that
-    /// run at the other.
-    fn tell_silent_zones(&self) {
-        let delegates = self.peers.silent_delegates();
-        if delegates.is_empty() {
-            return;
-        }
-        // Loads are told again once the zone is heard.
-        let signs = self.peers.life_signs(Some(&self.settings.zone));
-        let message = self.heartbeat(false, Some(signs));
-        self.send(message, delegates.iter().map(|node| node.address));
-    }
-
-    /// Sends life signs to nodes chosen at random; where no delegate is heard they relay others.
-    fn send_at_random(&self, fanout: usize) {
-        if fanout == 0 {
-            return;
-        }
-        let targets = self.peers.heartbeat_targets();
-        let chosen = targets.choose_multiple(&mut rand::rng(), fanout);
-        let message = match fanout == FANOUT {
-            true => self.heartbeat(true, Some(self.peers.some_life_signs())),
-            false => self.heartbeat(false, None),
-        };
-        self.send(message, chosen.map(|(address, _)| *address));
-    }
-
-    fn send(&self, kind: PacketKind, targets: impl Iterator<Item = SocketAddr>) {
+    pub(crate) fn send(&self, kind: PacketKind, targets: impl Iterator<Item = SocketAddr>) {
         let packet = Packet { kind: Some(kind) };
         let bytes = packet.encode_to_vec();
         for target in targets {
@@ -394,7 +236,7 @@
         }
     }
 
-    fn heartbeat(&self, with_loads: bool, signs: Option<LifeSigns>) -> PacketKind {
+    pub(crate) fn heartbeat(&self, with_loads: bool, signs: Option<LifeSigns>) -> PacketKind {
         let store_age = self.view.store_age().unwrap_or(Duration::from_secs(3600));
         PacketKind::Heartbeat(Heartbeat {
             name: self.settings.name.clone(),
@@ -425,7 +267,7 @@
     }
 
     /// A summary that names its sender and tells nothing yet.
-    fn summary(&self) -> Summary {
+    pub(crate) fn summary(&self) -> Summary {
         Summary {
             name: self.settings.name.clone(),
             life: self.settings.life,
@@ -433,125 +275,4 @@
             ..Summary::default()
         }
     }
-
-    fn receive(&self, datagram: &[u8], sender: SocketAddr) {
-        let packet = Packet::decode(datagram).ok();
-        match packet.and_then(|packet| packet.kind) {
-            Some(PacketKind::Heartbeat(heartbeat)) => {
-                self.peers.meet(&heartbeat, sender);
-                self.receive_heartbeat(heartbeat);
-            }
-            Some(PacketKind::Summary(summary)) => self.receive_summary(summary),
-            Some(PacketKind::LoadChange(change)) => self.receive_change(change),
-            None => {}
-        }
-    }
-
-    fn receive_heartbeat(&self, heartbeat: Heartbeat) {
-        if heartbeat.name == self.settings.name || !self.peers.heard(&heartbeat) {
-            return;
-        }
-        if let Some(signs) = &heartbeat.signs {
-            self.peers.take_life_signs(signs);
-        }
-        let large = self.peers.is_large();
-        let summed = self.is_told();
-        // A life sign sent at random tells nothing of loads.
-        let delegate = self.peers.is_delegate();
-        if large && ((summed && !delegate) || !heartbeat.tells_loads) {
-            return;
-        }
-        let number = node_number(&heartbeat.name);
-        if !self.is_newest(number, heartbeat.life, heartbeat.sequence) {
-            return;
-        }
-        if large {
-            self.used.borrow_mut().insert(number, heartbeat.used);
-        }
-        self.quotas
-            .note_node(number, heartbeat.life, &heartbeat.passed);
-        let source = Source::Node(number);
-        if self.waits_near(&heartbeat.name) {
-            self.loads.waiting.set_source(source, heartbeat.waiting);
-        }
-        self.loads.set_source(source, heartbeat.loads);
-    }
-
-    /// Whether the items that a node tells of wait for the same servers as this node's own: those of other
-    /// regions wait for other servers.
-    fn waits_near(&self, name: &str) -> bool {
-        let ways = self.view.ways();
-        if !ways.has_regions() {
-            return true;
-        }
-        let zone = self.peers.zone_of(name).unwrap_or_default();
-        ways.is_near(&zone)
-    }
-
-    /// Whether a message about loads is newer than all before it from its node.
-    fn is_newest(&self, node: u64, life: u64, sequence: u64) -> bool {
-        let mut newest = self.newest.borrow_mut();
-        let held = newest.entry(node).or_default();
-        let newer = held.0 != life || held.1 < sequence;
-        if newer {
-            *held = (life, sequence);
-        }
-        newer
-    }
-
-    fn receive_change(&self, change: LoadChange) {
-        let listens = !self.peers.is_large() || self.peers.is_delegate();
-        // A heartbeat makes a life known before its changes count.
-        let newest = self.newest.borrow().get(&change.node).copied();
-        let known = newest.is_some_and(|(life, _)| life == change.life);
-        if listens && known && self.is_newest(change.node, change.life, change.sequence) {
-            self.quotas
-                .note_node(change.node, change.life, &change.passed);
-            let source = Source::Node(change.node);
-            self.loads.change_source(source, change.loads);
-        }
-    }
-
-    fn receive_summary(&self, summary: Summary) {
-        let (name, life, sequence) = (&summary.name, summary.life, summary.sequence);
-        if !self.peers.heard_from(name, life, sequence) {
-            return;
-        }
-        if let Some(signs) = &summary.signs {
-            self.peers.take_life_signs(signs);
-        }
-        let delegate = self.peers.is_delegate();
-        match (summary.of_zone, delegate) {
-            (true, true) => {
-                let zone = self.peers.zone_of(&summary.name).unwrap_or_default();
-                let delegate = (node_number(&summary.name), summary.life);
-                let told = ZonePassed {
-                    counts: &summary.passed,
-                    heard_part: f64::from(summary.heard_permille) / 1_000.0,
-                };
-                let later = self.view.ways().extra(&zone) / 2;
-                let number = node_number(&zone);
-                self.quotas.note_zone(number, delegate, &told, later);
-                let source = Source::Zone(node_number(&zone));
-                if self.waits_near(&summary.name) {
-                    self.loads.waiting.set_source(source, summary.waiting);
-                }
-                match summary.changes_only {
-                    true => self.loads.merge_source(source, summary.loads),
-                    false => self.loads.set_source(source, summary.loads),
-                }
-            }
-            (false, false) => {
-                self.told.set(Some(Instant::now()));
-                self.loads.zones.note(summary.evacuated);
-                self.quotas.note_levels(&summary.levels);
-                self.loads
-                    .waiting
-                    .set_source(Source::Fleet, summary.waiting);
-                self.loads.set_source(Source::Fleet, summary.loads);
-            }
-            // Two nodes may for a moment think differently of who the delegates are.
-            _ => {}
-        }
-    }
 }
--- /dev/null
+++ b/crates/cluster/src/load_sources.rs
@@ -0,0 +1,135 @@
+//! What a node tells of its work at servers, and what it takes over of the work of others.
+
+use std::collections::HashMap;
+
+use tokio::time::Instant;
+
+use crate::loads::LoadTable;
+use crate::messages::LoadEntry;
+use crate::server_loads::{Source, tells_something};
+
+impl LoadTable {
+    /// This node's work, for its heartbeat.
+    pub(crate) fn own_entries(&self) -> Vec<LoadEntry> {
+        let now = Instant::now();
+        let servers = self.servers.lock();
+        let entries = servers
+            .iter()
+            .map(|(number, loads)| loads.own(*number, now));
+        entries.filter(tells_something).collect()
+    }
+
+    /// This node's work at the servers where it has changed since this was last asked.
+    pub(crate) fn take_changes(&self) -> Vec<LoadEntry> {
+        let now = Instant::now();
+        let mut servers = self.servers.lock();
+        let changed = servers.iter_mut().filter(|(_, loads)| loads.untold);
+        changed
+            .map(|(number, loads)| {
+                loads.untold = false;
+                LoadEntry {
+                    // Heartbeats tell this; here it would only cost bytes.
+                    heard_ms: 0,
+                    ..loads.own(*number, now)
+                }
+            })
+            .collect()
+    }
+
+    /// Takes over what another node tells of the servers where its work has changed.
+    pub(crate) fn change_source(&self, source: Source, entries: Vec<LoadEntry>) {
+        let now = Instant::now();
+        let mut servers = self.servers.lock();
+        for entry in entries {
+            let loads = servers.entry(entry.server).or_default();
+            let (_, held) = loads
+                .peers
+                .entry(source)
+                .or_insert((now, LoadEntry::default()));
+            *held = LoadEntry {
+                heard_ms: held.heard_ms,
+                ..entry
+            };
+            self.note_news(loads, now);
+        }
+    }
+
+    /// The work of others, from one source. A sum over the fleet takes the place of everything
+    /// else, and the other way round.
+    pub(crate) fn set_source(&self, source: Source, entries: Vec<LoadEntry>) {
+        let now = Instant::now();
+        let mut servers = self.servers.lock();
+        for loads in servers.values_mut() {
+            match source {
+                Source::Fleet => loads.peers.clear(),
+                _ => {
+                    loads.peers.remove(&source);
+                    loads.peers.remove(&Source::Fleet);
+                }
+            }
+        }
+        for entry in entries {
+            let loads = servers.entry(entry.server).or_default();
+            loads.peers.insert(source, (now, entry));
+            self.note_news(loads, now);
+        }
+    }
+
+    /// The work of others at some servers only; what the source told of the rest stays.
+    pub(crate) fn merge_source(&self, source: Source, entries: Vec<LoadEntry>) {
+        let now = Instant::now();
+        let mut servers = self.servers.lock();
+        for entry in entries {
+            let loads = servers.entry(entry.server).or_default();
+            loads.peers.insert(source, (now, entry));
+            self.note_news(loads, now);
+        }
+    }
+
+    /// The work of this node's zone at each server with any.
+    pub(crate) fn zone_sums(&self) -> Vec<LoadEntry> {
+        let now = Instant::now();
+        let servers = self.servers.lock();
+        let sums = servers.iter().map(|(number, loads)| {
+            loads.sum(*number, now, |source| matches!(source, Source::Node(_)))
+        });
+        sums.filter(tells_something).collect()
+    }
+
+    /// The work of all nodes but one, at the servers that this one uses, for each of some nodes;
+    /// no servers stand for all. Each server is summed once, and once more for the nodes that have
+    /// work there: few of many have.
+    pub(crate) fn sums_without(&self, nodes: &[(u64, &[u32])]) -> Vec<Vec<LoadEntry>> {
+        let now = Instant::now();
+        let servers = self.servers.lock();
+        let totals: HashMap<u32, LoadEntry> = servers
+            .iter()
+            .map(|(number, loads)| loads.sum(*number, now, |source| *source != Source::Fleet))
+            .map(|total| (total.server, total))
+            .filter(|(_, total)| tells_something(total))
+            .collect();
+        let sum_for = |node: u64, total: &LoadEntry| -> LoadEntry {
+            let own = Source::Node(node);
+            match servers.get(&total.server) {
+                Some(loads) if loads.peers.contains_key(&own) => {
+                    loads.sum(total.server, now, |source| {
+                        *source != own && *source != Source::Fleet
+                    })
+                }
+                _ => total.clone(),
+            }
+        };
+        let sums_for = |(node, used): &(u64, &[u32])| -> Vec<LoadEntry> {
+            let sums: Vec<LoadEntry> = match used.is_empty() {
+                true => totals.values().map(|total| sum_for(*node, total)).collect(),
+                false => used
+                    .iter()
+                    .filter_map(|server| totals.get(server))
+                    .map(|total| sum_for(*node, total))
+                    .collect(),
+            };
+            sums.into_iter().filter(tells_something).collect()
+        };
+        nodes.iter().map(sums_for).collect()
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/receiving.rs
@@ -0,0 +1,135 @@
+//! What a node takes from the messages of others.
+
+use std::net::SocketAddr;
+
+use dappleyard_tenants::ZonePassed;
+use prost::Message;
+use tokio::time::Instant;
+
+use crate::gossip::Gossip;
+use crate::loads::node_number;
+use crate::messages::{Heartbeat, LoadChange, Packet, PacketKind, Summary};
+use crate::server_loads::Source;
+
+impl Gossip {
+    pub(crate) fn receive(&self, datagram: &[u8], sender: SocketAddr) {
+        let packet = Packet::decode(datagram).ok();
+        match packet.and_then(|packet| packet.kind) {
+            Some(PacketKind::Heartbeat(heartbeat)) => {
+                self.peers.meet(&heartbeat, sender);
+                self.receive_heartbeat(heartbeat);
+            }
+            Some(PacketKind::Summary(summary)) => self.receive_summary(summary),
+            Some(PacketKind::LoadChange(change)) => self.receive_change(change),
+            None => {}
+        }
+    }
+
+    fn receive_heartbeat(&self, heartbeat: Heartbeat) {
+        if heartbeat.name == self.settings.name || !self.peers.heard(&heartbeat) {
+            return;
+        }
+        if let Some(signs) = &heartbeat.signs {
+            self.peers.take_life_signs(signs);
+        }
+        let large = self.peers.is_large();
+        let summed = self.is_told();
+        // A life sign sent at random tells nothing of loads.
+        let delegate = self.peers.is_delegate();
+        if large && ((summed && !delegate) || !heartbeat.tells_loads) {
+            return;
+        }
+        let number = node_number(&heartbeat.name);
+        if !self.is_newest(number, heartbeat.life, heartbeat.sequence) {
+            return;
+        }
+        if large {
+            self.used.borrow_mut().insert(number, heartbeat.used);
+        }
+        self.quotas
+            .note_node(number, heartbeat.life, &heartbeat.passed);
+        let source = Source::Node(number);
+        if self.waits_near(&heartbeat.name) {
+            self.loads.waiting.set_source(source, heartbeat.waiting);
+        }
+        self.loads.set_source(source, heartbeat.loads);
+    }
+
+    /// Whether the items that a node tells of wait for the same servers as this node's own: those of other
+    /// regions wait for other servers.
+    fn waits_near(&self, name: &str) -> bool {
+        let ways = self.view.ways();
+        if !ways.has_regions() {
+            return true;
+        }
+        let zone = self.peers.zone_of(name).unwrap_or_default();
+        ways.is_near(&zone)
+    }
+
+    /// Whether a message about loads is newer than all before it from its node.
+    fn is_newest(&self, node: u64, life: u64, sequence: u64) -> bool {
+        let mut newest = self.newest.borrow_mut();
+        let held = newest.entry(node).or_default();
+        let newer = held.0 != life || held.1 < sequence;
+        if newer {
+            *held = (life, sequence);
+        }
+        newer
+    }
+
+    fn receive_change(&self, change: LoadChange) {
+        let listens = !self.peers.is_large() || self.peers.is_delegate();
+        // A heartbeat makes a life known before its changes count.
+        let newest = self.newest.borrow().get(&change.node).copied();
+        let known = newest.is_some_and(|(life, _)| life == change.life);
+        if listens && known && self.is_newest(change.node, change.life, change.sequence) {
+            self.quotas
+                .note_node(change.node, change.life, &change.passed);
+            let source = Source::Node(change.node);
+            self.loads.change_source(source, change.loads);
+        }
+    }
+
+    fn receive_summary(&self, summary: Summary) {
+        let (name, life, sequence) = (&summary.name, summary.life, summary.sequence);
+        if !self.peers.heard_from(name, life, sequence) {
+            return;
+        }
+        if let Some(signs) = &summary.signs {
+            self.peers.take_life_signs(signs);
+        }
+        let delegate = self.peers.is_delegate();
+        match (summary.of_zone, delegate) {
+            (true, true) => {
+                let zone = self.peers.zone_of(&summary.name).unwrap_or_default();
+                let delegate = (node_number(&summary.name), summary.life);
+                let told = ZonePassed {
+                    counts: &summary.passed,
+                    heard_part: f64::from(summary.heard_permille) / 1_000.0,
+                };
+                let later = self.view.ways().extra(&zone) / 2;
+                let number = node_number(&zone);
+                self.quotas.note_zone(number, delegate, &told, later);
+                let source = Source::Zone(node_number(&zone));
+                if self.waits_near(&summary.name) {
+                    self.loads.waiting.set_source(source, summary.waiting);
+                }
+                match summary.changes_only {
+                    true => self.loads.merge_source(source, summary.loads),
+                    false => self.loads.set_source(source, summary.loads),
+                }
+            }
+            (false, false) => {
+                self.told.set(Some(Instant::now()));
+                self.loads.zones.note(summary.evacuated);
+                self.quotas.note_levels(&summary.levels);
+                self.loads
+                    .waiting
+                    .set_source(Source::Fleet, summary.waiting);
+                self.loads.set_source(Source::Fleet, summary.loads);
+            }
+            // Two nodes may for a moment think differently of who the delegates are.
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/strangers.rs
@@ -0,0 +1,51 @@
+//! Nodes that are heard before the row of any node is known: one that starts while the store is away learns from
+//! them.
+
+use std::net::SocketAddr;
+
+use tokio::time::Instant;
+
+use crate::messages::Heartbeat;
+use crate::peers::{FAR_SILENCE, PeerTable, RelayPeer, direct_answer};
+
+/// A node that is heard before its row is known.
+pub(crate) struct Stranger {
+    pub(crate) address: SocketAddr,
+    pub(crate) heard: Instant,
+    pub(crate) direct: Option<Instant>,
+}
+
+impl PeerTable {
+    /// Notes who sends heartbeats while this node knows no row of any node: one that starts while
+    /// the store is away learns from them.
+    pub fn meet(&self, heartbeat: &Heartbeat, address: SocketAddr) {
+        let peers = self.peers.lock();
+        if !peers.is_empty() || heartbeat.name == self.own_name {
+            return;
+        }
+        let now = Instant::now();
+        let stranger = Stranger {
+            address,
+            heard: now,
+            direct: direct_answer(heartbeat, now),
+        };
+        let mut strangers = self.strangers.lock();
+        strangers.insert(heartbeat.name.clone(), stranger);
+    }
+
+    pub(crate) fn strangers(&self, now: Instant) -> Vec<RelayPeer> {
+        let strangers = self.strangers.lock();
+        let heard = strangers
+            .iter()
+            .filter(|(_, stranger)| now.duration_since(stranger.heard) < FAR_SILENCE);
+        heard
+            .map(|(name, stranger)| RelayPeer {
+                name: name.clone(),
+                zone: String::new(),
+                address: stranger.address,
+                direct_age: stranger.direct.map(|at| now.duration_since(at)),
+                strong: false,
+            })
+            .collect()
+    }
+}
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -7,8 +7,7 @@
 use actix_web::http::header::CONTENT_TYPE;
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::{Bytes, BytesMut};
-use dappleyard_model::{Configuration, Endpoint, Homes, RequestFacts, Route, RouteKind};
-use dappleyard_tenants::Caller;
+use dappleyard_model::{Configuration, Endpoint, Homes, RouteKind};
 use futures::StreamExt;
 use futures::future::LocalBoxFuture;
 use http::HeaderMap;
@@ -18,6 +17,7 @@
 use crate::attempt::{Ran, Upstreams};
 use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
 use crate::evacuated_zones::{orders_text, zone_text};
+use crate::job_calls::{JobCalls, JobReply};
 use crate::metrics::{Metrics, tenant_text};
 use crate::node::{Node, UnderWay, UntilEnd};
 use crate::outcome::ErrorKind;
@@ -30,52 +30,6 @@
 /// Body limit before a configuration is known, bytes.
 const BODY_LIMIT: usize = 4 * 1024 * 1024;
 
-/// Answer to a call about jobs.
-pub enum JobReply {
-    /// The job is accepted.
-    Accepted,
-    /// The job is ended.
-    Ended,
-    /// A page of results.
-    Page(Bytes),
-    /// The body of an item.
-    Body(Bytes),
-    /// The call is not served.
-    Refused(ErrorKind, String),
-}
-
-/// Calls about jobs, as the interface needs them.
-pub trait JobCalls {
-    /// Takes a job.
-    fn submit<'a>(
-        &'a self,
-        caller: &'a Caller,
-        route: &'a Route,
-        facts: &'a RequestFacts,
-        body: Bytes,
-    ) -> LocalBoxFuture<'a, JobReply>;
-
-    /// Reads results from a position on.
-    fn results<'a>(
-        &'a self,
-        caller: &'a Caller,
-        job: &'a str,
-        from: u64,
-        wait_ms: u64,
-    ) -> LocalBoxFuture<'a, JobReply>;
-
-    /// Reads the body of an item.
-    fn item<'a>(
-        &'a self,
-        caller: &'a Caller,
-        job: &'a str,
-        item: &'a str,
-    ) -> LocalBoxFuture<'a, JobReply>;
-
-    /// Ends a job.
-    fn end<'a>(&'a self, caller: &'a Caller, job: &'a str) -> LocalBoxFuture<'a, JobReply>;
-}
-
 /// Answers a call of another node; both are bytes of the protocol between nodes.
 pub type PeerAnswers = Rc<dyn Fn(Bytes) -> LocalBoxFuture<'static, Bytes>>;
 
--- /dev/null
+++ b/crates/ingress/src/placing.rs
@@ -0,0 +1,166 @@
+//! Finds the server for the next attempt of a request, among those that may take it now.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_cluster::LoadSummary;
+use dappleyard_model::{Distance, ServerRecord};
+
+use crate::attempt::Upstreams;
+use crate::cold::ColdGate;
+use crate::dispatch::Request;
+use crate::holding::{Standing, standing};
+use crate::homes::reached;
+use crate::metrics::Metrics;
+use crate::placement::{
+    Candidate, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
+};
+
+/// Servers that are asked for one request, those that did not run it included.
+const MOST_ASKED: usize = 6;
+/// Time between two looks for a slot, on the mean: loads are told as often.
+const HOLD_TICK: Duration = Duration::from_millis(20);
+
+/// Where the next attempt of a request goes.
+pub(crate) struct Placement {
+    pub(crate) server: Arc<ServerRecord>,
+    /// The server keeps the shared parts of the prompt.
+    pub(crate) kept: bool,
+    pub(crate) load: LoadSummary,
+    /// Online requests above the slots, in the mean of the servers that were weighed.
+    mean_over: f64,
+    /// Servers that were weighed.
+    candidates: usize,
+}
+
+/// Finds the server for the next attempt, and waits for a slot while others come first. A stream that has
+/// begun goes on at once.
+pub(crate) async fn find_place(
+    upstreams: &Upstreams,
+    request: &Request,
+    begins: bool,
+) -> Option<Placement> {
+    let patience = Duration::from_millis(request.route.patience_ms);
+    let target = match request.route.target_ms {
+        0 => patience,
+        target_ms => Duration::from_millis(target_ms),
+    };
+    loop {
+        let standing = standing(request.arrived.elapsed(), target, patience);
+        let Some(placement) = place(upstreams, request) else {
+            if standing == Standing::Due || !is_held_back(upstreams, request) {
+                return None;
+            }
+            tokio::time::sleep(HOLD_TICK).await;
+            continue;
+        };
+        // A server without work takes a request from anybody.
+        let idle = placement.load.online == 0;
+        let allowance = upstreams.allowance();
+        let admitted = allowance.admits(standing, placement.mean_over, rand::random());
+        if !begins || idle || admitted {
+            log_placed(upstreams, request, &placement);
+            return Some(placement);
+        }
+        // Not all at the same time: each would see the same free slot.
+        let pause = HOLD_TICK.mul_f64(rand::random_range(0.5..1.5));
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn log_placed(upstreams: &Upstreams, request: &Request, placement: &Placement) {
+    let (load, server) = (&placement.load, &placement.server.id);
+    let distance = upstreams
+        .node()
+        .view
+        .ways()
+        .distance(&placement.server.zone);
+    if distance == Distance::OtherRegion {
+        Metrics::count(&upstreams.node().metrics.left_region);
+    }
+    upstreams.node().log.write("placed", || {
+        serde_json::json!({"request": request.facts.id, "route": request.route.name,
+            "tenant": request.caller.tenant_name(), "server": server,
+            "distance": distance.to_string(),
+            "candidates": placement.candidates, "kept": placement.kept,
+            "online": load.online, "batch": load.batch,
+            "unread_tokens": load.unread_tokens, "suspect": load.suspect,
+            "age_ms": request.arrived.elapsed().as_millis() as u64,
+            "remaining_ms": request.remaining().as_millis() as u64})
+    });
+}
+
+/// The server for the next attempt as the loads are known now.
+fn place(upstreams: &Upstreams, request: &Request) -> Option<Placement> {
+    let node = upstreams.node();
+    if request.asked.len() >= MOST_ASKED {
+        return None;
+    }
+    let gate = ColdGate::of(node, &request.service);
+    let servers = node.view.servers(&request.service);
+    let home = request
+        .shape
+        .shared
+        .and_then(|shared| home(&servers.homes, shared));
+    let candidate = |server: &Arc<ServerRecord>| Candidate {
+        server: server.clone(),
+        load: node.loads.summary(&server.id),
+    };
+    let extra = home.filter(|_| servers.is_large());
+    let may_take = |server: &&Arc<ServerRecord>| {
+        !request.asked.contains(&server.id)
+            && request.homes.allow(&server.zone, &node.settings.places)
+            && gate.as_ref().is_none_or(|gate| gate.passes(server))
+    };
+    let reached = reached(&servers, &request.homes, node).chain(extra);
+    let open: Vec<&Arc<ServerRecord>> = reached.filter(may_take).collect();
+    let ways = node.view.ways();
+    let home_id = home.map(|home| home.id.as_str());
+    let some_of = |servers: &[&Arc<ServerRecord>]| -> Vec<Candidate> {
+        let sampled = sample(servers, ways, home_id, &mut rand::rng());
+        within_reach(sampled.into_iter().map(candidate).collect(), ways)
+    };
+    let large = node.peers.is_large();
+    let mut candidates = match large {
+        true => some_of(&open),
+        false => Vec::new(),
+    };
+    let free_near = |held: &Candidate| ways.is_near(&held.server.zone) && has_slot(held);
+    if large && ways.has_regions() && !candidates.iter().any(free_near) {
+        // Before the request leaves its region, all servers there are looked at.
+        let free = open.iter().copied();
+        let free: Vec<_> = free
+            .filter(|server| free_near(&candidate(server)))
+            .collect();
+        if !free.is_empty() {
+            candidates = some_of(&free);
+        }
+    }
+    let sound = |chosen: &&Candidate| is_sound(chosen);
+    if choose(&candidates, ways, home_id).filter(sound).is_none() {
+        candidates = within_reach(open.into_iter().map(candidate).collect(), ways);
+    }
+    let chosen = choose(&candidates, ways, home_id)?;
+    Some(Placement {
+        server: chosen.server.clone(),
+        kept: home_id == Some(chosen.server.id.as_str()),
+        load: chosen.load,
+        mean_over: mean_over(&candidates),
+        candidates: candidates.len(),
+    })
+}
+
+/// Whether some server could take the request but for what this node may send to it while it may be cold.
+fn is_held_back(upstreams: &Upstreams, request: &Request) -> bool {
+    let node = upstreams.node();
+    let Some(gate) = ColdGate::of(node, &request.service) else {
+        return false;
+    };
+    let left = request.asked.len() < MOST_ASKED;
+    let servers = node.view.servers(&request.service);
+    let places = &node.settings.places;
+    let mut open = reached(&servers, &request.homes, node)
+        .filter(|server| request.homes.allow(&server.zone, places))
+        .filter(|server| !request.asked.contains(&server.id));
+    left && open.any(|server| !gate.passes(server))
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,7 +21,9 @@
 mod release;
 mod run;
 mod runner;
+mod scheduling;
 mod table;
+mod taking;
 mod width;
 
 pub use calls::NodeJobs;
--- /dev/null
+++ b/crates/jobs/src/scheduling.rs
@@ -0,0 +1,182 @@
+//! Starts items where servers have room, in the order of their ranks.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use dappleyard_ingress::reached;
+use dappleyard_model::{Configuration, Homes, Route, RouteKind, ServerRecord};
+use tokio::time::Instant;
+
+use crate::give_up::{give_up, is_over};
+use crate::order::{Rank, rank};
+use crate::owned::{OwnedJob, Progress, Run};
+use crate::run::{begin_work, run_item};
+use crate::runner::Runner;
+use crate::width::{ServerRoom, pick_server, room, within_reach};
+
+/// An item that waits for its turn.
+struct Turn {
+    job: Rc<OwnedJob>,
+    index: usize,
+    route: Route,
+    rank: Rank,
+    avoid: Option<String>,
+    last: Option<String>,
+    homes: Homes,
+}
+
+impl Runner {
+    /// Starts items where servers have room, in the order of their ranks.
+    pub(crate) fn schedule(self: &Rc<Self>) {
+        let Some(configuration) = self.node.view.configuration() else {
+            return;
+        };
+        let Some(now_ms) = self.table.now_ms() else {
+            return;
+        };
+        let jobs: Vec<Rc<OwnedJob>> = self.owned.borrow().values().cloned().collect();
+        let mut waiting: Vec<Turn> = jobs
+            .iter()
+            .flat_map(|job| self.turns(job, &configuration, now_ms))
+            .collect();
+        waiting.sort_by(|a, b| (a.rank, &a.job.job, a.index).cmp(&(b.rank, &b.job.job, b.index)));
+        let loads = &self.node.loads;
+        loads
+            .waiting
+            .set_own(u32::try_from(waiting.len()).unwrap_or(u32::MAX));
+        let mut refreshed: HashSet<String> = HashSet::new();
+        // A service without room, such as one whose zones are evacuated, holds up no other one.
+        let mut full: HashSet<String> = HashSet::new();
+        for turn in waiting {
+            let service = turn.route.pick_service(rand::random()).unwrap_or_default();
+            if full.contains(service) {
+                continue;
+            }
+            let mut allowances = self.allowances.borrow_mut();
+            let allowance = allowances.entry(service.to_owned()).or_default();
+            if refreshed.insert(service.to_owned()) {
+                allowance.refresh(&loads.waiting, self.room_at(service), rand::random());
+            }
+            // An item that waits for its home says nothing of the others' room, and takes nothing of it.
+            if turn.homes.bind() && self.pick(service, &turn).is_none() {
+                continue;
+            }
+            let may_start = allowance.take();
+            drop(allowances);
+            let server = may_start.then(|| self.pick(service, &turn)).flatten();
+            let Some(server) = server else {
+                full.insert(service.to_owned());
+                continue;
+            };
+            self.start(&turn.job, turn.index, server, turn.route);
+        }
+    }
+
+    /// Items that the servers of a service still take, as this node sees them.
+    fn room_at(&self, service: &str) -> u32 {
+        let servers = self.node.view.servers(service);
+        let rooms = servers.used.iter().map(|server| self.room_of(server));
+        within_reach(rooms.collect(), self.node.view.ways())
+            .iter()
+            .map(|server| room(server.slots, &server.load))
+            .sum()
+    }
+
+    /// The items of a job that wait; those whose time or route is over are given up.
+    fn turns(&self, job: &Rc<OwnedJob>, configuration: &Configuration, now_ms: u64) -> Vec<Turn> {
+        let now = Instant::now();
+        let mut turns = Vec::new();
+        let mut over = None;
+        let state = job.state.borrow();
+        for (index, item) in state.items.iter().enumerate() {
+            if item.progress == Progress::Finished {
+                continue;
+            }
+            let route = configuration
+                .route(&state.row.host, &item.stored.path)
+                .filter(|route| route.kind == RouteKind::Batch);
+            let Some(route) = route else {
+                over = Some("the route is gone");
+                break;
+            };
+            if is_over(state.row.accepted_ms, route.max_wait_s, now_ms) {
+                over = Some("the time is over");
+                break;
+            }
+            let resting = item.not_before.is_some_and(|at| at > now);
+            if item.progress == Progress::Running || resting {
+                continue;
+            }
+            let needs_ms = self.estimate.get().remaining_ms(item.events);
+            let priority = configuration.priority(route, &state.row.tenant);
+            turns.push(Turn {
+                job: job.clone(),
+                index,
+                route: route.clone(),
+                homes: self.homes(route, &state.row.tenant),
+                rank: rank(state.row.due_ms, needs_ms, now_ms, priority),
+                avoid: item.avoid.clone(),
+                last: item.last_server.clone(),
+            });
+        }
+        drop(state);
+        match over {
+            Some(cause) => {
+                give_up(self, job, cause);
+                Vec::new()
+            }
+            None => turns,
+        }
+    }
+
+    fn start(
+        self: &Rc<Self>,
+        job: &Rc<OwnedJob>,
+        index: usize,
+        server: Arc<ServerRecord>,
+        route: Route,
+    ) {
+        let id = server.id.clone();
+        let work = {
+            let mut state = job.state.borrow_mut();
+            let host = state.row.host.clone();
+            let item = &mut state.items[index];
+            item.progress = Progress::Running;
+            item.answered = false;
+            item.last_server = Some(server.id.clone());
+            begin_work(self, &item.stored, &host, &server)
+        };
+        let run = run_item(self.clone(), job.clone(), index, server, route, work);
+        let task = tokio::task::spawn_local(run);
+        job.state.borrow_mut().items[index].task = Some(Run::new(&id, task.abort_handle()));
+    }
+
+    fn room_of<'a>(&self, server: &'a ServerRecord) -> ServerRoom<'a> {
+        ServerRoom {
+            id: &server.id,
+            zone: &server.zone,
+            slots: server.slots,
+            load: self.node.loads.summary(&server.id),
+        }
+    }
+
+    fn pick(&self, service: &str, turn: &Turn) -> Option<Arc<ServerRecord>> {
+        let servers = self.node.view.servers(service);
+        let places = &self.node.settings.places;
+        let open: Vec<&Arc<ServerRecord>> = reached(&servers, &turn.homes, &self.node)
+            .filter(|server| turn.homes.allow(&server.zone, places))
+            .collect();
+        let avoided = |server: &ServerRecord| turn.avoid.as_ref() == Some(&server.id);
+        let rooms: Vec<ServerRoom<'_>> = open
+            .iter()
+            .filter(|server| open.len() == 1 || !avoided(server))
+            .map(|server| self.room_of(server))
+            .collect();
+        let rooms = within_reach(rooms, self.node.view.ways());
+        let settings = &self.node.settings;
+        let chosen = pick_server(&rooms, &settings.name, &settings.zone, turn.last.as_deref())?.id;
+        let mut open = open.into_iter();
+        open.find(|server| server.id == chosen).cloned()
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/taking.rs
@@ -0,0 +1,182 @@
+//! Which jobs a node owns: it claims those whose owner is gone, and lets go of those that another one took.
+
+use std::rc::Rc;
+
+use dappleyard_cluster::PeerStatus;
+use dappleyard_ingress::Metrics;
+use dappleyard_model::{Homes, StoreError, Transaction};
+use prost::Message;
+use tokio::time::Instant;
+
+use crate::claiming::{Ground, may_claim, may_claim_away, preferred};
+use crate::keys::job_key;
+use crate::messages::JobRow;
+use crate::owned::{Item, OwnedJob};
+use crate::partials;
+use crate::read::{read_items, retry};
+use crate::runner::{Runner, TICK};
+use crate::table::Known;
+
+impl Runner {
+    /// Brings what is owned into line with the rows.
+    pub(crate) fn reconcile(self: &Rc<Self>) {
+        let own = (&self.node.settings.name, self.node.life);
+        self.owned.borrow_mut().retain(|name, job| {
+            let known = self.table.get(name);
+            let kept = known.is_some_and(|known| {
+                let row = &known.row;
+                // The table may lag behind this node's own commits.
+                let behind = known.revision < job.state.borrow().revision;
+                behind || (row.is_open() && (&row.owner, row.life) == own)
+            });
+            let kept = kept && !job.state.borrow().lost;
+            let done = !job.state.borrow().row.is_open();
+            if !kept && !done {
+                let mut taken = self.taken.borrow_mut();
+                taken.insert(name.clone(), Instant::now());
+            }
+            if !kept || done {
+                job.lose();
+            }
+            kept && !done
+        });
+        let open = self.table.select(JobRow::is_open);
+        self.suspected
+            .borrow_mut()
+            .retain(|name, _| open.iter().any(|(job, _)| job == name));
+        self.taken
+            .borrow_mut()
+            .retain(|name, _| open.iter().any(|(job, _)| job == name));
+        for (name, known) in open {
+            if self.owned.borrow().contains_key(&name) || self.busy.borrow().contains(&name) {
+                continue;
+            }
+            if (&known.row.owner, known.row.life) == own {
+                self.spawn_adopt(name, known);
+            } else if self.should_claim(&name, &known.row) {
+                self.spawn_claim(name, known);
+            }
+        }
+    }
+
+    fn should_claim(&self, job: &str, row: &JobRow) -> bool {
+        if !self.table.is_fresh() || self.node.is_leaving() {
+            return false;
+        }
+        let now = Instant::now();
+        let owner = (!row.owner.is_empty()).then(|| self.node.peers.status(&row.owner, row.life));
+        let mut suspected = self.suspected.borrow_mut();
+        if matches!(owner, Some(PeerStatus::Ready | PeerStatus::Present)) {
+            suspected.remove(job);
+            return false;
+        }
+        let since = *suspected.entry(job.to_owned()).or_insert(now);
+        let ground = Ground {
+            owner,
+            suspected: now.duration_since(since),
+            steady: now.duration_since(self.steady_since.get()),
+            answered: !self.node.health.is_lost(),
+            taken: self.taken.borrow().get(job).map(Instant::elapsed),
+        };
+        let away = self.is_away(row) && !may_claim_away(ground.steady);
+        may_claim(ground) && !away && self.is_preferred(job, row, &self.homes_of(row))
+    }
+
+    /// Whether a job was accepted in another region.
+    fn is_away(&self, row: &JobRow) -> bool {
+        let settings = &self.node.settings;
+        let region = row.region.as_deref();
+        region.is_some_and(|region| !self.node.view.ways().is_in(&settings.zone, region))
+    }
+
+    /// Whether this node is the one of all that should take a job.
+    pub(crate) fn is_preferred(&self, job: &str, row: &JobRow, homes: &Homes) -> bool {
+        let mut workers = self.node.peers.workers(true);
+        let ways = self.node.view.ways();
+        let region = row.region.as_deref();
+        let is_home = |zone: &str| region.is_some_and(|region| ways.is_in(zone, region));
+        workers.retain(|worker| homes.allow(&worker.zone, ways.places()) || is_home(&worker.zone));
+        let preferred = preferred(job, &workers, is_home);
+        preferred.is_some_and(|worker| worker.name == self.node.settings.name)
+    }
+
+    fn spawn_claim(self: &Rc<Self>, name: String, known: Known) {
+        self.busy.borrow_mut().insert(name.clone());
+        let runner = self.clone();
+        tokio::task::spawn_local(async move {
+            let mut row = JobRow::clone(&known.row);
+            let previous = std::mem::replace(&mut row.owner, runner.node.settings.name.clone());
+            row.life = runner.node.life;
+            row.epoch += 1;
+            let key = job_key(&name);
+            let transaction = Transaction::default()
+                .expect(key.clone(), known.revision)
+                .put(key, row.encode_to_vec());
+            let outcome = runner.store.transact(&transaction).await;
+            runner.node.log.write("job_claim", || {
+                serde_json::json!({"job": name, "from": previous, "epoch": row.epoch,
+                    "outcome": outcome.as_ref().map_or_else(ToString::to_string, |_| "claimed".to_owned())})
+            });
+            match outcome {
+                Ok(committed) => {
+                    Metrics::count(&runner.node.metrics.jobs_claimed);
+                    runner.table.put(&name, row, committed.revision);
+                }
+                Err(StoreError::Conflict { rows }) => {
+                    // Somebody else was first: until the feed tells, the claim would be tried again.
+                    runner.table.put_found(&name, &rows);
+                    runner.suspected.borrow_mut().remove(&name);
+                }
+                // The record above names it; the claim is tried again.
+                Err(_) => {}
+            }
+            runner.busy.borrow_mut().remove(&name);
+            runner.wake.notify_one();
+        });
+    }
+
+    fn spawn_adopt(self: &Rc<Self>, name: String, known: Known) {
+        self.busy.borrow_mut().insert(name.clone());
+        let runner = self.clone();
+        tokio::task::spawn_local(async move {
+            match runner.load(&name, &known.row).await {
+                Ok(items) => {
+                    let row = JobRow::clone(&known.row);
+                    let job = OwnedJob::new(&name, row, known.revision, items);
+                    let mut owned = runner.owned.borrow_mut();
+                    owned.insert(name.clone(), Rc::new(job));
+                }
+                Err(error) => {
+                    runner.node.log.write(
+                        "job_load_failed",
+                        || serde_json::json!({"job": name, "cause": error.to_string()}),
+                    );
+                    tokio::time::sleep(TICK).await;
+                }
+            }
+            runner.busy.borrow_mut().remove(&name);
+            runner.wake.notify_one();
+        });
+    }
+
+    async fn load(&self, name: &str, row: &JobRow) -> Result<Vec<Item>, StoreError> {
+        let stored = match self.table.take_handed_over(name) {
+            Some(items) => items,
+            None => retry(|| read_items(self.store.as_ref(), name)).await?,
+        };
+        if stored.len() as u64 != row.total {
+            return Err(StoreError::Unavailable {
+                reason: format!("{} of {} items", stored.len(), row.total),
+            });
+        }
+        let mut items: Vec<Item> = stored
+            .into_iter()
+            .enumerate()
+            .map(|(index, item)| Item::new(item, row.is_listed(index)))
+            .collect();
+        if row.has_partials {
+            partials::load(self.store.as_ref(), name, &mut items).await?;
+        }
+        Ok(items)
+    }
+}
