--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -177,15 +177,21 @@
     /// Servers that are tried with care from now on, and no others, since hardly any of their zone answers.
     pub fn hold_back(&self, servers: Vec<&str>) {
         let numbers: HashSet<u32> = servers.into_iter().map(server_number).collect();
-        let released: Vec<u32> = {
+        let (released, added): (Vec<u32>, Vec<u32>) = {
             let mut held = self.held_back.lock();
             let released = held.difference(&numbers).copied().collect();
+            let added = numbers.difference(&held).copied().collect();
             *held = numbers;
-            released
+            (released, added)
         };
-        // Connections from before stay doubtful until the server is heard.
         let now = Instant::now();
         let mut servers = self.servers.lock();
+        for number in added {
+            // It may turn cold while its zone is silent, and come back before it was found silent itself.
+            let loads = servers.entry(number).or_default();
+            loads.thermal.note_silent(now);
+        }
+        // Connections from before stay doubtful until the server is heard.
         for number in released {
             let loads = servers.entry(number).or_default();
             loads.doubt_until.get_or_insert(now);
--- a/crates/cluster/tests/doubts.rs
+++ b/crates/cluster/tests/doubts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_cluster::{LoadTable, WorkKind};
+use dappleyard_cluster::{LoadTable, Temperature, WorkKind};
 use dappleyard_model::ServerRecord;
 use googletest::prelude::*;
 
@@ -55,3 +55,19 @@
     assert_that!(table.is_doubted("i-1"), eq(false));
     assert_that!(table.is_doubted("i-2"), eq(true));
 }
+
+#[tokio::test(start_paused = true)]
+async fn cold_unseen_with_zone() {
+    let table = LoadTable::default();
+    let temperature = || table.temperature(&server("i-1")).0;
+    table.heard("i-1");
+    assert_that!(temperature(), eq(Temperature::Warm));
+    table.hold_back(vec!["i-1"]);
+    assert_that!(temperature(), eq(Temperature::Unknown));
+    // The zone answers again, by servers of which this need not be one; only its own word tells how cold it is.
+    table.hold_back(Vec::new());
+    table.heard("i-1");
+    assert_that!(temperature(), eq(Temperature::Unknown));
+    table.note_checked("i-1", tokio::time::Instant::now(), Duration::ZERO);
+    assert_that!(temperature(), eq(Temperature::Warm));
+}
--- a/crates/ingress/src/cold_watch.rs
+++ b/crates/ingress/src/cold_watch.rs
@@ -14,6 +14,7 @@
 
 use crate::attempt::Upstreams;
 use crate::cold::{ColdGate, share_of, temperature};
+use crate::connecting::HEALTH_LIMIT;
 use crate::metrics::Metrics;
 
 /// Time between two looks at the servers.
@@ -24,8 +25,6 @@
 /// Time after which a node that does not stand for a server asks it nevertheless, when others hear the server: the
 /// word of those that stand has not come.
 const OTHERS_AFTER: Duration = Duration::from_millis(1_500);
-/// Longest wait for the answer: the way to another zone, and a slot.
-const ANSWER_LIMIT: Duration = Duration::from_millis(400);
 /// Servers that nobody uses are asked only while callers send requests.
 const CALLERS_LATELY: Duration = Duration::from_secs(2);
 
@@ -142,7 +141,7 @@
             return node.loads.note_checked(&server.id, asked, cold_start);
         }
         Metrics::count(&node.metrics.health_questions);
-        let answer = upstreams.ask_health(&server, &path, ANSWER_LIMIT).await;
+        let answer = upstreams.ask_health(&server, &path, HEALTH_LIMIT).await;
         let (status, facts) = answer.unwrap_or_default();
         let other = facts.instance.as_ref().is_some_and(|id| *id != server.id);
         node.log.write("server_health", || {
--- a/crates/ingress/src/connecting.rs
+++ b/crates/ingress/src/connecting.rs
@@ -12,6 +12,8 @@
 use crate::metrics::Metrics;
 use tokio::time::Instant;
 
+/// Longest wait for the answer to a health question: the way to another zone, and a slot.
+pub(crate) const HEALTH_LIMIT: Duration = Duration::from_millis(400);
 /// Time for a connection to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
@@ -47,21 +49,34 @@
         })
     }
 
-    /// Whether a connection to the server comes up; it is kept for requests.
+    /// Whether a server answers. It is asked for its health: the connections of one that hangs come up all the
+    /// same. Where its service has no such question, a connection has to do; it is kept for requests.
     pub(crate) async fn answers(&self, server: &ServerRecord) -> bool {
-        Metrics::count(&self.node.metrics.connections);
-        match Connection::open(server.address, CONNECT_LIMIT).await {
-            Ok(connection) => {
-                self.pool.forget(server.address);
-                self.pool.put(server.address, connection);
-                self.node.loads.heard(&server.id);
-                true
-            }
-            Err(_) => {
-                self.node.loads.suspect(&server.id, SUSPECT_TIME);
-                false
-            }
+        let answers = match self.health_path(server) {
+            Some(path) => self.ask_health(server, &path, HEALTH_LIMIT).await.is_some(),
+            None => self.reaches(server).await,
+        };
+        match answers {
+            true => self.node.loads.heard(&server.id),
+            false => self.node.loads.suspect(&server.id, SUSPECT_TIME),
         }
+        answers
+    }
+
+    /// Where the servers of a service are asked for their health.
+    fn health_path(&self, server: &ServerRecord) -> Option<String> {
+        let configuration = self.node.view.configuration()?;
+        let path = configuration.service(&server.service)?.health_path.clone();
+        (!path.is_empty()).then_some(path)
+    }
+
+    async fn reaches(&self, server: &ServerRecord) -> bool {
+        let Ok(connection) = self.open(server).await else {
+            return false;
+        };
+        self.pool.forget(server.address);
+        self.pool.put(server.address, connection);
+        true
     }
 
     /// Asks a server for its health: the status and what the head says, or `None` without an answer in time.
@@ -80,6 +95,7 @@
             let head = connection.send(&request).await.ok()?;
             let facts = self.node.dialect.answer_facts(head.status, &head.headers);
             connection.whole_body(FOREIGN_BYTES).await.ok()?;
+            self.pool.forget(server.address);
             self.pool.put(server.address, connection);
             Some((head.status, facts))
         };
