--- a/crates/cluster/src/cold_loads.rs
+++ b/crates/cluster/src/cold_loads.rs
@@ -98,6 +98,7 @@
         let mut servers = self.servers.lock();
         let loads = servers.entry(server_number(&server.id)).or_default();
         loads.thermal.note_row(server.cold_left_ms, now);
+        loads.thermal.note_unused(now);
         loads.thermal.temperature(now)
     }
 
--- a/crates/cluster/src/temperature.rs
+++ b/crates/cluster/src/temperature.rs
@@ -179,6 +179,15 @@
         self.teller = Some(Teller::Row);
     }
 
+    /// Notes that nobody has heard the server for long, where that is so. It then stays out of sight until it has
+    /// answered a question: bytes that come later may be those of a node that takes it for warm.
+    pub fn note_unused(&mut self, now: Instant) {
+        let is_cold = self.cold_until.is_some_and(|until| until > now);
+        if !is_cold && self.is_followed() {
+            self.out_of_sight = self.out_of_sight(now);
+        }
+    }
+
     /// A byte came from the server to some node.
     pub fn note_heard(&mut self, at: Instant) {
         self.heard = self.heard.max(Some(at));
--- a/crates/cluster/tests/doubts.rs
+++ b/crates/cluster/tests/doubts.rs
@@ -71,3 +71,18 @@
     table.note_checked("i-1", tokio::time::Instant::now(), Duration::ZERO);
     assert_that!(temperature(), eq(Temperature::Warm));
 }
+
+#[tokio::test(start_paused = true)]
+async fn cold_unseen_while_unused() {
+    let table = LoadTable::default();
+    let temperature = || table.temperature(&server("i-1")).0;
+    table.heard("i-1");
+    assert_that!(temperature(), eq(Temperature::Warm));
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    assert_that!(temperature(), eq(Temperature::Unknown));
+    // Somebody who takes it for warm has sent it something.
+    table.heard("i-1");
+    assert_that!(temperature(), eq(Temperature::Unknown));
+    table.note_checked("i-1", tokio::time::Instant::now(), Duration::ZERO);
+    assert_that!(temperature(), eq(Temperature::Warm));
+}
