Records tell which tries are the same request, and whether a server ended under one

Broken runs carry a fingerprint of caller, method, host, path, query and body; run_broke_off says what the server's address showed right after. No decision changes.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dappleyard_crashes::Fingerprint;
 use dappleyard_model::{AnswerFacts, Homes, ServerRecord, ServerStamp, TenantStamp};
 use dappleyard_upstream::{
     AnswerHead, BodyFraming, Connection, ExchangeError, IdleLimit, Pool, Stage, request_bytes,
@@ -68,6 +69,30 @@
     pub reason: String,
     /// The server itself was not reached or fell silent.
     pub unreachable: bool,
+    /// The connection was closed or reset while the server was at work: the server may have ended.
+    pub broken_off: bool,
+}
+
+impl AttemptError {
+    /// An answer that broke off inside its body.
+    pub fn inside_answer(error: &ExchangeError) -> Self {
+        Self {
+            ran: Ran::Yes,
+            reason: error.to_string(),
+            unreachable: false,
+            broken_off: true,
+        }
+    }
+
+    /// A run that ended for a reason of this node's own, or with an answer of no use.
+    pub fn own(ran: Ran, reason: impl Into<String>) -> Self {
+        Self {
+            ran,
+            reason: reason.into(),
+            unreachable: false,
+            broken_off: false,
+        }
+    }
 }
 
 /// What is sent to a server.
@@ -165,11 +190,7 @@
         let listed = listed.or_else(|| homes::refusal(&self.node, server, attempt.homes));
         if let Some(exclusion) = listed.or_else(|| cold::refusal(&self.node, server)) {
             self.pool.put(server.address, connection);
-            return Err(AttemptError {
-                ran: Ran::No,
-                reason: format!("not sent: {exclusion}"),
-                unreachable: false,
-            });
+            return Err(AttemptError::own(Ran::No, format!("not sent: {exclusion}")));
         }
         let head = {
             let waiting = self.answer(&mut connection, &request, attempt.id);
@@ -199,6 +220,7 @@
                 ran: Ran::No,
                 reason,
                 unreachable: head.status == 421,
+                broken_off: false,
             });
         }
         Ok(Exchange {
@@ -209,6 +231,18 @@
         })
     }
 
+    /// Records a run whose answer broke off, and what was seen at its server's address.
+    pub fn note_break(&self, fingerprint: Fingerprint, server: &Arc<ServerRecord>) {
+        let (upstreams, server) = (self.clone(), server.clone());
+        tokio::task::spawn_local(async move {
+            let evidence = upstreams.look_at(&server).await;
+            upstreams.node.log.write("run_broke_off", || {
+                serde_json::json!({"fingerprint": fingerprint.short(), "server": server.id,
+                    "evidence": evidence.to_string()})
+            });
+        });
+    }
+
     /// Waits for something of a server. Once the server has been silent for as long as is borne, on all
     /// connections of all nodes, it is doubted, and the attempt is given up where it may be.
     pub async fn with_patience<T>(
@@ -239,6 +273,7 @@
                             ran: Ran::Maybe,
                             reason: format!("silent for {} ms", silence.as_millis()),
                             unreachable: silence >= SILENT,
+                            broken_off: false,
                         });
                     }
                     pause = SILENCE_TICK;
@@ -326,15 +361,12 @@
         },
         reason: error.to_string(),
         unreachable: false,
+        broken_off: error.stage > Stage::Connect,
     }
 }
 
 fn garbled(reason: &str) -> AttemptError {
-    AttemptError {
-        ran: Ran::Maybe,
-        reason: reason.to_owned(),
-        unreachable: false,
-    }
+    AttemptError::own(Ran::Maybe, reason)
 }
 
 /// Whether a header concerns more than one connection.
--- a/crates/ingress/src/connecting.rs
+++ b/crates/ingress/src/connecting.rs
@@ -46,6 +46,7 @@
             ran: Ran::No,
             reason: error.to_string(),
             unreachable: true,
+            broken_off: false,
         })
     }
 
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use dappleyard_cluster::{InFlight, WorkKind};
+use dappleyard_crashes::{Fingerprint, RequestParts};
 use dappleyard_model::{Homes, RequestFacts, Route, RouteKind, ServerRecord};
 use dappleyard_tenants::Caller;
 use http::{HeaderMap, Method};
@@ -42,6 +43,8 @@
     pub homes: Homes,
     /// Service that serves it.
     pub service: String,
+    /// What makes it the same as other tries.
+    pub fingerprint: Fingerprint,
     /// When it came.
     pub arrived: Instant,
     /// When its time is over.
@@ -92,6 +95,23 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Fingerprint of a request as it came.
+    pub(crate) fn fingerprint_of(
+        caller: &Caller,
+        method: &Method,
+        host: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Fingerprint {
+        Fingerprint::of(&RequestParts {
+            caller: caller.tenant_name(),
+            method: method.as_str(),
+            host,
+            target,
+            body,
+        })
+    }
+
     fn may_repeat(&self) -> bool {
         self.route.may_repeat()
     }
@@ -183,11 +203,7 @@
     };
     match tokio::time::timeout(remaining, upstreams.attempt(server, &attempt)).await {
         Ok(outcome) => outcome,
-        Err(_) => Err(AttemptError {
-            ran: Ran::Maybe,
-            reason: "time over".to_owned(),
-            unreachable: false,
-        }),
+        Err(_) => Err(AttemptError::own(Ran::Maybe, "time over")),
     }
 }
 
@@ -201,10 +217,13 @@
 fn note_failure(
     upstreams: &Upstreams,
     request: &mut Request,
-    server: &ServerRecord,
+    server: &Arc<ServerRecord>,
     error: &AttemptError,
 ) {
     let node = upstreams.node();
+    if error.broken_off {
+        upstreams.note_break(request.fingerprint, server);
+    }
     Metrics::count(&node.metrics.attempts_failed);
     request.ran = request.ran.max(error.ran);
     if error.ran > Ran::No {
@@ -215,7 +234,7 @@
     }
     node.log.write("attempt_failed", || {
         serde_json::json!({"request": request.facts.id, "server": server.id,
-            "ran": error.ran.to_string(), "cause": error.reason, "runs": request.runs,
+            "fingerprint": request.fingerprint.short(), "ran": error.ran.to_string(), "cause": error.reason, "runs": request.runs,
             "remaining_ms": request.remaining().as_millis() as u64})
     });
 }
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -248,7 +248,10 @@
         .path_and_query()
         .map_or_else(|| http.path().to_owned(), ToString::to_string);
     let homes = Homes::of(&route, caller.tenant().map(AsRef::as_ref));
+    let host = host_of(&headers);
+    let fingerprint = Request::fingerprint_of(&caller, http.method(), host, &target, &body);
     let request = Request {
+        fingerprint,
         method: http.method().clone(),
         target,
         headers,
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -114,22 +114,15 @@
             connection, server, ..
         } = &mut begun.exchange;
         let reading = async {
-            connection.next_piece().await.map_err(|error| AttemptError {
-                ran: Ran::Yes,
-                reason: error.to_string(),
-                unreachable: false,
-            })
+            let piece = connection.next_piece().await;
+            piece.map_err(|error| AttemptError::inside_answer(&error))
         };
         let since = Instant::now();
         let waiting = upstreams.with_patience(server, patience, reading);
         let piece = match tokio::time::timeout(remaining, waiting).await {
             Ok(piece) => piece?,
             Err(_) => {
-                return Err(AttemptError {
-                    ran: Ran::Yes,
-                    reason: "time over".to_owned(),
-                    unreachable: false,
-                });
+                return Err(AttemptError::own(Ran::Yes, "time over"));
             }
         };
         let node = upstreams.node();
@@ -202,13 +195,17 @@
         let node = self.upstreams.node().clone();
         let failed = self.begun.take();
         self.splitter.rest();
+        if let Some(begun) = failed.as_ref().filter(|_| error.broken_off) {
+            self.upstreams
+                .note_break(self.request.fingerprint, &begun.exchange.server);
+        }
         let server = failed.map(|begun| begun.exchange.server.id.clone());
         if let Some(server) = server.as_ref().filter(|_| error.unreachable) {
             node.loads.suspect(server, SUSPECT_TIME);
         }
         node.log.write("stream_broke", || {
             serde_json::json!({"request": self.request.facts.id, "server": server,
-                "cause": error.reason, "after_event": self.last_event,
+                "fingerprint": self.request.fingerprint.short(), "cause": error.reason, "after_event": self.last_event,
                 "events": self.events, "runs": self.request.runs,
                 "resumable": self.request.route.resumable})
         });
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dappleyard_cluster::{InFlight, WorkKind};
+use dappleyard_crashes::{Fingerprint, RequestParts};
 use dappleyard_ingress::{Attempt, AttemptError, EventSplitter, Exchange, Metrics, Patience, Ran};
 use dappleyard_model::{Distance, Route, ServerRecord, TenantStamp};
 use http::header::{CONTENT_TYPE, HOST};
@@ -79,6 +80,13 @@
     };
     let headers = item_headers(runner, &request, &host);
     let homes = runner.homes(route, &tenant);
+    let fingerprint = Fingerprint::of(&RequestParts {
+        caller: &tenant,
+        method: Method::POST.as_str(),
+        host: &host,
+        target: &request.path,
+        body: &request.body,
+    });
     let attempt = Attempt {
         method: &Method::POST,
         target: &request.path,
@@ -93,7 +101,10 @@
     };
     let mut exchange = match runner.upstreams.attempt(server, &attempt).await {
         Ok(exchange) => exchange,
-        Err(error) => return RunEnd::Broke(error),
+        Err(error) => {
+            note_break(runner, &fingerprint, server, &error);
+            return RunEnd::Broke(error);
+        }
     };
     note_answered(job, index);
     let status = exchange.head.status;
@@ -113,7 +124,22 @@
             runner.upstreams.release(exchange);
             RunEnd::Whole
         }
-        Err(error) => RunEnd::Broke(error),
+        Err(error) => {
+            note_break(runner, &fingerprint, server, &error);
+            RunEnd::Broke(error)
+        }
+    }
+}
+
+/// Records that a run broke off.
+fn note_break(
+    runner: &Runner,
+    fingerprint: &Fingerprint,
+    server: &Arc<ServerRecord>,
+    error: &AttemptError,
+) {
+    if error.broken_off {
+        runner.upstreams.note_break(*fingerprint, server);
     }
 }
 
@@ -137,11 +163,8 @@
     loop {
         let connection = &mut exchange.connection;
         let reading = async {
-            connection.next_piece().await.map_err(|error| AttemptError {
-                ran: Ran::Yes,
-                reason: error.to_string(),
-                unreachable: false,
-            })
+            let piece = connection.next_piece().await;
+            piece.map_err(|error| AttemptError::inside_answer(&error))
         };
         let notice = runner.node.times.pause_notice(&exchange.server.service);
         let patience = Patience::leave_after(SERVER_PATIENCE).notice_after(notice);
@@ -171,11 +194,7 @@
 }
 
 fn cut(reason: &str) -> AttemptError {
-    AttemptError {
-        ran: Ran::Yes,
-        reason: reason.to_owned(),
-        unreachable: false,
-    }
+    AttemptError::own(Ran::Yes, reason)
 }
 
 fn add_event(item: &mut Item, event: &dappleyard_ingress::Event) -> Result<(), AttemptError> {
