--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -20,6 +20,8 @@
     Hang,
     /// Closes the connection.
     Close,
+    /// Ends the server: all its connections break off, and its port refuses new ones.
+    Crash,
 }
 
 /// What a server saw.
@@ -35,6 +37,11 @@
 struct State {
     script: VecDeque<Vec<Reply>>,
     otherwise: Vec<Reply>,
+    /// What requests with a certain body are answered with, before any other script.
+    on_body: Option<(Vec<u8>, Vec<Reply>)>,
+    /// Tasks that hold the port and the connections.
+    tasks: Vec<tokio::task::AbortHandle>,
+    ended: bool,
     seen: Vec<Seen>,
     connections: u64,
 }
@@ -68,16 +75,18 @@
             state: Arc::default(),
         };
         let accepting = server.clone();
-        tokio::task::spawn_local(async move {
+        let accept = tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 accepting.state.lock().connections += 1;
                 let server = accepting.clone();
-                tokio::task::spawn_local(async move {
+                let serve = tokio::task::spawn_local(async move {
                     // A peer that leaves ends the connection.
                     let _ = server.serve(stream).await;
                 });
+                accepting.state.lock().tasks.push(serve.abort_handle());
             }
         });
+        server.state.lock().tasks.push(accept.abort_handle());
         Ok(server)
     }
 
@@ -96,6 +105,23 @@
         self.state.lock().otherwise = reply;
     }
 
+    /// Requests with this body are answered so.
+    pub fn on_body(&self, body: &[u8], reply: Vec<Reply>) {
+        self.state.lock().on_body = Some((body.to_vec(), reply));
+    }
+
+    /// Ends the server as a crash does.
+    pub fn crash(&self) {
+        let mut state = self.state.lock();
+        state.ended = true;
+        state.tasks.drain(..).for_each(|task| task.abort());
+    }
+
+    /// Whether the server has ended.
+    pub fn has_ended(&self) -> bool {
+        self.state.lock().ended
+    }
+
     /// What the server saw.
     pub fn seen(&self) -> Vec<Seen> {
         self.state.lock().seen.clone()
@@ -124,8 +150,10 @@
             let id = header(&head, &self.id_header).unwrap_or_default();
             let reply = {
                 let mut state = self.state.lock();
+                let on_body = state.on_body.as_ref().filter(|(told, _)| *told == body);
+                let on_body = on_body.map(|(_, reply)| reply.clone());
                 state.seen.push(Seen::Request(head, body));
-                let next = state.script.pop_front();
+                let next = on_body.or_else(|| state.script.pop_front());
                 next.unwrap_or_else(|| state.otherwise.clone())
             };
             for step in reply {
@@ -146,6 +174,11 @@
                         return Ok(());
                     }
                     Reply::Close => return stream.shutdown().await,
+                    Reply::Crash => {
+                        self.crash();
+                        // This task ends here too.
+                        std::future::pending::<()>().await;
+                    }
                 }
             }
         }
