--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use dappleyard_crashes::CrashTable;
 use dappleyard_tenants::QuotaTable;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -55,6 +56,8 @@
     pub loads: Arc<LoadTable>,
     /// Quotas of tenants.
     pub quotas: Arc<QuotaTable>,
+    /// Requests under which servers ended.
+    pub crashes: Arc<CrashTable>,
     /// Configuration and servers.
     pub view: Arc<View>,
     /// Whether the store answers this node's own calls.
@@ -70,6 +73,7 @@
     pub(crate) peers: Arc<PeerTable>,
     pub(crate) loads: Arc<LoadTable>,
     pub(crate) quotas: Arc<QuotaTable>,
+    pub(crate) crashes: Arc<CrashTable>,
     pub(crate) view: Arc<View>,
     pub(crate) health: Arc<StoreHealth>,
     pub(crate) leaving: Arc<AtomicBool>,
@@ -102,6 +106,7 @@
             peers: tables.peers,
             loads: tables.loads,
             quotas: tables.quotas,
+            crashes: tables.crashes,
             view: tables.view,
             health: tables.health,
             leaving: tables.leaving,
@@ -160,6 +165,7 @@
         } else if duties.heartbeat {
             self.send_to_all(duties.far);
         }
+        self.tell_crashes(duties);
         if duties.far {
             self.peers.log_silent();
         }
--- a/crates/cluster/src/large_fleet.rs
+++ b/crates/cluster/src/large_fleet.rs
@@ -15,7 +15,7 @@
 use crate::zone_digest::ZoneDigest;
 
 /// Random nodes that a heartbeat goes to where no delegate is heard.
-const FANOUT: usize = 6;
+pub(crate) const FANOUT: usize = 6;
 
 impl Gossip {
     pub(crate) fn send_large_round(&self, duties: Duties) {
@@ -94,6 +94,19 @@
     /// use some servers of this one, and the other way round, and what they do not hear of they take
     /// for free.
     fn tell_other_zones(&self, peers: &[RelayPeer], delegates: &[&str], duties: Duties) {
+        let (near, far) = self.other_delegates(peers, delegates);
+        self.tell_delegates(peers, near, &self.digest, duties);
+        if duties.regions && !far.is_empty() {
+            self.tell_delegates(peers, far, &self.region_digest, duties);
+        }
+    }
+
+    /// Delegates of other zones that this delegate tells: all of the region, and its part of those of other regions.
+    pub(crate) fn other_delegates<'a>(
+        &'a self,
+        peers: &'a [RelayPeer],
+        delegates: &[&str],
+    ) -> (Vec<&'a str>, Vec<&'a str>) {
         let zone = self.settings.zone.as_str();
         let ways = self.view.ways();
         let others: BTreeSet<&str> = peers.iter().map(|peer| peer.zone.as_str()).collect();
@@ -102,10 +115,6 @@
         let near = near
             .into_iter()
             .flat_map(|other| self.peers.delegates_among(peers, other));
-        self.tell_delegates(peers, near.collect(), &self.digest, duties);
-        if !duties.regions || far.is_empty() {
-            return;
-        }
         let own = delegates
             .iter()
             .position(|name| *name == self.settings.name);
@@ -113,7 +122,7 @@
             let there = self.peers.delegates_among(peers, other);
             told_by(own.unwrap_or_default(), delegates.len(), there)
         });
-        self.tell_delegates(peers, far.collect(), &self.region_digest, duties);
+        (near.collect(), far.collect())
     }
 
     /// Tells some delegates of other zones what this one does, as far as they do not know it.
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -6,6 +6,7 @@
 mod cadence;
 mod cold_loads;
 mod cold_parts;
+mod crash_news;
 mod delegates;
 pub mod directory;
 mod eligibility;
--- a/crates/cluster/src/messages.rs
+++ b/crates/cluster/src/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes, and the row with which a node makes itself known.
 
+use dappleyard_crashes::CrashNews;
 use dappleyard_tenants::{CreditLevel, PassedCount};
 use prost::{Message, Oneof};
 
@@ -248,11 +249,13 @@
     Summary(Summary),
     #[prost(message, tag = "3")]
     LoadChange(LoadChange),
+    #[prost(message, tag = "4")]
+    CrashNews(CrashNews),
 }
 
 /// One datagram.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct Packet {
-    #[prost(oneof = "PacketKind", tags = "1, 2, 3")]
+    #[prost(oneof = "PacketKind", tags = "1, 2, 3, 4")]
     pub kind: Option<PacketKind>,
 }
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -125,7 +125,7 @@
     /// Senders of heartbeats while no row of a node is known. Locked after `peers`.
     pub(crate) strangers: Mutex<HashMap<String, Stranger>>,
     pub(crate) changed: Notify,
-    log: Arc<EventLog>,
+    pub(crate) log: Arc<EventLog>,
 }
 
 impl PeerTable {
--- a/crates/cluster/src/receiving.rs
+++ b/crates/cluster/src/receiving.rs
@@ -21,6 +21,7 @@
             }
             Some(PacketKind::Summary(summary)) => self.receive_summary(summary),
             Some(PacketKind::LoadChange(change)) => self.receive_change(change),
+            Some(PacketKind::CrashNews(news)) => self.receive_crash_news(news),
             None => {}
         }
     }
--- /dev/null
+++ b/crates/cluster/tests/crash_news.rs
@@ -0,0 +1,52 @@
+//! News of requests under which servers ended, over real datagrams on loopback.
+
+mod support;
+
+use dappleyard_crashes::{Fingerprint, MOST_ENDED, Permit, RequestParts};
+use dappleyard_model::Places;
+use googletest::prelude::*;
+use support::{TestNode, fleet_in, on_local, regions, until};
+
+fn request() -> Fingerprint {
+    Fingerprint::of(&RequestParts {
+        caller: "",
+        method: "POST",
+        host: "shop.example",
+        target: "/chat/x",
+        body: b"crash",
+    })
+}
+
+/// One server ends under the request at each of three nodes; all nodes learn of all three.
+async fn all_learn(places: Places, count: usize) {
+    let nodes = fleet_in(&places, count).await;
+    until("the nodes hear each other", || {
+        nodes.iter().all(|node| node.peers.count() == count)
+    })
+    .await;
+    for (number, node) in nodes.iter().take(MOST_ENDED).enumerate() {
+        let run = node.crashes.begin(request(), &format!("i-{number}"));
+        expect_that!(run.map(|run| run.note_ended()).is_ok(), eq(true));
+    }
+    let refuses = |node: &TestNode| node.crashes.permit(&request()) == Permit::Refused;
+    until("all nodes refuse it", || nodes.iter().all(refuses)).await;
+    // One of them served it all the same, with a run that it had under way.
+    expect_that!(nodes[count - 1].crashes.clear(&request()), eq(true));
+    let allows = |node: &TestNode| node.crashes.permit(&request()) == Permit::Free;
+    until("all nodes allow it again", || nodes.iter().all(allows)).await;
+}
+
+#[gtest]
+fn small_fleet() {
+    on_local(all_learn(Places::default(), 9));
+}
+
+#[gtest]
+fn large_fleet() {
+    on_local(all_learn(Places::default(), 30));
+}
+
+#[gtest]
+fn regions_learn() {
+    on_local(all_learn(regions(), 30));
+}
--- a/crates/cluster/tests/gossip.rs
+++ b/crates/cluster/tests/gossip.rs
@@ -1,162 +1,19 @@
 //! Loads and life signs between nodes, over real datagrams on loopback.
 
-use std::rc::Rc;
+mod support;
+
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
 use dappleyard_cluster::{
-    ConfigurationSink, Gossip, GossipSettings, GossipTables, InFlight, LoadTable, NodeRow,
-    PeerStatus, PeerTable, ServersSink, StoreHealth, TableSink, Temperature, View, Ways, WorkKind,
+    ConfigurationSink, PeerStatus, ServersSink, TableSink, Temperature, WorkKind,
 };
-use dappleyard_model::{EventLog, Places, QuotaBounds, RegionName, Row, ServerRecord, ZoneName};
+use dappleyard_model::{Places, Row};
 use dappleyard_platform::PlatformDialect;
-use dappleyard_tenants::QuotaTable;
 use googletest::prelude::*;
-use prost::Message;
-
-const QUOTA: QuotaBounds = QuotaBounds {
-    window_ms: 5_000,
-    over: 0.1,
-    slack: 20.0,
-};
-const ZONES: [&str; 3] = ["north", "south", "west"];
-
-struct TestNode {
-    name: String,
-    zone: &'static str,
-    gossip: Rc<Gossip>,
-    peers: Arc<PeerTable>,
-    loads: Arc<LoadTable>,
-    quotas: Arc<QuotaTable>,
-    view: Arc<View>,
-    task: Option<tokio::task::JoinHandle<()>>,
-}
-
-/// Each zone in a region of its own.
-fn regions() -> Places {
-    let zones = ZONES.into_iter();
-    zones
-        .map(|zone| (ZoneName::from(zone), RegionName::from(zone)))
-        .collect()
-}
-
-impl TestNode {
-    async fn open(number: usize, places: &Places) -> Self {
-        let (name, zone) = (format!("node-{number}"), ZONES[number % 3]);
-        let log = Arc::new(EventLog::silent());
-        let peers = Arc::new(PeerTable::new(&name, zone, log.clone()));
-        let loads = Arc::new(LoadTable::default());
-        let settings = GossipSettings {
-            name: name.clone(),
-            zone: zone.to_owned(),
-            life: 1,
-            address: ([127, 0, 0, 1], 0).into(),
-        };
-        let ways = Arc::new(Ways::new(zone, places));
-        let view = Arc::new(View::with_ways(&name, ways, log));
-        let quotas = Arc::new(QuotaTable::new(QUOTA, number as u64));
-        let tables = GossipTables {
-            peers: peers.clone(),
-            loads: loads.clone(),
-            quotas: quotas.clone(),
-            view: view.clone(),
-            health: Arc::new(StoreHealth::default()),
-            leaving: Arc::new(AtomicBool::new(false)),
-        };
-        let gossip = Gossip::open(settings, tables);
-        Self {
-            name,
-            zone,
-            gossip: Rc::new(gossip.await.expect("a socket")),
-            peers,
-            loads,
-            quotas,
-            view,
-            task: None,
-        }
-    }
-
-    fn row(&self) -> Row {
-        let row = NodeRow {
-            life: 1,
-            front: "127.0.0.1:1".to_owned(),
-            zone: self.zone.to_owned(),
-            peer: self.gossip.address().expect("an address").to_string(),
-            ..NodeRow::default()
-        };
-        Row {
-            part: String::new(),
-            key: self.name.clone(),
-            value: Some(Bytes::from(row.encode_to_vec())),
-            revision: 1,
-        }
-    }
-}
-
-async fn fleet(count: usize) -> Vec<TestNode> {
-    fleet_in(&Places::default(), count).await
-}
-
-async fn fleet_in(places: &Places, count: usize) -> Vec<TestNode> {
-    let mut nodes = Vec::new();
-    for number in 0..count {
-        nodes.push(TestNode::open(number, places).await);
-    }
-    let rows: Vec<Row> = nodes.iter().map(TestNode::row).collect();
-    for node in &mut nodes {
-        rows.iter().cloned().for_each(|row| node.peers.change(row));
-        let gossip = node.gossip.clone();
-        node.task = Some(tokio::task::spawn_local(async move { gossip.run().await }));
-    }
-    nodes
-}
-
-fn server() -> ServerRecord {
-    ServerRecord {
-        id: "i-1".to_owned(),
-        service: "llm".to_owned(),
-        address: ([127, 0, 0, 1], 1).into(),
-        zone: "north".to_owned(),
-        slots: 8,
-        draining: false,
-        cold_left_ms: 0,
-    }
-}
-
-/// Each node begins one request and one item at the same server.
-fn work(nodes: &[TestNode]) -> Vec<InFlight> {
-    let begin = |node: &TestNode| {
-        [WorkKind::Online, WorkKind::Batch].map(|kind| node.loads.begin(&server(), kind, 10))
-    };
-    nodes.iter().flat_map(begin).collect()
-}
 
-async fn until(what: &str, holds: impl Fn() -> bool) {
-    for _ in 0..2_000 {
-        if holds() {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    panic!("did not come: {what}");
-}
-
-fn all_know(nodes: &[TestNode], online: u32, batch: u32) -> bool {
-    nodes.iter().all(|node| {
-        let load = node.loads.summary("i-1");
-        (load.online, load.batch) == (online, batch)
-    })
-}
-
-fn on_local<F: Future<Output = ()>>(test: F) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
+use support::*;
 
 #[gtest]
 fn small_fleet() {
--- a/crates/crashes/src/fingerprint.rs
+++ b/crates/crashes/src/fingerprint.rs
@@ -58,6 +58,14 @@
         self.to_string()[..SHORT_DIGITS].to_owned()
     }
 
+    /// A number that spreads requests over servers.
+    pub fn number(&self) -> u64 {
+        self.0
+            .iter()
+            .take(8)
+            .fold(0, |number, byte| number << 8 | u64::from(*byte))
+    }
+
     /// The bytes, for messages and rows.
     pub fn as_bytes(&self) -> &[u8] {
         &self.0
--- /dev/null
+++ b/crates/crashes/src/ledger.rs
@@ -0,0 +1,329 @@
+//! All requests under which servers ended, as one node knows them. Pure: time is an argument.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::ops::Bound;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::fingerprint::Fingerprint;
+use crate::messages::{CrashNews, CrashRecord, RunsOf};
+use crate::record::{MOST_ENDED, Record};
+
+/// Requests that are held. Each one cost a server, or stood beside one that did: 7,900 servers with 26 requests
+/// each, of which every fiftieth ends in the same minutes. About 1 MB.
+const MOST_RECORDS: usize = 4_096;
+/// How long a request is held under which fewer servers ended than may: a caller that comes again does so within its
+/// own retries and those of people, minutes.
+const KEPT_SUSPECT: Duration = Duration::from_secs(600);
+/// How long a request is held that runs no more. After that it may cost three servers again.
+const KEPT_REFUSED: Duration = Duration::from_secs(3_600);
+/// Times that a change is told: two messages in a row may be lost.
+const TELLINGS: u8 = 3;
+/// Changes of requests with one ended server that are not told within this time are not told any more: after a loss
+/// of many servers at once there are too many, and callers that come again have done so.
+const TELL_WITHIN: Duration = Duration::from_secs(10);
+/// Records in one message: about 2.5 KB.
+const RECORDS_TOLD: usize = 24;
+/// Records told again in each round of repeats, for nodes that began or were cut off: 0.5 KB a second to each node.
+const RECORDS_REPEATED: usize = 2;
+
+/// What holds for the next run of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Permit {
+    /// It may run.
+    Free,
+    /// It may run, and the next server that ends under it is the last one: it runs apart from others of which this
+    /// holds too, so that one of them does not answer for the other.
+    LastRun,
+    /// It may run once a run that is under way has ended.
+    Wait,
+    /// It runs no more.
+    Refused,
+}
+
+/// What a message brought.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Merged {
+    /// Something was not known.
+    pub is_new: bool,
+    /// The request runs no more from now on.
+    pub now_refused: bool,
+}
+
+/// A record as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Servers that ended under it.
+    pub ended: Vec<String>,
+    /// Time since the last of them was seen to end.
+    pub age: Duration,
+}
+
+/// All requests under which servers ended.
+pub struct Ledger {
+    own: u64,
+    sequence: u64,
+    records: BTreeMap<Fingerprint, Record>,
+    /// Servers at which this node runs requests, known or not.
+    running: HashMap<Fingerprint, Vec<String>>,
+    /// How often changes are still to be told.
+    untold: HashMap<Fingerprint, u8>,
+    repeated: Option<Fingerprint>,
+}
+
+impl Ledger {
+    /// Nothing is known. `own` is the number of this node and life.
+    pub fn new(own: u64) -> Self {
+        Self {
+            own,
+            sequence: 0,
+            records: BTreeMap::new(),
+            running: HashMap::new(),
+            untold: HashMap::new(),
+            repeated: None,
+        }
+    }
+
+    /// What holds for the next run of a request.
+    pub fn permit(&self, request: &Fingerprint, now: Instant) -> Permit {
+        let Some(record) = self.records.get(request) else {
+            return Permit::Free;
+        };
+        if record.is_refused() {
+            return Permit::Refused;
+        }
+        if record.ended.is_empty() {
+            return Permit::Free;
+        }
+        let own = self.running.get(request).map_or(0, Vec::len);
+        let under_way = own + record.told_servers(now).count();
+        // Each run under way may end its server.
+        if record.ended.len() + under_way >= MOST_ENDED {
+            return Permit::Wait;
+        }
+        match record.is_last_run() {
+            true => Permit::LastRun,
+            false => Permit::Free,
+        }
+    }
+
+    /// Begins a run at a server, unless it must wait or is refused.
+    pub fn begin(&mut self, request: &Fingerprint, server: &str, now: Instant) -> Permit {
+        let permit = self.permit(request, now);
+        match permit {
+            Permit::Wait | Permit::Refused => return permit,
+            Permit::LastRun if self.last_run_servers(request, now).contains(server) => {
+                return Permit::Wait;
+            }
+            Permit::Free | Permit::LastRun => {}
+        }
+        let running = self.running.entry(*request).or_default();
+        running.push(server.to_owned());
+        self.tell_runs(request);
+        permit
+    }
+
+    /// A run at a server is over, however it ended.
+    pub fn end(&mut self, request: &Fingerprint, server: &str) {
+        if let Some(servers) = self.running.get_mut(request) {
+            if let Some(at) = servers.iter().position(|running| running == server) {
+                servers.swap_remove(at);
+            }
+            if servers.is_empty() {
+                self.running.remove(request);
+            }
+        }
+        self.tell_runs(request);
+    }
+
+    /// A server ended while it ran a request; how many have by now.
+    pub fn note_ended(&mut self, request: &Fingerprint, server: &str, now: Instant) -> usize {
+        self.make_room(request);
+        let record = self.records.entry(*request);
+        let record = record.or_insert_with(|| Record::new(now));
+        if record.note_ended(server, now) {
+            self.untold.insert(*request, TELLINGS);
+        }
+        self.records[request].ended.len()
+    }
+
+    /// A server ran a request to a good end: it does not crash every server. Whether that was in doubt.
+    pub fn note_served(&mut self, request: &Fingerprint, now: Instant) -> bool {
+        let known = self.records.get_mut(request);
+        let Some(record) = known.filter(|record| !record.ended.is_empty()) else {
+            return false;
+        };
+        record.clear(now);
+        self.untold.insert(*request, TELLINGS);
+        true
+    }
+
+    /// Servers at which other requests have their last run now.
+    pub fn last_run_servers(&self, but: &Fingerprint, now: Instant) -> HashSet<String> {
+        let others = self.records.iter();
+        let others = others.filter(|(request, record)| *request != but && record.is_last_run());
+        let mut servers = HashSet::new();
+        for (request, record) in others {
+            let own = self.running.get(request).into_iter().flatten();
+            servers.extend(own.cloned());
+            servers.extend(record.told_servers(now).map(str::to_owned));
+        }
+        servers
+    }
+
+    /// Servers that ended under a request.
+    pub fn ended_under(&self, request: &Fingerprint) -> &[String] {
+        let record = self.records.get(request);
+        record.map_or(&[], |record| &record.ended)
+    }
+
+    /// What is to be told now; `repeats` too, those that were told before.
+    pub fn news(&mut self, repeats: bool, now: Instant) -> CrashNews {
+        let mut due: Vec<Fingerprint> = Vec::new();
+        let records = &self.records;
+        self.untold.retain(|request, left| {
+            let Some(record) = records.get(request) else {
+                return false;
+            };
+            let late = now.saturating_duration_since(record.changed) >= TELL_WITHIN;
+            if late && record.ended.len() < 2 {
+                return false;
+            }
+            if repeats || *left == TELLINGS {
+                due.push(*request);
+            }
+            true
+        });
+        // The request that has cost most is told first, then the newest.
+        due.sort_by_key(|request| {
+            let record = &records[request];
+            (std::cmp::Reverse(record.ended.len()), now - record.changed)
+        });
+        due.truncate(RECORDS_TOLD);
+        for request in &due {
+            self.count_telling(request);
+        }
+        if repeats {
+            due.extend(self.repeated_records());
+        }
+        let told = due.iter().map(|request| self.message(request, now));
+        CrashNews {
+            records: told.collect(),
+        }
+    }
+
+    /// Takes a record that another node, or the store, tells. `pass_on`: it is told to others in turn.
+    pub fn merge(&mut self, told: CrashRecord, pass_on: bool, now: Instant) -> Merged {
+        let Some(request) = Fingerprint::from_bytes(&told.fingerprint) else {
+            return Merged::default();
+        };
+        if Duration::from_millis(told.age_ms) >= kept(told.ended.len()) {
+            return Merged::default();
+        }
+        self.make_room(&request);
+        let own = self.own;
+        let record = self.records.entry(request);
+        let record = record.or_insert_with(|| Record::new(now));
+        let was_refused = record.is_refused();
+        let merged = Merged {
+            is_new: record.merge(told, own, now),
+            now_refused: !was_refused && record.is_refused(),
+        };
+        if merged.is_new && pass_on {
+            self.untold.insert(request, TELLINGS);
+        }
+        merged
+    }
+
+    /// Forgets what is too old.
+    pub fn sweep(&mut self, now: Instant) {
+        self.records.retain(|_, record| {
+            now.saturating_duration_since(record.changed) < kept(record.ended.len())
+        });
+    }
+
+    /// Requests that run no more, and how many others are held.
+    pub fn refused(&self, now: Instant) -> (Vec<Held>, usize) {
+        let refused = self.records.iter().filter(|(_, held)| held.is_refused());
+        let refused: Vec<Held> = refused
+            .map(|(request, record)| Held {
+                fingerprint: *request,
+                ended: record.ended.clone(),
+                age: now.saturating_duration_since(record.changed),
+            })
+            .collect();
+        let others = self.records.len() - refused.len();
+        (refused, others)
+    }
+
+    /// The record of a request as it is told.
+    pub fn message(&self, request: &Fingerprint, now: Instant) -> CrashRecord {
+        let Some(record) = self.records.get(request) else {
+            return CrashRecord::default();
+        };
+        let mut message = record.message(request.as_bytes(), now);
+        let own = self.running.get(request).cloned().unwrap_or_default();
+        message.runs.push(RunsOf {
+            node: self.own,
+            sequence: self.sequence,
+            servers: own.into_iter().take(MOST_ENDED).collect(),
+        });
+        message
+    }
+
+    /// The runs of a request under which a server ended have changed.
+    fn tell_runs(&mut self, request: &Fingerprint) {
+        let known = self.records.get(request);
+        if known.is_some_and(|record| !record.ended.is_empty()) {
+            self.sequence += 1;
+            self.untold.insert(*request, TELLINGS);
+        }
+    }
+
+    fn count_telling(&mut self, request: &Fingerprint) {
+        let Some(left) = self.untold.get_mut(request) else {
+            return;
+        };
+        *left -= 1;
+        if *left == 0 {
+            self.untold.remove(request);
+        }
+    }
+
+    /// The next requests in turn that another server's end would make refused, or that are.
+    fn repeated_records(&mut self) -> Vec<Fingerprint> {
+        let from = self.repeated.map_or(Bound::Unbounded, Bound::Excluded);
+        let later = self.records.range((from, Bound::Unbounded));
+        let matter = later.filter(|(_, record)| record.ended.len() + 1 >= MOST_ENDED);
+        let next = matter.map(|(request, _)| *request);
+        let next: Vec<Fingerprint> = next.take(RECORDS_REPEATED).collect();
+        self.repeated = next.last().copied();
+        next
+    }
+
+    /// Makes room for one more request: those that may still run go first, then the oldest.
+    fn make_room(&mut self, request: &Fingerprint) {
+        if self.records.len() < MOST_RECORDS || self.records.contains_key(request) {
+            return;
+        }
+        let least = self
+            .records
+            .iter()
+            .min_by_key(|(_, record)| (record.is_refused(), record.ended.len(), record.changed));
+        if let Some(least) = least.map(|(request, _)| *request) {
+            self.records.remove(&least);
+            self.untold.remove(&least);
+        }
+    }
+}
+
+/// How long a request is held under which so many servers ended.
+fn kept(ended: usize) -> Duration {
+    match ended >= MOST_ENDED {
+        true => KEPT_REFUSED,
+        false => KEPT_SUSPECT,
+    }
+}
--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -1,8 +1,17 @@
 //! Requests under which servers ended.
 //!
-//! A [`Fingerprint`] tells that two tries are the same request, whichever node they come to. Nothing here performs I/O
-//! or reads a clock.
+//! A [`Fingerprint`] tells that two tries are the same request, whichever node they come to. The [`Ledger`] holds how many
+//! servers ended under each, and decides whether it may run; records of two nodes join in any order. [`CrashTable`] is
+//! the ledger as the threads of a node share it. Nothing here performs I/O.
 
 mod fingerprint;
+mod ledger;
+mod messages;
+mod record;
+mod table;
 
 pub use fingerprint::{Fingerprint, RequestParts};
+pub use ledger::{Held, Ledger, Merged, Permit};
+pub use messages::{CrashNews, CrashRecord, RunsOf};
+pub use record::MOST_ENDED;
+pub use table::{CrashTable, RunUnderWay};
--- /dev/null
+++ b/crates/crashes/src/messages.rs
@@ -0,0 +1,45 @@
+//! What nodes tell each other, and keep in the store, of requests under which servers ended.
+
+use prost::Message;
+
+/// Runs of a request that one node has under way.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RunsOf {
+    /// Number of the node.
+    #[prost(fixed64, tag = "1")]
+    pub node: u64,
+    /// Counts what the node told; a lower one than known is passed over.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Identifiers of the servers that run it.
+    #[prost(string, repeated, tag = "3")]
+    pub servers: Vec<String>,
+}
+
+/// What is known of one request.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct CrashRecord {
+    /// Its fingerprint.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// How often its name was cleared. What was seen before counts no more.
+    #[prost(uint32, tag = "2")]
+    pub epoch: u32,
+    /// Identifiers of the servers that ended under it since.
+    #[prost(string, repeated, tag = "3")]
+    pub ended: Vec<String>,
+    /// Time since the last of them was seen to end.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+    /// Runs under way.
+    #[prost(message, repeated, tag = "5")]
+    pub runs: Vec<RunsOf>,
+}
+
+/// News of some requests.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct CrashNews {
+    /// The records.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<CrashRecord>,
+}
--- /dev/null
+++ b/crates/crashes/src/table.rs
@@ -0,0 +1,127 @@
+//! The ledger as the threads of a node share it.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::fingerprint::Fingerprint;
+use crate::ledger::{Held, Ledger, Merged, Permit};
+use crate::messages::{CrashNews, CrashRecord};
+
+/// Requests under which servers ended. The lock is taken alone and never held across an await.
+pub struct CrashTable {
+    ledger: Mutex<Ledger>,
+}
+
+impl CrashTable {
+    /// Nothing is known. `own` is the number of this node and life.
+    pub fn new(own: u64) -> Self {
+        Self {
+            ledger: Mutex::new(Ledger::new(own)),
+        }
+    }
+
+    /// What holds for the next run of a request.
+    pub fn permit(&self, request: &Fingerprint) -> Permit {
+        self.ledger.lock().permit(request, Instant::now())
+    }
+
+    /// Begins a run at a server; the permit when it must wait or is refused.
+    pub fn begin(
+        self: &Arc<Self>,
+        request: Fingerprint,
+        server: &str,
+    ) -> Result<RunUnderWay, Permit> {
+        let begun = self.ledger.lock().begin(&request, server, Instant::now());
+        match begun {
+            Permit::Free | Permit::LastRun => Ok(RunUnderWay {
+                table: self.clone(),
+                request,
+                server: server.to_owned(),
+            }),
+            Permit::Wait | Permit::Refused => Err(begun),
+        }
+    }
+
+    /// Servers at which other requests have their last run now.
+    pub fn last_run_servers(&self, but: &Fingerprint) -> HashSet<String> {
+        self.ledger.lock().last_run_servers(but, Instant::now())
+    }
+
+    /// Servers that ended under a request.
+    pub fn ended_under(&self, request: &Fingerprint) -> Vec<String> {
+        self.ledger.lock().ended_under(request).to_vec()
+    }
+
+    /// What is to be told now; `repeats` too.
+    pub fn news(&self, repeats: bool) -> CrashNews {
+        self.ledger.lock().news(repeats, Instant::now())
+    }
+
+    /// Takes what another node, or the store, tells; `pass_on` to others in turn. The requests that run no more from
+    /// now on.
+    pub fn merge(&self, news: CrashNews, pass_on: bool) -> Vec<Fingerprint> {
+        let now = Instant::now();
+        let mut ledger = self.ledger.lock();
+        let mut refused = Vec::new();
+        for told in news.records {
+            let request = Fingerprint::from_bytes(&told.fingerprint);
+            let Merged { now_refused, .. } = ledger.merge(told, pass_on, now);
+            refused.extend(request.filter(|_| now_refused));
+        }
+        refused
+    }
+
+    /// Forgets what is too old.
+    pub fn sweep(&self) {
+        self.ledger.lock().sweep(Instant::now());
+    }
+
+    /// Requests that run no more, and how many others are held.
+    pub fn refused(&self) -> (Vec<Held>, usize) {
+        self.ledger.lock().refused(Instant::now())
+    }
+
+    /// The record of a request as it is told.
+    pub fn message(&self, request: &Fingerprint) -> CrashRecord {
+        self.ledger.lock().message(request, Instant::now())
+    }
+
+    /// Clears the name of a request; whether anything was known against it.
+    pub fn clear(&self, request: &Fingerprint) -> bool {
+        self.ledger.lock().note_served(request, Instant::now())
+    }
+}
+
+/// One run of a request at a server, until it is dropped.
+pub struct RunUnderWay {
+    table: Arc<CrashTable>,
+    request: Fingerprint,
+    server: String,
+}
+
+impl RunUnderWay {
+    /// The request.
+    pub fn request(&self) -> Fingerprint {
+        self.request
+    }
+
+    /// The server ended while it ran the request; how many have by now.
+    pub fn note_ended(&self) -> usize {
+        let mut ledger = self.table.ledger.lock();
+        ledger.note_ended(&self.request, &self.server, Instant::now())
+    }
+
+    /// The server ran the request to a good end; whether something was known against it.
+    pub fn note_served(&self) -> bool {
+        self.table.clear(&self.request)
+    }
+}
+
+impl Drop for RunUnderWay {
+    fn drop(&mut self) {
+        self.table.ledger.lock().end(&self.request, &self.server);
+    }
+}
--- /dev/null
+++ b/crates/crashes/tests/ledger.rs
@@ -0,0 +1,200 @@
+//! What a node lets run, as servers end and news come.
+
+use std::time::Duration;
+
+use dappleyard_crashes::{CrashNews, Fingerprint, Ledger, MOST_ENDED, Permit, RequestParts};
+use googletest::prelude::*;
+use tokio::time::Instant;
+
+fn request(number: usize) -> Fingerprint {
+    Fingerprint::of(&RequestParts {
+        caller: "",
+        method: "POST",
+        host: "shop.example",
+        target: "/chat/x",
+        body: &number.to_be_bytes(),
+    })
+}
+
+/// Runs a request at a server, which ends under it.
+fn crash(ledger: &mut Ledger, request: &Fingerprint, server: &str, now: Instant) {
+    let permit = ledger.begin(request, server, now);
+    expect_that!(permit, any![eq(Permit::Free), eq(Permit::LastRun)]);
+    ledger.note_ended(request, server, now);
+    ledger.end(request, server);
+}
+
+fn take(ledger: &mut Ledger, news: &CrashNews, now: Instant) {
+    for record in &news.records {
+        ledger.merge(record.clone(), false, now);
+    }
+}
+
+#[gtest]
+fn three_ends_refuse() {
+    let (mut ledger, now) = (Ledger::new(1), Instant::now());
+    for number in 0..MOST_ENDED {
+        expect_that!(ledger.permit(&request(1), now), not(eq(Permit::Refused)));
+        crash(&mut ledger, &request(1), &format!("i-{number}"), now);
+    }
+    expect_that!(ledger.permit(&request(1), now), eq(Permit::Refused));
+    expect_that!(ledger.permit(&request(2), now), eq(Permit::Free));
+}
+
+#[gtest]
+fn one_end_seen_twice() {
+    let (mut first, mut second, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    // Two copies of a request ran at one server: it ended once.
+    crash(&mut first, &request(1), "i-1", now);
+    crash(&mut second, &request(1), "i-1", now);
+    let news = first.news(false, now);
+    take(&mut second, &news, now);
+    take(&mut second, &news, now);
+    expect_that!(second.ended_under(&request(1)).len(), eq(1));
+}
+
+#[gtest]
+fn runs_under_way_count() {
+    let (mut ledger, now) = (Ledger::new(1), Instant::now());
+    crash(&mut ledger, &request(1), "i-1", now);
+    expect_that!(ledger.begin(&request(1), "i-2", now), eq(Permit::Free));
+    expect_that!(ledger.begin(&request(1), "i-3", now), eq(Permit::Free));
+    // One has ended its server and two may: a fourth run could cost a fourth server.
+    expect_that!(ledger.begin(&request(1), "i-4", now), eq(Permit::Wait));
+    ledger.end(&request(1), "i-2");
+    expect_that!(ledger.begin(&request(1), "i-4", now), eq(Permit::Free));
+}
+
+#[gtest]
+fn runs_at_other_nodes_count() {
+    let (mut here, mut there, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    crash(&mut here, &request(1), "i-1", now);
+    here.begin(&request(1), "i-2", now);
+    here.begin(&request(1), "i-3", now);
+    take(&mut there, &here.news(false, now), now);
+    expect_that!(there.permit(&request(1), now), eq(Permit::Wait));
+    here.end(&request(1), "i-3");
+    take(&mut there, &here.news(false, now), now);
+    expect_that!(there.permit(&request(1), now), eq(Permit::Free));
+    // A node that has gone says nothing more of its run.
+    here.begin(&request(1), "i-3", now);
+    take(&mut there, &here.news(false, now), now);
+    let later = now + Duration::from_secs(11);
+    expect_that!(there.permit(&request(1), later), eq(Permit::Free));
+}
+
+#[gtest]
+fn served_requests_are_cleared() {
+    let (mut here, mut there, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    crash(&mut here, &request(1), "i-1", now);
+    crash(&mut here, &request(1), "i-2", now);
+    let old = here.news(false, now);
+    take(&mut there, &old, now);
+    expect_that!(there.note_served(&request(1), now), eq(true));
+    take(&mut here, &there.news(false, now), now);
+    expect_that!(here.permit(&request(1), now), eq(Permit::Free));
+    // News from before do not bring it back.
+    take(&mut here, &old, now);
+    expect_that!(here.ended_under(&request(1)).len(), eq(0));
+}
+
+#[gtest]
+fn last_runs_stay_apart() {
+    let (mut ledger, now) = (Ledger::new(1), Instant::now());
+    // Both ran at the servers that ended: one of them is the cause.
+    for server in ["i-1", "i-2"] {
+        crash(&mut ledger, &request(1), server, now);
+        crash(&mut ledger, &request(2), server, now);
+    }
+    expect_that!(ledger.begin(&request(1), "i-3", now), eq(Permit::LastRun));
+    let taken = ledger.last_run_servers(&request(2), now);
+    expect_that!(taken.contains("i-3"), eq(true));
+    expect_that!(ledger.begin(&request(2), "i-3", now), eq(Permit::Wait));
+    expect_that!(ledger.begin(&request(2), "i-4", now), eq(Permit::LastRun));
+    // One run of each is all that may be under way.
+    expect_that!(ledger.begin(&request(1), "i-5", now), eq(Permit::Wait));
+}
+
+#[gtest]
+fn lost_news_are_told_again() {
+    let (mut here, mut there, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    for number in 0..MOST_ENDED {
+        crash(&mut here, &request(1), &format!("i-{number}"), now);
+    }
+    let lost = here.news(false, now);
+    expect_that!(lost.records.len(), eq(1));
+    expect_that!(here.news(false, now).records.len(), eq(0));
+    take(&mut there, &here.news(true, now), now);
+    expect_that!(there.permit(&request(1), now), eq(Permit::Refused));
+    // A node that begins much later learns of it too.
+    let (mut late, later) = (Ledger::new(3), now + Duration::from_secs(300));
+    for _ in 0..4 {
+        let news = here.news(true, later);
+        take(&mut late, &news, later);
+    }
+    expect_that!(late.permit(&request(1), later), eq(Permit::Refused));
+}
+
+#[gtest]
+fn nothing_lives_for_ever() {
+    let (mut here, mut there, mut now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    for number in 0..MOST_ENDED {
+        crash(&mut here, &request(1), &format!("i-{number}"), now);
+    }
+    // Two nodes that go on telling each other do not keep it alive between them.
+    for _ in 0..500 {
+        now += Duration::from_secs(10);
+        for ledger in [&mut here, &mut there] {
+            ledger.sweep(now);
+        }
+        let (told, answered) = (here.news(true, now), there.news(true, now));
+        take(&mut there, &told, now);
+        take(&mut here, &answered, now);
+    }
+    expect_that!(here.permit(&request(1), now), eq(Permit::Free));
+    expect_that!(there.permit(&request(1), now), eq(Permit::Free));
+}
+
+#[gtest]
+fn full_table_keeps_refused() {
+    let (mut ledger, now) = (Ledger::new(1), Instant::now());
+    for number in 0..MOST_ENDED {
+        crash(&mut ledger, &request(0), &format!("i-{number}"), now);
+    }
+    for number in 1..5_000 {
+        let now = now + Duration::from_millis(number as u64);
+        crash(&mut ledger, &request(number), "i-9", now);
+    }
+    expect_that!(ledger.permit(&request(0), now), eq(Permit::Refused));
+    let (refused, others) = ledger.refused(now);
+    expect_that!((refused.len(), others), eq((1, 4_095)));
+}
+
+#[gtest]
+fn most_costly_first() {
+    let (mut ledger, now) = (Ledger::new(1), Instant::now());
+    for number in 1..1_000 {
+        crash(&mut ledger, &request(number), "i-1", now);
+    }
+    for number in 0..MOST_ENDED {
+        crash(&mut ledger, &request(0), &format!("i-{number}"), now);
+    }
+    let news = ledger.news(false, now);
+    expect_that!(news.records.len(), eq(24));
+    expect_that!(news.records[0].fingerprint, eq(request(0).as_bytes()));
+    // After a loss of many servers not all can be told; those with one end are left after a while.
+    let later = now + Duration::from_secs(11);
+    expect_that!(ledger.news(false, later).records.len(), eq(0));
+}
+
+#[gtest]
+fn hostile_news_are_bounded() {
+    let (mut ledger, now) = (Ledger::new(1), Instant::now());
+    let mut record = Ledger::new(2).message(&request(1), now);
+    expect_that!(ledger.merge(record.clone(), false, now).is_new, eq(false));
+    record.fingerprint = request(1).as_bytes().to_vec();
+    record.ended = (0..1_000).map(|number| format!("i-{number}")).collect();
+    record.ended.insert(0, "x".repeat(1_000));
+    ledger.merge(record, false, now);
+    expect_that!(ledger.ended_under(&request(1)).len(), eq(MOST_ENDED));
+}
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -9,8 +9,9 @@
 use actix_web::{App, HttpServer};
 use dappleyard_cluster::{
     ConfigurationSink, Contact, Gossip, GossipSettings, GossipTables, LoadTable, NODES_TABLE,
-    PeerTable, ServersSink, StoreHealth, TableSink, View, Ways,
+    PeerTable, ServersSink, StoreHealth, TableSink, View, Ways, node_number,
 };
+use dappleyard_crashes::CrashTable;
 use dappleyard_ingress::{
     AnswerTimes, Metrics, Node, PeerAnswers, Upstreams, ZoneWatch, configure, front_app_data,
     watch_temperatures, watch_zones,
@@ -81,6 +82,7 @@
         loads: Arc::new(LoadTable::default()),
         times: AnswerTimes::default(),
         quotas: Arc::new(QuotaTable::new(settings.bounds.quota, life)),
+        crashes: Arc::new(CrashTable::new(node_number(&settings.name) ^ life)),
         peers,
         health: health.clone(),
         dialect: dialect.clone(),
@@ -198,6 +200,7 @@
         peers: node.peers.clone(),
         loads: node.loads.clone(),
         quotas: node.quotas.clone(),
+        crashes: node.crashes.clone(),
         view: node.view.clone(),
         health,
         leaving: node.leaving.clone(),
@@ -213,6 +216,7 @@
             tokio::time::sleep(SWEEP).await;
             upstreams.sweep();
             node.loads.sweep();
+            node.crashes.sweep();
         }
     });
 }
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dappleyard_crashes::Fingerprint;
 use dappleyard_model::{AnswerFacts, Homes, ServerRecord, ServerStamp, TenantStamp};
 use dappleyard_upstream::{
     AnswerHead, BodyFraming, Connection, ExchangeError, IdleLimit, Pool, Stage, request_bytes,
@@ -231,18 +230,6 @@
         })
     }
 
-    /// Records a run whose answer broke off, and what was seen at its server's address.
-    pub fn note_break(&self, fingerprint: Fingerprint, server: &Arc<ServerRecord>) {
-        let (upstreams, server) = (self.clone(), server.clone());
-        tokio::task::spawn_local(async move {
-            let evidence = upstreams.look_at(&server).await;
-            upstreams.node.log.write("run_broke_off", || {
-                serde_json::json!({"fingerprint": fingerprint.short(), "server": server.id,
-                    "evidence": evidence.to_string()})
-            });
-        });
-    }
-
     /// Waits for something of a server. Once the server has been silent for as long as is borne, on all
     /// connections of all nodes, it is doubted, and the attempt is given up where it may be.
     pub async fn with_patience<T>(
--- /dev/null
+++ b/crates/ingress/src/crashes.rs
@@ -0,0 +1,109 @@
+//! Requests under which servers end: what became of a server whose answer broke off, and where such a request runs
+//! next.
+//!
+//! A server runs a dozen requests when it ends, and one of them is the cause at most. Each is counted; the count is
+//! taken back when the request is served somewhere, and the last run that a request may end a server with happens apart
+//! from the last runs of others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_cluster::Exclusion;
+use dappleyard_crashes::{Fingerprint, MOST_ENDED, RunUnderWay};
+use dappleyard_model::ServerRecord;
+use derive_more::Display;
+use tokio::net::TcpStream;
+
+use crate::attempt::{AttemptError, Upstreams};
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::placement::home;
+
+/// Longest wait for a server's address to take or refuse a connection: the way to another region and back, twice. A
+/// dead process's port refuses in one such way.
+const LOOK_LIMIT: Duration = Duration::from_millis(100);
+
+/// What was seen at a server's address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Evidence {
+    /// Its port refuses connections: the process has ended.
+    #[display("ended")]
+    Ended,
+    /// It takes connections: only the one connection broke.
+    #[display("alive")]
+    Alive,
+    /// It was known to leave: it may have ended as planned.
+    #[display("leaving")]
+    Leaving,
+    /// Nothing answered in time: the server, its machine or the way there may be gone.
+    #[display("unknown")]
+    Unknown,
+}
+
+/// Of some servers, those at which the last run of a request may happen: not where another request has its last run.
+/// Nodes choose among them by a hash of the request, since they choose at the same moment, when a server has ended, and
+/// cannot know of each other's choice.
+pub fn apart(
+    node: &Node,
+    request: &Fingerprint,
+    mut servers: Vec<Arc<ServerRecord>>,
+) -> Option<Arc<ServerRecord>> {
+    let taken = node.crashes.last_run_servers(request);
+    servers.retain(|server| !taken.contains(&server.id));
+    home(&servers, request.number()).cloned()
+}
+
+impl Upstreams {
+    /// Judges a run that did not come to its end: whether its server ended. The caller's next run follows only then,
+    /// a way to the server and back later.
+    pub async fn judge(&self, run: &RunUnderWay, server: &ServerRecord, error: &AttemptError) {
+        if !error.broken_off {
+            return;
+        }
+        let evidence = self.look_at(server).await;
+        let ended = match evidence {
+            Evidence::Ended => run.note_ended(),
+            Evidence::Alive | Evidence::Leaving | Evidence::Unknown => return,
+        };
+        let node = &self.node;
+        let fingerprint = run.request().short();
+        Metrics::count(&node.metrics.servers_ended);
+        node.log.write("server_ended", || {
+            serde_json::json!({"fingerprint": fingerprint, "server": server.id,
+                "cause": error.reason, "ended": ended})
+        });
+        if ended == MOST_ENDED {
+            Metrics::count(&node.metrics.requests_blamed);
+            node.log.write("request_blamed", || {
+                serde_json::json!({"fingerprint": fingerprint, "by": "this node",
+                    "servers": node.crashes.ended_under(&run.request())})
+            });
+        }
+    }
+
+    /// Notes that a run came to a good end.
+    pub fn note_served(&self, run: &RunUnderWay) {
+        if run.note_served() {
+            let fingerprint = run.request().short();
+            self.node.log.write(
+                "request_cleared",
+                || serde_json::json!({"fingerprint": fingerprint}),
+            );
+        }
+    }
+
+    /// Looks at the address of a server, right after an answer of it broke off.
+    pub async fn look_at(&self, server: &ServerRecord) -> Evidence {
+        let leaves = self.node.view.exclusion(&server.id);
+        if matches!(leaves, Some(Exclusion::Draining | Exclusion::Gone)) {
+            return Evidence::Leaving;
+        }
+        match tokio::time::timeout(LOOK_LIMIT, TcpStream::connect(server.address)).await {
+            Ok(Ok(_)) => Evidence::Alive,
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                Evidence::Ended
+            }
+            Ok(Err(_)) | Err(_) => Evidence::Unknown,
+        }
+    }
+}
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use dappleyard_cluster::{InFlight, WorkKind};
-use dappleyard_crashes::{Fingerprint, RequestParts};
+use dappleyard_crashes::{Fingerprint, Permit, RequestParts, RunUnderWay};
 use dappleyard_model::{Homes, RequestFacts, Route, RouteKind, ServerRecord};
 use dappleyard_tenants::Caller;
 use http::{HeaderMap, Method};
@@ -20,6 +20,8 @@
 use crate::placing::{Placement, find_place};
 use tokio::time::Instant;
 
+/// Time between two looks whether a run under way elsewhere has ended: news of it come each 25 ms.
+const WAIT_TICK: Duration = Duration::from_millis(20);
 /// Longest answer that is held whole, bytes.
 const HELD_ANSWER: usize = 8 * 1024 * 1024;
 
@@ -65,6 +67,8 @@
     pub exchange: Exchange,
     /// The work at the server.
     pub work: InFlight,
+    /// The run, as it is counted over all nodes.
+    pub run: RunUnderWay,
     /// When the request was sent.
     pub sent: Instant,
 }
@@ -142,11 +146,24 @@
         if request.remaining().is_zero() || !request.may_run_again() {
             return Dispatched::GaveUp(request.give_up());
         }
+        match node.crashes.permit(&request.fingerprint) {
+            Permit::Free | Permit::LastRun => {}
+            Permit::Wait => {
+                tokio::time::sleep(WAIT_TICK.min(request.remaining())).await;
+                continue;
+            }
+            Permit::Refused => return Dispatched::GaveUp(ErrorKind::ServersEnded),
+        }
         let begins = last_event_id.is_none();
         let Some(Placement { server, kept, .. }) = find_place(upstreams, request, begins).await
         else {
             return Dispatched::GaveUp(request.give_up());
         };
+        let Ok(run) = node.crashes.begin(request.fingerprint, &server.id) else {
+            // Others have learned of it, or begun to run it, while a place was found.
+            tokio::time::sleep(WAIT_TICK.min(request.remaining())).await;
+            continue;
+        };
         request.asked.insert(server.id.clone());
         let mut work = node
             .loads
@@ -156,6 +173,7 @@
         let exchange = match outcome {
             Ok(exchange) => exchange,
             Err(error) => {
+                upstreams.judge(&run, &server, &error).await;
                 note_failure(upstreams, request, &server, &error);
                 let gate = ColdGate::of(&node, &request.service);
                 if error.ran == Ran::No && gate.is_some_and(|gate| !gate.passes(&server)) {
@@ -171,6 +189,7 @@
             return Dispatched::Begun(Box::new(Begun {
                 exchange,
                 work,
+                run,
                 sent,
             }));
         }
@@ -217,13 +236,10 @@
 fn note_failure(
     upstreams: &Upstreams,
     request: &mut Request,
-    server: &Arc<ServerRecord>,
+    server: &ServerRecord,
     error: &AttemptError,
 ) {
     let node = upstreams.node();
-    if error.broken_off {
-        upstreams.note_break(request.fingerprint, server);
-    }
     Metrics::count(&node.metrics.attempts_failed);
     request.ran = request.ran.max(error.ran);
     if error.ran > Ran::No {
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -300,6 +300,12 @@
             if let Some(tenant) = request.caller.tenant().filter(|_| request.ran == Ran::No) {
                 node.quotas.give_back(&tenant.name);
             }
+            if kind == ErrorKind::ServersEnded {
+                Metrics::count(&node.metrics.servers_ended_refused);
+                let ended = node.crashes.ended_under(&request.fingerprint);
+                let detail = format!("servers ended while they ran it: {}", ended.join(", "));
+                return refuse(&node, &request.facts.id, &Refusal::new(kind, detail));
+            }
             let none = kind == ErrorKind::NoServer;
             let out_of_homes = none && request.homes.bind() && request.asked.is_empty();
             let detail = || format!("{} servers asked", request.asked.len());
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -79,6 +79,12 @@
     pub zones_suspected: AtomicU64,
     /// Servers of doubted zones that were tried.
     pub zone_probes: AtomicU64,
+    /// Runs under which a server ended.
+    pub servers_ended: AtomicU64,
+    /// Requests that run no more since servers ended under them, as this node found.
+    pub requests_blamed: AtomicU64,
+    /// Requests that were refused for that.
+    pub servers_ended_refused: AtomicU64,
     first_event: [AtomicU64; BOUNDS_MS.len() + 1],
     first_event_sum_ms: AtomicU64,
 }
@@ -118,6 +124,9 @@
             ("health_questions", &self.health_questions),
             ("zones_suspected", &self.zones_suspected),
             ("zone_probes", &self.zone_probes),
+            ("servers_ended", &self.servers_ended),
+            ("requests_blamed", &self.requests_blamed),
+            ("servers_ended_refused", &self.servers_ended_refused),
         ];
         let gauges = [
             ("servers_cold", &self.servers_cold),
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -6,6 +6,7 @@
 
 use dappleyard_cluster::directory::{self, Asked, FrontNode, Ground};
 use dappleyard_cluster::{LoadTable, PeerTable, StoreHealth, View, is_strong};
+use dappleyard_crashes::CrashTable;
 use dappleyard_model::{Configuration, Dialect, EventLog, KeyDigest, NodeSettings};
 use dappleyard_tenants::{Caller, KeyRefusal, QuotaTable, Standing, identify};
 use parking_lot::Mutex;
@@ -32,6 +33,8 @@
     pub times: AnswerTimes,
     /// Quotas of tenants.
     pub quotas: Arc<QuotaTable>,
+    /// Requests under which servers ended.
+    pub crashes: Arc<CrashTable>,
     /// The other nodes.
     pub peers: Arc<PeerTable>,
     /// Whether the store answers this node's own calls.
--- a/crates/ingress/src/outcome.rs
+++ b/crates/ingress/src/outcome.rs
@@ -53,6 +53,9 @@
     /// A server broke off; the request may have run.
     #[display("server_failed")]
     ServerFailed,
+    /// As many servers as may have ended while they ran the request, in this try or earlier ones; it runs no more.
+    #[display("servers_ended")]
+    ServersEnded,
     /// The store did not answer; nothing of the job was accepted.
     #[display("store_unavailable")]
     StoreUnavailable,
@@ -77,7 +80,8 @@
             ErrorKind::BodyTooLong => 413,
             ErrorKind::QuotaExceeded | ErrorKind::OverQuota => 429,
             ErrorKind::StoreInDoubt => 500,
-            ErrorKind::ServerFailed => 502,
+            // Not 4xx: it may stand beside the guilty one. Not 503: earlier tries of it have run.
+            ErrorKind::ServerFailed | ErrorKind::ServersEnded => 502,
             ErrorKind::NotReady
             | ErrorKind::ConfigurationOld
             | ErrorKind::KeyInDoubt
--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -4,14 +4,17 @@
 use std::time::Duration;
 
 use dappleyard_cluster::LoadSummary;
+use dappleyard_crashes::Permit;
 use dappleyard_model::{Distance, ServerRecord};
 
 use crate::attempt::Upstreams;
 use crate::cold::ColdGate;
+use crate::crashes::apart;
 use crate::dispatch::Request;
 use crate::holding::{Standing, standing};
 use crate::homes::reached;
 use crate::metrics::Metrics;
+use crate::node::Node;
 use crate::placement::{
     Candidate, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
@@ -114,6 +117,9 @@
     };
     let reached = reached(&servers, &request.homes, node).chain(extra);
     let open: Vec<&Arc<ServerRecord>> = reached.filter(may_take).collect();
+    if node.crashes.permit(&request.fingerprint) == Permit::LastRun {
+        return place_apart(node, request, &open);
+    }
     let ways = node.view.ways();
     let home_id = home.map(|home| home.id.as_str());
     let some_of = |servers: &[&Arc<ServerRecord>]| -> Vec<Candidate> {
@@ -150,6 +156,30 @@
     })
 }
 
+/// Where the last run of a request happens that it may end a server with: at a sound server with a free slot where
+/// there is one, else at a sound one, else at any.
+fn place_apart(node: &Node, request: &Request, open: &[&Arc<ServerRecord>]) -> Option<Placement> {
+    let candidates = open.iter().map(|server| Candidate {
+        server: (*server).clone(),
+        load: node.loads.summary(&server.id),
+    });
+    let candidates: Vec<Candidate> = candidates.collect();
+    let choices: [fn(&Candidate) -> bool; 3] =
+        [|held| is_sound(held) && has_slot(held), is_sound, |_| true];
+    let chosen = choices.into_iter().find_map(|is_open| {
+        let open = candidates.iter().filter(|candidate| is_open(candidate));
+        let open = open.map(|candidate| candidate.server.clone()).collect();
+        apart(node, &request.fingerprint, open)
+    })?;
+    Some(Placement {
+        load: node.loads.summary(&chosen.id),
+        server: chosen,
+        kept: false,
+        mean_over: mean_over(&candidates),
+        candidates: candidates.len(),
+    })
+}
+
 /// Whether some server could take the request but for what this node may send to it while it may be cold.
 fn is_held_back(upstreams: &Upstreams, request: &Request) -> bool {
     let node = upstreams.node();
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -178,6 +178,7 @@
                 self.log_cut("the server's connection ended inside an event");
                 return Err(Cut);
             }
+            self.upstreams.note_served(&begun.run);
             let server = begun.exchange.server.id.clone();
             self.upstreams.release(begun.exchange);
             node.log.write("request_finished", || {
@@ -195,9 +196,9 @@
         let node = self.upstreams.node().clone();
         let failed = self.begun.take();
         self.splitter.rest();
-        if let Some(begun) = failed.as_ref().filter(|_| error.broken_off) {
-            self.upstreams
-                .note_break(self.request.fingerprint, &begun.exchange.server);
+        if let Some(begun) = &failed {
+            let server = &begun.exchange.server;
+            self.upstreams.judge(&begun.run, server, &error).await;
         }
         let server = failed.map(|begun| begun.exchange.server.id.clone());
         if let Some(server) = server.as_ref().filter(|_| error.unreachable) {
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dappleyard_crashes::{Fingerprint, RequestParts};
 use dappleyard_model::{Row, StoreError, Transaction};
+use http::Method;
 use prost::Message;
 
 use crate::keys::{CHUNK_BYTES, job_key, result_key};
@@ -39,6 +41,7 @@
 /// One item of an owned job.
 pub(crate) struct Item {
     pub stored: StoredItem,
+    pub fingerprint: Fingerprint,
     pub progress: Progress,
     pub text: String,
     pub events: u64,
@@ -77,9 +80,18 @@
 }
 
 impl Item {
-    pub(crate) fn new(stored: StoredItem, listed: bool) -> Self {
+    /// An item of the job of a row.
+    pub(crate) fn new(stored: StoredItem, row: &JobRow, listed: bool) -> Self {
+        let fingerprint = Fingerprint::of(&RequestParts {
+            caller: &row.tenant,
+            method: Method::POST.as_str(),
+            host: &row.host,
+            target: &stored.path,
+            body: &stored.body,
+        });
         Self {
             stored,
+            fingerprint,
             progress: match listed {
                 true => Progress::Finished,
                 false => Progress::Waiting,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dappleyard_cluster::{InFlight, WorkKind};
-use dappleyard_crashes::{Fingerprint, RequestParts};
+use dappleyard_crashes::RunUnderWay;
 use dappleyard_ingress::{Attempt, AttemptError, EventSplitter, Exchange, Metrics, Patience, Ran};
 use dappleyard_model::{Distance, Route, ServerRecord, TenantStamp};
 use http::header::{CONTENT_TYPE, HOST};
@@ -24,11 +24,23 @@
 const PAUSE_NOT_RUN: Duration = Duration::from_millis(120);
 /// Pause before an item is sent again after a run that broke.
 const PAUSE_BROKEN: Duration = Duration::from_millis(40);
+/// Pause before an item is sent again after its server has ended, for each server that ended under it. Online
+/// requests that ran beside it go on at once: the one that crashes servers has ended its next one within 0.2 s, and
+/// the item is not there.
+const PAUSE_ENDED: Duration = Duration::from_millis(500);
 /// Longest failure answer that is read, bytes.
 const FAILURE_BYTES: usize = 256 * 1024;
 /// Status of an item that can never be done.
 const NEVER: u16 = 422;
 
+/// A run that begins.
+pub(crate) struct BegunRun {
+    /// The work at the server.
+    pub(crate) work: InFlight,
+    /// The run, as it is counted over all nodes.
+    pub(crate) run: RunUnderWay,
+}
+
 /// How a run ended.
 enum RunEnd {
     /// The whole output is there.
@@ -48,11 +60,11 @@
     index: usize,
     server: Arc<ServerRecord>,
     route: Route,
-    work: InFlight,
+    begun: BegunRun,
 ) {
     let started = Instant::now();
     let events = job.state.borrow().items[index].events;
-    let end = run(&runner, &job, index, &server, &route, work).await;
+    let end = run(&runner, &job, index, &server, &route, begun).await;
     let now_events = job.state.borrow().items[index].events;
     let mut estimate = runner.estimate.get();
     estimate.note_run(now_events - events, started.elapsed().as_millis() as u64);
@@ -70,8 +82,12 @@
     index: usize,
     server: &Arc<ServerRecord>,
     route: &Route,
-    mut work: InFlight,
+    begun: BegunRun,
 ) -> RunEnd {
+    let BegunRun {
+        mut work,
+        run: counted,
+    } = begun;
     let (request, last_event, host, tenant) = {
         let state = job.state.borrow();
         let (item, row) = (&state.items[index], &state.row);
@@ -80,13 +96,6 @@
     };
     let headers = item_headers(runner, &request, &host);
     let homes = runner.homes(route, &tenant);
-    let fingerprint = Fingerprint::of(&RequestParts {
-        caller: &tenant,
-        method: Method::POST.as_str(),
-        host: &host,
-        target: &request.path,
-        body: &request.body,
-    });
     let attempt = Attempt {
         method: &Method::POST,
         target: &request.path,
@@ -102,7 +111,7 @@
     let mut exchange = match runner.upstreams.attempt(server, &attempt).await {
         Ok(exchange) => exchange,
         Err(error) => {
-            note_break(runner, &fingerprint, server, &error);
+            runner.upstreams.judge(&counted, server, &error).await;
             return RunEnd::Broke(error);
         }
     };
@@ -121,28 +130,17 @@
     }
     match collect(runner, job, index, &mut exchange, &mut work).await {
         Ok(()) => {
+            runner.upstreams.note_served(&counted);
             runner.upstreams.release(exchange);
             RunEnd::Whole
         }
         Err(error) => {
-            note_break(runner, &fingerprint, server, &error);
+            runner.upstreams.judge(&counted, server, &error).await;
             RunEnd::Broke(error)
         }
     }
 }
 
-/// Records that a run broke off.
-fn note_break(
-    runner: &Runner,
-    fingerprint: &Fingerprint,
-    server: &Arc<ServerRecord>,
-    error: &AttemptError,
-) {
-    if error.broken_off {
-        runner.upstreams.note_break(*fingerprint, server);
-    }
-}
-
 /// The server's answer has begun: the run may be paused again.
 fn note_answered(job: &OwnedJob, index: usize) {
     let mut state = job.state.borrow_mut();
@@ -292,8 +290,10 @@
                 }
             }
             RunEnd::Broke(error) => {
+                let ended = runner.node.crashes.ended_under(&item.fingerprint).len() as u32;
                 let pause = match error.ran {
                     Ran::No => PAUSE_NOT_RUN,
+                    _ if error.broken_off && ended > 0 => PAUSE_ENDED * ended,
                     _ => PAUSE_BROKEN,
                 };
                 item.not_before = Some(Instant::now() + pause);
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -4,14 +4,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dappleyard_ingress::reached;
+use dappleyard_crashes::{Fingerprint, Permit};
+use dappleyard_ingress::{apart, reached};
 use dappleyard_model::{Configuration, Homes, Route, RouteKind, ServerRecord};
 use tokio::time::Instant;
 
 use crate::give_up::{give_up, is_over};
 use crate::order::{Rank, rank};
 use crate::owned::{OwnedJob, Progress, Run};
-use crate::run::{begin_work, run_item};
+use crate::run::{BegunRun, begin_work, run_item};
 use crate::runner::Runner;
 use crate::width::{ServerRoom, pick_server, room, within_reach};
 
@@ -24,6 +25,8 @@
     avoid: Option<String>,
     last: Option<String>,
     homes: Homes,
+    fingerprint: Fingerprint,
+    permit: Permit,
 }
 
 impl Runner {
@@ -108,6 +111,11 @@
             if item.progress == Progress::Running || resting {
                 continue;
             }
+            // An item that crashes servers waits until it may be given up.
+            let permit = self.node.crashes.permit(&item.fingerprint);
+            if matches!(permit, Permit::Refused | Permit::Wait) {
+                continue;
+            }
             let needs_ms = self.estimate.get().remaining_ms(item.events);
             let priority = configuration.priority(route, &state.row.tenant);
             turns.push(Turn {
@@ -118,6 +126,8 @@
                 rank: rank(state.row.due_ms, needs_ms, now_ms, priority),
                 avoid: item.avoid.clone(),
                 last: item.last_server.clone(),
+                fingerprint: item.fingerprint,
+                permit,
             });
         }
         drop(state);
@@ -138,6 +148,11 @@
         route: Route,
     ) {
         let id = server.id.clone();
+        let fingerprint = job.state.borrow().items[index].fingerprint;
+        let Ok(counted) = self.node.crashes.begin(fingerprint, &id) else {
+            // Another node has begun to run the same, or told of its end, since the turn was made.
+            return;
+        };
         let work = {
             let mut state = job.state.borrow_mut();
             let host = state.row.host.clone();
@@ -147,7 +162,8 @@
             item.last_server = Some(server.id.clone());
             begin_work(self, &item.stored, &host, &server)
         };
-        let run = run_item(self.clone(), job.clone(), index, server, route, work);
+        let begun = BegunRun { work, run: counted };
+        let run = run_item(self.clone(), job.clone(), index, server, route, begun);
         let task = tokio::task::spawn_local(run);
         job.state.borrow_mut().items[index].task = Some(Run::new(&id, task.abort_handle()));
     }
@@ -174,6 +190,14 @@
             .map(|server| self.room_of(server))
             .collect();
         let rooms = within_reach(rooms, self.node.view.ways());
+        if turn.permit == Permit::LastRun {
+            let free = rooms.iter().filter(|held| room(held.slots, &held.load) > 0);
+            let free: HashSet<&str> = free.map(|held| held.id).collect();
+            let open = open
+                .into_iter()
+                .filter(|server| free.contains(server.id.as_str()));
+            return apart(&self.node, &turn.fingerprint, open.cloned().collect());
+        }
         let settings = &self.node.settings;
         let chosen = pick_server(&rooms, &settings.name, &settings.zone, turn.last.as_deref())?.id;
         let mut open = open.into_iter();
--- a/crates/jobs/src/taking.rs
+++ b/crates/jobs/src/taking.rs
@@ -172,7 +172,7 @@
         let mut items: Vec<Item> = stored
             .into_iter()
             .enumerate()
-            .map(|(index, item)| Item::new(item, row.is_listed(index)))
+            .map(|(index, item)| Item::new(item, row, row.is_listed(index)))
             .collect();
         if row.has_partials {
             partials::load(self.store.as_ref(), name, &mut items).await?;
