--- a/crates/batch/tests/batch/support/platform.rs
+++ b/crates/batch/tests/batch/support/platform.rs
@@ -213,14 +213,14 @@
 
     async fn changes(&self, prefix: &str, after: u64, wait_ms: u32) -> Result<Changes, StoreError> {
         tokio::time::sleep(CALL).await;
-        let until = tokio::time::Instant::now() + Duration::from_millis(u64::from(wait_ms));
+        let until = dappleyard_clock::Instant::now() + Duration::from_millis(u64::from(wait_ms));
         loop {
             self.0.check()?;
             let changes = self.0.changes_after(prefix, after);
-            if !changes.rows.is_empty() || tokio::time::Instant::now() >= until {
+            if !changes.rows.is_empty() || dappleyard_clock::Instant::now() >= until {
                 return Ok(changes);
             }
-            let _ = tokio::time::timeout_at(until, self.0.changed.notified()).await;
+            let _ = dappleyard_clock::timeout_at(until, self.0.changed.notified()).await;
         }
     }
 }
--- a/crates/cluster/src/cold_loads.rs
+++ b/crates/cluster/src/cold_loads.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::ServerRecord;
-use tokio::time::Instant;
 
 use crate::cold_parts::ColdShare;
 use crate::loads::{LoadTable, server_number};
--- a/crates/cluster/src/cold_parts.rs
+++ b/crates/cluster/src/cold_parts.rs
@@ -9,9 +9,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::ColdBounds;
 use parking_lot::Mutex;
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::loads::server_number;
--- a/crates/cluster/src/evacuated_work.rs
+++ b/crates/cluster/src/evacuated_work.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use dappleyard_clock::Instant;
 use parking_lot::Mutex;
-use tokio::time::Instant;
 
 use crate::eligibility::Exclusion;
 use crate::evacuations::{Evacuation, EvacuationChange, Evacuations};
--- a/crates/cluster/src/evacuations.rs
+++ b/crates/cluster/src/evacuations.rs
@@ -6,8 +6,8 @@
 
 use std::collections::BTreeMap;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::ZoneName;
-use tokio::time::Instant;
 
 /// Zones whose withdrawn orders are remembered. A deployment has tens of zones; the bound keeps orders for names
 /// that are no zones from growing the table.
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::{EventLog, Feed, Row, RowStore, Rows, StoreError};
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How long the store may hold a call that waits for changes.
@@ -100,7 +100,7 @@
                 whole = true;
                 revision = reached.max(revision);
                 pause = FIRST_PAUSE;
-                tokio::time::sleep_until(asked + sink.pace()).await;
+                dappleyard_clock::sleep_until(asked + sink.pace()).await;
                 continue;
             }
             Err(StoreError::Compacted) => {
--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -12,11 +12,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_crashes::CrashTable;
 use dappleyard_tenants::QuotaTable;
 use prost::Message;
 use tokio::net::UdpSocket;
-use tokio::time::Instant;
 
 use crate::cadence::{ROUND, duties};
 use crate::health::StoreHealth;
@@ -141,7 +141,7 @@
                     self.send_round(round);
                 }
                 () = self.loads.changed(), if !pace.is_pending() => pace.note_change(),
-                () = tokio::time::sleep_until(pace.next()), if pace.is_pending() => {
+                () = dappleyard_clock::sleep_until(pace.next()), if pace.is_pending() => {
                     // The others must not fill the same slots.
                     pace.note_told(Instant::now());
                     self.send_change();
--- a/crates/cluster/src/health.rs
+++ b/crates/cluster/src/health.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::StoreError;
 use parking_lot::Mutex;
-use tokio::time::Instant;
 
 /// Time without any answer, from the first failed call on, after which the store counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(300);
--- a/crates/cluster/src/life_signs.rs
+++ b/crates/cluster/src/life_signs.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use rand::seq::IndexedRandom;
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::messages::{LifeSign, LifeSigns};
--- a/crates/cluster/src/load_sources.rs
+++ b/crates/cluster/src/load_sources.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 use crate::loads::LoadTable;
 use crate::messages::LoadEntry;
--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -14,7 +14,7 @@
 use crate::evacuated_work::ToldZones;
 use crate::server_loads::{HEARTBEAT_LIFE, LoadSummary, ServerLoads, Source};
 use crate::waiting::WaitingItems;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Mixes the order in which nodes pause items, another one for each server.
 const ORDER_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
--- a/crates/cluster/src/orders.rs
+++ b/crates/cluster/src/orders.rs
@@ -3,8 +3,8 @@
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::{Dialect, EventLog, OperatorOrder, Row, ZoneName};
-use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::evacuations::ZoneRow;
--- a/crates/cluster/src/outcomes.rs
+++ b/crates/cluster/src/outcomes.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Outcomes count for one to two spans of this length.
 const SPAN: Duration = Duration::from_millis(1_000);
--- a/crates/cluster/src/pace.rs
+++ b/crates/cluster/src/pace.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Shortest time between two heartbeats that tell of changed work. In a wave of arrivals a server
 /// fills within some tens of milliseconds; loads told less often would send many requests to the
--- a/crates/cluster/src/peer_rows.rs
+++ b/crates/cluster/src/peer_rows.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::Row;
 use prost::Message;
-use tokio::time::Instant;
 
 use crate::follow::{Contact, TableSink};
 use crate::messages::NodeRow;
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -12,7 +12,7 @@
 use crate::directory::FrontNode;
 use crate::messages::{Heartbeat, NodeRow};
 use crate::strangers::Stranger;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Table of the nodes' rows.
 pub const NODES_TABLE: &str = "nodes";
--- a/crates/cluster/src/receiving.rs
+++ b/crates/cluster/src/receiving.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
+use dappleyard_clock::Instant;
 use dappleyard_tenants::ZonePassed;
 use prost::Message;
-use tokio::time::Instant;
 
 use crate::gossip::Gossip;
 use crate::loads::node_number;
--- a/crates/cluster/src/server_loads.rs
+++ b/crates/cluster/src/server_loads.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 use crate::messages::LoadEntry;
 use crate::outcomes::{Ejection, OutcomeCounts, Outcomes};
--- a/crates/cluster/src/standing.rs
+++ b/crates/cluster/src/standing.rs
@@ -1,6 +1,6 @@
 //! Which nodes stand for a cold server: they alone send to it.
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 use crate::cold_parts::{first, standing};
 use crate::peers::{FORGOTTEN, Peer, PeerStatus, PeerTable};
--- a/crates/cluster/src/store_clock.rs
+++ b/crates/cluster/src/store_clock.rs
@@ -6,8 +6,8 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use parking_lot::Mutex;
-use tokio::time::Instant;
 
 /// By how much two steady clocks may drift apart, milliseconds in a second: ten times the drift of
 /// common quartz clocks. The quickest answer is forgotten at this rate.
--- a/crates/cluster/src/strangers.rs
+++ b/crates/cluster/src/strangers.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 use crate::messages::Heartbeat;
 use crate::peers::{FAR_SILENCE, PeerTable, RelayPeer, direct_answer};
--- a/crates/cluster/src/temperature.rs
+++ b/crates/cluster/src/temperature.rs
@@ -6,8 +6,8 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use derive_more::Display;
-use tokio::time::Instant;
 
 /// Time without a byte from a server to any node after which it may have been away unseen. Shorter than the three
 /// heartbeats after which discovery drops it; a server with work is heard several times a second.
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -16,7 +16,7 @@
 use crate::loads::server_number;
 use crate::servers::{ServerSet, Standpoint};
 use crate::ways::Ways;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Shortest time between two calls for changes of servers: each server's row changes with each of
 /// its heartbeats, and hardly any of these changes matters.
--- a/crates/cluster/src/waiting.rs
+++ b/crates/cluster/src/waiting.rs
@@ -8,8 +8,8 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use parking_lot::Mutex;
-use tokio::time::Instant;
 
 use crate::server_loads::Source;
 
--- a/crates/cluster/src/zone_delegates.rs
+++ b/crates/cluster/src/zone_delegates.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashSet};
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 use crate::delegates::{Candidate, delegates};
 use crate::peers::{PeerTable, RelayPeer};
--- a/crates/cluster/src/zone_suspicion.rs
+++ b/crates/cluster/src/zone_suspicion.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Servers of a zone found silent from which the zone is doubted; in a smaller zone all of them.
 const LEAST_SILENT: usize = 3;
--- a/crates/cluster/tests/cold_parts.rs
+++ b/crates/cluster/tests/cold_parts.rs
@@ -4,12 +4,12 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::{ColdParts, ColdShare, standing};
 use dappleyard_model::ColdBounds;
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use tokio::time::Instant;
 
 const BOUNDS: ColdBounds = ColdBounds {
     over: 1.5,
--- a/crates/cluster/tests/doubts.rs
+++ b/crates/cluster/tests/doubts.rs
@@ -68,7 +68,7 @@
     table.hold_back(Vec::new());
     table.heard("i-1");
     assert_that!(temperature(), eq(Temperature::Unknown));
-    table.note_checked("i-1", tokio::time::Instant::now(), Duration::ZERO);
+    table.note_checked("i-1", dappleyard_clock::Instant::now(), Duration::ZERO);
     assert_that!(temperature(), eq(Temperature::Warm));
 }
 
@@ -83,6 +83,6 @@
     // Somebody who takes it for warm has sent it something.
     table.heard("i-1");
     assert_that!(temperature(), eq(Temperature::Unknown));
-    table.note_checked("i-1", tokio::time::Instant::now(), Duration::ZERO);
+    table.note_checked("i-1", dappleyard_clock::Instant::now(), Duration::ZERO);
     assert_that!(temperature(), eq(Temperature::Warm));
 }
--- a/crates/cluster/tests/evacuations.rs
+++ b/crates/cluster/tests/evacuations.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dappleyard_clock::Instant;
 use dappleyard_cluster::{
     ConfigurationSink, Evacuations, Exclusion, ServersSink, TableSink, View, ZoneRow, follow,
 };
@@ -17,7 +18,6 @@
 use googletest::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::time::Instant;
 
 const ZONES: [&str; 3] = ["north", "south", "west"];
 
--- a/crates/cluster/tests/follow.rs
+++ b/crates/cluster/tests/follow.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::{Contact, TableSink, follow};
 use dappleyard_emulator::EmulatedRows;
 use dappleyard_model::{EventLog, Row};
 use googletest::prelude::*;
-use tokio::time::Instant;
 
 const TABLE: &str = "things";
 
--- a/crates/cluster/tests/gossip.rs
+++ b/crates/cluster/tests/gossip.rs
@@ -72,7 +72,7 @@
         expect_that!(all_cold(), eq(false));
         // Not every node hears every other: delegates pass the word on, also where no node has work there.
         until("the node knows its peers", || nodes[7].peers.count() > 24).await;
-        let asked = tokio::time::Instant::now();
+        let asked = dappleyard_clock::Instant::now();
         nodes[7].loads.note_checked("i-1", asked, cold);
         until("all nodes know", all_cold).await;
     });
--- a/crates/cluster/tests/outcomes.rs
+++ b/crates/cluster/tests/outcomes.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::{Ejection, LoadTable, OutcomeCounts, Outcomes};
 use googletest::prelude::*;
-use tokio::time::Instant;
 
 fn counts(failed: u32, served: u32) -> OutcomeCounts {
     OutcomeCounts { failed, served }
--- a/crates/cluster/tests/pace.rs
+++ b/crates/cluster/tests/pace.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::ChangePace;
 use googletest::prelude::*;
-use tokio::time::Instant;
 
 #[gtest]
 fn nothing_changed() {
--- a/crates/cluster/tests/store_clock.rs
+++ b/crates/cluster/tests/store_clock.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::StoreClock;
 use googletest::prelude::*;
-use tokio::time::Instant;
 
 async fn pass(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
--- a/crates/cluster/tests/temperature.rs
+++ b/crates/cluster/tests/temperature.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::{Checked, Teller, Temperature, Thermal};
 use googletest::prelude::*;
-use tokio::time::Instant;
 
 const fn ms(time: u64) -> Duration {
     Duration::from_millis(time)
--- a/crates/cluster/tests/zone_loss.rs
+++ b/crates/cluster/tests/zone_loss.rs
@@ -67,8 +67,8 @@
 
     /// Time passes; a node hears those of the zones that `heard` names for its own.
     async fn run(&mut self, time: Duration, heard: impl Fn(&str, &str) -> bool) {
-        let until = tokio::time::Instant::now() + time;
-        while tokio::time::Instant::now() < until {
+        let until = dappleyard_clock::Instant::now() + time;
+        while dappleyard_clock::Instant::now() < until {
             self.sequence += 1;
             for (at, table) in &self.tables {
                 let zones = ZONES.iter().filter(|zone| heard(at, zone));
--- a/crates/cluster/tests/zone_suspicion.rs
+++ b/crates/cluster/tests/zone_suspicion.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::{ServerSign, ZoneSuspicion};
 use googletest::prelude::*;
-use tokio::time::Instant;
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -4,7 +4,7 @@
 use std::ops::Bound;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 use crate::fingerprint::Fingerprint;
 use crate::messages::{CrashNews, CrashRecord, RunsOf};
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 use crate::messages::{CrashRecord, RunsOf};
 
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -3,8 +3,8 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
+use dappleyard_clock::Instant;
 use parking_lot::Mutex;
-use tokio::time::Instant;
 
 use crate::fingerprint::Fingerprint;
 use crate::ledger::{Held, Ledger, Merged, Permit};
--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_crashes::{CrashNews, Fingerprint, Ledger, MOST_ENDED, Permit, RequestParts};
 use googletest::prelude::*;
-use tokio::time::Instant;
 
 fn request(number: usize) -> Fingerprint {
     Fingerprint::of(&RequestParts {
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -27,7 +27,7 @@
 use parking_lot::Mutex;
 
 use super::registration;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Time that a caller's connection may rest; the operators' limit is never above it.
 const KEEP_ALIVE: Duration = Duration::from_secs(120);
--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -12,7 +12,7 @@
 use super::assembly::Running;
 use super::registration;
 use crate::failure::Failure;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Shortest time that a stopping node goes on taking requests: callers that were told of it
 /// before may come until their directory answers run out.
@@ -84,7 +84,7 @@
     }
     let call = registration::unregister(node, running.store.as_ref());
     // The row of a node that is gone does no harm: its heartbeats end.
-    let _ = tokio::time::timeout(LAST_CALL, call).await;
+    let _ = dappleyard_clock::timeout(LAST_CALL, call).await;
     close(&running.server, &node.under_way, started + last).await;
     node.log.write("stop", || {
         serde_json::json!({"under_way": node.under_way.load(Ordering::Relaxed),
--- a/crates/ingress/src/answer_times.rs
+++ b/crates/ingress/src/answer_times.rs
@@ -6,8 +6,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use parking_lot::Mutex;
-use tokio::time::Instant;
 
 /// Silence before the first event after which a request goes elsewhere, at least: most of the 300 ms in which online
 /// answers are to begin is left to the first server.
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -24,7 +24,7 @@
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::patience::Patience;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Answers to other requests that are passed over on one connection.
 const FOREIGN_ANSWERS: usize = 2;
--- a/crates/ingress/src/closing.rs
+++ b/crates/ingress/src/closing.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Time between two looks at what is under way.
 const LOOK: Duration = Duration::from_millis(20);
--- a/crates/ingress/src/cold_watch.rs
+++ b/crates/ingress/src/cold_watch.rs
@@ -7,10 +7,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::{Teller, Temperature};
 use dappleyard_model::{ServerRecord, Service};
 use rand::Rng;
-use tokio::time::Instant;
 
 use crate::attempt::Upstreams;
 use crate::cold::{ColdGate, share_of, temperature};
--- a/crates/ingress/src/connecting.rs
+++ b/crates/ingress/src/connecting.rs
@@ -10,7 +10,7 @@
 
 use crate::attempt::{AttemptError, FOREIGN_BYTES, Ran, SUSPECT_TIME, Upstreams};
 use crate::metrics::Metrics;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Longest wait for the answer to a health question: the way to another zone, and a slot.
 pub(crate) const HEALTH_LIMIT: Duration = Duration::from_millis(400);
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -18,7 +18,7 @@
 use crate::patience::Patience;
 use crate::placement::PromptShape;
 use crate::placing::{Placement, find_place};
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Time between two looks whether a run under way elsewhere has ended: news of it come each 25 ms.
 const WAIT_TICK: Duration = Duration::from_millis(20);
@@ -220,7 +220,7 @@
         homes: &request.homes,
         patience: first_patience(upstreams, request),
     };
-    match tokio::time::timeout(remaining, upstreams.attempt(server, &attempt)).await {
+    match dappleyard_clock::timeout(remaining, upstreams.attempt(server, &attempt)).await {
         Ok(outcome) => outcome,
         Err(_) => Err(AttemptError::own(Ran::Maybe, "time over")),
     }
@@ -270,7 +270,7 @@
     });
     let remaining = request.remaining();
     let reading = exchange.connection.whole_body(HELD_ANSWER);
-    let body = match tokio::time::timeout(remaining, reading).await {
+    let body = match dappleyard_clock::timeout(remaining, reading).await {
         Ok(Ok(body)) => body,
         _ => Bytes::new(),
     };
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -23,7 +23,7 @@
 use crate::outcome::ErrorKind;
 use crate::placement::PromptShape;
 use crate::relay;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Longest time that a request without a deadline is held.
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -14,7 +14,7 @@
 use crate::answer_times::AnswerTimes;
 use crate::homes;
 use crate::metrics::Metrics;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Time for which callers may use a directory answer.
 const DIRECTORY_TTL_MS: u64 = 1_500;
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -12,7 +12,7 @@
 use crate::metrics::Metrics;
 use crate::node::{UnderWay, UntilEnd};
 use crate::patience::Patience;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Silence of a server after which a stream is taken up elsewhere.
 const STREAM_PATIENCE: Duration = Duration::from_millis(900);
@@ -119,7 +119,7 @@
         };
         let since = Instant::now();
         let waiting = upstreams.with_patience(server, patience, reading);
-        let piece = match tokio::time::timeout(remaining, waiting).await {
+        let piece = match dappleyard_clock::timeout(remaining, waiting).await {
             Ok(piece) => piece?,
             Err(_) => {
                 return Err(AttemptError::own(Ran::Yes, "time over"));
--- a/crates/ingress/src/zone_care.rs
+++ b/crates/ingress/src/zone_care.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::{ServerSet, ServerSign, SuspicionChange, ZoneSuspicion};
 use dappleyard_model::ServerRecord;
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use tokio::time::Instant;
 
 use crate::attempt::Upstreams;
 use crate::metrics::Metrics;
--- a/crates/ingress/tests/answer_times.rs
+++ b/crates/ingress/tests/answer_times.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_ingress::LearnedTime;
 use googletest::prelude::*;
-use tokio::time::Instant;
 
 const LEAST: Duration = Duration::from_millis(200);
 
--- a/crates/ingress/tests/closing.rs
+++ b/crates/ingress/tests/closing.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use actix_web::{App, HttpResponse, HttpServer, web};
+use dappleyard_clock::Instant;
 use dappleyard_ingress::close;
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 struct Door {
     under_way: Arc<AtomicU64>,
--- a/crates/jobs/src/accept.rs
+++ b/crates/jobs/src/accept.rs
@@ -11,7 +11,7 @@
 use crate::calls::NodeJobs;
 use crate::keys::{CHUNK_BYTES, items_key, job_key, quota_key};
 use crate::messages::{ItemsBlob, JobRow, StoredItem};
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Time for which a submission is tried.
 const TRY_LIMIT: Duration = Duration::from_millis(1_500);
--- a/crates/jobs/src/cleaning.rs
+++ b/crates/jobs/src/cleaning.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::{Homes, RowKey, StoreError, Transaction};
-use tokio::time::Instant;
 
 use crate::keys::{
     ITEMS_TABLE, PARTIALS_TABLE, RESULTS_TABLE, job_key, partition, range_end, range_start,
--- a/crates/jobs/src/end.rs
+++ b/crates/jobs/src/end.rs
@@ -10,7 +10,7 @@
 use crate::calls::{NodeJobs, unsure};
 use crate::keys::job_key;
 use crate::messages::{JobRow, JobState};
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Time for which an end is tried.
 const TRY_LIMIT: Duration = Duration::from_millis(2_500);
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -14,7 +14,7 @@
 use crate::messages::{JobRow, JobState, StoredItem, StoredResult};
 use crate::partials::{Mark, Saved, add_pieces, has_grown};
 use crate::runner::Runner;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Most bytes of results in one commit.
 const COMMIT_BYTES: usize = 500_000;
--- a/crates/jobs/src/preempt.rs
+++ b/crates/jobs/src/preempt.rs
@@ -10,7 +10,7 @@
 use crate::order::{Rank, rank};
 use crate::owned::{OwnedJob, Progress};
 use crate::runner::Runner;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Time before a paused item is sent again: its server has then let it go, and the others have heard
 /// what took its place.
--- a/crates/jobs/src/read.rs
+++ b/crates/jobs/src/read.rs
@@ -12,7 +12,7 @@
 use crate::calls::{NodeJobs, unsure};
 use crate::keys::{ITEMS_TABLE, RESULTS_TABLE, partition, range_end, range_from, range_start};
 use crate::messages::{ItemsBlob, JobState, StoredItem, StoredResult};
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Rows read by one call.
 const PAGE_ROWS: usize = 400;
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -14,7 +14,7 @@
 use crate::messages::StoredItem;
 use crate::owned::{Item, OwnedJob, Progress};
 use crate::runner::Runner;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Silence of a server after which an item goes to another one.
 const SERVER_PATIENCE: Duration = Duration::from_millis(1_500);
@@ -121,7 +121,7 @@
         work.prompt_read();
         // Only the status matters; the body is read so that the connection can be used again.
         let reading = exchange.connection.whole_body(FAILURE_BYTES);
-        let _ = tokio::time::timeout(SERVER_PATIENCE, reading).await;
+        let _ = dappleyard_clock::timeout(SERVER_PATIENCE, reading).await;
         runner.upstreams.release(exchange);
         return match status {
             NEVER => RunEnd::Never,
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -16,7 +16,7 @@
 use crate::preempt::preempt;
 use crate::release::release;
 use crate::table::JobTable;
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Longest time between two looks at the jobs.
 pub(crate) const TICK: Duration = Duration::from_millis(100);
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use dappleyard_clock::Instant;
 use dappleyard_crashes::{Fingerprint, Permit};
 use dappleyard_ingress::{apart, reached};
 use dappleyard_model::{Configuration, Homes, Route, RouteKind, ServerRecord};
-use tokio::time::Instant;
 
 use crate::give_up::{give_up, is_over};
 use crate::order::{Rank, rank};
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -12,7 +12,7 @@
 
 use crate::keys::JOBS_TABLE;
 use crate::messages::{JobRow, StoredItem};
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Age of the last answer of the store from which the table may be out of date.
 const FRESH: Duration = Duration::from_millis(2_800);
--- a/crates/jobs/src/taking.rs
+++ b/crates/jobs/src/taking.rs
@@ -2,11 +2,11 @@
 
 use std::rc::Rc;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::PeerStatus;
 use dappleyard_ingress::Metrics;
 use dappleyard_model::{Homes, StoreError, Transaction};
 use prost::Message;
-use tokio::time::Instant;
 
 use crate::claiming::{Ground, may_claim, may_claim_away, preferred};
 use crate::keys::job_key;
--- a/crates/online/src/ingress/ask.rs
+++ b/crates/online/src/ingress/ask.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_wire::error::join_ran;
 use dappleyard_wire::messages::{Cancel, Chunk, Finish, Refused, frame};
 use dappleyard_wire::{Failure, Ran};
-use tokio::time::Instant;
 
 use super::IngressRun;
 use crate::caller::Gone;
@@ -29,7 +29,7 @@
     pub(super) async fn ask(&mut self, target: &Target) -> Tried {
         let submit = self.submission(target);
         let opened = OwnerLink::open(&self.worker, target, submit);
-        let mut link = match tokio::time::timeout_at(self.incoming.deadline, opened).await {
+        let mut link = match dappleyard_clock::timeout_at(self.incoming.deadline, opened).await {
             Ok(Ok(link)) => link,
             Ok(Err(not_sent)) => return Tried::NotSent(not_sent.0),
             Err(_) => return Tried::Deadline,
@@ -44,7 +44,7 @@
                         return Tried::CallerGone;
                     }
                 }
-                () = tokio::time::sleep_until(until) => {
+                () = dappleyard_clock::sleep_until(until) => {
                     self.give_up(&link, "nobody waits any more");
                     let passed = self.deadline_passed();
                     return if passed { Tried::Deadline } else { Tried::CallerGone };
--- a/crates/online/src/ingress/mod.rs
+++ b/crates/online/src/ingress/mod.rs
@@ -6,11 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_decide::retry::{may_follow, pause_ms};
 use dappleyard_wire::error::join_ran;
 use dappleyard_wire::messages::{Chunk, Finish, OnceOutcome, Stage, frame};
 use dappleyard_wire::{ErrorKind, Failure, Ran};
-use tokio::time::Instant;
 
 use crate::admit;
 use crate::caller::Caller;
--- a/crates/online/src/once.rs
+++ b/crates/online/src/once.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_transport::CallError;
 use dappleyard_wire::hash::{hash_bytes, rendezvous_weight};
 use dappleyard_wire::ids::NodeId;
@@ -10,7 +11,6 @@
     Call, OnceOutcome, OncePhase, OnceRow, RecordBegin, RecordSettle, RecordState, call, reply,
 };
 use dappleyard_wire::{ErrorKind, Failure, keys};
-use tokio::time::Instant;
 
 use crate::receive::Incoming;
 use crate::recorder::STORE_RETRY_AFTER_MS;
@@ -66,7 +66,7 @@
         writer: holder.writer.clone(),
     };
     let asked = ask(worker, begin.clone(), incoming.deadline);
-    match tokio::time::timeout_at(incoming.deadline, asked).await {
+    match dappleyard_clock::timeout_at(incoming.deadline, asked).await {
         Ok(Ok(state)) if state.fresh => Ok(Begun::Fresh(holder)),
         Ok(Ok(state)) => judge(worker, incoming, holder, state.row.unwrap_or_default()),
         Ok(Err(failure)) if failure.kind == ErrorKind::OutcomeUnknown => {
--- a/crates/online/src/owner/mod.rs
+++ b/crates/online/src/owner/mod.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_decide::retry::may_follow;
 use dappleyard_engine::{EngineError, EventStream};
 use dappleyard_wire::error::join_ran;
@@ -13,7 +14,6 @@
 use dappleyard_wire::messages::{Chunk, Finish, frame};
 use dappleyard_wire::{ErrorKind, Failure, Ran};
 use futures::Future;
-use tokio::time::Instant;
 
 use crate::caller::{Caller, Gone};
 use crate::dispatch::{self, Chosen, FlightGuard};
@@ -186,7 +186,7 @@
                     }
                     Gone::LinkLost => {}
                 },
-                () = tokio::time::sleep_until(until) => {
+                () = dappleyard_clock::sleep_until(until) => {
                     self.cancel_later(generating, chosen, "deadline");
                     return Err(Next::End(self.out_of_time(Ran::Maybe)));
                 }
--- a/crates/online/src/receive.rs
+++ b/crates/online/src/receive.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_wire::ids::RequestId;
 use dappleyard_wire::messages::{GenerateRequest, Stage, Submit};
 use dappleyard_wire::{ErrorKind, Failure, Ran, Repeat};
-use tokio::time::Instant;
 
 /// Longest request id and idempotency key, bytes.
 const MAXIMUM_KEY_BYTES: usize = 256;
--- a/crates/online/src/recorder.rs
+++ b/crates/online/src/recorder.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_decide::once::{self, OnceAttempt, OnceDecision};
 use dappleyard_store::{Expect, Row, StoreError, TableStore, Transaction};
 use dappleyard_tables::clock::Clock;
@@ -15,7 +16,6 @@
 use dappleyard_wire::{ErrorKind, Failure, keys};
 use prost::Message;
 use tokio::sync::oneshot;
-use tokio::time::Instant;
 
 use crate::shared::OnlineShared;
 
--- a/crates/online/src/relay.rs
+++ b/crates/online/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_engine::{EngineError, EngineEvent, EventStream};
 use dappleyard_tables::NodeTables;
 use dappleyard_wire::Ran;
@@ -9,7 +10,6 @@
 use dappleyard_wire::ids::ServerId;
 use dappleyard_wire::messages::{Accepted, Chunk, frame};
 use futures::StreamExt;
-use tokio::time::Instant;
 
 use crate::caller::Gone;
 use crate::dispatch::{Chosen, FlightGuard};
@@ -55,7 +55,7 @@
                 Gone::Cancelled => return RelayEnd::CallerGone,
                 Gone::LinkLost => {}
             },
-            () = tokio::time::sleep_until(until) => {
+            () = dappleyard_clock::sleep_until(until) => {
                 return if run.deadline_passed() { RelayEnd::Deadline } else { RelayEnd::CallerGone };
             }
             event = events.next() => match event {
--- a/crates/online/src/worker.rs
+++ b/crates/online/src/worker.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_engine::Engine;
 use dappleyard_settings::OnlineSettings;
 use dappleyard_store::Platform;
@@ -13,7 +14,6 @@
 use dappleyard_wire::messages::{Call, RecordState, Reply, Stage, Submit, call, frame, reply};
 use dappleyard_wire::{ErrorKind, Failure};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use crate::caller::Caller;
 use crate::ingress::IngressRun;
--- a/crates/online/tests/relay.rs
+++ b/crates/online/tests/relay.rs
@@ -172,7 +172,7 @@
             .script("s0", [Script::Steps(vec![Step::Accept, Step::Hang])]);
         let mut submit = request("r1");
         submit.budget_ms = 300;
-        let started = tokio::time::Instant::now();
+        let started = dappleyard_clock::Instant::now();
         let refused = node
             .submit(submit)
             .whole()
--- a/crates/relay/src/access.rs
+++ b/crates/relay/src/access.rs
@@ -4,12 +4,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::{NODES_TABLE, PeerTable, RelayPeer, StoreClock, StoreHealth, View, Ways};
 use dappleyard_model::{EventLog, RowStore};
 use derive_more::Display;
 use parking_lot::Mutex;
 use tokio::sync::watch;
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time between two looks.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -47,7 +47,7 @@
         let call = RelayCall { kind: Some(kind) };
         let body = Bytes::from(call.encode_to_vec());
         let exchange = self.exchange(address, &body);
-        let answer = match tokio::time::timeout(limit, exchange).await {
+        let answer = match dappleyard_clock::timeout(limit, exchange).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) if error.stage == Stage::Connect => {
                 return Err(StoreError::Unavailable {
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::{Contact, TableSink};
 use dappleyard_model::Row;
 use parking_lot::Mutex;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use crate::access::Access;
 
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_cluster::{Contact, RelayPeer, TableSink, follow};
 use dappleyard_model::{EventLog, Row, RowStore, StoreError};
-use tokio::time::Instant;
 
 use crate::access::{Access, Path};
 use crate::call::PeerCalls;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dappleyard_clock::Instant;
 use dappleyard_model::{RowStore, StoreError};
 use prost::Message;
-use tokio::time::Instant;
 
 use crate::access::{Access, Path};
 use crate::history::{Histories, Told};
@@ -77,7 +77,7 @@
                 }));
             }
             // The end of the wait is an answer too.
-            let _ = tokio::time::timeout_at(until, changed.changed()).await;
+            let _ = dappleyard_clock::timeout_at(until, changed.changed()).await;
         }
     }
 
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_decide::retry::pause_ms;
 use dappleyard_transport::Link;
 use dappleyard_wire::messages::{Call, call, frame, reply};
 use dappleyard_wire::{ErrorKind, Failure};
 use rand::Rng;
-use tokio::time::Instant;
 
 use crate::worker::Worker;
 
@@ -68,7 +68,7 @@
         method: Some(method),
     });
     let mut stream = link.open(body).map_err(|_| lost())?;
-    match tokio::time::timeout_at(deadline, stream.receive()).await {
+    match dappleyard_clock::timeout_at(deadline, stream.receive()).await {
         Ok(Ok(frame::Body::Reply(reply))) => reply.result.ok_or_else(unexpected),
         Ok(Ok(frame::Body::Refused(refused))) => Err(Failure::from_refused(&refused)),
         Ok(Ok(_)) => Err(unexpected()),
--- a/crates/sidecar/src/files/mod.rs
+++ b/crates/sidecar/src/files/mod.rs
@@ -9,10 +9,10 @@
 
 use actix_web::web::{self, Bytes, Data, Path, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
+use dappleyard_clock::Instant;
 use dappleyard_wire::hash::hash_bytes;
 use dappleyard_wire::messages::{FileData, FileRead, FileStat, FileState, call, reply};
 use futures::Stream;
-use tokio::time::Instant;
 
 use crate::api::batches::FileBody;
 use crate::calls::{call, unexpected};
--- a/crates/sidecar/src/forward/mod.rs
+++ b/crates/sidecar/src/forward/mod.rs
@@ -15,10 +15,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_decide::reassembly::{Assembly, AssemblyBounds};
 use dappleyard_wire::messages::{Accepted, Finish, GenerateRequest};
 use dappleyard_wire::{Failure, Ran, Repeat};
-use tokio::time::Instant;
 
 use self::attempt::{Attempt, hear};
 use crate::stamp::Stamped;
@@ -122,7 +122,7 @@
             .into_iter()
             .flatten()
             .fold(self.deadline, Instant::min);
-        match tokio::time::timeout_at(timer, hear(&mut self.open)).await {
+        match dappleyard_clock::timeout_at(timer, hear(&mut self.open)).await {
             Ok((index, Ok(body))) => self.take(index, body).await,
             Ok((index, Err(_))) => self.take_loss(index).await,
             Err(_) => self.timer_fired().await,
--- a/crates/sidecar/src/forward/receive.rs
+++ b/crates/sidecar/src/forward/receive.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_decide::reassembly::AssemblyError;
 use dappleyard_wire::error::join_ran;
 use dappleyard_wire::messages::{Accepted, Chunk, Finish, frame};
 use dappleyard_wire::{ErrorKind, Failure, Ran};
-use tokio::time::Instant;
 
 use super::Forward;
 
--- a/crates/sidecar/src/forward/retry.rs
+++ b/crates/sidecar/src/forward/retry.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_decide::retry::pause_ms;
 use dappleyard_transport::{Link, LinkError};
 use dappleyard_wire::error::join_ran;
 use dappleyard_wire::messages::{Stage, Submit, frame};
 use dappleyard_wire::{ErrorKind, Failure, Ran, Repeat};
 use rand::Rng;
-use tokio::time::Instant;
 
 use super::Forward;
 use super::attempt::Attempt;
--- a/crates/sidecar/src/generations.rs
+++ b/crates/sidecar/src/generations.rs
@@ -4,9 +4,9 @@
 
 use actix_web::web::{Bytes, Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
+use dappleyard_clock::Instant;
 use dappleyard_wire::Failure;
 use futures::Stream;
-use tokio::time::Instant;
 
 use crate::accept::{parse_json, read_body};
 use crate::answer::AnswerWriter;
--- a/crates/sidecar/src/headers.rs
+++ b/crates/sidecar/src/headers.rs
@@ -7,7 +7,7 @@
 use dappleyard_wire::ids::RequestId;
 use dappleyard_wire::{Class, Repeat};
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 use crate::error::ApiError;
 
--- a/crates/sidecar/src/known.rs
+++ b/crates/sidecar/src/known.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_settings::Place;
 use dappleyard_transport::Link;
 use dappleyard_wire::messages::PeerNode;
 use rand::Rng;
-use tokio::time::Instant;
 
 use crate::choose::distance;
 
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -6,13 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_transport::policy::SharedPolicy;
 use dappleyard_transport::{Link, LinkSettings};
 use dappleyard_wire::PROTOCOL_VERSION;
 use dappleyard_wire::hash::{hash_bytes, rendezvous_weight};
 use dappleyard_wire::messages::{Hello, PeerNode};
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 use crate::choose::{Candidate, Pick, choose};
 use crate::known::{Known, State};
@@ -95,7 +95,7 @@
     pub async fn wait_ready(&self, until: Instant) {
         while !self.is_ready() && Instant::now() < until {
             let next = (Instant::now() + LOOK_INTERVAL).min(until);
-            let _ = tokio::time::timeout_at(next, self.changed.notified()).await;
+            let _ = dappleyard_clock::timeout_at(next, self.changed.notified()).await;
         }
     }
 
--- a/crates/sidecar/src/stamp.rs
+++ b/crates/sidecar/src/stamp.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_settings::SidecarSettings;
 use dappleyard_wire::messages::GenerateRequest;
 use dappleyard_wire::{ErrorKind, Failure, Repeat};
-use tokio::time::Instant;
 
 use crate::api::answers::Form;
 use crate::api::generation::{ChatBody, CommonBody, CompletionBody};
--- a/crates/store/src/gate/lane.rs
+++ b/crates/store/src/gate/lane.rs
@@ -3,10 +3,10 @@
 use std::future::Future;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_settings::PlatformSettings;
 use parking_lot::Mutex;
 use rand::Rng;
-use tokio::time::Instant;
 
 use super::breaker::{Admission, Breaker};
 use super::budget::RetryBudget;
--- a/crates/store/tests/gate.rs
+++ b/crates/store/tests/gate.rs
@@ -191,9 +191,9 @@
             let settings = PlatformSettings::default();
             let (platform, script) = gated(&settings);
             script.down.set(true);
-            let until = tokio::time::Instant::now() + Duration::from_secs(120);
+            let until = dappleyard_clock::Instant::now() + Duration::from_secs(120);
             let mut asked = 0;
-            while tokio::time::Instant::now() < until {
+            while dappleyard_clock::Instant::now() < until {
                 asked += 1;
                 expect_that!(platform.tables.get("job/a").await, err(anything()));
                 tokio::time::sleep(Duration::from_millis(20)).await;
@@ -221,7 +221,7 @@
             }
             script.down.set(false);
             tokio::time::sleep(Duration::from_millis(2 * settings.breaker_probe_ms)).await;
-            let asked = tokio::time::Instant::now();
+            let asked = dappleyard_clock::Instant::now();
             let probe = platform.tables.changes("active-job/", 0, 10_000).await;
             expect_that!(probe, ok(anything()));
             expect_that!(asked.elapsed().as_millis(), lt(100));
--- a/crates/tables/src/clock.rs
+++ b/crates/tables/src/clock.rs
@@ -3,8 +3,8 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use dappleyard_clock::Instant;
 use dappleyard_decide::time::Millis;
-use tokio::time::Instant;
 
 /// A monotonic clock that started with the process part it belongs to.
 #[derive(Debug, Clone, Copy)]
--- a/crates/tenants/src/account.rs
+++ b/crates/tenants/src/account.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::{QuotaBounds, RateLimit};
-use tokio::time::Instant;
 
 use crate::growing::Held;
 
--- a/crates/tenants/src/growing.rs
+++ b/crates/tenants/src/growing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Credit that is not to be spent, in seconds of the fleet's rate.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/tenants/src/ledger.rs
+++ b/crates/tenants/src/ledger.rs
@@ -8,8 +8,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::{QuotaBounds, RateLimit, Tenants};
-use tokio::time::Instant;
 
 use crate::account::{Account, Part, Refill, tolerance, whole};
 use crate::counts::{NodeCounts, ZoneCounts, ZonePassed};
--- a/crates/tenants/src/table.rs
+++ b/crates/tenants/src/table.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::{Configuration, QuotaBounds, TenantName, Tenants};
 use parking_lot::Mutex;
-use tokio::time::Instant;
 
 use crate::counts::ZonePassed;
 use crate::ledger::Ledger;
--- a/crates/tenants/tests/distance.rs
+++ b/crates/tenants/tests/distance.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::{QuotaBounds, RateLimit, Tenant, Tenants};
 use dappleyard_tenants::{Ledger, ZonePassed, tenant_number};
 use googletest::prelude::*;
-use tokio::time::Instant;
 
 const BOUNDS: QuotaBounds = QuotaBounds {
     window_ms: 5_000,
--- a/crates/tenants/tests/support/mod.rs
+++ b/crates/tenants/tests/support/mod.rs
@@ -4,11 +4,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_model::{QuotaBounds, RateLimit, Tenant, TenantName, Tenants};
 use dappleyard_tenants::{CreditLevel, Ledger, PassedCount, ZonePassed, tenant_number};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::time::Instant;
 
 pub const BOUNDS: QuotaBounds = QuotaBounds {
     window_ms: 5_000,
--- a/crates/transport/src/link/outgoing.rs
+++ b/crates/transport/src/link/outgoing.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use dappleyard_clock::Instant;
 use dappleyard_wire::messages::{Frame, frame};
 use prost::Message;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::Instant;
 
 use super::LinkError;
 use super::session::CloseReason;
--- a/crates/transport/src/link/session.rs
+++ b/crates/transport/src/link/session.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dappleyard_clock::Instant;
 use dappleyard_wire::messages::{Frame, Ping, frame};
 use futures::stream::{SplitSink, SplitStream};
 use futures::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::outgoing::{OutgoingQueue, Queued, encode};
@@ -144,7 +144,7 @@
     ) -> Result<(), CloseReason> {
         if queued.due > Instant::now() {
             self.within_idle_timeout(sink.flush()).await?;
-            tokio::time::sleep_until(queued.due).await;
+            dappleyard_clock::sleep_until(queued.due).await;
         }
         while self.policy.path(self.peer).cut {
             tokio::time::sleep(CUT_LOOK).await;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_wire::messages::{Call, Hello, Refused, Reply, frame};
 use derive_more::{Display, Error};
 use futures::FutureExt;
 use futures::future::{LocalBoxFuture, Shared};
-use tokio::time::Instant;
 
 use crate::link::{Link, LinkError, LinkSettings};
 use crate::policy::SharedPolicy;
--- a/crates/transport/tests/datagram.rs
+++ b/crates/transport/tests/datagram.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_transport::DatagramSocket;
 use dappleyard_transport::datagram::Received;
 use dappleyard_wire::messages::{Datagram, Probe, datagram};
 use googletest::prelude::*;
 use support::SwitchedPolicy;
-use tokio::time::Instant;
 
 async fn socket(policy: &Arc<SwitchedPolicy>) -> DatagramSocket {
     let address = "127.0.0.1:0".parse().unwrap();
--- a/crates/transport/tests/link.rs
+++ b/crates/transport/tests/link.rs
@@ -5,13 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dappleyard_clock::Instant;
 use dappleyard_transport::LinkError;
 use dappleyard_transport::link::{Announcement, ServerStream};
 use dappleyard_wire::ErrorKind;
 use dappleyard_wire::messages::{NodeLoad, PeerNode, Peers, frame};
 use googletest::prelude::*;
 use support::{SwitchedPolicy, chunk, echo_server, serve, settings, submit, until};
-use tokio::time::Instant;
 
 #[gtest]
 #[actix_rt::test]
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -11,7 +11,7 @@
 
 use crate::body::BodyReader;
 use crate::head::{AnswerHead, take_head};
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 /// Room made for each read, bytes.
 const READ_BYTES: usize = 16 * 1024;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use dappleyard_clock::Instant;
 
 use crate::connection::Connection;
 
