Refused requests outlive a loss of all nodes; ends that show late count

A request that runs no more is written to the row store, by a node that saw one of its servers end, and read by each process as it begins: one call a start, none else. after_a_loss_of_all failed before (nothing in the store, three more servers).

One look at the port right after an answer broke off missed a process that closes its port after its connections, and one that is back at once (tries_at_one_node with a slow end: servers not counted). A second look follows 100 ms later, then the list of servers is watched for another incarnation at the address for 4 s.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -7,6 +7,7 @@
 mod cold_loads;
 mod cold_parts;
 mod crash_news;
+mod crash_rows;
 mod delegates;
 pub mod directory;
 mod eligibility;
@@ -41,6 +42,7 @@
 
 pub use cadence::{Duties, duties};
 pub use cold_parts::{ColdParts, ColdShare, standing};
+pub use crash_rows::{CRASHES_TABLE, keep_refused};
 pub use delegates::{Candidate, delegates, is_strong, told_by};
 pub use eligibility::Exclusion;
 pub use evacuated_work::ToldZones;
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -128,6 +128,15 @@
         }
     }
 
+    /// Whether another incarnation is listed at the address of a server that nobody said would leave.
+    pub fn is_replaced(&self, server: &ServerRecord) -> bool {
+        let known = self.known.lock();
+        let own = known.servers.get(&server.id);
+        let leaves = own.is_some_and(|(_, listed)| listed.draining);
+        let mut others = known.servers.values();
+        !leaves && others.any(|(_, other)| other.address == server.address && other.id != server.id)
+    }
+
     /// Why a server that is listed gets no new work.
     pub(crate) fn exclusion_of(known: &Known, server: &ServerRecord) -> Option<Exclusion> {
         if server.draining {
--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -1,6 +1,6 @@
 //! All requests under which servers ended, as one node knows them. Pure: time is an argument.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::ops::Bound;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 /// own retries and those of people, minutes.
 const KEPT_SUSPECT: Duration = Duration::from_secs(600);
 /// How long a request is held that runs no more. After that it may cost three servers again.
-const KEPT_REFUSED: Duration = Duration::from_secs(3_600);
+pub const KEPT_REFUSED: Duration = Duration::from_secs(3_600);
 /// Times that a change is told: two messages in a row may be lost.
 const TELLINGS: u8 = 3;
 /// Changes of requests with one ended server that are not told within this time are not told any more: after a loss
@@ -72,6 +72,8 @@
     /// How often changes are still to be told.
     untold: HashMap<Fingerprint, u8>,
     repeated: Option<Fingerprint>,
+    /// Requests that run no more, or do again, of which the store is still to learn from this node.
+    unstored: BTreeSet<Fingerprint>,
 }
 
 impl Ledger {
@@ -84,6 +86,7 @@
             running: HashMap::new(),
             untold: HashMap::new(),
             repeated: None,
+            unstored: BTreeSet::new(),
         }
     }
 
@@ -144,10 +147,14 @@
         self.make_room(request);
         let record = self.records.entry(*request);
         let record = record.or_insert_with(|| Record::new(now));
+        record.seen_here = true;
         if record.note_ended(server, now) {
             self.untold.insert(*request, TELLINGS);
+            if record.is_refused() {
+                self.unstored.insert(*request);
+            }
         }
-        self.records[request].ended.len()
+        record.ended.len()
     }
 
     /// A server ran a request to a good end: it does not crash every server. Whether that was in doubt.
@@ -156,6 +163,9 @@
         let Some(record) = known.filter(|record| !record.ended.is_empty()) else {
             return false;
         };
+        if record.is_refused() {
+            self.unstored.insert(*request);
+        }
         record.clear(now);
         self.untold.insert(*request, TELLINGS);
         true
@@ -232,12 +242,28 @@
             is_new: record.merge(told, own, now),
             now_refused: !was_refused && record.is_refused(),
         };
+        // One of those that saw a server end writes it: what was put together from their news is known to all.
+        if merged.now_refused && record.seen_here {
+            self.unstored.insert(request);
+        }
         if merged.is_new && pass_on {
             self.untold.insert(request, TELLINGS);
         }
         merged
     }
 
+    /// The next request of which the store is to learn: its record while it runs no more, `None` when it may run.
+    pub fn next_unstored(&mut self, now: Instant) -> Option<(Fingerprint, Option<CrashRecord>)> {
+        let request = self.unstored.pop_first()?;
+        let refused = self.records.get(&request).is_some_and(Record::is_refused);
+        Some((request, refused.then(|| self.message(&request, now))))
+    }
+
+    /// The store could not be told of a request.
+    pub fn store_later(&mut self, request: Fingerprint) {
+        self.unstored.insert(request);
+    }
+
     /// Forgets what is too old.
     pub fn sweep(&mut self, now: Instant) {
         self.records.retain(|_, record| {
@@ -316,6 +342,7 @@
         if let Some(least) = least.map(|(request, _)| *request) {
             self.records.remove(&least);
             self.untold.remove(&least);
+            self.unstored.remove(&least);
         }
     }
 }
--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -11,7 +11,7 @@
 mod table;
 
 pub use fingerprint::{Fingerprint, RequestParts};
-pub use ledger::{Held, Ledger, Merged, Permit};
-pub use messages::{CrashNews, CrashRecord, RunsOf};
+pub use ledger::{Held, KEPT_REFUSED, Ledger, Merged, Permit};
+pub use messages::{CrashNews, CrashRecord, RunsOf, StoredRefusal};
 pub use record::MOST_ENDED;
 pub use table::{CrashTable, RunUnderWay};
--- a/crates/crashes/src/messages.rs
+++ b/crates/crashes/src/messages.rs
@@ -36,6 +36,17 @@
     pub runs: Vec<RunsOf>,
 }
 
+/// A request that runs no more, as the store keeps it.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct StoredRefusal {
+    /// The record as of the writing.
+    #[prost(message, optional, tag = "1")]
+    pub record: Option<CrashRecord>,
+    /// The store's steady clock at the writing.
+    #[prost(uint64, tag = "2")]
+    pub written_ms: u64,
+}
+
 /// News of some requests.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct CrashNews {
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -32,6 +32,8 @@
     pub(crate) ended: Vec<String>,
     /// When the last of them was seen to end, or the name was cleared.
     pub(crate) changed: Instant,
+    /// This node saw one of them end.
+    pub(crate) seen_here: bool,
     others: HashMap<u64, Told>,
 }
 
@@ -41,6 +43,7 @@
             epoch: 0,
             ended: Vec::new(),
             changed: now,
+            seen_here: false,
             others: HashMap::new(),
         }
     }
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -5,14 +5,17 @@
 
 use dappleyard_clock::Instant;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::fingerprint::Fingerprint;
 use crate::ledger::{Held, Ledger, Merged, Permit};
 use crate::messages::{CrashNews, CrashRecord};
+use crate::record::MOST_ENDED;
 
 /// Requests under which servers ended. The lock is taken alone and never held across an await.
 pub struct CrashTable {
     ledger: Mutex<Ledger>,
+    unstored: Notify,
 }
 
 impl CrashTable {
@@ -20,6 +23,7 @@
     pub fn new(own: u64) -> Self {
         Self {
             ledger: Mutex::new(Ledger::new(own)),
+            unstored: Notify::new(),
         }
     }
 
@@ -40,6 +44,7 @@
                 table: self.clone(),
                 request,
                 server: server.to_owned(),
+                is_over: false,
             }),
             Permit::Wait | Permit::Refused => Err(begun),
         }
@@ -71,9 +76,30 @@
             let Merged { now_refused, .. } = ledger.merge(told, pass_on, now);
             refused.extend(request.filter(|_| now_refused));
         }
+        drop(ledger);
+        if !refused.is_empty() {
+            self.unstored.notify_one();
+        }
         refused
     }
 
+    /// Waits for a request of which the store is to learn: its record while it runs no more, `None` when it may run.
+    pub async fn next_unstored(&self) -> (Fingerprint, Option<CrashRecord>) {
+        loop {
+            let next = self.ledger.lock().next_unstored(Instant::now());
+            if let Some(next) = next {
+                return next;
+            }
+            self.unstored.notified().await;
+        }
+    }
+
+    /// The store could not be told of a request.
+    pub fn store_later(&self, request: Fingerprint) {
+        self.ledger.lock().store_later(request);
+        self.unstored.notify_one();
+    }
+
     /// Forgets what is too old.
     pub fn sweep(&self) {
         self.ledger.lock().sweep(Instant::now());
@@ -91,7 +117,11 @@
 
     /// Clears the name of a request; whether anything was known against it.
     pub fn clear(&self, request: &Fingerprint) -> bool {
-        self.ledger.lock().note_served(request, Instant::now())
+        let cleared = self.ledger.lock().note_served(request, Instant::now());
+        if cleared {
+            self.unstored.notify_one();
+        }
+        cleared
     }
 }
 
@@ -100,9 +130,17 @@
     table: Arc<CrashTable>,
     request: Fingerprint,
     server: String,
+    is_over: bool,
 }
 
 impl RunUnderWay {
+    /// It is under way no more, although how it ended may still show.
+    pub fn over(&mut self) {
+        if !std::mem::replace(&mut self.is_over, true) {
+            self.table.ledger.lock().end(&self.request, &self.server);
+        }
+    }
+
     /// The request.
     pub fn request(&self) -> Fingerprint {
         self.request
@@ -111,7 +149,12 @@
     /// The server ended while it ran the request; how many have by now.
     pub fn note_ended(&self) -> usize {
         let mut ledger = self.table.ledger.lock();
-        ledger.note_ended(&self.request, &self.server, Instant::now())
+        let ended = ledger.note_ended(&self.request, &self.server, Instant::now());
+        drop(ledger);
+        if ended >= MOST_ENDED {
+            self.table.unstored.notify_one();
+        }
+        ended
     }
 
     /// The server ran the request to a good end; whether something was known against it.
@@ -122,6 +165,6 @@
 
 impl Drop for RunUnderWay {
     fn drop(&mut self) {
-        self.table.ledger.lock().end(&self.request, &self.server);
+        self.over();
     }
 }
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -8,8 +8,9 @@
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpServer};
 use dappleyard_cluster::{
-    ConfigurationSink, Contact, Gossip, GossipSettings, GossipTables, LoadTable, NODES_TABLE,
-    PeerTable, ServersSink, StoreHealth, TableSink, View, Ways, node_number,
+    CRASHES_TABLE, ConfigurationSink, Contact, Gossip, GossipSettings, GossipTables, LoadTable,
+    NODES_TABLE, PeerTable, ServersSink, StoreHealth, TableSink, View, Ways, keep_refused,
+    node_number,
 };
 use dappleyard_crashes::CrashTable;
 use dappleyard_ingress::{
@@ -112,6 +113,7 @@
     let histories = Histories::new(&tables);
     spawn_follow(&sinks, &histories, &store, &direct, &access, &log);
     spawn_gossip(&node, health).await?;
+    spawn_keep_refused(node.clone(), store.clone());
     tokio::task::spawn_local(registration::register(node.clone(), store.clone()));
     let upstreams = Upstreams::new(node.clone());
     spawn_sweep(node.clone(), upstreams.clone());
@@ -131,7 +133,8 @@
 
 /// Tables that nodes read and write for each other.
 fn node_tables() -> Vec<&'static str> {
-    JOB_TABLES.into_iter().chain([NODES_TABLE]).collect()
+    let own = [NODES_TABLE, CRASHES_TABLE];
+    JOB_TABLES.into_iter().chain(own).collect()
 }
 
 /// A table that other threads read too.
@@ -210,6 +213,12 @@
     Ok(())
 }
 
+fn spawn_keep_refused(node: Arc<Node>, store: Rc<dyn RowStore>) {
+    tokio::task::spawn_local(async move {
+        keep_refused(&node.crashes, store.as_ref(), &node.log).await;
+    });
+}
+
 fn spawn_sweep(node: Arc<Node>, upstreams: Upstreams) {
     tokio::task::spawn_local(async move {
         loop {
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -20,8 +20,10 @@
     Hang,
     /// Closes the connection.
     Close,
-    /// Ends the server: all its connections break off, and its port refuses new ones.
+    /// Ends the server: its port refuses connections, and those it has break off.
     Crash,
+    /// The same, but the port closes a little later than the connections.
+    CrashSlowly(Duration),
 }
 
 /// What a server saw.
@@ -39,7 +41,8 @@
     otherwise: Vec<Reply>,
     /// What requests with a certain body are answered with, before any other script.
     on_body: Option<(Vec<u8>, Vec<Reply>)>,
-    /// Tasks that hold the port and the connections.
+    listener: Option<TcpListener>,
+    /// Tasks that hold the connections.
     tasks: Vec<tokio::task::AbortHandle>,
     ended: bool,
     seen: Vec<Seen>,
@@ -75,8 +78,9 @@
             state: Arc::default(),
         };
         let accepting = server.clone();
-        let accept = tokio::task::spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+        server.state.lock().listener = Some(listener);
+        tokio::task::spawn_local(async move {
+            while let Some(stream) = accepting.accept().await {
                 accepting.state.lock().connections += 1;
                 let server = accepting.clone();
                 let serve = tokio::task::spawn_local(async move {
@@ -86,7 +90,6 @@
                 accepting.state.lock().tasks.push(serve.abort_handle());
             }
         });
-        server.state.lock().tasks.push(accept.abort_handle());
         Ok(server)
     }
 
@@ -110,13 +113,30 @@
         self.state.lock().on_body = Some((body.to_vec(), reply));
     }
 
-    /// Ends the server as a crash does.
+    /// Ends the server as a crash does: its port refuses connections, and those it has break off.
     pub fn crash(&self) {
+        self.state.lock().listener = None;
+        self.break_off();
+    }
+
+    /// Breaks off all connections; the port is still open.
+    pub fn break_off(&self) {
         let mut state = self.state.lock();
         state.ended = true;
         state.tasks.drain(..).for_each(|task| task.abort());
     }
 
+    /// The next connection; `None` once the port is closed.
+    async fn accept(&self) -> Option<TcpStream> {
+        std::future::poll_fn(|context| match &self.state.lock().listener {
+            Some(listener) => listener.poll_accept(context).map(Some),
+            None => std::task::Poll::Ready(None),
+        })
+        .await?
+        .ok()
+        .map(|(stream, _)| stream)
+    }
+
     /// Whether the server has ended.
     pub fn has_ended(&self) -> bool {
         self.state.lock().ended
@@ -179,6 +199,15 @@
                         // This task ends here too.
                         std::future::pending::<()>().await;
                     }
+                    Reply::CrashSlowly(later) => {
+                        let server = self.clone();
+                        tokio::task::spawn_local(async move {
+                            tokio::time::sleep(later).await;
+                            server.crash();
+                        });
+                        self.break_off();
+                        std::future::pending::<()>().await;
+                    }
                 }
             }
         }
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -23,6 +23,14 @@
 /// dead process's port refuses in one such way.
 const LOOK_LIMIT: Duration = Duration::from_millis(100);
 
+/// Time from the first look to the second one.
+const SECOND_LOOK: Duration = Duration::from_millis(100);
+/// Time between two looks at the list of servers.
+const LIST_LOOK: Duration = Duration::from_millis(500);
+/// Looks at the list: a server writes its entry within a heartbeat of its start, and the entry of the one before goes
+/// after three, 4 s at the longest heartbeat in use.
+const LIST_LOOKS: u32 = 8;
+
 /// What was seen at a server's address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Evidence {
@@ -54,23 +62,49 @@
 }
 
 impl Upstreams {
-    /// Judges a run that did not come to its end: whether its server ended. The caller's next run follows only then,
-    /// a way to the server and back later.
-    pub async fn judge(&self, run: &RunUnderWay, server: &ServerRecord, error: &AttemptError) {
+    /// Judges a run that did not come to its end: whether its server ended. The caller's next run follows a way to the
+    /// server and back later. Where the first look finds no end, others follow while the caller's next run is under way.
+    pub async fn judge(&self, run: RunUnderWay, server: &Arc<ServerRecord>, error: &AttemptError) {
         if !error.broken_off {
             return;
         }
-        let evidence = self.look_at(server).await;
-        let ended = match evidence {
-            Evidence::Ended => run.note_ended(),
-            Evidence::Alive | Evidence::Leaving | Evidence::Unknown => return,
-        };
+        match self.look_at(server).await {
+            Evidence::Ended => self.note_ended(&run, server, &error.reason),
+            Evidence::Leaving => {}
+            Evidence::Alive | Evidence::Unknown => self.look_again(run, server.clone()),
+        }
+    }
+
+    /// A process may close its connections before its port, or be back at its port within milliseconds.
+    fn look_again(&self, mut run: RunUnderWay, server: Arc<ServerRecord>) {
+        let upstreams = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(SECOND_LOOK).await;
+            if upstreams.look_at(&server).await == Evidence::Ended {
+                upstreams.note_ended(&run, &server, "its port closed after its connections");
+                return;
+            }
+            // The run counts as under way no more; an end that shows later still counts.
+            run.over();
+            for _ in 0..LIST_LOOKS {
+                tokio::time::sleep(LIST_LOOK).await;
+                if upstreams.node.view.is_replaced(&server) {
+                    let cause = "another incarnation is at its address";
+                    upstreams.note_ended(&run, &server, cause);
+                    return;
+                }
+            }
+        });
+    }
+
+    fn note_ended(&self, run: &RunUnderWay, server: &ServerRecord, cause: &str) {
+        let ended = run.note_ended();
         let node = &self.node;
         let fingerprint = run.request().short();
         Metrics::count(&node.metrics.servers_ended);
         node.log.write("server_ended", || {
             serde_json::json!({"fingerprint": fingerprint, "server": server.id,
-                "cause": error.reason, "ended": ended})
+                "cause": cause, "ended": ended})
         });
         if ended == MOST_ENDED {
             Metrics::count(&node.metrics.requests_blamed);
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -173,7 +173,7 @@
         let exchange = match outcome {
             Ok(exchange) => exchange,
             Err(error) => {
-                upstreams.judge(&run, &server, &error).await;
+                upstreams.judge(run, &server, &error).await;
                 note_failure(upstreams, request, &server, &error);
                 let gate = ColdGate::of(&node, &request.service);
                 if error.ran == Ran::No && gate.is_some_and(|gate| !gate.passes(&server)) {
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -196,11 +196,12 @@
         let node = self.upstreams.node().clone();
         let failed = self.begun.take();
         self.splitter.rest();
-        if let Some(begun) = &failed {
-            let server = &begun.exchange.server;
-            self.upstreams.judge(&begun.run, server, &error).await;
+        let mut server = None;
+        if let Some(begun) = failed {
+            let broken = begun.exchange.server;
+            self.upstreams.judge(begun.run, &broken, &error).await;
+            server = Some(broken.id.clone());
         }
-        let server = failed.map(|begun| begun.exchange.server.id.clone());
         if let Some(server) = server.as_ref().filter(|_| error.unreachable) {
             node.loads.suspect(server, SUSPECT_TIME);
         }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -111,7 +111,7 @@
     let mut exchange = match runner.upstreams.attempt(server, &attempt).await {
         Ok(exchange) => exchange,
         Err(error) => {
-            runner.upstreams.judge(&counted, server, &error).await;
+            runner.upstreams.judge(counted, server, &error).await;
             return RunEnd::Broke(error);
         }
     };
@@ -135,7 +135,7 @@
             RunEnd::Whole
         }
         Err(error) => {
-            runner.upstreams.judge(&counted, server, &error).await;
+            runner.upstreams.judge(counted, server, &error).await;
             RunEnd::Broke(error)
         }
     }
