Failing tests: the same cause on the product's own interface

A request at nodes behind the sidecar ends 8 engines of 8 in four tries, one that must not repeat 5 in five, and an item of a batch job goes on ending its engine for as long as the job is open (the test gives up after ten minutes of virtual time).

--- a/crates/batch/tests/batch/main.rs
+++ b/crates/batch/tests/batch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the batch path on nodes that share an in-memory store, in virtual time.
 
+mod crashes;
 mod drains;
 mod faults;
 mod jobs;
--- a/crates/batch/tests/batch/support/engine.rs
+++ b/crates/batch/tests/batch/support/engine.rs
@@ -31,6 +31,10 @@
     pub cancelled: RefCell<BTreeSet<String>>,
     /// Engines that lose their streams.
     pub dead: RefCell<BTreeSet<String>>,
+    /// Prompts that hold this end the engine that begins to run them; it is back a second later.
+    pub crashed_by: RefCell<Option<String>>,
+    /// How often that happened.
+    pub crashes: Cell<u32>,
     next: Cell<u64>,
 }
 
@@ -50,6 +54,16 @@
             .count()
     }
 
+    fn crash(self: &Rc<Self>, base: &str) {
+        self.crashes.set(self.crashes.get() + 1);
+        self.dead.borrow_mut().insert(base.to_owned());
+        let (engine, base) = (self.clone(), base.to_owned());
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            engine.dead.borrow_mut().remove(&base);
+        });
+    }
+
     fn begin(&self, base: &str) {
         let mut running = self.running.borrow_mut();
         let count = running.entry(base.to_owned()).or_insert(0);
@@ -110,6 +124,13 @@
                 reason: "dead".to_owned(),
             });
         }
+        let crashed_by = engine.crashed_by.borrow().clone();
+        if crashed_by.is_some_and(|text| call.prompt.contains(&text)) {
+            engine.crash(base);
+            return Err(EngineError::Lost {
+                reason: "connection reset".to_owned(),
+            });
+        }
         let base = base.to_owned();
         let stream = format!("stream-{}", engine.next.get());
         engine.next.set(engine.next.get() + 1);
@@ -162,6 +183,11 @@
     }
 
     async fn status(&self, base: &str) -> Result<EngineReport, EngineError> {
+        if self.0.dead.borrow().contains(base) {
+            return Err(EngineError::Unreachable {
+                reason: "connection refused".to_owned(),
+            });
+        }
         Ok(FakeEngine::report(base))
     }
 
--- /dev/null
+++ b/crates/online/tests/crashes.rs
@@ -0,0 +1,77 @@
+//! Requests that crash the engines which run them.
+
+mod support;
+
+use dappleyard_wire::ErrorKind;
+use dappleyard_wire::messages::Submit;
+use googletest::prelude::*;
+use support::engine::Script;
+use support::*;
+
+/// Engines that may end under one request.
+const MOST_ENDED: usize = 3;
+const SERVERS: usize = 8;
+
+fn other_request(id: &str) -> Submit {
+    let mut submit = request(id);
+    submit.request.as_mut().expect("a request").prompt = "another prompt".to_owned();
+    submit
+}
+
+#[gtest]
+fn tries_of_one_request() {
+    run(async {
+        let node = Node::new(SERVERS);
+        for server in 0..SERVERS {
+            node.engine.script(&format!("s{server}"), [Script::Crash]);
+        }
+        let mut last = None;
+        for try_number in 0..4 {
+            let answer = node
+                .submit(request(&format!("r{try_number}")))
+                .whole()
+                .await;
+            last = answer.refused;
+        }
+        expect_that!(node.engine.ended.borrow().len(), eq(MOST_ENDED));
+        let refused = last.expect("a refusal");
+        expect_that!(refused.kind, eq(ErrorKind::ServersEnded as u32));
+        expect_that!(refused.retry_after_ms, eq(0));
+    });
+}
+
+#[gtest]
+fn orders_that_must_not_repeat() {
+    run(async {
+        let node = Node::new(SERVERS);
+        for server in 0..SERVERS {
+            node.engine.script(&format!("s{server}"), [Script::Crash]);
+        }
+        // Each with a key of its own: the caller decides to run it anew.
+        for try_number in 0..5 {
+            let id = format!("r{try_number}");
+            node.submit(once_request(&id, &id)).whole().await;
+        }
+        expect_that!(node.engine.ended.borrow().len(), eq(MOST_ENDED));
+    });
+}
+
+#[gtest]
+fn others_are_served() {
+    run(async {
+        let node = Node::new(SERVERS);
+        // Two engines end for a reason of their own while they run the same request.
+        for server in 0..2 {
+            node.engine.script(&format!("s{server}"), [Script::Crash]);
+        }
+        for number in 0..20 {
+            let id = format!("r{number}");
+            let submit = match number % 2 {
+                0 => request(&id),
+                _ => other_request(&id),
+            };
+            let answer = node.submit(submit).whole().await;
+            expect_that!(answer.finish.is_some(), eq(true), "{id}");
+        }
+    });
+}
--- a/crates/online/tests/support/engine.rs
+++ b/crates/online/tests/support/engine.rs
@@ -39,6 +39,8 @@
     LostAtCall,
     /// No answer to the call, ever.
     SilentAtCall,
+    /// The engine ends while it runs the request, and is not back before the test is over.
+    Crash,
 }
 
 impl Script {
@@ -93,6 +95,8 @@
     pub runs: RefCell<Vec<String>>,
     /// Streams cancelled.
     pub cancels: RefCell<Vec<String>>,
+    /// Engines that have ended.
+    pub ended: RefCell<Vec<String>>,
     /// Servers whose status says that they take no new work.
     pub leaving: RefCell<Vec<String>>,
     /// Statuses asked for.
@@ -225,6 +229,11 @@
         if self.at_once.get() > 0 {
             return Ok(whole_at_once(self.at_once.get()));
         }
+        if self.ended.borrow().iter().any(|ended| ended == base) {
+            return Err(EngineError::Unreachable {
+                reason: "connection refused".to_owned(),
+            });
+        }
         let script = self.next_script(base);
         let lives = self.living.borrow().contains(&call.attach_stream);
         if call.attach_only && !lives {
@@ -249,6 +258,12 @@
                 reason: "connection reset".to_owned(),
             }),
             Script::SilentAtCall => std::future::pending().await,
+            Script::Crash => {
+                self.ended.borrow_mut().push(base.to_owned());
+                Err(EngineError::Lost {
+                    reason: "connection reset".to_owned(),
+                })
+            }
         }
     }
 
@@ -263,6 +278,11 @@
 
     async fn status(&self, base: &str) -> Result<EngineReport, EngineError> {
         self.statuses.set(self.statuses.get() + 1);
+        if self.ended.borrow().iter().any(|ended| ended == base) {
+            return Err(EngineError::Unreachable {
+                reason: "connection refused".to_owned(),
+            });
+        }
         let server = base.replace("http://", "");
         let mut report = report(&server, VERSION);
         report.accepting = !self.leaving.borrow().contains(&server);
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -124,6 +124,8 @@
     Fenced = 24, "fenced", 409, "server_error", false, Nobody;
     /// A disruption budget does not allow the step now.
     BudgetExhausted = 25, "budget_exhausted", 409, "server_error", false, CallerLater;
+    /// As many servers as may have ended while they ran the request; it is not run again.
+    ServersEnded = 26, "servers_ended", 502, "server_error", false, Caller;
 }
 
 /// A refusal, with the truth about execution.
