The product's own interface counts ends of engines over all nodes too

Owners ask the ledger before a run, look at an engine whose stream was lost, and spread what they see on the datagrams of membership. An engine keeps its name over restarts, so ends are named by their time. A request is refused as servers_ended after three, a batch item fails with that kind; attaching to a stream that lives is no run. Nodes of this interface do not keep it over a loss of all.

--- a/crates/batch/src/runner/run_item.rs
+++ b/crates/batch/src/runner/run_item.rs
@@ -1,7 +1,9 @@
 //! One item on one engine: from the call to the end of its stream.
 
 use std::rc::Rc;
+use std::time::Duration;
 
+use dappleyard_crashes::{Fingerprint, Permit, RequestParts};
 use dappleyard_engine::{EngineError, EngineEvent, GenerateCall, Priority};
 use dappleyard_tables::directory::ServerEntry;
 use dappleyard_tables::servers::InFlight;
@@ -18,6 +20,9 @@
 /// How long nothing is started on a server whose engine refused or was not reached, milliseconds.
 const AVOID_MS: u64 = 500;
 
+/// Pause of an item whose run elsewhere is under way, and may end an engine.
+const WAIT: Duration = Duration::from_millis(20);
+
 /// How an attempt ended.
 enum Ended {
     /// With the whole answer.
@@ -32,6 +37,8 @@
     Lost(String),
     /// The engine will never take the item.
     Rejected(String),
+    /// As many engines as may have ended while they ran it.
+    Blamed,
 }
 
 /// Starts an item on a server and follows it in a task of its own.
@@ -85,7 +92,7 @@
 ) {
     let ended = match item.chunk.once {
         true if !runner.mark_started(&item.chunk, item.index).await => Ended::Paused,
-        _ => run(&runner, &entry, &mut item, &request, attempt).await,
+        _ => run_counted(&runner, &entry, &mut item, &request, attempt).await,
     };
     runner.tables.servers.end_batch(&entry.server, &request);
     item.cache_mark = remove_running(&runner, &entry, &request, attempt, &item);
@@ -130,6 +137,15 @@
                 &ItemOutcome::Failed { kind, message },
             );
         }
+        Ended::Blamed => {
+            let kind = ErrorKind::ServersEnded;
+            let message = "engines ended while they ran this item".to_owned();
+            runner.settle(
+                &item.chunk,
+                item.index,
+                &ItemOutcome::Failed { kind, message },
+            );
+        }
         // The engine gave up an item that must not repeat by itself: it may have run.
         Ended::Paused if item.chunk.once && !item.version.is_empty() => {
             runner.settle_unknown(&item.chunk, item.index);
@@ -157,6 +173,52 @@
     server.avoid_until = until;
 }
 
+/// Runs an item unless engines that ended under it forbid it, and notes whether this one does.
+async fn run_counted(
+    runner: &Runner,
+    entry: &ServerEntry,
+    item: &mut WorkItem,
+    request: &RequestId,
+    attempt: u32,
+) -> Ended {
+    let crashes = &runner.tables.crashes;
+    let counted = match crashes.begin(fingerprint(item), &entry.server) {
+        Ok(counted) => counted,
+        Err(Permit::Refused) => return Ended::Blamed,
+        Err(_) => {
+            tokio::time::sleep(WAIT).await;
+            return Ended::Paused;
+        }
+    };
+    let ended = run(runner, entry, item, request, attempt).await;
+    match &ended {
+        Ended::Answered { .. } => counted.note_served(),
+        Ended::Lost(_) => {
+            let answered = runner.engine.status(&entry.base_url).await;
+            if matches!(answered, Err(EngineError::Unreachable { .. })) {
+                let clock = &runner.tables.clock;
+                let ended = counted.note_ended(clock.now(), clock.unix_ms());
+                tracing::info!(%request, server = %entry.server, ended,
+                    "an engine ended while it ran an item");
+            }
+        }
+        _ => {}
+    }
+    ended
+}
+
+/// What makes two runs of an item the same request, and an item the same as an online request.
+fn fingerprint(item: &WorkItem) -> Fingerprint {
+    let input = item.item();
+    Fingerprint::of(&RequestParts {
+        caller: &item.chunk.tenant,
+        method: "",
+        host: &input.service,
+        target: &input.adapter,
+        body: input.prompt.as_bytes(),
+    })
+}
+
 async fn run(
     runner: &Runner,
     entry: &ServerEntry,
--- a/crates/fleet/src/actor.rs
+++ b/crates/fleet/src/actor.rs
@@ -25,6 +25,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::cancelled::CancelledJobs;
+use crate::crashes::CrashSpread;
 use crate::directory::Directory;
 use crate::lifecycle::{Inputs, LifecycleGuard};
 use crate::loads::Loads;
@@ -83,6 +84,7 @@
     directory: Directory,
     loads: Loads,
     cancelled: CancelledJobs,
+    crashes: CrashSpread,
     guard: LifecycleGuard,
     due: Due,
     running: Running,
@@ -145,6 +147,7 @@
             directory: Directory::default(),
             loads: Loads::default(),
             cancelled: CancelledJobs::default(),
+            crashes: CrashSpread::default(),
             guard: LifecycleGuard::default(),
             due: Due::default(),
             running: Running::default(),
@@ -186,6 +189,7 @@
         let grace = self.settings.suspicion_ms / 2;
         self.tables.set_vouched_until(now.plus(grace));
         self.cancelled.collect(&self.tables, now);
+        self.crashes.collect(&self.tables, now);
         self.publish(now);
         self.push_fresh();
         self.ask_for_missing();
@@ -261,6 +265,7 @@
         }
         self.cancelled
             .learn(&datagram.cancelled_jobs, &self.tables, now);
+        self.crashes.learn(&datagram.crashes, &self.tables);
         self.take_servers(&datagram);
         match datagram.body {
             Some(Body::Ack(ack)) => self.hear_revision(from, ack.configuration_revision),
--- a/crates/fleet/src/actor/outgoing.rs
+++ b/crates/fleet/src/actor/outgoing.rs
@@ -26,7 +26,7 @@
         }
     }
 
-    /// Sends a datagram with as many configuration changes and cancelled jobs as fit.
+    /// Sends a datagram with as much of what waits to be spread as fits.
     fn send_with_updates(&mut self, to: SocketAddr, mut datagram: Datagram) {
         use prost::Message;
         let limit = retransmits(self.membership.present() + 1);
@@ -35,6 +35,8 @@
         let free = MAXIMUM_DATAGRAM_BYTES.saturating_sub(datagram.encoded_len());
         datagram.cancelled_jobs = self.cancelled.take(free, limit);
         let free = MAXIMUM_DATAGRAM_BYTES.saturating_sub(datagram.encoded_len());
+        datagram.crashes = self.crashes.take(free, limit);
+        let free = MAXIMUM_DATAGRAM_BYTES.saturating_sub(datagram.encoded_len());
         datagram.servers = self.machines.take(free, limit);
         datagram.reread_machines_unix_ms = self.machines.reread_unix_ms();
         self.send(to, &datagram);
@@ -52,9 +54,10 @@
         self.send(to, &datagram);
     }
 
-    /// Pushes a change that was just applied to a few members, without waiting for a probe.
+    /// Pushes what is new, a change that was just applied or a request that ends engines, to a few members, without waiting for a probe.
     pub(super) fn push_fresh(&mut self) {
-        if !self.spread.take_fresh() {
+        let changed = self.spread.take_fresh();
+        if !self.crashes.take_fresh() && !changed {
             return;
         }
         for to in self
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod actor;
 pub mod cancelled;
+pub mod crashes;
 mod directory;
 mod lifecycle;
 mod loads;
--- /dev/null
+++ b/crates/online/src/owner/crashes.rs
@@ -0,0 +1,72 @@
+//! Requests under which engines end: whether another run may begin, and what the end of one says.
+
+use std::time::Duration;
+
+use dappleyard_crashes::{Fingerprint, Permit, RequestParts};
+use dappleyard_engine::EngineError;
+
+use super::{End, Next, OwnerRun};
+use crate::dispatch::Chosen;
+
+/// Time between two looks whether a run under way elsewhere has ended.
+const WAIT: Duration = Duration::from_millis(20);
+
+impl OwnerRun {
+    /// Whether the request may run. Going on with a stream that lives is no run.
+    pub(super) fn permit(&self, attaching: bool) -> Permit {
+        match attaching {
+            true => Permit::Free,
+            false => self.worker.tables.crashes.permit(&self.fingerprint()),
+        }
+    }
+
+    pub(super) async fn wait_for_other_runs(&self) {
+        let left = self.incoming.left_ms();
+        tokio::time::sleep(WAIT.min(Duration::from_millis(u64::from(left)))).await;
+    }
+
+    /// Counts a run that begins; `false` when others were quicker and it must not.
+    pub(super) fn begin_run(&mut self, chosen: &Chosen, attaching: bool) -> bool {
+        if attaching && self.run.is_some() {
+            return true;
+        }
+        let crashes = &self.worker.tables.crashes;
+        self.run = crashes.begin(self.fingerprint(), &chosen.server).ok();
+        attaching || self.run.is_some()
+    }
+
+    /// Judges a call that has ended. The stream of a lost connection may live on, so the run does until its engine
+    /// answers no more.
+    pub(super) async fn end_run(&mut self, chosen: &Chosen, next: &Next) {
+        let Some(run) = &self.run else {
+            return;
+        };
+        if matches!(next, Next::End(End::Finished(_))) {
+            run.note_served();
+        }
+        if self.lost {
+            let answered = self.worker.engine.status(&chosen.base_url).await;
+            if let Err(EngineError::Unreachable { reason }) = answered {
+                let clock = &self.worker.tables.clock;
+                let ended = run.note_ended(clock.now(), clock.unix_ms());
+                tracing::info!(request = %self.incoming.id, server = %chosen.server, reason,
+                    ended, "an engine ended while it ran the request");
+                self.run = None;
+            }
+        }
+        if !self.earlier.has_stream() {
+            self.run = None;
+        }
+    }
+
+    fn fingerprint(&self) -> Fingerprint {
+        let request = &self.incoming.request;
+        Fingerprint::of(&RequestParts {
+            caller: &request.tenant,
+            method: "",
+            host: &request.service,
+            target: &request.adapter,
+            body: request.prompt.as_bytes(),
+        })
+    }
+}
--- a/crates/online/src/owner/mod.rs
+++ b/crates/online/src/owner/mod.rs
@@ -1,14 +1,17 @@
 //! The owner stage: dispatches to one of this node's servers, and decides what follows a loss.
 
 mod cancel;
+mod crashes;
 
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
+use dappleyard_crashes::Permit;
 use dappleyard_decide::retry::may_follow;
 use dappleyard_engine::{EngineError, EventStream};
+use dappleyard_tables::crashes::RunAtEngine;
 use dappleyard_wire::error::join_ran;
 use dappleyard_wire::ids::ServerId;
 use dappleyard_wire::messages::{Chunk, Finish, frame};
@@ -46,6 +49,10 @@
     reader: Option<ReaderSlot>,
     excluded: Vec<ServerId>,
     dispatches: u32,
+    /// The connection of the last call was lost.
+    lost: bool,
+    /// The run at an engine that is under way.
+    run: Option<RunAtEngine>,
     /// When a stream whose caller was lost is given up.
     detached_until: Option<Instant>,
 }
@@ -76,6 +83,8 @@
             reader: None,
             excluded: Vec::new(),
             dispatches: 0,
+            lost: false,
+            run: None,
             detached_until: None,
         }
     }
@@ -99,11 +108,24 @@
                 return End::Refused(settle::deadline(self.ran));
             }
             let attaching = self.earlier.has_stream();
+            match self.permit(attaching) {
+                Permit::Free | Permit::LastRun => {}
+                Permit::Wait => {
+                    self.wait_for_other_runs().await;
+                    continue;
+                }
+                Permit::Refused => return End::Refused(settle::servers_ended(self.ran)),
+            }
             let chosen = match self.next_server(attaching).await {
                 Ok(chosen) => chosen,
                 Err(failure) => return End::Refused(failure),
             };
-            match self.call(&chosen, attaching).await {
+            if !self.begin_run(&chosen, attaching) {
+                continue;
+            }
+            let next = self.call(&chosen, attaching).await;
+            self.end_run(&chosen, &next).await;
+            match next {
                 Next::End(end) => return end,
                 Next::Again => {}
             }
@@ -149,6 +171,7 @@
 
     async fn call(&mut self, chosen: &Chosen, attach: bool) -> Next {
         self.dispatches += 1;
+        self.lost = false;
         self.reader = None;
         let attempt = self
             .incoming
@@ -239,6 +262,7 @@
             return Next::End(End::Refused(self.superseded()));
         }
         let lost = matches!(error, EngineError::Lost { .. });
+        self.lost = lost;
         if lost {
             self.ran = join_ran(self.ran, Ran::Maybe);
         }
--- a/crates/online/src/settle.rs
+++ b/crates/online/src/settle.rs
@@ -43,6 +43,12 @@
     )
 }
 
+/// As many servers as may have ended while they ran the request.
+pub(crate) fn servers_ended(ran: Ran) -> Failure {
+    let message = "servers ended while they ran this request; it is not run again";
+    Failure::not_run(ErrorKind::ServersEnded, message).after(ran)
+}
+
 /// The outcome to record for a failure.
 pub(crate) fn failed_outcome(failure: &Failure) -> OnceOutcome {
     if failure.kind == ErrorKind::OutcomeUnknown {
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod configuration;
+pub mod crashes;
 pub mod decisions;
 pub mod directory;
 pub mod loads;
@@ -19,6 +20,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use dappleyard_decide::time::Millis;
+use dappleyard_wire::hash::rendezvous_weight;
 use dappleyard_wire::ids::{NodeId, RegionId, ZoneId};
 use tokio::sync::watch;
 
@@ -72,6 +74,8 @@
     pub loads: loads::LoadsTable,
     /// Jobs known to be cancelled, spread by gossip.
     pub cancelled_jobs: Ranked<BTreeSet<String>>,
+    /// Requests under which engines ended, spread by gossip.
+    pub crashes: Arc<crashes::CrashesTable>,
     /// Bounded decision records.
     pub decisions: decisions::DecisionsTable,
     /// Registry of this node's metrics.
@@ -82,7 +86,9 @@
 impl NodeTables {
     /// Empty tables of a starting node.
     pub fn new(identity: Identity) -> Arc<NodeTables> {
+        let number = rendezvous_weight(identity.incarnation, identity.node.as_str());
         Arc::new(NodeTables {
+            crashes: crashes::CrashesTable::new(number),
             identity,
             clock: clock::Clock::start(),
             lifecycle: watch::Sender::new(Lifecycle::Starting),
--- a/crates/tables/src/rank.rs
+++ b/crates/tables/src/rank.rs
@@ -24,10 +24,12 @@
     Batch = 7,
     /// Cancelled jobs.
     CancelledJobs = 8,
+    /// Requests under which engines ended.
+    Crashes = 9,
     /// Store gate.
-    Gate = 9,
+    Gate = 10,
     /// Decision records.
-    Decisions = 10,
+    Decisions = 11,
 }
 
 thread_local! {
