--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -9,6 +9,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::messages::{CrashNews, CrashRecord, RunsOf};
 use crate::record::{MOST_ENDED, Record};
+use crate::served::Served;
 
 /// Requests that are held. Each one cost a server, or stood beside one that did: 7,900 servers with 26 requests
 /// each, of which every fiftieth ends in the same minutes. About 1 MB.
@@ -42,6 +43,15 @@
     Refused,
 }
 
+/// What the end of a server under a request came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Noted {
+    /// Servers that have ended under it.
+    pub ended: usize,
+    /// It runs no more from now on.
+    pub now_refused: bool,
+}
+
 /// What a message brought.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Merged {
@@ -69,6 +79,8 @@
     records: BTreeMap<Fingerprint, Record>,
     /// Servers at which this node runs requests, known or not.
     running: HashMap<Fingerprint, Vec<String>>,
+    /// Requests that were served lately.
+    served: Served,
     /// How often changes are still to be told.
     untold: HashMap<Fingerprint, u8>,
     repeated: Option<Fingerprint>,
@@ -84,6 +96,7 @@
             sequence: 0,
             records: BTreeMap::new(),
             running: HashMap::new(),
+            served: Served::default(),
             untold: HashMap::new(),
             repeated: None,
             unstored: BTreeSet::new(),
@@ -95,19 +108,20 @@
         let Some(record) = self.records.get(request) else {
             return Permit::Free;
         };
-        if record.is_refused() {
+        let counted = self.counted(request, record);
+        if counted >= MOST_ENDED {
             return Permit::Refused;
         }
-        if record.ended.is_empty() {
+        if counted == 0 {
             return Permit::Free;
         }
         let own = self.running.get(request).map_or(0, Vec::len);
         let under_way = own + record.told_servers(now).count();
         // Each run under way may end its server.
-        if record.ended.len() + under_way >= MOST_ENDED {
+        if counted + under_way >= MOST_ENDED {
             return Permit::Wait;
         }
-        match record.is_last_run() {
+        match counted + 1 == MOST_ENDED {
             true => Permit::LastRun,
             false => Permit::Free,
         }
@@ -142,28 +156,59 @@
         self.tell_runs(request);
     }
 
-    /// A server ended while it ran a request; how many have by now.
-    pub fn note_ended(&mut self, request: &Fingerprint, server: &str, now: Instant) -> usize {
+    /// A server ended while it ran a request.
+    pub fn note_ended(&mut self, request: &Fingerprint, server: &str, now: Instant) -> Noted {
         self.make_room(request);
+        let was_refused = self.is_refused(request);
         let record = self.records.entry(*request);
         let record = record.or_insert_with(|| Record::new(now));
         record.seen_here = true;
-        if record.note_ended(server, now) {
+        let ended = record.note_ended(server, now);
+        let noted = Noted {
+            ended: record.ended.len(),
+            now_refused: !was_refused && self.is_refused(request),
+        };
+        if ended {
             self.untold.insert(*request, TELLINGS);
-            if record.is_refused() {
-                self.unstored.insert(*request);
-            }
         }
-        record.ended.len()
+        if noted.now_refused {
+            self.unstored.insert(*request);
+        }
+        noted
+    }
+
+    /// Whether a request runs no more.
+    fn is_refused(&self, request: &Fingerprint) -> bool {
+        let record = self.records.get(request);
+        record.is_some_and(|record| self.counted(request, record) >= MOST_ENDED)
+    }
+
+    /// Ends of a request that count.
+    fn counted(&self, request: &Fingerprint, record: &Record) -> usize {
+        let first = record.first_end();
+        let served = first.is_some_and(|first| self.served.lately_before(request, first));
+        record.counted(served)
     }
 
     /// A server ran a request to a good end: it does not crash every server. Whether that was in doubt.
     pub fn note_served(&mut self, request: &Fingerprint, now: Instant) -> bool {
+        let was_refused = self.is_refused(request);
+        self.served.note(*request, now);
+        self.clear(request, was_refused, now)
+    }
+
+    /// Forgets what is known against a request, as an operator asks; whether there was anything.
+    pub fn forgive(&mut self, request: &Fingerprint, now: Instant) -> bool {
+        let was_refused = self.is_refused(request);
+        self.clear(request, was_refused, now)
+    }
+
+    fn clear(&mut self, request: &Fingerprint, was_refused: bool, now: Instant) -> bool {
         let known = self.records.get_mut(request);
         let Some(record) = known.filter(|record| !record.ended.is_empty()) else {
             return false;
         };
-        if record.is_refused() {
+        if was_refused {
             self.unstored.insert(*request);
         }
         record.clear(now);
@@ -174,7 +219,9 @@
     /// Servers at which other requests have their last run now.
     pub fn last_run_servers(&self, but: &Fingerprint, now: Instant) -> HashSet<String> {
         let others = self.records.iter();
-        let others = others.filter(|(request, record)| *request != but && record.is_last_run());
+        let others = others.filter(|(request, record)| {
+            *request != but && self.counted(request, record) + 1 == MOST_ENDED
+        });
         let mut servers = HashSet::new();
         for (request, record) in others {
             let own = self.running.get(request).into_iter().flatten();
@@ -185,9 +232,9 @@
     }
 
     /// Servers that ended under a request.
-    pub fn ended_under(&self, request: &Fingerprint) -> &[String] {
+    pub fn ended_under(&self, request: &Fingerprint) -> Vec<String> {
         let record = self.records.get(request);
-        record.map_or(&[], |record| &record.ended)
+        record.map(Record::servers).unwrap_or_default()
     }
 
     /// What is to be told now; `repeats` too, those that were told before.
@@ -235,15 +282,17 @@
         }
         self.make_room(&request);
         let own = self.own;
+        let was_refused = self.is_refused(&request);
+        let seen = now.checked_sub(Duration::from_millis(told.age_ms));
         let record = self.records.entry(request);
-        let record = record.or_insert_with(|| Record::new(now));
-        let was_refused = record.is_refused();
+        let record = record.or_insert_with(|| Record::new(seen.unwrap_or(now)));
+        let (is_new, seen_here) = (record.merge(told, own, now), record.seen_here);
         let merged = Merged {
-            is_new: record.merge(told, own, now),
-            now_refused: !was_refused && record.is_refused(),
+            is_new,
+            now_refused: !was_refused && self.is_refused(&request),
         };
         // One of those that saw a server end writes it: what was put together from their news is known to all.
-        if merged.now_refused && record.seen_here {
+        if merged.now_refused && seen_here {
             self.unstored.insert(request);
         }
         if merged.is_new && pass_on {
@@ -255,7 +304,7 @@
     /// The next request of which the store is to learn: its record while it runs no more, `None` when it may run.
     pub fn next_unstored(&mut self, now: Instant) -> Option<(Fingerprint, Option<CrashRecord>)> {
         let request = self.unstored.pop_first()?;
-        let refused = self.records.get(&request).is_some_and(Record::is_refused);
+        let refused = self.is_refused(&request);
         Some((request, refused.then(|| self.message(&request, now))))
     }
 
@@ -273,11 +322,12 @@
 
     /// Requests that run no more, and how many others are held.
     pub fn refused(&self, now: Instant) -> (Vec<Held>, usize) {
-        let refused = self.records.iter().filter(|(_, held)| held.is_refused());
+        let all = self.records.iter();
+        let refused = all.filter(|(request, _)| self.is_refused(request));
         let refused: Vec<Held> = refused
             .map(|(request, record)| Held {
                 fingerprint: *request,
-                ended: record.ended.clone(),
+                ended: record.servers(),
                 age: now.saturating_duration_since(record.changed),
             })
             .collect();
@@ -335,10 +385,10 @@
         if self.records.len() < MOST_RECORDS || self.records.contains_key(request) {
             return;
         }
-        let least = self
-            .records
-            .iter()
-            .min_by_key(|(_, record)| (record.is_refused(), record.ended.len(), record.changed));
+        let least = self.records.iter().min_by_key(|(_, record)| {
+            let ended = record.ended.len();
+            (ended >= MOST_ENDED, ended, record.changed)
+        });
         if let Some(least) = least.map(|(request, _)| *request) {
             self.records.remove(&least);
             self.untold.remove(&least);
--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -8,10 +8,11 @@
 mod ledger;
 mod messages;
 mod record;
+mod served;
 mod table;
 
 pub use fingerprint::{Fingerprint, RequestParts};
-pub use ledger::{Held, KEPT_REFUSED, Ledger, Merged, Permit};
+pub use ledger::{Held, KEPT_REFUSED, Ledger, Merged, Noted, Permit};
 pub use messages::{CrashNews, CrashRecord, RunsOf, StoredRefusal};
 pub use record::MOST_ENDED;
 pub use table::{CrashTable, RunUnderWay};
--- a/crates/crashes/src/messages.rs
+++ b/crates/crashes/src/messages.rs
@@ -28,7 +28,10 @@
     /// Identifiers of the servers that ended under it since.
     #[prost(string, repeated, tag = "3")]
     pub ended: Vec<String>,
-    /// Time since the last of them was seen to end.
+    /// Time since each of them was seen to end, side by side with them.
+    #[prost(uint64, repeated, tag = "6")]
+    pub ages_ms: Vec<u64>,
+    /// Time since the last of them was seen to end, or the name was cleared.
     #[prost(uint64, tag = "4")]
     pub age_ms: u64,
     /// Runs under way.
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -1,6 +1,6 @@
 //! What is known of one request under which a server ended. Pure.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
@@ -12,6 +12,10 @@
 /// How long a run that another node told of counts, unless that node tells otherwise: the longest deadline of online
 /// requests is half of it. A node that ends in the meantime says nothing more.
 const TOLD_RUN: Duration = Duration::from_secs(10);
+/// Ends at most so far apart are one moment: a zone, a rack or a switch that is lost takes its servers within a second.
+const MOMENT: Duration = Duration::from_secs(1);
+/// Servers that are held of one request. A request that was served a moment before counts by moments, not servers.
+const MOST_HELD: usize = 16;
 /// Longest identifier of a server that is taken from a message, bytes.
 const LONGEST_ID: usize = 128;
 /// Nodes whose runs of one request are held or told: no more runs than [`MOST_ENDED`] matter.
@@ -24,12 +28,18 @@
     until: Instant,
 }
 
+/// A server that ended under a request.
+pub(crate) struct End {
+    pub(crate) server: String,
+    at: Instant,
+}
+
 /// One request.
 pub(crate) struct Record {
     /// How often its name was cleared.
     pub(crate) epoch: u32,
     /// Servers that ended under it since, in the order in which this node learned of them.
-    pub(crate) ended: Vec<String>,
+    pub(crate) ended: Vec<End>,
     /// When the last of them was seen to end, or the name was cleared.
     pub(crate) changed: Instant,
     /// This node saw one of them end.
@@ -48,23 +58,44 @@
         }
     }
 
-    /// Whether it may run no more.
-    pub(crate) fn is_refused(&self) -> bool {
-        self.ended.len() >= MOST_ENDED
+    /// Ends that count towards [`MOST_ENDED`]: each server, or each moment at which servers ended. A request that was
+    /// served a moment before does not crash every server: several that end at once under copies of it were lost
+    /// together.
+    pub(crate) fn counted(&self, by_moment: bool) -> usize {
+        if !by_moment {
+            return self.ended.len();
+        }
+        let mut times: Vec<Instant> = self.ended.iter().map(|end| end.at).collect();
+        times.sort_unstable();
+        let gaps = times.windows(2);
+        let apart = gaps.filter(|pair| pair[1].saturating_duration_since(pair[0]) > MOMENT);
+        apart.count() + usize::from(!times.is_empty())
+    }
+
+    /// When the first server was seen to end.
+    pub(crate) fn first_end(&self) -> Option<Instant> {
+        self.ended.iter().map(|end| end.at).min()
     }
 
-    /// Whether its next run is the last one that it may end a server with.
-    pub(crate) fn is_last_run(&self) -> bool {
-        self.ended.len() + 1 == MOST_ENDED
+    /// Servers that ended under it.
+    pub(crate) fn servers(&self) -> Vec<String> {
+        self.ended.iter().map(|end| end.server.clone()).collect()
+    }
+
+    fn has_ended(&self, server: &str) -> bool {
+        self.ended.iter().any(|end| end.server == server)
     }
 
     /// Notes that a server ended under it; whether that was not known.
-    pub(crate) fn note_ended(&mut self, server: &str, now: Instant) -> bool {
-        if self.ended.iter().any(|known| known == server) {
+    pub(crate) fn note_ended(&mut self, server: &str, at: Instant) -> bool {
+        if self.has_ended(server) || self.ended.len() >= MOST_HELD {
             return false;
         }
-        self.ended.push(server.to_owned());
-        self.changed = now;
+        self.ended.push(End {
+            server: server.to_owned(),
+            at,
+        });
+        self.changed = self.changed.max(at);
         true
     }
 
@@ -81,7 +112,7 @@
         // A server that has ended runs nothing.
         let running = alive.flat_map(|told| &told.servers);
         running
-            .filter(|server| !self.ended.contains(server))
+            .filter(|server| !self.has_ended(server))
             .map(String::as_str)
     }
 
@@ -93,11 +124,13 @@
             sequence: told.sequence,
             servers: told.servers.clone(),
         });
+        let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
         CrashRecord {
             fingerprint: fingerprint.to_vec(),
             epoch: self.epoch,
-            ended: self.ended.clone(),
-            age_ms: now.saturating_duration_since(self.changed).as_millis() as u64,
+            ended: self.servers(),
+            ages_ms: self.ended.iter().map(|end| age_ms(end.at)).collect(),
+            age_ms: age_ms(self.changed),
             runs: runs.take(MOST_NODES - 1).collect(),
         }
     }
@@ -109,22 +142,28 @@
         if told.epoch < self.epoch {
             return runs_are_new;
         }
-        // Only what is new moves the time: an age that is passed round loses the time on its way.
-        let seen = now.checked_sub(Duration::from_millis(told.age_ms));
-        let seen = seen.unwrap_or(now);
+        let seen = |age_ms: u64| {
+            let at = now.checked_sub(Duration::from_millis(age_ms));
+            at.unwrap_or(now)
+        };
         let mut is_new = false;
         if told.epoch > self.epoch {
             self.epoch = told.epoch;
             self.ended.clear();
-            self.changed = seen;
+            self.changed = seen(told.age_ms);
             is_new = true;
         }
-        let room = MOST_ENDED.saturating_sub(self.ended.len());
-        let known: HashSet<String> = self.ended.iter().cloned().collect();
-        let fresh = told.ended.into_iter();
-        let fresh = fresh.filter(|server| !known.contains(server) && server.len() <= LONGEST_ID);
-        for server in fresh.take(room) {
-            is_new |= self.note_ended(&server, seen);
+        // Only what is new moves a time: an age that is passed round loses the time on its way.
+        let ages_ms = told
+            .ages_ms
+            .into_iter()
+            .map(Some)
+            .chain(std::iter::repeat(None));
+        for (server, age_ms) in told.ended.iter().zip(ages_ms) {
+            if server.len() <= LONGEST_ID {
+                let at = seen(age_ms.unwrap_or(told.age_ms));
+                is_new |= self.note_ended(server, at);
+            }
         }
         is_new || runs_are_new
     }
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -8,9 +8,8 @@
 use tokio::sync::Notify;
 
 use crate::fingerprint::Fingerprint;
-use crate::ledger::{Held, Ledger, Merged, Permit};
+use crate::ledger::{Held, Ledger, Merged, Noted, Permit};
 use crate::messages::{CrashNews, CrashRecord};
-use crate::record::MOST_ENDED;
 
 /// Requests under which servers ended. The lock is taken alone and never held across an await.
 pub struct CrashTable {
@@ -57,7 +56,7 @@
 
     /// Servers that ended under a request.
     pub fn ended_under(&self, request: &Fingerprint) -> Vec<String> {
-        self.ledger.lock().ended_under(request).to_vec()
+        self.ledger.lock().ended_under(request)
     }
 
     /// What is to be told now; `repeats` too.
@@ -115,9 +114,9 @@
         self.ledger.lock().message(request, Instant::now())
     }
 
-    /// Clears the name of a request; whether anything was known against it.
-    pub fn clear(&self, request: &Fingerprint) -> bool {
-        let cleared = self.ledger.lock().note_served(request, Instant::now());
+    /// Forgets what is known against a request, as an operator asks; whether there was anything.
+    pub fn forgive(&self, request: &Fingerprint) -> bool {
+        let cleared = self.ledger.lock().forgive(request, Instant::now());
         if cleared {
             self.unstored.notify_one();
         }
@@ -146,20 +145,26 @@
         self.request
     }
 
-    /// The server ended while it ran the request; how many have by now.
-    pub fn note_ended(&self) -> usize {
+    /// The server ended while it ran the request.
+    pub fn note_ended(&self) -> Noted {
         let mut ledger = self.table.ledger.lock();
-        let ended = ledger.note_ended(&self.request, &self.server, Instant::now());
+        let noted = ledger.note_ended(&self.request, &self.server, Instant::now());
         drop(ledger);
-        if ended >= MOST_ENDED {
+        if noted.now_refused {
             self.table.unstored.notify_one();
         }
-        ended
+        noted
     }
 
     /// The server ran the request to a good end; whether something was known against it.
     pub fn note_served(&self) -> bool {
-        self.table.clear(&self.request)
+        let mut ledger = self.table.ledger.lock();
+        let cleared = ledger.note_served(&self.request, Instant::now());
+        drop(ledger);
+        if cleared {
+            self.table.unstored.notify_one();
+        }
+        cleared
     }
 }
 
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use dappleyard_cluster::Exclusion;
-use dappleyard_crashes::{Fingerprint, MOST_ENDED, RunUnderWay};
+use dappleyard_crashes::{Fingerprint, RunUnderWay};
 use dappleyard_model::ServerRecord;
 use derive_more::Display;
 use tokio::net::TcpStream;
@@ -98,15 +98,15 @@
     }
 
     fn note_ended(&self, run: &RunUnderWay, server: &ServerRecord, cause: &str) {
-        let ended = run.note_ended();
+        let noted = run.note_ended();
         let node = &self.node;
         let fingerprint = run.request().short();
         Metrics::count(&node.metrics.servers_ended);
         node.log.write("server_ended", || {
             serde_json::json!({"fingerprint": fingerprint, "server": server.id,
-                "cause": cause, "ended": ended})
+                "cause": cause, "ended": noted.ended})
         });
-        if ended == MOST_ENDED {
+        if noted.now_refused {
             Metrics::count(&node.metrics.requests_blamed);
             node.log.write("request_blamed", || {
                 serde_json::json!({"fingerprint": fingerprint, "by": "this node",
--- a/crates/tables/src/crashes.rs
+++ b/crates/tables/src/crashes.rs
@@ -96,9 +96,10 @@
             None => format!("{} at {unix_ms}", self.server),
         };
         crashes.ends.insert(self.server.clone(), (now, end.clone()));
-        crashes
+        let noted = crashes
             .ledger
-            .note_ended(&self.request, &end, Instant::now())
+            .note_ended(&self.request, &end, Instant::now());
+        noted.ended
     }
 
     /// The engine ran the request to a good end.
