Servers that are lost together are nobody's request's doing

An end now does not count while two other servers, that did not run the request, ended within 50 ms of it; three ends are excused at most, so requests that crash servers in the same moments cannot shield each other. racks_lost_one_after_the_other fails without it.

--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -7,6 +7,7 @@
 use dappleyard_clock::Instant;
 
 use crate::fingerprint::Fingerprint;
+use crate::losses::Losses;
 use crate::messages::{CrashNews, CrashRecord, RunsOf};
 use crate::record::{MOST_ENDED, Record};
 use crate::served::Served;
@@ -81,6 +82,8 @@
     running: HashMap<Fingerprint, Vec<String>>,
     /// Requests that were served lately.
     served: Served,
+    /// Servers that ended lately.
+    losses: Losses,
     /// How often changes are still to be told.
     untold: HashMap<Fingerprint, u8>,
     repeated: Option<Fingerprint>,
@@ -97,6 +100,7 @@
             records: BTreeMap::new(),
             running: HashMap::new(),
             served: Served::default(),
+            losses: Losses::default(),
             untold: HashMap::new(),
             repeated: None,
             unstored: BTreeSet::new(),
@@ -160,6 +164,7 @@
     pub fn note_ended(&mut self, request: &Fingerprint, server: &str, now: Instant) -> Noted {
         self.make_room(request);
         let was_refused = self.is_refused(request);
+        self.losses.note(server, now);
         let record = self.records.entry(*request);
         let record = record.or_insert_with(|| Record::new(now));
         record.seen_here = true;
@@ -187,7 +192,7 @@
     fn counted(&self, request: &Fingerprint, record: &Record) -> usize {
         let first = record.first_end();
         let served = first.is_some_and(|first| self.served.lately_before(request, first));
-        record.counted(served)
+        record.counted(&self.losses, served)
     }
 
     /// A server ran a request to a good end: it does not crash every server. Whether that was in doubt.
@@ -287,6 +292,9 @@
         let record = self.records.entry(request);
         let record = record.or_insert_with(|| Record::new(seen.unwrap_or(now)));
         let (is_new, seen_here) = (record.merge(told, own, now), record.seen_here);
+        for end in &record.ended {
+            self.losses.note(&end.server, end.at);
+        }
         let merged = Merged {
             is_new,
             now_refused: !was_refused && self.is_refused(&request),
--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod fingerprint;
 mod ledger;
+mod losses;
 mod messages;
 mod record;
 mod served;
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -5,6 +5,7 @@
 
 use dappleyard_clock::Instant;
 
+use crate::losses::Losses;
 use crate::messages::{CrashRecord, RunsOf};
 
 /// Servers that may end under one request. The bound of the users' rules; a request that reaches it runs no more.
@@ -16,6 +17,9 @@
 const MOMENT: Duration = Duration::from_secs(1);
 /// Servers that are held of one request. A request that was served a moment before counts by moments, not servers.
 const MOST_HELD: usize = 16;
+/// Ends that are not counted since the servers were lost together with others: several requests that crash servers in
+/// the same moments must not excuse each other for ever.
+const MOST_EXCUSED: usize = 3;
 /// Longest identifier of a server that is taken from a message, bytes.
 const LONGEST_ID: usize = 128;
 /// Nodes whose runs of one request are held or told: no more runs than [`MOST_ENDED`] matter.
@@ -31,7 +35,7 @@
 /// A server that ended under a request.
 pub(crate) struct End {
     pub(crate) server: String,
-    at: Instant,
+    pub(crate) at: Instant,
 }
 
 /// One request.
@@ -58,14 +62,21 @@
         }
     }
 
-    /// Ends that count towards [`MOST_ENDED`]: each server, or each moment at which servers ended. A request that was
-    /// served a moment before does not crash every server: several that end at once under copies of it were lost
-    /// together.
-    pub(crate) fn counted(&self, by_moment: bool) -> usize {
+    /// Ends that count towards [`MOST_ENDED`]: each server but for some that were lost together with others, or each
+    /// moment at which servers ended. A request that was served a moment before does not crash every server: several
+    /// that end at once under copies of it were lost together too.
+    pub(crate) fn counted(&self, losses: &Losses, by_moment: bool) -> usize {
+        let own: Vec<&str> = self.ended.iter().map(|end| end.server.as_str()).collect();
+        let mut excused = 0;
+        let counts = |end: &&End| {
+            let excuses = excused < MOST_EXCUSED && losses.is_one_of_many(&end.server, &own);
+            excused += usize::from(excuses);
+            !excuses
+        };
+        let mut times: Vec<Instant> = self.ended.iter().filter(counts).map(|end| end.at).collect();
         if !by_moment {
-            return self.ended.len();
+            return times.len();
         }
-        let mut times: Vec<Instant> = self.ended.iter().map(|end| end.at).collect();
         times.sort_unstable();
         let gaps = times.windows(2);
         let apart = gaps.filter(|pair| pair[1].saturating_duration_since(pair[0]) > MOMENT);
--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -253,3 +253,32 @@
     lose_three(&mut ledger, later);
     expect_that!(ledger.permit(&request(1), later), eq(Permit::Refused));
 }
+
+/// Servers of a rack end at once, each under another request, and one of them under `request(1)`.
+fn lose_rack(ledger: &mut Ledger, rack: usize, now: Instant) {
+    crash(ledger, &request(1), &format!("rack-{rack}-0"), now);
+    for server in 1..6 {
+        let other = request(100 + 10 * rack + server);
+        crash(ledger, &other, &format!("rack-{rack}-{server}"), now);
+    }
+}
+
+#[gtest]
+fn racks_lost_one_after_the_other() {
+    let (mut here, mut there, mut now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    // An item of a job is at a server of each rack that is lost: none of its doing.
+    for rack in 0..3 {
+        lose_rack(&mut here, rack, now);
+        take(&mut there, &here.news(false, now), now);
+        now += Duration::from_secs(2);
+    }
+    for ledger in [&here, &there] {
+        expect_that!(ledger.permit(&request(1), now), eq(Permit::Free));
+    }
+    // Requests that crash servers in the same moments do not excuse each other for ever.
+    for rack in 3..6 {
+        lose_rack(&mut here, rack, now);
+        now += Duration::from_secs(2);
+    }
+    expect_that!(here.permit(&request(1), now), eq(Permit::Refused));
+}
