Operators list the requests that run no more, and let one run again

Ends within 100 ms count as together (50 ms before: the nodes of a fleet of 67 saw the same loss up to 90 ms apart).

--- a/crates/crashes/src/losses.rs
+++ b/crates/crashes/src/losses.rs
@@ -5,9 +5,9 @@
 
 use dappleyard_clock::Instant;
 
-/// Servers that end at most so far apart end together. A rack or a zone is lost in one moment, which nodes see within a
-/// way between regions; a request that crashes servers takes longer from one to the next.
-const TOGETHER: Duration = Duration::from_millis(50);
+/// Servers that end at most so far apart end together. A rack or a zone is lost in one moment, which the nodes of a fleet
+/// of 67 saw up to 90 ms apart; a request that crashes servers took 150 ms from one to the next in the mean.
+const TOGETHER: Duration = Duration::from_millis(100);
 /// Other servers that must have ended with one, and did not run the request, for the request to be none of the cause.
 const OTHERS: usize = 2;
 /// Servers that are held. They are as many as end within minutes, of 7,900.
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_web::HttpResponse;
+use actix_web::http::Method;
 use dappleyard_cluster::Exclusion;
 use dappleyard_crashes::{Fingerprint, RunUnderWay};
 use dappleyard_model::ServerRecord;
@@ -19,6 +21,8 @@
 use crate::node::Node;
 use crate::placement::home;
 
+/// Where operators ask for such requests, on the port of the metrics.
+const OPERATORS_PATH: &str = "/crashes";
 /// Longest wait for a server's address to take or refuse a connection: the way to another region and back, twice. A
 /// dead process's port refuses in one such way.
 const LOOK_LIMIT: Duration = Duration::from_millis(100);
@@ -61,6 +65,42 @@
     home(&servers, request.number()).cloned()
 }
 
+/// What operators ask of such requests: `GET /crashes` lists those that run no more, `DELETE /crashes/FINGERPRINT` lets one
+/// run again at all nodes. `None` for any other call.
+pub(crate) fn operators_call(node: &Node, method: &Method, path: &str) -> Option<HttpResponse> {
+    let rest = path.strip_prefix(OPERATORS_PATH)?;
+    if *method == Method::GET && rest.is_empty() {
+        return Some(list(node));
+    }
+    let request = rest.strip_prefix('/')?;
+    (*method == Method::DELETE).then(|| forgive(node, request))
+}
+
+fn list(node: &Node) -> HttpResponse {
+    let (refused, suspects) = node.crashes.refused();
+    let refused = refused.into_iter().map(|held| {
+        serde_json::json!({"fingerprint": held.fingerprint.to_string(), "servers": held.ended,
+            "age_ms": held.age.as_millis() as u64})
+    });
+    let refused: Vec<serde_json::Value> = refused.collect();
+    HttpResponse::Ok().json(serde_json::json!({"refused": refused, "suspects": suspects}))
+}
+
+fn forgive(node: &Node, text: &str) -> HttpResponse {
+    let request: Fingerprint = match text.parse() {
+        Ok(request) => request,
+        Err(error) => {
+            let error = format!("{text:?} in the path: {error}");
+            return HttpResponse::BadRequest().json(serde_json::json!({"error": error}));
+        }
+    };
+    let cleared = node.crashes.forgive(&request);
+    node.log.write("request_cleared", || {
+        serde_json::json!({"fingerprint": request.short(), "by": "operator", "cleared": cleared})
+    });
+    HttpResponse::Ok().json(serde_json::json!({"cleared": cleared}))
+}
+
 impl Upstreams {
     /// Judges a run that did not come to its end: whether its server ended. The caller's next run follows a way to the
     /// server and back later. Where the first look finds no end, others follow while the caller's next run is under way.
@@ -121,7 +161,7 @@
             let fingerprint = run.request().short();
             self.node.log.write(
                 "request_cleared",
-                || serde_json::json!({"fingerprint": fingerprint}),
+                || serde_json::json!({"fingerprint": fingerprint, "by": "a whole answer"}),
             );
         }
     }
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -15,6 +15,7 @@
 use crate::admission::{Refusal, caller_of_jobs, caller_of_route, known_as, take_credit};
 use crate::answer::{begin, copy_headers, refusal};
 use crate::attempt::{Ran, Upstreams};
+use crate::crashes::operators_call;
 use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
 use crate::evacuated_zones::{orders_text, zone_text};
 use crate::job_calls::{JobCalls, JobReply};
@@ -85,9 +86,10 @@
         return peer_call(payload, &data).await;
     }
     if listen.metrics.is_some_and(|metrics| metrics.port() == port) {
-        return match request.path() == "/metrics" {
-            true => metrics(&node),
-            false => not_here(&node, "only metrics are here"),
+        let asked = operators_call(&node, request.method(), request.path());
+        return match request.path() {
+            "/metrics" => metrics(&node),
+            _ => asked.unwrap_or_else(|| not_here(&node, "only metrics and crashes are here")),
         };
     }
     let under_way = UnderWay::begin(&node);
