--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -112,7 +112,7 @@
         let Some(record) = self.records.get(request) else {
             return Permit::Free;
         };
-        let counted = self.counted(request, record);
+        let counted = record.counted(&self.losses);
         if counted >= MOST_ENDED {
             return Permit::Refused;
         }
@@ -169,8 +169,10 @@
         let record = record.or_insert_with(|| Record::new(now));
         record.seen_here = true;
         let ended = record.note_ended(server, now);
+        let servers = record.ended.len();
+        self.note_served_before(request);
         let noted = Noted {
-            ended: record.ended.len(),
+            ended: servers,
             now_refused: !was_refused && self.is_refused(request),
         };
         if ended {
@@ -185,14 +187,17 @@
     /// Whether a request runs no more.
     fn is_refused(&self, request: &Fingerprint) -> bool {
         let record = self.records.get(request);
-        record.is_some_and(|record| self.counted(request, record) >= MOST_ENDED)
+        record.is_some_and(|record| record.counted(&self.losses) >= MOST_ENDED)
     }
 
-    /// Ends of a request that count.
-    fn counted(&self, request: &Fingerprint, record: &Record) -> usize {
+    /// Notes whether this node served a request a moment before the first server ended under it.
+    fn note_served_before(&mut self, request: &Fingerprint) {
+        let Some(record) = self.records.get_mut(request) else {
+            return;
+        };
         let first = record.first_end();
-        let served = first.is_some_and(|first| self.served.lately_before(request, first));
-        record.counted(&self.losses, served)
+        record.served_before |=
+            first.is_some_and(|first| self.served.lately_before(request, first));
     }
 
     /// A server ran a request to a good end: it does not crash every server. Whether that was in doubt.
@@ -225,7 +230,7 @@
     pub fn last_run_servers(&self, but: &Fingerprint, now: Instant) -> HashSet<String> {
         let others = self.records.iter();
         let others = others.filter(|(request, record)| {
-            *request != but && self.counted(request, record) + 1 == MOST_ENDED
+            *request != but && record.counted(&self.losses) + 1 == MOST_ENDED
         });
         let mut servers = HashSet::new();
         for (request, record) in others {
@@ -295,6 +300,7 @@
         for end in &record.ended {
             self.losses.note(&end.server, end.at);
         }
+        self.note_served_before(&request);
         let merged = Merged {
             is_new,
             now_refused: !was_refused && self.is_refused(&request),
--- a/crates/crashes/src/messages.rs
+++ b/crates/crashes/src/messages.rs
@@ -34,6 +34,9 @@
     /// Time since the last of them was seen to end, or the name was cleared.
     #[prost(uint64, tag = "4")]
     pub age_ms: u64,
+    /// Some node served it within the minute before the first of them ended.
+    #[prost(bool, tag = "7")]
+    pub served_before: bool,
     /// Runs under way.
     #[prost(message, repeated, tag = "5")]
     pub runs: Vec<RunsOf>,
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -48,6 +48,8 @@
     pub(crate) changed: Instant,
     /// This node saw one of them end.
     pub(crate) seen_here: bool,
+    /// Some node served it within the minute before the first of them ended.
+    pub(crate) served_before: bool,
     others: HashMap<u64, Told>,
 }
 
@@ -58,6 +60,7 @@
             ended: Vec::new(),
             changed: now,
             seen_here: false,
+            served_before: false,
             others: HashMap::new(),
         }
     }
@@ -65,7 +68,7 @@
     /// Ends that count towards [`MOST_ENDED`]: each server but for some that were lost together with others, or each
     /// moment at which servers ended. A request that was served a moment before does not crash every server: several
     /// that end at once under copies of it were lost together too.
-    pub(crate) fn counted(&self, losses: &Losses, by_moment: bool) -> usize {
+    pub(crate) fn counted(&self, losses: &Losses) -> usize {
         let own: Vec<&str> = self.ended.iter().map(|end| end.server.as_str()).collect();
         let mut excused = 0;
         let counts = |end: &&End| {
@@ -74,7 +77,7 @@
             !excuses
         };
         let mut times: Vec<Instant> = self.ended.iter().filter(counts).map(|end| end.at).collect();
-        if !by_moment {
+        if !self.served_before {
             return times.len();
         }
         times.sort_unstable();
@@ -114,6 +117,7 @@
     pub(crate) fn clear(&mut self, now: Instant) {
         self.epoch += 1;
         self.ended.clear();
+        self.served_before = false;
         self.changed = now;
     }
 
@@ -142,6 +146,7 @@
             ended: self.servers(),
             ages_ms: self.ended.iter().map(|end| age_ms(end.at)).collect(),
             age_ms: age_ms(self.changed),
+            served_before: self.served_before,
             runs: runs.take(MOST_NODES - 1).collect(),
         }
     }
@@ -162,8 +167,11 @@
             self.epoch = told.epoch;
             self.ended.clear();
             self.changed = seen(told.age_ms);
+            self.served_before = false;
             is_new = true;
         }
+        is_new |= told.served_before && !self.served_before;
+        self.served_before |= told.served_before;
         // Only what is new moves a time: an age that is passed round loses the time on its way.
         let ages_ms = told
             .ages_ms
