--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -160,15 +160,21 @@
         self.tell_runs(request);
     }
 
-    /// A server ended while it ran a request.
-    pub fn note_ended(&mut self, request: &Fingerprint, server: &str, now: Instant) -> Noted {
+    /// A server ended while it ran a request; `brought_output` when the run had.
+    pub fn note_ended(
+        &mut self,
+        request: &Fingerprint,
+        server: &str,
+        brought_output: bool,
+        now: Instant,
+    ) -> Noted {
         self.make_room(request);
         let was_refused = self.is_refused(request);
         self.losses.note(server, now);
         let record = self.records.entry(*request);
         let record = record.or_insert_with(|| Record::new(now));
         record.seen_here = true;
-        let ended = record.note_ended(server, now);
+        let ended = record.note_ended(server, now, brought_output);
         let servers = record.ended.len();
         self.note_served_before(request);
         let noted = Noted {
--- a/crates/crashes/src/messages.rs
+++ b/crates/crashes/src/messages.rs
@@ -31,6 +31,9 @@
     /// Time since each of them was seen to end, side by side with them.
     #[prost(uint64, repeated, tag = "6")]
     pub ages_ms: Vec<u64>,
+    /// Whether the request's run at each of them had brought output, side by side with them.
+    #[prost(bool, repeated, tag = "8")]
+    pub brought_output: Vec<bool>,
     /// Time since the last of them was seen to end, or the name was cleared.
     #[prost(uint64, tag = "4")]
     pub age_ms: u64,
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -36,6 +36,8 @@
 pub(crate) struct End {
     pub(crate) server: String,
     pub(crate) at: Instant,
+    /// The run had brought output: the request does not crash a server that begins to run it.
+    pub(crate) brought_output: bool,
 }
 
 /// One request.
@@ -65,14 +67,16 @@
         }
     }
 
-    /// Ends that count towards [`MOST_ENDED`]: each server but for some that were lost together with others, or each
-    /// moment at which servers ended. A request that was served a moment before does not crash every server: several
+    /// Ends that count towards [`MOST_ENDED`]: each server but for some that were lost together with others after they had
+    /// brought output, or each moment at which servers ended. A request that was served a moment before does not crash every server: several
     /// that end at once under copies of it were lost together too.
     pub(crate) fn counted(&self, losses: &Losses) -> usize {
         let own: Vec<&str> = self.ended.iter().map(|end| end.server.as_str()).collect();
         let mut excused = 0;
         let counts = |end: &&End| {
-            let excuses = excused < MOST_EXCUSED && losses.is_one_of_many(&end.server, &own);
+            let excuses = excused < MOST_EXCUSED
+                && end.brought_output
+                && losses.is_one_of_many(&end.server, &own);
             excused += usize::from(excuses);
             !excuses
         };
@@ -101,13 +105,14 @@
     }
 
     /// Notes that a server ended under it; whether that was not known.
-    pub(crate) fn note_ended(&mut self, server: &str, at: Instant) -> bool {
+    pub(crate) fn note_ended(&mut self, server: &str, at: Instant, brought_output: bool) -> bool {
         if self.has_ended(server) || self.ended.len() >= MOST_HELD {
             return false;
         }
         self.ended.push(End {
             server: server.to_owned(),
             at,
+            brought_output,
         });
         self.changed = self.changed.max(at);
         true
@@ -145,6 +150,7 @@
             epoch: self.epoch,
             ended: self.servers(),
             ages_ms: self.ended.iter().map(|end| age_ms(end.at)).collect(),
+            brought_output: self.ended.iter().map(|end| end.brought_output).collect(),
             age_ms: age_ms(self.changed),
             served_before: self.served_before,
             runs: runs.take(MOST_NODES - 1).collect(),
@@ -178,10 +184,14 @@
             .into_iter()
             .map(Some)
             .chain(std::iter::repeat(None));
-        for (server, age_ms) in told.ended.iter().zip(ages_ms) {
+        let output = told
+            .brought_output
+            .into_iter()
+            .chain(std::iter::repeat(false));
+        for ((server, age_ms), brought_output) in told.ended.iter().zip(ages_ms).zip(output) {
             if server.len() <= LONGEST_ID {
                 let at = seen(age_ms.unwrap_or(told.age_ms));
-                is_new |= self.note_ended(server, at);
+                is_new |= self.note_ended(server, at, brought_output);
             }
         }
         is_new || runs_are_new
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -145,10 +145,10 @@
         self.request
     }
 
-    /// The server ended while it ran the request.
-    pub fn note_ended(&self) -> Noted {
+    /// The server ended while it ran the request; `brought_output` when the run had.
+    pub fn note_ended(&self, brought_output: bool) -> Noted {
         let mut ledger = self.table.ledger.lock();
-        let noted = ledger.note_ended(&self.request, &self.server, Instant::now());
+        let noted = ledger.note_ended(&self.request, &self.server, brought_output, Instant::now());
         drop(ledger);
         if noted.now_refused {
             self.table.unstored.notify_one();
--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -20,7 +20,7 @@
 fn crash(ledger: &mut Ledger, request: &Fingerprint, server: &str, now: Instant) {
     let permit = ledger.begin(request, server, now);
     expect_that!(permit, any![eq(Permit::Free), eq(Permit::LastRun)]);
-    ledger.note_ended(request, server, now);
+    ledger.note_ended(request, server, false, now);
     ledger.end(request, server);
 }
 
@@ -205,7 +205,7 @@
         ledger.begin(&request(1), &format!("i-{number}"), now);
     }
     for number in 0..MOST_ENDED {
-        ledger.note_ended(&request(1), &format!("i-{number}"), now);
+        ledger.note_ended(&request(1), &format!("i-{number}"), false, now);
         ledger.end(&request(1), &format!("i-{number}"));
     }
 }
@@ -255,8 +255,11 @@
 }
 
 /// Servers of a rack end at once, each under another request, and one of them under `request(1)`.
-fn lose_rack(ledger: &mut Ledger, rack: usize, now: Instant) {
-    crash(ledger, &request(1), &format!("rack-{rack}-0"), now);
+fn lose_rack(ledger: &mut Ledger, rack: usize, brought_output: bool, now: Instant) {
+    let server = format!("rack-{rack}-0");
+    ledger.begin(&request(1), &server, now);
+    ledger.note_ended(&request(1), &server, brought_output, now);
+    ledger.end(&request(1), &server);
     for server in 1..6 {
         let other = request(100 + 10 * rack + server);
         crash(ledger, &other, &format!("rack-{rack}-{server}"), now);
@@ -268,7 +271,7 @@
     let (mut here, mut there, mut now) = (Ledger::new(1), Ledger::new(2), Instant::now());
     // An item of a job is at a server of each rack that is lost: none of its doing.
     for rack in 0..3 {
-        lose_rack(&mut here, rack, now);
+        lose_rack(&mut here, rack, true, now);
         take(&mut there, &here.news(false, now), now);
         now += Duration::from_secs(2);
     }
@@ -277,8 +280,19 @@
     }
     // Requests that crash servers in the same moments do not excuse each other for ever.
     for rack in 3..6 {
-        lose_rack(&mut here, rack, now);
+        lose_rack(&mut here, rack, true, now);
         now += Duration::from_secs(2);
     }
     expect_that!(here.permit(&request(1), now), eq(Permit::Refused));
 }
+
+#[gtest]
+fn crashing_beside_lost_racks() {
+    let (mut ledger, mut now) = (Ledger::new(1), Instant::now());
+    // It ends each server as it begins to run; racks that are lost in the same moments are no excuse.
+    for rack in 0..3 {
+        lose_rack(&mut ledger, rack, false, now);
+        now += Duration::from_secs(2);
+    }
+    expect_that!(ledger.permit(&request(1), now), eq(Permit::Refused));
+}
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -52,6 +52,14 @@
     Unknown,
 }
 
+/// A run that did not come to its end.
+pub struct Broken<'a> {
+    /// What was seen.
+    pub error: &'a AttemptError,
+    /// The run had brought output.
+    pub brought_output: bool,
+}
+
 /// Of some servers, those at which the last run of a request may happen: not where another request has its last run.
 /// Nodes choose among them by a hash of the request, since they choose at the same moment, when a server has ended, and
 /// cannot know of each other's choice.
@@ -104,24 +112,26 @@
 impl Upstreams {
     /// Judges a run that did not come to its end: whether its server ended. The caller's next run follows a way to the
     /// server and back later. Where the first look finds no end, others follow while the caller's next run is under way.
-    pub async fn judge(&self, run: RunUnderWay, server: &Arc<ServerRecord>, error: &AttemptError) {
-        if !error.broken_off {
+    pub async fn judge(&self, run: RunUnderWay, server: &Arc<ServerRecord>, broken: &Broken<'_>) {
+        if !broken.error.broken_off {
             return;
         }
+        let output = broken.brought_output;
         match self.look_at(server).await {
-            Evidence::Ended => self.note_ended(&run, server, &error.reason),
+            Evidence::Ended => self.note_ended(&run, server, &broken.error.reason, output),
             Evidence::Leaving => {}
-            Evidence::Alive | Evidence::Unknown => self.look_again(run, server.clone()),
+            Evidence::Alive | Evidence::Unknown => self.look_again(run, server.clone(), output),
         }
     }
 
     /// A process may close its connections before its port, or be back at its port within milliseconds.
-    fn look_again(&self, mut run: RunUnderWay, server: Arc<ServerRecord>) {
+    fn look_again(&self, mut run: RunUnderWay, server: Arc<ServerRecord>, output: bool) {
         let upstreams = self.clone();
         tokio::task::spawn_local(async move {
             tokio::time::sleep(SECOND_LOOK).await;
             if upstreams.look_at(&server).await == Evidence::Ended {
-                upstreams.note_ended(&run, &server, "its port closed after its connections");
+                let cause = "its port closed after its connections";
+                upstreams.note_ended(&run, &server, cause, output);
                 return;
             }
             // The run counts as under way no more; an end that shows later still counts.
@@ -130,21 +140,21 @@
                 tokio::time::sleep(LIST_LOOK).await;
                 if upstreams.node.view.is_replaced(&server) {
                     let cause = "another incarnation is at its address";
-                    upstreams.note_ended(&run, &server, cause);
+                    upstreams.note_ended(&run, &server, cause, output);
                     return;
                 }
             }
         });
     }
 
-    fn note_ended(&self, run: &RunUnderWay, server: &ServerRecord, cause: &str) {
-        let noted = run.note_ended();
+    fn note_ended(&self, run: &RunUnderWay, server: &ServerRecord, cause: &str, output: bool) {
+        let noted = run.note_ended(output);
         let node = &self.node;
         let fingerprint = run.request().short();
         Metrics::count(&node.metrics.servers_ended);
         node.log.write("server_ended", || {
             serde_json::json!({"fingerprint": fingerprint, "server": server.id,
-                "cause": cause, "ended": noted.ended})
+                "cause": cause, "ended": noted.ended, "brought_output": output})
         });
         if noted.now_refused {
             Metrics::count(&node.metrics.requests_blamed);
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -13,6 +13,7 @@
 
 use crate::attempt::{Attempt, AttemptError, Exchange, Ran, SUSPECT_TIME, Upstreams};
 use crate::cold::ColdGate;
+use crate::crashes::Broken;
 use crate::metrics::Metrics;
 use crate::outcome::ErrorKind;
 use crate::patience::Patience;
@@ -173,7 +174,11 @@
         let exchange = match outcome {
             Ok(exchange) => exchange,
             Err(error) => {
-                upstreams.judge(run, &server, &error).await;
+                let broken = Broken {
+                    error: &error,
+                    brought_output: false,
+                };
+                upstreams.judge(run, &server, &broken).await;
                 note_failure(upstreams, request, &server, &error);
                 let gate = ColdGate::of(&node, &request.service);
                 if error.ran == Ran::No && gate.is_some_and(|gate| !gate.passes(&server)) {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -34,7 +34,7 @@
 pub use closing::close;
 pub use cold::ColdGate;
 pub use cold_watch::watch_temperatures;
-pub use crashes::{Evidence, apart};
+pub use crashes::{Broken, Evidence, apart};
 pub use evacuated_zones::{EvacuatedZone, ZoneWatch, evacuated_zones};
 pub use event_stream::{Event, EventSplitter};
 pub use front::{PeerAnswers, configure, front_app_data};
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -7,6 +7,7 @@
 use futures::Stream;
 
 use crate::attempt::{AttemptError, Exchange, Ran, SUSPECT_TIME, Upstreams};
+use crate::crashes::Broken;
 use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
 use crate::event_stream::EventSplitter;
 use crate::metrics::Metrics;
@@ -59,6 +60,8 @@
     splitter: EventSplitter,
     last_event: Option<u64>,
     events: u64,
+    /// Events when the present run began.
+    events_at_begin: u64,
     /// Time from the request's coming to its first event, milliseconds.
     first_event_ms: Option<u64>,
     ended: bool,
@@ -74,6 +77,7 @@
             splitter: EventSplitter::default(),
             last_event,
             events: 0,
+            events_at_begin: 0,
             first_event_ms: None,
             ended: false,
         }
@@ -199,7 +203,11 @@
         let mut server = None;
         if let Some(begun) = failed {
             let broken = begun.exchange.server;
-            self.upstreams.judge(begun.run, &broken, &error).await;
+            let run = Broken {
+                error: &error,
+                brought_output: self.events > self.events_at_begin,
+            };
+            self.upstreams.judge(begun.run, &broken, &run).await;
             server = Some(broken.id.clone());
         }
         if let Some(server) = server.as_ref().filter(|_| error.unreachable) {
@@ -220,6 +228,7 @@
             Dispatched::Begun(begun) => {
                 Metrics::count(&node.metrics.resumed);
                 self.begun = Some(*begun);
+                self.events_at_begin = self.events;
                 Ok(())
             }
             Dispatched::Failed(failed) => {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -6,7 +6,9 @@
 
 use dappleyard_cluster::{InFlight, WorkKind};
 use dappleyard_crashes::RunUnderWay;
-use dappleyard_ingress::{Attempt, AttemptError, EventSplitter, Exchange, Metrics, Patience, Ran};
+use dappleyard_ingress::{
+    Attempt, AttemptError, Broken, EventSplitter, Exchange, Metrics, Patience, Ran,
+};
 use dappleyard_model::{Distance, Route, ServerRecord, TenantStamp};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -111,7 +113,11 @@
     let mut exchange = match runner.upstreams.attempt(server, &attempt).await {
         Ok(exchange) => exchange,
         Err(error) => {
-            runner.upstreams.judge(counted, server, &error).await;
+            let broken = Broken {
+                error: &error,
+                brought_output: false,
+            };
+            runner.upstreams.judge(counted, server, &broken).await;
             return RunEnd::Broke(error);
         }
     };
@@ -128,6 +134,7 @@
             status => RunEnd::Failure(status),
         };
     }
+    let events = job.state.borrow().items[index].events;
     match collect(runner, job, index, &mut exchange, &mut work).await {
         Ok(()) => {
             runner.upstreams.note_served(&counted);
@@ -135,7 +142,11 @@
             RunEnd::Whole
         }
         Err(error) => {
-            runner.upstreams.judge(counted, server, &error).await;
+            let broken = Broken {
+                error: &error,
+                brought_output: job.state.borrow().items[index].events > events,
+            };
+            runner.upstreams.judge(counted, server, &broken).await;
             RunEnd::Broke(error)
         }
     }
--- a/crates/tables/src/crashes.rs
+++ b/crates/tables/src/crashes.rs
@@ -98,7 +98,7 @@
         crashes.ends.insert(self.server.clone(), (now, end.clone()));
         let noted = crashes
             .ledger
-            .note_ended(&self.request, &end, Instant::now());
+            .note_ended(&self.request, &end, false, Instant::now());
         noted.ended
     }
 
