--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -113,14 +113,17 @@
             return Permit::Free;
         };
         let counted = record.counted(&self.losses);
-        if counted >= MOST_ENDED {
-            return Permit::Refused;
-        }
         if counted == 0 {
             return Permit::Free;
         }
         let own = self.running.get(request).map_or(0, Vec::len);
         let under_way = own + record.told_servers(now).count();
+        if counted >= MOST_ENDED {
+            return match under_way == 0 && record.may_try_again(counted, now) {
+                true => Permit::LastRun,
+                false => Permit::Refused,
+            };
+        }
         // Each run under way may end its server.
         if counted + under_way >= MOST_ENDED {
             return Permit::Wait;
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -20,6 +20,10 @@
 /// Ends that are not counted since the servers were lost together with others: several requests that crash servers in
 /// the same moments must not excuse each other for ever.
 const MOST_EXCUSED: usize = 3;
+/// Runs that a request has which was served before, after it was refused.
+const MOST_TRIALS: usize = 3;
+/// Time from the last end to such a run: other causes for which servers end are mostly over by then.
+const TRIAL_AFTER: Duration = Duration::from_secs(3);
 /// Longest identifier of a server that is taken from a message, bytes.
 const LONGEST_ID: usize = 128;
 /// Nodes whose runs of one request are held or told: no more runs than [`MOST_ENDED`] matter.
@@ -90,6 +94,14 @@
         apart.count() + usize::from(!times.is_empty())
     }
 
+    /// Whether a request that is refused may have one more run, at one place: only one that was served before may, some
+    /// seconds after the last end, and a few times. What many callers send would otherwise be lost to all of them.
+    pub(crate) fn may_try_again(&self, counted: usize, now: Instant) -> bool {
+        self.served_before
+            && counted < MOST_ENDED + MOST_TRIALS
+            && now.saturating_duration_since(self.changed) >= TRIAL_AFTER
+    }
+
     /// When the first server was seen to end.
     pub(crate) fn first_end(&self) -> Option<Instant> {
         self.ended.iter().map(|end| end.at).min()
--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -296,3 +296,36 @@
     }
     expect_that!(ledger.permit(&request(1), now), eq(Permit::Refused));
 }
+
+#[gtest]
+fn served_before_may_try_again() {
+    let (mut ledger, mut now) = (Ledger::new(1), Instant::now());
+    // Many callers send it, servers end all the time for other reasons, and three moments hit its copies in a row.
+    ledger.note_served(&request(1), now);
+    for number in 0..MOST_ENDED {
+        crash(&mut ledger, &request(1), &format!("i-{number}"), now);
+        now += Duration::from_secs(2);
+    }
+    expect_that!(ledger.permit(&request(1), now), eq(Permit::Refused));
+    now += Duration::from_secs(3);
+    expect_that!(ledger.begin(&request(1), "i-8", now), eq(Permit::LastRun));
+    expect_that!(ledger.permit(&request(1), now), eq(Permit::Refused));
+    expect_that!(ledger.note_served(&request(1), now), eq(true));
+    ledger.end(&request(1), "i-8");
+    expect_that!(ledger.permit(&request(1), now), eq(Permit::Free));
+}
+
+#[gtest]
+fn trials_end() {
+    let (mut ledger, mut now) = (Ledger::new(1), Instant::now());
+    ledger.note_served(&request(1), now);
+    let mut ended = 0;
+    for number in 0..100 {
+        now += Duration::from_secs(4);
+        if ledger.permit(&request(1), now) != Permit::Refused {
+            crash(&mut ledger, &request(1), &format!("i-{number}"), now);
+            ended += 1;
+        }
+    }
+    expect_that!(ended, eq(2 * MOST_ENDED));
+}
