--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -1,16 +1,16 @@
 //! All requests under which servers ended, as one node knows them. Pure: time is an argument.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
-use std::ops::Bound;
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
 
 use crate::fingerprint::Fingerprint;
 use crate::losses::Losses;
-use crate::messages::{CrashNews, CrashRecord, RunsOf};
+use crate::messages::CrashRecord;
 use crate::record::{MOST_ENDED, Record};
 use crate::served::Served;
+use crate::telling::TELLINGS;
 
 /// Requests that are held. Each one cost a server, or stood beside one that did: 7,900 servers with 26 requests
 /// each, of which every fiftieth ends in the same minutes. About 1 MB.
@@ -20,16 +20,6 @@
 const KEPT_SUSPECT: Duration = Duration::from_secs(600);
 /// How long a request is held that runs no more. After that it may cost three servers again.
 pub const KEPT_REFUSED: Duration = Duration::from_secs(3_600);
-/// Times that a change is told: two messages in a row may be lost.
-const TELLINGS: u8 = 3;
-/// Changes of requests with one ended server that are not told within this time are not told any more: after a loss
-/// of many servers at once there are too many, and callers that come again have done so.
-const TELL_WITHIN: Duration = Duration::from_secs(10);
-/// Records in one message: about 2.5 KB.
-const RECORDS_TOLD: usize = 24;
-/// Records told again in each round of repeats, for nodes that began or were cut off: 0.5 KB a second to each node.
-const RECORDS_REPEATED: usize = 2;
-
 /// What holds for the next run of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Permit {
@@ -75,18 +65,18 @@
 
 /// All requests under which servers ended.
 pub struct Ledger {
-    own: u64,
-    sequence: u64,
-    records: BTreeMap<Fingerprint, Record>,
+    pub(crate) own: u64,
+    pub(crate) sequence: u64,
+    pub(crate) records: BTreeMap<Fingerprint, Record>,
     /// Servers at which this node runs requests, known or not.
-    running: HashMap<Fingerprint, Vec<String>>,
+    pub(crate) running: HashMap<Fingerprint, Vec<String>>,
     /// Requests that were served lately.
     served: Served,
     /// Servers that ended lately.
     losses: Losses,
     /// How often changes are still to be told.
-    untold: HashMap<Fingerprint, u8>,
-    repeated: Option<Fingerprint>,
+    pub(crate) untold: HashMap<Fingerprint, u8>,
+    pub(crate) repeated: Option<Fingerprint>,
     /// Requests that run no more, or do again, of which the store is still to learn from this node.
     unstored: BTreeSet<Fingerprint>,
 }
@@ -256,41 +246,6 @@
         record.map(Record::servers).unwrap_or_default()
     }
 
-    /// What is to be told now; `repeats` too, those that were told before.
-    pub fn news(&mut self, repeats: bool, now: Instant) -> CrashNews {
-        let mut due: Vec<Fingerprint> = Vec::new();
-        let records = &self.records;
-        self.untold.retain(|request, left| {
-            let Some(record) = records.get(request) else {
-                return false;
-            };
-            let late = now.saturating_duration_since(record.changed) >= TELL_WITHIN;
-            if late && record.ended.len() < 2 {
-                return false;
-            }
-            if repeats || *left == TELLINGS {
-                due.push(*request);
-            }
-            true
-        });
-        // The request that has cost most is told first, then the newest.
-        due.sort_by_key(|request| {
-            let record = &records[request];
-            (std::cmp::Reverse(record.ended.len()), now - record.changed)
-        });
-        due.truncate(RECORDS_TOLD);
-        for request in &due {
-            self.count_telling(request);
-        }
-        if repeats {
-            due.extend(self.repeated_records());
-        }
-        let told = due.iter().map(|request| self.message(request, now));
-        CrashNews {
-            records: told.collect(),
-        }
-    }
-
     /// Takes a record that another node, or the store, tells. `pass_on`: it is told to others in turn.
     pub fn merge(&mut self, told: CrashRecord, pass_on: bool, now: Instant) -> Merged {
         let Some(request) = Fingerprint::from_bytes(&told.fingerprint) else {
@@ -358,51 +313,6 @@
         (refused, others)
     }
 
-    /// The record of a request as it is told.
-    pub fn message(&self, request: &Fingerprint, now: Instant) -> CrashRecord {
-        let Some(record) = self.records.get(request) else {
-            return CrashRecord::default();
-        };
-        let mut message = record.message(request.as_bytes(), now);
-        let own = self.running.get(request).cloned().unwrap_or_default();
-        message.runs.push(RunsOf {
-            node: self.own,
-            sequence: self.sequence,
-            servers: own.into_iter().take(MOST_ENDED).collect(),
-        });
-        message
-    }
-
-    /// The runs of a request under which a server ended have changed.
-    fn tell_runs(&mut self, request: &Fingerprint) {
-        let known = self.records.get(request);
-        if known.is_some_and(|record| !record.ended.is_empty()) {
-            self.sequence += 1;
-            self.untold.insert(*request, TELLINGS);
-        }
-    }
-
-    fn count_telling(&mut self, request: &Fingerprint) {
-        let Some(left) = self.untold.get_mut(request) else {
-            return;
-        };
-        *left -= 1;
-        if *left == 0 {
-            self.untold.remove(request);
-        }
-    }
-
-    /// The next requests in turn that another server's end would make refused, or that are.
-    fn repeated_records(&mut self) -> Vec<Fingerprint> {
-        let from = self.repeated.map_or(Bound::Unbounded, Bound::Excluded);
-        let later = self.records.range((from, Bound::Unbounded));
-        let matter = later.filter(|(_, record)| record.ended.len() + 1 >= MOST_ENDED);
-        let next = matter.map(|(request, _)| *request);
-        let next: Vec<Fingerprint> = next.take(RECORDS_REPEATED).collect();
-        self.repeated = next.last().copied();
-        next
-    }
-
     /// Makes room for one more request: those that may still run go first, then the oldest.
     fn make_room(&mut self, request: &Fingerprint) {
         if self.records.len() < MOST_RECORDS || self.records.contains_key(request) {
--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -11,6 +11,7 @@
 mod record;
 mod served;
 mod table;
+mod telling;
 
 pub use fingerprint::{Fingerprint, RequestParts};
 pub use ledger::{Held, KEPT_REFUSED, Ledger, Merged, Noted, Permit};
