Runs of which nobody knows yet whether their servers end count as under way, at all nodes

A port closes up to 100 ms after its connections; until the second look nothing was known against the request, a try ran at three servers within a millisecond, and another node's try at three more.

--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -103,7 +103,7 @@
             return Permit::Free;
         };
         let counted = record.counted(&self.losses);
-        if counted == 0 {
+        if counted == 0 && !record.is_in_doubt(now) {
             return Permit::Free;
         }
         let own = self.running.get(request).map_or(0, Vec::len);
@@ -136,12 +136,12 @@
         }
         let running = self.running.entry(*request).or_default();
         running.push(server.to_owned());
-        self.tell_runs(request);
+        self.tell_runs(request, now);
         permit
     }
 
     /// A run at a server is over, however it ended.
-    pub fn end(&mut self, request: &Fingerprint, server: &str) {
+    pub fn end(&mut self, request: &Fingerprint, server: &str, now: Instant) {
         if let Some(servers) = self.running.get_mut(request) {
             if let Some(at) = servers.iter().position(|running| running == server) {
                 servers.swap_remove(at);
@@ -150,7 +150,7 @@
                 self.running.remove(request);
             }
         }
-        self.tell_runs(request);
+        self.tell_runs(request, now);
     }
 
     /// A server ended while it ran a request; `brought_output` when the run had.
@@ -183,6 +183,14 @@
         noted
     }
 
+    /// A run broke off, and whether its server ends is not known yet: runs under way count as ends that may come.
+    pub fn note_doubt(&mut self, request: &Fingerprint, now: Instant) {
+        self.make_room(request);
+        let record = self.records.entry(*request);
+        record.or_insert_with(|| Record::new(now)).doubt(now);
+        self.tell_runs(request, now);
+    }
+
     /// Whether a request runs no more.
     fn is_refused(&self, request: &Fingerprint) -> bool {
         let record = self.records.get(request);
@@ -294,7 +302,8 @@
     /// Forgets what is too old.
     pub fn sweep(&mut self, now: Instant) {
         self.records.retain(|_, record| {
-            now.saturating_duration_since(record.changed) < kept(record.ended.len())
+            let age = now.saturating_duration_since(record.changed);
+            age < kept(record.ended.len()) && !record.is_blank(now)
         });
     }
 
--- a/crates/crashes/src/messages.rs
+++ b/crates/crashes/src/messages.rs
@@ -40,6 +40,9 @@
     /// Some node served it within the minute before the first of them ended.
     #[prost(bool, tag = "7")]
     pub served_before: bool,
+    /// Runs have broken off of which it is not known yet whether their servers end.
+    #[prost(bool, tag = "9")]
+    pub in_doubt: bool,
     /// Runs under way.
     #[prost(message, repeated, tag = "5")]
     pub runs: Vec<RunsOf>,
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -24,6 +24,8 @@
 const MOST_TRIALS: usize = 3;
 /// Time from the last end to such a run: other causes for which servers end are mostly over by then.
 const TRIAL_AFTER: Duration = Duration::from_secs(3);
+/// How long a run that broke off is in doubt: until the second look at its server's port, and the news of it.
+const DOUBT: Duration = Duration::from_millis(300);
 /// Longest identifier of a server that is taken from a message, bytes.
 const LONGEST_ID: usize = 128;
 /// Nodes whose runs of one request are held or told: no more runs than [`MOST_ENDED`] matter.
@@ -56,6 +58,8 @@
     pub(crate) seen_here: bool,
     /// Some node served it within the minute before the first of them ended.
     pub(crate) served_before: bool,
+    /// Until when runs that broke off may still show that their servers end.
+    doubted_until: Option<Instant>,
     others: HashMap<u64, Told>,
 }
 
@@ -67,10 +71,26 @@
             changed: now,
             seen_here: false,
             served_before: false,
+            doubted_until: None,
             others: HashMap::new(),
         }
     }
 
+    /// A run broke off, and whether its server ends is not known yet.
+    pub(crate) fn doubt(&mut self, now: Instant) {
+        self.doubted_until = Some(now + DOUBT);
+    }
+
+    /// Whether such a run is still in doubt.
+    pub(crate) fn is_in_doubt(&self, now: Instant) -> bool {
+        self.doubted_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether nothing is known against the request, nor has been cleared.
+    pub(crate) fn is_blank(&self, now: Instant) -> bool {
+        self.ended.is_empty() && self.epoch == 0 && !self.is_in_doubt(now)
+    }
+
     /// Ends that count towards [`MOST_ENDED`]: each server but for some that were lost together with others after they had
     /// brought output, or each moment at which servers ended. A request that was served a moment before does not crash every server: several
     /// that end at once under copies of it were lost together too.
@@ -165,6 +185,7 @@
             brought_output: self.ended.iter().map(|end| end.brought_output).collect(),
             age_ms: age_ms(self.changed),
             served_before: self.served_before,
+            in_doubt: self.is_in_doubt(now),
             runs: runs.take(MOST_NODES - 1).collect(),
         }
     }
@@ -173,6 +194,9 @@
     /// than once, come to the same.
     pub(crate) fn merge(&mut self, told: CrashRecord, own: u64, now: Instant) -> bool {
         let runs_are_new = self.merge_runs(told.runs, own, now);
+        if told.in_doubt && runs_are_new {
+            self.doubt(now);
+        }
         if told.epoch < self.epoch {
             return runs_are_new;
         }
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -136,7 +136,8 @@
     /// It is under way no more, although how it ended may still show.
     pub fn over(&mut self) {
         if !std::mem::replace(&mut self.is_over, true) {
-            self.table.ledger.lock().end(&self.request, &self.server);
+            let mut ledger = self.table.ledger.lock();
+            ledger.end(&self.request, &self.server, Instant::now());
         }
     }
 
@@ -145,6 +146,12 @@
         self.request
     }
 
+    /// It broke off, and whether its server ends is not known yet.
+    pub fn note_doubt(&self) {
+        let mut ledger = self.table.ledger.lock();
+        ledger.note_doubt(&self.request, Instant::now());
+    }
+
     /// The server ended while it ran the request; `brought_output` when the run had.
     pub fn note_ended(&self, brought_output: bool) -> Noted {
         let mut ledger = self.table.ledger.lock();
--- a/crates/crashes/src/telling.rs
+++ b/crates/crashes/src/telling.rs
@@ -72,9 +72,9 @@
     }
 
     /// The runs of a request under which a server ended have changed.
-    pub(crate) fn tell_runs(&mut self, request: &Fingerprint) {
+    pub(crate) fn tell_runs(&mut self, request: &Fingerprint, now: Instant) {
         let known = self.records.get(request);
-        if known.is_some_and(|record| !record.ended.is_empty()) {
+        if known.is_some_and(|record| !record.ended.is_empty() || record.is_in_doubt(now)) {
             self.sequence += 1;
             self.untold.insert(*request, TELLINGS);
         }
--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -21,7 +21,7 @@
     let permit = ledger.begin(request, server, now);
     expect_that!(permit, any![eq(Permit::Free), eq(Permit::LastRun)]);
     ledger.note_ended(request, server, false, now);
-    ledger.end(request, server);
+    ledger.end(request, server, now);
 }
 
 fn take(ledger: &mut Ledger, news: &CrashNews, now: Instant) {
@@ -61,7 +61,7 @@
     expect_that!(ledger.begin(&request(1), "i-3", now), eq(Permit::Free));
     // One has ended its server and two may: a fourth run could cost a fourth server.
     expect_that!(ledger.begin(&request(1), "i-4", now), eq(Permit::Wait));
-    ledger.end(&request(1), "i-2");
+    ledger.end(&request(1), "i-2", now);
     expect_that!(ledger.begin(&request(1), "i-4", now), eq(Permit::Free));
 }
 
@@ -73,7 +73,7 @@
     here.begin(&request(1), "i-3", now);
     take(&mut there, &here.news(false, now), now);
     expect_that!(there.permit(&request(1), now), eq(Permit::Wait));
-    here.end(&request(1), "i-3");
+    here.end(&request(1), "i-3", now);
     take(&mut there, &here.news(false, now), now);
     expect_that!(there.permit(&request(1), now), eq(Permit::Free));
     // A node that has gone says nothing more of its run.
@@ -206,7 +206,7 @@
     }
     for number in 0..MOST_ENDED {
         ledger.note_ended(&request(1), &format!("i-{number}"), false, now);
-        ledger.end(&request(1), &format!("i-{number}"));
+        ledger.end(&request(1), &format!("i-{number}"), now);
     }
 }
 
@@ -216,7 +216,7 @@
     for _ in 0..20 {
         here.begin(&request(1), "i-1", now);
         here.note_served(&request(1), now);
-        here.end(&request(1), "i-1");
+        here.end(&request(1), "i-1", now);
         now += Duration::from_millis(50);
     }
     lose_three(&mut here, now);
@@ -227,7 +227,7 @@
     expect_that!(there.permit(&request(1), now), eq(Permit::Free));
     here.begin(&request(1), "i-4", now);
     expect_that!(here.note_served(&request(1), now), eq(true));
-    here.end(&request(1), "i-4");
+    here.end(&request(1), "i-4", now);
     take(&mut there, &here.news(false, now), now);
     expect_that!(there.ended_under(&request(1)).len(), eq(0));
 }
@@ -259,7 +259,7 @@
     let server = format!("rack-{rack}-0");
     ledger.begin(&request(1), &server, now);
     ledger.note_ended(&request(1), &server, brought_output, now);
-    ledger.end(&request(1), &server);
+    ledger.end(&request(1), &server, now);
     for server in 1..6 {
         let other = request(100 + 10 * rack + server);
         crash(ledger, &other, &format!("rack-{rack}-{server}"), now);
@@ -311,7 +311,7 @@
     expect_that!(ledger.begin(&request(1), "i-8", now), eq(Permit::LastRun));
     expect_that!(ledger.permit(&request(1), now), eq(Permit::Refused));
     expect_that!(ledger.note_served(&request(1), now), eq(true));
-    ledger.end(&request(1), "i-8");
+    ledger.end(&request(1), "i-8", now);
     expect_that!(ledger.permit(&request(1), now), eq(Permit::Free));
 }
 
@@ -329,3 +329,28 @@
     }
     expect_that!(ended, eq(2 * MOST_ENDED));
 }
+
+#[gtest]
+fn runs_in_doubt_count() {
+    let (mut here, mut there, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    // Answers broke off, and the ports of their servers are still open: nobody knows yet whether they end.
+    for number in 0..MOST_ENDED {
+        let server = format!("i-{number}");
+        expect_that!(here.begin(&request(1), &server, now), eq(Permit::Free));
+        here.note_doubt(&request(1), now);
+    }
+    expect_that!(here.begin(&request(1), "i-9", now), eq(Permit::Wait));
+    take(&mut there, &here.news(false, now), now);
+    expect_that!(there.begin(&request(1), "i-9", now), eq(Permit::Wait));
+    // All of them live: only their connections broke.
+    for number in 0..MOST_ENDED {
+        here.end(&request(1), &format!("i-{number}"), now);
+    }
+    expect_that!(here.permit(&request(1), now), eq(Permit::Free));
+    take(&mut there, &here.news(false, now), now);
+    expect_that!(there.permit(&request(1), now), eq(Permit::Free));
+    // Doubt does not last, and leaves nothing behind.
+    let later = now + Duration::from_secs(1);
+    here.sweep(later);
+    expect_that!(here.refused(later).1, eq(0));
+}
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -126,6 +126,7 @@
 
     /// A process may close its connections before its port, or be back at its port within milliseconds.
     fn look_again(&self, mut run: RunUnderWay, server: Arc<ServerRecord>, output: bool) {
+        run.note_doubt();
         let upstreams = self.clone();
         tokio::task::spawn_local(async move {
             tokio::time::sleep(SECOND_LOOK).await;
--- a/crates/tables/src/crashes.rs
+++ b/crates/tables/src/crashes.rs
@@ -112,6 +112,8 @@
 impl Drop for RunAtEngine {
     fn drop(&mut self) {
         let mut crashes = self.table.crashes.lock();
-        crashes.ledger.end(&self.request, self.server.as_str());
+        crashes
+            .ledger
+            .end(&self.request, self.server.as_str(), Instant::now());
     }
 }
