--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -20,6 +20,7 @@
 const KEPT_SUSPECT: Duration = Duration::from_secs(600);
 /// How long a request is held that runs no more. After that it may cost three servers again.
 pub const KEPT_REFUSED: Duration = Duration::from_secs(3_600);
+
 /// What holds for the next run of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Permit {
