--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -10,9 +10,9 @@
 
 /// Servers that may end under one request. The bound of the users' rules; a request that reaches it runs no more.
 pub const MOST_ENDED: usize = 3;
-/// How long a run that another node told of counts, unless that node tells otherwise: the longest deadline of online
-/// requests is half of it. A node that ends in the meantime says nothing more.
-const TOLD_RUN: Duration = Duration::from_secs(10);
+/// How long a run that another node told of counts. A node tells again of its runs each 450 ms, and two messages in a row
+/// may be lost; one that ends says nothing more.
+const TOLD_RUN: Duration = Duration::from_millis(1_500);
 /// Ends at most so far apart are one moment: a zone, a rack or a switch that is lost takes its servers within a second.
 const MOMENT: Duration = Duration::from_secs(1);
 /// Servers that are held of one request. A request that was served a moment before counts by moments, not servers.
@@ -155,6 +155,8 @@
         self.epoch += 1;
         self.ended.clear();
         self.served_before = false;
+        // Nobody tells of the end of runs that are no danger.
+        self.others.clear();
         self.changed = now;
     }
 
@@ -193,12 +195,8 @@
     /// Takes what another node tells; whether any of it is new. Records of two nodes joined in any order, and more
     /// than once, come to the same.
     pub(crate) fn merge(&mut self, told: CrashRecord, own: u64, now: Instant) -> bool {
-        let runs_are_new = self.merge_runs(told.runs, own, now);
-        if told.in_doubt && runs_are_new {
-            self.doubt(now);
-        }
         if told.epoch < self.epoch {
-            return runs_are_new;
+            return false;
         }
         let seen = |age_ms: u64| {
             let at = now.checked_sub(Duration::from_millis(age_ms));
@@ -210,8 +208,13 @@
             self.ended.clear();
             self.changed = seen(told.age_ms);
             self.served_before = false;
+            self.others.clear();
             is_new = true;
         }
+        let runs_are_new = self.merge_runs(told.runs, own, now);
+        if told.in_doubt && runs_are_new {
+            self.doubt(now);
+        }
         is_new |= told.served_before && !self.served_before;
         self.served_before |= told.served_before;
         // Only what is new moves a time: an age that is passed round loses the time on its way.
--- a/crates/crashes/src/telling.rs
+++ b/crates/crashes/src/telling.rs
@@ -47,6 +47,9 @@
         }
         if repeats {
             due.extend(self.repeated_records());
+            due.extend(self.running_suspects(most));
+            due.sort_unstable();
+            due.dedup();
         }
         let told = due.iter().map(|request| self.message(request, now));
         CrashNews {
@@ -60,7 +63,10 @@
             return CrashRecord::default();
         };
         let mut message = record.message(request.as_bytes(), now);
-        let own = self.running.get(request).cloned().unwrap_or_default();
+        // Nobody would tell of the end of runs that are no danger.
+        let matters = !record.ended.is_empty() || record.is_in_doubt(now);
+        let own = self.running.get(request).filter(|_| matters);
+        let own = own.cloned().unwrap_or_default();
         message.runs.push(RunsOf {
             node: self.own,
             sequence: self.sequence,
@@ -88,6 +94,20 @@
         }
     }
 
+    /// Requests under which servers ended that run here. Only this node makes its word of them newer: passed round by
+    /// others, the runs of a node that has gone would never end.
+    fn running_suspects(&mut self, most: usize) -> Vec<Fingerprint> {
+        let records = &self.records;
+        let is_suspect = |request: &&Fingerprint| {
+            let record = records.get(request);
+            record.is_some_and(|record| !record.ended.is_empty())
+        };
+        let running = self.running.keys().filter(is_suspect);
+        let running: Vec<Fingerprint> = running.take(most).copied().collect();
+        self.sequence += u64::from(!running.is_empty());
+        running
+    }
+
     /// The next requests in turn that another server's end would make refused, or that are.
     fn repeated_records(&mut self) -> Vec<Fingerprint> {
         let from = self.repeated.map_or(Bound::Unbounded, Bound::Excluded);
--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -76,13 +76,51 @@
     here.end(&request(1), "i-3", now);
     take(&mut there, &here.news(false, 24, now), now);
     expect_that!(there.permit(&request(1), now), eq(Permit::Free));
-    // A node that has gone says nothing more of its run.
+    // A node that has gone says nothing more of its run, and others do not keep it alive between them.
     here.begin(&request(1), "i-3", now);
     take(&mut there, &here.news(false, 24, now), now);
-    let later = now + Duration::from_secs(11);
+    expect_that!(there.permit(&request(1), now), eq(Permit::Wait));
+    let (mut third, mut later) = (Ledger::new(3), now);
+    for _ in 0..4 {
+        later += Duration::from_millis(450);
+        let news = there.news(true, 24, later);
+        take(&mut third, &news, later);
+        let news = third.news(true, 24, later);
+        take(&mut there, &news, later);
+    }
     expect_that!(there.permit(&request(1), later), eq(Permit::Free));
 }
 
+#[gtest]
+fn long_runs_stay_known() {
+    let (mut here, mut there, mut now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    crash(&mut here, &request(1), "i-1", now);
+    here.begin(&request(1), "i-2", now);
+    here.begin(&request(1), "i-3", now);
+    for _ in 0..20 {
+        take(&mut there, &here.news(true, 24, now), now);
+        now += Duration::from_millis(450);
+        expect_that!(there.permit(&request(1), now), eq(Permit::Wait));
+    }
+}
+
+#[gtest]
+fn runs_before_a_good_answer() {
+    let (mut here, mut there, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    crash(&mut here, &request(1), "i-1", now);
+    here.begin(&request(1), "i-2", now);
+    here.begin(&request(1), "i-3", now);
+    take(&mut there, &here.news(false, 24, now), now);
+    // Served: nothing is known against it, and nobody tells any more that those runs are over.
+    here.note_served(&request(1), now);
+    take(&mut there, &here.news(false, 24, now), now);
+    for server in ["i-2", "i-3"] {
+        here.end(&request(1), server, now);
+    }
+    there.note_ended(&request(1), "i-4", false, now);
+    expect_that!(there.permit(&request(1), now), eq(Permit::Free));
+}
+
 #[gtest]
 fn served_requests_are_cleared() {
     let (mut here, mut there, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
