--- a/crates/cluster/src/crash_rows.rs
+++ b/crates/cluster/src/crash_rows.rs
@@ -67,7 +67,7 @@
             );
         }
         crashes.merge(CrashNews { records }, false);
-        remove(store, &old).await;
+        remove(store, &old, log).await;
         let last = read.rows.last().filter(|_| read.more);
         match last {
             // The next key after it.
@@ -90,13 +90,18 @@
 }
 
 /// Removes rows that are too old; another node that begins does the same if this fails.
-async fn remove(store: &dyn RowStore, old: &[&Row]) {
+async fn remove(store: &dyn RowStore, old: &[&Row], log: &EventLog) {
     for row in old {
         let key = RowKey::new(CRASHES_TABLE, "", row.key.clone());
         let removal = Transaction::default()
             .expect(key.clone(), row.revision)
             .remove(key);
-        let _ = store.transact(&removal).await;
+        if let Err(error) = store.transact(&removal).await {
+            log.write(
+                "refused_request_unstored",
+                || serde_json::json!({"row": row.key, "cause": error.to_string()}),
+            );
+        }
     }
 }
 
