One identity for each start of a server; entries of other writers name none

Cause: everything that is known of a server was kept by its name, and a server may start again under the name it had: its loads, silence, outcomes, temperature, cached prompts and the requests under which it ended then went on to the new start, and one that had been draining never came back. A record now has an identifier for the start (name and moment), made in the adapter alone, by which all tables go, and the name for the wire. A later start under the same name shows that the one before has ended, unless it was draining. An entry of another writer (fields missing or of another type, an unknown state, unreadable bytes) was taken for a ready server where only the address could be read, or was logged with each heartbeat. It names no server now, and is logged once. The fourth figure of a server's load is read; nothing goes by it yet.

--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -1,6 +1,6 @@
 //! The configuration in force and the servers of each service.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,11 +29,19 @@
     stale: bool,
 }
 
+/// A server's entry as it was read: the server, or what is wrong with the entry.
+type ReadEntry = Result<ServerRecord, String>;
+
 #[derive(Default)]
 pub(crate) struct Known {
     configuration: Option<Arc<Configuration>>,
     pub(crate) evacuations: Evacuations,
+    /// Servers that are listed, by name.
     pub(crate) servers: HashMap<String, (u64, Arc<ServerRecord>)>,
+    /// The start before the one that is listed, by name.
+    earlier_starts: HashMap<String, Arc<ServerRecord>>,
+    /// Entries that name no server to use, by name, and what is wrong with each.
+    refused: HashMap<String, String>,
     by_service: HashMap<String, KnownSet>,
     sets_built: u64,
     servers_read: bool,
@@ -43,6 +51,16 @@
     servers_contact: Option<Instant>,
 }
 
+impl Known {
+    /// A start of a server that is listed.
+    fn server(&self, id: &str) -> Option<&Arc<ServerRecord>> {
+        let names = [id, ServerRecord::instance_of(id)];
+        let mut listed = names.into_iter().filter_map(|name| self.servers.get(name));
+        let (_, server) = listed.find(|(_, server)| server.id == id)?;
+        Some(server)
+    }
+}
+
 /// The configuration in force and the servers, shared by all threads.
 pub struct View {
     pub(crate) known: Mutex<Known>,
@@ -115,24 +133,29 @@
 
     /// A server by its identifier, leaving ones included.
     pub fn server(&self, id: &str) -> Option<Arc<ServerRecord>> {
-        let known = self.known.lock();
-        known.servers.get(id).map(|(_, server)| server.clone())
+        self.known.lock().server(id).cloned()
     }
 
     /// Why a server gets no new work; `None` when it may get some.
     pub fn exclusion(&self, id: &str) -> Option<Exclusion> {
         let known = self.known.lock();
-        match known.servers.get(id) {
+        match known.server(id) {
             None => Some(Exclusion::Gone),
-            Some((_, server)) => Self::exclusion_of(&known, server),
+            Some(server) => Self::exclusion_of(&known, server),
         }
     }
 
-    /// Whether another incarnation is listed at the address of a server that nobody said would leave.
+    /// Whether another start is listed under the name or at the address of a server that nobody said would leave.
     pub fn is_replaced(&self, server: &ServerRecord) -> bool {
         let known = self.known.lock();
-        let own = known.servers.get(&server.id);
-        let leaves = own.is_some_and(|(_, listed)| listed.draining);
+        if let Some(earlier) = known.earlier_starts.get(&server.instance)
+            && earlier.id == server.id
+        {
+            return !earlier.draining;
+        }
+        let leaves = known
+            .server(&server.id)
+            .is_some_and(|listed| listed.draining);
         let mut others = known.servers.values();
         !leaves && others.any(|(_, other)| other.address == server.address && other.id != server.id)
     }
@@ -213,22 +236,35 @@
     /// Takes a server's entry over; whether anything but its revision is new.
     fn put_server(known: &mut Known, server: ServerRecord, revision: u64) -> bool {
         let mut server = server;
-        if let Some((at, held)) = known.servers.get_mut(&server.id) {
+        if let Some((at, held)) = known.servers.get_mut(&server.instance) {
             if *at >= revision {
                 return false;
             }
-            // A server that leaves does not come back under the same identifier.
-            server.draining |= held.draining;
             *at = revision;
+            if held.id == server.id {
+                // A start that leaves does not come back.
+                server.draining |= held.draining;
+            } else {
+                let earlier = held.clone();
+                known
+                    .earlier_starts
+                    .insert(server.instance.clone(), earlier);
+            }
             if **held == server {
                 return false;
             }
         }
         let entry = (revision, Arc::new(server));
-        known.servers.insert(entry.1.id.clone(), entry);
+        known.servers.insert(entry.1.instance.clone(), entry);
         true
     }
 
+    /// Forgets a server that is listed no more; whether it was.
+    fn remove_server(known: &mut Known, instance: &str) -> bool {
+        known.earlier_starts.remove(instance);
+        known.servers.remove(instance).is_some()
+    }
+
     /// The sets of all services are to be built anew.
     pub(crate) fn all_stale(known: &mut Known) {
         known
@@ -283,17 +319,28 @@
 }
 
 impl ServersSink {
-    fn read(&self, row: &Row) -> Option<ServerRecord> {
+    /// The server that an entry names; `None` for an entry that is gone. Others write to the table too: an entry that is
+    /// not a server's names none, and the others hold.
+    fn read(&self, row: &Row) -> Option<ReadEntry> {
         let value = row.value.as_ref()?;
-        match self.dialect.server(&row.key, value) {
-            Ok(server) => Some(server),
-            Err(error) => {
-                self.view.log.write(
-                    "server_refused",
-                    || serde_json::json!({"server": row.key, "cause": error.to_string()}),
-                );
-                None
-            }
+        let read = self.dialect.server(&row.key, value);
+        Some(read.map_err(|error| error.to_string()))
+    }
+
+    /// Notes whether an entry can be used, and writes a record when that has changed.
+    fn note_refused(&self, known: &mut Known, key: &str, cause: Option<&String>) {
+        if known.refused.get(key) == cause {
+            return;
+        }
+        match cause {
+            Some(cause) => known.refused.insert(key.to_owned(), cause.clone()),
+            None => known.refused.remove(key),
+        };
+        if let Some(cause) = cause {
+            self.view.log.write(
+                "server_refused",
+                || serde_json::json!({"server": key, "cause": cause}),
+            );
         }
     }
 }
@@ -318,14 +365,36 @@
     }
 
     fn replace(&self, rows: Vec<Row>, revision: u64) {
-        let servers: Vec<(ServerRecord, u64)> = rows
+        let mut servers = Vec::new();
+        let mut refused = HashMap::new();
+        for row in &rows {
+            match self.read(row) {
+                Some(Ok(server)) => servers.push((server, row.revision)),
+                Some(Err(cause)) => {
+                    refused.insert(row.key.as_str(), cause);
+                }
+                None => {}
+            }
+        }
+        let listed: HashSet<&str> = servers
             .iter()
-            .filter_map(|row| self.read(row).map(|server| (server, row.revision)))
+            .map(|(server, _)| server.instance.as_str())
             .collect();
         let mut known = self.view.known.lock();
-        known.servers.retain(|id, (at, _)| {
-            *at > revision || servers.iter().any(|(server, _)| server.id == *id)
-        });
+        known
+            .servers
+            .retain(|name, (at, _)| *at > revision || listed.contains(name.as_str()));
+        let Known {
+            servers: held,
+            earlier_starts,
+            refused: refused_before,
+            ..
+        } = &mut *known;
+        earlier_starts.retain(|name, _| held.contains_key(name));
+        refused_before.retain(|key, _| refused.contains_key(key.as_str()));
+        for (key, cause) in &refused {
+            self.note_refused(&mut known, key, Some(cause));
+        }
         for (server, at) in servers {
             View::put_server(&mut known, server, at);
         }
@@ -336,13 +405,18 @@
     }
 
     fn change(&self, row: Row) {
-        let server = self.read(&row);
+        let (server, cause) = match self.read(&row) {
+            Some(Ok(server)) => (Some(server), None),
+            Some(Err(cause)) => (None, Some(cause)),
+            None => (None, None),
+        };
         let mut known = self.view.known.lock();
+        self.note_refused(&mut known, &row.key, cause.as_ref());
         let held = known.servers.get(&row.key);
         let before = held.map(|(_, server)| server.service.clone());
         let applied = match server.clone() {
             Some(server) => View::put_server(&mut known, server, row.revision),
-            None => known.servers.remove(&row.key).is_some(),
+            None => View::remove_server(&mut known, &row.key),
         };
         if !applied {
             return;
--- a/crates/cluster/tests/doubts.rs
+++ b/crates/cluster/tests/doubts.rs
@@ -12,6 +12,7 @@
 fn server(id: &str) -> ServerRecord {
     ServerRecord {
         id: id.to_owned(),
+        instance: id.to_owned(),
         service: "llm".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "north".to_owned(),
--- a/crates/cluster/tests/evacuations.rs
+++ b/crates/cluster/tests/evacuations.rs
@@ -182,7 +182,7 @@
         for number in 0..count {
             let zone = ZONES[number % ZONES.len()];
             let entry = format!(
-                r#"{{"service":"llm","address":"10.0.0.1:{}","zone":"{zone}","slots":8,"state":"ready"}}"#,
+                r#"{{"service":"llm","address":"10.0.0.1:{}","zone":"{zone}","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"seq":1}}"#,
                 1_000 + number
             );
             let key = format!("i-{number:03}");
--- a/crates/cluster/tests/gossip.rs
+++ b/crates/cluster/tests/gossip.rs
@@ -94,7 +94,7 @@
 /// Row of one of many servers, as the platform writes it.
 fn server_row(number: usize) -> Row {
     let value = format!(
-        r#"{{"service":"llm","address":"10.0.0.1:{}","zone":"{}","slots":8,"state":"ready"}}"#,
+        r#"{{"service":"llm","address":"10.0.0.1:{}","zone":"{}","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"seq":1}}"#,
         1_000 + number,
         ZONES[number % 3],
     );
--- a/crates/cluster/tests/pure.rs
+++ b/crates/cluster/tests/pure.rs
@@ -9,6 +9,7 @@
 fn server() -> ServerRecord {
     ServerRecord {
         id: "i-1".to_owned(),
+        instance: "i-1".to_owned(),
         service: "llm".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "north".to_owned(),
@@ -60,6 +61,7 @@
     let zones = ["north", "south", "west"];
     let server = |number: usize| ServerRecord {
         id: format!("i-{number:05}"),
+        instance: format!("i-{number:05}"),
         zone: zones[number % 3].to_owned(),
         ..server()
     };
--- a/crates/cluster/tests/regions.rs
+++ b/crates/cluster/tests/regions.rs
@@ -27,6 +27,7 @@
 fn fleet(count: usize, zones: &[&str]) -> Vec<Arc<ServerRecord>> {
     let server = |number: usize| ServerRecord {
         id: format!("i-{number:05}"),
+        instance: format!("i-{number:05}"),
         service: "llm".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: zones[number % zones.len()].to_owned(),
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -120,6 +120,7 @@
 pub fn server() -> ServerRecord {
     ServerRecord {
         id: "i-1".to_owned(),
+        instance: "i-1".to_owned(),
         service: "llm".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "north".to_owned(),
--- a/crates/cluster/tests/waiting.rs
+++ b/crates/cluster/tests/waiting.rs
@@ -13,6 +13,7 @@
 fn server() -> ServerRecord {
     ServerRecord {
         id: "i-1".to_owned(),
+        instance: "i-1".to_owned(),
         service: "llm".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "north".to_owned(),
--- a/crates/ingress/benches/online.rs
+++ b/crates/ingress/benches/online.rs
@@ -16,6 +16,7 @@
 fn fleet(count: usize) -> Vec<Arc<ServerRecord>> {
     let server = |number: usize| ServerRecord {
         id: format!("i-{number:05}"),
+        instance: format!("i-{number:05}"),
         service: "llm".to_owned(),
         address: ([10, 0, 0, 1], 8_000).into(),
         zone: ["north", "south", "west"][number % 3].to_owned(),
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -319,7 +319,7 @@
         let dialect = &self.node.dialect;
         let stamp = ServerStamp {
             remaining_ms: attempt.remaining_ms,
-            expect_instance: &server.id,
+            expect_instance: &server.instance,
             last_event_id: attempt.last_event_id,
             tenant: attempt.tenant,
         };
--- a/crates/ingress/src/cold_watch.rs
+++ b/crates/ingress/src/cold_watch.rs
@@ -143,7 +143,10 @@
         Metrics::count(&node.metrics.health_questions);
         let answer = upstreams.ask_health(&server, &path, HEALTH_LIMIT).await;
         let (status, facts) = answer.unwrap_or_default();
-        let other = facts.instance.as_ref().is_some_and(|id| *id != server.id);
+        let other = facts
+            .instance
+            .as_ref()
+            .is_some_and(|name| *name != server.instance);
         node.log.write("server_health", || {
             serde_json::json!({"server": server.id, "status": status, "cold_ms": facts.cold_left_ms,
                 "not_run": facts.not_run, "other_server": other,
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -179,6 +179,9 @@
 
     /// Looks at the address of a server, right after an answer of it broke off.
     pub async fn look_at(&self, server: &ServerRecord) -> Evidence {
+        if self.node.view.is_replaced(server) {
+            return Evidence::Ended;
+        }
         let leaves = self.node.view.exclusion(&server.id);
         if matches!(leaves, Some(Exclusion::Draining | Exclusion::Gone)) {
             return Evidence::Leaving;
--- a/crates/ingress/tests/holding.rs
+++ b/crates/ingress/tests/holding.rs
@@ -14,6 +14,7 @@
         running,
         waiting,
         slots: 6,
+        work_percent: None,
     }
 }
 
--- a/crates/ingress/tests/pure.rs
+++ b/crates/ingress/tests/pure.rs
@@ -14,6 +14,7 @@
 fn server(id: &str, zone: &str) -> Arc<ServerRecord> {
     Arc::new(ServerRecord {
         id: id.to_owned(),
+        instance: id.to_owned(),
         service: "llm".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: zone.to_owned(),
--- a/crates/ingress/tests/regions.rs
+++ b/crates/ingress/tests/regions.rs
@@ -21,6 +21,7 @@
     Candidate {
         server: Arc::new(ServerRecord {
             id: id.to_owned(),
+            instance: id.to_owned(),
             service: "llm".to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
             zone: zone.to_owned(),
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -45,6 +45,9 @@
     pub waiting: u32,
     /// Requests that may run at once.
     pub slots: u32,
+    /// How long work takes there now, where the server tells it: 100 is as usual. It shares its machine with others, so
+    /// this changes many times a second.
+    pub work_percent: Option<u32>,
 }
 
 /// What the head of a server's answer says.
@@ -68,8 +71,11 @@
 /// One server as service discovery shows it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ServerRecord {
-    /// Identifier of this incarnation.
+    /// Identifier of this start of the server, unlike that of any other start: see [`ServerRecord::start_id`]. All that is
+    /// known of a server is kept by it, so nothing outlives a restart.
     pub id: String,
+    /// Name by which the server goes, which a later start of it may have too.
+    pub instance: String,
     /// Service that it belongs to.
     pub service: String,
     /// Where it listens.
@@ -84,6 +90,25 @@
     pub cold_left_ms: u64,
 }
 
+/// Stands between the name of a server and the moment of its start.
+const START_MARK: char = '@';
+
+impl ServerRecord {
+    /// Identifier of one start of a server. A server that starts again under its name knows nothing of before; the moment
+    /// of its start, milliseconds since 1970, tells the two apart. Where a server does not tell it, its name alone does.
+    pub fn start_id(instance: &str, born_ms: Option<u64>) -> String {
+        match born_ms {
+            Some(born_ms) => format!("{instance}{START_MARK}{born_ms}"),
+            None => instance.to_owned(),
+        }
+    }
+
+    /// The name in the identifier of a start that was told.
+    pub fn instance_of(id: &str) -> &str {
+        id.rsplit_once(START_MARK).map_or(id, |(name, _)| name)
+    }
+}
+
 /// One item of a job as a caller submits it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ItemSubmission {
