--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -21,6 +21,11 @@
 /// How long a request is held that runs no more. After that it may cost three servers again.
 pub const KEPT_REFUSED: Duration = Duration::from_secs(3_600);
 
+/// Stands behind the identifier of a start for the one after it, before that tells its own.
+const LATER_START: char = '+';
+/// A run that began so long after a server was seen to end ran on a later start of it. Nodes see one end up to 90 ms apart.
+const ENDS_APART: Duration = Duration::from_millis(200);
+
 /// What holds for the next run of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Permit {
@@ -154,6 +159,20 @@
         self.tell_runs(request, now);
     }
 
+    /// The start of a server that ran what began at a moment. A server that was seen to end before then has started again,
+    /// and its new entry has not come yet: this start has no identifier that is known, but it is another one.
+    pub fn start_that_ran(&self, server: &str, began: Instant) -> String {
+        let has_ended = |start: &str| {
+            let ended = self.losses.ended_at(start);
+            ended.is_some_and(|ended| began > ended + ENDS_APART)
+        };
+        let mut start = server.to_owned();
+        while has_ended(&start) {
+            start.push(LATER_START);
+        }
+        start
+    }
+
     /// A server ended while it ran a request; `brought_output` when the run had.
     pub fn note_ended(
         &mut self,
--- a/crates/crashes/src/losses.rs
+++ b/crates/crashes/src/losses.rs
@@ -35,6 +35,11 @@
         self.by_time.insert((at, server.to_owned()));
     }
 
+    /// When a server was seen to end.
+    pub(crate) fn ended_at(&self, server: &str) -> Option<Instant> {
+        self.by_server.get(server).copied()
+    }
+
     /// Whether a server was lost together with others, none of which is among `own`.
     pub(crate) fn is_one_of_many(&self, server: &str, own: &[&str]) -> bool {
         let Some(at) = self.by_server.get(server) else {
--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -53,6 +53,22 @@
     expect_that!(second.ended_under(&request(1)).len(), eq(1));
 }
 
+#[gtest]
+fn started_again() {
+    let (mut ledger, now) = (Ledger::new(1), Instant::now());
+    // A server ends under the request, is back under its name before its new entry has come, and ends again, three times.
+    let mut began = now;
+    for _ in 0..MOST_ENDED {
+        let server = ledger.start_that_ran("i-1", began);
+        crash(&mut ledger, &request(1), &server, began);
+        began += Duration::from_secs(2);
+    }
+    expect_that!(ledger.ended_under(&request(1)).len(), eq(MOST_ENDED));
+    expect_that!(ledger.permit(&request(1), began), eq(Permit::Refused));
+    // Runs that began before the end was seen ran on the start that ended.
+    expect_that!(ledger.start_that_ran("i-1", now), eq("i-1"));
+}
+
 #[gtest]
 fn runs_under_way_count() {
     let (mut ledger, now) = (Ledger::new(1), Instant::now());
