A roster is worked out when it would be another one; a quiet node wakes less often

Cause: a node of a fleet of 985 copied and sorted all names ten times a second (0.4 ms each time by arithmetic over 2,000 allocations and two sorts), looked ten times a second whether any server had fallen silent, and seven times whether its way to the store should change. Now the nodes are looked through in place and the roster is kept while their sum is the same; the watch over silent servers sleeps until one is found; a node that takes its tables from others looks each 0.45 s, and at once when they fail.

--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -45,6 +45,8 @@
     /// Servers of zones that are doubted. Never locked together with `servers`.
     held_back: Mutex<HashSet<u32>>,
     pressure: Notify,
+    /// A server was found silent, here or at another node.
+    silent: Notify,
     pub(crate) change: Notify,
 }
 
@@ -130,9 +132,21 @@
         over.saturating_sub(before).min(loads.batch)
     }
 
+    /// Waits until a server is found silent, here or at another node.
+    pub async fn found_silent(&self) {
+        self.silent.notified().await;
+    }
+
     /// Acts on what others told of a server.
     pub(crate) fn note_news(&self, loads: &mut ServerLoads, now: Instant) {
         loads.take_thermal_news(now);
+        if loads
+            .peers
+            .values()
+            .any(|(_, entry)| entry.suspect || entry.doubted)
+        {
+            self.silent.notify_one();
+        }
         if loads.peers.values().any(|(_, entry)| entry.failed > 0) {
             // The nodes at which requests failed write the record.
             loads.judge(now);
@@ -231,6 +245,7 @@
         loads.thermal.note_silent(now);
         loads.untold = true;
         self.change.notify_one();
+        self.silent.notify_one();
     }
 
     /// The server has said nothing for longer than its answers take: it is avoided for a time, or until it is heard.
@@ -240,6 +255,7 @@
         loads.doubt_until = Some(Instant::now() + time);
         loads.untold = true;
         self.change.notify_one();
+        self.silent.notify_one();
     }
 
     /// Notes that a request at the server was served, or failed there; whether the server is newly
--- a/crates/cluster/src/peer_rows.rs
+++ b/crates/cluster/src/peer_rows.rs
@@ -5,6 +5,7 @@
 use dappleyard_clock::Instant;
 use dappleyard_model::{Row, RowKey};
 use prost::Message;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::follow::{Contact, TableSink};
 use crate::messages::NodeRow;
@@ -32,15 +33,18 @@
             return;
         };
         let address = node.peer.parse().ok();
+        let number = xxh3_64_with_seed(value, xxh3_64(row.key.as_bytes()));
         match peers.get_mut(&row.key) {
             Some(peer) if peer.revision >= row.revision => {}
             Some(peer) if peer.row.life == node.life => {
                 peer.row = node;
+                peer.number = number;
                 peer.part.clone_from(&row.part);
                 peer.revision = row.revision;
             }
             _ => {
                 let peer = Peer {
+                    number,
                     row: node,
                     part: row.part.clone(),
                     revision: row.revision,
--- a/crates/cluster/src/peers.rs
+++ b/crates/cluster/src/peers.rs
@@ -64,6 +64,8 @@
 }
 
 pub(crate) struct Peer {
+    /// Number that stands for its row as it is: name, life, zone, addresses and strength.
+    pub(crate) number: u64,
     pub(crate) row: NodeRow,
     /// Partition in which the row stands.
     pub(crate) part: String,
@@ -231,6 +233,22 @@
             .collect()
     }
 
+    /// Whether a node is alive and stays, in a fleet of some size.
+    fn stays(&self, peer: &Peer, now: Instant, fleet: usize) -> bool {
+        let leaves = peer.row.leaving || peer.leaving;
+        !leaves && self.judge(peer, now, fleet) != PeerStatus::Down
+    }
+
+    /// Sum over the numbers of the nodes that are alive and stay: the same for the same nodes.
+    pub(crate) fn sum_of_alive(&self) -> u64 {
+        let now = Instant::now();
+        let peers = self.peers.lock();
+        let alive = peers
+            .values()
+            .filter(|peer| self.stays(peer, now, peers.len()));
+        alive.fold(0_u64, |sum, peer| sum.wrapping_add(peer.number))
+    }
+
     /// The other nodes that are alive and stay.
     pub fn relay_peers(&self) -> Vec<RelayPeer> {
         let now = Instant::now();
@@ -238,12 +256,9 @@
         if peers.is_empty() {
             return self.strangers(now);
         }
-        let others = peers.iter().filter(|(name, peer)| {
-            let leaves = peer.row.leaving || peer.leaving;
-            **name != self.own_name
-                && !leaves
-                && self.judge(peer, now, peers.len()) != PeerStatus::Down
-        });
+        let others = peers
+            .iter()
+            .filter(|(name, peer)| **name != self.own_name && self.stays(peer, now, peers.len()));
         others
             .filter_map(|(name, peer)| {
                 Some(RelayPeer {
--- a/crates/cluster/src/roster.rs
+++ b/crates/cluster/src/roster.rs
@@ -14,8 +14,9 @@
 use crate::delegates::{Candidate, delegates};
 use crate::peers::{PeerTable, RelayPeer};
 
-/// How long a roster of a large fleet is good when nobody came or left. A silence of seconds makes a node leave; it is
-/// noticed later by this much at most.
+/// How long a roster of a large fleet is taken for true when nobody came or left. A silence of seconds makes a node leave;
+/// it is noticed later by this much at most. Then the nodes are looked through, and the roster is worked out anew only when it
+/// would be another one: for 985 nodes 20 us instead of 400.
 const ROSTER_LIFE: Duration = Duration::from_millis(100);
 
 /// The nodes that are alive and stay, as of one moment.
@@ -93,19 +94,39 @@
 /// The roster worked out last.
 #[derive(Default)]
 pub(crate) struct HeldRoster {
-    held: Option<(Instant, u64, Arc<Roster>)>,
+    held: Option<Held>,
+}
+
+struct Held {
+    /// When it was last found true.
+    looked: Instant,
+    /// Changes of the table as of then.
+    changes: u64,
+    /// Sum over the numbers of the nodes in it.
+    sum: u64,
+    roster: Arc<Roster>,
 }
 
 impl PeerTable {
     /// The nodes that are alive and stay, now or a moment ago. In a small fleet it is worked out for each look-up.
     pub fn roster(&self) -> Arc<Roster> {
         let changes = self.changes();
-        if let Some((at, as_of, roster)) = &self.roster.lock().held
-            && *as_of == changes
-            && at.elapsed() < ROSTER_LIFE
-            && self.is_large()
+        let large = self.is_large();
+        if let Some(held) = &self.roster.lock().held
+            && held.changes == changes
+            && held.looked.elapsed() < ROSTER_LIFE
+            && large
         {
-            return roster.clone();
+            return held.roster.clone();
+        }
+        let sum = self.sum_of_alive();
+        if let Some(held) = &mut self.roster.lock().held
+            && held.sum == sum
+            && large
+        {
+            held.looked = Instant::now();
+            held.changes = changes;
+            return held.roster.clone();
         }
         let own = RelayPeer {
             name: self.own_name.clone(),
@@ -115,7 +136,12 @@
             strong: self.is_strong(),
         };
         let roster = Arc::new(Roster::new(self.relay_peers(), &own));
-        self.roster.lock().held = Some((Instant::now(), changes, roster.clone()));
+        self.roster.lock().held = Some(Held {
+            looked: Instant::now(),
+            changes,
+            sum,
+            roster: roster.clone(),
+        });
         roster
     }
 
--- a/crates/ingress/src/zone_care.rs
+++ b/crates/ingress/src/zone_care.rs
@@ -26,10 +26,11 @@
     let node = upstreams.node().clone();
     let mut zones = ZoneSuspicion::default();
     loop {
-        tokio::time::sleep(TICK).await;
         if !zones.is_any() && !node.loads.is_any_suspect() {
-            continue;
+            // Nothing to watch: a node that woke ten times a second to see that would do little else.
+            node.loads.found_silent().await;
         }
+        tokio::time::sleep(TICK).await;
         let sets = server_sets(&node);
         let used = sets.iter().flat_map(|set| &set.used);
         let signs: Vec<ServerSign<'_>> = used.map(|server| sign(&node, server)).collect();
--- a/crates/relay/src/access.rs
+++ b/crates/relay/src/access.rs
@@ -16,6 +16,8 @@
 
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(150);
+/// The same for a node of a large fleet that takes tables from others: it looks at once when they fail it.
+const FOLLOWER_LOOK: Duration = Duration::from_millis(450);
 /// Time without an answer of the store after which a node that follows tables there makes sure.
 const QUIET: Duration = Duration::from_millis(900);
 /// Longest wait for the answer that makes sure.
@@ -250,7 +252,7 @@
             return peers;
         }
         if !self.peers.is_large() {
-            return self.fit(&roster.peers);
+            return self.fit();
         }
         let mut sources: Vec<RelayPeer> = match roster.own_place() {
             Some(_) => {
@@ -271,7 +273,7 @@
 
     /// Nodes that may pass a call on, the best first.
     pub fn relays(&self) -> Vec<RelayPeer> {
-        let mut relays = self.fit(&self.peers.roster().peers);
+        let mut relays = self.fit();
         if relays.is_empty() && self.peers.is_large() {
             relays = self.sources();
         }
@@ -307,7 +309,12 @@
     /// Watches over the access until the process ends.
     pub async fn run(&self, store: &dyn RowStore) {
         loop {
-            tokio::time::sleep(LOOK).await;
+            let follows = self.peers.is_large() && self.path() == Path::ByPeer;
+            let look = match follows && !self.health.is_lost() {
+                true => FOLLOWER_LOOK,
+                false => LOOK,
+            };
+            tokio::time::sleep(look).await;
             self.probe(store).await;
             self.look();
         }
@@ -363,9 +370,12 @@
         self.health.note(&outcome);
     }
 
-    fn fit(&self, peers: &[RelayPeer]) -> Vec<RelayPeer> {
-        let answered = |peer: &&RelayPeer| peer.answered.is_some_and(|at| at.elapsed() < FIT);
-        let mut fit: Vec<RelayPeer> = peers.iter().filter(answered).cloned().collect();
+    /// Nodes that the store answered a moment ago, as far as is known.
+    fn fit(&self) -> Vec<RelayPeer> {
+        let answered = |peer: &RelayPeer| peer.answered.is_some_and(|at| at.elapsed() < FIT);
+        // Not of the roster, which does not know the newest answers.
+        let mut fit = self.peers.relay_peers();
+        fit.retain(answered);
         self.sort(&mut fit);
         fit
     }
