--- /dev/null
+++ b/crates/cluster/src/servers_sink.rs
@@ -0,0 +1,148 @@
+//! Feeds the servers' entries into a view.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_model::{Dialect, Row};
+
+use crate::follow::{Contact, TableSink};
+use crate::server_digest::{ReadEntry, digest, read_digest};
+use crate::view::{Known, View};
+
+/// Shortest time between two calls for changes of servers: each server's row changes with each of
+/// its heartbeats, and hardly any of these changes matters.
+const SERVERS_PACE: Duration = Duration::from_millis(400);
+
+/// Feeds servers into a view.
+pub struct ServersSink {
+    /// The view.
+    pub view: Arc<View>,
+    /// Formats.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+impl ServersSink {
+    /// The server that an entry names; `None` for an entry that is gone. Others write to the table too: an entry that is
+    /// not a server's names none, and the others hold.
+    fn read(&self, row: &Row) -> Option<ReadEntry> {
+        let value = row.value.as_ref()?;
+        let digested = read_digest(&row.key, value);
+        Some(digested.unwrap_or_else(|| self.read_text(&row.key, value)))
+    }
+
+    /// Reads an entry as the server wrote it.
+    fn read_text(&self, key: &str, value: &[u8]) -> ReadEntry {
+        let read = self.dialect.server(key, value);
+        read.map_err(|error| error.to_string())
+    }
+
+    /// Notes whether an entry can be used, and writes a record when that has changed.
+    fn note_refused(&self, known: &mut Known, key: &str, cause: Option<&String>) {
+        if known.refused.get(key) == cause {
+            return;
+        }
+        match cause {
+            Some(cause) => known.refused.insert(key.to_owned(), cause.clone()),
+            None => known.refused.remove(key),
+        };
+        if let Some(cause) = cause {
+            self.view.log().write(
+                "server_refused",
+                || serde_json::json!({"server": key, "cause": cause}),
+            );
+        }
+    }
+}
+
+impl TableSink for ServersSink {
+    fn table(&self) -> &'static str {
+        self.dialect.sources().servers_table
+    }
+
+    fn is_partitioned(&self) -> bool {
+        false
+    }
+
+    fn pace(&self) -> Duration {
+        SERVERS_PACE
+    }
+
+    fn digest(&self, row: Row) -> Row {
+        digest(row, |row| {
+            let value = row.value.as_deref().unwrap_or_default();
+            self.read_text(&row.key, value)
+        })
+    }
+
+    fn replace(&self, rows: Vec<Row>, revision: u64) {
+        let mut servers = Vec::new();
+        let mut refused = HashMap::new();
+        for row in &rows {
+            match self.read(row) {
+                Some(Ok(server)) => servers.push((server, row.revision)),
+                Some(Err(cause)) => {
+                    refused.insert(row.key.as_str(), cause);
+                }
+                None => {}
+            }
+        }
+        let listed: HashSet<&str> = servers
+            .iter()
+            .map(|(server, _)| server.instance.as_str())
+            .collect();
+        let mut known = self.view.known.lock();
+        known
+            .servers
+            .retain(|name, (at, _)| *at > revision || listed.contains(name.as_str()));
+        let Known {
+            servers: held,
+            earlier_starts,
+            refused: refused_before,
+            ..
+        } = &mut *known;
+        earlier_starts.retain(|name, _| held.contains_key(name));
+        refused_before.retain(|key, _| refused.contains_key(key.as_str()));
+        for (key, cause) in &refused {
+            self.note_refused(&mut known, key, Some(cause));
+        }
+        for (server, at) in servers {
+            View::put_server(&mut known, server, at);
+        }
+        known.servers_read = true;
+        View::all_stale(&mut known);
+        drop(known);
+        self.view.changed.notify_waiters();
+    }
+
+    fn change(&self, row: Row) {
+        let (server, cause) = match self.read(&row) {
+            Some(Ok(server)) => (Some(server), None),
+            Some(Err(cause)) => (None, Some(cause)),
+            None => (None, None),
+        };
+        let mut known = self.view.known.lock();
+        self.note_refused(&mut known, &row.key, cause.as_ref());
+        let held = known.servers.get(&row.key);
+        let before = held.map(|(_, server)| server.service.clone());
+        let applied = match server.clone() {
+            Some(server) => View::put_server(&mut known, server, row.revision),
+            None => View::remove_server(&mut known, &row.key),
+        };
+        if !applied {
+            return;
+        }
+        let after = server.as_ref().map(|server| server.service.clone());
+        for service in before.into_iter().chain(after) {
+            View::stale(&mut known, &service);
+        }
+        drop(known);
+        self.view.log_server(&row, server.as_ref());
+        self.view.changed.notify_waiters();
+    }
+
+    fn contact(&self, contact: &Contact) {
+        let mut known = self.view.known.lock();
+        known.servers_contact = known.servers_contact.max(contact.known_at());
+    }
+}
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -1,26 +1,21 @@
 //! The configuration in force and the servers of each service.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_model::{Configuration, Dialect, EventLog, Row, ServerRecord};
+use dappleyard_model::{Configuration, EventLog, Row, ServerRecord};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
 use crate::eligibility::Exclusion;
 use crate::evacuations::Evacuations;
-use crate::follow::{Contact, TableSink};
+use crate::follow::Contact;
 use crate::loads::server_number;
-use crate::server_digest::{ReadEntry, digest, read_digest};
 use crate::servers::{ServerSet, Standpoint};
 use crate::ways::Ways;
 use dappleyard_clock::Instant;
 
-/// Shortest time between two calls for changes of servers: each server's row changes with each of
-/// its heartbeats, and hardly any of these changes matters.
-const SERVERS_PACE: Duration = Duration::from_millis(400);
-
 /// The servers of one service, as they were sorted last.
 struct KnownSet {
     set: Arc<ServerSet>,
@@ -35,16 +30,16 @@
     /// Servers that are listed, by name: sets of them are built in this order.
     pub(crate) servers: BTreeMap<String, (u64, Arc<ServerRecord>)>,
     /// The start before the one that is listed, by name.
-    earlier_starts: HashMap<String, Arc<ServerRecord>>,
+    pub(crate) earlier_starts: HashMap<String, Arc<ServerRecord>>,
     /// Entries that name no server to use, by name, and what is wrong with each.
-    refused: HashMap<String, String>,
+    pub(crate) refused: HashMap<String, String>,
     by_service: HashMap<String, KnownSet>,
     sets_built: u64,
-    servers_read: bool,
+    pub(crate) servers_read: bool,
     /// Up to when the configuration is known.
     configuration_contact: Option<Instant>,
     /// Up to when the servers are known.
-    servers_contact: Option<Instant>,
+    pub(crate) servers_contact: Option<Instant>,
 }
 
 impl Known {
@@ -230,7 +225,7 @@
     }
 
     /// Takes a server's entry over; whether anything but its revision is new.
-    fn put_server(known: &mut Known, server: ServerRecord, revision: u64) -> bool {
+    pub(crate) fn put_server(known: &mut Known, server: ServerRecord, revision: u64) -> bool {
         let mut server = server;
         if let Some((at, held)) = known.servers.get_mut(&server.instance) {
             if *at >= revision {
@@ -256,7 +251,7 @@
     }
 
     /// Forgets a server that is listed no more; whether it was.
-    fn remove_server(known: &mut Known, instance: &str) -> bool {
+    pub(crate) fn remove_server(known: &mut Known, instance: &str) -> bool {
         known.earlier_starts.remove(instance);
         known.servers.remove(instance).is_some()
     }
@@ -280,7 +275,7 @@
     }
 
     /// The set of a service is to be built anew.
-    fn stale(known: &mut Known, service: &str) {
+    pub(crate) fn stale(known: &mut Known, service: &str) {
         match known.by_service.get_mut(service) {
             Some(held) => held.stale = true,
             None => {
@@ -293,7 +288,7 @@
         }
     }
 
-    fn log_server(&self, row: &Row, server: Option<&ServerRecord>) {
+    pub(crate) fn log_server(&self, row: &Row, server: Option<&ServerRecord>) {
         self.log.write("server_changed", || {
             let state = match server {
                 None => "gone",
@@ -305,136 +300,3 @@
         });
     }
 }
-
-/// Feeds servers into a view.
-pub struct ServersSink {
-    /// The view.
-    pub view: Arc<View>,
-    /// Formats.
-    pub dialect: Arc<dyn Dialect>,
-}
-
-impl ServersSink {
-    /// The server that an entry names; `None` for an entry that is gone. Others write to the table too: an entry that is
-    /// not a server's names none, and the others hold.
-    fn read(&self, row: &Row) -> Option<ReadEntry> {
-        let value = row.value.as_ref()?;
-        let digested = read_digest(&row.key, value);
-        Some(digested.unwrap_or_else(|| self.read_text(&row.key, value)))
-    }
-
-    /// Reads an entry as the server wrote it.
-    fn read_text(&self, key: &str, value: &[u8]) -> ReadEntry {
-        let read = self.dialect.server(key, value);
-        read.map_err(|error| error.to_string())
-    }
-
-    /// Notes whether an entry can be used, and writes a record when that has changed.
-    fn note_refused(&self, known: &mut Known, key: &str, cause: Option<&String>) {
-        if known.refused.get(key) == cause {
-            return;
-        }
-        match cause {
-            Some(cause) => known.refused.insert(key.to_owned(), cause.clone()),
-            None => known.refused.remove(key),
-        };
-        if let Some(cause) = cause {
-            self.view.log.write(
-                "server_refused",
-                || serde_json::json!({"server": key, "cause": cause}),
-            );
-        }
-    }
-}
-
-impl TableSink for ServersSink {
-    fn table(&self) -> &'static str {
-        self.dialect.sources().servers_table
-    }
-
-    fn is_partitioned(&self) -> bool {
-        false
-    }
-
-    fn pace(&self) -> Duration {
-        SERVERS_PACE
-    }
-
-    fn digest(&self, row: Row) -> Row {
-        digest(row, |row| {
-            let value = row.value.as_deref().unwrap_or_default();
-            self.read_text(&row.key, value)
-        })
-    }
-
-    fn replace(&self, rows: Vec<Row>, revision: u64) {
-        let mut servers = Vec::new();
-        let mut refused = HashMap::new();
-        for row in &rows {
-            match self.read(row) {
-                Some(Ok(server)) => servers.push((server, row.revision)),
-                Some(Err(cause)) => {
-                    refused.insert(row.key.as_str(), cause);
-                }
-                None => {}
-            }
-        }
-        let listed: HashSet<&str> = servers
-            .iter()
-            .map(|(server, _)| server.instance.as_str())
-            .collect();
-        let mut known = self.view.known.lock();
-        known
-            .servers
-            .retain(|name, (at, _)| *at > revision || listed.contains(name.as_str()));
-        let Known {
-            servers: held,
-            earlier_starts,
-            refused: refused_before,
-            ..
-        } = &mut *known;
-        earlier_starts.retain(|name, _| held.contains_key(name));
-        refused_before.retain(|key, _| refused.contains_key(key.as_str()));
-        for (key, cause) in &refused {
-            self.note_refused(&mut known, key, Some(cause));
-        }
-        for (server, at) in servers {
-            View::put_server(&mut known, server, at);
-        }
-        known.servers_read = true;
-        View::all_stale(&mut known);
-        drop(known);
-        self.view.changed.notify_waiters();
-    }
-
-    fn change(&self, row: Row) {
-        let (server, cause) = match self.read(&row) {
-            Some(Ok(server)) => (Some(server), None),
-            Some(Err(cause)) => (None, Some(cause)),
-            None => (None, None),
-        };
-        let mut known = self.view.known.lock();
-        self.note_refused(&mut known, &row.key, cause.as_ref());
-        let held = known.servers.get(&row.key);
-        let before = held.map(|(_, server)| server.service.clone());
-        let applied = match server.clone() {
-            Some(server) => View::put_server(&mut known, server, row.revision),
-            None => View::remove_server(&mut known, &row.key),
-        };
-        if !applied {
-            return;
-        }
-        let after = server.as_ref().map(|server| server.service.clone());
-        for service in before.into_iter().chain(after) {
-            View::stale(&mut known, &service);
-        }
-        drop(known);
-        self.view.log_server(&row, server.as_ref());
-        self.view.changed.notify_waiters();
-    }
-
-    fn contact(&self, contact: &Contact) {
-        let mut known = self.view.known.lock();
-        known.servers_contact = known.servers_contact.max(contact.known_at());
-    }
-}
