--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -408,3 +408,25 @@
     here.sweep(later);
     expect_that!(here.refused(later).1, eq(0));
 }
+
+#[gtest]
+fn runs_cut_by_waves() {
+    let (mut ledger, mut now) = (Ledger::new(1), Instant::now());
+    // Three times some servers end, 150 ms apart, for a reason of their own. One of them each time ran a request, which had
+    // brought output for seconds: it does not crash the servers that begin to run it, and must be able to run on.
+    for wave in 0..MOST_ENDED {
+        for place in 0..3 {
+            let server = format!("i-{wave}-{place}");
+            let cut = match place {
+                1 => request(1),
+                _ => request(100 + 10 * wave + place),
+            };
+            ledger.begin(&cut, &server, now);
+            now += Duration::from_millis(150);
+            ledger.note_ended(&cut, &server, true, now);
+            ledger.end(&cut, &server, now);
+        }
+        now += Duration::from_secs(4);
+    }
+    expect_that!(ledger.permit(&request(1), now), not(eq(Permit::Refused)));
+}
