--- a/crates/relay/src/access.rs
+++ b/crates/relay/src/access.rs
@@ -44,6 +44,8 @@
 const SURVEYED: usize = 500;
 /// Failed calls after which the survey ends without an answer.
 const SURVEYS: u32 = 4;
+/// The same while the store has answered nothing to this node for a while: others may have the tables.
+const SURVEYS_WHEN_LOST: u32 = 1;
 /// Pause after the first time that this failed; it doubles.
 const SURVEY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -287,7 +289,7 @@
         let mut pause = SURVEY_PAUSE;
         let mut from = String::new();
         let mut failures = 0;
-        while failures < SURVEYS {
+        while failures < SURVEYS && !(self.health.is_lost() && failures >= SURVEYS_WHEN_LOST) {
             let read = store
                 .read(NODES_TABLE, &self.zone, &from, "", SURVEYED)
                 .await;
--- a/crates/relay/tests/begin.rs
+++ b/crates/relay/tests/begin.rs
@@ -4,7 +4,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use dappleyard_cluster::{ALL_HEARD, Contact, NODES_TABLE, NodeRow, TableSink};
@@ -130,6 +130,26 @@
     assert_that!(*node.asked.borrow(), elements_are![eq(&NODES_TABLE)]);
 }
 
+#[actix_rt::test]
+async fn begins_without_the_store() {
+    let rows = EmulatedRows::default();
+    fill(&rows);
+    let other = TestNode::start("other", &rows, Keys::default());
+    until("the other knows the table", || {
+        other.sink.0.borrow().len() == ROWS
+    })
+    .await;
+    let node = TestNode::start_cut_off("alone", &rows, Keys::default());
+    node.meet(&other);
+    let began = Instant::now();
+    until("the node knows the table", || {
+        node.sink.0.borrow().len() == ROWS
+    })
+    .await;
+    // The store does not answer: another node has the tables, and there is nothing to wait for.
+    assert_that!(began.elapsed(), lt(Duration::from_millis(1_500)));
+}
+
 #[actix_rt::test]
 async fn small_fleet() {
     let rows = EmulatedRows::default();
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -102,11 +102,23 @@
     /// Starts a node that looks which others there are before it follows any table.
     pub fn begin(name: &'static str, rows: &EmulatedRows, sink: S) -> Self {
         let node = Self::start_as(name, rows, sink, Access::undecided);
-        let (access, peers, store) = (node.access.clone(), node.peers.clone(), node.store.clone());
+        node.survey();
+        node
+    }
+
+    /// The same while the store answers nothing to it.
+    pub fn start_cut_off(name: &'static str, rows: &EmulatedRows, sink: S) -> Self {
+        let node = Self::start_as(name, rows, sink, Access::undecided);
+        node.cut.set(true);
+        node.survey();
+        node
+    }
+
+    fn survey(&self) {
+        let (access, peers, store) = (self.access.clone(), self.peers.clone(), self.store.clone());
         tokio::task::spawn_local(async move {
             access.survey(store.as_ref(), peers.as_ref()).await;
         });
-        node
     }
 
     fn start_as(
