--- a/crates/cluster/src/delegates.rs
+++ b/crates/cluster/src/delegates.rs
@@ -1,4 +1,4 @@
-//! Delegates: the nodes of a zone that act for it in a large fleet. They follow tables at the store
+//! Delegates: the nodes of a zone that act for it in a large fleet. They hand on the store's tables
 //! and sum up loads, so that what each node sends and reads does not grow with the fleet.
 
 use dappleyard_model::Resources;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! A node reads and writes the store itself where it can. Two things pass through other nodes:
 //!
-//! - **Tables that are followed** (configuration, servers, nodes, jobs). In a large fleet a few
-//!   readers of each zone follow them and the other nodes take the changes from the readers, so that
-//!   calls to the store do not grow with the fleet.
+//! - **Tables that are followed** (configuration, servers, nodes, jobs). In a large fleet two
+//!   nodes of a region follow them at the store, the delegates of its zones take the changes from these, and the
+//!   other nodes from their delegates, so that calls to the store do not grow with the fleet.
 //! - **Calls** of a node that the store refuses or does not reach. Another node makes the call and
 //!   passes the answer back. What is safe rests on conditions in the store alone, never on who made
 //!   the call, so a call passed on is as good as one's own; one whose answer is lost is in doubt, as
