Nodes tell each other their online demand for each service

Cause: no node knows how many requests wait elsewhere, how many were told to come back, or whose they are, so each decides about too little room by the loads alone. Nothing decides by it yet; nothing is told where nothing waits.

--- /dev/null
+++ b/crates/cluster/src/demand.rs
@@ -0,0 +1,232 @@
+//! Online demand for each service: this node's exactly, the other nodes' as they told it last.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_clock::Instant;
+use dappleyard_room::{Demand, ReturnSchedule, SPAN, TenantWork, service_number};
+use parking_lot::Mutex;
+
+use crate::server_loads::Source;
+
+/// Demand older than this tells nothing.
+const NEWS_LIFE: Duration = Duration::from_millis(1_500);
+/// Tenants of one service told of in one message at most: those with little work are not short of room.
+const TENANTS_TOLD: usize = 32;
+
+/// Demand of this node for one service.
+struct OwnDemand {
+    waiting: u32,
+    returns: ReturnSchedule,
+    tenants: HashMap<u32, u32>,
+}
+
+impl OwnDemand {
+    fn told(&mut self, service: u32, now: Instant) -> Demand {
+        let mut tenants: Vec<TenantWork> = self
+            .tenants
+            .iter()
+            .map(|(tenant, requests)| TenantWork {
+                tenant: *tenant,
+                requests: *requests,
+            })
+            .collect();
+        tenants.sort_by_key(|work| work.tenant);
+        Demand {
+            service,
+            waiting: self.waiting,
+            returns: self.returns.due(now),
+            tenants,
+        }
+    }
+}
+
+#[derive(Default)]
+struct State {
+    own: HashMap<u32, OwnDemand>,
+    others: HashMap<Source, (Instant, Vec<Demand>)>,
+}
+
+impl State {
+    fn own(&mut self, service: u32, now: Instant) -> &mut OwnDemand {
+        self.own.entry(service).or_insert_with(|| OwnDemand {
+            waiting: 0,
+            returns: ReturnSchedule::new(now),
+            tenants: HashMap::new(),
+        })
+    }
+
+    fn own_told(&mut self, now: Instant) -> Vec<Demand> {
+        let told = self
+            .own
+            .iter_mut()
+            .map(|(service, own)| own.told(*service, now));
+        told.filter(|demand| !demand.is_empty()).collect()
+    }
+
+    /// Own demand and that of some sources, by service.
+    fn sum(&mut self, counted: impl Fn(&Source) -> bool, now: Instant) -> Vec<Demand> {
+        let mut sums: HashMap<u32, Demand> = self
+            .own_told(now)
+            .into_iter()
+            .map(|demand| (demand.service, demand))
+            .collect();
+        for (source, (at, demands)) in &self.others {
+            let age = now.saturating_duration_since(*at);
+            if age >= NEWS_LIFE || !counted(source) {
+                continue;
+            }
+            let spans = (age.as_millis() / SPAN.as_millis()) as usize;
+            for demand in demands {
+                let sum = sums
+                    .entry(demand.service)
+                    .or_insert_with(|| Demand::of(demand.service));
+                sum.add(demand, spans);
+            }
+        }
+        let mut sums: Vec<Demand> = sums.into_values().collect();
+        sums.iter_mut()
+            .for_each(|sum| sum.keep_busiest(TENANTS_TOLD));
+        sums
+    }
+}
+
+/// Online demand for all services. The lock is taken alone.
+#[derive(Default)]
+pub struct DemandTable {
+    state: Mutex<State>,
+}
+
+impl DemandTable {
+    /// Counts a request as waiting for a slot of a service until the guard is dropped.
+    pub fn wait(self: &Arc<Self>, service: &str) -> Waiting {
+        let service = service_number(service);
+        self.state.lock().own(service, Instant::now()).waiting += 1;
+        Waiting {
+            table: self.clone(),
+            service,
+        }
+    }
+
+    /// Counts a request of a tenant as work at a service until the guard is dropped.
+    pub fn work(self: &Arc<Self>, service: &str, tenant: u32) -> Work {
+        let service = service_number(service);
+        let mut state = self.state.lock();
+        let own = state.own(service, Instant::now());
+        *own.tenants.entry(tenant).or_default() += 1;
+        Work {
+            table: self.clone(),
+            service,
+            tenant,
+        }
+    }
+
+    /// A refused request was told to come back after some time.
+    pub fn note_return(&self, service: &str, after: Duration) {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        state
+            .own(service_number(service), now)
+            .returns
+            .note(after, now);
+    }
+
+    /// Demand of all nodes for a service.
+    pub fn total(&self, service: &str) -> Demand {
+        let number = service_number(service);
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let mut sum = match state.own.get_mut(&number) {
+            Some(own) => own.told(number, now),
+            None => Demand::of(number),
+        };
+        for (at, demands) in state.others.values() {
+            let age = now.saturating_duration_since(*at);
+            if age >= NEWS_LIFE {
+                continue;
+            }
+            let spans = (age.as_millis() / SPAN.as_millis()) as usize;
+            let told = demands.iter().filter(|demand| demand.service == number);
+            told.for_each(|demand| sum.add(demand, spans));
+        }
+        sum
+    }
+
+    /// Demand of this node, as it is told.
+    pub(crate) fn own(&self) -> Vec<Demand> {
+        self.state.lock().own_told(Instant::now())
+    }
+
+    /// Demand of the nodes of this zone.
+    pub(crate) fn zone_sum(&self) -> Vec<Demand> {
+        let mut state = self.state.lock();
+        state.sum(|source| matches!(source, Source::Node(_)), Instant::now())
+    }
+
+    /// Demand of all nodes but one.
+    pub(crate) fn sum_without(&self, node: u64) -> Vec<Demand> {
+        let others = |source: &Source| *source != Source::Node(node) && *source != Source::Fleet;
+        self.state.lock().sum(others, Instant::now())
+    }
+
+    /// What a source wants now, where a heartbeat has told that it wants the same servers as this node.
+    pub(crate) fn change_source(&self, source: Source, demands: Vec<Demand>) {
+        if let Some(held) = self.state.lock().others.get_mut(&source) {
+            *held = (Instant::now(), demands);
+        }
+    }
+
+    /// Demand from one source. A sum over the fleet takes the place of everything else, and the other way round.
+    pub(crate) fn set_source(&self, source: Source, demands: Vec<Demand>) {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        match source {
+            Source::Fleet => state.others.clear(),
+            _ => {
+                state.others.remove(&Source::Fleet);
+            }
+        }
+        state.others.insert(source, (now, demands));
+        state
+            .others
+            .retain(|_, (at, _)| now.saturating_duration_since(*at) < NEWS_LIFE);
+    }
+}
+
+/// A request that waits for a slot; dropping it ends the wait.
+pub struct Waiting {
+    table: Arc<DemandTable>,
+    service: u32,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if let Some(own) = self.table.state.lock().own.get_mut(&self.service) {
+            own.waiting = own.waiting.saturating_sub(1);
+        }
+    }
+}
+
+/// A request of a tenant under way; dropping it ends the work.
+pub struct Work {
+    table: Arc<DemandTable>,
+    service: u32,
+    tenant: u32,
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        let mut state = self.table.state.lock();
+        let Some(own) = state.own.get_mut(&self.service) else {
+            return;
+        };
+        let Some(requests) = own.tenants.get_mut(&self.tenant) else {
+            return;
+        };
+        *requests = requests.saturating_sub(1);
+        if *requests == 0 {
+            own.tenants.remove(&self.tenant);
+        }
+    }
+}
--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -223,6 +223,7 @@
             sequence: self.next_sequence(),
             loads: self.loads.take_changes(),
             passed: self.quotas.passed(),
+            demands: self.loads.demand.own(),
         });
         if !self.peers.is_large() {
             let targets = self.peers.heartbeat_targets().into_iter();
@@ -289,6 +290,10 @@
                 true => self.quotas.passed(),
                 false => Vec::new(),
             },
+            demands: match with_loads {
+                true => self.loads.demand.own(),
+                false => Vec::new(),
+            },
             sequence: self.next_sequence(),
             signs,
         })
--- a/crates/cluster/src/large_fleet.rs
+++ b/crates/cluster/src/large_fleet.rs
@@ -78,6 +78,7 @@
                     levels: self.quotas.levels_for(node_number(&peer.name)),
                     loads,
                     waiting: self.loads.waiting.sum_without(node_number(&peer.name)),
+                    demands: self.loads.demand.sum_without(node_number(&peer.name)),
                     signs: signs.clone(),
                     evacuated: evacuated.clone(),
                     ..self.summary()
@@ -158,6 +159,7 @@
             loads: told.loads,
             changes_only: told.changes_only,
             waiting: self.loads.waiting.zone_sum(),
+            demands: self.loads.demand.zone_sum(),
             passed: self.quotas.zone_passed(duties.signs),
             heard_permille: (self.quotas.zone_heard() * 1_000.0) as u32,
             signs,
--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cold_parts::ColdParts;
+use crate::demand::DemandTable;
 use crate::evacuated_work::ToldZones;
 use crate::server_loads::{HEARTBEAT_LIFE, LoadSummary, ServerLoads, Source};
 use crate::waiting::WaitingItems;
@@ -37,6 +38,8 @@
 pub struct LoadTable {
     /// Items that wait for a server.
     pub waiting: WaitingItems,
+    /// Online demand of all nodes.
+    pub demand: Arc<DemandTable>,
     /// Work in evacuated zones, as a delegate told it.
     pub zones: ToldZones,
     /// What this node sent to cold servers.
--- a/crates/cluster/src/messages.rs
+++ b/crates/cluster/src/messages.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes, and the row with which a node makes itself known.
 
 use dappleyard_crashes::CrashNews;
+use dappleyard_room::Demand;
 use dappleyard_tenants::{CreditLevel, PassedCount};
 use prost::{Message, Oneof};
 
@@ -162,6 +163,9 @@
     /// Requests of tenants that the sender let pass.
     #[prost(message, repeated, tag = "14")]
     pub passed: Vec<PassedCount>,
+    /// Online demand of the sender.
+    #[prost(message, repeated, tag = "15")]
+    pub demands: Vec<Demand>,
 }
 
 /// What still runs at the servers of an evacuated zone, over all nodes.
@@ -218,6 +222,9 @@
     /// What still runs in evacuated zones, for the nodes of the sender's zone; not in every summary.
     #[prost(message, repeated, tag = "20")]
     pub evacuated: Vec<ZoneWork>,
+    /// Online demand of the nodes whose loads are summed.
+    #[prost(message, repeated, tag = "21")]
+    pub demands: Vec<Demand>,
 }
 
 /// Work of one node at the servers where it has changed since the node last told of it.
@@ -238,6 +245,9 @@
     /// Requests of tenants that the sender let pass.
     #[prost(message, repeated, tag = "5")]
     pub passed: Vec<PassedCount>,
+    /// Online demand of the sender.
+    #[prost(message, repeated, tag = "6")]
+    pub demands: Vec<Demand>,
 }
 
 /// Life signs alone: those that had no room beside what else their teller said.
--- a/crates/cluster/src/receiving.rs
+++ b/crates/cluster/src/receiving.rs
@@ -63,6 +63,7 @@
         let source = Source::Node(number);
         if self.waits_near(&heartbeat.name) {
             self.loads.waiting.set_source(source, heartbeat.waiting);
+            self.loads.demand.set_source(source, heartbeat.demands);
         }
         self.loads.set_source(source, heartbeat.loads);
     }
@@ -107,6 +108,7 @@
             self.quotas
                 .note_node(change.node, change.life, &change.passed);
             let source = Source::Node(change.node);
+            self.loads.demand.change_source(source, change.demands);
             self.loads.change_source(source, change.loads);
         }
     }
@@ -134,6 +136,7 @@
                 let source = Source::Zone(node_number(&zone));
                 if self.waits_near(&summary.name) {
                     self.loads.waiting.set_source(source, summary.waiting);
+                    self.loads.demand.set_source(source, summary.demands);
                 }
                 match summary.changes_only {
                     true => self.loads.merge_source(source, summary.loads),
@@ -147,6 +150,7 @@
                 self.loads
                     .waiting
                     .set_source(Source::Fleet, summary.waiting);
+                self.loads.demand.set_source(Source::Fleet, summary.demands);
                 self.loads.set_source(Source::Fleet, summary.loads);
             }
             // Two nodes may for a moment think differently of who the delegates are.
