A setting for deployments whose callers compete for too little room

What is decided under too little room takes effect only where the platform's settings name that contract. Nothing goes by it yet.

--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -113,4 +113,7 @@
     pub bounds: Bounds,
     /// What the machine has.
     pub resources: Resources,
+    /// While a service has too little room, requests that can't be served in time are refused at once, tenants get
+    /// fair shares, and batch work makes way for online requests wholly.
+    pub load_shedding: bool,
 }
