Servers' pace: heard with answers, told with the loads, weighed in placement

A server that takes three times as long got as many requests as the others: placement counted requests against slots, and the figure that servers tell of their pace was read and used by nothing.

--- a/crates/cluster/src/load_sources.rs
+++ b/crates/cluster/src/load_sources.rs
@@ -42,6 +42,7 @@
         let mut servers = self.servers.lock();
         for entry in entries {
             let loads = servers.entry(entry.server).or_default();
+            loads.take_pace_news(source, &entry, now);
             let (_, held) = loads
                 .peers
                 .entry(source)
@@ -70,6 +71,7 @@
         }
         for entry in entries {
             let loads = servers.entry(entry.server).or_default();
+            loads.take_pace_news(source, &entry, now);
             loads.peers.insert(source, (now, entry));
             self.note_news(loads, now);
         }
@@ -81,6 +83,7 @@
         let mut servers = self.servers.lock();
         for entry in entries {
             let loads = servers.entry(entry.server).or_default();
+            loads.take_pace_news(source, &entry, now);
             loads.peers.insert(source, (now, entry));
             self.note_news(loads, now);
         }
--- a/crates/cluster/src/server_loads.rs
+++ b/crates/cluster/src/server_loads.rs
@@ -7,6 +7,7 @@
 
 use crate::messages::LoadEntry;
 use crate::outcomes::{Ejection, OutcomeCounts, Outcomes};
+use crate::server_pace::{Pace, ServerPace};
 use crate::temperature::{Checked, Temperature, Thermal};
 
 /// Time since a server was last heard here in which it does not count as silent for others' sake: they may be cut
@@ -30,6 +31,10 @@
     pub excess_ms: f64,
     /// How cold it is; `None` where that is not followed.
     pub temperature: Option<Temperature>,
+    /// How long work takes there now, as far as is known.
+    pub pace: Pace,
+    /// How long it took in the last seconds.
+    pub lasting_pace: Pace,
 }
 
 /// Whose work an entry counts.
@@ -67,6 +72,12 @@
     pub(crate) thermal: Thermal,
     /// This node's own newest answer to a question of how cold it is.
     pub(crate) own_check: Option<Checked>,
+    /// How long work takes there.
+    pub(crate) pace: ServerPace,
+    /// Who told the newest figure of it; `None` for this node.
+    pub(crate) pace_from: Option<Source>,
+    /// When the server last told such a figure to this node.
+    pub(crate) pace_told_at: Option<Instant>,
 }
 
 impl ServerLoads {
@@ -77,6 +88,8 @@
             unread_tokens: self.unread_tokens,
             suspect: self.is_found_silent(now) || self.ejection.is_out(now),
             temperature: self.followed_temperature(now),
+            pace: self.pace.now(now),
+            lasting_pace: self.pace.lasting(now),
             ..LoadSummary::default()
         };
         for (at, entry) in self.peers.values() {
@@ -135,7 +148,10 @@
     pub(crate) fn own(&self, server: u32, now: Instant) -> LoadEntry {
         let outcomes = self.outcomes.counts(now);
         let (asked_ms, cold_ms) = self.own_check_told(now);
+        let (pace_ms, pace_percent) = self.pace_told(now, |_| false);
         LoadEntry {
+            pace_ms,
+            pace_percent,
             asked_ms,
             cold_ms,
             failed: outcomes.failed,
@@ -161,6 +177,7 @@
         counted: impl Fn(&Source) -> bool,
     ) -> LoadEntry {
         let mut sum = self.own(server, now);
+        (sum.pace_ms, sum.pace_percent) = self.pace_told(now, &counted);
         for (source, (at, entry)) in &self.peers {
             let age = now.duration_since(*at);
             if age >= HEARTBEAT_LIFE || !counted(source) {
@@ -208,5 +225,6 @@
 
 pub(crate) fn tells_something(entry: &LoadEntry) -> bool {
     let silent = entry.suspect || entry.doubted;
-    entry.online + entry.batch > 0 || silent || entry.failed > 0 || entry.asked_ms > 0
+    let told = entry.asked_ms > 0 || entry.pace_ms > 0;
+    entry.online + entry.batch > 0 || silent || entry.failed > 0 || told
 }
--- a/crates/cluster/src/zone_digest.rs
+++ b/crates/cluster/src/zone_digest.rs
@@ -73,8 +73,8 @@
         }));
     }
 
-    /// Whether a sum differs from what was told. When a server was last heard, and how much it served,
-    /// changes all the time and is told with the rest.
+    /// Whether a sum differs from what was told. When a server was last heard, how much it served, and small changes
+    /// of its pace come all the time and are told with the rest.
     fn is_news(&self, sum: &LoadEntry) -> bool {
         let held = self.told.get(&sum.server);
         if self.coarse {
@@ -86,8 +86,12 @@
             let asked_again =
                 sum.asked_ms > 0 && (held.asked_ms == 0 || sum.asked_ms < held.asked_ms);
             let (asked_ms, cold_ms) = (sum.asked_ms, sum.cold_ms);
+            let (pace_ms, pace_percent) = (sum.pace_ms, sum.pace_percent);
             asked_again
+                || sum.is_pace_news(held)
                 || LoadEntry {
+                    pace_ms,
+                    pace_percent,
                     asked_ms,
                     cold_ms,
                     heard_ms,
@@ -107,4 +111,5 @@
         || held.suspect != sum.suspect
         || held.doubted != sum.doubted
         || failing
+        || sum.is_pace_news(held)
 }
--- a/crates/ingress/src/answer_times.rs
+++ b/crates/ingress/src/answer_times.rs
@@ -73,25 +73,35 @@
 
     /// A time that hardly any answer takes, from the times that are known; between `least` and 900 ms.
     pub fn bound(&self, least: Duration) -> Duration {
-        let counts: Vec<u32> = self
-            .now
-            .iter()
-            .zip(&self.before)
-            .map(|(now, before)| now + before)
-            .collect();
+        let Some(bucket) = self.bucket_of(QUANTILE) else {
+            return MOST;
+        };
+        let ms = ((bucket + 1) as f64 / STEPS).exp2() * MARGIN;
+        Duration::from_secs_f64(ms / 1_000.0).clamp(least, MOST)
+    }
+
+    /// The median of the times that are known; `None` while too few are.
+    pub fn usual(&self) -> Option<Duration> {
+        let bucket = self.bucket_of(0.5)?;
+        let ms = ((bucket as f64 + 0.5) / STEPS).exp2();
+        Some(Duration::from_secs_f64(ms / 1_000.0))
+    }
+
+    /// Where a quantile of the times lies; `None` while too few are known.
+    fn bucket_of(&self, quantile: f64) -> Option<usize> {
+        let counts = self.now.iter().zip(&self.before);
+        let counts: Vec<u32> = counts.map(|(now, before)| now + before).collect();
         let total: u32 = counts.iter().sum();
         if total < ENOUGH {
-            return MOST;
+            return None;
         }
-        let below = (f64::from(total) * QUANTILE).ceil() as u32;
+        let below = (f64::from(total) * quantile).ceil() as u32;
         let mut sum = 0;
         let bucket = counts.iter().position(|count| {
             sum += count;
             sum >= below
         });
-        let steps = bucket.unwrap_or(BUCKETS - 1) + 1;
-        let ms = (steps as f64 / STEPS).exp2() * MARGIN;
-        Duration::from_secs_f64(ms / 1_000.0).clamp(least, MOST)
+        Some(bucket.unwrap_or(BUCKETS - 1))
     }
 }
 
@@ -128,6 +138,11 @@
             .note(taken, Instant::now());
     }
 
+    /// The usual time between two pieces of an answer; `None` while too little is known.
+    pub fn usual_pause(&self, service: &str) -> Option<Duration> {
+        self.pauses.lock().get(service)?.usual()
+    }
+
     /// Silence before the first event after which a request that may be repeated goes elsewhere.
     pub fn first_patience(&self, service: &str, tokens: u32) -> Duration {
         let times = self.first.lock();
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dappleyard_model::{AnswerFacts, Homes, ServerRecord, ServerStamp, TenantStamp};
+use dappleyard_cluster::Pace;
+use dappleyard_model::{AnswerFacts, Homes, ServerLoad, ServerRecord, ServerStamp, TenantStamp};
 use dappleyard_upstream::{
     AnswerHead, BodyFraming, Connection, ExchangeError, IdleLimit, Pool, Stage, request_bytes,
 };
@@ -205,6 +206,7 @@
         };
         self.node.loads.heard(&server.id);
         if let Some(load) = facts.load {
+            self.note_told_pace(server, load);
             let mut allowance = self.allowance.get();
             allowance.note(load);
             self.allowance.set(allowance);
@@ -248,7 +250,8 @@
                 Err(_) => {
                     let own = started.elapsed();
                     let silence = self.node.loads.silence(&server.id).unwrap_or(own).min(own);
-                    if silence >= next_notice {
+                    let slow = || patience.notice_at(self.node.loads.pace(&server.id), SILENT);
+                    if silence >= next_notice && silence >= slow() {
                         next_notice += SUSPECT_TIME / 2;
                         match silence >= SILENT {
                             true => self.node.loads.suspect(&server.id, SUSPECT_TIME),
@@ -269,6 +272,31 @@
         }
     }
 
+    /// Takes what a server says of how long work takes there.
+    pub(crate) fn note_told_pace(&self, server: &ServerRecord, load: ServerLoad) {
+        let Some(pace) = load.work_percent.and_then(Pace::of_percent) else {
+            return;
+        };
+        if self.node.loads.note_told_pace(&server.id, pace) {
+            self.log_pace(server, pace, "told");
+        }
+    }
+
+    /// Takes what this node measured of a server's answers.
+    pub(crate) fn note_measured_pace(&self, server: &ServerRecord, pace: Pace) {
+        if self.node.loads.note_measured_pace(&server.id, pace) {
+            self.log_pace(server, pace, "measured");
+        }
+    }
+
+    fn log_pace(&self, server: &ServerRecord, pace: Pace, by: &str) {
+        Metrics::count(&self.node.metrics.pace_changes);
+        self.node.log.write(
+            "server_pace",
+            || serde_json::json!({"server": server.id, "percent": pace.percent(), "by": by}),
+        );
+    }
+
     fn note_outcome(&self, server: &ServerRecord, served: bool) {
         if self.node.loads.note_outcome(&server.id, served) {
             self.node.log.write(
--- a/crates/ingress/src/connecting.rs
+++ b/crates/ingress/src/connecting.rs
@@ -95,6 +95,9 @@
             let mut connection = self.open(server).await.ok()?;
             let head = connection.send(&request).await.ok()?;
             let facts = self.node.dialect.answer_facts(head.status, &head.headers);
+            if let Some(load) = facts.load {
+                self.note_told_pace(server, load);
+            }
             connection.whole_body(FOREIGN_BYTES).await.ok()?;
             self.pool.forget(server.address);
             self.pool.put(server.address, connection);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod answer;
+mod answer_pauses;
 mod answer_times;
 mod attempt;
 mod closing;
@@ -29,6 +30,7 @@
 mod relay;
 mod zone_care;
 
+pub use answer_pauses::AnswerPauses;
 pub use answer_times::{AnswerTimes, LearnedTime};
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
 pub use closing::close;
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -85,6 +85,8 @@
     pub requests_blamed: AtomicU64,
     /// Requests that were refused for that.
     pub servers_ended_refused: AtomicU64,
+    /// Times that a server's pace was found to differ much from what was believed.
+    pub pace_changes: AtomicU64,
     first_event: [AtomicU64; BOUNDS_MS.len() + 1],
     first_event_sum_ms: AtomicU64,
 }
@@ -124,6 +126,7 @@
             ("health_questions", &self.health_questions),
             ("zones_suspected", &self.zones_suspected),
             ("zone_probes", &self.zone_probes),
+            ("pace_changes", &self.pace_changes),
             ("servers_ended", &self.servers_ended),
             ("requests_blamed", &self.requests_blamed),
             ("servers_ended_refused", &self.servers_ended_refused),
--- a/crates/ingress/src/patience.rs
+++ b/crates/ingress/src/patience.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use dappleyard_cluster::Pace;
+
 /// Silence of a server that is borne by what waits for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Patience {
@@ -36,6 +38,13 @@
         }
     }
 
+    /// Silence after which a server is doubted at which work takes long: so much longer, up to some silence. The
+    /// attempt is given up no later for it, so that what may run again leaves such a server.
+    pub fn notice_at(self, pace: Pace, most: Duration) -> Duration {
+        let stretched = self.notice.mul_f64(pace.times().max(1.0));
+        stretched.min(most).max(self.notice)
+    }
+
     /// Silence after which the server is looked at first.
     pub(crate) fn first_look(self) -> Duration {
         self.leave
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -31,6 +31,9 @@
 /// Weight of a server that is cold, where its rate is bounded: less than the way to another zone, so that a zone that
 /// returns cold takes part in its own work at once.
 const COLD: f64 = 3.0;
+/// Weight of a request's own way to its first event at a server of the usual pace, about 60 ms: what a slower server
+/// adds when nothing is ahead.
+const FIRST_EVENT: f64 = 5.0;
 
 /// Servers of the own zone that one request weighs in a large fleet, drawn at random.
 const NEAR_SAMPLED: usize = 4;
@@ -118,18 +121,24 @@
 
 /// Whether a candidate may be chosen out of a sample. A full one may: were all servers weighed when the
 /// sample is full, all nodes would choose the same one until its load is told, and a wave of arrivals
-/// that fills the fleet would pile up at it (0.915 of the worth on a quiet day of such waves, 0.862
-/// otherwise).
+/// that fills the fleet would pile up at it.
 pub fn is_sound(candidate: &Candidate) -> bool {
     !candidate.load.suspect
 }
 
-/// Online requests above the slots, in the mean of some candidates; less than zero where slots are free.
+/// Online requests above the slots, in the mean of some candidates; less than zero where slots are free. A server at
+/// which work takes long counts for as much less as its slots serve fewer.
 pub fn mean_over(candidates: &[Candidate]) -> f64 {
-    let over = candidates
-        .iter()
-        .map(|candidate| f64::from(candidate.load.online) - f64::from(candidate.server.slots));
-    over.sum::<f64>() / candidates.len().max(1) as f64
+    let (mut over, mut rates) = (0.0, 0.0);
+    for Candidate { server, load } in candidates {
+        let rate = 1.0 / load.pace.times();
+        over += rate * (f64::from(load.online) - f64::from(server.slots));
+        rates += rate;
+    }
+    match rates > 0.0 {
+        true => over / rates,
+        false => 0.0,
+    }
 }
 
 /// The server that keeps the shared parts of a prompt: the highest hash of both.
@@ -146,6 +155,7 @@
     let over = requests + 1.0 - f64::from(candidate.server.slots);
     let mut weight = requests + f64::from(load.unread_tokens) / TOKENS_PER_UNIT;
     weight += over.max(0.0) * OVER_SLOTS;
+    weight += (load.pace.times() - 1.0) * (weight + FIRST_EVENT);
     weight += load.excess_ms / EXCESS_MS_PER_UNIT;
     weight += match load.temperature {
         // Where a cold server bears a bounded rate, that bound keeps the rest away.
@@ -171,7 +181,7 @@
 /// Weight of the wait at a candidate without a free slot. Items count for nothing, since they give way.
 fn wait(candidate: &Candidate) -> f64 {
     let ahead = f64::from(candidate.load.online) + 1.0 - f64::from(candidate.server.slots);
-    ahead.max(0.0) * (1.0 + OVER_SLOTS)
+    ahead.max(0.0) * (1.0 + OVER_SLOTS) * candidate.load.pace.times()
 }
 
 /// The candidates among which a request is placed. While one of its own region has a free slot, those that
--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -88,6 +88,7 @@
             "candidates": placement.candidates, "kept": placement.kept,
             "online": load.online, "batch": load.batch,
             "unread_tokens": load.unread_tokens, "suspect": load.suspect,
+            "pace_percent": load.pace.percent(),
             "age_ms": request.arrived.elapsed().as_millis() as u64,
             "remaining_ms": request.remaining().as_millis() as u64})
     });
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -6,6 +6,7 @@
 use derive_more::{Display, Error};
 use futures::Stream;
 
+use crate::answer_pauses::AnswerPauses;
 use crate::attempt::{AttemptError, Exchange, Ran, SUSPECT_TIME, Upstreams};
 use crate::crashes::Broken;
 use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
@@ -58,6 +59,7 @@
     request: Request,
     begun: Option<Begun>,
     splitter: EventSplitter,
+    pauses: AnswerPauses,
     last_event: Option<u64>,
     events: u64,
     /// When the present run brought its first event.
@@ -75,6 +77,7 @@
             request,
             begun: Some(begun),
             splitter: EventSplitter::default(),
+            pauses: AnswerPauses::default(),
             last_event,
             events: 0,
             output_since: None,
@@ -132,8 +135,12 @@
         let node = upstreams.node();
         node.loads.heard(&server.id);
         if self.events > 0 && piece.is_some() {
-            node.times
-                .note_pause(&self.request.service, since.elapsed());
+            let (service, pause) = (&self.request.service, since.elapsed());
+            node.times.note_pause(service, pause);
+            let pace = self.pauses.note(pause, || node.times.usual_pause(service));
+            if let Some(pace) = pace {
+                upstreams.note_measured_pace(server, pace);
+            }
         }
         Ok(piece)
     }
@@ -229,6 +236,7 @@
             Dispatched::Begun(begun) => {
                 Metrics::count(&node.metrics.resumed);
                 self.begun = Some(*begun);
+                self.pauses = AnswerPauses::default();
                 self.output_since = None;
                 Ok(())
             }
--- a/crates/jobs/src/width.rs
+++ b/crates/jobs/src/width.rs
@@ -12,6 +12,8 @@
 const OTHER_ZONE: f64 = 3.0;
 /// Weight of the server where the item ran last: it may keep the prompt.
 const SAME_SERVER: f64 = -2.0;
+/// Weight of an item's own time at a server of the usual pace: what a slower server adds when it is empty.
+const ITEM: f64 = 4.0;
 /// Spread between nodes that see the same loads.
 const SPREAD: f64 = 2.0;
 
@@ -35,7 +37,9 @@
     if load.suspect || !warm || load.unread_tokens > UNREAD_TOKENS {
         return 0;
     }
-    slots.saturating_sub(load.online + load.batch + SPARE_SLOTS)
+    // The next online request waits the longer for a slot here, the longer work takes.
+    let spare = f64::from(SPARE_SLOTS) * load.lasting_pace.times().max(1.0);
+    slots.saturating_sub(load.online + load.batch + spare.round() as u32)
 }
 
 /// The servers among which an item is placed: those of the own region while any of them has room, else all.
@@ -78,5 +82,6 @@
         true => SAME_SERVER,
         false => 0.0,
     };
-    work + away + same + spread + server.load.excess_ms / 20.0
+    let slower = (server.load.lasting_pace.times() - 1.0) * (work + ITEM);
+    work + slower + away + same + spread + server.load.excess_ms / 20.0
 }
