--- a/crates/cluster/src/load_paces.rs
+++ b/crates/cluster/src/load_paces.rs
@@ -37,9 +37,9 @@
     }
 
     /// Age of the newest pace in milliseconds, plus one, and its figure, where it came from this node or one that
-    /// is counted.
+    /// is counted. Where work takes as long as usual, and did, nothing is told.
     pub(crate) fn pace_told(&self, now: Instant, counted: impl Fn(&Source) -> bool) -> (u32, u32) {
-        let counts = self.pace_from.as_ref().is_none_or(counted);
+        let counts = self.pace_from.as_ref().is_none_or(counted) && !self.pace.is_usual(now);
         let newest = self.pace.newest(now).filter(|_| counts);
         newest.map_or((0, 0), |(age, pace)| {
             (age.as_millis() as u32 + 1, pace.percent())
--- a/crates/cluster/src/server_pace.rs
+++ b/crates/cluster/src/server_pace.rs
@@ -116,6 +116,13 @@
         Pace(1.0 + (self.lasting.0 - 1.0) * kept)
     }
 
+    /// Whether work takes about as long as usual, now and over the last seconds.
+    pub fn is_usual(&self, now: Instant) -> bool {
+        let newest = self.newest(now).map(|(_, pace)| pace);
+        let mut paces = newest.into_iter().chain([self.lasting(now)]);
+        !paces.any(|pace| pace.differs_much(Pace::USUAL))
+    }
+
     /// The pace that is expected now.
     pub fn now(&self, now: Instant) -> Pace {
         let lasting = self.lasting(now);
--- /dev/null
+++ b/crates/cluster/tests/server_pace.rs
@@ -0,0 +1,184 @@
+//! The pace of servers: two numbers, their age, and what one node tells another.
+
+mod support;
+
+use std::time::Duration;
+
+use dappleyard_clock::Instant;
+use dappleyard_cluster::{LoadEntry, LoadTable, Pace, ServerPace, ZoneDigest};
+use dappleyard_model::ServerRecord;
+use googletest::prelude::*;
+
+use support::*;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A pace that was heard each 200 ms for so long.
+fn heard(times: f64, long: Duration, from: Instant) -> ServerPace {
+    let mut pace = ServerPace::default();
+    let steps = long.as_millis() as u32 / 200;
+    (0..=steps).for_each(|step| {
+        pace.note(Pace::new(times), from + ms(200) * step);
+    });
+    pace
+}
+
+#[gtest]
+fn nothing_known() {
+    let pace = ServerPace::default();
+    let now = Instant::now();
+    expect_that!(
+        (pace.now(now), pace.lasting(now)),
+        eq((Pace::USUAL, Pace::USUAL))
+    );
+}
+
+#[gtest]
+fn passing_pace() {
+    let start = Instant::now();
+    let mut pace = heard(1.0, ms(4_000), start);
+    let slow = start + ms(4_200);
+    pace.note(Pace::new(2.5), slow);
+    expect_that!(pace.now(slow + ms(50)).percent(), eq(250));
+    // Half a second later the figure tells nothing more.
+    let after = pace.now(slow + ms(600));
+    expect_that!(after, eq(pace.lasting(slow + ms(600))));
+    expect_that!(after.percent(), le(125));
+}
+
+#[gtest]
+fn lasting_pace() {
+    let start = Instant::now();
+    let pace = heard(3.0, ms(8_000), start);
+    expect_that!(pace.lasting(start + ms(8_600)).percent(), ge(290));
+}
+
+#[gtest]
+fn lasting_change() {
+    let start = Instant::now();
+    let mut pace = heard(1.0, ms(4_000), start);
+    (1..=20).for_each(|step| {
+        pace.note(Pace::new(3.0), start + ms(4_000) + ms(200) * step);
+    });
+    expect_that!(pace.lasting(start + ms(8_000)).percent(), ge(250));
+}
+
+#[gtest]
+fn tried_again() {
+    let start = Instant::now();
+    let pace = heard(3.0, ms(4_000), start);
+    // Nobody sends requests to a slow server, so nobody hears that it is fast again.
+    let later = pace.now(start + Duration::from_secs(60));
+    expect_that!(later.percent(), le(102));
+}
+
+/// Servers of the usual pace cost no byte of any message.
+#[gtest]
+fn usual_is_untold() {
+    let start = Instant::now();
+    let usual = heard(1.1, ms(4_000), start).is_usual(start + ms(4_000));
+    let slow = heard(1.7, ms(4_000), start).is_usual(start + ms(4_000));
+    expect_that!((usual, slow), eq((true, false)));
+    // One that was slow is told to be as usual again.
+    let mut back = heard(3.0, ms(4_000), start);
+    back.note(Pace::USUAL, start + ms(4_200));
+    expect_that!(back.is_usual(start + ms(4_200)), eq(false));
+}
+
+#[gtest]
+fn false_figures() {
+    expect_that!(Pace::of_percent(0), none());
+    let bounded = [1, 10_000, u32::MAX].map(|percent| Pace::of_percent(percent).map(Pace::percent));
+    expect_that!(bounded, eq([Some(25), Some(800), Some(800)]));
+    expect_that!(Pace::new(f64::NAN), eq(Pace::USUAL));
+}
+
+#[gtest]
+fn older_message() {
+    let start = Instant::now();
+    let mut pace = ServerPace::default();
+    pace.note(Pace::new(3.0), start + ms(100));
+    // It was overtaken.
+    expect_that!(pace.note(Pace::new(1.0), start), eq(false));
+    expect_that!(pace.now(start + ms(100)).percent(), eq(300));
+}
+
+#[gtest]
+fn restarted_server() {
+    let loads = LoadTable::default();
+    let before = ServerRecord::start_id("i-1", Some(1_000));
+    let after = ServerRecord::start_id("i-1", Some(2_000));
+    loads.note_told_pace(&before, Pace::new(3.0));
+    expect_that!(loads.pace(&before).percent(), eq(300));
+    expect_that!(loads.pace(&after), eq(Pace::USUAL));
+}
+
+#[gtest]
+fn told_before_measured() {
+    let loads = LoadTable::default();
+    loads.note_measured_pace("i-1", Pace::new(4.0));
+    loads.note_told_pace("i-1", Pace::new(2.0));
+    loads.note_measured_pace("i-1", Pace::new(4.0));
+    expect_that!(loads.pace("i-1").percent(), le(210));
+}
+
+fn told(percent: u32, pace_ms: u32) -> LoadEntry {
+    LoadEntry {
+        server: 1,
+        online: 1,
+        pace_ms,
+        pace_percent: percent,
+        ..LoadEntry::default()
+    }
+}
+
+#[gtest]
+fn small_changes() {
+    let mut digest = ZoneDigest::default();
+    digest.next(vec![told(100, 1)], true);
+    let quiet = [told(100, 30), told(110, 5), told(85, 5), told(0, 0)];
+    let quiet = quiet.map(|sum| digest.next(vec![sum], false).loads.len());
+    expect_that!(quiet, eq([0, 0, 0, 0]));
+    expect_that!(digest.next(vec![told(250, 5)], false).loads.len(), eq(1));
+}
+
+#[gtest]
+fn word_of_a_slow_server() {
+    on_local(async {
+        let nodes = fleet(9).await;
+        let told = tell_until_known(&nodes).await;
+        expect_that!(told, eq(true));
+    });
+}
+
+/// Not every node hears every other: delegates pass the word on, also where no node has work there.
+#[gtest]
+fn word_in_a_large_fleet() {
+    on_local(async {
+        let nodes = fleet(36).await;
+        let told = tell_until_known(&nodes).await;
+        expect_that!(told, eq(true));
+    });
+}
+
+/// One node hears the server each 50 ms; whether all the others come to know that it is slow.
+async fn tell_until_known(nodes: &[TestNode]) -> bool {
+    until("the node knows its peers", || {
+        nodes[7].peers.count() * 3 > nodes.len() * 2
+    })
+    .await;
+    let others_know = || {
+        let mut paces = nodes.iter().map(|node| node.loads.pace("i-1"));
+        paces.all(|pace| pace.percent() > 250)
+    };
+    for _ in 0..200 {
+        nodes[7].loads.note_told_pace("i-1", Pace::new(3.0));
+        tokio::time::sleep(ms(50)).await;
+        if others_know() {
+            return true;
+        }
+    }
+    false
+}
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -126,19 +126,12 @@
     !candidate.load.suspect
 }
 
-/// Online requests above the slots, in the mean of some candidates; less than zero where slots are free. A server at
-/// which work takes long counts for as much less as its slots serve fewer.
+/// Online requests above the slots, in the mean of some candidates; less than zero where slots are free.
 pub fn mean_over(candidates: &[Candidate]) -> f64 {
-    let (mut over, mut rates) = (0.0, 0.0);
-    for Candidate { server, load } in candidates {
-        let rate = 1.0 / load.pace.times();
-        over += rate * (f64::from(load.online) - f64::from(server.slots));
-        rates += rate;
-    }
-    match rates > 0.0 {
-        true => over / rates,
-        false => 0.0,
-    }
+    let over = candidates
+        .iter()
+        .map(|candidate| f64::from(candidate.load.online) - f64::from(candidate.server.slots));
+    over.sum::<f64>() / candidates.len().max(1) as f64
 }
 
 /// The server that keeps the shared parts of a prompt: the highest hash of both.
@@ -148,14 +141,27 @@
         .max_by_key(|server| xxh3_64_with_seed(server.id.as_bytes(), shared))
 }
 
+/// Weight of the work at a candidate and of the time that it takes there. At a server of thrice the usual pace each
+/// request under way counts for three, so that it gets a third; but a free slot never counts for more than a full
+/// server, since a request there begins at once, and a queue is longer than the news of it says.
+fn work(candidate: &Candidate) -> f64 {
+    let load = &candidate.load;
+    let slots = f64::from(candidate.server.slots);
+    let pace = load.pace.times();
+    let requests = f64::from(load.online + load.batch);
+    let over = (requests + 1.0 - slots).max(0.0);
+    let counted = match requests < slots {
+        true => (requests * pace).min(slots - 1.0),
+        false => requests,
+    };
+    let unread = f64::from(load.unread_tokens) / TOKENS_PER_UNIT;
+    counted + unread * pace + over * OVER_SLOTS * pace.max(1.0) + FIRST_EVENT * (pace - 1.0)
+}
+
 /// Weight of a candidate; the least is best.
 fn weight(candidate: &Candidate, ways: &Ways, is_home: bool) -> f64 {
     let load = &candidate.load;
-    let requests = f64::from(load.online + load.batch);
-    let over = requests + 1.0 - f64::from(candidate.server.slots);
-    let mut weight = requests + f64::from(load.unread_tokens) / TOKENS_PER_UNIT;
-    weight += over.max(0.0) * OVER_SLOTS;
-    weight += (load.pace.times() - 1.0) * (weight + FIRST_EVENT);
+    let mut weight = work(candidate);
     weight += load.excess_ms / EXCESS_MS_PER_UNIT;
     weight += match load.temperature {
         // Where a cold server bears a bounded rate, that bound keeps the rest away.
@@ -181,7 +187,7 @@
 /// Weight of the wait at a candidate without a free slot. Items count for nothing, since they give way.
 fn wait(candidate: &Candidate) -> f64 {
     let ahead = f64::from(candidate.load.online) + 1.0 - f64::from(candidate.server.slots);
-    ahead.max(0.0) * (1.0 + OVER_SLOTS) * candidate.load.pace.times()
+    ahead.max(0.0) * (1.0 + OVER_SLOTS) * candidate.load.pace.times().max(1.0)
 }
 
 /// The candidates among which a request is placed. While one of its own region has a free slot, those that
--- /dev/null
+++ b/crates/ingress/tests/pace_placement.rs
@@ -0,0 +1,272 @@
+//! Choice among servers at which work takes unlike times.
+
+use std::sync::Arc;
+
+use dappleyard_cluster::{LoadSummary, Pace, Ways};
+use dappleyard_ingress::{Candidate, choose, sample};
+use dappleyard_model::ServerRecord;
+use googletest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const SLOTS: u32 = 8;
+
+fn server(id: &str, zone: &str) -> Arc<ServerRecord> {
+    Arc::new(ServerRecord {
+        id: id.to_owned(),
+        instance: id.to_owned(),
+        service: "llm".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zone.to_owned(),
+        slots: SLOTS,
+        draining: false,
+        cold_left_ms: 0,
+    })
+}
+
+fn candidate(id: &str, zone: &str, online: u32, pace: f64) -> Candidate {
+    let load = LoadSummary {
+        online,
+        pace: Pace::new(pace),
+        ..LoadSummary::default()
+    };
+    Candidate {
+        server: server(id, zone),
+        load,
+    }
+}
+
+fn chosen(candidates: &[Candidate]) -> String {
+    let chosen = choose(candidates, &Ways::within("north"), None);
+    chosen.expect("one of them").server.id.clone()
+}
+
+/// What is neither told nor measured counts as before there were paces: requests, six for each above the
+/// slots, tokens by the thousand, and six for another zone.
+#[gtest]
+fn usual_pace() {
+    let mut random = StdRng::seed_from_u64(3);
+    for _ in 0..2_000 {
+        let mut candidates: Vec<Candidate> = (0..6)
+            .map(|number| {
+                let zone = ["north", "south"][number % 2];
+                candidate(&number.to_string(), zone, random.random_range(0..14), 1.0)
+            })
+            .collect();
+        for held in &mut candidates {
+            held.load.batch = random.random_range(0..6);
+            held.load.unread_tokens = random.random_range(0..9_000);
+        }
+        let weight = |held: &Candidate| {
+            let requests = f64::from(held.load.online + held.load.batch);
+            let over = (requests + 1.0 - f64::from(SLOTS)).max(0.0);
+            let way = if held.server.zone == "north" {
+                0.0
+            } else {
+                6.0
+            };
+            requests + f64::from(held.load.unread_tokens) / 1_000.0 + over * 6.0 + way
+        };
+        let least = candidates
+            .iter()
+            .min_by(|a, b| weight(a).total_cmp(&weight(b)));
+        expect_that!(chosen(&candidates), eq(&least.expect("some").server.id));
+    }
+}
+
+#[gtest]
+fn a_third() {
+    let mut candidates = vec![
+        candidate("a", "north", 0, 1.0),
+        candidate("b", "north", 0, 1.0),
+        candidate("c", "north", 0, 1.0),
+        candidate("slow", "north", 0, 3.0),
+    ];
+    // Three quarters of the slots of the others.
+    for _ in 0..20 {
+        let id = chosen(&candidates);
+        let taken = candidates.iter_mut().find(|held| held.server.id == id);
+        taken.expect("chosen").load.online += 1;
+    }
+    expect_that!(candidates[3].load.online, le(2));
+}
+
+#[gtest]
+fn free_slow_slot() {
+    for queued in [0, 1, 2] {
+        let candidates = [
+            candidate("full", "north", SLOTS + queued, 0.7),
+            candidate("slow", "north", SLOTS - 1, 2.0),
+        ];
+        expect_that!(chosen(&candidates), eq("slow"), "{queued} queued");
+    }
+}
+
+#[gtest]
+fn free_fast_slot() {
+    let candidates = [
+        candidate("fast", "north", SLOTS - 1, 1.0),
+        candidate("slow", "north", 2, 3.0),
+    ];
+    expect_that!(chosen(&candidates), eq("fast"));
+}
+
+#[gtest]
+fn free_far_slot() {
+    // A zone that has much more to do than the others.
+    let candidates = [
+        candidate("near", "north", SLOTS + 1, 1.0),
+        candidate("far", "south", 4, 2.0),
+    ];
+    expect_that!(chosen(&candidates), eq("far"));
+}
+
+#[gtest]
+fn near_free_slot() {
+    let candidates = [
+        candidate("near", "north", 3, 1.0),
+        candidate("far", "south", 2, 0.7),
+    ];
+    expect_that!(chosen(&candidates), eq("near"));
+}
+
+/// How a choice counts work at servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// Requests, whatever the pace.
+    Counts,
+    /// Requests and queues, as many times as the pace says.
+    Products,
+    /// As the product does.
+    Paces,
+}
+
+/// One server in virtual time: when each of its requests ends, and its queue.
+struct Line {
+    server: Arc<ServerRecord>,
+    ends_ms: Vec<f64>,
+}
+
+/// Whether servers change between fast and slow, each 600 ms, or stay as they are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Course {
+    Lasting,
+    Flipping,
+}
+
+impl Course {
+    fn pace(self, server: usize, at_ms: f64) -> f64 {
+        let turn = match self {
+            Course::Lasting => 0,
+            Course::Flipping => (at_ms / 600.0) as usize,
+        };
+        match (server + turn).is_multiple_of(3) {
+            true => 3.0,
+            false => 1.0,
+        }
+    }
+}
+
+impl Line {
+    /// Requests that have not ended, as they were at some time.
+    fn online(&self, at_ms: f64) -> u32 {
+        self.ends_ms.iter().filter(|end| **end > at_ms).count() as u32
+    }
+
+    /// Takes a request; the time until its first event.
+    fn take(&mut self, at_ms: f64, pace: f64) -> f64 {
+        let mut ends: Vec<f64> = self
+            .ends_ms
+            .iter()
+            .copied()
+            .filter(|end| *end > at_ms)
+            .collect();
+        ends.sort_by(f64::total_cmp);
+        let ahead = ends.len().saturating_sub(SLOTS as usize - 1);
+        let begins = if ahead == 0 { at_ms } else { ends[ahead - 1] };
+        self.ends_ms.push(begins + 600.0 * pace);
+        begins - at_ms + 60.0 * pace
+    }
+}
+
+fn least_product(candidates: &[Candidate]) -> String {
+    let weight = |held: &Candidate| {
+        let requests = f64::from(held.load.online);
+        let over = (requests + 1.0 - f64::from(SLOTS)).max(0.0);
+        (requests + 6.0 * over) * held.load.pace.times()
+    };
+    let least = candidates
+        .iter()
+        .min_by(|a, b| weight(a).total_cmp(&weight(b)));
+    least.expect("one of them").server.id.clone()
+}
+
+/// Part of the requests whose first event takes more than 300 ms, at three quarters of what 24 servers give,
+/// when news are of some age.
+fn late(way: Way, news_ms: f64, course: Course, load: f64) -> f64 {
+    let mut random = StdRng::seed_from_u64(11);
+    let ways = Ways::within("north");
+    let mut lines: Vec<Line> = (0..24)
+        .map(|number| Line {
+            server: server(&format!("{number:02}"), "north"),
+            ends_ms: Vec::new(),
+        })
+        .collect();
+    let all: Vec<Arc<ServerRecord>> = lines.iter().map(|line| line.server.clone()).collect();
+    let all: Vec<&Arc<ServerRecord>> = all.iter().collect();
+    let (mut at_ms, mut late) = (0.0, 0);
+    // 24 servers of 8 slots, a third of them slow, serve 249 in a second.
+    let gap_ms = 1_000.0 / (load * 249.0);
+    for _ in 0..3_000 {
+        at_ms += -gap_ms * (1.0 - random.random::<f64>()).ln();
+        let told_ms = at_ms - news_ms;
+        let sampled = sample(&all, &ways, None, &mut random);
+        let candidates: Vec<Candidate> = sampled
+            .into_iter()
+            .map(|server| {
+                let number: usize = server.id.parse().expect("a number");
+                let pace = match way {
+                    Way::Counts => 1.0,
+                    Way::Products | Way::Paces => course.pace(number, told_ms),
+                };
+                let online = lines[number].online(told_ms);
+                candidate(&server.id, "north", online, pace)
+            })
+            .collect();
+        let id = match way {
+            Way::Products => least_product(&candidates),
+            Way::Counts | Way::Paces => chosen(&candidates),
+        };
+        let number: usize = id.parse().expect("a number");
+        let first_ms = lines[number].take(at_ms, course.pace(number, at_ms));
+        late += u32::from(first_ms > 300.0);
+    }
+    f64::from(late) / 3_000.0
+}
+
+#[gtest]
+fn lasting_paces() {
+    for news_ms in [25.0, 100.0, 500.0] {
+        let counts = late(Way::Counts, news_ms, Course::Lasting, 0.95);
+        let paces = late(Way::Paces, news_ms, Course::Lasting, 0.95);
+        expect_that!(
+            paces,
+            lt(counts),
+            "news of {news_ms} ms: {counts} by counts"
+        );
+    }
+}
+
+/// What is told is soon wrong: going by it must not be worse than knowing nothing.
+#[gtest]
+fn flipping_paces() {
+    for news_ms in [25.0, 100.0] {
+        let counts = late(Way::Counts, news_ms, Course::Flipping, 0.95);
+        let paces = late(Way::Paces, news_ms, Course::Flipping, 0.95);
+        expect_that!(
+            paces,
+            le(counts),
+            "news of {news_ms} ms: {counts} by counts"
+        );
+    }
+}
--- a/crates/jobs/tests/pure.rs
+++ b/crates/jobs/tests/pure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dappleyard_cluster::{LoadSummary, PeerStatus, Temperature};
+use dappleyard_cluster::{LoadSummary, Pace, PeerStatus, Temperature};
 use dappleyard_jobs::{
     Ground, JobRow, RunEstimate, ServerRoom, may_claim, pick_server, rank, room,
 };
@@ -207,3 +207,35 @@
     };
     expect_that!(may_claim(replaced), eq(true));
 }
+
+#[gtest]
+fn slow_servers_are_not_filled() {
+    let at = |percent| LoadSummary {
+        lasting_pace: Pace::of_percent(percent).unwrap_or_default(),
+        ..load(2, 2)
+    };
+    expect_that!(
+        [70, 100, 300].map(|percent| room(8, &at(percent))),
+        eq([3, 3, 1])
+    );
+}
+
+#[gtest]
+fn items_go_where_work_is_fast() {
+    let at = |id, batch, percent| ServerRoom {
+        id,
+        zone: "north",
+        slots: 8,
+        load: LoadSummary {
+            lasting_pace: Pace::of_percent(percent).unwrap_or_default(),
+            ..load(0, batch)
+        },
+    };
+    let servers = [at("slow", 1, 300), at("fast", 4, 100)];
+    let chosen = pick_server(&servers, "front-a", "north", None).map(|server| server.id);
+    expect_that!(chosen, some(eq("fast")));
+    // A slow one with room is used once the others have none.
+    let servers = [at("slow", 1, 300), at("fast", 7, 100)];
+    let chosen = pick_server(&servers, "front-a", "north", None).map(|server| server.id);
+    expect_that!(chosen, some(eq("slow")));
+}
