--- a/crates/cluster/src/load_sources.rs
+++ b/crates/cluster/src/load_sources.rs
@@ -42,7 +42,7 @@
         let mut servers = self.servers.lock();
         for entry in entries {
             let loads = servers.entry(entry.server).or_default();
-            loads.take_pace_news(source, &entry, now);
+            loads.paces.take(source, &entry, now);
             let (_, held) = loads
                 .peers
                 .entry(source)
@@ -71,7 +71,7 @@
         }
         for entry in entries {
             let loads = servers.entry(entry.server).or_default();
-            loads.take_pace_news(source, &entry, now);
+            loads.paces.take(source, &entry, now);
             loads.peers.insert(source, (now, entry));
             self.note_news(loads, now);
         }
@@ -83,7 +83,7 @@
         let mut servers = self.servers.lock();
         for entry in entries {
             let loads = servers.entry(entry.server).or_default();
-            loads.take_pace_news(source, &entry, now);
+            loads.paces.take(source, &entry, now);
             loads.peers.insert(source, (now, entry));
             self.note_news(loads, now);
         }
--- a/crates/cluster/src/server_loads.rs
+++ b/crates/cluster/src/server_loads.rs
@@ -5,9 +5,10 @@
 
 use dappleyard_clock::Instant;
 
+use crate::load_paces::Paces;
 use crate::messages::LoadEntry;
 use crate::outcomes::{Ejection, OutcomeCounts, Outcomes};
-use crate::server_pace::{Pace, ServerPace};
+use crate::server_pace::Pace;
 use crate::temperature::{Checked, Temperature, Thermal};
 
 /// Time since a server was last heard here in which it does not count as silent for others' sake: they may be cut
@@ -73,11 +74,7 @@
     /// This node's own newest answer to a question of how cold it is.
     pub(crate) own_check: Option<Checked>,
     /// How long work takes there.
-    pub(crate) pace: ServerPace,
-    /// Who told the newest figure of it; `None` for this node.
-    pub(crate) pace_from: Option<Source>,
-    /// When the server last told such a figure to this node.
-    pub(crate) pace_told_at: Option<Instant>,
+    pub(crate) paces: Paces,
 }
 
 impl ServerLoads {
@@ -88,8 +85,8 @@
             unread_tokens: self.unread_tokens,
             suspect: self.is_found_silent(now) || self.ejection.is_out(now),
             temperature: self.followed_temperature(now),
-            pace: self.pace.now(now),
-            lasting_pace: self.pace.lasting(now),
+            pace: self.paces.now(now),
+            lasting_pace: self.paces.lasting(now),
             ..LoadSummary::default()
         };
         for (at, entry) in self.peers.values() {
@@ -148,10 +145,13 @@
     pub(crate) fn own(&self, server: u32, now: Instant) -> LoadEntry {
         let outcomes = self.outcomes.counts(now);
         let (asked_ms, cold_ms) = self.own_check_told(now);
-        let (pace_ms, pace_percent) = self.pace_told(now, |_| false);
+        let (pace_ms, pace_percent) = self.paces.told.entry(now, |_| false);
+        let (excess_ms, excess_percent) = self.paces.excess.entry(now, |_| false);
         LoadEntry {
             pace_ms,
             pace_percent,
+            excess_ms,
+            excess_percent,
             asked_ms,
             cold_ms,
             failed: outcomes.failed,
@@ -177,7 +177,8 @@
         counted: impl Fn(&Source) -> bool,
     ) -> LoadEntry {
         let mut sum = self.own(server, now);
-        (sum.pace_ms, sum.pace_percent) = self.pace_told(now, &counted);
+        (sum.pace_ms, sum.pace_percent) = self.paces.told.entry(now, &counted);
+        (sum.excess_ms, sum.excess_percent) = self.paces.excess.entry(now, &counted);
         for (source, (at, entry)) in &self.peers {
             let age = now.duration_since(*at);
             if age >= HEARTBEAT_LIFE || !counted(source) {
@@ -225,6 +226,6 @@
 
 pub(crate) fn tells_something(entry: &LoadEntry) -> bool {
     let silent = entry.suspect || entry.doubted;
-    let told = entry.asked_ms > 0 || entry.pace_ms > 0;
+    let told = entry.asked_ms > 0 || entry.pace_ms > 0 || entry.excess_ms > 0;
     entry.online + entry.batch > 0 || silent || entry.failed > 0 || told
 }
--- a/crates/cluster/src/server_pace.rs
+++ b/crates/cluster/src/server_pace.rs
@@ -64,6 +64,11 @@
         self.0
     }
 
+    /// Both together: a multiple of a multiple.
+    pub fn of(self, other: Self) -> Self {
+        Self::new(self.0 * other.0)
+    }
+
     /// Whether another pace is so different that it should be told.
     pub fn differs_much(self, other: Self) -> bool {
         let (low, high) = (self.0.min(other.0), self.0.max(other.0));
--- a/crates/cluster/src/zone_digest.rs
+++ b/crates/cluster/src/zone_digest.rs
@@ -87,11 +87,14 @@
                 sum.asked_ms > 0 && (held.asked_ms == 0 || sum.asked_ms < held.asked_ms);
             let (asked_ms, cold_ms) = (sum.asked_ms, sum.cold_ms);
             let (pace_ms, pace_percent) = (sum.pace_ms, sum.pace_percent);
+            let (excess_ms, excess_percent) = (sum.excess_ms, sum.excess_percent);
             asked_again
                 || sum.is_pace_news(held)
                 || LoadEntry {
                     pace_ms,
                     pace_percent,
+                    excess_ms,
+                    excess_percent,
                     asked_ms,
                     cold_ms,
                     heard_ms,
--- a/crates/ingress/src/answer_times.rs
+++ b/crates/ingress/src/answer_times.rs
@@ -115,6 +115,8 @@
 pub struct AnswerTimes {
     first: Mutex<HashMap<(String, u32), LearnedTime>>,
     pauses: Mutex<HashMap<String, LearnedTime>>,
+    /// Pauses as they would be at servers of the usual pace.
+    usual_pauses: Mutex<HashMap<String, LearnedTime>>,
 }
 
 impl AnswerTimes {
@@ -138,9 +140,13 @@
             .note(taken, Instant::now());
     }
 
-    /// The usual time between two pieces of an answer; `None` while too little is known.
-    pub fn usual_pause(&self, service: &str) -> Option<Duration> {
-        self.pauses.lock().get(service)?.usual()
+    /// Notes a pause of an answer as it would be at a server of the usual pace; the median of them, once enough are
+    /// known.
+    pub fn note_usual_pause(&self, service: &str, pause: Duration) -> Option<Duration> {
+        let mut times = self.usual_pauses.lock();
+        let held = times.entry(service.to_owned()).or_default();
+        held.note(pause, Instant::now());
+        held.usual()
     }
 
     /// Silence before the first event after which a request that may be repeated goes elsewhere.
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -19,6 +19,7 @@
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
+use crate::answer_pauses::excess;
 use crate::cold;
 use crate::holding::Allowance;
 use crate::homes;
@@ -282,10 +283,17 @@
         }
     }
 
-    /// Takes what this node measured of a server's answers.
-    pub(crate) fn note_measured_pace(&self, server: &ServerRecord, pace: Pace) {
-        if self.node.loads.note_measured_pace(&server.id, pace) {
-            self.log_pace(server, pace, "measured");
+    /// Takes the pauses between events that this node measured at a server.
+    pub(crate) fn note_pauses(&self, server: &ServerRecord, pause: Duration) {
+        let told = self.node.loads.told_pace(&server.id);
+        let usual = pause.div_f64(told.times());
+        let times = &self.node.times;
+        let Some(usual) = times.note_usual_pause(&server.service, usual) else {
+            return;
+        };
+        let excess = excess(pause, usual, told);
+        if self.node.loads.note_excess_pace(&server.id, excess) {
+            self.log_pace(server, excess, "excess");
         }
     }
 
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -30,7 +30,7 @@
 mod relay;
 mod zone_care;
 
-pub use answer_pauses::AnswerPauses;
+pub use answer_pauses::{AnswerPauses, excess};
 pub use answer_times::{AnswerTimes, LearnedTime};
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
 pub use closing::close;
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -137,9 +137,8 @@
         if self.events > 0 && piece.is_some() {
             let (service, pause) = (&self.request.service, since.elapsed());
             node.times.note_pause(service, pause);
-            let pace = self.pauses.note(pause, || node.times.usual_pause(service));
-            if let Some(pace) = pace {
-                upstreams.note_measured_pace(server, pace);
+            if let Some(pause) = self.pauses.note(pause) {
+                upstreams.note_pauses(server, pause);
             }
         }
         Ok(piece)
