--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -31,6 +31,9 @@
 /// Weight of a server that is cold, where its rate is bounded: less than the way to another zone, so that a zone that
 /// returns cold takes part in its own work at once.
 const COLD: f64 = 3.0;
+/// Weight of a request's own way to its first event at a server of the usual pace, about 60 ms: what a slower server
+/// adds when nothing is ahead.
+const FIRST_EVENT: f64 = 5.0;
 
 /// Servers of the own zone that one request weighs in a large fleet, drawn at random.
 const NEAR_SAMPLED: usize = 4;
@@ -118,8 +121,7 @@
 
 /// Whether a candidate may be chosen out of a sample. A full one may: were all servers weighed when the
 /// sample is full, all nodes would choose the same one until its load is told, and a wave of arrivals
-/// that fills the fleet would pile up at it (0.915 of the worth on a quiet day of such waves, 0.862
-/// otherwise).
+/// that fills the fleet would pile up at it.
 pub fn is_sound(candidate: &Candidate) -> bool {
     !candidate.load.suspect
 }
@@ -139,13 +141,27 @@
         .max_by_key(|server| xxh3_64_with_seed(server.id.as_bytes(), shared))
 }
 
+/// Weight of the work at a candidate and of the time that it takes there. At a server of thrice the usual pace each
+/// request under way counts for three, so that it gets a third; but a free slot never counts for more than a full
+/// server, since a request there begins at once, and a queue is longer than the news of it says.
+fn work(candidate: &Candidate) -> f64 {
+    let load = &candidate.load;
+    let slots = f64::from(candidate.server.slots);
+    let pace = load.pace.times();
+    let requests = f64::from(load.online + load.batch);
+    let over = (requests + 1.0 - slots).max(0.0);
+    let counted = match requests < slots {
+        true => (requests * pace).min(slots - 1.0),
+        false => requests,
+    };
+    let unread = f64::from(load.unread_tokens) / TOKENS_PER_UNIT;
+    counted + unread * pace + over * OVER_SLOTS * pace.max(1.0) + FIRST_EVENT * (pace - 1.0)
+}
+
 /// Weight of a candidate; the least is best.
 fn weight(candidate: &Candidate, ways: &Ways, is_home: bool) -> f64 {
     let load = &candidate.load;
-    let requests = f64::from(load.online + load.batch);
-    let over = requests + 1.0 - f64::from(candidate.server.slots);
-    let mut weight = requests + f64::from(load.unread_tokens) / TOKENS_PER_UNIT;
-    weight += over.max(0.0) * OVER_SLOTS;
+    let mut weight = work(candidate);
     weight += load.excess_ms / EXCESS_MS_PER_UNIT;
     weight += match load.temperature {
         // Where a cold server bears a bounded rate, that bound keeps the rest away.
@@ -171,7 +187,7 @@
 /// Weight of the wait at a candidate without a free slot. Items count for nothing, since they give way.
 fn wait(candidate: &Candidate) -> f64 {
     let ahead = f64::from(candidate.load.online) + 1.0 - f64::from(candidate.server.slots);
-    ahead.max(0.0) * (1.0 + OVER_SLOTS)
+    ahead.max(0.0) * (1.0 + OVER_SLOTS) * candidate.load.pace.times().max(1.0)
 }
 
 /// The candidates among which a request is placed. While one of its own region has a free slot, those that
--- /dev/null
+++ b/crates/ingress/tests/answer_pauses.rs
@@ -0,0 +1,46 @@
+//! How much longer answers take than a server says, from the pauses between events.
+
+use std::time::Duration;
+
+use dappleyard_cluster::Pace;
+use dappleyard_ingress::{AnswerPauses, excess};
+use googletest::prelude::*;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[gtest]
+fn one_long_pause() {
+    let mut held = AnswerPauses::default();
+    let pauses = [30, 30, 2_000, 30, 30, 30, 30].map(|pause| held.note(ms(pause)));
+    expect_that!(pauses[..6].iter().flatten().count(), eq(0));
+    expect_that!(pauses[6], some(eq(ms(30))));
+}
+
+#[gtest]
+fn says_nothing() {
+    expect_that!(excess(ms(90), ms(30), Pace::USUAL), eq(Pace::new(3.0)));
+}
+
+#[gtest]
+fn says_the_truth() {
+    expect_that!(excess(ms(90), ms(30), Pace::new(3.0)), eq(Pace::USUAL));
+}
+
+#[gtest]
+fn says_too_little() {
+    let times = excess(ms(126), ms(30), Pace::new(0.7)).times();
+    expect_that!(times, near(6.0, 0.01));
+}
+
+#[gtest]
+fn about_as_usual() {
+    expect_that!(excess(ms(40), ms(30), Pace::USUAL), eq(Pace::USUAL));
+}
+
+/// A figure that is wrong the other way makes no server fast.
+#[gtest]
+fn says_too_much() {
+    expect_that!(excess(ms(30), ms(30), Pace::new(8.0)), eq(Pace::USUAL));
+}
