Streams that must not repeat go on from a copy of their memory

Cause: a crash of its server ends a stream that may run only once, since it cannot begin anew elsewhere. Change: where the configuration grants it, the run names another server of its zone that gets a copy of its memory as it grows; once the former server is known to have ended, that server goes on after the last event, as the same run. Not yet measured.

--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -7,12 +7,13 @@
 use bytes::Bytes;
 use dappleyard_cluster::{InFlight, WorkKind};
 use dappleyard_crashes::{Fingerprint, Permit, RequestParts, RunUnderWay};
-use dappleyard_model::{Homes, RequestFacts, Route, RouteKind, ServerRecord};
+use dappleyard_model::{Homes, MemoryStamp, RequestFacts, Route, RouteKind, ServerRecord};
 use dappleyard_tenants::Caller;
 use http::{HeaderMap, Method};
 
 use crate::attempt::{Attempt, AttemptError, Exchange, Ran, SUSPECT_TIME, Upstreams};
 use crate::cold::ColdGate;
+use crate::continuation::backup_of;
 use crate::crashes::Broken;
 use crate::metrics::Metrics;
 use crate::outcome::ErrorKind;
@@ -72,6 +73,8 @@
     pub run: RunUnderWay,
     /// When the request was sent.
     pub sent: Instant,
+    /// Server that gets a copy of the run's memory, if any does.
+    pub backup: Option<Arc<ServerRecord>>,
 }
 
 /// A failure answer of a server, whole.
@@ -170,7 +173,12 @@
             .loads
             .begin(&server, WorkKind::Online, request.shape.unread(kept));
         let sent = Instant::now();
-        let outcome = ask(upstreams, request, &server, last_event_id).await;
+        let backup = backup_of(upstreams, request, &server);
+        let memory = MemoryStamp {
+            backup: backup.as_ref().map(|backup| backup.address),
+            copy: None,
+        };
+        let outcome = ask(upstreams, request, &server, last_event_id, memory).await;
         let exchange = match outcome {
             Ok(exchange) => exchange,
             Err(error) => {
@@ -196,6 +204,7 @@
                 work,
                 run,
                 sent,
+                backup,
             }));
         }
         work.prompt_read();
@@ -206,11 +215,12 @@
     }
 }
 
-async fn ask(
+pub(crate) async fn ask(
     upstreams: &Upstreams,
     request: &Request,
     server: &Arc<ServerRecord>,
     last_event_id: Option<u64>,
+    memory: MemoryStamp<'_>,
 ) -> Result<Exchange, AttemptError> {
     let remaining = request.remaining();
     let attempt = Attempt {
@@ -222,6 +232,7 @@
         remaining_ms: Some(remaining.as_millis() as u64),
         last_event_id,
         tenant: request.caller.stamp(),
+        memory,
         homes: &request.homes,
         patience: first_patience(upstreams, request),
     };
@@ -238,7 +249,7 @@
     Patience::leave_after(silence).leaving_if(request.may_repeat())
 }
 
-fn note_failure(
+pub(crate) fn note_failure(
     upstreams: &Upstreams,
     request: &mut Request,
     server: &ServerRecord,
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -7,6 +7,7 @@
 use futures::Stream;
 
 use crate::attempt::{AttemptError, Exchange, Ran, SUSPECT_TIME, Upstreams};
+use crate::continuation::{Copied, continue_run};
 use crate::crashes::Broken;
 use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
 use crate::event_stream::EventSplitter;
@@ -202,8 +203,13 @@
         let failed = self.begun.take();
         self.splitter.rest();
         let mut server = None;
+        let mut copied = None;
         if let Some(begun) = failed {
             let broken = begun.exchange.server;
+            copied = begun.backup.map(|backup| Copied {
+                from: broken.clone(),
+                to: backup,
+            });
             let run = Broken {
                 error: &error,
                 output_for: self.output_since.map(|since| since.elapsed()),
@@ -222,8 +228,7 @@
         });
         let resumable = is_event_route(&self.request.route) && self.request.route.resumable;
         if !resumable {
-            self.log_cut(&error.reason);
-            return Err(Cut);
+            return self.go_on_from_copy(copied, &error).await;
         }
         match dispatch(&self.upstreams, &mut self.request, self.last_event).await {
             Dispatched::Begun(begun) => {
@@ -243,6 +248,33 @@
         }
     }
 
+    /// Goes on with a stream that may not run anew, from the copy of its memory.
+    async fn go_on_from_copy(
+        &mut self,
+        copied: Option<Copied>,
+        error: &AttemptError,
+    ) -> Result<(), Cut> {
+        let (Some(copied), Some(last_event)) = (copied, self.last_event) else {
+            self.log_cut(&error.reason);
+            return Err(Cut);
+        };
+        if self.events == 0 || !error.broken_off {
+            self.log_cut(&error.reason);
+            return Err(Cut);
+        }
+        match continue_run(&self.upstreams, &mut self.request, &copied, last_event).await {
+            Ok(begun) => {
+                self.begun = Some(begun);
+                self.output_since = None;
+                Ok(())
+            }
+            Err(refused) => {
+                self.log_cut(&format!("{}; not continued: {refused}", error.reason));
+                Err(Cut)
+            }
+        }
+    }
+
     fn log_cut(&self, cause: &str) {
         let node = self.upstreams.node();
         Metrics::count(&node.metrics.failed);
