--- a/crates/ingress/src/backup.rs
+++ b/crates/ingress/src/backup.rs
@@ -12,7 +12,7 @@
 use dappleyard_cluster::LoadSummary;
 use dappleyard_model::{Route, RouteKind, ServerRecord, Service};
 use rand::Rng;
-use rand::seq::IteratorRandom;
+use rand::seq::IndexedRandom;
 
 /// Servers that are weighed for one copy. Two would often both be busy; were all weighed, all nodes would choose the
 /// same one until its load is told.
@@ -41,8 +41,10 @@
             && server.instance != runs_at.instance
             && server.address != runs_at.address
     });
-    let drawn = beside.choose_multiple(random, WEIGHED).into_iter();
+    let beside: Vec<_> = beside.collect();
+    let drawn = beside.choose_multiple(random, WEIGHED);
     drawn
+        .copied()
         .map(|server| (server, load(server)))
         .filter(|(_, load)| !load.suspect)
         .min_by_key(|(_, load)| load.online + load.batch)
