--- a/crates/ingress/src/continuation.rs
+++ b/crates/ingress/src/continuation.rs
@@ -12,7 +12,7 @@
 use derive_more::Display;
 
 use crate::attempt::Upstreams;
-use crate::backup::{choose_backup, takes_backup};
+use crate::backup::{choose_backup, is_spell, takes_backup};
 use crate::cold::ColdGate;
 use crate::crashes::{Broken, Evidence, SECOND_LOOK};
 use crate::dispatch::{Begun, Request, ask, note_failure};
@@ -53,6 +53,9 @@
     server: &ServerRecord,
 ) -> Option<Arc<ServerRecord>> {
     let node = upstreams.node();
+    if request.route.may_repeat() || !is_spell(node.crashes.since_last_end()) {
+        return None;
+    }
     let configuration = node.view.configuration()?;
     let service = configuration.service(&request.service)?;
     let tokens = request.facts.tokens_in + request.facts.tokens_out;
--- a/crates/ingress/tests/backup.rs
+++ b/crates/ingress/tests/backup.rs
@@ -1,9 +1,10 @@
 //! Which streams have their memory copied, and to which server.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use dappleyard_cluster::LoadSummary;
-use dappleyard_ingress::{choose_backup, takes_backup};
+use dappleyard_ingress::{choose_backup, is_spell, takes_backup};
 use dappleyard_model::{Route, RouteKind, ServerRecord, Service};
 use googletest::prelude::*;
 use rand::SeedableRng;
@@ -78,6 +79,13 @@
     expect_that!(takes(&route(), &without, 100), eq(false));
 }
 
+#[gtest]
+fn only_for_a_while() {
+    expect_that!(is_spell(None), eq(false));
+    expect_that!(is_spell(Some(Duration::from_secs(29))), eq(true));
+    expect_that!(is_spell(Some(Duration::from_secs(30))), eq(false));
+}
+
 #[gtest]
 fn never_itself() {
     let own = server(1, "north");
