Requests that can't be in time for want of room are refused at once

Cause: held requests went to full servers once due, so every slot worked for callers whose time was over. Change: pure decisions in crates/room (room, admission, deadlines), asked at one place of ingress where load shedding is set. Not measured yet.

--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -14,8 +14,8 @@
 };
 use dappleyard_crashes::CrashTable;
 use dappleyard_ingress::{
-    AnswerTimes, Metrics, Node, PeerAnswers, Upstreams, ZoneWatch, configure, front_app_data,
-    watch_temperatures, watch_zones,
+    AnswerTimes, Metrics, Node, PeerAnswers, RoomTable, Upstreams, ZoneWatch, configure,
+    front_app_data, watch_temperatures, watch_zones,
 };
 use dappleyard_jobs::{BODY_TABLES, JOB_TABLES, JobTable, NodeJobs, Runner};
 use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
@@ -85,6 +85,7 @@
         view: view.clone(),
         loads: Arc::new(LoadTable::default()),
         times: AnswerTimes::default(),
+        rooms: RoomTable::default(),
         quotas: Arc::new(QuotaTable::new(settings.bounds.quota, life)),
         crashes: Arc::new(CrashTable::new(node_number(&settings.name) ^ life)),
         peers,
--- a/crates/ingress/src/admission.rs
+++ b/crates/ingress/src/admission.rs
@@ -1,6 +1,9 @@
 //! Decides whose request it is, and whether its tenant may ask for more now.
 
+use std::time::Duration;
+
 use dappleyard_model::{Configuration, RequestFacts, Route, RouteKind};
+use dappleyard_room::OBEYED_PART;
 use dappleyard_tenants::{Caller, KeyRefusal};
 
 use crate::node::Node;
@@ -9,9 +12,11 @@
 /// Part of the time until there is credit again by which it is lengthened at random, so that callers that
 /// were refused together do not come back together.
 const SPREAD: f64 = 0.5;
-/// Shortest time after which a caller over its quota is asked to come back, milliseconds: what a new
+/// Shortest time after which a caller over its quota is asked to come back: what a new
 /// connection and a refusal take, several times over.
-const SHORTEST_WAIT_MS: f64 = 50.0;
+const SHORTEST_WAIT: Duration = Duration::from_millis(50);
+/// Longest such time.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
 /// A request that is not served, and why.
 #[derive(Debug)]
@@ -89,6 +94,7 @@
     node: &Node,
     configuration: &Configuration,
     caller: &Caller,
+    facts: &RequestFacts,
 ) -> Result<(), Refusal> {
     let Some(tenant) = caller.tenant() else {
         return Ok(());
@@ -101,12 +107,26 @@
             // Another node can tell at once.
             return Refusal::new(ErrorKind::QuotaInDoubt, detail);
         }
-        let spread = 1.0 + SPREAD * rand::random::<f64>();
-        let wait_ms = shortage.until_credit.as_secs_f64() * 1_000.0 * spread;
+        let wait = match tenant.limit.filter(|_| node.settings.load_shedding) {
+            Some(limit) => {
+                let deadline = facts
+                    .deadline_ms
+                    .map_or(LONGEST_WAIT, Duration::from_millis);
+                let most = deadline.mul_f64(OBEYED_PART).min(LONGEST_WAIT);
+                let nodes = node.peers.count();
+                let until_credit = shortage.until_credit;
+                node.rooms
+                    .credit_after(&tenant.name, limit, nodes, until_credit, most)
+            }
+            None => {
+                let spread = 1.0 + SPREAD * rand::random::<f64>();
+                shortage.until_credit.mul_f64(spread)
+            }
+        };
         Refusal {
             kind: ErrorKind::OverQuota,
             detail,
-            retry_after_ms: Some(wait_ms.max(SHORTEST_WAIT_MS) as u64),
+            retry_after_ms: Some(wait.max(SHORTEST_WAIT).as_millis() as u64),
         }
     })
 }
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -18,7 +18,7 @@
 use crate::outcome::ErrorKind;
 use crate::patience::Patience;
 use crate::placement::PromptShape;
-use crate::placing::{Placement, find_place};
+use crate::placing::{NoPlace, Placement, find_place};
 use dappleyard_clock::Instant;
 
 /// Time between two looks whether a run under way elsewhere has ended: news of it come each 25 ms.
@@ -52,6 +52,8 @@
     pub arrived: Instant,
     /// When its time is over.
     pub deadline: Instant,
+    /// Its caller was refused before.
+    pub again: bool,
     /// Whether it has run, over all attempts.
     pub ran: Ran,
     /// Servers that may have run it.
@@ -90,6 +92,8 @@
     Begun(Box<Begun>),
     /// A server answered with a failure, which is passed on.
     Failed(Failed),
+    /// There is no room for the request in time; its caller comes back after some time.
+    NoRoom(Duration),
     /// The node gives up.
     GaveUp(ErrorKind),
 }
@@ -100,6 +104,15 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Time that its caller has left, who may come back when the route's time for it is over.
+    pub(crate) fn caller_left(&self) -> Duration {
+        let given = self.facts.deadline_ms.map(Duration::from_millis);
+        given.map_or_else(
+            || self.remaining(),
+            |given| given.saturating_sub(self.arrived.elapsed()),
+        )
+    }
+
     /// Fingerprint of a request as it came.
     pub(crate) fn fingerprint_of(
         caller: &Caller,
@@ -156,9 +169,10 @@
             Permit::Refused => return Dispatched::GaveUp(ErrorKind::ServersEnded),
         }
         let begins = last_event_id.is_none();
-        let Some(Placement { server, kept, .. }) = find_place(upstreams, request, begins).await
-        else {
-            return Dispatched::GaveUp(request.give_up());
+        let Placement { server, kept, .. } = match find_place(upstreams, request, begins).await {
+            Ok(placement) => placement,
+            Err(NoPlace::NoServer) => return Dispatched::GaveUp(request.give_up()),
+            Err(NoPlace::NoRoom { retry_after }) => return Dispatched::NoRoom(retry_after),
         };
         let Ok(run) = node.crashes.begin(request.fingerprint, &server.id) else {
             // Others have learned of it, or begun to run it, while a place was found.
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -234,7 +234,14 @@
         let refused = Refusal::new(ErrorKind::NoServer, "the route has no service");
         return refuse(&node, &facts.id, &refused);
     };
-    if let Err(refused) = take_credit(&node, &configuration, &caller) {
+    let again = facts.deadline_ms.is_some_and(|deadline_ms| {
+        let deadline = Duration::from_millis(deadline_ms);
+        node.settings.load_shedding && node.rooms.comes_again(&route, deadline)
+    });
+    if again {
+        Metrics::count(&node.metrics.returns_seen);
+    }
+    if let Err(refused) = take_credit(&node, &configuration, &caller, &facts) {
         return refuse(&node, &facts.id, &refused);
     }
     let hold = [
@@ -266,6 +273,7 @@
         service,
         arrived,
         deadline: arrived + hold,
+        again,
         ran: Ran::No,
         runs: 0,
         asked: Default::default(),
@@ -297,11 +305,18 @@
             copy_headers(&mut answer, &failed.headers);
             answer.body(failed.body)
         }
+        Dispatched::NoRoom(retry_after) => {
+            until_end.end();
+            give_back(&node, &request);
+            let refused = Refusal {
+                retry_after_ms: Some(retry_after.as_millis() as u64),
+                ..Refusal::new(ErrorKind::NoRoomInTime, "no slot in time")
+            };
+            refuse(&node, &request.facts.id, &refused)
+        }
         Dispatched::GaveUp(kind) => {
             until_end.end();
-            if let Some(tenant) = request.caller.tenant().filter(|_| request.ran == Ran::No) {
-                node.quotas.give_back(&tenant.name);
-            }
+            give_back(&node, &request);
             if kind == ErrorKind::ServersEnded {
                 Metrics::count(&node.metrics.servers_ended_refused);
                 let ended = node.crashes.ended_under(&request.fingerprint);
@@ -322,6 +337,13 @@
     }
 }
 
+/// A request that did not run does not count against its tenant's quota.
+fn give_back(node: &Node, request: &Request) {
+    if let Some(tenant) = request.caller.tenant().filter(|_| request.ran == Ran::No) {
+        node.quotas.give_back(&tenant.name);
+    }
+}
+
 fn stream(
     upstreams: Upstreams,
     request: Request,
--- a/crates/ingress/src/holding.rs
+++ b/crates/ingress/src/holding.rs
@@ -4,10 +4,6 @@
 //! everything sent at once, a wave that exceeds the slots would make all of its tail late. So a request waits at
 //! its node for a slot, and how full a server may be for it depends on its age: all nodes let those go first that
 //! can still be in time, without a word between them.
-//!
-//! On a simulated day whose waves ask for a fifth more than all slots, online requests earned 0.82 of their worth instead
-//! of 0.74, and items 0.81 instead of 0.83 (one play each, the same seed). The parts and steps below are chosen, not
-//! derived; each was tried in such plays only as the whole that they make.
 
 use std::time::Duration;
 
@@ -17,7 +13,7 @@
 const LEFT_BY_OLDER: f64 = 1.0;
 /// Slots that a late request leaves to those that can still be in time.
 const LEFT_BY_LATE: f64 = 2.0;
-/// How far one answer moves the allowance. A node sees some ten answers a second in a wave.
+/// How far one answer moves the allowance: it follows some ten answers.
 const ALLOWANCE_STEP: f64 = 0.1;
 /// Least of the allowance, in slots: with less, servers of few slots would stand idle while requests wait.
 const LEAST_ALLOWANCE: f64 = -2.5;
@@ -45,9 +41,14 @@
     Due,
 }
 
+/// Age at which a request is due.
+pub(crate) fn is_due(patience: Duration) -> Duration {
+    patience.mul_f64(HELD_PART)
+}
+
 /// How a request of some age stands; `target` is the time to its first event.
 pub fn standing(age: Duration, target: Duration, patience: Duration) -> Standing {
-    if age >= patience.mul_f64(HELD_PART) {
+    if age >= is_due(patience) {
         Standing::Due
     } else if age < target.mul_f64(FRESH_PART) {
         Standing::Fresh
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -85,6 +85,14 @@
     pub requests_blamed: AtomicU64,
     /// Requests that were refused for that.
     pub servers_ended_refused: AtomicU64,
+    /// Requests refused since there was no room for them in time.
+    pub refused_for_room: AtomicU64,
+    /// Requests that waited for a slot.
+    pub room_waits: AtomicU64,
+    /// Requests whose callers were refused before.
+    pub returns_seen: AtomicU64,
+    /// Those of them that were refused for room again.
+    pub returns_refused: AtomicU64,
     first_event: [AtomicU64; BOUNDS_MS.len() + 1],
     first_event_sum_ms: AtomicU64,
 }
@@ -127,6 +135,10 @@
             ("servers_ended", &self.servers_ended),
             ("requests_blamed", &self.requests_blamed),
             ("servers_ended_refused", &self.servers_ended_refused),
+            ("refused_for_room", &self.refused_for_room),
+            ("room_waits", &self.room_waits),
+            ("returns_seen", &self.returns_seen),
+            ("returns_refused", &self.returns_refused),
         ];
         let gauges = [
             ("servers_cold", &self.servers_cold),
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -14,6 +14,7 @@
 use crate::answer_times::AnswerTimes;
 use crate::homes;
 use crate::metrics::Metrics;
+use crate::room::RoomTable;
 use dappleyard_clock::Instant;
 
 /// Time for which callers may use a directory answer.
@@ -31,6 +32,8 @@
     pub loads: Arc<LoadTable>,
     /// How long servers take to answer.
     pub times: AnswerTimes,
+    /// What is learned of the room of services.
+    pub rooms: RoomTable,
     /// Quotas of tenants.
     pub quotas: Arc<QuotaTable>,
     /// Requests under which servers ended.
--- a/crates/ingress/src/outcome.rs
+++ b/crates/ingress/src/outcome.rs
@@ -38,6 +38,9 @@
     /// No server took the request; it did not run.
     #[display("no_server")]
     NoServer,
+    /// Slots free themselves too late for the request, while others can be in time; it did not run.
+    #[display("no_room_in_time")]
+    NoRoomInTime,
     /// All servers that could run it are in zones that the operators have evacuated; it did not run.
     #[display("zones_evacuated")]
     ZonesEvacuated,
@@ -87,6 +90,7 @@
             | ErrorKind::KeyInDoubt
             | ErrorKind::QuotaInDoubt
             | ErrorKind::NoServer
+            | ErrorKind::NoRoomInTime
             | ErrorKind::ZonesEvacuated
             | ErrorKind::HomesCannotServe
             | ErrorKind::ExpiredBeforeRun
@@ -102,7 +106,7 @@
             ErrorKind::NoServer | ErrorKind::QuotaInDoubt => Some(50),
             ErrorKind::ExpiredBeforeRun => Some(100),
             // A region that is cut off or emptied comes back in seconds, not in milliseconds.
-            ErrorKind::HomesCannotServe => Some(500),
+            ErrorKind::HomesCannotServe | ErrorKind::NoRoomInTime => Some(500),
             ErrorKind::StoreUnavailable => Some(500),
             ErrorKind::QuotaExceeded | ErrorKind::OverQuota => Some(1000),
             // Nobody knows when the zones are taken back; an evacuation lasts seconds at least, and a caller that
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -118,8 +118,7 @@
 
 /// Whether a candidate may be chosen out of a sample. A full one may: were all servers weighed when the
 /// sample is full, all nodes would choose the same one until its load is told, and a wave of arrivals
-/// that fills the fleet would pile up at it (0.915 of the worth on a quiet day of such waves, 0.862
-/// otherwise).
+/// that fills the fleet would pile up at it.
 pub fn is_sound(candidate: &Candidate) -> bool {
     !candidate.load.suspect
 }
--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -6,6 +6,7 @@
 use dappleyard_cluster::LoadSummary;
 use dappleyard_crashes::Permit;
 use dappleyard_model::{Distance, ServerRecord};
+use dappleyard_room::Admission;
 
 use crate::attempt::Upstreams;
 use crate::cold::ColdGate;
@@ -18,6 +19,7 @@
 use crate::placement::{
     Candidate, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
+use crate::room;
 
 /// Servers that are asked for one request, those that did not run it included.
 const MOST_ASKED: usize = 6;
@@ -36,13 +38,72 @@
     candidates: usize,
 }
 
+/// Why a request gets no server.
+pub(crate) enum NoPlace {
+    /// No server takes it.
+    NoServer,
+    /// Others can be in time where it cannot.
+    NoRoom {
+        /// When its caller comes back best.
+        retry_after: Duration,
+    },
+}
+
 /// Finds the server for the next attempt, and waits for a slot while others come first. A stream that has
 /// begun goes on at once.
 pub(crate) async fn find_place(
     upstreams: &Upstreams,
     request: &Request,
     begins: bool,
-) -> Option<Placement> {
+) -> Result<Placement, NoPlace> {
+    if begins && upstreams.node().settings.load_shedding {
+        if let Some(found) = find_in_room(upstreams, request).await {
+            return found;
+        }
+    }
+    let found = find_by_age(upstreams, request, begins).await;
+    found.ok_or(NoPlace::NoServer)
+}
+
+/// The same where requests that cannot be in time are refused; `None` when this node knows too little for that.
+async fn find_in_room(
+    upstreams: &Upstreams,
+    request: &Request,
+) -> Option<Result<Placement, NoPlace>> {
+    let node = upstreams.node();
+    let mut waiting = None;
+    let mut waits = false;
+    loop {
+        let admission = room::ask(node, request, waits)?;
+        let (look, in_time) = match admission {
+            Admission::Refuse { retry_after } => return Some(Err(NoPlace::NoRoom { retry_after })),
+            Admission::Wait { look, in_time } => (look, in_time),
+            Admission::Serve => match place(upstreams, request) {
+                Some(placement) => {
+                    log_placed(upstreams, request, &placement);
+                    return Some(Ok(placement));
+                }
+                None if is_held_back(upstreams, request) => (HOLD_TICK, true),
+                None => return Some(Err(NoPlace::NoServer)),
+            },
+        };
+        if !waits {
+            Metrics::count(&node.metrics.room_waits);
+        }
+        waits = true;
+        waiting = match in_time {
+            true => waiting.or_else(|| Some(node.loads.demand.wait(&request.service))),
+            false => None,
+        };
+        tokio::time::sleep(look.min(request.remaining())).await;
+        if request.remaining().is_zero() {
+            return Some(Err(NoPlace::NoServer));
+        }
+    }
+}
+
+/// The same where every request is served, by its age.
+async fn find_by_age(upstreams: &Upstreams, request: &Request, begins: bool) -> Option<Placement> {
     let patience = Duration::from_millis(request.route.patience_ms);
     let target = match request.route.target_ms {
         0 => patience,
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::event_stream::EventSplitter;
 use crate::metrics::Metrics;
 use crate::node::{UnderWay, UntilEnd};
+use crate::outcome::ErrorKind;
 use crate::patience::Patience;
 use dappleyard_clock::Instant;
 
@@ -184,6 +185,10 @@
                 return Err(Cut);
             }
             self.upstreams.note_served(&begun.run);
+            if self.request.runs == 1 {
+                let held = begun.sent.elapsed();
+                node.rooms.note_hold(&self.request.service, held);
+            }
             let server = begun.exchange.server.id.clone();
             self.upstreams.release(begun.exchange);
             node.log.write("request_finished", || {
@@ -236,6 +241,10 @@
                 self.log_cut(&format!("resumption answered {}", failed.status));
                 Err(Cut)
             }
+            Dispatched::NoRoom(_) => {
+                self.log_cut(&ErrorKind::NoRoomInTime.to_string());
+                Err(Cut)
+            }
             Dispatched::GaveUp(kind) => {
                 self.log_cut(&kind.to_string());
                 Err(Cut)
--- /dev/null
+++ b/crates/ingress/src/room.rs
@@ -0,0 +1,179 @@
+//! What this node knows of the room of each service, and the one place at which a request asks for a part of it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_clock::Instant;
+use dappleyard_model::{Homes, RateLimit, Route, ServerRecord, TenantName};
+use dappleyard_room::{Admission, Asking, CreditQueue, HoldTime, Room, UsualDeadline, admit};
+use parking_lot::Mutex;
+use rand::seq::IteratorRandom;
+
+use crate::attempt::Ran;
+use crate::dispatch::Request;
+use crate::holding::is_due;
+use crate::homes::reached;
+use crate::metrics::Metrics;
+use crate::node::Node;
+
+/// Time for which a service's room holds once it was summed up: own work begun meanwhile is little.
+const ROOM_LIFE: Duration = Duration::from_millis(10);
+/// Servers that are looked at for it; of more, as many are drawn.
+const SERVERS_SUMMED: usize = 64;
+/// Time to the first event beside what the prompt takes, while nothing is known of the service.
+const FIRST_EVENT: Duration = Duration::from_millis(30);
+/// Prompt tokens that a server reads in a millisecond, a slow one.
+const TOKENS_PER_MS: f64 = 30.0;
+
+/// What is learned of room from this node's own requests. Locks are taken one at a time.
+#[derive(Default)]
+pub struct RoomTable {
+    holds: Mutex<HashMap<String, HoldTime>>,
+    deadlines: Mutex<HashMap<String, UsualDeadline>>,
+    credit: Mutex<HashMap<TenantName, CreditQueue>>,
+    rooms: Mutex<HashMap<String, (Instant, Arc<Room>)>>,
+}
+
+impl RoomTable {
+    /// A request held a slot of a service for some time.
+    pub(crate) fn note_hold(&self, service: &str, held: Duration) {
+        let mut holds = self.holds.lock();
+        holds.entry(service.to_owned()).or_default().note(held);
+    }
+
+    /// Notes a request's deadline; whether its caller was refused before.
+    pub(crate) fn comes_again(&self, route: &Route, deadline: Duration) -> bool {
+        let mut deadlines = self.deadlines.lock();
+        let usual = deadlines.entry(route.name.clone()).or_default();
+        usual.note(deadline, Instant::now())
+    }
+
+    /// When a caller over its quota comes back: each at its own time, where this node has so many of the tenant's
+    /// callers and there are so many nodes.
+    pub(crate) fn credit_after(
+        &self,
+        tenant: &TenantName,
+        limit: RateLimit,
+        nodes: usize,
+        until_credit: Duration,
+        most: Duration,
+    ) -> Duration {
+        let step = Duration::from_secs_f64(nodes.max(1) as f64 / limit.per_s.max(0.001));
+        let mut queues = self.credit.lock();
+        let queue = queues.entry(tenant.clone()).or_default();
+        queue.next(until_credit, step, most, Instant::now(), &mut rand::rng())
+    }
+
+    fn hold(&self, service: &str) -> Duration {
+        let holds = self.holds.lock();
+        holds.get(service).copied().unwrap_or_default().mean()
+    }
+}
+
+/// Room of the service that serves a request; `None` where nothing is known of others' work or no server answers.
+fn room_of(node: &Node, request: &Request) -> Option<Arc<Room>> {
+    if node.peers.count() * 2 < node.peers.expected() {
+        return None;
+    }
+    let bound = request.homes.bind();
+    if !bound
+        && let Some((at, room)) = node.rooms.rooms.lock().get(&request.service)
+        && at.elapsed() < ROOM_LIFE
+    {
+        return Some(room.clone());
+    }
+    let room = Arc::new(sum_up(node, &request.service, &request.homes)?);
+    if !bound {
+        let held = (Instant::now(), room.clone());
+        node.rooms
+            .rooms
+            .lock()
+            .insert(request.service.clone(), held);
+    }
+    Some(room)
+}
+
+fn sum_up(node: &Node, service: &str, homes: &Homes) -> Option<Room> {
+    let servers = node.view.servers(service);
+    let places = &node.settings.places;
+    let allowed = |server: &&Arc<ServerRecord>| homes.allow(&server.zone, places);
+    let all = reached(&servers, homes, node).filter(allowed).count();
+    let some = reached(&servers, homes, node)
+        .filter(allowed)
+        .choose_multiple(&mut rand::rng(), SERVERS_SUMMED);
+    let part = some.len().max(1) as f64 / all.max(1) as f64;
+    let (mut slots, mut online) = (0, 0);
+    for server in some {
+        let load = node.loads.summary(&server.id);
+        if !load.suspect {
+            slots += server.slots;
+            online += load.online;
+        }
+    }
+    let whole = |count: u32| (f64::from(count) / part).round() as u32;
+    let demand = node.loads.demand.total(service);
+    (slots > 0).then(|| Room {
+        slots: whole(slots),
+        online: whole(online),
+        waiting: demand.waiting,
+        returns: demand.returns,
+        hold: node.rooms.hold(service),
+    })
+}
+
+/// Decides about a request at one look; `None` where this node knows too little to do so.
+pub(crate) fn ask(node: &Node, request: &Request, waits: bool) -> Option<Admission> {
+    let room = room_of(node, request)?;
+    let asking = asking(request, waits);
+    let admission = admit(&room, &asking, &mut rand::rng());
+    if let Admission::Refuse { retry_after } = admission {
+        note_refused(node, request, &room, &asking, retry_after);
+    }
+    Some(admission)
+}
+
+fn asking(request: &Request, waits: bool) -> Asking {
+    let route = &request.route;
+    let patience = Duration::from_millis(route.patience_ms);
+    let target = match route.target_ms {
+        0 => patience,
+        target_ms => Duration::from_millis(target_ms),
+    };
+    let prompt = Duration::from_secs_f64(f64::from(request.shape.tokens) / TOKENS_PER_MS / 1_000.0);
+    let failed = !request.asked.is_empty();
+    Asking {
+        age: request.arrived.elapsed(),
+        target,
+        first_event: FIRST_EVENT + prompt,
+        left: request.caller_left(),
+        most_wait: is_due(patience),
+        again: request.again || failed,
+        refusable: request.ran == Ran::No,
+        waits,
+    }
+}
+
+fn note_refused(
+    node: &Node,
+    request: &Request,
+    room: &Room,
+    asking: &Asking,
+    retry_after: Duration,
+) {
+    Metrics::count(&node.metrics.refused_for_room);
+    match request.again {
+        // It may have no try left.
+        true => Metrics::count(&node.metrics.returns_refused),
+        false => node.loads.demand.note_return(&request.service, retry_after),
+    }
+    node.log.write("no_room", || {
+        serde_json::json!({"request": request.facts.id, "route": request.route.name,
+            "tenant": request.caller.tenant_name(), "again": request.again,
+            "slots": room.slots, "online": room.online, "waiting": room.waiting,
+            "returns": room.returns, "hold_ms": room.hold.as_millis() as u64,
+            "wait_ms": room.wait().as_millis() as u64, "age_ms": asking.age.as_millis() as u64,
+            "target_ms": asking.target.as_millis() as u64, "left_ms": asking.left.as_millis() as u64,
+            "retry_after_ms": retry_after.as_millis() as u64})
+    });
+}
--- /dev/null
+++ b/crates/room/src/admission.rs
@@ -0,0 +1,140 @@
+//! Whether a request is served now, waits at its node or is refused. Pure: time and randomness are arguments.
+//!
+//! The load: a service has slots for a part of the requests only, for seconds. Were all of them queued, every slot
+//! would work for callers whose time is over, and goodput would fall to a fraction of the slots. So a request waits
+//! for a short part of its target, all that wait have the same chance of a slot that frees itself, and who gets none
+//! is refused while the answer is still of use. As many go to servers as slots free themselves there: each node
+//! reckons with its own looks only, and with the sums over all nodes.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::room::{RETURNS_PART, Room};
+
+/// Time between two looks of a request that waits for a slot, on the mean.
+pub const LOOK: Duration = Duration::from_millis(20);
+/// Time between two looks of a request that can only be late.
+const LATE_LOOK: Duration = Duration::from_millis(100);
+/// Age of the news of other nodes. Servers keep as much work in their queues as ends meanwhile.
+const NEWS_AGE: Duration = Duration::from_millis(50);
+/// Part of the target after which a caller that cannot be served is told so: what it lost until then is little.
+const ANSWER_PART: f64 = 0.25;
+/// Part of the target by which a request must have a slot, beside the time to its first event.
+const SLOT_PART: f64 = 0.75;
+/// Part of a caller's time for which it waits when it is told to come back, as callers of this interface do.
+pub const OBEYED_PART: f64 = 1.0 / 3.0;
+
+/// A request that asks for a slot.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Asking {
+    /// Time since it came.
+    pub age: Duration,
+    /// Time from its coming to its first event, as its caller wants it.
+    pub target: Duration,
+    /// Time from having a slot to the first event.
+    pub first_event: Duration,
+    /// Time that its caller has left.
+    pub left: Duration,
+    /// Time from its coming after which it waits no longer, even where late is better than not at all.
+    pub most_wait: Duration,
+    /// Its caller was refused before, or has lost time at a server that failed.
+    pub again: bool,
+    /// It has run nowhere, so that a refusal is true.
+    pub refusable: bool,
+    /// It has looked for a slot before.
+    pub waits: bool,
+}
+
+/// What becomes of a request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It goes to a server.
+    Serve,
+    /// It waits at its node and looks again after some time.
+    Wait {
+        /// That time.
+        look: Duration,
+        /// It can still be in time, and counts as waiting for a slot.
+        in_time: bool,
+    },
+    /// There is no room in time.
+    Refuse {
+        /// When its caller comes back best.
+        retry_after: Duration,
+    },
+}
+
+impl Asking {
+    /// Age until which a slot is of use for a first event in time.
+    fn latest(&self) -> Duration {
+        let by_target = self.target.mul_f64(SLOT_PART);
+        by_target.saturating_sub(self.first_event)
+    }
+
+    /// Age at which it waits no longer for a slot in time.
+    fn cut(&self) -> Duration {
+        match self.again {
+            true => self.latest(),
+            false => self.target.mul_f64(ANSWER_PART).min(self.latest()),
+        }
+    }
+}
+
+/// Decides about a request at one look.
+pub fn admit(room: &Room, asking: &Asking, random: &mut impl Rng) -> Admission {
+    let is_late = asking.age > asking.latest();
+    let served = match is_late {
+        true => room.is_spare(),
+        false => random.random::<f64>() < serve_chance(room, asking),
+    };
+    if served || (!asking.refusable && asking.age >= asking.most_wait) {
+        return Admission::Serve;
+    }
+    let is_over = match asking.again {
+        true => asking.age >= asking.most_wait,
+        false => asking.age >= asking.cut(),
+    };
+    let hopeless = !asking.waits && random.random::<f64>() < refuse_chance(room, asking);
+    if asking.refusable && (is_over || hopeless) {
+        let most = asking.left.mul_f64(OBEYED_PART);
+        let retry_after = room.return_after(most, random);
+        return Admission::Refuse { retry_after };
+    }
+    let mean = if is_late { LATE_LOOK } else { LOOK };
+    Admission::Wait {
+        // Not all at the same time: each would see the same free slot.
+        look: mean.mul_f64(random.random_range(0.5..1.5)),
+        in_time: !is_late,
+    }
+}
+
+/// Chance that a request gets a slot at this look, so that all who look get as many as there are.
+fn serve_chance(room: &Room, asking: &Asking) -> f64 {
+    let ends = room.ends_per_s();
+    let look = LOOK.as_secs_f64();
+    // The queues at servers may hold what ends while news travel.
+    let wanted = f64::from(room.slots) + ends * NEWS_AGE.as_secs_f64();
+    let missing = wanted - f64::from(room.online);
+    let budget = ends * look + missing * look / NEWS_AGE.as_secs_f64();
+    let returns = room.returns_per_s() * look;
+    let kept = returns.min(budget * RETURNS_PART);
+    let others = f64::from(room.waiting).max(1.0);
+    let new = (budget - kept) / others;
+    match asking.again && returns > 0.0 {
+        true => new.max(budget * RETURNS_PART / returns),
+        false => new,
+    }
+}
+
+/// Chance that a request which has just come is refused at once: it rises with the wait, so that nodes with the same
+/// news do not all refuse at the same moment.
+fn refuse_chance(room: &Room, asking: &Asking) -> f64 {
+    let wait = match asking.again {
+        true => room.wait_in_front(),
+        false => room.wait(),
+    };
+    let begins = asking.target.mul_f64(ANSWER_PART).as_secs_f64();
+    let ends = asking.latest().as_secs_f64().max(begins + 0.001);
+    ((wait.as_secs_f64() - begins) / (ends - begins)).clamp(0.0, 1.0)
+}
--- a/crates/room/src/lib.rs
+++ b/crates/room/src/lib.rs
@@ -5,8 +5,14 @@
 //! a node decides by itself whether a request is served, waits or is refused, so that no request waits for another
 //! node. Nothing here performs I/O.
 
+mod admission;
+mod deadlines;
 mod demand;
 mod returns;
+mod room;
 
+pub use admission::{Admission, Asking, LOOK, OBEYED_PART, admit};
+pub use deadlines::UsualDeadline;
 pub use demand::{Demand, TenantWork, service_number};
 pub use returns::{ReturnSchedule, SPAN, SPANS};
+pub use room::{CreditQueue, HoldTime, RETURNS_PART, Room};
--- /dev/null
+++ b/crates/room/src/room.rs
@@ -0,0 +1,135 @@
+//! The room of a service: what its slots can serve now and soon. Pure: time and randomness are arguments.
+//!
+//! The load: requests come faster than slots free themselves, at many nodes that know each other's work by news
+//! some 50 ms old. All of them must come to about the same estimate without a word more, so it rests on sums
+//! that are told anyway.
+
+use std::time::Duration;
+
+use dappleyard_clock::Instant;
+use rand::Rng;
+
+use crate::returns::{SPAN, SPANS};
+
+/// Part of the slots that free themselves which is kept for callers that come back. They waited once already; but
+/// each slot kept for them is taken from a caller that is refused in their place.
+pub const RETURNS_PART: f64 = 0.25;
+/// Part of a new time in the running mean of the times for which slots are held.
+const MEAN_SHARE: f64 = 0.1;
+/// Time for which a request holds a slot while none has ended yet.
+const UNKNOWN_HOLD: Duration = Duration::from_secs(1);
+
+/// Room of a service, over all nodes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Room {
+    /// Slots of the servers that answer.
+    pub slots: u32,
+    /// Online requests under way there. Items of jobs do not count: they make way.
+    pub online: u32,
+    /// Requests that wait at nodes for a slot.
+    pub waiting: u32,
+    /// Requests told to come back, by span from now on.
+    pub returns: Vec<u32>,
+    /// Mean time for which a request holds a slot.
+    pub hold: Duration,
+}
+
+impl Room {
+    /// Slots that free themselves in a second when all are held.
+    pub fn ends_per_s(&self) -> f64 {
+        f64::from(self.slots) / self.hold.as_secs_f64().max(0.001)
+    }
+
+    /// Whether there are more free slots than requests that wait for one.
+    pub fn is_spare(&self) -> bool {
+        self.online + self.waiting < self.slots
+    }
+
+    /// Time until a request that comes now gets a slot, when it comes behind all that wait.
+    pub fn wait(&self) -> Duration {
+        self.wait_behind(self.online + self.waiting)
+    }
+
+    /// The same when it comes before all that wait.
+    pub fn wait_in_front(&self) -> Duration {
+        self.wait_behind(self.online)
+    }
+
+    fn wait_behind(&self, requests: u32) -> Duration {
+        let ahead = (requests + 1).saturating_sub(self.slots);
+        match self.slots {
+            0 => Duration::MAX,
+            _ => Duration::from_secs_f64(f64::from(ahead) / self.ends_per_s()),
+        }
+    }
+
+    /// Requests a second that are expected back now.
+    pub fn returns_per_s(&self) -> f64 {
+        let due = self.returns.first().copied().unwrap_or_default();
+        f64::from(due) / SPAN.as_secs_f64()
+    }
+
+    /// When a refused caller that waits for `most` at most comes back best: in the earliest span whose kept slots
+    /// are not all promised; in none such, late, when the load may be over. Spans fill up by chance, so that nodes
+    /// that have not heard of each other's promises yet do not all fill the same one.
+    pub fn return_after(&self, most: Duration, random: &mut impl Rng) -> Duration {
+        let kept = self.ends_per_s() * RETURNS_PART * SPAN.as_secs_f64();
+        let spans = (most.as_secs_f64() / SPAN.as_secs_f64()) as usize;
+        let open = (1..spans.min(SPANS)).find(|span| {
+            let promised = self.returns.get(*span).copied().unwrap_or_default();
+            f64::from(promised) < kept * random.random::<f64>()
+        });
+        match open {
+            Some(span) => SPAN.mul_f64(span as f64 + random.random::<f64>()),
+            None => most.mul_f64(random.random_range(0.5..=1.0)),
+        }
+    }
+}
+
+/// Mean time for which requests of one service hold a slot, learned from those that ended.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HoldTime(Option<Duration>);
+
+impl HoldTime {
+    /// A request held a slot for some time.
+    pub fn note(&mut self, held: Duration) {
+        self.0 = Some(match self.0 {
+            Some(mean) => mean.mul_f64(1.0 - MEAN_SHARE) + held.mul_f64(MEAN_SHARE),
+            None => held,
+        });
+    }
+
+    /// The mean.
+    pub fn mean(&self) -> Duration {
+        self.0.unwrap_or(UNKNOWN_HOLD)
+    }
+}
+
+/// When credit comes for the callers of one tenant that were refused at one node: each is told its own time.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct CreditQueue {
+    last: Option<Instant>,
+}
+
+impl CreditQueue {
+    /// Time after which the next refused caller comes back: behind those before it, one for each `step` in which
+    /// credit for one more of this node's callers arrives, or by chance where that is later than `most`.
+    pub fn next(
+        &mut self,
+        until_credit: Duration,
+        step: Duration,
+        most: Duration,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Duration {
+        let earliest = now + until_credit;
+        let behind = self.last.map(|last| last + step);
+        let at = behind.map_or(earliest, |behind| behind.max(earliest));
+        let after = at.saturating_duration_since(now) + step.mul_f64(random.random::<f64>());
+        if after > most {
+            return most.mul_f64(random.random_range(0.5..=1.0));
+        }
+        self.last = Some(at);
+        after
+    }
+}
