--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -146,7 +146,7 @@
         serde_json::json!({"request": request.facts.id, "route": request.route.name,
             "tenant": request.caller.tenant_name(), "server": server,
             "distance": distance.to_string(),
-            "candidates": placement.candidates, "kept": placement.kept,
+            "again": request.again, "candidates": placement.candidates, "kept": placement.kept,
             "online": load.online, "batch": load.batch,
             "unread_tokens": load.unread_tokens, "suspect": load.suspect,
             "age_ms": request.arrived.elapsed().as_millis() as u64,
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -6,7 +6,9 @@
 
 use dappleyard_clock::Instant;
 use dappleyard_model::{Homes, RateLimit, Route, ServerRecord, TenantName};
-use dappleyard_room::{Admission, Asking, CreditQueue, HoldTime, Room, UsualDeadline, admit};
+use dappleyard_room::{
+    Admission, Asking, CreditQueue, HoldTime, Room, Trend, UsualDeadline, admit,
+};
 use parking_lot::Mutex;
 use rand::seq::IteratorRandom;
 
@@ -32,6 +34,7 @@
     holds: Mutex<HashMap<String, HoldTime>>,
     deadlines: Mutex<HashMap<String, UsualDeadline>>,
     credit: Mutex<HashMap<TenantName, CreditQueue>>,
+    trends: Mutex<HashMap<String, Trend>>,
     rooms: Mutex<HashMap<String, (Instant, Arc<Room>)>>,
 }
 
@@ -65,6 +68,12 @@
         queue.next(until_credit, step, most, Instant::now(), &mut rand::rng())
     }
 
+    fn trend_per_s(&self, service: &str, online: u32) -> f64 {
+        let mut trends = self.trends.lock();
+        let trend = trends.entry(service.to_owned()).or_default();
+        trend.note(online, Instant::now())
+    }
+
     fn hold(&self, service: &str) -> Duration {
         let holds = self.holds.lock();
         holds.get(service).copied().unwrap_or_default().mean()
@@ -113,9 +122,15 @@
     }
     let whole = |count: u32| (f64::from(count) / part).round() as u32;
     let demand = node.loads.demand.total(service);
+    let online = whole(online);
+    let trend_per_s = match homes.bind() {
+        true => 0.0,
+        false => node.rooms.trend_per_s(service, online),
+    };
     (slots > 0).then(|| Room {
         slots: whole(slots),
-        online: whole(online),
+        online,
+        trend_per_s,
         waiting: demand.waiting,
         returns: demand.returns,
         hold: node.rooms.hold(service),
@@ -141,14 +156,14 @@
         target_ms => Duration::from_millis(target_ms),
     };
     let prompt = Duration::from_secs_f64(f64::from(request.shape.tokens) / TOKENS_PER_MS / 1_000.0);
-    let failed = !request.asked.is_empty();
     Asking {
         age: request.arrived.elapsed(),
         target,
         first_event: FIRST_EVENT + prompt,
         left: request.caller_left(),
         most_wait: is_due(patience),
-        again: request.again || failed,
+        again: request.again,
+        failed: !request.asked.is_empty(),
         refusable: request.ran == Ran::No,
         waits,
     }
@@ -170,7 +185,7 @@
     node.log.write("no_room", || {
         serde_json::json!({"request": request.facts.id, "route": request.route.name,
             "tenant": request.caller.tenant_name(), "again": request.again,
-            "slots": room.slots, "online": room.online, "waiting": room.waiting,
+            "slots": room.slots, "online": room.online, "trend_per_s": room.trend_per_s, "waiting": room.waiting,
             "returns": room.returns, "hold_ms": room.hold.as_millis() as u64,
             "wait_ms": room.wait().as_millis() as u64, "age_ms": asking.age.as_millis() as u64,
             "target_ms": asking.target.as_millis() as u64, "left_ms": asking.left.as_millis() as u64,
--- a/crates/room/src/admission.rs
+++ b/crates/room/src/admission.rs
@@ -38,8 +38,10 @@
     pub left: Duration,
     /// Time from its coming after which it waits no longer, even where late is better than not at all.
     pub most_wait: Duration,
-    /// Its caller was refused before, or has lost time at a server that failed.
+    /// Its caller was refused before.
     pub again: bool,
+    /// It has lost time at a server that failed.
+    pub failed: bool,
     /// It has run nowhere, so that a refusal is true.
     pub refusable: bool,
     /// It has looked for a slot before.
@@ -74,7 +76,7 @@
 
     /// Age at which it waits no longer for a slot in time.
     fn cut(&self) -> Duration {
-        match self.again {
+        match self.failed {
             true => self.latest(),
             false => self.target.mul_f64(ANSWER_PART).min(self.latest()),
         }
@@ -91,10 +93,7 @@
     if served || (!asking.refusable && asking.age >= asking.most_wait) {
         return Admission::Serve;
     }
-    let is_over = match asking.again {
-        true => asking.age >= asking.most_wait,
-        false => asking.age >= asking.cut(),
-    };
+    let is_over = asking.age >= asking.cut();
     let hopeless = !asking.waits && random.random::<f64>() < refuse_chance(room, asking);
     if asking.refusable && (is_over || hopeless) {
         let most = asking.left.mul_f64(OBEYED_PART);
@@ -109,32 +108,30 @@
     }
 }
 
-/// Chance that a request gets a slot at this look, so that all who look get as many as there are.
+/// Chance that a request gets a slot at this look, so that all who look get as many as there are. A caller that comes
+/// back has a part of the room for itself at its first look; then it is like any other.
 fn serve_chance(room: &Room, asking: &Asking) -> f64 {
     let ends = room.ends_per_s();
     let look = LOOK.as_secs_f64();
     // The queues at servers may hold what ends while news travel.
     let wanted = f64::from(room.slots) + ends * NEWS_AGE.as_secs_f64();
-    let missing = wanted - f64::from(room.online);
+    let online = f64::from(room.online) + room.trend_per_s * NEWS_AGE.as_secs_f64();
+    let missing = wanted - online;
     let budget = ends * look + missing * look / NEWS_AGE.as_secs_f64();
     let returns = room.returns_per_s() * look;
     let kept = returns.min(budget * RETURNS_PART);
-    let others = f64::from(room.waiting).max(1.0);
-    let new = (budget - kept) / others;
-    match asking.again && returns > 0.0 {
-        true => new.max(budget * RETURNS_PART / returns),
-        false => new,
+    let looking = f64::from(room.waiting).max(1.0);
+    let chance = (budget - kept) / looking;
+    match asking.again && !asking.waits && returns > 0.0 {
+        true => chance.max(budget * RETURNS_PART / returns),
+        false => chance,
     }
 }
 
 /// Chance that a request which has just come is refused at once: it rises with the wait, so that nodes with the same
 /// news do not all refuse at the same moment.
 fn refuse_chance(room: &Room, asking: &Asking) -> f64 {
-    let wait = match asking.again {
-        true => room.wait_in_front(),
-        false => room.wait(),
-    };
     let begins = asking.target.mul_f64(ANSWER_PART).as_secs_f64();
     let ends = asking.latest().as_secs_f64().max(begins + 0.001);
-    ((wait.as_secs_f64() - begins) / (ends - begins)).clamp(0.0, 1.0)
+    ((room.wait().as_secs_f64() - begins) / (ends - begins)).clamp(0.0, 1.0)
 }
--- a/crates/room/src/lib.rs
+++ b/crates/room/src/lib.rs
@@ -15,4 +15,4 @@
 pub use deadlines::UsualDeadline;
 pub use demand::{Demand, TenantWork, service_number};
 pub use returns::{ReturnSchedule, SPAN, SPANS};
-pub use room::{CreditQueue, HoldTime, RETURNS_PART, Room};
+pub use room::{CreditQueue, HoldTime, RETURNS_PART, Room, Trend};
--- a/crates/room/src/room.rs
+++ b/crates/room/src/room.rs
@@ -4,6 +4,7 @@
 //! some 50 ms old. All of them must come to about the same estimate without a word more, so it rests on sums
 //! that are told anyway.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
@@ -19,6 +20,11 @@
 /// Time for which a request holds a slot while none has ended yet.
 const UNKNOWN_HOLD: Duration = Duration::from_secs(1);
 
+/// Time over which the rise of online requests is taken.
+const TREND_SPAN: Duration = Duration::from_millis(150);
+/// At least; over less, single requests would count as a rise.
+const TREND_LEAST: Duration = Duration::from_millis(75);
+
 /// Room of a service, over all nodes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Room {
@@ -26,6 +32,9 @@
     pub slots: u32,
     /// Online requests under way there. Items of jobs do not count: they make way.
     pub online: u32,
+    /// By how much `online` has risen lately, requests a second. What is known of others is old by more than a
+    /// wave needs to fill all slots.
+    pub trend_per_s: f64,
     /// Requests that wait at nodes for a slot.
     pub waiting: u32,
     /// Requests told to come back, by span from now on.
@@ -47,16 +56,7 @@
 
     /// Time until a request that comes now gets a slot, when it comes behind all that wait.
     pub fn wait(&self) -> Duration {
-        self.wait_behind(self.online + self.waiting)
-    }
-
-    /// The same when it comes before all that wait.
-    pub fn wait_in_front(&self) -> Duration {
-        self.wait_behind(self.online)
-    }
-
-    fn wait_behind(&self, requests: u32) -> Duration {
-        let ahead = (requests + 1).saturating_sub(self.slots);
+        let ahead = (self.online + self.waiting + 1).saturating_sub(self.slots);
         match self.slots {
             0 => Duration::MAX,
             _ => Duration::from_secs_f64(f64::from(ahead) / self.ends_per_s()),
@@ -105,6 +105,32 @@
     }
 }
 
+/// How the online requests of a service rise and fall.
+#[derive(Debug, Clone, Default)]
+pub struct Trend {
+    seen: VecDeque<(Instant, u32)>,
+}
+
+impl Trend {
+    /// Takes what is known now; requests a second by which it has risen lately.
+    pub fn note(&mut self, online: u32, now: Instant) -> f64 {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        while self
+            .seen
+            .front()
+            .is_some_and(|(at, _)| age(*at) > TREND_SPAN)
+        {
+            self.seen.pop_front();
+        }
+        let rise = self.seen.front().map_or(0.0, |(at, before)| {
+            let span = age(*at).max(TREND_LEAST);
+            (f64::from(online) - f64::from(*before)) / span.as_secs_f64()
+        });
+        self.seen.push_back((now, online));
+        rise
+    }
+}
+
 /// When credit comes for the callers of one tenant that were refused at one node: each is told its own time.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct CreditQueue {
