Tenants share the slots of a service that has too few for all

Change: max-min shares by the rate that the configuration grants, over the counts that nodes tell each other; a request beyond its tenant's share is refused at once with a time to come back, its quota credit given back. Only where the settings ask for load shedding and tenants are configured.

--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -14,8 +14,8 @@
 };
 use dappleyard_crashes::CrashTable;
 use dappleyard_ingress::{
-    AnswerTimes, Metrics, Node, PeerAnswers, Upstreams, ZoneWatch, configure, front_app_data,
-    watch_temperatures, watch_zones,
+    AnswerTimes, Metrics, Node, PeerAnswers, ShareTable, Upstreams, ZoneWatch, configure,
+    front_app_data, watch_temperatures, watch_zones,
 };
 use dappleyard_jobs::{BODY_TABLES, JOB_TABLES, JobTable, NodeJobs, Runner};
 use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
@@ -94,6 +94,7 @@
         metrics: Arc::new(Metrics::default()),
         leaving: Arc::new(AtomicBool::new(false)),
         under_way: AtomicU64::new(0),
+        shares: ShareTable::default(),
         last_request: Mutex::new(Instant::now()),
         settings,
     });
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -24,6 +24,7 @@
 use crate::outcome::ErrorKind;
 use crate::placement::PromptShape;
 use crate::relay;
+use crate::shares::{enter_share, share_text};
 use dappleyard_clock::Instant;
 
 /// Longest time that a request without a deadline is held.
@@ -156,7 +157,9 @@
 fn metrics(node: &Node) -> HttpResponse {
     HttpResponse::Ok()
         .insert_header((CONTENT_TYPE, "text/plain; version=0.0.4"))
-        .body(node.metrics.text() + &tenant_text(&node.quotas) + &zone_text(node))
+        .body(
+            node.metrics.text() + &tenant_text(&node.quotas) + &share_text(node) + &zone_text(node),
+        )
 }
 
 fn resolve(node: &Node, query: &str) -> HttpResponse {
@@ -192,7 +195,7 @@
     http: HttpRequest,
     payload: web::Payload,
     data: &FrontData,
-    under_way: UnderWay,
+    mut under_way: UnderWay,
 ) -> HttpResponse {
     let arrived = Instant::now();
     let node = data.upstreams.node().clone();
@@ -237,6 +240,10 @@
     if let Err(refused) = take_credit(&node, &configuration, &caller) {
         return refuse(&node, &facts.id, &refused);
     }
+    match enter_share(&node, &configuration, &caller, &service) {
+        Ok(counted) => under_way.count(counted),
+        Err(refused) => return refuse(&node, &facts.id, &refused),
+    }
     let hold = [
         facts.deadline_ms,
         Some(route.timeout_ms).filter(|ms| *ms > 0),
@@ -326,10 +333,11 @@
     upstreams: Upstreams,
     request: Request,
     begun: Begun,
-    under_way: UnderWay,
+    mut under_way: UnderWay,
     until_end: UntilEnd,
 ) -> HttpResponse {
     let node = upstreams.node().clone();
+    under_way.begin_answer();
     let mut answer = begin(&node, begun.exchange.head.status);
     copy_headers(&mut answer, &begun.exchange.head.headers);
     let length = match begun.exchange.head.framing {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -27,6 +27,7 @@
 mod placement;
 mod placing;
 mod relay;
+mod shares;
 mod zone_care;
 
 pub use answer_times::{AnswerTimes, LearnedTime};
@@ -48,4 +49,5 @@
 pub use placement::{
     Candidate, PromptShape, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
+pub use shares::ShareTable;
 pub use zone_care::watch_zones;
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -9,7 +9,7 @@
 
 /// Tenants that are counted by name; all others are summed, so that the text does not grow with their
 /// number.
-const NAMED_TENANTS: usize = 20;
+pub(crate) const NAMED_TENANTS: usize = 20;
 /// Name of that sum; no tenant's, since it holds a blank.
 const OTHER_TENANTS: &str = "all others";
 
@@ -45,6 +45,8 @@
     pub served: AtomicU64,
     /// Answers of the node's own that promise "not run".
     pub refused: AtomicU64,
+    /// Requests refused because their tenant had all of its share.
+    pub over_share: AtomicU64,
     /// Other failures.
     pub failed: AtomicU64,
     /// Attempts at servers.
@@ -109,6 +111,7 @@
             ("requests", &self.requests),
             ("served", &self.served),
             ("refused", &self.refused),
+            ("over_share", &self.over_share),
             ("failed", &self.failed),
             ("attempts", &self.attempts),
             ("attempts_failed", &self.attempts_failed),
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -14,6 +14,7 @@
 use crate::answer_times::AnswerTimes;
 use crate::homes;
 use crate::metrics::Metrics;
+use crate::shares::{Counted, ShareTable};
 use dappleyard_clock::Instant;
 
 /// Time for which callers may use a directory answer.
@@ -33,6 +34,8 @@
     pub times: AnswerTimes,
     /// Quotas of tenants.
     pub quotas: Arc<QuotaTable>,
+    /// What each tenant may have of a service that is short of room.
+    pub shares: ShareTable,
     /// Requests under which servers ended.
     pub crashes: Arc<CrashTable>,
     /// The other nodes.
@@ -124,19 +127,38 @@
 }
 
 /// Counts a request of a caller as under way until it is dropped.
-pub(crate) struct UnderWay(Arc<Node>);
+pub(crate) struct UnderWay {
+    node: Arc<Node>,
+    /// Its part of its tenant's share.
+    counted: Option<Counted>,
+}
 
 impl UnderWay {
     pub(crate) fn begin(node: &Arc<Node>) -> Self {
         node.under_way.fetch_add(1, Ordering::Relaxed);
         *node.last_request.lock() = Instant::now();
-        Self(node.clone())
+        Self {
+            node: node.clone(),
+            counted: None,
+        }
+    }
+
+    /// From now on the request counts towards a share too.
+    pub(crate) fn count(&mut self, counted: Option<Counted>) {
+        self.counted = counted;
+    }
+
+    /// The answer has begun.
+    pub(crate) fn begin_answer(&mut self) {
+        if let Some(counted) = &mut self.counted {
+            counted.begin_answer();
+        }
     }
 }
 
 impl Drop for UnderWay {
     fn drop(&mut self) {
-        self.0.under_way.fetch_sub(1, Ordering::Relaxed);
+        self.node.under_way.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/ingress/src/outcome.rs
+++ b/crates/ingress/src/outcome.rs
@@ -26,6 +26,9 @@
     /// This node hears too few others to tell whether the tenant has used up its quota.
     #[display("quota_in_doubt")]
     QuotaInDoubt,
+    /// The tenant has its share of a service that has too little room for all; the request did not run.
+    #[display("over_share")]
+    OverShare,
     /// The request names no identifier.
     #[display("no_request_id")]
     NoRequestId,
@@ -86,6 +89,8 @@
             | ErrorKind::ConfigurationOld
             | ErrorKind::KeyInDoubt
             | ErrorKind::QuotaInDoubt
+            // Not 429: the tenant asks for no more than it is granted.
+            | ErrorKind::OverShare
             | ErrorKind::NoServer
             | ErrorKind::ZonesEvacuated
             | ErrorKind::HomesCannotServe
@@ -103,7 +108,7 @@
             ErrorKind::ExpiredBeforeRun => Some(100),
             // A region that is cut off or emptied comes back in seconds, not in milliseconds.
             ErrorKind::HomesCannotServe => Some(500),
-            ErrorKind::StoreUnavailable => Some(500),
+            ErrorKind::OverShare | ErrorKind::StoreUnavailable => Some(500),
             ErrorKind::QuotaExceeded | ErrorKind::OverQuota => Some(1000),
             // Nobody knows when the zones are taken back; an evacuation lasts seconds at least, and a caller that
             // comes back sooner is only refused again.
--- /dev/null
+++ b/crates/ingress/src/shares.rs
@@ -0,0 +1,328 @@
+//! Holds tenants to their fair shares of a service while it has too few slots for all.
+//!
+//! A request that passed its tenant's quota is counted, over all nodes, until its answer has ended. What the counts, the slots and
+//! the configuration's weights make of each tenant's share is decided in `dappleyard_room`; here it is asked for, and its
+//! result kept for a moment.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_clock::Instant;
+use dappleyard_cluster::{ServerSet, Work};
+use dappleyard_model::{Configuration, RateLimit, Tenant, TenantName, Tenants};
+use dappleyard_room::{Claim, Demand, OverShare, Shares, TenantWork};
+use dappleyard_tenants::{Caller, tenant_number};
+use parking_lot::Mutex;
+
+use crate::admission::Refusal;
+use crate::metrics::{Metrics, NAMED_TENANTS};
+use crate::node::Node;
+use crate::outcome::ErrorKind;
+
+/// Time for which a look at servers and counts is used again: news of them come as often.
+const LOOK_LIFE: Duration = Duration::from_millis(25);
+/// Time that a request is under way before any was seen to end.
+const FIRST_STAY: Duration = Duration::from_millis(500);
+/// Part of a new time in the running mean.
+const MEAN_PART: f64 = 0.05;
+/// Weight of a tenant where no tenant has a limit.
+const PLAIN_WEIGHT: f64 = 1.0;
+
+/// What a node knows of one service.
+struct Seen {
+    /// Slots at servers that answer.
+    slots: u32,
+    /// Online requests there.
+    online: u32,
+    /// Requests by tenant, over all nodes.
+    demand: Demand,
+}
+
+/// What was seen of one service, and the shares that follow.
+struct Look {
+    at: Instant,
+    shares: Shares,
+    /// Requests of each tenant by its number, those that this node let pass since included.
+    requests: HashMap<u32, u32>,
+}
+
+/// Weights of the tenants of one configuration.
+#[derive(Default)]
+struct Weights {
+    version: Option<u64>,
+    /// Of those with a limit, by number.
+    limited: HashMap<u32, f64>,
+    /// Of any other.
+    other: f64,
+}
+
+impl Weights {
+    fn adopt(&mut self, configuration: &Configuration) {
+        if self.version == Some(configuration.version) {
+            return;
+        }
+        let tenants = configuration.tenants.iter().flat_map(Tenants::iter);
+        let limited = |tenant: &Arc<Tenant>| {
+            let RateLimit { per_s, .. } = tenant.limit?;
+            Some((tenant_number(tenant.name.as_str()), per_s))
+        };
+        self.limited = tenants.filter_map(limited).collect();
+        self.other = match self.limited.len() {
+            0 => PLAIN_WEIGHT,
+            count => self.limited.values().sum::<f64>() / count as f64,
+        };
+        self.version = Some(configuration.version);
+    }
+
+    fn of(&self, tenant: u32) -> f64 {
+        self.limited.get(&tenant).copied().unwrap_or(self.other)
+    }
+}
+
+#[derive(Default)]
+struct State {
+    weights: Weights,
+    looks: HashMap<String, Look>,
+    /// How long requests of each service are under way, in the mean.
+    stays: HashMap<String, Duration>,
+    refused: HashMap<TenantName, u64>,
+}
+
+/// Shares of the services as one node sees them. The lock is taken alone.
+#[derive(Default)]
+pub struct ShareTable {
+    state: Mutex<State>,
+}
+
+/// Figures of one tenant, for operators.
+#[derive(Clone, Copy, Default)]
+struct TenantShare {
+    /// Its online requests under way, over all nodes and services.
+    under_way: u32,
+    /// Slots that it may have of the services that are short of room; `None` while none is.
+    share: Option<f64>,
+    /// Its requests that this node refused because they were over its share.
+    refused: u64,
+}
+
+/// A request that counts towards its tenant's share until this is dropped.
+pub(crate) struct Counted {
+    node: Arc<Node>,
+    service: String,
+    since: Instant,
+    answered: bool,
+    _work: Work,
+}
+
+impl Counted {
+    /// The answer has begun: when it ends, its slot frees.
+    pub(crate) fn begin_answer(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        if self.answered {
+            let stay = self.since.elapsed();
+            self.node.shares.note_stay(&self.service, stay);
+        }
+    }
+}
+
+/// Counts a request that passed its tenant's quota, unless its tenant has all of its share. `None` where nothing is shared: the
+/// deployment doesn't ask for it, or knows no tenants.
+pub(crate) fn enter_share(
+    node: &Arc<Node>,
+    configuration: &Configuration,
+    caller: &Caller,
+    service: &str,
+) -> Result<Option<Counted>, Refusal> {
+    if !node.settings.load_shedding || *caller == Caller::Untold {
+        return Ok(None);
+    }
+    // Callers without a key share what one tenant gets.
+    let number = tenant_number(caller.tenant_name());
+    refresh(node, configuration, service);
+    if let Err(over) = node.shares.admit(service, number, rand::random()) {
+        return Err(refuse(node, caller, &over));
+    }
+    Ok(Some(Counted {
+        node: node.clone(),
+        service: service.to_owned(),
+        since: Instant::now(),
+        answered: false,
+        _work: node.loads.demand.work(service, number),
+    }))
+}
+
+/// The request goes back to its caller; it has run nowhere and does not count towards the quota.
+fn refuse(node: &Node, caller: &Caller, over: &OverShare) -> Refusal {
+    Metrics::count(&node.metrics.over_share);
+    let who = match caller.tenant() {
+        Some(tenant) => {
+            node.quotas.give_back(&tenant.name);
+            node.shares.note_refused(&tenant.name);
+            format!("tenant {}", tenant.name)
+        }
+        None => "callers without a key".to_owned(),
+    };
+    Refusal {
+        kind: ErrorKind::OverShare,
+        detail: format!("{who}: {over}"),
+        retry_after_ms: Some(over.come_back.as_millis() as u64),
+    }
+}
+
+/// Looks at a service again where the last look is old.
+fn refresh(node: &Node, configuration: &Configuration, service: &str) {
+    let now = Instant::now();
+    if node.shares.is_fresh(service, now) {
+        return;
+    }
+    let (slots, online) = open_slots(node, &node.view.servers(service));
+    let demand = node.loads.demand.total(service);
+    let seen = Seen {
+        slots,
+        online,
+        demand,
+    };
+    node.shares.note(configuration, service, &seen, now);
+}
+
+/// Slots of a service at servers that answer, and online requests there. In a large fleet the servers that the node uses
+/// stand for all, so that a look costs the same however many there are.
+fn open_slots(node: &Node, servers: &ServerSet) -> (u32, u32) {
+    let (mut listed, mut open, mut online) = (0.0, 0.0, 0.0);
+    for server in &servers.used {
+        let load = node.loads.summary(&server.id);
+        listed += f64::from(server.slots);
+        if !load.suspect {
+            open += f64::from(server.slots);
+            online += f64::from(load.online);
+        }
+    }
+    let all: u64 = servers
+        .all
+        .iter()
+        .map(|server| u64::from(server.slots))
+        .sum();
+    let scale = match listed > 0.0 {
+        true => all as f64 / listed,
+        false => 0.0,
+    };
+    ((open * scale) as u32, (online * scale) as u32)
+}
+
+impl ShareTable {
+    fn is_fresh(&self, service: &str, now: Instant) -> bool {
+        let state = self.state.lock();
+        let look = state.looks.get(service);
+        look.is_some_and(|look| now.saturating_duration_since(look.at) < LOOK_LIFE)
+    }
+
+    fn note(&self, configuration: &Configuration, service: &str, seen: &Seen, now: Instant) {
+        let mut state = self.state.lock();
+        state.weights.adopt(configuration);
+        let tenants = seen.demand.tenants.iter();
+        let claim = |work: &TenantWork| Claim {
+            requests: work.requests,
+            weight: state.weights.of(work.tenant),
+        };
+        let claims: Vec<Claim> = tenants.clone().map(claim).collect();
+        let told: u32 = claims.iter().map(|claim| claim.requests).sum();
+        let look = Look {
+            at: now,
+            shares: Shares::new(&claims, seen.online.saturating_sub(told), seen.slots),
+            requests: tenants.map(|work| (work.tenant, work.requests)).collect(),
+        };
+        state.looks.insert(service.to_owned(), look);
+    }
+
+    /// Takes one more request of a tenant in, where its share allows it.
+    fn admit(&self, service: &str, tenant: u32, point: f64) -> Result<(), OverShare> {
+        let mut state = self.state.lock();
+        let weight = state.weights.of(tenant);
+        let stay = state.stays.get(service).copied().unwrap_or(FIRST_STAY);
+        let Some(look) = state.looks.get_mut(service) else {
+            return Ok(());
+        };
+        let requests = look.requests.entry(tenant).or_default();
+        let claim = Claim {
+            requests: *requests,
+            weight,
+        };
+        look.shares.admit(claim, stay, point)?;
+        *requests += 1;
+        Ok(())
+    }
+
+    fn note_stay(&self, service: &str, stay: Duration) {
+        let mut state = self.state.lock();
+        match state.stays.get_mut(service) {
+            Some(mean) => *mean = mean.mul_f64(1.0 - MEAN_PART) + stay.mul_f64(MEAN_PART),
+            None => {
+                state.stays.insert(service.to_owned(), stay);
+            }
+        }
+    }
+
+    fn note_refused(&self, tenant: &TenantName) {
+        let mut state = self.state.lock();
+        *state.refused.entry(tenant.clone()).or_default() += 1;
+    }
+
+    /// Figures of a tenant as of the last look at each service.
+    fn figures(&self, tenant: &TenantName) -> TenantShare {
+        let number = tenant_number(tenant.as_str());
+        let state = self.state.lock();
+        let weight = state.weights.of(number);
+        let mut figures = TenantShare {
+            refused: state.refused.get(tenant).copied().unwrap_or_default(),
+            ..TenantShare::default()
+        };
+        for look in state.looks.values() {
+            figures.under_way += look.requests.get(&number).copied().unwrap_or_default();
+            if let Some(share) = look.shares.of(weight) {
+                figures.share = Some(figures.share.unwrap_or_default() + share);
+            }
+        }
+        figures
+    }
+}
+
+/// Shares of the busiest tenants in the Prometheus text format; empty where nothing is shared.
+pub(crate) fn share_text(node: &Node) -> String {
+    let Some(configuration) = node.view.configuration() else {
+        return String::new();
+    };
+    if !node.settings.load_shedding || configuration.tenants.is_none() {
+        return String::new();
+    }
+    for service in &configuration.services {
+        refresh(node, &configuration, &service.name);
+    }
+    let (named, _) = node.quotas.busiest(NAMED_TENANTS);
+    let all: Vec<(TenantName, TenantShare)> = named
+        .into_iter()
+        .map(|(name, _)| (name.clone(), node.shares.figures(&name)))
+        .collect();
+    let mut text = String::from("# TYPE dappleyard_tenant_under_way gauge\n");
+    for (name, figures) in &all {
+        let (name, value) = (name.as_str(), figures.under_way);
+        text += &format!("dappleyard_tenant_under_way{{tenant={name:?}}} {value}\n");
+    }
+    text += "# TYPE dappleyard_tenant_share_slots gauge\n";
+    for (name, figures) in &all {
+        if let (name, Some(value)) = (name.as_str(), figures.share) {
+            text += &format!("dappleyard_tenant_share_slots{{tenant={name:?}}} {value:.1}\n");
+        }
+    }
+    text += "# TYPE dappleyard_tenant_over_share_total counter\n";
+    for (name, figures) in &all {
+        let (name, value) = (name.as_str(), figures.refused);
+        text += &format!("dappleyard_tenant_over_share_total{{tenant={name:?}}} {value}\n");
+    }
+    text
+}
--- a/crates/room/src/lib.rs
+++ b/crates/room/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod demand;
 mod returns;
+mod shares;
 
 pub use demand::{Demand, TenantWork, service_number};
 pub use returns::{ReturnSchedule, SPAN, SPANS};
+pub use shares::{Claim, OverShare, Shares};
