--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -8,7 +8,9 @@
 
 use bytes::Bytes;
 use dappleyard_cluster::Pace;
-use dappleyard_model::{AnswerFacts, Homes, MemoryStamp, ServerLoad, ServerRecord, ServerStamp, TenantStamp};
+use dappleyard_model::{
+    AnswerFacts, Homes, MemoryStamp, ServerLoad, ServerRecord, ServerStamp, TenantStamp,
+};
 use dappleyard_upstream::{
     AnswerHead, BodyFraming, Connection, ExchangeError, IdleLimit, Pool, Stage, request_bytes,
 };
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -31,6 +31,7 @@
 mod placing;
 mod relay;
 mod room;
+mod shares;
 mod zone_care;
 
 pub use answer_pauses::{AnswerPauses, excess};
@@ -55,4 +56,5 @@
     Candidate, PromptShape, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
 pub use room::RoomTable;
+pub use shares::ShareTable;
 pub use zone_care::watch_zones;
--- a/crates/room/src/lib.rs
+++ b/crates/room/src/lib.rs
@@ -10,9 +10,11 @@
 mod demand;
 mod returns;
 mod room;
+mod shares;
 
 pub use admission::{Admission, Asking, LOOK, OBEYED_PART, admit};
 pub use deadlines::UsualDeadline;
 pub use demand::{Demand, TenantWork, service_number};
 pub use returns::{ReturnSchedule, SPAN, SPANS};
 pub use room::{CreditQueue, HoldTime, RETURNS_PART, Room, Trend};
+pub use shares::{Claim, OverShare, Shares};
