Batch: a service closes to items while online requests of it wait, and items come back in steps

With load shedding a service now takes no item while requests wait for a slot or are expected back, as all nodes told; items leave servers by rank as far as the demand needs their slots; afterwards they come back over a part of an item's time.

--- a/crates/cluster/src/demand.rs
+++ b/crates/cluster/src/demand.rs
@@ -7,6 +7,7 @@
 use dappleyard_clock::Instant;
 use dappleyard_room::{Demand, ReturnSchedule, SPAN, TenantWork, service_number};
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::server_loads::Source;
 
@@ -96,19 +97,42 @@
 #[derive(Default)]
 pub struct DemandTable {
     state: Mutex<State>,
+    /// A request waits, here or at another node, that did not a moment ago.
+    pressure: Notify,
 }
 
 impl DemandTable {
     /// Counts a request as waiting for a slot of a service until the guard is dropped.
     pub fn wait(self: &Arc<Self>, service: &str) -> Waiting {
         let service = service_number(service);
-        self.state.lock().own(service, Instant::now()).waiting += 1;
+        let waiting = {
+            let mut state = self.state.lock();
+            let own = state.own(service, Instant::now());
+            own.waiting += 1;
+            own.waiting
+        };
+        if waiting == 1 {
+            self.pressure.notify_one();
+        }
         Waiting {
             table: self.clone(),
             service,
         }
     }
 
+    /// Wakes who waits for pressure when requests of a source begin to wait.
+    fn tell_pressure(&self, before: &[Demand], now: &[Demand]) {
+        let waits = |demands: &[Demand]| demands.iter().any(|demand| demand.waiting > 0);
+        if waits(now) && !waits(before) {
+            self.pressure.notify_one();
+        }
+    }
+
+    /// Waits until requests begin to wait for a slot of some service.
+    pub async fn pressed(&self) {
+        self.pressure.notified().await;
+    }
+
     /// Counts a request of a tenant as work at a service until the guard is dropped.
     pub fn work(self: &Arc<Self>, service: &str, tenant: u32) -> Work {
         let service = service_number(service);
@@ -172,8 +196,11 @@
 
     /// What a source wants now, where a heartbeat has told that it wants the same servers as this node.
     pub(crate) fn change_source(&self, source: Source, demands: Vec<Demand>) {
-        if let Some(held) = self.state.lock().others.get_mut(&source) {
-            *held = (Instant::now(), demands);
+        let news = (Instant::now(), demands);
+        let mut state = self.state.lock();
+        if let Some(held) = state.others.get_mut(&source) {
+            let before = std::mem::replace(held, news);
+            self.tell_pressure(&before.1, &held.1);
         }
     }
 
@@ -187,6 +214,9 @@
                 state.others.remove(&Source::Fleet);
             }
         }
+        let before = state.others.remove(&source);
+        let before = before.map_or_else(Vec::new, |(_, demands)| demands);
+        self.tell_pressure(&before, &demands);
         state.others.insert(source, (now, demands));
         state
             .others
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -67,6 +67,12 @@
     pub items_left_region: AtomicU64,
     /// Items that went back to wait after a run broke.
     pub items_again: AtomicU64,
+    /// Runs of items that were paused for online requests.
+    pub items_paused: AtomicU64,
+    /// Items that wait now while their service is closed to items.
+    pub items_held_back: AtomicU64,
+    /// Times that a service was closed to items since online requests waited.
+    pub batch_closings: AtomicU64,
     /// Requests and items held back from servers that may be cold.
     pub cold_held_back: AtomicU64,
     /// Questions to servers of how cold they are.
@@ -120,6 +126,8 @@
             ("results", &self.results),
             ("items_left_region", &self.items_left_region),
             ("items_again", &self.items_again),
+            ("items_paused", &self.items_paused),
+            ("batch_closings", &self.batch_closings),
             ("cold_held_back", &self.cold_held_back),
             ("health_questions", &self.health_questions),
             ("zones_suspected", &self.zones_suspected),
@@ -131,6 +139,7 @@
         let gauges = [
             ("servers_cold", &self.servers_cold),
             ("servers_temperature_unknown", &self.servers_unknown),
+            ("items_held_back", &self.items_held_back),
         ];
         let mut text = String::new();
         for (name, gauge) in gauges {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -22,9 +22,11 @@
 mod run;
 mod runner;
 mod scheduling;
+mod service_loads;
 mod table;
 mod taking;
 mod width;
+mod yielding;
 
 pub use calls::NodeJobs;
 pub use claiming::{Ground, may_claim, may_claim_away, preferred};
@@ -34,3 +36,4 @@
 pub use runner::Runner;
 pub use table::JobTable;
 pub use width::{ServerRoom, pick_server, room, within_reach};
+pub use yielding::{Change, ServiceLoad, Yielding, is_urgent, spread};
--- a/crates/jobs/src/preempt.rs
+++ b/crates/jobs/src/preempt.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dappleyard_cluster::node_number;
+use dappleyard_ingress::Metrics;
 
 use crate::order::{Rank, rank};
 use crate::owned::{OwnedJob, Progress};
@@ -31,7 +32,11 @@
             continue;
         };
         let load = runner.node.loads.summary(&server);
-        let count = runner.node.loads.pause_share(&server, slots, own);
+        let left = match to_leave(runner, &server) {
+            0 => slots,
+            leaving => slots.min(load.online + load.batch).saturating_sub(leaving),
+        };
+        let count = runner.node.loads.pause_share(&server, left, own);
         // The item whose turn comes last waits first.
         running.sort_by_key(|item| std::cmp::Reverse(item.rank));
         for item in running.into_iter().take(count as usize) {
@@ -40,6 +45,17 @@
     }
 }
 
+/// Items that all nodes take from a server for requests that wait for a slot of its service.
+fn to_leave(runner: &Runner, server: &str) -> u32 {
+    let Some(record) = runner.node.view.server(server) else {
+        return 0;
+    };
+    let services = runner.services.borrow();
+    let service = services.get(&record.service);
+    let leaving = service.and_then(|service| service.to_leave.get(server));
+    leaving.copied().unwrap_or(0)
+}
+
 fn running_by_server(runner: &Runner) -> HashMap<String, Vec<Running>> {
     let mut servers: HashMap<String, Vec<Running>> = HashMap::new();
     let now_ms = runner.table.now_ms().unwrap_or(0);
@@ -82,6 +98,7 @@
     }
     item.progress = Progress::Waiting;
     item.not_before = Some(Instant::now() + PAUSE);
+    Metrics::count(&runner.node.metrics.items_paused);
     runner.node.log.write("item_paused", || {
         serde_json::json!({"job": running.job.job, "item": item.stored.id, "server": server,
             "events": item.events, "online": online, "batch": batch})
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -15,6 +15,7 @@
 use crate::owned::{OwnedJob, commit_results};
 use crate::preempt::preempt;
 use crate::release::release;
+use crate::service_loads::{ServiceView, look};
 use crate::table::JobTable;
 use dappleyard_clock::Instant;
 
@@ -43,6 +44,7 @@
     last_look: Cell<Instant>,
     pub(crate) cleaned: Cell<Instant>,
     pub(crate) allowances: RefCell<HashMap<String, Allowance>>,
+    pub(crate) services: RefCell<HashMap<String, ServiceView>>,
     stopping: Cell<bool>,
 }
 
@@ -69,6 +71,7 @@
             last_look: Cell::new(Instant::now()),
             cleaned: Cell::new(Instant::now()),
             allowances: RefCell::default(),
+            services: RefCell::default(),
             stopping: Cell::new(false),
         })
     }
@@ -80,6 +83,7 @@
                 () = self.table.changed(self.tick()) => {}
                 () = self.wake.notified() => {}
                 () = self.node.loads.pressed() => {}
+                () = self.node.loads.demand.pressed() => {}
             }
             if self.stopping.get() {
                 return;
@@ -87,6 +91,7 @@
             self.note_steadiness();
             self.reconcile();
             self.start_commits();
+            look(&self);
             preempt(&self);
             self.schedule();
             self.clean();
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use dappleyard_clock::Instant;
 use dappleyard_crashes::{Fingerprint, Permit};
@@ -15,6 +16,7 @@
 use crate::run::{BegunRun, begin_work, run_item};
 use crate::runner::Runner;
 use crate::width::{ServerRoom, pick_server, room, within_reach};
+use crate::yielding::is_urgent;
 
 /// An item that waits for its turn.
 struct Turn {
@@ -27,6 +29,8 @@
     homes: Homes,
     fingerprint: Fingerprint,
     permit: Permit,
+    /// It must begin now to be in time.
+    urgent: bool,
 }
 
 impl Runner {
@@ -51,15 +55,22 @@
         let mut refreshed: HashSet<String> = HashSet::new();
         // A service without room, such as one whose zones are evacuated, holds up no other one.
         let mut full: HashSet<String> = HashSet::new();
+        let urgent = waiting.iter().filter(|turn| turn.urgent).count() as u32;
+        let mut held_back = 0;
         for turn in waiting {
             let service = turn.route.pick_service(rand::random()).unwrap_or_default();
+            if self.is_closed(service) {
+                held_back += 1;
+                continue;
+            }
             if full.contains(service) {
                 continue;
             }
             let mut allowances = self.allowances.borrow_mut();
             let allowance = allowances.entry(service.to_owned()).or_default();
             if refreshed.insert(service.to_owned()) {
-                allowance.refresh(&loads.waiting, self.room_at(service), rand::random());
+                let room = self.paced_room(service, urgent);
+                allowance.refresh(&loads.waiting, room, rand::random());
             }
             // An item that waits for its home says nothing of the others' room, and takes nothing of it.
             if turn.homes.bind() && self.pick(service, &turn).is_none() {
@@ -74,6 +85,25 @@
             };
             self.start(&turn.job, turn.index, server, turn.route);
         }
+        let gauge = &self.node.metrics.items_held_back;
+        gauge.store(held_back, Ordering::Relaxed);
+    }
+
+    /// Whether no item may begin at a service, since online requests wait for it.
+    fn is_closed(&self, service: &str) -> bool {
+        let services = self.services.borrow();
+        let held = services.get(service);
+        held.is_some_and(|held| held.yielding.is_closed())
+    }
+
+    /// Items that a service still takes, at the pace at which they come back behind online requests.
+    fn paced_room(&self, service: &str, urgent: u32) -> u32 {
+        let room = self.room_at(service);
+        let services = self.services.borrow();
+        match services.get(service) {
+            Some(held) => room.min(held.yielding.room(&held.load, urgent, Instant::now())),
+            None => room,
+        }
     }
 
     /// Items that the servers of a service still take, as this node sees them.
@@ -124,6 +154,7 @@
                 route: route.clone(),
                 homes: self.homes(route, &state.row.tenant),
                 rank: rank(state.row.due_ms, needs_ms, now_ms, priority),
+                urgent: is_urgent(state.row.due_ms, needs_ms, now_ms),
                 avoid: item.avoid.clone(),
                 last: item.last_server.clone(),
                 fingerprint: item.fingerprint,
--- a/crates/jobs/src/width.rs
+++ b/crates/jobs/src/width.rs
@@ -28,11 +28,16 @@
     pub load: LoadSummary,
 }
 
-/// Items that a server still takes.
-pub fn room(slots: u32, load: &LoadSummary) -> u32 {
+/// Whether items may be sent to a server at all.
+pub(crate) fn takes_items(load: &LoadSummary) -> bool {
     // What a cold server bears is left to online requests.
     let warm = matches!(load.temperature, None | Some(Temperature::Warm));
-    if load.suspect || !warm || load.unread_tokens > UNREAD_TOKENS {
+    !load.suspect && warm
+}
+
+/// Items that a server still takes.
+pub fn room(slots: u32, load: &LoadSummary) -> u32 {
+    if !takes_items(load) || load.unread_tokens > UNREAD_TOKENS {
         return 0;
     }
     slots.saturating_sub(load.online + load.batch + SPARE_SLOTS)
