--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -162,6 +162,8 @@
         "job_end_asked" => "the end of the job was asked for",
         "item_run" => "a run of an item ended",
         "item_paused" => "an item was paused for online work",
+        "batch_closed" => "requests wait for a slot of the service: no item begins",
+        "batch_opened" => "nobody waits for a slot of the service any more: items begin again",
         "items_given_up" => "items were given up",
         "results_committed" => "results were committed",
         "zone_evacuated" => "the operators had the zone evacuated: its servers get nothing more",
