--- a/crates/ingress/src/admission.rs
+++ b/crates/ingress/src/admission.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use dappleyard_model::{Configuration, RequestFacts, Route, RouteKind};
-use dappleyard_room::OBEYED_PART;
 use dappleyard_tenants::{Caller, KeyRefusal};
 
 use crate::node::Node;
 use crate::outcome::ErrorKind;
+use crate::room::Coming;
 
 /// Part of the time until there is credit again by which it is lengthened at random, so that callers that
 /// were refused together do not come back together.
@@ -15,8 +15,6 @@
 /// Shortest time after which a caller over its quota is asked to come back: what a new
 /// connection and a refusal take, several times over.
 const SHORTEST_WAIT: Duration = Duration::from_millis(50);
-/// Longest such time.
-const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
 /// A request that is not served, and why.
 #[derive(Debug)]
@@ -109,14 +107,12 @@
         }
         let wait = match tenant.limit.filter(|_| node.settings.load_shedding) {
             Some(limit) => {
-                let deadline = facts
-                    .deadline_ms
-                    .map_or(LONGEST_WAIT, Duration::from_millis);
-                let most = deadline.mul_f64(OBEYED_PART).min(LONGEST_WAIT);
-                let nodes = node.peers.count();
-                let until_credit = shortage.until_credit;
-                node.rooms
-                    .credit_after(&tenant.name, limit, nodes, until_credit, most)
+                let coming = Coming {
+                    earliest: shortage.until_credit,
+                    per_s: limit.per_s,
+                    nodes: node.peers.count(),
+                };
+                node.rooms.come_back_after(&tenant.name, coming, facts)
             }
             None => {
                 let spread = 1.0 + SPREAD * rand::random::<f64>();
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -247,7 +247,7 @@
     if let Err(refused) = take_credit(&node, &configuration, &caller, &facts) {
         return refuse(&node, &facts.id, &refused);
     }
-    match enter_share(&node, &configuration, &caller, &service) {
+    match enter_share(&node, &configuration, &caller, &service, &facts) {
         Ok(counted) => under_way.count(counted),
         Err(refused) => return refuse(&node, &facts.id, &refused),
     }
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
-use dappleyard_model::{Homes, RateLimit, Route, ServerRecord, TenantName};
+use dappleyard_model::{Homes, RequestFacts, Route, ServerRecord, TenantName};
 use dappleyard_room::{
-    Admission, Asking, CreditQueue, HoldTime, Room, Trend, UsualDeadline, admit,
+    Admission, Asking, CreditQueue, HoldTime, OBEYED_PART, Room, Trend, UsualDeadline, admit,
 };
 use parking_lot::Mutex;
 use rand::seq::IteratorRandom;
@@ -23,6 +23,8 @@
 const ROOM_LIFE: Duration = Duration::from_millis(10);
 /// Servers that are looked at for it; of more, as many are drawn.
 const SERVERS_SUMMED: usize = 64;
+/// Longest such time.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
 /// Time to the first event beside what the prompt takes, while nothing is known of the service.
 const FIRST_EVENT: Duration = Duration::from_millis(30);
 /// Prompt tokens that a server reads in a millisecond, a slow one.
@@ -52,20 +54,25 @@
         usual.note(deadline, Instant::now())
     }
 
-    /// When a caller over its quota comes back: each at its own time, where this node has so many of the tenant's
-    /// callers and there are so many nodes.
-    pub(crate) fn credit_after(
+    /// When a refused caller of a tenant comes back, where room for so many of its requests comes in a second over all
+    /// nodes: each at its own time, behind those that this node refused before.
+    pub(crate) fn come_back_after(
         &self,
         tenant: &TenantName,
-        limit: RateLimit,
-        nodes: usize,
-        until_credit: Duration,
-        most: Duration,
+        coming: Coming,
+        facts: &RequestFacts,
     ) -> Duration {
-        let step = Duration::from_secs_f64(nodes.max(1) as f64 / limit.per_s.max(0.001));
+        let step = Duration::from_secs_f64(coming.nodes.max(1) as f64 / coming.per_s.max(0.001));
         let mut queues = self.credit.lock();
         let queue = queues.entry(tenant.clone()).or_default();
-        queue.next(until_credit, step, most, Instant::now(), &mut rand::rng())
+        let most = longest_return(facts);
+        queue.next(
+            coming.earliest,
+            step,
+            most,
+            Instant::now(),
+            &mut rand::rng(),
+        )
     }
 
     fn trend_per_s(&self, service: &str, online: u32) -> f64 {
@@ -80,6 +87,25 @@
     }
 }
 
+/// Room that comes for the refused requests of one tenant.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Coming {
+    /// Time until there is room for the first one.
+    pub(crate) earliest: Duration,
+    /// Requests a second for which there is room then, over all nodes.
+    pub(crate) per_s: f64,
+    /// Nodes that refuse requests of the tenant.
+    pub(crate) nodes: usize,
+}
+
+/// Longest time for which a refused caller can be asked to wait: a part of the time that it has left.
+fn longest_return(facts: &RequestFacts) -> Duration {
+    let left = facts
+        .deadline_ms
+        .map_or(LONGEST_WAIT, Duration::from_millis);
+    left.mul_f64(OBEYED_PART).min(LONGEST_WAIT)
+}
+
 /// Room of the service that serves a request; `None` where nothing is known of others' work or no server answers.
 fn room_of(node: &Node, request: &Request) -> Option<Arc<Room>> {
     if node.peers.count() * 2 < node.peers.expected() {
--- a/crates/ingress/src/shares.rs
+++ b/crates/ingress/src/shares.rs
@@ -10,7 +10,7 @@
 
 use dappleyard_clock::Instant;
 use dappleyard_cluster::{ServerSet, Work};
-use dappleyard_model::{Configuration, RateLimit, Tenant, TenantName, Tenants};
+use dappleyard_model::{Configuration, RateLimit, RequestFacts, Tenant, TenantName, Tenants};
 use dappleyard_room::{Claim, Demand, OverShare, Shares, TenantWork};
 use dappleyard_tenants::{Caller, tenant_number};
 use parking_lot::Mutex;
@@ -19,6 +19,7 @@
 use crate::metrics::{Metrics, NAMED_TENANTS};
 use crate::node::Node;
 use crate::outcome::ErrorKind;
+use crate::room::Coming;
 
 /// Time for which a look at servers and counts is used again: news of them come as often.
 const LOOK_LIFE: Duration = Duration::from_millis(25);
@@ -138,6 +139,7 @@
     configuration: &Configuration,
     caller: &Caller,
     service: &str,
+    facts: &RequestFacts,
 ) -> Result<Option<Counted>, Refusal> {
     if !node.settings.load_shedding || *caller == Caller::Untold {
         return Ok(None);
@@ -146,7 +148,7 @@
     let number = tenant_number(caller.tenant_name());
     refresh(node, configuration, service);
     if let Err(over) = node.shares.admit(service, number, rand::random()) {
-        return Err(refuse(node, caller, &over));
+        return Err(refuse(node, caller, &over, facts));
     }
     Ok(Some(Counted {
         node: node.clone(),
@@ -158,20 +160,26 @@
 }
 
 /// The request goes back to its caller; it has run nowhere and does not count towards the quota.
-fn refuse(node: &Node, caller: &Caller, over: &OverShare) -> Refusal {
+fn refuse(node: &Node, caller: &Caller, over: &OverShare, facts: &RequestFacts) -> Refusal {
     Metrics::count(&node.metrics.over_share);
-    let who = match caller.tenant() {
+    let (who, come_back) = match caller.tenant() {
         Some(tenant) => {
             node.quotas.give_back(&tenant.name);
             node.shares.note_refused(&tenant.name);
-            format!("tenant {}", tenant.name)
+            let coming = Coming {
+                earliest: over.come_back,
+                per_s: over.ends_per_s,
+                nodes: node.peers.count(),
+            };
+            let after = node.rooms.come_back_after(&tenant.name, coming, facts);
+            (format!("tenant {}", tenant.name), after)
         }
-        None => "callers without a key".to_owned(),
+        None => ("callers without a key".to_owned(), over.come_back),
     };
     Refusal {
         kind: ErrorKind::OverShare,
         detail: format!("{who}: {over}"),
-        retry_after_ms: Some(over.come_back.as_millis() as u64),
+        retry_after_ms: Some(come_back.as_millis() as u64),
     }
 }
 
--- a/crates/room/src/shares.rs
+++ b/crates/room/src/shares.rs
@@ -19,6 +19,8 @@
 
 /// Least weight of a tenant, so that one that is granted next to nothing still has a share.
 const LEAST_WEIGHT: f64 = 1e-3;
+/// Least time for which a request is taken to be under way, seconds.
+const LEAST_STAY_S: f64 = 1e-3;
 /// Requests that a tenant may have beyond its share. Callers come at random: a tenant that has one request under way
 /// in the mean has three or fewer at 98 of 100 moments.
 const BY_CHANCE: u32 = 2;
@@ -53,7 +55,9 @@
     pub share: f64,
     /// Slots of the service.
     pub slots: u32,
-    /// When a request of it can be expected to find its share free.
+    /// Requests of the share that end in a second.
+    pub ends_per_s: f64,
+    /// When a request of it can be expected to find its share free, if none was refused before it.
     pub come_back: Duration,
 }
 
@@ -104,6 +108,7 @@
             requests: claim.requests,
             share,
             slots: self.slots,
+            ends_per_s: f64::from(most) / stay.as_secs_f64().max(LEAST_STAY_S),
             come_back: come_back(claim.requests, most, stay, point),
         })
     }
