--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -75,9 +75,9 @@
     let mut waits = false;
     loop {
         let admission = room::ask(node, request, waits)?;
-        let (look, in_time) = match admission {
+        let (look, counted) = match admission {
             Admission::Refuse { retry_after } => return Some(Err(NoPlace::NoRoom { retry_after })),
-            Admission::Wait { look, in_time } => (look, in_time),
+            Admission::Wait { look, counted } => (look, counted),
             Admission::Serve => match place(upstreams, request) {
                 Some(placement) => {
                     log_placed(upstreams, request, &placement);
@@ -91,7 +91,7 @@
             Metrics::count(&node.metrics.room_waits);
         }
         waits = true;
-        waiting = match in_time {
+        waiting = match counted {
             true => waiting.or_else(|| Some(node.loads.demand.wait(&request.service))),
             false => None,
         };
--- a/crates/room/src/admission.rs
+++ b/crates/room/src/admission.rs
@@ -14,10 +14,17 @@
 
 /// Time between two looks of a request that waits for a slot, on the mean.
 pub const LOOK: Duration = Duration::from_millis(20);
+/// At least.
+const LEAST_LOOK: Duration = Duration::from_millis(2);
 /// Time between two looks of a request that can only be late.
 const LATE_LOOK: Duration = Duration::from_millis(100);
-/// Age of the news of other nodes. Servers keep as much work in their queues as ends meanwhile.
-const NEWS_AGE: Duration = Duration::from_millis(50);
+/// Age of the news of other nodes.
+const NEWS_AGE: Duration = Duration::from_millis(75);
+/// Time over which what is missing at servers is made up for: twice that age, so that nodes do not all make up for
+/// the same slots again.
+const CORRECTION: Duration = Duration::from_millis(150);
+/// Work that servers keep in their queues, by the time in which it ends: that of a look and of the news of it.
+const QUEUED: Duration = Duration::from_millis(50);
 /// Part of the target after which a caller that cannot be served is told so: what it lost until then is little.
 const ANSWER_PART: f64 = 0.25;
 /// Part of the target by which a request must have a slot, beside the time to its first event.
@@ -57,8 +64,8 @@
     Wait {
         /// That time.
         look: Duration,
-        /// It can still be in time, and counts as waiting for a slot.
-        in_time: bool,
+        /// It counts as waiting for a slot: it is of those who share what frees itself.
+        counted: bool,
     },
     /// There is no room in time.
     Refuse {
@@ -86,46 +93,51 @@
 /// Decides about a request at one look.
 pub fn admit(room: &Room, asking: &Asking, random: &mut impl Rng) -> Admission {
     let is_late = asking.age > asking.latest();
-    let served = match is_late {
+    let is_over = asking.age >= asking.cut();
+    let served = match is_late || is_over {
         true => room.is_spare(),
         false => random.random::<f64>() < serve_chance(room, asking),
     };
     if served || (!asking.refusable && asking.age >= asking.most_wait) {
         return Admission::Serve;
     }
-    let is_over = asking.age >= asking.cut();
     let hopeless = !asking.waits && random.random::<f64>() < refuse_chance(room, asking);
     if asking.refusable && (is_over || hopeless) {
         let most = asking.left.mul_f64(OBEYED_PART);
         let retry_after = room.return_after(most, random);
         return Admission::Refuse { retry_after };
     }
-    let mean = if is_late { LATE_LOOK } else { LOOK };
+    let (mean, most) = match is_late {
+        true => (LATE_LOOK, asking.most_wait),
+        false => (LOOK, asking.cut()),
+    };
+    // Not all at the same time: each would see the same free slot.
+    let look = mean.mul_f64(random.random_range(0.5..1.5));
     Admission::Wait {
-        // Not all at the same time: each would see the same free slot.
-        look: mean.mul_f64(random.random_range(0.5..1.5)),
-        in_time: !is_late,
+        look: look.min(most.saturating_sub(asking.age)).max(LEAST_LOOK),
+        counted: !is_late && !asking.again,
     }
 }
 
 /// Chance that a request gets a slot at this look, so that all who look get as many as there are. A caller that comes
-/// back has a part of the room for itself at its first look; then it is like any other.
+/// back has a part of the room for itself at its first look, and then what others leave.
 fn serve_chance(room: &Room, asking: &Asking) -> f64 {
     let ends = room.ends_per_s();
     let look = LOOK.as_secs_f64();
-    // The queues at servers may hold what ends while news travel.
-    let wanted = f64::from(room.slots) + ends * NEWS_AGE.as_secs_f64();
-    let online = f64::from(room.online) + room.trend_per_s * NEWS_AGE.as_secs_f64();
+    let wanted = f64::from(room.slots) + ends * QUEUED.as_secs_f64();
+    let rise = room.trend_per_s.max(0.0) * NEWS_AGE.as_secs_f64();
+    let online = f64::from(room.online) + rise;
     let missing = wanted - online;
-    let budget = ends * look + missing * look / NEWS_AGE.as_secs_f64();
+    let budget = ends * look + missing * look / CORRECTION.as_secs_f64();
     let returns = room.returns_per_s() * look;
     let kept = returns.min(budget * RETURNS_PART);
-    let looking = f64::from(room.waiting).max(1.0);
-    let chance = (budget - kept) / looking;
-    match asking.again && !asking.waits && returns > 0.0 {
-        true => chance.max(budget * RETURNS_PART / returns),
-        false => chance,
-    }
+    let looking = f64::from(room.waiting) + room.arrivals_per_s() * look;
+    let chance = match (asking.again, asking.waits) {
+        (false, _) => (budget - kept) / looking.max(1.0),
+        (true, false) => (budget * RETURNS_PART / returns.max(0.001)).max(budget - looking),
+        (true, true) => budget - looking,
+    };
+    chance
 }
 
 /// Chance that a request which has just come is refused at once: it rises with the wait, so that nodes with the same
--- a/crates/room/src/lib.rs
+++ b/crates/room/src/lib.rs
@@ -6,13 +6,15 @@
 //! node. Nothing here performs I/O.
 
 mod admission;
+mod credit;
 mod deadlines;
 mod demand;
 mod returns;
 mod room;
 
 pub use admission::{Admission, Asking, LOOK, OBEYED_PART, admit};
+pub use credit::CreditQueue;
 pub use deadlines::UsualDeadline;
 pub use demand::{Demand, TenantWork, service_number};
 pub use returns::{ReturnSchedule, SPAN, SPANS};
-pub use room::{CreditQueue, HoldTime, RETURNS_PART, Room, Trend};
+pub use room::{HoldTime, RETURNS_PART, Room, Trend};
--- a/crates/room/src/room.rs
+++ b/crates/room/src/room.rs
@@ -14,7 +14,7 @@
 
 /// Part of the slots that free themselves which is kept for callers that come back. They waited once already; but
 /// each slot kept for them is taken from a caller that is refused in their place.
-pub const RETURNS_PART: f64 = 0.25;
+pub const RETURNS_PART: f64 = 1.0 / 3.0;
 /// Part of a new time in the running mean of the times for which slots are held.
 const MEAN_SHARE: f64 = 0.1;
 /// Time for which a request holds a slot while none has ended yet.
@@ -63,6 +63,25 @@
         }
     }
 
+    /// Requests a second that come for the first time, by Little's law: those that are served, and those that are
+    /// refused, who wait for twice as long as they are still away in the mean.
+    pub fn arrivals_per_s(&self) -> f64 {
+        let online = f64::from(self.online.min(self.slots));
+        let served = online / self.hold.as_secs_f64().max(0.001) + self.trend_per_s.max(0.0);
+        let spans = self.returns.iter().enumerate();
+        let (away, away_s) = spans.fold((0.0, 0.0), |(away, away_s), (span, due)| {
+            let due = f64::from(*due);
+            (
+                away + due,
+                away_s + due * (span as f64 + 0.5) * SPAN.as_secs_f64(),
+            )
+        });
+        match away > 0.0 {
+            true => served + away * away / (2.0 * away_s),
+            false => served,
+        }
+    }
+
     /// Requests a second that are expected back now.
     pub fn returns_per_s(&self) -> f64 {
         let due = self.returns.first().copied().unwrap_or_default();
@@ -130,32 +149,3 @@
         rise
     }
 }
-
-/// When credit comes for the callers of one tenant that were refused at one node: each is told its own time.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct CreditQueue {
-    last: Option<Instant>,
-}
-
-impl CreditQueue {
-    /// Time after which the next refused caller comes back: behind those before it, one for each `step` in which
-    /// credit for one more of this node's callers arrives, or by chance where that is later than `most`.
-    pub fn next(
-        &mut self,
-        until_credit: Duration,
-        step: Duration,
-        most: Duration,
-        now: Instant,
-        random: &mut impl Rng,
-    ) -> Duration {
-        let earliest = now + until_credit;
-        let behind = self.last.map(|last| last + step);
-        let at = behind.map_or(earliest, |behind| behind.max(earliest));
-        let after = at.saturating_duration_since(now) + step.mul_f64(random.random::<f64>());
-        if after > most {
-            return most.mul_f64(random.random_range(0.5..=1.0));
-        }
-        self.last = Some(at);
-        after
-    }
-}
--- /dev/null
+++ b/crates/room/tests/admission.rs
@@ -0,0 +1,197 @@
+//! Single decisions about requests and their times to come back.
+
+use std::time::Duration;
+
+use dappleyard_clock::Instant;
+use dappleyard_room::{
+    Admission, Asking, CreditQueue, HoldTime, Room, Trend, UsualDeadline, admit,
+};
+use googletest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn random() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(3)
+}
+
+/// A service that ends 100 requests a second.
+fn room(online: u32, waiting: u32) -> Room {
+    Room {
+        slots: 50,
+        online,
+        trend_per_s: 0.0,
+        waiting,
+        returns: Vec::new(),
+        hold: ms(500),
+    }
+}
+
+fn asking(age_ms: u64) -> Asking {
+    Asking {
+        age: ms(age_ms),
+        target: ms(300),
+        first_event: ms(45),
+        left: ms(3_000),
+        most_wait: ms(1_200),
+        again: false,
+        failed: false,
+        refusable: true,
+        waits: age_ms > 0,
+    }
+}
+
+/// What many such requests get: served, waiting, refused.
+fn counts(room: &Room, asking: &Asking) -> [u32; 3] {
+    let mut random = random();
+    let mut counts = [0; 3];
+    for _ in 0..1_000 {
+        let place = match admit(room, asking, &mut random) {
+            Admission::Serve => 0,
+            Admission::Wait { .. } => 1,
+            Admission::Refuse { .. } => 2,
+        };
+        counts[place] += 1;
+    }
+    counts
+}
+
+#[gtest]
+fn free_slots() {
+    expect_that!(counts(&room(20, 0), &asking(0)), eq([1_000, 0, 0]));
+    expect_that!(counts(&room(20, 0), &asking(400)), eq([1_000, 0, 0]));
+}
+
+#[gtest]
+fn waits() {
+    expect_that!(room(49, 0).wait(), eq(ms(0)));
+    expect_that!(room(50, 9).wait(), eq(ms(100)));
+    let [served, waiting, refused] = counts(&room(53, 2), &asking(0));
+    expect_that!(served, gt(0));
+    expect_that!(waiting, gt(0));
+    expect_that!(refused, eq(0));
+}
+
+#[gtest]
+fn too_late() {
+    // It would wait for 300 ms.
+    expect_that!(counts(&room(70, 10), &asking(0)), eq([0, 0, 1_000]));
+    // A quarter of the target is over.
+    expect_that!(counts(&room(60, 10), &asking(75)), eq([0, 0, 1_000]));
+}
+
+#[gtest]
+fn refusals_ramp() {
+    let refused = |waiting| counts(&room(60, waiting), &asking(0))[2];
+    expect_that!(refused(0), gt(0));
+    expect_that!(refused(4), gt(refused(0)));
+    expect_that!(refused(7), gt(refused(4)));
+    expect_that!(refused(7), lt(1_000));
+}
+
+#[gtest]
+fn what_has_run() {
+    // A refusal would not be true.
+    let ran = |age_ms| Asking {
+        refusable: false,
+        ..asking(age_ms)
+    };
+    expect_that!(counts(&room(90, 10), &ran(0)), eq([0, 1_000, 0]));
+    expect_that!(counts(&room(90, 10), &ran(1_200)), eq([1_000, 0, 0]));
+}
+
+#[gtest]
+fn failed_elsewhere() {
+    let failed = Asking {
+        failed: true,
+        ..asking(100)
+    };
+    expect_that!(counts(&room(90, 10), &failed), eq([0, 1_000, 0]));
+    let failed = Asking {
+        age: ms(200),
+        ..failed
+    };
+    expect_that!(counts(&room(90, 10), &failed), eq([0, 0, 1_000]));
+}
+
+#[gtest]
+fn returns_first() {
+    let mut full = room(50, 20);
+    full.returns = vec![1];
+    let again = Asking {
+        again: true,
+        ..asking(0)
+    };
+    expect_that!(counts(&full, &again)[0], eq(1_000));
+    expect_that!(counts(&full, &asking(0))[0], lt(500));
+    // Of many, a part.
+    full.returns = vec![40];
+    expect_that!(counts(&full, &again)[0], lt(250));
+}
+
+#[gtest]
+fn times_to_return() {
+    let mut full = room(60, 20);
+    let mut random = random();
+    // A third of the time that is left, at most.
+    for _ in 0..100 {
+        expect_that!(full.return_after(ms(1_000), &mut random), le(ms(1_000)));
+    }
+    let first = full.return_after(ms(1_000), &mut random);
+    expect_that!(first, le(ms(200)));
+    // All kept slots are promised: late, and not together.
+    full.returns = vec![50; 32];
+    let late = full.return_after(ms(1_000), &mut random);
+    expect_that!(late, ge(ms(500)));
+    expect_that!(full.return_after(ms(1_000), &mut random), not(eq(late)));
+}
+
+#[gtest]
+fn hold_times() {
+    let mut hold = HoldTime::default();
+    expect_that!(hold.mean(), eq(ms(1_000)));
+    hold.note(ms(600));
+    expect_that!(hold.mean(), eq(ms(600)));
+    hold.note(ms(800));
+    expect_that!(hold.mean(), all![gt(ms(600)), lt(ms(700))]);
+}
+
+#[gtest]
+fn trends() {
+    let mut trend = Trend::default();
+    let begin = Instant::now();
+    expect_that!(trend.note(10, begin), eq(0.0));
+    expect_that!(trend.note(20, begin + ms(100)), near(100.0, 0.1));
+    // What is long over does not count.
+    expect_that!(trend.note(20, begin + ms(400)), eq(0.0));
+}
+
+#[gtest]
+fn shorter_deadlines() {
+    let mut usual = UsualDeadline::default();
+    let now = Instant::now();
+    expect_that!(usual.note(ms(5_000), now), eq(false));
+    expect_that!(usual.note(ms(4_990), now), eq(false));
+    expect_that!(usual.note(ms(4_800), now), eq(true));
+    // Such a caller has another deadline.
+    expect_that!(usual.note(ms(1_000), now), eq(false));
+    let later = now + Duration::from_secs(25);
+    expect_that!(usual.note(ms(1_000), later), eq(false));
+}
+
+#[gtest]
+fn credit_in_turn() {
+    let mut queue = CreditQueue::default();
+    let (now, mut random) = (Instant::now(), random());
+    let mut next = || queue.next(ms(20), ms(100), ms(1_000), now, &mut random);
+    let times: Vec<Duration> = (0..20).map(|_| next()).collect();
+    for (place, time) in times.iter().take(9).enumerate() {
+        let begins = ms(20 + 100 * place as u64);
+        expect_that!(*time, all![ge(begins), le(begins + ms(100))]);
+    }
+    // There is no credit for the rest while they wait.
+    expect_that!(times[11..], each(all![ge(&ms(500)), le(&ms(1_000))]));
+}
