--- a/crates/room/src/admission.rs
+++ b/crates/room/src/admission.rs
@@ -95,7 +95,7 @@
     let is_late = asking.age > asking.latest();
     let is_over = asking.age >= asking.cut();
     let served = match is_late || is_over {
-        true => room.is_spare(),
+        true => spare(room, asking) >= 1.0,
         false => random.random::<f64>() < serve_chance(room, asking),
     };
     if served || (!asking.refusable && asking.age >= asking.most_wait) {
@@ -119,25 +119,34 @@
     }
 }
 
+/// Free slots beyond the other requests that wait for one.
+fn spare(room: &Room, asking: &Asking) -> f64 {
+    let itself = u32::from(asking.waits && !asking.again);
+    let others = room.waiting.saturating_sub(itself);
+    f64::from(room.slots) - f64::from(room.online) - f64::from(others)
+}
+
 /// Chance that a request gets a slot at this look, so that all who look get as many as there are. A caller that comes
 /// back has a part of the room for itself at its first look, and then what others leave.
 fn serve_chance(room: &Room, asking: &Asking) -> f64 {
-    let ends = room.ends_per_s();
-    let look = LOOK.as_secs_f64();
-    let wanted = f64::from(room.slots) + ends * QUEUED.as_secs_f64();
+    let arrivals = room.arrivals_per_s();
     let rise = room.trend_per_s.max(0.0) * NEWS_AGE.as_secs_f64();
-    let online = f64::from(room.online) + rise;
-    let missing = wanted - online;
+    if spare(room, asking) - rise >= (arrivals * NEWS_AGE.as_secs_f64()).max(1.0) {
+        // Slots for all who come while news are under way.
+        return 1.0;
+    }
+    let (ends, look) = (room.ends_per_s(), LOOK.as_secs_f64());
+    let wanted = f64::from(room.slots) + ends * QUEUED.as_secs_f64();
+    let missing = wanted - f64::from(room.online) - rise;
     let budget = ends * look + missing * look / CORRECTION.as_secs_f64();
     let returns = room.returns_per_s() * look;
     let kept = returns.min(budget * RETURNS_PART);
-    let looking = f64::from(room.waiting) + room.arrivals_per_s() * look;
-    let chance = match (asking.again, asking.waits) {
+    let looking = f64::from(room.waiting) + arrivals * look;
+    match (asking.again, asking.waits) {
         (false, _) => (budget - kept) / looking.max(1.0),
         (true, false) => (budget * RETURNS_PART / returns.max(0.001)).max(budget - looking),
         (true, true) => budget - looking,
-    };
-    chance
+    }
 }
 
 /// Chance that a request which has just come is refused at once: it rises with the wait, so that nodes with the same
--- a/crates/room/src/room.rs
+++ b/crates/room/src/room.rs
@@ -49,11 +49,6 @@
         f64::from(self.slots) / self.hold.as_secs_f64().max(0.001)
     }
 
-    /// Whether there are more free slots than requests that wait for one.
-    pub fn is_spare(&self) -> bool {
-        self.online + self.waiting < self.slots
-    }
-
     /// Time until a request that comes now gets a slot, when it comes behind all that wait.
     pub fn wait(&self) -> Duration {
         let ahead = (self.online + self.waiting + 1).saturating_sub(self.slots);
--- a/crates/room/tests/admission.rs
+++ b/crates/room/tests/admission.rs
@@ -65,6 +65,17 @@
     expect_that!(counts(&room(20, 0), &asking(400)), eq([1_000, 0, 0]));
 }
 
+#[gtest]
+fn one_slot() {
+    let mut small = room(0, 0);
+    small.slots = 1;
+    expect_that!(counts(&small, &asking(0)), eq([1_000, 0, 0]));
+    // It is itself the one that waits.
+    small.waiting = 1;
+    expect_that!(counts(&small, &asking(20)), eq([1_000, 0, 0]));
+    expect_that!(counts(&small, &asking(80)), eq([1_000, 0, 0]));
+}
+
 #[gtest]
 fn waits() {
     expect_that!(room(49, 0).wait(), eq(ms(0)));
