--- a/crates/room/src/admission.rs
+++ b/crates/room/src/admission.rs
@@ -25,8 +25,9 @@
 const CORRECTION: Duration = Duration::from_millis(150);
 /// Work that servers keep in their queues, by the time in which it ends: that of a look and of the news of it.
 const QUEUED: Duration = Duration::from_millis(50);
-/// Part of the target after which a caller that cannot be served is told so: what it lost until then is little.
-const ANSWER_PART: f64 = 0.25;
+/// Part of the target after which a caller that cannot be served is told so: with the way of the answer it has lost a
+/// quarter then, and its next try has the rest of its time.
+const ANSWER_PART: f64 = 0.2;
 /// Part of the target by which a request must have a slot, beside the time to its first event.
 const SLOT_PART: f64 = 0.75;
 /// Part of a caller's time for which it waits when it is told to come back, as callers of this interface do.
--- a/crates/room/src/room.rs
+++ b/crates/room/src/room.rs
@@ -14,7 +14,7 @@
 
 /// Part of the slots that free themselves which is kept for callers that come back. They waited once already; but
 /// each slot kept for them is taken from a caller that is refused in their place.
-pub const RETURNS_PART: f64 = 1.0 / 3.0;
+pub const RETURNS_PART: f64 = 0.25;
 /// Part of a new time in the running mean of the times for which slots are held.
 const MEAN_SHARE: f64 = 0.1;
 /// Time for which a request holds a slot while none has ended yet.
--- a/crates/room/tests/admission.rs
+++ b/crates/room/tests/admission.rs
@@ -90,7 +90,7 @@
 fn too_late() {
     // It would wait for 300 ms.
     expect_that!(counts(&room(70, 10), &asking(0)), eq([0, 0, 1_000]));
-    // A quarter of the target is over.
+    // The part of the target for waiting is over.
     expect_that!(counts(&room(60, 10), &asking(75)), eq([0, 0, 1_000]));
 }
 
