--- a/crates/ingress/src/admission.rs
+++ b/crates/ingress/src/admission.rs
@@ -35,6 +35,14 @@
             retry_after_ms: kind.retry_after_ms(),
         }
     }
+
+    /// Others can be in time where the request cannot.
+    pub(crate) fn no_room(retry_after: Duration) -> Self {
+        Self {
+            retry_after_ms: Some(retry_after.as_millis() as u64),
+            ..Self::new(ErrorKind::NoRoomInTime, "no slot in time")
+        }
+    }
 }
 
 /// Who sends a request for a route.
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -24,6 +24,7 @@
 use crate::outcome::ErrorKind;
 use crate::placement::PromptShape;
 use crate::relay;
+use crate::room::comes_again;
 use dappleyard_clock::Instant;
 
 /// Longest time that a request without a deadline is held.
@@ -234,13 +235,7 @@
         let refused = Refusal::new(ErrorKind::NoServer, "the route has no service");
         return refuse(&node, &facts.id, &refused);
     };
-    let again = facts.deadline_ms.is_some_and(|deadline_ms| {
-        let deadline = Duration::from_millis(deadline_ms);
-        node.settings.load_shedding && node.rooms.comes_again(&route, deadline)
-    });
-    if again {
-        Metrics::count(&node.metrics.returns_seen);
-    }
+    let again = comes_again(&node, &route, &facts);
     if let Err(refused) = take_credit(&node, &configuration, &caller, &facts) {
         return refuse(&node, &facts.id, &refused);
     }
@@ -308,11 +303,7 @@
         Dispatched::NoRoom(retry_after) => {
             until_end.end();
             give_back(&node, &request);
-            let refused = Refusal {
-                retry_after_ms: Some(retry_after.as_millis() as u64),
-                ..Refusal::new(ErrorKind::NoRoomInTime, "no slot in time")
-            };
-            refuse(&node, &request.facts.id, &refused)
+            refuse(&node, &request.facts.id, &Refusal::no_room(retry_after))
         }
         Dispatched::GaveUp(kind) => {
             until_end.end();
--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -56,10 +56,11 @@
     request: &Request,
     begins: bool,
 ) -> Result<Placement, NoPlace> {
-    if begins && upstreams.node().settings.load_shedding {
-        if let Some(found) = find_in_room(upstreams, request).await {
-            return found;
-        }
+    if begins
+        && upstreams.node().settings.load_shedding
+        && let Some(found) = find_in_room(upstreams, request).await
+    {
+        return found;
     }
     let found = find_by_age(upstreams, request, begins).await;
     found.ok_or(NoPlace::NoServer)
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
-use dappleyard_model::{Homes, RateLimit, Route, ServerRecord, TenantName};
+use dappleyard_model::{Homes, RateLimit, RequestFacts, Route, ServerRecord, TenantName};
 use dappleyard_room::{
     Admission, Asking, CreditQueue, HoldTime, Room, Trend, UsualDeadline, admit,
 };
@@ -45,13 +45,6 @@
         holds.entry(service.to_owned()).or_default().note(held);
     }
 
-    /// Notes a request's deadline; whether its caller was refused before.
-    pub(crate) fn comes_again(&self, route: &Route, deadline: Duration) -> bool {
-        let mut deadlines = self.deadlines.lock();
-        let usual = deadlines.entry(route.name.clone()).or_default();
-        usual.note(deadline, Instant::now())
-    }
-
     /// When a caller over its quota comes back: each at its own time, where this node has so many of the tenant's
     /// callers and there are so many nodes.
     pub(crate) fn credit_after(
@@ -80,6 +73,21 @@
     }
 }
 
+/// Whether a request's caller was refused before, by the time that it gives.
+pub(crate) fn comes_again(node: &Node, route: &Route, facts: &RequestFacts) -> bool {
+    let Some(deadline_ms) = facts.deadline_ms.filter(|_| node.settings.load_shedding) else {
+        return false;
+    };
+    let deadline = Duration::from_millis(deadline_ms);
+    let mut deadlines = node.rooms.deadlines.lock();
+    let usual = deadlines.entry(route.name.clone()).or_default();
+    let again = usual.note(deadline, Instant::now());
+    if again {
+        Metrics::count(&node.metrics.returns_seen);
+    }
+    again
+}
+
 /// Room of the service that serves a request; `None` where nothing is known of others' work or no server answers.
 fn room_of(node: &Node, request: &Request) -> Option<Arc<Room>> {
     if node.peers.count() * 2 < node.peers.expected() {
