--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -56,10 +56,11 @@
     request: &Request,
     begins: bool,
 ) -> Result<Placement, NoPlace> {
-    if begins && upstreams.node().settings.load_shedding {
-        if let Some(found) = find_in_room(upstreams, request).await {
-            return found;
-        }
+    if begins
+        && upstreams.node().settings.load_shedding
+        && let Some(found) = find_in_room(upstreams, request).await
+    {
+        return found;
     }
     let found = find_by_age(upstreams, request, begins).await;
     found.ok_or(NoPlace::NoServer)
@@ -75,9 +76,9 @@
     let mut waits = false;
     loop {
         let admission = room::ask(node, request, waits)?;
-        let (look, in_time) = match admission {
+        let (look, counted) = match admission {
             Admission::Refuse { retry_after } => return Some(Err(NoPlace::NoRoom { retry_after })),
-            Admission::Wait { look, in_time } => (look, in_time),
+            Admission::Wait { look, counted } => (look, counted),
             Admission::Serve => match place(upstreams, request) {
                 Some(placement) => {
                     log_placed(upstreams, request, &placement);
@@ -91,7 +92,7 @@
             Metrics::count(&node.metrics.room_waits);
         }
         waits = true;
-        waiting = match in_time {
+        waiting = match counted {
             true => waiting.or_else(|| Some(node.loads.demand.wait(&request.service))),
             false => None,
         };
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -23,7 +23,7 @@
 const ROOM_LIFE: Duration = Duration::from_millis(10);
 /// Servers that are looked at for it; of more, as many are drawn.
 const SERVERS_SUMMED: usize = 64;
-/// Longest such time.
+/// Longest time after which a refused caller is asked to come back.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 /// Time to the first event beside what the prompt takes, while nothing is known of the service.
 const FIRST_EVENT: Duration = Duration::from_millis(30);
@@ -47,13 +47,6 @@
         holds.entry(service.to_owned()).or_default().note(held);
     }
 
-    /// Notes a request's deadline; whether its caller was refused before.
-    pub(crate) fn comes_again(&self, route: &Route, deadline: Duration) -> bool {
-        let mut deadlines = self.deadlines.lock();
-        let usual = deadlines.entry(route.name.clone()).or_default();
-        usual.note(deadline, Instant::now())
-    }
-
     /// When a refused caller of a tenant comes back, where room for so many of its requests comes in a second over all
     /// nodes: each at its own time, behind those that this node refused before.
     pub(crate) fn come_back_after(
@@ -106,6 +99,21 @@
     left.mul_f64(OBEYED_PART).min(LONGEST_WAIT)
 }
 
+/// Whether a request's caller was refused before, by the time that it gives.
+pub(crate) fn comes_again(node: &Node, route: &Route, facts: &RequestFacts) -> bool {
+    let Some(deadline_ms) = facts.deadline_ms.filter(|_| node.settings.load_shedding) else {
+        return false;
+    };
+    let deadline = Duration::from_millis(deadline_ms);
+    let mut deadlines = node.rooms.deadlines.lock();
+    let usual = deadlines.entry(route.name.clone()).or_default();
+    let again = usual.note(deadline, Instant::now());
+    if again {
+        Metrics::count(&node.metrics.returns_seen);
+    }
+    again
+}
+
 /// Room of the service that serves a request; `None` where nothing is known of others' work or no server answers.
 fn room_of(node: &Node, request: &Request) -> Option<Arc<Room>> {
     if node.peers.count() * 2 < node.peers.expected() {
