--- a/crates/ingress/tests/answer_times.rs
+++ b/crates/ingress/tests/answer_times.rs
@@ -64,3 +64,15 @@
         taken *= 1.1;
     }
 }
+
+#[gtest]
+fn usual_time() {
+    let now = Instant::now();
+    let mut times = LearnedTime::default();
+    expect_that!(times.usual(), none());
+    (0..60).for_each(|_| times.note(ms(30), now));
+    // Servers that take longer are fewer, and do not count.
+    (0..40).for_each(|_| times.note(ms(180), now));
+    let usual = times.usual().expect("enough are known");
+    expect_that!(usual.as_secs_f64(), near(0.03, 0.004));
+}
--- /dev/null
+++ b/crates/ingress/tests/patience.rs
@@ -0,0 +1,40 @@
+//! How long a server may be silent.
+
+use std::time::Duration;
+
+use dappleyard_cluster::Pace;
+use dappleyard_ingress::Patience;
+use googletest::prelude::*;
+
+const MOST: Duration = ms(900);
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[gtest]
+fn slow_server() {
+    let patience = Patience::leave_after(ms(200));
+    expect_that!(patience.notice_at(Pace::new(3.0), MOST), eq(ms(600)));
+    // What may run again leaves as early as it would leave any other.
+    expect_that!(patience.leave, some(eq(ms(200))));
+}
+
+#[gtest]
+fn very_slow_server() {
+    let patience = Patience::leave_after(ms(200));
+    expect_that!(patience.notice_at(Pace::new(8.0), MOST), eq(MOST));
+}
+
+#[gtest]
+fn fast_server() {
+    let patience = Patience::leave_after(ms(200));
+    expect_that!(patience.notice_at(Pace::new(0.5), MOST), eq(ms(200)));
+}
+
+#[gtest]
+fn long_notice() {
+    // A notice that is longer than the most of a slow server stays as it is.
+    let patience = Patience::leave_after(ms(1_200));
+    expect_that!(patience.notice_at(Pace::new(3.0), MOST), eq(ms(1_200)));
+}
