--- a/crates/cluster/src/load_paces.rs
+++ b/crates/cluster/src/load_paces.rs
@@ -41,11 +41,14 @@
     /// Age of the newest value in milliseconds, plus one, and the value, where it came from this node or one that
     /// is counted. Where work takes as long as usual, and did, nothing is told.
     pub(crate) fn entry(&self, now: Instant, counted: impl Fn(&Source) -> bool) -> (u32, u32) {
-        let counts = self.from.as_ref().is_none_or(counted) && !self.pace.is_usual(now);
-        let newest = self.pace.newest(now).filter(|_| counts);
-        newest.map_or((0, 0), |(age, pace)| {
-            (age.as_millis() as u32 + 1, pace.percent())
-        })
+        match self.pace.newest(now) {
+            Some((age, pace))
+                if self.from.as_ref().is_none_or(counted) && !self.pace.is_usual(now) =>
+            {
+                (age.as_millis() as u32 + 1, pace.percent())
+            }
+            _ => (0, 0),
+        }
     }
 }
 
--- a/crates/cluster/src/server_pace.rs
+++ b/crates/cluster/src/server_pace.rs
@@ -116,6 +116,9 @@
             return Pace::USUAL;
         };
         let age = now.saturating_duration_since(at);
+        if age <= NEWEST_LIFE || self.lasting == Pace::USUAL {
+            return self.lasting;
+        }
         let unheard = age.saturating_sub(NEWEST_LIFE).as_secs_f64();
         let kept = (-unheard / FORGOTTEN.as_secs_f64()).exp();
         Pace(1.0 + (self.lasting.0 - 1.0) * kept)
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dappleyard_cluster::Pace;
-use dappleyard_model::{AnswerFacts, Homes, ServerLoad, ServerRecord, ServerStamp, TenantStamp};
+use dappleyard_model::{AnswerFacts, Homes, ServerRecord, ServerStamp, TenantStamp};
 use dappleyard_upstream::{
     AnswerHead, BodyFraming, Connection, ExchangeError, IdleLimit, Pool, Stage, request_bytes,
 };
@@ -19,7 +18,6 @@
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
-use crate::answer_pauses::excess;
 use crate::cold;
 use crate::holding::Allowance;
 use crate::homes;
@@ -273,38 +271,6 @@
         }
     }
 
-    /// Takes what a server says of how long work takes there.
-    pub(crate) fn note_told_pace(&self, server: &ServerRecord, load: ServerLoad) {
-        let Some(pace) = load.work_percent.and_then(Pace::of_percent) else {
-            return;
-        };
-        if self.node.loads.note_told_pace(&server.id, pace) {
-            self.log_pace(server, pace, "told");
-        }
-    }
-
-    /// Takes the pauses between events that this node measured at a server.
-    pub(crate) fn note_pauses(&self, server: &ServerRecord, pause: Duration) {
-        let told = self.node.loads.told_pace(&server.id);
-        let usual = pause.div_f64(told.times());
-        let times = &self.node.times;
-        let Some(usual) = times.note_usual_pause(&server.service, usual) else {
-            return;
-        };
-        let excess = excess(pause, usual, told);
-        if self.node.loads.note_excess_pace(&server.id, excess) {
-            self.log_pace(server, excess, "excess");
-        }
-    }
-
-    fn log_pace(&self, server: &ServerRecord, pace: Pace, by: &str) {
-        Metrics::count(&self.node.metrics.pace_changes);
-        self.node.log.write(
-            "server_pace",
-            || serde_json::json!({"server": server.id, "percent": pace.percent(), "by": by}),
-        );
-    }
-
     fn note_outcome(&self, server: &ServerRecord, served: bool) {
         if self.node.loads.note_outcome(&server.id, served) {
             self.node.log.write(
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -28,6 +28,7 @@
 mod placement;
 mod placing;
 mod relay;
+mod server_paces;
 mod zone_care;
 
 pub use answer_pauses::{AnswerPauses, excess};
