--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -32,6 +32,7 @@
 mod relay;
 mod room;
 mod shares;
+mod server_paces;
 mod zone_care;
 
 pub use answer_pauses::{AnswerPauses, excess};
