A stream goes on only where its server's port refuses connections

Change: only a refused connection counts. Sums of callers' numbers saturate. cargo test -p dappleyard-ingress -p dappleyard-crashes -p dappleyard-platform: all pass.

--- a/crates/ingress/src/backup.rs
+++ b/crates/ingress/src/backup.rs
@@ -3,12 +3,12 @@
 //! Load: streams that must not run twice and whose server crashes. They cannot begin anew elsewhere, so without a copy
 //! of what the server kept of them they are lost. A stream that may be resumed needs none: it reads its prompt again.
 //!
-//! Servers rarely end, and then seldom one alone. A copy moves megabytes for a stream of seconds, so copies are made only
+//! Servers seldom end, and then seldom one alone. A copy moves megabytes for a stream of seconds, so copies are made only
 //! for a while after a server was seen to end; the streams of that first one are lost.
 //!
 //! A copy takes up memory at the second server, and no server is to be short of it for the runs of another: where each
 //! server holds one copy for each of its own slots, runs and copies must fit together. A copy is also many thousand
-//! times as large as the answer, so it stays in its zone, where bytes cost nothing to speak of.
+//! times as large as the answer, so it stays in its zone.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,18 +25,18 @@
 const SHARES_OF_SLOT: u32 = 2;
 /// Time after the end of a server in which copies are made. A server that keeps ending, or a fault that goes from one to
 /// the next, shows again within some restarts of a server, which take seconds.
-const SPELL: Duration = Duration::from_secs(30);
+const AFTER_END: Duration = Duration::from_secs(30);
 
 /// Whether servers end often enough now for copies to be worth their bytes, by the time since one was last seen to.
-pub fn is_spell(since_last_end: Option<Duration>) -> bool {
-    since_last_end.is_some_and(|since| since < SPELL)
+pub fn copies_now(since_last_end: Option<Duration>) -> bool {
+    since_last_end.is_some_and(|since| since < AFTER_END)
 }
 
 /// Whether the memory of a request of `tokens` (its prompt and the most that it makes) may be copied while it runs at
 /// a server of `slots`.
 pub fn takes_backup(route: &Route, service: &Service, tokens: u32, slots: u32) -> bool {
     let must_not_repeat = route.kind == RouteKind::Streaming && !route.may_repeat();
-    let room = service.memory_tokens / (slots.max(1) * SHARES_OF_SLOT);
+    let room = service.memory_tokens / (slots.max(1).saturating_mul(SHARES_OF_SLOT));
     service.stream_backups && must_not_repeat && tokens <= room
 }
 
--- a/crates/ingress/src/continuation.rs
+++ b/crates/ingress/src/continuation.rs
@@ -1,9 +1,9 @@
 //! Continues a stream that must not run twice at the server that has a copy of its memory.
 //!
-//! It does so only once the former server is known to have ended: its port refuses connections, or another start of it
-//! is listed. A server that is silent, or whose connection alone broke, may still be at work, and not every server drops
-//! a request whose connection closes; such a stream is cut. So is one that had brought no event yet: a copy continues
-//! after an event.
+//! It does so only once the former server is known to have ended: its port refuses connections. A server that is silent,
+//! or whose connection alone broke, may still be at work, and not every server drops a request whose connection closes;
+//! such a stream is cut. Another start that is listed at the address proves nothing: the entry of an earlier start goes
+//! some heartbeats after its end. A stream that had brought no event is cut too: a copy continues after an event.
 
 use std::sync::Arc;
 
@@ -12,7 +12,7 @@
 use derive_more::Display;
 
 use crate::attempt::Upstreams;
-use crate::backup::{choose_backup, is_spell, takes_backup};
+use crate::backup::{choose_backup, copies_now, takes_backup};
 use crate::cold::ColdGate;
 use crate::crashes::{Broken, Evidence, SECOND_LOOK};
 use crate::dispatch::{Begun, Request, ask, note_failure};
@@ -53,12 +53,15 @@
     server: &ServerRecord,
 ) -> Option<Arc<ServerRecord>> {
     let node = upstreams.node();
-    if request.route.may_repeat() || !is_spell(node.crashes.since_last_end()) {
+    if request.route.may_repeat() || !copies_now(node.crashes.since_last_end()) {
         return None;
     }
     let configuration = node.view.configuration()?;
     let service = configuration.service(&request.service)?;
-    let tokens = request.facts.tokens_in + request.facts.tokens_out;
+    let tokens = request
+        .facts
+        .tokens_in
+        .saturating_add(request.facts.tokens_out);
     if !takes_backup(&request.route, service, tokens, server.slots) {
         return None;
     }
@@ -153,9 +156,6 @@
         if look > 0 {
             tokio::time::sleep(SECOND_LOOK).await;
         }
-        if upstreams.node().view.is_replaced(server) {
-            return true;
-        }
         if upstreams.look_at_port(server).await == Evidence::Ended {
             return true;
         }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -33,7 +33,7 @@
 
 pub use answer_times::{AnswerTimes, LearnedTime};
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
-pub use backup::{choose_backup, is_spell, takes_backup};
+pub use backup::{choose_backup, copies_now, takes_backup};
 pub use closing::close;
 pub use cold::ColdGate;
 pub use cold_watch::watch_temperatures;
--- a/crates/ingress/tests/backup.rs
+++ b/crates/ingress/tests/backup.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dappleyard_cluster::LoadSummary;
-use dappleyard_ingress::{choose_backup, is_spell, takes_backup};
+use dappleyard_ingress::{choose_backup, copies_now, takes_backup};
 use dappleyard_model::{Route, RouteKind, ServerRecord, Service};
 use googletest::prelude::*;
 use rand::SeedableRng;
@@ -81,9 +81,9 @@
 
 #[gtest]
 fn only_for_a_while() {
-    expect_that!(is_spell(None), eq(false));
-    expect_that!(is_spell(Some(Duration::from_secs(29))), eq(true));
-    expect_that!(is_spell(Some(Duration::from_secs(30))), eq(false));
+    expect_that!(copies_now(None), eq(false));
+    expect_that!(copies_now(Some(Duration::from_secs(29))), eq(true));
+    expect_that!(copies_now(Some(Duration::from_secs(30))), eq(false));
 }
 
 #[gtest]
