--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -254,14 +254,12 @@
         copied: Option<Copied>,
         error: &AttemptError,
     ) -> Result<(), Cut> {
+        let may_go_on = self.events > 0 && error.broken_off;
+        let copied = copied.filter(|_| may_go_on);
         let (Some(copied), Some(last_event)) = (copied, self.last_event) else {
             self.log_cut(&error.reason);
             return Err(Cut);
         };
-        if self.events == 0 || !error.broken_off {
-            self.log_cut(&error.reason);
-            return Err(Cut);
-        }
         match continue_run(&self.upstreams, &mut self.request, &copied, last_event).await {
             Ok(begun) => {
                 self.begun = Some(begun);
