--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -7,14 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-<<<<<<< HEAD
-use dappleyard_cluster::Pace;
-use dappleyard_model::{
-    AnswerFacts, Homes, MemoryStamp, ServerLoad, ServerRecord, ServerStamp, TenantStamp,
-};
-=======
-use dappleyard_model::{AnswerFacts, Homes, ServerRecord, ServerStamp, TenantStamp};
->>>>>>> part-pace
+use dappleyard_model::{AnswerFacts, Homes, MemoryStamp, ServerRecord, ServerStamp, TenantStamp};
 use dappleyard_upstream::{
     AnswerHead, BodyFraming, Connection, ExchangeError, IdleLimit, Pool, Stage, request_bytes,
 };
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -31,8 +31,8 @@
 mod placing;
 mod relay;
 mod room;
-mod shares;
 mod server_paces;
+mod shares;
 mod zone_care;
 
 pub use answer_pauses::{AnswerPauses, excess};
