Answers are read on beside callers who are slow to read

An answer was read from its server as the caller's connection took it, so a caller that read nothing held the server up from 32 KB on, and the server cut the answer. A node now keeps a bounded part of each answer and of all (an eighth of the machine's memory, a sixty-fourth of that each) and ends an answer that stays at a bound for a second, with a record. What is kept is still delivered. An answer of which nothing is kept is always read, so that callers in time see nothing of it.

Tests over sockets: an answer read 2 s late comes whole and its server is free within 2 s; 209 callers that read nothing keep the counter of kept bytes within the bounds; one that reads is served beside them.

--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -152,6 +152,7 @@
         "request_cleared" => "the request may run again",
         "caller_left" => "the caller closed its connection before the end",
         "answer_cut" => "the answer was cut, visibly for the caller",
+        "answer_unread" => "the answer was ended: its caller does not read it",
         "request_finished" => "the whole answer was passed on",
         "answer_of_another_request" => "an answer to another request was passed over",
         "job_submitted" => "a job came",
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -47,6 +47,24 @@
     ended: bool,
     seen: Vec<Seen>,
     connections: u64,
+    /// Answers that are not sent to their end.
+    answering: usize,
+}
+
+/// Counts an answer as not sent to its end until it is dropped.
+struct Answering(Arc<Mutex<State>>);
+
+impl Answering {
+    fn begin(state: &Arc<Mutex<State>>) -> Self {
+        state.lock().answering += 1;
+        Self(state.clone())
+    }
+}
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.0.lock().answering -= 1;
+    }
 }
 
 /// A scripted server.
@@ -156,6 +174,11 @@
             .count()
     }
 
+    /// Answers that the server keeps: neither sent to their end nor given up.
+    pub fn answering(&self) -> usize {
+        self.state.lock().answering
+    }
+
     /// Number of connections taken.
     pub fn connections(&self) -> u64 {
         self.state.lock().connections
@@ -176,6 +199,7 @@
                 let next = on_body.or_else(|| state.script.pop_front());
                 next.unwrap_or_else(|| state.otherwise.clone())
             };
+            let _answering = Answering::begin(&self.state);
             for step in reply {
                 match step {
                     Reply::Send(text) => {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -26,6 +26,7 @@
 mod patience;
 mod placement;
 mod placing;
+mod read_ahead;
 mod relay;
 mod zone_care;
 
@@ -48,4 +49,5 @@
 pub use placement::{
     Candidate, PromptShape, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
+pub use read_ahead::{Bound, KeptBounds};
 pub use zone_care::watch_zones;
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -67,6 +67,10 @@
     pub items_left_region: AtomicU64,
     /// Items that went back to wait after a run broke.
     pub items_again: AtomicU64,
+    /// Bytes of answers that are kept now for callers who have not read them.
+    pub answers_kept_bytes: AtomicU64,
+    /// Answers that were ended since their callers did not read them.
+    pub answers_unread: AtomicU64,
     /// Runs of items that were paused for online requests.
     pub items_paused: AtomicU64,
     /// Items that wait now while their service is closed to items.
@@ -126,6 +130,7 @@
             ("results", &self.results),
             ("items_left_region", &self.items_left_region),
             ("items_again", &self.items_again),
+            ("answers_unread", &self.answers_unread),
             ("items_paused", &self.items_paused),
             ("batch_closings", &self.batch_closings),
             ("cold_held_back", &self.cold_held_back),
@@ -140,6 +145,7 @@
             ("servers_cold", &self.servers_cold),
             ("servers_temperature_unknown", &self.servers_unknown),
             ("items_held_back", &self.items_held_back),
+            ("answers_kept_bytes", &self.answers_kept_bytes),
         ];
         let mut text = String::new();
         for (name, gauge) in gauges {
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::metrics::Metrics;
 use crate::node::{UnderWay, UntilEnd};
 use crate::patience::Patience;
+use crate::read_ahead::ReadAhead;
 use dappleyard_clock::Instant;
 
 /// Silence of a server after which a stream is taken up elsewhere.
@@ -31,11 +32,13 @@
     under_way: UnderWay,
     until_end: UntilEnd,
 ) -> impl Stream<Item = Result<Bytes, Cut>> {
+    let (node, id) = (upstreams.node().clone(), request.facts.id.clone());
+    let relay = Relay::new(upstreams, request, begun);
+    let ahead = ReadAhead::start(node, id, relay.into_pieces());
     async_stream::stream! {
         let _under_way = under_way;
-        let mut relay = Relay::new(upstreams, request, begun);
         loop {
-            match relay.next().await {
+            match ahead.next().await {
                 Ok(Some(piece)) => yield Ok(piece),
                 Ok(None) => {
                     until_end.end();
@@ -83,6 +86,15 @@
         }
     }
 
+    /// The answer as it comes from servers.
+    fn into_pieces(mut self) -> impl Stream<Item = Result<Bytes, Cut>> {
+        async_stream::try_stream! {
+            while let Some(piece) = self.next().await? {
+                yield piece;
+            }
+        }
+    }
+
     /// The next bytes for the caller; `None` at the end of the answer.
     async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
         loop {
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -88,6 +88,8 @@
     pub core_millis: u32,
     /// Bandwidth of the machine's link, megabits a second.
     pub link_mbps: u32,
+    /// Memory, megabytes.
+    pub memory_mb: u32,
 }
 
 /// Settings of one node.
