--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -48,7 +48,6 @@
         0 => patience,
         target_ms => Duration::from_millis(target_ms),
     };
-    let mut waiting = None;
     loop {
         let standing = standing(request.arrived.elapsed(), target, patience);
         let Some(placement) = place(upstreams, request) else {
@@ -66,10 +65,6 @@
             log_placed(upstreams, request, &placement);
             return Some(placement);
         }
-        if upstreams.node().settings.load_shedding {
-            let demand = &upstreams.node().loads.demand;
-            waiting.get_or_insert_with(|| demand.wait(&request.service));
-        }
         // Not all at the same time: each would see the same free slot.
         let pause = HOLD_TICK.mul_f64(rand::random_range(0.5..1.5));
         tokio::time::sleep(pause).await;
