--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -29,6 +29,7 @@
 mod patience;
 mod placement;
 mod placing;
+mod read_ahead;
 mod relay;
 mod room;
 mod server_paces;
@@ -56,6 +57,7 @@
 pub use placement::{
     Candidate, PromptShape, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
+pub use read_ahead::{Bound, KeptBounds};
 pub use room::RoomTable;
 pub use shares::ShareTable;
 pub use zone_care::watch_zones;
