Copies of streams are taken out again: what they bring does not exceed what they move

Most lost streams were cut by servers that fall silent, of which nobody can tell that they no longer work, or with their node.

--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -275,11 +275,6 @@
         servers
     }
 
-    /// When a server was last seen to end under any request, by any node.
-    pub fn last_end(&self) -> Option<Instant> {
-        self.losses.last()
-    }
-
     /// Servers that ended under a request.
     pub fn ended_under(&self, request: &Fingerprint) -> Vec<String> {
         let record = self.records.get(request);
--- a/crates/crashes/src/losses.rs
+++ b/crates/crashes/src/losses.rs
@@ -40,11 +40,6 @@
         self.by_server.get(server).copied()
     }
 
-    /// When the last of the servers was seen to end.
-    pub(crate) fn last(&self) -> Option<Instant> {
-        self.by_time.last().map(|(at, _)| *at)
-    }
-
     /// Whether a server was lost together with others, none of which is among `own`.
     pub(crate) fn is_one_of_many(&self, server: &str, own: &[&str]) -> bool {
         let Some(at) = self.by_server.get(server) else {
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -80,12 +80,6 @@
         self.ledger.lock().last_run_servers(but, Instant::now())
     }
 
-    /// Time since a server was last seen to end under any request, by any node.
-    pub fn since_last_end(&self) -> Option<Duration> {
-        let last = self.ledger.lock().last_end()?;
-        Some(Instant::now().saturating_duration_since(last))
-    }
-
     /// Servers that ended under a request.
     pub fn ended_under(&self, request: &Fingerprint) -> Vec<String> {
         self.ledger.lock().ended_under(request)
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dappleyard_model::{AnswerFacts, Homes, MemoryStamp, ServerRecord, ServerStamp, TenantStamp};
+use dappleyard_model::{AnswerFacts, Homes, ServerRecord, ServerStamp, TenantStamp};
 use dappleyard_upstream::{
     AnswerHead, BodyFraming, Connection, ExchangeError, IdleLimit, Pool, Stage, request_bytes,
 };
@@ -112,8 +112,6 @@
     pub last_event_id: Option<u64>,
     /// Whose request it is.
     pub tenant: TenantStamp<'a>,
-    /// Where copies of the run's memory are.
-    pub memory: MemoryStamp<'a>,
     /// Regions in which it may be served.
     pub homes: &'a Homes,
     /// Silence of the server that is borne.
@@ -326,7 +324,6 @@
             expect_instance: &server.instance,
             last_event_id: attempt.last_event_id,
             tenant: attempt.tenant,
-            memory: attempt.memory,
         };
         let stamped = dialect.stamp(&stamp);
         let own = stamped.iter().map(|(name, value)| (name, value));
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -28,7 +28,7 @@
 const LOOK_LIMIT: Duration = Duration::from_millis(100);
 
 /// Time from the first look to the second one.
-pub(crate) const SECOND_LOOK: Duration = Duration::from_millis(100);
+const SECOND_LOOK: Duration = Duration::from_millis(100);
 /// Time between two looks at the list of servers.
 const LIST_LOOK: Duration = Duration::from_millis(500);
 /// Looks at the list: a server writes its entry within a heartbeat of its start, and the entry of the one before goes
@@ -197,11 +197,6 @@
         if matches!(leaves, Some(Exclusion::Draining | Exclusion::Gone)) {
             return Evidence::Leaving;
         }
-        self.look_at_port(server).await
-    }
-
-    /// Whether a process listens at the address of a server, however it may have come to its end.
-    pub(crate) async fn look_at_port(&self, server: &ServerRecord) -> Evidence {
         match tokio::time::timeout(LOOK_LIMIT, TcpStream::connect(server.address)).await {
             Ok(Ok(_)) => Evidence::Alive,
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -7,13 +7,12 @@
 use bytes::Bytes;
 use dappleyard_cluster::{InFlight, WorkKind};
 use dappleyard_crashes::{Fingerprint, Permit, RequestParts, RunUnderWay};
-use dappleyard_model::{Homes, MemoryStamp, RequestFacts, Route, RouteKind, ServerRecord};
+use dappleyard_model::{Homes, RequestFacts, Route, RouteKind, ServerRecord};
 use dappleyard_tenants::Caller;
 use http::{HeaderMap, Method};
 
 use crate::attempt::{Attempt, AttemptError, Exchange, Ran, SUSPECT_TIME, Upstreams};
 use crate::cold::ColdGate;
-use crate::continuation::backup_of;
 use crate::crashes::Broken;
 use crate::metrics::Metrics;
 use crate::outcome::ErrorKind;
@@ -75,8 +74,6 @@
     pub run: RunUnderWay,
     /// When the request was sent.
     pub sent: Instant,
-    /// Server that gets a copy of the run's memory, if any does.
-    pub backup: Option<Arc<ServerRecord>>,
 }
 
 /// A failure answer of a server, whole.
@@ -187,12 +184,7 @@
             .loads
             .begin(&server, WorkKind::Online, request.shape.unread(kept));
         let sent = Instant::now();
-        let backup = backup_of(upstreams, request, &server);
-        let memory = MemoryStamp {
-            backup: backup.as_ref().map(|backup| backup.address),
-            copy: None,
-        };
-        let outcome = ask(upstreams, request, &server, last_event_id, memory).await;
+        let outcome = ask(upstreams, request, &server, last_event_id).await;
         let exchange = match outcome {
             Ok(exchange) => exchange,
             Err(error) => {
@@ -218,7 +210,6 @@
                 work,
                 run,
                 sent,
-                backup,
             }));
         }
         work.prompt_read();
@@ -229,12 +220,11 @@
     }
 }
 
-pub(crate) async fn ask(
+async fn ask(
     upstreams: &Upstreams,
     request: &Request,
     server: &Arc<ServerRecord>,
     last_event_id: Option<u64>,
-    memory: MemoryStamp<'_>,
 ) -> Result<Exchange, AttemptError> {
     let remaining = request.remaining();
     let attempt = Attempt {
@@ -246,7 +236,6 @@
         remaining_ms: Some(remaining.as_millis() as u64),
         last_event_id,
         tenant: request.caller.stamp(),
-        memory,
         homes: &request.homes,
         patience: first_patience(upstreams, request),
     };
@@ -263,7 +252,7 @@
     Patience::leave_after(silence).leaving_if(request.may_repeat())
 }
 
-pub(crate) fn note_failure(
+fn note_failure(
     upstreams: &Upstreams,
     request: &mut Request,
     server: &ServerRecord,
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -57,12 +57,6 @@
     pub left_region: AtomicU64,
     /// Streams taken up at another server.
     pub resumed: AtomicU64,
-    /// Runs whose memory another server was to get a copy of.
-    pub streams_backed_up: AtomicU64,
-    /// Streams that went on from such a copy.
-    pub streams_continued: AtomicU64,
-    /// Streams that were cut although another server was to have a copy.
-    pub continuations_refused: AtomicU64,
     /// Connections opened to servers.
     pub connections: AtomicU64,
     /// Jobs accepted.
@@ -143,9 +137,6 @@
             ("attempts_failed", &self.attempts_failed),
             ("left_region", &self.left_region),
             ("resumed", &self.resumed),
-            ("streams_backed_up", &self.streams_backed_up),
-            ("streams_continued", &self.streams_continued),
-            ("continuations_refused", &self.continuations_refused),
             ("connections", &self.connections),
             ("jobs_accepted", &self.jobs_accepted),
             ("jobs_claimed", &self.jobs_claimed),
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -8,7 +8,6 @@
 
 use crate::answer_pauses::AnswerPauses;
 use crate::attempt::{AttemptError, Exchange, Ran, SUSPECT_TIME, Upstreams};
-use crate::continuation::{Copied, continue_run};
 use crate::crashes::Broken;
 use crate::dispatch::{Begun, Dispatched, Request, dispatch, is_event_route};
 use crate::event_stream::EventSplitter;
@@ -226,13 +225,8 @@
         let failed = self.begun.take();
         self.splitter.rest();
         let mut server = None;
-        let mut copied = None;
         if let Some(begun) = failed {
             let broken = begun.exchange.server;
-            copied = begun.backup.map(|backup| Copied {
-                from: broken.clone(),
-                to: backup,
-            });
             let run = Broken {
                 error: &error,
                 output_for: self.output_since.map(|since| since.elapsed()),
@@ -251,7 +245,8 @@
         });
         let resumable = is_event_route(&self.request.route) && self.request.route.resumable;
         if !resumable {
-            return self.go_on_from_copy(copied, &error).await;
+            self.log_cut(&error.reason);
+            return Err(Cut);
         }
         match dispatch(&self.upstreams, &mut self.request, self.last_event).await {
             Dispatched::Begun(begun) => {
@@ -276,31 +271,6 @@
         }
     }
 
-    /// Goes on with a stream that may not run anew, from the copy of its memory.
-    async fn go_on_from_copy(
-        &mut self,
-        copied: Option<Copied>,
-        error: &AttemptError,
-    ) -> Result<(), Cut> {
-        let may_go_on = self.events > 0 && error.broken_off;
-        let copied = copied.filter(|_| may_go_on);
-        let (Some(copied), Some(last_event)) = (copied, self.last_event) else {
-            self.log_cut(&error.reason);
-            return Err(Cut);
-        };
-        match continue_run(&self.upstreams, &mut self.request, &copied, last_event).await {
-            Ok(begun) => {
-                self.begun = Some(begun);
-                self.output_since = None;
-                Ok(())
-            }
-            Err(refused) => {
-                self.log_cut(&format!("{}; not continued: {refused}", error.reason));
-                Err(Cut)
-            }
-        }
-    }
-
     fn log_cut(&self, cause: &str) {
         let node = self.upstreams.node();
         Metrics::count(&node.metrics.failed);
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -10,7 +10,7 @@
 use dappleyard_ingress::{
     Attempt, AttemptError, Broken, EventSplitter, Exchange, Metrics, Patience, Ran,
 };
-use dappleyard_model::{Distance, MemoryStamp, Route, ServerRecord, TenantStamp};
+use dappleyard_model::{Distance, Route, ServerRecord, TenantStamp};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
@@ -108,7 +108,6 @@
         remaining_ms: None,
         last_event_id: last_event,
         tenant: stamp(runner, &tenant),
-        memory: MemoryStamp::default(),
         homes: &homes,
         patience: Patience::leave_after(SERVER_PATIENCE),
     };
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -107,10 +107,6 @@
     pub cold_start_ms: u64,
     /// Requests a second that a cold server bears, from all nodes together; 0 is without bound.
     pub cold_per_s: f64,
-    /// Its servers send copies of a stream's memory to each other when they are asked to.
-    pub stream_backups: bool,
-    /// Tokens that the memory of one server holds; 0 where that is not told.
-    pub memory_tokens: u32,
 }
 
 /// What a caller may send.
--- a/crates/model/src/dialect.rs
+++ b/crates/model/src/dialect.rs
@@ -1,7 +1,5 @@
 //! Port of the formats spoken with callers, servers and operators.
 
-use std::net::SocketAddr;
-
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -67,24 +65,6 @@
     Tenant(&'a str),
 }
 
-/// The copy of a run's memory at a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct MemoryCopy<'a> {
-    /// Server that holds it.
-    pub holder: SocketAddr,
-    /// Identifier of the request whose run it was.
-    pub request: &'a str,
-}
-
-/// What a server is told of a run's memory: what it keeps of the tokens that it has read and made.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct MemoryStamp<'a> {
-    /// Server that gets a copy as the memory grows.
-    pub backup: Option<SocketAddr>,
-    /// Copy from which the run goes on.
-    pub copy: Option<MemoryCopy<'a>>,
-}
-
 /// What the system itself says to a server beside the caller's own headers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerStamp<'a> {
@@ -96,8 +76,6 @@
     pub last_event_id: Option<u64>,
     /// Whose request it is.
     pub tenant: TenantStamp<'a>,
-    /// Where copies of the run's memory are.
-    pub memory: MemoryStamp<'a>,
 }
 
 /// A message that is not in the format.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,8 +15,8 @@
 
 pub use configuration::{Configuration, Route, RouteKind, Service, Target, TrafficLimits};
 pub use dialect::{
-    Dialect, Endpoint, FormatError, MemoryCopy, MemoryStamp, OperatorOrder, ResultEntry,
-    ServerStamp, ServersSource, TenantStamp,
+    Dialect, Endpoint, FormatError, OperatorOrder, ResultEntry, ServerStamp, ServersSource,
+    TenantStamp,
 };
 pub use events::{AT, EventLog};
 pub use homes::Homes;
--- a/crates/spec/src/catalogue.rs
+++ b/crates/spec/src/catalogue.rs
@@ -5,7 +5,6 @@
 use crate::checker::{Exploration, explore};
 use crate::chunks::{self, Chunks};
 use crate::configuration::{self, Configuration};
-use crate::continuation::{self, Continuation};
 use crate::fence::{self, Fence};
 use crate::jobs::{self, Jobs};
 use crate::leaving::{self, Leaving};
@@ -219,31 +218,6 @@
         faults: 5,
         run: |mutant, faults| explore(&leaving(mutant, faults)),
     },
-    Entry {
-        name: "continuation",
-        about: "a stream that runs only once goes on from a copy of its memory",
-        mutants: &[
-            Mutant {
-                name: "break-trusted",
-                breaks: "two servers work on one run",
-            },
-            Mutant {
-                name: "silence-trusted",
-                breaks: "two servers work on one run",
-            },
-            Mutant {
-                name: "sent-anew",
-                breaks: "the request began anew at the second server",
-            },
-            Mutant {
-                name: "after-copy",
-                breaks: "an event is missing or comes twice",
-            },
-        ],
-        quick_faults: 3,
-        faults: 4,
-        run: |mutant, faults| explore(&continuation(mutant, faults)),
-    },
 ];
 
 fn chunks(repeat: Repeat, mutant: Option<&str>, faults: u8) -> Chunks {
@@ -308,19 +282,6 @@
     }
 }
 
-fn continuation(mutant: Option<&str>, faults: u8) -> Continuation {
-    Continuation {
-        mutant: mutant.and_then(|name| match name {
-            "break-trusted" => Some(continuation::Mutant::BreakTrusted),
-            "silence-trusted" => Some(continuation::Mutant::SilenceTrusted),
-            "sent-anew" => Some(continuation::Mutant::SentAnew),
-            "after-copy" => Some(continuation::Mutant::AfterCopy),
-            _ => None,
-        }),
-        faults,
-    }
-}
-
 fn fence(mutant: Option<&str>, faults: u8) -> Fence {
     Fence {
         mutant: mutant.and_then(|name| match name {
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -10,7 +10,6 @@
 //! - [`jobs`]: a job on the row store, accepted, claimed, committed at positions, ended;
 //! - [`once`]: the at-most-once record;
 //! - [`configuration`]: spread of configuration revisions;
-//! - [`continuation`]: a stream that runs only once, continued from a copy of its memory;
 //! - [`fence`]: orders to an engine from two controllers;
 //! - [`leaving`]: a leaving server under two owners;
 //! - [`plans`]: confirmation of conflicting plans;
@@ -20,7 +19,6 @@
 pub mod checker;
 pub mod chunks;
 pub mod configuration;
-pub mod continuation;
 pub mod fence;
 pub mod jobs;
 pub mod leaving;
