Ledger: what a node heard of the others in a module of its own

Change: it moves to heard.rs, with the constants that it alone uses; nothing is decided otherwise. Tests of the crate pass (distance, fleet, identity, schedules, zones).

--- a/crates/tenants/src/ledger.rs
+++ b/crates/tenants/src/ledger.rs
@@ -12,8 +12,9 @@
 use dappleyard_model::{QuotaBounds, RateLimit, Tenants};
 
 use crate::account::{Account, Part, Refill, tolerance, whole};
-use crate::counts::{NodeCounts, ZoneCounts, ZonePassed};
+use crate::counts::{ZoneCounts, ZonePassed};
 use crate::growing::Growing;
+use crate::heard::Heard;
 use crate::messages::{CreditLevel, PassedCount};
 use crate::numbers::{point, slice, tenant_number};
 
@@ -25,22 +26,11 @@
 /// other nodes let pass in the meantime (half: five times a quota of 40 a second passed the bound in virtual
 /// time with all of it).
 const IN_DOUBT: f64 = 0.5;
-/// Age of a node's last word up to which it counts as fresh: two heartbeats of 150 ms, and a late one.
-const NODE_FRESH: Duration = Duration::from_millis(400);
-/// The same of another zone, which is told of each 25 to 75 ms. Messages of another region come as often and
-/// are longer under way: that time is added, as this node measured it.
-const ZONE_FRESH: Duration = Duration::from_millis(250);
-/// Age of a zone's last word from which credit is held back for it: one message and its delay. It is given
-/// after all when the zone is heard while it still counts as fresh; when it is not, the parts of a fleet that
-/// was cut have not all spent the same credit meanwhile.
-const ZONE_PROMPT: Duration = Duration::from_millis(125);
 /// Age of the delegates' last word from which a node that is told no longer spends the credit of the fleet:
 /// two delegates tell each 75 ms.
 const TOLD_FRESH: Duration = Duration::from_millis(250);
 /// Requests of a tenant that such a node lets pass since that word.
 const UNTOLD_AT_MOST: u64 = 1;
-/// Time after which the silence of others shows in the known part of the fleet.
-const SILENCE_NOTED: Duration = Duration::from_millis(3_000);
 /// Known part of the fleet below which a refusal tells of this node rather than of the tenant.
 const ALONE_BELOW: f64 = 0.5;
 /// Time for which all that a node has summed counts as recent: as long as a node's own requests do.
@@ -61,8 +51,7 @@
     growing: Growing,
     limits: HashMap<u32, RateLimit>,
     accounts: HashMap<u32, Account>,
-    nodes: HashMap<u64, NodeCounts>,
-    zones: HashMap<u64, ZoneCounts>,
+    heard: Heard,
 }
 
 impl Ledger {
@@ -78,8 +67,7 @@
             share: 1.0,
             limits: HashMap::new(),
             accounts: HashMap::new(),
-            nodes: HashMap::new(),
-            zones: HashMap::new(),
+            heard: Heard::default(),
         }
     }
 
@@ -106,8 +94,7 @@
         }
         if sums != summed {
             self.summing_since = sums.then_some(now);
-            self.nodes.clear();
-            self.zones.clear();
+            self.heard.clear();
         }
         self.share = share;
         self.refill();
@@ -148,40 +135,25 @@
         Some((Refill::new(limit, self.bounds, self.share), level))
     }
 
-    /// How fast credit of the fleet grows here, as a part of its rate. A node that is told waits for the next
-    /// message: others take from the same credit. One that sums goes by the part of the fleet that told it a
-    /// moment ago what it let pass: where the fleet is cut, all parts together must not let pass more than
-    /// before, and the silence of the others shows in the share only after seconds.
-    fn growth(&self, zone_fresh: Duration, now: Instant) -> f64 {
-        if self.summing_since.is_none() {
-            return 0.0;
-        }
-        let (mut fresh, mut known) = (self.zone_heard(now), 1.0);
-        let zones = self.zones.values();
-        for zone in zones.filter(|zone| now.duration_since(zone.heard()) < SILENCE_NOTED) {
-            known += 1.0;
-            if now.duration_since(zone.heard()) < zone_fresh + zone.later {
-                fresh += zone.heard_part();
-            }
-        }
-        fresh / known
-    }
-
     /// Part of the nodes of this zone that told a moment ago what they let pass, this one included.
     pub fn zone_heard(&self, now: Instant) -> f64 {
-        let (mut fresh, mut known) = (1.0, 1.0);
-        let ages = self.nodes.values().filter_map(NodeCounts::heard);
-        for age in ages.map(|at| now.duration_since(at)) {
-            fresh += f64::from(u8::from(age < NODE_FRESH));
-            known += f64::from(u8::from(age < SILENCE_NOTED));
+        self.heard.own_zone_part(now)
+    }
+
+    /// How fast credit of the fleet grows here, as a part of its rate, and how fast by those alone that told without delay. A node
+    /// that is told waits for the next message: others take from the same credit. One that sums goes by the part of the fleet that
+    /// told it a moment ago what it let pass: where the fleet is cut, all parts together must not let pass more than
+    /// before, and the silence of the others shows in the share only after seconds.
+    fn growth(&self, now: Instant) -> (f64, f64) {
+        match self.summing_since {
+            Some(_) => (self.heard.fresh_part(now), self.heard.prompt_part(now)),
+            None => (0.0, 0.0),
         }
-        fresh / known
     }
 
     /// Brings all accounts up to now.
     fn fill(&mut self, now: Instant) {
-        let heard = self.growth(ZONE_FRESH, now);
-        let prompt = self.growth(ZONE_PROMPT, now);
+        let (heard, prompt) = self.growth(now);
         let held = self.growing.note(heard, prompt, now);
         let part = self.summing_since.and_then(|_| Part::new(heard));
         for (tenant, account) in &mut self.accounts {
@@ -282,7 +254,7 @@
         let Some(since) = self.summing_since else {
             return;
         };
-        let held = self.nodes.entry(node).or_default();
+        let held = self.heard.nodes.entry(node).or_default();
         let changes = held.note(life, counts, now.duration_since(since), now);
         self.fill(now);
         for (tenant, change) in changes {
@@ -327,7 +299,7 @@
             return;
         }
         let follow = || ZoneCounts::new(delegate, now);
-        let held = self.zones.entry(zone).or_insert_with(follow);
+        let held = self.heard.zones.entry(zone).or_insert_with(follow);
         let mut changes = Vec::new();
         if held.gives_way(delegate, now) {
             changes = held.follow(delegate, now);
@@ -343,7 +315,7 @@
 
     /// Notes by how much longer messages of a zone are under way than those of zones of the own region.
     pub fn note_way(&mut self, zone: u64, later: Duration) {
-        if let Some(held) = self.zones.get_mut(&zone) {
+        if let Some(held) = self.heard.zones.get_mut(&zone) {
             held.later = later;
         }
     }
@@ -351,7 +323,7 @@
     /// Levels for a node of this zone: those that are low, or were a moment ago.
     pub fn levels_for(&mut self, node: u64, now: Instant) -> Vec<CreditLevel> {
         self.fill(now);
-        let counts = self.nodes.get(&node);
+        let counts = self.heard.nodes.get(&node);
         let accounts = self.accounts.iter_mut();
         accounts
             .filter_map(|(tenant, account)| {
--- a/crates/tenants/src/lib.rs
+++ b/crates/tenants/src/lib.rs
@@ -8,6 +8,7 @@
 mod account;
 mod counts;
 mod growing;
+mod heard;
 mod identity;
 mod ledger;
 mod messages;
