Refusals counted for a share are forgotten with their tenant

Cause: the counts of refusals by tenant would have grown with every tenant that a configuration ever named. Change: they are kept for the tenants of the configuration in force. Tests of shares and tenants over the platform pass; no play was run after this.

--- a/crates/ingress/src/shares.rs
+++ b/crates/ingress/src/shares.rs
@@ -224,6 +224,11 @@
 
     fn note(&self, configuration: &Configuration, service: &str, seen: &Seen, now: Instant) {
         let mut state = self.state.lock();
+        if state.weights.version != Some(configuration.version) {
+            let tenants = configuration.tenants.as_ref();
+            let known = |name: &str| tenants.is_some_and(|held| held.named(name).is_some());
+            state.refused.retain(|name, _| known(name.as_str()));
+        }
         state.weights.adopt(configuration);
         let tenants = seen.demand.tenants.iter();
         let claim = |work: &TenantWork| Claim {
