--- a/crates/cluster/src/messages.rs
+++ b/crates/cluster/src/messages.rs
@@ -68,17 +68,17 @@
     /// Age of the newest word of the server of how long work takes there, plus one; 0 when there is none of the last
     /// moment.
     #[prost(uint32, tag = "12")]
-    pub pace_ms: u32,
+    pub pace_age_ms: u32,
     /// That word: 100 is as usual.
     #[prost(uint32, tag = "13")]
     pub pace_percent: u32,
     /// Age of the newest measure of how much longer its answers take than it says, plus one; 0 when there is none of
     /// the last moment.
     #[prost(uint32, tag = "14")]
-    pub excess_ms: u32,
+    pub excess_pace_age_ms: u32,
     /// That measure: 100 is as long as it says.
     #[prost(uint32, tag = "15")]
-    pub excess_percent: u32,
+    pub excess_pace_percent: u32,
 }
 
 /// The newest messages of other nodes that the sender knows of. The lists run side by side: one
--- a/crates/cluster/src/server_loads.rs
+++ b/crates/cluster/src/server_loads.rs
@@ -5,10 +5,10 @@
 
 use dappleyard_clock::Instant;
 
-use crate::load_paces::Paces;
 use crate::messages::LoadEntry;
 use crate::outcomes::{Ejection, OutcomeCounts, Outcomes};
 use crate::server_pace::Pace;
+use crate::shared_paces::Paces;
 use crate::temperature::{Checked, Temperature, Thermal};
 
 /// Time since a server was last heard here in which it does not count as silent for others' sake: they may be cut
@@ -145,13 +145,13 @@
     pub(crate) fn own(&self, server: u32, now: Instant) -> LoadEntry {
         let outcomes = self.outcomes.counts(now);
         let (asked_ms, cold_ms) = self.own_check_told(now);
-        let (pace_ms, pace_percent) = self.paces.told.entry(now, |_| false);
-        let (excess_ms, excess_percent) = self.paces.excess.entry(now, |_| false);
+        let (pace_age_ms, pace_percent) = self.paces.told.entry(now, |_| false);
+        let (excess_pace_age_ms, excess_pace_percent) = self.paces.excess.entry(now, |_| false);
         LoadEntry {
-            pace_ms,
+            pace_age_ms,
             pace_percent,
-            excess_ms,
-            excess_percent,
+            excess_pace_age_ms,
+            excess_pace_percent,
             asked_ms,
             cold_ms,
             failed: outcomes.failed,
@@ -177,8 +177,8 @@
         counted: impl Fn(&Source) -> bool,
     ) -> LoadEntry {
         let mut sum = self.own(server, now);
-        (sum.pace_ms, sum.pace_percent) = self.paces.told.entry(now, &counted);
-        (sum.excess_ms, sum.excess_percent) = self.paces.excess.entry(now, &counted);
+        (sum.pace_age_ms, sum.pace_percent) = self.paces.told.entry(now, &counted);
+        (sum.excess_pace_age_ms, sum.excess_pace_percent) = self.paces.excess.entry(now, &counted);
         for (source, (at, entry)) in &self.peers {
             let age = now.duration_since(*at);
             if age >= HEARTBEAT_LIFE || !counted(source) {
@@ -226,6 +226,6 @@
 
 pub(crate) fn tells_something(entry: &LoadEntry) -> bool {
     let silent = entry.suspect || entry.doubted;
-    let told = entry.asked_ms > 0 || entry.pace_ms > 0 || entry.excess_ms > 0;
+    let told = entry.asked_ms > 0 || entry.pace_age_ms > 0 || entry.excess_pace_age_ms > 0;
     entry.online + entry.batch > 0 || silent || entry.failed > 0 || told
 }
--- a/crates/cluster/src/server_pace.rs
+++ b/crates/cluster/src/server_pace.rs
@@ -103,6 +103,16 @@
         true
     }
 
+    /// Whether any figure has come.
+    pub fn is_known(&self) -> bool {
+        self.newest.is_some()
+    }
+
+    /// Whether the newest figure is older than another one by more than some time.
+    pub(crate) fn is_older_than(&self, at: Instant, by: Duration) -> bool {
+        self.newest.is_none_or(|(held_at, _)| held_at + by < at)
+    }
+
     /// The newest figure and its age, while it tells something.
     pub fn newest(&self, now: Instant) -> Option<(Duration, Pace)> {
         let (at, pace) = self.newest?;
--- a/crates/cluster/src/load_paces.rs
+++ b/crates/cluster/src/shared_paces.rs
@@ -9,6 +9,9 @@
 use crate::server_loads::Source;
 use crate::server_pace::{Pace, ServerPace};
 
+/// Time by which a figure becomes younger on its way through other nodes, at most.
+const ECHO: Duration = Duration::from_millis(20);
+
 /// One figure of a server's pace, and where its newest value came from.
 #[derive(Default)]
 pub(crate) struct SharedPace {
@@ -18,14 +21,16 @@
 }
 
 impl SharedPace {
-    /// Takes over what another node tells, when it is newer.
+    /// Takes over what another node tells, when it is newer by more than the way of a message: what was told on comes
+    /// back as if it were younger.
     fn take(&mut self, source: Source, (age_ms, percent): (u32, u32), now: Instant) {
         let Some(age_ms) = age_ms.checked_sub(1) else {
             return;
         };
         let at = now.checked_sub(Duration::from_millis(u64::from(age_ms)));
         let told = at.zip(Pace::of_percent(percent));
-        if told.is_some_and(|(at, pace)| self.pace.note(pace, at)) {
+        let newer = told.filter(|(at, _)| self.pace.is_older_than(*at, ECHO));
+        if newer.is_some_and(|(at, pace)| self.pace.note(pace, at)) {
             self.from = Some(source);
         }
     }
@@ -64,9 +69,9 @@
 impl Paces {
     /// Takes over what another node tells.
     pub(crate) fn take(&mut self, source: Source, entry: &LoadEntry, now: Instant) {
-        let told = (entry.pace_ms, entry.pace_percent);
+        let told = (entry.pace_age_ms, entry.pace_percent);
         self.told.take(source, told, now);
-        let excess = (entry.excess_ms, entry.excess_percent);
+        let excess = (entry.excess_pace_age_ms, entry.excess_pace_percent);
         self.excess.take(source, excess, now);
     }
 
@@ -90,7 +95,7 @@
             Pace::of_percent(told).is_some_and(|pace| pace.differs_much(held))
         };
         is_news(self.pace_percent, held.pace_percent)
-            || is_news(self.excess_percent, held.excess_percent)
+            || is_news(self.excess_pace_percent, held.excess_pace_percent)
     }
 }
 
@@ -105,6 +110,13 @@
         self.paces(server, |paces| paces.told.pace.now(Instant::now()))
     }
 
+    /// Whether the server has told how long work takes there.
+    pub fn tells_pace(&self, server: &str) -> bool {
+        let servers = self.servers.lock();
+        let loads = servers.get(&server_number(server));
+        loads.is_some_and(|loads| loads.paces.told.pace.is_known())
+    }
+
     fn paces(&self, server: &str, of: impl Fn(&Paces) -> Pace) -> Pace {
         let servers = self.servers.lock();
         let loads = servers.get(&server_number(server));
--- a/crates/cluster/src/zone_digest.rs
+++ b/crates/cluster/src/zone_digest.rs
@@ -86,15 +86,16 @@
             let asked_again =
                 sum.asked_ms > 0 && (held.asked_ms == 0 || sum.asked_ms < held.asked_ms);
             let (asked_ms, cold_ms) = (sum.asked_ms, sum.cold_ms);
-            let (pace_ms, pace_percent) = (sum.pace_ms, sum.pace_percent);
-            let (excess_ms, excess_percent) = (sum.excess_ms, sum.excess_percent);
+            let (pace_age_ms, pace_percent) = (sum.pace_age_ms, sum.pace_percent);
+            let (excess_pace_age_ms, excess_pace_percent) =
+                (sum.excess_pace_age_ms, sum.excess_pace_percent);
             asked_again
                 || sum.is_pace_news(held)
                 || LoadEntry {
-                    pace_ms,
+                    pace_age_ms,
                     pace_percent,
-                    excess_ms,
-                    excess_percent,
+                    excess_pace_age_ms,
+                    excess_pace_percent,
                     asked_ms,
                     cold_ms,
                     heard_ms,
@@ -114,5 +115,4 @@
         || held.suspect != sum.suspect
         || held.doubted != sum.doubted
         || failing
-        || sum.is_pace_news(held)
 }
--- a/crates/cluster/tests/server_pace.rs
+++ b/crates/cluster/tests/server_pace.rs
@@ -125,11 +125,11 @@
     expect_that!(loads.pace("i-1").percent(), eq(800));
 }
 
-fn told(percent: u32, pace_ms: u32) -> LoadEntry {
+fn told(percent: u32, pace_age_ms: u32) -> LoadEntry {
     LoadEntry {
         server: 1,
         online: 1,
-        pace_ms,
+        pace_age_ms,
         pace_percent: percent,
         ..LoadEntry::default()
     }
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -248,9 +248,10 @@
                 Ok(done) => return done,
                 Err(_) => {
                     let own = started.elapsed();
-                    let silence = self.node.loads.silence(&server.id).unwrap_or(own).min(own);
+                    let unheard = self.node.loads.silence(&server.id).unwrap_or(own);
+                    let silence = unheard.min(own);
                     let slow = || patience.notice_at(self.node.loads.pace(&server.id), SILENT);
-                    if silence >= next_notice && silence >= slow() {
+                    if silence >= next_notice && unheard >= slow() {
                         next_notice += SUSPECT_TIME / 2;
                         match silence >= SILENT {
                             true => self.node.loads.suspect(&server.id, SUSPECT_TIME),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -24,13 +24,13 @@
 mod metrics;
 mod node;
 mod outcome;
+mod pace_evidence;
 mod patience;
 mod placement;
 mod placing;
 mod read_ahead;
 mod relay;
 mod room;
-mod server_paces;
 mod shares;
 mod zone_care;
 
--- a/crates/ingress/src/server_paces.rs
+++ b/crates/ingress/src/pace_evidence.rs
@@ -20,8 +20,12 @@
         }
     }
 
-    /// Takes the pauses between events that this node measured at a server.
+    /// Takes the pauses between events that this node measured at a server. Where servers do not tell how long work
+    /// takes, longer pauses may be load alone, which is counted already; so nothing is made of them.
     pub(crate) fn note_pauses(&self, server: &ServerRecord, pause: Duration) {
+        if !self.node.loads.tells_pace(&server.id) {
+            return;
+        }
         let told = self.node.loads.told_pace(&server.id);
         let usual = pause.div_f64(told.times());
         let times = &self.node.times;
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -31,7 +31,7 @@
 /// Weight of a server that is cold, where its rate is bounded: less than the way to another zone, so that a zone that
 /// returns cold takes part in its own work at once.
 const COLD: f64 = 3.0;
-/// Weight of a request's own way to its first event at a server of the usual pace, about 60 ms: what a slower server
+/// Weight of a request's own way to its first event at a server of the usual pace: what a slower server
 /// adds when nothing is ahead.
 const FIRST_EVENT: f64 = 5.0;
 
