Too little room and shares by review: servers stand for all, streams that go on, callers that wait for cold servers

Found in review, each by reading: services of more than 64 servers set a part of their slots against the demand of the whole fleet; a stream that its caller takes up again was refused; a request that cold servers hold back was held for its whole time; a rate near 0 could end a thread; what was learned of routes, services and tenants was never forgotten; delegates summed demand anew for each node; prompts whose reading takes most of the target never waited. The queue of a tenant's callers spreads them alone.

--- a/crates/cluster/src/demand.rs
+++ b/crates/cluster/src/demand.rs
@@ -62,23 +62,28 @@
         let told = self
             .own
             .iter_mut()
-            .map(|(service, own)| own.told(*service, now));
+            .map(|(service, own)| own.told(*service, now))
+            .map(|mut told| {
+                told.keep_busiest(TENANTS_TOLD);
+                told
+            });
         told.filter(|demand| !demand.is_empty()).collect()
     }
 
+    /// What a source told, and how many spans ago; `None` when it tells nothing any more.
+    fn told_by(&self, source: &Source, now: Instant) -> Option<(usize, &[Demand])> {
+        let (at, demands) = self.others.get(source)?;
+        let age = now.saturating_duration_since(*at);
+        let spans = (age.as_millis() / SPAN.as_millis()) as usize;
+        (age < NEWS_LIFE).then_some((spans, demands.as_slice()))
+    }
+
     /// Own demand and that of some sources, by service.
-    fn sum(&mut self, counted: impl Fn(&Source) -> bool, now: Instant) -> Vec<Demand> {
-        let mut sums: HashMap<u32, Demand> = self
-            .own_told(now)
-            .into_iter()
-            .map(|demand| (demand.service, demand))
-            .collect();
-        for (source, (at, demands)) in &self.others {
-            let age = now.saturating_duration_since(*at);
-            if age >= NEWS_LIFE || !counted(source) {
-                continue;
-            }
-            let spans = (age.as_millis() / SPAN.as_millis()) as usize;
+    fn sum(&mut self, counted: impl Fn(&Source) -> bool, now: Instant) -> HashMap<u32, Demand> {
+        let own = self.own_told(now).into_iter();
+        let mut sums: HashMap<u32, Demand> = own.map(|demand| (demand.service, demand)).collect();
+        let sources = self.others.keys().filter(|source| counted(source));
+        for (spans, demands) in sources.filter_map(|source| self.told_by(source, now)) {
             for demand in demands {
                 let sum = sums
                     .entry(demand.service)
@@ -86,13 +91,19 @@
                 sum.add(demand, spans);
             }
         }
-        let mut sums: Vec<Demand> = sums.into_values().collect();
-        sums.iter_mut()
-            .for_each(|sum| sum.keep_busiest(TENANTS_TOLD));
         sums
     }
 }
 
+/// Sums as they are told.
+fn as_told(sums: HashMap<u32, Demand>) -> Vec<Demand> {
+    let mut sums: Vec<Demand> = sums.into_values().collect();
+    sums.iter_mut()
+        .for_each(|sum| sum.keep_busiest(TENANTS_TOLD));
+    sums.retain(|sum| !sum.is_empty());
+    sums
+}
+
 /// Online demand for all services. The lock is taken alone.
 #[derive(Default)]
 pub struct DemandTable {
@@ -158,21 +169,27 @@
 
     /// Demand of all nodes for a service.
     pub fn total(&self, service: &str) -> Demand {
+        self.add_all(service, Demand::add)
+    }
+
+    /// Requests that wait for a slot of a service and those that are expected back, at all nodes; without whose they
+    /// are.
+    pub fn pressure_on(&self, service: &str) -> Demand {
+        self.add_all(service, Demand::add_pressure)
+    }
+
+    fn add_all(&self, service: &str, add: impl Fn(&mut Demand, &Demand, usize)) -> Demand {
         let number = service_number(service);
         let now = Instant::now();
         let mut state = self.state.lock();
-        let mut sum = match state.own.get_mut(&number) {
-            Some(own) => own.told(number, now),
-            None => Demand::of(number),
-        };
-        for (at, demands) in state.others.values() {
-            let age = now.saturating_duration_since(*at);
-            if age >= NEWS_LIFE {
-                continue;
-            }
-            let spans = (age.as_millis() / SPAN.as_millis()) as usize;
+        let mut sum = Demand::of(number);
+        if let Some(own) = state.own.get_mut(&number) {
+            add(&mut sum, &own.told(number, now), 0);
+        }
+        let sources = state.others.keys();
+        for (spans, demands) in sources.filter_map(|source| state.told_by(source, now)) {
             let told = demands.iter().filter(|demand| demand.service == number);
-            told.for_each(|demand| sum.add(demand, spans));
+            told.for_each(|demand| add(&mut sum, demand, spans));
         }
         sum
     }
@@ -185,13 +202,26 @@
     /// Demand of the nodes of this zone.
     pub(crate) fn zone_sum(&self) -> Vec<Demand> {
         let mut state = self.state.lock();
-        state.sum(|source| matches!(source, Source::Node(_)), Instant::now())
+        as_told(state.sum(|source| matches!(source, Source::Node(_)), Instant::now()))
     }
 
-    /// Demand of all nodes but one.
-    pub(crate) fn sum_without(&self, node: u64) -> Vec<Demand> {
-        let others = |source: &Source| *source != Source::Node(node) && *source != Source::Fleet;
-        self.state.lock().sum(others, Instant::now())
+    /// Demand of all nodes but one, for each of some nodes. All are summed once, and each one's own is taken off.
+    pub(crate) fn sums_without(&self, nodes: &[u64]) -> Vec<Vec<Demand>> {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let all = state.sum(|source| *source != Source::Fleet, now);
+        let without = |node: &u64| {
+            let mut sums = all.clone();
+            let told = state.told_by(&Source::Node(*node), now);
+            let (spans, own) = told.unwrap_or_default();
+            for demand in own {
+                if let Some(sum) = sums.get_mut(&demand.service) {
+                    sum.take_off(demand, spans);
+                }
+            }
+            as_told(sums)
+        };
+        nodes.iter().map(without).collect()
     }
 
     /// What a source wants now, where a heartbeat has told that it wants the same servers as this node.
--- a/crates/cluster/src/large_fleet.rs
+++ b/crates/cluster/src/large_fleet.rs
@@ -70,7 +70,10 @@
             .map(|peer| node_number(&peer.name))
             .map(|number| (number, used.get(&number).map_or(&[][..], Vec::as_slice)))
             .collect();
-        for (peer, loads) in near.iter().zip(self.loads.sums_without(&numbers)) {
+        let all: Vec<u64> = numbers.iter().map(|(number, _)| *number).collect();
+        let sums = self.loads.sums_without(&numbers);
+        let sums = sums.into_iter().zip(self.loads.demand.sums_without(&all));
+        for (peer, (loads, demands)) in near.iter().zip(sums) {
             let message = match delegates.contains(&peer.name) {
                 // The other delegate sums up itself.
                 true => self.heartbeat(true, signs.clone()),
@@ -78,7 +81,7 @@
                     levels: self.quotas.levels_for(node_number(&peer.name)),
                     loads,
                     waiting: self.loads.waiting.sum_without(node_number(&peer.name)),
-                    demands: self.loads.demand.sum_without(node_number(&peer.name)),
+                    demands,
                     signs: signs.clone(),
                     evacuated: evacuated.clone(),
                     ..self.summary()
--- a/crates/ingress/src/admission.rs
+++ b/crates/ingress/src/admission.rs
@@ -7,14 +7,11 @@
 
 use crate::node::Node;
 use crate::outcome::ErrorKind;
-use crate::room::Coming;
+use crate::room::{Coming, SHORTEST_WAIT};
 
 /// Part of the time until there is credit again by which it is lengthened at random, so that callers that
 /// were refused together do not come back together.
 const SPREAD: f64 = 0.5;
-/// Shortest time after which a caller over its quota is asked to come back: what a new
-/// connection and a refusal take, several times over.
-const SHORTEST_WAIT: Duration = Duration::from_millis(50);
 
 /// A request that is not served, and why.
 #[derive(Debug)]
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -7,12 +7,12 @@
 use actix_web::http::header::CONTENT_TYPE;
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::{Bytes, BytesMut};
-use dappleyard_model::{Configuration, Endpoint, Homes, RouteKind};
+use dappleyard_model::{Endpoint, Homes, RouteKind};
 use futures::StreamExt;
 use futures::future::LocalBoxFuture;
 use http::HeaderMap;
 
-use crate::admission::{Refusal, caller_of_jobs, caller_of_route, known_as, take_credit};
+use crate::admission::{Refusal, caller_of_jobs, caller_of_route, take_credit};
 use crate::answer::{begin, copy_headers, refusal};
 use crate::attempt::{Ran, Upstreams};
 use crate::crashes::operators_call;
@@ -23,6 +23,7 @@
 use crate::node::{Node, UnderWay, UntilEnd};
 use crate::outcome::ErrorKind;
 use crate::placement::PromptShape;
+use crate::refusing::{give_back, refuse, without_route};
 use crate::relay;
 use crate::room::comes_again;
 use crate::shares::{enter_share, share_text};
@@ -238,11 +239,12 @@
         let refused = Refusal::new(ErrorKind::NoServer, "the route has no service");
         return refuse(&node, &facts.id, &refused);
     };
+    node.rooms.adopt(&configuration);
     let again = comes_again(&node, &route, &facts);
     if let Err(refused) = take_credit(&node, &configuration, &caller, &facts) {
         return refuse(&node, &facts.id, &refused);
     }
-    match enter_share(&node, &configuration, &caller, &service, &facts) {
+    match enter_share(&node, &configuration, &caller, &route, &service, &facts) {
         Ok(counted) => under_way.count(counted),
         Err(refused) => return refuse(&node, &facts.id, &refused),
     }
@@ -283,17 +285,6 @@
     serve(data.upstreams.clone(), request, under_way).await
 }
 
-/// Why a request has no route: there is none, or this node may not know of it yet.
-fn without_route(node: &Node, configuration: &Configuration) -> Refusal {
-    let age = node.view.configuration_age();
-    let in_force = Duration::from_millis(node.settings.bounds.config_apply_ms);
-    let kind = match age.is_some_and(|age| age < in_force) {
-        true => ErrorKind::NoRoute,
-        false => ErrorKind::ConfigurationOld,
-    };
-    Refusal::new(kind, known_as(node, configuration))
-}
-
 async fn serve(upstreams: Upstreams, mut request: Request, under_way: UnderWay) -> HttpResponse {
     let node = upstreams.node().clone();
     let until_end = UntilEnd::begin(&node, &request.facts.id);
@@ -335,13 +326,6 @@
     }
 }
 
-/// A request that did not run does not count against its tenant's quota.
-fn give_back(node: &Node, request: &Request) {
-    if let Some(tenant) = request.caller.tenant().filter(|_| request.ran == Ran::No) {
-        node.quotas.give_back(&tenant.name);
-    }
-}
-
 fn stream(
     upstreams: Upstreams,
     request: Request,
@@ -365,20 +349,6 @@
     }
 }
 
-fn refuse(node: &Arc<Node>, id: &str, refused: &Refusal) -> HttpResponse {
-    let kind = refused.kind;
-    let promised = matches!(kind.status(), 429 | 503);
-    Metrics::count(match promised {
-        true => &node.metrics.refused,
-        false => &node.metrics.failed,
-    });
-    node.log.write("request_refused", || {
-        serde_json::json!({"request": id, "kind": kind.to_string(), "status": kind.status(),
-            "detail": refused.detail, "retry_after_ms": refused.retry_after_ms})
-    });
-    refusal(node, refused)
-}
-
 async fn read_body(mut payload: web::Payload, limit: usize) -> Result<Bytes, ErrorKind> {
     let mut body = BytesMut::new();
     while let Some(piece) = payload.next().await {
--- a/crates/ingress/src/holding.rs
+++ b/crates/ingress/src/holding.rs
@@ -42,13 +42,13 @@
 }
 
 /// Age at which a request is due.
-pub(crate) fn is_due(patience: Duration) -> Duration {
+pub(crate) fn due_age(patience: Duration) -> Duration {
     patience.mul_f64(HELD_PART)
 }
 
 /// How a request of some age stands; `target` is the time to its first event.
 pub fn standing(age: Duration, target: Duration, patience: Duration) -> Standing {
-    if age >= is_due(patience) {
+    if age >= due_age(patience) {
         Standing::Due
     } else if age < target.mul_f64(FRESH_PART) {
         Standing::Fresh
--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -12,7 +12,7 @@
 use crate::cold::ColdGate;
 use crate::crashes::apart;
 use crate::dispatch::Request;
-use crate::holding::{Standing, standing};
+use crate::holding::{Standing, due_age, standing};
 use crate::homes::reached;
 use crate::metrics::Metrics;
 use crate::node::Node;
@@ -56,8 +56,10 @@
     request: &Request,
     begins: bool,
 ) -> Result<Placement, NoPlace> {
+    let sheds = upstreams.node().settings.load_shedding;
+    let begins = begins && !(sheds && room::goes_on(&request.route, &request.facts));
     if begins
-        && upstreams.node().settings.load_shedding
+        && sheds
         && let Some(found) = find_in_room(upstreams, request).await
     {
         return found;
@@ -84,7 +86,8 @@
                     log_placed(upstreams, request, &placement);
                     return Some(Ok(placement));
                 }
-                None if is_held_back(upstreams, request) => (HOLD_TICK, true),
+                // It waits for what a cold server bears, not for a slot.
+                None if !is_due(request) && is_held_back(upstreams, request) => (HOLD_TICK, false),
                 None => return Some(Err(NoPlace::NoServer)),
             },
         };
@@ -103,13 +106,16 @@
     }
 }
 
+/// Whether a request waits no longer for anything.
+fn is_due(request: &Request) -> bool {
+    let patience = Duration::from_millis(request.route.patience_ms);
+    request.arrived.elapsed() >= due_age(patience)
+}
+
 /// The same where every request is served, by its age.
 async fn find_by_age(upstreams: &Upstreams, request: &Request, begins: bool) -> Option<Placement> {
     let patience = Duration::from_millis(request.route.patience_ms);
-    let target = match request.route.target_ms {
-        0 => patience,
-        target_ms => Duration::from_millis(target_ms),
-    };
+    let target = request.route.first_event_target();
     loop {
         let standing = standing(request.arrived.elapsed(), target, patience);
         let Some(placement) = place(upstreams, request) else {
--- /dev/null
+++ b/crates/ingress/src/refusing.rs
@@ -0,0 +1,48 @@
+//! What a caller that is not served is told, and what is noted of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::HttpResponse;
+use dappleyard_model::Configuration;
+
+use crate::admission::{Refusal, known_as};
+use crate::answer::refusal;
+use crate::attempt::Ran;
+use crate::dispatch::Request;
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::outcome::ErrorKind;
+
+/// Why a request has no route: there is none, or this node may not know of it yet.
+pub(crate) fn without_route(node: &Node, configuration: &Configuration) -> Refusal {
+    let age = node.view.configuration_age();
+    let in_force = Duration::from_millis(node.settings.bounds.config_apply_ms);
+    let kind = match age.is_some_and(|age| age < in_force) {
+        true => ErrorKind::NoRoute,
+        false => ErrorKind::ConfigurationOld,
+    };
+    Refusal::new(kind, known_as(node, configuration))
+}
+
+/// A request that did not run does not count against its tenant's quota.
+pub(crate) fn give_back(node: &Node, request: &Request) {
+    if let Some(tenant) = request.caller.tenant().filter(|_| request.ran == Ran::No) {
+        node.quotas.give_back(&tenant.name);
+    }
+}
+
+/// Refuses a request, and counts and records it.
+pub(crate) fn refuse(node: &Arc<Node>, id: &str, refused: &Refusal) -> HttpResponse {
+    let kind = refused.kind;
+    let promised = matches!(kind.status(), 429 | 503);
+    Metrics::count(match promised {
+        true => &node.metrics.refused,
+        false => &node.metrics.failed,
+    });
+    node.log.write("request_refused", || {
+        serde_json::json!({"request": id, "kind": kind.to_string(), "status": kind.status(),
+            "detail": refused.detail, "retry_after_ms": refused.retry_after_ms})
+    });
+    refusal(node, refused)
+}
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -1,31 +1,33 @@
 //! What this node knows of the room of each service, and the one place at which a request asks for a part of it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
-use dappleyard_model::{Homes, RequestFacts, Route, ServerRecord, TenantName};
+use dappleyard_model::{Configuration, Homes, RequestFacts, Route, TenantName, Tenants};
 use dappleyard_room::{
-    Admission, Asking, CreditQueue, HoldTime, OBEYED_PART, Room, Trend, UsualDeadline, admit,
+    Admission, Asking, CreditQueue, Demand, HoldTime, OBEYED_PART, Room, Trend, UsualDeadline,
+    admit,
 };
 use parking_lot::Mutex;
-use rand::seq::IteratorRandom;
 
 use crate::attempt::Ran;
 use crate::dispatch::Request;
-use crate::holding::is_due;
-use crate::homes::reached;
+use crate::holding::due_age;
 use crate::metrics::Metrics;
 use crate::node::Node;
+use crate::open_slots::{OpenSlots, open_slots};
 
 /// Time for which a service's room holds once it was summed up: own work begun meanwhile is little.
 const ROOM_LIFE: Duration = Duration::from_millis(10);
-/// Servers that are looked at for it; of more, as many are drawn.
-const SERVERS_SUMMED: usize = 64;
+/// Shortest time after which a refused caller is asked to come back: what a new connection and a refusal take, several
+/// times over.
+pub(crate) const SHORTEST_WAIT: Duration = Duration::from_millis(50);
 /// Longest time after which a refused caller is asked to come back.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
-/// Time to the first event beside what the prompt takes, while nothing is known of the service.
+/// Time to the first event beside what the prompt takes.
 const FIRST_EVENT: Duration = Duration::from_millis(30);
 /// Prompt tokens that a server reads in a millisecond, a slow one.
 const TOKENS_PER_MS: f64 = 30.0;
@@ -33,6 +35,8 @@
 /// What is learned of room from this node's own requests. Locks are taken one at a time.
 #[derive(Default)]
 pub struct RoomTable {
+    /// Configuration whose names are kept.
+    version: AtomicU64,
     holds: Mutex<HashMap<String, HoldTime>>,
     deadlines: Mutex<HashMap<String, UsualDeadline>>,
     credit: Mutex<HashMap<TenantName, CreditQueue>>,
@@ -41,6 +45,39 @@
 }
 
 impl RoomTable {
+    /// Forgets routes, services and tenants that are in no configuration any more.
+    pub(crate) fn adopt(&self, configuration: &Configuration) {
+        let before = self.version.swap(configuration.version, Ordering::Relaxed);
+        if before == configuration.version {
+            return;
+        }
+        let routes: HashSet<&str> = configuration
+            .routes
+            .iter()
+            .map(|route| route.name.as_str())
+            .collect();
+        let services: HashSet<&str> = configuration
+            .services
+            .iter()
+            .map(|service| service.name.as_str())
+            .collect();
+        let tenants = configuration.tenants.iter().flat_map(Tenants::iter);
+        let tenants: HashSet<&TenantName> = tenants.map(|tenant| &tenant.name).collect();
+        self.deadlines
+            .lock()
+            .retain(|name, _| routes.contains(name.as_str()));
+        self.holds
+            .lock()
+            .retain(|name, _| services.contains(name.as_str()));
+        self.trends
+            .lock()
+            .retain(|name, _| services.contains(name.as_str()));
+        self.rooms
+            .lock()
+            .retain(|name, _| services.contains(name.as_str()));
+        self.credit.lock().retain(|name, _| tenants.contains(name));
+    }
+
     /// A request held a slot of a service for some time.
     pub(crate) fn note_hold(&self, service: &str, held: Duration) {
         let mut holds = self.holds.lock();
@@ -59,13 +96,14 @@
         let mut queues = self.credit.lock();
         let queue = queues.entry(tenant.clone()).or_default();
         let most = longest_return(facts);
-        queue.next(
+        let after = queue.next(
             coming.earliest,
             step,
             most,
             Instant::now(),
             &mut rand::rng(),
-        )
+        );
+        after.max(SHORTEST_WAIT)
     }
 
     fn trend_per_s(&self, service: &str, online: u32) -> f64 {
@@ -87,7 +125,7 @@
     pub(crate) earliest: Duration,
     /// Requests a second for which there is room then, over all nodes.
     pub(crate) per_s: f64,
-    /// Nodes that refuse requests of the tenant.
+    /// Nodes over which the tenant's callers are spread.
     pub(crate) nodes: usize,
 }
 
@@ -99,8 +137,16 @@
     left.mul_f64(OBEYED_PART).min(LONGEST_WAIT)
 }
 
+/// Whether a request takes a stream up of which its caller has had a part.
+pub(crate) fn goes_on(route: &Route, facts: &RequestFacts) -> bool {
+    route.resumable && facts.last_event_id.is_some()
+}
+
 /// Whether a request's caller was refused before, by the time that it gives.
 pub(crate) fn comes_again(node: &Node, route: &Route, facts: &RequestFacts) -> bool {
+    if goes_on(route, facts) {
+        return false;
+    }
     let Some(deadline_ms) = facts.deadline_ms.filter(|_| node.settings.load_shedding) else {
         return false;
     };
@@ -116,9 +162,6 @@
 
 /// Room of the service that serves a request; `None` where nothing is known of others' work or no server answers.
 fn room_of(node: &Node, request: &Request) -> Option<Arc<Room>> {
-    if node.peers.count() * 2 < node.peers.expected() {
-        return None;
-    }
     let bound = request.homes.bind();
     if !bound
         && let Some((at, room)) = node.rooms.rooms.lock().get(&request.service)
@@ -126,6 +169,9 @@
     {
         return Some(room.clone());
     }
+    if node.peers.count() * 2 < node.peers.expected() {
+        return None;
+    }
     let room = Arc::new(sum_up(node, &request.service, &request.homes)?);
     if !bound {
         let held = (Instant::now(), room.clone());
@@ -138,31 +184,19 @@
 }
 
 fn sum_up(node: &Node, service: &str, homes: &Homes) -> Option<Room> {
-    let servers = node.view.servers(service);
-    let places = &node.settings.places;
-    let allowed = |server: &&Arc<ServerRecord>| homes.allow(&server.zone, places);
-    let all = reached(&servers, homes, node).filter(allowed).count();
-    let some = reached(&servers, homes, node)
-        .filter(allowed)
-        .choose_multiple(&mut rand::rng(), SERVERS_SUMMED);
-    let part = some.len().max(1) as f64 / all.max(1) as f64;
-    let (mut slots, mut online) = (0, 0);
-    for server in some {
-        let load = node.loads.summary(&server.id);
-        if !load.suspect {
-            slots += server.slots;
-            online += load.online;
-        }
-    }
-    let whole = |count: u32| (f64::from(count) / part).round() as u32;
-    let demand = node.loads.demand.total(service);
-    let online = whole(online);
+    let OpenSlots { slots, online } = open_slots(node, &node.view.servers(service), homes);
+    // What waits is told within a region.
+    let told_here = homes.allow(&node.settings.zone, &node.settings.places);
+    let demand = match told_here {
+        true => node.loads.demand.pressure_on(service),
+        false => Demand::default(),
+    };
     let trend_per_s = match homes.bind() {
         true => 0.0,
         false => node.rooms.trend_per_s(service, online),
     };
     (slots > 0).then(|| Room {
-        slots: whole(slots),
+        slots,
         online,
         trend_per_s,
         waiting: demand.waiting,
@@ -185,17 +219,14 @@
 fn asking(request: &Request, waits: bool) -> Asking {
     let route = &request.route;
     let patience = Duration::from_millis(route.patience_ms);
-    let target = match route.target_ms {
-        0 => patience,
-        target_ms => Duration::from_millis(target_ms),
-    };
+    let target = route.first_event_target();
     let prompt = Duration::from_secs_f64(f64::from(request.shape.tokens) / TOKENS_PER_MS / 1_000.0);
     Asking {
         age: request.arrived.elapsed(),
         target,
         first_event: FIRST_EVENT + prompt,
         left: request.caller_left(),
-        most_wait: is_due(patience),
+        most_wait: due_age(patience),
         again: request.again,
         failed: !request.asked.is_empty(),
         refusable: request.ran == Ran::No,
--- a/crates/ingress/src/shares.rs
+++ b/crates/ingress/src/shares.rs
@@ -9,8 +9,10 @@
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
-use dappleyard_cluster::{ServerSet, Work};
-use dappleyard_model::{Configuration, RateLimit, RequestFacts, Tenant, TenantName, Tenants};
+use dappleyard_cluster::Work;
+use dappleyard_model::{
+    Configuration, Homes, RateLimit, RequestFacts, Route, Tenant, TenantName, Tenants,
+};
 use dappleyard_room::{Claim, Demand, OverShare, Shares, TenantWork};
 use dappleyard_tenants::{Caller, tenant_number};
 use parking_lot::Mutex;
@@ -18,8 +20,9 @@
 use crate::admission::Refusal;
 use crate::metrics::{Metrics, NAMED_TENANTS};
 use crate::node::Node;
+use crate::open_slots::{OpenSlots, open_slots};
 use crate::outcome::ErrorKind;
-use crate::room::Coming;
+use crate::room::{Coming, SHORTEST_WAIT, goes_on};
 
 /// Time for which a look at servers and counts is used again: news of them come as often.
 const LOOK_LIFE: Duration = Duration::from_millis(25);
@@ -138,16 +141,20 @@
     node: &Arc<Node>,
     configuration: &Configuration,
     caller: &Caller,
+    route: &Route,
     service: &str,
     facts: &RequestFacts,
 ) -> Result<Option<Counted>, Refusal> {
-    if !node.settings.load_shedding || *caller == Caller::Untold {
+    let shared = node.settings.load_shedding && !goes_on(route, facts);
+    if !shared || *caller == Caller::Untold {
         return Ok(None);
     }
     // Callers without a key share what one tenant gets.
     let number = tenant_number(caller.tenant_name());
     refresh(node, configuration, service);
-    if let Err(over) = node.shares.admit(service, number, rand::random()) {
+    // The queue of a tenant's refused callers spreads them itself.
+    let point = caller.tenant().map_or_else(rand::random, |_| 0.0);
+    if let Err(over) = node.shares.admit(service, number, point) {
         return Err(refuse(node, caller, &over, facts));
     }
     Ok(Some(Counted {
@@ -174,7 +181,10 @@
             let after = node.rooms.come_back_after(&tenant.name, coming, facts);
             (format!("tenant {}", tenant.name), after)
         }
-        None => ("callers without a key".to_owned(), over.come_back),
+        None => {
+            let after = over.come_back.max(SHORTEST_WAIT);
+            ("callers without a key".to_owned(), after)
+        }
     };
     Refusal {
         kind: ErrorKind::OverShare,
@@ -189,7 +199,8 @@
     if node.shares.is_fresh(service, now) {
         return;
     }
-    let (slots, online) = open_slots(node, &node.view.servers(service));
+    let OpenSlots { slots, online } =
+        open_slots(node, &node.view.servers(service), &Homes::default());
     let demand = node.loads.demand.total(service);
     let seen = Seen {
         slots,
@@ -199,30 +210,6 @@
     node.shares.note(configuration, service, &seen, now);
 }
 
-/// Slots of a service at servers that answer, and online requests there. In a large fleet the servers that the node uses
-/// stand for all, so that a look costs the same however many there are.
-fn open_slots(node: &Node, servers: &ServerSet) -> (u32, u32) {
-    let (mut listed, mut open, mut online) = (0.0, 0.0, 0.0);
-    for server in &servers.used {
-        let load = node.loads.summary(&server.id);
-        listed += f64::from(server.slots);
-        if !load.suspect {
-            open += f64::from(server.slots);
-            online += f64::from(load.online);
-        }
-    }
-    let all: u64 = servers
-        .all
-        .iter()
-        .map(|server| u64::from(server.slots))
-        .sum();
-    let scale = match listed > 0.0 {
-        true => all as f64 / listed,
-        false => 0.0,
-    };
-    ((open * scale) as u32, (online * scale) as u32)
-}
-
 impl ShareTable {
     fn is_fresh(&self, service: &str, now: Instant) -> bool {
         let state = self.state.lock();
@@ -244,7 +231,9 @@
             weight: state.weights.of(work.tenant),
         };
         let claims: Vec<Claim> = tenants.clone().map(claim).collect();
-        let told: u32 = claims.iter().map(|claim| claim.requests).sum();
+        let told = claims
+            .iter()
+            .fold(0, |sum: u32, claim| sum.saturating_add(claim.requests));
         let look = Look {
             at: now,
             shares: Shares::new(&claims, seen.online.saturating_sub(told), seen.slots),
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -1,5 +1,7 @@
 //! The operators' configuration: routes, services, tenants and limits of one version.
 
+use std::time::Duration;
+
 use crate::place::RegionName;
 use crate::tenant::Tenants;
 
@@ -72,6 +74,14 @@
         }
     }
 
+    /// Time within which the first event is on time; its caller's patience where the route names none.
+    pub fn first_event_target(&self) -> Duration {
+        match self.target_ms {
+            0 => Duration::from_millis(self.patience_ms),
+            target_ms => Duration::from_millis(target_ms),
+        }
+    }
+
     /// Chooses a service by weight; `point` is uniform over all values.
     pub fn pick_service(&self, point: u32) -> Option<&str> {
         let total: u64 = self
--- a/crates/room/src/admission.rs
+++ b/crates/room/src/admission.rs
@@ -79,7 +79,9 @@
     /// Age until which a slot is of use for a first event in time.
     fn latest(&self) -> Duration {
         let by_target = self.target.mul_f64(SLOT_PART);
-        by_target.saturating_sub(self.first_event)
+        // However long the prompt, it may wait as long as others do.
+        let shortest = self.target.mul_f64(ANSWER_PART);
+        by_target.saturating_sub(self.first_event).max(shortest)
     }
 
     /// Age at which it waits no longer for a slot in time.
--- a/crates/room/src/deadlines.rs
+++ b/crates/room/src/deadlines.rs
@@ -9,10 +9,10 @@
 
 /// Deadlines count for one to two spans of this length.
 const SPAN: Duration = Duration::from_secs(10);
-/// Part of the usual deadline that is missing from a request that comes again, at least: the shortest wait that
+/// Time that is missing from the usual deadline in a request that comes again, at least: nearly the shortest wait that
 /// callers are told, and more than two readings of a clock differ.
-const LEAST_SPENT: f64 = 0.008;
-/// The same at most. A caller that has less time left asks with a deadline of its own.
+const LEAST_SPENT: Duration = Duration::from_millis(40);
+/// Part of the usual deadline that is missing at most. A caller that has less time left asks with a deadline of its own.
 const MOST_SPENT: f64 = 0.5;
 
 /// Longest deadline of a route lately.
@@ -30,7 +30,7 @@
         self.now = self.now.max(deadline);
         let usual = self.now.max(self.before);
         let spent = usual.saturating_sub(deadline);
-        let bounds = usual.mul_f64(LEAST_SPENT)..usual.mul_f64(MOST_SPENT);
+        let bounds = LEAST_SPENT..usual.mul_f64(MOST_SPENT);
         bounds.contains(&spent)
     }
 
--- a/crates/room/src/demand.rs
+++ b/crates/room/src/demand.rs
@@ -55,14 +55,7 @@
 
     /// Adds what others want, told some whole spans ago.
     pub fn add(&mut self, other: &Demand, spans_ago: usize) {
-        self.waiting = self.waiting.saturating_add(other.waiting);
-        let due = other.returns.iter().take(SPANS).skip(spans_ago);
-        for (span, requests) in due.enumerate() {
-            if self.returns.len() <= span {
-                self.returns.push(0);
-            }
-            self.returns[span] = self.returns[span].saturating_add(*requests);
-        }
+        self.add_pressure(other, spans_ago);
         for work in &other.tenants {
             let place = self
                 .tenants
@@ -77,6 +70,36 @@
         }
     }
 
+    /// Adds what others want, but for whose it is.
+    pub fn add_pressure(&mut self, other: &Demand, spans_ago: usize) {
+        self.waiting = self.waiting.saturating_add(other.waiting);
+        let due = other.returns.iter().take(SPANS).skip(spans_ago);
+        for (span, requests) in due.enumerate() {
+            if self.returns.len() <= span {
+                self.returns.push(0);
+            }
+            self.returns[span] = self.returns[span].saturating_add(*requests);
+        }
+    }
+
+    /// Takes off what was added of another one before.
+    pub fn take_off(&mut self, other: &Demand, spans_ago: usize) {
+        self.waiting = self.waiting.saturating_sub(other.waiting);
+        let due = other.returns.iter().take(SPANS).skip(spans_ago);
+        for (held, requests) in self.returns.iter_mut().zip(due) {
+            *held = held.saturating_sub(*requests);
+        }
+        for work in &other.tenants {
+            let held = self.tenants.iter_mut();
+            let held = held.filter(|held| held.tenant == work.tenant);
+            held.for_each(|held| held.requests = held.requests.saturating_sub(work.requests));
+        }
+        self.tenants.retain(|held| held.requests > 0);
+        while self.returns.last() == Some(&0) {
+            self.returns.pop();
+        }
+    }
+
     /// Keeps the tenants with the most work, so that the message stays short.
     pub fn keep_busiest(&mut self, most: usize) {
         if self.tenants.len() <= most {
--- a/crates/room/src/room.rs
+++ b/crates/room/src/room.rs
@@ -51,7 +51,8 @@
 
     /// Time until a request that comes now gets a slot, when it comes behind all that wait.
     pub fn wait(&self) -> Duration {
-        let ahead = (self.online + self.waiting + 1).saturating_sub(self.slots);
+        let all = self.online.saturating_add(self.waiting).saturating_add(1);
+        let ahead = all.saturating_sub(self.slots);
         match self.slots {
             0 => Duration::MAX,
             _ => Duration::from_secs_f64(f64::from(ahead) / self.ends_per_s()),
@@ -87,6 +88,7 @@
     /// are not all promised; in none such, late, when the load may be over. Spans fill up by chance, so that nodes
     /// that have not heard of each other's promises yet do not all fill the same one.
     pub fn return_after(&self, most: Duration, random: &mut impl Rng) -> Duration {
+        let most = most.min(SPAN * SPANS as u32);
         let kept = self.ends_per_s() * RETURNS_PART * SPAN.as_secs_f64();
         let spans = (most.as_secs_f64() / SPAN.as_secs_f64()) as usize;
         let open = (1..spans.min(SPANS)).find(|span| {
--- a/crates/room/tests/admission.rs
+++ b/crates/room/tests/admission.rs
@@ -4,7 +4,7 @@
 
 use dappleyard_clock::Instant;
 use dappleyard_room::{
-    Admission, Asking, CreditQueue, HoldTime, Room, Trend, UsualDeadline, admit,
+    Admission, Asking, CreditQueue, HoldTime, Room, SPAN, SPANS, Trend, UsualDeadline, admit,
 };
 use googletest::prelude::*;
 use rand::SeedableRng;
@@ -206,3 +206,23 @@
     // There is no credit for the rest while they wait.
     expect_that!(times[11..], each(all![ge(&ms(500)), le(&ms(1_000))]));
 }
+
+#[gtest]
+fn long_prompts_wait_too() {
+    let long = Asking {
+        first_event: ms(400),
+        ..asking(20)
+    };
+    let [served, waiting, refused] = counts(&room(50, 5), &long);
+    expect_that!(served + waiting, gt(0));
+    expect_that!(refused, eq(0));
+}
+
+#[gtest]
+fn returns_within_the_schedule() {
+    let mut full = room(90, 40);
+    full.returns = vec![1_000; SPANS];
+    let mut random = random();
+    let after = full.return_after(ms(20_000), &mut random);
+    expect_that!(after, le(SPAN * SPANS as u32));
+}
--- a/crates/room/tests/demand.rs
+++ b/crates/room/tests/demand.rs
@@ -51,3 +51,24 @@
     schedule.note(Duration::from_secs(60), late);
     expect_that!(schedule.due(late), len(eq(SPANS)));
 }
+
+#[gtest]
+fn taken_off() {
+    let one = Demand {
+        service: 7,
+        waiting: 2,
+        returns: vec![0, 4],
+        tenants: vec![work(1, 3)],
+    };
+    let other = Demand {
+        service: 7,
+        waiting: 1,
+        returns: vec![2],
+        tenants: vec![work(1, 1), work(4, 8)],
+    };
+    let mut sum = Demand::of(7);
+    sum.add(&one, 0);
+    sum.add(&other, 0);
+    sum.take_off(&one, 0);
+    expect_that!(sum, eq(&other));
+}
--- a/crates/tenants/src/account.rs
+++ b/crates/tenants/src/account.rs
@@ -136,7 +136,8 @@
     /// Time until there is credit for one request.
     fn until_credit(&self) -> Duration {
         let missing = (1.0 - self.level).max(0.0);
-        Duration::try_from_secs_f64(missing / self.refill.per_s).unwrap_or(LONGEST_WAIT)
+        Duration::try_from_secs_f64(missing / self.refill.per_s)
+            .map_or(LONGEST_WAIT, |wait| wait.min(LONGEST_WAIT))
     }
 }
 
