--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -150,7 +150,12 @@
     let Some(deadline_ms) = facts.deadline_ms.filter(|_| node.settings.load_shedding) else {
         return false;
     };
-    let deadline = Duration::from_millis(deadline_ms);
+    // A caller that would wait longer than the route allows makes none of the others seem to come again.
+    let longest_ms = match route.timeout_ms {
+        0 => u64::MAX,
+        timeout_ms => timeout_ms,
+    };
+    let deadline = Duration::from_millis(deadline_ms.min(longest_ms));
     let mut deadlines = node.rooms.deadlines.lock();
     let usual = deadlines.entry(route.name.clone()).or_default();
     let again = usual.note(deadline, Instant::now());
