A request whose time is over while it waits for a slot goes to no server

Where requests wait by their age, nobody looked at the deadline: a request with 300 ms left waited 1.2 s at a full server and was then sent with none. On an idle machine its server ran it long after its caller had left (200); on a busy one the caller got 504, may have run, for a request that no server had seen. Now it waits no longer than its deadline and is refused as expired before it ran. platform/tests/holding.rs out_of_time: 200 and 2 requests at the server before, 503 and none now.

--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -111,12 +111,17 @@
         target_ms => Duration::from_millis(target_ms),
     };
     loop {
+        let remaining = request.remaining();
+        if remaining.is_zero() {
+            // Nothing is sent any more, and the caller may be told so.
+            return None;
+        }
         let standing = standing(request.arrived.elapsed(), target, patience);
         let Some(placement) = place(upstreams, request) else {
             if standing == Standing::Due || !is_held_back(upstreams, request) {
                 return None;
             }
-            tokio::time::sleep(HOLD_TICK).await;
+            tokio::time::sleep(HOLD_TICK.min(remaining)).await;
             continue;
         };
         // A server without work takes a request from anybody.
@@ -129,7 +134,7 @@
         }
         // Not all at the same time: each would see the same free slot.
         let pause = HOLD_TICK.mul_f64(rand::random_range(0.5..1.5));
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(pause.min(remaining)).await;
     }
 }
 
