Jobs: idle slow servers take items; urgent items begin beside waiting requests

Spare slots at a slow server followed its pace without a bound: idle servers of 2, 4 and 8 slots at a pace of 8 took no item (test slow_but_idle: 0, 0, 0 before, 1, 2, 4 now). At most half of the slots stay free.

Urgent items were counted over all services of one node and weighed against the room of all nodes; they are counted by service and scaled to all nodes (WaitingItems::over_all).

Services and turns go by the same route. A request held back for a cold server no longer counts as waiting for a slot.

--- a/crates/cluster/src/loads.rs
+++ b/crates/cluster/src/loads.rs
@@ -104,8 +104,9 @@
     }
 
     /// Items that this node pauses at a server so that no online request waits behind batch
-    /// work. All nodes see the same loads and come to shares that add up.
-    pub fn pause_share(&self, server: &str, slots: u32, own: u64) -> u32 {
+    /// work. `keep` is the work, online and batch, that may stay there: the slots of the server, or fewer where
+    /// items leave for requests that wait. All nodes see the same loads and come to shares that add up.
+    pub fn pause_share(&self, server: &str, keep: u32, own: u64) -> u32 {
         let now = Instant::now();
         let number = server_number(server);
         let mut servers = self.servers.lock();
@@ -113,7 +114,7 @@
             return 0;
         };
         let summary = loads.summary(now);
-        let over = (summary.online + summary.batch).saturating_sub(slots);
+        let over = (summary.online + summary.batch).saturating_sub(keep);
         if loads.is_summed() {
             return loads.share_of_sum(over, summary.batch);
         }
--- a/crates/cluster/src/waiting.rs
+++ b/crates/cluster/src/waiting.rs
@@ -41,6 +41,13 @@
         self.ended.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// How many items over all nodes a part of this node's own stands for, when the others' are like its own.
+    pub fn over_all(&self, own_part: u32) -> u32 {
+        let own = u64::from(self.own()).max(1);
+        let total = own + u64::from(self.sum(|_| true));
+        u32::try_from(u64::from(own_part) * total / own).unwrap_or(u32::MAX)
+    }
+
     /// Items that wait at one other node.
     pub fn set_others(&self, node: u64, items: u32) {
         self.set_source(Source::Node(node), items);
--- a/crates/cluster/tests/waiting.rs
+++ b/crates/cluster/tests/waiting.rs
@@ -51,6 +51,19 @@
     expect_that!(starts(&mut allowance), eq(10));
 }
 
+#[gtest]
+fn part_over_all() {
+    let table = LoadTable::default();
+    expect_that!(table.waiting.over_all(0), eq(0));
+    table.waiting.set_own(30);
+    expect_that!(table.waiting.over_all(7), eq(7));
+    table.waiting.set_others(node_number("b"), 60);
+    expect_that!(
+        [0, 1, 7].map(|part| table.waiting.over_all(part)),
+        eq([0, 3, 21])
+    );
+}
+
 #[gtest]
 fn own_ends() {
     let table = Arc::new(LoadTable::default());
--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -84,7 +84,8 @@
                     log_placed(upstreams, request, &placement);
                     return Some(Ok(placement));
                 }
-                None if is_held_back(upstreams, request) => (HOLD_TICK, true),
+                // It waits for a server to get warm, and not for a slot.
+                None if is_held_back(upstreams, request) => (HOLD_TICK, false),
                 None => return Some(Err(NoPlace::NoServer)),
             },
         };
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use dappleyard_crashes::{Fingerprint, RequestParts};
-use dappleyard_model::{Row, StoreError, Transaction};
+use dappleyard_model::{Configuration, Route, RouteKind, Row, StoreError, Transaction};
 use http::Method;
 use prost::Message;
 
@@ -130,6 +130,16 @@
 }
 
 impl OwnedState {
+    /// The route by which an item is sent; `None` when no batch route takes it any more.
+    pub(crate) fn route<'a>(
+        &self,
+        configuration: &'a Configuration,
+        item: &Item,
+    ) -> Option<&'a Route> {
+        let route = configuration.route(&self.row.host, &item.stored.path);
+        route.filter(|route| route.kind == RouteKind::Batch)
+    }
+
     /// Whether there is anything to commit.
     pub(crate) fn has_news(&self) -> bool {
         !self.finished.is_empty() || self.is_save_due()
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -24,6 +24,8 @@
 /// The same for any other node: that an owner has fallen silent shows after 0.7 to 2.5 s, and most nodes of a large fleet own
 /// no job.
 const IDLE_TICK: Duration = Duration::from_millis(300);
+/// Least time between two looks for requests that wait: loads of others are told no sooner, and each look goes over all items.
+const LEAST_GAP: Duration = Duration::from_millis(20);
 /// Time between two looks from which this node counts as paused.
 const LONGEST_GAP: Duration = Duration::from_millis(500);
 
@@ -83,7 +85,7 @@
                 () = self.table.changed(self.tick()) => {}
                 () = self.wake.notified() => {}
                 () = self.node.loads.pressed() => {}
-                () = self.node.loads.demand.pressed() => {}
+                () = self.demand_pressed(), if self.has_items() => {}
             }
             if self.stopping.get() {
                 return;
@@ -98,6 +100,18 @@
         }
     }
 
+    /// Whether this node runs jobs, whose items may be in the way of online requests.
+    fn has_items(&self) -> bool {
+        !self.owned.borrow().is_empty()
+    }
+
+    /// Waits until requests begin to wait for a slot, and a moment has passed since the last look.
+    async fn demand_pressed(&self) {
+        self.node.loads.demand.pressed().await;
+        let rest = LEAST_GAP.saturating_sub(self.last_look.get().elapsed());
+        tokio::time::sleep(rest).await;
+    }
+
     /// Longest time until the next look.
     fn tick(&self) -> Duration {
         let idle = self.owned.borrow().is_empty() && self.suspected.borrow().is_empty();
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -1,6 +1,6 @@
 //! Starts items where servers have room, in the order of their ranks.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -8,7 +8,7 @@
 use dappleyard_clock::Instant;
 use dappleyard_crashes::{Fingerprint, Permit};
 use dappleyard_ingress::{apart, reached};
-use dappleyard_model::{Configuration, Homes, Route, RouteKind, ServerRecord};
+use dappleyard_model::{Configuration, Homes, Route, ServerRecord};
 
 use crate::give_up::{give_up, is_over};
 use crate::order::{Rank, rank};
@@ -23,6 +23,8 @@
     job: Rc<OwnedJob>,
     index: usize,
     route: Route,
+    /// The service that is asked.
+    service: String,
     rank: Rank,
     avoid: Option<String>,
     last: Option<String>,
@@ -52,14 +54,15 @@
         loads
             .waiting
             .set_own(u32::try_from(waiting.len()).unwrap_or(u32::MAX));
-        let mut refreshed: HashSet<String> = HashSet::new();
+        let urgent = urgent_by_service(&waiting);
+        // Items that may begin now at each service.
+        let mut rooms: HashMap<String, u32> = HashMap::new();
         // A service without room, such as one whose zones are evacuated, holds up no other one.
         let mut full: HashSet<String> = HashSet::new();
-        let urgent = waiting.iter().filter(|turn| turn.urgent).count() as u32;
         let mut held_back = 0;
         for turn in waiting {
-            let service = turn.route.pick_service(rand::random()).unwrap_or_default();
-            if self.is_closed(service) {
+            let service = turn.service.as_str();
+            if !turn.urgent && self.is_closed(service) {
                 held_back += 1;
                 continue;
             }
@@ -68,15 +71,19 @@
             }
             let mut allowances = self.allowances.borrow_mut();
             let allowance = allowances.entry(service.to_owned()).or_default();
-            if refreshed.insert(service.to_owned()) {
-                let room = self.paced_room(service, urgent);
+            let room = rooms.entry(service.to_owned()).or_insert_with(|| {
+                let urgent = urgent.get(service).copied().unwrap_or(0);
+                let room = self.paced_room(service, loads.waiting.over_all(urgent));
                 allowance.refresh(&loads.waiting, room, rand::random());
-            }
+                room
+            });
             // An item that waits for its home says nothing of the others' room, and takes nothing of it.
             if turn.homes.bind() && self.pick(service, &turn).is_none() {
                 continue;
             }
-            let may_start = allowance.take();
+            // Starts that are left from before say nothing of what came since.
+            let may_start = *room > 0 && allowance.take();
+            *room -= u32::from(may_start);
             drop(allowances);
             let server = may_start.then(|| self.pick(service, &turn)).flatten();
             let Some(server) = server else {
@@ -89,14 +96,15 @@
         gauge.store(held_back, Ordering::Relaxed);
     }
 
-    /// Whether no item may begin at a service, since online requests wait for it.
+    /// Whether no item may begin at a service but those that are urgent, since online requests need it.
     fn is_closed(&self, service: &str) -> bool {
         let services = self.services.borrow();
         let held = services.get(service);
         held.is_some_and(|held| held.yielding.is_closed())
     }
 
-    /// Items that a service still takes, at the pace at which they come back behind online requests.
+    /// Items that a service still takes, at the pace at which they come back behind online requests; `urgent` ones,
+    /// over all nodes, need not keep to it.
     fn paced_room(&self, service: &str, urgent: u32) -> u32 {
         let room = self.room_at(service);
         let services = self.services.borrow();
@@ -126,10 +134,7 @@
             if item.progress == Progress::Finished {
                 continue;
             }
-            let route = configuration
-                .route(&state.row.host, &item.stored.path)
-                .filter(|route| route.kind == RouteKind::Batch);
-            let Some(route) = route else {
+            let Some(route) = state.route(configuration, item) else {
                 over = Some("the route is gone");
                 break;
             };
@@ -152,6 +157,10 @@
                 job: job.clone(),
                 index,
                 route: route.clone(),
+                service: route
+                    .pick_service(rand::random())
+                    .unwrap_or_default()
+                    .to_owned(),
                 homes: self.homes(route, &state.row.tenant),
                 rank: rank(state.row.due_ms, needs_ms, now_ms, priority),
                 urgent: is_urgent(state.row.due_ms, needs_ms, now_ms),
@@ -235,3 +244,12 @@
         open.find(|server| server.id == chosen).cloned()
     }
 }
+
+/// Items of this node that must begin now, by the service that they ask.
+fn urgent_by_service(turns: &[Turn]) -> HashMap<String, u32> {
+    let mut urgent: HashMap<String, u32> = HashMap::new();
+    for turn in turns.iter().filter(|turn| turn.urgent) {
+        *urgent.entry(turn.service.clone()).or_default() += 1;
+    }
+    urgent
+}
--- a/crates/jobs/src/service_loads.rs
+++ b/crates/jobs/src/service_loads.rs
@@ -1,12 +1,13 @@
 //! What this node knows of the services that its jobs ask for, and whether these are closed to items.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
 use dappleyard_ingress::Metrics;
-use dappleyard_model::{Configuration, Route};
+use dappleyard_model::Configuration;
 
+use crate::owned::Progress;
 use crate::runner::Runner;
 use crate::width::takes_items;
 use crate::yielding::{Change, ServiceLoad, Yielding, spread};
@@ -32,7 +33,8 @@
     let item_time = Duration::from_millis(runner.estimate.get().remaining_ms(0));
     let mut services = runner.services.borrow_mut();
     let asked = asked_services(runner, &configuration);
-    services.retain(|name, _| asked.contains(name));
+    // A job may come a moment after the last one ended.
+    services.retain(|name, view| asked.contains(name) || view.yielding.is_recent(now));
     for name in asked {
         let view = services.entry(name.clone()).or_default();
         (view.load, view.to_leave) = load_of(runner, &name);
@@ -45,18 +47,16 @@
 
 /// Services that may serve items of this node's jobs.
 fn asked_services(runner: &Runner, configuration: &Configuration) -> Vec<String> {
-    let owned = runner.owned.borrow();
-    let routes = owned
-        .values()
-        .filter_map(|job| configuration.route_named(&job.state.borrow().row.route));
-    let names = |route: &Route| -> Vec<String> {
-        let targets = route.targets.iter();
-        targets.map(|target| target.service.clone()).collect()
-    };
-    let mut asked: Vec<String> = routes.flat_map(names).collect();
-    asked.sort();
-    asked.dedup();
-    asked
+    let mut asked: BTreeSet<&str> = BTreeSet::new();
+    for job in runner.owned.borrow().values() {
+        let state = job.state.borrow();
+        let items = state.items.iter();
+        let unfinished = items.filter(|item| item.progress != Progress::Finished);
+        let routes = unfinished.filter_map(|item| state.route(configuration, item));
+        let targets = routes.flat_map(|route| &route.targets);
+        asked.extend(targets.map(|target| target.service.as_str()));
+    }
+    asked.into_iter().map(str::to_owned).collect()
 }
 
 /// Load of a service over all nodes, and how many items are to leave each server.
--- a/crates/jobs/src/width.rs
+++ b/crates/jobs/src/width.rs
@@ -43,8 +43,10 @@
         return 0;
     }
     // The next online request waits the longer for a slot here, the longer work takes.
-    let spare = f64::from(SPARE_SLOTS) * load.lasting_pace.times().max(1.0);
-    slots.saturating_sub(load.online + load.batch + spare.round() as u32)
+    let slower = f64::from(SPARE_SLOTS) * load.lasting_pace.times().max(1.0);
+    // A server without work takes items at any pace: there may be no other one.
+    let spare = (slower.round() as u32).min(slots / 2).max(SPARE_SLOTS);
+    slots.saturating_sub(load.online + load.batch + spare)
 }
 
 /// The servers among which an item is placed: those of the own region while any of them has room, else all.
--- a/crates/jobs/src/yielding.rs
+++ b/crates/jobs/src/yielding.rs
@@ -4,8 +4,10 @@
 //! Were items begun in each slot that is free for a moment, most would be cut a moment later and begun again elsewhere,
 //! and each cut is a prompt to be read again and a slot that a caller waits for.
 //!
-//! So a service closes to items at the first online request that waits, and stays closed until none has waited for a
-//! moment. Then items come back in steps, over a part of the time that one item takes, so that a wave that returns at
+//! So a service closes to items at the first online request that waits, and also when more refused requests are expected
+//! back than slots are free, or when online requests and items fill every slot: the next request would wait. It stays
+//! closed until nothing of this has held for a moment. An item that must begin now to be in time begins also while the
+//! service is closed, in a free slot beyond those for the requests that wait or are expected back. Then items come back in steps, over a part of the time that one item takes, so that a wave that returns at
 //! once finds most slots free, and so that the items do not all end at the same time.
 //!
 //! Every node decides for itself by what all nodes told of their demand and loads; nothing is agreed. A node that hears
@@ -43,12 +45,17 @@
 }
 
 impl ServiceLoad {
-    /// Whether online work needs slots that are not free.
+    /// Whether online work needs slots that are not free, or would with the next request.
     fn is_pressed(&self) -> bool {
         let full = self.online > 0 && self.online + self.batch >= self.slots;
         self.waiting > 0 || self.returning > self.free || full
     }
 
+    /// Free slots beyond those for online requests that wait or are expected back.
+    fn left_over(&self) -> u32 {
+        self.free.saturating_sub(self.waiting + self.returning)
+    }
+
     /// Items that are to leave beside those at servers with more work than slots: a request that waits takes a free
     /// slot first.
     pub fn to_leave(&self) -> u32 {
@@ -59,7 +66,7 @@
 /// How a service turned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
-    /// No item begins from now on.
+    /// No item begins from now on but those that are urgent.
     Closed,
     /// Items begin again, after so long.
     Opened(Duration),
@@ -91,10 +98,7 @@
         item_time: Duration,
         now: Instant,
     ) -> Option<Change> {
-        let unseen = self
-            .seen_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= STATE_LIFE);
-        if unseen {
+        if !self.is_recent(now) {
             *self = Self::default();
         }
         self.seen_at = Some(now);
@@ -128,18 +132,25 @@
         Change::Opened(now.saturating_duration_since(since))
     }
 
-    /// Whether no item may begin.
+    /// Whether no item may begin but those that are urgent.
     pub fn is_closed(&self) -> bool {
         self.closed_since.is_some()
     }
 
-    /// Items that may begin, over all nodes. So many of them as are urgent need not keep to the pace.
+    /// Whether what was seen of the service tells anything yet.
+    pub fn is_recent(&self, now: Instant) -> bool {
+        let seen_at = self.seen_at;
+        seen_at.is_some_and(|at| now.saturating_duration_since(at) < STATE_LIFE)
+    }
+
+    /// Items that may begin, over all nodes. So many of them as are `urgent`, over all nodes too, need not keep to the
+    /// pace; while the service is closed, only these begin.
     pub fn room(&self, load: &ServiceLoad, urgent: u32, now: Instant) -> u32 {
-        if self.is_closed() {
-            return 0;
-        }
-        let free = load.free.saturating_sub(load.returning);
-        free.min(self.by_pace(load, now).max(urgent))
+        let by_pace = match self.is_closed() {
+            true => 0,
+            false => self.by_pace(load, now),
+        };
+        load.left_over().min(by_pace.max(urgent))
     }
 
     /// Items that may begin by the pace at which they come back.
--- a/crates/jobs/tests/pure.rs
+++ b/crates/jobs/tests/pure.rs
@@ -220,6 +220,16 @@
     );
 }
 
+#[gtest]
+fn slow_but_idle() {
+    // Small servers of any pace take some items, or those of a service of slow servers would wait for ever.
+    let idle = LoadSummary {
+        lasting_pace: Pace::of_percent(800).unwrap_or_default(),
+        ..load(0, 0)
+    };
+    expect_that!([2, 4, 8].map(|slots| room(slots, &idle)), eq([1, 2, 4]));
+}
+
 #[gtest]
 fn items_go_where_work_is_fast() {
     let at = |id, batch, percent| ServerRoom {
