--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -95,6 +95,7 @@
         metrics: Arc::new(Metrics::default()),
         leaving: Arc::new(AtomicBool::new(false)),
         under_way: AtomicU64::new(0),
+        kept_bytes: AtomicU64::new(0),
         shares: ShareTable::default(),
         last_request: Mutex::new(Instant::now()),
         settings,
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -159,7 +159,7 @@
     HttpResponse::Ok()
         .insert_header((CONTENT_TYPE, "text/plain; version=0.0.4"))
         .body(
-            node.metrics.text() + &tenant_text(&node.quotas) + &share_text(node) + &zone_text(node),
+            node.metrics_text() + &tenant_text(&node.quotas) + &share_text(node) + &zone_text(node),
         )
 }
 
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -54,7 +54,8 @@
 pub use placement::{
     Candidate, PromptShape, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
-pub use read_ahead::{Bound, KeptBounds};
+pub use read_ahead::{Bound, Chunks, KeptBounds, LONGEST_STOP, ReadAhead};
+pub use relay::Cut;
 pub use room::RoomTable;
 pub use shares::ShareTable;
 pub use zone_care::watch_zones;
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -69,8 +69,6 @@
     pub items_left_region: AtomicU64,
     /// Items that went back to wait after a run broke.
     pub items_again: AtomicU64,
-    /// Bytes of answers that are kept now for callers who have not read them.
-    pub answers_kept_bytes: AtomicU64,
     /// Answers that were ended since their callers did not read them.
     pub answers_unread: AtomicU64,
     /// Runs of items that were paused for online requests.
@@ -125,8 +123,8 @@
             .fetch_add(time_ms, Ordering::Relaxed);
     }
 
-    /// The figures in the Prometheus text format.
-    pub fn text(&self) -> String {
+    /// The figures in the Prometheus text format, and the bytes of answers that the node keeps.
+    pub fn text(&self, answers_kept_bytes: u64) -> String {
         let counters = [
             ("requests", &self.requests),
             ("served", &self.served),
@@ -159,11 +157,12 @@
             ("returns_seen", &self.returns_seen),
             ("returns_refused", &self.returns_refused),
         ];
+        let kept = AtomicU64::new(answers_kept_bytes);
         let gauges = [
             ("servers_cold", &self.servers_cold),
             ("servers_temperature_unknown", &self.servers_unknown),
             ("items_held_back", &self.items_held_back),
-            ("answers_kept_bytes", &self.answers_kept_bytes),
+            ("answers_kept_bytes", &kept),
         ];
         let mut text = String::new();
         for (name, gauge) in gauges {
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -55,11 +55,18 @@
     pub leaving: Arc<AtomicBool>,
     /// Requests of callers under way.
     pub under_way: AtomicU64,
+    /// Bytes of answers that are kept now for callers who have not read them.
+    pub kept_bytes: AtomicU64,
     /// When the last request of a caller came.
     pub last_request: Mutex<Instant>,
 }
 
 impl Node {
+    /// Its figures in the Prometheus text format.
+    pub fn metrics_text(&self) -> String {
+        self.metrics.text(self.kept_bytes.load(Ordering::Relaxed))
+    }
+
     /// Whether the node says that it takes requests.
     pub fn is_ready(&self) -> bool {
         self.view.is_ready() && !self.is_leaving()
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -15,7 +15,7 @@
 use crate::node::{UnderWay, UntilEnd};
 use crate::outcome::ErrorKind;
 use crate::patience::Patience;
-use crate::read_ahead::ReadAhead;
+use crate::read_ahead::{ReadAhead, Stopped};
 use dappleyard_clock::Instant;
 
 /// Silence of a server after which a stream is taken up elsewhere.
@@ -35,8 +35,9 @@
     until_end: UntilEnd,
 ) -> impl Stream<Item = Result<Bytes, Cut>> {
     let (node, id) = (upstreams.node().clone(), request.facts.id.clone());
-    let relay = Relay::new(upstreams, request, begun);
-    let ahead = ReadAhead::start(node, id, relay.into_pieces());
+    let stopped = Stopped::default();
+    let relay = Relay::new(upstreams, request, begun, stopped.clone());
+    let ahead = ReadAhead::start(node, id, stopped, relay.into_pieces());
     async_stream::stream! {
         let _under_way = under_way;
         loop {
@@ -64,6 +65,8 @@
     begun: Option<Begun>,
     splitter: EventSplitter,
     pauses: AnswerPauses,
+    /// The answer was not read for a time.
+    stopped: Stopped,
     last_event: Option<u64>,
     events: u64,
     /// When the present run brought its first event.
@@ -74,7 +77,7 @@
 }
 
 impl Relay {
-    fn new(upstreams: Upstreams, request: Request, begun: Begun) -> Self {
+    fn new(upstreams: Upstreams, request: Request, begun: Begun, stopped: Stopped) -> Self {
         let last_event = request.facts.last_event_id;
         Self {
             upstreams,
@@ -82,6 +85,7 @@
             begun: Some(begun),
             splitter: EventSplitter::default(),
             pauses: AnswerPauses::default(),
+            stopped,
             last_event,
             events: 0,
             output_since: None,
@@ -147,7 +151,9 @@
         };
         let node = upstreams.node();
         node.loads.heard(&server.id);
-        if self.events > 0 && piece.is_some() {
+        // What has lain during a stop tells nothing of the server.
+        let has_lain = self.stopped.take();
+        if self.events > 0 && piece.is_some() && !has_lain {
             let (service, pause) = (&self.request.service, since.elapsed());
             node.times.note_pause(service, pause);
             if let Some(pause) = self.pauses.note(pause) {
--- a/crates/ingress/tests/read_ahead.rs
+++ b/crates/ingress/tests/read_ahead.rs
@@ -1,6 +1,6 @@
 //! Bounds of what is kept for callers who do not read.
 
-use dappleyard_ingress::{Bound, KeptBounds};
+use dappleyard_ingress::{Bound, Chunks, KeptBounds};
 use dappleyard_model::Resources;
 use googletest::prelude::*;
 
@@ -41,3 +41,50 @@
     let bounds = bounds(120);
     expect_that!(bounds.reached(0, 2 * bounds.node_bytes), none());
 }
+
+/// Bytes of which each tells its place.
+fn bytes(length: usize) -> Vec<u8> {
+    (0..length).map(|place| (place % 251) as u8).collect()
+}
+
+#[gtest]
+fn in_order() {
+    let sent = bytes(200_001);
+    for piece in [1, 700, 16_384, 200_001] {
+        let mut chunks = Chunks::default();
+        sent.chunks(piece).for_each(|piece| chunks.push(piece));
+        expect_that!(chunks.held_bytes(), ge(sent.len()));
+        let taken: Vec<u8> = std::iter::from_fn(|| chunks.take()).flatten().collect();
+        expect_that!(taken == sent, eq(true), "pieces of {piece}");
+        expect_that!(chunks.held_bytes(), eq(0));
+    }
+}
+
+#[gtest]
+fn all_but_a_byte() {
+    let sent = bytes(200_001);
+    let mut chunks = Chunks::default();
+    sent.chunks(1_000).for_each(|piece| chunks.push(piece));
+    let mut left = sent.len();
+    let info = allocation_counter::measure(|| {
+        while left > 16 * 1024 {
+            left -= chunks.take().map_or(0, |piece| piece.len());
+        }
+    });
+    // What was taken is let go at once, and counted no more.
+    let freed = u64::try_from(-info.bytes_current).unwrap_or(0);
+    expect_that!(freed, ge((sent.len() - left) as u64));
+    expect_that!(chunks.held_bytes(), all!(ge(left), le(32 * 1024)));
+}
+
+#[gtest]
+fn counted_as_held() {
+    let sent = bytes(100_000);
+    let mut chunks = Chunks::default();
+    let info = allocation_counter::measure(|| {
+        sent.chunks(1_000).for_each(|piece| chunks.push(piece));
+    });
+    // Beside the bytes there is only the list of the chunks.
+    let taken = usize::try_from(info.bytes_current).unwrap_or(0);
+    expect_that!(chunks.held_bytes(), all!(le(taken), ge(taken - 1_024)));
+}
