Held back by cold servers: not counted as waiting, nor taken off; items weigh the demand by the servers that the node uses

Found in review, by reading: a request that cold servers hold back closed its service to items, and was taken off the requests that wait though it was not among them; a node that uses a part of a large service's servers set the demand of the whole fleet against their slots.

--- a/crates/ingress/src/placing.rs
+++ b/crates/ingress/src/placing.rs
@@ -19,7 +19,7 @@
 use crate::placement::{
     Candidate, choose, has_slot, home, is_sound, mean_over, sample, within_reach,
 };
-use crate::room;
+use crate::room::{self, Looks};
 
 /// Servers that are asked for one request, those that did not run it included.
 const MOST_ASKED: usize = 6;
@@ -75,9 +75,9 @@
 ) -> Option<Result<Placement, NoPlace>> {
     let node = upstreams.node();
     let mut waiting = None;
-    let mut waits = false;
+    let mut looks = Looks::default();
     loop {
-        let admission = room::ask(node, request, waits)?;
+        let admission = room::ask(node, request, looks)?;
         let (look, counted) = match admission {
             Admission::Refuse { retry_after } => return Some(Err(NoPlace::NoRoom { retry_after })),
             Admission::Wait { look, counted } => (look, counted),
@@ -91,10 +91,13 @@
                 None => return Some(Err(NoPlace::NoServer)),
             },
         };
-        if !waits {
+        if !looks.before {
             Metrics::count(&node.metrics.room_waits);
         }
-        waits = true;
+        looks = Looks {
+            before: true,
+            counted,
+        };
         waiting = match counted {
             true => waiting.or_else(|| Some(node.loads.demand.wait(&request.service))),
             false => None,
--- a/crates/ingress/src/room.rs
+++ b/crates/ingress/src/room.rs
@@ -210,10 +210,19 @@
     })
 }
 
+/// What a request has done for a slot so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Looks {
+    /// It has looked for a slot before.
+    pub(crate) before: bool,
+    /// It is counted among those that wait for one.
+    pub(crate) counted: bool,
+}
+
 /// Decides about a request at one look; `None` where this node knows too little to do so.
-pub(crate) fn ask(node: &Node, request: &Request, waits: bool) -> Option<Admission> {
+pub(crate) fn ask(node: &Node, request: &Request, looks: Looks) -> Option<Admission> {
     let room = room_of(node, request)?;
-    let asking = asking(request, waits);
+    let asking = asking(request, looks);
     let admission = admit(&room, &asking, &mut rand::rng());
     if let Admission::Refuse { retry_after } = admission {
         note_refused(node, request, &room, &asking, retry_after);
@@ -221,7 +230,7 @@
     Some(admission)
 }
 
-fn asking(request: &Request, waits: bool) -> Asking {
+fn asking(request: &Request, looks: Looks) -> Asking {
     let route = &request.route;
     let patience = Duration::from_millis(route.patience_ms);
     let target = route.first_event_target();
@@ -235,7 +244,8 @@
         again: request.again,
         failed: !request.asked.is_empty(),
         refusable: request.ran == Ran::No,
-        waits,
+        waits: looks.before,
+        counted: looks.counted,
     }
 }
 
--- a/crates/jobs/src/service_loads.rs
+++ b/crates/jobs/src/service_loads.rs
@@ -59,15 +59,18 @@
     asked.into_iter().map(str::to_owned).collect()
 }
 
-/// Load of a service over all nodes, and how many items are to leave each server.
+/// Load of the servers of a service that this node uses, over all nodes, and how many items are to leave each server.
 fn load_of(runner: &Runner, service: &str) -> (ServiceLoad, HashMap<String, u32>) {
-    let demand = runner.node.loads.demand.total(service);
+    let demand = runner.node.loads.demand.pressure_on(service);
+    let servers = runner.node.view.servers(service);
+    // Demand is told of the whole fleet; it falls on the servers that this node uses by their part of all.
+    let part = servers.used.len() as f64 / servers.all.len().max(1) as f64;
+    let here = |requests: u32| (f64::from(requests) * part).ceil() as u32;
     let mut total = ServiceLoad {
-        waiting: demand.waiting,
-        returning: demand.returns.iter().sum(),
+        waiting: here(demand.waiting),
+        returning: here(demand.returns.iter().sum()),
         ..ServiceLoad::default()
     };
-    let servers = runner.node.view.servers(service);
     let mut items: Vec<(&str, u32)> = Vec::new();
     for server in &servers.used {
         let load = runner.node.loads.summary(&server.id);
--- a/crates/room/src/admission.rs
+++ b/crates/room/src/admission.rs
@@ -54,6 +54,8 @@
     pub refusable: bool,
     /// It has looked for a slot before.
     pub waits: bool,
+    /// It is counted among those that wait.
+    pub counted: bool,
 }
 
 /// What becomes of a request now.
@@ -124,7 +126,7 @@
 
 /// Free slots beyond the other requests that wait for one.
 fn spare(room: &Room, asking: &Asking) -> f64 {
-    let itself = u32::from(asking.waits && !asking.again);
+    let itself = u32::from(asking.counted);
     let others = room.waiting.saturating_sub(itself);
     f64::from(room.slots) - f64::from(room.online) - f64::from(others)
 }
--- a/crates/room/tests/admission.rs
+++ b/crates/room/tests/admission.rs
@@ -41,6 +41,7 @@
         failed: false,
         refusable: true,
         waits: age_ms > 0,
+        counted: age_ms > 0,
     }
 }
 
--- a/crates/room/tests/room.rs
+++ b/crates/room/tests/room.rs
@@ -154,6 +154,7 @@
                 failed: false,
                 refusable: true,
                 waits: call.waits,
+                counted: call.counted,
             };
             now.waiting -= u32::from(call.counted);
             call.counted = false;
