Tables are read whole without a gap: partitions are listed after the page whose revision is followed from

Partitions were listed first, and the revision to follow from was that of the first page read after it; a partition that began in between was in neither. Nodes register in one partition a zone, and each job is a partition. Before: a_partition_that_begins_meanwhile finds a and not b; after: both. One more call of the store for each node that reads a table whole.

--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -176,49 +176,56 @@
     pause.mul_f64(rand::random_range(0.5..1.5))
 }
 
+/// Reads a table whole. The revision to follow from is that of the first page. So partitions are listed after that page:
+/// one that begins later is a change behind that revision, and one that began before is among them.
 async fn read_whole(
     store: &dyn RowStore,
     sink: &dyn TableSink,
     known: u64,
 ) -> Result<u64, StoreError> {
-    let parts = match sink.is_partitioned() {
-        true => store.parts(sink.table()).await?,
-        false => vec![String::new()],
-    };
     let mut rows = Vec::new();
-    let mut oldest: Option<(u64, u64)> = None;
-    // A table without partitions has nothing to read but still a revision to follow from.
-    let parts = match parts.is_empty() {
-        true => vec![String::new()],
-        false => parts,
-    };
-    for part in parts {
-        let mut from = String::new();
-        loop {
-            let page = read_page(store, sink.table(), &part, &from).await?;
-            if page.revision < known {
-                return Err(StoreError::Unavailable {
-                    reason: format!("read at {} is older than {known}", page.revision),
-                });
-            }
-            oldest = oldest.or(Some((page.revision, page.now_ms)));
-            let last = page.rows.last().map(|row| format!("{}\u{1}", row.key));
-            rows.extend(page.rows.into_iter().map(|row| Row {
-                part: part.clone(),
-                ..row
-            }));
-            match last {
-                Some(last) if page.more => from = last,
-                _ => break,
-            }
+    let first = read_part(store, sink.table(), "", known, &mut rows).await?;
+    if sink.is_partitioned() {
+        let parts = store.parts(sink.table()).await?;
+        for part in parts.iter().filter(|part| !part.is_empty()) {
+            read_part(store, sink.table(), part, known, &mut rows).await?;
+        }
+    }
+    sink.replace(rows, first.revision);
+    sink.contact(&first);
+    Ok(first.revision)
+}
+
+/// Reads the rows of one partition; what the store said with the first page.
+async fn read_part(
+    store: &dyn RowStore,
+    table: &'static str,
+    part: &str,
+    known: u64,
+    rows: &mut Vec<Row>,
+) -> Result<Contact, StoreError> {
+    let mut first = None;
+    let mut from = String::new();
+    loop {
+        let page = read_page(store, table, part, &from).await?;
+        if page.revision < known {
+            return Err(StoreError::Unavailable {
+                reason: format!("read at {} is older than {known}", page.revision),
+            });
+        }
+        let contact = *first.get_or_insert(Contact {
+            revision: page.revision,
+            now_ms: page.now_ms,
+            age: Duration::ZERO,
+        });
+        let last = page.rows.last().map(|row| format!("{}\u{1}", row.key));
+        rows.extend(page.rows.into_iter().map(|row| Row {
+            part: part.to_owned(),
+            ..row
+        }));
+        match last {
+            Some(last) if page.more => from = last,
+            _ => return Ok(contact),
         }
     }
-    let (revision, now_ms) = oldest.unwrap_or((known, 0));
-    sink.replace(rows, revision);
-    sink.contact(&Contact {
-        revision,
-        now_ms,
-        age: Duration::ZERO,
-    });
-    Ok(revision)
 }
--- a/crates/cluster/tests/follow.rs
+++ b/crates/cluster/tests/follow.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use dappleyard_clock::Instant;
 use dappleyard_cluster::{Contact, TableSink, follow};
 use dappleyard_emulator::EmulatedRows;
-use dappleyard_model::{EventLog, Row};
+use dappleyard_model::{Committed, EventLog, Feed, Row, RowStore, Rows, StoreError, Transaction};
 use googletest::prelude::*;
 
 const TABLE: &str = "things";
@@ -20,6 +21,7 @@
     newest: Cell<u64>,
     went_back: Cell<bool>,
     pace: Cell<Duration>,
+    partitioned: Cell<bool>,
 }
 
 impl TableSink for Sink {
@@ -28,7 +30,7 @@
     }
 
     fn is_partitioned(&self) -> bool {
-        false
+        self.partitioned.get()
     }
 
     fn pace(&self) -> Duration {
@@ -162,3 +164,55 @@
         expect_that!(sink.newest.get(), eq(400));
     });
 }
+
+/// A store in which a partition begins right after the partitions were listed.
+struct BeginsAfterListing(EmulatedRows);
+
+#[async_trait(?Send)]
+impl RowStore for BeginsAfterListing {
+    async fn transact(&self, transaction: &Transaction) -> Result<Committed, StoreError> {
+        self.0.transact(transaction).await
+    }
+
+    async fn read(
+        &self,
+        table: &'static str,
+        part: &str,
+        from: &str,
+        to: &str,
+        limit: usize,
+    ) -> Result<Rows, StoreError> {
+        self.0.read(table, part, from, to, limit).await
+    }
+
+    async fn parts(&self, table: &'static str) -> Result<Vec<String>, StoreError> {
+        let parts = self.0.parts(table).await;
+        self.0.write(table, "new", "b", "1");
+        parts
+    }
+
+    async fn feed(
+        &self,
+        table: &'static str,
+        after: u64,
+        wait_ms: u64,
+    ) -> Result<Feed, StoreError> {
+        self.0.feed(table, after, wait_ms).await
+    }
+}
+
+#[gtest]
+fn a_partition_that_begins_meanwhile() {
+    in_virtual_time(async {
+        let rows = EmulatedRows::default();
+        rows.write(TABLE, "old", "a", "1");
+        let sink = Rc::new(Sink::default());
+        sink.partitioned.set(true);
+        let (store, followed) = (BeginsAfterListing(rows), sink.clone());
+        tokio::task::spawn_local(async move {
+            follow(&store, followed.as_ref(), &EventLog::silent()).await;
+        });
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        expect_that!(keys(&sink), elements_are![eq("a"), eq("b")]);
+    });
+}
