--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::cold::ColdGate;
 use crate::crashes::Broken;
 use crate::metrics::Metrics;
-use crate::outcome::ErrorKind;
+use crate::outcome::{ErrorKind, promises_not_run};
 use crate::patience::Patience;
 use crate::placement::PromptShape;
 use crate::placing::{NoPlace, Placement, find_place};
@@ -214,6 +214,10 @@
         }
         work.prompt_read();
         match hold_failure(upstreams, request, exchange).await {
+            // The server did not say that it has not run the request, so its caller is not told so.
+            Some(failed) if promises_not_run(failed.status) => {
+                return Dispatched::GaveUp(request.give_up());
+            }
             Some(failed) => return Dispatched::Failed(failed),
             None => continue,
         }
--- a/crates/ingress/src/outcome.rs
+++ b/crates/ingress/src/outcome.rs
@@ -76,6 +76,11 @@
     NoJob,
 }
 
+/// Whether a status promises that the request did not and will not run.
+pub(crate) fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 impl ErrorKind {
     /// Status of the answer. 429 and 503 promise that the request did not and will not run.
     pub fn status(self) -> u16 {
--- a/crates/ingress/src/refusing.rs
+++ b/crates/ingress/src/refusing.rs
@@ -12,7 +12,7 @@
 use crate::dispatch::Request;
 use crate::metrics::Metrics;
 use crate::node::Node;
-use crate::outcome::ErrorKind;
+use crate::outcome::{ErrorKind, promises_not_run};
 
 /// Why a request has no route: there is none, or this node may not know of it yet.
 pub(crate) fn without_route(node: &Node, configuration: &Configuration) -> Refusal {
@@ -35,7 +35,7 @@
 /// Refuses a request, and counts and records it.
 pub(crate) fn refuse(node: &Arc<Node>, id: &str, refused: &Refusal) -> HttpResponse {
     let kind = refused.kind;
-    let promised = matches!(kind.status(), 429 | 503);
+    let promised = promises_not_run(kind.status());
     Metrics::count(match promised {
         true => &node.metrics.refused,
         false => &node.metrics.failed,
