--- a/crates/cluster/src/server_digest.rs
+++ b/crates/cluster/src/server_digest.rs
@@ -34,6 +34,9 @@
     /// Why the entry is invalid; the other fields are then empty.
     #[prost(string, tag = "8")]
     refused: String,
+    /// Empty if it is unknown; earlier versions of this program leave it out.
+    #[prost(string, tag = "9")]
+    version: String,
 }
 
 /// A parsed entry: a server, or why the entry is invalid.
@@ -61,6 +64,9 @@
             draining: server.draining,
             cold_left_ms: server.cold_left_ms,
             refused: String::new(),
+            version: server
+                .version
+                .map_or_else(String::new, |version| version.to_string()),
         },
         Err(refused) => ServerDigest {
             refused,
@@ -96,6 +102,7 @@
         service: digest.service,
         address,
         zone: digest.zone,
+        version: digest.version.parse().ok(),
         slots: digest.slots,
         draining: digest.draining,
         cold_left_ms: digest.cold_left_ms,
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_model::{Configuration, EventLog, Row, ServerRecord};
+use dappleyard_model::{Configuration, EventLog, Row, ServerRecord, SoftwareVersion};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -297,8 +297,10 @@
                 Some(server) if server.draining => "draining",
                 Some(_) => "ready",
             };
+            let version = server.and_then(|server| server.version.as_ref());
             serde_json::json!({"server": row.key, "state": state, "revision": row.revision,
-                "address": server.map(|server| server.address.to_string())})
+                "address": server.map(|server| server.address.to_string()),
+                "version": version.map(SoftwareVersion::as_str)})
         });
     }
 }
--- a/crates/cluster/tests/regions.rs
+++ b/crates/cluster/tests/regions.rs
@@ -34,6 +34,7 @@
         service: "llm".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: zones[number % zones.len()].to_owned(),
+        version: "v1".parse().ok(),
         slots: 8,
         draining: false,
         cold_left_ms: 0,
--- a/crates/cluster/tests/scale.rs
+++ b/crates/cluster/tests/scale.rs
@@ -99,6 +99,7 @@
         service: "llm".to_owned(),
         address: ([10, 1, 0, 1], 8_000).into(),
         zone: ZONES[number % ZONES.len()].to_owned(),
+        version: "v1".parse().ok(),
         slots: 8,
         draining: false,
         cold_left_ms: 0,
--- a/crates/cluster/tests/waiting.rs
+++ b/crates/cluster/tests/waiting.rs
@@ -17,6 +17,7 @@
         service: "llm".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "north".to_owned(),
+        version: "v1".parse().ok(),
         slots: 8,
         draining: false,
         cold_left_ms: 0,
--- a/crates/ingress/benches/online.rs
+++ b/crates/ingress/benches/online.rs
@@ -18,6 +18,7 @@
         service: "llm".to_owned(),
         address: ([10, 0, 0, 1], 8_000).into(),
         zone: ["north", "south", "west"][number % 3].to_owned(),
+        version: "v1".parse().ok(),
         slots: 17,
         draining: false,
         cold_left_ms: 0,
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -14,7 +14,7 @@
 
 use crate::admission::{Refusal, caller_of_jobs, caller_of_route, charge_quota};
 use crate::attempt::{Ran, Upstreams};
-use crate::capacity::detect_retry;
+use crate::capacity::{detect_retry, is_resumption};
 use crate::crashes::operator_call;
 use crate::dispatch::{Dispatched, Request, Started, dispatch, is_event_route};
 use crate::error_kind::ErrorKind;
@@ -243,6 +243,13 @@
         return refuse(&node, &facts.id, &refused);
     };
     node.capacities.adopt(&configuration);
+    if is_resumption(&route, &facts) {
+        Metrics::count(&node.metrics.resumptions);
+        node.log.write("resumption", || {
+            serde_json::json!({"request": facts.id, "route": route.name,
+                "resumes": facts.resumes, "after_event": facts.last_event_id})
+        });
+    }
     let is_retry = detect_retry(&node, &route, &facts);
     if let Err(refused) = charge_quota(&node, &configuration, &caller, &facts) {
         return refuse(&node, &facts.id, &refused);
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -53,6 +53,8 @@
     pub left_region: AtomicU64,
     /// Streams resumed at another server.
     pub resumed: AtomicU64,
+    /// Streams that clients asked to resume.
+    pub resumptions: AtomicU64,
     pub connections: AtomicU64,
     pub jobs_accepted: AtomicU64,
     /// Jobs taken over from other nodes.
@@ -127,6 +129,7 @@
             ("attempts_failed", &self.attempts_failed),
             ("left_region", &self.left_region),
             ("resumed", &self.resumed),
+            ("resumptions", &self.resumptions),
             ("connections", &self.connections),
             ("jobs_accepted", &self.jobs_accepted),
             ("jobs_claimed", &self.jobs_claimed),
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dappleyard_model::SoftwareVersion;
 use derive_more::{Display, Error};
 use futures::Stream;
 
@@ -232,9 +233,10 @@
         let failed = self.started.take();
         // Discards an incomplete event, which the other server sends again.
         self.splitter.rest();
-        let mut server = None;
+        let (mut server, mut version) = (None, None);
         if let Some(started) = failed {
             let failed_server = started.exchange.server;
+            version = failed_server.version.clone();
             let interrupted_run = InterruptedRun {
                 error: &error,
                 output_duration: self.output_since.map(|since| since.elapsed()),
@@ -249,6 +251,7 @@
         }
         node.log.write("stream_broke", || {
             serde_json::json!({"request": self.request.facts.id, "server": server,
+                "version": version.as_ref().map(SoftwareVersion::as_str),
                 "fingerprint": self.request.fingerprint.short(), "cause": error.reason, "after_event": self.last_event,
                 "events": self.events, "runs": self.request.runs,
                 "resumable": self.request.route.resumable})
--- a/crates/ingress/src/server_selection.rs
+++ b/crates/ingress/src/server_selection.rs
@@ -6,7 +6,7 @@
 
 use dappleyard_cluster::LoadSummary;
 use dappleyard_crashes::Permit;
-use dappleyard_model::{Distance, ServerRecord};
+use dappleyard_model::{Distance, ServerRecord, SoftwareVersion};
 use dappleyard_room::Admission;
 
 use crate::attempt::Upstreams;
@@ -170,6 +170,7 @@
     upstreams.node().log.write("placed", || {
         serde_json::json!({"request": request.facts.id, "route": request.route.name,
             "tenant": request.caller.tenant_name(), "server": server,
+            "version": placement.server.version.as_ref().map(SoftwareVersion::as_str),
             "distance": distance.to_string(),
             "again": request.is_retry, "candidates": placement.candidates, "kept": placement.cached,
             "online": load.online, "batch": load.batch,
--- a/crates/ingress/tests/events_and_placement.rs
+++ b/crates/ingress/tests/events_and_placement.rs
@@ -18,6 +18,7 @@
         service: "llm".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: zone.to_owned(),
+        version: "v1".parse().ok(),
         slots: 4,
         draining: false,
         cold_left_ms: 0,
--- a/crates/ingress/tests/regions.rs
+++ b/crates/ingress/tests/regions.rs
@@ -25,6 +25,7 @@
             service: "llm".to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
             zone: zone.to_owned(),
+            version: "v1".parse().ok(),
             slots: 8,
             draining: false,
             cold_left_ms: 0,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -10,7 +10,7 @@
 use dappleyard_ingress::{
     Attempt, AttemptError, EventSplitter, Exchange, InterruptedRun, Metrics, Ran, SilenceLimits,
 };
-use dappleyard_model::{Distance, Route, ServerRecord, TenantHeader};
+use dappleyard_model::{Distance, Route, ServerRecord, SoftwareVersion, TenantHeader};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
@@ -366,6 +366,7 @@
     }
     runner.node.log.write("item_run", || {
         serde_json::json!({"job": job.job, "item": item.stored.id, "server": server.id,
+            "version": server.version.as_ref().map(SoftwareVersion::as_str),
             "distance": distance.to_string(), "epoch": state.row.epoch, "status": status, "cause": cause, "runs": item.runs,
             "failures": item.failures, "events": item.events, "outcome": outcome})
     });
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod request;
 pub mod rows;
 pub mod settings;
+pub mod software_version;
 pub mod tenant;
 
 pub use configuration::{Configuration, Route, RouteKind, Service, Target, TrafficLimits};
@@ -29,4 +30,5 @@
     Bounds, ColdBounds, FailureTolerance, Listen, NodeSettings, QuotaBounds, Resources,
     StoreSettings,
 };
+pub use software_version::{ParseSoftwareVersionError, SoftwareVersion};
 pub use tenant::{DuplicateKey, KeyDigest, RateLimit, Tenant, TenantName, Tenants};
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 
+use crate::software_version::SoftwareVersion;
 use crate::tenant::KeyDigest;
 
 /// Part of a prompt that requests may share, used for prefix caching.
@@ -30,6 +31,8 @@
     pub tokens_out: u32,
     /// Event after which the caller wants to resume the stream.
     pub last_event_id: Option<u64>,
+    /// Attempt that brought the first event of the stream that the caller wants to resume.
+    pub resumes: Option<String>,
     /// Long-poll wait for new results.
     pub wait_ms: u64,
     /// Digest of the caller's API key.
@@ -79,6 +82,8 @@
     /// Listen address.
     pub address: SocketAddr,
     pub zone: String,
+    /// `None` if it is unknown, as in records of nodes that run an earlier version of this program.
+    pub version: Option<SoftwareVersion>,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// It is shutting down and takes no new work.
