--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -7,4 +7,6 @@
 mod server;
 
 pub use rows::{EmulatedRows, RowFault};
-pub use server::{EmulatedServer, Reply, ServerEvent, event_text, numbered_events};
+pub use server::{
+    EmulatedServer, Reply, ServerEvent, event_text, numbered_events, versioned_events,
+};
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -14,6 +14,9 @@
 pub enum Reply {
     /// Sends bytes; `{id}` is replaced by the request identifier.
     Send(String),
+    /// Sends a whole chunked answer with the events up to `to`, from the one after `Last-Event-Id`. The data of an event
+    /// names the server's software version.
+    Stream { version: &'static str, to: u64 },
     /// Waits. Ends the connection if the peer disconnects, and the wait if the peer sends a byte.
     Pause(Duration),
     /// Sends nothing until the peer disconnects or sends a byte, or an hour has passed, and closes the
@@ -86,6 +89,23 @@
     format!("id: {number}\ndata: token-{number}\n\n")
 }
 
+/// Text of the events numbered `from` to `to` as a server of the given software version writes them.
+pub fn versioned_events(version: &str, from: u64, to: u64) -> String {
+    let events = from..=to;
+    events
+        .map(|number| format!("id: {number}\ndata: {version}-{number}\n\n"))
+        .collect()
+}
+
+/// A whole chunked answer with these events.
+fn stream_response(id: &str, events: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Dappleyard-Request-Id: {id}\r\nX-Dappleyard-Response-Seal: seal\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{events}\r\n0\r\n\r\n",
+        events.len()
+    )
+}
+
 impl EmulatedServer {
     /// Starts a server on a free port; `id_header` names the header with the request identifier.
     pub async fn start(id_header: &str) -> std::io::Result<Self> {
@@ -191,6 +211,9 @@
                 return Ok(());
             };
             let id = header(&head, &self.id_header).unwrap_or_default();
+            let last_event = header(&head, "last-event-id")
+                .and_then(|text| text.parse::<u64>().ok())
+                .unwrap_or(0);
             let reply = {
                 let mut state = self.state.lock();
                 let reply_to_body = state
@@ -210,6 +233,11 @@
                             .write_all(text.replace("{id}", &id).as_bytes())
                             .await?;
                     }
+                    Reply::Stream { version, to } => {
+                        let events = versioned_events(version, last_event + 1, to);
+                        let response = stream_response(&id, &events);
+                        stream.write_all(response.as_bytes()).await?;
+                    }
                     Reply::Pause(time) => {
                         if self.disconnected_within(&mut stream, time).await {
                             return Ok(());
