--- a/crates/cluster/src/eligibility.rs
+++ b/crates/cluster/src/eligibility.rs
@@ -20,4 +20,7 @@
     /// The server is outside the regions in which the request may be served.
     #[display("outside home regions")]
     OutsideHomes,
+    /// The server runs another software version than the one that began the run.
+    #[display("other software version")]
+    OtherVersion,
 }
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_model::{Configuration, EventLog, Row, ServerRecord, SoftwareVersion};
+use dappleyard_model::{
+    Configuration, EventLog, Row, RunOrigin, ServerRecord, SoftwareVersion, may_run_at,
+};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -139,6 +141,15 @@
         }
     }
 
+    /// Whether a run may continue at a server as it is listed now. Its software version may have
+    /// changed since it was selected.
+    pub fn may_run_at(&self, origin: Option<&RunOrigin>, id: &str) -> bool {
+        let known = self.known.lock();
+        known
+            .server(id)
+            .is_some_and(|server| may_run_at(origin, server))
+    }
+
     /// Whether a server that was not draining has been replaced by another run with its name or
     /// address.
     pub fn is_replaced(&self, server: &ServerRecord) -> bool {
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dappleyard_model::{HomeRegions, ResponseMetadata, ServerHeaders, ServerRecord, TenantHeader};
+use dappleyard_cluster::Exclusion;
+use dappleyard_model::{
+    HomeRegions, ResponseMetadata, RunOrigin, ServerHeaders, ServerRecord, TenantHeader,
+};
 use dappleyard_upstream::{
     BodyFraming, Connection, ExchangeError, IdleLimit, Pool, ResponseHead, Stage, request_bytes,
 };
@@ -104,6 +107,8 @@
     pub remaining_ms: Option<u64>,
     /// Last event the client received; the server resumes after it.
     pub last_event_id: Option<u64>,
+    /// Where the run began whose output the caller or this node holds.
+    pub origin: Option<&'a RunOrigin>,
     pub tenant: TenantHeader<'a>,
     /// Regions that may serve the request.
     pub homes: &'a HomeRegions,
@@ -172,13 +177,7 @@
         Metrics::count(&self.node.metrics.attempts);
         let request = self.request(server, attempt);
         let mut connection = self.connect(server).await?;
-        // The server may have been excluded while the connection was opened.
-        let known_exclusion = self.node.view.exclusion(&server.id);
-        let known_exclusion = known_exclusion
-            .or_else(|| home_regions::check_exclusion(&self.node, server, attempt.homes));
-        if let Some(exclusion) =
-            known_exclusion.or_else(|| cold_limit::check_exclusion(&self.node, server))
-        {
+        if let Some(exclusion) = self.exclusion(server, attempt) {
             self.pool.put(server.address, connection);
             return Err(AttemptError::local(
                 Ran::No,
@@ -226,6 +225,19 @@
         })
     }
 
+    /// Why a request may not be sent to a selected server. The server may have been excluded, or have
+    /// restarted with other software, while the connection was opened.
+    fn exclusion(&self, server: &ServerRecord, attempt: &Attempt<'_>) -> Option<Exclusion> {
+        if let Some(exclusion) = self.node.view.exclusion(&server.id) {
+            return Some(exclusion);
+        }
+        if !self.node.view.may_run_at(attempt.origin, &server.id) {
+            return Some(Exclusion::OtherVersion);
+        }
+        home_regions::check_exclusion(&self.node, server, attempt.homes)
+            .or_else(|| cold_limit::check_exclusion(&self.node, server))
+    }
+
     /// Waits for data from a server. A server that sends nothing to any node for `suspect_after` is
     /// marked as suspect, a slow one later, and the attempt fails after `abandon_after`, if set.
     /// Silence before the start of the wait does not count.
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use dappleyard_cluster::{InFlight, WorkKind};
 use dappleyard_crashes::{Fingerprint, Permit, RequestParts, RunGuard};
-use dappleyard_model::{HomeRegions, RequestMetadata, Route, RouteKind, ServerRecord};
+use dappleyard_model::{
+    HomeRegions, RequestMetadata, Route, RouteKind, RunOrigin, ServerRecord, Topology, may_run_at,
+};
 use dappleyard_tenants::Caller;
 use http::{HeaderMap, Method};
 
@@ -41,6 +43,9 @@
     /// Regions that may serve it, at the time of arrival.
     pub homes: HomeRegions,
     pub service: String,
+    /// Where the stream began of which the client has events; it may continue there only. `None`
+    /// before the first event.
+    pub origin: Option<RunOrigin>,
     /// Identifies repeated sends of the same request.
     pub fingerprint: Fingerprint,
     pub arrived: Instant,
@@ -126,6 +131,13 @@
         self.ran == Ran::No || (self.may_repeat() && self.runs < self.route.max_attempts)
     }
 
+    /// Whether it may be sent to a server, as far as its own properties tell.
+    pub(crate) fn accepts(&self, server: &ServerRecord, places: &Topology) -> bool {
+        !self.tried.contains(&server.id)
+            && self.homes.allows_zone(&server.zone, places)
+            && may_run_at(self.origin.as_ref(), server)
+    }
+
     fn failure_kind(&self) -> ErrorKind {
         let expired = self.remaining().is_zero();
         match (self.ran, expired) {
@@ -235,6 +247,7 @@
         id: &request.facts.id,
         remaining_ms: Some(remaining.as_millis() as u64),
         last_event_id,
+        origin: request.origin.as_ref(),
         tenant: request.caller.tenant_header(),
         homes: &request.homes,
         limits: first_event_timeout(upstreams, request),
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -285,6 +285,7 @@
         route,
         homes,
         service,
+        origin: None,
         arrived,
         deadline: arrived + time_limit,
         is_retry,
--- a/crates/ingress/src/home_regions.rs
+++ b/crates/ingress/src/home_regions.rs
@@ -4,24 +4,28 @@
 use std::sync::Arc;
 
 use dappleyard_cluster::{Exclusion, ServerSet};
-use dappleyard_model::{Configuration, HomeRegions, RegionName, ServerRecord, Topology};
+use dappleyard_model::{
+    Configuration, HomeRegions, RegionName, RunOrigin, ServerRecord, Topology, may_run_at,
+};
 
 use crate::node::Node;
 
-/// Servers that a request may be placed on, before the check of its home regions. Usually those
-/// this node uses; all servers if the node is outside the home regions or uses no server in them.
+/// Servers that a request may be placed on, before the checks of its home regions and of where its
+/// run began. Usually those this node uses; all servers if the node is outside the home regions, or
+/// uses no server that passes these checks.
 pub fn candidate_servers<'a>(
     servers: &'a ServerSet,
     homes: &HomeRegions,
+    origin: Option<&RunOrigin>,
     node: &Node,
 ) -> std::slice::Iter<'a, Arc<ServerRecord>> {
     let places = &node.settings.places;
     let in_home = |zone: &str| homes.allows_zone(zone, places);
-    let used = || servers.used.iter();
-    match !homes.is_restricted()
-        || (in_home(&node.settings.zone) && used().any(|used_server| in_home(&used_server.zone)))
-    {
-        true => used(),
+    let is_allowed =
+        |server: &Arc<ServerRecord>| in_home(&server.zone) && may_run_at(origin, server);
+    let is_restricted = homes.is_restricted() || origin.is_some();
+    match !is_restricted || (in_home(&node.settings.zone) && servers.used.iter().any(is_allowed)) {
+        true => servers.used.iter(),
         false => servers.all.iter(),
     }
 }
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dappleyard_model::SoftwareVersion;
+use dappleyard_model::{RunOrigin, SoftwareVersion};
 use derive_more::{Display, Error};
 use futures::Stream;
 
@@ -182,6 +182,9 @@
         }
         let node = self.upstreams.node().clone();
         if let Some(started) = &mut self.started {
+            let server = &started.exchange.server;
+            let origin = &mut self.request.origin;
+            origin.get_or_insert_with(|| RunOrigin::of(server));
             started.work.prompt_read();
             let sent = started.sent.elapsed();
             let request = &self.request;
--- a/crates/ingress/src/server_selection.rs
+++ b/crates/ingress/src/server_selection.rs
@@ -199,13 +199,11 @@
     };
     let extra = affinity_server.filter(|_| servers.is_large());
     let may_take = |server: &&Arc<ServerRecord>| {
-        !request.tried.contains(&server.id)
-            && request
-                .homes
-                .allows_zone(&server.zone, &node.settings.places)
+        request.accepts(server, &node.settings.places)
             && limit.as_ref().is_none_or(|limit| limit.allows(server))
     };
-    let candidate_servers = candidate_servers(&servers, &request.homes, node).chain(extra);
+    let origin = request.origin.as_ref();
+    let candidate_servers = candidate_servers(&servers, &request.homes, origin, node).chain(extra);
     let open: Vec<&Arc<ServerRecord>> = candidate_servers.filter(may_take).collect();
     if node.crashes.permit(&request.fingerprint) == Permit::LastRun {
         return select_for_last_run(node, request, &open);
@@ -291,8 +289,7 @@
     let may_try_more = request.tried.len() < MAX_SERVERS_TRIED;
     let servers = node.view.servers(&request.service);
     let places = &node.settings.places;
-    let mut open = candidate_servers(&servers, &request.homes, node)
-        .filter(|server| request.homes.allows_zone(&server.zone, places))
-        .filter(|server| !request.tried.contains(&server.id));
+    let mut open = candidate_servers(&servers, &request.homes, request.origin.as_ref(), node)
+        .filter(|server| request.accepts(server, places));
     may_try_more && open.any(|server| !limit.allows(server))
 }
--- a/crates/ingress/src/slot_usage.rs
+++ b/crates/ingress/src/slot_usage.rs
@@ -29,7 +29,7 @@
         true => homes.allows_zone(&server.zone, places),
         false => !zone_distances.has_regions() || zone_distances.is_near(&server.zone),
     };
-    let sampled = candidate_servers(servers, homes, node)
+    let sampled = candidate_servers(servers, homes, None, node)
         .filter(allowed)
         .choose_multiple(&mut rand::rng(), MAX_SAMPLED_SERVERS);
     let all = servers.all.iter().filter(allowed).count();
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -107,6 +107,7 @@
         id: &request.id,
         remaining_ms: None,
         last_event_id: last_event,
+        origin: None,
         tenant: tenant_header(runner, &tenant),
         homes: &homes,
         limits: SilenceLimits::abandoning_after(SERVER_IDLE_TIMEOUT),
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -242,7 +242,7 @@
         let servers = self.node.view.servers(service);
         let places = &self.node.settings.places;
         let open: Vec<&Arc<ServerRecord>> =
-            candidate_servers(&servers, &candidate.homes, &self.node)
+            candidate_servers(&servers, &candidate.homes, None, &self.node)
                 .filter(|server| candidate.homes.allows_zone(&server.zone, places))
                 .collect();
         let avoided = |server: &ServerRecord| candidate.avoided_server.as_ref() == Some(&server.id);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -30,5 +30,5 @@
     Bounds, ColdBounds, FailureTolerance, Listen, NodeSettings, QuotaBounds, Resources,
     StoreSettings,
 };
-pub use software_version::{ParseSoftwareVersionError, SoftwareVersion};
+pub use software_version::{ParseSoftwareVersionError, RunOrigin, SoftwareVersion, may_run_at};
 pub use tenant::{DuplicateKey, KeyDigest, RateLimit, Tenant, TenantName, Tenants};
--- a/crates/model/src/software_version.rs
+++ b/crates/model/src/software_version.rs
@@ -1,4 +1,4 @@
-//! Software versions of servers.
+//! Software versions of servers, and what they mean for runs that continue at another server.
 
 use std::fmt;
 use std::str::FromStr;
@@ -6,6 +6,8 @@
 
 use derive_more::{Display, Error};
 
+use crate::request::ServerRecord;
+
 /// Version of the software that a server runs. The version of its weights is another matter.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct SoftwareVersion(Arc<str>);
@@ -37,3 +39,42 @@
         }
     }
 }
+
+/// Where a run began. The output of two software versions does not fit together, nor does that of two services, so
+/// whoever holds a part of a run's output may only continue it at a server with the same origin.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct RunOrigin {
+    pub service: String,
+    /// `None` if it is unknown; such a run is continued nowhere.
+    pub version: Option<SoftwareVersion>,
+}
+
+impl RunOrigin {
+    /// Origin of a run that begins at a server.
+    pub fn of(server: &ServerRecord) -> Self {
+        Self {
+            service: server.service.clone(),
+            version: server.version.clone(),
+        }
+    }
+
+    /// Whether a run of this origin may continue at a server.
+    pub fn continues_at(&self, server: &ServerRecord) -> bool {
+        self.version.is_some() && *self == Self::of(server)
+    }
+}
+
+impl fmt::Display for RunOrigin {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let version = self
+            .version
+            .as_ref()
+            .map_or("unknown", SoftwareVersion::as_str);
+        write!(formatter, "{} {version}", self.service)
+    }
+}
+
+/// Whether a run may go to a server; a run without output has no origin and may go to any.
+pub fn may_run_at(origin: Option<&RunOrigin>, server: &ServerRecord) -> bool {
+    origin.is_none_or(|origin| origin.continues_at(server))
+}
