--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -165,6 +165,7 @@
         "batch_opened" => {
             "no request waits for a slot of the service any more; items are started again"
         }
+        "item_restarted" => "an item dropped its output, since no server may continue it",
         "items_given_up" => "items were given up",
         "results_committed" => "results were committed",
         "zone_evacuated" => "the operators had the zone evacuated: its servers get nothing more",
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -69,6 +69,8 @@
     pub answers_unread: AtomicU64,
     /// Runs of batch items preempted by online requests.
     pub items_paused: AtomicU64,
+    /// Batch items that dropped their output because no server may continue it.
+    pub items_restarted: AtomicU64,
     /// Batch items that wait because their service is closed to them.
     pub items_held_back: AtomicU64,
     /// Times a service was closed to batch items because online requests waited.
@@ -138,6 +140,7 @@
             ("items_again", &self.items_again),
             ("answers_unread", &self.answers_unread),
             ("items_paused", &self.items_paused),
+            ("items_restarted", &self.items_restarted),
             ("batch_closings", &self.batch_closings),
             ("cold_held_back", &self.cold_held_back),
             ("health_questions", &self.health_questions),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod api;
 mod claiming;
+pub mod continuation;
 mod end;
 mod expiry;
 mod garbage_collection;
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -1,5 +1,7 @@
 //! The order in which waiting items are started. Pure functions.
 
+use std::time::Duration;
+
 /// Weight of a new sample in the exponential moving averages.
 const SMOOTHING_FACTOR: f64 = 0.1;
 /// Initial estimate of the events per item.
@@ -39,6 +41,11 @@
         }
     }
 
+    /// Estimated time to produce so many events.
+    pub fn output_duration(&self, events: u64) -> Duration {
+        Duration::from_secs_f64(events as f64 * self.event_ms / 1_000.0)
+    }
+
     /// Estimated time in milliseconds to complete an item that has produced so many events.
     pub fn remaining_ms(&self, events: u64) -> u64 {
         let left = (self.events - events as f64).max(self.events * MIN_REMAINING_FRACTION);
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use dappleyard_crashes::{Fingerprint, RequestParts};
-use dappleyard_model::{Configuration, Route, RouteKind, Row, StoreError, Transaction};
+use dappleyard_model::{Configuration, Route, RouteKind, Row, RunOrigin, StoreError, Transaction};
 use http::Method;
 use prost::Message;
 
@@ -54,6 +54,12 @@
     /// Server of the last interrupted run; used only if there is no other.
     pub avoided_server: Option<String>,
     pub last_server: Option<String>,
+    /// Where the output began; `None` without output.
+    pub origin: Option<RunOrigin>,
+    /// How often the output was dropped to start anew.
+    pub restarts: u32,
+    /// Since when no server may continue the output.
+    pub no_server_since: Option<Instant>,
     pub saved: SavedOutput,
     pub active_run: Option<ActiveRun>,
     /// Whether the server has started to respond to the current run.
@@ -106,6 +112,9 @@
             not_before: None,
             avoided_server: None,
             last_server: None,
+            origin: None,
+            restarts: 0,
+            no_server_since: None,
             saved: SavedOutput::default(),
             active_run: None,
             response_started: false,
@@ -113,6 +122,17 @@
         }
     }
 
+    /// Drops the output, so that the next run starts anew at any server. Failures so far still count.
+    pub(crate) fn restart(&mut self) {
+        self.text.clear();
+        self.events = 0;
+        self.last_event = None;
+        self.origin = None;
+        self.saved = SavedOutput::default();
+        self.no_server_since = None;
+        self.restarts += 1;
+    }
+
     /// Whether the current run may be preempted. Were every run preempted before the response, a permanent rejection
     /// by the server would never be seen and the item would be retried forever.
     pub(crate) fn is_preemptible(&self) -> bool {
@@ -286,7 +306,11 @@
             state.items[*item].text = String::new();
         }
         for save in &commit.saves {
-            state.items[save.item].saved = save.saved;
+            let item = &mut state.items[save.item];
+            // The output may have been dropped while it was being saved.
+            if item.restarts == save.restarts {
+                item.saved = save.saved;
+            }
         }
         if !commit.saves.is_empty() {
             state.saved_at = Instant::now();
--- a/crates/jobs/src/partials.rs
+++ b/crates/jobs/src/partials.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct PendingSave {
     pub item: usize,
+    /// The item's number of restarts when the output was saved.
+    pub restarts: u32,
     pub saved: SavedOutput,
 }
 
@@ -90,7 +92,11 @@
             last_event: item.last_event,
             segments,
         };
-        saves.push(PendingSave { item: index, saved });
+        saves.push(PendingSave {
+            item: index,
+            restarts: item.restarts,
+            saved,
+        });
     }
     (transaction, saves)
 }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -10,7 +10,7 @@
 use dappleyard_ingress::{
     Attempt, AttemptError, EventSplitter, Exchange, InterruptedRun, Metrics, Ran, SilenceLimits,
 };
-use dappleyard_model::{Distance, Route, ServerRecord, SoftwareVersion, TenantHeader};
+use dappleyard_model::{Distance, Route, RunOrigin, ServerRecord, SoftwareVersion, TenantHeader};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
@@ -91,11 +91,12 @@
         mut work,
         run: tracked_run,
     } = started_run;
-    let (request, last_event, host, tenant) = {
+    let (request, last_event, origin, host, tenant) = {
         let state = job.state.borrow();
         let (item, row) = (&state.items[index], &state.row);
         let (host, tenant) = (row.host.clone(), row.tenant.clone());
-        (item.stored.clone(), item.last_event, host, tenant)
+        let origin = item.origin.clone();
+        (item.stored.clone(), item.last_event, origin, host, tenant)
     };
     let headers = item_headers(runner, &request, &host);
     let homes = runner.item_homes(route, &tenant);
@@ -107,7 +108,7 @@
         id: &request.id,
         remaining_ms: None,
         last_event_id: last_event,
-        origin: None,
+        origin: origin.as_ref(),
         tenant: tenant_header(runner, &tenant),
         homes: &homes,
         limits: SilenceLimits::abandoning_after(SERVER_IDLE_TIMEOUT),
@@ -203,6 +204,8 @@
         let item = &mut state.items[index];
         while let Some(event) = splitter.next_event() {
             add_event(item, &event)?;
+            let server = &exchange.server;
+            item.origin.get_or_insert_with(|| RunOrigin::of(server));
             output_since.set(output_since.get().or_else(|| Some(Instant::now())));
         }
     }
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -7,13 +7,14 @@
 
 use dappleyard_clock::Instant;
 use dappleyard_crashes::{Fingerprint, Permit};
-use dappleyard_ingress::{candidate_servers, last_run_server};
-use dappleyard_model::{Configuration, HomeRegions, Route, ServerRecord};
+use dappleyard_ingress::{Metrics, candidate_servers, last_run_server};
+use dappleyard_model::{Configuration, HomeRegions, Route, RunOrigin, ServerRecord, may_run_at};
 
 use crate::admission::is_urgent;
+use crate::continuation::{self, Continuation};
 use crate::expiry::{abandon_items, is_expired};
 use crate::order::{Rank, rank};
-use crate::owned::{ActiveRun, OwnedJob, Progress};
+use crate::owned::{ActiveRun, Item, OwnedJob, Progress};
 use crate::placement::{ServerCapacity, capacity, pick_server, prefer_local_region};
 use crate::run::{StartedRun, begin_in_flight, run_item};
 use crate::runner::Runner;
@@ -31,6 +32,8 @@
     /// Server of the last run.
     last: Option<String>,
     homes: HomeRegions,
+    /// Where its output began; it may be continued there only.
+    origin: Option<RunOrigin>,
     fingerprint: Fingerprint,
     permit: Permit,
     /// Whether it must start now to meet its deadline.
@@ -79,9 +82,12 @@
                 allowance.refresh(&loads.waiting, capacity, rand::random());
                 capacity
             });
-            // An item whose allowed regions have no free server neither uses up the allowance nor marks the service
-            // as full.
-            if candidate.homes.is_restricted() && self.pick(service, &candidate).is_none() {
+            // An item that may use a part of the servers only neither uses up the allowance nor marks the service as
+            // full while that part has no free server.
+            let is_restricted = candidate.homes.is_restricted() || candidate.origin.is_some();
+            if is_restricted && self.pick(service, &candidate).is_none() {
+                drop(allowances);
+                self.wait_or_restart(&candidate);
                 continue;
             }
             // The allowance may have been granted in an earlier pass, so the current capacity is checked too.
@@ -99,6 +105,32 @@
         gauge.store(held_back, Ordering::Relaxed);
     }
 
+    /// Drops the output of an item that no server may continue, once it has waited for one long enough.
+    fn wait_or_restart(&self, candidate: &Candidate) {
+        let mut state = candidate.job.state.borrow_mut();
+        let item = &mut state.items[candidate.index];
+        let Some(origin) = item.origin.clone() else {
+            return;
+        };
+        let waited = item
+            .no_server_since
+            .get_or_insert_with(Instant::now)
+            .elapsed();
+        let output_duration = self.estimate.get().output_duration(item.events);
+        if continuation::decide(waited, output_duration) == Continuation::Wait {
+            return;
+        }
+        let events = item.events;
+        item.restart();
+        Metrics::count(&self.node.metrics.items_restarted);
+        self.node.log.write("item_restarted", || {
+            serde_json::json!({"job": candidate.job.job, "item": item.stored.id,
+                "origin": origin.to_string(), "events": events,
+                "waited_ms": waited.as_millis() as u64, "restarts": item.restarts})
+        });
+        self.wake.notify_one();
+    }
+
     /// Whether a service accepts only urgent items, because online requests need its slots.
     fn is_closed(&self, service: &str) -> bool {
         let services = self.services.borrow();
@@ -172,10 +204,8 @@
                 job: job.clone(),
                 index,
                 route: route.clone(),
-                service: route
-                    .pick_service(rand::random())
-                    .unwrap_or_default()
-                    .to_owned(),
+                service: service_of(route, item),
+                origin: item.origin.clone(),
                 homes: self.item_homes(route, &state.row.tenant),
                 rank: rank(state.row.due_ms, needed_ms, now_ms, priority),
                 urgent: is_urgent(state.row.due_ms, needed_ms, now_ms),
@@ -216,6 +246,7 @@
             item.progress = Progress::Running;
             item.response_started = false;
             item.last_server = Some(server.id.clone());
+            item.no_server_since = None;
             begin_in_flight(self, &item.stored, &host, &server)
         };
         let started_run = StartedRun {
@@ -241,9 +272,11 @@
     fn pick(&self, service: &str, candidate: &Candidate) -> Option<Arc<ServerRecord>> {
         let servers = self.node.view.servers(service);
         let places = &self.node.settings.places;
+        let origin = candidate.origin.as_ref();
         let open: Vec<&Arc<ServerRecord>> =
-            candidate_servers(&servers, &candidate.homes, None, &self.node)
+            candidate_servers(&servers, &candidate.homes, origin, &self.node)
                 .filter(|server| candidate.homes.allows_zone(&server.zone, places))
+                .filter(|server| may_run_at(origin, server))
                 .collect();
         let avoided = |server: &ServerRecord| candidate.avoided_server.as_ref() == Some(&server.id);
         let capacities: Vec<ServerCapacity<'_>> = open
@@ -275,6 +308,14 @@
     }
 }
 
+/// Service for an item: the one that began its output, while the route has it, otherwise one of the route's targets.
+fn service_of(route: &Route, item: &Item) -> String {
+    let began = item.origin.as_ref().map(|origin| origin.service.as_str());
+    let began = began.filter(|service| route.has_service(service));
+    let service = began.or_else(|| route.pick_service(rand::random()));
+    service.unwrap_or_default().to_owned()
+}
+
 /// Number of urgent items of each service.
 fn urgent_by_service(candidates: &[Candidate]) -> HashMap<String, u32> {
     let mut urgent: HashMap<String, u32> = HashMap::new();
--- a/crates/jobs/tests/policies.rs
+++ b/crates/jobs/tests/policies.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dappleyard_cluster::{LoadSummary, PeerStatus, Slowdown, WarmupState};
+use dappleyard_jobs::continuation::{self, Continuation};
 use dappleyard_jobs::{
     ClaimContext, JobRow, RunEstimate, ServerCapacity, capacity, may_claim, pick_server, rank,
 };
@@ -270,3 +271,17 @@
     let chosen = pick_server(&servers, "front-a", "north", None).map(|server| server.id);
     expect_that!(chosen, some(eq("slow")));
 }
+
+// Guards against an item that waits for ever for the software version that began it.
+#[gtest]
+fn wait_is_bounded_by_output() {
+    let output_duration = Duration::from_millis(800);
+    let decision =
+        |waited_ms| continuation::decide(Duration::from_millis(waited_ms), output_duration);
+    expect_that!(decision(0), eq(Continuation::Wait));
+    expect_that!(decision(799), eq(Continuation::Wait));
+    expect_that!(decision(800), eq(Continuation::Restart));
+    // Nothing is lost by starting anew.
+    let without_output = continuation::decide(Duration::ZERO, Duration::ZERO);
+    expect_that!(without_output, eq(Continuation::Restart));
+}
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// Whether requests of the route may go to a service.
+    pub fn has_service(&self, service: &str) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|target| target.service == service && target.weight > 0)
+    }
+
     /// Selects a service by weight; `point` is uniformly distributed over `u32`.
     pub fn pick_service(&self, sample: u32) -> Option<&str> {
         let total: u64 = self
