--- a/crates/jobs/src/messages.rs
+++ b/crates/jobs/src/messages.rs
@@ -180,4 +180,13 @@
     /// Whether the next segment continues this one; without it the text ends inside an event.
     #[prost(bool, tag = "7")]
     pub continued: bool,
+    /// Service that began the output; empty in segments of earlier versions of this program.
+    #[prost(string, tag = "8")]
+    pub service: String,
+    /// Software version that began the output; empty if it is unknown.
+    #[prost(string, tag = "9")]
+    pub version: String,
+    /// How often the item had dropped its output before.
+    #[prost(uint32, tag = "10")]
+    pub restarts: u32,
 }
--- a/crates/jobs/src/partials.rs
+++ b/crates/jobs/src/partials.rs
@@ -3,12 +3,13 @@
 //!
 //! A segment holds the output since the previous segment. A write whose outcome was unknown may arrive late and
 //! overwrite a newer segment. Segments are therefore joined only while each continues exactly where the previous
-//! one ended, in the same or a later epoch, so the restored output is always a prefix of one run's output.
+//! one ended, in the same or a later epoch, and belongs to the same output: one that began at the same service and
+//! software version and was not dropped in between. The restored output is therefore always a prefix of one output.
 
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use dappleyard_model::{Row, RowStore, StoreError, Transaction};
+use dappleyard_model::{Row, RowStore, RunOrigin, SoftwareVersion, StoreError, Transaction};
 use prost::Message;
 
 use crate::keys::{CHUNK_BYTES, PARTIALS_TABLE, partial_key, partition, range_end, range_start};
@@ -54,6 +55,10 @@
     /// Failed responses so far.
     pub failures: u32,
     pub saved: SavedOutput,
+    /// Where the output began; `None` without output.
+    pub origin: Option<RunOrigin>,
+    /// How often the item dropped its output before.
+    pub restarts: u32,
 }
 
 /// Whether an item has output that is not saved.
@@ -116,6 +121,11 @@
     };
     let parts = split_text(text, CHUNK_BYTES - RESERVED_FIELD_BYTES);
     let last = parts.len() - 1;
+    let service = item.origin.as_ref().map(|origin| origin.service.clone());
+    let version = item
+        .origin
+        .as_ref()
+        .and_then(|origin| origin.version.as_ref());
     let segment = |(number, text): (usize, &str)| StoredPartial {
         last_event,
         text: text.to_owned(),
@@ -124,6 +134,9 @@
         epoch,
         events: item.events - item.saved.events,
         continued: number < last,
+        service: service.clone().unwrap_or_default(),
+        version: version.map_or_else(String::new, SoftwareVersion::to_string),
+        restarts: item.restarts,
     };
     let segments = parts.into_iter().enumerate().map(segment);
     segments
@@ -173,6 +186,10 @@
 fn join_item(mut segments: Vec<(usize, StoredPartial)>) -> RestoredOutput {
     segments.sort_by_key(|(number, _)| *number);
     let mut restored = RestoredOutput::default();
+    if let Some((_, first)) = segments.first() {
+        restored.origin = Some(origin_of(first));
+        restored.restarts = first.restarts;
+    }
     let mut epoch = 0;
     // Continued segments count only together with the segment that completes them.
     let mut incomplete_text = String::new();
@@ -180,7 +197,9 @@
     for (number, segment) in segments {
         let follows = number == restored.saved.segments + incomplete_segments
             && segment.after_event == restored.saved.last_event
-            && segment.epoch >= epoch;
+            && segment.epoch >= epoch
+            && segment.restarts == restored.restarts
+            && restored.origin.as_ref() == Some(&origin_of(&segment));
         if !follows {
             break;
         }
@@ -202,9 +221,20 @@
             segments: number + 1,
         };
     }
+    if restored.saved == SavedOutput::default() {
+        restored.origin = None;
+    }
     restored
 }
 
+fn origin_of(segment: &StoredPartial) -> RunOrigin {
+    RunOrigin {
+        service: segment.service.clone(),
+        // An empty version is unknown.
+        version: segment.version.parse().ok(),
+    }
+}
+
 /// Restores the saved output of a job's unfinished items.
 pub(crate) async fn load(
     store: &dyn RowStore,
@@ -235,6 +265,8 @@
             item.last_event = restored.saved.last_event;
             item.failures = restored.failures;
             item.saved = restored.saved;
+            item.origin = restored.origin;
+            item.restarts = restored.restarts;
         }
     }
     Ok(())
--- a/crates/jobs/tests/partials.rs
+++ b/crates/jobs/tests/partials.rs
@@ -1,6 +1,7 @@
 //! Restores saved output from segments; only a consistent prefix may be joined.
 
 use bytes::Bytes;
+use dappleyard_jobs::StoredPartial;
 use dappleyard_jobs::partials::{join_segments, segment_capacity, split_text};
 use dappleyard_model::{Row, RowKey, Transaction};
 use googletest::prelude::*;
@@ -8,7 +9,7 @@
 
 /// A row with a segment of the given number, preceding event, last event and epoch.
 fn row(number: usize, after_event: Option<u64>, last_event: u64, epoch: u64) -> Row {
-    let partial = dappleyard_jobs::StoredPartial {
+    let partial = StoredPartial {
         last_event,
         text: format!("[{last_event} of {epoch}]"),
         failures: number as u32,
@@ -16,11 +17,14 @@
         epoch,
         events: last_event - after_event.unwrap_or(0),
         continued: false,
+        service: "llm".to_owned(),
+        version: "v1".to_owned(),
+        restarts: 0,
     };
     stored(number, &partial)
 }
 
-fn stored(number: usize, partial: &dappleyard_jobs::StoredPartial) -> Row {
+fn stored(number: usize, partial: &StoredPartial) -> Row {
     Row {
         part: "0".to_owned(),
         key: format!("j1/000003/{number:04}"),
@@ -73,7 +77,7 @@
 
 /// A row of a text that spans several rows.
 fn continued_row(number: usize, text: &str, epoch: u64, continued: bool) -> Row {
-    let partial = dappleyard_jobs::StoredPartial {
+    let partial = StoredPartial {
         last_event: 9,
         text: text.to_owned(),
         failures: 1,
@@ -81,6 +85,7 @@
         epoch,
         events: 9,
         continued,
+        ..StoredPartial::default()
     };
     stored(number, &partial)
 }
@@ -128,3 +133,48 @@
         );
     }
 }
+
+/// The row of a segment with other content.
+fn changed(row: &Row, change: impl FnOnce(&mut StoredPartial)) -> Row {
+    let value = row.value.clone().unwrap_or_default();
+    let mut partial = StoredPartial::decode(value).unwrap_or_default();
+    change(&mut partial);
+    Row {
+        value: Some(Bytes::from(partial.encode_to_vec())),
+        ..row.clone()
+    }
+}
+
+// Guards against a late write of the output of another software version or service.
+#[gtest]
+fn segment_of_another_origin() {
+    let (first, second) = (row(0, None, 4, 1), row(1, Some(4), 9, 1));
+    let of_version = changed(&second, |partial| partial.version = "v2".to_owned());
+    expect_that!(text(&[first.clone(), of_version]), eq("[4 of 1]"));
+    let of_service = changed(&second, |partial| partial.service = "other".to_owned());
+    expect_that!(text(&[first.clone(), of_service]), eq("[4 of 1]"));
+    let unknown = changed(&second, |partial| partial.version.clear());
+    expect_that!(text(&[first, unknown]), eq("[4 of 1]"));
+}
+
+// Guards against rows left over from output that was dropped: they may seem to continue the new one.
+#[gtest]
+fn segment_of_dropped_output() {
+    let first = changed(&row(0, None, 4, 1), |partial| partial.restarts = 1);
+    let restored = join_segments(&[first, row(1, Some(4), 9, 1)]).remove(&3);
+    let restored = restored.unwrap_or_default();
+    expect_that!(restored.text, eq("[4 of 1]"));
+    expect_that!(restored.restarts, eq(1));
+}
+
+// Guards against a guess at the version of output that an earlier version of this program saved.
+#[gtest]
+fn saved_without_a_version() {
+    let old = changed(&row(0, None, 4, 1), |partial| {
+        partial.service.clear();
+        partial.version.clear();
+    });
+    let restored = join_segments(&[old]).remove(&3).unwrap_or_default();
+    let origin = restored.origin.expect("an origin");
+    expect_that!(origin.version, none());
+}
