--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -15,6 +15,7 @@
 
 use dappleyard_clock::Instant;
 use dappleyard_crashes::CrashTable;
+use dappleyard_streams::StreamTable;
 use dappleyard_tenants::QuotaTable;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -53,6 +54,8 @@
     pub quotas: Arc<QuotaTable>,
     /// Requests that crashed servers.
     pub crashes: Arc<CrashTable>,
+    /// Where streams began.
+    pub streams: Arc<StreamTable>,
     pub view: Arc<View>,
     /// Whether the store answers direct calls of this node.
     pub health: Arc<StoreHealth>,
@@ -68,6 +71,7 @@
     pub(crate) loads: Arc<LoadTable>,
     pub(crate) quotas: Arc<QuotaTable>,
     pub(crate) crashes: Arc<CrashTable>,
+    pub(crate) streams: Arc<StreamTable>,
     pub(crate) view: Arc<View>,
     pub(crate) health: Arc<StoreHealth>,
     pub(crate) leaving: Arc<AtomicBool>,
@@ -101,6 +105,7 @@
             loads: tables.loads,
             quotas: tables.quotas,
             crashes: tables.crashes,
+            streams: tables.streams,
             view: tables.view,
             health: tables.health,
             leaving: tables.leaving,
@@ -141,6 +146,16 @@
                     rounds = 1;
                     next = next.min(Instant::now() + ROUND_INTERVAL);
                 }
+                // A caller waits for the answers.
+                () = self.streams.wait_for_questions() => {
+                    self.send_stream_questions();
+                    rounds = 1;
+                    next = next.min(Instant::now() + ROUND_INTERVAL);
+                }
+                () = self.streams.wait_for_begun(), if rounds > 1 => {
+                    rounds = 1;
+                    next = next.min(Instant::now() + ROUND_INTERVAL);
+                }
                 () = self.loads.changed(), if !throttle.is_pending() => throttle.note_change(),
                 () = dappleyard_clock::sleep_until(throttle.next()), if throttle.is_pending() => {
                     // Sent early to keep other nodes from filling the same slots.
@@ -159,7 +174,7 @@
     /// Rounds until the next one in which a message is due. Skipping idle rounds cuts the wakeups
     /// of a node that is not a delegate from 40 to 7 a second.
     fn rounds_to_next(&self, round: u32) -> u32 {
-        if self.crashes.has_updates() {
+        if self.crashes.has_updates() || self.streams.has_questions() {
             return 1;
         }
         let sends_sums = self.peers.is_large() && self.peers.is_delegate();
@@ -177,6 +192,8 @@
             self.send_to_all(due_messages.far);
         }
         self.send_crash_news(due_messages);
+        self.send_stream_news();
+        self.send_stream_questions();
         if due_messages.far {
             self.peers.log_silent();
         }
--- a/crates/cluster/src/messages.rs
+++ b/crates/cluster/src/messages.rs
@@ -2,6 +2,7 @@
 
 use dappleyard_crashes::CrashUpdates;
 use dappleyard_room::Demand;
+use dappleyard_streams::{StreamAnswers, StreamNews, StreamQuestions};
 use dappleyard_tenants::{CreditLevel, PassedCount};
 use prost::{Message, Oneof};
 
@@ -286,11 +287,17 @@
     CrashNews(CrashUpdates),
     #[prost(message, tag = "5")]
     ExtraLiveness(ExtraLiveness),
+    #[prost(message, tag = "6")]
+    StreamNews(StreamNews),
+    #[prost(message, tag = "7")]
+    StreamQuestions(StreamQuestions),
+    #[prost(message, tag = "8")]
+    StreamAnswers(StreamAnswers),
 }
 
 /// One datagram.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct Packet {
-    #[prost(oneof = "PacketKind", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "PacketKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub kind: Option<PacketKind>,
 }
--- a/crates/cluster/src/receiving.rs
+++ b/crates/cluster/src/receiving.rs
@@ -32,6 +32,11 @@
             Some(PacketKind::LoadChange(change)) => self.receive_change(change),
             Some(PacketKind::CrashNews(news)) => self.receive_crash_news(news),
             Some(PacketKind::ExtraLiveness(message)) => self.receive_extra_liveness(&message),
+            Some(PacketKind::StreamNews(news)) => self.streams.learn(news),
+            Some(PacketKind::StreamQuestions(questions)) => {
+                self.answer_stream_questions(questions, sender);
+            }
+            Some(PacketKind::StreamAnswers(answers)) => self.streams.note_answers(answers, sender),
             // Sent by a later version of the program.
             None => {}
         }
--- a/crates/cluster/src/servers.rs
+++ b/crates/cluster/src/servers.rs
@@ -6,7 +6,8 @@
 
 use std::sync::Arc;
 
-use dappleyard_model::{Distance, ServerRecord};
+use dappleyard_clock::Instant;
+use dappleyard_model::{Distance, ServerRecord, SoftwareVersion};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::zone_distances::ZoneDistances;
@@ -42,9 +43,18 @@
     /// the own zone if there are any. Servers of other regions are included only if the own region
     /// has none.
     pub affinity_servers: Vec<Arc<ServerRecord>>,
+    /// Software versions at which no streams begin yet, with the time from which they do.
+    pub settling: Vec<(Option<SoftwareVersion>, Instant)>,
 }
 
 impl ServerSet {
+    /// Whether streams may begin at a server now. Servers of a version that has just appeared take none while there are
+    /// others.
+    pub fn is_settled(&self, server: &ServerRecord, now: Instant) -> bool {
+        let mut settling = self.settling.iter();
+        !settling.any(|(version, until)| *version == server.version && now < *until)
+    }
+
     /// Whether the node uses only a subset of the servers.
     pub fn is_large(&self) -> bool {
         self.used.len() < self.all.len()
@@ -87,6 +97,7 @@
                 used: all.clone(),
                 affinity_servers: all.clone(),
                 all,
+                settling: Vec::new(),
             };
         }
         let is_near = |server: &&Arc<ServerRecord>| server.zone == self.zone_distances.zone();
@@ -96,6 +107,7 @@
                 used: self.select(all.iter(), OWN_ZONE_USED + REMOTE_USED),
                 affinity_servers: all.clone(),
                 all,
+                settling: Vec::new(),
             };
         }
         let mut used = self.select(affinity_servers.iter(), OWN_ZONE_USED);
@@ -104,6 +116,7 @@
             used,
             affinity_servers,
             all,
+            settling: Vec::new(),
         }
     }
 
@@ -147,6 +160,7 @@
             used,
             affinity_servers: self.multi_region_affinity_servers(&all),
             all,
+            settling: Vec::new(),
         }
     }
 
--- /dev/null
+++ b/crates/cluster/src/version_rows.rs
@@ -0,0 +1,126 @@
+//! Records the software versions of each service in the row store, so that a node that starts knows at which versions
+//! streams under way may have begun, also when the servers of a version and all nodes that knew it are gone.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use dappleyard_model::{EventLog, RowKey, RowStore, SoftwareVersion, StoreError, Transaction};
+use dappleyard_streams::ServiceVersions;
+use prost::Message;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::peers::PeerTable;
+use crate::view::View;
+
+pub const VERSIONS_TABLE: &str = "versions";
+const PAGE_ROWS: usize = 500;
+/// Delay before a failed store call is retried.
+const RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Longest interval between checks of the versions; a new version is recorded at once.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Nodes that write the row of a service; two, so that one may fail.
+const WRITERS: usize = 2;
+
+type Versions = BTreeSet<Option<SoftwareVersion>>;
+
+/// Reads the recorded versions, then records changes until the process ends.
+pub async fn sync_versions(view: &View, peers: &PeerTable, store: &dyn RowStore, log: &EventLog) {
+    while let Err(error) = read_table(view, store).await {
+        log.write(
+            "versions_unread",
+            || serde_json::json!({"cause": error.to_string()}),
+        );
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+    view.note_versions_complete();
+    loop {
+        for service in view.unrecorded_services() {
+            if !is_writer(peers, &service) {
+                continue;
+            }
+            match record(view, store, &service).await {
+                Ok(versions) => log.write(
+                    "versions_recorded",
+                    || serde_json::json!({"service": service, "versions": texts(&versions)}),
+                ),
+                Err(error) => {
+                    log.write(
+                        "versions_unrecorded",
+                        || serde_json::json!({"service": service, "cause": error.to_string()}),
+                    );
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+        // A timeout is a regular check: versions expire, and other writers end.
+        let _ = tokio::time::timeout(CHECK_INTERVAL, view.versions_changed()).await;
+    }
+}
+
+/// Whether this node records the versions of a service.
+fn is_writer(peers: &PeerTable, service: &str) -> bool {
+    let rank = |name: &str| {
+        let mut bytes = name.as_bytes().to_vec();
+        bytes.extend_from_slice(service.as_bytes());
+        xxh3_64(&bytes)
+    };
+    let own = rank(&peers.own_name);
+    let before = peers.relay_peers();
+    let before = before.iter().filter(|peer| rank(&peer.name) < own);
+    before.count() < WRITERS
+}
+
+async fn read_table(view: &View, store: &dyn RowStore) -> Result<(), StoreError> {
+    let mut from = String::new();
+    loop {
+        let read = store.read(VERSIONS_TABLE, "", &from, "", PAGE_ROWS).await?;
+        for row in &read.rows {
+            let value = row.value.clone().unwrap_or_default();
+            // A row that cannot be decoded counts as one with no version.
+            let recorded = ServiceVersions::decode(value).unwrap_or_default();
+            view.note_recorded_versions(&row.key, versions(recorded));
+        }
+        match read.rows.last().filter(|_| read.more) {
+            // The smallest key after the last one.
+            Some(last) => from = format!("{}\u{1}", last.key),
+            None => return Ok(()),
+        }
+    }
+}
+
+/// Writes the row of a service: the versions that count, and those that other nodes have recorded meanwhile.
+async fn record(view: &View, store: &dyn RowStore, service: &str) -> Result<Versions, StoreError> {
+    let key = RowKey::new(VERSIONS_TABLE, "", service);
+    let end = format!("{service}\u{1}");
+    let read = store.read(VERSIONS_TABLE, "", service, &end, 1).await?;
+    let row = read.rows.first();
+    let revision = row.map_or(0, |row| row.revision);
+    let recorded = row.and_then(|row| ServiceVersions::decode(row.value.clone()?).ok());
+    let recorded = versions(recorded.unwrap_or_default());
+    let wanted = view.merge_recorded_versions(service, &recorded);
+    if wanted != recorded {
+        let value = ServiceVersions {
+            versions: texts(&wanted),
+        };
+        let transaction = Transaction::default()
+            .expect(key.clone(), revision)
+            .put(key, value.encode_to_vec());
+        store.transact(&transaction).await?;
+    }
+    view.note_versions_written(service, wanted.clone());
+    Ok(wanted)
+}
+
+/// Parses recorded versions; an empty text is an unknown version.
+fn versions(recorded: ServiceVersions) -> Versions {
+    let texts = recorded.versions.into_iter();
+    texts.map(|text| text.parse().ok()).collect()
+}
+
+fn texts(versions: &Versions) -> Vec<String> {
+    let text = |version: &Option<SoftwareVersion>| {
+        let version = version.as_ref();
+        version.map_or_else(String::new, ToString::to_string)
+    };
+    versions.iter().map(text).collect()
+}
--- /dev/null
+++ b/crates/cluster/src/versions.rs
@@ -0,0 +1,151 @@
+//! What a view knows of the software versions of each service.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use dappleyard_clock::Instant;
+use dappleyard_model::{RunOrigin, SoftwareVersion};
+use dappleyard_streams::{Knowledge, VersionHistory};
+
+use crate::view::{View, ViewState};
+
+/// Age of the list of servers up to which it counts as current. A version that appeared later is not used by any node
+/// yet, see [`dappleyard_streams::SETTLE_TIME`].
+const MAX_LIST_AGE: Duration = Duration::from_millis(1_000);
+
+type Versions = BTreeSet<Option<SoftwareVersion>>;
+
+/// The versions of services, and which of them the store has recorded as far as this node knows.
+#[derive(Debug, Default)]
+pub(crate) struct VersionState {
+    history: VersionHistory,
+    recorded: HashMap<String, Versions>,
+}
+
+impl VersionState {
+    /// Notes the versions of the servers of a service as listed now.
+    /// Returns whether a version is new.
+    pub(crate) fn note_listed(&mut self, service: &str, listed: &Versions) -> bool {
+        self.history.note_listed(service, listed, Instant::now())
+    }
+
+    /// Versions of a service at which no streams begin yet, with the time from which they do.
+    pub(crate) fn settling(&self, service: &str) -> Vec<(Option<SoftwareVersion>, Instant)> {
+        self.history.settling(service, Instant::now())
+    }
+}
+
+/// Whether servers of an origin may be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginStatus {
+    /// A server that is not draining is listed.
+    Listed,
+    /// The last one disappeared a moment ago and may come back.
+    Lapsed,
+    /// None is listed, or only draining ones.
+    Gone,
+}
+
+/// Time for which a server whose entry has disappeared may come back: it may be restarting, and entries that lapsed
+/// during an outage of the store return within two seconds after it.
+const LAPSE_TIME: Duration = Duration::from_secs(5);
+
+impl View {
+    /// What is known of the versions of a service.
+    pub fn version_knowledge(&self, service: &str) -> Knowledge {
+        self.servers(service);
+        let known = self.known.lock();
+        let contact = known.servers_contact;
+        let is_fresh = contact.is_some_and(|contact| contact.elapsed() < MAX_LIST_AGE);
+        let history = &known.versions.history;
+        history.knowledge(service, is_fresh, Instant::now())
+    }
+
+    /// Whether servers of an origin may be used.
+    pub fn origin_status(&self, origin: &RunOrigin) -> OriginStatus {
+        self.servers(&origin.service);
+        let known = self.known.lock();
+        let mut servers = known.servers.values();
+        if servers.any(|(_, server)| !server.draining && origin.continues_at(server)) {
+            return OriginStatus::Listed;
+        }
+        let unlisted_for = known.versions.history.unlisted_for(origin, Instant::now());
+        match unlisted_for.is_some_and(|time| time < LAPSE_TIME) {
+            true => OriginStatus::Lapsed,
+            false => OriginStatus::Gone,
+        }
+    }
+
+    /// Services whose versions differ from those that the store has recorded.
+    pub(crate) fn unrecorded_services(&self) -> Vec<String> {
+        let services = self.known.lock().listed_services();
+        let services = services.into_iter();
+        let unrecorded = services.filter(|service| {
+            // Brings the history up to date.
+            self.servers(service);
+            let known = self.known.lock();
+            let versions = &known.versions;
+            let current = versions.history.versions(service, Instant::now());
+            versions.recorded.get(service) != Some(&current)
+        });
+        unrecorded.collect()
+    }
+
+    /// Waits for a new version of a service.
+    pub(crate) async fn versions_changed(&self) {
+        self.versions_changed.notified().await;
+    }
+
+    /// Notes versions that the store had recorded when this node started.
+    pub(crate) fn note_recorded_versions(&self, service: &str, recorded: Versions) {
+        let mut known = self.known.lock();
+        let versions = recorded.iter().cloned().collect();
+        let history = &mut known.versions.history;
+        history.note_recorded(service, versions, Instant::now());
+        let all = &mut known.versions.recorded;
+        all.insert(service.to_owned(), recorded);
+    }
+
+    /// Notes that all recorded versions were read.
+    pub(crate) fn note_versions_complete(&self) {
+        self.known.lock().versions.history.note_complete();
+    }
+
+    /// The versions to record for a service. Versions that another node has recorded since are added; those that this
+    /// node has seen expire are left out.
+    pub(crate) fn merge_recorded_versions(&self, service: &str, recorded: &Versions) -> Versions {
+        let now = Instant::now();
+        let mut known = self.known.lock();
+        let VersionState {
+            history,
+            recorded: before,
+        } = &mut known.versions;
+        let before = before.get(service).cloned().unwrap_or_default();
+        let added = recorded.difference(&before).cloned().collect();
+        history.note_recorded(service, added, now);
+        history.versions(service, now)
+    }
+
+    /// Notes what the store has recorded.
+    pub(crate) fn note_versions_written(&self, service: &str, recorded: Versions) {
+        let mut known = self.known.lock();
+        let all = &mut known.versions.recorded;
+        all.insert(service.to_owned(), recorded);
+    }
+}
+
+impl ViewState {
+    fn listed_services(&self) -> BTreeSet<String> {
+        let servers = self.servers.values();
+        servers.map(|(_, server)| server.service.clone()).collect()
+    }
+
+    /// Versions of the listed servers of a service.
+    pub(crate) fn listed_versions(&self, service: &str) -> Versions {
+        let servers = self.servers.values().map(|(_, server)| server);
+        servers
+            .filter(|server| server.service == service)
+            .map(|server| server.version.clone())
+            .collect()
+    }
+}
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -15,6 +15,7 @@
 use crate::follow::Contact;
 use crate::loads::server_number;
 use crate::servers::{ServerSelector, ServerSet};
+use crate::versions::VersionState;
 use crate::zone_distances::ZoneDistances;
 use dappleyard_clock::Instant;
 
@@ -35,6 +36,7 @@
     pub(crate) previous_runs: HashMap<String, Arc<ServerRecord>>,
     /// Invalid entries by name, with the cause.
     pub(crate) refused: HashMap<String, String>,
+    pub(crate) versions: VersionState,
     sets_by_service: HashMap<String, CachedSet>,
     sets_built: u64,
     pub(crate) servers_read: bool,
@@ -58,6 +60,8 @@
 pub struct View {
     pub(crate) known: Mutex<ViewState>,
     pub(crate) changed: Notify,
+    /// Notified of a new software version of a service.
+    pub(crate) versions_changed: Notify,
     selector: ServerSelector,
     log: Arc<EventLog>,
 }
@@ -78,6 +82,7 @@
             selector: ServerSelector::with_zone_distances(node, zone_distances),
             known: Mutex::default(),
             changed: Notify::new(),
+            versions_changed: Notify::new(),
             log,
         }
     }
@@ -117,7 +122,13 @@
         let accepting = servers.filter(|server| {
             server.service == service && Self::exclusion_of(known, server).is_none()
         });
-        let set = Arc::new(self.selector.servers(accepting.cloned().collect()));
+        let mut set = self.selector.servers(accepting.cloned().collect());
+        let listed = known.listed_versions(service);
+        if known.versions.note_listed(service, &listed) {
+            self.versions_changed.notify_one();
+        }
+        set.settling = known.versions.settling(service);
+        let set = Arc::new(set);
         let cached = CachedSet {
             set: set.clone(),
             stale: false,
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -64,6 +64,7 @@
             loads: loads.clone(),
             quotas: quotas.clone(),
             crashes: crashes.clone(),
+            streams: Arc::default(),
             view: view.clone(),
             health: Arc::new(StoreHealth::default()),
             leaving: Arc::new(AtomicBool::new(false)),
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -9,8 +9,8 @@
 use actix_web::{App, HttpServer};
 use dappleyard_cluster::{
     CRASHES_TABLE, ConfigurationSink, Contact, Gossip, GossipSettings, GossipTables, LoadTable,
-    NODES_TABLE, PeerTable, ServersSink, StoreHealth, TableSink, View, ZoneDistances, node_number,
-    sync_refused_requests,
+    NODES_TABLE, PeerTable, ServersSink, StoreHealth, TableSink, VERSIONS_TABLE, View,
+    ZoneDistances, node_number, sync_refused_requests, sync_versions,
 };
 use dappleyard_crashes::CrashTable;
 use dappleyard_ingress::{
@@ -88,6 +88,7 @@
         response_times: ResponseTimes::default(),
         capacities: CapacityTable::default(),
         quotas: Arc::new(QuotaTable::new(settings.bounds.quota, life)),
+        streams: Arc::default(),
         crashes: Arc::new(CrashTable::new(node_number(&settings.name) ^ life)),
         peers,
         health: health.clone(),
@@ -121,6 +122,7 @@
     spawn_follow(&sinks, &histories, &store, &direct, &access, &log);
     spawn_gossip(&node, health).await?;
     spawn_keep_refused(node.clone(), store.clone());
+    spawn_sync_versions(node.clone(), store.clone());
     spawn_registration(node.clone(), store.clone(), access.clone());
     let upstreams = Upstreams::new(node.clone());
     spawn_sweep(node.clone(), upstreams.clone());
@@ -140,7 +142,7 @@
 
 /// Tables that nodes read and write on behalf of each other.
 fn node_tables() -> Vec<&'static str> {
-    let own = [NODES_TABLE, CRASHES_TABLE];
+    let own = [NODES_TABLE, CRASHES_TABLE, VERSIONS_TABLE];
     JOB_TABLES.into_iter().chain(own).collect()
 }
 
@@ -230,6 +232,7 @@
         loads: node.loads.clone(),
         quotas: node.quotas.clone(),
         crashes: node.crashes.clone(),
+        streams: node.streams.clone(),
         view: node.view.clone(),
         health,
         leaving: node.leaving.clone(),
@@ -245,6 +248,12 @@
     });
 }
 
+fn spawn_sync_versions(node: Arc<Node>, store: Rc<dyn RowStore>) {
+    tokio::task::spawn_local(async move {
+        sync_versions(&node.view, &node.peers, store.as_ref(), &node.log).await;
+    });
+}
+
 fn spawn_sweep(node: Arc<Node>, upstreams: Upstreams) {
     tokio::task::spawn_local(async move {
         loop {
@@ -252,6 +261,7 @@
             upstreams.sweep();
             node.loads.sweep();
             node.crashes.sweep();
+            node.streams.sweep();
         }
     });
 }
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -14,9 +14,9 @@
 pub enum Reply {
     /// Sends bytes; `{id}` is replaced by the request identifier.
     Send(String),
-    /// Sends a whole chunked answer with the events up to `to`, from the one after `Last-Event-Id`. The data of an event
-    /// names the server's software version.
-    Stream { version: &'static str, to: u64 },
+    /// Sends one chunk of a chunked body with the events up to `to`, from the one after `Last-Event-Id`. The data of an
+    /// event names the server's software version.
+    Events { version: &'static str, to: u64 },
     /// Waits. Ends the connection if the peer disconnects, and the wait if the peer sends a byte.
     Pause(Duration),
     /// Sends nothing until the peer disconnects or sends a byte, or an hour has passed, and closes the
@@ -97,15 +97,6 @@
         .collect()
 }
 
-/// A whole chunked answer with these events.
-fn stream_response(id: &str, events: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nX-Dappleyard-Request-Id: {id}\r\nX-Dappleyard-Response-Seal: seal\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{events}\r\n0\r\n\r\n",
-        events.len()
-    )
-}
-
 impl EmulatedServer {
     /// Starts a server on a free port; `id_header` names the header with the request identifier.
     pub async fn start(id_header: &str) -> std::io::Result<Self> {
@@ -233,10 +224,10 @@
                             .write_all(text.replace("{id}", &id).as_bytes())
                             .await?;
                     }
-                    Reply::Stream { version, to } => {
+                    Reply::Events { version, to } => {
                         let events = versioned_events(version, last_event + 1, to);
-                        let response = stream_response(&id, &events);
-                        stream.write_all(response.as_bytes()).await?;
+                        let chunk = format!("{:x}\r\n{events}\r\n", events.len());
+                        stream.write_all(chunk.as_bytes()).await?;
                     }
                     Reply::Pause(time) => {
                         if self.disconnected_within(&mut stream, time).await {
--- a/crates/ingress/src/capacity.rs
+++ b/crates/ingress/src/capacity.rs
@@ -17,6 +17,7 @@
 use crate::dispatch::Request;
 use crate::metrics::Metrics;
 use crate::node::Node;
+use crate::resumption::is_resumption;
 use crate::slot_usage::{SlotUsage, slot_usage};
 use crate::urgency::due_age;
 
@@ -142,11 +143,6 @@
     left.mul_f64(RETRY_FRACTION).min(MAX_RETRY_DELAY)
 }
 
-/// Whether a request resumes a stream of which its client has received a part.
-pub(crate) fn is_resumption(route: &Route, facts: &RequestMetadata) -> bool {
-    route.resumable && facts.last_event_id.is_some()
-}
-
 /// Whether a request is a retry after a refusal, judged by its deadline.
 pub(crate) fn detect_retry(node: &Node, route: &Route, facts: &RequestMetadata) -> bool {
     if is_resumption(route, facts) {
--- a/crates/ingress/src/error_kind.rs
+++ b/crates/ingress/src/error_kind.rs
@@ -58,6 +58,12 @@
     /// A server failed; the request may have run.
     #[display("server_failed")]
     ServerFailed,
+    /// Where the resumed stream began is not known; nothing ran.
+    #[display("stream_origin_unknown")]
+    StreamOriginUnknown,
+    /// No server runs the software that began the resumed stream; nothing ran.
+    #[display("stream_origin_gone")]
+    StreamOriginGone,
     /// The maximum number of servers crashed while they ran the request; it is not run again.
     #[display("servers_ended")]
     ServersEnded,
@@ -103,6 +109,8 @@
             | ErrorKind::ZonesEvacuated
             | ErrorKind::HomesCannotServe
             | ErrorKind::ExpiredBeforeRun
+            | ErrorKind::StreamOriginUnknown
+            | ErrorKind::StreamOriginGone
             | ErrorKind::StoreUnavailable => 503,
             ErrorKind::Expired => 504,
         }
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -14,7 +14,7 @@
 
 use crate::admission::{Refusal, caller_of_jobs, caller_of_route, charge_quota};
 use crate::attempt::{Ran, Upstreams};
-use crate::capacity::{detect_retry, is_resumption};
+use crate::capacity::detect_retry;
 use crate::crashes::operator_call;
 use crate::dispatch::{Dispatched, Request, Started, dispatch, is_event_route};
 use crate::error_kind::ErrorKind;
@@ -26,6 +26,7 @@
 use crate::refusals::{refund_quota, refuse, without_route};
 use crate::relay;
 use crate::responses::{copy_headers, error_response, start_response};
+use crate::resumption::{find_origin, is_resumption};
 use crate::shares::{acquire_share, share_metrics};
 use dappleyard_clock::Instant;
 
@@ -238,18 +239,20 @@
         let reply = data.jobs.submit(&caller, &route, &facts, body).await;
         return job_response(&node, reply);
     }
-    let Some(service) = route.pick_service(rand::random()).map(str::to_owned) else {
+    let origin = match is_resumption(&route, &facts) {
+        true => match find_origin(&node, &caller, &route, &facts).await {
+            Ok(origin) => Some(origin),
+            Err(refused) => return refuse(&node, &facts.id, &refused),
+        },
+        false => None,
+    };
+    let service = origin.as_ref().map(|origin| origin.service.as_str());
+    let service = service.or_else(|| route.pick_service(rand::random()));
+    let Some(service) = service.map(str::to_owned) else {
         let refused = Refusal::new(ErrorKind::NoServer, "the route has no service");
         return refuse(&node, &facts.id, &refused);
     };
     node.capacities.adopt(&configuration);
-    if is_resumption(&route, &facts) {
-        Metrics::count(&node.metrics.resumptions);
-        node.log.write("resumption", || {
-            serde_json::json!({"request": facts.id, "route": route.name,
-                "resumes": facts.resumes, "after_event": facts.last_event_id})
-        });
-    }
     let is_retry = detect_retry(&node, &route, &facts);
     if let Err(refused) = charge_quota(&node, &configuration, &caller, &facts) {
         return refuse(&node, &facts.id, &refused);
@@ -285,7 +288,7 @@
         route,
         homes,
         service,
-        origin: None,
+        origin,
         arrived,
         deadline: arrived + time_limit,
         is_retry,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -26,6 +26,7 @@
 mod response_buffer;
 mod response_times;
 mod responses;
+mod resumption;
 mod server_selection;
 mod shares;
 mod shutdown;
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -55,6 +55,9 @@
     pub resumed: AtomicU64,
     /// Streams that clients asked to resume.
     pub resumptions: AtomicU64,
+    /// Those of them that were refused, since it is not certain where the stream began or it cannot
+    /// be continued there.
+    pub resumptions_refused: AtomicU64,
     pub connections: AtomicU64,
     pub jobs_accepted: AtomicU64,
     /// Jobs taken over from other nodes.
@@ -132,6 +135,7 @@
             ("left_region", &self.left_region),
             ("resumed", &self.resumed),
             ("resumptions", &self.resumptions),
+            ("resumptions_refused", &self.resumptions_refused),
             ("connections", &self.connections),
             ("jobs_accepted", &self.jobs_accepted),
             ("jobs_claimed", &self.jobs_claimed),
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -8,6 +8,7 @@
 use dappleyard_cluster::{LoadTable, PeerTable, StoreHealth, View, is_strong};
 use dappleyard_crashes::CrashTable;
 use dappleyard_model::{Configuration, Dialect, EventLog, KeyDigest, NodeSettings};
+use dappleyard_streams::StreamTable;
 use dappleyard_tenants::{Caller, ConfigurationStatus, KeyRefusal, QuotaTable, identify};
 use parking_lot::Mutex;
 
@@ -37,6 +38,8 @@
     pub shares: ShareTable,
     /// Requests during which servers crashed.
     pub crashes: Arc<CrashTable>,
+    /// Where streams began.
+    pub streams: Arc<StreamTable>,
     pub peers: Arc<PeerTable>,
     /// Whether the store responds to this node.
     pub health: Arc<StoreHealth>,
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::metrics::Metrics;
 use crate::node::{DisconnectLogger, InFlightGuard};
 use crate::response_buffer::{BufferedResponse, StallFlag};
+use crate::resumption;
 use crate::silence_limits::SilenceLimits;
 use dappleyard_clock::Instant;
 
@@ -185,6 +186,7 @@
             let server = &started.exchange.server;
             let origin = &mut self.request.origin;
             origin.get_or_insert_with(|| RunOrigin::of(server));
+            resumption::note_begun(&node, &self.request);
             started.work.prompt_read();
             let sent = started.sent.elapsed();
             let request = &self.request;
--- a/crates/ingress/src/server_selection.rs
+++ b/crates/ingress/src/server_selection.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_cluster::LoadSummary;
+use dappleyard_clock::Instant;
+use dappleyard_cluster::{LoadSummary, ServerSet};
 use dappleyard_crashes::Permit;
 use dappleyard_model::{Distance, ServerRecord, SoftwareVersion};
 use dappleyard_room::Admission;
@@ -21,6 +22,7 @@
     Candidate, affinity_server, choose, has_free_slot, is_healthy, limit_by_region, mean_excess,
     sample,
 };
+use crate::resumption::is_resumption;
 use crate::urgency::{Urgency, due_age, urgency};
 
 /// Maximum number of servers tried per request.
@@ -59,7 +61,7 @@
     starts: bool,
 ) -> Result<Placement, Unplaced> {
     let sheds = upstreams.node().settings.load_shedding;
-    let starts = starts && !(sheds && capacity::is_resumption(&request.route, &request.facts));
+    let starts = starts && !(sheds && is_resumption(&request.route, &request.facts));
     if starts
         && sheds
         && let Some(found) = select_within_capacity(upstreams, request).await
@@ -205,6 +207,10 @@
     let origin = request.origin.as_ref();
     let candidate_servers = candidate_servers(&servers, &request.homes, origin, node).chain(extra);
     let open: Vec<&Arc<ServerRecord>> = candidate_servers.filter(may_take).collect();
+    let open = match request.origin {
+        Some(_) => open,
+        None => settled_servers(&servers, open),
+    };
     if node.crashes.permit(&request.fingerprint) == Permit::LastRun {
         return select_for_last_run(node, request, &open);
     }
@@ -249,6 +255,25 @@
     })
 }
 
+/// The servers at which streams may begin, or all if there is none.
+fn settled_servers<'a>(
+    servers: &ServerSet,
+    open: Vec<&'a Arc<ServerRecord>>,
+) -> Vec<&'a Arc<ServerRecord>> {
+    if servers.settling.is_empty() {
+        return open;
+    }
+    let now = Instant::now();
+    let settled = open.iter().copied();
+    let settled: Vec<_> = settled
+        .filter(|server| servers.is_settled(server, now))
+        .collect();
+    match settled.is_empty() {
+        true => open,
+        false => settled,
+    }
+}
+
 /// Selects a server for the last run of a request that may crash it: a healthy one with a free
 /// slot, else a healthy one, else any.
 fn select_for_last_run(
--- a/crates/ingress/src/shares.rs
+++ b/crates/ingress/src/shares.rs
@@ -18,10 +18,11 @@
 use parking_lot::Mutex;
 
 use crate::admission::Refusal;
-use crate::capacity::{CapacityForecast, MIN_RETRY_DELAY, is_resumption};
+use crate::capacity::{CapacityForecast, MIN_RETRY_DELAY};
 use crate::error_kind::ErrorKind;
 use crate::metrics::{Metrics, NAMED_TENANTS};
 use crate::node::Node;
+use crate::resumption::is_resumption;
 use crate::slot_usage::{SlotUsage, slot_usage};
 
 /// How long computed shares are reused; load information is updated at the same interval.
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -79,6 +79,14 @@
         }
     }
 
+    /// The service of the route; `None` if it has several.
+    pub fn only_service(&self) -> Option<&str> {
+        match self.targets.as_slice() {
+            [target] => Some(&target.service),
+            _ => None,
+        }
+    }
+
     /// Whether requests of the route may go to a service.
     pub fn has_service(&self, service: &str) -> bool {
         let mut targets = self.targets.iter();
