--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -84,17 +84,26 @@
             });
             // An item that may use a part of the servers only neither uses up the allowance nor marks the service as
             // full while that part has no free server.
-            let is_restricted = candidate.homes.is_restricted() || candidate.origin.is_some();
-            if is_restricted && self.pick(service, &candidate).is_none() {
+            let origin = candidate.origin.as_ref();
+            let is_restricted = candidate.homes.is_restricted() || origin.is_some();
+            if is_restricted && self.pick(service, &candidate, origin).is_none() {
                 drop(allowances);
-                self.wait_or_restart(&candidate);
+                let others_are_free =
+                    origin.is_some() && self.pick(service, &candidate, None).is_some();
+                if others_are_free {
+                    self.wait_or_restart(&candidate);
+                } else if !candidate.homes.is_restricted() {
+                    full.insert(service.to_owned());
+                }
                 continue;
             }
             // The allowance may have been granted in an earlier pass, so the current capacity is checked too.
             let may_start = *capacity > 0 && allowance.take();
             *capacity -= u32::from(may_start);
             drop(allowances);
-            let server = may_start.then(|| self.pick(service, &candidate)).flatten();
+            let server = may_start
+                .then(|| self.pick(service, &candidate, origin))
+                .flatten();
             let Some(server) = server else {
                 full.insert(service.to_owned());
                 continue;
@@ -105,7 +114,8 @@
         gauge.store(held_back, Ordering::Relaxed);
     }
 
-    /// Drops the output of an item that no server may continue, once it has waited for one long enough.
+    /// Drops the output of an item that no server may continue while others have capacity, once it has waited long
+    /// enough.
     fn wait_or_restart(&self, candidate: &Candidate) {
         let mut state = candidate.job.state.borrow_mut();
         let item = &mut state.items[candidate.index];
@@ -268,11 +278,15 @@
         }
     }
 
-    /// Chooses the server for an item; `None` if none with capacity is allowed.
-    fn pick(&self, service: &str, candidate: &Candidate) -> Option<Arc<ServerRecord>> {
+    /// Chooses the server for an item, as if its output began at `origin`; `None` if none with capacity is allowed.
+    fn pick(
+        &self,
+        service: &str,
+        candidate: &Candidate,
+        origin: Option<&RunOrigin>,
+    ) -> Option<Arc<ServerRecord>> {
         let servers = self.node.view.servers(service);
         let places = &self.node.settings.places;
-        let origin = candidate.origin.as_ref();
         let open: Vec<&Arc<ServerRecord>> =
             candidate_servers(&servers, &candidate.homes, origin, &self.node)
                 .filter(|server| candidate.homes.allows_zone(&server.zone, places))
