--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -13,6 +13,7 @@
 };
 use dappleyard_crashes::CrashTable;
 use dappleyard_model::{EventLog, QuotaBounds, RegionName, Row, ServerRecord, Topology, ZoneName};
+use dappleyard_streams::StreamTable;
 use dappleyard_tenants::QuotaTable;
 use prost::Message;
 
@@ -31,6 +32,7 @@
     pub loads: Arc<LoadTable>,
     pub quotas: Arc<QuotaTable>,
     pub crashes: Arc<CrashTable>,
+    pub streams: Arc<StreamTable>,
     pub view: Arc<View>,
     pub task: Option<tokio::task::JoinHandle<()>>,
 }
@@ -59,12 +61,13 @@
         let view = Arc::new(View::with_zone_distances(&name, zone_distances, log));
         let quotas = Arc::new(QuotaTable::new(QUOTA, number as u64));
         let crashes = Arc::new(CrashTable::new(number as u64));
+        let streams = Arc::new(StreamTable::default());
         let tables = GossipTables {
             peers: peers.clone(),
             loads: loads.clone(),
             quotas: quotas.clone(),
             crashes: crashes.clone(),
-            streams: Arc::default(),
+            streams: streams.clone(),
             view: view.clone(),
             health: Arc::new(StoreHealth::default()),
             leaving: Arc::new(AtomicBool::new(false)),
@@ -78,6 +81,7 @@
             loads,
             quotas,
             crashes,
+            streams,
             view,
             task: None,
         }
