--- a/crates/cluster/src/versions.rs
+++ b/crates/cluster/src/versions.rs
@@ -23,10 +23,16 @@
 }
 
 impl VersionState {
-    /// Notes the versions of the servers of a service as listed now.
-    /// Returns whether a version is new.
-    pub(crate) fn note_listed(&mut self, service: &str, listed: &Versions) -> bool {
-        self.history.note_listed(service, listed, Instant::now())
+    /// Notes the versions of the servers of a service that are listed now, and of those that are
+    /// not draining; returns whether a version is new.
+    pub(crate) fn note_listed(
+        &mut self,
+        service: &str,
+        listed: &Versions,
+        serving: &Versions,
+    ) -> bool {
+        self.history
+            .note_listed(service, listed, serving, Instant::now())
     }
 
     /// Versions of a service at which no streams begin yet, with the time from which they do.
@@ -40,7 +46,7 @@
 pub enum OriginStatus {
     /// A server that is not draining is listed.
     Listed,
-    /// The last one disappeared a moment ago and may come back.
+    /// The last one disappeared a moment ago without a drain, and may come back.
     Lapsed,
     /// None is listed, or only draining ones.
     Gone,
@@ -69,8 +75,8 @@
         if servers.any(|(_, server)| !server.draining && origin.continues_at(server)) {
             return OriginStatus::Listed;
         }
-        let unlisted_for = known.versions.history.unlisted_for(origin, Instant::now());
-        match unlisted_for.is_some_and(|time| time < LAPSE_TIME) {
+        let lapsed_for = known.versions.history.lapsed_for(origin, Instant::now());
+        match lapsed_for.is_some_and(|time| time < LAPSE_TIME) {
             true => OriginStatus::Lapsed,
             false => OriginStatus::Gone,
         }
@@ -140,12 +146,18 @@
         servers.map(|(_, server)| server.service.clone()).collect()
     }
 
-    /// Versions of the listed servers of a service.
-    pub(crate) fn listed_versions(&self, service: &str) -> Versions {
+    /// Versions of the listed servers of a service, and of those that are not draining.
+    pub(crate) fn listed_versions(&self, service: &str) -> (Versions, Versions) {
+        let (mut listed, mut serving) = (Versions::new(), Versions::new());
         let servers = self.servers.values().map(|(_, server)| server);
-        servers
-            .filter(|server| server.service == service)
-            .map(|server| server.version.clone())
-            .collect()
+        for server in servers.filter(|server| server.service == service) {
+            if !listed.contains(&server.version) {
+                listed.insert(server.version.clone());
+            }
+            if !server.draining && !serving.contains(&server.version) {
+                serving.insert(server.version.clone());
+            }
+        }
+        (listed, serving)
     }
 }
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -123,8 +123,8 @@
             server.service == service && Self::exclusion_of(known, server).is_none()
         });
         let mut set = self.selector.servers(accepting.cloned().collect());
-        let listed = known.listed_versions(service);
-        if known.versions.note_listed(service, &listed) {
+        let (listed, serving) = known.listed_versions(service);
+        if known.versions.note_listed(service, &listed, &serving) {
             self.versions_changed.notify_one();
         }
         set.settling = known.versions.settling(service);
--- a/crates/streams/src/history.rs
+++ b/crates/streams/src/history.rs
@@ -34,6 +34,8 @@
     settled: Instant,
     /// When its last server disappeared; `None` while one is listed.
     unlisted: Option<Instant>,
+    /// Whether its last servers were draining, so that they do not come back.
+    drained: bool,
 }
 
 impl Listing {
@@ -52,8 +54,15 @@
 }
 
 impl VersionHistory {
-    /// Notes the versions of the servers that are listed now, in whatever state; returns whether a version is new.
-    pub fn note_listed(&mut self, service: &str, listed: &BTreeSet<Version>, now: Instant) -> bool {
+    /// Notes the versions of the servers that are listed now, and of those of them that are not draining; returns whether
+    /// a version is new.
+    pub fn note_listed(
+        &mut self,
+        service: &str,
+        listed: &BTreeSet<Version>,
+        serving: &BTreeSet<Version>,
+        now: Instant,
+    ) -> bool {
         if listed.is_empty() && !self.services.contains_key(service) {
             return false;
         }
@@ -61,7 +70,10 @@
         let is_first = versions.is_empty();
         for (version, listing) in versions.iter_mut() {
             match listed.contains(version) {
-                true => listing.unlisted = None,
+                true => {
+                    listing.unlisted = None;
+                    listing.drained = !serving.contains(version);
+                }
                 false => listing.unlisted = listing.unlisted.or(Some(now)),
             }
         }
@@ -76,6 +88,7 @@
                 Listing {
                     settled,
                     unlisted: None,
+                    drained: !serving.contains(version),
                 }
             });
         }
@@ -90,6 +103,7 @@
             versions.entry(version).or_insert(Listing {
                 settled: now,
                 unlisted: Some(now),
+                drained: false,
             });
         }
     }
@@ -133,10 +147,11 @@
             .collect()
     }
 
-    /// Time since the last server of an origin disappeared; `None` while one is listed, or if there was none.
-    pub fn unlisted_for(&self, origin: &RunOrigin, now: Instant) -> Option<Duration> {
+    /// Time since the last server of an origin disappeared without a drain; `None` while one is listed, or if there was
+    /// none.
+    pub fn lapsed_for(&self, origin: &RunOrigin, now: Instant) -> Option<Duration> {
         let listing = self.services.get(&origin.service)?.get(&origin.version)?;
-        let unlisted = listing.unlisted?;
+        let unlisted = listing.unlisted.filter(|_| !listing.drained)?;
         Some(now.saturating_duration_since(unlisted))
     }
 }
--- a/crates/streams/tests/history.rs
+++ b/crates/streams/tests/history.rs
@@ -21,10 +21,16 @@
     }
 }
 
+/// Notes servers of these versions, none of which is draining.
+fn note(history: &mut VersionHistory, listed: &[&str], now: Instant) -> bool {
+    let listed = versions(listed);
+    history.note_listed("llm", &listed, &listed, now)
+}
+
 /// A history that has learnt the past, of a service with servers of one version.
 fn history(now: Instant) -> VersionHistory {
     let mut history = VersionHistory::default();
-    history.note_listed("llm", &versions(&["v1"]), now);
+    note(&mut history, &["v1"], now);
     history.note_complete();
     history
 }
@@ -51,7 +57,7 @@
     let stale = Knowledge::Stale(origin("v1"));
     expect_that!(history(now).knowledge("llm", false, now), eq(&stale));
     let mut started = VersionHistory::default();
-    started.note_listed("llm", &versions(&["v1"]), now);
+    note(&mut started, &["v1"], now);
     expect_that!(started.knowledge("llm", true, now), eq(&incomplete));
     let nothing = Knowledge::Incomplete { listed: None };
     expect_that!(started.knowledge("other", true, now), eq(&nothing));
@@ -62,9 +68,9 @@
 fn gone_version_counts_for_a_time() {
     let now = Instant::now();
     let mut history = history(now);
-    history.note_listed("llm", &versions(&["v1", "v2"]), now);
+    note(&mut history, &["v1", "v2"], now);
     expect_that!(history.knowledge("llm", true, now), eq(&Knowledge::Several));
-    history.note_listed("llm", &versions(&["v2"]), now);
+    note(&mut history, &["v2"], now);
     let later = now + VERSION_RETENTION - Duration::from_millis(1);
     expect_that!(
         history.knowledge("llm", true, later),
@@ -76,7 +82,7 @@
         eq(&Knowledge::Single(origin("v2")))
     );
     expect_that!(
-        history.unlisted_for(&origin("v1"), now + Duration::from_secs(2)),
+        history.lapsed_for(&origin("v1"), now + Duration::from_secs(2)),
         some(eq(Duration::from_secs(2)))
     );
 }
@@ -86,9 +92,9 @@
 fn returning_version_counts_on() {
     let now = Instant::now();
     let mut history = history(now);
-    history.note_listed("llm", &versions(&["v2"]), now);
+    note(&mut history, &["v2"], now);
     let back = now + Duration::from_secs(60);
-    history.note_listed("llm", &versions(&["v1", "v2"]), back);
+    note(&mut history, &["v1", "v2"], back);
     let later = back + VERSION_RETENTION;
     expect_that!(
         history.knowledge("llm", true, later),
@@ -102,7 +108,7 @@
     let now = Instant::now();
     let mut history = VersionHistory::default();
     history.note_recorded("llm", vec!["v1".parse().ok()], now);
-    history.note_listed("llm", &versions(&["v2"]), now);
+    note(&mut history, &["v2"], now);
     history.note_complete();
     expect_that!(history.knowledge("llm", true, now), eq(&Knowledge::Several));
     expect_that!(history.versions("llm", now), eq(&versions(&["v1", "v2"])));
@@ -113,15 +119,21 @@
 fn new_version_settles() {
     let now = Instant::now();
     let mut history = history(now);
-    expect_that!(
-        history.note_listed("llm", &versions(&["v1", "v2"]), now),
-        eq(true)
-    );
+    expect_that!(note(&mut history, &["v1", "v2"], now), eq(true));
     let settling = history.settling("llm", now);
     expect_that!(settling, eq(&vec![("v2".parse().ok(), now + SETTLE_TIME)]));
     expect_that!(history.settling("llm", now + SETTLE_TIME), is_empty());
-    expect_that!(
-        history.note_listed("llm", &versions(&["v1", "v2"]), now),
-        eq(false)
-    );
+    expect_that!(note(&mut history, &["v1", "v2"], now), eq(false));
+}
+
+// Guards against callers that wait for servers which have left for good.
+#[gtest]
+fn drained_version_does_not_lapse() {
+    let now = Instant::now();
+    let mut history = history(now);
+    let (both, second) = (versions(&["v1", "v2"]), versions(&["v2"]));
+    history.note_listed("llm", &both, &second, now);
+    history.note_listed("llm", &second, &second, now);
+    expect_that!(history.lapsed_for(&origin("v1"), now), none());
+    expect_that!(history.knowledge("llm", true, now), eq(&Knowledge::Several));
 }
