--- a/crates/cluster/src/versions.rs
+++ b/crates/cluster/src/versions.rs
@@ -46,7 +46,8 @@
 pub enum OriginStatus {
     /// A server that is not draining is listed.
     Listed,
-    /// The last one disappeared a moment ago without a drain, and may come back.
+    /// The last one disappeared a moment ago without a drain, or the service has no server at all:
+    /// one may come back.
     Lapsed,
     /// None is listed, or only draining ones.
     Gone,
@@ -71,12 +72,16 @@
     pub fn origin_status(&self, origin: &RunOrigin) -> OriginStatus {
         self.servers(&origin.service);
         let known = self.known.lock();
-        let mut servers = known.servers.values();
-        if servers.any(|(_, server)| !server.draining && origin.continues_at(server)) {
+        let servers = known.servers.values().map(|(_, server)| server);
+        let mut serving =
+            servers.filter(|server| server.service == origin.service && !server.draining);
+        if serving.clone().any(|server| origin.continues_at(server)) {
             return OriginStatus::Listed;
         }
+        // All entries lapse together while the store is away.
+        let all_lapsed = serving.next().is_none();
         let lapsed_for = known.versions.history.lapsed_for(origin, Instant::now());
-        match lapsed_for.is_some_and(|time| time < LAPSE_TIME) {
+        match all_lapsed || lapsed_for.is_some_and(|time| time < LAPSE_TIME) {
             true => OriginStatus::Lapsed,
             false => OriginStatus::Gone,
         }
--- a/crates/streams/src/history.rs
+++ b/crates/streams/src/history.rs
@@ -54,8 +54,8 @@
 }
 
 impl VersionHistory {
-    /// Notes the versions of the servers that are listed now, and of those of them that are not draining; returns whether
-    /// a version is new.
+    /// Notes the versions of the servers that are listed now, and of those of them that are not draining; returns
+    /// whether a version is new.
     pub fn note_listed(
         &mut self,
         service: &str,
