--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -10,8 +10,8 @@
 use crate::failure::Failure;
 use crate::summary::{Line, Summary};
 
-/// Record fields that identify its subject.
-const SUBJECT_FIELDS: [&str; 4] = ["request", "job", "item", "zone"];
+/// Record fields that identify its subject; `resumes` is the attempt that began a resumed stream.
+const SUBJECT_FIELDS: [&str; 5] = ["request", "resumes", "job", "item", "zone"];
 /// Record fields that are not printed as details.
 const ENVELOPE_FIELDS: [&str; 3] = [TIME_FIELD, "uptime_ms", "event"];
 
--- a/crates/dappleyard/tests/command_line.rs
+++ b/crates/dappleyard/tests/command_line.rs
@@ -117,6 +117,22 @@
     );
 }
 
+#[gtest]
+fn explain_shows_resumptions() {
+    let records = concat!(
+        "1.5 node-a {\"at_ms\":1500,\"event\":\"placed\",\"request\":\"r1\",\"server\":\"i-1\",\"version\":\"v1\"}\n",
+        "1.9 node-b {\"at_ms\":1900,\"event\":\"resumption\",\"request\":\"r2\",\"resumes\":\"r1\",",
+        "\"origin\":\"llm v1\",\"known_by\":\"other nodes\"}\n",
+        "1.9 node-b {\"at_ms\":1901,\"event\":\"placed\",\"request\":\"r2\",\"server\":\"i-3\"}\n",
+    );
+    let file = settings_file("resumed.log", records);
+    let output = dappleyard(&["explain", "--log", &file, "r1"]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    expect_that!(text.lines().count(), eq(2), "{text}");
+    expect_that!(text, contains_substring("origin llm v1"));
+    expect_that!(text, contains_substring("known by other nodes"));
+}
+
 /// Serves one request for metrics and returns the address.
 fn serve_metrics_once(text: &'static str) -> String {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
