--- a/crates/cluster/src/versions.rs
+++ b/crates/cluster/src/versions.rs
@@ -23,10 +23,16 @@
 }
 
 impl VersionState {
-    /// Notes the versions of the servers of a service as listed now.
-    /// Returns whether a version is new.
-    pub(crate) fn note_listed(&mut self, service: &str, listed: &Versions) -> bool {
-        self.history.note_listed(service, listed, Instant::now())
+    /// Notes the versions of the servers of a service that are listed now, and of those that are
+    /// not draining; returns whether a version is new.
+    pub(crate) fn note_listed(
+        &mut self,
+        service: &str,
+        listed: &Versions,
+        serving: &Versions,
+    ) -> bool {
+        self.history
+            .note_listed(service, listed, serving, Instant::now())
     }
 
     /// Versions of a service at which no streams begin yet, with the time from which they do.
@@ -40,7 +46,8 @@
 pub enum OriginStatus {
     /// A server that is not draining is listed.
     Listed,
-    /// The last one disappeared a moment ago and may come back.
+    /// The last one disappeared a moment ago without a drain, or the service has no server at all:
+    /// one may come back.
     Lapsed,
     /// None is listed, or only draining ones.
     Gone,
@@ -65,12 +72,16 @@
     pub fn origin_status(&self, origin: &RunOrigin) -> OriginStatus {
         self.servers(&origin.service);
         let known = self.known.lock();
-        let mut servers = known.servers.values();
-        if servers.any(|(_, server)| !server.draining && origin.continues_at(server)) {
+        let servers = known.servers.values().map(|(_, server)| server);
+        let mut serving =
+            servers.filter(|server| server.service == origin.service && !server.draining);
+        if serving.clone().any(|server| origin.continues_at(server)) {
             return OriginStatus::Listed;
         }
-        let unlisted_for = known.versions.history.unlisted_for(origin, Instant::now());
-        match unlisted_for.is_some_and(|time| time < LAPSE_TIME) {
+        // All entries lapse together while the store is away.
+        let all_lapsed = serving.next().is_none();
+        let lapsed_for = known.versions.history.lapsed_for(origin, Instant::now());
+        match all_lapsed || lapsed_for.is_some_and(|time| time < LAPSE_TIME) {
             true => OriginStatus::Lapsed,
             false => OriginStatus::Gone,
         }
@@ -140,12 +151,18 @@
         servers.map(|(_, server)| server.service.clone()).collect()
     }
 
-    /// Versions of the listed servers of a service.
-    pub(crate) fn listed_versions(&self, service: &str) -> Versions {
+    /// Versions of the listed servers of a service, and of those that are not draining.
+    pub(crate) fn listed_versions(&self, service: &str) -> (Versions, Versions) {
+        let (mut listed, mut serving) = (Versions::new(), Versions::new());
         let servers = self.servers.values().map(|(_, server)| server);
-        servers
-            .filter(|server| server.service == service)
-            .map(|server| server.version.clone())
-            .collect()
+        for server in servers.filter(|server| server.service == service) {
+            if !listed.contains(&server.version) {
+                listed.insert(server.version.clone());
+            }
+            if !server.draining && !serving.contains(&server.version) {
+                serving.insert(server.version.clone());
+            }
+        }
+        (listed, serving)
     }
 }
