--- a/crates/cluster/src/version_rows.rs
+++ b/crates/cluster/src/version_rows.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use dappleyard_model::{EventLog, RowKey, RowStore, SoftwareVersion, StoreError, Transaction};
+use dappleyard_model::{EventLog, Row, RowKey, RowStore, SoftwareVersion, StoreError, Transaction};
 use dappleyard_streams::ServiceVersions;
 use prost::Message;
 use xxhash_rust::xxh3::xxh3_64;
@@ -25,7 +25,7 @@
 
 /// Reads the recorded versions, then records changes until the process ends.
 pub async fn sync_versions(view: &View, peers: &PeerTable, store: &dyn RowStore, log: &EventLog) {
-    while let Err(error) = read_table(view, store).await {
+    while let Err(error) = read_table(view, store, log).await {
         log.write(
             "versions_unread",
             || serde_json::json!({"cause": error.to_string()}),
@@ -38,7 +38,7 @@
             if !is_writer(peers, &service) {
                 continue;
             }
-            match record(view, store, &service).await {
+            match record(view, store, log, &service).await {
                 Ok(versions) => log.write(
                     "versions_recorded",
                     || serde_json::json!({"service": service, "versions": texts(&versions)}),
@@ -70,15 +70,12 @@
     before.count() < WRITERS
 }
 
-async fn read_table(view: &View, store: &dyn RowStore) -> Result<(), StoreError> {
+async fn read_table(view: &View, store: &dyn RowStore, log: &EventLog) -> Result<(), StoreError> {
     let mut from = String::new();
     loop {
         let read = store.read(VERSIONS_TABLE, "", &from, "", PAGE_ROWS).await?;
         for row in &read.rows {
-            let value = row.value.clone().unwrap_or_default();
-            // A row that cannot be decoded counts as one with no version.
-            let recorded = ServiceVersions::decode(value).unwrap_or_default();
-            view.note_recorded_versions(&row.key, versions(recorded));
+            view.note_recorded_versions(&row.key, recorded_versions(row, log));
         }
         match read.rows.last().filter(|_| read.more) {
             // The smallest key after the last one.
@@ -89,14 +86,18 @@
 }
 
 /// Writes the row of a service: the versions that count, and those that other nodes have recorded meanwhile.
-async fn record(view: &View, store: &dyn RowStore, service: &str) -> Result<Versions, StoreError> {
+async fn record(
+    view: &View,
+    store: &dyn RowStore,
+    log: &EventLog,
+    service: &str,
+) -> Result<Versions, StoreError> {
     let key = RowKey::new(VERSIONS_TABLE, "", service);
     let end = format!("{service}\u{1}");
     let read = store.read(VERSIONS_TABLE, "", service, &end, 1).await?;
     let row = read.rows.first();
     let revision = row.map_or(0, |row| row.revision);
-    let recorded = row.and_then(|row| ServiceVersions::decode(row.value.clone()?).ok());
-    let recorded = versions(recorded.unwrap_or_default());
+    let recorded = row.map_or_else(Versions::new, |row| recorded_versions(row, log));
     let wanted = view.merge_recorded_versions(service, &recorded);
     if wanted != recorded {
         let value = ServiceVersions {
@@ -111,10 +112,23 @@
     Ok(wanted)
 }
 
-/// Parses recorded versions; an empty text is an unknown version.
-fn versions(recorded: ServiceVersions) -> Versions {
-    let texts = recorded.versions.into_iter();
-    texts.map(|text| text.parse().ok()).collect()
+/// The versions in a row; an empty text is an unknown version. A row that cannot be decoded holds an unknown version
+/// too, so that nobody takes the versions that are listed for all there were.
+fn recorded_versions(row: &Row, log: &EventLog) -> Versions {
+    let value = row.value.clone().unwrap_or_default();
+    match ServiceVersions::decode(value) {
+        Ok(recorded) => {
+            let texts = recorded.versions.into_iter();
+            texts.map(|text| text.parse().ok()).collect()
+        }
+        Err(error) => {
+            log.write(
+                "versions_refused",
+                || serde_json::json!({"service": row.key, "cause": error.to_string()}),
+            );
+            Versions::from([None])
+        }
+    }
 }
 
 fn texts(versions: &Versions) -> Vec<String> {
--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -144,6 +144,7 @@
         "server_answered_failure" => "the server answered with a failure",
         "request_refused" => "the node answered by itself",
         "stream_broke" => "the server's stream broke",
+        "versions_refused" => "the recorded software versions of a service cannot be decoded",
         "versions_recorded" => "the software versions of a service were recorded in the store",
         "resumption" => "the caller asked to resume the stream of an earlier attempt",
         "server_ended" => "the server stopped while it ran the request",
