--- a/crates/cluster/src/server_digest.rs
+++ b/crates/cluster/src/server_digest.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use dappleyard_model::{Row, ServerRecord};
+use dappleyard_model::{Row, ServerRecord, SoftwareVersion};
 use prost::Message;
 
 /// Prefix of a digest. A server's own entry is text and never starts with it.
@@ -64,9 +64,7 @@
             draining: server.draining,
             cold_left_ms: server.cold_left_ms,
             refused: String::new(),
-            version: server
-                .version
-                .map_or_else(String::new, |version| version.to_string()),
+            version: SoftwareVersion::text_of(server.version.as_ref()),
         },
         Err(refused) => ServerDigest {
             refused,
@@ -102,7 +100,7 @@
         service: digest.service,
         address,
         zone: digest.zone,
-        version: digest.version.parse().ok(),
+        version: SoftwareVersion::from_text(&digest.version),
         slots: digest.slots,
         draining: digest.draining,
         cold_left_ms: digest.cold_left_ms,
--- a/crates/cluster/src/version_rows.rs
+++ b/crates/cluster/src/version_rows.rs
@@ -1,11 +1,10 @@
 //! Records the software versions of each service in the row store, so that a node that starts knows at which versions
 //! streams under way may have begun, also when the servers of a version and all nodes that knew it are gone.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use dappleyard_model::{EventLog, Row, RowKey, RowStore, SoftwareVersion, StoreError, Transaction};
-use dappleyard_streams::ServiceVersions;
+use dappleyard_streams::{ServiceVersions, Versions};
 use prost::Message;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -21,8 +20,6 @@
 /// Nodes that write the row of a service; two, so that one may fail.
 const WRITERS: usize = 2;
 
-type Versions = BTreeSet<Option<SoftwareVersion>>;
-
 /// Reads the recorded versions, then records changes until the process ends.
 pub async fn sync_versions(view: &View, peers: &PeerTable, store: &dyn RowStore, log: &EventLog) {
     while let Err(error) = read_table(view, store, log).await {
@@ -118,8 +115,8 @@
     let value = row.value.clone().unwrap_or_default();
     match ServiceVersions::decode(value) {
         Ok(recorded) => {
-            let texts = recorded.versions.into_iter();
-            texts.map(|text| text.parse().ok()).collect()
+            let texts = recorded.versions.iter();
+            texts.map(|text| SoftwareVersion::from_text(text)).collect()
         }
         Err(error) => {
             log.write(
@@ -132,9 +129,8 @@
 }
 
 fn texts(versions: &Versions) -> Vec<String> {
-    let text = |version: &Option<SoftwareVersion>| {
-        let version = version.as_ref();
-        version.map_or_else(String::new, ToString::to_string)
-    };
-    versions.iter().map(text).collect()
+    let versions = versions.iter();
+    versions
+        .map(|version| SoftwareVersion::text_of(version.as_ref()))
+        .collect()
 }
--- a/crates/cluster/src/versions.rs
+++ b/crates/cluster/src/versions.rs
@@ -5,7 +5,7 @@
 
 use dappleyard_clock::Instant;
 use dappleyard_model::{RunOrigin, SoftwareVersion};
-use dappleyard_streams::{Knowledge, VersionHistory};
+use dappleyard_streams::{Knowledge, VersionHistory, Versions};
 
 use crate::view::{View, ViewState};
 
@@ -13,8 +13,6 @@
 /// yet, see [`dappleyard_streams::SETTLE_TIME`].
 const MAX_LIST_AGE: Duration = Duration::from_millis(1_000);
 
-type Versions = BTreeSet<Option<SoftwareVersion>>;
-
 /// The versions of services, and which of them the store has recorded as far as this node knows.
 #[derive(Debug, Default)]
 pub(crate) struct VersionState {
--- a/crates/jobs/src/partials.rs
+++ b/crates/jobs/src/partials.rs
@@ -135,7 +135,7 @@
         events: item.events - item.saved.events,
         continued: number < last,
         service: service.clone().unwrap_or_default(),
-        version: version.map_or_else(String::new, SoftwareVersion::to_string),
+        version: SoftwareVersion::text_of(version),
         restarts: item.restarts,
     };
     let segments = parts.into_iter().enumerate().map(segment);
@@ -230,8 +230,7 @@
 fn origin_of(segment: &StoredPartial) -> RunOrigin {
     RunOrigin {
         service: segment.service.clone(),
-        // An empty version is unknown.
-        version: segment.version.parse().ok(),
+        version: SoftwareVersion::from_text(&segment.version),
     }
 }
 
--- a/crates/model/src/software_version.rs
+++ b/crates/model/src/software_version.rs
@@ -21,6 +21,16 @@
     pub fn as_str(&self) -> &str {
         &self.0
     }
+
+    /// Parses the text of a version in a message or row; an empty text is an unknown version.
+    pub fn from_text(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+
+    /// The text that [`SoftwareVersion::from_text`] parses.
+    pub fn text_of(version: Option<&Self>) -> String {
+        version.map_or_else(String::new, Self::to_string)
+    }
 }
 
 impl fmt::Display for SoftwareVersion {
--- a/crates/streams/src/history.rs
+++ b/crates/streams/src/history.rs
@@ -26,8 +26,12 @@
     Incomplete { listed: Option<RunOrigin> },
 }
 
+/// A version; `None` if it is unknown.
 type Version = Option<SoftwareVersion>;
 
+/// Versions of one service.
+pub type Versions = BTreeSet<Version>;
+
 #[derive(Debug, Clone, Copy)]
 struct Listing {
     /// Streams begin at the version from this time on.
@@ -59,8 +63,8 @@
     pub fn note_listed(
         &mut self,
         service: &str,
-        listed: &BTreeSet<Version>,
-        serving: &BTreeSet<Version>,
+        listed: &Versions,
+        serving: &Versions,
         now: Instant,
     ) -> bool {
         if listed.is_empty() && !self.services.contains_key(service) {
@@ -114,7 +118,7 @@
     }
 
     /// Versions of a service that streams under way may have begun at.
-    pub fn versions(&self, service: &str, now: Instant) -> BTreeSet<Version> {
+    pub fn versions(&self, service: &str, now: Instant) -> Versions {
         let versions = self.services.get(service).into_iter().flatten();
         let counting = versions.filter(|(_, listing)| listing.counts(now));
         counting.map(|(version, _)| version.clone()).collect()
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -18,7 +18,7 @@
 mod resolve;
 mod table;
 
-pub use history::{Knowledge, SETTLE_TIME, VERSION_RETENTION, VersionHistory};
+pub use history::{Knowledge, SETTLE_TIME, VERSION_RETENTION, VersionHistory, Versions};
 pub use key::StreamKey;
 pub use ledger::{MAX_STREAMS, StreamLedger};
 pub use messages::{
--- a/crates/streams/src/messages.rs
+++ b/crates/streams/src/messages.rs
@@ -1,6 +1,6 @@
 //! Protobuf messages about streams between nodes, and the row with the versions of a service.
 
-use dappleyard_model::RunOrigin;
+use dappleyard_model::{RunOrigin, SoftwareVersion};
 use prost::{Message, Oneof};
 
 /// A [`RunOrigin`].
@@ -15,10 +15,9 @@
 
 impl From<&RunOrigin> for OriginMessage {
     fn from(origin: &RunOrigin) -> Self {
-        let version = origin.version.as_ref();
         Self {
             service: origin.service.clone(),
-            version: version.map_or_else(String::new, ToString::to_string),
+            version: SoftwareVersion::text_of(origin.version.as_ref()),
         }
     }
 }
@@ -27,8 +26,7 @@
     fn from(message: OriginMessage) -> Self {
         Self {
             service: message.service,
-            // An empty version is unknown.
-            version: message.version.parse().ok(),
+            version: SoftwareVersion::from_text(&message.version),
         }
     }
 }
--- a/crates/streams/tests/history.rs
+++ b/crates/streams/tests/history.rs
@@ -1,15 +1,12 @@
 //! The versions that a service has had.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
-use dappleyard_model::{RunOrigin, SoftwareVersion};
-use dappleyard_streams::{Knowledge, SETTLE_TIME, VERSION_RETENTION, VersionHistory};
+use dappleyard_model::RunOrigin;
+use dappleyard_streams::{Knowledge, SETTLE_TIME, VERSION_RETENTION, VersionHistory, Versions};
 use googletest::prelude::*;
 
-type Versions = BTreeSet<Option<SoftwareVersion>>;
-
 fn versions(texts: &[&str]) -> Versions {
     texts.iter().map(|text| text.parse().ok()).collect()
 }
