--- a/crates/ingress/src/server_selection.rs
+++ b/crates/ingress/src/server_selection.rs
@@ -7,7 +7,7 @@
 use dappleyard_clock::Instant;
 use dappleyard_cluster::{LoadSummary, ServerSet};
 use dappleyard_crashes::Permit;
-use dappleyard_model::{Distance, ServerRecord, SoftwareVersion};
+use dappleyard_model::{Distance, PromptPart, ServerRecord, SoftwareVersion};
 use dappleyard_room::Admission;
 
 use crate::attempt::Upstreams;
@@ -174,6 +174,7 @@
             "tenant": request.caller.tenant_name(), "server": server,
             "version": placement.server.version.as_ref().map(SoftwareVersion::as_str),
             "distance": distance.to_string(),
+            "parts": part_ids(&request.facts.parts),
             "again": request.is_retry, "candidates": placement.candidates, "kept": placement.cached,
             "online": load.online, "batch": load.batch,
             "unread_tokens": load.unread_tokens, "suspect": load.suspect,
@@ -183,6 +184,12 @@
     });
 }
 
+/// Identifiers of the shared prompt parts, for logs.
+fn part_ids(parts: &[PromptPart]) -> Vec<String> {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| format!("{:x}", part.id)).collect()
+}
+
 /// Selects a server from the current loads, without waiting.
 fn select_now(upstreams: &Upstreams, request: &Request) -> Option<Placement> {
     let node = upstreams.node();
