--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -17,6 +17,8 @@
     /// Sends one chunk of a chunked body with the events up to `to`, from the one after `Last-Event-Id`. The data of an
     /// event names the server's software version.
     Events { version: &'static str, to: u64 },
+    /// Sends the bare bytes of the events up to `to`, from the one after `Last-Event-Id`.
+    BareEvents { to: u64 },
     /// Waits. Ends the connection if the peer disconnects, and the wait if the peer sends a byte.
     Pause(Duration),
     /// Sends nothing until the peer disconnects or sends a byte, or an hour has passed, and closes the
@@ -45,6 +47,8 @@
     default_reply: Vec<Reply>,
     /// A request body and the answer to it, which precedes the script.
     reply_to_body: Option<(Vec<u8>, Vec<Reply>)>,
+    /// Texts of a request head and the answers to requests with them, which precede the script.
+    replies_to_head: Vec<(String, Vec<Reply>)>,
     listener: Option<TcpListener>,
     /// Connection tasks.
     tasks: Vec<tokio::task::AbortHandle>,
@@ -55,6 +59,24 @@
     answers_in_progress: usize,
 }
 
+impl State {
+    /// The answer to a request.
+    fn reply_to(&mut self, head: &str, body: &[u8]) -> Vec<Reply> {
+        let by_body = self.reply_to_body.iter();
+        let mut by_body = by_body.filter(|(told, _)| told == body);
+        let by_head = self.replies_to_head.iter();
+        let mut by_head = by_head.filter(|(text, _)| head.contains(text));
+        if let Some((_, reply)) = by_body.next() {
+            return reply.clone();
+        }
+        if let Some((_, reply)) = by_head.next() {
+            return reply.clone();
+        }
+        let scripted = self.script.pop_front();
+        scripted.unwrap_or_else(|| self.default_reply.clone())
+    }
+}
+
 /// Counts an answer as in progress until dropped.
 struct AnswerGuard(Arc<Mutex<State>>);
 
@@ -142,6 +164,12 @@
         self.state.lock().reply_to_body = Some((body.to_vec(), reply));
     }
 
+    /// Sets the answer to requests whose head contains a text.
+    pub fn reply_to_head(&self, text: &str, reply: Vec<Reply>) {
+        let mut state = self.state.lock();
+        state.replies_to_head.push((text.to_owned(), reply));
+    }
+
     /// Crashes the server: closes its port and drops all connections.
     pub fn crash(&self) {
         self.state.lock().listener = None;
@@ -207,14 +235,9 @@
                 .unwrap_or(0);
             let reply = {
                 let mut state = self.state.lock();
-                let reply_to_body = state
-                    .reply_to_body
-                    .as_ref()
-                    .filter(|(told, _)| *told == body);
-                let reply_to_body = reply_to_body.map(|(_, reply)| reply.clone());
+                let reply = state.reply_to(&head, &body);
                 state.seen.push(ServerEvent::Request(head, body));
-                let next = reply_to_body.or_else(|| state.script.pop_front());
-                next.unwrap_or_else(|| state.default_reply.clone())
+                reply
             };
             let _answering = AnswerGuard::begin(&self.state);
             for step in reply {
@@ -229,6 +252,10 @@
                         let chunk = format!("{:x}\r\n{events}\r\n", events.len());
                         stream.write_all(chunk.as_bytes()).await?;
                     }
+                    Reply::BareEvents { to } => {
+                        let events = numbered_events(last_event + 1, to);
+                        stream.write_all(events.as_bytes()).await?;
+                    }
                     Reply::Pause(time) => {
                         if self.disconnected_within(&mut stream, time).await {
                             return Ok(());
--- a/crates/online/tests/crashes.rs
+++ b/crates/online/tests/crashes.rs
@@ -83,3 +83,35 @@
         }
     });
 }
+
+/// A request with a prompt of its own that begins with the prefix of all others.
+fn request_with_shared_prefix(number: usize) -> Submit {
+    let mut submit = request(&format!("r{number}"));
+    let inner = submit.request.as_mut().expect("a request");
+    inner.prompt = format!("a shared prefix, then question {number}");
+    inner.prefix_hash = 7;
+    inner.prefix_tokens = inner.prompt_tokens / 2;
+    submit
+}
+
+// Guards against counting crashes by whole prompts only: callers vary what follows the shared prefix.
+#[gtest]
+fn prompts_with_a_shared_prefix_share_the_crash_limit() {
+    run(async {
+        let node = Node::new(SERVERS);
+        for server in 0..SERVERS {
+            node.engine.script(&format!("s{server}"), [Script::Crash]);
+        }
+        let mut last = None;
+        for number in 0..6 {
+            let submit = request_with_shared_prefix(number);
+            last = node.submit(submit).full_answer().await.refused;
+        }
+        expect_that!(
+            node.engine.crashed.borrow().len(),
+            eq(MAXIMUM_CRASHED_SERVERS)
+        );
+        let refused = last.expect("a refusal");
+        expect_that!(refused.kind, eq(ErrorKind::ServersEnded as u32));
+    });
+}
