An unframed answer is whole only if its server still answers

What callers may see: an answer with neither a length nor chunks ends with its connection, also when its server crashed. A stream cut between two events passed for whole, one cut inside an event was cut for the caller though it could be resumed, half an answer of another kind looked complete. Such an end also cleared the request and its prompt parts at all nodes, so that crashes in unframed streams were never counted (six servers of eight under one request where three may).

Cause: the end of the connection was believed without a look at the server.

After an unframed end the address is checked: at once, and for streams once more 0.1 s later, since a crashing process may close its connections before its port. The connection of the check goes to the pool.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -82,6 +82,14 @@
         }
     }
 
+    /// The response ended with its connection before it was whole, as something other than its framing shows.
+    pub fn ended_early(reason: impl Into<String>) -> Self {
+        Self {
+            broken_off: true,
+            ..Self::local(Ran::Yes, reason)
+        }
+    }
+
     /// A failure detected by this node, such as a timeout or an invalid response.
     pub fn local(ran: Ran, reason: impl Into<String>) -> Self {
         Self {
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -15,8 +15,8 @@
     Feature, Fingerprint, PromptPartId, RefusedFeature, RequestFeatures, RunGuard,
 };
 use dappleyard_model::{PromptPart, ServerRecord};
+use dappleyard_upstream::Connection;
 use derive_more::Display;
-use tokio::net::TcpStream;
 
 use crate::attempt::{AttemptError, Upstreams};
 use crate::metrics::Metrics;
@@ -222,19 +222,42 @@
 
     /// Checks the address of a server after its response broke off.
     pub async fn check_address(&self, server: &ServerRecord) -> Evidence {
+        self.probe(server).await.0
+    }
+
+    /// Checks the address of a server; returns the connection if the server accepted one.
+    async fn probe(&self, server: &ServerRecord) -> (Evidence, Option<Connection>) {
         if self.node.view.is_replaced(server) {
-            return Evidence::Ended;
+            return (Evidence::Ended, None);
         }
         let leaves = self.node.view.exclusion(&server.id);
         if matches!(leaves, Some(Exclusion::Draining | Exclusion::Gone)) {
-            return Evidence::Leaving;
+            return (Evidence::Leaving, None);
+        }
+        match Connection::open(server.address, CHECK_TIMEOUT).await {
+            Ok(connection) => (Evidence::Alive, Some(connection)),
+            Err(error) if error.is_refused => (Evidence::Ended, None),
+            Err(_) => (Evidence::Unknown, None),
+        }
+    }
+
+    /// Whether an answer that ended with its connection, and whose framing does not show whether it is whole, may have
+    /// been cut by a crash. A stream waits for a second check, since a crashing process may close its connections before
+    /// its port; the caller of another answer is not kept waiting.
+    pub async fn may_be_cut_by_crash(&self, server: &ServerRecord, is_stream: bool) -> bool {
+        let (evidence, connection) = self.probe(server).await;
+        if is_stream && evidence == Evidence::Alive {
+            tokio::time::sleep(SECOND_CHECK_DELAY).await;
         }
-        match tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(server.address)).await {
-            Ok(Ok(_)) => Evidence::Alive,
-            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                Evidence::Ended
+        match connection.filter(Connection::is_reusable) {
+            Some(connection) => {
+                self.pool.put(server.address, connection);
+                false
+            }
+            None if evidence == Evidence::Alive => {
+                self.check_address(server).await != Evidence::Alive
             }
-            Ok(Err(_)) | Err(_) => Evidence::Unknown,
+            None => evidence != Evidence::Leaving,
         }
     }
 }
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -66,8 +66,8 @@
 /// A response that has started.
 pub struct Started {
     pub exchange: Exchange,
-    /// Counts the request in the server's load.
-    pub work: InFlight,
+    /// Counts the request in the server's load until the response has ended.
+    pub work: Option<InFlight>,
     /// The run as reported to all nodes.
     pub run: RunGuard,
     pub sent: Instant,
@@ -225,7 +225,7 @@
         if exchange.head.status / 100 == 2 {
             return Dispatched::Started(Box::new(Started {
                 exchange,
-                work,
+                work: Some(work),
                 run,
                 sent,
             }));
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -122,7 +122,13 @@
                     }
                     self.splitter.push(&piece);
                 }
-                Ok(None) => return self.finish(),
+                Ok(None) => match self.early_end().await {
+                    Some(error) => self.resume(error).await?,
+                    None => {
+                        self.finish();
+                        return Ok(None);
+                    }
+                },
                 Err(error) => self.resume(error).await?,
             }
         }
@@ -192,7 +198,9 @@
             let origin = &mut self.request.origin;
             origin.get_or_insert_with(|| RunOrigin::of(server));
             resumption::note_begun(&node, &self.request);
-            started.work.prompt_read();
+            if let Some(work) = &mut started.work {
+                work.prompt_read();
+            }
             let sent = started.sent.elapsed();
             let request = &self.request;
             node.response_times
@@ -207,16 +215,29 @@
         node.metrics.note_first_event(since_arrival);
     }
 
-    /// Ends the response and returns the bytes after the last complete event, if any.
-    fn finish(&mut self) -> Result<Option<Bytes>, TruncatedResponse> {
+    /// Why a response whose body has ended is not whole; `None` if it is.
+    async fn early_end(&mut self) -> Option<AttemptError> {
+        let is_stream = is_event_route(&self.request.route);
+        if !self.splitter.rest().is_empty() {
+            return Some(AttemptError::ended_early(
+                "the stream ended inside an event",
+            ));
+        }
+        let started = self.started.as_mut()?;
+        if started.exchange.is_framed() {
+            return None;
+        }
+        started.work = None;
+        let server = &started.exchange.server;
+        let is_cut = self.upstreams.may_be_cut_by_crash(server, is_stream).await;
+        is_cut.then(|| AttemptError::ended_early("the server ended with its connection"))
+    }
+
+    /// Ends a whole response.
+    fn finish(&mut self) {
         self.ended = true;
         let node = self.upstreams.node().clone();
-        let rest = self.splitter.rest();
         if let Some(started) = self.started.take() {
-            if !started.exchange.is_framed() && !rest.is_empty() {
-                self.log_truncated("the server closed the connection within an event");
-                return Err(TruncatedResponse);
-            }
             self.upstreams.note_served(&started.run);
             if self.request.runs == 1 {
                 let hold_time = started.sent.elapsed();
@@ -233,7 +254,6 @@
             });
         }
         Metrics::count(&node.metrics.served);
-        Ok((!rest.is_empty()).then_some(rest))
     }
 
     /// Continues the stream at another server after the last event. Fails if the route is not
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -110,6 +110,7 @@
     ExchangeError {
         stage,
         reason: reason.to_owned(),
+        is_refused: false,
     }
 }
 
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -34,6 +34,8 @@
 pub struct ExchangeError {
     pub stage: Stage,
     pub reason: String,
+    /// Nothing listens at the peer's address.
+    pub is_refused: bool,
 }
 
 impl ExchangeError {
@@ -41,6 +43,15 @@
         Self {
             stage,
             reason: reason.to_string(),
+            is_refused: false,
+        }
+    }
+
+    /// Error of an attempt to connect.
+    fn connect(error: &io::Error) -> Self {
+        Self {
+            is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
+            ..Self::new(Stage::Connect, error)
         }
     }
 }
@@ -62,7 +73,7 @@
         let stream = connecting
             .await
             .map_err(|_| ExchangeError::new(Stage::Connect, "timeout"))?
-            .map_err(|error| ExchangeError::new(Stage::Connect, error))?;
+            .map_err(|error| ExchangeError::connect(&error))?;
         // Avoids the delay of small writes by Nagle's algorithm. A failure only costs latency.
         let _ = stream.set_nodelay(true);
         Ok(Self {
