An item of a server that answers unframed comes to an end

What callers may see: an item whose servers always answer with neither a length nor chunks ran again and again until max_wait_s: each end of a connection was taken for a cut, also when the run had asked for the rest and there was none.

Now the item is whole once a server that is asked for the rest has none and is still there. A crash just then, or an end inside an event, counts as a crash of its request and parts, which an end inside an event did not before.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -190,6 +190,7 @@
         run: tracked_run,
     } = started_run;
     let mut splitter = EventSplitter::default();
+    let events_before = job.state.borrow().items[index].events;
     loop {
         let connection = &mut exchange.connection;
         let reading = async {
@@ -223,15 +224,24 @@
         }
     }
     if !splitter.rest().is_empty() {
-        return Err(interrupted("the response ended inside an event"));
+        let reason = "the response ended inside an event";
+        return Err(AttemptError::ended_early(reason));
     }
-    if !exchange.is_framed() {
-        // An unframed response that ends with the connection may be truncated; a retry requests the rest.
-        return Err(interrupted(
-            "the response has no framing that marks its end",
-        ));
+    if exchange.is_framed() {
+        return Ok(());
+    }
+    let server = &exchange.server;
+    if runner.upstreams.may_be_cut_by_crash(server, true).await {
+        let reason = "the server ended with its connection";
+        return Err(AttemptError::ended_early(reason));
+    }
+    // The end of an unframed response does not show whether it is whole. It is once a server that is asked for the rest
+    // has none.
+    let events = job.state.borrow().items[index].events;
+    match events == events_before && events > 0 {
+        true => Ok(()),
+        false => Err(interrupted("the response may have a rest")),
     }
-    Ok(())
 }
 
 fn interrupted(reason: &str) -> AttemptError {
