Ends that follow one another within a second no longer count as one incident

A request, and now a prompt part, that was served within the last minute is judged by incidents, so that the loss of a zone counts once. Ends were one incident as long as each came within a second of the one before, and a record held the first sixteen ends only.

An incident now lasts for a second from its first end, and when a record is full the first end of a new incident takes the place of a later end of an old one.

--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -372,6 +372,9 @@
     pub fn last_run_servers(&self, except: &RequestFeatures, now: Instant) -> HashSet<String> {
         let others = self.records.iter();
         let others = others.filter(|(feature, record)| {
+            if record.ended.len() + 1 < MAX_ENDED_SERVERS {
+                return false;
+            }
             let counted_ends = record.counted_ends(&self.server_failures);
             counted_ends + 1 == MAX_ENDED_SERVERS
                 && record.limits_runs(feature, counted_ends, now)
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -14,7 +14,7 @@
 /// Time for which a reported run of another node counts. A node repeats its report every 450 ms, of which two in a
 /// row may be lost; a node that fails cannot report the end of its runs.
 const REPORTED_RUN_TTL: Duration = Duration::from_millis(1_500);
-/// Ends within this time of each other count as one incident, such as the loss of a zone, a rack or a switch.
+/// Ends within this time of the first count as one incident, such as the loss of a zone, a rack or a switch.
 const INCIDENT_WINDOW: Duration = Duration::from_secs(1);
 /// Limit on the ended servers recorded for one request; more than [`MAX_ENDED_SERVERS`], since some ends do not count.
 const MAX_ENDS_HELD: usize = 16;
@@ -135,12 +135,7 @@
         let mut times: Vec<Instant> = self.ended.iter().filter(counts).map(|end| end.at).collect();
         times.sort_unstable();
         if self.served_before {
-            times.dedup_by(|later, earlier| {
-                let is_same = later.saturating_duration_since(*earlier) <= INCIDENT_WINDOW;
-                // The next end is compared with the last one of the incident.
-                *earlier = if is_same { *later } else { *earlier };
-                is_same
-            });
+            times = incident_starts(times);
         }
         times
     }
@@ -220,7 +215,7 @@
 
     /// Records the end of a server; returns whether it was new.
     pub(crate) fn note_ended(&mut self, server: &str, at: Instant, brought_output: bool) -> bool {
-        if self.has_ended(server) || self.ended.len() >= MAX_ENDS_HELD {
+        if self.has_ended(server) || !self.make_room(at) {
             return false;
         }
         self.ended.push(ServerEnd {
@@ -232,6 +227,24 @@
         true
     }
 
+    /// Makes room for the end of a server; returns whether there is any. When the record is full, the first end of a new
+    /// incident replaces a later end of an earlier one.
+    fn make_room(&mut self, at: Instant) -> bool {
+        if self.ended.len() < MAX_ENDS_HELD {
+            return true;
+        }
+        let mut times: Vec<Instant> = self.ended.iter().map(|end| end.at).collect();
+        times.sort_unstable();
+        let starts = incident_starts(times);
+        let is_new = starts.iter().all(|start| at > *start + INCIDENT_WINDOW);
+        let later_end = self.ended.iter().position(|end| !starts.contains(&end.at));
+        let Some(later_end) = later_end.filter(|_| is_new) else {
+            return false;
+        };
+        self.ended.remove(later_end);
+        true
+    }
+
     /// Clears the record, since the request does not crash every server that runs it.
     pub(crate) fn clear(&mut self, now: Instant) {
         self.epoch += 1;
@@ -356,3 +369,9 @@
         is_new
     }
 }
+
+/// The first of each group of ends within [`INCIDENT_WINDOW`], from ends in order.
+fn incident_starts(mut times: Vec<Instant>) -> Vec<Instant> {
+    times.dedup_by(|later, start| later.saturating_duration_since(*start) <= INCIDENT_WINDOW);
+    times
+}
--- a/crates/crashes/tests/prompt_parts.rs
+++ b/crates/crashes/tests/prompt_parts.rs
@@ -166,6 +166,29 @@
     }
 }
 
+// Guards against a part, sound until a moment ago, that crashes servers so often that all ends count as one incident.
+#[gtest]
+fn ends_in_quick_succession() {
+    // At the shorter interval a second has more ends than a record holds.
+    for interval in [300, 40].map(Duration::from_millis) {
+        let (mut ledger, begun) = (Ledger::new(1), Instant::now());
+        ledger.note_served(&request(0, &[1, 2]), begun);
+        let (mut now, mut number) = (begun, 0);
+        while ledger.permit(&request(999, &[2]), now) != Permit::Refused {
+            number += 1;
+            crash(
+                &mut ledger,
+                &request(number, &[2]),
+                &format!("i-{number}"),
+                now,
+            );
+            now += interval;
+            // The rule bounds further runs from three seconds after the fifth end.
+            assert_that!(now, le(begun + 4 * interval + Duration::from_secs(3)));
+        }
+    }
+}
+
 // Guards against a common part that is held back because a rare one beside it crashes servers.
 #[gtest]
 fn common_part_is_never_held_back() {
