A process that has just started runs nothing before it knows the refusals

Cause: the table of refusals is read beside the configuration, and nothing waited for it.

Now requests wait until the table is read. While the store is away they wait for 0.7 s after the start at most, in which other nodes, which repeat their records every 450 ms, tell it. nothing_runs_before_the_table_is_read failed before (Free while the store was down).

--- a/crates/cluster/src/crash_rows.rs
+++ b/crates/cluster/src/crash_rows.rs
@@ -13,11 +13,15 @@
 
 pub const CRASHES_TABLE: &str = "crashes";
 const PAGE_ROWS: usize = 500;
+/// Longest time for which a process that has just started holds requests back until it has read the table. By then the
+/// other nodes, which repeat their records every 450 ms, have told it while the store is away.
+const MAX_LEARNING: Duration = Duration::from_millis(700);
 /// Delay before a failed store call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Reads the table, then writes changes to the store until the process ends.
 pub async fn sync_refused_requests(crashes: &CrashTable, store: &dyn RowStore, log: &EventLog) {
+    crashes.start_learning(MAX_LEARNING);
     while let Err(error) = read_table(crashes, store, log).await {
         log.write(
             "refused_requests_unread",
@@ -25,6 +29,7 @@
         );
         tokio::time::sleep(RETRY_DELAY).await;
     }
+    crashes.finish_learning();
     loop {
         let (feature, record) = crashes.next_unstored().await;
         let refused = record.is_some();
--- /dev/null
+++ b/crates/cluster/tests/crash_rows.rs
@@ -0,0 +1,86 @@
+//! A process that has just started learns which requests are refused before it runs any.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dappleyard_cluster::sync_refused_requests;
+use dappleyard_crashes::{
+    CrashTable, Fingerprint, Permit, PromptPartId, RequestFeatures, RequestParts,
+};
+use dappleyard_emulator::EmulatedRows;
+use dappleyard_model::EventLog;
+use googletest::prelude::*;
+use support::{run_local, wait_until};
+
+fn request(body: &str) -> RequestFeatures {
+    let fingerprint = Fingerprint::of(&RequestParts {
+        caller: "",
+        method: "POST",
+        host: "shop.example",
+        target: "/chat/x",
+        body: body.as_bytes(),
+    });
+    RequestFeatures::new(fingerprint, [PromptPartId(7)])
+}
+
+/// Starts a process that keeps its refusals in the store.
+fn start(rows: &EmulatedRows, node_id: u64) -> Arc<CrashTable> {
+    let crashes = Arc::new(CrashTable::new(node_id));
+    let (kept, rows) = (crashes.clone(), rows.clone());
+    tokio::task::spawn_local(async move {
+        sync_refused_requests(&kept, &rows, &EventLog::silent()).await;
+    });
+    crashes
+}
+
+async fn store_refusal(rows: &EmulatedRows) {
+    let crashes = start(rows, 1);
+    wait_until("the table is read", || {
+        crashes.permit(&request("a")) == Permit::Free
+    })
+    .await;
+    for number in 0..3 {
+        let body = format!("crash {number}");
+        let run = crashes.begin(&request(&body), &format!("i-{number}"));
+        expect_that!(run.map(|run| run.note_ended(None)).is_ok(), eq(true));
+    }
+    wait_until("the refusal is stored", || rows.table("crashes").len() == 1).await;
+}
+
+// Guards against a process that runs refused requests before it knows the refusals.
+#[gtest]
+fn nothing_runs_before_the_table_is_read() {
+    run_local(async {
+        let rows = EmulatedRows::default();
+        store_refusal(&rows).await;
+        rows.set_down(true);
+        let crashes = start(&rows, 2);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        expect_that!(crashes.permit(&request("b")), eq(Permit::Wait));
+        rows.set_down(false);
+        wait_until("the part is refused", || {
+            crashes.permit(&request("b")) == Permit::Refused
+        })
+        .await;
+    });
+}
+
+// Guards against a process that serves nothing while the store is away.
+#[gtest]
+fn requests_run_without_the_store_in_the_end() {
+    run_local(async {
+        let rows = EmulatedRows::default();
+        rows.set_down(true);
+        let crashes = start(&rows, 2);
+        wait_until("requests are held back", || {
+            crashes.permit(&request("b")) == Permit::Wait
+        })
+        .await;
+        wait_until("requests run", || {
+            crashes.permit(&request("b")) == Permit::Free
+        })
+        .await;
+    });
+}
--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The crash records of all features of requests, as known to one node. Pure; time is an argument.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
@@ -21,9 +21,6 @@
 /// Retention of a refused feature, after which requests with it may run again.
 pub const REFUSED_RETENTION: Duration = Duration::from_secs(3_600);
 
-/// Shortest time for which a refusal lasts, since a retry may be under way whose result is known by then.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Appended to the identifier of an ended incarnation to denote the next one, until that reports its own identifier.
 const RESTART_SUFFIX: char = '+';
 /// Nodes may observe the end of a server at times that differ by this much; differences of 90 ms occur. A run that
@@ -82,12 +79,14 @@
     /// Servers on which this node runs requests with each feature, including unsuspected ones.
     pub(crate) running: HashMap<Feature, Vec<String>>,
     recently_served: RecentlyServed,
-    server_failures: ServerFailures,
+    pub(crate) server_failures: ServerFailures,
     /// Changed records, with the number of sends that remain.
     pub(crate) unsent: HashMap<Feature, u8>,
     pub(crate) last_refreshed: Option<Feature>,
     /// Features that were refused or cleared, which this node must still write to the store.
     unstored: BTreeSet<Feature>,
+    /// Time until which nothing runs, because the refusals of other nodes are not known yet.
+    pub(crate) learning_until: Option<Instant>,
 }
 
 impl Ledger {
@@ -103,72 +102,10 @@
             unsent: HashMap::new(),
             last_refreshed: None,
             unstored: BTreeSet::new(),
+            learning_until: None,
         }
     }
 
-    /// Decides on the next run of a request: the most restrictive decision on one of its features.
-    pub fn permit(&self, request: &RequestFeatures, now: Instant) -> Permit {
-        let refused = self.refused_features_of(request);
-        let permits = request.iter();
-        let permits = permits.map(|feature| self.feature_permit(feature, refused, now));
-        permits.max().unwrap_or(Permit::Free)
-    }
-
-    /// Number of a request's features that have reached the limit of ended servers.
-    fn refused_features_of(&self, request: &RequestFeatures) -> u32 {
-        let refused = request.iter().filter(|feature| self.is_refused(feature));
-        refused.map(|_| 1).sum()
-    }
-
-    fn feature_permit(&self, feature: &Feature, refused_features: u32, now: Instant) -> Permit {
-        let Some(record) = self.records.get(feature) else {
-            return Permit::Free;
-        };
-        let counted_ends = record.counted_ends(&self.server_failures);
-        let own = self.running.get(feature).map_or(0, Vec::len);
-        if counted_ends >= MAX_ENDED_SERVERS {
-            let wait = self.time_until_retry(feature, record, refused_features, now);
-            let is_due = wait.is_some_and(|wait| wait.is_zero());
-            let is_taken = own > 0 || record.is_taken_elsewhere(self.node_id, now);
-            return match is_due && !is_taken {
-                true => Permit::LastRun,
-                false => Permit::Refused,
-            };
-        }
-        if !record.limits_runs(feature, counted_ends, now) {
-            return Permit::Free;
-        }
-        // Each active run may end its server.
-        let under_way = own + record.reported_servers(now).count();
-        if counted_ends + under_way >= MAX_ENDED_SERVERS {
-            return Permit::Wait;
-        }
-        match counted_ends + 1 == MAX_ENDED_SERVERS {
-            true => Permit::LastRun,
-            false => Permit::Free,
-        }
-    }
-
-    fn time_until_retry(
-        &self,
-        feature: &Feature,
-        record: &Record,
-        refused_features: u32,
-        now: Instant,
-    ) -> Option<Duration> {
-        let failures = &self.server_failures;
-        record.time_until_retry(feature, refused_features, failures, now)
-    }
-
-    /// The first feature for which a request is refused, if it is.
-    pub fn refusal(&self, request: &RequestFeatures, now: Instant) -> Option<RefusedFeature> {
-        let count = self.refused_features_of(request);
-        let is_refused =
-            |feature: &&Feature| self.feature_permit(feature, count, now) == Permit::Refused;
-        let feature = request.iter().find(is_refused)?;
-        self.refused_feature(feature, count, now)
-    }
-
     /// Starts a run on a server, unless the request must wait or is refused.
     pub fn begin(&mut self, request: &RequestFeatures, server: &str, now: Instant) -> Permit {
         let permit = self.permit(request, now);
@@ -188,29 +125,6 @@
         permit
     }
 
-    /// Reserves the retries of the refused features that a request shares with others, so that no two nodes begin one;
-    /// returns whether it may begin now.
-    fn reserve_retries(&mut self, request: &RequestFeatures, now: Instant) -> bool {
-        let shared = request.iter().filter(|feature| feature.is_shared());
-        let refused: Vec<Feature> = shared
-            .copied()
-            .filter(|feature| self.is_refused(feature))
-            .collect();
-        let mut may_begin = true;
-        for feature in &refused {
-            if let Some(record) = self.records.get_mut(feature) {
-                may_begin &= record.reserve(now);
-            }
-            self.queue_runs(feature, now);
-        }
-        for feature in refused.iter().filter(|_| may_begin) {
-            if let Some(record) = self.records.get_mut(feature) {
-                record.use_reservation();
-            }
-        }
-        may_begin
-    }
-
     /// Ends a run on a server, whatever its result.
     pub fn end(&mut self, request: &RequestFeatures, server: &str, now: Instant) {
         for feature in request.iter() {
@@ -305,12 +219,6 @@
         }
     }
 
-    /// Whether a feature has reached the limit of ended servers.
-    fn is_refused(&self, feature: &Feature) -> bool {
-        let record = self.records.get(feature);
-        record.is_some_and(|record| record.counted_ends(&self.server_failures) >= MAX_ENDED_SERVERS)
-    }
-
     /// Updates whether this node completed a request with the feature shortly before the first end, or since; returns
     /// whether that is new.
     fn update_served_before(&mut self, feature: &Feature) -> bool {
@@ -368,27 +276,6 @@
         true
     }
 
-    /// Servers that run other requests in the state [`Permit::LastRun`].
-    pub fn last_run_servers(&self, except: &RequestFeatures, now: Instant) -> HashSet<String> {
-        let others = self.records.iter();
-        let others = others.filter(|(feature, record)| {
-            if record.ended.len() + 1 < MAX_ENDED_SERVERS {
-                return false;
-            }
-            let counted_ends = record.counted_ends(&self.server_failures);
-            counted_ends + 1 == MAX_ENDED_SERVERS
-                && record.limits_runs(feature, counted_ends, now)
-                && !except.iter().any(|own| own == *feature)
-        });
-        let mut servers = HashSet::new();
-        for (feature, record) in others {
-            let own = self.running.get(feature).into_iter().flatten();
-            servers.extend(own.cloned());
-            servers.extend(record.reported_servers(now).map(str::to_owned));
-        }
-        servers
-    }
-
     /// Servers that ended while they ran requests with a feature.
     pub fn ended_under(&self, feature: &Feature) -> Vec<String> {
         let record = self.records.get(feature);
@@ -451,36 +338,6 @@
         });
     }
 
-    /// Refused features, and the number of other records.
-    pub fn refused(&self, now: Instant) -> (Vec<RefusedFeature>, usize) {
-        let refused = self.records.keys();
-        let refused = refused.filter(|feature| self.is_refused(feature));
-        let refused: Vec<RefusedFeature> = refused
-            .filter_map(|feature| self.refused_feature(feature, 1, now))
-            .collect();
-        let others = self.records.len() - refused.len();
-        (refused, others)
-    }
-
-    fn refused_feature(
-        &self,
-        feature: &Feature,
-        refused_features: u32,
-        now: Instant,
-    ) -> Option<RefusedFeature> {
-        let record = self.records.get(feature)?;
-        let age = now.saturating_duration_since(record.changed);
-        let retry = self.time_until_retry(feature, record, refused_features, now);
-        Some(RefusedFeature {
-            feature: *feature,
-            ended: record.servers(),
-            age,
-            retry_after: retry
-                .unwrap_or_else(|| REFUSED_RETENTION.saturating_sub(age))
-                .max(MIN_RETRY_AFTER),
-        })
-    }
-
     /// Evicts a record if those of the kind are too many: features that are not refused first, then the oldest.
     fn evict_for(&mut self, feature: &Feature) {
         if self.records.len() < MAX_RECORDS || self.records.contains_key(feature) {
--- /dev/null
+++ b/crates/crashes/src/permits.rs
@@ -0,0 +1,176 @@
+//! Decisions on the next run of a request, from the records of its features. Pure; time is an argument.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use dappleyard_clock::Instant;
+
+use crate::feature::{Feature, RequestFeatures};
+use crate::ledger::{Ledger, Permit, REFUSED_RETENTION, RefusedFeature};
+use crate::record::{MAX_ENDED_SERVERS, Record};
+
+/// Shortest time for which a refusal lasts, since a retry may be under way whose result is known by then.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+impl Ledger {
+    /// Holds all requests back until [`finish_learning`](Self::finish_learning), or until the given time.
+    pub fn learn_until(&mut self, until: Instant) {
+        self.learning_until = Some(until);
+    }
+
+    /// The refusals of other nodes are known.
+    pub fn finish_learning(&mut self) {
+        self.learning_until = None;
+    }
+
+    fn is_learning(&self, now: Instant) -> bool {
+        self.learning_until.is_some_and(|until| now < until)
+    }
+
+    /// Decides on the next run of a request: the most restrictive decision on one of its features.
+    pub fn permit(&self, request: &RequestFeatures, now: Instant) -> Permit {
+        let refused = self.refused_features_of(request);
+        let permits = request.iter();
+        let permits = permits.map(|feature| self.feature_permit(feature, refused, now));
+        let permit = permits.max().unwrap_or(Permit::Free);
+        match self.is_learning(now) {
+            true => permit.max(Permit::Wait),
+            false => permit,
+        }
+    }
+
+    /// Number of a request's features that have reached the limit of ended servers.
+    fn refused_features_of(&self, request: &RequestFeatures) -> u32 {
+        let refused = request.iter().filter(|feature| self.is_refused(feature));
+        refused.count() as u32
+    }
+
+    fn feature_permit(&self, feature: &Feature, refused_features: u32, now: Instant) -> Permit {
+        let Some(record) = self.records.get(feature) else {
+            return Permit::Free;
+        };
+        let counted_ends = record.counted_ends(&self.server_failures);
+        let own = self.running.get(feature).map_or(0, Vec::len);
+        if counted_ends >= MAX_ENDED_SERVERS {
+            let wait = self.time_until_retry(feature, record, refused_features, now);
+            let is_due = wait.is_some_and(|wait| wait.is_zero());
+            let is_taken = own > 0 || record.is_taken_elsewhere(self.node_id, now);
+            return match is_due && !is_taken {
+                true => Permit::LastRun,
+                false => Permit::Refused,
+            };
+        }
+        if !record.limits_runs(feature, counted_ends, now) {
+            return Permit::Free;
+        }
+        // Each active run may end its server.
+        let under_way = own + record.reported_servers(now).count();
+        if counted_ends + under_way >= MAX_ENDED_SERVERS {
+            return Permit::Wait;
+        }
+        match counted_ends + 1 == MAX_ENDED_SERVERS {
+            true => Permit::LastRun,
+            false => Permit::Free,
+        }
+    }
+
+    fn time_until_retry(
+        &self,
+        feature: &Feature,
+        record: &Record,
+        refused_features: u32,
+        now: Instant,
+    ) -> Option<Duration> {
+        let failures = &self.server_failures;
+        record.time_until_retry(feature, refused_features, failures, now)
+    }
+
+    /// Reserves the retries of the refused features that a request shares with others, so that no two nodes begin one;
+    /// returns whether it may begin now.
+    pub(crate) fn reserve_retries(&mut self, request: &RequestFeatures, now: Instant) -> bool {
+        let shared = request.iter().filter(|feature| feature.is_shared());
+        let refused: Vec<Feature> = shared
+            .copied()
+            .filter(|feature| self.is_refused(feature))
+            .collect();
+        let mut may_begin = true;
+        for feature in &refused {
+            if let Some(record) = self.records.get_mut(feature) {
+                may_begin &= record.reserve(now);
+            }
+            self.queue_runs(feature, now);
+        }
+        for feature in refused.iter().filter(|_| may_begin) {
+            if let Some(record) = self.records.get_mut(feature) {
+                record.use_reservation();
+            }
+        }
+        may_begin
+    }
+
+    /// Servers that run other requests in the state [`Permit::LastRun`].
+    pub fn last_run_servers(&self, except: &RequestFeatures, now: Instant) -> HashSet<String> {
+        let others = self.records.iter();
+        let others = others.filter(|(feature, record)| {
+            if record.ended.len() + 1 < MAX_ENDED_SERVERS {
+                return false;
+            }
+            let counted_ends = record.counted_ends(&self.server_failures);
+            counted_ends + 1 == MAX_ENDED_SERVERS
+                && record.limits_runs(feature, counted_ends, now)
+                && !except.iter().any(|own| own == *feature)
+        });
+        let mut servers = HashSet::new();
+        for (feature, record) in others {
+            let own = self.running.get(feature).into_iter().flatten();
+            servers.extend(own.cloned());
+            servers.extend(record.reported_servers(now).map(str::to_owned));
+        }
+        servers
+    }
+
+    /// Whether a feature has reached the limit of ended servers.
+    pub(crate) fn is_refused(&self, feature: &Feature) -> bool {
+        let record = self.records.get(feature);
+        record.is_some_and(|record| record.counted_ends(&self.server_failures) >= MAX_ENDED_SERVERS)
+    }
+
+    /// The first feature for which a request is refused, if it is.
+    pub fn refusal(&self, request: &RequestFeatures, now: Instant) -> Option<RefusedFeature> {
+        let count = self.refused_features_of(request);
+        let is_refused =
+            |feature: &&Feature| self.feature_permit(feature, count, now) == Permit::Refused;
+        let feature = request.iter().find(is_refused)?;
+        self.refused_feature(feature, count, now)
+    }
+
+    /// Refused features, and the number of other records.
+    pub fn refused(&self, now: Instant) -> (Vec<RefusedFeature>, usize) {
+        let refused = self.records.keys();
+        let refused = refused.filter(|feature| self.is_refused(feature));
+        let refused: Vec<RefusedFeature> = refused
+            .filter_map(|feature| self.refused_feature(feature, 1, now))
+            .collect();
+        let others = self.records.len() - refused.len();
+        (refused, others)
+    }
+
+    fn refused_feature(
+        &self,
+        feature: &Feature,
+        refused_features: u32,
+        now: Instant,
+    ) -> Option<RefusedFeature> {
+        let record = self.records.get(feature)?;
+        let age = now.saturating_duration_since(record.changed);
+        let retry = self.time_until_retry(feature, record, refused_features, now);
+        Some(RefusedFeature {
+            feature: *feature,
+            ended: record.servers(),
+            age,
+            retry_after: retry
+                .unwrap_or_else(|| REFUSED_RETENTION.saturating_sub(age))
+                .max(MIN_RETRY_AFTER),
+        })
+    }
+}
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -53,6 +53,16 @@
         result
     }
 
+    /// Holds all requests back until [`finish_learning`](Self::finish_learning), but no longer than `limit`.
+    pub fn start_learning(&self, limit: Duration) {
+        self.ledger.lock().learn_until(Instant::now() + limit);
+    }
+
+    /// The refusals of other nodes are known.
+    pub fn finish_learning(&self) {
+        self.ledger.lock().finish_learning();
+    }
+
     /// Decides on the next run of a request.
     pub fn permit(&self, request: &RequestFeatures) -> Permit {
         self.ledger.lock().permit(request, Instant::now())
