Stored ends keep their age

Cause: a row's record was aged as a whole by the time since it was written, but the times of its ends were not. Read 5 s later they looked new, and newer than ends that other nodes told, so that the gaps by which retries are counted were wrong.

stored_ends_keep_their_age failed before: 6 ms where the ends were 300 ms old.

--- a/crates/cluster/src/crash_rows.rs
+++ b/crates/cluster/src/crash_rows.rs
@@ -87,12 +87,16 @@
     Duration::from_millis(record.age_ms) >= REFUSED_RETENTION
 }
 
-/// Decodes a row; the age of its record includes the time since it was written, by the store's
+/// Decodes a row; the ages in its record include the time since it was written, by the store's
 /// clock.
 fn decode(row: &Row, now_ms: u64) -> Option<CrashRecord> {
     let stored = StoredRefusal::decode(row.value.clone()?).ok()?;
     let mut record = stored.record?;
-    record.age_ms += now_ms.saturating_sub(stored.written_ms);
+    let stored_for_ms = now_ms.saturating_sub(stored.written_ms);
+    record.age_ms += stored_for_ms;
+    for age_ms in &mut record.ages_ms {
+        *age_ms += stored_for_ms;
+    }
     Some(record)
 }
 
--- a/crates/cluster/tests/crash_rows.rs
+++ b/crates/cluster/tests/crash_rows.rs
@@ -7,7 +7,7 @@
 
 use dappleyard_cluster::sync_refused_requests;
 use dappleyard_crashes::{
-    CrashTable, Fingerprint, Permit, PromptPartId, RequestFeatures, RequestParts,
+    CrashTable, Feature, Fingerprint, Permit, PromptPartId, RequestFeatures, RequestParts,
 };
 use dappleyard_emulator::EmulatedRows;
 use dappleyard_model::EventLog;
@@ -67,6 +67,25 @@
     });
 }
 
+// Guards against stored ends that look new to the process that reads them, so that it allows one retry more.
+#[gtest]
+fn stored_ends_keep_their_age() {
+    run_local(async {
+        let rows = EmulatedRows::default();
+        store_refusal(&rows).await;
+        let stored_for = Duration::from_millis(300);
+        tokio::time::sleep(stored_for).await;
+        let crashes = start(&rows, 2);
+        wait_until("the part is refused", || {
+            crashes.permit(&request("b")) == Permit::Refused
+        })
+        .await;
+        let record = crashes.message(&Feature::PromptPart(PromptPartId(7)));
+        expect_that!(record.ages_ms.len(), eq(3));
+        expect_that!(record.ages_ms, each(ge(&(stored_for.as_millis() as u64))));
+    });
+}
+
 // Guards against a process that serves nothing while the store is away.
 #[gtest]
 fn requests_run_without_the_store_in_the_end() {
