A request waits for its reserved retry before a server is chosen

The reservation is now asked for first, so that a server is chosen once, when the retry may begin; what may run is as it was.

--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -108,16 +108,18 @@
 
     /// Starts a run on a server, unless the request must wait or is refused.
     pub fn begin(&mut self, request: &RequestFeatures, server: &str, now: Instant) -> Permit {
-        let permit = self.permit(request, now);
+        let permit = self.prepare(request, now);
         match permit {
             Permit::Wait | Permit::Refused => return permit,
             Permit::LastRun if self.last_run_servers(request, now).contains(server) => {
                 return Permit::Wait;
             }
-            Permit::LastRun if !self.reserve_retries(request, now) => return Permit::Wait,
             Permit::Free | Permit::LastRun => {}
         }
         for feature in request.iter() {
+            if let Some(record) = self.records.get_mut(feature) {
+                record.use_reservation();
+            }
             let running = self.running.entry(*feature).or_default();
             running.push(server.to_owned());
             self.queue_runs(feature, now);
--- a/crates/crashes/src/permits.rs
+++ b/crates/crashes/src/permits.rs
@@ -39,6 +39,15 @@
         }
     }
 
+    /// Same, and reserves the retry of a refused feature: until it may begin, the request waits.
+    pub fn prepare(&mut self, request: &RequestFeatures, now: Instant) -> Permit {
+        let permit = self.permit(request, now);
+        match permit == Permit::LastRun && !self.reserve_retries(request, now) {
+            true => Permit::Wait,
+            false => permit,
+        }
+    }
+
     /// Number of a request's features that have reached the limit of ended servers.
     fn refused_features_of(&self, request: &RequestFeatures) -> u32 {
         let refused = request.iter().filter(|feature| self.is_refused(feature));
@@ -87,7 +96,7 @@
 
     /// Reserves the retries of the refused features that a request shares with others, so that no two nodes begin one;
     /// returns whether it may begin now.
-    pub(crate) fn reserve_retries(&mut self, request: &RequestFeatures, now: Instant) -> bool {
+    fn reserve_retries(&mut self, request: &RequestFeatures, now: Instant) -> bool {
         let shared = request.iter().filter(|feature| feature.is_shared());
         let refused: Vec<Feature> = shared
             .copied()
@@ -100,11 +109,6 @@
             }
             self.queue_runs(feature, now);
         }
-        for feature in refused.iter().filter(|_| may_begin) {
-            if let Some(record) = self.records.get_mut(feature) {
-                record.use_reservation();
-            }
-        }
         may_begin
     }
 
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -68,6 +68,11 @@
         self.ledger.lock().permit(request, Instant::now())
     }
 
+    /// Same, and reserves the retry of a refused feature: until it may begin, the request waits.
+    pub fn prepare(&self, request: &RequestFeatures) -> Permit {
+        self.change(|ledger| ledger.prepare(request, Instant::now()))
+    }
+
     /// The first feature for which a request is refused, if it is.
     pub fn refusal(&self, request: &RequestFeatures) -> Option<RefusedFeature> {
         self.ledger.lock().refusal(request, Instant::now())
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -175,7 +175,7 @@
         if let Some(refused) = node.crashes.refusal(&request.features) {
             return Dispatched::Refused(request.refusal_kind(&refused), refused);
         }
-        if node.crashes.permit(&request.features) == Permit::Wait {
+        if node.crashes.prepare(&request.features) == Permit::Wait {
             tokio::time::sleep(RUN_CHECK_INTERVAL.min(request.remaining())).await;
             continue;
         }
