--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -16,12 +16,12 @@
 const REPORTED_RUN_TTL: Duration = Duration::from_millis(1_500);
 /// Ends within this time of the first count as one incident, such as the loss of a zone, a rack or a switch.
 const INCIDENT_WINDOW: Duration = Duration::from_secs(1);
-/// Limit on the ended servers recorded for one request; more than [`MAX_ENDED_SERVERS`], since some ends do not count.
+/// Limit on the ended servers recorded for one feature; more than [`MAX_ENDED_SERVERS`], since some ends do not count.
 const MAX_ENDS_HELD: usize = 16;
-/// Limit on the correlated ends that do not count, so that several requests that crash servers at the same time
+/// Limit on the correlated ends that do not count, so that several causes that crash servers at the same time
 /// cannot excuse each other indefinitely.
 const MAX_EXCUSED: usize = 3;
-/// Time from the last end to such a retry, by which other causes of ends should be over.
+/// Time from the last end to the retry of a refused feature, by which other causes of ends should be over.
 const TRIAL_DELAY: Duration = Duration::from_secs(3);
 /// Time after an end from which the next one counts as that of a retry; less than the delay of retries, since nodes observe
 /// ends at different times.
@@ -38,18 +38,19 @@
 const DOUBT_DURATION: Duration = Duration::from_millis(300);
 /// Longest server identifier, in bytes, that is accepted from a message.
 const MAX_SERVER_ID_BYTES: usize = 128;
-/// Limit on the nodes whose runs of one request are kept or sent; runs beyond [`MAX_ENDED_SERVERS`] make no difference.
+/// Limit on the nodes whose runs with one feature are kept or sent; runs beyond [`MAX_ENDED_SERVERS`] make no difference.
 const MAX_REPORTING_NODES: usize = 8;
 
-/// Servers on which another node runs the request.
+/// Servers on which another node runs requests with the feature.
 struct ReportedRuns {
     sequence: u64,
     servers: Vec<String>,
+    /// The node has reserved the next retry.
     reserves_retry: bool,
     until: Instant,
 }
 
-/// A server that ended while it ran the request.
+/// A server that ended while it ran a request with the feature.
 pub(crate) struct ServerEnd {
     pub(crate) server: String,
     pub(crate) at: Instant,
@@ -66,7 +67,7 @@
     pub(crate) changed: Instant,
     /// Whether this node observed one of the ends itself.
     pub(crate) seen_here: bool,
-    /// Whether some node completed the request within the minute before the first end.
+    /// Whether some node completed a request with the feature within the minute before the first end, or since.
     pub(crate) served_before: bool,
     /// Whether a run had produced output for [`LONG_RUN`] before its server ended.
     pub(crate) ran_long: bool,
@@ -245,7 +246,7 @@
         true
     }
 
-    /// Clears the record, since the request does not crash every server that runs it.
+    /// Clears the record, since the feature does not crash every server.
     pub(crate) fn clear(&mut self, now: Instant) {
         self.epoch += 1;
         self.ended.clear();
