A reserved retry is heard in large fleets

Cause: a record keeps the runs of eight nodes. Each node that tells of the record takes a place, also when it runs nothing, so that eight idle nodes kept out the one that had reserved the retry; and a message passed on any eight.

Idle nodes now give way to one that runs requests or has reserved a retry, and such nodes come first in a message. reservation_in_a_large_fleet failed before (LastRun where another node had reserved the retry).

--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -50,6 +50,13 @@
     until: Instant,
 }
 
+impl ReportedRuns {
+    /// Whether the node neither runs requests with the feature nor is about to.
+    fn is_idle(&self) -> bool {
+        self.servers.is_empty() && !self.reserves_retry
+    }
+}
+
 /// A server that ended while it ran a request with the feature.
 pub(crate) struct ServerEnd {
     pub(crate) server: String,
@@ -273,11 +280,12 @@
 
     /// The record as a message, without the runs of this node.
     pub(crate) fn message(&self, feature: &Feature, now: Instant) -> CrashRecord {
-        let alive = self
-            .reported_runs
-            .iter()
-            .filter(|(_, report)| report.until > now);
-        let runs = alive.map(|(node, report)| NodeRuns {
+        let alive = self.reported_runs.iter();
+        let alive = alive.filter(|(_, report)| report.until > now);
+        let mut alive: Vec<(&u64, &ReportedRuns)> = alive.collect();
+        // A message has room for some of them.
+        alive.sort_unstable_by_key(|(node, report)| (report.is_idle(), **node));
+        let runs = alive.into_iter().map(|(node, report)| NodeRuns {
             node: *node,
             sequence: report.sequence,
             servers: report.servers.clone(),
@@ -345,13 +353,27 @@
         is_new || runs_are_new
     }
 
+    /// Makes room for the runs of one more node; returns whether there is any. Those of nodes that run nothing give way.
+    fn make_room_for_runs(&mut self, report: &NodeRuns) -> bool {
+        if self.reported_runs.len() < MAX_REPORTING_NODES {
+            return true;
+        }
+        if report.servers.is_empty() && !report.reserves_retry {
+            return false;
+        }
+        let mut held = self.reported_runs.iter();
+        let idle = held.find(|(_, held)| held.is_idle());
+        let idle = idle.map(|(node, _)| *node);
+        idle.is_some_and(|node| self.reported_runs.remove(&node).is_some())
+    }
+
     fn merge_runs(&mut self, runs: Vec<NodeRuns>, own: u64, now: Instant) -> bool {
         self.reported_runs.retain(|_, report| report.until > now);
         let mut is_new = false;
         for mut report in runs.into_iter().filter(|report| report.node != own) {
             let known = self.reported_runs.get(&report.node);
             let newer = known.is_none_or(|known| known.sequence < report.sequence);
-            if !newer || (known.is_none() && self.reported_runs.len() >= MAX_REPORTING_NODES) {
+            if !newer || (known.is_none() && !self.make_room_for_runs(&report)) {
                 continue;
             }
             report.servers.truncate(MAX_ENDED_SERVERS);
--- a/crates/crashes/tests/prompt_parts.rs
+++ b/crates/crashes/tests/prompt_parts.rs
@@ -338,6 +338,36 @@
     );
 }
 
+// Guards against a reservation that is not heard because many other nodes have reported before.
+#[gtest]
+fn reservation_in_a_large_fleet() {
+    let (mut own, now) = (Ledger::new(100), Instant::now());
+    for number in 0..MAX_ENDED_SERVERS as u64 {
+        crash(
+            &mut own,
+            &request(number, &[1]),
+            &format!("i-{number}"),
+            now,
+        );
+    }
+    let mut others: Vec<Ledger> = (1..20).map(Ledger::new).collect();
+    for other in &mut others {
+        exchange(&mut own, other, now);
+        // A run of some other request with the part is over.
+        other.end(&request(50, &[1]), "i-9", now);
+        exchange(&mut own, other, now);
+    }
+    let later = now + RETRY_DELAY;
+    expect_that!(
+        others[18].begin(&request(8, &[1]), "i-9", later),
+        eq(Permit::Wait)
+    );
+    for other in &mut others {
+        exchange(&mut own, other, later);
+    }
+    expect_that!(own.permit(&request(9, &[1]), later), eq(Permit::Refused));
+}
+
 // Guards against callers that push parts out of the ledger by sending many different requests or parts.
 #[gtest]
 fn full_ledger_keeps_refused_parts() {
