Records and a metric tell requests that come after a stop was asked for

Now `request_while_stopping` names the request and the age of its connection, `stop_idle` what was under way when the node decided to end. No decision uses them.

--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -15,7 +15,7 @@
 use dappleyard_crashes::CrashTable;
 use dappleyard_ingress::{
     CapacityTable, EvacuationLogger, Metrics, Node, PeerHandler, ResponseTimes, ShareTable,
-    Upstreams, configure, front_app_data, monitor_warmup, monitor_zones,
+    Upstreams, configure, front_app_data, monitor_warmup, monitor_zones, note_accepted,
 };
 use dappleyard_jobs::{BODY_TABLES, JOB_TABLES, JobService, JobTable, Runner};
 use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
@@ -300,6 +300,7 @@
     let mut server = HttpServer::new(factory)
         .workers(1)
         .backlog(LISTEN_BACKLOG)
+        .on_connect(note_accepted)
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(REQUEST_HEAD_TIMEOUT)
         .h1_allow_half_closed(false)
--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -80,6 +80,10 @@
             break;
         }
     }
+    node.log.write("stop_idle", || {
+        serde_json::json!({"under_way": node.in_flight.load(Ordering::Relaxed),
+            "last_request_ms": node.last_request.lock().elapsed().as_millis() as u64})
+    });
     let call = registration::unregister(node, running.store.as_ref());
     // A row left behind is harmless: peers notice the missing heartbeats.
     let _ = dappleyard_clock::timeout(UNREGISTER_TIMEOUT, call).await;
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -14,6 +14,7 @@
 
 use crate::admission::{Refusal, caller_of_jobs, caller_of_route, charge_quota};
 use crate::attempt::{Ran, Upstreams};
+use crate::caller_connection::AcceptedAt;
 use crate::capacity::detect_retry;
 use crate::crashes::{operator_call, request_features};
 use crate::dispatch::{Dispatched, Request, Started, dispatch, is_event_route};
@@ -96,6 +97,9 @@
         };
     }
     let in_flight = InFlightGuard::begin(&node);
+    if node.is_leaving() {
+        note_late_request(&node, &request);
+    }
     match endpoint {
         Endpoint::JobResults { .. } | Endpoint::JobItem { .. } | Endpoint::JobEnd { .. } => {
             job_call(&node, &data, &request, endpoint).await
@@ -104,6 +108,17 @@
     }
 }
 
+/// Records a request that came after the stop was asked for, and the age of its connection.
+fn note_late_request(node: &Node, request: &HttpRequest) {
+    Metrics::count(&node.metrics.requests_while_stopping);
+    node.log.write("request_while_stopping", || {
+        let accepted = request.conn_data::<AcceptedAt>();
+        let age_ms = accepted.map(|accepted| accepted.0.elapsed().as_millis() as u64);
+        let facts = node.dialect.request_metadata(&header_map(request));
+        serde_json::json!({"request": facts.id, "connection_age_ms": age_ms})
+    });
+}
+
 fn not_found(node: &Node, detail: &str) -> HttpResponse {
     error_response(node, &Refusal::new(ErrorKind::NoRoute, detail))
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod attempt;
+mod caller_connection;
 mod capacity;
 mod cold_limit;
 mod connections;
@@ -38,6 +39,7 @@
 mod zone_monitor;
 
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
+pub use caller_connection::note_accepted;
 pub use capacity::CapacityTable;
 pub use cold_limit::ColdLimit;
 pub use crashes::{Evidence, InterruptedRun, last_run_server, request_features};
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -68,6 +68,8 @@
     pub items_left_region: AtomicU64,
     /// Batch items requeued after a failed run.
     pub items_again: AtomicU64,
+    /// Requests that came after the stop was asked for.
+    pub requests_while_stopping: AtomicU64,
     /// Responses aborted because the client did not read them.
     pub answers_unread: AtomicU64,
     /// Runs of batch items preempted by online requests.
@@ -144,6 +146,7 @@
             ("results", &self.results),
             ("items_left_region", &self.items_left_region),
             ("items_again", &self.items_again),
+            ("requests_while_stopping", &self.requests_while_stopping),
             ("answers_unread", &self.answers_unread),
             ("items_paused", &self.items_paused),
             ("items_restarted", &self.items_restarted),
