Known red: a request after the last look of a stop, and an answer that is not yet written

What callers saw: a request that a node had taken 4.1 s after SIGTERM got no answer. Both tests put a request into the interval itself: the first after the stop has found nothing in progress, the second between the end of the handler and the last byte written.

--- a/crates/ingress/tests/shutdown.rs
+++ b/crates/ingress/tests/shutdown.rs
@@ -1,9 +1,11 @@
 //! Graceful shutdown completes requests in flight.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpResponse, HttpServer, web};
 use dappleyard_clock::Instant;
 use dappleyard_ingress::finish_requests;
@@ -11,45 +13,153 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
+/// More than the buffers of a connection on loopback hold.
+const LARGE_BODY_BYTES: usize = 32 * 1024 * 1024;
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+const KEPT_REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+#[derive(Clone)]
 struct HandlerState {
     in_flight: Arc<AtomicU64>,
+    begun: Arc<AtomicU64>,
     received: Arc<Notify>,
     answer: Arc<Notify>,
+    body: Arc<str>,
+}
+
+impl HandlerState {
+    /// Waits for `answer` before it answers.
+    fn waiting() -> Self {
+        Self {
+            in_flight: Arc::default(),
+            begun: Arc::default(),
+            received: Arc::default(),
+            answer: Arc::default(),
+            body: "whole".into(),
+        }
+    }
+
+    /// Answers the first request at once.
+    fn answering(body: &str) -> Self {
+        let state = Self {
+            body: body.into(),
+            ..Self::waiting()
+        };
+        state.answer.notify_one();
+        state
+    }
+
+    fn ended(&self) -> u64 {
+        self.begun.load(Ordering::Relaxed) - self.in_flight.load(Ordering::Relaxed)
+    }
 }
 
 async fn handle(state: web::Data<HandlerState>) -> HttpResponse {
     state.in_flight.fetch_add(1, Ordering::Relaxed);
+    state.begun.fetch_add(1, Ordering::Relaxed);
     state.received.notify_one();
     state.answer.notified().await;
     state.in_flight.fetch_sub(1, Ordering::Relaxed);
-    HttpResponse::Ok().body("whole")
+    HttpResponse::Ok().body(state.body.to_string())
+}
+
+fn start(state: HandlerState) -> (HandlerState, ServerHandle, SocketAddr) {
+    let shared = web::Data::new(state.clone());
+    let factory = move || {
+        let app = App::new().app_data(shared.clone());
+        app.default_service(web::to(handle))
+    };
+    let server = HttpServer::new(factory).workers(1).disable_signals();
+    let server = server.bind(("127.0.0.1", 0)).expect("a port");
+    let address = server.addrs()[0];
+    let server = server.run();
+    let handle = server.handle();
+    actix_web::rt::spawn(server);
+    (state, handle, address)
 }
 
+async fn read_until(caller: &mut TcpStream, end: &str) {
+    let mut text = Vec::new();
+    while !text.ends_with(end.as_bytes()) {
+        let read = caller.read_buf(&mut text).await.expect("read the answer");
+        assert!(read > 0, "the answer ended early");
+    }
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against a request that begins on an old connection after the stop has found none in progress: it would be
+/// cut when the process ends.
 #[gtest]
-fn request_during_shutdown() {
+fn resting_connection_after_shutdown() {
     actix_web::rt::System::new().block_on(async {
-        let in_flight = Arc::new(AtomicU64::new(0));
-        let (received, answer) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
-        let state = web::Data::new(HandlerState {
-            in_flight: in_flight.clone(),
-            received: received.clone(),
-            answer: answer.clone(),
-        });
-        let factory = move || {
-            let app = App::new().app_data(state.clone());
-            app.default_service(web::to(handle))
+        let (state, server, address) = start(HandlerState::answering("whole"));
+        let mut caller = TcpStream::connect(address).await.expect("a connection");
+        caller
+            .write_all(KEPT_REQUEST)
+            .await
+            .expect("send the request");
+        read_until(&mut caller, "whole").await;
+        let last = Instant::now() + Duration::from_secs(20);
+        finish_requests(&server, &state.in_flight, last).await;
+        // The connection may be closed already.
+        let _ = caller.write_all(KEPT_REQUEST).await;
+        let mut text = String::new();
+        // A connection reset shows as missing text.
+        let _ = timeout(ANSWER_TIME, caller.read_to_string(&mut text)).await;
+        expect_that!(state.begun.load(Ordering::Relaxed), eq(1));
+        expect_that!(text, eq(""));
+        server.stop(false).await;
+    });
+}
+
+/// Guards against the end of the process while an answer that the handler has finished is not yet written.
+#[gtest]
+fn unwritten_answer_at_shutdown() {
+    actix_web::rt::System::new().block_on(async {
+        let body = "x".repeat(LARGE_BODY_BYTES);
+        let (state, server, address) = start(HandlerState::answering(&body));
+        let mut caller = TcpStream::connect(address).await.expect("a connection");
+        caller
+            .write_all(KEPT_REQUEST)
+            .await
+            .expect("send the request");
+        wait_until(|| state.ended() == 1).await;
+        let last = Instant::now() + Duration::from_secs(20);
+        let finishing = finish_requests(&server, &state.in_flight, last);
+        tokio::pin!(finishing);
+        let finished_unread = timeout(ANSWER_TIME, &mut finishing).await.is_ok();
+        expect_that!(finished_unread, eq(false));
+        let mut answer = Vec::new();
+        let reading = async {
+            // A connection reset shows as missing bytes.
+            let _ = timeout(ANSWER_TIME, caller.read_to_end(&mut answer)).await;
         };
-        let server = HttpServer::new(factory).workers(1).disable_signals();
-        let server = server.bind(("127.0.0.1", 0)).expect("a port");
-        let address = server.addrs()[0];
-        let server = server.run();
-        let server_handle = server.handle();
-        actix_web::rt::spawn(server);
+        tokio::join!(reading, async {
+            if !finished_unread {
+                finishing.await;
+            }
+            server.stop(false).await;
+        });
+        expect_that!(answer.len(), ge(LARGE_BODY_BYTES));
+    });
+}
+
+#[gtest]
+fn request_during_shutdown() {
+    actix_web::rt::System::new().block_on(async {
+        let (state, server_handle, address) = start(HandlerState::waiting());
         let mut caller = TcpStream::connect(address).await.expect("a connection");
         let request = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
         caller.write_all(request).await.expect("send the request");
-        received.notified().await;
+        state.received.notified().await;
+        let in_flight = state.in_flight.clone();
         let closing = actix_web::rt::spawn(async move {
             finish_requests(
                 &server_handle,
@@ -61,7 +171,7 @@
         });
         // Lets the shutdown start while the request is in flight.
         tokio::task::yield_now().await;
-        answer.notify_one();
+        state.answer.notify_one();
         closing.await.expect("shut down the server");
         let mut text = String::new();
         // A connection reset shows as missing text.
