The end of a process waits for its connections, not for samples of a count

What callers saw: a request on an old connection, taken 4.1 s after SIGTERM and passed on to a server, ended without an answer. In the same way the tail of an answer would be lost whose handler had ended.

Cause: the stop read a count of handlers in progress four times, 20 ms apart, and then ended the process, while the worker went on reading requests from open connections. The count begins when a handler does and ends when it has handed over the body, so it knew neither a request about to begin nor an answer about to be written.

Change: a gate that all connections pass. Closed, it reads nothing more from a connection without a request on it and ends that connection; a connection with a request or an answer on it ends after the answer is written. The listeners close with it. The process ends when no connection is left, or at its limit, which `stop` records. So a request is either never read, or answered: one that begins after the gate is closed, on a connection that was reading it, is refused as `stopping`, not run, to be sent elsewhere at once. The HTTP server is built on the parts of actix-web for that, since its own builder takes no stream but that of the socket.

--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::time::Duration;
 
+use actix_web::App;
 use actix_web::dev::ServerHandle;
-use actix_web::{App, HttpServer};
 use dappleyard_cluster::{
     CRASHES_TABLE, ConfigurationSink, Contact, Gossip, GossipSettings, GossipTables, LoadTable,
     NODES_TABLE, PeerTable, ServersSink, StoreHealth, TableSink, VERSIONS_TABLE, View,
@@ -15,7 +15,7 @@
 use dappleyard_crashes::CrashTable;
 use dappleyard_ingress::{
     CapacityTable, EvacuationLogger, Metrics, Node, PeerHandler, ResponseTimes, ShareTable,
-    Upstreams, configure, front_app_data, monitor_warmup, monitor_zones, note_accepted,
+    Upstreams, configure, front_app_data, listen, monitor_warmup, monitor_zones, serve,
 };
 use dappleyard_jobs::{BODY_TABLES, JOB_TABLES, JobService, JobTable, Runner};
 use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
@@ -30,16 +30,12 @@
 use super::registration;
 use dappleyard_clock::Instant;
 
-/// Keep-alive timeout of idle caller connections; operator settings only shorten it.
-const KEEP_ALIVE: Duration = Duration::from_secs(120);
-const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(15);
 /// Interval at which idle connections, old loads and old crash records are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval of the check whether an evacuated zone is empty.
 const ZONE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time allowed for writing the node's row before the node surveys its peers regardless.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(1_000);
-const LISTEN_BACKLOG: u32 = 1024;
 
 pub struct RunningNode {
     pub node: Arc<Node>,
@@ -96,10 +92,11 @@
         log: log.clone(),
         metrics: Arc::new(Metrics::default()),
         leaving: Arc::new(AtomicBool::new(false)),
+        connections: Arc::default(),
         in_flight: AtomicU64::new(0),
+        last_request: Mutex::new(Instant::now()),
         buffered_bytes: AtomicU64::new(0),
         shares: ShareTable::default(),
-        last_request: Mutex::new(Instant::now()),
         settings,
     });
     let table = Arc::new(JobTable::default());
@@ -282,8 +279,13 @@
     access: Arc<Access>,
     histories: Histories,
 ) -> std::io::Result<ServerHandle> {
-    let listen = node.settings.listen.clone();
-    let peer_address = (node.settings.ip, node.settings.peer_port);
+    let ports = &node.settings.listen;
+    let peer = (node.settings.ip, node.settings.peer_port).into();
+    let mut addresses = vec![ports.front, ports.ready, ports.directory, peer];
+    addresses.extend(ports.metrics);
+    let listeners = addresses.into_iter().map(listen);
+    let listeners = listeners.collect::<std::io::Result<Vec<_>>>()?;
+    let connections = node.connections.clone();
     let factory = move || {
         let direct: Rc<dyn RowStore> = Rc::new(HttpRowStore::new(node.settings.store.clone()));
         let store = Rc::new(RelayedRows::new(direct.clone(), access.clone()));
@@ -297,22 +299,7 @@
         let data = front_app_data(Upstreams::new(node.clone()), Rc::new(jobs), peers);
         App::new().app_data(data).configure(configure)
     };
-    let mut server = HttpServer::new(factory)
-        .workers(1)
-        .backlog(LISTEN_BACKLOG)
-        .on_connect(note_accepted)
-        .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(REQUEST_HEAD_TIMEOUT)
-        .h1_allow_half_closed(false)
-        .disable_signals()
-        .bind(listen.front)?
-        .bind(listen.ready)?
-        .bind(listen.directory)?
-        .bind(peer_address)?;
-    if let Some(metrics) = listen.metrics {
-        server = server.bind(metrics)?;
-    }
-    let server = server.run();
+    let server = serve(listeners, &connections, factory)?;
     let handle = server.handle();
     tokio::task::spawn_local(server);
     Ok(handle)
--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use dappleyard_ingress::finish_requests;
+use dappleyard_ingress::close_connections;
 use dappleyard_platform::read_settings;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -84,15 +84,15 @@
         serde_json::json!({"under_way": node.in_flight.load(Ordering::Relaxed),
             "last_request_ms": node.last_request.lock().elapsed().as_millis() as u64})
     });
+    let is_empty =
+        close_connections(&running.server, &node.connections, started + drain_limit).await;
     let call = registration::unregister(node, running.store.as_ref());
     // A row left behind is harmless: peers notice the missing heartbeats.
     let _ = dappleyard_clock::timeout(UNREGISTER_TIMEOUT, call).await;
-    finish_requests(&running.server, &node.in_flight, started + drain_limit).await;
     node.log.write("stop", || {
-        serde_json::json!({"under_way": node.in_flight.load(Ordering::Relaxed),
+        serde_json::json!({"answered_all": is_empty, "under_way": node.connections.busy(),
+            "connections": node.connections.open(),
             "jobs_handed_back": job_handover.is_finished(),
             "took_ms": started.elapsed().as_millis() as u64})
     });
-    // No request is in progress any more, or the grace period is over.
-    drop(running.server.stop(false));
 }
--- a/crates/ingress/src/caller_connection.rs
+++ b/crates/ingress/src/caller_connection.rs
@@ -1,14 +1,233 @@
-//! What is known of a caller's connection.
+//! Connections of callers, and the moment from which no request can begin on them.
+//!
+//! A connection is busy from the first byte of a request until the last byte of its answer has left the handler. Once
+//! the gate is closed, nothing more is read from a connection that is not busy: it ends, and a request that crosses
+//! its end was never read. A process whose gate is closed and that has no connection left cannot begin a request.
 
-use std::any::Any;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
 
-use actix_web::dev::Extensions;
+use actix_http::body::{BodySize, MessageBody};
+use bytes::Bytes;
 use dappleyard_clock::Instant;
+use futures::task::AtomicWaker;
+use parking_lot::Mutex;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
-/// When a connection was accepted.
-pub(crate) struct AcceptedAt(pub(crate) Instant);
+/// All connections of a process.
+#[derive(Debug, Default)]
+pub struct ConnectionGate {
+    is_closed: AtomicBool,
+    next_number: AtomicU64,
+    connections: Mutex<HashMap<u64, Arc<CallerConnection>>>,
+    /// Signals that the last connection has ended.
+    emptied: Notify,
+}
+
+/// One connection.
+#[derive(Debug)]
+pub struct CallerConnection {
+    number: u64,
+    /// Address at which it was accepted.
+    pub(crate) local: SocketAddr,
+    pub(crate) accepted: Instant,
+    is_busy: AtomicBool,
+    reader: AtomicWaker,
+}
+
+impl ConnectionGate {
+    /// Lets no further request begin, and ends the connections that are not busy.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+        for connection in self.connections.lock().values() {
+            connection.reader.wake();
+        }
+    }
+
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::SeqCst)
+    }
+
+    /// Number of open connections.
+    pub fn open(&self) -> usize {
+        self.connections.lock().len()
+    }
+
+    /// Number of connections with a request or an answer on them.
+    pub fn busy(&self) -> usize {
+        let connections = self.connections.lock();
+        let busy = connections
+            .values()
+            .filter(|connection| connection.is_busy());
+        busy.count()
+    }
+
+    /// Waits until no connection is open.
+    pub async fn emptied(&self) {
+        loop {
+            let emptied = self.emptied.notified();
+            if self.open() == 0 {
+                return;
+            }
+            emptied.await;
+        }
+    }
+
+    /// Registers a connection that was accepted at `local`.
+    pub(crate) fn admit(self: &Arc<Self>, stream: TcpStream, local: SocketAddr) -> GatedStream {
+        let connection = Arc::new(CallerConnection {
+            number: self.next_number.fetch_add(1, Ordering::Relaxed),
+            local,
+            accepted: Instant::now(),
+            is_busy: AtomicBool::new(false),
+            reader: AtomicWaker::new(),
+        });
+        let number = connection.number;
+        self.connections.lock().insert(number, connection.clone());
+        GatedStream {
+            stream,
+            connection,
+            gate: self.clone(),
+        }
+    }
+
+    fn remove(&self, number: u64) {
+        let mut connections = self.connections.lock();
+        connections.remove(&number);
+        if connections.is_empty() {
+            self.emptied.notify_waiters();
+        }
+    }
+}
+
+impl CallerConnection {
+    fn is_busy(&self) -> bool {
+        self.is_busy.load(Ordering::SeqCst)
+    }
+
+    /// Notes that a request begins. Its bytes may have been read together with those of an earlier one.
+    pub(crate) fn begin_request(&self) {
+        self.is_busy.store(true, Ordering::SeqCst);
+    }
+
+    fn end_answer(&self) {
+        self.is_busy.store(false, Ordering::SeqCst);
+        // The reader may have to end the connection now.
+        self.reader.wake();
+    }
+}
+
+/// The stream of a connection, which ends once the gate is closed and the connection is not busy.
+pub(crate) struct GatedStream {
+    stream: TcpStream,
+    connection: Arc<CallerConnection>,
+    gate: Arc<ConnectionGate>,
+}
+
+impl GatedStream {
+    pub(crate) fn connection(&self) -> &Arc<CallerConnection> {
+        &self.connection
+    }
+}
+
+impl Drop for GatedStream {
+    fn drop(&mut self) {
+        self.gate.remove(self.connection.number);
+    }
+}
+
+impl AsyncRead for GatedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        // Registered before the check, so that a gate that is closed after it wakes the reader.
+        self.connection.reader.register(context.waker());
+        if self.gate.is_closed() && !self.connection.is_busy() {
+            return Poll::Ready(Ok(()));
+        }
+        let filled = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if buffer.filled().len() > filled {
+            self.connection.begin_request();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for GatedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        pieces: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, pieces)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+/// The body of an answer. Its connection is no longer busy once the HTTP library has taken the last byte and drops
+/// it; the library writes what it has taken before it closes the connection.
+pub(crate) struct AnswerBody<B> {
+    body: Pin<Box<B>>,
+    connection: Option<Arc<CallerConnection>>,
+}
+
+impl<B> AnswerBody<B> {
+    pub(crate) fn new(body: B, connection: Option<Arc<CallerConnection>>) -> Self {
+        Self {
+            body: Box::pin(body),
+            connection,
+        }
+    }
+}
+
+impl<B> Drop for AnswerBody<B> {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.end_answer();
+        }
+    }
+}
+
+impl<B: MessageBody> MessageBody for AnswerBody<B> {
+    type Error = B::Error;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
 
-/// Records when a connection was accepted, for the requests on it.
-pub fn note_accepted(_io: &dyn Any, extensions: &mut Extensions) {
-    extensions.insert(AcceptedAt(Instant::now()));
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        self.body.as_mut().poll_next(context)
+    }
 }
--- a/crates/ingress/src/error_kind.rs
+++ b/crates/ingress/src/error_kind.rs
@@ -8,6 +8,9 @@
     /// No configuration received yet.
     #[display("not_ready")]
     NotReady,
+    /// The node stops and takes no more requests; the request did not run.
+    #[display("stopping")]
+    Stopping,
     /// No route matches the host and path.
     #[display("no_route")]
     NoRoute,
@@ -102,6 +105,7 @@
             // run.
             ErrorKind::ServerFailed | ErrorKind::ServersEnded => 502,
             ErrorKind::NotReady
+            | ErrorKind::Stopping
             | ErrorKind::ConfigurationOld
             | ErrorKind::KeyInDoubt
             | ErrorKind::QuotaInDoubt
@@ -124,6 +128,8 @@
     /// Retry delay in milliseconds, if the request did not run.
     pub fn retry_after_ms(self) -> Option<u64> {
         match self {
+            // Other nodes can serve it now.
+            ErrorKind::Stopping => Some(0),
             ErrorKind::NotReady | ErrorKind::ConfigurationOld | ErrorKind::KeyInDoubt => Some(200),
             ErrorKind::NoServer | ErrorKind::QuotaInDoubt => Some(50),
             ErrorKind::ExpiredBeforeRun => Some(100),
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -14,7 +14,7 @@
 
 use crate::admission::{Refusal, caller_of_jobs, caller_of_route, charge_quota};
 use crate::attempt::{Ran, Upstreams};
-use crate::caller_connection::AcceptedAt;
+use crate::caller_connection::CallerConnection;
 use crate::capacity::detect_retry;
 use crate::crashes::{operator_call, request_features};
 use crate::dispatch::{Dispatched, Request, Started, dispatch, is_event_route};
@@ -69,8 +69,8 @@
     data: web::Data<HandlerData>,
 ) -> HttpResponse {
     let node = data.upstreams.node().clone();
-    let port = request.app_config().local_addr().port();
     let listen = &node.settings.listen;
+    let port = connection_of(&request).map_or(listen.front.port(), |it| it.local.port());
     let endpoint = node
         .dialect
         .endpoint(request.method(), request.path(), request.query_string());
@@ -100,6 +100,9 @@
     if node.is_leaving() {
         note_late_request(&node, &request);
     }
+    if node.connections.is_closed() {
+        return refuse_unread(&node, &request, payload).await;
+    }
     match endpoint {
         Endpoint::JobResults { .. } | Endpoint::JobItem { .. } | Endpoint::JobEnd { .. } => {
             job_call(&node, &data, &request, endpoint).await
@@ -112,13 +115,37 @@
 fn note_late_request(node: &Node, request: &HttpRequest) {
     Metrics::count(&node.metrics.requests_while_stopping);
     node.log.write("request_while_stopping", || {
-        let accepted = request.conn_data::<AcceptedAt>();
-        let age_ms = accepted.map(|accepted| accepted.0.elapsed().as_millis() as u64);
+        let age = connection_of(request).map(|it| it.accepted.elapsed());
+        let age_ms = age.map(|age| age.as_millis() as u64);
         let facts = node.dialect.request_metadata(&header_map(request));
         serde_json::json!({"request": facts.id, "connection_age_ms": age_ms})
     });
 }
 
+/// The connection of a request; `None` for a call within the process.
+fn connection_of(request: &HttpRequest) -> Option<&Arc<CallerConnection>> {
+    request.conn_data()
+}
+
+/// Refuses a request because the node stops.
+async fn refuse_unread(
+    node: &Arc<Node>,
+    request: &HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let facts = node.dialect.request_metadata(&header_map(request));
+    // A client that still sends may miss a response. The length does not matter, nor how reading ends.
+    let _ = read_body(payload, body_limit(node)).await;
+    let refused = Refusal::new(ErrorKind::Stopping, "the node stops");
+    refuse(node, &facts.id, &refused)
+}
+
+/// Limit on the body of a request, in bytes.
+fn body_limit(node: &Node) -> usize {
+    let configuration = node.view.configuration();
+    configuration.map_or(DEFAULT_BODY_LIMIT, |it| it.limits.max_body_bytes)
+}
+
 fn not_found(node: &Node, detail: &str) -> HttpResponse {
     error_response(node, &Refusal::new(ErrorKind::NoRoute, detail))
 }
@@ -222,15 +249,9 @@
     Metrics::count(&node.metrics.requests);
     let headers = header_map(&http);
     let facts = node.dialect.request_metadata(&headers);
-    let limit = node
-        .view
-        .configuration()
-        .map_or(DEFAULT_BODY_LIMIT, |configuration| {
-            configuration.limits.max_body_bytes
-        });
     // Reads the body before choosing the route, so that a refusal does not interrupt the client
     // while it sends.
-    let body = match read_body(payload, limit).await {
+    let body = match read_body(payload, body_limit(&node)).await {
         Ok(body) => body,
         Err(kind) => return refuse(&node, &facts.id, &Refusal::new(kind, "body")),
     };
--- /dev/null
+++ b/crates/ingress/src/http_server.rs
@@ -0,0 +1,92 @@
+//! The HTTP server of a process, over connections that a [`ConnectionGate`] can end.
+
+use std::fmt::Debug;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::body::MessageBody;
+use actix_http::{HttpService, Request, Response};
+use actix_server::{Server, ServerBuilder};
+use actix_service::{
+    IntoServiceFactory, Service, ServiceFactory, ServiceFactoryExt, apply_fn_factory, fn_service,
+    map_config,
+};
+use actix_web::dev::AppConfig;
+use tokio::net::{TcpSocket, TcpStream};
+
+use crate::caller_connection::{AnswerBody, CallerConnection, ConnectionGate, GatedStream};
+
+/// Keep-alive timeout of idle caller connections; operator settings only shorten it.
+const KEEP_ALIVE: Duration = Duration::from_secs(120);
+const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time for which a connection that was closed for sending is still read.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const LISTEN_BACKLOG: u32 = 1024;
+
+/// Opens a listener. A port is free at once after an earlier process.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)?.into_std()
+}
+
+/// Starts a server with one worker thread, on which `app` is called once for each listener.
+pub fn serve<F, I, S, B>(
+    listeners: Vec<TcpListener>,
+    gate: &Arc<ConnectionGate>,
+    app: F,
+) -> io::Result<Server>
+where
+    F: Fn() -> I + Send + Clone + 'static,
+    I: IntoServiceFactory<S, Request>,
+    S: ServiceFactory<Request, Config = AppConfig, Error = actix_web::Error> + 'static,
+    S::Service: 'static,
+    S::InitError: Debug,
+    S::Response: Into<Response<B>>,
+    <S::Service as Service<Request>>::Future: 'static,
+    B: MessageBody + 'static,
+{
+    let mut builder = ServerBuilder::new().workers(1).disable_signals();
+    for listener in listeners {
+        let local = listener.local_addr()?;
+        let (gate, app) = (gate.clone(), app.clone());
+        builder = builder.listen(local.to_string(), listener, move || {
+            let gate = gate.clone();
+            let admit = fn_service(move |stream: TcpStream| {
+                let peer = stream.peer_addr().ok();
+                let stream = gate.admit(stream, local);
+                async move { Ok::<_, actix_http::error::DispatchError>((stream, peer)) }
+            });
+            let handler = map_config(app().into_factory(), |()| AppConfig::default());
+            let handler = apply_fn_factory(handler, |request: Request, service: &S::Service| {
+                let connection = request.conn_data::<Arc<CallerConnection>>().cloned();
+                if let Some(connection) = &connection {
+                    connection.begin_request();
+                }
+                let answering = service.call(request);
+                async move {
+                    let answer: Response<B> = answering.await?.into();
+                    Ok(answer.map_body(|_, body| AnswerBody::new(body, connection)))
+                }
+            });
+            let http = HttpService::build()
+                .keep_alive(KEEP_ALIVE)
+                .client_request_timeout(REQUEST_HEAD_TIMEOUT)
+                .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+                .h1_allow_half_closed(false)
+                .local_addr(local)
+                .on_connect_ext(|stream: &GatedStream, extensions| {
+                    extensions.insert(stream.connection().clone());
+                })
+                .h1(handler.map_err(|error: actix_web::Error| error.error_response()));
+            admit.and_then(http)
+        })?;
+    }
+    Ok(builder.run())
+}
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -12,6 +12,7 @@
 use dappleyard_tenants::{Caller, ConfigurationStatus, KeyRefusal, QuotaTable, identify};
 use parking_lot::Mutex;
 
+use crate::caller_connection::ConnectionGate;
 use crate::capacity::CapacityTable;
 use crate::home_regions;
 use crate::metrics::Metrics;
@@ -50,12 +51,14 @@
     pub metrics: Arc<Metrics>,
     /// The node is shutting down.
     pub leaving: Arc<AtomicBool>,
+    /// Connections of callers, which a stop closes.
+    pub connections: Arc<ConnectionGate>,
     /// Client requests in flight.
     pub in_flight: AtomicU64,
-    /// Response bytes buffered for clients.
-    pub buffered_bytes: AtomicU64,
     /// Arrival of the last client request.
     pub last_request: Mutex<Instant>,
+    /// Response bytes buffered for clients.
+    pub buffered_bytes: AtomicU64,
 }
 
 impl Node {
--- a/crates/ingress/tests/shutdown.rs
+++ b/crates/ingress/tests/shutdown.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
-use actix_web::{App, HttpResponse, HttpServer, web};
+use actix_web::{App, HttpResponse, web};
 use dappleyard_clock::Instant;
-use dappleyard_ingress::finish_requests;
+use dappleyard_ingress::{ConnectionGate, close_connections, listen, serve};
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -22,6 +22,7 @@
 
 #[derive(Clone)]
 struct HandlerState {
+    connections: Arc<ConnectionGate>,
     in_flight: Arc<AtomicU64>,
     begun: Arc<AtomicU64>,
     received: Arc<Notify>,
@@ -33,6 +34,7 @@
     /// Waits for `answer` before it answers.
     fn waiting() -> Self {
         Self {
+            connections: Arc::default(),
             in_flight: Arc::default(),
             begun: Arc::default(),
             received: Arc::default(),
@@ -71,10 +73,9 @@
         let app = App::new().app_data(shared.clone());
         app.default_service(web::to(handle))
     };
-    let server = HttpServer::new(factory).workers(1).disable_signals();
-    let server = server.bind(("127.0.0.1", 0)).expect("a port");
-    let address = server.addrs()[0];
-    let server = server.run();
+    let listener = listen(([127, 0, 0, 1], 0).into()).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let server = serve(vec![listener], &state.connections, factory).expect("a server");
     let handle = server.handle();
     actix_web::rt::spawn(server);
     (state, handle, address)
@@ -107,7 +108,7 @@
             .expect("send the request");
         read_until(&mut caller, "whole").await;
         let last = Instant::now() + Duration::from_secs(20);
-        finish_requests(&server, &state.in_flight, last).await;
+        close_connections(&server, &state.connections, last).await;
         // The connection may be closed already.
         let _ = caller.write_all(KEPT_REQUEST).await;
         let mut text = String::new();
@@ -115,7 +116,7 @@
         let _ = timeout(ANSWER_TIME, caller.read_to_string(&mut text)).await;
         expect_that!(state.begun.load(Ordering::Relaxed), eq(1));
         expect_that!(text, eq(""));
-        server.stop(false).await;
+        drop(server.stop(false));
     });
 }
 
@@ -132,7 +133,7 @@
             .expect("send the request");
         wait_until(|| state.ended() == 1).await;
         let last = Instant::now() + Duration::from_secs(20);
-        let finishing = finish_requests(&server, &state.in_flight, last);
+        let finishing = close_connections(&server, &state.connections, last);
         tokio::pin!(finishing);
         let finished_unread = timeout(ANSWER_TIME, &mut finishing).await.is_ok();
         expect_that!(finished_unread, eq(false));
@@ -145,7 +146,7 @@
             if !finished_unread {
                 finishing.await;
             }
-            server.stop(false).await;
+            drop(server.stop(false));
         });
         expect_that!(answer.len(), ge(LARGE_BODY_BYTES));
     });
@@ -159,15 +160,11 @@
         let request = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
         caller.write_all(request).await.expect("send the request");
         state.received.notified().await;
-        let in_flight = state.in_flight.clone();
+        let connections = state.connections.clone();
         let closing = actix_web::rt::spawn(async move {
-            finish_requests(
-                &server_handle,
-                &in_flight,
-                Instant::now() + Duration::from_secs(20),
-            )
-            .await;
-            server_handle.stop(false).await;
+            let last = Instant::now() + Duration::from_secs(20);
+            close_connections(&server_handle, &connections, last).await;
+            drop(server_handle.stop(false));
         });
         // Lets the shutdown start while the request is in flight.
         tokio::task::yield_now().await;
