Signals are handled before anything is started

What operators saw: a reload that is sent right after the start ends the process, since SIGHUP has its default action until the handlers are installed; a SIGTERM ends it with a signal instead of a planned stop. Cause: the handlers were installed after the ports were open. Now they are installed first; a signal that comes during the start is handled after it.

--- a/crates/dappleyard/src/serve.rs
+++ b/crates/dappleyard/src/serve.rs
@@ -9,6 +9,7 @@
 use clap::ArgMatches;
 use dappleyard_platform::{read_settings, settings_path};
 
+use self::stopping::Signals;
 use crate::failure::Failure;
 
 pub fn run(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
@@ -21,7 +22,9 @@
         .map(|port| (settings.ip, *port).into());
     let log = !arguments.get_flag("quiet");
     actix_rt::System::new().block_on(async move {
+        let signals = Signals::install()?;
         let running = assembly::start(settings, log).await?;
-        stopping::run_until_stopped(running, &path).await
+        stopping::run_until_stopped(running, signals, &path).await;
+        Ok(ExitCode::SUCCESS)
     })
 }
--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -1,17 +1,15 @@
 //! Graceful stop, and the settings check on SIGHUP.
 
 use std::path::Path;
-use std::process::ExitCode;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use dappleyard_ingress::close_connections;
 use dappleyard_platform::read_settings;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::assembly::RunningNode;
 use super::registration;
-use crate::failure::Failure;
 use dappleyard_clock::Instant;
 
 /// Shortest time that a stopping node keeps accepting requests: callers use a directory answer that
@@ -24,20 +22,34 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The signals that a process handles. Others, and those before this exists, have their default action.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    /// Handles the signals from now on.
+    pub fn install() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Serves until SIGTERM or SIGINT, then lets requests in progress finish within the grace period.
-pub async fn run_until_stopped(running: RunningNode, path: &Path) -> Result<ExitCode, Failure> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
+pub async fn run_until_stopped(running: RunningNode, mut signals: Signals, path: &Path) {
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hang_up.recv() => reload(&running, path),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hang_up.recv() => reload(&running, path),
         }
     }
     stop(&running).await;
-    Ok(ExitCode::SUCCESS)
 }
 
 fn reload(running: &RunningNode, path: &Path) {
