A stopping node accepts no request that it may have no time to answer

What callers saw: requests sent late in a stop were served until 0.9 s before the end of the grace period, and those in progress then were cut, though they had run. Some callers use an answer of the directory for three times its lifetime, so many requests come as late as 4.5 s.

Cause: the stop went on while requests came, up to a limit at which it cut what was in progress. Change: the stop follows a schedule. The node serves until three times the lifetime of a directory answer and half a second have passed, or 2 s before requests have to end; then it closes its ports and its resting connections. A request's deadline is brought forward to the end of the requests, so that one still waiting for a server is refused, not cut. Samples of a quiet time are gone.

--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -14,8 +14,8 @@
 };
 use dappleyard_crashes::CrashTable;
 use dappleyard_ingress::{
-    CapacityTable, EvacuationLogger, Metrics, Node, PeerHandler, ResponseTimes, ShareTable,
-    Upstreams, configure, front_app_data, listen, monitor_warmup, monitor_zones, serve,
+    CapacityTable, EvacuationLogger, Metrics, Node, PeerHandler, ProcessEnd, ResponseTimes,
+    ShareTable, Upstreams, configure, front_app_data, listen, monitor_warmup, monitor_zones, serve,
 };
 use dappleyard_jobs::{BODY_TABLES, JOB_TABLES, JobService, JobTable, Runner};
 use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
@@ -93,6 +93,7 @@
         metrics: Arc::new(Metrics::default()),
         leaving: Arc::new(AtomicBool::new(false)),
         connections: Arc::default(),
+        process_end: ProcessEnd::default(),
         in_flight: AtomicU64::new(0),
         last_request: Mutex::new(Instant::now()),
         buffered_bytes: AtomicU64::new(0),
--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use dappleyard_ingress::close_connections;
+use dappleyard_ingress::{DIRECTORY_TTL_MS, Node, close_connections};
 use dappleyard_platform::read_settings;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -12,14 +12,16 @@
 use super::registration;
 use dappleyard_clock::Instant;
 
-/// Shortest time that a stopping node keeps accepting requests: callers use a directory answer that
-/// names it until the answer expires.
-const MINIMUM_DRAIN_TIME: Duration = Duration::from_millis(3_500);
-/// Time without a request after which no more are expected.
-const QUIET_PERIOD: Duration = Duration::from_millis(1_200);
-/// Time before the end of the grace period at which the stop is forced.
-const GRACE_MARGIN: Duration = Duration::from_millis(900);
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Some callers use a directory answer for this many times its lifetime.
+const DIRECTORY_ANSWER_USES: u32 = 3;
+/// Time until the directory of every node leaves out one that stops.
+const DIRECTORY_DELAY: Duration = Duration::from_millis(500);
+/// Time left to requests in progress once no more are accepted.
+const COMPLETION_TIME: Duration = Duration::from_millis(2_000);
+/// Time before the end of the grace period at which requests that are still in progress are ended.
+const REQUEST_END_MARGIN: Duration = Duration::from_millis(700);
+/// Time before the end of the grace period at which the process ends, whatever is in progress.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
 const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The signals that a process handles. Others, and those before this exists, have their default action.
@@ -71,40 +73,61 @@
         .write("reload", || serde_json::json!({"outcome": outcome}));
 }
 
+/// Points in time of a stop.
+struct StopSchedule {
+    /// No request is accepted from then on.
+    close: Instant,
+    /// Requests in progress are ended.
+    end_requests: Instant,
+    /// The process ends.
+    exit: Instant,
+}
+
+impl StopSchedule {
+    fn new(started: Instant, grace: Duration) -> Self {
+        let directory_ttl = Duration::from_millis(DIRECTORY_TTL_MS);
+        let callers_leave = directory_ttl * DIRECTORY_ANSWER_USES + DIRECTORY_DELAY;
+        let end_requests = grace.saturating_sub(REQUEST_END_MARGIN);
+        let close = callers_leave.min(end_requests.saturating_sub(COMPLETION_TIME));
+        Self {
+            close: started + close,
+            end_requests: started + end_requests,
+            exit: started + grace.saturating_sub(EXIT_MARGIN),
+        }
+    }
+}
+
+/// Serves what still comes, then accepts nothing more, and ends once every answer is written.
 async fn stop(running: &RunningNode) {
     let node = &running.node;
     let started = Instant::now();
+    let grace = Duration::from_millis(node.settings.bounds.grace_ms);
+    let schedule = StopSchedule::new(started, grace);
     node.leaving.store(true, Ordering::Relaxed);
-    node.log.write(
-        "stop_asked",
-        || serde_json::json!({"under_way": node.in_flight.load(Ordering::Relaxed)}),
-    );
+    node.process_end.set(schedule.end_requests);
+    log_progress(node, "stop_asked", started);
     tokio::task::spawn_local(registration::register(node.clone(), running.store.clone()));
     let runner = running.runner.clone();
     let job_handover = tokio::task::spawn_local(async move { runner.stop().await });
-    let grace = Duration::from_millis(node.settings.bounds.grace_ms);
-    let drain_limit = grace.saturating_sub(GRACE_MARGIN);
-    while started.elapsed() < drain_limit {
-        tokio::time::sleep(POLL_INTERVAL).await;
-        let idle = node.in_flight.load(Ordering::Relaxed) == 0 && job_handover.is_finished();
-        let quiet = node.last_request.lock().elapsed() > QUIET_PERIOD;
-        if idle && quiet && started.elapsed() > MINIMUM_DRAIN_TIME {
-            break;
-        }
-    }
-    node.log.write("stop_idle", || {
-        serde_json::json!({"under_way": node.in_flight.load(Ordering::Relaxed),
-            "last_request_ms": node.last_request.lock().elapsed().as_millis() as u64})
-    });
-    let is_empty =
-        close_connections(&running.server, &node.connections, started + drain_limit).await;
+    tokio::time::sleep(schedule.close.saturating_duration_since(Instant::now())).await;
+
+    log_progress(node, "stop_closing", started);
+    let closing = close_connections(&running.server, &node.connections, schedule.exit);
+    let handing_over = dappleyard_clock::timeout_at(schedule.exit, job_handover);
+    let (is_empty, handover) = tokio::join!(closing, handing_over);
     let call = registration::unregister(node, running.store.as_ref());
     // A row left behind is harmless: peers notice the missing heartbeats.
     let _ = dappleyard_clock::timeout(UNREGISTER_TIMEOUT, call).await;
     node.log.write("stop", || {
         serde_json::json!({"answered_all": is_empty, "under_way": node.connections.busy(),
-            "connections": node.connections.open(),
-            "jobs_handed_back": job_handover.is_finished(),
+            "connections": node.connections.open(), "jobs_handed_back": handover.is_ok(),
             "took_ms": started.elapsed().as_millis() as u64})
     });
 }
+
+fn log_progress(node: &Node, event: &'static str, started: Instant) {
+    node.log.write(event, || {
+        serde_json::json!({"under_way": node.connections.busy(), "connections": node.connections.open(),
+            "after_ms": started.elapsed().as_millis() as u64})
+    });
+}
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -22,11 +22,14 @@
 use crate::metrics::Metrics;
 use crate::placement::PromptShape;
 use crate::server_selection::{Placement, Unplaced, select_server};
+use crate::shutdown::ProcessEnd;
 use crate::silence_limits::SilenceLimits;
 use dappleyard_clock::Instant;
 
 /// Interval for checking whether a run on another node has ended; updates arrive every 25 ms.
 const RUN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval for checking whether a stop has brought the deadline forward.
+const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum size of a failure response, which is read as a whole.
 const MAX_FAILURE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -52,6 +55,8 @@
     pub features: RequestFeatures,
     pub arrived: Instant,
     pub deadline: Instant,
+    /// May bring the deadline forward.
+    pub process_end: ProcessEnd,
     /// The client was refused before.
     pub is_retry: bool,
     /// Whether any attempt has run it.
@@ -97,7 +102,22 @@
 impl Request {
     /// Time until the deadline.
     pub fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        let deadline = self.process_end.limit(self.deadline);
+        deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Waits for a step of the request until the deadline, which a stop may bring forward meanwhile.
+    pub(crate) async fn before_deadline<T>(&self, step: impl Future<Output = T>) -> Option<T> {
+        tokio::pin!(step);
+        loop {
+            let remaining = self.remaining();
+            let waited = remaining.min(DEADLINE_CHECK_INTERVAL);
+            match dappleyard_clock::timeout(waited, &mut step).await {
+                Ok(done) => return Some(done),
+                Err(_) if remaining <= DEADLINE_CHECK_INTERVAL => return None,
+                Err(_) => {}
+            }
+        }
     }
 
     /// Time until the client's own deadline, which may be later than that of the route.
@@ -263,10 +283,10 @@
         homes: &request.homes,
         limits: first_event_timeout(upstreams, request),
     };
-    match dappleyard_clock::timeout(remaining, upstreams.attempt(server, &attempt)).await {
-        Ok(outcome) => outcome,
-        Err(_) => Err(AttemptError::local(Ran::Maybe, "deadline exceeded")),
-    }
+    let outcome = request
+        .before_deadline(upstreams.attempt(server, &attempt))
+        .await;
+    outcome.unwrap_or_else(|| Err(AttemptError::local(Ran::Maybe, "deadline exceeded")))
 }
 
 /// Timeout for the first event, learned from the service's responses.
@@ -311,10 +331,9 @@
         serde_json::json!({"request": request.facts.id, "server": exchange.server.id,
             "status": status, "again": again})
     });
-    let remaining = request.remaining();
     let reading = exchange.connection.whole_body(MAX_FAILURE_BYTES);
-    let body = match dappleyard_clock::timeout(remaining, reading).await {
-        Ok(Ok(body)) => body,
+    let body = match request.before_deadline(reading).await {
+        Some(Ok(body)) => body,
         _ => Bytes::new(),
     };
     let headers = exchange.head.headers.clone();
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -327,6 +327,7 @@
         origin,
         arrived,
         deadline: arrived + time_limit,
+        process_end: node.process_end.clone(),
         is_retry,
         ran: Ran::No,
         runs: 0,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -53,7 +53,7 @@
 pub use http_server::{listen, serve};
 pub use job_calls::{JobCalls, JobReply};
 pub use metrics::Metrics;
-pub use node::Node;
+pub use node::{DIRECTORY_TTL_MS, Node};
 pub use placement::{
     Candidate, PromptShape, affinity_server, choose, has_free_slot, is_healthy, limit_by_region,
     mean_excess, sample,
@@ -62,7 +62,7 @@
 pub use response_buffer::{BufferLimit, BufferLimits, BufferedResponse, ChunkQueue, MAX_STALL};
 pub use response_times::{LatencyHistogram, ResponseTimes};
 pub use shares::ShareTable;
-pub use shutdown::close_connections;
+pub use shutdown::{ProcessEnd, close_connections};
 pub use silence_limits::SilenceLimits;
 pub use urgency::{OvercommitLimit, Urgency, urgency};
 pub use warmup_monitor::monitor_warmup;
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -18,9 +18,11 @@
 use crate::metrics::Metrics;
 use crate::response_times::ResponseTimes;
 use crate::shares::{ShareGuard, ShareTable};
+use crate::shutdown::ProcessEnd;
 use dappleyard_clock::Instant;
 
-const DIRECTORY_TTL_MS: u64 = 1_500;
+/// Time for which callers may use a directory answer.
+pub const DIRECTORY_TTL_MS: u64 = 1_500;
 
 /// A node. At most one lock is held at a time, and none across an await.
 pub struct Node {
@@ -53,6 +55,7 @@
     pub leaving: Arc<AtomicBool>,
     /// Connections of callers, which a stop closes.
     pub connections: Arc<ConnectionGate>,
+    pub process_end: ProcessEnd,
     /// Client requests in flight.
     pub in_flight: AtomicU64,
     /// Arrival of the last client request.
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -135,7 +135,6 @@
     }
 
     async fn read(&mut self) -> Result<Option<Bytes>, AttemptError> {
-        let remaining = self.request.remaining();
         let limits = self.limits();
         let upstreams = self.upstreams.clone();
         let Some(started) = &mut self.started else {
@@ -150,12 +149,10 @@
         };
         let since = Instant::now();
         let waiting = upstreams.with_silence_limits(server, limits, reading);
-        let piece = match dappleyard_clock::timeout(remaining, waiting).await {
-            Ok(piece) => piece?,
-            Err(_) => {
-                return Err(AttemptError::local(Ran::Yes, "deadline exceeded"));
-            }
+        let Some(piece) = self.request.before_deadline(waiting).await else {
+            return Err(AttemptError::local(Ran::Yes, "deadline exceeded"));
         };
+        let piece = piece?;
         let node = upstreams.node();
         node.loads.note_received(&server.id);
         // A gap in which this node stopped reading says nothing about the server.
--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -1,10 +1,28 @@
 //! Graceful shutdown of the HTTP server.
 
+use std::sync::{Arc, OnceLock};
+
 use actix_web::dev::ServerHandle;
 use dappleyard_clock::Instant;
 
 use crate::caller_connection::ConnectionGate;
 
+/// When requests must have ended because the process stops; unknown until it is asked to.
+#[derive(Debug, Clone, Default)]
+pub struct ProcessEnd(Arc<OnceLock<Instant>>);
+
+impl ProcessEnd {
+    /// Sets the end, once.
+    pub fn set(&self, end: Instant) {
+        self.0.get_or_init(|| end);
+    }
+
+    /// The deadline, or the end if that is earlier.
+    pub fn limit(&self, deadline: Instant) -> Instant {
+        self.0.get().map_or(deadline, |end| deadline.min(*end))
+    }
+}
+
 /// Closes the listeners and all connections, each once the request on it is answered. Returns whether none is left;
 /// some may be left at `last`. No request can begin after this, unless one is left.
 pub async fn close_connections(
