The last records of a process are written before it ends

The stop waits for the writer, 50 ms at most. Evidence: last_lines_are_flushed; the process test of a stop asks for the record.

--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -23,6 +23,7 @@
 /// Time before the end of the grace period at which the process ends, whatever is in progress.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// The signals that a process handles. Others, and those before this exists, have their default action.
 pub struct Signals {
@@ -123,6 +124,7 @@
             "connections": node.connections.open(), "jobs_handed_back": handover.is_ok(),
             "took_ms": started.elapsed().as_millis() as u64})
     });
+    node.log.flush(LOG_FLUSH_TIMEOUT);
 }
 
 fn log_progress(node: &Node, event: &'static str, started: Instant) {
--- a/crates/dappleyard/tests/planned_stop.rs
+++ b/crates/dappleyard/tests/planned_stop.rs
@@ -164,6 +164,7 @@
     let mut node = platform.start_node();
     node.wait_for_record("start");
     node.signal(Signal::TERM);
+    node.wait_for_record("stop");
     let status = node.wait_for_end(GRACE);
     expect_that!(status.map(|status| status.success()), some(eq(true)));
 }
--- a/crates/model/src/events.rs
+++ b/crates/model/src/events.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::io::Write;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use parking_lot::Mutex;
 use serde_json::{Map, Value};
@@ -22,6 +22,13 @@
 /// Field for the time of an event in Unix milliseconds, comparable across nodes and restarts.
 pub const TIME_FIELD: &str = "at_ms";
 
+/// What is handed to the writer thread.
+enum Entry {
+    Line(String),
+    /// Asks for a signal once all earlier lines are written.
+    Flush(SyncSender<()>),
+}
+
 struct Budget {
     lines: f64,
     refilled_at: Instant,
@@ -31,7 +38,7 @@
 /// Event log of one process.
 pub struct EventLog {
     started: Instant,
-    queue: Option<SyncSender<String>>,
+    queue: Option<SyncSender<Entry>>,
     budgets: Mutex<HashMap<&'static str, Budget>>,
 }
 
@@ -77,11 +84,24 @@
         }
         let mut text = Value::Object(line).to_string();
         text.push('\n');
-        if queue.try_send(text).is_err() {
+        if queue.try_send(Entry::Line(text)).is_err() {
             self.count_dropped(kind, dropped + 1);
         }
     }
 
+    /// Waits until all lines are written, but no longer than `limit`. The lines in the queue are lost when the process
+    /// ends.
+    pub fn flush(&self, limit: Duration) {
+        let Some(queue) = &self.queue else {
+            return;
+        };
+        let (written, is_written) = sync_channel(1);
+        if queue.try_send(Entry::Flush(written)).is_ok() {
+            // A writer that takes too long is left behind.
+            let _ = is_written.recv_timeout(limit);
+        }
+    }
+
     fn count_dropped(&self, kind: &'static str, lines: u64) {
         if let Some(budget) = self.budgets.lock().get_mut(kind) {
             budget.dropped += lines;
@@ -113,15 +133,22 @@
     since.map_or(0, |since| since.as_millis() as u64)
 }
 
-fn write_lines(lines: &Receiver<String>, mut output: impl Write) {
-    while let Ok(first) = lines.recv() {
-        let mut text = first;
+fn write_lines(entries: &Receiver<Entry>, mut output: impl Write) {
+    while let Ok(first) = entries.recv() {
+        let (mut text, mut waiting) = (String::new(), Vec::new());
         // Write all queued lines at once.
-        while let Ok(next) = lines.try_recv() {
-            text.push_str(&next);
+        for entry in std::iter::once(first).chain(entries.try_iter()) {
+            match entry {
+                Entry::Line(line) => text.push_str(&line),
+                Entry::Flush(written) => waiting.push(written),
+            }
         }
         // A closed output must not stop the process.
         let _ = output.write_all(text.as_bytes());
         let _ = output.flush();
+        for written in waiting {
+            // Whoever asked may have given up.
+            let _ = written.try_send(());
+        }
     }
 }
--- a/crates/model/tests/events.rs
+++ b/crates/model/tests/events.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::mpsc::{Sender, channel};
+use std::time::Duration;
 
 use dappleyard_model::EventLog;
 use googletest::prelude::*;
@@ -25,6 +26,20 @@
     }
 }
 
+/// Output that takes its time for each write.
+struct SlowOutput(Lines);
+
+impl Write for SlowOutput {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(50));
+        self.0.write(bytes)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Output whose writes block while the lock is held.
 struct BlockedOutput(Arc<Mutex<()>>);
 
@@ -94,5 +109,16 @@
             log.write(kind, || json!({}));
         }
     }
+    log.flush(Duration::from_millis(10));
     drop(held);
 }
+
+/// Guards against a process that ends before its last records are written.
+#[gtest]
+fn last_lines_are_flushed() {
+    let (sender, lines) = channel();
+    let log = EventLog::to(SlowOutput(Lines(sender)));
+    log.write("stop", || json!({}));
+    log.flush(Duration::from_secs(20));
+    expect_that!(lines.try_recv(), ok(contains_substring("\"stop\"")));
+}
