A silent server is left only for one that may continue the request

What callers saw: after 0.9 s of silence of its server an answer was cut, or failed with 502, although the server would have gone on: a stream whose only server paused, one without attempts left, one whose other servers ran another version or were full, refused or unreachable, and the body of a safe request, which cannot be resumed at all.

Cause: a run was abandoned first and a server was sought afterwards. A wait on a response's head did the same.

Now the wait goes on while a successor is sought, every 100 ms: there must be attempts and time left, no crash limit, and a healthy server with a free slot (any healthy one after 2 s). The request is sent there while the silent server may still respond for 150 ms, so that a refusal costs nothing; then the silent one is left. If it speaks first, the successor is left, with a run counted; if it breaks off, the successor takes over. Streams that cannot be resumed, bodies that have begun and unsafe requests stay, as does all that has no successor; silent_run_kept tells why.

The silent server is suspect until it speaks.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -15,6 +15,8 @@
     BodyFraming, Connection, ExchangeError, IdleLimit, Pool, ResponseHead, Stage, request_bytes,
 };
 use derive_more::{Display, Error};
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
@@ -25,9 +27,9 @@
 use crate::home_regions;
 use crate::metrics::Metrics;
 use crate::node::Node;
+use crate::silence::Waited;
 use crate::silence_limits::SilenceLimits;
 use crate::urgency::OvercommitLimit;
-use dappleyard_clock::Instant;
 
 /// Responses to other requests that are discarded on one connection before it is given up.
 const MAX_STALE_RESPONSES: usize = 2;
@@ -35,10 +37,8 @@
 pub(crate) const MAX_STALE_RESPONSE_BYTES: usize = 1024 * 1024;
 /// How long a server is avoided after it failed or stopped responding.
 pub(crate) const SUSPECT_DURATION: Duration = Duration::from_millis(1_200);
-/// Silence after which a server counts as unreachable. It may have restarted in the meantime, so
-/// its warm-up state is unknown.
-const UNREACHABLE_AFTER: Duration = Duration::from_millis(900);
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time to read the rest of a short response.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 /// Idle connections kept per server.
 const MAX_IDLE_CONNECTIONS: usize = 24;
 const IDLE_LIMIT: IdleLimit = IdleLimit {
@@ -140,6 +140,9 @@
     }
 }
 
+/// A response whose headers have not been received yet.
+pub(crate) type PendingResponse = LocalBoxFuture<'static, Result<Exchange, AttemptError>>;
+
 /// Connections of one worker thread to the servers.
 #[derive(Clone)]
 pub struct Upstreams {
@@ -182,9 +185,29 @@
         server: &Arc<ServerRecord>,
         attempt: &Attempt<'_>,
     ) -> Result<Exchange, AttemptError> {
+        let response = self.prepare(server, attempt).await?;
+        let leave = async |_| Some(());
+        let waiting = self.wait_or_leave(server, attempt.limits, response, leave);
+        match waiting.await {
+            Waited::Done(result) => result,
+            Waited::Silent(error, ()) => {
+                self.note_left(server);
+                Err(error)
+            }
+            Waited::Failed(error, ()) => Err(error),
+        }
+    }
+
+    /// Connects to a server. The returned future sends the request and waits for the response
+    /// headers.
+    pub(crate) async fn prepare(
+        &self,
+        server: &Arc<ServerRecord>,
+        attempt: &Attempt<'_>,
+    ) -> Result<PendingResponse, AttemptError> {
         Metrics::count(&self.node.metrics.attempts);
         let request = self.request(server, attempt);
-        let mut connection = self.connect(server).await?;
+        let connection = self.connect(server).await?;
         if let Some(exclusion) = self.exclusion(server, attempt) {
             self.pool.put(server.address, connection);
             return Err(AttemptError::local(
@@ -192,28 +215,29 @@
                 format!("not sent: {exclusion}"),
             ));
         }
-        let head = {
-            let waiting = self.receive_head(&mut connection, &request, attempt.id);
-            self.with_silence_limits(server, attempt.limits, waiting)
-                .await
-        };
-        let (head, facts) = match head {
-            Ok(answer) => answer,
-            Err(error) => {
-                self.pool.forget(server.address);
-                self.note_outcome(server, false);
-                return Err(error);
-            }
-        };
+        let (upstreams, server, id) = (self.clone(), server.clone(), attempt.id.to_owned());
+        let response = async move { upstreams.exchange(server, connection, &request, &id).await };
+        Ok(response.boxed_local())
+    }
+
+    async fn exchange(
+        &self,
+        server: Arc<ServerRecord>,
+        mut connection: Connection,
+        request: &[u8],
+        id: &str,
+    ) -> Result<Exchange, AttemptError> {
+        let head = self.receive_head(&mut connection, request, id).await;
+        let (head, facts) = head.inspect_err(|_| self.note_left(&server))?;
         self.node.loads.note_received(&server.id);
         if let Some(load) = facts.load {
-            self.record_reported_slowdown(server, load);
+            self.record_reported_slowdown(&server, load);
             let mut overcommit = self.overcommit.get();
             overcommit.record(load);
             self.overcommit.set(overcommit);
         }
         if !facts.not_run && (head.status / 100 == 2 || head.status >= 500) {
-            self.note_outcome(server, head.status / 100 == 2);
+            self.note_outcome(&server, head.status / 100 == 2);
         }
         if facts.not_run {
             let reason = format!("status {} not run", head.status);
@@ -229,10 +253,16 @@
             connection,
             head,
             facts,
-            server: server.clone(),
+            server,
         })
     }
 
+    /// Records that a server gave no valid response to a request.
+    pub(crate) fn note_left(&self, server: &ServerRecord) {
+        self.pool.forget(server.address);
+        self.note_outcome(server, false);
+    }
+
     /// Why a request may not be sent to a selected server. The server may have been excluded, or have
     /// restarted with other software, while the connection was opened.
     fn exclusion(&self, server: &ServerRecord, attempt: &Attempt<'_>) -> Option<Exclusion> {
@@ -246,57 +276,6 @@
             .or_else(|| cold_limit::check_exclusion(&self.node, server))
     }
 
-    /// Waits for data from a server. A server that sends nothing to any node for `suspect_after` is
-    /// marked as suspect, a slow one later, and the attempt fails after `abandon_after`, if set.
-    /// Silence before the start of the wait does not count.
-    pub async fn with_silence_limits<T>(
-        &self,
-        server: &ServerRecord,
-        limits: SilenceLimits,
-        waiting: impl Future<Output = Result<T, AttemptError>>,
-    ) -> Result<T, AttemptError> {
-        tokio::pin!(waiting);
-        let started = Instant::now();
-        let mut check_interval = limits.first_check();
-        let mut next_suspect = limits.suspect_after;
-        loop {
-            match tokio::time::timeout(check_interval, &mut waiting).await {
-                Ok(done) => return done,
-                Err(_) => {
-                    let waited = started.elapsed();
-                    let since_received = self
-                        .node
-                        .loads
-                        .time_since_received(&server.id)
-                        .unwrap_or(waited);
-                    let silence = since_received.min(waited);
-                    let adjusted_limit = || {
-                        limits.suspect_time(self.node.loads.slowdown(&server.id), UNREACHABLE_AFTER)
-                    };
-                    if silence >= next_suspect && since_received >= adjusted_limit() {
-                        next_suspect += SUSPECT_DURATION / 2;
-                        match silence >= UNREACHABLE_AFTER {
-                            true => self.node.loads.mark_suspect(&server.id, SUSPECT_DURATION),
-                            false => self.node.loads.mark_overdue(&server.id, SUSPECT_DURATION),
-                        }
-                    }
-                    if limits
-                        .abandon_after
-                        .is_some_and(|abandon_after| silence >= abandon_after)
-                    {
-                        return Err(AttemptError {
-                            ran: Ran::Maybe,
-                            reason: format!("silent for {} ms", silence.as_millis()),
-                            unreachable: silence >= UNREACHABLE_AFTER,
-                            broken_off: false,
-                        });
-                    }
-                    check_interval = SILENCE_CHECK_INTERVAL;
-                }
-            }
-        }
-    }
-
     fn note_outcome(&self, server: &ServerRecord, served: bool) {
         if self.node.loads.note_outcome(&server.id, served) {
             self.node.log.write(
@@ -346,7 +325,7 @@
     /// Reads the rest of a short response, so that the connection can be reused.
     async fn drain(&self, mut connection: Connection, address: SocketAddr) {
         let reading = connection.whole_body(MAX_STALE_RESPONSE_BYTES);
-        let read = tokio::time::timeout(SILENCE_CHECK_INTERVAL, reading).await;
+        let read = tokio::time::timeout(DRAIN_TIMEOUT, reading).await;
         if matches!(read, Ok(Ok(_))) {
             self.pool.put(address, connection);
         }
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -1,11 +1,10 @@
 //! Sends a request to servers until one serves it.
 
 use std::collections::HashSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use dappleyard_cluster::{InFlight, WorkKind};
+use dappleyard_cluster::InFlight;
 use dappleyard_crashes::{
     Feature, Fingerprint, Permit, RefusedFeature, RequestFeatures, RequestParts, RunGuard,
 };
@@ -15,18 +14,16 @@
 use dappleyard_tenants::Caller;
 use http::{HeaderMap, Method};
 
-use crate::attempt::{Attempt, AttemptError, Exchange, Ran, SUSPECT_DURATION, Upstreams};
-use crate::cold_limit::ColdLimit;
-use crate::crashes::InterruptedRun;
+use crate::attempt::{Exchange, Ran, Upstreams};
 use crate::error_kind::{ErrorKind, promises_not_run};
-use crate::metrics::Metrics;
 use crate::placement::PromptShape;
-use crate::server_selection::{Placement, Unplaced, select_server};
-use crate::silence_limits::SilenceLimits;
+use crate::runs::{PendingRun, fail_run, start_run, wait_for_response};
+use crate::server_selection::{Unplaced, select_server};
+use crate::silence::Waited;
 use dappleyard_clock::Instant;
 
 /// Interval for checking whether a run on another node has ended; updates arrive every 25 ms.
-const RUN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+pub(crate) const RUN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum size of a failure response, which is read as a whole.
 const MAX_FAILURE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -125,7 +122,7 @@
         })
     }
 
-    fn may_repeat(&self) -> bool {
+    pub(crate) fn may_repeat(&self) -> bool {
         self.route.may_repeat()
     }
 
@@ -135,6 +132,20 @@
         self.ran == Ran::No || (self.may_repeat() && self.runs < self.route.max_attempts)
     }
 
+    /// Counts a run that may have begun; returns what was known before.
+    pub(crate) fn note_possible_run(&mut self) -> Ran {
+        self.runs += 1;
+        let before = self.ran;
+        self.ran = before.max(Ran::Maybe);
+        before
+    }
+
+    /// Takes the count back, once the run is counted by its outcome.
+    pub(crate) fn forget_possible_run(&mut self, ran_before: Ran) {
+        self.runs -= 1;
+        self.ran = ran_before;
+    }
+
     /// Whether it may be sent to a server, as far as its own properties tell.
     pub(crate) fn accepts(&self, server: &ServerRecord, places: &Topology) -> bool {
         !self.tried.contains(&server.id)
@@ -180,122 +191,83 @@
             continue;
         }
         let starts = last_event_id.is_none();
-        let Placement { server, cached, .. } = match select_server(upstreams, request, starts).await
-        {
+        let placement = match select_server(upstreams, request, starts).await {
             Ok(placement) => placement,
             Err(Unplaced::NoServer) => return Dispatched::GaveUp(request.failure_kind()),
             Err(Unplaced::Late { retry_after }) => return Dispatched::Late(retry_after),
         };
-        let Ok(run) = node.crashes.begin(&request.features, &server.id) else {
-            // Another node has reported a crash or started a run since the check, which is
-            // repeated.
-            tokio::time::sleep(RUN_CHECK_INTERVAL.min(request.remaining())).await;
-            continue;
-        };
-        request.tried.insert(server.id.clone());
-        let mut work = node.loads.begin(
-            &server,
-            WorkKind::Online,
-            request.shape.uncached_tokens(cached),
-        );
-        let sent = Instant::now();
-        let outcome = send(upstreams, request, &server, last_event_id).await;
-        let exchange = match outcome {
-            Ok(exchange) => exchange,
-            Err(error) => {
-                let interrupted_run = InterruptedRun {
-                    error: &error,
-                    output_duration: None,
-                };
-                upstreams
-                    .check_for_crash(run, &server, &interrupted_run)
-                    .await;
-                record_failure(upstreams, request, &server, &error);
-                let limit = ColdLimit::of(&node, &request.service);
-                if error.ran == Ran::No && limit.is_some_and(|limit| !limit.allows(&server)) {
-                    // The rate limit refused the request before it was sent, so the server stays
-                    // eligible.
-                    request.tried.remove(&server.id);
-                }
-                continue;
-            }
-        };
-        request.ran = Ran::Yes;
-        request.runs += 1;
-        if exchange.head.status / 100 == 2 {
-            return Dispatched::Started(Box::new(Started {
-                exchange,
-                work: Some(work),
-                run,
-                sent,
-            }));
-        }
-        work.prompt_read();
-        match read_failure(upstreams, request, exchange).await {
-            // The server did not state that the request was not run, so this status must not be
-            // forwarded.
-            Some(failed) if promises_not_run(failed.status) => {
-                return Dispatched::GaveUp(request.failure_kind());
-            }
-            Some(failed) => return Dispatched::Failed(failed),
-            None => continue,
+        if let Some(run) = start_run(upstreams, request, placement, last_event_id).await
+            && let Some(dispatched) = finish_dispatch(upstreams, request, run, last_event_id).await
+        {
+            return dispatched;
         }
     }
 }
 
-async fn send(
+/// Waits for the response to a request that has been sent, and sends it to further servers if necessary.
+pub(crate) async fn dispatch_after(
     upstreams: &Upstreams,
-    request: &Request,
-    server: &Arc<ServerRecord>,
+    request: &mut Request,
+    run: PendingRun,
     last_event_id: Option<u64>,
-) -> Result<Exchange, AttemptError> {
-    let remaining = request.remaining();
-    let attempt = Attempt {
-        method: &request.method,
-        target: &request.target,
-        headers: &request.headers,
-        body: &request.body,
-        id: &request.facts.id,
-        remaining_ms: Some(remaining.as_millis() as u64),
-        last_event_id,
-        origin: request.origin.as_ref(),
-        tenant: request.caller.tenant_header(),
-        homes: &request.homes,
-        limits: first_event_timeout(upstreams, request),
-    };
-    match dappleyard_clock::timeout(remaining, upstreams.attempt(server, &attempt)).await {
-        Ok(outcome) => outcome,
-        Err(_) => Err(AttemptError::local(Ran::Maybe, "deadline exceeded")),
+) -> Dispatched {
+    match finish_dispatch(upstreams, request, run, last_event_id).await {
+        Some(dispatched) => dispatched,
+        None => dispatch(upstreams, request, last_event_id).await,
     }
 }
 
-/// Timeout for the first event, learned from the service's responses.
-fn first_event_timeout(upstreams: &Upstreams, request: &Request) -> SilenceLimits {
-    let times = &upstreams.node().response_times;
-    let silence = times.first_event_timeout(&request.service, request.shape.tokens);
-    SilenceLimits::abandoning_after(silence).abandoning_if(request.may_repeat())
-}
-
-fn record_failure(
+/// Waits for the response of a run, or of its successors if its server falls silent. Returns `None` if the request has
+/// to be sent to another server.
+async fn finish_dispatch(
     upstreams: &Upstreams,
     request: &mut Request,
-    server: &ServerRecord,
-    error: &AttemptError,
-) {
-    let node = upstreams.node();
-    Metrics::count(&node.metrics.attempts_failed);
-    request.ran = request.ran.max(error.ran);
-    if error.ran > Ran::No {
-        request.runs += 1;
+    mut run: PendingRun,
+    last_event_id: Option<u64>,
+) -> Option<Dispatched> {
+    let exchange = loop {
+        let (error, successor) =
+            match wait_for_response(upstreams, request, &mut run, last_event_id).await {
+                Waited::Done(Ok(exchange)) => break exchange,
+                Waited::Done(Err(error)) => {
+                    fail_run(upstreams, request, run, &error).await;
+                    return None;
+                }
+                Waited::Silent(error, successor) => {
+                    upstreams.note_left(&run.server);
+                    (error, successor)
+                }
+                Waited::Failed(error, successor) => (error, successor),
+            };
+        let left = std::mem::replace(&mut run, successor);
+        fail_run(upstreams, request, left, &error).await;
+    };
+    request.ran = Ran::Yes;
+    request.runs += 1;
+    let PendingRun {
+        mut work,
+        run,
+        sent,
+        ..
+    } = run;
+    if exchange.head.status / 100 == 2 {
+        return Some(Dispatched::Started(Box::new(Started {
+            exchange,
+            work: Some(work),
+            run,
+            sent,
+        })));
     }
-    if error.unreachable {
-        node.loads.mark_suspect(&server.id, SUSPECT_DURATION);
+    work.prompt_read();
+    match read_failure(upstreams, request, exchange).await {
+        // The server did not state that the request was not run, so this status must not be
+        // forwarded.
+        Some(failed) if promises_not_run(failed.status) => {
+            Some(Dispatched::GaveUp(request.failure_kind()))
+        }
+        Some(failed) => Some(Dispatched::Failed(failed)),
+        None => None,
     }
-    node.log.write("attempt_failed", || {
-        serde_json::json!({"request": request.facts.id, "server": server.id,
-            "fingerprint": request.features.request().short(), "ran": error.ran.to_string(), "cause": error.reason, "runs": request.runs,
-            "remaining_ms": request.remaining().as_millis() as u64})
-    });
 }
 
 /// Reads a failure response. Returns `None` if the request is tried at another server instead.
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -9,7 +9,7 @@
 
 use crate::attempt::{AttemptError, Exchange, Ran, SUSPECT_DURATION, Upstreams};
 use crate::crashes::InterruptedRun;
-use crate::dispatch::{Dispatched, Request, Started, dispatch, is_event_route};
+use crate::dispatch::{Dispatched, Request, Started, dispatch, dispatch_after, is_event_route};
 use crate::error_kind::ErrorKind;
 use crate::event_gaps::EventGaps;
 use crate::event_stream::EventSplitter;
@@ -17,10 +17,13 @@
 use crate::node::{DisconnectLogger, InFlightGuard};
 use crate::response_buffer::{BufferedResponse, StallFlag};
 use crate::resumption;
+use crate::runs::PendingRun;
+use crate::silence::Waited;
 use crate::silence_limits::SilenceLimits;
+use crate::takeover::Takeover;
 use dappleyard_clock::Instant;
 
-/// Silence of a server after which a stream is continued at another one.
+/// Silence of a server after which a stream is continued at another one, if one is free for it.
 const STREAM_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// The response cannot be completed. The client's connection is closed without the end of the body.
@@ -116,30 +119,34 @@
                 return Ok(None);
             }
             match self.read().await {
-                Ok(Some(piece)) => {
+                Waited::Done(Ok(Some(piece))) => {
                     if !is_event_route(&self.request.route) {
                         return Ok(Some(piece));
                     }
                     self.splitter.push(&piece);
                 }
-                Ok(None) => match self.early_end().await {
-                    Some(error) => self.resume(error).await?,
+                Waited::Done(Ok(None)) => match self.early_end().await {
+                    Some(error) => self.resume(error, None).await?,
                     None => {
                         self.finish();
                         return Ok(None);
                     }
                 },
-                Err(error) => self.resume(error).await?,
+                Waited::Done(Err(error)) => self.resume(error, None).await?,
+                Waited::Silent(error, successor) | Waited::Failed(error, successor) => {
+                    self.resume(error, Some(successor)).await?;
+                }
             }
         }
     }
 
-    async fn read(&mut self) -> Result<Option<Bytes>, AttemptError> {
+    /// Reads the next piece. A stream whose server is silent is left to a successor if there is one.
+    async fn read(&mut self) -> Waited<Option<Bytes>, PendingRun> {
         let remaining = self.request.remaining();
         let limits = self.limits();
         let upstreams = self.upstreams.clone();
         let Some(started) = &mut self.started else {
-            return Ok(None);
+            return Waited::Done(Ok(None));
         };
         let Exchange {
             connection, server, ..
@@ -149,25 +156,41 @@
             piece.map_err(|error| AttemptError::truncated_response(&error))
         };
         let since = Instant::now();
-        let waiting = upstreams.with_silence_limits(server, limits, reading);
-        let piece = match dappleyard_clock::timeout(remaining, waiting).await {
-            Ok(piece) => piece?,
-            Err(_) => {
-                return Err(AttemptError::local(Ran::Yes, "deadline exceeded"));
-            }
+        let mut takeover = Takeover::of_stream(&upstreams, &mut self.request, self.last_event);
+        let find_successor = async |silence| takeover.find(silence).await;
+        let waiting = upstreams.wait_or_leave(server, limits, reading, find_successor);
+        let waited = match dappleyard_clock::timeout(remaining, waiting).await {
+            Ok(waited) => waited,
+            Err(_) => Waited::Done(Err(AttemptError::local(Ran::Yes, "deadline exceeded"))),
+        };
+        if let Waited::Done(Ok(piece)) = &waited {
+            self.note_read(piece.is_some(), since.elapsed());
+        }
+        waited
+    }
+
+    /// Records a read from the server that took this long.
+    fn note_read(&mut self, has_piece: bool, pause: Duration) {
+        let Some(started) = &self.started else {
+            return;
         };
-        let node = upstreams.node();
+        let server = &started.exchange.server;
+        let node = self.upstreams.node();
         node.loads.note_received(&server.id);
         // A gap in which this node stopped reading says nothing about the server.
         let was_stalled = self.stalled.take();
-        if self.events > 0 && piece.is_some() && !was_stalled {
-            let (service, pause) = (&self.request.service, since.elapsed());
+        if self.events > 0 && has_piece && !was_stalled {
+            let service = &self.request.service;
             node.response_times.record_gap(service, pause);
             if let Some(pause) = self.gaps.record(pause) {
-                upstreams.record_gap_slowdown(server, pause);
+                self.upstreams.record_gap_slowdown(server, pause);
             }
         }
-        Ok(piece)
+    }
+
+    /// Whether a response that has begun may be continued at another server.
+    fn is_resumable(&self) -> bool {
+        is_event_route(&self.request.route) && self.request.route.resumable
     }
 
     fn limits(&self) -> SilenceLimits {
@@ -179,7 +202,7 @@
         };
         SilenceLimits::abandoning_after(STREAM_TIMEOUT)
             .suspecting_after(suspect_after)
-            .abandoning_if(request.route.may_repeat())
+            .abandoning_if(self.is_resumable())
     }
 
     fn record_event(&mut self) {
@@ -256,9 +279,13 @@
         Metrics::count(&node.metrics.served);
     }
 
-    /// Continues the stream at another server after the last event. Fails if the route is not
-    /// resumable or no server continues it.
-    async fn resume(&mut self, error: AttemptError) -> Result<(), TruncatedResponse> {
+    /// Continues the stream after the last event, at the successor or another server. Fails if the
+    /// route is not resumable or no server continues it.
+    async fn resume(
+        &mut self,
+        error: AttemptError,
+        successor: Option<PendingRun>,
+    ) -> Result<(), TruncatedResponse> {
         let node = self.upstreams.node().clone();
         let failed = self.started.take();
         // Discards an incomplete event, which the other server sends again.
@@ -286,12 +313,16 @@
                 "events": self.events, "runs": self.request.runs,
                 "resumable": self.request.route.resumable})
         });
-        let resumable = is_event_route(&self.request.route) && self.request.route.resumable;
-        if !resumable {
+        if !self.is_resumable() {
             self.log_truncated(&error.reason);
             return Err(TruncatedResponse);
         }
-        match dispatch(&self.upstreams, &mut self.request, self.last_event).await {
+        let (upstreams, request) = (&self.upstreams, &mut self.request);
+        let dispatched = match successor {
+            Some(run) => dispatch_after(upstreams, request, run, self.last_event).await,
+            None => dispatch(upstreams, request, self.last_event).await,
+        };
+        match dispatched {
             Dispatched::Started(started) => {
                 Metrics::count(&node.metrics.resumed);
                 self.started = Some(*started);
--- /dev/null
+++ b/crates/ingress/src/runs.rs
@@ -0,0 +1,188 @@
+//! Runs of a request that were sent to a server and have no response yet.
+
+use std::sync::Arc;
+
+use dappleyard_cluster::{InFlight, WorkKind};
+use dappleyard_crashes::RunGuard;
+use dappleyard_model::ServerRecord;
+use futures::FutureExt;
+
+use crate::attempt::{
+    Attempt, AttemptError, Exchange, PendingResponse, Ran, SUSPECT_DURATION, Upstreams,
+};
+use crate::cold_limit::ColdLimit;
+use crate::crashes::InterruptedRun;
+use crate::dispatch::{RUN_CHECK_INTERVAL, Request};
+use crate::metrics::Metrics;
+use crate::server_selection::Placement;
+use crate::silence::Waited;
+use crate::silence_limits::SilenceLimits;
+use crate::takeover::Takeover;
+use dappleyard_clock::Instant;
+
+/// A run whose server has not responded yet.
+pub(crate) struct PendingRun {
+    pub(crate) response: PendingResponse,
+    pub(crate) server: Arc<ServerRecord>,
+    pub(crate) work: InFlight,
+    pub(crate) run: RunGuard,
+    pub(crate) sent: Instant,
+}
+
+impl PendingRun {
+    /// The run with the response that its future has returned.
+    pub(crate) fn with_response(self, exchange: Exchange) -> Self {
+        Self {
+            response: futures::future::ready(Ok(exchange)).boxed_local(),
+            ..self
+        }
+    }
+}
+
+/// Connects to the selected server and prepares a run there. Returns `None` if the request was not sent.
+pub(crate) async fn start_run(
+    upstreams: &Upstreams,
+    request: &mut Request,
+    placement: Placement,
+    last_event_id: Option<u64>,
+) -> Option<PendingRun> {
+    let node = upstreams.node().clone();
+    let Placement { server, cached, .. } = placement;
+    let Ok(run) = node.crashes.begin(&request.features, &server.id) else {
+        // Another node has reported a crash or started a run since the check, which is repeated.
+        tokio::time::sleep(RUN_CHECK_INTERVAL.min(request.remaining())).await;
+        return None;
+    };
+    request.tried.insert(server.id.clone());
+    let uncached_tokens = request.shape.uncached_tokens(cached);
+    let work = node.loads.begin(&server, WorkKind::Online, uncached_tokens);
+    let sent = Instant::now();
+    match prepare(upstreams, request, &server, last_event_id).await {
+        Ok(response) => Some(PendingRun {
+            response,
+            server,
+            work,
+            run,
+            sent,
+        }),
+        Err(error) => {
+            note_failed_run(upstreams, request, run, &server, &error).await;
+            None
+        }
+    }
+}
+
+/// Waits for the response of a run until its deadline. A silent server is left to a successor if there is one.
+pub(crate) async fn wait_for_response(
+    upstreams: &Upstreams,
+    request: &mut Request,
+    run: &mut PendingRun,
+    last_event_id: Option<u64>,
+) -> Waited<Exchange, PendingRun> {
+    let remaining = request.remaining();
+    let limits = first_event_timeout(upstreams, request);
+    let mut takeover = Takeover::before_response(upstreams, request, last_event_id);
+    let find_successor = async |silence| takeover.find(silence).await;
+    let waiting = upstreams.wait_or_leave(&run.server, limits, &mut run.response, find_successor);
+    match dappleyard_clock::timeout(remaining, waiting).await {
+        Ok(waited) => waited,
+        Err(_) => Waited::Done(Err(AttemptError::local(Ran::Maybe, "deadline exceeded"))),
+    }
+}
+
+async fn prepare(
+    upstreams: &Upstreams,
+    request: &Request,
+    server: &Arc<ServerRecord>,
+    last_event_id: Option<u64>,
+) -> Result<PendingResponse, AttemptError> {
+    let remaining = request.remaining();
+    let attempt = Attempt {
+        method: &request.method,
+        target: &request.target,
+        headers: &request.headers,
+        body: &request.body,
+        id: &request.facts.id,
+        remaining_ms: Some(remaining.as_millis() as u64),
+        last_event_id,
+        origin: request.origin.as_ref(),
+        tenant: request.caller.tenant_header(),
+        homes: &request.homes,
+        limits: first_event_timeout(upstreams, request),
+    };
+    match dappleyard_clock::timeout(remaining, upstreams.prepare(server, &attempt)).await {
+        Ok(response) => response,
+        Err(_) => Err(AttemptError::local(Ran::Maybe, "deadline exceeded")),
+    }
+}
+
+/// Timeout for the first event, learned from the service's responses.
+fn first_event_timeout(upstreams: &Upstreams, request: &Request) -> SilenceLimits {
+    let times = &upstreams.node().response_times;
+    let silence = times.first_event_timeout(&request.service, request.shape.tokens);
+    SilenceLimits::abandoning_after(silence).abandoning_if(request.may_repeat())
+}
+
+/// Ends a run without a response.
+pub(crate) async fn fail_run(
+    upstreams: &Upstreams,
+    request: &mut Request,
+    run: PendingRun,
+    error: &AttemptError,
+) {
+    let PendingRun {
+        server,
+        run,
+        response,
+        work,
+        ..
+    } = run;
+    // Closes the connection.
+    drop(response);
+    note_failed_run(upstreams, request, run, &server, error).await;
+    drop(work);
+}
+
+async fn note_failed_run(
+    upstreams: &Upstreams,
+    request: &mut Request,
+    run: RunGuard,
+    server: &Arc<ServerRecord>,
+    error: &AttemptError,
+) {
+    let interrupted_run = InterruptedRun {
+        error,
+        output_duration: None,
+    };
+    upstreams
+        .check_for_crash(run, server, &interrupted_run)
+        .await;
+    record_failure(upstreams, request, server, error);
+    let limit = ColdLimit::of(upstreams.node(), &request.service);
+    if error.ran == Ran::No && limit.is_some_and(|limit| !limit.allows(server)) {
+        // The rate limit refused the request before it was sent, so the server stays eligible.
+        request.tried.remove(&server.id);
+    }
+}
+
+fn record_failure(
+    upstreams: &Upstreams,
+    request: &mut Request,
+    server: &ServerRecord,
+    error: &AttemptError,
+) {
+    let node = upstreams.node();
+    Metrics::count(&node.metrics.attempts_failed);
+    request.ran = request.ran.max(error.ran);
+    if error.ran > Ran::No {
+        request.runs += 1;
+    }
+    if error.unreachable {
+        node.loads.mark_suspect(&server.id, SUSPECT_DURATION);
+    }
+    node.log.write("attempt_failed", || {
+        serde_json::json!({"request": request.facts.id, "server": server.id,
+            "fingerprint": request.features.request().short(), "ran": error.ran.to_string(), "cause": error.reason, "runs": request.runs,
+            "remaining_ms": request.remaining().as_millis() as u64})
+    });
+}
--- a/crates/ingress/src/server_selection.rs
+++ b/crates/ingress/src/server_selection.rs
@@ -190,28 +190,13 @@
     if request.tried.len() >= MAX_SERVERS_TRIED {
         return None;
     }
-    let limit = ColdLimit::of(node, &request.service);
     let servers = node.view.servers(&request.service);
-    let affinity_server = request
-        .shape
-        .shared
-        .and_then(|shared| affinity_server(&servers.affinity_servers, shared));
+    let affinity_server = affinity_server_of(request, &servers);
     let candidate = |server: &Arc<ServerRecord>| Candidate {
         server: server.clone(),
         load: node.loads.summary(&server.id),
     };
-    let extra = affinity_server.filter(|_| servers.is_large());
-    let may_take = |server: &&Arc<ServerRecord>| {
-        request.accepts(server, &node.settings.places)
-            && limit.as_ref().is_none_or(|limit| limit.allows(server))
-    };
-    let origin = request.origin.as_ref();
-    let candidate_servers = candidate_servers(&servers, &request.homes, origin, node).chain(extra);
-    let open: Vec<&Arc<ServerRecord>> = candidate_servers.filter(may_take).collect();
-    let open = match request.origin {
-        Some(_) => open,
-        None => settled_servers(&servers, open),
-    };
+    let open = open_servers(node, request, &servers);
     if node.crashes.permit(&request.features) == Permit::LastRun {
         return select_for_last_run(node, request, &open);
     }
@@ -256,6 +241,75 @@
     })
 }
 
+/// Selects a server that may take a request over from a silent one: a healthy one, with a free slot unless the request
+/// may queue there.
+pub(crate) fn select_successor(
+    upstreams: &Upstreams,
+    request: &Request,
+    may_queue: bool,
+) -> Option<Placement> {
+    let node = upstreams.node();
+    if request.tried.len() >= MAX_SERVERS_TRIED {
+        return None;
+    }
+    let servers = node.view.servers(&request.service);
+    let affinity_server = affinity_server_of(request, &servers);
+    let affinity_id = affinity_server.map(|server| server.id.as_str());
+    let zone_distances = node.view.zone_distances();
+    let open = open_servers(node, request, &servers);
+    // A request that stays asks again soon, so a sample is enough.
+    let open = match node.peers.is_large() {
+        true => sample(&open, zone_distances, affinity_id, &mut rand::rng()),
+        false => open,
+    };
+    let candidates = open.into_iter().map(|server| Candidate {
+        server: server.clone(),
+        load: node.loads.summary(&server.id),
+    });
+    let is_free = |entry: &Candidate| is_healthy(entry) && (may_queue || has_free_slot(entry));
+    let candidates = limit_by_region(candidates.filter(is_free).collect(), zone_distances);
+    let chosen = choose(&candidates, zone_distances, affinity_id)?;
+    let placement = Placement {
+        server: chosen.server.clone(),
+        cached: affinity_id == Some(chosen.server.id.as_str()),
+        load: chosen.load,
+        mean_excess: mean_excess(&candidates),
+        candidates: candidates.len(),
+    };
+    log_placed(upstreams, request, &placement);
+    Some(placement)
+}
+
+/// The server that caches the shared parts of a request's prompt.
+fn affinity_server_of<'a>(
+    request: &Request,
+    servers: &'a ServerSet,
+) -> Option<&'a Arc<ServerRecord>> {
+    let shared = request.shape.shared?;
+    affinity_server(&servers.affinity_servers, shared)
+}
+
+/// Servers that a request may be sent to next.
+fn open_servers<'a>(
+    node: &Node,
+    request: &Request,
+    servers: &'a ServerSet,
+) -> Vec<&'a Arc<ServerRecord>> {
+    let limit = ColdLimit::of(node, &request.service);
+    let extra = affinity_server_of(request, servers).filter(|_| servers.is_large());
+    let may_take = |server: &&Arc<ServerRecord>| {
+        request.accepts(server, &node.settings.places)
+            && limit.as_ref().is_none_or(|limit| limit.allows(server))
+    };
+    let origin = request.origin.as_ref();
+    let candidate_servers = candidate_servers(servers, &request.homes, origin, node).chain(extra);
+    let open: Vec<&Arc<ServerRecord>> = candidate_servers.filter(may_take).collect();
+    match request.origin {
+        Some(_) => open,
+        None => settled_servers(servers, open),
+    }
+}
+
 /// The servers at which streams may begin, or all if there is none.
 fn settled_servers<'a>(
     servers: &ServerSet,
--- a/crates/ingress/tests/silence_limits.rs
+++ b/crates/ingress/tests/silence_limits.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use dappleyard_cluster::Slowdown;
-use dappleyard_ingress::SilenceLimits;
+use dappleyard_crashes::Permit;
+use dappleyard_ingress::{SilenceLimits, SilentRun, Stay};
 use googletest::prelude::*;
 
 const MOST: Duration = ms(900);
@@ -38,3 +39,54 @@
     let limits = SilenceLimits::abandoning_after(ms(1_200));
     expect_that!(limits.suspect_time(Slowdown::new(3.0), MOST), eq(ms(1_200)));
 }
+
+/// A run at a silent server that may move.
+const MOVABLE: SilentRun = SilentRun {
+    runs: 1,
+    max_attempts: 2,
+    remaining: ms(2_000),
+    permit: Permit::Free,
+};
+
+#[gtest]
+fn movable_run() {
+    expect_that!(MOVABLE.stay(), none());
+}
+
+#[gtest]
+fn kept_run() {
+    let kept = [
+        (SilentRun { runs: 2, ..MOVABLE }, Stay::AttemptsUsed),
+        (
+            SilentRun {
+                remaining: ms(100),
+                ..MOVABLE
+            },
+            Stay::DeadlineNear,
+        ),
+        (
+            SilentRun {
+                permit: Permit::LastRun,
+                ..MOVABLE
+            },
+            Stay::CrashLimit,
+        ),
+        (
+            SilentRun {
+                permit: Permit::Wait,
+                ..MOVABLE
+            },
+            Stay::CrashLimit,
+        ),
+        (
+            SilentRun {
+                permit: Permit::Refused,
+                ..MOVABLE
+            },
+            Stay::CrashLimit,
+        ),
+    ];
+    for (run, stay) in kept {
+        expect_that!(run.stay(), some(eq(stay)), "{run:?}");
+    }
+}
