--- a/crates/dappleyard/tests/support/mod.rs
+++ b/crates/dappleyard/tests/support/mod.rs
@@ -10,15 +10,9 @@
 use actix_web::{App, HttpServer, web};
 use dappleyard_emulator::EmulatedRows;
 use dappleyard_platform_standin::model::{self, ModelServers};
-use dappleyard_platform_standin::{control, store};
+use dappleyard_platform_standin::{control, node, store};
 use rustix::process::{Pid, Signal, kill_process};
 
-const STORE_PORT: u16 = 17_600;
-const FIRST_SERVER_PORT: u16 = 17_610;
-const FRONT_PORT: u16 = 18_161;
-const READY_PORT: u16 = 18_167;
-const DIRECTORY_PORT: u16 = 18_164;
-const PEER_PORT: u16 = 17_720;
 const SLOTS: u32 = 64;
 /// Events of a whole answer of the stand-in's model servers.
 const EVENTS: usize = 20;
@@ -37,7 +31,7 @@
     pub fn start() -> Self {
         let id: [u8; 4] = rand::random();
         let ip = Ipv4Addr::new(127, 16 + id[0] % 200, id[1], 1 + id[2] % 250);
-        let addresses = (0..2).map(|at| SocketAddr::from((ip, FIRST_SERVER_PORT + at)));
+        let addresses = (0..2).map(|at| SocketAddr::from((ip, model::FIRST_SERVER_PORT + at)));
         let servers = ModelServers::new(SLOTS, addresses.collect());
         let rows = EmulatedRows::default();
         control::write_configuration(&rows, 1, &[]);
@@ -57,20 +51,10 @@
     pub fn start_node(&self) -> NodeProcess {
         let ip = self.ip;
         let file = std::env::temp_dir().join(format!("dappleyard-stop-{ip}.toml"));
-        let settings = format!(
-            "node_name = \"node-1\"\nip = \"{ip}\"\nzone = \"north\"\n\
-             port_range = [{PEER_PORT},{}]\n\
-             [listen]\nfront = \"{ip}:{FRONT_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n\
-             directory = \"{ip}:{DIRECTORY_PORT}\"\n\
-             [platform]\naddress = \"{ip}:{STORE_PORT}\"\nrow_bytes = 65536\n\
-             [bounds]\ngrace_s = 8\nttl_max_s = 5\nstatus_s = 120\nconfig_apply_ms = 2000\n\
-             [zones]\nnorth = \"near\"\n",
-            PEER_PORT + 15
-        );
-        std::fs::write(&file, settings).expect("a settings file");
+        std::fs::write(&file, node::settings(ip)).expect("a settings file");
         let mut process = Command::new(env!("CARGO_BIN_EXE_dappleyard"))
             .arg("serve")
-            .env("DAPPLEYARD_SETTINGS", &file)
+            .env(node::SETTINGS_VARIABLE, &file)
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program runs");
@@ -97,7 +81,10 @@
             .app_data(web::Data::new(rows.clone()))
             .configure(store::configure)
     });
-    let store = store.workers(1).bind((ip, STORE_PORT)).expect("a port");
+    let store = store
+        .workers(1)
+        .bind((ip, node::STORE_PORT))
+        .expect("a port");
     let addresses = servers.addresses().to_vec();
     let models = HttpServer::new(move || {
         App::new()
@@ -122,7 +109,7 @@
 
 impl NodeProcess {
     pub fn front(&self) -> SocketAddr {
-        (self.ip, FRONT_PORT).into()
+        node::front(self.ip)
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -156,11 +143,10 @@
     }
 
     fn is_ready(&self) -> bool {
-        let Ok(mut caller) = Caller::connect((self.ip, READY_PORT).into()) else {
+        let Ok(mut caller) = Caller::connect(node::ready(self.ip)) else {
             return false;
         };
-        let request = "GET /v1/ready HTTP/1.1\r\nHost: node\r\n\r\n";
-        matches!(caller.exchange(request), Outcome::Answered(answer) if answer.status == 200)
+        matches!(caller.exchange(node::ready_request()), Outcome::Answered(answer) if answer.status == 200)
     }
 
     /// Waits for the end of the process.
@@ -227,10 +213,7 @@
 
     /// Sends a stream request.
     pub fn stream(&mut self, id: &str) -> Outcome {
-        self.exchange(&format!(
-            "POST /chat/x HTTP/1.1\r\nHost: soak.example\r\nAuthorization: Token calm-1\r\n\
-             X-Dappleyard-Request-Id: {id}\r\nX-Dappleyard-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi"
-        ))
+        self.exchange(&node::stream_request(id))
     }
 
     fn exchange(&mut self, request: &str) -> Outcome {
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -17,6 +17,7 @@
 use crate::caller_connection::CallerConnection;
 use crate::capacity::detect_retry;
 use crate::crashes::{operator_call, request_features};
+use crate::deadline::Deadline;
 use crate::dispatch::{Dispatched, Request, Started, dispatch, is_event_route};
 use crate::error_kind::ErrorKind;
 use crate::evacuated_zones::{orders_text, zone_metrics};
@@ -326,8 +327,7 @@
         service,
         origin,
         arrived,
-        deadline: arrived + time_limit,
-        process_end: node.process_end.clone(),
+        deadline: Deadline::new(arrived + time_limit, node.process_end.clone()),
         is_retry,
         ran: Ran::No,
         runs: 0,
