A stopping sidecar tells callers to leave, refuses late requests, and says what it cut

What a caller saw: no answer to a request on a kept connection, or to one whose head was half read, when its sidecar stopped. Cause: the stop went straight to the HTTP library's, which closes every connection without a whole request. Now a gate (transport::RequestGate) decides in one atomic operation whether a request begins and counts it. A stop serves for 300 ms with Connection: close, closes the gate, refuses for 500 ms as not run (503, Retry-After), then closes listener and resting connections, and ends when every answer is written or at the new stop_bound_ms, which is logged and ends the process with status 1; so far a cut after 60 s left no line and status 0. That works because each caller that sends within 800 ms of SIGTERM gets a whole answer, and later ones find a closed connection.

--- a/crates/dappleyard/src/sidecar.rs
+++ b/crates/dappleyard/src/sidecar.rs
@@ -15,7 +15,12 @@
     actix_rt::System::new().block_on(async move {
         let sidecar = dappleyard_sidecar::start(settings, Arc::new(DirectPolicy))?;
         signals::stop_requested().await?;
-        sidecar.stop().await;
-        Ok(ExitCode::SUCCESS)
+        let finished = sidecar.stop().await;
+        tracing::info!(finished, "planned stop ended");
+        Ok(if finished {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
+        })
     })
 }
--- a/crates/settings/src/rules.rs
+++ b/crates/settings/src/rules.rs
@@ -117,6 +117,7 @@
     rule("retry_budget_percent", Bound::Between(0.0, 100.0)),
     rule("maximum_attempts", Bound::Between(1.0, 100.0)),
     rule("workers", Bound::Between(1.0, 64.0)),
+    rule("stop_bound_ms", Bound::AtLeast(100.0)),
     rule("link.maximum_queued_bytes", Bound::AtLeast(65_536.0)),
     rule("link.maximum_stream_bytes", Bound::AtLeast(65_536.0)),
     rule("link.ping_interval_ms", Bound::AtLeast(10.0)),
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -46,6 +46,8 @@
     /// hedging.
     pub hedge_after_ms: u64,
     pub workers: usize,
+    /// Timeout of a graceful shutdown, in milliseconds.
+    pub stop_bound_ms: u64,
     pub link: LinkBounds,
 }
 
@@ -72,6 +74,7 @@
             maximum_attempts: 4,
             hedge_after_ms: 0,
             workers: 2,
+            stop_bound_ms: 60_000,
             link: LinkBounds::default(),
         }
     }
--- a/crates/sidecar/src/health.rs
+++ b/crates/sidecar/src/health.rs
@@ -25,9 +25,11 @@
     HttpResponse::Ok().body("ok\n")
 }
 
-/// `GET /readyz`: succeeds while a link to a node that accepts new requests is up.
+/// `GET /readyz`: succeeds while a link to a node that accepts new requests is up and no stop has begun.
 pub async fn readyz(worker: Data<Rc<Worker>>) -> HttpResponse {
-    if worker.links.is_ready() {
+    if worker.shared.gate.is_draining() {
+        HttpResponse::ServiceUnavailable().body("stopping\n")
+    } else if worker.links.is_ready() {
         HttpResponse::Ok().body("ready\n")
     } else {
         HttpResponse::ServiceUnavailable().body("no node takes new work\n")
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -3,6 +3,7 @@
 //! Clients use the OpenAI HTTP API on loopback; nodes are reached over links that carry frames. A
 //! generation passes these stages:
 //!
+//! - `admission` counts it, or refuses it once the process closes;
 //! - [`headers`] and [`request_body`] parse the request into a typed one ([`api`]);
 //! - [`prepare`] validates it and builds its canonical [`prompt`];
 //! - [`node_selection`] selects a node among the open [`links`];
@@ -13,6 +14,7 @@
 //! Files, batches and models use unary [`calls`] to a node. The sidecar does not access the store
 //! and has no durable state.
 
+mod admission;
 pub mod api;
 pub mod batches;
 pub mod calls;
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
 use actix_web::http::Method;
+use actix_web::middleware::from_fn;
 use actix_web::web::{self, Data, QueryConfig, ServiceConfig};
 use actix_web::{App, HttpResponse, HttpServer};
 use dappleyard_settings::SidecarSettings;
@@ -13,14 +15,17 @@
 use dappleyard_wire::{ErrorKind, Failure};
 use derive_more::{Display, Error};
 
+use crate::admission::admit;
 use crate::error::ApiError;
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::worker::{Shared, Worker};
 use crate::{batches, files, generations, health, models};
 
-/// Time limit of a graceful shutdown.
-const SHUTDOWN_TIMEOUT_S: u64 = 60;
+/// Time in which callers are told of a planned stop while their requests are served.
+const STOP_NOTICE: Duration = Duration::from_millis(300);
+/// Time in which late requests are refused before their connections are closed.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
 /// Idle timeout of HTTP connections.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
@@ -40,6 +45,7 @@
 pub struct SidecarHandle {
     address: SocketAddr,
     server: ServerHandle,
+    shared: Arc<Shared>,
 }
 
 impl SidecarHandle {
@@ -47,9 +53,27 @@
         self.address
     }
 
-    /// Shuts down gracefully: stops accepting connections and waits for open requests.
-    pub async fn stop(self) {
-        self.server.stop(true).await;
+    /// Stops gracefully: tells callers to leave, then refuses requests, then closes the listener and
+    /// the connections at rest, and ends when all answers are written. Returns `false` when the stop
+    /// bound was reached before.
+    pub async fn stop(self) -> bool {
+        let gate = &self.shared.gate;
+        let bound = Duration::from_millis(self.shared.settings.stop_bound_ms);
+        let deadline = tokio::time::Instant::now() + bound;
+        gate.drain();
+        tracing::info!(requests = gate.in_progress(), "planned stop began");
+        tokio::time::sleep(STOP_NOTICE.min(bound)).await;
+        gate.close();
+        let closed = async {
+            tokio::time::sleep(REFUSAL_TIME).await;
+            self.server.stop(true).await;
+        };
+        let finished = tokio::time::timeout_at(deadline, closed).await.is_ok();
+        let requests = gate.in_progress();
+        if !finished {
+            tracing::warn!(requests, "stop bound reached; unfinished answers were cut");
+        }
+        finished
     }
 }
 
@@ -66,6 +90,7 @@
         reason: error.to_string(),
     };
     let shared = Shared::new(settings.clone(), metrics);
+    let handle_shared = shared.clone();
     let header_timeout =
         Duration::from_millis(settings.body_timeout_ms).max(MINIMUM_HEADER_TIMEOUT);
     let server = HttpServer::new(move || {
@@ -73,7 +98,10 @@
             links: Links::start(shared.clone(), policy.clone()),
             shared: shared.clone(),
         });
-        App::new().app_data(Data::new(worker)).configure(routes)
+        App::new()
+            .app_data(Data::new(worker))
+            .wrap(from_fn(admit))
+            .configure(routes)
     })
     .workers(settings.workers)
     .disable_signals()
@@ -81,7 +109,7 @@
     .client_request_timeout(header_timeout)
     .client_disconnect_timeout(header_timeout)
     .keep_alive(KEEP_ALIVE)
-    .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
+    .shutdown_timeout(settings.stop_bound_ms.div_ceil(1_000))
     .bind(&settings.listen)
     .map_err(cannot_listen)?;
     let address = server.addrs().first().copied();
@@ -93,6 +121,7 @@
     Ok(SidecarHandle {
         address,
         server: handle,
+        shared: handle_shared,
     })
 }
 
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -6,6 +6,7 @@
 
 use dappleyard_decide::retry::RetryBudget;
 use dappleyard_settings::SidecarSettings;
+use dappleyard_transport::RequestGate;
 use dappleyard_wire::{ErrorKind, Failure};
 use parking_lot::Mutex;
 
@@ -21,6 +22,8 @@
     pub metrics: Metrics,
     /// Limits retries to a share of first attempts.
     pub retries: Mutex<RetryBudget>,
+    /// Admits requests until the process closes.
+    pub gate: Arc<RequestGate>,
     open_requests: AtomicUsize,
     uploads: AtomicUsize,
 }
@@ -31,6 +34,7 @@
             retries: Mutex::new(RetryBudget::new(settings.retry_budget_percent)),
             settings,
             metrics,
+            gate: RequestGate::new(),
             open_requests: AtomicUsize::new(0),
             uploads: AtomicUsize::new(0),
         })
--- a/crates/sidecar/tests/shutdown.rs
+++ b/crates/sidecar/tests/shutdown.rs
@@ -3,36 +3,55 @@
 mod support;
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use dappleyard_settings::SidecarSettings;
 use dappleyard_sidecar::SidecarHandle;
 use dappleyard_transport::link::ServerStream;
+use dappleyard_wire::messages::{Chunk, frame};
 use googletest::prelude::*;
 use support::{
     Script, ScriptedNode, accepted, answering_script, chat_body, chunk, finish, post, settings,
     start_sidecar, wait_until,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
 /// Time for a stop that was just requested to begin.
 const STOP_BEGINS: Duration = Duration::from_millis(50);
 
+/// Time between two callers that send late.
+const NEXT_CALLER: Duration = Duration::from_millis(20);
+/// Small, so that the sidecar keeps most of a large answer.
+const RECEIVE_BUFFER_BYTES: u32 = 65_536;
+/// Time for which a caller leaves its answer unread.
+const UNREAD: Duration = Duration::from_millis(1_500);
+
+const PIECES: &str = "dappleyard_sidecar_pieces_total";
+const ANSWERS: &str = "dappleyard_sidecar_answers_total";
+
 /// A caller's connection that is kept for further requests.
 struct KeptConnection(TcpStream);
 
 impl KeptConnection {
     /// Connects and gets one answer, so that the connection rests.
     async fn open(base: &str) -> KeptConnection {
-        let address = base.trim_start_matches("http://");
-        let mut kept = KeptConnection(TcpStream::connect(address).await.unwrap());
+        let mut kept = KeptConnection::connect(base).await;
         let (first, rest) = request();
         kept.send(&(first + &rest)).await;
         assert_that!(kept.answer().await, some(starts_with("HTTP/1.1 200")));
         kept
     }
 
+    async fn connect(base: &str) -> KeptConnection {
+        let address = base.trim_start_matches("http://");
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+        let connecting = socket.connect(address.parse().unwrap());
+        KeptConnection(connecting.await.unwrap())
+    }
+
     async fn send(&mut self, bytes: &str) {
         // A connection that the sidecar has closed shows in the answer.
         let _ = self.0.write_all(bytes.as_bytes()).await;
@@ -73,6 +92,22 @@
     (node, sidecar, base)
 }
 
+/// A script with an answer larger than the buffers of a socket. Also returns the bytes of its text.
+fn large_answer_script() -> (Script, usize) {
+    const PIECES: u32 = 60;
+    let piece = "x".repeat(200_000);
+    let text_bytes = piece.len() * PIECES as usize;
+    let script: Script = Rc::new(move |stream: ServerStream| {
+        let _ = stream.send(accepted("v1"));
+        for offset in 0..PIECES {
+            let pieces = vec![piece.clone()];
+            let _ = stream.send(frame::Body::Chunk(Chunk { offset, pieces }));
+        }
+        let _ = stream.send(finish("v1", PIECES));
+    });
+    (script, text_bytes)
+}
+
 /// A script that ends its streamed answers when notified, and others at once.
 fn held_script(release: &Rc<Notify>) -> Script {
     let (answering, _) = answering_script("v1", 3);
@@ -93,6 +128,46 @@
     })
 }
 
+/// Guards against a stop that waits without bound, or that cuts an answer and does not say so.
+#[gtest]
+#[actix_rt::test]
+async fn stop_bound_reached() {
+    let node = ScriptedNode::start("node-1", held_script(&Rc::default())).await;
+    let bounded = SidecarSettings {
+        stop_bound_ms: 1_000,
+        ..settings(&[&node])
+    };
+    let (sidecar, base) = start_sidecar(bounded).await;
+    let url = format!("{base}/v1/chat/completions");
+    let _streaming = actix_rt::spawn(async move { post(&url, &[], chat_body(true)).await });
+    wait_until(async || support::metric(&base, PIECES).await == 1).await;
+    let begun = Instant::now();
+    expect_that!(sidecar.stop().await, eq(false));
+    expect_that!(begun.elapsed(), lt(Duration::from_secs(5)));
+}
+
+/// Guards against ending while a finished answer still stands in a buffer of the process.
+#[gtest]
+#[actix_rt::test]
+async fn unread_answer_at_stop() {
+    let (script, text_bytes) = large_answer_script();
+    let node = ScriptedNode::start("node-1", script).await;
+    let mut roomy = settings(&[&node]);
+    roomy.link.maximum_stream_bytes = 2 * text_bytes;
+    let (sidecar, base) = start_sidecar(roomy).await;
+    let mut caller = KeptConnection::connect(&base).await;
+    let (first, rest) = request();
+    caller.send(&(first + &rest)).await;
+    wait_until(async || support::metric(&base, ANSWERS).await == 1).await;
+    let stopping = actix_rt::spawn(async move { sidecar.stop().await });
+    tokio::time::sleep(UNREAD).await;
+    // Connections of a test outlive the stop; those of a process do not.
+    expect_that!(stopping.is_finished(), eq(false));
+    let answer = caller.answer().await.unwrap_or_default();
+    expect_that!(answer.len(), gt(text_bytes));
+    expect_that!(stopping.await.unwrap(), eq(true));
+}
+
 /// Guards against closing a connection whose request is being read when the stop begins.
 #[gtest]
 #[actix_rt::test]
@@ -135,7 +210,7 @@
     let (sidecar, base) = start_sidecar(settings(&[&node])).await;
     let url = format!("{base}/v1/chat/completions");
     let streaming = actix_rt::spawn(async move { post(&url, &[], chat_body(true)).await });
-    wait_until(async || support::metric(&base, "dappleyard_sidecar_pieces_total").await == 1).await;
+    wait_until(async || support::metric(&base, PIECES).await == 1).await;
     let mut callers = Vec::new();
     for _ in 0..100 {
         callers.push(KeptConnection::open(&base).await);
@@ -151,7 +226,7 @@
         if refused.is_some() {
             break;
         }
-        tokio::time::sleep(STOP_BEGINS).await;
+        tokio::time::sleep(NEXT_CALLER).await;
     }
     for part in [
         "HTTP/1.1 503",
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,17 +2,19 @@
 //!
 //! A link is one TCP connection that multiplexes length-delimited [`Frame`]s of many streams. The
 //! dialling end opens streams; stream 0 carries control frames. [`link`] dials and serves links,
-//! [`pool`] shares links to other nodes, [`datagram`] sends and receives UDP messages, and [`policy`]
-//! lets experiments add delay, loss and partitions. Production uses [`policy::DirectPolicy`].
+//! [`pool`] shares links to other nodes, [`datagram`] sends and receives UDP messages, [`gate`]
+//! counts requests until a planned stop has answered them all, and [`policy`] lets experiments add delay, loss and partitions. Production uses [`policy::DirectPolicy`].
 //!
 //! [`Frame`]: dappleyard_wire::messages::Frame
 
 pub mod datagram;
+pub mod gate;
 pub mod link;
 pub mod policy;
 pub mod pool;
 
 pub use datagram::DatagramSocket;
+pub use gate::{RequestGate, RequestGuard};
 pub use link::{
     Link, LinkError, LinkMetrics, LinkServer, LinkSettings, ServerStream, StreamReceiver,
 };
