A node ends once every admitted stream is answered and flushed

What a caller's sidecar saw: its link was lost with a call under way, or with the reply still in the node's queue, when a node's planned stop ended. Cause: the stop counted streams of generations only, and counted them as done when their last frame was queued. Now each link server admits streams through the gate: a stream is counted from its first frame until its last one is flushed or its link is lost. The stop closes the gate after the departure; a later stream is refused as not run (a recorder's caller then writes the record itself), and the node ends when the gate is idle and outcomes are recorded, or at its bound with a warning. The count precedes the check of the node's state, so that a submission between the two is seen.

New: closed_gate_refuses, queued_frame_counts (transport).

--- a/crates/fleet/tests/cluster.rs
+++ b/crates/fleet/tests/cluster.rs
@@ -81,6 +81,7 @@
         settings: LinkSettings::default(),
         policy: Arc::new(DirectPolicy),
         announcement,
+        gate: dappleyard_transport::RequestGate::new(),
     });
     let handler = Rc::new(move |stream: ServerStream| {
         if let frame::Body::Call(call) = &stream.first
--- a/crates/lab/src/capacity/hollow.rs
+++ b/crates/lab/src/capacity/hollow.rs
@@ -252,6 +252,7 @@
         settings: LinkSettings::default(),
         policy: policy.clone(),
         announcement,
+        gate: dappleyard_transport::RequestGate::new(),
     });
     let snapshot_tables = tables.clone();
     let handler = Rc::new(move |stream: ServerStream| {
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -7,6 +7,7 @@
 use actix_web::dev::ServerHandle;
 use dappleyard_online::OnlineShared;
 use dappleyard_tables::{Lifecycle, NodeTables};
+use dappleyard_transport::RequestGate;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control::LeaveRequest;
@@ -23,6 +24,7 @@
 pub(crate) struct NodeParts {
     pub tables: Arc<NodeTables>,
     pub shared: Arc<OnlineShared>,
+    pub gate: Arc<RequestGate>,
     pub stop_bound_ms: u64,
     pub link_address: String,
     pub gossip_address: String,
@@ -61,9 +63,9 @@
         &self.parts.admin_address
     }
 
-    /// Stops the node gracefully: refuses new work, lets active streams finish, releases chunks and
-    /// announces the departure. Returns `false` when the time bound was reached before all streams
-    /// had finished and all chunks were released.
+    /// Stops the node gracefully: refuses new work, lets active streams finish, releases chunks,
+    /// announces the departure, admits nothing more on its links, and ends once every answer is
+    /// flushed. Returns `false` when the time bound was reached before that.
     pub async fn stop(self) -> bool {
         let deadline = Instant::now() + Duration::from_millis(self.parts.stop_bound_ms);
         self.parts
@@ -76,11 +78,23 @@
         while self.parts.shared.active_streams() > 0 && Instant::now() < deadline {
             tokio::time::sleep(STOP_POLL).await;
         }
-        let finished = self.parts.shared.active_streams() == 0;
         let rest = deadline.saturating_duration_since(Instant::now());
         let handed_back = tokio::time::timeout(rest, drained).await.is_ok();
         let left = notify_and_wait(&self.parts.leave);
         let _ = tokio::time::timeout(STOP_NOTICE, left).await;
+        self.parts.gate.close();
+        let rest = deadline.saturating_duration_since(Instant::now());
+        let finished = tokio::time::timeout(rest, self.finish_answers()).await;
+        let finished = finished.is_ok();
+        if !finished {
+            let requests = self.parts.gate.in_progress();
+            let streams = self.parts.shared.active_streams();
+            tracing::warn!(
+                requests,
+                streams,
+                "stop bound reached; unfinished answers were cut"
+            );
+        }
         self.parts.tables.lifecycle.send_replace(Lifecycle::Stopped);
         self.end(true).await;
         finished && handed_back
@@ -97,6 +111,14 @@
         threads::pause(&self.arbiters, duration);
     }
 
+    /// Waits until all that the links had admitted is answered, and its outcomes are recorded.
+    async fn finish_answers(&self) {
+        self.parts.gate.wait_idle().await;
+        while self.parts.shared.active_streams() > 0 {
+            tokio::time::sleep(STOP_POLL).await;
+        }
+    }
+
     async fn end(self, graceful: bool) {
         threads::kill(&self.arbiters);
         self.parts.admin.stop(graceful).await;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -11,7 +11,9 @@
 use dappleyard_tables::NodeTables;
 use dappleyard_transport::link::Announcement;
 use dappleyard_transport::policy::SharedPolicy;
-use dappleyard_transport::{LinkMetrics, LinkPool, LinkServer, LinkSettings, ServerStream};
+use dappleyard_transport::{
+    LinkMetrics, LinkPool, LinkServer, LinkSettings, RequestGate, ServerStream,
+};
 use dappleyard_wire::messages::{Hello, frame};
 use dappleyard_wire::{ErrorKind, Failure};
 use tokio::net::TcpListener;
@@ -31,6 +33,8 @@
     pub announcement: watch::Receiver<Announcement>,
     pub hello: Hello,
     pub link_metrics: Arc<LinkMetrics>,
+    /// Admits streams until the node closes.
+    pub gate: Arc<RequestGate>,
 }
 
 impl RequestContext {
@@ -52,6 +56,7 @@
         hello: context.hello,
         policy: context.policy,
         announcement: context.announcement,
+        gate: context.gate,
     });
     server.serve(listener, handler).await
 }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -9,9 +9,9 @@
 use dappleyard_store::PlatformFactory;
 use dappleyard_tables::members::REFUTATION_BITS;
 use dappleyard_tables::{Identity, NodeTables};
-use dappleyard_transport::LinkMetrics;
 use dappleyard_transport::link::Announcement;
 use dappleyard_transport::policy::SharedPolicy;
+use dappleyard_transport::{LinkMetrics, RequestGate};
 use dappleyard_wire::PROTOCOL_VERSION;
 use dappleyard_wire::messages::Hello;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -57,6 +57,7 @@
     }
     let request = RequestContext {
         link_metrics,
+        gate: RequestGate::new(),
         hello: hello(&tables),
         shared: OnlineShared::new(&settings.online, &tables),
         settings: settings.clone(),
@@ -92,6 +93,7 @@
     Ok(NodeHandle::new(NodeParts {
         tables,
         shared: request.shared,
+        gate: request.gate,
         stop_bound_ms: settings.stop_bound_ms,
         link_address: sockets.link_address,
         gossip_address: sockets.gossip_address,
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -71,6 +71,7 @@
     };
     let settings = LinkSettings {
         connect_timeout: 2 * SLOW,
+        idle_timeout: 4 * SLOW,
         ..LinkSettings::default()
     };
     let direct = Arc::new(Delay(Duration::ZERO));
@@ -97,7 +98,7 @@
         stream.receive().await,
         ok(matches_pattern!(frame::Body::Reply(_)))
     );
-    stopping.await.unwrap();
+    expect_that!(stopping.await.unwrap(), eq(true));
 }
 
 /// Guards against ending while a call is being answered.
@@ -117,5 +118,5 @@
         stream.receive().await,
         ok(matches_pattern!(frame::Body::Refused(_)))
     );
-    stopping.await.unwrap();
+    expect_that!(stopping.await.unwrap(), eq(true));
 }
--- a/crates/online/tests/remote.rs
+++ b/crates/online/tests/remote.rs
@@ -57,6 +57,7 @@
             settings: LinkSettings::default(),
             policy: Arc::new(DirectPolicy),
             announcement: announced,
+            gate: dappleyard_transport::RequestGate::new(),
         });
         let worker = node.worker.clone();
         let handler = move |stream: ServerStream| match stream.first.clone() {
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -51,6 +51,7 @@
             settings: LinkSettings::default(),
             policy: policy(),
             announcement: receiver,
+            gate: dappleyard_transport::RequestGate::new(),
         });
         let serving = actix_rt::spawn(async move {
             let _ = server.serve(listener, script).await;
--- a/crates/transport/src/link/outgoing.rs
+++ b/crates/transport/src/link/outgoing.rs
@@ -12,6 +12,7 @@
 use super::LinkError;
 use super::session::CloseReason;
 use super::settings::LinkSettings;
+use crate::gate::RequestGuard;
 use crate::policy::SharedPolicy;
 
 /// A queued frame.
@@ -20,6 +21,8 @@
     pub due: Instant,
     /// The encoded frame.
     pub bytes: Bytes,
+    /// Counts the frame as a part of its answer until it is flushed.
+    pub guard: Option<RequestGuard>,
 }
 
 /// State shared by the two ends of a queue.
@@ -91,6 +94,16 @@
 
     /// Queues a frame. Closes the link if the queue would exceed its limit.
     pub fn send(&self, stream: u64, body: frame::Body) -> Result<(), LinkError> {
+        self.send_counted(stream, body, None)
+    }
+
+    /// Queues a frame that `guard` counts until it is flushed or the link is lost.
+    pub fn send_counted(
+        &self,
+        stream: u64,
+        body: frame::Body,
+        guard: Option<RequestGuard>,
+    ) -> Result<(), LinkError> {
         let bytes = encode(stream, body);
         let size = bytes.len();
         if size > self.maximum_frame_bytes {
@@ -106,7 +119,7 @@
         self.state.bytes.set(queued_bytes);
         let due = Instant::now() + self.policy.path(&self.peer).delay;
         self.queue
-            .send(Queued { due, bytes })
+            .send(Queued { due, bytes, guard })
             .map_err(|_| self.lost())
     }
 
--- a/crates/transport/src/link/server.rs
+++ b/crates/transport/src/link/server.rs
@@ -3,9 +3,10 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use dappleyard_wire::messages::{Frame, Hello, Ping, Pong, frame};
-use dappleyard_wire::{ErrorKind, Failure, PROTOCOL_VERSION};
+use dappleyard_wire::{ErrorKind, Failure, PROTOCOL_VERSION, Ran};
 use futures::StreamExt;
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
@@ -19,6 +20,7 @@
 use super::session::{FramedConnection, Session, send_now};
 use super::settings::LinkSettings;
 use super::stream::{Delivery, StreamReceiver, StreamTable};
+use crate::gate::{RequestGate, RequestGuard};
 use crate::policy::SharedPolicy;
 
 /// Retry delay advised to a peer whose stream was refused, milliseconds.
@@ -34,6 +36,8 @@
     pub policy: SharedPolicy,
     /// Status to announce; changes are sent on every link.
     pub announcement: watch::Receiver<Announcement>,
+    /// Admits streams, and counts each until its last frame is flushed.
+    pub gate: Arc<RequestGate>,
 }
 
 /// One stream opened by a peer.
@@ -46,6 +50,7 @@
     pub receiver: StreamReceiver,
     id: u64,
     outgoing: Rc<Outgoing>,
+    guard: RequestGuard,
 }
 
 impl ServerStream {
@@ -59,6 +64,7 @@
         ServerStreamSender {
             id: self.id,
             outgoing: self.outgoing.clone(),
+            guard: self.guard.clone(),
         }
     }
 }
@@ -68,23 +74,27 @@
 pub struct ServerStreamSender {
     id: u64,
     outgoing: Rc<Outgoing>,
+    guard: RequestGuard,
 }
 
 impl ServerStreamSender {
     /// Sends a frame on this stream; an error once the link is lost. An oversize frame is replaced by a
     /// Refused frame, so that the peer does not wait for the answer.
     pub fn send(&self, body: frame::Body) -> Result<(), LinkError> {
-        let sent = self.outgoing.send(self.id, body);
+        let sent = self.send_counted(body);
         if let Err(LinkError::TooLarge { bytes }) = &sent {
             let message =
                 format!("the answer has a frame of {bytes} bytes, more than a link carries");
             let failure = Failure::maybe_ran(ErrorKind::Internal, message);
-            let _ = self
-                .outgoing
-                .send(self.id, frame::Body::Refused(failure.to_refused()));
+            let _ = self.send_counted(frame::Body::Refused(failure.to_refused()));
         }
         sent
     }
+
+    fn send_counted(&self, body: frame::Body) -> Result<(), LinkError> {
+        let guard = Some(self.guard.clone());
+        self.outgoing.send_counted(self.id, body, guard)
+    }
 }
 
 impl LinkServer {
@@ -225,19 +235,34 @@
         if self.streams.len() >= self.server.settings.maximum_streams {
             self.server.settings.metrics.streams_refused.inc();
             let message = "too many streams are open on this link";
-            let failure = Failure::not_run(ErrorKind::Overloaded, message)
-                .retry_after(REFUSED_RETRY_AFTER_MS);
-            let _ = self
-                .outgoing
-                .send(id, frame::Body::Refused(failure.to_refused()));
-            return;
+            return self.refuse(id, &Failure::not_run(ErrorKind::Overloaded, message));
         }
+        let Some(guard) = self.server.gate.enter() else {
+            let message = "the node stops; use another node";
+            let failure = Failure::not_run(ErrorKind::NotReady, message);
+            return self.refuse(id, &failure.after(ran_before(&first)));
+        };
         (self.handler)(ServerStream {
             peer: self.peer.clone(),
             first,
             receiver: self.streams.insert(id),
             id,
             outgoing: self.outgoing.clone(),
+            guard,
         });
     }
+
+    fn refuse(&self, id: u64, failure: &Failure) {
+        let refused = failure.clone().retry_after(REFUSED_RETRY_AFTER_MS);
+        let body = frame::Body::Refused(refused.to_refused());
+        let _ = self.outgoing.send(id, body);
+    }
+}
+
+/// Whether earlier attempts of a submission ran.
+fn ran_before(first: &frame::Body) -> Ran {
+    match first {
+        frame::Body::Submit(submit) => submit.ran_before(),
+        _ => Ran::No,
+    }
 }
--- a/crates/transport/src/link/session.rs
+++ b/crates/transport/src/link/session.rs
@@ -13,6 +13,7 @@
 
 use super::outgoing::{OutgoingQueue, Queued, encode};
 use super::settings::LinkSettings;
+use crate::gate::RequestGuard;
 use crate::policy::SharedPolicy;
 
 /// A connection that carries frames.
@@ -118,6 +119,7 @@
         mut queue: OutgoingQueue,
     ) -> CloseReason {
         let mut pings = tokio::time::interval(self.settings.ping_interval);
+        let mut unflushed = Vec::new();
         loop {
             // Queued frames first: a new ping is due later than they are and would delay them.
             let queued = tokio::select! {
@@ -131,13 +133,13 @@
             let mut next = Some(queued);
             while let Some(queued) = next {
                 let size = queued.bytes.len();
-                if let Err(reason) = self.write(&mut sink, queued).await {
+                if let Err(reason) = self.write(&mut sink, queued, &mut unflushed).await {
                     return reason;
                 }
                 queue.state.written(size);
                 next = queue.frames.try_recv().ok();
             }
-            if let Err(reason) = self.within_idle_timeout(sink.flush()).await {
+            if let Err(reason) = self.flush(&mut sink, &mut unflushed).await {
                 return reason;
             }
         }
@@ -147,18 +149,31 @@
         &self,
         sink: &mut SplitSink<FramedConnection, Bytes>,
         queued: Queued,
+        unflushed: &mut Vec<RequestGuard>,
     ) -> Result<(), CloseReason> {
         if queued.due > Instant::now() {
-            self.within_idle_timeout(sink.flush()).await?;
+            self.flush(sink, unflushed).await?;
             dappleyard_clock::sleep_until(queued.due).await;
         }
         while self.policy.path(self.peer).cut {
             tokio::time::sleep(PARTITION_POLL_INTERVAL).await;
         }
         self.settings.metrics.count_sent(queued.bytes.len());
+        unflushed.extend(queued.guard);
         self.within_idle_timeout(sink.feed(queued.bytes)).await
     }
 
+    /// Flushes the sink, and releases the guards of the frames in it.
+    async fn flush(
+        &self,
+        sink: &mut SplitSink<FramedConnection, Bytes>,
+        unflushed: &mut Vec<RequestGuard>,
+    ) -> Result<(), CloseReason> {
+        self.within_idle_timeout(sink.flush()).await?;
+        unflushed.clear();
+        Ok(())
+    }
+
     async fn within_idle_timeout(
         &self,
         writing: impl Future<Output = std::io::Result<()>>,
@@ -174,6 +189,7 @@
         Queued {
             due: Instant::now() + self.policy.path(self.peer).delay,
             bytes: encode(0, frame::Body::Ping(Ping { nonce: 0 })),
+            guard: None,
         }
     }
 }
--- a/crates/transport/tests/link.rs
+++ b/crates/transport/tests/link.rs
@@ -8,8 +8,8 @@
 use dappleyard_clock::Instant;
 use dappleyard_transport::LinkError;
 use dappleyard_transport::link::{Announcement, ServerStream};
-use dappleyard_wire::ErrorKind;
 use dappleyard_wire::messages::{NodeLoad, PeerNode, Peers, frame};
+use dappleyard_wire::{ErrorKind, Ran};
 use googletest::prelude::*;
 use support::{AdjustablePolicy, chunk, echo_server, serve, settings, submit, wait_until};
 
@@ -257,3 +257,41 @@
     wait_until(|| dropped.get() == 1).await;
     expect_that!(link.is_up(), eq(true));
 }
+
+/// Guards against a stream that begins after its node has decided to end.
+#[gtest]
+#[actix_rt::test]
+async fn closed_gate_refuses() {
+    let server = echo_server(settings()).await;
+    let link = server.dial().await.unwrap();
+    let mut begun = link.open(submit()).unwrap();
+    expect_that!(begun.receive().await, ok(eq(&chunk(1))));
+    server.gate.close();
+    let mut late = link.open(submit()).unwrap();
+    let Ok(frame::Body::Refused(refused)) = late.receive().await else {
+        panic!("a stream began after the gate was closed");
+    };
+    expect_that!(refused.kind, eq(ErrorKind::NotReady as u32));
+    expect_that!(refused.ran(), eq(Ran::No));
+    expect_that!(refused.retry_after_ms, gt(0));
+    begun.send(chunk(2)).unwrap();
+    expect_that!(begun.receive().await, ok(eq(&chunk(2))));
+}
+
+/// Guards against counting an answer as sent while its frame is still queued.
+#[gtest]
+#[actix_rt::test]
+async fn queued_frame_counts() {
+    let handler = Rc::new(|stream: ServerStream| drop(stream.send(chunk(1))));
+    let server = serve(settings(), handler).await;
+    let link = server.dial().await.unwrap();
+    server.policy.set(|path| path.cut = true);
+    let mut stream = link.open(submit()).unwrap();
+    wait_until(|| server.gate.in_progress() > 0).await;
+    server.gate.close();
+    let idle = tokio::time::timeout(Duration::from_millis(100), server.gate.wait_idle());
+    expect_that!(idle.await.is_err(), eq(true));
+    server.policy.set(|path| path.cut = false);
+    server.gate.wait_idle().await;
+    expect_that!(stream.receive().await, ok(eq(&chunk(1))));
+}
--- a/crates/transport/tests/support/mod.rs
+++ b/crates/transport/tests/support/mod.rs
@@ -9,7 +9,7 @@
 
 use dappleyard_transport::link::{Announcement, LinkServer, LinkSettings, ServerStream};
 use dappleyard_transport::policy::{LinkPolicy, PathState};
-use dappleyard_transport::{Link, LinkError};
+use dappleyard_transport::{Link, LinkError, RequestGate};
 use dappleyard_wire::PROTOCOL_VERSION;
 use dappleyard_wire::messages::{Call, Chunk, Hello, ListModels, call, frame};
 use tokio::net::TcpListener;
@@ -40,6 +40,7 @@
     pub announcement: watch::Sender<Announcement>,
     pub settings: LinkSettings,
     pub policy: Arc<AdjustablePolicy>,
+    pub gate: Arc<RequestGate>,
     pub serving: actix_rt::task::JoinHandle<()>,
 }
 
@@ -66,11 +67,13 @@
         ..Announcement::default()
     });
     let policy = AdjustablePolicy::direct();
+    let gate = RequestGate::new();
     let server = Rc::new(LinkServer {
         hello: hello("server"),
         settings: settings.clone(),
         policy: policy.clone(),
         announcement: receiver,
+        gate: gate.clone(),
     });
     let serving = actix_rt::spawn(async move {
         let _ = server.serve(listener, handler).await;
@@ -80,6 +83,7 @@
         announcement,
         settings,
         policy,
+        gate,
         serving,
     }
 }
