--- a/crates/dappleyard/src/sidecar.rs
+++ b/crates/dappleyard/src/sidecar.rs
@@ -7,14 +7,16 @@
 use dappleyard_transport::DirectPolicy;
 
 use crate::failure::Failure;
-use crate::{flags, logging, signals};
+use crate::signals::StopSignals;
+use crate::{flags, logging};
 
 pub fn run(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
     let settings = flags::sidecar_settings(arguments)?;
     logging::start(arguments)?;
     actix_rt::System::new().block_on(async move {
+        let mut signals = StopSignals::install()?;
         let sidecar = dappleyard_sidecar::start(settings, Arc::new(DirectPolicy))?;
-        signals::stop_requested().await?;
+        signals.stop_requested().await;
         let finished = sidecar.stop().await;
         tracing::info!(finished, "planned stop ended");
         Ok(if finished {
