SIGHUP no longer ends a node or a sidecar

What a caller saw: its connection was closed as in a crash. Cause: no handler, so the default action ends the process; operators know SIGHUP as the check of the settings of dappleyard serve. It is logged and changes nothing. hang_up failed before for both roles and passes. Run: tests of signals.

--- a/crates/dappleyard/src/signals.rs
+++ b/crates/dappleyard/src/signals.rs
@@ -7,6 +7,7 @@
 pub struct StopSignals {
     terminate: Signal,
     interrupt: Signal,
+    hang_up: Signal,
 }
 
 impl StopSignals {
@@ -14,14 +15,21 @@
         Ok(StopSignals {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
         })
     }
 
-    /// Resolves when SIGTERM or SIGINT has arrived.
+    /// Resolves when SIGTERM or SIGINT has arrived. SIGHUP changes nothing: the settings are read at
+    /// the start only.
     pub async fn stop_requested(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hang_up.recv() => {
+                    tracing::warn!("SIGHUP ignored; settings are read at the start only");
+                }
+            }
         }
     }
 }
