A node's stop tells operators to leave and counts their requests

What an operator saw: a resting connection closed without a word at the end of a stop, and a stop that took 30.4 s with a bound of 2 s and reported that it had finished. Now the admin server admits requests through the node's gate: during a stop each answer says Connection: close, once the gate is closed a request is refused as not run, and one that waits counts until the bound, which also limits the server's own stop.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -3,16 +3,23 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 
-use actix_web::dev::ServerHandle;
+use actix_web::body::BoxBody;
+use actix_web::dev::{ServerHandle, ServiceRequest, ServiceResponse};
+use actix_web::http::ConnectionType;
+use actix_web::http::header::RETRY_AFTER;
+use actix_web::middleware::{Next, from_fn};
 use actix_web::{App, HttpResponse, HttpServer, web};
 use dappleyard_operate::OperateApi;
 use dappleyard_settings::OperateSettings;
 use dappleyard_store::PlatformFactory;
 use dappleyard_tables::{Lifecycle, NodeTables};
+use dappleyard_transport::RequestGate;
 use prometheus::TextEncoder;
 
 /// Largest request body that the admin server accepts, bytes.
 const MAXIMUM_BODY_BYTES: usize = 1_048_576;
+/// Retry-after hint of a request that came after the last one served, seconds.
+const STOPPING_RETRY_AFTER_S: u32 = 1;
 
 /// Starts the server on its own worker thread.
 pub fn start(
@@ -20,12 +27,15 @@
     tables: Arc<NodeTables>,
     settings: OperateSettings,
     platform: PlatformFactory,
+    gate: Arc<RequestGate>,
 ) -> std::io::Result<ServerHandle> {
     let server = HttpServer::new(move || {
         let api = OperateApi::new(tables.clone(), settings.clone(), platform());
         App::new()
             .app_data(web::Data::from(tables.clone()))
+            .app_data(web::Data::from(gate.clone()))
             .app_data(web::PayloadConfig::new(MAXIMUM_BODY_BYTES))
+            .wrap(from_fn(admit))
             .route("/metrics", web::get().to(metrics))
             .route("/healthz", web::get().to(healthz))
             .route("/readyz", web::get().to(readyz))
@@ -40,6 +50,29 @@
     Ok(handle)
 }
 
+/// Middleware: serves a request, or refuses it once the node closes. While the node stops, each answer
+/// ends its connection.
+async fn admit(
+    gate: web::Data<RequestGate>,
+    request: ServiceRequest,
+    next: Next<BoxBody>,
+) -> actix_web::Result<ServiceResponse> {
+    let gate = gate.into_inner();
+    let mut response = match gate.enter() {
+        Some(_guard) => next.call(request).await?,
+        None => request.into_response(
+            HttpResponse::ServiceUnavailable()
+                .insert_header((RETRY_AFTER, STOPPING_RETRY_AFTER_S))
+                .body("the node stops; the request has not run\n"),
+        ),
+    };
+    if gate.is_draining() {
+        let head = response.response_mut().head_mut();
+        head.set_connection_type(ConnectionType::Close);
+    }
+    Ok(response)
+}
+
 async fn metrics(tables: web::Data<NodeTables>) -> HttpResponse {
     match TextEncoder::new().encode_to_string(&tables.metrics.gather()) {
         Ok(text) => HttpResponse::Ok()
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -68,6 +68,7 @@
     /// flushed. Returns `false` when the time bound was reached before that.
     pub async fn stop(self) -> bool {
         let deadline = Instant::now() + Duration::from_millis(self.parts.stop_bound_ms);
+        self.parts.gate.drain();
         self.parts
             .tables
             .lifecycle
@@ -96,13 +97,17 @@
             );
         }
         self.parts.tables.lifecycle.send_replace(Lifecycle::Stopped);
-        self.end(true).await;
+        threads::kill(&self.arbiters);
+        // The gate has counted operators' requests; this writes the last answers.
+        let rest = deadline.saturating_duration_since(Instant::now());
+        let _ = tokio::time::timeout(rest, self.parts.admin.stop(true)).await;
         finished && handed_back
     }
 
     /// Stops the node abruptly, as a crash would: nothing is handed over or announced.
     pub async fn kill(self) {
-        self.end(false).await;
+        threads::kill(&self.arbiters);
+        self.parts.admin.stop(false).await;
     }
 
     /// Blocks the node's threads for `duration`, as SIGSTOP and SIGCONT would. Its admin server is not
@@ -118,11 +123,6 @@
             tokio::time::sleep(STOP_POLL).await;
         }
     }
-
-    async fn end(self, graceful: bool) {
-        threads::kill(&self.arbiters);
-        self.parts.admin.stop(graceful).await;
-    }
 }
 
 async fn notify_and_wait(requests: &mpsc::UnboundedSender<oneshot::Sender<()>>) {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -87,6 +87,7 @@
         tables.clone(),
         settings.operate.clone(),
         platform,
+        request.gate.clone(),
     )
     .map_err(|cause| bind_error("admin_listen", &sockets.admin_address, cause))?;
     tracing::info!(node = %settings.id, link = sockets.link_address, "node started");
