sidecar: a short stop bound leaves time for the answers

With a stop_bound_ms of 800 or less the notice and the refusals took all of it, and the stop ended before the listener was closed. Found by reading; each now takes a third at most.

--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -26,6 +26,8 @@
 const STOP_NOTICE: Duration = Duration::from_millis(300);
 /// Time in which late requests are refused before their connections are closed.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
+/// A short stop bound is divided into notice, refusals, and time for the answers.
+const PHASES: u32 = 3;
 /// Idle timeout of HTTP connections.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
@@ -62,10 +64,10 @@
         let deadline = tokio::time::Instant::now() + bound;
         gate.drain();
         tracing::info!(requests = gate.in_progress(), "planned stop began");
-        tokio::time::sleep(STOP_NOTICE.min(bound)).await;
+        tokio::time::sleep(STOP_NOTICE.min(bound / PHASES)).await;
         gate.close();
         let closed = async {
-            tokio::time::sleep(REFUSAL_TIME).await;
+            tokio::time::sleep(REFUSAL_TIME.min(bound / PHASES)).await;
             self.server.stop(true).await;
         };
         let finished = tokio::time::timeout_at(deadline, closed).await.is_ok();
