--- a/crates/dappleyard/src/node.rs
+++ b/crates/dappleyard/src/node.rs
@@ -7,14 +7,14 @@
 use dappleyard_transport::DirectPolicy;
 
 use crate::failure::Failure;
-use crate::signals::StopSignals;
+use crate::signals::Signals;
 use crate::{flags, logging};
 
 pub fn run(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
     let settings = flags::node_settings(arguments)?;
     logging::start(arguments)?;
     actix_rt::System::new().block_on(async move {
-        let mut signals = StopSignals::install()?;
+        let mut signals = Signals::install()?;
         let node = dappleyard_node::start(settings, Arc::new(DirectPolicy)).await?;
         signals.stop_requested().await;
         let finished = node.stop().await;
--- a/crates/dappleyard/src/serve.rs
+++ b/crates/dappleyard/src/serve.rs
@@ -9,8 +9,8 @@
 use clap::ArgMatches;
 use dappleyard_platform::{read_settings, settings_path};
 
-use self::stopping::Signals;
 use crate::failure::Failure;
+use crate::signals::Signals;
 
 pub fn run(arguments: &ArgMatches) -> Result<ExitCode, Failure> {
     let path = arguments
--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -6,10 +6,10 @@
 
 use dappleyard_ingress::{DIRECTORY_TTL_MS, Node, close_connections};
 use dappleyard_platform::read_settings;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::assembly::RunningNode;
 use super::registration;
+use crate::signals::{SignalRequest, Signals};
 use dappleyard_clock::Instant;
 
 /// Some callers use a directory answer for this many times its lifetime.
@@ -25,32 +25,10 @@
 const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// The signals that a process handles. Others, and those before this exists, have their default action.
-pub struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    hang_up: Signal,
-}
-
-impl Signals {
-    /// Handles the signals from now on.
-    pub fn install() -> std::io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            hang_up: signal(SignalKind::hangup())?,
-        })
-    }
-}
-
 /// Serves until SIGTERM or SIGINT, then lets requests in progress finish within the grace period.
 pub async fn run_until_stopped(running: RunningNode, mut signals: Signals, path: &Path) {
-    loop {
-        tokio::select! {
-            _ = signals.terminate.recv() => break,
-            _ = signals.interrupt.recv() => break,
-            _ = signals.hang_up.recv() => reload(&running, path),
-        }
+    while signals.next().await == SignalRequest::Reload {
+        reload(&running, path);
     }
     stop(&running).await;
 }
