A server that refused a silent run may be asked again

What a caller would see: while its server is silent, each server that refuses to take the stream over is struck off for good, at most six; when the silent server then breaks off, nobody is left and the answer is cut. Cause: a server was noted as tried before it was asked. Each is asked once a silence now and may be asked again after it. A successor may queue the run after 1.3 s instead of 2 s, since callers give up a silent stream after 2 s at the earliest. Found by review.

--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -162,6 +162,7 @@
         let waited = deadline.wait(waiting).await.unwrap_or_else(|| {
             Waited::Done(Err(AttemptError::local(Ran::Yes, "deadline exceeded")))
         });
+        drop(takeover);
         if let Waited::Done(Ok(piece)) = &waited {
             self.note_read(piece.is_some(), since.elapsed());
         }
--- a/crates/ingress/src/takeover.rs
+++ b/crates/ingress/src/takeover.rs
@@ -14,8 +14,8 @@
 /// Time for which the silent server may still respond after the request was sent to its successor,
 /// which refuses it at once if it is full. Within 400 ms one of the two must have been left.
 const HANDOVER_TIME: Duration = Duration::from_millis(150);
-/// Silence after which a successor may queue the request.
-const QUEUE_AFTER: Duration = Duration::from_secs(2);
+/// Silence after which a successor may queue the request. Callers give up a silent stream after 2 s at the earliest.
+const QUEUE_AFTER: Duration = Duration::from_millis(1_300);
 /// Time to the deadline that a successor needs at least.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(300);
 
@@ -71,9 +71,20 @@
     /// The run at the silent server is not included in the runs of the request.
     uncounted_runs: u32,
     last_event_id: Option<u64>,
+    /// Servers that did not run the request, or were left because the silent one spoke. Each is asked once a wait, and
+    /// may be asked again after it.
+    asked: Vec<String>,
     logged: bool,
 }
 
+impl Drop for Takeover<'_> {
+    fn drop(&mut self) {
+        for server in self.asked.drain(..) {
+            self.request.tried.remove(&server);
+        }
+    }
+}
+
 impl<'a> Takeover<'a> {
     /// Of a server that has not responded yet.
     pub(crate) fn before_response(
@@ -81,10 +92,9 @@
         request: &'a mut Request,
         last_event_id: Option<u64>,
     ) -> Self {
-        Self {
-            uncounted_runs: 1,
-            ..Self::of_stream(upstreams, request, last_event_id)
-        }
+        let mut takeover = Self::of_stream(upstreams, request, last_event_id);
+        takeover.uncounted_runs = 1;
+        takeover
     }
 
     /// Of a server in the middle of a stream.
@@ -98,6 +108,7 @@
             request,
             uncounted_runs: 0,
             last_event_id,
+            asked: Vec::new(),
             logged: false,
         }
     }
@@ -128,12 +139,18 @@
         let may_queue = silence >= QUEUE_AFTER;
         let placement =
             select_successor(self.upstreams, request, may_queue).ok_or(Stay::NoServer)?;
+        let server = placement.server.id.clone();
+        self.asked.push(server.clone());
         let started = start_run(self.upstreams, request, placement, self.last_event_id).await;
         let mut run = started.ok_or(Stay::SuccessorFailed)?;
         // Counted as a run if the silent server responds first.
         let ran_before = request.note_possible_run();
         let response = tokio::time::timeout(HANDOVER_TIME, &mut run.response).await;
         request.forget_possible_run(ran_before);
+        let refused = matches!(&response, Ok(Err(error)) if error.ran == Ran::No);
+        if !refused {
+            self.asked.retain(|asked| *asked != server);
+        }
         match response {
             Ok(Ok(exchange)) if exchange.head.status / 100 == 2 => Ok(run.with_response(exchange)),
             Ok(response) => {
