A request whose body does not come is answered at its deadline

What callers saw: a request that offers an upgrade (h2c) got no byte, and held a stop to its limit; one whose body stops halfway was held without a limit. Cause: the HTTP library gives a request with an upgrade a body that does not end, and reading a body had no deadline. A request without a length or chunks has no body now; one that does not arrive by the deadline gets 408 `body_timeout`, not run. Evidence: upgrade_offer and incomplete_body. Found by review.

--- a/crates/ingress/src/error_kind.rs
+++ b/crates/ingress/src/error_kind.rs
@@ -37,6 +37,9 @@
     NoRequestId,
     #[display("malformed")]
     Malformed,
+    /// The body did not arrive before the deadline; the request did not run.
+    #[display("body_timeout")]
+    BodyTimeout,
     /// The body exceeds the configured limit.
     #[display("body_too_long")]
     BodyTooLong,
@@ -98,6 +101,7 @@
             ErrorKind::NoRequestId | ErrorKind::Malformed => 400,
             ErrorKind::UnknownKey => 401,
             ErrorKind::NoRoute | ErrorKind::NoJob => 404,
+            ErrorKind::BodyTimeout => 408,
             ErrorKind::BodyTooLong => 413,
             ErrorKind::QuotaExceeded | ErrorKind::OverQuota => 429,
             ErrorKind::StoreInDoubt => 500,
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::http::header::CONTENT_TYPE;
+use actix_web::http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::{Bytes, BytesMut};
-use dappleyard_model::{Endpoint, HomeRegions, RouteKind};
+use dappleyard_model::{Endpoint, HomeRegions, RequestMetadata, Route, RouteKind};
 use futures::StreamExt;
 use futures::future::LocalBoxFuture;
 use http::HeaderMap;
@@ -34,6 +34,8 @@
 
 /// Time limit of a request without a deadline.
 const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(60);
+/// Time for which the body of a refused request is still read.
+const REFUSED_BODY_TIME: Duration = Duration::from_secs(1);
 /// Body limit in bytes while no configuration is known, and for calls of other nodes.
 const DEFAULT_BODY_LIMIT: usize = 4 * 1024 * 1024;
 
@@ -136,7 +138,9 @@
 ) -> HttpResponse {
     let facts = node.dialect.request_metadata(&header_map(request));
     // A client that still sends may miss a response. The length does not matter, nor how reading ends.
-    let _ = read_body(payload, body_limit(node)).await;
+    let deadline = Deadline::new(Instant::now() + REFUSED_BODY_TIME, node.process_end.clone());
+    let reading = read_declared_body(request, payload, body_limit(node));
+    let _ = deadline.wait(reading).await;
     let refused = Refusal::new(ErrorKind::Stopping, "the node stops");
     refuse(node, &facts.id, &refused)
 }
@@ -252,7 +256,13 @@
     let facts = node.dialect.request_metadata(&headers);
     // Reads the body before choosing the route, so that a refusal does not interrupt the client
     // while it sends.
-    let body = match read_body(payload, body_limit(&node)).await {
+    let body_time = facts
+        .deadline_ms
+        .map_or(DEFAULT_TIME_LIMIT, Duration::from_millis);
+    let body_deadline = Deadline::new(arrived + body_time, node.process_end.clone());
+    let reading = read_declared_body(&http, payload, body_limit(&node));
+    let body = body_deadline.wait(reading).await;
+    let body = match body.unwrap_or(Err(ErrorKind::BodyTimeout)) {
         Ok(body) => body,
         Err(kind) => return refuse(&node, &facts.id, &Refusal::new(kind, "body")),
     };
@@ -289,6 +299,7 @@
         let refused = Refusal::new(ErrorKind::NoServer, "the route has no service");
         return refuse(&node, &facts.id, &refused);
     };
+    let time_limit = time_limit(&route, &facts);
     node.capacities.adopt(&configuration);
     let is_retry = detect_retry(&node, &route, &facts);
     if let Err(refused) = charge_quota(&node, &configuration, &caller, &facts) {
@@ -298,14 +309,6 @@
         Ok(share_guard) => in_flight.count(share_guard),
         Err(refused) => return refuse(&node, &facts.id, &refused),
     }
-    let time_limit = [
-        facts.deadline_ms,
-        Some(route.timeout_ms).filter(|ms| *ms > 0),
-    ]
-    .into_iter()
-    .flatten()
-    .min()
-    .map_or(DEFAULT_TIME_LIMIT, Duration::from_millis);
     let target = http
         .uri()
         .path_and_query()
@@ -336,6 +339,15 @@
     serve(data.upstreams.clone(), request, in_flight).await
 }
 
+/// Time that a request has from its arrival.
+fn time_limit(route: &Route, facts: &RequestMetadata) -> Duration {
+    let of_route = Some(route.timeout_ms).filter(|ms| *ms > 0);
+    let limits = [facts.deadline_ms, of_route].into_iter().flatten();
+    limits
+        .min()
+        .map_or(DEFAULT_TIME_LIMIT, Duration::from_millis)
+}
+
 async fn serve(
     upstreams: Upstreams,
     mut request: Request,
@@ -410,6 +422,19 @@
     }
 }
 
+/// Reads the body of a request that declares one. The library never ends that of a request which offers an upgrade.
+async fn read_declared_body(
+    request: &HttpRequest,
+    payload: web::Payload,
+    limit: usize,
+) -> Result<Bytes, ErrorKind> {
+    let headers = request.headers();
+    match headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) {
+        true => read_body(payload, limit).await,
+        false => Ok(Bytes::new()),
+    }
+}
+
 async fn read_body(mut payload: web::Payload, limit: usize) -> Result<Bytes, ErrorKind> {
     let mut body = BytesMut::new();
     while let Some(piece) = payload.next().await {
