--- a/scripts/soak_lib/checks.py
+++ b/scripts/soak_lib/checks.py
@@ -14,7 +14,7 @@
     """Checks after a run."""
 
     def check(self):
-        if self.sheds_load and self.served_after_recovery == 0:
+        if self.servers_restored_at is not None and self.served_after_recovery == 0:
             self.record_violation("served once servers are back", "no request was served after recovery")
         self.counts["requests served after recovery"] = self.served_after_recovery
         pending = dict(self.jobs)
--- a/scripts/soak_lib/unanswered.py
+++ b/scripts/soak_lib/unanswered.py
@@ -43,6 +43,8 @@
         if unanswered.kind in ("job", "results"):
             late = "timed out" in unanswered.error
             return "store fault" if late and self.had_store_fault(since, until) else None
+        if unanswered.kind == "order" and any(begun < until and since < end + 0.5 for begun, end in self.outages):
+            return "cut by an unavailable server"
         if unanswered.status == 200 and DEADLINE_S - DEADLINE_TOLERANCE_S < until - since < DEADLINE_S + 1:
             return "cut at the deadline"
         promise, cause = self.explain_cut(unanswered.request, unanswered.kind, node, since, until, crashes)
