--- a/scripts/soak_lib/planned.py
+++ b/scripts/soak_lib/planned.py
@@ -15,6 +15,8 @@
 # ones keep the node at work until its grace period is over.
 FIRST_RARE_S, RARE_GAP_S = (3.2, 4.2), (1.1, 1.6)
 FIRST_DENSE_S, DENSE_GAP_S = (0.5, 1), (0.1, 0.5)
+# Close together, at the time at which the last callers leave the node: three times the lifetime of a directory answer.
+FIRST_LEAVING_S, LEAVING_GAP_S, LAST_LEAVING_S = (4.3, 4.7), (0.005, 0.06), 5.6
 # Time after its start for which SIGTERM may end a node at once, since it does not serve yet.
 START_S = 2
 # How long a sound server may be silent.
@@ -98,19 +100,20 @@
 
     def stop_node(self, node, rng, name):
         """Stops a node. Connections that were opened before are used while it stops."""
-        if rng.random() < 0.6:
-            offsets_s = self.offsets(rng, FIRST_RARE_S, RARE_GAP_S)
-        else:
-            offsets_s = self.offsets(rng, FIRST_DENSE_S, DENSE_GAP_S)
+        offsets_s = rng.choice([
+            self.offsets(rng, FIRST_RARE_S, RARE_GAP_S, GRACE_S),
+            self.offsets(rng, FIRST_DENSE_S, DENSE_GAP_S, GRACE_S),
+            self.offsets(rng, FIRST_LEAVING_S, LEAVING_GAP_S, LAST_LEAVING_S),
+        ])
         tell = self.rest_until_stop(node, offsets_s, name)
         time.sleep(WARM_UP_S)
         self.terminate(node)
         tell()
 
-    def offsets(self, rng, first_s, gap_s):
-        """Times from the beginning of a stop to the end of its grace period."""
+    def offsets(self, rng, first_s, gap_s, last_s):
+        """Times within a stop."""
         offset_s, offsets_s = rng.uniform(*first_s), []
-        while offset_s < GRACE_S:
+        while offset_s < last_s:
             offsets_s.append(offset_s)
             offset_s += rng.uniform(*gap_s)
         return offsets_s
@@ -157,10 +160,13 @@
             self.set_fault(version=self.version, revoked=revoked, **limits)
 
     def silence(self, rng):
-        """Silences up to half of the servers, but none that is being replaced: a server that is silent at the end of its drain
-        would have to cut what it runs. Returns the duration."""
+        """Silences up to half of the servers; returns the duration. None that was silent a moment ago, so that no silence is
+        longer than its bound, and none that is being replaced: silent at the end of its drain, it would have to cut what it
+        runs."""
         with self.lock:
-            sound = [number for number, version in enumerate(self.server_versions) if version is not None]
+            rested_since = time.time() - SILENCE_GAP_S[0]
+            sound = [number for number, version in enumerate(self.server_versions)
+                     if version is not None and self.silent_until[number] < rested_since]
             silent = rng.sample(sound, min(len(sound), rng.randint(1, max(1, self.arguments.servers // 2))))
             duration_s = rng.uniform(*SILENCE_S)
             for number in silent:
