--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -18,6 +18,7 @@
 mod event_stream;
 mod front;
 mod home_regions;
+mod http_server;
 mod job_calls;
 mod metrics;
 mod node;
@@ -39,7 +40,7 @@
 mod zone_monitor;
 
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
-pub use caller_connection::note_accepted;
+pub use caller_connection::ConnectionGate;
 pub use capacity::CapacityTable;
 pub use cold_limit::ColdLimit;
 pub use crashes::{Evidence, InterruptedRun, last_run_server, request_features};
@@ -49,9 +50,10 @@
 pub use event_stream::{Event, EventSplitter};
 pub use front::{PeerHandler, configure, front_app_data};
 pub use home_regions::{candidate_servers, directory_regions};
+pub use http_server::{listen, serve};
 pub use job_calls::{JobCalls, JobReply};
 pub use metrics::Metrics;
-pub use node::Node;
+pub use node::{DIRECTORY_TTL_MS, Node};
 pub use placement::{
     Candidate, PromptShape, affinity_server, choose, has_free_slot, is_healthy, limit_by_region,
     mean_excess, sample,
@@ -60,7 +62,7 @@
 pub use response_buffer::{BufferLimit, BufferLimits, BufferedResponse, ChunkQueue, MAX_STALL};
 pub use response_times::{LatencyHistogram, ResponseTimes};
 pub use shares::ShareTable;
-pub use shutdown::finish_requests;
+pub use shutdown::{ProcessEnd, close_connections};
 pub use silence_limits::SilenceLimits;
 pub use urgency::{OvercommitLimit, Urgency, urgency};
 pub use warmup_monitor::monitor_warmup;
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -12,14 +12,17 @@
 use dappleyard_tenants::{Caller, ConfigurationStatus, KeyRefusal, QuotaTable, identify};
 use parking_lot::Mutex;
 
+use crate::caller_connection::ConnectionGate;
 use crate::capacity::CapacityTable;
 use crate::home_regions;
 use crate::metrics::Metrics;
 use crate::response_times::ResponseTimes;
 use crate::shares::{ShareGuard, ShareTable};
+use crate::shutdown::ProcessEnd;
 use dappleyard_clock::Instant;
 
-const DIRECTORY_TTL_MS: u64 = 1_500;
+/// Time for which callers may use a directory answer.
+pub const DIRECTORY_TTL_MS: u64 = 1_500;
 
 /// A node. At most one lock is held at a time, and none across an await.
 pub struct Node {
@@ -50,12 +53,15 @@
     pub metrics: Arc<Metrics>,
     /// The node is shutting down.
     pub leaving: Arc<AtomicBool>,
+    /// Connections of callers, which a stop closes.
+    pub connections: Arc<ConnectionGate>,
+    pub process_end: ProcessEnd,
     /// Client requests in flight.
     pub in_flight: AtomicU64,
-    /// Response bytes buffered for clients.
-    pub buffered_bytes: AtomicU64,
     /// Arrival of the last client request.
     pub last_request: Mutex<Instant>,
+    /// Response bytes buffered for clients.
+    pub buffered_bytes: AtomicU64,
 }
 
 impl Node {
