--- a/scripts/soak_lib/faults.py
+++ b/scripts/soak_lib/faults.py
@@ -15,7 +15,7 @@
     """Injects faults."""
 
     def inject_fault(self):
-        kind = self.random.choice(["kill", "kill", "pause", "planned", "planned", "planned", "stop while down", "down", "lost",
+        kind = self.random.choice(["kill", "kill", "pause", "stop while down", "down", "lost",
                                    "forget", "version", "revoke", "revoke", "evacuate",
                                    "evacuate", "evacuate", "dark", "lose zone"]
                                   + ["scarce"] * 4 * self.sheds_load + ["slow"] * 3 * self.has_slow_servers)
@@ -32,8 +32,6 @@
             node.signal(signal.SIGSTOP)
             time.sleep(self.random.uniform(1, 4))
             node.signal(signal.SIGCONT)
-        elif kind == "planned":
-            self.begin_planned(next(self.planned_kinds))
         elif kind == "stop while down":
             self.begin_planned("stop")
             self.run_store_fault(self.random.uniform(0.5, GRACE_S), {"down": True}, {"down": False})
--- a/scripts/soak_lib/planned.py
+++ b/scripts/soak_lib/planned.py
@@ -29,8 +29,8 @@
 PLANNED_WORK = {"stop": 4, "stop twice": 1, "stop after reload": 1, "stop in start": 1, "stop two": 1, "stop all": 1,
                 "reload": 1, "reload changed": 2, "configure": 2, "configure limits": 2, "silence": 4,
                 "silence series": 1}
-# Time between the beginnings of planned work, so that some of it overlaps.
-PLANNED_GAP_S = (0.1, 2.0)
+# Time between the beginnings of planned work, so that some of it overlaps: alone, and beside faults.
+PLANNED_GAP_S, PLANNED_GAP_BESIDE_FAULTS_S = (0.1, 2.0), (1, 4)
 # Answers on old connections of stopping nodes without which a planned run has shown nothing, and the same for its share of
 # requests that were served.
 MIN_STOPPING_ANSWERS, MIN_SERVED_SHARE = 10, 0.5
@@ -43,23 +43,25 @@
         """Yields kinds of planned work: all of them in each round, in random order."""
         while True:
             kinds = [kind for kind, times in PLANNED_WORK.items() for _ in range(times)]
-            self.random.shuffle(kinds)
+            self.planned_random.shuffle(kinds)
             yield from kinds
 
-    def run_planned(self, seconds):
-        until = time.monotonic() + seconds
+    def run_planned(self, gap_s):
+        until = time.monotonic() + self.arguments.seconds
         for kind in self.planned_rounds():
             if time.monotonic() > until:
                 return
             self.begin_planned(kind)
-            time.sleep(self.random.uniform(*PLANNED_GAP_S))
+            time.sleep(self.planned_random.uniform(*gap_s))
 
     def begin_planned(self, kind):
         """Begins a piece of planned work beside whatever goes on."""
-        self.planned_begun += 1
+        with self.lock:
+            self.planned_begun += 1
+            number = self.planned_begun
         self.count(f"planned {kind}")
-        rng = random.Random(f"{self.arguments.seed}/planned/{self.planned_begun}")
-        self.planned_threads.append(self.spawn(self.do_planned, kind, rng, f"stop-{self.planned_begun}"))
+        rng = random.Random(f"{self.arguments.seed}/planned/{number}")
+        self.planned_threads.append(self.spawn(self.do_planned, kind, rng, f"stop-{number}"))
 
     def do_planned(self, kind, rng, name):
         node = rng.choice(self.nodes)
--- a/scripts/soak_lib/soak.py
+++ b/scripts/soak_lib/soak.py
@@ -19,15 +19,13 @@
 from soak_lib.kept import KEPT_CALLERS, KEPT_JOB_CALLERS, KeptCallers
 from soak_lib.network import LoopbackNetwork
 from soak_lib.node import Node
-from soak_lib.planned import PlannedWork
+from soak_lib.planned import PLANNED_GAP_BESIDE_FAULTS_S, PLANNED_GAP_S, PlannedWork
 from soak_lib.resumption import ResumingCallers
 from soak_lib.unanswered import UnansweredChecks
 from soak_lib.constants import OUTPUT_DIR, OVER_QUOTA_CALLERS, PROMPT_PART_CALLERS, RESUMING_CALLERS, ROOT, ZONES
 
 # Callers that open a connection for each stream, and callers of jobs.
 STREAM_CALLERS, JOB_SUBMITTERS = 8, 3
-# Share of faults beside which a piece of planned work begins.
-PLANNED_BESIDE_FAULT = 0.5
 
 
 class Soak(Fleet, Callers, KeptCallers, ResumingCallers, CrashingCallers, JobCallers, Faults, PlannedWork, Checks,
@@ -64,7 +62,8 @@
         self.truncated = []  # request, kind, node, start, end, error
         self.unanswered, self.failed = [], []  # on kept connections
         self.events = []  # time, kind of planned work, node or None
-        self.planned_begun, self.planned_threads, self.planned_kinds = 0, [], self.planned_rounds()
+        self.planned_begun, self.planned_threads = 0, []
+        self.planned_random = random.Random(f"{arguments.seed}/planned")
         self.crashing_calls = collections.defaultdict(list)  # request -> (node, time)
         self.part_requests = collections.defaultdict(list)  # crashing part -> (request, node, time)
         self.sound_part_requests = []  # time, whether it began; at calm nodes, beside requests with crashing parts
@@ -79,7 +78,7 @@
         callers = self.start_callers()
         restarter = self.spawn(self.restart_nodes)
         if self.arguments.planned:
-            self.run_planned(self.arguments.seconds)
+            self.run_planned(PLANNED_GAP_S)
             self.wait_for_planned()
         else:
             self.run_faults()
@@ -109,14 +108,14 @@
         return callers
 
     def run_faults(self):
+        planner = self.spawn(self.run_planned, PLANNED_GAP_BESIDE_FAULTS_S)
         until = time.monotonic() + self.arguments.seconds
         while time.monotonic() < until:
             time.sleep(self.random.uniform(0.8, 2.5))
-            if self.random.random() < PLANNED_BESIDE_FAULT:
-                self.begin_planned(next(self.planned_kinds))
             self.inject_fault()
         self.restore_zones(False)
         self.stop_releasing.set()
+        planner.join()
         self.wait_for_planned()
         if self.sheds_load:
             self.stop_crashing.set()
