--- a/scripts/soak_lib/checks.py
+++ b/scripts/soak_lib/checks.py
@@ -58,6 +58,13 @@
             else:
                 self.record_violation(promise, f"{request} at {node.name}: {detail}; {self.events_before(node, since)}")
 
+    def broken_promise(self, request, node):
+        """The promise that a failed request breaks for which no fault is found: its last server was left for a silence, or
+        the work that was planned took its answer."""
+        with open(node.log_path) as log:
+            ends = [line for line in log if f'"{request}"' in line and ('"stream_broke"' in line or '"attempt_failed"' in line)]
+        return "a silence ends no answer" if ends and '"cause":"silent for' in ends[-1] else None
+
     def explain_cut(self, request, kind, node, since, until, crashes):
         """Returns the promise that a cut response breaks, or None and the failure of servers that explains it."""
         crashed = sum(1 for at in crashes if since - 0.1 < at < until + 0.1)
@@ -68,7 +75,7 @@
             return None, "cut, no server left"
         if lost_servers and self.log_has_cause(node, request, "servers_ended"):
             return "innocent requests are not blamed", None
-        return "planned stop", None
+        return self.broken_promise(request, node) or "planned stop", None
 
     def log_has_cause(self, node, request, cause):
         """Whether the node logged that it cut the response for `cause`."""
--- a/scripts/soak_lib/kept.py
+++ b/scripts/soak_lib/kept.py
@@ -15,6 +15,7 @@
 
 # Rests between requests, from and to; a caller has one kind. The longest outlast a whole stop.
 RESTS_S = [(0, 0.02), (0, 0.3), (0.2, 2), (1, 4), (3, 5), (8.2, 10)]
+JOB_RESTS_S = [(0, 0.5), (0.2, 3), (3, 10)]
 # A rest takes at most this share of the idle limit.
 MAX_REST_SHARE = 0.8
 KEPT_CALLERS, KEPT_JOB_CALLERS = 12, 3
@@ -44,23 +45,23 @@
 
     def keep_connection(self, number):
         rng = random.Random(f"{self.arguments.seed}/kept/{number}")
-        for sent, connection in enumerate(self.used_connections(rng, number)):
+        for sent, connection in enumerate(self.used_connections(rng, number, RESTS_S)):
             kind = rng.choice(["chat", "chat", "order"])
             self.send_kept(connection, kind, f"kept-{number}-{sent}")
 
     def keep_connection_for_jobs(self, number):
         rng = random.Random(f"{self.arguments.seed}/kept-jobs/{number}")
         job, reads = None, 0
-        for sent, connection in enumerate(self.used_connections(rng, number)):
+        for sent, connection in enumerate(self.used_connections(rng, number, JOB_RESTS_S)):
             if job is not None and reads < READS_PER_JOB:
                 reads += 1
                 self.read_kept(connection, job)
             else:
                 job, reads = self.submit_kept(connection, f"kept-job-{number}-{sent}", rng.randint(1, 5)), 0
 
-    def used_connections(self, rng, number):
+    def used_connections(self, rng, number, rests_s):
         """Yields a connection that may be used each time the caller has rested, until the run ends."""
-        rest_s, follows_directory = RESTS_S[number % len(RESTS_S)], number % 2 == 0
+        rest_s, follows_directory = rests_s[number % len(rests_s)], number % 2 == 0
         connection, resolved_at = None, 0
         while not self.stopping.is_set():
             if connection is None or not connection.is_open:
--- a/scripts/soak_lib/planned.py
+++ b/scripts/soak_lib/planned.py
@@ -6,7 +6,7 @@
 import signal
 import time
 
-from soak_lib.constants import GRACE_S, SHORTEST_IDLE_LIMIT_S
+from soak_lib.constants import GRACE_S, RELEASE_S, SHORTEST_IDLE_LIMIT_S
 
 # Time from the opening of the connections that rest through a stop until the stop.
 WARM_UP_S = 0.7
@@ -39,6 +39,12 @@
 class PlannedWork:
     """Does planned work."""
 
+    def release_one_server(self):
+        """Gives one server a software version of its own, so that no other may go on with its streams."""
+        self.set_fault(release=[0], release_version="v2")
+        time.sleep(RELEASE_S)
+        self.server_versions[0] = "v2"
+
     def planned_rounds(self):
         """Yields kinds of planned work: all of them in each round, in random order."""
         while True:
@@ -184,7 +190,8 @@
     def check_planned(self):
         """Checks that a planned run has shown what it is for, and that no request failed in it."""
         for request, kind, node, sent_at, _, status, body in self.failed:
-            self.record_violation("planned work fails no request", f"{request} ({kind}) at {node.name}: {status} "
+            promise = self.broken_promise(request, node) or "planned work fails no request"
+            self.record_violation(promise, f"{request} ({kind}) at {node.name}: {status} "
                                   f"{body[:100]!r}; {self.events_before(node, sent_at)}")
         answers = self.counts["answers of stopping nodes on old connections"]
         if answers < MIN_STOPPING_ANSWERS:
--- a/scripts/soak_lib/soak.py
+++ b/scripts/soak_lib/soak.py
@@ -75,6 +75,8 @@
 
     def run(self):
         self.start()
+        if self.arguments.planned:
+            self.release_one_server()
         callers = self.start_callers()
         restarter = self.spawn(self.restart_nodes)
         if self.arguments.planned:
--- a/scripts/soak_lib/unanswered.py
+++ b/scripts/soak_lib/unanswered.py
@@ -29,7 +29,8 @@
                 crossed += 1
                 self.log_unanswered("crossed a close", unanswered, begun)
                 continue
-            self.record_violation("each request gets an answer", self.log_unanswered("violation", unanswered, begun))
+            promise = self.broken_promise(unanswered.request, unanswered.node) or "each request gets an answer"
+            self.record_violation(promise, self.log_unanswered("violation", unanswered, begun))
         stops = sum(len(node.stop_times) for node in self.nodes)
         self.counts["requests that crossed a close, not run"] = crossed
         self.counts["planned stops"] = stops
