--- a/crates/dappleyard/tests/support/mod.rs
+++ b/crates/dappleyard/tests/support/mod.rs
@@ -34,7 +34,7 @@
         let addresses = (0..2).map(|at| SocketAddr::from((ip, model::FIRST_SERVER_PORT + at)));
         let servers = ModelServers::new(SLOTS, addresses.collect());
         let rows = EmulatedRows::default();
-        control::write_configuration(&rows, 1, &[]);
+        control::write_configuration(&rows, 1, &[], control::TimeLimits::default());
         control::list_servers(&rows, &servers);
         let (started_sender, started) = mpsc::channel();
         let (shared_rows, shared_servers) = (rows.clone(), servers.clone());
