Bodies of requests and requests late in a stop have modules of their own

The reader of a connection is woken at the end of an answer only while the gate is closed: one poll less a request.

--- a/crates/ingress/src/caller_connection.rs
+++ b/crates/ingress/src/caller_connection.rs
@@ -25,7 +25,7 @@
 /// All connections of a process.
 #[derive(Debug, Default)]
 pub struct ConnectionGate {
-    is_closed: AtomicBool,
+    is_closed: Arc<AtomicBool>,
     /// Connections with an incomplete head end as well.
     ends_incomplete: AtomicBool,
     next_number: AtomicU64,
@@ -52,6 +52,7 @@
     /// Address at which it was accepted.
     pub(crate) local: SocketAddr,
     pub(crate) accepted: Instant,
+    is_gate_closed: Arc<AtomicBool>,
     /// A [`Use`].
     current_use: AtomicU8,
     reader: AtomicWaker,
@@ -118,6 +119,7 @@
             number: self.next_number.fetch_add(1, Ordering::Relaxed),
             local,
             accepted: Instant::now(),
+            is_gate_closed: self.is_closed.clone(),
             current_use: AtomicU8::new(Use::Resting as u8),
             reader: AtomicWaker::new(),
         });
@@ -157,8 +159,10 @@
 
     fn end_answer(&self) {
         self.current_use.store(Use::Resting as u8, Ordering::SeqCst);
-        // The reader may have to end the connection now.
-        self.reader.wake();
+        // A gate that is closed after this check wakes the reader itself.
+        if self.is_gate_closed.load(Ordering::SeqCst) {
+            self.reader.wake();
+        }
     }
 }
 
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -4,17 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use actix_web::http::header::CONTENT_TYPE;
 use actix_web::{HttpRequest, HttpResponse, web};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dappleyard_model::{Endpoint, HomeRegions, RequestMetadata, Route, RouteKind};
-use futures::StreamExt;
 use futures::future::LocalBoxFuture;
 use http::HeaderMap;
 
 use crate::admission::{Refusal, caller_of_jobs, caller_of_route, charge_quota};
 use crate::attempt::{Ran, Upstreams};
-use crate::caller_connection::CallerConnection;
 use crate::capacity::detect_retry;
 use crate::crashes::{operator_call, request_features};
 use crate::deadline::Deadline;
@@ -22,24 +20,22 @@
 use crate::error_kind::ErrorKind;
 use crate::evacuated_zones::{orders_text, zone_metrics};
 use crate::job_calls::{JobCalls, JobReply};
+use crate::late_requests::{
+    check_time_left, connection_of, note_late_request, refuse_late_request,
+};
 use crate::metrics::{Metrics, tenant_metrics};
 use crate::node::{DisconnectLogger, InFlightGuard, Node};
 use crate::placement::PromptShape;
 use crate::refusals::{refund_quota, refuse, without_route};
 use crate::relay;
-use crate::responses::{copy_headers, error_response, start_response};
+use crate::request_body::{DEFAULT_BODY_LIMIT, body_limit, read_body, read_declared_body};
+use crate::responses::{copy_headers, error_response, header_map, start_response};
 use crate::resumption::{find_origin, is_resumption};
 use crate::shares::{acquire_share, share_metrics};
-use crate::shutdown::can_finish;
 use dappleyard_clock::Instant;
 
 /// Time limit of a request without a deadline.
 const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(60);
-/// Time for which the body of a refused request is still read.
-const REFUSED_BODY_TIME: Duration = Duration::from_secs(1);
-/// Body limit in bytes while no configuration is known, and for calls of other nodes.
-const DEFAULT_BODY_LIMIT: usize = 4 * 1024 * 1024;
-
 /// Handles a call of another node; request and response are in the peer protocol.
 pub type PeerHandler = Rc<dyn Fn(Bytes) -> LocalBoxFuture<'static, Bytes>>;
 
@@ -105,7 +101,7 @@
         note_late_request(&node, &request);
     }
     if node.connections.is_closed() {
-        return refuse_unread(&node, &request, payload).await;
+        return refuse_late_request(&node, &request, payload).await;
     }
     match endpoint {
         Endpoint::JobResults { .. } | Endpoint::JobItem { .. } | Endpoint::JobEnd { .. } => {
@@ -115,43 +111,6 @@
     }
 }
 
-/// Records a request that came after the stop was asked for, and the age of its connection.
-fn note_late_request(node: &Node, request: &HttpRequest) {
-    Metrics::count(&node.metrics.requests_while_stopping);
-    node.log.write("request_while_stopping", || {
-        let age = connection_of(request).map(|it| it.accepted.elapsed());
-        let age_ms = age.map(|age| age.as_millis() as u64);
-        let facts = node.dialect.request_metadata(&header_map(request));
-        serde_json::json!({"request": facts.id, "connection_age_ms": age_ms})
-    });
-}
-
-/// The connection of a request; `None` for a call within the process.
-fn connection_of(request: &HttpRequest) -> Option<&Arc<CallerConnection>> {
-    request.conn_data()
-}
-
-/// Refuses a request because the node stops.
-async fn refuse_unread(
-    node: &Arc<Node>,
-    request: &HttpRequest,
-    payload: web::Payload,
-) -> HttpResponse {
-    let facts = node.dialect.request_metadata(&header_map(request));
-    // A client that still sends may miss a response. The length does not matter, nor how reading ends.
-    let deadline = Deadline::new(Instant::now() + REFUSED_BODY_TIME, node.process_end.clone());
-    let reading = read_declared_body(request, payload, body_limit(node));
-    let _ = deadline.wait(reading).await;
-    let refused = Refusal::new(ErrorKind::Stopping, "the node stops");
-    refuse(node, &facts.id, &refused)
-}
-
-/// Limit on the body of a request, in bytes.
-fn body_limit(node: &Node) -> usize {
-    let configuration = node.view.configuration();
-    configuration.map_or(DEFAULT_BODY_LIMIT, |it| it.limits.max_body_bytes)
-}
-
 fn not_found(node: &Node, detail: &str) -> HttpResponse {
     error_response(node, &Refusal::new(ErrorKind::NoRoute, detail))
 }
@@ -229,14 +188,6 @@
     }
 }
 
-fn header_map(request: &HttpRequest) -> HeaderMap {
-    let mut headers = HeaderMap::with_capacity(request.headers().len());
-    for (name, value) in request.headers() {
-        headers.append(name.clone(), value.clone());
-    }
-    headers
-}
-
 fn host_of(headers: &HeaderMap) -> &str {
     headers
         .get(http::header::HOST)
@@ -301,10 +252,7 @@
         return refuse(&node, &facts.id, &refused);
     };
     let time_limit = time_limit(&route, &facts);
-    if let Some(time_left) = node.process_end.time_left()
-        && !can_finish(time_left, time_limit, node.capacities.hold_time(&service))
-    {
-        let refused = Refusal::new(ErrorKind::Stopping, "the node stops too soon");
+    if let Err(refused) = check_time_left(&node, &service, time_limit) {
         return refuse(&node, &facts.id, &refused);
     }
     node.capacities.adopt(&configuration);
@@ -429,31 +377,6 @@
     }
 }
 
-/// Reads the body of a request that declares one. The library never ends that of a request which offers an upgrade.
-async fn read_declared_body(
-    request: &HttpRequest,
-    payload: web::Payload,
-    limit: usize,
-) -> Result<Bytes, ErrorKind> {
-    let headers = request.headers();
-    match headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) {
-        true => read_body(payload, limit).await,
-        false => Ok(Bytes::new()),
-    }
-}
-
-async fn read_body(mut payload: web::Payload, limit: usize) -> Result<Bytes, ErrorKind> {
-    let mut body = BytesMut::new();
-    while let Some(piece) = payload.next().await {
-        let piece = piece.map_err(|_| ErrorKind::Malformed)?;
-        if body.len() + piece.len() > limit {
-            return Err(ErrorKind::BodyTooLong);
-        }
-        body.extend_from_slice(&piece);
-    }
-    Ok(body.freeze())
-}
-
 fn job_response(node: &Arc<Node>, reply: JobReply) -> HttpResponse {
     match reply {
         JobReply::Accepted => start_response(node, 202).json(serde_json::json!({})),
--- a/crates/ingress/src/responses.rs
+++ b/crates/ingress/src/responses.rs
@@ -1,8 +1,8 @@
 //! HTTP responses to clients.
 
-use actix_web::HttpResponse;
 use actix_web::http::StatusCode;
 use actix_web::http::header::{CONNECTION, RETRY_AFTER};
+use actix_web::{HttpRequest, HttpResponse};
 use http::HeaderMap;
 
 use crate::admission::Refusal;
@@ -20,6 +20,15 @@
     response
 }
 
+/// Headers of a client request.
+pub(crate) fn header_map(request: &HttpRequest) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(request.headers().len());
+    for (name, value) in request.headers() {
+        headers.append(name.clone(), value.clone());
+    }
+    headers
+}
+
 /// Copies the end-to-end headers of a server's response.
 pub(crate) fn copy_headers(response: &mut actix_web::HttpResponseBuilder, headers: &HeaderMap) {
     for (name, value) in headers {
