--- a/crates/ingress/src/error_kind.rs
+++ b/crates/ingress/src/error_kind.rs
@@ -37,6 +37,9 @@
     NoRequestId,
     #[display("malformed")]
     Malformed,
+    /// The request asks for a WebSocket.
+    #[display("upgrade_unsupported")]
+    UpgradeUnsupported,
     /// The body did not arrive before the deadline; the request did not run.
     #[display("body_timeout")]
     BodyTimeout,
@@ -98,7 +101,7 @@
     /// HTTP status. 429 and 503 state that the request did not and will not run.
     pub fn status(self) -> u16 {
         match self {
-            ErrorKind::NoRequestId | ErrorKind::Malformed => 400,
+            ErrorKind::NoRequestId | ErrorKind::Malformed | ErrorKind::UpgradeUnsupported => 400,
             ErrorKind::UnknownKey => 401,
             ErrorKind::NoRoute | ErrorKind::NoJob => 404,
             ErrorKind::BodyTimeout => 408,
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -28,7 +28,9 @@
 use crate::placement::PromptShape;
 use crate::refusals::{refund_quota, refuse, without_route};
 use crate::relay;
-use crate::request_body::{DEFAULT_BODY_LIMIT, body_limit, read_body, read_declared_body};
+use crate::request_body::{
+    DEFAULT_BODY_LIMIT, asks_for_websocket, body_limit, read_body, read_declared_body,
+};
 use crate::responses::{copy_headers, error_response, header_map, start_response};
 use crate::resumption::{find_origin, is_resumption};
 use crate::shares::{acquire_share, share_metrics};
@@ -100,6 +102,11 @@
     if node.is_leaving() {
         note_late_request(&node, &request);
     }
+    if asks_for_websocket(&request) {
+        let id = node.dialect.request_metadata(&header_map(&request)).id;
+        let refused = Refusal::new(ErrorKind::UpgradeUnsupported, "WebSocket");
+        return refuse(&node, &id, &refused);
+    }
     if node.connections.is_closed() {
         return refuse_late_request(&node, &request, payload).await;
     }
--- a/crates/ingress/src/request_body.rs
+++ b/crates/ingress/src/request_body.rs
@@ -1,6 +1,6 @@
 //! Reads the bodies of requests.
 
-use actix_web::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_web::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING, UPGRADE};
 use actix_web::{HttpRequest, web};
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
@@ -17,7 +17,14 @@
     configuration.map_or(DEFAULT_BODY_LIMIT, |it| it.limits.max_body_bytes)
 }
 
-/// Reads the body of a request that declares one. The library never ends that of a request which offers an upgrade.
+/// Whether a request asks for a WebSocket. The HTTP library neither ends the body of such a request nor frames the answer.
+pub(crate) fn asks_for_websocket(request: &HttpRequest) -> bool {
+    let offers = request.headers().get_all(UPGRADE);
+    let mut offers = offers.filter_map(|value| value.to_str().ok());
+    offers.any(|value| value.to_ascii_lowercase().contains("websocket"))
+}
+
+/// Reads the body of a request that declares one.
 pub(crate) async fn read_declared_body(
     request: &HttpRequest,
     payload: web::Payload,
