--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -91,16 +91,20 @@
     tokio::time::sleep(schedule.close.saturating_duration_since(Instant::now())).await;
 
     log_progress(node, "stop_closing", started);
-    let closing = close_connections(&running.server, &node.connections, schedule.exit);
+    let closing = async {
+        let is_empty = close_connections(&running.server, &node.connections, schedule.exit).await;
+        (is_empty, started.elapsed())
+    };
     let handing_over = dappleyard_clock::timeout_at(schedule.exit, job_handover);
-    let (is_empty, handover) = tokio::join!(closing, handing_over);
+    let ((is_empty, closed_after), handover) = tokio::join!(closing, handing_over);
     let call = registration::unregister(node, running.store.as_ref());
     // A row left behind is harmless: peers notice the missing heartbeats.
     let _ = dappleyard_clock::timeout(UNREGISTER_TIMEOUT, call).await;
     let cut = node.metrics.answers_cut_by_stop.load(Ordering::Relaxed);
     node.log.write("stop", || {
         serde_json::json!({"answered_all": is_empty && cut == 0, "cut": cut, "under_way": node.connections.busy(),
-            "connections": node.connections.open(), "jobs_handed_back": handover.is_ok(),
+            "connections": node.connections.open(), "closed_after_ms": closed_after.as_millis() as u64,
+            "jobs_handed_back": handover.is_ok(),
             "took_ms": started.elapsed().as_millis() as u64})
     });
     node.log.flush(LOG_FLUSH_TIMEOUT);
