A connection that ends inside a request leaves a record

What callers saw: a connection that ended inside a head, by an invalid head, or while the handler of a request had not answered left no line: the HTTP library answers 400, 408 and 431 itself, and drops the handler of a caller that leaves. Job calls and panics left no trace at all. Change: connection_ended_early and its counter, written by the connection itself when it is dropped, so that none of the ways is missed. Bounded as all records.

--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -14,8 +14,9 @@
 };
 use dappleyard_crashes::CrashTable;
 use dappleyard_ingress::{
-    CapacityTable, EvacuationLogger, Metrics, Node, PeerHandler, ProcessEnd, ResponseTimes,
-    ShareTable, Upstreams, configure, front_app_data, listen, monitor_warmup, monitor_zones, serve,
+    CapacityTable, ConnectionGate, EvacuationLogger, Metrics, Node, PeerHandler, ProcessEnd,
+    ResponseTimes, ShareTable, Upstreams, configure, front_app_data, listen, monitor_warmup,
+    monitor_zones, serve,
 };
 use dappleyard_jobs::{BODY_TABLES, JOB_TABLES, JobService, JobTable, Runner};
 use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
@@ -77,6 +78,8 @@
             .with_body_tables(view.clone(), &BODY_TABLES)
             .undecided(),
     );
+    let metrics = Arc::new(Metrics::default());
+    let connections = ConnectionGate::new(log.clone(), metrics.clone());
     let node = Arc::new(Node {
         life,
         view: view.clone(),
@@ -90,9 +93,9 @@
         health: health.clone(),
         dialect: dialect.clone(),
         log: log.clone(),
-        metrics: Arc::new(Metrics::default()),
+        metrics,
         leaving: Arc::new(AtomicBool::new(false)),
-        connections: Arc::default(),
+        connections: Arc::new(connections),
         process_end: ProcessEnd::default(),
         last_request: Mutex::new(Instant::now()),
         buffered_bytes: AtomicU64::new(0),
--- a/crates/ingress/src/caller_connection.rs
+++ b/crates/ingress/src/caller_connection.rs
@@ -16,15 +16,20 @@
 use actix_http::body::{BodySize, MessageBody};
 use bytes::Bytes;
 use dappleyard_clock::Instant;
+use dappleyard_model::EventLog;
+use derive_more::Display;
 use futures::task::AtomicWaker;
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::metrics::Metrics;
+
 /// All connections of a process.
-#[derive(Debug, Default)]
 pub struct ConnectionGate {
+    log: Arc<EventLog>,
+    metrics: Arc<Metrics>,
     is_closed: Arc<AtomicBool>,
     /// Connections with an incomplete head end as well.
     ends_incomplete: AtomicBool,
@@ -35,13 +40,16 @@
 }
 
 /// What a connection is used for.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[repr(u8)]
 enum Use {
+    #[display("resting")]
     Resting,
     /// Bytes were read, but no request has begun.
+    #[display("reading")]
     Reading,
     /// A request or its answer is in progress.
+    #[display("serving")]
     Serving,
 }
 
@@ -58,7 +66,26 @@
     reader: AtomicWaker,
 }
 
+impl Default for ConnectionGate {
+    /// A gate that records nothing.
+    fn default() -> Self {
+        Self::new(Arc::new(EventLog::silent()), Arc::default())
+    }
+}
+
 impl ConnectionGate {
+    pub fn new(log: Arc<EventLog>, metrics: Arc<Metrics>) -> Self {
+        Self {
+            log,
+            metrics,
+            is_closed: Arc::default(),
+            ends_incomplete: AtomicBool::default(),
+            next_number: AtomicU64::default(),
+            connections: Mutex::default(),
+            emptied: Notify::default(),
+        }
+    }
+
     /// Lets no further request begin, and ends the connections that are not busy.
     pub fn close(&self) {
         self.is_closed.store(true, Ordering::SeqCst);
@@ -132,6 +159,21 @@
         }
     }
 
+    /// Records the end of a connection whose head never became whole or valid, or whose request has no answer: its
+    /// caller left, or its handler failed. An answer that ends early has records of its own.
+    fn note_end(&self, connection: &CallerConnection) {
+        let mut early = [Use::Reading, Use::Serving].into_iter();
+        let Some(last_use) = early.find(|it| connection.is_in(*it)) else {
+            return;
+        };
+        Metrics::count(&self.metrics.connections_ended_early);
+        self.log.write("connection_ended_early", || {
+            serde_json::json!({"last_use": last_use.to_string(), "port": connection.local.port(),
+                "connection_age_ms": connection.accepted.elapsed().as_millis() as u64,
+                "is_closing": self.is_closed()})
+        });
+    }
+
     fn remove(&self, number: u64) {
         let mut connections = self.connections.lock();
         connections.remove(&number);
@@ -181,6 +223,7 @@
 
 impl Drop for GatedStream {
     fn drop(&mut self) {
+        self.gate.note_end(&self.connection);
         self.gate.remove(self.connection.number);
     }
 }
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -68,6 +68,8 @@
     pub items_left_region: AtomicU64,
     /// Batch items requeued after a failed run.
     pub items_again: AtomicU64,
+    /// Connections of callers that ended inside a head, or inside a request without an answer.
+    pub connections_ended_early: AtomicU64,
     /// Requests that came after the stop was asked for.
     pub requests_while_stopping: AtomicU64,
     /// Responses cut because the process had to end.
@@ -148,6 +150,7 @@
             ("results", &self.results),
             ("items_left_region", &self.items_left_region),
             ("items_again", &self.items_again),
+            ("connections_ended_early", &self.connections_ended_early),
             ("requests_while_stopping", &self.requests_while_stopping),
             ("answers_cut_by_stop", &self.answers_cut_by_stop),
             ("answers_unread", &self.answers_unread),
