A request that has arrived before the connections are closed is refused, not dropped

Cause: once the gate was closed, a resting connection ended without a look at what had arrived on it. A worker that had no processor for a while came back to a closed gate and dropped what had waited in its sockets. Class: the end of a connection was decided by what the process had read, not by what it had been sent. Change: before a resting connection ends, the socket itself is asked. The runtime cannot say, since it may not have been told of the bytes yet. What has arrived is read and refused as stopping, not run. Evidence: request_before_the_close failed before (no answer) and passes now, with the other five tests of the file. The gate's promise holds: a connection that has ended reads nothing, and the process waits for those that have not.

--- a/crates/ingress/src/caller_connection.rs
+++ b/crates/ingress/src/caller_connection.rs
@@ -1,7 +1,7 @@
 //! Connections of callers, and the moment from which no request can begin on them.
 //!
 //! A connection is busy from the first byte of a request until the last byte of its answer has left the handler. Once
-//! the gate is closed, nothing more is read from a connection that is not busy: it ends, and a request that crosses
+//! the gate is closed, a connection that is not busy ends as soon as nothing has arrived on it, and a request that crosses
 //! its end was never read. A process whose gate is closed and that has no connection left cannot begin a request.
 //! A connection on which a head was begun and is never completed is ended a little later.
 
@@ -20,6 +20,7 @@
 use derive_more::Display;
 use futures::task::AtomicWaker;
 use parking_lot::Mutex;
+use rustix::net::{RecvFlags, recv};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -104,7 +105,7 @@
         }
     }
 
-    /// Whether nothing more is read from a connection.
+    /// Whether a connection ends once nothing has arrived on it.
     fn has_ended(&self, connection: &CallerConnection) -> bool {
         self.is_closed()
             && match self.ends_incomplete.load(Ordering::SeqCst) {
@@ -228,6 +229,13 @@
     }
 }
 
+/// Whether bytes can be read. Asks the socket itself, since the runtime may not have been told of them yet.
+fn has_arrived(stream: &TcpStream) -> bool {
+    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+    // An error shows at the next read; the connection ends in either case.
+    recv(stream, &mut [0; 1], flags).is_ok_and(|(_, arrived)| arrived > 0)
+}
+
 impl AsyncRead for GatedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -237,7 +245,10 @@
         // Registered before the check, so that a gate that is closed after it wakes the reader.
         self.connection.reader.register(context.waker());
         if self.gate.has_ended(&self.connection) {
-            return Poll::Ready(Ok(()));
+            if !has_arrived(&self.stream) {
+                return Poll::Ready(Ok(()));
+            }
+            self.connection.note_read();
         }
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
