A server that was left for its silence may be asked again

Callers saw a stream end midway, or a 502, although a sound server was there: theirs, which had been silent for a second.

Cause: once a successor had the request for 0.15 s without an answer, the silent server was left and struck off like one that had failed. A successor that then refused, or broke off, left nobody to ask. Class: a silence was counted as a failure after the move, which the move itself no longer does.

A run remembers the silent server that was left for it, and puts it back among those that may be asked when it fails. The number of runs still bounds how often: each run at a silent server counts, and a request that may run once is never moved.

--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -236,7 +236,7 @@
                 }
                 Waited::Silent(error, successor) => {
                     upstreams.note_left(&run.server);
-                    (error, successor)
+                    (error, successor.replacing(&run.server))
                 }
                 Waited::Failed(error, successor) => (error, successor),
             };
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -133,9 +133,13 @@
                     }
                 },
                 Waited::Done(Err(error)) => self.resume(error, None).await?,
-                Waited::Silent(error, successor) | Waited::Failed(error, successor) => {
+                Waited::Silent(error, mut successor) => {
+                    if let Some(started) = &self.started {
+                        successor = successor.replacing(&started.exchange.server);
+                    }
                     self.resume(error, Some(successor)).await?;
                 }
+                Waited::Failed(error, successor) => self.resume(error, Some(successor)).await?,
             }
         }
     }
--- a/crates/ingress/src/runs.rs
+++ b/crates/ingress/src/runs.rs
@@ -27,9 +27,19 @@
     pub(crate) work: InFlight,
     pub(crate) run: RunGuard,
     pub(crate) sent: Instant,
+    /// The silent server that was left for this run. It may be asked again if this run fails.
+    left: Option<Arc<ServerRecord>>,
 }
 
 impl PendingRun {
+    /// The run as the successor of one at a silent server.
+    pub(crate) fn replacing(self, silent: &Arc<ServerRecord>) -> Self {
+        Self {
+            left: Some(silent.clone()),
+            ..self
+        }
+    }
+
     /// The run with the response that its future has returned.
     pub(crate) fn with_response(self, exchange: Exchange) -> Self {
         Self {
@@ -64,6 +74,7 @@
             work,
             run,
             sent,
+            left: None,
         }),
         Err(error) => {
             note_failed_run(upstreams, request, run, &server, &error).await;
@@ -135,12 +146,16 @@
         run,
         response,
         work,
+        left,
         ..
     } = run;
     // Closes the connection.
     drop(response);
     note_failed_run(upstreams, request, run, &server, error).await;
     drop(work);
+    if let Some(left) = left {
+        request.tried.remove(&left.id);
+    }
 }
 
 async fn note_failed_run(
