A stopping node hands batch chunks back beside its online streams

Callers of batch jobs saw items wait: a node that was asked to stop kept its chunks until its last online stream had ended, and at the stop bound it ended without handing them back, so that others took them over only once it was counted as gone, and ran their items again.

Cause: the request to the batch thread stood in a future that was polled first after the wait for online streams. Class: a lazy future taken for work that has begun.

The request is now sent when it is made; only its answer is awaited.

--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -74,14 +74,14 @@
             .lifecycle
             .send_replace(Lifecycle::Draining);
         tracing::info!(node = %self.parts.tables.identity.node, "planned stop began");
-        let drained = notify_and_wait(&self.parts.drain);
+        let drained = request(&self.parts.drain);
         tokio::time::sleep(STOP_NOTICE).await;
         while self.parts.shared.active_streams() > 0 && Instant::now() < deadline {
             tokio::time::sleep(STOP_POLL).await;
         }
         let rest = deadline.saturating_duration_since(Instant::now());
         let handed_back = tokio::time::timeout(rest, drained).await.is_ok();
-        let left = notify_and_wait(&self.parts.leave);
+        let left = request(&self.parts.leave);
         let _ = tokio::time::timeout(STOP_NOTICE, left).await;
         self.parts.gate.close();
         let rest = deadline.saturating_duration_since(Instant::now());
@@ -125,9 +125,9 @@
     }
 }
 
-async fn notify_and_wait(requests: &mpsc::UnboundedSender<oneshot::Sender<()>>) {
+/// Sends a request to another thread at once; the receiver resolves when it is done.
+fn request(requests: &mpsc::UnboundedSender<oneshot::Sender<()>>) -> oneshot::Receiver<()> {
     let (sender, receiver) = oneshot::channel();
-    if requests.send(sender).is_ok() {
-        let _ = receiver.await;
-    }
+    let _ = requests.send(sender);
+    receiver
 }
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -1,20 +1,22 @@
 //! Answers of a node that meet its planned stop.
 
+mod support;
+
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use dappleyard_node::NodeHandle;
-use dappleyard_settings::{NodeSettings, PlatformSettings};
+use dappleyard_settings::PlatformSettings;
 use dappleyard_transport::link::ClientStream;
-use dappleyard_transport::{Link, LinkPolicy, LinkSettings, PathState};
-use dappleyard_wire::PROTOCOL_VERSION;
-use dappleyard_wire::messages::{Call, Hello, ListModels, RecordBegin, call, frame};
+use dappleyard_transport::{LinkPolicy, LinkSettings, PathState};
+use dappleyard_wire::messages::{ListModels, RecordBegin, call, frame};
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const ANY_PORT: &str = "127.0.0.1:0";
+use support::{ANY_PORT, dial, open_call, settings, start};
+
 /// Time for a frame to reach the node.
 const ARRIVAL: Duration = Duration::from_millis(100);
 /// Longer than a stop without anything in progress.
@@ -54,44 +56,17 @@
     }
 }
 
-fn settings(store: &SilentStore) -> NodeSettings {
-    NodeSettings {
-        link_listen: ANY_PORT.to_owned(),
-        gossip_listen: ANY_PORT.to_owned(),
-        admin_listen: ANY_PORT.to_owned(),
-        platform: store.settings(),
-        ..NodeSettings::default()
-    }
-}
-
 async fn start_node(store: &SilentStore, delay: Duration) -> NodeHandle {
-    start(settings(store), delay).await
+    start(settings(store.settings()), Arc::new(Delay(delay))).await
 }
 
-async fn start(settings: NodeSettings, delay: Duration) -> NodeHandle {
-    dappleyard_node::start(settings, Arc::new(Delay(delay)))
-        .await
-        .unwrap()
-}
-
-async fn open_call(node: &NodeHandle, method: call::Method) -> ClientStream {
-    let hello = Hello {
-        protocol: PROTOCOL_VERSION,
-        id: "caller".to_owned(),
-        ..Hello::default()
-    };
+async fn call(node: &NodeHandle, method: call::Method) -> ClientStream {
     let settings = LinkSettings {
         connect_timeout: 2 * SLOW,
         idle_timeout: 4 * SLOW,
         ..LinkSettings::default()
     };
-    let direct = Arc::new(Delay(Duration::ZERO));
-    let link = Link::connect(node.link_address(), hello, &settings, direct).await;
-    let call = Call {
-        budget_ms: 10_000,
-        method: Some(method),
-    };
-    let stream = link.unwrap().open(frame::Body::Call(call)).unwrap();
+    let stream = open_call(&dial(node, &settings).await, method);
     tokio::time::sleep(ARRIVAL).await;
     stream
 }
@@ -103,7 +78,7 @@
     let store = SilentStore::start();
     let node = start_node(&store, SLOW).await;
     let models = call::Method::ListModels(ListModels::default());
-    let mut stream = open_call(&node, models).await;
+    let mut stream = call(&node, models).await;
     let stopping = actix_rt::spawn(node.stop());
     expect_that!(
         stream.receive().await,
@@ -123,7 +98,7 @@
         idempotency_key: "order-1".to_owned(),
         ..RecordBegin::default()
     };
-    let mut stream = open_call(&node, call::Method::RecordBegin(begin)).await;
+    let mut stream = call(&node, call::Method::RecordBegin(begin)).await;
     let stopping = actix_rt::spawn(node.stop());
     expect_that!(
         stream.receive().await,
@@ -168,10 +143,10 @@
 #[actix_rt::test]
 async fn admin_request_beyond_bound() {
     let store = SilentStore::start();
-    let mut settings = settings(&store);
+    let mut settings = settings(store.settings());
     settings.platform.call_timeout_ms = 10 * BOUND.as_millis() as u64;
     settings.stop_bound_ms = BOUND.as_millis() as u64;
-    let node = start(settings, Duration::ZERO).await;
+    let node = start(settings, Arc::new(Delay(Duration::ZERO))).await;
     let mut connection = TcpStream::connect(node.admin_address()).await.unwrap();
     let request = b"GET /admin/v1/plans HTTP/1.1\r\nHost: x\r\n\r\n";
     connection.write_all(request).await.unwrap();
