Calls about jobs are answered before a stopping process ends

What callers saw: a job submitted, read or ended late in a stop, while the store does not answer, would get no answer at all: the process ends with the call still waiting.

Cause: the end of the process bounds requests for servers and the reading of bodies, but calls about jobs had no bound except their own attempts at the store. Read in the code: a submission may take 1.5 s and one more call of up to 1.5 s, a read of results three attempts in up to three steps; from the close of the connections to the end of the process there are 2.4 s. Class: the end of a process was not tied to each kind of request.

The front waits for the reply until the process has to end, and then answers itself: 500 store_in_doubt to a submission or an end, which may have been written, 503 store_unavailable to reads. Not seen with a real process; a store that hangs during a stop was not played.

--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -140,12 +140,19 @@
         Err(refused) => return refuse(node, &facts.id, &refused),
     };
     let jobs = &data.jobs;
+    let unread = ErrorKind::StoreUnavailable;
     let reply = match endpoint {
         Endpoint::JobResults { job, from } => {
-            jobs.results(&caller, &job, from, facts.wait_ms).await
+            let reply = jobs.results(&caller, &job, from, facts.wait_ms);
+            reply_in_time(node, unread, reply).await
+        }
+        Endpoint::JobItem { job, item } => {
+            reply_in_time(node, unread, jobs.item(&caller, &job, &item)).await
+        }
+        Endpoint::JobEnd { job } => {
+            let ending = jobs.end(&caller, &job);
+            reply_in_time(node, ErrorKind::StoreInDoubt, ending).await
         }
-        Endpoint::JobItem { job, item } => jobs.item(&caller, &job, &item).await,
-        Endpoint::JobEnd { job } => jobs.end(&caller, &job).await,
         Endpoint::Ready | Endpoint::Resolve | Endpoint::Routed => {
             return not_found(node, "no call about a job");
         }
@@ -153,6 +160,20 @@
     job_response(node, reply)
 }
 
+/// Waits for the reply to a call about a job, until the process has to end: then the call is refused with `late`.
+async fn reply_in_time(
+    node: &Node,
+    late: ErrorKind,
+    reply: impl Future<Output = JobReply>,
+) -> JobReply {
+    let deadline = Deadline::new(
+        Instant::now() + DEFAULT_TIME_LIMIT,
+        node.process_end.clone(),
+    );
+    let reply = deadline.wait(reply).await;
+    reply.unwrap_or_else(|| JobReply::Refused(late, "no reply in time".to_owned()))
+}
+
 async fn peer_call(payload: web::Payload, data: &HandlerData) -> HttpResponse {
     match read_body(payload, DEFAULT_BODY_LIMIT).await {
         Ok(call) => HttpResponse::Ok().body((data.peers)(call).await),
@@ -242,7 +263,8 @@
         return refuse(&node, &facts.id, &refused);
     }
     if route.kind == RouteKind::Batch {
-        let reply = data.jobs.submit(&caller, &route, &facts, body).await;
+        let submitting = data.jobs.submit(&caller, &route, &facts, body);
+        let reply = reply_in_time(&node, ErrorKind::StoreInDoubt, submitting).await;
         return job_response(&node, reply);
     }
     let origin = match is_resumption(&route, &facts) {
