A request beside which another one crashed servers gets a retry

Items refused so are never run again.

Cause, a wrong inference: ends were counted against each request that ran on the server, also where its run had brought output and another request, which never brings any, crashed it. Such an end is explained by the other request. Each retry that ends a server is an end that is not explained, so that no request ends more than three servers that another one does not explain. A request all of whose ends came before output has no retry, as before.

--- a/crates/crashes/src/permits.rs
+++ b/crates/crashes/src/permits.rs
@@ -91,7 +91,31 @@
         now: Instant,
     ) -> Option<Duration> {
         let failures = &self.server_failures;
-        record.time_until_retry(feature, refused_features, failures, now)
+        let until_retry = record.time_until_retry(feature, refused_features, failures, now);
+        until_retry.filter(|_| self.may_be_innocent(feature, record))
+    }
+
+    /// Whether a refused feature may be innocent: a shared one, since it may have stood beside the cause each time; a
+    /// request that has run well before, since many callers may send it; and one beside which another feature crashed
+    /// servers.
+    fn may_be_innocent(&self, feature: &Feature, record: &Record) -> bool {
+        feature.is_shared()
+            || record.has_run_well()
+            || record.is_explained_by(
+                &self.servers_crashed_by_others(feature),
+                &self.server_failures,
+            )
+    }
+
+    /// Servers on which other refused features ended before they brought output.
+    fn servers_crashed_by_others(&self, feature: &Feature) -> HashSet<&str> {
+        let failures = &self.server_failures;
+        let others = self
+            .records
+            .iter()
+            .filter(|(other, record)| *other != feature && record.crashes_before_output(failures));
+        let ends = others.flat_map(|(_, record)| &record.ended);
+        ends.map(|end| end.server.as_str()).collect()
     }
 
     /// Reserves the retries of the refused features that a request shares with others, so that no two nodes begin one;
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -1,6 +1,6 @@
 //! Crash record of one feature, with merging of the records of other nodes. Pure; time is an argument.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
@@ -127,10 +127,9 @@
         self.counted_times(server_failures).len()
     }
 
-    /// Times of the ends that count, in order. Correlated ends after output do not count, up to [`MAX_EXCUSED`]. If a
-    /// request with the feature completed shortly before, it does not crash every server, so ends within one incident
-    /// count once.
-    fn counted_times(&self, server_failures: &ServerFailures) -> Vec<Instant> {
+    /// Ends that count, in the order in which this node learned of them. Correlated ends after output do not count, up to
+    /// [`MAX_EXCUSED`].
+    fn counted(&self, server_failures: &ServerFailures) -> Vec<&ServerEnd> {
         let own: Vec<&str> = self.ended.iter().map(|end| end.server.as_str()).collect();
         let mut excused = 0;
         let counts = |end: &&ServerEnd| {
@@ -140,7 +139,14 @@
             excused += usize::from(excuses);
             !excuses
         };
-        let mut times: Vec<Instant> = self.ended.iter().filter(counts).map(|end| end.at).collect();
+        self.ended.iter().filter(counts).collect()
+    }
+
+    /// Times of the ends that count, in order. If a request with the feature completed shortly before, it does not crash
+    /// every server, so ends within one incident count once.
+    fn counted_times(&self, server_failures: &ServerFailures) -> Vec<Instant> {
+        let counted = self.counted(server_failures);
+        let mut times: Vec<Instant> = counted.iter().map(|end| end.at).collect();
         times.sort_unstable();
         if self.served_before {
             times = incident_starts(times);
@@ -148,11 +154,35 @@
         times
     }
 
-    /// Time until a refused feature may be retried once, on one server, by a request with `refused_features` of them;
-    /// `None` if it may not. This is limited to features that may be innocent: requests that have completed or run for
-    /// long before, since many callers may send them or their servers may have ended one after the other, and shared
-    /// features, since they may have stood beside the cause each time. Requests with fewer refused features go first,
-    /// since they tell more about each.
+    /// Whether requests with the feature are refused, and crash servers before they bring output.
+    pub(crate) fn crashes_before_output(&self, server_failures: &ServerFailures) -> bool {
+        let has_output = self.ended.iter().any(|end| end.brought_output);
+        self.ended.len() >= MAX_ENDED_SERVERS
+            && !has_output
+            && self.counted_ends(server_failures) >= MAX_ENDED_SERVERS
+    }
+
+    /// Whether too few ends are left for a refusal without those after output on servers that another feature crashed.
+    pub(crate) fn is_explained_by(
+        &self,
+        crashed_servers: &HashSet<&str>,
+        server_failures: &ServerFailures,
+    ) -> bool {
+        let is_explained =
+            |end: &&ServerEnd| end.brought_output && crashed_servers.contains(end.server.as_str());
+        let counted = self.counted(server_failures).into_iter();
+        let unexplained = counted.filter(|end| !is_explained(end));
+        unexplained.count() < MAX_ENDED_SERVERS
+    }
+
+    /// Whether a request with the feature has completed or run for long, so that it does not crash every server.
+    pub(crate) fn has_run_well(&self) -> bool {
+        self.served_before || self.ran_long
+    }
+
+    /// Time until a refused feature that may be innocent may be retried once, on one server, by a request with
+    /// `refused_features` of them; `None` if its retries are used up. Requests with fewer refused features go first, since
+    /// they tell more about each.
     pub(crate) fn time_until_retry(
         &self,
         feature: &Feature,
@@ -160,12 +190,11 @@
         server_failures: &ServerFailures,
         now: Instant,
     ) -> Option<Duration> {
-        let may_be_innocent = feature.is_shared() || self.served_before || self.ran_long;
         let has_trials = self.used_trials(server_failures) < feature.max_trials()
             && self.ended.len() < MAX_ENDS_HELD;
         let delay = TRIAL_DELAY * refused_features;
         let since = now.saturating_duration_since(self.changed);
-        (may_be_innocent && has_trials).then(|| delay.saturating_sub(since))
+        has_trials.then(|| delay.saturating_sub(since))
     }
 
     /// Whether another node runs requests with the feature, or has reserved the next retry. Of two nodes that reserve it
