A node with an outdated crash record learns that it was cleared

Cause, knowledge that cannot be corrected: a clearing is told three times when it happens. A node that learns the refusal later, from a row that was not removed, keeps it for an hour. Its own messages with the lower epoch were ignored by all others.

One record for each outdated one, none while all agree.

--- a/crates/crashes/src/gossip.rs
+++ b/crates/crashes/src/gossip.rs
@@ -50,6 +50,7 @@
         if refresh {
             due.extend(self.next_refreshed());
             due.extend(self.running_suspects(max_records));
+            due.extend(self.next_outdated(max_records));
             due.sort_unstable();
             due.dedup();
         }
@@ -111,6 +112,13 @@
         running
     }
 
+    /// Features of which another node has an outdated record, as a node that has just begun may have. It repeats that if it
+    /// misses the answer.
+    fn next_outdated(&mut self, max_records: usize) -> Vec<Feature> {
+        let outdated = std::mem::take(&mut self.outdated_elsewhere).into_iter();
+        outdated.take(max_records).collect()
+    }
+
     /// The next refused features, or features that one more end would refuse, in round-robin order.
     fn next_refreshed(&mut self) -> Vec<Feature> {
         let from = self
--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -83,6 +83,8 @@
     /// Changed records, with the number of sends that remain.
     pub(crate) unsent: HashMap<Feature, u8>,
     pub(crate) last_refreshed: Option<Feature>,
+    /// Features that were cleared here, of which another node reported ends from before.
+    pub(crate) outdated_elsewhere: BTreeSet<Feature>,
     /// Features that were refused or cleared, which this node must still write to the store.
     unstored: BTreeSet<Feature>,
     /// Time until which nothing runs, because the refusals of other nodes are not known yet.
@@ -101,6 +103,7 @@
             server_failures: ServerFailures::default(),
             unsent: HashMap::new(),
             last_refreshed: None,
+            outdated_elsewhere: BTreeSet::new(),
             unstored: BTreeSet::new(),
             learning_until: None,
         }
@@ -299,6 +302,9 @@
         let observed = now.checked_sub(Duration::from_millis(report.age_ms));
         let record = self.records.entry(feature);
         let record = record.or_insert_with(|| Record::new(observed.unwrap_or(now)));
+        if report.epoch < record.epoch && !report.ended.is_empty() {
+            self.outdated_elsewhere.insert(feature);
+        }
         let (is_new, seen_here) = (record.merge(report, node_id, now), record.seen_here);
         for end in &record.ended {
             self.server_failures.note(&end.server, end.at);
--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -186,6 +186,24 @@
     expect_that!(ledger.begin(&request(1), "i-5", now), eq(Permit::Wait));
 }
 
+/// Guards against a node that goes on refusing a cleared request, because it read an old record when it started.
+#[gtest]
+fn outdated_node_learns() {
+    let (mut node_a, mut started, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    for number in 0..MAX_ENDED_SERVERS {
+        crash(&mut node_a, &request(1), &format!("i-{number}"), now);
+    }
+    apply(&mut started, &node_a.updates(false, 24, now), now);
+    node_a.note_served(&request(1), now);
+    // The clearing was told before the other node started.
+    let later = now + Duration::from_secs(60);
+    node_a.updates(true, 24, later);
+    expect_that!(started.permit(&request(1), later), eq(Permit::Refused));
+    apply(&mut node_a, &started.updates(true, 24, later), later);
+    apply(&mut started, &node_a.updates(true, 24, later), later);
+    expect_that!(started.permit(&request(1), later), eq(Permit::Free));
+}
+
 #[gtest]
 fn lost_updates_are_resent() {
     let (mut node_a, mut node_b, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
