A cleared refusal leaves the store, whoever clears it

Cause, a decision on one node's view: the node that cleared them had excused an end, since it knew of other servers that ended at the same time, so that to itself they were not refused, and it removed no row. The nodes that had stored them remove none when they learn of a clearing.

A node that clears a feature with three ended servers or more removes its row, whether or not it excuses some. The cost is one read of the store for a clearing of such a feature without a row.

--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -257,23 +257,22 @@
     }
 
     fn note_feature_served(&mut self, feature: &Feature, now: Instant) -> bool {
-        let was_refused = self.is_refused(feature);
         self.recently_served.note(*feature, now);
-        self.clear(feature, was_refused, now)
+        self.clear(feature, now)
     }
 
     /// Clears a feature on behalf of an operator; returns whether it was suspected.
     pub fn forgive(&mut self, feature: &Feature, now: Instant) -> bool {
-        let was_refused = self.is_refused(feature);
-        self.clear(feature, was_refused, now)
+        self.clear(feature, now)
     }
 
-    fn clear(&mut self, feature: &Feature, was_refused: bool, now: Instant) -> bool {
+    fn clear(&mut self, feature: &Feature, now: Instant) -> bool {
         let known = self.records.get_mut(feature);
         let Some(record) = known.filter(|record| !record.ended.is_empty()) else {
             return false;
         };
-        if was_refused {
+        // Another node may have stored a refusal, even if this one excuses some of the ends.
+        if record.ended.len() >= MAX_ENDED_SERVERS {
             self.unstored.insert(*feature);
         }
         record.clear(now);
--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -204,6 +204,27 @@
     expect_that!(started.permit(&request(1), later), eq(Permit::Free));
 }
 
+/// Guards against a stored refusal that outlives its clearing, since the node that clears it had excused an end.
+#[gtest]
+fn cleared_row_goes() {
+    let (mut node_a, mut node_b, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    let now = end_during_runs(&mut node_a, false, now);
+    expect_that!(node_a.next_unstored(now), some(anything()));
+    // The other node knows that two more servers ended together with the last of these.
+    for server in ["i-8", "i-9"] {
+        crash(
+            &mut node_b,
+            &request(2),
+            server,
+            now - Duration::from_secs(4),
+        );
+    }
+    apply(&mut node_b, &node_a.updates(false, 24, now), now);
+    expect_that!(node_b.permit(&request(1), now), not(eq(Permit::Refused)));
+    node_b.note_served(&request(1), now);
+    expect_that!(node_b.next_unstored(now), some(eq(&(feature(1), None))));
+}
+
 #[gtest]
 fn lost_updates_are_resent() {
     let (mut node_a, mut node_b, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
