A request that cannot end before its deadline is refused at once

Cause (admission): nothing asked whether a request can end. Admission and the choice of a server ask for the time to the first event only, and whether the deadline has passed already.

Fix: each node keeps how long whole answers took, by service and tokens to generate. A request that has not run is refused with 503 deadline_too_near once nine of ten like it needed longer than is left: at its coming, after a failed attempt, and at each look while it waits. There is a Retry-After only where the caller's own deadline leaves time. Nothing is refused while fewer than 40 answers are known; resumptions and runs that may have begun are exempt. The same function answers for a stop, as before.

Checks changed: request_that_fits asks the same four questions by the new signature. The soak's "a refusal names a time to come back" lets deadline_too_near name none, and only if the caller has under half of its deadline left: coming back cannot help there. All other refusals are checked as before.

--- a/crates/ingress/src/admission.rs
+++ b/crates/ingress/src/admission.rs
@@ -7,7 +7,9 @@
 use dappleyard_tenants::{Caller, KeyRefusal};
 
 use crate::capacity::{CapacityForecast, MIN_RETRY_DELAY};
+use crate::completion::DeadlineTooNear;
 use crate::crashes::refusal_detail;
+use crate::dispatch::Request;
 use crate::error_kind::ErrorKind;
 use crate::node::Node;
 
@@ -53,6 +55,17 @@
             ..Self::new(ErrorKind::NoRoomInTime, "no slot in time")
         }
     }
+
+    /// Refusal of a request that cannot end before its deadline.
+    pub(crate) fn deadline_too_near(request: &Request, too_near: &DeadlineTooNear) -> Self {
+        let retry_after = too_near.retry_after;
+        let (left, age) = (request.remaining(), request.arrived.elapsed());
+        let detail = format!("{} ms left after {} ms", left.as_millis(), age.as_millis());
+        Self {
+            retry_after_ms: retry_after.map(|after| after.as_millis() as u64),
+            ..Self::new(ErrorKind::DeadlineTooNear, detail)
+        }
+    }
 }
 
 /// Identifies the sender of a request for a route.
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -15,6 +15,7 @@
 use http::{HeaderMap, Method};
 
 use crate::attempt::{Exchange, Ran, Upstreams};
+use crate::completion::{DeadlineTooNear, check_deadline};
 use crate::deadline::Deadline;
 use crate::error_kind::{ErrorKind, promises_not_run};
 use crate::placement::PromptShape;
@@ -86,6 +87,8 @@
     Failed(Failed),
     /// The request would miss its target; the client should retry after this delay.
     Late(Duration),
+    /// The request cannot end before its deadline.
+    DeadlineTooNear(DeadlineTooNear),
     /// The request is refused, because servers crashed while they ran such requests.
     Refused(ErrorKind, RefusedFeature),
     /// No server served the request.
@@ -184,6 +187,9 @@
         if request.remaining().is_zero() || !request.may_run_again() {
             return Dispatched::GaveUp(request.failure_kind());
         }
+        if let Err(too_near) = check_deadline(&node, request) {
+            return Dispatched::DeadlineTooNear(too_near);
+        }
         if let Some(refused) = node.crashes.refusal(&request.features) {
             return Dispatched::Refused(request.refusal_kind(&refused), refused);
         }
@@ -196,6 +202,9 @@
             Ok(placement) => placement,
             Err(Unplaced::NoServer) => return Dispatched::GaveUp(request.failure_kind()),
             Err(Unplaced::Late { retry_after }) => return Dispatched::Late(retry_after),
+            Err(Unplaced::DeadlineTooNear(too_near)) => {
+                return Dispatched::DeadlineTooNear(too_near);
+            }
         };
         if let Some(run) = start_run(upstreams, request, placement, last_event_id).await
             && let Some(dispatched) = finish_dispatch(upstreams, request, run, last_event_id).await
--- a/crates/ingress/src/error_kind.rs
+++ b/crates/ingress/src/error_kind.rs
@@ -52,6 +52,9 @@
     /// No slot will be free in time for the request's target; it did not run.
     #[display("no_room_in_time")]
     NoRoomInTime,
+    /// Requests like it take longer than the time to its deadline; it did not run.
+    #[display("deadline_too_near")]
+    DeadlineTooNear,
     /// All eligible servers are in evacuated zones; the request did not run.
     #[display("zones_evacuated")]
     ZonesEvacuated,
@@ -120,6 +123,7 @@
             | ErrorKind::OverShare
             | ErrorKind::NoServer
             | ErrorKind::NoRoomInTime
+            | ErrorKind::DeadlineTooNear
             | ErrorKind::ZonesEvacuated
             | ErrorKind::HomesCannotServe
             | ErrorKind::ExpiredBeforeRun
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -259,7 +259,7 @@
         return refuse(&node, &facts.id, &refused);
     };
     let time_limit = time_limit(&route, &facts);
-    if let Err(refused) = check_time_left(&node, &service, time_limit) {
+    if let Err(refused) = check_time_left(&node, &service, facts.tokens_out, time_limit) {
         return refuse(&node, &facts.id, &refused);
     }
     node.capacities.adopt(&configuration);
@@ -334,6 +334,12 @@
             refund_quota(&node, &request);
             refuse(&node, &request.facts.id, &Refusal::no_room(retry_after))
         }
+        Dispatched::DeadlineTooNear(too_near) => {
+            disconnect_logger.end();
+            refund_quota(&node, &request);
+            let refused = Refusal::deadline_too_near(&request, &too_near);
+            refuse(&node, &request.facts.id, &refused)
+        }
         Dispatched::Refused(kind, refused) => {
             disconnect_logger.end();
             refund_quota(&node, &request);
--- a/crates/ingress/src/late_requests.rs
+++ b/crates/ingress/src/late_requests.rs
@@ -8,6 +8,7 @@
 
 use crate::admission::Refusal;
 use crate::caller_connection::CallerConnection;
+use crate::completion::{ExpectedDuration, TimeLimit, can_finish};
 use crate::deadline::Deadline;
 use crate::error_kind::ErrorKind;
 use crate::metrics::Metrics;
@@ -15,7 +16,6 @@
 use crate::refusals::refuse;
 use crate::request_body::{body_limit, read_declared_body};
 use crate::responses::header_map;
-use crate::shutdown::can_finish;
 
 /// Time for which the body of a refused request is still read.
 const REFUSED_BODY_TIME: Duration = Duration::from_secs(1);
@@ -51,12 +51,18 @@
     refuse(node, &facts.id, &refused)
 }
 
-/// Refuses a request that is not expected to end before the process does. `limit` is its own time limit.
-pub(crate) fn check_time_left(node: &Node, service: &str, limit: Duration) -> Result<(), Refusal> {
+/// Refuses a request that is not expected to end before the process does. `deadline` is the time until its own.
+pub(crate) fn check_time_left(
+    node: &Node,
+    service: &str,
+    tokens_out: u32,
+    deadline: Duration,
+) -> Result<(), Refusal> {
     let Some(time_left) = node.process_end.time_left() else {
         return Ok(());
     };
-    match can_finish(time_left, limit, node.capacities.hold_time(service)) {
+    let expected = ExpectedDuration::of(node, service, tokens_out);
+    match can_finish(time_left, TimeLimit::ProcessEnd { deadline }, &expected) {
         true => Ok(()),
         false => Err(Refusal::new(ErrorKind::Stopping, "the node stops too soon")),
     }
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -16,7 +16,7 @@
 use crate::metrics::Metrics;
 use crate::node::{DisconnectLogger, InFlightGuard};
 use crate::response_buffer::{BufferedResponse, StallFlag};
-use crate::resumption;
+use crate::resumption::{self, is_resumption};
 use crate::runs::PendingRun;
 use crate::silence::Waited;
 use crate::silence_limits::SilenceLimits;
@@ -266,6 +266,12 @@
                 let hold_time = started.sent.elapsed();
                 node.capacities
                     .record_hold_time(&self.request.service, hold_time);
+                if !is_resumption(&self.request.route, &self.request.facts) {
+                    let (service, tokens_out) =
+                        (&self.request.service, self.request.facts.tokens_out);
+                    node.response_times
+                        .record_duration(service, tokens_out, hold_time);
+                }
             }
             let server = started.exchange.server.id.clone();
             self.upstreams.release(started.exchange);
@@ -337,6 +343,10 @@
                 ));
                 Err(TruncatedResponse)
             }
+            Dispatched::DeadlineTooNear(_) => {
+                self.log_truncated(&ErrorKind::DeadlineTooNear.to_string());
+                Err(TruncatedResponse)
+            }
             Dispatched::Late(_) => {
                 self.log_truncated(&ErrorKind::NoRoomInTime.to_string());
                 Err(TruncatedResponse)
--- a/crates/ingress/src/response_times.rs
+++ b/crates/ingress/src/response_times.rs
@@ -19,6 +19,8 @@
 /// Maximum timeout, also used while there are too few samples.
 const MAX_TIMEOUT: Duration = Duration::from_millis(900);
 const QUANTILE: f64 = 0.99;
+/// Quantile that few requests stay below.
+const LOW_QUANTILE: f64 = 0.1;
 /// Factor on the quantile, so that slow responses are not cut off by a timeout learned from fast
 /// ones.
 const SAFETY_FACTOR: f64 = 2.0;
@@ -31,6 +33,15 @@
 /// Number of buckets, which cover 1 ms to 16 s.
 const BUCKETS: usize = 57;
 
+/// Range in which most durations of a histogram lie.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DurationRange {
+    /// Nine of ten took longer.
+    pub low: Duration,
+    /// One of a hundred took longer.
+    pub high: Duration,
+}
+
 /// Histogram of durations over the current and the previous window.
 #[derive(Debug, Clone)]
 pub struct LatencyHistogram {
@@ -88,6 +99,17 @@
         Some(Duration::from_secs_f64(ms / 1_000.0))
     }
 
+    /// Range of the durations, widened to whole buckets, or `None` with too few samples in the last windows.
+    pub fn range(&mut self, now: Instant) -> Option<DurationRange> {
+        self.rotate(now);
+        let low = self.quantile_bucket(LOW_QUANTILE)?;
+        let high = self.quantile_bucket(QUANTILE)?;
+        Some(DurationRange {
+            low: bucket_start(low),
+            high: bucket_start(high + 1),
+        })
+    }
+
     /// Bucket that contains the quantile, or `None` with too few samples.
     fn quantile_bucket(&self, quantile: f64) -> Option<usize> {
         let counts = self.current.iter().zip(&self.previous);
@@ -106,7 +128,13 @@
     }
 }
 
-/// Groups prompts by length, in steps of a factor of four.
+/// Shortest duration in a bucket.
+fn bucket_start(bucket: usize) -> Duration {
+    let ms = (bucket as f64 / BUCKETS_PER_DOUBLING).exp2();
+    Duration::from_secs_f64(ms / 1_000.0)
+}
+
+/// Groups requests by the length of their prompts or responses, in steps of a factor of four.
 fn size_class(tokens: u32) -> u32 {
     tokens.max(64).ilog2() / 2
 }
@@ -118,6 +146,8 @@
     gaps: Mutex<HashMap<String, LatencyHistogram>>,
     /// Gaps between events, divided by the slowdown that the server reports.
     normalized_gaps: Mutex<HashMap<String, LatencyHistogram>>,
+    /// By the number of tokens to generate.
+    durations: Mutex<HashMap<(String, u32), LatencyHistogram>>,
 }
 
 impl ResponseTimes {
@@ -153,6 +183,23 @@
         histogram.median()
     }
 
+    /// Records the time from sending a request to the end of its whole response.
+    pub fn record_duration(&self, service: &str, tokens_out: u32, elapsed: Duration) {
+        let key = (service.to_owned(), size_class(tokens_out));
+        let mut times = self.durations.lock();
+        times
+            .entry(key)
+            .or_default()
+            .record(elapsed, Instant::now());
+    }
+
+    /// Range of the durations of requests like one, or `None` with too few samples.
+    pub fn duration_range(&self, service: &str, tokens_out: u32) -> Option<DurationRange> {
+        let mut times = self.durations.lock();
+        let histogram = times.get_mut(&(service.to_owned(), size_class(tokens_out)))?;
+        histogram.range(Instant::now())
+    }
+
     /// Timeout for the first event, after which a repeatable request is sent to another server.
     pub fn first_event_timeout(&self, service: &str, tokens: u32) -> Duration {
         let times = self.first.lock();
--- a/crates/ingress/src/server_selection.rs
+++ b/crates/ingress/src/server_selection.rs
@@ -13,6 +13,7 @@
 use crate::attempt::Upstreams;
 use crate::capacity::{self, WaitState};
 use crate::cold_limit::ColdLimit;
+use crate::completion::{DeadlineTooNear, check_deadline};
 use crate::crashes::last_run_server;
 use crate::dispatch::Request;
 use crate::home_regions::candidate_servers;
@@ -51,6 +52,8 @@
         /// Suggested retry delay.
         retry_after: Duration,
     },
+    /// The request cannot end before its deadline.
+    DeadlineTooNear(DeadlineTooNear),
 }
 
 /// Selects the server for the next attempt, waiting for a slot if necessary. A stream that has
@@ -68,8 +71,7 @@
     {
         return found;
     }
-    let found = select_by_urgency(upstreams, request, starts).await;
-    found.ok_or(Unplaced::NoServer)
+    select_by_urgency(upstreams, request, starts).await
 }
 
 /// Selection with load shedding: requests that would miss their target are refused. Returns `None`
@@ -82,6 +84,9 @@
     let mut waiting = None;
     let mut wait_state = WaitState::default();
     loop {
+        if let Err(too_near) = check_deadline(node, request) {
+            return Some(Err(Unplaced::DeadlineTooNear(too_near)));
+        }
         let admission = capacity::decide(node, request, wait_state)?;
         let (interval, counted) = match admission {
             Admission::Refuse { retry_after } => return Some(Err(Unplaced::Late { retry_after })),
@@ -128,19 +133,20 @@
     upstreams: &Upstreams,
     request: &Request,
     starts: bool,
-) -> Option<Placement> {
+) -> Result<Placement, Unplaced> {
     let patience = Duration::from_millis(request.route.patience_ms);
     let target = request.route.first_event_target();
     loop {
         let remaining = request.remaining();
         if remaining.is_zero() {
             // Nothing will be sent, so the client may be told that the request did not run.
-            return None;
+            return Err(Unplaced::NoServer);
         }
+        check_deadline(upstreams.node(), request).map_err(Unplaced::DeadlineTooNear)?;
         let urgency = urgency(request.arrived.elapsed(), target, patience);
         let Some(placement) = select_now(upstreams, request) else {
             if urgency == Urgency::Due || !is_cold_limited(upstreams, request) {
-                return None;
+                return Err(Unplaced::NoServer);
             }
             tokio::time::sleep(CHECK_INTERVAL.min(remaining)).await;
             continue;
@@ -151,7 +157,7 @@
         let admitted = overcommit.admits(urgency, placement.mean_excess, rand::random());
         if !starts || idle || admitted {
             log_placed(upstreams, request, &placement);
-            return Some(placement);
+            return Ok(placement);
         }
         // Jitter, so that waiting requests do not all find the same free slot.
         let pause = CHECK_INTERVAL.mul_f64(rand::random_range(0.5..1.5));
--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -10,11 +10,6 @@
 
 /// Time after the gate is closed in which a head that has begun may become complete.
 const HEAD_TIME: Duration = Duration::from_millis(300);
-/// Time that a request is expected to need at least.
-const MIN_REQUEST_TIME: Duration = Duration::from_millis(2_000);
-/// A request is expected to take up to this many times the mean of its service.
-const MEAN_HOLD_TIMES: u32 = 2;
-
 /// When requests must have ended because the process stops; unknown until it is asked to.
 #[derive(Debug, Clone, Default)]
 pub struct ProcessEnd(Arc<OnceLock<Instant>>);
@@ -37,13 +32,6 @@
     }
 }
 
-/// Whether a request is expected to end in the time that a stopping process has left. `limit` is the request's own time
-/// limit, `mean_hold_time` how long requests of its service take.
-pub fn can_finish(time_left: Duration, limit: Duration, mean_hold_time: Duration) -> bool {
-    let expected = MIN_REQUEST_TIME.max(mean_hold_time * MEAN_HOLD_TIMES);
-    limit.min(expected) <= time_left
-}
-
 /// Closes the listeners and all connections, each once the request on it is answered. Returns whether none is left;
 /// some may be left at `last`. No request can begin after this, unless one is left.
 pub async fn close_connections(
--- /dev/null
+++ b/crates/ingress/tests/completion.rs
@@ -0,0 +1,49 @@
+//! Whether a request can end in the time that it has left.
+
+use std::time::Duration;
+
+use dappleyard_clock::Instant;
+use dappleyard_ingress::{
+    DurationRange, ExpectedDuration, LatencyHistogram, TimeLimit, can_finish,
+};
+use googletest::prelude::*;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+const RANGE: DurationRange = DurationRange {
+    low: ms(200),
+    high: ms(7_000),
+};
+
+/// Guards against requests that are run although nearly all like them take longer than their deadline.
+#[gtest]
+fn near_deadline() {
+    let known = ExpectedDuration {
+        mean: ms(600),
+        range: Some(RANGE),
+    };
+    expect_that!(can_finish(ms(199), TimeLimit::Deadline, &known), eq(false));
+    // It is below the mean: some such requests end in time.
+    expect_that!(can_finish(ms(200), TimeLimit::Deadline, &known), eq(true));
+    let unknown = ExpectedDuration {
+        range: None,
+        ..known
+    };
+    expect_that!(can_finish(ms(1), TimeLimit::Deadline, &unknown), eq(true));
+}
+
+/// Guards against refusals by durations that are few or long past.
+#[gtest]
+fn range_of_recent() {
+    let now = Instant::now();
+    let mut times = LatencyHistogram::default();
+    (0..39).for_each(|_| times.record(ms(200), now));
+    expect_that!(times.range(now), none());
+    times.record(ms(5_000), now);
+    let range = times.range(now).expect("enough samples");
+    expect_that!(range.low, all![gt(ms(160)), le(ms(200))]);
+    expect_that!(range.high, all![gt(ms(5_000)), le(ms(6_000))]);
+    expect_that!(times.range(now + ms(40_000)), none());
+}
--- a/crates/ingress/tests/shutdown.rs
+++ b/crates/ingress/tests/shutdown.rs
@@ -8,7 +8,9 @@
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpResponse, web};
 use dappleyard_clock::Instant;
-use dappleyard_ingress::{ConnectionGate, can_finish, close_connections, listen, serve};
+use dappleyard_ingress::{
+    ConnectionGate, ExpectedDuration, TimeLimit, can_finish, close_connections, listen, serve,
+};
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -175,12 +177,16 @@
 /// Guards against requests that a stopping node accepts and then has to cut.
 #[gtest]
 fn request_that_fits() {
+    let expected = |mean| ExpectedDuration { mean, range: None };
+    let fits = |left, deadline, mean| {
+        can_finish(left, TimeLimit::ProcessEnd { deadline }, &expected(mean))
+    };
     let (short, long) = (Duration::from_millis(200), Duration::from_secs(4));
     let (limit, left) = (Duration::from_secs(5), Duration::from_millis(2_300));
-    expect_that!(can_finish(left, limit, short), eq(true));
-    expect_that!(can_finish(left, limit, long), eq(false));
-    expect_that!(can_finish(left, short, long), eq(true));
-    expect_that!(can_finish(Duration::from_secs(1), limit, short), eq(false));
+    expect_that!(fits(left, limit, short), eq(true));
+    expect_that!(fits(left, limit, long), eq(false));
+    expect_that!(fits(left, short, long), eq(true));
+    expect_that!(fits(Duration::from_secs(1), limit, short), eq(false));
 }
 
 #[gtest]
--- a/scripts/soak_lib/callers.py
+++ b/scripts/soak_lib/callers.py
@@ -87,8 +87,9 @@
             self.record_violation("a key that is held is known", f"{request} at {node.name}")
         if status not in (429, 503):
             return status
-        delay_s = self.retry_delay(request, node, body, response_headers)
-        budget_s -= time.time() - begun + delay_s
+        budget_s -= time.time() - begun
+        delay_s = self.retry_delay(request, node, body, response_headers, budget_s)
+        budget_s -= delay_s
         retries = self.sheds_load and api_key == "calm-1" and delay_s <= DEADLINE_S * MAX_RETRY_DELAY_FRACTION
         if not retries or request.endswith("-again") or self.stopping.wait(delay_s):
             return status
@@ -102,8 +103,8 @@
         if len(versions) > 1:
             self.record_violation("a text holds one software version's events", f"{where}: {versions}")
 
-    def retry_delay(self, request, node, body, response_headers):
-        """Returns the delay that a refusal advertises."""
+    def retry_delay(self, request, node, body, response_headers, left_s=DEADLINE_S):
+        """Returns the delay that a refusal advertises, to a caller with `left_s` to its deadline."""
         retry_after = response_headers.get("Retry-After")
         try:
             error = json.loads(body)["error"]
@@ -112,6 +113,8 @@
         self.count(f"refused, {error}")
         if error in LOAD_SHEDDING_ERRORS and not self.sheds_load:
             self.record_violation("load is shed where settings ask for it", f"{request} at {node.name}: {error}")
+        if error == "deadline_too_near" and retry_after is None and left_s < USELESS_RETURN_S:
+            return DEADLINE_S
         try:
             return max(float(retry_after), 0.01)
         except (TypeError, ValueError):
--- a/scripts/soak_lib/constants.py
+++ b/scripts/soak_lib/constants.py
@@ -63,4 +63,6 @@
 FINAL_ERRORS = {"stream_origin_gone", "stream_origin_unknown"}
 # Resumptions from which their share is judged, and the smallest ratio of it to the share of new streams that begin.
 MIN_RESUMPTIONS, MIN_RESUMED_RATIO = 12, 0.5
+# Time to the deadline below which a refusal as `deadline_too_near` may name no time to come back.
+USELESS_RETURN_S = DEADLINE_S / 2
 LOAD_SHEDDING_ERRORS = {"over_share", "no_room_in_time"}
--- a/scripts/soak_lib/kept.py
+++ b/scripts/soak_lib/kept.py
@@ -150,7 +150,8 @@
         if exchange.status in NOT_RUN_STATUSES and kind in ("chat", "order"):
             self.refused_ids.add(request)
         if exchange.status in (429, 503):
-            delay_s = self.retry_delay(request, node, exchange.body, exchange.headers)
+            delay_s = self.retry_delay(request, node, exchange.body, exchange.headers,
+                                       DEADLINE_S - (exchange.ended_at - exchange.sent_at))
             self.stopping.wait(min(delay_s, MAX_REFUSED_WAIT_S))
 
     # --- requests at chosen times of a stop
