A link ends with its sending side and reads on until its peer has closed

Callers on a slow path could lose the end of an answer at a planned stop of a node: it had been flushed, and the connection was reset.

Cause: at the end of a stop the node's threads were killed, which closes the sockets of links. The kernel resets a connection that is closed while received bytes (pings, requests) stand unread, and drops what it has not yet sent. Class: the end of a process was not tied to the arrival of answers.

Once all answers are flushed and outcomes recorded, the workers end their links: no further frame is queued, the sending side is closed, and what comes in is read until the peer has closed its own, for 1 s at most and within the stop bound. A link that this process gives up ends in the same way; a connection without Hello is closed at once.

--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -8,7 +8,7 @@
 use dappleyard_online::OnlineShared;
 use dappleyard_tables::{Lifecycle, NodeTables};
 use dappleyard_transport::RequestGate;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::control::LeaveRequest;
 use crate::start::DrainRequest;
@@ -33,6 +33,8 @@
     pub admin: ServerHandle,
     pub leave: mpsc::UnboundedSender<LeaveRequest>,
     pub drain: mpsc::UnboundedSender<DrainRequest>,
+    /// Ends the links; closed once the workers' links have ended.
+    pub end_links: watch::Sender<bool>,
 }
 
 pub struct NodeHandle {
@@ -64,8 +66,8 @@
     }
 
     /// Stops the node gracefully: refuses new work, lets active streams finish, releases chunks,
-    /// announces the departure, admits nothing more on its links, and ends once every answer is
-    /// flushed. Returns `false` when the time bound was reached before that.
+    /// announces the departure, admits nothing more on its links, and ends them once every answer
+    /// is flushed. Returns `false` when the time bound was reached before that.
     pub async fn stop(self) -> bool {
         let deadline = Instant::now() + Duration::from_millis(self.parts.stop_bound_ms);
         self.parts.gate.drain();
@@ -96,6 +98,9 @@
                 "stop bound reached; unfinished answers were cut"
             );
         }
+        self.parts.end_links.send_replace(true);
+        let rest = deadline.saturating_duration_since(Instant::now());
+        let _ = tokio::time::timeout(rest, self.parts.end_links.closed()).await;
         self.parts.tables.lifecycle.send_replace(Lifecycle::Stopped);
         threads::kill(&self.arbiters);
         // The gate has counted operators' requests; this writes the last answers.
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -35,6 +35,8 @@
     pub link_metrics: Arc<LinkMetrics>,
     /// Admits streams until the node closes.
     pub gate: Arc<RequestGate>,
+    /// Becomes true when the links end; a worker drops it when its links have ended.
+    pub end_links: watch::Receiver<bool>,
 }
 
 impl RequestContext {
@@ -46,11 +48,15 @@
     }
 }
 
-/// Runs a worker on this thread until the thread ends.
+/// Runs a worker on this thread until its links have ended.
 pub async fn run(context: RequestContext, listener: StdTcpListener) -> std::io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
     let handler = stream_handler(&context);
+    let mut end_links = context.end_links.clone();
+    let ending = async {
+        let _ = end_links.wait_for(|end| *end).await;
+    };
     let server = Rc::new(LinkServer {
         settings: context.link_settings(),
         hello: context.hello,
@@ -58,7 +64,8 @@
         announcement: context.announcement,
         gate: context.gate,
     });
-    server.serve(listener, handler).await
+    server.serve_until(ending, listener, handler).await;
+    Ok(())
 }
 
 fn stream_handler(context: &RequestContext) -> Rc<dyn Fn(ServerStream)> {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -55,8 +55,10 @@
     if let Err(error) = link_metrics.register(&tables.metrics) {
         tracing::warn!(%error, "link metrics could not be registered");
     }
+    let (end_links, links_ending) = watch::channel(false);
     let request = RequestContext {
         link_metrics,
+        end_links: links_ending,
         gate: RequestGate::new(),
         hello: hello(&tables),
         shared: OnlineShared::new(&settings.online, &tables),
@@ -103,6 +105,7 @@
         admin,
         leave,
         drain,
+        end_links,
     }))
 }
 
--- a/crates/transport/src/link/client.rs
+++ b/crates/transport/src/link/client.rs
@@ -116,7 +116,8 @@
                     let _ = streams.deliver(received.stream, body, size);
                 }
             };
-            session.run(connection, queue, on_frame).await;
+            let ending = std::future::pending();
+            session.run(connection, queue, ending, on_frame).await;
             lost_sender.send_replace(true);
             streams.clear();
         });
--- a/crates/transport/src/link/server.rs
+++ b/crates/transport/src/link/server.rs
@@ -17,7 +17,7 @@
 use super::LinkError;
 use super::announce::{Announcement, announce};
 use super::outgoing::Outgoing;
-use super::session::{FramedConnection, Session, send_now};
+use super::session::{END_TIMEOUT, FramedConnection, Session, send_now};
 use super::settings::LinkSettings;
 use super::stream::{Delivery, StreamReceiver, StreamTable};
 use crate::gate::{RequestGate, RequestGuard};
@@ -105,11 +105,27 @@
         listener: TcpListener,
         handler: Rc<dyn Fn(ServerStream)>,
     ) -> std::io::Result<()> {
+        let never = std::future::pending();
+        self.serve_until(never, listener, handler).await;
+        Ok(())
+    }
+
+    /// Serves until `ending` resolves; then ends each link once its queued frames are sent, and returns
+    /// when the peers have closed their sides, or after [`END_TIMEOUT`].
+    pub async fn serve_until(
+        self: Rc<Self>,
+        ending: impl Future<Output = ()>,
+        listener: TcpListener,
+        handler: Rc<dyn Fn(ServerStream)>,
+    ) {
+        let end = watch::Sender::new(false);
         let mut links = JoinSet::new();
+        let mut ending = std::pin::pin!(ending);
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 Some(_) = links.join_next() => continue,
+                () = &mut ending => break,
             };
             match accepted {
                 Ok(_) if links.len() >= self.settings.maximum_links => {
@@ -117,7 +133,8 @@
                 }
                 Ok((socket, from)) => {
                     let (server, handler) = (self.clone(), handler.clone());
-                    links.spawn_local(server.serve_link(socket, from, handler));
+                    let end = end.subscribe();
+                    links.spawn_local(server.serve_link(socket, from, handler, end));
                 }
                 Err(error) => {
                     tracing::warn!(%error, "failed to accept a link");
@@ -125,6 +142,10 @@
                 }
             }
         }
+        drop(listener);
+        end.send_replace(true);
+        let ended = async { while links.join_next().await.is_some() {} };
+        let _ = tokio::time::timeout(END_TIMEOUT, ended).await;
     }
 
     async fn serve_link(
@@ -132,10 +153,15 @@
         socket: TcpStream,
         from: SocketAddr,
         handler: Rc<dyn Fn(ServerStream)>,
+        end: watch::Receiver<bool>,
     ) {
         let _ = socket.set_nodelay(true);
         let mut connection = Framed::new(socket, self.settings.codec());
-        let peer = match self.exchange_hello(&mut connection).await {
+        let hello = tokio::select! {
+            hello = self.exchange_hello(&mut connection) => hello,
+            () = wait_for_end(end.clone()) => return,
+        };
+        let peer = match hello {
             Ok(peer) => Rc::new(peer),
             Err(reason) => {
                 self.settings.metrics.count_rejected(reason);
@@ -159,7 +185,8 @@
             peer: &peer.id,
         };
         let on_frame = |received: Frame, size: usize| accepted.receive(received, size);
-        session.run(connection, queue, on_frame).await;
+        let ending = wait_for_end(end);
+        session.run(connection, queue, ending, on_frame).await;
         announce_task.abort();
         accepted.streams.clear();
     }
@@ -259,6 +286,10 @@
     }
 }
 
+async fn wait_for_end(mut end: watch::Receiver<bool>) {
+    let _ = end.wait_for(|ended| *ended).await;
+}
+
 /// Whether earlier attempts of a submission ran.
 fn ran_before(first: &frame::Body) -> Ran {
     match first {
--- a/crates/transport/src/link/session.rs
+++ b/crates/transport/src/link/session.rs
@@ -6,7 +6,7 @@
 use dappleyard_clock::Instant;
 use dappleyard_wire::messages::{Frame, Ping, frame};
 use futures::stream::{SplitSink, SplitStream};
-use futures::{SinkExt, StreamExt};
+use futures::{FutureExt, SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -22,6 +22,9 @@
 /// Polling interval while the path is partitioned.
 const PARTITION_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time for the peer to read what was sent and to close its side.
+pub(super) const END_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Why a connection was closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CloseReason {
@@ -65,31 +68,49 @@
 }
 
 impl Session<'_> {
-    /// Sends and receives frames until the connection ends; `on_frame` is called with each received
-    /// frame and its size in bytes.
+    /// Sends and receives frames until the connection ends, or until `ending` resolves and all queued
+    /// frames are sent; `on_frame` is called with each received frame and its size in bytes.
     pub async fn run(
         &self,
         connection: FramedConnection,
         queue: OutgoingQueue,
+        ending: impl Future<Output = ()>,
         on_frame: impl Fn(Frame, usize),
     ) {
         let metrics = &self.settings.metrics;
         metrics.open.inc();
-        let (sink, source) = connection.split();
+        let (mut sink, mut source) = connection.split();
         let state = queue.state.clone();
         let reason = tokio::select! {
-            reason = self.send_all(sink, queue) => reason,
-            reason = self.receive_all(source, on_frame) => reason,
+            reason = self.send_all(&mut sink, queue, ending) => reason,
+            reason = self.receive_all(&mut source, &on_frame) => reason,
             reason = state.wait_closed() => reason,
         };
         metrics.open.dec();
         metrics.count_closed(reason.name());
+        if reason == CloseReason::LocalEnd {
+            let ended = self.end(&mut sink, &mut source, &on_frame);
+            let _ = tokio::time::timeout(END_TIMEOUT, ended).await;
+        }
+    }
+
+    /// Closes the sending side and reads on until the peer has closed its own: a socket that is closed
+    /// while received bytes stand unread resets the connection, and what was flushed may be lost.
+    async fn end(
+        &self,
+        sink: &mut SplitSink<FramedConnection, Bytes>,
+        source: &mut SplitStream<FramedConnection>,
+        on_frame: &impl Fn(Frame, usize),
+    ) {
+        if sink.close().await.is_ok() {
+            self.receive_all(source, on_frame).await;
+        }
     }
 
     async fn receive_all(
         &self,
-        mut source: SplitStream<FramedConnection>,
-        on_frame: impl Fn(Frame, usize),
+        source: &mut SplitStream<FramedConnection>,
+        on_frame: &impl Fn(Frame, usize),
     ) -> CloseReason {
         loop {
             let next = tokio::time::timeout(self.settings.idle_timeout, source.next()).await;
@@ -112,12 +133,14 @@
     }
 
     /// Writes queued frames in order, each after the path's delay; pauses while the path is
-    /// partitioned.
+    /// partitioned. Takes no further frames once `ending` has resolved.
     async fn send_all(
         &self,
-        mut sink: SplitSink<FramedConnection, Bytes>,
+        sink: &mut SplitSink<FramedConnection, Bytes>,
         mut queue: OutgoingQueue,
+        ending: impl Future<Output = ()>,
     ) -> CloseReason {
+        let mut ending = std::pin::pin!(ending.fuse());
         let mut pings = tokio::time::interval(self.settings.ping_interval);
         let mut unflushed = Vec::new();
         loop {
@@ -128,18 +151,22 @@
                     Some(queued) => queued,
                     None => return CloseReason::LocalEnd,
                 },
+                () = &mut ending => {
+                    queue.frames.close();
+                    continue;
+                }
                 _ = pings.tick() => self.ping(),
             };
             let mut next = Some(queued);
             while let Some(queued) = next {
                 let size = queued.bytes.len();
-                if let Err(reason) = self.write(&mut sink, queued, &mut unflushed).await {
+                if let Err(reason) = self.write(sink, queued, &mut unflushed).await {
                     return reason;
                 }
                 queue.state.written(size);
                 next = queue.frames.try_recv().ok();
             }
-            if let Err(reason) = self.flush(&mut sink, &mut unflushed).await {
+            if let Err(reason) = self.flush(sink, &mut unflushed).await {
                 return reason;
             }
         }
--- a/crates/transport/tests/hostile_peer.rs
+++ b/crates/transport/tests/hostile_peer.rs
@@ -6,39 +6,19 @@
 use std::time::Duration;
 
 use dappleyard_transport::link::ServerStream;
-use dappleyard_wire::messages::{Cancel, Frame, frame};
+use dappleyard_wire::messages::{Cancel, frame};
 use googletest::prelude::*;
-use prost::Message;
-use support::{TestServer, chunk, echo_server, hello, serve, settings, submit, wait_until};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use support::{
+    RawPeer, TestServer, chunk, echo_server, encode_frame, hello, serve, settings, submit,
+    wait_until,
+};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 async fn connect_raw(server: &TestServer) -> TcpStream {
     TcpStream::connect(server.address).await.unwrap()
 }
 
-fn encode_frame(stream: u64, body: frame::Body) -> Vec<u8> {
-    let frame = Frame {
-        stream,
-        body: Some(body),
-    };
-    let bytes = frame.encode_to_vec();
-    let mut encode_frame = u32::try_from(bytes.len()).unwrap().to_be_bytes().to_vec();
-    encode_frame.extend_from_slice(&bytes);
-    encode_frame
-}
-
-async fn connect_raw_with_hello(server: &TestServer) -> TcpStream {
-    let mut socket = connect_raw(server).await;
-    let greeting = encode_frame(0, frame::Body::Hello(hello("raw")));
-    socket.write_all(&greeting).await.unwrap();
-    let mut length = [0_u8; 4];
-    socket.read_exact(&mut length).await.unwrap();
-    let mut answer = vec![0_u8; u32::from_be_bytes(length) as usize];
-    socket.read_exact(&mut answer).await.unwrap();
-    socket
-}
-
 async fn expect_other_links_work(server: &TestServer) {
     let link = server.dial().await.unwrap();
     let mut stream = link.open(submit()).unwrap();
@@ -82,7 +62,7 @@
 #[actix_rt::test]
 async fn a_malformed_frame_closes_only_its_link() {
     let server = echo_server(settings()).await;
-    let mut socket = connect_raw_with_hello(&server).await;
+    let mut socket = RawPeer::connect(&server).await.socket;
     socket
         .write_all(&[0, 0, 0, 5, 255, 255, 255, 255, 255])
         .await
@@ -95,7 +75,7 @@
 #[actix_rt::test]
 async fn an_oversize_frame_closes_only_its_link() {
     let server = echo_server(settings()).await;
-    let mut socket = connect_raw_with_hello(&server).await;
+    let mut socket = RawPeer::connect(&server).await.socket;
     socket.write_all(&[127, 0, 0, 0, 1, 2, 3]).await.unwrap();
     wait_until(|| server.closed("oversize") == 1).await;
     expect_other_links_work(&server).await;
@@ -105,7 +85,7 @@
 #[actix_rt::test]
 async fn frames_of_streams_that_are_not_open_are_dropped_and_counted() {
     let server = echo_server(settings()).await;
-    let mut socket = connect_raw_with_hello(&server).await;
+    let mut socket = RawPeer::connect(&server).await.socket;
     let cancel = frame::Body::Cancel(Cancel::default());
     for body in [encode_frame(5, cancel), encode_frame(6, chunk(1))] {
         socket.write_all(&body).await.unwrap();
@@ -125,7 +105,7 @@
     let count = handled.clone();
     let handler = Rc::new(move |_: ServerStream| count.set(count.get() + 1));
     let server = serve(settings(), handler).await;
-    let mut socket = connect_raw_with_hello(&server).await;
+    let mut socket = RawPeer::connect(&server).await.socket;
     for _ in 0..3 {
         socket.write_all(&encode_frame(4, submit())).await.unwrap();
     }
@@ -153,7 +133,7 @@
         });
     });
     let server = serve(bounds, handler).await;
-    let mut socket = connect_raw_with_hello(&server).await;
+    let mut socket = RawPeer::connect(&server).await.socket;
     socket.write_all(&encode_frame(1, submit())).await.unwrap();
     wait_until(|| server.closed("slow_peer") == 1).await;
     drop(socket);
--- a/crates/transport/tests/link.rs
+++ b/crates/transport/tests/link.rs
@@ -11,7 +11,11 @@
 use dappleyard_wire::messages::{NodeLoad, PeerNode, Peers, frame};
 use dappleyard_wire::{ErrorKind, Ran};
 use googletest::prelude::*;
-use support::{AdjustablePolicy, chunk, echo_server, serve, settings, submit, wait_until};
+use support::{AdjustablePolicy, RawPeer, chunk, echo_server, serve, settings, submit, wait_until};
+
+/// Frames of an answer, more than its reader's socket takes.
+const ANSWER_FRAMES: u64 = 8;
+const FRAME_PIECES: usize = 8_000;
 
 #[gtest]
 #[actix_rt::test]
@@ -98,6 +102,28 @@
     );
 }
 
+/// Guards against losing the end of an answer because bytes of its reader stand unread.
+#[gtest]
+#[actix_rt::test]
+async fn unread_bytes_at_end() {
+    let answer = || chunk(FRAME_PIECES);
+    let handler = Rc::new(move |stream: ServerStream| {
+        for _ in 0..ANSWER_FRAMES {
+            stream.send(answer()).unwrap();
+        }
+    });
+    let server = serve(settings(), handler).await;
+    let mut peer = RawPeer::connect(&server).await;
+    peer.send(1, submit()).await;
+    let sent = server.settings.metrics.frames_sent.clone();
+    wait_until(|| sent.get() >= ANSWER_FRAMES).await;
+    server.gate.close();
+    server.gate.wait_idle().await;
+    peer.send(2, chunk(1)).await;
+    actix_rt::spawn(server.end());
+    expect_that!(peer.chunks_until_end().await, ok(eq(&ANSWER_FRAMES)));
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn a_link_is_closed_when_its_last_clone_is_dropped() {
--- a/crates/transport/tests/support/mod.rs
+++ b/crates/transport/tests/support/mod.rs
@@ -11,9 +11,11 @@
 use dappleyard_transport::policy::{LinkPolicy, PathState};
 use dappleyard_transport::{Link, LinkError, RequestGate};
 use dappleyard_wire::PROTOCOL_VERSION;
-use dappleyard_wire::messages::{Call, Chunk, Hello, ListModels, call, frame};
-use tokio::net::TcpListener;
-use tokio::sync::watch;
+use dappleyard_wire::messages::{Call, Chunk, Frame, Hello, ListModels, call, frame};
+use prost::Message;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{oneshot, watch};
 
 /// A policy with one state for all paths, which the test can change.
 #[derive(Debug)]
@@ -41,6 +43,8 @@
     pub settings: LinkSettings,
     pub policy: Arc<AdjustablePolicy>,
     pub gate: Arc<RequestGate>,
+    /// Ends the server when it is dropped.
+    pub ending: oneshot::Sender<()>,
     pub serving: actix_rt::task::JoinHandle<()>,
 }
 
@@ -75,8 +79,12 @@
         announcement: receiver,
         gate: gate.clone(),
     });
+    let (ending, ended) = oneshot::channel();
     let serving = actix_rt::spawn(async move {
-        let _ = server.serve(listener, handler).await;
+        let ending = async {
+            let _ = ended.await;
+        };
+        server.serve_until(ending, listener, handler).await;
     });
     TestServer {
         address,
@@ -84,6 +92,7 @@
         settings,
         policy,
         gate,
+        ending,
         serving,
     }
 }
@@ -102,6 +111,12 @@
 }
 
 impl TestServer {
+    /// Ends the server as a planned stop does.
+    pub async fn end(self) {
+        drop(self.ending);
+        self.serving.await.unwrap();
+    }
+
     pub async fn dial(&self) -> Result<Link, LinkError> {
         self.dial_through(AdjustablePolicy::direct()).await
     }
@@ -148,3 +163,64 @@
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
 }
+
+/// Encodes a frame with its length prefix.
+pub fn encode_frame(stream: u64, body: frame::Body) -> Vec<u8> {
+    let frame = Frame {
+        stream,
+        body: Some(body),
+    };
+    let bytes = frame.encode_to_vec();
+    let mut encoded = u32::try_from(bytes.len()).unwrap().to_be_bytes().to_vec();
+    encoded.extend_from_slice(&bytes);
+    encoded
+}
+
+/// A peer without a session: it reads only when asked to.
+pub struct RawPeer {
+    pub socket: TcpStream,
+}
+
+impl RawPeer {
+    /// Receive buffer of the socket, bytes.
+    const RECEIVE_BUFFER_BYTES: u32 = 4_096;
+
+    pub async fn connect(server: &TestServer) -> RawPeer {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket
+            .set_recv_buffer_size(Self::RECEIVE_BUFFER_BYTES)
+            .unwrap();
+        let socket = socket.connect(server.address).await.unwrap();
+        let mut peer = RawPeer { socket };
+        peer.send(0, frame::Body::Hello(hello("raw"))).await;
+        peer.receive().await.unwrap();
+        peer
+    }
+
+    pub async fn send(&mut self, stream: u64, body: frame::Body) {
+        let bytes = encode_frame(stream, body);
+        self.socket.write_all(&bytes).await.unwrap();
+    }
+
+    async fn receive(&mut self) -> std::io::Result<Frame> {
+        let mut bytes = vec![0_u8; self.socket.read_u32().await? as usize];
+        self.socket.read_exact(&mut bytes).await?;
+        Ok(Frame::decode(&*bytes)?)
+    }
+
+    /// Reads until the server closes its side, and returns the number of chunks.
+    pub async fn chunks_until_end(&mut self) -> std::io::Result<u64> {
+        let mut chunks = 0;
+        loop {
+            match self.receive().await {
+                Ok(received) => {
+                    chunks += u64::from(matches!(received.body, Some(frame::Body::Chunk(_))));
+                }
+                Err(error) if error.kind() == std::io::ErrorKind::UnexpectedEof => {
+                    return Ok(chunks);
+                }
+                Err(error) => return Err(error),
+            }
+        }
+    }
+}
