A call whose handler panics is answered at once, as one that may have run

A caller of a file, job or record call waited until its deadline when the handler at the node panicked: the stream stayed open on a link that was up.

Cause: the task that answers was spawned on its own; its end by a panic was seen by nobody. Class: a failure path without an answer. None is known to have happened.

The handler's future now runs inside catch_panic: the caller gets a failure of kind internal, ran maybe, and one error line says the panic's message. The answer of a call is sent in one place, ServerStream::answer.

Evidence: panicking_handler (a handler that panics on a link) failed before: no frame within 10 s, the caller's deadline. After: it gets Refused, ran maybe. All tests of the transport and the node pass.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -8,7 +8,7 @@
 use dappleyard_online::OnlineWorker;
 use dappleyard_tables::{Lifecycle, NodeTables};
 use dappleyard_transport::ServerStream;
-use dappleyard_wire::messages::{Call, ModelEntry, ModelList, Reply, call, frame, reply};
+use dappleyard_wire::messages::{Call, ModelEntry, ModelList, Reply, call, reply};
 use dappleyard_wire::{ErrorKind, Failure};
 
 /// Answers calls on one worker thread.
@@ -22,11 +22,7 @@
 impl CallHandler {
     /// Answers one call on its stream; the answer is dropped when the caller's link is lost.
     pub async fn answer(&self, call: Call, stream: ServerStream) {
-        let body = match self.dispatch(call).await {
-            Ok(reply) => frame::Body::Reply(reply),
-            Err(failure) => frame::Body::Refused(failure.to_refused()),
-        };
-        let _ = stream.send(body);
+        stream.answer(self.dispatch(call)).await;
     }
 
     async fn dispatch(&self, call: Call) -> Result<Reply, Failure> {
--- a/crates/transport/src/link/server.rs
+++ b/crates/transport/src/link/server.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dappleyard_wire::messages::{Frame, Hello, Ping, Pong, frame};
+use dappleyard_wire::messages::{Frame, Hello, Ping, Pong, Reply, frame};
 use dappleyard_wire::{ErrorKind, Failure, PROTOCOL_VERSION, Ran};
 use futures::StreamExt;
 use prost::Message;
@@ -21,6 +21,7 @@
 use super::settings::LinkSettings;
 use super::stream::{Delivery, StreamReceiver, StreamTable};
 use crate::gate::{RequestGate, RequestGuard};
+use crate::panics::catch_panic;
 use crate::policy::SharedPolicy;
 
 /// Retry delay advised to a peer whose stream was refused, milliseconds.
@@ -59,6 +60,15 @@
         self.sender().send(body)
     }
 
+    /// Sends the handler's reply or failure as the last frame; a failure as well if it panics.
+    pub async fn answer(self, handler: impl Future<Output = Result<Reply, Failure>>) {
+        let body = match catch_panic(handler).await.flatten() {
+            Ok(reply) => frame::Body::Reply(reply),
+            Err(failure) => frame::Body::Refused(failure.to_refused()),
+        };
+        let _ = self.send(body);
+    }
+
     /// Returns a sender that is independent of the receiver.
     pub fn sender(&self) -> ServerStreamSender {
         ServerStreamSender {
--- a/crates/transport/tests/link.rs
+++ b/crates/transport/tests/link.rs
@@ -13,6 +13,8 @@
 use googletest::prelude::*;
 use support::{AdjustablePolicy, RawPeer, chunk, echo_server, serve, settings, submit, wait_until};
 
+/// Deadline of a caller.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Frames of an answer, more than its reader's socket takes.
 const ANSWER_FRAMES: u64 = 8;
 const FRAME_PIECES: usize = 8_000;
@@ -124,6 +126,22 @@
     expect_that!(peer.chunks_until_end().await, ok(eq(&ANSWER_FRAMES)));
 }
 
+/// Guards against a caller that waits until its deadline for a handler that has panicked.
+#[gtest]
+#[actix_rt::test]
+async fn panicking_handler() {
+    let handler = |stream: ServerStream| {
+        actix_rt::spawn(stream.answer(async { panic!("a fault") }));
+    };
+    let server = serve(settings(), Rc::new(handler)).await;
+    let link = server.dial().await.unwrap();
+    let mut stream = link.open(submit()).unwrap();
+    let answer = tokio::time::timeout(CALL_TIMEOUT, stream.receive()).await;
+    let failed = matches!(&answer, Ok(Ok(frame::Body::Refused(refused)))
+        if refused.ran == Ran::Maybe as i32);
+    expect_that!(failed, eq(true), "{answer:?}");
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn a_link_is_closed_when_its_last_clone_is_dropped() {
