--- a/crates/transport/src/link/server.rs
+++ b/crates/transport/src/link/server.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use dappleyard_wire::messages::{Frame, Hello, Ping, Pong, frame};
+use dappleyard_wire::messages::{Frame, Hello, Ping, Pong, Reply, frame};
 use dappleyard_wire::{ErrorKind, Failure, PROTOCOL_VERSION, Ran};
 use futures::StreamExt;
 use prost::Message;
@@ -17,10 +17,11 @@
 use super::LinkError;
 use super::announce::{Announcement, announce};
 use super::outgoing::Outgoing;
-use super::session::{FramedConnection, Session, send_now};
+use super::session::{END_TIMEOUT, FramedConnection, Session, send_now};
 use super::settings::LinkSettings;
 use super::stream::{Delivery, StreamReceiver, StreamTable};
 use crate::gate::{RequestGate, RequestGuard};
+use crate::panics::catch_panic;
 use crate::policy::SharedPolicy;
 
 /// Retry delay advised to a peer whose stream was refused, milliseconds.
@@ -59,6 +60,15 @@
         self.sender().send(body)
     }
 
+    /// Sends the handler's reply or failure as the last frame; a failure as well if it panics.
+    pub async fn answer(self, handler: impl Future<Output = Result<Reply, Failure>>) {
+        let body = match catch_panic(handler).await.flatten() {
+            Ok(reply) => frame::Body::Reply(reply),
+            Err(failure) => frame::Body::Refused(failure.to_refused()),
+        };
+        let _ = self.send(body);
+    }
+
     /// Returns a sender that is independent of the receiver.
     pub fn sender(&self) -> ServerStreamSender {
         ServerStreamSender {
@@ -105,11 +115,27 @@
         listener: TcpListener,
         handler: Rc<dyn Fn(ServerStream)>,
     ) -> std::io::Result<()> {
+        let never = std::future::pending();
+        self.serve_until(never, listener, handler).await;
+        Ok(())
+    }
+
+    /// Serves until `ending` resolves; then ends each link once its queued frames are sent, and returns
+    /// when the peers have closed their sides, or after [`END_TIMEOUT`].
+    pub async fn serve_until(
+        self: Rc<Self>,
+        ending: impl Future<Output = ()>,
+        listener: TcpListener,
+        handler: Rc<dyn Fn(ServerStream)>,
+    ) {
+        let end = watch::Sender::new(false);
         let mut links = JoinSet::new();
+        let mut ending = std::pin::pin!(ending);
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 Some(_) = links.join_next() => continue,
+                () = &mut ending => break,
             };
             match accepted {
                 Ok(_) if links.len() >= self.settings.maximum_links => {
@@ -117,7 +143,8 @@
                 }
                 Ok((socket, from)) => {
                     let (server, handler) = (self.clone(), handler.clone());
-                    links.spawn_local(server.serve_link(socket, from, handler));
+                    let end = end.subscribe();
+                    links.spawn_local(server.serve_link(socket, from, handler, end));
                 }
                 Err(error) => {
                     tracing::warn!(%error, "failed to accept a link");
@@ -125,6 +152,10 @@
                 }
             }
         }
+        drop(listener);
+        end.send_replace(true);
+        let ended = async { while links.join_next().await.is_some() {} };
+        let _ = tokio::time::timeout(END_TIMEOUT, ended).await;
     }
 
     async fn serve_link(
@@ -132,10 +163,15 @@
         socket: TcpStream,
         from: SocketAddr,
         handler: Rc<dyn Fn(ServerStream)>,
+        end: watch::Receiver<bool>,
     ) {
         let _ = socket.set_nodelay(true);
         let mut connection = Framed::new(socket, self.settings.codec());
-        let peer = match self.exchange_hello(&mut connection).await {
+        let hello = tokio::select! {
+            hello = self.exchange_hello(&mut connection) => hello,
+            () = wait_for_end(end.clone()) => return,
+        };
+        let peer = match hello {
             Ok(peer) => Rc::new(peer),
             Err(reason) => {
                 self.settings.metrics.count_rejected(reason);
@@ -159,7 +195,8 @@
             peer: &peer.id,
         };
         let on_frame = |received: Frame, size: usize| accepted.receive(received, size);
-        session.run(connection, queue, on_frame).await;
+        let ending = wait_for_end(end);
+        session.run(connection, queue, ending, on_frame).await;
         announce_task.abort();
         accepted.streams.clear();
     }
@@ -259,6 +296,10 @@
     }
 }
 
+async fn wait_for_end(mut end: watch::Receiver<bool>) {
+    let _ = end.wait_for(|ended| *ended).await;
+}
+
 /// Whether earlier attempts of a submission ran.
 fn ran_before(first: &frame::Body) -> Ran {
     match first {
