--- a/crates/ingress/tests/completion.rs
+++ b/crates/ingress/tests/completion.rs
@@ -12,40 +12,32 @@
     Duration::from_millis(ms)
 }
 
-const RANGE: DurationRange = DurationRange {
-    low: ms(200),
-    high: ms(7_000),
+const KNOWN: ExpectedDuration = ExpectedDuration {
+    mean: ms(600),
+    range: Some(DurationRange {
+        low: ms(200),
+        high: ms(7_000),
+    }),
 };
 
 /// Guards against requests that are run although nearly all like them take longer than their deadline.
 #[gtest]
 fn near_deadline() {
-    let known = ExpectedDuration {
-        mean: ms(600),
-        range: Some(RANGE),
-    };
-    expect_that!(can_finish(ms(199), TimeLimit::Deadline, &known), eq(false));
+    let fits = |left, expected| can_finish(ms(left), TimeLimit::Deadline, expected);
+    expect_that!(fits(199, &KNOWN), eq(false));
     // It is below the mean: some such requests end in time.
-    expect_that!(can_finish(ms(200), TimeLimit::Deadline, &known), eq(true));
-    let unknown = ExpectedDuration {
-        range: None,
-        ..known
-    };
-    expect_that!(can_finish(ms(1), TimeLimit::Deadline, &unknown), eq(true));
+    expect_that!(fits(200, &KNOWN), eq(true));
+    let range = None;
+    expect_that!(fits(1, &ExpectedDuration { range, ..KNOWN }), eq(true));
 }
 
 /// Guards against requests that a stop cuts since they take more than twice the mean of their service.
 #[gtest]
 fn long_requests() {
-    let expected = ExpectedDuration {
-        mean: ms(600),
-        range: Some(RANGE),
-    };
-    let end = TimeLimit::ProcessEnd {
-        deadline: ms(20_000),
-    };
-    expect_that!(can_finish(ms(6_900), end, &expected), eq(false));
-    expect_that!(can_finish(ms(7_000), end, &expected), eq(true));
+    let deadline = ms(20_000);
+    let fits = |left| can_finish(ms(left), TimeLimit::ProcessEnd { deadline }, &KNOWN);
+    expect_that!(fits(6_900), eq(false));
+    expect_that!(fits(7_000), eq(true));
 }
 
 /// Guards against refusals by durations that are few or long past.
