A stopping node waits for its last decision records and says if they are lost

Cause: the departure and the last write shared one limit of 0.3 s, the write first, and the process ended whatever came of it. Class: the end of a process was not tied to the writing of what it owes. A slow store also kept the departure from being announced (read, not measured).

The departure and the write now run side by side. The stop goes on after 0.3 s as before, and waits at its end for the write, for 5 s at most and within the stop bound. A write that fails or does not end leaves a warning.

Records that are made after the departure has begun are still not written.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -28,7 +28,8 @@
     pub announcement: Arc<watch::Sender<Announcement>>,
 }
 
-/// Asks the control thread to announce the node's departure; answered once that is sent.
+/// Asks the control thread to announce the node's departure and to write the last decision records;
+/// answered once both are done.
 pub type LeaveRequest = oneshot::Sender<()>;
 
 struct ControlParts {
@@ -44,8 +45,8 @@
     let (sender, mut requests) = mpsc::unbounded_channel::<LeaveRequest>();
     actix_rt::spawn(async move {
         if let Some(request) = requests.recv().await {
-            parts.operate.stop().await;
-            parts.fleet.leave().await;
+            // The store may be slow to take the last decision records; the departure does not wait.
+            tokio::join!(parts.operate.stop(), parts.fleet.leave());
             let _ = request.send(());
         }
     });
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -21,6 +21,9 @@
 /// timeout for announcing the departure.
 const STOP_NOTICE: Duration = Duration::from_millis(300);
 
+/// Time for the store to take the last decision records, once all is answered.
+const JOURNAL_TIMEOUT: Duration = Duration::from_millis(5_000);
+
 pub(crate) struct NodeParts {
     pub tables: Arc<NodeTables>,
     pub shared: Arc<OnlineShared>,
@@ -83,8 +86,8 @@
         }
         let rest = deadline.saturating_duration_since(Instant::now());
         let handed_back = tokio::time::timeout(rest, drained).await.is_ok();
-        let left = request(&self.parts.leave);
-        let _ = tokio::time::timeout(STOP_NOTICE, left).await;
+        let mut left = request(&self.parts.leave);
+        let has_left = tokio::time::timeout(STOP_NOTICE, &mut left).await.is_ok();
         self.parts.gate.close();
         let rest = deadline.saturating_duration_since(Instant::now());
         let finished = tokio::time::timeout(rest, self.finish_answers()).await;
@@ -101,6 +104,14 @@
         self.parts.end_links.send_replace(true);
         let rest = deadline.saturating_duration_since(Instant::now());
         let _ = tokio::time::timeout(rest, self.parts.end_links.closed()).await;
+        let rest = deadline.saturating_duration_since(Instant::now());
+        if !has_left
+            && tokio::time::timeout(rest.min(JOURNAL_TIMEOUT), left)
+                .await
+                .is_err()
+        {
+            tracing::warn!("the store is slow; decision records of the last interval may be lost");
+        }
         self.parts.tables.lifecycle.send_replace(Lifecycle::Stopped);
         threads::kill(&self.arbiters);
         // The gate has counted operators' requests; this writes the last answers.
--- a/crates/node/tests/handback.rs
+++ b/crates/node/tests/handback.rs
@@ -6,11 +6,10 @@
 use std::time::Duration;
 
 use dappleyard_node::NodeHandle;
-use dappleyard_settings::{NodeSettings, PlatformSettings};
+use dappleyard_settings::NodeSettings;
 use dappleyard_standin::engine::{EngineHandle, EngineHost, EngineModelSettings, EngineSpec};
 use dappleyard_standin::platform::{PlatformHandle, PlatformStandIn, PlatformStandInSettings};
 use dappleyard_store::{Machine, MachineRole};
-use dappleyard_tables::Lifecycle;
 use dappleyard_transport::{DirectPolicy, Link, LinkSettings};
 use dappleyard_wire::keys::HELD_CHUNK_PREFIX;
 use dappleyard_wire::messages::{
@@ -19,7 +18,7 @@
 };
 use googletest::prelude::*;
 
-use support::{dial, open_call, settings, start};
+use support::{dial, open_call, platform_settings, settings, start, wait_until_ready};
 
 const SERVICE: &str = "llm";
 const SERVER: &str = "server-0";
@@ -62,17 +61,10 @@
 }
 
 async fn start_node(platform: &PlatformHandle) -> NodeHandle {
-    let mut settings = settings(PlatformSettings {
-        tables_url: platform.tables_url(),
-        objects_url: platform.objects_url(),
-        machines_url: platform.machines_url(),
-        ..PlatformSettings::default()
-    });
+    let mut settings = settings(platform_settings(platform));
     settings.stop_bound_ms = STOP_BOUND.as_millis() as u64;
     let node = start(settings, Arc::new(DirectPolicy)).await;
-    let mut lifecycle = node.tables().lifecycle.subscribe();
-    let ready = lifecycle.wait_for(|state| *state == Lifecycle::Ready);
-    ready.await.unwrap();
+    wait_until_ready(&node).await;
     node
 }
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -5,6 +5,8 @@
 
 use dappleyard_node::NodeHandle;
 use dappleyard_settings::{NodeSettings, PlatformSettings};
+use dappleyard_standin::platform::PlatformHandle;
+use dappleyard_tables::Lifecycle;
 use dappleyard_transport::link::ClientStream;
 use dappleyard_transport::policy::SharedPolicy;
 use dappleyard_transport::{DirectPolicy, Link, LinkSettings};
@@ -23,6 +25,21 @@
     }
 }
 
+pub fn platform_settings(platform: &PlatformHandle) -> PlatformSettings {
+    PlatformSettings {
+        tables_url: platform.tables_url(),
+        objects_url: platform.objects_url(),
+        machines_url: platform.machines_url(),
+        ..PlatformSettings::default()
+    }
+}
+
+pub async fn wait_until_ready(node: &NodeHandle) {
+    let mut lifecycle = node.tables().lifecycle.subscribe();
+    let ready = lifecycle.wait_for(|state| *state == Lifecycle::Ready);
+    ready.await.unwrap();
+}
+
 pub async fn start(settings: NodeSettings, policy: SharedPolicy) -> NodeHandle {
     dappleyard_node::start(settings, policy).await.unwrap()
 }
--- a/crates/operate/src/start.rs
+++ b/crates/operate/src/start.rs
@@ -203,5 +203,7 @@
         };
         metrics.journal.with_label_values(&[outcome]).inc();
     }
-    let _ = journal.flush(objects).await;
+    if let Err(error) = journal.flush(objects).await {
+        tracing::warn!(%error, "decision records of the last interval were not written");
+    }
 }
