Crashes: a server that starts again under its entry counts as another one

Cause (identity of a resource by a name that outlives it): two ways in which starts of one server were taken for one. A run at the next start was told to other nodes under the name of the start that had ended, and what has ended runs nothing, so that they did not count it as under way and began runs of their own. And a node that did not know of the first end named the second one alike; joined, the two ends counted once.

A run is now begun and told under the name of the start that it runs on. A node that hears of an end that came before the begin of its own ended run moves its own end to the next start. Ages of news are too low rather than too high, so late news moves nothing and one end is not counted twice.

Evidence: runs_after_restart failed on the code before (the second node answered LastRun instead of Wait, and named no server with a last run). unknown_earlier_end failed in a trial with the move taken out (1 end instead of 2); it uses note_run_ended, which the code before does not have.

--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -22,7 +22,7 @@
 pub const REFUSED_RETENTION: Duration = Duration::from_secs(3_600);
 
 /// Appended to the identifier of an ended incarnation to denote the next one, until that reports its own identifier.
-const RESTART_SUFFIX: char = '+';
+pub(crate) const RESTART_SUFFIX: char = '+';
 /// Nodes may observe the end of a server at times that differ by this much; differences of 90 ms occur. A run that
 /// started later than this after an end ran on the next incarnation of the server.
 const OBSERVATION_SKEW: Duration = Duration::from_millis(200);
@@ -111,17 +111,22 @@
         let permit = self.prepare(request, now);
         match permit {
             Permit::Wait | Permit::Refused => return permit,
-            Permit::LastRun if self.last_run_servers(request, now).contains(server) => {
+            Permit::LastRun
+                if self
+                    .last_run_servers(request, now)
+                    .contains(listed_name(server)) =>
+            {
                 return Permit::Wait;
             }
             Permit::Free | Permit::LastRun => {}
         }
+        let incarnation = self.incarnation_that_ran(server, now);
         for feature in request.iter() {
             if let Some(record) = self.records.get_mut(feature) {
                 record.use_reservation();
             }
             let running = self.running.entry(*feature).or_default();
-            running.push(server.to_owned());
+            running.push(incarnation.clone());
             self.queue_runs(feature, now);
         }
         permit
@@ -129,10 +134,12 @@
 
     /// Ends a run on a server, whatever its result.
     pub fn end(&mut self, request: &RequestFeatures, server: &str, now: Instant) {
+        let is_here = |running: &String| listed_name(running) == listed_name(server);
         for feature in request.iter() {
             if let Some(servers) = self.running.get_mut(feature) {
-                if let Some(at) = servers.iter().position(|running| running == server) {
-                    servers.swap_remove(at);
+                // Of runs at several starts of a server, the earliest ends first.
+                if let Some(at) = servers.iter().position(is_here) {
+                    servers.remove(at);
                 }
                 if servers.is_empty() {
                     self.running.remove(feature);
@@ -147,7 +154,7 @@
     pub fn incarnation_that_ran(&self, server: &str, began: Instant) -> String {
         let has_ended = |incarnation: &str| {
             let ended = self.server_failures.ended_at(incarnation);
-            ended.is_some_and(|ended| began > ended + OBSERVATION_SKEW)
+            ended.is_some_and(|ended| is_later_start(began, ended))
         };
         let mut incarnation = server.to_owned();
         while has_ended(&incarnation) {
@@ -156,6 +163,26 @@
         incarnation
     }
 
+    /// Records that a server ended during a run that began at the given time. Ends that other nodes saw before the run
+    /// began are those of earlier starts, even if the news of them comes later.
+    pub fn note_run_ended(
+        &mut self,
+        request: &RequestFeatures,
+        server: &str,
+        began: Instant,
+        output_for: Option<Duration>,
+        now: Instant,
+    ) -> EndOutcome {
+        let server = self.incarnation_that_ran(server, began);
+        let outcome = self.note_ended(request, &server, output_for, now);
+        for feature in request.iter() {
+            if let Some(record) = self.records.get_mut(feature) {
+                record.note_began(&server, began);
+            }
+        }
+        outcome
+    }
+
     /// Records that a server ended while it ran a request; `output_for` is the time for which that run had produced
     /// output, if any.
     pub fn note_ended(
@@ -362,6 +389,16 @@
     }
 }
 
+/// Whether a run that began at a time ran on a later start of a server than the one that ended.
+pub(crate) fn is_later_start(began: Instant, ended: Instant) -> bool {
+    began > ended + OBSERVATION_SKEW
+}
+
+/// The identifier under which an incarnation of a server is listed.
+pub(crate) fn listed_name(incarnation: &str) -> &str {
+    incarnation.trim_end_matches(RESTART_SUFFIX)
+}
+
 /// Retention of a record with so many ended servers.
 fn retention(ended: usize) -> Duration {
     match ended >= MAX_ENDED_SERVERS {
--- a/crates/crashes/src/permits.rs
+++ b/crates/crashes/src/permits.rs
@@ -6,7 +6,7 @@
 use dappleyard_clock::Instant;
 
 use crate::feature::{Feature, RequestFeatures};
-use crate::ledger::{Ledger, Permit, REFUSED_RETENTION, RefusedFeature};
+use crate::ledger::{Ledger, Permit, REFUSED_RETENTION, RefusedFeature, listed_name};
 use crate::record::{MAX_ENDED_SERVERS, Record};
 
 /// Shortest time for which a refusal lasts, since a retry may be under way whose result is known by then.
@@ -127,8 +127,9 @@
         let mut servers = HashSet::new();
         for (feature, record) in others {
             let own = self.running.get(feature).into_iter().flatten();
-            servers.extend(own.cloned());
-            servers.extend(record.reported_servers(now).map(str::to_owned));
+            servers.extend(own.map(|server| listed_name(server).to_owned()));
+            let reported = record.reported_servers(now).map(listed_name);
+            servers.extend(reported.map(str::to_owned));
         }
         servers
     }
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -6,6 +6,7 @@
 use dappleyard_clock::Instant;
 
 use crate::feature::Feature;
+use crate::ledger::{RESTART_SUFFIX, is_later_start};
 use crate::messages::{CrashRecord, NodeRuns};
 use crate::server_failures::ServerFailures;
 
@@ -63,6 +64,8 @@
     pub(crate) at: Instant,
     /// Whether the run had produced output, so the request did not crash the server as it started.
     pub(crate) brought_output: bool,
+    /// When the first run began that this node saw end with the server, if it saw any.
+    pub(crate) began: Option<Instant>,
 }
 
 pub(crate) struct Record {
@@ -230,11 +233,47 @@
             server: server.to_owned(),
             at,
             brought_output,
+            began: None,
         });
         self.changed = self.changed.max(at);
         true
     }
 
+    /// Records when a run began that this node saw end with a server; the first of several counts.
+    pub(crate) fn note_began(&mut self, server: &str, began: Instant) {
+        let end = self.ended.iter_mut().find(|end| end.server == server);
+        if let Some(end) = end {
+            end.began = Some(end.began.map_or(began, |first| first.min(began)));
+        }
+    }
+
+    /// Records the end of a server that another node saw; returns whether it was new. The time is late rather than
+    /// early, since the transit is not part of it: if a run of this node began after it, this node saw the end of a
+    /// later start.
+    fn note_reported_end(&mut self, server: &str, at: Instant, brought_output: bool) -> bool {
+        let own = self.ended.iter().position(|end| {
+            let is_later = end.began.is_some_and(|began| is_later_start(began, at));
+            end.server == server && is_later
+        });
+        let Some(mut own) = own.map(|own| self.ended.remove(own)) else {
+            return self.note_ended(server, at, brought_output);
+        };
+        self.note_ended(server, at, brought_output);
+        while let Some(earlier) = self.ended.iter().find(|end| end.server == own.server) {
+            let is_later = own
+                .began
+                .is_some_and(|began| is_later_start(began, earlier.at));
+            if !is_later {
+                return true;
+            }
+            own.server.push(RESTART_SUFFIX);
+        }
+        if self.make_room(own.at) {
+            self.ended.push(own);
+        }
+        true
+    }
+
     /// Makes room for the end of a server; returns whether there is any. When the record is full, the first end of a new
     /// incident replaces a later end of an earlier one.
     fn make_room(&mut self, at: Instant) -> bool {
@@ -347,7 +386,7 @@
         for ((server, age_ms), brought_output) in report.ended.iter().zip(ages_ms).zip(output) {
             if server.len() <= MAX_SERVER_ID_BYTES {
                 let at = observed(age_ms.unwrap_or(report.age_ms));
-                is_new |= self.note_ended(server, at, brought_output);
+                is_new |= self.note_reported_end(server, at, brought_output);
             }
         }
         is_new || runs_are_new
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -213,8 +213,7 @@
     pub fn note_ended(&self, output_for: Option<Duration>) -> EndOutcome {
         let now = Instant::now();
         let outcome = self.table.change(|ledger| {
-            let server = ledger.incarnation_that_ran(&self.server, self.began);
-            ledger.note_ended(&self.request, &server, output_for, now)
+            ledger.note_run_ended(&self.request, &self.server, self.began, output_for, now)
         });
         if !outcome.now_refused.is_empty() {
             self.table.unstored.notify_one();
--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -83,6 +83,51 @@
     expect_that!(ledger.incarnation_that_ran("i-1", now), eq("i-1"));
 }
 
+/// Guards against runs at servers that started again under their identifiers and are not counted as under way.
+#[gtest]
+fn runs_after_restart() {
+    let (mut first, mut second, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    crash(&mut first, &request(1), "i-1", now);
+    crash(&mut first, &request(1), "i-2", now);
+    let updates = first.updates(false, 24, now);
+    apply(&mut second, &updates, now);
+    let restarted = now + Duration::from_secs(2);
+    expect_that!(
+        first.begin(&request(1), "i-1", restarted),
+        eq(Permit::LastRun)
+    );
+    let updates = first.updates(false, 24, restarted);
+    apply(&mut second, &updates, restarted);
+    expect_that!(second.permit(&request(1), restarted), eq(Permit::Wait));
+    let others = second.last_run_servers(&request(2), restarted);
+    expect_that!(others, contains(eq("i-1")));
+    first.end(&request(1), "i-1", restarted);
+    let updates = first.updates(false, 24, restarted);
+    apply(&mut second, &updates, restarted);
+    expect_that!(second.permit(&request(1), restarted), eq(Permit::LastRun));
+}
+
+/// Guards against ends of several starts of a server that count once, because each node knows one of them only.
+#[gtest]
+fn unknown_earlier_end() {
+    let (mut first, mut second, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
+    crash(&mut first, &request(1), "i-1", now);
+    let early = first.updates(false, 24, now);
+    // The second node has not heard of it, and sees the end of the next start.
+    let began = now + Duration::from_secs(2);
+    let ended = began + Duration::from_millis(60);
+    second.note_run_ended(&request(1), "i-1", began, None, ended);
+    apply(&mut first, &second.updates(false, 24, ended), ended);
+    // News that was held up on its way looks new, and proves nothing.
+    apply(&mut second, &early, ended);
+    expect_that!(second.ended_under(&feature(1)).len(), eq(1));
+    let updates = first.updates(true, 24, ended);
+    apply(&mut second, &updates, ended);
+    apply(&mut first, &second.updates(true, 24, ended), ended);
+    expect_that!(first.ended_under(&feature(1)).len(), eq(2));
+    expect_that!(second.ended_under(&feature(1)).len(), eq(2));
+}
+
 #[gtest]
 fn active_runs_count() {
     let (mut ledger, now) = (Ledger::new(1), Instant::now());
