Stop: counts of crashes are stored, so that they do not begin anew when all nodes stop

Cause (state that must last held in memory only): only refused features have rows in the store. What was counted below the limit was known to nodes alone, and none ran on.

A stopping node now reads the rows, joins them with its records and writes those that tell less than it knows, under the condition that they are as they were read: 48 records at most in one transaction, four tries, 0.3 s, after its last connection has ended and beside the removal of its own row, so that a stop takes no longer. They are rows of the same table and form as refusals, read by each process before it runs anything. They are removed when a node that has read them clears the feature, and by the next start after 10 minutes.

Evidence: crashes_across_stop plays it with a real process, two crashes, SIGTERM, a new process. With the call taken out of the stop it failed: 4 crashes instead of 3. With the call it passed, twice, beside the other stops of the file. joined_counts (written with the change) plays two stopping nodes and the removal.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -52,7 +52,7 @@
 pub use cadence::{DueMessages, due_messages, rounds_until_due};
 pub use change_throttle::ChangeThrottle;
 pub use cold_quota::{ColdQuota, ColdQuotaUsage, assignment_rank};
-pub use crash_rows::{CRASHES_TABLE, sync_refused_requests};
+pub use crash_rows::{CRASHES_TABLE, store_counts, sync_refused_requests};
 pub use delegates::{Candidate, cross_region_receivers, delegates, is_strong};
 pub use demand::{DemandTable, WaitGuard, Work};
 pub use eligibility::Exclusion;
--- a/crates/cluster/tests/crash_rows.rs
+++ b/crates/cluster/tests/crash_rows.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dappleyard_cluster::sync_refused_requests;
+use dappleyard_cluster::{store_counts, sync_refused_requests};
 use dappleyard_crashes::{
     CrashTable, Feature, Fingerprint, Permit, PromptPartId, RequestFeatures, RequestParts,
 };
@@ -103,3 +103,30 @@
         .await;
     });
 }
+
+/// Guards against ends stored by stopping nodes that replace each other or stay when the feature is cleared.
+#[gtest]
+fn joined_counts() {
+    run_local(async {
+        let rows = EmulatedRows::default();
+        for (node_id, server) in [(1, "i-1"), (2, "i-2")] {
+            let crashes = Arc::new(CrashTable::new(node_id));
+            let run = crashes.begin(&request("a"), server);
+            expect_that!(run.map(|run| run.note_ended(None)).is_ok(), eq(true));
+            store_counts(&crashes, &rows, &EventLog::silent()).await;
+        }
+        let crashes = start(&rows, 3);
+        let part = Feature::PromptPart(PromptPartId(7));
+        wait_until("both ends are read", || {
+            crashes.ended_under(&part).len() == 2
+        })
+        .await;
+        wait_until("the table is read", || {
+            crashes.permit(&request("a")) == Permit::LastRun
+        })
+        .await;
+        let run = crashes.begin(&request("a"), "i-3");
+        expect_that!(run.map(|run| run.note_served().len()).ok(), some(eq(2)));
+        wait_until("the rows are removed", || rows.table("crashes").is_empty()).await;
+    });
+}
--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -19,7 +19,7 @@
 /// Retention of a suspect, a feature with ended servers that is not refused. It covers automatic and manual retries.
 const SUSPECT_RETENTION: Duration = Duration::from_secs(600);
 /// Retention of a refused feature, after which requests with it may run again.
-pub const REFUSED_RETENTION: Duration = Duration::from_secs(3_600);
+pub(crate) const REFUSED_RETENTION: Duration = Duration::from_secs(3_600);
 
 /// Appended to the identifier of an ended incarnation to denote the next one, until that reports its own identifier.
 pub(crate) const RESTART_SUFFIX: char = '+';
@@ -297,7 +297,7 @@
         let Some(record) = known.filter(|record| !record.ended.is_empty()) else {
             return false;
         };
-        if was_refused {
+        if was_refused || std::mem::take(&mut record.is_stored) {
             self.unstored.insert(*feature);
         }
         record.clear(now);
@@ -317,7 +317,7 @@
         let Some(feature) = report.feature() else {
             return MergeOutcome::default();
         };
-        if Duration::from_millis(report.age_ms) >= retention(report.ended.len()) {
+        if report.is_expired() {
             return MergeOutcome::default();
         }
         self.evict_for(&feature);
@@ -346,6 +346,32 @@
         merged
     }
 
+    /// Merges a record read from the store, whose row is removed once the feature is cleared.
+    pub fn merge_stored(&mut self, report: CrashRecord, now: Instant) -> MergeOutcome {
+        let feature = report.feature();
+        let outcome = self.merge(report, false, now);
+        if let Some(record) = feature.and_then(|feature| self.records.get_mut(&feature)) {
+            record.is_stored = !record.ended.is_empty();
+        }
+        outcome
+    }
+
+    /// The records with ends, at most `max_records`: those with the most ends first, then the most recent.
+    pub fn counts(&self, max_records: usize, now: Instant) -> Vec<CrashRecord> {
+        let records = self.records.iter();
+        let mut counted: Vec<(&Feature, &Record)> = records
+            .filter(|(_, record)| !record.ended.is_empty())
+            .collect();
+        counted.sort_by_key(|(_, record)| {
+            (std::cmp::Reverse(record.ended.len()), now - record.changed)
+        });
+        counted.truncate(max_records);
+        let counted = counted.into_iter();
+        counted
+            .map(|(feature, _)| self.message(feature, now))
+            .collect()
+    }
+
     /// Takes the next change to write to the store: the record of a refused feature, or `None` if requests with it may run
     /// again.
     pub fn next_unstored(&mut self, now: Instant) -> Option<(Feature, Option<CrashRecord>)> {
@@ -400,7 +426,7 @@
 }
 
 /// Retention of a record with so many ended servers.
-fn retention(ended: usize) -> Duration {
+pub(crate) fn retention(ended: usize) -> Duration {
     match ended >= MAX_ENDED_SERVERS {
         true => REFUSED_RETENTION,
         false => SUSPECT_RETENTION,
--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use feature::{Feature, ParseFeatureError, PromptPartId, RequestFeatures};
 pub use fingerprint::{Fingerprint, RequestParts};
-pub use ledger::{EndOutcome, Ledger, MergeOutcome, Permit, REFUSED_RETENTION, RefusedFeature};
-pub use messages::{CrashRecord, CrashUpdates, NodeRuns, StoredRefusal};
+pub use ledger::{EndOutcome, Ledger, MergeOutcome, Permit, RefusedFeature};
+pub use messages::{CrashRecord, CrashUpdates, NodeRuns, StoredRecord};
 pub use record::{LONG_RUN, MAX_ENDED_SERVERS};
 pub use table::{CrashTable, RunGuard};
--- a/crates/crashes/src/messages.rs
+++ b/crates/crashes/src/messages.rs
@@ -1,9 +1,12 @@
 //! Protobuf messages for crash records, exchanged between nodes and kept in the store.
 
+use std::time::Duration;
+
 use prost::Message;
 
 use crate::feature::{Feature, PromptPartId};
 use crate::fingerprint::Fingerprint;
+use crate::ledger::retention;
 
 /// Active runs of requests with a feature on one node.
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -80,11 +83,22 @@
         }
         Fingerprint::from_bytes(&self.fingerprint).map(Feature::Request)
     }
+
+    /// Whether the retention of the record is over.
+    pub fn is_expired(&self) -> bool {
+        Duration::from_millis(self.age_ms) >= retention(self.ended.len())
+    }
+
+    /// Whether the record has all ends of another one of the same feature.
+    pub fn covers(&self, other: &CrashRecord) -> bool {
+        let has_all_ends = || other.ended.iter().all(|end| self.ended.contains(end));
+        self.epoch > other.epoch || (self.epoch == other.epoch && has_all_ends())
+    }
 }
 
-/// Stored form of the record of a refused feature.
+/// Stored form of the record of a feature.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct StoredRefusal {
+pub struct StoredRecord {
     /// The record at the time of writing.
     #[prost(message, optional, tag = "1")]
     pub record: Option<CrashRecord>,
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -81,6 +81,8 @@
     pub(crate) served_before: bool,
     /// Whether a run had produced output for [`LONG_RUN`] before its server ended.
     pub(crate) ran_long: bool,
+    /// Whether the store has a row with ends of the feature.
+    pub(crate) is_stored: bool,
     /// Time until which interrupted runs may turn out to be ends.
     doubted_until: Option<Instant>,
     reported_runs: HashMap<u64, ReportedRuns>,
@@ -97,6 +99,7 @@
             seen_here: false,
             served_before: false,
             ran_long: false,
+            is_stored: false,
             doubted_until: None,
             reported_runs: HashMap::new(),
             reserved: None,
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -116,15 +116,35 @@
             .updates(refresh, max_records, Instant::now())
     }
 
-    /// Merges records received from another node or read from the store; with `relay`, new information is sent on.
+    /// Merges records received from another node; with `relay`, new information is sent on.
     /// Returns the features that are refused from now on.
     pub fn merge(&self, updates: CrashUpdates, relay: bool) -> Vec<Feature> {
+        self.merge_each(updates.records, |ledger, report, now| {
+            ledger.merge(report, relay, now)
+        })
+    }
+
+    /// Merges records read from the store. Returns the features that are refused from now on.
+    pub fn merge_stored(&self, records: Vec<CrashRecord>) -> Vec<Feature> {
+        self.merge_each(records, Ledger::merge_stored)
+    }
+
+    /// The records with ends, at most `max_records`: those with the most ends first.
+    pub fn counts(&self, max_records: usize) -> Vec<CrashRecord> {
+        self.ledger.lock().counts(max_records, Instant::now())
+    }
+
+    fn merge_each(
+        &self,
+        records: Vec<CrashRecord>,
+        merge: impl Fn(&mut Ledger, CrashRecord, Instant) -> MergeOutcome,
+    ) -> Vec<Feature> {
         let now = Instant::now();
         let refused = self.change(|ledger| {
             let mut refused = Vec::new();
-            for report in updates.records {
+            for report in records {
                 let feature = report.feature();
-                let MergeOutcome { now_refused, .. } = ledger.merge(report, relay, now);
+                let MergeOutcome { now_refused, .. } = merge(ledger, report, now);
                 refused.extend(feature.filter(|_| now_refused));
             }
             refused
--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use dappleyard_cluster::store_counts;
 use dappleyard_ingress::{DIRECTORY_TTL_MS, Node, close_connections};
 use dappleyard_platform::read_settings;
 
@@ -22,7 +23,8 @@
 const REQUEST_END_MARGIN: Duration = Duration::from_millis(800);
 /// Time before the end of the grace period at which the process ends, whatever is in progress.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
-const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time for the last store calls.
+const STORE_TIMEOUT: Duration = Duration::from_millis(300);
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Serves until SIGTERM or SIGINT, then lets requests in progress finish within the grace period.
@@ -97,9 +99,13 @@
     };
     let handing_over = dappleyard_clock::timeout_at(schedule.exit, job_handover);
     let ((is_empty, closed_after), handover) = tokio::join!(closing, handing_over);
-    let call = registration::unregister(node, running.store.as_ref());
-    // A row left behind is harmless: peers notice the missing heartbeats.
-    let _ = dappleyard_clock::timeout(UNREGISTER_TIMEOUT, call).await;
+    let store = running.store.as_ref();
+    // A row left behind is harmless: peers notice the missing heartbeats. Counts that are not stored are known to the
+    // nodes that run on.
+    let _ = tokio::join!(
+        dappleyard_clock::timeout(STORE_TIMEOUT, registration::unregister(node, store)),
+        dappleyard_clock::timeout(STORE_TIMEOUT, store_counts(&node.crashes, store, &node.log)),
+    );
     let cut = node.metrics.answers_cut_by_stop.load(Ordering::Relaxed);
     node.log.write("stop", || {
         serde_json::json!({"answered_all": is_empty && cut == 0, "cut": cut, "under_way": node.connections.busy(),
--- a/crates/dappleyard/tests/planned_stop.rs
+++ b/crates/dappleyard/tests/planned_stop.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use rustix::process::Signal;
 
-use support::{Caller, NodeProcess, Outcome, Platform};
+use support::{Caller, NodeProcess, Outcome, Platform, START_TIMEOUT};
 
 /// Time that the process has from SIGTERM.
 const GRACE: Duration = Duration::from_secs(8);
@@ -132,6 +132,44 @@
     }
 }
 
+/// Sends a request that crashes servers until it has crashed one more, and waits until the node has counted that.
+fn crash_server(platform: &Platform, node: &mut NodeProcess) {
+    let (crashed, until) = (platform.crashes(), Instant::now() + START_TIMEOUT);
+    while platform.crashes() == crashed {
+        assert!(Instant::now() < until, "no server crashed");
+        send_crashing(node);
+        thread::sleep(Duration::from_millis(50));
+    }
+    platform.list_restarted_servers();
+    node.wait_for_record("server_ended");
+}
+
+fn send_crashing(node: &NodeProcess) -> Option<Outcome> {
+    let mut caller = Caller::connect(node.front()).ok()?;
+    Some(caller.crashing_order())
+}
+
+/// Guards against a count of crashes that begins anew when all nodes stop.
+#[gtest]
+fn crashes_across_stop() {
+    let platform = Platform::start();
+    let mut node = platform.start_node();
+    crash_server(&platform, &mut node);
+    crash_server(&platform, &mut node);
+    node.signal(Signal::TERM);
+    let status = node.wait_for_end(GRACE);
+    expect_that!(status.map(|status| status.success()), some(eq(true)));
+    let mut node = platform.start_node();
+    crash_server(&platform, &mut node);
+    platform.wait_for_servers();
+    let outcome = send_crashing(&node);
+    assert!(
+        matches!(&outcome, Some(Outcome::Answered(answer)) if answer.status == 502),
+        "{outcome:?}"
+    );
+    expect_that!(platform.crashes(), eq(3));
+}
+
 /// Guards against requests on old connections that a stopping node takes late and cuts, or never answers.
 #[gtest]
 fn requests_until_the_end() {
--- a/crates/dappleyard/tests/support/mod.rs
+++ b/crates/dappleyard/tests/support/mod.rs
@@ -17,7 +17,7 @@
 /// Events of a whole answer of the stand-in's model servers.
 const EVENTS: usize = 20;
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
-const START_TIMEOUT: Duration = Duration::from_secs(20);
+pub const START_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// The stand-in platform, in a thread that ends with the test process.
 pub struct Platform {
@@ -62,6 +62,33 @@
         NodeProcess { process, log, ip }
     }
 
+    /// Number of crashes of servers.
+    pub fn crashes(&self) -> usize {
+        self.servers.crashes().values().map(Vec::len).sum()
+    }
+
+    /// Lists servers that have started again under their new identifiers only.
+    pub fn list_restarted_servers(&self) {
+        let servers = 0..self.servers.addresses().len();
+        let listed: Vec<String> = servers.map(|server| self.servers.id(server)).collect();
+        for (_, id, _) in self.rows.table("servers") {
+            if !listed.contains(&id) {
+                self.rows.remove("servers", "", &id);
+            }
+        }
+        control::list_servers(&self.rows, &self.servers);
+    }
+
+    /// Waits until all servers have started again.
+    pub fn wait_for_servers(&self) {
+        let servers = 0..self.servers.addresses().len();
+        for server in servers {
+            while self.servers.refuses_until(server).is_some() {
+                thread::sleep(Duration::from_millis(20));
+            }
+        }
+    }
+
     /// Number of runs of a request at the servers.
     pub fn runs(&self, request: &str) -> u32 {
         let records = self.servers.run_records();
@@ -216,6 +243,12 @@
         self.exchange(&node::stream_request(id))
     }
 
+    /// Sends a request that crashes each server and may not be repeated.
+    pub fn crashing_order(&mut self) -> Outcome {
+        let id = format!("order-{:x}", rand::random::<u64>());
+        self.exchange(&node::crashing_order(&id))
+    }
+
     fn exchange(&mut self, request: &str) -> Outcome {
         let sent = Instant::now();
         // A connection that the node closes meanwhile shows as a missing answer.
