Ends beside a request that crashes servers do not count against others

An end after output does not count now where a refused feature that brings none ended the same server; with the correlated ones three such ends at most, so that requests cannot excuse each other for ever. Prompt parts are not excused so, since they stand beside their cause each time. The retry stays for requests with more such ends.

--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -203,6 +203,7 @@
             self.unsent.insert(*feature, SENDS_PER_CHANGE);
         }
         self.update_served_before(feature);
+        self.update_crashed(feature);
         let now_refused = !was_refused && self.is_refused(feature);
         if now_refused {
             self.unstored.insert(*feature);
@@ -238,6 +239,15 @@
         is_new
     }
 
+    /// Updates the servers that a feature has crashed, which explain ends of others.
+    fn update_crashed(&mut self, feature: &Feature) {
+        let failures = &self.server_failures;
+        let record = self.records.get(feature);
+        let cause = record.filter(|record| record.crashes_before_output(feature, failures));
+        let servers = cause.map(Record::servers).unwrap_or_default();
+        self.server_failures.set_crashed(*feature, servers);
+    }
+
     /// Records a completed run, which clears the features of the request; returns those that were suspected.
     pub fn note_served(&mut self, request: &RequestFeatures, now: Instant) -> Vec<Feature> {
         let served = request.iter().copied();
@@ -276,6 +286,7 @@
             self.unstored.insert(*feature);
         }
         record.clear(now);
+        self.update_crashed(feature);
         self.unsent.insert(*feature, SENDS_PER_CHANGE);
         true
     }
@@ -309,6 +320,7 @@
             self.server_failures.note(&end.server, end.at);
         }
         let served_here = self.update_served_before(&feature);
+        self.update_crashed(&feature);
         let merged = MergeOutcome {
             is_new,
             now_refused: !was_refused && self.is_refused(&feature),
@@ -339,9 +351,14 @@
 
     /// Removes the records whose retention is over and those without information.
     pub fn sweep(&mut self, now: Instant) {
-        self.records.retain(|_, record| {
+        let failures = &mut self.server_failures;
+        self.records.retain(|feature, record| {
             let age = now.saturating_duration_since(record.changed);
-            age < retention(record.ended.len()) && !record.is_blank(now)
+            let is_kept = age < retention(record.ended.len()) && !record.is_blank(now);
+            if !is_kept {
+                failures.set_crashed(*feature, Vec::new());
+            }
+            is_kept
         });
     }
 
@@ -361,6 +378,7 @@
         });
         if let Some(evicted) = evicted.map(|(feature, _)| *feature) {
             self.records.remove(&evicted);
+            self.update_crashed(&evicted);
             self.unsent.remove(&evicted);
             self.unstored.remove(&evicted);
         }
--- a/crates/crashes/src/permits.rs
+++ b/crates/crashes/src/permits.rs
@@ -58,7 +58,7 @@
         let Some(record) = self.records.get(feature) else {
             return Permit::Free;
         };
-        let counted_ends = record.counted_ends(&self.server_failures);
+        let counted_ends = record.counted_ends(feature, &self.server_failures);
         let own = self.running.get(feature).map_or(0, Vec::len);
         if counted_ends >= MAX_ENDED_SERVERS {
             let wait = self.time_until_retry(feature, record, refused_features, now);
@@ -101,21 +101,7 @@
     fn may_be_innocent(&self, feature: &Feature, record: &Record) -> bool {
         feature.is_shared()
             || record.has_run_well()
-            || record.is_explained_by(
-                &self.servers_crashed_by_others(feature),
-                &self.server_failures,
-            )
-    }
-
-    /// Servers on which other refused features ended before they brought output.
-    fn servers_crashed_by_others(&self, feature: &Feature) -> HashSet<&str> {
-        let failures = &self.server_failures;
-        let others = self
-            .records
-            .iter()
-            .filter(|(other, record)| *other != feature && record.crashes_before_output(failures));
-        let ends = others.flat_map(|(_, record)| &record.ended);
-        ends.map(|end| end.server.as_str()).collect()
+            || record.is_explained(feature, &self.server_failures)
     }
 
     /// Reserves the retries of the refused features that a request shares with others, so that no two nodes begin one;
@@ -143,7 +129,7 @@
             if record.ended.len() + 1 < MAX_ENDED_SERVERS {
                 return false;
             }
-            let counted_ends = record.counted_ends(&self.server_failures);
+            let counted_ends = record.counted_ends(feature, &self.server_failures);
             counted_ends + 1 == MAX_ENDED_SERVERS
                 && record.limits_runs(feature, counted_ends, now)
                 && !except.iter().any(|own| own == *feature)
@@ -160,7 +146,9 @@
     /// Whether a feature has reached the limit of ended servers.
     pub(crate) fn is_refused(&self, feature: &Feature) -> bool {
         let record = self.records.get(feature);
-        record.is_some_and(|record| record.counted_ends(&self.server_failures) >= MAX_ENDED_SERVERS)
+        record.is_some_and(|record| {
+            record.counted_ends(feature, &self.server_failures) >= MAX_ENDED_SERVERS
+        })
     }
 
     /// The first feature for which a request is refused, if it is.
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -1,6 +1,6 @@
 //! Crash record of one feature, with merging of the records of other nodes. Pure; time is an argument.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
@@ -18,7 +18,7 @@
 const INCIDENT_WINDOW: Duration = Duration::from_secs(1);
 /// Limit on the ended servers recorded for one feature; more than [`MAX_ENDED_SERVERS`], since some ends do not count.
 const MAX_ENDS_HELD: usize = 16;
-/// Limit on the correlated ends that do not count, so that several causes that crash servers at the same time
+/// Limit on the explained and correlated ends that do not count, so that several causes that crash servers at the same time
 /// cannot excuse each other indefinitely.
 const MAX_EXCUSED: usize = 3;
 /// Time from the last end to the retry of a refused feature, by which other causes of ends should be over.
@@ -123,30 +123,28 @@
     }
 
     /// Number of ends that count towards [`MAX_ENDED_SERVERS`].
-    pub(crate) fn counted_ends(&self, server_failures: &ServerFailures) -> usize {
-        self.counted_times(server_failures).len()
+    pub(crate) fn counted_ends(
+        &self,
+        feature: &Feature,
+        server_failures: &ServerFailures,
+    ) -> usize {
+        self.counted_times(feature, server_failures).len()
     }
 
-    /// Ends that count, in the order in which this node learned of them. Correlated ends after output do not count, up to
-    /// [`MAX_EXCUSED`].
-    fn counted(&self, server_failures: &ServerFailures) -> Vec<&ServerEnd> {
+    /// Times of the ends that count, in order. Explained and correlated ends after output do not count, up to
+    /// [`MAX_EXCUSED`]. If a request with the feature completed shortly before, it does not crash every server, so ends
+    /// within one incident count once.
+    fn counted_times(&self, feature: &Feature, server_failures: &ServerFailures) -> Vec<Instant> {
         let own: Vec<&str> = self.ended.iter().map(|end| end.server.as_str()).collect();
         let mut excused = 0;
         let counts = |end: &&ServerEnd| {
             let excuses = excused < MAX_EXCUSED
-                && end.brought_output
-                && server_failures.is_correlated(&end.server, &own);
+                && (is_explained(feature, end, server_failures)
+                    || end.brought_output && server_failures.is_correlated(&end.server, &own));
             excused += usize::from(excuses);
             !excuses
         };
-        self.ended.iter().filter(counts).collect()
-    }
-
-    /// Times of the ends that count, in order. If a request with the feature completed shortly before, it does not crash
-    /// every server, so ends within one incident count once.
-    fn counted_times(&self, server_failures: &ServerFailures) -> Vec<Instant> {
-        let counted = self.counted(server_failures);
-        let mut times: Vec<Instant> = counted.iter().map(|end| end.at).collect();
+        let mut times: Vec<Instant> = self.ended.iter().filter(counts).map(|end| end.at).collect();
         times.sort_unstable();
         if self.served_before {
             times = incident_starts(times);
@@ -155,23 +153,21 @@
     }
 
     /// Whether requests with the feature are refused, and crash servers before they bring output.
-    pub(crate) fn crashes_before_output(&self, server_failures: &ServerFailures) -> bool {
+    pub(crate) fn crashes_before_output(
+        &self,
+        feature: &Feature,
+        server_failures: &ServerFailures,
+    ) -> bool {
         let has_output = self.ended.iter().any(|end| end.brought_output);
         self.ended.len() >= MAX_ENDED_SERVERS
             && !has_output
-            && self.counted_ends(server_failures) >= MAX_ENDED_SERVERS
+            && self.counted_ends(feature, server_failures) >= MAX_ENDED_SERVERS
     }
 
-    /// Whether too few ends are left for a refusal without those after output on servers that another feature crashed.
-    pub(crate) fn is_explained_by(
-        &self,
-        crashed_servers: &HashSet<&str>,
-        server_failures: &ServerFailures,
-    ) -> bool {
-        let is_explained =
-            |end: &&ServerEnd| end.brought_output && crashed_servers.contains(end.server.as_str());
-        let counted = self.counted(server_failures).into_iter();
-        let unexplained = counted.filter(|end| !is_explained(end));
+    /// Whether too few ends are left for a refusal without those that other features explain.
+    pub(crate) fn is_explained(&self, feature: &Feature, server_failures: &ServerFailures) -> bool {
+        let ends = self.ended.iter();
+        let unexplained = ends.filter(|end| !is_explained(feature, end, server_failures));
         unexplained.count() < MAX_ENDED_SERVERS
     }
 
@@ -190,7 +186,7 @@
         server_failures: &ServerFailures,
         now: Instant,
     ) -> Option<Duration> {
-        let has_trials = self.used_trials(server_failures) < feature.max_trials()
+        let has_trials = self.used_trials(feature, server_failures) < feature.max_trials()
             && self.ended.len() < MAX_ENDS_HELD;
         let delay = TRIAL_DELAY * refused_features;
         let since = now.saturating_duration_since(self.changed);
@@ -229,8 +225,8 @@
     }
 
     /// Number of retries since the feature was refused after which a server ended.
-    fn used_trials(&self, server_failures: &ServerFailures) -> usize {
-        let times = self.counted_times(server_failures);
+    fn used_trials(&self, feature: &Feature, server_failures: &ServerFailures) -> usize {
+        let times = self.counted_times(feature, server_failures);
         let gaps = times.windows(2).skip(MAX_ENDED_SERVERS - 1);
         let trials =
             gaps.filter(|pair| pair[1].saturating_duration_since(pair[0]) >= MIN_TRIAL_GAP);
@@ -422,6 +418,12 @@
     }
 }
 
+/// Whether another feature crashed the server after this one had brought output. A shared feature is not excused so, since
+/// its requests have others beside it each time.
+fn is_explained(feature: &Feature, end: &ServerEnd, server_failures: &ServerFailures) -> bool {
+    !feature.is_shared() && end.brought_output && server_failures.is_crashed(&end.server)
+}
+
 /// The first of each group of ends within [`INCIDENT_WINDOW`], from ends in order.
 fn incident_starts(mut times: Vec<Instant>) -> Vec<Instant> {
     times.dedup_by(|later, start| later.saturating_duration_since(*start) <= INCIDENT_WINDOW);
--- a/crates/crashes/src/server_failures.rs
+++ b/crates/crashes/src/server_failures.rs
@@ -6,6 +6,8 @@
 
 use dappleyard_clock::Instant;
 
+use crate::feature::Feature;
+
 /// Servers that end within this time of each other count as correlated. It covers the difference with which nodes
 /// observe the loss of a rack or zone, up to 90 ms in a fleet of 67 nodes, and is shorter than the usual interval
 /// between two crashes by one request, 150 ms.
@@ -20,6 +22,8 @@
 pub(crate) struct ServerFailures {
     by_server: HashMap<String, Instant>,
     by_time: BTreeSet<(Instant, String)>,
+    /// Servers that ended under each refused feature that crashes servers before it brings output.
+    crashed_by: HashMap<Feature, Vec<String>>,
 }
 
 impl ServerFailures {
@@ -37,6 +41,20 @@
         self.by_time.insert((at, server.to_owned()));
     }
 
+    /// Updates the servers that a feature has crashed.
+    pub(crate) fn set_crashed(&mut self, feature: Feature, servers: Vec<String>) {
+        match servers.is_empty() {
+            true => self.crashed_by.remove(&feature),
+            false => self.crashed_by.insert(feature, servers),
+        };
+    }
+
+    /// Whether a feature that crashes servers before it brings output crashed a server.
+    pub(crate) fn is_crashed(&self, server: &str) -> bool {
+        let mut crashed = self.crashed_by.values().flatten();
+        crashed.any(|crashed| crashed == server)
+    }
+
     /// When a server's end was first observed.
     pub(crate) fn ended_at(&self, server: &str) -> Option<Instant> {
         self.by_server.get(server).copied()
