A download that a sidecar cuts in the middle is counted and logged

A caller whose download ended before the end of its file could find nothing about it at the sidecar: the head of the answer was sent, so that the answer counted as one of 200.

Cause: the error of a later read ended the body of the answer and went nowhere. Class: a failure path without a record.

Each cut download now counts in downloads_cut_total and leaves a warning with the file, the bytes sent and the error. What the caller sees is unchanged: the connection ends before the last chunk, the only way of HTTP/1.1 to say so.

Evidence: cut_download (a node that refuses the second read) failed before with a count of 0; passes after, with all other tests of the sidecar.

--- a/crates/sidecar/src/files/mod.rs
+++ b/crates/sidecar/src/files/mod.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Records that the caller's connection ends after `sent_bytes` of the file.
+    fn record_cut(&self, sent_bytes: u64, error: &ApiError) {
+        self.worker.shared.metrics.downloads_cut.inc();
+        tracing::warn!(file = self.file_id, sent_bytes, %error, "download cut in the middle");
+    }
+
     /// Streams the file from its first chunk on.
     fn chunks(self, first: FileData) -> impl Stream<Item = Result<Bytes, ApiError>> {
         async_stream::try_stream! {
@@ -79,7 +85,7 @@
                 if last {
                     break;
                 }
-                chunk = self.read(next).await?;
+                chunk = self.read(next).await.inspect_err(|error| self.record_cut(next, error))?;
             }
         }
     }
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -35,6 +35,8 @@
     pub bad_frames: IntCounterVec,
     /// Requests whose client disconnected before the response was complete.
     pub client_disconnects: IntCounter,
+    /// Downloads that ended before the end of their file.
+    pub downloads_cut: IntCounter,
     pub links: IntGauge,
     /// Lost links and failed connects, by cause.
     pub link_failures: IntCounterVec,
@@ -70,6 +72,7 @@
             pieces: counter("pieces_total", "Pieces passed on")?,
             bad_frames: counters("bad_frames_total", "Frames that did not fit", &["cause"])?,
             client_disconnects: counter("callers_gone_total", "Callers that went away")?,
+            downloads_cut: counter("downloads_cut_total", "Downloads cut in the middle")?,
             links: IntGauge::new("dappleyard_sidecar_links", "Links that are up")?,
             link_failures: counters("link_failures_total", "Links lost or not made", &["cause"])?,
             transport: Arc::default(),
@@ -80,7 +83,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 13] = [
             Box::new(self.responses.clone()),
             Box::new(self.response_seconds.clone()),
             Box::new(self.first_piece_seconds.clone()),
@@ -91,6 +94,7 @@
             Box::new(self.pieces.clone()),
             Box::new(self.bad_frames.clone()),
             Box::new(self.client_disconnects.clone()),
+            Box::new(self.downloads_cut.clone()),
             Box::new(self.links.clone()),
             Box::new(self.link_failures.clone()),
         ];
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -8,7 +8,8 @@
 use dappleyard_transport::link::ServerStream;
 use dappleyard_wire::ErrorKind;
 use dappleyard_wire::messages::{
-    JobPage, JobPhase, JobState, JobSubmit, ModelEntry, ModelList, Reply, call, frame, reply,
+    FileData, JobPage, JobPhase, JobState, JobSubmit, ModelEntry, ModelList, Reply, call, frame,
+    reply,
 };
 use googletest::prelude::*;
 use support::{Script, ScriptedNode, get, post, refused, settings, start_sidecar, wait_until};
@@ -161,6 +162,29 @@
     }
 }
 
+/// Guards against a download that ends in the middle without a record.
+#[gtest]
+#[actix_rt::test]
+async fn cut_download() {
+    let script: Script = Rc::new(|stream: ServerStream| match method(&stream) {
+        Some(call::Method::FileRead(read)) if read.offset == 0 => {
+            let data = FileData {
+                data: b"begun".to_vec(),
+                ..FileData::default()
+            };
+            send_reply(&stream, reply::Result::Data(data));
+        }
+        _ => drop(stream.send(refused(ErrorKind::NotFound, 0))),
+    });
+    let node = ScriptedNode::start("node-1", script).await;
+    let (_sidecar, base) = start_sidecar(settings(&[&node])).await;
+    support::wait_links(&base, 1).await;
+    let read = awc::Client::default().get(format!("{base}/v1/files/a/content"));
+    let _ = read.send().await.unwrap().body().await;
+    let cut = support::metric(&base, "dappleyard_sidecar_downloads_cut_total").await;
+    expect_that!(cut, eq(1));
+}
+
 #[gtest]
 #[actix_rt::test]
 async fn file_round_trips_unchanged() {
