node: the stop in one step a line

No change of what it does: the waits take the deadline itself, as in the sidecar, and the wait for online streams stands once.

--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -1,7 +1,7 @@
 //! Handle of a running node: addresses, planned stop and fault injection.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_rt::ArbiterHandle;
 use actix_web::dev::ServerHandle;
@@ -9,6 +9,7 @@
 use dappleyard_tables::{Lifecycle, NodeTables};
 use dappleyard_transport::RequestGate;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::control::LeaveRequest;
 use crate::start::DrainRequest;
@@ -72,51 +73,31 @@
     /// announces the departure, admits nothing more on its links, and ends them once every answer
     /// is flushed. Returns `false` when the time bound was reached before that.
     pub async fn stop(self) -> bool {
-        let deadline = Instant::now() + Duration::from_millis(self.parts.stop_bound_ms);
-        self.parts.gate.drain();
-        self.parts
-            .tables
-            .lifecycle
-            .send_replace(Lifecycle::Draining);
-        tracing::info!(node = %self.parts.tables.identity.node, "planned stop began");
-        let drained = request(&self.parts.drain);
+        let parts = &self.parts;
+        let deadline = Instant::now() + Duration::from_millis(parts.stop_bound_ms);
+        parts.gate.drain();
+        parts.tables.lifecycle.send_replace(Lifecycle::Draining);
+        tracing::info!(node = %parts.tables.identity.node, "planned stop began");
+        let handback = request(&parts.drain);
         tokio::time::sleep(STOP_NOTICE).await;
-        while self.parts.shared.active_streams() > 0 && Instant::now() < deadline {
-            tokio::time::sleep(STOP_POLL).await;
-        }
-        let rest = deadline.saturating_duration_since(Instant::now());
-        let handed_back = tokio::time::timeout(rest, drained).await.is_ok();
-        let mut left = request(&self.parts.leave);
-        let has_left = tokio::time::timeout(STOP_NOTICE, &mut left).await.is_ok();
-        self.parts.gate.close();
-        let rest = deadline.saturating_duration_since(Instant::now());
-        let finished = tokio::time::timeout(rest, self.finish_answers()).await;
-        let finished = finished.is_ok();
+        let _ = timeout_at(deadline, self.finish_streams()).await;
+        let handed_back = timeout_at(deadline, handback).await.is_ok();
+        let mut departure = request(&parts.leave);
+        let has_left = timeout(STOP_NOTICE, &mut departure).await.is_ok();
+        parts.gate.close();
+        let finished = timeout_at(deadline, self.finish_answers()).await.is_ok();
         if !finished {
-            let requests = self.parts.gate.in_progress();
-            let streams = self.parts.shared.active_streams();
-            tracing::warn!(
-                requests,
-                streams,
-                "stop bound reached; unfinished answers were cut"
-            );
+            self.warn_of_cut_answers();
         }
-        self.parts.end_links.send_replace(true);
-        let rest = deadline.saturating_duration_since(Instant::now());
-        let _ = tokio::time::timeout(rest, self.parts.end_links.closed()).await;
-        let rest = deadline.saturating_duration_since(Instant::now());
-        if !has_left
-            && tokio::time::timeout(rest.min(JOURNAL_TIMEOUT), left)
-                .await
-                .is_err()
-        {
-            tracing::warn!("the store is slow; decision records of the last interval may be lost");
+        parts.end_links.send_replace(true);
+        let _ = timeout_at(deadline, parts.end_links.closed()).await;
+        if !has_left {
+            finish_journal(departure, deadline).await;
         }
-        self.parts.tables.lifecycle.send_replace(Lifecycle::Stopped);
+        parts.tables.lifecycle.send_replace(Lifecycle::Stopped);
         threads::kill(&self.arbiters);
         // The gate has counted operators' requests; this writes the last answers.
-        let rest = deadline.saturating_duration_since(Instant::now());
-        let _ = tokio::time::timeout(rest, self.parts.admin.stop(true)).await;
+        let _ = timeout_at(deadline, parts.admin.stop(true)).await;
         finished && handed_back
     }
 
@@ -135,10 +116,32 @@
     /// Waits until all that the links had admitted is answered, and its outcomes are recorded.
     async fn finish_answers(&self) {
         self.parts.gate.wait_idle().await;
+        self.finish_streams().await;
+    }
+
+    async fn finish_streams(&self) {
         while self.parts.shared.active_streams() > 0 {
             tokio::time::sleep(STOP_POLL).await;
         }
     }
+
+    fn warn_of_cut_answers(&self) {
+        let requests = self.parts.gate.in_progress();
+        let streams = self.parts.shared.active_streams();
+        tracing::warn!(
+            requests,
+            streams,
+            "stop bound reached; unfinished answers were cut"
+        );
+    }
+}
+
+/// Waits until the control thread has written the last decision records.
+async fn finish_journal(departure: oneshot::Receiver<()>, deadline: Instant) {
+    let limit = deadline.min(Instant::now() + JOURNAL_TIMEOUT);
+    if timeout_at(limit, departure).await.is_err() {
+        tracing::warn!("the store is slow; decision records of the last interval may be lost");
+    }
 }
 
 /// Sends a request to another thread at once; the receiver resolves when it is done.
