A request whose handler panics is answered

What callers saw: the end of the connection without a byte; the HTTP library ends the task of a connection whose handler panics. No panic is known. Cause: nothing between the handler and the connection caught it. Class: a way in which a handler is dropped ends a connection without an answer. Change: the server answers 500, which promises nothing about execution; the panic is on standard error as before. Evidence: panicking_handler read nothing before and the answer now; shutdown.rs passes.

--- a/crates/ingress/src/http_server.rs
+++ b/crates/ingress/src/http_server.rs
@@ -3,6 +3,7 @@
 use std::fmt::Debug;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
     map_config,
 };
 use actix_web::dev::AppConfig;
+use actix_web::error::ErrorInternalServerError;
+use futures::FutureExt;
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::caller_connection::{AnswerBody, CallerConnection, ConnectionGate, GatedStream};
@@ -36,6 +39,11 @@
     socket.listen(LISTEN_BACKLOG)?.into_std()
 }
 
+/// The request may have run. The panic itself is written to standard error.
+fn handler_panicked() -> actix_web::Error {
+    ErrorInternalServerError("internal error")
+}
+
 /// Starts a server with one worker thread, on which `app` is called once for each listener.
 pub fn serve<F, I, S, B>(
     listeners: Vec<TcpListener>,
@@ -69,9 +77,10 @@
                 if let Some(connection) = &connection {
                     connection.begin_request();
                 }
-                let answering = service.call(request);
+                let answering = AssertUnwindSafe(service.call(request)).catch_unwind();
                 async move {
-                    let answer: Response<B> = answering.await?.into();
+                    let answer = answering.await.map_err(|_| handler_panicked())?;
+                    let answer: Response<B> = answer?.into();
                     Ok(answer.map_body(|_, body| AnswerBody::new(body, connection)))
                 }
             });
