A stream that has begun waits out a refusal that is taken back shortly after

Class: an answer was given up before it was lost. A request that has not begun gets the refusal at once and can come back; a stream that has begun cannot. Change: it asks again for up to 1.5 s, in which nothing runs that the limit on crashes forbids; a caller waits 2 s for a silent stream.

--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -9,7 +9,9 @@
 
 use crate::attempt::{AttemptError, Exchange, Ran, SUSPECT_DURATION, Upstreams};
 use crate::crashes::InterruptedRun;
-use crate::dispatch::{Dispatched, Request, Started, dispatch, dispatch_after, is_event_route};
+use crate::dispatch::{
+    Dispatched, RUN_CHECK_INTERVAL, Request, Started, dispatch, dispatch_after, is_event_route,
+};
 use crate::error_kind::ErrorKind;
 use crate::event_gaps::EventGaps;
 use crate::event_stream::EventSplitter;
@@ -26,6 +28,10 @@
 /// Silence of a server after which a stream is continued at another one, if one is free for it.
 const STREAM_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// How long a response that has begun waits for a refusal to be cleared. Callers give up a silent stream after 2 s at the
+/// earliest.
+const REFUSAL_WAIT: Duration = Duration::from_millis(1_500);
+
 /// The response cannot be completed. The client's connection is closed without the end of the body.
 #[derive(Debug, Display, Error)]
 #[display("the response was truncated")]
@@ -327,12 +333,7 @@
             self.log_truncated(&error.reason);
             return Err(TruncatedResponse);
         }
-        let (upstreams, request) = (&self.upstreams, &mut self.request);
-        let dispatched = match successor {
-            Some(run) => dispatch_after(upstreams, request, run, self.last_event).await,
-            None => dispatch(upstreams, request, self.last_event).await,
-        };
-        match dispatched {
+        match self.dispatch_rest(successor).await {
             Dispatched::Started(started) => {
                 Metrics::count(&node.metrics.resumed);
                 self.started = Some(*started);
@@ -362,6 +363,22 @@
         }
     }
 
+    /// Sends the rest of a response that has begun to the successor or another server. A refusal because of crashes is
+    /// waited out for a while, since another run of such a request may clear it.
+    async fn dispatch_rest(&mut self, successor: Option<PendingRun>) -> Dispatched {
+        let (upstreams, request) = (&self.upstreams, &mut self.request);
+        let refused_until = Instant::now() + REFUSAL_WAIT;
+        let mut dispatched = match successor {
+            Some(run) => dispatch_after(upstreams, request, run, self.last_event).await,
+            None => dispatch(upstreams, request, self.last_event).await,
+        };
+        while matches!(dispatched, Dispatched::Refused(..)) && Instant::now() < refused_until {
+            tokio::time::sleep(RUN_CHECK_INTERVAL).await;
+            dispatched = dispatch(upstreams, request, self.last_event).await;
+        }
+        dispatched
+    }
+
     fn log_truncated(&self, cause: &str) {
         let node = self.upstreams.node();
         Metrics::count(&node.metrics.failed);
