--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -10,6 +10,7 @@
 
 /// Time after the gate is closed in which a head that has begun may become complete.
 const HEAD_TIME: Duration = Duration::from_millis(300);
+
 /// When requests must have ended because the process stops; unknown until it is asked to.
 #[derive(Debug, Clone, Default)]
 pub struct ProcessEnd(Arc<OnceLock<Instant>>);
--- a/scripts/soak_lib/callers.py
+++ b/scripts/soak_lib/callers.py
@@ -113,7 +113,7 @@
         self.count(f"refused, {error}")
         if error in LOAD_SHEDDING_ERRORS and not self.sheds_load:
             self.record_violation("load is shed where settings ask for it", f"{request} at {node.name}: {error}")
-        if error == "deadline_too_near" and retry_after is None and left_s < USELESS_RETURN_S:
+        if retry_after is None and self.return_is_useless(error, left_s):
             return DEADLINE_S
         try:
             return max(float(retry_after), 0.01)
@@ -122,6 +122,10 @@
                                   f"{request} at {node.name}: {error}, {retry_after}")
             return DEADLINE_S
 
+    def return_is_useless(self, error, left_s):
+        """Whether a refusal may name no time to come back, since the caller's deadline is too near."""
+        return error == "deadline_too_near" and left_s < USELESS_RETURN_S
+
     def check_recovery(self, status, request, node, api_key, begun):
         """Checks that requests are served after the last fault."""
         if (api_key != "calm-1" or self.servers_restored_at is None
--- a/scripts/soak_lib/resumption.py
+++ b/scripts/soak_lib/resumption.py
@@ -41,7 +41,8 @@
             self.note_begun(node, "resumed" if events else "new", status, error, events, begun)
             if status in NOT_RUN_STATUSES:
                 self.refused_ids.add(attempt)
-                if retry_after is None and error not in FINAL_ERRORS:
+                left_s = DEADLINE_S - (time.time() - begun)
+                if retry_after is None and error not in FINAL_ERRORS and not self.return_is_useless(error, left_s):
                     self.record_violation("a refusal names a time to come back", f"{attempt} at {node.name}: {error}")
             if status != 200:
                 return
