Test: the end of a stopping process is awaited beside its callers

Cause, in the test: the wait began after the last caller had come back, which sleeps for 7.87 s; a caller that came back after 8 s left no time for a look. The process was not looked at once, so that the failure says nothing about it. Change: the end is awaited from SIGTERM on, with the same bound of 8 s.

--- a/crates/dappleyard/tests/planned_stop.rs
+++ b/crates/dappleyard/tests/planned_stop.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use rustix::process::Signal;
 
-use support::{Caller, NodeProcess, Outcome, Platform, START_TIMEOUT};
+use support::{Caller, NodeProcess, Outcome, Platform, ProcessSignals, START_TIMEOUT};
 
 /// Time that the process has from SIGTERM.
 const GRACE: Duration = Duration::from_secs(8);
@@ -70,7 +70,7 @@
 }
 
 /// Stops a node while callers use old connections until it is gone. `more` sends further signals.
-fn stop_under_load(platform: &Platform, more: impl Fn(&NodeProcess)) -> Record {
+fn stop_under_load(platform: &Platform, more: impl Fn(ProcessSignals)) -> Record {
     let mut node = platform.start_node();
     node.wait_until_ready();
     let (record, front) = (Record::default(), node.front());
@@ -89,9 +89,12 @@
             .map(|caller| caller.join().expect("a caller"))
             .collect()
     });
+    let signals = node.signals();
     let stopped = Instant::now();
-    node.signal(Signal::TERM);
-    thread::scope(|scope| {
+    signals.send(Signal::TERM);
+    let status = thread::scope(|scope| {
+        // Beside the callers, the last of which sleep nearly until the end of the grace period.
+        let ending = scope.spawn(|| node.wait_for_end(GRACE));
         let record = &record;
         for (at, caller) in (0..).zip(&mut resting) {
             scope.spawn(move || {
@@ -106,9 +109,9 @@
         for caller in 0..BUSY_CALLERS {
             scope.spawn(move || send_until_gone(platform, front, caller, stopped, record));
         }
-        more(&node);
+        more(signals);
+        ending.join().expect("the wait for the end")
     });
-    let status = node.wait_for_end(GRACE.saturating_sub(stopped.elapsed()));
     expect_that!(status.map(|status| status.success()), some(eq(true)));
     expect_that!(record.crossed.load(Ordering::Relaxed), le(MAX_CROSSED));
     record
@@ -204,10 +207,10 @@
 #[gtest]
 fn stop_beside_other_signals() {
     let platform = Platform::start();
-    let record = stop_under_load(&platform, |node| {
+    let record = stop_under_load(&platform, |signals| {
         for signal in [Signal::HUP, Signal::TERM, Signal::HUP, Signal::TERM] {
             thread::sleep(Duration::from_millis(500));
-            node.signal(signal);
+            signals.send(signal);
             platform.rows.set_down(true);
         }
     });
--- a/crates/dappleyard/tests/support/mod.rs
+++ b/crates/dappleyard/tests/support/mod.rs
@@ -134,15 +134,29 @@
     ip: Ipv4Addr,
 }
 
+/// Signals to a process that has not been waited for.
+#[derive(Clone, Copy)]
+pub struct ProcessSignals(Pid);
+
+impl ProcessSignals {
+    pub fn send(self, signal: Signal) {
+        kill_process(self.0, signal).expect("the process is there");
+    }
+}
+
 impl NodeProcess {
     pub fn front(&self) -> SocketAddr {
         node::front(self.ip)
     }
 
     pub fn signal(&self, signal: Signal) {
+        self.signals().send(signal);
+    }
+
+    /// Signals to the process while something else waits for its end.
+    pub fn signals(&self) -> ProcessSignals {
         let process = i32::try_from(self.process.id()).expect("a process id");
-        let process = Pid::from_raw(process).expect("a process id");
-        kill_process(process, signal).expect("the process is there");
+        ProcessSignals(Pid::from_raw(process).expect("a process id"))
     }
 
     /// Waits for a record of the given event.
