--- a/review/standin/bench.py
+++ b/review/standin/bench.py
@@ -84,6 +84,9 @@
         self.changed = asyncio.Condition()
         self.writes_seen = 0
         self.lose = lambda transaction: None  # seconds after which it is done, or None
+        self.opened = 0  # connections so far
+        self.feeds = {}  # number of a connection: (table, since when) of the feed call on it
+        self.silent = set()  # connections that say nothing further
 
     def now_ms(self):
         return int(time.monotonic() * 1000)
@@ -93,6 +96,8 @@
         return await asyncio.start_server(self.serve, host, port, limit=2**24)
 
     async def serve(self, reader, writer):
+        self.opened += 1
+        number = self.opened
         try:
             while True:
                 method, target, _, body = await read_request(reader)
@@ -117,9 +122,14 @@
                     parts = sorted({p for (t, p, _) in self.rows if t == fields["table"] and p > after})
                     status, answer = 200, {"parts": parts, "more": False}
                 elif path == "/v1/rows-feed":
+                    self.feeds[number] = (fields["table"], time.monotonic())
                     status, answer = await self.feed(fields)
+                    del self.feeds[number]
                 else:
                     status, answer = 404, {}
+                if number in self.silent:
+                    await asyncio.sleep(60)
+                    return
                 writer.write(response(status, json.dumps(answer).encode(), [("Content-Type", "application/json")]))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError, asyncio.CancelledError):
