--- a/review/standin/bench.py
+++ b/review/standin/bench.py
@@ -422,6 +422,11 @@
 """)
 
     async def start(self):
+        if self.process is not None:  # "true only when the whole system starts for the first time"
+            with open(self.settings) as file:
+                text = file.read()
+            with open(self.settings, "w") as file:
+                file.write(text.replace("first_start = true", "first_start = false"))
         log = open(self.log, "ab")
         environment = {"PATH": os.environ["PATH"], "HOME": os.environ.get("HOME", "/"), "DAPPLEYARD_SETTINGS": self.settings}
         # The command of deploy/system.toml.
