Log: what a request that comes during a stop is judged by

Callers see a stream cut whose node had accepted it while stopping. The records could not tell why it was accepted: a wrong estimate, an end of the process that is earlier than due, or a wait between the acceptance and the run.

late_request_checked: the time to the end of the process, the deadline, the tokens asked for, and the durations known.

--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -281,7 +281,7 @@
         return refuse(&node, &facts.id, &refused);
     };
     let time_limit = time_limit(&route, &facts);
-    if let Err(refused) = check_time_left(&node, &service, facts.tokens_out, time_limit) {
+    if let Err(refused) = check_time_left(&node, &facts.id, &service, facts.tokens_out, time_limit) {
         return refuse(&node, &facts.id, &refused);
     }
     node.capacities.adopt(&configuration);
--- a/crates/ingress/src/late_requests.rs
+++ b/crates/ingress/src/late_requests.rs
@@ -54,6 +54,7 @@
 /// Refuses a request that is not expected to end before the process does. `deadline` is the time until its own.
 pub(crate) fn check_time_left(
     node: &Node,
+    id: &str,
     service: &str,
     tokens_out: u32,
     deadline: Duration,
@@ -62,7 +63,14 @@
         return Ok(());
     };
     let expected = ExpectedDuration::of(node, service, tokens_out);
-    match can_finish(time_left, TimeLimit::ProcessEnd { deadline }, &expected) {
+    let admitted = can_finish(time_left, TimeLimit::ProcessEnd { deadline }, &expected);
+    node.log.write("late_request_checked", || {
+        serde_json::json!({"request": id, "admitted": admitted, "tokens_out": tokens_out,
+            "process_end_ms": time_left.as_millis() as u64, "deadline_ms": deadline.as_millis() as u64,
+            "mean_ms": expected.mean.as_millis() as u64,
+            "high_ms": expected.range.map(|range| range.high.as_millis() as u64)})
+    });
+    match admitted {
         true => Ok(()),
         false => Err(Refusal::new(ErrorKind::Stopping, "the node stops too soon")),
     }
