Refuse a late request of a stop unless it surely ends before the process

Cause: an average decided about a promise. Without samples of its size, twice the mean of the service (2 s at least) was taken for enough; with samples, the 99th percentile of requests within a factor of four in tokens.

Now a request that has not run is accepted only if its deadline, or a bound on its duration, lies before the end: first event and interval between events for 99 of 100, times the events that its tokens may make, doubled or 1.5 s more. Asked at each look while a request waits, too. A refusal sends the caller to another node at once.

--- a/crates/dappleyard/tests/planned_stop.rs
+++ b/crates/dappleyard/tests/planned_stop/main.rs
@@ -1,5 +1,6 @@
 //! A process that is asked to stop answers each request that it takes.
 
+mod late_streams;
 mod support;
 
 use std::sync::Mutex;
--- a/crates/dappleyard/tests/support/mod.rs
+++ b/crates/dappleyard/tests/planned_stop/support.rs
@@ -257,6 +257,12 @@
         self.exchange(&node::stream_request(id))
     }
 
+    /// Sends a request for a stream of so many tokens that may not be repeated.
+    pub fn sized_order(&mut self, id: &str, tokens_out: u32, deadline: Duration) -> Outcome {
+        let deadline_ms = deadline.as_millis() as u32;
+        self.exchange(&node::sized_order(id, tokens_out, deadline_ms))
+    }
+
     /// Sends a request that crashes each server and may not be repeated.
     pub fn crashing_order(&mut self) -> Outcome {
         let id = format!("order-{:x}", rand::random::<u64>());
--- a/crates/ingress/src/admission.rs
+++ b/crates/ingress/src/admission.rs
@@ -7,7 +7,7 @@
 use dappleyard_tenants::{Caller, KeyRefusal};
 
 use crate::capacity::{CapacityForecast, MIN_RETRY_DELAY};
-use crate::completion::DeadlineTooNear;
+use crate::completion::OutOfTime;
 use crate::crashes::refusal_detail;
 use crate::dispatch::Request;
 use crate::error_kind::ErrorKind;
@@ -56,14 +56,17 @@
         }
     }
 
-    /// Refusal of a request that cannot end before its deadline.
-    pub(crate) fn deadline_too_near(request: &Request, too_near: &DeadlineTooNear) -> Self {
-        let retry_after = too_near.retry_after;
+    /// Refusal of a request that cannot end before its deadline or the end of the process.
+    pub(crate) fn out_of_time(request: &Request, out_of_time: &OutOfTime) -> Self {
         let (left, age) = (request.remaining(), request.arrived.elapsed());
         let detail = format!("{} ms left after {} ms", left.as_millis(), age.as_millis());
-        Self {
-            retry_after_ms: retry_after.map(|after| after.as_millis() as u64),
-            ..Self::new(ErrorKind::DeadlineTooNear, detail)
+        let refusal = Self::new(out_of_time.kind(), detail);
+        match out_of_time {
+            OutOfTime::Stopping => refusal,
+            OutOfTime::DeadlineTooNear { retry_after } => Self {
+                retry_after_ms: retry_after.map(|after| after.as_millis() as u64),
+                ..refusal
+            },
         }
     }
 }
--- a/crates/ingress/src/completion.rs
+++ b/crates/ingress/src/completion.rs
@@ -4,80 +4,116 @@
 
 use crate::attempt::Ran;
 use crate::capacity::MIN_RETRY_DELAY;
-use crate::dispatch::Request;
+use crate::dispatch::{Request, is_event_route};
+use crate::error_kind::ErrorKind;
 use crate::node::Node;
 use crate::response_times::DurationRange;
 use crate::resumption::is_resumption;
 
-/// Time that a request is expected to need at least when the process stops.
-const MIN_REQUEST_TIME: Duration = Duration::from_millis(2_000);
-/// While too few requests have ended, one is expected to take up to this many times the mean of its service.
-const MEAN_HOLD_TIMES: u32 = 2;
+/// How many times as long as others a request may take, since its server may be slower or become so.
+const SLOWDOWN_ALLOWANCE: u32 = 2;
+/// Time for which a sound server may be silent and go on.
+const SILENCE_ALLOWANCE: Duration = Duration::from_millis(1_500);
 
-/// How long requests like one take.
-#[derive(Debug, Clone, Copy)]
-pub struct ExpectedDuration {
-    /// Mean over all requests of the service.
-    pub mean: Duration,
-    /// Of those with as many tokens to generate, if enough have ended.
-    pub range: Option<DurationRange>,
+/// Whether a request may end before its deadline. That is the same at any node, so only one that almost certainly misses
+/// it is refused. `range`: durations of requests like it, if enough have ended lately.
+pub fn may_meet_deadline(time_left: Duration, range: Option<DurationRange>) -> bool {
+    range.is_none_or(|range| range.low <= time_left)
 }
 
-impl ExpectedDuration {
-    pub(crate) fn of(node: &Node, service: &str, tokens_out: u32) -> Self {
-        Self {
-            mean: node.capacities.hold_time(service),
-            range: node.response_times.duration_range(service, tokens_out),
-        }
-    }
-
-    /// Time that nearly all such requests end in.
-    fn longest(&self) -> Duration {
-        let longest = self
-            .range
-            .map_or(self.mean * MEAN_HOLD_TIMES, |range| range.high);
-        longest.max(MIN_REQUEST_TIME)
-    }
+/// Whether a request surely ends before the process does. Another node can serve it, so in doubt it is refused.
+/// `deadline`: time until its own deadline, after which nothing of it is left to cut. `longest`: the time that such
+/// requests take, if it is known.
+pub fn ends_before_process(
+    time_left: Duration,
+    deadline: Duration,
+    longest: Option<Duration>,
+) -> bool {
+    deadline.min(duration_bound(longest).unwrap_or(deadline)) <= time_left
 }
 
-/// What ends the time that a request has.
-#[derive(Debug, Clone, Copy)]
-pub enum TimeLimit {
-    /// The deadline. It is the same at any node, so only a request that almost certainly misses it is refused.
-    Deadline,
-    /// The end of the process. Another node can serve the request, so it is accepted only if it almost certainly ends.
-    ProcessEnd {
-        /// Time until the request's own deadline, after which nothing of it is left to cut.
-        deadline: Duration,
-    },
+fn duration_bound(longest: Option<Duration>) -> Option<Duration> {
+    let longest = longest?;
+    Some((longest * SLOWDOWN_ALLOWANCE).max(longest + SILENCE_ALLOWANCE))
 }
 
-/// Whether a request is expected to end in the time left.
-pub fn can_finish(time_left: Duration, limit: TimeLimit, expected: &ExpectedDuration) -> bool {
-    let needed = match limit {
-        TimeLimit::Deadline => expected.range.map_or(Duration::ZERO, |range| range.low),
-        TimeLimit::ProcessEnd { deadline } => deadline.min(expected.longest()),
+/// Longest duration of a request: by the tokens that it asks for, or else that of the last ones of the route.
+fn longest(node: &Node, request: &Request) -> Option<Duration> {
+    let times = &node.response_times;
+    let (facts, route) = (&request.facts, &request.route);
+    if facts.tokens_out == 0 {
+        return times.longest_unsized(&route.name);
+    }
+    let after = match is_resumption(route, facts) {
+        true => facts.last_event_id.unwrap_or(0),
+        false => 0,
+    };
+    let service = request.service.as_str();
+    let generation = times.longest_generation((service, route.kind), facts.tokens_out, after)?;
+    let first_event = match is_event_route(route) {
+        true => times.longest_first_event(service, request.shape.tokens)?,
+        // The generation includes it.
+        false => Duration::ZERO,
     };
-    needed <= time_left
+    Some(first_event + generation)
 }
 
-/// A request that cannot end before its deadline.
-pub(crate) struct DeadlineTooNear {
-    /// Retry delay; `None` if the client's own deadline is too near as well.
-    pub(crate) retry_after: Option<Duration>,
+/// Why a request that has not run cannot end in time.
+pub(crate) enum OutOfTime {
+    /// It cannot end before its deadline.
+    DeadlineTooNear {
+        /// Retry delay; `None` if the client's own deadline is too near as well.
+        retry_after: Option<Duration>,
+    },
+    /// The process may end before it.
+    Stopping,
 }
 
-/// Fails for a request that has not run and cannot end before its deadline. A resumption needs less time than others.
-pub(crate) fn check_deadline(node: &Node, request: &Request) -> Result<(), DeadlineTooNear> {
-    if request.ran != Ran::No || is_resumption(&request.route, &request.facts) {
+impl OutOfTime {
+    pub(crate) fn kind(&self) -> ErrorKind {
+        match self {
+            OutOfTime::DeadlineTooNear { .. } => ErrorKind::DeadlineTooNear,
+            OutOfTime::Stopping => ErrorKind::Stopping,
+        }
+    }
+}
+
+/// Fails for a request that has not run and cannot end before its deadline or the end of the process.
+pub(crate) fn check_time_left(node: &Node, request: &Request) -> Result<(), OutOfTime> {
+    if request.ran != Ran::No {
         return Ok(());
     }
-    let expected = ExpectedDuration::of(node, &request.service, request.facts.tokens_out);
-    let can_finish = |left| can_finish(left, TimeLimit::Deadline, &expected);
-    if can_finish(request.remaining()) {
+    if let Some(time_left) = node.process_end.time_left() {
+        let deadline = request.deadline.until_own();
+        if !ends_before_process(time_left, deadline, longest(node, request)) {
+            return Err(OutOfTime::Stopping);
+        }
+    }
+    // A resumption needs less time than others.
+    if is_resumption(&request.route, &request.facts) {
+        return Ok(());
+    }
+    let (service, tokens_out) = (&request.service, request.facts.tokens_out);
+    let range = node.response_times.duration_range(service, tokens_out);
+    if may_meet_deadline(request.remaining(), range) {
         return Ok(());
     }
     let left_then = request.client_time_left().saturating_sub(MIN_RETRY_DELAY);
-    let retry_after = can_finish(left_then).then_some(MIN_RETRY_DELAY);
-    Err(DeadlineTooNear { retry_after })
+    let retry_after = may_meet_deadline(left_then, range).then_some(MIN_RETRY_DELAY);
+    Err(OutOfTime::DeadlineTooNear { retry_after })
+}
+
+/// Records what a request that came during a stop is judged by.
+pub(crate) fn log_late_request(node: &Node, request: &Request) {
+    let Some(time_left) = node.process_end.time_left() else {
+        return;
+    };
+    let (deadline, longest) = (request.deadline.until_own(), longest(node, request));
+    node.log.write("late_request_checked", || {
+        let ms = |time: Duration| time.as_millis() as u64;
+        serde_json::json!({"request": request.facts.id, "tokens_out": request.facts.tokens_out,
+            "admitted": ends_before_process(time_left, deadline, longest),
+            "process_end_ms": ms(time_left), "deadline_ms": ms(deadline),
+            "longest_ms": longest.map(ms), "bound_ms": duration_bound(longest).map(ms)})
+    });
 }
--- a/crates/ingress/src/deadline.rs
+++ b/crates/ingress/src/deadline.rs
@@ -28,6 +28,11 @@
         at.saturating_duration_since(Instant::now())
     }
 
+    /// Time until the request's own deadline, whether the process stops or not.
+    pub fn until_own(&self) -> Duration {
+        self.at.saturating_duration_since(Instant::now())
+    }
+
     /// Whether it has passed earlier than asked for, because the process stops.
     pub fn was_ended_by_stop(&self) -> bool {
         self.remaining().is_zero() && Instant::now() < self.at
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -15,7 +15,7 @@
 use http::{HeaderMap, Method};
 
 use crate::attempt::{Exchange, Ran, Upstreams};
-use crate::completion::{DeadlineTooNear, check_deadline};
+use crate::completion::{OutOfTime, check_time_left};
 use crate::deadline::Deadline;
 use crate::error_kind::{ErrorKind, promises_not_run};
 use crate::placement::PromptShape;
@@ -87,8 +87,8 @@
     Failed(Failed),
     /// The request would miss its target; the client should retry after this delay.
     Late(Duration),
-    /// The request cannot end before its deadline.
-    DeadlineTooNear(DeadlineTooNear),
+    /// The request has not run and cannot end in time.
+    OutOfTime(OutOfTime),
     /// The request is refused, because servers crashed while they ran such requests.
     Refused(ErrorKind, RefusedFeature),
     /// No server served the request.
@@ -187,8 +187,8 @@
         if request.remaining().is_zero() || !request.may_run_again() {
             return Dispatched::GaveUp(request.failure_kind());
         }
-        if let Err(too_near) = check_deadline(&node, request) {
-            return Dispatched::DeadlineTooNear(too_near);
+        if let Err(out_of_time) = check_time_left(&node, request) {
+            return Dispatched::OutOfTime(out_of_time);
         }
         if let Some(refused) = node.crashes.refusal(&request.features) {
             return Dispatched::Refused(request.refusal_kind(&refused), refused);
@@ -202,9 +202,7 @@
             Ok(placement) => placement,
             Err(Unplaced::NoServer) => return Dispatched::GaveUp(request.failure_kind()),
             Err(Unplaced::Late { retry_after }) => return Dispatched::Late(retry_after),
-            Err(Unplaced::DeadlineTooNear(too_near)) => {
-                return Dispatched::DeadlineTooNear(too_near);
-            }
+            Err(Unplaced::OutOfTime(out_of_time)) => return Dispatched::OutOfTime(out_of_time),
         };
         if let Some(run) = start_run(upstreams, request, placement, last_event_id).await
             && let Some(dispatched) = finish_dispatch(upstreams, request, run, last_event_id).await
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -14,15 +14,14 @@
 use crate::admission::{Refusal, caller_of_jobs, caller_of_route, charge_quota};
 use crate::attempt::{Ran, Upstreams};
 use crate::capacity::detect_retry;
+use crate::completion::log_late_request;
 use crate::crashes::{operator_call, request_features};
 use crate::deadline::Deadline;
 use crate::dispatch::{Dispatched, Request, Started, dispatch, is_event_route};
 use crate::error_kind::ErrorKind;
 use crate::evacuated_zones::{orders_text, zone_metrics};
 use crate::job_calls::{JobCalls, JobReply};
-use crate::late_requests::{
-    check_time_left, connection_of, note_late_request, refuse_late_request,
-};
+use crate::late_requests::{connection_of, note_late_request, refuse_late_request};
 use crate::metrics::{Metrics, tenant_metrics};
 use crate::node::{DisconnectLogger, InFlightGuard, Node};
 use crate::placement::PromptShape;
@@ -281,9 +280,6 @@
         return refuse(&node, &facts.id, &refused);
     };
     let time_limit = time_limit(&route, &facts);
-    if let Err(refused) = check_time_left(&node, &facts.id, &service, facts.tokens_out, time_limit) {
-        return refuse(&node, &facts.id, &refused);
-    }
     node.capacities.adopt(&configuration);
     let is_retry = detect_retry(&node, &route, &facts);
     if let Err(refused) = charge_quota(&node, &configuration, &caller, &facts) {
@@ -320,6 +316,7 @@
         runs: 0,
         tried: Default::default(),
     };
+    log_late_request(&node, &request);
     serve(data.upstreams.clone(), request, in_flight).await
 }
 
@@ -356,10 +353,10 @@
             refund_quota(&node, &request);
             refuse(&node, &request.facts.id, &Refusal::no_room(retry_after))
         }
-        Dispatched::DeadlineTooNear(too_near) => {
+        Dispatched::OutOfTime(out_of_time) => {
             disconnect_logger.end();
             refund_quota(&node, &request);
-            let refused = Refusal::deadline_too_near(&request, &too_near);
+            let refused = Refusal::out_of_time(&request, &out_of_time);
             refuse(&node, &request.facts.id, &refused)
         }
         Dispatched::Refused(kind, refused) => {
--- a/crates/ingress/src/late_requests.rs
+++ b/crates/ingress/src/late_requests.rs
@@ -8,7 +8,6 @@
 
 use crate::admission::Refusal;
 use crate::caller_connection::CallerConnection;
-use crate::completion::{ExpectedDuration, TimeLimit, can_finish};
 use crate::deadline::Deadline;
 use crate::error_kind::ErrorKind;
 use crate::metrics::Metrics;
@@ -50,28 +49,3 @@
     let refused = Refusal::new(ErrorKind::Stopping, "the node stops");
     refuse(node, &facts.id, &refused)
 }
-
-/// Refuses a request that is not expected to end before the process does. `deadline` is the time until its own.
-pub(crate) fn check_time_left(
-    node: &Node,
-    id: &str,
-    service: &str,
-    tokens_out: u32,
-    deadline: Duration,
-) -> Result<(), Refusal> {
-    let Some(time_left) = node.process_end.time_left() else {
-        return Ok(());
-    };
-    let expected = ExpectedDuration::of(node, service, tokens_out);
-    let admitted = can_finish(time_left, TimeLimit::ProcessEnd { deadline }, &expected);
-    node.log.write("late_request_checked", || {
-        serde_json::json!({"request": id, "admitted": admitted, "tokens_out": tokens_out,
-            "process_end_ms": time_left.as_millis() as u64, "deadline_ms": deadline.as_millis() as u64,
-            "mean_ms": expected.mean.as_millis() as u64,
-            "high_ms": expected.range.map(|range| range.high.as_millis() as u64)})
-    });
-    match admitted {
-        true => Ok(()),
-        false => Err(Refusal::new(ErrorKind::Stopping, "the node stops too soon")),
-    }
-}
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -273,15 +273,7 @@
         if let Some(started) = self.started.take() {
             self.upstreams.note_served(&started.run);
             if self.request.runs == 1 {
-                let hold_time = started.sent.elapsed();
-                node.capacities
-                    .record_hold_time(&self.request.service, hold_time);
-                if !is_resumption(&self.request.route, &self.request.facts) {
-                    let (service, tokens_out) =
-                        (&self.request.service, self.request.facts.tokens_out);
-                    node.response_times
-                        .record_duration(service, tokens_out, hold_time);
-                }
+                self.record_duration(started.sent.elapsed());
             }
             let server = started.exchange.server.id.clone();
             self.upstreams.release(started.exchange);
@@ -295,6 +287,29 @@
         Metrics::count(&node.metrics.served);
     }
 
+    /// Records how long a whole response of a single run took.
+    fn record_duration(&self, hold_time: Duration) {
+        let (node, request) = (self.upstreams.node(), &self.request);
+        node.capacities
+            .record_hold_time(&request.service, hold_time);
+        if is_resumption(&request.route, &request.facts) {
+            return;
+        }
+        let (times, route) = (&node.response_times, &request.route);
+        let (service, tokens_out) = (request.service.as_str(), request.facts.tokens_out);
+        times.record_duration(service, tokens_out, hold_time);
+        if tokens_out == 0 {
+            times.record_unsized(&route.name, hold_time);
+            return;
+        }
+        let (events, generation) = match self.output_since {
+            Some(since) => (self.events, since.elapsed()),
+            // Its events are not known, so each token counts as one.
+            None => (u64::from(tokens_out), hold_time),
+        };
+        times.record_generation((service, route.kind), tokens_out, events, generation);
+    }
+
     /// Continues the stream after the last event, at the successor or another server. Fails if the
     /// route is not resumable or no server continues it.
     async fn resume(
@@ -348,8 +363,8 @@
                 ));
                 Err(TruncatedResponse)
             }
-            Dispatched::DeadlineTooNear(_) => {
-                self.log_truncated(&ErrorKind::DeadlineTooNear.to_string());
+            Dispatched::OutOfTime(out_of_time) => {
+                self.log_truncated(&out_of_time.kind().to_string());
                 Err(TruncatedResponse)
             }
             Dispatched::Late(_) => {
--- a/crates/ingress/src/server_selection.rs
+++ b/crates/ingress/src/server_selection.rs
@@ -13,7 +13,7 @@
 use crate::attempt::Upstreams;
 use crate::capacity::{self, WaitState};
 use crate::cold_limit::ColdLimit;
-use crate::completion::{DeadlineTooNear, check_deadline};
+use crate::completion::{OutOfTime, check_time_left};
 use crate::crashes::last_run_server;
 use crate::dispatch::Request;
 use crate::home_regions::candidate_servers;
@@ -52,8 +52,8 @@
         /// Suggested retry delay.
         retry_after: Duration,
     },
-    /// The request cannot end before its deadline.
-    DeadlineTooNear(DeadlineTooNear),
+    /// The request cannot end in time.
+    OutOfTime(OutOfTime),
 }
 
 /// Selects the server for the next attempt, waiting for a slot if necessary. A stream that has
@@ -84,8 +84,8 @@
     let mut waiting = None;
     let mut wait_state = WaitState::default();
     loop {
-        if let Err(too_near) = check_deadline(node, request) {
-            return Some(Err(Unplaced::DeadlineTooNear(too_near)));
+        if let Err(out_of_time) = check_time_left(node, request) {
+            return Some(Err(Unplaced::OutOfTime(out_of_time)));
         }
         let admission = capacity::decide(node, request, wait_state)?;
         let (interval, counted) = match admission {
@@ -142,7 +142,7 @@
             // Nothing will be sent, so the client may be told that the request did not run.
             return Err(Unplaced::NoServer);
         }
-        check_deadline(upstreams.node(), request).map_err(Unplaced::DeadlineTooNear)?;
+        check_time_left(upstreams.node(), request).map_err(Unplaced::OutOfTime)?;
         let urgency = urgency(request.arrived.elapsed(), target, patience);
         let Some(placement) = select_now(upstreams, request) else {
             if urgency == Urgency::Due || !is_cold_limited(upstreams, request) {
--- a/crates/ingress/tests/completion.rs
+++ b/crates/ingress/tests/completion.rs
@@ -3,41 +3,43 @@
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
-use dappleyard_ingress::{
-    DurationRange, ExpectedDuration, LatencyHistogram, TimeLimit, can_finish,
-};
+use dappleyard_ingress::{DurationRange, LatencyHistogram, ends_before_process, may_meet_deadline};
 use googletest::prelude::*;
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-const KNOWN: ExpectedDuration = ExpectedDuration {
-    mean: ms(600),
-    range: Some(DurationRange {
-        low: ms(200),
-        high: ms(7_000),
-    }),
-};
-
 /// Guards against requests that are run although nearly all like them take longer than their deadline.
 #[gtest]
 fn near_deadline() {
-    let fits = |left, expected| can_finish(ms(left), TimeLimit::Deadline, expected);
-    expect_that!(fits(199, &KNOWN), eq(false));
+    let range = DurationRange {
+        low: ms(200),
+        high: ms(7_000),
+    };
+    expect_that!(may_meet_deadline(ms(199), Some(range)), eq(false));
     // It is below the mean: some such requests end in time.
-    expect_that!(fits(200, &KNOWN), eq(true));
-    let range = None;
-    expect_that!(fits(1, &ExpectedDuration { range, ..KNOWN }), eq(true));
+    expect_that!(may_meet_deadline(ms(200), Some(range)), eq(true));
+    expect_that!(may_meet_deadline(ms(1), None), eq(true));
 }
 
-/// Guards against requests that a stop cuts since they take more than twice the mean of their service.
+/// Guards against requests that a stop cuts since a server becomes slower or falls silent for a second.
 #[gtest]
 fn long_requests() {
-    let deadline = ms(20_000);
-    let fits = |left| can_finish(ms(left), TimeLimit::ProcessEnd { deadline }, &KNOWN);
-    expect_that!(fits(6_900), eq(false));
-    expect_that!(fits(7_000), eq(true));
+    let ends = |left| ends_before_process(ms(left), ms(20_000), Some(ms(7_000)));
+    expect_that!(ends(13_900), eq(false));
+    expect_that!(ends(14_000), eq(true));
+    let short = |left| ends_before_process(ms(left), ms(20_000), Some(ms(500)));
+    expect_that!(short(1_900), eq(false));
+    expect_that!(short(2_000), eq(true));
+}
+
+/// Guards against requests that a stop cuts since nothing is known of requests like them.
+#[gtest]
+fn unknown_duration() {
+    let ends = |left| ends_before_process(ms(left), ms(4_000), None);
+    expect_that!(ends(3_999), eq(false));
+    expect_that!(ends(4_000), eq(true));
 }
 
 /// Guards against refusals by durations that are few or long past.
--- a/crates/ingress/tests/shutdown.rs
+++ b/crates/ingress/tests/shutdown.rs
@@ -8,9 +8,7 @@
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpRequest, HttpResponse, web};
 use dappleyard_clock::Instant;
-use dappleyard_ingress::{
-    ConnectionGate, ExpectedDuration, TimeLimit, can_finish, close_connections, listen, serve,
-};
+use dappleyard_ingress::{ConnectionGate, close_connections, ends_before_process, listen, serve};
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -217,10 +215,7 @@
 /// Guards against requests that a stopping node accepts and then has to cut.
 #[gtest]
 fn request_that_fits() {
-    let expected = |mean| ExpectedDuration { mean, range: None };
-    let fits = |left, deadline, mean| {
-        can_finish(left, TimeLimit::ProcessEnd { deadline }, &expected(mean))
-    };
+    let fits = |left, deadline, longest| ends_before_process(left, deadline, Some(longest));
     let (short, long) = (Duration::from_millis(200), Duration::from_secs(4));
     let (limit, left) = (Duration::from_secs(5), Duration::from_millis(2_300));
     expect_that!(fits(left, limit, short), eq(true));
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -6,7 +6,7 @@
 use crate::tenant::Tenants;
 
 /// Execution semantics of a route's requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RouteKind {
     /// Idempotent: may run more than once.
     Safe,
