Retry refused items: an accepted item is owed however many servers ended under it

Cause: the count of crashes decided both whether a request may end one more server and whether it is still to be done. The scheduler skipped an item whose feature is refused in each pass. Evidence: feature_refused with the three starts of one server, three item_run records and none after it, 0 of 24 slots taken.

Items ask the same ledger as owed requests: refused for a time (3, 6, 12 s), then retried alone, away from the address of the last end; one retry of a node at a time after an end, more with each success, none within 3 s of an end. A refused part has five single retries for items, as the operators' rule allows, and more beside ends that it cannot explain. Online requests are judged as before.

Tests: item_after_three_restarts failed before (not done in 10 s); owed.rs for the ledger: forty ends, an owner's change, restarts of one server, items that do end servers, a part.

--- a/crates/crashes/src/feature.rs
+++ b/crates/crashes/src/feature.rs
@@ -116,6 +116,7 @@
 pub struct RequestFeatures {
     request: Fingerprint,
     all: Arc<[Feature]>,
+    is_owed: bool,
 }
 
 impl RequestFeatures {
@@ -132,9 +133,22 @@
         Self {
             request,
             all: all.into(),
+            is_owed: false,
         }
     }
 
+    /// Marks the request as accepted for later: it is retried until it is done, however many servers end under it.
+    pub fn owed(self) -> Self {
+        Self {
+            is_owed: true,
+            ..self
+        }
+    }
+
+    pub fn is_owed(&self) -> bool {
+        self.is_owed
+    }
+
     pub fn request(&self) -> Fingerprint {
         self.request
     }
--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -8,6 +8,7 @@
 use crate::feature::{Feature, RequestFeatures};
 use crate::gossip::SENDS_PER_CHANGE;
 use crate::messages::CrashRecord;
+use crate::owed_retries::OwedRetries;
 use crate::recently_served::RecentlyServed;
 use crate::record::{LONG_RUN, MAX_ENDED_SERVERS, Record};
 use crate::server_failures::ServerFailures;
@@ -80,6 +81,7 @@
     pub(crate) running: HashMap<Feature, Vec<String>>,
     recently_served: RecentlyServed,
     pub(crate) server_failures: ServerFailures,
+    pub(crate) owed_retries: OwedRetries,
     /// Changed records, with the number of sends that remain.
     pub(crate) unsent: HashMap<Feature, u8>,
     pub(crate) last_refreshed: Option<Feature>,
@@ -101,6 +103,7 @@
             running: HashMap::new(),
             recently_served: RecentlyServed::default(),
             server_failures: ServerFailures::default(),
+            owed_retries: OwedRetries::default(),
             unsent: HashMap::new(),
             last_refreshed: None,
             outdated_elsewhere: BTreeSet::new(),
@@ -196,6 +199,9 @@
         now: Instant,
     ) -> EndOutcome {
         self.server_failures.note(server, now);
+        if request.is_owed() && self.refused_features_of(request) > 0 {
+            self.owed_retries.note_end(now);
+        }
         let ran_long = output_for.is_some_and(|time| time >= LONG_RUN);
         let mut now_refused = Vec::new();
         for feature in request.iter() {
@@ -309,6 +315,9 @@
             return false;
         };
         let is_stored = std::mem::take(&mut record.is_stored);
+        if record.ended.len() >= MAX_ENDED_SERVERS {
+            self.owed_retries.note_success();
+        }
         // Another node may have stored a refusal, even if this one excuses some of the ends.
         if is_stored || record.ended.len() >= MAX_ENDED_SERVERS {
             self.unstored.insert(*feature);
--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -10,6 +10,7 @@
 mod gossip;
 mod ledger;
 mod messages;
+mod owed_retries;
 mod permits;
 mod recently_served;
 mod record;
--- a/crates/crashes/src/permits.rs
+++ b/crates/crashes/src/permits.rs
@@ -12,6 +12,14 @@
 /// Shortest time for which a refusal lasts, since a retry may be under way whose result is known by then.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// What the decision on one feature needs to know of the request that asks.
+#[derive(Clone, Copy)]
+struct Asking {
+    /// Number of its features that have reached the limit of ended servers.
+    refused_features: u32,
+    is_owed: bool,
+}
+
 impl Ledger {
     /// Holds all requests back until [`finish_learning`](Self::finish_learning), or until the given time.
     pub fn learn_until(&mut self, until: Instant) {
@@ -29,10 +37,16 @@
 
     /// Decides on the next run of a request: the most restrictive decision on one of its features.
     pub fn permit(&self, request: &RequestFeatures, now: Instant) -> Permit {
-        let refused = self.refused_features_of(request);
+        let asking = self.asking(request);
         let permits = request.iter();
-        let permits = permits.map(|feature| self.feature_permit(feature, refused, now));
+        let permits = permits.map(|feature| self.feature_permit(feature, asking, now));
         let permit = permits.max().unwrap_or(Permit::Free);
+        if asking.is_owed && asking.refused_features > 0 && permit == Permit::LastRun {
+            let under_way = self.owed_retries_under_way();
+            if !self.owed_retries.may_begin(under_way, now) {
+                return Permit::Wait;
+            }
+        }
         match self.is_learning(now) {
             true => permit.max(Permit::Wait),
             false => permit,
@@ -48,20 +62,34 @@
         }
     }
 
+    fn asking(&self, request: &RequestFeatures) -> Asking {
+        Asking {
+            refused_features: self.refused_features_of(request),
+            is_owed: request.is_owed(),
+        }
+    }
+
+    /// Number of refused requests that this node runs.
+    fn owed_retries_under_way(&self) -> usize {
+        let running = self.running.keys();
+        let refused = running.filter(|feature| !feature.is_shared() && self.is_refused(feature));
+        refused.count()
+    }
+
     /// Number of a request's features that have reached the limit of ended servers.
-    fn refused_features_of(&self, request: &RequestFeatures) -> u32 {
+    pub(crate) fn refused_features_of(&self, request: &RequestFeatures) -> u32 {
         let refused = request.iter().filter(|feature| self.is_refused(feature));
         refused.count() as u32
     }
 
-    fn feature_permit(&self, feature: &Feature, refused_features: u32, now: Instant) -> Permit {
+    fn feature_permit(&self, feature: &Feature, asking: Asking, now: Instant) -> Permit {
         let Some(record) = self.records.get(feature) else {
             return Permit::Free;
         };
         let counted_ends = record.counted_ends(feature, &self.server_failures);
         let own = self.running.get(feature).map_or(0, Vec::len);
         if counted_ends >= MAX_ENDED_SERVERS {
-            let wait = self.time_until_retry(feature, record, refused_features, now);
+            let wait = self.time_until_retry(feature, record, asking, now);
             let is_due = wait.is_some_and(|wait| wait.is_zero());
             let is_taken = own > 0 || record.is_taken_elsewhere(self.node_id, now);
             return match is_due && !is_taken {
@@ -87,11 +115,14 @@
         &self,
         feature: &Feature,
         record: &Record,
-        refused_features: u32,
+        asking: Asking,
         now: Instant,
     ) -> Option<Duration> {
         let failures = &self.server_failures;
-        let until_retry = record.time_until_retry(feature, refused_features, failures, now);
+        if asking.is_owed {
+            return record.time_until_owed_retry(feature, asking.refused_features, failures, now);
+        }
+        let until_retry = record.time_until_retry(feature, asking.refused_features, failures, now);
         until_retry.filter(|_| self.may_be_innocent(feature, record))
     }
 
@@ -130,7 +161,10 @@
                 return false;
             }
             let counted_ends = record.counted_ends(feature, &self.server_failures);
-            counted_ends + 1 == MAX_ENDED_SERVERS
+            // An owed request keeps away from retries of refused ones too.
+            let is_last = counted_ends + 1 == MAX_ENDED_SERVERS
+                || except.is_owed() && counted_ends >= MAX_ENDED_SERVERS;
+            is_last
                 && record.limits_runs(feature, counted_ends, now)
                 && !except.iter().any(|own| own == *feature)
         });
@@ -154,19 +188,23 @@
 
     /// The first feature for which a request is refused, if it is.
     pub fn refusal(&self, request: &RequestFeatures, now: Instant) -> Option<RefusedFeature> {
-        let count = self.refused_features_of(request);
+        let asking = self.asking(request);
         let is_refused =
-            |feature: &&Feature| self.feature_permit(feature, count, now) == Permit::Refused;
+            |feature: &&Feature| self.feature_permit(feature, asking, now) == Permit::Refused;
         let feature = request.iter().find(is_refused)?;
-        self.refused_feature(feature, count, now)
+        self.refused_feature(feature, asking, now)
     }
 
     /// Refused features, and the number of other records.
     pub fn refused(&self, now: Instant) -> (Vec<RefusedFeature>, usize) {
+        let asking = Asking {
+            refused_features: 1,
+            is_owed: false,
+        };
         let refused = self.records.keys();
         let refused = refused.filter(|feature| self.is_refused(feature));
         let refused: Vec<RefusedFeature> = refused
-            .filter_map(|feature| self.refused_feature(feature, 1, now))
+            .filter_map(|feature| self.refused_feature(feature, asking, now))
             .collect();
         let others = self.records.len() - refused.len();
         (refused, others)
@@ -175,12 +213,12 @@
     fn refused_feature(
         &self,
         feature: &Feature,
-        refused_features: u32,
+        asking: Asking,
         now: Instant,
     ) -> Option<RefusedFeature> {
         let record = self.records.get(feature)?;
         let age = now.saturating_duration_since(record.changed);
-        let retry = self.time_until_retry(feature, record, refused_features, now);
+        let retry = self.time_until_retry(feature, record, asking, now);
         Some(RefusedFeature {
             feature: *feature,
             ended: record.servers(),
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -27,6 +27,15 @@
 /// Time after an end from which the next one counts as that of a retry; less than the delay of retries, since nodes observe
 /// ends at different times.
 const MIN_TRIAL_GAP: Duration = Duration::from_secs(2);
+/// Longest time from the last end to the retry of an owed request, and the time to that of a shared feature whose other
+/// retries are used up. Short enough for jobs whose deadlines are tens of seconds away.
+const MAX_OWED_DELAY: Duration = Duration::from_secs(12);
+/// Retries of a refused shared feature for owed requests: the operators' rule allows three requests with it after its fifth
+/// end, which is that of the second retry.
+const MAX_SHARED_OWED_TRIALS: usize = 5;
+/// Ends of servers within this time of that of a retry show that there is another cause of ends, if the retry was not at
+/// one of them.
+const STORM_WINDOW: Duration = Duration::from_secs(1);
 /// Time from the reservation of a retry to its begin, in which the other nodes learn of it.
 const RESERVATION_DELAY: Duration = Duration::from_millis(300);
 /// Time after which a reservation that was not used is void. An item that waits for it is looked at again sooner.
@@ -199,6 +208,36 @@
         has_trials.then(|| delay.saturating_sub(since))
     }
 
+    /// Same, for a request that is owed: it is retried until it is done, after a growing time. `None` if the retries of a
+    /// shared feature are used up; those beside ends that it cannot explain do not count.
+    pub(crate) fn time_until_owed_retry(
+        &self,
+        feature: &Feature,
+        refused_features: u32,
+        server_failures: &ServerFailures,
+        now: Instant,
+    ) -> Option<Duration> {
+        let times = self.counted_times(feature, server_failures);
+        let delay = match feature.is_shared() {
+            true => {
+                let trials = self.trials(&times).count();
+                if self.unexplained_trials(&times, server_failures) >= MAX_SHARED_OWED_TRIALS {
+                    return None;
+                }
+                match trials < feature.max_trials() {
+                    true => TRIAL_DELAY * refused_features,
+                    false => MAX_OWED_DELAY,
+                }
+            }
+            false => {
+                let doublings = times.len().saturating_sub(MAX_ENDED_SERVERS).min(8) as u32;
+                (TRIAL_DELAY * 2_u32.pow(doublings)).min(MAX_OWED_DELAY)
+            }
+        };
+        let since = now.saturating_duration_since(self.changed);
+        Some(delay.saturating_sub(since))
+    }
+
     /// Whether another node runs requests with the feature, or has reserved the next retry. Of two nodes that reserve it
     /// at the same time, the one with the lower identifier goes first.
     pub(crate) fn is_taken_elsewhere(&self, own: u64, now: Instant) -> bool {
@@ -233,10 +272,24 @@
     /// Number of retries since the feature was refused after which a server ended.
     fn used_trials(&self, feature: &Feature, server_failures: &ServerFailures) -> usize {
         let times = self.counted_times(feature, server_failures);
+        self.trials(&times).count()
+    }
+
+    /// Times of the ends of retries, from those of all ends that count.
+    fn trials<'a>(&self, times: &'a [Instant]) -> impl Iterator<Item = Instant> + 'a {
         let gaps = times.windows(2).skip(MAX_ENDED_SERVERS - 1);
         let trials =
             gaps.filter(|pair| pair[1].saturating_duration_since(pair[0]) >= MIN_TRIAL_GAP);
-        trials.count()
+        trials.map(|pair| pair[1])
+    }
+
+    /// Number of retries after which a server ended, while no others ended that did not run the feature.
+    fn unexplained_trials(&self, times: &[Instant], server_failures: &ServerFailures) -> usize {
+        let own: Vec<&str> = self.ended.iter().map(|end| end.server.as_str()).collect();
+        let trials = self.trials(times);
+        trials
+            .filter(|at| !server_failures.is_storm(*at, STORM_WINDOW, &own))
+            .count()
     }
 
     pub(crate) fn first_end(&self) -> Option<Instant> {
@@ -254,7 +307,11 @@
 
     /// Records the end of a server; returns whether it was new.
     pub(crate) fn note_ended(&mut self, server: &str, at: Instant, brought_output: bool) -> bool {
-        if self.has_ended(server) || !self.make_room(at) {
+        if self.has_ended(server) {
+            return false;
+        }
+        if !self.make_room(at) {
+            self.changed = self.changed.max(at);
             return false;
         }
         self.ended.push(ServerEnd {
--- a/crates/crashes/src/server_failures.rs
+++ b/crates/crashes/src/server_failures.rs
@@ -62,12 +62,15 @@
 
     /// Whether at least [`MIN_OTHER_FAILURES`] other servers, none of them in `own`, ended together with a server.
     pub(crate) fn is_correlated(&self, server: &str, own: &[&str]) -> bool {
-        let Some(at) = self.by_server.get(server) else {
-            return false;
-        };
-        let from = at.checked_sub(CORRELATION_WINDOW).unwrap_or(*at);
+        let at = self.by_server.get(server);
+        at.is_some_and(|at| self.is_storm(*at, CORRELATION_WINDOW, own))
+    }
+
+    /// Whether at least [`MIN_OTHER_FAILURES`] servers, none of them in `own`, ended within a time of a moment.
+    pub(crate) fn is_storm(&self, at: Instant, window: Duration, own: &[&str]) -> bool {
+        let from = at.checked_sub(window).unwrap_or(at);
         let near = self.by_time.range((from, String::new())..);
-        let near = near.take_while(|(other, _)| *other <= *at + CORRELATION_WINDOW);
+        let near = near.take_while(|(other, _)| *other <= at + window);
         let others = near.filter(|(_, other)| !own.contains(&other.as_str()));
         others.take(MIN_OTHER_FAILURES).count() >= MIN_OTHER_FAILURES
     }
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -55,8 +56,8 @@
     pub runs: u32,
     /// Time before which the item is not started again.
     pub not_before: Option<Instant>,
-    /// Server of the last interrupted run; used only if there is no other.
-    pub avoided_server: Option<String>,
+    /// Address of the server of the last interrupted run, which a restarted server keeps; used only if there is no other.
+    pub avoided_address: Option<SocketAddr>,
     pub last_server: Option<String>,
     /// Where the output began; `None` without output.
     pub origin: Option<RunOrigin>,
@@ -109,7 +110,7 @@
         });
         Self {
             stored,
-            features: request_features(fingerprint, parts),
+            features: request_features(fingerprint, parts).owed(),
             progress: match listed {
                 true => Progress::Finished,
                 false => Progress::Waiting,
@@ -120,7 +121,7 @@
             failures: 0,
             runs: 0,
             not_before: None,
-            avoided_server: None,
+            avoided_address: None,
             last_server: None,
             origin: None,
             restarts: 0,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -362,7 +362,7 @@
                     _ => RETRY_DELAY_BROKEN,
                 };
                 item.not_before = Some(Instant::now() + retry_delay);
-                item.avoided_server = Some(server.id.clone());
+                item.avoided_address = Some(server.address);
             }
         }
     }
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -1,6 +1,7 @@
 //! Starts waiting items on servers with free capacity, in order of rank.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -27,8 +28,8 @@
     /// Service chosen from the targets of the route.
     service: String,
     rank: Rank,
-    /// Server of the last interrupted run; used only if there is no other.
-    avoided_server: Option<String>,
+    /// Address of the server of the last interrupted run; used only if there is no other.
+    avoided_address: Option<SocketAddr>,
     /// Server of the last run.
     last: Option<String>,
     homes: HomeRegions,
@@ -220,7 +221,7 @@
                 homes: self.item_homes(route, &state.row.tenant),
                 rank: rank(state.row.due_ms, needed_ms, now_ms, priority),
                 urgent: is_urgent(state.row.due_ms, needed_ms, now_ms),
-                avoided_server: item.avoided_server.clone(),
+                avoided_address: item.avoided_address,
                 last: item.last_server.clone(),
                 features: item.features.clone(),
                 permit,
@@ -293,7 +294,7 @@
                 .filter(|server| candidate.homes.allows_zone(&server.zone, places))
                 .filter(|server| may_run_at(origin, server))
                 .collect();
-        let avoided = |server: &ServerRecord| candidate.avoided_server.as_ref() == Some(&server.id);
+        let avoided = |server: &ServerRecord| candidate.avoided_address == Some(server.address);
         let capacities: Vec<ServerCapacity<'_>> = open
             .iter()
             .filter(|server| open.len() == 1 || !avoided(server))
