Register a node under a condition: a late write may not replace the row of its successor

Cause: the node's row was put without a condition. A write without an answer may be done seconds later if its condition holds; one without any always does, so the rows named ended processes, and each node took the other for replaced.

Every put and removal of the platform's path now expects the row as its writer knows it; those of refused features and of old jobs' rows had none either. A conflict answers with the present row, so a first start costs no call more.

--- a/crates/cluster/src/crash_rows.rs
+++ b/crates/cluster/src/crash_rows.rs
@@ -197,7 +197,8 @@
     }
 }
 
-/// Writes the row of a refused feature, or removes it when there is no record.
+/// Writes the row of a refused feature, or removes it when there is no record. The row has to be as it was read: a write
+/// without an answer may be done after later ones.
 async fn write_row(
     store: &dyn RowStore,
     feature: &Feature,
@@ -206,10 +207,12 @@
     let key = row_key(feature);
     let end = format!("{}\u{1}", key.key);
     let read = store.read(CRASHES_TABLE, "", &key.key, &end, 1).await?;
+    let revision = read.rows.first().map_or(0, |row| row.revision);
+    let transaction = Transaction::default().expect(key.clone(), revision);
     let transaction = match record {
-        Some(record) => Transaction::default().put(key, encode(record, read.now_ms)),
+        Some(record) => transaction.put(key, encode(record, read.now_ms)),
         None if read.rows.is_empty() => return Ok(()),
-        None => Transaction::default().remove(key),
+        None => transaction.remove(key),
     };
     store.transact(&transaction).await.map(|_| ())
 }
--- a/crates/cluster/tests/crash_rows.rs
+++ b/crates/cluster/tests/crash_rows.rs
@@ -9,7 +9,7 @@
 use dappleyard_crashes::{
     CrashTable, Feature, Fingerprint, Permit, PromptPartId, RequestFeatures, RequestParts,
 };
-use dappleyard_emulator::EmulatedRows;
+use dappleyard_emulator::{EmulatedRows, RowFault};
 use dappleyard_model::EventLog;
 use googletest::prelude::*;
 use support::{run_local, wait_until};
@@ -35,18 +35,25 @@
     crashes
 }
 
-async fn store_refusal(rows: &EmulatedRows) {
+/// Ends three servers under requests with the part.
+fn refuse_part(crashes: &Arc<CrashTable>, name: &str) {
+    for number in 0..3 {
+        let body = format!("{name} {number}");
+        let run = crashes.begin(&request(&body), &format!("{name}-{number}"));
+        expect_that!(run.map(|run| run.note_ended(None)).is_ok(), eq(true));
+    }
+}
+
+/// Starts a process that stores a refusal.
+async fn store_refusal(rows: &EmulatedRows) -> Arc<CrashTable> {
     let crashes = start(rows, 1);
     wait_until("the table is read", || {
         crashes.permit(&request("a")) == Permit::Free
     })
     .await;
-    for number in 0..3 {
-        let body = format!("crash {number}");
-        let run = crashes.begin(&request(&body), &format!("i-{number}"));
-        expect_that!(run.map(|run| run.note_ended(None)).is_ok(), eq(true));
-    }
+    refuse_part(&crashes, "crash");
     wait_until("the refusal is stored", || rows.table("crashes").len() == 1).await;
+    crashes
 }
 
 // Guards against a process that runs refused requests before it knows the refusals.
@@ -130,3 +137,20 @@
         wait_until("the rows are removed", || rows.table("crashes").is_empty()).await;
     });
 }
+
+/// Guards against the late removal of a row that takes away a later refusal.
+#[gtest]
+fn late_removal() {
+    run_local(async {
+        let rows = EmulatedRows::default();
+        let crashes = store_refusal(&rows).await;
+        let part = Feature::PromptPart(PromptPartId(7));
+        rows.script([Some(RowFault::LostHeld), None]);
+        expect_that!(crashes.forgive(&part), eq(true));
+        wait_until("the row is removed", || rows.table("crashes").is_empty()).await;
+        refuse_part(&crashes, "again");
+        wait_until("the refusal is stored", || rows.table("crashes").len() == 1).await;
+        rows.release_held();
+        expect_that!(rows.table("crashes").len(), eq(1));
+    });
+}
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -9,8 +9,8 @@
 use actix_web::dev::ServerHandle;
 use dappleyard_cluster::{
     CRASHES_TABLE, ConfigurationSink, Contact, Gossip, GossipSettings, GossipTables, LoadTable,
-    NODES_TABLE, PeerTable, ServersSink, StoreHealth, TableSink, VERSIONS_TABLE, View,
-    ZoneDistances, node_number, sync_refused_requests, sync_versions,
+    NODES_TABLE, PeerTable, Registration, ServersSink, StoreHealth, TableSink, VERSIONS_TABLE,
+    View, ZoneDistances, node_number, sync_refused_requests, sync_versions,
 };
 use dappleyard_crashes::CrashTable;
 use dappleyard_ingress::{
@@ -28,7 +28,7 @@
 use futures::FutureExt;
 use parking_lot::Mutex;
 
-use super::registration;
+use super::registration::register;
 use dappleyard_clock::Instant;
 
 /// Interval at which idle connections, old loads and old crash records are removed.
@@ -40,6 +40,7 @@
 
 pub struct RunningNode {
     pub node: Arc<Node>,
+    pub registration: Rc<Registration>,
     pub store: Rc<dyn RowStore>,
     pub runner: Rc<Runner>,
     pub server: ServerHandle,
@@ -123,7 +124,13 @@
     spawn_gossip(&node, health).await?;
     spawn_keep_refused(node.clone(), store.clone());
     spawn_sync_versions(node.clone(), store.clone());
-    spawn_registration(node.clone(), store.clone(), access.clone());
+    let registration = Rc::new(Registration::new(&node.settings.zone, &node.settings.name));
+    spawn_registration(
+        node.clone(),
+        registration.clone(),
+        store.clone(),
+        access.clone(),
+    );
     let upstreams = Upstreams::new(node.clone());
     spawn_sweep(node.clone(), upstreams.clone());
     tokio::task::spawn_local(monitor_warmup(upstreams.clone()));
@@ -134,6 +141,7 @@
     let server = spawn_server(node.clone(), table, access, histories)?;
     Ok(RunningNode {
         node,
+        registration,
         store,
         runner,
         server,
@@ -206,16 +214,21 @@
 }
 
 /// Registers the node, then surveys its peers.
-fn spawn_registration(node: Arc<Node>, store: Rc<dyn RowStore>, access: Arc<Access>) {
+fn spawn_registration(
+    node: Arc<Node>,
+    registration: Rc<Registration>,
+    store: Rc<dyn RowStore>,
+    access: Arc<Access>,
+) {
     tokio::task::spawn_local(async move {
-        let registered = registration::register(node.clone(), store.clone());
+        let registered = register(node.clone(), registration.clone(), store.clone());
         // Nodes that start together see each other; a slow or unavailable store only delays by the timeout.
         let registered = dappleyard_clock::timeout(REGISTRATION_TIMEOUT, registered).await;
         access
             .discover_nodes(store.as_ref(), node.peers.as_ref())
             .await;
         if registered.is_err() {
-            registration::register(node, store).await;
+            register(node, registration, store).await;
         }
     });
 }
--- a/crates/dappleyard/src/serve/stopping.rs
+++ b/crates/dappleyard/src/serve/stopping.rs
@@ -9,7 +9,7 @@
 use dappleyard_platform::read_settings;
 
 use super::assembly::RunningNode;
-use super::registration;
+use super::registration::register;
 use crate::signals::{SignalRequest, Signals};
 use dappleyard_clock::Instant;
 
@@ -87,7 +87,12 @@
     node.leaving.store(true, Ordering::Relaxed);
     node.process_end.set(schedule.end_requests);
     log_progress(node, "stop_asked", started);
-    tokio::task::spawn_local(registration::register(node.clone(), running.store.clone()));
+    let registration = running.registration.clone();
+    tokio::task::spawn_local(register(
+        node.clone(),
+        registration.clone(),
+        running.store.clone(),
+    ));
     let runner = running.runner.clone();
     let job_handover = tokio::task::spawn_local(async move { runner.stop().await });
     tokio::time::sleep(schedule.close.saturating_duration_since(Instant::now())).await;
@@ -103,7 +108,7 @@
     // A row left behind is harmless: peers notice the missing heartbeats. Counts that are not stored are known to the
     // nodes that run on.
     let _ = tokio::join!(
-        dappleyard_clock::timeout(STORE_TIMEOUT, registration::unregister(node, store)),
+        dappleyard_clock::timeout(STORE_TIMEOUT, registration.remove(node.life, store)),
         dappleyard_clock::timeout(STORE_TIMEOUT, store_counts(&node.crashes, store, &node.log)),
     );
     let cut = node.metrics.answers_cut_by_stop.load(Ordering::Relaxed);
--- a/crates/emulator/src/rows.rs
+++ b/crates/emulator/src/rows.rs
@@ -24,6 +24,8 @@
     /// The caller gets no response, and the transaction takes effect late: it is applied before the
     /// next one if its conditions still hold then.
     LostLate,
+    /// The same, but it takes effect when the test releases it.
+    LostHeld,
 }
 
 type RowKey = (&'static str, String, String);
@@ -42,6 +44,7 @@
     revision: u64,
     faults: VecDeque<Option<RowFault>>,
     delayed: Vec<Transaction>,
+    held: Vec<Transaction>,
     down: bool,
     transaction_faults: Option<(ChaCha8Rng, f64)>,
     read_faults: Option<(ChaCha8Rng, f64)>,
@@ -73,6 +76,19 @@
         self.state.lock().faults.extend(faults);
     }
 
+    /// Lets the held transactions take effect, if their conditions hold now.
+    pub fn release_held(&self) {
+        let revision = {
+            let mut state = self.state.lock();
+            for held in std::mem::take(&mut state.held) {
+                // One whose conditions no longer hold has no effect.
+                let _ = state.apply(&held);
+            }
+            state.revision
+        };
+        self.changed.send_replace(revision);
+    }
+
     /// Fails a fraction `share` of the transactions at random, from a seed.
     pub fn fail_at_random(&self, seed: u64, share: f64) {
         self.state.lock().transaction_faults = Some((ChaCha8Rng::seed_from_u64(seed), share));
@@ -254,6 +270,10 @@
                     state.delayed.push(transaction.clone());
                     Err(ambiguous())
                 }
+                Some(RowFault::LostHeld) => {
+                    state.held.push(transaction.clone());
+                    Err(ambiguous())
+                }
                 None => state
                     .apply(transaction)
                     .map_err(|rows| StoreError::Conflict { rows }),
--- a/crates/jobs/src/garbage_collection.rs
+++ b/crates/jobs/src/garbage_collection.rs
@@ -42,8 +42,10 @@
         }
     }
 
+    /// Each removal expects the job's row, since one without an answer may be done when the job is there anew.
     async fn remove_job_rows(&self, name: &str, revision: u64) -> Result<(), StoreError> {
         let part = partition(name);
+        let unchanged_job = || Transaction::default().expect(job_key(name), revision);
         for table in [RESULTS_TABLE, PARTIALS_TABLE, ITEMS_TABLE] {
             loop {
                 let (start, end) = (range_start(name), range_end(name));
@@ -54,20 +56,14 @@
                 if read.rows.is_empty() {
                     break;
                 }
-                let removal = read
-                    .rows
-                    .into_iter()
-                    .fold(Transaction::default(), |removal, row| {
-                        removal.remove(RowKey::new(table, part.clone(), row.key))
-                    });
+                let removal = read.rows.into_iter().fold(unchanged_job(), |removal, row| {
+                    removal.remove(RowKey::new(table, part.clone(), row.key))
+                });
                 self.store.transact(&removal).await?;
             }
         }
         // The job's row is deleted last: after an interruption, the next collection still finds the job.
-        let key = job_key(name);
-        let removal = Transaction::default()
-            .expect(key.clone(), revision)
-            .remove(key);
+        let removal = unchanged_job().remove(job_key(name));
         self.store.transact(&removal).await.map(|_| ())
     }
 }
