Abandon items only on a configuration that is not older than their job

Cause: a final result was decided on a table older than what it was about. An age did not help, since the last answer was half a second old. The store's revisions order the two tables: items are abandoned (no route, max_wait_s, max_attempts) only once the configuration is known up to the revision at which the job's row was read; until then they wait (configuration_awaited).

--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -42,6 +42,8 @@
     pub(crate) servers_read: bool,
     /// Time up to which all configuration changes are known.
     configuration_contact: Option<Instant>,
+    /// Revision of the store up to which the configuration table is known.
+    configuration_revision: u64,
     /// Time up to which all server changes are known.
     pub(crate) servers_contact: Option<Instant>,
 }
@@ -219,7 +221,15 @@
     /// Records the time up to which the configuration table is known.
     pub(crate) fn note_contact(&self, contact: &Contact) {
         let mut known = self.known.lock();
-        known.configuration_contact = known.configuration_contact.max(contact.known_at());
+        if contact.known_at() >= known.configuration_contact {
+            known.configuration_contact = contact.known_at();
+            known.configuration_revision = contact.revision;
+        }
+    }
+
+    /// Whether every configuration that the store had at a revision is known here, so that what is missing is gone.
+    pub fn has_configurations_until(&self, revision: u64) -> bool {
+        self.known.lock().configuration_revision >= revision
     }
 
     /// Waits for the next change of configuration, servers or evacuated zones.
--- a/crates/jobs/src/expiry.rs
+++ b/crates/jobs/src/expiry.rs
@@ -1,4 +1,7 @@
-//! Abandons items that have exceeded their maximum wait or have lost their route.
+//! Abandons items that have exceeded their maximum wait, have failed too often or have lost their route.
+//!
+//! Results are final, so such a decision rests on no configuration older than the job: a node that has taken a job over may
+//! hear of the job before it hears of the configuration that brought its route.
 
 use crate::owned::{OwnedJob, Progress};
 use crate::runner::Runner;
@@ -6,6 +9,14 @@
 /// Tolerance for clock skew between nodes.
 const CLOCK_SKEW_MARGIN_MS: u64 = 1_000;
 
+/// Whether the configuration of this node is new enough to abandon items of a job.
+pub(crate) fn may_abandon(runner: &Runner, job: &OwnedJob) -> bool {
+    runner
+        .node
+        .view
+        .has_configurations_until(job.loaded_revision)
+}
+
 /// Abandons all unfinished items of a job.
 pub(crate) fn abandon_items(runner: &Runner, job: &OwnedJob, cause: &str) {
     let unfinished: Vec<usize> = {
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -1,6 +1,6 @@
 //! State of a job that this node owns, and the commits of its results.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -192,6 +192,10 @@
 /// A job that this node owns.
 pub(crate) struct OwnedJob {
     pub job: String,
+    /// Revision of the job's row when it was loaded. The configuration under which the job was accepted is not newer.
+    pub loaded_revision: u64,
+    /// Whether its items wait for a configuration that is not older than the job.
+    pub awaits_configuration: Cell<bool>,
     pub state: RefCell<OwnedState>,
 }
 
@@ -214,6 +218,8 @@
     pub(crate) fn new(job: &str, row: JobRow, revision: u64, items: Vec<Item>) -> Self {
         Self {
             job: job.to_owned(),
+            loaded_revision: revision,
+            awaits_configuration: Cell::new(false),
             state: RefCell::new(OwnedState {
                 row,
                 revision,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -16,6 +16,7 @@
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
+use crate::expiry::may_abandon;
 use crate::messages::StoredItem;
 use crate::owned::{Item, OwnedJob, Progress};
 use crate::runner::Runner;
@@ -345,7 +346,7 @@
             RunOutcome::Failed(_) => {
                 item.failures += 1;
                 item.not_before = Some(Instant::now() + RETRY_DELAY_NOT_RUN);
-                if item.failures >= route.max_attempts {
+                if item.failures >= route.max_attempts && may_abandon(runner, job) {
                     outcome = "abandoned";
                     finished = Some(false);
                 }
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -13,7 +13,7 @@
 
 use crate::admission::is_urgent;
 use crate::continuation::{self, Continuation};
-use crate::expiry::{abandon_items, is_expired};
+use crate::expiry::{abandon_items, is_expired, may_abandon};
 use crate::order::{Rank, rank};
 use crate::owned::{ActiveRun, Item, OwnedJob, Progress};
 use crate::placement::{ServerCapacity, capacity, pick_server, prefer_local_region};
@@ -186,21 +186,32 @@
         now_ms: u64,
     ) -> Vec<Candidate> {
         let now = Instant::now();
+        let may_abandon = may_abandon(self, job);
         let mut candidates = Vec::new();
         let mut abandon_cause = None;
+        let mut failed = Vec::new();
         let state = job.state.borrow();
         for (index, item) in state.items.iter().enumerate() {
             if item.progress == Progress::Finished {
                 continue;
             }
             let Some(route) = state.route(configuration, item) else {
+                if !may_abandon {
+                    self.log_awaited_configuration(job, configuration.version);
+                    return Vec::new();
+                }
                 abandon_cause = Some("the configuration has no batch route for the item");
                 break;
             };
-            if is_expired(state.row.accepted_ms, route.max_wait_s, now_ms) {
+            if may_abandon && is_expired(state.row.accepted_ms, route.max_wait_s, now_ms) {
                 abandon_cause = Some("the maximum wait was exceeded");
                 break;
             }
+            let has_failed = item.failures > 0 && item.failures >= route.max_attempts;
+            if item.progress == Progress::Waiting && has_failed {
+                failed.extend(may_abandon.then_some(index));
+                continue;
+            }
             let is_delayed = item.not_before.is_some_and(|at| at > now);
             if item.progress == Progress::Running || is_delayed {
                 continue;
@@ -228,6 +239,9 @@
             });
         }
         drop(state);
+        for index in failed {
+            job.finish(index, false);
+        }
         match abandon_cause {
             Some(cause) => {
                 abandon_items(self, job, cause);
@@ -237,6 +251,16 @@
         }
     }
 
+    fn log_awaited_configuration(&self, job: &OwnedJob, version: u64) {
+        if job.awaits_configuration.replace(true) {
+            return;
+        }
+        self.node.log.write("configuration_awaited", || {
+            serde_json::json!({"job": job.job, "revision": job.loaded_revision, "version": version,
+                "cause": "no batch route for its items in a configuration older than the job"})
+        });
+    }
+
     /// Starts an item on a server, unless crash tracking refuses it.
     fn start(
         self: &Rc<Self>,
