Refuse a request that waits for others like it for more than 1.5 s

Cause: the wait for a permit in dispatch had no bound and no record; the runs that it waited for were at silent servers. A request whose answer has not begun now waits 1.5 s at most: 503 suspects_pending with a return, 502 if it has run. One that has begun still waits until its deadline.

Test: wait_behind_suspects failed before (no answer within 10 s).

--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::completion::{OutOfTime, check_time_left};
 use crate::deadline::Deadline;
 use crate::error_kind::{ErrorKind, promises_not_run};
+use crate::node::Node;
 use crate::placement::PromptShape;
 use crate::runs::{PendingRun, fail_run, start_run, wait_for_response};
 use crate::server_selection::{Unplaced, select_server};
@@ -26,6 +27,9 @@
 
 /// Interval for checking whether a run on another node has ended; updates arrive every 25 ms.
 pub(crate) const RUN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time for which a request waits until others like it, under which servers may crash, have ended. Most end or are
+/// cleared within half a second.
+const MAX_PERMIT_WAIT: Duration = Duration::from_millis(1_500);
 /// Maximum size of a failure response, which is read as a whole.
 const MAX_FAILURE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -91,6 +95,8 @@
     OutOfTime(OutOfTime),
     /// The request is refused, because servers crashed while they ran such requests.
     Refused(ErrorKind, RefusedFeature),
+    /// Other requests like it, under which servers may crash, did not end in time.
+    Held,
     /// No server served the request.
     GaveUp(ErrorKind),
 }
@@ -165,6 +171,14 @@
         }
     }
 
+    /// Kind of a refusal because others like it did not end in time.
+    pub(crate) fn held_kind(&self) -> ErrorKind {
+        match self.ran {
+            Ran::No => ErrorKind::SuspectsPending,
+            _ => ErrorKind::ServerFailed,
+        }
+    }
+
     fn failure_kind(&self) -> ErrorKind {
         let expired = self.remaining().is_zero();
         match (self.ran, expired) {
@@ -183,6 +197,7 @@
     last_event_id: Option<u64>,
 ) -> Dispatched {
     let node = upstreams.node().clone();
+    let mut held_since = None;
     loop {
         if request.remaining().is_zero() || !request.may_run_again() {
             return Dispatched::GaveUp(request.failure_kind());
@@ -194,6 +209,11 @@
             return Dispatched::Refused(request.refusal_kind(&refused), refused);
         }
         if node.crashes.prepare(&request.features) == Permit::Wait {
+            let held_for = held_since.get_or_insert_with(Instant::now).elapsed();
+            if held_for >= MAX_PERMIT_WAIT {
+                log_held(&node, request, held_for);
+                return Dispatched::Held;
+            }
             tokio::time::sleep(RUN_CHECK_INTERVAL.min(request.remaining())).await;
             continue;
         }
@@ -212,6 +232,14 @@
     }
 }
 
+fn log_held(node: &Node, request: &Request, held_for: Duration) {
+    node.log.write("request_held", || {
+        serde_json::json!({"request": request.facts.id, "held_ms": held_for.as_millis() as u64,
+            "fingerprint": request.features.request().short(), "parts": request.features.part_ids(),
+            "ran": request.ran.to_string(), "remaining_ms": request.remaining().as_millis() as u64})
+    });
+}
+
 /// Waits for the response to a request that has been sent, and sends it to further servers if necessary.
 pub(crate) async fn dispatch_after(
     upstreams: &Upstreams,
--- a/crates/ingress/src/error_kind.rs
+++ b/crates/ingress/src/error_kind.rs
@@ -79,6 +79,9 @@
     /// The maximum number of servers crashed while they ran the request; it is not run again.
     #[display("servers_ended")]
     ServersEnded,
+    /// Servers crashed while they ran such requests, and those that run now did not end in time; the request did not run.
+    #[display("suspects_pending")]
+    SuspectsPending,
     /// Servers crashed while they ran other requests with the same prompt part; the request did not run.
     #[display("prompt_part_refused")]
     PromptPartRefused,
@@ -131,6 +134,7 @@
             | ErrorKind::StreamOriginGone
             // Not 4xx: another part of the prompts may have caused the crashes.
             | ErrorKind::PromptPartRefused
+            | ErrorKind::SuspectsPending
             | ErrorKind::StoreUnavailable => 503,
             ErrorKind::Expired => 504,
         }
@@ -146,7 +150,9 @@
             ErrorKind::ExpiredBeforeRun => Some(100),
             // An isolated or evacuated region recovers in seconds, not milliseconds.
             ErrorKind::HomesCannotServe | ErrorKind::NoRoomInTime => Some(500),
-            ErrorKind::OverShare | ErrorKind::StoreUnavailable => Some(500),
+            ErrorKind::OverShare | ErrorKind::StoreUnavailable | ErrorKind::SuspectsPending => {
+                Some(500)
+            }
             ErrorKind::QuotaExceeded | ErrorKind::OverQuota => Some(1000),
             // The end of an evacuation is unknown, but it lasts for seconds at least.
             ErrorKind::ZonesEvacuated => Some(1000),
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -369,6 +369,12 @@
                 &Refusal::of_crashes(kind, &refused),
             )
         }
+        Dispatched::Held => {
+            disconnect_logger.end();
+            refund_quota(&node, &request);
+            let refused = Refusal::new(request.held_kind(), "other runs may crash servers");
+            refuse(&node, &request.facts.id, &refused)
+        }
         Dispatched::GaveUp(kind) => {
             disconnect_logger.end();
             refund_quota(&node, &request);
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -371,6 +371,10 @@
                 self.log_truncated(&ErrorKind::NoRoomInTime.to_string());
                 Err(TruncatedResponse)
             }
+            Dispatched::Held => {
+                self.log_truncated(&self.request.held_kind().to_string());
+                Err(TruncatedResponse)
+            }
             Dispatched::Refused(kind, _) | Dispatched::GaveUp(kind) => {
                 self.log_truncated(&kind.to_string());
                 Err(TruncatedResponse)
@@ -387,11 +391,17 @@
             Some(run) => dispatch_after(upstreams, request, run, self.last_event).await,
             None => dispatch(upstreams, request, self.last_event).await,
         };
-        while matches!(dispatched, Dispatched::Refused(..)) && Instant::now() < refused_until {
-            tokio::time::sleep(RUN_CHECK_INTERVAL).await;
+        loop {
+            match dispatched {
+                Dispatched::Refused(..) if Instant::now() < refused_until => {
+                    tokio::time::sleep(RUN_CHECK_INTERVAL).await;
+                }
+                // A response that has begun cannot be refused any more, so it stays until its deadline.
+                Dispatched::Held => {}
+                dispatched => return dispatched,
+            }
             dispatched = dispatch(upstreams, request, self.last_event).await;
         }
-        dispatched
     }
 
     fn log_truncated(&self, cause: &str) {
