Tell a process that has just started all refusals at once

Cause: it could not read the refusals, and the others repeat two records each 450 ms, far slower than the 0.7 s for which a new process waits. A node that hears a run for the first time, by its heartbeat, now queues all that is refused or nearly so as changed.

Test: restarted_node failed before (300 features, not known after 3 s), passes within a second.

--- a/crates/cluster/src/receiving.rs
+++ b/crates/cluster/src/receiving.rs
@@ -26,6 +26,7 @@
         match packet.kind {
             Some(PacketKind::Heartbeat(heartbeat)) => {
                 self.peers.note_unlisted_sender(&heartbeat, sender);
+                self.note_life(&heartbeat);
                 self.receive_heartbeat(heartbeat);
             }
             Some(PacketKind::Summary(summary)) => self.receive_summary(summary),
@@ -42,6 +43,19 @@
         }
     }
 
+    /// Tells a process that has just started which requests are refused. It may not be able to read them, nor to
+    /// register, while the store is away.
+    fn note_life(&self, heartbeat: &Heartbeat) {
+        if heartbeat.name == self.settings.name {
+            return;
+        }
+        let mut lives = self.lives.borrow_mut();
+        let before = lives.insert(node_number(&heartbeat.name), heartbeat.life);
+        if before != Some(heartbeat.life) {
+            self.crashes.resend_refused();
+        }
+    }
+
     fn receive_heartbeat(&self, heartbeat: Heartbeat) {
         if heartbeat.name == self.settings.name || !self.peers.apply_heartbeat(&heartbeat) {
             return;
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Nodes that exchange gossip over UDP on loopback.
 #![allow(dead_code)]
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -47,6 +48,11 @@
 
 impl TestNode {
     pub async fn open(number: usize, places: &Topology) -> Self {
+        Self::open_at(number, places, 1, ([127, 0, 0, 1], 0).into()).await
+    }
+
+    /// Opens a run of a node at an address.
+    pub async fn open_at(number: usize, places: &Topology, life: u64, address: SocketAddr) -> Self {
         let (name, zone) = (format!("node-{number}"), ZONES[number % 3]);
         let log = Arc::new(EventLog::silent());
         let peers = Arc::new(PeerTable::new(&name, zone, log.clone()));
@@ -54,8 +60,8 @@
         let settings = GossipSettings {
             name: name.clone(),
             zone: zone.to_owned(),
-            life: 1,
-            address: ([127, 0, 0, 1], 0).into(),
+            life,
+            address,
         };
         let zone_distances = Arc::new(ZoneDistances::new(zone, places));
         let view = Arc::new(View::with_zone_distances(&name, zone_distances, log));
--- a/crates/crashes/src/gossip.rs
+++ b/crates/crashes/src/gossip.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    /// Queues the refused features and those that one more end would refuse, for a node that has just started.
+    pub fn resend_refused(&mut self) {
+        let records = self.records.iter();
+        let relevant = records.filter(|(_, record)| record.is_nearly_refused());
+        let relevant = relevant.map(|(feature, _)| (*feature, SENDS_PER_CHANGE));
+        self.unsent.extend(relevant);
+    }
+
     /// The record of a feature in the form in which it is sent.
     pub fn message(&self, feature: &Feature, now: Instant) -> CrashRecord {
         let Some(record) = self.records.get(feature) else {
@@ -125,7 +133,7 @@
             .last_refreshed
             .map_or(Bound::Unbounded, Bound::Excluded);
         let later = self.records.range((from, Bound::Unbounded));
-        let relevant = later.filter(|(_, record)| record.ended.len() + 1 >= MAX_ENDED_SERVERS);
+        let relevant = later.filter(|(_, record)| record.is_nearly_refused());
         let next = relevant.map(|(feature, _)| *feature);
         let next: Vec<Feature> = next.take(REFRESHED_RECORDS).collect();
         self.last_refreshed = next.last().copied();
--- a/crates/crashes/src/record.rs
+++ b/crates/crashes/src/record.rs
@@ -292,6 +292,11 @@
             .count()
     }
 
+    /// Whether one more end may refuse the feature, if it is not refused yet.
+    pub(crate) fn is_nearly_refused(&self) -> bool {
+        self.ended.len() + 1 >= MAX_ENDED_SERVERS
+    }
+
     pub(crate) fn first_end(&self) -> Option<Instant> {
         self.ended.iter().map(|end| end.at).min()
     }
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -116,6 +116,11 @@
             .updates(refresh, max_records, Instant::now())
     }
 
+    /// Sends the refused features to all nodes again, because one has just started.
+    pub fn resend_refused(&self) {
+        self.change(Ledger::resend_refused);
+    }
+
     /// Merges records received from another node; with `relay`, new information is sent on.
     /// Returns the features that are refused from now on.
     pub fn merge(&self, updates: CrashUpdates, relay: bool) -> Vec<Feature> {
