--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -91,7 +91,7 @@
     pub(crate) sequence: Cell<u64>,
     pub(crate) changes_sent: Cell<u64>,
     /// Run of each node that was heard last, by node number.
-    pub(crate) lives: RefCell<HashMap<u64, u64>>,
+    pub(crate) runs_heard: RefCell<HashMap<u64, u64>>,
     /// Run and sequence number of the newest load message of each node.
     pub(crate) newest_sequences: RefCell<HashMap<u64, (u64, u64)>>,
 }
@@ -119,7 +119,7 @@
             region_digest: RefCell::new(ZoneDigest::coarse()),
             sequence: Cell::new(0),
             changes_sent: Cell::new(0),
-            lives: RefCell::default(),
+            runs_heard: RefCell::default(),
             newest_sequences: RefCell::default(),
         })
     }
--- a/crates/cluster/src/receiving.rs
+++ b/crates/cluster/src/receiving.rs
@@ -49,8 +49,8 @@
         if heartbeat.name == self.settings.name {
             return;
         }
-        let mut lives = self.lives.borrow_mut();
-        let before = lives.insert(node_number(&heartbeat.name), heartbeat.life);
+        let mut runs_heard = self.runs_heard.borrow_mut();
+        let before = runs_heard.insert(node_number(&heartbeat.name), heartbeat.life);
         if before != Some(heartbeat.life) {
             self.crashes.resend_refused();
         }
--- a/crates/crashes/src/owed_retries.rs
+++ b/crates/crashes/src/deferred_retries.rs
@@ -1,24 +1,24 @@
-//! Limits the retries of refused requests that are owed. Pure; time is an argument.
+//! Limits the retries of refused deferred requests, such as items of jobs. Pure; time is an argument.
 
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
 
-/// Time from an end under a retry to the next retry of any owed request of this node, by which other causes of ends
+/// Time from an end under a retry to the next retry of any deferred request of this node, by which other causes of ends
 /// should be over.
 const RETRY_GAP: Duration = Duration::from_secs(3);
 /// Limit on the retries of one node that are under way.
 const MAX_CONCURRENT: usize = 8;
 
 /// What became of the retries of this node. One may be under way after an end, one more after each success, so that many
-/// owed requests that crash servers end one server in [`RETRY_GAP`].
+/// deferred requests that crash servers end one server in [`RETRY_GAP`].
 #[derive(Debug, Default)]
-pub(crate) struct OwedRetries {
+pub(crate) struct DeferredRetries {
     last_end: Option<Instant>,
     successes: usize,
 }
 
-impl OwedRetries {
+impl DeferredRetries {
     /// Records that a server ended under a retry.
     pub(crate) fn note_end(&mut self, now: Instant) {
         self.last_end = Some(now);
--- a/crates/crashes/src/feature.rs
+++ b/crates/crashes/src/feature.rs
@@ -116,7 +116,7 @@
 pub struct RequestFeatures {
     request: Fingerprint,
     all: Arc<[Feature]>,
-    is_owed: bool,
+    is_deferred: bool,
 }
 
 impl RequestFeatures {
@@ -133,20 +133,20 @@
         Self {
             request,
             all: all.into(),
-            is_owed: false,
+            is_deferred: false,
         }
     }
 
     /// Marks the request as accepted for later: it is retried until it is done, however many servers end under it.
-    pub fn owed(self) -> Self {
+    pub fn deferred(self) -> Self {
         Self {
-            is_owed: true,
+            is_deferred: true,
             ..self
         }
     }
 
-    pub fn is_owed(&self) -> bool {
-        self.is_owed
+    pub fn is_deferred(&self) -> bool {
+        self.is_deferred
     }
 
     pub fn request(&self) -> Fingerprint {
--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -5,10 +5,10 @@
 
 use dappleyard_clock::Instant;
 
+use crate::deferred_retries::DeferredRetries;
 use crate::feature::{Feature, RequestFeatures};
 use crate::gossip::SENDS_PER_CHANGE;
 use crate::messages::CrashRecord;
-use crate::owed_retries::OwedRetries;
 use crate::recently_served::RecentlyServed;
 use crate::record::{LONG_RUN, MAX_ENDED_SERVERS, Record};
 use crate::server_failures::ServerFailures;
@@ -81,7 +81,7 @@
     pub(crate) running: HashMap<Feature, Vec<String>>,
     recently_served: RecentlyServed,
     pub(crate) server_failures: ServerFailures,
-    pub(crate) owed_retries: OwedRetries,
+    pub(crate) deferred_retries: DeferredRetries,
     /// Changed records, with the number of sends that remain.
     pub(crate) unsent: HashMap<Feature, u8>,
     pub(crate) last_refreshed: Option<Feature>,
@@ -103,7 +103,7 @@
             running: HashMap::new(),
             recently_served: RecentlyServed::default(),
             server_failures: ServerFailures::default(),
-            owed_retries: OwedRetries::default(),
+            deferred_retries: DeferredRetries::default(),
             unsent: HashMap::new(),
             last_refreshed: None,
             outdated_elsewhere: BTreeSet::new(),
@@ -199,8 +199,8 @@
         now: Instant,
     ) -> EndOutcome {
         self.server_failures.note(server, now);
-        if request.is_owed() && self.refused_features_of(request) > 0 {
-            self.owed_retries.note_end(now);
+        if request.is_deferred() && self.refused_features_of(request) > 0 {
+            self.deferred_retries.note_end(now);
         }
         let ran_long = output_for.is_some_and(|time| time >= LONG_RUN);
         let mut now_refused = Vec::new();
@@ -316,7 +316,7 @@
         };
         let is_stored = std::mem::take(&mut record.is_stored);
         if record.ended.len() >= MAX_ENDED_SERVERS {
-            self.owed_retries.note_success();
+            self.deferred_retries.note_success();
         }
         // Another node may have stored a refusal, even if this one excuses some of the ends.
         if is_stored || record.ended.len() >= MAX_ENDED_SERVERS {
--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -5,15 +5,16 @@
 //! ended while they ran requests with a feature, and decides whether such requests may run again; records of two nodes
 //! can be merged in any order. [`CrashTable`] shares the ledger between the threads of a node. This crate performs no I/O.
 
+mod deferred_retries;
 mod feature;
 mod fingerprint;
 mod gossip;
 mod ledger;
 mod messages;
-mod owed_retries;
 mod permits;
 mod recently_served;
 mod record;
+mod retries;
 mod server_failures;
 mod table;
 
--- a/crates/crashes/src/permits.rs
+++ b/crates/crashes/src/permits.rs
@@ -14,10 +14,10 @@
 
 /// What the decision on one feature needs to know of the request that asks.
 #[derive(Clone, Copy)]
-struct Asking {
+struct RequestContext {
     /// Number of its features that have reached the limit of ended servers.
     refused_features: u32,
-    is_owed: bool,
+    is_deferred: bool,
 }
 
 impl Ledger {
@@ -37,13 +37,13 @@
 
     /// Decides on the next run of a request: the most restrictive decision on one of its features.
     pub fn permit(&self, request: &RequestFeatures, now: Instant) -> Permit {
-        let asking = self.asking(request);
+        let context = self.context(request);
         let permits = request.iter();
-        let permits = permits.map(|feature| self.feature_permit(feature, asking, now));
+        let permits = permits.map(|feature| self.feature_permit(feature, context, now));
         let permit = permits.max().unwrap_or(Permit::Free);
-        if asking.is_owed && asking.refused_features > 0 && permit == Permit::LastRun {
-            let under_way = self.owed_retries_under_way();
-            if !self.owed_retries.may_begin(under_way, now) {
+        if context.is_deferred && context.refused_features > 0 && permit == Permit::LastRun {
+            let under_way = self.deferred_retries_under_way();
+            if !self.deferred_retries.may_begin(under_way, now) {
                 return Permit::Wait;
             }
         }
@@ -62,15 +62,15 @@
         }
     }
 
-    fn asking(&self, request: &RequestFeatures) -> Asking {
-        Asking {
+    fn context(&self, request: &RequestFeatures) -> RequestContext {
+        RequestContext {
             refused_features: self.refused_features_of(request),
-            is_owed: request.is_owed(),
+            is_deferred: request.is_deferred(),
         }
     }
 
     /// Number of refused requests that this node runs.
-    fn owed_retries_under_way(&self) -> usize {
+    fn deferred_retries_under_way(&self) -> usize {
         let running = self.running.keys();
         let refused = running.filter(|feature| !feature.is_shared() && self.is_refused(feature));
         refused.count()
@@ -82,14 +82,14 @@
         refused.count() as u32
     }
 
-    fn feature_permit(&self, feature: &Feature, asking: Asking, now: Instant) -> Permit {
+    fn feature_permit(&self, feature: &Feature, context: RequestContext, now: Instant) -> Permit {
         let Some(record) = self.records.get(feature) else {
             return Permit::Free;
         };
         let counted_ends = record.counted_ends(feature, &self.server_failures);
         let own = self.running.get(feature).map_or(0, Vec::len);
         if counted_ends >= MAX_ENDED_SERVERS {
-            let wait = self.time_until_retry(feature, record, asking, now);
+            let wait = self.time_until_retry(feature, record, context, now);
             let is_due = wait.is_some_and(|wait| wait.is_zero());
             let is_taken = own > 0 || record.is_taken_elsewhere(self.node_id, now);
             return match is_due && !is_taken {
@@ -115,14 +115,19 @@
         &self,
         feature: &Feature,
         record: &Record,
-        asking: Asking,
+        context: RequestContext,
         now: Instant,
     ) -> Option<Duration> {
         let failures = &self.server_failures;
-        if asking.is_owed {
-            return record.time_until_owed_retry(feature, asking.refused_features, failures, now);
+        if context.is_deferred {
+            return record.time_until_deferred_retry(
+                feature,
+                context.refused_features,
+                failures,
+                now,
+            );
         }
-        let until_retry = record.time_until_retry(feature, asking.refused_features, failures, now);
+        let until_retry = record.time_until_retry(feature, context.refused_features, failures, now);
         until_retry.filter(|_| self.may_be_innocent(feature, record))
     }
 
@@ -161,9 +166,9 @@
                 return false;
             }
             let counted_ends = record.counted_ends(feature, &self.server_failures);
-            // An owed request keeps away from retries of refused ones too.
+            // A deferred request keeps away from retries of refused ones too.
             let is_last = counted_ends + 1 == MAX_ENDED_SERVERS
-                || except.is_owed() && counted_ends >= MAX_ENDED_SERVERS;
+                || except.is_deferred() && counted_ends >= MAX_ENDED_SERVERS;
             is_last
                 && record.limits_runs(feature, counted_ends, now)
                 && !except.iter().any(|own| own == *feature)
@@ -188,23 +193,23 @@
 
     /// The first feature for which a request is refused, if it is.
     pub fn refusal(&self, request: &RequestFeatures, now: Instant) -> Option<RefusedFeature> {
-        let asking = self.asking(request);
+        let context = self.context(request);
         let is_refused =
-            |feature: &&Feature| self.feature_permit(feature, asking, now) == Permit::Refused;
+            |feature: &&Feature| self.feature_permit(feature, context, now) == Permit::Refused;
         let feature = request.iter().find(is_refused)?;
-        self.refused_feature(feature, asking, now)
+        self.refused_feature(feature, context, now)
     }
 
     /// Refused features, and the number of other records.
     pub fn refused(&self, now: Instant) -> (Vec<RefusedFeature>, usize) {
-        let asking = Asking {
+        let context = RequestContext {
             refused_features: 1,
-            is_owed: false,
+            is_deferred: false,
         };
         let refused = self.records.keys();
         let refused = refused.filter(|feature| self.is_refused(feature));
         let refused: Vec<RefusedFeature> = refused
-            .filter_map(|feature| self.refused_feature(feature, asking, now))
+            .filter_map(|feature| self.refused_feature(feature, context, now))
             .collect();
         let others = self.records.len() - refused.len();
         (refused, others)
@@ -213,12 +218,12 @@
     fn refused_feature(
         &self,
         feature: &Feature,
-        asking: Asking,
+        context: RequestContext,
         now: Instant,
     ) -> Option<RefusedFeature> {
         let record = self.records.get(feature)?;
         let age = now.saturating_duration_since(record.changed);
-        let retry = self.time_until_retry(feature, record, asking, now);
+        let retry = self.time_until_retry(feature, record, context, now);
         Some(RefusedFeature {
             feature: *feature,
             ended: record.servers(),
--- a/crates/crashes/src/server_failures.rs
+++ b/crates/crashes/src/server_failures.rs
@@ -63,11 +63,11 @@
     /// Whether at least [`MIN_OTHER_FAILURES`] other servers, none of them in `own`, ended together with a server.
     pub(crate) fn is_correlated(&self, server: &str, own: &[&str]) -> bool {
         let at = self.by_server.get(server);
-        at.is_some_and(|at| self.is_storm(*at, CORRELATION_WINDOW, own))
+        at.is_some_and(|at| self.others_ended_near(*at, CORRELATION_WINDOW, own))
     }
 
     /// Whether at least [`MIN_OTHER_FAILURES`] servers, none of them in `own`, ended within a time of a moment.
-    pub(crate) fn is_storm(&self, at: Instant, window: Duration, own: &[&str]) -> bool {
+    pub(crate) fn others_ended_near(&self, at: Instant, window: Duration, own: &[&str]) -> bool {
         let from = at.checked_sub(window).unwrap_or(at);
         let near = self.by_time.range((from, String::new())..);
         let near = near.take_while(|(other, _)| *other <= at + window);
--- a/crates/crashes/tests/owed.rs
+++ b/crates/crashes/tests/deferred.rs
@@ -1,4 +1,4 @@
-//! Requests that are owed: they are retried however many servers end under them, one at a time.
+//! Requests that are deferred: they are retried however many servers end under them, one at a time.
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 
 const PART: u64 = 1;
-/// Longest time to the retry of an owed request.
+/// Longest time to the retry of a deferred request.
 const MAX_DELAY: Duration = Duration::from_secs(12);
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Retries of a refused part: two, and the three that the operators' rule allows after the fifth end.
@@ -28,7 +28,7 @@
 }
 
 fn item(number: u64, parts: &[u64]) -> RequestFeatures {
-    request(number, parts).owed()
+    request(number, parts).deferred()
 }
 
 /// Ends a server under a run of a request that has begun.
@@ -68,34 +68,34 @@
 #[gtest]
 fn many_ends_under_an_item() {
     let (mut ledger, mut now) = (Ledger::new(1), Instant::now());
-    let (owed, online) = (item(1, &[]), request(2, &[]));
-    refuse(&mut ledger, &owed, "a", now);
+    let (deferred, online) = (item(1, &[]), request(2, &[]));
+    refuse(&mut ledger, &deferred, "a", now);
     refuse(&mut ledger, &online, "b", now);
     for number in 0..40 {
         let server = format!("c-{number}");
-        now = begin(&mut ledger, &owed, &server, now).expect("a retry");
+        now = begin(&mut ledger, &deferred, &server, now).expect("a retry");
         // Only one at a time.
-        expect_that!(ledger.permit(&owed, now), eq(Permit::Refused));
-        end_server(&mut ledger, &owed, &server, now);
+        expect_that!(ledger.permit(&deferred, now), eq(Permit::Refused));
+        end_server(&mut ledger, &deferred, &server, now);
         expect_that!(ledger.permit(&online, now), eq(Permit::Refused));
     }
-    now = begin(&mut ledger, &owed, "d", now).expect("a retry");
-    ledger.note_served(&owed, now);
-    ledger.end(&owed, "d", now);
-    expect_that!(ledger.permit(&owed, now), eq(Permit::Free));
+    now = begin(&mut ledger, &deferred, "d", now).expect("a retry");
+    ledger.note_served(&deferred, now);
+    ledger.end(&deferred, "d", now);
+    expect_that!(ledger.permit(&deferred, now), eq(Permit::Free));
 }
 
 /// Guards against an item that its new owner never places, since it has read the counts of the one before.
 #[gtest]
 fn change_of_owner() {
     let (mut before, mut after, now) = (Ledger::new(1), Ledger::new(2), Instant::now());
-    let owed = item(1, &[]);
-    refuse(&mut before, &owed, "a", now);
+    let deferred = item(1, &[]);
+    refuse(&mut before, &deferred, "a", now);
     for record in before.updates(true, 100, now).records {
         after.merge(record, false, now);
     }
-    expect_that!(after.permit(&owed, now), eq(Permit::Refused));
-    let begun = begin(&mut after, &owed, "b", now);
+    expect_that!(after.permit(&deferred, now), eq(Permit::Refused));
+    let begun = begin(&mut after, &deferred, "b", now);
     expect_that!(begun, some(ge(now + Duration::from_secs(3))));
 }
 
@@ -103,14 +103,14 @@
 #[gtest]
 fn restarts_of_one_server() {
     let (mut ledger, now) = (Ledger::new(1), Instant::now());
-    let owed = item(1, &[]);
+    let deferred = item(1, &[]);
     for number in 0..MAX_ENDED_SERVERS as u64 {
         let at = now + Duration::from_secs(number);
-        ledger.begin(&owed, "a", at);
-        ledger.note_run_ended(&owed, "a", at, None, at);
-        ledger.end(&owed, "a", at);
+        ledger.begin(&deferred, "a", at);
+        ledger.note_run_ended(&deferred, "a", at, None, at);
+        ledger.end(&deferred, "a", at);
     }
-    expect_that!(begin(&mut ledger, &owed, "b", now), some(anything()));
+    expect_that!(begin(&mut ledger, &deferred, "b", now), some(anything()));
 }
 
 /// Guards against many items that crash servers and are all retried at the same moment.
@@ -118,16 +118,16 @@
 fn crashing_items() {
     let (mut ledger, start) = (Ledger::new(1), Instant::now());
     let items: Vec<RequestFeatures> = (0..20).map(|number| item(number, &[])).collect();
-    for (number, owed) in items.iter().enumerate() {
-        refuse(&mut ledger, owed, &format!("a{number}"), start);
+    for (number, deferred) in items.iter().enumerate() {
+        refuse(&mut ledger, deferred, &format!("a{number}"), start);
     }
     let (mut now, mut ended) = (start, 0);
     while now < start + Duration::from_secs(30) {
         now += LOOK_INTERVAL;
-        for owed in &items {
+        for deferred in &items {
             let server = format!("b-{ended}");
-            if ledger.begin(owed, &server, now) == Permit::LastRun {
-                end_server(&mut ledger, owed, &server, now);
+            if ledger.begin(deferred, &server, now) == Permit::LastRun {
+                end_server(&mut ledger, deferred, &server, now);
                 ended += 1;
             }
         }
@@ -140,25 +140,25 @@
 fn sound_items() {
     let (mut ledger, mut now) = (Ledger::new(1), Instant::now());
     let items: Vec<RequestFeatures> = (0..20).map(|number| item(number, &[])).collect();
-    for (number, owed) in items.iter().enumerate() {
-        refuse(&mut ledger, owed, &format!("a{number}"), now);
+    for (number, deferred) in items.iter().enumerate() {
+        refuse(&mut ledger, deferred, &format!("a{number}"), now);
     }
     now += Duration::from_secs(3);
     let mut waiting = items.clone();
     for round in 0..8 {
-        let begun = |owed: &RequestFeatures, ledger: &mut Ledger| {
-            let server = format!("b{round}-{:?}", owed.request());
-            (ledger.begin(owed, &server, now) == Permit::LastRun).then_some(server)
+        let begun = |deferred: &RequestFeatures, ledger: &mut Ledger| {
+            let server = format!("b{round}-{:?}", deferred.request());
+            (ledger.begin(deferred, &server, now) == Permit::LastRun).then_some(server)
         };
         let begun: Vec<_> = waiting
             .iter()
-            .filter_map(|owed| Some((owed.clone(), begun(owed, &mut ledger)?)))
+            .filter_map(|deferred| Some((deferred.clone(), begun(deferred, &mut ledger)?)))
             .collect();
         now += Duration::from_millis(500);
-        for (owed, server) in begun {
-            ledger.note_served(&owed, now);
-            ledger.end(&owed, &server, now);
-            waiting.retain(|other| other.request() != owed.request());
+        for (deferred, server) in begun {
+            ledger.note_served(&deferred, now);
+            ledger.end(&deferred, &server, now);
+            waiting.retain(|other| other.request() != deferred.request());
         }
     }
     expect_that!(waiting.len(), eq(0));
@@ -172,13 +172,13 @@
     around: impl Fn(&mut Ledger, Instant),
 ) -> usize {
     for number in 0..20 {
-        let owed = item(100 + number, &[PART]);
+        let deferred = item(100 + number, &[PART]);
         let server = format!("c-{number}");
-        let Some(begun) = begin(ledger, &owed, &server, now) else {
+        let Some(begun) = begin(ledger, &deferred, &server, now) else {
             return number as usize;
         };
         around(ledger, begun);
-        end_server(ledger, &owed, &server, begun);
+        end_server(ledger, &deferred, &server, begun);
         now = begun;
     }
     20
@@ -189,9 +189,9 @@
 fn crashing_part() {
     let (mut ledger, now) = (Ledger::new(1), Instant::now());
     for number in 0..MAX_ENDED_SERVERS as u64 {
-        let (owed, server) = (item(number, &[PART]), format!("a-{number}"));
-        ledger.begin(&owed, &server, now);
-        end_server(&mut ledger, &owed, &server, now);
+        let (deferred, server) = (item(number, &[PART]), format!("a-{number}"));
+        ledger.begin(&deferred, &server, now);
+        end_server(&mut ledger, &deferred, &server, now);
     }
     let ended = retry_part(&mut ledger, now, |_, _| ());
     expect_that!(ended, eq(MAX_PART_RETRIES));
@@ -204,9 +204,9 @@
 fn part_beside_other_ends() {
     let (mut ledger, now) = (Ledger::new(1), Instant::now());
     for number in 0..MAX_ENDED_SERVERS as u64 {
-        let (owed, server) = (item(number, &[PART]), format!("a-{number}"));
-        ledger.begin(&owed, &server, now);
-        end_server(&mut ledger, &owed, &server, now);
+        let (deferred, server) = (item(number, &[PART]), format!("a-{number}"));
+        ledger.begin(&deferred, &server, now);
+        end_server(&mut ledger, &deferred, &server, now);
     }
     let others_end = |ledger: &mut Ledger, now: Instant| {
         for number in 0..2 {
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -110,7 +110,7 @@
         });
         Self {
             stored,
-            features: request_features(fingerprint, parts).owed(),
+            features: request_features(fingerprint, parts).deferred(),
             progress: match listed {
                 true => Progress::Finished,
                 false => Progress::Waiting,
