Send changes before refusals that are repeated for a new process

Found in reading: refusals told again to a process that has just started went first, since those with the most ends do, so that news of a first end could wait behind hundreds of them.

They have a queue of their own now, which fills what changes leave of a message. Test: changes_before_resent_refusals.

--- a/crates/crashes/src/gossip.rs
+++ b/crates/crashes/src/gossip.rs
@@ -20,6 +20,11 @@
 const REFRESHED_RECORDS: usize = 2;
 
 impl Ledger {
+    /// Whether there are records to send before the next refresh.
+    pub(crate) fn has_updates(&self) -> bool {
+        !(self.unsent.is_empty() && self.resent.is_empty())
+    }
+
     /// Returns the records to send now, at most `max_records`. With `refresh`, also resends records that were sent
     /// before.
     pub fn updates(&mut self, refresh: bool, max_records: usize, now: Instant) -> CrashUpdates {
@@ -47,6 +52,14 @@
         for feature in &due {
             self.count_send(feature);
         }
+        while due.len() < max_records {
+            let Some(feature) = self.resent.pop_first() else {
+                break;
+            };
+            if !due.contains(&feature) {
+                due.push(feature);
+            }
+        }
         if refresh {
             due.extend(self.next_refreshed());
             due.extend(self.running_suspects(max_records));
@@ -60,12 +73,12 @@
         }
     }
 
-    /// Queues the refused features and those that one more end would refuse, for a node that has just started.
+    /// Queues the refused features and those that one more end would refuse, for a node that has just started. Changes are
+    /// sent before them.
     pub fn resend_refused(&mut self) {
         let records = self.records.iter();
         let relevant = records.filter(|(_, record)| record.is_nearly_refused());
-        let relevant = relevant.map(|(feature, _)| (*feature, SENDS_PER_CHANGE));
-        self.unsent.extend(relevant);
+        self.resent.extend(relevant.map(|(feature, _)| *feature));
     }
 
     /// The record of a feature in the form in which it is sent.
--- a/crates/crashes/src/ledger.rs
+++ b/crates/crashes/src/ledger.rs
@@ -84,6 +84,8 @@
     pub(crate) deferred_retries: DeferredRetries,
     /// Changed records, with the number of sends that remain.
     pub(crate) unsent: HashMap<Feature, u8>,
+    /// Features that are sent again for a node that has just started.
+    pub(crate) resent: BTreeSet<Feature>,
     pub(crate) last_refreshed: Option<Feature>,
     /// Features that were cleared here, of which another node reported ends from before.
     pub(crate) outdated_elsewhere: BTreeSet<Feature>,
@@ -105,6 +107,7 @@
             server_failures: ServerFailures::default(),
             deferred_retries: DeferredRetries::default(),
             unsent: HashMap::new(),
+            resent: BTreeSet::new(),
             last_refreshed: None,
             outdated_elsewhere: BTreeSet::new(),
             unstored: BTreeSet::new(),
@@ -441,6 +444,7 @@
         });
         if let Some(evicted) = evicted.map(|(feature, _)| *feature) {
             self.records.remove(&evicted);
+            self.resent.remove(&evicted);
             self.update_crashed(&evicted);
             self.unsent.remove(&evicted);
             self.unstored.remove(&evicted);
--- a/crates/crashes/src/table.rs
+++ b/crates/crashes/src/table.rs
@@ -34,7 +34,7 @@
 
     /// Whether there are changes that still have to be sent.
     pub fn has_updates(&self) -> bool {
-        !self.ledger.lock().unsent.is_empty()
+        self.ledger.lock().has_updates()
     }
 
     /// Waits for further changes to send.
@@ -45,9 +45,9 @@
     /// Updates the ledger, and notifies the sender if there are new changes to send.
     fn change<T>(&self, change: impl FnOnce(&mut Ledger) -> T) -> T {
         let mut ledger = self.ledger.lock();
-        let before = ledger.unsent.len();
+        let before = ledger.unsent.len() + ledger.resent.len();
         let result = change(&mut ledger);
-        if ledger.unsent.len() > before {
+        if ledger.unsent.len() + ledger.resent.len() > before {
             self.unsent.notify_one();
         }
         result
--- a/crates/crashes/tests/ledger.rs
+++ b/crates/crashes/tests/ledger.rs
@@ -631,3 +631,30 @@
     assert_that!(table.permit(&request(1)), eq(Permit::Refused));
     assert_that!(table.message(&feature(1)).ran_long, eq(true));
 }
+
+/// Guards against news of an end that waits behind refusals which are sent again for a node that has just started.
+#[gtest]
+fn changes_before_resent_refusals() {
+    let (mut ledger, now) = (Ledger::new(1), Instant::now());
+    for number in 0..100 {
+        for server in 0..MAX_ENDED_SERVERS {
+            crash(&mut ledger, &request(number), &format!("i-{server}"), now);
+        }
+    }
+    // Each change is sent three times.
+    (0..20).for_each(|_| drop(ledger.updates(true, 50, now)));
+    ledger.resend_refused();
+    crash(&mut ledger, &request(200), "i-9", now);
+    let first = ledger.updates(false, 10, now).records;
+    expect_that!(first.len(), eq(10));
+    expect_that!(
+        first
+            .iter()
+            .any(|record| record.feature() == Some(feature(200))),
+        eq(true)
+    );
+    let resent: usize = (0..10)
+        .map(|_| ledger.updates(false, 10, now).records.len())
+        .sum();
+    expect_that!(resent, ge(91));
+}
