--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -240,6 +240,7 @@
             self.note_outcome(&server, head.status / 100 == 2);
         }
         if facts.not_run {
+            self.log_refusal(&server, &connection, (id, &facts), head.status);
             let reason = format!("status {} not run", head.status);
             self.drain(connection, server.address).await;
             return Err(AttemptError {
@@ -257,6 +258,21 @@
         })
     }
 
+    /// Records a response by which a server says that it did not run a request.
+    fn log_refusal(
+        &self,
+        server: &ServerRecord,
+        connection: &Connection,
+        (id, facts): (&str, &ResponseMetadata),
+        status: u16,
+    ) {
+        self.node.log.write("server_refused_request", || {
+            serde_json::json!({"request": id, "server": server.id, "status": status,
+                "names_request": facts.request_id.is_some(),
+                "reused_connection": connection.is_reused()})
+        });
+    }
+
     /// Records that a server gave no valid response to a request.
     pub(crate) fn note_left(&self, server: &ServerRecord) {
         self.pool.forget(server.address);
@@ -301,8 +317,10 @@
                 .response_metadata(head.status, &head.headers);
             match &facts.request_id {
                 Some(answered) if answered != id => {
+                    Metrics::count(&self.node.metrics.stray_responses);
                     self.node.log.write("answer_of_another_request", || {
-                        serde_json::json!({"request": id, "answers": answered, "status": head.status})
+                        serde_json::json!({"request": id, "answers": answered, "status": head.status,
+                            "reused_connection": connection.is_reused()})
                     });
                     connection
                         .whole_body(MAX_STALE_RESPONSE_BYTES)
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -49,6 +49,8 @@
     /// Requests sent to servers.
     pub attempts: AtomicU64,
     pub attempts_failed: AtomicU64,
+    /// Responses of servers that answer another request than the one that was sent.
+    pub stray_responses: AtomicU64,
     /// Requests placed on servers of other regions.
     pub left_region: AtomicU64,
     /// Streams resumed at another server.
@@ -62,6 +64,8 @@
     pub jobs_accepted: AtomicU64,
     /// Jobs taken over from other nodes.
     pub jobs_claimed: AtomicU64,
+    /// Jobs that other nodes took over from this one.
+    pub jobs_lost: AtomicU64,
     /// Item results committed.
     pub results: AtomicU64,
     /// Runs of batch items on servers of other regions.
@@ -140,6 +144,7 @@
             ("failed", &self.failed),
             ("attempts", &self.attempts),
             ("attempts_failed", &self.attempts_failed),
+            ("stray_responses", &self.stray_responses),
             ("left_region", &self.left_region),
             ("resumed", &self.resumed),
             ("resumptions", &self.resumptions),
@@ -147,6 +152,7 @@
             ("connections", &self.connections),
             ("jobs_accepted", &self.jobs_accepted),
             ("jobs_claimed", &self.jobs_claimed),
+            ("jobs_lost", &self.jobs_lost),
             ("results", &self.results),
             ("items_left_region", &self.items_left_region),
             ("items_again", &self.items_again),
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -241,6 +241,13 @@
         }
     }
 
+    /// Number of items that servers work on.
+    pub(crate) fn running(&self) -> usize {
+        let state = self.state.borrow();
+        let items = state.items.iter();
+        items.filter(|item| item.active_run.is_some()).count()
+    }
+
     /// Marks the job as lost: cancels all runs and commits nothing more.
     pub(crate) fn mark_lost(&self) {
         let mut state = self.state.borrow_mut();
--- a/crates/jobs/src/ownership.rs
+++ b/crates/jobs/src/ownership.rs
@@ -33,6 +33,7 @@
             let kept = kept && !job.state.borrow().lost;
             let done = !job.state.borrow().row.is_open();
             if !kept && !done {
+                log_taken(self, name, job);
                 let mut taken = self.taken.borrow_mut();
                 taken.insert(name.clone(), Instant::now());
             }
@@ -197,3 +198,15 @@
         Ok(items)
     }
 }
+
+/// Records that another node owns a job on which this node was at work.
+fn log_taken(runner: &Runner, name: &str, job: &OwnedJob) {
+    Metrics::count(&runner.node.metrics.jobs_lost);
+    runner.node.log.write("job_taken", || {
+        let known = runner.table.get(name);
+        let row = known.as_ref().map(|known| &known.row);
+        serde_json::json!({"job": name, "epoch": job.state.borrow().row.epoch, "running": job.running(),
+            "now_owner": row.map(|row| row.owner.clone()), "now_epoch": row.map(|row| row.epoch),
+            "now_state": row.map(|row| row.state)})
+    });
+}
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -47,6 +47,16 @@
     pub(crate) run: RunGuard,
 }
 
+/// Records the start of a run, so that runs of one item at several servers show before they end.
+fn log_started(runner: &Runner, job: &OwnedJob, index: usize, server: &ServerRecord) {
+    runner.node.log.write("item_started", || {
+        let state = job.state.borrow();
+        let item = &state.items[index];
+        serde_json::json!({"job": job.job, "item": item.stored.id, "server": server.id,
+            "epoch": state.row.epoch, "runs": item.runs, "after_event": item.last_event})
+    });
+}
+
 enum RunOutcome {
     Completed,
     /// The server rejected the item permanently.
@@ -66,6 +76,7 @@
     started_run: StartedRun,
 ) {
     let started = Instant::now();
+    log_started(&runner, &job, index, &server);
     let events_before = job.state.borrow().items[index].events;
     let run_outcome = run(&runner, &job, index, &server, &route, started_run).await;
     let events_after = job.state.borrow().items[index].events;
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -65,6 +65,8 @@
     keep_alive_s: Option<u64>,
     answered: bool,
     idle_since: Instant,
+    /// Requests that were sent on it.
+    requests: u64,
 }
 
 impl Connection {
@@ -84,12 +86,14 @@
             keep_alive_s: None,
             answered: false,
             idle_since: Instant::now(),
+            requests: 0,
         })
     }
 
     /// Sends a request and waits for the response head.
     pub async fn send(&mut self, request: &[u8]) -> Result<ResponseHead, ExchangeError> {
         self.answered = false;
+        self.requests += 1;
         self.write(request).await?;
         self.next_head().await
     }
@@ -160,6 +164,11 @@
         }
     }
 
+    /// Whether an earlier request was sent on it.
+    pub fn is_reused(&self) -> bool {
+        self.requests > 1
+    }
+
     /// Idle timeout announced by the peer, in seconds.
     pub fn keep_alive_s(&self) -> Option<u64> {
         self.keep_alive_s
