--- a/scripts/soak_lib/checks.py
+++ b/scripts/soak_lib/checks.py
@@ -29,6 +29,7 @@
             known = [page for page in pages if page is not None]
             if any(page != known[0] for page in known):
                 self.record_violation("results stay readable and alike", job)
+        self.check_double_runs()
         runs = json.loads(self.control("GET", "/truth") or b"{}")
         for request in self.refused_ids:
             if runs.get(request, {"begun": 0})["begun"] > 0:
--- a/scripts/soak_lib/fleet.py
+++ b/scripts/soak_lib/fleet.py
@@ -19,7 +19,7 @@
         log = open(self.output_dir / "standin.log", "ab")
         self.standin = subprocess.Popen(
             [self.standin_program, "--ip", self.network.platform(), "--servers", str(self.arguments.servers)]
-            + ["--tell-load"] * self.has_slow_servers,
+            + ["--relays"] + ["--tell-load"] * self.has_slow_servers,
             stdout=log, stderr=log, start_new_session=True,
         )
         self.wait("the stand-in", lambda: self.control("GET", "/truth") is not None)
--- a/scripts/soak_lib/jobs.py
+++ b/scripts/soak_lib/jobs.py
@@ -79,6 +79,7 @@
             if status != 200:
                 return None
             page = json.loads(body)
+            self.note_results(job, offset, page["results"], node.name)
             found += page["results"]
             if page["next_token"] >= page["total"] or not page["results"]:
                 return found
--- a/scripts/soak_lib/kept.py
+++ b/scripts/soak_lib/kept.py
@@ -128,6 +128,8 @@
     def read_kept(self, connection, job):
         exchange = connection.exchange("GET", f"/v1/lots/{job}?after_rev=0", READ_HEADERS)
         self.note_exchange(connection, "results", job, exchange)
+        if exchange.is_answered() and exchange.status == 200:
+            self.note_results(job, 0, json.loads(exchange.body)["results"], connection.node.name)
 
     def note_exchange(self, connection, kind, request, exchange):
         node = connection.node
--- a/scripts/soak_lib/soak.py
+++ b/scripts/soak_lib/soak.py
@@ -14,6 +14,7 @@
 from soak_lib.checks import Checks
 from soak_lib.crashes import CrashingCallers
 from soak_lib.faults import Faults
+from soak_lib.faulty import FaultyServers
 from soak_lib.fleet import Fleet
 from soak_lib.jobs import JobCallers
 from soak_lib.kept import KEPT_CALLERS, KEPT_JOB_CALLERS, KeptCallers
@@ -28,8 +29,8 @@
 STREAM_CALLERS, JOB_SUBMITTERS = 8, 3
 
 
-class Soak(Fleet, Callers, KeptCallers, ResumingCallers, CrashingCallers, JobCallers, Faults, PlannedWork, Checks,
-           UnansweredChecks):
+class Soak(Fleet, Callers, KeptCallers, ResumingCallers, CrashingCallers, JobCallers, Faults, FaultyServers,
+           PlannedWork, Checks, UnansweredChecks):
     """The fleet, its callers and the recorded results."""
 
     def __init__(self, arguments):
@@ -71,6 +72,8 @@
         self.stop_releasing = threading.Event()
         self.server_versions = ["v1"] * arguments.servers  # None while a server is replaced
         self.silent_until = [0] * arguments.servers
+        self.stop_spoiling, self.double_runs_seen = threading.Event(), 0
+        self.known_results, self.item_positions = {}, {}  # job -> position -> result; job -> item -> position
         self.begun_at_calm_nodes = collections.defaultdict(list)  # "new" or "resumed" -> whether each stream began
 
     def run(self):
@@ -79,6 +82,7 @@
             self.release_one_server()
         callers = self.start_callers()
         restarter = self.spawn(self.restart_nodes)
+        watcher = self.spawn(self.watch_double_runs)
         if self.arguments.planned:
             self.run_planned(PLANNED_GAP_S)
             self.wait_for_planned()
@@ -87,7 +91,7 @@
         time.sleep(3)
         self.stopping.set()
         self.stop_crashing.set()
-        for thread in callers + [restarter]:
+        for thread in callers + [restarter, watcher]:
             thread.join(15)
         self.restore_nodes()
         self.check()
@@ -107,6 +111,8 @@
             callers.append(self.spawn(self.send_with_revocable_key))
             if not self.arguments.no_releases:
                 self.spawn(self.release_servers)
+            if not self.arguments.no_faulty:
+                self.spawn(self.spoil_servers)
         return callers
 
     def run_faults(self):
@@ -117,6 +123,7 @@
             self.inject_fault()
         self.restore_zones(False)
         self.stop_releasing.set()
+        self.stop_spoiling.set()
         planner.join()
         self.wait_for_planned()
         if self.sheds_load:
@@ -132,6 +139,7 @@
     parser.add_argument("--seconds", type=int, default=40)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--no-releases", action="store_true", help="replace no servers")
+    parser.add_argument("--no-faulty", action="store_true", help="servers send nothing that is no answer")
     parser.add_argument("--planned", action="store_true", help="only planned work and silences, no faults")
     parser.add_argument("--output", default=OUTPUT_DIR, help="folder of logs and state, emptied first")
     parser.add_argument("--profile", default="release", help="folder of the programs in Cargo's target folder")
