Only an answer that names a request is taken for its answer

Callers saw: orders that ran at two servers (TWICE), in soaks with real processes of alike. Cause: a server's refusal was believed whether or not it named the request. What a faulty server sends after a whole answer, or a late copy of the refusal of a health check, stands in the place of the next answer on a kept connection; the request went on to a second server while the first one ran it. A stray 422 abandoned an item, a stray 500 was passed on as the answer, and a connection on which a server was at work went back into the pool. Mend: an answer belongs to a request by the identifier that it names, whatever its status. On a used connection any other is thrown away and the answer is waited for; on a fresh one nothing can be late, so the request counts as one that may have run. Two identifiers are none, and a success that says "not run" is no answer.

--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -14,6 +14,8 @@
 pub enum Reply {
     /// Sends bytes; `{id}` is replaced by the request identifier.
     Send(String),
+    /// The same, on a connection that has carried an earlier request.
+    SendIfReused(String),
     /// Sends one chunk of a chunked body with the events up to `to`, from the one after `Last-Event-Id`. The data of an
     /// event names the server's software version.
     Events { version: &'static str, to: u64 },
@@ -225,6 +227,7 @@
 
     async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         let mut buffer = Vec::new();
+        let mut is_reused = false;
         loop {
             let Some((head, body)) = read_request(&mut stream, &mut buffer).await? else {
                 return Ok(());
@@ -247,6 +250,11 @@
                             .write_all(text.replace("{id}", &id).as_bytes())
                             .await?;
                     }
+                    Reply::SendIfReused(text) if is_reused => {
+                        let text = text.replace("{id}", &id);
+                        stream.write_all(text.as_bytes()).await?;
+                    }
+                    Reply::SendIfReused(_) => {}
                     Reply::Events { version, to } => {
                         let events = versioned_events(version, last_event + 1, to);
                         let chunk = format!("{:x}\r\n{events}\r\n", events.len());
@@ -283,6 +291,7 @@
                     }
                 }
             }
+            is_reused = true;
         }
     }
 
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -27,14 +27,11 @@
 use crate::home_regions;
 use crate::metrics::Metrics;
 use crate::node::Node;
+use crate::response_matching::MAX_STRAY_RESPONSE_BYTES;
 use crate::silence::Waited;
 use crate::silence_limits::SilenceLimits;
 use crate::urgency::OvercommitLimit;
 
-/// Responses to other requests that are discarded on one connection before it is given up.
-const MAX_STALE_RESPONSES: usize = 2;
-/// Longest response to another request that is read and discarded.
-pub(crate) const MAX_STALE_RESPONSE_BYTES: usize = 1024 * 1024;
 /// How long a server is avoided after it failed or stopped responding.
 pub(crate) const SUSPECT_DURATION: Duration = Duration::from_millis(1_200);
 /// Time to read the rest of a short response.
@@ -240,7 +237,7 @@
             self.note_outcome(&server, head.status / 100 == 2);
         }
         if facts.not_run {
-            self.log_refusal(&server, &connection, (id, &facts), head.status);
+            self.log_refusal(&server, &connection, id, head.status);
             let reason = format!("status {} not run", head.status);
             self.drain(connection, server.address).await;
             return Err(AttemptError {
@@ -259,16 +256,9 @@
     }
 
     /// Records a response by which a server says that it did not run a request.
-    fn log_refusal(
-        &self,
-        server: &ServerRecord,
-        connection: &Connection,
-        (id, facts): (&str, &ResponseMetadata),
-        status: u16,
-    ) {
+    fn log_refusal(&self, server: &ServerRecord, connection: &Connection, id: &str, status: u16) {
         self.node.log.write("server_refused_request", || {
             serde_json::json!({"request": id, "server": server.id, "status": status,
-                "names_request": facts.request_id.is_some(),
                 "reused_connection": connection.is_reused()})
         });
     }
@@ -301,48 +291,9 @@
         }
     }
 
-    /// Sends the request and returns the head of its response. Late responses to earlier requests
-    /// on the connection are discarded.
-    async fn receive_head(
-        &self,
-        connection: &mut Connection,
-        request: &[u8],
-        id: &str,
-    ) -> Result<(ResponseHead, ResponseMetadata), AttemptError> {
-        let mut head = connection.send(request).await.map_err(exchange_failed)?;
-        for _ in 0..MAX_STALE_RESPONSES {
-            let facts = self
-                .node
-                .dialect
-                .response_metadata(head.status, &head.headers);
-            match &facts.request_id {
-                Some(answered) if answered != id => {
-                    Metrics::count(&self.node.metrics.stray_responses);
-                    self.node.log.write("answer_of_another_request", || {
-                        serde_json::json!({"request": id, "answers": answered, "status": head.status,
-                            "reused_connection": connection.is_reused()})
-                    });
-                    connection
-                        .whole_body(MAX_STALE_RESPONSE_BYTES)
-                        .await
-                        .map_err(exchange_failed)?;
-                    head = connection.next_head().await.map_err(exchange_failed)?;
-                }
-                None if head.status / 100 == 2 => {
-                    return Err(invalid_response("response without a request ID"));
-                }
-                _ if head.status / 100 == 2 && !facts.sealed => {
-                    return Err(invalid_response("successful response without a signature"));
-                }
-                _ => return Ok((head, facts)),
-            }
-        }
-        Err(invalid_response("only responses to other requests"))
-    }
-
     /// Reads the rest of a short response, so that the connection can be reused.
     async fn drain(&self, mut connection: Connection, address: SocketAddr) {
-        let reading = connection.whole_body(MAX_STALE_RESPONSE_BYTES);
+        let reading = connection.whole_body(MAX_STRAY_RESPONSE_BYTES);
         let read = tokio::time::timeout(DRAIN_TIMEOUT, reading).await;
         if matches!(read, Ok(Ok(_))) {
             self.pool.put(address, connection);
@@ -374,7 +325,7 @@
     }
 }
 
-fn exchange_failed(error: ExchangeError) -> AttemptError {
+pub(crate) fn exchange_failed(error: ExchangeError) -> AttemptError {
     AttemptError {
         ran: match error.stage {
             Stage::Connect => Ran::No,
@@ -386,7 +337,7 @@
     }
 }
 
-fn invalid_response(reason: &str) -> AttemptError {
+pub(crate) fn invalid_response(reason: &str) -> AttemptError {
     AttemptError::local(Ran::Maybe, reason)
 }
 
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -8,8 +8,9 @@
 use http::header::HOST;
 use http::{HeaderValue, Method};
 
-use crate::attempt::{AttemptError, MAX_STALE_RESPONSE_BYTES, Ran, SUSPECT_DURATION, Upstreams};
+use crate::attempt::{AttemptError, Ran, SUSPECT_DURATION, Upstreams};
 use crate::metrics::Metrics;
+use crate::response_matching::MAX_STRAY_RESPONSE_BYTES;
 use dappleyard_clock::Instant;
 
 /// Allows for the path to another zone and for the wait for a slot.
@@ -106,7 +107,7 @@
             if let Some(load) = facts.load {
                 self.record_reported_slowdown(server, load);
             }
-            connection.whole_body(MAX_STALE_RESPONSE_BYTES).await.ok()?;
+            connection.whole_body(MAX_STRAY_RESPONSE_BYTES).await.ok()?;
             self.pool.forget(server.address);
             self.pool.put(server.address, connection);
             Some((head.status, facts))
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -31,6 +31,7 @@
 mod relay;
 mod request_body;
 mod response_buffer;
+mod response_matching;
 mod response_times;
 mod responses;
 mod resumption;
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -55,7 +55,7 @@
 /// Data from the status and headers of a server's response.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ResponseMetadata {
-    /// Identifier of the answered request.
+    /// Identifier of the answered request; `None` if the response names none, or several.
     pub request_id: Option<String>,
     /// The server reports that it did not run the request.
     pub not_run: bool,
