A request that returns to a server comes on a connection that has not carried it

Callers saw: nothing yet that is traced to it; found by reading and called suspected. An identifier is that of a caller's attempt, not of a run: an item, or a stream that is handed over, may return to a server that refused it, on the same connection.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -12,7 +12,8 @@
     HomeRegions, ResponseMetadata, RunOrigin, ServerHeaders, ServerRecord, TenantHeader,
 };
 use dappleyard_upstream::{
-    BodyFraming, Connection, ExchangeError, IdleLimit, Pool, ResponseHead, Stage, request_bytes,
+    BodyFraming, Connection, ExchangeError, IdleLimit, Pool, RequestKey, ResponseHead, Stage,
+    request_bytes,
 };
 use derive_more::{Display, Error};
 use futures::FutureExt;
@@ -204,7 +205,7 @@
     ) -> Result<PendingResponse, AttemptError> {
         Metrics::count(&self.node.metrics.attempts);
         let request = self.request(server, attempt);
-        let connection = self.connect(server).await?;
+        let connection = self.connect(server, RequestKey::of(attempt.id)).await?;
         if let Some(exclusion) = self.exclusion(server, attempt) {
             self.pool.put(server.address, connection);
             return Err(AttemptError::local(
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use dappleyard_model::{ResponseMetadata, ServerRecord};
-use dappleyard_upstream::{Connection, request_bytes};
+use dappleyard_upstream::{Connection, RequestKey, Wanted, request_bytes};
 use http::header::HOST;
 use http::{HeaderValue, Method};
 
@@ -18,8 +18,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 impl Upstreams {
-    /// Returns an idle connection to a server, or opens a new one.
-    pub(crate) async fn connect(&self, server: &ServerRecord) -> Result<Connection, AttemptError> {
+    /// Returns an idle connection to a server that has not carried the request, or opens a new one.
+    pub(crate) async fn connect(
+        &self,
+        server: &ServerRecord,
+        request: RequestKey,
+    ) -> Result<Connection, AttemptError> {
         let address = server.address;
         if self.node.loads.is_unconfirmed(&server.id) {
             // A request sent on a stale connection counts as possibly run. A failed connect does
@@ -28,11 +32,16 @@
         }
         // A server that was unreachable may have lost its connections, and a request sent on one of
         // them would count as possibly run.
-        let back = self.node.loads.returned_at(&server.id);
-        if let Some(connection) = self.pool.take_used_since(address, back) {
-            return Ok(connection);
-        }
-        self.open(server).await
+        let wanted = Wanted {
+            used_since: self.node.loads.returned_at(&server.id),
+            request: Some(request),
+        };
+        let mut connection = match self.pool.take_for(address, &wanted) {
+            Some(connection) => connection,
+            None => self.open(server).await?,
+        };
+        connection.note_carried(request);
+        Ok(connection)
     }
 
     async fn open(&self, server: &ServerRecord) -> Result<Connection, AttemptError> {
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -1,5 +1,7 @@
 //! An HTTP/1.1 client connection without pipelining.
 
+use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,6 +17,8 @@
 
 /// Minimum buffer capacity for each read, in bytes.
 const READ_BYTES: usize = 16 * 1024;
+/// Requests that a connection remembers. A late response stands in the place of one of the next.
+const REMEMBERED_REQUESTS: usize = 16;
 
 /// Stage at which an exchange failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -56,6 +60,18 @@
     }
 }
 
+/// Identifies a request by the name that its responses carry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestKey(u64);
+
+impl RequestKey {
+    pub fn of(id: &str) -> Self {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
@@ -67,6 +83,8 @@
     idle_since: Instant,
     /// Requests that were sent on it.
     requests: u64,
+    /// The last named requests that were sent on it.
+    carried: VecDeque<RequestKey>,
 }
 
 impl Connection {
@@ -87,6 +105,7 @@
             answered: false,
             idle_since: Instant::now(),
             requests: 0,
+            carried: VecDeque::new(),
         })
     }
 
@@ -164,6 +183,19 @@
         }
     }
 
+    /// Remembers that a named request is sent on it.
+    pub fn note_carried(&mut self, request: RequestKey) {
+        if self.carried.len() == REMEMBERED_REQUESTS {
+            self.carried.pop_front();
+        }
+        self.carried.push_back(request);
+    }
+
+    /// Whether a request was sent on it. A late response to that run could not be told from the response to another run.
+    pub fn has_carried(&self, request: RequestKey) -> bool {
+        self.carried.contains(&request)
+    }
+
     /// Whether an earlier request was sent on it.
     pub fn is_reused(&self) -> bool {
         self.requests > 1
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -9,6 +9,6 @@
 mod pool;
 
 pub use body::BodyFraming;
-pub use connection::{Connection, ExchangeError, Stage};
+pub use connection::{Connection, ExchangeError, RequestKey, Stage};
 pub use head::{ResponseHead, request_bytes};
-pub use pool::{IdleLimit, Pool};
+pub use pool::{IdleLimit, Pool, Wanted};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -7,7 +7,7 @@
 
 use dappleyard_clock::Instant;
 
-use crate::connection::Connection;
+use crate::connection::{Connection, RequestKey};
 
 /// How long an idle connection may be reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,6 +18,15 @@
     pub margin: Duration,
 }
 
+/// What a connection is wanted for.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Wanted {
+    /// It was last used then or later.
+    pub used_since: Option<Instant>,
+    /// It has not carried this request.
+    pub request: Option<RequestKey>,
+}
+
 /// Idle connections by peer, the most recently used last.
 #[derive(Debug)]
 pub struct Pool {
@@ -39,24 +48,28 @@
 
     /// Takes a reusable connection.
     pub fn take(&self, address: SocketAddr) -> Option<Connection> {
-        self.take_used_since(address, None)
+        self.take_for(address, &Wanted::default())
     }
 
-    /// Takes a reusable connection that was last used at or after `after`, if given.
-    pub fn take_used_since(
-        &self,
-        address: SocketAddr,
-        after: Option<Instant>,
-    ) -> Option<Connection> {
+    /// Takes a reusable connection that may carry a certain request. Others stay, except those that are too old.
+    pub fn take_for(&self, address: SocketAddr, wanted: &Wanted) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            let recent = after.is_none_or(|after| connection.idle_since() >= after);
-            if recent && self.is_fresh(&connection) && connection.is_reusable() {
+        connections.retain(|connection| {
+            let used_since = wanted.used_since;
+            used_since.is_none_or(|since| connection.idle_since() >= since)
+        });
+        loop {
+            let may_carry = |connection: &Connection| {
+                let request = wanted.request;
+                !request.is_some_and(|request| connection.has_carried(request))
+            };
+            let at = connections.iter().rposition(may_carry)?;
+            let connection = connections.remove(at);
+            if self.is_fresh(&connection) && connection.is_reusable() {
                 return Some(connection);
             }
         }
-        None
     }
 
     /// Returns a connection to the pool, or closes it if it is not reusable.
