Send the rest of a request beside a stray response

Callers saw: nothing traced to it; found by reading. A long request stopped being sent at the first byte that the server sent. Was that a stray answer, the rest never followed, and the caller waited until its deadline for an answer that could not come. Mend: what is not sent yet is kept, and goes out while the next response is waited for. The connection is not used again. stray_response_during_a_request failed before (no answer in 20 s) and passes now.

--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -83,6 +83,8 @@
     idle_since: Instant,
     /// Requests that were sent on it.
     requests: u64,
+    /// Rest of a request to which the peer responded before it was sent whole.
+    unsent: Bytes,
     /// The last named requests that were sent on it.
     carried: VecDeque<RequestKey>,
 }
@@ -105,6 +107,7 @@
             answered: false,
             idle_since: Instant::now(),
             requests: 0,
+            unsent: Bytes::new(),
             carried: VecDeque::new(),
         })
     }
@@ -211,27 +214,44 @@
         self.idle_since
     }
 
+    /// Sends a request until the peer sends something; the rest stays in `unsent`.
     async fn write(&mut self, request: &[u8]) -> Result<(), ExchangeError> {
         let (reader, mut writer) = self.stream.split();
-        let writing = writer.write_all(request);
-        tokio::pin!(writing);
-        let early = tokio::select! {
-            biased;
-            written = &mut writing => {
-                return written.map_err(|error| ExchangeError::new(Stage::Send, error));
+        let mut sent = 0;
+        while sent < request.len() {
+            let written = tokio::select! {
+                biased;
+                written = writer.write(&request[sent..]) => written,
+                readable = reader.readable() => readable.map(|()| 0),
+            };
+            match written.map_err(|error| ExchangeError::new(Stage::Send, error))? {
+                0 => break,
+                written => sent += written,
             }
-            readable = reader.readable() => readable,
-        };
-        // The peer responded before it read the whole request, so the connection cannot be reused.
-        self.reusable = false;
-        early.map_err(|error| ExchangeError::new(Stage::Send, error))
+        }
+        self.unsent = Bytes::copy_from_slice(&request[sent..]);
+        // The peer responded before it had read the whole request, so the connection cannot be reused.
+        self.reusable &= self.unsent.is_empty();
+        Ok(())
     }
 
+    /// Reads into the buffer, and meanwhile goes on sending a request that is not sent whole.
     async fn fill(&mut self, stage: Stage) -> Result<usize, ExchangeError> {
         self.buffer.reserve(READ_BYTES);
-        self.stream
-            .read_buf(&mut self.buffer)
-            .await
-            .map_err(|error| ExchangeError::new(stage, error))
+        let (mut reader, mut writer) = self.stream.split();
+        loop {
+            tokio::select! {
+                biased;
+                length = reader.read_buf(&mut self.buffer) => {
+                    return length.map_err(|error| ExchangeError::new(stage, error));
+                }
+                written = writer.write_buf(&mut self.unsent), if !self.unsent.is_empty() => {
+                    // A peer that reads no more may still respond.
+                    if written.is_err() {
+                        self.unsent.clear();
+                    }
+                }
+            }
+        }
     }
 }
--- a/crates/upstream/tests/exchange.rs
+++ b/crates/upstream/tests/exchange.rs
@@ -5,6 +5,8 @@
 use dappleyard_emulator::{EmulatedServer, Reply};
 use dappleyard_upstream::{Connection, IdleLimit, Pool, Stage};
 use googletest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 const REQUEST: &[u8] = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi";
 const LIMIT: usize = 1 << 16;
@@ -165,3 +167,37 @@
         expect_that!("a connection past its time", eq("not handed out"));
     });
 }
+
+/// Size of a request that no socket buffer takes whole.
+const LONG_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+// Guards against a request that is never sent whole, since a response to another one arrived while it was being sent.
+#[gtest]
+fn stray_response_during_a_request() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let peer = actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let stray = b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(stray).await.expect("a stray response");
+            let (mut received, mut piece) = (0, vec![0; 64 * 1024]);
+            while received < LONG_BODY_BYTES {
+                received += stream.read(&mut piece).await.expect("more bytes");
+            }
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(answer).await.expect("a response");
+        });
+        let mut connection = Connection::open(address, Duration::from_secs(2)).await;
+        let connection = connection.as_mut().expect("a connection");
+        let request = vec![b'x'; LONG_BODY_BYTES];
+        let stray = connection.send(&request).await.expect("a stray response");
+        expect_that!(stray.status, eq(503));
+        expect_that!(connection.whole_body(LIMIT).await.is_ok(), eq(true));
+        let answer = tokio::time::timeout(Duration::from_secs(20), connection.next_head());
+        let answer = answer.await.expect("in time").expect("a response");
+        expect_that!(answer.status, eq(200));
+        expect_that!(connection.is_reusable(), eq(false));
+        peer.await.expect("the peer ends");
+    });
+}
