End a broken run before its server is checked for a crash

A stream or item whose answer is broken (bytes that are no answer, an end inside an event) kept its connection open while the address of the server was checked, up to 0.1 s, before the run went on elsewhere.

--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -323,7 +323,13 @@
         self.splitter.rest();
         let (mut server, mut version) = (None, None);
         if let Some(started) = failed {
-            let failed_server = started.exchange.server;
+            let Exchange {
+                connection,
+                server: failed_server,
+                ..
+            } = started.exchange;
+            // Ends the run before anything else is waited for.
+            drop(connection);
             version = failed_server.version.clone();
             let interrupted_run = InterruptedRun {
                 error: &error,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -167,6 +167,8 @@
             RunOutcome::Completed
         }
         Err(error) => {
+            // Ends the run before anything else is waited for.
+            drop(exchange);
             let interrupted_run = InterruptedRun {
                 error: &error,
                 output_duration: output_since.get().map(|since: Instant| since.elapsed()),
