--- a/crates/engine/src/client/mod.rs
+++ b/crates/engine/src/client/mod.rs
@@ -29,6 +29,9 @@
 /// [`Engine`] over HTTP/1.1 with `awc`. Each worker thread has its own client and connection pool.
 pub struct HttpEngine {
     client: Client,
+    /// For generations, each on a connection of its own: answers name no call, so on a kept connection the refusal of an
+    /// earlier one could be taken for that of a generation which runs.
+    generate_client: Client,
     idle_timeout: Duration,
 }
 
@@ -36,14 +39,9 @@
     /// `connect_timeout` limits connection setup, `idle_timeout` the wait for a response or for the next
     /// bytes of an event stream.
     pub fn new(connect_timeout: Duration, idle_timeout: Duration) -> HttpEngine {
-        let connector = Connector::new().timeout(connect_timeout).limit(0);
-        let client = Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .finish();
         HttpEngine {
-            client,
+            client: new_client(connect_timeout),
+            generate_client: new_client(connect_timeout),
             idle_timeout,
         }
     }
@@ -95,8 +93,9 @@
 impl Engine for HttpEngine {
     async fn generate(&self, base: &str, call: GenerateCall) -> Result<EventStream, EngineError> {
         let sent = self
-            .client
+            .generate_client
             .post(format!("{base}/v1/generate"))
+            .force_close()
             .send_json(&call);
         let mut response = self.with_timeout(sent).await?.map_err(send_error)?;
         if !response.status().is_success() {
@@ -153,6 +152,15 @@
     }
 }
 
+fn new_client(connect_timeout: Duration) -> Client {
+    let connector = Connector::new().timeout(connect_timeout).limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
 /// Events of a chunked response. The stream ends after [`EngineEvent::Finished`] or after an error, such
 /// as a premature end of the response or an idle timeout.
 fn events<S>(
