Bounds on what a server may send for one request

Bytes that are no answer may come without end, in a head or a body. Kept or read without a bound were: an event that does not end (365 MB in 20 s from one server for one stream, 240 MB for two items, which never completed), the text of an item (118 MB, abandoned), interim heads and trailers (until the deadline; items, for good), comments (items, for good), the body of a failure up to 8 MB. Mend: 16 interim heads, 16 KiB of trailers, events of 256 KiB and 64 bytes a token asked for (1 MiB at most, and when no number is given), texts of items alike (680 KiB at most, what the store takes), 10,000 events beside one for each token, failures of 1 MiB. Past that the connection is closed, the server avoided for a while, the request goes on elsewhere if it may, an item drops its output; a record answer_without_end and a counter say so. An event that takes over 1.5 s while bytes come is left if the stream may go on; an item's run without progress for 15 s is left although its server lives. A failure that may be tried elsewhere is no longer read to its end. Found on the way, and mended: a failure whose body broke off was passed on with the server's signature and an empty body; now 502.

--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -9,6 +9,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Bytes without end come in pieces of at least this size, at this interval.
+const ENDLESS_PIECE_BYTES: usize = 64 * 1024;
+const ENDLESS_INTERVAL: Duration = Duration::from_millis(1);
+
 /// One step of a scripted answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
@@ -21,6 +25,8 @@
     Events { version: &'static str, to: u64 },
     /// Sends the bare bytes of the events up to `to`, from the one after `Last-Event-Id`.
     BareEvents { to: u64 },
+    /// Sends bytes again and again until the peer disconnects; `{n}` is replaced by a number that rises.
+    Endless(String),
     /// Waits. Ends the connection if the peer disconnects, and the wait if the peer sends a byte.
     Pause(Duration),
     /// Sends nothing until the peer disconnects or sends a byte, or an hour has passed, and closes the
@@ -59,6 +65,8 @@
     connections: u64,
     /// Number of answers in progress.
     answers_in_progress: usize,
+    /// Bytes of endless answers that were sent.
+    endless_bytes: usize,
 }
 
 impl State {
@@ -220,6 +228,11 @@
         self.state.lock().answers_in_progress
     }
 
+    /// Bytes of endless answers that were sent.
+    pub fn endless_bytes(&self) -> usize {
+        self.state.lock().endless_bytes
+    }
+
     /// Number of accepted connections.
     pub fn connections(&self) -> u64 {
         self.state.lock().connections
@@ -264,6 +277,7 @@
                         let events = numbered_events(last_event + 1, to);
                         stream.write_all(events.as_bytes()).await?;
                     }
+                    Reply::Endless(text) => return self.send_endlessly(&mut stream, &text).await,
                     Reply::Pause(time) => {
                         if self.disconnected_within(&mut stream, time).await {
                             return Ok(());
@@ -295,6 +309,21 @@
         }
     }
 
+    /// Sends bytes until the peer disconnects, at most 64 KiB each millisecond.
+    async fn send_endlessly(&self, stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+        let mut number = 1_u64;
+        loop {
+            let mut piece = String::new();
+            while piece.len() < ENDLESS_PIECE_BYTES {
+                piece.push_str(&text.replace("{n}", &number.to_string()));
+                number += 1;
+            }
+            stream.write_all(piece.as_bytes()).await?;
+            self.state.lock().endless_bytes += piece.len();
+            tokio::time::sleep(ENDLESS_INTERVAL).await;
+        }
+    }
+
     async fn disconnected_within(&self, stream: &mut TcpStream, time: Duration) -> bool {
         let mut byte = [0_u8; 1];
         match tokio::time::timeout(time, stream.read(&mut byte)).await {
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -28,6 +28,7 @@
 use crate::home_regions;
 use crate::metrics::Metrics;
 use crate::node::Node;
+use crate::output_limits::OutputExceeded;
 use crate::response_matching::MAX_STRAY_RESPONSE_BYTES;
 use crate::silence::Waited;
 use crate::silence_limits::SilenceLimits;
@@ -67,6 +68,8 @@
     /// The connection was closed or reset after the request was sent, so the server process may
     /// have ended.
     pub broken_off: bool,
+    /// The server sent more than any answer may have.
+    pub without_end: bool,
 }
 
 impl AttemptError {
@@ -76,7 +79,8 @@
             ran: Ran::Yes,
             reason: error.to_string(),
             unreachable: false,
-            broken_off: true,
+            broken_off: !error.exceeds_limit,
+            without_end: error.exceeds_limit,
         }
     }
 
@@ -95,6 +99,15 @@
             reason: reason.into(),
             unreachable: false,
             broken_off: false,
+            without_end: false,
+        }
+    }
+
+    /// The server sent more than the request allows.
+    pub fn output_exceeded(exceeded: OutputExceeded) -> Self {
+        Self {
+            without_end: true,
+            ..Self::local(Ran::Yes, exceeded.to_string())
         }
     }
 }
@@ -226,7 +239,10 @@
         id: &str,
     ) -> Result<Exchange, AttemptError> {
         let head = self.receive_head(&mut connection, request, id).await;
-        let (head, facts) = head.inspect_err(|_| self.note_left(&server))?;
+        let (head, facts) = head.inspect_err(|error| {
+            self.note_left(&server);
+            self.note_without_end(&server, id, error);
+        })?;
         self.node.loads.note_received(&server.id);
         if let Some(load) = facts.load {
             self.record_reported_slowdown(&server, load);
@@ -246,6 +262,7 @@
                 reason,
                 unreachable: head.status == 421,
                 broken_off: false,
+                without_end: false,
             });
         }
         Ok(Exchange {
@@ -270,6 +287,20 @@
         self.note_outcome(server, false);
     }
 
+    /// Avoids a server for a while that sent more than an answer may have. Other errors are noted elsewhere.
+    pub fn note_without_end(&self, server: &ServerRecord, request: &str, error: &AttemptError) {
+        if !error.without_end {
+            return;
+        }
+        Metrics::count(&self.node.metrics.answers_without_end);
+        self.node.loads.mark_suspect(&server.id, SUSPECT_DURATION);
+        self.note_outcome(server, false);
+        self.node.log.write(
+            "answer_without_end",
+            || serde_json::json!({"request": request, "server": server.id, "cause": error.reason}),
+        );
+    }
+
     /// Why a request may not be sent to a selected server. The server may have been excluded, or have
     /// restarted with other software, while the connection was opened.
     fn exclusion(&self, server: &ServerRecord, attempt: &Attempt<'_>) -> Option<Exclusion> {
@@ -293,7 +324,7 @@
     }
 
     /// Reads the rest of a short response, so that the connection can be reused.
-    async fn drain(&self, mut connection: Connection, address: SocketAddr) {
+    pub(crate) async fn drain(&self, mut connection: Connection, address: SocketAddr) {
         let reading = connection.whole_body(MAX_STRAY_RESPONSE_BYTES);
         let read = tokio::time::timeout(DRAIN_TIMEOUT, reading).await;
         if matches!(read, Ok(Ok(_))) {
@@ -334,7 +365,8 @@
         },
         reason: error.to_string(),
         unreachable: false,
-        broken_off: error.stage > Stage::Connect,
+        broken_off: error.stage > Stage::Connect && !error.exceeds_limit,
+        without_end: error.exceeds_limit,
     }
 }
 
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -57,6 +57,7 @@
             reason: error.to_string(),
             unreachable: true,
             broken_off: false,
+            without_end: false,
         })
     }
 
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -14,7 +14,7 @@
 use dappleyard_tenants::Caller;
 use http::{HeaderMap, Method};
 
-use crate::attempt::{Exchange, Ran, Upstreams};
+use crate::attempt::{AttemptError, Exchange, Ran, Upstreams};
 use crate::completion::{OutOfTime, check_time_left};
 use crate::deadline::Deadline;
 use crate::error_kind::{ErrorKind, promises_not_run};
@@ -31,7 +31,7 @@
 /// cleared within half a second.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(1_500);
 /// Maximum size of a failure response, which is read as a whole.
-const MAX_FAILURE_BYTES: usize = 8 * 1024 * 1024;
+const MAX_FAILURE_BYTES: usize = 1024 * 1024;
 
 /// A client request in progress.
 pub struct Request {
@@ -295,42 +295,57 @@
         })));
     }
     work.prompt_read();
-    match read_failure(upstreams, request, exchange).await {
-        // The server did not state that the request was not run, so this status must not be
-        // forwarded.
-        Some(failed) if promises_not_run(failed.status) => {
-            Some(Dispatched::GaveUp(request.failure_kind()))
-        }
-        Some(failed) => Some(Dispatched::Failed(failed)),
-        None => None,
-    }
+    pass_failure(upstreams, request, exchange).await
 }
 
-/// Reads a failure response. Returns `None` if the request is tried at another server instead.
-async fn read_failure(
+/// What becomes of a request that a server answered with a failure. `None` if it is tried at another server instead.
+async fn pass_failure(
     upstreams: &Upstreams,
     request: &Request,
-    mut exchange: Exchange,
-) -> Option<Failed> {
-    let node = upstreams.node();
+    exchange: Exchange,
+) -> Option<Dispatched> {
     let status = exchange.head.status;
     let again = status >= 500 && request.may_run_again();
-    node.log.write("server_answered_failure", || {
+    upstreams.node().log.write("server_answered_failure", || {
         serde_json::json!({"request": request.facts.id, "server": exchange.server.id,
             "status": status, "again": again})
     });
+    if again {
+        upstreams
+            .drain(exchange.connection, exchange.server.address)
+            .await;
+        return None;
+    }
+    // The server did not say that it has not run the request, so a status that does is not passed on. Nor is a failure
+    // without its whole body.
+    match read_failure(upstreams, request, exchange).await {
+        Some(failed) if !promises_not_run(failed.status) => Some(Dispatched::Failed(failed)),
+        _ => Some(Dispatched::GaveUp(request.failure_kind())),
+    }
+}
+
+/// Reads a failure response; `None` if it does not arrive whole.
+async fn read_failure(
+    upstreams: &Upstreams,
+    request: &Request,
+    mut exchange: Exchange,
+) -> Option<Failed> {
     let reading = exchange.connection.whole_body(MAX_FAILURE_BYTES);
-    let body = match request.deadline.wait(reading).await {
-        Some(Ok(body)) => body,
-        _ => Bytes::new(),
+    let body = match request.deadline.wait(reading).await? {
+        Ok(body) => body,
+        Err(error) => {
+            let error = AttemptError::truncated_response(&error);
+            upstreams.note_without_end(&exchange.server, &request.facts.id, &error);
+            return None;
+        }
     };
-    let headers = exchange.head.headers.clone();
-    upstreams.release(exchange);
-    (!again).then_some(Failed {
-        status,
-        headers,
+    let failed = Failed {
+        status: exchange.head.status,
+        headers: exchange.head.headers.clone(),
         body,
-    })
+    };
+    upstreams.release(exchange);
+    Some(failed)
 }
 
 /// Whether responses of the route are event streams.
--- a/crates/ingress/src/event_stream.rs
+++ b/crates/ingress/src/event_stream.rs
@@ -1,6 +1,15 @@
 //! Splits a byte stream into server-sent events.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
+use dappleyard_clock::Instant;
+
+use crate::output_limits::OutputExceeded;
+
+/// Longest time from the first byte of an event to its last one while more bytes of it arrive. Callers give up a silent
+/// stream after 2 s at the earliest.
+const MAX_EVENT_TIME: Duration = Duration::from_millis(1_500);
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
@@ -27,11 +36,26 @@
 pub struct EventSplitter {
     buffer: BytesMut,
     searched: usize,
+    /// When the first byte of the incomplete event arrived.
+    incomplete_since: Option<Instant>,
 }
 
 impl EventSplitter {
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
+        self.incomplete_since.get_or_insert_with(Instant::now);
+    }
+
+    /// Whether the incomplete event may still become whole. Called after a piece that has not completed it.
+    pub fn check_incomplete(&self, max_bytes: usize) -> Result<(), OutputExceeded> {
+        if self.buffer.len() > max_bytes {
+            return Err(OutputExceeded::EventTooLong);
+        }
+        let time = self.incomplete_since.map(|since| since.elapsed());
+        match time.is_some_and(|time| time > MAX_EVENT_TIME) {
+            true => Err(OutputExceeded::EventWithoutEnd),
+            false => Ok(()),
+        }
     }
 
     /// The next complete event.
@@ -44,6 +68,7 @@
         };
         self.searched = 0;
         let bytes = self.buffer.split_to(end).freeze();
+        self.incomplete_since = (!self.buffer.is_empty()).then(Instant::now);
         let id = event_id(&bytes);
         Some(Event { bytes, id })
     }
@@ -51,6 +76,7 @@
     /// Takes the bytes after the last complete event.
     pub fn rest(&mut self) -> Bytes {
         self.searched = 0;
+        self.incomplete_since = None;
         self.buffer.split().freeze()
     }
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -26,6 +26,7 @@
 mod late_requests;
 mod metrics;
 mod node;
+mod output_limits;
 mod placement;
 mod refusals;
 mod relay;
@@ -65,6 +66,7 @@
 pub use job_calls::{JobCalls, JobReply};
 pub use metrics::Metrics;
 pub use node::{DIRECTORY_TTL_MS, Node};
+pub use output_limits::{OutputExceeded, OutputLimits};
 pub use placement::{
     Candidate, PromptShape, affinity_server, choose, has_free_slot, is_healthy, limit_by_region,
     mean_excess, sample,
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -51,6 +51,8 @@
     pub attempts_failed: AtomicU64,
     /// Responses of servers that answer another request than the one that was sent.
     pub stray_responses: AtomicU64,
+    /// Responses that were given up since the server sent more than any answer may have.
+    pub answers_without_end: AtomicU64,
     /// Requests placed on servers of other regions.
     pub left_region: AtomicU64,
     /// Streams resumed at another server.
@@ -145,6 +147,7 @@
             ("attempts", &self.attempts),
             ("attempts_failed", &self.attempts_failed),
             ("stray_responses", &self.stray_responses),
+            ("answers_without_end", &self.answers_without_end),
             ("left_region", &self.left_region),
             ("resumed", &self.resumed),
             ("resumptions", &self.resumptions),
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::event_stream::EventSplitter;
 use crate::metrics::Metrics;
 use crate::node::{DisconnectLogger, InFlightGuard};
+use crate::output_limits::{OutputExceeded, OutputLimits};
 use crate::response_buffer::{BufferedResponse, StallFlag};
 use crate::resumption::{self, is_resumption};
 use crate::runs::PendingRun;
@@ -121,6 +122,10 @@
                 self.last_event = event.id.or(self.last_event);
                 return Ok(Some(event.bytes));
             }
+            if let Err(exceeded) = self.check_incomplete_event() {
+                let error = AttemptError::output_exceeded(exceeded);
+                self.resume(error, None).await?;
+            }
             if self.ended {
                 return Ok(None);
             }
@@ -198,6 +203,16 @@
         }
     }
 
+    /// Whether the event that is being read may still become whole. One that only takes long ends a stream only if it may
+    /// go on elsewhere.
+    fn check_incomplete_event(&self) -> Result<(), OutputExceeded> {
+        let limits = OutputLimits::of(self.request.facts.tokens_out.into());
+        match self.splitter.check_incomplete(limits.event_bytes) {
+            Err(OutputExceeded::EventWithoutEnd) if !self.is_resumable() => Ok(()),
+            checked => checked,
+        }
+    }
+
     /// Whether a response that has begun may be continued at another server.
     fn is_resumable(&self) -> bool {
         is_event_route(&self.request.route) && self.request.route.resumable
@@ -338,6 +353,9 @@
             self.upstreams
                 .check_for_crash(started.run, &failed_server, &interrupted_run)
                 .await;
+            let request = &self.request.facts.id;
+            self.upstreams
+                .note_without_end(&failed_server, request, &error);
             server = Some(failed_server.id.clone());
         }
         if let Some(server) = server.as_ref().filter(|_| error.unreachable) {
--- a/crates/ingress/src/response_matching.rs
+++ b/crates/ingress/src/response_matching.rs
@@ -1,6 +1,8 @@
 //! Finds the response to a request among the responses that arrive on its connection. A faulty server may send others in
 //! its place: late ones to earlier requests, or ones that name no request.
 
+use std::time::Duration;
+
 use dappleyard_model::ResponseMetadata;
 use dappleyard_upstream::{Connection, ResponseHead};
 
@@ -11,6 +13,8 @@
 const MAX_STRAY_RESPONSES: usize = 2;
 /// Longest such response that is read and discarded.
 pub(crate) const MAX_STRAY_RESPONSE_BYTES: usize = 1024 * 1024;
+/// Time to read it. It was sent before the request, so it is there already.
+const STRAY_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What a response answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,10 +59,7 @@
                 Answered::Unnamed => return Err(invalid_response("response without a request ID")),
                 Answered::Stray => self.note_stray(connection, id, &head, named),
             }
-            connection
-                .whole_body(MAX_STRAY_RESPONSE_BYTES)
-                .await
-                .map_err(exchange_failed)?;
+            discard_body(connection).await?;
             head = connection.next_head().await.map_err(exchange_failed)?;
         }
         Err(invalid_response("only responses to other requests"))
@@ -79,6 +80,15 @@
     }
 }
 
+/// Reads the body of a stray response and throws it away.
+async fn discard_body(connection: &mut Connection) -> Result<(), AttemptError> {
+    let discarding = connection.discard_body(MAX_STRAY_RESPONSE_BYTES);
+    match tokio::time::timeout(STRAY_RESPONSE_TIMEOUT, discarding).await {
+        Ok(discarded) => discarded.map_err(exchange_failed),
+        Err(_) => Err(invalid_response("stray response without an end")),
+    }
+}
+
 /// Rejects a success that cannot be one.
 fn check_success(
     head: ResponseHead,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -8,7 +8,8 @@
 use dappleyard_cluster::{InFlight, WorkKind};
 use dappleyard_crashes::{Feature, RunGuard};
 use dappleyard_ingress::{
-    Attempt, AttemptError, EventSplitter, Exchange, InterruptedRun, Metrics, Ran, SilenceLimits,
+    Attempt, AttemptError, EventSplitter, Exchange, InterruptedRun, Metrics, OutputExceeded,
+    OutputLimits, Ran, SilenceLimits,
 };
 use dappleyard_model::{
     Distance, PromptPart, Route, RunOrigin, ServerRecord, SoftwareVersion, TenantHeader,
@@ -24,6 +25,9 @@
 
 /// Time without data from the server after which a run is abandoned and the item is retried elsewhere.
 const SERVER_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without progress of a run after which the item is retried elsewhere, although other nodes or requests hear its
+/// server. Longer than a prompt is read or a request queued at a sound server.
+const STALL_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time for which an unreachable server is marked as suspect.
 const SUSPECT_DURATION: Duration = Duration::from_millis(1_200);
 /// Delay before a retry if the server did not run the item.
@@ -123,7 +127,8 @@
         homes: &homes,
         limits: SilenceLimits::abandoning_after(SERVER_IDLE_TIMEOUT),
     };
-    let mut exchange = match runner.upstreams.attempt(server, &attempt).await {
+    let attempting = runner.upstreams.attempt(server, &attempt);
+    let mut exchange = match within_stall_limit(attempting).await {
         Ok(exchange) => exchange,
         Err(error) => {
             let interrupted_run = InterruptedRun {
@@ -142,8 +147,12 @@
     if status / 100 != 2 {
         started_run.work.prompt_read();
         // Drains the body, so that the connection can be reused; only the status matters.
-        let reading = exchange.connection.whole_body(MAX_FAILURE_BODY_BYTES);
-        let _ = dappleyard_clock::timeout(SERVER_IDLE_TIMEOUT, reading).await;
+        let reading = exchange.connection.discard_body(MAX_FAILURE_BODY_BYTES);
+        if let Ok(Err(error)) = dappleyard_clock::timeout(SERVER_IDLE_TIMEOUT, reading).await {
+            let error = AttemptError::truncated_response(&error);
+            let upstreams = &runner.upstreams;
+            upstreams.note_without_end(server, &request.id, &error);
+        }
         runner.upstreams.release(exchange);
         return match status {
             STATUS_UNPROCESSABLE => RunOutcome::Unprocessable,
@@ -167,6 +176,9 @@
             RunOutcome::Completed
         }
         Err(error) => {
+            runner
+                .upstreams
+                .note_without_end(server, &request.id, &error);
             // Ends the run before anything else is waited for.
             drop(exchange);
             let interrupted_run = InterruptedRun {
@@ -204,7 +216,11 @@
         run: tracked_run,
     } = started_run;
     let mut splitter = EventSplitter::default();
-    let events_before = job.state.borrow().items[index].events;
+    let (events_before, limits) = {
+        let item = &job.state.borrow().items[index];
+        (item.events, OutputLimits::of(item.stored.tokens))
+    };
+    let mut progress = ProgressMonitor::new(limits);
     loop {
         let connection = &mut exchange.connection;
         let reading = async {
@@ -215,12 +231,13 @@
             .node
             .response_times
             .gap_timeout(&exchange.server.service);
-        let limits =
+        let silence_limits =
             SilenceLimits::abandoning_after(SERVER_IDLE_TIMEOUT).suspecting_after(suspect_after);
-        let waiting = runner
-            .upstreams
-            .with_silence_limits(&exchange.server, limits, reading);
-        let Some(piece) = waiting.await? else {
+        let waiting =
+            runner
+                .upstreams
+                .with_silence_limits(&exchange.server, silence_limits, reading);
+        let Some(piece) = within_stall_limit(waiting).await? else {
             break;
         };
         work.prompt_read();
@@ -229,13 +246,15 @@
         let mut state = job.state.borrow_mut();
         let item = &mut state.items[index];
         while let Some(event) = splitter.next_event() {
-            add_event(item, &event)?;
+            progress.note_event(add_event(item, &event)?);
+            progress.check_output(item)?;
             let server = &exchange.server;
             item.origin.get_or_insert_with(|| RunOrigin::of(server));
             let since = output_since.get().unwrap_or_else(Instant::now);
             output_since.set(Some(since));
             runner.upstreams.note_output(tracked_run, since.elapsed());
         }
+        progress.check_incomplete(&splitter)?;
     }
     if !splitter.rest().is_empty() {
         let reason = "the response ended inside an event";
@@ -262,12 +281,73 @@
     AttemptError::local(Ran::Yes, reason)
 }
 
-/// Appends an event to the item's text. An event that the item has already means that the server did not resume.
-fn add_event(item: &mut Item, event: &dappleyard_ingress::Event) -> Result<(), AttemptError> {
+/// Waits for a server that may send nothing on this connection, though others hear it, or bytes that bring nothing.
+async fn within_stall_limit<T>(
+    waiting: impl Future<Output = Result<T, AttemptError>>,
+) -> Result<T, AttemptError> {
+    match dappleyard_clock::timeout(STALL_TIMEOUT, waiting).await {
+        Ok(result) => result,
+        Err(_) => Err(AttemptError::local(Ran::Maybe, "the run has stalled")),
+    }
+}
+
+/// Judges whether a run brings its item further, and whether its output may still be that of a sound server.
+struct ProgressMonitor {
+    limits: OutputLimits,
+    progress_at: Instant,
+    /// Events of this run.
+    events: u64,
+}
+
+impl ProgressMonitor {
+    fn new(limits: OutputLimits) -> Self {
+        Self {
+            limits,
+            progress_at: Instant::now(),
+            events: 0,
+        }
+    }
+
+    /// Counts an event, which brings the item further or not.
+    fn note_event(&mut self, progress: bool) {
+        self.events += 1;
+        if progress {
+            self.progress_at = Instant::now();
+        }
+    }
+
+    fn check_output(&self, item: &Item) -> Result<(), AttemptError> {
+        let is_too_long =
+            item.text.len() > self.limits.text_bytes || self.events > self.limits.events;
+        match is_too_long {
+            true => Err(AttemptError::output_exceeded(OutputExceeded::OutputTooLong)),
+            false => Ok(()),
+        }
+    }
+
+    /// Called after each piece.
+    fn check_incomplete(&self, splitter: &EventSplitter) -> Result<(), AttemptError> {
+        splitter
+            .check_incomplete(self.limits.event_bytes)
+            .map_err(AttemptError::output_exceeded)?;
+        match self.progress_at.elapsed() > STALL_TIMEOUT {
+            true => Err(AttemptError::output_exceeded(
+                OutputExceeded::EventWithoutEnd,
+            )),
+            false => Ok(()),
+        }
+    }
+}
+
+/// Appends an event to the item's text. An event that the item has already means that the server did not resume. Returns
+/// whether the event brings the item further.
+fn add_event(item: &mut Item, event: &dappleyard_ingress::Event) -> Result<bool, AttemptError> {
     if event.id.is_some() && event.id <= item.last_event {
         return Err(interrupted("the server repeated an event"));
     }
-    if let Some(data) = event.data() {
+    let data = event.data();
+    let progress = event.id.is_some() || data.is_some();
+    if let Some(data) = data {
         if item.events > 0 {
             item.text.push('\n');
         }
@@ -275,7 +355,7 @@
         item.events += 1;
     }
     item.last_event = event.id.or(item.last_event);
-    Ok(())
+    Ok(progress)
 }
 
 /// Adds an item to a server's load. This happens before its task runs, so that the next placement decision sees it.
@@ -377,6 +457,11 @@
                 };
                 item.not_before = Some(Instant::now() + retry_delay);
                 item.avoided_address = Some(server.address);
+                if error.without_end && item.events > 0 {
+                    // What came before the excess is no more certain to be right.
+                    item.restart();
+                    Metrics::count(&runner.node.metrics.items_restarted);
+                }
             }
         }
     }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -111,6 +111,7 @@
         stage,
         reason: reason.to_owned(),
         is_refused: false,
+        exceeds_limit: false,
     }
 }
 
--- a/crates/upstream/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -2,8 +2,15 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
+use crate::malformed::Malformed;
+
 /// Maximum length of a chunk size line, in bytes.
 const MAX_SIZE_LINE: usize = 256;
+/// Maximum length of all trailers, in bytes.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+
+/// Length of a line end.
+const EMPTY_LINE_BYTES: usize = 2;
 
 /// How the end of a response body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,8 +34,8 @@
     ChunkData(u64),
     /// At the CRLF after a chunk.
     ChunkEnd,
-    /// In the trailers.
-    Trailers,
+    /// In the trailers, after this many bytes of them.
+    Trailers(usize),
     UntilClose,
     Done,
 }
@@ -57,7 +64,7 @@
 
     /// Takes the next piece of the body off the buffer. Returns `None` if more bytes are needed or
     /// the body is complete.
-    pub(crate) fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, &'static str> {
+    pub(crate) fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, Malformed> {
         loop {
             match self {
                 BodyReader::Done => return Ok(None),
@@ -89,20 +96,20 @@
                         return Ok(None);
                     }
                     if &buffer[..2] != b"\r\n" {
-                        return Err("chunk end");
+                        return Err(Malformed::Invalid("chunk end"));
                     }
                     buffer.advance(2);
                     *self = BodyReader::ChunkSize;
                 }
                 BodyReader::ChunkSize => match chunk_size(buffer)? {
                     None => return Ok(None),
-                    Some(0) => *self = BodyReader::Trailers,
+                    Some(0) => *self = BodyReader::Trailers(0),
                     Some(size) => *self = BodyReader::ChunkData(size),
                 },
-                BodyReader::Trailers => match take_line(buffer)? {
+                BodyReader::Trailers(before) => match take_line(buffer, *before)? {
                     None => return Ok(None),
-                    Some(true) => *self = BodyReader::Done,
-                    Some(false) => {}
+                    Some(EMPTY_LINE_BYTES) => *self = BodyReader::Done,
+                    Some(length) => *before += length,
                 },
             }
         }
@@ -117,26 +124,29 @@
     Some((buffer.split_to(size).freeze(), left - size as u64))
 }
 
-fn chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>, &'static str> {
+fn chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>, Malformed> {
     match httparse::parse_chunk_size(buffer) {
         Ok(httparse::Status::Complete((length, size))) => {
             buffer.advance(length);
             Ok(Some(size))
         }
-        Ok(httparse::Status::Partial) if buffer.len() > MAX_SIZE_LINE => Err("chunk size"),
+        Ok(httparse::Status::Partial) if buffer.len() > MAX_SIZE_LINE => {
+            Err(Malformed::TooLong("chunk size"))
+        }
         Ok(httparse::Status::Partial) => Ok(None),
-        Err(_) => Err("chunk size"),
+        Err(_) => Err(Malformed::Invalid("chunk size")),
     }
 }
 
-/// Consumes a line and returns whether it was empty.
-fn take_line(buffer: &mut BytesMut) -> Result<Option<bool>, &'static str> {
-    match buffer.windows(2).position(|pair| pair == b"\r\n") {
-        Some(length) => {
-            buffer.advance(length + 2);
-            Ok(Some(length == 0))
-        }
-        None if buffer.len() > MAX_SIZE_LINE * 16 => Err("trailer"),
-        None => Ok(None),
+/// Consumes a line of the trailers, `before` bytes after their beginning. Returns its length with the line end.
+fn take_line(buffer: &mut BytesMut, before: usize) -> Result<Option<usize>, Malformed> {
+    let end = buffer.windows(2).position(|pair| pair == b"\r\n");
+    let length = end.map(|end| end + EMPTY_LINE_BYTES);
+    if before + length.unwrap_or(buffer.len()) > MAX_TRAILER_BYTES {
+        return Err(Malformed::TooLong("trailers"));
+    }
+    if let Some(length) = length {
+        buffer.advance(length);
     }
+    Ok(length)
 }
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -13,12 +13,15 @@
 
 use crate::body::BodyReader;
 use crate::head::{ResponseHead, take_head};
+use crate::malformed::Malformed;
 use dappleyard_clock::Instant;
 
 /// Minimum buffer capacity for each read, in bytes.
 const READ_BYTES: usize = 16 * 1024;
 /// Requests that a connection remembers. A late response stands in the place of one of the next.
 const REMEMBERED_REQUESTS: usize = 16;
+/// Interim responses that may precede a response.
+const MAX_INTERIM_RESPONSES: usize = 16;
 
 /// Stage at which an exchange failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -40,6 +43,8 @@
     pub reason: String,
     /// Nothing listens at the peer's address.
     pub is_refused: bool,
+    /// The peer sent more than a response may have.
+    pub exceeds_limit: bool,
 }
 
 impl ExchangeError {
@@ -48,6 +53,14 @@
             stage,
             reason: reason.to_string(),
             is_refused: false,
+            exceeds_limit: false,
+        }
+    }
+
+    fn malformed(stage: Stage, malformed: Malformed) -> Self {
+        Self {
+            exceeds_limit: malformed.exceeds_limit(),
+            ..Self::new(stage, malformed)
         }
     }
 
@@ -122,11 +135,17 @@
 
     /// Waits for the next response head, skipping interim (1xx) responses.
     pub async fn next_head(&mut self) -> Result<ResponseHead, ExchangeError> {
+        let mut interim = 0;
         loop {
             let head = take_head(&mut self.buffer)
-                .map_err(|reason| ExchangeError::new(Stage::Head, reason))?;
+                .map_err(|malformed| ExchangeError::malformed(Stage::Head, malformed))?;
             if let Some(head) = head {
                 if head.status / 100 == 1 {
+                    interim += 1;
+                    if interim > MAX_INTERIM_RESPONSES {
+                        let too_long = Malformed::TooLong("list of interim responses");
+                        return Err(ExchangeError::malformed(Stage::Head, too_long));
+                    }
                     continue;
                 }
                 self.answered = true;
@@ -147,7 +166,7 @@
             let piece = self
                 .body
                 .take(&mut self.buffer)
-                .map_err(|reason| ExchangeError::new(Stage::Body, reason))?;
+                .map_err(|malformed| ExchangeError::malformed(Stage::Body, malformed))?;
             if piece.is_some() {
                 return Ok(piece);
             }
@@ -166,13 +185,27 @@
         let mut whole = BytesMut::new();
         while let Some(piece) = self.next_piece().await? {
             if whole.len() + piece.len() > limit {
-                return Err(ExchangeError::new(Stage::Body, "answer too long"));
+                let too_long = Malformed::TooLong("body");
+                return Err(ExchangeError::malformed(Stage::Body, too_long));
             }
             whole.extend_from_slice(&piece);
         }
         Ok(whole.freeze())
     }
 
+    /// Reads the rest of the body and throws it away; fails if it is longer than `limit` bytes.
+    pub async fn discard_body(&mut self, limit: usize) -> Result<(), ExchangeError> {
+        let mut length = 0;
+        while let Some(piece) = self.next_piece().await? {
+            length += piece.len();
+            if length > limit {
+                let too_long = Malformed::TooLong("body");
+                return Err(ExchangeError::malformed(Stage::Body, too_long));
+            }
+        }
+        Ok(())
+    }
+
     /// Whether another request may be sent: the response was read completely, no bytes are left
     /// over and the peer has not closed the connection.
     pub fn is_reusable(&self) -> bool {
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -5,6 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
 use crate::body::BodyFraming;
+use crate::malformed::Malformed;
 
 /// Maximum number of response headers.
 const MAX_HEADERS: usize = 64;
@@ -50,13 +51,16 @@
 }
 
 /// Takes a response head off the front of `buffer`; `None` if it is incomplete.
-pub(crate) fn take_head(buffer: &mut BytesMut) -> Result<Option<ResponseHead>, &'static str> {
+pub(crate) fn take_head(buffer: &mut BytesMut) -> Result<Option<ResponseHead>, Malformed> {
     let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut slots);
-    let parsed = response.parse(buffer).map_err(|_| "not an answer")?;
+    let parsed = response.parse(buffer).map_err(|error| match error {
+        httparse::Error::TooManyHeaders => Malformed::TooLong("list of headers"),
+        _ => Malformed::Invalid("not an answer"),
+    })?;
     let httparse::Status::Complete(length) = parsed else {
         if buffer.len() > MAX_HEAD_BYTES {
-            return Err("head too long");
+            return Err(Malformed::TooLong("head"));
         }
         return Ok(None);
     };
@@ -64,8 +68,10 @@
     let http11 = response.version == Some(1);
     let mut headers = HeaderMap::with_capacity(response.headers.len());
     for header in response.headers.iter() {
-        let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(|_| "header name")?;
-        let value = HeaderValue::from_bytes(header.value).map_err(|_| "header value")?;
+        let name = HeaderName::from_bytes(header.name.as_bytes())
+            .map_err(|_| Malformed::Invalid("header name"))?;
+        let value = HeaderValue::from_bytes(header.value)
+            .map_err(|_| Malformed::Invalid("header value"))?;
         headers.append(name, value);
     }
     let framing = framing(status, &headers)?;
@@ -81,14 +87,14 @@
     }))
 }
 
-fn framing(status: u16, headers: &HeaderMap) -> Result<BodyFraming, &'static str> {
+fn framing(status: u16, headers: &HeaderMap) -> Result<BodyFraming, Malformed> {
     if status / 100 == 1 || status == 204 || status == 304 {
         return Ok(BodyFraming::Length(0));
     }
     if let Some(encoding) = headers.get(TRANSFER_ENCODING) {
         return match encoding.as_bytes().eq_ignore_ascii_case(b"chunked") {
             true => Ok(BodyFraming::Chunked),
-            false => Err("transfer encoding"),
+            false => Err(Malformed::Invalid("transfer encoding")),
         };
     }
     match headers.get(CONTENT_LENGTH) {
@@ -97,7 +103,7 @@
             .ok()
             .and_then(|text| text.trim().parse().ok())
             .map(BodyFraming::Length)
-            .ok_or("content length"),
+            .ok_or(Malformed::Invalid("content length")),
         None => Ok(BodyFraming::UntilClose),
     }
 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,6 +6,7 @@
 mod body;
 mod connection;
 mod head;
+mod malformed;
 mod pool;
 
 pub use body::BodyFraming;
