Leave a stream that gets only comments; the soak plays answers without end

A stream that had begun and got nothing but comments stayed at its server until the deadline. The soak plays answers without end (heads, interim heads, events, comments, trailers, failures, strays) and watches the memory of the nodes against that of the smallest machine.

--- a/crates/ingress/src/event_stream.rs
+++ b/crates/ingress/src/event_stream.rs
@@ -9,7 +9,7 @@
 
 /// Longest time from the first byte of an event to its last one while more bytes of it arrive. Callers give up a silent
 /// stream after 2 s at the earliest.
-const MAX_EVENT_TIME: Duration = Duration::from_millis(1_500);
+pub(crate) const MAX_EVENT_TIME: Duration = Duration::from_millis(1_500);
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
@@ -19,6 +19,11 @@
 }
 
 impl Event {
+    /// Whether it brings a stream further, unlike a comment.
+    pub fn has_content(&self) -> bool {
+        self.id.is_some() || self.data().is_some()
+    }
+
     /// Data lines joined by line feeds; `None` if there are none.
     pub fn data(&self) -> Option<String> {
         let text = String::from_utf8_lossy(&self.bytes);
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -14,7 +14,7 @@
 };
 use crate::error_kind::ErrorKind;
 use crate::event_gaps::EventGaps;
-use crate::event_stream::EventSplitter;
+use crate::event_stream::{Event, EventSplitter, MAX_EVENT_TIME};
 use crate::metrics::Metrics;
 use crate::node::{DisconnectLogger, InFlightGuard};
 use crate::output_limits::{OutputExceeded, OutputLimits};
@@ -80,6 +80,8 @@
     /// Set when this node stopped reading the response at a buffer limit.
     stalled: StallFlag,
     last_event: Option<u64>,
+    /// When the comments began that are all that the server sends.
+    comments_since: Option<Instant>,
     events: u64,
     /// Time of the first event of the current run.
     output_since: Option<Instant>,
@@ -99,6 +101,7 @@
             gaps: EventGaps::default(),
             stalled,
             last_event,
+            comments_since: None,
             events: 0,
             output_since: None,
             first_event_ms: None,
@@ -120,6 +123,11 @@
             if let Some(event) = self.splitter.next_event() {
                 self.record_event();
                 self.last_event = event.id.or(self.last_event);
+                if self.has_only_comments(&event) {
+                    let error = AttemptError::output_exceeded(OutputExceeded::EventWithoutEnd);
+                    self.resume(error, None).await?;
+                    continue;
+                }
                 return Ok(Some(event.bytes));
             }
             if let Err(exceeded) = self.check_incomplete_event() {
@@ -213,6 +221,16 @@
         }
     }
 
+    /// Whether a stream that has begun has brought only comments for too long, and may go on elsewhere.
+    fn has_only_comments(&mut self, event: &Event) -> bool {
+        if event.has_content() || self.last_event.is_none() {
+            self.comments_since = None;
+            return false;
+        }
+        let since = *self.comments_since.get_or_insert_with(Instant::now);
+        since.elapsed() > MAX_EVENT_TIME && self.is_resumable()
+    }
+
     /// Whether a response that has begun may be continued at another server.
     fn is_resumable(&self) -> bool {
         is_event_route(&self.request.route) && self.request.route.resumable
@@ -336,6 +354,7 @@
         let failed = self.started.take();
         // Discards an incomplete event, which the other server sends again.
         self.splitter.rest();
+        self.comments_since = None;
         let (mut server, mut version) = (None, None);
         if let Some(started) = failed {
             let Exchange {
--- a/scripts/soak_lib/checks.py
+++ b/scripts/soak_lib/checks.py
@@ -30,7 +30,7 @@
             if any(page != known[0] for page in known):
                 self.record_violation("results stay readable and alike", job)
         self.check_double_runs()
-        runs = json.loads(self.control("GET", "/truth") or b"{}")
+        runs = self.runs = json.loads(self.control("GET", "/truth") or b"{}")
         for request in self.refused_ids:
             if runs.get(request, {"begun": 0})["begun"] > 0:
                 self.record_violation("not run is true", f"{request}: {runs[request]}")
@@ -69,7 +69,10 @@
     def explain_cut(self, request, kind, node, since, until, crashes):
         """Returns the promise that a cut response breaks, or None and the failure of servers that explains it."""
         crashed = sum(1 for at in crashes if since - 0.1 < at < until + 0.1)
-        lost_servers = crashed > 0 or any(begun < until and since < end + 0.5 for begun, end in self.outages)
+        spoiled = self.runs.get(request, {"spoiled": 0})["spoiled"]
+        lost_servers = crashed + spoiled > 0 or any(begun < until and since < end + 0.5 for begun, end in self.outages)
+        if spoiled > 0 and crashed + spoiled >= (1 if kind == "order" else MAX_CRASHES_PER_CALL):
+            return None, "cut by faulty servers"
         if crashed >= (1 if kind == "order" else MAX_CRASHES_PER_CALL):
             return None, "cut by crashed servers"
         if lost_servers and self.log_has_cause(node, request, "server_failed"):
--- a/scripts/soak_lib/faulty.py
+++ b/scripts/soak_lib/faulty.py
@@ -6,6 +6,13 @@
 
 # Answers that belong to no request, in the place of the next answer on a connection.
 STRAY_ANSWERS = ["stray_refusal", "stray_refusal", "stray_misdirection", "stray_failure"]
+# Answers that never end.
+ENDLESS_ANSWERS = ["endless_header", "endless_interim", "endless_event", "endless_events", "endless_trailers",
+                   "endless_failure", "endless_stray"]
+# Share of the faults that are answers without end, and of the requests that meet one.
+ENDLESS_FAULTS, ENDLESS_SHARE = 0.4, 0.05
+# Memory of the smallest machine that a node runs on.
+MAX_NODE_MB = 120
 # How long servers are faulty, the time between such faults, and the share of the requests that meet one.
 FAULTY_S, FAULTY_GAP_S, STRAY_SHARE = (0.5, 2), (0.3, 2), 0.3
 # Interval between looks at the record of the model servers.
@@ -23,14 +30,26 @@
         count = self.arguments.servers
         while not self.stop_spoiling.wait(rng.uniform(*FAULTY_GAP_S)):
             servers = rng.sample(range(count), rng.randint(1, max(1, count // 3)))
-            self.count("faulty servers")
-            self.set_fault(faulty=servers, faulty_bytes=rng.choice(STRAY_ANSWERS), faulty_share=STRAY_SHARE,
-                           faulty_s=rng.uniform(*FAULTY_S))
+            is_endless = rng.random() < ENDLESS_FAULTS
+            kinds, share = (ENDLESS_ANSWERS, ENDLESS_SHARE) if is_endless else (STRAY_ANSWERS, STRAY_SHARE)
+            kind = rng.choice(kinds)
+            self.count(f"faulty servers, {kind}")
+            self.set_fault(faulty=servers, faulty_bytes=kind, faulty_share=share, faulty_s=rng.uniform(*FAULTY_S))
 
-    def watch_double_runs(self):
-        """Looks for requests that ran twice while the run goes on."""
+    def watch(self):
+        """Looks for requests that ran twice, and at the memory of the nodes, while the run goes on."""
         while not self.stopping.wait(WATCH_INTERVAL_S):
             self.check_double_runs()
+            self.check_memory()
+
+    def check_memory(self):
+        for node in self.nodes:
+            peak_mb = node.peak_memory_mb()
+            with self.lock:
+                self.counts["peak memory of a node, MB"] = max(self.counts["peak memory of a node, MB"], peak_mb)
+            if peak_mb > MAX_NODE_MB and node.name not in self.nodes_over_memory:
+                self.nodes_over_memory.add(node.name)
+                self.record_violation("a node keeps within its memory", f"{node.name}: {peak_mb} MB")
 
     def check_double_runs(self):
         answer = self.control("GET", "/double-runs")
--- a/scripts/soak_lib/node.py
+++ b/scripts/soak_lib/node.py
@@ -48,6 +48,15 @@
             [program, "serve"], stdout=log, stderr=log, env=environment, start_new_session=True
         )
 
+    def peak_memory_mb(self):
+        """Peak memory of the running process, 0 if there is none."""
+        try:
+            with open(f"/proc/{self.process.pid}/status") as status:
+                peaks = [int(line.split()[1]) for line in status if line.startswith("VmHWM:")]
+        except OSError:
+            return 0
+        return peaks[0] // 1024 if peaks else 0
+
     def signal(self, number):
         self.process.send_signal(number)
 
--- a/scripts/soak_lib/soak.py
+++ b/scripts/soak_lib/soak.py
@@ -73,6 +73,7 @@
         self.server_versions = ["v1"] * arguments.servers  # None while a server is replaced
         self.silent_until = [0] * arguments.servers
         self.stop_spoiling, self.double_runs_seen = threading.Event(), 0
+        self.nodes_over_memory, self.runs = set(), {}  # runs: the record of the model servers, after the run
         self.known_results, self.item_positions = {}, {}  # job -> position -> result; job -> item -> position
         self.begun_at_calm_nodes = collections.defaultdict(list)  # "new" or "resumed" -> whether each stream began
 
@@ -82,7 +83,7 @@
             self.release_one_server()
         callers = self.start_callers()
         restarter = self.spawn(self.restart_nodes)
-        watcher = self.spawn(self.watch_double_runs)
+        watcher = self.spawn(self.watch)
         if self.arguments.planned:
             self.run_planned(PLANNED_GAP_S)
             self.wait_for_planned()
