--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -325,7 +325,7 @@
 
     /// Reads the rest of a short response, so that the connection can be reused.
     pub(crate) async fn drain(&self, mut connection: Connection, address: SocketAddr) {
-        let reading = connection.whole_body(MAX_STRAY_RESPONSE_BYTES);
+        let reading = connection.discard_body(MAX_STRAY_RESPONSE_BYTES);
         let read = tokio::time::timeout(DRAIN_TIMEOUT, reading).await;
         if matches!(read, Ok(Ok(_))) {
             self.pool.put(address, connection);
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -117,7 +117,10 @@
             if let Some(load) = facts.load {
                 self.record_reported_slowdown(server, load);
             }
-            connection.whole_body(MAX_STRAY_RESPONSE_BYTES).await.ok()?;
+            connection
+                .discard_body(MAX_STRAY_RESPONSE_BYTES)
+                .await
+                .ok()?;
             self.pool.forget(server.address);
             self.pool.put(server.address, connection);
             Some((head.status, facts))
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod partials;
 mod placement;
 mod preempt;
+mod progress;
 mod read;
 mod release;
 mod residency;
--- a/crates/jobs/src/ownership.rs
+++ b/crates/jobs/src/ownership.rs
@@ -201,12 +201,13 @@
 
 /// Records that another node owns a job on which this node was at work.
 fn log_taken(runner: &Runner, name: &str, job: &OwnedJob) {
+    let Some(known) = runner.table.get(name).filter(|known| known.row.is_open()) else {
+        return;
+    };
     Metrics::count(&runner.node.metrics.jobs_lost);
     runner.node.log.write("job_taken", || {
-        let known = runner.table.get(name);
-        let row = known.as_ref().map(|known| &known.row);
+        let row = &known.row;
         serde_json::json!({"job": name, "epoch": job.state.borrow().row.epoch, "running": job.running(),
-            "now_owner": row.map(|row| row.owner.clone()), "now_epoch": row.map(|row| row.epoch),
-            "now_state": row.map(|row| row.state)})
+            "now_owner": row.owner, "now_epoch": row.epoch})
     });
 }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -8,8 +8,8 @@
 use dappleyard_cluster::{InFlight, WorkKind};
 use dappleyard_crashes::{Feature, RunGuard};
 use dappleyard_ingress::{
-    Attempt, AttemptError, EventSplitter, Exchange, InterruptedRun, Metrics, OutputExceeded,
-    OutputLimits, Ran, SilenceLimits,
+    Attempt, AttemptError, EventSplitter, Exchange, InterruptedRun, Metrics, OutputLimits, Ran,
+    SilenceLimits,
 };
 use dappleyard_model::{
     Distance, PromptPart, Route, RunOrigin, ServerRecord, SoftwareVersion, TenantHeader,
@@ -20,14 +20,12 @@
 use crate::expiry::may_abandon;
 use crate::messages::StoredItem;
 use crate::owned::{Item, OwnedJob, Progress};
+use crate::progress::{ProgressMonitor, within_stall_limit};
 use crate::runner::Runner;
 use dappleyard_clock::Instant;
 
 /// Time without data from the server after which a run is abandoned and the item is retried elsewhere.
 const SERVER_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time without progress of a run after which the item is retried elsewhere, although other nodes or requests hear its
-/// server. Longer than a prompt is read or a request queued at a sound server.
-const STALL_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time for which an unreachable server is marked as suspect.
 const SUSPECT_DURATION: Duration = Duration::from_millis(1_200);
 /// Delay before a retry if the server did not run the item.
@@ -281,64 +279,6 @@
     AttemptError::local(Ran::Yes, reason)
 }
 
-/// Waits for a server that may send nothing on this connection, though others hear it, or bytes that bring nothing.
-async fn within_stall_limit<T>(
-    waiting: impl Future<Output = Result<T, AttemptError>>,
-) -> Result<T, AttemptError> {
-    match dappleyard_clock::timeout(STALL_TIMEOUT, waiting).await {
-        Ok(result) => result,
-        Err(_) => Err(AttemptError::local(Ran::Maybe, "the run has stalled")),
-    }
-}
-
-/// Judges whether a run brings its item further, and whether its output may still be that of a sound server.
-struct ProgressMonitor {
-    limits: OutputLimits,
-    progress_at: Instant,
-    /// Events of this run.
-    events: u64,
-}
-
-impl ProgressMonitor {
-    fn new(limits: OutputLimits) -> Self {
-        Self {
-            limits,
-            progress_at: Instant::now(),
-            events: 0,
-        }
-    }
-
-    /// Counts an event, which brings the item further or not.
-    fn note_event(&mut self, progress: bool) {
-        self.events += 1;
-        if progress {
-            self.progress_at = Instant::now();
-        }
-    }
-
-    fn check_output(&self, item: &Item) -> Result<(), AttemptError> {
-        let is_too_long =
-            item.text.len() > self.limits.text_bytes || self.events > self.limits.events;
-        match is_too_long {
-            true => Err(AttemptError::output_exceeded(OutputExceeded::OutputTooLong)),
-            false => Ok(()),
-        }
-    }
-
-    /// Called after each piece.
-    fn check_incomplete(&self, splitter: &EventSplitter) -> Result<(), AttemptError> {
-        splitter
-            .check_incomplete(self.limits.event_bytes)
-            .map_err(AttemptError::output_exceeded)?;
-        match self.progress_at.elapsed() > STALL_TIMEOUT {
-            true => Err(AttemptError::output_exceeded(
-                OutputExceeded::EventWithoutEnd,
-            )),
-            false => Ok(()),
-        }
-    }
-}
-
 /// Appends an event to the item's text. An event that the item has already means that the server did not resume. Returns
 /// whether the event brings the item further.
 fn add_event(item: &mut Item, event: &dappleyard_ingress::Event) -> Result<bool, AttemptError> {
