--- a/scripts/soak_lib/faulty.py
+++ b/scripts/soak_lib/faulty.py
@@ -25,12 +25,13 @@
     """Makes servers faulty, and watches for requests and results that come twice."""
 
     def spoil_servers(self):
-        """Makes up to a third of the servers faulty, again and again."""
+        """Makes up to a third of the servers faulty, again and again. Beside planned work alone they send only what must take
+        no answer from a caller: strays."""
         rng = random.Random(f"{self.arguments.seed}/faulty")
         count = self.arguments.servers
         while not self.stop_spoiling.wait(rng.uniform(*FAULTY_GAP_S)):
             servers = rng.sample(range(count), rng.randint(1, max(1, count // 3)))
-            is_endless = rng.random() < ENDLESS_FAULTS
+            is_endless = rng.random() < ENDLESS_FAULTS and not self.arguments.planned
             kinds, share = (ENDLESS_ANSWERS, ENDLESS_SHARE) if is_endless else (STRAY_ANSWERS, STRAY_SHARE)
             kind = rng.choice(kinds)
             self.count(f"faulty servers, {kind}")
--- a/scripts/soak_lib/soak.py
+++ b/scripts/soak_lib/soak.py
@@ -86,6 +86,7 @@
         watcher = self.spawn(self.watch)
         if self.arguments.planned:
             self.run_planned(PLANNED_GAP_S)
+            self.stop_spoiling.set()
             self.wait_for_planned()
         else:
             self.run_faults()
@@ -112,8 +113,8 @@
             callers.append(self.spawn(self.send_with_revocable_key))
             if not self.arguments.no_releases:
                 self.spawn(self.release_servers)
-            if not self.arguments.no_faulty:
-                self.spawn(self.spoil_servers)
+        if not self.arguments.no_faulty:
+            self.spawn(self.spoil_servers)
         return callers
 
     def run_faults(self):
