A silent server is left once its successor may have begun, whatever comes then

Cause: a stream whose server is silent is sent to a successor, and the silent server was left only if that one answered well or had not answered within 0.15 s. It was kept if the successor's answer was lost or was a failure, and if it spoke itself in these 0.15 s. The successor had begun the request all the same. A run that may have begun was treated like one that was refused. Mend: only a refusal leaves the request where it is. From the moment at which the successor may have begun, what the silent server sends counts only if the successor refuses. A successor that fails takes the request over all the same, and its failure is judged as any other. It needs no faulty bytes: a server that stalls for about 0.9 s, or one whose answer is lost, is enough.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -30,7 +30,7 @@
 use crate::node::Node;
 use crate::output_limits::OutputExceeded;
 use crate::response_matching::MAX_STRAY_RESPONSE_BYTES;
-use crate::silence::Waited;
+use crate::silence::{SuccessorBegun, Waited};
 use crate::silence_limits::SilenceLimits;
 use crate::urgency::OvercommitLimit;
 
@@ -198,7 +198,8 @@
     ) -> Result<Exchange, AttemptError> {
         let response = self.prepare(server, attempt).await?;
         let leave = async |_| Some(());
-        let waiting = self.wait_or_leave(server, attempt.limits, response, leave);
+        let begun = SuccessorBegun::default();
+        let waiting = self.wait_or_leave(server, attempt.limits, response, leave, &begun);
         match waiting.await {
             Waited::Done(result) => result,
             Waited::Silent(error, ()) => {
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -142,20 +142,6 @@
         self.ran == Ran::No || (self.may_repeat() && self.runs < self.route.max_attempts)
     }
 
-    /// Counts a run that may have begun; returns what was known before.
-    pub(crate) fn note_possible_run(&mut self) -> Ran {
-        self.runs += 1;
-        let before = self.ran;
-        self.ran = before.max(Ran::Maybe);
-        before
-    }
-
-    /// Takes the count back, once the run is counted by its outcome.
-    pub(crate) fn forget_possible_run(&mut self, ran_before: Ran) {
-        self.runs -= 1;
-        self.ran = ran_before;
-    }
-
     /// Whether it may be sent to a server, as far as its own properties tell.
     pub(crate) fn accepts(&self, server: &ServerRecord, places: &Topology) -> bool {
         !self.tried.contains(&server.id)
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -180,8 +180,9 @@
         };
         let since = Instant::now();
         let mut takeover = Takeover::of_stream(&upstreams, &mut self.request, self.last_event);
+        let begun = takeover.begun();
         let find_successor = async |silence| takeover.find(silence).await;
-        let waiting = upstreams.wait_or_leave(server, limits, reading, find_successor);
+        let waiting = upstreams.wait_or_leave(server, limits, reading, find_successor, &begun);
         let waited = deadline.wait(waiting).await.unwrap_or_else(|| {
             Waited::Done(Err(AttemptError::local(Ran::Yes, "deadline exceeded")))
         });
--- a/crates/ingress/src/runs.rs
+++ b/crates/ingress/src/runs.rs
@@ -40,10 +40,10 @@
         }
     }
 
-    /// The run with the response that its future has returned.
-    pub(crate) fn with_response(self, exchange: Exchange) -> Self {
+    /// The run with the response that its future has returned, or the failure.
+    pub(crate) fn with_response(self, response: Result<Exchange, AttemptError>) -> Self {
         Self {
-            response: futures::future::ready(Ok(exchange)).boxed_local(),
+            response: futures::future::ready(response).boxed_local(),
             ..self
         }
     }
@@ -93,8 +93,10 @@
     let limits = first_event_timeout(upstreams, request);
     let deadline = request.deadline.clone();
     let mut takeover = Takeover::before_response(upstreams, request, last_event_id);
+    let begun = takeover.begun();
     let find_successor = async |silence| takeover.find(silence).await;
-    let waiting = upstreams.wait_or_leave(&run.server, limits, &mut run.response, find_successor);
+    let response = &mut run.response;
+    let waiting = upstreams.wait_or_leave(&run.server, limits, response, find_successor, &begun);
     let expired = || Waited::Done(Err(AttemptError::local(Ran::Maybe, "deadline exceeded")));
     deadline.wait(waiting).await.unwrap_or_else(expired)
 }
--- a/crates/ingress/src/silence.rs
+++ b/crates/ingress/src/silence.rs
@@ -1,6 +1,8 @@
 //! Waits for data from servers that may fall silent.
 
+use std::cell::Cell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use dappleyard_model::ServerRecord;
@@ -24,6 +26,21 @@
     Failed(AttemptError, S),
 }
 
+/// Whether the successor of a silent server may have begun its run. From then on the silent one is left, whatever it sends,
+/// unless the successor refuses the request: a request that has gone on elsewhere may not go on here as well.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct SuccessorBegun(Rc<Cell<bool>>);
+
+impl SuccessorBegun {
+    pub(crate) fn set(&self, begun: bool) {
+        self.0.set(begun);
+    }
+
+    fn get(&self) -> bool {
+        self.0.get()
+    }
+}
+
 /// A failed attempt at a server that sent nothing for this long.
 fn silent(silence: Duration) -> AttemptError {
     AttemptError {
@@ -79,7 +96,11 @@
         waiting: impl Future<Output = Result<T, AttemptError>>,
     ) -> Result<T, AttemptError> {
         let leave = async |_| Some(());
-        match self.wait_or_leave(server, limits, waiting, leave).await {
+        let begun = SuccessorBegun::default();
+        match self
+            .wait_or_leave(server, limits, waiting, leave, &begun)
+            .await
+        {
             Waited::Done(result) => result,
             Waited::Silent(error, ()) | Waited::Failed(error, ()) => Err(error),
         }
@@ -87,13 +108,14 @@
 
     /// Same, but leaves the server only once `find_successor`, which gets the silence and is called
     /// at intervals after `abandon_after`, returns a successor. Meanwhile the server may still
-    /// respond.
+    /// respond, until the successor has `begun`.
     pub(crate) async fn wait_or_leave<T, S>(
         &self,
         server: &ServerRecord,
         limits: SilenceLimits,
         waiting: impl Future<Output = Result<T, AttemptError>>,
         mut find_successor: impl AsyncFnMut(Duration) -> Option<S>,
+        begun: &SuccessorBegun,
     ) -> Waited<T, S> {
         tokio::pin!(waiting);
         let mut monitor = SilenceMonitor {
@@ -116,7 +138,7 @@
             {
                 continue;
             }
-            match first_or_successor(waiting.as_mut(), find_successor(silence)).await {
+            match first_or_successor(waiting.as_mut(), find_successor(silence), begun).await {
                 (Some(Ok(done)), _) => return Waited::Done(Ok(done)),
                 (Some(Err(error)), Some(successor)) => return Waited::Failed(error, successor),
                 (Some(Err(error)), None) => return Waited::Done(Err(error)),
@@ -127,20 +149,25 @@
     }
 }
 
-/// Waits for data while a successor is sought. The search is cancelled if there are data, but not if
-/// the connection fails.
+/// Waits for data while a successor is sought. Data cancel the search until the successor has begun; from then on they
+/// count only if it refuses the request. A failed connection cancels nothing.
 async fn first_or_successor<T, S>(
     mut waiting: Pin<&mut impl Future<Output = Result<T, AttemptError>>>,
     successor: impl Future<Output = Option<S>>,
+    begun: &SuccessorBegun,
 ) -> (Option<Result<T, AttemptError>>, Option<S>) {
     tokio::pin!(successor);
-    let failed = tokio::select! {
+    let first = tokio::select! {
         biased;
         done = &mut waiting => done,
         successor = &mut successor => return (None, successor),
     };
-    match failed {
-        Ok(done) => (Some(Ok(done)), None),
+    match first {
+        Ok(done) if !begun.get() => (Some(Ok(done)), None),
+        Ok(done) => match successor.await {
+            Some(successor) => (None, Some(successor)),
+            None => (Some(Ok(done)), None),
+        },
         Err(error) => (Some(Err(error)), successor.await),
     }
 }
--- a/crates/ingress/src/takeover.rs
+++ b/crates/ingress/src/takeover.rs
@@ -6,13 +6,14 @@
 use dappleyard_crashes::Permit;
 use derive_more::Display;
 
-use crate::attempt::{AttemptError, Exchange, Ran, Upstreams};
+use crate::attempt::{Ran, Upstreams};
 use crate::dispatch::Request;
 use crate::runs::{PendingRun, fail_run, start_run};
 use crate::server_selection::select_successor;
+use crate::silence::SuccessorBegun;
 
-/// Time for which the silent server may still respond after the request was sent to its successor,
-/// which refuses it at once if it is full. Within 400 ms one of the two must have been left.
+/// Time for which a successor may still refuse the request, which it does at once if it is full. Within 400 ms after it has
+/// begun, the silent server must have been left.
 const HANDOVER_TIME: Duration = Duration::from_millis(150);
 /// Silence after which a successor may queue the request. Callers give up a silent stream after 2 s at the earliest.
 const QUEUE_AFTER: Duration = Duration::from_millis(1_300);
@@ -71,9 +72,9 @@
     /// The run at the silent server is not included in the runs of the request.
     uncounted_runs: u32,
     last_event_id: Option<u64>,
-    /// Servers that did not run the request, or were left because the silent one spoke. Each is asked once a wait, and
-    /// may be asked again after it.
+    /// Servers that did not run the request. Each is asked once a wait, and may be asked again after it.
     asked: Vec<String>,
+    begun: SuccessorBegun,
     logged: bool,
 }
 
@@ -109,11 +110,17 @@
             uncounted_runs: 0,
             last_event_id,
             asked: Vec::new(),
+            begun: SuccessorBegun::default(),
             logged: false,
         }
     }
 
-    /// Sends the request to a successor. Returns its run unless it fails at once.
+    /// Whether the successor that is being asked may have begun the request.
+    pub(crate) fn begun(&self) -> SuccessorBegun {
+        self.begun.clone()
+    }
+
+    /// Sends the request to a successor. Returns its run unless it is refused.
     pub(crate) async fn find(&mut self, silence: Duration) -> Option<PendingRun> {
         match self.try_move(silence).await {
             Ok(run) => Some(run),
@@ -143,24 +150,21 @@
         self.asked.push(server.clone());
         let started = start_run(self.upstreams, request, placement, self.last_event_id).await;
         let mut run = started.ok_or(Stay::SuccessorFailed)?;
-        // Counted as a run if the silent server responds first.
-        let ran_before = request.note_possible_run();
-        let response = tokio::time::timeout(HANDOVER_TIME, &mut run.response).await;
-        request.forget_possible_run(ran_before);
-        let refused = matches!(&response, Ok(Err(error)) if error.ran == Ran::No);
-        if !refused {
-            self.asked.retain(|asked| *asked != server);
-        }
-        match response {
-            Ok(Ok(exchange)) if exchange.head.status / 100 == 2 => Ok(run.with_response(exchange)),
-            Ok(response) => {
-                let status = |exchange: &Exchange| format!("status {}", exchange.head.status);
-                let failed = |exchange| AttemptError::local(Ran::Yes, status(&exchange));
-                let error = response.map_or_else(|error| error, failed);
+        self.begun.set(true);
+        match tokio::time::timeout(HANDOVER_TIME, &mut run.response).await {
+            Ok(Err(error)) if error.ran == Ran::No => {
+                self.begun.set(false);
                 fail_run(self.upstreams, request, run, &error).await;
                 Err(Stay::SuccessorFailed)
             }
-            Err(_) => Ok(run),
+            response => {
+                // It may have begun the request, so it takes it over even if it has failed since.
+                self.asked.retain(|asked| *asked != server);
+                Ok(match response {
+                    Ok(response) => run.with_response(response),
+                    Err(_) => run,
+                })
+            }
         }
     }
 
