--- a/scripts/soak_lib/checks.py
+++ b/scripts/soak_lib/checks.py
@@ -127,7 +127,10 @@
 
     def check_tenants(self, runs):
         greedy = []
+        # A record without a run is that of a lost refusal.
         for request, run in runs.items():
+            if run["begun"] == 0:
+                continue
             tenant = "greedy" if request.startswith("greedy-") else "calm"
             if run["tenants"] != [tenant]:
                 self.record_violation("servers are told the tenant", f"{request}: {run['tenants']}")
--- a/scripts/soak_lib/faulty.py
+++ b/scripts/soak_lib/faulty.py
@@ -6,11 +6,11 @@
 
 # Answers that belong to no request, in the place of the next answer on a connection.
 STRAY_ANSWERS = ["stray_refusal", "stray_refusal", "stray_misdirection", "stray_failure"]
-# Answers that never end.
-ENDLESS_ANSWERS = ["endless_header", "endless_interim", "endless_event", "endless_events", "endless_trailers",
-                   "endless_failure", "endless_stray"]
-# Share of the faults that are answers without end, and of the requests that meet one.
-ENDLESS_FAULTS, ENDLESS_SHARE = 0.4, 0.05
+# Answers that never end, or are lost after the server has run the request.
+SPOILED_ANSWERS = ["endless_header", "endless_interim", "endless_event", "endless_events", "endless_trailers",
+                   "endless_failure", "endless_stray", "lost_answer", "lost_answer", "lost_answer"]
+# Share of the faults that spoil answers so, and of the requests that meet one.
+SPOILED_FAULTS, SPOILED_SHARE = 0.4, 0.05
 # Memory of the smallest machine that a node runs on.
 MAX_NODE_MB = 120
 # How long servers are faulty, the time between such faults, and the share of the requests that meet one.
@@ -31,8 +31,8 @@
         count = self.arguments.servers
         while not self.stop_spoiling.wait(rng.uniform(*FAULTY_GAP_S)):
             servers = rng.sample(range(count), rng.randint(1, max(1, count // 3)))
-            is_endless = rng.random() < ENDLESS_FAULTS and not self.arguments.planned
-            kinds, share = (ENDLESS_ANSWERS, ENDLESS_SHARE) if is_endless else (STRAY_ANSWERS, STRAY_SHARE)
+            is_spoiled = rng.random() < SPOILED_FAULTS and not self.arguments.planned
+            kinds, share = (SPOILED_ANSWERS, SPOILED_SHARE) if is_spoiled else (STRAY_ANSWERS, STRAY_SHARE)
             kind = rng.choice(kinds)
             self.count(f"faulty servers, {kind}")
             self.set_fault(faulty=servers, faulty_bytes=kind, faulty_share=share, faulty_s=rng.uniform(*FAULTY_S))
