Tests: callers that send more than a process can hold

Callers that stop short of the end of a body, or send without end, made a process grow until its machine had no memory left.

The stand-in's callers join the chunks of an answer before they count its events, which a chunk may cut.

--- a/crates/dappleyard/tests/planned_stop/main.rs
+++ b/crates/dappleyard/tests/planned_stop/main.rs
@@ -1,6 +1,7 @@
 //! A process that is asked to stop answers each request that it takes.
 
 mod late_streams;
+#[allow(dead_code, reason = "shared with the tests of misbehaving callers")]
 mod support;
 
 use std::sync::Mutex;
--- a/crates/dappleyard/tests/planned_stop/support.rs
+++ b/crates/dappleyard/tests/planned_stop/support.rs
@@ -9,6 +9,7 @@
 
 use actix_web::{App, HttpServer, web};
 use dappleyard_emulator::EmulatedRows;
+use dappleyard_platform_standin::control::TrafficLimits;
 use dappleyard_platform_standin::model::{self, ModelServers};
 use dappleyard_platform_standin::{control, node, store};
 use rustix::process::{Pid, Signal, kill_process};
@@ -16,6 +17,8 @@
 const SLOTS: u32 = 64;
 /// Events of a whole answer of the stand-in's model servers.
 const EVENTS: usize = 20;
+/// Largest request to the store and to a server.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 pub const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -29,12 +32,17 @@
 impl Platform {
     /// Starts a store and two model servers on a loopback address of their own.
     pub fn start() -> Self {
+        Self::start_with(TrafficLimits::default())
+    }
+
+    /// The same, with these limits in the configuration.
+    pub fn start_with(limits: TrafficLimits) -> Self {
         let id: [u8; 4] = rand::random();
         let ip = Ipv4Addr::new(127, 16 + id[0] % 200, id[1], 1 + id[2] % 250);
         let addresses = (0..2).map(|at| SocketAddr::from((ip, model::FIRST_SERVER_PORT + at)));
         let servers = ModelServers::new(SLOTS, addresses.collect());
         let rows = EmulatedRows::default();
-        control::write_configuration(&rows, 1, &[], control::TimeLimits::default());
+        control::write_configuration(&rows, 1, &[], limits);
         control::list_servers(&rows, &servers);
         let (started_sender, started) = mpsc::channel();
         let (shared_rows, shared_servers) = (rows.clone(), servers.clone());
@@ -49,11 +57,16 @@
 
     /// Starts a node of this platform.
     pub fn start_node(&self) -> NodeProcess {
+        self.start_node_with("")
+    }
+
+    /// Starts a node with these settings beside the usual ones.
+    pub fn start_node_with(&self, more_settings: &str) -> NodeProcess {
         let ip = self.ip;
         let file = std::env::temp_dir().join(format!("dappleyard-stop-{ip}.toml"));
-        std::fs::write(&file, node::settings(ip)).expect("a settings file");
+        std::fs::write(&file, node::settings(ip) + more_settings).expect("a settings file");
         let mut process = Command::new(env!("CARGO_BIN_EXE_dappleyard"))
-            .arg("serve")
+            .args(["serve", "--metrics-port", &node::METRICS_PORT.to_string()])
             .env(node::SETTINGS_VARIABLE, &file)
             .stdout(Stdio::piped())
             .spawn()
@@ -104,7 +117,7 @@
 ) {
     let store = HttpServer::new(move || {
         App::new()
-            .app_data(web::PayloadConfig::new(4 * 1024 * 1024))
+            .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .app_data(web::Data::new(rows.clone()))
             .configure(store::configure)
     });
@@ -115,6 +128,7 @@
     let addresses = servers.addresses().to_vec();
     let models = HttpServer::new(move || {
         App::new()
+            .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .app_data(web::Data::new(servers.clone()))
             .default_service(web::to(model::handle))
     });
@@ -149,6 +163,16 @@
         node::front(self.ip)
     }
 
+    /// Address of the machine.
+    pub fn ip(&self) -> Ipv4Addr {
+        self.ip
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
     pub fn signal(&self, signal: Signal) {
         self.signals().send(signal);
     }
@@ -269,7 +293,7 @@
         self.exchange(&node::crashing_order(&id))
     }
 
-    fn exchange(&mut self, request: &str) -> Outcome {
+    pub fn exchange(&mut self, request: &str) -> Outcome {
         let sent = Instant::now();
         // A connection that the node closes meanwhile shows as a missing answer.
         let _ = self.stream.write_all(request.as_bytes());
@@ -297,14 +321,14 @@
     let text = String::from_utf8_lossy(text);
     let (head, body) = text.split_once("\r\n\r\n")?;
     let head = head.to_ascii_lowercase();
-    let is_whole = match head.split("content-length: ").nth(1) {
+    let body = match head.split("content-length: ").nth(1) {
         Some(rest) => {
             let length = rest.lines().next()?.trim().parse::<usize>().ok()?;
-            body.len() >= length
+            body.get(..length)?.to_owned()
         }
-        None => body.ends_with("0\r\n\r\n"),
+        None => joined_chunks(body)?,
     };
-    is_whole.then(|| Answer {
+    Some(Answer {
         status: head
             .split(' ')
             .nth(1)
@@ -315,6 +339,20 @@
     })
 }
 
+/// The body without its framing, if the last chunk has arrived.
+fn joined_chunks(mut framed: &str) -> Option<String> {
+    let mut body = String::new();
+    loop {
+        let (size, rest) = framed.split_once("\r\n")?;
+        let size = usize::from_str_radix(size, 16).ok()?;
+        if size == 0 {
+            return rest.starts_with("\r\n").then_some(body);
+        }
+        body.push_str(rest.get(..size)?);
+        framed = rest.get(size..)?.strip_prefix("\r\n")?;
+    }
+}
+
 impl Answer {
     /// Whether it is a whole stream, or a refusal.
     pub fn is_complete(&self) -> bool {
