Send the body of a request without copying it

A body was held up to four times while its request waited: as it was read, in the bytes of the request, in a copy of these, and in the rest that a server had not taken. A request is now its head, and a body that is shared with the request that is kept for a retry. Bodies up to 8 KB are still sent with the head in one write.

--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -12,8 +12,8 @@
     HomeRegions, ResponseMetadata, RunOrigin, ServerHeaders, ServerRecord, TenantHeader,
 };
 use dappleyard_upstream::{
-    BodyFraming, Connection, ExchangeError, IdleLimit, Pool, RequestKey, ResponseHead, Stage,
-    request_bytes,
+    BodyFraming, Connection, ExchangeError, IdleLimit, Pool, RequestBytes, RequestKey,
+    ResponseHead, Stage, request_bytes,
 };
 use derive_more::{Display, Error};
 use futures::FutureExt;
@@ -228,7 +228,7 @@
             ));
         }
         let (upstreams, server, id) = (self.clone(), server.clone(), attempt.id.to_owned());
-        let response = async move { upstreams.exchange(server, connection, &request, &id).await };
+        let response = async move { upstreams.exchange(server, connection, request, &id).await };
         Ok(response.boxed_local())
     }
 
@@ -236,7 +236,7 @@
         &self,
         server: Arc<ServerRecord>,
         mut connection: Connection,
-        request: &[u8],
+        request: RequestBytes,
         id: &str,
     ) -> Result<Exchange, AttemptError> {
         let head = self.receive_head(&mut connection, request, id).await;
@@ -333,7 +333,7 @@
         }
     }
 
-    fn request(&self, server: &ServerRecord, attempt: &Attempt<'_>) -> Vec<u8> {
+    fn request(&self, server: &ServerRecord, attempt: &Attempt<'_>) -> RequestBytes {
         let dialect = &self.node.dialect;
         let header_values = ServerHeaders {
             remaining_ms: attempt.remaining_ms,
@@ -354,7 +354,6 @@
             passed.chain(own),
             attempt.body,
         )
-        .to_vec()
     }
 }
 
--- a/crates/ingress/src/response_matching.rs
+++ b/crates/ingress/src/response_matching.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dappleyard_model::ResponseMetadata;
-use dappleyard_upstream::{Connection, ResponseHead};
+use dappleyard_upstream::{Connection, RequestBytes, ResponseHead};
 
 use crate::attempt::{AttemptError, Upstreams, exchange_failed, invalid_response};
 use crate::metrics::Metrics;
@@ -44,7 +44,7 @@
     pub(crate) async fn receive_head(
         &self,
         connection: &mut Connection,
-        request: &[u8],
+        request: RequestBytes,
         id: &str,
     ) -> Result<(ResponseHead, ResponseMetadata), AttemptError> {
         let mut head = connection.send(request).await.map_err(exchange_failed)?;
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 
 use crate::body::BodyReader;
-use crate::head::{ResponseHead, take_head};
+use crate::head::{RequestBytes, ResponseHead, take_head};
 use crate::malformed::Malformed;
 use dappleyard_clock::Instant;
 
@@ -97,7 +97,7 @@
     /// Requests that were sent on it.
     requests: u64,
     /// Rest of a request to which the peer responded before it was sent whole.
-    unsent: Bytes,
+    unsent: RequestBytes,
     /// The last named requests that were sent on it.
     carried: VecDeque<RequestKey>,
 }
@@ -120,16 +120,19 @@
             answered: false,
             idle_since: Instant::now(),
             requests: 0,
-            unsent: Bytes::new(),
+            unsent: RequestBytes::default(),
             carried: VecDeque::new(),
         })
     }
 
     /// Sends a request and waits for the response head.
-    pub async fn send(&mut self, request: &[u8]) -> Result<ResponseHead, ExchangeError> {
+    pub async fn send(
+        &mut self,
+        request: impl Into<RequestBytes>,
+    ) -> Result<ResponseHead, ExchangeError> {
         self.answered = false;
         self.requests += 1;
-        self.write(request).await?;
+        self.write(request.into()).await?;
         self.next_head().await
     }
 
@@ -248,23 +251,21 @@
     }
 
     /// Sends a request until the peer sends something; the rest stays in `unsent`.
-    async fn write(&mut self, request: &[u8]) -> Result<(), ExchangeError> {
+    async fn write(&mut self, mut request: RequestBytes) -> Result<(), ExchangeError> {
         let (reader, mut writer) = self.stream.split();
-        let mut sent = 0;
-        while sent < request.len() {
-            let written = tokio::select! {
+        while !request.is_empty() {
+            let is_readable = tokio::select! {
                 biased;
-                written = writer.write(&request[sent..]) => written,
-                readable = reader.readable() => readable.map(|()| 0),
+                written = writer.write_buf(request.next()) => written.map(|written| written == 0),
+                readable = reader.readable() => readable.map(|()| true),
             };
-            match written.map_err(|error| ExchangeError::new(Stage::Send, error))? {
-                0 => break,
-                written => sent += written,
+            if is_readable.map_err(|error| ExchangeError::new(Stage::Send, error))? {
+                break;
             }
         }
-        self.unsent = Bytes::copy_from_slice(&request[sent..]);
         // The peer responded before it had read the whole request, so the connection cannot be reused.
-        self.reusable &= self.unsent.is_empty();
+        self.reusable &= request.is_empty();
+        self.unsent = request;
         Ok(())
     }
 
@@ -273,15 +274,16 @@
         self.buffer.reserve(READ_BYTES);
         let (mut reader, mut writer) = self.stream.split();
         loop {
+            let has_unsent = !self.unsent.is_empty();
             tokio::select! {
                 biased;
                 length = reader.read_buf(&mut self.buffer) => {
                     return length.map_err(|error| ExchangeError::new(stage, error));
                 }
-                written = writer.write_buf(&mut self.unsent), if !self.unsent.is_empty() => {
+                written = writer.write_buf(self.unsent.next()), if has_unsent => {
                     // A peer that reads no more may still respond.
                     if written.is_err() {
-                        self.unsent.clear();
+                        self.unsent = RequestBytes::default();
                     }
                 }
             }
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -24,14 +24,65 @@
     pub keep_alive_s: Option<u64>,
 }
 
+/// Bodies up to this length are sent together with the head, larger ones without being copied.
+const JOINED_BODY_BYTES: usize = 8 * 1024;
+
+/// A request as it is sent. Copies share the bytes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RequestBytes {
+    /// The head, and a short body.
+    first: Bytes,
+    /// A longer body.
+    rest: Bytes,
+}
+
+impl RequestBytes {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.first.is_empty() && self.rest.is_empty()
+    }
+
+    /// The bytes to send next.
+    pub(crate) fn next(&mut self) -> &mut Bytes {
+        match self.first.is_empty() {
+            true => &mut self.rest,
+            false => &mut self.first,
+        }
+    }
+}
+
+impl From<&RequestBytes> for RequestBytes {
+    fn from(request: &RequestBytes) -> Self {
+        request.clone()
+    }
+}
+
+impl From<&[u8]> for RequestBytes {
+    fn from(bytes: &[u8]) -> Self {
+        Self {
+            first: Bytes::copy_from_slice(bytes),
+            rest: Bytes::new(),
+        }
+    }
+}
+
+impl<const LENGTH: usize> From<&[u8; LENGTH]> for RequestBytes {
+    fn from(bytes: &[u8; LENGTH]) -> Self {
+        bytes.as_slice().into()
+    }
+}
+
 /// Serializes a request.
 pub fn request_bytes<'a>(
     method: &Method,
     target: &str,
     headers: impl Iterator<Item = (&'a HeaderName, &'a HeaderValue)>,
     body: &Bytes,
-) -> BytesMut {
-    let mut out = BytesMut::with_capacity(512 + body.len());
+) -> RequestBytes {
+    let (joined, rest) = match body.len() <= JOINED_BODY_BYTES {
+        true => (body.clone(), Bytes::new()),
+        false => (Bytes::new(), body.clone()),
+    };
+    let mut out = BytesMut::with_capacity(512 + joined.len());
     out.put_slice(method.as_str().as_bytes());
     out.put_u8(b' ');
     out.put_slice(target.as_bytes());
@@ -46,8 +97,9 @@
         out.put_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
     }
     out.put_slice(b"\r\n");
-    out.put_slice(body);
-    out
+    out.put_slice(&joined);
+    let first = out.freeze();
+    RequestBytes { first, rest }
 }
 
 /// Takes a response head off the front of `buffer`; `None` if it is incomplete.
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -11,5 +11,5 @@
 
 pub use body::BodyFraming;
 pub use connection::{Connection, ExchangeError, RequestKey, Stage};
-pub use head::{ResponseHead, request_bytes};
+pub use head::{RequestBytes, ResponseHead, request_bytes};
 pub use pool::{IdleLimit, Pool, Wanted};
--- a/crates/upstream/tests/exchange.rs
+++ b/crates/upstream/tests/exchange.rs
@@ -191,7 +191,10 @@
         let mut connection = Connection::open(address, Duration::from_secs(2)).await;
         let connection = connection.as_mut().expect("a connection");
         let request = vec![b'x'; LONG_BODY_BYTES];
-        let stray = connection.send(&request).await.expect("a stray response");
+        let stray = connection
+            .send(request.as_slice())
+            .await
+            .expect("a stray response");
         expect_that!(stray.status, eq(503));
         expect_that!(connection.whole_body(LIMIT).await.is_ok(), eq(true));
         let answer = tokio::time::timeout(Duration::from_secs(20), connection.next_head());
