Bound the memory and the descriptors that callers may use

Callers saw nothing at all: the process ended when its machine had no memory left, and all its requests with it. The cause: one body was bounded, but not all bodies together, nor heads, nor what the kernel holds of connections that nobody reads.

Each process has one budget for messages of callers, a sixth of its machine's memory. A connection's account is charged for each head as it is read and for each piece of a body, and is released with the answer, so it covers what is read, what waits and what is kept for a retry. When the budget is used up, unfinished messages of which less than 16 KB came in the last second are given up, the largest first (408); if there are none, the new one is refused at once (503 memory_short, with a time to come back). A quarter of the budget is left to messages of up to 64 KB. A message that has arrived whole is never given up.

Connections have a limit from memory and descriptors. At the limit one gives way: first those on which a request does not come or does not go on, then the one that has rested longest. Receive buffers and the queues of connections that wait to be accepted follow from the memory too. Framing is bounded: a request may take 8 bytes on the wire for each byte of the largest body, which chunks of one byte need, and 32 KB for a body that nobody reads. A body that is announced as too long is refused before it is read. A body without a byte for the operators' idle limit ends with 408.

Bodies are read in turns of 4 KB and kept in chunks of equal size: a growing buffer for each left gaps of all sizes behind.

--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -80,7 +80,8 @@
             .undecided(),
     );
     let metrics = Arc::new(Metrics::default());
-    let connections = ConnectionGate::new(log.clone(), metrics.clone());
+    let limits = settings.resources.caller_limits();
+    let connections = ConnectionGate::new(limits, log.clone(), metrics.clone());
     let node = Arc::new(Node {
         life,
         view: view.clone(),
@@ -299,7 +300,8 @@
     let peer = (node.settings.ip, node.settings.peer_port).into();
     let mut addresses = vec![ports.front, ports.ready, ports.directory, peer];
     addresses.extend(ports.metrics);
-    let listeners = addresses.into_iter().map(listen);
+    let limits = node.connections.limits();
+    let listeners = addresses.into_iter().map(|address| listen(address, limits));
     let listeners = listeners.collect::<std::io::Result<Vec<_>>>()?;
     let connections = node.connections.clone();
     let factory = move || {
--- a/crates/ingress/src/caller_connection.rs
+++ b/crates/ingress/src/caller_connection.rs
@@ -1,4 +1,8 @@
-//! Connections of callers, and the moment from which no request can begin on them.
+//! Connections of callers: the moment from which no request can begin on them, and what they may use of the machine.
+//!
+//! A connection holds memory of its own, and the bytes of the message that arrives on it, which its account is charged for.
+//! Where there are too many connections, one gives way to a new one: first those on which a request does not come or does
+//! not go on, then the one that has rested longest. A request that has arrived whole is never ended for another.
 //!
 //! A connection is busy from the first byte of a request until the last byte of its answer has left the handler. Once
 //! the gate is closed, a connection that is not busy ends as soon as nothing has arrived on it, and a request that crosses
@@ -14,7 +18,9 @@
 use std::task::{Context, Poll, ready};
 
 use actix_http::body::{BodySize, MessageBody};
+use actix_web::HttpRequest;
 use bytes::Bytes;
+use dappleyard_budget::{Account, CallerLimits, MemoryBudget};
 use dappleyard_clock::Instant;
 use dappleyard_model::EventLog;
 use derive_more::Display;
@@ -27,8 +33,20 @@
 
 use crate::metrics::Metrics;
 
+/// Bytes that are read in one turn, so that few pieces of a message are held before its handler has taken them.
+const TURN_BYTES: usize = 4 * 1024;
+/// Bytes that a caller may send beyond what its request needs: the next head, or a body that nobody reads.
+const EXCESS_BYTES: u64 = 32 * 1024;
+/// Bytes on the wire for a byte of a body, in chunks of one byte; rounded up for what stands around them.
+const FRAMED_BYTES_PER_BYTE: u64 = 8;
+
+/// The library's buffer for a head grows by doubling.
+const HEAD_COPIES: usize = 2;
+
 /// All connections of a process.
 pub struct ConnectionGate {
+    budget: Arc<MemoryBudget>,
+    limits: CallerLimits,
     log: Arc<EventLog>,
     metrics: Arc<Metrics>,
     is_closed: Arc<AtomicBool>,
@@ -54,6 +72,17 @@
     Serving,
 }
 
+/// Order in which connections give way to new ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// A request does not come, or does not go on.
+    Stalled,
+    /// Requests were answered on it.
+    Rests,
+    /// It was accepted just now.
+    New,
+}
+
 /// One connection.
 #[derive(Debug)]
 pub struct CallerConnection {
@@ -65,18 +94,33 @@
     /// A [`Use`].
     current_use: AtomicU8,
     reader: AtomicWaker,
+    /// Memory of the message in progress.
+    account: Account,
+    /// Bytes that may still be read during the request in progress.
+    allowed_bytes: AtomicU64,
+    /// Whether a request has begun on it.
+    is_used: AtomicBool,
+    /// Whether the request in progress has arrived whole.
+    is_complete: AtomicBool,
+    /// When the last answer ended, or the connection was accepted.
+    resting_since: Mutex<Instant>,
+    /// The connection gives way to another one.
+    gives_way: AtomicBool,
 }
 
 impl Default for ConnectionGate {
-    /// A gate that records nothing.
+    /// A gate of a large machine that records nothing.
     fn default() -> Self {
-        Self::new(Arc::new(EventLog::silent()), Arc::default())
+        let limits = CallerLimits::of_machine(4_096, 65_536);
+        Self::new(limits, Arc::new(EventLog::silent()), Arc::default())
     }
 }
 
 impl ConnectionGate {
-    pub fn new(log: Arc<EventLog>, metrics: Arc<Metrics>) -> Self {
+    pub fn new(limits: CallerLimits, log: Arc<EventLog>, metrics: Arc<Metrics>) -> Self {
         Self {
+            budget: MemoryBudget::new(limits.messages),
+            limits,
             log,
             metrics,
             is_closed: Arc::default(),
@@ -141,8 +185,48 @@
         }
     }
 
-    /// Registers a connection that was accepted at `local`.
-    pub(crate) fn admit(self: &Arc<Self>, stream: TcpStream, local: SocketAddr) -> GatedStream {
+    /// The memory for messages of callers.
+    pub fn budget(&self) -> &Arc<MemoryBudget> {
+        &self.budget
+    }
+
+    /// What callers may use of the machine.
+    pub fn limits(&self) -> &CallerLimits {
+        &self.limits
+    }
+
+    /// Makes room for one more connection. Returns whether there is any.
+    fn make_room(&self) -> bool {
+        let connections = self.connections.lock();
+        // Those that give way already are about to end.
+        let staying = connections.values().filter(|it| !it.gives_way());
+        if staying.clone().count() < self.limits.connections {
+            return true;
+        }
+        let candidates = staying.filter_map(|it| Some((it.rank()?, it)));
+        let first = candidates.min_by_key(|(rank, it)| (*rank, *it.resting_since.lock()));
+        let Some((_, ending)) = first else {
+            return false;
+        };
+        ending.give_way();
+        Metrics::count(&self.metrics.connections_given_up);
+        true
+    }
+
+    /// Registers a connection that was accepted at `local`; `None` if the process has too many, all of them in use.
+    pub(crate) fn admit(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        local: SocketAddr,
+    ) -> Option<GatedStream> {
+        if !self.make_room() {
+            Metrics::count(&self.metrics.connections_refused);
+            self.log.write(
+                "connection_refused",
+                || serde_json::json!({"port": local.port(), "connections": self.limits.connections}),
+            );
+            return None;
+        }
         let connection = Arc::new(CallerConnection {
             number: self.next_number.fetch_add(1, Ordering::Relaxed),
             local,
@@ -150,14 +234,21 @@
             is_gate_closed: self.is_closed.clone(),
             current_use: AtomicU8::new(Use::Resting as u8),
             reader: AtomicWaker::new(),
+            account: self.budget.open(),
+            allowed_bytes: AtomicU64::new(EXCESS_BYTES),
+            is_used: AtomicBool::default(),
+            is_complete: AtomicBool::default(),
+            resting_since: Mutex::new(Instant::now()),
+            gives_way: AtomicBool::default(),
         });
         let number = connection.number;
         self.connections.lock().insert(number, connection.clone());
-        GatedStream {
+        Some(GatedStream {
             stream,
             connection,
             gate: self.clone(),
-        }
+            turn_bytes: 0,
+        })
     }
 
     /// Records the end of a connection whose head never became whole or valid, or whose request has no answer: its
@@ -171,6 +262,7 @@
         self.log.write("connection_ended_early", || {
             serde_json::json!({"last_use": last_use.to_string(), "port": connection.local.port(),
                 "connection_age_ms": connection.accepted.elapsed().as_millis() as u64,
+                "gave_way": connection.gives_way() || connection.account.is_given_up(),
                 "is_closing": self.is_closed()})
         });
     }
@@ -197,10 +289,94 @@
 
     /// Notes that a request begins. Its bytes may have been read together with those of an earlier one.
     pub(crate) fn begin_request(&self) {
+        self.is_used.store(true, Ordering::Relaxed);
+        self.is_complete.store(false, Ordering::Relaxed);
+        self.allowed_bytes.store(EXCESS_BYTES, Ordering::Relaxed);
         self.current_use.store(Use::Serving as u8, Ordering::SeqCst);
     }
 
+    /// Memory of the message in progress.
+    pub(crate) fn account(&self) -> &Account {
+        &self.account
+    }
+
+    /// Lets the caller send a body of at most `limit_bytes`, however it is framed.
+    pub(crate) fn allow_body(&self, limit_bytes: usize) {
+        let framed_bytes = FRAMED_BYTES_PER_BYTE.saturating_mul(limit_bytes as u64);
+        let allowed_bytes = framed_bytes.saturating_add(EXCESS_BYTES);
+        self.allowed_bytes.store(allowed_bytes, Ordering::Relaxed);
+    }
+
+    /// Lets the caller send little more, since the rest of the body is not needed.
+    pub(crate) fn end_body(&self) {
+        self.allowed_bytes.store(EXCESS_BYTES, Ordering::Relaxed);
+    }
+
+    /// Notes that the request in progress has arrived whole.
+    pub(crate) fn complete_request(&self) {
+        self.account.complete();
+        self.is_complete.store(true, Ordering::Relaxed);
+        self.end_body();
+    }
+
+    fn gives_way(&self) -> bool {
+        self.gives_way.load(Ordering::Acquire)
+    }
+
+    fn give_way(&self) {
+        self.gives_way.store(true, Ordering::Release);
+        self.account.give_up();
+        self.reader.wake();
+    }
+
+    /// Order in which it gives way; `None` while a request on it arrives or is answered.
+    fn rank(&self) -> Option<Rank> {
+        let (is_serving, is_stalled) = (self.is_in(Use::Serving), self.account.is_stalled());
+        match (is_serving, self.is_used.load(Ordering::Relaxed)) {
+            (true, _) => is_stalled.then_some(Rank::Stalled),
+            (false, true) if self.is_in(Use::Resting) => Some(Rank::Rests),
+            _ if is_stalled => Some(Rank::Stalled),
+            _ => Some(Rank::New),
+        }
+    }
+
+    /// Whether the connection ends for others. One that rests is spared once something has arrived on it.
+    fn has_given_way(&self, stream: &TcpStream) -> bool {
+        match (self.is_in(Use::Reading), self.is_in(Use::Resting)) {
+            (true, _) => self.account.is_given_up(),
+            (_, true) if self.gives_way() && has_arrived(stream) => {
+                self.gives_way.store(false, Ordering::Release);
+                self.account.restart();
+                false
+            }
+            (_, true) => self.gives_way(),
+            // The handler ends the request.
+            _ => false,
+        }
+    }
+
+    /// Accounts for bytes that were read. An error if the caller has sent more than its request may have, or if there is no
+    /// memory for a head.
+    fn note_bytes(&self, bytes: usize) -> io::Result<()> {
+        if self.is_in(Use::Serving) {
+            let allowed = self.allowed_bytes.load(Ordering::Relaxed);
+            let left = allowed.checked_sub(bytes as u64);
+            let left = left.ok_or_else(|| io::Error::other("more bytes than the request needs"))?;
+            self.allowed_bytes.store(left, Ordering::Relaxed);
+            if !self.is_complete.load(Ordering::Relaxed) {
+                // The handler charges for the body.
+                return Ok(());
+            }
+        }
+        self.note_read();
+        self.account
+            .charge(HEAD_COPIES * bytes)
+            .map_err(io::Error::other)
+    }
+
     fn end_answer(&self) {
+        self.account.restart();
+        *self.resting_since.lock() = Instant::now();
         self.current_use.store(Use::Resting as u8, Ordering::SeqCst);
         // A gate that is closed after this check wakes the reader itself.
         if self.is_gate_closed.load(Ordering::SeqCst) {
@@ -209,11 +385,18 @@
     }
 }
 
+/// The connection of a request; `None` for a call within the process.
+pub(crate) fn connection_of(request: &HttpRequest) -> Option<&Arc<CallerConnection>> {
+    request.conn_data()
+}
+
 /// The stream of a connection, which ends once the gate is closed and the connection is not busy.
 pub(crate) struct GatedStream {
     stream: TcpStream,
     connection: Arc<CallerConnection>,
     gate: Arc<ConnectionGate>,
+    /// Bytes read in this turn.
+    turn_bytes: usize,
 }
 
 impl GatedStream {
@@ -250,10 +433,26 @@
             }
             self.connection.note_read();
         }
-        let filled = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        if buffer.filled().len() > filled {
-            self.connection.note_read();
+        if self.connection.has_given_way(&self.stream) {
+            return Poll::Ready(Ok(()));
+        }
+        if self.turn_bytes >= TURN_BYTES {
+            self.turn_bytes = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let limit = buffer.remaining().min(TURN_BYTES);
+        let mut piece = ReadBuf::new(buffer.initialize_unfilled_to(limit));
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut piece);
+        let length = piece.filled().len();
+        if read.is_pending() {
+            self.turn_bytes = 0;
+        }
+        ready!(read)?;
+        buffer.advance(length);
+        self.turn_bytes += length;
+        if length > 0 {
+            self.connection.note_bytes(length)?;
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/ingress/src/error_kind.rs
+++ b/crates/ingress/src/error_kind.rs
@@ -46,6 +46,9 @@
     /// The body exceeds the configured limit.
     #[display("body_too_long")]
     BodyTooLong,
+    /// The node has no memory for the request; it did not run.
+    #[display("memory_short")]
+    MemoryShort,
     /// No server accepted the request; it did not run.
     #[display("no_server")]
     NoServer,
@@ -124,6 +127,7 @@
             | ErrorKind::QuotaInDoubt
             // Not 429: the tenant is within its quota.
             | ErrorKind::OverShare
+            | ErrorKind::MemoryShort
             | ErrorKind::NoServer
             | ErrorKind::NoRoomInTime
             | ErrorKind::DeadlineTooNear
@@ -148,6 +152,8 @@
             ErrorKind::NotReady | ErrorKind::ConfigurationOld | ErrorKind::KeyInDoubt => Some(200),
             ErrorKind::NoServer | ErrorKind::QuotaInDoubt => Some(50),
             ErrorKind::ExpiredBeforeRun => Some(100),
+            // Other nodes have memory of their own.
+            ErrorKind::MemoryShort => Some(100),
             // An isolated or evacuated region recovers in seconds, not milliseconds.
             ErrorKind::HomesCannotServe | ErrorKind::NoRoomInTime => Some(500),
             ErrorKind::OverShare | ErrorKind::StoreUnavailable | ErrorKind::SuspectsPending => {
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -7,12 +7,14 @@
 use actix_web::http::header::CONTENT_TYPE;
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
+use dappleyard_budget::MemoryShort;
 use dappleyard_model::{Endpoint, HomeRegions, RequestMetadata, Route, RouteKind};
 use futures::future::LocalBoxFuture;
 use http::HeaderMap;
 
 use crate::admission::{Refusal, caller_of_jobs, caller_of_route, charge_quota};
 use crate::attempt::{Ran, Upstreams};
+use crate::caller_connection::connection_of;
 use crate::capacity::detect_retry;
 use crate::completion::log_late_request;
 use crate::crashes::{operator_call, request_features};
@@ -21,20 +23,24 @@
 use crate::error_kind::ErrorKind;
 use crate::evacuated_zones::{orders_text, zone_metrics};
 use crate::job_calls::{JobCalls, JobReply};
-use crate::late_requests::{connection_of, note_late_request, refuse_late_request};
+use crate::late_requests::{note_late_request, refuse_late_request};
 use crate::metrics::{Metrics, tenant_metrics};
 use crate::node::{DisconnectLogger, InFlightGuard, Node};
 use crate::placement::PromptShape;
 use crate::refusals::{refund_quota, refuse, without_route};
 use crate::relay;
-use crate::request_body::{
-    DEFAULT_BODY_LIMIT, asks_for_websocket, body_limit, read_body, read_declared_body,
+use crate::request_body::{BodyLimits, asks_for_websocket, note_bodiless, read_declared_body};
+use crate::responses::{
+    copy_headers, ending_connection, error_response, header_map, start_response,
 };
-use crate::responses::{copy_headers, error_response, header_map, start_response};
 use crate::resumption::{find_origin, is_resumption};
 use crate::shares::{acquire_share, share_metrics};
 use dappleyard_clock::Instant;
 
+/// Copies of the body of a submission that exist at a time.
+const SUBMISSION_COPIES: usize = 3;
+/// A larger job does not fit into one transaction of the store, and is refused before it is copied.
+const MAX_SUBMISSION_BYTES: usize = 1_000_000;
 /// Time limit of a request without a deadline.
 const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(60);
 /// Handles a call of another node; request and response are in the peer protocol.
@@ -69,6 +75,7 @@
     payload: web::Payload,
     data: web::Data<HandlerData>,
 ) -> HttpResponse {
+    note_bodiless(&request);
     let node = data.upstreams.node().clone();
     let listen = &node.settings.listen;
     let port = connection_of(&request).map_or(listen.front.port(), |it| it.local.port());
@@ -88,7 +95,7 @@
         };
     }
     if port == node.settings.peer_port {
-        return peer_call(payload, &data).await;
+        return peer_call(&request, payload, &data).await;
     }
     if listen.metrics.is_some_and(|metrics| metrics.port() == port) {
         let asked = operator_call(&node, request.method(), request.path());
@@ -173,12 +180,16 @@
     reply.unwrap_or_else(|| JobReply::Refused(late, "no reply in time".to_owned()))
 }
 
-async fn peer_call(payload: web::Payload, data: &HandlerData) -> HttpResponse {
-    match read_body(payload, DEFAULT_BODY_LIMIT).await {
+async fn peer_call(
+    request: &HttpRequest,
+    payload: web::Payload,
+    data: &HandlerData,
+) -> HttpResponse {
+    match read_declared_body(request, payload, BodyLimits::of_peers()).await {
         Ok(call) => HttpResponse::Ok().body((data.peers)(call).await),
         Err(kind) => {
             let refused = Refusal::new(kind, "body of a node's call");
-            error_response(data.upstreams.node(), &refused)
+            ending_connection(error_response(data.upstreams.node(), &refused))
         }
     }
 }
@@ -239,11 +250,14 @@
         .deadline_ms
         .map_or(DEFAULT_TIME_LIMIT, Duration::from_millis);
     let body_deadline = Deadline::new(arrived + body_time, node.process_end.clone());
-    let reading = read_declared_body(&http, payload, body_limit(&node));
+    let reading = read_declared_body(&http, payload, BodyLimits::of(&node));
     let body = body_deadline.wait(reading).await;
     let body = match body.unwrap_or(Err(ErrorKind::BodyTimeout)) {
         Ok(body) => body,
-        Err(kind) => return refuse(&node, &facts.id, &Refusal::new(kind, "body")),
+        Err(kind) => {
+            let refused = Refusal::new(kind, "body");
+            return ending_connection(refuse(&node, &facts.id, &refused));
+        }
     };
     let Some(configuration) = node.view.configuration() else {
         let refused = Refusal::new(ErrorKind::NotReady, "no configuration yet");
@@ -262,6 +276,10 @@
         return refuse(&node, &facts.id, &refused);
     }
     if route.kind == RouteKind::Batch {
+        if let Err(kind) = charge_submission(&http, body.len()) {
+            let refused = Refusal::new(kind, "copies of a submission");
+            return refuse(&node, &facts.id, &refused);
+        }
         let submitting = data.jobs.submit(&caller, &route, &facts, body);
         let reply = reply_in_time(&node, ErrorKind::StoreInDoubt, submitting).await;
         return job_response(&node, reply);
@@ -320,6 +338,13 @@
     serve(data.upstreams.clone(), request, in_flight).await
 }
 
+/// Charges a submission for its copies: the parsed and the encoded items, and the call to the store.
+fn charge_submission(http: &HttpRequest, body_bytes: usize) -> Result<(), ErrorKind> {
+    let copied_bytes = SUBMISSION_COPIES * body_bytes.min(MAX_SUBMISSION_BYTES);
+    let charged = connection_of(http).map_or(Ok(()), |it| it.account().charge(copied_bytes));
+    charged.map_err(|MemoryShort| ErrorKind::MemoryShort)
+}
+
 /// Time that a request has from its arrival.
 fn time_limit(route: &Route, facts: &RequestMetadata) -> Duration {
     let of_route = Some(route.timeout_ms).filter(|ms| *ms > 0);
--- a/crates/ingress/src/http_server.rs
+++ b/crates/ingress/src/http_server.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use actix_http::body::MessageBody;
+use actix_http::error::DispatchError;
 use actix_http::{HttpService, Request, Response};
 use actix_server::{Server, ServerBuilder};
 use actix_service::{
@@ -16,6 +17,7 @@
 };
 use actix_web::dev::AppConfig;
 use actix_web::error::ErrorInternalServerError;
+use dappleyard_budget::CallerLimits;
 use futures::FutureExt;
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -26,17 +28,20 @@
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time for which a connection that was closed for sending is still read.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const LISTEN_BACKLOG: u32 = 1024;
+/// Connections that are accepted beyond the limit, to be refused or to replace others.
+const MAX_WAITING_CONNECTIONS: usize = 32;
 
 /// Opens a listener. A port is free at once after an earlier process.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+pub fn listen(address: SocketAddr, limits: &CallerLimits) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it.
+    socket.set_recv_buffer_size(limits.receive_buffer_bytes as u32)?;
     socket.bind(address)?;
-    socket.listen(LISTEN_BACKLOG)?.into_std()
+    socket.listen(limits.waiting as u32)?.into_std()
 }
 
 /// The request may have run. The panic itself is written to standard error.
@@ -44,6 +49,10 @@
     ErrorInternalServerError("internal error")
 }
 
+fn too_many_connections() -> DispatchError {
+    DispatchError::Io(io::Error::other("too many connections"))
+}
+
 /// Starts a server with one worker thread, on which `app` is called once for each listener.
 pub fn serve<F, I, S, B>(
     listeners: Vec<TcpListener>,
@@ -61,6 +70,9 @@
     B: MessageBody + 'static,
 {
     let mut builder = ServerBuilder::new().workers(1).disable_signals();
+    // The gate decides; this bounds those that wait for it.
+    builder =
+        builder.max_concurrent_connections(gate.limits().connections + MAX_WAITING_CONNECTIONS);
     for listener in listeners {
         let local = listener.local_addr()?;
         let (gate, app) = (gate.clone(), app.clone());
@@ -68,8 +80,11 @@
             let gate = gate.clone();
             let admit = fn_service(move |stream: TcpStream| {
                 let peer = stream.peer_addr().ok();
-                let stream = gate.admit(stream, local);
-                async move { Ok::<_, actix_http::error::DispatchError>((stream, peer)) }
+                let admitted = gate.admit(stream, local);
+                async move {
+                    let stream = admitted.ok_or_else(too_many_connections)?;
+                    Ok::<_, DispatchError>((stream, peer))
+                }
             });
             let handler = map_config(app().into_factory(), |()| AppConfig::default());
             let handler = apply_fn_factory(handler, |request: Request, service: &S::Service| {
--- a/crates/ingress/src/late_requests.rs
+++ b/crates/ingress/src/late_requests.rs
@@ -1,24 +1,20 @@
 //! Requests that come while the node stops.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use actix_web::{HttpRequest, HttpResponse, web};
 use dappleyard_clock::Instant;
 
 use crate::admission::Refusal;
-use crate::caller_connection::CallerConnection;
+use crate::caller_connection::connection_of;
 use crate::deadline::Deadline;
 use crate::error_kind::ErrorKind;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::refusals::refuse;
-use crate::request_body::{body_limit, read_declared_body};
+use crate::request_body::{BodyLimits, REFUSED_BODY_TIME, discard_declared_body};
 use crate::responses::header_map;
 
-/// Time for which the body of a refused request is still read.
-const REFUSED_BODY_TIME: Duration = Duration::from_secs(1);
-
 /// Records a request that came after the stop was asked for, and the age of its connection.
 pub(crate) fn note_late_request(node: &Node, request: &HttpRequest) {
     Metrics::count(&node.metrics.requests_while_stopping);
@@ -30,11 +26,6 @@
     });
 }
 
-/// The connection of a request; `None` for a call within the process.
-pub(crate) fn connection_of(request: &HttpRequest) -> Option<&Arc<CallerConnection>> {
-    request.conn_data()
-}
-
 /// Refuses a request because the node stops.
 pub(crate) async fn refuse_late_request(
     node: &Arc<Node>,
@@ -42,9 +33,10 @@
     payload: web::Payload,
 ) -> HttpResponse {
     let facts = node.dialect.request_metadata(&header_map(request));
-    // A client that still sends may miss a response. The length does not matter, nor how reading ends.
+    // A client that still sends may miss a response.
     let deadline = Deadline::new(Instant::now() + REFUSED_BODY_TIME, node.process_end.clone());
-    let reading = read_declared_body(request, payload, body_limit(node));
+    let reading = discard_declared_body(request, payload, BodyLimits::of(node));
+    // The refusal is sent however the body ends.
     let _ = deadline.wait(reading).await;
     let refused = Refusal::new(ErrorKind::Stopping, "the node stops");
     refuse(node, &facts.id, &refused)
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -15,7 +15,7 @@
 use crate::caller_connection::ConnectionGate;
 use crate::capacity::CapacityTable;
 use crate::home_regions;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, caller_metrics};
 use crate::response_times::ResponseTimes;
 use crate::shares::{ShareGuard, ShareTable};
 use crate::shutdown::ProcessEnd;
@@ -67,6 +67,7 @@
     pub fn metrics_text(&self) -> String {
         self.metrics
             .text(self.buffered_bytes.load(Ordering::Relaxed))
+            + &caller_metrics(&self.connections)
     }
 
     /// Whether the node reports itself ready for requests.
--- a/crates/ingress/src/response_buffer.rs
+++ b/crates/ingress/src/response_buffer.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dappleyard_clock::Instant;
 use dappleyard_model::Resources;
 use derive_more::Display;
@@ -122,6 +122,23 @@
         Some(Bytes::from(chunk))
     }
 
+    /// All `length` bytes in one piece. Chunks are freed while they are copied.
+    pub(crate) fn join(mut self, length: usize) -> Bytes {
+        let Some(first) = self.take() else {
+            return Bytes::new();
+        };
+        if self.chunks.is_empty() {
+            return first;
+        }
+        let mut joined = BytesMut::with_capacity(length);
+        joined.extend_from_slice(&first);
+        drop(first);
+        while let Some(chunk) = self.take() {
+            joined.extend_from_slice(&chunk);
+        }
+        joined.freeze()
+    }
+
     /// Allocated capacity in bytes.
     pub fn allocated_bytes(&self) -> usize {
         self.allocated_bytes
--- a/crates/ingress/src/responses.rs
+++ b/crates/ingress/src/responses.rs
@@ -1,7 +1,7 @@
 //! HTTP responses to clients.
 
-use actix_web::http::StatusCode;
-use actix_web::http::header::{CONNECTION, RETRY_AFTER};
+use actix_web::http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use actix_web::http::{ConnectionType, StatusCode};
 use actix_web::{HttpRequest, HttpResponse};
 use http::HeaderMap;
 
@@ -47,3 +47,12 @@
     }
     response.json(serde_json::json!({"error": kind.to_string(), "detail": refusal.detail}))
 }
+
+/// Ends the connection after a response, since the rest of the request is not read.
+pub(crate) fn ending_connection(mut response: HttpResponse) -> HttpResponse {
+    let head = response.head_mut();
+    head.set_connection_type(ConnectionType::Close);
+    head.headers
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- a/crates/ingress/tests/response_buffer.rs
+++ b/crates/ingress/tests/response_buffer.rs
@@ -9,6 +9,7 @@
         core_millis: 90,
         link_mbps: 30,
         memory_mb,
+        max_fds: 4_096,
     })
 }
 
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use dappleyard_budget::CallerLimits;
+
 use crate::place::Topology;
 
 /// Listen addresses of a node.
@@ -90,6 +92,15 @@
     pub link_mbps: u32,
     /// Memory, megabytes.
     pub memory_mb: u32,
+    /// Open descriptors of the process.
+    pub max_fds: u32,
+}
+
+impl Resources {
+    /// What callers may use of the machine.
+    pub fn caller_limits(&self) -> CallerLimits {
+        CallerLimits::of_machine(self.memory_mb as usize, self.max_fds as usize)
+    }
 }
 
 /// Settings of a node.
