Refuse jobs whose items a node cannot keep

The items of accepted jobs stay in the memory of the node that runs them. 150 jobs of 600 KB took 200 MB, and nothing bounded them where the route has no limit on queued tokens. Jobs of other nodes that this one takes over are counted, but not refused.

--- a/crates/jobs/src/accept.rs
+++ b/crates/jobs/src/accept.rs
@@ -9,6 +9,7 @@
 use prost::Message;
 
 use crate::api::JobService;
+use crate::kept::KeptBytes;
 use crate::keys::{CHUNK_BYTES, items_key, job_key, quota_key};
 use crate::messages::{ItemsBlob, JobRow, StoredItem};
 use dappleyard_clock::Instant;
@@ -32,6 +33,8 @@
     job: &'a str,
     tokens: u64,
     items: Vec<StoredItem>,
+    /// Counts the items from now on, since they are kept once the job is accepted.
+    kept: Option<KeptBytes>,
     /// The encoded items, one chunk per row.
     chunks: Vec<Bytes>,
     /// Last known revision of the quota's row; 0 if it does not exist.
@@ -57,6 +60,7 @@
         Ok(items) => items,
         Err(error) => return JobReply::Refused(ErrorKind::Malformed, error.to_string()),
     };
+    drop(body);
     let items: Vec<StoredItem> = items.into_iter().map(StoredItem::from).collect();
     let blob = ItemsBlob {
         items: items.clone(),
@@ -65,6 +69,15 @@
     if encoded.len() > MAX_JOB_BYTES {
         return JobReply::Refused(ErrorKind::BodyTooLong, "the job is too long".to_owned());
     }
+    let kept = service.table.kept.keep(&items);
+    if service
+        .table
+        .kept
+        .exceed(service.node.settings.resources.memory_mb)
+    {
+        let detail = "the items of other jobs take the memory for them".to_owned();
+        return JobReply::Refused(ErrorKind::MemoryShort, detail);
+    }
     let mut chunks = Vec::new();
     while !encoded.is_empty() {
         chunks.push(encoded.split_to(encoded.len().min(CHUNK_BYTES)));
@@ -76,6 +89,7 @@
         job: &facts.id,
         tokens: items.iter().map(|item| item.tokens).sum(),
         items,
+        kept: Some(kept),
         chunks,
         quota_revision: 0,
         in_doubt: false,
@@ -161,8 +175,8 @@
 
     fn record_accepted(&mut self, row: JobRow, revision: u64) {
         let table = &self.service.table;
-        if !row.owner.is_empty() {
-            table.stash_items(self.job, std::mem::take(&mut self.items));
+        if let Some(kept) = self.kept.take().filter(|_| !row.owner.is_empty()) {
+            table.stash_items(self.job, std::mem::take(&mut self.items), kept);
         }
         table.put(self.job, row, revision);
         Metrics::count(&self.service.node.metrics.jobs_accepted);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -12,6 +12,7 @@
 mod end;
 mod expiry;
 mod garbage_collection;
+mod kept;
 mod keys;
 mod messages;
 mod order;
--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -14,6 +14,7 @@
 use http::Method;
 use prost::Message;
 
+use crate::kept::KeptBytes;
 use crate::keys::{CHUNK_BYTES, job_key, result_key};
 use crate::messages::{JobRow, JobState, StoredItem, StoredResult};
 use crate::partials::{PendingSave, SavedOutput, add_segments, has_unsaved_output};
@@ -197,6 +198,8 @@
     /// Whether its items wait for a configuration that is not older than the job.
     pub awaits_configuration: Cell<bool>,
     pub state: RefCell<OwnedState>,
+    #[expect(dead_code, reason = "counts the items while they are kept")]
+    kept: KeptBytes,
 }
 
 /// One commit: the items whose results it adds in order of position, the output that it saves, and the new row.
@@ -215,7 +218,13 @@
 }
 
 impl OwnedJob {
-    pub(crate) fn new(job: &str, row: JobRow, revision: u64, items: Vec<Item>) -> Self {
+    pub(crate) fn new(
+        job: &str,
+        row: JobRow,
+        revision: u64,
+        items: Vec<Item>,
+        kept: KeptBytes,
+    ) -> Self {
         Self {
             job: job.to_owned(),
             loaded_revision: revision,
@@ -229,6 +238,7 @@
                 lost: false,
                 saved_at: Instant::now(),
             }),
+            kept,
         }
     }
 
--- a/crates/jobs/src/ownership.rs
+++ b/crates/jobs/src/ownership.rs
@@ -9,6 +9,7 @@
 use prost::Message;
 
 use crate::claiming::{ClaimContext, may_claim, may_claim_remote, preferred_worker};
+use crate::kept::KeptBytes;
 use crate::keys::job_key;
 use crate::messages::JobRow;
 use crate::owned::{Item, OwnedJob};
@@ -155,9 +156,9 @@
         let runner = self.clone();
         tokio::task::spawn_local(async move {
             match runner.load(&name, &known.row).await {
-                Ok(items) => {
+                Ok((items, kept)) => {
                     let row = JobRow::clone(&known.row);
-                    let job = OwnedJob::new(&name, row, known.revision, items);
+                    let job = OwnedJob::new(&name, row, known.revision, items, kept);
                     let mut owned = runner.owned.borrow_mut();
                     owned.insert(name.clone(), Rc::new(job));
                 }
@@ -174,10 +175,14 @@
         });
     }
 
-    async fn load(&self, name: &str, row: &JobRow) -> Result<Vec<Item>, StoreError> {
-        let stored = match self.table.take_stashed_items(name) {
-            Some(items) => items,
-            None => retry(|| read_items(self.store.as_ref(), name)).await?,
+    async fn load(&self, name: &str, row: &JobRow) -> Result<(Vec<Item>, KeptBytes), StoreError> {
+        let (stored, kept) = match self.table.take_stashed_items(name) {
+            Some(stashed) => stashed,
+            None => {
+                let stored = retry(|| read_items(self.store.as_ref(), name)).await?;
+                let kept = self.table.kept.keep(&stored);
+                (stored, kept)
+            }
         };
         if stored.len() as u64 != row.total {
             return Err(StoreError::Unavailable {
@@ -195,7 +200,7 @@
         if row.has_partials {
             partials::load(self.store.as_ref(), name, &mut items).await?;
         }
-        Ok(items)
+        Ok((items, kept))
     }
 }
 
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -10,6 +10,7 @@
 use prost::Message;
 use tokio::sync::Notify;
 
+use crate::kept::{KeptBytes, KeptItems};
 use crate::keys::JOBS_TABLE;
 use crate::messages::{JobRow, StoredItem};
 use dappleyard_clock::Instant;
@@ -35,13 +36,15 @@
     contact: Option<Instant>,
     /// The store's time in milliseconds, and when this node received it.
     clock: Option<(u64, Instant)>,
-    stashed_items: HashMap<String, Vec<StoredItem>>,
+    stashed_items: HashMap<String, (Vec<StoredItem>, KeptBytes)>,
 }
 
 #[derive(Default)]
 pub struct JobTable {
     state: Mutex<State>,
     changed: Notify,
+    /// Items that this node keeps.
+    pub(crate) kept: KeptItems,
 }
 
 impl JobTable {
@@ -95,15 +98,13 @@
     }
 
     /// Keeps the items of a job that this node accepted, so that the runner need not read them from the store.
-    pub fn stash_items(&self, job: &str, items: Vec<StoredItem>) {
-        self.state
-            .lock()
-            .stashed_items
-            .insert(job.to_owned(), items);
+    pub(crate) fn stash_items(&self, job: &str, items: Vec<StoredItem>, kept: KeptBytes) {
+        let mut state = self.state.lock();
+        state.stashed_items.insert(job.to_owned(), (items, kept));
     }
 
     /// Takes the items that were kept for the runner.
-    pub fn take_stashed_items(&self, job: &str) -> Option<Vec<StoredItem>> {
+    pub(crate) fn take_stashed_items(&self, job: &str) -> Option<(Vec<StoredItem>, KeptBytes)> {
         self.state.lock().stashed_items.remove(job)
     }
 
