Take nothing for an answer that is none in the protocol

Also found: a chunk whose size line has no size ended the body as if it were whole; trailers could be any lines, another answer's head among them; a length with a sign, two lengths that differ, a length beside chunks, a second transfer encoding, chunks in HTTP/1.0, and numbers over 599 were taken.

Cause: the parser's result was believed. It takes three digits for a status, a line without digits for a last chunk and any byte in an extension, and the number parser of the standard library takes a sign. Names with blanks or control bytes were refused before; the tests guard that.

A head is refused unless its status is 100 to 599 and its framing has one meaning; each size line must begin with a digit; each trailer must be a field. All answers in serve are read there: servers, health checks, store, peers. The request goes on elsewhere if it may; an item starts anew.

--- a/crates/dappleyard/src/explain.rs
+++ b/crates/dappleyard/src/explain.rs
@@ -155,6 +155,7 @@
         "answer_unread" => "the answer was ended because its caller does not read it",
         "request_finished" => "the whole answer was passed on",
         "server_refused_request" => "a server said that it did not run it",
+        "malformed_answer" => "a server sent bytes that are no answer",
         "answer_without_end" => "a server sent more than any answer may have",
         "item_started" => "an item was sent to a server",
         "job_taken" => "another node owns the job",
--- a/crates/ingress/src/attempt.rs
+++ b/crates/ingress/src/attempt.rs
@@ -68,8 +68,27 @@
     /// The connection was closed or reset after the request was sent, so the server process may
     /// have ended.
     pub broken_off: bool,
-    /// The server sent more than any answer may have.
-    pub without_end: bool,
+    /// The server sent what no answer may be.
+    pub invalid: Option<InvalidAnswer>,
+}
+
+/// Why what a server sent is no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InvalidAnswer {
+    /// The bytes break the protocol.
+    Malformed,
+    /// They are more than any answer may have.
+    WithoutEnd,
+}
+
+impl InvalidAnswer {
+    fn of(error: &ExchangeError) -> Option<Self> {
+        match (error.exceeds_limit, error.is_malformed) {
+            (true, _) => Some(Self::WithoutEnd),
+            (false, true) => Some(Self::Malformed),
+            (false, false) => None,
+        }
+    }
 }
 
 impl AttemptError {
@@ -79,8 +98,8 @@
             ran: Ran::Yes,
             reason: error.to_string(),
             unreachable: false,
-            broken_off: !error.exceeds_limit,
-            without_end: error.exceeds_limit,
+            broken_off: !error.is_malformed,
+            invalid: InvalidAnswer::of(error),
         }
     }
 
@@ -99,14 +118,14 @@
             reason: reason.into(),
             unreachable: false,
             broken_off: false,
-            without_end: false,
+            invalid: None,
         }
     }
 
     /// The server sent more than the request allows.
     pub fn output_exceeded(exceeded: OutputExceeded) -> Self {
         Self {
-            without_end: true,
+            invalid: Some(InvalidAnswer::WithoutEnd),
             ..Self::local(Ran::Yes, exceeded.to_string())
         }
     }
@@ -242,7 +261,7 @@
         let head = self.receive_head(&mut connection, request, id).await;
         let (head, facts) = head.inspect_err(|error| {
             self.note_left(&server);
-            self.note_without_end(&server, id, error);
+            self.note_invalid_answer(&server, id, error);
         })?;
         self.node.loads.note_received(&server.id);
         if let Some(load) = facts.load {
@@ -263,7 +282,7 @@
                 reason,
                 unreachable: head.status == 421,
                 broken_off: false,
-                without_end: false,
+                invalid: None,
             });
         }
         Ok(Exchange {
@@ -288,16 +307,21 @@
         self.note_outcome(server, false);
     }
 
-    /// Avoids a server for a while that sent more than an answer may have. Other errors are noted elsewhere.
-    pub fn note_without_end(&self, server: &ServerRecord, request: &str, error: &AttemptError) {
-        if !error.without_end {
+    /// Avoids a server for a while that sent what no answer may be. Other errors are noted elsewhere.
+    pub fn note_invalid_answer(&self, server: &ServerRecord, request: &str, error: &AttemptError) {
+        let Some(invalid) = error.invalid else {
             return;
-        }
-        Metrics::count(&self.node.metrics.answers_without_end);
+        };
+        let metrics = &self.node.metrics;
+        let (counter, event) = match invalid {
+            InvalidAnswer::Malformed => (&metrics.malformed_answers, "malformed_answer"),
+            InvalidAnswer::WithoutEnd => (&metrics.answers_without_end, "answer_without_end"),
+        };
+        Metrics::count(counter);
         self.node.loads.mark_suspect(&server.id, SUSPECT_DURATION);
         self.note_outcome(server, false);
         self.node.log.write(
-            "answer_without_end",
+            event,
             || serde_json::json!({"request": request, "server": server.id, "cause": error.reason}),
         );
     }
@@ -365,8 +389,8 @@
         },
         reason: error.to_string(),
         unreachable: false,
-        broken_off: error.stage > Stage::Connect && !error.exceeds_limit,
-        without_end: error.exceeds_limit,
+        broken_off: error.stage > Stage::Connect && !error.is_malformed,
+        invalid: InvalidAnswer::of(&error),
     }
 }
 
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -57,7 +57,7 @@
             reason: error.to_string(),
             unreachable: true,
             broken_off: false,
-            without_end: false,
+            invalid: None,
         })
     }
 
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -321,7 +321,7 @@
         Ok(body) => body,
         Err(error) => {
             let error = AttemptError::truncated_response(&error);
-            upstreams.note_without_end(&exchange.server, &request.facts.id, &error);
+            upstreams.note_invalid_answer(&exchange.server, &request.facts.id, &error);
             return None;
         }
     };
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -375,7 +375,7 @@
                 .await;
             let request = &self.request.facts.id;
             self.upstreams
-                .note_without_end(&failed_server, request, &error);
+                .note_invalid_answer(&failed_server, request, &error);
             server = Some(failed_server.id.clone());
         }
         if let Some(server) = server.as_ref().filter(|_| error.unreachable) {
--- a/crates/ingress/src/silence.rs
+++ b/crates/ingress/src/silence.rs
@@ -48,7 +48,7 @@
         reason: format!("silent for {} ms", silence.as_millis()),
         unreachable: silence >= UNREACHABLE_AFTER,
         broken_off: false,
-        without_end: false,
+        invalid: None,
     }
 }
 
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -149,7 +149,7 @@
         if let Ok(Err(error)) = dappleyard_clock::timeout(SERVER_IDLE_TIMEOUT, reading).await {
             let error = AttemptError::truncated_response(&error);
             let upstreams = &runner.upstreams;
-            upstreams.note_without_end(server, &request.id, &error);
+            upstreams.note_invalid_answer(server, &request.id, &error);
         }
         runner.upstreams.release(exchange);
         return match status {
@@ -176,7 +176,7 @@
         Err(error) => {
             runner
                 .upstreams
-                .note_without_end(server, &request.id, &error);
+                .note_invalid_answer(server, &request.id, &error);
             // Ends the run before anything else is waited for.
             drop(exchange);
             let interrupted_run = InterruptedRun {
@@ -397,8 +397,8 @@
                 };
                 item.not_before = Some(Instant::now() + retry_delay);
                 item.avoided_address = Some(server.address);
-                if error.without_end && item.events > 0 {
-                    // What came before the excess is no more certain to be right.
+                if error.invalid.is_some() && item.events > 0 {
+                    // What came before is no more certain to be right.
                     item.restart();
                     Metrics::count(&runner.node.metrics.items_restarted);
                 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -112,6 +112,7 @@
         reason: reason.to_owned(),
         is_refused: false,
         exceeds_limit: false,
+        is_malformed: false,
     }
 }
 
--- a/crates/upstream/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -1,6 +1,7 @@
 //! Response body framing.
 
 use bytes::{Buf, Bytes, BytesMut};
+use http::HeaderName;
 
 use crate::malformed::Malformed;
 
@@ -125,8 +126,15 @@
 }
 
 fn chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>, Malformed> {
+    let invalid = Malformed::Invalid("chunk size");
     match httparse::parse_chunk_size(buffer) {
         Ok(httparse::Status::Complete((length, size))) => {
+            // The parser takes a line without a size for the last chunk, and any byte in an extension.
+            let line = &buffer[..length - EMPTY_LINE_BYTES];
+            let has_size = line.first().is_some_and(u8::is_ascii_hexdigit);
+            if !has_size || !line.iter().all(|byte| is_field_byte(*byte)) {
+                return Err(invalid);
+            }
             buffer.advance(length);
             Ok(Some(size))
         }
@@ -134,10 +142,24 @@
             Err(Malformed::TooLong("chunk size"))
         }
         Ok(httparse::Status::Partial) => Ok(None),
-        Err(_) => Err(Malformed::Invalid("chunk size")),
+        Err(_) => Err(invalid),
     }
 }
 
+/// Whether a byte may stand in the value of a field.
+fn is_field_byte(byte: u8) -> bool {
+    byte == b'\t' || (byte >= b' ' && byte != 0x7f)
+}
+
+/// Whether a line of the trailers, without its end, is a field.
+fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return false;
+    };
+    let (name, value) = line.split_at(colon);
+    HeaderName::from_bytes(name).is_ok() && value.iter().all(|byte| is_field_byte(*byte))
+}
+
 /// Consumes a line of the trailers, `before` bytes after their beginning. Returns its length with the line end.
 fn take_line(buffer: &mut BytesMut, before: usize) -> Result<Option<usize>, Malformed> {
     let end = buffer.windows(2).position(|pair| pair == b"\r\n");
@@ -146,6 +168,10 @@
         return Err(Malformed::TooLong("trailers"));
     }
     if let Some(length) = length {
+        let line = &buffer[..length - EMPTY_LINE_BYTES];
+        if !line.is_empty() && !is_field(line) {
+            return Err(Malformed::Invalid("trailers"));
+        }
         buffer.advance(length);
     }
     Ok(length)
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -45,6 +45,8 @@
     pub is_refused: bool,
     /// The peer sent more than a response may have.
     pub exceeds_limit: bool,
+    /// The peer sent bytes that are no response, or more than one may have.
+    pub is_malformed: bool,
 }
 
 impl ExchangeError {
@@ -54,12 +56,14 @@
             reason: reason.to_string(),
             is_refused: false,
             exceeds_limit: false,
+            is_malformed: false,
         }
     }
 
     fn malformed(stage: Stage, malformed: Malformed) -> Self {
         Self {
             exceeds_limit: malformed.exceeds_limit(),
+            is_malformed: true,
             ..Self::new(stage, malformed)
         }
     }
--- a/crates/upstream/src/head.rs
+++ b/crates/upstream/src/head.rs
@@ -1,5 +1,7 @@
 //! Request and response heads.
 
+use std::ops::RangeInclusive;
+
 use bytes::{BufMut, Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -12,6 +14,11 @@
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Numbers that are a status.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+/// The client never asks for another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Response head.
 #[derive(Debug, Clone)]
 pub struct ResponseHead {
@@ -117,6 +124,9 @@
         return Ok(None);
     };
     let status = response.code.unwrap_or(0);
+    if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(Malformed::Invalid("status"));
+    }
     let http11 = response.version == Some(1);
     let mut headers = HeaderMap::with_capacity(response.headers.len());
     for header in response.headers.iter() {
@@ -126,7 +136,7 @@
             .map_err(|_| Malformed::Invalid("header value"))?;
         headers.append(name, value);
     }
-    let framing = framing(status, &headers)?;
+    let framing = framing(status, http11, &headers)?;
     let keep_alive = http11 && !has_close_option(&headers) && framing != BodyFraming::UntilClose;
     let keep_alive_s = keep_alive_seconds(&headers);
     let _ = buffer.split_to(length);
@@ -139,25 +149,49 @@
     }))
 }
 
-fn framing(status: u16, headers: &HeaderMap) -> Result<BodyFraming, Malformed> {
+/// How the body is framed. Framing that others might read differently is refused.
+fn framing(status: u16, http11: bool, headers: &HeaderMap) -> Result<BodyFraming, Malformed> {
+    let is_chunked = is_chunked(headers)?;
+    let length = content_length(headers)?;
+    if is_chunked && (length.is_some() || !http11) {
+        return Err(Malformed::Invalid("transfer encoding"));
+    }
     if status / 100 == 1 || status == 204 || status == 304 {
         return Ok(BodyFraming::Length(0));
     }
-    if let Some(encoding) = headers.get(TRANSFER_ENCODING) {
-        return match encoding.as_bytes().eq_ignore_ascii_case(b"chunked") {
-            true => Ok(BodyFraming::Chunked),
-            false => Err(Malformed::Invalid("transfer encoding")),
-        };
+    Ok(match (is_chunked, length) {
+        (true, _) => BodyFraming::Chunked,
+        (false, Some(length)) => BodyFraming::Length(length),
+        (false, None) => BodyFraming::UntilClose,
+    })
+}
+
+fn is_chunked(headers: &HeaderMap) -> Result<bool, Malformed> {
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (encodings.next(), encodings.next()) {
+        (None, _) => Ok(false),
+        (Some(only), None) if only.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(Malformed::Invalid("transfer encoding")),
     }
-    match headers.get(CONTENT_LENGTH) {
-        Some(length) => length
-            .to_str()
-            .ok()
-            .and_then(|text| text.trim().parse().ok())
-            .map(BodyFraming::Length)
-            .ok_or(Malformed::Invalid("content length")),
-        None => Ok(BodyFraming::UntilClose),
+}
+
+fn content_length(headers: &HeaderMap) -> Result<Option<u64>, Malformed> {
+    let mut found = None;
+    for value in headers.get_all(CONTENT_LENGTH) {
+        let length = decimal(value.as_bytes()).ok_or(Malformed::Invalid("content length"))?;
+        if found.is_some_and(|found| found != length) {
+            return Err(Malformed::Invalid("two content lengths"));
+        }
+        found = Some(length);
     }
+    Ok(found)
+}
+
+/// A number of digits alone; the parser of the standard library takes a sign as well.
+fn decimal(bytes: &[u8]) -> Option<u64> {
+    let is_number = !bytes.is_empty() && bytes.iter().all(u8::is_ascii_digit);
+    let text = std::str::from_utf8(bytes).ok().filter(|_| is_number)?;
+    text.parse().ok()
 }
 
 fn has_close_option(headers: &HeaderMap) -> bool {
