Bound what callers of the own interface may use as well

Sidecars and the operators' port of nodes read bodies and heads with a bound on each, and none on all: 150 bodies of 1 MB took 232 MB at a sidecar and 83 MB at a node, 700 heads of 100 KB took 100 MB; a frame that a stranger announced on a link took as much as frames of the product, 630 MB for 150 of them.

The operators' port reads a body before its handler sees it. A stop closes the gate of the connections, which ends those at rest. A link takes no frame over 16 KB before its peer has said who it is.

--- a/crates/ingress/src/caller_connection.rs
+++ b/crates/callers/src/connection.rs
@@ -31,8 +31,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use crate::metrics::Metrics;
-
 /// Bytes that are read in one turn, so that few pieces of a message are held before its handler has taken them.
 const TURN_BYTES: usize = 4 * 1024;
 /// Bytes that a caller may send beyond what its request needs: the next head, or a body that nobody reads.
@@ -43,12 +41,27 @@
 /// The library's buffer for a head grows by doubling.
 const HEAD_COPIES: usize = 2;
 
+/// What became of connections, counted since the process started.
+#[derive(Debug, Default)]
+pub struct ConnectionCounters {
+    /// Ended inside a head, or inside a request without an answer.
+    pub ended_early: AtomicU64,
+    /// Gave way to new ones.
+    pub given_up: AtomicU64,
+    /// Closed at once, since the process has too many.
+    pub refused: AtomicU64,
+}
+
+fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
 /// All connections of a process.
 pub struct ConnectionGate {
     budget: Arc<MemoryBudget>,
     limits: CallerLimits,
     log: Arc<EventLog>,
-    metrics: Arc<Metrics>,
+    counters: ConnectionCounters,
     is_closed: Arc<AtomicBool>,
     /// Connections with an incomplete head end as well.
     ends_incomplete: AtomicBool,
@@ -88,8 +101,8 @@
 pub struct CallerConnection {
     number: u64,
     /// Address at which it was accepted.
-    pub(crate) local: SocketAddr,
-    pub(crate) accepted: Instant,
+    pub local: SocketAddr,
+    pub accepted: Instant,
     is_gate_closed: Arc<AtomicBool>,
     /// A [`Use`].
     current_use: AtomicU8,
@@ -112,17 +125,17 @@
     /// A gate of a large machine that records nothing.
     fn default() -> Self {
         let limits = CallerLimits::of_machine(4_096, 65_536);
-        Self::new(limits, Arc::new(EventLog::silent()), Arc::default())
+        Self::new(limits, Arc::new(EventLog::silent()))
     }
 }
 
 impl ConnectionGate {
-    pub fn new(limits: CallerLimits, log: Arc<EventLog>, metrics: Arc<Metrics>) -> Self {
+    pub fn new(limits: CallerLimits, log: Arc<EventLog>) -> Self {
         Self {
             budget: MemoryBudget::new(limits.messages),
             limits,
             log,
-            metrics,
+            counters: ConnectionCounters::default(),
             is_closed: Arc::default(),
             ends_incomplete: AtomicBool::default(),
             next_number: AtomicU64::default(),
@@ -190,6 +203,10 @@
         &self.budget
     }
 
+    pub fn counters(&self) -> &ConnectionCounters {
+        &self.counters
+    }
+
     /// What callers may use of the machine.
     pub fn limits(&self) -> &CallerLimits {
         &self.limits
@@ -209,7 +226,7 @@
             return false;
         };
         ending.give_way();
-        Metrics::count(&self.metrics.connections_given_up);
+        count(&self.counters.given_up);
         true
     }
 
@@ -220,7 +237,7 @@
         local: SocketAddr,
     ) -> Option<GatedStream> {
         if !self.make_room() {
-            Metrics::count(&self.metrics.connections_refused);
+            count(&self.counters.refused);
             self.log.write(
                 "connection_refused",
                 || serde_json::json!({"port": local.port(), "connections": self.limits.connections}),
@@ -258,7 +275,7 @@
         let Some(last_use) = early.find(|it| connection.is_in(*it)) else {
             return;
         };
-        Metrics::count(&self.metrics.connections_ended_early);
+        count(&self.counters.ended_early);
         self.log.write("connection_ended_early", || {
             serde_json::json!({"last_use": last_use.to_string(), "port": connection.local.port(),
                 "connection_age_ms": connection.accepted.elapsed().as_millis() as u64,
@@ -296,24 +313,24 @@
     }
 
     /// Memory of the message in progress.
-    pub(crate) fn account(&self) -> &Account {
+    pub fn account(&self) -> &Account {
         &self.account
     }
 
     /// Lets the caller send a body of at most `limit_bytes`, however it is framed.
-    pub(crate) fn allow_body(&self, limit_bytes: usize) {
+    pub fn allow_body(&self, limit_bytes: usize) {
         let framed_bytes = FRAMED_BYTES_PER_BYTE.saturating_mul(limit_bytes as u64);
         let allowed_bytes = framed_bytes.saturating_add(EXCESS_BYTES);
         self.allowed_bytes.store(allowed_bytes, Ordering::Relaxed);
     }
 
     /// Lets the caller send little more, since the rest of the body is not needed.
-    pub(crate) fn end_body(&self) {
+    pub fn end_body(&self) {
         self.allowed_bytes.store(EXCESS_BYTES, Ordering::Relaxed);
     }
 
     /// Notes that the request in progress has arrived whole.
-    pub(crate) fn complete_request(&self) {
+    pub fn complete_request(&self) {
         self.account.complete();
         self.is_complete.store(true, Ordering::Relaxed);
         self.end_body();
@@ -386,7 +403,7 @@
 }
 
 /// The connection of a request; `None` for a call within the process.
-pub(crate) fn connection_of(request: &HttpRequest) -> Option<&Arc<CallerConnection>> {
+pub fn connection_of(request: &HttpRequest) -> Option<&Arc<CallerConnection>> {
     request.conn_data()
 }
 
--- a/crates/ingress/src/http_server.rs
+++ b/crates/callers/src/server.rs
@@ -21,13 +21,32 @@
 use futures::FutureExt;
 use tokio::net::{TcpSocket, TcpStream};
 
-use crate::caller_connection::{AnswerBody, CallerConnection, ConnectionGate, GatedStream};
+use crate::connection::{AnswerBody, CallerConnection, ConnectionGate, GatedStream};
+
+/// How a server treats its connections.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerOptions {
+    /// Idle time after which a connection is closed.
+    pub keep_alive: Duration,
+    /// Time for the head of the first request.
+    pub head: Duration,
+    /// Time for which a connection that was closed for sending is still read.
+    pub disconnect: Duration,
+    /// Time for answers in progress in a stop, in seconds.
+    pub stop_s: u64,
+}
+
+impl Default for ServerOptions {
+    fn default() -> Self {
+        Self {
+            keep_alive: Duration::from_secs(120),
+            head: Duration::from_secs(15),
+            disconnect: Duration::from_secs(1),
+            stop_s: 30,
+        }
+    }
+}
 
-/// Keep-alive timeout of idle caller connections, whatever idle limit the operators set.
-const KEEP_ALIVE: Duration = Duration::from_secs(120);
-const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(15);
-/// Time for which a connection that was closed for sending is still read.
-const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Connections that are accepted beyond the limit, to be refused or to replace others.
 const MAX_WAITING_CONNECTIONS: usize = 32;
 
@@ -53,9 +72,11 @@
     DispatchError::Io(io::Error::other("too many connections"))
 }
 
-/// Starts a server with one worker thread, on which `app` is called once for each listener.
+/// Starts a server with worker threads, on each of which `app` is called once for each listener.
 pub fn serve<F, I, S, B>(
     listeners: Vec<TcpListener>,
+    workers: usize,
+    options: ServerOptions,
     gate: &Arc<ConnectionGate>,
     app: F,
 ) -> io::Result<Server>
@@ -69,7 +90,10 @@
     <S::Service as Service<Request>>::Future: 'static,
     B: MessageBody + 'static,
 {
-    let mut builder = ServerBuilder::new().workers(1).disable_signals();
+    let mut builder = ServerBuilder::new()
+        .workers(workers)
+        .shutdown_timeout(options.stop_s)
+        .disable_signals();
     // The gate decides; this bounds those that wait for it.
     builder =
         builder.max_concurrent_connections(gate.limits().connections + MAX_WAITING_CONNECTIONS);
@@ -100,9 +124,9 @@
                 }
             });
             let http = HttpService::build()
-                .keep_alive(KEEP_ALIVE)
-                .client_request_timeout(REQUEST_HEAD_TIMEOUT)
-                .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+                .keep_alive(options.keep_alive)
+                .client_request_timeout(options.head)
+                .client_disconnect_timeout(options.disconnect)
                 .h1_allow_half_closed(false)
                 .local_addr(local)
                 .on_connect_ext(|stream: &GatedStream, extensions| {
--- a/crates/ingress/tests/http_server.rs
+++ b/crates/callers/tests/server.rs
@@ -4,7 +4,7 @@
 
 use actix_web::{App, HttpResponse, web};
 use dappleyard_budget::CallerLimits;
-use dappleyard_ingress::{ConnectionGate, listen, serve};
+use dappleyard_callers::{ConnectionGate, ServerOptions, listen, serve};
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -25,7 +25,8 @@
         .expect("a port");
         let address = listener.local_addr().expect("an address");
         let gate = Arc::new(ConnectionGate::default());
-        let server = serve(vec![listener], &gate, factory).expect("a server");
+        let server =
+            serve(vec![listener], 1, ServerOptions::default(), &gate, factory).expect("a server");
         let handle = server.handle();
         actix_web::rt::spawn(server);
         let mut caller = TcpStream::connect(address).await.expect("a connection");
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -7,6 +7,7 @@
 
 use actix_web::App;
 use actix_web::dev::ServerHandle;
+use dappleyard_callers::{ConnectionGate, ServerOptions, listen, serve};
 use dappleyard_cluster::{
     CRASHES_TABLE, ConfigurationSink, Contact, Gossip, GossipSettings, GossipTables, LoadTable,
     NODES_TABLE, PeerTable, Registration, ServersSink, StoreHealth, TableSink, VERSIONS_TABLE,
@@ -14,9 +15,8 @@
 };
 use dappleyard_crashes::CrashTable;
 use dappleyard_ingress::{
-    CapacityTable, ConnectionGate, EvacuationLogger, Metrics, Node, PeerHandler, ProcessEnd,
-    ResponseTimes, ShareTable, Upstreams, configure, front_app_data, listen, monitor_warmup,
-    monitor_zones, serve,
+    CapacityTable, EvacuationLogger, Metrics, Node, PeerHandler, ProcessEnd, ResponseTimes,
+    ShareTable, Upstreams, configure, front_app_data, monitor_warmup, monitor_zones,
 };
 use dappleyard_jobs::{BODY_TABLES, JOB_TABLES, JobService, JobTable, Runner};
 use dappleyard_model::{Dialect, EventLog, NodeSettings, Row, RowStore};
@@ -81,7 +81,7 @@
     );
     let metrics = Arc::new(Metrics::default());
     let limits = settings.resources.caller_limits();
-    let connections = ConnectionGate::new(limits, log.clone(), metrics.clone());
+    let connections = ConnectionGate::new(limits, log.clone());
     let node = Arc::new(Node {
         life,
         view: view.clone(),
@@ -317,7 +317,13 @@
         let data = front_app_data(Upstreams::new(node.clone()), Rc::new(jobs), peers);
         App::new().app_data(data).configure(configure)
     };
-    let server = serve(listeners, &connections, factory)?;
+    let server = serve(
+        listeners,
+        1,
+        ServerOptions::default(),
+        &connections,
+        factory,
+    )?;
     let handle = server.handle();
     tokio::task::spawn_local(server);
     Ok(handle)
--- a/crates/dappleyard/tests/misbehaving_callers/own_interface.rs
+++ b/crates/dappleyard/tests/misbehaving_callers/own_interface.rs
@@ -28,8 +28,13 @@
 
 impl OwnProcess {
     fn start(arguments: &[&str], address: SocketAddr) -> Self {
+        let settings = std::env::temp_dir().join(format!("dappleyard-own-{address}.toml"));
+        let memory = format!("memory_mb = {MEMORY_MB}\n");
+        std::fs::write(&settings, memory).expect("a settings file");
         let mut process = Command::new(env!("CARGO_BIN_EXE_dappleyard"))
             .args(arguments)
+            .arg("--config")
+            .arg(&settings)
             .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -14,7 +14,6 @@
 
 use crate::admission::{Refusal, caller_of_jobs, caller_of_route, charge_quota};
 use crate::attempt::{Ran, Upstreams};
-use crate::caller_connection::connection_of;
 use crate::capacity::detect_retry;
 use crate::completion::log_late_request;
 use crate::crashes::{operator_call, request_features};
@@ -29,12 +28,15 @@
 use crate::placement::PromptShape;
 use crate::refusals::{refund_quota, refuse, without_route};
 use crate::relay;
-use crate::request_body::{BodyLimits, asks_for_websocket, note_bodiless, read_declared_body};
+use crate::request_body::{
+    PEER_LIMITS, asks_for_websocket, body_limits, note_bodiless, read_declared_body,
+};
 use crate::responses::{
     copy_headers, ending_connection, error_response, header_map, start_response,
 };
 use crate::resumption::{find_origin, is_resumption};
 use crate::shares::{acquire_share, share_metrics};
+use dappleyard_callers::connection_of;
 use dappleyard_clock::Instant;
 
 /// Copies of the body of a submission that exist at a time.
@@ -185,7 +187,7 @@
     payload: web::Payload,
     data: &HandlerData,
 ) -> HttpResponse {
-    match read_declared_body(request, payload, BodyLimits::of_peers()).await {
+    match read_declared_body(request, payload, PEER_LIMITS).await {
         Ok(call) => HttpResponse::Ok().body((data.peers)(call).await),
         Err(kind) => {
             let refused = Refusal::new(kind, "body of a node's call");
@@ -250,7 +252,7 @@
         .deadline_ms
         .map_or(DEFAULT_TIME_LIMIT, Duration::from_millis);
     let body_deadline = Deadline::new(arrived + body_time, node.process_end.clone());
-    let reading = read_declared_body(&http, payload, BodyLimits::of(&node));
+    let reading = read_declared_body(&http, payload, body_limits(&node));
     let body = body_deadline.wait(reading).await;
     let body = match body.unwrap_or(Err(ErrorKind::BodyTimeout)) {
         Ok(body) => body,
--- a/crates/ingress/src/late_requests.rs
+++ b/crates/ingress/src/late_requests.rs
@@ -3,16 +3,16 @@
 use std::sync::Arc;
 
 use actix_web::{HttpRequest, HttpResponse, web};
+use dappleyard_callers::{REFUSED_BODY_TIME, connection_of};
 use dappleyard_clock::Instant;
 
 use crate::admission::Refusal;
-use crate::caller_connection::connection_of;
 use crate::deadline::Deadline;
 use crate::error_kind::ErrorKind;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::refusals::refuse;
-use crate::request_body::{BodyLimits, REFUSED_BODY_TIME, discard_declared_body};
+use crate::request_body::{body_limits, discard_declared_body};
 use crate::responses::header_map;
 
 /// Records a request that came after the stop was asked for, and the age of its connection.
@@ -35,7 +35,7 @@
     let facts = node.dialect.request_metadata(&header_map(request));
     // A client that still sends may miss a response.
     let deadline = Deadline::new(Instant::now() + REFUSED_BODY_TIME, node.process_end.clone());
-    let reading = discard_declared_body(request, payload, BodyLimits::of(node));
+    let reading = discard_declared_body(request, payload, body_limits(node));
     // The refusal is sent however the body ends.
     let _ = deadline.wait(reading).await;
     let refused = Refusal::new(ErrorKind::Stopping, "the node stops");
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -6,7 +6,6 @@
 
 mod admission;
 mod attempt;
-mod caller_connection;
 mod capacity;
 mod cold_limit;
 mod completion;
@@ -21,7 +20,6 @@
 mod front;
 mod generation_pace;
 mod home_regions;
-mod http_server;
 mod job_calls;
 mod late_requests;
 mod metrics;
@@ -50,7 +48,6 @@
 mod zone_monitor;
 
 pub use attempt::{Attempt, AttemptError, Exchange, Ran, Upstreams};
-pub use caller_connection::ConnectionGate;
 pub use capacity::CapacityTable;
 pub use cold_limit::ColdLimit;
 pub use completion::{ends_before_process, may_meet_deadline};
@@ -62,7 +59,6 @@
 pub use front::{PeerHandler, configure, front_app_data};
 pub use generation_pace::GenerationPace;
 pub use home_regions::{candidate_servers, directory_regions};
-pub use http_server::{listen, serve};
 pub use job_calls::{JobCalls, JobReply};
 pub use metrics::Metrics;
 pub use node::{DIRECTORY_TTL_MS, Node};
@@ -72,7 +68,7 @@
     mean_excess, sample,
 };
 pub use relay::TruncatedResponse;
-pub use response_buffer::{BufferLimit, BufferLimits, BufferedResponse, ChunkQueue, MAX_STALL};
+pub use response_buffer::{BufferLimit, BufferLimits, BufferedResponse, MAX_STALL};
 pub use response_times::{DurationRange, LatencyHistogram, ResponseTimes};
 pub use shares::ShareTable;
 pub use shutdown::{ProcessEnd, close_connections};
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -4,8 +4,6 @@
 
 use dappleyard_tenants::{QuotaTable, TenantCounts};
 
-use crate::caller_connection::ConnectionGate;
-
 const BOUNDS_MS: [u64; 10] = [25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800];
 
 /// Number of tenants with their own label. All others are summed up, which bounds the size of the
@@ -37,21 +35,6 @@
     text
 }
 
-/// What callers use of the machine, in the Prometheus text format.
-pub(crate) fn caller_metrics(connections: &ConnectionGate) -> String {
-    let budget = connections.budget();
-    let values = [
-        ("caller_connections", "gauge", connections.open() as u64),
-        ("caller_memory_bytes", "gauge", budget.used_bytes() as u64),
-        ("caller_memory_refused_total", "counter", budget.refused()),
-        ("caller_memory_given_up_total", "counter", budget.given_up()),
-    ];
-    let lines = values.map(|(name, kind, value)| {
-        format!("# TYPE dappleyard_{name} {kind}\ndappleyard_{name} {value}\n")
-    });
-    lines.concat()
-}
-
 #[derive(Debug, Default)]
 pub struct Metrics {
     /// Requests received from clients.
@@ -93,12 +76,6 @@
     pub items_left_region: AtomicU64,
     /// Batch items requeued after a failed run.
     pub items_again: AtomicU64,
-    /// Connections of callers that ended inside a head, or inside a request without an answer.
-    pub connections_ended_early: AtomicU64,
-    /// Connections that gave way to new ones.
-    pub connections_given_up: AtomicU64,
-    /// Connections that were closed at once, since the process has too many.
-    pub connections_refused: AtomicU64,
     /// Requests that came after the stop was asked for.
     pub requests_while_stopping: AtomicU64,
     /// Responses cut because the process had to end.
@@ -183,9 +160,6 @@
             ("results", &self.results),
             ("items_left_region", &self.items_left_region),
             ("items_again", &self.items_again),
-            ("connections_ended_early", &self.connections_ended_early),
-            ("connections_given_up", &self.connections_given_up),
-            ("connections_refused", &self.connections_refused),
             ("requests_while_stopping", &self.requests_while_stopping),
             ("answers_cut_by_stop", &self.answers_cut_by_stop),
             ("answers_unread", &self.answers_unread),
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -12,13 +12,13 @@
 use dappleyard_tenants::{Caller, ConfigurationStatus, KeyRefusal, QuotaTable, identify};
 use parking_lot::Mutex;
 
-use crate::caller_connection::ConnectionGate;
 use crate::capacity::CapacityTable;
 use crate::home_regions;
-use crate::metrics::{Metrics, caller_metrics};
+use crate::metrics::Metrics;
 use crate::response_times::ResponseTimes;
 use crate::shares::{ShareGuard, ShareTable};
 use crate::shutdown::ProcessEnd;
+use dappleyard_callers::ConnectionGate;
 use dappleyard_clock::Instant;
 
 /// Time for which callers may use a directory answer.
@@ -67,7 +67,7 @@
     pub fn metrics_text(&self) -> String {
         self.metrics
             .text(self.buffered_bytes.load(Ordering::Relaxed))
-            + &caller_metrics(&self.connections)
+            + &self.connections.metrics_text("dappleyard")
     }
 
     /// Whether the node reports itself ready for requests.
--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
+use dappleyard_callers::ConnectionGate;
 use dappleyard_clock::Instant;
 
-use crate::caller_connection::ConnectionGate;
-
 /// Time after the gate is closed in which a head that has begun may become complete.
 const HEAD_TIME: Duration = Duration::from_millis(300);
 
--- a/crates/ingress/tests/response_buffer.rs
+++ b/crates/ingress/tests/response_buffer.rs
@@ -1,6 +1,7 @@
 //! Buffer limits and chunk accounting.
 
-use dappleyard_ingress::{BufferLimit, BufferLimits, ChunkQueue};
+use dappleyard_callers::ChunkQueue;
+use dappleyard_ingress::{BufferLimit, BufferLimits};
 use dappleyard_model::Resources;
 use googletest::prelude::*;
 
--- a/crates/ingress/tests/shutdown.rs
+++ b/crates/ingress/tests/shutdown.rs
@@ -8,8 +8,9 @@
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpRequest, HttpResponse, web};
 use dappleyard_budget::CallerLimits;
+use dappleyard_callers::{ConnectionGate, ServerOptions, listen, serve};
 use dappleyard_clock::Instant;
-use dappleyard_ingress::{ConnectionGate, close_connections, ends_before_process, listen, serve};
+use dappleyard_ingress::{close_connections, ends_before_process};
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -86,7 +87,14 @@
     )
     .expect("a port");
     let address = listener.local_addr().expect("an address");
-    let server = serve(vec![listener], &state.connections, factory).expect("a server");
+    let server = serve(
+        vec![listener],
+        1,
+        ServerOptions::default(),
+        &state.connections,
+        factory,
+    )
+    .expect("a server");
     let handle = server.handle();
     actix_web::rt::spawn(server);
     (state, handle, address)
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -5,6 +5,7 @@
 
 use actix_rt::ArbiterHandle;
 use actix_web::dev::ServerHandle;
+use dappleyard_callers::ConnectionGate;
 use dappleyard_online::OnlineShared;
 use dappleyard_tables::{Lifecycle, NodeTables};
 use dappleyard_transport::RequestGate;
@@ -35,6 +36,8 @@
     pub admin_address: String,
     pub threads: Threads,
     pub admin: ServerHandle,
+    /// Connections of operators.
+    pub admin_connections: Arc<ConnectionGate>,
     pub leave: mpsc::UnboundedSender<LeaveRequest>,
     pub drain: mpsc::UnboundedSender<DrainRequest>,
     /// Ends the links; closed once the workers' links have ended.
@@ -97,6 +100,7 @@
         parts.tables.lifecycle.send_replace(Lifecycle::Stopped);
         threads::kill(&self.arbiters);
         // The gate has counted operators' requests; this writes the last answers.
+        parts.admin_connections.close();
         let _ = timeout_at(deadline, parts.admin.stop(true)).await;
         finished && handed_back
     }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 
 use dappleyard_batch::BatchContext;
+use dappleyard_budget::CallerLimits;
+use dappleyard_callers::{ConnectionGate, listen};
+use dappleyard_model::EventLog;
 use dappleyard_online::OnlineShared;
 use dappleyard_settings::NodeSettings;
 use dappleyard_store::PlatformFactory;
@@ -84,8 +87,12 @@
             })
             .await?;
     }
+    let limits = caller_limits(&settings);
+    let log = Arc::new(EventLog::silent());
+    let admin_connections = Arc::new(ConnectionGate::new(limits, log));
     let admin = admin::start(
         sockets.admin,
+        &admin_connections,
         tables.clone(),
         settings.operate.clone(),
         platform,
@@ -103,6 +110,7 @@
         admin_address: sockets.admin_address,
         threads,
         admin,
+        admin_connections,
         leave,
         drain,
         end_links,
@@ -178,7 +186,11 @@
 impl Sockets {
     fn bind(settings: &NodeSettings) -> Result<Sockets, NodeError> {
         let (link, link_address) = bind_tcp("link_listen", &settings.link_listen)?;
-        let (admin, admin_address) = bind_tcp("admin_listen", &settings.admin_listen)?;
+        let key = "admin_listen";
+        let failed = |cause| bind_error(key, &settings.admin_listen, cause);
+        let address = parse(key, &settings.admin_listen)?;
+        let admin = listen(address, &caller_limits(settings)).map_err(failed)?;
+        let admin_address = admin.local_addr().map_err(failed)?.to_string();
         let key = "gossip_listen";
         let failed = |cause| bind_error(key, &settings.gossip_listen, cause);
         let gossip = UdpSocket::bind(parse(key, &settings.gossip_listen)?).map_err(failed)?;
@@ -194,6 +206,10 @@
     }
 }
 
+fn caller_limits(settings: &NodeSettings) -> CallerLimits {
+    CallerLimits::of_machine(settings.memory_mb, settings.maximum_descriptors)
+}
+
 fn bind_tcp(key: &'static str, address: &str) -> Result<(TcpListener, String), NodeError> {
     let failed = |cause| bind_error(key, address, cause);
     let listener = TcpListener::bind(parse(key, address)?).map_err(failed)?;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -76,6 +76,10 @@
     pub admin_listen: String,
     /// Worker threads of the request path.
     pub workers: usize,
+    /// Memory of the machine for this process, in megabytes. A sixth of it is for messages of callers.
+    pub memory_mb: usize,
+    /// Descriptors that the process may open. Half of those that are not for files are for callers.
+    pub maximum_descriptors: usize,
     /// Timeout of a graceful shutdown, in milliseconds.
     pub stop_bound_ms: u64,
     pub link: LinkBounds,
@@ -95,6 +99,8 @@
             gossip_listen: "127.0.0.1:7701".to_owned(),
             admin_listen: "127.0.0.1:7702".to_owned(),
             workers: 2,
+            memory_mb: 1_024,
+            maximum_descriptors: 10_000,
             stop_bound_ms: 30_000,
             link: LinkBounds::default(),
             platform: PlatformSettings::default(),
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -46,6 +46,10 @@
     /// hedging.
     pub hedge_after_ms: u64,
     pub workers: usize,
+    /// Memory of the machine for this process, in megabytes. A sixth of it is for messages of callers.
+    pub memory_mb: usize,
+    /// Descriptors that the process may open. Half of those that are not for files are for callers.
+    pub maximum_descriptors: usize,
     /// Timeout of a graceful shutdown, in milliseconds.
     pub stop_bound_ms: u64,
     pub link: LinkBounds,
@@ -74,6 +78,8 @@
             maximum_attempts: 4,
             hedge_after_ms: 0,
             workers: 2,
+            memory_mb: 1_024,
+            maximum_descriptors: 10_000,
             stop_bound_ms: 60_000,
             link: LinkBounds::default(),
         }
--- a/crates/sidecar/src/batches.rs
+++ b/crates/sidecar/src/batches.rs
@@ -43,7 +43,7 @@
 ) -> Result<HttpResponse, ApiError> {
     let headers = CallerHeaders::read(request.headers(), worker.settings())?;
     let _slot = worker.acquire_request_slot()?;
-    let body = read_body(payload, worker.settings()).await?;
+    let body = read_body(&request, payload, worker.settings()).await?;
     let body: BatchCreateBody = parse_json(&body)?;
     validate(&body)?;
     let client_key = client_key(&body, &headers)?;
--- a/crates/sidecar/src/files/upload.rs
+++ b/crates/sidecar/src/files/upload.rs
@@ -6,6 +6,7 @@
 use actix_multipart::{Field, Multipart};
 use actix_web::web::{Bytes, BytesMut, Data};
 use actix_web::{HttpRequest, HttpResponse};
+use dappleyard_callers::connection_of;
 use dappleyard_wire::messages::{FileAppend, FileCreate, FileSeal, FileState, call};
 use futures::StreamExt;
 use rand::Rng;
@@ -35,6 +36,9 @@
 ) -> Result<HttpResponse, ApiError> {
     let headers = CallerHeaders::read(request.headers(), worker.settings())?;
     let _slot = worker.acquire_upload_slot()?;
+    if let Some(connection) = connection_of(&request) {
+        connection.allow_body(worker.settings().maximum_file_bytes as usize);
+    }
     let mut purpose = None;
     let mut uploaded = None;
     while let Some(mut field) = next_with_timeout(&worker, form.next()).await? {
--- a/crates/sidecar/src/generations.rs
+++ b/crates/sidecar/src/generations.rs
@@ -48,7 +48,7 @@
             record_response(worker, endpoint, started, error.failure.kind.answer().code)
         })?;
     let request_id = headers.request_id.clone();
-    let result = respond(worker, headers, payload, endpoint).await;
+    let result = respond(worker, headers, http_request, payload, endpoint).await;
     result.map_err(|error| {
         record_response(worker, endpoint, started, error.failure.kind.answer().code);
         error.with_request_id(&request_id)
@@ -58,11 +58,12 @@
 async fn respond(
     worker: &Rc<Worker>,
     headers: CallerHeaders,
+    http_request: &HttpRequest,
     payload: Payload,
     endpoint: Endpoint,
 ) -> Result<HttpResponse, ApiError> {
     let slot = worker.acquire_request_slot()?;
-    let body = read_body(payload, worker.settings()).await?;
+    let body = read_body(http_request, payload, worker.settings()).await?;
     let prepared = parse(&body, headers, worker, endpoint)?;
     drop(body);
     let forward = ForwardedRequest::new(worker.clone(), &prepared);
--- a/crates/sidecar/src/health.rs
+++ b/crates/sidecar/src/health.rs
@@ -13,9 +13,13 @@
     let mut body = Vec::new();
     let families = worker.metrics().registry.gather();
     match TextEncoder::new().encode(&families, &mut body) {
-        Ok(()) => HttpResponse::Ok()
-            .content_type(prometheus::TEXT_FORMAT)
-            .body(body),
+        Ok(()) => {
+            let callers = &worker.shared.connections;
+            body.extend_from_slice(callers.metrics_text("dappleyard_sidecar").as_bytes());
+            HttpResponse::Ok()
+                .content_type(prometheus::TEXT_FORMAT)
+                .body(body)
+        }
         Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
     }
 }
--- a/crates/sidecar/src/request_body.rs
+++ b/crates/sidecar/src/request_body.rs
@@ -2,22 +2,52 @@
 
 use std::time::Duration;
 
-use actix_web::web::{Bytes, BytesMut, Payload};
+use actix_web::HttpRequest;
+use actix_web::web::{Bytes, Payload};
+use dappleyard_callers::{BodyError, BodyLimits, connection_of};
 use dappleyard_settings::SidecarSettings;
 use dappleyard_wire::{ErrorKind, Failure};
-use futures::StreamExt;
 use serde::de::DeserializeOwned;
 
 use crate::error::ApiError;
 
+/// Retry-after hint when the memory for messages of callers is used up.
+const MEMORY_RETRY_AFTER_MS: u32 = 500;
+
 /// Reads the complete body. The timeout covers the whole body, so a slow but active sender times out
 /// as well.
-pub async fn read_body(payload: Payload, settings: &SidecarSettings) -> Result<Bytes, ApiError> {
+pub async fn read_body(
+    request: &HttpRequest,
+    payload: Payload,
+    settings: &SidecarSettings,
+) -> Result<Bytes, ApiError> {
     let limit = Duration::from_millis(settings.body_timeout_ms);
-    let reading = collect(payload, settings.maximum_body_bytes);
-    tokio::time::timeout(limit, reading)
-        .await
-        .unwrap_or_else(|_| Err(body_timeout(settings.body_timeout_ms)))
+    let limits = BodyLimits {
+        bytes: settings.maximum_body_bytes,
+        stall: limit,
+    };
+    let connection = connection_of(request).map(AsRef::as_ref);
+    let mut payload = payload.into_inner();
+    let reading =
+        dappleyard_callers::read_body(connection, request.headers(), &mut payload, limits);
+    let read = tokio::time::timeout(limit, reading).await;
+    read.unwrap_or(Err(BodyError::Stalled))
+        .map_err(|error| match error {
+            BodyError::TooLong => body_too_large(limits.bytes as u64),
+            BodyError::MemoryShort => memory_short(),
+            BodyError::Stalled => body_timeout(settings.body_timeout_ms),
+            BodyError::Malformed => {
+                ApiError::invalid("", format!("the body could not be read: {error}"))
+            }
+        })
+}
+
+fn memory_short() -> ApiError {
+    tracing::warn!("request refused; the memory for messages of callers is used up");
+    let message = "the memory for requests is used up; come back later";
+    Failure::not_run(ErrorKind::Overloaded, message)
+        .retry_after(MEMORY_RETRY_AFTER_MS)
+        .into()
 }
 
 pub fn body_timeout(timeout_ms: u64) -> ApiError {
@@ -30,20 +60,6 @@
     Failure::not_run(ErrorKind::TooLarge, message).into()
 }
 
-async fn collect(mut payload: Payload, limit: usize) -> Result<Bytes, ApiError> {
-    let mut body = BytesMut::new();
-    while let Some(part) = payload.next().await {
-        let part = part.map_err(|error| {
-            ApiError::invalid("", format!("the body could not be read: {error}"))
-        })?;
-        if body.len() + part.len() > limit {
-            return Err(body_too_large(limit as u64));
-        }
-        body.extend_from_slice(&part);
-    }
-    Ok(body.freeze())
-}
-
 /// Parses a JSON body. Errors carry the path of the invalid field.
 pub fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, ApiError> {
     let mut reader = serde_json::Deserializer::from_slice(body);
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -9,7 +9,8 @@
 use actix_web::http::Method;
 use actix_web::middleware::from_fn;
 use actix_web::web::{self, Data, QueryConfig, ServiceConfig};
-use actix_web::{App, HttpResponse, HttpServer};
+use actix_web::{App, HttpResponse};
+use dappleyard_callers::{ServerOptions, listen, serve};
 use dappleyard_settings::SidecarSettings;
 use dappleyard_transport::policy::SharedPolicy;
 use dappleyard_wire::{ErrorKind, Failure};
@@ -68,6 +69,8 @@
         gate.close();
         let closed = async {
             tokio::time::sleep(REFUSAL_TIME.min(bound / PHASES)).await;
+            // Connections at rest end now, the others once their answers are written.
+            self.shared.connections.close();
             self.server.stop(true).await;
         };
         let finished = tokio::time::timeout_at(deadline, closed).await.is_ok();
@@ -95,7 +98,7 @@
     let handle_shared = shared.clone();
     let header_timeout =
         Duration::from_millis(settings.body_timeout_ms).max(MINIMUM_HEADER_TIMEOUT);
-    let server = HttpServer::new(move || {
+    let app = move || {
         let worker = Rc::new(Worker {
             links: Links::start(shared.clone(), policy.clone()),
             shared: shared.clone(),
@@ -104,20 +107,22 @@
             .app_data(Data::new(worker))
             .wrap(from_fn(admit))
             .configure(routes)
-    })
-    .workers(settings.workers)
-    .disable_signals()
-    .h1_allow_half_closed(false)
-    .client_request_timeout(header_timeout)
-    .client_disconnect_timeout(header_timeout)
-    .keep_alive(KEEP_ALIVE)
-    .shutdown_timeout(settings.stop_bound_ms.div_ceil(1_000))
-    .bind(&settings.listen)
-    .map_err(cannot_listen)?;
-    let address = server.addrs().first().copied();
-    let address =
-        address.ok_or_else(|| cannot_listen(std::io::ErrorKind::AddrNotAvailable.into()))?;
-    let running = server.run();
+    };
+    let options = ServerOptions {
+        keep_alive: KEEP_ALIVE,
+        head: header_timeout,
+        disconnect: header_timeout,
+        stop_s: settings.stop_bound_ms.div_ceil(1_000),
+    };
+    let connections = &handle_shared.connections;
+    let unparsed = |_| std::io::ErrorKind::InvalidInput.into();
+    let address = settings.listen.parse().map_err(unparsed);
+    let listener = address.and_then(|address| listen(address, connections.limits()));
+    let listener = listener.map_err(cannot_listen)?;
+    let address = listener.local_addr().map_err(cannot_listen)?;
+    let workers = settings.workers;
+    let running =
+        serve(vec![listener], workers, options, connections, app).map_err(cannot_listen)?;
     let handle = running.handle();
     actix_rt::spawn(running);
     Ok(SidecarHandle {
--- a/crates/sidecar/src/worker.rs
+++ b/crates/sidecar/src/worker.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use dappleyard_budget::CallerLimits;
+use dappleyard_callers::ConnectionGate;
 use dappleyard_decide::retry::RetryBudget;
+use dappleyard_model::EventLog;
 use dappleyard_settings::SidecarSettings;
 use dappleyard_transport::RequestGate;
 use dappleyard_wire::{ErrorKind, Failure};
@@ -24,13 +27,18 @@
     pub retries: Mutex<RetryBudget>,
     /// Admits requests until the process closes.
     pub gate: Arc<RequestGate>,
+    /// Connections of callers, and the memory for their messages.
+    pub connections: Arc<ConnectionGate>,
     open_requests: AtomicUsize,
     uploads: AtomicUsize,
 }
 
 impl Shared {
     pub fn new(settings: SidecarSettings, metrics: Metrics) -> Arc<Shared> {
+        let limits = CallerLimits::of_machine(settings.memory_mb, settings.maximum_descriptors);
+        let log = Arc::new(EventLog::silent());
         Arc::new(Shared {
+            connections: Arc::new(ConnectionGate::new(limits, log)),
             retries: Mutex::new(RetryBudget::new(settings.retry_budget_percent)),
             settings,
             metrics,
--- a/crates/transport/src/link/server.rs
+++ b/crates/transport/src/link/server.rs
@@ -166,7 +166,7 @@
         end: watch::Receiver<bool>,
     ) {
         let _ = socket.set_nodelay(true);
-        let mut connection = Framed::new(socket, self.settings.codec());
+        let mut connection = Framed::new(socket, self.settings.hello_codec());
         let hello = tokio::select! {
             hello = self.exchange_hello(&mut connection) => hello,
             () = wait_for_end(end.clone()) => return,
@@ -179,6 +179,7 @@
                 return;
             }
         };
+        *connection.codec_mut() = self.settings.codec();
         let (outgoing, queue) = Outgoing::new(&peer.id, &self.settings, self.policy.clone());
         let announce_task = actix_rt::spawn(announce(self.announcement.clone(), outgoing.clone()));
         let accepted = AcceptedLink {
--- a/crates/transport/src/link/settings.rs
+++ b/crates/transport/src/link/settings.rs
@@ -53,6 +53,9 @@
     }
 }
 
+/// Largest frame of a peer that has not said who it is, bytes.
+const MAXIMUM_HELLO_BYTES: usize = 16 * 1024;
+
 impl LinkSettings {
     /// The frame codec: each frame has a length prefix of four bytes.
     pub(super) fn codec(&self) -> LengthDelimitedCodec {
@@ -60,4 +63,11 @@
             .max_frame_length(self.maximum_frame_bytes)
             .new_codec()
     }
+
+    /// The codec of the first frame that arrives on an accepted link.
+    pub(super) fn hello_codec(&self) -> LengthDelimitedCodec {
+        let mut codec = self.codec();
+        codec.set_max_frame_length(self.maximum_frame_bytes.min(MAXIMUM_HELLO_BYTES));
+        codec
+    }
 }
