--- a/crates/dappleyard/tests/misbehaving_callers/main.rs
+++ b/crates/dappleyard/tests/misbehaving_callers/main.rs
@@ -39,6 +39,8 @@
 const CALLERS: usize = 150;
 /// Callers that send heads alone, which are shorter than bodies.
 const HEAD_CALLERS: usize = 1_200;
+/// Callers that use up the memory for messages with the largest bodies.
+const FEW_CALLERS: usize = 30;
 /// More callers than a process has descriptors.
 const SILENT_CALLERS: usize = 700;
 /// Bytes on the wire that a legal body may take, in chunks of one byte.
@@ -49,6 +51,9 @@
 const TIMEOUT_MS: u64 = 30_000;
 /// Time that the process has from SIGTERM.
 const GRACE: Duration = Duration::from_secs(8);
+/// Tries of a caller that comes back when told to.
+const MAX_TRIES: usize = 50;
+const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Silence of servers, longer than a crowd sends.
 const SILENCE: Duration = Duration::from_secs(30);
 
@@ -420,3 +425,50 @@
     }
     node.check();
 }
+
+// Guards against requests that wait, each with connections of its own to servers, and use up the descriptors.
+#[gtest]
+fn waiting_callers() {
+    let _exclusive = exclusive();
+    let mut node = SmallNode::start_with(MEMORY_MB, MAX_FDS, MAX_BODY_BYTES);
+    node.silence_servers();
+    let message = sized("/chat/x", 2, 0);
+    let crowd = Crowd::send(node.at(node::FRONT_PORT), SILENT_CALLERS, &message);
+    node.platform.servers.end_silence();
+    node.check();
+    drop(crowd);
+}
+
+/// Sends a request until it is not told to come back; returns the status.
+fn status_in_the_end(node: &NodeProcess, request: &str) -> Option<u16> {
+    for _ in 0..MAX_TRIES {
+        let mut caller = Caller::connect(node.front()).expect("a connection");
+        match caller.exchange(request) {
+            Outcome::Answered(answer) if answer.status == 503 => thread::sleep(RETRY_DELAY),
+            Outcome::Answered(answer) => return Some(answer.status),
+            Outcome::Unanswered { .. } => return None,
+        }
+    }
+    None
+}
+
+// Guards against a parsed submission that takes many times the memory of its text.
+#[gtest]
+fn submission_of_numbers() {
+    let _exclusive = exclusive();
+    let mut node = SmallNode::start_with(SMALLEST_MEMORY_MB, 3_075, LARGEST_BODY_BYTES);
+    let unfinished = sized("/chat/x", LARGEST_BODY_BYTES, 1);
+    let crowd = Crowd::send(node.at(node::FRONT_PORT), FEW_CALLERS, &unfinished);
+    for text in [
+        "[0",
+        "{\"items\":[0",
+        "{\"items\":[{\"id\":\"a\",\"headers\":[0",
+    ] {
+        let first = node::unframed_head("POST", "/jobs/x", "numbers");
+        let body = text.to_owned() + &",0".repeat(LARGEST_BODY_BYTES / 2 - 50);
+        let request = format!("{first}Content-Length: {}\r\n\r\n{body}", body.len());
+        expect_that!(status_in_the_end(&node.node, &request), some(eq(400)));
+    }
+    node.check();
+    drop(crowd);
+}
