Bound the connections to servers

Requests that wait hold connections to servers, and those that are tried elsewhere hold two. With 512 descriptors, of which 200 are files', 700 callers of silent servers brought a process to 429 sockets of 312: the next file, peer or store call fails then.

What callers cannot use of the descriptors is for servers, 112 are set aside for peers, the store and listeners. A connection for a request needs a permit; the connection that has been idle for the longest time is closed for it, and without one the request is refused at once, as not run. Health checks need none, so a server is not taken for lost by it.

--- a/crates/budget/src/limits.rs
+++ b/crates/budget/src/limits.rs
@@ -16,7 +16,9 @@
 const MAX_WAITING: usize = 1_024;
 /// Descriptors that are set aside for files.
 const FILE_DESCRIPTORS: usize = 200;
-/// Share of the other descriptors for callers, as a divisor. The others are for servers, peers and the store.
+/// Descriptors for peers, the store, listeners, timers, and connections of callers that end or are accepted just then.
+const OWN_DESCRIPTORS: usize = 112;
+/// Share of the other descriptors for callers, as a divisor. What callers cannot use is for servers.
 const CALLERS_DIVISOR: usize = 2;
 const BYTES_PER_MB: usize = 1_000_000;
 
@@ -35,6 +37,8 @@
     pub messages: BudgetLimits,
     /// Connections of all callers.
     pub connections: usize,
+    /// Connections to servers.
+    pub server_connections: usize,
     /// Connections that wait to be accepted at one port.
     pub waiting: usize,
     /// Receive buffer of a connection, bytes.
@@ -48,13 +52,15 @@
         let total_bytes = memory_bytes / MESSAGES_DIVISOR;
         let by_memory = memory_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
         let waiting = memory_bytes / WAITING_DIVISOR / (2 * RECEIVE_BUFFER_BYTES);
-        let by_descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS) / CALLERS_DIVISOR;
+        let descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS + OWN_DESCRIPTORS);
+        let connections = by_memory.min(descriptors / CALLERS_DIVISOR).max(1);
         Self {
             messages: BudgetLimits {
                 total_bytes,
                 reserve_bytes: total_bytes / RESERVE_DIVISOR,
             },
-            connections: by_memory.min(by_descriptors).max(1),
+            connections,
+            server_connections: descriptors.saturating_sub(connections).max(1),
             waiting: waiting.clamp(1, MAX_WAITING),
             receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
         }
--- a/crates/dappleyard/src/serve/assembly.rs
+++ b/crates/dappleyard/src/serve/assembly.rs
@@ -25,6 +25,7 @@
     Access, Histories, RelayService, RelayedRows, Replica, follow_directly, mirror,
 };
 use dappleyard_tenants::QuotaTable;
+use dappleyard_upstream::ConnectionLimit;
 use futures::FutureExt;
 use parking_lot::Mutex;
 
@@ -98,6 +99,7 @@
         metrics,
         leaving: Arc::new(AtomicBool::new(false)),
         connections: Arc::new(connections),
+        server_connections: ConnectionLimit::new(limits.server_connections),
         process_end: ProcessEnd::default(),
         last_request: Mutex::new(Instant::now()),
         buffered_bytes: AtomicU64::new(0),
--- a/crates/ingress/src/connections.rs
+++ b/crates/ingress/src/connections.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use dappleyard_model::{ResponseMetadata, ServerRecord};
-use dappleyard_upstream::{Connection, RequestKey, Wanted, request_bytes};
+use dappleyard_upstream::{Connection, ConnectionPermit, RequestKey, Wanted, request_bytes};
 use http::header::HOST;
 use http::{HeaderValue, Method};
 
@@ -44,10 +44,40 @@
         Ok(connection)
     }
 
+    /// A permit for a connection to a server. Idle connections are closed for it.
+    fn permit(&self) -> Result<ConnectionPermit, AttemptError> {
+        loop {
+            if let Some(permit) = self.node.server_connections.acquire() {
+                return Ok(permit);
+            }
+            if !self.pool.close_oldest() {
+                Metrics::count(&self.node.metrics.server_connections_refused);
+                let reason = "too many connections to servers";
+                return Err(AttemptError::local(Ran::No, reason));
+            }
+        }
+    }
+
+    /// Opens a connection for a request.
     async fn open(&self, server: &ServerRecord) -> Result<Connection, AttemptError> {
+        let permit = self.permit()?;
+        self.open_with(server, Some(permit)).await
+    }
+
+    /// Opens a connection for a check. It does not count toward the limit, since a server must not be taken for lost
+    /// because the node has too many connections.
+    async fn open_check(&self, server: &ServerRecord) -> Result<Connection, AttemptError> {
+        self.open_with(server, None).await
+    }
+
+    async fn open_with(
+        &self,
+        server: &ServerRecord,
+        permit: Option<ConnectionPermit>,
+    ) -> Result<Connection, AttemptError> {
         Metrics::count(&self.node.metrics.connections);
         let started = Instant::now();
-        let opened = Connection::open(server.address, CONNECT_TIMEOUT).await;
+        let opened = Connection::open_with(server.address, CONNECT_TIMEOUT, permit).await;
         if opened.is_ok() {
             let zone_distances = self.node.view.zone_distances();
             zone_distances.note_connect_time(&server.zone, started.elapsed());
@@ -86,7 +116,7 @@
     }
 
     async fn can_connect(&self, server: &ServerRecord) -> bool {
-        let Ok(connection) = self.open(server).await else {
+        let Ok(connection) = self.open_check(server).await else {
             return false;
         };
         // Older connections may be dead, so only the new one is kept.
@@ -108,7 +138,7 @@
         let request = request_bytes(&Method::GET, path, headers, &Bytes::new());
         let exchange = async {
             // Idle connections may be stale.
-            let mut connection = self.open(server).await.ok()?;
+            let mut connection = self.open_check(server).await.ok()?;
             let head = connection.send(&request).await.ok()?;
             let facts = self
                 .node
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -65,6 +65,8 @@
     /// be continued there.
     pub resumptions_refused: AtomicU64,
     pub connections: AtomicU64,
+    /// Connections to servers that were not opened, since the process has too many.
+    pub server_connections_refused: AtomicU64,
     pub jobs_accepted: AtomicU64,
     /// Jobs taken over from other nodes.
     pub jobs_claimed: AtomicU64,
@@ -154,6 +156,10 @@
             ("resumptions", &self.resumptions),
             ("resumptions_refused", &self.resumptions_refused),
             ("connections", &self.connections),
+            (
+                "server_connections_refused",
+                &self.server_connections_refused,
+            ),
             ("jobs_accepted", &self.jobs_accepted),
             ("jobs_claimed", &self.jobs_claimed),
             ("jobs_lost", &self.jobs_lost),
--- a/crates/ingress/src/node.rs
+++ b/crates/ingress/src/node.rs
@@ -10,6 +10,7 @@
 use dappleyard_model::{Configuration, Dialect, EventLog, KeyDigest, NodeSettings};
 use dappleyard_streams::StreamTable;
 use dappleyard_tenants::{Caller, ConfigurationStatus, KeyRefusal, QuotaTable, identify};
+use dappleyard_upstream::ConnectionLimit;
 use parking_lot::Mutex;
 
 use crate::capacity::CapacityTable;
@@ -55,6 +56,8 @@
     pub leaving: Arc<AtomicBool>,
     /// Connections of callers, which a stop closes.
     pub connections: Arc<ConnectionGate>,
+    /// Bound on connections to servers.
+    pub server_connections: Arc<ConnectionLimit>,
     pub process_end: ProcessEnd,
     /// Arrival of the last client request.
     pub last_request: Mutex<Instant>,
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -13,6 +13,7 @@
 
 use crate::body::BodyReader;
 use crate::head::{RequestBytes, ResponseHead, take_head};
+use crate::limit::ConnectionPermit;
 use crate::malformed::Malformed;
 use dappleyard_clock::Instant;
 
@@ -104,10 +105,21 @@
     unsent: RequestBytes,
     /// The last named requests that were sent on it.
     carried: VecDeque<RequestKey>,
+    #[expect(dead_code, reason = "counts the connection while it is open")]
+    permit: Option<ConnectionPermit>,
 }
 
 impl Connection {
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, ExchangeError> {
+        Self::open_with(address, limit, None).await
+    }
+
+    /// The same for a connection that counts toward a limit.
+    pub async fn open_with(
+        address: SocketAddr,
+        limit: Duration,
+        permit: Option<ConnectionPermit>,
+    ) -> Result<Self, ExchangeError> {
         let connecting = tokio::time::timeout(limit, TcpStream::connect(address));
         let stream = connecting
             .await
@@ -126,6 +138,7 @@
             requests: 0,
             unsent: RequestBytes::default(),
             carried: VecDeque::new(),
+            permit,
         })
     }
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,10 +6,12 @@
 mod body;
 mod connection;
 mod head;
+mod limit;
 mod malformed;
 mod pool;
 
 pub use body::BodyFraming;
 pub use connection::{Connection, ExchangeError, RequestKey, Stage};
 pub use head::{RequestBytes, ResponseHead, request_bytes};
+pub use limit::{ConnectionLimit, ConnectionPermit};
 pub use pool::{IdleLimit, Pool, Wanted};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -84,6 +84,22 @@
         }
     }
 
+    /// Closes the connection that has been idle for the longest time. Returns whether there was one.
+    pub fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        // The first of a peer is its oldest.
+        let first = idle
+            .values_mut()
+            .filter(|connections| !connections.is_empty());
+        match first.min_by_key(|connections| connections[0].idle_since()) {
+            Some(connections) => {
+                connections.remove(0);
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Closes all idle connections to a peer.
     pub fn forget(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
