Charge frames that have not arrived whole to the memory for messages

A peer that has said who it is may announce frames of 4 MiB on each link; nothing bounded those of all links together: 150 links took 630 MB. An accepted link has an account in the budget of the process, which is charged for what has arrived of a frame; a link for whose frame there is no memory is closed (closed_total, memory_short). Links have a receive buffer of 64 KB.

--- a/crates/dappleyard/tests/misbehaving_callers/own_interface.rs
+++ b/crates/dappleyard/tests/misbehaving_callers/own_interface.rs
@@ -5,7 +5,10 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use dappleyard_wire::PROTOCOL_VERSION;
+use dappleyard_wire::messages::{Frame, Hello, frame};
 use googletest::prelude::*;
+use prost::Message as _;
 
 use crate::crowd::{Crowd, Message};
 use crate::usage::UsageWatch;
@@ -186,19 +189,44 @@
     );
 }
 
-// Guards against frames of strangers, which are as large as those of the product itself.
-#[gtest]
-fn link_frames() {
+const FRAME_BYTES: u32 = 4_000_000;
+
+/// Sends a frame without its last byte, after these bytes.
+fn survives_frames(before: Vec<u8>) {
     let _exclusive = exclusive();
     let mut process = OwnProcess::link();
-    let length: u32 = 4_000_000;
+    let mut first = before;
+    first.extend_from_slice(&FRAME_BYTES.to_be_bytes());
     let message = Message {
-        first: length.to_be_bytes().to_vec(),
+        first,
         repeated: vec![b'x'; 16 * 1024],
-        repeated_bytes: u64::from(length) - 1,
+        repeated_bytes: u64::from(FRAME_BYTES) - 1,
         piece_bytes: usize::MAX,
     };
     let crowd = Crowd::send(process.address, CALLERS, &message);
     process.check_usage();
     drop(crowd);
 }
+
+// Guards against frames of strangers, which are as large as those of the product itself.
+#[gtest]
+fn link_frames() {
+    survives_frames(Vec::new());
+}
+
+// Guards against the same from peers that have said who they are.
+#[gtest]
+fn link_frames_of_peers() {
+    let hello = Hello {
+        protocol: PROTOCOL_VERSION,
+        id: "crowd".to_owned(),
+        ..Hello::default()
+    };
+    let frame = Frame {
+        body: Some(frame::Body::Hello(hello)),
+        ..Frame::default()
+    };
+    let encoded = frame.encode_to_vec();
+    let length = u32::try_from(encoded.len()).expect("a short frame");
+    survives_frames([&length.to_be_bytes(), encoded.as_slice()].concat());
+}
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use dappleyard_batch::JobsApi;
+use dappleyard_budget::MemoryBudget;
 use dappleyard_online::{OnlineContext, OnlineShared, OnlineWorker};
 use dappleyard_settings::NodeSettings;
 use dappleyard_store::PlatformFactory;
@@ -24,6 +25,8 @@
 
 #[derive(Clone)]
 pub struct RequestContext {
+    /// Memory for messages of callers.
+    pub budget: Arc<MemoryBudget>,
     pub settings: NodeSettings,
     pub tables: Arc<NodeTables>,
     /// State that the workers share for online requests.
@@ -42,6 +45,7 @@
 impl RequestContext {
     fn link_settings(&self) -> LinkSettings {
         LinkSettings {
+            budget: self.budget.clone(),
             metrics: self.link_metrics.clone(),
             ..LinkSettings::from(&self.settings.link)
         }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -26,6 +26,9 @@
 use crate::threads::Threads;
 use crate::{admin, engine};
 
+/// Receive buffer of a link, which carries the traffic of many callers.
+const LINK_RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Asks the batch thread to release or finish its chunks; answered once that is done.
 pub type DrainRequest = oneshot::Sender<()>;
 
@@ -58,8 +61,11 @@
     if let Err(error) = link_metrics.register(&tables.metrics) {
         tracing::warn!(%error, "link metrics could not be registered");
     }
+    let log = Arc::new(EventLog::silent());
+    let admin_connections = Arc::new(ConnectionGate::new(caller_limits(&settings), log));
     let (end_links, links_ending) = watch::channel(false);
     let request = RequestContext {
+        budget: admin_connections.budget().clone(),
         link_metrics,
         end_links: links_ending,
         gate: RequestGate::new(),
@@ -87,9 +93,6 @@
             })
             .await?;
     }
-    let limits = caller_limits(&settings);
-    let log = Arc::new(EventLog::silent());
-    let admin_connections = Arc::new(ConnectionGate::new(limits, log));
     let admin = admin::start(
         sockets.admin,
         &admin_connections,
@@ -185,12 +188,13 @@
 
 impl Sockets {
     fn bind(settings: &NodeSettings) -> Result<Sockets, NodeError> {
-        let (link, link_address) = bind_tcp("link_listen", &settings.link_listen)?;
-        let key = "admin_listen";
-        let failed = |cause| bind_error(key, &settings.admin_listen, cause);
-        let address = parse(key, &settings.admin_listen)?;
-        let admin = listen(address, &caller_limits(settings)).map_err(failed)?;
-        let admin_address = admin.local_addr().map_err(failed)?.to_string();
+        let limits = caller_limits(settings);
+        let link_limits = CallerLimits {
+            receive_buffer_bytes: LINK_RECEIVE_BUFFER_BYTES,
+            ..limits
+        };
+        let (link, link_address) = bind_tcp("link_listen", &settings.link_listen, &link_limits)?;
+        let (admin, admin_address) = bind_tcp("admin_listen", &settings.admin_listen, &limits)?;
         let key = "gossip_listen";
         let failed = |cause| bind_error(key, &settings.gossip_listen, cause);
         let gossip = UdpSocket::bind(parse(key, &settings.gossip_listen)?).map_err(failed)?;
@@ -210,10 +214,13 @@
     CallerLimits::of_machine(settings.memory_mb, settings.maximum_descriptors)
 }
 
-fn bind_tcp(key: &'static str, address: &str) -> Result<(TcpListener, String), NodeError> {
+fn bind_tcp(
+    key: &'static str,
+    address: &str,
+    limits: &CallerLimits,
+) -> Result<(TcpListener, String), NodeError> {
     let failed = |cause| bind_error(key, address, cause);
-    let listener = TcpListener::bind(parse(key, address)?).map_err(failed)?;
-    listener.set_nonblocking(true).map_err(failed)?;
+    let listener = listen(parse(key, address)?, limits).map_err(failed)?;
     let bound = listener.local_addr().map_err(failed)?.to_string();
     Ok((listener, bound))
 }
--- a/crates/transport/src/link/mod.rs
+++ b/crates/transport/src/link/mod.rs
@@ -11,6 +11,7 @@
 
 mod announce;
 mod client;
+mod codec;
 mod metrics;
 mod outgoing;
 mod server;
--- a/crates/transport/src/link/server.rs
+++ b/crates/transport/src/link/server.rs
@@ -179,7 +179,8 @@
                 return;
             }
         };
-        *connection.codec_mut() = self.settings.codec();
+        let maximum_bytes = self.settings.maximum_frame_bytes;
+        connection.codec_mut().allow(maximum_bytes);
         let (outgoing, queue) = Outgoing::new(&peer.id, &self.settings, self.policy.clone());
         let announce_task = actix_rt::spawn(announce(self.announcement.clone(), outgoing.clone()));
         let accepted = AcceptedLink {
--- a/crates/transport/src/link/session.rs
+++ b/crates/transport/src/link/session.rs
@@ -9,15 +9,16 @@
 use futures::{FutureExt, SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::TcpStream;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 
+use super::codec::FrameCodec;
 use super::outgoing::{OutgoingQueue, Queued, encode};
 use super::settings::LinkSettings;
 use crate::gate::RequestGuard;
 use crate::policy::SharedPolicy;
 
 /// A connection that carries frames.
-pub(super) type FramedConnection = Framed<TcpStream, LengthDelimitedCodec>;
+pub(super) type FramedConnection = Framed<TcpStream, FrameCodec>;
 
 /// Polling interval while the path is partitioned.
 const PARTITION_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -40,6 +41,8 @@
     SlowPeer,
     /// The peer sent a frame larger than the limit.
     Oversize,
+    /// There is no memory for the frame that arrives.
+    MemoryShort,
     /// The peer sent bytes that do not decode as a frame.
     Garbage,
 }
@@ -54,6 +57,7 @@
             CloseReason::Stalled => "stalled",
             CloseReason::SlowPeer => "slow_peer",
             CloseReason::Oversize => "oversize",
+            CloseReason::MemoryShort => "memory_short",
             CloseReason::Garbage => "garbage",
         }
     }
@@ -117,6 +121,9 @@
             let bytes = match next {
                 Err(_) => return CloseReason::Idle,
                 Ok(None) => return CloseReason::PeerEnd,
+                Ok(Some(Err(error))) if error.kind() == std::io::ErrorKind::OutOfMemory => {
+                    return CloseReason::MemoryShort;
+                }
                 Ok(Some(Err(error))) if error.kind() == std::io::ErrorKind::InvalidData => {
                     return CloseReason::Oversize;
                 }
--- a/crates/transport/src/link/settings.rs
+++ b/crates/transport/src/link/settings.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dappleyard_budget::{BudgetLimits, MemoryBudget};
 use dappleyard_settings::LinkBounds;
-use tokio_util::codec::LengthDelimitedCodec;
 
+use super::codec::FrameCodec;
 use super::metrics::LinkMetrics;
 
 /// Limits and timeouts of links.
@@ -27,6 +28,8 @@
     pub maximum_streams: usize,
     /// Maximum accepted links.
     pub maximum_links: usize,
+    /// Memory for frames on accepted links that have not arrived whole.
+    pub budget: Arc<MemoryBudget>,
     /// Metrics of all links with these settings.
     pub metrics: Arc<LinkMetrics>,
 }
@@ -48,26 +51,29 @@
             maximum_stream_bytes: bounds.maximum_stream_bytes,
             maximum_streams: bounds.maximum_streams,
             maximum_links: bounds.maximum_links,
+            budget: MemoryBudget::new(UNBOUNDED),
             metrics: Arc::default(),
         }
     }
 }
 
+/// Limits where the process states none.
+const UNBOUNDED: BudgetLimits = BudgetLimits {
+    total_bytes: usize::MAX / 2,
+    reserve_bytes: 0,
+};
 /// Largest frame of a peer that has not said who it is, bytes.
 const MAXIMUM_HELLO_BYTES: usize = 16 * 1024;
 
 impl LinkSettings {
-    /// The frame codec: each frame has a length prefix of four bytes.
-    pub(super) fn codec(&self) -> LengthDelimitedCodec {
-        LengthDelimitedCodec::builder()
-            .max_frame_length(self.maximum_frame_bytes)
-            .new_codec()
+    /// Codec of a link that this process opens.
+    pub(super) fn codec(&self) -> FrameCodec {
+        FrameCodec::new(self.maximum_frame_bytes, None)
     }
 
-    /// The codec of the first frame that arrives on an accepted link.
-    pub(super) fn hello_codec(&self) -> LengthDelimitedCodec {
-        let mut codec = self.codec();
-        codec.set_max_frame_length(self.maximum_frame_bytes.min(MAXIMUM_HELLO_BYTES));
-        codec
+    /// Codec of an accepted link, until its peer has said who it is.
+    pub(super) fn hello_codec(&self) -> FrameCodec {
+        let maximum_bytes = self.maximum_frame_bytes.min(MAXIMUM_HELLO_BYTES);
+        FrameCodec::new(maximum_bytes, Some(self.budget.open()))
     }
 }
