Modules for the gate, the connection, its stream and the body of an answer

Moved, not changed, but for three things: a request without a body is whole as it begins, for all programs; an answer that the HTTP library makes of a handler's error ends the request on its connection; connections are counted before they are looked at.

--- a/crates/callers/src/metrics.rs
+++ b/crates/callers/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use crate::connection::ConnectionGate;
+use crate::gate::ConnectionGate;
 
 impl ConnectionGate {
     /// Metrics whose names begin with `prefix`.
--- a/crates/callers/src/server.rs
+++ b/crates/callers/src/server.rs
@@ -9,7 +9,7 @@
 
 use actix_http::body::MessageBody;
 use actix_http::error::DispatchError;
-use actix_http::{HttpService, Request, Response};
+use actix_http::{HttpMessage, HttpService, Request, Response};
 use actix_server::{Server, ServerBuilder};
 use actix_service::{
     IntoServiceFactory, Service, ServiceFactory, ServiceFactoryExt, apply_fn_factory, fn_service,
@@ -21,7 +21,11 @@
 use futures::FutureExt;
 use tokio::net::{TcpSocket, TcpStream};
 
-use crate::connection::{AnswerBody, CallerConnection, ConnectionGate, GatedStream};
+use crate::answer_body::AnswerBody;
+use crate::body::has_body;
+use crate::connection::CallerConnection;
+use crate::gate::ConnectionGate;
+use crate::stream::GatedStream;
 
 /// How a server treats its connections.
 #[derive(Debug, Clone, Copy)]
@@ -114,11 +118,17 @@
             let handler = apply_fn_factory(handler, |request: Request, service: &S::Service| {
                 let connection = request.conn_data::<Arc<CallerConnection>>().cloned();
                 if let Some(connection) = &connection {
-                    connection.begin_request();
+                    connection.begin_request(has_body(request.headers()));
                 }
                 let answering = AssertUnwindSafe(service.call(request)).catch_unwind();
                 async move {
                     let answer = answering.await.map_err(|_| handler_panicked())?;
+                    // The answer to an error is made by the library and has no body that could end.
+                    let answer = answer.inspect_err(|_| {
+                        if let Some(connection) = &connection {
+                            connection.end_answer();
+                        }
+                    });
                     let answer: Response<B> = answer?.into();
                     Ok(answer.map_body(|_, body| AnswerBody::new(body, connection)))
                 }
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -28,9 +28,7 @@
 use crate::placement::PromptShape;
 use crate::refusals::{refund_quota, refuse, without_route};
 use crate::relay;
-use crate::request_body::{
-    PEER_LIMITS, asks_for_websocket, body_limits, note_bodiless, read_declared_body,
-};
+use crate::request_body::{PEER_LIMITS, asks_for_websocket, body_limits, read_declared_body};
 use crate::responses::{
     copy_headers, ending_connection, error_response, header_map, start_response,
 };
@@ -77,7 +75,6 @@
     payload: web::Payload,
     data: web::Data<HandlerData>,
 ) -> HttpResponse {
-    note_bodiless(&request);
     let node = data.upstreams.node().clone();
     let listen = &node.settings.listen;
     let port = connection_of(&request).map_or(listen.front.port(), |it| it.local.port());
--- a/crates/ingress/src/request_body.rs
+++ b/crates/ingress/src/request_body.rs
@@ -5,7 +5,7 @@
 use actix_web::http::header::UPGRADE;
 use actix_web::{HttpRequest, web};
 use bytes::Bytes;
-use dappleyard_callers::{BodyError, BodyLimits, connection_of, discard_body, has_body, read_body};
+use dappleyard_callers::{BodyError, BodyLimits, connection_of, discard_body, read_body};
 
 use crate::error_kind::ErrorKind;
 use crate::node::Node;
@@ -42,13 +42,6 @@
     offers.any(|value| value.to_ascii_lowercase().contains("websocket"))
 }
 
-/// Notes that a request without a body has arrived whole.
-pub(crate) fn note_bodiless(request: &HttpRequest) {
-    if let Some(connection) = connection_of(request).filter(|_| !has_body(request.headers())) {
-        connection.complete_request();
-    }
-}
-
 /// Reads the body of a request that declares one.
 pub(crate) async fn read_declared_body(
     request: &HttpRequest,
