--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -11,9 +11,6 @@
 use derive_more::Display;
 use futures::task::AtomicWaker;
 use parking_lot::Mutex;
-use tokio::net::TcpStream;
-
-use crate::stream::has_arrived;
 
 /// Bytes that a caller may send beyond what its request needs: the next head, or a body that nobody reads.
 const EXCESS_BYTES: u64 = 32 * 1024;
@@ -163,19 +160,11 @@
         }
     }
 
-    /// Whether the connection ends for others. One that rests is spared once something has arrived on it.
-    pub(crate) fn has_given_way(&self, stream: &TcpStream) -> bool {
-        match (self.is_in(Use::Reading), self.is_in(Use::Resting)) {
-            (true, _) => self.account.is_given_up(),
-            (_, true) if self.gives_way() && has_arrived(stream) => {
-                self.gives_way.store(false, Ordering::Release);
-                self.account.restart();
-                false
-            }
-            (_, true) => self.gives_way(),
-            // The handler ends the request.
-            _ => false,
-        }
+    /// Whether the connection ends for others. A request that has arrived on it is not read.
+    pub(crate) fn has_given_way(&self) -> bool {
+        // The handler ends a request that has begun.
+        let is_unused = self.is_in(Use::Resting) || self.is_in(Use::Reading);
+        is_unused && (self.gives_way() || self.account.is_given_up())
     }
 
     /// Accounts for bytes that were read. An error if the caller has sent more than its request may have, or if there is no
--- a/crates/callers/src/stream.rs
+++ b/crates/callers/src/stream.rs
@@ -75,7 +75,7 @@
 }
 
 /// Whether bytes can be read. Asks the socket itself, since the runtime may not have been told of them yet.
-pub(crate) fn has_arrived(stream: &TcpStream) -> bool {
+fn has_arrived(stream: &TcpStream) -> bool {
     let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
     // An error shows at the next read; the connection ends in either case.
     recv(stream, &mut [0; 1], flags).is_ok_and(|(_, arrived)| arrived > 0)
@@ -95,7 +95,7 @@
             }
             self.connection.note_read();
         }
-        if self.connection.has_given_way(&self.stream) {
+        if self.connection.has_given_way() {
             return Poll::Ready(Ok(()));
         }
         let length = ready!(self.poll_piece(context, buffer))?;
