--- a/crates/engine/tests/malformed_answers.rs
+++ b/crates/engine/tests/malformed_answers.rs
@@ -48,12 +48,12 @@
 
 // Guards against a blank before the colon, by which a line means one thing to one reader and another to the next.
 #[gtest]
-fn blank_before_the_colon() {
+fn engine_blank_before_colon() {
     is_no_answer("HTTP/1.1 200 OK", "content-length : 4\r\n");
 }
 
 #[gtest]
-fn two_framings() {
+fn engine_two_framings() {
     let lines = "content-length: 4\r\ntransfer-encoding: chunked\r\n";
     is_no_answer("HTTP/1.1 200 OK", &format!("{lines}\r\n4\r\nnull\r\n0\r\n"));
 }
