--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,82 +1,82 @@
-"""Servers say that they drain while open connections to the store are silent; nodes go on sending requests to them."""
+"""Streams that use all their tokens come late in a planned stop, after many that used a third of theirs."""
 
 import asyncio
+import json
 import pathlib
+import signal
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin-2"))
-from platform2 import BOUNDS, FRONT, TROUBLE, Fleet, batch_route, configuration, items, main, route, submit
+from platform2 import BOUNDS, DIRECTORY, FRONT, HOST, REGION, TROUBLE, CannotRun, Fleet, configuration, main, route
 
-WAVES, JOBS = 3, 8  # jobs of two items, sent to each node at a time
-DRAIN_AFTER_S = 0.9  # from the silence
-LINGER_S = 1.5  # "a little longer" than drain_ms, after which the server ends
-MARGIN_S = 0.05
+TOKENS_OUT = 203  # the most that each request may generate; the servers put seven tokens into an event
+USUAL, LONG, GAP_S = 9, 29, 0.125  # events of a stream: a third of the tokens, and all of them
+DEADLINE_S = 4.0
+LATE_S = (4.0, 4.1, 4.2, 4.3)  # after the SIGTERM
 
 
 async def case(folder):
-    fleet = Fleet(folder, nodes=6)
-    answers = []
+    fleet = Fleet(folder, nodes=3)
+    answers = {}
 
-    async def stream(node, number):
-        """A client's stream that may run once."""
-        headers = {"X-Dappleyard-Request-Id": f"57{number:06x}", "X-Dappleyard-Model": "m", "X-Dappleyard-Deadline-Ms": "4000",
-                   "X-Dappleyard-Token-Count": "300,200", "X-Dappleyard-Prompt-Prefix": f"5c1e07a2:100,57{number:06x}:200"}
+    async def stream(node, request):
+        """A client's stream that may run once: its status and whether it is whole."""
+        headers = {"X-Dappleyard-Request-Id": request, "X-Dappleyard-Model": "m", "X-Dappleyard-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+                   "X-Dappleyard-Token-Count": f"491,{TOKENS_OUT}", "X-Dappleyard-Prompt-Prefix": f"{request}:491"}
         sent = time.monotonic()
-        status, _, _ = await fleet.call(node.ip, FRONT, "POST", "/order/1", headers, b"hello")
-        answers.append((sent, headers["X-Dappleyard-Request-Id"], status))
+        status, _, body = await fleet.call(node.ip, FRONT, "POST", "/digest/1", headers, b"hello")
+        answers[request] = status, body.count(b"data: "), time.monotonic() - sent
 
-    async def clients():
+    async def usual_clients():
         number = 0
         while True:
             for node in fleet.nodes:
                 number += 1
-                tasks.add(asyncio.create_task(stream(node, number)))
-            await asyncio.sleep(0.06)
+                tasks.add(asyncio.create_task(stream(node, f"57{number:06x}")))
+            await asyncio.sleep(0.15)
 
     tasks = set()
-    for _ in range(24):
-        fleet.add_server(slots=8, events=30, gap_s=0.02)
-    leaving = fleet.servers[:3]  # one in each zone: an eighth of the servers
+    for _ in range(6):
+        fleet.add_server(slots=17, pace=lambda request: (LONG if request.startswith("1a") else USUAL, GAP_S))
     try:
-        await fleet.start(configuration(10, [batch_route(), route("order", "streaming", max_attempts=1, resumable=False)]))
+        await fleet.start(configuration(10, [route("digest", "streaming", timeout_ms=4000, target_ms=1000, gap_aim_ms=300, max_attempts=1,
+                                                   resumable=False)]))
         await asyncio.sleep(2)
-        tasks.add(asyncio.create_task(clients()))
-        for wave in range(WAVES):
-            jobs = [(node, f"e{wave}{node.number}{at}00000000") for node in fleet.nodes for at in range(JOBS)]
-            for status in await asyncio.gather(*(submit(fleet, node, job, items(job[:6], 2)) for node, job in jobs)):
-                if status != 202:
-                    fleet.record.say("an earlier job was answered", status)
-            await asyncio.sleep(2)
-        await asyncio.sleep(3)
-        # The feed of an idle table is asked for anew each 2 s; the silence comes some tenths after that.
-        while not 0.1 < time.monotonic() - fleet.store.feed_asked["op"] < 0.6:
-            await asyncio.sleep(0.02)
-        silent_at = time.monotonic()
+        usual = asyncio.create_task(usual_clients())
+        await asyncio.sleep(9)
+        usual.cancel()
+        await asyncio.sleep(2)
+        broken = [request for request, (status, events, _) in answers.items() if status != 200 or events != USUAL]
+        fleet.record.say("streams before the stop:", len(answers), "not whole:", len(broken))
+        if broken:
+            raise CannotRun("streams before the stop weren't whole")
+        stopped, other = fleet.nodes[:2]
+        _, _, body = await fleet.call(other.ip, DIRECTORY, "GET", f"/v1/resolve?name={HOST}&region={REGION}&zone={stopped.zone}")
+        found = json.loads(body)
+        if f"{stopped.ip}:{FRONT}" not in found["addresses"] or 3 * found["ttl_s"] < max(LATE_S):
+            raise CannotRun("clients don't keep the address for so long")
+        asked = time.monotonic()
         if TROUBLE:
-            fleet.record.say("open connections to the store go silent:", fleet.store.silence())
-        await asyncio.sleep(DRAIN_AFTER_S)
-        for server in leaving:
-            await server.drain()
-        drained_at = time.monotonic()
-        fleet.record.say(f"the store has acknowledged that {len(leaving)} servers drain, {drained_at - silent_at:.3f} s after the silence")
-        await asyncio.sleep(BOUNDS["drain_ms"] / 1000 + LINGER_S)
-        for server in leaving:
-            await server.end()
-        fleet.record.say(f"they end, {time.monotonic() - silent_at:.3f} s after the silence")
-        await asyncio.sleep(5)
-        # Judged are machines in touch only: contact_ms after the connections went silent.
-        since = max(drained_at + BOUNDS["drain_ms"] / 1000, silent_at + BOUNDS["contact_ms"] / 1000) + MARGIN_S
-        late = [run for server in leaving for run in server.begun if run[0] > since]
-        sent = {request for at, request, _ in answers if at > since}
-        lost = [request for _, request, status in answers if status is None or status >= 500]
-        fleet.record.say("requests that reached them late, in seconds after the silence:",
-                         [(run[1], round(run[0] - silent_at, 3)) for run in late])
-        fleet.record.say("of these sent by their clients after the bound:", len([run for run in late if run[1] in sent]),
-                         "without a whole answer:", len([run for run in late if run[1] in lost]))
-        fleet.record.say("answers:", len(answers), "processes that ended:", fleet.ended_by_itself())
-        return not late
+            stopped.signal(signal.SIGTERM)
+        late = {f"1a{number:06x}": after for number, after in enumerate(LATE_S)}
+        for request, after in late.items():
+            await asyncio.sleep(asked + after - time.monotonic())
+            tasks.add(asyncio.create_task(stream(stopped, request)))
+        await asyncio.sleep(DEADLINE_S + 1.5)
+        begun = {run[1] for server in fleet.servers for run in server.begun}
+        lost = []
+        for request, after in late.items():
+            status, events, took = answers.get(request, (None, 0, 0))
+            fleet.record.say(f"sent {after} s after the SIGTERM: status {status}, {events} of {LONG} events, ended after {took:.2f} s,",
+                             "a server had it" if request in begun else "no server had it")
+            # Cut before its deadline, though its server was at work and did not break off.
+            if status is None and request in begun and took < DEADLINE_S - 0.1:
+                lost.append(request)
+        fleet.record.say("lost:", lost, "processes that ended:", fleet.ended_by_itself() if not TROUBLE else "(the one that was stopped)",
+                         "grace_s:", BOUNDS["grace_s"])
+        return not lost
     finally:
         fleet.stop()
 
