Judge late requests of a stop by their deadline alone

Callers saw streams that came 4.0 to 4.3 s after SIGTERM close without an answer 7.2 s after it, 0.8 to 1.1 s before their deadlines.

Cause: a request was admitted if a bound from the history of other requests lay before the end of the process. Where earlier outputs had ended after a third of their tokens, the bound was a third of what a full output takes. No history bounds a request.

Now only its own deadline does. Others are refused at once, not run, with Retry-After 0, also those that wait when SIGTERM comes. The statistics that served the bound alone are removed.

--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -329,19 +329,8 @@
         if is_resumption(&request.route, &request.facts) {
             return;
         }
-        let (times, route) = (&node.response_times, &request.route);
-        let (service, tokens_out) = (request.service.as_str(), request.facts.tokens_out);
-        times.record_duration(service, tokens_out, hold_time);
-        if tokens_out == 0 {
-            times.record_unsized(&route.name, hold_time);
-            return;
-        }
-        let (events, generation) = match self.output_since {
-            Some(since) => (self.events, since.elapsed()),
-            // Its events are not known, so each token counts as one.
-            None => (u64::from(tokens_out), hold_time),
-        };
-        times.record_generation((service, route.kind), tokens_out, events, generation);
+        node.response_times
+            .record_duration(&request.service, request.facts.tokens_out, hold_time);
     }
 
     /// Continues the stream after the last event, at the successor or another server. Fails if the
--- a/crates/ingress/src/response_times.rs
+++ b/crates/ingress/src/response_times.rs
@@ -8,11 +8,8 @@
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
-use dappleyard_model::RouteKind;
 use parking_lot::Mutex;
 
-use crate::generation_pace::GenerationPace;
-
 /// Minimum timeout for the first event. Two thirds of the usual 300 ms target are left to the first
 /// server.
 const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -113,13 +110,6 @@
         })
     }
 
-    /// The longest duration, widened to a whole bucket, or `None` with too few samples in the last windows.
-    pub fn longest(&mut self, now: Instant) -> Option<Duration> {
-        self.rotate(now);
-        let last = self.quantile_bucket(1.0)?;
-        Some(bucket_start(last + 1))
-    }
-
     /// Bucket that contains the quantile, or `None` with too few samples.
     fn quantile_bucket(&self, quantile: f64) -> Option<usize> {
         let counts = self.current.iter().zip(&self.previous);
@@ -158,9 +148,6 @@
     normalized_gaps: Mutex<HashMap<String, LatencyHistogram>>,
     /// By the number of tokens to generate.
     durations: Mutex<HashMap<(String, u32), LatencyHistogram>>,
-    paces: Mutex<HashMap<(String, RouteKind), GenerationPace>>,
-    /// Durations of responses whose requests do not say how much they ask for, by route.
-    unsized_durations: Mutex<HashMap<String, LatencyHistogram>>,
 }
 
 impl ResponseTimes {
@@ -206,55 +193,6 @@
             .record(elapsed, Instant::now());
     }
 
-    /// Records a whole response of a service; `generation` is the time from its first event to its last.
-    pub fn record_generation(
-        &self,
-        (service, kind): (&str, RouteKind),
-        tokens_out: u32,
-        events: u64,
-        generation: Duration,
-    ) {
-        let mut paces = self.paces.lock();
-        let pace = paces.entry((service.to_owned(), kind)).or_default();
-        pace.record(tokens_out, events, generation, Instant::now());
-    }
-
-    /// Records the duration of a whole response whose request does not say how much it asks for.
-    pub fn record_unsized(&self, route: &str, elapsed: Duration) {
-        let mut times = self.unsized_durations.lock();
-        times
-            .entry(route.to_owned())
-            .or_default()
-            .record(elapsed, Instant::now());
-    }
-
-    /// Time from sending a request to the first event of nearly all requests with as long a prompt, or `None` with too
-    /// few samples.
-    pub fn longest_first_event(&self, service: &str, tokens: u32) -> Option<Duration> {
-        let mut times = self.first.lock();
-        let histogram = times.get_mut(&(service.to_owned(), size_class(tokens)))?;
-        Some(histogram.range(Instant::now())?.high)
-    }
-
-    /// Time for the events after `after` of a response that asks for `tokens_out`, or `None` with too few samples.
-    pub fn longest_generation(
-        &self,
-        (service, kind): (&str, RouteKind),
-        tokens_out: u32,
-        after: u64,
-    ) -> Option<Duration> {
-        let mut paces = self.paces.lock();
-        let pace = paces.get_mut(&(service.to_owned(), kind))?;
-        pace.longest(tokens_out, after, Instant::now())
-    }
-
-    /// Longest of the last responses of a route whose requests do not say how much they ask for, or `None` with too few
-    /// samples.
-    pub fn longest_unsized(&self, route: &str) -> Option<Duration> {
-        let mut times = self.unsized_durations.lock();
-        times.get_mut(route)?.longest(Instant::now())
-    }
-
     /// Range of the durations of requests like one, or `None` with too few samples.
     pub fn duration_range(&self, service: &str, tokens_out: u32) -> Option<DurationRange> {
         let mut times = self.durations.lock();
