Keep the items of a job at the route that it was submitted to

With a batch route below, items ran at that route's service; if it stood there before the submission, the job was accepted and abandoned at once.

Cause: the row of a job names its route, but each item's route was looked up by the item's path, and one of another kind counted as none.

Items now belong to the named route. It has ended if a configuration at least as new as the job has no batch route of that name; the items are abandoned 3 s later unless it comes back, and do not start meanwhile.

--- a/crates/jobs/src/owned.rs
+++ b/crates/jobs/src/owned.rs
@@ -169,16 +169,18 @@
 }
 
 impl OwnedState {
-    /// The batch route of an item; `None` if the configuration no longer has one.
-    pub(crate) fn route<'a>(
-        &self,
-        configuration: &'a Configuration,
-        item: &Item,
-    ) -> Option<&'a Route> {
-        let route = configuration.route(&self.row.host, &item.stored.path);
+    /// The route that the job was submitted to; `None` if the configuration has no batch route of that name. Items belong
+    /// to it, whatever other routes match their paths.
+    pub(crate) fn route<'a>(&self, configuration: &'a Configuration) -> Option<&'a Route> {
+        let route = configuration.route_named(&self.row.route);
         route.filter(|route| route.kind == RouteKind::Batch)
     }
 
+    pub(crate) fn has_unfinished(&self) -> bool {
+        let mut items = self.items.iter();
+        items.any(|item| item.progress != Progress::Finished)
+    }
+
     /// Whether there are finished results or output to commit.
     pub(crate) fn has_uncommitted(&self) -> bool {
         !self.finished.is_empty() || self.is_save_due()
@@ -197,6 +199,8 @@
     pub loaded_revision: u64,
     /// Whether its items wait for a configuration that is not older than the job.
     pub awaits_configuration: Cell<bool>,
+    /// Since when the configuration has no route for it.
+    pub route_missing_since: Cell<Option<Instant>>,
     pub state: RefCell<OwnedState>,
     #[expect(dead_code, reason = "counts the items while they are kept")]
     kept: KeptBytes,
@@ -229,6 +233,7 @@
             job: job.to_owned(),
             loaded_revision: revision,
             awaits_configuration: Cell::new(false),
+            route_missing_since: Cell::new(None),
             state: RefCell::new(OwnedState {
                 row,
                 revision,
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -13,7 +13,7 @@
 
 use crate::admission::is_urgent;
 use crate::continuation::{self, Continuation};
-use crate::expiry::{abandon_items, is_expired, may_abandon};
+use crate::expiry::{abandon_items, handle_missing_route, is_expired, may_abandon};
 use crate::order::{Rank, rank};
 use crate::owned::{ActiveRun, Item, OwnedJob, Progress};
 use crate::placement::{ServerCapacity, capacity, pick_server, prefer_local_region};
@@ -178,7 +178,7 @@
             .sum()
     }
 
-    /// The items of a job that are ready to start; abandons those that are expired or have no route.
+    /// The items of a job that are ready to start; abandons the job's items if they are expired or their route was removed.
     fn candidates(
         &self,
         job: &Rc<OwnedJob>,
@@ -188,25 +188,26 @@
         let now = Instant::now();
         let may_abandon = may_abandon(self, job);
         let mut candidates = Vec::new();
-        let mut abandon_cause = None;
         let mut failed = Vec::new();
         let state = job.state.borrow();
+        if !state.has_unfinished() {
+            return candidates;
+        }
+        let Some(route) = state.route(configuration) else {
+            drop(state);
+            handle_missing_route(self, job, configuration.version);
+            return candidates;
+        };
+        job.route_missing_since.set(None);
+        if may_abandon && is_expired(state.row.accepted_ms, route.max_wait_s, now_ms) {
+            drop(state);
+            abandon_items(self, job, "the maximum wait was exceeded");
+            return candidates;
+        }
         for (index, item) in state.items.iter().enumerate() {
             if item.progress == Progress::Finished {
                 continue;
             }
-            let Some(route) = state.route(configuration, item) else {
-                if !may_abandon {
-                    self.log_awaited_configuration(job, configuration.version);
-                    return Vec::new();
-                }
-                abandon_cause = Some("the configuration has no batch route for the item");
-                break;
-            };
-            if may_abandon && is_expired(state.row.accepted_ms, route.max_wait_s, now_ms) {
-                abandon_cause = Some("the maximum wait was exceeded");
-                break;
-            }
             let has_failed = item.failures > 0 && item.failures >= route.max_attempts;
             if item.progress == Progress::Waiting && has_failed {
                 failed.extend(may_abandon.then_some(index));
@@ -242,23 +243,7 @@
         for index in failed {
             job.finish(index, false);
         }
-        match abandon_cause {
-            Some(cause) => {
-                abandon_items(self, job, cause);
-                Vec::new()
-            }
-            None => candidates,
-        }
-    }
-
-    fn log_awaited_configuration(&self, job: &OwnedJob, version: u64) {
-        if job.awaits_configuration.replace(true) {
-            return;
-        }
-        self.node.log.write("configuration_awaited", || {
-            serde_json::json!({"job": job.job, "revision": job.loaded_revision, "version": version,
-                "cause": "no batch route for its items in a configuration older than the job"})
-        });
+        candidates
     }
 
     /// Starts an item on a server, unless crash tracking refuses it.
--- a/crates/jobs/src/service_state.rs
+++ b/crates/jobs/src/service_state.rs
@@ -8,7 +8,6 @@
 use dappleyard_model::Configuration;
 
 use crate::admission::{AdmissionChange, BatchAdmission, ServiceLoad, apportion};
-use crate::owned::Progress;
 use crate::placement::accepts_items;
 use crate::runner::Runner;
 
@@ -53,10 +52,11 @@
     let mut needed: BTreeSet<&str> = BTreeSet::new();
     for job in runner.owned.borrow().values() {
         let state = job.state.borrow();
-        let items = state.items.iter();
-        let unfinished = items.filter(|item| item.progress != Progress::Finished);
-        let routes = unfinished.filter_map(|item| state.route(configuration, item));
-        let targets = routes.flat_map(|route| &route.targets);
+        if !state.has_unfinished() {
+            continue;
+        }
+        let targets = state.route(configuration).into_iter();
+        let targets = targets.flat_map(|route| &route.targets);
         needed.extend(targets.map(|target| target.service.as_str()));
     }
     needed.into_iter().map(str::to_owned).collect()
