Begin resumable streams only at recorded software versions

Callers whose streams broke off when all nodes were killed took them up again and were answered 200, with the first part from one version and the rest from another.

Cause: a node that starts takes a version without a record for one that began no stream, but streams began at a version as soon as it was listed, whether its record had been written or not.

A stream that may be resumed now begins only at a version that its node knows to be in the store. Two nodes write it at once, the others look 0.3 s later and write it if it is still missing.

--- a/crates/cluster/src/servers.rs
+++ b/crates/cluster/src/servers.rs
@@ -8,6 +8,7 @@
 
 use dappleyard_clock::Instant;
 use dappleyard_model::{Distance, ServerRecord, SoftwareVersion};
+use dappleyard_streams::Versions;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::zone_distances::ZoneDistances;
@@ -45,6 +46,9 @@
     pub affinity_servers: Vec<Arc<ServerRecord>>,
     /// Software versions at which no streams begin yet, with the time from which they do.
     pub settling: Vec<(Option<SoftwareVersion>, Instant)>,
+    /// Software versions that the store has not recorded. No stream that may be resumed begins there: were all nodes lost,
+    /// nobody would know that it had.
+    pub unrecorded: Versions,
 }
 
 impl ServerSet {
@@ -55,6 +59,11 @@
         !settling.any(|(version, until)| *version == server.version && now < *until)
     }
 
+    /// Whether the store has recorded the software version of a server.
+    pub fn is_recorded(&self, server: &ServerRecord) -> bool {
+        !self.unrecorded.contains(&server.version)
+    }
+
     /// Whether the node uses only a subset of the servers.
     pub fn is_large(&self) -> bool {
         self.used.len() < self.all.len()
@@ -98,6 +107,7 @@
                 affinity_servers: all.clone(),
                 all,
                 settling: Vec::new(),
+                unrecorded: Versions::new(),
             };
         }
         let is_near = |server: &&Arc<ServerRecord>| server.zone == self.zone_distances.zone();
@@ -108,6 +118,7 @@
                 affinity_servers: all.clone(),
                 all,
                 settling: Vec::new(),
+                unrecorded: Versions::new(),
             };
         }
         let mut used = self.select(affinity_servers.iter(), OWN_ZONE_USED);
@@ -117,6 +128,7 @@
             affinity_servers,
             all,
             settling: Vec::new(),
+            unrecorded: Versions::new(),
         }
     }
 
@@ -161,6 +173,7 @@
             affinity_servers: self.multi_region_affinity_servers(&all),
             all,
             settling: Vec::new(),
+            unrecorded: Versions::new(),
         }
     }
 
--- a/crates/cluster/src/servers_sink.rs
+++ b/crates/cluster/src/servers_sink.rs
@@ -109,6 +109,9 @@
         }
         known.servers_read = true;
         View::mark_all_stale(&mut known);
+        for (_, server) in known.servers.values() {
+            self.view.note_version(&known, server);
+        }
         drop(known);
         self.view.changed.notify_waiters();
     }
@@ -134,6 +137,9 @@
         for service in before.into_iter().chain(after) {
             View::mark_stale(&mut known, &service);
         }
+        if let Some(server) = &server {
+            self.view.note_version(&known, server);
+        }
         drop(known);
         self.view.log_server(&row, server.as_ref());
         self.view.changed.notify_waiters();
--- a/crates/cluster/src/version_rows.rs
+++ b/crates/cluster/src/version_rows.rs
@@ -1,5 +1,6 @@
 //! Records the software versions of each service in the row store, so that a node that starts knows at which versions
-//! streams under way may have begun, also when the servers of a version and all nodes that knew it are gone.
+//! streams under way may have begun, also when the servers of a version and all nodes that knew it are gone. A stream that may
+//! be resumed begins only at a version that its node knows to be recorded, so a version without a record has begun none.
 
 use std::time::Duration;
 
@@ -13,12 +14,14 @@
 
 pub const VERSIONS_TABLE: &str = "versions";
 const PAGE_ROWS: usize = 500;
-/// Delay before a failed store call is retried.
+/// Delay before a failed store call is retried; it grows to the interval between checks.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Longest interval between checks of the versions; a new version is recorded at once.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
-/// Nodes that write the row of a service; two, so that one may fail.
+/// Nodes that write the row of a service at once; two, so that one may fail.
 const WRITERS: usize = 2;
+/// Time that the writers have until the other nodes look at the row, and write it themselves if need be.
+const WRITE_TIME: Duration = Duration::from_millis(300);
 
 /// Reads the recorded versions, then records changes until the process ends.
 pub async fn sync_versions(view: &View, peers: &PeerTable, store: &dyn RowStore, log: &EventLog) {
@@ -30,10 +33,16 @@
         tokio::time::sleep(RETRY_DELAY).await;
     }
     view.note_versions_complete();
+    let mut delay = RETRY_DELAY;
     loop {
+        let mut failed = false;
         for service in view.unrecorded_services() {
             if !is_writer(peers, &service) {
-                continue;
+                // Expired versions are left to the writers.
+                if !view.has_unrecorded_version(&service) {
+                    continue;
+                }
+                tokio::time::sleep(jittered(WRITE_TIME)).await;
             }
             match record(view, store, log, &service).await {
                 Ok(versions) => log.write(
@@ -41,20 +50,31 @@
                     || serde_json::json!({"service": service, "versions": texts(&versions)}),
                 ),
                 Err(error) => {
+                    failed = true;
                     log.write(
                         "versions_unrecorded",
                         || serde_json::json!({"service": service, "cause": error.to_string()}),
                     );
-                    tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
         }
+        if failed {
+            tokio::time::sleep(jittered(delay)).await;
+            delay = (delay * 2).min(CHECK_INTERVAL);
+            continue;
+        }
+        delay = RETRY_DELAY;
         // A timeout is a regular check: versions expire, and other writers end.
         let _ = tokio::time::timeout(CHECK_INTERVAL, view.versions_changed()).await;
     }
 }
 
-/// Whether this node records the versions of a service.
+/// Spreads the calls of many nodes.
+fn jittered(delay: Duration) -> Duration {
+    delay.mul_f64(rand::random_range(0.75..1.25))
+}
+
+/// Whether this node records the versions of a service before others do.
 fn is_writer(peers: &PeerTable, service: &str) -> bool {
     let rank = |name: &str| {
         let mut bytes = name.as_bytes().to_vec();
--- a/crates/cluster/src/versions.rs
+++ b/crates/cluster/src/versions.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dappleyard_clock::Instant;
-use dappleyard_model::{RunOrigin, SoftwareVersion};
+use dappleyard_model::{RunOrigin, ServerRecord, SoftwareVersion};
 use dappleyard_streams::{Knowledge, VersionHistory, Versions};
 
 use crate::view::{View, ViewState};
@@ -18,6 +18,8 @@
 pub(crate) struct VersionState {
     history: VersionHistory,
     recorded: HashMap<String, Versions>,
+    /// Those of `recorded` that no node has dropped from the record since it was read.
+    confirmed: HashMap<String, Versions>,
 }
 
 impl VersionState {
@@ -29,8 +31,31 @@
         listed: &Versions,
         serving: &Versions,
     ) -> bool {
-        self.history
-            .note_listed(service, listed, serving, Instant::now())
+        let now = Instant::now();
+        if let Some(confirmed) = self.confirmed.get_mut(service) {
+            let retained = self.history.retained(service, now);
+            confirmed.retain(|version| retained.contains(version));
+        }
+        self.history.note_listed(service, listed, serving, now)
+    }
+
+    /// Notes what the store has recorded for a service.
+    fn set_recorded(&mut self, service: &str, recorded: Versions) {
+        self.confirmed.insert(service.to_owned(), recorded.clone());
+        self.recorded.insert(service.to_owned(), recorded);
+    }
+
+    /// Whether the store has recorded a version.
+    fn is_recorded(&self, service: &str, version: &Option<SoftwareVersion>) -> bool {
+        let confirmed = self.confirmed.get(service);
+        confirmed.is_some_and(|confirmed| confirmed.contains(version))
+    }
+
+    /// Those of the listed versions of a service that the store has not recorded.
+    pub(crate) fn unrecorded(&self, service: &str, listed: &Versions) -> Versions {
+        let listed = listed.iter();
+        let unrecorded = listed.filter(|version| !self.is_recorded(service, version));
+        unrecorded.cloned().collect()
     }
 
     /// Versions of a service at which no streams begin yet, with the time from which they do.
@@ -100,6 +125,19 @@
         unrecorded.collect()
     }
 
+    /// Whether a server of a version that the store has not recorded is listed.
+    pub(crate) fn has_unrecorded_version(&self, service: &str) -> bool {
+        !self.servers(service).unrecorded.is_empty()
+    }
+
+    /// Wakes the task that records versions if that of a listed server is not recorded.
+    pub(crate) fn note_version(&self, known: &ViewState, server: &ServerRecord) {
+        let versions = &known.versions;
+        if !versions.is_recorded(&server.service, &server.version) {
+            self.versions_changed.notify_one();
+        }
+    }
+
     /// Waits for a new version of a service.
     pub(crate) async fn versions_changed(&self) {
         self.versions_changed.notified().await;
@@ -111,8 +149,8 @@
         let versions = recorded.iter().cloned().collect();
         let history = &mut known.versions.history;
         history.note_recorded(service, versions, Instant::now());
-        let all = &mut known.versions.recorded;
-        all.insert(service.to_owned(), recorded);
+        known.versions.set_recorded(service, recorded);
+        Self::mark_stale(&mut known, service);
     }
 
     /// Notes that all recorded versions were read.
@@ -128,6 +166,7 @@
         let VersionState {
             history,
             recorded: before,
+            ..
         } = &mut known.versions;
         let before = before.get(service).cloned().unwrap_or_default();
         let added = recorded.difference(&before).cloned().collect();
@@ -138,8 +177,8 @@
     /// Notes what the store has recorded.
     pub(crate) fn note_versions_written(&self, service: &str, recorded: Versions) {
         let mut known = self.known.lock();
-        let all = &mut known.versions.recorded;
-        all.insert(service.to_owned(), recorded);
+        known.versions.set_recorded(service, recorded);
+        Self::mark_stale(&mut known, service);
     }
 }
 
--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -130,6 +130,7 @@
             self.versions_changed.notify_one();
         }
         set.settling = known.versions.settling(service);
+        set.unrecorded = known.versions.unrecorded(service, &listed);
         let set = Arc::new(set);
         let cached = CachedSet {
             set: set.clone(),
--- a/crates/emulator/src/rows.rs
+++ b/crates/emulator/src/rows.rs
@@ -46,6 +46,8 @@
     delayed: Vec<Transaction>,
     held: Vec<Transaction>,
     down: bool,
+    /// Table whose changes are refused.
+    read_only_table: Option<&'static str>,
     transaction_faults: Option<(ChaCha8Rng, f64)>,
     read_faults: Option<(ChaCha8Rng, f64)>,
     transactions: u64,
@@ -104,6 +106,11 @@
         self.state.lock().down = down;
     }
 
+    /// Sets a table whose changes are refused, while all other calls are served.
+    pub fn set_read_only(&self, table: Option<&'static str>) {
+        self.state.lock().read_only_table = table;
+    }
+
     /// Discards the history up to the current revision; a feed that starts at an older revision then
     /// fails with [`StoreError::Compacted`].
     pub fn compact_history(&self) {
@@ -256,7 +263,8 @@
                 // A delayed transaction whose conditions no longer hold has no effect.
                 let _ = state.apply(&delayed);
             }
-            if state.down {
+            let changes = |table| transaction.puts.iter().any(|(key, _)| key.table == table);
+            if state.down || state.read_only_table.is_some_and(changes) {
                 return Err(unavailable());
             }
             match state.next_fault() {
--- a/crates/ingress/src/server_selection.rs
+++ b/crates/ingress/src/server_selection.rs
@@ -96,9 +96,8 @@
                     log_placed(upstreams, request, &placement);
                     return Some(Ok(placement));
                 }
-                // Only the rate limit of cold servers holds the request back, so it does not count
-                // as waiting for a slot.
-                None if !is_due(request) && is_cold_limited(upstreams, request) => {
+                // No slot is missing, so it does not count as waiting for one.
+                None if !is_due(request) && is_held_back(upstreams, request) => {
                     (CHECK_INTERVAL, false)
                 }
                 None => return Some(Err(Unplaced::NoServer)),
@@ -145,7 +144,7 @@
         check_time_left(upstreams.node(), request).map_err(Unplaced::OutOfTime)?;
         let urgency = urgency(request.arrived.elapsed(), target, patience);
         let Some(placement) = select_now(upstreams, request) else {
-            if urgency == Urgency::Due || !is_cold_limited(upstreams, request) {
+            if urgency == Urgency::Due || !is_held_back(upstreams, request) {
                 return Err(Unplaced::NoServer);
             }
             tokio::time::sleep(CHECK_INTERVAL.min(remaining)).await;
@@ -312,10 +311,22 @@
     let open: Vec<&Arc<ServerRecord>> = candidate_servers.filter(may_take).collect();
     match request.origin {
         Some(_) => open,
-        None => settled_servers(servers, open),
+        None => settled_servers(servers, recorded_servers(servers, request, open)),
     }
 }
 
+/// The servers at which a stream that may be resumed can begin, since the store has recorded their versions.
+fn recorded_servers<'a>(
+    servers: &ServerSet,
+    request: &Request,
+    mut open: Vec<&'a Arc<ServerRecord>>,
+) -> Vec<&'a Arc<ServerRecord>> {
+    if request.route.resumable {
+        open.retain(|server| servers.is_recorded(server));
+    }
+    open
+}
+
 /// The servers at which streams may begin, or all if there is none.
 fn settled_servers<'a>(
     servers: &ServerSet,
@@ -366,16 +377,20 @@
     })
 }
 
-/// Whether some server would be eligible if it were not for the rate limit of cold servers.
-fn is_cold_limited(upstreams: &Upstreams, request: &Request) -> bool {
+/// Whether some server would be eligible if it were not for the rate limit of cold servers or the record of its version.
+fn is_held_back(upstreams: &Upstreams, request: &Request) -> bool {
     let node = upstreams.node();
-    let Some(limit) = ColdLimit::of(node, &request.service) else {
-        return false;
-    };
-    let may_try_more = request.tried.len() < MAX_SERVERS_TRIED;
+    let limit = ColdLimit::of(node, &request.service);
     let servers = node.view.servers(&request.service);
+    let may_try_more = request.tried.len() < MAX_SERVERS_TRIED;
     let places = &node.settings.places;
-    let mut open = candidate_servers(&servers, &request.homes, request.origin.as_ref(), node)
+    let origin = request.origin.as_ref();
+    let mut open = candidate_servers(&servers, &request.homes, origin, node)
         .filter(|server| request.accepts(server, places));
-    may_try_more && open.any(|server| !limit.allows(server))
+    let is_cold_limited =
+        |server: &ServerRecord| limit.as_ref().is_some_and(|limit| !limit.allows(server));
+    let awaits_record = |server: &ServerRecord| {
+        origin.is_none() && request.route.resumable && !servers.is_recorded(server)
+    };
+    may_try_more && open.any(|server| is_cold_limited(server) || awaits_record(server))
 }
--- a/crates/streams/src/history.rs
+++ b/crates/streams/src/history.rs
@@ -13,6 +13,10 @@
 /// nodes that follow the list know of it, so none takes the service for one of a single version.
 pub const SETTLE_TIME: Duration = Duration::from_millis(1_000);
 
+/// How long after its last server was listed a version is taken to be in the record of its service. Nodes see that at
+/// different times, and the first one to see it expire drops it.
+const RECORD_TRUST_TIME: Duration = Duration::from_secs(60);
+
 /// What a node knows of the versions of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Knowledge {
@@ -44,7 +48,11 @@
 
 impl Listing {
     fn counts(&self, now: Instant) -> bool {
-        let is_over = |at: Instant| now.saturating_duration_since(at) >= VERSION_RETENTION;
+        self.was_listed_within(VERSION_RETENTION, now)
+    }
+
+    fn was_listed_within(&self, time: Duration, now: Instant) -> bool {
+        let is_over = |at: Instant| now.saturating_duration_since(at) >= time;
         !self.unlisted.is_some_and(is_over)
     }
 }
@@ -124,6 +132,14 @@
         counting.map(|(version, _)| version.clone()).collect()
     }
 
+    /// Versions of a service that its record holds if it ever did, since no node drops them from it yet.
+    pub fn retained(&self, service: &str, now: Instant) -> Versions {
+        let versions = self.services.get(service).into_iter().flatten();
+        let retained =
+            versions.filter(|(_, listing)| listing.was_listed_within(RECORD_TRUST_TIME, now));
+        retained.map(|(version, _)| version.clone()).collect()
+    }
+
     /// What is known of a service; `is_fresh` tells whether the list of servers is up to date.
     pub fn knowledge(&self, service: &str, is_fresh: bool, now: Instant) -> Knowledge {
         let mut versions = self.versions(service, now).into_iter();
