Resume an unframed stream whose server left as announced

Nothing was resumed.

Cause: whether such an answer is whole was judged by the question whether its server had crashed, which is answered with no for a server that leaves.

It is whole now only if the port of its server still accepts connections and no other run has its name or address.

--- a/crates/cluster/src/view.rs
+++ b/crates/cluster/src/view.rs
@@ -49,6 +49,17 @@
 }
 
 impl ViewState {
+    /// The last entry of a server whose name another run has now.
+    fn was_replaced_by_name(&self, server: &ServerRecord) -> Option<&ServerRecord> {
+        let earlier = self.previous_runs.get(&server.instance)?;
+        (earlier.id == server.id).then_some(earlier)
+    }
+
+    fn has_other_at_address(&self, server: &ServerRecord) -> bool {
+        let mut others = self.servers.values();
+        others.any(|(_, other)| other.address == server.address && other.id != server.id)
+    }
+
     /// Finds a listed run of a server by its identifier.
     fn server(&self, id: &str) -> Option<&Arc<ServerRecord>> {
         let names = [id, ServerRecord::instance_of(id)];
@@ -164,21 +175,23 @@
             .is_some_and(|server| may_run_at(origin, server))
     }
 
+    /// Whether another run with the name or the address of a server is listed, so that the server has ended.
+    pub fn has_successor(&self, server: &ServerRecord) -> bool {
+        let known = self.known.lock();
+        known.was_replaced_by_name(server).is_some() || known.has_other_at_address(server)
+    }
+
     /// Whether a server that was not draining has been replaced by another run with its name or
     /// address.
     pub fn is_replaced(&self, server: &ServerRecord) -> bool {
         let known = self.known.lock();
-        if let Some(earlier) = known.previous_runs.get(&server.instance)
-            && earlier.id == server.id
-        {
+        if let Some(earlier) = known.was_replaced_by_name(server) {
             return !earlier.draining;
         }
         let is_draining = known
             .server(&server.id)
             .is_some_and(|listed| listed.draining);
-        let mut others = known.servers.values();
-        !is_draining
-            && others.any(|(_, other)| other.address == server.address && other.id != server.id)
+        !is_draining && known.has_other_at_address(server)
     }
 
     /// Why a listed server gets no new work.
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -230,34 +230,45 @@
         if self.node.view.is_replaced(server) {
             return (Evidence::Ended, None);
         }
-        let leaves = self.node.view.exclusion(&server.id);
-        if matches!(leaves, Some(Exclusion::Draining | Exclusion::Gone)) {
-            return (Evidence::Leaving, None);
-        }
-        match Connection::open(server.address, CHECK_TIMEOUT).await {
-            Ok(connection) => (Evidence::Alive, Some(connection)),
-            Err(error) if error.is_refused => (Evidence::Ended, None),
-            Err(_) => (Evidence::Unknown, None),
+        match self.is_leaving(server) {
+            true => (Evidence::Leaving, None),
+            false => probe_port(server).await,
         }
     }
 
+    fn is_leaving(&self, server: &ServerRecord) -> bool {
+        let exclusion = self.node.view.exclusion(&server.id);
+        matches!(exclusion, Some(Exclusion::Draining | Exclusion::Gone))
+    }
+
     /// Whether an answer that ended with its connection, and whose framing does not show whether it is whole, may have
-    /// been cut by a crash. A stream waits for a second check, since a crashing process may close its connections before
-    /// its port; the caller of another answer is not kept waiting.
-    pub async fn may_be_cut_by_crash(&self, server: &ServerRecord, is_stream: bool) -> bool {
-        let (evidence, connection) = self.probe(server).await;
-        if is_stream && evidence == Evidence::Alive {
+    /// been cut by the end of its server, planned or not. A stream waits for a second check, since a process may close its
+    /// connections before its port; the caller of another answer is not kept waiting.
+    pub async fn may_be_cut(&self, server: &ServerRecord, is_stream: bool) -> bool {
+        let view = &self.node.view;
+        let (evidence, connection) = probe_port(server).await;
+        if evidence != Evidence::Alive || view.has_successor(server) {
+            return true;
+        }
+        if is_stream {
             tokio::time::sleep(SECOND_CHECK_DELAY).await;
         }
         match connection.filter(Connection::is_reusable) {
             Some(connection) => {
-                self.pool.put(server.address, connection);
+                if !self.is_leaving(server) {
+                    self.pool.put(server.address, connection);
+                }
                 false
             }
-            None if evidence == Evidence::Alive => {
-                self.check_address(server).await != Evidence::Alive
-            }
-            None => evidence != Evidence::Leaving,
+            None => probe_port(server).await.0 != Evidence::Alive || view.has_successor(server),
         }
     }
 }
+
+async fn probe_port(server: &ServerRecord) -> (Evidence, Option<Connection>) {
+    match Connection::open(server.address, CHECK_TIMEOUT).await {
+        Ok(connection) => (Evidence::Alive, Some(connection)),
+        Err(error) if error.is_refused => (Evidence::Ended, None),
+        Err(_) => (Evidence::Unknown, None),
+    }
+}
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -296,7 +296,7 @@
         }
         started.work = None;
         let server = &started.exchange.server;
-        let is_cut = self.upstreams.may_be_cut_by_crash(server, is_stream).await;
+        let is_cut = self.upstreams.may_be_cut(server, is_stream).await;
         is_cut.then(|| AttemptError::ended_early("the server ended with its connection"))
     }
 
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -262,7 +262,7 @@
         return Ok(());
     }
     let server = &exchange.server;
-    if runner.upstreams.may_be_cut_by_crash(server, true).await {
+    if runner.upstreams.may_be_cut(server, true).await {
         let reason = "the server ended with its connection";
         return Err(AttemptError::ended_early(reason));
     }
