Bound what a node holds of all answers that are not whole

Operators of a system like this one saw a machine run out of memory since a faulty server sent bytes without end; the requests of other clients ended with it.

Cause: an incomplete event and the body of a failure may take 1 MiB each, and nothing bounded all of them together.

They now count toward the node's buffers (an eighth of its memory). Once these are full, an answer with more than 16 KiB of incomplete output is given up, resumed elsewhere if its route allows it.

--- a/crates/dappleyard/tests/misbehaving_callers/main.rs
+++ b/crates/dappleyard/tests/misbehaving_callers/main.rs
@@ -2,6 +2,7 @@
 //! and the descriptors of its machine, and answers an ordinary request.
 
 mod crowd;
+mod endless_servers;
 mod own_interface;
 #[path = "../planned_stop/support.rs"]
 #[allow(dead_code, reason = "shared with the tests of planned stops")]
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::completion::{OutOfTime, check_time_left};
 use crate::deadline::Deadline;
 use crate::error_kind::{ErrorKind, promises_not_run};
+use crate::incomplete_output::IncompleteOutput;
 use crate::node::Node;
 use crate::placement::PromptShape;
 use crate::runs::{PendingRun, fail_run, start_run, wait_for_response};
@@ -316,7 +317,10 @@
     request: &Request,
     mut exchange: Exchange,
 ) -> Option<Failed> {
-    let reading = exchange.connection.whole_body(MAX_FAILURE_BYTES);
+    let mut incomplete = IncompleteOutput::new(upstreams.node().clone());
+    let reading = exchange
+        .connection
+        .whole_body_while(MAX_FAILURE_BYTES, |held| incomplete.set(held).is_ok());
     let body = match request.deadline.wait(reading).await? {
         Ok(body) => body,
         Err(error) => {
--- a/crates/ingress/src/event_stream.rs
+++ b/crates/ingress/src/event_stream.rs
@@ -51,6 +51,11 @@
         self.incomplete_since.get_or_insert_with(Instant::now);
     }
 
+    /// Memory that the incomplete event takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the incomplete event may still become whole. Called after a piece that has not completed it.
     pub fn check_incomplete(&self, max_bytes: usize) -> Result<(), OutputExceeded> {
         if self.buffer.len() > max_bytes {
--- a/crates/ingress/src/output_limits.rs
+++ b/crates/ingress/src/output_limits.rs
@@ -34,6 +34,8 @@
     EventWithoutEnd,
     #[display("the output is longer than any answer needs")]
     OutputTooLong,
+    #[display("the node's buffers are full of incomplete output")]
+    BuffersFull,
 }
 
 impl OutputLimits {
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::error_kind::ErrorKind;
 use crate::event_gaps::EventGaps;
 use crate::event_stream::{Event, EventSplitter, MAX_EVENT_TIME};
+use crate::incomplete_output::IncompleteOutput;
 use crate::metrics::Metrics;
 use crate::node::{DisconnectLogger, InFlightGuard};
 use crate::output_limits::{OutputExceeded, OutputLimits};
@@ -76,6 +77,8 @@
     request: Request,
     started: Option<Started>,
     splitter: EventSplitter,
+    /// What the splitter holds.
+    incomplete: IncompleteOutput,
     gaps: EventGaps,
     /// Set when this node stopped reading the response at a buffer limit.
     stalled: StallFlag,
@@ -93,11 +96,13 @@
 impl Relay {
     fn new(upstreams: Upstreams, request: Request, started: Started, stalled: StallFlag) -> Self {
         let last_event = request.facts.last_event_id;
+        let incomplete = IncompleteOutput::new(upstreams.node().clone());
         Self {
             upstreams,
             request,
             started: Some(started),
             splitter: EventSplitter::default(),
+            incomplete,
             gaps: EventGaps::default(),
             stalled,
             last_event,
@@ -214,7 +219,8 @@
 
     /// Whether the event that is being read may still become whole. One that only takes long ends a stream only if it may
     /// go on elsewhere.
-    fn check_incomplete_event(&self) -> Result<(), OutputExceeded> {
+    fn check_incomplete_event(&mut self) -> Result<(), OutputExceeded> {
+        self.incomplete.set(self.splitter.held_bytes())?;
         let limits = OutputLimits::of(self.request.facts.tokens_out.into());
         match self.splitter.check_incomplete(limits.event_bytes) {
             Err(OutputExceeded::EventWithoutEnd) if !self.is_resumable() => Ok(()),
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -8,8 +8,8 @@
 use dappleyard_cluster::{InFlight, WorkKind};
 use dappleyard_crashes::{Feature, RunGuard};
 use dappleyard_ingress::{
-    Attempt, AttemptError, EventSplitter, Exchange, InterruptedRun, Metrics, OutputLimits, Ran,
-    SilenceLimits,
+    Attempt, AttemptError, EventSplitter, Exchange, IncompleteOutput, InterruptedRun, Metrics,
+    OutputLimits, Ran, SilenceLimits,
 };
 use dappleyard_model::{
     Distance, PromptPart, Route, RunOrigin, ServerRecord, SoftwareVersion, TenantHeader,
@@ -214,6 +214,7 @@
         run: tracked_run,
     } = started_run;
     let mut splitter = EventSplitter::default();
+    let mut incomplete = IncompleteOutput::new(runner.node.clone());
     let (events_before, limits) = {
         let item = &job.state.borrow().items[index];
         (item.events, OutputLimits::of(item.stored.tokens))
@@ -253,6 +254,8 @@
             runner.upstreams.note_output(tracked_run, since.elapsed());
         }
         progress.check_incomplete(&splitter)?;
+        let held = incomplete.set(splitter.held_bytes());
+        held.map_err(AttemptError::output_exceeded)?;
     }
     if !splitter.rest().is_empty() {
         let reason = "the response ended inside an event";
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -202,9 +202,19 @@
 
     /// Reads the rest of the body; fails if it is longer than `limit` bytes.
     pub async fn whole_body(&mut self, limit: usize) -> Result<Bytes, ExchangeError> {
+        self.whole_body_while(limit, |_| true).await
+    }
+
+    /// The same while so many bytes may be held.
+    pub async fn whole_body_while(
+        &mut self,
+        limit: usize,
+        mut may_hold: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, ExchangeError> {
         let mut whole = BytesMut::new();
         while let Some(piece) = self.next_piece().await? {
-            if whole.len() + piece.len() > limit {
+            let length = whole.len() + piece.len();
+            if length > limit || !may_hold(length) {
                 let too_long = Malformed::TooLong("body");
                 return Err(ExchangeError::malformed(Stage::Body, too_long));
             }
