--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::error_kind::ErrorKind;
 use crate::event_gaps::EventGaps;
 use crate::event_stream::{Event, EventSplitter, MAX_EVENT_TIME};
+use crate::incomplete_output::IncompleteOutput;
 use crate::metrics::Metrics;
 use crate::node::{DisconnectLogger, InFlightGuard};
 use crate::output_limits::{OutputExceeded, OutputLimits};
@@ -76,6 +77,8 @@
     request: Request,
     started: Option<Started>,
     splitter: EventSplitter,
+    /// What the splitter holds.
+    incomplete: IncompleteOutput,
     gaps: EventGaps,
     /// Set when this node stopped reading the response at a buffer limit.
     stalled: StallFlag,
@@ -93,11 +96,13 @@
 impl Relay {
     fn new(upstreams: Upstreams, request: Request, started: Started, stalled: StallFlag) -> Self {
         let last_event = request.facts.last_event_id;
+        let incomplete = IncompleteOutput::new(upstreams.node().clone());
         Self {
             upstreams,
             request,
             started: Some(started),
             splitter: EventSplitter::default(),
+            incomplete,
             gaps: EventGaps::default(),
             stalled,
             last_event,
@@ -214,7 +219,8 @@
 
     /// Whether the event that is being read may still become whole. One that only takes long ends a stream only if it may
     /// go on elsewhere.
-    fn check_incomplete_event(&self) -> Result<(), OutputExceeded> {
+    fn check_incomplete_event(&mut self) -> Result<(), OutputExceeded> {
+        self.incomplete.set(self.splitter.held_bytes())?;
         let limits = OutputLimits::of(self.request.facts.tokens_out.into());
         match self.splitter.check_incomplete(limits.event_bytes) {
             Err(OutputExceeded::EventWithoutEnd) if !self.is_resumable() => Ok(()),
@@ -296,7 +302,7 @@
         }
         started.work = None;
         let server = &started.exchange.server;
-        let is_cut = self.upstreams.may_be_cut_by_crash(server, is_stream).await;
+        let is_cut = self.upstreams.may_be_cut(server, is_stream).await;
         is_cut.then(|| AttemptError::ended_early("the server ended with its connection"))
     }
 
@@ -329,19 +335,8 @@
         if is_resumption(&request.route, &request.facts) {
             return;
         }
-        let (times, route) = (&node.response_times, &request.route);
-        let (service, tokens_out) = (request.service.as_str(), request.facts.tokens_out);
-        times.record_duration(service, tokens_out, hold_time);
-        if tokens_out == 0 {
-            times.record_unsized(&route.name, hold_time);
-            return;
-        }
-        let (events, generation) = match self.output_since {
-            Some(since) => (self.events, since.elapsed()),
-            // Its events are not known, so each token counts as one.
-            None => (u64::from(tokens_out), hold_time),
-        };
-        times.record_generation((service, route.kind), tokens_out, events, generation);
+        node.response_times
+            .record_duration(&request.service, request.facts.tokens_out, hold_time);
     }
 
     /// Continues the stream after the last event, at the successor or another server. Fails if the
