Record a version anew whose servers were away for a minute

A service whose servers of one version were all away for a minute took no resumable streams any more after they had come back: a node then no longer trusts its knowledge of the record, and the task that reads it skipped the service, whose versions had not changed.

Evidence: version_that_comes_back fails without the change ("timed out waiting until the version is recorded again") and passes with it.

--- a/crates/cluster/src/versions.rs
+++ b/crates/cluster/src/versions.rs
@@ -110,17 +110,17 @@
         }
     }
 
-    /// Services whose versions differ from those that the store has recorded.
+    /// Services whose versions differ from those that the store has recorded, or whose record has to be read anew.
     pub(crate) fn unrecorded_services(&self) -> Vec<String> {
         let services = self.known.lock().listed_services();
         let services = services.into_iter();
         let unrecorded = services.filter(|service| {
             // Brings the history up to date.
-            self.servers(service);
+            let has_unrecorded = self.has_unrecorded_version(service);
             let known = self.known.lock();
             let versions = &known.versions;
             let current = versions.history.versions(service, Instant::now());
-            versions.recorded.get(service) != Some(&current)
+            has_unrecorded || versions.recorded.get(service) != Some(&current)
         });
         unrecorded.collect()
     }
